Lay out the workspace, the shared types, the wire messages and the traits of the platform

Cause: every later part hangs on the same identifiers, records and messages, so they come first. Ruled out: one object per runner for the slots of a zone, since a new runner's record could be created by a former coordinator after the next one has listed them; one record per zone carries the term and fences all writes at once.

--- /dev/null
+++ b/crates/emulator/src/lib.rs
@@ -0,0 +1,1 @@
+//! placeholder
--- /dev/null
+++ b/crates/flaxward/src/main.rs
@@ -0,0 +1,2 @@
+//! placeholder
+fn main() {}
--- /dev/null
+++ b/crates/platform/src/objects.rs
@@ -0,0 +1,149 @@
+//! The object API: versioned objects with compare-and-swap and watches.
+
+use std::fmt;
+
+use async_trait::async_trait;
+use flaxward_types::{OperationId, Revision};
+use futures::stream::BoxStream;
+use serde::{Deserialize, Serialize};
+use serde_json::Value;
+use thiserror::Error;
+
+/// A collection of objects; each is a resource type of the object API.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub enum Collection {
+    /// What operators write ([`flaxward_types::ConfigurationItem`]).
+    Configurations,
+    /// Zone leases ([`flaxward_types::records::ZoneLease`]), named by zone.
+    Leases,
+    /// Slots of each zone ([`flaxward_types::records::ZonePlacement`]), named by zone.
+    Placements,
+    /// Quotas ([`flaxward_types::records::Quota`]).
+    Quotas,
+    /// Claims of requests that may not be repeated ([`flaxward_types::records::Claim`]).
+    Claims,
+}
+
+impl Collection {
+    /// The plural name that stands in the path.
+    pub fn plural(self) -> &'static str {
+        match self {
+            Self::Configurations => "configurations",
+            Self::Leases => "leases",
+            Self::Placements => "placements",
+            Self::Quotas => "quotas",
+            Self::Claims => "claims",
+        }
+    }
+}
+
+impl fmt::Display for Collection {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter.write_str(self.plural())
+    }
+}
+
+/// One object.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Object {
+    /// Its name within the collection.
+    pub name: String,
+    /// Revision of its last change; the version to name in a compare-and-swap.
+    pub version: Revision,
+    /// The operation that made the last change, by which a lost answer is settled.
+    pub operation: Option<OperationId>,
+    /// Its content.
+    pub body: Value,
+}
+
+/// All objects of a collection at one revision.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct ObjectList {
+    /// Revision of the list; a watch from here misses nothing.
+    pub revision: Revision,
+    /// The objects.
+    pub items: Vec<Object>,
+}
+
+/// One change seen by a watch.
+#[derive(Clone, Debug, PartialEq)]
+pub enum WatchEvent {
+    /// The object was created or replaced.
+    Put(Object),
+    /// The object was removed by the change with this revision.
+    Deleted {
+        /// Its name.
+        name: String,
+        /// Revision of the removal.
+        revision: Revision,
+    },
+    /// Nothing changed up to this revision.
+    Bookmark(Revision),
+}
+
+/// Why an operation on the object API gave no result.
+#[derive(Clone, Debug, PartialEq, Error)]
+pub enum StoreError {
+    /// The object does not exist.
+    #[error("no such object")]
+    NotFound,
+    /// The object exists already; here it is.
+    #[error("the object exists already at version {}", .0.version)]
+    Exists(Box<Object>),
+    /// The object has another version than the one named; here it is.
+    #[error("the object has version {}", .0.version)]
+    Conflict(Box<Object>),
+    /// The revision to watch from is too old; list again.
+    #[error("the revision is too old to watch from")]
+    Compacted,
+    /// The object API refused or could not be reached: the operation was certainly not carried out.
+    #[error("the object API does not answer: {0}")]
+    Unavailable(String),
+    /// The answer was lost: the operation may have been carried out.
+    #[error("the outcome of the operation is unknown: {0}")]
+    OutcomeUnknown(String),
+}
+
+/// The object API.
+#[async_trait]
+pub trait ObjectApi: Send + Sync {
+    /// Reads one object.
+    async fn get(&self, collection: Collection, name: &str) -> Result<Object, StoreError>;
+
+    /// Reads a whole collection.
+    async fn list(&self, collection: Collection) -> Result<ObjectList, StoreError>;
+
+    /// Creates an object; fails with [`StoreError::Exists`] if there is one.
+    async fn create(
+        &self,
+        collection: Collection,
+        name: &str,
+        operation: OperationId,
+        body: Value,
+    ) -> Result<Object, StoreError>;
+
+    /// Replaces an object whose version is `expected`; fails with [`StoreError::Conflict`] else.
+    async fn replace(
+        &self,
+        collection: Collection,
+        name: &str,
+        expected: Revision,
+        operation: OperationId,
+        body: Value,
+    ) -> Result<Object, StoreError>;
+
+    /// Removes an object whose version is `expected`; fails with [`StoreError::Conflict`] else.
+    async fn delete(
+        &self,
+        collection: Collection,
+        name: &str,
+        expected: Revision,
+    ) -> Result<(), StoreError>;
+
+    /// Streams the changes of a collection after `from`.
+    async fn watch(
+        &self,
+        collection: Collection,
+        from: Revision,
+    ) -> Result<BoxStream<'static, Result<WatchEvent, StoreError>>, StoreError>;
+}
