--- /dev/null
+++ b/crates/control/src/admission.rs
@@ -0,0 +1,1 @@
+//! To be written.
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -1,1 +1,19 @@
-//! placeholder
+//! The decisions of flaxward as pure state machines: `(state, event, now) -> actions`.
+//!
+//! No module here reads a clock, opens a socket or knows tokio. Randomness comes from a seed given
+//! at construction. So the same code runs in a daemon, in a property test in virtual time, and many
+//! times in one hollow process.
+
+#![warn(clippy::pedantic)]
+#![allow(clippy::module_name_repetitions, clippy::must_use_candidate)]
+
+pub mod admission;
+pub mod attempt;
+pub mod claims;
+pub mod configuration;
+pub mod coordinator;
+pub mod keep_alive;
+pub mod marks;
+pub mod membership;
+pub mod router;
+pub mod stream;
--- a/crates/types/src/configuration.rs
+++ b/crates/types/src/configuration.rs
@@ -25,7 +25,11 @@
 
 impl Default for CopyRule {
     fn default() -> Self {
-        Self { at_least: 0, at_most: 1, zones: BTreeSet::new() }
+        Self {
+            at_least: 0,
+            at_most: 1,
+            zones: BTreeSet::new(),
+        }
     }
 }
 
--- a/crates/types/src/engine.rs
+++ b/crates/types/src/engine.rs
@@ -97,7 +97,9 @@
 
     /// What is held of one artifact.
     pub fn held(&self, artifact: &ArtifactId) -> Option<&Held> {
-        self.artifacts.iter().find(|held| held.artifact == *artifact)
+        self.artifacts
+            .iter()
+            .find(|held| held.artifact == *artifact)
     }
 }
 
--- a/crates/types/src/ids.rs
+++ b/crates/types/src/ids.rs
@@ -45,8 +45,14 @@
             || character.is_ascii_digit()
             || (position > 0 && matches!(character, '-' | '_' | '.'))
     };
-    match text.char_indices().find(|&(position, character)| !allowed(position, character)) {
-        Some((position, character)) => Err(NameError::BadCharacter { character, position }),
+    match text
+        .char_indices()
+        .find(|&(position, character)| !allowed(position, character))
+    {
+        Some((position, character)) => Err(NameError::BadCharacter {
+            character,
+            position,
+        }),
         None => Ok(()),
     }
 }
@@ -162,7 +168,11 @@
             Some((model, adapter)) => (model, Some(adapter.parse()?)),
             None => (rest, None),
         };
-        Ok(Self { model: model.parse()?, adapter, version })
+        Ok(Self {
+            model: model.parse()?,
+            adapter,
+            version,
+        })
     }
 }
 
@@ -197,7 +207,11 @@
     /// The base weights that this artifact needs: itself, unless it is an adapter.
     #[must_use]
     pub fn base(&self) -> Self {
-        Self { model: self.model.clone(), version: self.version.clone(), adapter: None }
+        Self {
+            model: self.model.clone(),
+            version: self.version.clone(),
+            adapter: None,
+        }
     }
 
     /// Whether this is an adapter.
@@ -238,7 +252,11 @@
     fn from_str(text: &str) -> Result<Self, ArtifactError> {
         let reference: ModelRef = text.parse()?;
         let version = reference.version.ok_or(ArtifactError::NoVersion)?;
-        Ok(Self { model: reference.model, version, adapter: reference.adapter })
+        Ok(Self {
+            model: reference.model,
+            version,
+            adapter: reference.adapter,
+        })
     }
 }
 
--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod engine;
 pub mod ids;
 pub mod records;
+pub mod refusal;
 pub mod routing;
 pub mod time;
 
@@ -21,4 +22,5 @@
     AdapterName, ArtifactId, AttemptId, BootId, DaemonName, ModelName, ModelRef, OperationId,
     OrderId, Revision, RunnerName, ServiceName, Term, VersionName, ZoneName,
 };
+pub use refusal::Refusal;
 pub use time::Timestamp;
--- a/crates/types/src/routing.rs
+++ b/crates/types/src/routing.rs
@@ -61,6 +61,11 @@
         /// Estimate, in milliseconds.
         estimate_ms: u64,
     },
+    /// This zone has no quota for it; these zones have.
+    Elsewhere {
+        /// Zones with quota, best first.
+        zones: Vec<ZoneName>,
+    },
     /// It will not be loaded now.
     Refused {
         /// Why.
--- a/crates/wire/src/message.rs
+++ b/crates/wire/src/message.rs
@@ -4,7 +4,9 @@
 
 use flaxward_types::engine::{Inventory, LoadReport};
 use flaxward_types::routing::{Demand, RouteAnswer};
-use flaxward_types::{ConfigurationItem, DaemonName, ItemKey, Revision, RunnerName, Term, ZoneName};
+use flaxward_types::{
+    ConfigurationItem, DaemonName, ItemKey, Revision, RunnerName, Term, ZoneName,
+};
 use serde::{Deserialize, Serialize};
 
 /// A daemon and where it listens for other daemons.
