--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -9,8 +9,8 @@
 mod message;
 
 pub use message::{
-    ConfigurationChange, ConfigurationDelta, ConfigurationSnapshot, Envelope, MemberState,
-    MemberUpdate, Message, Peer, RunnerMark, RunnerReport, ZoneHead,
+    ConfigurationChange, ConfigurationDelta, ConfigurationSnapshot, Envelope, MachineSnapshot,
+    MemberState, MemberUpdate, Message, Peer, RunnerMark, RunnerReport, View, ZoneHead,
 };
 
 use thiserror::Error;
--- a/crates/wire/src/message.rs
+++ b/crates/wire/src/message.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 
-use flaxward_types::engine::{Inventory, LoadReport};
+use flaxward_types::engine::{Inventory, LoadReport, Machine};
 use flaxward_types::routing::{Demand, RouteAnswer};
 use flaxward_types::{
     ConfigurationItem, DaemonName, ItemKey, Revision, RunnerName, Term, ZoneName,
@@ -83,6 +83,50 @@
     Routes(Vec<RouteAnswer>),
     /// What an observer saw of runners, to the coordinator of the zone.
     Reports(Vec<RunnerReport>),
+    /// The machine list of the region, from a coordinator to the members of its zone.
+    Machines(MachineSnapshot),
+    /// Please answer with one view of what you know, for an operator's question.
+    ViewWanted {
+        /// Comes back in the answer.
+        sequence: u64,
+        /// Which view.
+        view: View,
+    },
+    /// One view, as rows in JSON.
+    ViewRows {
+        /// The sequence of the question.
+        sequence: u64,
+        /// A JSON array of rows.
+        rows: String,
+    },
+}
+
+/// What a daemon can be asked about itself, for operators.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum View {
+    /// Artifacts, their replicas and what waits, as the coordinator knows them.
+    Artifacts,
+    /// Runners, as the coordinator knows them.
+    Runners,
+    /// Requests waiting and running at this daemon.
+    Requests,
+    /// This daemon: zone, revision in force, role.
+    Daemon,
+    /// The decisions recorded about a model.
+    Decisions(ModelName),
+}
+
+/// Machines that take work, as a coordinator read them from the machine list.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct MachineSnapshot {
+    /// Term of the coordinator; a snapshot of a lower term is ignored.
+    pub term: Term,
+    /// Rises within a term.
+    pub sequence: u64,
+    /// The machines that run plain services, in every zone.
+    pub services: Vec<Machine>,
+    /// The engines of the zone, for the members that observe them.
+    pub engines: Vec<Machine>,
 }
 
 /// State of a member, as in SWIM.
