--- a/crates/wire/src/message.rs
+++ b/crates/wire/src/message.rs
@@ -5,7 +5,7 @@
 use flaxward_types::engine::{Inventory, LoadReport, Machine};
 use flaxward_types::routing::{Demand, RouteAnswer};
 use flaxward_types::{
-    ConfigurationItem, DaemonName, ItemKey, Revision, RunnerName, Term, ZoneName,
+    ConfigurationItem, DaemonName, ItemKey, ModelName, Revision, RunnerName, Term, ZoneName,
 };
 use serde::{Deserialize, Serialize};
 
