--- /dev/null
+++ b/crates/operators/src/filter.rs
@@ -0,0 +1,112 @@
+//! `where`, `order by` and `limit`, the same for every table.
+
+use std::cmp::Ordering;
+
+use flaxward_query::{Comparison, Condition, Operator, Order, ReplicaScope, Show, Value};
+use flaxward_types::{AdapterName, VersionName, ZoneName};
+use serde_json::{Map, Value as Json};
+use wildmatch::WildMatch;
+
+type Row = Map<String, Json>;
+
+/// Keeps the rows asked for, in the order asked for.
+pub(crate) fn select(show: &Show, mut rows: Vec<Row>) -> Vec<Row> {
+    rows.retain(|row| is_in_scope(row, &show.scope));
+    if let Some(condition) = &show.condition {
+        rows.retain(|row| holds(row, condition));
+    }
+    if let Some(order) = &show.order {
+        rows.sort_by(|left, right| compare_rows(left, right, order));
+    }
+    if let Some(limit) = show.limit {
+        rows.truncate(usize::try_from(limit).unwrap_or(usize::MAX));
+    }
+    rows
+}
+
+fn is_in_scope(row: &Row, scope: &ReplicaScope) -> bool {
+    let has = |field: &str, wanted: Option<&str>| {
+        wanted.is_none_or(|wanted| row.get(field).and_then(Json::as_str) == Some(wanted))
+    };
+    let zone = has("zone", scope.zone.as_ref().map(ZoneName::as_str));
+    let of = scope.of.as_ref().is_none_or(|reference| {
+        has("model", Some(reference.model.as_str()))
+            && has(
+                "adapter",
+                reference.adapter.as_ref().map(AdapterName::as_str),
+            )
+            && has(
+                "release",
+                reference.version.as_ref().map(VersionName::as_str),
+            )
+    });
+    zone && of
+}
+
+fn holds(row: &Row, condition: &Condition) -> bool {
+    let mut groups = condition.any_of.iter();
+    groups.any(|group| group.iter().all(|comparison| compares(row, comparison)))
+}
+
+/// A field without a value differs from every value and compares with none.
+fn compares(row: &Row, comparison: &Comparison) -> bool {
+    let field = row.get(comparison.field).unwrap_or(&Json::Null);
+    if comparison.operator == Operator::Like {
+        return is_like(field, &comparison.value);
+    }
+    let ordering = compare(field, &comparison.value);
+    match comparison.operator {
+        Operator::NotEqual => ordering != Some(Ordering::Equal),
+        Operator::Equal => ordering == Some(Ordering::Equal),
+        Operator::Less => ordering.is_some_and(Ordering::is_lt),
+        Operator::LessOrEqual => ordering.is_some_and(Ordering::is_le),
+        Operator::Greater => ordering.is_some_and(Ordering::is_gt),
+        Operator::GreaterOrEqual => ordering.is_some_and(Ordering::is_ge),
+        Operator::Like => false,
+    }
+}
+
+fn is_like(field: &Json, pattern: &Value) -> bool {
+    match (field.as_str(), pattern) {
+        (Some(text), Value::Text(pattern)) => WildMatch::new(pattern).matches(text),
+        _ => false,
+    }
+}
+
+fn compare(field: &Json, value: &Value) -> Option<Ordering> {
+    match value {
+        Value::Text(text) => Some(field.as_str()?.cmp(text)),
+        Value::Number(number) => field.as_f64()?.partial_cmp(number),
+        Value::Size(size) => Some(field.as_u64()?.cmp(&size.as_u64())),
+        Value::Duration(duration) => Some(u128::from(field.as_u64()?).cmp(&duration.as_millis())),
+        Value::Flag(flag) => Some(field.as_bool()?.cmp(flag)),
+    }
+}
+
+/// Rows without a value come last, whatever the direction.
+fn compare_rows(left: &Row, right: &Row, order: &Order) -> Ordering {
+    let left = left.get(order.field).unwrap_or(&Json::Null);
+    let right = right.get(order.field).unwrap_or(&Json::Null);
+    let ordering = compare_fields(left, right);
+    match (left.is_null(), right.is_null()) {
+        (false, false) if order.descending => ordering.reverse(),
+        (false, false) => ordering,
+        (left_null, right_null) => left_null.cmp(&right_null),
+    }
+}
+
+fn compare_fields(left: &Json, right: &Json) -> Ordering {
+    match (left, right) {
+        (Json::String(left), Json::String(right)) => left.cmp(right),
+        (Json::Bool(left), Json::Bool(right)) => left.cmp(right),
+        _ => compare_numbers(left, right),
+    }
+}
+
+fn compare_numbers(left: &Json, right: &Json) -> Ordering {
+    if let (Some(left), Some(right)) = (left.as_u64(), right.as_u64()) {
+        return left.cmp(&right);
+    }
+    let left = left.as_f64().unwrap_or_default();
+    left.total_cmp(&right.as_f64().unwrap_or_default())
+}
--- a/crates/types/src/configuration.rs
+++ b/crates/types/src/configuration.rs
@@ -7,10 +7,17 @@
 use std::str::FromStr;
 
 use bytesize::ByteSize;
-use serde::{Deserialize, Serialize};
+use serde::{Deserialize, Serialize, Serializer};
 
 use crate::ids::{AdapterName, ModelName, RunnerName, ServiceName, VersionName, ZoneName};
 
+/// Writes a size as its exact number of bytes; the text form of the library rounds to one decimal,
+/// so that a size would come back smaller than it was stored.
+#[allow(clippy::trivially_copy_pass_by_ref)]
+fn serialize_exact_bytes<S: Serializer>(size: &ByteSize, serializer: S) -> Result<S::Ok, S::Error> {
+    serializer.serialize_u64(size.as_u64())
+}
+
 /// Rule for the replicas of one model, over all its versions and zones of the region.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
@@ -54,8 +61,10 @@
     /// Checkpoint in the weight store.
     pub checkpoint: String,
     /// Accelerator memory of the weights.
+    #[serde(serialize_with = "serialize_exact_bytes")]
     pub weights: ByteSize,
     /// Accelerator memory set aside for the KV cache of its requests.
+    #[serde(serialize_with = "serialize_exact_bytes")]
     pub kv_cache: ByteSize,
 }
 
@@ -66,6 +75,7 @@
     /// Checkpoint in the weight store.
     pub checkpoint: String,
     /// Accelerator memory of the adapter.
+    #[serde(serialize_with = "serialize_exact_bytes")]
     pub weights: ByteSize,
     /// Replicas loaded at any one time, at most.
     pub at_most: u32,
