--- a/crates/operators/tests/changes.rs
+++ b/crates/operators/tests/operators/changes.rs
@@ -1,12 +1,10 @@
 //! Changes against a store with faults and other operators.
 
-mod support;
-
 use std::sync::Arc;
 
+use crate::support::{Fault, MemoryStore, executor};
 use flaxward_operators::ErrorBody;
 use flaxward_types::{ConfigurationItem, ItemKey, ResultCode, Revision};
-use support::{Fault, MemoryStore, executor};
 use tokio::sync::Barrier;
 
 fn at_most(store: &MemoryStore) -> (Revision, u32) {
--- a/crates/operators/tests/client.rs
+++ b/crates/operators/tests/operators/client.rs
@@ -1,15 +1,13 @@
 //! The client against the HTTP surface.
 
-mod support;
-
 use std::net::SocketAddr;
 use std::sync::Arc;
 
+use crate::support::{Fault, executor};
 use flaxward_operators::client::{Connection, Format, LineSource, Session};
 use flaxward_operators::{ErrorBody, Executor, MAX_COMMAND_BYTES, exit_code, router};
 use flaxward_types::ResultCode;
 use salvo::conn::{Acceptor, Listener, TcpListener};
-use support::{Fault, executor};
 use tokio::task::JoinHandle;
 
 async fn serve(executor: Arc<Executor>) -> (SocketAddr, JoinHandle<()>) {
--- a/crates/operators/tests/reads.rs
+++ b/crates/operators/tests/operators/reads.rs
@@ -1,14 +1,12 @@
 //! Tables, filters and how answers look.
 
-mod support;
-
 use std::collections::BTreeSet;
 
+use crate::support::executor;
 use flaxward_operators::{Answer, Column, ColumnKind, render_json, render_table};
 use flaxward_query::Table;
 use flaxward_types::ResultCode;
 use serde_json::{Value, json};
-use support::executor;
 
 fn texts(answer: &Answer, field: &str) -> Vec<String> {
     let cells = answer.rows.iter().map(|row| &row[field]);
