--- a/crates/types/src/code.rs
+++ b/crates/types/src/code.rs
@@ -118,6 +118,8 @@
     ClaimNotRecorded = 4003, 503, Certain, "the key could not be recorded, so the request was not run";
     /// The key was used for another request.
     KeyReused = 4004, 422, Certain, "the key was used for a different request";
+    /// The request with this key was answered, with an answer too long to keep.
+    KeyAnswerNotKept = 4005, 409, Unknown, "the request with this key was answered; its answer was not kept";
 
     /// The command cannot be parsed.
     BadCommand = 5001, 400, Certain, "the command cannot be read";
--- a/crates/types/src/records.rs
+++ b/crates/types/src/records.rs
@@ -81,6 +81,10 @@
     pub daemon: DaemonName,
     /// Wall-clock second after which the record may be removed.
     pub expires_unix: u64,
+    /// Wall-clock second from which a claim still in progress counts as abandoned: the request's
+    /// deadline and a margin have passed, so its daemon has answered it or is gone.
+    #[serde(default)]
+    pub abandoned_unix: u64,
     /// What became of it.
     pub outcome: ClaimOutcome,
 }
