--- a/crates/settings/tests/logs.rs
+++ b/crates/settings/tests/logs.rs
@@ -1,6 +1,7 @@
 //! Lines of the log.
 
 use flaxward_settings::logs::{CountersLine, line};
+use proptest::collection::vec;
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
 
@@ -10,6 +11,7 @@
         ("plain-1.2:3", "event=stopped value=plain-1.2:3"),
         ("", "event=stopped value=\"\""),
         ("two words", "event=stopped value=\"two words\""),
+        ("\u{7}", "event=stopped value=\"\\u{7}\""),
         ("a=b", "event=stopped value=\"a=b\""),
         ("say \"x\"\n", "event=stopped value=\"say \\\"x\\\"\\n\""),
     ];
@@ -39,7 +41,8 @@
 
     /// No value can end a line or begin a field of its own.
     #[test]
-    fn a_value_stays_one_field_of_one_line(value in any::<String>()) {
+    fn a_value_stays_one_field_of_one_line(characters in vec(any::<char>(), 0..20)) {
+        let value = String::from_iter(characters);
         let text = line("stopped", &[("value", &value), ("last", &1)]);
         prop_assert!(!text.chars().any(char::is_control));
         let fields = text.strip_prefix("event=stopped value=").expect("the first fields");
--- a/crates/settings/tests/settings.rs
+++ b/crates/settings/tests/settings.rs
@@ -1,10 +1,11 @@
 //! Settings: defaults, overrides and every fault, all at once.
 
 use std::path::{Path, PathBuf};
+use std::process::ExitCode;
 use std::time::Duration;
 
 use flaxward_control::coordinator::CoordinatorSettings;
-use flaxward_settings::{Flags, Key, Presence, SettingError, Settings};
+use flaxward_settings::{CheckConfig, Flags, Key, Presence, SettingError, Settings, check_config};
 use proptest::prelude::*;
 use proptest::sample::subsequence;
 use proptest::test_runner::RngSeed;
@@ -275,6 +276,19 @@
     );
 }
 
+#[test]
+fn check_config_tells_by_its_status() {
+    let status = |flags: Flags| {
+        let arguments = CheckConfig {
+            flags,
+            ..CheckConfig::default()
+        };
+        format!("{:?}", check_config(&arguments))
+    };
+    assert_eq!(status(required()), format!("{:?}", ExitCode::SUCCESS));
+    assert_eq!(status(Flags::default()), format!("{:?}", ExitCode::from(2)));
+}
+
 /// The row of a key in `docs/CONFIGURATION.md`.
 fn row(key: &Key) -> String {
     let default = match key.presence {
