Gossip: members, configuration, heads and marks as one state machine; the peer socket

Cause: daemons of a zone need to know each other, the configuration in force, the coordinators and the runners that take no new work. Change: SWIM membership, a rumor queue shared by all facts, a keeper that pushes changes once and pulls what was missed, and a UDP and TCP driver on one port number. Not yet shown by tests; those follow.

--- a/crates/control/src/configuration.rs
+++ b/crates/control/src/configuration/mod.rs
@@ -1,4 +1,10 @@
-//! The configuration in force at one daemon.
+//! The configuration in force at one daemon, and how it spreads.
+
+mod apply;
+mod keeper;
+
+pub use apply::Applied;
+pub use keeper::{ConfigurationKeeper, KeeperAction, KeeperSettings};
 
 use std::collections::{BTreeMap, BTreeSet};
 
--- a/crates/control/src/membership.rs
+++ /dev/null
@@ -1,1 +0,0 @@
-//! To be written.
--- /dev/null
+++ b/crates/peers/src/counters.rs
@@ -0,0 +1,64 @@
+//! Names of the counters, and what they count.
+
+use metrics::counter;
+
+/// Datagrams sent.
+pub const DATAGRAMS_SENT: &str = "flaxward_peer_datagrams_sent_total";
+/// Bytes of datagrams sent, without IP and UDP headers.
+pub const DATAGRAM_BYTES_SENT: &str = "flaxward_peer_datagram_bytes_sent_total";
+/// Datagrams received, whatever became of them.
+pub const DATAGRAMS_RECEIVED: &str = "flaxward_peer_datagrams_received_total";
+/// Bytes of datagrams received, without IP and UDP headers.
+pub const DATAGRAM_BYTES_RECEIVED: &str = "flaxward_peer_datagram_bytes_received_total";
+/// Messages sent by TCP.
+pub const STREAMS_SENT: &str = "flaxward_peer_streams_sent_total";
+/// Bytes of messages sent by TCP.
+pub const STREAM_BYTES_SENT: &str = "flaxward_peer_stream_bytes_sent_total";
+/// Messages received by TCP, whatever became of them.
+pub const STREAMS_RECEIVED: &str = "flaxward_peer_streams_received_total";
+/// Bytes of messages received by TCP.
+pub const STREAM_BYTES_RECEIVED: &str = "flaxward_peer_stream_bytes_received_total";
+/// Messages that were not sent or not taken in, by label `reason`.
+pub const DROPPED: &str = "flaxward_peer_dropped_total";
+
+/// Why a message was dropped.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum DropReason {
+    /// It does not decode, or has another wire version.
+    Undecodable,
+    /// It is longer than allowed.
+    TooLong,
+    /// It did not come, or could not be sent, in time.
+    TooSlow,
+    /// Too many are in progress.
+    TooMany,
+    /// The system refused to send or to receive.
+    SystemError,
+    /// The daemon does not take in messages as fast as they come.
+    QueueFull,
+}
+
+impl DropReason {
+    /// The value of the label.
+    pub fn label(self) -> &'static str {
+        match self {
+            Self::Undecodable => "undecodable",
+            Self::TooLong => "too_long",
+            Self::TooSlow => "too_slow",
+            Self::TooMany => "too_many",
+            Self::SystemError => "system_error",
+            Self::QueueFull => "queue_full",
+        }
+    }
+}
+
+/// Counts a dropped message.
+pub(crate) fn dropped(reason: DropReason) {
+    counter!(DROPPED, "reason" => reason.label()).increment(1);
+}
+
+/// Counts one message and its bytes.
+pub(crate) fn passed(messages: &'static str, bytes: &'static str, length: usize) {
+    counter!(messages).increment(1);
+    counter!(bytes).increment(length as u64);
+}
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -13,6 +13,7 @@
     MemberState, MemberUpdate, Message, Peer, RunnerMark, RunnerReport, View, ZoneHead,
 };
 
+use serde::Serialize;
 use thiserror::Error;
 
 /// First byte of every encoded envelope; raised when the encoding changes incompatibly.
@@ -50,6 +51,14 @@
     postcard::to_extend(envelope, buffer).expect("messages encode into memory")
 }
 
+/// Bytes that a part of an envelope takes when encoded, so that senders can fill a datagram.
+///
+/// # Panics
+/// Never: every message type can be encoded into memory.
+pub fn encoded_size<Part: Serialize>(part: &Part) -> usize {
+    postcard::experimental::serialized_size(part).expect("messages encode into memory")
+}
+
 /// Decodes an envelope.
 ///
 /// # Errors
