--- /dev/null
+++ b/crates/control/src/coordinator/lease.rs
@@ -0,0 +1,385 @@
+//! Takes, renews and hands back the lease of the zone.
+//!
+//! The lease only keeps two coordinators from working against each other; safety rests on slots,
+//! quota and fence. A holder whose lease has lapsed by its own clock records nothing until the store
+//! has confirmed the lease again, but it goes on with what needs no record.
+
+use std::time::Duration;
+
+use flaxward_types::records::ZoneLease;
+use flaxward_types::{DaemonName, Revision, Term, Timestamp};
+
+use super::interface::{CoordinatorAction, CoordinatorSettings, StoreFault};
+
+/// Share of the renewal interval after which a failed operation is tried again.
+const RETRIES_PER_RENEWAL: u32 = 4;
+/// Ranks from this one on leave the store alone.
+const FIRST_PASSIVE_RANK: usize = 2;
+
+/// What an answer of the store means for the holder.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum LeaseChange {
+    /// Nothing to act on.
+    None,
+    /// This daemon holds the lease from now on.
+    Taken(Term),
+    /// This daemon holds the lease no longer.
+    Lost,
+}
+
+/// The operation on the lease that is outstanding.
+#[derive(Clone, Debug)]
+enum Operation {
+    Read,
+    Take { lease: ZoneLease, sent: Timestamp },
+    Renew { lease: ZoneLease, sent: Timestamp },
+    HandBack,
+}
+
+/// A lease that this daemon holds.
+#[derive(Clone, Debug)]
+struct Held {
+    revision: Revision,
+    lease: ZoneLease,
+    /// End of the lease by this daemon's clock, less the drift allowed.
+    valid_until: Timestamp,
+    /// When the store last confirmed it.
+    confirmed: Timestamp,
+    /// The outcome of the last write is unknown.
+    read_first: bool,
+}
+
+/// What was last read of a lease held by nobody or by someone else.
+#[derive(Clone, Debug)]
+struct Observed {
+    record: Option<(Revision, ZoneLease)>,
+    /// When the record was first seen like this.
+    since: Timestamp,
+    /// When it was last seen like this.
+    read: Timestamp,
+}
+
+/// Keeps the lease of one zone for one daemon.
+#[derive(Clone, Debug)]
+pub(super) struct LeaseKeeper {
+    me: DaemonName,
+    rank: Option<usize>,
+    operation: Option<Operation>,
+    observed: Option<Observed>,
+    /// The last try to take the lease, if its outcome is unknown.
+    unsettled: Option<(ZoneLease, Timestamp)>,
+    held: Option<Held>,
+    next_step: Timestamp,
+    stop_requested: Option<Timestamp>,
+    stopped: bool,
+}
+
+impl LeaseKeeper {
+    pub(super) fn new(me: DaemonName) -> Self {
+        Self {
+            me,
+            rank: None,
+            operation: None,
+            observed: None,
+            unsettled: None,
+            held: None,
+            next_step: Timestamp::ZERO,
+            stop_requested: None,
+            stopped: false,
+        }
+    }
+
+    pub(super) fn set_rank(&mut self, rank: usize) {
+        self.rank = Some(rank);
+    }
+
+    /// Asks for the lease to be handed back.
+    pub(super) fn stop(&mut self, now: Timestamp) {
+        if self.stop_requested.is_none() {
+            self.stop_requested = Some(now);
+            self.next_step = now;
+        }
+    }
+
+    pub(super) fn stopping(&self) -> bool {
+        self.stop_requested.is_some()
+    }
+
+    /// Whether decisions may be recorded: the lease holds by this daemon's own clock.
+    pub(super) fn may_record(&self, now: Timestamp) -> bool {
+        let valid = |held: &Held| !held.read_first && now < held.valid_until;
+        !self.stopping() && self.held.as_ref().is_some_and(valid)
+    }
+
+    /// Gives up the lease because a higher term was seen elsewhere.
+    pub(super) fn lose(&mut self, now: Timestamp) {
+        self.held = None;
+        self.observed = None;
+        self.next_step = now;
+    }
+
+    /// The next operation on the lease, if one is due. `nonce` marks a new term's first record as
+    /// this process's own.
+    pub(super) fn step(
+        &mut self,
+        now: Timestamp,
+        settings: &CoordinatorSettings,
+        nonce: u64,
+    ) -> Option<CoordinatorAction> {
+        if self.stopped || self.operation.is_some() || now < self.next_step {
+            return None;
+        }
+        self.next_step = now + settings.lease_renewal;
+        if let Some(requested) = self.stop_requested {
+            return self.step_to_stop(now, requested, settings);
+        }
+        if let Some(held) = &self.held {
+            let lapsed = now >= held.valid_until && held.confirmed < held.valid_until;
+            if held.read_first || lapsed {
+                return Some(self.read());
+            }
+            return Some(self.renew(now, settings));
+        }
+        if self.rank.is_none_or(|rank| rank >= FIRST_PASSIVE_RANK) {
+            return None;
+        }
+        if self.is_free(settings) {
+            return Some(self.take(now, settings, nonce));
+        }
+        Some(self.read())
+    }
+
+    fn step_to_stop(
+        &mut self,
+        now: Timestamp,
+        requested: Timestamp,
+        settings: &CoordinatorSettings,
+    ) -> Option<CoordinatorAction> {
+        let given_up = now.since(requested) >= settings.lease_duration;
+        let Some(held) = self.held.as_ref().filter(|_| !given_up) else {
+            self.stopped = true;
+            return Some(CoordinatorAction::Stopped);
+        };
+        let lease = ZoneLease {
+            holder: None,
+            renewals: held.lease.renewals + 1,
+            ..held.lease.clone()
+        };
+        self.operation = Some(Operation::HandBack);
+        Some(CoordinatorAction::WriteLease(Some(held.revision), lease))
+    }
+
+    fn read(&mut self) -> CoordinatorAction {
+        self.operation = Some(Operation::Read);
+        CoordinatorAction::ReadLease
+    }
+
+    fn renew(&mut self, now: Timestamp, settings: &CoordinatorSettings) -> CoordinatorAction {
+        let held = self.held.as_ref().expect("only a holder renews");
+        let lease = ZoneLease {
+            renewals: held.lease.renewals + 1,
+            duration_ms: millis(settings.lease_duration),
+            ..held.lease.clone()
+        };
+        let revision = held.revision;
+        self.operation = Some(Operation::Renew {
+            lease: lease.clone(),
+            sent: now,
+        });
+        CoordinatorAction::WriteLease(Some(revision), lease)
+    }
+
+    fn take(
+        &mut self,
+        now: Timestamp,
+        settings: &CoordinatorSettings,
+        nonce: u64,
+    ) -> CoordinatorAction {
+        let record = self.observed.as_ref().and_then(|seen| seen.record.clone());
+        let former = record.as_ref().map_or(Term(0), |(_, lease)| lease.term);
+        let lease = ZoneLease {
+            holder: Some(self.me.clone()),
+            term: former.next(),
+            duration_ms: millis(settings.lease_duration),
+            renewals: nonce,
+        };
+        self.operation = Some(Operation::Take {
+            lease: lease.clone(),
+            sent: now,
+        });
+        CoordinatorAction::WriteLease(record.map(|(revision, _)| revision), lease)
+    }
+
+    /// Whether the lease as last read may be taken.
+    fn is_free(&self, settings: &CoordinatorSettings) -> bool {
+        let Some(observed) = &self.observed else {
+            return false;
+        };
+        let unchanged = observed.read.since(observed.since);
+        let stand_by = self.rank != Some(0);
+        let Some((_, lease)) = &observed.record else {
+            return !stand_by || unchanged >= settings.lease_duration;
+        };
+        match &lease.holder {
+            None => true,
+            // Held by an earlier start of this daemon, whose orders this one knows nothing of.
+            Some(holder) if *holder == self.me => true,
+            Some(_) => {
+                let grace = settings.clock_drift * if stand_by { 2 } else { 1 };
+                unchanged >= Duration::from_millis(lease.duration_ms) + grace
+            }
+        }
+    }
+
+    /// The lease was read.
+    pub(super) fn on_read(
+        &mut self,
+        result: Result<Option<(Revision, ZoneLease)>, StoreFault>,
+        now: Timestamp,
+        settings: &CoordinatorSettings,
+    ) -> LeaseChange {
+        if !matches!(self.operation, Some(Operation::Read)) {
+            return LeaseChange::None;
+        }
+        self.operation = None;
+        let Ok(record) = result else {
+            self.retry(now, settings);
+            return LeaseChange::None;
+        };
+        if let Some(held) = &mut self.held {
+            let own = record.as_ref().filter(|(_, lease)| {
+                lease.term == held.lease.term && lease.holder == held.lease.holder
+            });
+            if let Some((revision, lease)) = own {
+                held.revision = *revision;
+                held.lease = lease.clone();
+                held.read_first = false;
+                held.confirmed = now;
+                self.next_step = now;
+                return LeaseChange::None;
+            }
+            self.held = None;
+            self.observe(record, now);
+            return LeaseChange::Lost;
+        }
+        if let (Some((attempt, sent)), Some((revision, lease))) = (self.unsettled.take(), &record)
+            && attempt == *lease
+        {
+            return self.hold(*revision, attempt, sent, now, settings);
+        }
+        self.observe(record, now);
+        if self.is_free(settings) {
+            self.next_step = now;
+        }
+        LeaseChange::None
+    }
+
+    /// The lease was written.
+    pub(super) fn on_written(
+        &mut self,
+        result: Result<Revision, StoreFault>,
+        now: Timestamp,
+        settings: &CoordinatorSettings,
+    ) -> LeaseChange {
+        match self.operation.take() {
+            Some(Operation::Take { lease, sent }) => match result {
+                Ok(revision) => return self.hold(revision, lease, sent, now, settings),
+                Err(fault) => {
+                    self.observed = None;
+                    self.unsettled = (fault == StoreFault::Unknown).then_some((lease, sent));
+                    self.retry(now, settings);
+                }
+            },
+            Some(Operation::Renew { lease, sent }) => self.on_renewed(result, lease, sent, now, settings),
+            Some(Operation::HandBack) => match result {
+                Err(StoreFault::Unavailable) => self.retry(now, settings),
+                _ => {
+                    self.held = None;
+                    self.next_step = now;
+                }
+            },
+            other => self.operation = other,
+        }
+        LeaseChange::None
+    }
+
+    fn on_renewed(
+        &mut self,
+        result: Result<Revision, StoreFault>,
+        lease: ZoneLease,
+        sent: Timestamp,
+        now: Timestamp,
+        settings: &CoordinatorSettings,
+    ) {
+        let Some(held) = &mut self.held else {
+            return;
+        };
+        match result {
+            Ok(revision) => {
+                held.revision = revision;
+                held.lease = lease;
+                held.valid_until = valid_until(sent, settings);
+                held.confirmed = now;
+                self.next_step = sent + settings.lease_renewal;
+            }
+            Err(fault) => {
+                held.read_first = fault != StoreFault::Unavailable;
+                self.retry(now, settings);
+            }
+        }
+        if self.stopping() {
+            self.next_step = now;
+        }
+    }
+
+    fn hold(
+        &mut self,
+        revision: Revision,
+        lease: ZoneLease,
+        sent: Timestamp,
+        now: Timestamp,
+        settings: &CoordinatorSettings,
+    ) -> LeaseChange {
+        let term = lease.term;
+        self.unsettled = None;
+        self.observed = None;
+        self.held = Some(Held {
+            revision,
+            lease,
+            valid_until: valid_until(sent, settings),
+            confirmed: now,
+            read_first: false,
+        });
+        self.next_step = sent + settings.lease_renewal;
+        if self.stopping() {
+            self.next_step = now;
+            return LeaseChange::None;
+        }
+        LeaseChange::Taken(term)
+    }
+
+    fn observe(&mut self, record: Option<(Revision, ZoneLease)>, now: Timestamp) {
+        match &mut self.observed {
+            Some(observed) if observed.record == record => observed.read = now,
+            _ => {
+                self.observed = Some(Observed {
+                    record,
+                    since: now,
+                    read: now,
+                });
+            }
+        }
+    }
+
+    fn retry(&mut self, now: Timestamp, settings: &CoordinatorSettings) {
+        self.next_step = now + settings.lease_renewal / RETRIES_PER_RENEWAL;
+    }
+}
+
+fn valid_until(sent: Timestamp, settings: &CoordinatorSettings) -> Timestamp {
+    sent + settings.lease_duration.saturating_sub(settings.clock_drift)
+}
+
+fn millis(duration: Duration) -> u64 {
+    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
+}
--- /dev/null
+++ b/crates/control/src/coordinator/quota.rs
@@ -0,0 +1,424 @@
+//! Keeps the zone's units of each quota.
+//!
+//! The sum of all zones' units stays under the limit: a zone raises its own units only in the
+//! compare-and-swap that checks the sum, and gives units away only after their slots are freed. A
+//! former coordinator of this zone might still give units away; so a coordinator counts on its units
+//! for new slots only once it has written the record under its own term.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use flaxward_types::records::{Quota, QuotaSubject};
+use flaxward_types::{Revision, Term, Timestamp, ZoneName};
+use xxhash_rust::xxh3::xxh3_64;
+
+use super::interface::{CoordinatorAction, CoordinatorSettings, StoreFault};
+use super::weakness::Weakness;
+
+/// What the configuration says about a subject.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(super) struct QuotaRule {
+    /// Units in all.
+    pub(super) limit: u32,
+    /// Zones that may have units.
+    pub(super) zones: BTreeSet<ZoneName>,
+    /// Revision of the configuration item.
+    pub(super) revision: Revision,
+}
+
+/// What the zone needs of a subject.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub(super) struct QuotaNeed {
+    /// Units the zone could use now.
+    pub(super) needed: u32,
+    /// Units it keeps even if others ask.
+    pub(super) kept: u32,
+    /// Units that recorded slots may take up.
+    pub(super) bound: u32,
+    /// Whether it is to ask other zones for what is missing.
+    pub(super) asks: bool,
+    /// Whether the record must exist and bear the own term.
+    pub(super) claims: bool,
+}
+
+/// Splits units over zones: as even as can be, the remainder by rendezvous hash.
+pub fn split_units(
+    subject: &QuotaSubject,
+    limit: u32,
+    zones: &BTreeSet<ZoneName>,
+) -> BTreeMap<ZoneName, u32> {
+    let mut units: BTreeMap<ZoneName, u32> = zones.iter().map(|zone| (zone.clone(), 0)).collect();
+    let zone_count = u32::try_from(zones.len()).unwrap_or(u32::MAX);
+    if zone_count == 0 {
+        return units;
+    }
+    for share in units.values_mut() {
+        *share = limit / zone_count;
+    }
+    let mut ranked: Vec<&ZoneName> = zones.iter().collect();
+    ranked.sort_by_key(|zone| (std::cmp::Reverse(rank(subject, zone)), *zone));
+    let remainder = usize::try_from(limit % zone_count).unwrap_or(0);
+    for zone in ranked.into_iter().take(remainder) {
+        *units.entry(zone.clone()).or_default() += 1;
+    }
+    units
+}
+
+fn rank(subject: &QuotaSubject, zone: &ZoneName) -> u64 {
+    let text = match subject {
+        QuotaSubject::Model(model) => format!("model {model} {zone}"),
+        QuotaSubject::Adapter(model, adapter) => format!("adapter {model} {adapter} {zone}"),
+        QuotaSubject::WeightStore => format!("weight store {zone}"),
+    };
+    xxh3_64(text.as_bytes())
+}
+
+/// A write that is outstanding, or whose outcome is unknown.
+#[derive(Clone, Debug)]
+struct Write {
+    base: Option<Revision>,
+    own_units: u32,
+}
+
+#[derive(Clone, Debug, Default)]
+struct Entry {
+    record: Option<(Revision, Quota)>,
+    outstanding: Option<Write>,
+    unsettled: Vec<Write>,
+    /// The record must be read before the next write.
+    stale: bool,
+    next_step: Timestamp,
+}
+
+/// All quotas as the zone knows them.
+#[derive(Clone, Debug)]
+pub(super) struct QuotaBook {
+    term: Term,
+    zone: ZoneName,
+    weakness: Weakness,
+    loaded: bool,
+    reading: bool,
+    next_read: Timestamp,
+    entries: BTreeMap<QuotaSubject, Entry>,
+    /// A record bears a higher term of this zone.
+    overtaken: bool,
+}
+
+impl QuotaBook {
+    pub(super) fn new(term: Term, zone: ZoneName, weakness: Weakness) -> Self {
+        Self {
+            term,
+            zone,
+            weakness,
+            loaded: false,
+            reading: false,
+            next_read: Timestamp::ZERO,
+            entries: BTreeMap::new(),
+            overtaken: false,
+        }
+    }
+
+    /// Whether the quotas have been read.
+    pub(super) fn loaded(&self) -> bool {
+        self.loaded
+    }
+
+    /// Whether a later coordinator of this zone has written a quota.
+    pub(super) fn overtaken(&self) -> bool {
+        self.overtaken
+    }
+
+    /// The subjects with a record.
+    pub(super) fn subjects(&self) -> Vec<QuotaSubject> {
+        self.entries.keys().cloned().collect()
+    }
+
+    /// The record of a subject as last read.
+    pub(super) fn record(&self, subject: &QuotaSubject) -> Option<&Quota> {
+        let entry = self.entries.get(subject)?;
+        entry.record.as_ref().map(|(_, quota)| quota)
+    }
+
+    /// Units that the zone certainly has and keeps.
+    pub(super) fn units(&self, subject: &QuotaSubject) -> u32 {
+        let Some(entry) = self.entries.get(subject) else {
+            return 0;
+        };
+        let Some((_, quota)) = &entry.record else {
+            return 0;
+        };
+        let recorded = own_units(quota, &self.zone);
+        let writes = entry.outstanding.iter().chain(&entry.unsettled);
+        writes
+            .map(|write| write.own_units)
+            .fold(recorded, u32::min)
+    }
+
+    /// Units on which new slots may count.
+    pub(super) fn claimed_units(&self, subject: &QuotaSubject) -> u32 {
+        let claimed = self
+            .record(subject)
+            .is_some_and(|quota| quota.terms.get(&self.zone) == Some(&self.term));
+        if claimed || self.weakness == Weakness::UnclaimedQuota {
+            self.units(subject)
+        } else {
+            0
+        }
+    }
+
+    /// Whether a write or read is on its way that may bring units.
+    pub(super) fn pending(&self, subject: &QuotaSubject) -> bool {
+        let Some(entry) = self.entries.get(subject) else {
+            return true;
+        };
+        entry.outstanding.is_some() || entry.stale || entry.record.is_none()
+    }
+
+    /// Other zones with units, most units first.
+    pub(super) fn other_zones(&self, subject: &QuotaSubject) -> Vec<ZoneName> {
+        let Some(quota) = self.record(subject) else {
+            return Vec::new();
+        };
+        let mut zones: Vec<(u32, &ZoneName)> = quota
+            .units
+            .iter()
+            .filter(|(zone, units)| **zone != self.zone && **units > 0)
+            .map(|(zone, units)| (*units, zone))
+            .collect();
+        zones.sort_by_key(|(units, zone)| (std::cmp::Reverse(*units), *zone));
+        zones.into_iter().map(|(_, zone)| zone.clone()).collect()
+    }
+
+    /// Units that other zones ask for.
+    pub(super) fn asked_by_others(&self, subject: &QuotaSubject) -> u32 {
+        let others = |quota: &Quota| {
+            let wanted = quota.wanted.iter().filter(|(zone, _)| **zone != self.zone);
+            wanted.map(|(_, units)| *units).sum()
+        };
+        self.record(subject).map_or(0, others)
+    }
+
+    /// The units down to which the zone should free its slots.
+    pub(super) fn goal(&self, subject: &QuotaSubject, rule: &QuotaRule, need: &QuotaNeed) -> u32 {
+        let Some(quota) = self.record(subject) else {
+            return 0;
+        };
+        let own = own_units(quota, &self.zone);
+        let spare = own.saturating_sub(need.kept.max(need.needed));
+        let given = spare.min(self.asked_by_others(subject));
+        let goal = own - given;
+        if total(quota) <= rule.limit && rule.zones.contains(&self.zone) {
+            return goal;
+        }
+        let split = split_units(subject, rule.limit, &rule.zones);
+        goal.min(split.get(&self.zone).copied().unwrap_or(0))
+    }
+
+    /// Reads all quotas if that has not succeeded yet.
+    pub(super) fn read_all(&mut self, now: Timestamp) -> Option<CoordinatorAction> {
+        if self.loaded || self.reading || now < self.next_read {
+            return None;
+        }
+        self.reading = true;
+        Some(CoordinatorAction::ReadQuotas)
+    }
+
+    /// The next operation on one record, if one is due.
+    pub(super) fn step(
+        &mut self,
+        subject: &QuotaSubject,
+        rule: &QuotaRule,
+        need: &QuotaNeed,
+        now: Timestamp,
+        settings: &CoordinatorSettings,
+    ) -> Option<CoordinatorAction> {
+        if !self.loaded || self.overtaken {
+            return None;
+        }
+        let goal = self.goal(subject, rule, need);
+        let (zone, term, weakness) = (self.zone.clone(), self.term, self.weakness);
+        let entry = self.entries.entry(subject.clone()).or_default();
+        if entry.outstanding.is_some() || now < entry.next_step {
+            return None;
+        }
+        if entry.stale {
+            entry.next_step = now + settings.order_retry;
+            // A record that was never seen may not exist, and then no answer comes.
+            entry.stale = entry.record.is_some();
+            return Some(CoordinatorAction::ReadQuota(subject.clone()));
+        }
+        let next = match &entry.record {
+            None if !need.claims => return None,
+            None => created(subject, rule, &zone, term),
+            Some((_, quota)) => {
+                let next = revised(quota, rule, need, goal, &zone, term, weakness);
+                let unclaimed = need.claims && quota.terms.get(&zone) != Some(&term);
+                if next == *quota && !unclaimed && entry.unsettled.is_empty() {
+                    return None;
+                }
+                Quota {
+                    terms: with(&quota.terms, &zone, term),
+                    ..next
+                }
+            }
+        };
+        let base = entry.record.as_ref().map(|(revision, _)| *revision);
+        entry.outstanding = Some(Write {
+            base,
+            own_units: own_units(&next, &zone),
+        });
+        Some(CoordinatorAction::WriteQuota(base, next))
+    }
+
+    pub(super) fn on_read_all(
+        &mut self,
+        result: Result<Vec<(Revision, Quota)>, StoreFault>,
+        now: Timestamp,
+        settings: &CoordinatorSettings,
+    ) {
+        self.reading = false;
+        let Ok(quotas) = result else {
+            self.next_read = now + settings.order_retry;
+            return;
+        };
+        self.loaded = true;
+        for (revision, quota) in quotas {
+            self.on_changed(revision, quota);
+        }
+    }
+
+    /// A record was read or changed by someone.
+    pub(super) fn on_changed(&mut self, revision: Revision, quota: Quota) {
+        let written_under = quota.terms.get(&self.zone).copied().unwrap_or_default();
+        self.overtaken |= written_under > self.term;
+        let entry = self.entries.entry(quota.subject.clone()).or_default();
+        let known = entry.record.as_ref().map(|(known, _)| *known);
+        if known > Some(revision) {
+            return;
+        }
+        entry.stale = false;
+        entry.unsettled.retain(|write| write.base == Some(revision));
+        entry.record = Some((revision, quota));
+    }
+
+    pub(super) fn on_written(
+        &mut self,
+        subject: &QuotaSubject,
+        result: Result<Revision, StoreFault>,
+        now: Timestamp,
+        settings: &CoordinatorSettings,
+    ) {
+        let Some(entry) = self.entries.get_mut(subject) else {
+            return;
+        };
+        let Some(write) = entry.outstanding.take() else {
+            return;
+        };
+        match result {
+            // The content comes back by the read, in order with the changes of others.
+            Ok(_) => entry.stale = true,
+            Err(StoreFault::Conflict) => entry.stale = true,
+            Err(StoreFault::Unavailable) => entry.next_step = now + settings.order_retry,
+            Err(StoreFault::Unknown) => {
+                entry.stale = true;
+                entry.unsettled.push(write);
+            }
+        }
+    }
+}
+
+fn own_units(quota: &Quota, zone: &ZoneName) -> u32 {
+    quota.units.get(zone).copied().unwrap_or(0)
+}
+
+fn total(quota: &Quota) -> u32 {
+    quota.units.values().sum()
+}
+
+fn with<T: Clone>(map: &BTreeMap<ZoneName, T>, zone: &ZoneName, value: T) -> BTreeMap<ZoneName, T> {
+    let mut map = map.clone();
+    map.insert(zone.clone(), value);
+    map
+}
+
+/// The first record of a subject.
+fn created(subject: &QuotaSubject, rule: &QuotaRule, zone: &ZoneName, term: Term) -> Quota {
+    Quota {
+        subject: subject.clone(),
+        limit: rule.limit,
+        units: split_units(subject, rule.limit, &rule.zones),
+        wanted: BTreeMap::new(),
+        rule: rule.revision,
+        terms: BTreeMap::from([(zone.clone(), term)]),
+    }
+}
+
+/// The record as this zone would have it.
+fn revised(
+    quota: &Quota,
+    rule: &QuotaRule,
+    need: &QuotaNeed,
+    goal: u32,
+    zone: &ZoneName,
+    term: Term,
+    weakness: Weakness,
+) -> Quota {
+    let mut next = quota.clone();
+    if rule.revision > quota.rule {
+        next.rule = rule.revision;
+        next.limit = rule.limit;
+    }
+    let own = own_units(quota, zone);
+    let lowered = goal.max(need.bound).min(own);
+    next.units.insert(zone.clone(), lowered);
+    // What the goal leaves over goes to those who ask, as far as the rule allows.
+    grant(&mut next, zone, own - lowered);
+    if lowered == own && rule.zones.contains(zone) {
+        let free = next.limit.min(rule.limit).saturating_sub(total(&next));
+        let missing = need.needed.saturating_sub(own);
+        let raise = if weakness == Weakness::UncheckedRaise {
+            missing
+        } else {
+            missing.min(free)
+        };
+        next.units.insert(zone.clone(), own + raise);
+        ask(&mut next, zone, need, missing - raise);
+    } else {
+        next.wanted.remove(zone);
+    }
+    if next.units == quota.units && next.wanted == quota.wanted && next.rule == quota.rule {
+        return quota.clone();
+    }
+    next.terms.insert(zone.clone(), term);
+    next
+}
+
+/// Passes freed units on to zones that ask for some.
+fn grant(quota: &mut Quota, zone: &ZoneName, freed: u32) {
+    let free = quota.limit.saturating_sub(total(quota));
+    let mut left = freed.min(free);
+    let asking: Vec<ZoneName> = quota
+        .wanted
+        .keys()
+        .filter(|asking| *asking != zone)
+        .cloned()
+        .collect();
+    for other in asking {
+        let wanted = quota.wanted.get(&other).copied().unwrap_or(0);
+        let granted = wanted.min(left);
+        left -= granted;
+        *quota.units.entry(other.clone()).or_default() += granted;
+        if granted == wanted {
+            quota.wanted.remove(&other);
+        } else {
+            quota.wanted.insert(other, wanted - granted);
+        }
+    }
+}
+
+fn ask(quota: &mut Quota, zone: &ZoneName, need: &QuotaNeed, missing: u32) {
+    if missing == 0 || need.needed == 0 {
+        quota.wanted.remove(zone);
+    } else if need.asks {
+        quota.wanted.insert(zone.clone(), missing);
+    }
+}
--- a/crates/types/src/records.rs
+++ b/crates/types/src/records.rs
@@ -5,7 +5,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::code::ResultCode;
-use crate::ids::{ArtifactId, AttemptId, DaemonName, RunnerName, Term, ZoneName};
+use crate::ids::{ArtifactId, AttemptId, DaemonName, Revision, RunnerName, Term, ZoneName};
 
 /// Who coordinates a zone, and under which term. Taken and renewed by compare-and-swap.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -67,6 +67,13 @@
     pub units: BTreeMap<ZoneName, u32>,
     /// Units that zones ask for, granted by zones that can spare them.
     pub wanted: BTreeMap<ZoneName, u32>,
+    /// Revision of the configuration item that the limit was taken from; a zone that has an older
+    /// configuration in force leaves the limit alone.
+    pub rule: Revision,
+    /// Term under which each zone last wrote this record. A coordinator adds slots only after it
+    /// has written the record under its own term, so that a former coordinator of its zone cannot
+    /// give units away any more.
+    pub terms: BTreeMap<ZoneName, Term>,
 }
 
 /// State of a request that may not be repeated, recorded under its idempotency key before the
