--- a/crates/control/src/coordinator/interface.rs
+++ b/crates/control/src/coordinator/interface.rs
@@ -47,7 +47,7 @@
             order_retry: Duration::from_secs(1),
             inventory_poll: Duration::from_millis(100),
             inventory_refresh: Duration::from_secs(5),
-            load_timeout: Duration::from_secs(300),
+            load_timeout: Duration::from_mins(5),
             load_tries: 3,
             load_backoff: Duration::from_secs(5),
             demand_expiry: Duration::from_secs(5),
--- /dev/null
+++ b/crates/control/src/coordinator/leading.rs
@@ -0,0 +1,448 @@
+//! All that a daemon knows while it coordinates the zone, and how events change it.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+use flaxward_types::configuration::PolicySpec;
+use flaxward_types::engine::{
+    HeldState, Inventory, Machine, MachineRole, Order, OrderAction, OrderAnswer,
+};
+use flaxward_types::records::{QuotaSubject, Slot};
+use flaxward_types::{
+    ArtifactId, BootId, OrderId, ResultCode, Revision, RunnerName, Term, Timestamp, ZoneName,
+};
+use rand::RngExt;
+use rand_chacha::ChaCha8Rng;
+
+use super::answers::Answers;
+use super::demand::DemandTable;
+use super::idle::KeepAlive;
+use super::interface::{
+    CoordinatorAction, CoordinatorSettings, Decision, DecisionKind, EngineFault, UnloadReason,
+};
+use super::loads::{Failures, Load, Loads, RateLimit, Speeds, Stage};
+use super::placement::PlacementKeeper;
+use super::quota::QuotaBook;
+use super::runner::{Observation, Phase, Runner, inventory_of};
+use super::weakness::Weakness;
+use crate::configuration::Configuration;
+
+/// Time that a machine which was never listed is waited for before its slots are given up.
+const UNLISTED_GRACE: Duration = Duration::from_secs(10);
+
+/// What a step may look at besides the coordinator's own state.
+#[derive(Clone, Copy)]
+pub(super) struct Context<'a> {
+    pub(super) now: Timestamp,
+    pub(super) settings: &'a CoordinatorSettings,
+    pub(super) configuration: &'a Configuration,
+    pub(super) zone: &'a ZoneName,
+    pub(super) zones: &'a [ZoneName],
+    pub(super) demands: &'a DemandTable,
+    pub(super) keep_alive: &'a KeepAlive,
+    pub(super) may_record: bool,
+    pub(super) store_failing_since: Option<Timestamp>,
+    pub(super) weakness: Weakness,
+}
+
+impl Context<'_> {
+    /// Whether the store has failed for a while, so that nothing new can be recorded.
+    pub(super) fn in_outage(&self) -> bool {
+        let failing = self
+            .store_failing_since
+            .is_some_and(|since| self.now.since(since) >= self.settings.lease_renewal);
+        failing || !self.may_record
+    }
+}
+
+/// Why an artifact that is wanted is not being loaded.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(super) enum Block {
+    /// Something else has to happen first: a read, a write, an unload.
+    Waiting,
+    /// Refused, and when to ask again.
+    Refused(ResultCode, Duration),
+    /// Other zones have units.
+    Elsewhere(Vec<ZoneName>),
+}
+
+/// An unload in progress.
+#[derive(Clone, Debug)]
+pub(super) struct Unload {
+    pub(super) boot: BootId,
+    pub(super) answered: bool,
+}
+
+/// What is wanted of an artifact.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(super) struct Wanted {
+    pub(super) replicas: u32,
+    pub(super) priority: u8,
+    pub(super) deadline: Timestamp,
+    /// Memory to leave room for besides the artifact itself: that of an adapter.
+    pub(super) extra_bytes: u64,
+}
+
+/// The state of a coordinator under one term.
+#[derive(Debug)]
+pub(super) struct Leading {
+    pub(super) term: Term,
+    pub(super) since: Timestamp,
+    pub(super) placement: PlacementKeeper,
+    pub(super) quotas: QuotaBook,
+    pub(super) runners: BTreeMap<RunnerName, Runner>,
+    /// Runners that were listed once and are gone now.
+    pub(super) gone: BTreeSet<RunnerName>,
+    listed: bool,
+    pub(super) loads: Loads,
+    pub(super) unloads: BTreeMap<Slot, Unload>,
+    pub(super) failures: Failures,
+    pub(super) speeds: Speeds,
+    pub(super) rate: RateLimit,
+    pub(super) wanted: BTreeMap<ArtifactId, Wanted>,
+    pub(super) blocks: BTreeMap<ArtifactId, Block>,
+    pub(super) ready_since: BTreeMap<Slot, Timestamp>,
+    pub(super) surplus_since: BTreeMap<ArtifactId, Timestamp>,
+    pub(super) answers: Answers,
+    /// Machines by artifact, rebuilt at each plan.
+    pub(super) index: BTreeMap<ArtifactId, Vec<(RunnerName, HeldState)>>,
+    pub(super) policy: PolicySpec,
+    pub(super) drained: BTreeSet<RunnerName>,
+    configured: Option<Revision>,
+    pub(super) next_housekeeping: Timestamp,
+    /// Quotas to claim for homes.
+    pub(super) homes_wanted: BTreeSet<QuotaSubject>,
+    pub(super) overtaken: bool,
+    pub(super) actions: Vec<CoordinatorAction>,
+    generator: ChaCha8Rng,
+}
+
+impl Leading {
+    pub(super) fn new(
+        term: Term,
+        zone: &ZoneName,
+        settings: &CoordinatorSettings,
+        weakness: Weakness,
+        now: Timestamp,
+        generator: ChaCha8Rng,
+    ) -> Self {
+        Self {
+            term,
+            since: now,
+            placement: PlacementKeeper::new(term, weakness),
+            quotas: QuotaBook::new(term, zone.clone(), weakness),
+            runners: BTreeMap::new(),
+            gone: BTreeSet::new(),
+            listed: false,
+            loads: Loads::new(),
+            unloads: BTreeMap::new(),
+            failures: Failures::default(),
+            speeds: Speeds::new(settings),
+            rate: RateLimit::default(),
+            wanted: BTreeMap::new(),
+            blocks: BTreeMap::new(),
+            ready_since: BTreeMap::new(),
+            surplus_since: BTreeMap::new(),
+            answers: Answers::default(),
+            index: BTreeMap::new(),
+            policy: PolicySpec::default(),
+            drained: BTreeSet::new(),
+            configured: None,
+            next_housekeeping: now,
+            homes_wanted: BTreeSet::new(),
+            overtaken: false,
+            actions: Vec::new(),
+            generator,
+        }
+    }
+
+    /// Takes over the policy and the drains when the configuration has changed.
+    pub(super) fn apply_configuration(&mut self, configuration: &Configuration) {
+        if self.configured == Some(configuration.revision()) {
+            return;
+        }
+        self.configured = Some(configuration.revision());
+        self.policy = configuration.policy();
+        self.drained = configuration.drained();
+    }
+
+    /// Takes in the machine list.
+    pub(super) fn apply_machines(&mut self, machines: &[Machine], now: Timestamp) {
+        self.listed = true;
+        let engines = machines
+            .iter()
+            .filter(|machine| machine.role == MachineRole::Engine);
+        let mut listed = BTreeSet::new();
+        for machine in engines {
+            listed.insert(machine.name.clone());
+            let runner = self
+                .runners
+                .entry(machine.name.clone())
+                .or_insert_with(|| Runner::new(machine));
+            runner.address.clone_from(&machine.address);
+            runner.listed_leaving = machine.leaving;
+        }
+        let vanished = self.runners.keys().filter(|name| !listed.contains(*name));
+        let mut gone: BTreeSet<RunnerName> = vanished.cloned().collect();
+        if now.since(self.since) >= UNLISTED_GRACE {
+            let recorded = self.placement.slots().iter().map(|slot| &slot.runner);
+            gone.extend(recorded.filter(|name| !listed.contains(*name)).cloned());
+        }
+        for name in &gone {
+            self.runners.remove(name);
+            self.loads.retain(|slot, _| slot.runner != *name);
+            self.unloads.retain(|slot, _| slot.runner != *name);
+            self.ready_since.retain(|slot, _| slot.runner != *name);
+        }
+        self.gone = gone;
+    }
+
+    /// Takes in a runner's inventory.
+    pub(super) fn apply_inventory(
+        &mut self,
+        name: &RunnerName,
+        inventory: Result<Inventory, EngineFault>,
+        now: Timestamp,
+    ) {
+        let Some(runner) = self.runners.get_mut(name) else {
+            return;
+        };
+        runner.read_answered(inventory.is_ok(), now);
+        if let Ok(inventory) = inventory {
+            self.observe(name, inventory, now);
+        }
+    }
+
+    fn observe(&mut self, name: &RunnerName, inventory: Inventory, now: Timestamp) {
+        let Some(runner) = self.runners.get_mut(name) else {
+            return;
+        };
+        let placement = &mut self.placement;
+        let next_operation = || placement.want_confirmation();
+        let observation = runner.observe(inventory, self.term, now, next_operation);
+        self.overtaken |= observation == Observation::Overtaken;
+    }
+
+    /// Takes in the answer to an order.
+    pub(super) fn apply_answer(
+        &mut self,
+        name: &RunnerName,
+        id: OrderId,
+        answer: Result<OrderAnswer, EngineFault>,
+        context: &Context,
+    ) {
+        let Some(runner) = self.runners.get_mut(name) else {
+            return;
+        };
+        let answer = match answer {
+            Ok(answer) => answer,
+            Err(fault) => {
+                if let Some(order) = runner.unanswered(id, fault, context.now) {
+                    self.order_refused(name, &order, context);
+                }
+                return;
+            }
+        };
+        if let OrderAnswer::StaleTerm { highest } = answer {
+            self.overtaken |= highest > self.term;
+        }
+        let order = runner.answered(id);
+        if let Some(inventory) = inventory_of(&answer) {
+            self.observe(name, inventory.clone(), context.now);
+        }
+        let Some(order) = order else {
+            return;
+        };
+        match answer {
+            OrderAnswer::Accepted(inventory) => self.order_accepted(name, &order, &inventory),
+            OrderAnswer::OtherBoot { .. } => {
+                if let Some(runner) = self.runners.get_mut(name) {
+                    runner.other_boot(order.boot);
+                }
+            }
+            OrderAnswer::StaleTerm { .. }
+            | OrderAnswer::NoMemory { .. }
+            | OrderAnswer::Refused { .. } => self.order_refused(name, &order, context),
+        }
+    }
+
+    fn order_accepted(&mut self, name: &RunnerName, order: &Order, inventory: &Inventory) {
+        match &order.action {
+            OrderAction::Seal => {
+                let accepted = inventory.boot == order.boot && inventory.term == self.term;
+                if let Some(runner) = self.runners.get_mut(name)
+                    && accepted
+                    && runner.phase == (Phase::Sealing { boot: order.boot })
+                {
+                    runner.seal(order.boot);
+                }
+            }
+            OrderAction::Load { artifact, .. } => {
+                let slot = slot(artifact, name);
+                if let Some(load) = self.loads.get_mut(&slot) {
+                    load.stage = Stage::Loading;
+                }
+            }
+            OrderAction::Unload { artifact } => self.unload_answered(name, artifact),
+        }
+    }
+
+    fn order_refused(&mut self, name: &RunnerName, order: &Order, context: &Context) {
+        match &order.action {
+            OrderAction::Seal => {
+                if let Some(runner) = self.runners.get_mut(name) {
+                    runner.phase = Phase::Unknown;
+                }
+            }
+            OrderAction::Load { artifact, .. } => self.load_failed(&slot(artifact, name), context),
+            OrderAction::Unload { artifact } => self.unload_answered(name, artifact),
+        }
+    }
+
+    fn unload_answered(&mut self, name: &RunnerName, artifact: &ArtifactId) {
+        if let Some(unload) = self.unloads.get_mut(&slot(artifact, name)) {
+            unload.answered = true;
+        }
+    }
+
+    /// Gives up a load that failed, so that it is tried elsewhere.
+    pub(super) fn load_failed(&mut self, slot: &Slot, context: &Context) {
+        if self.loads.remove(slot).is_none() {
+            return;
+        }
+        let runner = slot.runner.clone();
+        self.failures
+            .failed(&slot.artifact, &runner, context.now, context.settings);
+        self.record(&slot.artifact, DecisionKind::LoadFailed { runner });
+    }
+
+    /// Orders an unload, unless one is in progress or an order about the artifact is unsettled.
+    pub(super) fn unload(&mut self, slot: &Slot, reason: UnloadReason) {
+        let Some(runner) = self.runners.get(&slot.runner) else {
+            return;
+        };
+        let Some(boot) = runner.sealed_boot() else {
+            return;
+        };
+        if self.unloads.contains_key(slot) || runner.awaits(&slot.artifact) {
+            return;
+        }
+        let action = OrderAction::Unload {
+            artifact: slot.artifact.clone(),
+        };
+        self.add_order(&slot.runner, boot, action);
+        let unload = Unload {
+            boot,
+            answered: false,
+        };
+        self.unloads.insert(slot.clone(), unload);
+        self.loads.remove(slot);
+        self.ready_since.remove(slot);
+        let runner = slot.runner.clone();
+        self.record(&slot.artifact, DecisionKind::Unload { runner, reason });
+    }
+
+    /// Adds an order under the own term.
+    pub(super) fn add_order(&mut self, name: &RunnerName, boot: BootId, action: OrderAction) {
+        let order = Order {
+            id: OrderId(self.generator.random()),
+            term: self.term,
+            boot,
+            action,
+        };
+        if let Some(runner) = self.runners.get_mut(name) {
+            runner.add_order(order);
+        }
+    }
+
+    /// Seals runners, sends orders that are due, and reads inventories.
+    pub(super) fn drive_runners(&mut self, context: &Context) {
+        if !self.placement.fenced() {
+            return;
+        }
+        let names: Vec<RunnerName> = self.runners.keys().cloned().collect();
+        for name in names {
+            self.seal_if_confirmed(&name, context);
+            let Some(runner) = self.runners.get_mut(&name) else {
+                continue;
+            };
+            let orders = runner.due_orders(context.now, context.settings.order_retry);
+            let sends = orders
+                .into_iter()
+                .map(|order| CoordinatorAction::SendOrder {
+                    runner: name.clone(),
+                    address: runner.address.clone(),
+                    order,
+                });
+            self.actions.extend(sends);
+            if runner.read_due(context.now, context.settings) {
+                self.actions.push(CoordinatorAction::ReadInventory {
+                    runner: name.clone(),
+                    address: runner.address.clone(),
+                });
+            }
+        }
+    }
+
+    fn seal_if_confirmed(&mut self, name: &RunnerName, context: &Context) {
+        let Some(runner) = self.runners.get_mut(name) else {
+            return;
+        };
+        let Phase::Verifying { boot, operation } = runner.phase else {
+            return;
+        };
+        if context.weakness == Weakness::NoSeal {
+            runner.seal(boot);
+            return;
+        }
+        let confirmed = self.placement.is_confirmed(operation);
+        if confirmed || context.weakness == Weakness::UnverifiedBoot {
+            runner.phase = Phase::Sealing { boot };
+            self.add_order(name, boot, OrderAction::Seal);
+        }
+    }
+
+    /// Whether loads may be ordered on a runner.
+    pub(super) fn takes_loads(&self, name: &RunnerName, now: Timestamp) -> bool {
+        let Some(runner) = self.runners.get(name) else {
+            return false;
+        };
+        runner.sealed_boot().is_some() && self.serves(name, now)
+    }
+
+    /// Whether callers' requests may go to a runner.
+    pub(super) fn serves(&self, name: &RunnerName, now: Timestamp) -> bool {
+        let Some(runner) = self.runners.get(name) else {
+            return false;
+        };
+        !runner.leaving() && !runner.unreachable(now) && !self.drained.contains(name)
+    }
+
+    /// Whether a later coordinator has been noticed.
+    pub(super) fn is_overtaken(&self) -> bool {
+        self.overtaken || self.quotas.overtaken()
+    }
+
+    /// Notes a decision.
+    pub(super) fn record(&mut self, artifact: &ArtifactId, kind: DecisionKind) {
+        self.actions.push(CoordinatorAction::Record(Decision {
+            artifact: artifact.clone(),
+            kind,
+        }));
+    }
+
+    /// A load in progress on a runner that can still finish it.
+    pub(super) fn live_load(&self, slot: &Slot, now: Timestamp) -> Option<&Load> {
+        self.loads
+            .get(slot)
+            .filter(|_| self.takes_loads(&slot.runner, now))
+    }
+}
+
+/// The slot of an artifact on a runner.
+pub(super) fn slot(artifact: &ArtifactId, runner: &RunnerName) -> Slot {
+    Slot {
+        artifact: artifact.clone(),
+        runner: runner.clone(),
+    }
+}
--- a/crates/control/src/coordinator/lease.rs
+++ b/crates/control/src/coordinator/lease.rs
@@ -131,7 +131,7 @@
         }
         self.next_step = now + settings.lease_renewal;
         if let Some(requested) = self.stop_requested {
-            return self.step_to_stop(now, requested, settings);
+            return Some(self.step_to_stop(now, requested, settings));
         }
         if let Some(held) = &self.held {
             let lapsed = now >= held.valid_until && held.confirmed < held.valid_until;
@@ -154,11 +154,11 @@
         now: Timestamp,
         requested: Timestamp,
         settings: &CoordinatorSettings,
-    ) -> Option<CoordinatorAction> {
+    ) -> CoordinatorAction {
         let given_up = now.since(requested) >= settings.lease_duration;
         let Some(held) = self.held.as_ref().filter(|_| !given_up) else {
             self.stopped = true;
-            return Some(CoordinatorAction::Stopped);
+            return CoordinatorAction::Stopped;
         };
         let lease = ZoneLease {
             holder: None,
@@ -166,7 +166,7 @@
             ..held.lease.clone()
         };
         self.operation = Some(Operation::HandBack);
-        Some(CoordinatorAction::WriteLease(Some(held.revision), lease))
+        CoordinatorAction::WriteLease(Some(held.revision), lease)
     }
 
     fn read(&mut self) -> CoordinatorAction {
@@ -290,14 +290,17 @@
                     self.retry(now, settings);
                 }
             },
-            Some(Operation::Renew { lease, sent }) => self.on_renewed(result, lease, sent, now, settings),
-            Some(Operation::HandBack) => match result {
-                Err(StoreFault::Unavailable) => self.retry(now, settings),
-                _ => {
+            Some(Operation::Renew { lease, sent }) => {
+                self.on_renewed(result, lease, sent, now, settings);
+            }
+            Some(Operation::HandBack) => {
+                if result == Err(StoreFault::Unavailable) {
+                    self.retry(now, settings);
+                } else {
                     self.held = None;
                     self.next_step = now;
                 }
-            },
+            }
             other => self.operation = other,
         }
         LeaseChange::None
--- /dev/null
+++ b/crates/control/src/coordinator/loads.rs
@@ -0,0 +1,227 @@
+//! Loads in progress, the permits for the weight store, and measured speeds.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use flaxward_types::records::Slot;
+use flaxward_types::{ArtifactId, BootId, RunnerName, Timestamp};
+
+use super::interface::CoordinatorSettings;
+
+/// Weight of the latest measurement in the moving average of a speed, in percent.
+const SPEED_WEIGHT_PERCENT: u64 = 30;
+/// Longest pause after failed loads.
+const LONGEST_BACKOFF: Duration = Duration::from_mins(10);
+/// Tokens that the rate limit saves up at most.
+const RATE_BURST: f64 = 1.0;
+
+/// Where the weights come from.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(super) enum Tier {
+    /// Main memory of the machine.
+    Memory,
+    /// Disk of the machine.
+    Disk,
+    /// The weight store.
+    Remote,
+}
+
+/// How far a load is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Stage {
+    /// Waits for its slot, for memory, for its base or for a permit.
+    Queued,
+    /// The order is sent.
+    Ordered,
+    /// The engine has accepted it.
+    Loading,
+}
+
+/// One load.
+#[derive(Clone, Debug)]
+pub(super) struct Load {
+    pub(super) bytes: u64,
+    pub(super) tier: Tier,
+    pub(super) stage: Stage,
+    pub(super) boot: BootId,
+    /// When it was decided.
+    pub(super) decided: Timestamp,
+    /// When the order was sent.
+    pub(super) started: Timestamp,
+    /// Time from the order to ready expected.
+    pub(super) expected: Duration,
+    /// Rank in the queue: priority, then deadline.
+    pub(super) priority: u8,
+    pub(super) deadline: Timestamp,
+}
+
+impl Load {
+    /// Whether its order may have reached the engine.
+    pub(super) fn is_ordered(&self) -> bool {
+        self.stage != Stage::Queued
+    }
+
+    /// Time left until it is ready, as far as can be told.
+    pub(super) fn remaining(&self, now: Timestamp) -> Duration {
+        if !self.is_ordered() {
+            return self.expected;
+        }
+        let elapsed = now.since(self.started);
+        self.expected.saturating_sub(elapsed).max(elapsed / 4)
+    }
+}
+
+/// All loads in progress.
+pub(super) type Loads = BTreeMap<Slot, Load>;
+
+/// Loads from the weight store that are ordered.
+pub(super) fn remote_in_progress(loads: &Loads) -> u32 {
+    let remote = |load: &&Load| load.tier == Tier::Remote && load.is_ordered();
+    u32::try_from(loads.values().filter(remote).count()).unwrap_or(u32::MAX)
+}
+
+/// Loads from the weight store that wait for a permit.
+pub(super) fn remote_queued(loads: &Loads) -> u32 {
+    let queued = |load: &&Load| load.tier == Tier::Remote && !load.is_ordered();
+    u32::try_from(loads.values().filter(queued).count()).unwrap_or(u32::MAX)
+}
+
+/// Speeds measured, in bytes a second.
+#[derive(Clone, Debug)]
+pub(super) struct Speeds {
+    by_tier: BTreeMap<Tier, u64>,
+}
+
+impl Speeds {
+    pub(super) fn new(settings: &CoordinatorSettings) -> Self {
+        Self {
+            by_tier: BTreeMap::from([
+                (Tier::Memory, settings.memory_bytes_per_second),
+                (Tier::Disk, settings.disk_bytes_per_second),
+                (Tier::Remote, settings.remote_bytes_per_second),
+            ]),
+        }
+    }
+
+    /// Time that a load takes.
+    pub(super) fn duration(&self, tier: Tier, bytes: u64) -> Duration {
+        let speed = self.by_tier.get(&tier).copied().unwrap_or(1).max(1);
+        Duration::from_millis(millis_for(bytes, speed))
+    }
+
+    /// Takes in a finished load.
+    pub(super) fn measured(&mut self, tier: Tier, bytes: u64, took: Duration) {
+        let millis = u64::try_from(took.as_millis()).unwrap_or(u64::MAX).max(1);
+        let speed = bytes.saturating_mul(1000) / millis;
+        let average = self.by_tier.entry(tier).or_insert(speed);
+        let old = average.saturating_mul(100 - SPEED_WEIGHT_PERCENT);
+        let new = speed.saturating_mul(SPEED_WEIGHT_PERCENT);
+        *average = (old.saturating_add(new) / 100).max(1);
+    }
+}
+
+fn millis_for(bytes: u64, bytes_per_second: u64) -> u64 {
+    let millis = u128::from(bytes) * 1000 / u128::from(bytes_per_second);
+    u64::try_from(millis).unwrap_or(u64::MAX)
+}
+
+/// Limits the loads started from the weight store in a second.
+#[derive(Clone, Debug, Default)]
+pub(super) struct RateLimit {
+    tokens: f64,
+    filled: Option<Timestamp>,
+}
+
+impl RateLimit {
+    /// Takes one start, if the rate allows it now.
+    pub(super) fn take(&mut self, per_second: f64, now: Timestamp) -> bool {
+        let passed = self
+            .filled
+            .map_or(f64::INFINITY, |filled| now.since(filled).as_secs_f64());
+        let filled = self.tokens + passed * per_second.max(0.0);
+        // A product of zero and infinity is no number; the bucket starts full.
+        self.tokens = if filled.is_nan() {
+            RATE_BURST
+        } else {
+            filled.min(RATE_BURST)
+        };
+        self.filled = Some(now);
+        if self.tokens < 1.0 {
+            return false;
+        }
+        self.tokens -= 1.0;
+        true
+    }
+}
+
+/// What went wrong with an artifact.
+#[derive(Clone, Debug, Default)]
+struct Failure {
+    tries: u32,
+    runners: Vec<RunnerName>,
+    blocked_until: Option<Timestamp>,
+    backoff: Duration,
+}
+
+/// Failed loads: which runners to avoid, and when to try again.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Failures {
+    by_artifact: BTreeMap<ArtifactId, Failure>,
+}
+
+impl Failures {
+    /// Takes in a failed load.
+    pub(super) fn failed(
+        &mut self,
+        artifact: &ArtifactId,
+        runner: &RunnerName,
+        now: Timestamp,
+        settings: &CoordinatorSettings,
+    ) {
+        let failure = self.by_artifact.entry(artifact.clone()).or_default();
+        failure.tries += 1;
+        failure.runners.push(runner.clone());
+        if failure.tries >= settings.load_tries {
+            self.pause(artifact, now, settings);
+        }
+    }
+
+    /// Nothing is left to try: pauses, longer each time.
+    pub(super) fn pause(
+        &mut self,
+        artifact: &ArtifactId,
+        now: Timestamp,
+        settings: &CoordinatorSettings,
+    ) {
+        let failure = self.by_artifact.entry(artifact.clone()).or_default();
+        failure.backoff = (failure.backoff * 2)
+            .max(settings.load_backoff)
+            .min(LONGEST_BACKOFF);
+        failure.blocked_until = Some(now + failure.backoff);
+        failure.tries = 0;
+        failure.runners.clear();
+    }
+
+    /// The artifact is ready: all is forgotten.
+    pub(super) fn succeeded(&mut self, artifact: &ArtifactId) {
+        self.by_artifact.remove(artifact);
+    }
+
+    /// Until when the artifact is not tried.
+    pub(super) fn blocked_until(&self, artifact: &ArtifactId, now: Timestamp) -> Option<Timestamp> {
+        let until = self.by_artifact.get(artifact)?.blocked_until?;
+        (now < until).then_some(until)
+    }
+
+    /// Whether the artifact failed on a runner since the last pause.
+    pub(super) fn failed_on(&self, artifact: &ArtifactId, runner: &RunnerName) -> bool {
+        let failure = self.by_artifact.get(artifact);
+        failure.is_some_and(|failure| failure.runners.contains(runner))
+    }
+
+    /// Whether any load of the artifact failed since the last pause.
+    pub(super) fn any_since_pause(&self, artifact: &ArtifactId) -> bool {
+        let failure = self.by_artifact.get(artifact);
+        failure.is_some_and(|failure| !failure.runners.is_empty())
+    }
+}
--- a/crates/control/src/coordinator/placement.rs
+++ b/crates/control/src/coordinator/placement.rs
@@ -10,6 +10,7 @@
 use flaxward_types::{ArtifactId, Revision, RunnerName, Term, Timestamp};
 
 use super::interface::{CoordinatorAction, CoordinatorSettings, StoreFault};
+use super::weakness::Weakness;
 
 /// What an answer of the store means for the coordinator.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -32,6 +33,7 @@
 #[derive(Clone, Debug)]
 pub(super) struct PlacementKeeper {
     term: Term,
+    weakness: Weakness,
     revision: Option<Revision>,
     slots: BTreeSet<Slot>,
     known: bool,
@@ -66,9 +68,10 @@
 }
 
 impl PlacementKeeper {
-    pub(super) fn new(term: Term) -> Self {
+    pub(super) fn new(term: Term, weakness: Weakness) -> Self {
         Self {
             term,
+            weakness,
             revision: None,
             slots: BTreeSet::new(),
             known: false,
@@ -89,6 +92,11 @@
         self.fenced
     }
 
+    /// Whether an operation is outstanding.
+    pub(super) fn is_busy(&self) -> bool {
+        self.operation.is_some()
+    }
+
     /// The slots recorded as last known.
     pub(super) fn slots(&self) -> &BTreeSet<Slot> {
         &self.slots
@@ -122,10 +130,13 @@
     /// Slots of a subject in any record that may stand or come to stand.
     pub(super) fn bound(&self, subject: &QuotaSubject) -> u32 {
         let unsettled = self.unsettled.iter().map(|(_, slots)| slots);
-        let written = self.operation.iter().filter_map(|operation| match operation {
-            Operation::Write(slots) => Some(slots),
-            Operation::Read => None,
-        });
+        let written = self
+            .operation
+            .iter()
+            .filter_map(|operation| match operation {
+                Operation::Write(slots) => Some(slots),
+                Operation::Read => None,
+            });
         let possible = unsettled.chain(written).chain([&self.slots]);
         let most = possible.map(|slots| count(slots, subject)).max();
         most.unwrap_or(0).max(self.planned(subject))
@@ -261,7 +272,9 @@
             Err(StoreFault::Conflict) => self.known = false,
             Err(StoreFault::Unknown) => {
                 self.known = false;
-                self.unsettled.push((self.revision, written));
+                if self.weakness != Weakness::UnknownIsFailed {
+                    self.unsettled.push((self.revision, written));
+                }
             }
         }
         PlacementChange::None
--- /dev/null
+++ b/crates/control/src/coordinator/progress.rs
@@ -0,0 +1,296 @@
+//! Brings loads and unloads forward: slot, memory, base, permit, order, ready.
+
+use std::time::Duration;
+
+use flaxward_types::Timestamp;
+use flaxward_types::engine::{HeldState, OrderAction};
+use flaxward_types::records::{QuotaSubject, Slot};
+
+use super::choice::SlotSource;
+use super::interface::{DecisionKind, UnloadReason};
+use super::leading::{Context, Leading, slot};
+use super::loads::{Load, Stage, Tier, remote_in_progress};
+use super::weakness::Weakness;
+
+/// Permits for the weight store taken for granted while no quota record is known.
+const PERMITS_WITHOUT_RECORD: u32 = 1;
+
+/// What has become of a load that was ordered.
+enum Outcome {
+    Open,
+    Ready,
+    Failed,
+    Stuck,
+    /// Given up without an answer; only a [weakness](Weakness::FreeOnTimeout) does so.
+    Forgotten,
+}
+
+impl Leading {
+    /// Looks what the inventories say about loads that were ordered.
+    pub(super) fn settle_loads(&mut self, context: &Context) {
+        self.adopt_loads(context);
+        let slots: Vec<Slot> = self.loads.keys().cloned().collect();
+        for slot in slots {
+            match self.outcome(&slot, context) {
+                Outcome::Open => {}
+                Outcome::Ready => self.load_ready(&slot, context),
+                Outcome::Failed => self.load_failed(&slot, context),
+                Outcome::Forgotten => {
+                    self.load_failed(&slot, context);
+                    if let Some(runner) = self.runners.get_mut(&slot.runner) {
+                        runner.forget_orders(&slot.artifact);
+                    }
+                }
+                Outcome::Stuck => {
+                    self.load_failed(&slot, context);
+                    self.unload(&slot, UnloadReason::Evicted);
+                }
+            }
+        }
+    }
+
+    /// Takes over loads that a former coordinator has ordered.
+    fn adopt_loads(&mut self, context: &Context) {
+        for (name, runner) in &self.runners {
+            let Some(boot) = runner.sealed_boot() else {
+                continue;
+            };
+            for held in runner.holdings() {
+                let key = slot(&held.artifact, name);
+                let known = self.loads.contains_key(&key) || self.unloads.contains_key(&key);
+                if held.state != HeldState::Loading || known || runner.awaits(&held.artifact) {
+                    continue;
+                }
+                let expected = self.speeds.duration(Tier::Remote, held.bytes);
+                let load = Load {
+                    bytes: held.bytes,
+                    tier: Tier::Remote,
+                    stage: Stage::Loading,
+                    boot,
+                    decided: context.now,
+                    started: context.now,
+                    expected,
+                    priority: 0,
+                    deadline: Timestamp(u64::MAX),
+                };
+                self.loads.insert(key, load);
+            }
+        }
+    }
+
+    fn outcome(&self, slot: &Slot, context: &Context) -> Outcome {
+        let (Some(load), Some(runner)) = (self.loads.get(slot), self.runners.get(&slot.runner))
+        else {
+            return Outcome::Failed;
+        };
+        if !load.is_ordered() {
+            return Outcome::Open;
+        }
+        let Some(boot) = runner.sealed_boot() else {
+            return Outcome::Open;
+        };
+        if boot != load.boot {
+            return Outcome::Failed;
+        }
+        let waited = context.now.since(load.started);
+        let awaited = runner.awaits(&slot.artifact);
+        if awaited && context.weakness == Weakness::FreeOnTimeout {
+            let late = waited >= context.settings.order_retry * 2;
+            return if late {
+                Outcome::Forgotten
+            } else {
+                Outcome::Open
+            };
+        }
+        match runner.held(&slot.artifact).map(|held| held.state) {
+            Some(HeldState::Ready) if !awaited => Outcome::Ready,
+            Some(HeldState::Loading) if !awaited && waited >= context.settings.load_timeout => {
+                Outcome::Stuck
+            }
+            Some(HeldState::Ready | HeldState::Loading) => Outcome::Open,
+            _ if awaited => Outcome::Open,
+            _ => Outcome::Failed,
+        }
+    }
+
+    fn load_ready(&mut self, slot: &Slot, context: &Context) {
+        let Some(load) = self.loads.remove(slot) else {
+            return;
+        };
+        let now = context.now;
+        self.speeds
+            .measured(load.tier, load.bytes, now.since(load.started));
+        self.failures.succeeded(&slot.artifact);
+        self.ready_since.insert(slot.clone(), now);
+        let took = now.since(load.decided);
+        let kind = DecisionKind::Ready {
+            runner: slot.runner.clone(),
+            took_ms: u64::try_from(took.as_millis()).unwrap_or(u64::MAX),
+        };
+        self.record(&slot.artifact, kind);
+    }
+
+    /// Looks what the inventories say about unloads.
+    pub(super) fn settle_unloads(&mut self) {
+        let slots: Vec<Slot> = self.unloads.keys().cloned().collect();
+        for slot in slots {
+            let (Some(unload), Some(runner)) =
+                (self.unloads.get(&slot), self.runners.get(&slot.runner))
+            else {
+                self.unloads.remove(&slot);
+                continue;
+            };
+            let Some(boot) = runner.sealed_boot() else {
+                continue;
+            };
+            let state = runner.held(&slot.artifact).map(|held| held.state);
+            let gone = runner.confirmed_without(&slot.artifact);
+            let ignored =
+                unload.answered && matches!(state, Some(HeldState::Ready | HeldState::Loading));
+            if gone || ignored || boot != unload.boot {
+                self.unloads.remove(&slot);
+            }
+            if gone {
+                let runner = slot.runner.clone();
+                self.record(&slot.artifact, DecisionKind::Unloaded { runner });
+            }
+        }
+    }
+
+    /// Brings queued loads forward, the most urgent first.
+    pub(super) fn advance_loads(&mut self, context: &Context) {
+        let mut queued: Vec<(Slot, Load)> = self
+            .loads
+            .iter()
+            .filter(|(_, load)| !load.is_ordered())
+            .map(|(slot, load)| (slot.clone(), load.clone()))
+            .collect();
+        queued.sort_by_key(|(slot, load)| {
+            (
+                std::cmp::Reverse(load.priority),
+                load.deadline,
+                slot.artifact.is_adapter(),
+                slot.clone(),
+            )
+        });
+        for (slot, load) in queued {
+            self.advance(&slot, &load, context);
+        }
+    }
+
+    fn advance(&mut self, slot: &Slot, load: &Load, context: &Context) {
+        let boot = self
+            .runners
+            .get(&slot.runner)
+            .and_then(super::runner::Runner::sealed_boot);
+        let has_base = !slot.artifact.is_adapter() || self.has_base(&slot.artifact, &slot.runner);
+        if boot != Some(load.boot) || !has_base || !self.takes_loads(&slot.runner, context.now) {
+            self.loads.remove(slot);
+            return;
+        }
+        let has_slot = self.placement.usable(slot);
+        if !has_slot && !self.obtain_slot(slot, context) {
+            self.loads.remove(slot);
+            return;
+        }
+        let fits = self.fits_now(slot, load.bytes);
+        if !fits {
+            self.make_room(slot, load.bytes, context);
+        }
+        if !has_slot || !fits || !self.base_is_ready(slot) {
+            return;
+        }
+        if load.tier == Tier::Remote && !self.take_permit(context) {
+            return;
+        }
+        self.order_load(slot, load, context);
+    }
+
+    /// Wishes for the slot of a load. False if there is none to be had.
+    fn obtain_slot(&mut self, slot: &Slot, context: &Context) -> bool {
+        if self.placement.adding(slot) || self.placement.wished(slot) {
+            return true;
+        }
+        if !context.may_record {
+            return false;
+        }
+        // The load itself is among those that were promised a slot.
+        let load = self.loads.remove(slot);
+        let source = self.slot_source(&slot.artifact, context);
+        if let Some(load) = load {
+            self.loads.insert(slot.clone(), load);
+        }
+        match source {
+            SlotSource::Unit => {}
+            SlotSource::Replace(old) => self.placement.wish_removed(&old),
+            SlotSource::None => return false,
+        }
+        self.placement.wish_added(slot.clone());
+        true
+    }
+
+    fn make_room(&mut self, slot: &Slot, bytes: u64, context: &Context) {
+        for victim in self.victims(slot, bytes, context) {
+            self.evict(&victim);
+        }
+    }
+
+    /// Unloads something idle; a base only once no adapter is on it.
+    pub(super) fn evict(&mut self, victim: &Slot) {
+        self.unload_after_adapters(victim, UnloadReason::Evicted);
+    }
+
+    /// Unloads an artifact, its adapters first.
+    pub(super) fn unload_after_adapters(&mut self, victim: &Slot, reason: UnloadReason) {
+        let adapters: Vec<_> = self.adapters_on(victim).collect();
+        if adapters.is_empty() {
+            self.unload(victim, reason);
+        }
+        for adapter in adapters {
+            self.unload(&slot(&adapter, &victim.runner), reason);
+        }
+    }
+
+    fn base_is_ready(&self, load: &Slot) -> bool {
+        if !load.artifact.is_adapter() {
+            return true;
+        }
+        let runner = self.runners.get(&load.runner);
+        let base = runner.and_then(|runner| runner.held(&load.artifact.base()));
+        base.is_some_and(|base| base.state == HeldState::Ready)
+    }
+
+    fn take_permit(&mut self, context: &Context) -> bool {
+        let subject = QuotaSubject::WeightStore;
+        let quota = self.quotas.record(&subject);
+        let (permits, limit) = match quota {
+            Some(quota) => (self.quotas.units(&subject), quota.limit),
+            None => (PERMITS_WITHOUT_RECORD, self.policy.weight_store_parallel),
+        };
+        if remote_in_progress(&self.loads) >= permits {
+            return false;
+        }
+        let share = f64::from(permits) / f64::from(limit.max(1));
+        let per_second = self.policy.weight_store_per_second * share;
+        self.rate.take(per_second, context.now)
+    }
+
+    fn order_load(&mut self, slot: &Slot, load: &Load, context: &Context) {
+        let Some(checkpoint) = context.configuration.checkpoint(&slot.artifact) else {
+            self.loads.remove(slot);
+            return;
+        };
+        let action = OrderAction::Load {
+            artifact: slot.artifact.clone(),
+            checkpoint: checkpoint.to_owned(),
+            bytes: load.bytes,
+        };
+        self.add_order(&slot.runner, load.boot, action);
+        let expected = self.speeds.duration(load.tier, load.bytes);
+        if let Some(load) = self.loads.get_mut(slot) {
+            load.stage = Stage::Ordered;
+            load.started = context.now;
+            load.expected = expected.max(Duration::from_millis(1));
+        }
+    }
+}
--- a/crates/control/src/coordinator/quota.rs
+++ b/crates/control/src/coordinator/quota.rs
@@ -76,7 +76,7 @@
 #[derive(Clone, Debug)]
 struct Write {
     base: Option<Revision>,
-    own_units: u32,
+    quota: Quota,
 }
 
 #[derive(Clone, Debug, Default)]
@@ -86,6 +86,8 @@
     unsettled: Vec<Write>,
     /// The record must be read before the next write.
     stale: bool,
+    /// A write of an earlier term by this daemon is outstanding.
+    stray: bool,
     next_step: Timestamp,
 }
 
@@ -127,6 +129,27 @@
         self.overtaken
     }
 
+    /// Subjects with a write outstanding.
+    pub(super) fn outstanding(&self) -> Vec<QuotaSubject> {
+        let writing = |entry: &&Entry| entry.outstanding.is_some();
+        let entries = self.entries.iter().filter(|(_, entry)| writing(entry));
+        entries.map(|(subject, _)| subject.clone()).collect()
+    }
+
+    /// Waits for the answers to writes of an earlier term before it writes these.
+    pub(super) fn await_strays(&mut self, subjects: &[QuotaSubject]) {
+        for subject in subjects {
+            self.entries.entry(subject.clone()).or_default().stray = true;
+        }
+    }
+
+    /// The answer to a write of an earlier term has come.
+    pub(super) fn stray_answered(&mut self, subject: &QuotaSubject) {
+        if let Some(entry) = self.entries.get_mut(subject) {
+            entry.stray = false;
+        }
+    }
+
     /// The subjects with a record.
     pub(super) fn subjects(&self) -> Vec<QuotaSubject> {
         self.entries.keys().cloned().collect()
@@ -149,7 +172,7 @@
         let recorded = own_units(quota, &self.zone);
         let writes = entry.outstanding.iter().chain(&entry.unsettled);
         writes
-            .map(|write| write.own_units)
+            .map(|write| own_units(&write.quota, &self.zone))
             .fold(recorded, u32::min)
     }
 
@@ -165,14 +188,6 @@
         }
     }
 
-    /// Whether a write or read is on its way that may bring units.
-    pub(super) fn pending(&self, subject: &QuotaSubject) -> bool {
-        let Some(entry) = self.entries.get(subject) else {
-            return true;
-        };
-        entry.outstanding.is_some() || entry.stale || entry.record.is_none()
-    }
-
     /// Other zones with units, most units first.
     pub(super) fn other_zones(&self, subject: &QuotaSubject) -> Vec<ZoneName> {
         let Some(quota) = self.record(subject) else {
@@ -237,7 +252,7 @@
         let goal = self.goal(subject, rule, need);
         let (zone, term, weakness) = (self.zone.clone(), self.term, self.weakness);
         let entry = self.entries.entry(subject.clone()).or_default();
-        if entry.outstanding.is_some() || now < entry.next_step {
+        if entry.stray || entry.outstanding.is_some() || now < entry.next_step {
             return None;
         }
         if entry.stale {
@@ -264,7 +279,7 @@
         let base = entry.record.as_ref().map(|(revision, _)| *revision);
         entry.outstanding = Some(Write {
             base,
-            own_units: own_units(&next, &zone),
+            quota: next.clone(),
         });
         Some(CoordinatorAction::WriteQuota(base, next))
     }
@@ -314,8 +329,7 @@
             return;
         };
         match result {
-            // The content comes back by the read, in order with the changes of others.
-            Ok(_) => entry.stale = true,
+            Ok(revision) => self.on_changed(revision, write.quota),
             Err(StoreFault::Conflict) => entry.stale = true,
             Err(StoreFault::Unavailable) => entry.next_step = now + settings.order_retry,
             Err(StoreFault::Unknown) => {
--- /dev/null
+++ b/crates/control/src/coordinator/runner.rs
@@ -0,0 +1,286 @@
+//! What is known of one runner: whether it is sealed, what it holds, and the orders in flight.
+//!
+//! A runner takes orders only after its boot id was read, the own term was then seen to stand in the
+//! placement record, and the engine has accepted the term. A new boot starts again.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+use flaxward_types::engine::{
+    Held, HeldState, Inventory, LoadReport, Machine, Order, OrderAction, OrderAnswer,
+};
+use flaxward_types::{ArtifactId, BootId, OrderId, Term, Timestamp};
+
+use super::interface::{CoordinatorSettings, EngineFault};
+
+/// Time without any answer after which a runner counts as unreachable.
+const UNREACHABLE_AFTER: Duration = Duration::from_secs(3);
+
+/// How far the seal of a runner is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Phase {
+    /// Its boot id has not been read yet.
+    Unknown,
+    /// The own term is to be seen in the placement record by this operation.
+    Verifying { boot: BootId, operation: u64 },
+    /// The term has been sent to it.
+    Sealing { boot: BootId },
+    /// It has accepted the term.
+    Sealed { boot: BootId },
+}
+
+/// What an inventory means.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Observation {
+    /// Older than what is known.
+    Stale,
+    /// Taken in.
+    Applied,
+    /// A later coordinator has been here.
+    Overtaken,
+}
+
+/// An order without an answer yet.
+#[derive(Clone, Debug)]
+pub(super) struct PendingOrder {
+    pub(super) order: Order,
+    sent: Timestamp,
+    sends: u32,
+    /// Sends that certainly did not arrive.
+    missed: u32,
+}
+
+/// One runner.
+#[derive(Clone, Debug)]
+pub(super) struct Runner {
+    pub(super) address: String,
+    /// The machine list says that it is leaving.
+    pub(super) listed_leaving: bool,
+    pub(super) phase: Phase,
+    pub(super) inventory: Option<Inventory>,
+    pub(super) report: LoadReport,
+    orders: BTreeMap<OrderId, PendingOrder>,
+    dead_boots: BTreeSet<BootId>,
+    read_sent: Option<Timestamp>,
+    read: Timestamp,
+    failing_since: Option<Timestamp>,
+}
+
+impl Runner {
+    pub(super) fn new(machine: &Machine) -> Self {
+        Self {
+            address: machine.address.clone(),
+            listed_leaving: machine.leaving,
+            phase: Phase::Unknown,
+            inventory: None,
+            report: LoadReport::default(),
+            orders: BTreeMap::new(),
+            dead_boots: BTreeSet::new(),
+            read_sent: None,
+            read: Timestamp::ZERO,
+            failing_since: None,
+        }
+    }
+
+    pub(super) fn sealed_boot(&self) -> Option<BootId> {
+        match self.phase {
+            Phase::Sealed { boot } => Some(boot),
+            _ => None,
+        }
+    }
+
+    /// Whether it says itself, or the machine list says, that it is leaving.
+    pub(super) fn leaving(&self) -> bool {
+        self.listed_leaving || self.inventory.as_ref().is_some_and(|held| held.leaving)
+    }
+
+    /// Whether it has not answered for a while.
+    pub(super) fn unreachable(&self, now: Timestamp) -> bool {
+        self.failing_since
+            .is_some_and(|since| now.since(since) >= UNREACHABLE_AFTER)
+    }
+
+    pub(super) fn held(&self, artifact: &ArtifactId) -> Option<&Held> {
+        self.inventory.as_ref()?.held(artifact)
+    }
+
+    /// Artifacts that are loaded, loading or unloading.
+    pub(super) fn holdings(&self) -> impl Iterator<Item = &Held> {
+        let held = self.inventory.iter().flat_map(|held| &held.artifacts);
+        held.filter(|held| held.state != HeldState::Failed)
+    }
+
+    /// Whether an order about the artifact has no answer yet.
+    pub(super) fn awaits(&self, artifact: &ArtifactId) -> bool {
+        self.orders
+            .values()
+            .any(|pending| artifact_of(&pending.order.action) == Some(artifact))
+    }
+
+    /// Whether it certainly does not hold the artifact, and no order in flight can change that.
+    pub(super) fn confirmed_without(&self, artifact: &ArtifactId) -> bool {
+        let held = self.holdings().any(|held| held.artifact == *artifact);
+        self.sealed_boot().is_some() && !held && !self.awaits(artifact)
+    }
+
+    /// Takes in an inventory.
+    pub(super) fn observe(
+        &mut self,
+        inventory: Inventory,
+        term: Term,
+        now: Timestamp,
+        next_operation: impl FnOnce() -> u64,
+    ) -> Observation {
+        if self.dead_boots.contains(&inventory.boot) {
+            return Observation::Stale;
+        }
+        if inventory.term > term {
+            return Observation::Overtaken;
+        }
+        self.read = now;
+        self.failing_since = None;
+        let boot = inventory.boot;
+        let known = match self.phase {
+            Phase::Unknown => None,
+            Phase::Verifying { boot, .. } | Phase::Sealing { boot } | Phase::Sealed { boot } => {
+                Some(boot)
+            }
+        };
+        if known != Some(boot) {
+            let operation = next_operation();
+            self.phase = Phase::Verifying { boot, operation };
+            self.inventory = Some(inventory);
+            return Observation::Applied;
+        }
+        let older = self.inventory.as_ref().is_some_and(|current| {
+            (inventory.term, inventory.sequence) < (current.term, current.sequence)
+        });
+        if older {
+            return Observation::Stale;
+        }
+        self.inventory = Some(inventory);
+        Observation::Applied
+    }
+
+    /// Notes that a read of the inventory failed.
+    pub(super) fn read_failed(&mut self, now: Timestamp) {
+        self.failing_since.get_or_insert(now);
+    }
+
+    /// The engine has accepted the term: what older boots were sent is void.
+    pub(super) fn seal(&mut self, boot: BootId) {
+        self.phase = Phase::Sealed { boot };
+        let old = self.orders.values().map(|pending| pending.order.boot);
+        self.dead_boots.extend(old.filter(|other| *other != boot));
+        self.orders.retain(|_, pending| pending.order.boot == boot);
+    }
+
+    /// The engine says that it has another boot than the one an order was meant for.
+    pub(super) fn other_boot(&mut self, dead: BootId) {
+        self.dead_boots.insert(dead);
+        self.orders.retain(|_, pending| pending.order.boot != dead);
+        self.phase = Phase::Unknown;
+        self.read_sent = None;
+    }
+
+    /// Adds an order; it goes out with the next [`due_orders`](Self::due_orders).
+    pub(super) fn add_order(&mut self, order: Order) {
+        let pending = PendingOrder {
+            order,
+            sent: Timestamp::ZERO,
+            sends: 0,
+            missed: 0,
+        };
+        self.orders.insert(pending.order.id, pending);
+    }
+
+    /// Orders to send now, for the first time or again.
+    pub(super) fn due_orders(&mut self, now: Timestamp, retry: Duration) -> Vec<Order> {
+        let mut due = Vec::new();
+        for pending in self.orders.values_mut() {
+            if pending.sends == 0 || now.since(pending.sent) >= retry {
+                pending.sends += 1;
+                pending.sent = now;
+                due.push(pending.order.clone());
+            }
+        }
+        due
+    }
+
+    /// Takes out the order that an answer settles.
+    pub(super) fn answered(&mut self, order: OrderId) -> Option<Order> {
+        let pending = self.orders.remove(&order)?;
+        Some(pending.order)
+    }
+
+    /// Notes that an order got no answer. Returns it if it certainly never arrived.
+    pub(super) fn unanswered(
+        &mut self,
+        order: OrderId,
+        fault: EngineFault,
+        now: Timestamp,
+    ) -> Option<Order> {
+        self.failing_since.get_or_insert(now);
+        let pending = self.orders.get_mut(&order)?;
+        if fault == EngineFault::Unreachable {
+            pending.missed += 1;
+        }
+        if pending.missed < pending.sends || pending.order.action == OrderAction::Seal {
+            return None;
+        }
+        self.answered(order)
+    }
+
+    /// Forgets every order about an artifact. Only [a weakness](super::Weakness) does so.
+    pub(super) fn forget_orders(&mut self, artifact: &ArtifactId) {
+        self.orders
+            .retain(|_, pending| artifact_of(&pending.order.action) != Some(artifact));
+    }
+
+    /// Whether the inventory should be read now.
+    pub(super) fn read_due(&mut self, now: Timestamp, settings: &CoordinatorSettings) -> bool {
+        if let Some(sent) = self.read_sent
+            && now.since(sent) < settings.order_retry
+        {
+            return false;
+        }
+        let transient =
+            |held: &Held| matches!(held.state, HeldState::Loading | HeldState::Unloading);
+        let busy = !self.orders.is_empty() || self.holdings().any(transient);
+        let interval = match self.phase {
+            Phase::Unknown => Duration::ZERO,
+            Phase::Sealed { .. } if !busy => settings.inventory_refresh,
+            _ => settings.inventory_poll,
+        };
+        if now.since(self.read) < interval {
+            return false;
+        }
+        self.read_sent = Some(now);
+        true
+    }
+
+    /// Notes that a read of the inventory was answered, well or not.
+    pub(super) fn read_answered(&mut self, answered: bool, now: Timestamp) {
+        if answered {
+            self.read_sent = None;
+        } else {
+            self.read_failed(now);
+        }
+    }
+}
+
+/// The artifact that an order is about.
+pub(super) fn artifact_of(action: &OrderAction) -> Option<&ArtifactId> {
+    match action {
+        OrderAction::Seal => None,
+        OrderAction::Load { artifact, .. } | OrderAction::Unload { artifact } => Some(artifact),
+    }
+}
+
+/// The inventory that came with an answer.
+pub(super) fn inventory_of(answer: &OrderAnswer) -> Option<&Inventory> {
+    match answer {
+        OrderAnswer::Accepted(inventory) => Some(inventory),
+        _ => None,
+    }
+}
--- /dev/null
+++ b/crates/control/src/coordinator/unneeded.rs
@@ -0,0 +1,198 @@
+//! Unloads what is not needed and gives up slots that are not allowed or not needed.
+
+use std::time::Duration;
+
+use flaxward_types::engine::HeldState;
+use flaxward_types::records::{QuotaSubject, Slot};
+use flaxward_types::{ArtifactId, RunnerName, Timestamp};
+
+use super::interface::UnloadReason;
+use super::leading::{Context, Leading, slot};
+use super::loads::Tier;
+use super::placement::subject_of;
+
+impl Leading {
+    /// Unloads replicas that are not allowed, leaving, idle or more than needed.
+    pub(super) fn unload_unneeded(&mut self, context: &Context) {
+        let mut due = Vec::new();
+        for (artifact, replicas) in &self.index {
+            for (name, state) in replicas {
+                let key = slot(artifact, name);
+                let settled = *state == HeldState::Ready && !self.unloads.contains_key(&key);
+                if let Some(reason) = self.unload_reason(&key, context).filter(|_| settled) {
+                    due.push((key, reason));
+                }
+            }
+        }
+        for (key, reason) in due {
+            self.unload_after_adapters(&key, reason);
+        }
+        self.unload_surplus(context);
+    }
+
+    fn unload_reason(&self, key: &Slot, context: &Context) -> Option<UnloadReason> {
+        let recorded = self.placement.slots().contains(key) || self.placement.adding(key);
+        if !recorded {
+            return Some(UnloadReason::NoSlot);
+        }
+        if context.configuration.bytes(&key.artifact).is_none() {
+            return Some(UnloadReason::Rule);
+        }
+        let leaving = self.drained.contains(&key.runner)
+            || self
+                .runners
+                .get(&key.runner)
+                .is_some_and(super::runner::Runner::leaving);
+        if leaving && !self.waits_for_replacement(&key.artifact, context) {
+            return Some(UnloadReason::Leaving);
+        }
+        let idle = !leaving && self.is_idle(key, context);
+        idle.then_some(UnloadReason::Idle)
+    }
+
+    /// Whether a replica on a leaving runner stays until the one that replaces it is ready.
+    fn waits_for_replacement(&self, artifact: &ArtifactId, context: &Context) -> bool {
+        let Some(wanted) = self.wanted.get(artifact) else {
+            return false;
+        };
+        let ready = self.ready_on(artifact, context.now).count();
+        let live = self.live_replicas(artifact, context.now);
+        live >= wanted.replicas && ready < usize::try_from(wanted.replicas).unwrap_or(usize::MAX)
+    }
+
+    fn is_idle(&self, key: &Slot, context: &Context) -> bool {
+        if self.wanted.contains_key(&key.artifact) || self.carries_wanted_adapter(key) {
+            return false;
+        }
+        let ready = self.ready_since.get(key).copied().unwrap_or(self.since);
+        let own = context.demands.last_active(&key.artifact);
+        let adapters = self
+            .adapters_on(key)
+            .filter_map(|adapter| context.demands.last_active(&adapter))
+            .max();
+        let used = ready
+            .max(own.unwrap_or_default())
+            .max(adapters.unwrap_or_default());
+        context.now.since(used) >= self.keep_alive(&key.artifact, context)
+    }
+
+    fn keep_alive(&self, artifact: &ArtifactId, context: &Context) -> Duration {
+        let bytes = context.configuration.bytes(artifact).unwrap_or(0);
+        let load_time = self.speeds.duration(Tier::Remote, bytes);
+        context
+            .keep_alive
+            .unload_after(artifact, context.now, &self.policy, load_time)
+    }
+
+    /// Unloads one replica of what has had more than it needs for its whole keep-alive.
+    fn unload_surplus(&mut self, context: &Context) {
+        let mut due = Vec::new();
+        let mut surplus_since = std::mem::take(&mut self.surplus_since);
+        surplus_since.retain(|artifact, _| self.has_surplus(artifact, context.now));
+        for artifact in self.wanted.keys() {
+            if !self.has_surplus(artifact, context.now) {
+                continue;
+            }
+            let since = *surplus_since.entry(artifact.clone()).or_insert(context.now);
+            if context.now.since(since) >= self.keep_alive(artifact, context) {
+                due.extend(self.least_busy(artifact, context.now));
+            }
+        }
+        self.surplus_since = surplus_since;
+        for key in due {
+            self.surplus_since.remove(&key.artifact);
+            self.unload_after_adapters(&key, UnloadReason::Idle);
+        }
+    }
+
+    fn has_surplus(&self, artifact: &ArtifactId, now: Timestamp) -> bool {
+        let needed = self
+            .wanted
+            .get(artifact)
+            .map_or(0, |wanted| wanted.replicas);
+        let ready = self.ready_on(artifact, now).count();
+        needed > 0 && ready > usize::try_from(needed).unwrap_or(usize::MAX)
+    }
+
+    fn least_busy(&self, artifact: &ArtifactId, now: Timestamp) -> Option<Slot> {
+        let busy = |name: &RunnerName| {
+            self.runners
+                .get(name)
+                .map_or(0, |runner| runner.report.running + runner.report.waiting)
+        };
+        let name = self
+            .ready_on(artifact, now)
+            .filter(|name| !self.carries_wanted_adapter(&slot(artifact, name)))
+            .min_by_key(|name| busy(name))?;
+        Some(slot(artifact, name))
+    }
+
+    /// Gives up slots of machines that are gone, and those that the configuration or the zone's
+    /// units do not allow.
+    pub(super) fn release_slots(&mut self, context: &Context) {
+        let slots: Vec<Slot> = self.placement.slots().iter().cloned().collect();
+        for key in &slots {
+            let gone = self.gone.contains(&key.runner);
+            let useless = context.configuration.bytes(&key.artifact).is_none()
+                || !self.serves(&key.runner, context.now);
+            let free = self.is_empty(key, context) && !self.loads.contains_key(key);
+            if gone || (useless && free) {
+                self.placement.wish_removed(key);
+            }
+        }
+        for subject in self.quotas.subjects() {
+            if subject != QuotaSubject::WeightStore {
+                self.release_excess(&subject, context);
+            }
+        }
+    }
+
+    /// Frees slots of a subject down to the goal that the quota sets.
+    fn release_excess(&mut self, subject: &QuotaSubject, context: &Context) {
+        let planned = self.placement.planned(subject);
+        if planned == 0 {
+            return;
+        }
+        let rule = self.rule(subject, context);
+        let need = self.need(subject, context);
+        let goal = self.quotas.goal(subject, &rule, &need);
+        let mut excess = planned.saturating_sub(goal);
+        if excess == 0 {
+            return;
+        }
+        let mut slots: Vec<Slot> = self
+            .placement
+            .slots()
+            .iter()
+            .filter(|key| subject_of(&key.artifact) == *subject)
+            .cloned()
+            .collect();
+        slots.sort_by_key(|key| {
+            (
+                !self.is_empty(key, context),
+                self.wanted.contains_key(&key.artifact),
+                context.demands.last_active(&key.artifact),
+            )
+        });
+        for key in slots {
+            if excess == 0 {
+                return;
+            }
+            excess -= u32::from(self.release(&key, context));
+        }
+    }
+
+    /// Gives up a slot, or begins to. False if nothing can be done about it now.
+    fn release(&mut self, key: &Slot, context: &Context) -> bool {
+        if self.placement.wished(key) {
+            return false;
+        }
+        if self.is_empty(key, context) {
+            self.loads.remove(key);
+            self.placement.wish_removed(key);
+            return true;
+        }
+        self.unload_after_adapters(key, UnloadReason::Rule);
+        self.unloads.contains_key(key)
+    }
+}
