Keep-alive tests: recurring idle times and a busy period after a learnt habit

Cause: two broken variants passed: one that counts short pauses and one whose second stay never ends. The generated idle times hardly ever recurred, and the prior alone gave the old answer.

Change: generate recurring idle times, and learn the habit in a fleet that lacks it.

--- a/crates/control/tests/keep_alive.rs
+++ b/crates/control/tests/keep_alive.rs
@@ -66,13 +66,26 @@
         .sum()
 }
 
+fn any_idle_times() -> impl Strategy<Value = Vec<u64>> {
+    prop::collection::vec(1..40 * DAY, 0..40)
+}
+
+/// Idle times around a period, with others among them.
+fn recurring_idle_times() -> impl Strategy<Value = Vec<u64>> {
+    let times = prop::collection::vec((0_u64..1_200, prop::bool::weighted(0.1)), 3..40);
+    (7_200..5 * DAY, times).prop_map(|(period, times)| {
+        let idle = |(offset, odd)| if odd { offset } else { period + offset };
+        times.into_iter().map(idle).collect()
+    })
+}
+
 proptest! {
     #![proptest_config(config())]
 
     /// Whatever was learnt, stays keep to the policy's bounds and stays ahead of need come later.
     #[test]
     fn stays_within_the_bounds(
-        idle in prop::collection::vec(1_u64..40 * DAY, 0..40),
+        idle in prop_oneof![any_idle_times(), recurring_idle_times()],
         weight in 0.0_f64..=1.0,
         later in 0_u64..60 * DAY,
     ) {
@@ -220,8 +233,11 @@
 fn busy_periods_are_no_idle_times() {
     let mut idle = vec![1_500; 6];
     let mut quiet = KeepAlive::new();
+    for number in 1..40 {
+        learn(&mut quiet, number, &[21 * DAY; 4]);
+    }
+    let mut busy = quiet.clone();
     learn(&mut quiet, 0, &idle);
-    let mut busy = KeepAlive::new();
     idle.extend([1; 5_000]);
     let last = learn(&mut busy, 0, &idle);
     assert_eq!(decide(&busy, 0, last, 0.5), decide(&quiet, 0, last, 0.5));
