--- a/crates/control/src/keep_alive.rs
+++ b/crates/control/src/keep_alive.rs
@@ -237,7 +237,7 @@
         if self.idle_second <= 0.0 {
             return self.longest;
         }
-        Duration::from_secs_f64(seconds).clamp(self.shortest, self.longest)
+        whole_millis(seconds).clamp(self.shortest, self.longest)
     }
 }
 
@@ -317,8 +317,16 @@
     let held_seconds = held_by_hits + passing * (end - start);
     let saved = hits * price.cold_start - held_seconds * price.idle_second;
     let stay = SecondStay {
-        start: Duration::from_secs_f64(start),
-        end: Duration::from_secs_f64(end),
+        start: whole_millis(start),
+        end: whole_millis(end),
     };
     (stay, saved)
 }
+
+/// Seconds as a duration in whole milliseconds, the unit of every timestamp, so that a decision
+/// taken at the very time it names is taken as due.
+fn whole_millis(seconds: f64) -> Duration {
+    #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+    let millis = (seconds * 1_000.0).round() as u64;
+    Duration::from_millis(millis)
+}
