--- /dev/null
+++ b/crates/control/src/admission/routes.rs
@@ -0,0 +1,230 @@
+//! What the zones have told about one artifact, and which zone to ask next.
+
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::time::Duration;
+
+use flaxward_types::routing::{Outlook, Replica, RouteAnswer};
+use flaxward_types::{Refusal, Timestamp, ZoneName};
+
+use super::interface::AdmissionSettings;
+
+/// What one zone has told about one artifact.
+#[derive(Clone, Debug, Default)]
+pub(super) struct ZoneRoute {
+    /// Its latest answer and when it came.
+    answer: Option<(Timestamp, RouteAnswer)>,
+    /// When it was last asked.
+    asked: Option<Timestamp>,
+    /// When it was asked first since its last answer.
+    unanswered_since: Option<Timestamp>,
+    /// Requests begun since it was last asked.
+    pub arrivals: u32,
+    /// Requests that run on its replicas.
+    pub running: u32,
+}
+
+/// How a zone stands as a place to ask.
+enum Standing<'a> {
+    /// It may be asked, or is being asked.
+    Open,
+    /// It has no known coordinator or does not answer.
+    Silent,
+    /// It sends us on.
+    Elsewhere(&'a [ZoneName]),
+}
+
+/// The zones and their order of preference, own zone first.
+#[derive(Clone, Debug)]
+pub(super) struct Zones {
+    /// All zones, own zone first.
+    pub order: Vec<ZoneName>,
+    /// Zones whose coordinator is known.
+    pub heads: BTreeSet<ZoneName>,
+}
+
+/// Where to ask.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(super) enum Target {
+    /// This zone.
+    Zone(ZoneName),
+    /// Every zone is silent or sends us on; these silent ones are asked again.
+    Nowhere {
+        /// Zones that have a coordinator and do not answer, or have none.
+        silent: Vec<ZoneName>,
+    },
+}
+
+/// What waiting requests may hope for.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(super) enum Hope {
+    /// Nothing is known yet.
+    Unknown,
+    /// A replica is ready.
+    Ready,
+    /// A replica is expected at this time.
+    At(Timestamp),
+    /// The coordinator refuses.
+    Refused(Refusal),
+}
+
+impl ZoneRoute {
+    /// Takes an answer, unless it is older than the last one taken. Returns whether it was taken.
+    fn apply(&mut self, now: Timestamp, answer: RouteAnswer) -> bool {
+        let is_older = self
+            .answer
+            .as_ref()
+            .is_some_and(|(_, last)| (answer.term, answer.sequence) < (last.term, last.sequence));
+        if is_older {
+            return false;
+        }
+        self.answer = Some((now, answer));
+        self.unanswered_since = None;
+        true
+    }
+
+    fn standing(&self, now: Timestamp, settings: &AdmissionSettings) -> Standing<'_> {
+        let silent_for = self.unanswered_since.map(|since| now.since(since));
+        let silence = settings.zone_patience..settings.zone_patience + settings.zone_recheck;
+        if silent_for.is_some_and(|duration| silence.contains(&duration)) {
+            return Standing::Silent;
+        }
+        match self.fresh_answer(now, settings.zone_recheck) {
+            Some((_, answer)) => match &answer.outlook {
+                Outlook::Elsewhere { zones } => Standing::Elsewhere(zones),
+                _ => Standing::Open,
+            },
+            None => Standing::Open,
+        }
+    }
+
+    fn fresh_answer(
+        &self,
+        now: Timestamp,
+        validity: Duration,
+    ) -> Option<(Timestamp, &RouteAnswer)> {
+        let (received, answer) = self.answer.as_ref()?;
+        (now.since(*received) < validity).then_some((*received, answer))
+    }
+
+    /// Whether a demand may be sent now.
+    pub fn may_ask(&self, now: Timestamp, period: Duration) -> bool {
+        self.asked.is_none_or(|asked| now.since(asked) >= period)
+    }
+
+    /// Notes that a demand is sent now.
+    pub fn note_asked(&mut self, now: Timestamp, settings: &AdmissionSettings) {
+        self.asked = Some(now);
+        self.arrivals = 0;
+        let silence = settings.zone_patience + settings.zone_recheck;
+        let expired = self
+            .unanswered_since
+            .is_none_or(|since| now.since(since) >= silence);
+        if expired {
+            self.unanswered_since = Some(now);
+        }
+    }
+
+    /// The replicas last told.
+    pub fn ready(&self) -> &[Replica] {
+        self.answer
+            .as_ref()
+            .map_or(&[], |(_, answer)| answer.ready.as_slice())
+    }
+
+    fn hope(&self, now: Timestamp, settings: &AdmissionSettings) -> Hope {
+        let Some((received, answer)) = self.fresh_answer(now, settings.coordinator_grace) else {
+            return Hope::Unknown;
+        };
+        match &answer.outlook {
+            Outlook::Ready => Hope::Ready,
+            Outlook::Loading { estimate_ms } => {
+                Hope::At(received + Duration::from_millis(*estimate_ms))
+            }
+            Outlook::Elsewhere { .. } => Hope::Unknown,
+            Outlook::Refused {
+                code,
+                retry_after_ms,
+            } => {
+                let retry_after = Duration::from_millis(*retry_after_ms);
+                Hope::Refused(Refusal::new(*code).with_retry_after(retry_after))
+            }
+        }
+    }
+}
+
+/// What all zones have told about one artifact.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Routes {
+    zones: BTreeMap<ZoneName, ZoneRoute>,
+}
+
+impl Routes {
+    /// What a zone has told.
+    pub fn zone(&self, zone: &ZoneName) -> Option<&ZoneRoute> {
+        self.zones.get(zone)
+    }
+
+    /// What a zone has told, to be changed.
+    pub fn zone_mut(&mut self, zone: &ZoneName) -> &mut ZoneRoute {
+        self.zones.entry(zone.clone()).or_default()
+    }
+
+    /// The zones with their routes.
+    pub fn iter(&self) -> impl Iterator<Item = (&ZoneName, &ZoneRoute)> {
+        self.zones.iter()
+    }
+
+    /// Takes an answer, unless it is older than the last one taken from that zone.
+    pub fn apply(&mut self, now: Timestamp, answer: RouteAnswer) -> bool {
+        let zone = answer.zone.clone();
+        self.zone_mut(&zone).apply(now, answer)
+    }
+
+    /// The zone to ask now: the own zone first, then those it names, then the others in order.
+    pub fn target(&self, now: Timestamp, zones: &Zones, settings: &AdmissionSettings) -> Target {
+        let mut next: VecDeque<ZoneName> = zones.order.first().cloned().into_iter().collect();
+        let mut visited = BTreeSet::new();
+        let mut silent = Vec::new();
+        while let Some(zone) = next.pop_front() {
+            if !visited.insert(zone.clone()) {
+                continue;
+            }
+            match self.standing(&zone, now, zones, settings) {
+                Standing::Open => return Target::Zone(zone),
+                Standing::Elsewhere(named) => {
+                    named
+                        .iter()
+                        .rev()
+                        .for_each(|zone| next.push_front(zone.clone()));
+                }
+                Standing::Silent => {
+                    next.extend(zones.order.iter().cloned());
+                    silent.push(zone);
+                }
+            }
+        }
+        Target::Nowhere { silent }
+    }
+
+    fn standing(
+        &self,
+        zone: &ZoneName,
+        now: Timestamp,
+        zones: &Zones,
+        settings: &AdmissionSettings,
+    ) -> Standing<'_> {
+        if !zones.heads.contains(zone) {
+            return Standing::Silent;
+        }
+        self.zones
+            .get(zone)
+            .map_or(Standing::Open, |route| route.standing(now, settings))
+    }
+
+    /// What a zone lets waiting requests hope for.
+    pub fn hope(&self, zone: &ZoneName, now: Timestamp, settings: &AdmissionSettings) -> Hope {
+        self.zones
+            .get(zone)
+            .map_or(Hope::Unknown, |route| route.hope(now, settings))
+    }
+}
