Gateway: completions, services, models, first whole version

Streams resume at the next token on another replica, requests with a key are claimed before they are sent, and every error has its number.

--- a/crates/control/src/admission.rs
+++ b/crates/control/src/admission.rs
@@ -65,8 +65,8 @@
 }
 
 impl Admission {
-    /// Admission at a gateway; `zones` are all zones of the region, its own first. No coordinator
-    /// is known at first. Random draws follow from the seed.
+    /// Admission at a gateway; `zones` are the zones known, its own first. Others are learnt from
+    /// their coordinators, none of which is known at first. Random draws follow from the seed.
     pub fn new(settings: AdmissionSettings, zones: Vec<ZoneName>, seed: u64) -> Self {
         Self {
             settings,
@@ -136,15 +136,17 @@
             AdmissionEvent::Finished(request) => {
                 self.end(request);
             }
-            AdmissionEvent::Returned { request, fault } => {
-                self.take_back(now, request, fault, &mut actions);
-            }
+            AdmissionEvent::Returned {
+                request,
+                fault,
+                deadline,
+            } => self.take_back(now, request, fault, deadline, &mut actions),
             AdmissionEvent::CallerGone(request) => {
                 self.queue.remove(request);
                 self.end(request);
             }
             AdmissionEvent::Heads(heads) => {
-                self.zones.heads = heads;
+                self.zones.set_heads(heads);
                 self.review_all(now, &mut actions);
             }
             AdmissionEvent::Leaving(leaving) => self.router.set_leaving(leaving),
@@ -168,6 +170,7 @@
         now: Timestamp,
         request: RequestId,
         fault: BackEndFault,
+        deadline: Timestamp,
         actions: &mut Vec<AdmissionAction>,
     ) {
         let Some(running) = self.end(request) else {
@@ -178,6 +181,7 @@
             self.unreachable.insert(running.runner.clone(), until);
         }
         let mut waiting = running.waiting;
+        waiting.arrival.deadline = deadline;
         waiting.since = now;
         waiting.counted = true;
         waiting.avoided.insert(running.runner, until);
--- a/crates/control/src/admission/interface.rs
+++ b/crates/control/src/admission/interface.rs
@@ -83,12 +83,14 @@
     Routes(RouteAnswer),
     /// A dispatched request has ended.
     Finished(RequestId),
-    /// A dispatched request wants another back end; it waits again, under its old deadline.
+    /// A dispatched request wants another back end; it waits again.
     Returned {
         /// The request.
         request: RequestId,
         /// Why.
         fault: BackEndFault,
+        /// When it must have been sent to another one.
+        deadline: Timestamp,
     },
     /// The caller of a waiting or dispatched request is gone.
     CallerGone(RequestId),
--- a/crates/control/src/admission/routes.rs
+++ b/crates/control/src/admission/routes.rs
@@ -42,6 +42,18 @@
     pub heads: BTreeSet<ZoneName>,
 }
 
+impl Zones {
+    /// Replaces the zones whose coordinator is known; new ones go to the end of the order.
+    pub fn set_heads(&mut self, heads: BTreeSet<ZoneName>) {
+        for zone in &heads {
+            if !self.order.contains(zone) {
+                self.order.push(zone.clone());
+            }
+        }
+        self.heads = heads;
+    }
+}
+
 /// Where to ask.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(super) enum Target {
--- /dev/null
+++ b/crates/gateway/src/attempt.rs
@@ -0,0 +1,159 @@
+//! One attempt: sending a request to a back end and reading the head and body of its answer.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use flaxward_control::attempt::AttemptEnd;
+use flaxward_control::stream::{StreamEnd, finish_body};
+use flaxward_types::AttemptId;
+use reqwest::header::{CONTENT_LENGTH, HeaderMap, TRANSFER_ENCODING};
+use tokio::time::Instant;
+
+use crate::call::{Call, CallKind};
+use crate::head::{
+    ATTEMPT_HEADER, NOT_RUN_HEADER, PRIORITY_HEADER, REQUEST_ID_HEADER, RESUME_HEADER,
+};
+use crate::scheduler::BackEnd;
+
+/// Time allowed for telling an engine that an attempt is given up.
+const CANCEL_TIMEOUT: Duration = Duration::from_secs(5);
+
+/// The body of an answer, as far as it is held.
+pub(crate) struct Collected {
+    /// What has come.
+    pub chunks: Vec<Bytes>,
+    /// The rest, if it is too long to be held.
+    pub rest: Option<reqwest::Response>,
+}
+
+/// Sends a request and waits for the head of the answer.
+pub(crate) async fn send(
+    http: &reqwest::Client,
+    call: &Call,
+    back_end: &BackEnd,
+    attempt: AttemptId,
+    resume_from: Option<u64>,
+    until: Instant,
+) -> Result<reqwest::Response, AttemptEnd> {
+    let url = format!("http://{}{}", back_end.address, call.path_and_query);
+    let mut request = http
+        .request(call.method.clone(), url)
+        .headers(call.headers.clone())
+        .header(ATTEMPT_HEADER, attempt.to_string())
+        .header(PRIORITY_HEADER, u16::from(call.priority))
+        .header(REQUEST_ID_HEADER, &call.request_id)
+        .body(call.body.clone());
+    if let Some(index) = resume_from {
+        request = request.header(RESUME_HEADER, index);
+    }
+    let response = match tokio::time::timeout_at(until, request.send()).await {
+        Ok(Ok(response)) => response,
+        Ok(Err(error)) if error.is_connect() || error.is_builder() => {
+            return Err(AttemptEnd::NotSent);
+        }
+        Ok(Err(_)) => return Err(AttemptEnd::BrokenBeforeHead),
+        Err(_) => return Err(AttemptEnd::TimedOut),
+    };
+    if refused_before_running(response.headers()) {
+        return Err(AttemptEnd::RefusedBeforeRunning);
+    }
+    Ok(response)
+}
+
+fn refused_before_running(headers: &HeaderMap) -> bool {
+    headers
+        .get(NOT_RUN_HEADER)
+        .is_some_and(|value| value.as_bytes() == b"true")
+}
+
+/// Reads the body of an answer: whole, or up to the length that is held.
+pub(crate) async fn collect(
+    mut response: reqwest::Response,
+    hold: usize,
+    until: Instant,
+) -> Result<Collected, AttemptEnd> {
+    let length_is_stated = states_length(&response);
+    let mut chunks = Vec::new();
+    let mut length = 0;
+    loop {
+        let Ok(chunk) = tokio::time::timeout_at(until, response.chunk()).await else {
+            return Err(AttemptEnd::TimedOut);
+        };
+        match chunk {
+            Ok(Some(chunk)) => {
+                length += chunk.len();
+                chunks.push(chunk);
+            }
+            Ok(None) => return finish(chunks, finish_body(false, length_is_stated)),
+            Err(_) => return finish(chunks, finish_body(true, length_is_stated)),
+        }
+        if length > hold {
+            let rest = Some(response);
+            return Ok(Collected { chunks, rest });
+        }
+    }
+}
+
+fn finish(chunks: Vec<Bytes>, end: StreamEnd) -> Result<Collected, AttemptEnd> {
+    match end {
+        StreamEnd::Complete => Ok(Collected { chunks, rest: None }),
+        StreamEnd::Truncated | StreamEnd::Stale => Err(AttemptEnd::Truncated),
+    }
+}
+
+/// Whether the end of the body can be told from a broken connection.
+fn states_length(response: &reqwest::Response) -> bool {
+    let status = response.status().as_u16();
+    let has_no_body = matches!(status, 204 | 304);
+    let headers = response.headers();
+    has_no_body || headers.contains_key(CONTENT_LENGTH) || headers.contains_key(TRANSFER_ENCODING)
+}
+
+/// Tells an engine that an attempt is given up, unless the attempt has ended before.
+pub(crate) struct CancelGuard {
+    http: reqwest::Client,
+    url: Option<String>,
+}
+
+impl CancelGuard {
+    /// A guard for an attempt that is about to be sent.
+    pub fn new(
+        http: &reqwest::Client,
+        call: &Call,
+        back_end: &BackEnd,
+        attempt: AttemptId,
+    ) -> Self {
+        let url = match call.kind {
+            CallKind::Engine => Some(format!(
+                "http://{}/engine/streams/{attempt}",
+                back_end.address
+            )),
+            CallKind::Service => None,
+        };
+        Self {
+            http: http.clone(),
+            url,
+        }
+    }
+
+    /// The attempt has ended by itself.
+    pub fn disarm(&mut self) {
+        self.url = None;
+    }
+}
+
+impl Drop for CancelGuard {
+    fn drop(&mut self) {
+        let Some(url) = self.url.take() else {
+            return;
+        };
+        let Ok(runtime) = tokio::runtime::Handle::try_current() else {
+            return;
+        };
+        let request = self.http.delete(url).timeout(CANCEL_TIMEOUT);
+        runtime.spawn(async move {
+            // An engine that cannot be told notices the closed connection.
+            let _ = request.send().await;
+        });
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/completions.rs
@@ -0,0 +1,273 @@
+//! `POST /v1/completions` and `POST /v1/chat/completions`.
+
+use std::borrow::Cow;
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Instant;
+
+use bytes::Bytes;
+use flaxward_control::admission::Arrival;
+use flaxward_control::attempt::RequestPolicy;
+use flaxward_control::claims::RequestEnd;
+use flaxward_types::{ArtifactId, ModelRef, Refusal, ResultCode, Timestamp};
+use reqwest::header::{CONTENT_TYPE, HeaderMap, HeaderValue};
+use salvo::http::ResBody;
+use salvo::prelude::{Depot, FlowCtrl, Handler, Request, Response, async_trait};
+use serde_json::value::RawValue;
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::answer::{bad, write_refusal, write_request_id};
+use crate::body::read_body;
+use crate::call::{Call, CallKind, new_attempt};
+use crate::gateway::{Gateway, Reply};
+use crate::head::{RequestHead, passed_on, read_head, request_id};
+use crate::place::Place;
+use crate::relay::{EVENT_STREAM, Relay};
+use crate::run::{Held, Run, finish};
+
+/// Longest start of a prompt that decides about prefix affinity, in bytes.
+const PREFIX_BYTES: usize = 1_024;
+/// A prompt shorter than this, in bytes, is not worth a place in a prefix cache.
+const SHORTEST_PREFIX_BYTES: usize = 64;
+
+/// Which of the two interfaces.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum CompletionKind {
+    /// Prompt in `prompt`.
+    Text,
+    /// Prompt in `messages`.
+    Chat,
+}
+
+impl CompletionKind {
+    fn path(self) -> &'static str {
+        match self {
+            Self::Text => "/v1/completions",
+            Self::Chat => "/v1/chat/completions",
+        }
+    }
+
+    fn prompt_field(self) -> &'static str {
+        match self {
+            Self::Text => "prompt",
+            Self::Chat => "messages",
+        }
+    }
+}
+
+/// Handles one of the two interfaces.
+pub(crate) struct Completions {
+    /// The gateway.
+    pub gateway: Arc<Gateway>,
+    /// Which interface.
+    pub kind: CompletionKind,
+}
+
+/// A request as read from its body.
+struct Wanted {
+    artifact: ArtifactId,
+    queue_limit: usize,
+    stream: bool,
+    prefix: Option<u64>,
+    /// The body for the engine.
+    body: Bytes,
+}
+
+#[async_trait]
+impl Handler for Completions {
+    async fn handle(
+        &self,
+        request: &mut Request,
+        _depot: &mut Depot,
+        response: &mut Response,
+        _flow: &mut FlowCtrl,
+    ) {
+        let request_id = request_id(request.headers());
+        match self.answer(request, response, &request_id).await {
+            Ok(()) => write_request_id(response, &request_id),
+            Err(refusal) => {
+                let refusal = self.gateway.with_retry_after(refusal);
+                write_refusal(response, &refusal, &request_id);
+            }
+        }
+    }
+}
+
+impl Completions {
+    async fn answer(
+        &self,
+        request: &mut Request,
+        response: &mut Response,
+        request_id: &str,
+    ) -> Result<(), Refusal> {
+        let started = Instant::now();
+        let in_progress = self.gateway.enter()?;
+        let settings = &self.gateway.settings;
+        let head = read_head(request.headers(), request_id.to_owned(), settings)?;
+        let deadline = self.gateway.clock.now() + head.deadline;
+        let body = read_body(request, settings).await?;
+        let wanted = self.read(&body)?;
+        let call = self.call(request.headers(), &head, &wanted, deadline);
+        let claim = match self
+            .gateway
+            .claim(&call, &head, &wanted.artifact.model.to_string())
+        {
+            Some(claim) => match claim.await? {
+                Reply::Proceed(ticket) => Some(ticket),
+                Reply::Recorded(answer) => {
+                    answer.write(response);
+                    return Ok(());
+                }
+            },
+            None => None,
+        };
+        let place = self.enter_queue(&head, &wanted, deadline);
+        let mut run = Run::new(Arc::clone(&self.gateway), call, place, claim, in_progress);
+        if !wanted.stream {
+            let answer = finish(run).await?;
+            answer.write(response);
+            return Ok(());
+        }
+        match open_stream(&mut run).await {
+            Ok(Opened::Stream(opened)) => {
+                response.headers_mut().extend(passed_on(opened.headers()));
+                let relay = Relay::new(run, opened, started);
+                response.body(ResBody::stream(relay.into_stream()));
+            }
+            Ok(Opened::Whole(answer)) => answer.into_answer(run).write(response),
+            Err(refusal) => {
+                run.settle(RequestEnd::refused(refusal.code));
+                return Err(refusal);
+            }
+        }
+        Ok(())
+    }
+
+    /// Reads the body and finds out what it wants.
+    fn read(&self, body: &Bytes) -> Result<Wanted, Refusal> {
+        let mut fields: BTreeMap<Cow<'_, str>, &RawValue> = serde_json::from_slice(body)
+            .map_err(|error| bad(ResultCode::BadBody, format!("not a JSON object: {error}")))?;
+        let reference: Cow<'_, str> = field(&fields, "model")?
+            .ok_or_else(|| bad(ResultCode::BadBody, "the field model is missing"))?;
+        let stream: bool = field(&fields, "stream")?.unwrap_or(false);
+        let prompt_field = self.kind.prompt_field();
+        let prompt = fields.get(prompt_field).ok_or_else(|| {
+            let detail = format!("the field {prompt_field} is missing");
+            bad(ResultCode::BadBody, detail)
+        })?;
+        let prefix = prefix_digest(prompt.get().as_bytes());
+        let configuration = self.gateway.configuration()?;
+        let reference: ModelRef = reference
+            .parse()
+            .map_err(|_| Refusal::new(ResultCode::UnknownModel))?;
+        let artifact = configuration.resolve(&reference).map_err(Refusal::new)?;
+        let queue_limit = configuration
+            .model(&artifact.model)
+            .map_or(0, |model| model.queue_limit as usize);
+        let name = serde_json::value::to_raw_value(&artifact.to_string())
+            .map_err(|_| Refusal::new(ResultCode::Internal))?;
+        fields.insert(Cow::Borrowed("model"), &name);
+        let body = serde_json::to_vec(&fields).map_err(|_| Refusal::new(ResultCode::Internal))?;
+        Ok(Wanted {
+            artifact,
+            queue_limit,
+            stream,
+            prefix,
+            body: body.into(),
+        })
+    }
+
+    fn call(
+        &self,
+        headers: &HeaderMap,
+        head: &RequestHead,
+        wanted: &Wanted,
+        deadline: Timestamp,
+    ) -> Call {
+        let mut headers = passed_on(headers);
+        headers.insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
+        // A stream may go on long after its first token, and so may its attempts.
+        let last_attempt = if wanted.stream {
+            deadline + self.gateway.settings.stream_limit
+        } else {
+            deadline
+        };
+        Call {
+            kind: CallKind::Engine,
+            method: reqwest::Method::POST,
+            path_and_query: self.kind.path().to_owned(),
+            headers,
+            body: wanted.body.clone(),
+            request_id: head.request_id.clone(),
+            priority: head.priority,
+            deadline,
+            first_attempt: new_attempt(),
+            policy: RequestPolicy {
+                repeatable: head.repeatable.unwrap_or(true),
+                has_key: head.key.is_some(),
+                deadline: last_attempt,
+            },
+        }
+    }
+
+    fn enter_queue(&self, head: &RequestHead, wanted: &Wanted, deadline: Timestamp) -> Place {
+        let ticket = self.gateway.scheduler.enter(|request| Arrival {
+            request,
+            artifact: wanted.artifact.clone(),
+            priority: head.priority,
+            deadline,
+            queue_limit: wanted.queue_limit,
+            prefix: wanted.prefix,
+        });
+        Place::Engine(ticket)
+    }
+}
+
+/// How an engine answers a request for a stream.
+enum Opened {
+    /// With a stream.
+    Stream(reqwest::Response),
+    /// With an answer of another kind, such as an error.
+    Whole(Held),
+}
+
+/// Sends a request until a stream begins or another answer has come.
+async fn open_stream(run: &mut Run) -> Result<Opened, Refusal> {
+    loop {
+        let head = run.open().await?;
+        if is_event_stream(&head) {
+            return Ok(Opened::Stream(head));
+        }
+        if let Some(held) = run.hold(head).await? {
+            return Ok(Opened::Whole(held));
+        }
+    }
+}
+
+/// Reads one field of a body.
+fn field<'a, T: serde::Deserialize<'a>>(
+    fields: &BTreeMap<Cow<'_, str>, &'a RawValue>,
+    name: &str,
+) -> Result<Option<T>, Refusal> {
+    let Some(value) = fields.get(name) else {
+        return Ok(None);
+    };
+    let value = serde_json::from_str(value.get());
+    value.map(Some).map_err(|_| {
+        bad(
+            ResultCode::BadBody,
+            format!("the field {name} has the wrong type"),
+        )
+    })
+}
+
+fn prefix_digest(prompt: &[u8]) -> Option<u64> {
+    let prefix = &prompt[..prompt.len().min(PREFIX_BYTES)];
+    (prefix.len() >= SHORTEST_PREFIX_BYTES).then(|| xxh3_64(prefix))
+}
+
+fn is_event_stream(response: &reqwest::Response) -> bool {
+    let content_type = response.headers().get(CONTENT_TYPE);
+    response.status().is_success()
+        && content_type.is_some_and(|value| value.as_bytes().starts_with(EVENT_STREAM.as_bytes()))
+}
--- /dev/null
+++ b/crates/gateway/src/gateway.rs
@@ -0,0 +1,305 @@
+//! The gateway of a daemon.
+
+use std::collections::BTreeSet;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use flaxward_control::admission::{Admission, AdmissionEvent, ArtifactView};
+use flaxward_control::attempt::RetryBudget;
+use flaxward_control::claims::{claim_name, request_digest};
+use flaxward_control::configuration::Configuration;
+use flaxward_platform::ObjectApi;
+use flaxward_types::engine::Machine;
+use flaxward_types::routing::RouteAnswer;
+use flaxward_types::{DaemonName, Refusal, ResultCode, Revision, RunnerName, ZoneName};
+use futures::FutureExt;
+use futures::future::BoxFuture;
+use reqwest::header::{CONTENT_TYPE, HeaderMap, HeaderValue};
+use salvo::http::StatusCode;
+use salvo::prelude::{
+    Depot, FlowCtrl, Handler, Json, Request, Response, Router, Scribe, async_trait,
+};
+use tokio::sync::watch;
+use tokio::time::MissedTickBehavior;
+use tokio_util::task::TaskTracker;
+use tokio_util::task::task_tracker::TaskTrackerToken;
+
+use crate::answer::{Answer, write_refusal, write_request_id};
+use crate::call::Call;
+use crate::claims::{ClaimReply, ClaimTicket, Claims};
+use crate::clock::Clock;
+use crate::completions::{CompletionKind, Completions};
+use crate::head::{RequestHead, request_id};
+use crate::models;
+use crate::scheduler::{DemandSender, Scheduler};
+use crate::service_pool::ServicePool;
+use crate::services::Services;
+use crate::settings::GatewaySettings;
+
+/// Time between two looks at deadlines and demands.
+const TICK: Duration = Duration::from_millis(50);
+
+/// The callers' interface of one daemon.
+pub struct Gateway {
+    pub(crate) settings: GatewaySettings,
+    pub(crate) http: reqwest::Client,
+    pub(crate) clock: Clock,
+    pub(crate) scheduler: Arc<Scheduler>,
+    pub(crate) service_pool: Arc<ServicePool>,
+    configuration: watch::Receiver<Arc<Configuration>>,
+    budget: Mutex<RetryBudget>,
+    claims: Arc<Claims>,
+    /// Requests in progress, and claims whose outcome is being recorded.
+    requests: TaskTracker,
+    is_stopping: AtomicBool,
+}
+
+/// What a claim of a key has brought.
+pub(crate) enum Reply {
+    /// The request may be sent.
+    Proceed(ClaimTicket),
+    /// The answer recorded under the key.
+    Recorded(Box<Answer>),
+}
+
+impl Gateway {
+    /// A gateway. Demands for coordinators go out on `demands`; answers come back by
+    /// [`Gateway::on_routes`]. `http` should be made by [`crate::back_end_client`].
+    pub fn new(
+        settings: GatewaySettings,
+        configuration: watch::Receiver<Arc<Configuration>>,
+        http: reqwest::Client,
+        demands: DemandSender,
+        store: Arc<dyn ObjectApi>,
+        me: DaemonName,
+    ) -> Arc<Self> {
+        let clock = Clock::start();
+        let requests = TaskTracker::new();
+        let zones = settings.zones.clone();
+        let zone = zones.first().cloned();
+        let admission = Admission::new(settings.admission.clone(), zones, rand::random());
+        let claims = Claims::new(store, me, settings.claims.clone(), requests.clone());
+        let budget = RetryBudget::new(settings.retries, clock.now());
+        Arc::new(Self {
+            http,
+            clock,
+            scheduler: Arc::new(Scheduler::new(admission, demands, clock)),
+            service_pool: Arc::new(ServicePool::new(zone, clock, rand::random())),
+            configuration,
+            budget: Mutex::new(budget),
+            claims: Arc::new(claims),
+            requests,
+            is_stopping: AtomicBool::new(false),
+            settings,
+        })
+    }
+
+    /// The paths of the callers' interface. Its last path takes whatever no other takes, so mount
+    /// it after all others.
+    pub fn router(self: &Arc<Self>) -> Router {
+        let text = Completions {
+            gateway: Arc::clone(self),
+            kind: CompletionKind::Text,
+        };
+        let chat = Completions {
+            gateway: Arc::clone(self),
+            kind: CompletionKind::Chat,
+        };
+        let services = Services {
+            gateway: Arc::clone(self),
+        };
+        let models = Models {
+            gateway: Arc::clone(self),
+        };
+        Router::new()
+            .push(Router::with_path("v1/completions").post(text))
+            .push(Router::with_path("v1/chat/completions").post(chat))
+            .push(Router::with_path("v1/models").get(models))
+            .push(Router::with_path("services/{name}/{**path}").goal(services))
+            .push(Router::with_path("{**path}").goal(UnknownPath))
+    }
+
+    /// Takes answers of coordinators.
+    pub fn on_routes(&self, answers: Vec<RouteAnswer>) {
+        for answer in answers {
+            self.scheduler.handle(AdmissionEvent::Routes(answer));
+        }
+    }
+
+    /// Takes the zones whose coordinator is known.
+    pub fn on_heads(&self, heads: BTreeSet<ZoneName>) {
+        self.scheduler.handle(AdmissionEvent::Heads(heads));
+    }
+
+    /// Takes the runners that take no new work.
+    pub fn on_leaving(&self, leaving: BTreeSet<RunnerName>) {
+        self.service_pool.set_leaving(leaving.clone());
+        self.scheduler.handle(AdmissionEvent::Leaving(leaving));
+    }
+
+    /// Takes the machine list, for plain services.
+    pub fn on_machines(&self, machines: &[Machine]) {
+        self.service_pool.set_machines(machines);
+    }
+
+    /// How each artifact in use stands: requests waiting and running, replicas, expectations.
+    pub fn artifacts(&self) -> Vec<ArtifactView> {
+        self.scheduler.views()
+    }
+
+    /// Requests that wait for a model.
+    pub fn waiting(&self) -> usize {
+        self.artifacts().iter().map(|view| view.waiting).sum()
+    }
+
+    /// Requests that run on a model.
+    pub fn running(&self) -> usize {
+        self.artifacts().iter().map(|view| view.running).sum()
+    }
+
+    /// Looks at deadlines and demands again and again. Ends when it is dropped.
+    pub async fn run(&self) {
+        let mut ticks = tokio::time::interval(TICK);
+        ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        loop {
+            ticks.tick().await;
+            self.scheduler.tick();
+        }
+    }
+
+    /// Stops as planned: new requests are refused, and the future ends when all others have ended
+    /// and the outcomes of claimed ones are recorded.
+    pub async fn stop(&self) {
+        self.is_stopping.store(true, Ordering::SeqCst);
+        self.requests.close();
+        self.requests.wait().await;
+    }
+
+    /// Takes a request in. It is in progress until the token is dropped.
+    pub(crate) fn enter(&self) -> Result<TaskTrackerToken, Refusal> {
+        if self.requests.len() >= self.settings.max_in_progress {
+            return Err(Refusal::new(ResultCode::Overloaded));
+        }
+        let token = self.requests.token();
+        // Looked at after taking the token, so that a stop waits for all it did not refuse.
+        if self.is_stopping.load(Ordering::SeqCst) {
+            return Err(Refusal::new(ResultCode::Stopping));
+        }
+        Ok(token)
+    }
+
+    /// The configuration in force.
+    pub(crate) fn configuration(&self) -> Result<Arc<Configuration>, Refusal> {
+        let configuration = Arc::clone(&self.configuration.borrow());
+        if configuration.revision() == Revision(0) {
+            return Err(Refusal::new(ResultCode::NoConfiguration));
+        }
+        Ok(configuration)
+    }
+
+    /// The retry budget.
+    pub(crate) fn budget(&self) -> MutexGuard<'_, RetryBudget> {
+        self.budget.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Adds when to come back to a refusal that another try may overcome.
+    pub(crate) fn with_retry_after(&self, refusal: Refusal) -> Refusal {
+        let may_pass = matches!(refusal.code.http_status(), 503 | 504);
+        if may_pass && refusal.retry_after.is_none() {
+            return refusal.with_retry_after(self.settings.retry_after);
+        }
+        refusal
+    }
+
+    /// Claims the key of a request, if it needs a claim. `target` is what the request goes to.
+    pub(crate) fn claim(
+        &self,
+        call: &Call,
+        head: &RequestHead,
+        target: &str,
+    ) -> Option<BoxFuture<'static, Result<Reply, Refusal>>> {
+        if !call.policy.needs_claim() {
+            return None;
+        }
+        let name = claim_name(target, head.key.as_deref()?);
+        let digest = request_digest(call.method.as_str(), &call.path_and_query, &call.body);
+        let claims = Arc::clone(&self.claims);
+        let attempt = call.first_attempt;
+        let time_left = call.policy.deadline.since(self.clock.now());
+        let taking = async move {
+            match claims.take(name, digest, attempt, time_left).await {
+                ClaimReply::Proceed(ticket) => Ok(Reply::Proceed(ticket)),
+                ClaimReply::Replay {
+                    status,
+                    content_type,
+                    body,
+                } => Ok(Reply::Recorded(Box::new(recorded(
+                    status,
+                    &content_type,
+                    body,
+                )))),
+                ClaimReply::Refuse(refusal) => Err(refusal),
+            }
+        };
+        Some(taking.boxed())
+    }
+}
+
+fn recorded(status: u16, content_type: &str, body: String) -> Answer {
+    let mut headers = HeaderMap::new();
+    if let Ok(value) = HeaderValue::from_str(content_type) {
+        headers.insert(CONTENT_TYPE, value);
+    }
+    Answer {
+        status: StatusCode::from_u16(status).unwrap_or(StatusCode::OK),
+        headers,
+        body: vec![body.into()],
+        rest: None,
+    }
+}
+
+/// Handles the list of models.
+struct Models {
+    gateway: Arc<Gateway>,
+}
+
+#[async_trait]
+impl Handler for Models {
+    async fn handle(
+        &self,
+        request: &mut Request,
+        _depot: &mut Depot,
+        response: &mut Response,
+        _flow: &mut FlowCtrl,
+    ) {
+        let request_id = request_id(request.headers());
+        match self.gateway.configuration() {
+            Ok(configuration) => {
+                Json(models::list(&configuration)).render(response);
+                write_request_id(response, &request_id);
+            }
+            Err(refusal) => {
+                let refusal = self.gateway.with_retry_after(refusal);
+                write_refusal(response, &refusal, &request_id);
+            }
+        }
+    }
+}
+
+/// Answers every path that is not served.
+struct UnknownPath;
+
+#[async_trait]
+impl Handler for UnknownPath {
+    async fn handle(
+        &self,
+        request: &mut Request,
+        _depot: &mut Depot,
+        response: &mut Response,
+        _flow: &mut FlowCtrl,
+    ) {
+        let refusal = Refusal::new(ResultCode::UnknownPath);
+        write_refusal(response, &refusal, &request_id(request.headers()));
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/run.rs
@@ -0,0 +1,304 @@
+//! The attempts of one request, until it is answered or refused.
+
+use std::sync::Arc;
+
+use flaxward_control::admission::BackEndFault;
+use flaxward_control::attempt::{AttemptEnd, Delivered, RequestMachine, Step};
+use flaxward_control::claims::RequestEnd;
+use flaxward_types::{AttemptId, Refusal, ResultCode};
+use reqwest::StatusCode;
+use reqwest::header::{CONTENT_TYPE, HeaderMap};
+use tokio::time::Instant;
+use tokio_util::task::task_tracker::TaskTrackerToken;
+
+use crate::answer::Answer;
+use crate::attempt::{CancelGuard, Collected, collect, send};
+use crate::call::{Call, new_attempt};
+use crate::claims::ClaimTicket;
+use crate::counters;
+use crate::gateway::Gateway;
+use crate::head::passed_on;
+use crate::place::Place;
+use crate::remainder::Remainder;
+
+/// One request and its attempts. When it is dropped, the current attempt is cancelled.
+pub(crate) struct Run {
+    gateway: Arc<Gateway>,
+    call: Call,
+    place: Place,
+    machine: RequestMachine,
+    /// The current attempt and the guard that cancels it.
+    current: Option<(AttemptId, CancelGuard)>,
+    claim: Option<ClaimTicket>,
+    _in_progress: TaskTrackerToken,
+}
+
+impl Run {
+    /// A request that has not been sent.
+    pub fn new(
+        gateway: Arc<Gateway>,
+        call: Call,
+        place: Place,
+        claim: Option<ClaimTicket>,
+        in_progress: TaskTrackerToken,
+    ) -> Self {
+        let machine = RequestMachine::new(call.policy, gateway.settings.attempts);
+        Self {
+            gateway,
+            call,
+            place,
+            machine,
+            current: None,
+            claim,
+            _in_progress: in_progress,
+        }
+    }
+
+    /// Records the end of the request in its claim, if it has one.
+    pub fn settle(&mut self, end: RequestEnd) {
+        if let Some(claim) = self.claim.take() {
+            claim.end(end);
+        }
+    }
+
+    /// The current attempt.
+    pub fn attempt(&self) -> AttemptId {
+        self.current
+            .as_ref()
+            .map_or(self.call.first_attempt, |(attempt, _)| *attempt)
+    }
+
+    /// The gateway.
+    pub fn gateway(&self) -> &Arc<Gateway> {
+        &self.gateway
+    }
+
+    /// The request.
+    pub fn call(&self) -> &Call {
+        &self.call
+    }
+
+    /// Notes what the caller has received.
+    pub fn note_delivered(&mut self, delivered: Delivered) {
+        let attempt = self.attempt();
+        self.machine.note_delivered(attempt, delivered);
+    }
+
+    /// Sends the request until a back end answers with the head of an answer.
+    pub async fn open(&mut self) -> Result<reqwest::Response, Refusal> {
+        loop {
+            let back_end = match self.place.back_end().await {
+                Ok(back_end) => back_end,
+                Err(refusal) => return Err(self.give_up(refusal)),
+            };
+            let attempt = self.next_attempt();
+            let gateway = Arc::clone(&self.gateway);
+            let now = gateway.clock.now();
+            self.machine
+                .begin(attempt, back_end.runner.clone(), now, &mut gateway.budget())
+                .map_err(Refusal::new)?;
+            counters::attempted();
+            let guard = CancelGuard::new(&gateway.http, &self.call, &back_end, attempt);
+            self.current = Some((attempt, guard));
+            let resume_from = self.machine.resume_from();
+            let until = self.head_timer();
+            let sent = send(
+                &gateway.http,
+                &self.call,
+                &back_end,
+                attempt,
+                resume_from,
+                until,
+            );
+            match sent.await {
+                Ok(response) => return Ok(response),
+                Err(end) => self.end(end)?,
+            }
+        }
+    }
+
+    /// Sends the request until a whole answer has come, or one too long to be held.
+    pub async fn whole(&mut self) -> Result<Held, Refusal> {
+        loop {
+            let response = self.open().await?;
+            if let Some(held) = self.hold(response).await? {
+                return Ok(held);
+            }
+        }
+    }
+
+    /// Reads the answer whose head has come. `None` if the request is to be sent again.
+    pub async fn hold(&mut self, response: reqwest::Response) -> Result<Option<Held>, Refusal> {
+        let status = response.status();
+        let headers = passed_on(response.headers());
+        let until = self.gateway.clock.instant(self.call.deadline);
+        let collected = match collect(response, self.gateway.settings.answer_hold, until).await {
+            Ok(collected) => collected,
+            Err(end) => {
+                self.end(end)?;
+                return Ok(None);
+            }
+        };
+        if collected.rest.is_some() {
+            self.note_delivered(Delivered::Bytes);
+        } else if !self.answered(status.as_u16())? {
+            return Ok(None);
+        }
+        Ok(Some(Held {
+            status,
+            headers,
+            collected,
+        }))
+    }
+
+    /// Notes that the current attempt has brought a whole answer. Returns whether it is the
+    /// caller's; otherwise the request is to be sent again.
+    pub fn answered(&mut self, status: u16) -> Result<bool, Refusal> {
+        match self.step(AttemptEnd::Status(status)) {
+            Step::Done => Ok(true),
+            step => self
+                .follow(&step, AttemptEnd::Status(status))
+                .map(|()| false),
+        }
+    }
+
+    /// Notes the end of the current attempt. An error if the request is not sent again.
+    pub fn end(&mut self, end: AttemptEnd) -> Result<(), Refusal> {
+        if end == AttemptEnd::TimedOut && self.is_too_late() {
+            self.step(AttemptEnd::Cancelled);
+            return Err(Refusal::new(ResultCode::DeadlineWhileRunning));
+        }
+        let step = self.step(end);
+        self.follow(&step, end)
+    }
+
+    fn step(&mut self, end: AttemptEnd) -> Step {
+        let Some((attempt, mut guard)) = self.current.take() else {
+            return Step::Stale;
+        };
+        let may_be_running = matches!(
+            end,
+            AttemptEnd::TimedOut
+                | AttemptEnd::Cancelled
+                | AttemptEnd::Truncated
+                | AttemptEnd::BrokenBeforeHead
+                | AttemptEnd::BrokenMidStream { .. }
+        );
+        if !may_be_running {
+            guard.disarm();
+        }
+        let now = self.gateway.clock.now();
+        self.machine
+            .on_end(attempt, end, now, &mut self.gateway.budget())
+    }
+
+    fn follow(&mut self, step: &Step, end: AttemptEnd) -> Result<(), Refusal> {
+        match step {
+            Step::SendAgain { resume_from, .. } => {
+                let deadline = match resume_from {
+                    Some(_) => self.gateway.clock.now() + self.gateway.settings.stream_resume_wait,
+                    None => self.call.deadline,
+                };
+                self.place.give_back(fault(end), deadline);
+                Ok(())
+            }
+            Step::Finish(code) => Err(Refusal::new(*code)),
+            Step::Done | Step::Stale => Err(Refusal::new(ResultCode::Internal)),
+        }
+    }
+
+    /// Whether the deadline has passed before the caller has received anything.
+    fn is_too_late(&self) -> bool {
+        let is_late = self.gateway.clock.now() >= self.call.deadline;
+        is_late && self.machine.delivered() == Delivered::Nothing
+    }
+
+    /// Until when the head of an answer must come.
+    fn head_timer(&self) -> Instant {
+        if self.machine.delivered() == Delivered::Nothing {
+            return self.gateway.clock.instant(self.call.deadline);
+        }
+        Instant::now() + self.gateway.settings.stream_idle
+    }
+
+    fn next_attempt(&self) -> AttemptId {
+        if self.machine.attempts() == 0 {
+            return self.call.first_attempt;
+        }
+        new_attempt()
+    }
+
+    /// The refusal of a request that finds no back end: "not run" only if that is certain.
+    fn give_up(&mut self, refusal: Refusal) -> Refusal {
+        let code = self.machine.give_up(refusal.code);
+        if code == refusal.code {
+            return refusal;
+        }
+        Refusal::new(code)
+    }
+}
+
+/// Runs a request without frames to its end. A claimed one is run to its end even if the caller
+/// goes, so that its outcome is recorded.
+pub(crate) async fn finish(run: Run) -> Result<Answer, Refusal> {
+    if run.claim.is_none() {
+        return answer_whole(run).await;
+    }
+    tokio::spawn(answer_whole(run))
+        .await
+        .unwrap_or_else(|_| Err(Refusal::new(ResultCode::Internal)))
+}
+
+async fn answer_whole(mut run: Run) -> Result<Answer, Refusal> {
+    match run.whole().await {
+        Ok(held) => Ok(held.into_answer(run)),
+        Err(refusal) => {
+            run.settle(RequestEnd::refused(refusal.code));
+            Err(refusal)
+        }
+    }
+}
+
+/// The answer that is the caller's, as far as it is held.
+pub(crate) struct Held {
+    status: StatusCode,
+    headers: HeaderMap,
+    collected: Collected,
+}
+
+impl Held {
+    /// The answer to the caller. Records what became of the claim.
+    pub fn into_answer(self, mut run: Run) -> Answer {
+        if self.collected.rest.is_none() {
+            run.settle(self.request_end());
+        }
+        let rest = self.collected.rest;
+        let rest = rest.map(|response| Remainder { run, response });
+        Answer {
+            status: self.status,
+            headers: self.headers,
+            body: self.collected.chunks,
+            rest,
+        }
+    }
+
+    fn request_end(&self) -> RequestEnd {
+        let content_type = self.headers.get(CONTENT_TYPE);
+        RequestEnd::Answered {
+            status: self.status.as_u16(),
+            content_type: content_type
+                .and_then(|value| value.to_str().ok())
+                .unwrap_or_default()
+                .to_owned(),
+            body: String::from_utf8(self.collected.chunks.concat()).ok(),
+        }
+    }
+}
+
+fn fault(end: AttemptEnd) -> BackEndFault {
+    match end {
+        AttemptEnd::NotSent => BackEndFault::Unreachable,
+        AttemptEnd::RefusedBeforeRunning => BackEndFault::Refused,
+        _ => BackEndFault::Broken,
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/server_sent_events.rs
@@ -0,0 +1,146 @@
+//! Finds the events in a stream of server-sent events (WHATWG HTML, section 9.2) without decoding
+//! them. Only the `id` field, which carries the token's index, and the end mark `[DONE]` are read.
+
+use std::ops::Range;
+
+use bytes::{Bytes, BytesMut};
+use thiserror::Error;
+
+/// Longest event accepted, in bytes.
+const MAX_EVENT_BYTES: usize = 1 << 20;
+/// Data of the last event of an answer.
+const END_MARK: &[u8] = b"[DONE]";
+
+/// Why bytes are not a stream of events.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
+pub enum EventError {
+    /// An event is longer than accepted.
+    #[error("an event is longer than {MAX_EVENT_BYTES} bytes")]
+    TooLong,
+    /// The `id` field is not a number.
+    #[error("the id of an event is not a number")]
+    BadIndex,
+}
+
+/// What an event is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Event {
+    /// A token with its index.
+    Token(u64),
+    /// The end mark.
+    End,
+    /// Data without an index.
+    Unnumbered,
+    /// A comment, such as one that keeps the connection alive.
+    Comment,
+}
+
+/// Finds whole events in chunks as they arrive.
+#[derive(Clone, Debug, Default)]
+pub struct EventScanner {
+    /// The chunk, after the start of an event that former chunks left.
+    buffer: Bytes,
+    /// Where the current event starts.
+    event_start: usize,
+    /// Where the current line starts.
+    line_start: usize,
+    fields: Fields,
+}
+
+/// What the lines of the current event have said so far.
+#[derive(Clone, Copy, Debug, Default)]
+struct Fields {
+    index: Option<u64>,
+    has_data: bool,
+    is_end: bool,
+}
+
+impl Fields {
+    fn event(self) -> Event {
+        match self.index {
+            _ if self.is_end => Event::End,
+            Some(index) if self.has_data => Event::Token(index),
+            _ if self.has_data => Event::Unnumbered,
+            _ => Event::Comment,
+        }
+    }
+}
+
+impl EventScanner {
+    /// Forgets everything, such as before the stream of another attempt.
+    pub fn clear(&mut self) {
+        *self = Self::default();
+    }
+
+    /// Takes the next chunk. All whole events of the former one must have been read.
+    ///
+    /// # Errors
+    /// Fails if the event begun by former chunks is longer than accepted.
+    pub fn feed(&mut self, chunk: Bytes) -> Result<(), EventError> {
+        let rest = self.buffer.split_off(self.event_start);
+        self.line_start -= self.event_start;
+        self.event_start = 0;
+        if rest.is_empty() {
+            self.buffer = chunk;
+            return Ok(());
+        }
+        if rest.len() + chunk.len() > MAX_EVENT_BYTES {
+            return Err(EventError::TooLong);
+        }
+        let mut joined = BytesMut::with_capacity(rest.len() + chunk.len());
+        joined.extend_from_slice(&rest);
+        joined.extend_from_slice(&chunk);
+        self.buffer = joined.freeze();
+        Ok(())
+    }
+
+    /// The next whole event and its place in the chunk.
+    ///
+    /// # Errors
+    /// Fails if the event has an index that is not a number.
+    pub fn next_event(&mut self) -> Result<Option<(Range<usize>, Event)>, EventError> {
+        while let Some(length) = memchr::memchr(b'\n', &self.buffer[self.line_start..]) {
+            let line_end = self.line_start + length;
+            let line = trim_return(&self.buffer[self.line_start..line_end]);
+            let is_blank = line.is_empty();
+            read_line(line, &mut self.fields)?;
+            self.line_start = line_end + 1;
+            if is_blank {
+                return Ok(Some(self.finish_event()));
+            }
+        }
+        Ok(None)
+    }
+
+    fn finish_event(&mut self) -> (Range<usize>, Event) {
+        let range = self.event_start..self.line_start;
+        let event = self.fields.event();
+        self.event_start = self.line_start;
+        self.fields = Fields::default();
+        (range, event)
+    }
+
+    /// Part of the chunk, without a copy.
+    pub fn slice(&self, range: Range<usize>) -> Bytes {
+        self.buffer.slice(range)
+    }
+}
+
+fn trim_return(line: &[u8]) -> &[u8] {
+    line.strip_suffix(b"\r").unwrap_or(line)
+}
+
+fn read_line(line: &[u8], fields: &mut Fields) -> Result<(), EventError> {
+    if let Some(data) = line.strip_prefix(b"data:") {
+        fields.has_data = true;
+        fields.is_end |= data.trim_ascii_start() == END_MARK;
+    } else if let Some(id) = line.strip_prefix(b"id:") {
+        fields.index = Some(parse_index(id.trim_ascii_start())?);
+    }
+    Ok(())
+}
+
+fn parse_index(digits: &[u8]) -> Result<u64, EventError> {
+    let text = std::str::from_utf8(digits).map_err(|_| EventError::BadIndex)?;
+    text.parse().map_err(|_| EventError::BadIndex)
+}
--- /dev/null
+++ b/crates/gateway/src/service_pool.rs
@@ -0,0 +1,271 @@
+//! The machines of plain services: which of them takes a request, and who waits for one.
+
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+
+use flaxward_control::router::Router;
+use flaxward_types::engine::{Machine, MachineRole};
+use flaxward_types::routing::Replica;
+use flaxward_types::{Refusal, ResultCode, RunnerName, ServiceName, Timestamp, ZoneName};
+use tokio::sync::oneshot;
+
+use crate::clock::Clock;
+use crate::scheduler::BackEnd;
+
+/// Requests waiting for one service, at most.
+const MAX_WAITING: usize = 1_024;
+
+/// Order of those who wait: higher priority first, then first come.
+type Rank = (Reverse<u8>, u64);
+
+/// All machines of services.
+pub(crate) struct ServicePool {
+    state: Mutex<State>,
+    clock: Clock,
+    zone: Option<ZoneName>,
+}
+
+struct State {
+    router: Router,
+    services: BTreeMap<ServiceName, Service>,
+    next_ticket: u64,
+}
+
+#[derive(Default)]
+struct Service {
+    own_zone: Vec<Replica>,
+    other_zones: Vec<Replica>,
+    concurrency: u32,
+    waiters: BTreeMap<Rank, Waiter>,
+}
+
+struct Waiter {
+    avoided: BTreeSet<RunnerName>,
+    sender: oneshot::Sender<BackEnd>,
+}
+
+impl ServicePool {
+    /// A pool without machines, at a daemon of this zone.
+    pub fn new(zone: Option<ZoneName>, clock: Clock, seed: u64) -> Self {
+        Self {
+            state: Mutex::new(State {
+                router: Router::new(seed),
+                services: BTreeMap::new(),
+                next_ticket: 0,
+            }),
+            clock,
+            zone,
+        }
+    }
+
+    /// See the note on the lock of the scheduler.
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Replaces the machines.
+    pub fn set_machines(&self, machines: &[Machine]) {
+        let mut state = self.lock();
+        for service in state.services.values_mut() {
+            service.own_zone.clear();
+            service.other_zones.clear();
+        }
+        for machine in machines.iter().filter(|machine| !machine.leaving) {
+            let MachineRole::Service(name) = &machine.role else {
+                continue;
+            };
+            let service = state.services.entry(name.clone()).or_default();
+            let replica = Replica {
+                runner: machine.name.clone(),
+                address: machine.address.clone(),
+                outstanding: 0,
+            };
+            if Some(&machine.zone) == self.zone.as_ref() {
+                service.own_zone.push(replica);
+            } else {
+                service.other_zones.push(replica);
+            }
+        }
+        let services: Vec<ServiceName> = state.services.keys().cloned().collect();
+        for service in services {
+            state.serve_waiters(&service);
+        }
+    }
+
+    /// Replaces the set of machines that take no new work.
+    pub fn set_leaving(&self, leaving: BTreeSet<RunnerName>) {
+        self.lock().router.set_leaving(leaving);
+    }
+
+    /// A request's place in the pool.
+    pub fn enter(
+        self: &Arc<Self>,
+        service: ServiceName,
+        concurrency: u32,
+        priority: u8,
+        deadline: Timestamp,
+    ) -> ServiceTicket {
+        let mut state = self.lock();
+        let number = state.next_ticket;
+        state.next_ticket += 1;
+        let entry = state.services.entry(service.clone()).or_default();
+        entry.concurrency = concurrency;
+        drop(state);
+        ServiceTicket {
+            pool: Arc::clone(self),
+            service,
+            rank: (Reverse(priority), number),
+            deadline,
+            avoided: BTreeSet::new(),
+            current: None,
+        }
+    }
+}
+
+impl State {
+    /// Chooses a machine with a free place: own zone first, avoided ones last.
+    fn choose(&mut self, name: &ServiceName, avoided: &BTreeSet<RunnerName>) -> Option<BackEnd> {
+        let service = self.services.get(name)?;
+        let router = &mut self.router;
+        let concurrency = service.concurrency;
+        for avoid in [true, false] {
+            for replicas in [&service.own_zone, &service.other_zones] {
+                let free: Vec<&Replica> = replicas
+                    .iter()
+                    .filter(|replica| router.outstanding(&replica.runner) < concurrency)
+                    .filter(|replica| !avoid || !avoided.contains(&replica.runner))
+                    .collect();
+                if let Some(replica) = router.choose(free, None) {
+                    router.began(&replica.runner);
+                    return Some(BackEnd {
+                        runner: replica.runner.clone(),
+                        address: replica.address.clone(),
+                    });
+                }
+            }
+        }
+        None
+    }
+
+    fn has_machine(&self, name: &ServiceName) -> bool {
+        self.services.get(name).is_some_and(|service| {
+            service
+                .own_zone
+                .iter()
+                .chain(&service.other_zones)
+                .any(|replica| !self.router.is_leaving(&replica.runner))
+        })
+    }
+
+    fn serve_waiters(&mut self, name: &ServiceName) {
+        while let Some((rank, waiter)) = self.pop_waiter(name) {
+            let Some(back_end) = self.choose(name, &waiter.avoided) else {
+                if let Some(service) = self.services.get_mut(name) {
+                    service.waiters.insert(rank, waiter);
+                }
+                return;
+            };
+            let runner = back_end.runner.clone();
+            if waiter.sender.send(back_end).is_err() {
+                self.router.ended(&runner);
+            }
+        }
+    }
+
+    fn pop_waiter(&mut self, name: &ServiceName) -> Option<(Rank, Waiter)> {
+        self.services.get_mut(name)?.waiters.pop_first()
+    }
+}
+
+/// One request's place in the pool. When it is dropped, the request has ended.
+pub(crate) struct ServiceTicket {
+    pool: Arc<ServicePool>,
+    service: ServiceName,
+    rank: Rank,
+    deadline: Timestamp,
+    avoided: BTreeSet<RunnerName>,
+    current: Option<Current>,
+}
+
+enum Current {
+    Waiting(oneshot::Receiver<BackEnd>),
+    At(RunnerName),
+}
+
+impl ServiceTicket {
+    /// Waits for a machine, until the deadline.
+    pub async fn back_end(&mut self) -> Result<BackEnd, Refusal> {
+        let receiver = match self.try_now()? {
+            Ok(back_end) => return Ok(back_end),
+            Err(receiver) => receiver,
+        };
+        let receiver = match self.current.insert(Current::Waiting(receiver)) {
+            Current::Waiting(receiver) => receiver,
+            Current::At(_) => return Err(Refusal::new(ResultCode::Internal)),
+        };
+        let until = self.pool.clock.instant(self.deadline);
+        match tokio::time::timeout_at(until, receiver).await {
+            Ok(Ok(back_end)) => {
+                self.current = Some(Current::At(back_end.runner.clone()));
+                Ok(back_end)
+            }
+            Ok(Err(_)) => Err(Refusal::new(ResultCode::Internal)),
+            Err(_) => Err(Refusal::new(ResultCode::DeadlinePassed)),
+        }
+    }
+
+    /// A machine, or the channel on which one will come.
+    fn try_now(&mut self) -> Result<Result<BackEnd, oneshot::Receiver<BackEnd>>, Refusal> {
+        let mut state = self.pool.lock();
+        if let Some(back_end) = state.choose(&self.service, &self.avoided) {
+            self.current = Some(Current::At(back_end.runner.clone()));
+            return Ok(Ok(back_end));
+        }
+        if !state.has_machine(&self.service) {
+            return Err(Refusal::new(ResultCode::NoServiceMachine));
+        }
+        let service = state.services.entry(self.service.clone()).or_default();
+        if service.waiters.len() >= MAX_WAITING {
+            return Err(Refusal::new(ResultCode::QueueFull));
+        }
+        let (sender, receiver) = oneshot::channel();
+        let waiter = Waiter {
+            avoided: self.avoided.clone(),
+            sender,
+        };
+        service.waiters.insert(self.rank, waiter);
+        Ok(Err(receiver))
+    }
+
+    /// Gives a machine back and avoids it from now on, if there is another.
+    pub fn give_back(&mut self) {
+        if let Some(Current::At(runner)) = self.current.take() {
+            self.avoided.insert(runner.clone());
+            self.release(&runner);
+        }
+    }
+
+    fn release(&self, runner: &RunnerName) {
+        let mut state = self.pool.lock();
+        state.router.ended(runner);
+        state.serve_waiters(&self.service);
+    }
+}
+
+impl Drop for ServiceTicket {
+    fn drop(&mut self) {
+        match self.current.take() {
+            None => {}
+            Some(Current::At(runner)) => self.release(&runner),
+            Some(Current::Waiting(mut receiver)) => {
+                if let Some(service) = self.pool.lock().services.get_mut(&self.service) {
+                    service.waiters.remove(&self.rank);
+                }
+                if let Ok(back_end) = receiver.try_recv() {
+                    self.release(&back_end.runner);
+                }
+            }
+        }
+    }
+}
