Gateway tests: streams that break flush what they have first

The stub's error discarded what its server had not flushed, so the case 'broken in the middle' tested a break at the start. The table now also holds the resume index of each attempt.

--- a/crates/gateway/tests/completions.rs
+++ b/crates/gateway/tests/completions.rs
@@ -4,6 +4,8 @@
 mod store;
 mod support;
 
+use std::collections::BTreeSet;
+
 use flaxward_types::routing::Outlook;
 use serde_json::json;
 use support::{Behaviour, Bench, Stub, code_of, read, tokens_of};
@@ -12,14 +14,14 @@
 async fn a_stream_arrives_whole_whatever_one_engine_does() {
     let tokens = 20;
     let cases = [
-        ("whole", vec![Behaviour::Stream { tokens }], 1),
+        ("whole", vec![Behaviour::Stream { tokens }], vec![0]),
         (
             "broken off at the start",
             vec![
                 Behaviour::BreakAt { token: 0, tokens },
                 Behaviour::Stream { tokens },
             ],
-            2,
+            vec![0, 0],
         ),
         (
             "broken off in the middle",
@@ -27,7 +29,7 @@
                 Behaviour::BreakAt { token: 7, tokens },
                 Behaviour::Stream { tokens },
             ],
-            2,
+            vec![0, 7],
         ),
         (
             "broken off twice",
@@ -36,7 +38,7 @@
                 Behaviour::BreakAt { token: 9, tokens },
                 Behaviour::Stream { tokens },
             ],
-            3,
+            vec![0, 7, 9],
         ),
         (
             "gap",
@@ -44,12 +46,12 @@
                 Behaviour::SkipAt { token: 7, tokens },
                 Behaviour::Stream { tokens },
             ],
-            2,
+            vec![0, 7],
         ),
         (
             "ended without its end mark",
             vec![Behaviour::CutAt { token: 7 }, Behaviour::Stream { tokens }],
-            2,
+            vec![0, 7],
         ),
         (
             "resumed from the start",
@@ -57,15 +59,15 @@
                 Behaviour::BreakAt { token: 7, tokens },
                 Behaviour::IgnoreResume { tokens },
             ],
-            2,
+            vec![0, 7],
         ),
         (
             "refused before running",
             vec![Behaviour::Refuse, Behaviour::Stream { tokens }],
-            2,
+            vec![0, 0],
         ),
     ];
-    for (name, script, attempts) in cases {
+    for (name, script, resumed) in cases {
         let mut bench = Bench::start(|settings| {
             settings.admission.avoid_period = std::time::Duration::from_millis(10);
         })
@@ -79,13 +81,18 @@
         assert_eq!(indices, (0..tokens).collect::<Vec<_>>(), "{name}: {text}");
         assert!(is_ended, "{name}");
         let seen = engine.requests();
-        assert_eq!(seen.len(), attempts, "{name}");
-        let mut ids: Vec<_> = seen
+        let header = |seen: &support::Seen, name: &str| seen.headers.get(name).cloned();
+        let resume: Vec<u64> = seen
+            .iter()
+            .map(|seen| header(seen, "x-flaxward-resume-from"))
+            .map(|index| index.map_or(0, |index| index.parse().unwrap()))
+            .collect();
+        assert_eq!(resume, resumed, "{name}");
+        let ids: BTreeSet<_> = seen
             .iter()
-            .map(|seen| seen.headers["x-flaxward-attempt"].clone())
+            .map(|seen| header(seen, "x-flaxward-attempt"))
             .collect();
-        ids.dedup();
-        assert_eq!(ids.len(), attempts, "{name}: each attempt has its own id");
+        assert_eq!(ids.len(), seen.len(), "{name}: each attempt has its own id");
         let sent: serde_json::Value = serde_json::from_str(&seen[0].body).unwrap();
         assert_eq!(sent["model"], "turbine@v1", "{name}");
     }
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -229,7 +229,11 @@
     let tail = futures::stream::once(async move {
         match after {
             After::End => Ok(String::new()),
-            After::Break => Err(std::io::Error::other("broken off")),
+            After::Break => {
+                // The server sends what it has before it waits.
+                tokio::task::yield_now().await;
+                Err(std::io::Error::other("broken off"))
+            }
             After::Stall => std::future::pending().await,
         }
     });
