Admission: ask on while nobody gives hope, and let nobody overtake

Found by the new property: with one zone that sends elsewhere and two without a coordinator nobody was asked any more; and a newcomer went ahead of a waiting request of higher rank when a mark had been lifted since the last tick.

--- a/crates/control/src/admission.rs
+++ b/crates/control/src/admission.rs
@@ -149,7 +149,10 @@
                 self.zones.set_heads(heads);
                 self.review_all(now, &mut actions);
             }
-            AdmissionEvent::Leaving(leaving) => self.router.set_leaving(leaving),
+            AdmissionEvent::Leaving(leaving) => {
+                self.router.set_leaving(leaving);
+                self.review_all(now, &mut actions);
+            }
             AdmissionEvent::Tick => self.tick(now, &mut actions),
         }
         actions
@@ -199,6 +202,8 @@
         }
         let state = self.artifacts.entry(artifact.clone()).or_default();
         state.used = now;
+        // Those who wait may have been held off a runner that takes them by now.
+        self.dispatch_waiting(now, &artifact, actions);
         match self.dispatch(now, &waiting) {
             Some(action) => actions.push(action),
             None => self.enqueue(now, waiting, actions),
@@ -485,7 +490,10 @@
         };
         let all_send_us_on = matches!(
             state.routes.target(now, &self.zones, &self.settings),
-            Target::Nowhere { silent } if silent.is_empty()
+            Target::Nowhere {
+                is_any_silent: false,
+                ..
+            }
         );
         let code = if all_send_us_on {
             ResultCode::NoQuota
@@ -555,7 +563,7 @@
         };
         let asked = match state.routes.target(now, &self.zones, &self.settings) {
             Target::Zone(zone) => vec![zone],
-            Target::Nowhere { silent } => silent,
+            Target::Nowhere { zones, .. } => zones,
         };
         let is_wanted = self.queue.count(artifact) > 0 || state.promise.is_some();
         let in_use = state
--- a/crates/control/src/admission/routes.rs
+++ b/crates/control/src/admission/routes.rs
@@ -59,10 +59,12 @@
 pub(super) enum Target {
     /// This zone.
     Zone(ZoneName),
-    /// Every zone is silent or sends us on; these silent ones are asked again.
+    /// Every zone is silent or sends us on. All are asked again, since one may change its mind.
     Nowhere {
-        /// Zones that have a coordinator and do not answer, or have none.
-        silent: Vec<ZoneName>,
+        /// The zones.
+        zones: Vec<ZoneName>,
+        /// Whether one of them is silent, so that the artifact may have a place there.
+        is_any_silent: bool,
     },
 }
 
@@ -195,10 +197,10 @@
     /// The zone to ask now: the own zone first, then those it names, then the others in order.
     pub fn target(&self, now: Timestamp, zones: &Zones, settings: &AdmissionSettings) -> Target {
         let mut next: VecDeque<ZoneName> = zones.order.first().cloned().into_iter().collect();
-        let mut visited = BTreeSet::new();
-        let mut silent = Vec::new();
+        let mut visited = Vec::new();
+        let mut is_any_silent = false;
         while let Some(zone) = next.pop_front() {
-            if !visited.insert(zone.clone()) {
+            if visited.contains(&zone) {
                 continue;
             }
             match self.standing(&zone, now, zones, settings) {
@@ -211,11 +213,15 @@
                 }
                 Standing::Silent => {
                     next.extend(zones.order.iter().cloned());
-                    silent.push(zone);
+                    is_any_silent = true;
                 }
             }
+            visited.push(zone);
+        }
+        Target::Nowhere {
+            zones: visited,
+            is_any_silent,
         }
-        Target::Nowhere { silent }
     }
 
     fn standing(
