Add the stand-ins of the platform and the HTTP adapters

The daemon and its tests need a platform to talk to before there is one.

Stand-ins: object API after the conventions of Kubernetes for custom resources, machine list in the format of Prometheus' HTTP service discovery, weight store, model engine and plain service, each with faults set at run time and an exact record. Adapters: objects, machines and engines over reqwest; a failure to connect and a 503 are certain, an answer that broke or came too late after a write is not.

SettledStore sends a compare-and-swap again under the same operation. Read back alone was ruled out: an unchanged object does not prove that the first write will not arrive. An object that another operation changed proves nothing either, unless that operation replaced the very version named; so each write also records the version it replaced, and Object has the additive field `replaced`.

--- /dev/null
+++ b/crates/emulator/src/weights.rs
@@ -0,0 +1,310 @@
+//! Stand-in for the weight store: only the time of loads is real, their bytes are not sent.
+
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+use salvo::Router;
+use serde::{Deserialize, Serialize};
+use serde_json::json;
+
+use crate::fault::{Dice, Strikes, lock, pause_ms, unix_ms};
+use crate::http::{Call, Listening, Refusing, Reply, endpoint};
+
+/// Longest time between two looks at the load's speed.
+const STEP: Duration = Duration::from_millis(20);
+
+/// How a weight store stand-in is made.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct WeightStoreConfig {
+    /// Where it listens.
+    pub listen: SocketAddr,
+    /// Loads started in a second; further ones wait for their turn. 0 means no limit.
+    pub starts_per_second: f64,
+    /// Loads at one time at full speed; with more, all slow down in proportion. 0 means no limit.
+    pub parallel: u32,
+    /// Speed of one load at full speed, in bytes a second. 0 means no time passes.
+    pub bytes_per_second: u64,
+    /// Seed of its randomness.
+    pub seed: u64,
+}
+
+impl Default for WeightStoreConfig {
+    fn default() -> Self {
+        Self {
+            listen: crate::platform::ANY_PORT,
+            starts_per_second: 0.0,
+            parallel: 0,
+            bytes_per_second: 0,
+            seed: 1,
+        }
+    }
+}
+
+/// Faults of a weight store stand-in.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct WeightStoreFaults {
+    /// Loads are answered with 503.
+    pub down: bool,
+    /// Every load waits so many milliseconds more.
+    pub delay_ms: u64,
+    /// How many times slower every load is.
+    pub slow_down: f64,
+    /// Loads that break off at their end.
+    pub break_loads: Strikes,
+}
+
+impl Default for WeightStoreFaults {
+    fn default() -> Self {
+        Self {
+            down: false,
+            delay_ms: 0,
+            slow_down: 1.0,
+            break_loads: Strikes::default(),
+        }
+    }
+}
+
+/// What became of a load.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum WeightLoadOutcome {
+    /// It runs, or its client has gone.
+    Begun,
+    /// It was delivered.
+    Delivered,
+    /// It broke off.
+    Broken,
+}
+
+/// One load from the weight store.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct WeightLoad {
+    /// The checkpoint.
+    pub checkpoint: String,
+    /// Its size, in bytes.
+    pub bytes: u64,
+    /// Who asked, from the header `x-flaxward-client`.
+    pub client: Option<String>,
+    /// Wall-clock milliseconds at which it was asked for.
+    pub asked_unix_ms: u64,
+    /// Wall-clock milliseconds at which it began.
+    pub begun_unix_ms: u64,
+    /// Loads at that moment, this one included.
+    pub parallel: u32,
+    /// What became of it.
+    pub outcome: WeightLoadOutcome,
+}
+
+/// What really happened at the weight store.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct WeightStoreRecord {
+    /// Most loads at one time.
+    pub max_parallel: u32,
+    /// Every load, in the order of their beginnings.
+    pub loads: Vec<WeightLoad>,
+}
+
+struct Shared {
+    config: WeightStoreConfig,
+    dice: Dice,
+    state: Mutex<State>,
+}
+
+struct State {
+    active: u32,
+    next_start: Instant,
+    faults: WeightStoreFaults,
+    record: WeightStoreRecord,
+}
+
+/// A running weight store stand-in.
+pub struct WeightStore {
+    shared: Arc<Shared>,
+    listening: Listening,
+}
+
+impl WeightStore {
+    /// Starts one.
+    ///
+    /// # Errors
+    /// Fails if the address cannot be bound.
+    pub async fn start(config: WeightStoreConfig) -> std::io::Result<Self> {
+        let listen = config.listen;
+        let shared = Arc::new(Shared {
+            dice: Dice::new(config.seed),
+            config,
+            state: Mutex::new(State {
+                active: 0,
+                next_start: Instant::now(),
+                faults: WeightStoreFaults::default(),
+                record: WeightStoreRecord::default(),
+            }),
+        });
+        let listening = Listening::start(listen, router(&shared), Refusing::default()).await?;
+        Ok(Self { shared, listening })
+    }
+
+    /// Where it listens.
+    pub fn address(&self) -> SocketAddr {
+        self.listening.address
+    }
+
+    /// The base URL for engines.
+    pub fn url(&self) -> String {
+        format!("http://{}", self.address())
+    }
+
+    /// Changes the faults.
+    pub fn update_faults(&self, change: impl FnOnce(&mut WeightStoreFaults)) {
+        change(&mut lock(&self.shared.state).faults);
+    }
+
+    /// What really happened.
+    pub fn record(&self) -> WeightStoreRecord {
+        lock(&self.shared.state).record.clone()
+    }
+
+    /// Stops it; loads in progress break off.
+    pub async fn shutdown(self) {
+        self.listening.stop().await;
+    }
+}
+
+fn router(shared: &Arc<Shared>) -> Router {
+    let faults = Router::with_path("faults")
+        .get(endpoint(shared, show_faults))
+        .post(endpoint(shared, set_faults));
+    Router::new()
+        .push(Router::with_path("weights/{first}").get(endpoint(shared, load)))
+        .push(Router::with_path("record").get(endpoint(shared, record)))
+        .push(faults)
+}
+
+async fn record(shared: Arc<Shared>, _call: Call) -> Reply {
+    Reply::ok(&lock(&shared.state).record)
+}
+
+async fn show_faults(shared: Arc<Shared>, _call: Call) -> Reply {
+    Reply::ok(&lock(&shared.state).faults)
+}
+
+async fn set_faults(shared: Arc<Shared>, call: Call) -> Reply {
+    match call.json::<WeightStoreFaults>() {
+        Ok(faults) => {
+            lock(&shared.state).faults = faults;
+            Reply::ok(&faults)
+        }
+        Err(reply) => reply,
+    }
+}
+
+async fn load(shared: Arc<Shared>, call: Call) -> Reply {
+    let asked_unix_ms = unix_ms();
+    let bytes = call.query("bytes").and_then(|text| text.parse().ok());
+    let bytes: u64 = bytes.unwrap_or(0);
+    let faults = lock(&shared.state).faults;
+    pause_ms(faults.delay_ms).await;
+    if faults.down {
+        return Reply::down();
+    }
+    wait_for_turn(&shared).await;
+    let active = ActiveLoad::begin(&shared, &call, bytes, asked_unix_ms);
+    active.run(bytes).await;
+    let broken = {
+        let mut state = lock(&shared.state);
+        let down = state.faults.down;
+        state.faults.break_loads.strike(&shared.dice) || down
+    };
+    if broken {
+        active.end(WeightLoadOutcome::Broken);
+        return Reply::broken();
+    }
+    active.end(WeightLoadOutcome::Delivered);
+    Reply::ok(&json!({"checkpoint": call.first(), "bytes": bytes}))
+}
+
+/// Waits until the limit on starts lets one more load begin.
+async fn wait_for_turn(shared: &Shared) {
+    if shared.config.starts_per_second <= 0.0 {
+        return;
+    }
+    let between = Duration::from_secs_f64(1.0 / shared.config.starts_per_second);
+    let turn = {
+        let mut state = lock(&shared.state);
+        let turn = state.next_start.max(Instant::now());
+        state.next_start = turn + between;
+        turn
+    };
+    tokio::time::sleep_until(turn.into()).await;
+}
+
+/// A load in progress; counts as one until it is dropped.
+struct ActiveLoad {
+    shared: Arc<Shared>,
+    position: usize,
+}
+
+impl ActiveLoad {
+    fn begin(shared: &Arc<Shared>, call: &Call, bytes: u64, asked_unix_ms: u64) -> Self {
+        let mut state = lock(&shared.state);
+        state.active += 1;
+        state.record.max_parallel = state.record.max_parallel.max(state.active);
+        let position = state.record.loads.len();
+        let parallel = state.active;
+        state.record.loads.push(WeightLoad {
+            checkpoint: call.first().to_owned(),
+            bytes,
+            client: call.header(crate::http::CLIENT_HEADER).map(str::to_owned),
+            asked_unix_ms,
+            begun_unix_ms: unix_ms(),
+            parallel,
+            outcome: WeightLoadOutcome::Begun,
+        });
+        Self {
+            shared: Arc::clone(shared),
+            position,
+        }
+    }
+
+    /// Lets the time of the load pass, at the speed that the other loads leave it.
+    #[allow(clippy::cast_precision_loss)] // sizes stay far below 2^52
+    async fn run(&self, bytes: u64) {
+        let mut left = bytes as f64;
+        if self.shared.config.bytes_per_second == 0 {
+            return;
+        }
+        while left > 0.0 {
+            let speed = self.speed();
+            let step = Duration::from_secs_f64(left / speed).min(STEP);
+            let begun = Instant::now();
+            tokio::time::sleep(step).await;
+            left -= speed * begun.elapsed().as_secs_f64();
+        }
+    }
+
+    /// Bytes a second, now.
+    #[allow(clippy::cast_precision_loss)] // speeds stay far below 2^52
+    fn speed(&self) -> f64 {
+        let config = &self.shared.config;
+        let state = lock(&self.shared.state);
+        let full = config.bytes_per_second as f64 / state.faults.slow_down.max(0.001);
+        if config.parallel > 0 && state.active > config.parallel {
+            full * f64::from(config.parallel) / f64::from(state.active)
+        } else {
+            full
+        }
+    }
+
+    fn end(&self, outcome: WeightLoadOutcome) {
+        lock(&self.shared.state).record.loads[self.position].outcome = outcome;
+    }
+}
+
+impl Drop for ActiveLoad {
+    fn drop(&mut self) {
+        lock(&self.shared.state).active -= 1;
+    }
+}
--- a/crates/platform/src/objects.rs
+++ b/crates/platform/src/objects.rs
@@ -52,6 +52,9 @@
     pub version: Revision,
     /// The operation that made the last change, by which a lost answer is settled.
     pub operation: Option<OperationId>,
+    /// The version that the last change replaced, or `None` if it created the object. It proves that
+    /// no other change came between.
+    pub replaced: Option<Revision>,
     /// Its content.
     pub body: Value,
 }
--- /dev/null
+++ b/crates/platform/tests/contracts/machine_list.rs
@@ -0,0 +1,58 @@
+//! The machine list over HTTP against its stand-in.
+
+use flaxward_emulator::{Platform, PlatformConfig, ZoneConfig};
+use flaxward_platform::http_client::TimeLimits;
+use flaxward_platform::{MachineList, MachinesHttp};
+use flaxward_types::engine::MachineRole;
+use flaxward_types::{ServiceName, ZoneName};
+
+#[tokio::test]
+async fn machines_come_leave_and_are_gone_for_good() {
+    let zone = ZoneName::literal("north");
+    let service = ServiceName::literal("field-api");
+    let mut platform = Platform::start(PlatformConfig {
+        zones: vec![ZoneConfig {
+            name: zone.clone(),
+            engines: 2,
+            services: [(service.clone(), 1)].into(),
+        }],
+        ..PlatformConfig::default()
+    })
+    .await
+    .expect("ports are free");
+    let url = platform.machines.url();
+    let list = MachinesHttp::new(&url, TimeLimits::default()).expect("the HTTP library is set up");
+
+    let machines = list.machines().await.expect("it answers");
+    assert_eq!(machines, platform.machines.current());
+    assert_eq!(machines.len(), 3);
+    let mut engines = machines.iter().filter(|m| m.role == MachineRole::Engine);
+    let engine = engines.next_back().expect("there are engines").clone();
+    let services = machines.iter().map(|machine| &machine.role);
+    assert!(
+        services
+            .clone()
+            .any(|role| *role == MachineRole::Service(service.clone()))
+    );
+
+    platform.machines.leave(&engine.name);
+    let machines = list.machines().await.expect("it answers");
+    let leaving = machines.iter().filter(|machine| machine.leaving);
+    let leaving: Vec<_> = leaving.map(|machine| machine.name.clone()).collect();
+    assert_eq!(leaving, vec![engine.name.clone()]);
+
+    platform.reclaim(&engine.name).await;
+    let machines = list.machines().await.expect("it answers");
+    assert!(machines.iter().all(|machine| machine.name != engine.name));
+    assert!(
+        platform.machines.put(engine.clone()).is_err(),
+        "a name is never used again"
+    );
+    let added = platform.add_engine(&zone).await.expect("a port is free");
+    assert_ne!(added, engine.name);
+
+    platform.machines.update_faults(|faults| faults.down = true);
+    assert!(list.machines().await.is_err());
+    platform.shutdown().await;
+    assert!(list.machines().await.is_err());
+}
--- /dev/null
+++ b/crates/platform/tests/contracts/object_contract.rs
@@ -0,0 +1,183 @@
+//! What every object API must hold.
+
+use std::time::Duration;
+
+use flaxward_platform::{Collection, Object, ObjectApi, StoreError, WatchEvent};
+use flaxward_types::{OperationId, Revision};
+use futures::StreamExt;
+use futures::future::join_all;
+use futures::stream::BoxStream;
+use serde_json::{Value, json};
+
+const LEASES: Collection = Collection::Leases;
+
+/// Longest wait for something that must come.
+const PATIENCE: Duration = Duration::from_secs(10);
+
+/// Checks the whole contract; the collections must be empty.
+pub async fn object_api_contract(api: &dyn ObjectApi) {
+    objects_have_versions_and_operations(api).await;
+    a_write_that_names_another_version_changes_nothing(api).await;
+    a_race_has_one_winner(api).await;
+    a_race_to_create_has_one_winner(api).await;
+    a_watch_misses_nothing_after_a_list(api).await;
+    names_need_no_care(api).await;
+}
+
+async fn objects_have_versions_and_operations(api: &dyn ObjectApi) {
+    let missing = api.get(LEASES, "first").await;
+    assert_eq!(missing, Err(StoreError::NotFound));
+    let created = create(api, "first", 1).await;
+    assert_eq!(created.operation, Some(OperationId(1)));
+    assert_eq!(created.replaced, None);
+    let replaced = replace(api, &created, 2).await.expect("it is current");
+    assert_eq!(replaced.replaced, Some(created.version));
+    assert!(replaced.version > created.version);
+    assert_eq!(api.get(LEASES, "first").await, Ok(replaced.clone()));
+    let elsewhere = api
+        .create(Collection::Quotas, "first", OperationId(3), json!({}))
+        .await
+        .expect("collections are apart");
+    assert!(
+        elsewhere.version > replaced.version,
+        "one order of revisions"
+    );
+    let list = api.list(LEASES).await.expect("it answers");
+    assert!(list.revision >= elsewhere.version);
+    assert_eq!(list.items, vec![replaced.clone()]);
+    let removed = api.delete(LEASES, "first", replaced.version).await;
+    assert_eq!(removed, Ok(()));
+    assert_eq!(api.get(LEASES, "first").await, Err(StoreError::NotFound));
+    let again = api.delete(LEASES, "first", replaced.version).await;
+    assert_eq!(again, Err(StoreError::NotFound));
+}
+
+async fn a_write_that_names_another_version_changes_nothing(api: &dyn ObjectApi) {
+    let old = create(api, "second", 10).await;
+    let current = replace(api, &old, 11).await.expect("it is current");
+    let conflict = StoreError::Conflict(Box::new(current.clone()));
+    assert_eq!(replace(api, &old, 12).await, Err(conflict.clone()));
+    let removal = api.delete(LEASES, "second", old.version).await;
+    assert_eq!(removal, Err(conflict));
+    let exists = api
+        .create(LEASES, "second", OperationId(13), json!({}))
+        .await;
+    assert_eq!(exists, Err(StoreError::Exists(Box::new(current.clone()))));
+    assert_eq!(api.get(LEASES, "second").await, Ok(current));
+    let absent = api
+        .replace(LEASES, "absent", old.version, OperationId(14), json!({}))
+        .await;
+    assert_eq!(absent, Err(StoreError::NotFound));
+}
+
+async fn a_race_has_one_winner(api: &dyn ObjectApi) {
+    let mut current = create(api, "raced", 20).await;
+    for round in 0..10 {
+        let racers = (0..8).map(|racer| replace(api, &current, 100 + round * 8 + racer));
+        let results = join_all(racers).await;
+        let winners: Vec<&Object> = results.iter().flatten().collect();
+        assert_eq!(winners.len(), 1, "round {round}: {results:?}");
+        let winner = winners[0].clone();
+        for loser in results.iter().filter_map(|result| result.as_ref().err()) {
+            assert_eq!(*loser, StoreError::Conflict(Box::new(winner.clone())));
+        }
+        current = winner;
+    }
+}
+
+async fn a_race_to_create_has_one_winner(api: &dyn ObjectApi) {
+    let racers = (0..8).map(|racer| {
+        let operation = OperationId(200 + racer);
+        api.create(LEASES, "new", operation, json!({"racer": racer}))
+    });
+    let results = join_all(racers).await;
+    assert_eq!(results.iter().flatten().count(), 1, "{results:?}");
+}
+
+async fn a_watch_misses_nothing_after_a_list(api: &dyn ObjectApi) {
+    let gone = create(api, "gone", 30).await;
+    let revision = api.list(LEASES).await.expect("it answers").revision;
+    let before = create(api, "before", 31).await;
+    let mut watch = api.watch(LEASES, revision).await.expect("it is recent");
+    let after = replace(api, &before, 32).await.expect("it is current");
+    api.delete(LEASES, "gone", gone.version)
+        .await
+        .expect("it is current");
+    assert_eq!(next_change(&mut watch).await, WatchEvent::Put(before));
+    assert_eq!(
+        next_change(&mut watch).await,
+        WatchEvent::Put(after.clone())
+    );
+    let WatchEvent::Deleted { name, revision } = next_change(&mut watch).await else {
+        panic!("the removal comes last");
+    };
+    assert_eq!(name, "gone");
+    assert!(revision > after.version);
+}
+
+async fn names_need_no_care(api: &dyn ObjectApi) {
+    for name in [
+        "model.m",
+        "version.m@v2",
+        "adapter.m:a",
+        "a b/c%41?d#e",
+        "policy",
+    ] {
+        let created = create(api, name, 40).await;
+        assert_eq!(created.name, name);
+        assert_eq!(api.get(LEASES, name).await, Ok(created));
+    }
+}
+
+/// The next change of a watch, past bookmarks.
+pub async fn next_change(
+    watch: &mut BoxStream<'static, Result<WatchEvent, StoreError>>,
+) -> WatchEvent {
+    loop {
+        let event = next_event(watch).await.expect("the watch goes on");
+        if !matches!(event, Ok(WatchEvent::Bookmark(_))) {
+            return event.expect("the watch holds");
+        }
+    }
+}
+
+/// The next event of a watch, or its end.
+pub async fn next_event(
+    watch: &mut BoxStream<'static, Result<WatchEvent, StoreError>>,
+) -> Option<Result<WatchEvent, StoreError>> {
+    tokio::time::timeout(PATIENCE, watch.next())
+        .await
+        .expect("an event comes in time")
+}
+
+/// Creates a lease object under an operation.
+pub async fn create(api: &dyn ObjectApi, name: &str, operation: u128) -> Object {
+    api.create(LEASES, name, OperationId(operation), body(operation))
+        .await
+        .expect("the name is free")
+}
+
+/// Replaces a lease object under an operation.
+pub async fn replace(
+    api: &dyn ObjectApi,
+    object: &Object,
+    operation: u128,
+) -> Result<Object, StoreError> {
+    replace_version(api, &object.name, object.version, operation).await
+}
+
+/// Replaces a version of a lease object under an operation.
+pub async fn replace_version(
+    api: &dyn ObjectApi,
+    name: &str,
+    expected: Revision,
+    operation: u128,
+) -> Result<Object, StoreError> {
+    let body = body(operation);
+    api.replace(LEASES, name, expected, OperationId(operation), body)
+        .await
+}
+
+fn body(operation: u128) -> Value {
+    json!({"written_by": operation.to_string()})
+}
--- /dev/null
+++ b/crates/platform/tests/contracts/settled.rs
@@ -0,0 +1,321 @@
+//! Settling lost answers: named cases, and a property over random faults.
+
+use std::sync::Mutex;
+use std::sync::atomic::{AtomicU32, Ordering};
+use std::time::Duration;
+
+use async_trait::async_trait;
+use flaxward_emulator::fault::Strikes;
+use flaxward_emulator::objects::ObjectWrite;
+use flaxward_emulator::{ObjectApiConfig, ObjectApiFaults, ObjectApiServer};
+use flaxward_platform::settled::SettleLimits;
+use flaxward_platform::{
+    Collection, Object, ObjectApi, ObjectList, ObjectsHttp, SettledStore, StoreError, WatchEvent,
+};
+use flaxward_types::{OperationId, Revision};
+use futures::future::join_all;
+use futures::stream::BoxStream;
+use proptest::prelude::*;
+use proptest::test_runner::{RngSeed, TestRunner};
+use serde_json::{Value, json};
+
+use crate::limits::patient;
+use crate::object_contract::{create, object_api_contract, replace, replace_version};
+
+const LEASES: Collection = Collection::Leases;
+
+async fn server() -> ObjectApiServer {
+    let config = ObjectApiConfig::default();
+    ObjectApiServer::start(config)
+        .await
+        .expect("a port is free")
+}
+
+fn raw(server: &ObjectApiServer) -> ObjectsHttp {
+    ObjectsHttp::new(&server.url(), "north/first", patient()).expect("the URL is valid")
+}
+
+fn settled<A: ObjectApi>(inner: A) -> SettledStore<A> {
+    let limits = SettleLimits {
+        tries: 5,
+        pause: Duration::from_millis(5),
+        time: Duration::from_secs(10),
+    };
+    SettledStore::new(inner, limits)
+}
+
+fn times_applied(record: &[ObjectWrite], operation: u128) -> usize {
+    let text = OperationId(operation).to_string();
+    let of_operation = |write: &&ObjectWrite| write.operation.as_deref() == Some(&text);
+    record.iter().filter(of_operation).count()
+}
+
+#[tokio::test]
+async fn settling_keeps_the_contract() {
+    let server = server().await;
+    object_api_contract(&settled(raw(&server))).await;
+}
+
+/// A named fault.
+type NamedFault = (&'static str, fn(&mut ObjectApiFaults));
+
+/// Faults under which a write must still succeed, once.
+const SURVIVED: &[NamedFault] = &[
+    ("one answer lost", |faults| {
+        faults.lose_answers = Strikes::next(1);
+    }),
+    ("answers lost twice", |faults| {
+        faults.lose_answers = Strikes::next(2);
+    }),
+    ("a write that comes after its repetition", |faults| {
+        faults.late_writes = Strikes::next(1);
+        faults.late_ms = 50;
+    }),
+    ("a late write and a lost answer", |faults| {
+        faults.late_writes = Strikes::next(1);
+        faults.lose_answers = Strikes::next(1);
+        faults.late_ms = 50;
+    }),
+];
+
+#[tokio::test]
+async fn a_write_whose_answer_is_lost_is_settled() {
+    for (name, set) in SURVIVED {
+        let server = server().await;
+        let store = settled(raw(&server));
+        server.update_faults(set);
+        let created = create(&store, "object", 1).await;
+        server.update_faults(set);
+        let replaced = replace(&store, &created, 2).await.expect(name);
+        tokio::time::sleep(Duration::from_millis(100)).await;
+        assert_eq!(
+            store.get(LEASES, "object").await,
+            Ok(replaced.clone()),
+            "{name}"
+        );
+        assert_eq!(times_applied(&server.record(), 1), 1, "{name}");
+        assert_eq!(times_applied(&server.record(), 2), 1, "{name}");
+        server.update_faults(set);
+        let removed = store.delete(LEASES, "object", replaced.version).await;
+        assert_eq!(removed, Ok(()), "{name}");
+    }
+}
+
+/// What happens besides to the first write whose answer is lost.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Meanwhile {
+    /// It is applied, and then another operation replaces what it wrote.
+    AppliedAndOvertaken,
+    /// It is not applied, and another operation replaces the version it named.
+    NotAppliedAndBeaten,
+    /// It is not applied, and two other operations follow each other.
+    NotAppliedAndBeatenTwice,
+}
+
+/// An object API whose first replacement is interfered with.
+struct Interfered {
+    inner: ObjectsHttp,
+    meanwhile: Meanwhile,
+    calls: AtomicU32,
+}
+
+impl Interfered {
+    async fn interfere(&self, name: &str, expected: Revision) {
+        let others = match self.meanwhile {
+            Meanwhile::NotAppliedAndBeatenTwice => 2,
+            _ => 1,
+        };
+        let mut version = match self.meanwhile {
+            Meanwhile::AppliedAndOvertaken => {
+                let ours = self.inner.get(LEASES, name).await;
+                ours.expect("it is there").version
+            }
+            _ => expected,
+        };
+        for other in 0..others {
+            let object = replace_version(&self.inner, name, version, 900 + other).await;
+            version = object.expect("it is current").version;
+        }
+    }
+}
+
+#[async_trait]
+impl ObjectApi for Interfered {
+    async fn get(&self, collection: Collection, name: &str) -> Result<Object, StoreError> {
+        self.inner.get(collection, name).await
+    }
+
+    async fn list(&self, collection: Collection) -> Result<ObjectList, StoreError> {
+        self.inner.list(collection).await
+    }
+
+    async fn create(
+        &self,
+        collection: Collection,
+        name: &str,
+        operation: OperationId,
+        body: Value,
+    ) -> Result<Object, StoreError> {
+        self.inner.create(collection, name, operation, body).await
+    }
+
+    async fn replace(
+        &self,
+        collection: Collection,
+        name: &str,
+        expected: Revision,
+        operation: OperationId,
+        body: Value,
+    ) -> Result<Object, StoreError> {
+        let first = self.calls.fetch_add(1, Ordering::SeqCst) == 0;
+        let mut result = Err(StoreError::OutcomeUnknown("not sent".to_owned()));
+        if !first || self.meanwhile == Meanwhile::AppliedAndOvertaken {
+            let write = self
+                .inner
+                .replace(collection, name, expected, operation, body);
+            result = write.await;
+        }
+        if !first {
+            return result;
+        }
+        self.interfere(name, expected).await;
+        Err(StoreError::OutcomeUnknown("lost on purpose".to_owned()))
+    }
+
+    async fn delete(
+        &self,
+        collection: Collection,
+        name: &str,
+        expected: Revision,
+    ) -> Result<(), StoreError> {
+        self.inner.delete(collection, name, expected).await
+    }
+
+    async fn watch(
+        &self,
+        collection: Collection,
+        from: Revision,
+    ) -> Result<BoxStream<'static, Result<WatchEvent, StoreError>>, StoreError> {
+        self.inner.watch(collection, from).await
+    }
+}
+
+#[tokio::test]
+async fn a_conflict_is_said_only_when_it_is_proven() {
+    let cases = [
+        (Meanwhile::AppliedAndOvertaken, false),
+        (Meanwhile::NotAppliedAndBeaten, true),
+        (Meanwhile::NotAppliedAndBeatenTwice, false),
+    ];
+    for (meanwhile, proven) in cases {
+        let server = server().await;
+        let object = create(&raw(&server), "object", 1).await;
+        let store = settled(Interfered {
+            inner: raw(&server),
+            meanwhile,
+            calls: AtomicU32::new(0),
+        });
+        let result = replace(&store, &object, 2).await;
+        let conflict = matches!(result, Err(StoreError::Conflict(_)));
+        let unknown = matches!(result, Err(StoreError::OutcomeUnknown(_)));
+        assert_eq!(
+            (conflict, unknown),
+            (proven, !proven),
+            "{meanwhile:?}: {result:?}"
+        );
+    }
+}
+
+/// A run of writers that race each other under faults.
+#[derive(Clone, Debug)]
+struct Run {
+    writers: u32,
+    writes: u32,
+    lost: f64,
+    late: f64,
+    late_ms: u64,
+}
+
+fn run() -> impl Strategy<Value = Run> {
+    let chance = || prop_oneof![Just(0.0), Just(0.3), Just(0.7)];
+    (1..4_u32, 1..6_u32, chance(), chance(), 0..20_u64).prop_map(
+        |(writers, writes, lost, late, late_ms)| Run {
+            writers,
+            writes,
+            lost,
+            late,
+            late_ms,
+        },
+    )
+}
+
+/// Lets the writers race and checks every result against what was applied.
+async fn check(run: &Run) -> Result<(), TestCaseError> {
+    let server = server().await;
+    create(&raw(&server), "object", 1).await;
+    server.update_faults(|faults| {
+        faults.lose_answers = Strikes::with_probability(run.lost);
+        faults.late_writes = Strikes::with_probability(run.late);
+        faults.late_ms = run.late_ms;
+    });
+    let results = Mutex::new(Vec::new());
+    let store = settled(raw(&server));
+    let (store, heard) = (&store, &results);
+    let writers = (0..run.writers).map(|writer| async move {
+        let writer = u128::from(writer);
+        for write in 0..u128::from(run.writes) {
+            let operation = 1000 * (writer + 1) + write;
+            let current = store.get(LEASES, "object").await.expect("reads work");
+            let result = replace(store, &current, operation).await;
+            heard.lock().expect("no panic").push((operation, result));
+        }
+    });
+    join_all(writers).await;
+    tokio::time::sleep(Duration::from_millis(run.late_ms + 30)).await;
+    let record = server.record();
+    for (operation, result) in results.lock().expect("no panic").iter() {
+        let times = times_applied(&record, *operation);
+        prop_assert!(times <= 1, "{operation} was applied {times} times");
+        match result {
+            Ok(object) => {
+                prop_assert_eq!(times, 1);
+                prop_assert_eq!(object.operation, Some(OperationId(*operation)));
+            }
+            Err(StoreError::OutcomeUnknown(_)) => {}
+            Err(error) => prop_assert_eq!(times, 0, "{} said {:?}", operation, error),
+        }
+    }
+    server.shutdown().await;
+    Ok(())
+}
+
+#[test]
+fn what_is_said_of_a_write_is_true() {
+    let cases = std::env::var("FLAXWARD_PROPTEST_CASES").ok();
+    let config = ProptestConfig {
+        cases: cases.and_then(|text| text.parse().ok()).unwrap_or(24),
+        rng_seed: RngSeed::Fixed(7),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    };
+    let runtime = tokio::runtime::Runtime::new().expect("a runtime starts");
+    let mut runner = TestRunner::new(config);
+    runner
+        .run(&run(), |run| runtime.block_on(check(&run)))
+        .expect("it holds");
+}
+
+#[test]
+fn the_body_survives_a_write() {
+    let runtime = tokio::runtime::Runtime::new().expect("a runtime starts");
+    runtime.block_on(async {
+        let server = server().await;
+        let store = settled(raw(&server));
+        let body = json!({"text": "\u{f1}\u{2192}\n\"", "list": [1, null, {"deep": true}]});
+        let created = store
+            .create(Collection::Claims, "claim", OperationId(1), body.clone())
+            .await
+            .expect("the name is free");
+        assert_eq!(created.body, body);
+    });
+}
