--- a/crates/control/tests/claims_world/mod.rs
+++ b/crates/control/tests/claims_world/mod.rs
@@ -335,6 +335,12 @@
             match action {
                 ClaimAction::Write { write, .. } => {
                     rule(submission.write.is_none(), "two writes at a time")?;
+                    let (ClaimWrite::Create(claim) | ClaimWrite::Replace(_, claim)) = &write;
+                    let claims = claim.outcome == ClaimOutcome::InProgress;
+                    rule(
+                        !claims || submission.replies == 0,
+                        "claimed after the reply",
+                    )?;
                     submission.write = Some(write);
                     submission.waits += u32::from(submission.replies == 0);
                     rule(
