Daemon: compose it; flaxward serve, query, check-config and dev

Cause: the parts stood alone. Change: the core, drivers and views joined in one place; an emulated region for trying out.

--- a/crates/control/src/coordinator/loads.rs
+++ b/crates/control/src/coordinator/loads.rs
@@ -219,6 +219,11 @@
         failure.is_some_and(|failure| failure.runners.contains(runner))
     }
 
+    /// Artifacts that have failed and not succeeded since.
+    pub(super) fn artifacts(&self) -> Vec<ArtifactId> {
+        self.by_artifact.keys().cloned().collect()
+    }
+
     /// Whether any load of the artifact failed since the last pause.
     pub(super) fn any_since_pause(&self, artifact: &ArtifactId) -> bool {
         let failure = self.by_artifact.get(artifact);
--- a/crates/control/src/coordinator/mod.rs
+++ b/crates/control/src/coordinator/mod.rs
@@ -5,7 +5,7 @@
 
 use std::time::Duration;
 
-use flaxward_types::engine::{Inventory, Machine};
+use flaxward_types::engine::{Inventory, LoadReport, Machine};
 use flaxward_types::records::{QuotaSubject, Slot};
 use flaxward_types::routing::Demand;
 use flaxward_types::{ArtifactId, DaemonName, ModelName, RunnerName, Term, Timestamp, ZoneName};
@@ -67,6 +67,8 @@
     pub unreachable: bool,
     /// What it held when last read.
     pub inventory: Option<Inventory>,
+    /// Its last load report.
+    pub load: LoadReport,
 }
 
 /// A replica as operators see it.
@@ -76,6 +78,8 @@
     pub slot: Slot,
     /// How far it is, or `None` if the slot is recorded and nothing is there.
     pub state: Option<flaxward_types::engine::HeldState>,
+    /// Requests running and waiting on its runner, as last reported.
+    pub outstanding: u32,
     /// Time until it is ready, if it is being loaded.
     pub remaining: Option<Duration>,
 }
@@ -500,6 +504,12 @@
             .collect()
     }
 
+    /// Artifacts whose loads have failed and have not succeeded since.
+    pub fn failing(&self) -> Vec<ArtifactId> {
+        let leading = self.leading.as_ref();
+        leading.map_or_else(Vec::new, |leading| leading.failures.artifacts())
+    }
+
     /// The last decisions about a model's artifacts with their age, latest first.
     pub fn explain(&self, model: &ModelName) -> Vec<(Duration, Decision)> {
         self.journal.explain(model, self.last_now)
--- a/crates/control/src/coordinator/views.rs
+++ b/crates/control/src/coordinator/views.rs
@@ -14,6 +14,7 @@
             leaving: runner.leaving() || self.drained.contains(name),
             unreachable: runner.unreachable(now),
             inventory: runner.inventory.clone(),
+            load: runner.report.clone(),
         };
         self.runners.iter().map(view).collect()
     }
@@ -27,6 +28,8 @@
                 ReplicaView {
                     slot: slot.clone(),
                     state: held.map(|held| held.state),
+                    outstanding: runner
+                        .map_or(0, |runner| runner.report.running + runner.report.waiting),
                     remaining: self.loads.get(slot).map(|load| load.remaining(now)),
                 }
             })
--- a/crates/flaxward/src/cli.rs
+++ b/crates/flaxward/src/cli.rs
@@ -1,7 +1,5 @@
 //! The command line.
 
-use std::path::PathBuf;
-
 use clap::{Parser, Subcommand, ValueEnum};
 
 /// flaxward: serves models that sleep for weeks and are then needed by many at once.
@@ -19,11 +17,7 @@
     /// Run a daemon until SIGTERM, which stops it as planned.
     Serve(Box<flaxward_settings::Flags>),
     /// Check a settings file and print every error in it.
-    CheckConfig {
-        /// The settings file.
-        #[arg(long)]
-        config: PathBuf,
-    },
+    CheckConfig(Box<flaxward_settings::CheckConfig>),
     /// Ask or change something, with the operators' language.
     Query(QueryArguments),
     /// Run an emulated platform with three daemons in this process, to try things out.
@@ -35,8 +29,8 @@
 pub struct QueryArguments {
     /// The command; without one, commands are read line by line from standard input.
     pub command: Option<String>,
-    /// Address of any daemon, `http://ip:port`.
-    #[arg(long, env = "FLAXWARD_DAEMON", default_value = "http://127.0.0.1:8700")]
+    /// Address of any daemon, `ip:port`.
+    #[arg(long, env = "FLAXWARD_DAEMON", default_value = "127.0.0.1:7700")]
     pub daemon: String,
     /// How answers are printed.
     #[arg(long, value_enum, default_value = "table")]
@@ -56,11 +50,14 @@
 #[derive(Debug, clap::Args)]
 pub struct DevArguments {
     /// First port to listen on; 0 lets the system choose every port.
-    #[arg(long, default_value_t = 8700)]
+    #[arg(long, default_value_t = 7700)]
     pub port: u16,
     /// Stop by itself after this time, such as `30s`.
     #[arg(long, value_parser = humantime_duration)]
     pub stop_after: Option<std::time::Duration>,
+    /// Lowest level of the log, which goes to standard error.
+    #[arg(long, default_value = "info")]
+    pub log_level: spdlog::Level,
 }
 
 fn humantime_duration(text: &str) -> Result<std::time::Duration, String> {
--- a/crates/flaxward/src/daemon/core.rs
+++ b/crates/flaxward/src/daemon/core.rs
@@ -15,11 +15,12 @@
 use flaxward_types::engine::Machine;
 use flaxward_types::routing::{Demand, RouteAnswer};
 use flaxward_types::{DaemonName, RunnerName, Term, Timestamp, ZoneName};
-use flaxward_wire::{Envelope, MemberState, MemberUpdate, Message, Peer};
+use flaxward_wire::{Envelope, MemberState, MemberUpdate, Message, Peer, RunnerReport};
 use tokio::sync::{Notify, mpsc, watch};
 
 use super::event::CoreEvent;
 use super::machines::Machines;
+use super::observer;
 use super::runner_driver::RunnerDriver;
 use super::store_driver::StoreDriver;
 use super::views::Views;
@@ -50,6 +51,8 @@
     pub configuration: watch::Sender<Arc<Configuration>>,
     /// Whether this daemon reads the platform's lists.
     pub reading: watch::Sender<bool>,
+    /// The runners that this daemon observes.
+    pub share: watch::Sender<Vec<Machine>>,
     /// Asks for the configuration to be listed again.
     pub relist: Arc<Notify>,
     /// Whether the daemon takes requests.
@@ -118,6 +121,7 @@
             CoreEvent::Learnt(delta) => self.gossip(GossipEvent::Learnt(delta)),
             CoreEvent::Listed(snapshot) => self.gossip(GossipEvent::Listed(snapshot)),
             CoreEvent::Machines(machines) => self.machines_read(machines),
+            CoreEvent::Observed(reports) => self.observed(reports),
             CoreEvent::Question(question) => question(self),
             CoreEvent::Stop => self.stop(),
         }
@@ -137,7 +141,8 @@
     }
 
     fn received(&mut self, envelope: Envelope) {
-        self.peers.insert(envelope.from.name.clone(), envelope.from.clone());
+        self.peers
+            .insert(envelope.from.name.clone(), envelope.from.clone());
         self.gossip(GossipEvent::Received(envelope));
     }
 
@@ -171,6 +176,7 @@
                     self.machines_changed();
                 }
             }
+            Message::Reports(reports) => self.reported(reports),
             Message::ViewWanted { sequence, view } => {
                 let rows = self.view_rows(&view);
                 self.send(from, Message::ViewRows { sequence, rows });
@@ -200,15 +206,48 @@
             self.coordinate(CoordinatorEvent::GatewayGone(gone));
         }
         self.heads_changed();
+        self.share_changed();
         self.machines_sent = None;
     }
 
-    fn gone_members(&self) -> Vec<DaemonName> {
-        let gone = |update: &&MemberUpdate| {
-            matches!(update.state, MemberState::Dead | MemberState::Left)
+    /// Works out which runners this daemon observes.
+    fn share_changed(&self) {
+        let members = self.parts.gossip.membership().alive();
+        let share = observer::share(&self.parts.me.name, &members, self.machines.engines());
+        self.parts.share.send_if_modified(|current| {
+            let changed = *current != share;
+            *current = share;
+            changed
+        });
+    }
+
+    /// Passes on what this daemon observed to the coordinator of its zone.
+    fn observed(&mut self, reports: Vec<RunnerReport>) {
+        let zone = self.parts.me.zone.clone();
+        let Some(coordinator) = self.parts.gossip.coordinator(&zone) else {
+            return;
         };
+        if coordinator.name == self.parts.me.name {
+            self.reported(reports);
+        } else {
+            self.send(&coordinator, Message::Reports(reports));
+        }
+    }
+
+    fn reported(&mut self, reports: Vec<RunnerReport>) {
+        for report in reports {
+            self.coordinate(CoordinatorEvent::LoadReported(report.runner, report.load));
+        }
+    }
+
+    fn gone_members(&self) -> Vec<DaemonName> {
+        let gone =
+            |update: &&MemberUpdate| matches!(update.state, MemberState::Dead | MemberState::Left);
         let members = self.parts.gossip.membership().members();
-        members.filter(gone).map(|update| update.peer.name.clone()).collect()
+        members
+            .filter(gone)
+            .map(|update| update.peer.name.clone())
+            .collect()
     }
 
     /// Tells the gateway which zones have a coordinator that it can ask.
@@ -225,7 +264,11 @@
 
     /// Hands an event to the coordinator and carries out what it asks for.
     fn coordinate(&mut self, event: CoordinatorEvent) {
-        if let CoordinatorEvent::InventoryRead { runner, inventory: Ok(inventory) } = &event {
+        if let CoordinatorEvent::InventoryRead {
+            runner,
+            inventory: Ok(inventory),
+        } = &event
+        {
             self.engine_reported(runner.clone(), inventory.leaving);
         }
         let now = self.now();
@@ -248,7 +291,11 @@
             CoordinatorAction::ReadQuotas => store.read_quotas(),
             CoordinatorAction::ReadQuota(subject) => store.read_quota(&subject),
             CoordinatorAction::WriteQuota(expected, quota) => store.write_quota(expected, quota),
-            CoordinatorAction::SendOrder { runner, address, order } => {
+            CoordinatorAction::SendOrder {
+                runner,
+                address,
+                order,
+            } => {
                 self.parts.runners.order(runner, address, order);
             }
             CoordinatorAction::ReadInventory { runner, address } => {
@@ -327,7 +374,8 @@
     }
 
     fn machines_changed(&mut self) {
-        self.parts.gateway.on_machines(self.machines.services().to_vec());
+        self.parts.gateway.on_machines(self.machines.services());
+        self.share_changed();
         self.leaving_changed();
     }
 
@@ -363,18 +411,26 @@
     fn mark(&mut self, leaving: &BTreeSet<RunnerName>) {
         let marked = self.parts.gossip.marks().leaving();
         for runner in leaving.difference(&marked) {
-            self.gossip(GossipEvent::Runner { runner: runner.clone(), leaving: true });
+            self.gossip(GossipEvent::Runner {
+                runner: runner.clone(),
+                leaving: true,
+            });
         }
         for runner in marked.difference(leaving) {
             if self.machines.is_known(runner) {
-                self.gossip(GossipEvent::Runner { runner: runner.clone(), leaving: false });
+                self.gossip(GossipEvent::Runner {
+                    runner: runner.clone(),
+                    leaving: false,
+                });
             }
         }
     }
 
     /// Passes the machine list on to the members of the zone.
     fn renew_machines(&mut self, now: Timestamp) {
-        let due = self.machines_sent.is_none_or(|sent| now.since(sent) >= MACHINES_RENEWAL);
+        let due = self
+            .machines_sent
+            .is_none_or(|sent| now.since(sent) >= MACHINES_RENEWAL);
         let Some(term) = self.leading().filter(|_| due) else {
             return;
         };
--- a/crates/flaxward/src/daemon/event.rs
+++ b/crates/flaxward/src/daemon/event.rs
@@ -1,10 +1,10 @@
 //! What the core of a daemon is told.
 
 use flaxward_control::coordinator::CoordinatorEvent;
+use flaxward_types::ZoneName;
 use flaxward_types::engine::Machine;
 use flaxward_types::routing::Demand;
-use flaxward_types::ZoneName;
-use flaxward_wire::{ConfigurationDelta, ConfigurationSnapshot, Envelope};
+use flaxward_wire::{ConfigurationDelta, ConfigurationSnapshot, Envelope, RunnerReport};
 
 use super::core::Core;
 
@@ -25,6 +25,8 @@
     Listed(ConfigurationSnapshot),
     /// The machine list was read.
     Machines(Vec<Machine>),
+    /// This daemon's observer has news of runners.
+    Observed(Vec<RunnerReport>),
     /// Somebody asks something.
     Question(Question),
     /// A planned stop begins.
--- a/crates/flaxward/src/daemon/http.rs
+++ b/crates/flaxward/src/daemon/http.rs
@@ -4,20 +4,20 @@
 
 use anyhow::Context;
 use metrics_exporter_prometheus::PrometheusHandle;
-use salvo::conn::TcpAcceptor;
-use salvo::conn::tcp::TcpListener;
+use salvo::conn::tcp::TcpAcceptor;
 use salvo::prelude::*;
+use tokio::net::TcpListener;
 use tokio::sync::watch;
 
-/// Binds the address and serves until the handle stops the server.
+/// Binds the address.
 ///
 /// # Errors
 /// Fails if the address cannot be bound.
 pub async fn bind(address: std::net::SocketAddr) -> anyhow::Result<TcpAcceptor> {
-    TcpListener::new(address)
-        .try_bind()
+    let listener = TcpListener::bind(address)
         .await
-        .with_context(|| format!("cannot listen on {address}"))
+        .with_context(|| format!("cannot listen on {address}"))?;
+    Ok(TcpAcceptor::try_from(listener)?)
 }
 
 /// Paths for health and metrics.
@@ -28,7 +28,9 @@
     Router::new()
         .push(Router::with_path("healthz").get(Health))
         .push(Router::with_path("readyz").get(Ready { ready }))
-        .push(Router::with_path("metrics").get(Metrics { handle: metrics.map(Arc::new) }))
+        .push(Router::with_path("metrics").get(Metrics {
+            handle: metrics.map(Arc::new),
+        }))
 }
 
 struct Health;
--- a/crates/flaxward/src/daemon/machines.rs
+++ b/crates/flaxward/src/daemon/machines.rs
@@ -17,10 +17,13 @@
 impl Machines {
     /// Takes over a machine list as read by this daemon. Returns whether anything changed.
     pub fn replace(&mut self, zone: &ZoneName, machines: Vec<Machine>) -> bool {
-        let (services, engines): (Vec<_>, Vec<_>) =
-            machines.into_iter().partition(|machine| machine.role != MachineRole::Engine);
-        let engines: Vec<_> =
-            engines.into_iter().filter(|machine| machine.zone == *zone).collect();
+        let (services, engines): (Vec<_>, Vec<_>) = machines
+            .into_iter()
+            .partition(|machine| machine.role != MachineRole::Engine);
+        let engines: Vec<_> = engines
+            .into_iter()
+            .filter(|machine| machine.zone == *zone)
+            .collect();
         let changed = engines != self.engines || services != self.services;
         self.engines = engines;
         self.services = services;
--- /dev/null
+++ b/crates/flaxward/src/daemon/mod.rs
@@ -0,0 +1,338 @@
+//! A daemon, put together in one place.
+
+pub mod core;
+mod event;
+mod http;
+mod machines;
+mod observer;
+mod operator_views;
+mod reports;
+mod runner_driver;
+mod store_driver;
+mod views;
+mod watches;
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use anyhow::Context;
+use flaxward_control::configuration::Configuration;
+use flaxward_control::coordinator::Coordinator;
+use flaxward_control::gossip::{Gossip, GossipSettings};
+use flaxward_gateway::{Gateway, GatewaySettings, back_end_client};
+use flaxward_operators::Executor;
+use flaxward_peers::PeerSocket;
+use flaxward_platform::http_client::TimeLimits;
+use flaxward_platform::settled::SettleLimits;
+use flaxward_platform::{
+    EngineApi, EngineHttp, MachineList, MachinesHttp, ObjectApi, ObjectsHttp, SettledStore,
+};
+use flaxward_settings::Settings;
+use flaxward_settings::logs::state_change;
+use flaxward_types::ZoneName;
+use flaxward_wire::Peer;
+use metrics_exporter_prometheus::PrometheusHandle;
+use salvo::conn::tcp::TcpAcceptor;
+use salvo::prelude::{Router, Server};
+use salvo::server::ServerHandle;
+use tokio::sync::{Notify, mpsc, watch};
+use tokio::task::JoinHandle;
+use tokio_util::sync::CancellationToken;
+
+use self::core::{Core, Parts};
+use self::event::CoreEvent;
+use self::operator_views::DaemonViews;
+use self::runner_driver::RunnerDriver;
+use self::store_driver::StoreDriver;
+
+/// Time that the HTTP server waits for connections to close once no request is in progress.
+const CLOSE_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// Time allowed for handing the lease back on a planned stop.
+const HAND_OVER_TIMEOUT: Duration = Duration::from_secs(5);
+
+/// A running daemon.
+pub struct Daemon {
+    /// Where callers and operators reach it.
+    pub address: SocketAddr,
+    /// Where other daemons reach it.
+    pub peer_address: SocketAddr,
+    gateway: Arc<Gateway>,
+    events: mpsc::UnboundedSender<CoreEvent>,
+    ready: watch::Sender<bool>,
+    server: ServerHandle,
+    stop: CancellationToken,
+    core: JoinHandle<()>,
+    drain_timeout: Duration,
+}
+
+impl Daemon {
+    /// Starts a daemon.
+    ///
+    /// # Errors
+    /// Fails if an address cannot be bound or a client cannot be made.
+    pub async fn start(
+        settings: &Settings,
+        metrics: Option<PrometheusHandle>,
+    ) -> anyhow::Result<Self> {
+        let platform = PlatformClients::new(settings)?;
+        let (peers, received) = PeerSocket::bind(settings.daemon.peer_listen).await?;
+        let me = Peer {
+            name: settings.daemon.name.clone(),
+            zone: settings.daemon.zone.clone(),
+            address: settings.peer_address(peers.address()),
+        };
+        let (events, queue) = mpsc::unbounded_channel();
+        let (configuration, configuration_reader) =
+            watch::channel(Arc::new(Configuration::default()));
+        let (demands, demanded) = mpsc::unbounded_channel();
+        let gateway = Gateway::new(
+            gateway_settings(settings),
+            configuration_reader.clone(),
+            back_end_client(settings.platform.engine_timeout)?,
+            demands,
+            platform.store.clone(),
+            me.name.clone(),
+        );
+        let (reading, reader) = watch::channel(false);
+        let (ready, ready_reader) = watch::channel(false);
+        let (share, observed) = watch::channel(Vec::new());
+        let relist = Arc::new(Notify::new());
+        let stop = CancellationToken::new();
+
+        let peer_address = me.address;
+        let core = Core::new(Parts {
+            gossip: gossip(settings, &me),
+            coordinator: coordinator(settings),
+            gateway: gateway.clone(),
+            peers: Arc::new(peers),
+            store: StoreDriver::new(platform.store.clone(), me.zone.clone(), events.clone()),
+            runners: RunnerDriver::new(platform.engines.clone(), events.clone()),
+            configuration,
+            reading,
+            share,
+            relist: relist.clone(),
+            ready: ready.clone(),
+            me,
+        });
+
+        spawn_until(&stop, forward_received(received, events.clone()));
+        spawn_until(&stop, forward_demands(demanded, events.clone()));
+        let ticking = gateway.clone();
+        spawn_until(&stop, async move { ticking.run().await });
+        tokio::spawn(watches::watch_configuration(
+            platform.store.clone(),
+            events.clone(),
+            reader.clone(),
+            relist,
+            stop.clone(),
+        ));
+        tokio::spawn(watches::watch_quotas(
+            platform.store.clone(),
+            events.clone(),
+            reader.clone(),
+            stop.clone(),
+        ));
+        tokio::spawn(watches::watch_machines(
+            platform.machines.clone(),
+            settings.platform.machine_list_interval,
+            events.clone(),
+            reader,
+            stop.clone(),
+        ));
+        tokio::spawn(observer::observe(
+            platform.engines.clone(),
+            observed,
+            events.clone(),
+            stop.clone(),
+        ));
+        let core = tokio::spawn(core.run(queue));
+
+        let views = DaemonViews {
+            core: events.clone(),
+            configuration: configuration_reader,
+            store: platform.store.clone(),
+        };
+        let executor = Arc::new(Executor::new(platform.store, Arc::new(views)));
+        let router = Router::new()
+            .push(http::health_router(ready_reader, metrics))
+            .push(flaxward_operators::router(executor))
+            .push(gateway.router());
+        let acceptor = http::bind(settings.daemon.listen).await?;
+        let (address, server) = serve(acceptor, router)?;
+        state_change(
+            "started",
+            &[("daemon", &settings.daemon.name), ("address", &address)],
+        );
+        Ok(Self {
+            address,
+            peer_address,
+            gateway,
+            events,
+            ready,
+            server,
+            stop,
+            core,
+            drain_timeout: settings.stop.drain_timeout,
+        })
+    }
+
+    /// Stops as planned: takes no new request, hands the lease back, lets the requests in progress
+    /// finish, and only then closes the connections.
+    pub async fn stop(self) {
+        state_change("stopping", &[("address", &self.address)]);
+        self.ready.send_replace(false);
+        let _ = self.events.send(CoreEvent::Stop);
+        let drained = tokio::time::timeout(self.drain_timeout, self.gateway.stop()).await;
+        if drained.is_err() {
+            let left = self.gateway.running() + self.gateway.waiting();
+            state_change("drain-timeout", &[("requests", &left)]);
+        }
+        if tokio::time::timeout(HAND_OVER_TIMEOUT, self.core)
+            .await
+            .is_err()
+        {
+            state_change("hand-over-timeout", &[("address", &self.address)]);
+        }
+        self.stop.cancel();
+        self.server.stop_graceful(CLOSE_TIMEOUT);
+        state_change("stopped", &[("address", &self.address)]);
+    }
+}
+
+/// Clients for the platform.
+struct PlatformClients {
+    store: Arc<dyn ObjectApi>,
+    machines: Arc<dyn MachineList>,
+    engines: Arc<dyn EngineApi>,
+}
+
+impl PlatformClients {
+    fn new(settings: &Settings) -> anyhow::Result<Self> {
+        let platform = &settings.platform;
+        let identity = format!("{}/{}", settings.daemon.zone, settings.daemon.name);
+        let limits = |call: Duration| TimeLimits {
+            connect: call,
+            call,
+            ..TimeLimits::default()
+        };
+        let store = ObjectsHttp::new(
+            platform.object_api.as_str(),
+            &identity,
+            limits(platform.object_api_timeout),
+        )?;
+        Ok(Self {
+            store: Arc::new(SettledStore::new(store, SettleLimits::default())),
+            machines: Arc::new(MachinesHttp::new(
+                platform.machine_list.as_str(),
+                limits(platform.object_api_timeout),
+            )?),
+            engines: Arc::new(EngineHttp::new(limits(platform.engine_timeout))?),
+        })
+    }
+}
+
+fn gossip(settings: &Settings, me: &Peer) -> Gossip {
+    let mut gossip = GossipSettings::default();
+    gossip.membership.probe_interval = settings.membership.probe_interval;
+    gossip.membership.probe_timeout = settings.membership.probe_timeout;
+    gossip.membership.suspicion = settings.membership.suspicion;
+    let seeds = settings
+        .daemon
+        .seeds
+        .iter()
+        .map(|seed| seed.address)
+        .collect();
+    Gossip::new(gossip, me.clone(), seeds, incarnation(), rand::random())
+}
+
+/// Milliseconds of wall-clock time: rises with each start of a daemon.
+fn incarnation() -> u64 {
+    let since_epoch = SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .unwrap_or_default();
+    u64::try_from(since_epoch.as_millis()).unwrap_or(u64::MAX)
+}
+
+fn coordinator(settings: &Settings) -> Coordinator {
+    let daemon = &settings.daemon;
+    Coordinator::new(
+        settings.coordinator(),
+        daemon.name.clone(),
+        daemon.zone.clone(),
+        daemon.zones.clone(),
+        rand::random(),
+    )
+}
+
+fn gateway_settings(settings: &Settings) -> GatewaySettings {
+    let section = &settings.gateway;
+    let mut gateway = GatewaySettings::new(zones_from(&settings.daemon));
+    gateway.body_limit = usize_of(section.body_limit.as_u64());
+    gateway.header_limit = usize_of(section.header_limit.as_u64());
+    gateway.body_timeout = section.body_timeout;
+    gateway.default_deadline = section.default_deadline;
+    gateway.max_deadline = section.max_deadline;
+    gateway.max_in_progress = usize_of(section.max_in_progress.into());
+    gateway.admission.total_limit = usize_of(section.queue_total.into());
+    gateway.admission.demand_period = section.demand_renewal;
+    gateway.admission.coordinator_grace = section.coordinator_grace;
+    gateway.attempts.max_attempts = section.attempts;
+    gateway.retries.per_thousand = section.retry_share.per_thousand();
+    gateway.claims.lifetime = settings.claims.lifetime;
+    gateway
+}
+
+/// The zones of the region, the daemon's own first.
+fn zones_from(daemon: &flaxward_settings::DaemonSection) -> Vec<ZoneName> {
+    let others = daemon.zones.iter().filter(|zone| **zone != daemon.zone);
+    std::iter::once(&daemon.zone)
+        .chain(others)
+        .cloned()
+        .collect()
+}
+
+fn usize_of(number: u64) -> usize {
+    usize::try_from(number).unwrap_or(usize::MAX)
+}
+
+fn spawn_until(stop: &CancellationToken, task: impl Future<Output = ()> + Send + 'static) {
+    let stop = stop.clone();
+    tokio::spawn(async move { stop.run_until_cancelled_owned(task).await });
+}
+
+async fn forward_received(
+    mut received: mpsc::Receiver<flaxward_peers::Incoming>,
+    events: mpsc::UnboundedSender<CoreEvent>,
+) {
+    while let Some((_, envelope)) = received.recv().await {
+        if events
+            .send(CoreEvent::Received(Box::new(envelope)))
+            .is_err()
+        {
+            return;
+        }
+    }
+}
+
+async fn forward_demands(
+    mut demanded: mpsc::UnboundedReceiver<(ZoneName, Vec<flaxward_types::routing::Demand>)>,
+    events: mpsc::UnboundedSender<CoreEvent>,
+) {
+    while let Some((zone, demands)) = demanded.recv().await {
+        if events.send(CoreEvent::Demands(zone, demands)).is_err() {
+            return;
+        }
+    }
+}
+
+fn serve(acceptor: TcpAcceptor, router: Router) -> anyhow::Result<(SocketAddr, ServerHandle)> {
+    let address = acceptor
+        .local_addr()
+        .context("the listening socket has no address")?;
+    let server = Server::new(acceptor);
+    let handle = server.handle();
+    tokio::spawn(server.serve(router));
+    Ok((address, handle))
+}
--- a/crates/flaxward/src/daemon/store_driver.rs
+++ b/crates/flaxward/src/daemon/store_driver.rs
@@ -30,7 +30,11 @@
         zone: ZoneName,
         events: UnboundedSender<CoreEvent>,
     ) -> Self {
-        Self { store, zone, events }
+        Self {
+            store,
+            zone,
+            events,
+        }
     }
 
     /// Reads the zone's lease.
@@ -45,7 +49,9 @@
     pub fn write_lease(&self, expected: Option<Revision>, lease: ZoneLease) {
         self.spawn(move |driver| async move {
             let name = driver.zone.to_string();
-            let result = driver.write(Collection::Leases, &name, expected, &lease).await;
+            let result = driver
+                .write(Collection::Leases, &name, expected, &lease)
+                .await;
             CoordinatorEvent::LeaseWritten(result)
         });
     }
@@ -62,7 +68,9 @@
     pub fn write_placement(&self, expected: Option<Revision>, placement: ZonePlacement) {
         self.spawn(move |driver| async move {
             let name = driver.zone.to_string();
-            let result = driver.write(Collection::Placements, &name, expected, &placement).await;
+            let result = driver
+                .write(Collection::Placements, &name, expected, &placement)
+                .await;
             CoordinatorEvent::PlacementWritten(result)
         });
     }
@@ -72,7 +80,10 @@
         self.spawn(|driver| async move {
             let quotas = driver.store.list(Collection::Quotas).await;
             let quotas = quotas.map_err(|error| read_fault(&error)).and_then(|list| {
-                list.items.into_iter().map(decode::<Quota>).collect::<Result<Vec<_>, _>>()
+                list.items
+                    .into_iter()
+                    .map(decode::<Quota>)
+                    .collect::<Result<Vec<_>, _>>()
             });
             CoordinatorEvent::QuotasRead(quotas)
         });
@@ -94,7 +105,9 @@
     pub fn write_quota(&self, expected: Option<Revision>, quota: Quota) {
         self.spawn(move |driver| async move {
             let name = quota_name(&quota.subject);
-            let result = driver.write(Collection::Quotas, &name, expected, &quota).await;
+            let result = driver
+                .write(Collection::Quotas, &name, expected, &quota)
+                .await;
             CoordinatorEvent::QuotaWritten(quota.subject, result)
         });
     }
@@ -137,11 +150,15 @@
         let operation = OperationId(rand::random());
         let written = match expected {
             Some(version) => {
-                self.store.replace(collection, name, version, operation, body).await
+                self.store
+                    .replace(collection, name, version, operation, body)
+                    .await
             }
             None => self.store.create(collection, name, operation, body).await,
         };
-        written.map(|object| object.version).map_err(|error| write_fault(&error))
+        written
+            .map(|object| object.version)
+            .map_err(|error| write_fault(&error))
     }
 }
 
@@ -156,9 +173,7 @@
 
 /// Reads a record out of an object. A record that cannot be read counts as an outage of the store:
 /// deciding without it would be a guess.
-pub fn decode<Record: DeserializeOwned>(
-    object: Object,
-) -> Result<(Revision, Record), StoreFault> {
+pub fn decode<Record: DeserializeOwned>(object: Object) -> Result<(Revision, Record), StoreFault> {
     match serde_json::from_value(object.body) {
         Ok(record) => Ok((object.version, record)),
         Err(error) => {
--- a/crates/flaxward/src/daemon/watches.rs
+++ b/crates/flaxward/src/daemon/watches.rs
@@ -3,8 +3,8 @@
 //! Only the two first-ranked daemons of a zone run them, since the object API and the machine list
 //! bear few readers; the other daemons learn from these two.
 
-use std::cell::Cell;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
 use flaxward_control::coordinator::CoordinatorEvent;
@@ -33,17 +33,26 @@
     relist: Arc<Notify>,
     stop: CancellationToken,
 ) {
-    let seen = Cell::new(Revision::default());
+    let seen = AtomicU64::new(0);
     let listed = |list: ObjectList| {
-        seen.set(list.revision);
+        seen.store(list.revision.0, Ordering::Relaxed);
         let _ = events.send(CoreEvent::Listed(snapshot(list)));
     };
     let changed = |event: WatchEvent| {
         let (changes, to) = configuration_changes(event);
-        let from = seen.replace(to);
+        let from = Revision(seen.swap(to.0, Ordering::Relaxed));
         let _ = events.send(CoreEvent::Learnt(ConfigurationDelta { from, to, changes }));
     };
-    follow(store, Collection::Configurations, reading, relist, stop, listed, changed).await;
+    follow(
+        store,
+        Collection::Configurations,
+        reading,
+        relist,
+        stop,
+        listed,
+        changed,
+    )
+    .await;
 }
 
 /// Watches the quotas while `reading` is true, until stopped.
@@ -66,7 +75,16 @@
         }
     };
     let relist = Arc::new(Notify::new());
-    follow(store, Collection::Quotas, reading, relist, stop, listed, changed).await;
+    follow(
+        store,
+        Collection::Quotas,
+        reading,
+        relist,
+        stop,
+        listed,
+        changed,
+    )
+    .await;
 }
 
 /// Reads the machine list every `interval` while `reading` is true, until stopped.
@@ -133,10 +151,7 @@
 }
 
 /// Waits until reading is wanted; false when the daemon stops.
-async fn wait_until_reading(
-    mut reading: watch::Receiver<bool>,
-    stop: &CancellationToken,
-) -> bool {
+async fn wait_until_reading(mut reading: watch::Receiver<bool>, stop: &CancellationToken) -> bool {
     tokio::select! {
         wanted = reading.wait_for(|wanted| *wanted) => wanted.is_ok(),
         () = stop.cancelled() => false,
@@ -177,22 +192,29 @@
             Some((key, object.version, item))
         })
         .collect();
-    ConfigurationSnapshot { revision: list.revision, items }
+    ConfigurationSnapshot {
+        revision: list.revision,
+        items,
+    }
 }
 
 fn configuration_changes(event: WatchEvent) -> (Vec<ConfigurationChange>, Revision) {
     match event {
         WatchEvent::Put(object) => {
             let revision = object.version;
-            let change = configuration_item(&object)
-                .map(|(key, item)| ConfigurationChange { revision, key, item: Some(item) });
+            let change = configuration_item(&object).map(|(key, item)| ConfigurationChange {
+                revision,
+                key,
+                item: Some(item),
+            });
             (change.into_iter().collect(), revision)
         }
         WatchEvent::Deleted { name, revision } => {
-            let change = name
-                .parse::<ItemKey>()
-                .ok()
-                .map(|key| ConfigurationChange { revision, key, item: None });
+            let change = name.parse::<ItemKey>().ok().map(|key| ConfigurationChange {
+                revision,
+                key,
+                item: None,
+            });
             (change.into_iter().collect(), revision)
         }
         WatchEvent::Bookmark(revision) => (Vec::new(), revision),
--- /dev/null
+++ b/crates/flaxward/src/lib.rs
@@ -0,0 +1,7 @@
+//! The daemon of flaxward and what its program does besides.
+
+#![warn(clippy::pedantic)]
+#![allow(clippy::module_name_repetitions, clippy::must_use_candidate)]
+
+pub mod daemon;
+pub mod dev;
--- /dev/null
+++ b/crates/flaxward/src/serve.rs
@@ -0,0 +1,61 @@
+//! `flaxward serve`: one daemon until it is told to stop.
+
+use std::process::ExitCode;
+
+use anyhow::Context;
+use flaxward_settings::{Flags, Settings, logs};
+use metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle};
+use tokio::signal::unix::{SignalKind, signal};
+
+use flaxward::daemon::Daemon;
+
+/// Status of the process when its settings cannot be used.
+const EXIT_BAD_SETTINGS: u8 = 2;
+
+/// Runs a daemon until SIGTERM or SIGINT, which stop it as planned.
+pub async fn run(flags: &Flags) -> ExitCode {
+    let settings = match Settings::load(flags) {
+        Ok(settings) => settings,
+        Err(errors) => {
+            eprintln!("{errors}");
+            return ExitCode::from(EXIT_BAD_SETTINGS);
+        }
+    };
+    match serve(&settings).await {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => crate::failed(&error),
+    }
+}
+
+async fn serve(settings: &Settings) -> anyhow::Result<()> {
+    logs::install(settings.logs.level)?;
+    let metrics = install_metrics()?;
+    let daemon = Daemon::start(settings, Some(metrics)).await?;
+    wait_for_stop().await?;
+    daemon.stop().await;
+    Ok(())
+}
+
+/// Collects the metrics of this process.
+///
+/// # Errors
+/// Fails if something else collects them already.
+pub fn install_metrics() -> anyhow::Result<PrometheusHandle> {
+    PrometheusBuilder::new()
+        .install_recorder()
+        .context("metrics cannot be collected")
+}
+
+/// Waits for SIGTERM or SIGINT.
+///
+/// # Errors
+/// Fails if the signals cannot be listened to.
+pub async fn wait_for_stop() -> anyhow::Result<()> {
+    let mut terminate = signal(SignalKind::terminate())?;
+    let mut interrupt = signal(SignalKind::interrupt())?;
+    tokio::select! {
+        _ = terminate.recv() => {}
+        _ = interrupt.recv() => {}
+    }
+    Ok(())
+}
--- a/crates/gateway/src/completions.rs
+++ b/crates/gateway/src/completions.rs
@@ -122,7 +122,15 @@
             None => None,
         };
         let place = self.enter_queue(&head, &wanted, deadline);
-        let mut run = Run::new(Arc::clone(&self.gateway), call, place, claim, in_progress);
+        let target = wanted.artifact.to_string();
+        let mut run = Run::new(
+            Arc::clone(&self.gateway),
+            call,
+            place,
+            claim,
+            in_progress,
+            &target,
+        );
         if !wanted.stream {
             let answer = finish(run).await?;
             answer.write(response);
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -32,6 +32,7 @@
 use crate::completions::{CompletionKind, Completions};
 use crate::head::{RequestHead, request_id};
 use crate::models;
+use crate::registry::{Registry, RequestView};
 use crate::scheduler::{DemandSender, Scheduler};
 use crate::service_pool::ServicePool;
 use crate::services::Services;
@@ -50,6 +51,7 @@
     configuration: watch::Receiver<Arc<Configuration>>,
     budget: Mutex<RetryBudget>,
     claims: Arc<Claims>,
+    pub(crate) registry: Arc<Registry>,
     /// Requests in progress, and claims whose outcome is being recorded.
     requests: TaskTracker,
     is_stopping: AtomicBool,
@@ -90,6 +92,7 @@
             budget: Mutex::new(budget),
             claims: Arc::new(claims),
             requests,
+            registry: Arc::default(),
             is_stopping: AtomicBool::new(false),
             settings,
         })
@@ -158,6 +161,11 @@
         self.artifacts().iter().map(|view| view.running).sum()
     }
 
+    /// The requests in progress, oldest first.
+    pub fn requests(&self) -> Vec<RequestView> {
+        self.registry.views(self.clock.now())
+    }
+
     /// Looks at deadlines and demands again and again. Ends when it is dropped.
     pub async fn run(&self) {
         let mut ticks = tokio::time::interval(TICK);
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -20,6 +20,7 @@
 mod head;
 mod models;
 mod place;
+mod registry;
 mod relay;
 mod remainder;
 mod run;
@@ -30,5 +31,6 @@
 mod settings;
 
 pub use gateway::Gateway;
+pub use registry::RequestView;
 pub use server_sent_events::{Event, EventError, EventScanner};
 pub use settings::{GatewaySettings, back_end_client};
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -19,6 +19,7 @@
 use crate::gateway::Gateway;
 use crate::head::passed_on;
 use crate::place::Place;
+use crate::registry::Registration;
 use crate::remainder::Remainder;
 
 /// One request and its attempts. When it is dropped, the current attempt is cancelled.
@@ -30,6 +31,7 @@
     /// The current attempt and the guard that cancels it.
     current: Option<(AttemptId, CancelGuard)>,
     claim: Option<ClaimTicket>,
+    registration: Registration,
     _in_progress: TaskTrackerToken,
 }
 
@@ -41,7 +43,15 @@
         place: Place,
         claim: Option<ClaimTicket>,
         in_progress: TaskTrackerToken,
+        target: &str,
     ) -> Self {
+        let registration = gateway.registry.register(
+            &call.request_id,
+            target,
+            call.priority,
+            gateway.clock.now(),
+            call.deadline,
+        );
         let machine = RequestMachine::new(call.policy, gateway.settings.attempts);
         Self {
             gateway,
@@ -50,6 +60,7 @@
             machine,
             current: None,
             claim,
+            registration,
             _in_progress: in_progress,
         }
     }
@@ -98,6 +109,7 @@
                 .begin(attempt, back_end.runner.clone(), now, &mut gateway.budget())
                 .map_err(Refusal::new)?;
             counters::attempted();
+            self.registration.sent_to(&back_end.runner);
             let guard = CancelGuard::new(&gateway.http, &self.call, &back_end, attempt);
             self.current = Some((attempt, guard));
             let resume_from = self.machine.resume_from();
--- a/crates/gateway/src/services.rs
+++ b/crates/gateway/src/services.rs
@@ -93,9 +93,17 @@
             None => None,
         };
         let pool = &self.gateway.service_pool;
-        let ticket = pool.enter(service, spec.concurrency, head.priority, deadline);
+        let ticket = pool.enter(service.clone(), spec.concurrency, head.priority, deadline);
         let place = Place::Service(ticket);
-        let run = Run::new(Arc::clone(&self.gateway), call, place, claim, in_progress);
+        let target = service.as_str();
+        let run = Run::new(
+            Arc::clone(&self.gateway),
+            call,
+            place,
+            claim,
+            in_progress,
+            target,
+        );
         let answer = finish(run).await?;
         answer.write(response);
         Ok(())
--- a/crates/wire/src/message.rs
+++ b/crates/wire/src/message.rs
@@ -92,11 +92,11 @@
         /// Which view.
         view: View,
     },
-    /// One view, as rows in JSON.
+    /// One view, as JSON.
     ViewRows {
         /// The sequence of the question.
         sequence: u64,
-        /// A JSON array of rows.
+        /// A JSON value, shaped by the view.
         rows: String,
     },
 }
@@ -104,15 +104,15 @@
 /// What a daemon can be asked about itself, for operators.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum View {
-    /// Artifacts, their replicas and what waits, as the coordinator knows them.
+    /// The daemon itself, its zone if it coordinates one, and the members it knows.
+    Daemon,
+    /// Replicas and what waits for them, of a coordinator.
     Artifacts,
-    /// Runners, as the coordinator knows them.
+    /// Runners, of a coordinator.
     Runners,
     /// Requests waiting and running at this daemon.
     Requests,
-    /// This daemon: zone, revision in force, role.
-    Daemon,
-    /// The decisions recorded about a model.
+    /// The decisions that a coordinator has recorded about a model.
     Decisions(ModelName),
 }
 
