--- a/crates/emulator/src/weights.rs
+++ b/crates/emulator/src/weights.rs
@@ -7,12 +7,13 @@
 use salvo::Router;
 use serde::{Deserialize, Serialize};
 use serde_json::json;
+use tokio::sync::watch as signal;
 
 use crate::fault::{Dice, Strikes, lock, pause_ms, unix_ms};
 use crate::http::{Call, Listening, Refusing, Reply, endpoint};
 
-/// Longest time between two looks at the load's speed.
-const STEP: Duration = Duration::from_millis(20);
+/// Least value of the fault that slows loads down; keeps speeds finite.
+const LEAST_SLOW_DOWN: f64 = 0.001;
 
 /// How a weight store stand-in is made.
 #[derive(Clone, Debug, Serialize, Deserialize)]
@@ -111,15 +112,71 @@
     config: WeightStoreConfig,
     dice: Dice,
     state: Mutex<State>,
+    /// Changes whenever the speed of loads does.
+    changed: signal::Sender<()>,
 }
 
 struct State {
     active: u32,
+    /// Bytes that a load would have got that ran from the start of the store on.
+    progress: f64,
+    /// Up to when the progress is counted.
+    progress_until: Instant,
     next_start: Instant,
     faults: WeightStoreFaults,
     record: WeightStoreRecord,
 }
 
+impl Shared {
+    /// Changes what the speed of loads depends on; what was loaded before keeps its speed.
+    fn change<T>(&self, change: impl FnOnce(&mut State) -> T) -> T {
+        let mut state = lock(&self.state);
+        state.advance(&self.config);
+        let result = change(&mut state);
+        drop(state);
+        self.changed.send_replace(());
+        result
+    }
+
+    fn progress(&self) -> f64 {
+        let mut state = lock(&self.state);
+        state.advance(&self.config);
+        state.progress
+    }
+
+    /// Time left until the progress reaches a target, if the speed stays; `None` once it has.
+    fn time_to(&self, target: f64) -> Option<Duration> {
+        let mut state = lock(&self.state);
+        state.advance(&self.config);
+        let left = target - state.progress;
+        (left > 0.0).then(|| Duration::from_secs_f64(left / state.speed(&self.config)))
+    }
+}
+
+impl State {
+    fn advance(&mut self, config: &WeightStoreConfig) {
+        let now = Instant::now();
+        let passed = now - self.progress_until;
+        self.progress += self.speed(config) * passed.as_secs_f64();
+        self.progress_until = now;
+    }
+
+    /// Bytes a second that each load gets now.
+    fn speed(&self, config: &WeightStoreConfig) -> f64 {
+        let full = as_float(config.bytes_per_second) / self.faults.slow_down.max(LEAST_SLOW_DOWN);
+        if config.parallel > 0 && self.active > config.parallel {
+            full * f64::from(config.parallel) / f64::from(self.active)
+        } else {
+            full
+        }
+    }
+}
+
+#[allow(clippy::cast_precision_loss)] // sizes and speeds stay far below 2^52
+fn as_float(bytes: u64) -> f64 {
+    bytes as f64
+}
+
 /// A running weight store stand-in.
 pub struct WeightStore {
     shared: Arc<Shared>,
@@ -138,10 +195,13 @@
             config,
             state: Mutex::new(State {
                 active: 0,
+                progress: 0.0,
+                progress_until: Instant::now(),
                 next_start: Instant::now(),
                 faults: WeightStoreFaults::default(),
                 record: WeightStoreRecord::default(),
             }),
+            changed: signal::Sender::new(()),
         });
         let listening = Listening::start(listen, router(&shared), Refusing::default()).await?;
         Ok(Self { shared, listening })
@@ -159,7 +219,7 @@
 
     /// Changes the faults.
     pub fn update_faults(&self, change: impl FnOnce(&mut WeightStoreFaults)) {
-        change(&mut lock(&self.shared.state).faults);
+        self.shared.change(|state| change(&mut state.faults));
     }
 
     /// What really happened.
@@ -194,7 +254,7 @@
 async fn set_faults(shared: Arc<Shared>, call: Call) -> Reply {
     match call.json::<WeightStoreFaults>() {
         Ok(faults) => {
-            lock(&shared.state).faults = faults;
+            shared.change(|state| state.faults = faults);
             Reply::ok(&faults)
         }
         Err(reply) => reply,
@@ -249,19 +309,19 @@
 
 impl ActiveLoad {
     fn begin(shared: &Arc<Shared>, call: &Call, bytes: u64, asked_unix_ms: u64) -> Self {
-        let mut state = lock(&shared.state);
-        state.active += 1;
-        state.record.max_parallel = state.record.max_parallel.max(state.active);
-        let position = state.record.loads.len();
-        let parallel = state.active;
-        state.record.loads.push(WeightLoad {
-            checkpoint: call.first().to_owned(),
-            bytes,
-            client: call.header(crate::http::CLIENT_HEADER).map(str::to_owned),
-            asked_unix_ms,
-            begun_unix_ms: unix_ms(),
-            parallel,
-            outcome: WeightLoadOutcome::Begun,
+        let position = shared.change(|state| {
+            state.active += 1;
+            state.record.max_parallel = state.record.max_parallel.max(state.active);
+            state.record.loads.push(WeightLoad {
+                checkpoint: call.first().to_owned(),
+                bytes,
+                client: call.header(crate::http::CLIENT_HEADER).map(str::to_owned),
+                asked_unix_ms,
+                begun_unix_ms: unix_ms(),
+                parallel: state.active,
+                outcome: WeightLoadOutcome::Begun,
+            });
+            state.record.loads.len() - 1
         });
         Self {
             shared: Arc::clone(shared),
@@ -270,31 +330,15 @@
     }
 
     /// Lets the time of the load pass, at the speed that the other loads leave it.
-    #[allow(clippy::cast_precision_loss)] // sizes stay far below 2^52
     async fn run(&self, bytes: u64) {
-        let mut left = bytes as f64;
         if self.shared.config.bytes_per_second == 0 {
             return;
         }
-        while left > 0.0 {
-            let speed = self.speed();
-            let step = Duration::from_secs_f64(left / speed).min(STEP);
-            let begun = Instant::now();
-            tokio::time::sleep(step).await;
-            left -= speed * begun.elapsed().as_secs_f64();
-        }
-    }
-
-    /// Bytes a second, now.
-    #[allow(clippy::cast_precision_loss)] // speeds stay far below 2^52
-    fn speed(&self) -> f64 {
-        let config = &self.shared.config;
-        let state = lock(&self.shared.state);
-        let full = config.bytes_per_second as f64 / state.faults.slow_down.max(0.001);
-        if config.parallel > 0 && state.active > config.parallel {
-            full * f64::from(config.parallel) / f64::from(state.active)
-        } else {
-            full
+        let mut changed = self.shared.changed.subscribe();
+        let target = self.shared.progress() + as_float(bytes);
+        while let Some(wait) = self.shared.time_to(target) {
+            // Ends early when the speed changes; then the time left is another one.
+            let _ = tokio::time::timeout(wait, changed.changed()).await;
         }
     }
 
@@ -305,6 +349,6 @@
 
 impl Drop for ActiveLoad {
     fn drop(&mut self) {
-        lock(&self.shared.state).active -= 1;
+        self.shared.change(|state| state.active -= 1);
     }
 }
