Daemon: a zone's only daemon starts reading and leading by itself

Ruled out: a special case in the coordinator; the rank belongs to membership. Change: the core looks at the members once before its first event.

--- a/crates/flaxward/src/daemon/core.rs
+++ b/crates/flaxward/src/daemon/core.rs
@@ -96,6 +96,8 @@
     pub async fn run(mut self, mut events: mpsc::UnboundedReceiver<CoreEvent>) {
         let mut ticks = tokio::time::interval(TICK);
         ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+        // A daemon that is alone in its zone hears of no change of members.
+        self.members_changed();
         while !self.stopped {
             tokio::select! {
                 event = events.recv() => match event {
