Control: one pure node for the daemon, the simulation and the hollow fleet

Cause: what joins gossip and coordinator (machines, marks, routes, rank) lived in the daemon's async core, so no simulation could run it. Ruled out: a second composition for simulations, which would prove something else than what runs. Change: crates/control/src/node; the daemon's core only owns the clock and hands actions to drivers.

--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod keep_alive;
 pub mod marks;
 pub mod membership;
+pub mod node;
 pub mod router;
 pub mod rumors;
 pub mod stream;
--- a/crates/flaxward/src/daemon/machines.rs
+++ b/crates/control/src/node/machines.rs
@@ -1,4 +1,4 @@
-//! The machines that this daemon knows, from the machine list or from its coordinator.
+//! The machines that a daemon knows, from the machine list or from its coordinator.
 
 use std::collections::BTreeSet;
 
--- a/crates/flaxward/src/daemon/http.rs
+++ b/crates/flaxward/src/daemon/http.rs
@@ -83,12 +83,11 @@
         response: &mut Response,
         _control: &mut FlowCtrl,
     ) {
-        match &self.handle {
-            Some(handle) => response.render(handle.render()),
-            None => {
-                response.status_code(StatusCode::NOT_FOUND);
-                response.render("metrics are collected once per process, by another daemon\n");
-            }
+        if let Some(handle) = &self.handle {
+            response.render(handle.render());
+        } else {
+            response.status_code(StatusCode::NOT_FOUND);
+            response.render("this process collects no metrics\n");
         }
     }
 }
--- a/crates/flaxward/src/daemon/mod.rs
+++ b/crates/flaxward/src/daemon/mod.rs
@@ -3,7 +3,6 @@
 pub mod core;
 mod event;
 mod http;
-mod machines;
 mod observer;
 mod operator_views;
 mod reports;
@@ -20,6 +19,7 @@
 use flaxward_control::configuration::Configuration;
 use flaxward_control::coordinator::Coordinator;
 use flaxward_control::gossip::{Gossip, GossipSettings};
+use flaxward_control::node::{Node, NodeEvent};
 use flaxward_gateway::{Gateway, GatewaySettings, back_end_client};
 use flaxward_operators::Executor;
 use flaxward_peers::PeerSocket;
@@ -103,10 +103,9 @@
 
         let peer_address = me.address;
         let core = Core::new(Parts {
-            gossip: gossip(settings, &me),
-            coordinator: coordinator(settings),
+            node: Node::new(me.clone(), gossip(settings, &me), coordinator(settings)),
             gateway: gateway.clone(),
-            peers: Arc::new(peers),
+            peers,
             store: StoreDriver::new(platform.store.clone(), me.zone.clone(), events.clone()),
             runners: RunnerDriver::new(platform.engines.clone(), events.clone()),
             configuration,
@@ -114,7 +113,6 @@
             share,
             relist: relist.clone(),
             ready: ready.clone(),
-            me,
         });
 
         spawn_until(&stop, forward_received(received, events.clone()));
@@ -183,7 +181,7 @@
     pub async fn stop(self) {
         state_change("stopping", &[("address", &self.address)]);
         self.ready.send_replace(false);
-        let _ = self.events.send(CoreEvent::Stop);
+        let _ = self.events.send(NodeEvent::Stop.into());
         let drained = tokio::time::timeout(self.drain_timeout, self.gateway.stop()).await;
         if drained.is_err() {
             let left = self.gateway.running() + self.gateway.waiting();
@@ -308,7 +306,7 @@
 ) {
     while let Some((_, envelope)) = received.recv().await {
         if events
-            .send(CoreEvent::Received(Box::new(envelope)))
+            .send(NodeEvent::Received(Box::new(envelope)).into())
             .is_err()
         {
             return;
@@ -321,7 +319,10 @@
     events: mpsc::UnboundedSender<CoreEvent>,
 ) {
     while let Some((zone, demands)) = demanded.recv().await {
-        if events.send(CoreEvent::Demands(zone, demands)).is_err() {
+        if events
+            .send(NodeEvent::Demands(zone, demands).into())
+            .is_err()
+        {
             return;
         }
     }
--- a/crates/flaxward/src/daemon/observer.rs
+++ b/crates/flaxward/src/daemon/observer.rs
@@ -6,13 +6,13 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use flaxward_control::node::NodeEvent;
 use flaxward_platform::EngineApi;
+use flaxward_types::RunnerName;
 use flaxward_types::engine::{LoadReport, Machine};
-use flaxward_types::{DaemonName, RunnerName};
-use flaxward_wire::{Peer, RunnerReport};
+use flaxward_wire::RunnerReport;
 use tokio::sync::{mpsc, watch};
 use tokio_util::sync::CancellationToken;
-use xxhash_rust::xxh3::xxh3_64;
 
 use super::event::CoreEvent;
 
@@ -22,26 +22,6 @@
 /// Unchanged reports are sent again after this many reads, in case one was lost.
 const REPEAT_AFTER: u32 = 5;
 
-/// The runners that `me` observes among the members of the zone, by rendezvous hashing: a member
-/// that comes or goes moves only its own share.
-pub fn share(me: &DaemonName, members: &[Peer], engines: &[Machine]) -> Vec<Machine> {
-    let observer = |machine: &Machine| {
-        members
-            .iter()
-            .map(|peer| &peer.name)
-            .max_by_key(|name| score(name, &machine.name))
-    };
-    engines
-        .iter()
-        .filter(|machine| observer(machine) == Some(me))
-        .cloned()
-        .collect()
-}
-
-fn score(daemon: &DaemonName, runner: &RunnerName) -> u64 {
-    xxh3_64(format!("{daemon}/{runner}").as_bytes())
-}
-
 /// Reads the runners of the share again and again, until stopped.
 pub async fn observe(
     engines: Arc<dyn EngineApi>,
@@ -66,7 +46,7 @@
             .filter(|report| is_news(&mut last, report))
             .collect();
         if !news.is_empty() {
-            let _ = events.send(CoreEvent::Observed(news));
+            let _ = events.send(NodeEvent::Observed(news).into());
         }
     }
 }
--- a/crates/flaxward/src/daemon/operator_views.rs
+++ b/crates/flaxward/src/daemon/operator_views.rs
@@ -47,7 +47,7 @@
         let question = move |core: &mut super::core::Core| {
             let peers = match whom {
                 Whom::Acquaintances => core.acquaintances(),
-                Whom::Coordinators => core.coordinators(),
+                Whom::Coordinators => core.parts.node.coordinators(),
                 Whom::These(peers) => peers,
             };
             core.ask(&peers, &view, done);
--- a/crates/flaxward/src/daemon/reports.rs
+++ b/crates/flaxward/src/daemon/reports.rs
@@ -48,20 +48,21 @@
     }
 
     fn daemon_report(&self) -> DaemonReport {
-        let me = &self.parts.me;
+        let me = self.parts.node.me();
         let requests = self.parts.gateway.waiting() + self.parts.gateway.running();
         let daemon = DaemonRow {
             name: me.name.to_string(),
             zone: me.zone.to_string(),
             address: me.address.to_string(),
             state: DaemonState::Alive,
-            coordinator: self.leading().is_some(),
+            coordinator: self.parts.node.leading().is_some(),
             requests: count(requests),
-            revision: self.parts.gossip.configuration().revision().0,
+            revision: self.parts.node.configuration().revision().0,
         };
         let members = self
             .parts
-            .gossip
+            .node
+            .gossip_state()
             .membership()
             .members()
             .map(member)
@@ -74,18 +75,18 @@
     }
 
     fn zone_row(&self) -> Option<ZoneRow> {
-        let term = self.leading()?;
-        let runners = self.parts.coordinator.runners();
+        let term = self.parts.node.leading()?;
+        let runners = self.parts.node.coordinator().runners();
         let inventories = || {
             runners
                 .iter()
                 .filter_map(|runner| runner.inventory.as_ref())
         };
         Some(ZoneRow {
-            name: self.parts.me.zone.to_string(),
-            coordinator: Some(self.parts.me.name.to_string()),
+            name: self.parts.node.me().zone.to_string(),
+            coordinator: Some(self.parts.node.me().name.to_string()),
             term: term.0,
-            daemons: count(self.parts.gossip.membership().alive().len()),
+            daemons: count(self.parts.node.gossip_state().membership().alive().len()),
             runners: count(runners.len()),
             memory: inventories().map(|inventory| inventory.memory).sum(),
             used: inventories()
@@ -95,7 +96,7 @@
     }
 
     fn artifacts_report(&self) -> ArtifactsReport {
-        let coordinator = &self.parts.coordinator;
+        let coordinator = self.parts.node.coordinator();
         let runners = coordinator.runners();
         let replicas = coordinator
             .replicas()
@@ -125,7 +126,7 @@
             model: artifact.model.to_string(),
             adapter: artifact.adapter.as_ref().map(ToString::to_string),
             release: artifact.version.to_string(),
-            zone: self.parts.me.zone.to_string(),
+            zone: self.parts.node.me().zone.to_string(),
             runner: replica.slot.runner.to_string(),
             state,
             memory: held.map_or(0, |held| held.bytes),
@@ -134,22 +135,25 @@
     }
 
     fn runner_rows(&self) -> Vec<RunnerRow> {
-        if self.leading().is_none() {
+        if self.parts.node.leading().is_none() {
             return Vec::new();
         }
-        let drained = self.parts.gossip.configuration().drained();
-        let engines = self.parts.coordinator.runners();
+        let drained = self.parts.node.configuration().drained();
+        let engines = self.parts.node.coordinator().runners();
         let engines = engines.iter().map(|runner| {
             let is_drained = drained.contains(&runner.runner);
-            engine_row(runner, self.parts.me.zone.as_str(), is_drained)
+            engine_row(runner, self.parts.node.me().zone.as_str(), is_drained)
         });
         engines.chain(self.service_rows()).collect()
     }
 
     /// Service machines of the own zone.
     fn service_rows(&self) -> impl Iterator<Item = RunnerRow> {
-        let own = |machine: &&flaxward_types::engine::Machine| machine.zone == self.parts.me.zone;
-        self.machines
+        let own =
+            |machine: &&flaxward_types::engine::Machine| machine.zone == self.parts.node.me().zone;
+        self.parts
+            .node
+            .machines()
             .services()
             .iter()
             .filter(own)
@@ -167,7 +171,7 @@
     }
 
     fn machine_state(&self, name: &RunnerName, leaving: bool) -> RunnerState {
-        if self.parts.gossip.configuration().drained().contains(name) {
+        if self.parts.node.configuration().drained().contains(name) {
             RunnerState::Drained
         } else if leaving {
             RunnerState::Leaving
@@ -177,7 +181,7 @@
     }
 
     fn request_rows(&self) -> Vec<RequestRow> {
-        let me = &self.parts.me;
+        let me = self.parts.node.me();
         let requests = self.parts.gateway.requests().into_iter();
         requests
             .map(|request| RequestRow {
@@ -199,14 +203,14 @@
     }
 
     fn decision_rows(&self, model: &ModelName) -> Vec<DecisionRow> {
-        let decisions = self.parts.coordinator.explain(model).into_iter();
+        let decisions = self.parts.node.coordinator().explain(model).into_iter();
         decisions
             .map(|(age, decision)| {
                 let (runner, text, reason) = describe(&decision.kind);
                 DecisionRow {
                     age: millis(age),
-                    zone: self.parts.me.zone.to_string(),
-                    daemon: self.parts.me.name.to_string(),
+                    zone: self.parts.node.me().zone.to_string(),
+                    daemon: self.parts.node.me().name.to_string(),
                     artifact: decision.artifact.to_string(),
                     runner: runner.map(ToString::to_string),
                     decision: text.to_owned(),
--- a/crates/flaxward/src/daemon/runner_driver.rs
+++ b/crates/flaxward/src/daemon/runner_driver.rs
@@ -48,7 +48,7 @@
 
     fn report(&self, event: CoordinatorEvent) {
         // The core is gone only when the daemon exits, and then nobody needs the answer.
-        let _ = self.events.send(CoreEvent::Coordinator(event));
+        let _ = self.events.send(event.into());
     }
 }
 
--- a/crates/flaxward/src/daemon/store_driver.rs
+++ b/crates/flaxward/src/daemon/store_driver.rs
@@ -124,7 +124,7 @@
 
     fn report(&self, event: CoordinatorEvent) {
         // The core is gone only when the daemon exits, and then nobody needs the answer.
-        let _ = self.events.send(CoreEvent::Coordinator(event));
+        let _ = self.events.send(event.into());
     }
 
     async fn read<Record: DeserializeOwned>(
--- a/crates/flaxward/src/daemon/views.rs
+++ b/crates/flaxward/src/daemon/views.rs
@@ -69,7 +69,7 @@
     pub(super) fn ask(&mut self, whom: &[Peer], view: &View, done: oneshot::Sender<Vec<String>>) {
         self.views.next += 1;
         let sequence = self.views.next;
-        let me = self.parts.me.name.clone();
+        let me = self.parts.node.me().name.clone();
         let mut survey = Survey {
             missing: Vec::new(),
             answers: Vec::new(),
@@ -99,22 +99,10 @@
 
     /// This daemon, the members of its zone and the coordinators of the other zones.
     pub(super) fn acquaintances(&self) -> Vec<Peer> {
-        let mut peers = self.parts.gossip.membership().alive();
-        let others = self
-            .coordinators()
-            .into_iter()
-            .filter(|peer| peer.zone != self.parts.me.zone);
-        peers.extend(others);
+        let node = &self.parts.node;
+        let mut peers = node.gossip_state().membership().alive();
+        let coordinators = node.coordinators().into_iter();
+        peers.extend(coordinators.filter(|peer| peer.zone != node.me().zone));
         peers
     }
-
-    /// The coordinators of all zones that have one.
-    pub(super) fn coordinators(&self) -> Vec<Peer> {
-        let gossip = &self.parts.gossip;
-        gossip
-            .heads()
-            .iter()
-            .filter_map(|head| gossip.coordinator(&head.zone))
-            .collect()
-    }
 }
--- a/crates/flaxward/src/daemon/watches.rs
+++ b/crates/flaxward/src/daemon/watches.rs
@@ -8,6 +8,7 @@
 use std::time::Duration;
 
 use flaxward_control::coordinator::CoordinatorEvent;
+use flaxward_control::node::NodeEvent;
 use flaxward_platform::{
     Collection, MachineList, Object, ObjectApi, ObjectList, StoreError, WatchEvent,
 };
@@ -36,12 +37,13 @@
     let seen = AtomicU64::new(0);
     let listed = |list: ObjectList| {
         seen.store(list.revision.0, Ordering::Relaxed);
-        let _ = events.send(CoreEvent::Listed(snapshot(list)));
+        let _ = events.send(NodeEvent::Listed(snapshot(list)).into());
     };
     let changed = |event: WatchEvent| {
         let (changes, to) = configuration_changes(event);
         let from = Revision(seen.swap(to.0, Ordering::Relaxed));
-        let _ = events.send(CoreEvent::Learnt(ConfigurationDelta { from, to, changes }));
+        let delta = ConfigurationDelta { from, to, changes };
+        let _ = events.send(NodeEvent::Learnt(delta).into());
     };
     follow(
         store,
@@ -65,7 +67,7 @@
     let tell = |object: Object| {
         if let Ok((revision, quota)) = decode::<Quota>(object) {
             let event = CoordinatorEvent::QuotaChanged(revision, quota);
-            let _ = events.send(CoreEvent::Coordinator(event));
+            let _ = events.send(event.into());
         }
     };
     let listed = |list: ObjectList| list.items.into_iter().for_each(&tell);
@@ -100,7 +102,7 @@
         match list.machines().await {
             Ok(machines) => {
                 log_recovery(&mut failing, "machine-list");
-                let _ = events.send(CoreEvent::Machines(machines));
+                let _ = events.send(NodeEvent::Machines(machines).into());
             }
             Err(error) => log_failure(&mut failing, "machine-list", &error.to_string()),
         }
