Query: repeat a removal that stopped at any step; rules in a module of their own

Cause: `remove model M with all` that stopped after the model itself was gone could not be repeated: the model was unknown, and its versions stayed. Ruled out: removing the versions before the model; it would serve a version that is gone. Change: the plan goes on with what is left.

--- a/crates/operators/tests/operators/changes.rs
+++ b/crates/operators/tests/operators/changes.rs
@@ -134,23 +134,24 @@
 
 #[tokio::test]
 async fn a_removal_that_stops_halfway_says_what_was_done_and_can_be_repeated() {
-    let (store, executor) = executor().await;
-    let adapter = "create adapter m:a checkpoint 'm/a' weights 200MiB";
-    executor.execute(adapter).await.expect(adapter);
-    store.set_fault(Fault::DownAfterOne);
-    let error = executor
-        .execute("remove model m with all")
-        .await
-        .expect_err("halfway");
-    assert_eq!(error.refusal.code, ResultCode::StoreUnavailable);
-    assert_eq!(error.done, ["removed adapter m:a"]);
-    assert!(!error.not_run() && !ErrorBody::from(&error).error.not_run);
-    store.set_fault(Fault::None);
-    executor
-        .execute("remove model m with all")
-        .await
-        .expect("repeated");
-    assert!(store.names().is_empty());
+    let all = ["adapter m:a", "model m", "version m@v1", "version m@v2"];
+    for writes in 1..4 {
+        let (store, executor) = executor().await;
+        let adapter = "create adapter m:a checkpoint 'm/a' weights 200MiB";
+        executor.execute(adapter).await.expect(adapter);
+        store.set_fault(Fault::DownAfter(writes));
+        let error = executor.execute("remove model m with all").await;
+        let error = error.expect_err("halfway");
+        assert_eq!(error.refusal.code, ResultCode::StoreUnavailable);
+        let done = all.iter().take(writes as usize);
+        let done: Vec<String> = done.map(|key| format!("removed {key}")).collect();
+        assert_eq!(error.done, done);
+        assert!(!error.not_run() && !ErrorBody::from(&error).error.not_run);
+        store.set_fault(Fault::None);
+        let repeated = executor.execute("remove model m with all").await;
+        repeated.expect("repeated");
+        assert!(store.names().is_empty());
+    }
 }
 
 #[tokio::test]
--- a/crates/operators/tests/operators/support.rs
+++ b/crates/operators/tests/operators/support.rs
@@ -24,8 +24,8 @@
     Down,
     /// The first write is carried out and its answer lost.
     LostAnswer,
-    /// Only the first write is carried out.
-    DownAfterOne,
+    /// Only so many writes are carried out.
+    DownAfter(u32),
 }
 
 #[derive(Default)]
@@ -96,7 +96,7 @@
         let first = state.writes == 1;
         match state.fault {
             Fault::Down => return Err(StoreError::Unavailable("down".to_owned())),
-            Fault::DownAfterOne if !first => {
+            Fault::DownAfter(writes) if state.writes > writes => {
                 return Err(StoreError::Unavailable("down".to_owned()));
             }
             _ => {}
--- a/crates/query/src/lib.rs
+++ b/crates/query/src/lib.rs
@@ -13,6 +13,7 @@
 mod parser;
 mod plan;
 mod print;
+mod rules;
 mod settings;
 mod split;
 mod table;
--- a/crates/query/src/plan.rs
+++ b/crates/query/src/plan.rs
@@ -1,16 +1,15 @@
 //! Checks a change against the configuration and says what to write.
 
 use flaxward_control::configuration::Configuration;
-use flaxward_types::configuration::{
-    AdapterSpec, DrainSpec, ModelSpec, PolicySpec, ServiceSpec, VersionSpec,
-};
+use flaxward_types::configuration::PolicySpec;
 use flaxward_types::{
-    ArtifactId, ConfigurationItem, ItemKey, ModelName, Refusal, ResultCode, Revision, VersionName,
+    ConfigurationItem, ItemKey, ModelName, Refusal, ResultCode, Revision, VersionName,
 };
 use serde::{Deserialize, Serialize};
 
 use crate::command::{Change, Edit};
 use crate::print::{describe, print_key};
+use crate::rules::check_item;
 
 /// One write to the object API.
 #[derive(Clone, Debug, PartialEq)]
@@ -209,17 +208,15 @@
     with_all: bool,
     configuration: &Configuration,
 ) -> Result<Vec<Step>, Rejection> {
-    let Some((version, _)) = configuration.item(&change.key) else {
+    let current = configuration.item(&change.key);
+    let own = current.map(|(version, _)| delete(&change.key, *version));
+    if let (ItemKey::Model(model), true) = (&change.key, with_all) {
+        return plan_remove_all(model, own, configuration);
+    }
+    let Some(own) = own else {
         return unknown(&change.key);
     };
-    let own = delete(&change.key, *version);
     match &change.key {
-        ItemKey::Model(model) if with_all => {
-            let mut steps = parts(configuration, |key| is_adapter_of(key, model));
-            steps.push(own);
-            steps.extend(parts(configuration, |key| is_version_of(key, model)));
-            Ok(steps)
-        }
         ItemKey::Model(model) => {
             check_no_adapters(model, configuration)?;
             Ok(vec![own])
@@ -232,6 +229,21 @@
     }
 }
 
+/// Adapters, model, versions. The model may be gone already, by a removal that stopped halfway.
+fn plan_remove_all(
+    model: &ModelName,
+    own: Option<Step>,
+    configuration: &Configuration,
+) -> Result<Vec<Step>, Rejection> {
+    let mut steps = parts(configuration, |key| is_adapter_of(key, model));
+    steps.extend(own);
+    steps.extend(parts(configuration, |key| is_version_of(key, model)));
+    if steps.is_empty() {
+        return unknown(&ItemKey::Model(model.clone()));
+    }
+    Ok(steps)
+}
+
 fn delete(key: &ItemKey, version: Revision) -> Step {
     Step {
         key: key.clone(),
@@ -283,121 +295,3 @@
         _ => Ok(()),
     }
 }
-
-fn check_item(
-    key: &ItemKey,
-    item: &ConfigurationItem,
-    configuration: &Configuration,
-) -> Result<(), Rejection> {
-    match (key, item) {
-        (ItemKey::Model(model), ConfigurationItem::Model(spec)) => {
-            check_model(model, spec, configuration)
-        }
-        (ItemKey::Version(..), ConfigurationItem::Version(spec)) => check_version_spec(spec),
-        (ItemKey::Adapter(model, _), ConfigurationItem::Adapter(spec)) => {
-            check_adapter(model, spec, configuration)
-        }
-        (ItemKey::Service(_), ConfigurationItem::Service(spec)) => check_service(spec),
-        (ItemKey::Drain(_), ConfigurationItem::Drain(spec)) => check_drain(spec),
-        (ItemKey::Policy, ConfigurationItem::Policy(spec)) => check_policy(spec),
-        _ => refuse(ResultCode::InvalidValue, "the item is of another kind"),
-    }
-}
-
-fn rule(holds: bool, detail: &str) -> Result<(), Rejection> {
-    if holds {
-        Ok(())
-    } else {
-        refuse(ResultCode::InvalidValue, detail)
-    }
-}
-
-fn check_model(
-    model: &ModelName,
-    spec: &ModelSpec,
-    configuration: &Configuration,
-) -> Result<(), Rejection> {
-    rule(
-        spec.copies.at_least <= spec.copies.at_most,
-        "`at least` must not be greater than `at most`",
-    )?;
-    let serving = ArtifactId {
-        model: model.clone(),
-        version: spec.serving.clone(),
-        adapter: None,
-    };
-    if configuration.version(&serving).is_some() {
-        return Ok(());
-    }
-    let detail = format!("version {serving} does not exist; create it first");
-    refuse(ResultCode::InvalidValue, detail)
-}
-
-fn check_version_spec(spec: &VersionSpec) -> Result<(), Rejection> {
-    rule(
-        !spec.checkpoint.trim().is_empty(),
-        "the checkpoint must not be empty",
-    )?;
-    rule(
-        spec.weights.as_u64() > 0,
-        "the weights must be greater than 0",
-    )?;
-    let total = spec.weights.as_u64().checked_add(spec.kv_cache.as_u64());
-    rule(
-        total.is_some(),
-        "the weights and the KV cache are too large",
-    )
-}
-
-fn check_adapter(
-    model: &ModelName,
-    spec: &AdapterSpec,
-    configuration: &Configuration,
-) -> Result<(), Rejection> {
-    rule(
-        !spec.checkpoint.trim().is_empty(),
-        "the checkpoint must not be empty",
-    )?;
-    rule(
-        spec.weights.as_u64() > 0,
-        "the weights must be greater than 0",
-    )?;
-    if configuration.model(model).is_some() {
-        return Ok(());
-    }
-    let detail = format!("model {model} does not exist; create it first");
-    refuse(ResultCode::InvalidValue, detail)
-}
-
-fn check_service(spec: &ServiceSpec) -> Result<(), Rejection> {
-    rule(
-        spec.concurrency > 0,
-        "the concurrency must be greater than 0",
-    )
-}
-
-fn check_drain(spec: &DrainSpec) -> Result<(), Rejection> {
-    rule(
-        !spec.reason.trim().is_empty(),
-        "the reason must not be empty",
-    )
-}
-
-fn check_policy(spec: &PolicySpec) -> Result<(), Rejection> {
-    rule(
-        (0.0..=1.0).contains(&spec.cold_start_weight),
-        "cold_start_weight must be between 0 and 1",
-    )?;
-    rule(
-        spec.weight_store_parallel > 0,
-        "weight_store_parallel must be greater than 0",
-    )?;
-    rule(
-        spec.weight_store_per_second > 0.0 && spec.weight_store_per_second.is_finite(),
-        "weight_store_per_second must be greater than 0",
-    )?;
-    rule(
-        spec.keep_alive_min_ms <= spec.keep_alive_max_ms,
-        "keep_alive_min must not be greater than keep_alive_max",
-    )
-}
