Operators tests: the store in memory tells which version a change replaced

Cause: objects carry the version that their last change replaced. Change: the fake says it as the object API does. Ruled out: nothing else.

--- a/crates/operators/tests/operators/support.rs
+++ b/crates/operators/tests/operators/support.rs
@@ -113,10 +113,12 @@
     fn put(&mut self, name: &str, operation: Option<OperationId>, body: Value) -> Object {
         self.revision += 1;
         self.operations.extend(operation);
+        let replaced = self.objects.get(name).map(|object| object.version);
         let object = Object {
             name: name.to_owned(),
             version: Revision(self.revision),
             operation,
+            replaced,
             body,
         };
         self.objects.insert(name.to_owned(), object.clone());
