--- a/crates/operators/tests/operators/support.rs
+++ b/crates/operators/tests/operators/support.rs
@@ -24,8 +24,8 @@
     Down,
     /// The first write is carried out and its answer lost.
     LostAnswer,
-    /// Only the first write is carried out.
-    DownAfterOne,
+    /// Only so many writes are carried out.
+    DownAfter(u32),
 }
 
 #[derive(Default)]
@@ -96,7 +96,7 @@
         let first = state.writes == 1;
         match state.fault {
             Fault::Down => return Err(StoreError::Unavailable("down".to_owned())),
-            Fault::DownAfterOne if !first => {
+            Fault::DownAfter(writes) if state.writes > writes => {
                 return Err(StoreError::Unavailable("down".to_owned()));
             }
             _ => {}
@@ -113,10 +113,12 @@
     fn put(&mut self, name: &str, operation: Option<OperationId>, body: Value) -> Object {
         self.revision += 1;
         self.operations.extend(operation);
+        let replaced = self.objects.get(name).map(|object| object.version);
         let object = Object {
             name: name.to_owned(),
             version: Revision(self.revision),
             operation,
+            replaced,
             body,
         };
         self.objects.insert(name.to_owned(), object.clone());
