--- a/crates/control/src/configuration/apply.rs
+++ b/crates/control/src/configuration/apply.rs
@@ -1,8 +1,8 @@
 //! Applying changes: the revision in force only ever rises.
 
-use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 
-use flaxward_types::Revision;
+use flaxward_types::{ItemKey, Revision};
 use flaxward_wire::{ConfigurationChange, ConfigurationDelta, ConfigurationSnapshot};
 
 use super::Configuration;
@@ -63,6 +63,34 @@
         true
     }
 
+    /// The changes that lead from here to a snapshot. When an item was removed is not known, only
+    /// that it was by the snapshot's revision.
+    pub fn changes_to(&self, snapshot: &ConfigurationSnapshot) -> Vec<ConfigurationChange> {
+        let kept: BTreeSet<&ItemKey> = snapshot.items.iter().map(|(key, _, _)| key).collect();
+        let removed = self
+            .items
+            .keys()
+            .filter(|key| !kept.contains(key))
+            .map(|key| ConfigurationChange {
+                revision: snapshot.revision,
+                key: key.clone(),
+                item: None,
+            });
+        let put = snapshot
+            .items
+            .iter()
+            .filter(|(key, revision, item)| {
+                self.item(key)
+                    .is_none_or(|(changed, known)| changed != revision || known != item)
+            })
+            .map(|(key, revision, item)| ConfigurationChange {
+                revision: *revision,
+                key: key.clone(),
+                item: Some(item.clone()),
+            });
+        removed.chain(put).collect()
+    }
+
     /// The whole configuration, to be sent to another daemon.
     pub fn snapshot(&self) -> ConfigurationSnapshot {
         let items = self
@@ -75,21 +103,6 @@
         }
     }
 
-    /// Whether the items are those of a snapshot, whatever its revision.
-    pub(super) fn has_items_of(&self, snapshot: &ConfigurationSnapshot) -> bool {
-        let theirs: BTreeMap<_, _> = snapshot
-            .items
-            .iter()
-            .map(|(key, revision, item)| (key, (revision, item)))
-            .collect();
-        let ours: BTreeMap<_, _> = self
-            .items
-            .iter()
-            .map(|(key, (revision, item))| (key, (revision, item)))
-            .collect();
-        ours == theirs
-    }
-
     fn apply_change(&mut self, change: &ConfigurationChange) {
         match &change.item {
             Some(item) => {
--- a/crates/control/src/configuration/keeper.rs
+++ b/crates/control/src/configuration/keeper.rs
@@ -4,7 +4,7 @@
 //! carries its sender's revision; a daemon that sees a higher one, and is not told shortly after,
 //! asks for what it lacks. So what the first way misses, the second repairs.
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -16,11 +16,15 @@
 use rand::seq::IndexedRandom;
 use rand_chacha::ChaCha8Rng;
 
+use super::log::ChangeLog;
 use super::{Applied, Configuration};
 
 /// Most daemons of other zones whose revision is remembered.
 const MAX_OUTSIDE: usize = 128;
 
+/// Questions for a few changes in a row without an answer before the pauses grow.
+pub const FAST_QUESTIONS: u32 = 8;
+
 /// Durations and sizes that steer the spread of configuration.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct KeeperSettings {
@@ -34,10 +38,13 @@
     pub patience: Duration,
     /// Time that a daemon which does not coordinate waits before it asks another zone.
     pub outside_patience: Duration,
-    /// Time to wait for an answer before another daemon is asked; doubles.
+    /// Time to wait for a few changes before another daemon is asked; doubles after
+    /// [`FAST_QUESTIONS`].
     pub answer_timeout: Duration,
+    /// Time to wait for a whole configuration before another daemon is asked; doubles.
+    pub snapshot_timeout: Duration,
     /// Longest time to wait for an answer.
-    pub answer_timeout_limit: Duration,
+    pub timeout_limit: Duration,
     /// Shortest time between two snapshots to the same daemon.
     pub snapshot_interval: Duration,
 }
@@ -50,8 +57,9 @@
             recent_changes: 1_000,
             patience: Duration::from_millis(400),
             outside_patience: Duration::from_secs(5),
-            answer_timeout: Duration::from_secs(1),
-            answer_timeout_limit: Duration::from_secs(16),
+            answer_timeout: Duration::from_millis(500),
+            snapshot_timeout: Duration::from_secs(2),
+            timeout_limit: Duration::from_secs(16),
             snapshot_interval: Duration::from_millis(500),
         }
     }
@@ -95,15 +103,15 @@
     current: Arc<Configuration>,
     /// Up to where the store has shown that nothing else changed; at or after the revision in force.
     covered: Revision,
-    /// All changes after `floor` up to the revision in force.
-    recent: VecDeque<ConfigurationChange>,
-    floor: Revision,
+    log: ChangeLog,
     /// The revision that was last sent on.
     pushed: Revision,
     next_push: Timestamp,
+    members: Vec<Peer>,
     known: BTreeMap<DaemonName, Known>,
     question: Option<Question>,
-    answer_timeout: Duration,
+    /// Questions in a row without an answer.
+    unanswered: u32,
     snapshots_sent: BTreeMap<DaemonName, Timestamp>,
     random: ChaCha8Rng,
 }
@@ -112,17 +120,17 @@
     /// A keeper without any configuration, for a daemon of a zone.
     pub fn new(settings: KeeperSettings, zone: ZoneName, seed: u64) -> Self {
         Self {
-            answer_timeout: settings.answer_timeout,
+            log: ChangeLog::new(settings.recent_changes),
             settings,
             zone,
             current: Arc::default(),
             covered: Revision(0),
-            recent: VecDeque::new(),
-            floor: Revision(0),
             pushed: Revision(0),
             next_push: Timestamp::ZERO,
+            members: Vec::new(),
             known: BTreeMap::new(),
             question: None,
+            unanswered: 0,
             snapshots_sent: BTreeMap::new(),
             random: ChaCha8Rng::seed_from_u64(seed),
         }
@@ -166,11 +174,14 @@
         applied
     }
 
-    /// Takes in a whole list of the store. Returns whether anything changed.
+    /// Takes in a whole list of the store. Returns whether anything changed. A list that differs in
+    /// nothing but its revision only notes how far the store has come.
     pub fn learn_snapshot(&mut self, snapshot: &ConfigurationSnapshot) -> bool {
-        let known = self.revision() > Revision(0) && self.current.has_items_of(snapshot);
+        let known = self.revision() > Revision(0)
+            && snapshot.revision > self.revision()
+            && self.current.changes_to(snapshot).is_empty();
         let changed = !known && self.replace(snapshot);
-        if known || changed {
+        if known {
             self.covered = self.covered.max(snapshot.revision);
         }
         changed
@@ -221,21 +232,22 @@
         actions
     }
 
-    /// Sends on what is new and asks for what is missing. `members` are the other live members of
-    /// the zone; `coordinates` says whether this daemon speaks for the zone.
-    pub fn tick(
-        &mut self,
-        members: &[Peer],
-        coordinates: bool,
-        now: Timestamp,
-    ) -> Vec<KeeperAction> {
+    /// Notes the other live members of the zone.
+    pub fn set_members(&mut self, members: &[Peer]) {
+        self.members = members.to_vec();
         let zone = &self.zone;
         self.known.retain(|name, known| {
             known.peer.zone != *zone || members.iter().any(|peer| peer.name == *name)
         });
+    }
+
+    /// Sends on what is new and asks for what is missing. `coordinates` says whether this daemon
+    /// speaks for the zone.
+    pub fn tick(&mut self, coordinates: bool, now: Timestamp) -> Vec<KeeperAction> {
+        let interval = self.settings.snapshot_interval;
         self.snapshots_sent
-            .retain(|_, sent| now.since(*sent) < self.settings.snapshot_interval);
-        let mut actions = self.push(members, now);
+            .retain(|_, sent| now.since(*sent) < interval);
+        let mut actions = self.push(now);
         actions.extend(self.ask(coordinates, now));
         actions
     }
@@ -245,61 +257,42 @@
         let applied = self.current.check_delta(delta);
         if applied == Applied::Applied {
             Arc::make_mut(&mut self.current).apply_delta(delta);
-            self.remember(delta, before);
-            self.covered = self.covered.max(delta.to);
+            self.log.append(delta, before);
+            self.risen();
         }
         applied
     }
 
+    /// Takes over a newer snapshot as the changes that lead to it, so that daemons which are behind
+    /// can still be sent changes.
     fn replace(&mut self, snapshot: &ConfigurationSnapshot) -> bool {
-        if snapshot.revision <= self.revision() {
+        let from = self.revision();
+        if snapshot.revision <= from {
             return false;
         }
-        self.current = Arc::new(Configuration::new(
-            snapshot.revision,
-            snapshot.items.iter().cloned(),
-        ));
-        self.recent.clear();
-        self.floor = snapshot.revision;
-        self.covered = self.covered.max(snapshot.revision);
-        true
-    }
-
-    fn remember(&mut self, delta: &ConfigurationDelta, before: Revision) {
-        let mut changes: Vec<ConfigurationChange> = delta
-            .changes
-            .iter()
-            .filter(|change| change.revision > before)
-            .cloned()
-            .collect();
-        changes.sort_by_key(|change| change.revision);
-        self.recent.extend(changes);
-        while self.recent.len() > self.settings.recent_changes {
-            if let Some(dropped) = self.recent.pop_front() {
-                self.floor = dropped.revision;
-            }
+        let delta = ConfigurationDelta {
+            from,
+            to: snapshot.revision,
+            changes: self.current.changes_to(snapshot),
+        };
+        if from > Revision(0) && self.apply(&delta) == Applied::Applied {
+            self.log.note_gap(from, snapshot.revision);
+            return true;
         }
+        let replaced = Arc::make_mut(&mut self.current).apply_snapshot(snapshot);
+        self.log.restart(snapshot.revision);
+        self.risen();
+        replaced
     }
 
-    /// The changes after a revision, if they are all kept and fewer than the items.
-    fn delta_since(&self, have: Revision) -> Option<ConfigurationDelta> {
-        if have < self.floor {
-            return None;
-        }
-        let changes: Vec<ConfigurationChange> = self
-            .recent
-            .iter()
-            .filter(|change| change.revision > have)
-            .cloned()
-            .collect();
-        Some(ConfigurationDelta {
-            from: have,
-            to: self.revision(),
-            changes,
-        })
+    /// Follows up a rise of the revision in force: whatever was asked for may have come.
+    fn risen(&mut self) {
+        self.covered = self.covered.max(self.revision());
+        self.question = None;
+        self.unanswered = 0;
     }
 
-    fn push(&mut self, members: &[Peer], now: Timestamp) -> Vec<KeeperAction> {
+    fn push(&mut self, now: Timestamp) -> Vec<KeeperAction> {
         let revision = self.revision();
         if self.pushed >= revision || now < self.next_push {
             return Vec::new();
@@ -307,7 +300,8 @@
         let from = self.pushed;
         self.pushed = revision;
         self.next_push = now + self.settings.push_interval;
-        let behind: Vec<&Peer> = members
+        let behind: Vec<&Peer> = self
+            .members
             .iter()
             .filter(|peer| self.known_revision(peer) < Some(revision))
             .collect();
@@ -323,8 +317,8 @@
 
     /// A delta for one member; a member that lacks more than is kept asks for a snapshot itself.
     fn push_to(&self, to: Peer, from: Revision) -> Option<KeeperAction> {
-        let have = self.known_revision(&to).unwrap_or(from).max(self.floor);
-        let message = Message::Configuration(self.delta_since(have)?);
+        let have = self.known_revision(&to).unwrap_or(from);
+        let message = Message::Configuration(self.log.since(have)?);
         Some(KeeperAction::Send { to, message })
     }
 
@@ -334,12 +328,13 @@
 
     fn ask(&mut self, coordinates: bool, now: Timestamp) -> Option<KeeperAction> {
         if let Some(question) = &self.question {
-            if now.since(question.asked) < self.answer_timeout {
+            if now.since(question.asked) < self.timeout() {
                 return None;
             }
-            self.answer_timeout = (self.answer_timeout * 2).min(self.settings.answer_timeout_limit);
-            let silent = self.question.take();
-            self.forget_silent(silent.map(|question| question.to));
+            // One that did not answer is asked again only after it has been heard again.
+            self.known.remove(&question.to);
+            self.question = None;
+            self.unanswered += 1;
         }
         let candidates: Vec<&Known> = self
             .known
@@ -356,11 +351,18 @@
         Some(KeeperAction::Send { to, message })
     }
 
-    /// One that did not answer is asked again only after it has been heard again.
-    fn forget_silent(&mut self, name: Option<DaemonName>) {
-        if let Some(name) = name {
-            self.known.remove(&name);
-        }
+    /// How long the present question may stay unanswered.
+    fn timeout(&self) -> Duration {
+        let (first, doublings) = if self.revision() == Revision(0) {
+            (self.settings.snapshot_timeout, self.unanswered)
+        } else {
+            let doublings = self.unanswered.saturating_sub(FAST_QUESTIONS);
+            (self.settings.answer_timeout, doublings)
+        };
+        let factor = 1_u32.checked_shl(doublings).unwrap_or(u32::MAX);
+        first
+            .saturating_mul(factor)
+            .min(self.settings.timeout_limit)
     }
 
     fn may_ask(&self, known: &Known, coordinates: bool, now: Timestamp) -> bool {
@@ -382,7 +384,7 @@
             .is_some_and(|question| question.to == *by)
         {
             self.question = None;
-            self.answer_timeout = self.settings.answer_timeout;
+            self.unanswered = 0;
         }
     }
 
@@ -391,7 +393,8 @@
             return None;
         }
         let delta = self
-            .delta_since(have)
+            .log
+            .since(have)
             .filter(|delta| delta.changes.len() <= self.current.items().count().max(1));
         let message = match delta {
             Some(delta) => Message::Configuration(delta),
--- a/crates/control/src/configuration/mod.rs
+++ b/crates/control/src/configuration/mod.rs
@@ -2,9 +2,10 @@
 
 mod apply;
 mod keeper;
+mod log;
 
 pub use apply::Applied;
-pub use keeper::{ConfigurationKeeper, KeeperAction, KeeperSettings};
+pub use keeper::{ConfigurationKeeper, FAST_QUESTIONS, KeeperAction, KeeperSettings};
 
 use std::collections::{BTreeMap, BTreeSet};
 
--- a/crates/control/src/gossip/interface.rs
+++ b/crates/control/src/gossip/interface.rs
@@ -25,7 +25,9 @@
     pub rumor_factor: u32,
     /// Bytes of facts that ride on a message, at most.
     pub piggyback_bytes: usize,
-    /// Time between two messages of a coordinator to another zone.
+    /// Time between two sends of news by a coordinator to other zones.
+    pub outside_rumor_interval: Duration,
+    /// Time between two messages of a coordinator to another zone, news or not.
     pub exchange_interval: Duration,
 }
 
@@ -38,6 +40,7 @@
             rumor_fanout: 3,
             rumor_factor: 3,
             piggyback_bytes: 600,
+            outside_rumor_interval: Duration::from_millis(500),
             exchange_interval: Duration::from_secs(2),
         }
     }
--- a/crates/control/src/gossip/mod.rs
+++ b/crates/control/src/gossip/mod.rs
@@ -149,8 +149,7 @@
     fn tick(&mut self, now: Timestamp) -> Vec<GossipAction> {
         let members = self.membership.handle(MembershipEvent::Tick, now);
         let mut actions = self.carry_out_membership(members);
-        let others = self.membership.others();
-        let configuration = self.configuration.tick(&others, self.coordinates, now);
+        let configuration = self.configuration.tick(self.coordinates, now);
         actions.extend(self.carry_out_configuration(configuration));
         actions.extend(self.spread_rumors(now));
         actions.extend(self.exchange(now));
@@ -216,8 +215,7 @@
         match applied {
             Applied::Applied => {
                 let mut actions = vec![GossipAction::ConfigurationChanged];
-                let others = self.membership.others();
-                let pushes = self.configuration.tick(&others, self.coordinates, now);
+                let pushes = self.configuration.tick(self.coordinates, now);
                 actions.extend(self.carry_out_configuration(pushes));
                 actions
             }
@@ -278,19 +276,20 @@
 
     fn carry_out_membership(&mut self, actions: Vec<MembershipAction>) -> Vec<GossipAction> {
         let mut carried_out = Vec::new();
+        let mut changed = false;
         for action in actions {
             match action {
                 MembershipAction::Send { to, message } => {
                     let envelope = self.wrap_for_zone(to, message);
                     carried_out.push(GossipAction::Send(to, envelope));
                 }
-                MembershipAction::MemberChanged { .. } => {
-                    if !carried_out.contains(&GossipAction::MembersChanged) {
-                        carried_out.push(GossipAction::MembersChanged);
-                    }
-                }
+                MembershipAction::MemberChanged { .. } => changed = true,
             }
         }
+        if changed {
+            self.configuration.set_members(self.membership.others());
+            carried_out.push(GossipAction::MembersChanged);
+        }
         carried_out
     }
 
--- a/crates/control/src/gossip/outside.rs
+++ b/crates/control/src/gossip/outside.rs
@@ -17,6 +17,9 @@
 /// One exchange in this many goes to a seed, which may know of a coordinator that nobody else does.
 const SEED_SHARE: u32 = 8;
 
+/// Zones that news is sent to each time.
+const OUTSIDE_FANOUT: usize = 2;
+
 /// Heads repeated in each exchange beside news, to repair what rumors missed.
 const REPEATED_HEADS: usize = 2;
 
@@ -27,6 +30,7 @@
     /// The daemon last heard of each other zone.
     contacts: BTreeMap<ZoneName, Peer>,
     next_exchange: Timestamp,
+    next_news: Timestamp,
     random: ChaCha8Rng,
 }
 
@@ -37,6 +41,7 @@
             seeds,
             contacts: BTreeMap::new(),
             next_exchange: Timestamp::ZERO,
+            next_news: Timestamp::ZERO,
             random: ChaCha8Rng::seed_from_u64(seed),
         }
     }
@@ -50,23 +55,40 @@
 }
 
 impl Gossip {
-    /// A coordinator talks to one other zone every interval.
+    /// A coordinator talks to one other zone every interval, and to a few more while it has news.
     pub(super) fn exchange(&mut self, now: Timestamp) -> Vec<GossipAction> {
-        if !self.coordinates || now < self.outside.next_exchange {
+        if !self.coordinates {
             return Vec::new();
         }
-        self.outside.next_exchange = now + self.settings.exchange_interval;
-        if self.outside.random.random_ratio(1, SEED_SHARE)
-            && let Some(seed) = self.stranger()
-        {
-            let envelope = self.wrap_for_zone(seed, Message::Join);
-            return vec![GossipAction::Send(seed, envelope)];
+        let mut actions = self.spread_outside(now);
+        if now < self.outside.next_exchange {
+            return actions;
         }
+        self.outside.next_exchange = now + self.settings.exchange_interval;
         let targets = self.other_zones();
-        let Some(to) = targets.choose(&mut self.outside.random).cloned() else {
-            return self.ask_seed();
-        };
-        vec![self.exchange_with(&to)]
+        let ask_seed = self.outside.random.random_ratio(1, SEED_SHARE);
+        match targets.choose(&mut self.outside.random).cloned() {
+            Some(to) if !ask_seed => actions.push(self.exchange_with(&to)),
+            _ => actions.extend(self.ask_seed()),
+        }
+        actions
+    }
+
+    fn spread_outside(&mut self, now: Timestamp) -> Vec<GossipAction> {
+        let news = self.heads.spreading_outside() || self.marks.spreading_outside();
+        if !news || now < self.outside.next_news {
+            return Vec::new();
+        }
+        self.outside.next_news = now + self.settings.outside_rumor_interval;
+        let zones = self.other_zones();
+        let chosen: Vec<Peer> = zones
+            .sample(&mut self.outside.random, OUTSIDE_FANOUT)
+            .cloned()
+            .collect();
+        chosen
+            .into_iter()
+            .map(|to| self.send(&to, Message::Facts))
+            .collect()
     }
 
     fn exchange_with(&mut self, to: &Peer) -> GossipAction {
@@ -82,19 +104,17 @@
         GossipAction::Send(to.address, envelope)
     }
 
-    fn ask_seed(&mut self) -> Vec<GossipAction> {
-        let Some(seed) = self.stranger() else {
-            return Vec::new();
-        };
+    fn ask_seed(&mut self) -> Option<GossipAction> {
+        let seed = self.stranger()?;
         let envelope = self.wrap_for_zone(seed, Message::Join);
-        vec![GossipAction::Send(seed, envelope)]
+        Some(GossipAction::Send(seed, envelope))
     }
 
     /// A seed that is no live member of the own zone.
     fn stranger(&mut self) -> Option<SocketAddr> {
         let live: Vec<SocketAddr> = self
             .membership
-            .alive()
+            .others()
             .iter()
             .map(|peer| peer.address)
             .collect();
--- a/crates/control/src/heads.rs
+++ b/crates/control/src/heads.rs
@@ -55,6 +55,11 @@
         !self.zone_rumors.is_empty()
     }
 
+    /// Whether heads are on their way to other zones.
+    pub fn spreading_outside(&self) -> bool {
+        !self.outside_rumors.is_empty()
+    }
+
     /// Picks heads for an envelope to a member of the own zone.
     pub fn for_zone(&mut self, budget: &mut Budget, limit: u32) -> Vec<ZoneHead> {
         let heads = &self.by_zone;
--- a/crates/control/src/marks.rs
+++ b/crates/control/src/marks.rs
@@ -150,6 +150,11 @@
         !self.zone_rumors.is_empty()
     }
 
+    /// Whether marks are on their way to other zones.
+    pub fn spreading_outside(&self) -> bool {
+        !self.outside_rumors.is_empty()
+    }
+
     /// Picks marks for an envelope to a member of the own zone.
     pub fn for_zone(&mut self, budget: &mut Budget, limit: u32) -> Vec<RunnerMark> {
         let marks = &self.by_runner;
--- a/crates/control/src/membership/mod.rs
+++ b/crates/control/src/membership/mod.rs
@@ -6,7 +6,9 @@
 //! seeds; dead members and seeds are asked now and then, so that a zone that was cut in two joins
 //! again.
 
+mod detection;
 mod joining;
+mod merging;
 mod probes;
 mod table;
 
@@ -16,13 +18,13 @@
 
 use flaxward_types::{DaemonName, Timestamp};
 use flaxward_wire::{MemberState, MemberUpdate, Message, Peer};
+use rand::SeedableRng;
 use rand::seq::IndexedRandom;
-use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
 use crate::rumors::{Budget, Rumors, next_in_turn};
 use joining::Joining;
-use probes::{Probe, Probes};
+use probes::Probes;
 pub use table::{MAX_MEMBERS, Member, is_live, replaces};
 use table::{MemberTable, alive, preference};
 
@@ -108,6 +110,8 @@
     incarnation: u64,
     left: bool,
     table: MemberTable,
+    /// The live members in the table without this daemon.
+    others: Vec<Peer>,
     rumors: Rumors<DaemonName>,
     repeated: Option<DaemonName>,
     probes: Probes,
@@ -140,6 +144,7 @@
             incarnation,
             left: false,
             table,
+            others: Vec::new(),
             rumors,
             repeated: None,
             probes: Probes::default(),
@@ -164,12 +169,8 @@
     }
 
     /// The members that take part, without this daemon.
-    pub fn others(&self) -> Vec<Peer> {
-        self.table
-            .live()
-            .filter(|member| member.update.peer.name != self.me.name)
-            .map(|member| member.update.peer.clone())
-            .collect()
+    pub fn others(&self) -> &[Peer] {
+        &self.others
     }
 
     /// Everything known about members, the dead included.
@@ -186,7 +187,7 @@
     /// first. The order of any two members never changes. A daemon that has left comes last.
     pub fn rank(&self) -> usize {
         let own = preference(&self.me.zone, &self.me.name);
-        self.others()
+        self.others
             .iter()
             .filter(|peer| self.left || preference(&self.me.zone, &peer.name) < own)
             .count()
@@ -271,356 +272,9 @@
 
     /// Picks up to `count` random members that take part, without this daemon.
     pub fn sample(&mut self, count: usize) -> Vec<Peer> {
-        let others = self.others();
-        others.sample(&mut self.random, count).cloned().collect()
-    }
-
-    fn tick(&mut self, now: Timestamp, actions: &mut Vec<MembershipAction>) {
-        let gap = now.since(self.last_tick.unwrap_or(now));
-        self.last_tick = Some(now);
-        if gap > self.settings.pause {
-            self.forgive(now);
-        }
-        self.end_suspicions(now, actions);
-        self.advance_probe(now, actions);
-        self.ask_strangers(now, actions);
-        self.forget(now);
-    }
-
-    /// After a pause of this daemon itself, nobody else is to blame for what it did not hear.
-    fn forgive(&mut self, now: Timestamp) {
-        self.probes.current = None;
-        self.next_probe = now;
-        for since in self.suspects.values_mut() {
-            *since = now;
-        }
-    }
-
-    fn end_suspicions(&mut self, now: Timestamp, actions: &mut Vec<MembershipAction>) {
-        let over: Vec<DaemonName> = self
-            .suspects
-            .iter()
-            .filter(|(_, since)| now.since(**since) >= self.settings.suspicion)
-            .map(|(name, _)| name.clone())
-            .collect();
-        for name in over {
-            self.change_state(&name, MemberState::Dead, now, actions);
-        }
-    }
-
-    fn change_state(
-        &mut self,
-        name: &DaemonName,
-        state: MemberState,
-        now: Timestamp,
-        actions: &mut Vec<MembershipAction>,
-    ) {
-        let Some(member) = self.table.get(name) else {
-            return;
-        };
-        let mut update = member.update.clone();
-        update.state = state;
-        self.merge(&update, now, actions);
-    }
-
-    fn advance_probe(&mut self, now: Timestamp, actions: &mut Vec<MembershipAction>) {
-        self.probes
-            .expire_before(now - self.settings.probe_interval);
-        self.probe_indirectly(now, actions);
-        if now < self.next_probe {
-            return;
-        }
-        self.end_probe(now, actions);
-        self.next_probe = now + self.settings.probe_interval;
-        self.begin_probe(now, actions);
-    }
-
-    fn begin_probe(&mut self, now: Timestamp, actions: &mut Vec<MembershipAction>) {
-        let others = self.others();
-        let Some(target) = self.probes.next_target(&others, &mut self.random) else {
-            return;
-        };
-        let sequence = self.probes.next_sequence();
-        actions.push(MembershipAction::Send {
-            to: target.address,
-            message: Message::Probe { sequence },
-        });
-        self.probes.current = Some(Probe {
-            sequence,
-            target,
-            began: now,
-            indirect: false,
-            answered: false,
-        });
-    }
-
-    fn probe_indirectly(&mut self, now: Timestamp, actions: &mut Vec<MembershipAction>) {
-        let timeout = self.settings.probe_timeout;
-        let Some(probe) = self.probes.current.as_mut().filter(|probe| {
-            !probe.answered && !probe.indirect && now.since(probe.began) >= timeout
-        }) else {
-            return;
-        };
-        probe.indirect = true;
-        let (sequence, target) = (probe.sequence, probe.target.clone());
-        actions.push(MembershipAction::Send {
-            to: target.address,
-            message: Message::Probe { sequence },
-        });
-        let mut helpers = self.others();
-        helpers.retain(|peer| peer.name != target.name);
-        let chosen: Vec<Peer> = helpers
-            .sample(&mut self.random, self.settings.indirect_probes)
+        self.others
+            .sample(&mut self.random, count)
             .cloned()
-            .collect();
-        for helper in chosen {
-            let target = target.clone();
-            actions.push(MembershipAction::Send {
-                to: helper.address,
-                message: Message::ProbeFor { sequence, target },
-            });
-        }
-    }
-
-    fn end_probe(&mut self, now: Timestamp, actions: &mut Vec<MembershipAction>) {
-        let Some(probe) = self.probes.current.take() else {
-            return;
-        };
-        let same_address = self
-            .table
-            .get(&probe.target.name)
-            .is_some_and(|member| member.update.peer == probe.target);
-        if !probe.answered && same_address {
-            self.change_state(&probe.target.name, MemberState::Suspect, now, actions);
-        }
-    }
-
-    fn ask_strangers(&mut self, now: Timestamp, actions: &mut Vec<MembershipAction>) {
-        if self.left {
-            return;
-        }
-        let alone = self.others().is_empty();
-        for to in self.joining.due(alone, &self.table, now, &mut self.random) {
-            actions.push(MembershipAction::Send {
-                to,
-                message: Message::Join,
-            });
-        }
-    }
-
-    fn forget(&mut self, now: Timestamp) {
-        for name in self.table.forget_before(now - self.settings.forget_after) {
-            self.rumors.remove(&name);
-        }
-    }
-
-    fn receive(
-        &mut self,
-        from: &Peer,
-        members: &[MemberUpdate],
-        message: Message,
-        now: Timestamp,
-        actions: &mut Vec<MembershipAction>,
-    ) {
-        if from.zone != self.me.zone {
-            self.joining.is_elsewhere(from.address);
-            return;
-        }
-        if from.name == self.me.name {
-            return;
-        }
-        for update in members {
-            self.merge(update, now, actions);
-        }
-        match message {
-            Message::Probe { sequence } => self.answer_probe(from, sequence, actions),
-            Message::ProbeFor { sequence, target } => {
-                self.relay_probe(from, sequence, &target, now, actions);
-            }
-            Message::Alive { sequence, target } => {
-                self.probe_answered(sequence, &target, actions);
-            }
-            Message::Join => self.answer_join(from, actions),
-            Message::Members { members } => self.reconcile(&members, now, actions),
-            _ => {}
-        }
-        self.greet(from, now, actions);
-    }
-
-    fn answer_probe(&self, from: &Peer, sequence: u64, actions: &mut Vec<MembershipAction>) {
-        if self.left {
-            return;
-        }
-        let target = self.me.name.clone();
-        actions.push(MembershipAction::Send {
-            to: from.address,
-            message: Message::Alive { sequence, target },
-        });
-    }
-
-    fn relay_probe(
-        &mut self,
-        from: &Peer,
-        sequence: u64,
-        target: &Peer,
-        now: Timestamp,
-        actions: &mut Vec<MembershipAction>,
-    ) {
-        if let Some(sequence) = self.probes.relay(from.clone(), sequence, now) {
-            actions.push(MembershipAction::Send {
-                to: target.address,
-                message: Message::Probe { sequence },
-            });
-        }
-    }
-
-    fn probe_answered(
-        &mut self,
-        sequence: u64,
-        target: &DaemonName,
-        actions: &mut Vec<MembershipAction>,
-    ) {
-        self.probes.answered(sequence, target);
-        if let Some((asker, sequence)) = self.probes.relayed(sequence) {
-            let target = target.clone();
-            actions.push(MembershipAction::Send {
-                to: asker.address,
-                message: Message::Alive { sequence, target },
-            });
-        }
-    }
-
-    fn answer_join(&self, from: &Peer, actions: &mut Vec<MembershipAction>) {
-        if self.left {
-            return;
-        }
-        let members = self.members().cloned().collect();
-        actions.push(MembershipAction::Send {
-            to: from.address,
-            message: Message::Members { members },
-        });
-    }
-
-    /// Compares all members of another daemon with those known here. One that it holds alive and
-    /// that is dead here is probed, with the news of its death, so that it can refute.
-    fn reconcile(
-        &mut self,
-        members: &[MemberUpdate],
-        now: Timestamp,
-        actions: &mut Vec<MembershipAction>,
-    ) {
-        for update in members {
-            let disputed = is_live(update.state)
-                && update.peer.name != self.me.name
-                && self
-                    .table
-                    .get(&update.peer.name)
-                    .is_some_and(|known| !known.is_live() && !replaces(update, &known.update));
-            if disputed {
-                let sequence = self.probes.next_sequence();
-                actions.push(MembershipAction::Send {
-                    to: update.peer.address,
-                    message: Message::Probe { sequence },
-                });
-            } else {
-                self.merge(update, now, actions);
-            }
-        }
-    }
-
-    /// A sender that is not a live member here is asked for its members, and so learns what is said
-    /// of it.
-    fn greet(&mut self, from: &Peer, now: Timestamp, actions: &mut Vec<MembershipAction>) {
-        let known = self.table.get(&from.name).is_some_and(|member| {
-            let present = member.is_live() || member.update.state == MemberState::Left;
-            present && member.update.peer.address == from.address
-        });
-        if !known && !self.left && self.joining.may_greet(from.address, now) {
-            actions.push(MembershipAction::Send {
-                to: from.address,
-                message: Message::Join,
-            });
-        }
-    }
-
-    fn merge(
-        &mut self,
-        update: &MemberUpdate,
-        now: Timestamp,
-        actions: &mut Vec<MembershipAction>,
-    ) {
-        if update.peer.zone != self.me.zone {
-            return;
-        }
-        if update.peer.name == self.me.name {
-            self.refute(update, now, actions);
-            return;
-        }
-        let before = self
-            .table
-            .get(&update.peer.name)
-            .map(|member| member.update.clone());
-        if self.table.merge(update, now) {
-            self.note(before.as_ref(), update, now, actions);
-        }
-    }
-
-    /// Answers a fact about this daemon itself that is not so.
-    fn refute(
-        &mut self,
-        update: &MemberUpdate,
-        now: Timestamp,
-        actions: &mut Vec<MembershipAction>,
-    ) {
-        let own = self.own_update();
-        if self.left || !replaces(update, &own) {
-            return;
-        }
-        self.incarnation = update.incarnation.saturating_add(1);
-        let update = alive(self.me.clone(), self.incarnation);
-        self.adopt(&update, now, actions);
-    }
-
-    fn adopt(
-        &mut self,
-        update: &MemberUpdate,
-        now: Timestamp,
-        actions: &mut Vec<MembershipAction>,
-    ) {
-        let before = self
-            .table
-            .get(&update.peer.name)
-            .map(|member| member.update.clone());
-        self.table.insert(update.clone(), now);
-        self.note(before.as_ref(), update, now, actions);
-    }
-
-    /// Follows up a fact that was taken over.
-    fn note(
-        &mut self,
-        before: Option<&MemberUpdate>,
-        update: &MemberUpdate,
-        now: Timestamp,
-        actions: &mut Vec<MembershipAction>,
-    ) {
-        let name = &update.peer.name;
-        self.rumors.push(name.clone());
-        if update.state == MemberState::Suspect {
-            self.suspects.insert(name.clone(), now);
-        } else {
-            self.suspects.remove(name);
-        }
-        if before.is_none_or(|before| !is_live(before.state)) && is_live(update.state) {
-            let position = self.random.random_range(0..MAX_MEMBERS);
-            self.probes.add(name.clone(), position);
-        }
-        let changed =
-            before.is_none_or(|before| before.state != update.state || before.peer != update.peer);
-        if changed {
-            actions.push(MembershipAction::MemberChanged {
-                peer: update.peer.clone(),
-                state: update.state,
-            });
-        }
+            .collect()
     }
 }
