--- a/crates/control/src/coordinator/answers.rs
+++ b/crates/control/src/coordinator/answers.rs
@@ -13,7 +13,7 @@
 /// Estimate added while something else has to happen before the load.
 const PREPARATION: Duration = Duration::from_secs(1);
 /// Estimates that grow by less than this are not worth an answer.
-const ESTIMATE_SLACK: Duration = Duration::from_millis(500);
+const ESTIMATE_SLACK: Duration = Duration::from_secs(1);
 /// When to ask again about a model that is not configured.
 const ASK_AGAIN_UNKNOWN: Duration = Duration::from_secs(1);
 
@@ -44,14 +44,18 @@
 }
 
 impl Leading {
-    /// Answers one gateway.
+    /// Answers one gateway, unless it is being answered anyway.
     pub(super) fn answer_gateway(
         &mut self,
         gateway: &DaemonName,
         artifact: &ArtifactId,
         context: &Context,
     ) {
-        if self.placement.fenced() {
+        let answered = self.actions.iter().any(|action| {
+            matches!(action, CoordinatorAction::Answer(to, answer)
+                if to == gateway && answer.artifact == *artifact)
+        });
+        if self.placement.fenced() && !answered {
             let (ready, outlook) = self.state_of(artifact, context);
             self.send_answer(gateway, artifact, ready, outlook, context);
         }
--- a/crates/control/src/coordinator/choice.rs
+++ b/crates/control/src/coordinator/choice.rs
@@ -58,10 +58,15 @@
         let mut best: Option<(Duration, u64, Choice)> = None;
         let mut fits = false;
         let mut could_fit = false;
+        let mut failed_before = false;
         for name in self.runners.keys() {
             if !self.is_candidate(artifact, name, context) {
                 continue;
             }
+            if self.failures.failed_on(artifact, name) {
+                failed_before = true;
+                continue;
+            }
             let bytes = context.configuration.bytes(artifact).unwrap_or(0) + wanted.extra_bytes;
             could_fit |= self.could_fit(name, bytes);
             let room = self.room(name, bytes, context);
@@ -87,10 +92,23 @@
         if let Some((_, _, choice)) = best {
             return Ok(choice);
         }
-        if fits {
-            return Err(self.without_slot(artifact, &subject, context));
+        let block = if fits {
+            self.without_slot(artifact, &subject, context)
+        } else if failed_before {
+            Block::Refused(ResultCode::LoadFailed, ASK_AGAIN)
+        } else {
+            self.without_memory(artifact, &subject, could_fit, context)
+        };
+        if failed_before && matches!(block, Block::Refused(..)) {
+            return Err(self.after_failures(artifact, context));
         }
-        Err(self.without_memory(artifact, &subject, could_fit, context))
+        Err(block)
+    }
+
+    /// Failed loads have left nothing to try: a pause begins, and then all is tried again.
+    fn after_failures(&mut self, artifact: &ArtifactId, context: &Context) -> Block {
+        let until = self.failures.pause(artifact, context.now, context.settings);
+        Block::Refused(ResultCode::LoadFailed, until.since(context.now))
     }
 
     fn is_candidate(&self, artifact: &ArtifactId, name: &RunnerName, context: &Context) -> bool {
@@ -102,9 +120,7 @@
             && !self.loads.contains_key(&wanted_slot)
             && !self.unloads.contains_key(&wanted_slot);
         let has_base = !artifact.is_adapter() || self.has_base(artifact, name);
-        free && has_base
-            && self.takes_loads(name, context.now)
-            && !self.failures.failed_on(artifact, name)
+        free && has_base && self.takes_loads(name, context.now)
     }
 
     /// Whether the base of an adapter is on a runner, or on its way there.
@@ -222,7 +238,7 @@
         if units == 0 {
             return self.without_units(artifact, subject, context);
         }
-        if self.quotas.claimed_units(subject) < units || self.slot_is_coming(subject, context) {
+        if self.quotas.claimed_units(subject) < units || self.slot_is_coming(artifact, context) {
             return Block::Waiting;
         }
         let others = self.quotas.other_zones(subject);
@@ -252,7 +268,8 @@
 
     /// Whether a slot of the subject will be free soon: something is being unloaded or written, a
     /// runner is still to be sealed, or an idle replica of another version can go.
-    fn slot_is_coming(&mut self, subject: &QuotaSubject, context: &Context) -> bool {
+    fn slot_is_coming(&mut self, artifact: &ArtifactId, context: &Context) -> bool {
+        let subject = &subject_of(artifact);
         let of_subject: Vec<Slot> = self
             .placement
             .slots()
@@ -267,7 +284,7 @@
                 let here = (slot.runner.clone(), HeldState::Unloading);
                 replicas.contains(&here)
             });
-            if !coming && self.may_yield(&slot, context) {
+            if !coming && self.may_yield(&slot, artifact, context) {
                 self.evict(&slot);
                 coming = true;
             }
@@ -283,16 +300,23 @@
         !sealed && !runner.unreachable(context.now)
     }
 
-    /// Whether a replica can make way for another one of the same subject.
-    fn may_yield(&self, slot: &Slot, context: &Context) -> bool {
+    /// Whether a replica can make way for another artifact of the same subject, or for itself on
+    /// a machine that stays.
+    fn may_yield(&self, slot: &Slot, artifact: &ArtifactId, context: &Context) -> bool {
         let ready = self.runners.get(&slot.runner).is_some_and(|runner| {
             let held = runner.held(&slot.artifact);
             held.is_some_and(|held| held.state == HeldState::Ready)
         });
-        let model = context.configuration.model(&slot.artifact.model);
-        let outdated = model.is_none_or(|model| model.serving != slot.artifact.version);
-        let stays = self.serves(&slot.runner, context.now);
-        ready && (!stays || outdated || self.is_evictable(slot, context))
+        if !ready || self.live_replicas(artifact, context.now) > 0 {
+            return false;
+        }
+        if !self.serves(&slot.runner, context.now) {
+            return true;
+        }
+        let model = context.configuration.model(&artifact.model);
+        let serving = model.map(|model| &model.serving);
+        let newer = serving == Some(&artifact.version) && serving != Some(&slot.artifact.version);
+        slot.artifact != *artifact && (newer || self.is_evictable(slot, context))
     }
 
     /// Why nothing fits.
--- a/crates/control/src/coordinator/loads.rs
+++ b/crates/control/src/coordinator/loads.rs
@@ -186,20 +186,22 @@
         }
     }
 
-    /// Nothing is left to try: pauses, longer each time.
+    /// Nothing is left to try: pauses, longer each time. Returns the end of the pause.
     pub(super) fn pause(
         &mut self,
         artifact: &ArtifactId,
         now: Timestamp,
         settings: &CoordinatorSettings,
-    ) {
+    ) -> Timestamp {
         let failure = self.by_artifact.entry(artifact.clone()).or_default();
         failure.backoff = (failure.backoff * 2)
             .max(settings.load_backoff)
             .min(LONGEST_BACKOFF);
-        failure.blocked_until = Some(now + failure.backoff);
+        let until = now + failure.backoff;
+        failure.blocked_until = Some(until);
         failure.tries = 0;
         failure.runners.clear();
+        until
     }
 
     /// The artifact is ready: all is forgotten.
@@ -218,10 +220,4 @@
         let failure = self.by_artifact.get(artifact);
         failure.is_some_and(|failure| failure.runners.contains(runner))
     }
-
-    /// Whether any load of the artifact failed since the last pause.
-    pub(super) fn any_since_pause(&self, artifact: &ArtifactId) -> bool {
-        let failure = self.by_artifact.get(artifact);
-        failure.is_some_and(|failure| !failure.runners.is_empty())
-    }
 }
--- a/crates/control/src/coordinator/planner.rs
+++ b/crates/control/src/coordinator/planner.rs
@@ -125,9 +125,13 @@
         let summary = context.demands.summary(artifact)?;
         let model = context.configuration.model(&artifact.model)?;
         let ready = u32::try_from(self.ready_on(artifact, context.now).count()).unwrap_or(u32::MAX);
+        let latest = self.ready_on(artifact, context.now).filter_map(|name| {
+            self.ready_since.get(&slot(artifact, name))
+        });
+        let latest = latest.max().copied().unwrap_or(self.since);
         let waits = summary
             .waiting_since
-            .is_some_and(|since| context.now.since(since) >= SCALE_OUT_AFTER);
+            .is_some_and(|since| context.now.since(since.max(latest)) >= SCALE_OUT_AFTER);
         let crowded = summary.running > RUNNING_PER_REPLICA.saturating_mul(ready);
         let more = ready > 0 && (waits || crowded);
         let limit = self.rule(&subject_of(artifact), context).limit.max(1);
@@ -249,7 +253,6 @@
             match self.choose(artifact, wanted, context) {
                 Ok(choice) => self.begin(artifact, wanted, &choice, context),
                 Err(block) => {
-                    let block = self.after_failures(artifact, block, context);
                     self.blocks.insert(artifact.clone(), block);
                     return;
                 }
@@ -257,17 +260,6 @@
         }
     }
 
-    /// When failed loads have left nothing to try, a pause begins.
-    fn after_failures(&mut self, artifact: &ArtifactId, block: Block, context: &Context) -> Block {
-        let exhausted = matches!(&block, Block::Refused(ResultCode::NoMemory, _))
-            && self.failures.any_since_pause(artifact);
-        if !exhausted {
-            return block;
-        }
-        self.failures.pause(artifact, context.now, context.settings);
-        Block::Refused(ResultCode::LoadFailed, context.settings.load_backoff)
-    }
-
     fn begin(
         &mut self,
         artifact: &ArtifactId,
--- a/crates/control/tests/support/engine.rs
+++ b/crates/control/tests/support/engine.rs
@@ -112,8 +112,9 @@
                 Effect::Loading(artifact.clone(), *bytes)
             }
             OrderAction::Unload { artifact } => {
-                let has_adapters = self.held.keys().any(|held| {
-                    !artifact.is_adapter() && held.is_adapter() && held.base() == *artifact
+                let has_adapters = self.held.values().any(|held| {
+                    let on_base = held.artifact.is_adapter() && held.artifact.base() == *artifact;
+                    on_base && held.state != HeldState::Failed
                 });
                 if has_adapters {
                     return (refused("has adapters"), Effect::None);
--- a/crates/control/tests/support/world.rs
+++ b/crates/control/tests/support/world.rs
@@ -777,7 +777,7 @@
             waiting: 1 - ready,
             running: ready,
             priority: 1,
-            earliest_deadline_ms: want.until - self.now,
+            earliest_deadline_ms: want.until.saturating_sub(self.now),
             arrivals: 0,
         };
         let zone = want.zone.clone();
