--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -9,6 +9,7 @@
 
 mod check_config;
 mod checks;
+mod control;
 mod error;
 mod flags;
 mod key;
--- a/crates/settings/src/sections.rs
+++ b/crates/settings/src/sections.rs
@@ -5,7 +5,6 @@
 use std::time::Duration;
 
 use bytesize::ByteSize;
-use flaxward_control::coordinator::CoordinatorSettings;
 use flaxward_types::{DaemonName, ZoneName};
 use spdlog::Level;
 use url::Url;
@@ -29,9 +28,9 @@
         /// All zones of the region, its own included.
         zones: Vec<ZoneName> = Required;
         /// Address for callers and operators (HTTP).
-        listen: SocketAddr = Default("127.0.0.1:7700");
+        listen: SocketAddr = Default("127.0.0.1:8700");
         /// Address for other daemons, UDP and TCP.
-        peer_listen: SocketAddr = Default("127.0.0.1:7701");
+        peer_listen: SocketAddr = Default("127.0.0.1:8701");
         /// Address under which other daemons reach `peer_listen`, if it is another one.
         peer_advertise: Option<SocketAddr> = Optional;
         /// Daemons that a starting daemon asks for the members, of its own and of other zones.
@@ -60,7 +59,7 @@
     /// Requests of callers.
     gateway => GatewaySection {
         /// Longest body of a request.
-        body_limit: ByteSize = Default("8 MiB");
+        body_limit: ByteSize = Default("1 MiB");
         /// Longest headers of a request, all together.
         header_limit: ByteSize = Default("16 KiB");
         /// Time allowed for the whole body to arrive.
@@ -125,7 +124,7 @@
         /// Time allowed for the answer to a probe before other members are asked to try.
         probe_timeout: Duration = Default("300ms");
         /// Time in which a suspected member can refute the suspicion before it counts as dead.
-        suspicion: Duration = Default("3s");
+        suspicion: Duration = Default("4s");
     }
 }
 
@@ -229,29 +228,4 @@
             stop: stop?,
         })
     }
-
-    /// The settings of the zone's coordinator.
-    pub fn coordinator(&self) -> CoordinatorSettings {
-        let section = &self.coordinator;
-        CoordinatorSettings {
-            lease_duration: section.lease_duration,
-            lease_renewal: section.lease_renewal,
-            clock_drift: section.clock_drift,
-            order_retry: section.order_retry,
-            inventory_poll: section.inventory_poll,
-            inventory_refresh: section.inventory_refresh,
-            load_timeout: section.load_timeout,
-            load_tries: section.load_tries,
-            load_backoff: section.load_backoff,
-            demand_expiry: section.demand_expiry,
-            remote_bytes_per_second: section.remote_bytes_per_second.as_u64(),
-            disk_bytes_per_second: section.disk_bytes_per_second.as_u64(),
-            memory_bytes_per_second: section.memory_bytes_per_second.as_u64(),
-        }
-    }
-
-    /// Where other daemons reach this one; `bound` is the address actually bound.
-    pub fn peer_address(&self, bound: SocketAddr) -> SocketAddr {
-        self.daemon.peer_advertise.unwrap_or(bound)
-    }
 }
--- a/crates/settings/src/value.rs
+++ b/crates/settings/src/value.rs
@@ -72,7 +72,7 @@
 
     fn from_text(text: &str) -> Result<Self, String> {
         text.parse()
-            .map_err(|_| "expected an IP address and a port, such as 10.0.0.1:7700".to_owned())
+            .map_err(|_| "expected an IP address and a port, such as 10.0.0.1:8700".to_owned())
     }
 }
 
--- a/crates/settings/tests/settings.rs
+++ b/crates/settings/tests/settings.rs
@@ -4,6 +4,8 @@
 use std::process::ExitCode;
 use std::time::Duration;
 
+use flaxward_control::attempt::{AttemptSettings, RetryBudgetSettings};
+use flaxward_control::claims::ClaimSettings;
 use flaxward_control::coordinator::CoordinatorSettings;
 use flaxward_settings::{CheckConfig, Flags, Key, Presence, SettingError, Settings, check_config};
 use proptest::prelude::*;
@@ -62,9 +64,12 @@
 }
 
 #[test]
-fn required_keys_suffice_and_the_coordinator_has_its_own_defaults() {
+fn required_keys_suffice_and_the_defaults_are_those_of_the_state_machines() {
     let settings = Settings::load(&required()).expect("valid");
     assert_eq!(settings.coordinator(), CoordinatorSettings::default());
+    assert_eq!(settings.attempts(), AttemptSettings::default());
+    assert_eq!(settings.retries(), RetryBudgetSettings::default());
+    assert_eq!(settings.claims(), ClaimSettings::default());
 }
 
 #[test]
@@ -114,19 +119,19 @@
         ("daemon.listen", "localhost:80", 6002, "daemon.listen"),
         (
             "daemon.listen",
-            "127.0.0.1:7701",
+            "127.0.0.1:8701",
             6002,
             "daemon.peer_listen",
         ),
         (
             "daemon.peer_listen",
-            "0.0.0.0:7701",
+            "0.0.0.0:8701",
             6003,
             "daemon.peer_advertise",
         ),
         (
             "daemon.peer_advertise",
-            "0.0.0.0:7701",
+            "0.0.0.0:8701",
             6002,
             "daemon.peer_advertise",
         ),
@@ -137,7 +142,7 @@
             "daemon.peer_advertise",
         ),
         ("daemon.seeds", "10.0.0.1:0", 6002, "daemon.seeds"),
-        ("daemon.seeds", "c=10.0.0.1:7701", 6002, "daemon.seeds"),
+        ("daemon.seeds", "c=10.0.0.1:8701", 6002, "daemon.seeds"),
         (
             "platform.object_api",
             "10.0.0.1:80",
