--- a/crates/settings/src/control.rs
+++ b/crates/settings/src/control.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 
+use flaxward_control::admission::AdmissionSettings;
 use flaxward_control::attempt::{AttemptSettings, RetryBudgetSettings};
 use flaxward_control::claims::ClaimSettings;
 use flaxward_control::coordinator::CoordinatorSettings;
@@ -34,6 +35,16 @@
         self.daemon.peer_advertise.unwrap_or(bound)
     }
 
+    /// The settings of admission.
+    pub fn admission(&self) -> AdmissionSettings {
+        AdmissionSettings {
+            total_limit: self.gateway.queue_total as usize,
+            coordinator_grace: self.gateway.coordinator_grace,
+            demand_period: self.gateway.demand_renewal,
+            ..AdmissionSettings::default()
+        }
+    }
+
     /// The settings of the attempts of one request.
     pub fn attempts(&self) -> AttemptSettings {
         AttemptSettings {
--- a/crates/settings/tests/settings.rs
+++ b/crates/settings/tests/settings.rs
@@ -4,6 +4,7 @@
 use std::process::ExitCode;
 use std::time::Duration;
 
+use flaxward_control::admission::AdmissionSettings;
 use flaxward_control::attempt::{AttemptSettings, RetryBudgetSettings};
 use flaxward_control::claims::ClaimSettings;
 use flaxward_control::coordinator::CoordinatorSettings;
@@ -67,6 +68,7 @@
 fn required_keys_suffice_and_the_defaults_are_those_of_the_state_machines() {
     let settings = Settings::load(&required()).expect("valid");
     assert_eq!(settings.coordinator(), CoordinatorSettings::default());
+    assert_eq!(settings.admission(), AdmissionSettings::default());
     assert_eq!(settings.attempts(), AttemptSettings::default());
     assert_eq!(settings.retries(), RetryBudgetSettings::default());
     assert_eq!(settings.claims(), ClaimSettings::default());
--- a/crates/types/tests/types/strategies.rs
+++ b/crates/types/tests/types/strategies.rs
@@ -17,7 +17,7 @@
 use flaxward_types::routing::{Demand, Outlook, Replica, RouteAnswer};
 use flaxward_types::{
     ArtifactId, AttemptId, BootId, ConfigurationItem, ItemKey, ModelRef, OrderId, Refusal,
-    ResultCode, Term,
+    ResultCode, Revision, Term,
 };
 use proptest::collection::{btree_map, btree_set, vec};
 use proptest::option;
@@ -253,12 +253,18 @@
         Just(QuotaSubject::WeightStore),
     ];
     let units = || btree_map(name(), any::<u32>(), 0..LIST);
-    (subject, any::<u32>(), units(), units()).prop_map(|(subject, limit, units, wanted)| Quota {
-        subject,
-        limit,
-        units,
-        wanted,
-    })
+    let terms = btree_map(name(), any::<u64>().prop_map(Term), 0..LIST);
+    let numbers = any::<(u32, u64)>();
+    (subject, numbers, units(), units(), terms).prop_map(
+        |(subject, (limit, rule), units, wanted, terms)| Quota {
+            subject,
+            limit,
+            units,
+            wanted,
+            rule: Revision(rule),
+            terms,
+        },
+    )
 }
 
 fn claim_outcome() -> impl Strategy<Value = ClaimOutcome> {
