--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -23,5 +23,5 @@
 pub use error::{SettingError, SettingsErrors};
 pub use flags::{Flags, Override};
 pub use key::{Key, Presence};
-pub use sections::Settings;
+pub use sections::{DaemonSection, Settings};
 pub use value::{Seed, Share};
