--- a/crates/control/src/node/mod.rs
+++ b/crates/control/src/node/mod.rs
@@ -424,7 +424,8 @@
         self.machines_sent = Some(self.now);
         self.machines_sequence += 1;
         let snapshot = self.machines.snapshot(term, self.machines_sequence);
-        for member in self.gossip.membership().others() {
+        let members = self.gossip.membership().others().to_vec();
+        for member in members {
             self.send(&member, Message::Machines(snapshot.clone()));
         }
     }
