--- a/crates/control/src/coordinator/planner.rs
+++ b/crates/control/src/coordinator/planner.rs
@@ -125,9 +125,9 @@
         let summary = context.demands.summary(artifact)?;
         let model = context.configuration.model(&artifact.model)?;
         let ready = u32::try_from(self.ready_on(artifact, context.now).count()).unwrap_or(u32::MAX);
-        let latest = self.ready_on(artifact, context.now).filter_map(|name| {
-            self.ready_since.get(&slot(artifact, name))
-        });
+        let latest = self
+            .ready_on(artifact, context.now)
+            .filter_map(|name| self.ready_since.get(&slot(artifact, name)));
         let latest = latest.max().copied().unwrap_or(self.since);
         let waits = summary
             .waiting_since
--- a/crates/control/tests/coordinator.rs
+++ b/crates/control/tests/coordinator.rs
@@ -130,5 +130,8 @@
 }
 
 fn shrinks() -> u32 {
-    std::env::var("SHRINKS").ok().and_then(|text| text.parse().ok()).unwrap_or(0)
+    std::env::var("SHRINKS")
+        .ok()
+        .and_then(|text| text.parse().ok())
+        .unwrap_or(0)
 }
--- a/crates/gateway/tests/support/store.rs
+++ b/crates/gateway/tests/support/store.rs
@@ -58,6 +58,7 @@
             name: name.to_owned(),
             version: Revision(1),
             operation: Some(operation),
+            replaced: None,
             body,
         };
         objects.insert(name.to_owned(), object.clone());
@@ -79,6 +80,7 @@
             return Err(StoreError::Conflict(Box::new(object.clone())));
         }
         object.version = expected.next();
+        object.replaced = Some(expected);
         object.operation = Some(operation);
         object.body = body;
         Ok(object.clone())
