--- a/crates/control/src/gossip/envelopes.rs
+++ b/crates/control/src/gossip/envelopes.rs
@@ -33,10 +33,7 @@
     fn wrap_news(&mut self, to: SocketAddr, message: Message) -> Envelope {
         let mut envelope = self.bare(message);
         let mut budget = self.budget(&envelope);
-        let limit = transmissions(
-            self.settings.rumor_factor,
-            self.membership.others().len() + 1,
-        );
+        let limit = transmissions(self.settings.rumor_factor, self.membership.size());
         envelope.marks = self.marks.for_zone(&mut budget, limit);
         envelope.heads = self.heads.for_zone(&mut budget, limit);
         envelope.members = self.membership.updates_to_piggyback(to, &mut budget, limit);
--- a/crates/control/src/gossip/mod.rs
+++ b/crates/control/src/gossip/mod.rs
@@ -140,6 +140,7 @@
             GossipEvent::Lead(term) => self.lead(term, now),
             GossipEvent::Resign => {
                 self.coordinates = false;
+                self.marks.forget_views();
                 Vec::new()
             }
             GossipEvent::Leave => self.leave(now),
@@ -287,7 +288,7 @@
             }
         }
         if changed {
-            self.configuration.set_members(self.membership.others());
+            self.configuration.set_members(&self.membership.others());
             carried_out.push(GossipAction::MembersChanged);
         }
         carried_out
--- a/crates/control/src/marks.rs
+++ b/crates/control/src/marks.rs
@@ -1,8 +1,9 @@
 //! Marks on runners: which take no new work.
 //!
-//! A mark is raised by the daemon whose own view of a runner changes, and only then: a daemon
-//! whose machine list lags neither repeats nor revokes what another one has seen. Every change of
-//! mind raises the epoch, and the higher epoch holds everywhere.
+//! A daemon marks a runner as soon as its own view says that it is leaving. It takes a mark back at
+//! once only if its own view said so before; else it may be that only its machine list lags, so it
+//! must see the runner staying for [`CLEAR_AFTER`]. Every change raises the epoch, and the higher
+//! epoch holds everywhere.
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
@@ -15,12 +16,16 @@
 /// Time after which a mark is forgotten if its runner is in no machine list read here.
 pub const FORGET_UNLISTED: Duration = Duration::from_hours(1);
 
+/// Time for which a daemon must see that a runner stays before it takes back another's mark; longer
+/// than machine lists lag.
+pub const CLEAR_AFTER: Duration = Duration::from_mins(1);
+
 /// All marks known.
 #[derive(Clone, Debug, Default)]
 pub struct Marks {
     by_runner: BTreeMap<RunnerName, Mark>,
-    /// What this daemon itself last saw of each runner.
-    views: BTreeMap<RunnerName, bool>,
+    /// What this daemon itself last saw of each runner, and since when.
+    views: BTreeMap<RunnerName, View>,
     /// The machine list as last read.
     listed: Option<BTreeSet<RunnerName>>,
     zone_rumors: Rumors<RunnerName>,
@@ -28,6 +33,12 @@
     repeated: Option<RunnerName>,
 }
 
+#[derive(Clone, Copy, Debug)]
+struct View {
+    leaving: bool,
+    since: Timestamp,
+}
+
 #[derive(Clone, Copy, Debug)]
 struct Mark {
     epoch: u64,
@@ -43,22 +54,27 @@
 }
 
 impl Marks {
-    /// Notes this daemon's own view of a runner, all its sources together. Returns whether the mark
-    /// changed. Only a change of the view raises an epoch.
+    /// Notes this daemon's own view of a runner, all its sources together; to be told again and
+    /// again. Returns whether the mark changed.
     pub fn set(&mut self, runner: &RunnerName, leaving: bool, now: Timestamp) -> bool {
-        let before = self.views.insert(runner.clone(), leaving).unwrap_or(false);
-        if before == leaving {
-            return false;
-        }
+        let before = self.views.get(runner).copied();
+        let unchanged = before.filter(|view| view.leaving == leaving);
+        let view = unchanged.unwrap_or(View {
+            leaving,
+            since: now,
+        });
+        self.views.insert(runner.clone(), view);
         let (epoch, marked) = self
             .by_runner
             .get(runner)
             .map_or((0, false), |mark| mark.rank());
-        if marked == leaving {
+        let saw_it_leaving = before.is_some_and(|view| view.leaving);
+        let certain = saw_it_leaving != leaving || now.since(view.since) >= CLEAR_AFTER;
+        if marked == leaving || !certain {
             return false;
         }
         let mark = Mark {
-            epoch: epoch + 1,
+            epoch: epoch.saturating_add(1),
             leaving,
             changed: now,
         };
@@ -66,6 +82,11 @@
         true
     }
 
+    /// Forgets this daemon's own views, such as when another daemon speaks for the zone.
+    pub fn forget_views(&mut self) {
+        self.views.clear();
+    }
+
     /// Takes over marks that are newer than those known. Returns whether anything changed.
     pub fn merge(&mut self, marks: &[RunnerMark], now: Timestamp) -> bool {
         let mut changed = false;
--- a/crates/control/src/membership/mod.rs
+++ b/crates/control/src/membership/mod.rs
@@ -169,8 +169,13 @@
     }
 
     /// The members that take part, without this daemon.
-    pub fn others(&self) -> &[Peer] {
-        &self.others
+    pub fn others(&self) -> Vec<Peer> {
+        self.others.clone()
+    }
+
+    /// Number of members that take part, this daemon included.
+    pub fn size(&self) -> usize {
+        self.others.len() + 1
     }
 
     /// Everything known about members, the dead included.
--- a/crates/control/tests/gossip/facts.rs
+++ b/crates/control/tests/gossip/facts.rs
@@ -29,7 +29,7 @@
 }
 
 proptest! {
-    #![proptest_config(cases(16))]
+    #![proptest_config(cases(8))]
 
     #[test]
     fn a_mark_reaches_each_of_29_within_three_seconds(seed: u64) {
@@ -94,6 +94,24 @@
     assert!(everyone_says(&network, 1, false));
 }
 
+#[test]
+fn a_mark_whose_owner_died_is_taken_back_by_one_that_sees_the_runner_stay() {
+    let mut network = Network::new(&[3], BAD_NETWORK, 24);
+    network.run(5_000);
+    network.tell(0, mark(1, true));
+    network.run(3_000);
+    network.kill(0);
+    for _ in 0..29 {
+        network.tell(1, mark(1, false));
+        network.run(2_000);
+        assert!(everyone_says(&network, 1, true));
+    }
+    network.run(2_000);
+    network.tell(1, mark(1, false));
+    network.run(3_000);
+    assert!(everyone_says(&network, 1, false));
+}
+
 #[test]
 fn marks_of_machines_that_are_gone_are_forgotten_and_a_new_member_gets_the_rest() {
     let mut network = Network::new(&[4], BAD_NETWORK, 22);
