Planned stop: a daemon goes on deciding until its gateway is drained

Cause: the core ended as soon as the lease was handed back, so requests still waiting at a stopping daemon could send no demand and get no route, and the other daemons, told at once that it had left, forgot its demand. Ruled out: handing the lease back only at the end in every case, which leaves the zone's decisions with a daemon that may be killed before it has drained. Change: with another member the lease goes over at once, a lone daemon keeps it; the daemon leaves the membership only when drained. Seen failing first: a_lone_daemon_goes_on_coordinating_until_its_gateway_is_drained with the old order.

--- a/crates/control/src/node/interface.rs
+++ b/crates/control/src/node/interface.rs
@@ -33,8 +33,10 @@
     Machines(Vec<Machine>),
     /// The runners that this daemon observes have news.
     Observed(Vec<RunnerReport>),
-    /// A planned stop begins.
+    /// A planned stop begins: the gateway takes no new request and lets the others finish.
     Stop,
+    /// The gateway has no request left.
+    Drained,
 }
 
 /// What to do.
@@ -64,7 +66,7 @@
     Lead(Term),
     /// This daemon no longer coordinates its zone.
     Resign,
-    /// The lease is handed back: the daemon may exit.
+    /// The gateway is drained and the lease handed back: the daemon may exit.
     Stopped,
     /// Note a decision in the log.
     Record(Decision),
--- a/crates/control/src/node/mod.rs
+++ b/crates/control/src/node/mod.rs
@@ -43,6 +43,7 @@
     machines_sequence: u64,
     machines_sent: Option<Timestamp>,
     told: Told,
+    stop: Stop,
     actions: Vec<NodeAction>,
     now: Timestamp,
 }
@@ -57,6 +58,17 @@
     share: Vec<Machine>,
 }
 
+/// How far a planned stop is.
+#[derive(Debug, Default)]
+struct Stop {
+    /// The coordinator was told to hand its lease back.
+    handing_back: bool,
+    /// The lease is handed back, or was not held.
+    handed_back: bool,
+    /// The gateway has no request left.
+    drained: bool,
+}
+
 impl Node {
     /// A daemon that has just started.
     pub fn new(me: Peer, gossip: Gossip, coordinator: Coordinator) -> Self {
@@ -71,6 +83,7 @@
             machines_sequence: 0,
             machines_sent: None,
             told: Told::default(),
+            stop: Stop::default(),
             actions: Vec::new(),
             now: Timestamp::ZERO,
         }
@@ -97,15 +110,43 @@
             NodeEvent::Listed(snapshot) => self.gossip(GossipEvent::Listed(snapshot)),
             NodeEvent::Machines(machines) => self.machines_read(machines),
             NodeEvent::Observed(reports) => self.observed(reports),
-            NodeEvent::Stop => {
-                self.coordinate(CoordinatorEvent::Stop);
-                self.gossip(GossipEvent::Leave);
-            }
+            NodeEvent::Stop => self.stop(),
+            NodeEvent::Drained => self.drained(),
         }
         self.send_routes();
         std::mem::take(&mut self.actions)
     }
 
+    /// Begins a planned stop. With another member in the zone the lease is handed over at once;
+    /// without one, this daemon goes on coordinating for its own waiting requests.
+    fn stop(&mut self) {
+        if !self.gossip.membership().others().is_empty() {
+            self.hand_back();
+        }
+    }
+
+    /// Ends a planned stop. The others hear only now that this daemon leaves: they forget the
+    /// demand of a gateway that has left.
+    fn drained(&mut self) {
+        self.stop.drained = true;
+        self.hand_back();
+        self.gossip(GossipEvent::Leave);
+        self.finish_stop();
+    }
+
+    fn hand_back(&mut self) {
+        if !self.stop.handing_back {
+            self.stop.handing_back = true;
+            self.coordinate(CoordinatorEvent::Stop);
+        }
+    }
+
+    fn finish_stop(&mut self) {
+        if self.stop.drained && self.stop.handed_back {
+            self.actions.push(NodeAction::Stopped);
+        }
+    }
+
     /// This daemon.
     pub fn me(&self) -> &Peer {
         &self.me
@@ -308,7 +349,10 @@
                 self.gossip(GossipEvent::Resign);
                 self.actions.push(NodeAction::Resign);
             }
-            CoordinatorAction::Stopped => self.actions.push(NodeAction::Stopped),
+            CoordinatorAction::Stopped => {
+                self.stop.handed_back = true;
+                self.finish_stop();
+            }
             CoordinatorAction::Record(decision) => {
                 self.actions.push(NodeAction::Record(decision));
             }
--- /dev/null
+++ b/crates/control/tests/node.rs
@@ -0,0 +1,154 @@
+//! The node joins gossip and coordinator: how it starts and stops.
+
+use std::time::Duration;
+
+use flaxward_control::coordinator::{
+    Coordinator, CoordinatorAction, CoordinatorEvent, CoordinatorSettings,
+};
+use flaxward_control::gossip::{Gossip, GossipSettings};
+use flaxward_control::node::{Node, NodeAction, NodeEvent};
+use flaxward_types::{DaemonName, Revision, Timestamp, ZoneName};
+use flaxward_wire::{Envelope, MemberState, MemberUpdate, Message, Peer};
+
+const TICK: Duration = Duration::from_millis(50);
+
+/// One node before a store that does at once whatever it is asked.
+struct Harness {
+    node: Node,
+    now: Timestamp,
+    revision: Revision,
+    lease_holders: Vec<Option<DaemonName>>,
+    stopped: bool,
+}
+
+fn peer(name: &str, port: u16) -> Peer {
+    Peer {
+        name: DaemonName::literal(name),
+        zone: ZoneName::literal("zone-a"),
+        address: ([127, 0, 0, 1], port).into(),
+    }
+}
+
+impl Harness {
+    fn new() -> Self {
+        let me = peer("daemon-1", 1);
+        let zones = vec![me.zone.clone()];
+        let gossip = Gossip::new(GossipSettings::default(), me.clone(), Vec::new(), 1, 1);
+        let coordinator = Coordinator::new(
+            CoordinatorSettings::default(),
+            me.name.clone(),
+            me.zone.clone(),
+            zones,
+            1,
+        );
+        Self {
+            node: Node::new(me, gossip, coordinator),
+            now: Timestamp::ZERO,
+            revision: Revision(0),
+            lease_holders: Vec::new(),
+            stopped: false,
+        }
+    }
+
+    fn handle(&mut self, event: NodeEvent) {
+        for action in self.node.handle(event, self.now) {
+            match action {
+                NodeAction::Platform(operation) => self.answer(operation),
+                NodeAction::Stopped => self.stopped = true,
+                _ => {}
+            }
+        }
+    }
+
+    fn answer(&mut self, operation: CoordinatorAction) {
+        self.revision = self.revision.next();
+        let written = Ok(self.revision);
+        let answer = match operation {
+            CoordinatorAction::ReadLease => CoordinatorEvent::LeaseRead(Ok(None)),
+            CoordinatorAction::WriteLease(_, lease) => {
+                self.lease_holders.push(lease.holder);
+                CoordinatorEvent::LeaseWritten(written)
+            }
+            CoordinatorAction::ReadPlacement => CoordinatorEvent::PlacementRead(Ok(None)),
+            CoordinatorAction::WritePlacement(..) => CoordinatorEvent::PlacementWritten(written),
+            CoordinatorAction::ReadQuotas => CoordinatorEvent::QuotasRead(Ok(Vec::new())),
+            _ => return,
+        };
+        self.handle(NodeEvent::Answered(answer));
+    }
+
+    fn run(&mut self, time: Duration) {
+        let end = self.now + time;
+        while self.now < end {
+            self.now = self.now + TICK;
+            self.handle(NodeEvent::Tick);
+        }
+    }
+
+    fn hear_of(&mut self, other: &Peer) {
+        let update = MemberUpdate {
+            peer: other.clone(),
+            incarnation: 1,
+            state: MemberState::Alive,
+        };
+        let envelope = Envelope {
+            from: other.clone(),
+            configuration: Revision(0),
+            members: vec![update],
+            heads: Vec::new(),
+            marks: Vec::new(),
+            message: Message::Facts,
+        };
+        self.handle(NodeEvent::Received(Box::new(envelope)));
+    }
+}
+
+#[test]
+fn a_daemon_alone_in_its_zone_leads_it() {
+    let mut harness = Harness::new();
+    harness.run(Duration::from_secs(2));
+    assert!(harness.node.leading().is_some());
+    assert_eq!(
+        harness.lease_holders[0],
+        Some(DaemonName::literal("daemon-1"))
+    );
+}
+
+#[test]
+fn a_lone_daemon_goes_on_coordinating_until_its_gateway_is_drained() {
+    let mut harness = Harness::new();
+    harness.run(Duration::from_secs(2));
+    harness.handle(NodeEvent::Stop);
+    harness.run(Duration::from_secs(1));
+    assert!(
+        harness.node.leading().is_some(),
+        "waiting requests still need a coordinator"
+    );
+    assert!(!harness.stopped);
+    harness.handle(NodeEvent::Drained);
+    harness.run(Duration::from_secs(1));
+    assert!(harness.stopped);
+    assert_eq!(
+        harness.lease_holders.last(),
+        Some(&None),
+        "the lease is handed back"
+    );
+}
+
+#[test]
+fn with_another_member_the_lease_goes_over_at_once_and_the_daemon_stays_until_drained() {
+    let mut harness = Harness::new();
+    harness.run(Duration::from_secs(2));
+    harness.hear_of(&peer("daemon-2", 2));
+    harness.handle(NodeEvent::Stop);
+    harness.run(Duration::from_millis(500));
+    assert_eq!(
+        harness.lease_holders.last(),
+        Some(&None),
+        "the lease is handed back"
+    );
+    assert!(!harness.stopped, "requests are still in progress");
+    harness.handle(NodeEvent::Drained);
+    harness.run(Duration::from_millis(500));
+    assert!(harness.stopped);
+}
--- a/crates/flaxward/src/daemon/mod.rs
+++ b/crates/flaxward/src/daemon/mod.rs
@@ -176,8 +176,8 @@
         })
     }
 
-    /// Stops as planned: takes no new request, hands the lease back, lets the requests in progress
-    /// finish, and only then closes the connections.
+    /// Stops as planned: takes no new request, lets the requests in progress finish, hands the lease
+    /// back, and only then closes the connections.
     pub async fn stop(self) {
         state_change("stopping", &[("address", &self.address)]);
         self.ready.send_replace(false);
@@ -187,6 +187,7 @@
             let left = self.gateway.running() + self.gateway.waiting();
             state_change("drain-timeout", &[("requests", &left)]);
         }
+        let _ = self.events.send(NodeEvent::Drained.into());
         if tokio::time::timeout(HAND_OVER_TIMEOUT, self.core)
             .await
             .is_err()
