--- a/crates/control/src/coordinator/choice.rs
+++ b/crates/control/src/coordinator/choice.rs
@@ -54,7 +54,7 @@
     ) -> Result<Choice, Block> {
         let subject = subject_of(artifact);
         let source = self.slot_source(artifact, context);
-        let may_add = source != SlotSource::None && context.may_record;
+        let may_add = source != SlotSource::None && !context.in_outage();
         let mut best: Option<(Duration, u64, Choice)> = None;
         let mut fits = false;
         let mut could_fit = false;
--- a/crates/control/src/coordinator/homes.rs
+++ b/crates/control/src/coordinator/homes.rs
@@ -118,7 +118,7 @@
 }
 
 /// The artifacts that requests name by default.
-fn configured(context: &Context) -> Vec<ArtifactId> {
+pub(super) fn configured(context: &Context) -> Vec<ArtifactId> {
     let configuration = context.configuration;
     let mut artifacts = Vec::new();
     for (key, _, item) in configuration.items() {
--- a/crates/control/src/coordinator/leading.rs
+++ b/crates/control/src/coordinator/leading.rs
@@ -16,7 +16,6 @@
 
 use super::answers::Answers;
 use super::demand::DemandTable;
-use super::idle::KeepAlive;
 use super::interface::{
     CoordinatorAction, CoordinatorSettings, Decision, DecisionKind, EngineFault, UnloadReason,
 };
@@ -26,6 +25,7 @@
 use super::runner::{Observation, Phase, Runner, inventory_of};
 use super::weakness::Weakness;
 use crate::configuration::Configuration;
+use crate::keep_alive::KeepAlive;
 
 /// Time that a machine which was never listed is waited for before its slots are given up.
 const UNLISTED_GRACE: Duration = Duration::from_secs(10);
@@ -81,6 +81,8 @@
     pub(super) deadline: Timestamp,
     /// Memory to leave room for besides the artifact itself: that of an adapter.
     pub(super) extra_bytes: u64,
+    /// Demanded or kept by a rule, so that it must not make way for something else.
+    pub(super) firm: bool,
 }
 
 /// The state of a coordinator under one term.
@@ -110,6 +112,10 @@
     pub(super) drained: BTreeSet<RunnerName>,
     configured: Option<Revision>,
     pub(super) next_housekeeping: Timestamp,
+    /// Replicas that the rules keep loaded in this zone.
+    pub(super) kept: Vec<(ArtifactId, u32)>,
+    /// Artifacts to load ahead of need.
+    pub(super) prewarmed: BTreeSet<ArtifactId>,
     /// Quotas to claim for homes.
     pub(super) homes_wanted: BTreeSet<QuotaSubject>,
     pub(super) overtaken: bool,
@@ -149,6 +155,8 @@
             drained: BTreeSet::new(),
             configured: None,
             next_housekeeping: now,
+            kept: Vec::new(),
+            prewarmed: BTreeSet::new(),
             homes_wanted: BTreeSet::new(),
             overtaken: false,
             actions: Vec::new(),
@@ -157,13 +165,15 @@
     }
 
     /// Takes over the policy and the drains when the configuration has changed.
-    pub(super) fn apply_configuration(&mut self, configuration: &Configuration) {
+    pub(super) fn apply_configuration(&mut self, context: &Context) {
+        let configuration = context.configuration;
         if self.configured == Some(configuration.revision()) {
             return;
         }
         self.configured = Some(configuration.revision());
         self.policy = configuration.policy();
         self.drained = configuration.drained();
+        self.kept = self.kept_by_rule(context);
     }
 
     /// Takes in the machine list.
@@ -357,9 +367,6 @@
 
     /// Seals runners, sends orders that are due, and reads inventories.
     pub(super) fn drive_runners(&mut self, context: &Context) {
-        if !self.placement.fenced() {
-            return;
-        }
         let names: Vec<RunnerName> = self.runners.keys().cloned().collect();
         for name in names {
             self.seal_if_confirmed(&name, context);
@@ -391,6 +398,9 @@
         let Phase::Verifying { boot, operation } = runner.phase else {
             return;
         };
+        if !self.placement.fenced() {
+            return;
+        }
         if context.weakness == Weakness::NoSeal {
             runner.seal(boot);
             return;
--- a/crates/control/src/coordinator/ledger.rs
+++ b/crates/control/src/coordinator/ledger.rs
@@ -96,15 +96,18 @@
 
     /// Whether nobody wants what is in a slot, so that it may go when memory is short.
     pub(super) fn is_evictable(&self, slot: &Slot, context: &Context) -> bool {
-        let wanted = self.wanted.contains_key(&slot.artifact);
+        let wanted = self.is_firm(&slot.artifact);
         let demanded = context.demands.summary(&slot.artifact).is_some();
         !wanted && !demanded && !self.carries_wanted_adapter(slot) && !self.loads.contains_key(slot)
     }
 
+    fn is_firm(&self, artifact: &ArtifactId) -> bool {
+        self.wanted.get(artifact).is_some_and(|wanted| wanted.firm)
+    }
+
     /// Whether a base carries an adapter that somebody wants on the same runner.
     pub(super) fn carries_wanted_adapter(&self, base: &Slot) -> bool {
-        self.adapters_on(base)
-            .any(|adapter| self.wanted.contains_key(&adapter))
+        self.adapters_on(base).any(|adapter| self.is_firm(&adapter))
     }
 
     /// Adapters held on a runner, or being loaded there, on top of a base.
--- a/crates/control/src/coordinator/needs.rs
+++ b/crates/control/src/coordinator/needs.rs
@@ -17,26 +17,31 @@
 const ASK_AFTER: Duration = Duration::from_secs(2);
 
 impl Leading {
-    /// Reads and writes quotas as needed.
-    pub(super) fn step_quotas(&mut self, context: &Context) {
-        if !self.placement.fenced() {
-            return;
+    /// The subjects to look at: all of them from time to time, else those that matter now.
+    pub(super) fn subjects_due(&mut self, all: bool) -> BTreeSet<QuotaSubject> {
+        let mut subjects = self.quotas.take_changed();
+        if all {
+            subjects.extend(self.quotas.subjects());
         }
+        subjects.extend(self.wanted.keys().map(subject_of));
+        subjects.extend(self.homes_wanted.iter().cloned());
+        subjects.insert(QuotaSubject::WeightStore);
+        subjects
+    }
+
+    /// Reads and writes quotas as needed.
+    pub(super) fn step_quotas(&mut self, subjects: &BTreeSet<QuotaSubject>, context: &Context) {
         let reading = self.quotas.read_all(context.now);
         self.actions.extend(reading);
         if !context.may_record {
             return;
         }
-        let mut subjects: BTreeSet<QuotaSubject> = self.quotas.subjects().into_iter().collect();
-        subjects.extend(self.wanted.keys().map(subject_of));
-        subjects.extend(self.homes_wanted.iter().cloned());
-        subjects.insert(QuotaSubject::WeightStore);
         for subject in subjects {
-            let rule = self.rule(&subject, context);
-            let need = self.need(&subject, context);
+            let rule = self.rule(subject, context);
+            let need = self.need(subject, context);
             let step = self
                 .quotas
-                .step(&subject, &rule, &need, context.now, context.settings);
+                .step(subject, &rule, &need, context.now, context.settings);
             self.actions.extend(step);
         }
     }
--- a/crates/control/src/coordinator/placement.rs
+++ b/crates/control/src/coordinator/placement.rs
@@ -124,7 +124,23 @@
 
     /// Slots of a subject in the record that the wishes amount to.
     pub(super) fn planned(&self, subject: &QuotaSubject) -> u32 {
-        count(&self.planned_slots(), subject)
+        let kept = self
+            .base()
+            .iter()
+            .filter(|slot| !self.removals.contains(slot));
+        let added = self
+            .additions
+            .iter()
+            .filter(|slot| !self.base().contains(slot));
+        count(kept.chain(added), subject)
+    }
+
+    /// The record that the wishes change.
+    fn base(&self) -> &BTreeSet<Slot> {
+        match &self.operation {
+            Some(Operation::Write(written)) => written,
+            _ => &self.slots,
+        }
     }
 
     /// Slots of a subject in any record that may stand or come to stand.
@@ -143,11 +159,10 @@
     }
 
     fn planned_slots(&self) -> BTreeSet<Slot> {
-        let base = match &self.operation {
-            Some(Operation::Write(written)) => written,
-            _ => &self.slots,
-        };
-        let kept = base.iter().filter(|slot| !self.removals.contains(slot));
+        let kept = self
+            .base()
+            .iter()
+            .filter(|slot| !self.removals.contains(slot));
         kept.chain(&self.additions).cloned().collect()
     }
 
--- a/crates/control/src/coordinator/planner.rs
+++ b/crates/control/src/coordinator/planner.rs
@@ -28,16 +28,24 @@
         self.settle_loads(context);
         self.settle_unloads();
         self.build_index();
+        let housekeeping = context.now >= self.next_housekeeping;
+        if housekeeping {
+            self.next_housekeeping = context.now + HOUSEKEEPING_INTERVAL;
+            self.find_prewarmed(context);
+        }
         self.wanted = self.collect_wanted(context);
         self.pursue_all(context);
         self.advance_loads(context);
         self.unload_unneeded(context);
-        self.release_slots(context);
-        if context.now >= self.next_housekeeping {
-            self.next_housekeeping = context.now + HOUSEKEEPING_INTERVAL;
+        if housekeeping || !self.gone.is_empty() {
+            self.release_slots(context);
+        }
+        if housekeeping {
             self.find_homes(context);
         }
-        self.step_quotas(context);
+        let subjects = self.subjects_due(housekeeping);
+        self.release_excess(&subjects, context);
+        self.step_quotas(&subjects, context);
     }
 
     fn build_index(&mut self) {
@@ -109,13 +117,19 @@
             }
             merge(&mut wanted, artifact.clone(), &want);
         }
-        for (artifact, replicas) in self.kept_by_rule(context) {
+        let kept = self.kept.iter().cloned();
+        let prewarmed = self.prewarmed.iter().cloned().map(|artifact| (artifact, 0));
+        for (artifact, replicas) in kept.chain(prewarmed) {
             let want = Wanted {
-                replicas,
+                replicas: replicas.max(1),
                 priority: 0,
                 deadline: Timestamp(u64::MAX),
                 extra_bytes: 0,
+                firm: replicas > 0,
             };
+            if artifact.is_adapter() {
+                merge(&mut wanted, artifact.base(), &want);
+            }
             merge(&mut wanted, artifact, &want);
         }
         wanted
@@ -140,6 +154,7 @@
             priority: summary.priority.max(model.priority),
             deadline: summary.deadline,
             extra_bytes: 0,
+            firm: true,
         })
     }
 
@@ -305,4 +320,5 @@
     entry.priority = entry.priority.max(wanted.priority);
     entry.deadline = entry.deadline.min(wanted.deadline);
     entry.extra_bytes = entry.extra_bytes.max(wanted.extra_bytes);
+    entry.firm |= wanted.firm;
 }
--- a/crates/control/src/coordinator/progress.rs
+++ b/crates/control/src/coordinator/progress.rs
@@ -211,7 +211,7 @@
         if self.placement.adding(slot) || self.placement.wished(slot) {
             return true;
         }
-        if !context.may_record {
+        if context.in_outage() {
             return false;
         }
         // The load itself is among those that were promised a slot.
--- a/crates/control/src/coordinator/quota.rs
+++ b/crates/control/src/coordinator/quota.rs
@@ -103,6 +103,8 @@
     entries: BTreeMap<QuotaSubject, Entry>,
     /// A record bears a higher term of this zone.
     overtaken: bool,
+    /// Subjects whose records have changed since they were last looked at.
+    changed: BTreeSet<QuotaSubject>,
 }
 
 impl QuotaBook {
@@ -116,6 +118,7 @@
             next_read: Timestamp::ZERO,
             entries: BTreeMap::new(),
             overtaken: false,
+            changed: BTreeSet::new(),
         }
     }
 
@@ -155,6 +158,11 @@
         self.entries.keys().cloned().collect()
     }
 
+    /// The subjects whose records have changed since the last call.
+    pub(super) fn take_changed(&mut self) -> BTreeSet<QuotaSubject> {
+        std::mem::take(&mut self.changed)
+    }
+
     /// The record of a subject as last read.
     pub(super) fn record(&self, subject: &QuotaSubject) -> Option<&Quota> {
         let entry = self.entries.get(subject)?;
@@ -266,7 +274,8 @@
             None => created(subject, rule, &zone, term),
             Some((_, quota)) => {
                 let next = revised(quota, rule, need, goal, &zone, term, weakness);
-                let unclaimed = need.claims && quota.terms.get(&zone) != Some(&term);
+                let claimed = quota.terms.get(&zone) == Some(&term);
+                let unclaimed = need.claims && !claimed && weakness != Weakness::UnclaimedQuota;
                 if next == *quota && !unclaimed && entry.unsettled.is_empty() {
                     return None;
                 }
@@ -312,6 +321,7 @@
         }
         entry.stale = false;
         entry.unsettled.retain(|write| write.base == Some(revision));
+        self.changed.insert(quota.subject.clone());
         entry.record = Some((revision, quota));
     }
 
--- a/crates/control/src/coordinator/unneeded.rs
+++ b/crates/control/src/coordinator/unneeded.rs
@@ -1,15 +1,17 @@
 //! Unloads what is not needed and gives up slots that are not allowed or not needed.
 
-use std::time::Duration;
+use std::collections::BTreeSet;
 
 use flaxward_types::engine::HeldState;
 use flaxward_types::records::{QuotaSubject, Slot};
 use flaxward_types::{ArtifactId, RunnerName, Timestamp};
 
+use super::homes::configured;
 use super::interface::UnloadReason;
 use super::leading::{Context, Leading, slot};
 use super::loads::Tier;
 use super::placement::subject_of;
+use crate::keep_alive::KeepAliveDecision;
 
 impl Leading {
     /// Unloads replicas that are not allowed, leaving, idle or more than needed.
@@ -73,15 +75,29 @@
         let used = ready
             .max(own.unwrap_or_default())
             .max(adapters.unwrap_or_default());
-        context.now.since(used) >= self.keep_alive(&key.artifact, context)
+        let decision = self.keep_alive(&key.artifact, context);
+        !decision.wants_loaded(context.now.since(used))
     }
 
-    fn keep_alive(&self, artifact: &ArtifactId, context: &Context) -> Duration {
+    fn keep_alive(&self, artifact: &ArtifactId, context: &Context) -> KeepAliveDecision {
         let bytes = context.configuration.bytes(artifact).unwrap_or(0);
         let load_time = self.speeds.duration(Tier::Remote, bytes);
         context
             .keep_alive
-            .unload_after(artifact, context.now, &self.policy, load_time)
+            .decide(artifact, context.now, &self.policy, load_time)
+    }
+
+    /// Works out what to load ahead of need.
+    pub(super) fn find_prewarmed(&mut self, context: &Context) {
+        let due = |artifact: &ArtifactId| {
+            let last_use = context.keep_alive.last_use(artifact);
+            last_use.is_some_and(|last_use| {
+                let idle = context.now.since(last_use);
+                self.keep_alive(artifact, context).wants_prewarm(idle)
+            })
+        };
+        let configured = configured(context).into_iter();
+        self.prewarmed = configured.filter(due).collect();
     }
 
     /// Unloads one replica of what has had more than it needs for its whole keep-alive.
@@ -94,7 +110,8 @@
                 continue;
             }
             let since = *surplus_since.entry(artifact.clone()).or_insert(context.now);
-            if context.now.since(since) >= self.keep_alive(artifact, context) {
+            let surplus = context.now.since(since);
+            if !self.keep_alive(artifact, context).wants_loaded(surplus) {
                 due.extend(self.least_busy(artifact, context.now));
             }
         }
@@ -140,15 +157,18 @@
                 self.placement.wish_removed(key);
             }
         }
-        for subject in self.quotas.subjects() {
-            if subject != QuotaSubject::WeightStore {
-                self.release_excess(&subject, context);
+    }
+
+    /// Frees slots of some subjects down to the goals that their quotas set.
+    pub(super) fn release_excess(&mut self, subjects: &BTreeSet<QuotaSubject>, context: &Context) {
+        for subject in subjects {
+            if self.quotas.record(subject).is_some() {
+                self.release_down_to_goal(subject, context);
             }
         }
     }
 
-    /// Frees slots of a subject down to the goal that the quota sets.
-    fn release_excess(&mut self, subject: &QuotaSubject, context: &Context) {
+    fn release_down_to_goal(&mut self, subject: &QuotaSubject, context: &Context) {
         let planned = self.placement.planned(subject);
         if planned == 0 {
             return;
--- a/crates/control/src/coordinator/views.rs
+++ b/crates/control/src/coordinator/views.rs
@@ -1,9 +1,109 @@
 //! What operators see of the zone.
 
-use flaxward_types::Timestamp;
+use std::time::Duration;
 
+use flaxward_types::engine::{HeldState, Inventory, LoadReport};
+use flaxward_types::records::Slot;
+use flaxward_types::{ArtifactId, ModelName, RunnerName, Term, Timestamp};
+
+use super::Coordinator;
+use super::interface::Decision;
 use super::leading::Leading;
-use super::{ReplicaView, RunnerView};
+
+/// A runner as operators see it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct RunnerView {
+    /// Its name.
+    pub runner: RunnerName,
+    /// Its address, `ip:port`.
+    pub address: String,
+    /// Whether it has accepted the coordinator's term.
+    pub sealed: bool,
+    /// Whether it is leaving or drained.
+    pub leaving: bool,
+    /// Whether it has not answered for a while.
+    pub unreachable: bool,
+    /// What it held when last read.
+    pub inventory: Option<Inventory>,
+    /// Its last load report.
+    pub load: LoadReport,
+}
+
+/// A replica as operators see it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct ReplicaView {
+    /// What and where.
+    pub slot: Slot,
+    /// How far it is, or `None` if the slot is recorded and nothing is there.
+    pub state: Option<HeldState>,
+    /// Requests running and waiting on its runner, as last reported.
+    pub outstanding: u32,
+    /// Time until it is ready, if it is being loaded.
+    pub remaining: Option<Duration>,
+}
+
+/// An artifact that somebody waits for, as operators see it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct WaitingView {
+    /// What is waited for.
+    pub artifact: ArtifactId,
+    /// Requests waiting at all gateways.
+    pub waiting: u32,
+    /// Since when, as an age.
+    pub since: Duration,
+    /// Highest priority among them.
+    pub priority: u8,
+}
+
+impl Coordinator {
+    /// The term under which this daemon coordinates the zone, if it does.
+    pub fn leading(&self) -> Option<Term> {
+        let leading = self.leading.as_ref()?;
+        leading.placement.fenced().then_some(leading.term)
+    }
+
+    /// The zone's runners as the coordinator knows them.
+    pub fn runners(&self) -> Vec<RunnerView> {
+        let leading = self.leading.as_ref();
+        leading.map_or_else(Vec::new, |leading| leading.runner_views(self.last_now))
+    }
+
+    /// The zone's slots and what is in them.
+    pub fn replicas(&self) -> Vec<ReplicaView> {
+        let leading = self.leading.as_ref();
+        leading.map_or_else(Vec::new, |leading| leading.replica_views(self.last_now))
+    }
+
+    /// Artifacts that requests wait for.
+    pub fn waiting(&self) -> Vec<WaitingView> {
+        let demands = &self.shared.demands;
+        let summaries = demands
+            .artifacts()
+            .filter_map(|artifact| Some((artifact, demands.summary(artifact)?)));
+        summaries
+            .filter(|(_, summary)| summary.waiting > 0)
+            .map(|(artifact, summary)| WaitingView {
+                artifact: artifact.clone(),
+                waiting: summary.waiting,
+                since: self
+                    .last_now
+                    .since(summary.waiting_since.unwrap_or(self.last_now)),
+                priority: summary.priority,
+            })
+            .collect()
+    }
+
+    /// Artifacts whose loads have failed and have not succeeded since.
+    pub fn failing(&self) -> Vec<ArtifactId> {
+        let leading = self.leading.as_ref();
+        leading.map_or_else(Vec::new, |leading| leading.failures.artifacts())
+    }
+
+    /// The last decisions about a model's artifacts with their age, latest first.
+    pub fn explain(&self, model: &ModelName) -> Vec<(Duration, Decision)> {
+        self.journal.explain(model, self.last_now)
+    }
+}
 
 impl Leading {
     pub(super) fn runner_views(&self, now: Timestamp) -> Vec<RunnerView> {
