--- a/crates/control/src/coordinator/leading.rs
+++ b/crates/control/src/coordinator/leading.rs
@@ -93,9 +93,8 @@
     pub(super) placement: PlacementKeeper,
     pub(super) quotas: QuotaBook,
     pub(super) runners: BTreeMap<RunnerName, Runner>,
-    /// Runners that were listed once and are gone now.
+    /// Machines that are gone and still have slots.
     pub(super) gone: BTreeSet<RunnerName>,
-    listed: bool,
     pub(super) loads: Loads,
     pub(super) unloads: BTreeMap<Slot, Unload>,
     pub(super) failures: Failures,
@@ -139,7 +138,6 @@
             quotas: QuotaBook::new(term, zone.clone(), weakness),
             runners: BTreeMap::new(),
             gone: BTreeSet::new(),
-            listed: false,
             loads: Loads::new(),
             unloads: BTreeMap::new(),
             failures: Failures::default(),
@@ -178,12 +176,11 @@
 
     /// Takes in the machine list.
     pub(super) fn apply_machines(&mut self, machines: &[Machine], now: Timestamp) {
-        self.listed = true;
-        let engines = machines
-            .iter()
-            .filter(|machine| machine.role == MachineRole::Engine);
         let mut listed = BTreeSet::new();
-        for machine in engines {
+        for machine in machines {
+            if machine.role != MachineRole::Engine {
+                continue;
+            }
             listed.insert(machine.name.clone());
             let runner = self
                 .runners
@@ -191,20 +188,42 @@
                 .or_insert_with(|| Runner::new(machine));
             runner.address.clone_from(&machine.address);
             runner.listed_leaving = machine.leaving;
+            runner.unlisted_since = None;
+        }
+        for (name, runner) in &mut self.runners {
+            if !listed.contains(name) {
+                runner.unlisted_since.get_or_insert(now);
+            }
         }
-        let vanished = self.runners.keys().filter(|name| !listed.contains(*name));
-        let mut gone: BTreeSet<RunnerName> = vanished.cloned().collect();
+        self.gone.retain(|name| !listed.contains(name));
         if now.since(self.since) >= UNLISTED_GRACE {
             let recorded = self.placement.slots().iter().map(|slot| &slot.runner);
-            gone.extend(recorded.filter(|name| !listed.contains(*name)).cloned());
+            let unknown = recorded.filter(|name| !self.runners.contains_key(*name));
+            self.gone.extend(unknown.cloned());
         }
-        for name in &gone {
-            self.runners.remove(name);
-            self.loads.retain(|slot, _| slot.runner != *name);
-            self.unloads.retain(|slot, _| slot.runner != *name);
-            self.ready_since.retain(|slot, _| slot.runner != *name);
+    }
+
+    /// Gives up machines that have left the list and answer no more. One that still answers still
+    /// holds what it holds, whatever a late list says.
+    pub(super) fn give_up_gone(&mut self, context: &Context) {
+        let patience = context.settings.order_retry * 2;
+        let silent = |runner: &Runner| runner.silent_since_unlisted(context.now) >= Some(patience);
+        let gone: Vec<RunnerName> = self
+            .runners
+            .iter()
+            .filter(|(_, runner)| silent(runner))
+            .map(|(name, _)| name.clone())
+            .collect();
+        for name in gone {
+            self.runners.remove(&name);
+            self.loads.retain(|slot, _| slot.runner != name);
+            self.unloads.retain(|slot, _| slot.runner != name);
+            self.ready_since.retain(|slot, _| slot.runner != name);
+            self.gone.insert(name);
         }
-        self.gone = gone;
+        let placement = &self.placement;
+        self.gone
+            .retain(|name| placement.on_runner(name).next().is_some());
     }
 
     /// Takes in a runner's inventory.
--- a/crates/control/src/coordinator/planner.rs
+++ b/crates/control/src/coordinator/planner.rs
@@ -25,6 +25,7 @@
     /// Decides all that can be decided now.
     pub(super) fn plan(&mut self, context: &Context) {
         self.placement.clear_wishes();
+        self.give_up_gone(context);
         self.settle_loads(context);
         self.settle_unloads();
         self.build_index();
--- a/crates/control/src/coordinator/runner.rs
+++ b/crates/control/src/coordinator/runner.rs
@@ -56,6 +56,8 @@
     pub(super) address: String,
     /// The machine list says that it is leaving.
     pub(super) listed_leaving: bool,
+    /// Since when the machine list does not show it any more.
+    pub(super) unlisted_since: Option<Timestamp>,
     pub(super) phase: Phase,
     pub(super) inventory: Option<Inventory>,
     pub(super) report: LoadReport,
@@ -71,6 +73,7 @@
         Self {
             address: machine.address.clone(),
             listed_leaving: machine.leaving,
+            unlisted_since: None,
             phase: Phase::Unknown,
             inventory: None,
             report: LoadReport::default(),
@@ -91,7 +94,14 @@
 
     /// Whether it says itself, or the machine list says, that it is leaving.
     pub(super) fn leaving(&self) -> bool {
-        self.listed_leaving || self.inventory.as_ref().is_some_and(|held| held.leaving)
+        let listed = !self.listed_leaving && self.unlisted_since.is_none();
+        !listed || self.inventory.as_ref().is_some_and(|held| held.leaving)
+    }
+
+    /// For how long it has neither answered nor been listed; `None` if it is listed.
+    pub(super) fn silent_since_unlisted(&self, now: Timestamp) -> Option<Duration> {
+        let since = self.unlisted_since?.max(self.read);
+        Some(now.since(since))
     }
 
     /// Whether it has not answered for a while.
@@ -249,7 +259,9 @@
         let busy = !self.orders.is_empty() || self.holdings().any(transient);
         let interval = match self.phase {
             Phase::Unknown => Duration::ZERO,
-            Phase::Sealed { .. } if !busy => settings.inventory_refresh,
+            Phase::Sealed { .. } if !busy && self.unlisted_since.is_none() => {
+                settings.inventory_refresh
+            }
             _ => settings.inventory_poll,
         };
         if now.since(self.read) < interval {
