--- /dev/null
+++ b/crates/control/tests/coordinator/main.rs
@@ -0,0 +1,5 @@
+//! Proofs of the coordinator: properties over random schedules, and named faults.
+
+mod cases;
+mod properties;
+mod support;
--- /dev/null
+++ b/crates/control/tests/coordinator/support/models.rs
@@ -0,0 +1,80 @@
+//! The models of the world.
+
+use bytesize::ByteSize;
+use flaxward_control::configuration::Configuration;
+use flaxward_types::configuration::{AdapterSpec, CopyRule, ModelSpec, PolicySpec, VersionSpec};
+use flaxward_types::{ArtifactId, ConfigurationItem, ItemKey, Revision, ZoneName};
+
+use super::world::GIGABYTE;
+
+pub fn artifact(text: &str) -> ArtifactId {
+    text.parse().expect("an artifact of the test")
+}
+
+/// The artifacts of the world.
+pub fn artifacts() -> Vec<ArtifactId> {
+    [
+        "one@v1", "two@v1", "three@v1", "four@v1", "four@v2", "one:a@v1", "two:b@v1",
+    ]
+    .map(artifact)
+    .to_vec()
+}
+
+fn model(at_least: u32, at_most: u32, zones: &[&str], serving: &str) -> ConfigurationItem {
+    let copies = CopyRule {
+        at_least,
+        at_most,
+        zones: zones.iter().map(|zone| ZoneName::literal(zone)).collect(),
+    };
+    ConfigurationItem::Model(ModelSpec {
+        serving: serving.parse().expect("a version"),
+        copies,
+        priority: 1,
+        queue_limit: 10,
+    })
+}
+
+/// All models, under one of two serving versions of the last one.
+pub fn configuration(revision: u64, second_serves: bool) -> Configuration {
+    let version = |gigabytes| {
+        ConfigurationItem::Version(VersionSpec {
+            checkpoint: "weights".to_owned(),
+            weights: ByteSize(gigabytes * GIGABYTE),
+            kv_cache: ByteSize(GIGABYTE),
+        })
+    };
+    let adapter = |at_most| {
+        ConfigurationItem::Adapter(AdapterSpec {
+            checkpoint: "weights".to_owned(),
+            weights: ByteSize(GIGABYTE),
+            at_most,
+        })
+    };
+    let serving = if second_serves { "v2" } else { "v1" };
+    let policy = PolicySpec {
+        weight_store_parallel: 4,
+        weight_store_per_second: 20.0,
+        keep_alive_min_ms: 3_000,
+        keep_alive_max_ms: 3_000,
+        ..PolicySpec::default()
+    };
+    let items = [
+        ("model.one", model(0, 1, &[], "v1")),
+        ("version.one@v1", version(3)),
+        ("adapter.one:a", adapter(1)),
+        ("model.two", model(0, 2, &[], "v1")),
+        ("version.two@v1", version(5)),
+        ("adapter.two:b", adapter(2)),
+        ("model.three", model(0, 1, &["alpha"], "v1")),
+        ("version.three@v1", version(4)),
+        ("model.four", model(1, 2, &[], serving)),
+        ("version.four@v1", version(3)),
+        ("version.four@v2", version(4)),
+        ("policy", ConfigurationItem::Policy(policy)),
+    ];
+    let keyed = items.map(|(key, item)| {
+        let key: ItemKey = key.parse().expect("a key");
+        (key, Revision(revision), item)
+    });
+    Configuration::new(Revision(revision), keyed)
+}
