--- a/crates/control/src/coordinator/leading.rs
+++ b/crates/control/src/coordinator/leading.rs
@@ -285,6 +285,10 @@
         match answer {
             OrderAnswer::Accepted(inventory) => self.order_accepted(name, &order, &inventory),
             OrderAnswer::OtherBoot { .. } => {
+                // The order certainly did nothing, so this is no failed load.
+                if let OrderAction::Load { artifact, .. } = &order.action {
+                    self.loads.remove(&slot(artifact, name));
+                }
                 if let Some(runner) = self.runners.get_mut(name) {
                     runner.other_boot(order.boot);
                 }
--- a/crates/control/src/coordinator/quota.rs
+++ b/crates/control/src/coordinator/quota.rs
@@ -354,6 +354,13 @@
     quota.units.get(zone).copied().unwrap_or(0)
 }
 
+/// Sets a zone's units; a zone without an entry has none.
+fn set_units(quota: &mut Quota, zone: &ZoneName, units: u32) {
+    if own_units(quota, zone) != units {
+        quota.units.insert(zone.clone(), units);
+    }
+}
+
 fn total(quota: &Quota) -> u32 {
     quota.units.values().sum()
 }
@@ -393,7 +400,7 @@
     }
     let own = own_units(quota, zone);
     let lowered = goal.max(need.bound).min(own);
-    next.units.insert(zone.clone(), lowered);
+    set_units(&mut next, zone, lowered);
     // What the goal leaves over goes to those who ask, as far as the rule allows.
     grant(&mut next, zone, own - lowered);
     if lowered == own && rule.zones.contains(zone) {
@@ -404,7 +411,7 @@
         } else {
             missing.min(free)
         };
-        next.units.insert(zone.clone(), own + raise);
+        set_units(&mut next, zone, own + raise);
         ask(&mut next, zone, need, missing - raise);
     } else {
         next.wanted.remove(zone);
