--- a/crates/control/src/coordinator/answers.rs
+++ b/crates/control/src/coordinator/answers.rs
@@ -133,7 +133,12 @@
     /// Replicas of an artifact that take requests, and what those who find none can expect.
     fn state_of(&self, artifact: &ArtifactId, context: &Context) -> (Vec<Replica>, Outlook) {
         if context.configuration.bytes(artifact).is_none() {
-            let outlook = refused(ResultCode::UnknownModel, ASK_AGAIN_UNKNOWN);
+            let code = if context.has_configuration() {
+                ResultCode::UnknownModel
+            } else {
+                ResultCode::NoConfiguration
+            };
+            let outlook = refused(code, ASK_AGAIN_UNKNOWN);
             return (Vec::new(), outlook);
         }
         let ready: Vec<Replica> = self
--- a/crates/control/src/coordinator/events.rs
+++ b/crates/control/src/coordinator/events.rs
@@ -154,7 +154,7 @@
         };
         match change {
             PlacementChange::None => {}
-            PlacementChange::Lost => leading.overtaken = true,
+            PlacementChange::Lost(term) => leading.note_term(term),
             PlacementChange::Fenced => actions.push(CoordinatorAction::Lead(leading.term)),
         }
     }
--- a/crates/control/src/coordinator/leading.rs
+++ b/crates/control/src/coordinator/leading.rs
@@ -46,6 +46,11 @@
 }
 
 impl Context<'_> {
+    /// Whether any configuration is in force. Without one, nothing may be taken as not configured.
+    pub(super) fn has_configuration(&self) -> bool {
+        self.configuration.revision() > Revision(0)
+    }
+
     /// Whether the store has failed for a while, so that nothing new can be recorded.
     pub(super) fn in_outage(&self) -> bool {
         let failing = self
@@ -117,7 +122,8 @@
     pub(super) prewarmed: BTreeSet<ArtifactId>,
     /// Quotas to claim for homes.
     pub(super) homes_wanted: BTreeSet<QuotaSubject>,
-    pub(super) overtaken: bool,
+    /// Highest term seen anywhere; a higher one than the own means that this term is over.
+    highest: Term,
     pub(super) actions: Vec<CoordinatorAction>,
     generator: ChaCha8Rng,
 }
@@ -156,7 +162,7 @@
             kept: Vec::new(),
             prewarmed: BTreeSet::new(),
             homes_wanted: BTreeSet::new(),
-            overtaken: false,
+            highest: term,
             actions: Vec::new(),
             generator,
         }
@@ -249,7 +255,9 @@
         let placement = &mut self.placement;
         let next_operation = || placement.want_confirmation();
         let observation = runner.observe(inventory, self.term, now, next_operation);
-        self.overtaken |= observation == Observation::Overtaken;
+        if let Observation::Overtaken(term) = observation {
+            self.note_term(term);
+        }
     }
 
     /// Takes in the answer to an order.
@@ -272,10 +280,10 @@
                 return;
             }
         };
+        let order = runner.answered(id);
         if let OrderAnswer::StaleTerm { highest } = answer {
-            self.overtaken |= highest > self.term;
+            self.note_term(highest);
         }
-        let order = runner.answered(id);
         if let Some(inventory) = inventory_of(&answer) {
             self.observe(name, inventory.clone(), context.now);
         }
@@ -451,9 +459,15 @@
         !runner.leaving() && !runner.unreachable(now) && !self.drained.contains(name)
     }
 
-    /// Whether a later coordinator has been noticed.
-    pub(super) fn is_overtaken(&self) -> bool {
-        self.overtaken || self.quotas.overtaken()
+    /// Notes a term seen in a record or at a runner.
+    pub(super) fn note_term(&mut self, term: Term) {
+        self.highest = self.highest.max(term);
+    }
+
+    /// The term of a later coordinator, if one has been noticed.
+    pub(super) fn overtaken_by(&self) -> Option<Term> {
+        let highest = self.highest.max(self.quotas.highest());
+        (highest > self.term).then_some(highest)
     }
 
     /// Notes a decision.
--- a/crates/control/src/coordinator/lease.rs
+++ b/crates/control/src/coordinator/lease.rs
@@ -69,6 +69,8 @@
     /// The last try to take the lease, if its outcome is unknown.
     unsettled: Option<(ZoneLease, Timestamp)>,
     held: Option<Held>,
+    /// Highest term seen anywhere; the next one taken is higher, also if the lease record was lost.
+    highest: Term,
     next_step: Timestamp,
     stop_requested: Option<Timestamp>,
     stopped: bool,
@@ -83,6 +85,7 @@
             observed: None,
             unsettled: None,
             held: None,
+            highest: Term(0),
             next_step: Timestamp::ZERO,
             stop_requested: None,
             stopped: false,
@@ -112,7 +115,8 @@
     }
 
     /// Gives up the lease because a higher term was seen elsewhere.
-    pub(super) fn lose(&mut self, now: Timestamp) {
+    pub(super) fn lose(&mut self, later: Term, now: Timestamp) {
+        self.highest = self.highest.max(later);
         self.held = None;
         self.observed = None;
         self.next_step = now;
@@ -199,7 +203,7 @@
         let former = record.as_ref().map_or(Term(0), |(_, lease)| lease.term);
         let lease = ZoneLease {
             holder: Some(self.me.clone()),
-            term: former.next(),
+            term: former.max(self.highest).next(),
             duration_ms: millis(settings.lease_duration),
             renewals: nonce,
         };
--- a/crates/control/src/coordinator/mod.rs
+++ b/crates/control/src/coordinator/mod.rs
@@ -156,8 +156,9 @@
             .expire(now, self.shared.settings.demand_expiry);
         let asked = self.take_in(event, now, configuration, &mut actions);
         self.advance(asked, now, configuration, &mut actions);
-        if self.leading.as_ref().is_some_and(Leading::is_overtaken) {
-            self.shared.lease.lose(now);
+        let later = self.leading.as_ref().and_then(Leading::overtaken_by);
+        if let Some(later) = later {
+            self.shared.lease.lose(later, now);
             self.resign(&mut actions);
         }
         let nonce = u64::from(self.generator.random::<u32>());
@@ -184,7 +185,9 @@
         };
         leading.apply_configuration(&context);
         if leading.placement.fenced() && (self.changed || now >= self.next_plan) {
-            leading.plan(&context);
+            if context.has_configuration() {
+                leading.plan(&context);
+            }
             leading.answer_changes(&context);
             self.changed = false;
             self.next_plan = now + PLAN_INTERVAL;
--- a/crates/control/src/coordinator/placement.rs
+++ b/crates/control/src/coordinator/placement.rs
@@ -19,8 +19,8 @@
     None,
     /// The own term stands in the record from now on.
     Fenced,
-    /// A higher term stands in the record.
-    Lost,
+    /// This higher term stands in the record.
+    Lost(Term),
 }
 
 #[derive(Clone, Debug)]
@@ -250,7 +250,7 @@
             return PlacementChange::None;
         };
         if placement.term > self.term {
-            return PlacementChange::Lost;
+            return PlacementChange::Lost(placement.term);
         }
         self.unsettled.retain(|(base, _)| *base == Some(revision));
         self.revision = Some(revision);
--- a/crates/control/src/coordinator/quota.rs
+++ b/crates/control/src/coordinator/quota.rs
@@ -101,8 +101,8 @@
     reading: bool,
     next_read: Timestamp,
     entries: BTreeMap<QuotaSubject, Entry>,
-    /// A record bears a higher term of this zone.
-    overtaken: bool,
+    /// Highest term of this zone in any record.
+    highest: Term,
     /// Subjects whose records have changed since they were last looked at.
     changed: BTreeSet<QuotaSubject>,
 }
@@ -117,7 +117,7 @@
             reading: false,
             next_read: Timestamp::ZERO,
             entries: BTreeMap::new(),
-            overtaken: false,
+            highest: term,
             changed: BTreeSet::new(),
         }
     }
@@ -127,9 +127,9 @@
         self.loaded
     }
 
-    /// Whether a later coordinator of this zone has written a quota.
-    pub(super) fn overtaken(&self) -> bool {
-        self.overtaken
+    /// Highest term under which this zone has written a quota.
+    pub(super) fn highest(&self) -> Term {
+        self.highest
     }
 
     /// Subjects with a write outstanding.
@@ -229,7 +229,10 @@
         let spare = own.saturating_sub(need.kept.max(need.needed));
         let given = spare.min(self.asked_by_others(subject));
         let goal = own - given;
-        if total(quota) <= rule.limit && rule.zones.contains(&self.zone) {
+        // With an older configuration than the record's, the record is right.
+        let outdated = rule.revision < quota.rule;
+        let allowed = total(quota) <= rule.limit && rule.zones.contains(&self.zone);
+        if outdated || allowed {
             return goal;
         }
         let split = split_units(subject, rule.limit, &rule.zones);
@@ -254,7 +257,7 @@
         now: Timestamp,
         settings: &CoordinatorSettings,
     ) -> Option<CoordinatorAction> {
-        if !self.loaded || self.overtaken {
+        if !self.loaded || self.highest > self.term {
             return None;
         }
         let goal = self.goal(subject, rule, need);
@@ -313,7 +316,7 @@
     /// A record was read or changed by someone.
     pub(super) fn on_changed(&mut self, revision: Revision, quota: Quota) {
         let written_under = quota.terms.get(&self.zone).copied().unwrap_or_default();
-        self.overtaken |= written_under > self.term;
+        self.highest = self.highest.max(written_under);
         let entry = self.entries.entry(quota.subject.clone()).or_default();
         let known = entry.record.as_ref().map(|(known, _)| *known);
         if known > Some(revision) {
@@ -394,7 +397,9 @@
     weakness: Weakness,
 ) -> Quota {
     let mut next = quota.clone();
-    if rule.revision > quota.rule {
+    // A removed item has no revision of its own, and its limit of zero is written once.
+    let removed = rule.limit == 0 && quota.limit == 0;
+    if rule.revision > quota.rule && !removed {
         next.rule = rule.revision;
         next.limit = rule.limit;
     }
--- a/crates/control/src/coordinator/runner.rs
+++ b/crates/control/src/coordinator/runner.rs
@@ -36,8 +36,8 @@
     Stale,
     /// Taken in.
     Applied,
-    /// A later coordinator has been here.
-    Overtaken,
+    /// A later coordinator has been here, under this term.
+    Overtaken(Term),
 }
 
 /// An order without an answer yet.
@@ -145,7 +145,7 @@
             return Observation::Stale;
         }
         if inventory.term > term {
-            return Observation::Overtaken;
+            return Observation::Overtaken(inventory.term);
         }
         self.read = now;
         self.failing_since = None;
--- a/crates/control/src/coordinator/unneeded.rs
+++ b/crates/control/src/coordinator/unneeded.rs
@@ -37,7 +37,7 @@
         if !recorded {
             return Some(UnloadReason::NoSlot);
         }
-        if context.configuration.bytes(&key.artifact).is_none() {
+        if self.is_removed(&key.artifact, context) {
             return Some(UnloadReason::Rule);
         }
         let leaving = self.drained.contains(&key.runner)
@@ -52,6 +52,14 @@
         idle.then_some(UnloadReason::Idle)
     }
 
+    /// Whether an artifact is configured no longer, and not only by an outdated configuration.
+    fn is_removed(&self, artifact: &ArtifactId, context: &Context) -> bool {
+        let record = self.quotas.record(&subject_of(artifact));
+        let known = record.map(|quota| quota.rule).unwrap_or_default();
+        let configuration = context.configuration;
+        configuration.bytes(artifact).is_none() && known <= configuration.revision()
+    }
+
     /// Whether a replica on a leaving runner stays until the one that replaces it is ready.
     fn waits_for_replacement(&self, artifact: &ArtifactId, context: &Context) -> bool {
         let Some(wanted) = self.wanted.get(artifact) else {
@@ -150,8 +158,8 @@
         let slots: Vec<Slot> = self.placement.slots().iter().cloned().collect();
         for key in &slots {
             let gone = self.gone.contains(&key.runner);
-            let useless = context.configuration.bytes(&key.artifact).is_none()
-                || !self.serves(&key.runner, context.now);
+            let useless =
+                self.is_removed(&key.artifact, context) || !self.serves(&key.runner, context.now);
             let free = self.is_empty(key, context) && !self.loads.contains_key(key);
             if gone || (useless && free) {
                 self.placement.wish_removed(key);
--- a/crates/control/tests/coordinator/cases.rs
+++ b/crates/control/tests/coordinator/cases.rs
@@ -5,7 +5,7 @@
 use flaxward_types::routing::Outlook;
 use flaxward_types::{DaemonName, ModelName, ResultCode, RunnerName, ZoneName};
 
-use crate::support::models::artifact;
+use crate::support::models::{Rules, artifact};
 use crate::support::schedule::Fault;
 use crate::support::world::World;
 
@@ -232,6 +232,50 @@
     assert_eq!(world.violation, None);
 }
 
+#[test]
+fn a_lowered_rule_unloads_and_a_raised_one_allows_again() {
+    let mut world = settled(SEED, Weakness::None);
+    let subject = QuotaSubject::Model(ModelName::literal("two"));
+    let gateways: Vec<DaemonName> = world.gateways.keys().cloned().collect();
+    for gateway in &gateways {
+        world.demand(gateway, &artifact("two@v1"), 10 * LONG);
+    }
+    for (copies_of_two, expected) in [(2, 2), (1, 1), (0, 0), (2, 2)] {
+        let rules = Rules {
+            copies_of_two,
+            ..Rules::default()
+        };
+        world.set_rules(rules);
+        world.run_until(world.now + 20_000);
+        let quota = world.store.quota(&subject).expect("a quota").1;
+        assert_eq!(world.violation, None);
+        assert_eq!(world.replicas(&subject), expected, "{quota:?}");
+        assert!(
+            quota.units.values().sum::<u32>() <= copies_of_two,
+            "{quota:?}"
+        );
+    }
+}
+
+#[test]
+fn a_removed_model_goes_with_its_adapters() {
+    let mut world = settled(SEED, Weakness::None);
+    world.demand(&alpha_gateway(), &artifact("one:a@v1"), LONG);
+    world.run_until(world.now + 8_000);
+    let model = QuotaSubject::Model(ModelName::literal("one"));
+    assert_eq!(world.replicas(&model), 1);
+    world.set_rules(Rules {
+        has_one: false,
+        ..Rules::default()
+    });
+    world.run_until(world.now + 15_000);
+    assert_eq!(world.replicas(&model), 0);
+    let (outlook, _) = told(&world, "one:a@v1");
+    let refused = outlook.is_some_and(|outlook| is_refused(&outlook, ResultCode::UnknownModel));
+    assert!(refused);
+    assert_eq!(world.violation, None);
+}
+
 /// A holder is cut off and paused; its successor moves a model; then the model's former home starts
 /// anew, while the others cannot be reached, and the former holder wakes up.
 fn former_holder_meets_a_new_boot(seed: u64, weakness: Weakness) -> Option<String> {
