--- a/crates/control/src/coordinator/choice.rs
+++ b/crates/control/src/coordinator/choice.rs
@@ -188,7 +188,8 @@
         });
         let promised = u32::try_from(queued.count()).unwrap_or(u32::MAX);
         let taken = self.placement.planned(&subject).saturating_add(promised);
-        if taken < self.quotas.claimed_units(&subject) {
+        let goal = self.goals.get(&subject).copied().unwrap_or(u32::MAX);
+        if taken < self.quotas.claimed_units(&subject).min(goal) {
             return SlotSource::Unit;
         }
         if promised > 0 {
--- a/crates/control/src/coordinator/leading.rs
+++ b/crates/control/src/coordinator/leading.rs
@@ -120,6 +120,8 @@
     pub(super) kept: Vec<(ArtifactId, u32)>,
     /// Artifacts to load ahead of need.
     pub(super) prewarmed: BTreeSet<ArtifactId>,
+    /// Units down to which slots are being freed.
+    pub(super) goals: BTreeMap<QuotaSubject, u32>,
     /// Quotas to claim for homes.
     pub(super) homes_wanted: BTreeSet<QuotaSubject>,
     /// Highest term seen anywhere; a higher one than the own means that this term is over.
@@ -161,6 +163,7 @@
             next_housekeeping: now,
             kept: Vec::new(),
             prewarmed: BTreeSet::new(),
+            goals: BTreeMap::new(),
             homes_wanted: BTreeSet::new(),
             highest: term,
             actions: Vec::new(),
--- a/crates/control/src/coordinator/needs.rs
+++ b/crates/control/src/coordinator/needs.rs
@@ -24,7 +24,6 @@
             subjects.extend(self.quotas.subjects());
         }
         subjects.extend(self.wanted.keys().map(subject_of));
-        subjects.extend(self.homes_wanted.iter().cloned());
         subjects.insert(QuotaSubject::WeightStore);
         subjects
     }
--- a/crates/control/src/coordinator/planner.rs
+++ b/crates/control/src/coordinator/planner.rs
@@ -35,17 +35,19 @@
             self.find_prewarmed(context);
         }
         self.wanted = self.collect_wanted(context);
-        self.pursue_all(context);
-        self.advance_loads(context);
-        self.unload_unneeded(context);
+        let mut subjects = self.subjects_due(housekeeping);
+        // What must go first goes before anything is loaded, so that it is not loaded again.
+        self.release_excess(&subjects, context);
         if housekeeping || !self.gone.is_empty() {
             self.release_slots(context);
         }
+        self.pursue_all(context);
+        self.advance_loads(context);
+        self.unload_unneeded(context);
         if housekeeping {
             self.find_homes(context);
         }
-        let subjects = self.subjects_due(housekeeping);
-        self.release_excess(&subjects, context);
+        subjects.extend(self.homes_wanted.iter().cloned());
         self.step_quotas(&subjects, context);
     }
 
--- a/crates/control/src/coordinator/quota.rs
+++ b/crates/control/src/coordinator/quota.rs
@@ -411,13 +411,14 @@
     if lowered == own && rule.zones.contains(zone) {
         let free = next.limit.min(rule.limit).saturating_sub(total(&next));
         let missing = need.needed.saturating_sub(own);
+        let checked = missing.max(unused_share(&next, zone, rule, own)).min(free);
         let raise = if weakness == Weakness::UncheckedRaise {
             missing
         } else {
-            missing.min(free)
+            checked
         };
         set_units(&mut next, zone, own + raise);
-        ask(&mut next, zone, need, missing - raise);
+        ask(&mut next, zone, need, missing.saturating_sub(raise));
     } else {
         next.wanted.remove(zone);
     }
@@ -428,6 +429,16 @@
     next
 }
 
+/// Units that the zone may take up ahead of need, because its even share is larger than what it has.
+fn unused_share(quota: &Quota, zone: &ZoneName, rule: &QuotaRule, own: u32) -> u32 {
+    if total(quota) >= rule.limit {
+        return 0;
+    }
+    let split = split_units(&quota.subject, rule.limit, &rule.zones);
+    let share = split.get(zone).copied().unwrap_or(0);
+    share.saturating_sub(own)
+}
+
 /// Passes freed units on to zones that ask for some.
 fn grant(quota: &mut Quota, zone: &ZoneName, freed: u32) {
     let free = quota.limit.saturating_sub(total(quota));
--- a/crates/control/src/coordinator/unneeded.rs
+++ b/crates/control/src/coordinator/unneeded.rs
@@ -178,12 +178,10 @@
 
     fn release_down_to_goal(&mut self, subject: &QuotaSubject, context: &Context) {
         let planned = self.placement.planned(subject);
-        if planned == 0 {
-            return;
-        }
         let rule = self.rule(subject, context);
         let need = self.need(subject, context);
         let goal = self.quotas.goal(subject, &rule, &need);
+        self.goals.insert(subject.clone(), goal);
         let mut excess = planned.saturating_sub(goal);
         if excess == 0 {
             return;
