--- a/crates/control/src/coordinator/choice.rs
+++ b/crates/control/src/coordinator/choice.rs
@@ -54,7 +54,7 @@
     ) -> Result<Choice, Block> {
         let subject = subject_of(artifact);
         let source = self.slot_source(artifact, context);
-        let may_add = source != SlotSource::None && context.may_record;
+        let may_add = source != SlotSource::None && !context.in_outage();
         let mut best: Option<(Duration, u64, Choice)> = None;
         let mut fits = false;
         let mut could_fit = false;
@@ -188,7 +188,8 @@
         });
         let promised = u32::try_from(queued.count()).unwrap_or(u32::MAX);
         let taken = self.placement.planned(&subject).saturating_add(promised);
-        if taken < self.quotas.claimed_units(&subject) {
+        let goal = self.goals.get(&subject).copied().unwrap_or(u32::MAX);
+        if taken < self.quotas.claimed_units(&subject).min(goal) {
             return SlotSource::Unit;
         }
         if promised > 0 {
--- a/crates/control/src/coordinator/quota.rs
+++ b/crates/control/src/coordinator/quota.rs
@@ -101,8 +101,10 @@
     reading: bool,
     next_read: Timestamp,
     entries: BTreeMap<QuotaSubject, Entry>,
-    /// A record bears a higher term of this zone.
-    overtaken: bool,
+    /// Highest term of this zone in any record.
+    highest: Term,
+    /// Subjects whose records have changed since they were last looked at.
+    changed: BTreeSet<QuotaSubject>,
 }
 
 impl QuotaBook {
@@ -115,7 +117,8 @@
             reading: false,
             next_read: Timestamp::ZERO,
             entries: BTreeMap::new(),
-            overtaken: false,
+            highest: term,
+            changed: BTreeSet::new(),
         }
     }
 
@@ -124,9 +127,9 @@
         self.loaded
     }
 
-    /// Whether a later coordinator of this zone has written a quota.
-    pub(super) fn overtaken(&self) -> bool {
-        self.overtaken
+    /// Highest term under which this zone has written a quota.
+    pub(super) fn highest(&self) -> Term {
+        self.highest
     }
 
     /// Subjects with a write outstanding.
@@ -155,6 +158,11 @@
         self.entries.keys().cloned().collect()
     }
 
+    /// The subjects whose records have changed since the last call.
+    pub(super) fn take_changed(&mut self) -> BTreeSet<QuotaSubject> {
+        std::mem::take(&mut self.changed)
+    }
+
     /// The record of a subject as last read.
     pub(super) fn record(&self, subject: &QuotaSubject) -> Option<&Quota> {
         let entry = self.entries.get(subject)?;
@@ -221,7 +229,10 @@
         let spare = own.saturating_sub(need.kept.max(need.needed));
         let given = spare.min(self.asked_by_others(subject));
         let goal = own - given;
-        if total(quota) <= rule.limit && rule.zones.contains(&self.zone) {
+        // With an older configuration than the record's, the record is right.
+        let outdated = rule.revision < quota.rule;
+        let allowed = total(quota) <= rule.limit && rule.zones.contains(&self.zone);
+        if outdated || allowed {
             return goal;
         }
         let split = split_units(subject, rule.limit, &rule.zones);
@@ -246,7 +257,7 @@
         now: Timestamp,
         settings: &CoordinatorSettings,
     ) -> Option<CoordinatorAction> {
-        if !self.loaded || self.overtaken {
+        if !self.loaded || self.highest > self.term {
             return None;
         }
         let goal = self.goal(subject, rule, need);
@@ -266,7 +277,8 @@
             None => created(subject, rule, &zone, term),
             Some((_, quota)) => {
                 let next = revised(quota, rule, need, goal, &zone, term, weakness);
-                let unclaimed = need.claims && quota.terms.get(&zone) != Some(&term);
+                let claimed = quota.terms.get(&zone) == Some(&term);
+                let unclaimed = need.claims && !claimed && weakness != Weakness::UnclaimedQuota;
                 if next == *quota && !unclaimed && entry.unsettled.is_empty() {
                     return None;
                 }
@@ -304,7 +316,7 @@
     /// A record was read or changed by someone.
     pub(super) fn on_changed(&mut self, revision: Revision, quota: Quota) {
         let written_under = quota.terms.get(&self.zone).copied().unwrap_or_default();
-        self.overtaken |= written_under > self.term;
+        self.highest = self.highest.max(written_under);
         let entry = self.entries.entry(quota.subject.clone()).or_default();
         let known = entry.record.as_ref().map(|(known, _)| *known);
         if known > Some(revision) {
@@ -312,6 +324,7 @@
         }
         entry.stale = false;
         entry.unsettled.retain(|write| write.base == Some(revision));
+        self.changed.insert(quota.subject.clone());
         entry.record = Some((revision, quota));
     }
 
@@ -344,6 +357,13 @@
     quota.units.get(zone).copied().unwrap_or(0)
 }
 
+/// Sets a zone's units; a zone without an entry has none.
+fn set_units(quota: &mut Quota, zone: &ZoneName, units: u32) {
+    if own_units(quota, zone) != units {
+        quota.units.insert(zone.clone(), units);
+    }
+}
+
 fn total(quota: &Quota) -> u32 {
     quota.units.values().sum()
 }
@@ -377,25 +397,28 @@
     weakness: Weakness,
 ) -> Quota {
     let mut next = quota.clone();
-    if rule.revision > quota.rule {
+    // A removed item has no revision of its own, and its limit of zero is written once.
+    let removed = rule.limit == 0 && quota.limit == 0;
+    if rule.revision > quota.rule && !removed {
         next.rule = rule.revision;
         next.limit = rule.limit;
     }
     let own = own_units(quota, zone);
     let lowered = goal.max(need.bound).min(own);
-    next.units.insert(zone.clone(), lowered);
+    set_units(&mut next, zone, lowered);
     // What the goal leaves over goes to those who ask, as far as the rule allows.
     grant(&mut next, zone, own - lowered);
     if lowered == own && rule.zones.contains(zone) {
         let free = next.limit.min(rule.limit).saturating_sub(total(&next));
         let missing = need.needed.saturating_sub(own);
+        let checked = missing.max(unused_share(&next, zone, rule, own)).min(free);
         let raise = if weakness == Weakness::UncheckedRaise {
             missing
         } else {
-            missing.min(free)
+            checked
         };
-        next.units.insert(zone.clone(), own + raise);
-        ask(&mut next, zone, need, missing - raise);
+        set_units(&mut next, zone, own + raise);
+        ask(&mut next, zone, need, missing.saturating_sub(raise));
     } else {
         next.wanted.remove(zone);
     }
@@ -406,6 +429,16 @@
     next
 }
 
+/// Units that the zone may take up ahead of need, because its even share is larger than what it has.
+fn unused_share(quota: &Quota, zone: &ZoneName, rule: &QuotaRule, own: u32) -> u32 {
+    if total(quota) >= rule.limit {
+        return 0;
+    }
+    let split = split_units(&quota.subject, rule.limit, &rule.zones);
+    let share = split.get(zone).copied().unwrap_or(0);
+    share.saturating_sub(own)
+}
+
 /// Passes freed units on to zones that ask for some.
 fn grant(quota: &mut Quota, zone: &ZoneName, freed: u32) {
     let free = quota.limit.saturating_sub(total(quota));
