Gateway against the stand-ins; refuse before the first token with a status of its own

The deadline is now kept until the first token, and the head of the answer waits for it, so that such a refusal has its HTTP status. A document cut off in its middle under a length that fits is seen and tried elsewhere. A request that certainly did not run goes back to the queue until its deadline. Bodies held are bounded over all requests.

--- a/crates/control/src/admission/routes.rs
+++ b/crates/control/src/admission/routes.rs
@@ -160,7 +160,14 @@
                 retry_after_ms,
             } => {
                 let retry_after = Duration::from_millis(*retry_after_ms);
-                Hope::Refused(Refusal::new(*code).with_retry_after(retry_after))
+                let age = now.since(received);
+                // A refusal stands for those who wait when it comes, and shortly after; then the
+                // zone is asked again, since callers who were told to come back may be back.
+                if age > Duration::ZERO && age >= retry_after.min(settings.demand_period) {
+                    return Hope::Unknown;
+                }
+                let left = retry_after.saturating_sub(age);
+                Hope::Refused(Refusal::new(*code).with_retry_after(left))
             }
         }
     }
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -9,6 +9,7 @@
 use reqwest::header::{CONTENT_LENGTH, HeaderMap, TRANSFER_ENCODING};
 use tokio::time::Instant;
 
+use crate::bytes_budget::{BytesBudget, HeldBytes};
 use crate::call::{Call, CallKind};
 use crate::head::{
     ATTEMPT_HEADER, NOT_RUN_HEADER, PRIORITY_HEADER, REQUEST_ID_HEADER, RESUME_HEADER,
@@ -18,6 +19,16 @@
 /// Time allowed for telling an engine that an attempt is given up.
 const CANCEL_TIMEOUT: Duration = Duration::from_secs(5);
 
+/// How much of a body is held.
+pub(crate) struct Hold<'a> {
+    /// Of this body, in bytes.
+    pub limit: usize,
+    /// Of all bodies together.
+    pub budget: &'a BytesBudget,
+    /// What the request holds so far.
+    pub held: &'a mut HeldBytes,
+}
+
 /// The body of an answer, as far as it is held.
 pub(crate) struct Collected {
     /// What has come.
@@ -69,12 +80,13 @@
 /// Reads the body of an answer: whole, or up to the length that is held.
 pub(crate) async fn collect(
     mut response: reqwest::Response,
-    hold: usize,
+    hold: Hold<'_>,
     until: Instant,
 ) -> Result<Collected, AttemptEnd> {
     let length_is_stated = states_length(&response);
     let mut chunks = Vec::new();
     let mut length = 0;
+    let mut is_held;
     loop {
         let Ok(chunk) = tokio::time::timeout_at(until, response.chunk()).await else {
             return Err(AttemptEnd::TimedOut);
@@ -82,12 +94,13 @@
         match chunk {
             Ok(Some(chunk)) => {
                 length += chunk.len();
+                is_held = hold.budget.hold(hold.held, chunk.len());
                 chunks.push(chunk);
             }
             Ok(None) => return finish(chunks, finish_body(false, length_is_stated)),
             Err(_) => return finish(chunks, finish_body(true, length_is_stated)),
         }
-        if length > hold {
+        if length > hold.limit || !is_held {
             let rest = Some(response);
             return Ok(Collected { chunks, rest });
         }
--- a/crates/gateway/src/body.rs
+++ b/crates/gateway/src/body.rs
@@ -1,7 +1,5 @@
 //! Reading a caller's body, within a length and a time.
 
-use std::time::Duration;
-
 use bytes::{Bytes, BytesMut};
 use flaxward_types::{Refusal, ResultCode};
 use futures::StreamExt;
@@ -9,19 +7,25 @@
 use salvo::prelude::Request;
 
 use crate::answer::bad;
-use crate::settings::GatewaySettings;
+use crate::bytes_budget::HeldBytes;
+use crate::gateway::Gateway;
 
 /// Takes the whole body of a request.
 pub(crate) async fn read_body(
     request: &mut Request,
-    settings: &GatewaySettings,
+    gateway: &Gateway,
+    held: &mut HeldBytes,
 ) -> Result<Bytes, Refusal> {
+    let settings = &gateway.settings;
     let limit = settings.body_limit;
     if stated_length(request).is_some_and(|length| length > limit as u64) {
         return Err(Refusal::new(ResultCode::BodyTooLong));
     }
     let body = request.take_body();
-    read_in_time(body, limit, settings.body_timeout).await
+    let reading = read(body, limit, |length| gateway.bytes.hold(held, length));
+    tokio::time::timeout(settings.body_timeout, reading)
+        .await
+        .unwrap_or_else(|_| Err(Refusal::new(ResultCode::SlowSender)))
 }
 
 fn stated_length(request: &Request) -> Option<u64> {
@@ -29,13 +33,13 @@
     value.to_str().ok()?.parse().ok()
 }
 
-async fn read_in_time(body: ReqBody, limit: usize, timeout: Duration) -> Result<Bytes, Refusal> {
-    tokio::time::timeout(timeout, read(body, limit))
-        .await
-        .unwrap_or_else(|_| Err(Refusal::new(ResultCode::SlowSender)))
-}
-
-async fn read(mut body: ReqBody, limit: usize) -> Result<Bytes, Refusal> {
+/// Reads to the end. Bytes are held as they come, so that a caller that states a great length and
+/// sends nothing takes nothing from others.
+async fn read(
+    mut body: ReqBody,
+    limit: usize,
+    mut hold: impl FnMut(usize) -> bool,
+) -> Result<Bytes, Refusal> {
     let mut first = Bytes::new();
     let mut more = BytesMut::new();
     while let Some(frame) = body.next().await {
@@ -46,6 +50,9 @@
         if first.len() + more.len() + data.len() > limit {
             return Err(Refusal::new(ResultCode::BodyTooLong));
         }
+        if !hold(data.len()) {
+            return Err(Refusal::new(ResultCode::Overloaded));
+        }
         if first.is_empty() {
             first = data;
         } else {
--- a/crates/gateway/src/completions.rs
+++ b/crates/gateway/src/completions.rs
@@ -101,12 +101,14 @@
         request_id: &str,
     ) -> Result<(), Refusal> {
         let started = Instant::now();
-        let in_progress = self.gateway.enter()?;
+        let mut admitted = self.gateway.enter()?;
         let settings = &self.gateway.settings;
         let head = read_head(request.headers(), request_id.to_owned(), settings)?;
         let deadline = self.gateway.clock.now() + head.deadline;
-        let body = read_body(request, settings).await?;
+        let body = read_body(request, &self.gateway, &mut admitted.held_bytes).await?;
         let wanted = self.read(&body)?;
+        // The engine gets another one; this one is not kept while the request waits.
+        drop(body);
         let call = self.call(request.headers(), &head, &wanted, deadline);
         let claim = match self
             .gateway
@@ -122,7 +124,7 @@
             None => None,
         };
         let place = self.enter_queue(&head, &wanted, deadline);
-        let mut run = Run::new(Arc::clone(&self.gateway), call, place, claim, in_progress);
+        let mut run = Run::new(Arc::clone(&self.gateway), call, place, claim, admitted);
         if !wanted.stream {
             let answer = finish(run).await?;
             answer.write(response);
@@ -130,9 +132,12 @@
         }
         match open_stream(&mut run).await {
             Ok(Opened::Stream(opened)) => {
-                response.headers_mut().extend(passed_on(opened.headers()));
-                let relay = Relay::new(run, opened, started);
-                response.body(ResBody::stream(relay.into_stream()));
+                let headers = passed_on(opened.headers());
+                let mut relay = Relay::new(run, opened, started);
+                // Until its first bytes a stream can still be refused with a status of its own.
+                let first = relay.advance().await?.unwrap_or_default();
+                response.headers_mut().extend(headers);
+                response.body(ResBody::stream(relay.into_stream(first)));
             }
             Ok(Opened::Whole(answer)) => answer.into_answer(run).write(response),
             Err(refusal) => {
--- a/crates/gateway/src/counters.rs
+++ b/crates/gateway/src/counters.rs
@@ -1,4 +1,4 @@
-//! Counters of the callers' interface. The names stand in docs/METRICS.md.
+//! Counters of the callers' interface.
 
 use std::time::Duration;
 
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -26,6 +26,7 @@
 use tokio_util::task::task_tracker::TaskTrackerToken;
 
 use crate::answer::{Answer, write_refusal, write_request_id};
+use crate::bytes_budget::{BytesBudget, HeldBytes};
 use crate::call::Call;
 use crate::claims::{ClaimReply, ClaimTicket, Claims};
 use crate::clock::Clock;
@@ -48,6 +49,7 @@
     pub(crate) scheduler: Arc<Scheduler>,
     pub(crate) service_pool: Arc<ServicePool>,
     configuration: watch::Receiver<Arc<Configuration>>,
+    pub(crate) bytes: BytesBudget,
     budget: Mutex<RetryBudget>,
     claims: Arc<Claims>,
     /// Requests in progress, and claims whose outcome is being recorded.
@@ -55,6 +57,14 @@
     is_stopping: AtomicBool,
 }
 
+/// A request that was taken in.
+pub(crate) struct Admitted {
+    /// Keeps a planned stop waiting.
+    pub in_progress: TaskTrackerToken,
+    /// Its bodies, as long as they are held.
+    pub held_bytes: HeldBytes,
+}
+
 /// What a claim of a key has brought.
 pub(crate) enum Reply {
     /// The request may be sent.
@@ -87,6 +97,7 @@
             scheduler: Arc::new(Scheduler::new(admission, demands, clock)),
             service_pool: Arc::new(ServicePool::new(zone, clock, rand::random())),
             configuration,
+            bytes: BytesBudget::new(settings.held_bytes),
             budget: Mutex::new(budget),
             claims: Arc::new(claims),
             requests,
@@ -176,8 +187,8 @@
         self.requests.wait().await;
     }
 
-    /// Takes a request in. It is in progress until the token is dropped.
-    pub(crate) fn enter(&self) -> Result<TaskTrackerToken, Refusal> {
+    /// Takes a request in. It is in progress until the result is dropped.
+    pub(crate) fn enter(&self) -> Result<Admitted, Refusal> {
         if self.requests.len() >= self.settings.max_in_progress {
             return Err(Refusal::new(ResultCode::Overloaded));
         }
@@ -186,7 +197,10 @@
         if self.is_stopping.load(Ordering::SeqCst) {
             return Err(Refusal::new(ResultCode::Stopping));
         }
-        Ok(token)
+        Ok(Admitted {
+            in_progress: token,
+            held_bytes: HeldBytes::default(),
+        })
     }
 
     /// The configuration in force.
--- a/crates/gateway/src/head.rs
+++ b/crates/gateway/src/head.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use flaxward_types::{Refusal, ResultCode};
+use salvo::http::header::CONTENT_LENGTH;
 use salvo::http::{HeaderMap, Method};
 
 use crate::answer::bad;
@@ -166,6 +167,18 @@
     matches!(*method, Method::GET | Method::HEAD | Method::OPTIONS)
 }
 
+/// The headers of an answer that are passed on. The answer to `HEAD` has no body by which its
+/// length would be found out again.
+pub(crate) fn answer_headers(headers: &HeaderMap, method: &Method) -> HeaderMap {
+    let mut passed = passed_on(headers);
+    if *method == Method::HEAD
+        && let Some(length) = headers.get(CONTENT_LENGTH)
+    {
+        passed.insert(CONTENT_LENGTH, length.clone());
+    }
+    passed
+}
+
 /// The headers that are passed on: neither those of one connection nor flaxward's own.
 pub(crate) fn passed_on(headers: &HeaderMap) -> HeaderMap {
     let named_by_connection = headers
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -11,6 +11,7 @@
 mod answer;
 mod attempt;
 mod body;
+mod bytes_budget;
 mod call;
 mod claims;
 mod clock;
@@ -31,4 +32,4 @@
 
 pub use gateway::Gateway;
 pub use server_sent_events::{Event, EventError, EventScanner};
-pub use settings::{GatewaySettings, back_end_client};
+pub use settings::{GatewaySettings, back_end_client, connection_limits};
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -31,7 +31,9 @@
     checker: FrameChecker,
     started: Instant,
     silence: Pin<Box<Sleep>>,
-    last_chunk: tokio::time::Instant,
+    waiting_since: tokio::time::Instant,
+    /// What the caller is told after the bytes it still gets.
+    failed: Option<Refusal>,
     is_finished: bool,
 }
 
@@ -45,7 +47,7 @@
     /// Relays the stream whose head has come.
     pub fn new(run: Run, response: reqwest::Response, started: Instant) -> Self {
         let checker = FrameChecker::new(run.attempt());
-        let silence = Box::pin(tokio::time::sleep(run.gateway().settings.stream_idle));
+        let silence = Box::pin(tokio::time::sleep_until(run.first_token_timer()));
         Self {
             run,
             response: Some(response),
@@ -53,43 +55,64 @@
             checker,
             started,
             silence,
-            last_chunk: tokio::time::Instant::now(),
+            waiting_since: tokio::time::Instant::now(),
+            failed: None,
             is_finished: false,
         }
     }
 
-    /// The body of the answer to the caller.
-    pub fn into_stream(self) -> impl Stream<Item = Result<BytesFrame, std::io::Error>> + Send {
-        futures::stream::unfold(self, |mut relay| async move {
-            let bytes = relay.next().await?;
-            Some((Ok(BytesFrame::data(bytes)), relay))
+    /// The body of the answer to the caller, after its first bytes.
+    pub fn into_stream(
+        self,
+        first: Bytes,
+    ) -> impl Stream<Item = Result<BytesFrame, std::io::Error>> + Send {
+        futures::stream::unfold((Some(first), self), |(first, mut relay)| async move {
+            let bytes = match first {
+                Some(first) => first,
+                None => relay.next().await?,
+            };
+            Some((Ok(BytesFrame::data(bytes)), (None, relay)))
         })
     }
 
     /// The next bytes for the caller, or `None` after the end.
     async fn next(&mut self) -> Option<Bytes> {
+        match self.advance().await {
+            Ok(bytes) => bytes,
+            Err(refusal) => Some(self.error_event(refusal)),
+        }
+    }
+
+    /// The next bytes for the caller, or `None` after the end. An error if there are none and no
+    /// other attempt follows.
+    pub async fn advance(&mut self) -> Result<Option<Bytes>, Refusal> {
         while !self.is_finished {
+            if let Some(refusal) = self.failed.take() {
+                return Err(self.finish_refused(refusal));
+            }
             if self.response.is_none()
                 && let Err(refusal) = self.open_again().await
             {
-                return Some(self.fail(refusal));
+                return Err(self.finish_refused(refusal));
             }
             let bytes = match self.read().await {
                 Read::Chunk(chunk) => self.pass_on(chunk),
-                Read::End(end) => self.end_attempt(end),
+                Read::End(end) => {
+                    self.end_attempt(end);
+                    continue;
+                }
             };
             if !bytes.is_empty() {
-                return Some(bytes);
+                return Ok(Some(bytes));
             }
         }
-        None
+        Ok(None)
     }
 
     async fn open_again(&mut self) -> Result<(), Refusal> {
         let response = self.run.open().await?;
         self.checker.begin(self.run.attempt());
         self.scanner.clear();
-        self.last_chunk = tokio::time::Instant::now();
         if !response.status().is_success() {
             return self.run.end(AttemptEnd::Truncated);
         }
@@ -101,12 +124,12 @@
         let Some(response) = self.response.as_mut() else {
             return Read::End(AttemptEnd::Truncated);
         };
-        let idle = self.run.gateway().settings.stream_idle;
+        // Time in which the caller reads nothing is not the back end's.
+        self.waiting_since = tokio::time::Instant::now();
         loop {
             tokio::select! {
                 biased;
                 chunk = response.chunk() => {
-                    self.last_chunk = tokio::time::Instant::now();
                     return match chunk {
                         Ok(Some(chunk)) => Read::Chunk(chunk),
                         Ok(None) => Read::End(AttemptEnd::Truncated),
@@ -117,7 +140,10 @@
                 }
                 // One timer for the whole stream: set again only when it fires, not per chunk.
                 () = &mut self.silence => {
-                    let until = self.last_chunk + idle;
+                    let mut until = self.waiting_since + self.run.gateway().settings.stream_idle;
+                    if self.checker.next_index() == 0 {
+                        until = until.min(self.run.first_token_timer());
+                    }
                     if tokio::time::Instant::now() >= until {
                         return Read::End(AttemptEnd::TimedOut);
                     }
@@ -139,15 +165,10 @@
                 counters::first_token(self.started.elapsed());
             }
         }
-        let bytes = passed.into_bytes(&self.scanner);
-        let Err(end) = verdict else {
-            return bytes;
-        };
-        let error = self.end_attempt(end);
-        if error.is_empty() {
-            return bytes;
+        if let Err(end) = verdict {
+            self.end_attempt(end);
         }
-        [bytes, error].concat().into()
+        passed.into_bytes(&self.scanner)
     }
 
     /// Reads the events of a chunk. An error if the attempt is to be given up.
@@ -195,25 +216,28 @@
         counters::relayed(STREAM_STATUS);
     }
 
-    /// Gives the current attempt up. Returns the error for the caller if no other follows.
-    fn end_attempt(&mut self, end: AttemptEnd) -> Bytes {
+    /// Gives the current attempt up.
+    fn end_attempt(&mut self, end: AttemptEnd) {
         self.response = None;
-        match self.run.end(end) {
-            Ok(()) => Bytes::new(),
-            Err(refusal) => self.fail(refusal),
-        }
+        self.failed = self.run.end(end).err();
     }
 
-    /// Ends the stream with an error event.
-    fn fail(&mut self, refusal: Refusal) -> Bytes {
+    /// Ends the stream, with what the caller is told.
+    fn finish_refused(&mut self, refusal: Refusal) -> Refusal {
         self.is_finished = true;
+        let has_tokens = self.checker.next_index() > 0;
         let code = match refusal.code {
-            code if code.not_run() && self.checker.next_index() > 0 => ResultCode::StreamBroken,
+            code if code.not_run() && has_tokens => ResultCode::StreamBroken,
             code => code,
         };
         self.run.settle(RequestEnd::refused(code));
-        let refusal = Refusal { code, ..refusal };
-        counters::answered(code);
+        Refusal { code, ..refusal }
+    }
+
+    /// An error as the last event of a stream.
+    fn error_event(&self, refusal: Refusal) -> Bytes {
+        let refusal = self.run.gateway().with_retry_after(refusal);
+        counters::answered(refusal.code);
         let json = error_json(&refusal, &self.run.call().request_id);
         format!("event: error\ndata: {json}\n\n").into()
     }
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -8,16 +8,18 @@
 use flaxward_types::{AttemptId, Refusal, ResultCode};
 use reqwest::StatusCode;
 use reqwest::header::{CONTENT_TYPE, HeaderMap};
+use serde::de::IgnoredAny;
 use tokio::time::Instant;
 use tokio_util::task::task_tracker::TaskTrackerToken;
 
 use crate::answer::Answer;
-use crate::attempt::{CancelGuard, Collected, collect, send};
-use crate::call::{Call, new_attempt};
+use crate::attempt::{CancelGuard, Collected, Hold, collect, send};
+use crate::bytes_budget::HeldBytes;
+use crate::call::{Call, CallKind, new_attempt};
 use crate::claims::ClaimTicket;
 use crate::counters;
-use crate::gateway::Gateway;
-use crate::head::passed_on;
+use crate::gateway::{Admitted, Gateway};
+use crate::head::answer_headers;
 use crate::place::Place;
 use crate::remainder::Remainder;
 
@@ -29,6 +31,9 @@
     machine: RequestMachine,
     /// The current attempt and the guard that cancels it.
     current: Option<(AttemptId, CancelGuard)>,
+    /// The attempt that a claim names, until it is begun.
+    first_attempt: Option<AttemptId>,
+    held_bytes: HeldBytes,
     claim: Option<ClaimTicket>,
     _in_progress: TaskTrackerToken,
 }
@@ -40,17 +45,19 @@
         call: Call,
         place: Place,
         claim: Option<ClaimTicket>,
-        in_progress: TaskTrackerToken,
+        admitted: Admitted,
     ) -> Self {
         let machine = RequestMachine::new(call.policy, gateway.settings.attempts);
         Self {
+            first_attempt: Some(call.first_attempt),
+            held_bytes: admitted.held_bytes,
             gateway,
             call,
             place,
             machine,
             current: None,
             claim,
-            _in_progress: in_progress,
+            _in_progress: admitted.in_progress,
         }
     }
 
@@ -130,15 +137,24 @@
     /// Reads the answer whose head has come. `None` if the request is to be sent again.
     pub async fn hold(&mut self, response: reqwest::Response) -> Result<Option<Held>, Refusal> {
         let status = response.status();
-        let headers = passed_on(response.headers());
+        let headers = answer_headers(response.headers(), &self.call.method);
         let until = self.gateway.clock.instant(self.call.deadline);
-        let collected = match collect(response, self.gateway.settings.answer_hold, until).await {
+        let hold = Hold {
+            limit: self.gateway.settings.answer_hold,
+            budget: &self.gateway.bytes,
+            held: &mut self.held_bytes,
+        };
+        let collected = match collect(response, hold, until).await {
             Ok(collected) => collected,
             Err(end) => {
                 self.end(end)?;
                 return Ok(None);
             }
         };
+        if self.is_malformed(status, &headers, &collected) {
+            self.end(AttemptEnd::Truncated)?;
+            return Ok(None);
+        }
         if collected.rest.is_some() {
             self.note_delivered(Delivered::Bytes);
         } else if !self.answered(status.as_u16())? {
@@ -151,6 +167,19 @@
         }))
     }
 
+    /// Whether an engine's whole answer is not what it says. A document cut off in its middle can
+    /// come under a length that fits.
+    fn is_malformed(&self, status: StatusCode, headers: &HeaderMap, body: &Collected) -> bool {
+        let says_json = headers
+            .get(CONTENT_TYPE)
+            .is_some_and(|value| value.as_bytes().starts_with(b"application/json"));
+        self.call.kind == CallKind::Engine
+            && status.is_success()
+            && says_json
+            && body.rest.is_none()
+            && serde_json::from_slice::<IgnoredAny>(&body.chunks.concat()).is_err()
+    }
+
     /// Notes that the current attempt has brought a whole answer. Returns whether it is the
     /// caller's; otherwise the request is to be sent again.
     pub fn answered(&mut self, status: u16) -> Result<bool, Refusal> {
@@ -169,9 +198,24 @@
             return Err(Refusal::new(ResultCode::DeadlineWhileRunning));
         }
         let step = self.step(end);
+        if self.may_queue_again(&step, end) {
+            self.machine = RequestMachine::new(self.call.policy, self.gateway.settings.attempts);
+            self.place.give_back(fault(end), self.call.deadline);
+            return Ok(());
+        }
         self.follow(&step, end)
     }
 
+    /// Whether the request waits for another replica although it was tried often enough. It has
+    /// certainly not run, the runner is left alone for a while, and the coordinator will show
+    /// another; until the deadline that is better than a refusal.
+    fn may_queue_again(&self, step: &Step, end: AttemptEnd) -> bool {
+        self.call.kind == CallKind::Engine
+            && matches!(step, Step::Finish(code) if code.not_run())
+            && !end.may_have_run()
+            && self.gateway.clock.now() < self.call.deadline
+    }
+
     fn step(&mut self, end: AttemptEnd) -> Step {
         let Some((attempt, mut guard)) = self.current.take() else {
             return Step::Stale;
@@ -213,6 +257,12 @@
         is_late && self.machine.delivered() == Delivered::Nothing
     }
 
+    /// Until when the first token of a stream must come.
+    pub fn first_token_timer(&self) -> Instant {
+        let idle = Instant::now() + self.gateway.settings.stream_idle;
+        idle.min(self.gateway.clock.instant(self.call.deadline))
+    }
+
     /// Until when the head of an answer must come.
     fn head_timer(&self) -> Instant {
         if self.machine.delivered() == Delivered::Nothing {
@@ -221,11 +271,8 @@
         Instant::now() + self.gateway.settings.stream_idle
     }
 
-    fn next_attempt(&self) -> AttemptId {
-        if self.machine.attempts() == 0 {
-            return self.call.first_attempt;
-        }
-        new_attempt()
+    fn next_attempt(&mut self) -> AttemptId {
+        self.first_attempt.take().unwrap_or_else(new_attempt)
     }
 
     /// The refusal of a request that finds no back end: "not run" only if that is certain.
--- a/crates/gateway/src/services.rs
+++ b/crates/gateway/src/services.rs
@@ -50,7 +50,7 @@
         response: &mut Response,
         request_id: &str,
     ) -> Result<(), Refusal> {
-        let in_progress = self.gateway.enter()?;
+        let mut admitted = self.gateway.enter()?;
         let settings = &self.gateway.settings;
         let head = read_head(request.headers(), request_id.to_owned(), settings)?;
         let deadline = self.gateway.clock.now() + head.deadline;
@@ -65,7 +65,7 @@
         };
         let method = request.method().clone();
         let headers = passed_on(request.headers());
-        let body = read_body(request, settings).await?;
+        let body = read_body(request, &self.gateway, &mut admitted.held_bytes).await?;
         let call = Call {
             kind: CallKind::Service,
             policy: RequestPolicy {
@@ -95,7 +95,7 @@
         let pool = &self.gateway.service_pool;
         let ticket = pool.enter(service, spec.concurrency, head.priority, deadline);
         let place = Place::Service(ticket);
-        let run = Run::new(Arc::clone(&self.gateway), call, place, claim, in_progress);
+        let run = Run::new(Arc::clone(&self.gateway), call, place, claim, admitted);
         let answer = finish(run).await?;
         answer.write(response);
         Ok(())
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -6,6 +6,7 @@
 use flaxward_control::attempt::{AttemptSettings, RetryBudgetSettings};
 use flaxward_control::claims::ClaimSettings;
 use flaxward_types::ZoneName;
+use salvo::fuse::FuseConfig;
 
 /// Limits and durations of the callers' interface. The defaults are those of the settings file.
 #[derive(Clone, Debug)]
@@ -24,6 +25,8 @@
     pub max_deadline: Duration,
     /// Requests in progress at this daemon, waiting ones included, at most.
     pub max_in_progress: usize,
+    /// Bodies of requests and answers held at this daemon, all together, in bytes.
+    pub held_bytes: usize,
     /// Longest answer without frames that is held until it is whole, in bytes. While an answer is
     /// held, another attempt can replace it; a longer one is passed on as it comes.
     pub answer_hold: usize,
@@ -56,6 +59,7 @@
             default_deadline: Duration::from_mins(1),
             max_deadline: Duration::from_mins(10),
             max_in_progress: 8_192,
+            held_bytes: 64 << 20,
             answer_hold: 1 << 20,
             stream_idle: Duration::from_secs(30),
             stream_resume_wait: Duration::from_secs(30),
@@ -69,6 +73,14 @@
     }
 }
 
+/// Limits of one caller's connection, for the server: a caller that sends its headers slowly or
+/// does not read its answer is cut off. Waiting for an answer is not limited here.
+pub fn connection_limits() -> FuseConfig {
+    FuseConfig::default()
+        .with_http1_header_timeout(Duration::from_secs(10))
+        .with_write_stall_timeout(Duration::from_secs(30))
+}
+
 /// An HTTP client for back ends: it follows no redirect, uses no proxy and sends nothing twice.
 ///
 /// # Errors
--- /dev/null
+++ b/crates/gateway/tests/gateway/main.rs
@@ -0,0 +1,7 @@
+//! The gateway against stand-ins of the engines, the services and the object API; the coordinator
+//! is the test.
+
+mod refusals;
+mod services;
+mod streams;
+mod support;
--- /dev/null
+++ b/crates/gateway/tests/gateway/services.rs
@@ -0,0 +1,146 @@
+//! Plain services: at most once, at the right machine, under the caller's key.
+
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use flaxward_emulator::fault::Strikes;
+use flaxward_types::RunnerName;
+use reqwest::{Method, RequestBuilder};
+use serde_json::Value;
+
+use crate::support::{Bench, fetch};
+
+fn order(bench: &Bench, key: &str) -> RequestBuilder {
+    let request = bench.request(Method::POST, "/services/despacho/orders?site=T14");
+    request.header("idempotency-key", key).body("two vans")
+}
+
+#[tokio::test]
+async fn a_request_reaches_the_service_as_it_was_sent() {
+    let bench = Bench::start(|_| {}).await;
+    let paths = [
+        ("/services/despacho/a/b%20c?d=%C3%B1", "/a/b%20c"),
+        ("/services/despacho/", "/"),
+        ("/services/despacho", "/"),
+    ];
+    for (path, target) in paths {
+        let got = fetch(bench.request(Method::PUT, path).body("x")).await;
+        let body: Value = serde_json::from_str(&got.text).unwrap();
+        assert_eq!(got.status, 200, "{path}");
+        assert_eq!(body["target"], format!("PUT {target}"), "{path}");
+    }
+}
+
+#[tokio::test]
+async fn an_order_with_a_key_runs_once_however_often_it_is_sent() {
+    let bench = Bench::start(|_| {}).await;
+    let first = fetch(order(&bench, "k1")).await;
+    assert_eq!(first.status, 200, "{}", first.text);
+    // The outcome is recorded right after the answer; until then the key is in progress.
+    let mut second = fetch(order(&bench, "k1")).await;
+    while second.code() == Some(4001) {
+        second = fetch(order(&bench, "k1")).await;
+    }
+    assert_eq!((second.status, &second.text), (200, &first.text));
+    let other = fetch(order(&bench, "k1").body("three vans")).await;
+    assert_eq!(other.code(), Some(4004), "{}", other.text);
+    assert_eq!(bench.times_run("k1"), 1);
+    let burst = (0..20).map(|_| fetch(order(&bench, "k2")));
+    let burst = futures::future::join_all(burst).await;
+    assert!(
+        burst
+            .iter()
+            .all(|got| got.status == 200 || got.code() == Some(4001))
+    );
+    assert_eq!(bench.times_run("k2"), 1);
+}
+
+#[tokio::test]
+async fn an_order_whose_answer_is_lost_is_not_run_again() {
+    let bench = Bench::start(|_| {}).await;
+    for service in &bench.services {
+        service.update_faults(|faults| faults.lose_answers = Strikes::always());
+    }
+    let got = fetch(order(&bench, "k1")).await;
+    assert_eq!(
+        (got.code(), got.error()["not_run"].as_bool()),
+        (Some(3001), Some(false))
+    );
+    let mut again = fetch(order(&bench, "k1")).await;
+    while again.code() == Some(4001) {
+        again = fetch(order(&bench, "k1")).await;
+    }
+    assert_eq!(again.code(), Some(4002), "{}", again.text);
+    let without_key = bench.request(Method::POST, "/services/despacho/orders");
+    let got = fetch(without_key.header("x-request-id", "r1")).await;
+    assert_eq!(got.code(), Some(3001));
+    assert_eq!((bench.times_run("k1"), bench.times_run("r1")), (1, 1));
+}
+
+#[tokio::test]
+async fn an_order_whose_claim_cannot_be_recorded_is_not_run() {
+    let bench = Bench::start(|_| {}).await;
+    bench.objects.update_faults(|faults| faults.down = true);
+    let got = fetch(order(&bench, "k1")).await;
+    assert_eq!(
+        (got.code(), got.error()["not_run"].as_bool()),
+        (Some(4003), Some(true))
+    );
+    assert!(got.retry_after().is_some());
+    bench.objects.update_faults(|faults| faults.down = false);
+    assert_eq!(bench.times_run("k1"), 0);
+    assert_eq!(fetch(order(&bench, "k1")).await.status, 200);
+}
+
+#[tokio::test]
+async fn an_order_whose_caller_goes_is_recorded_all_the_same() {
+    let bench = Bench::start(|_| {}).await;
+    for service in &bench.services {
+        service.update_faults(|faults| faults.slow_ms = 200);
+    }
+    let gone = order(&bench, "k1").timeout(Duration::from_millis(100));
+    assert!(gone.send().await.is_err());
+    let mut again = fetch(order(&bench, "k1")).await;
+    while again.code() == Some(4001) {
+        again = fetch(order(&bench, "k1")).await;
+    }
+    assert_eq!(
+        (again.status, bench.times_run("k1")),
+        (200, 1),
+        "{}",
+        again.text
+    );
+}
+
+#[tokio::test]
+async fn lookups_are_repeated_elsewhere_and_leaving_machines_are_passed_over() {
+    let bench = Bench::start(|_| {}).await;
+    bench.services[0].update_faults(|faults| faults.lose_answers = Strikes::next(3));
+    for _ in 0..6 {
+        let got = fetch(bench.request(Method::GET, "/services/despacho/stock")).await;
+        assert_eq!(got.status, 200, "{}", got.text);
+    }
+    let before = bench.services[0].record().executions.len();
+    bench
+        .gateway
+        .on_leaving(BTreeSet::from([RunnerName::literal("s0")]));
+    for _ in 0..20 {
+        let got = fetch(bench.request(Method::GET, "/services/despacho/stock")).await;
+        assert_eq!(got.status, 200, "{}", got.text);
+    }
+    assert_eq!(bench.services[0].record().executions.len(), before);
+    bench.set_machines(&[0]);
+    let got = fetch(bench.request(Method::GET, "/services/despacho/stock")).await;
+    assert_eq!(got.code(), Some(2010), "{}", got.text);
+}
+
+#[tokio::test]
+async fn requests_beyond_the_concurrency_of_a_service_wait_for_their_turn() {
+    let bench = Bench::start(|_| {}).await;
+    for service in &bench.services {
+        service.update_faults(|faults| faults.slow_ms = 20);
+    }
+    let stock = || fetch(bench.request(Method::GET, "/services/despacho/stock"));
+    let answers = futures::future::join_all((0..20).map(|_| stock())).await;
+    assert!(answers.iter().all(|got| got.status == 200));
+}
--- /dev/null
+++ b/crates/gateway/tests/gateway/support.rs
@@ -0,0 +1,289 @@
+//! A gateway on a local port, with stand-ins as its back ends.
+
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use bytesize::ByteSize;
+use flaxward_control::configuration::Configuration;
+use flaxward_emulator::engine::{LoadedAtStart, StreamFault, StreamFaultRule};
+use flaxward_emulator::fault::Strikes;
+use flaxward_emulator::platform::ANY_PORT;
+use flaxward_emulator::{
+    Engine, EngineConfig, ObjectApiConfig, ObjectApiServer, Service, ServiceConfig,
+};
+use flaxward_gateway::{Gateway, GatewaySettings, back_end_client, connection_limits};
+use flaxward_platform::http_client::TimeLimits;
+use flaxward_platform::settled::SettleLimits;
+use flaxward_platform::{ObjectsHttp, SettledStore};
+use flaxward_types::configuration::{CopyRule, ModelSpec, ServiceSpec, VersionSpec};
+use flaxward_types::engine::{Machine, MachineRole};
+use flaxward_types::routing::{Demand, Outlook, Replica, RouteAnswer};
+use flaxward_types::{
+    ConfigurationItem, DaemonName, ItemKey, ModelName, Revision, RunnerName, ServiceName, Term,
+    VersionName, ZoneName,
+};
+use reqwest::{Method, RequestBuilder};
+use salvo::conn::{Acceptor, TcpListener};
+use salvo::prelude::{Listener, Server};
+use serde_json::Value;
+use tokio::sync::{mpsc, watch};
+
+pub const ARTIFACT: &str = "turbine@v1";
+
+/// What the coordinator answers to each demand.
+#[derive(Clone)]
+pub struct Routing {
+    pub ready: Vec<Replica>,
+    pub outlook: Outlook,
+}
+
+pub struct Bench {
+    pub gateway: Arc<Gateway>,
+    pub address: SocketAddr,
+    pub engines: Vec<Engine>,
+    pub services: Vec<Service>,
+    pub objects: ObjectApiServer,
+    pub client: reqwest::Client,
+    pub configuration: watch::Sender<Arc<Configuration>>,
+    routing: Arc<Mutex<Routing>>,
+}
+
+/// An answer as the caller sees it.
+#[derive(Debug)]
+pub struct Got {
+    pub status: u16,
+    pub headers: reqwest::header::HeaderMap,
+    pub text: String,
+}
+
+impl Got {
+    /// The error in the body, or in the last event.
+    pub fn error(&self) -> Value {
+        let last = self.text.rsplit("data: ").next().unwrap_or_default();
+        let value: Value = serde_json::from_str(last.trim()).unwrap_or_default();
+        value["error"].clone()
+    }
+
+    pub fn code(&self) -> Option<u64> {
+        self.error()["code"].as_u64()
+    }
+
+    pub fn retry_after(&self) -> Option<u64> {
+        self.headers.get("retry-after")?.to_str().ok()?.parse().ok()
+    }
+}
+
+pub async fn fetch(request: RequestBuilder) -> Got {
+    let response = request.send().await.expect("an answer");
+    Got {
+        status: response.status().as_u16(),
+        headers: response.headers().clone(),
+        text: response.text().await.expect("a whole body"),
+    }
+}
+
+pub fn zone() -> ZoneName {
+    ZoneName::literal("scl-a")
+}
+
+/// The models `turbine` and `full` (whose queue has no place) and the service `despacho`.
+pub fn configuration() -> Configuration {
+    let version = VersionName::literal("v1");
+    let mut items = Vec::new();
+    for (name, queue_limit) in [("turbine", 4), ("full", 0)] {
+        let model = ModelName::literal(name);
+        let spec = ModelSpec {
+            serving: version.clone(),
+            copies: CopyRule::default(),
+            priority: 5,
+            queue_limit,
+        };
+        let weights = VersionSpec {
+            checkpoint: name.to_owned(),
+            weights: ByteSize::gib(1),
+            kv_cache: ByteSize::gib(1),
+        };
+        let key = ItemKey::Version(model.clone(), version.clone());
+        items.push((ItemKey::Model(model), ConfigurationItem::Model(spec)));
+        items.push((key, ConfigurationItem::Version(weights)));
+    }
+    let service = ItemKey::Service(ServiceName::literal("despacho"));
+    let spec = ServiceSpec { concurrency: 2 };
+    items.push((service, ConfigurationItem::Service(spec)));
+    let items = items
+        .into_iter()
+        .map(|(key, item)| (key, Revision(1), item));
+    Configuration::new(Revision(1), items)
+}
+
+impl Bench {
+    /// Two engines with the model loaded, of which the first is preferred, and two machines of the
+    /// service.
+    pub async fn start(change: impl FnOnce(&mut GatewaySettings)) -> Self {
+        let mut engines = Vec::new();
+        let mut services = Vec::new();
+        for index in 0..2 {
+            let loaded = LoadedAtStart {
+                artifact: ARTIFACT.parse().unwrap(),
+                bytes: 1 << 30,
+            };
+            let config = EngineConfig {
+                name: RunnerName::literal(&format!("e{index}")),
+                loaded: vec![loaded],
+                ..EngineConfig::default()
+            };
+            engines.push(Engine::start(config).await.unwrap());
+            let config = ServiceConfig {
+                name: RunnerName::literal(&format!("s{index}")),
+                zone: zone(),
+                service: ServiceName::literal("despacho"),
+                listen: ANY_PORT,
+                time_ms: 0,
+                seed: 1,
+            };
+            services.push(Service::start(config).await.unwrap());
+        }
+        let objects = ObjectApiServer::start(ObjectApiConfig::default())
+            .await
+            .unwrap();
+        let store = ObjectsHttp::new(&objects.url(), "scl-a/d1", TimeLimits::default()).unwrap();
+        let mut settings = GatewaySettings::new(vec![zone()]);
+        settings.admission.avoid_period = Duration::from_millis(20);
+        change(&mut settings);
+        let (sender, receiver) = watch::channel(Arc::new(configuration()));
+        let (demands, demanded) = mpsc::unbounded_channel();
+        let gateway = Gateway::new(
+            settings,
+            receiver,
+            back_end_client(Duration::from_secs(1)).unwrap(),
+            demands,
+            Arc::new(SettledStore::new(store, SettleLimits::default())),
+            DaemonName::literal("d1"),
+        );
+        let routing = Routing {
+            ready: engines.iter().zip([0, 100]).map(replica).collect(),
+            outlook: Outlook::Ready,
+        };
+        let routing = Arc::new(Mutex::new(routing));
+        tokio::spawn(coordinate(
+            Arc::clone(&gateway),
+            demanded,
+            Arc::clone(&routing),
+        ));
+        let ticking = Arc::clone(&gateway);
+        tokio::spawn(async move { ticking.run().await });
+        gateway.on_heads(BTreeSet::from([zone()]));
+        let acceptor = TcpListener::new("127.0.0.1:0").bind().await;
+        let address = acceptor.holdings()[0]
+            .local_addr
+            .clone()
+            .into_std()
+            .unwrap();
+        let server = Server::new(acceptor).fuse_config(connection_limits());
+        tokio::spawn(server.serve(gateway.router()));
+        let bench = Self {
+            gateway,
+            address,
+            engines,
+            services,
+            objects,
+            client: reqwest::Client::new(),
+            configuration: sender,
+            routing,
+        };
+        bench.set_machines(&[0, 1]);
+        bench
+    }
+
+    /// Changes what the coordinator answers to demands from now on.
+    pub fn answer(&self, ready: &[usize], outlook: Outlook) {
+        let ready = ready
+            .iter()
+            .map(|&index| replica((&self.engines[index], 0)));
+        let ready = ready.collect();
+        *self.routing.lock().unwrap() = Routing { ready, outlook };
+    }
+
+    /// Lets an engine commit a fault.
+    pub fn add_fault(&self, index: usize, fault: StreamFault, strikes: Strikes) {
+        let artifact = None;
+        self.engines[index].update_faults(|faults| {
+            faults.streams.push(StreamFaultRule {
+                fault,
+                strikes,
+                artifact,
+            });
+        });
+    }
+
+    /// Makes these the machines of the service.
+    pub fn set_machines(&self, indices: &[usize]) {
+        let machine = |&index: &usize| Machine {
+            name: self.services[index].config().name.clone(),
+            zone: zone(),
+            address: self.services[index].address().to_string(),
+            role: MachineRole::Service(ServiceName::literal("despacho")),
+            leaving: false,
+        };
+        let machines: Vec<Machine> = indices.iter().map(machine).collect();
+        self.gateway.on_machines(&machines);
+    }
+
+    pub fn request(&self, method: Method, path: &str) -> RequestBuilder {
+        self.client
+            .request(method, format!("http://{}{path}", self.address))
+    }
+
+    pub fn complete(&self, body: &Value) -> RequestBuilder {
+        self.request(Method::POST, "/v1/completions")
+            .body(body.to_string())
+    }
+
+    /// How often a request ran at the machines of the service.
+    pub fn times_run(&self, key: &str) -> usize {
+        let services = self.services.iter();
+        services
+            .map(|service| service.record().times_run(key))
+            .sum()
+    }
+
+    /// Requests that the engines have accepted.
+    pub fn accepted(&self) -> Vec<u64> {
+        let engines = self.engines.iter();
+        engines
+            .map(|engine| engine.record().requests_accepted)
+            .collect()
+    }
+}
+
+fn replica((engine, outstanding): (&Engine, u32)) -> Replica {
+    Replica {
+        runner: engine.config().name.clone(),
+        address: engine.address().to_string(),
+        outstanding,
+    }
+}
+
+async fn coordinate(
+    gateway: Arc<Gateway>,
+    mut demands: mpsc::UnboundedReceiver<(ZoneName, Vec<Demand>)>,
+    routing: Arc<Mutex<Routing>>,
+) {
+    let mut sequence = 0;
+    while let Some((zone, demands)) = demands.recv().await {
+        for Demand { artifact, .. } in demands {
+            sequence += 1;
+            let Routing { ready, outlook } = routing.lock().unwrap().clone();
+            gateway.on_routes(vec![RouteAnswer {
+                artifact,
+                zone: zone.clone(),
+                term: Term(1),
+                sequence,
+                ready,
+                outlook,
+            }]);
+        }
+    }
+}
