Admission: named cases; nothing is sent after its deadline

A replica that came between a deadline and the next tick still got the request: the property found it only after the check was added (a broken variant had survived), the named case holds it.

--- a/crates/control/src/admission.rs
+++ b/crates/control/src/admission.rs
@@ -130,10 +130,19 @@
     /// Takes an event and says what to do.
     pub fn handle(&mut self, now: Timestamp, event: AdmissionEvent) -> Vec<AdmissionAction> {
         let mut actions = Vec::new();
+        if let AdmissionEvent::CallerGone(request) = event {
+            self.queue.remove(request);
+            self.end(request);
+            return actions;
+        }
+        // Before the event, so that nothing is sent after its deadline between two ticks.
+        while let Some(request) = self.queue.overdue(now) {
+            self.refuse(now, Some(request), ResultCode::DeadlinePassed, &mut actions);
+        }
         match event {
             AdmissionEvent::Arrive(arrival) => self.arrive(now, arrival, &mut actions),
             AdmissionEvent::Routes(answer) => self.apply_routes(now, answer, &mut actions),
-            AdmissionEvent::Finished(request) => {
+            AdmissionEvent::Finished(request) | AdmissionEvent::CallerGone(request) => {
                 self.end(request);
             }
             AdmissionEvent::Returned {
@@ -141,10 +150,6 @@
                 fault,
                 deadline,
             } => self.take_back(now, request, fault, deadline, &mut actions),
-            AdmissionEvent::CallerGone(request) => {
-                self.queue.remove(request);
-                self.end(request);
-            }
             AdmissionEvent::Heads(heads) => {
                 self.zones.set_heads(heads);
                 self.review_all(now, &mut actions);
@@ -263,9 +268,6 @@
     }
 
     fn tick(&mut self, now: Timestamp, actions: &mut Vec<AdmissionAction>) {
-        while let Some(request) = self.queue.overdue(now) {
-            self.refuse(now, Some(request), ResultCode::DeadlinePassed, actions);
-        }
         self.unreachable.retain(|_, until| *until > now);
         self.forget_unused(now);
         self.review_all(now, actions);
--- /dev/null
+++ b/crates/control/tests/admission/main.rs
@@ -0,0 +1,4 @@
+//! Admission: properties against a model, and named cases.
+
+mod cases;
+mod model;
--- a/crates/control/tests/admission.rs
+++ b/crates/control/tests/admission/model.rs
@@ -132,6 +132,7 @@
     admission: Admission,
     settings: AdmissionSettings,
     now: Timestamp,
+    next_tick: Timestamp,
     next_request: u64,
     waiting: BTreeMap<RequestId, Open>,
     running: BTreeMap<RequestId, (Open, RunnerName)>,
@@ -161,6 +162,7 @@
             admission: Admission::new(settings.clone(), (0..3).map(zone).collect(), 7),
             settings,
             now: Timestamp(1_000_000),
+            next_tick: Timestamp(1_000_000),
             next_request: 0,
             waiting: BTreeMap::new(),
             running: BTreeMap::new(),
@@ -279,11 +281,13 @@
 
     fn wait(&mut self, ms: u64) -> Result<(), TestCaseError> {
         let end = self.now + Duration::from_millis(ms);
-        while self.now < end {
-            self.now = end.min(self.now + Duration::from_millis(TICK));
+        while self.next_tick <= end {
+            self.now = self.next_tick;
+            self.next_tick = self.now + Duration::from_millis(TICK);
             self.event(AdmissionEvent::Tick)?;
             self.check_after_tick()?;
         }
+        self.now = end;
         Ok(())
     }
 
@@ -348,6 +352,9 @@
         let Some(open) = self.waiting.remove(&request) else {
             return Err(TestCaseError::fail("dispatched twice or not waiting"));
         };
+        ensure(open.arrival.deadline > self.now, || {
+            "sent after its deadline".into()
+        })?;
         ensure(self.takes(&open, &runner), || {
             format!("{runner} takes no work")
         })?;
