--- a/crates/simulation/src/caller.rs
+++ b/crates/simulation/src/caller.rs
@@ -8,7 +8,7 @@
 use crate::time::VirtualTime;
 
 /// What a request goes to.
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Target {
     /// A model, adapter or version.
     Model(ModelRef),
--- a/crates/simulation/src/region/back_ends.rs
+++ b/crates/simulation/src/region/back_ends.rs
@@ -17,7 +17,6 @@
 use crate::gateway::{Attempt, News};
 use crate::network::{Place, between, chance};
 use crate::process::{Input, Operation, ProcessId};
-use crate::time::VirtualTime;
 
 /// Time after which an order or a connection attempt without an answer is given up.
 const ENGINE_TIMEOUT: Duration = Duration::from_secs(2);
@@ -423,6 +422,12 @@
             Some(until) => until.since(self.now),
             None => self.network.latency(&there, &here, &mut self.random),
         };
+        // What one connection brings stays in order.
+        let arrival = (self.now + delay).max(self.arrivals.remove(&attempt).unwrap_or_default());
+        if matches!(news, News::Head | News::Token(..)) {
+            self.arrivals.insert(attempt, arrival);
+        }
+        let delay = arrival.since(self.now);
         self.tell(delay, process, Input::News(attempt, news));
     }
 
@@ -548,13 +553,6 @@
             self.end_generation(&name, attempt);
         }
     }
-
-    /// Until when a process of this zone may stay cut off from a runner.
-    pub(super) fn cut_runner(&mut self, name: &RunnerName, until: VirtualTime) {
-        if let Some(engine) = self.engines.get_mut(name) {
-            engine.faults.cut_until = until;
-        }
-    }
 }
 
 /// The event that tells the node that a call has failed, unless nothing is told then.
--- a/crates/simulation/src/region/mod.rs
+++ b/crates/simulation/src/region/mod.rs
@@ -87,6 +87,8 @@
     engines: BTreeMap<RunnerName, Engine>,
     services: BTreeMap<RunnerName, ServiceMachine>,
     machines_made: usize,
+    /// When the last of what a connection brings arrives.
+    arrivals: BTreeMap<flaxward_types::AttemptId, VirtualTime>,
     remote_loads: u32,
     daemons: Vec<Daemon>,
     starts: u64,
@@ -112,6 +114,7 @@
             engines: BTreeMap::new(),
             services: BTreeMap::new(),
             machines_made: 0,
+            arrivals: BTreeMap::new(),
             remote_loads: 0,
             daemons: Vec::new(),
             starts: 0,
--- /dev/null
+++ b/crates/simulation/tests/region/main.rs
@@ -0,0 +1,4 @@
+//! A whole region in virtual time: what must always hold, under every fault.
+
+mod calm;
+mod support;
