--- a/crates/simulation/src/gateway/service_pool.rs
+++ b/crates/simulation/src/gateway/service_pool.rs
@@ -131,9 +131,9 @@
     }
 
     fn of<'a>(&'a self, service: &'a ServiceName) -> impl Iterator<Item = &'a Machine> {
-        self.machines.iter().filter(move |machine| {
-            matches!(&machine.role, MachineRole::Service(name) if name == service)
-        })
+        self.machines.iter().filter(
+            move |machine| matches!(&machine.role, MachineRole::Service(name) if name == service),
+        )
     }
 
     /// Own zone first, avoided ones last.
--- a/crates/simulation/src/region/checks.rs
+++ b/crates/simulation/src/region/checks.rs
@@ -317,6 +317,13 @@
             return;
         };
         record.ended = Some((now, outcome));
+        let record = record.clone();
+        self.trace(|| {
+            format!(
+                "request {number} {:?}: {record:?}",
+                self.requests[&number].target
+            )
+        });
         self.open.remove(&number);
         let (frames, executions) = (record.frames, record.executions);
         if let Outcome::Refused(code) | Outcome::BrokenOff(code) = outcome
--- a/crates/simulation/src/region/daemons.rs
+++ b/crates/simulation/src/region/daemons.rs
@@ -80,6 +80,8 @@
         };
         let place = &mut self.daemons[daemon];
         place.process = Some(process);
+        self.trace(|| format!("{} starts", self.name_of(id)));
+        let place = &mut self.daemons[daemon];
         place.paused_until = VirtualTime::default();
         place.backlog.clear();
         let phase = between(Duration::ZERO, TICK, &mut self.random);
@@ -129,6 +131,10 @@
             .collect()
     }
 
+    fn name_of(&self, id: ProcessId) -> &flaxward_types::DaemonName {
+        &self.daemons[id.daemon].peer.name
+    }
+
     /// The process, if it is the one meant and still runs.
     pub(super) fn process(&mut self, id: ProcessId) -> Option<&mut Process> {
         let process = self.daemons[id.daemon].process.as_mut()?;
@@ -241,6 +247,12 @@
     }
 
     fn act(&mut self, id: ProcessId, action: NodeAction) {
+        if matches!(
+            action,
+            NodeAction::Lead(_) | NodeAction::Resign | NodeAction::Stopped | NodeAction::Record(_)
+        ) {
+            self.trace(|| format!("{} {action:?}", self.name_of(id)));
+        }
         match action {
             NodeAction::Send(to, envelope) => self.send_envelope(id, to, envelope),
             NodeAction::Platform(action) => self.operate(id, action),
@@ -510,6 +522,7 @@
 
     /// The process ends; its connections break.
     pub(super) fn exit(&mut self, id: ProcessId) {
+        self.trace(|| format!("{} exits", self.name_of(id)));
         let Some(process) = self.daemons[id.daemon].process.take() else {
             return;
         };
--- a/crates/simulation/src/region/faults.rs
+++ b/crates/simulation/src/region/faults.rs
@@ -47,6 +47,24 @@
         }
     }
 
+    /// Writes the configuration of the start again, and ends all drains.
+    pub fn restore(&mut self) {
+        let present = self.store.items_at(self.store.revision());
+        for (key, item) in self.settings.items.clone() {
+            let known = present.get(&key);
+            if known.is_some_and(|(_, known)| *known == item) {
+                continue;
+            }
+            let seen = known.map(|(revision, _)| *revision);
+            self.write(Request::Put(Key::Item(key), seen, Record::Item(item)));
+        }
+        for (key, (seen, _)) in present {
+            if matches!(key, ItemKey::Drain(_)) {
+                self.write(Request::Delete(Key::Item(key), seen));
+            }
+        }
+    }
+
     pub(super) fn apply(&mut self, happening: &Happening) {
         let now = self.now;
         match happening.clone() {
@@ -253,10 +271,10 @@
     fn end_daemon(&mut self, daemon: u8, down: Duration, is_planned: bool) {
         let index = usize::from(daemon) % self.daemons.len();
         let place = &mut self.daemons[index];
-        place.starts_at = self.now + down;
         let Some(id) = place.process.as_ref().map(|process| process.id) else {
             return;
         };
+        place.starts_at = self.now + down;
         if is_planned {
             self.tell(Duration::ZERO, id, Input::Stop);
         } else {
--- a/crates/simulation/src/region/mod.rs
+++ b/crates/simulation/src/region/mod.rs
@@ -194,6 +194,13 @@
         self.after(lag, Event::Listed(name, Some(machine)));
     }
 
+    /// Prints what happens, if that is wanted.
+    fn trace(&self, text: impl FnOnce() -> String) {
+        if self.settings.traces {
+            println!("{:>10.3} {}", self.now.0 as f64 / 1e6, text());
+        }
+    }
+
     fn after(&mut self, delay: Duration, event: Event) {
         self.events.push(self.now + delay, event);
     }
@@ -234,7 +241,10 @@
             Event::Listed(name, machine) => self.list_machine(name, machine),
             Event::MachineGone(name) => self.take_machine(&name),
             Event::BackEndUp(name) => self.back_end_up(&name),
-            Event::Happening(happening) => self.apply(&happening),
+            Event::Happening(happening) => {
+                self.trace(|| format!("{happening:?}"));
+                self.apply(&happening);
+            }
             Event::Caller(daemon, request) => self.call(daemon, request),
             Event::InForce(revision, since) => self.check_in_force(revision, since),
             Event::Operator(request) => {
--- a/crates/simulation/src/settings.rs
+++ b/crates/simulation/src/settings.rs
@@ -65,6 +65,8 @@
     pub weakness: Weakness,
     /// Whether envelopes are encoded and decoded on their way.
     pub encodes: bool,
+    /// Whether what happens is printed.
+    pub traces: bool,
 }
 
 impl RegionSettings {
@@ -101,6 +103,7 @@
             gateway: GatewaySettings::default(),
             weakness: Weakness::None,
             encodes: false,
+            traces: false,
         }
     }
 }
--- a/crates/simulation/tests/region/main.rs
+++ b/crates/simulation/tests/region/main.rs
@@ -1,4 +1,6 @@
 //! A whole region in virtual time: what must always hold, under every fault.
 
 mod calm;
+mod properties;
+mod schedules;
 mod support;
--- a/crates/simulation/tests/region/support.rs
+++ b/crates/simulation/tests/region/support.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use flaxward_simulation::{Happening, Region, RegionSettings};
+use flaxward_simulation::{CallerRequest, Happening, Region, RegionSettings, Target};
 
 /// Time in which an undisturbed region has found itself.
 pub const START: Duration = Duration::from_secs(30);
@@ -33,3 +33,17 @@
         deadline: Duration::from_secs(30),
     }
 }
+
+/// A request for a few tokens that may be repeated.
+pub fn request(target: Target, deadline: Duration) -> CallerRequest {
+    CallerRequest {
+        number: 0,
+        target,
+        stream: false,
+        tokens: 5,
+        repeatable: true,
+        key: None,
+        priority: 5,
+        deadline,
+    }
+}
