--- a/crates/simulation/src/store.rs
+++ b/crates/simulation/src/store.rs
@@ -200,6 +200,14 @@
         self.objects.get(key)
     }
 
+    /// All quotas.
+    pub fn quotas(&self) -> impl Iterator<Item = &Quota> {
+        self.objects.values().filter_map(|object| match &object.record {
+            Record::Quota(quota) => Some(quota),
+            _ => None,
+        })
+    }
+
     /// Changes after a revision.
     pub fn changes_after(&self, revision: Revision) -> &[Change] {
         let first = self
