Whole-process tests: bursts on a cold model

Daemons run as processes of their own with written settings files; the stand-ins run in the test, so that their records can be checked. The line event=started names the peer address as well, since the tests let the system choose every port.

200 streamed requests at three daemons on one cold model, on an adapter, and while the first load breaks off or never ends: every answer whole, one load at a time. The weight store's stand-in has a new fault for loads that never end.

--- a/crates/emulator/src/weights.rs
+++ b/crates/emulator/src/weights.rs
@@ -55,6 +55,8 @@
     pub slow_down: f64,
     /// Loads that break off at their end.
     pub break_loads: Strikes,
+    /// Loads that never end.
+    pub stick_loads: Strikes,
 }
 
 impl Default for WeightStoreFaults {
@@ -64,6 +66,7 @@
             delay_ms: 0,
             slow_down: 1.0,
             break_loads: Strikes::default(),
+            stick_loads: Strikes::default(),
         }
     }
 }
@@ -272,6 +275,10 @@
     }
     wait_for_turn(&shared).await;
     let active = ActiveLoad::begin(&shared, &call, bytes, asked_unix_ms);
+    let stuck = lock(&shared.state).faults.stick_loads.strike(&shared.dice);
+    if stuck {
+        std::future::pending::<()>().await;
+    }
     active.run(bytes).await;
     let broken = {
         let mut state = lock(&shared.state);
--- a/crates/flaxward/src/daemon/mod.rs
+++ b/crates/flaxward/src/daemon/mod.rs
@@ -161,7 +161,11 @@
         let (address, server) = serve(acceptor, router)?;
         state_change(
             "started",
-            &[("daemon", &settings.daemon.name), ("address", &address)],
+            &[
+                ("daemon", &settings.daemon.name),
+                ("address", &address),
+                ("peer_address", &peer_address),
+            ],
         );
         Ok(Self {
             address,
--- /dev/null
+++ b/crates/flaxward/tests/processes/main.rs
@@ -0,0 +1,5 @@
+//! Whole regions: daemons as processes of their own against stand-ins in this process, whose records
+//! tell what really happened.
+
+mod burst;
+mod support;
