--- a/crates/flaxward/tests/processes/main.rs
+++ b/crates/flaxward/tests/processes/main.rs
@@ -1,5 +1,6 @@
 //! Whole regions: daemons as processes of their own against stand-ins in this process, whose records
 //! tell what really happened.
 
+mod bad_inputs;
 mod burst;
 mod support;
--- a/crates/flaxward/tests/processes/support/mod.rs
+++ b/crates/flaxward/tests/processes/support/mod.rs
@@ -7,7 +7,6 @@
 
 use std::time::{Duration, Instant};
 
-pub use callers::{Ask, Ending};
 pub use region::{Region, Shape};
 
 /// Longest wait for something that must happen; no verdict depends on how soon it does.
--- a/crates/flaxward/tests/processes/support/region.rs
+++ b/crates/flaxward/tests/processes/support/region.rs
@@ -156,6 +156,13 @@
         own.into_iter().chain(scaled).collect()
     }
 
+    /// Writes a file that goes away with the region.
+    pub fn file(&self, name: &str, text: &str) -> PathBuf {
+        let path = self.directory.join(name);
+        std::fs::write(&path, text).expect("the file is written");
+        path
+    }
+
     /// Runs an operator's command at a daemon.
     pub async fn execute(&self, daemon: usize, command: &str) -> Result<Answer, ErrorDetail> {
         let connection = Connection::new(&self.daemons[daemon].address).expect("a client");
