--- a/crates/flaxward/tests/processes/main.rs
+++ b/crates/flaxward/tests/processes/main.rs
@@ -3,4 +3,5 @@
 
 mod bad_inputs;
 mod burst;
+mod operators;
 mod support;
