--- /dev/null
+++ b/crates/flaxward/tests/processes/main.rs
@@ -0,0 +1,7 @@
+//! Whole regions: daemons as processes of their own against stand-ins in this process, whose records
+//! tell what really happened.
+
+mod bad_inputs;
+mod burst;
+mod operators;
+mod support;
