Log: the line of counters is written, and every line is quoted alike

Cause: logs.counters_interval had no effect, and three lines put raw error texts into key=value fields. Ruled out: counters kept a second time beside the metrics.

--- a/crates/flaxward/src/daemon/store_driver.rs
+++ b/crates/flaxward/src/daemon/store_driver.rs
@@ -3,14 +3,17 @@
 //! The coordinator has at most one operation outstanding per record, so operations run as separate
 //! tasks and each answer goes back as one event.
 
+use std::fmt::Display;
 use std::sync::Arc;
 
 use flaxward_control::coordinator::{CoordinatorEvent, StoreFault};
 use flaxward_platform::{Collection, Object, ObjectApi, StoreError};
+use flaxward_settings::logs::state_change_at;
 use flaxward_types::records::{Quota, QuotaSubject, ZoneLease, ZonePlacement};
 use flaxward_types::{OperationId, Revision, ZoneName};
 use serde::Serialize;
 use serde::de::DeserializeOwned;
+use spdlog::Level;
 use tokio::sync::mpsc::UnboundedSender;
 
 use super::event::CoreEvent;
@@ -177,7 +180,8 @@
     match serde_json::from_value(object.body) {
         Ok(record) => Ok((object.version, record)),
         Err(error) => {
-            spdlog::error!("event=unreadable-record name={} error={error}", object.name);
+            let fields: [(&str, &dyn Display); 2] = [("name", &object.name), ("error", &error)];
+            state_change_at(Level::Error, "unreadable-record", &fields);
             Err(StoreFault::Unavailable)
         }
     }
--- a/crates/flaxward/src/daemon/watches.rs
+++ b/crates/flaxward/src/daemon/watches.rs
@@ -12,10 +12,12 @@
 use flaxward_platform::{
     Collection, MachineList, Object, ObjectApi, ObjectList, StoreError, WatchEvent,
 };
+use flaxward_settings::logs::{state_change, state_change_at};
 use flaxward_types::records::Quota;
 use flaxward_types::{ConfigurationItem, ItemKey, Revision};
 use flaxward_wire::{ConfigurationChange, ConfigurationDelta, ConfigurationSnapshot};
 use futures::StreamExt;
+use spdlog::Level;
 use tokio::sync::mpsc::UnboundedSender;
 use tokio::sync::{Notify, watch};
 use tokio_util::sync::CancellationToken;
@@ -173,14 +175,18 @@
 
 fn log_failure(failing: &mut bool, what: &str, error: &str) {
     if !*failing {
-        spdlog::warn!("event=read-failing what={what} error={error:?}");
+        state_change_at(
+            Level::Warn,
+            "read-failing",
+            &[("what", &what), ("error", &error)],
+        );
     }
     *failing = true;
 }
 
 fn log_recovery(failing: &mut bool, what: &str) {
     if *failing {
-        spdlog::info!("event=read-recovered what={what}");
+        state_change("read-recovered", &[("what", &what)]);
     }
     *failing = false;
 }
@@ -231,7 +237,7 @@
     match (key, item) {
         (Ok(key), Ok(item)) if key.kind() == item.kind() => Some((key, item)),
         _ => {
-            spdlog::error!("event=unreadable-item name={}", object.name);
+            state_change_at(Level::Error, "unreadable-item", &[("name", &object.name)]);
             None
         }
     }
--- a/crates/flaxward/src/lib.rs
+++ b/crates/flaxward/src/lib.rs
@@ -3,5 +3,6 @@
 #![warn(clippy::pedantic)]
 #![allow(clippy::module_name_repetitions, clippy::must_use_candidate)]
 
+pub mod counters;
 pub mod daemon;
 pub mod dev;
--- a/crates/flaxward/src/serve.rs
+++ b/crates/flaxward/src/serve.rs
@@ -7,6 +7,7 @@
 use metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle};
 use tokio::signal::unix::{SignalKind, signal};
 
+use flaxward::counters::write_counters;
 use flaxward::daemon::Daemon;
 
 /// Status of the process when its settings cannot be used.
@@ -30,6 +31,10 @@
 async fn serve(settings: &Settings) -> anyhow::Result<()> {
     logs::install(settings.logs.level)?;
     let metrics = install_metrics()?;
+    tokio::spawn(write_counters(
+        metrics.clone(),
+        settings.logs.counters_interval,
+    ));
     let daemon = Daemon::start(settings, Some(metrics)).await?;
     wait_for_stop().await?;
     daemon.stop().await;
--- a/crates/settings/src/logs.rs
+++ b/crates/settings/src/logs.rs
@@ -73,28 +73,32 @@
 /// Makes the line of counters: the totals of those that have changed since the line before.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct CountersLine {
-    totals: BTreeMap<&'static str, u64>,
+    totals: BTreeMap<String, u64>,
 }
 
 impl CountersLine {
     /// The next line, or `None` if no counter has changed. A counter not seen before counts as
     /// changed unless it is zero.
-    pub fn next(&mut self, counters: &[(&'static str, u64)]) -> Option<String> {
+    pub fn next<Name: AsRef<str>>(&mut self, counters: &[(Name, u64)]) -> Option<String> {
+        let before = |name: &Name| self.totals.get(name.as_ref()).copied().unwrap_or(0);
         let changed: Vec<(&str, &dyn Display)> = counters
             .iter()
-            .filter(|(name, total)| self.totals.get(name).copied().unwrap_or(0) != *total)
-            .map(|(name, total)| (*name, total as &dyn Display))
+            .filter(|(name, total)| before(name) != *total)
+            .map(|(name, total)| (name.as_ref(), total as &dyn Display))
             .collect();
         if changed.is_empty() {
             return None;
         }
         let text = line(COUNTERS_EVENT, &changed);
-        self.totals.extend(counters.iter().copied());
+        let totals = counters
+            .iter()
+            .map(|(name, total)| (name.as_ref().to_owned(), *total));
+        self.totals.extend(totals);
         Some(text)
     }
 
     /// Writes the next line, if there is one.
-    pub fn write(&mut self, counters: &[(&'static str, u64)]) {
+    pub fn write<Name: AsRef<str>>(&mut self, counters: &[(Name, u64)]) {
         if let Some(text) = self.next(counters) {
             spdlog::info!("{}", text);
         }
