--- a/crates/simulation/src/process.rs
+++ b/crates/simulation/src/process.rs
@@ -145,6 +145,8 @@
     pub share: Vec<Machine>,
     /// When its planned stop began.
     pub stopping_since: Option<VirtualTime>,
+    /// Whether its requests have finished, so that it leaves the zone.
+    pub hands_over: bool,
     /// Whether the lease is handed back.
     pub node_stopped: bool,
     /// The configuration before the one in force.
--- a/crates/simulation/src/region/daemons.rs
+++ b/crates/simulation/src/region/daemons.rs
@@ -75,6 +75,7 @@
             seen: flaxward_types::Revision(0),
             share: Vec::new(),
             stopping_since: None,
+            hands_over: false,
             node_stopped: false,
             former: None,
         };
@@ -152,7 +153,7 @@
             return;
         }
         self.take_in(id, input);
-        self.exit_if_stopped(id);
+        self.carry_on_stop(id);
     }
 
     /// A paused process goes on: its timers fire late and what was queued comes in.
@@ -494,29 +495,39 @@
         self.watch(id, listing, round, revision);
     }
 
-    /// A planned stop: no new request, the lease goes back, requests in progress finish.
+    /// A planned stop: no new request, those in progress finish, then the lease goes back.
     fn stop(&mut self, id: ProcessId) {
         let now = self.now;
-        let Some(process) = self.process(id) else {
+        let Some(process) = self
+            .process(id)
+            .filter(|process| process.stopping_since.is_none())
+        else {
             return;
         };
         process.stopping_since = Some(now);
         let unanswered: Vec<u64> = process.gateway.unanswered().collect();
         self.note_planned_stop(&unanswered);
         self.tell_gateway(id, GatewayEvent::Stop);
-        self.tell_node(id, NodeEvent::Stop);
-        if self.settings.gateway.weakness == DaemonWeakness::StopsAtOnce {
-            self.exit(id);
+        match self.settings.gateway.weakness {
+            DaemonWeakness::StopsAtOnce => self.exit(id),
+            DaemonWeakness::HandsOverFirst => self.tell_node(id, NodeEvent::Stop),
+            _ => {}
         }
     }
 
-    fn exit_if_stopped(&mut self, id: ProcessId) {
+    /// Carries a planned stop on once the requests in progress have finished.
+    fn carry_on_stop(&mut self, id: ProcessId) {
         let Some(process) = self.process(id) else {
             return;
         };
-        let has_drained = process.gateway.in_progress() == 0;
-        if process.stopping_since.is_some() && process.node_stopped && has_drained {
-            self.exit(id);
+        if process.stopping_since.is_none() || process.gateway.in_progress() > 0 {
+            return;
+        }
+        if process.node_stopped {
+            return self.exit(id);
+        }
+        if !std::mem::replace(&mut process.hands_over, true) {
+            self.tell_node(id, NodeEvent::Stop);
         }
     }
 
--- a/crates/simulation/src/store.rs
+++ b/crates/simulation/src/store.rs
@@ -202,10 +202,12 @@
 
     /// All quotas.
     pub fn quotas(&self) -> impl Iterator<Item = &Quota> {
-        self.objects.values().filter_map(|object| match &object.record {
-            Record::Quota(quota) => Some(quota),
-            _ => None,
-        })
+        self.objects
+            .values()
+            .filter_map(|object| match &object.record {
+                Record::Quota(quota) => Some(quota),
+                _ => None,
+            })
     }
 
     /// Changes after a revision.
--- a/crates/simulation/src/weakness.rs
+++ b/crates/simulation/src/weakness.rs
@@ -21,6 +21,8 @@
     IgnoresLeaving,
     /// A planned stop ends the process at once.
     StopsAtOnce,
+    /// A planned stop hands the lease back before the requests in progress have finished.
+    HandsOverFirst,
     /// A change of configuration is followed by the former configuration.
     AppliesOlderConfiguration,
     /// Only the first configuration is applied.
--- a/crates/simulation/tests/region/properties.rs
+++ b/crates/simulation/tests/region/properties.rs
@@ -71,7 +71,9 @@
             if region.now().since(begin) > WAKE {
                 let detail = format!("{artifact:?} at daemon {}: {ended:?}", place % daemons);
                 region.fail_to_wake(detail);
-                for object in region.store.quotas() { println!("{object:?}"); }
+                for object in region.store.quotas() {
+                    println!("{object:?}");
+                }
                 break;
             }
             let wanted = request(Target::Model(artifact.clone()), WAKE);
