Daemon: finish the requests in progress before leaving the zone

Cause: the stop told the state machine first. The machine handed the lease back and its task ended, so requests that still waited for a model got no answers of coordinators any more and were refused as 'no coordinator' after the grace of 3 s, although nothing had failed. Ruled out: the gateway (it waits for all requests); admission (it asks on; nobody carried the demand). Change: drain first, then leave and hand back.

--- a/crates/flaxward/src/daemon/mod.rs
+++ b/crates/flaxward/src/daemon/mod.rs
@@ -176,17 +176,18 @@
         })
     }
 
-    /// Stops as planned: takes no new request, hands the lease back, lets the requests in progress
-    /// finish, and only then closes the connections.
+    /// Stops as planned: takes no new request, lets the requests in progress finish, then leaves its
+    /// zone and hands the lease back, and only then closes the connections. The state machine runs
+    /// until the requests have finished, since those that wait need its answers.
     pub async fn stop(self) {
         state_change("stopping", &[("address", &self.address)]);
         self.ready.send_replace(false);
-        let _ = self.events.send(NodeEvent::Stop.into());
         let drained = tokio::time::timeout(self.drain_timeout, self.gateway.stop()).await;
         if drained.is_err() {
             let left = self.gateway.running() + self.gateway.waiting();
             state_change("drain-timeout", &[("requests", &left)]);
         }
+        let _ = self.events.send(NodeEvent::Stop.into());
         if tokio::time::timeout(HAND_OVER_TIMEOUT, self.core)
             .await
             .is_err()
