--- a/crates/control/src/node/mod.rs
+++ b/crates/control/src/node/mod.rs
@@ -468,7 +468,7 @@
         self.machines_sent = Some(self.now);
         self.machines_sequence += 1;
         let snapshot = self.machines.snapshot(term, self.machines_sequence);
-        let members = self.gossip.membership().others().to_vec();
+        let members = self.gossip.membership().others().clone();
         for member in members {
             self.send(&member, Message::Machines(snapshot.clone()));
         }
--- a/crates/flaxward/src/daemon/mod.rs
+++ b/crates/flaxward/src/daemon/mod.rs
@@ -31,6 +31,7 @@
 use flaxward_settings::Settings;
 use flaxward_settings::logs::state_change;
 use flaxward_types::ZoneName;
+use flaxward_types::engine::Machine;
 use flaxward_wire::Peer;
 use metrics_exporter_prometheus::PrometheusHandle;
 use salvo::conn::tcp::TcpAcceptor;
@@ -119,32 +120,12 @@
         spawn_until(&stop, forward_demands(demanded, events.clone()));
         let ticking = gateway.clone();
         spawn_until(&stop, async move { ticking.run().await });
-        tokio::spawn(watches::watch_configuration(
-            platform.store.clone(),
-            events.clone(),
-            reader.clone(),
+        let readers = Readers {
+            reading: reader,
             relist,
-            stop.clone(),
-        ));
-        tokio::spawn(watches::watch_quotas(
-            platform.store.clone(),
-            events.clone(),
-            reader.clone(),
-            stop.clone(),
-        ));
-        tokio::spawn(watches::watch_machines(
-            platform.machines.clone(),
-            settings.platform.machine_list_interval,
-            events.clone(),
-            reader,
-            stop.clone(),
-        ));
-        tokio::spawn(observer::observe(
-            platform.engines.clone(),
-            observed,
-            events.clone(),
-            stop.clone(),
-        ));
+            share: observed,
+        };
+        readers.spawn(&platform, settings, &events, &stop);
         let core = tokio::spawn(core.run(queue));
 
         let views = DaemonViews {
@@ -204,6 +185,50 @@
     }
 }
 
+/// What tells the daemon's readers of the platform what to read.
+struct Readers {
+    reading: watch::Receiver<bool>,
+    relist: Arc<Notify>,
+    share: watch::Receiver<Vec<Machine>>,
+}
+
+impl Readers {
+    fn spawn(
+        self,
+        platform: &PlatformClients,
+        settings: &Settings,
+        events: &mpsc::UnboundedSender<CoreEvent>,
+        stop: &CancellationToken,
+    ) {
+        tokio::spawn(watches::watch_configuration(
+            platform.store.clone(),
+            events.clone(),
+            self.reading.clone(),
+            self.relist,
+            stop.clone(),
+        ));
+        tokio::spawn(watches::watch_quotas(
+            platform.store.clone(),
+            events.clone(),
+            self.reading.clone(),
+            stop.clone(),
+        ));
+        tokio::spawn(watches::watch_machines(
+            platform.machines.clone(),
+            settings.platform.machine_list_interval,
+            events.clone(),
+            self.reading,
+            stop.clone(),
+        ));
+        tokio::spawn(observer::observe(
+            platform.engines.clone(),
+            self.share,
+            events.clone(),
+            stop.clone(),
+        ));
+    }
+}
+
 /// Clients for the platform.
 struct PlatformClients {
     store: Arc<dyn ObjectApi>,
