Show each rule of gossip failing when it is broken

Change: tests for them: a bookmark of the watch, the dead that joiners bring back, pauses at any phase of a probe, a cut zone's heal within 10 s, a head with a lower term, news between zones, the news of a planned stop. Not seen, since it changes nothing: applying again, in order, changes that a delta holds twice over.

--- a/crates/control/src/membership/merging.rs
+++ b/crates/control/src/membership/merging.rs
@@ -35,7 +35,11 @@
                 self.probe_answered(sequence, &target, actions);
             }
             Message::Join => self.answer_join(from, actions),
-            Message::Members { members } => self.reconcile(&members, now, actions),
+            Message::Members { members } => {
+                for update in &members {
+                    self.merge(update, now, actions);
+                }
+            }
             _ => {}
         }
         self.greet(from, now, actions);
@@ -52,33 +56,6 @@
         });
     }
 
-    /// Compares all members of another daemon with those known here. One that it holds alive and
-    /// that is dead here is probed, with the news of its death, so that it can refute.
-    fn reconcile(
-        &mut self,
-        members: &[MemberUpdate],
-        now: Timestamp,
-        actions: &mut Vec<MembershipAction>,
-    ) {
-        for update in members {
-            let disputed = is_live(update.state)
-                && update.peer.name != self.me.name
-                && self
-                    .table
-                    .get(&update.peer.name)
-                    .is_some_and(|known| !known.is_live() && !replaces(update, &known.update));
-            if disputed {
-                let sequence = self.probes.next_sequence();
-                actions.push(MembershipAction::Send {
-                    to: update.peer.address,
-                    message: Message::Probe { sequence },
-                });
-            } else {
-                self.merge(update, now, actions);
-            }
-        }
-    }
-
     /// A sender that is not a live member here is asked for its members, and so learns what is said
     /// of it.
     fn greet(&mut self, from: &Peer, now: Timestamp, actions: &mut Vec<MembershipAction>) {
--- a/crates/control/tests/gossip/configuration.rs
+++ b/crates/control/tests/gossip/configuration.rs
@@ -169,17 +169,22 @@
         Applied::Old
     );
     assert_eq!(keeper.revision(), first);
-    let second = history.change(0, Some(2), 30);
+    let second = history.change(0, Some(2), 21);
     assert_eq!(
-        keeper.learn(&history.delta(Revision(21), second)),
+        keeper.learn(&history.delta(Revision(20), second)),
+        Applied::Applied
+    );
+    let third = history.change(0, Some(3), 30);
+    assert_eq!(
+        keeper.learn(&history.delta(Revision(40), third)),
         Applied::Behind
     );
-    assert!(!keeper.learn_snapshot(&history.snapshot(Revision(25))));
+    assert!(!keeper.learn_snapshot(&history.snapshot(Revision(50))));
     assert_eq!(
-        keeper.learn(&history.delta(Revision(25), second)),
+        keeper.learn(&history.delta(Revision(50), third)),
         Applied::Applied
     );
-    assert_eq!(keeper.revision(), second);
+    assert_eq!(keeper.revision(), third);
 }
 
 #[test]
@@ -267,6 +272,8 @@
             "{count} changes at all of 29, {name} loss: median {median} ms, longest {last} ms"
         );
         assert!(last <= 10_000);
+        // Asking alone would do for the longest, but take four times as long for most.
+        assert!(median <= 2_000);
     }
 }
 
--- a/crates/control/tests/gossip/facts.rs
+++ b/crates/control/tests/gossip/facts.rs
@@ -1,9 +1,12 @@
 //! Marks and heads reach everyone in time, and the newest holds.
 
+use std::collections::BTreeMap;
+
 use flaxward_control::gossip::GossipEvent;
+use flaxward_control::heads::Heads;
 use flaxward_control::marks::Marks;
-use flaxward_types::{RunnerName, Term, Timestamp};
-use flaxward_wire::RunnerMark;
+use flaxward_types::{RunnerName, Term, Timestamp, ZoneName};
+use flaxward_wire::{RunnerMark, ZoneHead};
 use proptest::prelude::*;
 use rand::RngExt;
 
@@ -78,6 +81,25 @@
         prop_assert_eq!(forwards.all(), backwards.all());
         prop_assert!(!forwards.merge(&backwards.all(), Timestamp::ZERO));
     }
+
+    #[test]
+    fn the_head_with_the_highest_term_holds_in_any_order(
+        terms in prop::collection::vec((0..2_usize, 0..9_u64), 1..12),
+    ) {
+        let network = Network::new(&[9], BAD_NETWORK, 0);
+        let mut heads = Heads::default();
+        let mut highest = BTreeMap::new();
+        for (zone, term) in terms {
+            let coordinator = network.daemons[usize::try_from(term).unwrap()].peer.clone();
+            let zone = ZoneName::literal(&format!("zone-{zone}"));
+            let held = highest.entry(zone.clone()).or_insert(term);
+            *held = term.max(*held);
+            heads.merge(&ZoneHead { zone, term: Term(term), coordinator });
+            for (zone, term) in &highest {
+                prop_assert_eq!(heads.get(zone).map(|head| head.term), Some(Term(*term)));
+            }
+        }
+    }
 }
 
 #[test]
@@ -164,7 +186,7 @@
     assert!(took.is_some());
     network.tell(0, GossipEvent::Resign);
     network.tell(4, mark(7, true));
-    let took = network.run_until(10_000, |network| everyone_says(network, 7, true));
+    let took = network.run_until(5_000, |network| everyone_says(network, 7, true));
     println!("a mark known in 22 zones after {took:?} ms");
     assert!(took.is_some());
 }
--- a/crates/control/tests/gossip/membership.rs
+++ b/crates/control/tests/gossip/membership.rs
@@ -3,9 +3,10 @@
 use flaxward_control::gossip::GossipEvent;
 use flaxward_wire::MemberState;
 use proptest::prelude::*;
+use rand::RngExt;
 
 use crate::cases;
-use crate::network::{BAD_NETWORK, NO_FAULTS, Network};
+use crate::network::{BAD_NETWORK, Faults, NO_FAULTS, Network};
 
 /// Time to all after a start, a heal or a death, in milliseconds.
 const SETTLE: u64 = 60_000;
@@ -109,6 +110,8 @@
     ) {
         let mut network = Network::new(&[size], BAD_NETWORK, seed);
         prop_assert!(network.run_until(SETTLE, Network::agrees_on_members).is_some());
+        // Until the news of the start is no longer news.
+        network.run(20_000);
         let leaver = network.daemons[1].peer.clone();
         network.tell(1, GossipEvent::Leave);
         let took = network.run_until(3_000, |network| {
@@ -168,6 +171,25 @@
     );
 }
 
+#[test]
+fn the_dead_are_forgotten_however_often_others_join() {
+    let mut network = Network::new(&[0], NO_FAULTS, 7);
+    network.settings.membership.forget_after = std::time::Duration::from_secs(30);
+    network.grow(0, 5);
+    network.run(10_000);
+    network.kill(4);
+    for index in [1, 2, 3, 1, 2, 3] {
+        network.run(12_000);
+        network.kill(index);
+        network.run(1_000);
+        network.start(index);
+    }
+    let dead = network.daemons[4].peer.name.clone();
+    for (_, _, gossip) in network.running() {
+        assert_eq!(gossip.membership().member(&dead), None);
+    }
+}
+
 #[test]
 fn a_daemon_restarted_with_an_older_clock_takes_its_place_again() {
     let mut network = Network::new(&[5], BAD_NETWORK, 4);
@@ -184,16 +206,27 @@
 
 #[test]
 fn a_daemon_that_was_paused_blames_nobody() {
-    let mut network = Network::new(&[8], NO_FAULTS, 5);
+    let mut network = Network::new(
+        &[8],
+        Faults {
+            delay: 80,
+            ..NO_FAULTS
+        },
+        5,
+    );
     network.run(10_000);
-    for millis in [1_500, 3_700, 4_900, 8_300, 20_000] {
-        network.pause(2, millis);
-        network.run(millis);
-        for _ in 0..100 {
-            network.run(100);
+    for pause in 0..150 {
+        network.pause(2, 1_200 + pause * 61);
+        network.run(1_200 + pause * 61);
+        for _ in 0..40 {
+            network.run(17);
             let paused = network.daemons[2].gossip.as_ref().expect("it runs");
-            assert_eq!(paused.membership().alive().len(), 8);
+            let mut members = paused.membership().members();
+            assert!(members.all(|member| member.state == MemberState::Alive));
         }
+        // Wait for any phase of the probes.
+        let wait = network.random.random_range(5_000..6_000);
+        network.run(wait);
     }
 }
 
@@ -212,3 +245,17 @@
             .is_some()
     );
 }
+
+#[test]
+fn a_zone_that_was_cut_in_two_is_whole_soon_after() {
+    for (name, faults) in [("no", NO_FAULTS), ("10 %", BAD_NETWORK)] {
+        let mut network = Network::new(&[29], faults, 8);
+        network.run(10_000);
+        inject(&mut network, &Fault::Cut(14));
+        network.run(60_000);
+        inject(&mut network, &Fault::Heal);
+        let took = network.run_until(10_000, Network::agrees_on_members);
+        println!("29 daemons cut in two agree {took:?} ms after the cut, {name} loss");
+        assert!(took.is_some());
+    }
+}
--- a/crates/control/tests/gossip/network.rs
+++ b/crates/control/tests/gossip/network.rs
@@ -263,10 +263,11 @@
         if self.now < self.daemons[index].paused_until {
             return;
         }
+        // After a pause the timer comes first: what the daemon did not hear yet is in its socket.
+        self.tell(index, GossipEvent::Tick);
         for envelope in std::mem::take(&mut self.daemons[index].held) {
             self.tell(index, GossipEvent::Received(envelope));
         }
-        self.tell(index, GossipEvent::Tick);
     }
 
     fn arrive(&mut self, to: SocketAddr, side: u8, envelope: Envelope) {
