--- /dev/null
+++ b/crates/gateway/benches/relay.rs
@@ -0,0 +1,249 @@
+//! Cost of relaying token events: the gateway beside a bare pass-through of the same libraries.
+//!
+//! Engine and callers have threads of their own; the relay has one thread, whose processor time is
+//! read from the kernel. Run with `cargo bench -p flaxward-gateway`. `FLAXWARD_BENCH_STREAMS` and
+//! `FLAXWARD_BENCH_TOKENS` change the size, `FLAXWARD_BENCH_DECODE_US` the pace of each stream.
+
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::mpsc::channel;
+use std::time::{Duration, Instant};
+
+use bytesize::ByteSize;
+use flaxward_control::configuration::Configuration;
+use flaxward_emulator::engine::{EngineTiming, LoadedAtStart};
+use flaxward_emulator::{Engine, EngineConfig, ObjectApiConfig, ObjectApiServer};
+use flaxward_gateway::{Gateway, GatewaySettings, back_end_client};
+use flaxward_platform::ObjectsHttp;
+use flaxward_platform::http_client::TimeLimits;
+use flaxward_types::configuration::{CopyRule, ModelSpec, VersionSpec};
+use flaxward_types::routing::{Outlook, Replica, RouteAnswer};
+use flaxward_types::{
+    ConfigurationItem, DaemonName, ItemKey, ModelName, Revision, RunnerName, Term, VersionName,
+    ZoneName,
+};
+use futures::StreamExt;
+use salvo::conn::{Acceptor, TcpListener};
+use salvo::http::ResBody;
+use salvo::prelude::{
+    Depot, FlowCtrl, Handler, Listener, Request, Response, Router, Server, async_trait,
+};
+use tokio::sync::{mpsc, watch};
+
+const ARTIFACT: &str = "turbine@v1";
+const PATH: &str = "/v1/completions";
+
+/// A relay that knows nothing of what it passes on.
+struct Bare {
+    client: reqwest::Client,
+    engine: SocketAddr,
+}
+
+#[async_trait]
+impl Handler for Bare {
+    async fn handle(
+        &self,
+        request: &mut Request,
+        _depot: &mut Depot,
+        response: &mut Response,
+        _flow: &mut FlowCtrl,
+    ) {
+        let body = request.payload().await.expect("a body").clone();
+        let url = format!("http://{}{PATH}", self.engine);
+        let answer = self.client.post(url).body(body).send().await;
+        response.body(ResBody::stream(answer.expect("an answer").bytes_stream()));
+    }
+}
+
+/// Processor time of the calling thread.
+fn processor_time() -> Duration {
+    let text = std::fs::read_to_string("/proc/thread-self/schedstat").expect("kernel statistics");
+    let nanoseconds = text.split(' ').next().and_then(|text| text.parse().ok());
+    Duration::from_nanos(nanoseconds.expect("a number"))
+}
+
+fn setting(name: &str, default: u64) -> u64 {
+    let text = std::env::var(name).ok();
+    text.and_then(|text| text.parse().ok()).unwrap_or(default)
+}
+
+fn configuration() -> Configuration {
+    let (model, version) = (ModelName::literal("turbine"), VersionName::literal("v1"));
+    let spec = ModelSpec {
+        serving: version.clone(),
+        copies: CopyRule::default(),
+        priority: 5,
+        queue_limit: 10_000,
+    };
+    let weights = VersionSpec {
+        checkpoint: "turbine".to_owned(),
+        weights: ByteSize::gib(1),
+        kv_cache: ByteSize::gib(1),
+    };
+    let items = [
+        (
+            ItemKey::Model(model.clone()),
+            ConfigurationItem::Model(spec),
+        ),
+        (
+            ItemKey::Version(model, version),
+            ConfigurationItem::Version(weights),
+        ),
+    ];
+    let items = items
+        .into_iter()
+        .map(|(key, item)| (key, Revision(1), item));
+    Configuration::new(Revision(1), items)
+}
+
+/// A gateway that knows one replica.
+fn gateway(engine: SocketAddr, store: &str) -> Router {
+    let zone = ZoneName::literal("scl-a");
+    let (configured, configuration) = watch::channel(Arc::new(configuration()));
+    let (demands, mut demanded) = mpsc::unbounded_channel();
+    let store = ObjectsHttp::new(store, "scl-a/d1", TimeLimits::default());
+    let gateway = Gateway::new(
+        GatewaySettings::new(vec![zone.clone()]),
+        configuration,
+        back_end_client(Duration::from_secs(1)).expect("a client"),
+        demands,
+        Arc::new(store.expect("a store")),
+        DaemonName::literal("d1"),
+    );
+    gateway.on_heads(BTreeSet::from([zone.clone()]));
+    let router = gateway.router();
+    let ticking = Arc::clone(&gateway);
+    tokio::spawn(async move { ticking.run().await });
+    tokio::spawn(async move {
+        let _configured = configured;
+        let mut sequence = 0;
+        while demanded.recv().await.is_some() {
+            sequence += 1;
+            gateway.on_routes(vec![RouteAnswer {
+                artifact: ARTIFACT.parse().expect("an artifact"),
+                zone: zone.clone(),
+                term: Term(1),
+                sequence,
+                ready: vec![Replica {
+                    runner: RunnerName::literal("e0"),
+                    address: engine.to_string(),
+                    outstanding: 0,
+                }],
+                outlook: Outlook::Ready,
+            }]);
+        }
+    });
+    router
+}
+
+/// Runs a relay on a thread of its own while the callers read; returns its processor time.
+fn measure(
+    name: &str,
+    make: impl FnOnce() -> Router + Send + 'static,
+    callers: impl Fn(SocketAddr),
+) -> Duration {
+    let (told, address) = channel();
+    let (stop, stopped) = tokio::sync::oneshot::channel();
+    let thread = std::thread::Builder::new().name(name.to_owned());
+    let relay = thread.spawn(move || {
+        let runtime = tokio::runtime::Builder::new_current_thread()
+            .enable_all()
+            .build();
+        runtime.expect("a runtime").block_on(async {
+            let acceptor = TcpListener::new("127.0.0.1:0").bind().await;
+            let address = acceptor.holdings()[0].local_addr.clone().into_std();
+            tokio::spawn(Server::new(acceptor).serve(make()));
+            told.send(address.expect("an address")).expect("a listener");
+            let before = processor_time();
+            let _ = stopped.await;
+            processor_time().saturating_sub(before)
+        })
+    });
+    let relay = relay.expect("a thread");
+    callers(address.recv().expect("an address"));
+    let _ = stop.send(());
+    relay.join().expect("the relay's processor time")
+}
+
+/// Reads one stream to its end; returns its length in bytes.
+async fn read_stream(client: reqwest::Client, address: SocketAddr, tokens: u64) -> usize {
+    let body =
+        format!(r#"{{"model":"{ARTIFACT}","prompt":"why","stream":true,"max_tokens":{tokens}}}"#);
+    let request = client.post(format!("http://{address}{PATH}")).body(body);
+    let mut chunks = request.send().await.expect("an answer").bytes_stream();
+    let mut length = 0;
+    while let Some(chunk) = chunks.next().await {
+        length += chunk.expect("a chunk").len();
+    }
+    length
+}
+
+fn main() {
+    let streams = setting("FLAXWARD_BENCH_STREAMS", 300);
+    let tokens = setting("FLAXWARD_BENCH_TOKENS", 300);
+    let decode_us = setting("FLAXWARD_BENCH_DECODE_US", 20_000);
+    let runtime = tokio::runtime::Builder::new_multi_thread()
+        .worker_threads(3)
+        .enable_all()
+        .build()
+        .expect("a runtime");
+    let (engine, store) = runtime.block_on(async {
+        let loaded = LoadedAtStart {
+            artifact: ARTIFACT.parse().expect("an artifact"),
+            bytes: 1 << 30,
+        };
+        let engine = Engine::start(EngineConfig {
+            loaded: vec![loaded],
+            timing: EngineTiming {
+                decode_us,
+                ..EngineTiming::default()
+            },
+            ..EngineConfig::default()
+        });
+        let store = ObjectApiServer::start(ObjectApiConfig::default());
+        (
+            engine.await.expect("an engine"),
+            store.await.expect("a store"),
+        )
+    });
+    let address = engine.address();
+    let store = store.url();
+    let callers = |relay: SocketAddr| {
+        let client = reqwest::Client::new();
+        let begun = Instant::now();
+        let all = (0..streams).map(|_| runtime.spawn(read_stream(client.clone(), relay, tokens)));
+        let lengths = runtime.block_on(futures::future::join_all(all));
+        let lengths: BTreeSet<usize> = lengths
+            .into_iter()
+            .map(|length| length.expect("a stream"))
+            .collect();
+        println!(
+            "  {:.2} s, lengths {lengths:?}",
+            begun.elapsed().as_secs_f64()
+        );
+    };
+    let events = streams * tokens;
+    let per_event = |time: Duration| time.as_secs_f64() * 1e6 / events as f64;
+    println!("{streams} streams of {tokens} tokens, one token in {decode_us} us");
+    for round in 0..3 {
+        let bare = measure(
+            "bare",
+            move || {
+                let client = back_end_client(Duration::from_secs(1)).expect("a client");
+                let engine = address;
+                Router::with_path("{**rest}").goal(Bare { client, engine })
+            },
+            callers,
+        );
+        let store = store.clone();
+        let relay = measure("gateway", move || gateway(address, &store), callers);
+        println!(
+            "round {round}: bare {:.2} us, gateway {:.2} us an event; {:.0} events a second on a core; {:.2} of bare",
+            per_event(bare),
+            per_event(relay),
+            1e6 / per_event(relay),
+            per_event(bare) / per_event(relay),
+        );
+    }
+}
