--- a/crates/control/src/coordinator/leading.rs
+++ b/crates/control/src/coordinator/leading.rs
@@ -16,7 +16,6 @@
 
 use super::answers::Answers;
 use super::demand::DemandTable;
-use super::idle::KeepAlive;
 use super::interface::{
     CoordinatorAction, CoordinatorSettings, Decision, DecisionKind, EngineFault, UnloadReason,
 };
@@ -26,6 +25,7 @@
 use super::runner::{Observation, Phase, Runner, inventory_of};
 use super::weakness::Weakness;
 use crate::configuration::Configuration;
+use crate::keep_alive::KeepAlive;
 
 /// Time that a machine which was never listed is waited for before its slots are given up.
 const UNLISTED_GRACE: Duration = Duration::from_secs(10);
@@ -46,6 +46,11 @@
 }
 
 impl Context<'_> {
+    /// Whether any configuration is in force. Without one, nothing may be taken as not configured.
+    pub(super) fn has_configuration(&self) -> bool {
+        self.configuration.revision() > Revision(0)
+    }
+
     /// Whether the store has failed for a while, so that nothing new can be recorded.
     pub(super) fn in_outage(&self) -> bool {
         let failing = self
@@ -81,6 +86,8 @@
     pub(super) deadline: Timestamp,
     /// Memory to leave room for besides the artifact itself: that of an adapter.
     pub(super) extra_bytes: u64,
+    /// Demanded or kept by a rule, so that it must not make way for something else.
+    pub(super) firm: bool,
 }
 
 /// The state of a coordinator under one term.
@@ -91,9 +98,8 @@
     pub(super) placement: PlacementKeeper,
     pub(super) quotas: QuotaBook,
     pub(super) runners: BTreeMap<RunnerName, Runner>,
-    /// Runners that were listed once and are gone now.
+    /// Machines that are gone and still have slots.
     pub(super) gone: BTreeSet<RunnerName>,
-    listed: bool,
     pub(super) loads: Loads,
     pub(super) unloads: BTreeMap<Slot, Unload>,
     pub(super) failures: Failures,
@@ -110,9 +116,16 @@
     pub(super) drained: BTreeSet<RunnerName>,
     configured: Option<Revision>,
     pub(super) next_housekeeping: Timestamp,
+    /// Replicas that the rules keep loaded in this zone.
+    pub(super) kept: Vec<(ArtifactId, u32)>,
+    /// Artifacts to load ahead of need.
+    pub(super) prewarmed: BTreeSet<ArtifactId>,
+    /// Units down to which slots are being freed.
+    pub(super) goals: BTreeMap<QuotaSubject, u32>,
     /// Quotas to claim for homes.
     pub(super) homes_wanted: BTreeSet<QuotaSubject>,
-    pub(super) overtaken: bool,
+    /// Highest term seen anywhere; a higher one than the own means that this term is over.
+    highest: Term,
     pub(super) actions: Vec<CoordinatorAction>,
     generator: ChaCha8Rng,
 }
@@ -133,7 +146,6 @@
             quotas: QuotaBook::new(term, zone.clone(), weakness),
             runners: BTreeMap::new(),
             gone: BTreeSet::new(),
-            listed: false,
             loads: Loads::new(),
             unloads: BTreeMap::new(),
             failures: Failures::default(),
@@ -149,31 +161,35 @@
             drained: BTreeSet::new(),
             configured: None,
             next_housekeeping: now,
+            kept: Vec::new(),
+            prewarmed: BTreeSet::new(),
+            goals: BTreeMap::new(),
             homes_wanted: BTreeSet::new(),
-            overtaken: false,
+            highest: term,
             actions: Vec::new(),
             generator,
         }
     }
 
     /// Takes over the policy and the drains when the configuration has changed.
-    pub(super) fn apply_configuration(&mut self, configuration: &Configuration) {
+    pub(super) fn apply_configuration(&mut self, context: &Context) {
+        let configuration = context.configuration;
         if self.configured == Some(configuration.revision()) {
             return;
         }
         self.configured = Some(configuration.revision());
         self.policy = configuration.policy();
         self.drained = configuration.drained();
+        self.kept = self.kept_by_rule(context);
     }
 
     /// Takes in the machine list.
     pub(super) fn apply_machines(&mut self, machines: &[Machine], now: Timestamp) {
-        self.listed = true;
-        let engines = machines
-            .iter()
-            .filter(|machine| machine.role == MachineRole::Engine);
         let mut listed = BTreeSet::new();
-        for machine in engines {
+        for machine in machines {
+            if machine.role != MachineRole::Engine {
+                continue;
+            }
             listed.insert(machine.name.clone());
             let runner = self
                 .runners
@@ -181,20 +197,42 @@
                 .or_insert_with(|| Runner::new(machine));
             runner.address.clone_from(&machine.address);
             runner.listed_leaving = machine.leaving;
+            runner.unlisted_since = None;
         }
-        let vanished = self.runners.keys().filter(|name| !listed.contains(*name));
-        let mut gone: BTreeSet<RunnerName> = vanished.cloned().collect();
+        for (name, runner) in &mut self.runners {
+            if !listed.contains(name) {
+                runner.unlisted_since.get_or_insert(now);
+            }
+        }
+        self.gone.retain(|name| !listed.contains(name));
         if now.since(self.since) >= UNLISTED_GRACE {
             let recorded = self.placement.slots().iter().map(|slot| &slot.runner);
-            gone.extend(recorded.filter(|name| !listed.contains(*name)).cloned());
+            let unknown = recorded.filter(|name| !self.runners.contains_key(*name));
+            self.gone.extend(unknown.cloned());
         }
-        for name in &gone {
-            self.runners.remove(name);
-            self.loads.retain(|slot, _| slot.runner != *name);
-            self.unloads.retain(|slot, _| slot.runner != *name);
-            self.ready_since.retain(|slot, _| slot.runner != *name);
+    }
+
+    /// Gives up machines that have left the list and answer no more. One that still answers still
+    /// holds what it holds, whatever a late list says.
+    pub(super) fn give_up_gone(&mut self, context: &Context) {
+        let patience = context.settings.order_retry * 2;
+        let silent = |runner: &Runner| runner.silent_since_unlisted(context.now) >= Some(patience);
+        let gone: Vec<RunnerName> = self
+            .runners
+            .iter()
+            .filter(|(_, runner)| silent(runner))
+            .map(|(name, _)| name.clone())
+            .collect();
+        for name in gone {
+            self.runners.remove(&name);
+            self.loads.retain(|slot, _| slot.runner != name);
+            self.unloads.retain(|slot, _| slot.runner != name);
+            self.ready_since.retain(|slot, _| slot.runner != name);
+            self.gone.insert(name);
         }
-        self.gone = gone;
+        let placement = &self.placement;
+        self.gone
+            .retain(|name| placement.on_runner(name).next().is_some());
     }
 
     /// Takes in a runner's inventory.
@@ -220,7 +258,9 @@
         let placement = &mut self.placement;
         let next_operation = || placement.want_confirmation();
         let observation = runner.observe(inventory, self.term, now, next_operation);
-        self.overtaken |= observation == Observation::Overtaken;
+        if let Observation::Overtaken(term) = observation {
+            self.note_term(term);
+        }
     }
 
     /// Takes in the answer to an order.
@@ -243,10 +283,10 @@
                 return;
             }
         };
+        let order = runner.answered(id);
         if let OrderAnswer::StaleTerm { highest } = answer {
-            self.overtaken |= highest > self.term;
+            self.note_term(highest);
         }
-        let order = runner.answered(id);
         if let Some(inventory) = inventory_of(&answer) {
             self.observe(name, inventory.clone(), context.now);
         }
@@ -256,6 +296,10 @@
         match answer {
             OrderAnswer::Accepted(inventory) => self.order_accepted(name, &order, &inventory),
             OrderAnswer::OtherBoot { .. } => {
+                // The order certainly did nothing, so this is no failed load.
+                if let OrderAction::Load { artifact, .. } = &order.action {
+                    self.loads.remove(&slot(artifact, name));
+                }
                 if let Some(runner) = self.runners.get_mut(name) {
                     runner.other_boot(order.boot);
                 }
@@ -357,9 +401,6 @@
 
     /// Seals runners, sends orders that are due, and reads inventories.
     pub(super) fn drive_runners(&mut self, context: &Context) {
-        if !self.placement.fenced() {
-            return;
-        }
         let names: Vec<RunnerName> = self.runners.keys().cloned().collect();
         for name in names {
             self.seal_if_confirmed(&name, context);
@@ -391,6 +432,9 @@
         let Phase::Verifying { boot, operation } = runner.phase else {
             return;
         };
+        if !self.placement.fenced() {
+            return;
+        }
         if context.weakness == Weakness::NoSeal {
             runner.seal(boot);
             return;
@@ -418,9 +462,15 @@
         !runner.leaving() && !runner.unreachable(now) && !self.drained.contains(name)
     }
 
-    /// Whether a later coordinator has been noticed.
-    pub(super) fn is_overtaken(&self) -> bool {
-        self.overtaken || self.quotas.overtaken()
+    /// Notes a term seen in a record or at a runner.
+    pub(super) fn note_term(&mut self, term: Term) {
+        self.highest = self.highest.max(term);
+    }
+
+    /// The term of a later coordinator, if one has been noticed.
+    pub(super) fn overtaken_by(&self) -> Option<Term> {
+        let highest = self.highest.max(self.quotas.highest());
+        (highest > self.term).then_some(highest)
     }
 
     /// Notes a decision.
--- a/crates/control/src/coordinator/planner.rs
+++ b/crates/control/src/coordinator/planner.rs
@@ -25,19 +25,30 @@
     /// Decides all that can be decided now.
     pub(super) fn plan(&mut self, context: &Context) {
         self.placement.clear_wishes();
+        self.give_up_gone(context);
         self.settle_loads(context);
         self.settle_unloads();
         self.build_index();
+        let housekeeping = context.now >= self.next_housekeeping;
+        if housekeeping {
+            self.next_housekeeping = context.now + HOUSEKEEPING_INTERVAL;
+            self.find_prewarmed(context);
+        }
         self.wanted = self.collect_wanted(context);
+        let mut subjects = self.subjects_due(housekeeping);
+        // What must go first goes before anything is loaded, so that it is not loaded again.
+        self.release_excess(&subjects, context);
+        if housekeeping || !self.gone.is_empty() {
+            self.release_slots(context);
+        }
         self.pursue_all(context);
         self.advance_loads(context);
         self.unload_unneeded(context);
-        self.release_slots(context);
-        if context.now >= self.next_housekeeping {
-            self.next_housekeeping = context.now + HOUSEKEEPING_INTERVAL;
+        if housekeeping {
             self.find_homes(context);
         }
-        self.step_quotas(context);
+        subjects.extend(self.homes_wanted.iter().cloned());
+        self.step_quotas(&subjects, context);
     }
 
     fn build_index(&mut self) {
@@ -109,13 +120,19 @@
             }
             merge(&mut wanted, artifact.clone(), &want);
         }
-        for (artifact, replicas) in self.kept_by_rule(context) {
+        let kept = self.kept.iter().cloned();
+        let prewarmed = self.prewarmed.iter().cloned().map(|artifact| (artifact, 0));
+        for (artifact, replicas) in kept.chain(prewarmed) {
             let want = Wanted {
-                replicas,
+                replicas: replicas.max(1),
                 priority: 0,
                 deadline: Timestamp(u64::MAX),
                 extra_bytes: 0,
+                firm: replicas > 0,
             };
+            if artifact.is_adapter() {
+                merge(&mut wanted, artifact.base(), &want);
+            }
             merge(&mut wanted, artifact, &want);
         }
         wanted
@@ -125,9 +142,13 @@
         let summary = context.demands.summary(artifact)?;
         let model = context.configuration.model(&artifact.model)?;
         let ready = u32::try_from(self.ready_on(artifact, context.now).count()).unwrap_or(u32::MAX);
+        let latest = self
+            .ready_on(artifact, context.now)
+            .filter_map(|name| self.ready_since.get(&slot(artifact, name)));
+        let latest = latest.max().copied().unwrap_or(self.since);
         let waits = summary
             .waiting_since
-            .is_some_and(|since| context.now.since(since) >= SCALE_OUT_AFTER);
+            .is_some_and(|since| context.now.since(since.max(latest)) >= SCALE_OUT_AFTER);
         let crowded = summary.running > RUNNING_PER_REPLICA.saturating_mul(ready);
         let more = ready > 0 && (waits || crowded);
         let limit = self.rule(&subject_of(artifact), context).limit.max(1);
@@ -136,6 +157,7 @@
             priority: summary.priority.max(model.priority),
             deadline: summary.deadline,
             extra_bytes: 0,
+            firm: true,
         })
     }
 
@@ -249,7 +271,6 @@
             match self.choose(artifact, wanted, context) {
                 Ok(choice) => self.begin(artifact, wanted, &choice, context),
                 Err(block) => {
-                    let block = self.after_failures(artifact, block, context);
                     self.blocks.insert(artifact.clone(), block);
                     return;
                 }
@@ -257,17 +278,6 @@
         }
     }
 
-    /// When failed loads have left nothing to try, a pause begins.
-    fn after_failures(&mut self, artifact: &ArtifactId, block: Block, context: &Context) -> Block {
-        let exhausted = matches!(&block, Block::Refused(ResultCode::NoMemory, _))
-            && self.failures.any_since_pause(artifact);
-        if !exhausted {
-            return block;
-        }
-        self.failures.pause(artifact, context.now, context.settings);
-        Block::Refused(ResultCode::LoadFailed, context.settings.load_backoff)
-    }
-
     fn begin(
         &mut self,
         artifact: &ArtifactId,
@@ -313,4 +323,5 @@
     entry.priority = entry.priority.max(wanted.priority);
     entry.deadline = entry.deadline.min(wanted.deadline);
     entry.extra_bytes = entry.extra_bytes.max(wanted.extra_bytes);
+    entry.firm |= wanted.firm;
 }
--- /dev/null
+++ b/crates/control/tests/coordinator/support/world.rs
@@ -0,0 +1,584 @@
+//! The world: daemons, engines, store, gateways, and the messages between them.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+use flaxward_control::configuration::Configuration;
+use flaxward_control::coordinator::{
+    Coordinator, CoordinatorAction, CoordinatorEvent, CoordinatorSettings, EngineFault, StoreFault,
+    Weakness,
+};
+use flaxward_types::engine::{Machine, MachineRole, Order};
+use flaxward_types::routing::{Outlook, RouteAnswer};
+use flaxward_types::{ArtifactId, BootId, DaemonName, RunnerName, Term, Timestamp, ZoneName};
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+use super::engine::{Effect, Engine};
+use super::models::{Rules, configuration};
+use super::schedule::{Fault, Schedule};
+use super::store::Store;
+
+/// One unit of memory.
+pub const GIGABYTE: u64 = 1_000_000_000;
+const MEMORY: u64 = 10 * GIGABYTE;
+const TICK: u64 = 100;
+const DRIVER_TIMEOUT: u64 = 1_500;
+const LATEST: u64 = 9_000;
+const RUNNERS_PER_ZONE: usize = 3;
+
+/// What happens at some time.
+pub(super) enum Happening {
+    Tick(DaemonName),
+    Tell(DaemonName, u64, Box<CoordinatorEvent>),
+    AtStore(DaemonName, u64, Box<CoordinatorAction>, Reply),
+    AtRunner(DaemonName, u64, RunnerName, Option<Box<Order>>, Reply),
+    Loaded(RunnerName, BootId, ArtifactId),
+    Unloaded(RunnerName, BootId, ArtifactId),
+    Renew(DaemonName, ArtifactId),
+    Answer(DaemonName, Box<RouteAnswer>),
+    Start(DaemonName),
+    MachineGone(RunnerName),
+    Unlisted(RunnerName),
+    Fault(Fault),
+    RankZero(ZoneName),
+    Lists,
+}
+
+/// Whether the answer to an operation gets back.
+#[derive(Clone, Copy, PartialEq, Eq)]
+pub(super) enum Reply {
+    Kept,
+    Lost,
+}
+
+pub(super) struct Daemon {
+    pub(super) zone: ZoneName,
+    pub(super) coordinator: Option<Coordinator>,
+    /// Start of the daemon; what was sent to an earlier start is lost.
+    pub(super) start: u64,
+    pub(super) paused_until: u64,
+    pub(super) cut_until: u64,
+    pub(super) watching: bool,
+}
+
+/// What a gateway wants of one artifact.
+pub struct Want {
+    pub(super) until: u64,
+    pub(super) zone: ZoneName,
+    pub(super) tried: BTreeSet<ZoneName>,
+    pub(super) newest: BTreeMap<ZoneName, (Term, u64)>,
+    pub outlook: Option<Outlook>,
+    pub ready: Vec<RunnerName>,
+}
+
+/// The world.
+pub struct World {
+    pub now: u64,
+    pub(super) queue: BTreeMap<(u64, u64), Happening>,
+    pub(super) count: u64,
+    pub(super) generator: ChaCha8Rng,
+    pub(super) weakness: Weakness,
+    pub(super) zones: Vec<ZoneName>,
+    pub store: Store,
+    pub(super) store_down_until: u64,
+    pub(super) lossy: (u64, u32),
+    pub(super) daemons: BTreeMap<DaemonName, Daemon>,
+    pub engines: BTreeMap<RunnerName, Engine>,
+    pub(super) machines: BTreeMap<RunnerName, Machine>,
+    pub(super) cut_runners: BTreeMap<RunnerName, u64>,
+    pub(super) runner_count: usize,
+    pub gateways: BTreeMap<DaemonName, (ZoneName, BTreeMap<ArtifactId, Want>)>,
+    pub configuration: Configuration,
+    pub(super) rules: Rules,
+    pub(super) former: Option<(Configuration, u64)>,
+    /// Whether an order refused for want of sense, such as a load of what is held, is a violation.
+    pub refusals_count: bool,
+    pub violation: Option<String>,
+}
+
+/// Settings with short times, so that much happens in little virtual time.
+pub fn settings() -> CoordinatorSettings {
+    CoordinatorSettings {
+        lease_duration: Duration::from_secs(3),
+        lease_renewal: Duration::from_secs(1),
+        order_retry: Duration::from_millis(500),
+        inventory_refresh: Duration::from_secs(1),
+        load_timeout: Duration::from_secs(15),
+        load_backoff: Duration::from_secs(2),
+        demand_expiry: Duration::from_secs(3),
+        remote_bytes_per_second: 2 * GIGABYTE,
+        disk_bytes_per_second: 8 * GIGABYTE,
+        ..CoordinatorSettings::default()
+    }
+}
+
+impl World {
+    pub fn new(seed: u64, weakness: Weakness) -> Self {
+        let zones: Vec<ZoneName> = ["alpha", "beta", "gamma"].map(ZoneName::literal).to_vec();
+        let mut world = Self {
+            now: 0,
+            queue: BTreeMap::new(),
+            count: 0,
+            generator: ChaCha8Rng::seed_from_u64(seed),
+            weakness,
+            zones: zones.clone(),
+            store: Store::default(),
+            store_down_until: 0,
+            lossy: (0, 0),
+            daemons: BTreeMap::new(),
+            engines: BTreeMap::new(),
+            machines: BTreeMap::new(),
+            cut_runners: BTreeMap::new(),
+            runner_count: 0,
+            gateways: BTreeMap::new(),
+            configuration: configuration(1, Rules::default()),
+            rules: Rules::default(),
+            former: None,
+            refusals_count: weakness == Weakness::None,
+            violation: None,
+        };
+        for zone in zones {
+            for _ in 0..RUNNERS_PER_ZONE {
+                world.add_runner(&zone);
+            }
+            for number in 0..2 {
+                let name = DaemonName::literal(&format!("{zone}-daemon-{number}"));
+                let daemon = Daemon {
+                    zone: zone.clone(),
+                    coordinator: None,
+                    start: 0,
+                    paused_until: 0,
+                    cut_until: 0,
+                    watching: false,
+                };
+                world.daemons.insert(name.clone(), daemon);
+                world.at(0, Happening::Start(name));
+            }
+            let gateway = DaemonName::literal(&format!("{zone}-gateway"));
+            world.gateways.insert(gateway, (zone, BTreeMap::new()));
+        }
+        world.at(0, Happening::Lists);
+        world
+    }
+
+    pub(super) fn at(&mut self, time: u64, happening: Happening) {
+        self.count += 1;
+        self.queue
+            .insert((time.max(self.now), self.count), happening);
+    }
+
+    pub fn plan(&mut self, schedule: &Schedule) {
+        for (time, fault) in schedule {
+            self.at(*time, Happening::Fault(fault.clone()));
+        }
+    }
+
+    pub(super) fn latency(&mut self) -> u64 {
+        self.generator.random_range(1..20)
+    }
+
+    pub(super) fn is_lossy(&mut self) -> bool {
+        let (until, percent) = self.lossy;
+        self.now < until && self.generator.random_range(0..100) < percent
+    }
+
+    pub(super) fn add_runner(&mut self, zone: &ZoneName) {
+        self.runner_count += 1;
+        let name = RunnerName::literal(&format!("runner-{}", self.runner_count));
+        let boot = BootId(self.generator.random());
+        self.engines.insert(name.clone(), Engine::new(boot, MEMORY));
+        let machine = Machine {
+            name: name.clone(),
+            zone: zone.clone(),
+            address: format!("10.0.0.{}:80", self.runner_count),
+            role: MachineRole::Engine,
+            leaving: false,
+        };
+        self.machines.insert(name, machine);
+    }
+
+    /// Lets the world run until a time, or until an invariant breaks.
+    pub fn run_until(&mut self, end: u64) {
+        while self.violation.is_none() {
+            let Some(entry) = self.queue.first_entry() else {
+                break;
+            };
+            if entry.key().0 > end {
+                break;
+            }
+            let ((time, _), happening) = entry.remove_entry();
+            self.now = time;
+            self.happen(happening);
+        }
+        self.now = self.now.max(end);
+    }
+
+    pub(super) fn happen(&mut self, happening: Happening) {
+        match happening {
+            Happening::Tick(name) => {
+                self.at(self.now + TICK, Happening::Tick(name.clone()));
+                let start = self.daemons[&name].start;
+                self.tell(&name, start, CoordinatorEvent::Tick);
+            }
+            Happening::Tell(name, start, event) => self.tell(&name, start, *event),
+            Happening::AtStore(name, start, action, reply) => {
+                self.at_store(&name, start, &action, reply);
+            }
+            Happening::AtRunner(name, start, runner, order, reply) => {
+                self.at_runner(&name, start, &runner, order.as_deref(), reply);
+            }
+            Happening::Loaded(runner, boot, artifact) => {
+                self.on_engine(&runner, boot, |engine| engine.finish_load(&artifact));
+            }
+            Happening::Unloaded(runner, boot, artifact) => {
+                self.on_engine(&runner, boot, |engine| engine.finish_unload(&artifact));
+            }
+            Happening::Renew(gateway, artifact) => self.renew(&gateway, &artifact),
+            Happening::Answer(gateway, answer) => self.take_answer(&gateway, *answer),
+            Happening::Start(name) => self.start(&name),
+            Happening::MachineGone(runner) => self.take_machine(&runner),
+            Happening::Unlisted(runner) => {
+                self.machines.remove(&runner);
+            }
+            Happening::Fault(fault) => self.inject(fault),
+            Happening::RankZero(zone) => self.tell_ranks(&zone, false),
+            Happening::Lists => self.send_lists(),
+        }
+    }
+
+    pub(super) fn on_engine(
+        &mut self,
+        runner: &RunnerName,
+        boot: BootId,
+        act: impl FnOnce(&mut Engine),
+    ) {
+        if let Some(engine) = self.engines.get_mut(runner)
+            && engine.boot == boot
+            && engine.alive
+        {
+            act(engine);
+        }
+    }
+
+    pub(super) fn start(&mut self, name: &DaemonName) {
+        let seed = self.generator.random();
+        let (zones, weakness) = (self.zones.clone(), self.weakness);
+        let daemon = self.daemons.get_mut(name).expect("a known daemon");
+        let first = daemon.start == 0;
+        daemon.start += 1;
+        daemon.watching = false;
+        daemon.coordinator = Some(Coordinator::with_weakness(
+            settings(),
+            name.clone(),
+            daemon.zone.clone(),
+            zones,
+            seed,
+            weakness,
+        ));
+        let zone = daemon.zone.clone();
+        if first {
+            self.at(self.now, Happening::Tick(name.clone()));
+        }
+        self.tell_ranks(&zone, false);
+        self.send_machines(name);
+    }
+
+    pub(super) fn tell_ranks(&mut self, zone: &ZoneName, both_first: bool) {
+        let live = self.daemons.iter().filter(|(_, daemon)| {
+            daemon.zone == *zone && daemon.coordinator.is_some() && daemon.paused_until <= self.now
+        });
+        let names: Vec<(DaemonName, u64)> = live
+            .map(|(name, daemon)| (name.clone(), daemon.start))
+            .collect();
+        for (rank, (name, start)) in names.into_iter().enumerate() {
+            let rank = if both_first { 0 } else { rank };
+            let event = CoordinatorEvent::Rank(rank);
+            self.at(self.now, Happening::Tell(name, start, Box::new(event)));
+        }
+    }
+
+    pub(super) fn send_machines(&mut self, name: &DaemonName) {
+        let daemon = &self.daemons[name];
+        let (zone, start) = (daemon.zone.clone(), daemon.start);
+        let machines = self
+            .machines
+            .values()
+            .filter(|machine| machine.zone == zone);
+        let event = CoordinatorEvent::Machines(machines.cloned().collect());
+        let time = self.now + self.latency();
+        self.at(time, Happening::Tell(name.clone(), start, Box::new(event)));
+    }
+
+    pub(super) fn send_lists(&mut self) {
+        self.at(self.now + 1_000, Happening::Lists);
+        let names: Vec<DaemonName> = self.daemons.keys().cloned().collect();
+        for name in names {
+            self.send_machines(&name);
+            // The watch of a daemon that was cut off misses nothing for long.
+            let daemon = &self.daemons[&name];
+            if daemon.watching && daemon.cut_until <= self.now && self.store_down_until <= self.now
+            {
+                let start = daemon.start;
+                let quotas: Vec<_> = self.store.quotas().cloned().collect();
+                for (revision, quota) in quotas {
+                    let event = Box::new(CoordinatorEvent::QuotaChanged(revision, quota));
+                    self.at(self.now + 5, Happening::Tell(name.clone(), start, event));
+                }
+            }
+        }
+        for zone in self.zones.clone() {
+            self.tell_ranks(&zone, false);
+        }
+    }
+
+    /// Tells a daemon something, once it runs.
+    pub(super) fn tell(&mut self, name: &DaemonName, start: u64, event: CoordinatorEvent) {
+        let origin = 1_000_000 * (1 + name.as_str().len() as u64);
+        let daemon = self.daemons.get_mut(name).expect("a known daemon");
+        if daemon.start != start {
+            return;
+        }
+        if daemon.paused_until > self.now {
+            let resumed = daemon.paused_until;
+            if event != CoordinatorEvent::Tick {
+                self.at(
+                    resumed,
+                    Happening::Tell(name.clone(), start, Box::new(event)),
+                );
+            }
+            return;
+        }
+        let Some(coordinator) = &mut daemon.coordinator else {
+            return;
+        };
+        let now = Timestamp(origin + self.now);
+        for action in coordinator.handle(event, now, &self.configuration) {
+            self.carry_out(name, start, action);
+        }
+    }
+
+    pub(super) fn carry_out(&mut self, name: &DaemonName, start: u64, action: CoordinatorAction) {
+        match action {
+            CoordinatorAction::SendOrder { runner, order, .. } => {
+                self.send_to_runner(name, start, runner, Some(order));
+            }
+            CoordinatorAction::ReadInventory { runner, .. } => {
+                self.send_to_runner(name, start, runner, None);
+            }
+            CoordinatorAction::Answer(gateway, answer) => {
+                let time = self.now + self.latency();
+                if !self.is_lossy() {
+                    self.at(time, Happening::Answer(gateway, Box::new(answer)));
+                }
+            }
+            CoordinatorAction::Stopped => {
+                if let Some(daemon) = self.daemons.get_mut(name) {
+                    daemon.coordinator = None;
+                    daemon.start += 1;
+                }
+                self.at(self.now + 2_000, Happening::Start(name.clone()));
+            }
+            CoordinatorAction::Lead(_)
+            | CoordinatorAction::Resign
+            | CoordinatorAction::Record(_) => {}
+            operation => self.send_to_store(name, start, operation),
+        }
+    }
+
+    pub(super) fn send_to_store(
+        &mut self,
+        name: &DaemonName,
+        start: u64,
+        action: CoordinatorAction,
+    ) {
+        let time = self.now + self.latency();
+        let action = Box::new(action);
+        if !self.is_lossy() {
+            self.at(
+                time,
+                Happening::AtStore(name.clone(), start, action, Reply::Kept),
+            );
+            return;
+        }
+        // The answer is lost, and the operation is late or lost itself.
+        if let Some(event) = Store::failure(&action, StoreFault::Unknown) {
+            let event = Box::new(event);
+            self.at(
+                self.now + DRIVER_TIMEOUT,
+                Happening::Tell(name.clone(), start, event),
+            );
+        }
+        let late = self.now + self.generator.random_range(1..LATEST);
+        if self.generator.random_range(0..4) > 0 {
+            self.at(
+                late,
+                Happening::AtStore(name.clone(), start, action, Reply::Lost),
+            );
+        }
+    }
+
+    /// An operation of a daemon arrives late; nobody waits for its answer.
+    pub fn send_late(&mut self, daemon: &str, action: CoordinatorAction, time: u64) {
+        let name = DaemonName::literal(daemon);
+        let happening = Happening::AtStore(name, 0, Box::new(action), Reply::Lost);
+        self.at(time, happening);
+    }
+
+    pub(super) fn at_store(
+        &mut self,
+        name: &DaemonName,
+        start: u64,
+        action: &CoordinatorAction,
+        reply: Reply,
+    ) {
+        let time = self.now + self.latency();
+        let cut = self.daemons[name].cut_until > self.now;
+        let event = if cut || self.store_down_until > self.now {
+            Store::failure(action, StoreFault::Unavailable)
+        } else if let CoordinatorAction::ReadQuota(subject) = action {
+            let found = self.store.quota(subject);
+            found.map(|(revision, quota)| CoordinatorEvent::QuotaChanged(revision, quota))
+        } else {
+            if *action == CoordinatorAction::ReadQuotas {
+                self.daemons.get_mut(name).expect("a known daemon").watching = true;
+            }
+            let zone = self.daemons[name].zone.clone();
+            let event = self.store.carry_out(&zone, action);
+            self.tell_watchers(&event);
+            self.check_store();
+            Some(event)
+        };
+        if let Some(event) = event.filter(|_| reply == Reply::Kept) {
+            self.at(time, Happening::Tell(name.clone(), start, Box::new(event)));
+        }
+    }
+
+    pub(super) fn tell_watchers(&mut self, event: &CoordinatorEvent) {
+        let CoordinatorEvent::QuotaWritten(subject, Ok(_)) = event else {
+            return;
+        };
+        let Some((revision, quota)) = self.store.quota(subject) else {
+            return;
+        };
+        let watching = self
+            .daemons
+            .iter()
+            .filter(|(_, daemon)| daemon.watching && daemon.cut_until <= self.now);
+        let names: Vec<(DaemonName, u64)> = watching
+            .map(|(name, daemon)| (name.clone(), daemon.start))
+            .collect();
+        for (name, start) in names {
+            let event = CoordinatorEvent::QuotaChanged(revision, quota.clone());
+            let time = self.now + self.latency() * 3;
+            self.at(time, Happening::Tell(name, start, Box::new(event)));
+        }
+    }
+
+    pub(super) fn send_to_runner(
+        &mut self,
+        name: &DaemonName,
+        start: u64,
+        runner: RunnerName,
+        order: Option<Order>,
+    ) {
+        let time = self.now + self.latency();
+        let boxed = order.clone().map(Box::new);
+        if !self.is_lossy() {
+            let happening = Happening::AtRunner(name.clone(), start, runner, boxed, Reply::Kept);
+            self.at(time, happening);
+            return;
+        }
+        let event = Box::new(no_answer(&runner, order.as_ref(), EngineFault::Unknown));
+        self.at(
+            self.now + DRIVER_TIMEOUT,
+            Happening::Tell(name.clone(), start, event),
+        );
+        let late = self.now + self.generator.random_range(1..LATEST);
+        if self.generator.random_range(0..4) > 0 {
+            let happening = Happening::AtRunner(name.clone(), start, runner, boxed, Reply::Lost);
+            self.at(late, happening);
+        }
+    }
+
+    pub(super) fn at_runner(
+        &mut self,
+        name: &DaemonName,
+        start: u64,
+        runner: &RunnerName,
+        order: Option<&Order>,
+        reply: Reply,
+    ) {
+        let mut time = self.now + self.latency();
+        let cut = self
+            .cut_runners
+            .get(runner)
+            .is_some_and(|until| *until > self.now);
+        let Some(engine) = self
+            .engines
+            .get_mut(runner)
+            .filter(|engine| engine.alive && !cut)
+        else {
+            let event = Box::new(no_answer(runner, order, EngineFault::Unreachable));
+            if reply == Reply::Kept {
+                self.at(time, Happening::Tell(name.clone(), start, event));
+            }
+            return;
+        };
+        let event = match order {
+            None => CoordinatorEvent::InventoryRead {
+                runner: runner.clone(),
+                inventory: Ok(engine.inventory()),
+            },
+            Some(order) => {
+                let (answer, effect) = engine.order(order);
+                let boot = engine.boot;
+                self.check_answer(runner, order, &answer);
+                self.set_going(runner, boot, effect);
+                CoordinatorEvent::OrderAnswered {
+                    runner: runner.clone(),
+                    order: order.id,
+                    answer: Ok(answer),
+                }
+            }
+        };
+        if self.is_lossy() {
+            time += self.generator.random_range(0..LATEST);
+        }
+        if reply == Reply::Kept {
+            self.at(time, Happening::Tell(name.clone(), start, Box::new(event)));
+        }
+    }
+
+    pub(super) fn set_going(&mut self, runner: &RunnerName, boot: BootId, effect: Effect) {
+        match effect {
+            Effect::None => {}
+            Effect::Loading(artifact, bytes) => {
+                self.check_load(runner, &artifact);
+                let on_disk = self.engines[runner].on_disk.contains(&artifact);
+                let millis = bytes / (GIGABYTE / if on_disk { 125 } else { 500 });
+                let time = self.now + millis + self.generator.random_range(0..500);
+                self.at(time, Happening::Loaded(runner.clone(), boot, artifact));
+            }
+            Effect::Unloading(artifact) => {
+                let time = self.now + self.generator.random_range(50..1_500);
+                self.at(time, Happening::Unloaded(runner.clone(), boot, artifact));
+            }
+        }
+    }
+}
+
+fn no_answer(runner: &RunnerName, order: Option<&Order>, fault: EngineFault) -> CoordinatorEvent {
+    let runner = runner.clone();
+    match order {
+        Some(order) => CoordinatorEvent::OrderAnswered {
+            runner,
+            order: order.id,
+            answer: Err(fault),
+        },
+        None => CoordinatorEvent::InventoryRead {
+            runner,
+            inventory: Err(fault),
+        },
+    }
+}
--- a/crates/flaxward/src/daemon/store_driver.rs
+++ b/crates/flaxward/src/daemon/store_driver.rs
@@ -3,14 +3,17 @@
 //! The coordinator has at most one operation outstanding per record, so operations run as separate
 //! tasks and each answer goes back as one event.
 
+use std::fmt::Display;
 use std::sync::Arc;
 
 use flaxward_control::coordinator::{CoordinatorEvent, StoreFault};
 use flaxward_platform::{Collection, Object, ObjectApi, StoreError};
+use flaxward_settings::logs::state_change_at;
 use flaxward_types::records::{Quota, QuotaSubject, ZoneLease, ZonePlacement};
 use flaxward_types::{OperationId, Revision, ZoneName};
 use serde::Serialize;
 use serde::de::DeserializeOwned;
+use spdlog::Level;
 use tokio::sync::mpsc::UnboundedSender;
 
 use super::event::CoreEvent;
@@ -30,7 +33,11 @@
         zone: ZoneName,
         events: UnboundedSender<CoreEvent>,
     ) -> Self {
-        Self { store, zone, events }
+        Self {
+            store,
+            zone,
+            events,
+        }
     }
 
     /// Reads the zone's lease.
@@ -45,7 +52,9 @@
     pub fn write_lease(&self, expected: Option<Revision>, lease: ZoneLease) {
         self.spawn(move |driver| async move {
             let name = driver.zone.to_string();
-            let result = driver.write(Collection::Leases, &name, expected, &lease).await;
+            let result = driver
+                .write(Collection::Leases, &name, expected, &lease)
+                .await;
             CoordinatorEvent::LeaseWritten(result)
         });
     }
@@ -62,7 +71,9 @@
     pub fn write_placement(&self, expected: Option<Revision>, placement: ZonePlacement) {
         self.spawn(move |driver| async move {
             let name = driver.zone.to_string();
-            let result = driver.write(Collection::Placements, &name, expected, &placement).await;
+            let result = driver
+                .write(Collection::Placements, &name, expected, &placement)
+                .await;
             CoordinatorEvent::PlacementWritten(result)
         });
     }
@@ -72,7 +83,10 @@
         self.spawn(|driver| async move {
             let quotas = driver.store.list(Collection::Quotas).await;
             let quotas = quotas.map_err(|error| read_fault(&error)).and_then(|list| {
-                list.items.into_iter().map(decode::<Quota>).collect::<Result<Vec<_>, _>>()
+                list.items
+                    .into_iter()
+                    .map(decode::<Quota>)
+                    .collect::<Result<Vec<_>, _>>()
             });
             CoordinatorEvent::QuotasRead(quotas)
         });
@@ -94,7 +108,9 @@
     pub fn write_quota(&self, expected: Option<Revision>, quota: Quota) {
         self.spawn(move |driver| async move {
             let name = quota_name(&quota.subject);
-            let result = driver.write(Collection::Quotas, &name, expected, &quota).await;
+            let result = driver
+                .write(Collection::Quotas, &name, expected, &quota)
+                .await;
             CoordinatorEvent::QuotaWritten(quota.subject, result)
         });
     }
@@ -111,7 +127,7 @@
 
     fn report(&self, event: CoordinatorEvent) {
         // The core is gone only when the daemon exits, and then nobody needs the answer.
-        let _ = self.events.send(CoreEvent::Coordinator(event));
+        let _ = self.events.send(event.into());
     }
 
     async fn read<Record: DeserializeOwned>(
@@ -137,11 +153,15 @@
         let operation = OperationId(rand::random());
         let written = match expected {
             Some(version) => {
-                self.store.replace(collection, name, version, operation, body).await
+                self.store
+                    .replace(collection, name, version, operation, body)
+                    .await
             }
             None => self.store.create(collection, name, operation, body).await,
         };
-        written.map(|object| object.version).map_err(|error| write_fault(&error))
+        written
+            .map(|object| object.version)
+            .map_err(|error| write_fault(&error))
     }
 }
 
@@ -156,13 +176,12 @@
 
 /// Reads a record out of an object. A record that cannot be read counts as an outage of the store:
 /// deciding without it would be a guess.
-pub fn decode<Record: DeserializeOwned>(
-    object: Object,
-) -> Result<(Revision, Record), StoreFault> {
+pub fn decode<Record: DeserializeOwned>(object: Object) -> Result<(Revision, Record), StoreFault> {
     match serde_json::from_value(object.body) {
         Ok(record) => Ok((object.version, record)),
         Err(error) => {
-            spdlog::error!("event=unreadable-record name={} error={error}", object.name);
+            let fields: [(&str, &dyn Display); 2] = [("name", &object.name), ("error", &error)];
+            state_change_at(Level::Error, "unreadable-record", &fields);
             Err(StoreFault::Unavailable)
         }
     }
--- a/crates/flaxward/src/daemon/watches.rs
+++ b/crates/flaxward/src/daemon/watches.rs
@@ -3,18 +3,21 @@
 //! Only the two first-ranked daemons of a zone run them, since the object API and the machine list
 //! bear few readers; the other daemons learn from these two.
 
-use std::cell::Cell;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
 use flaxward_control::coordinator::CoordinatorEvent;
+use flaxward_control::node::NodeEvent;
 use flaxward_platform::{
     Collection, MachineList, Object, ObjectApi, ObjectList, StoreError, WatchEvent,
 };
+use flaxward_settings::logs::{state_change, state_change_at};
 use flaxward_types::records::Quota;
 use flaxward_types::{ConfigurationItem, ItemKey, Revision};
 use flaxward_wire::{ConfigurationChange, ConfigurationDelta, ConfigurationSnapshot};
 use futures::StreamExt;
+use spdlog::Level;
 use tokio::sync::mpsc::UnboundedSender;
 use tokio::sync::{Notify, watch};
 use tokio_util::sync::CancellationToken;
@@ -33,17 +36,27 @@
     relist: Arc<Notify>,
     stop: CancellationToken,
 ) {
-    let seen = Cell::new(Revision::default());
+    let seen = AtomicU64::new(0);
     let listed = |list: ObjectList| {
-        seen.set(list.revision);
-        let _ = events.send(CoreEvent::Listed(snapshot(list)));
+        seen.store(list.revision.0, Ordering::Relaxed);
+        let _ = events.send(NodeEvent::Listed(snapshot(list)).into());
     };
     let changed = |event: WatchEvent| {
         let (changes, to) = configuration_changes(event);
-        let from = seen.replace(to);
-        let _ = events.send(CoreEvent::Learnt(ConfigurationDelta { from, to, changes }));
+        let from = Revision(seen.swap(to.0, Ordering::Relaxed));
+        let delta = ConfigurationDelta { from, to, changes };
+        let _ = events.send(NodeEvent::Learnt(delta).into());
     };
-    follow(store, Collection::Configurations, reading, relist, stop, listed, changed).await;
+    follow(
+        store,
+        Collection::Configurations,
+        reading,
+        relist,
+        stop,
+        listed,
+        changed,
+    )
+    .await;
 }
 
 /// Watches the quotas while `reading` is true, until stopped.
@@ -56,7 +69,7 @@
     let tell = |object: Object| {
         if let Ok((revision, quota)) = decode::<Quota>(object) {
             let event = CoordinatorEvent::QuotaChanged(revision, quota);
-            let _ = events.send(CoreEvent::Coordinator(event));
+            let _ = events.send(event.into());
         }
     };
     let listed = |list: ObjectList| list.items.into_iter().for_each(&tell);
@@ -66,7 +79,16 @@
         }
     };
     let relist = Arc::new(Notify::new());
-    follow(store, Collection::Quotas, reading, relist, stop, listed, changed).await;
+    follow(
+        store,
+        Collection::Quotas,
+        reading,
+        relist,
+        stop,
+        listed,
+        changed,
+    )
+    .await;
 }
 
 /// Reads the machine list every `interval` while `reading` is true, until stopped.
@@ -82,7 +104,7 @@
         match list.machines().await {
             Ok(machines) => {
                 log_recovery(&mut failing, "machine-list");
-                let _ = events.send(CoreEvent::Machines(machines));
+                let _ = events.send(NodeEvent::Machines(machines).into());
             }
             Err(error) => log_failure(&mut failing, "machine-list", &error.to_string()),
         }
@@ -133,10 +155,7 @@
 }
 
 /// Waits until reading is wanted; false when the daemon stops.
-async fn wait_until_reading(
-    mut reading: watch::Receiver<bool>,
-    stop: &CancellationToken,
-) -> bool {
+async fn wait_until_reading(mut reading: watch::Receiver<bool>, stop: &CancellationToken) -> bool {
     tokio::select! {
         wanted = reading.wait_for(|wanted| *wanted) => wanted.is_ok(),
         () = stop.cancelled() => false,
@@ -156,14 +175,18 @@
 
 fn log_failure(failing: &mut bool, what: &str, error: &str) {
     if !*failing {
-        spdlog::warn!("event=read-failing what={what} error={error:?}");
+        state_change_at(
+            Level::Warn,
+            "read-failing",
+            &[("what", &what), ("error", &error)],
+        );
     }
     *failing = true;
 }
 
 fn log_recovery(failing: &mut bool, what: &str) {
     if *failing {
-        spdlog::info!("event=read-recovered what={what}");
+        state_change("read-recovered", &[("what", &what)]);
     }
     *failing = false;
 }
@@ -177,22 +200,29 @@
             Some((key, object.version, item))
         })
         .collect();
-    ConfigurationSnapshot { revision: list.revision, items }
+    ConfigurationSnapshot {
+        revision: list.revision,
+        items,
+    }
 }
 
 fn configuration_changes(event: WatchEvent) -> (Vec<ConfigurationChange>, Revision) {
     match event {
         WatchEvent::Put(object) => {
             let revision = object.version;
-            let change = configuration_item(&object)
-                .map(|(key, item)| ConfigurationChange { revision, key, item: Some(item) });
+            let change = configuration_item(&object).map(|(key, item)| ConfigurationChange {
+                revision,
+                key,
+                item: Some(item),
+            });
             (change.into_iter().collect(), revision)
         }
         WatchEvent::Deleted { name, revision } => {
-            let change = name
-                .parse::<ItemKey>()
-                .ok()
-                .map(|key| ConfigurationChange { revision, key, item: None });
+            let change = name.parse::<ItemKey>().ok().map(|key| ConfigurationChange {
+                revision,
+                key,
+                item: None,
+            });
             (change.into_iter().collect(), revision)
         }
         WatchEvent::Bookmark(revision) => (Vec::new(), revision),
@@ -207,7 +237,7 @@
     match (key, item) {
         (Ok(key), Ok(item)) if key.kind() == item.kind() => Some((key, item)),
         _ => {
-            spdlog::error!("event=unreadable-item name={}", object.name);
+            state_change_at(Level::Error, "unreadable-item", &[("name", &object.name)]);
             None
         }
     }
--- a/crates/gateway/src/completions.rs
+++ b/crates/gateway/src/completions.rs
@@ -124,7 +124,9 @@
             None => None,
         };
         let place = self.enter_queue(&head, &wanted, deadline);
-        let mut run = Run::new(Arc::clone(&self.gateway), call, place, claim, admitted);
+        let target = wanted.artifact.to_string();
+        let gateway = Arc::clone(&self.gateway);
+        let mut run = Run::new(gateway, call, place, claim, admitted, &target);
         if !wanted.stream {
             let answer = finish(run).await?;
             answer.write(response);
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -21,6 +21,7 @@
 use crate::gateway::{Admitted, Gateway};
 use crate::head::answer_headers;
 use crate::place::Place;
+use crate::registry::Registration;
 use crate::remainder::Remainder;
 
 /// One request and its attempts. When it is dropped, the current attempt is cancelled.
@@ -35,6 +36,7 @@
     first_attempt: Option<AttemptId>,
     held_bytes: HeldBytes,
     claim: Option<ClaimTicket>,
+    registration: Registration,
     _in_progress: TaskTrackerToken,
 }
 
@@ -46,7 +48,15 @@
         place: Place,
         claim: Option<ClaimTicket>,
         admitted: Admitted,
+        target: &str,
     ) -> Self {
+        let registration = gateway.registry.register(
+            &call.request_id,
+            target,
+            call.priority,
+            gateway.clock.now(),
+            call.deadline,
+        );
         let machine = RequestMachine::new(call.policy, gateway.settings.attempts);
         Self {
             first_attempt: Some(call.first_attempt),
@@ -57,6 +67,7 @@
             machine,
             current: None,
             claim,
+            registration,
             _in_progress: admitted.in_progress,
         }
     }
@@ -105,6 +116,7 @@
                 .begin(attempt, back_end.runner.clone(), now, &mut gateway.budget())
                 .map_err(Refusal::new)?;
             counters::attempted();
+            self.registration.sent_to(&back_end.runner);
             let guard = CancelGuard::new(&gateway.http, &self.call, &back_end, attempt);
             self.current = Some((attempt, guard));
             let resume_from = self.machine.resume_from();
