Admission in smaller files; unreachable runners are left alone for longer, running demands sent less

Running alone renews a demand each 2 s instead of 1 s, since coordinators forget it after 5 s and only learn from it that the model is used. A tick skips artifacts nobody uses.

--- /dev/null
+++ b/crates/control/src/admission/demands.rs
@@ -0,0 +1,137 @@
+//! Demands: what coordinators are told, and until when.
+
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use flaxward_types::routing::Demand;
+use flaxward_types::{ArtifactId, Timestamp, ZoneName};
+
+use super::interface::AdmissionAction;
+use super::routes::Target;
+use super::{Admission, ArtifactState, Promise};
+
+impl Admission {
+    pub(super) fn count_waiting_arrival(&mut self, now: Timestamp, artifact: &ArtifactId) {
+        let Some(state) = self.artifacts.get_mut(artifact) else {
+            return;
+        };
+        if let Target::Zone(zone) = state.routes.target(now, &self.zones, &self.settings) {
+            state.routes.zone_mut(&zone).arrivals += 1;
+        }
+    }
+
+    /// Keeps up the demand for callers who were told to come back when the replica is ready.
+    pub(super) fn promise(
+        &mut self,
+        now: Timestamp,
+        artifact: &ArtifactId,
+        ready: Timestamp,
+        priority: u8,
+    ) {
+        let until = ready.max(now) + self.settings.retry_after;
+        let Some(state) = self.artifacts.get_mut(artifact) else {
+            return;
+        };
+        let priority = state
+            .promise
+            .map_or(priority, |promise| promise.priority.max(priority));
+        state.promise = Some(Promise { until, priority });
+    }
+
+    pub(super) fn end_promise(&mut self, now: Timestamp, artifact: &ArtifactId) {
+        let Some(state) = self.artifacts.get_mut(artifact) else {
+            return;
+        };
+        if state.promise.is_some_and(|promise| promise.until <= now) {
+            state.promise = None;
+        }
+    }
+
+    /// Sends the demands for an artifact that are due, one to each zone concerned.
+    pub(super) fn send_demands(
+        &mut self,
+        now: Timestamp,
+        artifact: &ArtifactId,
+        actions: &mut Vec<AdmissionAction>,
+    ) {
+        let Some(state) = self.artifacts.get(artifact) else {
+            return;
+        };
+        let is_wanted = self.queue.count(artifact) > 0 || state.promise.is_some();
+        let mut due = self.zones_in_use(now, state);
+        if due.is_empty() && !is_wanted {
+            return;
+        }
+        let asked = match state.routes.target(now, &self.zones, &self.settings) {
+            Target::Zone(zone) => vec![zone],
+            Target::Nowhere { zones, .. } => zones,
+        };
+        if is_wanted {
+            due.extend(asked.iter().cloned());
+        }
+        for zone in due {
+            let is_asked = asked.contains(&zone);
+            self.send_demand(now, artifact, &zone, is_asked, actions);
+        }
+    }
+
+    /// Zones whose replicas are used and that have not been told for a while.
+    fn zones_in_use(&self, now: Timestamp, state: &ArtifactState) -> BTreeSet<ZoneName> {
+        let period = self.settings.running_demand_period;
+        state
+            .routes
+            .iter()
+            .filter(|(_, route)| route.running > 0 || route.arrivals > 0)
+            .filter(|(_, route)| route.may_ask(now, period))
+            .map(|(zone, _)| zone.clone())
+            .collect()
+    }
+
+    fn send_demand(
+        &mut self,
+        now: Timestamp,
+        artifact: &ArtifactId,
+        zone: &ZoneName,
+        is_asked: bool,
+        actions: &mut Vec<AdmissionAction>,
+    ) {
+        let waiting = self.queue.count(artifact);
+        let queued_priority = self.queue.highest_priority(artifact);
+        let earliest = self.queue.earliest_deadline(artifact);
+        let Some(state) = self.artifacts.get_mut(artifact) else {
+            return;
+        };
+        let promise = state.promise.filter(|_| waiting == 0);
+        let route = state.routes.zone_mut(zone);
+        let period = self.settings.demand_period;
+        if !self.zones.heads.contains(zone) || !route.may_ask(now, period) {
+            return;
+        }
+        let mut demand = Demand {
+            artifact: artifact.clone(),
+            waiting: 0,
+            running: route.running,
+            priority: 0,
+            earliest_deadline_ms: u64::MAX,
+            arrivals: route.arrivals,
+        };
+        if is_asked {
+            demand.waiting = u32::try_from(waiting).unwrap_or(u32::MAX);
+            demand.priority = queued_priority.unwrap_or(0);
+            demand.earliest_deadline_ms =
+                earliest.map_or(u64::MAX, |deadline| millis(deadline.since(now)));
+        }
+        if let Some(promise) = promise.filter(|_| is_asked) {
+            demand.waiting = 1;
+            demand.priority = promise.priority;
+            demand.earliest_deadline_ms = millis(promise.until.since(now));
+        }
+        route.note_asked(now, &self.settings);
+        let zone = zone.clone();
+        actions.push(AdmissionAction::SendDemand { zone, demand });
+    }
+}
+
+fn millis(duration: Duration) -> u64 {
+    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
+}
--- a/crates/control/src/admission/interface.rs
+++ b/crates/control/src/admission/interface.rs
@@ -21,10 +21,14 @@
     pub zone_patience: Duration,
     /// Time after which a zone that left a demand unanswered is asked again.
     pub zone_recheck: Duration,
-    /// Time between two demands for the same artifact to the same zone.
+    /// Time between two demands for the same artifact to the same zone while anyone waits.
     pub demand_period: Duration,
-    /// How long a runner that refused a request or could not be reached is left alone.
+    /// The same while requests run and nobody waits; such a demand only keeps replicas alive.
+    pub running_demand_period: Duration,
+    /// How long a request that a runner gave back is not sent to it again.
     pub avoid_period: Duration,
+    /// How long a runner that could not be reached is left alone by all requests.
+    pub unreachable_period: Duration,
     /// Time after which the routes of an artifact that nobody uses are forgotten.
     pub route_expiry: Duration,
     /// When to come back if nothing better is known.
@@ -39,7 +43,9 @@
             zone_patience: Duration::from_secs(1),
             zone_recheck: Duration::from_secs(10),
             demand_period: Duration::from_secs(1),
+            running_demand_period: Duration::from_secs(2),
             avoid_period: Duration::from_millis(500),
+            unreachable_period: Duration::from_secs(2),
             route_expiry: Duration::from_mins(10),
             retry_after: Duration::from_secs(5),
         }
--- a/crates/control/tests/admission/model.rs
+++ b/crates/control/tests/admission/model.rs
@@ -266,6 +266,7 @@
         let (mut open, runner) = self.running.remove(&request).unwrap();
         let until = self.now + self.settings.avoid_period;
         if fault == BackEndFault::Unreachable {
+            let until = self.now + self.settings.unreachable_period;
             self.unreachable.insert(runner.clone(), until);
         }
         open.avoided.insert(runner, until);
