Services: machines that cannot be reached are avoided by all requests for a while

A machine that is gone but still listed took half of the requests, each of which cost a retry; the budget was spent after a few. A stop is logged.

--- a/crates/gateway/src/answer.rs
+++ b/crates/gateway/src/answer.rs
@@ -72,7 +72,7 @@
 
 /// Writes an error answer.
 pub(crate) fn write_refusal(response: &mut Response, refusal: &Refusal, request_id: &str) {
-    counters::answered(refusal.code);
+    counters::refused(refusal.code);
     let status = StatusCode::from_u16(refusal.code.http_status());
     response.status_code(status.unwrap_or(StatusCode::INTERNAL_SERVER_ERROR));
     response.headers_mut().insert(CONTENT_TYPE, JSON);
--- a/crates/gateway/src/counters.rs
+++ b/crates/gateway/src/counters.rs
@@ -20,7 +20,7 @@
 const TOKENS: &str = "flaxward_gateway_tokens_total";
 
 /// Counts a refusal.
-pub(crate) fn answered(code: ResultCode) {
+pub(crate) fn refused(code: ResultCode) {
     metrics::counter!(REFUSED, "code" => code.number().to_string()).increment(1);
 }
 
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -191,8 +191,13 @@
     /// and the outcomes of claimed ones are recorded.
     pub async fn stop(&self) {
         self.is_stopping.store(true, Ordering::SeqCst);
+        spdlog::info!(
+            "gateway: stopping, {} requests in progress",
+            self.requests.len()
+        );
         self.requests.close();
         self.requests.wait().await;
+        spdlog::info!("gateway: stopped");
     }
 
     /// Takes a request in. It is in progress until the result is dropped.
--- a/crates/gateway/src/place.rs
+++ b/crates/gateway/src/place.rs
@@ -27,7 +27,7 @@
     pub fn give_back(&mut self, fault: BackEndFault, deadline: Timestamp) {
         match self {
             Self::Engine(ticket) => ticket.give_back(fault, deadline),
-            Self::Service(ticket) => ticket.give_back(),
+            Self::Service(ticket) => ticket.give_back(fault),
         }
     }
 }
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -237,7 +237,7 @@
     /// An error as the last event of a stream.
     fn error_event(&self, refusal: Refusal) -> Bytes {
         let refusal = self.run.gateway().with_retry_after(refusal);
-        counters::answered(refusal.code);
+        counters::refused(refusal.code);
         let json = error_json(&refusal, &self.run.call().request_id);
         format!("event: error\ndata: {json}\n\n").into()
     }
--- a/crates/gateway/src/service_pool.rs
+++ b/crates/gateway/src/service_pool.rs
@@ -3,7 +3,9 @@
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
 
+use flaxward_control::admission::BackEndFault;
 use flaxward_control::router::Router;
 use flaxward_types::engine::{Machine, MachineRole};
 use flaxward_types::routing::Replica;
@@ -16,6 +18,9 @@
 /// Requests waiting for one service, at most.
 const MAX_WAITING: usize = 1_024;
 
+/// How long a machine that could not be reached is used only if there is no other.
+const UNREACHABLE_PERIOD: Duration = Duration::from_secs(2);
+
 /// Order of those who wait: higher priority first, then first come.
 type Rank = (Reverse<u8>, u64);
 
@@ -28,6 +33,8 @@
 
 struct State {
     router: Router,
+    /// Machines that could not be reached, and until when they are avoided.
+    unreachable: BTreeMap<RunnerName, Timestamp>,
     services: BTreeMap<ServiceName, Service>,
     next_ticket: u64,
 }
@@ -51,6 +58,7 @@
         Self {
             state: Mutex::new(State {
                 router: Router::new(seed),
+                unreachable: BTreeMap::new(),
                 services: BTreeMap::new(),
                 next_ticket: 0,
             }),
@@ -87,15 +95,14 @@
                 service.other_zones.push(replica);
             }
         }
-        let services: Vec<ServiceName> = state.services.keys().cloned().collect();
-        for service in services {
-            state.serve_waiters(&service);
-        }
+        state.serve_all(self.clock.now());
     }
 
     /// Replaces the set of machines that take no new work.
     pub fn set_leaving(&self, leaving: BTreeSet<RunnerName>) {
-        self.lock().router.set_leaving(leaving);
+        let mut state = self.lock();
+        state.router.set_leaving(leaving);
+        state.serve_all(self.clock.now());
     }
 
     /// A request's place in the pool.
@@ -125,16 +132,25 @@
 
 impl State {
     /// Chooses a machine with a free place: own zone first, avoided ones last.
-    fn choose(&mut self, name: &ServiceName, avoided: &BTreeSet<RunnerName>) -> Option<BackEnd> {
+    fn choose(
+        &mut self,
+        name: &ServiceName,
+        avoided: &BTreeSet<RunnerName>,
+        now: Timestamp,
+    ) -> Option<BackEnd> {
+        self.unreachable.retain(|_, until| *until > now);
         let service = self.services.get(name)?;
         let router = &mut self.router;
+        let unreachable = &self.unreachable;
+        let is_avoided =
+            |runner: &RunnerName| avoided.contains(runner) || unreachable.contains_key(runner);
         let concurrency = service.concurrency;
         for avoid in [true, false] {
             for replicas in [&service.own_zone, &service.other_zones] {
                 let free: Vec<&Replica> = replicas
                     .iter()
                     .filter(|replica| router.outstanding(&replica.runner) < concurrency)
-                    .filter(|replica| !avoid || !avoided.contains(&replica.runner))
+                    .filter(|replica| !avoid || !is_avoided(&replica.runner))
                     .collect();
                 if let Some(replica) = router.choose(free, None) {
                     router.began(&replica.runner);
@@ -158,9 +174,16 @@
         })
     }
 
-    fn serve_waiters(&mut self, name: &ServiceName) {
+    fn serve_all(&mut self, now: Timestamp) {
+        let services: Vec<ServiceName> = self.services.keys().cloned().collect();
+        for service in services {
+            self.serve_waiters(&service, now);
+        }
+    }
+
+    fn serve_waiters(&mut self, name: &ServiceName, now: Timestamp) {
         while let Some((rank, waiter)) = self.pop_waiter(name) {
-            let Some(back_end) = self.choose(name, &waiter.avoided) else {
+            let Some(back_end) = self.choose(name, &waiter.avoided, now) else {
                 if let Some(service) = self.services.get_mut(name) {
                     service.waiters.insert(rank, waiter);
                 }
@@ -218,7 +241,7 @@
     /// A machine, or the channel on which one will come.
     fn try_now(&mut self) -> Result<Result<BackEnd, oneshot::Receiver<BackEnd>>, Refusal> {
         let mut state = self.pool.lock();
-        if let Some(back_end) = state.choose(&self.service, &self.avoided) {
+        if let Some(back_end) = state.choose(&self.service, &self.avoided, self.pool.clock.now()) {
             self.current = Some(Current::At(back_end.runner.clone()));
             return Ok(Ok(back_end));
         }
@@ -239,8 +262,12 @@
     }
 
     /// Gives a machine back and avoids it from now on, if there is another.
-    pub fn give_back(&mut self) {
+    pub fn give_back(&mut self, fault: BackEndFault) {
         if let Some(Current::At(runner)) = self.current.take() {
+            if fault == BackEndFault::Unreachable {
+                let until = self.pool.clock.now() + UNREACHABLE_PERIOD;
+                self.pool.lock().unreachable.insert(runner.clone(), until);
+            }
             self.avoided.insert(runner.clone());
             self.release(&runner);
         }
@@ -249,7 +276,7 @@
     fn release(&self, runner: &RunnerName) {
         let mut state = self.pool.lock();
         state.router.ended(runner);
-        state.serve_waiters(&self.service);
+        state.serve_waiters(&self.service, self.pool.clock.now());
     }
 }
 
--- a/crates/gateway/tests/gateway/services.rs
+++ b/crates/gateway/tests/gateway/services.rs
@@ -144,3 +144,14 @@
     let answers = futures::future::join_all((0..20).map(|_| stock())).await;
     assert!(answers.iter().all(|got| got.status == 200));
 }
+
+#[tokio::test]
+async fn a_machine_that_is_gone_but_still_listed_costs_few_retries() {
+    let mut bench = Bench::start(|_| {}).await;
+    bench.services.remove(0).shutdown().await;
+    for nth in 0..50 {
+        let order = bench.request(Method::POST, "/services/despacho/orders");
+        let got = fetch(order).await;
+        assert_eq!(got.status, 200, "{nth}: {}", got.text);
+    }
+}
