Lab: experiments in virtual time, with baselines and an oracle; keep-alive by size

Cause: the weight between cold starts and idle accelerators needs measures against baselines in the same run, over weeks of calls, which no real run can give.

Change: flaxward-lab experiment simulates gateways, runners with their fence and caches, engines with continuous batching, and the weight store in virtual time, for two built-in scenarios. A planner shared by all rules drives learnt keep-alive, ten minutes, never, at once, and an oracle. Results as table, JSON lines and SVG; a digest of the decision log shows that a seed repeats.

Found by it and mended in the keep-alive: an idle second must be priced by the memory taken, or small adapters are dropped as fast as large models.

--- a/crates/control/src/keep_alive.rs
+++ b/crates/control/src/keep_alive.rs
@@ -4,8 +4,10 @@
 //! in the Wild" (Shahrad et al., 2020). Rarely used models have few samples, so the histogram of all
 //! artifacts together serves as a prior that counts as [`PRIOR_SAMPLES`] samples.
 //!
-//! The price decides: an idle second costs `1 - weight`, a cold start costs `weight` times the load
-//! time times [`IDLE_SECONDS_PER_COLD_SECOND`], where `weight` is the policy's `cold_start_weight`.
+//! The price decides. An idle second costs `1 - weight` for each whole accelerator that the artifact
+//! takes, so that small adapters stay longer than large models. A cold start costs `weight` times the
+//! load time times [`IDLE_SECONDS_PER_COLD_SECOND`]. Here `weight` is the policy's
+//! `cold_start_weight`.
 //! The time-out is the one with the least expected cost over the learnt distribution. Idle times
 //! that recur, such as those between daily reports, also give a time to load ahead of need.
 //!
@@ -27,6 +29,10 @@
 /// Idle accelerator seconds that a second of cold start is worth at a weight of one half.
 pub const IDLE_SECONDS_PER_COLD_SECOND: f64 = 60.0;
 
+/// Memory of an accelerator by which the share of an artifact is reckoned, in bytes. Other sizes only
+/// scale the price, as a change of the weight would.
+pub const ACCELERATOR_BYTES: u64 = 80 << 30;
+
 /// Own samples that weigh as much as the prior.
 pub const PRIOR_SAMPLES: f64 = 4.0;
 
@@ -130,7 +136,7 @@
         Some(self.artifacts.get(artifact)?.last_use)
     }
 
-    /// How long to keep an artifact that takes `load_time` to load.
+    /// How long to keep an artifact that takes `load_time` to load and one accelerator.
     pub fn decide(
         &self,
         artifact: &ArtifactId,
@@ -138,7 +144,19 @@
         policy: &PolicySpec,
         load_time: Duration,
     ) -> KeepAliveDecision {
-        let price = Price::new(policy, load_time);
+        self.decide_for_size(artifact, now, policy, load_time, ACCELERATOR_BYTES)
+    }
+
+    /// How long to keep an artifact that takes `load_time` to load and `bytes` of accelerator memory.
+    pub fn decide_for_size(
+        &self,
+        artifact: &ArtifactId,
+        now: Timestamp,
+        policy: &PolicySpec,
+        load_time: Duration,
+        bytes: u64,
+    ) -> KeepAliveDecision {
+        let price = Price::new(policy, load_time, bytes);
         let history = self.artifacts.get(artifact);
         let first_stay = self.first_stay(history, &price);
         let kept = KeepAliveDecision {
@@ -219,12 +237,14 @@
 }
 
 impl Price {
-    fn new(policy: &PolicySpec, load_time: Duration) -> Self {
+    fn new(policy: &PolicySpec, load_time: Duration, bytes: u64) -> Self {
+        #[allow(clippy::cast_precision_loss)] // sizes stay far below 2^52
+        let accelerators = bytes as f64 / ACCELERATOR_BYTES as f64;
         let weight = policy.cold_start_weight.clamp(0.0, 1.0);
         let load_seconds = load_time.as_secs_f64();
         let shortest = Duration::from_millis(policy.keep_alive_min_ms);
         Self {
-            idle_second: 1.0 - weight,
+            idle_second: (1.0 - weight) * accelerators,
             cold_start: weight * load_seconds * IDLE_SECONDS_PER_COLD_SECOND,
             load_seconds,
             shortest,
--- a/crates/control/src/keep_alive/histogram.rs
+++ b/crates/control/src/keep_alive/histogram.rs
@@ -3,7 +3,15 @@
 use std::time::Duration;
 
 /// Bins in each doubling of the idle time: a bin is 19 % wide.
-const BINS_PER_DOUBLING: u32 = 4;
+const BINS_PER_DOUBLING: usize = 4;
+
+/// Powers of the fourth root of two.
+const WITHIN_DOUBLING: [f64; BINS_PER_DOUBLING] = [
+    1.0,
+    1.189_207_115_002_721,
+    std::f64::consts::SQRT_2,
+    1.681_792_830_507_429,
+];
 
 /// Bins in all: 20 doublings, from [`FIRST_BIN_START_SECONDS`] to 97 days.
 pub(super) const BINS: usize = 80;
@@ -61,7 +69,8 @@
 /// The bin of an idle time; what is longer than all bins counts in the last.
 pub(super) fn bin_of(idle: Duration) -> usize {
     let doublings = (idle.as_secs_f64() / FIRST_BIN_START_SECONDS).log2();
-    let position = (doublings * f64::from(BINS_PER_DOUBLING)).floor();
+    #[allow(clippy::cast_precision_loss)] // four
+    let position = (doublings * BINS_PER_DOUBLING as f64).floor();
     #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
     let bin = position.max(0.0) as usize;
     bin.min(BINS - 1)
@@ -69,6 +78,8 @@
 
 /// Where a bin starts, in seconds; the end of the last bin for [`BINS`].
 pub(super) fn bin_start_seconds(bin: usize) -> f64 {
-    let bin = u32::try_from(bin).unwrap_or(u32::MAX);
-    FIRST_BIN_START_SECONDS * (f64::from(bin) / f64::from(BINS_PER_DOUBLING)).exp2()
+    let doublings = bin / BINS_PER_DOUBLING;
+    #[allow(clippy::cast_precision_loss)] // at most 2^20
+    let doubled = (1_u64 << doublings) as f64;
+    FIRST_BIN_START_SECONDS * doubled * WITHIN_DOUBLING[bin % BINS_PER_DOUBLING]
 }
--- a/crates/control/tests/keep_alive.rs
+++ b/crates/control/tests/keep_alive.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use flaxward_control::keep_alive::{
-    IDLE_SECONDS_PER_COLD_SECOND, KeepAlive, KeepAliveDecision, PREWARM_SAMPLES,
+    ACCELERATOR_BYTES, IDLE_SECONDS_PER_COLD_SECOND, KeepAlive, KeepAliveDecision, PREWARM_SAMPLES,
 };
 use flaxward_types::configuration::PolicySpec;
 use flaxward_types::{ArtifactId, Timestamp};
@@ -185,6 +185,20 @@
     assert!(rare < Duration::from_secs(300), "{rare:?}");
 }
 
+/// What takes a small share of an accelerator stays longer than what takes a whole one.
+#[test]
+fn small_artifacts_stay_longer() {
+    let keep_alive = KeepAlive::new();
+    let stay = |bytes: u64| {
+        let policy = policy(0.3);
+        let decision =
+            keep_alive.decide_for_size(&artifact(0), Timestamp::ZERO, &policy, LOAD, bytes);
+        decision.unload_after
+    };
+    assert!(stay(ACCELERATOR_BYTES / 100) > stay(ACCELERATOR_BYTES));
+    assert!(stay(ACCELERATOR_BYTES) > stay(ACCELERATOR_BYTES * 4));
+}
+
 /// Own samples outweigh the fleet's.
 #[test]
 fn own_samples_outweigh_the_fleet() {
--- /dev/null
+++ b/crates/lab/src/lib.rs
@@ -0,0 +1,13 @@
+//! Experiments in virtual time, load generation and stand-ins. No part of the daemon.
+
+#![warn(clippy::pedantic)]
+#![allow(clippy::module_name_repetitions, clippy::must_use_candidate)]
+
+pub mod calls;
+pub mod controller;
+pub mod experiment;
+pub mod fleet_plan;
+pub mod plot;
+pub mod report;
+pub mod scenario;
+pub mod simulation;
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -1,2 +1,70 @@
-//! placeholder
-fn main() {}
+//! `flaxward-lab`: experiments, load generation and stand-ins.
+
+#![warn(clippy::pedantic)]
+
+use std::io::stdout;
+use std::path::PathBuf;
+
+use anyhow::Result;
+use clap::{Args, Parser, Subcommand};
+use flaxward_lab::experiment::Experiment;
+use flaxward_lab::plot;
+use flaxward_lab::report::{self, Output};
+use flaxward_lab::scenario::Scenario;
+
+/// Experiments in virtual time, load generation and stand-ins for flaxward.
+#[derive(Parser)]
+#[command(version)]
+struct Arguments {
+    #[command(subcommand)]
+    command: Command,
+}
+
+#[derive(Subcommand)]
+enum Command {
+    /// Simulate a scenario in virtual time under flaxward's rules and some baselines.
+    Experiment(ExperimentArguments),
+}
+
+#[derive(Args)]
+struct ExperimentArguments {
+    /// A scenario file, or the name of a built-in scenario.
+    #[arg(long)]
+    scenario: String,
+    /// Seed of calls and faults.
+    #[arg(long, default_value_t = 1)]
+    seed: u64,
+    /// Days of virtual time, in place of the scenario's.
+    #[arg(long)]
+    days: Option<u32>,
+    /// Run the weights from 0 to 1 instead of the scenario's alone.
+    #[arg(long)]
+    curve: bool,
+    /// How results are written.
+    #[arg(long, value_enum, default_value_t = Output::Table)]
+    output: Output,
+    /// Draw a plot into this SVG file.
+    #[arg(long)]
+    plot: Option<PathBuf>,
+}
+
+fn main() -> Result<()> {
+    match Arguments::parse().command {
+        Command::Experiment(arguments) => experiment(&arguments),
+    }
+}
+
+fn experiment(arguments: &ExperimentArguments) -> Result<()> {
+    let scenario = Scenario::read(&arguments.scenario)?;
+    let experiment = Experiment::new(scenario, arguments.seed, arguments.days);
+    let results = if arguments.curve {
+        experiment.curve()
+    } else {
+        experiment.compare()
+    };
+    report::write(&results, arguments.output, &mut stdout().lock())?;
+    if let Some(file) = &arguments.plot {
+        plot::curve(&results, file)?;
+    }
+    Ok(())
+}
