Lab: drive the real coordinators in experiments

Cause: the planner shows what a rule for keeping replicas is worth, not what the daemons do.

Change: a controller of one coordinator per zone on a store that is always up; it ticks slowly while nothing goes on. The row flaxward stands beside the baselines of the same run.

--- a/crates/lab/src/controller/mod.rs
+++ b/crates/lab/src/controller/mod.rs
@@ -7,8 +7,10 @@
 use flaxward_types::{DaemonName, OrderId, RunnerName, Timestamp, ZoneName};
 
 pub mod choice;
+pub mod coordinators;
 pub mod planner;
 pub mod retention;
+pub mod store;
 
 /// What a controller is told.
 #[derive(Clone, Debug)]
--- a/crates/lab/src/experiment.rs
+++ b/crates/lab/src/experiment.rs
@@ -6,11 +6,14 @@
 use std::sync::{Mutex, PoisonError};
 use std::time::Duration;
 
+use flaxward_control::configuration::Configuration;
 use flaxward_types::Timestamp;
+use flaxward_types::configuration::PolicySpec;
 use serde::Serialize;
 
 use crate::calls::{Call, Fault, calls, faults};
 use crate::controller::Controller;
+use crate::controller::coordinators::Coordinators;
 use crate::controller::planner::Planner;
 use crate::controller::retention::{Fixed, Learnt, Oracle, Retention};
 use crate::fleet_plan;
@@ -30,6 +33,8 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum Rule {
+    /// Flaxward's coordinators.
+    Flaxward,
     /// The planner with flaxward's keep-alive.
     Learnt,
     /// The planner with ten minutes of keep-alive.
@@ -44,7 +49,8 @@
 
 impl Rule {
     /// Every rule.
-    pub const ALL: [Self; 5] = [
+    pub const ALL: [Self; 6] = [
+        Self::Flaxward,
         Self::Learnt,
         Self::FixedTenMinutes,
         Self::NeverUnload,
@@ -55,6 +61,7 @@
     /// Its name in results.
     pub fn name(self) -> &'static str {
         match self {
+            Self::Flaxward => "flaxward",
             Self::Learnt => "learnt",
             Self::FixedTenMinutes => "fixed-ten-minutes",
             Self::NeverUnload => "never-unload",
@@ -65,7 +72,7 @@
 
     /// Whether the weight of cold starts matters to it.
     pub fn is_weighted(self) -> bool {
-        matches!(self, Self::Learnt | Self::Oracle)
+        matches!(self, Self::Flaxward | Self::Learnt | Self::Oracle)
     }
 }
 
@@ -173,21 +180,34 @@
 
     /// Runs one rule at one weight.
     pub fn run(&self, rule: Rule, weight: f64) -> RunResult {
-        let policy = flaxward_types::configuration::PolicySpec {
+        let policy = PolicySpec {
             cold_start_weight: weight,
             ..fleet_plan::policy(&self.scenario)
         };
         let configuration = fleet_plan::configuration(&self.scenario, &policy);
+        let mut controller = self.controller(rule, policy, configuration);
+        let measures = self.simulate(controller.as_mut());
+        self.result(rule, weight, &measures)
+    }
+
+    fn controller(
+        &self,
+        rule: Rule,
+        policy: PolicySpec,
+        configuration: Configuration,
+    ) -> Box<dyn Controller + '_> {
         let retention: Box<dyn Retention> = match rule {
+            Rule::Flaxward => {
+                let coordinators = Coordinators::new(&self.scenario, configuration, self.seed);
+                return Box::new(coordinators);
+            }
+            Rule::Oracle => Box::new(Oracle::new(&self.calls, policy.cold_start_weight)),
             Rule::Learnt => Box::new(Learnt::new(policy)),
             Rule::FixedTenMinutes => Box::new(Fixed(FIXED)),
             Rule::NeverUnload => Box::new(Fixed(FOREVER)),
             Rule::UnloadAtOnce => Box::new(Fixed(Duration::ZERO)),
-            Rule::Oracle => Box::new(Oracle::new(&self.calls, weight)),
         };
-        let mut planner = Planner::new(&self.scenario, configuration, retention);
-        let measures = self.simulate(&mut planner);
-        self.result(rule, weight, &measures)
+        Box::new(Planner::new(&self.scenario, configuration, retention))
     }
 
     fn simulate(&self, controller: &mut dyn Controller) -> Measures {
