--- a/crates/lab/src/experiment.rs
+++ b/crates/lab/src/experiment.rs
@@ -30,7 +30,7 @@
 const FOREVER: Duration = Duration::from_hours(24 * 3_650);
 
 /// What decides.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, clap::ValueEnum)]
 #[serde(rename_all = "kebab-case")]
 pub enum Rule {
     /// Flaxward's coordinators.
@@ -220,17 +220,17 @@
         World::new(run, controller).run()
     }
 
-    /// Runs every rule at the weight of the scenario's deployment.
-    pub fn compare(&self) -> Vec<RunResult> {
+    /// Runs rules at the weight of the scenario's deployment.
+    pub fn compare(&self, rules: &[Rule]) -> Vec<RunResult> {
         let weight = self.scenario.cold_start_weight;
-        let runs: Vec<(Rule, f64)> = Rule::ALL.iter().map(|rule| (*rule, weight)).collect();
+        let runs: Vec<(Rule, f64)> = rules.iter().map(|rule| (*rule, weight)).collect();
         self.run_all(&runs)
     }
 
     /// Runs the weighted rules at weights from 0 to 1, and the others once.
-    pub fn curve(&self) -> Vec<RunResult> {
+    pub fn curve(&self, rules: &[Rule]) -> Vec<RunResult> {
         let mut runs = Vec::new();
-        for rule in Rule::ALL {
+        for &rule in rules {
             if rule.is_weighted() {
                 runs.extend(CURVE_WEIGHTS.iter().map(|weight| (rule, *weight)));
             } else {
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -7,7 +7,7 @@
 
 use anyhow::Result;
 use clap::{Args, Parser, Subcommand};
-use flaxward_lab::experiment::Experiment;
+use flaxward_lab::experiment::{Experiment, Rule};
 use flaxward_lab::plot;
 use flaxward_lab::report::{self, Output};
 use flaxward_lab::scenario::Scenario;
@@ -40,6 +40,9 @@
     /// Run the weights from 0 to 1 instead of the scenario's alone.
     #[arg(long)]
     curve: bool,
+    /// Run only these rules.
+    #[arg(long, value_enum, value_delimiter = ',')]
+    rules: Vec<Rule>,
     /// How results are written.
     #[arg(long, value_enum, default_value_t = Output::Table)]
     output: Output,
@@ -57,10 +60,15 @@
 fn experiment(arguments: &ExperimentArguments) -> Result<()> {
     let scenario = Scenario::read(&arguments.scenario)?;
     let experiment = Experiment::new(scenario, arguments.seed, arguments.days);
+    let rules = if arguments.rules.is_empty() {
+        Rule::ALL.to_vec()
+    } else {
+        arguments.rules.clone()
+    };
     let results = if arguments.curve {
-        experiment.curve()
+        experiment.curve(&rules)
     } else {
-        experiment.compare()
+        experiment.compare(&rules)
     };
     report::write(&results, arguments.output, &mut stdout().lock())?;
     if let Some(file) = &arguments.plot {
--- a/crates/lab/tests/experiment.rs
+++ b/crates/lab/tests/experiment.rs
@@ -18,7 +18,7 @@
 
 /// Every rule under three seeds, run once for all tests.
 static COMPARED: LazyLock<BTreeMap<u64, ByRule>> = LazyLock::new(|| {
-    let compared = |seed| (seed, by_rule(small(seed).compare()));
+    let compared = |seed| (seed, by_rule(small(seed).compare(&Rule::ALL)));
     [1, 2, 3].into_iter().map(compared).collect()
 });
 
