--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -1,4 +1,5 @@
-//! Experiments in virtual time, load generation and stand-ins. No part of the daemon.
+//! Experiments in virtual time, the hollow fleet, load generation and stand-ins. No part of the
+//! daemon.
 
 #![warn(clippy::pedantic)]
 #![allow(clippy::module_name_repetitions, clippy::must_use_candidate)]
@@ -6,6 +7,7 @@
 pub mod calls;
 pub mod controller;
 pub mod experiment;
+pub mod fleet;
 pub mod fleet_plan;
 pub mod plot;
 pub mod report;
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -11,6 +11,12 @@
 use flaxward_lab::plot;
 use flaxward_lab::report::{self, Output};
 use flaxward_lab::scenario::Scenario;
+use flaxward_lab::fleet::{FleetArguments, fleet};
+
+/// Counts the heap memory of the process, so that that of each hollow daemon can be told.
+#[cfg(feature = "count-memory")]
+#[global_allocator]
+static ALLOCATOR: &stats_alloc::StatsAlloc<std::alloc::System> = &stats_alloc::INSTRUMENTED_SYSTEM;
 
 /// Experiments in virtual time, load generation and stand-ins for flaxward.
 #[derive(Parser)]
@@ -24,6 +30,8 @@
 enum Command {
     /// Simulate a scenario in virtual time under flaxward's rules and some baselines.
     Experiment(ExperimentArguments),
+    /// Measure what control costs, with hollow daemons in virtual time.
+    Fleet(FleetArguments),
 }
 
 #[derive(Args)]
@@ -54,6 +62,7 @@
 fn main() -> Result<()> {
     match Arguments::parse().command {
         Command::Experiment(arguments) => experiment(&arguments),
+        Command::Fleet(arguments) => fleet(&arguments, &mut stdout().lock()),
     }
 }
 
