--- a/crates/gateway/tests/gateway/main.rs
+++ b/crates/gateway/tests/gateway/main.rs
@@ -2,6 +2,7 @@
 //! is the test.
 
 mod refusals;
+mod scanner;
 mod services;
 mod streams;
 mod support;
