--- a/crates/gateway/src/claims.rs
+++ b/crates/gateway/src/claims.rs
@@ -73,19 +73,21 @@
         }
     }
 
-    /// Claims a key for a request, in the time that the request has.
+    /// Claims a key for a request that may be sent for so long; the caller waits for its answer for
+    /// so long.
     pub async fn take(
         self: &Arc<Self>,
         name: String,
         digest: String,
         attempt: AttemptId,
-        time_left: Duration,
+        may_be_sent_for: Duration,
+        caller_waits: Duration,
     ) -> ClaimReply {
         let request = ClaimRequest {
             digest,
             attempt,
             daemon: self.me.clone(),
-            deadline_unix: unix_seconds() + time_left.as_secs() + 1,
+            deadline_unix: unix_seconds() + may_be_sent_for.as_secs() + 1,
         };
         let (reply, replied) = oneshot::channel();
         let driver = Driver {
@@ -95,7 +97,7 @@
             reply: Some(reply),
         };
         self.note(attempt);
-        self.tasks.spawn(driver.run(request, time_left));
+        self.tasks.spawn(driver.run(request, caller_waits));
         replied
             .await
             .unwrap_or_else(|_| ClaimReply::Refuse(Refusal::new(ResultCode::ClaimNotRecorded)))
@@ -182,8 +184,8 @@
 }
 
 impl Driver {
-    async fn run(mut self, request: ClaimRequest, time_left: Duration) {
-        let deadline = tokio::time::Instant::now() + time_left;
+    async fn run(mut self, request: ClaimRequest, caller_waits: Duration) {
+        let deadline = tokio::time::Instant::now() + caller_waits;
         let settings = self.claims.settings.clone();
         let (mut machine, first) = ClaimMachine::start(settings, request, unix_seconds());
         let mut actions = vec![first];
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -253,9 +253,12 @@
         let digest = request_digest(call.method.as_str(), &call.path_and_query, &call.body);
         let claims = Arc::clone(&self.claims);
         let attempt = call.first_attempt;
-        let time_left = call.policy.deadline.since(self.clock.now());
+        let now = self.clock.now();
+        let may_be_sent_for = call.policy.deadline.since(now);
+        let caller_waits = call.deadline.since(now);
         let taking = async move {
-            match claims.take(name, digest, attempt, time_left).await {
+            let taking = claims.take(name, digest, attempt, may_be_sent_for, caller_waits);
+            match taking.await {
                 ClaimReply::Proceed(ticket) => Ok(Reply::Proceed(ticket)),
                 ClaimReply::Replay {
                     status,
--- a/crates/gateway/tests/gateway/services.rs
+++ b/crates/gateway/tests/gateway/services.rs
@@ -6,7 +6,7 @@
 use flaxward_emulator::fault::Strikes;
 use flaxward_types::RunnerName;
 use reqwest::{Method, RequestBuilder};
-use serde_json::Value;
+use serde_json::{Value, json};
 
 use crate::support::{Bench, fetch};
 
@@ -155,3 +155,31 @@
         assert_eq!(got.status, 200, "{nth}: {}", got.text);
     }
 }
+
+#[tokio::test]
+async fn a_slow_store_holds_no_caller_past_its_deadline() {
+    let bench = Bench::start(|_| {}).await;
+    let body = json!({"model": "turbine", "prompt": "why", "stream": true});
+    let completion = bench.complete(&body).header("idempotency-key", "k2");
+    let completion = completion.header("x-flaxward-repeatable", "false");
+    for request in [order(&bench, "k1"), completion] {
+        let again = request.try_clone().unwrap();
+        bench
+            .objects
+            .update_faults(|faults| faults.delay_ms = 4_000);
+        let request = request.header("x-flaxward-deadline", "200ms");
+        let got = fetch(request.timeout(Duration::from_secs(2))).await;
+        assert_eq!(
+            (got.code(), got.error()["not_run"].as_bool()),
+            (Some(2003), Some(true))
+        );
+        bench.objects.update_faults(|faults| faults.delay_ms = 0);
+        // The claim that arrives late stands in nobody's way.
+        let mut answer = fetch(again.try_clone().unwrap()).await;
+        while answer.code() == Some(4001) {
+            answer = fetch(again.try_clone().unwrap()).await;
+        }
+        assert_eq!(answer.status, 200, "{}", answer.text);
+    }
+    assert_eq!((bench.times_run("k1"), bench.accepted()), (1, vec![1, 0]));
+}
