--- a/crates/lab/src/fleet/faults.rs
+++ b/crates/lab/src/fleet/faults.rs
@@ -51,7 +51,6 @@
     StoreUp,
 }
 
-
 impl World {
     pub(super) fn fail(&mut self, fault: Fault) {
         match fault {
@@ -247,9 +246,9 @@
         let Some((key, item)) = self.random_change() else {
             return;
         };
-        let length = item.as_ref().map_or(300, |item| {
-            http::document_length(&key.to_string(), item)
-        });
+        let length = item
+            .as_ref()
+            .map_or(300, |item| http::document_length(&key.to_string(), item));
         let change = self.store.put_item(key, item);
         let running = self.daemons.iter();
         let running = running.filter(|daemon| daemon.running.is_some()).count();
@@ -268,7 +267,10 @@
             let drain = DrainSpec {
                 reason: "repair".to_owned(),
             };
-            return Some((key, (!is_drained).then_some(ConfigurationItem::Drain(drain))));
+            return Some((
+                key,
+                (!is_drained).then_some(ConfigurationItem::Drain(drain)),
+            ));
         }
         let place = self.random.random_range(0..self.catalogue.items.len());
         let (key, _) = self.catalogue.items.get(place)?.clone();
--- a/crates/lab/src/fleet/memory.rs
+++ b/crates/lab/src/fleet/memory.rs
@@ -9,7 +9,10 @@
 pub fn resident() -> u64 {
     let text = fs::read_to_string("/proc/self/statm").unwrap_or_default();
     let pages = text.split_whitespace().nth(1);
-    pages.and_then(|pages| pages.parse::<u64>().ok()).unwrap_or(0) * PAGE
+    pages
+        .and_then(|pages| pages.parse::<u64>().ok())
+        .unwrap_or(0)
+        * PAGE
 }
 
 /// Nanoseconds that the calling thread has run on a processor, or `None` if it cannot be told.
@@ -22,7 +25,9 @@
 #[cfg(feature = "count-memory")]
 pub fn allocated() -> Option<u64> {
     let stats = stats_alloc::INSTRUMENTED_SYSTEM.stats();
-    let live = stats.bytes_allocated.saturating_sub(stats.bytes_deallocated);
+    let live = stats
+        .bytes_allocated
+        .saturating_sub(stats.bytes_deallocated);
     Some(live as u64)
 }
 
--- a/crates/lab/src/fleet/mod.rs
+++ b/crates/lab/src/fleet/mod.rs
@@ -3,11 +3,11 @@
 
 mod callers;
 mod catalogue;
+mod command;
 mod daemon;
 mod engine;
 mod faults;
 mod gateway;
-mod command;
 mod http;
 mod limits;
 mod memory;
@@ -22,8 +22,8 @@
 mod tally;
 mod world;
 
-pub use faults::Fault;
 pub use command::{FleetArguments, fleet};
+pub use faults::Fault;
 pub use limits::{Line, MEMORY_LIMIT, NETWORK_LIMIT, PROCESSOR_LIMIT, Usage, Verdict};
 pub use run::{Measurement, Plan, RoleMeasure, Traffic, run};
 pub use shape::Shape;
--- a/crates/lab/src/fleet/platform.rs
+++ b/crates/lab/src/fleet/platform.rs
@@ -121,12 +121,14 @@
         match &action {
             CoordinatorAction::SendOrder { .. } | CoordinatorAction::ReadInventory { .. } => {
                 let at = self.now + ENGINE_TIME;
-                self.queue.add(at, Happening::Engine(process, Box::new(action)));
+                self.queue
+                    .add(at, Happening::Engine(process, Box::new(action)));
             }
             _ => match self.way_to_platform(process.place) {
                 Some(way) => {
                     let at = self.now + way;
-                    self.queue.add(at, Happening::Store(process, Box::new(action)));
+                    self.queue
+                        .add(at, Happening::Store(process, Box::new(action)));
                 }
                 None => self.fail_store_call(process, &action, CALL_TIMEOUT),
             },
@@ -305,7 +307,11 @@
                 continue;
             };
             let spending = &mut self.daemons[place].spending;
-            spending.pushed(Purpose::Configuration, Side::Store, http::watch_line(length));
+            spending.pushed(
+                Purpose::Configuration,
+                Side::Store,
+                http::watch_line(length),
+            );
             let Some(running) = self.daemons[place].running.as_mut() else {
                 continue;
             };
--- a/crates/lab/src/fleet/report.rs
+++ b/crates/lab/src/fleet/report.rs
@@ -18,7 +18,14 @@
     for measurement in measurements {
         let size = measurement.plan.daemons.to_string();
         let fits = fits(&measurement.average);
-        table.add_row(row(&size, "average", measurement.plan.daemons as usize, &measurement.average, None, &fits));
+        table.add_row(row(
+            &size,
+            "average",
+            measurement.plan.daemons as usize,
+            &measurement.average,
+            None,
+            &fits,
+        ));
         for (role, measure) in &measurement.roles {
             let fits = self::fits(&measure.highest);
             table.add_row(row(
@@ -32,8 +39,16 @@
         }
     }
     table.add_row([
-        "", "limit", "", &number(PROCESSOR_LIMIT), "", &number(MEMORY_LIMIT), "",
-        &number(NETWORK_LIMIT), "", "",
+        "",
+        "limit",
+        "",
+        &number(PROCESSOR_LIMIT),
+        "",
+        &number(MEMORY_LIMIT),
+        "",
+        &number(NETWORK_LIMIT),
+        "",
+        "",
     ]);
     table.to_string()
 }
@@ -43,10 +58,19 @@
     let mut text = String::new();
     for (role, measure) in &measurement.roles {
         let mut table = new_table(&[
-            "purpose or side", "sent/s", "received/s", "B/s sent", "B/s received", "% core",
+            "purpose or side",
+            "sent/s",
+            "received/s",
+            "B/s sent",
+            "B/s received",
+            "% core",
         ]);
         for purpose in PURPOSES {
-            let traffic = measure.by_purpose.get(&purpose).copied().unwrap_or_default();
+            let traffic = measure
+                .by_purpose
+                .get(&purpose)
+                .copied()
+                .unwrap_or_default();
             let time = measure.processor_by_purpose.get(&purpose).copied();
             table.add_row(traffic_row(&format!("{purpose:?}"), &traffic, time));
         }
@@ -62,14 +86,23 @@
         );
         text += &head;
         text += &table.to_string();
-        text += &format!("\nadmission, no part of control: {:.3} % of a core\n\n", measure.admission_percent);
+        text += &format!(
+            "\nadmission, no part of control: {:.3} % of a core\n\n",
+            measure.admission_percent
+        );
     }
     text
 }
 
 /// Lines through the figures of several sizes, and their values at the target.
 pub fn lines(measurements: &[Measurement]) -> String {
-    let mut table = new_table(&["role", "figure", "slope for each 100 daemons", "at none", "at 640"]);
+    let mut table = new_table(&[
+        "role",
+        "figure",
+        "slope for each 100 daemons",
+        "at none",
+        "at 640",
+    ]);
     for role in ROLES {
         for (figure, points) in points(measurements, role) {
             if let Some(line) = Line::through(&points) {
@@ -87,10 +120,7 @@
 }
 
 /// Mean figures of a role by size.
-pub fn points(
-    measurements: &[Measurement],
-    role: Role,
-) -> BTreeMap<&'static str, Vec<(f64, f64)>> {
+pub fn points(measurements: &[Measurement], role: Role) -> BTreeMap<&'static str, Vec<(f64, f64)>> {
     let mut points: BTreeMap<&'static str, Vec<(f64, f64)>> = BTreeMap::new();
     for measurement in measurements {
         let Some(measure) = measurement.roles.get(&role) else {
--- a/crates/lab/src/fleet/run.rs
+++ b/crates/lab/src/fleet/run.rs
@@ -139,7 +139,13 @@
 
 impl Measurement {
     /// The parts that follow from the plan alone, for comparing two runs: no times.
-    pub fn counted(&self) -> (Counts, SpreadSummary, Vec<(Role, usize, BTreeMap<Side, Traffic>)>) {
+    pub fn counted(
+        &self,
+    ) -> (
+        Counts,
+        SpreadSummary,
+        Vec<(Role, usize, BTreeMap<Side, Traffic>)>,
+    ) {
         let roles = self.roles.iter();
         let roles = roles.map(|(role, measure)| (*role, measure.daemons, measure.by_side.clone()));
         (self.counts, self.spread, roles.collect())
@@ -288,10 +294,11 @@
 
     /// The lowest and highest revision of the configuration in force at any running daemon.
     pub fn revisions(&self) -> (Revision, Revision) {
-        let running = self.daemons.iter().filter(|daemon| daemon.running.is_some());
-        let revisions: Vec<Revision> = running
-            .map(super::daemon::HollowDaemon::in_force)
-            .collect();
+        let running = self
+            .daemons
+            .iter()
+            .filter(|daemon| daemon.running.is_some());
+        let revisions: Vec<Revision> = running.map(super::daemon::HollowDaemon::in_force).collect();
         let lowest = revisions.iter().min().copied().unwrap_or_default();
         let highest = revisions.iter().max().copied().unwrap_or_default();
         (lowest, highest)
--- a/crates/lab/src/fleet/store.rs
+++ b/crates/lab/src/fleet/store.rs
@@ -142,9 +142,8 @@
             CoordinatorAction::ReadQuota(subject) => {
                 let read = self.quotas.get(&subject).cloned();
                 let bytes = read_bytes("model.quota", read.as_ref());
-                let event = read.map(|(revision, quota)| {
-                    CoordinatorEvent::QuotaChanged(revision, quota)
-                });
+                let event =
+                    read.map(|(revision, quota)| CoordinatorEvent::QuotaChanged(revision, quota));
                 Outcome {
                     event,
                     bytes,
@@ -154,7 +153,10 @@
             CoordinatorAction::WriteLease(expected, lease) => {
                 let length = http::document_length(zone.as_str(), &lease);
                 let result = swap(&mut self.leases, &mut self.revision, zone, expected, lease);
-                plain(CoordinatorEvent::LeaseWritten(result), http::call(length, length))
+                plain(
+                    CoordinatorEvent::LeaseWritten(result),
+                    http::call(length, length),
+                )
             }
             CoordinatorAction::WritePlacement(expected, placement) => {
                 let length = http::document_length(zone.as_str(), &placement);
@@ -222,10 +224,7 @@
     }
 }
 
-fn read_bytes<Record: serde::Serialize>(
-    name: &str,
-    read: Option<&Versioned<Record>>,
-) -> WireBytes {
+fn read_bytes<Record: serde::Serialize>(name: &str, read: Option<&Versioned<Record>>) -> WireBytes {
     let answer = read.map_or(100, |(_, record)| http::document_length(name, record));
     http::call(0, answer)
 }
--- a/crates/lab/src/fleet/tally.rs
+++ b/crates/lab/src/fleet/tally.rs
@@ -72,12 +72,7 @@
 }
 
 /// All sides.
-pub const SIDES: [Side; 4] = [
-    Side::Daemons,
-    Side::Store,
-    Side::MachineList,
-    Side::Engines,
-];
+pub const SIDES: [Side; 4] = [Side::Daemons, Side::Store, Side::MachineList, Side::Engines];
 
 /// Purpose of a message between daemons.
 pub fn purpose_of(message: &Message) -> Purpose {
--- a/crates/lab/src/fleet/world.rs
+++ b/crates/lab/src/fleet/world.rs
@@ -341,7 +341,11 @@
         let mut seen: BTreeMap<usize, usize> = BTreeMap::new();
         let mut seeds = Vec::new();
         for (place, daemon) in self.daemons.iter().enumerate() {
-            let wanted = if daemon.zone == zone { SEEDS_OF_ZONE } else { 1 };
+            let wanted = if daemon.zone == zone {
+                SEEDS_OF_ZONE
+            } else {
+                1
+            };
             let count = seen.entry(daemon.zone).or_default();
             if *count < wanted {
                 *count += 1;
@@ -402,7 +406,8 @@
                 if let Some(running) = daemon.running.as_mut() {
                     running.configuration = configuration;
                 }
-                self.spread.in_force(process.place, before, revision, self.now);
+                self.spread
+                    .in_force(process.place, before, revision, self.now);
             }
             NodeAction::Reading(reading) => self.set_reading(process, reading),
             NodeAction::Observe(share) => {
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -8,10 +8,10 @@
 use anyhow::Result;
 use clap::{Args, Parser, Subcommand};
 use flaxward_lab::experiment::{Experiment, Rule};
+use flaxward_lab::fleet::{FleetArguments, fleet};
 use flaxward_lab::plot;
 use flaxward_lab::report::{self, Output};
 use flaxward_lab::scenario::Scenario;
-use flaxward_lab::fleet::{FleetArguments, fleet};
 
 /// Counts the heap memory of the process, so that that of each hollow daemon can be told.
 #[cfg(feature = "count-memory")]
