Simulation: stop at the first broken invariant also while models wake

The loop that asks for a model again went on for ever when an invariant broke meanwhile, since time stands still from then on, and filled the memory. A second bound: more than 200,000 events in a second of virtual time break bounded_work. A request that was queued at a paused daemon ends with the daemon.

--- a/crates/simulation/src/invariant.rs
+++ b/crates/simulation/src/invariant.rs
@@ -27,6 +27,8 @@
     /// The configuration in force never goes back, and is that of the store at its revision; an
     /// accepted change is in force at every reachable daemon within seconds.
     ConfigurationMonotonic,
+    /// Nothing goes round in circles.
+    BoundedWork,
     /// After the faults, each zone has one coordinator.
     OneCoordinator,
     /// After the faults, each model that may be loaded wakes.
@@ -46,6 +48,7 @@
             Self::NoNewWorkOnLeaving => "no_new_work_on_leaving",
             Self::PlannedStopCutsNothing => "planned_stop_cuts_nothing",
             Self::ConfigurationMonotonic => "configuration_monotonic",
+            Self::BoundedWork => "bounded_work",
             Self::OneCoordinator => "one_coordinator",
             Self::ModelsWake => "models_wake",
         }
--- a/crates/simulation/src/region/checks.rs
+++ b/crates/simulation/src/region/checks.rs
@@ -67,7 +67,7 @@
 }
 
 impl Region {
-    fn violate(&mut self, invariant: Invariant, detail: String) {
+    pub(super) fn violate(&mut self, invariant: Invariant, detail: String) {
         let at = self.now;
         self.violation.get_or_insert(Violation {
             invariant,
--- a/crates/simulation/src/region/daemons.rs
+++ b/crates/simulation/src/region/daemons.rs
@@ -534,12 +534,14 @@
     /// The process ends; its connections break.
     pub(super) fn exit(&mut self, id: ProcessId) {
         self.trace(|| format!("{} exits", self.name_of(id)));
-        let Some(process) = self.daemons[id.daemon].process.take() else {
+        if self.daemons[id.daemon].process.take().is_none() {
             return;
-        };
+        }
         self.daemons[id.daemon].backlog.clear();
         self.watchers.retain(|watcher| watcher.process != id);
-        for number in process.gateway.unanswered() {
+        let is_lost = |number: &u64| self.records[number].process == id;
+        let lost: Vec<u64> = self.open.iter().copied().filter(is_lost).collect();
+        for number in lost {
             self.end_request(number, Outcome::ConnectionLost);
         }
         self.break_connections(id);
--- a/crates/simulation/src/region/mod.rs
+++ b/crates/simulation/src/region/mod.rs
@@ -20,7 +20,7 @@
 use crate::caller::{CallerRequest, RequestRecord};
 use crate::engine::Engine;
 use crate::happening::{Happening, Schedule};
-use crate::invariant::Violation;
+use crate::invariant::{Invariant, Violation};
 use crate::network::{Network, Place, between};
 use crate::process::{Daemon, Input, ProcessId, StoreCall};
 use crate::settings::RegionSettings;
@@ -32,6 +32,8 @@
 use faults::RegionFaults;
 use platform::Watcher;
 
+/// Events in one second of virtual time above which something goes round in circles.
+const MOST_EVENTS: u64 = 200_000;
 /// Time between two looks for requests that are overdue.
 const SWEEP: Duration = Duration::from_millis(500);
 
@@ -92,6 +94,8 @@
     remote_loads: u32,
     daemons: Vec<Daemon>,
     starts: u64,
+    /// A second of virtual time and the events in it.
+    busy: (u64, u64),
     requests: BTreeMap<u64, Arc<CallerRequest>>,
     records: BTreeMap<u64, RequestRecord>,
     open: BTreeSet<u64>,
@@ -118,6 +122,7 @@
             remote_loads: 0,
             daemons: Vec::new(),
             starts: 0,
+            busy: (0, 0),
             requests: BTreeMap::new(),
             records: BTreeMap::new(),
             open: BTreeSet::new(),
@@ -220,6 +225,7 @@
                 break;
             };
             self.now = at;
+            self.count_event(at);
             self.happen(event);
         }
         if self.violation.is_none() {
@@ -227,6 +233,19 @@
         }
     }
 
+    fn count_event(&mut self, at: VirtualTime) {
+        let (second, count) = self.busy;
+        let present = at.0 / 1_000_000;
+        let count = if second == present { count + 1 } else { 1 };
+        self.busy = (present, count);
+        if count > MOST_EVENTS {
+            self.violate(
+                Invariant::BoundedWork,
+                format!("{count} events in a second"),
+            );
+        }
+    }
+
     fn happen(&mut self, event: Event) {
         match event {
             Event::Input(process, input) => self.input(process, input),
--- a/crates/simulation/tests/region/properties.rs
+++ b/crates/simulation/tests/region/properties.rs
@@ -87,6 +87,8 @@
                 region.run_for(RETRY);
             }
             ended = region.record(number).and_then(|record| record.ended);
+            // Time stands still from the first broken invariant on.
+            check(region)?;
         }
         check(region)?;
     }
