Lab: load generator, stand-ins as processes, relay bench

Cause: what a daemon costs has to be measured against what its libraries cost, and tail latency from when a request was due, or a stall hides itself.

Change: flaxward-lab load (open loop, exponential pauses, bursts at all targets, per-model JSON lines or table), stand-in (object-api, machine-list, weight-store, engine, service), relay-bench (direct, bare salvo and reqwest pass-through on one core, a daemon by URL).

--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -4,10 +4,14 @@
 #![allow(clippy::module_name_repetitions, clippy::must_use_candidate)]
 
 pub mod calls;
+pub mod client;
 pub mod controller;
 pub mod experiment;
 pub mod fleet_plan;
+pub mod load;
 pub mod plot;
+pub mod relay_bench;
 pub mod report;
 pub mod scenario;
 pub mod simulation;
+pub mod stand_in;
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -7,10 +7,15 @@
 
 use anyhow::Result;
 use clap::{Args, Parser, Subcommand};
+use comfy_table::Table;
 use flaxward_lab::experiment::{Experiment, Rule};
+use flaxward_lab::load::{self, LoadPlan};
 use flaxward_lab::plot;
+use flaxward_lab::relay_bench::{self, BenchPlan};
 use flaxward_lab::report::{self, Output};
 use flaxward_lab::scenario::Scenario;
+use flaxward_lab::stand_in::{self, StandIn};
+use serde::Serialize;
 
 /// Experiments in virtual time, load generation and stand-ins for flaxward.
 #[derive(Parser)]
@@ -24,6 +29,13 @@
 enum Command {
     /// Simulate a scenario in virtual time under flaxward's rules and some baselines.
     Experiment(ExperimentArguments),
+    /// Send requests at a fixed rate and measure from when each was due.
+    Load(LoadArguments),
+    /// Run a stand-in for a part of the platform.
+    #[command(subcommand)]
+    StandIn(StandIn),
+    /// Compare a direct way to an engine, a bare pass-through and a daemon.
+    RelayBench(RelayBenchArguments),
 }
 
 #[derive(Args)]
@@ -51,12 +63,113 @@
     plot: Option<PathBuf>,
 }
 
+#[derive(Args)]
+struct LoadArguments {
+    /// Base URLs of daemons, taken in turn.
+    #[arg(long, required = true, value_delimiter = ',')]
+    target: Vec<String>,
+    /// Requests a second, on average.
+    #[arg(long)]
+    rate: f64,
+    /// How long requests are sent, such as 30s.
+    #[arg(long)]
+    duration: humantime::Duration,
+    /// Models, chosen at random.
+    #[arg(long, required = true, value_delimiter = ',')]
+    models: Vec<String>,
+    /// Add bursts for one model at all targets together.
+    #[arg(long)]
+    bursts: bool,
+    /// Time between bursts.
+    #[arg(long, default_value = "10s")]
+    burst_every: humantime::Duration,
+    /// Requests of a burst.
+    #[arg(long, default_value_t = 50)]
+    burst_size: u32,
+    /// Tokens wanted of each answer.
+    #[arg(long, default_value_t = 64)]
+    max_tokens: u32,
+    /// Ask for whole answers instead of streams.
+    #[arg(long)]
+    whole: bool,
+    /// Deadline for the first token.
+    #[arg(long, default_value = "60s")]
+    deadline: humantime::Duration,
+    /// Requests outstanding at one time; what is due beyond that is not sent.
+    #[arg(long, default_value_t = 10_000)]
+    outstanding_limit: usize,
+    /// Seed of pauses and models.
+    #[arg(long, default_value_t = 1)]
+    seed: u64,
+    /// How results are written.
+    #[arg(long, value_enum, default_value_t = Output::Table)]
+    output: Output,
+}
+
+#[derive(Args)]
+struct RelayBenchArguments {
+    /// Base URL of a daemon to measure as well.
+    #[arg(long, requires = "model")]
+    daemon: Option<String>,
+    /// A model that the daemon serves, loaded and with no time between tokens.
+    #[arg(long)]
+    model: Option<String>,
+    /// Requests at one time while throughput is measured.
+    #[arg(long, default_value_t = 32)]
+    connections: usize,
+    /// How long each measurement lasts.
+    #[arg(long, default_value = "3s")]
+    duration: humantime::Duration,
+    /// How results are written.
+    #[arg(long, value_enum, default_value_t = Output::Table)]
+    output: Output,
+}
+
 fn main() -> Result<()> {
     match Arguments::parse().command {
         Command::Experiment(arguments) => experiment(&arguments),
+        Command::Load(arguments) => load(arguments),
+        Command::StandIn(which) => block_on(stand_in::run(which)),
+        Command::RelayBench(arguments) => relay_bench(arguments),
     }
 }
 
+fn block_on<T>(future: impl Future<Output = Result<T>>) -> Result<T> {
+    tokio::runtime::Runtime::new()?.block_on(future)
+}
+
+fn load(arguments: LoadArguments) -> Result<()> {
+    let plan = LoadPlan {
+        targets: arguments.target,
+        models: arguments.models,
+        rate: arguments.rate,
+        duration: arguments.duration.into(),
+        burst_every: arguments.bursts.then(|| arguments.burst_every.into()),
+        burst_size: arguments.burst_size,
+        max_tokens: arguments.max_tokens,
+        streamed: !arguments.whole,
+        deadline: arguments.deadline.into(),
+        outstanding_limit: arguments.outstanding_limit,
+        seed: arguments.seed,
+    };
+    let results = block_on(load::run(plan))?;
+    write(&results, arguments.output, load::table)
+}
+
+fn relay_bench(arguments: RelayBenchArguments) -> Result<()> {
+    let plan = BenchPlan {
+        daemon: arguments.daemon.zip(arguments.model),
+        connections: arguments.connections,
+        duration: arguments.duration.into(),
+    };
+    let results = block_on(relay_bench::run(&plan))?;
+    write(&results, arguments.output, relay_bench::table)
+}
+
+fn write<T: Serialize>(results: &[T], output: Output, table: fn(&[T]) -> Table) -> Result<()> {
+    report::write(results, output, table, &mut stdout().lock())
+}
+
 fn experiment(arguments: &ExperimentArguments) -> Result<()> {
     let scenario = Scenario::read(&arguments.scenario)?;
     let experiment = Experiment::new(scenario, arguments.seed, arguments.days);
@@ -70,7 +183,7 @@
     } else {
         experiment.compare(&rules)
     };
-    report::write(&results, arguments.output, &mut stdout().lock())?;
+    write(&results, arguments.output, report::table)?;
     if let Some(file) = &arguments.plot {
         plot::curve(&results, file)?;
     }
--- a/crates/lab/src/report.rs
+++ b/crates/lab/src/report.rs
@@ -1,10 +1,11 @@
-//! Results of experiments as JSON lines and as a table.
+//! Results as JSON lines, and those of experiments as a table.
 
 use std::io::Write;
 
 use anyhow::Result;
 use comfy_table::Table;
 use comfy_table::presets::UTF8_HORIZONTAL_ONLY;
+use serde::Serialize;
 
 use crate::experiment::RunResult;
 
@@ -21,7 +22,12 @@
 ///
 /// # Errors
 /// Fails if they cannot be written.
-pub fn write(results: &[RunResult], output: Output, to: &mut dyn Write) -> Result<()> {
+pub fn write<T: Serialize>(
+    results: &[T],
+    output: Output,
+    table: fn(&[T]) -> Table,
+    to: &mut dyn Write,
+) -> Result<()> {
     match output {
         Output::Json => {
             for result in results {
@@ -33,8 +39,8 @@
     Ok(())
 }
 
-/// The results, a column for each run.
-fn table(results: &[RunResult]) -> Table {
+/// The results of experiments, a column for each run.
+pub fn table(results: &[RunResult]) -> Table {
     let mut table = Table::new();
     table.load_style(UTF8_HORIZONTAL_ONLY);
     let names = results.iter().map(name);
--- a/crates/lab/tests/experiment.rs
+++ b/crates/lab/tests/experiment.rs
@@ -91,7 +91,7 @@
     assert_eq!(alone.digest, together["learnt"].digest);
     assert_ne!(alone.digest, other.digest);
     let mut lines = Vec::new();
-    report::write(&[alone], Output::Json, &mut lines).expect("written");
+    report::write(&[alone], Output::Json, report::table, &mut lines).expect("written");
     let line: serde_json::Value = serde_json::from_slice(&lines).expect("one object");
     assert_eq!(line["digest"], together["learnt"].digest);
 }
