--- a/crates/lab/src/fleet/faults.rs
+++ b/crates/lab/src/fleet/faults.rs
@@ -1,5 +1,6 @@
 //! What fails and comes back, and what operators change.
 
+use flaxward_control::node::NodeEvent;
 use flaxward_types::configuration::DrainSpec;
 use flaxward_types::{ConfigurationItem, ItemKey};
 use rand::RngExt;
@@ -16,6 +17,8 @@
 const DEAD_LISTED: u64 = 60_000;
 /// Time after which a machine that replaces a dead one is there, in milliseconds.
 const REPLACEMENT: u64 = 120_000;
+/// Time from the beginning of a planned stop until the gateway has no request left, in milliseconds.
+const DRAIN_TIME: u64 = 5_000;
 /// Longest time that a planned stop of a daemon may take, in milliseconds.
 const STOP_TIME: u64 = 10_000;
 
@@ -37,6 +40,8 @@
     /// The daemon at a place is ended, whether it has stopped or not, and starts again later under
     /// its own name or a new one.
     DaemonGoes(Process, bool, u64),
+    /// The gateway of a daemon that stops has no request left.
+    DaemonDrained(Process),
     /// All machines of a zone fail at once.
     ZoneLost(usize),
     /// All machines of a zone come back.
@@ -72,6 +77,10 @@
                     self.end_daemon(process, replaced, away);
                 }
             }
+            Fault::DaemonDrained(process) => {
+                let purpose = super::tally::Purpose::Membership;
+                self.drive(process, purpose, NodeEvent::Drained);
+            }
             Fault::ZoneLost(zone) => self.lose_zone(zone),
             Fault::ZoneBack(zone) => self.return_zone(zone),
             Fault::RegionsCut => {
@@ -164,7 +173,8 @@
             running.stopping = true;
         }
         let purpose = super::tally::Purpose::Membership;
-        self.drive(process, purpose, flaxward_control::node::NodeEvent::Stop);
+        self.drive(process, purpose, NodeEvent::Stop);
+        self.add_fault(self.now + DRAIN_TIME, Fault::DaemonDrained(process));
         let end = Fault::DaemonGoes(process, replaced, AWAY);
         self.add_fault(self.now + STOP_TIME, end);
     }
