--- a/crates/flaxward/tests/processes/main.rs
+++ b/crates/flaxward/tests/processes/main.rs
@@ -3,6 +3,7 @@
 
 mod bad_inputs;
 mod burst;
+mod kills;
 mod operators;
 mod stops;
 mod support;
