--- a/crates/flaxward/tests/processes/bad_inputs.rs
+++ b/crates/flaxward/tests/processes/bad_inputs.rs
@@ -76,12 +76,15 @@
     }
 }
 
+/// Names and values of headers.
+type BadHeaders = &'static [(&'static str, &'static [u8])];
+
 fn cases() -> Vec<Case> {
     let long_prompt = format!(
         r#"{{"model": "turbine", "prompt": "{}"}}"#,
         "x".repeat(20_000)
     );
-    let bad_headers: &[(&'static str, &[(&'static str, &[u8])])] = &[
+    let bad_headers: &[(&'static str, BadHeaders)] = &[
         ("deadline", &[("x-flaxward-deadline", b"soon")]),
         ("negative deadline", &[("x-flaxward-deadline", b"-3s")]),
         ("rank too high", &[("x-flaxward-priority", b"10")]),
--- a/crates/flaxward/tests/processes/kills.rs
+++ b/crates/flaxward/tests/processes/kills.rs
@@ -8,7 +8,7 @@
 
 use crate::support::callers::{Ask, Ending, ask, assert_all_whole};
 use crate::support::records::{assert_memory_kept, loads, most_at_once};
-use crate::support::{PATIENCE, Region, Shape, eventually};
+use crate::support::{Region, Shape, eventually};
 
 /// Deadline of the requests.
 const DEADLINE: Duration = Duration::from_secs(15);
--- a/crates/flaxward/tests/processes/support/daemon.rs
+++ b/crates/flaxward/tests/processes/support/daemon.rs
@@ -97,12 +97,6 @@
         status.expect("it has ended")
     }
 
-    /// Whether a line of the log has this text.
-    pub fn has_logged(&self, text: &str) -> bool {
-        let log = self.log.lock().expect("no thread panics with the log");
-        log.iter().any(|line| line.contains(text))
-    }
-
     /// The log so far.
     pub fn log(&self) -> String {
         let log = self.log.lock().expect("no thread panics with the log");
--- a/crates/flaxward/tests/processes/support/records.rs
+++ b/crates/flaxward/tests/processes/support/records.rs
@@ -1,7 +1,7 @@
 //! What the engines really did.
 
 use flaxward_emulator::Platform;
-use flaxward_emulator::engine::{LoadOutcome, LoadRecord, RequestRecord};
+use flaxward_emulator::engine::{LoadRecord, RequestRecord};
 use flaxward_types::{ArtifactId, RunnerName};
 
 /// The loads of an artifact at all engines, in the order of their beginnings.
@@ -17,15 +17,6 @@
     loads
 }
 
-/// Loads of an artifact with one outcome.
-pub fn loads_that(platform: &Platform, artifact: &str, outcome: LoadOutcome) -> usize {
-    let loads = loads(platform, artifact);
-    loads
-        .iter()
-        .filter(|(_, load)| load.outcome == outcome)
-        .count()
-}
-
 /// Most replicas at any one moment, loading ones and those not yet freed included.
 pub fn most_at_once(platform: &Platform, artifact: &str) -> usize {
     let loads = loads(platform, artifact);
