Show that a stranger is asked for its members

Cause: since news goes in turn, a cut zone heals in time also without this rule, so no test saw it broken. Change: a test of the rule itself, seen failing without it.

--- a/crates/control/tests/gossip/membership.rs
+++ b/crates/control/tests/gossip/membership.rs
@@ -1,7 +1,11 @@
 //! Who is in the zone: everyone agrees, the dead are found, the living are not buried.
 
 use flaxward_control::gossip::GossipEvent;
-use flaxward_wire::MemberState;
+use flaxward_control::membership::{
+    Membership, MembershipAction, MembershipEvent, MembershipSettings,
+};
+use flaxward_types::Timestamp;
+use flaxward_wire::{MemberState, Message};
 use proptest::prelude::*;
 use rand::RngExt;
 
@@ -259,3 +263,23 @@
         assert!(took.is_some());
     }
 }
+
+#[test]
+fn a_sender_that_is_not_known_is_asked_for_its_members_and_not_at_once_again() {
+    let network = Network::new(&[2], NO_FAULTS, 9);
+    let [me, stranger] = [0, 1].map(|index| network.daemons[index].peer.clone());
+    let mut membership = Membership::new(MembershipSettings::default(), me, Vec::new(), 1, 1);
+    let join = MembershipAction::Send {
+        to: stranger.address,
+        message: Message::Join,
+    };
+    for (millis, asked) in [(0, true), (500, false), (1_900, false), (2_100, true)] {
+        let event = MembershipEvent::Received {
+            from: stranger.clone(),
+            members: Vec::new(),
+            message: Message::Facts,
+        };
+        let actions = membership.handle(event, Timestamp(millis));
+        assert_eq!(actions.contains(&join), asked);
+    }
+}
