--- a/crates/gateway/tests/gateway/refusals.rs
+++ b/crates/gateway/tests/gateway/refusals.rs
@@ -91,6 +91,10 @@
         let request = bench.request(method.clone(), path).header(name, value);
         check(&case, &fetch(request.body(body.to_owned())).await, code);
     }
+    let twice = bench.request(post, COMPLETIONS).body(GOOD);
+    let twice = twice.header("x-flaxward-priority", "1");
+    let got = fetch(twice.header("x-flaxward-priority", "2")).await;
+    check("a header given twice", &got, Code::BadHeader);
     assert_eq!(bench.accepted(), [0, 0], "nothing of it has run");
     assert_eq!(bench.gateway.waiting(), 0);
 }
@@ -112,13 +116,17 @@
     slow.write_all(head.as_bytes()).await.unwrap();
     let neighbour = fetch(bench.request(Method::POST, COMPLETIONS).body(GOOD)).await;
     assert_eq!(neighbour.status, 200, "{}", neighbour.text);
-    let mut answer = vec![0; 4_096];
-    let length = slow.read(&mut answer).await.unwrap();
-    let answer = String::from_utf8_lossy(&answer[..length]).into_owned();
-    assert!(
-        answer.starts_with("HTTP/1.1 408") && answer.contains("1006"),
-        "{answer}"
-    );
+    let mut long = TcpStream::connect(bench.address).await.unwrap();
+    let head = head.replace("50", "5000");
+    long.write_all(head.as_bytes()).await.unwrap();
+    for (mut caller, status, code) in [(slow, "408", "1006"), (long, "413", "1005")] {
+        let mut answer = vec![0; 4_096];
+        let length = caller.read(&mut answer).await.unwrap();
+        let answer = String::from_utf8_lossy(&answer[..length]).into_owned();
+        let start = format!("HTTP/1.1 {status}");
+        let is_right = answer.starts_with(&start) && answer.contains(code);
+        assert!(is_right, "{answer}");
+    }
 }
 
 /// A state of the gateway and what a good request gets.
@@ -152,6 +160,23 @@
         ResultCode::DeadlinePassed,
         Some(5),
     ),
+    (
+        "a longer deadline than allowed",
+        |settings| settings.max_deadline = Duration::ZERO,
+        |_| {},
+        ResultCode::DeadlinePassed,
+        Some(5),
+    ),
+    (
+        "an answer that is lost, and nobody else to ask",
+        |settings| settings.admission.avoid_period = Duration::from_secs(10),
+        |bench| {
+            bench.answer(&[0], Outlook::Ready);
+            bench.add_fault(0, StreamFault::LoseAnswer, Strikes::always());
+        },
+        ResultCode::OutcomeUnknown,
+        None,
+    ),
     (
         "a refusal of the coordinator",
         |_| {},
--- a/crates/gateway/tests/gateway/services.rs
+++ b/crates/gateway/tests/gateway/services.rs
@@ -5,10 +5,12 @@
 
 use flaxward_emulator::fault::Strikes;
 use flaxward_types::RunnerName;
+use flaxward_types::engine::Machine;
 use reqwest::{Method, RequestBuilder};
-use serde_json::{Value, json};
+use serde_json::json;
+use tokio::io::AsyncWriteExt;
 
-use crate::support::{Bench, fetch};
+use crate::support::{Bench, fetch, machine, raw_back_end, settled};
 
 fn order(bench: &Bench, key: &str) -> RequestBuilder {
     let request = bench.request(Method::POST, "/services/despacho/orders?site=T14");
@@ -18,16 +20,37 @@
 #[tokio::test]
 async fn a_request_reaches_the_service_as_it_was_sent() {
     let bench = Bench::start(|_| {}).await;
+    let (address, mut requests) = raw_back_end().await;
+    bench.gateway.on_machines(&[machine("s9", address)]);
     let paths = [
-        ("/services/despacho/a/b%20c?d=%C3%B1", "/a/b%20c"),
+        ("/services/despacho/a/b%20c?d=%C3%B1", "/a/b%20c?d=%C3%B1"),
         ("/services/despacho/", "/"),
         ("/services/despacho", "/"),
     ];
     for (path, target) in paths {
-        let got = fetch(bench.request(Method::PUT, path).body("x")).await;
-        let body: Value = serde_json::from_str(&got.text).unwrap();
-        assert_eq!(got.status, 200, "{path}");
-        assert_eq!(body["target"], format!("PUT {target}"), "{path}");
+        let request = bench.request(Method::PUT, path).body("two vans");
+        let request = request
+            .header("accept-language", "es-CL")
+            .header("x-hop", "1");
+        let request = request
+            .header("connection", "x-hop")
+            .header("te", "trailers");
+        let caller = tokio::spawn(fetch(request.header("x-flaxward-not-run", "true")));
+        let (text, mut connection) = requests.recv().await.unwrap();
+        assert!(
+            text.starts_with(&format!("PUT {target} HTTP/1.1\r\n")),
+            "{text}"
+        );
+        assert!(text.ends_with("\r\n\r\ntwo vans"), "{text}");
+        assert!(text.contains("accept-language: es-CL") && text.contains("x-request-id: "));
+        let kept_back = ["x-hop", "te: ", "not-run", "connection: "];
+        assert!(!kept_back.iter().any(|name| text.contains(name)), "{text}");
+        let answer = "HTTP/1.1 207 X\r\ncontent-length: 2\r\nx-own: a\r\nkeep-alive: b\r\n\r\nsi";
+        connection.write_all(answer.as_bytes()).await.unwrap();
+        drop(connection);
+        let got = caller.await.unwrap();
+        assert_eq!((got.status, got.text.as_str()), (207, "si"));
+        assert!(got.headers.contains_key("x-own") && !got.headers.contains_key("keep-alive"));
     }
 }
 
@@ -37,10 +60,7 @@
     let first = fetch(order(&bench, "k1")).await;
     assert_eq!(first.status, 200, "{}", first.text);
     // The outcome is recorded right after the answer; until then the key is in progress.
-    let mut second = fetch(order(&bench, "k1")).await;
-    while second.code() == Some(4001) {
-        second = fetch(order(&bench, "k1")).await;
-    }
+    let second = settled(&order(&bench, "k1")).await;
     assert_eq!((second.status, &second.text), (200, &first.text));
     let other = fetch(order(&bench, "k1").body("three vans")).await;
     assert_eq!(other.code(), Some(4004), "{}", other.text);
@@ -66,10 +86,7 @@
         (got.code(), got.error()["not_run"].as_bool()),
         (Some(3001), Some(false))
     );
-    let mut again = fetch(order(&bench, "k1")).await;
-    while again.code() == Some(4001) {
-        again = fetch(order(&bench, "k1")).await;
-    }
+    let again = settled(&order(&bench, "k1")).await;
     assert_eq!(again.code(), Some(4002), "{}", again.text);
     let without_key = bench.request(Method::POST, "/services/despacho/orders");
     let got = fetch(without_key.header("x-request-id", "r1")).await;
@@ -100,10 +117,7 @@
     }
     let gone = order(&bench, "k1").timeout(Duration::from_millis(100));
     assert!(gone.send().await.is_err());
-    let mut again = fetch(order(&bench, "k1")).await;
-    while again.code() == Some(4001) {
-        again = fetch(order(&bench, "k1")).await;
-    }
+    let again = settled(&order(&bench, "k1")).await;
     assert_eq!(
         (again.status, bench.times_run("k1")),
         (200, 1),
@@ -129,20 +143,34 @@
         assert_eq!(got.status, 200, "{}", got.text);
     }
     assert_eq!(bench.services[0].record().executions.len(), before);
-    bench.set_machines(&[0]);
+    let leaving = Machine {
+        leaving: true,
+        ..machine("s1", bench.services[1].address())
+    };
+    let listed = machine("s0", bench.services[0].address());
+    bench.gateway.on_machines(&[listed, leaving]);
     let got = fetch(bench.request(Method::GET, "/services/despacho/stock")).await;
     assert_eq!(got.code(), Some(2010), "{}", got.text);
 }
 
 #[tokio::test]
-async fn requests_beyond_the_concurrency_of_a_service_wait_for_their_turn() {
+async fn requests_beyond_the_concurrency_of_a_machine_wait_for_their_turn() {
     let bench = Bench::start(|_| {}).await;
-    for service in &bench.services {
-        service.update_faults(|faults| faults.slow_ms = 20);
-    }
+    bench.set_machines(&[0]);
+    let slow_ms = 50;
+    // Places of failed attempts are free again.
+    bench.services[0].update_faults(|faults| {
+        faults.slow_ms = slow_ms;
+        faults.lose_answers = Strikes::next(2);
+    });
     let stock = || fetch(bench.request(Method::GET, "/services/despacho/stock"));
-    let answers = futures::future::join_all((0..20).map(|_| stock())).await;
+    let answers = futures::future::join_all((0..6).map(|_| stock())).await;
     assert!(answers.iter().all(|got| got.status == 200));
+    let executions = bench.services[0].record().executions;
+    let times: Vec<u64> = executions.iter().map(|run| run.at_unix_ms).collect();
+    // Eight runs, two at a time.
+    let span = times.iter().max().unwrap() - times.iter().min().unwrap();
+    assert!(span >= 3 * slow_ms - 5, "{times:?}");
 }
 
 #[tokio::test]
@@ -175,10 +203,7 @@
         );
         bench.objects.update_faults(|faults| faults.delay_ms = 0);
         // The claim that arrives late stands in nobody's way.
-        let mut answer = fetch(again.try_clone().unwrap()).await;
-        while answer.code() == Some(4001) {
-            answer = fetch(again.try_clone().unwrap()).await;
-        }
+        let answer = settled(&again).await;
         assert_eq!(answer.status, 200, "{}", answer.text);
     }
     assert_eq!((bench.times_run("k1"), bench.accepted()), (1, vec![1, 0]));
--- a/crates/gateway/tests/gateway/streams.rs
+++ b/crates/gateway/tests/gateway/streams.rs
@@ -5,11 +5,10 @@
 use flaxward_emulator::engine::tokens::answer_text;
 use flaxward_emulator::engine::{RequestOutcome, StreamFault};
 use flaxward_emulator::fault::Strikes;
-use flaxward_types::routing::Outlook;
-use futures::StreamExt;
 use serde_json::{Value, json};
+use tokio::io::AsyncWriteExt;
 
-use crate::support::{ARTIFACT, Bench, Got, fetch};
+use crate::support::{ARTIFACT, Bench, Got, fetch, raw_back_end, settled, until};
 
 const TOKENS: u32 = 20;
 const PROMPT: &str = "why does the gearbox of T14 run hot";
@@ -114,23 +113,81 @@
 }
 
 #[tokio::test]
-async fn a_caller_who_goes_cancels_its_attempt_and_frees_its_place() {
+async fn a_caller_who_goes_frees_its_place_and_leaves_the_outcome_of_its_key_unknown() {
+    let bench = Bench::start(|_| {}).await;
+    bench.add_fault(0, StreamFault::DelayFirstToken(60_000), Strikes::always());
+    let request = bench.complete(&body(true)).header("idempotency-key", "k1");
+    let request = request.header("x-flaxward-repeatable", "false");
+    let caller = tokio::spawn(request.try_clone().unwrap().send());
+    until(|| bench.accepted()[0] == 1).await;
+    assert_eq!(bench.gateway.running(), 1);
+    caller.abort();
+    until(|| bench.engines[0].record().requests[0].outcome != RequestOutcome::Running).await;
+    until(|| bench.gateway.running() == 0).await;
+    assert_eq!(settled(&request).await.code(), Some(4002));
+    assert_eq!(bench.accepted(), [1, 0]);
+    bench.gateway.stop().await;
+}
+
+#[tokio::test]
+async fn an_engine_is_told_when_a_caller_goes() {
+    let bench = Bench::start(|_| {}).await;
+    let (address, mut requests) = raw_back_end().await;
+    bench.set_replica(address);
     for stream in [true, false] {
-        let bench = Bench::start(|_| {}).await;
-        bench.answer(&[0], Outlook::Ready);
-        bench.add_fault(0, StreamFault::DelayFirstToken(60_000), Strikes::always());
-        let request = bench.complete(&body(stream)).send();
-        let caller = tokio::spawn(async move {
-            let mut chunks = request.await.unwrap().bytes_stream();
-            chunks.next().await;
-        });
-        until(|| bench.accepted()[0] == 1).await;
-        assert_eq!(bench.gateway.running(), 1);
+        let caller = tokio::spawn(bench.complete(&body(stream)).send());
+        let (request, _connection) = requests.recv().await.unwrap();
+        let attempt = request.split("x-flaxward-attempt: ").nth(1).unwrap();
+        let attempt = &attempt[..32];
         caller.abort();
-        until(|| bench.engines[0].record().requests[0].outcome != RequestOutcome::Running).await;
-        until(|| bench.gateway.running() == 0).await;
-        bench.gateway.stop().await;
+        let (cancel, _connection) = requests.recv().await.unwrap();
+        let expected = format!("DELETE /engine/streams/{attempt} ");
+        assert!(cancel.starts_with(&expected), "{cancel}");
+    }
+}
+
+#[tokio::test]
+async fn an_answer_that_ends_before_what_the_caller_holds_is_not_whole() {
+    let bench = Bench::start(|_| {}).await;
+    let (address, mut requests) = raw_back_end().await;
+    bench.set_replica(address);
+    let caller = tokio::spawn(fetch(bench.complete(&body(true))));
+    let first = "id: 0\ndata: a\n\nid: 1\ndata: b\n\n";
+    let short = "id: 0\ndata: a\n\ndata: [DONE]\n\n";
+    for events in [first, short, short] {
+        let (mut request, mut connection) = requests.recv().await.unwrap();
+        while request.starts_with("DELETE") {
+            (request, connection) = requests.recv().await.unwrap();
+        }
+        let answer = format!("HTTP/1.1 200 X\r\ncontent-type: text/event-stream\r\n\r\n{events}");
+        connection.write_all(answer.as_bytes()).await.unwrap();
     }
+    let got = caller.await.unwrap();
+    assert!(
+        got.text.starts_with(&format!("{first}event: error\n")),
+        "{}",
+        got.text
+    );
+    assert_eq!(got.code(), Some(3006), "{}", got.text);
+}
+
+#[tokio::test]
+async fn a_stream_goes_on_elsewhere_after_its_deadline_for_the_first_token() {
+    let bench = Bench::start_paced(60_000, |_| {}).await;
+    bench.add_fault(0, StreamFault::BreakAfter(18), Strikes::next(1));
+    let request = bench.complete(&body(true));
+    let got = fetch(request.header("x-flaxward-deadline", "1s")).await;
+    assert!(streamed_text(&got).is_some(), "{}", got.text);
+    assert_eq!(bench.accepted(), [1, 1]);
+}
+
+#[tokio::test]
+async fn headers_between_gateway_and_engine_are_not_for_callers() {
+    let bench = Bench::start(|_| {}).await;
+    let request = bench.complete(&body(true));
+    let request = request.header("x-flaxward-attempt", "mine");
+    let got = fetch(request.header("x-flaxward-resume-from", "5")).await;
+    assert!(streamed_text(&got).is_some(), "{}", got.text);
 }
 
 #[tokio::test]
@@ -150,10 +207,3 @@
     assert!(streamed_text(&running.await.unwrap()).is_some());
     stopping.await.unwrap();
 }
-
-/// Waits until something holds; the test's own time limit is the runner's.
-async fn until(mut holds: impl FnMut() -> bool) {
-    while !holds() {
-        tokio::time::sleep(Duration::from_millis(5)).await;
-    }
-}
--- a/crates/gateway/tests/gateway/support.rs
+++ b/crates/gateway/tests/gateway/support.rs
@@ -7,7 +7,7 @@
 
 use bytesize::ByteSize;
 use flaxward_control::configuration::Configuration;
-use flaxward_emulator::engine::{LoadedAtStart, StreamFault, StreamFaultRule};
+use flaxward_emulator::engine::{EngineTiming, LoadedAtStart, StreamFault, StreamFaultRule};
 use flaxward_emulator::fault::Strikes;
 use flaxward_emulator::platform::ANY_PORT;
 use flaxward_emulator::{
@@ -28,6 +28,8 @@
 use salvo::conn::{Acceptor, TcpListener};
 use salvo::prelude::{Listener, Server};
 use serde_json::Value;
+use tokio::io::AsyncReadExt;
+use tokio::net::TcpStream;
 use tokio::sync::{mpsc, watch};
 
 pub const ARTIFACT: &str = "turbine@v1";
@@ -122,6 +124,11 @@
     /// Two engines with the model loaded, of which the first is preferred, and two machines of the
     /// service.
     pub async fn start(change: impl FnOnce(&mut GatewaySettings)) -> Self {
+        Self::start_paced(0, change).await
+    }
+
+    /// The same; each token takes the engines so long.
+    pub async fn start_paced(decode_us: u64, change: impl FnOnce(&mut GatewaySettings)) -> Self {
         let mut engines = Vec::new();
         let mut services = Vec::new();
         for index in 0..2 {
@@ -132,6 +139,10 @@
             let config = EngineConfig {
                 name: RunnerName::literal(&format!("e{index}")),
                 loaded: vec![loaded],
+                timing: EngineTiming {
+                    decode_us,
+                    ..EngineTiming::default()
+                },
                 ..EngineConfig::default()
             };
             engines.push(Engine::start(config).await.unwrap());
@@ -183,13 +194,15 @@
             .unwrap();
         let server = Server::new(acceptor).fuse_config(connection_limits());
         tokio::spawn(server.serve(gateway.router()));
+        // Nothing takes longer but by mistake.
+        let client = reqwest::Client::builder().timeout(Duration::from_secs(10));
         let bench = Self {
             gateway,
             address,
             engines,
             services,
             objects,
-            client: reqwest::Client::new(),
+            client: client.build().unwrap(),
             configuration: sender,
             routing,
         };
@@ -199,13 +212,21 @@
 
     /// Changes what the coordinator answers to demands from now on.
     pub fn answer(&self, ready: &[usize], outlook: Outlook) {
-        let ready = ready
-            .iter()
-            .map(|&index| replica((&self.engines[index], 0)));
-        let ready = ready.collect();
+        let replica = |&index: &usize| replica((&self.engines[index], 0));
+        let ready = ready.iter().map(replica).collect();
         *self.routing.lock().unwrap() = Routing { ready, outlook };
     }
 
+    /// Makes something else than the bench's engines the only replica.
+    pub fn set_replica(&self, address: SocketAddr) {
+        let replica = Replica {
+            runner: RunnerName::literal("e9"),
+            address: address.to_string(),
+            outstanding: 0,
+        };
+        self.routing.lock().unwrap().ready = vec![replica];
+    }
+
     /// Lets an engine commit a fault.
     pub fn add_fault(&self, index: usize, fault: StreamFault, strikes: Strikes) {
         let artifact = None;
@@ -220,15 +241,11 @@
 
     /// Makes these the machines of the service.
     pub fn set_machines(&self, indices: &[usize]) {
-        let machine = |&index: &usize| Machine {
-            name: self.services[index].config().name.clone(),
-            zone: zone(),
-            address: self.services[index].address().to_string(),
-            role: MachineRole::Service(ServiceName::literal("despacho")),
-            leaving: false,
-        };
-        let machines: Vec<Machine> = indices.iter().map(machine).collect();
-        self.gateway.on_machines(&machines);
+        let machines = indices.iter().map(|&index| {
+            let service = &self.services[index];
+            machine(service.config().name.as_str(), service.address())
+        });
+        self.gateway.on_machines(&machines.collect::<Vec<_>>());
     }
 
     pub fn request(&self, method: Method, path: &str) -> RequestBuilder {
@@ -258,6 +275,50 @@
     }
 }
 
+/// A machine of the service, as the machine list shows it.
+pub fn machine(name: &str, address: SocketAddr) -> Machine {
+    Machine {
+        name: RunnerName::literal(name),
+        zone: zone(),
+        address: address.to_string(),
+        role: MachineRole::Service(ServiceName::literal("despacho")),
+        leaving: false,
+    }
+}
+
+/// A back end that tells the requests it gets, as text, and answers none before it is told to.
+pub async fn raw_back_end() -> (SocketAddr, mpsc::UnboundedReceiver<(String, TcpStream)>) {
+    let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let (sender, requests) = mpsc::unbounded_channel();
+    tokio::spawn(async move {
+        while let Ok((mut connection, _)) = listener.accept().await {
+            let mut bytes = vec![0; 16_384];
+            let length = connection.read(&mut bytes).await.unwrap();
+            let text = String::from_utf8_lossy(&bytes[..length]).into_owned();
+            sender.send((text, connection)).unwrap();
+        }
+    });
+    (address, requests)
+}
+
+/// Waits until something holds; the time limit is that of whoever runs the tests.
+pub async fn until(mut holds: impl FnMut() -> bool) {
+    while !holds() {
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+}
+
+/// Sends a request again while its key is in progress.
+pub async fn settled(request: &RequestBuilder) -> Got {
+    loop {
+        let got = fetch(request.try_clone().unwrap()).await;
+        if got.code() != Some(4001) {
+            return got;
+        }
+    }
+}
+
 fn replica((engine, outstanding): (&Engine, u32)) -> Replica {
     Replica {
         runner: engine.config().name.clone(),
