Whole-process tests: a paused coordinator cannot load what its successor has moved

The object API's stand-in sent no bookmark to a quiet watch while other collections changed, so that the daemons set their watches up anew every 30 s; bookmarks now keep their own time.

--- a/crates/emulator/src/objects/watch.rs
+++ b/crates/emulator/src/objects/watch.rs
@@ -8,6 +8,7 @@
 use salvo::http::StatusCode;
 use serde_json::{Value, json};
 use tokio::sync::watch::Receiver;
+use tokio::time::Instant;
 
 use super::Shared;
 use super::endpoints::{is_cut, refusal, status_document};
@@ -22,6 +23,8 @@
     zone: Option<String>,
     position: u64,
     changed: Receiver<()>,
+    /// When the next bookmark is due; changes of other collections do not put it off.
+    next_bookmark: Instant,
     ended: bool,
 }
 
@@ -41,6 +44,7 @@
         zone: call.client_zone().map(str::to_owned),
         position,
         changed: shared.changed.subscribe(),
+        next_bookmark: Instant::now() + bookmark_interval(&shared),
         shared,
         ended: false,
     };
@@ -65,11 +69,11 @@
             if let Some(lines) = self.lines() {
                 return Some(Ok(lines));
             }
-            let bookmark = Duration::from_millis(self.shared.bookmark_ms);
-            if tokio::time::timeout(bookmark, self.changed.changed())
+            if tokio::time::timeout_at(self.next_bookmark, self.changed.changed())
                 .await
                 .is_err()
             {
+                self.next_bookmark = Instant::now() + bookmark_interval(&self.shared);
                 return Some(Ok(self.bookmark()));
             }
         }
@@ -116,6 +120,10 @@
     }
 }
 
+fn bookmark_interval(shared: &Shared) -> Duration {
+    Duration::from_millis(shared.bookmark_ms)
+}
+
 fn push_line(lines: &mut Vec<u8>, document: &Value) {
     lines.extend_from_slice(document.to_string().as_bytes());
     lines.push(b'\n');
--- a/crates/flaxward/tests/processes/kills.rs
+++ b/crates/flaxward/tests/processes/kills.rs
@@ -8,7 +8,7 @@
 
 use crate::support::callers::{Ask, Ending, ask, assert_all_whole};
 use crate::support::records::{assert_memory_kept, loads, most_at_once};
-use crate::support::{PATIENCE, Region, Shape, eventually};
+use crate::support::{Region, Shape, eventually};
 
 /// Deadline of the requests.
 const DEADLINE: Duration = Duration::from_secs(15);
@@ -142,6 +142,44 @@
     assert_memory_kept(&region.platform);
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn a_paused_coordinator_cannot_load_what_its_successor_has_moved() {
+    let mut shape = shape(1, 2);
+    shape.timing.load_ms = 100;
+    let region = Region::start(shape, ONE_MODEL).await;
+    let short = "change policy set keep_alive_min 100ms, keep_alive_max 200ms";
+    region.command(0, short).await;
+    let holder = coordinator(&region, 0).await;
+    let other = 1 - holder;
+    let first = region.ask(holder, &Ask::new("turbine", "first", 1)).await;
+    assert_eq!(first, Ending::Whole);
+    eventually("the model sleeps again", async || {
+        let loads = loads(&region.platform, "turbine@v1");
+        loads.iter().all(|(_, load)| load.freed_unix_ms.is_some())
+    })
+    .await;
+    let home = loads(&region.platform, "turbine@v1")[0].0.clone();
+
+    region.daemons[holder].signal(Signal::SIGSTOP);
+    eventually("the other one leads", async || {
+        region.coordinator(other, "zone-a").await == Some(other)
+    })
+    .await;
+    let drain = format!("drain machine {home} reason 'the model must move'");
+    region.command(other, &drain).await;
+    let long = ask_there(&region, other, vec![Ask::new("turbine", "long", 1_000)]);
+    eventually("the model has moved", async || {
+        let loads = loads(&region.platform, "turbine@v1");
+        loads.len() == 2 && loads[1].0 != home
+    })
+    .await;
+    region.daemons[holder].signal(Signal::SIGCONT);
+    let late = ask_there(&region, holder, Ask::many("turbine", 5, 5));
+    late.answered().await;
+    assert_all_whole(&long.answered().await);
+    assert_eq!(most_at_once(&region.platform, "turbine@v1"), 1);
+}
+
 /// Models that do not all fit at once: two on each of two engines.
 const MODELS: [&str; 6] = ["m1", "m2", "m3", "m4", "m5", "m6"];
 
@@ -193,15 +231,12 @@
     }
     assert_memory_kept(&region.platform);
     assert!(served > 0, "something was served");
-    eventually("all models are served again", async || {
-        let requests: Vec<Ask> = MODELS
-            .iter()
-            .map(|model| Ask::new(model, "why", 3))
-            .collect();
-        let endings = region.ask_all(&requests).await;
-        endings.iter().all(|ending| *ending == Ending::Whole)
-    })
-    .await;
+    for model in MODELS {
+        eventually("each model is served again", async || {
+            region.ask(0, &Ask::new(model, "why", 3)).await == Ending::Whole
+        })
+        .await;
+    }
 }
 
 fn ask_everything(region: &Region, daemon: usize, round: u64) -> Calls {
