--- a/crates/flaxward/tests/processes/main.rs
+++ b/crates/flaxward/tests/processes/main.rs
@@ -5,5 +5,6 @@
 mod burst;
 mod kills;
 mod operators;
+mod outages;
 mod stops;
 mod support;
--- a/crates/flaxward/tests/processes/support/region.rs
+++ b/crates/flaxward/tests/processes/support/region.rs
@@ -6,9 +6,11 @@
 
 use flaxward_emulator::engine::{EngineConfig, EngineTiming};
 use flaxward_emulator::machines::MachineListConfig;
+use flaxward_emulator::objects::API_PATH;
 use flaxward_emulator::{Platform, PlatformConfig, ZoneConfig};
 use flaxward_operators::client::Connection;
 use flaxward_operators::{Answer, ErrorDetail};
+use flaxward_platform::Collection;
 use flaxward_types::{ServiceName, ZoneName};
 use serde_json::Value;
 use tokio::sync::{Semaphore, SemaphorePermit};
@@ -224,6 +226,24 @@
         changes.next_back().map_or(0, |write| write.revision)
     }
 
+    /// Whether a slot for an artifact is recorded, in this zone or in any.
+    pub async fn has_slot(&self, artifact: &str, zone: Option<&str>) -> bool {
+        let url = format!(
+            "{}/{API_PATH}/{}",
+            self.platform.objects.url(),
+            Collection::Placements
+        );
+        let response = self.http.get(url).send().await.expect("an answer");
+        let list: Value = response.json().await.expect("a list");
+        let placements = list["items"].as_array().expect("a list").iter();
+        let mut placements =
+            placements.filter(|item| zone.is_none_or(|zone| item["metadata"]["name"] == zone));
+        placements.any(|item| {
+            let slots = item["spec"]["slots"].as_array().expect("a list");
+            slots.iter().any(|slot| slot["artifact"] == artifact)
+        })
+    }
+
     /// Place of the daemon that coordinates a zone, as a daemon sees it.
     pub async fn coordinator(&self, asked: usize, zone: &str) -> Option<usize> {
         let rows = self.rows(asked, "show zones", &["name", "coordinator"]);
