A daemon that has just started waits for its configuration; marks are told again

Cause: restarting all daemons under load gave 7003 to a caller whose daemon had just opened its address; and a mark whose coordinator had died was taken back by nobody. Ruled out: opening the address only with a configuration, since a new region gets its first one through it. Change: a request waits up to 2 s for the first configuration; the coordinator says of each machine whether it leaves at every read of the machine list. Seen failing: stops::restarting_all_daemons_one_after_the_other_cuts_no_request, 7003 at request 71.

--- a/crates/control/src/node/mod.rs
+++ b/crates/control/src/node/mod.rs
@@ -399,6 +399,9 @@
             self.machines_changed();
         }
         self.gossip(GossipEvent::Machines(self.machines.names()));
+        if self.leading().is_some() {
+            self.mark_all();
+        }
         let engines = self.machines.engines().to_vec();
         self.coordinate(CoordinatorEvent::Machines(engines));
     }
@@ -426,9 +429,7 @@
     /// Works out which runners take no new work, and tells the gateway and, as the coordinator,
     /// the other daemons.
     fn leaving_changed(&mut self) {
-        let mut leaving = self.machines.leaving();
-        leaving.extend(self.configuration().drained());
-        leaving.extend(self.engine_reports.iter().cloned());
+        let mut leaving = self.own_leaving();
         if self.leading().is_some() {
             self.mark(&leaving);
         }
@@ -439,6 +440,24 @@
         }
     }
 
+    /// Says of every machine of this zone whether it leaves, as its coordinator, and so also takes
+    /// over the marks of a coordinator that has died.
+    fn mark_all(&mut self) {
+        let leaving = self.own_leaving();
+        for runner in self.machines.names() {
+            let leaving = leaving.contains(&runner);
+            self.gossip(GossipEvent::Runner { runner, leaving });
+        }
+    }
+
+    /// Runners that are leaving by this daemon's own sources.
+    fn own_leaving(&self) -> BTreeSet<RunnerName> {
+        let mut leaving = self.machines.leaving();
+        leaving.extend(self.configuration().drained());
+        leaving.extend(self.engine_reports.iter().cloned());
+        leaving
+    }
+
     /// Spreads this zone's marks, as its coordinator.
     fn mark(&mut self, leaving: &BTreeSet<RunnerName>) {
         let marked = self.gossip.marks().leaving();
--- a/crates/gateway/src/completions.rs
+++ b/crates/gateway/src/completions.rs
@@ -9,6 +9,7 @@
 use flaxward_control::admission::Arrival;
 use flaxward_control::attempt::RequestPolicy;
 use flaxward_control::claims::RequestEnd;
+use flaxward_control::configuration::Configuration;
 use flaxward_types::{ArtifactId, ModelRef, Refusal, ResultCode, Timestamp};
 use reqwest::header::{CONTENT_TYPE, HeaderMap, HeaderValue};
 use salvo::http::ResBody;
@@ -106,7 +107,8 @@
         let head = read_head(request.headers(), request_id.to_owned(), settings)?;
         let deadline = self.gateway.clock.now() + head.deadline;
         let body = read_body(request, &self.gateway, &mut admitted.held_bytes).await?;
-        let wanted = self.read(&body)?;
+        let configuration = self.gateway.configuration().await?;
+        let wanted = self.read(&body, &configuration)?;
         // The engine gets another one; this one is not kept while the request waits.
         drop(body);
         let call = self.call(request.headers(), &head, &wanted, deadline);
@@ -151,7 +153,7 @@
     }
 
     /// Reads the body and finds out what it wants.
-    fn read(&self, body: &Bytes) -> Result<Wanted, Refusal> {
+    fn read(&self, body: &Bytes, configuration: &Configuration) -> Result<Wanted, Refusal> {
         let mut fields: BTreeMap<Cow<'_, str>, &RawValue> = serde_json::from_slice(body)
             .map_err(|error| bad(ResultCode::BadBody, format!("not a JSON object: {error}")))?;
         let reference: Cow<'_, str> = field(&fields, "model")?
@@ -163,7 +165,6 @@
             bad(ResultCode::BadBody, detail)
         })?;
         let prefix = prefix_digest(prompt.get().as_bytes());
-        let configuration = self.gateway.configuration()?;
         let reference: ModelRef = reference
             .parse()
             .map_err(|_| Refusal::new(ResultCode::UnknownModel))?;
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -39,6 +39,9 @@
 use crate::services::Services;
 use crate::settings::GatewaySettings;
 
+/// Time that a request waits for the first configuration of a daemon that has just started.
+const CONFIGURATION_WAIT: Duration = Duration::from_secs(2);
+
 /// Time between two looks at deadlines and demands.
 const TICK: Duration = Duration::from_millis(50);
 
@@ -216,13 +219,16 @@
         })
     }
 
-    /// The configuration in force.
-    pub(crate) fn configuration(&self) -> Result<Arc<Configuration>, Refusal> {
-        let configuration = Arc::clone(&self.configuration.borrow());
-        if configuration.revision() == Revision(0) {
-            return Err(Refusal::new(ResultCode::NoConfiguration));
+    /// The configuration in force. A daemon that has just started has none; a request waits for it
+    /// for a moment, since the first peer or the store is about to tell.
+    pub(crate) async fn configuration(&self) -> Result<Arc<Configuration>, Refusal> {
+        let mut reader = self.configuration.clone();
+        let is_known = |known: &Arc<Configuration>| known.revision() != Revision(0);
+        let known = tokio::time::timeout(CONFIGURATION_WAIT, reader.wait_for(is_known)).await;
+        match known {
+            Ok(Ok(known)) => Ok(Arc::clone(&known)),
+            _ => Err(Refusal::new(ResultCode::NoConfiguration)),
         }
-        Ok(configuration)
     }
 
     /// The retry budget.
@@ -304,7 +310,7 @@
         _flow: &mut FlowCtrl,
     ) {
         let request_id = request_id(request.headers());
-        match self.gateway.configuration() {
+        match self.gateway.configuration().await {
             Ok(configuration) => {
                 Json(models::list(&configuration)).render(response);
                 write_request_id(response, &request_id);
--- a/crates/gateway/src/services.rs
+++ b/crates/gateway/src/services.rs
@@ -55,7 +55,7 @@
         let head = read_head(request.headers(), request_id.to_owned(), settings)?;
         let deadline = self.gateway.clock.now() + head.deadline;
         let (service, path) = split_path(request.uri().path())?;
-        let configuration = self.gateway.configuration()?;
+        let configuration = self.gateway.configuration().await?;
         let spec = configuration
             .service(&service)
             .ok_or_else(|| Refusal::new(ResultCode::UnknownService))?;
