Coordinator: in an outage, send callers on to the zone that has the unit

Cause: a zone without a unit refused with 2011 as soon as the store was down, without a look at the other zones' units, so that a sleeping model with a recorded slot woke only for callers of its own zone. Ruled out: sending on from a zone that has a unit itself; the zones would send callers in a circle. Change: without a unit, callers are sent to the zones that had units when they were last read. Seen failing: in_an_outage_a_zone_without_a_unit_sends_its_callers_to_the_one_that_has_it (Refused 2011 instead of Ready). After: coordinator tests 13 passed.

--- a/crates/control/src/coordinator/choice.rs
+++ b/crates/control/src/coordinator/choice.rs
@@ -226,7 +226,7 @@
         context: &Context,
     ) -> Block {
         if context.in_outage() {
-            return Block::Refused(ResultCode::NoSlotInOutage, ASK_AGAIN);
+            return self.without_slot_in_outage(subject);
         }
         let rule = self.rule(subject, context);
         if rule.limit == 0 {
@@ -250,6 +250,16 @@
         Block::Elsewhere(others)
     }
 
+    /// Units cannot move while the store is down, so those who are sent on find them where they were
+    /// last seen. A zone that has a unit itself has nothing better to hope for elsewhere.
+    fn without_slot_in_outage(&self, subject: &QuotaSubject) -> Block {
+        let others = self.quotas.other_zones(subject);
+        if self.quotas.units(subject) > 0 || others.is_empty() {
+            return Block::Refused(ResultCode::NoSlotInOutage, ASK_AGAIN);
+        }
+        Block::Elsewhere(others)
+    }
+
     fn without_units(
         &self,
         artifact: &ArtifactId,
--- a/crates/control/tests/coordinator/cases.rs
+++ b/crates/control/tests/coordinator/cases.rs
@@ -210,6 +210,24 @@
     }
 }
 
+/// Only one zone has the unit of the model `one` and so its home.
+#[test]
+fn in_an_outage_a_zone_without_a_unit_sends_its_callers_to_the_one_that_has_it() {
+    let mut world = settled(SEED, Weakness::None);
+    world.inject(Fault::StoreDown { millis: LONG });
+    world.run_until(world.now + 20_000);
+    let gateways: Vec<DaemonName> = world.gateways.keys().cloned().collect();
+    for gateway in &gateways {
+        world.demand(gateway, &artifact("one@v1"), LONG);
+    }
+    world.run_until(world.now + 5_000);
+    for gateway in &gateways {
+        let outlook = &world.gateways[gateway].1[&artifact("one@v1")].outlook;
+        assert_eq!(*outlook, Some(Outlook::Ready), "{gateway}");
+    }
+    assert_eq!(world.violation, None);
+}
+
 #[test]
 fn a_replica_moves_off_a_leaving_runner() {
     let mut world = settled(SEED, Weakness::None);
