Coordinator: a version that made way is not loaded again for nobody

Cause: the demand for the old version stays in force until it expires, and nobody waits for it; evicted for the new version of a model with one copy, it was loaded again at once into its recorded slot, and those who waited for the new version were refused with 2005. Ruled out: dropping all demand without waiting requests for what is held nowhere; an engine that has restarted is then not loaded again until somebody waits. Change: demand without waiting requests wants no load of a version that no longer serves. Seen failing: a_new_version_takes_the_unit_of_an_old_one_that_nobody_waits_for (Refused 2005).

--- a/crates/control/src/coordinator/planner.rs
+++ b/crates/control/src/coordinator/planner.rs
@@ -141,6 +141,11 @@
     fn wanted_by_demand(&self, artifact: &ArtifactId, context: &Context) -> Option<Wanted> {
         let summary = context.demands.summary(artifact)?;
         let model = context.configuration.model(&artifact.model)?;
+        let is_gone = !self.index.contains_key(artifact);
+        if is_gone && summary.waiting == 0 && model.serving != artifact.version {
+            // What is left of the demand for a version that has made way for another one.
+            return None;
+        }
         let ready = u32::try_from(self.ready_on(artifact, context.now).count()).unwrap_or(u32::MAX);
         let latest = self
             .ready_on(artifact, context.now)
--- a/crates/control/tests/coordinator/cases.rs
+++ b/crates/control/tests/coordinator/cases.rs
@@ -228,6 +228,31 @@
     assert_eq!(world.violation, None);
 }
 
+/// The model has one copy at most, and the demand for its old version is still in force.
+#[test]
+fn a_new_version_takes_the_unit_of_an_old_one_that_nobody_waits_for() {
+    let mut world = settled(SEED, Weakness::None);
+    let (old, new) = (artifact("three@v1"), artifact("three@v2"));
+    world.demand(&alpha_gateway(), &old, LONG);
+    world.run_until(world.now + 5_000);
+    assert_eq!(told(&world, "three@v1").0, Some(Outlook::Ready));
+    world.end_demand(&alpha_gateway(), &old);
+    world.set_rules(Rules {
+        second_of_three_serves: true,
+        ..Rules::default()
+    });
+    world.run_until(world.now + 100);
+    world.demand(&alpha_gateway(), &new, LONG);
+    for _ in 0..80 {
+        world.run_until(world.now + 100);
+        let (outlook, _) = told(&world, "three@v2");
+        let refused = matches!(outlook, Some(Outlook::Refused { .. }));
+        assert!(!refused, "{outlook:?}");
+    }
+    assert_eq!(told(&world, "three@v2").0, Some(Outlook::Ready));
+    assert_eq!(world.violation, None);
+}
+
 #[test]
 fn a_replica_moves_off_a_leaving_runner() {
     let mut world = settled(SEED, Weakness::None);
--- a/crates/control/tests/coordinator/support/models.rs
+++ b/crates/control/tests/coordinator/support/models.rs
@@ -39,6 +39,8 @@
 pub struct Rules {
     /// The second version of the model `four` serves.
     pub second_serves: bool,
+    /// The second version of the model `three` serves.
+    pub second_of_three_serves: bool,
     /// Copies of the model `two`, at most.
     pub copies_of_two: u32,
     /// Whether the model `one` is configured.
@@ -49,6 +51,7 @@
     fn default() -> Self {
         Self {
             second_serves: false,
+            second_of_three_serves: false,
             copies_of_two: 2,
             has_one: true,
         }
@@ -72,6 +75,11 @@
         })
     };
     let serving = if rules.second_serves { "v2" } else { "v1" };
+    let serving_of_three = if rules.second_of_three_serves {
+        "v2"
+    } else {
+        "v1"
+    };
     let policy = PolicySpec {
         weight_store_parallel: 4,
         weight_store_per_second: 20.0,
@@ -86,8 +94,9 @@
         ("model.two", model(0, rules.copies_of_two, &[], "v1")),
         ("version.two@v1", version(5)),
         ("adapter.two:b", adapter(2)),
-        ("model.three", model(0, 1, &["alpha"], "v1")),
+        ("model.three", model(0, 1, &["alpha"], serving_of_three)),
         ("version.three@v1", version(4)),
+        ("version.three@v2", version(4)),
         ("model.four", model(1, 2, &[], serving)),
         ("version.four@v1", version(3)),
         ("version.four@v2", version(4)),
