--- a/crates/control/tests/coordinator/cases.rs
+++ b/crates/control/tests/coordinator/cases.rs
@@ -230,6 +230,49 @@
     }
 }
 
+/// Only one zone has the unit of the model `one` and so its home.
+#[test]
+fn in_an_outage_a_zone_without_a_unit_sends_its_callers_to_the_one_that_has_it() {
+    let mut world = settled(SEED, Weakness::None);
+    world.inject(Fault::StoreDown { millis: LONG });
+    world.run_until(world.now + 20_000);
+    let gateways: Vec<DaemonName> = world.gateways.keys().cloned().collect();
+    for gateway in &gateways {
+        world.demand(gateway, &artifact("one@v1"), LONG);
+    }
+    world.run_until(world.now + 5_000);
+    for gateway in &gateways {
+        let outlook = &world.gateways[gateway].1[&artifact("one@v1")].outlook;
+        assert_eq!(*outlook, Some(Outlook::Ready), "{gateway}");
+    }
+    assert_eq!(world.violation, None);
+}
+
+/// The model has one copy at most, and the demand for its old version is still in force.
+#[test]
+fn a_new_version_takes_the_unit_of_an_old_one_that_nobody_waits_for() {
+    let mut world = settled(SEED, Weakness::None);
+    let (old, new) = (artifact("three@v1"), artifact("three@v2"));
+    world.demand(&alpha_gateway(), &old, LONG);
+    world.run_until(world.now + 5_000);
+    assert_eq!(told(&world, "three@v1").0, Some(Outlook::Ready));
+    world.end_demand(&alpha_gateway(), &old);
+    world.set_rules(Rules {
+        second_of_three_serves: true,
+        ..Rules::default()
+    });
+    world.run_until(world.now + 100);
+    world.demand(&alpha_gateway(), &new, LONG);
+    for _ in 0..80 {
+        world.run_until(world.now + 100);
+        let (outlook, _) = told(&world, "three@v2");
+        let refused = matches!(outlook, Some(Outlook::Refused { .. }));
+        assert!(!refused, "{outlook:?}");
+    }
+    assert_eq!(told(&world, "three@v2").0, Some(Outlook::Ready));
+    assert_eq!(world.violation, None);
+}
+
 #[test]
 fn a_replica_moves_off_a_leaving_runner() {
     let mut world = settled(SEED, Weakness::None);
