Metrics of what a daemon decides; decisions in the log in the words of explain

Cause: counters came from the callers' side and the peers' socket alone, without a word on what each means; what a coordinator decides and asks of the object API and the engines was in no counter. A decision stood in the log as the debug form of a Rust type, so its fields were not stable names.

Ruled out: a table of names kept only in the docs, which nothing would hold against the code.

Change: each crate defines its metrics as values (name, kind, help) beside the code that counts; six new ones for decisions, operations on the object API, calls to engines, the lease, the revision in force and leaving runners. docs/METRICS.md lists all of them, held by a test. A decision line has the fields artifact, decision, runner and reason, from one module that explain uses as well.

Before: 16 metrics without help, 0 of control. After: 22, each with help. Seen failing first: the test of the page, with an empty table.

--- a/crates/flaxward/src/daemon/core.rs
+++ b/crates/flaxward/src/daemon/core.rs
@@ -17,6 +17,8 @@
 use flaxward_wire::{Message, Peer};
 use tokio::sync::{Notify, mpsc, watch};
 
+use super::counters;
+use super::decisions::{self, DecisionText};
 use super::event::CoreEvent;
 use super::runner_driver::RunnerDriver;
 use super::store_driver::StoreDriver;
@@ -107,11 +109,13 @@
             NodeAction::Routes(answers) => parts.gateway.on_routes(answers),
             NodeAction::Heads(zones) => parts.gateway.on_heads(zones),
             NodeAction::Leaving(leaving) => {
+                counters::leaving(leaving.len());
                 state_change("leaving-changed", &[("runners", &leaving.len())]);
                 parts.gateway.on_leaving(leaving);
             }
             NodeAction::Services(machines) => parts.gateway.on_machines(&machines),
             NodeAction::Configuration(configuration) => {
+                counters::in_force(configuration.revision());
                 parts.configuration.send_replace(configuration);
                 parts
                     .ready
@@ -125,16 +129,17 @@
             }
             NodeAction::Relist => parts.relist.notify_one(),
             NodeAction::Lead(term) => {
+                counters::leads(true);
                 state_change("lead", &[("zone", &parts.node.me().zone), ("term", &term)]);
             }
-            NodeAction::Resign => state_change("resign", &[("zone", &parts.node.me().zone)]),
+            NodeAction::Resign => {
+                counters::leads(false);
+                state_change("resign", &[("zone", &parts.node.me().zone)]);
+            }
             NodeAction::Stopped => self.stopped = true,
             NodeAction::Record(decision) => {
-                let kind = format!("{:?}", decision.kind);
-                state_change(
-                    "decision",
-                    &[("artifact", &decision.artifact), ("kind", &kind)],
-                );
+                counters::decided(DecisionText::new(&decision.kind).decision);
+                decisions::log(&decision);
             }
             NodeAction::ViewWanted(from, sequence, view) => {
                 let rows = self.view_rows(&view);
--- a/crates/flaxward/src/daemon/mod.rs
+++ b/crates/flaxward/src/daemon/mod.rs
@@ -1,6 +1,8 @@
 //! A daemon, put together in one place.
 
 pub mod core;
+pub(crate) mod counters;
+mod decisions;
 mod event;
 mod http;
 mod observer;
--- a/crates/flaxward/src/daemon/reports.rs
+++ b/crates/flaxward/src/daemon/reports.rs
@@ -1,6 +1,6 @@
 //! What this daemon tells about itself, to operators here and at other daemons.
 
-use flaxward_control::coordinator::{DecisionKind, ReplicaView, RunnerView};
+use flaxward_control::coordinator::{ReplicaView, RunnerView};
 use flaxward_operators::{
     DaemonRow, DaemonState, DecisionRow, ReplicaRow, ReplicaState, RequestRow, RequestState,
     RunnerRow, RunnerState, ZoneRow,
@@ -11,6 +11,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::core::Core;
+use super::decisions::DecisionText;
 
 /// Answer to [`View::Daemon`].
 #[derive(Clone, Debug, Serialize, Deserialize)]
@@ -206,15 +207,15 @@
         let decisions = self.parts.node.coordinator().explain(model).into_iter();
         decisions
             .map(|(age, decision)| {
-                let (runner, text, reason) = describe(&decision.kind);
+                let text = DecisionText::new(&decision.kind);
                 DecisionRow {
                     age: millis(age),
                     zone: self.parts.node.me().zone.to_string(),
                     daemon: self.parts.node.me().name.to_string(),
                     artifact: decision.artifact.to_string(),
-                    runner: runner.map(ToString::to_string),
-                    decision: text.to_owned(),
-                    reason,
+                    runner: text.runner.map(ToString::to_string),
+                    decision: text.decision.to_owned(),
+                    reason: text.reason,
                 }
             })
             .collect()
@@ -264,35 +265,6 @@
     }
 }
 
-/// The machine concerned, what was decided, and why.
-fn describe(kind: &DecisionKind) -> (Option<&RunnerName>, &'static str, String) {
-    match kind {
-        DecisionKind::Load {
-            runner,
-            estimate_ms,
-        } => (
-            Some(runner),
-            "load",
-            format!("wanted; ready expected in {estimate_ms} ms"),
-        ),
-        DecisionKind::Ready { runner, took_ms } => {
-            (Some(runner), "ready", format!("loaded in {took_ms} ms"))
-        }
-        DecisionKind::Unload { runner, reason } => {
-            (Some(runner), "unload", format!("{reason:?}").to_lowercase())
-        }
-        DecisionKind::Unloaded { runner } => (
-            Some(runner),
-            "unloaded",
-            "confirmed by the engine".to_owned(),
-        ),
-        DecisionKind::LoadFailed { runner } => {
-            (Some(runner), "load-failed", "failed or stuck".to_owned())
-        }
-        DecisionKind::Refuse(code) => (None, "refuse", code.to_string()),
-    }
-}
-
 fn count(number: usize) -> u32 {
     u32::try_from(number).unwrap_or(u32::MAX)
 }
--- a/crates/flaxward/src/daemon/runner_driver.rs
+++ b/crates/flaxward/src/daemon/runner_driver.rs
@@ -8,6 +8,7 @@
 use flaxward_types::engine::Order;
 use tokio::sync::mpsc::UnboundedSender;
 
+use super::counters::{self, EngineCall};
 use super::event::CoreEvent;
 
 /// Runs the coordinator's orders and reads.
@@ -28,10 +29,12 @@
         let driver = self.clone();
         tokio::spawn(async move {
             let answer = driver.engines.order(&address, &order).await;
+            let answer = answer.map_err(|error| fault(&error));
+            counters::called(EngineCall::Order, &answer);
             driver.report(CoordinatorEvent::OrderAnswered {
                 runner,
                 order: order.id,
-                answer: answer.map_err(|error| fault(&error)),
+                answer,
             });
         });
     }
@@ -42,6 +45,7 @@
         tokio::spawn(async move {
             let inventory = driver.engines.inventory(&address).await;
             let inventory = inventory.map_err(|error| fault(&error));
+            counters::called(EngineCall::Inventory, &inventory);
             driver.report(CoordinatorEvent::InventoryRead { runner, inventory });
         });
     }
--- a/crates/flaxward/src/daemon/store_driver.rs
+++ b/crates/flaxward/src/daemon/store_driver.rs
@@ -16,6 +16,7 @@
 use spdlog::Level;
 use tokio::sync::mpsc::UnboundedSender;
 
+use super::counters::{self, StoreOperation};
 use super::event::CoreEvent;
 
 /// Runs the coordinator's operations on the object API of one zone.
@@ -88,6 +89,7 @@
                     .map(decode::<Quota>)
                     .collect::<Result<Vec<_>, _>>()
             });
+            counters::stored(StoreOperation::Read, &quotas);
             CoordinatorEvent::QuotasRead(quotas)
         });
     }
@@ -135,11 +137,13 @@
         collection: Collection,
         name: &str,
     ) -> Result<Option<(Revision, Record)>, StoreFault> {
-        match self.store.get(collection, name).await {
+        let record = match self.store.get(collection, name).await {
             Ok(object) => decode(object).map(Some),
             Err(StoreError::NotFound) => Ok(None),
             Err(error) => Err(read_fault(&error)),
-        }
+        };
+        counters::stored(StoreOperation::Read, &record);
+        record
     }
 
     async fn write<Record: Serialize>(
@@ -159,9 +163,11 @@
             }
             None => self.store.create(collection, name, operation, body).await,
         };
-        written
+        let version = written
             .map(|object| object.version)
-            .map_err(|error| write_fault(&error))
+            .map_err(|error| write_fault(&error));
+        counters::stored(StoreOperation::Write, &version);
+        version
     }
 }
 
--- a/crates/flaxward/src/lib.rs
+++ b/crates/flaxward/src/lib.rs
@@ -6,3 +6,4 @@
 pub mod counters;
 pub mod daemon;
 pub mod dev;
+pub mod metrics_page;
--- a/crates/flaxward/src/main.rs
+++ b/crates/flaxward/src/main.rs
@@ -10,7 +10,7 @@
 use clap::Parser;
 use flaxward_operators::client::{Format, QueryOptions, run_query};
 
-use flaxward::dev;
+use flaxward::{dev, metrics_page};
 use flaxward_settings::logs;
 
 use cli::{Cli, Command, DevArguments, OutputFormat, QueryArguments};
@@ -54,7 +54,7 @@
 /// Runs the emulated region until interrupted, or for the time asked.
 async fn run_dev(arguments: &DevArguments) -> anyhow::Result<()> {
     logs::install(arguments.log_level)?;
-    let metrics = serve::install_metrics()?;
+    let metrics = metrics_page::install()?;
     let region = Region::start(
         Ports {
             first: arguments.port,
--- a/crates/flaxward/src/serve.rs
+++ b/crates/flaxward/src/serve.rs
@@ -2,13 +2,12 @@
 
 use std::process::ExitCode;
 
-use anyhow::Context;
 use flaxward_settings::{Flags, Settings, logs};
-use metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle};
 use tokio::signal::unix::{SignalKind, signal};
 
 use flaxward::counters::write_counters;
 use flaxward::daemon::Daemon;
+use flaxward::metrics_page;
 
 /// Status of the process when its settings cannot be used.
 const EXIT_BAD_SETTINGS: u8 = 2;
@@ -30,7 +29,7 @@
 
 async fn serve(settings: &Settings) -> anyhow::Result<()> {
     logs::install(settings.logs.level)?;
-    let metrics = install_metrics()?;
+    let metrics = metrics_page::install()?;
     tokio::spawn(write_counters(
         metrics.clone(),
         settings.logs.counters_interval,
@@ -41,16 +40,6 @@
     Ok(())
 }
 
-/// Collects the metrics of this process.
-///
-/// # Errors
-/// Fails if something else collects them already.
-pub fn install_metrics() -> anyhow::Result<PrometheusHandle> {
-    PrometheusBuilder::new()
-        .install_recorder()
-        .context("metrics cannot be collected")
-}
-
 /// Waits for SIGTERM or SIGINT.
 ///
 /// # Errors
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -31,6 +31,7 @@
 mod services;
 mod settings;
 
+pub use counters::METRICS;
 pub use gateway::Gateway;
 pub use registry::RequestView;
 pub use server_sent_events::{Event, EventError, EventScanner};
--- a/crates/peers/src/counters.rs
+++ b/crates/peers/src/counters.rs
@@ -1,25 +1,62 @@
 //! Names of the counters, and what they count.
 
+use flaxward_types::Metric;
 use metrics::counter;
 
+/// Metrics of this crate.
+pub const METRICS: [Metric; 9] = [
+    DATAGRAMS_SENT,
+    DATAGRAM_BYTES_SENT,
+    DATAGRAMS_RECEIVED,
+    DATAGRAM_BYTES_RECEIVED,
+    STREAMS_SENT,
+    STREAM_BYTES_SENT,
+    STREAMS_RECEIVED,
+    STREAM_BYTES_RECEIVED,
+    DROPPED,
+];
+
 /// Datagrams sent.
-pub const DATAGRAMS_SENT: &str = "flaxward_peer_datagrams_sent_total";
+pub const DATAGRAMS_SENT: Metric =
+    Metric::counter("flaxward_peer_datagrams_sent_total", "Datagrams sent.");
 /// Bytes of datagrams sent, without IP and UDP headers.
-pub const DATAGRAM_BYTES_SENT: &str = "flaxward_peer_datagram_bytes_sent_total";
+pub const DATAGRAM_BYTES_SENT: Metric = Metric::counter(
+    "flaxward_peer_datagram_bytes_sent_total",
+    "Bytes of datagrams sent, without IP and UDP headers.",
+);
 /// Datagrams received, whatever became of them.
-pub const DATAGRAMS_RECEIVED: &str = "flaxward_peer_datagrams_received_total";
+pub const DATAGRAMS_RECEIVED: Metric = Metric::counter(
+    "flaxward_peer_datagrams_received_total",
+    "Datagrams received, whatever became of them.",
+);
 /// Bytes of datagrams received, without IP and UDP headers.
-pub const DATAGRAM_BYTES_RECEIVED: &str = "flaxward_peer_datagram_bytes_received_total";
+pub const DATAGRAM_BYTES_RECEIVED: Metric = Metric::counter(
+    "flaxward_peer_datagram_bytes_received_total",
+    "Bytes of datagrams received, without IP and UDP headers.",
+);
 /// Messages sent by TCP.
-pub const STREAMS_SENT: &str = "flaxward_peer_streams_sent_total";
+pub const STREAMS_SENT: Metric =
+    Metric::counter("flaxward_peer_streams_sent_total", "Messages sent by TCP.");
 /// Bytes of messages sent by TCP.
-pub const STREAM_BYTES_SENT: &str = "flaxward_peer_stream_bytes_sent_total";
+pub const STREAM_BYTES_SENT: Metric = Metric::counter(
+    "flaxward_peer_stream_bytes_sent_total",
+    "Bytes of messages sent by TCP.",
+);
 /// Messages received by TCP, whatever became of them.
-pub const STREAMS_RECEIVED: &str = "flaxward_peer_streams_received_total";
+pub const STREAMS_RECEIVED: Metric = Metric::counter(
+    "flaxward_peer_streams_received_total",
+    "Messages received by TCP, whatever became of them.",
+);
 /// Bytes of messages received by TCP.
-pub const STREAM_BYTES_RECEIVED: &str = "flaxward_peer_stream_bytes_received_total";
+pub const STREAM_BYTES_RECEIVED: Metric = Metric::counter(
+    "flaxward_peer_stream_bytes_received_total",
+    "Bytes of messages received by TCP.",
+);
 /// Messages that were not sent or not taken in, by label `reason`.
-pub const DROPPED: &str = "flaxward_peer_dropped_total";
+pub const DROPPED: Metric = Metric::counter(
+    "flaxward_peer_dropped_total",
+    "Messages that were not sent or not taken in, by label `reason`.",
+);
 
 /// Why a message was dropped.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -54,11 +91,11 @@
 
 /// Counts a dropped message.
 pub(crate) fn dropped(reason: DropReason) {
-    counter!(DROPPED, "reason" => reason.label()).increment(1);
+    counter!(DROPPED.name, "reason" => reason.label()).increment(1);
 }
 
 /// Counts one message and its bytes.
-pub(crate) fn passed(messages: &'static str, bytes: &'static str, length: usize) {
-    counter!(messages).increment(1);
-    counter!(bytes).increment(length as u64);
+pub(crate) fn passed(messages: Metric, bytes: Metric, length: usize) {
+    counter!(messages.name).increment(1);
+    counter!(bytes.name).increment(length as u64);
 }
--- a/crates/peers/tests/socket.rs
+++ b/crates/peers/tests/socket.rs
@@ -91,8 +91,8 @@
     assert_eq!(address.ip(), from.ip());
     assert_eq!(arrived, long);
     let counts = counts(&snapshotter);
-    assert_eq!(counts[counters::DATAGRAMS_RECEIVED], 1);
-    assert_eq!(counts[counters::STREAMS_RECEIVED], 1);
+    assert_eq!(counts[counters::DATAGRAMS_RECEIVED.name], 1);
+    assert_eq!(counts[counters::STREAMS_RECEIVED.name], 1);
 }
 
 #[tokio::test]
--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod configuration;
 pub mod engine;
 pub mod ids;
+pub mod metric;
 pub mod records;
 pub mod refusal;
 pub mod routing;
@@ -22,5 +23,6 @@
     AdapterName, ArtifactId, AttemptId, BootId, DaemonName, ModelName, ModelRef, OperationId,
     OrderId, Revision, RunnerName, ServiceName, Term, VersionName, ZoneName,
 };
+pub use metric::{Metric, MetricKind};
 pub use refusal::Refusal;
 pub use time::Timestamp;
