Coordinator: no refusal for an outage once the store is known to answer

Cause: a coordinator took every moment without a confirmed lease as an outage of the store and refused a request without a slot as 2011. After an outage that lasts until the lease is read and renewed, and while a lost renewal is settled (2 s and up to five more tries by default) nothing is known at all: a probe sent in the outage stood for 6.1 s in the process test, while a configuration written after the outage had long come. The same in small: one lost answer to a renewal gave 2011, and a lost write of the slots gave 2005, in the moment before the record was read again. Ruled out: a refusal remembered at the gateway (it asks again, and the coordinator logs the refusal), a Block kept (each plan states them anew), the Retry-After. Taking the new configuration as the end of the outage: a zone cut off alone hears of changes too, and would hold back its requests each time. Change: StoreHealth keeps what is known of the store. An answer, or a configuration newer than the outage, gives hope and sends a probe at once; while there is hope nothing is refused for want of the store. Hope ends with the failure of a probe sent after the sign, or after one lease duration. Without a confirmed lease the zone's other slot can't be replaced yet, which is a wait and no refusal; the same for slots whose last write is not settled.

--- a/crates/control/src/coordinator/choice.rs
+++ b/crates/control/src/coordinator/choice.rs
@@ -54,7 +54,7 @@
     ) -> Result<Choice, Block> {
         let subject = subject_of(artifact);
         let source = self.slot_source(artifact, context);
-        let may_add = source != SlotSource::None && !context.in_outage();
+        let may_add = source != SlotSource::None && !context.in_outage;
         let mut best: Option<(Duration, u64, Choice)> = None;
         let mut fits = false;
         let mut could_fit = false;
@@ -225,7 +225,7 @@
         subject: &QuotaSubject,
         context: &Context,
     ) -> Block {
-        if context.in_outage() {
+        if context.in_outage {
             return self.without_slot_in_outage(subject);
         }
         let rule = self.rule(subject, context);
@@ -239,6 +239,10 @@
         if units == 0 {
             return self.without_units(artifact, subject, context);
         }
+        if !context.may_record {
+            // Until the lease is confirmed, nothing can be put in the place of another slot.
+            return Block::Waiting;
+        }
         if self.quotas.claimed_units(subject) < units || self.slot_is_coming(artifact, context) {
             return Block::Waiting;
         }
@@ -289,6 +293,8 @@
             .cloned()
             .collect();
         let mut coming = self.placement.planned(subject) != self.placement.bound(subject);
+        // What a write of unknown outcome has left is read before anything is refused.
+        coming |= !self.placement.is_settled();
         for slot in of_subject {
             coming |= self.unloads.contains_key(&slot) || self.is_settling(&slot.runner, context);
             coming |= self.index.get(&slot.artifact).is_some_and(|replicas| {
--- a/crates/control/src/coordinator/events.rs
+++ b/crates/control/src/coordinator/events.rs
@@ -58,7 +58,7 @@
                 }
             }
             CoordinatorEvent::LeaseRead(result) => {
-                self.note_store(result.as_ref().err().copied(), now);
+                self.note_probe(result.as_ref().err().copied(), now);
                 let change = self
                     .shared
                     .lease
@@ -66,7 +66,7 @@
                 self.lease_changed(change, now, actions);
             }
             CoordinatorEvent::LeaseWritten(result) => {
-                self.note_store(result.as_ref().err().copied(), now);
+                self.note_probe(result.as_ref().err().copied(), now);
                 let change = self
                     .shared
                     .lease
@@ -135,7 +135,11 @@
             CoordinatorEvent::QuotasRead(result) => result.as_ref().err().copied(),
             _ => None,
         };
-        self.note_store(fault, now);
+        if fault.is_some_and(StoreFault::is_failure) {
+            self.shared.store.failed(now);
+        } else {
+            self.shared.store.answered(now);
+        }
         let Some(leading) = &mut self.leading else {
             return;
         };
@@ -196,12 +200,12 @@
         }
     }
 
-    pub(super) fn note_store(&mut self, fault: Option<StoreFault>, now: Timestamp) {
-        match fault {
-            None | Some(StoreFault::Conflict) => self.shared.store_failing_since = None,
-            Some(StoreFault::Unavailable | StoreFault::Unknown) => {
-                self.shared.store_failing_since.get_or_insert(now);
-            }
+    /// Notes what the end of an operation on the lease says about the store.
+    fn note_probe(&mut self, fault: Option<StoreFault>, now: Timestamp) {
+        if fault.is_some_and(StoreFault::is_failure) {
+            self.shared.store.probe_failed(now);
+        } else {
+            self.shared.store.probe_answered(now);
         }
     }
 
--- a/crates/control/src/coordinator/interface.rs
+++ b/crates/control/src/coordinator/interface.rs
@@ -70,6 +70,14 @@
     Unknown,
 }
 
+impl StoreFault {
+    /// Whether the store gave no answer at all; a conflict is an answer.
+    #[must_use]
+    pub fn is_failure(self) -> bool {
+        self != Self::Conflict
+    }
+}
+
 /// Why a runner gave no answer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum EngineFault {
--- a/crates/control/src/coordinator/leading.rs
+++ b/crates/control/src/coordinator/leading.rs
@@ -37,8 +37,10 @@
     pub(super) zones: &'a [ZoneName],
     pub(super) demands: &'a DemandTable,
     pub(super) keep_alive: &'a KeepAlive,
+    /// Whether records may be written now: the lease holds by this daemon's own clock.
     pub(super) may_record: bool,
-    pub(super) store_failing_since: Option<Timestamp>,
+    /// Whether the store has failed for a while, so that nothing new can be recorded.
+    pub(super) in_outage: bool,
     pub(super) weakness: Weakness,
 }
 
@@ -47,14 +49,6 @@
     pub(super) fn has_configuration(&self) -> bool {
         self.configuration.revision() > Revision(0)
     }
-
-    /// Whether the store has failed for a while, so that nothing new can be recorded.
-    pub(super) fn in_outage(&self) -> bool {
-        let failing = self
-            .store_failing_since
-            .is_some_and(|since| self.now.since(since) >= self.settings.lease_renewal);
-        failing || !self.may_record
-    }
 }
 
 /// Why an artifact that is wanted is not being loaded.
--- a/crates/control/src/coordinator/lease.rs
+++ b/crates/control/src/coordinator/lease.rs
@@ -108,12 +108,22 @@
         self.stop_requested.is_some()
     }
 
+    /// Whether this daemon holds the lease as far as it knows.
+    pub(super) fn is_held(&self) -> bool {
+        self.held.is_some()
+    }
+
     /// Whether decisions may be recorded: the lease holds by this daemon's own clock.
     pub(super) fn may_record(&self, now: Timestamp) -> bool {
         let valid = |held: &Held| !held.read_first && now < held.valid_until;
         !self.stopping() && self.held.as_ref().is_some_and(valid)
     }
 
+    /// Makes the next operation due now.
+    pub(super) fn hurry(&mut self, now: Timestamp) {
+        self.next_step = now;
+    }
+
     /// Gives up the lease because a higher term was seen elsewhere.
     pub(super) fn lose(&mut self, later: Term, now: Timestamp) {
         self.highest = self.highest.max(later);
--- a/crates/control/src/coordinator/mod.rs
+++ b/crates/control/src/coordinator/mod.rs
@@ -32,6 +32,7 @@
 mod progress;
 mod quota;
 mod runner;
+mod store_health;
 mod unneeded;
 mod views;
 mod weakness;
@@ -48,6 +49,7 @@
 use journal::Journal;
 use leading::{Context, Leading};
 use lease::LeaseKeeper;
+use store_health::{Patience, StoreHealth};
 
 /// Time between plans when nothing has happened.
 const PLAN_INTERVAL: Duration = Duration::from_millis(250);
@@ -62,7 +64,7 @@
     lease: LeaseKeeper,
     demands: DemandTable,
     keep_alive: KeepAlive,
-    store_failing_since: Option<Timestamp>,
+    store: StoreHealth,
 }
 
 impl Shared {
@@ -76,10 +78,28 @@
             demands: &self.demands,
             keep_alive: &self.keep_alive,
             may_record: self.lease.may_record(now),
-            store_failing_since: self.store_failing_since,
+            in_outage: self.in_outage(now),
             weakness: self.weakness,
         }
     }
+
+    /// Notes what lease and configuration say about the store.
+    fn watch_store(&mut self, now: Timestamp, configuration: &Configuration) {
+        let is_in_doubt = self.lease.is_held() && !self.lease.may_record(now);
+        self.store.note_lease(is_in_doubt, now);
+        if self.store.note_configuration(configuration.revision(), now) {
+            self.lease.hurry(now);
+        }
+    }
+
+    /// Whether the store has failed for a while, so that nothing new can be recorded.
+    fn in_outage(&self, now: Timestamp) -> bool {
+        let patience = Patience {
+            failing: self.settings.lease_renewal,
+            hope: self.settings.lease_duration,
+        };
+        self.store.is_out(now, patience)
+    }
 }
 
 /// Coordinates one zone, or stands by to do so.
@@ -131,7 +151,7 @@
                 lease: LeaseKeeper::new(me),
                 demands: DemandTable::default(),
                 keep_alive: KeepAlive::new(),
-                store_failing_since: None,
+                store: StoreHealth::default(),
             },
             generator: ChaCha8Rng::seed_from_u64(seed),
             machines: None,
@@ -157,6 +177,7 @@
         let mut actions = Vec::new();
         self.ticked = event == CoordinatorEvent::Tick;
         let asked = self.take_in(event, now, configuration, &mut actions);
+        self.shared.watch_store(now, configuration);
         self.advance(asked, now, configuration, &mut actions);
         let later = self.leading.as_ref().and_then(Leading::overtaken_by);
         if let Some(later) = later {
@@ -164,7 +185,10 @@
             self.resign(&mut actions);
         }
         let nonce = u64::from(self.generator.random::<u32>());
-        actions.extend(self.shared.lease.step(now, &self.shared.settings, nonce));
+        if let Some(operation) = self.shared.lease.step(now, &self.shared.settings, nonce) {
+            self.shared.store.probe_sent(now);
+            actions.push(operation);
+        }
         for action in &actions {
             if let CoordinatorAction::Record(decision) = action {
                 self.journal.note(decision.clone(), now);
--- a/crates/control/src/coordinator/placement.rs
+++ b/crates/control/src/coordinator/placement.rs
@@ -92,6 +92,11 @@
         self.fenced
     }
 
+    /// Whether the record is known, and so the outcome of each write.
+    pub(super) fn is_settled(&self) -> bool {
+        self.known && self.unsettled.is_empty()
+    }
+
     /// Whether an operation is outstanding.
     pub(super) fn is_busy(&self) -> bool {
         self.operation.is_some()
--- a/crates/control/src/coordinator/progress.rs
+++ b/crates/control/src/coordinator/progress.rs
@@ -211,7 +211,7 @@
         if self.placement.adding(slot) || self.placement.wished(slot) {
             return true;
         }
-        if context.in_outage() {
+        if context.in_outage {
             return false;
         }
         // The load itself is among those that were promised a slot.
@@ -268,7 +268,7 @@
             None => (PERMITS_WITHOUT_RECORD, self.policy.weight_store_parallel),
         };
         // In an outage no permit can be asked for.
-        let permits = permits.max(u32::from(context.in_outage()));
+        let permits = permits.max(u32::from(context.in_outage));
         if remote_in_progress(&self.loads) >= permits {
             return false;
         }
--- a/crates/control/tests/coordinator/support/faults.rs
+++ b/crates/control/tests/coordinator/support/faults.rs
@@ -126,6 +126,7 @@
     /// Ends all faults.
     pub fn heal(&mut self) {
         self.store_down_until = 0;
+        self.store_silent_until = 0;
         self.lossy = (0, 0);
         self.cut_runners.clear();
         for daemon in self.daemons.values_mut() {
--- a/crates/control/tests/coordinator/support/network.rs
+++ b/crates/control/tests/coordinator/support/network.rs
@@ -10,6 +10,8 @@
 use super::world::{GIGABYTE, Happening, Reply, World};
 
 const DRIVER_TIMEOUT: u64 = 1_500;
+/// Time for which a driver tries to settle an operation without an answer.
+const SETTLING: u64 = 6_500;
 const LATEST: u64 = 9_000;
 
 impl World {
@@ -48,6 +50,15 @@
         action: CoordinatorAction,
     ) {
         let time = self.now + self.latency();
+        if self.store_silent_until > self.now {
+            // The driver goes on settling, so that an operation lasts longer than a lease.
+            let answered = self.store_silent_until + DRIVER_TIMEOUT;
+            let given_up = answered.min(self.now + SETTLING);
+            if let Some(event) = Store::failure(&action, StoreFault::Unknown) {
+                self.tell_at(given_up, name.clone(), start, event);
+            }
+            return;
+        }
         let action = Box::new(action);
         if !self.is_lossy() {
             self.at(
--- a/crates/control/tests/coordinator/support/world.rs
+++ b/crates/control/tests/coordinator/support/world.rs
@@ -79,6 +79,8 @@
     pub(super) zones: Vec<ZoneName>,
     pub store: Store,
     pub(super) store_down_until: u64,
+    /// Until when nothing that is sent to the store arrives.
+    pub store_silent_until: u64,
     pub(super) lossy: (u64, u32),
     pub(super) daemons: BTreeMap<DaemonName, Daemon>,
     pub engines: BTreeMap<RunnerName, Engine>,
@@ -126,6 +128,7 @@
             zones: zones.clone(),
             store: Store::default(),
             store_down_until: 0,
+            store_silent_until: 0,
             lossy: (0, 0),
             daemons: BTreeMap::new(),
             engines: BTreeMap::new(),
@@ -328,8 +331,9 @@
             self.send_machines(&name);
             // The watch of a daemon that was cut off misses nothing for long.
             let daemon = &self.daemons[&name];
-            if daemon.watching && daemon.cut_until <= self.now && self.store_down_until <= self.now
-            {
+            let is_cut = daemon.cut_until > self.now;
+            let is_out = self.store_down_until.max(self.store_silent_until) > self.now;
+            if daemon.watching && !is_cut && !is_out {
                 let start = daemon.start;
                 let quotas: Vec<_> = self.store.quotas().cloned().collect();
                 for (revision, quota) in quotas {
