Bench: one coordinator alone against the size of its zone

Cause: a coordinator takes 94 % of a core at 40 daemons, and nothing measures it alone, so that no change to a plan could be judged.

Change: cargo bench -p flaxward-control runs one coordinator in virtual time before a store, engines and 29 gateways that do not fail: models, adapters, slots and artifacts in use in proportion to the runners, 9.6 % of artifacts waking in an hour.

--- /dev/null
+++ b/crates/control/benches/coordinator/main.rs
@@ -0,0 +1,84 @@
+//! Processor time of one coordinator against the size of its zone, in virtual time.
+//!
+//! Run with `cargo bench -p flaxward-control`. `FLAXWARD_BENCH_RUNNERS` (a list such as `10,40`)
+//! chooses the sizes, `FLAXWARD_BENCH_WARM_UP` and `FLAXWARD_BENCH_SECONDS` the virtual time before
+//! and during the measurement, `FLAXWARD_BENCH_SEED` the seed. Builds that decide the same print the
+//! same hash of decisions.
+
+mod models;
+mod zone;
+
+use std::time::Duration;
+
+use models::Region;
+use zone::{Cost, Zone};
+
+/// Runners of the zones measured; the last is a zone of the target.
+const RUNNERS: &str = "10,40,80,160,318";
+
+fn setting(name: &str, default: u64) -> u64 {
+    let text = std::env::var(name).ok();
+    text.and_then(|text| text.parse().ok()).unwrap_or(default)
+}
+
+/// Memory of this process that is resident, in bytes.
+fn resident_bytes() -> u64 {
+    let text = std::fs::read_to_string("/proc/self/status").expect("kernel statistics");
+    let line = text.lines().find_map(|line| line.strip_prefix("VmRSS:"));
+    let kilobytes = line.and_then(|line| line.trim().split(' ').next()?.parse::<u64>().ok());
+    kilobytes.expect("a number of kilobytes") * 1_024
+}
+
+fn per_second(time: Duration, seconds: u64) -> f64 {
+    #[allow(clippy::cast_precision_loss)]
+    let seconds = seconds as f64;
+    time.as_secs_f64() * 1e6 / seconds
+}
+
+fn measure(runners: usize, warm_up: u64, seconds: u64, seed: u64) {
+    let region = Region::new(runners);
+    let mut zone = Zone::new(&region, seed);
+    let before = resident_bytes();
+    zone.run_until(warm_up * 1_000);
+    zone.restart_costs();
+    zone.run_until((warm_up + seconds) * 1_000);
+    let (slots, in_use, replicas) = zone.sizes();
+    let total: Duration = zone.costs.values().map(|cost| cost.time).sum();
+    let micros = per_second(total, seconds);
+    println!(
+        "{runners} runners, {} models, {} adapters: {slots} slots, {replicas} replicas, \
+         {in_use} artifacts in use",
+        region.models, region.adapters
+    );
+    println!(
+        "  {micros:.0} us a second, {:.2} % of a core; {} answers a second; {} decisions, hash \
+         {:016x}; {:.1} MB grown",
+        micros / 1e4,
+        zone.answers / seconds,
+        zone.recorded,
+        zone.decisions.digest(),
+        per_second(
+            Duration::from_micros(resident_bytes().saturating_sub(before)),
+            1_000_000
+        ),
+    );
+    for (kind, Cost { events, time }) in &zone.costs {
+        println!(
+            "  {kind:<12} {:>6} a second, {:>9.1} us each, {:>9.0} us a second",
+            events / seconds,
+            per_second(*time, *events),
+            per_second(*time, seconds)
+        );
+    }
+}
+
+fn main() {
+    let sizes = std::env::var("FLAXWARD_BENCH_RUNNERS").unwrap_or_else(|_| RUNNERS.to_owned());
+    let warm_up = setting("FLAXWARD_BENCH_WARM_UP", 20);
+    let seconds = setting("FLAXWARD_BENCH_SECONDS", 60);
+    let seed = setting("FLAXWARD_BENCH_SEED", 1);
+    for size in sizes.split(',') {
+        let runners = size.trim().parse().expect("a number of runners");
+        measure(runners, warm_up, seconds, seed);
+    }
+}
