Coordinator: slots found by subject and runner, holdings kept up to date

Cause: a plan counted all slots of the zone once for each quota subject, and rebuilt the index of all that runners hold. Besides, every event, also a load report, copied all slots to see whether the record had to be written.

Change: a table of slots with an index by quota subject and one by runner; a write outstanding or unsettled is kept as what it adds and removes; the holdings of a runner go into their index when its inventory comes. The tests' world compares both with ones made anew after every event.

--- a/crates/control/src/coordinator/choice.rs
+++ b/crates/control/src/coordinator/choice.rs
@@ -195,9 +195,8 @@
         if promised > 0 {
             return SlotSource::None;
         }
-        let replaceable = self.placement.slots().iter().find(|slot| {
-            subject_of(&slot.artifact) == subject && self.is_replaceable(slot, context)
-        });
+        let mut slots = self.placement.slots().of_subject(&subject);
+        let replaceable = slots.find(|slot| self.is_replaceable(slot, context));
         replaceable.map_or(SlotSource::None, |slot| SlotSource::Replace(slot.clone()))
     }
 
@@ -281,20 +280,13 @@
     /// runner is still to be sealed, or an idle replica of another version can go.
     fn slot_is_coming(&mut self, artifact: &ArtifactId, context: &Context) -> bool {
         let subject = &subject_of(artifact);
-        let of_subject: Vec<Slot> = self
-            .placement
-            .slots()
-            .iter()
-            .filter(|slot| subject_of(&slot.artifact) == *subject)
-            .cloned()
-            .collect();
+        let slots = self.placement.slots().of_subject(subject);
+        let of_subject: Vec<Slot> = slots.cloned().collect();
         let mut coming = self.placement.planned(subject) != self.placement.bound(subject);
         for slot in of_subject {
             coming |= self.unloads.contains_key(&slot) || self.is_settling(&slot.runner, context);
-            coming |= self.index.get(&slot.artifact).is_some_and(|replicas| {
-                let here = (slot.runner.clone(), HeldState::Unloading);
-                replicas.contains(&here)
-            });
+            let state = self.holdings.state(&slot.artifact, &slot.runner);
+            coming |= state == Some(HeldState::Unloading);
             if !coming && self.may_yield(&slot, artifact, context) {
                 self.evict(&slot);
                 coming = true;
--- /dev/null
+++ b/crates/control/src/coordinator/consistency.rs
@@ -0,0 +1,32 @@
+//! Compares what is kept up to date step by step with what it stands for, for proofs.
+
+use super::Coordinator;
+use super::holdings::Holdings;
+use super::leading::Leading;
+
+impl Coordinator {
+    /// Whether every index says the same as one made anew.
+    ///
+    /// # Errors
+    /// The name of an index that does not.
+    pub fn check_indexes(&self) -> Result<(), &'static str> {
+        self.leading.as_ref().map_or(Ok(()), Leading::check_indexes)
+    }
+}
+
+impl Leading {
+    fn check_indexes(&self) -> Result<(), &'static str> {
+        let mut holdings = Holdings::default();
+        for (name, runner) in &self.runners {
+            holdings.replace(name, runner.holdings());
+        }
+        let checks = [
+            ("slots", self.placement.slots().is_consistent()),
+            ("holdings", self.holdings == holdings),
+        ];
+        match checks.into_iter().find(|(_, holds)| !holds) {
+            Some((index, _)) => Err(index),
+            None => Ok(()),
+        }
+    }
+}
--- a/crates/control/src/coordinator/homes.rs
+++ b/crates/control/src/coordinator/homes.rs
@@ -1,8 +1,6 @@
 //! Gives each configured artifact a home ahead of need: a recorded slot, so that a wake needs no
 //! write and works while the store is down.
 
-use std::collections::BTreeSet;
-
 use flaxward_types::records::{QuotaSubject, Slot};
 use flaxward_types::{ArtifactId, ConfigurationItem, ItemKey, RunnerName};
 
@@ -23,18 +21,12 @@
         if busy || !context.may_record || !self.quotas.loaded() {
             return;
         }
-        let homed: BTreeSet<ArtifactId> = self
-            .placement
-            .slots()
-            .iter()
-            .map(|slot| slot.artifact.clone())
-            .collect();
         let mut found = 0;
         for artifact in configured(context) {
             if found == HOMES_PER_WRITE || self.homes_wanted.len() == CLAIMS_AT_ONCE {
                 return;
             }
-            if homed.contains(&artifact) {
+            if self.placement.slots().has(&artifact) {
                 continue;
             }
             found += usize::from(self.find_home(&artifact, context));
@@ -91,11 +83,8 @@
             |name: &&RunnerName| self.takes_loads(name, context.now) && self.could_fit(name, bytes);
         if artifact.is_adapter() {
             let base = artifact.base();
-            let homes = self
-                .placement
-                .slots()
-                .iter()
-                .filter(|slot| slot.artifact == base);
+            let homes = self.placement.slots().of_subject(&subject_of(&base));
+            let homes = homes.filter(|slot| slot.artifact == base);
             return homes.map(|slot| &slot.runner).find(fit).cloned();
         }
         let promised = |name: &RunnerName| -> u64 {
--- a/crates/control/src/coordinator/leading.rs
+++ b/crates/control/src/coordinator/leading.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use flaxward_types::configuration::PolicySpec;
-use flaxward_types::engine::{HeldState, Inventory, Machine, MachineRole, OrderAction};
+use flaxward_types::engine::{Inventory, Machine, MachineRole, OrderAction};
 use flaxward_types::records::{QuotaSubject, Slot};
 use flaxward_types::{
     ArtifactId, BootId, ResultCode, Revision, RunnerName, Term, Timestamp, ZoneName,
@@ -13,6 +13,7 @@
 
 use super::answers::Answers;
 use super::demand::DemandTable;
+use super::holdings::Holdings;
 use super::interface::{
     CoordinatorAction, CoordinatorSettings, Decision, DecisionKind, EngineFault,
 };
@@ -107,8 +108,7 @@
     pub(super) ready_since: BTreeMap<Slot, Timestamp>,
     pub(super) surplus_since: BTreeMap<ArtifactId, Timestamp>,
     pub(super) answers: Answers,
-    /// Machines by artifact, rebuilt at each plan.
-    pub(super) index: BTreeMap<ArtifactId, Vec<(RunnerName, HeldState)>>,
+    pub(super) holdings: Holdings,
     pub(super) policy: PolicySpec,
     pub(super) drained: BTreeSet<RunnerName>,
     configured: Option<Revision>,
@@ -153,7 +153,7 @@
             ready_since: BTreeMap::new(),
             surplus_since: BTreeMap::new(),
             answers: Answers::default(),
-            index: BTreeMap::new(),
+            holdings: Holdings::default(),
             policy: PolicySpec::default(),
             drained: BTreeSet::new(),
             configured: None,
@@ -203,7 +203,7 @@
         }
         self.gone.retain(|name| !listed.contains(name));
         if now.since(self.since) >= UNLISTED_GRACE {
-            let recorded = self.placement.slots().iter().map(|slot| &slot.runner);
+            let recorded = self.placement.slots().runners();
             let unknown = recorded.filter(|name| !self.runners.contains_key(*name));
             self.gone.extend(unknown.cloned());
         }
@@ -222,6 +222,7 @@
             .collect();
         for name in gone {
             self.runners.remove(&name);
+            self.holdings.forget(&name);
             self.loads.retain(|slot, _| slot.runner != name);
             self.unloads.retain(|slot, _| slot.runner != name);
             self.ready_since.retain(|slot, _| slot.runner != name);
@@ -258,8 +259,10 @@
         let placement = &mut self.placement;
         let next_operation = || placement.want_confirmation();
         let observation = runner.observe(inventory, self.term, now, next_operation);
-        if let Observation::Overtaken(term) = observation {
-            self.note_term(term);
+        match observation {
+            Observation::Stale => {}
+            Observation::Applied => self.holdings.replace(name, runner.holdings()),
+            Observation::Overtaken(term) => self.note_term(term),
         }
     }
 
--- a/crates/control/src/coordinator/mod.rs
+++ b/crates/control/src/coordinator/mod.rs
@@ -16,8 +16,10 @@
 
 mod answers;
 mod choice;
+mod consistency;
 mod demand;
 mod events;
+mod holdings;
 mod homes;
 mod interface;
 mod journal;
@@ -32,6 +34,7 @@
 mod progress;
 mod quota;
 mod runner;
+mod slots;
 mod unneeded;
 mod views;
 mod weakness;
--- a/crates/control/src/coordinator/placement.rs
+++ b/crates/control/src/coordinator/placement.rs
@@ -7,9 +7,11 @@
 use std::collections::BTreeSet;
 
 use flaxward_types::records::{QuotaSubject, Slot, ZonePlacement};
-use flaxward_types::{ArtifactId, Revision, RunnerName, Term, Timestamp};
+use flaxward_types::{Revision, RunnerName, Term, Timestamp};
 
 use super::interface::{CoordinatorAction, CoordinatorSettings, StoreFault};
+pub(super) use super::slots::subject_of;
+use super::slots::{SlotChange, SlotTable};
 use super::weakness::Weakness;
 
 /// What an answer of the store means for the coordinator.
@@ -26,7 +28,7 @@
 #[derive(Clone, Debug)]
 enum Operation {
     Read,
-    Write(BTreeSet<Slot>),
+    Write(SlotChange),
 }
 
 /// The slots of the zone and the changes wished for.
@@ -35,14 +37,15 @@
     term: Term,
     weakness: Weakness,
     revision: Option<Revision>,
-    slots: BTreeSet<Slot>,
+    slots: SlotTable,
     known: bool,
     fenced: bool,
     additions: BTreeSet<Slot>,
     removals: BTreeSet<Slot>,
     operation: Option<Operation>,
-    /// Slots of writes whose outcome is unknown, and the revision each would replace.
-    unsettled: Vec<(Option<Revision>, BTreeSet<Slot>)>,
+    /// Changes by writes whose outcome is unknown, and the revision each would replace. The slots
+    /// known are those of that revision.
+    unsettled: Vec<(Option<Revision>, SlotChange)>,
     /// Number of operations begun.
     begun: u64,
     /// The last operation that showed the own term in the record.
@@ -52,19 +55,8 @@
     next_step: Timestamp,
 }
 
-/// What a slot's artifact counts against.
-pub(super) fn subject_of(artifact: &ArtifactId) -> QuotaSubject {
-    match &artifact.adapter {
-        Some(adapter) => QuotaSubject::Adapter(artifact.model.clone(), adapter.clone()),
-        None => QuotaSubject::Model(artifact.model.clone()),
-    }
-}
-
-fn count<'a>(slots: impl IntoIterator<Item = &'a Slot>, subject: &QuotaSubject) -> u32 {
-    let of_subject = slots
-        .into_iter()
-        .filter(|slot| subject_of(&slot.artifact) == *subject);
-    u32::try_from(of_subject.count()).unwrap_or(u32::MAX)
+fn count<'a>(slots: impl IntoIterator<Item = &'a Slot>) -> u32 {
+    u32::try_from(slots.into_iter().count()).unwrap_or(u32::MAX)
 }
 
 impl PlacementKeeper {
@@ -73,7 +65,7 @@
             term,
             weakness,
             revision: None,
-            slots: BTreeSet::new(),
+            slots: SlotTable::default(),
             known: false,
             fenced: false,
             additions: BTreeSet::new(),
@@ -98,72 +90,75 @@
     }
 
     /// The slots recorded as last known.
-    pub(super) fn slots(&self) -> &BTreeSet<Slot> {
+    pub(super) fn slots(&self) -> &SlotTable {
         &self.slots
     }
 
     /// Whether the slot is certainly recorded and will stay so.
     pub(super) fn usable(&self, slot: &Slot) -> bool {
+        if !self.slots.contains(slot) {
+            return false;
+        }
         let stays = match &self.operation {
-            Some(Operation::Write(written)) => written.contains(slot),
+            Some(Operation::Write(written)) => !written.removed.contains(slot),
             _ => true,
         };
         let mut attempts = self.unsettled.iter();
-        let settled = attempts.all(|(_, attempted)| attempted.contains(slot));
+        let settled = attempts.all(|(_, attempted)| !attempted.removed.contains(slot));
         let wanted = !self.removals.contains(slot);
-        self.fenced && self.slots.contains(slot) && stays && settled && wanted
+        self.fenced && stays && settled && wanted
     }
 
     /// Whether a write that adds the slot is outstanding.
     pub(super) fn adding(&self, slot: &Slot) -> bool {
         match &self.operation {
-            Some(Operation::Write(written)) => written.contains(slot) && !self.slots.contains(slot),
+            Some(Operation::Write(written)) => written.added.contains(slot),
             _ => false,
         }
     }
 
     /// Slots of a subject in the record that the wishes amount to.
     pub(super) fn planned(&self, subject: &QuotaSubject) -> u32 {
-        let kept = self
-            .base()
-            .iter()
+        let none = SlotChange::default();
+        let base = self.writing().unwrap_or(&none);
+        let kept = base
+            .leaves_of_subject(&self.slots, subject)
             .filter(|slot| !self.removals.contains(slot));
-        let added = self
-            .additions
-            .iter()
-            .filter(|slot| !self.base().contains(slot));
-        count(kept.chain(added), subject)
+        let added = self.additions.iter().filter(|slot| {
+            subject_of(&slot.artifact) == *subject && !base.leaves(&self.slots, slot)
+        });
+        count(kept.chain(added))
     }
 
-    /// The record that the wishes change.
-    fn base(&self) -> &BTreeSet<Slot> {
+    /// The change that is being written.
+    fn writing(&self) -> Option<&SlotChange> {
         match &self.operation {
-            Some(Operation::Write(written)) => written,
-            _ => &self.slots,
+            Some(Operation::Write(written)) => Some(written),
+            _ => None,
         }
     }
 
     /// Slots of a subject in any record that may stand or come to stand.
     pub(super) fn bound(&self, subject: &QuotaSubject) -> u32 {
-        let unsettled = self.unsettled.iter().map(|(_, slots)| slots);
-        let written = self
-            .operation
-            .iter()
-            .filter_map(|operation| match operation {
-                Operation::Write(slots) => Some(slots),
-                Operation::Read => None,
-            });
-        let possible = unsettled.chain(written).chain([&self.slots]);
-        let most = possible.map(|slots| count(slots, subject)).max();
-        most.unwrap_or(0).max(self.planned(subject))
+        let unsettled = self.unsettled.iter().map(|(_, change)| change);
+        let possible = unsettled.chain(self.writing());
+        possible
+            .map(|change| count(change.leaves_of_subject(&self.slots, subject)))
+            .fold(count(self.slots.of_subject(subject)), u32::max)
+            .max(self.planned(subject))
     }
 
-    fn planned_slots(&self) -> BTreeSet<Slot> {
-        let kept = self
-            .base()
-            .iter()
-            .filter(|slot| !self.removals.contains(slot));
-        kept.chain(&self.additions).cloned().collect()
+    /// What the wishes change while no write is outstanding.
+    fn wishes(&self) -> SlotChange {
+        let added = self.additions.iter();
+        let added = added.filter(|slot| !self.slots.contains(slot));
+        let removed = self.removals.iter();
+        let removed =
+            removed.filter(|slot| self.slots.contains(slot) && !self.additions.contains(slot));
+        SlotChange {
+            added: added.cloned().collect(),
+            removed: removed.cloned().collect(),
+        }
     }
 
     /// Forgets all wishes; each plan states them anew.
@@ -207,15 +202,15 @@
         if !self.known {
             return Some(self.read());
         }
-        let planned = self.planned_slots();
-        let due = !self.fenced || !self.unsettled.is_empty() || planned != self.slots;
+        let change = self.wishes();
+        let due = !self.fenced || !self.unsettled.is_empty() || !change.is_empty();
         if due && may_record {
             self.begun += 1;
-            self.operation = Some(Operation::Write(planned.clone()));
             let record = ZonePlacement {
                 term: self.term,
-                slots: planned.into_iter().collect(),
+                slots: self.slots.changed_by(&change),
             };
+            self.operation = Some(Operation::Write(change));
             return Some(CoordinatorAction::WritePlacement(self.revision, record));
         }
         if self.confirmation_wanted > self.confirmed {
@@ -278,7 +273,7 @@
         match result {
             Ok(revision) => {
                 self.revision = Some(revision);
-                self.slots = written;
+                self.slots.apply(written);
                 self.unsettled.clear();
                 self.confirmed = self.begun;
                 return self.fence();
@@ -305,6 +300,6 @@
 
     /// Slots on one runner.
     pub(super) fn on_runner(&self, runner: &RunnerName) -> impl Iterator<Item = &Slot> {
-        self.slots.iter().filter(move |slot| slot.runner == *runner)
+        self.slots.on_runner(runner)
     }
 }
--- a/crates/control/src/coordinator/planner.rs
+++ b/crates/control/src/coordinator/planner.rs
@@ -28,7 +28,6 @@
         self.give_up_gone(context);
         self.settle_loads(context);
         self.settle_unloads();
-        self.build_index();
         let housekeeping = context.now >= self.next_housekeeping;
         if housekeeping {
             self.next_housekeeping = context.now + HOUSEKEEPING_INTERVAL;
@@ -51,31 +50,17 @@
         self.step_quotas(&subjects, context);
     }
 
-    fn build_index(&mut self) {
-        let mut index: BTreeMap<ArtifactId, Vec<(RunnerName, HeldState)>> = BTreeMap::new();
-        for (name, runner) in &self.runners {
-            for held in runner.holdings() {
-                let replicas = index.entry(held.artifact.clone()).or_default();
-                replicas.push((name.clone(), held.state));
-            }
-        }
-        self.index = index;
-    }
-
     /// Runners on which an artifact is held and not on its way out.
     pub(super) fn staying(
         &self,
         artifact: &ArtifactId,
         now: Timestamp,
     ) -> impl Iterator<Item = (&RunnerName, HeldState)> {
-        let replicas = self.index.get(artifact).into_iter().flatten();
-        replicas
-            .map(|(name, state)| (name, *state))
-            .filter(move |(name, state)| {
-                *state != HeldState::Unloading
-                    && self.serves(name, now)
-                    && !self.unloads.contains_key(&slot(artifact, name))
-            })
+        self.holdings.of(artifact).filter(move |(name, state)| {
+            *state != HeldState::Unloading
+                && self.serves(name, now)
+                && !self.unloads.contains_key(&slot(artifact, name))
+        })
     }
 
     /// Runners on which an artifact takes requests.
@@ -141,7 +126,7 @@
     fn wanted_by_demand(&self, artifact: &ArtifactId, context: &Context) -> Option<Wanted> {
         let summary = context.demands.summary(artifact)?;
         let model = context.configuration.model(&artifact.model)?;
-        let is_gone = !self.index.contains_key(artifact);
+        let is_gone = !self.holdings.contains(artifact);
         if is_gone && summary.waiting == 0 && model.serving != artifact.version {
             // What is left of the demand for a version that has made way for another one.
             return None;
@@ -314,10 +299,9 @@
     /// Slots of a subject that are not of use where they are: their runner takes no loads and has
     /// not confirmed that it is empty.
     pub(super) fn locked_slots(&self, subject: &QuotaSubject, now: Timestamp) -> u32 {
-        let locked = |slot: &&Slot| {
-            subject_of(&slot.artifact) == *subject && !self.takes_loads(&slot.runner, now)
-        };
-        let count = self.placement.slots().iter().filter(locked).count();
+        let locked = |slot: &&Slot| !self.takes_loads(&slot.runner, now);
+        let slots = self.placement.slots().of_subject(subject);
+        let count = slots.filter(locked).count();
         u32::try_from(count).unwrap_or(u32::MAX)
     }
 }
--- /dev/null
+++ b/crates/control/src/coordinator/slots.rs
@@ -0,0 +1,152 @@
+//! The recorded slots of a zone, found by quota subject and by runner, and changes to them.
+//!
+//! A change is kept as what it adds and removes, because a zone has thousands of slots and a write
+//! changes a few of them.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use flaxward_types::records::{QuotaSubject, Slot};
+use flaxward_types::{ArtifactId, RunnerName};
+
+/// What a slot's artifact counts against.
+pub(super) fn subject_of(artifact: &ArtifactId) -> QuotaSubject {
+    match &artifact.adapter {
+        Some(adapter) => QuotaSubject::Adapter(artifact.model.clone(), adapter.clone()),
+        None => QuotaSubject::Model(artifact.model.clone()),
+    }
+}
+
+/// Slots, in order, with an index by quota subject and one by runner.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub(super) struct SlotTable {
+    all: BTreeSet<Slot>,
+    by_subject: BTreeMap<QuotaSubject, BTreeSet<Slot>>,
+    by_runner: BTreeMap<RunnerName, BTreeSet<Slot>>,
+}
+
+impl SlotTable {
+    pub(super) fn contains(&self, slot: &Slot) -> bool {
+        self.all.contains(slot)
+    }
+
+    /// Every slot, in order.
+    pub(super) fn iter(&self) -> impl Iterator<Item = &Slot> {
+        self.all.iter()
+    }
+
+    /// The slots that count against a subject, in order.
+    pub(super) fn of_subject(
+        &self,
+        subject: &QuotaSubject,
+    ) -> impl Iterator<Item = &Slot> + use<'_> {
+        self.by_subject.get(subject).into_iter().flatten()
+    }
+
+    /// The slots on a runner, in order.
+    pub(super) fn on_runner(&self, runner: &RunnerName) -> impl Iterator<Item = &Slot> + use<'_> {
+        self.by_runner.get(runner).into_iter().flatten()
+    }
+
+    /// The runners with slots.
+    pub(super) fn runners(&self) -> impl Iterator<Item = &RunnerName> {
+        self.by_runner.keys()
+    }
+
+    /// Whether an artifact has a slot.
+    pub(super) fn has(&self, artifact: &ArtifactId) -> bool {
+        let mut slots = self.of_subject(&subject_of(artifact));
+        slots.any(|slot| slot.artifact == *artifact)
+    }
+
+    /// The slots once a change is carried out.
+    pub(super) fn changed_by(&self, change: &SlotChange) -> Vec<Slot> {
+        let kept = self
+            .all
+            .iter()
+            .filter(|slot| !change.removed.contains(slot));
+        let mut slots: Vec<Slot> = kept.chain(&change.added).cloned().collect();
+        slots.sort();
+        slots
+    }
+
+    /// Carries out a change.
+    pub(super) fn apply(&mut self, change: SlotChange) {
+        for slot in &change.removed {
+            self.remove(slot);
+        }
+        for slot in change.added {
+            self.insert(slot);
+        }
+    }
+
+    fn insert(&mut self, slot: Slot) {
+        let of_subject = self.by_subject.entry(subject_of(&slot.artifact));
+        of_subject.or_default().insert(slot.clone());
+        let on_runner = self.by_runner.entry(slot.runner.clone());
+        on_runner.or_default().insert(slot.clone());
+        self.all.insert(slot);
+    }
+
+    fn remove(&mut self, slot: &Slot) {
+        if !self.all.remove(slot) {
+            return;
+        }
+        take_out(&mut self.by_subject, &subject_of(&slot.artifact), slot);
+        take_out(&mut self.by_runner, &slot.runner, slot);
+    }
+
+    /// Whether the indexes say the same as the slots; for proofs.
+    pub(super) fn is_consistent(&self) -> bool {
+        *self == self.all.iter().cloned().collect()
+    }
+}
+
+impl FromIterator<Slot> for SlotTable {
+    fn from_iter<Slots: IntoIterator<Item = Slot>>(slots: Slots) -> Self {
+        let mut table = Self::default();
+        for slot in slots {
+            table.insert(slot);
+        }
+        table
+    }
+}
+
+/// Takes a slot out of an index that has no empty entries.
+fn take_out<Key: Ord>(index: &mut BTreeMap<Key, BTreeSet<Slot>>, key: &Key, slot: &Slot) {
+    if let Some(slots) = index.get_mut(key) {
+        slots.remove(slot);
+        if slots.is_empty() {
+            index.remove(key);
+        }
+    }
+}
+
+/// A change to some slots: none of those added is among them, all of those removed are.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub(super) struct SlotChange {
+    pub(super) added: BTreeSet<Slot>,
+    pub(super) removed: BTreeSet<Slot>,
+}
+
+impl SlotChange {
+    pub(super) fn is_empty(&self) -> bool {
+        self.added.is_empty() && self.removed.is_empty()
+    }
+
+    /// Whether a slot is there once the change is carried out.
+    pub(super) fn leaves(&self, slots: &SlotTable, slot: &Slot) -> bool {
+        self.added.contains(slot) || (slots.contains(slot) && !self.removed.contains(slot))
+    }
+
+    /// The slots of a subject once the change is carried out.
+    pub(super) fn leaves_of_subject<'a>(
+        &'a self,
+        slots: &'a SlotTable,
+        subject: &'a QuotaSubject,
+    ) -> impl Iterator<Item = &'a Slot> {
+        let kept = slots.of_subject(subject);
+        let kept = kept.filter(|slot| !self.removed.contains(slot));
+        let added = self.added.iter();
+        kept.chain(added.filter(move |slot| subject_of(&slot.artifact) == *subject))
+    }
+}
--- a/crates/control/src/coordinator/unneeded.rs
+++ b/crates/control/src/coordinator/unneeded.rs
@@ -17,13 +17,14 @@
     /// Unloads replicas that are not allowed, leaving, idle or more than needed.
     pub(super) fn unload_unneeded(&mut self, context: &Context) {
         let mut due = Vec::new();
-        for (artifact, replicas) in &self.index {
-            for (name, state) in replicas {
-                let key = slot(artifact, name);
-                let settled = *state == HeldState::Ready && !self.unloads.contains_key(&key);
-                if let Some(reason) = self.unload_reason(&key, context).filter(|_| settled) {
-                    due.push((key, reason));
-                }
+        for (artifact, name, state) in self.holdings.iter() {
+            let key = slot(artifact, name);
+            let settled = state == HeldState::Ready && !self.unloads.contains_key(&key);
+            if !settled {
+                continue;
+            }
+            if let Some(reason) = self.unload_reason(&key, context) {
+                due.push((key, reason));
             }
         }
         for (key, reason) in due {
@@ -186,13 +187,8 @@
         if excess == 0 {
             return;
         }
-        let mut slots: Vec<Slot> = self
-            .placement
-            .slots()
-            .iter()
-            .filter(|key| subject_of(&key.artifact) == *subject)
-            .cloned()
-            .collect();
+        let slots = self.placement.slots().of_subject(subject);
+        let mut slots: Vec<Slot> = slots.cloned().collect();
         slots.sort_by_key(|key| {
             (
                 !self.is_empty(key, context),
--- a/crates/control/tests/coordinator/support/world.rs
+++ b/crates/control/tests/coordinator/support/world.rs
@@ -361,7 +361,11 @@
             return;
         };
         let now = Timestamp(origin + self.now);
-        for action in coordinator.handle(event, now, &self.configuration) {
+        let actions = coordinator.handle(event, now, &self.configuration);
+        if let Err(index) = coordinator.check_indexes() {
+            self.broken(format!("{name}: the index of {index} is not up to date"));
+        }
+        for action in actions {
             self.carry_out(name, start, action);
         }
     }
