Operators: rows in one order, whichever daemon answers first

Cause: without order by, rows stood in the order in which daemons and zones happened to answer (seen: zone-b before zone-a in show runners, another order from the next daemon), so that limit without order by gave other rows each time.

Ruled out: sorting at the daemons that answer; the rows of several are put together at the one that was asked.

Change: rows are sorted by their columns from left to right before order by, which is stable.

--- a/crates/operators/src/filter.rs
+++ b/crates/operators/src/filter.rs
@@ -2,19 +2,21 @@
 
 use std::cmp::Ordering;
 
-use flaxward_query::{Comparison, Condition, Operator, Order, ReplicaScope, Show, Value};
+use flaxward_query::{Comparison, Condition, Operator, Order, ReplicaScope, Show, Table, Value};
 use flaxward_types::{AdapterName, VersionName, ZoneName};
 use serde_json::{Map, Value as Json};
 use wildmatch::WildMatch;
 
 type Row = Map<String, Json>;
 
-/// Keeps the rows asked for, in the order asked for.
+/// Keeps the rows asked for, in the order asked for, rows alike in that in the order of the columns.
+/// So every daemon answers in the same order, whichever of the others answers it first.
 pub(crate) fn select(show: &Show, mut rows: Vec<Row>) -> Vec<Row> {
     rows.retain(|row| is_in_scope(row, &show.scope));
     if let Some(condition) = &show.condition {
         rows.retain(|row| holds(row, condition));
     }
+    rows.sort_by(|left, right| compare_columns(left, right, show.table));
     if let Some(order) = &show.order {
         rows.sort_by(|left, right| compare_rows(left, right, order));
     }
@@ -83,13 +85,26 @@
     }
 }
 
-/// Rows without a value come last, whatever the direction.
+fn compare_columns(left: &Row, right: &Row, table: Table) -> Ordering {
+    table
+        .fields()
+        .iter()
+        .map(|field| compare_by(left, right, field.name, false))
+        .find(|ordering| ordering.is_ne())
+        .unwrap_or(Ordering::Equal)
+}
+
 fn compare_rows(left: &Row, right: &Row, order: &Order) -> Ordering {
-    let left = left.get(order.field).unwrap_or(&Json::Null);
-    let right = right.get(order.field).unwrap_or(&Json::Null);
+    compare_by(left, right, order.field, order.descending)
+}
+
+/// Rows without a value come last, whatever the direction.
+fn compare_by(left: &Row, right: &Row, field: &str, descending: bool) -> Ordering {
+    let left = left.get(field).unwrap_or(&Json::Null);
+    let right = right.get(field).unwrap_or(&Json::Null);
     let ordering = compare_fields(left, right);
     match (left.is_null(), right.is_null()) {
-        (false, false) if order.descending => ordering.reverse(),
+        (false, false) if descending => ordering.reverse(),
         (false, false) => ordering,
         (left_null, right_null) => left_null.cmp(&right_null),
     }
