Coordinator: a plan looks at what was touched, and at a slice of the rest

Cause: each plan went through all that is wanted, all that is held and all quotas wanted, and once a second through every quota, slot and configured artifact.

Change: events touch artifacts (demand that begins, waits or ends, holdings that change, loads and unloads, runners that begin or cease to serve, a new configuration), and a plan looks at these, at what is blocked, loading or waited for, and at a slice of the rest that goes round. Housekeeping takes a slice of quotas, slots and configured artifacts each second. Quotas are looked at when their record, their slots or their rule have changed, a write of theirs is unfinished, or more slots stand than their goal. What is wanted is kept artifact by artifact and checked against one made anew by the tests' world after every event. Gateways are told again only of what was looked at. The functions about the configuration go to rules.rs.

Slices have a least size, so that small zones decide as before. One thing is decided otherwise on purpose: a slot found to be of no use is wished away in each plan until it is gone, and not only in the plan of that second, whose wish was lost if a write was outstanding.

--- a/crates/control/src/coordinator/answers.rs
+++ b/crates/control/src/coordinator/answers.rs
@@ -35,6 +35,11 @@
 }
 
 impl Answers {
+    /// Artifacts about which something was answered.
+    pub(super) fn artifacts(&self) -> impl Iterator<Item = &ArtifactId> {
+        self.sent.keys().chain(self.informed.keys())
+    }
+
     /// Forgets a gateway.
     pub(super) fn forget_gateway(&mut self, gateway: &DaemonName) {
         for gateways in self.informed.values_mut() {
@@ -61,28 +66,28 @@
         }
     }
 
-    /// Answers every gateway concerned by what has changed.
-    pub(super) fn answer_changes(&mut self, context: &Context) {
+    /// Answers every gateway concerned by what has changed about some artifacts.
+    pub(super) fn answer_changes(&mut self, focus: &BTreeSet<ArtifactId>, context: &Context) {
         if !self.placement.fenced() {
             return;
         }
-        let mut artifacts: BTreeSet<ArtifactId> = context.demands.artifacts().cloned().collect();
-        artifacts.extend(self.answers.informed.keys().cloned());
-        self.answers
-            .sent
-            .retain(|artifact, _| artifacts.contains(artifact));
-        for artifact in artifacts {
-            let (ready, outlook) = self.state_of(&artifact, context);
-            let sent = self.answers.sent.get(&artifact);
+        for artifact in focus {
+            let demanded = context.demands.is_demanded(artifact);
+            if !demanded && !self.answers.informed.contains_key(artifact) {
+                self.answers.sent.remove(artifact);
+                continue;
+            }
+            let (ready, outlook) = self.state_of(artifact, context);
+            let sent = self.answers.sent.get(artifact);
             if sent.is_some_and(|sent| sent.still_holds(&ready, &outlook, context.now)) {
                 continue;
             }
-            self.record_refusal(&artifact, &outlook);
+            self.record_refusal(artifact, &outlook);
             let mut gateways: BTreeSet<DaemonName> =
-                context.demands.gateways(&artifact).cloned().collect();
-            gateways.extend(self.answers.informed.remove(&artifact).unwrap_or_default());
+                context.demands.gateways(artifact).cloned().collect();
+            gateways.extend(self.answers.informed.remove(artifact).unwrap_or_default());
             for gateway in gateways {
-                self.send_answer(&gateway, &artifact, ready.clone(), outlook.clone(), context);
+                self.send_answer(&gateway, artifact, ready.clone(), outlook.clone(), context);
             }
         }
     }
--- a/crates/control/src/coordinator/consistency.rs
+++ b/crates/control/src/coordinator/consistency.rs
@@ -23,6 +23,7 @@
         let checks = [
             ("slots", self.placement.slots().is_consistent()),
             ("holdings", self.holdings == holdings),
+            ("wants", self.wanted.is_consistent()),
         ];
         match checks.into_iter().find(|(_, holds)| !holds) {
             Some((index, _)) => Err(index),
--- a/crates/control/src/coordinator/demand.rs
+++ b/crates/control/src/coordinator/demand.rs
@@ -1,6 +1,6 @@
 //! What the gateways want, and until when that holds.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 use flaxward_types::routing::Demand;
@@ -34,6 +34,10 @@
 #[derive(Clone, Debug, Default)]
 pub(super) struct DemandTable {
     entries: BTreeMap<ArtifactId, ArtifactDemand>,
+    /// Artifacts that requests wait for.
+    waiting: BTreeSet<ArtifactId>,
+    /// No demand is older than this.
+    oldest: Timestamp,
     last_active: BTreeMap<ArtifactId, Timestamp>,
 }
 
@@ -50,7 +54,7 @@
         }
         let entry = self
             .entries
-            .entry(artifact)
+            .entry(artifact.clone())
             .or_insert_with(|| ArtifactDemand {
                 gateways: BTreeMap::new(),
                 since: now,
@@ -58,7 +62,13 @@
             });
         let before = entry.gateways.insert(gateway, (demand, now));
         entry.note_waiting(now);
-        before.is_none() || entry.waiting_since.is_some()
+        let waits = entry.waiting_since.is_some();
+        if waits {
+            self.waiting.insert(artifact);
+        } else {
+            self.waiting.remove(&artifact);
+        }
+        before.is_none() || waits
     }
 
     fn remove(&mut self, artifact: &ArtifactId, gateway: &DaemonName) -> bool {
@@ -68,28 +78,59 @@
         let removed = entry.gateways.remove(gateway).is_some();
         if entry.gateways.is_empty() {
             self.entries.remove(artifact);
+            self.waiting.remove(artifact);
         }
         removed
     }
 
-    /// Forgets a gateway.
-    pub(super) fn forget_gateway(&mut self, gateway: &DaemonName) {
-        self.retain(|name, _| name != gateway);
+    /// Forgets a gateway. Returns the artifacts that it wanted.
+    pub(super) fn forget_gateway(&mut self, gateway: &DaemonName) -> Vec<ArtifactId> {
+        self.retain(|name, _| name != gateway)
     }
 
-    /// Forgets demand that was not renewed.
-    pub(super) fn expire(&mut self, now: Timestamp, expiry: Duration) {
-        self.retain(|_, at| now.since(at) < expiry);
-        for entry in self.entries.values_mut() {
-            entry.note_waiting(now);
+    /// Forgets demand that was not renewed. Returns the artifacts that it was about.
+    pub(super) fn expire(&mut self, now: Timestamp, expiry: Duration) -> Vec<ArtifactId> {
+        self.settle_waiting(now);
+        if now.since(self.oldest) < expiry {
+            return Vec::new();
         }
+        let expired = self.retain(|_, at| now.since(at) < expiry);
+        let renewed = self.entries.values().flat_map(|entry| {
+            let demands = entry.gateways.values();
+            demands.map(|(_, at)| *at)
+        });
+        self.oldest = renewed.min().unwrap_or(now);
+        self.settle_waiting(now);
+        expired
     }
 
-    fn retain(&mut self, mut keep: impl FnMut(&DaemonName, Timestamp) -> bool) {
-        for entry in self.entries.values_mut() {
+    /// Notes where nobody waits any more.
+    fn settle_waiting(&mut self, now: Timestamp) {
+        let entries = &mut self.entries;
+        self.waiting.retain(|artifact| {
+            entries.get_mut(artifact).is_some_and(|entry| {
+                entry.note_waiting(now);
+                entry.waiting_since.is_some()
+            })
+        });
+    }
+
+    fn retain(&mut self, keep: impl Fn(&DaemonName, Timestamp) -> bool) -> Vec<ArtifactId> {
+        let mut fewer = Vec::new();
+        for (artifact, entry) in &mut self.entries {
+            let before = entry.gateways.len();
             entry.gateways.retain(|name, (_, at)| keep(name, *at));
+            if entry.gateways.len() < before {
+                fewer.push(artifact.clone());
+            }
         }
         self.entries.retain(|_, entry| !entry.gateways.is_empty());
+        fewer
+    }
+
+    /// The artifacts that requests wait for.
+    pub(super) fn waiting(&self) -> impl Iterator<Item = &ArtifactId> {
+        self.waiting.iter()
     }
 
     /// The artifacts wanted.
@@ -97,6 +138,11 @@
         self.entries.keys()
     }
 
+    /// Whether an artifact is wanted.
+    pub(super) fn is_demanded(&self, artifact: &ArtifactId) -> bool {
+        self.entries.contains_key(artifact)
+    }
+
     /// Gateways that want an artifact.
     pub(super) fn gateways(&self, artifact: &ArtifactId) -> impl Iterator<Item = &DaemonName> {
         let entry = self.entries.get(artifact);
--- a/crates/control/src/coordinator/events.rs
+++ b/crates/control/src/coordinator/events.rs
@@ -34,7 +34,8 @@
         match event {
             CoordinatorEvent::Tick => {
                 let expiry = self.shared.settings.demand_expiry;
-                self.shared.demands.expire(now, expiry);
+                let expired = self.shared.demands.expire(now, expiry);
+                self.touch(expired);
             }
             CoordinatorEvent::Rank(rank) => self.shared.lease.set_rank(rank),
             CoordinatorEvent::Stop => {
@@ -52,7 +53,8 @@
                 return Some(self.demanded(gateway, demand, now));
             }
             CoordinatorEvent::GatewayGone(gateway) => {
-                self.shared.demands.forget_gateway(&gateway);
+                let forgotten = self.shared.demands.forget_gateway(&gateway);
+                self.touch(forgotten);
                 if let Some(leading) = &mut self.leading {
                     leading.answers.forget_gateway(&gateway);
                 }
@@ -100,10 +102,20 @@
             keep_alive.record_arrival(&artifact, now);
             keep_alive.record_arrival(&artifact.base(), now);
         }
-        self.changed |= self.shared.demands.put(gateway.clone(), demand, now);
+        if self.shared.demands.put(gateway.clone(), demand, now) {
+            self.touch([artifact.clone()]);
+            self.changed = true;
+        }
         (gateway, artifact)
     }
 
+    /// Has the next plan look at some artifacts.
+    fn touch(&mut self, artifacts: impl IntoIterator<Item = ArtifactId>) {
+        if let Some(leading) = &mut self.leading {
+            leading.touched.extend(artifacts);
+        }
+    }
+
     /// Takes in an answer of the store about placement or quotas.
     pub(super) fn take_in_record(
         &mut self,
--- a/crates/control/src/coordinator/holdings.rs
+++ b/crates/control/src/coordinator/holdings.rs
@@ -5,6 +5,8 @@
 use flaxward_types::engine::{Held, HeldState};
 use flaxward_types::{ArtifactId, RunnerName};
 
+use super::rounds::following;
+
 /// Artifacts that are loaded, loading or unloading somewhere.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub(super) struct Holdings {
@@ -32,20 +34,32 @@
         self.by_artifact.get(artifact)?.get(name).copied()
     }
 
-    /// Everything held, in the order of the artifacts.
-    pub(super) fn iter(&self) -> impl Iterator<Item = (&ArtifactId, &RunnerName, HeldState)> {
-        self.by_artifact.iter().flat_map(|(artifact, runners)| {
-            let here = runners.iter();
-            here.map(move |(name, state)| (artifact, name, *state))
-        })
+    /// The artifacts that a runner holds, in order.
+    pub(super) fn on(&self, name: &RunnerName) -> impl Iterator<Item = &ArtifactId> + use<'_> {
+        let held = self.by_runner.get(name).into_iter().flatten();
+        held.map(|(artifact, _)| artifact)
+    }
+
+    /// Number of artifacts held.
+    pub(super) fn len(&self) -> usize {
+        self.by_artifact.len()
+    }
+
+    /// The artifacts that follow one in their order, round and round, with the runners of each.
+    pub(super) fn following(
+        &self,
+        last: Option<&ArtifactId>,
+    ) -> impl Iterator<Item = (&ArtifactId, &BTreeMap<RunnerName, HeldState>)> + use<'_> {
+        following(&self.by_artifact, last)
     }
 
-    /// Takes in what a runner holds now.
+    /// Takes in what a runner holds now. Returns the artifacts of which something is new.
     pub(super) fn replace<'a>(
         &mut self,
         name: &RunnerName,
         holdings: impl Iterator<Item = &'a Held>,
-    ) {
+    ) -> Vec<ArtifactId> {
+        let mut changed = Vec::new();
         let now: BTreeMap<ArtifactId, HeldState> = holdings
             .map(|held| (held.artifact.clone(), held.state))
             .collect();
@@ -53,22 +67,25 @@
         for artifact in before.keys() {
             if !now.contains_key(artifact) {
                 self.take_out(artifact, name);
+                changed.push(artifact.clone());
             }
         }
         for (artifact, state) in &now {
             if before.get(artifact) != Some(state) {
                 let runners = self.by_artifact.entry(artifact.clone()).or_default();
                 runners.insert(name.clone(), *state);
+                changed.push(artifact.clone());
             }
         }
         if !now.is_empty() {
             self.by_runner.insert(name.clone(), now);
         }
+        changed
     }
 
-    /// Forgets a runner.
-    pub(super) fn forget(&mut self, name: &RunnerName) {
-        self.replace(name, std::iter::empty());
+    /// Forgets a runner. Returns the artifacts that it held.
+    pub(super) fn forget(&mut self, name: &RunnerName) -> Vec<ArtifactId> {
+        self.replace(name, std::iter::empty())
     }
 
     fn take_out(&mut self, artifact: &ArtifactId, name: &RunnerName) {
--- a/crates/control/src/coordinator/homes.rs
+++ b/crates/control/src/coordinator/homes.rs
@@ -5,6 +5,7 @@
 use flaxward_types::{ArtifactId, ConfigurationItem, ItemKey, RunnerName};
 
 use super::choice::{SlotSource, rank};
+use super::focus::next_slice;
 use super::leading::{Context, Leading, slot};
 use super::placement::subject_of;
 
@@ -21,15 +22,25 @@
         if busy || !context.may_record || !self.quotas.loaded() {
             return;
         }
+        let slice = next_slice(&mut self.cursors.homes, self.configured_artifacts.len());
         let mut found = 0;
-        for artifact in configured(context) {
+        let mut first = None;
+        for place in slice {
             if found == HOMES_PER_WRITE || self.homes_wanted.len() == CLAIMS_AT_ONCE {
+                // Wishes and claims may come to nothing, so the next round begins with them.
+                self.cursors.homes = first.unwrap_or(place);
                 return;
             }
+            let artifact = self.configured_artifacts[place].clone();
             if self.placement.slots().has(&artifact) {
                 continue;
             }
-            found += usize::from(self.find_home(&artifact, context));
+            let claims = self.homes_wanted.len();
+            let has_found = self.find_home(&artifact, context);
+            found += usize::from(has_found);
+            if has_found || self.homes_wanted.len() > claims {
+                first.get_or_insert(place);
+            }
         }
     }
 
@@ -106,7 +117,7 @@
     model.is_none_or(|model| model.serving != old.artifact.version)
 }
 
-/// The artifacts that requests name by default.
+/// The artifacts that requests name by default, models first and each kind in order.
 pub(super) fn configured(context: &Context) -> Vec<ArtifactId> {
     let configuration = context.configuration;
     let mut artifacts = Vec::new();
@@ -127,6 +138,6 @@
             adapter,
         });
     }
-    artifacts.sort_by_key(|artifact| (artifact.is_adapter(), artifact.clone()));
+    // Keys of models come before those of adapters.
     artifacts
 }
--- a/crates/control/src/coordinator/leading.rs
+++ b/crates/control/src/coordinator/leading.rs
@@ -13,6 +13,7 @@
 
 use super::answers::Answers;
 use super::demand::DemandTable;
+use super::focus::Cursors;
 use super::holdings::Holdings;
 use super::interface::{
     CoordinatorAction, CoordinatorSettings, Decision, DecisionKind, EngineFault,
@@ -21,6 +22,8 @@
 use super::placement::PlacementKeeper;
 use super::quota::QuotaBook;
 use super::runner::{Observation, Phase, Runner};
+use super::wants::WantTable;
+pub(super) use super::wants::Wanted;
 use super::weakness::Weakness;
 use crate::configuration::Configuration;
 use crate::keep_alive::KeepAlive;
@@ -76,18 +79,6 @@
     pub(super) answered: bool,
 }
 
-/// What is wanted of an artifact.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub(super) struct Wanted {
-    pub(super) replicas: u32,
-    pub(super) priority: u8,
-    pub(super) deadline: Timestamp,
-    /// Memory to leave room for besides the artifact itself: that of an adapter.
-    pub(super) extra_bytes: u64,
-    /// Demanded or kept by a rule, so that it must not make way for something else.
-    pub(super) firm: bool,
-}
-
 /// The state of a coordinator under one term.
 #[derive(Debug)]
 pub(super) struct Leading {
@@ -103,7 +94,23 @@
     pub(super) failures: Failures,
     pub(super) speeds: Speeds,
     pub(super) rate: RateLimit,
-    pub(super) wanted: BTreeMap<ArtifactId, Wanted>,
+    pub(super) wanted: WantTable,
+    /// Artifacts that events have touched since the last plan.
+    pub(super) touched: BTreeSet<ArtifactId>,
+    /// Whether each runner served and took loads when it was last looked at.
+    pub(super) usable: BTreeMap<RunnerName, (bool, bool)>,
+    /// Where the slices of everything have got to.
+    pub(super) cursors: Cursors,
+    /// The artifacts that requests name by default, models first.
+    pub(super) configured_artifacts: Vec<ArtifactId>,
+    /// Subjects whose rules have changed since they were last looked at.
+    pub(super) rules_changed: BTreeSet<QuotaSubject>,
+    /// Subjects with more slots than their goals.
+    pub(super) excess: BTreeSet<QuotaSubject>,
+    /// Subjects whose quotas could not be written when they were looked at.
+    pub(super) unstepped: BTreeSet<QuotaSubject>,
+    /// Slots found to be of no use and free; looked at again in each plan.
+    pub(super) useless: BTreeSet<Slot>,
     pub(super) blocks: BTreeMap<ArtifactId, Block>,
     pub(super) ready_since: BTreeMap<Slot, Timestamp>,
     pub(super) surplus_since: BTreeMap<ArtifactId, Timestamp>,
@@ -111,10 +118,10 @@
     pub(super) holdings: Holdings,
     pub(super) policy: PolicySpec,
     pub(super) drained: BTreeSet<RunnerName>,
-    configured: Option<Revision>,
+    pub(super) configured: Option<Revision>,
     pub(super) next_housekeeping: Timestamp,
     /// Replicas that the rules keep loaded in this zone.
-    pub(super) kept: Vec<(ArtifactId, u32)>,
+    pub(super) kept: BTreeMap<ArtifactId, u32>,
     /// Artifacts to load ahead of need.
     pub(super) prewarmed: BTreeSet<ArtifactId>,
     /// Units down to which slots are being freed.
@@ -148,7 +155,15 @@
             failures: Failures::default(),
             speeds: Speeds::new(settings),
             rate: RateLimit::default(),
-            wanted: BTreeMap::new(),
+            wanted: WantTable::default(),
+            touched: BTreeSet::new(),
+            usable: BTreeMap::new(),
+            cursors: Cursors::default(),
+            configured_artifacts: Vec::new(),
+            rules_changed: BTreeSet::new(),
+            excess: BTreeSet::new(),
+            unstepped: BTreeSet::new(),
+            useless: BTreeSet::new(),
             blocks: BTreeMap::new(),
             ready_since: BTreeMap::new(),
             surplus_since: BTreeMap::new(),
@@ -158,7 +173,7 @@
             drained: BTreeSet::new(),
             configured: None,
             next_housekeeping: now,
-            kept: Vec::new(),
+            kept: BTreeMap::new(),
             prewarmed: BTreeSet::new(),
             goals: BTreeMap::new(),
             homes_wanted: BTreeSet::new(),
@@ -168,18 +183,6 @@
         }
     }
 
-    /// Takes over the policy and the drains when the configuration has changed.
-    pub(super) fn apply_configuration(&mut self, context: &Context) {
-        let configuration = context.configuration;
-        if self.configured == Some(configuration.revision()) {
-            return;
-        }
-        self.configured = Some(configuration.revision());
-        self.policy = configuration.policy();
-        self.drained = configuration.drained();
-        self.kept = self.kept_by_rule(context);
-    }
-
     /// Takes in the machine list.
     pub(super) fn apply_machines(&mut self, machines: &[Machine], now: Timestamp) {
         let mut listed = BTreeSet::new();
@@ -222,7 +225,10 @@
             .collect();
         for name in gone {
             self.runners.remove(&name);
-            self.holdings.forget(&name);
+            self.usable.remove(&name);
+            self.touched.extend(self.holdings.forget(&name));
+            let slots = self.placement.on_runner(&name);
+            self.touched.extend(slots.map(|slot| slot.artifact.clone()));
             self.loads.retain(|slot, _| slot.runner != name);
             self.unloads.retain(|slot, _| slot.runner != name);
             self.ready_since.retain(|slot, _| slot.runner != name);
@@ -261,7 +267,10 @@
         let observation = runner.observe(inventory, self.term, now, next_operation);
         match observation {
             Observation::Stale => {}
-            Observation::Applied => self.holdings.replace(name, runner.holdings()),
+            Observation::Applied => {
+                let changed = self.holdings.replace(name, runner.holdings());
+                self.touched.extend(changed);
+            }
             Observation::Overtaken(term) => self.note_term(term),
         }
     }
@@ -340,6 +349,13 @@
         (highest > self.term).then_some(highest)
     }
 
+    /// Forgets a load.
+    pub(super) fn drop_load(&mut self, slot: &Slot) -> Option<Load> {
+        let load = self.loads.remove(slot)?;
+        self.touched.insert(slot.artifact.clone());
+        Some(load)
+    }
+
     /// Notes a decision.
     pub(super) fn record(&mut self, artifact: &ArtifactId, kind: DecisionKind) {
         self.actions.push(CoordinatorAction::Record(Decision {
--- a/crates/control/src/coordinator/mod.rs
+++ b/crates/control/src/coordinator/mod.rs
@@ -19,6 +19,7 @@
 mod consistency;
 mod demand;
 mod events;
+mod focus;
 mod holdings;
 mod homes;
 mod interface;
@@ -33,10 +34,13 @@
 mod planner;
 mod progress;
 mod quota;
+mod rounds;
+mod rules;
 mod runner;
 mod slots;
 mod unneeded;
 mod views;
+mod wants;
 mod weakness;
 
 pub use interface::{
@@ -191,10 +195,8 @@
         leading.apply_configuration(&context);
         let due = self.ticked || self.changed;
         if leading.placement.fenced() && (self.changed || now >= self.next_plan) {
-            if context.has_configuration() {
-                leading.plan(&context);
-            }
-            leading.answer_changes(&context);
+            let focus = leading.plan(&context);
+            leading.answer_changes(&focus, &context);
             self.changed = false;
             self.next_plan = now + PLAN_INTERVAL;
         }
--- a/crates/control/src/coordinator/needs.rs
+++ b/crates/control/src/coordinator/needs.rs
@@ -9,7 +9,6 @@
 use super::choice::demand_age;
 use super::leading::{Block, Context, Leading};
 use super::loads::{remote_in_progress, remote_queued};
-use super::placement::subject_of;
 use super::quota::QuotaNeed;
 
 /// Demand that has lasted this long makes the zone ask other zones for units. Before that, the
@@ -17,22 +16,12 @@
 const ASK_AFTER: Duration = Duration::from_secs(2);
 
 impl Leading {
-    /// The subjects to look at: all of them from time to time, else those that matter now.
-    pub(super) fn subjects_due(&mut self, all: bool) -> BTreeSet<QuotaSubject> {
-        let mut subjects = self.quotas.take_changed();
-        if all {
-            subjects.extend(self.quotas.subjects());
-        }
-        subjects.extend(self.wanted.keys().map(subject_of));
-        subjects.insert(QuotaSubject::WeightStore);
-        subjects
-    }
-
     /// Reads and writes quotas as needed.
     pub(super) fn step_quotas(&mut self, subjects: &BTreeSet<QuotaSubject>, context: &Context) {
         let reading = self.quotas.read_all(context.now);
         self.actions.extend(reading);
         if !context.may_record {
+            self.unstepped.extend(subjects.iter().cloned());
             return;
         }
         for subject in subjects {
@@ -55,10 +44,7 @@
             claims: self.homes_wanted.contains(subject),
             ..QuotaNeed::default()
         };
-        for (artifact, wanted) in &self.wanted {
-            if subject_of(artifact) != *subject {
-                continue;
-            }
+        for (artifact, wanted) in self.wanted.of_subject(subject) {
             let block = self.blocks.get(artifact);
             let hopeless = matches!(
                 block,
--- a/crates/control/src/coordinator/orders.rs
+++ b/crates/control/src/coordinator/orders.rs
@@ -46,7 +46,7 @@
             OrderAnswer::OtherBoot { .. } => {
                 // The order certainly did nothing, so this is no failed load.
                 if let OrderAction::Load { artifact, .. } = &order.action {
-                    self.loads.remove(&slot(artifact, name));
+                    self.drop_load(&slot(artifact, name));
                 }
                 if let Some(runner) = self.runners.get_mut(name) {
                     runner.other_boot(order.boot);
@@ -99,7 +99,7 @@
 
     /// Gives up a load that failed, so that it is tried elsewhere.
     pub(super) fn load_failed(&mut self, slot: &Slot, context: &Context) {
-        if self.loads.remove(slot).is_none() {
+        if self.drop_load(slot).is_none() {
             return;
         }
         let runner = slot.runner.clone();
@@ -128,7 +128,8 @@
             answered: false,
         };
         self.unloads.insert(slot.clone(), unload);
-        self.loads.remove(slot);
+        self.drop_load(slot);
+        self.touched.insert(slot.artifact.clone());
         self.ready_since.remove(slot);
         let runner = slot.runner.clone();
         self.record(&slot.artifact, DecisionKind::Unload { runner, reason });
--- a/crates/control/src/coordinator/placement.rs
+++ b/crates/control/src/coordinator/placement.rs
@@ -53,6 +53,8 @@
     /// The operation that is to show the own term.
     confirmation_wanted: u64,
     next_step: Timestamp,
+    /// Subjects of slots added or removed since they were last looked at.
+    changed: BTreeSet<QuotaSubject>,
 }
 
 fn count<'a>(slots: impl IntoIterator<Item = &'a Slot>) -> u32 {
@@ -76,6 +78,7 @@
             confirmed: 0,
             confirmation_wanted: 0,
             next_step: Timestamp::ZERO,
+            changed: BTreeSet::new(),
         }
     }
 
@@ -248,8 +251,7 @@
             return PlacementChange::Lost(placement.term);
         }
         self.unsettled.retain(|(base, _)| *base == Some(revision));
-        self.revision = Some(revision);
-        self.slots = placement.slots.into_iter().collect();
+        self.take_in(revision, placement.slots);
         if placement.term == self.term {
             self.confirmed = self.begun;
             return self.fence();
@@ -257,6 +259,23 @@
         PlacementChange::None
     }
 
+    /// Takes in the slots at a revision; those of the revision known are known.
+    fn take_in(&mut self, revision: Revision, slots: Vec<Slot>) {
+        if self.revision == Some(revision) {
+            return;
+        }
+        let slots: SlotTable = slots.into_iter().collect();
+        self.changed
+            .extend(self.slots.subjects_of_difference(&slots));
+        self.revision = Some(revision);
+        self.slots = slots;
+    }
+
+    /// The subjects of slots added or removed since the last call.
+    pub(super) fn take_changed(&mut self) -> BTreeSet<QuotaSubject> {
+        std::mem::take(&mut self.changed)
+    }
+
     pub(super) fn on_written(
         &mut self,
         result: Result<Revision, StoreFault>,
@@ -273,6 +292,7 @@
         match result {
             Ok(revision) => {
                 self.revision = Some(revision);
+                self.changed.extend(written.subjects());
                 self.slots.apply(written);
                 self.unsettled.clear();
                 self.confirmed = self.begun;
--- a/crates/control/src/coordinator/planner.rs
+++ b/crates/control/src/coordinator/planner.rs
@@ -1,18 +1,18 @@
 //! One plan: what is wanted, what to load for it, what to unload, which records to write.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 use flaxward_types::engine::HeldState;
 use flaxward_types::records::{QuotaSubject, Slot};
-use flaxward_types::{ArtifactId, ConfigurationItem, ItemKey, ResultCode, RunnerName, Timestamp};
+use flaxward_types::{ArtifactId, ResultCode, RunnerName, Timestamp};
 
 use super::choice::Choice;
 use super::interface::DecisionKind;
 use super::leading::{Block, Context, Leading, Wanted, slot};
 use super::loads::{Load, Stage};
 use super::placement::subject_of;
-use super::quota::{QuotaRule, split_units};
+use super::wants::Want;
 
 /// Waiting for longer than this on a loaded model calls for one more replica.
 const SCALE_OUT_AFTER: Duration = Duration::from_secs(1);
@@ -22,32 +22,42 @@
 const HOUSEKEEPING_INTERVAL: Duration = Duration::from_secs(1);
 
 impl Leading {
-    /// Decides all that can be decided now.
-    pub(super) fn plan(&mut self, context: &Context) {
+    /// Decides all that can be decided now about the artifacts in focus, which it returns.
+    pub(super) fn plan(&mut self, context: &Context) -> BTreeSet<ArtifactId> {
+        if !context.has_configuration() {
+            self.touch_all(context);
+            return std::mem::take(&mut self.touched);
+        }
         self.placement.clear_wishes();
         self.give_up_gone(context);
-        self.settle_loads(context);
-        self.settle_unloads();
         let housekeeping = context.now >= self.next_housekeeping;
         if housekeeping {
             self.next_housekeeping = context.now + HOUSEKEEPING_INTERVAL;
             self.find_prewarmed(context);
         }
-        self.wanted = self.collect_wanted(context);
-        let mut subjects = self.subjects_due(housekeeping);
+        let mut focus = self.take_focus(context);
+        self.settle_loads(context);
+        self.settle_unloads();
+        for artifact in &focus {
+            self.wanted.set(artifact, self.want(artifact, context));
+        }
+        let mut subjects = self.subjects_due(&focus, housekeeping, context);
         // What must go first goes before anything is loaded, so that it is not loaded again.
         self.release_excess(&subjects, context);
-        if housekeeping || !self.gone.is_empty() {
-            self.release_slots(context);
+        if housekeeping {
+            self.find_useless_slots(context);
         }
-        self.pursue_all(context);
+        self.release_slots(context);
+        self.pursue_all(&focus, context);
         self.advance_loads(context);
-        self.unload_unneeded(context);
+        self.unload_unneeded(&focus, context);
         if housekeeping {
             self.find_homes(context);
         }
         subjects.extend(self.homes_wanted.iter().cloned());
         self.step_quotas(&subjects, context);
+        focus.extend(self.touched.iter().cloned());
+        focus
     }
 
     /// Runners on which an artifact is held and not on its way out.
@@ -86,41 +96,28 @@
         u32::try_from(runners.len()).unwrap_or(u32::MAX)
     }
 
-    fn collect_wanted(&self, context: &Context) -> BTreeMap<ArtifactId, Wanted> {
-        let mut wanted = BTreeMap::new();
-        for artifact in context.demands.artifacts() {
-            let Some(bytes) = context.configuration.bytes(artifact) else {
-                continue;
-            };
-            let Some(want) = self.wanted_by_demand(artifact, context) else {
-                continue;
-            };
-            if artifact.is_adapter() {
-                let base = Wanted {
-                    replicas: 1,
-                    extra_bytes: bytes,
-                    ..want.clone()
-                };
-                merge(&mut wanted, artifact.base(), &base);
-            }
-            merge(&mut wanted, artifact.clone(), &want);
-        }
-        let kept = self.kept.iter().cloned();
-        let prewarmed = self.prewarmed.iter().cloned().map(|artifact| (artifact, 0));
-        for (artifact, replicas) in kept.chain(prewarmed) {
-            let want = Wanted {
-                replicas: replicas.max(1),
-                priority: 0,
-                deadline: Timestamp(u64::MAX),
-                extra_bytes: 0,
-                firm: replicas > 0,
-            };
-            if artifact.is_adapter() {
-                merge(&mut wanted, artifact.base(), &want);
-            }
-            merge(&mut wanted, artifact, &want);
-        }
-        wanted
+    /// What is wanted for the sake of an artifact: by demand, by a rule, or ahead of need.
+    fn want(&self, artifact: &ArtifactId, context: &Context) -> Option<Want> {
+        let demanded = self.demanded(artifact, context);
+        let kept = self.kept.get(artifact).map(|replicas| (*replicas, true));
+        let prewarmed = self.prewarmed.contains(artifact).then_some((1, false));
+        let others = kept.into_iter().chain(prewarmed);
+        let others = others.map(|(replicas, firm)| unasked(artifact, replicas, firm));
+        demanded
+            .into_iter()
+            .chain(others)
+            .reduce(|all, want| all.merged(&want))
+    }
+
+    fn demanded(&self, artifact: &ArtifactId, context: &Context) -> Option<Want> {
+        let bytes = context.configuration.bytes(artifact)?;
+        let own = self.wanted_by_demand(artifact, context)?;
+        let of_base = artifact.is_adapter().then(|| Wanted {
+            replicas: 1,
+            extra_bytes: bytes,
+            ..own.clone()
+        });
+        Some(Want { own, of_base })
     }
 
     fn wanted_by_demand(&self, artifact: &ArtifactId, context: &Context) -> Option<Wanted> {
@@ -151,80 +148,14 @@
         })
     }
 
-    /// Replicas that the rules keep loaded in this zone.
-    pub(super) fn kept_by_rule(&self, context: &Context) -> Vec<(ArtifactId, u32)> {
-        let mut kept = Vec::new();
-        for (key, _, item) in context.configuration.items() {
-            let (ItemKey::Model(model), ConfigurationItem::Model(spec)) = (key, item) else {
-                continue;
-            };
-            if spec.copies.at_least == 0 {
-                continue;
-            }
-            let subject = QuotaSubject::Model(model.clone());
-            let rule = self.rule(&subject, context);
-            let split = split_units(&subject, spec.copies.at_least.min(rule.limit), &rule.zones);
-            let share = split.get(context.zone).copied().unwrap_or(0);
-            let artifact = ArtifactId {
-                model: model.clone(),
-                version: spec.serving.clone(),
-                adapter: None,
-            };
-            if share > 0 && context.configuration.bytes(&artifact).is_some() {
-                kept.push((artifact, share));
-            }
-        }
-        kept
-    }
-
-    /// What the configuration says about a subject.
-    pub(super) fn rule(&self, subject: &QuotaSubject, context: &Context) -> QuotaRule {
-        let configuration = context.configuration;
-        let revision_of = |key: &ItemKey| configuration.item(key).map(|(revision, _)| *revision);
-        let all_zones: BTreeSet<_> = context.zones.iter().cloned().collect();
-        let (QuotaSubject::Model(model) | QuotaSubject::Adapter(model, _)) = subject else {
-            return QuotaRule {
-                limit: self.policy.weight_store_parallel,
-                zones: all_zones,
-                revision: revision_of(&ItemKey::Policy).unwrap_or_default(),
-            };
-        };
-        let model_key = ItemKey::Model(model.clone());
-        let mut revision = revision_of(&model_key);
-        let copies = configuration.model(model).map(|spec| &spec.copies);
-        let mut limit = copies.map_or(0, |copies| copies.at_most);
-        if let QuotaSubject::Adapter(_, adapter) = subject {
-            let key = ItemKey::Adapter(model.clone(), adapter.clone());
-            revision = revision.max(revision_of(&key));
-            limit = match configuration.item(&key) {
-                Some((_, ConfigurationItem::Adapter(spec))) if copies.is_some() => spec.at_most,
-                _ => 0,
-            };
-        }
-        let chosen = copies
-            .map(|copies| &copies.zones)
-            .filter(|zones| !zones.is_empty());
-        let zones = match chosen {
-            Some(chosen) => all_zones.intersection(chosen).cloned().collect(),
-            None => all_zones,
-        };
-        QuotaRule {
-            limit,
-            zones,
-            // A removed item leaves no revision behind; the configuration's own is newer.
-            revision: revision.unwrap_or(configuration.revision()),
-        }
-    }
-
-    /// Decides loads for all that is wanted, the most urgent first.
-    fn pursue_all(&mut self, context: &Context) {
+    /// Decides loads for all in focus that is wanted, the most urgent first. What was blocked is in
+    /// focus.
+    fn pursue_all(&mut self, focus: &BTreeSet<ArtifactId>, context: &Context) {
         self.blocks.clear();
         self.drop_unwanted_loads();
-        let mut queue: Vec<(ArtifactId, Wanted)> = self
-            .wanted
-            .iter()
-            .map(|(artifact, wanted)| (artifact.clone(), wanted.clone()))
-            .collect();
+        let wanted =
+            |artifact: &ArtifactId| Some((artifact.clone(), self.wanted.get(artifact)?.clone()));
+        let mut queue: Vec<(ArtifactId, Wanted)> = focus.iter().filter_map(wanted).collect();
         queue.sort_by_key(|(artifact, wanted)| {
             (
                 std::cmp::Reverse(wanted.priority),
@@ -306,11 +237,17 @@
     }
 }
 
-fn merge(all: &mut BTreeMap<ArtifactId, Wanted>, artifact: ArtifactId, wanted: &Wanted) {
-    let entry = all.entry(artifact).or_insert_with(|| wanted.clone());
-    entry.replicas = entry.replicas.max(wanted.replicas);
-    entry.priority = entry.priority.max(wanted.priority);
-    entry.deadline = entry.deadline.min(wanted.deadline);
-    entry.extra_bytes = entry.extra_bytes.max(wanted.extra_bytes);
-    entry.firm |= wanted.firm;
+/// What is wanted that nobody has asked for.
+fn unasked(artifact: &ArtifactId, replicas: u32, firm: bool) -> Want {
+    let own = Wanted {
+        replicas: replicas.max(1),
+        priority: 0,
+        deadline: Timestamp(u64::MAX),
+        extra_bytes: 0,
+        firm,
+    };
+    Want {
+        of_base: artifact.is_adapter().then(|| own.clone()),
+        own,
+    }
 }
--- a/crates/control/src/coordinator/progress.rs
+++ b/crates/control/src/coordinator/progress.rs
@@ -114,7 +114,7 @@
     }
 
     fn load_ready(&mut self, slot: &Slot, context: &Context) {
-        let Some(load) = self.loads.remove(slot) else {
+        let Some(load) = self.drop_load(slot) else {
             return;
         };
         let now = context.now;
@@ -185,12 +185,12 @@
             .and_then(super::runner::Runner::sealed_boot);
         let has_base = !slot.artifact.is_adapter() || self.has_base(&slot.artifact, &slot.runner);
         if boot != Some(load.boot) || !has_base || !self.takes_loads(&slot.runner, context.now) {
-            self.loads.remove(slot);
+            self.drop_load(slot);
             return;
         }
         let has_slot = self.placement.usable(slot);
         if !has_slot && !self.obtain_slot(slot, context) {
-            self.loads.remove(slot);
+            self.drop_load(slot);
             return;
         }
         let fits = self.fits_now(slot, load.bytes);
@@ -279,7 +279,7 @@
 
     fn order_load(&mut self, slot: &Slot, load: &Load, context: &Context) {
         let Some(checkpoint) = context.configuration.checkpoint(&slot.artifact) else {
-            self.loads.remove(slot);
+            self.drop_load(slot);
             return;
         };
         let action = OrderAction::Load {
--- a/crates/control/src/coordinator/quota.rs
+++ b/crates/control/src/coordinator/quota.rs
@@ -12,6 +12,7 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use super::interface::{CoordinatorAction, CoordinatorSettings, StoreFault};
+use super::rounds::following;
 use super::weakness::Weakness;
 
 /// What the configuration says about a subject.
@@ -107,6 +108,8 @@
     highest: Term,
     /// Subjects whose records have changed since they were last looked at.
     changed: BTreeSet<QuotaSubject>,
+    /// Subjects with a write that failed or whose outcome is unknown.
+    unfinished: BTreeSet<QuotaSubject>,
 }
 
 impl QuotaBook {
@@ -121,6 +124,7 @@
             entries: BTreeMap::new(),
             highest: term,
             changed: BTreeSet::new(),
+            unfinished: BTreeSet::new(),
         }
     }
 
@@ -155,14 +159,28 @@
         }
     }
 
-    /// The subjects with a record.
-    pub(super) fn subjects(&self) -> Vec<QuotaSubject> {
-        self.entries.keys().cloned().collect()
+    /// Number of subjects known.
+    pub(super) fn len(&self) -> usize {
+        self.entries.len()
     }
 
-    /// The subjects whose records have changed since the last call.
-    pub(super) fn take_changed(&mut self) -> BTreeSet<QuotaSubject> {
-        std::mem::take(&mut self.changed)
+    /// The subjects that follow one in their order, round and round.
+    pub(super) fn following(
+        &self,
+        last: Option<&QuotaSubject>,
+    ) -> impl Iterator<Item = &QuotaSubject> + use<'_> {
+        following(&self.entries, last).map(|(subject, _)| subject)
+    }
+
+    /// Some subjects whose records have changed since they were last taken.
+    pub(super) fn take_changed(&mut self, most: usize) -> BTreeSet<QuotaSubject> {
+        let taken = std::iter::from_fn(|| self.changed.pop_first());
+        taken.take(most).collect()
+    }
+
+    /// The subjects with a write to be made again or settled.
+    pub(super) fn unfinished(&self) -> impl Iterator<Item = &QuotaSubject> {
+        self.unfinished.iter()
     }
 
     /// The record of a subject as last read.
@@ -326,6 +344,9 @@
         }
         entry.stale = false;
         entry.unsettled.retain(|write| write.base == Some(revision));
+        if entry.unsettled.is_empty() {
+            self.unfinished.remove(&quota.subject);
+        }
         self.changed.insert(quota.subject.clone());
         entry.record = Some((revision, quota));
         known != Some(revision)
@@ -344,6 +365,9 @@
         let Some(write) = entry.outstanding.take() else {
             return;
         };
+        if result.is_err() {
+            self.unfinished.insert(subject.clone());
+        }
         match result {
             Ok(revision) => {
                 self.on_changed(revision, write.quota);
--- a/crates/control/src/coordinator/slots.rs
+++ b/crates/control/src/coordinator/slots.rs
@@ -4,6 +4,7 @@
 //! changes a few of them.
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::ops::Bound::{Excluded, Unbounded};
 
 use flaxward_types::records::{QuotaSubject, Slot};
 use flaxward_types::{ArtifactId, RunnerName};
@@ -34,6 +35,24 @@
         self.all.iter()
     }
 
+    /// Number of slots.
+    pub(super) fn len(&self) -> usize {
+        self.all.len()
+    }
+
+    /// The slots that follow one in their order, round and round.
+    pub(super) fn following(&self, last: Option<&Slot>) -> impl Iterator<Item = &Slot> + use<'_> {
+        let start = last.map_or(Unbounded, Excluded);
+        let rest = self.all.range((start, Unbounded));
+        rest.chain(&self.all).take(self.all.len())
+    }
+
+    /// The subjects of the slots that are in only one of two tables.
+    pub(super) fn subjects_of_difference(&self, other: &Self) -> BTreeSet<QuotaSubject> {
+        let difference = self.all.symmetric_difference(&other.all);
+        difference.map(|slot| subject_of(&slot.artifact)).collect()
+    }
+
     /// The slots that count against a subject, in order.
     pub(super) fn of_subject(
         &self,
@@ -133,6 +152,12 @@
         self.added.is_empty() && self.removed.is_empty()
     }
 
+    /// The subjects of the slots that are added or removed.
+    pub(super) fn subjects(&self) -> impl Iterator<Item = QuotaSubject> {
+        let slots = self.added.iter().chain(&self.removed);
+        slots.map(|slot| subject_of(&slot.artifact))
+    }
+
     /// Whether a slot is there once the change is carried out.
     pub(super) fn leaves(&self, slots: &SlotTable, slot: &Slot) -> bool {
         self.added.contains(slot) || (slots.contains(slot) && !self.removed.contains(slot))
--- a/crates/control/src/coordinator/unneeded.rs
+++ b/crates/control/src/coordinator/unneeded.rs
@@ -6,7 +6,7 @@
 use flaxward_types::records::{QuotaSubject, Slot};
 use flaxward_types::{ArtifactId, RunnerName, Timestamp};
 
-use super::homes::configured;
+use super::focus::next_slice;
 use super::interface::UnloadReason;
 use super::leading::{Context, Leading, slot};
 use super::loads::Tier;
@@ -15,22 +15,28 @@
 
 impl Leading {
     /// Unloads replicas that are not allowed, leaving, idle or more than needed.
-    pub(super) fn unload_unneeded(&mut self, context: &Context) {
+    pub(super) fn unload_unneeded(&mut self, focus: &BTreeSet<ArtifactId>, context: &Context) {
+        let mut looked_at = self.held_slice();
+        looked_at.extend(focus.iter().cloned());
+        looked_at.sort();
+        looked_at.dedup();
         let mut due = Vec::new();
-        for (artifact, name, state) in self.holdings.iter() {
-            let key = slot(artifact, name);
-            let settled = state == HeldState::Ready && !self.unloads.contains_key(&key);
-            if !settled {
-                continue;
-            }
-            if let Some(reason) = self.unload_reason(&key, context) {
-                due.push((key, reason));
+        for artifact in &looked_at {
+            for (name, state) in self.holdings.of(artifact) {
+                let key = slot(artifact, name);
+                let settled = state == HeldState::Ready && !self.unloads.contains_key(&key);
+                if !settled {
+                    continue;
+                }
+                if let Some(reason) = self.unload_reason(&key, context) {
+                    due.push((key, reason));
+                }
             }
         }
         for (key, reason) in due {
             self.unload_after_adapters(&key, reason);
         }
-        self.unload_surplus(context);
+        self.unload_surplus(focus, context);
     }
 
     fn unload_reason(&self, key: &Slot, context: &Context) -> Option<UnloadReason> {
@@ -96,25 +102,36 @@
             .decide(artifact, context.now, &self.policy, load_time)
     }
 
-    /// Works out what to load ahead of need.
+    /// Works out what to load ahead of need, for a slice of all that is configured.
     pub(super) fn find_prewarmed(&mut self, context: &Context) {
-        let due = |artifact: &ArtifactId| {
-            let last_use = context.keep_alive.last_use(artifact);
-            last_use.is_some_and(|last_use| {
-                let idle = context.now.since(last_use);
-                self.keep_alive(artifact, context).wants_prewarm(idle)
-            })
-        };
-        let configured = configured(context).into_iter();
-        self.prewarmed = configured.filter(due).collect();
+        let slice = next_slice(&mut self.cursors.prewarmed, self.configured_artifacts.len());
+        for place in slice {
+            let artifact = self.configured_artifacts[place].clone();
+            let changed = if self.is_prewarm_due(&artifact, context) {
+                self.prewarmed.insert(artifact.clone())
+            } else {
+                self.prewarmed.remove(&artifact)
+            };
+            if changed {
+                self.touched.insert(artifact);
+            }
+        }
+    }
+
+    fn is_prewarm_due(&self, artifact: &ArtifactId, context: &Context) -> bool {
+        let last_use = context.keep_alive.last_use(artifact);
+        last_use.is_some_and(|last_use| {
+            let idle = context.now.since(last_use);
+            self.keep_alive(artifact, context).wants_prewarm(idle)
+        })
     }
 
     /// Unloads one replica of what has had more than it needs for its whole keep-alive.
-    fn unload_surplus(&mut self, context: &Context) {
+    fn unload_surplus(&mut self, focus: &BTreeSet<ArtifactId>, context: &Context) {
         let mut due = Vec::new();
         let mut surplus_since = std::mem::take(&mut self.surplus_since);
         surplus_since.retain(|artifact, _| self.has_surplus(artifact, context.now));
-        for artifact in self.wanted.keys() {
+        for artifact in focus {
             if !self.has_surplus(artifact, context.now) {
                 continue;
             }
@@ -153,21 +170,37 @@
         Some(slot(artifact, name))
     }
 
-    /// Gives up slots of machines that are gone, and those that the configuration or the zone's
-    /// units do not allow.
-    pub(super) fn release_slots(&mut self, context: &Context) {
-        let slots: Vec<Slot> = self.placement.slots().iter().cloned().collect();
-        for key in &slots {
-            let gone = self.gone.contains(&key.runner);
-            let useless =
-                self.is_removed(&key.artifact, context) || !self.serves(&key.runner, context.now);
-            let free = self.is_empty(key, context) && !self.loads.contains_key(key);
-            if gone || (useless && free) {
-                self.placement.wish_removed(key);
+    /// Finds slots of no use in a slice of all. They are kept in mind until they are given up,
+    /// because wishes are stated anew in each plan.
+    pub(super) fn find_useless_slots(&mut self, context: &Context) {
+        for key in self.slot_slice() {
+            if self.is_useless(&key, context) {
+                self.useless.insert(key);
             }
         }
     }
 
+    /// Gives up slots of machines that are gone, and those of no use.
+    pub(super) fn release_slots(&mut self, context: &Context) {
+        let mut useless = std::mem::take(&mut self.useless);
+        useless.retain(|key| self.placement.slots().contains(key) && self.is_useless(key, context));
+        let gone = self.gone.iter();
+        let of_gone = gone.flat_map(|name| self.placement.on_runner(name));
+        let given_up: Vec<Slot> = of_gone.chain(&useless).cloned().collect();
+        for key in given_up {
+            self.placement.wish_removed(&key);
+        }
+        self.useless = useless;
+    }
+
+    /// Whether a free slot is one that the configuration does not allow, or on a runner that does
+    /// not serve.
+    fn is_useless(&self, key: &Slot, context: &Context) -> bool {
+        let useless =
+            self.is_removed(&key.artifact, context) || !self.serves(&key.runner, context.now);
+        useless && self.is_empty(key, context) && !self.loads.contains_key(key)
+    }
+
     /// Frees slots of some subjects down to the goals that their quotas set.
     pub(super) fn release_excess(&mut self, subjects: &BTreeSet<QuotaSubject>, context: &Context) {
         for subject in subjects {
@@ -185,8 +218,10 @@
         self.goals.insert(subject.clone(), goal);
         let mut excess = planned.saturating_sub(goal);
         if excess == 0 {
+            self.excess.remove(subject);
             return;
         }
+        self.excess.insert(subject.clone());
         let slots = self.placement.slots().of_subject(subject);
         let mut slots: Vec<Slot> = slots.cloned().collect();
         slots.sort_by_key(|key| {
@@ -210,7 +245,7 @@
             return false;
         }
         if self.is_empty(key, context) {
-            self.loads.remove(key);
+            self.drop_load(key);
             self.placement.wish_removed(key);
             return true;
         }
--- a/crates/control/src/coordinator/wants.rs
+++ b/crates/control/src/coordinator/wants.rs
@@ -9,6 +9,7 @@
 use flaxward_types::records::QuotaSubject;
 use flaxward_types::{ArtifactId, Timestamp};
 
+use super::rounds::following;
 use super::slots::subject_of;
 
 /// What is wanted of an artifact.
@@ -46,7 +47,7 @@
 
 impl Want {
     /// What satisfies both.
-    pub(super) fn merged(self, other: Self) -> Self {
+    pub(super) fn merged(self, other: &Self) -> Self {
         let of_base = match (self.of_base, &other.of_base) {
             (Some(ours), Some(theirs)) => Some(ours.merged(theirs)),
             (ours, theirs) => ours.or_else(|| theirs.clone()),
@@ -81,13 +82,17 @@
         self.wanted.keys()
     }
 
+    /// Number of artifacts wanted.
+    pub(super) fn len(&self) -> usize {
+        self.wanted.len()
+    }
+
     /// The artifacts wanted that follow one in the order, round and round.
-    pub(super) fn following(&self, last: Option<&ArtifactId>) -> impl Iterator<Item = &ArtifactId> {
-        let start = last.map_or(Unbounded, Excluded);
-        let rest = self.wanted.range((start, Unbounded));
-        rest.chain(&self.wanted)
-            .map(|(artifact, _)| artifact)
-            .take(self.wanted.len())
+    pub(super) fn following(
+        &self,
+        last: Option<&ArtifactId>,
+    ) -> impl Iterator<Item = &ArtifactId> + use<'_> {
+        following(&self.wanted, last).map(|(artifact, _)| artifact)
     }
 
     /// What is wanted of the artifacts that count against a subject.
