Answers to demands: only what changed, and a sample of busy replicas

At 40 daemons a coordinator exchanged 270 KB/s with daemons and a member 17 KB/s, nearly all of it answers: each of 13 busy models was demanded every 2 s by every gateway and answered each time with all of its replicas.

- A demand names the answer that the gateway holds.
If it still holds, the coordinator confirms it by its sequence (Message::RoutesHeld) and sends no replicas.
A lost push is so mended by the next demand.
- Each gateway is told at most 8 replicas of an artifact, by rendezvous hashing, and hears of a change only if its own sample changed.
- Demand of running requests is renewed every 20 s, after 2 s if its number doubled or halved or the last demand was not answered, and together with other renewals that are due in half a period.
The end of all requests is told, since renewals no longer show it.
The coordinator forgets such demand after 50 s; demand of waiting requests after 5 s, as before.
- An answer to one gateway no longer counts as news to all others.

Ruled out: sending loads with each renewal (14 KB/s at a coordinator by reckoning; loads are sent again when they differ by more than a factor of two and 4 requests).

--- a/crates/control/src/admission.rs
+++ b/crates/control/src/admission.rs
@@ -14,7 +14,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use flaxward_types::routing::RouteAnswer;
+use flaxward_types::routing::{HeldAnswers, RouteAnswer};
 use flaxward_types::{ArtifactId, ResultCode, RunnerName, Timestamp, ZoneName};
 
 pub use interface::{
@@ -54,7 +54,7 @@
 impl ArtifactState {
     /// Whether a coordinator is to be told of the artifact, apart from those who wait for it.
     fn is_in_use(&self) -> bool {
-        let is_used = |(_, route): (_, &ZoneRoute)| route.running > 0 || route.arrivals > 0;
+        let is_used = |(_, route): (_, &ZoneRoute)| route.is_in_use();
         self.promise.is_some() || self.routes.iter().any(is_used)
     }
 }
@@ -152,6 +152,7 @@
         match event {
             AdmissionEvent::Arrive(arrival) => self.arrive(now, arrival, &mut actions),
             AdmissionEvent::Routes(answer) => self.apply_routes(now, answer, &mut actions),
+            AdmissionEvent::RoutesHeld(held) => self.confirm_routes(now, &held),
             AdmissionEvent::Finished(request) | AdmissionEvent::CallerGone(request) => {
                 self.end(request);
             }
@@ -170,6 +171,7 @@
             }
             AdmissionEvent::Tick => self.tick(now, &mut actions),
         }
+        self.renew_along(now, &mut actions);
         actions
     }
 
@@ -245,6 +247,12 @@
         self.review(now, &artifact, actions);
     }
 
+    fn confirm_routes(&mut self, now: Timestamp, held: &HeldAnswers) {
+        for state in self.artifacts.values_mut() {
+            state.routes.confirm(now, held);
+        }
+    }
+
     fn tick(&mut self, now: Timestamp, actions: &mut Vec<AdmissionAction>) {
         self.unreachable.retain(|_, until| *until > now);
         self.forget_unused(now);
--- a/crates/control/src/admission/demands.rs
+++ b/crates/control/src/admission/demands.rs
@@ -77,16 +77,37 @@
 
     /// Zones whose replicas are used and that have not been told for a while.
     fn zones_in_use(&self, now: Timestamp, state: &ArtifactState) -> BTreeSet<ZoneName> {
-        let period = self.settings.running_demand_period;
         state
             .routes
             .iter()
-            .filter(|(_, route)| route.running > 0 || route.arrivals > 0)
-            .filter(|(_, route)| route.may_ask(now, period))
+            .filter(|(_, route)| route.is_in_use() && route.renewal_is_due(now, &self.settings))
             .map(|(zone, _)| zone.clone())
             .collect()
     }
 
+    /// Renews the demands that are due soon in zones that are sent a demand anyway, so that they
+    /// go in one message from then on.
+    pub(super) fn renew_along(&mut self, now: Timestamp, actions: &mut Vec<AdmissionAction>) {
+        let zones: BTreeSet<ZoneName> = actions.iter().filter_map(demanded_zone).collect();
+        for zone in zones {
+            for artifact in self.due_soon(now, &zone) {
+                self.send_demand(now, &artifact, &zone, false, actions);
+            }
+        }
+    }
+
+    /// Artifacts that nobody waits for and whose demand to a zone is due in half a period or less.
+    fn due_soon(&self, now: Timestamp, zone: &ZoneName) -> Vec<ArtifactId> {
+        let period = self.settings.renewal_period / 2;
+        let is_due = |(artifact, state): &(&ArtifactId, &ArtifactState)| {
+            let is_wanted = self.queue.count(artifact) > 0 || state.promise.is_some();
+            let route = state.routes.zone(zone);
+            !is_wanted && route.is_some_and(|route| route.is_in_use() && route.may_ask(now, period))
+        };
+        let due = self.artifacts.iter().filter(is_due);
+        due.map(|(artifact, _)| artifact.clone()).collect()
+    }
+
     fn send_demand(
         &mut self,
         now: Timestamp,
@@ -114,6 +135,7 @@
             priority: 0,
             earliest_deadline_ms: u64::MAX,
             arrivals: route.arrivals,
+            known: route.version(),
         };
         if is_asked {
             demand.waiting = u32::try_from(waiting).unwrap_or(u32::MAX);
@@ -132,6 +154,13 @@
     }
 }
 
+fn demanded_zone(action: &AdmissionAction) -> Option<ZoneName> {
+    match action {
+        AdmissionAction::SendDemand { zone, .. } => Some(zone.clone()),
+        _ => None,
+    }
+}
+
 fn millis(duration: Duration) -> u64 {
     u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
 }
--- a/crates/control/src/admission/interface.rs
+++ b/crates/control/src/admission/interface.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeSet;
 use std::time::Duration;
 
-use flaxward_types::routing::{Demand, RouteAnswer};
+use flaxward_types::routing::{Demand, HeldAnswers, RouteAnswer};
 use flaxward_types::{ArtifactId, Refusal, RunnerName, Timestamp, ZoneName};
 
 /// Number of a request within one daemon; never used twice.
@@ -23,8 +23,11 @@
     pub zone_recheck: Duration,
     /// Time between two demands for the same artifact to the same zone while anyone waits.
     pub demand_period: Duration,
-    /// The same while requests run and nobody waits; such a demand only keeps replicas alive.
+    /// The same while requests run and nobody waits, if their number has changed by half or the
+    /// last demand was not answered.
     pub running_demand_period: Duration,
+    /// The same if there is nothing new; such a demand only keeps replicas alive.
+    pub renewal_period: Duration,
     /// How long a request that a runner gave back is not sent to it again.
     pub avoid_period: Duration,
     /// How long a runner that could not be reached is left alone by all requests.
@@ -44,6 +47,7 @@
             zone_recheck: Duration::from_secs(10),
             demand_period: Duration::from_secs(1),
             running_demand_period: Duration::from_secs(2),
+            renewal_period: Duration::from_secs(20),
             avoid_period: Duration::from_millis(500),
             unreachable_period: Duration::from_secs(2),
             route_expiry: Duration::from_mins(10),
@@ -87,6 +91,8 @@
     Arrive(Arrival),
     /// A coordinator has answered a demand.
     Routes(RouteAnswer),
+    /// A coordinator says that answers of its still hold.
+    RoutesHeld(HeldAnswers),
     /// A dispatched request has ended.
     Finished(RequestId),
     /// A dispatched request wants another back end; it waits again.
--- a/crates/control/src/admission/routes.rs
+++ b/crates/control/src/admission/routes.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::time::Duration;
 
-use flaxward_types::routing::{Outlook, Replica, RouteAnswer};
+use flaxward_types::routing::{AnswerVersion, HeldAnswers, Outlook, Replica, RouteAnswer};
 use flaxward_types::{Refusal, Timestamp, ZoneName};
 
 use super::interface::AdmissionSettings;
@@ -13,6 +13,8 @@
 pub(super) struct ZoneRoute {
     /// Its latest answer and when it came.
     answer: Option<(Timestamp, RouteAnswer)>,
+    /// When the zone last said that it holds, by sending or by confirming it.
+    confirmed: Timestamp,
     /// When it was last asked.
     asked: Option<Timestamp>,
     /// When it was asked first since its last answer.
@@ -21,6 +23,8 @@
     pub arrivals: u32,
     /// Requests that run on its replicas.
     pub running: u32,
+    /// Requests that ran there when it was last asked.
+    told_running: u32,
 }
 
 /// How a zone stands as a place to ask.
@@ -92,10 +96,37 @@
             return false;
         }
         self.answer = Some((now, answer));
-        self.unanswered_since = None;
+        self.confirm(now);
         true
     }
 
+    fn confirm(&mut self, now: Timestamp) {
+        self.confirmed = now;
+        self.unanswered_since = None;
+    }
+
+    /// What names the latest answer, if the zone has given one.
+    pub fn version(&self) -> Option<AnswerVersion> {
+        let (_, answer) = self.answer.as_ref()?;
+        Some(answer.version())
+    }
+
+    /// Whether its coordinator counts on requests of this gateway, or should.
+    pub fn is_in_use(&self) -> bool {
+        self.running > 0 || self.arrivals > 0 || self.told_running > 0
+    }
+
+    /// Whether the coordinator should hear again of requests that run.
+    pub fn renewal_is_due(&self, now: Timestamp, settings: &AdmissionSettings) -> bool {
+        let is_news = has_changed(self.told_running, self.running);
+        let period = if is_news || self.unanswered_since.is_some() {
+            settings.running_demand_period
+        } else {
+            settings.renewal_period
+        };
+        self.may_ask(now, period)
+    }
+
     fn standing(&self, now: Timestamp, settings: &AdmissionSettings) -> Standing<'_> {
         let silent_for = self.unanswered_since.map(|since| now.since(since));
         let silence = settings.zone_patience..settings.zone_patience + settings.zone_recheck;
@@ -117,7 +148,7 @@
         validity: Duration,
     ) -> Option<(Timestamp, &RouteAnswer)> {
         let (received, answer) = self.answer.as_ref()?;
-        (now.since(*received) < validity).then_some((*received, answer))
+        (now.since(self.confirmed) < validity).then_some((*received, answer))
     }
 
     /// Whether a demand may be sent now.
@@ -129,6 +160,7 @@
     pub fn note_asked(&mut self, now: Timestamp, settings: &AdmissionSettings) {
         self.asked = Some(now);
         self.arrivals = 0;
+        self.told_running = self.running;
         let silence = settings.zone_patience + settings.zone_recheck;
         let expired = self
             .unanswered_since
@@ -173,6 +205,11 @@
     }
 }
 
+/// Whether a number of requests has doubled or fallen by half since it was told.
+fn has_changed(told: u32, now: u32) -> bool {
+    told != now && (now >= told.saturating_mul(2) || now.saturating_mul(2) <= told)
+}
+
 /// What all zones have told about one artifact.
 #[derive(Clone, Debug, Default)]
 pub(super) struct Routes {
@@ -201,6 +238,19 @@
         self.zone_mut(&zone).apply(now, answer)
     }
 
+    /// Takes word of a zone that some of its answers still hold.
+    pub fn confirm(&mut self, now: Timestamp, held: &HeldAnswers) {
+        let Some(route) = self.zones.get_mut(&held.zone) else {
+            return;
+        };
+        let is_held = route.version().is_some_and(|version| {
+            version.term == held.term && held.sequences.contains(&version.sequence)
+        });
+        if is_held {
+            route.confirm(now);
+        }
+    }
+
     /// The zone to ask now: the own zone first, then those it names, then the others in order.
     pub fn target(&self, now: Timestamp, zones: &Zones, settings: &AdmissionSettings) -> Target {
         let mut next: VecDeque<ZoneName> = zones.order.first().cloned().into_iter().collect();
--- a/crates/control/src/coordinator/answers.rs
+++ b/crates/control/src/coordinator/answers.rs
@@ -3,21 +3,35 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
-use flaxward_types::routing::{Outlook, Replica, RouteAnswer};
+use flaxward_types::routing::{AnswerVersion, Outlook, Replica, RouteAnswer};
 use flaxward_types::{ArtifactId, DaemonName, ResultCode, Timestamp};
 
 use super::interface::{CoordinatorAction, DecisionKind};
 use super::leading::{Block, Context, Leading};
 use super::loads::Tier;
+use super::sample::{SAMPLE, sample};
 
 /// Estimate added while something else has to happen before the load.
 const PREPARATION: Duration = Duration::from_secs(1);
 /// Estimates that grow by less than this are not worth an answer.
 const ESTIMATE_SLACK: Duration = Duration::from_secs(1);
+/// Loads that differ by this factor at most are no news, ...
+const LOAD_FACTOR: u32 = 2;
+/// ... and neither are those that differ by this number of requests beyond it.
+const LOAD_SLACK: u32 = 4;
 /// When to ask again about a model that is not configured.
 const ASK_AGAIN_UNKNOWN: Duration = Duration::from_secs(1);
 
-/// What was last answered about an artifact.
+/// A gateway that has asked, and what it knows already.
+#[derive(Clone, Debug)]
+pub(super) struct Asked {
+    pub(super) gateway: DaemonName,
+    pub(super) artifact: ArtifactId,
+    /// The answer that it holds.
+    pub(super) known: Option<AnswerVersion>,
+}
+
+/// How an artifact stood when it was last answered about.
 #[derive(Clone, Debug)]
 struct Sent {
     ready: Vec<Replica>,
@@ -25,39 +39,100 @@
     at: Timestamp,
 }
 
+/// Ready replicas that one gateway was told of.
+#[derive(Clone, Debug)]
+struct Told {
+    version: AnswerVersion,
+    sample: Vec<Replica>,
+}
+
 /// What was answered to whom.
 #[derive(Clone, Debug, Default)]
 pub(super) struct Answers {
     sequence: u64,
     sent: BTreeMap<ArtifactId, Sent>,
-    /// Gateways that know of ready replicas and must hear when they go.
-    informed: BTreeMap<ArtifactId, BTreeSet<DaemonName>>,
+    /// Gateways that know of ready replicas and must hear when these go.
+    told: BTreeMap<ArtifactId, BTreeMap<DaemonName, Told>>,
 }
 
 impl Answers {
     /// Forgets a gateway.
     pub(super) fn forget_gateway(&mut self, gateway: &DaemonName) {
-        for gateways in self.informed.values_mut() {
+        for gateways in self.told.values_mut() {
             gateways.remove(gateway);
         }
+        self.told.retain(|_, gateways| !gateways.is_empty());
+    }
+
+    fn told(&self, artifact: &ArtifactId, gateway: &DaemonName) -> Option<&Told> {
+        self.told.get(artifact)?.get(gateway)
+    }
+
+    /// Notes what a gateway is told from now on.
+    fn note_told(&mut self, artifact: &ArtifactId, gateway: &DaemonName, told: Told) {
+        if told.sample.is_empty() {
+            if let Some(gateways) = self.told.get_mut(artifact) {
+                gateways.remove(gateway);
+            }
+            return;
+        }
+        let gateways = self.told.entry(artifact.clone()).or_default();
+        gateways.insert(gateway.clone(), told);
+    }
+
+    /// Gateways that know of ready replicas of an artifact.
+    fn informed(&self, artifact: &ArtifactId) -> impl Iterator<Item = &DaemonName> {
+        let gateways = self.told.get(artifact);
+        gateways.into_iter().flat_map(BTreeMap::keys)
+    }
+}
+
+impl Told {
+    /// Whether the gateway need not be told this sample, since it knows the same machines.
+    fn names(&self, sample: &[Replica]) -> bool {
+        same_machines(&self.sample, sample)
+    }
+
+    /// Whether the loads told are still near enough to choose by.
+    fn has_loads_of(&self, sample: &[Replica]) -> bool {
+        let mut pairs = self.sample.iter().zip(sample);
+        pairs.all(|(old, new)| is_near(old.outstanding, new.outstanding))
     }
 }
 
 impl Leading {
-    /// Answers one gateway, unless it is being answered anyway.
-    pub(super) fn answer_gateway(
-        &mut self,
-        gateway: &DaemonName,
-        artifact: &ArtifactId,
-        context: &Context,
-    ) {
+    /// Answers one gateway, unless it is being answered anyway. What it knows already is confirmed
+    /// in a few bytes.
+    pub(super) fn answer_gateway(&mut self, asked: &Asked, context: &Context) {
+        let Asked {
+            gateway,
+            artifact,
+            known,
+        } = asked;
         let answered = self.actions.iter().any(|action| {
             matches!(action, CoordinatorAction::Answer(to, answer)
                 if to == gateway && answer.artifact == *artifact)
         });
-        if self.placement.fenced() && !answered {
-            let (ready, outlook) = self.state_of(artifact, context);
-            self.send_answer(gateway, artifact, ready, outlook, context);
+        if !self.placement.fenced() || answered {
+            return;
+        }
+        let (ready, outlook) = self.state_of(artifact, context);
+        // A change that others must hear of is left to the next plan.
+        let sent = self.answers.sent.get(artifact);
+        if sent.is_none_or(|sent| sent.still_holds(&ready, &outlook, context.now)) {
+            self.note_sent(artifact, &ready, &outlook, context.now);
+        }
+        let sample = sample(gateway, ready, SAMPLE);
+        let told = self.answers.told(artifact, gateway);
+        let held = told.filter(|told| {
+            Some(told.version) == *known && told.names(&sample) && told.has_loads_of(&sample)
+        });
+        match held.map(|told| told.version) {
+            Some(version) => {
+                let action = CoordinatorAction::Confirm(gateway.clone(), version);
+                self.actions.push(action);
+            }
+            None => self.send_answer(gateway, artifact, sample, outlook, context),
         }
     }
 
@@ -67,7 +142,7 @@
             return;
         }
         let mut artifacts: BTreeSet<ArtifactId> = context.demands.artifacts().cloned().collect();
-        artifacts.extend(self.answers.informed.keys().cloned());
+        artifacts.extend(self.answers.told.keys().cloned());
         self.answers
             .sent
             .retain(|artifact, _| artifacts.contains(artifact));
@@ -78,12 +153,33 @@
                 continue;
             }
             self.record_refusal(&artifact, &outlook);
-            let mut gateways: BTreeSet<DaemonName> =
-                context.demands.gateways(&artifact).cloned().collect();
-            gateways.extend(self.answers.informed.remove(&artifact).unwrap_or_default());
-            for gateway in gateways {
-                self.send_answer(&gateway, &artifact, ready.clone(), outlook.clone(), context);
+            self.note_sent(&artifact, &ready, &outlook, context.now);
+            self.answer_all(&artifact, &ready, &outlook, context);
+        }
+    }
+
+    /// Answers the gateways that want an artifact or know of replicas of it, but none whose sample
+    /// has stayed the same.
+    fn answer_all(
+        &mut self,
+        artifact: &ArtifactId,
+        ready: &[Replica],
+        outlook: &Outlook,
+        context: &Context,
+    ) {
+        let mut gateways: BTreeSet<DaemonName> =
+            context.demands.gateways(artifact).cloned().collect();
+        gateways.extend(self.answers.informed(artifact).cloned());
+        for gateway in gateways {
+            let sample = sample(&gateway, ready.to_vec(), SAMPLE);
+            let told = self.answers.told(artifact, &gateway);
+            if told.is_some_and(|told| told.names(&sample)) {
+                continue;
             }
+            self.send_answer(&gateway, artifact, sample, outlook.clone(), context);
+        }
+        if ready.is_empty() {
+            self.answers.told.remove(artifact);
         }
     }
 
@@ -98,34 +194,43 @@
         }
     }
 
+    fn note_sent(
+        &mut self,
+        artifact: &ArtifactId,
+        ready: &[Replica],
+        outlook: &Outlook,
+        now: Timestamp,
+    ) {
+        let sent = Sent {
+            ready: ready.to_vec(),
+            outlook: outlook.clone(),
+            at: now,
+        };
+        self.answers.sent.insert(artifact.clone(), sent);
+    }
+
     fn send_answer(
         &mut self,
         gateway: &DaemonName,
         artifact: &ArtifactId,
-        ready: Vec<Replica>,
+        sample: Vec<Replica>,
         outlook: Outlook,
         context: &Context,
     ) {
-        let answers = &mut self.answers;
-        answers.sequence += 1;
-        if !ready.is_empty() {
-            let informed = answers.informed.entry(artifact.clone()).or_default();
-            informed.insert(gateway.clone());
-        }
-        let sent = Sent {
-            ready: ready.clone(),
-            outlook: outlook.clone(),
-            at: context.now,
-        };
-        answers.sent.insert(artifact.clone(), sent);
+        self.answers.sequence += 1;
         let answer = RouteAnswer {
             artifact: artifact.clone(),
             zone: context.zone.clone(),
             term: self.term,
-            sequence: answers.sequence,
-            ready,
+            sequence: self.answers.sequence,
+            ready: sample,
             outlook,
         };
+        let told = Told {
+            version: answer.version(),
+            sample: answer.ready.clone(),
+        };
+        self.answers.note_told(artifact, gateway, told);
         self.actions
             .push(CoordinatorAction::Answer(gateway.clone(), answer));
     }
@@ -193,12 +298,7 @@
 impl Sent {
     /// Whether the answer need not be sent again.
     fn still_holds(&self, ready: &[Replica], outlook: &Outlook, now: Timestamp) -> bool {
-        let same_replicas = self.ready.len() == ready.len()
-            && self
-                .ready
-                .iter()
-                .zip(ready)
-                .all(|(old, new)| old.runner == new.runner && old.address == new.address);
+        let same_replicas = same_machines(&self.ready, ready);
         let same_outlook = match (&self.outlook, outlook) {
             (Outlook::Loading { estimate_ms: old }, Outlook::Loading { estimate_ms: new }) => {
                 let left = Duration::from_millis(*old).saturating_sub(now.since(self.at));
@@ -212,6 +312,19 @@
     }
 }
 
+fn same_machines(old: &[Replica], new: &[Replica]) -> bool {
+    let same =
+        |(old, new): (&Replica, &Replica)| old.runner == new.runner && old.address == new.address;
+    old.len() == new.len() && old.iter().zip(new).all(same)
+}
+
+/// Whether two loads differ too little to be news.
+fn is_near(old: u32, new: u32) -> bool {
+    let low = old.min(new);
+    let high = old.max(new);
+    high <= low.saturating_mul(LOAD_FACTOR).saturating_add(LOAD_SLACK)
+}
+
 fn loading(estimate: Duration) -> Outlook {
     Outlook::Loading {
         estimate_ms: millis(estimate),
--- a/crates/control/src/coordinator/demand.rs
+++ b/crates/control/src/coordinator/demand.rs
@@ -6,6 +6,8 @@
 use flaxward_types::routing::Demand;
 use flaxward_types::{ArtifactId, DaemonName, Timestamp};
 
+use super::interface::CoordinatorSettings;
+
 /// What all gateways together want of one artifact.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) struct DemandSummary {
@@ -42,7 +44,7 @@
     pub(super) fn put(&mut self, gateway: DaemonName, demand: Demand, now: Timestamp) -> bool {
         let artifact = demand.artifact.clone();
         let active = demand.waiting > 0 || demand.running > 0;
-        if active || demand.arrivals > 0 {
+        if active || demand.arrivals > 0 || self.is_running(&artifact) {
             self.last_active.insert(artifact.clone(), now);
         }
         if !active {
@@ -74,20 +76,35 @@
 
     /// Forgets a gateway.
     pub(super) fn forget_gateway(&mut self, gateway: &DaemonName) {
-        self.retain(|name, _| name != gateway);
+        self.retain(|name, _, _| name != gateway);
+    }
+
+    /// Whether requests run on the artifact, as far as was told.
+    pub(super) fn is_running(&self, artifact: &ArtifactId) -> bool {
+        let entry = self.entries.get(artifact);
+        let mut demands = entry.iter().flat_map(|entry| entry.gateways.values());
+        demands.any(|(demand, _)| demand.running > 0)
     }
 
     /// Forgets demand that was not renewed.
-    pub(super) fn expire(&mut self, now: Timestamp, expiry: Duration) {
-        self.retain(|_, at| now.since(at) < expiry);
+    pub(super) fn expire(&mut self, now: Timestamp, settings: &CoordinatorSettings) {
+        self.retain(|_, demand, at| {
+            let expiry = if demand.waiting > 0 {
+                settings.demand_expiry
+            } else {
+                settings.running_demand_expiry
+            };
+            now.since(at) < expiry
+        });
         for entry in self.entries.values_mut() {
             entry.note_waiting(now);
         }
     }
 
-    fn retain(&mut self, mut keep: impl FnMut(&DaemonName, Timestamp) -> bool) {
+    fn retain(&mut self, mut keep: impl FnMut(&DaemonName, &Demand, Timestamp) -> bool) {
         for entry in self.entries.values_mut() {
-            entry.gateways.retain(|name, (_, at)| keep(name, *at));
+            let gateways = &mut entry.gateways;
+            gateways.retain(|name, (demand, at)| keep(name, demand, *at));
         }
         self.entries.retain(|_, entry| !entry.gateways.is_empty());
     }
--- a/crates/control/src/coordinator/events.rs
+++ b/crates/control/src/coordinator/events.rs
@@ -1,11 +1,12 @@
 //! Takes in events: each changes the state of the part that it is about.
 
 use flaxward_types::routing::Demand;
-use flaxward_types::{ArtifactId, DaemonName, Timestamp};
+use flaxward_types::{DaemonName, Timestamp};
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
 use super::Coordinator;
+use super::answers::Asked;
 use super::interface::{CoordinatorAction, CoordinatorEvent, StoreFault};
 use super::leading::Leading;
 use super::lease::LeaseChange;
@@ -20,7 +21,7 @@
         now: Timestamp,
         configuration: &Configuration,
         actions: &mut Vec<CoordinatorAction>,
-    ) -> Option<(DaemonName, ArtifactId)> {
+    ) -> Option<Asked> {
         // What only confirms what is known calls for no new plan.
         self.changed |= matches!(
             event,
@@ -33,8 +34,8 @@
         );
         match event {
             CoordinatorEvent::Tick => {
-                let expiry = self.shared.settings.demand_expiry;
-                self.shared.demands.expire(now, expiry);
+                let settings = &self.shared.settings;
+                self.shared.demands.expire(now, settings);
             }
             CoordinatorEvent::Rank(rank) => self.shared.lease.set_rank(rank),
             CoordinatorEvent::Stop => {
@@ -92,8 +93,14 @@
         gateway: DaemonName,
         demand: Demand,
         now: Timestamp,
-    ) -> (DaemonName, ArtifactId) {
+    ) -> Asked {
         let artifact = demand.artifact.clone();
+        let known = demand.known;
+        if self.shared.demands.is_running(&artifact) {
+            // Demand of running requests is renewed rarely, so a pause in it is no idle time.
+            self.shared.keep_alive.record_use(&artifact, now);
+            self.shared.keep_alive.record_use(&artifact.base(), now);
+        }
         if demand.waiting > 0 || demand.running > 0 || demand.arrivals > 0 {
             // An adapter keeps its base in use as well.
             let keep_alive = &mut self.shared.keep_alive;
@@ -101,7 +108,11 @@
             keep_alive.record_arrival(&artifact.base(), now);
         }
         self.changed |= self.shared.demands.put(gateway.clone(), demand, now);
-        (gateway, artifact)
+        Asked {
+            gateway,
+            artifact,
+            known,
+        }
     }
 
     /// Takes in an answer of the store about placement or quotas.
--- a/crates/control/src/coordinator/interface.rs
+++ b/crates/control/src/coordinator/interface.rs
@@ -4,7 +4,7 @@
 
 use flaxward_types::engine::{Inventory, LoadReport, Machine, Order, OrderAnswer};
 use flaxward_types::records::{Quota, QuotaSubject, ZoneLease, ZonePlacement};
-use flaxward_types::routing::{Demand, RouteAnswer};
+use flaxward_types::routing::{AnswerVersion, Demand, RouteAnswer};
 use flaxward_types::{ArtifactId, DaemonName, OrderId, ResultCode, Revision, RunnerName, Term};
 
 /// Durations that steer a coordinator. The defaults are those of the settings file.
@@ -28,8 +28,10 @@
     pub load_tries: u32,
     /// First pause after all tries failed; doubles with each further failure.
     pub load_backoff: Duration,
-    /// Time after which a demand that is not renewed is forgotten.
+    /// Time after which a demand of requests that wait is forgotten if it is not renewed.
     pub demand_expiry: Duration,
+    /// The same while requests run and none waits; such a demand is renewed rarely.
+    pub running_demand_expiry: Duration,
     /// Assumed speed of a load from the weight store, in bytes a second, until one is measured.
     pub remote_bytes_per_second: u64,
     /// Assumed speed of a load from a machine's disk, in bytes a second, until one is measured.
@@ -51,6 +53,7 @@
             load_tries: 3,
             load_backoff: Duration::from_secs(5),
             demand_expiry: Duration::from_secs(5),
+            running_demand_expiry: Duration::from_secs(50),
             remote_bytes_per_second: 1 << 30,
             disk_bytes_per_second: 4 << 30,
             memory_bytes_per_second: 16 << 30,
@@ -165,6 +168,8 @@
     },
     /// Tell a gateway how an artifact stands.
     Answer(DaemonName, RouteAnswer),
+    /// Tell a gateway that an answer which it holds still holds.
+    Confirm(DaemonName, AnswerVersion),
     /// This daemon coordinates the zone under this term from now on.
     Lead(Term),
     /// This daemon no longer coordinates the zone.
--- a/crates/control/src/coordinator/mod.rs
+++ b/crates/control/src/coordinator/mod.rs
@@ -7,7 +7,7 @@
 
 use flaxward_types::engine::Machine;
 use flaxward_types::records::QuotaSubject;
-use flaxward_types::{ArtifactId, DaemonName, Timestamp, ZoneName};
+use flaxward_types::{DaemonName, Timestamp, ZoneName};
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
@@ -32,6 +32,7 @@
 mod progress;
 mod quota;
 mod runner;
+mod sample;
 mod unneeded;
 mod views;
 mod weakness;
@@ -41,9 +42,11 @@
     StoreFault, UnloadReason,
 };
 pub use quota::split_units;
+pub use sample::{SAMPLE, sample};
 pub use views::{ReplicaView, RunnerView, WaitingView};
 pub use weakness::Weakness;
 
+use answers::Asked;
 use demand::DemandTable;
 use journal::Journal;
 use leading::{Context, Leading};
@@ -176,7 +179,7 @@
     /// Plans if there is reason to, and sends what is due.
     fn advance(
         &mut self,
-        asked: Option<(DaemonName, ArtifactId)>,
+        asked: Option<Asked>,
         now: Timestamp,
         configuration: &Configuration,
         actions: &mut Vec<CoordinatorAction>,
@@ -202,8 +205,8 @@
             let step = leading.placement.step(now, context.may_record);
             leading.actions.extend(step);
         }
-        if let Some((gateway, artifact)) = asked {
-            leading.answer_gateway(&gateway, &artifact, &context);
+        if let Some(asked) = asked {
+            leading.answer_gateway(&asked, &context);
         }
         actions.append(&mut leading.actions);
     }
--- a/crates/control/src/gossip/mod.rs
+++ b/crates/control/src/gossip/mod.rs
@@ -341,6 +341,7 @@
         | Message::Snapshot(_) => false,
         Message::Demands(_)
         | Message::Routes(_)
+        | Message::RoutesHeld(_)
         | Message::Reports(_)
         | Message::Machines(_)
         | Message::ViewWanted { .. }
--- a/crates/control/src/keep_alive.rs
+++ b/crates/control/src/keep_alive.rs
@@ -110,7 +110,8 @@
     }
 
     /// Notes that an artifact is in use: a request arrived, or still runs. Pauses of less than eight
-    /// seconds are no idle time, so a long busy period is reported at least that often.
+    /// seconds are no idle time, so a long busy period is reported at least that
+    /// often, here or to [`record_use`](Self::record_use).
     pub fn record_arrival(&mut self, artifact: &ArtifactId, now: Timestamp) {
         let Some(history) = self.artifacts.get_mut(artifact) else {
             self.artifacts.insert(artifact.clone(), History::new(now));
@@ -126,6 +127,13 @@
         self.record_prior(idle, weight);
     }
 
+    /// Notes that an artifact has been in use without a break until now.
+    pub fn record_use(&mut self, artifact: &ArtifactId, now: Timestamp) {
+        if let Some(history) = self.artifacts.get_mut(artifact) {
+            history.last_use = history.last_use.max(now);
+        }
+    }
+
     /// Forgets an artifact that is no longer configured.
     pub fn forget(&mut self, artifact: &ArtifactId) {
         self.artifacts.remove(artifact);
--- a/crates/control/src/node/interface.rs
+++ b/crates/control/src/node/interface.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 
 use flaxward_types::engine::Machine;
-use flaxward_types::routing::{Demand, RouteAnswer};
+use flaxward_types::routing::{Demand, HeldAnswers, RouteAnswer};
 use flaxward_types::{RunnerName, Term, ZoneName};
 use flaxward_wire::{
     ConfigurationDelta, ConfigurationSnapshot, Envelope, Peer, RunnerReport, View,
@@ -48,6 +48,8 @@
     Platform(CoordinatorAction),
     /// Tell the gateway how artifacts stand.
     Routes(Vec<RouteAnswer>),
+    /// Tell the gateway that answers which it holds still hold.
+    RoutesHeld(HeldAnswers),
     /// Tell the gateway which zones have a coordinator that can be asked.
     Heads(BTreeSet<ZoneName>),
     /// Tell the gateway which runners take no new work.
--- a/crates/control/src/node/mod.rs
+++ b/crates/control/src/node/mod.rs
@@ -4,6 +4,7 @@
 
 mod interface;
 mod machines;
+mod replies;
 mod share;
 
 use std::collections::{BTreeMap, BTreeSet};
@@ -11,7 +12,7 @@
 use std::time::Duration;
 
 use flaxward_types::engine::Machine;
-use flaxward_types::routing::{Demand, RouteAnswer};
+use flaxward_types::routing::Demand;
 use flaxward_types::{DaemonName, RunnerName, Term, Timestamp, ZoneName};
 use flaxward_wire::{MemberState, MemberUpdate, Message, Peer, RunnerReport};
 
@@ -23,6 +24,8 @@
 pub use machines::Machines;
 pub use share::share;
 
+use replies::Replies;
+
 /// Time between two sendings of a machine snapshot that has not changed.
 const MACHINES_RENEWAL: Duration = Duration::from_secs(10);
 
@@ -37,7 +40,7 @@
     coordinator: Coordinator,
     machines: Machines,
     peers: BTreeMap<DaemonName, Peer>,
-    routes: BTreeMap<DaemonName, Vec<RouteAnswer>>,
+    replies: Replies,
     /// Runners whose engines say that they are leaving.
     engine_reports: BTreeSet<RunnerName>,
     machines_sequence: u64,
@@ -78,7 +81,7 @@
             coordinator,
             machines: Machines::default(),
             peers: BTreeMap::new(),
-            routes: BTreeMap::new(),
+            replies: Replies::default(),
             engine_reports: BTreeSet::new(),
             machines_sequence: 0,
             machines_sent: None,
@@ -113,7 +116,7 @@
             NodeEvent::Stop => self.stop(),
             NodeEvent::Drained => self.drained(),
         }
-        self.send_routes();
+        self.send_replies();
         std::mem::take(&mut self.actions)
     }
 
@@ -230,6 +233,7 @@
                 }
             }
             Message::Routes(answers) => self.actions.push(NodeAction::Routes(answers)),
+            Message::RoutesHeld(held) => self.actions.push(NodeAction::RoutesHeld(held)),
             Message::Machines(snapshot) => {
                 let is_wanted = from.zone == self.me.zone && self.leading().is_none();
                 if is_wanted && self.machines.receive(snapshot) {
@@ -342,7 +346,10 @@
     fn act(&mut self, action: CoordinatorAction) {
         match action {
             CoordinatorAction::Answer(daemon, answer) => {
-                self.routes.entry(daemon).or_default().push(answer);
+                self.replies.answer(daemon, answer);
+            }
+            CoordinatorAction::Confirm(daemon, version) => {
+                self.replies.confirm(daemon, version);
             }
             CoordinatorAction::Lead(term) => self.lead(term),
             CoordinatorAction::Resign => {
@@ -381,17 +388,6 @@
         }
     }
 
-    /// Sends the coordinator's answers, one message for each gateway.
-    fn send_routes(&mut self) {
-        for (daemon, answers) in std::mem::take(&mut self.routes) {
-            if daemon == self.me.name {
-                self.actions.push(NodeAction::Routes(answers));
-            } else if let Some(peer) = self.peers.get(&daemon).cloned() {
-                self.send(&peer, Message::Routes(answers));
-            }
-        }
-    }
-
     fn machines_read(&mut self, machines: Vec<Machine>) {
         let zone = self.me.zone.clone();
         if self.machines.replace(&zone, machines) {
--- a/crates/control/tests/coordinator/support/gateways.rs
+++ b/crates/control/tests/coordinator/support/gateways.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use flaxward_control::coordinator::CoordinatorEvent;
-use flaxward_types::routing::{Demand, Outlook, RouteAnswer};
+use flaxward_types::routing::{AnswerVersion, Demand, Outlook, RouteAnswer};
 use flaxward_types::{ArtifactId, DaemonName};
 
 use super::world::{Happening, Want, World};
@@ -65,6 +65,10 @@
             priority: 1,
             earliest_deadline_ms: want.until.saturating_sub(self.now),
             arrivals: 0,
+            known: want
+                .newest
+                .get(&want.zone)
+                .map(|&(term, sequence)| AnswerVersion { term, sequence }),
         };
         let zone = want.zone.clone();
         let daemons: Vec<(DaemonName, u64)> = self
--- a/crates/control/tests/coordinator/support/world.rs
+++ b/crates/control/tests/coordinator/support/world.rs
@@ -104,6 +104,7 @@
         load_timeout: Duration::from_secs(15),
         load_backoff: Duration::from_secs(2),
         demand_expiry: Duration::from_secs(3),
+        running_demand_expiry: Duration::from_secs(3),
         remote_bytes_per_second: 2 * GIGABYTE,
         disk_bytes_per_second: 8 * GIGABYTE,
         ..CoordinatorSettings::default()
--- a/crates/flaxward/src/daemon/core.rs
+++ b/crates/flaxward/src/daemon/core.rs
@@ -105,6 +105,7 @@
             NodeAction::Send(to, envelope) => parts.peers.send(to, &envelope),
             NodeAction::Platform(operation) => self.operate(operation),
             NodeAction::Routes(answers) => parts.gateway.on_routes(answers),
+            NodeAction::RoutesHeld(held) => parts.gateway.on_routes_held(held),
             NodeAction::Heads(zones) => parts.gateway.on_heads(zones),
             NodeAction::Leaving(leaving) => {
                 state_change("leaving-changed", &[("runners", &leaving.len())]);
@@ -170,6 +171,7 @@
             }
             // The node keeps the others to itself.
             CoordinatorAction::Answer(..)
+            | CoordinatorAction::Confirm(..)
             | CoordinatorAction::Lead(_)
             | CoordinatorAction::Resign
             | CoordinatorAction::Stopped
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -11,7 +11,7 @@
 use flaxward_control::configuration::Configuration;
 use flaxward_platform::ObjectApi;
 use flaxward_types::engine::Machine;
-use flaxward_types::routing::RouteAnswer;
+use flaxward_types::routing::{HeldAnswers, RouteAnswer};
 use flaxward_types::{DaemonName, Refusal, ResultCode, Revision, RunnerName, ZoneName};
 use futures::FutureExt;
 use futures::future::BoxFuture;
@@ -144,6 +144,11 @@
         }
     }
 
+    /// Takes word of coordinators that answers which this gateway holds still hold.
+    pub fn on_routes_held(&self, held: HeldAnswers) {
+        self.scheduler.handle(AdmissionEvent::RoutesHeld(held));
+    }
+
     /// Takes the zones whose coordinator is known.
     pub fn on_heads(&self, heads: BTreeSet<ZoneName>) {
         self.scheduler.handle(AdmissionEvent::Heads(heads));
--- a/crates/lab/src/controller/coordinators.rs
+++ b/crates/lab/src/controller/coordinators.rs
@@ -147,8 +147,10 @@
             CoordinatorAction::Record(decision) => {
                 self.commands.push(Command::Decided(decision));
             }
-            CoordinatorAction::Lead(_) | CoordinatorAction::Resign | CoordinatorAction::Stopped => {
-            }
+            CoordinatorAction::Confirm(..)
+            | CoordinatorAction::Lead(_)
+            | CoordinatorAction::Resign
+            | CoordinatorAction::Stopped => {}
         }
     }
 
--- a/crates/lab/src/fleet/callers.rs
+++ b/crates/lab/src/fleet/callers.rs
@@ -5,7 +5,7 @@
 use flaxward_control::admission::{AdmissionEvent, RequestId};
 use flaxward_control::node::NodeEvent;
 use flaxward_types::engine::LoadReport;
-use flaxward_types::routing::RouteAnswer;
+use flaxward_types::routing::{HeldAnswers, RouteAnswer};
 use flaxward_types::{ArtifactId, RunnerName, ZoneName};
 use rand::RngExt;
 use rand::seq::IndexedRandom;
@@ -117,6 +117,12 @@
         }
     }
 
+    pub(super) fn routes_held(&mut self, process: Process, held: HeldAnswers) {
+        self.with_gateway(process, |gateway, now| {
+            gateway.handle(AdmissionEvent::RoutesHeld(held), now)
+        });
+    }
+
     pub(super) fn heads(&mut self, process: Process, zones: BTreeSet<ZoneName>) {
         self.with_gateway(process, |gateway, now| {
             gateway.handle(AdmissionEvent::Heads(zones), now)
--- a/crates/lab/src/fleet/tally.rs
+++ b/crates/lab/src/fleet/tally.rs
@@ -88,7 +88,7 @@
         Message::Configuration(_) | Message::ConfigurationWanted { .. } | Message::Snapshot(_) => {
             Purpose::Configuration
         }
-        Message::Demands(_) | Message::Routes(_) => Purpose::Demand,
+        Message::Demands(_) | Message::Routes(_) | Message::RoutesHeld(_) => Purpose::Demand,
         Message::Reports(_) => Purpose::Observation,
         Message::Machines(_) => Purpose::Machines,
     }
--- a/crates/lab/src/fleet/world.rs
+++ b/crates/lab/src/fleet/world.rs
@@ -419,6 +419,7 @@
             NodeAction::Relist => self.queue.add(self.now, Happening::Follow(process)),
             NodeAction::Stopped => self.stopped(process),
             NodeAction::Routes(answers) => self.routes(process, answers),
+            NodeAction::RoutesHeld(held) => self.routes_held(process, held),
             NodeAction::Heads(zones) => self.heads(process, zones),
             NodeAction::Leaving(runners) => self.leaving(process, runners),
             NodeAction::Services(_)
--- a/crates/lab/src/simulation/gateway.rs
+++ b/crates/lab/src/simulation/gateway.rs
@@ -154,6 +154,7 @@
             priority,
             earliest_deadline_ms: earliest,
             arrivals: std::mem::take(&mut self.arrivals),
+            known: None,
         }
     }
 }
--- a/crates/lab/src/simulation/world/calls.rs
+++ b/crates/lab/src/simulation/world/calls.rs
@@ -131,6 +131,7 @@
                 priority: 0,
                 earliest_deadline_ms: 0,
                 arrivals: 0,
+                known: None,
             };
             self.later(Event::Demanded(left, name, nothing));
             self.demand(gateway, &answer.artifact);
--- a/crates/settings/src/control.rs
+++ b/crates/settings/src/control.rs
@@ -24,6 +24,7 @@
             load_tries: section.load_tries,
             load_backoff: section.load_backoff,
             demand_expiry: section.demand_expiry,
+            running_demand_expiry: CoordinatorSettings::default().running_demand_expiry,
             remote_bytes_per_second: section.remote_bytes_per_second.as_u64(),
             disk_bytes_per_second: section.disk_bytes_per_second.as_u64(),
             memory_bytes_per_second: section.memory_bytes_per_second.as_u64(),
--- a/crates/simulation/src/gateway/interface.rs
+++ b/crates/simulation/src/gateway/interface.rs
@@ -9,7 +9,7 @@
 use flaxward_control::claims::{ClaimFault, ClaimSettings, ClaimWrite};
 use flaxward_control::configuration::Configuration;
 use flaxward_types::engine::Machine;
-use flaxward_types::routing::{Demand, RouteAnswer};
+use flaxward_types::routing::{Demand, HeldAnswers, RouteAnswer};
 use flaxward_types::{ArtifactId, AttemptId, Revision, RunnerName, ZoneName};
 
 use crate::caller::{CallerRequest, Delivery, Frame};
@@ -81,6 +81,8 @@
     ClaimWritten(u64, Result<Revision, ClaimFault>),
     /// Answers of coordinators.
     Routes(Vec<RouteAnswer>),
+    /// Answers that the gateway holds still hold.
+    RoutesHeld(HeldAnswers),
     /// The zones whose coordinator is known.
     Heads(BTreeSet<ZoneName>),
     /// The runners that take no new work.
--- a/crates/simulation/src/gateway/mod.rs
+++ b/crates/simulation/src/gateway/mod.rs
@@ -86,6 +86,7 @@
                     self.admit(AdmissionEvent::Routes(answer));
                 }
             }
+            GatewayEvent::RoutesHeld(held) => self.admit(AdmissionEvent::RoutesHeld(held)),
             GatewayEvent::Heads(heads) => self.admit(AdmissionEvent::Heads(heads)),
             GatewayEvent::Leaving(_) if ignores_leaving => {}
             GatewayEvent::Leaving(leaving) => {
--- a/crates/simulation/src/region/daemons.rs
+++ b/crates/simulation/src/region/daemons.rs
@@ -258,6 +258,9 @@
             NodeAction::Send(to, envelope) => self.send_envelope(id, to, envelope),
             NodeAction::Platform(action) => self.operate(id, action),
             NodeAction::Routes(answers) => self.tell_gateway(id, GatewayEvent::Routes(answers)),
+            NodeAction::RoutesHeld(held) => {
+                self.tell_gateway(id, GatewayEvent::RoutesHeld(held));
+            }
             NodeAction::Heads(zones) => self.tell_gateway(id, GatewayEvent::Heads(zones)),
             NodeAction::Leaving(leaving) => {
                 self.tell_gateway(id, GatewayEvent::Leaving(leaving));
--- a/crates/types/src/routing.rs
+++ b/crates/types/src/routing.rs
@@ -21,6 +21,17 @@
     pub earliest_deadline_ms: u64,
     /// Requests begun since the last demand was sent.
     pub arrivals: u32,
+    /// The answer of this zone that the gateway holds, so that it is not told the same again.
+    pub known: Option<AnswerVersion>,
+}
+
+/// Names one answer of one zone.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct AnswerVersion {
+    /// Term of the coordinator that answered.
+    pub term: Term,
+    /// Its sequence within the term, the same for no two answers.
+    pub sequence: u64,
 }
 
 /// The coordinator's answer to a demand.
@@ -34,12 +45,33 @@
     pub term: Term,
     /// Rises with each change within a term; an answer older than the last applied is ignored.
     pub sequence: u64,
-    /// Replicas that take new work.
+    /// Replicas that take new work: all of them, or the gateway's sample if there are many.
     pub ready: Vec<Replica>,
     /// What happens to requests that find no ready replica.
     pub outlook: Outlook,
 }
 
+impl RouteAnswer {
+    /// What names this answer among those of its zone.
+    pub fn version(&self) -> AnswerVersion {
+        AnswerVersion {
+            term: self.term,
+            sequence: self.sequence,
+        }
+    }
+}
+
+/// Answers of one zone that a gateway holds and that still hold, so that none is sent again.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct HeldAnswers {
+    /// The zone.
+    pub zone: ZoneName,
+    /// Term of the coordinator that answered.
+    pub term: Term,
+    /// Sequences of the answers.
+    pub sequences: Vec<u64>,
+}
+
 /// One replica that takes work.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Replica {
--- a/crates/wire/src/message.rs
+++ b/crates/wire/src/message.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 
 use flaxward_types::engine::{Inventory, LoadReport, Machine};
-use flaxward_types::routing::{Demand, RouteAnswer};
+use flaxward_types::routing::{Demand, HeldAnswers, RouteAnswer};
 use flaxward_types::{
     ConfigurationItem, DaemonName, ItemKey, ModelName, Revision, RunnerName, Term, ZoneName,
 };
@@ -81,6 +81,8 @@
     Demands(Vec<Demand>),
     /// The coordinator's answers.
     Routes(Vec<RouteAnswer>),
+    /// Answers that the gateway holds and that still hold, in place of sending them again.
+    RoutesHeld(HeldAnswers),
     /// What an observer saw of runners, to the coordinator of the zone.
     Reports(Vec<RunnerReport>),
     /// The machine list of the region, from a coordinator to the members of its zone.
