--- a/crates/control/src/coordinator/demand.rs
+++ b/crates/control/src/coordinator/demand.rs
@@ -6,6 +6,8 @@
 use flaxward_types::routing::Demand;
 use flaxward_types::{ArtifactId, DaemonName, Timestamp};
 
+use super::interface::CoordinatorSettings;
+
 /// What all gateways together want of one artifact.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) struct DemandSummary {
@@ -36,8 +38,8 @@
     entries: BTreeMap<ArtifactId, ArtifactDemand>,
     /// Artifacts that requests wait for.
     waiting: BTreeSet<ArtifactId>,
-    /// No demand is older than this.
-    oldest: Timestamp,
+    /// No demand expires before this.
+    next_expiry: Timestamp,
     last_active: BTreeMap<ArtifactId, Timestamp>,
 }
 
@@ -46,7 +48,7 @@
     pub(super) fn put(&mut self, gateway: DaemonName, demand: Demand, now: Timestamp) -> bool {
         let artifact = demand.artifact.clone();
         let active = demand.waiting > 0 || demand.running > 0;
-        if active || demand.arrivals > 0 {
+        if active || demand.arrivals > 0 || self.is_running(&artifact) {
             self.last_active.insert(artifact.clone(), now);
         }
         if !active {
@@ -85,25 +87,44 @@
 
     /// Forgets a gateway. Returns the artifacts that it wanted.
     pub(super) fn forget_gateway(&mut self, gateway: &DaemonName) -> Vec<ArtifactId> {
-        self.retain(|name, _| name != gateway)
+        self.retain(|name, _, _| name != gateway)
+    }
+
+    /// Whether requests run on the artifact, as far as was told.
+    pub(super) fn is_running(&self, artifact: &ArtifactId) -> bool {
+        let entry = self.entries.get(artifact);
+        let mut demands = entry.iter().flat_map(|entry| entry.gateways.values());
+        demands.any(|(demand, _)| demand.running > 0)
     }
 
     /// Forgets demand that was not renewed. Returns the artifacts that it was about.
-    pub(super) fn expire(&mut self, now: Timestamp, expiry: Duration) -> Vec<ArtifactId> {
+    pub(super) fn expire(
+        &mut self,
+        now: Timestamp,
+        settings: &CoordinatorSettings,
+    ) -> Vec<ArtifactId> {
         self.settle_waiting(now);
-        if now.since(self.oldest) < expiry {
+        if now < self.next_expiry {
             return Vec::new();
         }
-        let expired = self.retain(|_, at| now.since(at) < expiry);
-        let renewed = self.entries.values().flat_map(|entry| {
-            let demands = entry.gateways.values();
-            demands.map(|(_, at)| *at)
-        });
-        self.oldest = renewed.min().unwrap_or(now);
+        let lives = |demand: &Demand, at: Timestamp| now.since(at) < lifetime(demand, settings);
+        let expired = self.retain(|_, demand, at| lives(demand, at));
+        self.next_expiry = self.earliest_expiry(now, settings);
         self.settle_waiting(now);
         expired
     }
 
+    /// When the first demand expires. What is put from now on expires no earlier than the lifetime
+    /// of waiting demand from now, the shorter one.
+    fn earliest_expiry(&self, now: Timestamp, settings: &CoordinatorSettings) -> Timestamp {
+        let demands = self
+            .entries
+            .values()
+            .flat_map(|entry| entry.gateways.values());
+        let expiries = demands.map(|(demand, at)| *at + lifetime(demand, settings));
+        expiries.fold(now + settings.demand_expiry, Timestamp::min)
+    }
+
     /// Notes where nobody waits any more.
     fn settle_waiting(&mut self, now: Timestamp) {
         let entries = &mut self.entries;
@@ -115,12 +136,16 @@
         });
     }
 
-    fn retain(&mut self, keep: impl Fn(&DaemonName, Timestamp) -> bool) -> Vec<ArtifactId> {
+    fn retain(
+        &mut self,
+        keep: impl Fn(&DaemonName, &Demand, Timestamp) -> bool,
+    ) -> Vec<ArtifactId> {
         let mut fewer = Vec::new();
         for (artifact, entry) in &mut self.entries {
             let before = entry.gateways.len();
-            entry.gateways.retain(|name, (_, at)| keep(name, *at));
-            if entry.gateways.len() < before {
+            let gateways = &mut entry.gateways;
+            gateways.retain(|name, (demand, at)| keep(name, demand, *at));
+            if gateways.len() < before {
                 fewer.push(artifact.clone());
             }
         }
@@ -178,6 +203,15 @@
     }
 }
 
+/// How long a demand holds that is not renewed.
+fn lifetime(demand: &Demand, settings: &CoordinatorSettings) -> Duration {
+    if demand.waiting > 0 {
+        settings.demand_expiry
+    } else {
+        settings.running_demand_expiry
+    }
+}
+
 impl ArtifactDemand {
     fn note_waiting(&mut self, now: Timestamp) {
         if self.gateways.values().any(|(demand, _)| demand.waiting > 0) {
