Settings: the gateway's limits on bodies, streams and runners can be set

Cause: held_bytes, answer_hold, stream_idle, stream_resume_wait, stream_limit, unreachable_period and running_demand_period had fixed values that no settings file could change. The daemon also repeated by hand what settings::control does for admission, attempts, retries and claims, so a new key had to be added twice.

Change: seven keys under [gateway], with the former values as defaults. Checked with 6002: body_limit and answer_hold fit into held_bytes, stream_idle and stream_resume_wait are shorter than stream_limit, running_demand_period is shorter than coordinator.demand_expiry. The daemon takes the settings of the state machines from settings::control.

Tests: five rows for the new rules. units_are_kept sets held_bytes beside body_limit, since a body longer than all that is held is now refused, and checks both. The scaled settings of the process tests had demand_expiry at 2 s beside a running_demand_period of 2 s, which the new rule refuses: a replica could be forgotten while it ran; they now set 600 ms.

--- a/crates/flaxward/src/daemon/mod.rs
+++ b/crates/flaxward/src/daemon/mod.rs
@@ -324,12 +324,15 @@
     gateway.default_deadline = section.default_deadline;
     gateway.max_deadline = section.max_deadline;
     gateway.max_in_progress = usize_of(section.max_in_progress.into());
-    gateway.admission.total_limit = usize_of(section.queue_total.into());
-    gateway.admission.demand_period = section.demand_renewal;
-    gateway.admission.coordinator_grace = section.coordinator_grace;
-    gateway.attempts.max_attempts = section.attempts;
-    gateway.retries.per_thousand = section.retry_share.per_thousand();
-    gateway.claims.lifetime = settings.claims.lifetime;
+    gateway.held_bytes = usize_of(section.held_bytes.as_u64());
+    gateway.answer_hold = usize_of(section.answer_hold.as_u64());
+    gateway.stream_idle = section.stream_idle;
+    gateway.stream_resume_wait = section.stream_resume_wait;
+    gateway.stream_limit = section.stream_limit;
+    gateway.admission = settings.admission();
+    gateway.attempts = settings.attempts();
+    gateway.retries = settings.retries();
+    gateway.claims = settings.claims();
     gateway
 }
 
--- a/crates/flaxward/tests/processes/support/region.rs
+++ b/crates/flaxward/tests/processes/support/region.rs
@@ -32,6 +32,7 @@
     ("platform.engine_timeout", "1s"),
     ("gateway.default_deadline", "30s"),
     ("gateway.demand_renewal", "300ms"),
+    ("gateway.running_demand_period", "600ms"),
     ("coordinator.lease_duration", "1500ms"),
     ("coordinator.lease_renewal", "300ms"),
     ("coordinator.clock_drift", "100ms"),
--- a/crates/settings/src/checks.rs
+++ b/crates/settings/src/checks.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use bytesize::ByteSize;
 use flaxward_types::ZoneName;
 
 use crate::reader::Reader;
@@ -11,6 +12,9 @@
 /// Pairs of durations of which the first must be shorter than the second.
 const SHORTER: &[(&str, &str)] = &[
     ("gateway.demand_renewal", "coordinator.demand_expiry"),
+    ("gateway.running_demand_period", "coordinator.demand_expiry"),
+    ("gateway.stream_idle", "gateway.stream_limit"),
+    ("gateway.stream_resume_wait", "gateway.stream_limit"),
     ("gateway.body_timeout", "gateway.max_deadline"),
     ("gateway.max_deadline", "claims.lifetime"),
     ("membership.probe_timeout", "membership.probe_interval"),
@@ -24,11 +28,20 @@
     ("coordinator.clock_drift", "coordinator.lease_duration"),
 ];
 
+/// Sizes that are held, which must fit into what is held altogether.
+const HELD: &[&str] = &["gateway.body_limit", "gateway.answer_hold"];
+
+/// Bytes held altogether.
+const HELD_BYTES: &str = "gateway.held_bytes";
+
 /// Applies all rules.
 pub(crate) fn check_together(reader: &mut Reader<'_>) {
     for (shorter, longer) in SHORTER {
         check_shorter(reader, shorter, longer);
     }
+    for held in HELD {
+        check_held(reader, held);
+    }
     check_default_deadline(reader);
     check_lease(reader);
     check_zones(reader);
@@ -53,6 +66,19 @@
     }
 }
 
+/// One that is longer than all together could never be held.
+fn check_held(reader: &mut Reader<'_>, held: &str) {
+    let one = reader.peek::<ByteSize>(held);
+    let all = reader.peek::<ByteSize>(HELD_BYTES);
+    let (Some(one), Some(all)) = (one, all) else {
+        return;
+    };
+    if one > all {
+        let reason = format!("must not be more than {HELD_BYTES}, which is {all}");
+        reader.refuse(held, reason);
+    }
+}
+
 fn check_default_deadline(reader: &mut Reader<'_>) {
     let default = reader.peek::<Duration>("gateway.default_deadline");
     let longest = reader.peek::<Duration>("gateway.max_deadline");
--- a/crates/settings/src/control.rs
+++ b/crates/settings/src/control.rs
@@ -41,6 +41,8 @@
             total_limit: self.gateway.queue_total as usize,
             coordinator_grace: self.gateway.coordinator_grace,
             demand_period: self.gateway.demand_renewal,
+            running_demand_period: self.gateway.running_demand_period,
+            unreachable_period: self.gateway.unreachable_period,
             ..AdmissionSettings::default()
         }
     }
--- a/crates/settings/src/sections.rs
+++ b/crates/settings/src/sections.rs
@@ -70,12 +70,27 @@
         max_deadline: Duration = Default("10m");
         /// Requests in progress at this daemon, waiting ones included, at most.
         max_in_progress: u32 = Default("8192");
+        /// Bodies of requests and answers held at this daemon, all together.
+        held_bytes: ByteSize = Default("64 MiB");
+        /// Longest answer without a stream that is held until it is whole, so that another attempt
+        /// can replace it; a longer one is passed on as it comes.
+        answer_hold: ByteSize = Default("1 MiB");
+        /// Longest silence of a back end in the middle of a stream.
+        stream_idle: Duration = Default("30s");
+        /// Time that a broken stream waits for another replica.
+        stream_resume_wait: Duration = Default("30s");
+        /// Time after the deadline in which a stream may still be sent to another replica.
+        stream_limit: Duration = Default("1h");
         /// Requests waiting at this daemon for all models together, at most.
         queue_total: u32 = Default("4096");
         /// Time between two demands for the same model to the same coordinator.
         demand_renewal: Duration = Default("1s");
+        /// The same while requests run and none waits; such a demand only keeps replicas loaded.
+        running_demand_period: Duration = Default("2s");
         /// Time that a request waits while no coordinator answers, before it is refused.
         coordinator_grace: Duration = Default("3s");
+        /// Time for which a runner that could not be reached is left alone by all requests.
+        unreachable_period: Duration = Default("2s");
         /// Attempts at one repeatable request, the first included, at most.
         attempts: u32 = Default("3");
         /// Retries allowed, as a share of the first attempts.
--- a/crates/settings/tests/settings.rs
+++ b/crates/settings/tests/settings.rs
@@ -186,6 +186,21 @@
             6002,
             "gateway.demand_renewal",
         ),
+        (
+            "gateway.running_demand_period",
+            "5s",
+            6002,
+            "gateway.running_demand_period",
+        ),
+        ("gateway.stream_idle", "1h", 6002, "gateway.stream_idle"),
+        (
+            "gateway.stream_resume_wait",
+            "1h",
+            6002,
+            "gateway.stream_resume_wait",
+        ),
+        ("gateway.body_limit", "65 MiB", 6002, "gateway.body_limit"),
+        ("gateway.answer_hold", "65 MiB", 6002, "gateway.answer_hold"),
         ("claims.lifetime", "10m", 6002, "gateway.max_deadline"),
         (
             "coordinator.lease_renewal",
@@ -353,9 +368,12 @@
     fn units_are_kept(millis in 1..u64::from(u32::MAX), kibibytes in 1..u64::from(u32::MAX)) {
         let flags = required()
             .with("stop.drain_timeout", format!("{millis}ms"))
-            .with("gateway.body_limit", format!("{kibibytes} KiB"));
+            .with("gateway.held_bytes", format!("{kibibytes} KiB"))
+            .with("gateway.body_limit", format!("{kibibytes} KiB"))
+            .with("gateway.answer_hold", "1 KiB");
         let settings = Settings::load(&flags).expect("valid");
         prop_assert_eq!(settings.stop.drain_timeout, Duration::from_millis(millis));
+        prop_assert_eq!(settings.gateway.held_bytes.as_u64(), kibibytes * 1024);
         prop_assert_eq!(settings.gateway.body_limit.as_u64(), kibibytes * 1024);
     }
 }
