Leaving, idempotency and zone cuts over processes; an engine's own word is heard in time

What was proved in virtual time only is now also held by daemons as processes of their own, against the records of the stand-ins:

- leaving: an engine by the machine list (1 s late), its own report, `drain` and a reclaim notice; a service machine by list, drain and reclaim.
Six daemons in two zones with 24 callers, and with the intervals of a daemon in service (machine list 1 s, inventories 5 s, probes 1 s) in place of the scaled ones.
The clock starts when the list first shows it, when the engine says it, or when the command is sent; no request may arrive later than 3 s, every daemon must have had requests after that, and long streams and slow requests must end whole.
- idempotency: the same key at other daemons, at all of them at once, with the service's answer lost, a daemon killed between claim and answer (before and after the request reached the service), the object API down, its answers lost and late; no key with the answer lost.
- cuts: daemons' messages go through relays in the test, which drop what crosses a zone's border, with and without the object API for that zone.
Engines stay within reach.

Cause: only the coordinator's inventories carried it. Ruled out: gossip, since a mark set by the machine list or a drain took under 1 s. Reading inventories more often would cost the coordinator reads of all runners of its zone. The observers read load reports each 2 s anyway, so the report says it as well, not late unlike its figures, and a change is passed on at once. A report only sets the mark; an inventory takes it back, since reports can be overtaken. The encoding between daemons changes, so its version rises.

The worst case of an engine's own report is the 2 s between reads and the rumour (under 1 s here).

Seen failing: the test of the node before the mend; with the router deaf to marks (drain of a service machine, own report), with the list's `leaving` ignored (the four tests of list and reclaim); with claims in progress taken over (4 of 8), unknown recorded as not run and unrecorded claims run (2), digests not compared and requests without a key sent again (2); with quotas ignored (both cuts).

A service stand-in counts requests received and notes their arrival, which the tests need.

--- a/crates/control/src/node/mod.rs
+++ b/crates/control/src/node/mod.rs
@@ -316,6 +316,11 @@
                 load,
                 inventory,
             } = report;
+            if load.leaving {
+                // Read more often than the inventories, which alone can take it back: a report may
+                // have been overtaken.
+                self.engine_reported(runner.clone(), true);
+            }
             self.coordinate(CoordinatorEvent::LoadReported(runner.clone(), load));
             if let Some(inventory) = inventory {
                 let inventory = Ok(inventory);
--- a/crates/control/tests/node.rs
+++ b/crates/control/tests/node.rs
@@ -1,5 +1,6 @@
 //! The node joins gossip and coordinator: how it starts and stops.
 
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 use flaxward_control::coordinator::{
@@ -7,8 +8,9 @@
 };
 use flaxward_control::gossip::{Gossip, GossipSettings};
 use flaxward_control::node::{Node, NodeAction, NodeEvent};
-use flaxward_types::{DaemonName, Revision, Timestamp, ZoneName};
-use flaxward_wire::{Envelope, MemberState, MemberUpdate, Message, Peer};
+use flaxward_types::engine::LoadReport;
+use flaxward_types::{DaemonName, Revision, RunnerName, Timestamp, ZoneName};
+use flaxward_wire::{Envelope, MemberState, MemberUpdate, Message, Peer, RunnerReport};
 
 const TICK: Duration = Duration::from_millis(50);
 
@@ -18,6 +20,7 @@
     now: Timestamp,
     revision: Revision,
     lease_holders: Vec<Option<DaemonName>>,
+    leaving: BTreeSet<RunnerName>,
     stopped: bool,
 }
 
@@ -46,6 +49,7 @@
             now: Timestamp::ZERO,
             revision: Revision(0),
             lease_holders: Vec::new(),
+            leaving: BTreeSet::new(),
             stopped: false,
         }
     }
@@ -55,6 +59,7 @@
             match action {
                 NodeAction::Platform(operation) => self.answer(operation),
                 NodeAction::Stopped => self.stopped = true,
+                NodeAction::Leaving(leaving) => self.leaving = leaving,
                 _ => {}
             }
         }
@@ -152,3 +157,29 @@
     harness.run(Duration::from_millis(500));
     assert!(harness.stopped);
 }
+
+/// What an observer reports of an engine.
+fn report(leaving: bool) -> NodeEvent {
+    let load = LoadReport {
+        leaving,
+        ..LoadReport::default()
+    };
+    NodeEvent::Observed(vec![RunnerReport {
+        runner: RunnerName::literal("zone-a-engine-1"),
+        load,
+        inventory: None,
+    }])
+}
+
+#[test]
+fn an_engine_gets_no_new_work_once_its_load_report_says_that_it_leaves() {
+    let mut harness = Harness::new();
+    harness.run(Duration::from_secs(2));
+    harness.handle(report(true));
+    let leaving = BTreeSet::from([RunnerName::literal("zone-a-engine-1")]);
+    assert_eq!(harness.leaving, leaving);
+
+    // A report that was overtaken does not take it back.
+    harness.handle(report(false));
+    assert_eq!(harness.leaving, leaving);
+}
--- a/crates/emulator/src/engine/endpoints.rs
+++ b/crates/emulator/src/engine/endpoints.rs
@@ -106,7 +106,7 @@
     if let Some(reply) = fault(&shared) {
         return reply;
     }
-    let report = lock(&shared.state).loads.shown();
+    let report = lock(&shared.state).load_report();
     Reply::ok(&report)
 }
 
--- a/crates/emulator/src/engine/state.rs
+++ b/crates/emulator/src/engine/state.rs
@@ -187,6 +187,7 @@
             waiting: self.batch.waiting(),
             kv_tokens: state.prefixes.tokens(),
             age_ms: 0,
+            leaving: false,
         };
         state.loads.note(report);
     }
@@ -214,6 +215,14 @@
         Some(unix_ms().saturating_sub(since))
     }
 
+    /// The lagging report of the load; only whether the engine is leaving is not late.
+    pub(crate) fn load_report(&mut self) -> LoadReport {
+        LoadReport {
+            leaving: self.faults.leaving != Leaving::No,
+            ..self.loads.shown()
+        }
+    }
+
     fn load_at_start(&mut self, config: &EngineConfig) {
         for loaded in &config.loaded {
             let artifact = &loaded.artifact;
--- a/crates/emulator/src/service.rs
+++ b/crates/emulator/src/service.rs
@@ -72,7 +72,9 @@
     pub idempotency_key: Option<String>,
     /// Header `x-request-id`.
     pub request_id: Option<String>,
-    /// Wall-clock milliseconds.
+    /// Wall-clock milliseconds of its arrival.
+    pub received_unix_ms: u64,
+    /// Wall-clock milliseconds of its end.
     pub at_unix_ms: u64,
     /// Milliseconds since the machine began to leave, if it is leaving.
     pub after_leaving_ms: Option<u64>,
@@ -83,7 +85,9 @@
 /// What really happened at a machine of a service.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ServiceRecord {
-    /// Every request, in order.
+    /// Requests received, also those that are not at their end.
+    pub received: u64,
+    /// Every request at its end, in the order of the ends.
     pub executions: Vec<Execution>,
 }
 
@@ -208,25 +212,26 @@
     if shared.refusing.is_set() {
         return Reply::broken();
     }
+    let received = receive(&shared);
     if refused(&shared) {
-        note(&shared, &call, ExecutionOutcome::Refused);
+        note(&shared, &call, received, ExecutionOutcome::Refused);
         let message = json!({"message": "refused before running"});
         return Reply::json(StatusCode::SERVICE_UNAVAILABLE, &message).not_run();
     }
     // A service goes on with a request whose client has gone.
-    let execution = tokio::spawn(execute(shared, call));
+    let execution = tokio::spawn(execute(shared, call, received));
     execution.await.unwrap_or_else(|_| Reply::broken())
 }
 
-async fn execute(shared: Arc<Shared>, call: Call) -> Reply {
+async fn execute(shared: Arc<Shared>, call: Call, received: u64) -> Reply {
     let slow_ms = lock(&shared.state).faults.slow_ms;
     pause_ms(shared.config.time_ms.saturating_add(slow_ms)).await;
     let lost = lock(&shared.state).faults.lose_answers.strike(&shared.dice);
     if lost {
-        note(&shared, &call, ExecutionOutcome::AnswerLost);
+        note(&shared, &call, received, ExecutionOutcome::AnswerLost);
         return Reply::broken();
     }
-    let times = note(&shared, &call, ExecutionOutcome::Answered);
+    let times = note(&shared, &call, received, ExecutionOutcome::Answered);
     Reply::ok(&json!({
         "service": shared.config.service,
         "machine": shared.config.name,
@@ -241,8 +246,14 @@
     state.faults.down || state.faults.refuse.strike(&shared.dice)
 }
 
+/// Counts a request that has arrived and tells the wall-clock milliseconds.
+fn receive(shared: &Shared) -> u64 {
+    lock(&shared.state).record.received += 1;
+    unix_ms()
+}
+
 /// Records a request and tells how many are recorded.
-fn note(shared: &Shared, call: &Call, outcome: ExecutionOutcome) -> usize {
+fn note(shared: &Shared, call: &Call, received: u64, outcome: ExecutionOutcome) -> usize {
     let now = unix_ms();
     let mut state = lock(&shared.state);
     let execution = Execution {
@@ -250,6 +261,7 @@
         digest: digest(call),
         idempotency_key: call.header("idempotency-key").map(str::to_owned),
         request_id: call.header("x-request-id").map(str::to_owned),
+        received_unix_ms: received,
         at_unix_ms: now,
         after_leaving_ms: state
             .leaving_since_ms
--- a/crates/flaxward/tests/processes/main.rs
+++ b/crates/flaxward/tests/processes/main.rs
@@ -3,7 +3,10 @@
 
 mod bad_inputs;
 mod burst;
+mod cuts;
+mod idempotency;
 mod kills;
+mod leaving;
 mod operators;
 mod outages;
 mod stops;
--- a/crates/flaxward/tests/processes/support/mod.rs
+++ b/crates/flaxward/tests/processes/support/mod.rs
@@ -2,6 +2,8 @@
 
 pub mod callers;
 pub mod daemon;
+pub mod network;
+pub mod orders;
 pub mod records;
 pub mod region;
 
--- a/crates/flaxward/tests/processes/support/region.rs
+++ b/crates/flaxward/tests/processes/support/region.rs
@@ -18,6 +18,7 @@
 use super::callers::{Ask, Ending, ask};
 use super::daemon::{Daemon, Settings};
 use super::eventually;
+use super::network::Network;
 
 /// The zones.
 pub const ZONES: [&str; 3] = ["zone-a", "zone-b", "zone-c"];
@@ -61,6 +62,10 @@
     pub timing: EngineTiming,
     /// Time of a request to a service, in milliseconds.
     pub service_time_ms: u64,
+    /// How late changes show up in the machine list, in milliseconds.
+    pub machine_list_lag_ms: u64,
+    /// Whether zones can be cut off from each other; see [`Region::network`].
+    pub can_be_cut: bool,
     /// Settings that differ from the scaled ones.
     pub settings: &'static [(&'static str, &'static str)],
 }
@@ -79,6 +84,8 @@
                 ..EngineTiming::default()
             },
             service_time_ms: 0,
+            machine_list_lag_ms: 100,
+            can_be_cut: false,
             settings: &[],
         }
     }
@@ -92,6 +99,8 @@
     pub daemons: Vec<Daemon>,
     /// The callers' client.
     pub http: reqwest::Client,
+    /// What the daemons' messages to each other go through, if zones can be cut off.
+    pub network: Option<Network>,
     shape: Shape,
     directory: PathBuf,
     started: u32,
@@ -104,10 +113,15 @@
         let place = PLACES.acquire().await.expect("the places stay open");
         let platform = Platform::start(platform_config(&shape)).await;
         let http = reqwest::Client::builder().no_proxy().build();
+        let network = match shape.can_be_cut {
+            true => Some(Network::start().await),
+            false => None,
+        };
         let mut region = Self {
             platform: platform.expect("the stand-ins start"),
             daemons: Vec::new(),
             http: http.expect("a client"),
+            network,
             directory: new_directory(),
             started: 0,
             shape,
@@ -129,7 +143,10 @@
     pub async fn add_daemon(&mut self, zone: &str) -> usize {
         self.started += 1;
         let name = format!("daemon-{}", self.started);
-        let settings = self.settings(&name, zone);
+        let mut settings = self.settings(&name, zone);
+        if let Some(network) = &self.network {
+            network.join(&mut settings).await;
+        }
         self.daemons
             .push(Daemon::start(&self.directory, &settings).await);
         self.daemons.len() - 1
@@ -217,6 +234,18 @@
         true
     }
 
+    /// Waits until every daemon knows a machine of a service.
+    pub async fn wait_for_services(&self, service: &str) {
+        for daemon in &self.daemons {
+            let url = format!("http://{}/services/{service}/ping", daemon.address);
+            eventually("a machine of the service is known", async || {
+                let answer = self.http.get(&url).send().await.expect("an answer");
+                answer.status().is_success()
+            })
+            .await;
+        }
+    }
+
     /// Revision of the last change of configuration.
     pub fn newest_configuration(&self) -> u64 {
         let writes = self.platform.objects.record();
@@ -283,7 +312,7 @@
     PlatformConfig {
         zones: ZONES[..shape.zones].iter().map(zone).collect(),
         machines: MachineListConfig {
-            lag_ms: 100,
+            lag_ms: shape.machine_list_lag_ms,
             ..MachineListConfig::default()
         },
         engine: EngineConfig {
--- a/crates/lab/src/fleet/callers.rs
+++ b/crates/lab/src/fleet/callers.rs
@@ -234,6 +234,7 @@
                     waiting: self.random.random_range(0..3),
                     kv_tokens: u64::from(running) * self.random.random_range(800..1_200),
                     age_ms: self.random.random_range(0..1_000),
+                    leaving: false,
                 }
             };
             self.engines[place].set_load(load);
--- a/crates/simulation/src/engine.rs
+++ b/crates/simulation/src/engine.rs
@@ -171,6 +171,7 @@
         let running = u32::try_from(self.generations.len()).unwrap_or(u32::MAX);
         LoadReport {
             running,
+            leaving: self.leaving,
             ..LoadReport::default()
         }
     }
--- a/crates/types/src/engine.rs
+++ b/crates/types/src/engine.rs
@@ -139,6 +139,9 @@
     pub kv_tokens: u64,
     /// Age of the figures, in milliseconds.
     pub age_ms: u64,
+    /// Whether the engine says it is leaving; not late, unlike the figures.
+    #[serde(default)]
+    pub leaving: bool,
 }
 
 /// One late cache event of an engine.
--- a/crates/types/tests/types/strategies.rs
+++ b/crates/types/tests/types/strategies.rs
@@ -195,12 +195,15 @@
 }
 
 pub fn load_report() -> impl Strategy<Value = LoadReport> {
-    any::<(u32, u32, u64, u64)>().prop_map(|(running, waiting, kv_tokens, age_ms)| LoadReport {
-        running,
-        waiting,
-        kv_tokens,
-        age_ms,
-    })
+    any::<(u32, u32, u64, u64, bool)>().prop_map(
+        |(running, waiting, kv_tokens, age_ms, leaving)| LoadReport {
+            running,
+            waiting,
+            kv_tokens,
+            age_ms,
+            leaving,
+        },
+    )
 }
 
 pub fn cache_event() -> impl Strategy<Value = CacheEvent> {
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -17,7 +17,7 @@
 use thiserror::Error;
 
 /// First byte of every encoded envelope; raised when the encoding changes incompatibly.
-pub const WIRE_VERSION: u8 = 1;
+pub const WIRE_VERSION: u8 = 2;
 
 /// Longest encoding sent as a datagram, in bytes; fits an Ethernet frame with IP and UDP headers.
 pub const MAX_DATAGRAM_BYTES: usize = 1_400;
