Admission and coordinator: nothing is loaded for requests that were served

Cause: a gateway tells coordinators that requests wait, and said nothing when they had been sent; the demand stood until it expired (5 s by default). So a version that made way for a newer one was loaded again at once and those who waited for the new one were refused 2005 (process test of a slow store), and a zone that had asked for a model's unit still got it after another zone had served the request, and loaded the model a second time (seen: warm@v1 and m3@v1 loaded twice in the process tests). Ruled out: telling at once, as it breaks the rule of one demand per artifact, zone and period; taking waiting requests as served when the coordinator answers "ready", as that hides those whom a replica refuses and so the need for one more. Change: a gateway whose waiting requests have all been sent tells so each zone that knows of them, in the next period. A coordinator remembers when a version made way; demand heard of before is what is left. Tests: admission cases one_demand_speaks_for_all_who_wait and a_silent_zone_is_passed_over expect the new message and, after it, the same as before (times moved by 1 s); coordinator an_old_version_that_made_way_is_not_loaded_again_for_requests_it_has_served, seen failing without the mend (2005 at 14.6 s).

--- a/crates/control/src/admission.rs
+++ b/crates/control/src/admission.rs
@@ -55,7 +55,9 @@
     /// Whether a coordinator is to be told of the artifact, apart from those who wait for it.
     fn is_in_use(&self) -> bool {
         let is_used = |(_, route): (_, &ZoneRoute)| route.running > 0 || route.arrivals > 0;
-        self.promise.is_some() || self.routes.iter().any(is_used)
+        let is_told = |(_, route): (_, &ZoneRoute)| route.told_of_waiting;
+        let is_told_too_much = self.routes.has_replica() && self.routes.iter().any(is_told);
+        self.promise.is_some() || is_told_too_much || self.routes.iter().any(is_used)
     }
 }
 
--- a/crates/control/src/admission/demands.rs
+++ b/crates/control/src/admission/demands.rs
@@ -59,6 +59,9 @@
         };
         let is_wanted = self.queue.count(artifact) > 0 || state.promise.is_some();
         let mut due = self.zones_in_use(now, state);
+        if !is_wanted && state.routes.has_replica() {
+            due.extend(zones_told_of_waiting(state));
+        }
         if due.is_empty() && !is_wanted {
             return;
         }
@@ -103,8 +106,12 @@
         };
         let promise = state.promise.filter(|_| waiting == 0);
         let route = state.routes.zone_mut(zone);
-        let period = self.settings.demand_period;
-        if !self.zones.heads.contains(zone) || !route.may_ask(now, period) {
+        if !self.zones.heads.contains(zone) {
+            // A later coordinator of the zone will know of no one who waits.
+            route.told_of_waiting = false;
+            return;
+        }
+        if !route.may_ask(now, self.settings.demand_period) {
             return;
         }
         let mut demand = Demand {
@@ -126,12 +133,22 @@
             demand.priority = promise.priority;
             demand.earliest_deadline_ms = millis(promise.until.since(now));
         }
+        route.told_of_waiting = is_asked && waiting > 0;
         route.note_asked(now, &self.settings);
         let zone = zone.clone();
         actions.push(AdmissionAction::SendDemand { zone, demand });
     }
 }
 
+/// Zones that must hear that all who waited have been sent, so that none of them loads a replica, or
+/// keeps asking for a unit, for requests that are through.
+fn zones_told_of_waiting(state: &ArtifactState) -> impl Iterator<Item = ZoneName> {
+    let routes = state.routes.iter();
+    routes
+        .filter(|(_, route)| route.told_of_waiting)
+        .map(|(zone, _)| zone.clone())
+}
+
 fn millis(duration: Duration) -> u64 {
     u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
 }
--- a/crates/control/src/admission/dispatching.rs
+++ b/crates/control/src/admission/dispatching.rs
@@ -58,12 +58,8 @@
     }
 
     fn has_replica(&self, artifact: &ArtifactId) -> bool {
-        self.artifacts.get(artifact).is_some_and(|state| {
-            state
-                .routes
-                .iter()
-                .any(|(_, route)| !route.ready().is_empty())
-        })
+        let state = self.artifacts.get(artifact);
+        state.is_some_and(|state| state.routes.has_replica())
     }
 
     /// Sends a request to a replica, if one takes it now.
--- a/crates/control/src/admission/routes.rs
+++ b/crates/control/src/admission/routes.rs
@@ -21,6 +21,8 @@
     pub arrivals: u32,
     /// Requests that run on its replicas.
     pub running: u32,
+    /// Whether it was last told that requests wait.
+    pub told_of_waiting: bool,
 }
 
 /// How a zone stands as a place to ask.
@@ -195,6 +197,11 @@
         self.zones.iter()
     }
 
+    /// Whether some zone has a replica.
+    pub fn has_replica(&self) -> bool {
+        self.zones.values().any(|route| !route.ready().is_empty())
+    }
+
     /// Takes an answer, unless it is older than the last one taken from that zone.
     pub fn apply(&mut self, now: Timestamp, answer: RouteAnswer) -> bool {
         let zone = answer.zone.clone();
--- a/crates/control/src/coordinator/choice.rs
+++ b/crates/control/src/coordinator/choice.rs
@@ -303,6 +303,7 @@
             });
             if !coming && self.may_yield(&slot, artifact, context) {
                 self.evict(&slot);
+                self.made_way.insert(slot.artifact, context.now);
                 coming = true;
             }
         }
--- a/crates/control/src/coordinator/demand.rs
+++ b/crates/control/src/coordinator/demand.rs
@@ -21,6 +21,8 @@
     pub(super) since: Timestamp,
     /// Since when requests have been waiting without a break.
     pub(super) waiting_since: Option<Timestamp>,
+    /// When a gateway last said that requests wait.
+    pub(super) waiting_told: Option<Timestamp>,
 }
 
 #[derive(Clone, Debug)]
@@ -118,6 +120,7 @@
             deadline: Timestamp(u64::MAX),
             since: entry.since,
             waiting_since: entry.waiting_since,
+            waiting_told: None,
         };
         for (demand, at) in entry.gateways.values() {
             summary.waiting = summary.waiting.saturating_add(demand.waiting);
@@ -126,6 +129,7 @@
                 let deadline = *at + Duration::from_millis(demand.earliest_deadline_ms);
                 summary.priority = summary.priority.max(demand.priority);
                 summary.deadline = summary.deadline.min(deadline);
+                summary.waiting_told = summary.waiting_told.max(Some(*at));
             }
         }
         Some(summary)
--- a/crates/control/src/coordinator/leading.rs
+++ b/crates/control/src/coordinator/leading.rs
@@ -101,6 +101,8 @@
     pub(super) ready_since: BTreeMap<Slot, Timestamp>,
     pub(super) surplus_since: BTreeMap<ArtifactId, Timestamp>,
     pub(super) answers: Answers,
+    /// When a version was last unloaded to make way for another one of its model.
+    pub(super) made_way: BTreeMap<ArtifactId, Timestamp>,
     /// Machines by artifact, rebuilt at each plan.
     pub(super) index: BTreeMap<ArtifactId, Vec<(RunnerName, HeldState)>>,
     pub(super) policy: PolicySpec,
@@ -147,6 +149,7 @@
             ready_since: BTreeMap::new(),
             surplus_since: BTreeMap::new(),
             answers: Answers::default(),
+            made_way: BTreeMap::new(),
             index: BTreeMap::new(),
             policy: PolicySpec::default(),
             drained: BTreeSet::new(),
--- a/crates/control/src/coordinator/planner.rs
+++ b/crates/control/src/coordinator/planner.rs
@@ -8,6 +8,7 @@
 use flaxward_types::{ArtifactId, ConfigurationItem, ItemKey, ResultCode, RunnerName, Timestamp};
 
 use super::choice::Choice;
+use super::demand::DemandSummary;
 use super::interface::DecisionKind;
 use super::leading::{Block, Context, Leading, Wanted, slot};
 use super::loads::{Load, Stage};
@@ -141,9 +142,7 @@
     fn wanted_by_demand(&self, artifact: &ArtifactId, context: &Context) -> Option<Wanted> {
         let summary = context.demands.summary(artifact)?;
         let model = context.configuration.model(&artifact.model)?;
-        let is_gone = !self.index.contains_key(artifact);
-        if is_gone && summary.waiting == 0 && model.serving != artifact.version {
-            // What is left of the demand for a version that has made way for another one.
+        if model.serving != artifact.version && self.is_left_over(artifact, &summary) {
             return None;
         }
         let ready = u32::try_from(self.ready_on(artifact, context.now).count()).unwrap_or(u32::MAX);
@@ -166,6 +165,13 @@
         })
     }
 
+    /// Whether demand for a version that is held nowhere is what is left from before it made way for
+    /// another one: those who waited then were sent to the replica there was.
+    fn is_left_over(&self, artifact: &ArtifactId, demand: &DemandSummary) -> bool {
+        let is_gone = !self.index.contains_key(artifact);
+        is_gone && demand.waiting_told <= self.made_way.get(artifact).copied()
+    }
+
     /// Replicas that the rules keep loaded in this zone.
     pub(super) fn kept_by_rule(&self, context: &Context) -> Vec<(ArtifactId, u32)> {
         let mut kept = Vec::new();
@@ -302,6 +308,7 @@
             deadline: wanted.deadline,
         };
         let runner = choice.runner.clone();
+        self.made_way.remove(artifact);
         self.loads.insert(slot(artifact, &runner), load);
         let estimate_ms = u64::try_from(choice.estimate.as_millis()).unwrap_or(u64::MAX);
         let kind = DecisionKind::Load {
--- a/crates/control/tests/admission/cases.rs
+++ b/crates/control/tests/admission/cases.rs
@@ -119,21 +119,24 @@
                 route("a", 2, &["r1"], Outlook::Ready),
                 &["send 1 to r1", "send 0 to r1"],
             ),
-            (3_950, Tick, &[]),
-            (4_000, Tick, &["ask a 0 2 0 none"]),
-            (4_100, AdmissionEvent::Finished(RequestId(0)), &[]),
-            (4_100, AdmissionEvent::Finished(RequestId(1)), &[]),
-            (6_000, Tick, &[]),
+            // The coordinator still believes that two wait.
+            (2_950, Tick, &[]),
+            (3_000, Tick, &["ask a 0 2 0 none"]),
+            (4_950, Tick, &[]),
+            (5_000, Tick, &["ask a 0 2 0 none"]),
+            (5_100, AdmissionEvent::Finished(RequestId(0)), &[]),
+            (5_100, AdmissionEvent::Finished(RequestId(1)), &[]),
+            (7_000, Tick, &[]),
             (
-                6_500,
+                7_500,
                 arrive(2, 5, 61_000),
                 &["send 2 to r1", "ask a 0 1 1 none"],
             ),
-            (6_600, arrive(3, 5, 61_000), &["send 3 to r1"]),
-            (6_700, AdmissionEvent::CallerGone(RequestId(2)), &[]),
-            (6_700, AdmissionEvent::CallerGone(RequestId(3)), &[]),
+            (7_600, arrive(3, 5, 61_000), &["send 3 to r1"]),
+            (7_700, AdmissionEvent::CallerGone(RequestId(2)), &[]),
+            (7_700, AdmissionEvent::CallerGone(RequestId(3)), &[]),
             // An arrival that came and went between two demands is told all the same.
-            (8_500, Tick, &["ask a 0 0 1 none"]),
+            (9_500, Tick, &["ask a 0 0 1 none"]),
         ],
     );
 }
@@ -200,8 +203,12 @@
             (
                 1_001,
                 route("b", 1, &["r2"], Outlook::Ready),
-                &["send 0 to r2"],
+                // The own zone is told, should it have heard of the request after all.
+                &["send 0 to r2", "ask a 0 0 0 none"],
             ),
+            (2_000, Tick, &["ask b 0 1 0 none"]),
+            (2_100, AdmissionEvent::Finished(RequestId(0)), &[]),
+            (9_000, Tick, &[]),
         ],
     );
     check(
--- a/crates/control/tests/coordinator/outages.rs
+++ b/crates/control/tests/coordinator/outages.rs
@@ -3,7 +3,7 @@
 
 use flaxward_control::coordinator::Weakness;
 use flaxward_types::routing::Outlook;
-use flaxward_types::{DaemonName, ResultCode};
+use flaxward_types::{ArtifactId, DaemonName, ResultCode};
 
 use crate::support::models::{Rules, artifact};
 use crate::support::schedule::Fault;
@@ -39,10 +39,12 @@
     DaemonName::literal("alpha-gateway")
 }
 
+fn told_of(world: &World, artifact: &ArtifactId) -> Option<Outlook> {
+    world.gateways[&gateway()].1[artifact].outlook.clone()
+}
+
 fn told(world: &World) -> Option<Outlook> {
-    world.gateways[&gateway()].1[&artifact(WITHOUT_SLOT)]
-        .outlook
-        .clone()
+    told_of(world, &artifact(WITHOUT_SLOT))
 }
 
 fn is_refused(outlook: Option<&Outlook>) -> bool {
@@ -134,6 +136,33 @@
     }
 }
 
+/// The gateway was last heard of while its requests for the old version waited; then they were sent.
+#[test]
+fn an_old_version_that_made_way_is_not_loaded_again_for_requests_it_has_served() {
+    let old = artifact("three@v1");
+    let mut world = World::new(0, Weakness::None);
+    world.run_until(SETTLED);
+    world.demand(&gateway(), &old, LONG);
+    while told_of(&world, &old) != Some(Outlook::Ready) {
+        world.run_until(world.now + 5);
+    }
+    world.end_demand(&gateway(), &old);
+    news(&mut world);
+    world.demand(&gateway(), &artifact(WITHOUT_SLOT), LONG);
+    let deadline = world.now + WAKE;
+    while world.now < deadline {
+        world.run_until(world.now + 5);
+        let outlook = told(&world);
+        assert!(
+            !is_refused(outlook.as_ref()),
+            "{outlook:?} at {}",
+            world.now
+        );
+    }
+    assert_eq!(told(&world), Some(Outlook::Ready));
+    assert_eq!(world.violation, None);
+}
+
 /// A single lost answer leaves the lease in doubt for a moment; that is no outage.
 #[test]
 fn a_request_waits_while_only_the_lease_is_in_doubt() {
