--- a/crates/control/src/coordinator/choice.rs
+++ b/crates/control/src/coordinator/choice.rs
@@ -295,6 +295,7 @@
             coming |= state == Some(HeldState::Unloading);
             if !coming && self.may_yield(&slot, artifact, context) {
                 self.evict(&slot);
+                self.made_way.insert(slot.artifact, context.now);
                 coming = true;
             }
         }
--- a/crates/control/src/coordinator/leading.rs
+++ b/crates/control/src/coordinator/leading.rs
@@ -107,6 +107,8 @@
     pub(super) ready_since: BTreeMap<Slot, Timestamp>,
     pub(super) surplus_since: BTreeMap<ArtifactId, Timestamp>,
     pub(super) answers: Answers,
+    /// When a version was last unloaded to make way for another one of its model.
+    pub(super) made_way: BTreeMap<ArtifactId, Timestamp>,
     pub(super) holdings: Holdings,
     pub(super) policy: PolicySpec,
     pub(super) drained: BTreeSet<RunnerName>,
@@ -162,6 +164,7 @@
             ready_since: BTreeMap::new(),
             surplus_since: BTreeMap::new(),
             answers: Answers::default(),
+            made_way: BTreeMap::new(),
             holdings: Holdings::default(),
             policy: PolicySpec::default(),
             drained: BTreeSet::new(),
