--- a/crates/control/src/coordinator/choice.rs
+++ b/crates/control/src/coordinator/choice.rs
@@ -54,7 +54,7 @@
     ) -> Result<Choice, Block> {
         let subject = subject_of(artifact);
         let source = self.slot_source(artifact, context);
-        let may_add = source != SlotSource::None && !context.in_outage();
+        let may_add = source != SlotSource::None && !context.in_outage;
         let mut best: Option<(Duration, u64, Choice)> = None;
         let mut fits = false;
         let mut could_fit = false;
@@ -195,9 +195,8 @@
         if promised > 0 {
             return SlotSource::None;
         }
-        let replaceable = self.placement.slots().iter().find(|slot| {
-            subject_of(&slot.artifact) == subject && self.is_replaceable(slot, context)
-        });
+        let mut slots = self.placement.slots().of_subject(&subject);
+        let replaceable = slots.find(|slot| self.is_replaceable(slot, context));
         replaceable.map_or(SlotSource::None, |slot| SlotSource::Replace(slot.clone()))
     }
 
@@ -225,7 +224,7 @@
         subject: &QuotaSubject,
         context: &Context,
     ) -> Block {
-        if context.in_outage() {
+        if context.in_outage {
             return self.without_slot_in_outage(subject);
         }
         let rule = self.rule(subject, context);
@@ -239,6 +238,10 @@
         if units == 0 {
             return self.without_units(artifact, subject, context);
         }
+        if !context.may_record {
+            // Until the lease is confirmed, nothing can be put in the place of another slot.
+            return Block::Waiting;
+        }
         if self.quotas.claimed_units(subject) < units || self.slot_is_coming(artifact, context) {
             return Block::Waiting;
         }
@@ -281,20 +284,15 @@
     /// runner is still to be sealed, or an idle replica of another version can go.
     fn slot_is_coming(&mut self, artifact: &ArtifactId, context: &Context) -> bool {
         let subject = &subject_of(artifact);
-        let of_subject: Vec<Slot> = self
-            .placement
-            .slots()
-            .iter()
-            .filter(|slot| subject_of(&slot.artifact) == *subject)
-            .cloned()
-            .collect();
+        let slots = self.placement.slots().of_subject(subject);
+        let of_subject: Vec<Slot> = slots.cloned().collect();
         let mut coming = self.placement.planned(subject) != self.placement.bound(subject);
+        // What a write of unknown outcome has left is read before anything is refused.
+        coming |= !self.placement.is_settled();
         for slot in of_subject {
             coming |= self.unloads.contains_key(&slot) || self.is_settling(&slot.runner, context);
-            coming |= self.index.get(&slot.artifact).is_some_and(|replicas| {
-                let here = (slot.runner.clone(), HeldState::Unloading);
-                replicas.contains(&here)
-            });
+            let state = self.holdings.state(&slot.artifact, &slot.runner);
+            coming |= state == Some(HeldState::Unloading);
             if !coming && self.may_yield(&slot, artifact, context) {
                 self.evict(&slot);
                 coming = true;
--- a/crates/control/src/coordinator/events.rs
+++ b/crates/control/src/coordinator/events.rs
@@ -6,6 +6,8 @@
 use rand_chacha::ChaCha8Rng;
 
 use super::Coordinator;
+use super::answers::Asked;
+use super::demand::DemandChange;
 use super::interface::{CoordinatorAction, CoordinatorEvent, StoreFault};
 use super::leading::Leading;
 use super::lease::LeaseChange;
@@ -20,7 +22,7 @@
         now: Timestamp,
         configuration: &Configuration,
         actions: &mut Vec<CoordinatorAction>,
-    ) -> Option<(DaemonName, ArtifactId)> {
+    ) -> Option<Asked> {
         // What only confirms what is known calls for no new plan.
         self.changed |= matches!(
             event,
@@ -33,8 +35,9 @@
         );
         match event {
             CoordinatorEvent::Tick => {
-                let expiry = self.shared.settings.demand_expiry;
-                self.shared.demands.expire(now, expiry);
+                let settings = &self.shared.settings;
+                let expired = self.shared.demands.expire(now, settings);
+                self.touch(expired);
             }
             CoordinatorEvent::Rank(rank) => self.shared.lease.set_rank(rank),
             CoordinatorEvent::Stop => {
@@ -52,13 +55,14 @@
                 return Some(self.demanded(gateway, demand, now));
             }
             CoordinatorEvent::GatewayGone(gateway) => {
-                self.shared.demands.forget_gateway(&gateway);
+                let forgotten = self.shared.demands.forget_gateway(&gateway);
+                self.touch(forgotten);
                 if let Some(leading) = &mut self.leading {
                     leading.answers.forget_gateway(&gateway);
                 }
             }
             CoordinatorEvent::LeaseRead(result) => {
-                self.note_store(result.as_ref().err().copied(), now);
+                self.note_probe(result.as_ref().err().copied(), now);
                 let change = self
                     .shared
                     .lease
@@ -66,7 +70,7 @@
                 self.lease_changed(change, now, actions);
             }
             CoordinatorEvent::LeaseWritten(result) => {
-                self.note_store(result.as_ref().err().copied(), now);
+                self.note_probe(result.as_ref().err().copied(), now);
                 let change = self
                     .shared
                     .lease
@@ -92,16 +96,37 @@
         gateway: DaemonName,
         demand: Demand,
         now: Timestamp,
-    ) -> (DaemonName, ArtifactId) {
+    ) -> Asked {
         let artifact = demand.artifact.clone();
+        let known = demand.known;
+        if self.shared.demands.is_running(&artifact) {
+            // Demand of running requests is renewed rarely, so a pause in it is no idle time.
+            self.shared.keep_alive.record_use(&artifact, now);
+            self.shared.keep_alive.record_use(&artifact.base(), now);
+        }
         if demand.waiting > 0 || demand.running > 0 || demand.arrivals > 0 {
             // An adapter keeps its base in use as well.
             let keep_alive = &mut self.shared.keep_alive;
             keep_alive.record_arrival(&artifact, now);
             keep_alive.record_arrival(&artifact.base(), now);
         }
-        self.changed |= self.shared.demands.put(gateway.clone(), demand, now);
-        (gateway, artifact)
+        let change = self.shared.demands.put(gateway.clone(), demand, now);
+        if change != DemandChange::None {
+            self.touch([artifact.clone()]);
+        }
+        self.changed |= change == DemandChange::Wanted;
+        Asked {
+            gateway,
+            artifact,
+            known,
+        }
+    }
+
+    /// Has the next plan look at some artifacts.
+    fn touch(&mut self, artifacts: impl IntoIterator<Item = ArtifactId>) {
+        if let Some(leading) = &mut self.leading {
+            leading.touched.extend(artifacts);
+        }
     }
 
     /// Takes in an answer of the store about placement or quotas.
@@ -135,7 +160,11 @@
             CoordinatorEvent::QuotasRead(result) => result.as_ref().err().copied(),
             _ => None,
         };
-        self.note_store(fault, now);
+        if fault.is_some_and(StoreFault::is_failure) {
+            self.shared.store.failed(now);
+        } else {
+            self.shared.store.answered(now);
+        }
         let Some(leading) = &mut self.leading else {
             return;
         };
@@ -196,12 +225,12 @@
         }
     }
 
-    pub(super) fn note_store(&mut self, fault: Option<StoreFault>, now: Timestamp) {
-        match fault {
-            None | Some(StoreFault::Conflict) => self.shared.store_failing_since = None,
-            Some(StoreFault::Unavailable | StoreFault::Unknown) => {
-                self.shared.store_failing_since.get_or_insert(now);
-            }
+    /// Notes what the end of an operation on the lease says about the store.
+    fn note_probe(&mut self, fault: Option<StoreFault>, now: Timestamp) {
+        if fault.is_some_and(StoreFault::is_failure) {
+            self.shared.store.probe_failed(now);
+        } else {
+            self.shared.store.probe_answered(now);
         }
     }
 
--- a/crates/control/src/coordinator/homes.rs
+++ b/crates/control/src/coordinator/homes.rs
@@ -1,12 +1,12 @@
 //! Gives each configured artifact a home ahead of need: a recorded slot, so that a wake needs no
 //! write and works while the store is down.
 
-use std::collections::BTreeSet;
-
+use flaxward_types::configuration::ModelSpec;
 use flaxward_types::records::{QuotaSubject, Slot};
-use flaxward_types::{ArtifactId, ConfigurationItem, ItemKey, RunnerName};
+use flaxward_types::{ArtifactId, ConfigurationItem, ItemKey, ModelName, RunnerName};
 
 use super::choice::{SlotSource, rank};
+use super::focus::next_slice;
 use super::leading::{Context, Leading, slot};
 use super::placement::subject_of;
 
@@ -23,21 +23,29 @@
         if busy || !context.may_record || !self.quotas.loaded() {
             return;
         }
-        let homed: BTreeSet<ArtifactId> = self
-            .placement
-            .slots()
-            .iter()
-            .map(|slot| slot.artifact.clone())
-            .collect();
+        let slice = next_slice(
+            &mut self.cursors.homes,
+            self.configured_artifacts.len(),
+            context,
+        );
         let mut found = 0;
-        for artifact in configured(context) {
+        let mut first = None;
+        for place in slice {
             if found == HOMES_PER_WRITE || self.homes_wanted.len() == CLAIMS_AT_ONCE {
+                // Wishes and claims may come to nothing, so the next round begins with them.
+                self.cursors.homes = first.unwrap_or(place);
                 return;
             }
-            if homed.contains(&artifact) {
+            let artifact = self.configured_artifacts[place].clone();
+            if self.placement.slots().has(&artifact) {
                 continue;
             }
-            found += usize::from(self.find_home(&artifact, context));
+            let claims = self.homes_wanted.len();
+            let has_found = self.find_home(&artifact, context);
+            found += usize::from(has_found);
+            if has_found || self.homes_wanted.len() > claims {
+                first.get_or_insert(place);
+            }
         }
     }
 
@@ -74,13 +82,15 @@
         subject: &QuotaSubject,
         context: &Context,
     ) -> bool {
-        let rule = self.rule(subject, context);
-        let allowed = rule.limit > 0 && rule.zones.contains(context.zone);
         let record = self.quotas.record(subject);
         let has_units = record.is_none() || self.quotas.units(subject) > 0;
         // A zone that is about to give its units away must not take them up again.
         let asked = self.quotas.asked_by_others(subject) > 0;
-        allowed && has_units && !asked && context.configuration.bytes(artifact).is_some()
+        if !has_units || asked || context.configuration.bytes(artifact).is_none() {
+            return false;
+        }
+        let rule = self.rule(subject, context);
+        rule.limit > 0 && rule.zones.contains(context.zone)
     }
 
     /// The runner for a home: with the base, if it is an adapter; else the one with the least memory
@@ -91,11 +101,8 @@
             |name: &&RunnerName| self.takes_loads(name, context.now) && self.could_fit(name, bytes);
         if artifact.is_adapter() {
             let base = artifact.base();
-            let homes = self
-                .placement
-                .slots()
-                .iter()
-                .filter(|slot| slot.artifact == base);
+            let homes = self.placement.slots().of_subject(&subject_of(&base));
+            let homes = homes.filter(|slot| slot.artifact == base);
             return homes.map(|slot| &slot.runner).find(fit).cloned();
         }
         let promised = |name: &RunnerName| -> u64 {
@@ -117,10 +124,12 @@
     model.is_none_or(|model| model.serving != old.artifact.version)
 }
 
-/// The artifacts that requests name by default.
+/// The artifacts that requests name by default, models first and each kind in order.
 pub(super) fn configured(context: &Context) -> Vec<ArtifactId> {
     let configuration = context.configuration;
     let mut artifacts = Vec::new();
+    // The adapters of a model follow each other.
+    let mut last: Option<(&ModelName, Option<&ModelSpec>)> = None;
     for (key, _, item) in configuration.items() {
         let (model, adapter) = match (key, item) {
             (ItemKey::Model(model), ConfigurationItem::Model(_)) => (model, None),
@@ -129,7 +138,12 @@
             }
             _ => continue,
         };
-        let Some(spec) = configuration.model(model) else {
+        let spec = match last {
+            Some((known, spec)) if known == model => spec,
+            _ => configuration.model(model),
+        };
+        last = Some((model, spec));
+        let Some(spec) = spec else {
             continue;
         };
         artifacts.push(ArtifactId {
@@ -138,6 +152,6 @@
             adapter,
         });
     }
-    artifacts.sort_by_key(|artifact| (artifact.is_adapter(), artifact.clone()));
+    // Keys of models come before those of adapters.
     artifacts
 }
--- a/crates/control/src/coordinator/mod.rs
+++ b/crates/control/src/coordinator/mod.rs
@@ -7,7 +7,7 @@
 
 use flaxward_types::engine::Machine;
 use flaxward_types::records::QuotaSubject;
-use flaxward_types::{ArtifactId, DaemonName, Timestamp, ZoneName};
+use flaxward_types::{DaemonName, Timestamp, ZoneName};
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
@@ -16,8 +16,11 @@
 
 mod answers;
 mod choice;
+mod consistency;
 mod demand;
 mod events;
+mod focus;
+mod holdings;
 mod homes;
 mod interface;
 mod journal;
@@ -31,9 +34,15 @@
 mod planner;
 mod progress;
 mod quota;
+mod rounds;
+mod rules;
 mod runner;
+mod sample;
+mod slots;
+mod store_health;
 mod unneeded;
 mod views;
+mod wants;
 mod weakness;
 
 pub use interface::{
@@ -41,13 +50,16 @@
     StoreFault, UnloadReason,
 };
 pub use quota::split_units;
+pub use sample::{SAMPLE, sample};
 pub use views::{ReplicaView, RunnerView, WaitingView};
 pub use weakness::Weakness;
 
+use answers::Asked;
 use demand::DemandTable;
 use journal::Journal;
 use leading::{Context, Leading};
 use lease::LeaseKeeper;
+use store_health::{Patience, StoreHealth};
 
 /// Time between plans when nothing has happened.
 const PLAN_INTERVAL: Duration = Duration::from_millis(250);
@@ -62,7 +74,7 @@
     lease: LeaseKeeper,
     demands: DemandTable,
     keep_alive: KeepAlive,
-    store_failing_since: Option<Timestamp>,
+    store: StoreHealth,
 }
 
 impl Shared {
@@ -76,10 +88,28 @@
             demands: &self.demands,
             keep_alive: &self.keep_alive,
             may_record: self.lease.may_record(now),
-            store_failing_since: self.store_failing_since,
+            in_outage: self.in_outage(now),
             weakness: self.weakness,
         }
     }
+
+    /// Notes what lease and configuration say about the store.
+    fn watch_store(&mut self, now: Timestamp, configuration: &Configuration) {
+        let is_in_doubt = self.lease.is_held() && !self.lease.may_record(now);
+        self.store.note_lease(is_in_doubt, now);
+        if self.store.note_configuration(configuration.revision(), now) {
+            self.lease.hurry(now);
+        }
+    }
+
+    /// Whether the store has failed for a while, so that nothing new can be recorded.
+    fn in_outage(&self, now: Timestamp) -> bool {
+        let patience = Patience {
+            failing: self.settings.lease_renewal,
+            hope: self.settings.lease_duration,
+        };
+        self.store.is_out(now, patience)
+    }
 }
 
 /// Coordinates one zone, or stands by to do so.
@@ -131,7 +161,7 @@
                 lease: LeaseKeeper::new(me),
                 demands: DemandTable::default(),
                 keep_alive: KeepAlive::new(),
-                store_failing_since: None,
+                store: StoreHealth::default(),
             },
             generator: ChaCha8Rng::seed_from_u64(seed),
             machines: None,
@@ -157,6 +187,7 @@
         let mut actions = Vec::new();
         self.ticked = event == CoordinatorEvent::Tick;
         let asked = self.take_in(event, now, configuration, &mut actions);
+        self.shared.watch_store(now, configuration);
         self.advance(asked, now, configuration, &mut actions);
         let later = self.leading.as_ref().and_then(Leading::overtaken_by);
         if let Some(later) = later {
@@ -164,7 +195,10 @@
             self.resign(&mut actions);
         }
         let nonce = u64::from(self.generator.random::<u32>());
-        actions.extend(self.shared.lease.step(now, &self.shared.settings, nonce));
+        if let Some(operation) = self.shared.lease.step(now, &self.shared.settings, nonce) {
+            self.shared.store.probe_sent(now);
+            actions.push(operation);
+        }
         for action in &actions {
             if let CoordinatorAction::Record(decision) = action {
                 self.journal.note(decision.clone(), now);
@@ -176,7 +210,7 @@
     /// Plans if there is reason to, and sends what is due.
     fn advance(
         &mut self,
-        asked: Option<(DaemonName, ArtifactId)>,
+        asked: Option<Asked>,
         now: Timestamp,
         configuration: &Configuration,
         actions: &mut Vec<CoordinatorAction>,
@@ -188,10 +222,8 @@
         leading.apply_configuration(&context);
         let due = self.ticked || self.changed;
         if leading.placement.fenced() && (self.changed || now >= self.next_plan) {
-            if context.has_configuration() {
-                leading.plan(&context);
-            }
-            leading.answer_changes(&context);
+            let focus = leading.plan(&context);
+            leading.answer_changes(&focus, &context);
             self.changed = false;
             self.next_plan = now + PLAN_INTERVAL;
         }
@@ -202,8 +234,8 @@
             let step = leading.placement.step(now, context.may_record);
             leading.actions.extend(step);
         }
-        if let Some((gateway, artifact)) = asked {
-            leading.answer_gateway(&gateway, &artifact, &context);
+        if let Some(asked) = asked {
+            leading.answer_gateway(&asked, &context);
         }
         actions.append(&mut leading.actions);
     }
--- a/crates/flaxward/src/daemon/core.rs
+++ b/crates/flaxward/src/daemon/core.rs
@@ -17,6 +17,8 @@
 use flaxward_wire::{Message, Peer};
 use tokio::sync::{Notify, mpsc, watch};
 
+use super::counters;
+use super::decisions::{self, DecisionText};
 use super::event::CoreEvent;
 use super::runner_driver::RunnerDriver;
 use super::store_driver::StoreDriver;
@@ -105,13 +107,16 @@
             NodeAction::Send(to, envelope) => parts.peers.send(to, &envelope),
             NodeAction::Platform(operation) => self.operate(operation),
             NodeAction::Routes(answers) => parts.gateway.on_routes(answers),
+            NodeAction::RoutesHeld(held) => parts.gateway.on_routes_held(held),
             NodeAction::Heads(zones) => parts.gateway.on_heads(zones),
             NodeAction::Leaving(leaving) => {
+                counters::leaving(leaving.len());
                 state_change("leaving-changed", &[("runners", &leaving.len())]);
                 parts.gateway.on_leaving(leaving);
             }
             NodeAction::Services(machines) => parts.gateway.on_machines(&machines),
             NodeAction::Configuration(configuration) => {
+                counters::in_force(configuration.revision());
                 parts.configuration.send_replace(configuration);
                 parts
                     .ready
@@ -125,16 +130,17 @@
             }
             NodeAction::Relist => parts.relist.notify_one(),
             NodeAction::Lead(term) => {
+                counters::leads(true);
                 state_change("lead", &[("zone", &parts.node.me().zone), ("term", &term)]);
             }
-            NodeAction::Resign => state_change("resign", &[("zone", &parts.node.me().zone)]),
+            NodeAction::Resign => {
+                counters::leads(false);
+                state_change("resign", &[("zone", &parts.node.me().zone)]);
+            }
             NodeAction::Stopped => self.stopped = true,
             NodeAction::Record(decision) => {
-                let kind = format!("{:?}", decision.kind);
-                state_change(
-                    "decision",
-                    &[("artifact", &decision.artifact), ("kind", &kind)],
-                );
+                counters::decided(DecisionText::new(&decision.kind).decision);
+                decisions::log(&decision);
             }
             NodeAction::ViewWanted(from, sequence, view) => {
                 let rows = self.view_rows(&view);
@@ -170,6 +176,7 @@
             }
             // The node keeps the others to itself.
             CoordinatorAction::Answer(..)
+            | CoordinatorAction::Confirm(..)
             | CoordinatorAction::Lead(_)
             | CoordinatorAction::Resign
             | CoordinatorAction::Stopped
--- a/crates/settings/src/control.rs
+++ b/crates/settings/src/control.rs
@@ -27,6 +27,7 @@
             remote_bytes_per_second: section.remote_bytes_per_second.as_u64(),
             disk_bytes_per_second: section.disk_bytes_per_second.as_u64(),
             memory_bytes_per_second: section.memory_bytes_per_second.as_u64(),
+            ..CoordinatorSettings::default()
         }
     }
 
