Load: the table says that its times are milliseconds

Cause: tried as a user against flaxward dev (20 requests a second for 12 s over three daemons and two sleeping models, a burst of 50 each 5 s, 16 tokens each): all 335 requests were answered, and the table gave times without a unit.

Change: the unit stands in each heading.

--- a/crates/lab/src/load/result.rs
+++ b/crates/lab/src/load/result.rs
@@ -159,13 +159,13 @@
         "not sent",
         "answers/s",
         "tokens/s",
-        "first token p50",
-        "p95",
-        "p99",
-        "worst",
-        "between tokens p95",
-        "took p50",
-        "p99",
+        "first token p50, ms",
+        "p95, ms",
+        "p99, ms",
+        "worst, ms",
+        "between tokens p95, ms",
+        "took p50, ms",
+        "p99, ms",
     ]);
     for result in results {
         let refused = result.refused.iter();
