--- a/crates/control/src/coordinator/progress.rs
+++ b/crates/control/src/coordinator/progress.rs
@@ -52,7 +52,7 @@
     /// Takes over loads that a former coordinator has ordered.
     fn adopt_loads(&mut self, context: &Context) {
         for (name, runner) in &self.runners {
-            let Some(boot) = runner.sealed_boot() else {
+            let Some(boot) = runner.sealed_boot().filter(|_| runner.is_in_transit()) else {
                 continue;
             };
             for held in runner.holdings() {
--- a/crates/control/src/coordinator/quota.rs
+++ b/crates/control/src/coordinator/quota.rs
@@ -293,13 +293,17 @@
             return Some(CoordinatorAction::ReadQuota(subject.clone()));
         }
         let next = match &entry.record {
-            None if !need.claims => return None,
+            None if !need.claims => {
+                self.unfinished.remove(subject);
+                return None;
+            }
             None => created(subject, rule, &zone, term),
             Some((_, quota)) => {
                 let next = revised(quota, rule, need, goal, &zone, term, weakness);
                 let claimed = quota.terms.get(&zone) == Some(&term);
                 let unclaimed = need.claims && !claimed && weakness != Weakness::UnclaimedQuota;
                 if next == *quota && !unclaimed && entry.unsettled.is_empty() {
+                    self.unfinished.remove(subject);
                     return None;
                 }
                 Quota {
--- a/crates/control/src/coordinator/runner.rs
+++ b/crates/control/src/coordinator/runner.rs
@@ -192,6 +192,11 @@
         Observation::Applied
     }
 
+    /// Whether something on it is loading or unloading.
+    pub(super) fn is_in_transit(&self) -> bool {
+        self.in_transit
+    }
+
     fn take_in(&mut self, inventory: Inventory) {
         let mut states = inventory.artifacts.iter().map(|held| held.state);
         self.in_transit =
