What a dead holder costs in an outage, measured; a coordinator of any rank reads the lists

Cause: only the first two by rank read quotas and machines; a coordinator that began to lead before two others joined ranks third and no longer reads, so it knows no quota that came later and sends no caller on. Change: the coordinator reads at any rank. More lists read: by one daemon in such a zone.

--- a/crates/control/src/node/mod.rs
+++ b/crates/control/src/node/mod.rs
@@ -26,7 +26,8 @@
 /// Time between two sendings of a machine snapshot that has not changed.
 const MACHINES_RENEWAL: Duration = Duration::from_secs(10);
 
-/// Daemons that rank below this read the platform's lists: the coordinator and its stand-by.
+/// Daemons that rank below this read the platform's lists, as the coordinator does at any rank: they
+/// take the lease next.
 const READING_RANKS: usize = 2;
 
 /// A daemon without its sockets.
@@ -250,14 +251,20 @@
         }
     }
 
-    fn members_changed(&mut self) {
+    /// Reads the platform's lists or stops. A coordinator goes on to lead, and so to read, when daemons
+    /// that rank before it join later.
+    fn update_reading(&mut self) {
         let rank = self.gossip.membership().rank();
-        let reading = rank < READING_RANKS;
+        let reading = rank < READING_RANKS || self.leading().is_some();
         if self.told.reading != reading {
             self.told.reading = reading;
             self.actions.push(NodeAction::Reading(reading));
         }
-        self.coordinate(CoordinatorEvent::Rank(rank));
+    }
+
+    fn members_changed(&mut self) {
+        self.coordinate(CoordinatorEvent::Rank(self.gossip.membership().rank()));
+        self.update_reading();
         for gone in self.gone_members() {
             self.coordinate(CoordinatorEvent::GatewayGone(gone));
         }
@@ -348,6 +355,7 @@
             CoordinatorAction::Resign => {
                 self.gossip(GossipEvent::Resign);
                 self.actions.push(NodeAction::Resign);
+                self.update_reading();
             }
             CoordinatorAction::Stopped => {
                 self.stop.handed_back = true;
@@ -364,6 +372,7 @@
         self.actions.push(NodeAction::Lead(term));
         self.gossip(GossipEvent::Lead(term));
         self.machines_sent = None;
+        self.update_reading();
         self.leaving_changed();
     }
 
--- a/crates/simulation/tests/region/main.rs
+++ b/crates/simulation/tests/region/main.rs
@@ -3,4 +3,5 @@
 mod calm;
 mod properties;
 mod schedules;
+mod successors;
 mod support;
