Coordinator: units go to where they are of use, callers first

Cause of the process test in which m5 was loaded twice: the zone where the callers came in asked for the unit 2 s after their first demand, although they had gone to zone-c; having asked, it told them to wait, so they came back; zone-c saw no more demand, unloaded the replica it had just loaded (4.4 s under lost answers) and gave the unit away.

Ruled out: a unit promised while a load for it is decided (the goal counts what is wanted), and a late write that makes units look gone (only the own zone lowers its units).

--- a/crates/control/src/coordinator/choice.rs
+++ b/crates/control/src/coordinator/choice.rs
@@ -4,7 +4,7 @@
 
 use flaxward_types::engine::HeldState;
 use flaxward_types::records::{QuotaSubject, Slot};
-use flaxward_types::{ArtifactId, BootId, ResultCode, RunnerName};
+use flaxward_types::{ArtifactId, BootId, ResultCode, RunnerName, Timestamp, ZoneName};
 use xxhash_rust::xxh3::xxh3_64;
 
 use super::leading::{Block, Context, Leading, Wanted, slot};
@@ -21,7 +21,8 @@
 const SETTLING: Duration = Duration::from_secs(10);
 /// When to ask again after a refusal for want of memory or quota.
 const ASK_AGAIN: Duration = Duration::from_secs(5);
-/// Demand that has lasted this long is not sent to other zones again for want of memory.
+/// Demand that has lasted this long is not sent to other zones again, for as long as
+/// [`ASK_AGAIN`].
 const ELSEWHERE_LIMIT: Duration = Duration::from_secs(10);
 
 /// Where to load.
@@ -97,7 +98,7 @@
         } else if failed_before {
             Block::Refused(ResultCode::LoadFailed, ASK_AGAIN)
         } else {
-            self.without_memory(artifact, &subject, could_fit, context)
+            self.without_memory(artifact, could_fit, context)
         };
         if failed_before && matches!(block, Block::Refused(..)) {
             return Err(self.after_failures(artifact, context));
@@ -243,8 +244,7 @@
             return Block::Waiting;
         }
         let others = self.quotas.other_zones(subject);
-        let lasting = demand_age(artifact, context) >= ELSEWHERE_LIMIT;
-        if others.is_empty() || lasting {
+        if others.is_empty() || is_refused_now(artifact, context) {
             return Block::Refused(ResultCode::NoQuota, ASK_AGAIN);
         }
         Block::Elsewhere(others)
@@ -260,23 +260,39 @@
         Block::Elsewhere(others)
     }
 
+    /// Callers are first sent to the zones that have the units, since a replica may be ready there.
+    /// Only those who keep coming back wait here for a unit that was asked for.
     fn without_units(
-        &self,
+        &mut self,
         artifact: &ArtifactId,
         subject: &QuotaSubject,
         context: &Context,
     ) -> Block {
         let others = self.quotas.other_zones(subject);
+        if !others.is_empty() {
+            let sent_on = self.sent_on.entry(artifact.clone());
+            sent_on.or_insert(context.now);
+        }
         let asked = self
             .quotas
             .record(subject)
             .is_some_and(|quota| quota.wanted.contains_key(context.zone));
-        if others.is_empty() || (asked && demand_age(artifact, context) < ELSEWHERE_LIMIT) {
+        if others.is_empty() || (asked && self.asking_age(artifact, context) < ELSEWHERE_LIMIT) {
             return Block::Waiting;
         }
         Block::Elsewhere(others)
     }
 
+    /// How long a gateway has kept on asking for an artifact after having been sent on.
+    pub(super) fn asking_age(&self, artifact: &ArtifactId, context: &Context) -> Duration {
+        match self.sent_on.get(artifact) {
+            Some(sent_on) => context.demands.persistence(artifact, *sent_on),
+            // Nothing was missing here but memory.
+            None if self.quotas.units(&subject_of(artifact)) == 0 => Duration::ZERO,
+            None => demand_age(artifact, context),
+        }
+    }
+
     /// Whether a slot of the subject will be free soon: something is being unloaded or written, a
     /// runner is still to be sealed, or an idle replica of another version can go.
     fn slot_is_coming(&mut self, artifact: &ArtifactId, context: &Context) -> bool {
@@ -312,15 +328,19 @@
     }
 
     /// Whether a replica can make way for another artifact of the same subject, or for itself on
-    /// a machine that stays.
+    /// a machine that stays or has room for its adapters.
     fn may_yield(&self, slot: &Slot, artifact: &ArtifactId, context: &Context) -> bool {
         let ready = self.runners.get(&slot.runner).is_some_and(|runner| {
             let held = runner.held(&slot.artifact);
             held.is_some_and(|held| held.state == HeldState::Ready)
         });
-        if !ready || self.live_replicas(artifact, context.now) > 0 {
+        if !ready {
             return false;
         }
+        if self.live_replicas(artifact, context.now) > 0 {
+            let for_adapters = slot.artifact == *artifact && !artifact.is_adapter();
+            return for_adapters && self.is_stranded(slot, context);
+        }
         if !self.serves(&slot.runner, context.now) {
             return true;
         }
@@ -331,13 +351,7 @@
     }
 
     /// Why nothing fits.
-    fn without_memory(
-        &self,
-        artifact: &ArtifactId,
-        subject: &QuotaSubject,
-        could_fit: bool,
-        context: &Context,
-    ) -> Block {
+    fn without_memory(&self, artifact: &ArtifactId, could_fit: bool, context: &Context) -> Block {
         let settling = self
             .runners
             .keys()
@@ -353,25 +367,41 @@
         if self.leaves_soon(artifact) {
             return Block::Waiting;
         }
-        let others = self.quotas.other_zones(subject);
-        let lasting = demand_age(artifact, context) >= ELSEWHERE_LIMIT;
-        if others.is_empty() || lasting {
+        let others = self.zones_with_memory(artifact, context);
+        if others.is_empty() || is_refused_now(artifact, context) {
             return Block::Refused(ResultCode::NoMemory, ASK_AGAIN);
         }
         Block::Elsewhere(others)
     }
 
+    /// Zones that may have the memory that is missing here: those with units; else all that the rule
+    /// allows, since units follow the callers. The units of an adapter go to where its base may be.
+    fn zones_with_memory(&self, artifact: &ArtifactId, context: &Context) -> Vec<ZoneName> {
+        let subject = subject_of(&artifact.base());
+        let others = self.quotas.other_zones(&subject);
+        if !others.is_empty() {
+            return others;
+        }
+        let allowed = self.rule(&subject, context).zones.into_iter();
+        allowed.filter(|zone| zone != context.zone).collect()
+    }
+
     /// Whether the artifact itself is on its way out somewhere and can be loaded again after.
     fn leaves_soon(&self, artifact: &ArtifactId) -> bool {
         self.unloads.keys().any(|slot| slot.artifact == *artifact)
     }
 }
 
-/// How long an artifact has been wanted without a break.
-pub(super) fn demand_age(artifact: &ArtifactId, context: &Context) -> Duration {
-    let summary = context.demands.summary(artifact);
-    let since = summary.map_or(context.now, |summary| summary.since);
-    context.now.since(since)
+/// How long a gateway has kept on asking for an artifact.
+fn demand_age(artifact: &ArtifactId, context: &Context) -> Duration {
+    context.demands.persistence(artifact, Timestamp::ZERO)
+}
+
+/// Whether those who have kept on asking, and so found nothing elsewhere, are refused now. After a
+/// while they are sent on again, since another zone may have changed.
+fn is_refused_now(artifact: &ArtifactId, context: &Context) -> bool {
+    let turn = (ELSEWHERE_LIMIT + ASK_AGAIN).as_millis();
+    demand_age(artifact, context).as_millis() % turn >= ELSEWHERE_LIMIT.as_millis()
 }
 
 /// Breaks ties between runners, differently for each artifact.
--- a/crates/control/src/coordinator/demand.rs
+++ b/crates/control/src/coordinator/demand.rs
@@ -17,16 +17,21 @@
     pub(super) priority: u8,
     /// Earliest deadline among those waiting.
     pub(super) deadline: Timestamp,
-    /// Since when there has been demand without a break.
-    pub(super) since: Timestamp,
     /// Since when requests have been waiting without a break.
     pub(super) waiting_since: Option<Timestamp>,
 }
 
+/// What one gateway wants of one artifact.
 #[derive(Clone, Debug)]
-struct ArtifactDemand {
-    gateways: BTreeMap<DaemonName, (Demand, Timestamp)>,
+struct GatewayDemand {
+    demand: Demand,
     since: Timestamp,
+    renewed: Timestamp,
+}
+
+#[derive(Clone, Debug, Default)]
+struct ArtifactDemand {
+    gateways: BTreeMap<DaemonName, GatewayDemand>,
     waiting_since: Option<Timestamp>,
 }
 
@@ -48,15 +53,14 @@
         if !active {
             return self.remove(&artifact, &gateway);
         }
-        let entry = self
-            .entries
-            .entry(artifact)
-            .or_insert_with(|| ArtifactDemand {
-                gateways: BTreeMap::new(),
-                since: now,
-                waiting_since: None,
-            });
-        let before = entry.gateways.insert(gateway, (demand, now));
+        let entry = self.entries.entry(artifact).or_default();
+        let known = entry.gateways.get(&gateway);
+        let renewal = GatewayDemand {
+            demand,
+            since: known.map_or(now, |known| known.since),
+            renewed: now,
+        };
+        let before = entry.gateways.insert(gateway, renewal);
         entry.note_waiting(now);
         before.is_none() || entry.waiting_since.is_some()
     }
@@ -79,7 +83,7 @@
 
     /// Forgets demand that was not renewed.
     pub(super) fn expire(&mut self, now: Timestamp, expiry: Duration) {
-        self.retain(|_, at| now.since(at) < expiry);
+        self.retain(|_, renewed| now.since(renewed) < expiry);
         for entry in self.entries.values_mut() {
             entry.note_waiting(now);
         }
@@ -87,7 +91,9 @@
 
     fn retain(&mut self, mut keep: impl FnMut(&DaemonName, Timestamp) -> bool) {
         for entry in self.entries.values_mut() {
-            entry.gateways.retain(|name, (_, at)| keep(name, *at));
+            entry
+                .gateways
+                .retain(|name, demand| keep(name, demand.renewed));
         }
         self.entries.retain(|_, entry| !entry.gateways.is_empty());
     }
@@ -103,6 +109,18 @@
         entry.into_iter().flat_map(|entry| entry.gateways.keys())
     }
 
+    /// For how long one and the same gateway has renewed its demand for an artifact, or for an
+    /// adapter on it, counted from some time on. A gateway that has found a place elsewhere renews
+    /// nothing, so what is left of its demand grows no older.
+    pub(super) fn persistence(&self, artifact: &ArtifactId, from: Timestamp) -> Duration {
+        // The adapters on a base follow it in the order of the names.
+        let following = self.entries.range(artifact.clone()..);
+        let needing = following.take_while(|(other, _)| needs(other, artifact));
+        let demands = needing.flat_map(|(_, entry)| entry.gateways.values());
+        let durations = demands.map(|demand| demand.renewed.since(demand.since.max(from)));
+        durations.max().unwrap_or_default()
+    }
+
     /// When the artifact was last wanted, if ever.
     pub(super) fn last_active(&self, artifact: &ArtifactId) -> Option<Timestamp> {
         self.last_active.get(artifact).copied()
@@ -116,14 +134,16 @@
             running: 0,
             priority: 0,
             deadline: Timestamp(u64::MAX),
-            since: entry.since,
             waiting_since: entry.waiting_since,
         };
-        for (demand, at) in entry.gateways.values() {
+        for GatewayDemand {
+            demand, renewed, ..
+        } in entry.gateways.values()
+        {
             summary.waiting = summary.waiting.saturating_add(demand.waiting);
             summary.running = summary.running.saturating_add(demand.running);
             if demand.waiting > 0 {
-                let deadline = *at + Duration::from_millis(demand.earliest_deadline_ms);
+                let deadline = *renewed + Duration::from_millis(demand.earliest_deadline_ms);
                 summary.priority = summary.priority.max(demand.priority);
                 summary.deadline = summary.deadline.min(deadline);
             }
@@ -132,9 +152,15 @@
     }
 }
 
+/// Whether an artifact is another one, or an adapter on it.
+fn needs(artifact: &ArtifactId, other: &ArtifactId) -> bool {
+    artifact == other || (artifact.is_adapter() && artifact.base() == *other)
+}
+
 impl ArtifactDemand {
     fn note_waiting(&mut self, now: Timestamp) {
-        if self.gateways.values().any(|(demand, _)| demand.waiting > 0) {
+        let mut demands = self.gateways.values();
+        if demands.any(|gateway| gateway.demand.waiting > 0) {
             self.waiting_since.get_or_insert(now);
         } else {
             self.waiting_since = None;
--- a/crates/control/src/coordinator/leading.rs
+++ b/crates/control/src/coordinator/leading.rs
@@ -104,6 +104,8 @@
     pub(super) rate: RateLimit,
     pub(super) wanted: BTreeMap<ArtifactId, Wanted>,
     pub(super) blocks: BTreeMap<ArtifactId, Block>,
+    /// Since when callers for an artifact have been sent to the zones that have its units.
+    pub(super) sent_on: BTreeMap<ArtifactId, Timestamp>,
     pub(super) ready_since: BTreeMap<Slot, Timestamp>,
     pub(super) surplus_since: BTreeMap<ArtifactId, Timestamp>,
     pub(super) answers: Answers,
@@ -150,6 +152,7 @@
             rate: RateLimit::default(),
             wanted: BTreeMap::new(),
             blocks: BTreeMap::new(),
+            sent_on: BTreeMap::new(),
             ready_since: BTreeMap::new(),
             surplus_since: BTreeMap::new(),
             answers: Answers::default(),
--- a/crates/control/src/coordinator/mod.rs
+++ b/crates/control/src/coordinator/mod.rs
@@ -15,6 +15,7 @@
 use crate::keep_alive::KeepAlive;
 
 mod answers;
+mod bases;
 mod choice;
 mod demand;
 mod events;
--- a/crates/control/src/coordinator/needs.rs
+++ b/crates/control/src/coordinator/needs.rs
@@ -3,22 +3,27 @@
 use std::collections::BTreeSet;
 use std::time::Duration;
 
-use flaxward_types::ResultCode;
-use flaxward_types::records::QuotaSubject;
+use flaxward_types::records::{QuotaSubject, Slot};
+use flaxward_types::{ArtifactId, ResultCode, Timestamp};
 
-use super::choice::demand_age;
-use super::leading::{Block, Context, Leading};
+use super::leading::{Block, Context, Leading, Wanted};
 use super::loads::{remote_in_progress, remote_queued};
 use super::placement::subject_of;
 use super::quota::QuotaNeed;
 
-/// Demand that has lasted this long makes the zone ask other zones for units. Before that, the
-/// gateways have gone to a zone that has some.
+/// Gateways that are sent on and keep asking for this long make the zone ask other zones for units.
+/// Most find a replica or a load where they were sent to and are not heard of again.
 const ASK_AFTER: Duration = Duration::from_secs(2);
+/// A replica that was used keeps its unit for this many times the life of a demand, so that a zone
+/// whose callers have found the replica can withdraw what it has asked for.
+const KEPT_DEMAND_LIVES: u32 = 2;
 
 impl Leading {
     /// The subjects to look at: all of them from time to time, else those that matter now.
     pub(super) fn subjects_due(&mut self, all: bool) -> BTreeSet<QuotaSubject> {
+        let wanted = &self.wanted;
+        self.sent_on
+            .retain(|artifact, _| wanted.contains_key(artifact));
         let mut subjects = self.quotas.take_changed();
         if all {
             subjects.extend(self.quotas.subjects());
@@ -55,11 +60,15 @@
             claims: self.homes_wanted.contains(subject),
             ..QuotaNeed::default()
         };
+        if !self.is_of_use(subject) {
+            return need;
+        }
         for (artifact, wanted) in &self.wanted {
             if subject_of(artifact) != *subject {
                 continue;
             }
             let block = self.blocks.get(artifact);
+            need.kept += self.kept_for(artifact, wanted, context);
             let hopeless = matches!(
                 block,
                 Some(Block::Refused(
@@ -74,19 +83,69 @@
             // Gateways cannot find an adapter elsewhere when its base is here.
             let base_is_here =
                 artifact.is_adapter() && self.live_replicas(&artifact.base(), context.now) > 0;
-            need.asks |= base_is_here || demand_age(artifact, context) >= ASK_AFTER;
+            need.asks |= base_is_here || self.asking_age(artifact, context) >= ASK_AFTER;
             let unrecorded = self
                 .loads
                 .keys()
                 .any(|slot| slot.artifact == *artifact && !self.placement.usable(slot));
             need.claims |= block.is_some() || unrecorded;
         }
+        if self.quotas.asked_by_others(subject) > 0 {
+            need.kept += self.recently_used(subject, context);
+        }
         if need.needed > 0 {
-            need.needed += self.locked_slots(subject, context.now);
+            let locked = self.locked_slots(subject, context.now);
+            need.needed += locked;
+            need.kept += locked;
         }
         need
     }
 
+    /// Units that the zone keeps for what is wanted of an artifact. Callers who are refused or sent
+    /// on keep none but those in use: what the zone cannot serve must not be held back from one
+    /// that can.
+    fn kept_for(&self, artifact: &ArtifactId, wanted: &Wanted, context: &Context) -> u32 {
+        match self.blocks.get(artifact) {
+            None | Some(Block::Waiting) => wanted.replicas,
+            Some(Block::Refused(..) | Block::Elsewhere(_)) => {
+                self.live_replicas(artifact, context.now)
+            }
+        }
+    }
+
+    /// Replicas that are not wanted now but were used a moment ago. Callers of a zone that asks for a
+    /// unit are better served by these than by a load over there.
+    fn recently_used(&self, subject: &QuotaSubject, context: &Context) -> u32 {
+        let grace = context.settings.demand_expiry * KEPT_DEMAND_LIVES;
+        let is_recent = |key: &&Slot| {
+            subject_of(&key.artifact) == *subject
+                && !self.wanted.contains_key(&key.artifact)
+                && self.is_loaded(key, context.now)
+                && context.now.since(self.last_use(key, context)) < grace
+        };
+        let count = self.placement.slots().iter().filter(is_recent).count();
+        u32::try_from(count).unwrap_or(u32::MAX)
+    }
+
+    /// Whether an artifact is held in its slot, or on its way there, and takes requests.
+    fn is_loaded(&self, key: &Slot, now: Timestamp) -> bool {
+        let mut staying = self.staying(&key.artifact, now);
+        staying.any(|(name, _)| *name == key.runner) || self.live_load(key, now).is_some()
+    }
+
+    /// Whether the zone can do anything with units of a subject. Those of an adapter are of use only
+    /// where its base may be loaded: elsewhere callers are sent on, and their demand must not hold
+    /// the units back from the zone that they are sent to.
+    fn is_of_use(&self, subject: &QuotaSubject) -> bool {
+        match subject {
+            QuotaSubject::Adapter(model, _) => {
+                let base = QuotaSubject::Model(model.clone());
+                self.quotas.units(&base) > 0
+            }
+            QuotaSubject::Model(_) | QuotaSubject::WeightStore => true,
+        }
+    }
+
     fn weight_store_need(&self, context: &Context) -> QuotaNeed {
         // Each zone keeps a permit for a wake in an outage, if there are enough for all.
         let zones = u32::try_from(context.zones.len()).unwrap_or(u32::MAX);
@@ -95,7 +154,7 @@
         let queued = remote_queued(&self.loads);
         QuotaNeed {
             needed: used + queued,
-            kept: u32::from(plenty),
+            kept: (used + queued).max(u32::from(plenty)),
             bound: used,
             asks: queued > 0,
             claims: queued > 0,
--- a/crates/control/src/coordinator/planner.rs
+++ b/crates/control/src/coordinator/planner.rs
@@ -112,7 +112,7 @@
             };
             if artifact.is_adapter() {
                 let base = Wanted {
-                    replicas: 1,
+                    replicas: self.bases_for(artifact, context),
                     extra_bytes: bytes,
                     ..want.clone()
                 };
--- a/crates/control/src/coordinator/quota.rs
+++ b/crates/control/src/coordinator/quota.rs
@@ -28,7 +28,7 @@
 /// What the zone needs of a subject.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub(super) struct QuotaNeed {
-    /// Units the zone could use now.
+    /// Units the zone could use now; what is missing it may ask for.
     pub(super) needed: u32,
     /// Units it keeps even if others ask.
     pub(super) kept: u32,
@@ -228,7 +228,7 @@
             return 0;
         };
         let own = own_units(quota, &self.zone);
-        let spare = own.saturating_sub(need.kept.max(need.needed));
+        let spare = own.saturating_sub(need.kept);
         let given = spare.min(self.asked_by_others(subject));
         let goal = own - given;
         // With an older configuration than the record's, the record is right.
--- a/crates/control/src/coordinator/unneeded.rs
+++ b/crates/control/src/coordinator/unneeded.rs
@@ -74,17 +74,22 @@
         if self.wanted.contains_key(&key.artifact) || self.carries_wanted_adapter(key) {
             return false;
         }
+        let used = self.last_use(key, context);
+        let decision = self.keep_alive(&key.artifact, context);
+        !decision.wants_loaded(context.now.since(used))
+    }
+
+    /// When what is loaded in a slot was last wanted, by itself or for an adapter on it.
+    pub(super) fn last_use(&self, key: &Slot, context: &Context) -> Timestamp {
         let ready = self.ready_since.get(key).copied().unwrap_or(self.since);
         let own = context.demands.last_active(&key.artifact);
         let adapters = self
             .adapters_on(key)
             .filter_map(|adapter| context.demands.last_active(&adapter))
             .max();
-        let used = ready
+        ready
             .max(own.unwrap_or_default())
-            .max(adapters.unwrap_or_default());
-        let decision = self.keep_alive(&key.artifact, context);
-        !decision.wants_loaded(context.now.since(used))
+            .max(adapters.unwrap_or_default())
     }
 
     fn keep_alive(&self, artifact: &ArtifactId, context: &Context) -> KeepAliveDecision {
--- a/crates/simulation/src/engine.rs
+++ b/crates/simulation/src/engine.rs
@@ -136,6 +136,11 @@
         former.generations
     }
 
+    /// Loads begun, over all its starts.
+    pub fn loads(&self) -> u64 {
+        self.loads
+    }
+
     /// What it holds.
     pub fn held(&self) -> impl Iterator<Item = &Held> {
         self.slots.values().map(|slot| &slot.held)
