--- a/crates/control/src/coordinator/bases.rs
+++ b/crates/control/src/coordinator/bases.rs
@@ -36,7 +36,7 @@
     /// make way for a replica on a runner that has room for them.
     pub(super) fn is_stranded(&self, base: &Slot, context: &Context) -> bool {
         let demanded = context.demands.summary(&base.artifact).is_some();
-        let kept = self.kept.iter().any(|(kept, _)| *kept == base.artifact);
+        let kept = self.kept.contains_key(&base.artifact);
         !demanded && !kept && !self.carries_wanted_adapter(base)
     }
 }
--- a/crates/control/src/coordinator/needs.rs
+++ b/crates/control/src/coordinator/needs.rs
@@ -8,7 +8,6 @@
 
 use super::leading::{Block, Context, Leading, Wanted};
 use super::loads::{remote_in_progress, remote_queued};
-use super::placement::subject_of;
 use super::quota::QuotaNeed;
 
 /// Gateways that are sent on and keep asking for this long make the zone ask other zones for units.
@@ -19,25 +18,15 @@
 const KEPT_DEMAND_LIVES: u32 = 2;
 
 impl Leading {
-    /// The subjects to look at: all of them from time to time, else those that matter now.
-    pub(super) fn subjects_due(&mut self, all: bool) -> BTreeSet<QuotaSubject> {
+    /// Reads and writes quotas as needed.
+    pub(super) fn step_quotas(&mut self, subjects: &BTreeSet<QuotaSubject>, context: &Context) {
         let wanted = &self.wanted;
         self.sent_on
             .retain(|artifact, _| wanted.contains_key(artifact));
-        let mut subjects = self.quotas.take_changed();
-        if all {
-            subjects.extend(self.quotas.subjects());
-        }
-        subjects.extend(self.wanted.keys().map(subject_of));
-        subjects.insert(QuotaSubject::WeightStore);
-        subjects
-    }
-
-    /// Reads and writes quotas as needed.
-    pub(super) fn step_quotas(&mut self, subjects: &BTreeSet<QuotaSubject>, context: &Context) {
         let reading = self.quotas.read_all(context.now);
         self.actions.extend(reading);
         if !context.may_record {
+            self.unstepped.extend(subjects.iter().cloned());
             return;
         }
         for subject in subjects {
@@ -63,10 +52,7 @@
         if !self.is_of_use(subject) {
             return need;
         }
-        for (artifact, wanted) in &self.wanted {
-            if subject_of(artifact) != *subject {
-                continue;
-            }
+        for (artifact, wanted) in self.wanted.of_subject(subject) {
             let block = self.blocks.get(artifact);
             need.kept += self.kept_for(artifact, wanted, context);
             let hopeless = matches!(
@@ -118,12 +104,12 @@
     fn recently_used(&self, subject: &QuotaSubject, context: &Context) -> u32 {
         let grace = context.settings.demand_expiry * KEPT_DEMAND_LIVES;
         let is_recent = |key: &&Slot| {
-            subject_of(&key.artifact) == *subject
-                && !self.wanted.contains_key(&key.artifact)
+            !self.wanted.contains_key(&key.artifact)
                 && self.is_loaded(key, context.now)
                 && context.now.since(self.last_use(key, context)) < grace
         };
-        let count = self.placement.slots().iter().filter(is_recent).count();
+        let slots = self.placement.slots().of_subject(subject);
+        let count = slots.filter(is_recent).count();
         u32::try_from(count).unwrap_or(u32::MAX)
     }
 
--- a/crates/simulation/tests/region/schedules.rs
+++ b/crates/simulation/tests/region/schedules.rs
@@ -11,7 +11,8 @@
 pub const FAULTY: Duration = Duration::from_secs(40);
 /// Time during which a region without faults is given work and changed.
 pub const CALM: Duration = Duration::from_secs(30);
-/// Longest time from an operator's look at the configuration to the change.
+/// Longest time from a look at the configuration to the change of the first of two operators; the
+/// second thinks twice as long.
 pub const THINKING: Duration = Duration::from_secs(2);
 
 fn millis(range: std::ops::Range<u64>) -> impl Strategy<Value = Duration> {
