--- a/crates/control/benches/coordinator/zone.rs
+++ b/crates/control/benches/coordinator/zone.rs
@@ -364,6 +364,7 @@
             priority: 1,
             earliest_deadline_ms: 30_000,
             arrivals: u32::from(in_use),
+            known: None,
         };
         self.tell(CoordinatorEvent::Demanded(gateway.clone(), demand));
         if in_use {
--- a/crates/settings/src/control.rs
+++ b/crates/settings/src/control.rs
@@ -24,6 +24,7 @@
             load_tries: section.load_tries,
             load_backoff: section.load_backoff,
             demand_expiry: section.demand_expiry,
+            running_demand_expiry: CoordinatorSettings::default().running_demand_expiry,
             remote_bytes_per_second: section.remote_bytes_per_second.as_u64(),
             disk_bytes_per_second: section.disk_bytes_per_second.as_u64(),
             memory_bytes_per_second: section.memory_bytes_per_second.as_u64(),
@@ -41,6 +42,8 @@
             total_limit: self.gateway.queue_total as usize,
             coordinator_grace: self.gateway.coordinator_grace,
             demand_period: self.gateway.demand_renewal,
+            running_demand_period: self.gateway.running_demand_period,
+            unreachable_period: self.gateway.unreachable_period,
             ..AdmissionSettings::default()
         }
     }
