--- a/crates/control/src/coordinator/choice.rs
+++ b/crates/control/src/coordinator/choice.rs
@@ -7,6 +7,7 @@
 use flaxward_types::{ArtifactId, BootId, ResultCode, RunnerName};
 use xxhash_rust::xxh3::xxh3_64;
 
+use super::blocks::ASK_AGAIN;
 use super::leading::{Block, Context, Leading, Wanted, slot};
 use super::ledger::Room;
 use super::loads::{Tier, remote_queued};
@@ -17,12 +18,6 @@
 const SLOT_WRITE: Duration = Duration::from_millis(100);
 /// Time that unloading something idle is taken to cost.
 const UNLOAD: Duration = Duration::from_secs(1);
-/// Time after the start of a term in which runners may not have been sealed yet.
-const SETTLING: Duration = Duration::from_secs(10);
-/// When to ask again after a refusal for want of memory or quota.
-const ASK_AGAIN: Duration = Duration::from_secs(5);
-/// Demand that has lasted this long is not sent to other zones again for want of memory.
-const ELSEWHERE_LIMIT: Duration = Duration::from_secs(10);
 
 /// Where to load.
 #[derive(Clone, Debug)]
@@ -97,20 +92,14 @@
         } else if failed_before {
             Block::Refused(ResultCode::LoadFailed, ASK_AGAIN)
         } else {
-            self.without_memory(artifact, &subject, could_fit, context)
+            self.without_memory(artifact, could_fit, context)
         };
         if failed_before && matches!(block, Block::Refused(..)) {
-            return Err(self.after_failures(artifact, context));
+            return Err(self.pause_after_failures(artifact, context));
         }
         Err(block)
     }
 
-    /// Failed loads have left nothing to try: a pause begins, and then all is tried again.
-    fn after_failures(&mut self, artifact: &ArtifactId, context: &Context) -> Block {
-        let until = self.failures.pause(artifact, context.now, context.settings);
-        Block::Refused(ResultCode::LoadFailed, until.since(context.now))
-    }
-
     fn is_candidate(&self, artifact: &ArtifactId, name: &RunnerName, context: &Context) -> bool {
         let wanted_slot = slot(artifact, name);
         let Some(runner) = self.runners.get(name) else {
@@ -216,161 +205,6 @@
         runner.is_some_and(|runner| runner.confirmed_without(&slot.artifact))
             && !self.unloads.contains_key(slot)
     }
-
-    /// Why a replica that would fit has no slot.
-    fn without_slot(
-        &mut self,
-        artifact: &ArtifactId,
-        subject: &QuotaSubject,
-        context: &Context,
-    ) -> Block {
-        if context.in_outage {
-            return self.without_slot_in_outage(subject);
-        }
-        let rule = self.rule(subject, context);
-        if rule.limit == 0 {
-            return Block::Refused(ResultCode::NoQuota, ASK_AGAIN);
-        }
-        if !self.quotas.loaded() || self.quotas.record(subject).is_none() {
-            return Block::Waiting;
-        }
-        let units = self.quotas.units(subject);
-        if units == 0 {
-            return self.without_units(artifact, subject, context);
-        }
-        if !context.may_record {
-            // Until the lease is confirmed, nothing can be put in the place of another slot.
-            return Block::Waiting;
-        }
-        if self.quotas.claimed_units(subject) < units || self.slot_is_coming(artifact, context) {
-            return Block::Waiting;
-        }
-        let others = self.quotas.other_zones(subject);
-        let lasting = demand_age(artifact, context) >= ELSEWHERE_LIMIT;
-        if others.is_empty() || lasting {
-            return Block::Refused(ResultCode::NoQuota, ASK_AGAIN);
-        }
-        Block::Elsewhere(others)
-    }
-
-    /// Units cannot move while the store is down, so those who are sent on find them where they were
-    /// last seen. A zone that has a unit itself has nothing better to hope for elsewhere.
-    fn without_slot_in_outage(&self, subject: &QuotaSubject) -> Block {
-        let others = self.quotas.other_zones(subject);
-        if self.quotas.units(subject) > 0 || others.is_empty() {
-            return Block::Refused(ResultCode::NoSlotInOutage, ASK_AGAIN);
-        }
-        Block::Elsewhere(others)
-    }
-
-    fn without_units(
-        &self,
-        artifact: &ArtifactId,
-        subject: &QuotaSubject,
-        context: &Context,
-    ) -> Block {
-        let others = self.quotas.other_zones(subject);
-        let asked = self
-            .quotas
-            .record(subject)
-            .is_some_and(|quota| quota.wanted.contains_key(context.zone));
-        if others.is_empty() || (asked && demand_age(artifact, context) < ELSEWHERE_LIMIT) {
-            return Block::Waiting;
-        }
-        Block::Elsewhere(others)
-    }
-
-    /// Whether a slot of the subject will be free soon: something is being unloaded or written, a
-    /// runner is still to be sealed, or an idle replica of another version can go.
-    fn slot_is_coming(&mut self, artifact: &ArtifactId, context: &Context) -> bool {
-        let subject = &subject_of(artifact);
-        let slots = self.placement.slots().of_subject(subject);
-        let of_subject: Vec<Slot> = slots.cloned().collect();
-        let mut coming = self.placement.planned(subject) != self.placement.bound(subject);
-        // What a write of unknown outcome has left is read before anything is refused.
-        coming |= !self.placement.is_settled();
-        for slot in of_subject {
-            coming |= self.unloads.contains_key(&slot) || self.is_settling(&slot.runner, context);
-            let state = self.holdings.state(&slot.artifact, &slot.runner);
-            coming |= state == Some(HeldState::Unloading);
-            if !coming && self.may_yield(&slot, artifact, context) {
-                self.evict(&slot);
-                self.made_way.insert(slot.artifact, context.now);
-                coming = true;
-            }
-        }
-        coming
-    }
-
-    fn is_settling(&self, name: &RunnerName, context: &Context) -> bool {
-        let Some(runner) = self.runners.get(name) else {
-            return context.now.since(self.since) < SETTLING;
-        };
-        let sealed = runner.sealed_boot().is_some();
-        !sealed && !runner.unreachable(context.now)
-    }
-
-    /// Whether a replica can make way for another artifact of the same subject, or for itself on
-    /// a machine that stays.
-    fn may_yield(&self, slot: &Slot, artifact: &ArtifactId, context: &Context) -> bool {
-        let ready = self.runners.get(&slot.runner).is_some_and(|runner| {
-            let held = runner.held(&slot.artifact);
-            held.is_some_and(|held| held.state == HeldState::Ready)
-        });
-        if !ready || self.live_replicas(artifact, context.now) > 0 {
-            return false;
-        }
-        if !self.serves(&slot.runner, context.now) {
-            return true;
-        }
-        let model = context.configuration.model(&artifact.model);
-        let serving = model.map(|model| &model.serving);
-        let newer = serving == Some(&artifact.version) && serving != Some(&slot.artifact.version);
-        slot.artifact != *artifact && (newer || self.is_evictable(slot, context))
-    }
-
-    /// Why nothing fits.
-    fn without_memory(
-        &self,
-        artifact: &ArtifactId,
-        subject: &QuotaSubject,
-        could_fit: bool,
-        context: &Context,
-    ) -> Block {
-        let settling = self
-            .runners
-            .keys()
-            .any(|name| self.is_settling(name, context));
-        let early = context.now.since(self.since) < SETTLING;
-        if (settling || self.runners.is_empty()) && early {
-            return Block::Waiting;
-        }
-        if artifact.is_adapter() && !could_fit {
-            let base = self.blocks.get(&artifact.base()).cloned();
-            return base.unwrap_or(Block::Waiting);
-        }
-        if self.leaves_soon(artifact) {
-            return Block::Waiting;
-        }
-        let others = self.quotas.other_zones(subject);
-        let lasting = demand_age(artifact, context) >= ELSEWHERE_LIMIT;
-        if others.is_empty() || lasting {
-            return Block::Refused(ResultCode::NoMemory, ASK_AGAIN);
-        }
-        Block::Elsewhere(others)
-    }
-
-    /// Whether the artifact itself is on its way out somewhere and can be loaded again after.
-    fn leaves_soon(&self, artifact: &ArtifactId) -> bool {
-        self.unloads.keys().any(|slot| slot.artifact == *artifact)
-    }
-}
-
-/// How long an artifact has been wanted without a break.
-pub(super) fn demand_age(artifact: &ArtifactId, context: &Context) -> Duration {
-    let summary = context.demands.summary(artifact);
-    let since = summary.map_or(context.now, |summary| summary.since);
-    context.now.since(since)
 }
 
 /// Breaks ties between runners, differently for each artifact.
--- a/crates/control/src/coordinator/demand.rs
+++ b/crates/control/src/coordinator/demand.rs
@@ -22,8 +22,6 @@
     pub(super) priority: u8,
     /// Earliest deadline among those waiting.
     pub(super) deadline: Timestamp,
-    /// Since when there has been demand without a break.
-    pub(super) since: Timestamp,
     /// Since when requests have been waiting without a break.
     pub(super) waiting_since: Option<Timestamp>,
     /// When a gateway last said that requests wait.
@@ -41,12 +39,19 @@
     Wanted,
 }
 
+/// What one gateway wants of one artifact.
 #[derive(Clone, Debug)]
+struct GatewayDemand {
+    demand: Demand,
+    since: Timestamp,
+    renewed: Timestamp,
+}
+
+#[derive(Clone, Debug, Default)]
 struct ArtifactDemand {
     /// Requests running, at all gateways.
     running: u32,
-    gateways: BTreeMap<DaemonName, (Demand, Timestamp)>,
-    since: Timestamp,
+    gateways: BTreeMap<DaemonName, GatewayDemand>,
     waiting_since: Option<Timestamp>,
 }
 
@@ -81,20 +86,17 @@
                 DemandChange::None
             };
         }
-        let entry = self
-            .entries
-            .entry(artifact.clone())
-            .or_insert_with(|| ArtifactDemand {
-                running: 0,
-                gateways: BTreeMap::new(),
-                since: now,
-                waiting_since: None,
-            });
+        let entry = self.entries.entry(artifact.clone()).or_default();
+        let known = entry.gateways.get(&gateway);
+        let is_new = known.is_none();
+        let renewal = GatewayDemand {
+            since: known.map_or(now, |known| known.since),
+            demand,
+            renewed: now,
+        };
+        entry.gateways.insert(gateway, renewal);
         let crowd_before = crowd(entry.running);
-        let running = demand.running;
-        let before = entry.gateways.insert(gateway, (demand, now));
-        let ran = before.as_ref().map_or(0, |(before, _)| before.running);
-        entry.running = entry.running.saturating_sub(ran).saturating_add(running);
+        entry.count_running();
         let other_crowd = crowd(entry.running) != crowd_before;
         entry.note_waiting(now);
         let waits = entry.waiting_since.is_some();
@@ -103,7 +105,7 @@
         } else {
             self.waiting.remove(&artifact);
         }
-        if before.is_none() || waits {
+        if is_new || waits {
             DemandChange::Wanted
         } else if other_crowd {
             DemandChange::Crowd
@@ -160,7 +162,7 @@
             .entries
             .values()
             .flat_map(|entry| entry.gateways.values());
-        let expiries = demands.map(|(demand, at)| *at + lifetime(demand, settings));
+        let expiries = demands.map(|gateway| gateway.renewed + lifetime(&gateway.demand, settings));
         expiries.fold(now + settings.demand_expiry, Timestamp::min)
     }
 
@@ -183,7 +185,7 @@
         for (artifact, entry) in &mut self.entries {
             let before = entry.gateways.len();
             let gateways = &mut entry.gateways;
-            gateways.retain(|name, (demand, at)| keep(name, demand, *at));
+            gateways.retain(|name, demand| keep(name, &demand.demand, demand.renewed));
             if gateways.len() < before {
                 entry.count_running();
                 fewer.push(artifact.clone());
@@ -214,6 +216,18 @@
         entry.into_iter().flat_map(|entry| entry.gateways.keys())
     }
 
+    /// For how long one and the same gateway has renewed its demand for an artifact, or for an
+    /// adapter on it, counted from some time on. A gateway that has found a place elsewhere renews
+    /// nothing, so what is left of its demand grows no older.
+    pub(super) fn persistence(&self, artifact: &ArtifactId, from: Timestamp) -> Duration {
+        // The adapters on a base follow it in the order of the names.
+        let following = self.entries.range(artifact.clone()..);
+        let needing = following.take_while(|(other, _)| needs(other, artifact));
+        let demands = needing.flat_map(|(_, entry)| entry.gateways.values());
+        let durations = demands.map(|demand| demand.renewed.since(demand.since.max(from)));
+        durations.max().unwrap_or_default()
+    }
+
     /// When the artifact was last wanted, if ever.
     pub(super) fn last_active(&self, artifact: &ArtifactId) -> Option<Timestamp> {
         self.last_active.get(artifact).copied()
@@ -227,24 +241,31 @@
             running: 0,
             priority: 0,
             deadline: Timestamp(u64::MAX),
-            since: entry.since,
             waiting_since: entry.waiting_since,
             waiting_told: None,
         };
-        for (demand, at) in entry.gateways.values() {
+        for GatewayDemand {
+            demand, renewed, ..
+        } in entry.gateways.values()
+        {
             summary.waiting = summary.waiting.saturating_add(demand.waiting);
             summary.running = summary.running.saturating_add(demand.running);
             if demand.waiting > 0 {
-                let deadline = *at + Duration::from_millis(demand.earliest_deadline_ms);
+                let deadline = *renewed + Duration::from_millis(demand.earliest_deadline_ms);
                 summary.priority = summary.priority.max(demand.priority);
                 summary.deadline = summary.deadline.min(deadline);
-                summary.waiting_told = summary.waiting_told.max(Some(*at));
+                summary.waiting_told = summary.waiting_told.max(Some(*renewed));
             }
         }
         Some(summary)
     }
 }
 
+/// Whether an artifact is another one, or an adapter on it.
+fn needs(artifact: &ArtifactId, other: &ArtifactId) -> bool {
+    artifact == other || (artifact.is_adapter() && artifact.base() == *other)
+}
+
 /// How long a demand holds that is not renewed.
 fn lifetime(demand: &Demand, settings: &CoordinatorSettings) -> Duration {
     if demand.waiting > 0 {
@@ -261,12 +282,13 @@
 
 impl ArtifactDemand {
     fn count_running(&mut self) {
-        let running = self.gateways.values().map(|(demand, _)| demand.running);
+        let running = self.gateways.values().map(|gateway| gateway.demand.running);
         self.running = running.fold(0, u32::saturating_add);
     }
 
     fn note_waiting(&mut self, now: Timestamp) {
-        if self.gateways.values().any(|(demand, _)| demand.waiting > 0) {
+        let mut demands = self.gateways.values();
+        if demands.any(|gateway| gateway.demand.waiting > 0) {
             self.waiting_since.get_or_insert(now);
         } else {
             self.waiting_since = None;
--- a/crates/control/src/coordinator/focus.rs
+++ b/crates/control/src/coordinator/focus.rs
@@ -157,7 +157,7 @@
     ) -> BTreeSet<QuotaSubject> {
         let mut subjects = self.quotas.take_changed(QUOTAS_PER_PLAN);
         subjects.extend(self.quotas.unfinished().cloned());
-        subjects.extend(self.excess.iter().cloned());
+        subjects.extend(self.contested.iter().cloned());
         self.quotas_due.extend(self.placement.take_changed());
         if context.may_record {
             self.quotas_due.append(&mut self.unstepped);
@@ -167,10 +167,11 @@
         if housekeeping {
             subjects.extend(self.quota_slice(context));
         }
-        let wanted = focus
-            .iter()
-            .filter(|artifact| self.wanted.contains_key(artifact));
-        subjects.extend(wanted.map(subject_of));
+        // What is wanted no longer may have been asked for.
+        let concerned = focus.iter().filter(|artifact| {
+            self.wanted.contains_key(artifact) || self.sent_on.contains_key(artifact)
+        });
+        subjects.extend(concerned.map(subject_of));
         subjects.insert(QuotaSubject::WeightStore);
         subjects
     }
--- a/crates/control/src/coordinator/leading.rs
+++ b/crates/control/src/coordinator/leading.rs
@@ -97,13 +97,15 @@
     pub(super) configured_artifacts: Vec<ArtifactId>,
     /// Subjects whose rules or slots have changed since they were last looked at.
     pub(super) quotas_due: BTreeSet<QuotaSubject>,
-    /// Subjects with more slots than their goals.
-    pub(super) excess: BTreeSet<QuotaSubject>,
+    /// Subjects with more slots than their goals, or with units that others ask for.
+    pub(super) contested: BTreeSet<QuotaSubject>,
     /// Subjects whose quotas could not be written when they were looked at.
     pub(super) unstepped: BTreeSet<QuotaSubject>,
     /// Slots found to be of no use and free; looked at again in each plan.
     pub(super) useless: BTreeSet<Slot>,
     pub(super) blocks: BTreeMap<ArtifactId, Block>,
+    /// Since when callers for an artifact have been sent to the zones that have its units.
+    pub(super) sent_on: BTreeMap<ArtifactId, Timestamp>,
     pub(super) ready_since: BTreeMap<Slot, Timestamp>,
     pub(super) surplus_since: BTreeMap<ArtifactId, Timestamp>,
     pub(super) answers: Answers,
@@ -157,10 +159,11 @@
             cursors: Cursors::default(),
             configured_artifacts: Vec::new(),
             quotas_due: BTreeSet::new(),
-            excess: BTreeSet::new(),
+            contested: BTreeSet::new(),
             unstepped: BTreeSet::new(),
             useless: BTreeSet::new(),
             blocks: BTreeMap::new(),
+            sent_on: BTreeMap::new(),
             ready_since: BTreeMap::new(),
             surplus_since: BTreeMap::new(),
             answers: Answers::default(),
--- a/crates/control/src/coordinator/mod.rs
+++ b/crates/control/src/coordinator/mod.rs
@@ -15,6 +15,8 @@
 use crate::keep_alive::KeepAlive;
 
 mod answers;
+mod bases;
+mod blocks;
 mod choice;
 mod consistency;
 mod demand;
--- a/crates/control/src/coordinator/planner.rs
+++ b/crates/control/src/coordinator/planner.rs
@@ -132,7 +132,7 @@
         let bytes = context.configuration.bytes(artifact)?;
         let own = self.wanted_by_demand(artifact, context)?;
         let of_base = artifact.is_adapter().then(|| Wanted {
-            replicas: 1,
+            replicas: self.bases_for(artifact, context),
             extra_bytes: bytes,
             ..own.clone()
         });
--- a/crates/control/src/coordinator/unneeded.rs
+++ b/crates/control/src/coordinator/unneeded.rs
@@ -81,17 +81,22 @@
         if self.wanted.contains_key(&key.artifact) || self.carries_wanted_adapter(key) {
             return false;
         }
+        let used = self.last_use(key, context);
+        let decision = self.keep_alive(&key.artifact, context);
+        !decision.wants_loaded(context.now.since(used))
+    }
+
+    /// When what is loaded in a slot was last wanted, by itself or for an adapter on it.
+    pub(super) fn last_use(&self, key: &Slot, context: &Context) -> Timestamp {
         let ready = self.ready_since.get(key).copied().unwrap_or(self.since);
         let own = context.demands.last_active(&key.artifact);
         let adapters = self
             .adapters_on(key)
             .filter_map(|adapter| context.demands.last_active(&adapter))
             .max();
-        let used = ready
+        ready
             .max(own.unwrap_or_default())
-            .max(adapters.unwrap_or_default());
-        let decision = self.keep_alive(&key.artifact, context);
-        !decision.wants_loaded(context.now.since(used))
+            .max(adapters.unwrap_or_default())
     }
 
     fn keep_alive(&self, artifact: &ArtifactId, context: &Context) -> KeepAliveDecision {
@@ -222,11 +227,16 @@
         let goal = self.quotas.goal(subject, &rule, &need);
         self.goals.insert(subject.clone(), goal);
         let mut excess = planned.saturating_sub(goal);
+        // Time alone can make a replica one that may go to those who ask.
+        let asked = self.quotas.asked_by_others(subject) > 0 && self.quotas.units(subject) > 0;
+        if excess > 0 || asked {
+            self.contested.insert(subject.clone());
+        } else {
+            self.contested.remove(subject);
+        }
         if excess == 0 {
-            self.excess.remove(subject);
             return;
         }
-        self.excess.insert(subject.clone());
         let slots = self.placement.slots().of_subject(subject);
         let mut slots: Vec<Slot> = slots.cloned().collect();
         slots.sort_by_key(|key| {
