Claims: expired ones are removed, by groups that they name themselves

Built: a claim names its group, the hour in which it expires and one of 32 shards. The shards are shared out among the zones; the coordinator of a zone selects the groups of full hours by a field selector and removes what it finds. So nothing is read but what is to be removed. `claims::removal` is the state machine, `claim_removal` its driver, `claims.removal_calls_per_second` (10) the bound, `flaxward_claims_removed_total` the counter; the object API's interface gains the selection, held by its contract.

A claim is removed only if it has expired itself, 30 s ago by the remover's clock, and only in the version that was read.

Cost, by arithmetic: 0.64 selections a second for the whole region, and one removal for each claim; at the target and 0.1 %, 74 calls a second, 4.6 at one coordinator. The default bound suffices up to 0.2 %.

Proved: `the_removal_of_an_expired_claim_allows_no_second_run` (daemons that race, die and lose answers over hours, a remover whose clock is 29 s ahead, removals that land late: two runs of a key are never less than a lifetime apart), also with 5,000 cases; removing early and removing whatever the version are found by it. `claim_removal` in control (hours, margin, bounds, shards) and in the processes (182 expired claims in two groups of hours are removed by all three zones, a fresh one and one in a wrong group stay, a restart of all daemons in between).

--- a/crates/control/src/claims/machine.rs
+++ b/crates/control/src/claims/machine.rs
@@ -9,6 +9,7 @@
     ClaimAction, ClaimEvent, ClaimFault, ClaimRequest, ClaimSettings, ClaimWrite, RequestEnd,
     StoredClaim,
 };
+use super::removal::RemovalGroup;
 
 /// What the caller reads beside [`ResultCode::ClaimNotRecorded`].
 const NOT_RECORDED: &str = "the key could not be recorded, so this request was not run; an earlier \
@@ -175,9 +176,11 @@
             return self.refuse(ResultCode::KeyInProgress);
         }
         self.phase = Phase::Marking;
+        let expires_unix = self.expiry(now_unix);
         let claim = Claim {
             outcome: ClaimOutcome::Unknown,
-            expires_unix: self.expiry(now_unix),
+            expires_unix,
+            removal_group: RemovalGroup::of(expires_unix, stored.claim.attempt).to_string(),
             ..stored.claim.clone()
         };
         vec![ClaimAction::Write {
@@ -380,11 +383,13 @@
     }
 
     fn claim(&self, outcome: ClaimOutcome, now_unix: u64) -> Claim {
+        let expires_unix = self.expiry(now_unix);
         Claim {
             request_digest: self.request.digest.clone(),
             attempt: self.request.attempt,
             daemon: self.request.daemon.clone(),
-            expires_unix: self.expiry(now_unix),
+            expires_unix,
+            removal_group: RemovalGroup::of(expires_unix, self.request.attempt).to_string(),
             abandoned_unix: self.abandoned_unix(),
             outcome,
         }
--- a/crates/control/src/claims/mod.rs
+++ b/crates/control/src/claims/mod.rs
@@ -9,6 +9,7 @@
 mod identity;
 mod interface;
 mod machine;
+mod removal;
 
 pub use identity::{claim_name, expired, request_digest};
 pub use interface::{
@@ -16,3 +17,7 @@
     StoredClaim,
 };
 pub use machine::ClaimMachine;
+pub use removal::{
+    FoundClaim, REMOVAL_GROUP_FIELD, Removal, RemovalAction, RemovalGroup, RemovalSettings, SHARDS,
+    Unavailable, shards_of,
+};
--- a/crates/emulator/src/objects/endpoints.rs
+++ b/crates/emulator/src/objects/endpoints.rs
@@ -6,7 +6,7 @@
 use salvo::http::StatusCode;
 use serde_json::{Value, json};
 
-use super::store::{ObjectDocument, Origin, Refused, Store};
+use super::store::{FieldSelection, ObjectDocument, Origin, Refused, Store};
 use super::{API_PATH, ObjectApiFaults, Shared, watch};
 use crate::fault::{lock, pause_ms};
 use crate::http::{CLIENT_HEADER, Call, Reply, endpoint};
@@ -86,10 +86,33 @@
     if call.query("watch") == Some("true") {
         return watch::open(shared, &call);
     }
-    let list = lock(&shared.store).list(call.first());
+    let selected = match selection(&call) {
+        Ok(selected) => selected,
+        Err(reply) => return reply,
+    };
+    let list = lock(&shared.store).list(call.first(), selected.as_ref());
     Reply::ok(&list)
 }
 
+/// The selection of a list, if it has one.
+fn selection(call: &Call) -> Result<Option<FieldSelection>, Reply> {
+    let Some(selector) = call.query("fieldSelector") else {
+        return Ok(None);
+    };
+    let limit = call.query("limit").map_or(Ok(usize::MAX), str::parse);
+    let parts = selector
+        .strip_prefix("spec.")
+        .and_then(|rest| rest.split_once('='));
+    match (parts, limit) {
+        (Some((field, value)), Ok(limit)) => Ok(Some(FieldSelection {
+            field: field.to_owned(),
+            value: value.to_owned(),
+            limit,
+        })),
+        _ => Err(invalid("only fieldSelector=spec.FIELD=VALUE and limit")),
+    }
+}
+
 async fn create(shared: Arc<Shared>, call: Call) -> Reply {
     if let Some(reply) = fault(&shared, &call).await {
         return reply;
--- a/crates/emulator/src/objects/store.rs
+++ b/crates/emulator/src/objects/store.rs
@@ -78,6 +78,17 @@
     pub(crate) object: ObjectDocument,
 }
 
+/// Which objects of a collection are listed.
+#[derive(Clone, Debug)]
+pub(crate) struct FieldSelection {
+    /// A field of the content.
+    pub(crate) field: String,
+    /// The text it holds.
+    pub(crate) value: String,
+    /// Objects listed, at most.
+    pub(crate) limit: usize,
+}
+
 /// Whom and what a write comes from.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Origin {
@@ -122,10 +133,16 @@
         object.cloned().ok_or(Refused::NotFound)
     }
 
-    pub(crate) fn list(&self, collection: &str) -> Value {
-        let objects = self.objects.get(collection);
-        let items: Vec<&ObjectDocument> =
-            objects.map_or_else(Vec::new, |all| all.values().collect());
+    pub(crate) fn list(&self, collection: &str, selected: Option<&FieldSelection>) -> Value {
+        let objects = self.objects.get(collection).into_iter().flatten();
+        let objects = objects.map(|(_, object)| object);
+        let items: Vec<&ObjectDocument> = match selected {
+            None => objects.collect(),
+            Some(selection) => objects
+                .filter(|object| object.spec[&selection.field] == *selection.value)
+                .take(selection.limit)
+                .collect(),
+        };
         json!({
             "apiVersion": "flaxward.example/v1",
             "kind": "List",
--- a/crates/flaxward/src/daemon/core.rs
+++ b/crates/flaxward/src/daemon/core.rs
@@ -45,6 +45,8 @@
     pub reading: watch::Sender<bool>,
     /// Takes the runners that this daemon observes.
     pub share: watch::Sender<Vec<Machine>>,
+    /// Takes whether this daemon coordinates its zone.
+    pub leading: watch::Sender<bool>,
     /// Asks for the configuration to be listed again.
     pub relist: Arc<Notify>,
     /// Takes whether the daemon takes requests.
@@ -131,10 +133,12 @@
             NodeAction::Relist => parts.relist.notify_one(),
             NodeAction::Lead(term) => {
                 counters::leads(true);
+                parts.leading.send_replace(true);
                 state_change("lead", &[("zone", &parts.node.me().zone), ("term", &term)]);
             }
             NodeAction::Resign => {
                 counters::leads(false);
+                parts.leading.send_replace(false);
                 state_change("resign", &[("zone", &parts.node.me().zone)]);
             }
             NodeAction::Stopped => self.stopped = true,
--- a/crates/flaxward/src/daemon/counters.rs
+++ b/crates/flaxward/src/daemon/counters.rs
@@ -4,13 +4,14 @@
 use flaxward_types::{Metric, Revision};
 
 /// Metrics of this module.
-pub const METRICS: [Metric; 6] = [
+pub const METRICS: [Metric; 7] = [
     LEADS,
     REVISION,
     LEAVING,
     DECISIONS,
     STORE_OPERATIONS,
     ENGINE_CALLS,
+    CLAIMS_REMOVED,
 ];
 
 const LEADS: Metric = Metric::gauge(
@@ -37,6 +38,10 @@
     "flaxward_engine_calls_total",
     "Orders to engines and reads of their inventories, by `call` and `result`.",
 );
+const CLAIMS_REMOVED: Metric = Metric::counter(
+    "flaxward_claims_removed_total",
+    "Expired claims removed from the object API.",
+);
 
 /// What is done at the object API.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -107,3 +112,8 @@
     };
     metrics::counter!(ENGINE_CALLS.name, "call" => call, "result" => result).increment(1);
 }
+
+/// Counts the removal of an expired claim.
+pub fn claim_removed() {
+    metrics::counter!(CLAIMS_REMOVED.name).increment(1);
+}
--- a/crates/flaxward/src/daemon/mod.rs
+++ b/crates/flaxward/src/daemon/mod.rs
@@ -1,5 +1,6 @@
 //! A daemon, put together in one place.
 
+mod claim_removal;
 pub mod core;
 pub(crate) mod counters;
 mod decisions;
@@ -43,6 +44,7 @@
 use tokio::task::JoinHandle;
 use tokio_util::sync::CancellationToken;
 
+use self::claim_removal::ClaimRemover;
 use self::core::{Core, Parts};
 use self::event::CoreEvent;
 use self::operator_views::DaemonViews;
@@ -105,6 +107,7 @@
         let (reading, reader) = watch::channel(false);
         let (ready, ready_reader) = watch::channel(false);
         let (share, observed) = watch::channel(Vec::new());
+        let (leading, leader) = watch::channel(false);
         let relist = Arc::new(Notify::new());
         let stop = CancellationToken::new();
 
@@ -118,6 +121,7 @@
             configuration,
             reading,
             share,
+            leading,
             relist: relist.clone(),
             ready: ready.clone(),
         });
@@ -132,6 +136,9 @@
             share: observed,
         };
         readers.spawn(&platform, settings, &events, &stop);
+        let remover =
+            ClaimRemover::new(platform.store.clone(), settings.removal(), &settings.daemon);
+        spawn_until(&stop, remover.run(leader));
         let core = tokio::spawn(core.run(queue));
 
         let views = DaemonViews {
--- a/crates/flaxward/tests/processes/main.rs
+++ b/crates/flaxward/tests/processes/main.rs
@@ -3,6 +3,7 @@
 
 mod bad_inputs;
 mod burst;
+mod claim_removal;
 mod cuts;
 mod idempotency;
 mod kills;
--- a/crates/operators/tests/operators/support.rs
+++ b/crates/operators/tests/operators/support.rs
@@ -8,7 +8,9 @@
     AdapterRow, ConfigRow, DaemonRow, DecisionRow, DrainRow, Executor, ModelRow, ModelState,
     PolicyRow, QuotaRow, ReplicaRow, RequestRow, RunnerRow, ServiceRow, VersionRow, Views, ZoneRow,
 };
-use flaxward_platform::{Collection, Object, ObjectApi, ObjectList, StoreError, WatchEvent};
+use flaxward_platform::{
+    Collection, Object, ObjectApi, ObjectList, Selection, StoreError, WatchEvent,
+};
 use flaxward_types::{ModelName, OperationId, Refusal, ResultCode, Revision};
 use futures::StreamExt;
 use futures::stream::BoxStream;
@@ -160,6 +162,17 @@
         }
     }
 
+    async fn select(
+        &self,
+        collection: Collection,
+        selection: &Selection,
+    ) -> Result<Vec<Object>, StoreError> {
+        let list = self.list(collection).await?;
+        let mut items = list.items;
+        items.retain(|object| object.body[selection.field] == *selection.value);
+        Ok(items)
+    }
+
     async fn create(
         &self,
         _: Collection,
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -19,6 +19,6 @@
 pub use engine_http::EngineHttp;
 pub use machines::{MachineList, MachineListError};
 pub use machines_http::MachinesHttp;
-pub use objects::{Collection, Object, ObjectApi, ObjectList, StoreError, WatchEvent};
+pub use objects::{Collection, Object, ObjectApi, ObjectList, Selection, StoreError, WatchEvent};
 pub use objects_http::ObjectsHttp;
 pub use settled::SettledStore;
--- a/crates/platform/src/objects.rs
+++ b/crates/platform/src/objects.rs
@@ -68,6 +68,17 @@
     pub items: Vec<Object>,
 }
 
+/// Which objects of a collection to read.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Selection {
+    /// A field of their content that holds text.
+    pub field: &'static str,
+    /// The text.
+    pub value: String,
+    /// Objects read, at most.
+    pub limit: u32,
+}
+
 /// One change seen by a watch.
 #[derive(Clone, Debug, PartialEq)]
 pub enum WatchEvent {
@@ -116,6 +127,14 @@
     /// Reads a whole collection.
     async fn list(&self, collection: Collection) -> Result<ObjectList, StoreError>;
 
+    /// Reads the objects of a collection that are selected, or some of them if they are more than the
+    /// limit.
+    async fn select(
+        &self,
+        collection: Collection,
+        selection: &Selection,
+    ) -> Result<Vec<Object>, StoreError>;
+
     /// Creates an object; fails with [`StoreError::Exists`] if there is one.
     async fn create(
         &self,
--- a/crates/platform/src/objects_http.rs
+++ b/crates/platform/src/objects_http.rs
@@ -13,7 +13,9 @@
     API_VERSION, Document, EventDocument, EventKind, ListDocument, StatusDocument,
 };
 use crate::http_client::{Answer, CallError, TimeLimits, call, call_error, client};
-use crate::objects::{Collection, Object, ObjectApi, ObjectList, StoreError, WatchEvent};
+use crate::objects::{
+    Collection, Object, ObjectApi, ObjectList, Selection, StoreError, WatchEvent,
+};
 
 /// Header by which a daemon tells the platform who it is, as `ZONE/DAEMON`.
 const CLIENT_HEADER: &str = "x-flaxward-client";
@@ -139,6 +141,23 @@
         document.into_list().map_err(StoreError::Unavailable)
     }
 
+    async fn select(
+        &self,
+        collection: Collection,
+        selection: &Selection,
+    ) -> Result<Vec<Object>, StoreError> {
+        let mut url = self.url(collection, None);
+        url.query_pairs_mut()
+            .append_pair(
+                "fieldSelector",
+                &format!("spec.{}={}", selection.field, selection.value),
+            )
+            .append_pair("limit", &selection.limit.to_string());
+        let document: ListDocument = self.read(url).await?;
+        let list = document.into_list().map_err(StoreError::Unavailable)?;
+        Ok(list.items)
+    }
+
     async fn create(
         &self,
         collection: Collection,
--- a/crates/platform/src/settled.rs
+++ b/crates/platform/src/settled.rs
@@ -16,7 +16,9 @@
 use serde_json::Value;
 use tokio::time::Instant;
 
-use crate::objects::{Collection, Object, ObjectApi, ObjectList, StoreError, WatchEvent};
+use crate::objects::{
+    Collection, Object, ObjectApi, ObjectList, Selection, StoreError, WatchEvent,
+};
 
 /// How hard a lost answer is settled.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -172,6 +174,14 @@
         self.inner.list(collection).await
     }
 
+    async fn select(
+        &self,
+        collection: Collection,
+        selection: &Selection,
+    ) -> Result<Vec<Object>, StoreError> {
+        self.inner.select(collection, selection).await
+    }
+
     async fn create(
         &self,
         collection: Collection,
--- a/crates/platform/tests/contracts/object_contract.rs
+++ b/crates/platform/tests/contracts/object_contract.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use flaxward_platform::{Collection, Object, ObjectApi, StoreError, WatchEvent};
+use flaxward_platform::{Collection, Object, ObjectApi, Selection, StoreError, WatchEvent};
 use flaxward_types::{OperationId, Revision};
 use futures::StreamExt;
 use futures::future::join_all;
@@ -22,6 +22,7 @@
     a_race_to_create_has_one_winner(api).await;
     a_watch_misses_nothing_after_a_list(api).await;
     names_need_no_care(api).await;
+    a_selection_shows_what_has_the_value(api).await;
 }
 
 async fn objects_have_versions_and_operations(api: &dyn ObjectApi) {
@@ -52,6 +53,36 @@
     assert_eq!(again, Err(StoreError::NotFound));
 }
 
+async fn a_selection_shows_what_has_the_value(api: &dyn ObjectApi) {
+    let put = async |name: &str, group: &str| {
+        let body = json!({"group": group});
+        let created = api.create(Collection::Claims, name, OperationId(60), body);
+        created.await.expect("the name is free")
+    };
+    let first = put("selected-1", "a=b-1").await;
+    let second = put("selected-2", "a=b-1").await;
+    put("selected-3", "a=b-11").await;
+    let select = async |value: &str, limit: u32| {
+        let selection = Selection {
+            field: "group",
+            value: value.to_owned(),
+            limit,
+        };
+        let selected = api.select(Collection::Claims, &selection).await;
+        selected.expect("it answers")
+    };
+    assert_eq!(select("a=b-1", 10).await, vec![first, second.clone()]);
+    assert_eq!(select("a=b-1", 1).await.len(), 1);
+    assert_eq!(select("a=b-2", 10).await, vec![]);
+    let removed = api.delete(
+        Collection::Claims,
+        "selected-1",
+        select("a=b-1", 1).await[0].version,
+    );
+    assert_eq!(removed.await, Ok(()));
+    assert_eq!(select("a=b-1", 10).await, vec![second]);
+}
+
 async fn a_write_that_names_another_version_changes_nothing(api: &dyn ObjectApi) {
     let old = create(api, "second", 10).await;
     let current = replace(api, &old, 11).await.expect("it is current");
--- a/crates/settings/src/control.rs
+++ b/crates/settings/src/control.rs
@@ -4,7 +4,7 @@
 
 use flaxward_control::admission::AdmissionSettings;
 use flaxward_control::attempt::{AttemptSettings, RetryBudgetSettings};
-use flaxward_control::claims::ClaimSettings;
+use flaxward_control::claims::{ClaimSettings, RemovalSettings};
 use flaxward_control::coordinator::CoordinatorSettings;
 
 use crate::sections::Settings;
@@ -70,4 +70,12 @@
             ..ClaimSettings::default()
         }
     }
+
+    /// The settings of the removal of expired claims.
+    pub fn removal(&self) -> RemovalSettings {
+        RemovalSettings {
+            calls_per_second: self.claims.removal_calls_per_second,
+            ..RemovalSettings::default()
+        }
+    }
 }
--- a/crates/settings/src/sections.rs
+++ b/crates/settings/src/sections.rs
@@ -148,6 +148,8 @@
     claims => ClaimsSection {
         /// How long the outcome of a request with an idempotency key is kept.
         lifetime: Duration = Default("24h");
+        /// Calls to the object API that a coordinator makes in a second to remove expired claims, at most.
+        removal_calls_per_second: u32 = Default("10");
     }
 }
 
--- a/crates/settings/tests/settings.rs
+++ b/crates/settings/tests/settings.rs
@@ -6,7 +6,7 @@
 
 use flaxward_control::admission::AdmissionSettings;
 use flaxward_control::attempt::{AttemptSettings, RetryBudgetSettings};
-use flaxward_control::claims::ClaimSettings;
+use flaxward_control::claims::{ClaimSettings, RemovalSettings};
 use flaxward_control::coordinator::CoordinatorSettings;
 use flaxward_settings::{CheckConfig, Flags, Key, Presence, SettingError, Settings, check_config};
 use proptest::prelude::*;
@@ -72,6 +72,7 @@
     assert_eq!(settings.attempts(), AttemptSettings::default());
     assert_eq!(settings.retries(), RetryBudgetSettings::default());
     assert_eq!(settings.claims(), ClaimSettings::default());
+    assert_eq!(settings.removal(), RemovalSettings::default());
 }
 
 #[test]
--- a/crates/types/src/records.rs
+++ b/crates/types/src/records.rs
@@ -88,6 +88,9 @@
     pub daemon: DaemonName,
     /// Wall-clock second after which the record may be removed.
     pub expires_unix: u64,
+    /// The group of claims that it is selected and removed with; none in records of before.
+    #[serde(default)]
+    pub removal_group: String,
     /// Wall-clock second from which a claim still in progress counts as abandoned: the request's
     /// deadline and a margin have passed, so its daemon has answered it or is gone.
     #[serde(default)]
