--- a/crates/settings/src/control.rs
+++ b/crates/settings/src/control.rs
@@ -27,6 +27,7 @@
             remote_bytes_per_second: section.remote_bytes_per_second.as_u64(),
             disk_bytes_per_second: section.disk_bytes_per_second.as_u64(),
             memory_bytes_per_second: section.memory_bytes_per_second.as_u64(),
+            ..CoordinatorSettings::default()
         }
     }
 
@@ -41,6 +42,8 @@
             total_limit: self.gateway.queue_total as usize,
             coordinator_grace: self.gateway.coordinator_grace,
             demand_period: self.gateway.demand_renewal,
+            running_demand_period: self.gateway.running_demand_period,
+            unreachable_period: self.gateway.unreachable_period,
             ..AdmissionSettings::default()
         }
     }
