Keep-alive: price and history of an artifact in files of their own

Change: `keep_alive/price.rs` and `keep_alive/history.rs`; the weight of an idle time in the prior stands with the history that it follows from. No decision changes.

Tried and reverted: a prior in which idle times that still last count as well (Kaplan and Meier).

Tests of flaxward-control pass as they were.

--- a/crates/control/src/keep_alive.rs
+++ b/crates/control/src/keep_alive.rs
@@ -17,6 +17,8 @@
 //! and it loads nothing ahead of need before it has seen [`PREWARM_SAMPLES`] idle times of a model.
 
 mod histogram;
+mod history;
+mod price;
 
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -24,7 +26,9 @@
 use flaxward_types::configuration::PolicySpec;
 use flaxward_types::{ArtifactId, Timestamp};
 
-use histogram::{BINS, FIRST_BIN_START_SECONDS, Histogram, bin_of, bin_start_seconds};
+use histogram::{BINS, FIRST_BIN_START_SECONDS, bin_of, bin_start_seconds};
+use history::History;
+use price::Price;
 
 /// Idle accelerator seconds that a second of cold start is worth at a weight of one half.
 pub const IDLE_SECONDS_PER_COLD_SECOND: f64 = 60.0;
@@ -45,12 +49,6 @@
 /// Idle times of an artifact seen before it is loaded ahead of need.
 pub const PREWARM_SAMPLES: usize = 3;
 
-/// Latest idle times remembered exactly, to load ahead of need.
-const RECENT: usize = 8;
-
-/// Least margin around recurring idle times, in seconds.
-const PREWARM_MARGIN_SECONDS: f64 = 30.0;
-
 /// How long to keep an artifact. All times count from its last use.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct KeepAliveDecision {
@@ -82,15 +80,6 @@
     artifacts: BTreeMap<ArtifactId, History>,
 }
 
-/// What is known of one artifact; under 250 bytes.
-#[derive(Clone, Debug)]
-struct History {
-    last_use: Timestamp,
-    idle_times: Histogram,
-    recent_seconds: [u32; RECENT],
-    recorded: u32,
-}
-
 impl Default for KeepAlive {
     fn default() -> Self {
         Self::new()
@@ -121,7 +110,7 @@
         if idle.as_secs_f64() < FIRST_BIN_START_SECONDS {
             return;
         }
-        let weight = PRIOR_SAMPLES / (PRIOR_SAMPLES + f64::from(history.recorded));
+        let weight = history.weight_in_prior();
         history.record(idle);
         self.record_prior(idle, weight);
     }
@@ -182,8 +171,7 @@
         }
     }
 
-    /// Adds an idle time to the prior. The more samples its artifact has, the less it counts, so
-    /// that the few busy artifacts do not speak for the many rare ones.
+    /// Adds an idle time to the prior.
     fn record_prior(&mut self, idle: Duration, weight: f64) {
         self.prior[bin_of(idle)] += weight;
         self.prior_samples += weight;
@@ -226,127 +214,3 @@
         own + PRIOR_SAMPLES * self.prior[bin] / self.prior_samples
     }
 }
-
-/// What things cost, in any unit, and the bounds on a stay.
-struct Price {
-    idle_second: f64,
-    cold_start: f64,
-    load_seconds: f64,
-    shortest: Duration,
-    longest: Duration,
-}
-
-impl Price {
-    fn new(policy: &PolicySpec, load_time: Duration, bytes: u64) -> Self {
-        #[allow(clippy::cast_precision_loss)] // sizes stay far below 2^52
-        let accelerators = bytes as f64 / ACCELERATOR_BYTES as f64;
-        let weight = policy.cold_start_weight.clamp(0.0, 1.0);
-        let load_seconds = load_time.as_secs_f64();
-        let shortest = Duration::from_millis(policy.keep_alive_min_ms);
-        Self {
-            idle_second: (1.0 - weight) * accelerators,
-            cold_start: weight * load_seconds * IDLE_SECONDS_PER_COLD_SECOND,
-            load_seconds,
-            shortest,
-            longest: Duration::from_millis(policy.keep_alive_max_ms).max(shortest),
-        }
-    }
-
-    /// A stay of so many seconds within the bounds. With idle seconds for free, the longest.
-    fn clamp(&self, seconds: f64) -> Duration {
-        if self.idle_second <= 0.0 {
-            return self.longest;
-        }
-        whole_millis(seconds).clamp(self.shortest, self.longest)
-    }
-}
-
-/// A stay ahead of need, from the start of the load; idle times.
-#[derive(Clone, Copy)]
-struct SecondStay {
-    start: Duration,
-    end: Duration,
-}
-
-impl History {
-    fn new(now: Timestamp) -> Self {
-        Self {
-            last_use: now,
-            idle_times: Histogram::new(),
-            recent_seconds: [0; RECENT],
-            recorded: 0,
-        }
-    }
-
-    fn record(&mut self, idle: Duration) {
-        self.idle_times.record(idle);
-        let place = self.recorded as usize % RECENT;
-        self.recent_seconds[place] = u32::try_from(idle.as_secs()).unwrap_or(u32::MAX);
-        self.recorded = self.recorded.wrapping_add(1);
-    }
-
-    /// The stay ahead of need that saves most, if one saves anything: between the shortest and the
-    /// longest of some recent idle times that outlast the first stay.
-    fn second_stay(&self, first_stay: Duration, price: &Price) -> Option<SecondStay> {
-        let mut idle_times: Vec<f64> = self
-            .recent()
-            .map(|&seconds| f64::from(seconds))
-            .filter(|&seconds| seconds > first_stay.as_secs_f64())
-            .collect();
-        idle_times.sort_by(f64::total_cmp);
-        let mut best = None;
-        let mut most_saved = 0.0;
-        for first in 0..idle_times.len() {
-            for last in first + PREWARM_SAMPLES - 1..idle_times.len() {
-                let (stay, saved) = second_stay_between(&idle_times, first, last, price);
-                let allowed =
-                    stay.start > first_stay && stay.end.saturating_sub(stay.start) <= price.longest;
-                if allowed && saved > most_saved {
-                    most_saved = saved;
-                    best = Some(stay);
-                }
-            }
-        }
-        best
-    }
-
-    fn recent(&self) -> impl Iterator<Item = &u32> {
-        self.recent_seconds
-            .iter()
-            .take((self.recorded as usize).min(RECENT))
-    }
-}
-
-/// The stay that covers some of the sorted idle times, and what it saves. One idle time that no stay
-/// covers is added to those seen, because the next may be unlike them all.
-fn second_stay_between(
-    idle_times: &[f64],
-    first: usize,
-    last: usize,
-    price: &Price,
-) -> (SecondStay, f64) {
-    let covered = &idle_times[first..=last];
-    #[allow(clippy::cast_precision_loss)]
-    let (hits, passing) = (covered.len() as f64, (idle_times.len() - last) as f64);
-    let spread = covered[covered.len() - 1] - covered[0];
-    let margin = (spread / hits).max(PREWARM_MARGIN_SECONDS);
-    let ready = (covered[0] - margin).max(0.0);
-    let start = (ready - price.load_seconds).max(0.0);
-    let end = covered[covered.len() - 1] + margin;
-    let held_by_hits: f64 = covered.iter().map(|idle| idle - start).sum();
-    let held_seconds = held_by_hits + passing * (end - start);
-    let saved = hits * price.cold_start - held_seconds * price.idle_second;
-    let stay = SecondStay {
-        start: whole_millis(start),
-        end: whole_millis(end),
-    };
-    (stay, saved)
-}
-
-/// Seconds as a duration in whole milliseconds, the unit of every timestamp, so that a decision
-/// taken at the very time it names is taken as due.
-fn whole_millis(seconds: f64) -> Duration {
-    #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
-    let millis = (seconds * 1_000.0).round() as u64;
-    Duration::from_millis(millis)
-}
