Coordinator: a stay is priced by the artifact's memory and its nearest weights

Cause: the coordinator priced every stay as one whole accelerator and every cold start as a load from the weight store. So adapters of 200 MiB went as soon as a model would, and most cold starts were of adapters.

Change: `decide_for_size` with the artifact's bytes and the load time from main memory, disk or the weight store, whichever is nearest on a runner of the zone. `Tier::of` now serves this and the choice of a runner.

--- a/crates/control/src/coordinator/choice.rs
+++ b/crates/control/src/coordinator/choice.rs
@@ -145,13 +145,7 @@
     ) -> Option<Choice> {
         let runner = self.runners.get(name)?;
         let inventory = runner.inventory.as_ref()?;
-        let tier = if inventory.in_memory.contains(artifact) {
-            Tier::Memory
-        } else if inventory.on_disk.contains(artifact) {
-            Tier::Disk
-        } else {
-            Tier::Remote
-        };
+        let tier = Tier::of(artifact, inventory);
         let bytes = context.configuration.bytes(artifact).unwrap_or(0);
         let mut estimate = self.speeds.duration(tier, bytes);
         if tier == Tier::Remote {
--- a/crates/control/src/coordinator/loads.rs
+++ b/crates/control/src/coordinator/loads.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
+use flaxward_types::engine::Inventory;
 use flaxward_types::records::Slot;
 use flaxward_types::{ArtifactId, BootId, RunnerName, Timestamp};
 
@@ -26,6 +27,19 @@
     Remote,
 }
 
+impl Tier {
+    /// Where a machine with this inventory would take the weights of an artifact from.
+    pub(super) fn of(artifact: &ArtifactId, inventory: &Inventory) -> Self {
+        if inventory.in_memory.contains(artifact) {
+            Self::Memory
+        } else if inventory.on_disk.contains(artifact) {
+            Self::Disk
+        } else {
+            Self::Remote
+        }
+    }
+}
+
 /// How far a load is.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum Stage {
--- a/crates/control/src/coordinator/unneeded.rs
+++ b/crates/control/src/coordinator/unneeded.rs
@@ -90,10 +90,23 @@
 
     fn keep_alive(&self, artifact: &ArtifactId, context: &Context) -> KeepAliveDecision {
         let bytes = context.configuration.bytes(artifact).unwrap_or(0);
-        let load_time = self.speeds.duration(Tier::Remote, bytes);
+        let load_time = self.speeds.duration(self.nearest_tier(artifact), bytes);
         context
             .keep_alive
-            .decide(artifact, context.now, &self.policy, load_time)
+            .decide_for_size(artifact, context.now, &self.policy, load_time, bytes)
+    }
+
+    /// The nearest place from which an artifact could be loaded again in this zone.
+    fn nearest_tier(&self, artifact: &ArtifactId) -> Tier {
+        let inventories = self
+            .runners
+            .values()
+            .filter(|runner| !runner.leaving())
+            .filter_map(|runner| runner.inventory.as_ref());
+        inventories
+            .map(|inventory| Tier::of(artifact, inventory))
+            .min()
+            .unwrap_or(Tier::Remote)
     }
 
     /// Works out what to load ahead of need.
