Coordinator: load times are learnt as a start and a speed

Cause: every load was measured as bytes over time. An adapter of 200 MiB that takes a second to warm up says 0.2 GiB a second, and the moving average took that for the speed of models as well.

Change: loads up to 1 GiB are measured for their start, larger ones for their speed with the start taken off.

Tests of flaxward-control pass as they were.

--- a/crates/control/src/coordinator/loads.rs
+++ b/crates/control/src/coordinator/loads.rs
@@ -9,6 +9,8 @@
 
 use super::interface::CoordinatorSettings;
 
+/// Loads up to this size, in bytes, are measured for their start and not for their speed.
+const SMALL_LOAD_BYTES: u64 = 1 << 30;
 /// Weight of the latest measurement in the moving average of a speed, in percent.
 const SPEED_WEIGHT_PERCENT: u64 = 30;
 /// Longest pause after failed loads.
@@ -100,40 +102,77 @@
     u32::try_from(loads.values().filter(queued).count()).unwrap_or(u32::MAX)
 }
 
-/// Speeds measured, in bytes a second.
+/// What a load costs from one tier.
+#[derive(Clone, Copy, Debug)]
+struct Speed {
+    /// Time that a load takes however small it is, such as to warm up.
+    start: Duration,
+    bytes_per_second: u64,
+}
+
+/// Speeds measured.
+///
+/// A small load says how long any load takes, a large one how fast the bytes come. If small ones
+/// counted as speeds, the start of an adapter's load would make every model look slow.
 #[derive(Clone, Debug)]
 pub(super) struct Speeds {
-    by_tier: BTreeMap<Tier, u64>,
+    by_tier: BTreeMap<Tier, Speed>,
 }
 
 impl Speeds {
     pub(super) fn new(settings: &CoordinatorSettings) -> Self {
+        let assumed = |bytes_per_second| Speed {
+            start: Duration::ZERO,
+            bytes_per_second,
+        };
         Self {
             by_tier: BTreeMap::from([
-                (Tier::Memory, settings.memory_bytes_per_second),
-                (Tier::Disk, settings.disk_bytes_per_second),
-                (Tier::Remote, settings.remote_bytes_per_second),
+                (Tier::Memory, assumed(settings.memory_bytes_per_second)),
+                (Tier::Disk, assumed(settings.disk_bytes_per_second)),
+                (Tier::Remote, assumed(settings.remote_bytes_per_second)),
             ]),
         }
     }
 
     /// Time that a load takes.
     pub(super) fn duration(&self, tier: Tier, bytes: u64) -> Duration {
-        let speed = self.by_tier.get(&tier).copied().unwrap_or(1).max(1);
-        Duration::from_millis(millis_for(bytes, speed))
+        let speed = self.by_tier.get(&tier);
+        speed.map_or(Duration::ZERO, |speed| {
+            speed.start + transfer(bytes, speed.bytes_per_second)
+        })
     }
 
     /// Takes in a finished load.
     pub(super) fn measured(&mut self, tier: Tier, bytes: u64, took: Duration) {
-        let millis = u64::try_from(took.as_millis()).unwrap_or(u64::MAX).max(1);
-        let speed = bytes.saturating_mul(1000) / millis;
-        let average = self.by_tier.entry(tier).or_insert(speed);
-        let old = average.saturating_mul(100 - SPEED_WEIGHT_PERCENT);
-        let new = speed.saturating_mul(SPEED_WEIGHT_PERCENT);
-        *average = (old.saturating_add(new) / 100).max(1);
+        let Some(speed) = self.by_tier.get_mut(&tier) else {
+            return;
+        };
+        if bytes <= SMALL_LOAD_BYTES {
+            let start = took.saturating_sub(transfer(bytes, speed.bytes_per_second));
+            speed.start = Duration::from_millis(average(millis(speed.start), millis(start)));
+            return;
+        }
+        let moving = millis(took.saturating_sub(speed.start)).max(1);
+        let measured = bytes.saturating_mul(1000) / moving;
+        speed.bytes_per_second = average(speed.bytes_per_second, measured).max(1);
     }
 }
 
+/// Moves a moving average on by one measurement.
+fn average(old: u64, measured: u64) -> u64 {
+    let old = old.saturating_mul(100 - SPEED_WEIGHT_PERCENT);
+    let new = measured.saturating_mul(SPEED_WEIGHT_PERCENT);
+    old.saturating_add(new) / 100
+}
+
+fn transfer(bytes: u64, bytes_per_second: u64) -> Duration {
+    Duration::from_millis(millis_for(bytes, bytes_per_second.max(1)))
+}
+
+fn millis(duration: Duration) -> u64 {
+    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
+}
+
 fn millis_for(bytes: u64, bytes_per_second: u64) -> u64 {
     let millis = u128::from(bytes) * 1000 / u128::from(bytes_per_second);
     u64::try_from(millis).unwrap_or(u64::MAX)
