Lab: a zone ticks as fast as there is something to do; goals told with the curve

Cause: any event made every zone tick each 50 ms for three seconds, so in a region with a call a minute nearly all ticks found nothing. And a curve of 36 runs was a table of 36 columns that did not say how near the goals are.

Change: `controller::pace`: each zone has a pace of its own, 50 ms while something is under way, 1 s while requests run, 10 s while nobody wants anything. More than eight runs make a row each.

Tests: the same seed gives the same decisions twice now also for the real coordinators; standings against a made-up curve. No test was weakened.

--- a/crates/lab/src/controller/coordinators.rs
+++ b/crates/lab/src/controller/coordinators.rs
@@ -11,32 +11,31 @@
 use flaxward_types::records::{Quota, ZoneLease, ZonePlacement};
 use flaxward_types::{DaemonName, Revision, RunnerName, Timestamp, ZoneName};
 
+use super::pace::Pace;
 use super::store::Store;
 use super::{Command, Controller, Input};
 use crate::scenario::Scenario;
 
-/// Time between ticks while something goes on.
-const BUSY_TICK: Duration = Duration::from_millis(50);
-/// Time between ticks while nothing does; a daemon ticks as fast as ever, weeks of it take too long
-/// here. Unloads and loads ahead of need come later by at most as much.
-const IDLE_TICK: Duration = Duration::from_secs(10);
-/// Time after the last event for which ticks are fast.
-const BUSY_FOR: Duration = Duration::from_secs(3);
-/// Time after the start in which ticks are fast, until every artifact has a home.
+/// Time in which a new region is busy, until every artifact has a home.
 const STARTING: Duration = Duration::from_mins(2);
 
 /// The coordinators of all zones.
 pub struct Coordinators {
     configuration: Configuration,
-    zones: BTreeMap<ZoneName, Coordinator>,
+    zones: BTreeMap<ZoneName, Zone>,
     zone_of: BTreeMap<RunnerName, ZoneName>,
     store: Store,
-    busy_until: Timestamp,
     started: bool,
     pending: VecDeque<(ZoneName, CoordinatorEvent)>,
     commands: Vec<Command>,
 }
 
+/// One zone's coordinator, with when it is to tick.
+struct Zone {
+    coordinator: Coordinator,
+    pace: Pace,
+}
+
 impl Coordinators {
     /// Those of a scenario's zones.
     pub fn new(scenario: &Scenario, configuration: Configuration, seed: u64) -> Self {
@@ -45,19 +44,22 @@
             .iter()
             .map(|zone| zone.name.clone())
             .collect();
-        let coordinator = |zone: &ZoneName| {
+        let new_zone = |zone: &ZoneName| {
             let me = DaemonName::literal(&format!("daemon-{zone}"));
-            Coordinator::new(settings(scenario), me, zone.clone(), names.clone(), seed)
+            let settings = settings(scenario);
+            Zone {
+                coordinator: Coordinator::new(settings, me, zone.clone(), names.clone(), seed),
+                pace: Pace::default(),
+            }
         };
         Self {
             configuration,
             zones: names
                 .iter()
-                .map(|zone| (zone.clone(), coordinator(zone)))
+                .map(|zone| (zone.clone(), new_zone(zone)))
                 .collect(),
             zone_of: BTreeMap::new(),
             store: Store::default(),
-            busy_until: Timestamp::ZERO,
             started: false,
             pending: VecDeque::new(),
             commands: Vec::new(),
@@ -80,7 +82,9 @@
         }
         if !self.started {
             self.started = true;
-            self.busy_until = now + STARTING;
+            for zone in self.zones.values_mut() {
+                zone.pace.busy_for(STARTING, now);
+            }
         }
     }
 
@@ -97,10 +101,12 @@
     /// Hands every pending event over, and those that the store's answers add.
     fn settle(&mut self, now: Timestamp) {
         while let Some((zone, event)) = self.pending.pop_front() {
-            let Some(coordinator) = self.zones.get_mut(&zone) else {
+            let Some(known) = self.zones.get_mut(&zone) else {
                 continue;
             };
-            let actions = coordinator.handle(event, now, &self.configuration);
+            known.pace.told(&event, now);
+            let actions = known.coordinator.handle(event, now, &self.configuration);
+            known.pace.asked(&actions, now);
             for action in actions {
                 self.act(&zone, action);
             }
@@ -203,13 +209,11 @@
 
 impl Controller for Coordinators {
     fn handle(&mut self, input: Input, now: Timestamp) -> Vec<Command> {
-        if !matches!(input, Input::Tick) {
-            self.busy_until = self.busy_until.max(now + BUSY_FOR);
-        }
         match input {
             Input::Tick => {
-                let zones: Vec<ZoneName> = self.zones.keys().cloned().collect();
-                for zone in zones {
+                let due = self.zones.iter().filter(|(_, zone)| zone.pace.is_due(now));
+                let due: Vec<ZoneName> = due.map(|(name, _)| name.clone()).collect();
+                for zone in due {
                     self.push(&zone, CoordinatorEvent::Tick);
                 }
             }
@@ -238,12 +242,8 @@
     }
 
     fn next_tick(&self, now: Timestamp) -> Timestamp {
-        let pause = if now < self.busy_until {
-            BUSY_TICK
-        } else {
-            IDLE_TICK
-        };
-        now + pause
+        let ticks = self.zones.values().map(|zone| zone.pace.next_tick());
+        ticks.min().unwrap_or(now)
     }
 }
 
--- a/crates/lab/src/controller/mod.rs
+++ b/crates/lab/src/controller/mod.rs
@@ -8,6 +8,7 @@
 
 pub mod choice;
 pub mod coordinators;
+mod pace;
 pub mod planner;
 pub mod retention;
 pub mod store;
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod experiment;
 pub mod fleet;
 pub mod fleet_plan;
+pub mod goals;
 pub mod load;
 pub mod plot;
 pub mod relay_bench;
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -10,6 +10,7 @@
 use comfy_table::Table;
 use flaxward_lab::experiment::{Experiment, Rule};
 use flaxward_lab::fleet::{FleetArguments, fleet};
+use flaxward_lab::goals;
 use flaxward_lab::load::{self, LoadPlan};
 use flaxward_lab::plot;
 use flaxward_lab::relay_bench::{self, BenchPlan};
@@ -57,7 +58,8 @@
     /// Days of virtual time, in place of the scenario's.
     #[arg(long)]
     days: Option<u32>,
-    /// Run the weights from 0 to 1 instead of the scenario's alone.
+    /// Run the weights from 0 to 1 instead of the scenario's alone, and tell how near each comes to
+    /// the goals.
     #[arg(long)]
     curve: bool,
     /// Run only these rules.
@@ -193,6 +195,9 @@
         experiment.compare(&rules)
     };
     write(&results, arguments.output, report::table)?;
+    if arguments.curve {
+        write(&goals::standings(&results), arguments.output, goals::table)?;
+    }
     if let Some(file) = &arguments.plot {
         plot::curve(&results, file)?;
     }
--- a/crates/lab/src/report.rs
+++ b/crates/lab/src/report.rs
@@ -39,8 +39,35 @@
     Ok(())
 }
 
-/// The results of experiments, a column for each run.
+/// Runs above which a table has a row for each of them, with the main measures only.
+const COLUMNS_AT_MOST: usize = 8;
+
+/// The results of experiments.
 pub fn table(results: &[RunResult]) -> Table {
+    if results.len() > COLUMNS_AT_MOST {
+        row_for_each(results)
+    } else {
+        column_for_each(results)
+    }
+}
+
+fn row_for_each(results: &[RunResult]) -> Table {
+    let mut table = Table::new();
+    table.load_style(UTF8_HORIZONTAL_ONLY);
+    let main: Vec<&(&str, Cell)> = ROWS
+        .iter()
+        .filter(|(label, _)| MAIN_ROWS.contains(label))
+        .collect();
+    let labels = main.iter().map(|(label, _)| (*label).to_owned());
+    table.set_header(std::iter::once(String::new()).chain(labels));
+    for result in results {
+        let cells = main.iter().map(|(_, cell)| cell(result));
+        table.add_row(std::iter::once(name(result).replace('\n', " ")).chain(cells));
+    }
+    table
+}
+
+fn column_for_each(results: &[RunResult]) -> Table {
     let mut table = Table::new();
     table.load_style(UTF8_HORIZONTAL_ONLY);
     let names = results.iter().map(name);
@@ -62,6 +89,17 @@
 
 type Cell = fn(&RunResult) -> String;
 
+/// Labels of the measures shown of many runs.
+const MAIN_ROWS: &[&str] = &[
+    "cold starts",
+    "cold start p99, s",
+    "cold starts in all, s",
+    "busy period start p99, s",
+    "p99 / load time then",
+    "idle accelerator hours",
+    "loads done",
+];
+
 const ROWS: &[(&str, Cell)] = &[
     ("calls", |result| result.calls.to_string()),
     ("answered", |result| result.answered.to_string()),
--- a/crates/lab/tests/experiment.rs
+++ b/crates/lab/tests/experiment.rs
@@ -6,6 +6,7 @@
 use flaxward_control::keep_alive::IDLE_SECONDS_PER_COLD_SECOND;
 use flaxward_lab::experiment::{Experiment, Rule, RunResult};
 use flaxward_lab::fleet_plan;
+use flaxward_lab::goals::standings;
 use flaxward_lab::report::{self, Output};
 use flaxward_lab::scenario::Scenario;
 
@@ -81,19 +82,52 @@
     assert!(Scenario::read("no-such-scenario").is_err());
 }
 
-/// The same seed gives the same decisions twice, whatever else runs; another seed gives others.
+/// The same seed gives the same decisions twice, whatever else runs; another seed gives others. So it
+/// is for the planner and for the real coordinators.
 #[test]
 fn same_seed_same_decisions() {
-    let alone = small(1).run(Rule::Learnt, 0.6);
-    let together = &COMPARED[&1];
-    let other = &COMPARED[&2]["learnt"];
-    assert!(alone.decisions > 100);
-    assert_eq!(alone.digest, together["learnt"].digest);
-    assert_ne!(alone.digest, other.digest);
-    let mut lines = Vec::new();
-    report::write(&[alone], Output::Json, report::table, &mut lines).expect("written");
-    let line: serde_json::Value = serde_json::from_slice(&lines).expect("one object");
-    assert_eq!(line["digest"], together["learnt"].digest);
+    for rule in [Rule::Learnt, Rule::Flaxward] {
+        let alone = small(1).run(rule, 0.6);
+        let together = &COMPARED[&1][rule.name()];
+        let other = &COMPARED[&2][rule.name()];
+        assert!(alone.decisions > 100);
+        assert_eq!(alone.digest, together.digest);
+        assert_ne!(alone.digest, other.digest);
+        let mut lines = Vec::new();
+        report::write(&[alone], Output::Json, report::table, &mut lines).expect("written");
+        let line: serde_json::Value = serde_json::from_slice(&lines).expect("one object");
+        assert_eq!(line["digest"], together.digest);
+    }
+}
+
+/// A run is held against the oracle's curve between its points, and against each baseline in both
+/// measures.
+#[test]
+fn standings_follow_the_oracles_curve() {
+    let template = &COMPARED[&1]["learnt"];
+    let made = |rule, idle: f64, tail: f64| RunResult {
+        rule,
+        idle_accelerator_hours: idle,
+        start_p99: tail,
+        cold_total: tail * 100.0,
+        ..template.clone()
+    };
+    let results = [
+        made(Rule::Oracle, 1.0, 20.0),
+        made(Rule::Oracle, 3.0, 10.0),
+        made(Rule::FixedTenMinutes, 2.4, 14.0),
+        made(Rule::NeverUnload, 9.0, 10.0),
+        made(Rule::Learnt, 2.5, 15.0),
+        made(Rule::Flaxward, 2.5, 9.0),
+    ];
+    let [learnt, flaxward] = &standings(&results)[..] else {
+        panic!("one for each that is judged");
+    };
+    assert_eq!(learnt.idle_at_same_tail, Some(1.25));
+    assert_eq!(learnt.idle_at_same_wait, Some(1.25));
+    assert_eq!(learnt.beaten_by, [Rule::FixedTenMinutes]);
+    assert_eq!(flaxward.idle_at_same_tail, None);
+    assert!(flaxward.beaten_by.is_empty());
 }
 
 /// Whatever the rule: memory and copies stay within the limits, and no call is lost.
