--- a/crates/control/src/admission/demands.rs
+++ b/crates/control/src/admission/demands.rs
@@ -59,6 +59,9 @@
         };
         let is_wanted = self.queue.count(artifact) > 0 || state.promise.is_some();
         let mut due = self.zones_in_use(now, state);
+        if !is_wanted && state.routes.has_replica() {
+            due.extend(zones_told_of_waiting(state));
+        }
         if due.is_empty() && !is_wanted {
             return;
         }
@@ -77,16 +80,37 @@
 
     /// Zones whose replicas are used and that have not been told for a while.
     fn zones_in_use(&self, now: Timestamp, state: &ArtifactState) -> BTreeSet<ZoneName> {
-        let period = self.settings.running_demand_period;
         state
             .routes
             .iter()
-            .filter(|(_, route)| route.running > 0 || route.arrivals > 0)
-            .filter(|(_, route)| route.may_ask(now, period))
+            .filter(|(_, route)| route.is_in_use() && route.renewal_is_due(now, &self.settings))
             .map(|(zone, _)| zone.clone())
             .collect()
     }
 
+    /// Renews the demands that are due soon in zones that are sent a demand anyway, so that they
+    /// go in one message from then on.
+    pub(super) fn renew_along(&mut self, now: Timestamp, actions: &mut Vec<AdmissionAction>) {
+        let zones: BTreeSet<ZoneName> = actions.iter().filter_map(demanded_zone).collect();
+        for zone in zones {
+            for artifact in self.due_soon(now, &zone) {
+                self.send_demand(now, &artifact, &zone, false, actions);
+            }
+        }
+    }
+
+    /// Artifacts that nobody waits for and whose demand to a zone is due in half a period or less.
+    fn due_soon(&self, now: Timestamp, zone: &ZoneName) -> Vec<ArtifactId> {
+        let period = self.settings.renewal_period / 2;
+        let is_due = |(artifact, state): &(&ArtifactId, &ArtifactState)| {
+            let is_wanted = self.queue.count(artifact) > 0 || state.promise.is_some();
+            let route = state.routes.zone(zone);
+            !is_wanted && route.is_some_and(|route| route.is_in_use() && route.may_ask(now, period))
+        };
+        let due = self.artifacts.iter().filter(is_due);
+        due.map(|(artifact, _)| artifact.clone()).collect()
+    }
+
     fn send_demand(
         &mut self,
         now: Timestamp,
@@ -103,8 +127,12 @@
         };
         let promise = state.promise.filter(|_| waiting == 0);
         let route = state.routes.zone_mut(zone);
-        let period = self.settings.demand_period;
-        if !self.zones.heads.contains(zone) || !route.may_ask(now, period) {
+        if !self.zones.heads.contains(zone) {
+            // A later coordinator of the zone will know of no one who waits.
+            route.told_of_waiting = false;
+            return;
+        }
+        if !route.may_ask(now, self.settings.demand_period) {
             return;
         }
         let mut demand = Demand {
@@ -114,6 +142,7 @@
             priority: 0,
             earliest_deadline_ms: u64::MAX,
             arrivals: route.arrivals,
+            known: route.version(),
         };
         if is_asked {
             demand.waiting = u32::try_from(waiting).unwrap_or(u32::MAX);
@@ -126,12 +155,29 @@
             demand.priority = promise.priority;
             demand.earliest_deadline_ms = millis(promise.until.since(now));
         }
+        route.told_of_waiting = is_asked && waiting > 0;
         route.note_asked(now, &self.settings);
         let zone = zone.clone();
         actions.push(AdmissionAction::SendDemand { zone, demand });
     }
 }
 
+fn demanded_zone(action: &AdmissionAction) -> Option<ZoneName> {
+    match action {
+        AdmissionAction::SendDemand { zone, .. } => Some(zone.clone()),
+        _ => None,
+    }
+}
+
+/// Zones that must hear that all who waited have been sent, so that none of them loads a replica, or
+/// keeps asking for a unit, for requests that are through.
+fn zones_told_of_waiting(state: &ArtifactState) -> impl Iterator<Item = ZoneName> {
+    let routes = state.routes.iter();
+    routes
+        .filter(|(_, route)| route.told_of_waiting)
+        .map(|(zone, _)| zone.clone())
+}
+
 fn millis(duration: Duration) -> u64 {
     u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
 }
--- a/crates/control/src/coordinator/leading.rs
+++ b/crates/control/src/coordinator/leading.rs
@@ -13,6 +13,7 @@
 
 use super::answers::Answers;
 use super::demand::DemandTable;
+use super::focus::Cursors;
 use super::holdings::Holdings;
 use super::interface::{
     CoordinatorAction, CoordinatorSettings, Decision, DecisionKind, EngineFault,
@@ -21,6 +22,8 @@
 use super::placement::PlacementKeeper;
 use super::quota::QuotaBook;
 use super::runner::{Observation, Phase, Runner};
+use super::wants::WantTable;
+pub(super) use super::wants::Wanted;
 use super::weakness::Weakness;
 use crate::configuration::Configuration;
 use crate::keep_alive::KeepAlive;
@@ -70,18 +73,6 @@
     pub(super) answered: bool,
 }
 
-/// What is wanted of an artifact.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub(super) struct Wanted {
-    pub(super) replicas: u32,
-    pub(super) priority: u8,
-    pub(super) deadline: Timestamp,
-    /// Memory to leave room for besides the artifact itself: that of an adapter.
-    pub(super) extra_bytes: u64,
-    /// Demanded or kept by a rule, so that it must not make way for something else.
-    pub(super) firm: bool,
-}
-
 /// The state of a coordinator under one term.
 #[derive(Debug)]
 pub(super) struct Leading {
@@ -97,18 +88,37 @@
     pub(super) failures: Failures,
     pub(super) speeds: Speeds,
     pub(super) rate: RateLimit,
-    pub(super) wanted: BTreeMap<ArtifactId, Wanted>,
+    pub(super) wanted: WantTable,
+    /// Artifacts that events have touched since the last plan.
+    pub(super) touched: BTreeSet<ArtifactId>,
+    /// Where the slices of everything have got to.
+    pub(super) cursors: Cursors,
+    /// The artifacts that requests name by default, models first.
+    pub(super) configured_artifacts: Vec<ArtifactId>,
+    /// Subjects whose rules or slots have changed since they were last looked at.
+    pub(super) quotas_due: BTreeSet<QuotaSubject>,
+    /// Subjects with more slots than their goals.
+    pub(super) excess: BTreeSet<QuotaSubject>,
+    /// Subjects whose quotas could not be written when they were looked at.
+    pub(super) unstepped: BTreeSet<QuotaSubject>,
+    /// Slots found to be of no use and free; looked at again in each plan.
+    pub(super) useless: BTreeSet<Slot>,
     pub(super) blocks: BTreeMap<ArtifactId, Block>,
     pub(super) ready_since: BTreeMap<Slot, Timestamp>,
     pub(super) surplus_since: BTreeMap<ArtifactId, Timestamp>,
     pub(super) answers: Answers,
+    /// When a version was last unloaded to make way for another one of its model.
+    pub(super) made_way: BTreeMap<ArtifactId, Timestamp>,
     pub(super) holdings: Holdings,
     pub(super) policy: PolicySpec,
     pub(super) drained: BTreeSet<RunnerName>,
-    configured: Option<Revision>,
+    pub(super) configured: Option<Revision>,
     pub(super) next_housekeeping: Timestamp,
+    pub(super) next_slices: Timestamp,
+    /// The plan in hand takes whole slices.
+    pub(super) whole_slices: bool,
     /// Replicas that the rules keep loaded in this zone.
-    pub(super) kept: Vec<(ArtifactId, u32)>,
+    pub(super) kept: BTreeMap<ArtifactId, u32>,
     /// Artifacts to load ahead of need.
     pub(super) prewarmed: BTreeSet<ArtifactId>,
     /// Units down to which slots are being freed.
@@ -142,17 +152,27 @@
             failures: Failures::default(),
             speeds: Speeds::new(settings),
             rate: RateLimit::default(),
-            wanted: BTreeMap::new(),
+            wanted: WantTable::default(),
+            touched: BTreeSet::new(),
+            cursors: Cursors::default(),
+            configured_artifacts: Vec::new(),
+            quotas_due: BTreeSet::new(),
+            excess: BTreeSet::new(),
+            unstepped: BTreeSet::new(),
+            useless: BTreeSet::new(),
             blocks: BTreeMap::new(),
             ready_since: BTreeMap::new(),
             surplus_since: BTreeMap::new(),
             answers: Answers::default(),
+            made_way: BTreeMap::new(),
             holdings: Holdings::default(),
             policy: PolicySpec::default(),
             drained: BTreeSet::new(),
             configured: None,
             next_housekeeping: now,
-            kept: Vec::new(),
+            next_slices: now,
+            whole_slices: true,
+            kept: BTreeMap::new(),
             prewarmed: BTreeSet::new(),
             goals: BTreeMap::new(),
             homes_wanted: BTreeSet::new(),
@@ -162,18 +182,6 @@
         }
     }
 
-    /// Takes over the policy and the drains when the configuration has changed.
-    pub(super) fn apply_configuration(&mut self, context: &Context) {
-        let configuration = context.configuration;
-        if self.configured == Some(configuration.revision()) {
-            return;
-        }
-        self.configured = Some(configuration.revision());
-        self.policy = configuration.policy();
-        self.drained = configuration.drained();
-        self.kept = self.kept_by_rule(context);
-    }
-
     /// Takes in the machine list.
     pub(super) fn apply_machines(&mut self, machines: &[Machine], now: Timestamp) {
         let mut listed = BTreeSet::new();
@@ -216,7 +224,9 @@
             .collect();
         for name in gone {
             self.runners.remove(&name);
-            self.holdings.forget(&name);
+            self.touched.extend(self.holdings.forget(&name));
+            let slots = self.placement.on_runner(&name);
+            self.touched.extend(slots.map(|slot| slot.artifact.clone()));
             self.loads.retain(|slot, _| slot.runner != name);
             self.unloads.retain(|slot, _| slot.runner != name);
             self.ready_since.retain(|slot, _| slot.runner != name);
@@ -255,19 +265,24 @@
         let observation = runner.observe(inventory, self.term, now, next_operation);
         match observation {
             Observation::Stale => {}
-            Observation::Applied => self.holdings.replace(name, runner.holdings()),
+            Observation::Applied => {
+                let changed = self.holdings.replace(name, runner.holdings());
+                self.touched.extend(changed);
+            }
             Observation::Overtaken(term) => self.note_term(term),
         }
     }
 
     /// Seals runners, sends orders that are due, and reads inventories.
     pub(super) fn drive_runners(&mut self, context: &Context) {
-        let names: Vec<RunnerName> = self.runners.keys().cloned().collect();
-        for name in names {
+        let verifying = |runner: &Runner| matches!(runner.phase, Phase::Verifying { .. });
+        let unsealed = self.runners.iter();
+        let unsealed = unsealed.filter(|(_, runner)| verifying(runner));
+        let unsealed: Vec<RunnerName> = unsealed.map(|(name, _)| name.clone()).collect();
+        for name in unsealed {
             self.seal_if_confirmed(&name, context);
-            let Some(runner) = self.runners.get_mut(&name) else {
-                continue;
-            };
+        }
+        for (name, runner) in &mut self.runners {
             let orders = runner.due_orders(context.now, context.settings.order_retry);
             let sends = orders
                 .into_iter()
@@ -320,7 +335,7 @@
         let Some(runner) = self.runners.get(name) else {
             return false;
         };
-        !runner.leaving() && !runner.unreachable(now) && !self.drained.contains(name)
+        runner.serves(now) && !self.drained.contains(name)
     }
 
     /// Notes a term seen in a record or at a runner.
@@ -334,6 +349,13 @@
         (highest > self.term).then_some(highest)
     }
 
+    /// Forgets a load.
+    pub(super) fn drop_load(&mut self, slot: &Slot) -> Option<Load> {
+        let load = self.loads.remove(slot)?;
+        self.touched.insert(slot.artifact.clone());
+        Some(load)
+    }
+
     /// Notes a decision.
     pub(super) fn record(&mut self, artifact: &ArtifactId, kind: DecisionKind) {
         self.actions.push(CoordinatorAction::Record(Decision {
--- a/crates/control/src/node/mod.rs
+++ b/crates/control/src/node/mod.rs
@@ -4,6 +4,7 @@
 
 mod interface;
 mod machines;
+mod replies;
 mod share;
 
 use std::collections::{BTreeMap, BTreeSet};
@@ -11,7 +12,7 @@
 use std::time::Duration;
 
 use flaxward_types::engine::Machine;
-use flaxward_types::routing::{Demand, RouteAnswer};
+use flaxward_types::routing::Demand;
 use flaxward_types::{DaemonName, RunnerName, Term, Timestamp, ZoneName};
 use flaxward_wire::{MemberState, MemberUpdate, Message, Peer, RunnerReport};
 
@@ -23,10 +24,13 @@
 pub use machines::Machines;
 pub use share::share;
 
+use replies::Replies;
+
 /// Time between two sendings of a machine snapshot that has not changed.
 const MACHINES_RENEWAL: Duration = Duration::from_secs(10);
 
-/// Daemons that rank below this read the platform's lists: the coordinator and its stand-by.
+/// Daemons that rank below this read the platform's lists, as the coordinator does at any rank: they
+/// take the lease next.
 const READING_RANKS: usize = 2;
 
 /// A daemon without its sockets.
@@ -37,7 +41,7 @@
     coordinator: Coordinator,
     machines: Machines,
     peers: BTreeMap<DaemonName, Peer>,
-    routes: BTreeMap<DaemonName, Vec<RouteAnswer>>,
+    replies: Replies,
     /// Runners whose engines say that they are leaving.
     engine_reports: BTreeSet<RunnerName>,
     machines_sequence: u64,
@@ -78,7 +82,7 @@
             coordinator,
             machines: Machines::default(),
             peers: BTreeMap::new(),
-            routes: BTreeMap::new(),
+            replies: Replies::default(),
             engine_reports: BTreeSet::new(),
             machines_sequence: 0,
             machines_sent: None,
@@ -113,7 +117,7 @@
             NodeEvent::Stop => self.stop(),
             NodeEvent::Drained => self.drained(),
         }
-        self.send_routes();
+        self.send_replies();
         std::mem::take(&mut self.actions)
     }
 
@@ -230,6 +234,7 @@
                 }
             }
             Message::Routes(answers) => self.actions.push(NodeAction::Routes(answers)),
+            Message::RoutesHeld(held) => self.actions.push(NodeAction::RoutesHeld(held)),
             Message::Machines(snapshot) => {
                 let is_wanted = from.zone == self.me.zone && self.leading().is_none();
                 if is_wanted && self.machines.receive(snapshot) {
@@ -250,14 +255,20 @@
         }
     }
 
-    fn members_changed(&mut self) {
+    /// Reads the platform's lists or stops. A coordinator goes on to lead, and so to read, when daemons
+    /// that rank before it join later.
+    fn update_reading(&mut self) {
         let rank = self.gossip.membership().rank();
-        let reading = rank < READING_RANKS;
+        let reading = rank < READING_RANKS || self.leading().is_some();
         if self.told.reading != reading {
             self.told.reading = reading;
             self.actions.push(NodeAction::Reading(reading));
         }
-        self.coordinate(CoordinatorEvent::Rank(rank));
+    }
+
+    fn members_changed(&mut self) {
+        self.coordinate(CoordinatorEvent::Rank(self.gossip.membership().rank()));
+        self.update_reading();
         for gone in self.gone_members() {
             self.coordinate(CoordinatorEvent::GatewayGone(gone));
         }
@@ -316,6 +327,11 @@
                 load,
                 inventory,
             } = report;
+            if load.leaving {
+                // Read more often than the inventories, which alone can take it back: a report may
+                // have been overtaken.
+                self.engine_reported(runner.clone(), true);
+            }
             self.coordinate(CoordinatorEvent::LoadReported(runner.clone(), load));
             if let Some(inventory) = inventory {
                 let inventory = Ok(inventory);
@@ -342,12 +358,16 @@
     fn act(&mut self, action: CoordinatorAction) {
         match action {
             CoordinatorAction::Answer(daemon, answer) => {
-                self.routes.entry(daemon).or_default().push(answer);
+                self.replies.answer(daemon, answer);
+            }
+            CoordinatorAction::Confirm(daemon, version) => {
+                self.replies.confirm(daemon, version);
             }
             CoordinatorAction::Lead(term) => self.lead(term),
             CoordinatorAction::Resign => {
                 self.gossip(GossipEvent::Resign);
                 self.actions.push(NodeAction::Resign);
+                self.update_reading();
             }
             CoordinatorAction::Stopped => {
                 self.stop.handed_back = true;
@@ -364,6 +384,7 @@
         self.actions.push(NodeAction::Lead(term));
         self.gossip(GossipEvent::Lead(term));
         self.machines_sent = None;
+        self.update_reading();
         self.leaving_changed();
     }
 
@@ -381,17 +402,6 @@
         }
     }
 
-    /// Sends the coordinator's answers, one message for each gateway.
-    fn send_routes(&mut self) {
-        for (daemon, answers) in std::mem::take(&mut self.routes) {
-            if daemon == self.me.name {
-                self.actions.push(NodeAction::Routes(answers));
-            } else if let Some(peer) = self.peers.get(&daemon).cloned() {
-                self.send(&peer, Message::Routes(answers));
-            }
-        }
-    }
-
     fn machines_read(&mut self, machines: Vec<Machine>) {
         let zone = self.me.zone.clone();
         if self.machines.replace(&zone, machines) {
--- a/crates/control/tests/coordinator/support/world.rs
+++ b/crates/control/tests/coordinator/support/world.rs
@@ -76,6 +76,7 @@
     pub(super) count: u64,
     pub(super) generator: ChaCha8Rng,
     pub(super) weakness: Weakness,
+    pub settings: CoordinatorSettings,
     pub(super) zones: Vec<ZoneName>,
     pub store: Store,
     pub(super) store_down_until: u64,
@@ -106,6 +107,7 @@
         load_timeout: Duration::from_secs(15),
         load_backoff: Duration::from_secs(2),
         demand_expiry: Duration::from_secs(3),
+        running_demand_expiry: Duration::from_secs(3),
         remote_bytes_per_second: 2 * GIGABYTE,
         disk_bytes_per_second: 8 * GIGABYTE,
         ..CoordinatorSettings::default()
@@ -125,6 +127,7 @@
             count: 0,
             generator: ChaCha8Rng::seed_from_u64(seed),
             weakness,
+            settings: settings(),
             zones: zones.clone(),
             store: Store::default(),
             store_down_until: 0,
@@ -283,7 +286,7 @@
         daemon.start += 1;
         daemon.watching = false;
         daemon.coordinator = Some(Coordinator::with_weakness(
-            settings(),
+            self.settings.clone(),
             name.clone(),
             daemon.zone.clone(),
             zones,
--- a/crates/flaxward/src/daemon/mod.rs
+++ b/crates/flaxward/src/daemon/mod.rs
@@ -22,7 +22,7 @@
 use flaxward_control::coordinator::Coordinator;
 use flaxward_control::gossip::{Gossip, GossipSettings};
 use flaxward_control::node::{Node, NodeEvent};
-use flaxward_gateway::{Gateway, GatewaySettings, back_end_client};
+use flaxward_gateway::{Gateway, GatewaySettings, back_end_client, connection_limits};
 use flaxward_operators::Executor;
 use flaxward_peers::PeerSocket;
 use flaxward_platform::http_client::TimeLimits;
@@ -144,7 +144,10 @@
             .push(http::health_router(ready_reader, metrics))
             .push(flaxward_operators::router(executor))
             .push(gateway.router());
-        let acceptor = http::bind(settings.daemon.listen).await?;
+        let listen_address = settings.daemon.listen;
+        let acceptor = flaxward_gateway::listen(listen_address)
+            .await
+            .with_context(|| format!("cannot listen on {listen_address}"))?;
         let (address, server) = serve(acceptor, router)?;
         state_change(
             "started",
@@ -326,12 +329,15 @@
     gateway.default_deadline = section.default_deadline;
     gateway.max_deadline = section.max_deadline;
     gateway.max_in_progress = usize_of(section.max_in_progress.into());
-    gateway.admission.total_limit = usize_of(section.queue_total.into());
-    gateway.admission.demand_period = section.demand_renewal;
-    gateway.admission.coordinator_grace = section.coordinator_grace;
-    gateway.attempts.max_attempts = section.attempts;
-    gateway.retries.per_thousand = section.retry_share.per_thousand();
-    gateway.claims.lifetime = settings.claims.lifetime;
+    gateway.held_bytes = usize_of(section.held_bytes.as_u64());
+    gateway.answer_hold = usize_of(section.answer_hold.as_u64());
+    gateway.stream_idle = section.stream_idle;
+    gateway.stream_resume_wait = section.stream_resume_wait;
+    gateway.stream_limit = section.stream_limit;
+    gateway.admission = settings.admission();
+    gateway.attempts = settings.attempts();
+    gateway.retries = settings.retries();
+    gateway.claims = settings.claims();
     gateway
 }
 
@@ -385,7 +391,7 @@
     let address = acceptor
         .local_addr()
         .context("the listening socket has no address")?;
-    let server = Server::new(acceptor);
+    let server = Server::new(acceptor).fuse_config(connection_limits());
     let handle = server.handle();
     let running = tokio::spawn(server.serve(router));
     Ok((address, HttpServer { handle, running }))
