--- a/crates/settings/src/sections.rs
+++ b/crates/settings/src/sections.rs
@@ -85,7 +85,7 @@
         queue_total: u32 = Default("4096");
         /// Time between two demands for the same model to the same coordinator.
         demand_renewal: Duration = Default("1s");
-        /// The same while requests run and none waits; such a demand only keeps replicas loaded.
+        /// The same while requests run and none waits, if their number has doubled or halved. Without such news a demand is renewed every 20 s.
         running_demand_period: Duration = Default("2s");
         /// Time that a request waits while no coordinator answers, before it is refused.
         coordinator_grace: Duration = Default("3s");
