Observers read inventories; the coordinator hears of changes

A coordinator read the inventory of each runner of its zone every 5 s: 65 KB/s at 40 daemons (69.7 reads/s), besides 1.5 % of a core for decoding.

- control::observation decides what an observer reads of its share, when, and what is news; the daemon's driver and the fleet's share it (the rule stood twice before).
Loads are read every 2 to 8 s, less often while there is no news, and told if they differ by more than a factor of two and 4 requests.
Inventories of the share are read at once every coordinator.inventory_refresh (now 15 s, was 5 s) and told whole if they changed, else by boot, term and sequence.
A runner that does not answer is told at once.
- The coordinator reads a runner itself to seal it, while an order is in progress, when its observer doubts it, and after three silent intervals.
- A report settles nothing by itself: a whole inventory goes through the same checks of boot, term and sequence as an own read, and "unchanged" counts only for the very inventory that the coordinator has.
- The wire version is 2.

The cost: that an engine itself says it is leaving is noticed after up to 15 s in place of 5 s. The machine list and drains are as fast as before.

Tests: the world of the coordinator's tests has observers whose reports come at once and some again up to 9 s late, whole and as "unchanged". The case of a former holder that meets a new boot runs without observers, since they would tell it of its successor's term and the weakness would not show. New: tests/observation.rs.

--- a/crates/control/src/coordinator/answers.rs
+++ b/crates/control/src/coordinator/answers.rs
@@ -10,15 +10,12 @@
 use super::leading::{Block, Context, Leading};
 use super::loads::Tier;
 use super::sample::{SAMPLE, sample};
+use crate::observation::is_near;
 
 /// Estimate added while something else has to happen before the load.
 const PREPARATION: Duration = Duration::from_secs(1);
 /// Estimates that grow by less than this are not worth an answer.
 const ESTIMATE_SLACK: Duration = Duration::from_secs(1);
-/// Loads that differ by this factor at most are no news, ...
-const LOAD_FACTOR: u32 = 2;
-/// ... and neither are those that differ by this number of requests beyond it.
-const LOAD_SLACK: u32 = 4;
 /// When to ask again about a model that is not configured.
 const ASK_AGAIN_UNKNOWN: Duration = Duration::from_secs(1);
 
@@ -318,13 +315,6 @@
     old.len() == new.len() && old.iter().zip(new).all(same)
 }
 
-/// Whether two loads differ too little to be news.
-fn is_near(old: u32, new: u32) -> bool {
-    let low = old.min(new);
-    let high = old.max(new);
-    high <= low.saturating_mul(LOAD_FACTOR).saturating_add(LOAD_SLACK)
-}
-
 fn loading(estimate: Duration) -> Outlook {
     Outlook::Loading {
         estimate_ms: millis(estimate),
--- a/crates/control/src/coordinator/events.rs
+++ b/crates/control/src/coordinator/events.rs
@@ -81,7 +81,9 @@
             | CoordinatorEvent::QuotaWritten(..)) => self.take_in_record(store, now, actions),
             runner @ (CoordinatorEvent::OrderAnswered { .. }
             | CoordinatorEvent::InventoryRead { .. }
-            | CoordinatorEvent::LoadReported(..)) => {
+            | CoordinatorEvent::LoadReported(..)
+            | CoordinatorEvent::InventoryHolds(..)
+            | CoordinatorEvent::RunnerSilent(..)) => {
                 self.take_in_runner(runner, now, configuration);
             }
         }
@@ -203,6 +205,16 @@
                     runner.report = report;
                 }
             }
+            CoordinatorEvent::InventoryHolds(runner, version) => {
+                if let Some(runner) = leading.runners.get_mut(&runner) {
+                    runner.observed(version, now);
+                }
+            }
+            CoordinatorEvent::RunnerSilent(runner) => {
+                if let Some(runner) = leading.runners.get_mut(&runner) {
+                    runner.doubt();
+                }
+            }
             _ => {}
         }
     }
--- a/crates/control/src/coordinator/interface.rs
+++ b/crates/control/src/coordinator/interface.rs
@@ -2,7 +2,9 @@
 
 use std::time::Duration;
 
-use flaxward_types::engine::{Inventory, LoadReport, Machine, Order, OrderAnswer};
+use flaxward_types::engine::{
+    Inventory, InventoryVersion, LoadReport, Machine, Order, OrderAnswer,
+};
 use flaxward_types::records::{Quota, QuotaSubject, ZoneLease, ZonePlacement};
 use flaxward_types::routing::{AnswerVersion, Demand, RouteAnswer};
 use flaxward_types::{ArtifactId, DaemonName, OrderId, ResultCode, Revision, RunnerName, Term};
@@ -20,7 +22,7 @@
     pub order_retry: Duration,
     /// Time between reads of a sealed runner's inventory while an order is in progress there.
     pub inventory_poll: Duration,
-    /// Time between reads of an idle runner's inventory.
+    /// Time between reads of an idle runner's inventory, by its observer.
     pub inventory_refresh: Duration,
     /// Time after which a load counts as stuck and is tried elsewhere.
     pub load_timeout: Duration,
@@ -48,7 +50,7 @@
             clock_drift: Duration::from_millis(500),
             order_retry: Duration::from_secs(1),
             inventory_poll: Duration::from_millis(100),
-            inventory_refresh: Duration::from_secs(5),
+            inventory_refresh: Duration::from_secs(15),
             load_timeout: Duration::from_mins(5),
             load_tries: 3,
             load_backoff: Duration::from_secs(5),
@@ -124,6 +126,10 @@
     },
     /// A runner's load report was read.
     LoadReported(RunnerName, LoadReport),
+    /// A runner's observer has read its inventory again and found it as last told.
+    InventoryHolds(RunnerName, InventoryVersion),
+    /// A runner did not answer its observer.
+    RunnerSilent(RunnerName),
     /// A gateway wants something.
     Demanded(DaemonName, Demand),
     /// A gateway is gone; its demand is forgotten.
--- a/crates/control/src/coordinator/runner.rs
+++ b/crates/control/src/coordinator/runner.rs
@@ -7,7 +7,8 @@
 use std::time::Duration;
 
 use flaxward_types::engine::{
-    Held, HeldState, Inventory, LoadReport, Machine, Order, OrderAction, OrderAnswer,
+    Held, HeldState, Inventory, InventoryVersion, LoadReport, Machine, Order, OrderAction,
+    OrderAnswer,
 };
 use flaxward_types::{ArtifactId, BootId, OrderId, Term, Timestamp};
 
@@ -16,6 +17,9 @@
 /// Time without any answer after which a runner counts as unreachable.
 const UNREACHABLE_AFTER: Duration = Duration::from_secs(3);
 
+/// Reads of an observer that may fail to come before the coordinator reads a runner itself.
+const OBSERVER_PATIENCE: u32 = 3;
+
 /// How far the seal of a runner is.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum Phase {
@@ -65,6 +69,10 @@
     dead_boots: BTreeSet<BootId>,
     read_sent: Option<Timestamp>,
     read: Timestamp,
+    /// Its observer reads its inventory again and again.
+    is_observed: bool,
+    /// Its observer got no answer, which is to be seen for oneself.
+    is_doubted: bool,
     failing_since: Option<Timestamp>,
 }
 
@@ -81,6 +89,8 @@
             dead_boots: BTreeSet::new(),
             read_sent: None,
             read: Timestamp::ZERO,
+            is_observed: false,
+            is_doubted: false,
             failing_since: None,
         }
     }
@@ -147,8 +157,7 @@
         if inventory.term > term {
             return Observation::Overtaken(inventory.term);
         }
-        self.read = now;
-        self.failing_since = None;
+        self.answered_at(now);
         let boot = inventory.boot;
         let known = match self.phase {
             Phase::Unknown => None,
@@ -172,6 +181,29 @@
         Observation::Applied
     }
 
+    fn answered_at(&mut self, now: Timestamp) {
+        self.read = now;
+        self.is_doubted = false;
+        self.failing_since = None;
+    }
+
+    /// Takes in that the observer found the inventory as it was. Only the very state that is known
+    /// here counts: any other is read by the coordinator itself, and none settles an order.
+    pub(super) fn observed(&mut self, version: InventoryVersion, now: Timestamp) {
+        self.is_observed = true;
+        let known = self.inventory.as_ref().map(Inventory::version);
+        if known == Some(version) {
+            self.answered_at(now);
+        } else {
+            self.doubt();
+        }
+    }
+
+    /// Notes that the observer's word is to be looked into.
+    pub(super) fn doubt(&mut self) {
+        self.is_doubted = true;
+    }
+
     /// Notes that a read of the inventory failed.
     pub(super) fn read_failed(&mut self, now: Timestamp) {
         self.failing_since.get_or_insert(now);
@@ -260,7 +292,7 @@
         let interval = match self.phase {
             Phase::Unknown => Duration::ZERO,
             Phase::Sealed { .. } if !busy && self.unlisted_since.is_none() => {
-                settings.inventory_refresh
+                self.idle_interval(settings)
             }
             _ => settings.inventory_poll,
         };
@@ -271,6 +303,17 @@
         true
     }
 
+    /// Time between own reads of an idle runner.
+    fn idle_interval(&self, settings: &CoordinatorSettings) -> Duration {
+        if self.is_doubted || self.failing_since.is_some() {
+            Duration::ZERO
+        } else if self.is_observed {
+            settings.inventory_refresh * OBSERVER_PATIENCE
+        } else {
+            settings.inventory_refresh
+        }
+    }
+
     /// Notes that a read of the inventory was answered, well or not.
     pub(super) fn read_answered(&mut self, answered: bool, now: Timestamp) {
         if answered {
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod marks;
 pub mod membership;
 pub mod node;
+pub mod observation;
 mod rotation;
 pub mod router;
 pub mod rumors;
--- a/crates/control/src/node/mod.rs
+++ b/crates/control/src/node/mod.rs
@@ -14,7 +14,7 @@
 use flaxward_types::engine::Machine;
 use flaxward_types::routing::Demand;
 use flaxward_types::{DaemonName, RunnerName, Term, Timestamp, ZoneName};
-use flaxward_wire::{MemberState, MemberUpdate, Message, Peer, RunnerReport};
+use flaxward_wire::{InventoryNews, MemberState, MemberUpdate, Message, Peer, RunnerReport};
 
 use crate::configuration::Configuration;
 use crate::coordinator::{Coordinator, CoordinatorAction, CoordinatorEvent};
@@ -320,10 +320,19 @@
                 load,
                 inventory,
             } = report;
-            self.coordinate(CoordinatorEvent::LoadReported(runner.clone(), load));
-            if let Some(inventory) = inventory {
-                let inventory = Ok(inventory);
-                self.coordinate(CoordinatorEvent::InventoryRead { runner, inventory });
+            self.coordinate(match load {
+                Some(load) => CoordinatorEvent::LoadReported(runner.clone(), load),
+                None => CoordinatorEvent::RunnerSilent(runner.clone()),
+            });
+            match inventory {
+                InventoryNews::Unread => {}
+                InventoryNews::Same(version) => {
+                    self.coordinate(CoordinatorEvent::InventoryHolds(runner, version));
+                }
+                InventoryNews::Changed(inventory) => {
+                    let inventory = Ok(inventory);
+                    self.coordinate(CoordinatorEvent::InventoryRead { runner, inventory });
+                }
             }
         }
     }
--- a/crates/control/tests/coordinator/support/mod.rs
+++ b/crates/control/tests/coordinator/support/mod.rs
@@ -9,6 +9,7 @@
 pub mod gateways;
 pub mod models;
 pub mod network;
+pub mod observers;
 pub mod schedule;
 pub mod store;
 pub mod world;
--- a/crates/control/tests/coordinator/support/world.rs
+++ b/crates/control/tests/coordinator/support/world.rs
@@ -91,6 +91,8 @@
     pub(super) former: Vec<(Configuration, u64)>,
     /// Whether an order refused for want of sense, such as a load of what is held, is a violation.
     pub refusals_count: bool,
+    /// Whether observers read the runners and report late.
+    pub has_observers: bool,
     pub violation: Option<String>,
 }
 
@@ -138,6 +140,7 @@
             rules,
             former: Vec::new(),
             refusals_count: weakness == Weakness::None,
+            has_observers: true,
             violation: None,
         };
         for zone in zones {
@@ -324,6 +327,7 @@
 
     pub(super) fn send_lists(&mut self) {
         self.at(self.now + 1_000, Happening::Lists);
+        self.send_observations();
         let names: Vec<DaemonName> = self.daemons.keys().cloned().collect();
         for name in names {
             self.send_machines(&name);
--- /dev/null
+++ b/crates/control/tests/observation.rs
@@ -0,0 +1,125 @@
+//! What observers read and pass on.
+
+use std::time::Duration;
+
+use flaxward_control::observation::{Observer, Read, Reading};
+use flaxward_types::engine::{Inventory, LoadReport, Machine, MachineRole};
+use flaxward_types::{BootId, RunnerName, Term, Timestamp, ZoneName};
+use flaxward_wire::{InventoryNews, RunnerReport};
+
+const INVENTORIES: Duration = Duration::from_secs(15);
+
+fn machine(name: &str, address: &str) -> Machine {
+    Machine {
+        name: RunnerName::literal(name),
+        zone: ZoneName::literal("zone-a"),
+        address: address.to_owned(),
+        role: MachineRole::Engine,
+        leaving: false,
+    }
+}
+
+fn inventory(sequence: u64) -> Inventory {
+    Inventory {
+        boot: BootId(1),
+        term: Term(1),
+        sequence,
+        memory: 0,
+        artifacts: Vec::new(),
+        in_memory: Vec::new(),
+        on_disk: Vec::new(),
+        leaving: false,
+    }
+}
+
+/// An observer of one runner, and when it read it.
+struct Harness {
+    observer: Observer,
+    now: Timestamp,
+    reads: Vec<(u64, bool)>,
+}
+
+impl Harness {
+    fn new() -> Self {
+        let mut observer = Observer::new(INVENTORIES);
+        observer.set_share(vec![machine("runner-1", "a")]);
+        Self {
+            observer,
+            now: Timestamp::ZERO,
+            reads: Vec::new(),
+        }
+    }
+
+    /// Lets time pass; whatever is read shows this number of running requests, or nothing, and an
+    /// inventory of this sequence.
+    fn run(&mut self, time: Duration, running: Option<u32>, sequence: u64) -> Vec<RunnerReport> {
+        let end = self.now + time;
+        let mut reports = Vec::new();
+        while self.now < end {
+            for read in self.observer.due(self.now) {
+                reports.extend(self.answer(&read, running, sequence));
+            }
+            self.now = self.now + Duration::from_millis(500);
+        }
+        reports
+    }
+
+    fn answer(&mut self, read: &Read, running: Option<u32>, sequence: u64) -> Option<RunnerReport> {
+        self.reads.push((self.now.0, read.with_inventory));
+        let load = running.map(|running| LoadReport {
+            running,
+            ..LoadReport::default()
+        });
+        let is_read = read.with_inventory && load.is_some();
+        let reading = Reading {
+            load,
+            inventory: is_read.then(|| inventory(sequence)),
+        };
+        self.observer.take_in(read, reading, self.now)
+    }
+}
+
+#[test]
+fn what_stays_the_same_is_read_rarely_and_confirmed_with_the_inventories() {
+    let mut harness = Harness::new();
+    let first = harness.run(Duration::from_secs(15), Some(10), 1);
+    assert_eq!(first.len(), 1);
+    assert_eq!(first[0].inventory, InventoryNews::Changed(inventory(1)));
+    let reads = [(0, true), (2_000, false), (6_000, false), (14_000, false)];
+    assert_eq!(harness.reads, reads);
+    let later = harness.run(Duration::from_secs(15), Some(24), 1);
+    let same = InventoryNews::Same(inventory(1).version());
+    let told: Vec<&InventoryNews> = later.iter().map(|report| &report.inventory).collect();
+    assert_eq!(told, [&same]);
+}
+
+#[test]
+fn a_load_that_more_than_doubles_is_told_and_read_more_often() {
+    let mut harness = Harness::new();
+    harness.run(Duration::from_secs(15), Some(10), 1);
+    harness.reads.clear();
+    let reports = harness.run(Duration::from_secs(6), Some(25), 1);
+    assert_eq!(reports[0].load.as_ref().map(|load| load.running), Some(25));
+    assert_eq!(harness.reads[0], (15_000, true));
+    assert_eq!(harness.reads[1], (17_000, false));
+}
+
+#[test]
+fn a_runner_that_does_not_answer_is_told_each_time_and_whole_when_it_is_back() {
+    let mut harness = Harness::new();
+    harness.run(Duration::from_secs(15), Some(10), 1);
+    let silent = harness.run(Duration::from_secs(4), None, 1);
+    assert_eq!(silent.len(), 2);
+    assert!(silent.iter().all(|report| report.load.is_none()));
+    let back = harness.run(Duration::from_secs(2), Some(10), 1);
+    assert_eq!(back[0].inventory, InventoryNews::Changed(inventory(1)));
+}
+
+#[test]
+fn a_runner_at_another_address_is_read_anew_at_once() {
+    let mut harness = Harness::new();
+    harness.run(Duration::from_secs(1), Some(10), 1);
+    harness.observer.set_share(vec![machine("runner-1", "b")]);
+    let reports = harness.run(Duration::from_millis(500), Some(10), 1);
+    assert_eq!(reports[0].inventory, InventoryNews::Changed(inventory(1)));
+}
--- a/crates/flaxward/src/daemon/mod.rs
+++ b/crates/flaxward/src/daemon/mod.rs
@@ -229,6 +229,7 @@
         tokio::spawn(observer::observe(
             platform.engines.clone(),
             self.share,
+            settings.coordinator.inventory_refresh,
             events.clone(),
             stop.clone(),
         ));
--- a/crates/flaxward/src/daemon/observer.rs
+++ b/crates/flaxward/src/daemon/observer.rs
@@ -1,49 +1,54 @@
-//! Reads the runners that this daemon observes and reports them to the zone's coordinator.
+//! Reads the runners that this daemon observes and reports their news to the zone's coordinator.
 //!
-//! The runners of a zone are shared out among its members, so that no daemon reads them all.
+//! [`Observer`] decides what is read when and what of it is news; this is its driver.
 
-use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::Duration;
 
 use flaxward_control::node::NodeEvent;
+use flaxward_control::observation::{Observer, Read, Reading};
 use flaxward_platform::EngineApi;
-use flaxward_types::RunnerName;
-use flaxward_types::engine::{LoadReport, Machine};
+use flaxward_types::Timestamp;
+use flaxward_types::engine::Machine;
 use flaxward_wire::RunnerReport;
 use tokio::sync::{mpsc, watch};
+use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
 
 use super::event::CoreEvent;
 
-/// Time between two reads of a runner.
-const INTERVAL: Duration = Duration::from_secs(2);
+/// Longest time between two looks at what is due.
+const LOOK_INTERVAL: Duration = Duration::from_millis(500);
 
-/// Unchanged reports are sent again after this many reads, in case one was lost.
-const REPEAT_AFTER: u32 = 5;
-
-/// Reads the runners of the share again and again, until stopped.
+/// Reads the runners of the share again and again, their inventories at this interval, until
+/// stopped.
 pub async fn observe(
     engines: Arc<dyn EngineApi>,
-    share: watch::Receiver<Vec<Machine>>,
+    mut share: watch::Receiver<Vec<Machine>>,
+    inventory_interval: Duration,
     events: mpsc::UnboundedSender<CoreEvent>,
     stop: CancellationToken,
 ) {
-    let mut last: BTreeMap<RunnerName, (LoadReport, u32)> = BTreeMap::new();
-    let mut ticks = tokio::time::interval(INTERVAL);
+    let started = Instant::now();
+    let now = || Timestamp::ZERO + started.elapsed();
+    let mut observer = Observer::new(inventory_interval);
+    observer.set_share(share.borrow_and_update().clone());
+    let mut ticks = tokio::time::interval(LOOK_INTERVAL.min(inventory_interval));
     loop {
         tokio::select! {
             _ = ticks.tick() => {}
             () = stop.cancelled() => return,
         }
-        let machines = share.borrow().clone();
-        last.retain(|runner, _| machines.iter().any(|machine| machine.name == *runner));
-        let reads = machines.into_iter().map(|machine| read(&*engines, machine));
-        let reports = futures::future::join_all(reads).await;
-        let news: Vec<RunnerReport> = reports
-            .into_iter()
-            .flatten()
-            .filter(|report| is_news(&mut last, report))
+        if share.has_changed().unwrap_or(false) {
+            observer.set_share(share.borrow_and_update().clone());
+        }
+        let due = observer.due(now());
+        let reads = due.iter().map(|read| read_runner(&*engines, read));
+        let readings = futures::future::join_all(reads).await;
+        let news: Vec<RunnerReport> = due
+            .iter()
+            .zip(readings)
+            .filter_map(|(read, reading)| observer.take_in(read, reading, now()))
             .collect();
         if !news.is_empty() {
             let _ = events.send(NodeEvent::Observed(news).into());
@@ -51,25 +56,13 @@
     }
 }
 
-async fn read(engines: &dyn EngineApi, machine: Machine) -> Option<RunnerReport> {
-    let load = engines.load_report(&machine.address).await.ok()?;
-    Some(RunnerReport {
-        runner: machine.name,
-        load,
-        inventory: None,
-    })
-}
-
-/// Whether the coordinator should hear of a report: when it has changed, and now and then.
-fn is_news(last: &mut BTreeMap<RunnerName, (LoadReport, u32)>, report: &RunnerReport) -> bool {
-    let load = LoadReport {
-        age_ms: 0,
-        ..report.load.clone()
+async fn read_runner(engines: &dyn EngineApi, read: &Read) -> Reading {
+    let address = &read.machine.address;
+    let load = engines.load_report(address).await.ok();
+    let inventory = if read.with_inventory && load.is_some() {
+        engines.inventory(address).await.ok()
+    } else {
+        None
     };
-    let entry = last
-        .entry(report.runner.clone())
-        .or_insert((LoadReport::default(), 0));
-    let is_news = entry.0 != load || entry.1 >= REPEAT_AFTER;
-    *entry = (load, if is_news { 0 } else { entry.1 + 1 });
-    is_news
+    Reading { load, inventory }
 }
--- a/crates/lab/src/fleet/mod.rs
+++ b/crates/lab/src/fleet/mod.rs
@@ -12,6 +12,7 @@
 mod limits;
 mod memory;
 mod network;
+mod observing;
 mod platform;
 mod queue;
 mod report;
--- a/crates/settings/src/sections.rs
+++ b/crates/settings/src/sections.rs
@@ -98,7 +98,7 @@
         /// Time between reads of a runner's inventory while an order is in progress there.
         inventory_poll: Duration = Default("100ms");
         /// Time between reads of an idle runner's inventory.
-        inventory_refresh: Duration = Default("5s");
+        inventory_refresh: Duration = Default("15s");
         /// Time after which a load counts as stuck and is tried on another machine.
         load_timeout: Duration = Default("5m");
         /// Machines tried for one artifact before its waiting requests are refused.
--- a/crates/simulation/src/region/back_ends.rs
+++ b/crates/simulation/src/region/back_ends.rs
@@ -8,7 +8,7 @@
 use flaxward_control::node::NodeEvent;
 use flaxward_types::engine::{Machine, MachineRole, Order, OrderAnswer};
 use flaxward_types::{AttemptId, BootId, RunnerName};
-use flaxward_wire::RunnerReport;
+use flaxward_wire::{InventoryNews, RunnerReport};
 use rand::RngExt;
 
 use super::{Event, Region};
@@ -191,8 +191,8 @@
             }),
             _ => NodeEvent::Observed(vec![RunnerReport {
                 runner: runner.clone(),
-                load: engine.load_report(),
-                inventory: None,
+                load: Some(engine.load_report()),
+                inventory: InventoryNews::Unread,
             }]),
         })
     }
--- a/crates/types/src/engine.rs
+++ b/crates/types/src/engine.rs
@@ -89,7 +89,27 @@
     pub leaving: bool,
 }
 
+/// Names one state of an inventory.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct InventoryVersion {
+    /// The start of the engine.
+    pub boot: BootId,
+    /// The highest term seen.
+    pub term: Term,
+    /// Rises with every change.
+    pub sequence: u64,
+}
+
 impl Inventory {
+    /// What names this state of the inventory.
+    pub fn version(&self) -> InventoryVersion {
+        InventoryVersion {
+            boot: self.boot,
+            term: self.term,
+            sequence: self.sequence,
+        }
+    }
+
     /// Accelerator memory taken by all that is held, in bytes.
     pub fn used(&self) -> u64 {
         self.artifacts.iter().map(|held| held.bytes).sum()
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -9,15 +9,16 @@
 mod message;
 
 pub use message::{
-    ConfigurationChange, ConfigurationDelta, ConfigurationSnapshot, Envelope, MachineSnapshot,
-    MemberState, MemberUpdate, Message, Peer, RunnerMark, RunnerReport, View, ZoneHead,
+    ConfigurationChange, ConfigurationDelta, ConfigurationSnapshot, Envelope, InventoryNews,
+    MachineSnapshot, MemberState, MemberUpdate, Message, Peer, RunnerMark, RunnerReport, View,
+    ZoneHead,
 };
 
 use serde::Serialize;
 use thiserror::Error;
 
 /// First byte of every encoded envelope; raised when the encoding changes incompatibly.
-pub const WIRE_VERSION: u8 = 1;
+pub const WIRE_VERSION: u8 = 2;
 
 /// Longest encoding sent as a datagram, in bytes; fits an Ethernet frame with IP and UDP headers.
 pub const MAX_DATAGRAM_BYTES: usize = 1_400;
--- a/crates/wire/src/message.rs
+++ b/crates/wire/src/message.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 
-use flaxward_types::engine::{Inventory, LoadReport, Machine};
+use flaxward_types::engine::{Inventory, InventoryVersion, LoadReport, Machine};
 use flaxward_types::routing::{Demand, HeldAnswers, RouteAnswer};
 use flaxward_types::{
     ConfigurationItem, DaemonName, ItemKey, ModelName, Revision, RunnerName, Term, ZoneName,
@@ -182,10 +182,21 @@
 pub struct RunnerReport {
     /// The runner.
     pub runner: RunnerName,
-    /// Its load.
-    pub load: LoadReport,
-    /// Its inventory, if it changed since the last report.
-    pub inventory: Option<Inventory>,
+    /// Its load; `None` if it did not answer.
+    pub load: Option<LoadReport>,
+    /// Its inventory.
+    pub inventory: InventoryNews,
+}
+
+/// What an observer tells of a runner's inventory.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum InventoryNews {
+    /// It was not read this time.
+    Unread,
+    /// It is as last told.
+    Same(InventoryVersion),
+    /// It has changed since the observer last told it.
+    Changed(Inventory),
 }
 
 /// One change of configuration.
