--- a/crates/control/src/coordinator/answers.rs
+++ b/crates/control/src/coordinator/answers.rs
@@ -53,6 +53,11 @@
 }
 
 impl Answers {
+    /// Artifacts about which something was answered.
+    pub(super) fn artifacts(&self) -> impl Iterator<Item = &ArtifactId> {
+        self.sent.keys().chain(self.told.keys())
+    }
+
     /// Forgets a gateway.
     pub(super) fn forget_gateway(&mut self, gateway: &DaemonName) {
         for gateways in self.told.values_mut() {
@@ -133,25 +138,25 @@
         }
     }
 
-    /// Answers every gateway concerned by what has changed.
-    pub(super) fn answer_changes(&mut self, context: &Context) {
+    /// Answers every gateway concerned by what has changed about some artifacts.
+    pub(super) fn answer_changes(&mut self, focus: &BTreeSet<ArtifactId>, context: &Context) {
         if !self.placement.fenced() {
             return;
         }
-        let mut artifacts: BTreeSet<ArtifactId> = context.demands.artifacts().cloned().collect();
-        artifacts.extend(self.answers.told.keys().cloned());
-        self.answers
-            .sent
-            .retain(|artifact, _| artifacts.contains(artifact));
-        for artifact in artifacts {
-            let (ready, outlook) = self.state_of(&artifact, context);
-            let sent = self.answers.sent.get(&artifact);
+        for artifact in focus {
+            let demanded = context.demands.is_demanded(artifact);
+            if !demanded && !self.answers.told.contains_key(artifact) {
+                self.answers.sent.remove(artifact);
+                continue;
+            }
+            let (ready, outlook) = self.state_of(artifact, context);
+            let sent = self.answers.sent.get(artifact);
             if sent.is_some_and(|sent| sent.still_holds(&ready, &outlook, context.now)) {
                 continue;
             }
-            self.record_refusal(&artifact, &outlook);
-            self.note_sent(&artifact, &ready, &outlook, context.now);
-            self.answer_all(&artifact, &ready, &outlook, context);
+            self.record_refusal(artifact, &outlook);
+            self.note_sent(artifact, &ready, &outlook, context.now);
+            self.answer_all(artifact, &ready, &outlook, context);
         }
     }
 
--- a/crates/control/src/coordinator/events.rs
+++ b/crates/control/src/coordinator/events.rs
@@ -1,7 +1,7 @@
 //! Takes in events: each changes the state of the part that it is about.
 
 use flaxward_types::routing::Demand;
-use flaxward_types::{DaemonName, Timestamp};
+use flaxward_types::{ArtifactId, DaemonName, Timestamp};
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
@@ -34,8 +34,8 @@
         );
         match event {
             CoordinatorEvent::Tick => {
-                let settings = &self.shared.settings;
-                self.shared.demands.expire(now, settings);
+                let expired = self.shared.demands.expire(now, &self.shared.settings);
+                self.touch(expired);
             }
             CoordinatorEvent::Rank(rank) => self.shared.lease.set_rank(rank),
             CoordinatorEvent::Stop => {
@@ -53,13 +53,14 @@
                 return Some(self.demanded(gateway, demand, now));
             }
             CoordinatorEvent::GatewayGone(gateway) => {
-                self.shared.demands.forget_gateway(&gateway);
+                let forgotten = self.shared.demands.forget_gateway(&gateway);
+                self.touch(forgotten);
                 if let Some(leading) = &mut self.leading {
                     leading.answers.forget_gateway(&gateway);
                 }
             }
             CoordinatorEvent::LeaseRead(result) => {
-                self.note_store(result.as_ref().err().copied(), now);
+                self.note_probe(result.as_ref().err().copied(), now);
                 let change = self
                     .shared
                     .lease
@@ -67,7 +68,7 @@
                 self.lease_changed(change, now, actions);
             }
             CoordinatorEvent::LeaseWritten(result) => {
-                self.note_store(result.as_ref().err().copied(), now);
+                self.note_probe(result.as_ref().err().copied(), now);
                 let change = self
                     .shared
                     .lease
@@ -109,7 +110,10 @@
             keep_alive.record_arrival(&artifact, now);
             keep_alive.record_arrival(&artifact.base(), now);
         }
-        self.changed |= self.shared.demands.put(gateway.clone(), demand, now);
+        if self.shared.demands.put(gateway.clone(), demand, now) {
+            self.touch([artifact.clone()]);
+            self.changed = true;
+        }
         Asked {
             gateway,
             artifact,
@@ -117,6 +121,13 @@
         }
     }
 
+    /// Has the next plan look at some artifacts.
+    fn touch(&mut self, artifacts: impl IntoIterator<Item = ArtifactId>) {
+        if let Some(leading) = &mut self.leading {
+            leading.touched.extend(artifacts);
+        }
+    }
+
     /// Takes in an answer of the store about placement or quotas.
     pub(super) fn take_in_record(
         &mut self,
@@ -148,7 +159,11 @@
             CoordinatorEvent::QuotasRead(result) => result.as_ref().err().copied(),
             _ => None,
         };
-        self.note_store(fault, now);
+        if fault.is_some_and(StoreFault::is_failure) {
+            self.shared.store.failed(now);
+        } else {
+            self.shared.store.answered(now);
+        }
         let Some(leading) = &mut self.leading else {
             return;
         };
@@ -219,12 +234,12 @@
         }
     }
 
-    pub(super) fn note_store(&mut self, fault: Option<StoreFault>, now: Timestamp) {
-        match fault {
-            None | Some(StoreFault::Conflict) => self.shared.store_failing_since = None,
-            Some(StoreFault::Unavailable | StoreFault::Unknown) => {
-                self.shared.store_failing_since.get_or_insert(now);
-            }
+    /// Notes what the end of an operation on the lease says about the store.
+    fn note_probe(&mut self, fault: Option<StoreFault>, now: Timestamp) {
+        if fault.is_some_and(StoreFault::is_failure) {
+            self.shared.store.probe_failed(now);
+        } else {
+            self.shared.store.probe_answered(now);
         }
     }
 
