The coordinator reads the platform's lists whatever its rank

The measurement of the fleet showed both coordinators of 40 daemons with no read of the machine list in 60 s: only the two members that rank first read, and members that start after the coordinator may rank before it. Such a coordinator kept a frozen list and watched neither configuration nor quotas itself.

A daemon reads while it ranks first or second or coordinates its zone.

The new test fails without the rule (seen). The process tests were run before this change only.

--- a/crates/control/src/node/mod.rs
+++ b/crates/control/src/node/mod.rs
@@ -29,7 +29,7 @@
 /// Time between two sendings of a machine snapshot that has not changed.
 const MACHINES_RENEWAL: Duration = Duration::from_secs(10);
 
-/// Daemons that rank below this read the platform's lists: the coordinator and its stand-by.
+/// Daemons that rank below this read the platform's lists, besides the coordinator.
 const READING_RANKS: usize = 2;
 
 /// A daemon without its sockets.
@@ -256,11 +256,7 @@
 
     fn members_changed(&mut self) {
         let rank = self.gossip.membership().rank();
-        let reading = rank < READING_RANKS;
-        if self.told.reading != reading {
-            self.told.reading = reading;
-            self.actions.push(NodeAction::Reading(reading));
-        }
+        self.reading_changed();
         self.coordinate(CoordinatorEvent::Rank(rank));
         for gone in self.gone_members() {
             self.coordinate(CoordinatorEvent::GatewayGone(gone));
@@ -270,6 +266,17 @@
         self.machines_sent = None;
     }
 
+    /// Works out whether this daemon reads the platform's lists. Members that start later may rank
+    /// before the coordinator, which needs the lists all the same.
+    fn reading_changed(&mut self) {
+        let is_first = self.gossip.membership().rank() < READING_RANKS;
+        let reading = is_first || self.leading().is_some();
+        if self.told.reading != reading {
+            self.told.reading = reading;
+            self.actions.push(NodeAction::Reading(reading));
+        }
+    }
+
     fn gone_members(&self) -> Vec<DaemonName> {
         let is_gone =
             |update: &&MemberUpdate| matches!(update.state, MemberState::Dead | MemberState::Left);
@@ -364,6 +371,7 @@
             CoordinatorAction::Resign => {
                 self.gossip(GossipEvent::Resign);
                 self.actions.push(NodeAction::Resign);
+                self.reading_changed();
             }
             CoordinatorAction::Stopped => {
                 self.stop.handed_back = true;
@@ -378,6 +386,7 @@
 
     fn lead(&mut self, term: Term) {
         self.actions.push(NodeAction::Lead(term));
+        self.reading_changed();
         self.gossip(GossipEvent::Lead(term));
         self.machines_sent = None;
         self.leaving_changed();
--- a/crates/control/tests/node.rs
+++ b/crates/control/tests/node.rs
@@ -18,6 +18,7 @@
     now: Timestamp,
     revision: Revision,
     lease_holders: Vec<Option<DaemonName>>,
+    reading: bool,
     stopped: bool,
 }
 
@@ -46,6 +47,7 @@
             now: Timestamp::ZERO,
             revision: Revision(0),
             lease_holders: Vec::new(),
+            reading: false,
             stopped: false,
         }
     }
@@ -54,6 +56,7 @@
         for action in self.node.handle(event, self.now) {
             match action {
                 NodeAction::Platform(operation) => self.answer(operation),
+                NodeAction::Reading(reading) => self.reading = reading,
                 NodeAction::Stopped => self.stopped = true,
                 _ => {}
             }
@@ -152,3 +155,19 @@
     harness.run(Duration::from_millis(500));
     assert!(harness.stopped);
 }
+
+#[test]
+fn the_coordinator_reads_the_lists_whatever_its_rank() {
+    let mut harness = Harness::new();
+    harness.run(Duration::from_secs(2));
+    assert!(harness.reading);
+    let members = harness.node.gossip_state().membership();
+    assert_eq!(members.rank(), 0);
+    for port in 2..40 {
+        harness.hear_of(&peer(&format!("daemon-{port}"), port));
+    }
+    let rank = harness.node.gossip_state().membership().rank();
+    assert!(rank > 1, "some rank before it: {rank}");
+    assert!(harness.node.leading().is_some());
+    assert!(harness.reading);
+}
