--- a/crates/control/src/coordinator/runner.rs
+++ b/crates/control/src/coordinator/runner.rs
@@ -7,7 +7,8 @@
 use std::time::Duration;
 
 use flaxward_types::engine::{
-    Held, HeldState, Inventory, LoadReport, Machine, Order, OrderAction, OrderAnswer,
+    Held, HeldState, Inventory, InventoryVersion, LoadReport, Machine, Order, OrderAction,
+    OrderAnswer,
 };
 use flaxward_types::{ArtifactId, BootId, OrderId, Term, Timestamp};
 
@@ -16,6 +17,9 @@
 /// Time without any answer after which a runner counts as unreachable.
 const UNREACHABLE_AFTER: Duration = Duration::from_secs(3);
 
+/// Reads of an observer that may fail to come before the coordinator reads a runner itself.
+const OBSERVER_PATIENCE: u32 = 3;
+
 /// How far the seal of a runner is.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum Phase {
@@ -59,6 +63,17 @@
     pub(super) takes_loads: bool,
 }
 
+/// What its observer said of a runner last.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum ObserverWord {
+    /// Nothing yet.
+    None,
+    /// It reads the inventory again and again, and that is known here.
+    Known,
+    /// It got no answer or another inventory, which is to be seen for oneself.
+    Doubt,
+}
+
 /// One runner.
 #[derive(Clone, Debug)]
 pub(super) struct Runner {
@@ -78,6 +93,7 @@
     dead_boots: BTreeSet<BootId>,
     read_sent: Option<Timestamp>,
     read: Timestamp,
+    observer: ObserverWord,
     failing_since: Option<Timestamp>,
 }
 
@@ -96,6 +112,7 @@
             dead_boots: BTreeSet::new(),
             read_sent: None,
             read: Timestamp::ZERO,
+            observer: ObserverWord::None,
             failing_since: None,
         }
     }
@@ -167,8 +184,7 @@
         if inventory.term > term {
             return Observation::Overtaken(inventory.term);
         }
-        self.read = now;
-        self.failing_since = None;
+        self.answered_at(now);
         let boot = inventory.boot;
         let known = match self.phase {
             Phase::Unknown => None,
@@ -204,6 +220,31 @@
         self.inventory = Some(inventory);
     }
 
+    fn answered_at(&mut self, now: Timestamp) {
+        self.read = now;
+        if self.observer == ObserverWord::Doubt {
+            self.observer = ObserverWord::Known;
+        }
+        self.failing_since = None;
+    }
+
+    /// Takes in that the observer found the inventory as it was. Only the very state that is known
+    /// here counts: any other is read by the coordinator itself, and none settles an order.
+    pub(super) fn observed(&mut self, version: InventoryVersion, now: Timestamp) {
+        let known = self.inventory.as_ref().map(Inventory::version);
+        if known == Some(version) {
+            self.observer = ObserverWord::Known;
+            self.answered_at(now);
+        } else {
+            self.doubt();
+        }
+    }
+
+    /// Notes that the observer's word is to be looked into.
+    pub(super) fn doubt(&mut self) {
+        self.observer = ObserverWord::Doubt;
+    }
+
     /// Notes that a read of the inventory failed.
     pub(super) fn read_failed(&mut self, now: Timestamp) {
         self.failing_since.get_or_insert(now);
@@ -290,7 +331,7 @@
         let interval = match self.phase {
             Phase::Unknown => Duration::ZERO,
             Phase::Sealed { .. } if !busy && self.unlisted_since.is_none() => {
-                settings.inventory_refresh
+                self.idle_interval(settings)
             }
             _ => settings.inventory_poll,
         };
@@ -301,6 +342,17 @@
         true
     }
 
+    /// Time between own reads of an idle runner.
+    fn idle_interval(&self, settings: &CoordinatorSettings) -> Duration {
+        if self.observer == ObserverWord::Doubt || self.failing_since.is_some() {
+            Duration::ZERO
+        } else if self.observer == ObserverWord::Known {
+            settings.inventory_refresh * OBSERVER_PATIENCE
+        } else {
+            settings.inventory_refresh
+        }
+    }
+
     /// Notes that a read of the inventory was answered, well or not.
     pub(super) fn read_answered(&mut self, answered: bool, now: Timestamp) {
         if answered {
--- a/crates/control/src/node/mod.rs
+++ b/crates/control/src/node/mod.rs
@@ -11,10 +11,10 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use flaxward_types::engine::Machine;
+use flaxward_types::engine::{LoadReport, Machine};
 use flaxward_types::routing::Demand;
 use flaxward_types::{DaemonName, RunnerName, Term, Timestamp, ZoneName};
-use flaxward_wire::{MemberState, MemberUpdate, Message, Peer, RunnerReport};
+use flaxward_wire::{InventoryNews, MemberState, MemberUpdate, Message, Peer, RunnerReport};
 
 use crate::configuration::Configuration;
 use crate::coordinator::{Coordinator, CoordinatorAction, CoordinatorEvent};
@@ -277,6 +277,17 @@
         self.machines_sent = None;
     }
 
+    /// Works out whether this daemon reads the platform's lists. Members that start later may rank
+    /// before the coordinator, which needs the lists all the same.
+    fn reading_changed(&mut self) {
+        let is_first = self.gossip.membership().rank() < READING_RANKS;
+        let reading = is_first || self.leading().is_some();
+        if self.told.reading != reading {
+            self.told.reading = reading;
+            self.actions.push(NodeAction::Reading(reading));
+        }
+    }
+
     fn gone_members(&self) -> Vec<DaemonName> {
         let is_gone =
             |update: &&MemberUpdate| matches!(update.state, MemberState::Dead | MemberState::Left);
@@ -327,19 +338,32 @@
                 load,
                 inventory,
             } = report;
-            if load.leaving {
-                // Read more often than the inventories, which alone can take it back: a report may
-                // have been overtaken.
-                self.engine_reported(runner.clone(), true);
+            match load {
+                Some(load) => self.load_reported(runner.clone(), load),
+                None => self.coordinate(CoordinatorEvent::RunnerSilent(runner.clone())),
             }
-            self.coordinate(CoordinatorEvent::LoadReported(runner.clone(), load));
-            if let Some(inventory) = inventory {
-                let inventory = Ok(inventory);
-                self.coordinate(CoordinatorEvent::InventoryRead { runner, inventory });
+            match inventory {
+                InventoryNews::Unread => {}
+                InventoryNews::Same(version) => {
+                    self.coordinate(CoordinatorEvent::InventoryHolds(runner, version));
+                }
+                InventoryNews::Changed(inventory) => {
+                    let inventory = Ok(inventory);
+                    self.coordinate(CoordinatorEvent::InventoryRead { runner, inventory });
+                }
             }
         }
     }
 
+    fn load_reported(&mut self, runner: RunnerName, load: LoadReport) {
+        if load.leaving {
+            // Read more often than the inventories, which alone can take it back: a report may have
+            // been overtaken.
+            self.engine_reported(runner.clone(), true);
+        }
+        self.coordinate(CoordinatorEvent::LoadReported(runner, load));
+    }
+
     /// Hands an event to the coordinator and carries out what it asks for.
     fn coordinate(&mut self, event: CoordinatorEvent) {
         if let CoordinatorEvent::InventoryRead {
@@ -382,6 +406,7 @@
 
     fn lead(&mut self, term: Term) {
         self.actions.push(NodeAction::Lead(term));
+        self.reading_changed();
         self.gossip(GossipEvent::Lead(term));
         self.machines_sent = None;
         self.update_reading();
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -9,8 +9,9 @@
 mod message;
 
 pub use message::{
-    ConfigurationChange, ConfigurationDelta, ConfigurationSnapshot, Envelope, MachineSnapshot,
-    MemberState, MemberUpdate, Message, Peer, RunnerMark, RunnerReport, View, ZoneHead,
+    ConfigurationChange, ConfigurationDelta, ConfigurationSnapshot, Envelope, InventoryNews,
+    MachineSnapshot, MemberState, MemberUpdate, Message, Peer, RunnerMark, RunnerReport, View,
+    ZoneHead,
 };
 
 use serde::Serialize;
