--- a/crates/control/src/coordinator/events.rs
+++ b/crates/control/src/coordinator/events.rs
@@ -35,8 +35,7 @@
         );
         match event {
             CoordinatorEvent::Tick => {
-                let settings = &self.shared.settings;
-                let expired = self.shared.demands.expire(now, settings);
+                let expired = self.shared.demands.expire(now, &self.shared.settings);
                 self.touch(expired);
             }
             CoordinatorEvent::Rank(rank) => self.shared.lease.set_rank(rank),
@@ -84,7 +83,9 @@
             | CoordinatorEvent::QuotaWritten(..)) => self.take_in_record(store, now, actions),
             runner @ (CoordinatorEvent::OrderAnswered { .. }
             | CoordinatorEvent::InventoryRead { .. }
-            | CoordinatorEvent::LoadReported(..)) => {
+            | CoordinatorEvent::LoadReported(..)
+            | CoordinatorEvent::InventoryHolds(..)
+            | CoordinatorEvent::RunnerSilent(..)) => {
                 self.take_in_runner(runner, now, configuration);
             }
         }
@@ -221,6 +222,16 @@
                     runner.report = report;
                 }
             }
+            CoordinatorEvent::InventoryHolds(runner, version) => {
+                if let Some(runner) = leading.runners.get_mut(&runner) {
+                    runner.observed(version, now);
+                }
+            }
+            CoordinatorEvent::RunnerSilent(runner) => {
+                if let Some(runner) = leading.runners.get_mut(&runner) {
+                    runner.doubt();
+                }
+            }
             _ => {}
         }
     }
--- a/crates/control/tests/node.rs
+++ b/crates/control/tests/node.rs
@@ -10,7 +10,9 @@
 use flaxward_control::node::{Node, NodeAction, NodeEvent};
 use flaxward_types::engine::LoadReport;
 use flaxward_types::{DaemonName, Revision, RunnerName, Timestamp, ZoneName};
-use flaxward_wire::{Envelope, MemberState, MemberUpdate, Message, Peer, RunnerReport};
+use flaxward_wire::{
+    Envelope, InventoryNews, MemberState, MemberUpdate, Message, Peer, RunnerReport,
+};
 
 const TICK: Duration = Duration::from_millis(50);
 
@@ -21,6 +23,7 @@
     revision: Revision,
     lease_holders: Vec<Option<DaemonName>>,
     leaving: BTreeSet<RunnerName>,
+    reading: bool,
     stopped: bool,
 }
 
@@ -50,6 +53,7 @@
             revision: Revision(0),
             lease_holders: Vec::new(),
             leaving: BTreeSet::new(),
+            reading: false,
             stopped: false,
         }
     }
@@ -58,6 +62,7 @@
         for action in self.node.handle(event, self.now) {
             match action {
                 NodeAction::Platform(operation) => self.answer(operation),
+                NodeAction::Reading(reading) => self.reading = reading,
                 NodeAction::Stopped => self.stopped = true,
                 NodeAction::Leaving(leaving) => self.leaving = leaving,
                 _ => {}
@@ -166,8 +171,8 @@
     };
     NodeEvent::Observed(vec![RunnerReport {
         runner: RunnerName::literal("zone-a-engine-1"),
-        load,
-        inventory: None,
+        load: Some(load),
+        inventory: InventoryNews::Unread,
     }])
 }
 
@@ -183,3 +188,19 @@
     harness.handle(report(false));
     assert_eq!(harness.leaving, leaving);
 }
+
+#[test]
+fn the_coordinator_reads_the_lists_whatever_its_rank() {
+    let mut harness = Harness::new();
+    harness.run(Duration::from_secs(2));
+    assert!(harness.reading);
+    let members = harness.node.gossip_state().membership();
+    assert_eq!(members.rank(), 0);
+    for port in 2..40 {
+        harness.hear_of(&peer(&format!("daemon-{port}"), port));
+    }
+    let rank = harness.node.gossip_state().membership().rank();
+    assert!(rank > 1, "some rank before it: {rank}");
+    assert!(harness.node.leading().is_some());
+    assert!(harness.reading);
+}
