Process test of a paused coordinator: ask once the successor knows of the drain

Cause of a failure (1 of 1 run of all checks on a busy machine): the request reached the successor 2 ms before the drain that it had accepted came back to it by its watch of the object API. The model was loaded at its home and moved from there, as it should; the test waited for exactly two loads, the second elsewhere, and so in vain.

Ruled out: a fault of the coordinator. Its log shows load at 39.547, the drain at 39.549, unload with "its machine is leaving", and one load elsewhere.

Change: the test waits until the successor shows the machine as drained before it asks. What it checks is unchanged.

--- a/crates/flaxward/tests/processes/kills.rs
+++ b/crates/flaxward/tests/processes/kills.rs
@@ -167,6 +167,12 @@
     .await;
     let drain = format!("drain machine {home} reason 'the model must move'");
     region.command(other, &drain).await;
+    // A request that came before the successor knows of the drain would be served at home first.
+    let shown = format!("show runners where name = {home}");
+    eventually("the successor knows of the drain", async || {
+        region.rows(other, &shown, &["state"]).await == [["drained"]]
+    })
+    .await;
     let long = ask_there(&region, other, vec![Ask::new("turbine", "long", 1_000)]);
     eventually("the model has moved", async || {
         let loads = loads(&region.platform, "turbine@v1");
