--- a/crates/simulation/src/region/daemons.rs
+++ b/crates/simulation/src/region/daemons.rs
@@ -4,22 +4,18 @@
 use std::time::Duration;
 
 use flaxward_control::claims::ClaimWrite;
-use flaxward_control::coordinator::{Coordinator, CoordinatorAction};
+use flaxward_control::coordinator::Coordinator;
 use flaxward_control::gossip::Gossip;
 use flaxward_control::node::{Node, NodeAction, NodeEvent};
 use flaxward_types::ZoneName;
-use flaxward_types::records::QuotaSubject;
 use flaxward_wire::{Envelope, decode, encode};
 use rand::RngExt;
 
-use super::{Event, Region};
-use crate::caller::Outcome;
+use super::Region;
 use crate::gateway::{Gateway, GatewayAction, GatewayEvent};
 use crate::network::{Place, between};
-use crate::process::{
-    Asker, Input, Operation, Process, ProcessId, StoreCall, coordinator_event, snapshot,
-};
-use crate::store::{Answer, Fault, Key, Listing, Record, Request};
+use crate::process::{Asker, Input, Operation, Process, ProcessId};
+use crate::store::{Key, Listing, Record, Request};
 use crate::time::{ProcessClock, VirtualTime};
 use crate::weakness::DaemonWeakness;
 
@@ -29,8 +25,6 @@
 const OBSERVATION: Duration = Duration::from_secs(2);
 /// Time between two reads of the machine list.
 const MACHINE_LIST: Duration = Duration::from_secs(1);
-/// Pause before a broken watch is set up again.
-const FOLLOW_PAUSE: Duration = Duration::from_millis(500);
 /// Longest time that something decided takes to leave a process.
 const DEPARTURE: Duration = Duration::from_millis(1);
 /// Largest origin of a clock, in milliseconds.
@@ -132,7 +126,7 @@
             .collect()
     }
 
-    fn name_of(&self, id: ProcessId) -> &flaxward_types::DaemonName {
+    pub(super) fn name_of(&self, id: ProcessId) -> &flaxward_types::DaemonName {
         &self.daemons[id.daemon].peer.name
     }
 
@@ -323,23 +317,6 @@
         }
     }
 
-    /// Begins another round of following a collection after a pause.
-    pub(super) fn follow_later(&mut self, id: ProcessId, listing: Listing) {
-        if let Some(process) = self.process(id) {
-            let round = process.next_round(listing);
-            self.tell(FOLLOW_PAUSE, id, Input::Follow(listing, round));
-        }
-    }
-
-    fn follow(&mut self, id: ProcessId, listing: Listing, round: u64) {
-        if self
-            .process(id)
-            .is_some_and(|process| process.follows(listing, round))
-        {
-            self.ask_store(id, Asker::Follower(listing, round), Request::List(listing));
-        }
-    }
-
     fn act_for_gateway(&mut self, id: ProcessId, action: GatewayAction) {
         match action {
             GatewayAction::Demands(zone, demands) => {
@@ -366,53 +343,8 @@
         }
     }
 
-    fn operate(&mut self, id: ProcessId, action: CoordinatorAction) {
-        let zone = self.daemons[id.daemon].peer.zone.clone();
-        let quota = |subject: QuotaSubject| Key::Quota(subject);
-        let request = match action {
-            CoordinatorAction::ReadLease => Request::Get(Key::Lease(zone)),
-            CoordinatorAction::WriteLease(expected, lease) => {
-                Request::Put(Key::Lease(zone), expected, Record::Lease(lease))
-            }
-            CoordinatorAction::ReadPlacement => Request::Get(Key::Placement(zone)),
-            CoordinatorAction::WritePlacement(expected, placement) => {
-                Request::Put(Key::Placement(zone), expected, Record::Placement(placement))
-            }
-            CoordinatorAction::ReadQuotas => Request::List(Listing::Quotas),
-            CoordinatorAction::ReadQuota(subject) => Request::Get(quota(subject)),
-            CoordinatorAction::WriteQuota(expected, record) => {
-                let key = quota(record.subject.clone());
-                Request::Put(key, expected, Record::Quota(record))
-            }
-            CoordinatorAction::SendOrder { runner, order, .. } => {
-                return self.send(id, Operation::Order(runner, order));
-            }
-            CoordinatorAction::ReadInventory { runner, .. } => {
-                return self.send(id, Operation::ReadInventory(runner));
-            }
-            // The node keeps the others to itself.
-            _ => return,
-        };
-        self.ask_store(id, Asker::Coordinator, request);
-    }
-
-    fn store_call(&mut self, process: ProcessId, asker: Asker, request: Request) -> StoreCall {
-        StoreCall {
-            process,
-            asker,
-            request,
-            operation: self.random.random(),
-            lost: 0,
-        }
-    }
-
-    fn ask_store(&mut self, id: ProcessId, asker: Asker, request: Request) {
-        let call = self.store_call(id, asker, request);
-        self.send(id, Operation::Store(call));
-    }
-
     /// A task sends something shortly; if the process is paused before, much later.
-    fn send(&mut self, id: ProcessId, operation: Operation) {
+    pub(super) fn send(&mut self, id: ProcessId, operation: Operation) {
         let delay = between(Duration::ZERO, DEPARTURE, &mut self.random);
         self.tell(delay, id, Input::Depart(Box::new(operation)));
     }
@@ -446,110 +378,4 @@
             self.tell(delay, receiver, Input::Envelope(Box::new(envelope.clone())));
         }
     }
-
-    fn store_answered(&mut self, id: ProcessId, call: &StoreCall, result: Result<Answer, Fault>) {
-        match call.asker {
-            Asker::Coordinator => {
-                if let Some(event) = coordinator_event(&call.request, result) {
-                    self.tell_node(id, NodeEvent::Answered(event));
-                }
-            }
-            Asker::Claim(number) => {
-                let Some(process) = self.process(id) else {
-                    return;
-                };
-                let result = process.claim_result(result);
-                self.tell_gateway(id, GatewayEvent::ClaimWritten(number, result));
-            }
-            Asker::Follower(listing, round) => self.listed_for(id, listing, round, result),
-        }
-    }
-
-    fn listed_for(
-        &mut self,
-        id: ProcessId,
-        listing: Listing,
-        round: u64,
-        result: Result<Answer, Fault>,
-    ) {
-        let Some(process) = self
-            .process(id)
-            .filter(|process| process.follows(listing, round))
-        else {
-            return;
-        };
-        let Ok(Answer::List(revision, items)) = result else {
-            return self.follow_later(id, listing);
-        };
-        if listing == Listing::Items {
-            process.seen = revision;
-            let event = NodeEvent::Listed(snapshot(revision, items));
-            self.tell_node(id, event);
-        } else {
-            for (_, object) in items {
-                if let Some(event) = coordinator_event(
-                    &Request::Get(Key::Quota(QuotaSubject::WeightStore)),
-                    Ok(Answer::Object(Some(object))),
-                ) {
-                    self.tell_node(id, NodeEvent::Answered(event));
-                }
-            }
-        }
-        self.watch(id, listing, round, revision);
-    }
-
-    /// A planned stop: no new request, those in progress finish, then the lease goes back.
-    fn stop(&mut self, id: ProcessId) {
-        let now = self.now;
-        let Some(process) = self
-            .process(id)
-            .filter(|process| process.stopping_since.is_none())
-        else {
-            return;
-        };
-        process.stopping_since = Some(now);
-        let unanswered: Vec<u64> = process.gateway.unanswered().collect();
-        self.note_planned_stop(&unanswered);
-        self.tell_gateway(id, GatewayEvent::Stop);
-        self.tell_node(id, NodeEvent::Stop);
-        match self.settings.gateway.weakness {
-            DaemonWeakness::StopsAtOnce => self.exit(id),
-            DaemonWeakness::HandsOverFirst => self.tell_node(id, NodeEvent::Drained),
-            _ => {}
-        }
-    }
-
-    /// Carries a planned stop on once the requests in progress have finished.
-    fn carry_on_stop(&mut self, id: ProcessId) {
-        let Some(process) = self.process(id) else {
-            return;
-        };
-        if process.stopping_since.is_none() || process.gateway.in_progress() > 0 {
-            return;
-        }
-        if process.node_stopped {
-            return self.exit(id);
-        }
-        if !std::mem::replace(&mut process.hands_over, true) {
-            self.tell_node(id, NodeEvent::Drained);
-        }
-    }
-
-    /// The process ends; its connections break.
-    pub(super) fn exit(&mut self, id: ProcessId) {
-        self.trace(|| format!("{} exits", self.name_of(id)));
-        if self.daemons[id.daemon].process.take().is_none() {
-            return;
-        }
-        self.daemons[id.daemon].backlog.clear();
-        self.watchers.retain(|watcher| watcher.process != id);
-        let is_lost = |number: &u64| self.records[number].process == id;
-        let lost: Vec<u64> = self.open.iter().copied().filter(is_lost).collect();
-        for number in lost {
-            self.end_request(number, Outcome::ConnectionLost);
-        }
-        self.break_connections(id);
-        let delay = self.daemons[id.daemon].starts_at.since(self.now);
-        self.after(delay, Event::Start(id.daemon));
-    }
 }
--- a/crates/simulation/src/region/mod.rs
+++ b/crates/simulation/src/region/mod.rs
@@ -3,8 +3,13 @@
 mod back_ends;
 mod checks;
 mod daemons;
+mod engines;
 mod faults;
+mod machines;
 mod platform;
+mod services;
+mod stops;
+mod store_calls;
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::{Ipv4Addr, SocketAddr};
@@ -27,10 +32,12 @@
 use crate::store::{Key, Request, Store};
 use crate::time::{EventQueue, VirtualTime};
 
-use back_ends::{BackEndCall, EngineTimer, ServiceMachine};
+use back_ends::BackEndCall;
 use checks::Checks;
+use engines::EngineTimer;
 use faults::RegionFaults;
 use platform::Watcher;
+use services::ServiceMachine;
 
 /// Events in one second of virtual time above which something goes round in circles.
 const MOST_EVENTS: u64 = 200_000;
