gateway: one piece serves every path of the callers' interface

Cause: completions, services, models and unknown paths each wrote the request id or the refusal by the same lines, completions and services also took requests in, read their headers and followed a claim's reply by the same lines.

Change: Endpoint is a path, Served answers for it; Received takes a request in; a claim is asked for and followed in one place. Models and the unknown path have modules of their own. A request that is not claimed gets no boxed future and no copy of the model's name.

Behaviour is meant to be the same.

--- a/crates/gateway/src/completions.rs
+++ b/crates/gateway/src/completions.rs
@@ -13,15 +13,16 @@
 use flaxward_types::{ArtifactId, ModelRef, Refusal, ResultCode, Timestamp};
 use reqwest::header::{CONTENT_TYPE, HeaderMap, HeaderValue};
 use salvo::http::ResBody;
-use salvo::prelude::{Depot, FlowCtrl, Handler, Request, Response, async_trait};
+use salvo::prelude::{Request, Response};
 use serde_json::value::RawValue;
 use xxhash_rust::xxh3::xxh3_64;
 
-use crate::answer::{bad, write_refusal, write_request_id};
+use crate::answer::bad;
 use crate::body::read_body;
 use crate::call::{Call, CallKind, new_attempt};
+use crate::endpoint::{Endpoint, Received};
 use crate::gateway::{Gateway, Reply};
-use crate::head::{RequestHead, passed_on, read_head, request_id};
+use crate::head::{RequestHead, passed_on};
 use crate::place::Place;
 use crate::relay::{EVENT_STREAM, Relay};
 use crate::run::{Held, Run, finish};
@@ -58,8 +59,6 @@
 
 /// Handles one of the two interfaces.
 pub(crate) struct Completions {
-    /// The gateway.
-    pub gateway: Arc<Gateway>,
     /// Which interface.
     pub kind: CompletionKind,
 }
@@ -74,84 +73,47 @@
     body: Bytes,
 }
 
-#[async_trait]
-impl Handler for Completions {
-    async fn handle(
-        &self,
-        request: &mut Request,
-        _depot: &mut Depot,
-        response: &mut Response,
-        _flow: &mut FlowCtrl,
-    ) {
-        let request_id = request_id(request.headers());
-        match self.answer(request, response, &request_id).await {
-            Ok(()) => write_request_id(response, &request_id),
-            Err(refusal) => {
-                let refusal = self.gateway.with_retry_after(refusal);
-                write_refusal(response, &refusal, &request_id);
-            }
-        }
-    }
-}
-
-impl Completions {
+impl Endpoint for Completions {
     async fn answer(
         &self,
+        gateway: &Arc<Gateway>,
         request: &mut Request,
         response: &mut Response,
         request_id: &str,
     ) -> Result<(), Refusal> {
         let started = Instant::now();
-        let mut admitted = self.gateway.enter()?;
-        let settings = &self.gateway.settings;
-        let head = read_head(request.headers(), request_id.to_owned(), settings)?;
-        let deadline = self.gateway.clock.now() + head.deadline;
-        let body = read_body(request, &self.gateway, &mut admitted.held_bytes).await?;
-        let configuration = self.gateway.configuration().await?;
+        let Received {
+            mut admitted,
+            head,
+            deadline,
+        } = Received::new(gateway, request, request_id)?;
+        let body = read_body(request, gateway, &mut admitted.held_bytes).await?;
+        let configuration = gateway.configuration().await?;
         let wanted = self.read(&body, &configuration)?;
         // The engine gets another one; this one is not kept while the request waits.
         drop(body);
-        let call = self.call(request.headers(), &head, &wanted, deadline);
-        let claim = match self
-            .gateway
-            .claim(&call, &head, &wanted.artifact.model.to_string())
-        {
-            Some(claim) => match claim.await? {
-                Reply::Proceed(ticket) => Some(ticket),
-                Reply::Recorded(answer) => {
-                    answer.write(response);
-                    return Ok(());
-                }
-            },
-            None => None,
+        let call = self.call(gateway, request.headers(), &head, &wanted, deadline);
+        let target = wanted.artifact.model.as_str();
+        let claim = match gateway.claim(&call, &head, target).await? {
+            Reply::Proceed(claim) => claim,
+            Reply::Recorded(answer) => {
+                answer.write(response);
+                return Ok(());
+            }
         };
-        let place = self.enter_queue(&head, &wanted, deadline);
+        let place = enter_queue(gateway, &head, &wanted, deadline);
         let target = wanted.artifact.to_string();
-        let gateway = Arc::clone(&self.gateway);
-        let mut run = Run::new(gateway, call, place, claim, admitted, &target);
-        if !wanted.stream {
-            let answer = finish(run).await?;
-            answer.write(response);
-            return Ok(());
-        }
-        match open_stream(&mut run).await {
-            Ok(Opened::Stream(opened)) => {
-                let headers = passed_on(opened.headers());
-                let mut relay = Relay::new(run, opened, started);
-                // Until its first bytes a stream can still be refused with a status of its own.
-                let first = relay.advance().await?.unwrap_or_default();
-                response.headers_mut().extend(headers);
-                response.body(ResBody::stream(relay.into_stream(first)));
-            }
-            Ok(Opened::Whole(answer)) => answer.into_answer(run).write(response),
-            Err(refusal) => {
-                run.settle(RequestEnd::refused(refusal.code));
-                return Err(refusal);
-            }
+        let run = Run::new(Arc::clone(gateway), call, place, claim, admitted, &target);
+        if wanted.stream {
+            return answer_streamed(run, response, started).await;
         }
+        let answer = finish(run).await?;
+        answer.write(response);
         Ok(())
     }
+}
 
+impl Completions {
     /// Reads the body and finds out what it wants.
     fn read(&self, body: &Bytes, configuration: &Configuration) -> Result<Wanted, Refusal> {
         let mut fields: BTreeMap<Cow<'_, str>, &RawValue> = serde_json::from_slice(body)
@@ -187,6 +149,7 @@
 
     fn call(
         &self,
+        gateway: &Gateway,
         headers: &HeaderMap,
         head: &RequestHead,
         wanted: &Wanted,
@@ -196,7 +159,7 @@
         headers.insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
         // A stream may go on long after its first token, and so may its attempts.
         let last_attempt = if wanted.stream {
-            deadline + self.gateway.settings.stream_limit
+            deadline + gateway.settings.stream_limit
         } else {
             deadline
         };
@@ -217,18 +180,47 @@
             },
         }
     }
+}
 
-    fn enter_queue(&self, head: &RequestHead, wanted: &Wanted, deadline: Timestamp) -> Place {
-        let ticket = self.gateway.scheduler.enter(|request| Arrival {
-            request,
-            artifact: wanted.artifact.clone(),
-            priority: head.priority,
-            deadline,
-            queue_limit: wanted.queue_limit,
-            prefix: wanted.prefix,
-        });
-        Place::Engine(ticket)
+fn enter_queue(
+    gateway: &Gateway,
+    head: &RequestHead,
+    wanted: &Wanted,
+    deadline: Timestamp,
+) -> Place {
+    let ticket = gateway.scheduler.enter(|request| Arrival {
+        request,
+        artifact: wanted.artifact.clone(),
+        priority: head.priority,
+        deadline,
+        queue_limit: wanted.queue_limit,
+        prefix: wanted.prefix,
+    });
+    Place::Engine(ticket)
+}
+
+/// Answers a request for a stream. Until its first bytes a stream can still be refused with a status
+/// of its own.
+async fn answer_streamed(
+    mut run: Run,
+    response: &mut Response,
+    started: Instant,
+) -> Result<(), Refusal> {
+    match open_stream(&mut run).await {
+        Ok(Opened::Stream(opened)) => {
+            let headers = passed_on(opened.headers());
+            let mut relay = Relay::new(run, opened, started);
+            let first = relay.advance().await?.unwrap_or_default();
+            response.headers_mut().extend(headers);
+            response.body(ResBody::stream(relay.into_stream(first)));
+        }
+        Ok(Opened::Whole(answer)) => answer.into_answer(run).write(response),
+        Err(refusal) => {
+            run.settle(RequestEnd::refused(refusal.code));
+            return Err(refusal);
+        }
     }
+    Ok(())
 }
 
 /// How an engine answers a request for a stream.
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -14,30 +14,29 @@
 use flaxward_types::routing::{HeldAnswers, RouteAnswer};
 use flaxward_types::{DaemonName, Refusal, ResultCode, Revision, RunnerName, ZoneName};
 use futures::FutureExt;
-use futures::future::BoxFuture;
 use reqwest::header::{CONTENT_TYPE, HeaderMap, HeaderValue};
 use salvo::http::StatusCode;
-use salvo::prelude::{
-    Depot, FlowCtrl, Handler, Json, Request, Response, Router, Scribe, async_trait,
-};
+use salvo::prelude::Router;
 use tokio::sync::watch;
 use tokio::time::MissedTickBehavior;
 use tokio_util::task::TaskTracker;
 use tokio_util::task::task_tracker::TaskTrackerToken;
 
-use crate::answer::{Answer, write_refusal, write_request_id};
+use crate::answer::Answer;
 use crate::bytes_budget::{BytesBudget, HeldBytes};
 use crate::call::Call;
 use crate::claims::{ClaimReply, ClaimTicket, Claims};
 use crate::clock::Clock;
 use crate::completions::{CompletionKind, Completions};
-use crate::head::{RequestHead, request_id};
-use crate::models;
+use crate::endpoint::{Endpoint, Served};
+use crate::head::RequestHead;
+use crate::models::Models;
 use crate::registry::{Registry, RequestView};
 use crate::scheduler::{DemandSender, Scheduler};
 use crate::service_pool::ServicePool;
 use crate::services::Services;
 use crate::settings::GatewaySettings;
+use crate::unknown_path::UnknownPath;
 
 /// Time that a request waits for the first configuration of a daemon that has just started.
 const CONFIGURATION_WAIT: Duration = Duration::from_secs(2);
@@ -72,8 +71,8 @@
 
 /// What a claim of a key has brought.
 pub(crate) enum Reply {
-    /// The request may be sent.
-    Proceed(ClaimTicket),
+    /// The request may be sent; with a ticket if it needed a claim.
+    Proceed(Option<ClaimTicket>),
     /// The answer recorded under the key.
     Recorded(Box<Answer>),
 }
@@ -115,26 +114,25 @@
     /// The paths of the callers' interface. Its last path takes whatever no other takes, so mount
     /// it after all others.
     pub fn router(self: &Arc<Self>) -> Router {
-        let text = Completions {
-            gateway: Arc::clone(self),
+        let text = self.serve(Completions {
             kind: CompletionKind::Text,
-        };
-        let chat = Completions {
-            gateway: Arc::clone(self),
+        });
+        let chat = self.serve(Completions {
             kind: CompletionKind::Chat,
-        };
-        let services = Services {
-            gateway: Arc::clone(self),
-        };
-        let models = Models {
-            gateway: Arc::clone(self),
-        };
+        });
         Router::new()
             .push(Router::with_path("v1/completions").post(text))
             .push(Router::with_path("v1/chat/completions").post(chat))
-            .push(Router::with_path("v1/models").get(models))
-            .push(Router::with_path("services/{name}/{**path}").goal(services))
-            .push(Router::with_path("{**path}").goal(UnknownPath))
+            .push(Router::with_path("v1/models").get(self.serve(Models)))
+            .push(Router::with_path("services/{name}/{**path}").goal(self.serve(Services)))
+            .push(Router::with_path("{**path}").goal(self.serve(UnknownPath)))
+    }
+
+    fn serve<E: Endpoint>(self: &Arc<Self>, endpoint: E) -> Served<E> {
+        Served {
+            gateway: Arc::clone(self),
+            endpoint,
+        }
     }
 
     /// Takes answers of coordinators.
@@ -251,39 +249,43 @@
     }
 
     /// Claims the key of a request, if it needs a claim. `target` is what the request goes to.
-    pub(crate) fn claim(
+    pub(crate) async fn claim(
         &self,
         call: &Call,
         head: &RequestHead,
         target: &str,
-    ) -> Option<BoxFuture<'static, Result<Reply, Refusal>>> {
-        if !call.policy.needs_claim() {
-            return None;
+    ) -> Result<Reply, Refusal> {
+        match &head.key {
+            // Boxed: few requests have a claim, and the others are not to carry its state.
+            Some(key) if call.policy.needs_claim() => {
+                self.take_claim(call, key, target).boxed().await
+            }
+            _ => Ok(Reply::Proceed(None)),
         }
-        let name = claim_name(target, head.key.as_deref()?);
+    }
+
+    async fn take_claim(&self, call: &Call, key: &str, target: &str) -> Result<Reply, Refusal> {
+        let name = claim_name(target, key);
         let digest = request_digest(call.method.as_str(), &call.path_and_query, &call.body);
-        let claims = Arc::clone(&self.claims);
-        let attempt = call.first_attempt;
         let now = self.clock.now();
         let may_be_sent_for = call.policy.deadline.since(now);
         let caller_waits = call.deadline.since(now);
-        let taking = async move {
-            let taking = claims.take(name, digest, attempt, may_be_sent_for, caller_waits);
-            match taking.await {
-                ClaimReply::Proceed(ticket) => Ok(Reply::Proceed(ticket)),
-                ClaimReply::Replay {
-                    status,
-                    content_type,
-                    body,
-                } => Ok(Reply::Recorded(Box::new(recorded(
-                    status,
-                    &content_type,
-                    body,
-                )))),
-                ClaimReply::Refuse(refusal) => Err(refusal),
+        let attempt = call.first_attempt;
+        let taking = self
+            .claims
+            .take(name, digest, attempt, may_be_sent_for, caller_waits);
+        match taking.await {
+            ClaimReply::Proceed(ticket) => Ok(Reply::Proceed(Some(ticket))),
+            ClaimReply::Replay {
+                status,
+                content_type,
+                body,
+            } => {
+                let answer = recorded(status, &content_type, body);
+                Ok(Reply::Recorded(Box::new(answer)))
             }
-        };
-        Some(taking.boxed())
+            ClaimReply::Refuse(refusal) => Err(refusal),
+        }
     }
 }
 
@@ -299,48 +301,3 @@
         rest: None,
     }
 }
-
-/// Handles the list of models.
-struct Models {
-    gateway: Arc<Gateway>,
-}
-
-#[async_trait]
-impl Handler for Models {
-    async fn handle(
-        &self,
-        request: &mut Request,
-        _depot: &mut Depot,
-        response: &mut Response,
-        _flow: &mut FlowCtrl,
-    ) {
-        let request_id = request_id(request.headers());
-        match self.gateway.configuration().await {
-            Ok(configuration) => {
-                Json(models::list(&configuration)).render(response);
-                write_request_id(response, &request_id);
-            }
-            Err(refusal) => {
-                let refusal = self.gateway.with_retry_after(refusal);
-                write_refusal(response, &refusal, &request_id);
-            }
-        }
-    }
-}
-
-/// Answers every path that is not served.
-struct UnknownPath;
-
-#[async_trait]
-impl Handler for UnknownPath {
-    async fn handle(
-        &self,
-        request: &mut Request,
-        _depot: &mut Depot,
-        response: &mut Response,
-        _flow: &mut FlowCtrl,
-    ) {
-        let refusal = Refusal::new(ResultCode::UnknownPath);
-        write_refusal(response, &refusal, &request_id(request.headers()));
-    }
-}
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -17,6 +17,7 @@
 mod clock;
 mod completions;
 mod counters;
+mod endpoint;
 mod gateway;
 mod head;
 mod models;
@@ -30,6 +31,7 @@
 mod service_pool;
 mod services;
 mod settings;
+mod unknown_path;
 
 pub use counters::METRICS;
 pub use gateway::Gateway;
--- a/crates/gateway/src/models.rs
+++ b/crates/gateway/src/models.rs
@@ -1,12 +1,35 @@
 //! `GET /v1/models`: what callers can ask for.
 
+use std::sync::Arc;
+
 use flaxward_control::configuration::Configuration;
-use flaxward_types::{ConfigurationItem, ItemKey};
+use flaxward_types::{ConfigurationItem, ItemKey, Refusal};
+use salvo::prelude::{Json, Request, Response, Scribe};
 use serde::Serialize;
 
+use crate::endpoint::Endpoint;
+use crate::gateway::Gateway;
+
+/// Answers with the list of models.
+pub(crate) struct Models;
+
+impl Endpoint for Models {
+    async fn answer(
+        &self,
+        gateway: &Arc<Gateway>,
+        _request: &mut Request,
+        response: &mut Response,
+        _request_id: &str,
+    ) -> Result<(), Refusal> {
+        let configuration = gateway.configuration().await?;
+        Json(list(&configuration)).render(response);
+        Ok(())
+    }
+}
+
 /// The list of models.
 #[derive(Serialize)]
-pub(crate) struct ModelList {
+struct ModelList {
     object: &'static str,
     data: Vec<ModelEntry>,
 }
@@ -20,7 +43,7 @@
 }
 
 /// All models and adapters of a configuration.
-pub(crate) fn list(configuration: &Configuration) -> ModelList {
+fn list(configuration: &Configuration) -> ModelList {
     let data = configuration
         .items()
         .filter_map(|(key, _, item)| match (key, item) {
--- a/crates/gateway/src/services.rs
+++ b/crates/gateway/src/services.rs
@@ -4,13 +4,13 @@
 
 use flaxward_control::attempt::RequestPolicy;
 use flaxward_types::{Refusal, ResultCode, ServiceName};
-use salvo::prelude::{Depot, FlowCtrl, Handler, Request, Response, async_trait};
+use salvo::prelude::{Request, Response};
 
-use crate::answer::{write_refusal, write_request_id};
 use crate::body::read_body;
 use crate::call::{Call, CallKind, new_attempt};
+use crate::endpoint::{Endpoint, Received};
 use crate::gateway::{Gateway, Reply};
-use crate::head::{is_safe, passed_on, read_head, request_id};
+use crate::head::{is_safe, passed_on};
 use crate::place::Place;
 use crate::run::{Run, finish};
 
@@ -18,44 +18,23 @@
 pub(crate) const SERVICES_PREFIX: &str = "/services/";
 
 /// Handles requests to plain services.
-pub(crate) struct Services {
-    /// The gateway.
-    pub gateway: Arc<Gateway>,
-}
+pub(crate) struct Services;
 
-#[async_trait]
-impl Handler for Services {
-    async fn handle(
-        &self,
-        request: &mut Request,
-        _depot: &mut Depot,
-        response: &mut Response,
-        _flow: &mut FlowCtrl,
-    ) {
-        let request_id = request_id(request.headers());
-        match self.answer(request, response, &request_id).await {
-            Ok(()) => write_request_id(response, &request_id),
-            Err(refusal) => {
-                let refusal = self.gateway.with_retry_after(refusal);
-                write_refusal(response, &refusal, &request_id);
-            }
-        }
-    }
-}
-
-impl Services {
+impl Endpoint for Services {
     async fn answer(
         &self,
+        gateway: &Arc<Gateway>,
         request: &mut Request,
         response: &mut Response,
         request_id: &str,
     ) -> Result<(), Refusal> {
-        let mut admitted = self.gateway.enter()?;
-        let settings = &self.gateway.settings;
-        let head = read_head(request.headers(), request_id.to_owned(), settings)?;
-        let deadline = self.gateway.clock.now() + head.deadline;
+        let Received {
+            mut admitted,
+            head,
+            deadline,
+        } = Received::new(gateway, request, request_id)?;
         let (service, path) = split_path(request.uri().path())?;
-        let configuration = self.gateway.configuration().await?;
+        let configuration = gateway.configuration().await?;
         let spec = configuration
             .service(&service)
             .ok_or_else(|| Refusal::new(ResultCode::UnknownService))?;
@@ -65,7 +44,7 @@
         };
         let method = request.method().clone();
         let headers = passed_on(request.headers());
-        let body = read_body(request, &self.gateway, &mut admitted.held_bytes).await?;
+        let body = read_body(request, gateway, &mut admitted.held_bytes).await?;
         let call = Call {
             kind: CallKind::Service,
             policy: RequestPolicy {
@@ -82,20 +61,17 @@
             deadline,
             first_attempt: new_attempt(),
         };
-        let claim = match self.gateway.claim(&call, &head, service.as_str()) {
-            Some(claim) => match claim.await? {
-                Reply::Proceed(ticket) => Some(ticket),
-                Reply::Recorded(answer) => {
-                    answer.write(response);
-                    return Ok(());
-                }
-            },
-            None => None,
+        let claim = match gateway.claim(&call, &head, service.as_str()).await? {
+            Reply::Proceed(claim) => claim,
+            Reply::Recorded(answer) => {
+                answer.write(response);
+                return Ok(());
+            }
         };
-        let pool = &self.gateway.service_pool;
+        let pool = &gateway.service_pool;
         let ticket = pool.enter(service.clone(), spec.concurrency, head.priority, deadline);
         let place = Place::Service(ticket);
-        let gateway = Arc::clone(&self.gateway);
+        let gateway = Arc::clone(gateway);
         let run = Run::new(gateway, call, place, claim, admitted, service.as_str());
         let answer = finish(run).await?;
         answer.write(response);
