gateway: the write-stall limit is a setting and tested in the daemon

Cause: nothing held GatewaySettings::new against the settings file's defaults, and the limit for callers that stop reading was 30 s in the code, too long to be tested.

Change: gateway.write_stall (30 s as before) stands in the settings file and in GatewaySettings, which now makes the limits of a connection.

Tests, all new: the defaults on both sides are equal; each key of the section changes what the gateway gets, and a key that is not tried is a failure; a caller that reads nothing of an endless stream is cut off, the engine is told, the daemon holds no request and the next caller is served. The verdict does not depend on how soon.

--- a/crates/flaxward/src/daemon/mod.rs
+++ b/crates/flaxward/src/daemon/mod.rs
@@ -5,6 +5,7 @@
 pub(crate) mod counters;
 mod decisions;
 mod event;
+mod gateway_settings;
 mod http;
 mod observer;
 mod operator_views;
@@ -23,7 +24,7 @@
 use flaxward_control::coordinator::Coordinator;
 use flaxward_control::gossip::{Gossip, GossipSettings};
 use flaxward_control::node::{Node, NodeEvent};
-use flaxward_gateway::{Gateway, GatewaySettings, back_end_client, connection_limits};
+use flaxward_gateway::{Gateway, back_end_client};
 use flaxward_operators::Executor;
 use flaxward_peers::PeerSocket;
 use flaxward_platform::http_client::TimeLimits;
@@ -38,6 +39,7 @@
 use flaxward_wire::Peer;
 use metrics_exporter_prometheus::PrometheusHandle;
 use salvo::conn::tcp::TcpAcceptor;
+use salvo::fuse::FuseConfig;
 use salvo::prelude::{Router, Server};
 use salvo::server::ServerHandle;
 use tokio::sync::{Notify, mpsc, watch};
@@ -47,6 +49,7 @@
 use self::claim_removal::ClaimRemover;
 use self::core::{Core, Parts};
 use self::event::CoreEvent;
+pub use self::gateway_settings::gateway_settings;
 use self::operator_views::DaemonViews;
 use self::runner_driver::RunnerDriver;
 use self::store_driver::StoreDriver;
@@ -96,8 +99,10 @@
         let (configuration, configuration_reader) =
             watch::channel(Arc::new(Configuration::default()));
         let (demands, demanded) = mpsc::unbounded_channel();
+        let for_gateway = gateway_settings(settings);
+        let limits = for_gateway.connection_limits();
         let gateway = Gateway::new(
-            gateway_settings(settings),
+            for_gateway,
             configuration_reader.clone(),
             back_end_client(settings.platform.engine_timeout)?,
             demands,
@@ -155,7 +160,7 @@
         let acceptor = flaxward_gateway::listen(listen_address)
             .await
             .with_context(|| format!("cannot listen on {listen_address}"))?;
-        let (address, server) = serve(acceptor, router)?;
+        let (address, server) = serve(acceptor, router, limits)?;
         state_change(
             "started",
             &[
@@ -327,40 +332,6 @@
     )
 }
 
-fn gateway_settings(settings: &Settings) -> GatewaySettings {
-    let section = &settings.gateway;
-    let mut gateway = GatewaySettings::new(zones_from(&settings.daemon));
-    gateway.body_limit = usize_of(section.body_limit.as_u64());
-    gateway.header_limit = usize_of(section.header_limit.as_u64());
-    gateway.body_timeout = section.body_timeout;
-    gateway.default_deadline = section.default_deadline;
-    gateway.max_deadline = section.max_deadline;
-    gateway.max_in_progress = usize_of(section.max_in_progress.into());
-    gateway.held_bytes = usize_of(section.held_bytes.as_u64());
-    gateway.answer_hold = usize_of(section.answer_hold.as_u64());
-    gateway.stream_idle = section.stream_idle;
-    gateway.stream_resume_wait = section.stream_resume_wait;
-    gateway.stream_limit = section.stream_limit;
-    gateway.admission = settings.admission();
-    gateway.attempts = settings.attempts();
-    gateway.retries = settings.retries();
-    gateway.claims = settings.claims();
-    gateway
-}
-
-/// The zones of the region, the daemon's own first.
-fn zones_from(daemon: &flaxward_settings::DaemonSection) -> Vec<ZoneName> {
-    let others = daemon.zones.iter().filter(|zone| **zone != daemon.zone);
-    std::iter::once(&daemon.zone)
-        .chain(others)
-        .cloned()
-        .collect()
-}
-
-fn usize_of(number: u64) -> usize {
-    usize::try_from(number).unwrap_or(usize::MAX)
-}
-
 fn spawn_until(stop: &CancellationToken, task: impl Future<Output = ()> + Send + 'static) {
     let stop = stop.clone();
     tokio::spawn(async move { stop.run_until_cancelled_owned(task).await });
@@ -394,11 +365,15 @@
     }
 }
 
-fn serve(acceptor: TcpAcceptor, router: Router) -> anyhow::Result<(SocketAddr, HttpServer)> {
+fn serve(
+    acceptor: TcpAcceptor,
+    router: Router,
+    limits: FuseConfig,
+) -> anyhow::Result<(SocketAddr, HttpServer)> {
     let address = acceptor
         .local_addr()
         .context("the listening socket has no address")?;
-    let server = Server::new(acceptor).fuse_config(connection_limits());
+    let server = Server::new(acceptor).fuse_config(limits);
     let handle = server.handle();
     let running = tokio::spawn(server.serve(router));
     Ok((address, HttpServer { handle, running }))
--- a/crates/flaxward/tests/processes/main.rs
+++ b/crates/flaxward/tests/processes/main.rs
@@ -10,5 +10,6 @@
 mod leaving;
 mod operators;
 mod outages;
+mod stalled_callers;
 mod stops;
 mod support;
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -37,4 +37,4 @@
 pub use gateway::Gateway;
 pub use registry::RequestView;
 pub use server_sent_events::{Event, EventError, EventScanner};
-pub use settings::{GatewaySettings, back_end_client, connection_limits, listen};
+pub use settings::{GatewaySettings, back_end_client, listen};
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -12,8 +12,11 @@
 use socket2::SockRef;
 use tokio::net::TcpListener;
 
+/// Time allowed for the headers of a request to arrive.
+const HEADER_TIMEOUT: Duration = Duration::from_secs(10);
+
 /// Limits and durations of the callers' interface. The defaults are those of the settings file.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub struct GatewaySettings {
     /// The zones known at the start, the daemon's own first.
     pub zones: Vec<ZoneName>,
@@ -40,6 +43,8 @@
     pub stream_resume_wait: Duration,
     /// Longest stream.
     pub stream_limit: Duration,
+    /// Time in which a caller must take in more of its answer before its connection is closed.
+    pub write_stall: Duration,
     /// When a caller is told to come back if nothing better is known.
     pub retry_after: Duration,
     /// Waiting and demand.
@@ -68,6 +73,7 @@
             stream_idle: Duration::from_secs(30),
             stream_resume_wait: Duration::from_secs(30),
             stream_limit: Duration::from_hours(1),
+            write_stall: Duration::from_secs(30),
             retry_after: Duration::from_secs(5),
             admission: AdmissionSettings::default(),
             attempts: AttemptSettings::default(),
@@ -75,6 +81,14 @@
             claims: ClaimSettings::default(),
         }
     }
+
+    /// Limits of one caller's connection, for the server: a caller that sends its headers slowly or
+    /// does not read its answer is cut off. Waiting for an answer is not limited here.
+    pub fn connection_limits(&self) -> FuseConfig {
+        FuseConfig::default()
+            .with_http1_header_timeout(HEADER_TIMEOUT)
+            .with_write_stall_timeout(self.write_stall)
+    }
 }
 
 /// Listens for callers. Each token leaves at once: accepted connections take over `TCP_NODELAY`
@@ -89,14 +103,6 @@
     TcpAcceptor::try_from(listener)
 }
 
-/// Limits of one caller's connection, for the server: a caller that sends its headers slowly or
-/// does not read its answer is cut off. Waiting for an answer is not limited here.
-pub fn connection_limits() -> FuseConfig {
-    FuseConfig::default()
-        .with_http1_header_timeout(Duration::from_secs(10))
-        .with_write_stall_timeout(Duration::from_secs(30))
-}
-
 /// An HTTP client for back ends: it follows no redirect, uses no proxy and sends nothing twice.
 ///
 /// # Errors
--- a/crates/gateway/tests/gateway/support.rs
+++ b/crates/gateway/tests/gateway/support.rs
@@ -13,7 +13,7 @@
 use flaxward_emulator::{
     Engine, EngineConfig, ObjectApiConfig, ObjectApiServer, Service, ServiceConfig,
 };
-use flaxward_gateway::{Gateway, GatewaySettings, back_end_client, connection_limits, listen};
+use flaxward_gateway::{Gateway, GatewaySettings, back_end_client, listen};
 use flaxward_platform::http_client::TimeLimits;
 use flaxward_platform::settled::SettleLimits;
 use flaxward_platform::{ObjectsHttp, SettledStore};
@@ -162,6 +162,7 @@
         let mut settings = GatewaySettings::new(vec![zone()]);
         settings.admission.avoid_period = Duration::from_millis(20);
         change(&mut settings);
+        let limits = settings.connection_limits();
         let (sender, receiver) = watch::channel(Arc::new(configuration()));
         let (demands, demanded) = mpsc::unbounded_channel();
         let gateway = Gateway::new(
@@ -187,7 +188,7 @@
         gateway.on_heads(BTreeSet::from([zone()]));
         let acceptor = listen(ANY_PORT).await.expect("a free port");
         let address = acceptor.local_addr().unwrap();
-        let server = Server::new(acceptor).fuse_config(connection_limits());
+        let server = Server::new(acceptor).fuse_config(limits);
         tokio::spawn(server.serve(gateway.router()));
         // Nothing takes longer but by mistake.
         let client = reqwest::Client::builder().timeout(Duration::from_secs(10));
--- a/crates/settings/src/sections.rs
+++ b/crates/settings/src/sections.rs
@@ -81,6 +81,8 @@
         stream_resume_wait: Duration = Default("30s");
         /// Time after the deadline in which a stream may still be sent to another replica.
         stream_limit: Duration = Default("1h");
+        /// Time in which a caller must take in more of its answer before its connection is closed.
+        write_stall: Duration = Default("30s");
         /// Requests waiting at this daemon for all models together, at most.
         queue_total: u32 = Default("4096");
         /// Time between two demands for the same model to the same coordinator.
