tests: each key of the gateway's section is held against an unchanged daemon

Cause: keys were compared with GatewaySettings::new, so that a fault in its defaults would have hidden a key that is not taken over.

Change: they are compared with the settings of a daemon on which no key is set.

--- a/crates/flaxward/tests/gateway_settings.rs
+++ b/crates/flaxward/tests/gateway_settings.rs
@@ -60,9 +60,10 @@
 
 #[test]
 fn every_key_of_the_section_changes_the_gateway() {
+    let unchanged = taken(&required());
     for (key, value) in OTHER_VALUES {
         let changed = taken(&required().with(key, value));
-        assert_ne!(changed, GatewaySettings::new(zones()), "{key} = {value}");
+        assert_ne!(changed, unchanged, "{key} = {value}");
     }
     let tried: BTreeSet<&str> = OTHER_VALUES.iter().map(|(key, _)| *key).collect();
     let keys = Settings::keys().filter(|key| key.section() == SECTION);
