lab: the load table fits a terminal, and a target without a scheme is told

Cause, as a user against flaxward dev: the table was 185 columns wide and repeated "p95, ms" under no name; times that no answer gave were shown as 0; a target without http:// counted every request as broken and told nobody why; the bar began with no number of outstanding requests and kept a stale one while the last answers came.

Change: a column for each model and a row for each measure, the other way round for many models; "-" for times that are none; targets are checked before anything is sent; the bar's number is right from the beginning to the end. JSON lines are as before.

Tests, new: addresses without the scheme are refused; a table without answers shows no times. That run was against a daemon that had stopped by then; the new table was not seen with answers in it. The lab's other tests were not run.

--- a/crates/lab/src/load/mod.rs
+++ b/crates/lab/src/load/mod.rs
@@ -11,13 +11,16 @@
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use rand_distr::{Distribution, Exp};
-use reqwest::Client;
+use reqwest::{Client, Url};
 use tokio::task::JoinSet;
 
 pub use result::{LoadResult, Tally, table};
 
 use crate::client::{Answer, Question, ask};
 
+/// Scheme of the targets.
+const SCHEME: &str = "http";
+
 /// What to send.
 #[derive(Clone, Debug)]
 pub struct LoadPlan {
@@ -93,6 +96,15 @@
         Ok(due)
     }
 
+    /// Checks that requests can be sent to the targets; a run against none would only count breaks.
+    fn check_targets(&self) -> Result<()> {
+        for target in &self.targets {
+            let is_url = Url::parse(target).is_ok_and(|url| url.scheme() == SCHEME);
+            ensure!(is_url, "{target} is no URL such as http://127.0.0.1:8700");
+        }
+        Ok(())
+    }
+
     fn question(&self, due: &Due) -> Question {
         let model = self.models[due.model].clone();
         Question {
@@ -111,13 +123,15 @@
 /// # Errors
 /// Fails if the plan is not valid or the client cannot be set up.
 pub async fn run(plan: LoadPlan) -> Result<Vec<LoadResult>> {
+    plan.check_targets()?;
     let schedule = plan.schedule()?;
     let client = Client::builder().build()?;
     let plan = Arc::new(plan);
     let progress =
         ProgressBar::new(schedule.len() as u64).with_style(ProgressStyle::with_template(
-            "{elapsed_precise} {bar:40} {pos}/{len} due, {msg} outstanding",
+            "{elapsed_precise} {bar:40} {pos} of {len} due, {msg} outstanding",
         )?);
+    progress.set_message("0");
     let mut tally = Tally::new(&plan.models);
     let mut asked: JoinSet<(usize, Answer)> = JoinSet::new();
     let start = Instant::now();
@@ -139,6 +153,7 @@
     while let Some(ended) = asked.join_next().await {
         let (model, answer) = ended?;
         tally.ended(model, &answer);
+        progress.set_message(asked.len().to_string());
     }
     progress.finish_and_clear();
     Ok(tally.results(start.elapsed()))
--- a/crates/lab/src/load/result.rs
+++ b/crates/lab/src/load/result.rs
@@ -146,49 +146,91 @@
     }
 }
 
-/// The results for people; times in milliseconds.
+/// Columns that a terminal is wide enough for.
+const COLUMNS_AT_MOST: usize = 5;
+
+/// The results for people: a column for each model, or a row if there are many.
 pub fn table(results: &[LoadResult]) -> Table {
     let mut table = Table::new();
     table.load_style(UTF8_HORIZONTAL_ONLY);
-    table.set_header([
-        "model",
-        "due",
-        "answered",
-        "refused",
-        "broken",
-        "not sent",
-        "answers/s",
-        "tokens/s",
-        "first token p50, ms",
-        "p95, ms",
-        "p99, ms",
-        "worst, ms",
-        "between tokens p95, ms",
-        "took p50, ms",
-        "p99, ms",
-    ]);
-    for result in results {
-        let refused = result.refused.iter();
-        let refused: Vec<String> = refused
-            .map(|(code, count)| format!("{code}: {count}"))
-            .collect();
-        table.add_row([
-            result.model.clone(),
-            result.due.to_string(),
-            result.answered.to_string(),
-            refused.join("\n"),
-            result.broken.to_string(),
-            result.not_sent.to_string(),
-            format!("{:.1}", result.answered_per_second),
-            format!("{:.0}", result.tokens_per_second),
-            result.first_token_p50.to_string(),
-            result.first_token_p95.to_string(),
-            result.first_token_p99.to_string(),
-            result.first_token_worst.to_string(),
-            result.between_tokens_p95.to_string(),
-            result.took_p50.to_string(),
-            result.took_p99.to_string(),
-        ]);
+    if results.len() > COLUMNS_AT_MOST {
+        add_row_for_each(&mut table, results);
+    } else {
+        add_column_for_each(&mut table, results);
     }
     table
 }
+
+fn add_row_for_each(table: &mut Table, results: &[LoadResult]) {
+    let labels = ROWS.iter().map(|(label, _)| *label);
+    table.set_header(std::iter::once("").chain(labels));
+    for result in results {
+        let cells = ROWS.iter().map(|(_, cell)| cell(result));
+        table.add_row(std::iter::once(result.model.clone()).chain(cells));
+    }
+}
+
+fn add_column_for_each(table: &mut Table, results: &[LoadResult]) {
+    let models = results.iter().map(|result| result.model.as_str());
+    table.set_header(std::iter::once("").chain(models));
+    for (label, cell) in ROWS {
+        let cells = results.iter().map(cell);
+        table.add_row(std::iter::once((*label).to_owned()).chain(cells));
+    }
+}
+
+type Cell = fn(&LoadResult) -> String;
+
+const ROWS: &[(&str, Cell)] = &[
+    ("due", |result| result.due.to_string()),
+    ("answered", |result| result.answered.to_string()),
+    ("refused, by code", refusals),
+    ("broken", |result| result.broken.to_string()),
+    ("not sent", |result| result.not_sent.to_string()),
+    ("answers a second", |result| {
+        format!("{:.1}", result.answered_per_second)
+    }),
+    ("tokens a second", |result| {
+        format!("{:.0}", result.tokens_per_second)
+    }),
+    ("first token p50, ms", |result| {
+        time(result, result.first_token_p50)
+    }),
+    ("first token p95, ms", |result| {
+        time(result, result.first_token_p95)
+    }),
+    ("first token p99, ms", |result| {
+        time(result, result.first_token_p99)
+    }),
+    ("first token worst, ms", |result| {
+        time(result, result.first_token_worst)
+    }),
+    ("between tokens p95, ms", |result| {
+        time(result, result.between_tokens_p95)
+    }),
+    ("whole answer p50, ms", |result| {
+        time(result, result.took_p50)
+    }),
+    ("whole answer p99, ms", |result| {
+        time(result, result.took_p99)
+    }),
+];
+
+fn refusals(result: &LoadResult) -> String {
+    if result.refused.is_empty() {
+        return "0".to_owned();
+    }
+    let refused = result.refused.iter();
+    let refused: Vec<String> = refused
+        .map(|(code, count)| format!("{code}: {count}"))
+        .collect();
+    refused.join("\n")
+}
+
+/// A time in milliseconds. Without an answer there is none, which is not a time of 0.
+fn time(result: &LoadResult, milliseconds: u64) -> String {
+    if result.answered == 0 && milliseconds == 0 {
+        return "-".to_owned();
+    }
+    milliseconds.to_string()
+}
--- a/crates/lab/tests/load.rs
+++ b/crates/lab/tests/load.rs
@@ -95,6 +95,27 @@
     engine.shutdown().await;
 }
 
+/// An address without a scheme is told before anything is sent.
+#[tokio::test]
+async fn targets_are_urls() {
+    for target in ["127.0.0.1:1", "localhost", "https://127.0.0.1:1"] {
+        assert!(load::run(plan(vec![target.to_owned()])).await.is_err());
+    }
+}
+
+/// Times that no answer gave are no times.
+#[tokio::test]
+async fn a_table_shows_no_times_without_answers() {
+    let plan = plan(vec!["http://127.0.0.1:1".to_owned()]);
+    let results = load::run(plan).await.expect("run");
+    let table = load::table(&results).to_string();
+    let row = table
+        .lines()
+        .find(|line| line.contains("whole answer p99, ms"));
+    let cells: Vec<&str> = row.expect("a row").split_whitespace().collect();
+    assert_eq!(cells[4..], ["-", "-", "-"], "{table}");
+}
+
 /// Latency counts from when a request was due, not from when it was sent.
 #[tokio::test]
 async fn latency_counts_from_when_it_was_due() {
