Coordinator: quota and lease split by job; bench: median of each kind

The bench tells the median time of each kind of event beside the mean, since plans fall into whichever event comes when one is due.

--- a/crates/control/benches/coordinator/main.rs
+++ b/crates/control/benches/coordinator/main.rs
@@ -44,7 +44,7 @@
     zone.restart_costs();
     zone.run_until((warm_up + seconds) * 1_000);
     let (slots, in_use, replicas) = zone.sizes();
-    let total: Duration = zone.costs.values().map(|cost| cost.time).sum();
+    let total: Duration = zone.costs.values().map(Cost::total).sum();
     let micros = per_second(total, seconds);
     println!(
         "{runners} runners, {} models, {} adapters: {slots} slots, {replicas} replicas, \
@@ -64,12 +64,13 @@
             1_000_000
         ),
     );
-    for (kind, Cost { events, time }) in &zone.costs {
+    for (kind, cost) in &zone.costs {
         println!(
-            "  {kind:<12} {:>6} a second, {:>9.1} us each, {:>9.0} us a second",
-            events / seconds,
-            per_second(*time, *events),
-            per_second(*time, seconds)
+            "  {kind:<12} {:>6} a second, {:>9.1} us each, median {:>7.1}, {:>9.0} us a second",
+            cost.events() / seconds,
+            per_second(cost.total(), cost.events()),
+            per_second(cost.median(), 1),
+            per_second(cost.total(), seconds)
         );
     }
 }
--- a/crates/control/benches/coordinator/zone.rs
+++ b/crates/control/benches/coordinator/zone.rs
@@ -58,11 +58,29 @@
     Configure,
 }
 
-/// Processor time and number of the events of one kind.
-#[derive(Clone, Copy, Default)]
+/// Processor time of each event of one kind.
+#[derive(Default)]
 pub struct Cost {
-    pub events: u64,
-    pub time: Duration,
+    times: Vec<Duration>,
+}
+
+impl Cost {
+    /// Number of the events.
+    pub fn events(&self) -> u64 {
+        self.times.len() as u64
+    }
+
+    /// Time of all of them.
+    pub fn total(&self) -> Duration {
+        self.times.iter().sum()
+    }
+
+    /// Time of the one in the middle, which holds no plan.
+    pub fn median(&self) -> Duration {
+        let mut times = self.times.clone();
+        times.sort_unstable();
+        times.get(times.len() / 2).copied().unwrap_or_default()
+    }
 }
 
 /// The zone.
@@ -241,8 +259,7 @@
             .handle(event, Timestamp(self.now), &self.configuration);
         let time = processor_time().saturating_sub(before);
         let cost = self.costs.entry(kind).or_default();
-        cost.events += 1;
-        cost.time += time;
+        cost.times.push(time);
         for action in actions {
             self.note(&action);
             self.carry_out(action);
--- a/crates/control/src/coordinator/lease.rs
+++ b/crates/control/src/coordinator/lease.rs
@@ -10,6 +10,7 @@
 use flaxward_types::{DaemonName, Revision, Term, Timestamp};
 
 use super::interface::{CoordinatorAction, CoordinatorSettings, StoreFault};
+use super::lease_observation::Observed;
 
 /// Share of the renewal interval after which a failed operation is tried again.
 const RETRIES_PER_RENEWAL: u32 = 4;
@@ -49,16 +50,6 @@
     read_first: bool,
 }
 
-/// What was last read of a lease held by nobody or by someone else.
-#[derive(Clone, Debug)]
-struct Observed {
-    record: Option<(Revision, ZoneLease)>,
-    /// When the record was first seen like this.
-    since: Timestamp,
-    /// When it was last seen like this.
-    read: Timestamp,
-}
-
 /// Keeps the lease of one zone for one daemon.
 #[derive(Clone, Debug)]
 pub(super) struct LeaseKeeper {
@@ -209,7 +200,10 @@
         settings: &CoordinatorSettings,
         nonce: u64,
     ) -> CoordinatorAction {
-        let record = self.observed.as_ref().and_then(|seen| seen.record.clone());
+        let record = self
+            .observed
+            .as_ref()
+            .and_then(|seen| seen.record().cloned());
         let former = record.as_ref().map_or(Term(0), |(_, lease)| lease.term);
         let lease = ZoneLease {
             holder: Some(self.me.clone()),
@@ -226,23 +220,9 @@
 
     /// Whether the lease as last read may be taken.
     fn is_free(&self, settings: &CoordinatorSettings) -> bool {
-        let Some(observed) = &self.observed else {
-            return false;
-        };
-        let unchanged = observed.read.since(observed.since);
-        let stand_by = self.rank != Some(0);
-        let Some((_, lease)) = &observed.record else {
-            return !stand_by || unchanged >= settings.lease_duration;
-        };
-        match &lease.holder {
-            None => true,
-            // Held by an earlier start of this daemon, whose orders this one knows nothing of.
-            Some(holder) if *holder == self.me => true,
-            Some(_) => {
-                let grace = settings.clock_drift * if stand_by { 2 } else { 1 };
-                unchanged >= Duration::from_millis(lease.duration_ms) + grace
-            }
-        }
+        let is_stand_by = self.rank != Some(0);
+        let observed = self.observed.as_ref();
+        observed.is_some_and(|observed| observed.is_free(&self.me, is_stand_by, settings))
     }
 
     /// The lease was read.
@@ -377,14 +357,8 @@
 
     fn observe(&mut self, record: Option<(Revision, ZoneLease)>, now: Timestamp) {
         match &mut self.observed {
-            Some(observed) if observed.record == record => observed.read = now,
-            _ => {
-                self.observed = Some(Observed {
-                    record,
-                    since: now,
-                    read: now,
-                });
-            }
+            Some(observed) => observed.see(record, now),
+            None => self.observed = Some(Observed::new(record, now)),
         }
     }
 
--- a/crates/control/src/coordinator/mod.rs
+++ b/crates/control/src/coordinator/mod.rs
@@ -28,6 +28,7 @@
 mod journal;
 mod leading;
 mod lease;
+mod lease_observation;
 mod ledger;
 mod loads;
 mod needs;
@@ -36,12 +37,14 @@
 mod planner;
 mod progress;
 mod quota;
+mod quota_draft;
 mod rounds;
 mod rules;
 mod runner;
 mod sample;
 mod slots;
 mod store_health;
+mod units;
 mod unneeded;
 mod views;
 mod wants;
@@ -51,8 +54,8 @@
     CoordinatorAction, CoordinatorEvent, CoordinatorSettings, Decision, DecisionKind, EngineFault,
     StoreFault, UnloadReason,
 };
-pub use quota::split_units;
 pub use sample::{SAMPLE, sample};
+pub use units::split_units;
 pub use views::{ReplicaView, RunnerView, WaitingView};
 pub use weakness::Weakness;
 
--- a/crates/control/src/coordinator/needs.rs
+++ b/crates/control/src/coordinator/needs.rs
@@ -8,7 +8,7 @@
 
 use super::leading::{Block, Context, Leading, Wanted};
 use super::loads::{remote_in_progress, remote_queued};
-use super::quota::QuotaNeed;
+use super::quota_draft::QuotaNeed;
 
 /// Gateways that are sent on and keep asking for this long make the zone ask other zones for units.
 /// Most find a replica or a load where they were sent to and are not heard of again.
--- a/crates/control/src/coordinator/quota.rs
+++ b/crates/control/src/coordinator/quota.rs
@@ -9,72 +9,13 @@
 
 use flaxward_types::records::{Quota, QuotaSubject};
 use flaxward_types::{Revision, Term, Timestamp, ZoneName};
-use xxhash_rust::xxh3::xxh3_64;
 
 use super::interface::{CoordinatorAction, CoordinatorSettings, StoreFault};
+use super::quota_draft::{Draft, QuotaNeed, QuotaRule};
 use super::rounds::following;
+use super::units::{own_units, split_units, total};
 use super::weakness::Weakness;
 
-/// What the configuration says about a subject.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub(super) struct QuotaRule {
-    /// Units in all.
-    pub(super) limit: u32,
-    /// Zones that may have units.
-    pub(super) zones: BTreeSet<ZoneName>,
-    /// Revision of the configuration item.
-    pub(super) revision: Revision,
-}
-
-/// What the zone needs of a subject.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub(super) struct QuotaNeed {
-    /// Units the zone could use now; what is missing it may ask for.
-    pub(super) needed: u32,
-    /// Units it keeps even if others ask.
-    pub(super) kept: u32,
-    /// Units that recorded slots may take up.
-    pub(super) bound: u32,
-    /// Whether it is to ask other zones for what is missing.
-    pub(super) asks: bool,
-    /// Whether the record must exist and bear the own term.
-    pub(super) claims: bool,
-}
-
-/// Splits units over zones: as even as can be, the remainder by rendezvous hash.
-pub fn split_units(
-    subject: &QuotaSubject,
-    limit: u32,
-    zones: &BTreeSet<ZoneName>,
-) -> BTreeMap<ZoneName, u32> {
-    let mut units: BTreeMap<ZoneName, u32> = zones.iter().map(|zone| (zone.clone(), 0)).collect();
-    let zone_count = u32::try_from(zones.len()).unwrap_or(u32::MAX);
-    if zone_count == 0 {
-        return units;
-    }
-    for share in units.values_mut() {
-        *share = limit / zone_count;
-    }
-    let mut ranked: Vec<&ZoneName> = zones.iter().collect();
-    ranked.sort_by_key(|zone| (std::cmp::Reverse(rank(subject, zone)), *zone));
-    let remainder = usize::try_from(limit % zone_count).unwrap_or(0);
-    for zone in ranked.into_iter().take(remainder) {
-        *units.entry(zone.clone()).or_default() += 1;
-    }
-    units
-}
-
-fn rank(subject: &QuotaSubject, zone: &ZoneName) -> u64 {
-    let text = match subject {
-        // An adapter's units go first to where its model has some.
-        QuotaSubject::Model(model) | QuotaSubject::Adapter(model, _) => {
-            format!("model {model} {zone}")
-        }
-        QuotaSubject::WeightStore => format!("weight store {zone}"),
-    };
-    xxh3_64(text.as_bytes())
-}
-
 /// A write that is outstanding, or whose outcome is unknown.
 #[derive(Clone, Debug)]
 struct Write {
@@ -281,7 +222,13 @@
             return None;
         }
         let goal = self.goal(subject, rule, need);
-        let (zone, term, weakness) = (self.zone.clone(), self.term, self.weakness);
+        let draft = Draft {
+            zone: &self.zone,
+            term: self.term,
+            rule,
+            need,
+            weakness: self.weakness,
+        };
         let entry = self.entries.entry(subject.clone()).or_default();
         if entry.stray || entry.outstanding.is_some() || now < entry.next_step {
             return None;
@@ -293,24 +240,12 @@
             return Some(CoordinatorAction::ReadQuota(subject.clone()));
         }
         let next = match &entry.record {
-            None if !need.claims => {
-                self.unfinished.remove(subject);
-                return None;
-            }
-            None => created(subject, rule, &zone, term),
-            Some((_, quota)) => {
-                let next = revised(quota, rule, need, goal, &zone, term, weakness);
-                let claimed = quota.terms.get(&zone) == Some(&term);
-                let unclaimed = need.claims && !claimed && weakness != Weakness::UnclaimedQuota;
-                if next == *quota && !unclaimed && entry.unsettled.is_empty() {
-                    self.unfinished.remove(subject);
-                    return None;
-                }
-                Quota {
-                    terms: with(&quota.terms, &zone, term),
-                    ..next
-                }
-            }
+            None => need.claims.then(|| draft.created(subject)),
+            Some((_, quota)) => draft.successor(quota, goal, !entry.unsettled.is_empty()),
+        };
+        let Some(next) = next else {
+            self.unfinished.remove(subject);
+            return None;
         };
         let base = entry.record.as_ref().map(|(revision, _)| *revision);
         entry.outstanding = Some(Write {
@@ -385,120 +320,3 @@
         }
     }
 }
-
-fn own_units(quota: &Quota, zone: &ZoneName) -> u32 {
-    quota.units.get(zone).copied().unwrap_or(0)
-}
-
-/// Sets a zone's units; a zone without an entry has none.
-fn set_units(quota: &mut Quota, zone: &ZoneName, units: u32) {
-    if own_units(quota, zone) != units {
-        quota.units.insert(zone.clone(), units);
-    }
-}
-
-fn total(quota: &Quota) -> u32 {
-    quota.units.values().sum()
-}
-
-fn with<T: Clone>(map: &BTreeMap<ZoneName, T>, zone: &ZoneName, value: T) -> BTreeMap<ZoneName, T> {
-    let mut map = map.clone();
-    map.insert(zone.clone(), value);
-    map
-}
-
-/// The first record of a subject.
-fn created(subject: &QuotaSubject, rule: &QuotaRule, zone: &ZoneName, term: Term) -> Quota {
-    Quota {
-        subject: subject.clone(),
-        limit: rule.limit,
-        units: split_units(subject, rule.limit, &rule.zones),
-        wanted: BTreeMap::new(),
-        rule: rule.revision,
-        terms: BTreeMap::from([(zone.clone(), term)]),
-    }
-}
-
-/// The record as this zone would have it.
-fn revised(
-    quota: &Quota,
-    rule: &QuotaRule,
-    need: &QuotaNeed,
-    goal: u32,
-    zone: &ZoneName,
-    term: Term,
-    weakness: Weakness,
-) -> Quota {
-    let mut next = quota.clone();
-    // A removed item has no revision of its own, and its limit of zero is written once.
-    let removed = rule.limit == 0 && quota.limit == 0;
-    if rule.revision > quota.rule && !removed {
-        next.rule = rule.revision;
-        next.limit = rule.limit;
-    }
-    let own = own_units(quota, zone);
-    let lowered = goal.max(need.bound).min(own);
-    set_units(&mut next, zone, lowered);
-    // What the goal leaves over goes to those who ask, as far as the rule allows.
-    grant(&mut next, zone, own - lowered);
-    if lowered == own && rule.zones.contains(zone) {
-        let free = next.limit.min(rule.limit).saturating_sub(total(&next));
-        let missing = need.needed.saturating_sub(own);
-        let checked = missing.max(unused_share(&next, zone, rule, own)).min(free);
-        let raise = if weakness == Weakness::UncheckedRaise {
-            missing
-        } else {
-            checked
-        };
-        set_units(&mut next, zone, own + raise);
-        ask(&mut next, zone, need, missing.saturating_sub(raise));
-    } else {
-        next.wanted.remove(zone);
-    }
-    if next.units == quota.units && next.wanted == quota.wanted && next.rule == quota.rule {
-        return quota.clone();
-    }
-    next.terms.insert(zone.clone(), term);
-    next
-}
-
-/// Units that the zone may take up ahead of need, because its even share is larger than what it has.
-fn unused_share(quota: &Quota, zone: &ZoneName, rule: &QuotaRule, own: u32) -> u32 {
-    if total(quota) >= rule.limit {
-        return 0;
-    }
-    let split = split_units(&quota.subject, rule.limit, &rule.zones);
-    let share = split.get(zone).copied().unwrap_or(0);
-    share.saturating_sub(own)
-}
-
-/// Passes freed units on to zones that ask for some.
-fn grant(quota: &mut Quota, zone: &ZoneName, freed: u32) {
-    let free = quota.limit.saturating_sub(total(quota));
-    let mut left = freed.min(free);
-    let asking: Vec<ZoneName> = quota
-        .wanted
-        .keys()
-        .filter(|asking| *asking != zone)
-        .cloned()
-        .collect();
-    for other in asking {
-        let wanted = quota.wanted.get(&other).copied().unwrap_or(0);
-        let granted = wanted.min(left);
-        left -= granted;
-        *quota.units.entry(other.clone()).or_default() += granted;
-        if granted == wanted {
-            quota.wanted.remove(&other);
-        } else {
-            quota.wanted.insert(other, wanted - granted);
-        }
-    }
-}
-
-fn ask(quota: &mut Quota, zone: &ZoneName, need: &QuotaNeed, missing: u32) {
-    if missing == 0 || need.needed == 0 {
-        quota.wanted.remove(zone);
-    } else if need.asks {
-        quota.wanted.insert(zone.clone(), missing);
-    }
-}
--- a/crates/control/src/coordinator/rules.rs
+++ b/crates/control/src/coordinator/rules.rs
@@ -7,8 +7,9 @@
 
 use super::homes::configured;
 use super::leading::{Context, Leading};
-use super::quota::{QuotaRule, split_units};
+use super::quota_draft::QuotaRule;
 use super::slots::subject_of;
+use super::units::split_units;
 
 impl Leading {
     /// Takes over the policy and the drains when the configuration has changed.
