Coordinator: callers of several zones gather at one replica

Cause: in a burst each zone with a unit of a model loaded a replica of its own, kept it, and learnt from its own callers.

Ruled out: spare replicas inside a zone.

Change: a zone that has units and no replica sends its callers to the first zone in an order that all find from the quota's record (most units, then rendezvous hash). Callers who still come back after 2 s, and all callers in an outage, are served under the own units. Zones tell each other nothing more.

Tests: one case more, two zones with a unit each and callers in all three end with one replica. Not run: that case against the code without the gathering, and a case of its own for a zone cut off from the one where callers gather.

--- a/crates/control/src/coordinator/mod.rs
+++ b/crates/control/src/coordinator/mod.rs
@@ -22,6 +22,7 @@
 mod demand;
 mod events;
 mod focus;
+mod gathering;
 mod holdings;
 mod homes;
 mod interface;
--- a/crates/control/src/coordinator/quota.rs
+++ b/crates/control/src/coordinator/quota.rs
@@ -216,19 +216,27 @@
         }
     }
 
-    /// Other zones with units, most units first.
+    /// Other zones with units, in the order in which callers try them.
     pub(super) fn other_zones(&self, subject: &QuotaSubject) -> Vec<ZoneName> {
+        let mut zones = self.zones_with_units(subject);
+        zones.retain(|zone| *zone != self.zone);
+        zones
+    }
+
+    /// All zones with units, in the order in which callers try them: most units first, equals by
+    /// rendezvous hash. Every zone that knows the record finds the same order.
+    pub(super) fn zones_with_units(&self, subject: &QuotaSubject) -> Vec<ZoneName> {
         let Some(quota) = self.record(subject) else {
             return Vec::new();
         };
-        let mut zones: Vec<(u32, &ZoneName)> = quota
-            .units
-            .iter()
-            .filter(|(zone, units)| **zone != self.zone && **units > 0)
-            .map(|(zone, units)| (*units, zone))
+        let with_units = quota.units.iter().filter(|(_, units)| **units > 0);
+        let mut zones: Vec<(u32, u64, &ZoneName)> = with_units
+            .map(|(zone, units)| (*units, rank(subject, zone), zone))
             .collect();
-        zones.sort_by_key(|(units, zone)| (std::cmp::Reverse(*units), *zone));
-        zones.into_iter().map(|(_, zone)| zone.clone()).collect()
+        zones.sort_by_key(|(units, rank, zone)| {
+            (std::cmp::Reverse(*units), std::cmp::Reverse(*rank), *zone)
+        });
+        zones.into_iter().map(|(_, _, zone)| zone.clone()).collect()
     }
 
     /// Units that other zones ask for.
