Machine list: read on condition that it changed

Cause: the readers of a zone read the list whole every second, changed or not.

Change: a list with an ETag is asked for with If-None-Match, and 304 stands for the list held. A list that can't be read is never held; a platform without entity tags is read whole, as before. The stand-in names its list by a tag and counts the lists that it sent whole. The hollow fleet charges an unchanged read as a request with the tag and a 304 without a body. Readers still ask every second, so a runner that leaves is seen as early as before.

Without the If-None-Match header the new test of an unchanged list fails (3 lists sent, 1 expected). Not run: the tests over processes, whose daemons read the list through this client.

Not done: the stand-by still asks for the list itself.

--- a/crates/emulator/src/http.rs
+++ b/crates/emulator/src/http.rs
@@ -17,6 +17,7 @@
 use socket2::SockRef;
 use tokio::net::TcpListener;
 use tokio::task::JoinHandle;
+use xxhash_rust::xxh3::xxh3_64;
 
 /// Longest request body that a stand-in reads, in bytes.
 const MAX_BODY_BYTES: usize = 64 * 1024 * 1024;
@@ -27,6 +28,9 @@
 /// Header of a refusal that says that the request certainly did not run.
 pub const NOT_RUN_HEADER: &str = "x-flaxward-not-run";
 
+const ETAG: &str = "etag";
+const IF_NONE_MATCH: &str = "if-none-match";
+
 /// Whether a listener closes new connections at once.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Refusing(Arc<AtomicBool>);
@@ -121,6 +125,12 @@
         self.headers.get(name)?.to_str().ok()
     }
 
+    /// Whether `If-None-Match` names this entity tag.
+    fn holds(&self, tag: &str) -> bool {
+        let named = self.header(IF_NONE_MATCH).unwrap_or_default();
+        named.split(',').any(|name| name.trim() == tag)
+    }
+
     /// The zone of the client, from [`CLIENT_HEADER`].
     pub(crate) fn client_zone(&self) -> Option<&str> {
         let client = self.header(CLIENT_HEADER)?;
@@ -210,6 +220,30 @@
         }
     }
 
+    /// The document under its entity tag, or status 304 without it if the call names this tag in
+    /// `If-None-Match`.
+    pub(crate) fn unless_held(self, call: &Call) -> Self {
+        let ReplyBody::Whole(body) = &self.body else {
+            return self;
+        };
+        let tag = format!("\"{:016x}\"", xxh3_64(body));
+        let is_held = call.holds(&tag);
+        let mut reply = if is_held {
+            Self::whole(StatusCode::NOT_MODIFIED, self.content_type, Bytes::new())
+        } else {
+            self
+        };
+        if let Ok(value) = HeaderValue::from_str(&tag) {
+            reply.headers.push((ETAG, value));
+        }
+        reply
+    }
+
+    /// Whether the document is sent.
+    pub(crate) fn is_ok(&self) -> bool {
+        self.status == StatusCode::OK
+    }
+
     /// Status 503.
     pub(crate) fn down() -> Self {
         let message = json!({"message": "the stand-in is told to be down"});
--- a/crates/emulator/src/machines.rs
+++ b/crates/emulator/src/machines.rs
@@ -23,6 +23,8 @@
     pub listen: SocketAddr,
     /// How late changes show up, in milliseconds.
     pub lag_ms: u64,
+    /// Whether it names the list by an entity tag and answers conditional requests.
+    pub entity_tags: bool,
 }
 
 impl Default for MachineListConfig {
@@ -30,6 +32,7 @@
         Self {
             listen: crate::platform::ANY_PORT,
             lag_ms: 0,
+            entity_tags: true,
         }
     }
 }
@@ -67,6 +70,8 @@
     removed: BTreeSet<RunnerName>,
     snapshots: VecDeque<Snapshot>,
     lag: Duration,
+    entity_tags: bool,
+    lists_sent: u64,
     faults: MachineListFaults,
 }
 
@@ -130,6 +135,8 @@
             removed: BTreeSet::new(),
             snapshots: VecDeque::new(),
             lag: Duration::from_millis(config.lag_ms),
+            entity_tags: config.entity_tags,
+            lists_sent: 0,
             faults: MachineListFaults::default(),
         }));
         let listening =
@@ -174,6 +181,11 @@
         lock(&self.state).current.values().cloned().collect()
     }
 
+    /// How often the list was sent whole.
+    pub fn lists_sent(&self) -> u64 {
+        lock(&self.state).lists_sent
+    }
+
     /// Changes the faults.
     pub fn update_faults(&self, change: impl FnOnce(&mut MachineListFaults)) {
         change(&mut lock(&self.state).faults);
@@ -201,15 +213,22 @@
         .push(Router::with_path("record").get(endpoint(state, record)))
 }
 
-async fn list(state: Arc<Mutex<State>>, _call: Call) -> Reply {
+async fn list(state: Arc<Mutex<State>>, call: Call) -> Reply {
     let faults = lock(&state).faults;
     pause_ms(faults.delay_ms).await;
     if faults.down {
         return Reply::down();
     }
-    let machines = lock(&state).shown();
-    let groups: Vec<Value> = machines.iter().map(target_group).collect();
-    Reply::ok(&groups)
+    let mut state = lock(&state);
+    let groups: Vec<Value> = state.shown().iter().map(target_group).collect();
+    let whole = Reply::ok(&groups);
+    let reply = if state.entity_tags {
+        whole.unless_held(&call)
+    } else {
+        whole
+    };
+    state.lists_sent += u64::from(reply.is_ok());
+    reply
 }
 
 async fn record(state: Arc<Mutex<State>>, _call: Call) -> Reply {
--- a/crates/lab/src/fleet/http.rs
+++ b/crates/lab/src/fleet/http.rs
@@ -12,6 +12,10 @@
 const REQUEST_HEAD: u64 = 110;
 /// Head of an answer: status, `content-type`, `content-length`, `date`.
 const ANSWER_HEAD: u64 = 130;
+/// What `if-none-match` adds to a request, and `etag` to an answer.
+const ENTITY_TAG_HEADER: u64 = 36;
+/// Head of an answer that a document has not changed: status, `etag`, `date`.
+const NOT_MODIFIED_HEAD: u64 = 105;
 /// A document of the object API without its name and specification: version, kind, metadata with
 /// two annotations.
 const DOCUMENT_FRAME: u64 = 260;
@@ -45,6 +49,16 @@
     call_bytes(REQUEST_HEAD + request_body, ANSWER_HEAD + answer_body)
 }
 
+/// A read of a document of this length, on condition that it changed.
+pub fn conditional_read(document: u64, changed: bool) -> WireBytes {
+    let request = REQUEST_HEAD + ENTITY_TAG_HEADER;
+    if changed {
+        call_bytes(request, ANSWER_HEAD + ENTITY_TAG_HEADER + document)
+    } else {
+        call_bytes(request, NOT_MODIFIED_HEAD)
+    }
+}
+
 /// A call that found nobody: a connection attempt that was refused.
 pub fn refused_call() -> WireBytes {
     WireBytes {
--- a/crates/lab/src/fleet/platform.rs
+++ b/crates/lab/src/fleet/platform.rs
@@ -234,15 +234,16 @@
             self.spend_call(process, Purpose::Machines, Side::MachineList, bytes);
             return;
         }
-        let bytes = http::call(0, self.list.length);
-        self.spend_call(process, Purpose::Machines, Side::MachineList, bytes);
         let Some(running) = self.daemons[process.place].running.as_mut() else {
             return;
         };
-        if running.machine_list.0 != self.list.version {
+        let changed = running.machine_list.0 != self.list.version;
+        if changed {
             running.machine_list = (self.list.version, isolated(&self.list.machines));
         }
         let machines = running.machine_list.1.clone();
+        let bytes = http::conditional_read(self.list.length, changed);
+        self.spend_call(process, Purpose::Machines, Side::MachineList, bytes);
         self.drive(process, Purpose::Machines, NodeEvent::Machines(machines));
     }
 
--- a/crates/platform/src/http_client.rs
+++ b/crates/platform/src/http_client.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use reqwest::header::{ETAG, HeaderValue};
 use reqwest::{Client, RequestBuilder, Response};
 
 /// Time limits of an HTTP adapter.
@@ -59,6 +60,8 @@
 pub(crate) struct Answer {
     /// HTTP status.
     pub(crate) status: u16,
+    /// Entity tag of the body, if the server names one.
+    pub(crate) entity_tag: Option<HeaderValue>,
     /// Body.
     pub(crate) body: bytes::Bytes,
 }
@@ -66,9 +69,14 @@
 impl Answer {
     async fn read(response: Response) -> Result<Self, CallError> {
         let status = response.status().as_u16();
+        let entity_tag = response.headers().get(ETAG).cloned();
         let body = response.bytes().await;
         let body = body.map_err(|error| CallError::Unknown(text_of(&error)))?;
-        Ok(Self { status, body })
+        Ok(Self {
+            status,
+            entity_tag,
+            body,
+        })
     }
 
     /// The status and the start of the body, for people.
--- a/crates/platform/tests/contracts/machine_list.rs
+++ b/crates/platform/tests/contracts/machine_list.rs
@@ -1,6 +1,6 @@
 //! The machine list over HTTP against its stand-in.
 
-use flaxward_emulator::{Platform, PlatformConfig, ZoneConfig};
+use flaxward_emulator::{MachineListConfig, Platform, PlatformConfig, ZoneConfig};
 use flaxward_platform::http_client::TimeLimits;
 use flaxward_platform::{MachineList, MachinesHttp};
 use flaxward_types::engine::MachineRole;
@@ -56,3 +56,68 @@
     platform.shutdown().await;
     assert!(list.machines().await.is_err());
 }
+
+/// A platform of one zone with two engines.
+async fn small_platform(machines: MachineListConfig) -> Platform {
+    Platform::start(PlatformConfig {
+        zones: vec![ZoneConfig {
+            name: ZoneName::literal("north"),
+            engines: 2,
+            services: [].into(),
+        }],
+        machines,
+        ..PlatformConfig::default()
+    })
+    .await
+    .expect("ports are free")
+}
+
+fn client_of(platform: &Platform) -> MachinesHttp {
+    let url = platform.machines.url();
+    MachinesHttp::new(&url, TimeLimits::default()).expect("the HTTP library is set up")
+}
+
+#[tokio::test]
+async fn an_unchanged_list_is_sent_once_and_every_change_is_seen() {
+    let platform = small_platform(MachineListConfig::default()).await;
+    let list = client_of(&platform);
+    for _ in 0..3 {
+        let machines = list.machines().await.expect("it answers");
+        assert_eq!(machines, platform.machines.current());
+    }
+    assert_eq!(platform.machines.lists_sent(), 1);
+
+    let leaving = platform.machines.current()[0].name.clone();
+    platform.machines.leave(&leaving);
+    let machines = list.machines().await.expect("it answers");
+    assert!(machines[0].leaving, "a change is seen by the next read");
+    assert_eq!(platform.machines.lists_sent(), 2);
+
+    platform.machines.update_faults(|faults| faults.down = true);
+    assert!(list.machines().await.is_err(), "a list held is no answer");
+    platform
+        .machines
+        .update_faults(|faults| faults.down = false);
+    platform.machines.remove(&leaving);
+    let machines = list.machines().await.expect("it answers");
+    assert_eq!(machines, platform.machines.current());
+    assert_eq!(machines.len(), 1);
+    assert_eq!(platform.machines.lists_sent(), 3);
+    platform.shutdown().await;
+}
+
+#[tokio::test]
+async fn a_platform_without_entity_tags_sends_the_list_every_time() {
+    let platform = small_platform(MachineListConfig {
+        entity_tags: false,
+        ..MachineListConfig::default()
+    })
+    .await;
+    let list = client_of(&platform);
+    for _ in 0..3 {
+        let machines = list.machines().await.expect("it answers");
+        assert_eq!(machines, platform.machines.current());
+    }
+    assert_eq!(platform.machines.lists_sent(), 3);
+    platform.shutdown().await;
+}
