Units: the order of the zones stands with the split of the units

The order in which callers try zones and the split of a quota over zones rank by the same hash, which had moved to units.rs.

--- a/crates/control/src/coordinator/quota.rs
+++ b/crates/control/src/coordinator/quota.rs
@@ -13,7 +13,7 @@
 use super::interface::{CoordinatorAction, CoordinatorSettings, StoreFault};
 use super::quota_draft::{Draft, QuotaNeed, QuotaRule};
 use super::rounds::following;
-use super::units::{own_units, split_units, total};
+use super::units::{own_units, split_units, total, zones_with_units};
 use super::weakness::Weakness;
 
 /// A write that is outstanding, or whose outcome is unknown.
@@ -164,20 +164,12 @@
         zones
     }
 
-    /// All zones with units, in the order in which callers try them: most units first, equals by
-    /// rendezvous hash. Every zone that knows the record finds the same order.
+    /// All zones with units, in the order in which callers try them. Every zone that knows the record
+    /// finds the same order.
     pub(super) fn zones_with_units(&self, subject: &QuotaSubject) -> Vec<ZoneName> {
-        let Some(quota) = self.record(subject) else {
-            return Vec::new();
-        };
-        let with_units = quota.units.iter().filter(|(_, units)| **units > 0);
-        let mut zones: Vec<(u32, u64, &ZoneName)> = with_units
-            .map(|(zone, units)| (*units, rank(subject, zone), zone))
-            .collect();
-        zones.sort_by_key(|(units, rank, zone)| {
-            (std::cmp::Reverse(*units), std::cmp::Reverse(*rank), *zone)
-        });
-        zones.into_iter().map(|(_, _, zone)| zone.clone()).collect()
+        self.record(subject)
+            .map(zones_with_units)
+            .unwrap_or_default()
     }
 
     /// Units that other zones ask for.
