--- a/crates/control/src/coordinator/mod.rs
+++ b/crates/control/src/coordinator/mod.rs
@@ -22,7 +22,6 @@
 mod demand;
 mod events;
 mod focus;
-mod gathering;
 mod holdings;
 mod homes;
 mod interface;
--- a/crates/control/src/coordinator/needs.rs
+++ b/crates/control/src/coordinator/needs.rs
@@ -12,7 +12,7 @@
 
 /// Gateways that are sent on and keep asking for this long make the zone ask other zones for units.
 /// Most find a replica or a load where they were sent to and are not heard of again.
-pub(super) const ASK_AFTER: Duration = Duration::from_secs(2);
+const ASK_AFTER: Duration = Duration::from_secs(2);
 /// A replica that was used keeps its unit for this many times the life of a demand, so that a zone
 /// whose callers have found the replica can withdraw what it has asked for.
 const KEPT_DEMAND_LIVES: u32 = 2;
--- a/crates/control/src/coordinator/planner.rs
+++ b/crates/control/src/coordinator/planner.rs
@@ -207,10 +207,6 @@
 
     fn pursue(&mut self, artifact: &ArtifactId, wanted: &Wanted, context: &Context) {
         let now = context.now;
-        if let Some(block) = self.gathers_elsewhere(artifact, wanted, context) {
-            self.blocks.insert(artifact.clone(), block);
-            return;
-        }
         for _ in self.live_replicas(artifact, now)..wanted.replicas {
             if let Some(until) = self.failures.blocked_until(artifact, now) {
                 let block = Block::Refused(ResultCode::LoadFailed, until.since(now));
--- a/crates/control/src/coordinator/quota.rs
+++ b/crates/control/src/coordinator/quota.rs
@@ -13,7 +13,7 @@
 use super::interface::{CoordinatorAction, CoordinatorSettings, StoreFault};
 use super::quota_draft::{Draft, QuotaNeed, QuotaRule};
 use super::rounds::following;
-use super::units::{own_units, split_units, total, zones_with_units};
+use super::units::{own_units, split_units, total};
 use super::weakness::Weakness;
 
 /// A write that is outstanding, or whose outcome is unknown.
@@ -157,19 +157,19 @@
         }
     }
 
-    /// Other zones with units, in the order in which callers try them.
+    /// Other zones with units, most units first.
     pub(super) fn other_zones(&self, subject: &QuotaSubject) -> Vec<ZoneName> {
-        let mut zones = self.zones_with_units(subject);
-        zones.retain(|zone| *zone != self.zone);
-        zones
-    }
-
-    /// All zones with units, in the order in which callers try them. Every zone that knows the record
-    /// finds the same order.
-    pub(super) fn zones_with_units(&self, subject: &QuotaSubject) -> Vec<ZoneName> {
-        self.record(subject)
-            .map(zones_with_units)
-            .unwrap_or_default()
+        let Some(quota) = self.record(subject) else {
+            return Vec::new();
+        };
+        let mut zones: Vec<(u32, &ZoneName)> = quota
+            .units
+            .iter()
+            .filter(|(zone, units)| **zone != self.zone && **units > 0)
+            .map(|(zone, units)| (*units, zone))
+            .collect();
+        zones.sort_by_key(|(units, zone)| (std::cmp::Reverse(*units), *zone));
+        zones.into_iter().map(|(_, zone)| zone.clone()).collect()
     }
 
     /// Units that other zones ask for.
--- a/crates/control/src/coordinator/units.rs
+++ b/crates/control/src/coordinator/units.rs
@@ -56,15 +56,3 @@
 pub(super) fn total(quota: &Quota) -> u32 {
     quota.units.values().sum()
 }
-
-/// Zones that have units, most units first, equals by rendezvous hash.
-pub(super) fn zones_with_units(quota: &Quota) -> Vec<ZoneName> {
-    let with_units = quota.units.iter().filter(|(_, units)| **units > 0);
-    let mut zones: Vec<(u32, u64, &ZoneName)> = with_units
-        .map(|(zone, units)| (*units, rank(&quota.subject, zone), zone))
-        .collect();
-    zones.sort_by_key(|(units, rank, zone)| {
-        (std::cmp::Reverse(*units), std::cmp::Reverse(*rank), *zone)
-    });
-    zones.into_iter().map(|(_, _, zone)| zone.clone()).collect()
-}
--- a/crates/control/tests/coordinator/cases.rs
+++ b/crates/control/tests/coordinator/cases.rs
@@ -248,28 +248,6 @@
     assert_eq!(world.violation, None);
 }
 
-/// Two zones have a unit of the model `two` each, and callers come to all three.
-#[test]
-fn callers_of_several_zones_with_units_gather_at_one_replica() {
-    let mut world = settled(SEED, Weakness::None);
-    let two = artifact("two@v1");
-    let subject = QuotaSubject::Model(ModelName::literal("two"));
-    let (_, quota) = world.store.quota(&subject).expect("a quota");
-    let with_units = quota.units.values().filter(|units| **units > 0);
-    assert_eq!(with_units.count(), 2);
-    let gateways: Vec<DaemonName> = world.gateways.keys().cloned().collect();
-    for gateway in &gateways {
-        world.demand(gateway, &two, LONG);
-    }
-    world.run_until(world.now + 8_000);
-    for gateway in &gateways {
-        let outlook = &world.gateways[gateway].1[&two].outlook;
-        assert_eq!(*outlook, Some(Outlook::Ready), "{gateway}");
-    }
-    assert_eq!(world.replicas(&subject), 1);
-    assert_eq!(world.violation, None);
-}
-
 /// The model has one copy at most, and the demand for its old version is still in force.
 #[test]
 fn a_new_version_takes_the_unit_of_an_old_one_that_nobody_waits_for() {
