--- a/crates/control/src/node/mod.rs
+++ b/crates/control/src/node/mod.rs
@@ -277,17 +277,6 @@
         self.machines_sent = None;
     }
 
-    /// Works out whether this daemon reads the platform's lists. Members that start later may rank
-    /// before the coordinator, which needs the lists all the same.
-    fn reading_changed(&mut self) {
-        let is_first = self.gossip.membership().rank() < READING_RANKS;
-        let reading = is_first || self.leading().is_some();
-        if self.told.reading != reading {
-            self.told.reading = reading;
-            self.actions.push(NodeAction::Reading(reading));
-        }
-    }
-
     fn gone_members(&self) -> Vec<DaemonName> {
         let is_gone =
             |update: &&MemberUpdate| matches!(update.state, MemberState::Dead | MemberState::Left);
@@ -406,10 +395,9 @@
 
     fn lead(&mut self, term: Term) {
         self.actions.push(NodeAction::Lead(term));
-        self.reading_changed();
+        self.update_reading();
         self.gossip(GossipEvent::Lead(term));
         self.machines_sent = None;
-        self.update_reading();
         self.leaving_changed();
     }
 
