One conversion of a duration into whole milliseconds

Cause: the same line stood in seventeen files, in seven of them as a function of the same name, and in Timestamp's own arithmetic.

Change: flaxward_types::time::millis serves all of them. No behaviour changes; no test is touched.

Not run on this commit alone: the process and lab tests.

--- a/crates/control/src/admission/demands.rs
+++ b/crates/control/src/admission/demands.rs
@@ -1,9 +1,9 @@
 //! Demands: what coordinators are told, and until when.
 
 use std::collections::BTreeSet;
-use std::time::Duration;
 
 use flaxward_types::routing::Demand;
+use flaxward_types::time::millis;
 use flaxward_types::{ArtifactId, Timestamp, ZoneName};
 
 use super::interface::AdmissionAction;
@@ -177,7 +177,3 @@
         .filter(|(_, route)| route.told_of_waiting)
         .map(|(zone, _)| zone.clone())
 }
-
-fn millis(duration: Duration) -> u64 {
-    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
-}
--- a/crates/control/src/coordinator/answers.rs
+++ b/crates/control/src/coordinator/answers.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use flaxward_types::routing::{AnswerVersion, Outlook, Replica, RouteAnswer};
+use flaxward_types::time::millis;
 use flaxward_types::{ArtifactId, DaemonName, ResultCode, Timestamp};
 
 use super::interface::{CoordinatorAction, DecisionKind};
@@ -332,7 +333,3 @@
         retry_after_ms: millis(after),
     }
 }
-
-fn millis(duration: Duration) -> u64 {
-    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
-}
--- a/crates/control/src/coordinator/lease.rs
+++ b/crates/control/src/coordinator/lease.rs
@@ -4,9 +4,8 @@
 //! quota and fence. A holder whose lease has lapsed by its own clock records nothing until the store
 //! has confirmed the lease again, but it goes on with what needs no record.
 
-use std::time::Duration;
-
 use flaxward_types::records::ZoneLease;
+use flaxward_types::time::millis;
 use flaxward_types::{DaemonName, Revision, Term, Timestamp};
 
 use super::interface::{CoordinatorAction, CoordinatorSettings, StoreFault};
@@ -370,7 +369,3 @@
 fn valid_until(sent: Timestamp, settings: &CoordinatorSettings) -> Timestamp {
     sent + settings.lease_duration.saturating_sub(settings.clock_drift)
 }
-
-fn millis(duration: Duration) -> u64 {
-    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
-}
--- a/crates/control/src/coordinator/loads.rs
+++ b/crates/control/src/coordinator/loads.rs
@@ -5,6 +5,7 @@
 
 use flaxward_types::engine::Inventory;
 use flaxward_types::records::Slot;
+use flaxward_types::time::millis;
 use flaxward_types::{ArtifactId, BootId, RunnerName, Timestamp};
 
 use super::interface::CoordinatorSettings;
@@ -169,10 +170,6 @@
     Duration::from_millis(millis_for(bytes, bytes_per_second.max(1)))
 }
 
-fn millis(duration: Duration) -> u64 {
-    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
-}
-
 fn millis_for(bytes: u64, bytes_per_second: u64) -> u64 {
     let millis = u128::from(bytes) * 1000 / u128::from(bytes_per_second);
     u64::try_from(millis).unwrap_or(u64::MAX)
--- a/crates/control/src/coordinator/planner.rs
+++ b/crates/control/src/coordinator/planner.rs
@@ -5,6 +5,7 @@
 
 use flaxward_types::engine::HeldState;
 use flaxward_types::records::{QuotaSubject, Slot};
+use flaxward_types::time::millis;
 use flaxward_types::{ArtifactId, ResultCode, RunnerName, Timestamp};
 
 use super::choice::Choice;
@@ -244,7 +245,7 @@
         let runner = choice.runner.clone();
         self.made_way.remove(artifact);
         self.loads.insert(slot(artifact, &runner), load);
-        let estimate_ms = u64::try_from(choice.estimate.as_millis()).unwrap_or(u64::MAX);
+        let estimate_ms = millis(choice.estimate);
         let kind = DecisionKind::Load {
             runner,
             estimate_ms,
--- a/crates/control/src/coordinator/progress.rs
+++ b/crates/control/src/coordinator/progress.rs
@@ -5,6 +5,7 @@
 use flaxward_types::Timestamp;
 use flaxward_types::engine::{HeldState, OrderAction};
 use flaxward_types::records::{QuotaSubject, Slot};
+use flaxward_types::time::millis;
 
 use super::choice::SlotSource;
 use super::interface::{DecisionKind, UnloadReason};
@@ -125,7 +126,7 @@
         let took = now.since(load.decided);
         let kind = DecisionKind::Ready {
             runner: slot.runner.clone(),
-            took_ms: u64::try_from(took.as_millis()).unwrap_or(u64::MAX),
+            took_ms: millis(took),
         };
         self.record(&slot.artifact, kind);
     }
--- a/crates/emulator/src/engine/load_report.rs
+++ b/crates/emulator/src/engine/load_report.rs
@@ -4,6 +4,7 @@
 use std::time::{Duration, Instant};
 
 use flaxward_types::engine::LoadReport;
+use flaxward_types::time::millis;
 
 /// Reports of the past, up to the lag.
 #[derive(Debug)]
@@ -30,7 +31,7 @@
     /// The load as it was one lag ago.
     pub(crate) fn shown(&mut self) -> LoadReport {
         self.drop_old();
-        let age_ms = u64::try_from(self.lag.as_millis()).unwrap_or(u64::MAX);
+        let age_ms = millis(self.lag);
         match self.reports.front() {
             Some((since, report)) if since.elapsed() >= self.lag => LoadReport {
                 age_ms,
--- a/crates/emulator/src/fault.rs
+++ b/crates/emulator/src/fault.rs
@@ -1,5 +1,6 @@
 //! Faults that hit a number of events, or each event with a probability.
 
+use flaxward_types::time::millis;
 use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
@@ -86,5 +87,5 @@
     let passed = SystemTime::now()
         .duration_since(UNIX_EPOCH)
         .unwrap_or_default();
-    u64::try_from(passed.as_millis()).unwrap_or(u64::MAX)
+    millis(passed)
 }
--- a/crates/flaxward/src/daemon/mod.rs
+++ b/crates/flaxward/src/daemon/mod.rs
@@ -36,6 +36,7 @@
 use flaxward_settings::logs::state_change;
 use flaxward_types::ZoneName;
 use flaxward_types::engine::Machine;
+use flaxward_types::time::millis;
 use flaxward_wire::Peer;
 use metrics_exporter_prometheus::PrometheusHandle;
 use salvo::conn::tcp::TcpAcceptor;
@@ -319,7 +320,7 @@
     let since_epoch = SystemTime::now()
         .duration_since(UNIX_EPOCH)
         .unwrap_or_default();
-    u64::try_from(since_epoch.as_millis()).unwrap_or(u64::MAX)
+    millis(since_epoch)
 }
 
 fn coordinator(settings: &Settings) -> Coordinator {
--- a/crates/flaxward/src/daemon/reports.rs
+++ b/crates/flaxward/src/daemon/reports.rs
@@ -6,6 +6,7 @@
     RunnerRow, RunnerState, ZoneRow,
 };
 use flaxward_types::engine::{HeldState, MachineRole};
+use flaxward_types::time::millis;
 use flaxward_types::{ArtifactId, ModelName, RunnerName};
 use flaxward_wire::{MemberState, MemberUpdate, Peer, View};
 use serde::{Deserialize, Serialize};
@@ -268,7 +269,3 @@
 fn count(number: usize) -> u32 {
     u32::try_from(number).unwrap_or(u32::MAX)
 }
-
-fn millis(duration: std::time::Duration) -> u64 {
-    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
-}
--- a/crates/lab/src/controller/planner/mod.rs
+++ b/crates/lab/src/controller/planner/mod.rs
@@ -12,6 +12,7 @@
 use flaxward_control::coordinator::{Decision, DecisionKind};
 use flaxward_types::engine::{HeldState, Machine, OrderAnswer};
 use flaxward_types::routing::{Demand, Outlook, Replica};
+use flaxward_types::time::millis;
 use flaxward_types::{ArtifactId, DaemonName, RunnerName, Term, Timestamp};
 
 use crate::controller::choice::KnownRunner;
@@ -281,7 +282,3 @@
         }
     }
 }
-
-fn millis(duration: Duration) -> u64 {
-    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
-}
--- a/crates/lab/src/fleet/platform.rs
+++ b/crates/lab/src/fleet/platform.rs
@@ -6,6 +6,7 @@
 use flaxward_control::node::NodeEvent;
 use flaxward_types::engine::{HeldState, Inventory, Machine, MachineRole, OrderAnswer};
 use flaxward_types::records::Quota;
+use flaxward_types::time::millis;
 use flaxward_types::{ArtifactId, BootId, Revision};
 use flaxward_wire::{ConfigurationDelta, ConfigurationSnapshot};
 use serde::Serialize;
@@ -410,7 +411,7 @@
             Effect::Loading(artifact, bytes) => {
                 let speed = self.engines[engine].tier_bytes_per_second(&artifact);
                 let seconds = Duration::from_secs_f64(bytes as f64 / speed as f64);
-                let time = u64::try_from(seconds.as_millis()).unwrap_or(u64::MAX);
+                let time = millis(seconds);
                 let done = Happening::EngineDone(engine, boot, artifact, EngineWork::Load);
                 self.queue.add(self.now + time.max(1), done);
             }
--- a/crates/lab/src/fleet/run.rs
+++ b/crates/lab/src/fleet/run.rs
@@ -4,6 +4,7 @@
 use std::time::{Duration, Instant};
 
 use flaxward_types::Revision;
+use flaxward_types::time::millis;
 use serde::Serialize;
 
 use super::faults::Fault;
@@ -301,7 +302,3 @@
         (lowest, highest)
     }
 }
-
-fn millis(duration: Duration) -> u64 {
-    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
-}
--- a/crates/lab/src/fleet_plan.rs
+++ b/crates/lab/src/fleet_plan.rs
@@ -5,6 +5,7 @@
 use flaxward_control::configuration::Configuration;
 use flaxward_types::configuration::{AdapterSpec, CopyRule, ModelSpec, PolicySpec, VersionSpec};
 use flaxward_types::engine::{Machine, MachineRole};
+use flaxward_types::time::millis;
 use flaxward_types::{
     AdapterName, ArtifactId, ConfigurationItem, ItemKey, ModelName, Revision, RunnerName,
     VersionName, ZoneName,
@@ -72,8 +73,6 @@
 
 /// The policy of a scenario's deployment.
 pub fn policy(scenario: &Scenario) -> PolicySpec {
-    let millis =
-        |duration: std::time::Duration| u64::try_from(duration.as_millis()).unwrap_or(u64::MAX);
     PolicySpec {
         cold_start_weight: scenario.cold_start_weight,
         weight_store_parallel: scenario.weight_store.parallel,
--- a/crates/lab/src/simulation/gateway.rs
+++ b/crates/lab/src/simulation/gateway.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use flaxward_types::routing::{Demand, Outlook, Replica, RouteAnswer};
+use flaxward_types::time::millis;
 use flaxward_types::{ArtifactId, DaemonName, ResultCode, RunnerName, Timestamp, ZoneName};
 
 use super::batch::CallIndex;
@@ -146,7 +147,7 @@
     ) -> Demand {
         let deadlines = self.waiting.iter().map(|&call| calls[call].deadline);
         let earliest = deadlines.min().unwrap_or(now);
-        let earliest = u64::try_from(earliest.since(now).as_millis()).unwrap_or(u64::MAX);
+        let earliest = millis(earliest.since(now));
         Demand {
             artifact: artifact.clone(),
             waiting: u32::try_from(self.waiting.len()).unwrap_or(u32::MAX),
--- a/crates/lab/src/simulation/measures.rs
+++ b/crates/lab/src/simulation/measures.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use flaxward_control::coordinator::{Decision, DecisionKind};
+use flaxward_types::time::millis;
 use flaxward_types::{ResultCode, Timestamp};
 use hdrhistogram::Histogram;
 use xxhash_rust::xxh3::Xxh3;
@@ -35,7 +36,7 @@
     /// # Panics
     /// Never: the histogram grows by itself.
     pub fn record_many(&mut self, duration: Duration, count: u64) {
-        let millis = u64::try_from(duration.as_millis()).unwrap_or(u64::MAX);
+        let millis = millis(duration);
         self.0
             .record_n(millis, count)
             .expect("the histogram grows by itself");
--- a/crates/types/src/time.rs
+++ b/crates/types/src/time.rs
@@ -16,6 +16,11 @@
 )]
 pub struct Timestamp(pub u64);
 
+/// Whole milliseconds of a duration; one that is too long counts as the longest.
+pub fn millis(duration: Duration) -> u64 {
+    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
+}
+
 impl Timestamp {
     /// The origin of the process's clock.
     pub const ZERO: Self = Self(0);
@@ -30,8 +35,7 @@
     type Output = Self;
 
     fn add(self, duration: Duration) -> Self {
-        let millis = u64::try_from(duration.as_millis()).unwrap_or(u64::MAX);
-        Self(self.0.saturating_add(millis))
+        Self(self.0.saturating_add(millis(duration)))
     }
 }
 
@@ -39,8 +43,7 @@
     type Output = Self;
 
     fn sub(self, duration: Duration) -> Self {
-        let millis = u64::try_from(duration.as_millis()).unwrap_or(u64::MAX);
-        Self(self.0.saturating_sub(millis))
+        Self(self.0.saturating_sub(millis(duration)))
     }
 }
 
