--- a/crates/platform/tests/contracts/engine_contract.rs
+++ b/crates/backends/tests/contracts/engine_contract.rs
@@ -1,6 +1,6 @@
 //! What every engine must hold.
 
-use flaxward_platform::{EngineApi, EngineError};
+use flaxward_backends::{EngineApi, EngineError};
 use flaxward_types::engine::{HeldState, Inventory, Order, OrderAction, OrderAnswer};
 use flaxward_types::{ArtifactId, AttemptId, BootId, OrderId, Term};
 use futures::future::join_all;
--- a/crates/platform/tests/contracts/engines.rs
+++ b/crates/backends/tests/contracts/engines.rs
@@ -4,9 +4,9 @@
     EngineUnderTest, MEMORY, Said, artifact, engine_contract, load, unload,
 };
 use crate::limits::patient;
+use flaxward_backends::{EngineApi, EngineError, EngineHttp};
 use flaxward_emulator::fault::Strikes;
 use flaxward_emulator::{Engine, EngineConfig};
-use flaxward_platform::{EngineApi, EngineError, EngineHttp};
 use flaxward_types::engine::{HeldState, OrderAction, OrderAnswer};
 
 async fn engine() -> (Engine, EngineHttp, String) {
--- a/crates/platform/tests/contracts/limits.rs
+++ b/crates/backends/tests/contracts/limits.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use flaxward_platform::http_client::TimeLimits;
+use flaxward_backends::http_client::TimeLimits;
 
 /// Limits that no healthy call runs into.
 pub fn patient() -> TimeLimits {
--- a/crates/platform/tests/contracts/machine_list.rs
+++ b/crates/backends/tests/contracts/machine_list.rs
@@ -1,8 +1,8 @@
 //! The machine list over HTTP against its stand-in.
 
+use flaxward_backends::http_client::TimeLimits;
+use flaxward_backends::{MachineList, MachinesHttp};
 use flaxward_emulator::{MachineListConfig, Platform, PlatformConfig, ZoneConfig};
-use flaxward_platform::http_client::TimeLimits;
-use flaxward_platform::{MachineList, MachinesHttp};
 use flaxward_types::engine::MachineRole;
 use flaxward_types::{ServiceName, ZoneName};
 
--- a/crates/platform/tests/contracts/object_api.rs
+++ b/crates/backends/tests/contracts/object_api.rs
@@ -2,9 +2,9 @@
 
 use crate::limits::{hasty, patient};
 use crate::object_contract::{create, next_change, next_event, object_api_contract, replace};
+use flaxward_backends::{Collection, ObjectApi, ObjectsHttp, StoreError, WatchEvent};
 use flaxward_emulator::fault::Strikes;
 use flaxward_emulator::{ObjectApiConfig, ObjectApiFaults, ObjectApiServer};
-use flaxward_platform::{Collection, ObjectApi, ObjectsHttp, StoreError, WatchEvent};
 
 async fn server() -> ObjectApiServer {
     let config = ObjectApiConfig {
--- a/crates/platform/tests/contracts/object_contract.rs
+++ b/crates/backends/tests/contracts/object_contract.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use flaxward_platform::{Collection, Object, ObjectApi, Selection, StoreError, WatchEvent};
+use flaxward_backends::{Collection, Object, ObjectApi, Selection, StoreError, WatchEvent};
 use flaxward_types::{OperationId, Revision};
 use futures::StreamExt;
 use futures::future::join_all;
--- a/crates/platform/tests/contracts/settled.rs
+++ b/crates/backends/tests/contracts/settled.rs
@@ -5,14 +5,14 @@
 use std::time::Duration;
 
 use async_trait::async_trait;
-use flaxward_emulator::fault::Strikes;
-use flaxward_emulator::objects::ObjectWrite;
-use flaxward_emulator::{ObjectApiConfig, ObjectApiFaults, ObjectApiServer};
-use flaxward_platform::settled::SettleLimits;
-use flaxward_platform::{
+use flaxward_backends::settled::SettleLimits;
+use flaxward_backends::{
     Collection, Object, ObjectApi, ObjectList, ObjectsHttp, Selection, SettledStore, StoreError,
     WatchEvent,
 };
+use flaxward_emulator::fault::Strikes;
+use flaxward_emulator::objects::ObjectWrite;
+use flaxward_emulator::{ObjectApiConfig, ObjectApiFaults, ObjectApiServer};
 use flaxward_types::{OperationId, Revision};
 use futures::future::join_all;
 use futures::stream::BoxStream;
--- a/crates/flaxward/src/daemon/claim_removal.rs
+++ b/crates/flaxward/src/daemon/claim_removal.rs
@@ -3,11 +3,11 @@
 use std::sync::Arc;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
+use flaxward_backends::{Collection, Object, ObjectApi, Selection, StoreError};
 use flaxward_control::claims::{
     FoundClaim, REMOVAL_GROUP_FIELD, Removal, RemovalAction, RemovalGroup, RemovalSettings,
     Unavailable, shards_of,
 };
-use flaxward_platform::{Collection, Object, ObjectApi, Selection, StoreError};
 use flaxward_settings::DaemonSection;
 use flaxward_types::Revision;
 use flaxward_types::records::Claim;
--- a/crates/flaxward/src/daemon/mod.rs
+++ b/crates/flaxward/src/daemon/mod.rs
@@ -20,6 +20,11 @@
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use anyhow::Context;
+use flaxward_backends::http_client::TimeLimits;
+use flaxward_backends::settled::SettleLimits;
+use flaxward_backends::{
+    EngineApi, EngineHttp, MachineList, MachinesHttp, ObjectApi, ObjectsHttp, SettledStore,
+};
 use flaxward_control::configuration::Configuration;
 use flaxward_control::coordinator::Coordinator;
 use flaxward_control::gossip::{Gossip, GossipSettings};
@@ -27,11 +32,6 @@
 use flaxward_gateway::{Gateway, back_end_client};
 use flaxward_operators::Executor;
 use flaxward_peers::PeerSocket;
-use flaxward_platform::http_client::TimeLimits;
-use flaxward_platform::settled::SettleLimits;
-use flaxward_platform::{
-    EngineApi, EngineHttp, MachineList, MachinesHttp, ObjectApi, ObjectsHttp, SettledStore,
-};
 use flaxward_settings::Settings;
 use flaxward_settings::logs::state_change;
 use flaxward_types::ZoneName;
--- a/crates/flaxward/src/daemon/observer.rs
+++ b/crates/flaxward/src/daemon/observer.rs
@@ -5,9 +5,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use flaxward_backends::EngineApi;
 use flaxward_control::node::NodeEvent;
 use flaxward_control::observation::{Observer, Read, Reading};
-use flaxward_platform::EngineApi;
 use flaxward_types::Timestamp;
 use flaxward_types::engine::Machine;
 use flaxward_wire::RunnerReport;
--- a/crates/flaxward/src/daemon/operator_views.rs
+++ b/crates/flaxward/src/daemon/operator_views.rs
@@ -4,13 +4,13 @@
 use std::sync::Arc;
 
 use async_trait::async_trait;
+use flaxward_backends::{Collection, ObjectApi};
 use flaxward_control::configuration::Configuration;
 use flaxward_operators::{
     AdapterRow, ConfigRow, DaemonRow, DecisionRow, DrainRow, ModelRow, ModelState, PolicyRow,
     QuotaRow, ReplicaRow, ReplicaState, RequestRow, RunnerRow, RunnerState, ServiceRow, VersionRow,
     Views, ZoneRow,
 };
-use flaxward_platform::{Collection, ObjectApi};
 use flaxward_types::records::{Quota, QuotaSubject};
 use flaxward_types::{ConfigurationItem, ItemKey, ModelName, Refusal, ResultCode};
 use flaxward_wire::{Peer, View};
@@ -277,7 +277,7 @@
     }
 
     async fn quotas(&self) -> Result<Vec<QuotaRow>, Refusal> {
-        let unavailable = |error: flaxward_platform::StoreError| {
+        let unavailable = |error: flaxward_backends::StoreError| {
             Refusal::new(ResultCode::StoreUnavailable).with_detail(error.to_string())
         };
         let list = self
--- a/crates/flaxward/src/daemon/runner_driver.rs
+++ b/crates/flaxward/src/daemon/runner_driver.rs
@@ -2,8 +2,8 @@
 
 use std::sync::Arc;
 
+use flaxward_backends::{EngineApi, EngineError};
 use flaxward_control::coordinator::{CoordinatorEvent, EngineFault};
-use flaxward_platform::{EngineApi, EngineError};
 use flaxward_types::RunnerName;
 use flaxward_types::engine::Order;
 use tokio::sync::mpsc::UnboundedSender;
--- a/crates/flaxward/src/daemon/store_driver.rs
+++ b/crates/flaxward/src/daemon/store_driver.rs
@@ -6,8 +6,8 @@
 use std::fmt::Display;
 use std::sync::Arc;
 
+use flaxward_backends::{Collection, Object, ObjectApi, StoreError};
 use flaxward_control::coordinator::{CoordinatorEvent, StoreFault};
-use flaxward_platform::{Collection, Object, ObjectApi, StoreError};
 use flaxward_settings::logs::state_change_at;
 use flaxward_types::records::{Quota, QuotaSubject, ZoneLease, ZonePlacement};
 use flaxward_types::{OperationId, Revision, ZoneName};
--- a/crates/flaxward/src/daemon/watches.rs
+++ b/crates/flaxward/src/daemon/watches.rs
@@ -7,11 +7,11 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
-use flaxward_control::coordinator::CoordinatorEvent;
-use flaxward_control::node::NodeEvent;
-use flaxward_platform::{
+use flaxward_backends::{
     Collection, MachineList, Object, ObjectApi, ObjectList, StoreError, WatchEvent,
 };
+use flaxward_control::coordinator::CoordinatorEvent;
+use flaxward_control::node::NodeEvent;
 use flaxward_settings::logs::{state_change, state_change_at};
 use flaxward_types::records::Quota;
 use flaxward_types::{ConfigurationItem, ItemKey, Revision};
--- /dev/null
+++ b/crates/flaxward/src/ingress.rs
@@ -0,0 +1,123 @@
+//! `flaxward serve` with a section `[ingress]`: a daemon whose callers come by routes, on the users'
+//! platform.
+
+use std::path::Path;
+use std::process::ExitCode;
+use std::sync::Arc;
+use std::time::Duration;
+
+use flaxward_ingress::{Ingress, IngressSettings};
+use flaxward_platform::{PlatformControl, PlatformStore, PlatformSurface};
+use flaxward_routing::budget::RetryBudgetSettings;
+use flaxward_routing::lease::LeaseSettings;
+use flaxward_routing::names::Zone;
+use flaxward_routing::placement::PlacementSettings;
+use flaxward_settings::logs::{self, state_change};
+use flaxward_settings::{Flags, IngressFile};
+use metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle};
+use tokio::signal::unix::{SignalKind, signal};
+
+use crate::serve::{EXIT_BAD_SETTINGS, wait_for_stop};
+
+/// Part of the lease after which it is renewed.
+const RENEWAL_SHARE: f64 = 0.3;
+/// Part of the lease that its holder leaves unused.
+const MARGIN_SHARE: f64 = 0.1;
+/// Part of the lease after which a silent coordinator is looked for.
+const SILENCE_SHARE: f64 = 0.4;
+
+/// Whether the flags name a file with a section `[ingress]`.
+pub fn is_meant_by(flags: &Flags) -> bool {
+    flags
+        .config
+        .as_deref()
+        .is_some_and(IngressFile::is_meant_by)
+}
+
+/// Runs a daemon until SIGTERM or SIGINT, which stop it as planned.
+pub async fn run(flags: &Flags) -> ExitCode {
+    let path = flags.config.clone().unwrap_or_default();
+    let file = match IngressFile::load(&path) {
+        Ok(file) => file,
+        Err(error) => {
+            eprintln!("{error}");
+            return ExitCode::from(EXIT_BAD_SETTINGS);
+        }
+    };
+    match serve(&path, file).await {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => crate::failed(&error),
+    }
+}
+
+async fn serve(path: &Path, file: IngressFile) -> anyhow::Result<()> {
+    logs::install_queued(file.log_level())?;
+    let metrics = metrics(&file)?;
+    let store = PlatformStore::new(file.store.address, &file.coordinator.scope)?;
+    let ingress = Ingress::start(
+        settings(&file),
+        Arc::new(PlatformSurface),
+        Arc::new(store),
+        Arc::new(PlatformControl::new()?),
+        metrics.map(|handle| Arc::new(move || handle.render()) as _),
+    )
+    .await?;
+    let reloads = tokio::spawn(log_reloads(path.to_owned()));
+    wait_for_stop().await?;
+    reloads.abort();
+    ingress.stop().await;
+    spdlog::default_logger().flush();
+    Ok(())
+}
+
+/// Collects metrics if they are to be read.
+fn metrics(file: &IngressFile) -> anyhow::Result<Option<PrometheusHandle>> {
+    if file.ingress.metrics_listen.is_none() {
+        return Ok(None);
+    }
+    Ok(Some(PrometheusBuilder::new().install_recorder()?))
+}
+
+/// Checks the settings file again on each SIGHUP. What it holds takes effect with the next start;
+/// nothing in progress is disturbed.
+async fn log_reloads(path: std::path::PathBuf) {
+    let Ok(mut hang_ups) = signal(SignalKind::hangup()) else {
+        return;
+    };
+    while hang_ups.recv().await.is_some() {
+        let outcome = match IngressFile::load(&path) {
+            Ok(_) => "valid".to_owned(),
+            Err(error) => error.to_string(),
+        };
+        state_change("settings-read-again", &[("outcome", &outcome)]);
+    }
+}
+
+fn settings(file: &IngressFile) -> IngressSettings {
+    let lease = file.coordinator.lease_duration;
+    let share = |share: f64| Duration::from_secs_f64(lease.as_secs_f64() * share);
+    IngressSettings {
+        name: file.ingress.name.clone(),
+        zone: Zone::new(&file.ingress.zone),
+        listen: file.ingress.listen,
+        ready_listen: file.ingress.ready_listen,
+        peer_listen: file.ingress.peer_listen,
+        metrics_listen: file.ingress.metrics_listen,
+        stop_grace: file.ingress.stop_grace,
+        retry_budget: RetryBudgetSettings {
+            ratio: file.retries.ratio,
+            allowance: file.retries.allowance,
+            window: file.retries.window,
+        },
+        lease: LeaseSettings {
+            duration: lease,
+            renewal: share(RENEWAL_SHARE),
+            margin: share(MARGIN_SHARE),
+            silence: share(SILENCE_SHARE),
+        },
+        placement: PlacementSettings {
+            load_window: file.coordinator.load_window,
+            ..PlacementSettings::default()
+        },
+    }
+}
--- a/crates/flaxward/src/main.rs
+++ b/crates/flaxward/src/main.rs
@@ -3,6 +3,7 @@
 #![warn(clippy::pedantic)]
 
 mod cli;
+mod ingress;
 mod serve;
 
 use std::process::ExitCode;
@@ -10,6 +11,8 @@
 use clap::Parser;
 use flaxward_operators::client::{Format, QueryOptions, run_query};
 
+use tokio::runtime::{Builder, Runtime};
+
 use flaxward::{dev, metrics_page};
 use flaxward_settings::logs;
 
@@ -18,18 +21,25 @@
 
 fn main() -> ExitCode {
     let command = Cli::parse().command;
-    let runtime = match tokio::runtime::Builder::new_multi_thread()
-        .enable_all()
-        .build()
-    {
+    let runtime = match runtime_for(&command) {
         Ok(runtime) => runtime,
         Err(error) => return failed(&error.into()),
     };
     runtime.block_on(run(command))
 }
 
+/// The ingress runs in one thread: its machines have a part of a core.
+fn runtime_for(command: &Command) -> std::io::Result<Runtime> {
+    let mut builder = match command {
+        Command::Serve(flags) if ingress::is_meant_by(flags) => Builder::new_current_thread(),
+        _ => Builder::new_multi_thread(),
+    };
+    builder.enable_all().build()
+}
+
 async fn run(command: Command) -> ExitCode {
     match command {
+        Command::Serve(flags) if ingress::is_meant_by(&flags) => ingress::run(&flags).await,
         Command::Serve(flags) => serve::run(&flags).await,
         Command::CheckConfig(arguments) => flaxward_settings::check_config(&arguments),
         Command::Query(arguments) => run_query(query_options(arguments)).await,
--- a/crates/flaxward/src/serve.rs
+++ b/crates/flaxward/src/serve.rs
@@ -10,7 +10,7 @@
 use flaxward::metrics_page;
 
 /// Status of the process when its settings cannot be used.
-const EXIT_BAD_SETTINGS: u8 = 2;
+pub const EXIT_BAD_SETTINGS: u8 = 2;
 
 /// Runs a daemon until SIGTERM or SIGINT, which stop it as planned.
 pub async fn run(flags: &Flags) -> ExitCode {
--- a/crates/flaxward/tests/processes/claim_removal.rs
+++ b/crates/flaxward/tests/processes/claim_removal.rs
@@ -3,9 +3,9 @@
 use std::collections::BTreeSet;
 use std::time::{SystemTime, UNIX_EPOCH};
 
+use flaxward_backends::Collection;
 use flaxward_control::claims::RemovalGroup;
 use flaxward_emulator::objects::{API_PATH, WriteAction};
-use flaxward_platform::Collection;
 use flaxward_types::records::{Claim, ClaimOutcome};
 use flaxward_types::{AttemptId, DaemonName};
 use serde_json::{Value, json};
--- a/crates/flaxward/tests/processes/support/region.rs
+++ b/crates/flaxward/tests/processes/support/region.rs
@@ -4,13 +4,13 @@
 use std::path::PathBuf;
 use std::sync::atomic::{AtomicU32, Ordering};
 
+use flaxward_backends::Collection;
 use flaxward_emulator::engine::{EngineConfig, EngineTiming};
 use flaxward_emulator::machines::MachineListConfig;
 use flaxward_emulator::objects::API_PATH;
 use flaxward_emulator::{Platform, PlatformConfig, ZoneConfig};
 use flaxward_operators::client::Connection;
 use flaxward_operators::{Answer, ErrorDetail};
-use flaxward_platform::Collection;
 use flaxward_types::{ServiceName, ZoneName};
 use serde_json::Value;
 use tokio::sync::{Semaphore, SemaphorePermit};
--- a/crates/gateway/benches/relay.rs
+++ b/crates/gateway/benches/relay.rs
@@ -11,13 +11,13 @@
 use std::time::{Duration, Instant};
 
 use bytesize::ByteSize;
+use flaxward_backends::ObjectsHttp;
+use flaxward_backends::http_client::TimeLimits;
 use flaxward_control::configuration::Configuration;
 use flaxward_emulator::engine::{EngineTiming, LoadedAtStart};
 use flaxward_emulator::platform::ANY_PORT;
 use flaxward_emulator::{Engine, EngineConfig, ObjectApiConfig, ObjectApiServer};
 use flaxward_gateway::{Gateway, GatewaySettings, back_end_client, listen};
-use flaxward_platform::ObjectsHttp;
-use flaxward_platform::http_client::TimeLimits;
 use flaxward_types::configuration::{CopyRule, ModelSpec, VersionSpec};
 use flaxward_types::routing::{Outlook, Replica, RouteAnswer};
 use flaxward_types::{
--- a/crates/gateway/src/claims.rs
+++ b/crates/gateway/src/claims.rs
@@ -5,11 +5,11 @@
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
+use flaxward_backends::{Collection, Object, ObjectApi, StoreError};
 use flaxward_control::claims::{
     ClaimAction, ClaimEvent, ClaimFault, ClaimMachine, ClaimRequest, ClaimSettings, ClaimWrite,
     RequestEnd, StoredClaim,
 };
-use flaxward_platform::{Collection, Object, ObjectApi, StoreError};
 use flaxward_types::records::Claim;
 use flaxward_types::{AttemptId, DaemonName, OperationId, Refusal, ResultCode, Revision};
 use tokio::sync::oneshot;
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -5,11 +5,11 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
+use flaxward_backends::ObjectApi;
 use flaxward_control::admission::{Admission, AdmissionEvent, ArtifactView};
 use flaxward_control::attempt::RetryBudget;
 use flaxward_control::claims::{claim_name, request_digest};
 use flaxward_control::configuration::Configuration;
-use flaxward_platform::ObjectApi;
 use flaxward_types::engine::Machine;
 use flaxward_types::routing::{HeldAnswers, RouteAnswer};
 use flaxward_types::{DaemonName, Refusal, ResultCode, Revision, RunnerName, ZoneName};
--- a/crates/gateway/tests/gateway/support.rs
+++ b/crates/gateway/tests/gateway/support.rs
@@ -6,6 +6,9 @@
 use std::time::Duration;
 
 use bytesize::ByteSize;
+use flaxward_backends::http_client::TimeLimits;
+use flaxward_backends::settled::SettleLimits;
+use flaxward_backends::{ObjectsHttp, SettledStore};
 use flaxward_control::configuration::Configuration;
 use flaxward_emulator::engine::{EngineTiming, LoadedAtStart, StreamFault, StreamFaultRule};
 use flaxward_emulator::fault::Strikes;
@@ -14,9 +17,6 @@
     Engine, EngineConfig, ObjectApiConfig, ObjectApiServer, Service, ServiceConfig,
 };
 use flaxward_gateway::{Gateway, GatewaySettings, back_end_client, listen};
-use flaxward_platform::http_client::TimeLimits;
-use flaxward_platform::settled::SettleLimits;
-use flaxward_platform::{ObjectsHttp, SettledStore};
 use flaxward_types::configuration::{CopyRule, ModelSpec, ServiceSpec, VersionSpec};
 use flaxward_types::engine::{Machine, MachineRole};
 use flaxward_types::routing::{Demand, Outlook, Replica, RouteAnswer};
--- /dev/null
+++ b/crates/ingress/src/coordination.rs
@@ -0,0 +1,571 @@
+//! This daemon's part in deciding what is loaded where: it holds the lease if it can, tells the
+//! coordinator what its requests need, and carries out what the placement decides while it
+//! coordinates itself.
+
+use std::collections::HashMap;
+use std::fmt::Display;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use flaxward_routing::lease::{LeaseAnswer, LeaseCall, LeaseChange, LeaseMachine};
+use flaxward_routing::messages::{Direction, Message, Usage, WaitingUnit};
+use flaxward_routing::names::RunnerId;
+use flaxward_routing::placement::{Action, Operation, Order, OrderAnswer, Placement, RunnerReport};
+use flaxward_types::time::Timestamp;
+use tokio::sync::mpsc;
+use tokio::time::sleep_until;
+
+use crate::outside::{Changed, FencedOrder, StoreError};
+use crate::peer::PeerSocket;
+use crate::state::Shared;
+
+/// Time between two plans while this daemon coordinates.
+const PLAN_INTERVAL: Duration = Duration::from_millis(100);
+/// Time between looks at the lease while it does not.
+const IDLE_INTERVAL: Duration = Duration::from_millis(250);
+/// Time between two messages to the coordinator while nothing is waited for.
+const USAGE_INTERVAL: Duration = Duration::from_secs(1);
+/// The same while requests wait.
+const WAITING_INTERVAL: Duration = Duration::from_millis(300);
+/// Time for which the coordinator may know more of the store than this daemon.
+const ALLOWED_LAG: Duration = Duration::from_millis(700);
+/// Shortest time between two messages, so that a burst is one message.
+const USAGE_PAUSE: Duration = Duration::from_millis(5);
+/// Time between two messages of the coordinator to a member without news.
+const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(500);
+
+/// What calls have come to.
+enum Event {
+    Lease(LeaseAnswer),
+    Report {
+        runner: RunnerId,
+        report: Option<RunnerReport>,
+        asked_at: Timestamp,
+        term: u64,
+    },
+    Order {
+        runner: RunnerId,
+        answer: OrderAnswer,
+        order: Order,
+        term: u64,
+    },
+}
+
+/// The coordinator as this daemon knows it.
+struct Coordinator {
+    address: SocketAddr,
+    term: u64,
+    holdings_version: u64,
+}
+
+/// This daemon's coordination while its lease holds.
+struct Leading {
+    term: u64,
+    placement: Placement,
+    told: HashMap<String, (u64, Timestamp)>,
+}
+
+/// The task of the coordination.
+pub(crate) struct Coordination {
+    shared: Arc<Shared>,
+    peers: PeerSocket,
+    address: SocketAddr,
+    lease: LeaseMachine,
+    coordinator: Option<Coordinator>,
+    leading: Option<Leading>,
+    events: mpsc::UnboundedSender<Event>,
+    queue: mpsc::UnboundedReceiver<Event>,
+    usage_at: Timestamp,
+    store_fails: bool,
+    lag_since: Option<Timestamp>,
+    planned_at: Timestamp,
+}
+
+impl Coordination {
+    /// Coordination of a daemon that knows of no coordinator yet.
+    ///
+    /// # Errors
+    /// Fails if the socket has no address.
+    pub(crate) fn new(shared: Arc<Shared>, peers: PeerSocket) -> anyhow::Result<Self> {
+        let address = peers.address()?;
+        let (events, queue) = mpsc::unbounded_channel();
+        let lease = LeaseMachine::new(
+            shared.settings.lease,
+            shared.settings.name.clone(),
+            shared.seed,
+            address,
+        );
+        Ok(Self {
+            shared,
+            peers,
+            address,
+            lease,
+            coordinator: None,
+            leading: None,
+            events,
+            queue,
+            usage_at: Timestamp::ZERO,
+            store_fails: false,
+            lag_since: None,
+            planned_at: Timestamp::ZERO,
+        })
+    }
+
+    /// Runs until the daemon has stopped.
+    pub(crate) async fn run(mut self) {
+        loop {
+            let now = self.shared.now();
+            let wake_at = self.shared.clock.instant(self.next_wake(now));
+            let shared = self.shared.clone();
+            tokio::select! {
+                message = self.peers.receive() => {
+                    if let Some(message) = message {
+                        self.received(message);
+                    }
+                }
+                Some(event) = self.queue.recv() => self.happened(event),
+                () = shared.demand.notified() => {
+                    let earliest = self.usage_at + USAGE_PAUSE;
+                    let soon = self.shared.clock.instant(earliest);
+                    sleep_until(soon).await;
+                    self.send_usage();
+                    self.plan();
+                }
+                () = sleep_until(wake_at) => self.tick(),
+            }
+            if self.shared.is_stopping() {
+                self.lease.stop();
+            }
+        }
+    }
+
+    fn next_wake(&self, now: Timestamp) -> Timestamp {
+        let mut wake_at = self.lease.next_poll(now).min(self.next_usage());
+        if self.leading.is_some() {
+            wake_at = wake_at.min(self.planned_at + PLAN_INTERVAL);
+        }
+        wake_at.min(now + IDLE_INTERVAL)
+    }
+
+    fn next_usage(&self) -> Timestamp {
+        let waits = !self.shared.tables().waiting.is_empty();
+        let interval = if waits {
+            WAITING_INTERVAL
+        } else {
+            USAGE_INTERVAL
+        };
+        self.usage_at + interval
+    }
+
+    fn tick(&mut self) {
+        let now = self.shared.now();
+        let (call, change) = self.lease.poll(now);
+        if let Some(change) = change {
+            self.lease_changed(&change);
+        }
+        if let Some(call) = call {
+            self.call_store(call);
+        }
+        if now >= self.next_usage() {
+            self.send_usage();
+        }
+        if now >= self.planned_at + PLAN_INTERVAL {
+            self.plan();
+        }
+    }
+
+    fn happened(&mut self, event: Event) {
+        let now = self.shared.now();
+        match event {
+            Event::Lease(answer) => {
+                self.note_store(&answer);
+                if let Some(change) = self.lease.answered(answer, now) {
+                    self.lease_changed(&change);
+                }
+            }
+            Event::Report {
+                runner,
+                report,
+                asked_at,
+                term,
+            } => {
+                if let Some(leading) = self.leading.as_mut().filter(|it| it.term == term) {
+                    leading.placement.reported(&runner, report, asked_at, now);
+                    self.plan();
+                }
+            }
+            Event::Order {
+                runner,
+                answer,
+                order,
+                term,
+            } => self.order_answered(&runner, answer, &order, term),
+        }
+    }
+
+    /// Watches that were begun while the store did not answer may hang for good.
+    fn note_store(&mut self, answer: &LeaseAnswer) {
+        let fails = *answer == LeaseAnswer::Unknown;
+        if self.store_fails && !fails {
+            self.shared.restart_watches();
+        }
+        self.store_fails = fails;
+    }
+
+    /// Has the watches made again if the coordinator has known more than this daemon for a while.
+    fn note_lag(&mut self, direction: &Direction) {
+        let now = self.shared.now();
+        let tables = self.shared.tables();
+        let version = tables.configuration.as_ref().map_or(0, |it| it.version);
+        let is_behind = direction.configuration_version > version
+            || direction.runners_revision > tables.runners.revision();
+        drop(tables);
+        if !is_behind {
+            self.lag_since = None;
+            return;
+        }
+        let since = *self.lag_since.get_or_insert(now);
+        if now.since(since) >= ALLOWED_LAG {
+            self.lag_since = None;
+            metrics::counter!("store_watches_restarted").increment(1);
+            self.shared.restart_watches();
+        }
+    }
+
+    fn order_answered(&mut self, runner: &RunnerId, answer: OrderAnswer, order: &Order, term: u64) {
+        let now = self.shared.now();
+        let fields: &[(&str, &dyn Display)] = &[
+            ("runner", runner),
+            ("operation", &operation_name(order.operation)),
+            ("unit", &order.unit),
+            ("answer", &format!("{answer:?}")),
+            ("term", &term),
+        ];
+        self.shared.log.write(now, "order-answered", fields);
+        if answer == OrderAnswer::FencedOff {
+            if let Some(change) = self.lease.refused(term) {
+                self.lease_changed(&change);
+            }
+            return;
+        }
+        if let Some(leading) = self.leading.as_mut().filter(|it| it.term == term) {
+            leading.placement.answered(runner, answer, now);
+            self.plan();
+        }
+    }
+
+    fn lease_changed(&mut self, change: &LeaseChange) {
+        let now = self.shared.now();
+        match *change {
+            LeaseChange::Acquired { term, orders_from } => {
+                let mut placement =
+                    Placement::new(self.shared.settings.placement, now, orders_from);
+                if let Some(configuration) = self.shared.configuration() {
+                    placement.configure(&configuration);
+                }
+                self.leading = Some(Leading {
+                    term,
+                    placement,
+                    told: HashMap::new(),
+                });
+                self.log_lease("lease-acquired", term);
+                self.follow(self.address, term);
+            }
+            LeaseChange::Lost { term } => {
+                self.leading = None;
+                self.coordinator = None;
+                self.log_lease("lease-lost", term);
+            }
+            LeaseChange::Holder { address, term } => {
+                self.log_lease("coordinator-known", term);
+                self.follow(address, term);
+            }
+        }
+    }
+
+    fn log_lease(&self, event: &str, term: u64) {
+        let fields: &[(&str, &dyn Display)] = &[("term", &term)];
+        self.shared.log.write(self.shared.now(), event, fields);
+    }
+
+    /// Turns to a coordinator, unless a later one is known.
+    fn follow(&mut self, address: SocketAddr, term: u64) {
+        let known = self.coordinator.as_ref().map_or(0, |known| known.term);
+        if term <= known {
+            return;
+        }
+        self.coordinator = Some(Coordinator {
+            address,
+            term,
+            holdings_version: 0,
+        });
+        self.send_usage();
+    }
+
+    fn call_store(&self, call: LeaseCall) {
+        let store = self.shared.store.clone();
+        let events = self.events.clone();
+        tokio::spawn(async move {
+            let answer = match call {
+                LeaseCall::Read => match store.lease().await {
+                    Ok(Some(lease)) => LeaseAnswer::Found(lease),
+                    Ok(None) => LeaseAnswer::Missing,
+                    Err(_) => LeaseAnswer::Unknown,
+                },
+                LeaseCall::Create(record) => changed(store.create_lease(&record).await),
+                LeaseCall::Replace(record, revision) => {
+                    changed(store.replace_lease(&record, revision).await)
+                }
+            };
+            let _ = events.send(Event::Lease(answer));
+        });
+    }
+
+    fn usage(&self) -> Option<Usage> {
+        let coordinator = self.coordinator.as_ref()?;
+        let now = self.shared.now();
+        let mut tables = self.shared.tables();
+        let waiting = tables.waiting.iter();
+        let waiting = waiting
+            .map(|(unit, waiting)| WaitingUnit {
+                unit: unit.clone(),
+                requests: waiting.requests,
+                priority: waiting.priority,
+            })
+            .collect();
+        Some(Usage {
+            from: self.shared.settings.name.clone(),
+            address: self.address,
+            zone: self.shared.settings.zone.clone(),
+            term: coordinator.term,
+            holdings_version: coordinator.holdings_version,
+            leaving: false,
+            waiting,
+            used: tables.uses.recent(now),
+            running: tables.running.all(),
+        })
+    }
+
+    fn send_usage(&mut self) {
+        let now = self.shared.now();
+        self.usage_at = now;
+        let Some(usage) = self.usage() else {
+            return;
+        };
+        if let Some(leading) = &mut self.leading {
+            leading.placement.usage(usage, now);
+            let name = self.shared.settings.name.clone();
+            self.direct(&name);
+        } else if let Some(coordinator) = &self.coordinator {
+            self.peers.send(coordinator.address, &Message::Usage(usage));
+        }
+    }
+
+    fn received(&mut self, message: Message) {
+        let now = self.shared.now();
+        match message {
+            Message::Usage(usage) => {
+                let Some(leading) = &mut self.leading else {
+                    return;
+                };
+                let name = usage.from.clone();
+                let waits = !usage.waiting.is_empty();
+                leading.placement.usage(usage, now);
+                if waits {
+                    self.plan();
+                }
+                self.direct(&name);
+            }
+            Message::Direction(direction) => {
+                let term = direction.term;
+                self.lease.heard(term, now);
+                self.follow(direction.address, term);
+                self.take_direction(direction);
+            }
+        }
+    }
+
+    /// Tells a member what it needs to know.
+    fn direct(&mut self, member: &str) {
+        let now = self.shared.now();
+        let Some(leading) = &mut self.leading else {
+            return;
+        };
+        let members = leading.placement.members(now);
+        let Some((_, address)) = members.iter().find(|(name, _)| name == member) else {
+            return;
+        };
+        let configuration = self.shared.configuration();
+        let runners_revision = self.shared.tables().runners.revision();
+        let header = Direction {
+            term: leading.term,
+            address: self.address,
+            daemons: u32::try_from(members.len()).unwrap_or(u32::MAX),
+            configuration_version: configuration.map_or(0, |known| known.version),
+            runners_revision,
+            holdings_after: 0,
+            holdings_version: 0,
+            holdings: Vec::new(),
+            outlooks: Vec::new(),
+        };
+        let directions = leading.placement.directions(member, &header, now);
+        let version = leading.placement.version();
+        leading.told.insert(member.to_owned(), (version, now));
+        let is_self = member == self.shared.settings.name;
+        let address = *address;
+        for direction in directions {
+            if is_self {
+                self.take_direction(direction);
+            } else {
+                self.peers.send(address, &Message::Direction(direction));
+            }
+        }
+    }
+
+    /// Tells all members whose news are old, or who know an older version.
+    fn direct_all(&mut self) {
+        let now = self.shared.now();
+        let Some(leading) = &self.leading else {
+            return;
+        };
+        let version = leading.placement.version();
+        let due: Vec<String> = leading
+            .placement
+            .members(now)
+            .into_iter()
+            .map(|(name, _)| name)
+            .filter(|name| {
+                let told = leading.told.get(name);
+                told.is_none_or(|&(known, at)| {
+                    known != version || now.since(at) >= HEARTBEAT_INTERVAL
+                })
+            })
+            .collect();
+        for member in due {
+            self.direct(&member);
+        }
+    }
+
+    fn take_direction(&mut self, direction: Direction) {
+        let now = self.shared.now();
+        let known = self.coordinator.as_ref().map(|known| known.term);
+        if known != Some(direction.term) {
+            return;
+        }
+        self.note_lag(&direction);
+        let Some(coordinator) = &mut self.coordinator else {
+            return;
+        };
+        let follows = coordinator.holdings_version >= direction.holdings_after;
+        let mut tables = self.shared.tables();
+        tables.daemons = usize::try_from(direction.daemons)
+            .unwrap_or(usize::MAX)
+            .max(1);
+        tables.runners.confirm(now);
+        let has_news = !direction.holdings.is_empty();
+        if follows {
+            for holdings in direction.holdings {
+                tables.runners.tell(holdings, now);
+            }
+            let version = direction.holdings_version;
+            coordinator.holdings_version = coordinator.holdings_version.max(version);
+        }
+        drop(tables);
+        self.shared.tell_outlooks(direction.outlooks);
+        if has_news {
+            self.shared.changed.notify_waiters();
+        }
+    }
+
+    /// Decides on orders and reports, and carries the decisions out.
+    fn plan(&mut self) {
+        let now = self.shared.now();
+        self.planned_at = now;
+        let term = self.lease.term(now);
+        let Some(leading) = self.leading.as_mut().filter(|it| Some(it.term) == term) else {
+            return;
+        };
+        if let Some(configuration) = self.shared.configuration() {
+            leading.placement.configure(&configuration);
+        }
+        leading
+            .placement
+            .set_runners(self.shared.tables().runners.iter());
+        let actions = leading.placement.plan(now);
+        let term = leading.term;
+        for action in actions {
+            self.carry_out(action, term);
+        }
+        self.direct_all();
+    }
+
+    fn carry_out(&self, action: Action, term: u64) {
+        let shared = self.shared.clone();
+        let events = self.events.clone();
+        match action {
+            Action::Report { runner, address } => {
+                let asked_at = shared.now();
+                tokio::spawn(async move {
+                    let report = shared.control.report(address).await;
+                    let _ = events.send(Event::Report {
+                        runner,
+                        report,
+                        asked_at,
+                        term,
+                    });
+                });
+            }
+            Action::Order {
+                runner,
+                address,
+                order,
+                expected_count,
+                reason,
+            } => {
+                let fields: &[(&str, &dyn Display)] = &[
+                    ("runner", &runner),
+                    ("operation", &operation_name(order.operation)),
+                    ("unit", &order.unit),
+                    ("reason", &format!("{reason:?}")),
+                    ("expected_count", &expected_count),
+                    ("term", &term),
+                ];
+                metrics::counter!("orders_sent").increment(1);
+                shared.log.write(shared.now(), "order-sent", fields);
+                tokio::spawn(async move {
+                    let fenced = FencedOrder {
+                        runner: &runner,
+                        order: &order,
+                        expected_count,
+                        holder: &shared.settings.name,
+                        fence: term,
+                    };
+                    let answer = shared.control.order(address, &fenced).await;
+                    let _ = events.send(Event::Order {
+                        runner,
+                        answer,
+                        order,
+                        term,
+                    });
+                });
+            }
+        }
+    }
+}
+
+fn operation_name(operation: Operation) -> &'static str {
+    match operation {
+        Operation::Load => "load",
+        Operation::Unload => "unload",
+    }
+}
+
+fn changed(result: Result<Changed, StoreError>) -> LeaseAnswer {
+    match result {
+        Ok(Changed::Made(lease)) => LeaseAnswer::Written(lease),
+        Ok(Changed::Conflict(Some(lease))) => LeaseAnswer::Found(lease),
+        Ok(Changed::Conflict(None)) => LeaseAnswer::Missing,
+        Err(_) => LeaseAnswer::Unknown,
+    }
+}
--- /dev/null
+++ b/crates/ingress/src/daemon.rs
@@ -0,0 +1,117 @@
+//! The ingress of one daemon, put together in one place.
+
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use flaxward_settings::logs::state_change;
+use tokio::time::{Instant, sleep, sleep_until};
+use tokio_util::sync::CancellationToken;
+use tokio_util::task::TaskTracker;
+
+use crate::coordination::Coordination;
+use crate::outside::{ClusterStore, RunnerControl, Surface};
+use crate::peer::PeerSocket;
+use crate::server::{listen, serve_clients, serve_metrics, serve_readiness};
+use crate::settings::IngressSettings;
+use crate::state::Shared;
+use crate::watches::{watch_configuration, watch_runners};
+
+/// Time after the order to stop in which new clients may still come: the entrance asks every second
+/// and leaves a daemon out after two misses.
+const NOTICE: Duration = Duration::from_millis(2_600);
+/// Part of the grace that is left unused, so that the process ends by itself.
+const GRACE_RESERVE: Duration = Duration::from_millis(350);
+/// Time between looks at what is still in progress.
+const DRAIN_INTERVAL: Duration = Duration::from_millis(50);
+
+/// A running ingress.
+pub struct Ingress {
+    shared: Arc<Shared>,
+    tracker: TaskTracker,
+    closing: CancellationToken,
+}
+
+/// Writes the counters as text.
+pub type RenderMetrics = Arc<dyn Fn() -> String + Send + Sync>;
+
+impl Ingress {
+    /// Starts an ingress.
+    ///
+    /// # Errors
+    /// Fails if an address cannot be listened at.
+    pub async fn start(
+        settings: IngressSettings,
+        surface: Arc<dyn Surface>,
+        store: Arc<dyn ClusterStore>,
+        control: Arc<dyn RunnerControl>,
+        render: Option<RenderMetrics>,
+    ) -> anyhow::Result<Self> {
+        let clients = listen(settings.listen).await?;
+        let readiness = listen(settings.ready_listen).await?;
+        let peers = PeerSocket::bind(settings.peer_listen).await?;
+        let metrics = match settings.metrics_listen {
+            Some(address) => Some(listen(address).await?),
+            None => None,
+        };
+        state_change(
+            "started",
+            &[
+                ("daemon", &settings.name),
+                ("zone", &settings.zone),
+                ("address", &settings.listen),
+                ("peer_address", &settings.peer_listen),
+            ],
+        );
+        let shared = Arc::new(Shared::new(settings, surface, store, control));
+        let tracker = TaskTracker::new();
+        let closing = CancellationToken::new();
+        let client_server =
+            serve_clients(shared.clone(), clients, tracker.clone(), closing.clone());
+        tokio::spawn(client_server);
+        let pages = TaskTracker::new();
+        tokio::spawn(serve_readiness(shared.clone(), readiness, pages.clone()));
+        if let (Some(listener), Some(render)) = (metrics, render) {
+            tokio::spawn(serve_metrics(listener, pages, render));
+        }
+        tokio::spawn(watch_configuration(shared.clone()));
+        tokio::spawn(watch_runners(shared.clone()));
+        tokio::spawn(Coordination::new(shared.clone(), peers)?.run());
+        Ok(Self {
+            shared,
+            tracker,
+            closing,
+        })
+    }
+
+    /// Stops as planned: is not ready any more, lets the requests in progress finish within the
+    /// grace, and takes those that still come.
+    pub async fn stop(self) {
+        let begun = Instant::now();
+        self.shared.stopping.store(true, Ordering::Relaxed);
+        self.shared.demand.notify_one();
+        state_change("stopping", &[("requests", &self.in_progress())]);
+        let end = begun
+            + self
+                .shared
+                .settings
+                .stop_grace
+                .saturating_sub(GRACE_RESERVE);
+        sleep_until((begun + NOTICE).min(end)).await;
+        self.shared.closing.store(true, Ordering::Relaxed);
+        self.closing.cancel();
+        self.tracker.close();
+        while Instant::now() < end && self.in_progress() > 0 {
+            sleep(DRAIN_INTERVAL).await;
+        }
+        let left = self.in_progress();
+        let last = Instant::now() + DRAIN_INTERVAL;
+        let _ = tokio::time::timeout_at(last, self.tracker.wait()).await;
+        state_change("stopped", &[("requests_cut_off", &left)]);
+    }
+
+    /// Requests in progress.
+    pub fn in_progress(&self) -> u32 {
+        self.shared.requests.load(Ordering::Relaxed)
+    }
+}
--- /dev/null
+++ b/crates/ingress/src/lib.rs
@@ -0,0 +1,29 @@
+//! The ingress: takes requests of clients, passes them to runners by the routes of the operators, and
+//! takes part in deciding what is loaded where.
+//!
+//! Decisions stand in `flaxward-routing`; this crate holds the sockets. What the daemon speaks to the
+//! outside is behind the traits of [`outside`].
+
+#![warn(clippy::pedantic)]
+#![allow(clippy::module_name_repetitions, clippy::must_use_candidate)]
+
+mod answers;
+mod clock;
+mod coordination;
+mod daemon;
+mod decisions;
+mod exchange;
+mod handler;
+pub mod outside;
+mod peer;
+mod pool;
+mod relay;
+mod server;
+pub mod settings;
+mod state;
+mod usage;
+mod waiting;
+mod watches;
+
+pub use daemon::Ingress;
+pub use settings::IngressSettings;
--- /dev/null
+++ b/crates/ingress/src/outside.rs
@@ -0,0 +1,181 @@
+//! What the ingress needs of the outside: a surface for requests, a store, and the control interface
+//! of model runners. An adapter implements these traits; it translates and decides nothing.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use async_trait::async_trait;
+use flaxward_routing::configuration::Configuration;
+use flaxward_routing::lease::{LeaseRecord, StoredLease};
+use flaxward_routing::names::RunnerId;
+use flaxward_routing::placement::{Order, OrderAnswer, RunnerReport};
+use flaxward_routing::request::RequestProfile;
+use flaxward_routing::runners::Runner;
+use http::{HeaderMap, StatusCode};
+use thiserror::Error;
+
+/// Why a request cannot be passed on as it is.
+#[derive(Clone, Debug, PartialEq, Eq, Error)]
+pub enum ProfileError {
+    /// A header is missing that every request must have.
+    #[error("the header {0} is missing")]
+    Missing(&'static str),
+    /// A header cannot be read.
+    #[error("the header {0} cannot be read")]
+    Malformed(&'static str),
+}
+
+/// What the ingress sets in a request that it passes on.
+#[derive(Clone, Debug)]
+pub struct Passage<'a> {
+    /// What is left of the time.
+    pub time_left: Duration,
+    /// The runner for which the request is meant.
+    pub runner: &'a RunnerId,
+    /// Rank of the request.
+    pub priority: u8,
+    /// The last event that the client has, if a stream is continued.
+    pub last_event: Option<&'a str>,
+    /// The version of the weights that a continued stream has begun with.
+    pub weights_version: Option<u64>,
+}
+
+/// What the head of a runner's answer says.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum HeadKind {
+    /// The answer of a run to this request.
+    Answer,
+    /// The runner says that it did not run the request.
+    NotRun,
+    /// Another runner has the address, or this one does not hold what the request needs.
+    Misdirected,
+    /// No answer of the runner to this request.
+    Foreign,
+}
+
+/// How requests and answers look on the wire.
+pub trait Surface: Send + Sync {
+    /// Path at which the daemon is asked whether it is ready.
+    fn ready_path(&self) -> &str;
+
+    /// Reads what the ingress has to know of a request.
+    ///
+    /// # Errors
+    /// Fails if a header is missing or malformed.
+    fn profile(&self, headers: &HeaderMap) -> Result<RequestProfile, ProfileError>;
+
+    /// Sets the headers of a request that is passed on, and removes those that only the ingress sets.
+    fn prepare(&self, headers: &mut HeaderMap, passage: &Passage<'_>);
+
+    /// Tells what the head of an answer to the request with this identity says.
+    fn judge(&self, id: &str, status: StatusCode, headers: &HeaderMap) -> HeadKind;
+
+    /// The version of the weights that an answer was made with.
+    fn weights_version(&self, headers: &HeaderMap) -> Option<u64>;
+}
+
+/// Why a call to the store failed.
+#[derive(Clone, Debug, PartialEq, Eq, Error)]
+pub enum StoreError {
+    /// No answer, so the call may have been done or may still be done.
+    #[error("no answer: {0}")]
+    NoAnswer(String),
+    /// The store refused; nothing was done.
+    #[error("refused with status {0}")]
+    Refused(u16),
+    /// The history since the revision is gone.
+    #[error("the history is gone")]
+    HistoryGone,
+    /// The answer cannot be read.
+    #[error("the answer cannot be read: {0}")]
+    Malformed(String),
+}
+
+/// All objects of a kind at a revision.
+#[derive(Clone, Debug)]
+pub struct Listing<Item> {
+    /// The objects.
+    pub items: Vec<Item>,
+    /// The store's revision.
+    pub revision: u64,
+}
+
+/// A change of one runner in the list.
+#[derive(Clone, Debug, PartialEq)]
+pub enum RunnerChange {
+    /// It is there, as follows.
+    Present(Box<Runner>),
+    /// It is gone.
+    Gone(RunnerId),
+}
+
+/// What a conditional change came to.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Changed {
+    /// It was made.
+    Made(StoredLease),
+    /// The object is another one by now.
+    Conflict(Option<StoredLease>),
+}
+
+/// The store, which holds configuration, runners and the lease.
+#[async_trait]
+pub trait ClusterStore: Send + Sync {
+    /// The configuration in force, if there is one.
+    async fn configuration(&self) -> Result<Listing<Configuration>, StoreError>;
+
+    /// Waits for changes of the configuration after a revision, for some time at most.
+    async fn watch_configuration(
+        &self,
+        after: u64,
+        wait: Duration,
+    ) -> Result<Listing<Configuration>, StoreError>;
+
+    /// All runners.
+    async fn runners(&self) -> Result<Listing<Runner>, StoreError>;
+
+    /// Waits for changes of the runners after a revision, for some time at most.
+    async fn watch_runners(
+        &self,
+        after: u64,
+        wait: Duration,
+    ) -> Result<Listing<RunnerChange>, StoreError>;
+
+    /// The lease, if the object is there.
+    async fn lease(&self) -> Result<Option<StoredLease>, StoreError>;
+
+    /// Makes the lease object.
+    async fn create_lease(&self, record: &LeaseRecord) -> Result<Changed, StoreError>;
+
+    /// Replaces the lease if its revision is this one.
+    async fn replace_lease(
+        &self,
+        record: &LeaseRecord,
+        revision: u64,
+    ) -> Result<Changed, StoreError>;
+}
+
+/// An order with what makes it safe.
+#[derive(Clone, Debug)]
+pub struct FencedOrder<'a> {
+    /// The runner for which it is meant.
+    pub runner: &'a RunnerId,
+    /// The order.
+    pub order: &'a Order,
+    /// The order count that the runner must have.
+    pub expected_count: u64,
+    /// Name of the coordinator.
+    pub holder: &'a str,
+    /// Its term.
+    pub fence: u64,
+}
+
+/// The control interface of model runners.
+#[async_trait]
+pub trait RunnerControl: Send + Sync {
+    /// A runner's report of itself, or `None` if none could be had.
+    async fn report(&self, address: SocketAddr) -> Option<RunnerReport>;
+
+    /// Gives an order.
+    async fn order(&self, address: SocketAddr, order: &FencedOrder<'_>) -> OrderAnswer;
+}
--- /dev/null
+++ b/crates/ingress/src/peer.rs
@@ -0,0 +1,58 @@
+//! The socket for messages between daemons.
+
+use std::net::SocketAddr;
+
+use anyhow::Context;
+use flaxward_routing::messages::Message;
+use tokio::net::UdpSocket;
+
+/// Longest datagram that is read, in bytes.
+const MAX_DATAGRAM_BYTES: usize = 64 * 1024;
+
+/// Sends and receives messages by UDP. A message may be lost.
+#[derive(Debug)]
+pub(crate) struct PeerSocket {
+    socket: UdpSocket,
+    buffer: Vec<u8>,
+}
+
+impl PeerSocket {
+    /// Listens at an address.
+    ///
+    /// # Errors
+    /// Fails if the address cannot be listened at.
+    pub(crate) async fn bind(address: SocketAddr) -> anyhow::Result<Self> {
+        let socket = UdpSocket::bind(address)
+            .await
+            .with_context(|| format!("cannot listen for daemons at {address}"))?;
+        Ok(Self {
+            socket,
+            buffer: vec![0; MAX_DATAGRAM_BYTES],
+        })
+    }
+
+    /// Where it listens.
+    ///
+    /// # Errors
+    /// Fails if the socket has no address.
+    pub(crate) fn address(&self) -> anyhow::Result<SocketAddr> {
+        Ok(self.socket.local_addr()?)
+    }
+
+    /// Sends a message, without waiting.
+    pub(crate) fn send(&self, to: SocketAddr, message: &Message) {
+        if self.socket.try_send_to(&message.encode(), to).is_err() {
+            metrics::counter!("peer_messages_not_sent").increment(1);
+        }
+    }
+
+    /// The next message; `None` if something else came.
+    pub(crate) async fn receive(&mut self) -> Option<Message> {
+        let (length, _) = self.socket.recv_from(&mut self.buffer).await.ok()?;
+        let message = Message::decode(&self.buffer[..length]);
+        if message.is_err() {
+            metrics::counter!("peer_messages_malformed").increment(1);
+        }
+        message.ok()
+    }
+}
--- /dev/null
+++ b/crates/ingress/src/relay.rs
@@ -0,0 +1,300 @@
+//! Passes a stream of events on, and continues it at another runner if it breaks.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use flaxward_routing::attempt::{Attempts, Failure};
+use flaxward_routing::balance::Wanted;
+use flaxward_routing::configuration::Route;
+use flaxward_routing::events::EventSplitter;
+use flaxward_routing::health::Observation;
+use flaxward_routing::names::{RunnerId, ServiceName};
+use futures::stream;
+use http_body_util::{BodyExt, StreamBody};
+use hyper::body::{Frame, Incoming};
+use thiserror::Error;
+use tokio::time::{Instant, timeout_at};
+
+use crate::answers::AnswerBody;
+use crate::exchange::{ClientRequest, Continuation, Exchange, exchange};
+use crate::state::Shared;
+
+/// Shortest silence of a runner after which a stream is continued elsewhere.
+const LEAST_SILENCE: Duration = Duration::from_secs(1);
+
+/// Why an answer breaks off. The connection to the client is closed without the end of the answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
+pub enum RelayError {
+    /// The runner broke off, and no other one could go on.
+    #[error("the runner broke off")]
+    Broken,
+    /// The time of the request is up.
+    #[error("the time of the request is up")]
+    Expired,
+}
+
+/// What comes next from a runner.
+enum Piece {
+    Events(Bytes),
+    End,
+    Broken,
+    Silent,
+}
+
+/// A stream on its way to the client.
+pub(crate) struct StreamRelay {
+    pub shared: Arc<Shared>,
+    pub request: Arc<ClientRequest>,
+    pub route: Arc<Route>,
+    pub service: ServiceName,
+    pub attempts: Attempts,
+    pub tried: Vec<RunnerId>,
+    pub guard: Box<dyn Send>,
+    exchange: Option<Exchange>,
+    splitter: EventSplitter,
+    weights_version: Option<u64>,
+    first: Option<Bytes>,
+    is_done: bool,
+}
+
+impl StreamRelay {
+    /// A relay for an exchange of which the head has come.
+    pub(crate) fn new(
+        shared: Arc<Shared>,
+        request: Arc<ClientRequest>,
+        route: Arc<Route>,
+        service: ServiceName,
+        exchange: Exchange,
+    ) -> Self {
+        Self {
+            shared,
+            request,
+            route,
+            service,
+            attempts: Attempts::default(),
+            tried: Vec::new(),
+            guard: Box::new(()),
+            weights_version: exchange.weights_version,
+            exchange: Some(exchange),
+            splitter: EventSplitter::default(),
+            first: None,
+            is_done: false,
+        }
+    }
+
+    /// Waits for the first event, so that a runner which breaks before it costs nothing.
+    ///
+    /// # Errors
+    /// Says how the attempt failed.
+    pub(crate) async fn first_event(&mut self, patience: Instant) -> Result<(), Failure> {
+        match self.next_piece(patience).await {
+            Piece::Events(bytes) => {
+                self.first = Some(bytes);
+                Ok(())
+            }
+            Piece::End => {
+                self.is_done = true;
+                Ok(())
+            }
+            Piece::Broken => Err(Failure::Broken),
+            Piece::Silent => Err(Failure::Silent),
+        }
+    }
+
+    /// The body for the client.
+    pub(crate) fn into_body(self) -> AnswerBody {
+        let frames = stream::unfold(self, |mut relay| async move {
+            let frame = relay.next_frame().await?;
+            Some((frame, relay))
+        });
+        StreamBody::new(frames).boxed_unsync()
+    }
+
+    async fn next_frame(&mut self) -> Option<Result<Frame<Bytes>, RelayError>> {
+        if let Some(first) = self.first.take() {
+            return Some(Ok(Frame::data(first)));
+        }
+        loop {
+            if self.is_done {
+                return None;
+            }
+            let silence = self.allowed_silence();
+            match self.next_piece(silence).await {
+                Piece::Events(bytes) => return Some(Ok(Frame::data(bytes))),
+                Piece::End => {
+                    self.is_done = true;
+                    return None;
+                }
+                Piece::Broken => {
+                    if let Err(error) = self.resume(Failure::Broken).await {
+                        return Some(Err(error));
+                    }
+                }
+                Piece::Silent => {
+                    if let Err(error) = self.resume(Failure::Silent).await {
+                        return Some(Err(error));
+                    }
+                }
+            }
+        }
+    }
+
+    /// When a silent runner is given up.
+    fn allowed_silence(&self) -> Instant {
+        if !self.may_resume() {
+            return self.request.deadline;
+        }
+        let silence = (self.route.event_gap * 3).max(LEAST_SILENCE);
+        (Instant::now() + silence).min(self.request.deadline)
+    }
+
+    fn may_resume(&self) -> bool {
+        let mut next = self.attempts;
+        next.count(Failure::Broken);
+        next.may_repeat(self.route.kind, self.route.max_attempts)
+    }
+
+    async fn next_piece(&mut self, until: Instant) -> Piece {
+        loop {
+            let Some(exchange) = &mut self.exchange else {
+                return Piece::Broken;
+            };
+            let frame = match timeout_at(until, exchange.body.frame()).await {
+                Ok(Some(Ok(frame))) => frame,
+                Ok(Some(Err(_))) => return Piece::Broken,
+                Ok(None) => return self.end(),
+                Err(_) => return Piece::Silent,
+            };
+            let Ok(data) = frame.into_data() else {
+                continue;
+            };
+            let events = self.splitter.push(&data);
+            if self.splitter.is_oversized() {
+                return Piece::Broken;
+            }
+            if !events.is_empty() {
+                return Piece::Events(Bytes::from(events));
+            }
+        }
+    }
+
+    fn end(&mut self) -> Piece {
+        if self.splitter.has_partial() {
+            return Piece::Broken;
+        }
+        if let Some(exchange) = self.exchange.take() {
+            self.shared
+                .observe(&exchange.runner.id, Observation::Success);
+            if let Some(connection) = exchange.connection {
+                self.shared.pool.put(connection);
+            }
+        }
+        Piece::End
+    }
+
+    /// Ends the run at the present runner and goes on at another one.
+    async fn resume(&mut self, failure: Failure) -> Result<(), RelayError> {
+        if let Some(exchange) = self.exchange.take() {
+            self.shared
+                .observe(&exchange.runner.id, Observation::Failure);
+            self.tried.push(exchange.runner.id.clone());
+            self.log_break(&exchange.runner.id, failure);
+            drop(exchange);
+        }
+        self.splitter.drop_partial();
+        self.attempts.count(failure);
+        loop {
+            if Instant::now() >= self.request.deadline {
+                return Err(RelayError::Expired);
+            }
+            let max_attempts = self.route.max_attempts;
+            if !self.attempts.may_repeat(self.route.kind, max_attempts)
+                || !self.shared.try_repeat(&self.service)
+            {
+                return Err(RelayError::Broken);
+            }
+            if self.try_continue().await? {
+                return Ok(());
+            }
+        }
+    }
+
+    /// Sends the request to another runner. Tells whether that one goes on.
+    async fn try_continue(&mut self) -> Result<bool, RelayError> {
+        let wanted = Wanted {
+            service: &self.service,
+            unit: self.request.unit.as_ref(),
+            affinity: Some(self.request.profile.affinity()),
+            tried: &self.tried,
+        };
+        let Ok(runner) = self.shared.choose(&wanted) else {
+            return Err(RelayError::Broken);
+        };
+        let client_event = self.request.profile.last_event.as_deref();
+        let continuation = Continuation {
+            last_event: self.splitter.last_id().or(client_event),
+            weights_version: self.weights_version,
+        };
+        let patience =
+            (Instant::now() + self.route.target.max(LEAST_SILENCE)).min(self.request.deadline);
+        match exchange(&self.shared, &self.request, &runner, continuation, patience).await {
+            Ok(exchange) if exchange.head.status.is_success() => {
+                let fields: &[(&str, &dyn std::fmt::Display)] = &[
+                    ("request", &self.request.profile.id),
+                    ("runner", &runner.id),
+                    ("after_event", &continuation.last_event.unwrap_or("")),
+                ];
+                self.shared
+                    .log
+                    .write(self.shared.now(), "stream-resumed", fields);
+                self.exchange = Some(exchange);
+                Ok(true)
+            }
+            Ok(_) => {
+                self.attempts.count(Failure::Failed);
+                self.tried.push(runner.id);
+                Ok(false)
+            }
+            Err(failed) => {
+                if let Some(observation) = failed.observation {
+                    self.shared.observe(&runner.id, observation);
+                }
+                self.attempts.count(failed.failure);
+                self.tried.push(runner.id);
+                Ok(false)
+            }
+        }
+    }
+
+    fn log_break(&self, runner: &RunnerId, failure: Failure) {
+        let fields: &[(&str, &dyn std::fmt::Display)] = &[
+            ("request", &self.request.profile.id),
+            ("runner", runner),
+            ("failure", &format!("{failure:?}")),
+            ("last_event", &self.splitter.last_id().unwrap_or("")),
+            ("runs", &(self.attempts.runs + 1)),
+        ];
+        metrics::counter!("streams_broken_by_runner").increment(1);
+        self.shared
+            .log
+            .write(self.shared.now(), "stream-broken", fields);
+    }
+}
+
+/// Reads a body whole, up to a length.
+///
+/// # Errors
+/// Says how the attempt failed.
+pub(crate) async fn collect(
+    body: Incoming,
+    limit: usize,
+    until: Instant,
+) -> Result<Bytes, Failure> {
+    let limited = http_body_util::Limited::new(body, limit);
+    match timeout_at(until, limited.collect()).await {
+        Ok(Ok(collected)) => Ok(collected.to_bytes()),
+        Ok(Err(_)) => Err(Failure::Broken),
+        Err(_) => Err(Failure::Silent),
+    }
+}
--- /dev/null
+++ b/crates/ingress/src/server.rs
@@ -0,0 +1,147 @@
+//! The servers of the daemon: for clients, for readiness, and for counters.
+//!
+//! hyper's connection interface is used instead of salvo, because a client that leaves must end the
+//! request at the runner at once, and because a stop must tell idle connections from busy ones.
+
+use std::convert::Infallible;
+use std::future::Future;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use anyhow::Context;
+use bytes::Bytes;
+use http::{Request, Response, StatusCode};
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::{TokioIo, TokioTimer};
+use socket2::SockRef;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::time::sleep;
+use tokio_util::sync::CancellationToken;
+use tokio_util::task::TaskTracker;
+
+use crate::handler::handle;
+use crate::state::Shared;
+
+/// Pause after a connection could not be accepted.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+/// Time after which unacknowledged bytes end a client's connection.
+const USER_TIMEOUT: Duration = Duration::from_secs(10);
+/// Least buffer of a connection, as hyper demands it.
+const LEAST_BUFFER_BYTES: usize = 8 * 1024;
+
+/// Opens a listener.
+///
+/// # Errors
+/// Fails if the address cannot be listened at.
+pub(crate) async fn listen(address: SocketAddr) -> anyhow::Result<TcpListener> {
+    TcpListener::bind(address)
+        .await
+        .with_context(|| format!("cannot listen at {address}"))
+}
+
+/// Accepts connections and runs a task for each.
+async fn accept<Task, Serve>(listener: TcpListener, tracker: TaskTracker, serve: Serve)
+where
+    Task: Future<Output = ()> + Send + 'static,
+    Serve: Fn(TcpStream) -> Task,
+{
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                let _ = stream.set_nodelay(true);
+                let _ = SockRef::from(&stream).set_tcp_user_timeout(Some(USER_TIMEOUT));
+                tracker.spawn(serve(stream));
+            }
+            Err(_) => sleep(ACCEPT_PAUSE).await,
+        }
+    }
+}
+
+/// Serves clients until the listener's task is dropped. `closing` closes idle connections.
+pub(crate) async fn serve_clients(
+    shared: Arc<Shared>,
+    listener: TcpListener,
+    tracker: TaskTracker,
+    closing: CancellationToken,
+) {
+    let serve = move |stream| client_connection(shared.clone(), stream, closing.clone());
+    accept(listener, tracker, serve).await;
+}
+
+async fn client_connection(shared: Arc<Shared>, stream: TcpStream, closing: CancellationToken) {
+    let limits = shared
+        .configuration()
+        .map(|configuration| configuration.limits)
+        .unwrap_or_default();
+    let service = service_fn(move |request: Request<Incoming>| {
+        let shared = shared.clone();
+        async move { Ok::<_, Infallible>(handle(shared, request).await) }
+    });
+    let mut builder = http1::Builder::new();
+    builder
+        .timer(TokioTimer::new())
+        .header_read_timeout(limits.idle_time)
+        .max_buf_size((limits.header_bytes + 1_024).max(LEAST_BUFFER_BYTES));
+    let connection = builder.serve_connection(TokioIo::new(stream), service);
+    tokio::pin!(connection);
+    tokio::select! {
+        _ = connection.as_mut() => return,
+        () = closing.cancelled() => {}
+    }
+    connection.as_mut().graceful_shutdown();
+    let _ = connection.await;
+}
+
+/// Answers whether the daemon is ready.
+pub(crate) async fn serve_readiness(
+    shared: Arc<Shared>,
+    listener: TcpListener,
+    tracker: TaskTracker,
+) {
+    let answer = move |path: &str| {
+        if path != shared.surface.ready_path() {
+            return (StatusCode::NOT_FOUND, String::new());
+        }
+        let status = if shared.is_ready() {
+            StatusCode::OK
+        } else {
+            StatusCode::SERVICE_UNAVAILABLE
+        };
+        (status, String::new())
+    };
+    serve_pages(listener, tracker, Arc::new(answer)).await;
+}
+
+/// Answers with the counters.
+pub(crate) async fn serve_metrics(
+    listener: TcpListener,
+    tracker: TaskTracker,
+    render: Arc<dyn Fn() -> String + Send + Sync>,
+) {
+    let answer = move |_: &str| (StatusCode::OK, render());
+    serve_pages(listener, tracker, Arc::new(answer)).await;
+}
+
+async fn serve_pages<Answer>(listener: TcpListener, tracker: TaskTracker, answer: Arc<Answer>)
+where
+    Answer: Fn(&str) -> (StatusCode, String) + Send + Sync + 'static,
+{
+    accept(listener, tracker, move |stream| {
+        let answer = answer.clone();
+        async move {
+            let service = service_fn(move |request: Request<Incoming>| {
+                let (status, text) = answer(request.uri().path());
+                let mut response = Response::new(Full::new(Bytes::from(text)));
+                *response.status_mut() = status;
+                async move { Ok::<_, Infallible>(response) }
+            });
+            let connection = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
+            let _ = connection.await;
+        }
+    })
+    .await;
+}
--- /dev/null
+++ b/crates/ingress/src/state.rs
@@ -0,0 +1,272 @@
+//! What the tasks of one daemon share.
+
+use std::collections::{HashMap, HashSet};
+use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard};
+use std::time::Duration;
+
+use flaxward_routing::balance::{self, NoRunner, Situation, Wanted};
+use flaxward_routing::budget::RetryBudget;
+use flaxward_routing::configuration::{Configuration, Route};
+use flaxward_routing::health::{HealthTable, Observation};
+use flaxward_routing::messages::UnitOutlook;
+use flaxward_routing::names::{RunnerId, ServiceName, Unit};
+use flaxward_routing::runners::{Runner, RunnerTable};
+use flaxward_routing::split::SplitChooser;
+use flaxward_types::time::Timestamp;
+use tokio::sync::{Notify, watch};
+
+use crate::clock::Clock;
+use crate::decisions::DecisionLog;
+use crate::outside::{ClusterStore, RunnerControl, Surface};
+use crate::pool::Pool;
+use crate::settings::IngressSettings;
+use crate::usage::{Running, UseLog};
+
+/// Daemons that are assumed while the coordinator has not told their number.
+const ASSUMED_DAEMONS: usize = 12;
+
+/// When a unit that requests wait for is ready, as the coordinator has said.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Outlook {
+    pub ready_at: Timestamp,
+    pub told_at: Timestamp,
+}
+
+/// What changes while the daemon runs.
+#[derive(Debug)]
+pub(crate) struct Tables {
+    pub configuration: Option<Arc<Configuration>>,
+    pub configuration_revision: u64,
+    pub runners: RunnerTable,
+    pub runners_known: bool,
+    pub health: HealthTable,
+    pub in_flight: HashMap<RunnerId, u32>,
+    pub running: Running,
+    pub uses: UseLog,
+    pub budget: RetryBudget,
+    pub splits: SplitChooser,
+    pub waiting: HashMap<Unit, Waiting>,
+    pub outlooks: HashMap<Unit, Outlook>,
+    pub daemons: usize,
+}
+
+/// Requests that wait for a unit.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Waiting {
+    pub requests: u32,
+    pub priority: u8,
+}
+
+/// Shared by all tasks of the daemon.
+pub(crate) struct Shared {
+    pub settings: IngressSettings,
+    pub clock: Clock,
+    pub surface: Arc<dyn Surface>,
+    pub store: Arc<dyn ClusterStore>,
+    pub control: Arc<dyn RunnerControl>,
+    pub pool: Pool,
+    pub log: DecisionLog,
+    /// Woken when the tables have changed in a way that a waiting request can use.
+    pub changed: Notify,
+    /// Woken when a request begins to wait for a unit.
+    pub demand: Notify,
+    pub stopping: AtomicBool,
+    /// The notice of a stop is over: no request is taken any more.
+    pub closing: AtomicBool,
+    /// Rises when calls to the store that hang must be made again.
+    pub store_restarts: watch::Sender<u64>,
+    pub requests: AtomicU32,
+    pub seed: u64,
+    tables: Mutex<Tables>,
+}
+
+impl Shared {
+    pub(crate) fn new(
+        settings: IngressSettings,
+        surface: Arc<dyn Surface>,
+        store: Arc<dyn ClusterStore>,
+        control: Arc<dyn RunnerControl>,
+    ) -> Self {
+        let tables = Tables {
+            configuration: None,
+            configuration_revision: 0,
+            runners: RunnerTable::default(),
+            runners_known: false,
+            health: HealthTable::default(),
+            in_flight: HashMap::new(),
+            running: Running::default(),
+            uses: UseLog::default(),
+            budget: RetryBudget::new(settings.retry_budget),
+            splits: SplitChooser::default(),
+            waiting: HashMap::new(),
+            outlooks: HashMap::new(),
+            daemons: ASSUMED_DAEMONS,
+        };
+        Self {
+            settings,
+            clock: Clock::start(),
+            surface,
+            store,
+            control,
+            pool: Pool::default(),
+            log: DecisionLog::default(),
+            changed: Notify::new(),
+            demand: Notify::new(),
+            stopping: AtomicBool::new(false),
+            closing: AtomicBool::new(false),
+            store_restarts: watch::Sender::new(0),
+            requests: AtomicU32::new(0),
+            seed: rand::random(),
+            tables: Mutex::new(tables),
+        }
+    }
+
+    /// The tables. They are never held across a wait.
+    pub(crate) fn tables(&self) -> MutexGuard<'_, Tables> {
+        self.tables
+            .lock()
+            .unwrap_or_else(std::sync::PoisonError::into_inner)
+    }
+
+    pub(crate) fn now(&self) -> Timestamp {
+        self.clock.now()
+    }
+
+    pub(crate) fn is_stopping(&self) -> bool {
+        self.stopping.load(Ordering::Relaxed)
+    }
+
+    pub(crate) fn is_closing(&self) -> bool {
+        self.closing.load(Ordering::Relaxed)
+    }
+
+    /// Has the watches of the store made again, because the present ones may never be answered.
+    pub(crate) fn restart_watches(&self) {
+        self.store_restarts.send_modify(|restarts| *restarts += 1);
+    }
+
+    /// Whether new clients may come.
+    pub(crate) fn is_ready(&self) -> bool {
+        let tables = self.tables();
+        !self.is_stopping() && tables.configuration.is_some() && tables.runners_known
+    }
+
+    pub(crate) fn configuration(&self) -> Option<Arc<Configuration>> {
+        self.tables().configuration.clone()
+    }
+
+    /// The service for a request of a route.
+    pub(crate) fn choose_service(&self, route: &Route) -> Option<ServiceName> {
+        let seed = self.seed;
+        self.tables().splits.choose(route, seed)
+    }
+
+    /// The runner for a request.
+    pub(crate) fn choose(&self, wanted: &Wanted<'_>) -> Result<Runner, NoRunner> {
+        let now = self.now();
+        let tables = self.tables();
+        let situation = Situation {
+            runners: &tables.runners,
+            health: &tables.health,
+            in_flight: &tables.in_flight,
+            zone: &self.settings.zone,
+            daemons: tables.daemons,
+            now,
+        };
+        balance::choose(&situation, wanted).cloned()
+    }
+
+    /// Takes in how an attempt ended, and logs it if the runner is now left alone.
+    pub(crate) fn observe(&self, runner: &RunnerId, observation: Observation) {
+        let now = self.now();
+        let ejection = self.tables().health.observe(runner, observation, now);
+        if let Some(ejection) = ejection {
+            metrics::counter!("runner_ejections").increment(1);
+            let fields: &[(&str, &dyn std::fmt::Display)] = &[
+                ("runner", runner),
+                ("observation", &format!("{observation:?}")),
+                ("for_ms", &ejection.as_millis()),
+            ];
+            self.log.write(now, "runner-ejected", fields);
+        }
+    }
+
+    /// Spends one repeat of the budget, if there is one.
+    pub(crate) fn try_repeat(&self, service: &ServiceName) -> bool {
+        let now = self.now();
+        let mut tables = self.tables();
+        let daemons = tables.daemons;
+        tables.budget.try_repeat(service, now, daemons)
+    }
+
+    /// Takes in outlooks of the coordinator.
+    pub(crate) fn tell_outlooks(&self, outlooks: Vec<UnitOutlook>) {
+        if outlooks.is_empty() {
+            return;
+        }
+        let now = self.now();
+        let mut tables = self.tables();
+        for outlook in outlooks {
+            let wait = Duration::from_millis(u64::from(outlook.ready_in_ms));
+            let outlook_at = Outlook {
+                ready_at: now + wait,
+                told_at: now,
+            };
+            tables.outlooks.insert(outlook.unit, outlook_at);
+        }
+        drop(tables);
+        self.changed.notify_waiters();
+    }
+}
+
+impl Tables {
+    /// Drops what is kept about runners that are gone. Returns the addresses still in use.
+    pub(crate) fn forget_gone_runners(&mut self) -> HashSet<RunnerId> {
+        let known: HashSet<RunnerId> = self
+            .runners
+            .iter()
+            .map(|runner| runner.id.clone())
+            .collect();
+        self.health.retain(|id| known.contains(id));
+        known
+    }
+}
+
+/// Counts a request at a runner for as long as it lives.
+pub(crate) struct InFlight {
+    shared: Arc<Shared>,
+    runner: RunnerId,
+    unit: Option<Unit>,
+}
+
+impl InFlight {
+    pub(crate) fn begin(shared: &Arc<Shared>, runner: &RunnerId, unit: Option<&Unit>) -> Self {
+        let mut tables = shared.tables();
+        *tables.in_flight.entry(runner.clone()).or_default() += 1;
+        if let Some(unit) = unit {
+            tables.running.begin(runner, unit);
+        }
+        drop(tables);
+        Self {
+            shared: shared.clone(),
+            runner: runner.clone(),
+            unit: unit.cloned(),
+        }
+    }
+}
+
+impl Drop for InFlight {
+    fn drop(&mut self) {
+        let mut tables = self.shared.tables();
+        if let Some(count) = tables.in_flight.get_mut(&self.runner) {
+            *count -= 1;
+            if *count == 0 {
+                tables.in_flight.remove(&self.runner);
+            }
+        }
+        if let Some(unit) = &self.unit {
+            tables.running.end(&self.runner, unit);
+        }
+    }
+}
--- /dev/null
+++ b/crates/ingress/src/usage.rs
@@ -0,0 +1,73 @@
+//! What the daemon's requests have used lately and use now, for the coordinator.
+
+use std::collections::{HashMap, VecDeque};
+use std::time::Duration;
+
+use flaxward_routing::messages::{RunningUnit, USE_WINDOW_SECONDS, UsedUnit};
+use flaxward_routing::names::{RunnerId, Unit};
+use flaxward_types::time::Timestamp;
+
+const WINDOW: Duration = Duration::from_secs(USE_WINDOW_SECONDS as u64);
+
+/// Requests that have begun in the last seconds, by unit.
+#[derive(Debug, Default)]
+pub(crate) struct UseLog {
+    units: HashMap<Unit, VecDeque<Timestamp>>,
+}
+
+impl UseLog {
+    pub(crate) fn count(&mut self, unit: &Unit, now: Timestamp) {
+        self.units.entry(unit.clone()).or_default().push_back(now);
+    }
+
+    pub(crate) fn recent(&mut self, now: Timestamp) -> Vec<UsedUnit> {
+        let start = now - WINDOW;
+        self.units.retain(|_, times| {
+            while times.front().is_some_and(|&time| time < start) {
+                times.pop_front();
+            }
+            !times.is_empty()
+        });
+        self.units
+            .iter()
+            .map(|(unit, times)| UsedUnit {
+                unit: unit.clone(),
+                requests: u32::try_from(times.len()).unwrap_or(u32::MAX),
+            })
+            .collect()
+    }
+}
+
+/// Requests in progress, by runner and unit.
+#[derive(Debug, Default)]
+pub(crate) struct Running {
+    counts: HashMap<(RunnerId, Unit), u32>,
+}
+
+impl Running {
+    pub(crate) fn begin(&mut self, runner: &RunnerId, unit: &Unit) {
+        let key = (runner.clone(), unit.clone());
+        *self.counts.entry(key).or_default() += 1;
+    }
+
+    pub(crate) fn end(&mut self, runner: &RunnerId, unit: &Unit) {
+        let key = (runner.clone(), unit.clone());
+        if let Some(count) = self.counts.get_mut(&key) {
+            *count -= 1;
+            if *count == 0 {
+                self.counts.remove(&key);
+            }
+        }
+    }
+
+    pub(crate) fn all(&self) -> Vec<RunningUnit> {
+        self.counts
+            .iter()
+            .map(|((runner, unit), &requests)| RunningUnit {
+                runner: runner.clone(),
+                unit: unit.clone(),
+                requests,
+            })
+            .collect()
+    }
+}
--- /dev/null
+++ b/crates/ingress/src/waiting.rs
@@ -0,0 +1,143 @@
+//! Requests that wait until a unit is ready at some runner.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use flaxward_routing::configuration::Route;
+use flaxward_routing::names::Unit;
+use flaxward_types::ResultCode;
+use flaxward_types::refusal::Refusal;
+use flaxward_types::time::Timestamp;
+use tokio::time::{Instant, sleep_until};
+
+use crate::exchange::ClientRequest;
+use crate::state::{Shared, Waiting};
+
+/// Time after the promised moment at which a unit counts as late and the promise as broken.
+const PROMISE_SLACK: Duration = Duration::from_millis(2_500);
+/// Time that an answer needs once the unit is ready, at least.
+const LEAST_RUN: Duration = Duration::from_millis(150);
+/// When to come back if nobody says when the unit is ready.
+const UNKNOWN_RETRY: Duration = Duration::from_millis(900);
+/// Part of the target after which a request without a promise is refused.
+const SHARE_WITHOUT_PROMISE: f64 = 0.2;
+/// Shortest time allowed for the promise, which takes a message each way.
+const LEAST_PROMISE_WAIT: Duration = Duration::from_millis(60);
+
+/// Counts a request as waiting for as long as it lives.
+struct WaitingGuard {
+    shared: Arc<Shared>,
+    unit: Unit,
+}
+
+impl WaitingGuard {
+    fn begin(shared: &Arc<Shared>, unit: &Unit, priority: u8) -> Self {
+        let mut tables = shared.tables();
+        let waiting = tables.waiting.entry(unit.clone()).or_insert(Waiting {
+            requests: 0,
+            priority,
+        });
+        waiting.requests += 1;
+        waiting.priority = waiting.priority.min(priority);
+        drop(tables);
+        shared.demand.notify_one();
+        Self {
+            shared: shared.clone(),
+            unit: unit.clone(),
+        }
+    }
+}
+
+impl Drop for WaitingGuard {
+    fn drop(&mut self) {
+        let mut tables = self.shared.tables();
+        if let Some(waiting) = tables.waiting.get_mut(&self.unit) {
+            waiting.requests -= 1;
+            if waiting.requests == 0 {
+                tables.waiting.remove(&self.unit);
+            }
+        }
+    }
+}
+
+/// Waits until a runner holds the unit.
+///
+/// # Errors
+/// Refuses as soon as it is clear that the unit is not ready in time.
+pub(crate) async fn wait_for_unit(
+    shared: &Arc<Shared>,
+    request: &ClientRequest,
+    route: &Route,
+    unit: &Unit,
+) -> Result<(), Refusal> {
+    let begun_at = shared.now();
+    let begun = Instant::now();
+    let _guard = WaitingGuard::begin(shared, unit, request.priority);
+    let latest = latest_start(request, route, begun);
+    let without_promise = route
+        .target
+        .mul_f64(SHARE_WITHOUT_PROMISE)
+        .max(LEAST_PROMISE_WAIT);
+    let promise_due = (begun + without_promise).min(latest);
+    loop {
+        let changed = shared.changed.notified();
+        tokio::pin!(changed);
+        changed.as_mut().enable();
+        if is_held(shared, unit) {
+            let waited = begun.elapsed().as_millis();
+            let fields: &[(&str, &dyn std::fmt::Display)] = &[
+                ("request", &request.profile.id),
+                ("unit", unit),
+                ("waited_ms", &waited),
+            ];
+            shared.log.write(shared.now(), "unit-ready", fields);
+            return Ok(());
+        }
+        let wake_at = match promised(shared, unit, begun_at) {
+            Some(ready_at) => {
+                let ready = shared.clock.instant(ready_at);
+                if ready > latest {
+                    return Err(not_ready(ready.saturating_duration_since(Instant::now())));
+                }
+                (ready + PROMISE_SLACK).min(latest)
+            }
+            None => promise_due,
+        };
+        if Instant::now() >= wake_at {
+            return Err(not_ready(UNKNOWN_RETRY));
+        }
+        tokio::select! {
+            () = changed => {}
+            () = sleep_until(wake_at) => {}
+        }
+    }
+}
+
+/// The latest moment at which the request can be sent and still be answered.
+fn latest_start(request: &ClientRequest, route: &Route, begun: Instant) -> Instant {
+    let patience = if route.kind.is_stream() {
+        (begun + route.stream_patience()).min(request.deadline)
+    } else {
+        request.deadline
+    };
+    patience - LEAST_RUN
+}
+
+fn is_held(shared: &Shared, unit: &Unit) -> bool {
+    let now = shared.now();
+    let tables = shared.tables();
+    tables
+        .runners
+        .of_service(&unit.service)
+        .any(|runner| tables.runners.holds(runner, unit, now))
+}
+
+fn promised(shared: &Shared, unit: &Unit, begun_at: Timestamp) -> Option<Timestamp> {
+    let tables = shared.tables();
+    let outlook = tables.outlooks.get(unit)?;
+    (outlook.told_at >= begun_at).then_some(outlook.ready_at)
+}
+
+fn not_ready(retry_after: Duration) -> Refusal {
+    Refusal::new(ResultCode::DeadlineTooShort).with_retry_after(retry_after)
+}
--- /dev/null
+++ b/crates/ingress/src/watches.rs
@@ -0,0 +1,229 @@
+//! Reads configuration and runners from the store and keeps them up to date.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use flaxward_routing::configuration::Configuration;
+use rand::RngExt;
+use tokio::time::sleep;
+
+use crate::outside::{Listing, RunnerChange, StoreError};
+use crate::state::Shared;
+
+/// Longest time that the store holds a watch.
+const WATCH_WAIT: Duration = Duration::from_secs(10);
+/// Pause after changes of runners, so that several come with one call.
+const RUNNERS_PAUSE: Duration = Duration::from_millis(600);
+/// Pause after a change of the configuration, for the same reason.
+const CONFIGURATION_PAUSE: Duration = Duration::from_millis(250);
+/// First pause after a failed call.
+const FIRST_BACKOFF: Duration = Duration::from_millis(100);
+/// Longest pause after a failed call.
+const LONGEST_BACKOFF: Duration = Duration::from_millis(800);
+
+/// Pauses between failed calls, longer each time and never alike at two daemons.
+struct Backoff {
+    next: Duration,
+    what: &'static str,
+    is_lost: bool,
+}
+
+impl Backoff {
+    fn new(what: &'static str) -> Self {
+        Self {
+            next: FIRST_BACKOFF,
+            what,
+            is_lost: false,
+        }
+    }
+
+    async fn failed(&mut self, shared: &Shared, error: &StoreError) {
+        if !self.is_lost {
+            let fields: &[(&str, &dyn std::fmt::Display)] =
+                &[("dependency", &self.what), ("error", error)];
+            shared.log.write(shared.now(), "dependency-lost", fields);
+            self.is_lost = true;
+        }
+        let pause = self.next.mul_f64(rand::rng().random_range(0.5..1.0));
+        self.next = (self.next * 2).min(LONGEST_BACKOFF);
+        sleep(pause).await;
+    }
+
+    fn succeeded(&mut self, shared: &Shared) {
+        self.next = FIRST_BACKOFF;
+        if self.is_lost {
+            let fields: &[(&str, &dyn std::fmt::Display)] = &[("dependency", &self.what)];
+            shared
+                .log
+                .write(shared.now(), "dependency-regained", fields);
+            self.is_lost = false;
+        }
+    }
+}
+
+/// Keeps the configuration up to date.
+pub(crate) async fn watch_configuration(shared: Arc<Shared>) {
+    let mut backoff = Backoff::new("store/configuration");
+    let mut restarts = shared.store_restarts.subscribe();
+    let mut revision = None;
+    loop {
+        let read = match revision {
+            None => shared.store.configuration().await,
+            Some(after) => {
+                restarts.mark_unchanged();
+                tokio::select! {
+                    read = shared.store.watch_configuration(after, WATCH_WAIT) => read,
+                    _ = restarts.changed() => continue,
+                }
+            }
+        };
+        match read {
+            Ok(listing) => {
+                backoff.succeeded(&shared);
+                revision = Some(listing.revision);
+                if apply_configuration(&shared, listing) {
+                    sleep(CONFIGURATION_PAUSE).await;
+                }
+            }
+            Err(StoreError::HistoryGone) => revision = None,
+            Err(error) => backoff.failed(&shared, &error).await,
+        }
+    }
+}
+
+/// Takes in the newest configuration, unless a newer one is in force.
+fn apply_configuration(shared: &Shared, listing: Listing<Configuration>) -> bool {
+    let newest = listing.items.into_iter().max_by_key(|item| item.version);
+    let Some(configuration) = newest else {
+        return false;
+    };
+    let version = configuration.version;
+    let routes = configuration.route_count();
+    let mut tables = shared.tables();
+    let old = tables.configuration.as_ref().map(|old| old.version);
+    if old.is_some_and(|old| old >= version) {
+        return false;
+    }
+    tables.configuration = Some(Arc::new(configuration));
+    tables.configuration_revision = listing.revision;
+    drop(tables);
+    let fields: &[(&str, &dyn std::fmt::Display)] = &[
+        ("version", &version),
+        ("before", &old.unwrap_or(0)),
+        ("routes", &routes),
+        ("store_revision", &listing.revision),
+    ];
+    shared
+        .log
+        .write(shared.now(), "configuration-applied", fields);
+    shared.changed.notify_waiters();
+    true
+}
+
+/// Keeps the list of runners up to date.
+pub(crate) async fn watch_runners(shared: Arc<Shared>) {
+    let mut backoff = Backoff::new("store/runners");
+    let mut restarts = shared.store_restarts.subscribe();
+    let mut revision = None;
+    loop {
+        let Some(after) = revision else {
+            match shared.store.runners().await {
+                Ok(listing) => {
+                    backoff.succeeded(&shared);
+                    revision = Some(listing.revision);
+                    replace_runners(&shared, listing);
+                }
+                Err(error) => backoff.failed(&shared, &error).await,
+            }
+            continue;
+        };
+        restarts.mark_unchanged();
+        let read = tokio::select! {
+            read = shared.store.watch_runners(after, WATCH_WAIT) => read,
+            _ = restarts.changed() => continue,
+        };
+        match read {
+            Ok(changes) => {
+                backoff.succeeded(&shared);
+                revision = Some(changes.revision);
+                if !changes.items.is_empty() {
+                    apply_changes(&shared, changes);
+                    sleep(RUNNERS_PAUSE).await;
+                }
+            }
+            Err(StoreError::HistoryGone) => revision = None,
+            Err(error) => backoff.failed(&shared, &error).await,
+        }
+    }
+}
+
+fn replace_runners(shared: &Shared, listing: Listing<flaxward_routing::Runner>) {
+    let count = listing.items.len();
+    let mut tables = shared.tables();
+    tables.runners.replace(listing.items, listing.revision);
+    tables.runners_known = true;
+    tables.forget_gone_runners();
+    drop(tables);
+    let fields: &[(&str, &dyn std::fmt::Display)] =
+        &[("runners", &count), ("store_revision", &listing.revision)];
+    shared.log.write(shared.now(), "runners-listed", fields);
+    after_change(shared);
+}
+
+fn apply_changes(shared: &Shared, changes: Listing<RunnerChange>) {
+    let revision = changes.revision;
+    for change in changes.items {
+        log_change(shared, &change, revision);
+        let mut tables = shared.tables();
+        match change {
+            RunnerChange::Present(runner) => tables.runners.insert(*runner),
+            RunnerChange::Gone(id) => tables.runners.remove(&id),
+        }
+    }
+    let mut tables = shared.tables();
+    tables.runners.set_revision(revision);
+    tables.forget_gone_runners();
+    drop(tables);
+    after_change(shared);
+}
+
+fn log_change(shared: &Shared, change: &RunnerChange, revision: u64) {
+    let now = shared.now();
+    match change {
+        RunnerChange::Present(runner) => {
+            let known = shared.tables().runners.get(&runner.id).cloned();
+            let state = if runner.draining { "draining" } else { "ready" };
+            let is_news = known.is_none_or(|known| known.draining != runner.draining);
+            if is_news {
+                let fields: &[(&str, &dyn std::fmt::Display)] = &[
+                    ("runner", &runner.id),
+                    ("service", &runner.service),
+                    ("zone", &runner.zone),
+                    ("state", &state),
+                    ("store_revision", &revision),
+                ];
+                shared.log.write(now, "runner-state", fields);
+            }
+        }
+        RunnerChange::Gone(id) => {
+            let fields: &[(&str, &dyn std::fmt::Display)] = &[
+                ("runner", id),
+                ("state", &"gone"),
+                ("store_revision", &revision),
+            ];
+            shared.log.write(now, "runner-state", fields);
+        }
+    }
+}
+
+/// Wakes those who wait, and closes connections to runners that are gone.
+fn after_change(shared: &Shared) {
+    let addresses: std::collections::HashSet<std::net::SocketAddr> = shared
+        .tables()
+        .runners
+        .iter()
+        .map(|runner| runner.address)
+        .collect();
+    shared.pool.sweep(|address| addresses.contains(address));
+    shared.changed.notify_waiters();
+}
--- a/crates/operators/src/executor.rs
+++ b/crates/operators/src/executor.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeSet;
 use std::sync::Arc;
 
-use flaxward_platform::ObjectApi;
+use flaxward_backends::ObjectApi;
 use flaxward_query::{Change, Command, Edit, ModelSetting, Show, Step, Table, parse, plan};
 use flaxward_types::{ConfigurationItem, ModelName, Refusal, ResultCode, ZoneName};
 use serde::Serialize;
--- a/crates/operators/src/store.rs
+++ b/crates/operators/src/store.rs
@@ -1,7 +1,7 @@
 //! The configuration in the object API: reads all of it, writes one step of a plan.
 
+use flaxward_backends::{Collection, Object, ObjectApi, StoreError};
 use flaxward_control::configuration::Configuration;
-use flaxward_platform::{Collection, Object, ObjectApi, StoreError};
 use flaxward_query::{Current, Rejection, Step, Write, print_key};
 use flaxward_types::{ConfigurationItem, ItemKey, OperationId, Refusal, ResultCode, Revision};
 
--- a/crates/operators/tests/operators/support.rs
+++ b/crates/operators/tests/operators/support.rs
@@ -4,13 +4,13 @@
 use std::sync::{Arc, Mutex};
 
 use async_trait::async_trait;
+use flaxward_backends::{
+    Collection, Object, ObjectApi, ObjectList, Selection, StoreError, WatchEvent,
+};
 use flaxward_operators::{
     AdapterRow, ConfigRow, DaemonRow, DecisionRow, DrainRow, Executor, ModelRow, ModelState,
     PolicyRow, QuotaRow, ReplicaRow, RequestRow, RunnerRow, ServiceRow, VersionRow, Views, ZoneRow,
 };
-use flaxward_platform::{
-    Collection, Object, ObjectApi, ObjectList, Selection, StoreError, WatchEvent,
-};
 use flaxward_types::{ModelName, OperationId, Refusal, ResultCode, Revision};
 use futures::StreamExt;
 use futures::stream::BoxStream;
--- /dev/null
+++ b/crates/routing/src/lease.rs
@@ -0,0 +1,396 @@
+//! The lease of the coordinator, as one object of the store that is changed by condition.
+//!
+//! A holder counts its lease from the moment at which it *sent* the last renewal that was confirmed,
+//! and stops by its own clock. Others take the lease over when they themselves have seen no renewal
+//! for the whole duration, by their own steady clock. The term rises with each holder and is the
+//! fence of its orders.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use flaxward_types::time::Timestamp;
+use serde::{Deserialize, Serialize};
+
+/// What the lease object says.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LeaseRecord {
+    /// Name of the daemon that holds it.
+    pub holder: String,
+    /// Tells one life of the daemon from the next.
+    pub incarnation: u64,
+    /// Where the holder hears other daemons.
+    pub address: SocketAddr,
+    /// Rises with each holder.
+    pub term: u64,
+    /// Rises with each renewal.
+    pub renewals: u64,
+    /// The holder has given it back.
+    pub released: bool,
+}
+
+/// The object as read, with the revision that a change of it must name.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct StoredLease {
+    /// The record.
+    pub record: LeaseRecord,
+    /// Its revision.
+    pub revision: u64,
+}
+
+/// Durations of the protocol.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct LeaseSettings {
+    /// How long a renewal holds.
+    pub duration: Duration,
+    /// Time between renewals.
+    pub renewal: Duration,
+    /// Part of the duration that the holder leaves unused, for clocks that run at different speeds.
+    pub margin: Duration,
+    /// Time after which a daemon that hears nothing of a holder reads the lease.
+    pub silence: Duration,
+}
+
+/// A call to the store that the machine asks for.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum LeaseCall {
+    /// Read the object.
+    Read,
+    /// Make it; fails if there is one.
+    Create(LeaseRecord),
+    /// Replace it, on the condition that its revision is this one.
+    Replace(LeaseRecord, u64),
+}
+
+/// What a call came to.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum LeaseAnswer {
+    /// The object as it is now, after a read, a change, or a refused change.
+    Found(StoredLease),
+    /// There is none.
+    Missing,
+    /// The change was made; the object has this revision.
+    Written(StoredLease),
+    /// No answer, or one that says nothing of what was done.
+    Unknown,
+}
+
+/// What has changed for this daemon.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum LeaseChange {
+    /// This daemon coordinates from now on, under this term; the first order may go out at the time
+    /// given.
+    Acquired {
+        /// The term.
+        term: u64,
+        /// Earliest time of the first order, so that orders of two holders lie a lease apart.
+        orders_from: Timestamp,
+    },
+    /// This daemon no longer coordinates.
+    Lost {
+        /// The term that has ended.
+        term: u64,
+    },
+    /// Another daemon coordinates.
+    Holder {
+        /// Where it hears other daemons.
+        address: SocketAddr,
+        /// Its term.
+        term: u64,
+    },
+}
+
+#[derive(Clone, Debug, PartialEq, Eq)]
+struct Held {
+    lease: StoredLease,
+    valid_until: Timestamp,
+    renewed_at: Timestamp,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq)]
+struct Observed {
+    lease: Option<StoredLease>,
+    unchanged_since: Timestamp,
+}
+
+/// One daemon's side of the lease.
+#[derive(Debug)]
+pub struct LeaseMachine {
+    settings: LeaseSettings,
+    name: String,
+    incarnation: u64,
+    address: SocketAddr,
+    held: Option<Held>,
+    observed: Option<Observed>,
+    calling: Option<(LeaseCall, Timestamp)>,
+    next_read: Timestamp,
+    heard_at: Option<Timestamp>,
+    stopping: bool,
+}
+
+impl LeaseMachine {
+    /// A daemon that has not read the lease yet.
+    pub fn new(
+        settings: LeaseSettings,
+        name: String,
+        incarnation: u64,
+        address: SocketAddr,
+    ) -> Self {
+        Self {
+            settings,
+            name,
+            incarnation,
+            address,
+            held: None,
+            observed: None,
+            calling: None,
+            next_read: Timestamp::ZERO,
+            heard_at: None,
+            stopping: false,
+        }
+    }
+
+    /// The term under which this daemon may give orders now.
+    pub fn term(&self, now: Timestamp) -> Option<u64> {
+        let held = self.held.as_ref()?;
+        (now < held.valid_until && !self.stopping).then_some(held.lease.record.term)
+    }
+
+    /// A message of the holder of this term has come.
+    pub fn heard(&mut self, term: u64, now: Timestamp) {
+        if term >= self.observed_term() {
+            self.heard_at = Some(now);
+        }
+    }
+
+    /// A runner has seen a higher term than this daemon's, so another one coordinates.
+    pub fn refused(&mut self, term: u64) -> Option<LeaseChange> {
+        let held = self.held.take_if(|held| held.lease.record.term == term)?;
+        self.next_read = Timestamp::ZERO;
+        self.observed = None;
+        Some(LeaseChange::Lost {
+            term: held.lease.record.term,
+        })
+    }
+
+    /// This daemon stops: it takes no lease any more and gives back the one it holds.
+    pub fn stop(&mut self) {
+        self.stopping = true;
+    }
+
+    /// Whether nothing is left to give back.
+    pub fn is_released(&self) -> bool {
+        self.held.is_none()
+    }
+
+    /// When [`Self::poll`] is due at the latest.
+    pub fn next_poll(&self, now: Timestamp) -> Timestamp {
+        let idle = now + self.settings.renewal / 2;
+        match (&self.held, &self.calling) {
+            (Some(held), None) => idle.min((held.renewed_at + self.settings.renewal).max(now)),
+            _ => idle,
+        }
+    }
+
+    /// Drops a lease that has run out, and returns the call that is due.
+    pub fn poll(&mut self, now: Timestamp) -> (Option<LeaseCall>, Option<LeaseChange>) {
+        let expired = self.held.take_if(|held| now >= held.valid_until);
+        let change = expired.map(|held| {
+            self.observed = None;
+            self.next_read = now;
+            LeaseChange::Lost {
+                term: held.lease.record.term,
+            }
+        });
+        if self.calling.is_some() {
+            return (None, change);
+        }
+        let call = self.due_call(now);
+        self.calling = call.clone().map(|call| (call, now));
+        (call, change)
+    }
+
+    fn due_call(&mut self, now: Timestamp) -> Option<LeaseCall> {
+        if let Some(held) = &self.held {
+            let lease = &held.lease;
+            if self.stopping {
+                let record = LeaseRecord {
+                    released: true,
+                    ..Self::renewed(lease)
+                };
+                return Some(LeaseCall::Replace(record, lease.revision));
+            }
+            let due = now >= held.renewed_at + self.settings.renewal;
+            return due.then(|| LeaseCall::Replace(Self::renewed(lease), lease.revision));
+        }
+        if self.stopping {
+            return None;
+        }
+        if self.observed.is_none() {
+            return self.read_if_due(now);
+        }
+        if self.is_silent(now) {
+            return self.take_over_or_read(now);
+        }
+        None
+    }
+
+    fn read_if_due(&mut self, now: Timestamp) -> Option<LeaseCall> {
+        if now < self.next_read {
+            return None;
+        }
+        self.next_read = now + self.settings.silence;
+        Some(LeaseCall::Read)
+    }
+
+    fn take_over_or_read(&mut self, now: Timestamp) -> Option<LeaseCall> {
+        let observed = self.observed.as_ref()?;
+        let Some(lease) = &observed.lease else {
+            return Some(LeaseCall::Create(self.first_record()));
+        };
+        let wait = self.settings.duration + self.settings.margin;
+        let is_free = self.is_mine(lease)
+            || lease.record.released
+            || now.since(observed.unchanged_since) >= wait;
+        if !is_free {
+            return self.read_if_due(now);
+        }
+        let record = LeaseRecord {
+            term: lease.record.term + 1,
+            ..self.first_record()
+        };
+        Some(LeaseCall::Replace(record, lease.revision))
+    }
+
+    /// Takes in what a call came to.
+    pub fn answered(&mut self, answer: LeaseAnswer, now: Timestamp) -> Option<LeaseChange> {
+        let (call, sent_at) = self.calling.take()?;
+        match answer {
+            LeaseAnswer::Written(lease) => self.written(lease, sent_at),
+            LeaseAnswer::Found(lease) => self.found(lease, now),
+            LeaseAnswer::Missing => {
+                self.observed = Some(Observed {
+                    lease: None,
+                    unchanged_since: now,
+                });
+                None
+            }
+            LeaseAnswer::Unknown => {
+                if call != LeaseCall::Read && self.held.is_none() {
+                    self.observed = None;
+                    self.next_read = now;
+                }
+                self.settle_renewal(&call, now);
+                None
+            }
+        }
+    }
+
+    /// A renewal without an answer may have been done; the next one must name the revision that the
+    /// object has by then, so the object is read.
+    fn settle_renewal(&mut self, call: &LeaseCall, now: Timestamp) {
+        let Some(held) = &mut self.held else {
+            return;
+        };
+        if matches!(call, LeaseCall::Replace(..)) {
+            held.renewed_at = now - self.settings.renewal * 3 / 4;
+        }
+    }
+
+    fn written(&mut self, lease: StoredLease, sent_at: Timestamp) -> Option<LeaseChange> {
+        let term = lease.record.term;
+        if lease.record.released {
+            self.held = None;
+            self.observe(lease, sent_at);
+            return Some(LeaseChange::Lost { term });
+        }
+        let is_new = self
+            .held
+            .as_ref()
+            .is_none_or(|held| held.lease.record.term != term);
+        self.held = Some(Held {
+            valid_until: sent_at + self.settings.duration.saturating_sub(self.settings.margin),
+            renewed_at: sent_at,
+            lease,
+        });
+        let orders_from = match self.observed.take() {
+            Some(observed)
+                if observed
+                    .lease
+                    .as_ref()
+                    .is_some_and(|old| old.record.released) =>
+            {
+                observed.unchanged_since + self.settings.duration
+            }
+            _ => sent_at,
+        };
+        is_new.then_some(LeaseChange::Acquired { term, orders_from })
+    }
+
+    fn found(&mut self, lease: StoredLease, now: Timestamp) -> Option<LeaseChange> {
+        if let Some(held) = &mut self.held {
+            let same_term = held.lease.record.term == lease.record.term;
+            if same_term && held.lease.record.incarnation == lease.record.incarnation {
+                // A renewal whose answer was lost has been done.
+                held.lease = lease;
+                held.renewed_at = now - self.settings.renewal;
+                return None;
+            }
+            let term = held.lease.record.term;
+            self.held = None;
+            self.observe(lease, now);
+            return Some(LeaseChange::Lost { term });
+        }
+        let record = lease.record.clone();
+        self.observe(lease, now);
+        (!record.released).then_some(LeaseChange::Holder {
+            address: record.address,
+            term: record.term,
+        })
+    }
+
+    fn observe(&mut self, lease: StoredLease, now: Timestamp) {
+        let unchanged_since = match &self.observed {
+            Some(Observed {
+                lease: Some(seen),
+                unchanged_since,
+            }) if seen.revision == lease.revision => *unchanged_since,
+            _ => now,
+        };
+        self.observed = Some(Observed {
+            lease: Some(lease),
+            unchanged_since,
+        });
+    }
+
+    fn observed_term(&self) -> u64 {
+        let observed = self.observed.as_ref().and_then(|seen| seen.lease.as_ref());
+        observed.map_or(0, |lease| lease.record.term)
+    }
+
+    fn is_silent(&self, now: Timestamp) -> bool {
+        self.heard_at
+            .is_none_or(|at| now.since(at) >= self.settings.silence)
+    }
+
+    fn is_mine(&self, lease: &StoredLease) -> bool {
+        lease.record.holder == self.name && lease.record.incarnation == self.incarnation
+    }
+
+    fn first_record(&self) -> LeaseRecord {
+        LeaseRecord {
+            holder: self.name.clone(),
+            incarnation: self.incarnation,
+            address: self.address,
+            term: 1,
+            renewals: 0,
+            released: false,
+        }
+    }
+
+    fn renewed(lease: &StoredLease) -> LeaseRecord {
+        LeaseRecord {
+            renewals: lease.record.renewals + 1,
+            ..lease.record.clone()
+        }
+    }
+}
--- /dev/null
+++ b/crates/routing/src/lib.rs
@@ -0,0 +1,27 @@
+//! Decisions of the ingress: which route a request takes, which runner gets it, whether it is sent
+//! again, what is loaded where, and who coordinates the loads.
+//!
+//! Everything here is pure: time is an argument, randomness comes from a seed, and nothing opens a
+//! socket. `flaxward-ingress` drives these machines.
+
+#![warn(clippy::pedantic)]
+#![allow(clippy::module_name_repetitions, clippy::must_use_candidate)]
+
+pub mod attempt;
+pub mod balance;
+pub mod budget;
+pub mod configuration;
+pub mod events;
+pub mod health;
+pub mod lease;
+pub mod messages;
+pub mod names;
+pub mod placement;
+pub mod request;
+pub mod runners;
+pub mod split;
+
+pub use configuration::{Configuration, Route, RouteKind, Service};
+pub use names::{AdapterName, ModelName, RouteName, RunnerId, ServiceName, Unit, Zone};
+pub use request::RequestProfile;
+pub use runners::{Runner, RunnerTable};
--- /dev/null
+++ b/crates/routing/src/messages.rs
@@ -0,0 +1,145 @@
+//! Messages between daemons about runners and loads (postcard).
+//!
+//! Members tell the coordinator what they need and use; it tells them what is where. Every message
+//! holds whole values and no differences, so that datagrams may be lost, doubled or reordered.
+
+use std::net::SocketAddr;
+
+use serde::{Deserialize, Serialize};
+use thiserror::Error;
+
+use crate::names::{RunnerId, Unit, Zone};
+use crate::runners::RunnerHoldings;
+
+/// First byte of every message; raised when the encoding changes incompatibly.
+const WIRE_VERSION: u8 = 1;
+
+/// A message.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Message {
+    /// From a member to the coordinator.
+    Usage(Usage),
+    /// From the coordinator to a member.
+    Direction(Direction),
+}
+
+/// What a member needs and uses.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Usage {
+    /// Name of the daemon.
+    pub from: String,
+    /// Where it hears the coordinator.
+    pub address: SocketAddr,
+    /// Its zone.
+    pub zone: Zone,
+    /// Term of the coordinator that the next two fields are about.
+    pub term: u64,
+    /// Version of the holdings that it knows.
+    pub holdings_version: u64,
+    /// It stops and sends no more.
+    pub leaving: bool,
+    /// What its requests wait for.
+    pub waiting: Vec<WaitingUnit>,
+    /// What its requests have used lately.
+    pub used: Vec<UsedUnit>,
+    /// Its requests in progress, by runner and model.
+    pub running: Vec<RunningUnit>,
+}
+
+/// Requests that wait for a unit.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct WaitingUnit {
+    /// The unit.
+    pub unit: Unit,
+    /// How many.
+    pub requests: u32,
+    /// The most urgent rank among them.
+    pub priority: u8,
+}
+
+/// Requests that have used a unit.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct UsedUnit {
+    /// The unit.
+    pub unit: Unit,
+    /// Requests in the last seconds ([`USE_WINDOW_SECONDS`]).
+    pub requests: u32,
+}
+
+/// Length of the window of [`UsedUnit`], in seconds.
+pub const USE_WINDOW_SECONDS: u32 = 5;
+
+/// Requests in progress.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RunningUnit {
+    /// The runner.
+    pub runner: RunnerId,
+    /// The unit.
+    pub unit: Unit,
+    /// How many.
+    pub requests: u32,
+}
+
+/// What the coordinator tells a member.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Direction {
+    /// Term of the coordinator.
+    pub term: u64,
+    /// Where it hears members.
+    pub address: SocketAddr,
+    /// Daemons that it has heard of lately, itself included.
+    pub daemons: u32,
+    /// Version of the configuration that it knows.
+    pub configuration_version: u64,
+    /// The store's revision up to which it knows the runners.
+    pub runners_revision: u64,
+    /// The holdings below follow this version.
+    pub holdings_after: u64,
+    /// Version that a member has which knew `holdings_after` and takes in the holdings below.
+    pub holdings_version: u64,
+    /// Runners whose holdings have changed since.
+    pub holdings: Vec<RunnerHoldings>,
+    /// When units that the member's requests wait for are ready.
+    pub outlooks: Vec<UnitOutlook>,
+}
+
+/// When a unit is ready.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct UnitOutlook {
+    /// The unit.
+    pub unit: Unit,
+    /// Time until it is ready, in ms.
+    pub ready_in_ms: u32,
+}
+
+/// Why bytes are not a message.
+#[derive(Clone, Debug, PartialEq, Eq, Error)]
+pub enum MessageError {
+    /// No bytes, or another version of the encoding.
+    #[error("the message has another wire version than {WIRE_VERSION}")]
+    Version,
+    /// The bytes do not decode.
+    #[error("the message cannot be decoded: {0}")]
+    Decode(#[from] postcard::Error),
+}
+
+impl Message {
+    /// Encodes it.
+    ///
+    /// # Panics
+    /// Never: every message can be encoded into memory.
+    pub fn encode(&self) -> Vec<u8> {
+        postcard::to_extend(self, vec![WIRE_VERSION]).expect("messages encode into memory")
+    }
+
+    /// Decodes it.
+    ///
+    /// # Errors
+    /// Fails if the bytes are not a message of this version.
+    pub fn decode(bytes: &[u8]) -> Result<Self, MessageError> {
+        match bytes.split_first() {
+            Some((&WIRE_VERSION, rest)) => Ok(postcard::from_bytes(rest)?),
+            _ => Err(MessageError::Version),
+        }
+    }
+}
--- /dev/null
+++ b/crates/routing/src/names.rs
@@ -0,0 +1,102 @@
+//! Names of routes, services, models, adapters, zones and runners.
+
+use std::borrow::Borrow;
+use std::fmt;
+use std::sync::Arc;
+
+use serde::{Deserialize, Serialize};
+
+macro_rules! name {
+    ($(#[$doc:meta])* $name:ident) => {
+        $(#[$doc])*
+        #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+        pub struct $name(Arc<str>);
+
+        impl $name {
+            /// Takes the text as it is.
+            pub fn new(text: &str) -> Self {
+                Self(Arc::from(text))
+            }
+
+            /// The name as text.
+            pub fn as_str(&self) -> &str {
+                &self.0
+            }
+        }
+
+        impl Borrow<str> for $name {
+            fn borrow(&self) -> &str {
+                &self.0
+            }
+        }
+
+        impl fmt::Display for $name {
+            fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+                formatter.write_str(&self.0)
+            }
+        }
+
+        impl From<&str> for $name {
+            fn from(text: &str) -> Self {
+                Self::new(text)
+            }
+        }
+    };
+}
+
+name! {
+    /// Name of a route.
+    RouteName
+}
+name! {
+    /// Name of a service: a group of equal runners.
+    ServiceName
+}
+name! {
+    /// Name of a model.
+    ModelName
+}
+name! {
+    /// Name of an adapter, unique within its model.
+    AdapterName
+}
+name! {
+    /// Name of a zone.
+    Zone
+}
+name! {
+    /// Identity of one start of a runner; never used again.
+    RunnerId
+}
+
+/// What can be loaded into a runner: a model, or one adapter of it.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct Unit {
+    /// The service whose runners hold it.
+    pub service: ServiceName,
+    /// The model.
+    pub model: ModelName,
+    /// The adapter, if it is one.
+    pub adapter: Option<AdapterName>,
+}
+
+impl Unit {
+    /// The model itself.
+    #[must_use]
+    pub fn base(&self) -> Self {
+        Self {
+            adapter: None,
+            ..self.clone()
+        }
+    }
+}
+
+impl fmt::Display for Unit {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(formatter, "{}/{}", self.service, self.model)?;
+        match &self.adapter {
+            Some(adapter) => write!(formatter, "/{adapter}"),
+            None => Ok(()),
+        }
+    }
+}
--- /dev/null
+++ b/crates/routing/src/placement/ledger.rs
@@ -0,0 +1,451 @@
+//! What the coordinator believes of one runner: what it holds, the order under way, its order count.
+
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use flaxward_types::time::Timestamp;
+
+use crate::configuration::Engine;
+use crate::names::{ModelName, Unit};
+use crate::runners::{Holdings, Runner, RunnerHoldings};
+
+use super::{Operation, Order, OrderAnswer, PlacementSettings, Reason, RunnerReport};
+
+/// Time for which a runner gets no order after one that it called invalid or meant for another.
+const REJECTION_PAUSE: Duration = Duration::from_secs(2);
+
+/// Time for which a model that has just become ready is not dropped again.
+const FRESH: Duration = Duration::from_millis(1_500);
+
+/// How far an order has come.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Progress {
+    /// The runner's order count must be read before it is sent.
+    Ready,
+    /// It was sent at this time and has no answer yet.
+    Sent(Timestamp),
+    /// It was sent and got no answer; it is sent again at this time.
+    Unanswered {
+        /// When.
+        retry_at: Timestamp,
+    },
+    /// The runner is carrying it out.
+    Running,
+}
+
+/// An order that is not settled.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct OrderState {
+    /// The order.
+    pub order: Order,
+    /// Why it was given.
+    pub reason: Reason,
+    /// How far it has come.
+    pub progress: Progress,
+    /// When it should be done.
+    pub ready_at: Timestamp,
+}
+
+/// A load that waits until there is room.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Intent {
+    /// What is to be loaded.
+    pub unit: Unit,
+    /// Why.
+    pub reason: Reason,
+}
+
+/// One runner.
+#[derive(Debug)]
+pub struct Ledger {
+    /// The runner, as the store's list tells it.
+    pub runner: Runner,
+    /// Version of the holdings as announced; 0 before the first report.
+    pub version: u64,
+    /// The load that follows once there is room.
+    pub intent: Option<Intent>,
+    /// When the next report may be read.
+    pub next_report: Timestamp,
+    /// When the report was asked for that is under way.
+    pub report_asked_at: Option<Timestamp>,
+    holdings: Holdings,
+    pending_adapters: BTreeSet<(ModelName, crate::names::AdapterName)>,
+    order: Option<OrderState>,
+    order_count: Option<u64>,
+    /// The runner works on an order that this coordinator does not know.
+    has_unknown_order: bool,
+    is_confirmed: bool,
+    rejected_until: Timestamp,
+    ready_since: Vec<(ModelName, Timestamp)>,
+}
+
+impl Ledger {
+    /// A runner of which no report was read yet.
+    pub fn new(runner: Runner) -> Self {
+        Self {
+            runner,
+            version: 0,
+            intent: None,
+            next_report: Timestamp::ZERO,
+            report_asked_at: None,
+            holdings: Holdings::new(),
+            pending_adapters: BTreeSet::new(),
+            order: None,
+            order_count: None,
+            has_unknown_order: false,
+            is_confirmed: false,
+            rejected_until: Timestamp::ZERO,
+            ready_since: Vec::new(),
+        }
+    }
+
+    /// Whether a report was read.
+    pub fn is_confirmed(&self) -> bool {
+        self.is_confirmed
+    }
+
+    /// The order that is not settled, if there is one.
+    pub fn order_state(&self) -> Option<&OrderState> {
+        self.order.as_ref()
+    }
+
+    /// The order that is not settled, if there is one.
+    pub fn order(&self) -> Option<&Order> {
+        self.order.as_ref().map(|state| &state.order)
+    }
+
+    /// The runner's order count, if it is known.
+    pub fn order_count(&self) -> Option<u64> {
+        self.order_count
+    }
+
+    /// What is ready there, without what is being dropped.
+    pub fn announced(&self) -> RunnerHoldings {
+        let dropping = self
+            .order()
+            .filter(|order| order.operation == Operation::Unload);
+        let mut holdings = Vec::new();
+        for (model, adapters) in &self.holdings {
+            let drops = |unit: &Unit| unit.model == *model;
+            if dropping.is_some_and(|order| drops(&order.unit) && order.unit.adapter.is_none()) {
+                continue;
+            }
+            let dropped = dropping
+                .filter(|order| drops(&order.unit))
+                .and_then(|order| order.unit.adapter.as_ref());
+            let adapters = adapters
+                .iter()
+                .filter(|adapter| Some(*adapter) != dropped)
+                .cloned()
+                .collect();
+            holdings.push((model.clone(), adapters));
+        }
+        RunnerHoldings {
+            runner: self.runner.id.clone(),
+            holdings,
+        }
+    }
+
+    /// Models that lie in the runner's memory for weights.
+    pub fn models(&self) -> impl Iterator<Item = &ModelName> {
+        self.holdings.keys()
+    }
+
+    /// Whether a unit is there, or is being dropped.
+    pub fn has(&self, unit: &Unit) -> bool {
+        let Some(adapters) = self.holdings.get(&unit.model) else {
+            return false;
+        };
+        unit.adapter
+            .as_ref()
+            .is_none_or(|adapter| adapters.contains(adapter))
+    }
+
+    /// Whether a unit is ready and stays.
+    pub fn offers(&self, unit: &Unit) -> bool {
+        let is_dropping = self.order().is_some_and(|order| {
+            order.operation == Operation::Unload
+                && order.unit.model == unit.model
+                && (order.unit.adapter.is_none() || order.unit.adapter == unit.adapter)
+        });
+        self.has(unit) && !is_dropping && !self.runner.draining
+    }
+
+    /// Whether a unit is being loaded, or will be.
+    pub fn will_offer(&self, unit: &Unit) -> bool {
+        let loads = self
+            .order()
+            .is_some_and(|order| order.operation == Operation::Load && order.unit == *unit);
+        let pending = unit.adapter.as_ref().is_some_and(|adapter| {
+            self.pending_adapters
+                .contains(&(unit.model.clone(), adapter.clone()))
+        });
+        let intends = self
+            .intent
+            .as_ref()
+            .is_some_and(|intent| intent.unit == *unit);
+        !self.runner.draining && (loads || pending || intends)
+    }
+
+    /// Whether it may be given orders at all.
+    pub fn takes_orders(&self, now: Timestamp) -> bool {
+        self.is_confirmed && !self.runner.draining && now >= self.rejected_until
+    }
+
+    /// Whether the next order can go out.
+    pub fn is_free(&self, now: Timestamp) -> bool {
+        self.takes_orders(now) && self.order.is_none() && !self.has_unknown_order
+    }
+
+    /// When the order under way should be done.
+    pub fn free_at(&self, now: Timestamp) -> Timestamp {
+        self.order
+            .as_ref()
+            .map_or(now, |order| order.ready_at.max(now))
+    }
+
+    /// Memory for weights that is free once the order under way is done, in MB. What is being
+    /// dropped still counts.
+    pub fn free_mb(&self, engine: &Engine) -> f64 {
+        let mut used = 0.0;
+        let mut pending_models = BTreeSet::new();
+        if let Some(order) = self.order()
+            && order.operation == Operation::Load
+            && order.unit.adapter.is_none()
+            && !self.holdings.contains_key(&order.unit.model)
+        {
+            pending_models.insert(&order.unit.model);
+        }
+        for model in self.holdings.keys().chain(pending_models) {
+            let Some(specification) = engine.models.get(model) else {
+                return 0.0;
+            };
+            used += specification.weights_mb;
+        }
+        for (model, _) in self.adapters() {
+            used += engine
+                .models
+                .get(&model)
+                .map_or(0.0, |specification| specification.adapter_mb);
+        }
+        engine.weights_mb - used
+    }
+
+    /// Adapters that are there or on their way.
+    pub fn adapters(&self) -> BTreeSet<(ModelName, crate::names::AdapterName)> {
+        let mut adapters = self.pending_adapters.clone();
+        for (model, names) in &self.holdings {
+            adapters.extend(names.iter().map(|name| (model.clone(), name.clone())));
+        }
+        if let Some(order) = self.order()
+            && order.operation == Operation::Load
+            && let Some(adapter) = &order.unit.adapter
+        {
+            adapters.insert((order.unit.model.clone(), adapter.clone()));
+        }
+        adapters
+    }
+
+    /// Adapters on their way.
+    pub fn pending_adapter_count(&self) -> usize {
+        self.pending_adapters.len()
+    }
+
+    /// Whether a model has become ready a moment ago.
+    pub fn is_fresh(&self, model: &ModelName, now: Timestamp) -> bool {
+        self.ready_since
+            .iter()
+            .any(|(name, at)| name == model && now.since(*at) < FRESH)
+    }
+
+    /// Begins an order.
+    pub fn begin(&mut self, order: Order, reason: Reason, ready_at: Timestamp) {
+        if self.intent.as_ref().is_some_and(|i| i.unit == order.unit) {
+            self.intent = None;
+        }
+        self.order = Some(OrderState {
+            order,
+            reason,
+            progress: Progress::Ready,
+            ready_at,
+        });
+    }
+
+    /// The order to send now with the order count that it expects, if one is due.
+    pub fn due_order(&mut self, now: Timestamp) -> Option<(Order, u64, Reason)> {
+        let count = self.order_count?;
+        let state = self.order.as_mut()?;
+        let is_due = match state.progress {
+            Progress::Ready => true,
+            Progress::Unanswered { retry_at } => now >= retry_at,
+            Progress::Sent(_) | Progress::Running => false,
+        };
+        if !is_due {
+            return None;
+        }
+        state.progress = Progress::Sent(now);
+        Some((state.order.clone(), count, state.reason))
+    }
+
+    /// Whether a report is due.
+    pub fn report_is_due(&self, now: Timestamp) -> bool {
+        if self.report_asked_at.is_some() || now < self.next_report {
+            return false;
+        }
+        if !self.is_confirmed || self.order_count.is_none() || self.has_unknown_order {
+            return true;
+        }
+        let polls = |state: &OrderState| match state.progress {
+            Progress::Running | Progress::Unanswered { .. } => true,
+            Progress::Ready | Progress::Sent(_) => false,
+        };
+        self.order.as_ref().is_some_and(polls) || !self.pending_adapters.is_empty()
+    }
+
+    /// Takes in the answer to the order under way.
+    pub fn answered(
+        &mut self,
+        answer: OrderAnswer,
+        load_time: Option<Duration>,
+        now: Timestamp,
+        settings: &PlacementSettings,
+    ) {
+        let Some(mut state) = self.order.take() else {
+            return;
+        };
+        match answer {
+            OrderAnswer::Accepted => self.accepted(state, load_time, now, settings),
+            OrderAnswer::AlreadyDone => {
+                self.settle(&state.order, now);
+                self.order_count = None;
+                self.next_report = now + settings.report_lag;
+            }
+            OrderAnswer::Conflict => {
+                // Another order was taken, perhaps an earlier one that came late.
+                self.order_count = None;
+                self.next_report = now + settings.report_lag;
+            }
+            OrderAnswer::FencedOff => {}
+            OrderAnswer::OtherRunner | OrderAnswer::Invalid => {
+                self.rejected_until = now + REJECTION_PAUSE;
+                self.order_count = None;
+                self.next_report = self.rejected_until;
+            }
+            OrderAnswer::Unknown => {
+                state.progress = Progress::Unanswered {
+                    retry_at: now + settings.order_retry,
+                };
+                self.order = Some(state);
+            }
+        }
+    }
+
+    fn accepted(
+        &mut self,
+        mut state: OrderState,
+        load_time: Option<Duration>,
+        now: Timestamp,
+        settings: &PlacementSettings,
+    ) {
+        self.order_count = self.order_count.map(|count| count + 1);
+        if let Some(adapter) = &state.order.unit.adapter {
+            match state.order.operation {
+                Operation::Load => {
+                    let key = (state.order.unit.model.clone(), adapter.clone());
+                    self.pending_adapters.insert(key);
+                }
+                Operation::Unload => self.settle(&state.order, now),
+            }
+            self.next_report = now + settings.report_lag;
+            return;
+        }
+        let expected = match state.order.operation {
+            Operation::Load => load_time.unwrap_or_default(),
+            Operation::Unload => Duration::ZERO,
+        };
+        state.progress = Progress::Running;
+        state.ready_at = now + expected;
+        self.next_report = now + expected.max(settings.report_lag);
+        self.order = Some(state);
+    }
+
+    /// Takes in a report.
+    pub fn reported(
+        &mut self,
+        report: RunnerReport,
+        asked_at: Timestamp,
+        now: Timestamp,
+        settings: &PlacementSettings,
+    ) {
+        self.next_report = now + settings.report_interval;
+        let is_stale = self
+            .order_count
+            .is_some_and(|count| report.order_count < count);
+        if is_stale {
+            return;
+        }
+        let is_ahead = self.order_count != Some(report.order_count);
+        self.order_count = Some(report.order_count);
+        self.is_confirmed = true;
+        if let Some(mut state) = self.order.take() {
+            let unanswered = matches!(state.progress, Progress::Unanswered { .. });
+            if is_ahead && unanswered {
+                state.progress = Progress::Running;
+            }
+            let done = match state.order.operation {
+                Operation::Load => holds(&report.holdings, &state.order.unit),
+                Operation::Unload => !holds(&report.holdings, &state.order.unit),
+            };
+            let is_running = state.progress == Progress::Running;
+            if done && !report.is_busy && is_running {
+                self.note_ready(&state.order, now);
+            } else if is_running && !report.is_busy && !done && asked_at > state.ready_at {
+                // The runner no longer works on it and has not done it.
+                self.order_count = Some(report.order_count);
+            } else {
+                self.order = Some(state);
+            }
+        }
+        self.has_unknown_order = report.is_busy && self.order.is_none();
+        self.pending_adapters = report.pending;
+        self.holdings = report.holdings;
+    }
+
+    fn settle(&mut self, order: &Order, now: Timestamp) {
+        let unit = &order.unit;
+        match (order.operation, &unit.adapter) {
+            (Operation::Load, None) => {
+                self.holdings.entry(unit.model.clone()).or_default();
+            }
+            (Operation::Load, Some(adapter)) => {
+                let adapters = self.holdings.entry(unit.model.clone()).or_default();
+                adapters.insert(adapter.clone());
+            }
+            (Operation::Unload, None) => {
+                self.holdings.remove(&unit.model);
+            }
+            (Operation::Unload, Some(adapter)) => {
+                if let Some(adapters) = self.holdings.get_mut(&unit.model) {
+                    adapters.remove(adapter);
+                }
+            }
+        }
+        self.note_ready(order, now);
+    }
+
+    fn note_ready(&mut self, order: &Order, now: Timestamp) {
+        if order.operation == Operation::Load && order.unit.adapter.is_none() {
+            self.ready_since
+                .retain(|(model, at)| *model != order.unit.model && now.since(*at) < FRESH);
+            self.ready_since.push((order.unit.model.clone(), now));
+        }
+    }
+}
+
+fn holds(holdings: &Holdings, unit: &Unit) -> bool {
+    match (holdings.get(&unit.model), &unit.adapter) {
+        (None, _) => false,
+        (Some(_), None) => true,
+        (Some(adapters), Some(adapter)) => adapters.contains(adapter),
+    }
+}
--- /dev/null
+++ b/crates/routing/src/placement/mod.rs
@@ -0,0 +1,377 @@
+//! What is loaded where: the coordinator's side.
+//!
+//! The coordinator keeps a [`ledger`] for each model runner, hears from all daemons what their
+//! requests wait for and use ([`demand`]), and decides on orders ([`planner`]). It records nothing in
+//! the store but its lease: a new coordinator reads the reports of the runners before it orders
+//! anything. An order without an answer stays counted in the ledger until the runner's order count
+//! or report settles it.
+
+pub mod demand;
+pub mod ledger;
+mod planner;
+mod victims;
+
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use flaxward_types::time::{Timestamp, millis};
+
+use crate::configuration::{Configuration, Engine};
+use crate::messages::{Direction, UnitOutlook, Usage};
+use crate::names::{AdapterName, ModelName, RunnerId, ServiceName, Unit};
+use crate::runners::{Holdings, Runner, RunnerHoldings};
+
+use demand::Demands;
+use ledger::{Ledger, OrderState};
+
+/// Runners in one message at most, so that it fits a datagram.
+const RUNNERS_A_MESSAGE: usize = 8;
+
+/// Load or unload.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum Operation {
+    /// Bring the unit in.
+    Load,
+    /// Drop it.
+    Unload,
+}
+
+/// An order for a runner.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct Order {
+    /// What to do.
+    pub operation: Operation,
+    /// With what.
+    pub unit: Unit,
+}
+
+/// A runner's answer to an order.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum OrderAnswer {
+    /// It is being carried out.
+    Accepted,
+    /// It already holds.
+    AlreadyDone,
+    /// Another order is under way, or the order count is another one.
+    Conflict,
+    /// The runner has seen a higher fence.
+    FencedOff,
+    /// Another runner has the address.
+    OtherRunner,
+    /// The runner does not know such an order.
+    Invalid,
+    /// No answer: the order may have been taken, or may be later.
+    Unknown,
+}
+
+/// A runner's report of itself.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct RunnerReport {
+    /// What it holds.
+    pub holdings: Holdings,
+    /// Adapters on their way.
+    pub pending: BTreeSet<(ModelName, AdapterName)>,
+    /// An order is under way.
+    pub is_busy: bool,
+    /// Orders that it has taken.
+    pub order_count: u64,
+    /// Requests that run.
+    pub running: u32,
+    /// Requests that wait.
+    pub waiting: u32,
+}
+
+/// What the coordinator wants done.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Action {
+    /// Send an order.
+    Order {
+        /// The runner.
+        runner: RunnerId,
+        /// Where it listens.
+        address: SocketAddr,
+        /// The order.
+        order: Order,
+        /// The order count that the runner must have.
+        expected_count: u64,
+        /// Why, for the log.
+        reason: Reason,
+    },
+    /// Read a report.
+    Report {
+        /// The runner.
+        runner: RunnerId,
+        /// Where it listens.
+        address: SocketAddr,
+    },
+}
+
+/// Why an order is given.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum Reason {
+    /// Requests wait for the unit.
+    Demand,
+    /// The unit is used so much that it gets another copy.
+    Replica,
+    /// The unit makes room for another one.
+    Room,
+}
+
+/// Durations and shares of the placement.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct PlacementSettings {
+    /// Time after which an order without an answer is sent again.
+    pub order_retry: Duration,
+    /// Time between reports of a runner with an order under way.
+    pub report_interval: Duration,
+    /// How late a report may be.
+    pub report_lag: Duration,
+    /// Time without a word after which a member no longer counts.
+    pub member_timeout: Duration,
+    /// Window over which loads from the weight store are bounded.
+    pub load_window: Duration,
+}
+
+impl Default for PlacementSettings {
+    fn default() -> Self {
+        Self {
+            order_retry: Duration::from_millis(400),
+            report_interval: Duration::from_millis(150),
+            report_lag: Duration::from_millis(150),
+            member_timeout: Duration::from_secs(4),
+            load_window: Duration::from_secs(5),
+        }
+    }
+}
+
+/// The coordinator's state under one term.
+#[derive(Debug)]
+pub struct Placement {
+    settings: PlacementSettings,
+    engines: BTreeMap<ServiceName, Engine>,
+    ledgers: BTreeMap<RunnerId, Ledger>,
+    demands: Demands,
+    store_loads: BTreeMap<ServiceName, VecDeque<Timestamp>>,
+    started_at: Timestamp,
+    orders_from: Timestamp,
+    version: u64,
+}
+
+impl Placement {
+    /// A coordinator that has just got the lease and gives no order before `orders_from`.
+    pub fn new(settings: PlacementSettings, now: Timestamp, orders_from: Timestamp) -> Self {
+        Self {
+            settings,
+            engines: BTreeMap::new(),
+            ledgers: BTreeMap::new(),
+            demands: Demands::new(settings.member_timeout),
+            store_loads: BTreeMap::new(),
+            started_at: now,
+            orders_from,
+            version: 1,
+        }
+    }
+
+    /// Takes in the engines of a configuration.
+    pub fn configure(&mut self, configuration: &Configuration) {
+        self.engines = configuration
+            .services()
+            .filter_map(|service| Some((service.name.clone(), service.engine.clone()?)))
+            .collect();
+    }
+
+    /// Takes in the list of runners.
+    pub fn set_runners<'a>(&mut self, runners: impl Iterator<Item = &'a Runner>) {
+        let mut seen = BTreeSet::new();
+        for runner in runners {
+            if !self.engines.contains_key(&runner.service) {
+                continue;
+            }
+            seen.insert(runner.id.clone());
+            let ledger = self
+                .ledgers
+                .entry(runner.id.clone())
+                .or_insert_with(|| Ledger::new(runner.clone()));
+            ledger.runner = runner.clone();
+        }
+        self.ledgers.retain(|id, _| seen.contains(id));
+    }
+
+    /// Takes in what a member needs and uses, and returns what it is told at once.
+    pub fn usage(&mut self, usage: Usage, now: Timestamp) {
+        self.demands.update(usage, now);
+    }
+
+    /// What a member is told, in messages that fit a datagram each.
+    pub fn directions(&self, member: &str, header: &Direction, now: Timestamp) -> Vec<Direction> {
+        let Some(known) = self.demands.member(member) else {
+            return Vec::new();
+        };
+        let known_version = if known.term == header.term {
+            known.holdings_version
+        } else {
+            0
+        };
+        let mut changed: Vec<&Ledger> = self
+            .ledgers
+            .values()
+            .filter(|ledger| ledger.is_confirmed() && ledger.version > known_version)
+            .collect();
+        changed.sort_by_key(|ledger| ledger.version);
+        let mut directions = Vec::new();
+        let mut after = known_version;
+        for part in changed.chunks(RUNNERS_A_MESSAGE) {
+            let last = part.last().map_or(after, |ledger| ledger.version);
+            directions.push(Direction {
+                holdings_after: after,
+                holdings_version: last,
+                holdings: part.iter().map(|ledger| ledger.announced()).collect(),
+                ..header.clone()
+            });
+            after = last;
+        }
+        if directions.is_empty() {
+            directions.push(Direction {
+                holdings_after: known_version,
+                holdings_version: known_version,
+                ..header.clone()
+            });
+        }
+        let waiting = known.waiting.iter();
+        directions[0].outlooks = waiting
+            .filter_map(|waiting| self.outlook(&waiting.unit, now))
+            .collect();
+        directions
+    }
+
+    /// Addresses of the members that live.
+    pub fn members(&self, now: Timestamp) -> Vec<(String, SocketAddr)> {
+        self.demands.live_members(now)
+    }
+
+    /// Version of the holdings; rises with each change.
+    pub fn version(&self) -> u64 {
+        self.version
+    }
+
+    /// What a runner holds, for those who ask why.
+    pub fn announced(&self) -> impl Iterator<Item = RunnerHoldings> + '_ {
+        self.ledgers
+            .values()
+            .filter(|ledger| ledger.is_confirmed())
+            .map(Ledger::announced)
+    }
+
+    /// Takes in a report that was asked for at a time.
+    pub fn reported(
+        &mut self,
+        runner: &RunnerId,
+        report: Option<RunnerReport>,
+        asked_at: Timestamp,
+        now: Timestamp,
+    ) {
+        let Some(ledger) = self.ledgers.get_mut(runner) else {
+            return;
+        };
+        ledger.report_asked_at = None;
+        let Some(report) = report else {
+            ledger.next_report = now + self.settings.order_retry;
+            return;
+        };
+        let before = ledger.announced();
+        ledger.reported(report, asked_at, now, &self.settings);
+        if ledger.announced() != before || ledger.version == 0 {
+            self.version += 1;
+            ledger.version = self.version;
+        }
+    }
+
+    /// Takes in the answer to the order under way at a runner.
+    pub fn answered(&mut self, runner: &RunnerId, answer: OrderAnswer, now: Timestamp) {
+        let Some(ledger) = self.ledgers.get_mut(runner) else {
+            return;
+        };
+        let load_time = ledger
+            .order()
+            .and_then(|order| engine_load_time(&self.engines, ledger, &order.unit));
+        let before = ledger.announced();
+        ledger.answered(answer, load_time, now, &self.settings);
+        if ledger.announced() != before {
+            self.version += 1;
+            ledger.version = self.version;
+        }
+    }
+
+    /// When a unit is ready, if it is on its way or a place for it can be named.
+    fn outlook(&self, unit: &Unit, now: Timestamp) -> Option<UnitOutlook> {
+        let under_way = self.ledgers.values().filter_map(|ledger| {
+            let order = ledger.order_state()?;
+            let is_this = order.order.operation == Operation::Load && order.order.unit == *unit;
+            is_this.then(|| order.ready_at.since(now))
+        });
+        let intended = self.ledgers.values().filter_map(|ledger| {
+            let wanted = ledger.intent.as_ref()?;
+            let load = engine_load_time(&self.engines, ledger, unit)?;
+            (wanted.unit == *unit).then(|| load + UNLOAD_TIME)
+        });
+        let soonest = under_way.chain(intended).min();
+        let wait = match soonest {
+            Some(wait) => wait,
+            None => self.queue_estimate(unit, now)?,
+        };
+        Some(UnitOutlook {
+            unit: unit.clone(),
+            ready_in_ms: u32::try_from(millis(wait)).unwrap_or(u32::MAX),
+        })
+    }
+
+    /// Time until a unit could be ready that has no place yet.
+    fn queue_estimate(&self, unit: &Unit, now: Timestamp) -> Option<Duration> {
+        let engine = self.engines.get(&unit.service)?;
+        engine.models.get(&unit.model)?;
+        let soonest = self
+            .ledgers
+            .values()
+            .filter(|ledger| ledger.runner.service == unit.service && ledger.takes_orders(now))
+            .filter_map(|ledger| {
+                let load = engine_load_time(&self.engines, ledger, unit)?;
+                Some(ledger.free_at(now).since(now) + load + UNLOAD_TIME)
+            })
+            .min()?;
+        let lease_wait = self.orders_from.since(now);
+        Some(soonest + lease_wait + self.ceiling_wait(&unit.service, now))
+    }
+
+    /// Orders not yet settled, for the log.
+    pub fn orders(&self) -> impl Iterator<Item = (&RunnerId, &OrderState)> {
+        self.ledgers
+            .iter()
+            .filter_map(|(id, ledger)| Some((id, ledger.order_state()?)))
+    }
+}
+
+/// Time that an unload is expected to take.
+const UNLOAD_TIME: Duration = Duration::from_millis(300);
+
+/// Time that an adapter is expected to take.
+const ADAPTER_TIME: Duration = Duration::from_millis(60);
+
+/// Time that a load of a unit takes at a runner.
+fn engine_load_time(
+    engines: &BTreeMap<ServiceName, Engine>,
+    ledger: &Ledger,
+    unit: &Unit,
+) -> Option<Duration> {
+    let specification = engines.get(&unit.service)?.models.get(&unit.model)?;
+    if unit.adapter.is_some() {
+        return Some(ADAPTER_TIME);
+    }
+    Some(if ledger.runner.in_memory.contains(&unit.model) {
+        specification.memory_load
+    } else if ledger.runner.on_disk.contains(&unit.model) {
+        specification.disk_load
+    } else {
+        specification.store_load
+    })
+}
--- /dev/null
+++ b/crates/routing/src/placement/planner.rs
@@ -0,0 +1,365 @@
+//! Which order goes to which runner.
+
+use std::cmp::Ordering;
+use std::time::Duration;
+
+use flaxward_types::time::Timestamp;
+
+use crate::configuration::Engine;
+use crate::names::{RunnerId, ServiceName, Unit};
+
+use super::demand::WantedUnit;
+use super::ledger::{Intent, Ledger};
+use super::victims::Victims;
+use super::{Action, Operation, Order, Placement, Reason, UNLOAD_TIME, engine_load_time};
+
+/// Requests a second from which a model is busy and keeps several copies.
+pub(super) const BUSY_RATE: f64 = 0.7;
+/// Copies of a busy model, one for each zone up to this number.
+const BUSY_COPIES: usize = 3;
+/// Requests a second that one copy serves without being crowded.
+const RATE_A_COPY: f64 = 8.0;
+/// Adapters on their way to one runner at most.
+const PENDING_ADAPTERS: usize = 3;
+/// Part of the ceiling of loads that is used for copies which nobody waits for.
+const REPLICA_SHARE: f64 = 0.5;
+/// Highest price of what is dropped for a copy that nobody waits for, in ms.
+const REPLICA_PRICE_MS: f64 = 700.0;
+
+/// A runner that could take a model.
+struct Candidate {
+    runner: RunnerId,
+    victims: Victims,
+    cost_ms: f64,
+}
+
+impl Placement {
+    /// Decides and returns what is to be done now.
+    pub fn plan(&mut self, now: Timestamp) -> Vec<Action> {
+        let mut actions = self.due_reports(now);
+        if now < self.orders_from {
+            return actions;
+        }
+        self.follow_intents(now);
+        let wanted = self.demands.wanted(now);
+        for wanted in &wanted {
+            self.serve(wanted, now);
+        }
+        if wanted.is_empty() {
+            self.add_replicas(now);
+        }
+        actions.extend(self.due_orders(now));
+        actions
+    }
+
+    fn due_reports(&mut self, now: Timestamp) -> Vec<Action> {
+        let due = self
+            .ledgers
+            .values_mut()
+            .filter(|ledger| ledger.report_is_due(now));
+        due.map(|ledger| {
+            ledger.report_asked_at = Some(now);
+            Action::Report {
+                runner: ledger.runner.id.clone(),
+                address: ledger.runner.address,
+            }
+        })
+        .collect()
+    }
+
+    fn due_orders(&mut self, now: Timestamp) -> Vec<Action> {
+        let mut actions = Vec::new();
+        for ledger in self.ledgers.values_mut() {
+            let Some((order, expected_count, reason)) = ledger.due_order(now) else {
+                continue;
+            };
+            if counts_as_store_load(ledger, &order) {
+                let loads = self.store_loads.entry(ledger.runner.service.clone());
+                loads.or_default().push_back(now);
+            }
+            actions.push(Action::Order {
+                runner: ledger.runner.id.clone(),
+                address: ledger.runner.address,
+                order,
+                expected_count,
+                reason,
+            });
+        }
+        actions
+    }
+
+    /// Goes on with loads for which room was being made.
+    fn follow_intents(&mut self, now: Timestamp) {
+        let ready: Vec<(RunnerId, Intent)> = self
+            .ledgers
+            .iter()
+            .filter(|(_, ledger)| ledger.is_free(now))
+            .filter_map(|(id, ledger)| Some((id.clone(), ledger.intent.clone()?)))
+            .collect();
+        for (runner, intent) in ready {
+            let is_served = self.is_offered(&intent.unit);
+            if let Some(ledger) = self.ledgers.get_mut(&runner) {
+                ledger.intent = None;
+            }
+            if !is_served || intent.reason == Reason::Replica {
+                self.load_at(&runner, &intent.unit, intent.reason, now);
+            }
+        }
+    }
+
+    /// Sees to it that a unit which requests wait for gets ready somewhere.
+    fn serve(&mut self, wanted: &WantedUnit, now: Timestamp) {
+        let unit = &wanted.unit;
+        if self.is_offered(unit) || self.is_coming(unit) {
+            return;
+        }
+        if unit.adapter.is_some() {
+            self.serve_adapter(unit, now);
+        } else if let Some(candidate) = self.best_candidate(unit, now) {
+            self.load_at(&candidate.runner, unit, Reason::Demand, now);
+        }
+    }
+
+    fn serve_adapter(&mut self, unit: &Unit, now: Timestamp) {
+        let base = unit.base();
+        if !self.is_offered(&base) {
+            if !self.is_coming(&base)
+                && let Some(candidate) = self.best_candidate(&base, now)
+            {
+                self.load_at(&candidate.runner, &base, Reason::Demand, now);
+            }
+            return;
+        }
+        let Some(engine) = self.engines.get(&unit.service) else {
+            return;
+        };
+        let best = self
+            .ledgers
+            .values()
+            .filter(|ledger| ledger.offers(&base) && ledger.is_free(now))
+            .filter(|ledger| ledger.pending_adapter_count() < PENDING_ADAPTERS)
+            .min_by_key(|ledger| ledger.adapters().len());
+        let Some(ledger) = best else {
+            return;
+        };
+        let has_slot = ledger.adapters().len() < engine.adapter_slots;
+        let size = engine.models.get(&unit.model).map_or(0.0, |m| m.adapter_mb);
+        let has_room = ledger.free_mb(engine) >= size;
+        let runner = ledger.runner.id.clone();
+        if has_slot && has_room {
+            self.begin(&runner, Operation::Load, unit.clone(), Reason::Demand, now);
+        } else if let Some(victim) = self.adapter_victim(ledger, now) {
+            self.begin(&runner, Operation::Unload, victim, Reason::Room, now);
+        }
+    }
+
+    /// Gives busy models further copies while nobody waits.
+    fn add_replicas(&mut self, now: Timestamp) {
+        for (unit, rate) in self.demands.busy_models(now) {
+            if rate < BUSY_RATE {
+                return;
+            }
+            let is_known = self
+                .engines
+                .get(&unit.service)
+                .is_some_and(|engine| engine.models.contains_key(&unit.model));
+            let copies = self.copies(&unit);
+            if !is_known || copies >= self.wanted_copies(&unit, rate) || self.is_coming(&unit) {
+                continue;
+            }
+            if !self.has_ceiling(&unit.service, REPLICA_SHARE, now) {
+                continue;
+            }
+            let Some(candidate) = self.best_candidate(&unit, now) else {
+                continue;
+            };
+            if candidate.victims.price_ms <= REPLICA_PRICE_MS {
+                self.load_at(&candidate.runner, &unit, Reason::Replica, now);
+                return;
+            }
+        }
+    }
+
+    /// Loads a model at a runner, or first makes room for it.
+    fn load_at(&mut self, runner: &RunnerId, unit: &Unit, reason: Reason, now: Timestamp) {
+        let Some(engine) = self.engines.get(&unit.service) else {
+            return;
+        };
+        let Some(ledger) = self.ledgers.get(runner) else {
+            return;
+        };
+        if ledger.has(unit) {
+            return;
+        }
+        let Some(victims) = self.victims_for(ledger, engine, unit, now) else {
+            return;
+        };
+        let Some(victim) = victims.models.first() else {
+            self.begin(runner, Operation::Load, unit.clone(), reason, now);
+            return;
+        };
+        let victim = Unit {
+            model: victim.clone(),
+            ..unit.base()
+        };
+        if let Some(ledger) = self.ledgers.get_mut(runner) {
+            ledger.intent = Some(Intent {
+                unit: unit.clone(),
+                reason,
+            });
+        }
+        self.begin(runner, Operation::Unload, victim, Reason::Room, now);
+    }
+
+    fn begin(
+        &mut self,
+        runner: &RunnerId,
+        operation: Operation,
+        unit: Unit,
+        reason: Reason,
+        now: Timestamp,
+    ) {
+        let Some(ledger) = self.ledgers.get_mut(runner) else {
+            return;
+        };
+        let expected = match operation {
+            Operation::Load => engine_load_time(&self.engines, ledger, &unit),
+            Operation::Unload => Some(UNLOAD_TIME),
+        };
+        let ready_at = now + expected.unwrap_or_default();
+        let before = ledger.announced();
+        ledger.begin(Order { operation, unit }, reason, ready_at);
+        if ledger.announced() != before {
+            self.version += 1;
+            ledger.version = self.version;
+        }
+    }
+
+    fn best_candidate(&self, unit: &Unit, now: Timestamp) -> Option<Candidate> {
+        let engine = self.engines.get(&unit.service)?;
+        engine.models.get(&unit.model)?;
+        let has_ceiling = self.has_ceiling(&unit.service, 1.0, now);
+        self.ledgers
+            .values()
+            .filter(|ledger| ledger.runner.service == unit.service)
+            .filter(|ledger| ledger.is_free(now) && ledger.intent.is_none() && !ledger.has(unit))
+            .filter(|ledger| has_ceiling || !loads_from_store(ledger, unit))
+            .filter_map(|ledger| self.candidate(ledger, engine, unit, now))
+            .min_by(|left, right| {
+                let by_cost = left.cost_ms.total_cmp(&right.cost_ms);
+                by_cost.then_with(|| left.runner.cmp(&right.runner))
+            })
+    }
+
+    fn candidate(
+        &self,
+        ledger: &Ledger,
+        engine: &Engine,
+        unit: &Unit,
+        now: Timestamp,
+    ) -> Option<Candidate> {
+        let victims = self.victims_for(ledger, engine, unit, now)?;
+        let load = engine_load_time(&self.engines, ledger, unit)?;
+        let zone_has_copy = self.ledgers.values().any(|other| {
+            other.runner.zone == ledger.runner.zone
+                && (other.offers(unit) || other.will_offer(unit))
+        });
+        let zone_price = if zone_has_copy { 500.0 } else { 0.0 };
+        let leaves = ledger.runner.leaves_in.is_some();
+        let leave_price = if leaves { 1e9 } else { 0.0 };
+        Some(Candidate {
+            runner: ledger.runner.id.clone(),
+            cost_ms: load.as_secs_f64() * 1_000.0 + victims.price_ms + zone_price + leave_price,
+            victims,
+        })
+    }
+
+    pub(super) fn is_offered(&self, unit: &Unit) -> bool {
+        self.of_service(&unit.service)
+            .any(|ledger| ledger.offers(unit))
+    }
+
+    fn is_coming(&self, unit: &Unit) -> bool {
+        self.of_service(&unit.service)
+            .any(|ledger| ledger.will_offer(unit))
+    }
+
+    /// Runners that offer a unit or will.
+    pub(super) fn copies(&self, unit: &Unit) -> usize {
+        self.of_service(&unit.service)
+            .filter(|ledger| ledger.offers(unit) || ledger.will_offer(unit))
+            .count()
+    }
+
+    /// Copies that a model should have at a rate of requests.
+    pub(super) fn wanted_copies(&self, unit: &Unit, rate: f64) -> usize {
+        let runners = self.of_service(&unit.service).count();
+        if rate < BUSY_RATE {
+            return 1;
+        }
+        #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+        let for_rate = (rate / RATE_A_COPY).ceil() as usize;
+        for_rate.max(BUSY_COPIES).min(runners.div_ceil(2).max(1))
+    }
+
+    /// Whether a request waits for a unit or for an adapter of it.
+    pub(super) fn waits_for(&self, unit: &Unit) -> bool {
+        self.demands.is_waited_for(unit)
+    }
+
+    fn of_service<'a>(&'a self, service: &'a ServiceName) -> impl Iterator<Item = &'a Ledger> {
+        self.ledgers
+            .values()
+            .filter(move |ledger| ledger.runner.service == *service)
+    }
+
+    /// Whether a further load from the weight store stays under a share of the ceiling. A new
+    /// coordinator does not know the loads of the one before it and counts half of them as done.
+    fn has_ceiling(&self, service: &ServiceName, share: f64, now: Timestamp) -> bool {
+        let Some(engine) = self.engines.get(service) else {
+            return false;
+        };
+        let window = self.settings.load_window;
+        let allowed = engine.loads_per_second * window.as_secs_f64() * share;
+        let inherited = if now.since(self.started_at) < window {
+            allowed / 2.0
+        } else {
+            0.0
+        };
+        let recent = self.recent_store_loads(service, now);
+        (f64::from(recent) + inherited + 1.0).total_cmp(&allowed.max(1.0)) != Ordering::Greater
+    }
+
+    fn recent_store_loads(&self, service: &ServiceName, now: Timestamp) -> u32 {
+        let start = now - self.settings.load_window;
+        let loads = self.store_loads.get(service);
+        let count = loads.map_or(0, |loads| loads.iter().filter(|&&at| at >= start).count());
+        u32::try_from(count).unwrap_or(u32::MAX)
+    }
+
+    /// Time until the ceiling allows a further load.
+    pub(super) fn ceiling_wait(&self, service: &ServiceName, now: Timestamp) -> Duration {
+        if self.has_ceiling(service, 1.0, now) {
+            return Duration::ZERO;
+        }
+        let start = now - self.settings.load_window;
+        let oldest = self
+            .store_loads
+            .get(service)
+            .and_then(|loads| loads.iter().find(|&&at| at >= start));
+        oldest.map_or(Duration::ZERO, |&at| {
+            (at + self.settings.load_window).since(now)
+        })
+    }
+}
+
+fn loads_from_store(ledger: &Ledger, unit: &Unit) -> bool {
+    let runner = &ledger.runner;
+    !runner.in_memory.contains(&unit.model) && !runner.on_disk.contains(&unit.model)
+}
+
+fn counts_as_store_load(ledger: &Ledger, order: &Order) -> bool {
+    order.operation == Operation::Load
+        && order.unit.adapter.is_none()
+        && loads_from_store(ledger, &order.unit)
+}
--- /dev/null
+++ b/crates/routing/src/placement/victims.rs
@@ -0,0 +1,116 @@
+//! What may be dropped from a runner to make room, and what that costs.
+
+use std::time::Duration;
+
+use flaxward_types::time::Timestamp;
+
+use crate::configuration::Engine;
+use crate::names::{AdapterName, ModelName, Unit};
+
+use super::Placement;
+use super::ledger::Ledger;
+
+/// Time over which the use of a dropped copy is expected to go on, for its price.
+const HORIZON_SECONDS: f64 = 10.0;
+/// Price of waiting for requests in progress to end before a model is dropped, in ms.
+const RUNNING_PRICE_MS: f64 = 4_000.0;
+/// Price of dropping anything, in ms.
+const DROP_PRICE_MS: f64 = 300.0;
+/// Time without use after which the last copy of a model costs little.
+const IDLE: Duration = Duration::from_secs(12);
+/// Price of the last copy of a model that was used lately, in ms.
+const LAST_COPY_PRICE_MS: f64 = 1_500.0;
+
+/// Models to drop from a runner, the cheapest first, and the price of all, in ms.
+#[derive(Clone, Debug, PartialEq)]
+pub(super) struct Victims {
+    pub models: Vec<ModelName>,
+    pub price_ms: f64,
+}
+
+impl Placement {
+    /// The cheapest models to drop so that a model fits, if dropping can make it fit.
+    pub(super) fn victims_for(
+        &self,
+        ledger: &Ledger,
+        engine: &Engine,
+        unit: &Unit,
+        now: Timestamp,
+    ) -> Option<Victims> {
+        let needed = engine.models.get(&unit.model)?.weights_mb;
+        let mut free = ledger.free_mb(engine);
+        let mut candidates: Vec<(f64, &ModelName)> = ledger
+            .models()
+            .filter(|model| **model != unit.model)
+            .filter_map(|model| Some((self.price_of_dropping(ledger, engine, model, now)?, model)))
+            .collect();
+        candidates.sort_by(|left, right| left.0.total_cmp(&right.0));
+        let mut victims = Victims {
+            models: Vec::new(),
+            price_ms: 0.0,
+        };
+        for (price, model) in candidates {
+            if free >= needed {
+                break;
+            }
+            free += engine.models.get(model)?.weights_mb;
+            victims.models.push(model.clone());
+            victims.price_ms += price;
+        }
+        (free >= needed).then_some(victims)
+    }
+
+    /// What dropping one copy costs, in ms of waiting; `None` if it must stay.
+    fn price_of_dropping(
+        &self,
+        ledger: &Ledger,
+        engine: &Engine,
+        model: &ModelName,
+        now: Timestamp,
+    ) -> Option<f64> {
+        let unit = Unit {
+            service: ledger.runner.service.clone(),
+            model: model.clone(),
+            adapter: None,
+        };
+        if ledger.is_fresh(model, now) || self.waits_for(&unit) {
+            return None;
+        }
+        let copies = self.copies(&unit);
+        let rate = self.demands.model_rate(&unit, now);
+        if copies <= self.wanted_copies(&unit, rate) && rate > super::planner::BUSY_RATE {
+            return None;
+        }
+        let specification = engine.models.get(model)?;
+        let reload_ms = specification.disk_load.as_secs_f64() * 1_000.0;
+        let others = f64::from(u32::try_from(copies).unwrap_or(u32::MAX));
+        let mut price = DROP_PRICE_MS + rate * HORIZON_SECONDS * reload_ms / (others * others);
+        let is_used = self
+            .demands
+            .unused_for(&unit, now)
+            .is_some_and(|at| at < IDLE);
+        if copies <= 1 && is_used {
+            price += LAST_COPY_PRICE_MS;
+        }
+        if self.demands.running(&ledger.runner.id, &unit, now) > 0 {
+            price += RUNNING_PRICE_MS;
+        }
+        Some(price)
+    }
+
+    /// The adapter of a runner that was unused for the longest, if one can go.
+    pub(super) fn adapter_victim(&self, ledger: &Ledger, now: Timestamp) -> Option<Unit> {
+        let to_unit = |(model, adapter): (ModelName, AdapterName)| Unit {
+            service: ledger.runner.service.clone(),
+            model,
+            adapter: Some(adapter),
+        };
+        ledger
+            .adapters()
+            .into_iter()
+            .map(to_unit)
+            .filter(|unit| ledger.has(unit) && !self.waits_for(unit))
+            .filter(|unit| self.demands.running(&ledger.runner.id, unit, now) == 0)
+            .max_by_key(|unit| self.demands.unused_for(unit, now).unwrap_or(Duration::MAX))
+    }
+}
--- a/crates/settings/src/check_config.rs
+++ b/crates/settings/src/check_config.rs
@@ -4,7 +4,9 @@
 
 use clap::{Args, ValueEnum};
 
+use crate::error::SettingsErrors;
 use crate::flags::Flags;
+use crate::ingress::IngressFile;
 use crate::sections::Settings;
 
 /// Exit status for settings that cannot be used.
@@ -33,8 +35,8 @@
 
 /// Reads the settings as a daemon would and prints every fault. Status 0 if there is none, else 2.
 pub fn check_config(arguments: &CheckConfig) -> ExitCode {
-    match Settings::load(&arguments.flags) {
-        Ok(_) => {
+    match check(&arguments.flags) {
+        Ok(()) => {
             if arguments.format == ReportFormat::Text {
                 println!("the settings are valid");
             }
@@ -49,3 +51,16 @@
         }
     }
 }
+
+/// Checks whichever kind of file the flags name.
+fn check(flags: &Flags) -> Result<(), SettingsErrors> {
+    match &flags.config {
+        Some(path) if IngressFile::is_meant_by(path) => {
+            IngressFile::load(path).map_err(|error| SettingsErrors(vec![error]))?;
+        }
+        _ => {
+            Settings::load(flags)?;
+        }
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/settings/src/ingress.rs
@@ -0,0 +1,185 @@
+//! Settings of a daemon whose callers come by routes: the section `[ingress]` and those beside it.
+//!
+//! Such a daemon reads another file than one with the callers' interface of flaxward's own; the
+//! section `[ingress]` tells them apart.
+
+use std::net::SocketAddr;
+use std::path::Path;
+use std::time::Duration;
+
+use figment::Figment;
+use figment::providers::{Format, Toml};
+use flaxward_types::ResultCode;
+use serde::Deserialize;
+
+use crate::error::SettingError;
+
+/// The whole file.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct IngressFile {
+    /// Who the daemon is and where it listens.
+    pub ingress: IngressSection,
+    /// The store.
+    pub store: StoreSection,
+    /// The coordinator of the loads.
+    pub coordinator: IngressCoordinatorSection,
+    /// The budget for sending requests again.
+    pub retries: RetriesSection,
+    /// The log.
+    #[serde(default)]
+    pub logs: IngressLogsSection,
+}
+
+/// Who the daemon is and where it listens.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct IngressSection {
+    /// Name of the daemon, unlike that of any other.
+    pub name: String,
+    /// Its zone.
+    pub zone: String,
+    /// Where clients reach it.
+    pub listen: SocketAddr,
+    /// Where it is asked whether it is ready.
+    pub ready_listen: SocketAddr,
+    /// Where other daemons reach it (UDP).
+    pub peer_listen: SocketAddr,
+    /// Where its counters are read.
+    pub metrics_listen: Option<SocketAddr>,
+    /// Time from the order to stop until the process must have ended.
+    #[serde(with = "humantime_serde")]
+    pub stop_grace: Duration,
+}
+
+/// The store.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct StoreSection {
+    /// Where it listens.
+    pub address: SocketAddr,
+}
+
+/// The coordinator of the loads.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct IngressCoordinatorSection {
+    /// Name of the lease; daemons with the same name share a coordinator.
+    pub scope: String,
+    /// How long a renewal of the lease holds.
+    #[serde(with = "humantime_serde")]
+    pub lease_duration: Duration,
+    /// Window over which loads from the weight store are bounded.
+    #[serde(with = "humantime_serde")]
+    pub load_window: Duration,
+}
+
+/// The budget for sending requests again.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct RetriesSection {
+    /// Repeats for each request.
+    pub ratio: f64,
+    /// Repeats that are always allowed in a window, all daemons together.
+    pub allowance: f64,
+    /// Length of the window.
+    #[serde(with = "humantime_serde")]
+    pub window: Duration,
+}
+
+/// The log.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct IngressLogsSection {
+    /// Lowest level that is written.
+    pub level: String,
+}
+
+impl Default for IngressLogsSection {
+    fn default() -> Self {
+        Self {
+            level: "info".to_owned(),
+        }
+    }
+}
+
+impl IngressFile {
+    /// Whether a file is one of these; one that cannot be read is not.
+    pub fn is_meant_by(path: &Path) -> bool {
+        let figment = Figment::from(Toml::file_exact(path));
+        figment.find_value("ingress").is_ok()
+    }
+
+    /// Reads a file and checks it.
+    ///
+    /// # Errors
+    /// Tells what is wrong with the file.
+    pub fn load(path: &Path) -> Result<Self, SettingError> {
+        let figment = Figment::from(Toml::file_exact(path));
+        let file: Self = figment.extract().map_err(|error| unusable(path, &error))?;
+        file.check()?;
+        Ok(file)
+    }
+
+    fn check(&self) -> Result<(), SettingError> {
+        let positive = [
+            ("ingress.stop_grace", self.ingress.stop_grace),
+            (
+                "coordinator.lease_duration",
+                self.coordinator.lease_duration,
+            ),
+            ("coordinator.load_window", self.coordinator.load_window),
+            ("retries.window", self.retries.window),
+        ];
+        for (key, value) in positive {
+            if value.is_zero() {
+                return Err(invalid(key, "must be longer than nothing"));
+            }
+        }
+        let shares = [
+            ("retries.ratio", self.retries.ratio),
+            ("retries.allowance", self.retries.allowance),
+        ];
+        for (key, value) in shares {
+            if !value.is_finite() || value < 0.0 {
+                return Err(invalid(key, "must be a number of zero or more"));
+            }
+        }
+        if self.logs.level.parse::<spdlog::Level>().is_err() {
+            return Err(invalid("logs.level", "is no level of the log"));
+        }
+        Ok(())
+    }
+
+    /// Lowest level of the log.
+    pub fn log_level(&self) -> spdlog::Level {
+        self.logs.level.parse().unwrap_or(spdlog::Level::Info)
+    }
+}
+
+fn invalid(key: &str, reason: &str) -> SettingError {
+    SettingError::new(ResultCode::InvalidSetting, key, reason.to_owned())
+}
+
+fn unusable(path: &Path, error: &figment::Error) -> SettingError {
+    use figment::error::Kind;
+    let key = error.path.join(".");
+    match &error.kind {
+        Kind::MissingField(name) => {
+            let key = if key.is_empty() {
+                name.to_string()
+            } else {
+                format!("{key}.{name}")
+            };
+            SettingError::new(ResultCode::MissingSetting, &key, error.to_string())
+        }
+        Kind::UnknownField(name, _) => {
+            SettingError::new(ResultCode::UnknownSetting, name, error.to_string())
+        }
+        _ if key.is_empty() => {
+            let key = path.display().to_string();
+            SettingError::new(ResultCode::UnreadableSettings, &key, error.to_string())
+        }
+        _ => SettingError::new(ResultCode::InvalidSetting, &key, error.to_string()),
+    }
+}
--- a/crates/settings/src/logs.rs
+++ b/crates/settings/src/logs.rs
@@ -3,12 +3,13 @@
 
 use std::collections::BTreeMap;
 use std::fmt::{Display, Write};
+use std::num::NonZeroUsize;
 use std::sync::Arc;
 
 use spdlog::formatter::{PatternFormatter, pattern};
-use spdlog::sink::StdStreamSink;
+use spdlog::sink::{AsyncPoolSink, OverflowPolicy, StdStreamSink};
 use spdlog::terminal_style::StyleMode;
-use spdlog::{Level, LevelFilter, Logger};
+use spdlog::{Level, LevelFilter, Logger, ThreadPool};
 
 /// Name of the event of a line of counters.
 const COUNTERS_EVENT: &str = "counters";
@@ -35,6 +36,40 @@
     Ok(())
 }
 
+/// Lines that wait to be written at most; more are dropped.
+const QUEUED_LINES: usize = 4_096;
+
+/// Sends the log of this process to standard output, from this level upward, by a thread of its own:
+/// whoever writes a line never waits, and a line that finds the queue full is dropped.
+///
+/// # Errors
+/// Fails if the logging library cannot make its sink.
+pub fn install_queued(level: Level) -> Result<(), spdlog::Error> {
+    let sink = StdStreamSink::builder()
+        .stdout()
+        .style_mode(StyleMode::Never)
+        .formatter(PatternFormatter::new(pattern!(
+            "time={year}-{month}-{day}T{time}.{millisecond}{tz_offset} level={level} {payload}{eol}"
+        )))
+        .build_arc()?;
+    let pool = ThreadPool::builder()
+        .capacity(NonZeroUsize::new(QUEUED_LINES).unwrap_or(NonZeroUsize::MIN))
+        .build_arc()?;
+    let queue = AsyncPoolSink::builder()
+        .sink(sink)
+        .thread_pool(pool)
+        .overflow_policy(OverflowPolicy::DropIncoming)
+        .error_handler(|_| {})
+        .build_arc()?;
+    let logger: Arc<Logger> = Logger::builder()
+        .sink(queue)
+        .level_filter(LevelFilter::MoreSevereEqual(level))
+        .flush_level_filter(LevelFilter::All)
+        .build_arc()?;
+    spdlog::set_default_logger(logger);
+    Ok(())
+}
+
 /// Writes a change of state at the level `info`.
 pub fn state_change(event: &str, fields: &[(&str, &dyn Display)]) {
     state_change_at(Level::Info, event, fields);
