--- a/crates/ingress/src/coordination.rs
+++ b/crates/ingress/src/coordination.rs
@@ -278,7 +278,6 @@
                 self.log_lease("lease-lost", term);
             }
             LeaseChange::Holder { address, term } => {
-                self.log_lease("coordinator-known", term);
                 self.follow(address, term);
             }
         }
@@ -295,6 +294,7 @@
         if term <= known {
             return;
         }
+        self.log_lease("coordinator-known", term);
         self.coordinator = Some(Coordinator {
             address,
             term,
--- a/crates/ingress/src/daemon.rs
+++ b/crates/ingress/src/daemon.rs
@@ -22,6 +22,8 @@
 const NOTICE: Duration = Duration::from_millis(2_600);
 /// Part of the grace that is left unused, so that the process ends by itself.
 const GRACE_RESERVE: Duration = Duration::from_millis(350);
+/// Time for the final answers of requests that have not ended.
+const LAST_ANSWERS: Duration = Duration::from_millis(150);
 /// Time between looks at what is still in progress.
 const DRAIN_INTERVAL: Duration = Duration::from_millis(50);
 
@@ -88,15 +90,13 @@
     /// grace, and takes those that still come.
     pub async fn stop(self) {
         let begun = Instant::now();
+        let grace = self.shared.settings.stop_grace;
+        let end = begun + grace.saturating_sub(GRACE_RESERVE);
+        self.shared.tables().stop_end = Some(end);
         self.shared.stopping.store(true, Ordering::Relaxed);
+        self.shared.changed.notify_waiters();
         self.shared.demand.notify_one();
         state_change("stopping", &[("requests", &self.in_progress())]);
-        let end = begun
-            + self
-                .shared
-                .settings
-                .stop_grace
-                .saturating_sub(GRACE_RESERVE);
         sleep_until((begun + NOTICE).min(end)).await;
         self.shared.closing.store(true, Ordering::Relaxed);
         self.closing.cancel();
@@ -105,7 +105,8 @@
             sleep(DRAIN_INTERVAL).await;
         }
         let left = self.in_progress();
-        let last = Instant::now() + DRAIN_INTERVAL;
+        self.shared.ending.cancel();
+        let last = Instant::now() + LAST_ANSWERS;
         let _ = tokio::time::timeout_at(last, self.tracker.wait()).await;
         state_change("stopped", &[("requests_cut_off", &left)]);
     }
--- a/crates/ingress/src/handler.rs
+++ b/crates/ingress/src/handler.rs
@@ -213,6 +213,7 @@
         last_failure: None,
         held_answer: None,
         begun,
+        is_sending: false,
         guard: Some(Box::new(guard)),
     };
     job.run().await
@@ -266,12 +267,31 @@
     /// A runner's own failure, passed on if no other runner does better.
     held_answer: Option<Response<AnswerBody>>,
     begun: Instant,
+    /// An attempt is under way.
+    is_sending: bool,
     guard: Option<Box<dyn Send>>,
 }
 
 impl Job {
+    /// Sends the request until there is an answer, or until the daemon ends.
     async fn run(mut self) -> Result<Response<AnswerBody>, Refused> {
         self.count();
+        let ending = self.shared.ending.clone();
+        let answered = tokio::select! {
+            biased;
+            answered = self.send() => Some(answered),
+            () = ending.cancelled() => None,
+        };
+        if let Some(answered) = answered {
+            return answered;
+        }
+        if self.is_sending {
+            self.attempts.count(Failure::Silent);
+        }
+        self.give_up("the daemon ends")
+    }
+
+    async fn send(&mut self) -> Result<Response<AnswerBody>, Refused> {
         let mut full_rounds = 0;
         loop {
             if self.request.time_left() < LEAST_TIME {
@@ -296,7 +316,10 @@
             if is_repeat && !self.shared.try_repeat(&self.service) {
                 return self.give_up("the retry budget is spent");
             }
-            match self.attempt(&runner).await {
+            self.is_sending = true;
+            let attempted = self.attempt(&runner).await;
+            self.is_sending = false;
+            match attempted {
                 Ok(response) => return Ok(response),
                 Err(failed) => self.count_failure(&runner, failed),
             }
@@ -485,7 +508,7 @@
     }
 
     /// The final answer when no further attempt is made.
-    fn give_up(mut self, reason: &str) -> Result<Response<AnswerBody>, Refused> {
+    fn give_up(&mut self, reason: &str) -> Result<Response<AnswerBody>, Refused> {
         if let Some(response) = self.held_answer.take() {
             return Ok(response);
         }
--- a/crates/ingress/src/state.rs
+++ b/crates/ingress/src/state.rs
@@ -15,6 +15,8 @@
 use flaxward_routing::split::SplitChooser;
 use flaxward_types::time::Timestamp;
 use tokio::sync::{Notify, watch};
+use tokio::time::Instant;
+use tokio_util::sync::CancellationToken;
 
 use crate::clock::Clock;
 use crate::decisions::DecisionLog;
@@ -49,6 +51,8 @@
     pub waiting: HashMap<Unit, Waiting>,
     pub outlooks: HashMap<Unit, Outlook>,
     pub daemons: usize,
+    /// When this daemon has stopped at the latest, once it is told to stop.
+    pub stop_end: Option<Instant>,
 }
 
 /// Requests that wait for a unit.
@@ -74,6 +78,8 @@
     pub stopping: AtomicBool,
     /// The notice of a stop is over: no request is taken any more.
     pub closing: AtomicBool,
+    /// The process ends at once: requests get their final answers.
+    pub ending: CancellationToken,
     /// Rises when calls to the store that hang must be made again.
     pub store_restarts: watch::Sender<u64>,
     pub requests: AtomicU32,
@@ -102,6 +108,7 @@
             waiting: HashMap::new(),
             outlooks: HashMap::new(),
             daemons: ASSUMED_DAEMONS,
+            stop_end: None,
         };
         Self {
             settings,
@@ -115,6 +122,7 @@
             demand: Notify::new(),
             stopping: AtomicBool::new(false),
             closing: AtomicBool::new(false),
+            ending: CancellationToken::new(),
             store_restarts: watch::Sender::new(0),
             requests: AtomicU32::new(0),
             seed: rand::random(),
--- a/crates/ingress/src/waiting.rs
+++ b/crates/ingress/src/waiting.rs
@@ -73,13 +73,13 @@
     let begun_at = shared.now();
     let begun = Instant::now();
     let _guard = WaitingGuard::begin(shared, unit, request.priority);
-    let latest = latest_start(request, route, begun);
     let without_promise = route
         .target
         .mul_f64(SHARE_WITHOUT_PROMISE)
         .max(LEAST_PROMISE_WAIT);
-    let promise_due = (begun + without_promise).min(latest);
     loop {
+        let latest = latest_start(shared, request, route, begun);
+        let promise_due = (begun + without_promise).min(latest);
         let changed = shared.changed.notified();
         tokio::pin!(changed);
         changed.as_mut().enable();
@@ -114,13 +114,19 @@
 }
 
 /// The latest moment at which the request can be sent and still be answered.
-fn latest_start(request: &ClientRequest, route: &Route, begun: Instant) -> Instant {
+fn latest_start(
+    shared: &Shared,
+    request: &ClientRequest,
+    route: &Route,
+    begun: Instant,
+) -> Instant {
     let patience = if route.kind.is_stream() {
         (begun + route.stream_patience()).min(request.deadline)
     } else {
         request.deadline
     };
-    patience - LEAST_RUN
+    let stop_end = shared.tables().stop_end.unwrap_or(patience);
+    patience.min(stop_end) - LEAST_RUN
 }
 
 fn is_held(shared: &Shared, unit: &Unit) -> bool {
--- a/crates/ingress/src/watches.rs
+++ b/crates/ingress/src/watches.rs
@@ -38,17 +38,24 @@
     }
 
     async fn failed(&mut self, shared: &Shared, error: &StoreError) {
-        if !self.is_lost {
-            let fields: &[(&str, &dyn std::fmt::Display)] =
-                &[("dependency", &self.what), ("error", error)];
-            shared.log.write(shared.now(), "dependency-lost", fields);
-            self.is_lost = true;
-        }
+        self.log_failure(shared, error);
         let pause = self.next.mul_f64(rand::rng().random_range(0.5..1.0));
         self.next = (self.next * 2).min(LONGEST_BACKOFF);
         sleep(pause).await;
     }
 
+    fn log_failure(&mut self, shared: &Shared, error: &StoreError) {
+        let event = if self.is_lost {
+            "store-call-failed"
+        } else {
+            "dependency-lost"
+        };
+        self.is_lost = true;
+        let fields: &[(&str, &dyn std::fmt::Display)] =
+            &[("dependency", &self.what), ("error", error)];
+        shared.log.write(shared.now(), event, fields);
+    }
+
     fn succeeded(&mut self, shared: &Shared) {
         self.next = FIRST_BACKOFF;
         if self.is_lost {
@@ -73,7 +80,10 @@
                 restarts.mark_unchanged();
                 tokio::select! {
                     read = shared.store.watch_configuration(after, WATCH_WAIT) => read,
-                    _ = restarts.changed() => continue,
+                    _ = restarts.changed() => {
+                        revision = None;
+                        continue;
+                    }
                 }
             }
         };
@@ -85,12 +95,24 @@
                     sleep(CONFIGURATION_PAUSE).await;
                 }
             }
-            Err(StoreError::HistoryGone) => revision = None,
-            Err(error) => backoff.failed(&shared, &error).await,
+            Err(StoreError::HistoryGone) => {
+                log_history_gone(&shared, "store/configuration");
+                revision = None;
+            }
+            Err(error) => {
+                // A watch from an old revision may miss what has changed meanwhile.
+                revision = None;
+                backoff.failed(&shared, &error).await;
+            }
         }
     }
 }
 
+fn log_history_gone(shared: &Shared, dependency: &str) {
+    let fields: &[(&str, &dyn std::fmt::Display)] = &[("dependency", &dependency)];
+    shared.log.write(shared.now(), "store-history-gone", fields);
+}
+
 /// Takes in the newest configuration, unless a newer one is in force.
 fn apply_configuration(shared: &Shared, listing: Listing<Configuration>) -> bool {
     let newest = listing.items.into_iter().max_by_key(|item| item.version);
@@ -140,7 +162,10 @@
         restarts.mark_unchanged();
         let read = tokio::select! {
             read = shared.store.watch_runners(after, WATCH_WAIT) => read,
-            _ = restarts.changed() => continue,
+            _ = restarts.changed() => {
+                revision = None;
+                continue;
+            }
         };
         match read {
             Ok(changes) => {
@@ -151,8 +176,14 @@
                     sleep(RUNNERS_PAUSE).await;
                 }
             }
-            Err(StoreError::HistoryGone) => revision = None,
-            Err(error) => backoff.failed(&shared, &error).await,
+            Err(StoreError::HistoryGone) => {
+                log_history_gone(&shared, "store/runners");
+                revision = None;
+            }
+            Err(error) => {
+                revision = None;
+                backoff.failed(&shared, &error).await;
+            }
         }
     }
 }
--- a/crates/routing/src/placement/ledger.rs
+++ b/crates/routing/src/placement/ledger.rs
@@ -192,9 +192,11 @@
         self.is_confirmed && !self.runner.draining && now >= self.rejected_until
     }
 
-    /// Whether the next order can go out.
+    /// Whether the next order can go out. While the order count is not known, neither is what the
+    /// runner holds.
     pub fn is_free(&self, now: Timestamp) -> bool {
-        self.takes_orders(now) && self.order.is_none() && !self.has_unknown_order
+        let is_known = self.order_count.is_some() && !self.has_unknown_order;
+        self.takes_orders(now) && self.order.is_none() && is_known
     }
 
     /// When the order under way should be done.
