--- a/crates/ingress/src/daemon.rs
+++ b/crates/ingress/src/daemon.rs
@@ -1,5 +1,6 @@
 //! The ingress of one daemon, put together in one place.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
@@ -29,6 +30,10 @@
 
 /// A running ingress.
 pub struct Ingress {
+    /// Where clients reach it.
+    pub address: SocketAddr,
+    /// Where it is asked whether it is ready.
+    pub ready_address: SocketAddr,
     shared: Arc<Shared>,
     tracker: TaskTracker,
     closing: CancellationToken,
@@ -51,6 +56,7 @@
     ) -> anyhow::Result<Self> {
         let clients = listen(settings.listen).await?;
         let readiness = listen(settings.ready_listen).await?;
+        let (address, ready_address) = (clients.local_addr()?, readiness.local_addr()?);
         let peers = PeerSocket::bind(settings.peer_listen).await?;
         let metrics = match settings.metrics_listen {
             Some(address) => Some(listen(address).await?),
@@ -61,7 +67,7 @@
             &[
                 ("daemon", &settings.name),
                 ("zone", &settings.zone),
-                ("address", &settings.listen),
+                ("address", &address),
                 ("peer_address", &settings.peer_listen),
             ],
         );
@@ -80,6 +86,8 @@
         tokio::spawn(watch_runners(shared.clone()));
         tokio::spawn(Coordination::new(shared.clone(), peers)?.run());
         Ok(Self {
+            address,
+            ready_address,
             shared,
             tracker,
             closing,
--- a/crates/ingress/src/server.rs
+++ b/crates/ingress/src/server.rs
@@ -88,6 +88,11 @@
         .max_buf_size((limits.header_bytes + 1_024).max(LEAST_BUFFER_BYTES));
     let connection = builder.serve_connection(TokioIo::new(stream), service);
     tokio::pin!(connection);
+    if closing.is_cancelled() {
+        // One request is read and refused, so that its client knows that it did not run.
+        let _ = connection.await;
+        return;
+    }
     tokio::select! {
         _ = connection.as_mut() => return,
         () = closing.cancelled() => {}
--- /dev/null
+++ b/crates/ingress/tests/ingress/runner.rs
@@ -0,0 +1,219 @@
+//! A runner that does what its script says, one behaviour a request.
+
+use std::collections::VecDeque;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::time::sleep;
+
+/// What a runner does with one request.
+#[derive(Clone, Debug)]
+pub enum Behaviour {
+    /// Answers with a status and a body.
+    Answer(u16, &'static str),
+    /// Answers another request.
+    OtherId,
+    /// Says that it did not run the request.
+    NotRun,
+    /// Resets the connection without an answer.
+    Reset,
+    /// Never answers.
+    Hang,
+    /// Sends events from the first to the last, and then ends the stream.
+    Events(u32, u32),
+    /// The same, and then part of an event and a reset.
+    EventsThenReset(u32, u32),
+    /// One event every 100 ms, from the first to the last.
+    SlowEvents(u32, u32),
+}
+
+/// A request as the runner got it.
+#[derive(Clone, Debug)]
+pub struct Received {
+    pub head: String,
+    pub body: Vec<u8>,
+}
+
+impl Received {
+    /// The value of a header, if the request has it.
+    pub fn header(&self, name: &str) -> Option<&str> {
+        self.head.lines().find_map(|line| {
+            let (found, value) = line.split_once(':')?;
+            found.eq_ignore_ascii_case(name).then(|| value.trim())
+        })
+    }
+}
+
+#[derive(Default)]
+struct State {
+    script: VecDeque<Behaviour>,
+    received: Vec<Received>,
+    closed: u32,
+}
+
+/// A scripted runner.
+#[derive(Clone)]
+pub struct ScriptedRunner {
+    pub address: SocketAddr,
+    state: Arc<Mutex<State>>,
+}
+
+impl ScriptedRunner {
+    /// Starts a runner; once the script is over it answers 200 `done`.
+    pub async fn start(script: Vec<Behaviour>) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let runner = Self {
+            address: listener.local_addr().unwrap(),
+            state: Arc::new(Mutex::new(State {
+                script: script.into(),
+                ..State::default()
+            })),
+        };
+        let serving = runner.clone();
+        tokio::spawn(async move {
+            while let Ok((stream, _)) = listener.accept().await {
+                let serving = serving.clone();
+                tokio::spawn(async move {
+                    serving.serve(stream).await;
+                    serving.state.lock().unwrap().closed += 1;
+                });
+            }
+        });
+        runner
+    }
+
+    /// The requests that it got.
+    pub fn received(&self) -> Vec<Received> {
+        self.state.lock().unwrap().received.clone()
+    }
+
+    /// Connections that have ended.
+    pub fn closed(&self) -> u32 {
+        self.state.lock().unwrap().closed
+    }
+
+    async fn serve(&self, mut stream: TcpStream) {
+        while let Some(request) = read_request(&mut stream).await {
+            let id = request.header("x-id").unwrap_or_default().to_owned();
+            let behaviour = {
+                let mut state = self.state.lock().unwrap();
+                state.received.push(request);
+                let next = state.script.pop_front();
+                next.unwrap_or(Behaviour::Answer(200, "done"))
+            };
+            if !perform(&mut stream, &id, behaviour).await {
+                return;
+            }
+        }
+    }
+}
+
+async fn read_request(stream: &mut TcpStream) -> Option<Received> {
+    let mut bytes = Vec::new();
+    let end = loop {
+        if let Some(end) = bytes.windows(4).position(|part| part == b"\r\n\r\n") {
+            break end + 4;
+        }
+        let mut part = [0; 4096];
+        let length = stream.read(&mut part).await.ok()?;
+        if length == 0 {
+            return None;
+        }
+        bytes.extend_from_slice(&part[..length]);
+    };
+    let head = String::from_utf8(bytes[..end].to_vec()).ok()?;
+    let mut request = Received {
+        head,
+        body: bytes[end..].to_vec(),
+    };
+    let length: usize = request
+        .header("content-length")
+        .map_or(0, |text| text.parse().unwrap());
+    while request.body.len() < length {
+        let mut part = [0; 4096];
+        let read = stream.read(&mut part).await.ok()?;
+        request.body.extend_from_slice(&part[..read]);
+    }
+    Some(request)
+}
+
+fn event(number: u32) -> String {
+    format!("id: {number}\ndata: e{number}\n\n")
+}
+
+fn chunk(text: &str) -> String {
+    format!("{:x}\r\n{text}\r\n", text.len())
+}
+
+/// Tells whether the connection goes on.
+async fn perform(stream: &mut TcpStream, id: &str, behaviour: Behaviour) -> bool {
+    match behaviour {
+        Behaviour::Answer(status, body) => answer(stream, id, status, "x-stamp: s\r\n", body).await,
+        Behaviour::OtherId => answer(stream, "another", 200, "x-stamp: s\r\n", "foreign").await,
+        Behaviour::NotRun => answer(stream, id, 503, "x-not-run: 1\r\n", "").await,
+        Behaviour::Reset => {
+            reset(stream);
+            false
+        }
+        Behaviour::Hang => {
+            let mut rest = [0; 16];
+            let _ = stream.read(&mut rest).await;
+            false
+        }
+        Behaviour::Events(first, last) => {
+            events(stream, id, first, last, Duration::ZERO).await && end(stream).await
+        }
+        Behaviour::SlowEvents(first, last) => {
+            let pause = Duration::from_millis(100);
+            events(stream, id, first, last, pause).await && end(stream).await
+        }
+        Behaviour::EventsThenReset(first, last) => {
+            events(stream, id, first, last, Duration::ZERO).await;
+            let partial = chunk("id: 99\nda");
+            let _ = stream.write_all(partial.as_bytes()).await;
+            sleep(Duration::from_millis(50)).await;
+            reset(stream);
+            false
+        }
+    }
+}
+
+fn reset(stream: &TcpStream) {
+    let socket = socket2::SockRef::from(stream);
+    let _ = socket.set_linger(Some(Duration::ZERO));
+}
+
+async fn answer(stream: &mut TcpStream, id: &str, status: u16, more: &str, body: &str) -> bool {
+    let text = format!(
+        "HTTP/1.1 {status} X\r\nx-id: {id}\r\n{more}content-length: {}\r\n\r\n{body}",
+        body.len()
+    );
+    stream.write_all(text.as_bytes()).await.is_ok()
+}
+
+async fn events(stream: &mut TcpStream, id: &str, first: u32, last: u32, pause: Duration) -> bool {
+    let head = format!(
+        "HTTP/1.1 200 OK\r\nx-id: {id}\r\nx-stamp: s\r\ntransfer-encoding: chunked\r\n\r\n"
+    );
+    if stream.write_all(head.as_bytes()).await.is_err() {
+        return false;
+    }
+    for number in first..=last {
+        if stream
+            .write_all(chunk(&event(number)).as_bytes())
+            .await
+            .is_err()
+        {
+            return false;
+        }
+        sleep(pause).await;
+    }
+    true
+}
+
+async fn end(stream: &mut TcpStream) -> bool {
+    stream.write_all(b"0\r\n\r\n").await.is_ok()
+}
--- /dev/null
+++ b/crates/ingress/tests/ingress/store.rs
@@ -0,0 +1,150 @@
+//! A store in memory, with faults.
+
+use std::sync::Mutex;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::Duration;
+
+use async_trait::async_trait;
+use flaxward_ingress::outside::{Changed, ClusterStore, Listing, RunnerChange, StoreError};
+use flaxward_routing::configuration::Configuration;
+use flaxward_routing::lease::{LeaseRecord, StoredLease};
+use flaxward_routing::runners::Runner;
+use tokio::sync::Notify;
+
+#[derive(Default)]
+struct Contents {
+    configuration: Option<Configuration>,
+    runners: Vec<Runner>,
+    revision: u64,
+    lease: Option<StoredLease>,
+}
+
+/// The store.
+#[derive(Default)]
+pub struct MemoryStore {
+    contents: Mutex<Contents>,
+    changed: Notify,
+    /// Calls get no answer, and watches begun meanwhile never get one.
+    pub is_silent: AtomicBool,
+}
+
+impl MemoryStore {
+    pub fn set_configuration(&self, configuration: Configuration) {
+        let mut contents = self.contents.lock().unwrap();
+        contents.revision += 1;
+        contents.configuration = Some(configuration);
+        drop(contents);
+        self.changed.notify_waiters();
+    }
+
+    pub fn set_runners(&self, runners: Vec<Runner>) {
+        let mut contents = self.contents.lock().unwrap();
+        contents.revision += 1;
+        contents.runners = runners;
+        drop(contents);
+        self.changed.notify_waiters();
+    }
+
+    async fn answer(&self) -> Result<(), StoreError> {
+        if self.is_silent.load(Ordering::Relaxed) {
+            tokio::time::sleep(Duration::from_millis(200)).await;
+            return Err(StoreError::NoAnswer("silent".to_owned()));
+        }
+        Ok(())
+    }
+
+    async fn wait(&self, after: u64, wait: Duration) {
+        if self.is_silent.load(Ordering::Relaxed) {
+            return std::future::pending().await;
+        }
+        let changed = self.changed.notified();
+        if self.contents.lock().unwrap().revision > after {
+            return;
+        }
+        let _ = tokio::time::timeout(wait, changed).await;
+        if self.is_silent.load(Ordering::Relaxed) {
+            std::future::pending::<()>().await;
+        }
+    }
+}
+
+#[async_trait]
+impl ClusterStore for MemoryStore {
+    async fn configuration(&self) -> Result<Listing<Configuration>, StoreError> {
+        self.answer().await?;
+        let contents = self.contents.lock().unwrap();
+        Ok(Listing {
+            items: contents.configuration.iter().cloned().collect(),
+            revision: contents.revision,
+        })
+    }
+
+    async fn watch_configuration(
+        &self,
+        after: u64,
+        wait: Duration,
+    ) -> Result<Listing<Configuration>, StoreError> {
+        self.wait(after, wait).await;
+        self.configuration().await
+    }
+
+    async fn runners(&self) -> Result<Listing<Runner>, StoreError> {
+        self.answer().await?;
+        let contents = self.contents.lock().unwrap();
+        Ok(Listing {
+            items: contents.runners.clone(),
+            revision: contents.revision,
+        })
+    }
+
+    async fn watch_runners(
+        &self,
+        after: u64,
+        wait: Duration,
+    ) -> Result<Listing<RunnerChange>, StoreError> {
+        self.wait(after, wait).await;
+        let listing = self.runners().await?;
+        let items = listing.items.into_iter().map(Box::new);
+        Ok(Listing {
+            items: items.map(RunnerChange::Present).collect(),
+            revision: listing.revision,
+        })
+    }
+
+    async fn lease(&self) -> Result<Option<StoredLease>, StoreError> {
+        self.answer().await?;
+        Ok(self.contents.lock().unwrap().lease.clone())
+    }
+
+    async fn create_lease(&self, record: &LeaseRecord) -> Result<Changed, StoreError> {
+        self.answer().await?;
+        let mut contents = self.contents.lock().unwrap();
+        if contents.lease.is_some() {
+            return Ok(Changed::Conflict(contents.lease.clone()));
+        }
+        let lease = StoredLease {
+            record: record.clone(),
+            revision: 1,
+        };
+        contents.lease = Some(lease.clone());
+        Ok(Changed::Made(lease))
+    }
+
+    async fn replace_lease(
+        &self,
+        record: &LeaseRecord,
+        revision: u64,
+    ) -> Result<Changed, StoreError> {
+        self.answer().await?;
+        let mut contents = self.contents.lock().unwrap();
+        if contents.lease.as_ref().map(|lease| lease.revision) != Some(revision) {
+            return Ok(Changed::Conflict(contents.lease.clone()));
+        }
+        let lease = StoredLease {
+            record: record.clone(),
+            revision: revision + 1,
+        };
+        contents.lease = Some(lease.clone());
+        Ok(Changed::Made(lease))
+    }
+}
--- /dev/null
+++ b/crates/ingress/tests/ingress/support.rs
@@ -0,0 +1,254 @@
+//! An ingress with one route of each kind, and a surface of the tests' own.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use async_trait::async_trait;
+use flaxward_ingress::outside::{
+    FencedOrder, HeadKind, Passage, ProfileError, RunnerControl, Surface,
+};
+use flaxward_ingress::{Ingress, IngressSettings};
+use flaxward_routing::budget::RetryBudgetSettings;
+use flaxward_routing::configuration::{
+    ClientLimits, Configuration, Engine, ModelSpecification, Route, RouteKind, Service,
+    WeightedService,
+};
+use flaxward_routing::lease::LeaseSettings;
+use flaxward_routing::names::{ModelName, RouteName, RunnerId, ServiceName, Zone};
+use flaxward_routing::placement::{OrderAnswer, PlacementSettings, RunnerReport};
+use flaxward_routing::request::RequestProfile;
+use flaxward_routing::runners::Runner;
+use http::{HeaderMap, HeaderValue, StatusCode};
+
+use crate::runner::ScriptedRunner;
+use crate::store::MemoryStore;
+
+pub const SERVICE: &str = "pool";
+/// The model that the runners of a service with an engine hold.
+pub const MODEL: &str = "m";
+
+/// Headers of the tests: `x-id`, `x-deadline`, `x-model`, `x-stamp`, `x-not-run`.
+struct TestSurface;
+
+fn text<'a>(headers: &'a HeaderMap, name: &str) -> Option<&'a str> {
+    headers.get(name)?.to_str().ok()
+}
+
+impl Surface for TestSurface {
+    fn ready_path(&self) -> &str {
+        "/ready"
+    }
+
+    fn profile(&self, headers: &HeaderMap) -> Result<RequestProfile, ProfileError> {
+        let id = text(headers, "x-id").ok_or(ProfileError::Missing("x-id"))?;
+        let deadline = text(headers, "x-deadline").map(|value| value.parse().unwrap());
+        Ok(RequestProfile {
+            id: id.to_owned(),
+            deadline: deadline.map(Duration::from_millis),
+            model: text(headers, "x-model").map(|name| (ModelName::new(name), None)),
+            ..RequestProfile::default()
+        })
+    }
+
+    fn prepare(&self, headers: &mut HeaderMap, passage: &Passage<'_>) {
+        let left = passage.time_left.as_millis().to_string();
+        headers.insert("x-deadline", HeaderValue::from_str(&left).unwrap());
+        let runner = HeaderValue::from_str(passage.runner.as_str()).unwrap();
+        headers.insert("x-runner", runner);
+        if let Some(event) = passage.last_event {
+            headers.insert("last-event-id", HeaderValue::from_str(event).unwrap());
+        }
+    }
+
+    fn judge(&self, id: &str, status: StatusCode, headers: &HeaderMap) -> HeadKind {
+        if text(headers, "x-id") != Some(id) {
+            HeadKind::Foreign
+        } else if headers.contains_key("x-not-run") {
+            HeadKind::NotRun
+        } else if status == StatusCode::MISDIRECTED_REQUEST {
+            HeadKind::Misdirected
+        } else {
+            HeadKind::Answer
+        }
+    }
+
+    fn weights_version(&self, _headers: &HeaderMap) -> Option<u64> {
+        None
+    }
+}
+
+/// Runners that never answer orders or reports.
+struct SilentControl;
+
+#[async_trait]
+impl RunnerControl for SilentControl {
+    async fn report(&self, _address: SocketAddr) -> Option<RunnerReport> {
+        None
+    }
+
+    async fn order(&self, _address: SocketAddr, _order: &FencedOrder<'_>) -> OrderAnswer {
+        OrderAnswer::Unknown
+    }
+}
+
+pub fn route(prefix: &str, kind: RouteKind) -> Route {
+    Route {
+        name: RouteName::new(prefix),
+        host: "a.example".to_owned(),
+        prefix: prefix.to_owned(),
+        kind,
+        timeout: Duration::from_millis(1_500),
+        target: Duration::from_millis(300),
+        event_gap: Duration::from_millis(300),
+        priority: 1,
+        services: vec![WeightedService {
+            service: ServiceName::new(SERVICE),
+            weight: 1,
+        }],
+        max_attempts: 2,
+        is_generation: false,
+    }
+}
+
+fn engine() -> Engine {
+    let model = ModelSpecification {
+        weights_mb: 1.0,
+        adapter_mb: 0.0,
+        store_load: Duration::from_secs(1),
+        disk_load: Duration::from_secs(1),
+        memory_load: Duration::from_secs(1),
+    };
+    Engine {
+        slots: 8,
+        weights_mb: 10.0,
+        adapter_slots: 2,
+        loads_per_second: 1.0,
+        models: [(ModelName::new(MODEL), model)].into(),
+    }
+}
+
+/// A configuration with the routes `/safe/`, `/unsafe/` and `/stream/`.
+pub fn configuration(version: u64, more: Vec<Route>) -> Configuration {
+    let mut routes = vec![
+        route("/safe/", RouteKind::Repeatable),
+        route("/unsafe/", RouteKind::AtMostOnce),
+        route("/stream/", RouteKind::Stream { resumable: true }),
+    ];
+    routes.extend(more);
+    let service = Service {
+        name: ServiceName::new(SERVICE),
+        max_connections: 100,
+        engine: Some(engine()),
+    };
+    Configuration::new(version, ClientLimits::default(), routes, vec![service])
+}
+
+fn runner(index: usize, address: SocketAddr) -> Runner {
+    let holdings: BTreeMap<ModelName, BTreeSet<_>> =
+        [(ModelName::new(MODEL), BTreeSet::new())].into();
+    Runner {
+        id: RunnerId::new(&format!("r{index}")),
+        service: ServiceName::new(SERVICE),
+        address,
+        // The first runner is nearer, so that it is asked first.
+        zone: Zone::new(if index == 0 { "z0" } else { "z1" }),
+        slots: 8,
+        draining: false,
+        leaves_in: None,
+        cold_for: Duration::ZERO,
+        holdings,
+        in_memory: BTreeSet::new(),
+        on_disk: BTreeSet::new(),
+    }
+}
+
+/// An ingress with its store.
+pub struct TestIngress {
+    pub ingress: Option<Ingress>,
+    pub store: Arc<MemoryStore>,
+    pub address: SocketAddr,
+    pub ready_address: SocketAddr,
+}
+
+impl TestIngress {
+    /// Starts an ingress before these runners; the first is asked first.
+    pub async fn start(runners: &[&ScriptedRunner]) -> Self {
+        let test = Self::start_unconfigured().await;
+        let runners = runners.iter().enumerate();
+        let runners = runners.map(|(index, it)| runner(index, it.address));
+        test.store.set_runners(runners.collect());
+        test.store.set_configuration(configuration(1, Vec::new()));
+        test.until_ready().await;
+        test
+    }
+
+    pub async fn start_unconfigured() -> Self {
+        let store = Arc::new(MemoryStore::default());
+        let ingress = Ingress::start(
+            settings(),
+            Arc::new(TestSurface),
+            store.clone(),
+            Arc::new(SilentControl),
+            None,
+        );
+        let ingress = ingress.await.unwrap();
+        Self {
+            store,
+            address: ingress.address,
+            ready_address: ingress.ready_address,
+            ingress: Some(ingress),
+        }
+    }
+
+    async fn until_ready(&self) {
+        while self.ready_status().await != 200 {
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+    }
+
+    pub async fn ready_status(&self) -> u16 {
+        let url = format!("http://{}/ready", self.ready_address);
+        let response = client().get(url).send().await;
+        response.map_or(0, |response| response.status().as_u16())
+    }
+
+    /// A request of a client.
+    pub fn request(&self, path: &str, id: &str) -> reqwest::RequestBuilder {
+        client()
+            .post(format!("http://{}{path}", self.address))
+            .header("host", "a.example")
+            .header("x-id", id)
+            .body("the body")
+    }
+}
+
+fn client() -> reqwest::Client {
+    reqwest::Client::builder().no_proxy().build().unwrap()
+}
+
+fn settings() -> IngressSettings {
+    let any = SocketAddr::from(([127, 0, 0, 1], 0));
+    IngressSettings {
+        name: "d".to_owned(),
+        zone: Zone::new("z0"),
+        listen: any,
+        ready_listen: any,
+        peer_listen: any,
+        metrics_listen: None,
+        stop_grace: Duration::from_secs(4),
+        retry_budget: RetryBudgetSettings {
+            ratio: 0.2,
+            allowance: 50.0,
+            window: Duration::from_secs(10),
+        },
+        lease: LeaseSettings {
+            duration: Duration::from_secs(3),
+            renewal: Duration::from_millis(300),
+            margin: Duration::from_millis(300),
+            silence: Duration::from_millis(300),
+        },
+        placement: PlacementSettings::default(),
+    }
+}
--- /dev/null
+++ b/crates/routing/tests/decisions.rs
@@ -0,0 +1,358 @@
+//! Properties of routes, splits, the retry budget, attempts, event streams, balance and messages.
+
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use flaxward_routing::attempt::{Attempts, Failure};
+use flaxward_routing::balance::{NoRunner, Situation, Wanted, choose};
+use flaxward_routing::budget::{RetryBudget, RetryBudgetSettings};
+use flaxward_routing::configuration::{
+    ClientLimits, Configuration, Route, RouteKind, WeightedService,
+};
+use flaxward_routing::events::EventSplitter;
+use flaxward_routing::health::{HealthTable, Observation};
+use flaxward_routing::messages::{Message, Usage, WaitingUnit};
+use flaxward_routing::names::{ModelName, RouteName, RunnerId, ServiceName, Unit, Zone};
+use flaxward_routing::runners::{Runner, RunnerHoldings, RunnerTable};
+use flaxward_routing::split::SplitChooser;
+use flaxward_types::time::Timestamp;
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+
+fn config() -> ProptestConfig {
+    ProptestConfig {
+        cases: 256,
+        rng_seed: RngSeed::Fixed(0x0f1a_0001),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    }
+}
+
+fn route(prefix: &str, services: &[(&str, u32)]) -> Route {
+    Route {
+        name: RouteName::new(prefix),
+        host: "a.example".to_owned(),
+        prefix: prefix.to_owned(),
+        kind: RouteKind::Repeatable,
+        timeout: Duration::from_secs(1),
+        target: Duration::from_millis(100),
+        event_gap: Duration::ZERO,
+        priority: 1,
+        services: services
+            .iter()
+            .map(|&(service, weight)| WeightedService {
+                service: ServiceName::new(service),
+                weight,
+            })
+            .collect(),
+        max_attempts: 2,
+        is_generation: false,
+    }
+}
+
+fn runner(id: &str, zone: &str, models: &[&str]) -> Runner {
+    let holdings: BTreeMap<ModelName, BTreeSet<_>> = models
+        .iter()
+        .map(|model| (ModelName::new(model), BTreeSet::new()))
+        .collect();
+    Runner {
+        id: RunnerId::new(id),
+        service: ServiceName::new("pool"),
+        address: SocketAddr::from(([127, 0, 0, 1], 1)),
+        zone: Zone::new(zone),
+        slots: 8,
+        draining: false,
+        leaves_in: None,
+        cold_for: Duration::ZERO,
+        holdings,
+        in_memory: BTreeSet::new(),
+        on_disk: BTreeSet::new(),
+    }
+}
+
+fn unit(model: &str) -> Unit {
+    Unit {
+        service: ServiceName::new("pool"),
+        model: ModelName::new(model),
+        adapter: None,
+    }
+}
+
+#[test]
+fn the_longest_prefix_of_the_host_wins() {
+    let routes = vec![route("/a/", &[("x", 1)]), route("/a/b/", &[("y", 1)])];
+    let configuration = Configuration::new(1, ClientLimits::default(), routes, Vec::new());
+    let found = |host: &str, path: &str| {
+        let route = configuration.route(host, path)?;
+        Some(route.prefix.clone())
+    };
+    assert_eq!(found("a.example", "/a/b/c").as_deref(), Some("/a/b/"));
+    assert_eq!(found("A.Example:8080", "/a/c").as_deref(), Some("/a/"));
+    assert_eq!(found("a.example", "/a"), None);
+    assert_eq!(found("b.example", "/a/b/"), None);
+}
+
+proptest! {
+    #![proptest_config(config())]
+
+    /// Over any run of requests, each part of a split is off its share by less than one request for
+    /// each part.
+    #[test]
+    fn a_split_keeps_its_shares(weights in prop::collection::vec(1_u32..40, 2..5), seed: u64) {
+        let names: Vec<String> = (0..weights.len()).map(|part| format!("s{part}")).collect();
+        let parts: Vec<(&str, u32)> = names.iter().map(String::as_str).zip(weights.iter().copied()).collect();
+        let route = route("/s/", &parts);
+        let total: u32 = weights.iter().sum();
+        let mut chooser = SplitChooser::default();
+        let mut counts: HashMap<ServiceName, u32> = HashMap::new();
+        for _ in 0..200 {
+            let service = chooser.choose(&route, seed).unwrap();
+            *counts.entry(service).or_default() += 1;
+        }
+        for part in &route.services {
+            let expected = 200.0 * f64::from(part.weight) / f64::from(total);
+            let count = f64::from(counts.get(&part.service).copied().unwrap_or(0));
+            prop_assert!((count - expected).abs() <= weights.len() as f64, "{count} of {expected}");
+        }
+    }
+
+    /// All daemons together stay within the budget, over every window.
+    #[test]
+    fn the_budget_of_all_daemons_holds(
+        daemons in 1_usize..12,
+        events in prop::collection::vec((0_usize..12, 0_u64..200, any::<bool>()), 1..400),
+    ) {
+        let settings = RetryBudgetSettings {
+            ratio: 0.2,
+            allowance: 10.0,
+            window: Duration::from_secs(10),
+        };
+        let service = ServiceName::new("pool");
+        let mut budgets: Vec<RetryBudget> = (0..daemons).map(|_| RetryBudget::new(settings)).collect();
+        let mut now = Timestamp::ZERO;
+        let (mut requests, mut repeats) = (Vec::new(), Vec::new());
+        for (daemon, wait, is_repeat) in events {
+            now = now + Duration::from_millis(wait);
+            let budget = &mut budgets[daemon % daemons];
+            if !is_repeat {
+                budget.count_request(&service, now);
+                requests.push(now);
+            } else if budget.try_repeat(&service, now, daemons) {
+                repeats.push(now);
+            }
+            let start = now - settings.window;
+            let within = |times: &[Timestamp]| times.iter().filter(|&&at| at >= start).count() as f64;
+            prop_assert!(within(&repeats) <= 0.2 * within(&requests) + 10.0);
+        }
+    }
+
+    /// A request that may run at most once is never sent again once it may have run, and no request
+    /// runs more often than its route allows.
+    #[test]
+    fn attempts_respect_the_kind(
+        kind in prop_oneof![
+            Just(RouteKind::Repeatable),
+            Just(RouteKind::AtMostOnce),
+            Just(RouteKind::Stream { resumable: false }),
+            Just(RouteKind::Stream { resumable: true }),
+        ],
+        max_attempts in 1_u32..4,
+        failures in prop::collection::vec(
+            prop_oneof![
+                Just(Failure::NotRun),
+                Just(Failure::Misdirected),
+                Just(Failure::NotSent),
+                Just(Failure::Broken),
+                Just(Failure::Failed),
+                Just(Failure::Silent),
+            ],
+            1..8,
+        ),
+    ) {
+        let mut attempts = Attempts::default();
+        let mut runs = 0;
+        for failure in failures {
+            if !attempts.may_repeat(kind, max_attempts) {
+                break;
+            }
+            attempts.count(failure);
+            runs += u32::from(failure.may_have_run());
+            prop_assert!(runs <= 1 || kind.may_repeat());
+            prop_assert!(runs <= max_attempts.max(1));
+            prop_assert_eq!(attempts.surely_not_run(), runs == 0);
+        }
+    }
+
+    /// However a stream is cut into pieces, whole events come out, in order and unaltered, and what is
+    /// held back is less than one event.
+    #[test]
+    fn events_come_out_whole(events in prop::collection::vec("[a-z]{0,20}", 0..12), cuts in prop::collection::vec(1_usize..9, 1..200)) {
+        let mut stream = String::new();
+        for (index, text) in events.iter().enumerate() {
+            stream.push_str(&format!("id: {index}\ndata: {text}\n\n"));
+        }
+        let mut splitter = EventSplitter::default();
+        let (mut passed, mut at, mut cuts) = (Vec::new(), 0, cuts.into_iter().cycle());
+        while at < stream.len() {
+            let end = (at + cuts.next().unwrap()).min(stream.len());
+            passed.extend(splitter.push(&stream.as_bytes()[at..end]));
+            let text = std::str::from_utf8(&passed).unwrap();
+            prop_assert!(text.is_empty() || text.ends_with("\n\n"));
+            prop_assert!(stream.starts_with(text));
+            at = end;
+        }
+        prop_assert!(!splitter.has_partial());
+        prop_assert_eq!(passed, stream.into_bytes());
+        let last = events.len().checked_sub(1).map(|index| index.to_string());
+        prop_assert_eq!(splitter.last_id(), last.as_deref());
+    }
+}
+
+#[test]
+fn a_broken_event_is_held_back_and_can_be_dropped() {
+    let mut splitter = EventSplitter::default();
+    assert_eq!(
+        splitter.push(b"id: 4\ndata: x\n\nid: 5\nda"),
+        b"id: 4\ndata: x\n\n"
+    );
+    assert!(splitter.has_partial());
+    assert_eq!(splitter.last_id(), Some("4"));
+    splitter.drop_partial();
+    assert_eq!(splitter.push(b"id: 5\ndata: y\n\n"), b"id: 5\ndata: y\n\n");
+}
+
+struct Choice {
+    runners: RunnerTable,
+    health: HealthTable,
+    in_flight: HashMap<RunnerId, u32>,
+}
+
+impl Choice {
+    fn new(runners: Vec<Runner>) -> Self {
+        let mut table = RunnerTable::default();
+        table.replace(runners, 1);
+        Self {
+            runners: table,
+            health: HealthTable::default(),
+            in_flight: HashMap::new(),
+        }
+    }
+
+    fn choose(&self, unit: Option<&Unit>, tried: &[RunnerId]) -> Result<String, NoRunner> {
+        let service = ServiceName::new("pool");
+        let zone = Zone::new("z1");
+        let situation = Situation {
+            runners: &self.runners,
+            health: &self.health,
+            in_flight: &self.in_flight,
+            zone: &zone,
+            daemons: 1,
+            now: Timestamp(1_000),
+        };
+        let wanted = Wanted {
+            service: &service,
+            unit,
+            affinity: Some(7),
+            tried,
+        };
+        choose(&situation, &wanted).map(|runner| runner.id.to_string())
+    }
+}
+
+#[test]
+fn a_runner_that_holds_the_model_in_the_own_zone_comes_first() {
+    let choice = Choice::new(vec![
+        runner("other-zone", "z2", &["m"]),
+        runner("own-zone", "z1", &["m"]),
+        runner("without", "z1", &[]),
+    ]);
+    let model = unit("m");
+    assert_eq!(choice.choose(Some(&model), &[]).unwrap(), "own-zone");
+    let tried = [RunnerId::new("own-zone")];
+    assert_eq!(choice.choose(Some(&model), &tried).unwrap(), "other-zone");
+    assert_eq!(
+        choice.choose(Some(&unit("n")), &[]),
+        Err(NoRunner::NotLoaded)
+    );
+}
+
+#[test]
+fn a_draining_runner_gets_nothing() {
+    let mut leaving = runner("leaving", "z1", &["m"]);
+    leaving.draining = true;
+    let choice = Choice::new(vec![leaving]);
+    assert_eq!(
+        choice.choose(Some(&unit("m")), &[]),
+        Err(NoRunner::NoneOfService)
+    );
+}
+
+#[test]
+fn a_failing_runner_comes_last_and_is_still_better_than_none() {
+    let mut choice = Choice::new(vec![
+        runner("bad", "z1", &["m"]),
+        runner("good", "z2", &["m"]),
+    ]);
+    let bad = RunnerId::new("bad");
+    let now = Timestamp(900);
+    choice.health.observe(&bad, Observation::Unreachable, now);
+    assert_eq!(choice.choose(Some(&unit("m")), &[]).unwrap(), "good");
+    choice.runners.remove(&RunnerId::new("good"));
+    assert_eq!(choice.choose(Some(&unit("m")), &[]).unwrap(), "bad");
+}
+
+#[test]
+fn what_the_coordinator_says_stands_over_the_list_for_a_while() {
+    let mut table = RunnerTable::default();
+    table.replace(vec![runner("r", "z1", &["old"])], 1);
+    let told = RunnerHoldings {
+        runner: RunnerId::new("r"),
+        holdings: vec![(ModelName::new("new"), Vec::new())],
+    };
+    table.tell(told, Timestamp(0));
+    let holds = |table: &RunnerTable, model: &str, at: u64| {
+        let runner = table.get(&RunnerId::new("r")).unwrap();
+        table.holds(runner, &unit(model), Timestamp(at))
+    };
+    assert!(holds(&table, "new", 1_000));
+    assert!(!holds(&table, "old", 1_000));
+    assert!(
+        holds(&table, "old", 10_000),
+        "a silent coordinator is not believed for ever"
+    );
+}
+
+#[test]
+fn a_refused_unit_is_not_asked_for_again_at_once() {
+    let mut table = RunnerTable::default();
+    table.replace(vec![runner("r", "z1", &["m"])], 1);
+    let id = RunnerId::new("r");
+    table.note_absent(&id, &unit("m"), Timestamp(0));
+    let holds = |at: u64| table.holds(table.get(&id).unwrap(), &unit("m"), Timestamp(at));
+    assert!(!holds(500));
+    assert!(holds(3_000));
+}
+
+#[test]
+fn messages_come_back_as_they_were() {
+    let message = Message::Usage(Usage {
+        from: "d".to_owned(),
+        address: SocketAddr::from(([10, 0, 0, 1], 7_000)),
+        zone: Zone::new("z"),
+        term: 3,
+        holdings_version: 9,
+        leaving: false,
+        waiting: vec![WaitingUnit {
+            unit: unit("m"),
+            requests: 2,
+            priority: 1,
+        }],
+        used: Vec::new(),
+        running: Vec::new(),
+    });
+    let bytes = message.encode();
+    assert_eq!(Message::decode(&bytes).unwrap(), message);
+    assert!(Message::decode(&[]).is_err());
+    assert!(Message::decode(&[250, 1, 2]).is_err());
+}
--- /dev/null
+++ b/crates/routing/tests/lease.rs
@@ -0,0 +1,259 @@
+//! The lease under lost answers, late writes, outages and pauses: never two holders at one time, never
+//! one term for two holders, and a holder again once the faults are over.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use flaxward_routing::lease::{
+    LeaseAnswer, LeaseCall, LeaseChange, LeaseMachine, LeaseRecord, LeaseSettings, StoredLease,
+};
+use flaxward_types::time::Timestamp;
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+
+const STEP: Duration = Duration::from_millis(50);
+const FAULT_STEPS: usize = 600;
+const CALM_STEPS: usize = 240;
+
+fn settings() -> LeaseSettings {
+    LeaseSettings {
+        duration: Duration::from_secs(3),
+        renewal: Duration::from_millis(900),
+        margin: Duration::from_millis(300),
+        silence: Duration::from_millis(1_200),
+    }
+}
+
+fn address(index: usize) -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], 7_000 + u16::try_from(index).unwrap()))
+}
+
+/// What happens to one call.
+#[derive(Clone, Copy, Debug)]
+enum Fate {
+    Answered,
+    /// Nothing is done and nothing answered.
+    Lost,
+    /// It is done at once, and its answer is lost.
+    AnswerLost,
+    /// Its answer is lost, and it is done this many steps later, if its condition still holds.
+    Late(usize),
+}
+
+fn fate() -> impl Strategy<Value = Fate> {
+    prop_oneof![
+        6 => Just(Fate::Answered),
+        1 => Just(Fate::Lost),
+        1 => Just(Fate::AnswerLost),
+        1 => (1_usize..120).prop_map(Fate::Late),
+    ]
+}
+
+#[derive(Default)]
+struct Store {
+    lease: Option<StoredLease>,
+    revision: u64,
+    late: Vec<(usize, LeaseCall)>,
+}
+
+impl Store {
+    fn write(&mut self, record: &LeaseRecord) -> LeaseAnswer {
+        self.revision += 1;
+        let lease = StoredLease {
+            record: record.clone(),
+            revision: self.revision,
+        };
+        self.lease = Some(lease.clone());
+        LeaseAnswer::Written(lease)
+    }
+
+    fn found(&self) -> LeaseAnswer {
+        match &self.lease {
+            Some(lease) => LeaseAnswer::Found(lease.clone()),
+            None => LeaseAnswer::Missing,
+        }
+    }
+
+    fn apply(&mut self, call: &LeaseCall) -> LeaseAnswer {
+        match call {
+            LeaseCall::Read => self.found(),
+            LeaseCall::Create(record) if self.lease.is_none() => self.write(record),
+            LeaseCall::Create(_) => self.found(),
+            LeaseCall::Replace(record, revision) => {
+                let matches = self.lease.as_ref().map(|it| it.revision) == Some(*revision);
+                if matches {
+                    self.write(record)
+                } else {
+                    self.found()
+                }
+            }
+        }
+    }
+
+    fn late_writes(&mut self, step: usize) {
+        let (due, later) = std::mem::take(&mut self.late)
+            .into_iter()
+            .partition(|(at, _)| *at <= step);
+        self.late = later;
+        for (_, call) in due {
+            self.apply(&call);
+        }
+    }
+}
+
+struct World {
+    store: Store,
+    daemons: Vec<LeaseMachine>,
+    paused: Vec<usize>,
+    holders_of_terms: HashMap<u64, usize>,
+    last_order: HashMap<usize, Timestamp>,
+}
+
+impl World {
+    fn new(count: usize) -> Self {
+        let daemon = |index: usize| {
+            let name = format!("daemon-{index}");
+            LeaseMachine::new(settings(), name, index as u64, address(index))
+        };
+        Self {
+            store: Store::default(),
+            daemons: (0..count).map(daemon).collect(),
+            paused: vec![0; count],
+            holders_of_terms: HashMap::new(),
+            last_order: HashMap::new(),
+        }
+    }
+
+    fn step(&mut self, step: usize, fates: &mut impl Iterator<Item = Fate>) {
+        let now = Timestamp::ZERO + STEP * u32::try_from(step).unwrap();
+        self.store.late_writes(step);
+        for index in 0..self.daemons.len() {
+            if self.paused[index] > step {
+                continue;
+            }
+            let (call, change) = self.daemons[index].poll(now);
+            self.check(index, change.as_ref());
+            let Some(call) = call else { continue };
+            let answer = self.carry_out(&call, fates.next().unwrap_or(Fate::Answered), step);
+            let change = self.daemons[index].answered(answer, now);
+            self.check(index, change.as_ref());
+        }
+        self.check_single_holder(now);
+    }
+
+    fn carry_out(&mut self, call: &LeaseCall, fate: Fate, step: usize) -> LeaseAnswer {
+        match fate {
+            Fate::Answered => self.store.apply(call),
+            Fate::Lost => LeaseAnswer::Unknown,
+            Fate::AnswerLost => {
+                self.store.apply(call);
+                LeaseAnswer::Unknown
+            }
+            Fate::Late(steps) => {
+                self.store.late.push((step + steps, call.clone()));
+                LeaseAnswer::Unknown
+            }
+        }
+    }
+
+    fn check(&mut self, index: usize, change: Option<&LeaseChange>) {
+        let Some(LeaseChange::Acquired { term, .. }) = change else {
+            return;
+        };
+        let first = *self.holders_of_terms.entry(*term).or_insert(index);
+        assert_eq!(first, index, "term {term} has two holders");
+    }
+
+    fn check_single_holder(&mut self, now: Timestamp) {
+        let holders: Vec<usize> = (0..self.daemons.len())
+            .filter(|&index| self.daemons[index].term(now).is_some())
+            .collect();
+        assert!(holders.len() <= 1, "two holders at {now}: {holders:?}");
+        for holder in holders {
+            self.last_order.insert(holder, now);
+        }
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 128,
+        rng_seed: RngSeed::Fixed(0x1ea5_e001),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
+    #[test]
+    fn there_is_one_holder_at_a_time_and_one_again_after_the_faults(
+        count in 1_usize..6,
+        fates in prop::collection::vec(fate(), 400),
+        pauses in prop::collection::vec((0_usize..FAULT_STEPS, 0_usize..6, 1_usize..200), 0..6),
+    ) {
+        let mut world = World::new(count);
+        let mut fates = fates.into_iter();
+        for step in 0..FAULT_STEPS {
+            for &(at, daemon, steps) in &pauses {
+                if at == step && daemon < count {
+                    world.paused[daemon] = (step + steps).min(FAULT_STEPS);
+                }
+            }
+            world.step(step, &mut fates);
+        }
+        let mut calm = std::iter::empty();
+        for step in FAULT_STEPS..FAULT_STEPS + CALM_STEPS {
+            world.step(step, &mut calm);
+        }
+        let now = Timestamp::ZERO + STEP * u32::try_from(FAULT_STEPS + CALM_STEPS - 1).unwrap();
+        let holders = world.daemons.iter().filter(|it| it.term(now).is_some()).count();
+        prop_assert_eq!(holders, 1);
+    }
+}
+
+fn run(world: &mut World, from: usize, to: usize) {
+    let mut calm = std::iter::empty();
+    for step in from..to {
+        world.step(step, &mut calm);
+    }
+}
+
+#[test]
+fn a_released_lease_is_taken_at_once_and_orders_wait_a_lease() {
+    let mut world = World::new(1);
+    run(&mut world, 0, 20);
+    world.daemons[0].stop();
+    run(&mut world, 20, 60);
+    assert!(world.daemons[0].is_released());
+
+    let mut successor = LeaseMachine::new(settings(), "next".to_owned(), 9, address(9));
+    let now = Timestamp(10_000);
+    let (call, _) = successor.poll(now);
+    assert_eq!(call, Some(LeaseCall::Read));
+    successor.answered(world.store.apply(&call.unwrap()), now);
+    let (call, _) = successor.poll(now);
+    let answer = world.store.apply(&call.expect("a released lease is free"));
+    let change = successor.answered(answer, now).expect("it is acquired");
+    let LeaseChange::Acquired { term, orders_from } = change else {
+        panic!("not acquired: {change:?}");
+    };
+    assert_eq!(term, 2);
+    assert!(orders_from >= now + settings().duration);
+}
+
+#[test]
+fn a_fenced_off_holder_stops_at_once_and_does_not_use_its_term_again() {
+    let mut world = World::new(1);
+    run(&mut world, 0, 20);
+    let now = Timestamp(1_000);
+    let term = world.daemons[0].term(now).expect("it holds the lease");
+    assert_eq!(
+        world.daemons[0].refused(term),
+        Some(LeaseChange::Lost { term })
+    );
+    assert_eq!(world.daemons[0].term(now), None);
+    run(&mut world, 20, 120);
+    let next = world.daemons[0]
+        .term(Timestamp(5_950))
+        .expect("it holds it again");
+    assert!(next > term);
+}
--- /dev/null
+++ b/crates/routing/tests/placement/cases.rs
@@ -0,0 +1,53 @@
+//! Cases that played days have shown.
+
+use flaxward_routing::names::ServiceName;
+
+use crate::world::{Fate, World, adapter, model};
+
+fn calm(world: &mut World, steps: usize) {
+    for _ in 0..steps {
+        world.step(&mut std::iter::empty());
+    }
+}
+
+#[test]
+fn a_waited_for_adapter_brings_its_model_first() {
+    let mut world = World::new(1);
+    let wanted = adapter(0, 1);
+    world.set_waiting(vec![wanted.clone()]);
+    calm(&mut world, 200);
+    assert!(world.holds(&wanted));
+}
+
+/// A coordinator that takes over while a runner loads does not see the model in the report. It must
+/// not take the runner for free; the world fails if the runner is overfilled.
+#[test]
+fn a_runner_busy_with_the_order_of_another_coordinator_gets_none() {
+    let mut world = World::new(1);
+    world.set_waiting(vec![model(0)]);
+    calm(&mut world, 100);
+    world.set_waiting(vec![model(0), model(1)]);
+    calm(&mut world, 20);
+    world.take_over();
+    world.set_waiting(vec![model(0), model(1), model(5)]);
+    calm(&mut world, 300);
+    assert!(world.holds(&model(0)) || world.holds(&model(1)));
+}
+
+#[test]
+fn an_order_whose_answer_is_lost_is_settled_by_the_report() {
+    let mut world = World::new(1);
+    world.set_waiting(vec![model(2)]);
+    let mut fates = [Fate::AnswerLost].into_iter();
+    for _ in 0..140 {
+        world.step(&mut fates);
+    }
+    assert!(world.holds(&model(2)));
+}
+
+#[test]
+fn a_new_coordinator_orders_nothing_before_it_has_read_the_runner() {
+    let world = World::new(2);
+    assert_eq!(world.placement.announced().count(), 0);
+    assert_eq!(model(0).service, ServiceName::new("pool"));
+}
--- /dev/null
+++ b/crates/routing/tests/placement/main.rs
@@ -0,0 +1,5 @@
+//! The placement against model runners that report late, lose answers and carry orders out late.
+
+mod cases;
+mod properties;
+mod world;
--- /dev/null
+++ b/crates/routing/tests/placement/world.rs
@@ -0,0 +1,432 @@
+//! Runners and a coordinator in virtual time. The runners check what no coordinator may do.
+
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use flaxward_routing::configuration::{
+    ClientLimits, Configuration, Engine, ModelSpecification, Service,
+};
+use flaxward_routing::messages::{Usage, UsedUnit, WaitingUnit};
+use flaxward_routing::names::{AdapterName, ModelName, RunnerId, ServiceName, Unit, Zone};
+use flaxward_routing::placement::{
+    Action, Operation, Order, OrderAnswer, Placement, PlacementSettings, RunnerReport,
+};
+use flaxward_routing::runners::{Holdings, Runner};
+use flaxward_types::time::Timestamp;
+
+/// Length of one step of the world.
+pub const STEP: Duration = Duration::from_millis(50);
+/// How late reports are.
+const REPORT_LAG: Duration = Duration::from_millis(100);
+const RUNNER_MB: f64 = 200.0;
+const ADAPTER_SLOTS: usize = 2;
+const LOADS_PER_SECOND: f64 = 2.0;
+const SERVICE: &str = "pool";
+
+/// Weights of the models `m0`, `m1` and so on, in MB.
+pub const MODELS: [f64; 6] = [72.0, 72.0, 65.0, 42.0, 42.0, 72.0];
+
+pub fn model(index: usize) -> Unit {
+    Unit {
+        service: ServiceName::new(SERVICE),
+        model: ModelName::new(&format!("m{}", index % MODELS.len())),
+        adapter: None,
+    }
+}
+
+pub fn adapter(index: usize, name: usize) -> Unit {
+    Unit {
+        adapter: Some(AdapterName::new(&format!("a{name}"))),
+        ..model(index)
+    }
+}
+
+fn specification(index: usize) -> ModelSpecification {
+    ModelSpecification {
+        weights_mb: MODELS[index],
+        adapter_mb: 0.5,
+        store_load: Duration::from_secs(4),
+        disk_load: Duration::from_millis(1_700),
+        memory_load: Duration::from_millis(1_300),
+    }
+}
+
+pub fn configuration() -> Configuration {
+    let models = (0..MODELS.len())
+        .map(|index| (model(index).model, specification(index)))
+        .collect();
+    let engine = Engine {
+        slots: 8,
+        weights_mb: RUNNER_MB,
+        adapter_slots: ADAPTER_SLOTS,
+        loads_per_second: LOADS_PER_SECOND,
+        models,
+    };
+    let service = Service {
+        name: ServiceName::new(SERVICE),
+        max_connections: 100,
+        engine: Some(engine),
+    };
+    Configuration::new(1, ClientLimits::default(), Vec::new(), vec![service])
+}
+
+/// What happens to an order.
+#[derive(Clone, Copy, Debug)]
+pub enum Fate {
+    Answered,
+    Lost,
+    AnswerLost,
+    /// No answer, and it reaches the runner this many steps later.
+    Late(usize),
+}
+
+/// A runner's own state.
+#[derive(Clone, Debug, Default)]
+struct EngineState {
+    holdings: Holdings,
+    pending: BTreeMap<(ModelName, AdapterName), Timestamp>,
+    busy: Option<(Order, Timestamp)>,
+    count: u64,
+    fence: u64,
+}
+
+impl EngineState {
+    fn used_mb(&self) -> f64 {
+        let weights = |model: &ModelName| {
+            let index: usize = model.as_str()[1..].parse().unwrap();
+            MODELS[index]
+        };
+        let loading = self.busy.as_ref().map(|(order, _)| order);
+        let loading = loading.filter(|order| order.operation == Operation::Load);
+        let loading = loading.map_or(0.0, |order| weights(&order.unit.model));
+        self.holdings.keys().map(weights).sum::<f64>() + loading
+    }
+
+    fn adapter_count(&self) -> usize {
+        let held: usize = self.holdings.values().map(BTreeSet::len).sum();
+        held + self.pending.len()
+    }
+
+    fn advance(&mut self, now: Timestamp) {
+        if let Some((order, _)) = self.busy.take_if(|(_, end)| *end <= now) {
+            match order.operation {
+                Operation::Load => {
+                    self.holdings.insert(order.unit.model, BTreeSet::new());
+                }
+                Operation::Unload => {
+                    self.holdings.remove(&order.unit.model);
+                    self.pending
+                        .retain(|(model, _), _| *model != order.unit.model);
+                }
+            }
+        }
+        let done: Vec<(ModelName, AdapterName)> = self
+            .pending
+            .iter()
+            .filter(|(_, end)| **end <= now)
+            .map(|(key, _)| key.clone())
+            .collect();
+        for key in done {
+            self.pending.remove(&key);
+            if let Some(adapters) = self.holdings.get_mut(&key.0) {
+                adapters.insert(key.1);
+            }
+        }
+    }
+
+    fn take(&mut self, order: &Order, expected: u64, fence: u64, now: Timestamp) -> OrderAnswer {
+        if fence < self.fence {
+            return OrderAnswer::FencedOff;
+        }
+        self.fence = fence;
+        if expected != self.count || self.busy.is_some() {
+            return OrderAnswer::Conflict;
+        }
+        self.count += 1;
+        match &order.unit.adapter {
+            None => {
+                let time = match order.operation {
+                    Operation::Load => Duration::from_secs(4),
+                    Operation::Unload => Duration::from_millis(200),
+                };
+                self.busy = Some((order.clone(), now + time));
+                assert!(
+                    self.used_mb() <= RUNNER_MB,
+                    "over the memory by {order:?}: {self:?}"
+                );
+            }
+            Some(adapter) => self.take_adapter(order, adapter, now),
+        }
+        OrderAnswer::Accepted
+    }
+
+    fn take_adapter(&mut self, order: &Order, adapter: &AdapterName, now: Timestamp) {
+        let key = (order.unit.model.clone(), adapter.clone());
+        match order.operation {
+            Operation::Load => {
+                self.pending.insert(key, now + Duration::from_millis(60));
+                assert!(
+                    self.adapter_count() <= ADAPTER_SLOTS,
+                    "too many adapters: {self:?}"
+                );
+            }
+            Operation::Unload => {
+                self.pending.remove(&key);
+                if let Some(adapters) = self.holdings.get_mut(&order.unit.model) {
+                    adapters.remove(adapter);
+                }
+            }
+        }
+    }
+
+    fn report(&self) -> RunnerReport {
+        RunnerReport {
+            holdings: self.holdings.clone(),
+            pending: self.pending.keys().cloned().collect(),
+            is_busy: self.busy.is_some(),
+            order_count: self.count,
+            running: 0,
+            waiting: 0,
+        }
+    }
+}
+
+/// A runner with its past, from which late reports come.
+struct Engine0 {
+    runner: Runner,
+    state: EngineState,
+    past: VecDeque<(Timestamp, RunnerReport)>,
+}
+
+/// An order that is on its way for long.
+struct LateOrder {
+    at_step: usize,
+    runner: RunnerId,
+    order: Order,
+    expected: u64,
+    fence: u64,
+}
+
+/// Everything.
+pub struct World {
+    pub placement: Placement,
+    engines: BTreeMap<RunnerId, Engine0>,
+    late: Vec<LateOrder>,
+    fence: u64,
+    step: usize,
+    store_loads: Vec<Timestamp>,
+    waiting: Vec<Unit>,
+}
+
+impl World {
+    pub fn new(runners: usize) -> Self {
+        let engines = (0..runners).map(|index| {
+            let runner = runner(index);
+            let engine = Engine0 {
+                runner: runner.clone(),
+                state: EngineState::default(),
+                past: VecDeque::new(),
+            };
+            (runner.id, engine)
+        });
+        let mut world = Self {
+            placement: Placement::new(settings(), Timestamp::ZERO, Timestamp::ZERO),
+            engines: engines.collect(),
+            late: Vec::new(),
+            fence: 1,
+            step: 0,
+            store_loads: Vec::new(),
+            waiting: Vec::new(),
+        };
+        world.placement.configure(&configuration());
+        world
+    }
+
+    pub fn now(&self) -> Timestamp {
+        Timestamp(1_000) + STEP * u32::try_from(self.step).unwrap()
+    }
+
+    /// Another daemon coordinates from now on.
+    pub fn take_over(&mut self) {
+        self.fence += 1;
+        let now = self.now();
+        self.placement = Placement::new(settings(), now, now);
+        self.placement.configure(&configuration());
+    }
+
+    pub fn set_waiting(&mut self, units: Vec<Unit>) {
+        self.waiting = units;
+    }
+
+    pub fn holds(&self, unit: &Unit) -> bool {
+        self.engines.values().any(|engine| {
+            let adapters = engine.state.holdings.get(&unit.model);
+            match (&unit.adapter, adapters) {
+                (_, None) => false,
+                (None, Some(_)) => true,
+                (Some(adapter), Some(adapters)) => adapters.contains(adapter),
+            }
+        })
+    }
+
+    pub fn step(&mut self, fates: &mut impl Iterator<Item = Fate>) {
+        self.step += 1;
+        let now = self.now();
+        self.deliver_late(now);
+        for engine in self.engines.values_mut() {
+            engine.state.advance(now);
+            engine.past.push_back((now, engine.state.report()));
+            while engine.past.len() > 20 {
+                engine.past.pop_front();
+            }
+        }
+        let usage = self.usage();
+        self.placement.usage(usage, now);
+        let runners: Vec<Runner> = self.engines.values().map(|it| it.runner.clone()).collect();
+        self.placement.set_runners(runners.iter());
+        for action in self.placement.plan(now) {
+            self.carry_out(action, fates, now);
+        }
+        self.check_ceiling(now);
+    }
+
+    fn usage(&self) -> Usage {
+        let waiting = self.waiting.iter().filter(|unit| !self.holds(unit));
+        let used = self.waiting.iter().filter(|unit| self.holds(unit));
+        Usage {
+            from: "d".to_owned(),
+            address: SocketAddr::from(([127, 0, 0, 1], 9)),
+            zone: Zone::new("z0"),
+            term: self.fence,
+            holdings_version: 0,
+            leaving: false,
+            waiting: waiting
+                .map(|unit| WaitingUnit {
+                    unit: unit.clone(),
+                    requests: 1,
+                    priority: 1,
+                })
+                .collect(),
+            used: used
+                .map(|unit| UsedUnit {
+                    unit: unit.clone(),
+                    requests: 1,
+                })
+                .collect(),
+            running: Vec::new(),
+        }
+    }
+
+    fn carry_out(
+        &mut self,
+        action: Action,
+        fates: &mut impl Iterator<Item = Fate>,
+        now: Timestamp,
+    ) {
+        match action {
+            Action::Report { runner, .. } => {
+                let known = now - REPORT_LAG;
+                let past = &self.engines[&runner].past;
+                let report = past.iter().rev().find(|(at, _)| *at <= known);
+                let report = report.map(|(_, report)| report.clone());
+                self.placement.reported(&runner, report, now, now);
+            }
+            Action::Order {
+                runner,
+                order,
+                expected_count,
+                ..
+            } => {
+                let fate = fates.next().unwrap_or(Fate::Answered);
+                let answer = self.send(&runner, order, expected_count, fate, now);
+                self.placement.answered(&runner, answer, now);
+            }
+        }
+    }
+
+    fn send(
+        &mut self,
+        runner: &RunnerId,
+        order: Order,
+        expected: u64,
+        fate: Fate,
+        now: Timestamp,
+    ) -> OrderAnswer {
+        match fate {
+            Fate::Answered => self.deliver(runner, &order, expected, self.fence, now),
+            Fate::Lost => OrderAnswer::Unknown,
+            Fate::AnswerLost => {
+                self.deliver(runner, &order, expected, self.fence, now);
+                OrderAnswer::Unknown
+            }
+            Fate::Late(steps) => {
+                self.late.push(LateOrder {
+                    at_step: self.step + steps,
+                    runner: runner.clone(),
+                    order,
+                    expected,
+                    fence: self.fence,
+                });
+                OrderAnswer::Unknown
+            }
+        }
+    }
+
+    fn deliver(
+        &mut self,
+        runner: &RunnerId,
+        order: &Order,
+        expected: u64,
+        fence: u64,
+        now: Timestamp,
+    ) -> OrderAnswer {
+        let engine = self.engines.get_mut(runner).unwrap();
+        let answer = engine.state.take(order, expected, fence, now);
+        let is_load = order.operation == Operation::Load && order.unit.adapter.is_none();
+        if answer == OrderAnswer::Accepted && is_load {
+            self.store_loads.push(now);
+        }
+        answer
+    }
+
+    fn deliver_late(&mut self, now: Timestamp) {
+        let step = self.step;
+        let (due, later): (Vec<LateOrder>, Vec<LateOrder>) = std::mem::take(&mut self.late)
+            .into_iter()
+            .partition(|late| late.at_step <= step);
+        self.late = later;
+        for late in due {
+            self.deliver(&late.runner, &late.order, late.expected, late.fence, now);
+        }
+    }
+
+    /// Loads begun in any window stay under the ceiling of the platform.
+    fn check_ceiling(&self, now: Timestamp) {
+        let window = settings().load_window;
+        let start = now - window;
+        let recent = self.store_loads.iter().filter(|&&at| at >= start).count();
+        let allowed = LOADS_PER_SECOND * window.as_secs_f64() * 1.1 + 3.0;
+        assert!(recent as f64 <= allowed, "{recent} loads in one window");
+    }
+}
+
+fn settings() -> PlacementSettings {
+    PlacementSettings::default()
+}
+
+fn runner(index: usize) -> Runner {
+    Runner {
+        id: RunnerId::new(&format!("r{index}")),
+        service: ServiceName::new(SERVICE),
+        address: SocketAddr::from(([127, 0, 0, 1], 100)),
+        zone: Zone::new(&format!("z{}", index % 3)),
+        slots: 8,
+        draining: false,
+        leaves_in: None,
+        cold_for: Duration::ZERO,
+        holdings: Holdings::new(),
+        in_memory: BTreeSet::new(),
+        on_disk: BTreeSet::new(),
+    }
+}
