--- a/crates/ingress/src/coordination.rs
+++ b/crates/ingress/src/coordination.rs
@@ -273,6 +273,7 @@
                 self.follow(self.address, term);
             }
             LeaseChange::Lost { term } => {
+                self.shared.tables().loads.clear();
                 self.leading = None;
                 self.coordinator = None;
                 self.log_lease("lease-lost", term);
@@ -408,8 +409,12 @@
             holdings_version: 0,
             holdings: Vec::new(),
             outlooks: Vec::new(),
+            loads: None,
         };
-        let directions = leading.placement.directions(member, &header, now);
+        let mut directions = leading.placement.directions(member, &header, now);
+        if let Some(first) = directions.first_mut() {
+            first.loads = Some(leading.placement.loads(now));
+        }
         let version = leading.placement.version();
         leading.told.insert(member.to_owned(), (version, now));
         let is_self = member == self.shared.settings.name;
@@ -463,6 +468,10 @@
             .unwrap_or(usize::MAX)
             .max(1);
         tables.runners.confirm(now);
+        if let Some(loads) = direction.loads {
+            let loads = loads.into_iter().map(|load| (load.runner, load.requests));
+            tables.loads = loads.collect();
+        }
         let has_news = !direction.holdings.is_empty();
         if follows {
             for holdings in direction.holdings {
--- a/crates/ingress/src/relay.rs
+++ b/crates/ingress/src/relay.rs
@@ -5,11 +5,12 @@
 
 use bytes::Bytes;
 use flaxward_routing::attempt::{Attempts, Failure};
-use flaxward_routing::balance::Wanted;
+use flaxward_routing::balance::{NoRunner, Wanted};
 use flaxward_routing::configuration::Route;
 use flaxward_routing::events::EventSplitter;
 use flaxward_routing::health::Observation;
 use flaxward_routing::names::{RunnerId, ServiceName};
+use flaxward_routing::runners::Runner;
 use futures::stream;
 use http_body_util::{BodyExt, StreamBody};
 use hyper::body::{Frame, Incoming};
@@ -20,8 +21,11 @@
 use crate::exchange::{ClientRequest, Continuation, Exchange, exchange};
 use crate::state::Shared;
 
-/// Shortest silence of a runner after which a stream is continued elsewhere.
-const LEAST_SILENCE: Duration = Duration::from_secs(1);
+/// Shortest time for the head and first event of a continued stream.
+const LEAST_PATIENCE: Duration = Duration::from_secs(1);
+/// Part of the callers' patience after which a silent stream is continued elsewhere. A runner may be
+/// silent while it serves more urgent requests, so this is late.
+const SILENCE_SHARE: f64 = 0.7;
 
 /// Why an answer breaks off. The connection to the client is closed without the end of the answer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
@@ -142,13 +146,26 @@
 
     /// When a silent runner is given up.
     fn allowed_silence(&self) -> Instant {
-        if !self.may_resume() {
+        if !self.may_resume() || self.choose_next().is_err() {
             return self.request.deadline;
         }
-        let silence = (self.route.event_gap * 3).max(LEAST_SILENCE);
+        let silence = self.route.stream_patience().mul_f64(SILENCE_SHARE);
         (Instant::now() + silence).min(self.request.deadline)
     }
 
+    /// The runner at which the stream would be continued.
+    fn choose_next(&self) -> Result<Runner, NoRunner> {
+        let present = self.exchange.iter().map(|exchange| &exchange.runner.id);
+        let tried: Vec<RunnerId> = self.tried.iter().chain(present).cloned().collect();
+        let wanted = Wanted {
+            service: &self.service,
+            unit: self.request.unit.as_ref(),
+            affinity: Some(self.request.profile.affinity()),
+            tried: &tried,
+        };
+        self.shared.choose(&wanted)
+    }
+
     fn may_resume(&self) -> bool {
         let mut next = self.attempts;
         next.count(Failure::Broken);
@@ -222,13 +239,7 @@
 
     /// Sends the request to another runner. Tells whether that one goes on.
     async fn try_continue(&mut self) -> Result<bool, RelayError> {
-        let wanted = Wanted {
-            service: &self.service,
-            unit: self.request.unit.as_ref(),
-            affinity: Some(self.request.profile.affinity()),
-            tried: &self.tried,
-        };
-        let Ok(runner) = self.shared.choose(&wanted) else {
+        let Ok(runner) = self.choose_next() else {
             return Err(RelayError::Broken);
         };
         let client_event = self.request.profile.last_event.as_deref();
@@ -237,7 +248,7 @@
             weights_version: self.weights_version,
         };
         let patience =
-            (Instant::now() + self.route.target.max(LEAST_SILENCE)).min(self.request.deadline);
+            (Instant::now() + self.route.target.max(LEAST_PATIENCE)).min(self.request.deadline);
         match exchange(&self.shared, &self.request, &runner, continuation, patience).await {
             Ok(exchange) if exchange.head.status.is_success() => {
                 let fields: &[(&str, &dyn std::fmt::Display)] = &[
--- a/crates/routing/src/balance.rs
+++ b/crates/routing/src/balance.rs
@@ -17,6 +17,11 @@
 /// Share of a runner's slots, divided among the daemons, from which affinity gives way to load.
 const AFFINITY_LOAD: f64 = 0.8;
 
+/// Filled share of a runner's slots from which others come first.
+const CROWDED_SHARE: f64 = 0.75;
+/// Filled share of a runner's slots from which it counts as full.
+const FULL_SHARE: f64 = 1.0;
+
 /// What the choice depends on besides the request.
 #[derive(Debug)]
 pub struct Situation<'a> {
@@ -26,6 +31,8 @@
     pub health: &'a HealthTable,
     /// This daemon's requests at each runner.
     pub in_flight: &'a HashMap<RunnerId, u32>,
+    /// Requests of all daemons at runners that are at least half full, as told a while ago.
+    pub loads: &'a HashMap<RunnerId, u32>,
     /// This daemon's zone.
     pub zone: &'a Zone,
     /// Daemons that share the runners.
@@ -97,6 +104,7 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 enum Condition {
     Well,
+    Crowded,
     Cold,
     Doubtful,
     Overloaded,
@@ -137,12 +145,23 @@
         Condition::Doubtful
     } else if !runner.cold_for.is_zero() {
         Condition::Cold
+    } else if told_load(situation, runner) >= CROWDED_SHARE {
+        Condition::Crowded
     } else {
         Condition::Well
     }
 }
 
+/// Share of a runner's slots that all daemons together have filled, by the last word of it.
+fn told_load(situation: &Situation<'_>, runner: &Runner) -> f64 {
+    let requests = situation.loads.get(&runner.id).copied().unwrap_or(0);
+    f64::from(requests) / f64::from(runner.slots.max(1))
+}
+
 fn is_overloaded(situation: &Situation<'_>, runner: &Runner, in_flight: u32) -> bool {
+    if told_load(situation, runner) >= FULL_SHARE {
+        return true;
+    }
     #[allow(clippy::cast_precision_loss)]
     let share = f64::from(runner.slots) * AFFINITY_LOAD / situation.daemons.max(1) as f64;
     f64::from(in_flight) >= share.max(2.0)
--- a/crates/routing/src/messages.rs
+++ b/crates/routing/src/messages.rs
@@ -101,6 +101,18 @@
     pub holdings: Vec<RunnerHoldings>,
     /// When units that the member's requests wait for are ready.
     pub outlooks: Vec<UnitOutlook>,
+    /// Requests in progress at runners that are at least half full, all daemons together. It is in
+    /// the first of several messages only.
+    pub loads: Option<Vec<RunnerLoad>>,
+}
+
+/// Requests in progress at a runner.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RunnerLoad {
+    /// The runner.
+    pub runner: RunnerId,
+    /// How many.
+    pub requests: u32,
 }
 
 /// When a unit is ready.
--- a/crates/routing/src/placement/demand.rs
+++ b/crates/routing/src/placement/demand.rs
@@ -197,6 +197,17 @@
         models
     }
 
+    /// Requests in progress at each runner.
+    pub fn running_by_runner(&self, now: Timestamp) -> HashMap<RunnerId, u32> {
+        let mut requests: HashMap<RunnerId, u32> = HashMap::new();
+        for (_, member) in self.live(now) {
+            for running in &member.usage.running {
+                *requests.entry(running.runner.clone()).or_default() += running.requests;
+            }
+        }
+        requests
+    }
+
     /// Requests in progress with a model or one of its adapters at a runner.
     pub fn running(&self, runner: &RunnerId, unit: &Unit, now: Timestamp) -> u32 {
         self.live(now)
--- a/crates/routing/src/placement/mod.rs
+++ b/crates/routing/src/placement/mod.rs
@@ -18,7 +18,7 @@
 use flaxward_types::time::{Timestamp, millis};
 
 use crate::configuration::{Configuration, Engine};
-use crate::messages::{Direction, UnitOutlook, Usage};
+use crate::messages::{Direction, RunnerLoad, UnitOutlook, Usage};
 use crate::names::{AdapterName, ModelName, RunnerId, ServiceName, Unit};
 use crate::runners::{Holdings, Runner, RunnerHoldings};
 
@@ -245,6 +245,20 @@
         directions
     }
 
+    /// Requests in progress at the runners that are at least half full, as the members tell.
+    pub fn loads(&self, now: Timestamp) -> Vec<RunnerLoad> {
+        let running = self.demands.running_by_runner(now);
+        let load = |ledger: &Ledger| {
+            let requests = *running.get(&ledger.runner.id)?;
+            let is_half_full = requests.saturating_mul(2) >= ledger.runner.slots;
+            is_half_full.then(|| RunnerLoad {
+                runner: ledger.runner.id.clone(),
+                requests,
+            })
+        };
+        self.ledgers.values().filter_map(load).collect()
+    }
+
     /// Addresses of the members that live.
     pub fn members(&self, now: Timestamp) -> Vec<(String, SocketAddr)> {
         self.demands.live_members(now)
@@ -305,6 +319,15 @@
 
     /// When a unit is ready, if it is on its way or a place for it can be named.
     fn outlook(&self, unit: &Unit, now: Timestamp) -> Option<UnitOutlook> {
+        let base = unit.base();
+        if unit.adapter.is_some() && !self.is_offered(&base) {
+            let outlook = self.outlook(&base, now)?;
+            let adapter_ms = u32::try_from(millis(ADAPTER_TIME)).unwrap_or(u32::MAX);
+            return Some(UnitOutlook {
+                unit: unit.clone(),
+                ready_in_ms: outlook.ready_in_ms.saturating_add(adapter_ms),
+            });
+        }
         let under_way = self.ledgers.values().filter_map(|ledger| {
             let order = ledger.order_state()?;
             let is_this = order.order.operation == Operation::Load && order.order.unit == *unit;
--- a/crates/routing/src/placement/planner.rs
+++ b/crates/routing/src/placement/planner.rs
@@ -17,8 +17,10 @@
 pub(super) const BUSY_RATE: f64 = 0.7;
 /// Copies of a busy model, one for each zone up to this number.
 const BUSY_COPIES: usize = 3;
-/// Requests a second that one copy serves without being crowded.
-const RATE_A_COPY: f64 = 8.0;
+/// Time that a request is expected to take, in seconds.
+const SECONDS_A_REQUEST: f64 = 2.0;
+/// Share of its slots that a copy fills without being crowded.
+const FILLED_SHARE: f64 = 0.6;
 /// Adapters on their way to one runner at most.
 const PENDING_ADAPTERS: usize = 3;
 /// Part of the ceiling of loads that is used for copies which nobody waits for.
@@ -45,9 +47,7 @@
         for wanted in &wanted {
             self.serve(wanted, now);
         }
-        if wanted.is_empty() {
-            self.add_replicas(now);
-        }
+        self.add_replicas(now);
         actions.extend(self.due_orders(now));
         actions
     }
@@ -153,7 +153,7 @@
         }
     }
 
-    /// Gives busy models further copies while nobody waits.
+    /// Gives busy models further copies, with a part of the ceiling.
     fn add_replicas(&mut self, now: Timestamp) {
         for (unit, rate) in self.demands.busy_models(now) {
             if rate < BUSY_RATE {
@@ -175,7 +175,6 @@
             };
             if candidate.victims.price_ms <= REPLICA_PRICE_MS {
                 self.load_at(&candidate.runner, &unit, Reason::Replica, now);
-                return;
             }
         }
     }
@@ -297,8 +296,13 @@
         if rate < BUSY_RATE {
             return 1;
         }
+        let slots = self
+            .engines
+            .get(&unit.service)
+            .map_or(1, |it| it.slots.max(1));
+        let in_progress = rate * SECONDS_A_REQUEST;
         #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
-        let for_rate = (rate / RATE_A_COPY).ceil() as usize;
+        let for_rate = (in_progress / (f64::from(slots) * FILLED_SHARE)).ceil() as usize;
         for_rate.max(BUSY_COPIES).min(runners.div_ceil(2).max(1))
     }
 
--- a/crates/routing/tests/decisions.rs
+++ b/crates/routing/tests/decisions.rs
@@ -226,6 +226,7 @@
     runners: RunnerTable,
     health: HealthTable,
     in_flight: HashMap<RunnerId, u32>,
+    loads: HashMap<RunnerId, u32>,
 }
 
 impl Choice {
@@ -236,6 +237,7 @@
             runners: table,
             health: HealthTable::default(),
             in_flight: HashMap::new(),
+            loads: HashMap::new(),
         }
     }
 
@@ -246,6 +248,7 @@
             runners: &self.runners,
             health: &self.health,
             in_flight: &self.in_flight,
+            loads: &self.loads,
             zone: &zone,
             daemons: 1,
             now: Timestamp(1_000),
@@ -277,6 +280,18 @@
     );
 }
 
+#[test]
+fn a_runner_that_others_have_filled_comes_after_one_with_room() {
+    let mut choice = Choice::new(vec![
+        runner("full", "z1", &["m"]),
+        runner("free", "z2", &["m"]),
+    ]);
+    choice.loads.insert(RunnerId::new("full"), 7);
+    assert_eq!(choice.choose(Some(&unit("m")), &[]).unwrap(), "free");
+    choice.loads.insert(RunnerId::new("free"), 8);
+    assert_eq!(choice.choose(Some(&unit("m")), &[]).unwrap(), "full");
+}
+
 #[test]
 fn a_draining_runner_gets_nothing() {
     let mut leaving = runner("leaving", "z1", &["m"]);
