Only the coordinator watches the store; the others read it when there is something new

Cause: every daemon watched the store, and each change of what a runner holds cost one call of each.

Change: the coordinator tells its newest version of the configuration, the revision at which a runner last came, went or began to drain, and how long ago the store answered it. A daemon that hears this reads the store only if it knows less. The word stands for 1.3 s after the store's last answer; after that a daemon reads and watches by itself. The coordinator's own watches last 1 s, so that one which is never answered is noticed.

Weighed and left: passing the list itself by datagram (a record of 150 bytes for each of 140 runners, order of changes from several readers), and more readers than the coordinator.

--- a/crates/ingress/src/coordination.rs
+++ b/crates/ingress/src/coordination.rs
@@ -12,13 +12,13 @@
 use flaxward_routing::messages::{Direction, Message, Usage, WaitingUnit};
 use flaxward_routing::names::RunnerId;
 use flaxward_routing::placement::{Action, Operation, Order, OrderAnswer, Placement, RunnerReport};
-use flaxward_types::time::Timestamp;
+use flaxward_types::time::{Timestamp, millis};
 use tokio::sync::mpsc;
 use tokio::time::sleep_until;
 
 use crate::outside::{Changed, FencedOrder, StoreError};
 use crate::peer::PeerSocket;
-use crate::state::Shared;
+use crate::state::{Shared, StoreWord};
 
 /// Time between two plans while this daemon coordinates.
 const PLAN_INTERVAL: Duration = Duration::from_millis(100);
@@ -28,8 +28,8 @@
 const USAGE_INTERVAL: Duration = Duration::from_secs(1);
 /// The same while requests wait.
 const WAITING_INTERVAL: Duration = Duration::from_millis(300);
-/// Time for which the coordinator may know more of the store than this daemon.
-const ALLOWED_LAG: Duration = Duration::from_millis(700);
+/// Longest time since the store answered the coordinator for which its word on the store stands.
+const STORE_TRUST: Duration = Duration::from_millis(1_300);
 /// Shortest time between two messages, so that a burst is one message.
 const USAGE_PAUSE: Duration = Duration::from_millis(5);
 /// Time between two messages of the coordinator to a member without news.
@@ -59,11 +59,19 @@
     holdings_version: u64,
 }
 
+/// What a member was told last.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+struct Told {
+    holdings_version: u64,
+    configuration_version: u64,
+    membership_revision: u64,
+}
+
 /// This daemon's coordination while its lease holds.
 struct Leading {
     term: u64,
     placement: Placement,
-    told: HashMap<String, (u64, Timestamp)>,
+    told: HashMap<String, (Told, Timestamp)>,
 }
 
 /// The task of the coordination.
@@ -78,7 +86,6 @@
     queue: mpsc::UnboundedReceiver<Event>,
     usage_at: Timestamp,
     store_fails: bool,
-    lag_since: Option<Timestamp>,
     planned_at: Timestamp,
 }
 
@@ -107,7 +114,6 @@
             queue,
             usage_at: Timestamp::ZERO,
             store_fails: false,
-            lag_since: None,
             planned_at: Timestamp::ZERO,
         })
     }
@@ -207,30 +213,42 @@
     /// Watches that were begun while the store did not answer may hang for good.
     fn note_store(&mut self, answer: &LeaseAnswer) {
         let fails = *answer == LeaseAnswer::Unknown;
+        if !fails {
+            self.shared.note_store_seen();
+        }
         if self.store_fails && !fails {
             self.shared.restart_watches();
         }
         self.store_fails = fails;
     }
 
-    /// Has the watches made again if the coordinator has known more than this daemon for a while.
-    fn note_lag(&mut self, direction: &Direction) {
-        let now = self.shared.now();
-        let tables = self.shared.tables();
-        let version = tables.configuration.as_ref().map_or(0, |it| it.version);
-        let is_behind = direction.configuration_version > version
-            || direction.runners_revision > tables.runners.revision();
-        drop(tables);
-        if !is_behind {
-            self.lag_since = None;
+    /// Takes in what the coordinator says of the store. The word of one that has not heard of the store
+    /// lately does not stand for long.
+    fn note_store_word(&self, direction: &Direction) {
+        if self.leading.is_some() {
             return;
         }
-        let since = *self.lag_since.get_or_insert(now);
-        if now.since(since) >= ALLOWED_LAG {
-            self.lag_since = None;
-            metrics::counter!("store_watches_restarted").increment(1);
-            self.shared.restart_watches();
-        }
+        let silence = Duration::from_millis(u64::from(direction.store_silence_ms));
+        let stands = STORE_TRUST.saturating_sub(silence);
+        let word = StoreWord {
+            trusted_until: Some(self.shared.now() + stands),
+            configuration_version: direction.configuration_version,
+            membership_revision: direction.membership_revision,
+            is_leading: false,
+        };
+        self.shared.store_word.send_replace(word);
+    }
+
+    /// From now on this daemon watches the store for all. The others read the runners once, since they
+    /// may have followed a coordinator that knew less.
+    fn begin_watching(&self) {
+        let mut tables = self.shared.tables();
+        tables.membership_revision = tables.membership_revision.max(tables.runners.revision());
+        drop(tables);
+        self.shared.store_word.send_replace(StoreWord {
+            is_leading: true,
+            ..StoreWord::default()
+        });
     }
 
     fn order_answered(&mut self, runner: &RunnerId, answer: OrderAnswer, order: &Order, term: u64) {
@@ -264,6 +282,7 @@
                 if let Some(configuration) = self.shared.configuration() {
                     placement.configure(&configuration);
                 }
+                self.begin_watching();
                 self.leading = Some(Leading {
                     term,
                     placement,
@@ -274,6 +293,7 @@
             }
             LeaseChange::Lost { term } => {
                 self.shared.tables().loads.clear();
+                self.shared.store_word.send_replace(StoreWord::default());
                 self.leading = None;
                 self.coordinator = None;
                 self.log_lease("lease-lost", term);
@@ -398,13 +418,15 @@
             return;
         };
         let configuration = self.shared.configuration();
-        let runners_revision = self.shared.tables().runners.revision();
+        let membership_revision = self.shared.tables().membership_revision;
+        let store_silence = millis(self.shared.store_silence());
         let header = Direction {
             term: leading.term,
             address: self.address,
             daemons: u32::try_from(members.len()).unwrap_or(u32::MAX),
             configuration_version: configuration.map_or(0, |known| known.version),
-            runners_revision,
+            membership_revision,
+            store_silence_ms: u32::try_from(store_silence).unwrap_or(u32::MAX),
             holdings_after: 0,
             holdings_version: 0,
             holdings: Vec::new(),
@@ -415,8 +437,12 @@
         if let Some(first) = directions.first_mut() {
             first.loads = Some(leading.placement.loads(now));
         }
-        let version = leading.placement.version();
-        leading.told.insert(member.to_owned(), (version, now));
+        let told = Told {
+            holdings_version: leading.placement.version(),
+            configuration_version: header.configuration_version,
+            membership_revision,
+        };
+        leading.told.insert(member.to_owned(), (told, now));
         let is_self = member == self.shared.settings.name;
         let address = *address;
         for direction in directions {
@@ -434,7 +460,12 @@
         let Some(leading) = &self.leading else {
             return;
         };
-        let version = leading.placement.version();
+        let configuration = self.shared.configuration();
+        let news = Told {
+            holdings_version: leading.placement.version(),
+            configuration_version: configuration.map_or(0, |known| known.version),
+            membership_revision: self.shared.tables().membership_revision,
+        };
         let due: Vec<String> = leading
             .placement
             .members(now)
@@ -442,9 +473,7 @@
             .map(|(name, _)| name)
             .filter(|name| {
                 let told = leading.told.get(name);
-                told.is_none_or(|&(known, at)| {
-                    known != version || now.since(at) >= HEARTBEAT_INTERVAL
-                })
+                told.is_none_or(|&(known, at)| known != news || now.since(at) >= HEARTBEAT_INTERVAL)
             })
             .collect();
         for member in due {
@@ -458,7 +487,7 @@
         if known != Some(direction.term) {
             return;
         }
-        self.note_lag(&direction);
+        self.note_store_word(&direction);
         let Some(coordinator) = &mut self.coordinator else {
             return;
         };
--- a/crates/ingress/src/state.rs
+++ b/crates/ingress/src/state.rs
@@ -1,7 +1,7 @@
 //! What the tasks of one daemon share.
 
 use std::collections::{HashMap, HashSet};
-use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 
@@ -35,6 +35,28 @@
     pub told_at: Timestamp,
 }
 
+/// What the coordinator says of the store. While it stands, a daemon reads the store only when there is
+/// something new, instead of watching it.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct StoreWord {
+    /// Until when it stands.
+    pub trusted_until: Option<Timestamp>,
+    /// The newest version of the configuration.
+    pub configuration_version: u64,
+    /// Revision of the last change that daemons other than the coordinator must know of.
+    pub membership_revision: u64,
+    /// This daemon coordinates, and so watches the store for all.
+    pub is_leading: bool,
+}
+
+impl StoreWord {
+    /// Until when the store need not be watched.
+    pub(crate) fn stands_until(&self, now: Timestamp) -> Option<Timestamp> {
+        let until = self.trusted_until.filter(|&until| until > now)?;
+        (!self.is_leading).then_some(until)
+    }
+}
+
 /// What changes while the daemon runs.
 #[derive(Debug)]
 pub(crate) struct Tables {
@@ -42,6 +64,8 @@
     pub configuration_revision: u64,
     pub runners: RunnerTable,
     pub runners_known: bool,
+    /// Revision of the last time that a runner came, went, or began to drain.
+    pub membership_revision: u64,
     pub health: HealthTable,
     pub in_flight: HashMap<RunnerId, u32>,
     /// Requests of all daemons at runners that are at least half full.
@@ -82,6 +106,10 @@
     pub closing: AtomicBool,
     /// The process ends at once: requests get their final answers.
     pub ending: CancellationToken,
+    /// What the coordinator says of the store, and until when that stands.
+    pub store_word: watch::Sender<StoreWord>,
+    /// When the store last answered this daemon, in ms of its clock.
+    pub store_seen_ms: AtomicU64,
     /// Rises when calls to the store that hang must be made again.
     pub store_restarts: watch::Sender<u64>,
     pub requests: AtomicU32,
@@ -101,6 +129,7 @@
             configuration_revision: 0,
             runners: RunnerTable::default(),
             runners_known: false,
+            membership_revision: 0,
             health: HealthTable::default(),
             in_flight: HashMap::new(),
             loads: HashMap::new(),
@@ -126,6 +155,8 @@
             stopping: AtomicBool::new(false),
             closing: AtomicBool::new(false),
             ending: CancellationToken::new(),
+            store_word: watch::Sender::new(StoreWord::default()),
+            store_seen_ms: AtomicU64::new(0),
             store_restarts: watch::Sender::new(0),
             requests: AtomicU32::new(0),
             seed: rand::random(),
@@ -152,6 +183,17 @@
         self.closing.load(Ordering::Relaxed)
     }
 
+    /// Notes that the store has answered.
+    pub(crate) fn note_store_seen(&self) {
+        self.store_seen_ms.store(self.now().0, Ordering::Relaxed);
+    }
+
+    /// Time since the store last answered.
+    pub(crate) fn store_silence(&self) -> Duration {
+        let seen = Timestamp(self.store_seen_ms.load(Ordering::Relaxed));
+        self.now().since(seen)
+    }
+
     /// Has the watches of the store made again, because the present ones may never be answered.
     pub(crate) fn restart_watches(&self) {
         self.store_restarts.send_modify(|restarts| *restarts += 1);
@@ -167,6 +209,12 @@
         self.tables().configuration.clone()
     }
 
+    /// The store's revision of the list of runners, if it was read.
+    pub(crate) fn known_runners(&self) -> Option<u64> {
+        let tables = self.tables();
+        tables.runners_known.then(|| tables.runners.revision())
+    }
+
     /// The service for a request of a route.
     pub(crate) fn choose_service(&self, route: &Route) -> Option<ServiceName> {
         let seed = self.seed;
--- a/crates/ingress/src/watches.rs
+++ b/crates/ingress/src/watches.rs
@@ -1,17 +1,25 @@
 //! Reads configuration and runners from the store and keeps them up to date.
+//!
+//! The coordinator watches the store. Any other daemon reads it when the coordinator has told of something
+//! new, and watches it itself while the coordinator is silent or has not heard of the store.
 
 use std::sync::Arc;
 use std::time::Duration;
 
 use flaxward_routing::configuration::Configuration;
+use flaxward_routing::runners::{Runner, RunnerTable};
+use flaxward_types::time::Timestamp;
 use rand::RngExt;
-use tokio::time::sleep;
+use tokio::sync::watch;
+use tokio::time::{sleep, sleep_until};
 
 use crate::outside::{Listing, RunnerChange, StoreError};
-use crate::state::Shared;
+use crate::state::{Shared, StoreWord};
 
 /// Longest time that the store holds a watch.
 const WATCH_WAIT: Duration = Duration::from_secs(10);
+/// The same for the coordinator.
+const LEADING_WATCH_WAIT: Duration = Duration::from_millis(1_000);
 /// Pause after changes of runners, so that several come with one call.
 const RUNNERS_PAUSE: Duration = Duration::from_millis(600);
 /// Pause after a change of the configuration, for the same reason.
@@ -68,28 +76,62 @@
     }
 }
 
+/// Waits until the word of the coordinator changes or no longer stands.
+async fn wait_for_word(
+    shared: &Shared,
+    words: &mut watch::Receiver<StoreWord>,
+    stands_until: Timestamp,
+) {
+    tokio::select! {
+        _ = words.changed() => {}
+        () = sleep_until(shared.clock.instant(stands_until)) => {}
+    }
+}
+
+/// How long the store holds a watch. The coordinator watches for all, so it must soon notice a watch
+/// that will never be answered.
+fn watch_wait(word: StoreWord) -> Duration {
+    if word.is_leading {
+        LEADING_WATCH_WAIT
+    } else {
+        WATCH_WAIT
+    }
+}
+
 /// Keeps the configuration up to date.
 pub(crate) async fn watch_configuration(shared: Arc<Shared>) {
     let mut backoff = Backoff::new("store/configuration");
     let mut restarts = shared.store_restarts.subscribe();
+    let mut words = shared.store_word.subscribe();
     let mut revision = None;
     loop {
+        let word = *words.borrow_and_update();
+        let known = shared.configuration().map(|known| known.version);
+        if let (Some(until), Some(known)) = (word.stands_until(shared.now()), known) {
+            revision = None;
+            if known >= word.configuration_version {
+                wait_for_word(&shared, &mut words, until).await;
+                continue;
+            }
+        }
         let read = match revision {
             None => shared.store.configuration().await,
             Some(after) => {
                 restarts.mark_unchanged();
                 tokio::select! {
-                    read = shared.store.watch_configuration(after, WATCH_WAIT) => read,
+                    read = shared.store.watch_configuration(after, watch_wait(word)) => read,
                     _ = restarts.changed() => {
                         revision = None;
                         continue;
                     }
+                    _ = words.wait_for(|new| changes_mode(word, *new)) => continue,
                 }
             }
         };
         match read {
             Ok(listing) => {
                 backoff.succeeded(&shared);
+                shared.note_store_seen();
                 revision = Some(listing.revision);
                 if apply_configuration(&shared, listing) {
                     sleep(CONFIGURATION_PAUSE).await;
@@ -108,6 +150,11 @@
     }
 }
 
+/// Whether a watch under way is no longer what the daemon should do.
+fn changes_mode(old: StoreWord, new: StoreWord) -> bool {
+    old.is_leading != new.is_leading || (old.trusted_until.is_none() && new.trusted_until.is_some())
+}
+
 fn log_history_gone(shared: &Shared, dependency: &str) {
     let fields: &[(&str, &dyn std::fmt::Display)] = &[("dependency", &dependency)];
     shared.log.write(shared.now(), "store-history-gone", fields);
@@ -146,12 +193,23 @@
 pub(crate) async fn watch_runners(shared: Arc<Shared>) {
     let mut backoff = Backoff::new("store/runners");
     let mut restarts = shared.store_restarts.subscribe();
+    let mut words = shared.store_word.subscribe();
     let mut revision = None;
     loop {
+        let word = *words.borrow_and_update();
+        let known = shared.known_runners();
+        if let (Some(until), Some(known)) = (word.stands_until(shared.now()), known) {
+            revision = None;
+            if known >= word.membership_revision {
+                wait_for_word(&shared, &mut words, until).await;
+                continue;
+            }
+        }
         let Some(after) = revision else {
             match shared.store.runners().await {
                 Ok(listing) => {
                     backoff.succeeded(&shared);
+                    shared.note_store_seen();
                     revision = Some(listing.revision);
                     replace_runners(&shared, listing);
                 }
@@ -161,15 +219,17 @@
         };
         restarts.mark_unchanged();
         let read = tokio::select! {
-            read = shared.store.watch_runners(after, WATCH_WAIT) => read,
+            read = shared.store.watch_runners(after, watch_wait(word)) => read,
             _ = restarts.changed() => {
                 revision = None;
                 continue;
             }
+            _ = words.wait_for(|new| changes_mode(word, *new)) => continue,
         };
         match read {
             Ok(changes) => {
                 backoff.succeeded(&shared);
+                shared.note_store_seen();
                 revision = Some(changes.revision);
                 if !changes.items.is_empty() {
                     apply_changes(&shared, changes);
@@ -188,9 +248,12 @@
     }
 }
 
-fn replace_runners(shared: &Shared, listing: Listing<flaxward_routing::Runner>) {
+fn replace_runners(shared: &Shared, listing: Listing<Runner>) {
     let count = listing.items.len();
     let mut tables = shared.tables();
+    if is_new_membership(&tables.runners, &listing.items) {
+        tables.membership_revision = listing.revision;
+    }
     tables.runners.replace(listing.items, listing.revision);
     tables.runners_known = true;
     tables.forget_gone_runners();
@@ -201,11 +264,23 @@
     after_change(shared);
 }
 
+/// Whether a list has other runners than the table, or others that drain.
+fn is_new_membership(table: &RunnerTable, listed: &[Runner]) -> bool {
+    let is_known = |runner: &Runner| {
+        let known = table.get(&runner.id);
+        known.is_some_and(|known| known.draining == runner.draining)
+    };
+    table.iter().count() != listed.len() || !listed.iter().all(is_known)
+}
+
 fn apply_changes(shared: &Shared, changes: Listing<RunnerChange>) {
     let revision = changes.revision;
     for change in changes.items {
-        log_change(shared, &change, revision);
+        let is_news = log_change(shared, &change, revision);
         let mut tables = shared.tables();
+        if is_news {
+            tables.membership_revision = revision;
+        }
         match change {
             RunnerChange::Present(runner) => tables.runners.insert(*runner),
             RunnerChange::Gone(id) => tables.runners.remove(&id),
@@ -218,7 +293,8 @@
     after_change(shared);
 }
 
-fn log_change(shared: &Shared, change: &RunnerChange, revision: u64) {
+/// Logs a change that other daemons must know of, and tells whether it is one.
+fn log_change(shared: &Shared, change: &RunnerChange, revision: u64) -> bool {
     let now = shared.now();
     match change {
         RunnerChange::Present(runner) => {
@@ -235,6 +311,7 @@
                 ];
                 shared.log.write(now, "runner-state", fields);
             }
+            is_news
         }
         RunnerChange::Gone(id) => {
             let fields: &[(&str, &dyn std::fmt::Display)] = &[
@@ -243,6 +320,7 @@
                 ("store_revision", &revision),
             ];
             shared.log.write(now, "runner-state", fields);
+            true
         }
     }
 }
--- a/crates/routing/src/messages.rs
+++ b/crates/routing/src/messages.rs
@@ -91,8 +91,10 @@
     pub daemons: u32,
     /// Version of the configuration that it knows.
     pub configuration_version: u64,
-    /// The store's revision up to which it knows the runners.
-    pub runners_revision: u64,
+    /// The store's revision at which a runner last came, went, or began to drain.
+    pub membership_revision: u64,
+    /// Time since the store last answered the coordinator, in ms.
+    pub store_silence_ms: u32,
     /// The holdings below follow this version.
     pub holdings_after: u64,
     /// Version that a member has which knew `holdings_after` and takes in the holdings below.
