--- a/crates/flaxward/src/cli.rs
+++ b/crates/flaxward/src/cli.rs
@@ -20,6 +20,8 @@
     CheckConfig(Box<flaxward_settings::CheckConfig>),
     /// Ask or change something, with the operators' language.
     Query(QueryArguments),
+    /// Tell what happened to one request, from the logs of the daemons.
+    Explain(flaxward::explain::ExplainArguments),
     /// Run an emulated platform with three daemons in this process, to try things out.
     Dev(DevArguments),
 }
--- a/crates/flaxward/src/ingress.rs
+++ b/crates/flaxward/src/ingress.rs
@@ -6,6 +6,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use flaxward::metrics_page;
 use flaxward_ingress::{Ingress, IngressSettings};
 use flaxward_platform::{PlatformControl, PlatformStore, PlatformSurface};
 use flaxward_routing::budget::RetryBudgetSettings;
@@ -14,7 +15,7 @@
 use flaxward_routing::placement::PlacementSettings;
 use flaxward_settings::logs::{self, state_change};
 use flaxward_settings::{Flags, IngressFile};
-use metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle};
+use metrics_exporter_prometheus::PrometheusHandle;
 use tokio::signal::unix::{SignalKind, signal};
 
 use crate::serve::{EXIT_BAD_SETTINGS, wait_for_stop};
@@ -75,7 +76,7 @@
     if file.ingress.metrics_listen.is_none() {
         return Ok(None);
     }
-    Ok(Some(PrometheusBuilder::new().install_recorder()?))
+    metrics_page::install().map(Some)
 }
 
 /// Checks the settings file again on each SIGHUP. What it holds takes effect with the next start;
--- a/crates/flaxward/src/lib.rs
+++ b/crates/flaxward/src/lib.rs
@@ -6,4 +6,5 @@
 pub mod counters;
 pub mod daemon;
 pub mod dev;
+pub mod explain;
 pub mod metrics_page;
--- a/crates/flaxward/src/main.rs
+++ b/crates/flaxward/src/main.rs
@@ -13,7 +13,7 @@
 
 use tokio::runtime::{Builder, Runtime};
 
-use flaxward::{dev, metrics_page};
+use flaxward::{dev, explain, metrics_page};
 use flaxward_settings::logs;
 
 use cli::{Cli, Command, DevArguments, OutputFormat, QueryArguments};
@@ -43,6 +43,10 @@
         Command::Serve(flags) => serve::run(&flags).await,
         Command::CheckConfig(arguments) => flaxward_settings::check_config(&arguments),
         Command::Query(arguments) => run_query(query_options(arguments)).await,
+        Command::Explain(arguments) => match explain::run(&arguments) {
+            Ok(()) => ExitCode::SUCCESS,
+            Err(error) => failed(&error),
+        },
         Command::Dev(arguments) => match run_dev(&arguments).await {
             Ok(()) => ExitCode::SUCCESS,
             Err(error) => failed(&error),
--- a/crates/flaxward/src/metrics_page.rs
+++ b/crates/flaxward/src/metrics_page.rs
@@ -10,7 +10,8 @@
 pub fn all() -> impl Iterator<Item = Metric> {
     let gateway = flaxward_gateway::METRICS.into_iter();
     let peers = flaxward_peers::counters::METRICS.into_iter();
-    gateway.chain(daemon::METRICS).chain(peers)
+    let own = gateway.chain(daemon::METRICS).chain(peers);
+    own.chain(flaxward_ingress::METRICS)
 }
 
 /// Collects the metrics of this process from now on.
--- a/crates/ingress/src/coordination.rs
+++ b/crates/ingress/src/coordination.rs
@@ -16,6 +16,7 @@
 use tokio::sync::mpsc;
 use tokio::time::sleep_until;
 
+use crate::counters::ORDERS;
 use crate::outside::{Changed, FencedOrder, StoreError};
 use crate::peer::PeerSocket;
 use crate::state::{Shared, StoreWord};
@@ -86,6 +87,8 @@
     queue: mpsc::UnboundedReceiver<Event>,
     usage_at: Timestamp,
     store_fails: bool,
+    /// Where the members heard the last coordinator.
+    known_members: Vec<SocketAddr>,
     planned_at: Timestamp,
 }
 
@@ -114,6 +117,7 @@
             queue,
             usage_at: Timestamp::ZERO,
             store_fails: false,
+            known_members: Vec::new(),
             planned_at: Timestamp::ZERO,
         })
     }
@@ -283,6 +287,7 @@
                     placement.configure(&configuration);
                 }
                 self.begin_watching();
+                self.announce(term);
                 self.leading = Some(Leading {
                     term,
                     placement,
@@ -304,6 +309,17 @@
         }
     }
 
+    /// Tells all members that this daemon knows that it coordinates.
+    fn announce(&self, term: u64) {
+        let count = u32::try_from(self.known_members.len()).unwrap_or(u32::MAX);
+        let header = header(&self.shared, term, self.address, count.max(1));
+        let others = self.known_members.iter();
+        for address in others.filter(|&&address| address != self.address) {
+            let message = Message::Direction(header.clone());
+            self.peers.send(*address, &message);
+        }
+    }
+
     fn log_lease(&self, event: &str, term: u64) {
         let fields: &[(&str, &dyn Display)] = &[("term", &term)];
         self.shared.log.write(self.shared.now(), event, fields);
@@ -361,6 +377,7 @@
             zone: self.shared.settings.zone.clone(),
             term: coordinator.term,
             holdings_version: coordinator.holdings_version,
+            known_members: u32::try_from(self.known_members.len()).unwrap_or(u32::MAX),
             leaving: false,
             waiting,
             used: tables.uses.recent(now),
@@ -417,22 +434,11 @@
         let Some((_, address)) = members.iter().find(|(name, _)| name == member) else {
             return;
         };
-        let configuration = self.shared.configuration();
-        let membership_revision = self.shared.tables().membership_revision;
-        let store_silence = millis(self.shared.store_silence());
-        let header = Direction {
-            term: leading.term,
-            address: self.address,
-            daemons: u32::try_from(members.len()).unwrap_or(u32::MAX),
-            configuration_version: configuration.map_or(0, |known| known.version),
-            membership_revision,
-            store_silence_ms: u32::try_from(store_silence).unwrap_or(u32::MAX),
-            holdings_after: 0,
-            holdings_version: 0,
-            holdings: Vec::new(),
-            outlooks: Vec::new(),
-            loads: None,
-        };
+        let count = u32::try_from(members.len()).unwrap_or(u32::MAX);
+        let mut header = header(&self.shared, leading.term, self.address, count);
+        if leading.placement.members_known_by(member) != count {
+            header.members = Some(members.iter().map(|(_, address)| *address).collect());
+        }
         let mut directions = leading.placement.directions(member, &header, now);
         if let Some(first) = directions.first_mut() {
             first.loads = Some(leading.placement.loads(now));
@@ -440,7 +446,7 @@
         let told = Told {
             holdings_version: leading.placement.version(),
             configuration_version: header.configuration_version,
-            membership_revision,
+            membership_revision: header.membership_revision,
         };
         leading.told.insert(member.to_owned(), (told, now));
         let is_self = member == self.shared.settings.name;
@@ -488,6 +494,9 @@
             return;
         }
         self.note_store_word(&direction);
+        if let Some(members) = direction.members.clone() {
+            self.known_members = members;
+        }
         let Some(coordinator) = &mut self.coordinator else {
             return;
         };
@@ -569,7 +578,7 @@
                     ("expected_count", &expected_count),
                     ("term", &term),
                 ];
-                metrics::counter!("orders_sent").increment(1);
+                metrics::counter!(ORDERS.name).increment(1);
                 shared.log.write(shared.now(), "order-sent", fields);
                 tokio::spawn(async move {
                     let fenced = FencedOrder {
@@ -592,6 +601,26 @@
     }
 }
 
+/// What a coordinator tells every member alike.
+fn header(shared: &Shared, term: u64, address: SocketAddr, daemons: u32) -> Direction {
+    let configuration = shared.configuration();
+    let store_silence = millis(shared.store_silence());
+    Direction {
+        term,
+        address,
+        daemons,
+        configuration_version: configuration.map_or(0, |known| known.version),
+        membership_revision: shared.tables().membership_revision,
+        store_silence_ms: u32::try_from(store_silence).unwrap_or(u32::MAX),
+        members: None,
+        holdings_after: 0,
+        holdings_version: 0,
+        holdings: Vec::new(),
+        outlooks: Vec::new(),
+        loads: None,
+    }
+}
+
 fn operation_name(operation: Operation) -> &'static str {
     match operation {
         Operation::Load => "load",
--- /dev/null
+++ b/crates/ingress/src/counters.rs
@@ -0,0 +1,86 @@
+//! Counters and histograms of the ingress; `docs/METRICS.md` has the same table.
+
+use flaxward_types::Metric;
+
+/// Metrics of this crate.
+pub const METRICS: [Metric; 13] = [
+    SERVED,
+    REFUSED,
+    ATTEMPTS_FAILED,
+    STREAMS_BROKEN,
+    STREAMS_RESUMED,
+    CONNECTIONS_OPENED,
+    RUNNERS_EJECTED,
+    ORDERS,
+    STORE_CALLS_FAILED,
+    MESSAGES_NOT_SENT,
+    MESSAGES_MALFORMED,
+    LINES_LEFT_OUT,
+    HEAD_SECONDS,
+];
+
+/// Requests whose answer, or the head of it, was passed on, by `status`, the class of the HTTP status.
+pub const SERVED: Metric = Metric::counter(
+    "flaxward_ingress_served_total",
+    "Requests whose answer, or the head of it, was passed on, by `status`, the class of the HTTP status.",
+);
+/// Requests refused by the ingress, by `code`, the result code.
+pub const REFUSED: Metric = Metric::counter(
+    "flaxward_ingress_refused_total",
+    "Requests refused by the ingress, by `code`, the result code.",
+);
+/// Attempts at runners that came to no answer, by `failure`.
+pub const ATTEMPTS_FAILED: Metric = Metric::counter(
+    "flaxward_ingress_attempts_failed_total",
+    "Attempts at runners that came to no answer, by `failure`.",
+);
+/// Streams that a runner broke off or left silent, resumed ones included.
+pub const STREAMS_BROKEN: Metric = Metric::counter(
+    "flaxward_ingress_streams_broken_total",
+    "Streams that a runner broke off or left silent, resumed ones included.",
+);
+/// Streams that another runner went on with.
+pub const STREAMS_RESUMED: Metric = Metric::counter(
+    "flaxward_ingress_streams_resumed_total",
+    "Streams that another runner went on with.",
+);
+/// Connections opened to runners.
+pub const CONNECTIONS_OPENED: Metric = Metric::counter(
+    "flaxward_ingress_connections_opened_total",
+    "Connections opened to runners.",
+);
+/// Times that a runner was left alone for a while because it failed requests.
+pub const RUNNERS_EJECTED: Metric = Metric::counter(
+    "flaxward_ingress_runners_ejected_total",
+    "Times that a runner was left alone for a while because it failed requests.",
+);
+/// Orders sent to runners while coordinating.
+pub const ORDERS: Metric = Metric::counter(
+    "flaxward_ingress_orders_total",
+    "Orders sent to runners while coordinating.",
+);
+/// Reads of the store that failed.
+pub const STORE_CALLS_FAILED: Metric = Metric::counter(
+    "flaxward_ingress_store_calls_failed_total",
+    "Reads of the store that failed.",
+);
+/// Messages to other daemons that the socket did not take.
+pub const MESSAGES_NOT_SENT: Metric = Metric::counter(
+    "flaxward_ingress_messages_not_sent_total",
+    "Messages to other daemons that the socket did not take.",
+);
+/// Messages of other daemons that could not be decoded.
+pub const MESSAGES_MALFORMED: Metric = Metric::counter(
+    "flaxward_ingress_messages_malformed_total",
+    "Messages of other daemons that could not be decoded.",
+);
+/// Lines of the log left out because too many came in one second.
+pub const LINES_LEFT_OUT: Metric = Metric::counter(
+    "flaxward_ingress_log_lines_left_out_total",
+    "Lines of the log left out because too many came in one second.",
+);
+/// Seconds from the arrival of a request to the head of its answer, for a stream to its first event.
+pub const HEAD_SECONDS: Metric = Metric::histogram(
+    "flaxward_ingress_head_seconds",
+    "Seconds from the arrival of a request to the head of its answer, for a stream to its first event.",
+);
--- a/crates/ingress/src/decisions.rs
+++ b/crates/ingress/src/decisions.rs
@@ -9,6 +9,8 @@
 use flaxward_settings::logs::state_change;
 use flaxward_types::time::Timestamp;
 
+use crate::counters::LINES_LEFT_OUT;
+
 /// Lines in a second at most.
 const LINES_A_SECOND: u32 = 200;
 
@@ -29,7 +31,7 @@
     /// Writes a line, unless too many were written in this second.
     pub(crate) fn write(&self, now: Timestamp, event: &str, fields: &[(&str, &dyn Display)]) {
         let Some(left_out) = self.admit(now) else {
-            metrics::counter!("log_lines_left_out").increment(1);
+            metrics::counter!(LINES_LEFT_OUT.name).increment(1);
             return;
         };
         if left_out > 0 {
--- a/crates/ingress/src/handler.rs
+++ b/crates/ingress/src/handler.rs
@@ -21,6 +21,7 @@
 use tokio::time::{Instant, sleep, timeout_at};
 
 use crate::answers::{self, AnswerBody};
+use crate::counters::{ATTEMPTS_FAILED, HEAD_SECONDS, REFUSED, SERVED};
 use crate::exchange::{
     ClientRequest, Continuation, Exchange, FailedAttempt, exchange, remove_connection_headers,
 };
@@ -112,7 +113,7 @@
             reason,
         } = self.0.as_ref();
         let code = refusal.code.number();
-        metrics::counter!("requests_refused", "code" => code.to_string()).increment(1);
+        metrics::counter!(REFUSED.name, "code" => code.to_string()).increment(1);
         let retry_after = refusal.retry_after.map_or(0, |after| after.as_millis());
         let fields: &[(&str, &dyn Display)] = &[
             ("request", request),
@@ -380,7 +381,8 @@
             ("runs", &self.attempts.runs),
             ("left_ms", &self.request.time_left().as_millis()),
         ];
-        metrics::counter!("attempts_failed").increment(1);
+        let failure = format!("{:?}", failed.failure);
+        metrics::counter!(ATTEMPTS_FAILED.name, "failure" => failure).increment(1);
         self.shared
             .log
             .write(self.shared.now(), "attempt-failed", fields);
@@ -492,8 +494,9 @@
 
     fn log_served(&self, runner: &RunnerId, status: u16) {
         let elapsed = self.begun.elapsed();
-        metrics::counter!("requests_served").increment(1);
-        metrics::histogram!("answer_head_seconds").record(elapsed.as_secs_f64());
+        let class = format!("{}xx", status / 100);
+        metrics::counter!(SERVED.name, "status" => class).increment(1);
+        metrics::histogram!(HEAD_SECONDS.name).record(elapsed.as_secs_f64());
         let fields: &[(&str, &dyn Display)] = &[
             ("request", &self.request.profile.id),
             ("route", &self.route.name),
--- a/crates/ingress/src/lib.rs
+++ b/crates/ingress/src/lib.rs
@@ -10,6 +10,7 @@
 mod answers;
 mod clock;
 mod coordination;
+pub mod counters;
 mod daemon;
 mod decisions;
 mod exchange;
@@ -25,5 +26,6 @@
 mod waiting;
 mod watches;
 
+pub use counters::METRICS;
 pub use daemon::Ingress;
 pub use settings::IngressSettings;
--- a/crates/ingress/src/peer.rs
+++ b/crates/ingress/src/peer.rs
@@ -6,6 +6,8 @@
 use flaxward_routing::messages::Message;
 use tokio::net::UdpSocket;
 
+use crate::counters::{MESSAGES_MALFORMED, MESSAGES_NOT_SENT};
+
 /// Longest datagram that is read, in bytes.
 const MAX_DATAGRAM_BYTES: usize = 64 * 1024;
 
@@ -42,7 +44,7 @@
     /// Sends a message, without waiting.
     pub(crate) fn send(&self, to: SocketAddr, message: &Message) {
         if self.socket.try_send_to(&message.encode(), to).is_err() {
-            metrics::counter!("peer_messages_not_sent").increment(1);
+            metrics::counter!(MESSAGES_NOT_SENT.name).increment(1);
         }
     }
 
@@ -51,7 +53,7 @@
         let (length, _) = self.socket.recv_from(&mut self.buffer).await.ok()?;
         let message = Message::decode(&self.buffer[..length]);
         if message.is_err() {
-            metrics::counter!("peer_messages_malformed").increment(1);
+            metrics::counter!(MESSAGES_MALFORMED.name).increment(1);
         }
         message.ok()
     }
--- a/crates/ingress/src/pool.rs
+++ b/crates/ingress/src/pool.rs
@@ -20,6 +20,8 @@
 use tokio::task::AbortHandle;
 use tokio::time::{Instant, timeout};
 
+use crate::counters::CONNECTIONS_OPENED;
+
 /// Time allowed for a connection to come about.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(600);
 /// Time for which an idle connection is kept if the runner names none.
@@ -77,7 +79,7 @@
         if let Some(connection) = self.take_idle(address, may_repeat) {
             return Ok(connection);
         }
-        metrics::counter!("runner_connections").increment(1);
+        metrics::counter!(CONNECTIONS_OPENED.name).increment(1);
         let connecting = timeout(CONNECT_TIMEOUT, connect(address));
         connecting.await.map_err(|_| SendError::Connect)?
     }
--- a/crates/ingress/src/relay.rs
+++ b/crates/ingress/src/relay.rs
@@ -18,6 +18,7 @@
 use tokio::time::{Instant, timeout_at};
 
 use crate::answers::AnswerBody;
+use crate::counters::{STREAMS_BROKEN, STREAMS_RESUMED};
 use crate::exchange::{ClientRequest, Continuation, Exchange, exchange};
 use crate::state::Shared;
 
@@ -259,6 +260,7 @@
                 self.shared
                     .log
                     .write(self.shared.now(), "stream-resumed", fields);
+                metrics::counter!(STREAMS_RESUMED.name).increment(1);
                 self.exchange = Some(exchange);
                 Ok(true)
             }
@@ -286,7 +288,7 @@
             ("last_event", &self.splitter.last_id().unwrap_or("")),
             ("runs", &(self.attempts.runs + 1)),
         ];
-        metrics::counter!("streams_broken_by_runner").increment(1);
+        metrics::counter!(STREAMS_BROKEN.name).increment(1);
         self.shared
             .log
             .write(self.shared.now(), "stream-broken", fields);
--- a/crates/ingress/src/state.rs
+++ b/crates/ingress/src/state.rs
@@ -19,6 +19,7 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::clock::Clock;
+use crate::counters::RUNNERS_EJECTED;
 use crate::decisions::DecisionLog;
 use crate::outside::{ClusterStore, RunnerControl, Surface};
 use crate::pool::Pool;
@@ -242,7 +243,7 @@
         let now = self.now();
         let ejection = self.tables().health.observe(runner, observation, now);
         if let Some(ejection) = ejection {
-            metrics::counter!("runner_ejections").increment(1);
+            metrics::counter!(RUNNERS_EJECTED.name).increment(1);
             let fields: &[(&str, &dyn std::fmt::Display)] = &[
                 ("runner", runner),
                 ("observation", &format!("{observation:?}")),
--- a/crates/ingress/src/watches.rs
+++ b/crates/ingress/src/watches.rs
@@ -13,6 +13,7 @@
 use tokio::sync::watch;
 use tokio::time::{sleep, sleep_until};
 
+use crate::counters::STORE_CALLS_FAILED;
 use crate::outside::{Listing, RunnerChange, StoreError};
 use crate::state::{Shared, StoreWord};
 
@@ -59,6 +60,7 @@
             "dependency-lost"
         };
         self.is_lost = true;
+        metrics::counter!(STORE_CALLS_FAILED.name).increment(1);
         let fields: &[(&str, &dyn std::fmt::Display)] =
             &[("dependency", &self.what), ("error", error)];
         shared.log.write(shared.now(), event, fields);
--- /dev/null
+++ b/crates/ingress/tests/ingress/coordination.rs
@@ -0,0 +1,54 @@
+//! Several daemons and their coordinator.
+
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use tokio::time::sleep;
+
+use crate::runner::{Behaviour, ScriptedRunner};
+use crate::store::MemoryStore;
+use crate::support::{ObedientControl, RARE_MODEL, TestIngress, configuration, runner};
+
+async fn status(test: &TestIngress, id: &str) -> u16 {
+    let request = test.request("/stream/", id).header("x-model", RARE_MODEL);
+    request.send().await.unwrap().status().as_u16()
+}
+
+#[tokio::test]
+async fn a_model_that_is_asked_for_is_loaded_and_the_request_waits() {
+    let server = ScriptedRunner::start(vec![Behaviour::Events(1, 2)]).await;
+    let store = MemoryStore::default();
+    store.set_runners(vec![runner(0, server.address)]);
+    store.set_configuration(configuration(1, Vec::new()));
+    let control = Arc::new(ObedientControl::default());
+    let test = TestIngress::start_before("d", store, control).await;
+    test.until_ready().await;
+    sleep(Duration::from_millis(1_500)).await;
+    assert_eq!(status(&test, "id-1").await, 200);
+}
+
+/// Seen in an incident: a daemon that was cut off from the store did not learn of the next coordinator,
+/// and refused what that one had loaded.
+#[tokio::test]
+async fn a_daemon_cut_off_from_the_store_hears_of_the_next_coordinator() {
+    let server = ScriptedRunner::start(vec![Behaviour::Events(1, 2)]).await;
+    let store = MemoryStore::default();
+    store.set_runners(vec![runner(0, server.address)]);
+    store.set_configuration(configuration(1, Vec::new()));
+    let control = Arc::new(ObedientControl::default());
+    let mut first = TestIngress::start_before("a", store.share(), control.clone()).await;
+    first.until_ready().await;
+    sleep(Duration::from_millis(1_000)).await;
+    let second = TestIngress::start_before("b", store.share(), control.clone()).await;
+    let third = TestIngress::start_before("c", store.share(), control.clone()).await;
+    second.until_ready().await;
+    third.until_ready().await;
+    sleep(Duration::from_millis(2_500)).await;
+
+    third.store.is_silent.store(true, Ordering::Relaxed);
+    first.ingress.take().unwrap().stop().await;
+    // The successor waits a lease before its first order.
+    sleep(Duration::from_millis(4_000)).await;
+    assert_eq!(status(&third, "id-1").await, 200);
+}
--- a/crates/ingress/tests/ingress/store.rs
+++ b/crates/ingress/tests/ingress/store.rs
@@ -1,7 +1,7 @@
 //! A store in memory, with faults.
 
-use std::sync::Mutex;
 use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use async_trait::async_trait;
@@ -19,16 +19,25 @@
     lease: Option<StoredLease>,
 }
 
-/// The store.
+/// One daemon's way to the store.
 #[derive(Default)]
 pub struct MemoryStore {
-    contents: Mutex<Contents>,
-    changed: Notify,
+    contents: Arc<Mutex<Contents>>,
+    changed: Arc<Notify>,
     /// Calls get no answer, and watches begun meanwhile never get one.
     pub is_silent: AtomicBool,
 }
 
 impl MemoryStore {
+    /// Another daemon's way to the same store.
+    pub fn share(&self) -> Self {
+        Self {
+            contents: self.contents.clone(),
+            changed: self.changed.clone(),
+            is_silent: AtomicBool::new(false),
+        }
+    }
+
     pub fn set_configuration(&self, configuration: Configuration) {
         let mut contents = self.contents.lock().unwrap();
         contents.revision += 1;
--- a/crates/ingress/tests/ingress/support.rs
+++ b/crates/ingress/tests/ingress/support.rs
@@ -2,7 +2,8 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
-use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use async_trait::async_trait;
@@ -28,6 +29,8 @@
 pub const SERVICE: &str = "pool";
 /// The model that the runners of a service with an engine hold.
 pub const MODEL: &str = "m";
+/// A model that must be loaded first.
+pub const RARE_MODEL: &str = "rare";
 
 /// Headers of the tests: `x-id`, `x-deadline`, `x-model`, `x-stamp`, `x-not-run`.
 struct TestSurface;
@@ -93,6 +96,33 @@
     }
 }
 
+/// Runners that load at once what they are ordered to.
+#[derive(Default)]
+pub struct ObedientControl {
+    loaded: Mutex<Vec<ModelName>>,
+    orders: AtomicU64,
+}
+
+#[async_trait]
+impl RunnerControl for ObedientControl {
+    async fn report(&self, _address: SocketAddr) -> Option<RunnerReport> {
+        let loaded = self.loaded.lock().unwrap().clone();
+        let models = loaded.into_iter().chain([ModelName::new(MODEL)]);
+        Some(RunnerReport {
+            holdings: models.map(|model| (model, BTreeSet::new())).collect(),
+            order_count: self.orders.load(Ordering::Relaxed),
+            ..RunnerReport::default()
+        })
+    }
+
+    async fn order(&self, _address: SocketAddr, order: &FencedOrder<'_>) -> OrderAnswer {
+        self.orders.fetch_add(1, Ordering::Relaxed);
+        let model = order.order.unit.model.clone();
+        self.loaded.lock().unwrap().push(model);
+        OrderAnswer::Accepted
+    }
+}
+
 pub fn route(prefix: &str, kind: RouteKind) -> Route {
     Route {
         name: RouteName::new(prefix),
@@ -116,16 +146,18 @@
     let model = ModelSpecification {
         weights_mb: 1.0,
         adapter_mb: 0.0,
-        store_load: Duration::from_secs(1),
-        disk_load: Duration::from_secs(1),
-        memory_load: Duration::from_secs(1),
+        store_load: Duration::from_millis(200),
+        disk_load: Duration::from_millis(200),
+        memory_load: Duration::from_millis(200),
     };
     Engine {
         slots: 8,
         weights_mb: 10.0,
         adapter_slots: 2,
         loads_per_second: 1.0,
-        models: [(ModelName::new(MODEL), model)].into(),
+        models: [MODEL, RARE_MODEL]
+            .map(|name| (ModelName::new(name), model.clone()))
+            .into(),
     }
 }
 
@@ -145,7 +177,7 @@
     Configuration::new(version, ClientLimits::default(), routes, vec![service])
 }
 
-fn runner(index: usize, address: SocketAddr) -> Runner {
+pub fn runner(index: usize, address: SocketAddr) -> Runner {
     let holdings: BTreeMap<ModelName, BTreeSet<_>> =
         [(ModelName::new(MODEL), BTreeSet::new())].into();
     Runner {
@@ -185,12 +217,21 @@
     }
 
     pub async fn start_unconfigured() -> Self {
-        let store = Arc::new(MemoryStore::default());
+        Self::start_before("d", MemoryStore::default(), Arc::new(SilentControl)).await
+    }
+
+    /// Starts an ingress with a way to a store and a control interface of runners.
+    pub async fn start_before(
+        name: &str,
+        store: MemoryStore,
+        control: Arc<dyn RunnerControl>,
+    ) -> Self {
+        let store = Arc::new(store);
         let ingress = Ingress::start(
-            settings(),
+            settings(name),
             Arc::new(TestSurface),
             store.clone(),
-            Arc::new(SilentControl),
+            control,
             None,
         );
         let ingress = ingress.await.unwrap();
@@ -202,7 +243,7 @@
         }
     }
 
-    async fn until_ready(&self) {
+    pub async fn until_ready(&self) {
         while self.ready_status().await != 200 {
             tokio::time::sleep(Duration::from_millis(20)).await;
         }
@@ -228,10 +269,10 @@
     reqwest::Client::builder().no_proxy().build().unwrap()
 }
 
-fn settings() -> IngressSettings {
+fn settings(name: &str) -> IngressSettings {
     let any = SocketAddr::from(([127, 0, 0, 1], 0));
     IngressSettings {
-        name: "d".to_owned(),
+        name: name.to_owned(),
         zone: Zone::new("z0"),
         listen: any,
         ready_listen: any,
--- a/crates/routing/src/messages.rs
+++ b/crates/routing/src/messages.rs
@@ -36,6 +36,8 @@
     pub term: u64,
     /// Version of the holdings that it knows.
     pub holdings_version: u64,
+    /// Number of members that it knows; see [`Direction::members`].
+    pub known_members: u32,
     /// It stops and sends no more.
     pub leaving: bool,
     /// What its requests wait for.
@@ -95,6 +97,9 @@
     pub membership_revision: u64,
     /// Time since the store last answered the coordinator, in ms.
     pub store_silence_ms: u32,
+    /// Where the members hear a new coordinator, if the receiver knows another number of them. So a
+    /// successor reaches also those that cannot read the lease.
+    pub members: Option<Vec<SocketAddr>>,
     /// The holdings below follow this version.
     pub holdings_after: u64,
     /// Version that a member has which knew `holdings_after` and takes in the holdings below.
--- a/crates/routing/src/placement/demand.rs
+++ b/crates/routing/src/placement/demand.rs
@@ -23,6 +23,8 @@
     pub term: u64,
     /// Version of the holdings that it knows.
     pub holdings_version: u64,
+    /// Number of members that it knows.
+    pub known_members: u32,
     /// What its requests wait for.
     pub waiting: Vec<WaitingUnit>,
     usage: Usage,
@@ -85,6 +87,7 @@
             zone: usage.zone.clone(),
             term: usage.term,
             holdings_version: usage.holdings_version,
+            known_members: usage.known_members,
             waiting: usage.waiting.clone(),
             heard_at: now,
             usage,
--- a/crates/routing/src/placement/mod.rs
+++ b/crates/routing/src/placement/mod.rs
@@ -264,6 +264,12 @@
         self.demands.live_members(now)
     }
 
+    /// Number of members that a member knows.
+    pub fn members_known_by(&self, member: &str) -> u32 {
+        let member = self.demands.member(member);
+        member.map_or(0, |member| member.known_members)
+    }
+
     /// Version of the holdings; rises with each change.
     pub fn version(&self) -> u64 {
         self.version
--- a/crates/routing/tests/decisions.rs
+++ b/crates/routing/tests/decisions.rs
@@ -357,6 +357,7 @@
         zone: Zone::new("z"),
         term: 3,
         holdings_version: 9,
+        known_members: 0,
         leaving: false,
         waiting: vec![WaitingUnit {
             unit: unit("m"),
--- a/crates/routing/tests/placement/world.rs
+++ b/crates/routing/tests/placement/world.rs
@@ -300,6 +300,7 @@
             zone: Zone::new("z0"),
             term: self.fence,
             holdings_version: 0,
+            known_members: 0,
             leaving: false,
             waiting: waiting
                 .map(|unit| WaitingUnit {
