--- a/crates/ingress/src/watches.rs
+++ b/crates/ingress/src/watches.rs
@@ -25,6 +25,11 @@
 const RUNNERS_PAUSE: Duration = Duration::from_millis(600);
 /// Pause after a change of the configuration, for the same reason.
 const CONFIGURATION_PAUSE: Duration = Duration::from_millis(250);
+/// Time after a failed call in which the store is read whole again and again: it may be losing its
+/// history, and a watch that is begun meanwhile may hear nothing.
+const CAREFUL: Duration = Duration::from_millis(2_500);
+/// Pause between these reads.
+const CAREFUL_PAUSE: Duration = Duration::from_millis(700);
 /// First pause after a failed call.
 const FIRST_BACKOFF: Duration = Duration::from_millis(100);
 /// Longest pause after a failed call.
@@ -33,6 +38,8 @@
 /// Pauses between failed calls, longer each time and never alike at two daemons.
 struct Backoff {
     next: Duration,
+    /// Until then the store is read and not watched; see [`CAREFUL`].
+    careful_until: Timestamp,
     what: &'static str,
     is_lost: bool,
 }
@@ -41,6 +48,7 @@
     fn new(what: &'static str) -> Self {
         Self {
             next: FIRST_BACKOFF,
+            careful_until: Timestamp::ZERO,
             what,
             is_lost: false,
         }
@@ -53,6 +61,15 @@
         sleep(pause).await;
     }
 
+    /// Pauses before the next full read, if the store is not to be watched yet.
+    async fn pause_if_careful(&self, shared: &Shared) -> bool {
+        let is_careful = shared.now() < self.careful_until;
+        if is_careful {
+            sleep(CAREFUL_PAUSE).await;
+        }
+        is_careful
+    }
+
     fn log_failure(&mut self, shared: &Shared, error: &StoreError) {
         let event = if self.is_lost {
             "store-call-failed"
@@ -60,6 +77,7 @@
             "dependency-lost"
         };
         self.is_lost = true;
+        self.careful_until = shared.now() + CAREFUL;
         metrics::counter!(STORE_CALLS_FAILED.name).increment(1);
         let fields: &[(&str, &dyn std::fmt::Display)] =
             &[("dependency", &self.what), ("error", error)];
@@ -135,7 +153,10 @@
                 backoff.succeeded(&shared);
                 shared.note_store_seen();
                 revision = Some(listing.revision);
-                if apply_configuration(&shared, listing) {
+                let is_news = apply_configuration(&shared, listing);
+                if backoff.pause_if_careful(&shared).await {
+                    revision = None;
+                } else if is_news {
                     sleep(CONFIGURATION_PAUSE).await;
                 }
             }
@@ -214,6 +235,9 @@
                     shared.note_store_seen();
                     revision = Some(listing.revision);
                     replace_runners(&shared, listing);
+                    if backoff.pause_if_careful(&shared).await {
+                        revision = None;
+                    }
                 }
                 Err(error) => backoff.failed(&shared, &error).await,
             }
--- a/crates/ingress/tests/ingress/failures.rs
+++ b/crates/ingress/tests/ingress/failures.rs
@@ -125,6 +125,22 @@
     assert_eq!(response.status(), 200);
 }
 
+/// Seen on a hunted day: a watch that was cut was begun again from its old revision, which the store had
+/// forgotten, and heard nothing for 4.6 s.
+#[tokio::test]
+async fn a_configuration_comes_soon_after_the_history_was_lost() {
+    let runner = ScriptedRunner::start(Vec::new()).await;
+    let test = TestIngress::start(&[&runner]).await;
+    // The watch is open by now.
+    sleep(Duration::from_millis(500)).await;
+    let new = route("/new/", RouteKind::Repeatable);
+    test.store
+        .change_and_lose_history(configuration(2, vec![new]));
+    sleep(Duration::from_millis(700)).await;
+    let response = test.request("/new/", "id-1").send().await.unwrap();
+    assert_eq!(response.status(), 200);
+}
+
 #[tokio::test]
 async fn an_older_configuration_is_never_taken() {
     let runner = ScriptedRunner::start(Vec::new()).await;
--- a/crates/ingress/tests/ingress/store.rs
+++ b/crates/ingress/tests/ingress/store.rs
@@ -1,6 +1,6 @@
 //! A store in memory, with faults.
 
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
@@ -26,6 +26,8 @@
     changed: Arc<Notify>,
     /// Calls get no answer, and watches begun meanwhile never get one.
     pub is_silent: AtomicBool,
+    cut: Notify,
+    history_from: AtomicU64,
 }
 
 impl MemoryStore {
@@ -34,7 +36,7 @@
         Self {
             contents: self.contents.clone(),
             changed: self.changed.clone(),
-            is_silent: AtomicBool::new(false),
+            ..Self::default()
         }
     }
 
@@ -54,6 +56,18 @@
         self.changed.notify_waiters();
     }
 
+    /// Makes a change of which watches hear nothing, forgets the history, and cuts the watches. One from
+    /// an older revision hears nothing any more.
+    pub fn change_and_lose_history(&self, configuration: Configuration) {
+        let mut contents = self.contents.lock().unwrap();
+        contents.revision += 1;
+        contents.configuration = Some(configuration);
+        self.history_from
+            .store(contents.revision, Ordering::Relaxed);
+        drop(contents);
+        self.cut.notify_waiters();
+    }
+
     async fn answer(&self) -> Result<(), StoreError> {
         if self.is_silent.load(Ordering::Relaxed) {
             tokio::time::sleep(Duration::from_millis(200)).await;
@@ -62,18 +76,23 @@
         Ok(())
     }
 
-    async fn wait(&self, after: u64, wait: Duration) {
-        if self.is_silent.load(Ordering::Relaxed) {
+    async fn wait(&self, after: u64, wait: Duration) -> Result<(), StoreError> {
+        let is_forgotten = after < self.history_from.load(Ordering::Relaxed);
+        if is_forgotten || self.is_silent.load(Ordering::Relaxed) {
             return std::future::pending().await;
         }
         let changed = self.changed.notified();
         if self.contents.lock().unwrap().revision > after {
-            return;
+            return Ok(());
+        }
+        tokio::select! {
+            _ = tokio::time::timeout(wait, changed) => {}
+            () = self.cut.notified() => return Err(StoreError::NoAnswer("cut".to_owned())),
         }
-        let _ = tokio::time::timeout(wait, changed).await;
         if self.is_silent.load(Ordering::Relaxed) {
             std::future::pending::<()>().await;
         }
+        Ok(())
     }
 }
 
@@ -93,7 +112,7 @@
         after: u64,
         wait: Duration,
     ) -> Result<Listing<Configuration>, StoreError> {
-        self.wait(after, wait).await;
+        self.wait(after, wait).await?;
         self.configuration().await
     }
 
@@ -111,7 +130,7 @@
         after: u64,
         wait: Duration,
     ) -> Result<Listing<RunnerChange>, StoreError> {
-        self.wait(after, wait).await;
+        self.wait(after, wait).await?;
         let listing = self.runners().await?;
         let items = listing.items.into_iter().map(Box::new);
         Ok(Listing {
