A daemon turns back from its own watch when the coordinator's word stands again

That the coordinator's word stood again was only noticed if none had stood before.

Seen failing first: a_daemon_turns_back_from_its_own_watch_to_the_coordinator.

--- a/crates/ingress/src/watches.rs
+++ b/crates/ingress/src/watches.rs
@@ -144,7 +144,7 @@
                         revision = None;
                         continue;
                     }
-                    _ = words.wait_for(|new| changes_mode(word, *new)) => continue,
+                    _ = words.wait_for(|new| changes_mode(&shared, word, *new)) => continue,
                 }
             }
         };
@@ -173,9 +173,10 @@
     }
 }
 
-/// Whether a watch under way is no longer what the daemon should do.
-fn changes_mode(old: StoreWord, new: StoreWord) -> bool {
-    old.is_leading != new.is_leading || (old.trusted_until.is_none() && new.trusted_until.is_some())
+/// Whether a watch under way is no longer what the daemon should do: the coordinator's word stands again,
+/// or this daemon coordinates now.
+fn changes_mode(shared: &Shared, old: StoreWord, new: StoreWord) -> bool {
+    old.is_leading != new.is_leading || new.stands_until(shared.now()).is_some()
 }
 
 fn log_history_gone(shared: &Shared, dependency: &str) {
@@ -250,7 +251,7 @@
                 revision = None;
                 continue;
             }
-            _ = words.wait_for(|new| changes_mode(word, *new)) => continue,
+            _ = words.wait_for(|new| changes_mode(&shared, word, *new)) => continue,
         };
         match read {
             Ok(changes) => {
--- a/crates/ingress/tests/ingress/coordination.rs
+++ b/crates/ingress/tests/ingress/coordination.rs
@@ -4,11 +4,12 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
+use flaxward_routing::configuration::RouteKind;
 use tokio::time::sleep;
 
 use crate::runner::{Behaviour, ScriptedRunner};
 use crate::store::MemoryStore;
-use crate::support::{ObedientControl, RARE_MODEL, TestIngress, configuration, runner};
+use crate::support::{ObedientControl, RARE_MODEL, TestIngress, configuration, route, runner};
 
 async fn status(test: &TestIngress, id: &str) -> u16 {
     let request = test.request("/stream/", id).header("x-model", RARE_MODEL);
@@ -52,3 +53,33 @@
     sleep(Duration::from_millis(4_000)).await;
     assert_eq!(status(&third, "id-1").await, 200);
 }
+
+/// Seen on a hunted day: a daemon that had once watched the store by itself kept a watch open that was never
+/// answered, though the coordinator told of a new configuration.
+#[tokio::test]
+async fn a_daemon_turns_back_from_its_own_watch_to_the_coordinator() {
+    let server = ScriptedRunner::start(Vec::new()).await;
+    let store = MemoryStore::default();
+    store.set_runners(vec![runner(0, server.address)]);
+    store.set_configuration(configuration(1, Vec::new()));
+    let control = Arc::new(ObedientControl::default());
+    let first = TestIngress::start_before("a", store.share(), control.clone()).await;
+    first.until_ready().await;
+    sleep(Duration::from_millis(1_000)).await;
+    let second = TestIngress::start_before("b", store.share(), control).await;
+    second.until_ready().await;
+    sleep(Duration::from_millis(1_500)).await;
+
+    // The coordinator hears nothing of the store for a while, so that the other daemon watches it.
+    first.store.is_silent.store(true, Ordering::Relaxed);
+    sleep(Duration::from_millis(1_700)).await;
+    second.store.is_silent.store(true, Ordering::Relaxed);
+    let new = route("/new/", RouteKind::Repeatable);
+    store.set_configuration(configuration(2, vec![new]));
+    sleep(Duration::from_millis(50)).await;
+    first.store.is_silent.store(false, Ordering::Relaxed);
+    second.store.is_silent.store(false, Ordering::Relaxed);
+    sleep(Duration::from_millis(1_800)).await;
+    let response = second.request("/new/", "id-1").send().await.unwrap();
+    assert_eq!(response.status(), 200);
+}
