--- a/crates/ingress/src/watches.rs
+++ b/crates/ingress/src/watches.rs
@@ -144,7 +144,9 @@
                         revision = None;
                         continue;
                     }
-                    _ = words.wait_for(|new| changes_mode(&shared, word, *new)) => continue,
+                    _ = words.wait_for(|new| {
+                        known.is_some() && changes_mode(&shared, word, *new)
+                    }) => continue,
                 }
             }
         };
--- a/crates/ingress/tests/ingress/coordination.rs
+++ b/crates/ingress/tests/ingress/coordination.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use flaxward_routing::configuration::RouteKind;
 use tokio::time::sleep;
@@ -54,6 +54,28 @@
     assert_eq!(status(&third, "id-1").await, 200);
 }
 
+/// Seen on played days: before the first configuration, a daemon that heard a coordinator went round and
+/// round between its watch and the coordinator's word, and had no time for anything else.
+#[tokio::test]
+async fn a_daemon_without_a_configuration_does_not_spin() {
+    let store = MemoryStore::default();
+    let control = Arc::new(ObedientControl::default());
+    let first = TestIngress::start_before("a", store.share(), control.clone()).await;
+    sleep(Duration::from_millis(1_000)).await;
+    let second = TestIngress::start_before("b", store.share(), control).await;
+    sleep(Duration::from_millis(1_000)).await;
+    let begun = Instant::now();
+    let reads = second.store.reads.load(Ordering::Relaxed);
+    sleep(Duration::from_millis(500)).await;
+    assert!(
+        begun.elapsed() < Duration::from_millis(700),
+        "the task was held up"
+    );
+    let more = second.store.reads.load(Ordering::Relaxed) - reads;
+    assert!(more < 10, "{more} reads in half a second");
+    assert_eq!(first.ready_status().await, 503);
+}
+
 /// Seen on a hunted day: a daemon that had once watched the store by itself kept a watch open that was never
 /// answered, though the coordinator told of a new configuration.
 #[tokio::test]
--- a/crates/ingress/tests/ingress/store.rs
+++ b/crates/ingress/tests/ingress/store.rs
@@ -26,6 +26,8 @@
     changed: Arc<Notify>,
     /// Calls get no answer, and watches begun meanwhile never get one.
     pub is_silent: AtomicBool,
+    /// Watches begun and lists read.
+    pub reads: AtomicU64,
     cut: Notify,
     history_from: AtomicU64,
 }
@@ -69,6 +71,7 @@
     }
 
     async fn answer(&self) -> Result<(), StoreError> {
+        self.reads.fetch_add(1, Ordering::Relaxed);
         if self.is_silent.load(Ordering::Relaxed) {
             tokio::time::sleep(Duration::from_millis(200)).await;
             return Err(StoreError::NoAnswer("silent".to_owned()));
@@ -77,6 +80,7 @@
     }
 
     async fn wait(&self, after: u64, wait: Duration) -> Result<(), StoreError> {
+        self.reads.fetch_add(1, Ordering::Relaxed);
         let is_forgotten = after < self.history_from.load(Ordering::Relaxed);
         if is_forgotten || self.is_silent.load(Ordering::Relaxed) {
             return std::future::pending().await;
