--- a/crates/ingress/src/relay.rs
+++ b/crates/ingress/src/relay.rs
@@ -224,13 +224,14 @@
         self.attempts.count(failure);
         loop {
             if Instant::now() >= self.request.deadline {
-                return Err(RelayError::Expired);
+                return Err(self.given_up(RelayError::Expired, "time is up"));
             }
             let max_attempts = self.route.max_attempts;
-            if !self.attempts.may_repeat(self.route.kind, max_attempts)
-                || !self.shared.try_repeat(&self.service)
-            {
-                return Err(RelayError::Broken);
+            if !self.attempts.may_repeat(self.route.kind, max_attempts) {
+                return Err(self.given_up(RelayError::Broken, "it may not be sent again"));
+            }
+            if !self.shared.try_repeat(&self.service) {
+                return Err(self.given_up(RelayError::Broken, "the retry budget is spent"));
             }
             if self.try_continue().await? {
                 return Ok(());
@@ -240,8 +241,12 @@
 
     /// Sends the request to another runner. Tells whether that one goes on.
     async fn try_continue(&mut self) -> Result<bool, RelayError> {
-        let Ok(runner) = self.choose_next() else {
-            return Err(RelayError::Broken);
+        let runner = match self.choose_next() {
+            Ok(runner) => runner,
+            Err(reason) => {
+                let reason = format!("{reason:?}");
+                return Err(self.given_up(RelayError::Broken, &reason));
+            }
         };
         let client_event = self.request.profile.last_event.as_deref();
         let continuation = Continuation {
@@ -280,6 +285,20 @@
         }
     }
 
+    /// Logs why the stream ends without its end.
+    fn given_up(&self, error: RelayError, reason: &str) -> RelayError {
+        let fields: &[(&str, &dyn std::fmt::Display)] = &[
+            ("request", &self.request.profile.id),
+            ("reason", &reason),
+            ("last_event", &self.splitter.last_id().unwrap_or("")),
+            ("runs", &self.attempts.runs),
+        ];
+        self.shared
+            .log
+            .write(self.shared.now(), "stream-given-up", fields);
+        error
+    }
+
     fn log_break(&self, runner: &RunnerId, failure: Failure) {
         let fields: &[(&str, &dyn std::fmt::Display)] = &[
             ("request", &self.request.profile.id),
