--- a/crates/ingress/src/waiting.rs
+++ b/crates/ingress/src/waiting.rs
@@ -21,7 +21,7 @@
 /// When to come back if nobody says when the unit is ready.
 const UNKNOWN_RETRY: Duration = Duration::from_millis(900);
 /// When to come back if there is no coordinator, which takes until the lease has run out.
-const SUCCESSOR_RETRY: Duration = Duration::from_millis(3_000);
+const SUCCESSOR_RETRY: Duration = Duration::from_secs(3);
 /// Part of the target after which a request without a promise is refused.
 const SHARE_WITHOUT_PROMISE: f64 = 0.2;
 /// Shortest time allowed for the promise, which takes a message each way.
--- a/crates/ingress/src/watches.rs
+++ b/crates/ingress/src/watches.rs
@@ -20,7 +20,7 @@
 /// Longest time that the store holds a watch.
 const WATCH_WAIT: Duration = Duration::from_secs(10);
 /// The same for the coordinator.
-const LEADING_WATCH_WAIT: Duration = Duration::from_millis(1_000);
+const LEADING_WATCH_WAIT: Duration = Duration::from_secs(1);
 /// Pause after changes of runners, so that several come with one call.
 const RUNNERS_PAUSE: Duration = Duration::from_millis(600);
 /// Pause after a change of the configuration, for the same reason.
