Ingress: what was written and never read goes; two comments told something else

Tables::configuration_revision was set and read nowhere, Placement::orders and the set that forget_gone_runners returned had no reader, and the comments of FAILURE_WEIGHT and Placement::usage described something else.

Change: they go, or say what is so; forget_gone_runners asks the table instead of making a set. No behaviour changes and no test is touched.

--- a/crates/ingress/src/state.rs
+++ b/crates/ingress/src/state.rs
@@ -1,6 +1,6 @@
 //! What the tasks of one daemon share.
 
-use std::collections::{HashMap, HashSet};
+use std::collections::HashMap;
 use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
@@ -62,7 +62,6 @@
 #[derive(Debug)]
 pub(crate) struct Tables {
     pub configuration: Option<Arc<Configuration>>,
-    pub configuration_revision: u64,
     pub runners: RunnerTable,
     pub runners_known: bool,
     /// Revision of the last time that a runner came, went, or began to drain.
@@ -129,7 +128,6 @@
     ) -> Self {
         let tables = Tables {
             configuration: None,
-            configuration_revision: 0,
             runners: RunnerTable::default(),
             runners_known: false,
             membership_revision: 0,
@@ -285,15 +283,10 @@
 }
 
 impl Tables {
-    /// Drops what is kept about runners that are gone. Returns the addresses still in use.
-    pub(crate) fn forget_gone_runners(&mut self) -> HashSet<RunnerId> {
-        let known: HashSet<RunnerId> = self
-            .runners
-            .iter()
-            .map(|runner| runner.id.clone())
-            .collect();
-        self.health.retain(|id| known.contains(id));
-        known
+    /// Drops what is kept about runners that are gone.
+    pub(crate) fn forget_gone_runners(&mut self) {
+        let runners = &self.runners;
+        self.health.retain(|id| runners.get(id).is_some());
     }
 }
 
--- a/crates/ingress/src/watches.rs
+++ b/crates/ingress/src/watches.rs
@@ -200,7 +200,6 @@
         return false;
     }
     tables.configuration = Some(Arc::new(configuration));
-    tables.configuration_revision = listing.revision;
     drop(tables);
     let fields: &[(&str, &dyn std::fmt::Display)] = &[
         ("version", &version),
--- a/crates/routing/src/health.rs
+++ b/crates/routing/src/health.rs
@@ -14,7 +14,7 @@
 const FIRST_EJECTION: Duration = Duration::from_millis(800);
 /// Longest time for which a runner is left alone.
 const LONGEST_EJECTION: Duration = Duration::from_secs(5);
-/// Failures weigh half as much after this many successes in a row.
+/// Weight of the newest attempt in the remembered share of failures.
 const FAILURE_WEIGHT: f64 = 0.25;
 /// Share of failures from which a runner comes after those that fail less.
 const DOUBTFUL_SHARE: f64 = 0.2;
--- a/crates/routing/src/placement/mod.rs
+++ b/crates/routing/src/placement/mod.rs
@@ -23,7 +23,7 @@
 use crate::runners::{Holdings, Runner, RunnerHoldings};
 
 use demand::Demands;
-use ledger::{Ledger, OrderState};
+use ledger::Ledger;
 
 /// Runners in one message at most, so that it fits a datagram.
 const RUNNERS_A_MESSAGE: usize = 8;
@@ -198,7 +198,7 @@
         self.ledgers.retain(|id, _| seen.contains(id));
     }
 
-    /// Takes in what a member needs and uses, and returns what it is told at once.
+    /// Takes in what a member needs and uses.
     pub fn usage(&mut self, usage: Usage, now: Timestamp) {
         self.demands.update(usage, now);
     }
@@ -371,13 +371,6 @@
         let lease_wait = self.orders_from.since(now);
         Some(soonest + lease_wait + self.ceiling_wait(&unit.service, now))
     }
-
-    /// Orders not yet settled, for the log.
-    pub fn orders(&self) -> impl Iterator<Item = (&RunnerId, &OrderState)> {
-        self.ledgers
-            .iter()
-            .filter_map(|(id, ledger)| Some((id, ledger.order_state()?)))
-    }
 }
 
 /// Time that an unload is expected to take.
