--- a/crates/ingress/src/coordination.rs
+++ b/crates/ingress/src/coordination.rs
@@ -452,7 +452,7 @@
         }
         let mut directions = leading.placement.directions(member, &header, now);
         if let Some(first) = directions.first_mut() {
-            first.loads = Some(leading.placement.loads(now));
+            first.loads = Some(leading.placement.loads());
         }
         let told = Told {
             holdings_version: leading.placement.version(),
--- /dev/null
+++ b/crates/routing/benches/plan.rs
@@ -0,0 +1,184 @@
+//! Processor time of the coordinator against the number of daemons and runners: for taking in a
+//! message of a member, for a plan, and for the messages to one member.
+//!
+//! Run with `cargo bench -p flaxward-routing`. Nothing is carried out, so each plan decides afresh.
+
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use flaxward_routing::configuration::{
+    ClientLimits, Configuration, Engine, ModelSpecification, Service,
+};
+use flaxward_routing::messages::{RunningUnit, Usage, UsedUnit, WaitingUnit};
+use flaxward_routing::names::{AdapterName, ModelName, RunnerId, ServiceName, Unit, Zone};
+use flaxward_routing::placement::{Placement, PlacementSettings, RunnerReport};
+use flaxward_routing::runners::{Holdings, Runner};
+use flaxward_types::time::Timestamp;
+
+/// Daemons, runners and models of each size.
+const SIZES: [(usize, usize, usize); 3] = [(6, 9, 34), (80, 140, 481), (320, 700, 590)];
+/// Units that a member has used lately.
+const USED_UNITS: usize = 40;
+/// Requests in progress at a member.
+const RUNNING_REQUESTS: usize = 12;
+/// Units that a member's requests wait for.
+const WAITING_UNITS: usize = 2;
+/// Models that a runner holds.
+const MODELS_HELD: usize = 3;
+/// Plans that are timed.
+const PLANS: u32 = 10;
+
+fn unit(index: usize, models: usize) -> Unit {
+    Unit {
+        service: ServiceName::new("pool"),
+        model: ModelName::new(&format!("model-{:05}", index % models)),
+        adapter: None,
+    }
+}
+
+fn adapter(index: usize, models: usize) -> Unit {
+    Unit {
+        adapter: Some(AdapterName::new(&format!("a{}", index % 7))),
+        ..unit(index, models)
+    }
+}
+
+fn address(index: usize) -> SocketAddr {
+    let port = u16::try_from(1_000 + index).expect("few daemons");
+    SocketAddr::from(([10, 0, 0, 1], port))
+}
+
+fn configuration(models: usize) -> Configuration {
+    let specification = ModelSpecification {
+        weights_mb: 60_000.0,
+        adapter_mb: 66.0,
+        store_load: Duration::from_secs(4),
+        disk_load: Duration::from_millis(1_700),
+        memory_load: Duration::from_millis(1_300),
+    };
+    let engine = Engine {
+        slots: 12,
+        weights_mb: 200_000.0,
+        adapter_slots: 8,
+        loads_per_second: 42.0,
+        models: (0..models)
+            .map(|index| (unit(index, models).model, specification.clone()))
+            .collect(),
+    };
+    let service = Service {
+        name: ServiceName::new("pool"),
+        max_connections: 100,
+        engine: Some(engine),
+    };
+    Configuration::new(1, ClientLimits::default(), Vec::new(), vec![service])
+}
+
+fn runner(index: usize) -> Runner {
+    Runner {
+        id: RunnerId::new(&format!("i-{index:010x}")),
+        service: ServiceName::new("pool"),
+        address: address(index),
+        zone: Zone::new(&format!("zone-{}", index % 3)),
+        slots: 12,
+        draining: false,
+        leaves_in: None,
+        cold_for: Duration::ZERO,
+        holdings: Holdings::new(),
+        in_memory: BTreeSet::new(),
+        on_disk: BTreeSet::new(),
+    }
+}
+
+fn report(index: usize, models: usize) -> RunnerReport {
+    let held = (0..MODELS_HELD).map(|place| {
+        let model = unit(index * MODELS_HELD + place, models).model;
+        (model, BTreeSet::from([AdapterName::new("a1")]))
+    });
+    RunnerReport {
+        holdings: held.collect(),
+        order_count: 1,
+        ..RunnerReport::default()
+    }
+}
+
+fn usage(member: usize, runners: usize, models: usize) -> Usage {
+    let unit_of = |index: usize| {
+        if index % 2 == 0 {
+            unit(index, models)
+        } else {
+            adapter(index, models)
+        }
+    };
+    let used = (0..USED_UNITS).map(|index| UsedUnit {
+        unit: unit_of(member * 3 + index * 5),
+        requests: 2,
+    });
+    let running = (0..RUNNING_REQUESTS).map(|index| RunningUnit {
+        runner: runner((member * 7 + index) % runners).id,
+        unit: unit_of(member * 3 + index * 5),
+        requests: 1,
+    });
+    let waiting = (0..WAITING_UNITS).map(|index| WaitingUnit {
+        unit: unit(MODELS_HELD * runners + member * 2 + index, models),
+        requests: 1,
+        priority: 1,
+    });
+    Usage {
+        from: format!("daemon-{member}"),
+        address: address(member),
+        zone: Zone::new(&format!("zone-{}", member % 3)),
+        term: 1,
+        holdings_version: 0,
+        known_members: 0,
+        leaving: false,
+        waiting: waiting.collect(),
+        used: used.collect(),
+        running: running.collect(),
+    }
+}
+
+/// A coordinator that has read all reports and heard all members.
+fn coordinator(members: usize, runners: usize, models: usize) -> Placement {
+    let start = Timestamp(1_000);
+    let mut placement = Placement::new(PlacementSettings::default(), start, start);
+    placement.configure(&configuration(models));
+    let all: Vec<Runner> = (0..runners).map(runner).collect();
+    placement.set_runners(all.iter());
+    for (index, runner) in all.iter().enumerate() {
+        placement.reported(&runner.id, Some(report(index, models)), start, start);
+    }
+    for member in 0..members {
+        placement.usage(usage(member, runners, models), start);
+    }
+    placement
+}
+
+fn measure(members: usize, runners: usize, models: usize) {
+    let mut placement = coordinator(members, runners, models);
+    let usages: Vec<Usage> = (0..members).map(|it| usage(it, runners, models)).collect();
+    let begun = Instant::now();
+    for usage in usages {
+        placement.usage(usage, Timestamp(1_010));
+    }
+    let a_message = begun.elapsed() / u32::try_from(members).expect("few daemons");
+    let mut planning = Duration::ZERO;
+    for _ in 0..PLANS {
+        let mut placement = coordinator(members, runners, models);
+        let begun = Instant::now();
+        placement.plan(Timestamp(1_020));
+        planning += begun.elapsed();
+    }
+    println!(
+        "{members} daemons, {runners} runners, {models} models: \
+         a message {:.1} us, a plan {:.1} us",
+        a_message.as_secs_f64() * 1e6,
+        (planning / PLANS).as_secs_f64() * 1e6
+    );
+}
+
+fn main() {
+    for (members, runners, models) in SIZES {
+        measure(members, runners, models);
+    }
+}
--- /dev/null
+++ b/crates/routing/src/placement/copies.rs
@@ -0,0 +1,103 @@
+//! How many runners offer a unit or will, and in which zones: kept up to date with each change of a
+//! [`Ledger`], so that a question does not go through all runners.
+
+use std::collections::{BTreeMap, HashMap};
+
+use crate::names::{RunnerId, Unit, Zone};
+
+use super::ledger::Ledger;
+
+/// A unit at one runner.
+#[derive(Clone, Debug, PartialEq, Eq)]
+struct Copy {
+    unit: Unit,
+    zone: Zone,
+    is_offered: bool,
+    is_coming: bool,
+}
+
+/// A unit at all runners.
+#[derive(Debug, Default)]
+struct UnitCopies {
+    offered: usize,
+    coming: usize,
+    /// Runners that offer it or will.
+    by_zone: BTreeMap<Zone, usize>,
+}
+
+/// Copies of all units.
+#[derive(Debug, Default)]
+pub(super) struct CopyIndex {
+    units: HashMap<Unit, UnitCopies>,
+    by_runner: HashMap<RunnerId, Vec<Copy>>,
+}
+
+impl CopyIndex {
+    /// Takes in what has changed at a runner.
+    pub fn update(&mut self, ledger: &Ledger) {
+        self.remove(&ledger.runner.id);
+        let copies = copies_of(ledger);
+        for copy in &copies {
+            let unit = self.units.entry(copy.unit.clone()).or_default();
+            unit.offered += usize::from(copy.is_offered);
+            unit.coming += usize::from(copy.is_coming);
+            *unit.by_zone.entry(copy.zone.clone()).or_default() += 1;
+        }
+        self.by_runner.insert(ledger.runner.id.clone(), copies);
+    }
+
+    /// Takes out a runner.
+    pub fn remove(&mut self, runner: &RunnerId) {
+        for copy in self.by_runner.remove(runner).unwrap_or_default() {
+            let Some(unit) = self.units.get_mut(&copy.unit) else {
+                continue;
+            };
+            unit.offered -= usize::from(copy.is_offered);
+            unit.coming -= usize::from(copy.is_coming);
+            if let Some(count) = unit.by_zone.get_mut(&copy.zone) {
+                *count -= 1;
+            }
+            unit.by_zone.retain(|_, count| *count > 0);
+            if unit.by_zone.is_empty() {
+                self.units.remove(&copy.unit);
+            }
+        }
+    }
+
+    /// Whether a runner offers the unit.
+    pub fn is_offered(&self, unit: &Unit) -> bool {
+        self.units.get(unit).is_some_and(|it| it.offered > 0)
+    }
+
+    /// Whether a runner will offer the unit.
+    pub fn is_coming(&self, unit: &Unit) -> bool {
+        self.units.get(unit).is_some_and(|it| it.coming > 0)
+    }
+
+    /// Runners that offer the unit or will.
+    pub fn count(&self, unit: &Unit) -> usize {
+        let by_zone = self.units.get(unit).map(|it| it.by_zone.values().sum());
+        by_zone.unwrap_or(0)
+    }
+
+    /// Whether a runner of the zone offers the unit or will.
+    pub fn is_in_zone(&self, unit: &Unit, zone: &Zone) -> bool {
+        let unit = self.units.get(unit);
+        unit.is_some_and(|it| it.by_zone.contains_key(zone))
+    }
+}
+
+fn copies_of(ledger: &Ledger) -> Vec<Copy> {
+    let mut units = ledger.known_units();
+    units.sort();
+    units.dedup();
+    let copies = units.into_iter().map(|unit| Copy {
+        zone: ledger.runner.zone.clone(),
+        is_offered: ledger.offers(&unit),
+        is_coming: ledger.will_offer(&unit),
+        unit,
+    });
+    copies
+        .filter(|copy| copy.is_offered || copy.is_coming)
+        .collect()
+}
--- a/crates/routing/src/placement/demand.rs
+++ b/crates/routing/src/placement/demand.rs
@@ -1,6 +1,9 @@
 //! What the daemons' requests wait for and use.
+//!
+//! Messages of members are only kept as they come; [`Demands::refresh`] adds them up once for a plan, so
+//! that a question costs one look-up however many members and units there are.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, HashMap, HashSet};
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -11,6 +14,10 @@
 
 /// Time in which the remembered rate of a unit falls to a third.
 const RATE_MEMORY_SECONDS: f64 = 20.0;
+/// Time between two computations of the rates.
+const RATE_INTERVAL: Duration = Duration::from_millis(250);
+/// Time without use after which a unit's rate is forgotten.
+const RATE_FORGOTTEN: Duration = Duration::from_secs(120);
 
 /// One daemon, as the coordinator knows it.
 #[derive(Clone, Debug)]
@@ -38,6 +45,20 @@
     last_used: Timestamp,
 }
 
+impl Rate {
+    fn decayed(&self, now: Timestamp) -> f64 {
+        let seconds = now.since(self.at).as_secs_f64();
+        self.per_second * (-seconds / RATE_MEMORY_SECONDS).exp()
+    }
+}
+
+/// Use of a model with all its adapters.
+#[derive(Clone, Copy, Debug)]
+struct ModelUse {
+    per_second: f64,
+    last_used: Timestamp,
+}
+
 /// A unit that requests wait for.
 #[derive(Clone, Debug)]
 pub struct WantedUnit {
@@ -51,13 +72,27 @@
     pub since: Timestamp,
 }
 
+/// Requests in progress at one runner. A model's count includes those of its adapters.
+#[derive(Debug, Default)]
+struct RunnerUse {
+    requests: u32,
+    units: HashMap<Unit, u32>,
+}
+
 /// All demand that the coordinator has heard of.
 #[derive(Debug)]
 pub struct Demands {
     timeout: Duration,
     members: BTreeMap<String, Member>,
-    rates: HashMap<Unit, Rate>,
     waiting_since: HashMap<Unit, Timestamp>,
+    rates: HashMap<Unit, Rate>,
+    rates_at: Option<Timestamp>,
+    /// By model.
+    models: HashMap<Unit, ModelUse>,
+    /// What is waited for, and the models of adapters that are.
+    waited: HashSet<Unit>,
+    wanted: Vec<WantedUnit>,
+    running: HashMap<RunnerId, RunnerUse>,
 }
 
 impl Demands {
@@ -66,8 +101,13 @@
         Self {
             timeout,
             members: BTreeMap::new(),
-            rates: HashMap::new(),
             waiting_since: HashMap::new(),
+            rates: HashMap::new(),
+            rates_at: None,
+            models: HashMap::new(),
+            waited: HashSet::new(),
+            wanted: Vec::new(),
+            running: HashMap::new(),
         }
     }
 
@@ -93,22 +133,76 @@
             usage,
         };
         self.members.insert(member.usage.from.clone(), member);
-        self.update_rates(now);
     }
 
-    fn update_rates(&mut self, now: Timestamp) {
-        let mut current: HashMap<&Unit, u32> = HashMap::new();
+    /// Adds up what the members have said. The other questions are answered as of this time.
+    pub fn refresh(&mut self, now: Timestamp) {
+        let timeout = self.timeout;
+        self.members
+            .retain(|_, member| now.since(member.heard_at) < timeout);
+        self.refresh_wanted(now);
+        self.refresh_running();
+        let is_due = |at: Timestamp| now.since(at) >= RATE_INTERVAL;
+        if self.rates_at.is_none_or(is_due) {
+            self.rates_at = Some(now);
+            self.refresh_rates(now);
+        }
+    }
+
+    fn refresh_wanted(&mut self, now: Timestamp) {
+        let mut wanted: BTreeMap<&Unit, WantedUnit> = BTreeMap::new();
+        for waiting in self.members.values().flat_map(|member| &member.waiting) {
+            let entry = wanted.entry(&waiting.unit).or_insert_with(|| WantedUnit {
+                unit: waiting.unit.clone(),
+                requests: 0,
+                priority: waiting.priority,
+                since: self
+                    .waiting_since
+                    .get(&waiting.unit)
+                    .copied()
+                    .unwrap_or(now),
+            });
+            entry.requests += waiting.requests;
+            entry.priority = entry.priority.min(waiting.priority);
+        }
+        self.wanted = wanted.into_values().collect();
+        self.wanted
+            .sort_by_key(|wanted| (wanted.priority, wanted.since));
+        self.waited.clear();
+        for wanted in &self.wanted {
+            self.waited.insert(wanted.unit.base());
+            self.waited.insert(wanted.unit.clone());
+        }
+        let waited = &self.waited;
+        self.waiting_since.retain(|unit, _| waited.contains(unit));
+    }
+
+    fn refresh_running(&mut self) {
+        self.running.clear();
+        let running = self.members.values().flat_map(|it| &it.usage.running);
+        for running in running {
+            let runner = self.running.entry(running.runner.clone()).or_default();
+            runner.requests += running.requests;
+            *runner.units.entry(running.unit.base()).or_default() += running.requests;
+            if running.unit.adapter.is_some() {
+                *runner.units.entry(running.unit.clone()).or_default() += running.requests;
+            }
+        }
+    }
+
+    fn refresh_rates(&mut self, now: Timestamp) {
+        let mut requests: HashMap<&Unit, u32> = HashMap::new();
         for member in self.members.values() {
             for used in &member.usage.used {
-                *current.entry(&used.unit).or_default() += used.requests;
+                *requests.entry(&used.unit).or_default() += used.requests;
             }
             for waiting in &member.waiting {
-                *current.entry(&waiting.unit).or_default() += waiting.requests;
+                *requests.entry(&waiting.unit).or_default() += waiting.requests;
             }
         }
-        for (unit, requests) in current {
+        for (unit, requests) in requests {
             let per_second = f64::from(requests) / f64::from(USE_WINDOW_SECONDS);
-            let remembered = self.rates.get(unit).map_or(0.0, |rate| decayed(rate, now));
+            let remembered = self.rates.get(unit).map_or(0.0, |rate| rate.decayed(now));
             let rate = Rate {
                 per_second: per_second.max(remembered),
                 at: now,
@@ -116,6 +210,17 @@
             };
             self.rates.insert(unit.clone(), rate);
         }
+        self.rates
+            .retain(|_, rate| now.since(rate.last_used) < RATE_FORGOTTEN);
+        self.models.clear();
+        for (unit, rate) in &self.rates {
+            let model = self.models.entry(unit.base()).or_insert(ModelUse {
+                per_second: 0.0,
+                last_used: rate.last_used,
+            });
+            model.per_second += rate.decayed(now);
+            model.last_used = model.last_used.max(rate.last_used);
+        }
     }
 
     /// A member by its name.
@@ -123,14 +228,8 @@
         self.members.get(name)
     }
 
-    /// Names and addresses of the members that live.
-    pub fn live_members(&self, now: Timestamp) -> Vec<(String, SocketAddr)> {
-        self.live(now)
-            .map(|(name, member)| (name.clone(), member.address))
-            .collect()
-    }
-
-    fn live(&self, now: Timestamp) -> impl Iterator<Item = (&String, &Member)> {
+    /// Names of the members that live, with what is known of them.
+    pub fn live_members(&self, now: Timestamp) -> impl Iterator<Item = (&String, &Member)> {
         let timeout = self.timeout;
         self.members
             .iter()
@@ -138,49 +237,24 @@
     }
 
     /// What requests wait for, the most urgent and then the longest first.
-    pub fn wanted(&mut self, now: Timestamp) -> Vec<WantedUnit> {
-        let mut wanted: BTreeMap<Unit, WantedUnit> = BTreeMap::new();
-        let timeout = self.timeout;
-        let live = self
-            .members
-            .values()
-            .filter(|member| now.since(member.heard_at) < timeout);
-        for waiting in live.flat_map(|member| &member.waiting) {
-            let since = self.waiting_since.get(&waiting.unit).copied();
-            let entry = wanted
-                .entry(waiting.unit.clone())
-                .or_insert_with(|| WantedUnit {
-                    unit: waiting.unit.clone(),
-                    requests: 0,
-                    priority: waiting.priority,
-                    since: since.unwrap_or(now),
-                });
-            entry.requests += waiting.requests;
-            entry.priority = entry.priority.min(waiting.priority);
-        }
-        self.waiting_since
-            .retain(|unit, _| wanted.contains_key(unit));
-        let mut wanted: Vec<WantedUnit> = wanted.into_values().collect();
-        wanted.sort_by_key(|wanted| (wanted.priority, wanted.since));
-        wanted
+    pub fn wanted(&self) -> &[WantedUnit] {
+        &self.wanted
     }
 
     /// Whether a request waits for a unit or, if it is a model, for an adapter of it.
     pub fn is_waited_for(&self, unit: &Unit) -> bool {
-        self.members
-            .values()
-            .flat_map(|member| &member.waiting)
-            .filter(|waiting| waiting.unit.model == unit.model)
-            .any(|waiting| unit.adapter.is_none() || waiting.unit.adapter == unit.adapter)
+        self.waited.contains(unit)
     }
 
     /// Requests a second for a model and all its adapters.
-    pub fn model_rate(&self, model: &Unit, now: Timestamp) -> f64 {
-        self.rates
-            .iter()
-            .filter(|(unit, _)| unit.model == model.model && unit.service == model.service)
-            .map(|(_, rate)| decayed(rate, now))
-            .sum()
+    pub fn model_rate(&self, model: &Unit) -> f64 {
+        self.models.get(model).map_or(0.0, |it| it.per_second)
+    }
+
+    /// Time since a model or an adapter of it was last used or waited for; `None` if never.
+    pub fn model_unused_for(&self, model: &Unit, now: Timestamp) -> Option<Duration> {
+        let model = self.models.get(model)?;
+        Some(now.since(model.last_used))
     }
 
     /// Time since a unit was last used or waited for; `None` if never.
@@ -189,40 +263,27 @@
         Some(now.since(rate.last_used))
     }
 
-    /// Models in use, with their rates.
-    pub fn busy_models(&self, now: Timestamp) -> Vec<(Unit, f64)> {
-        let mut models: BTreeMap<Unit, f64> = BTreeMap::new();
-        for (unit, rate) in &self.rates {
-            *models.entry(unit.base()).or_default() += decayed(rate, now);
-        }
-        let mut models: Vec<(Unit, f64)> = models.into_iter().collect();
-        models.sort_by(|left, right| right.1.total_cmp(&left.1));
-        models
+    /// Models in use at a rate or above it, the busiest first.
+    pub fn busy_models(&self, least: f64) -> Vec<(Unit, f64)> {
+        let rates = self.models.iter();
+        let rates = rates.map(|(model, it)| (model.clone(), it.per_second));
+        let mut busy: Vec<(Unit, f64)> = rates.filter(|(_, rate)| *rate >= least).collect();
+        busy.sort_by(|left, right| {
+            let by_rate = right.1.total_cmp(&left.1);
+            by_rate.then_with(|| left.0.cmp(&right.0))
+        });
+        busy
     }
 
-    /// Requests in progress at each runner.
-    pub fn running_by_runner(&self, now: Timestamp) -> HashMap<RunnerId, u32> {
-        let mut requests: HashMap<RunnerId, u32> = HashMap::new();
-        for (_, member) in self.live(now) {
-            for running in &member.usage.running {
-                *requests.entry(running.runner.clone()).or_default() += running.requests;
-            }
-        }
-        requests
+    /// Requests in progress at a runner.
+    pub fn running_at(&self, runner: &RunnerId) -> u32 {
+        self.running.get(runner).map_or(0, |it| it.requests)
     }
 
-    /// Requests in progress with a model or one of its adapters at a runner.
-    pub fn running(&self, runner: &RunnerId, unit: &Unit, now: Timestamp) -> u32 {
-        self.live(now)
-            .flat_map(|(_, member)| &member.usage.running)
-            .filter(|running| running.runner == *runner && running.unit.model == unit.model)
-            .filter(|running| unit.adapter.is_none() || running.unit.adapter == unit.adapter)
-            .map(|running| running.requests)
-            .sum()
+    /// Requests in progress with a unit at a runner; those with a model include its adapters'.
+    pub fn running(&self, runner: &RunnerId, unit: &Unit) -> u32 {
+        let runner = self.running.get(runner);
+        let requests = runner.and_then(|runner| runner.units.get(unit));
+        requests.copied().unwrap_or(0)
     }
 }
-
-fn decayed(rate: &Rate, now: Timestamp) -> f64 {
-    let seconds = now.since(rate.at).as_secs_f64();
-    rate.per_second * (-seconds / RATE_MEMORY_SECONDS).exp()
-}
--- a/crates/routing/src/placement/ledger.rs
+++ b/crates/routing/src/placement/ledger.rs
@@ -6,7 +6,7 @@
 use flaxward_types::time::Timestamp;
 
 use crate::configuration::Engine;
-use crate::names::{ModelName, Unit};
+use crate::names::{AdapterName, ModelName, Unit};
 use crate::runners::{Holdings, Runner, RunnerHoldings};
 
 use super::{Operation, Order, OrderAnswer, PlacementSettings, Reason, RunnerReport};
@@ -69,7 +69,7 @@
     /// When the report was asked for that is under way.
     pub report_asked_at: Option<Timestamp>,
     holdings: Holdings,
-    pending_adapters: BTreeSet<(ModelName, crate::names::AdapterName)>,
+    pending_adapters: BTreeSet<(ModelName, AdapterName)>,
     order: Option<OrderState>,
     order_count: Option<u64>,
     /// The runner works on an order that this coordinator does not know.
@@ -187,6 +187,27 @@
         !self.runner.draining && (loads || pending || intends)
     }
 
+    /// Units that are there or on their way, some of them perhaps twice.
+    pub fn known_units(&self) -> Vec<Unit> {
+        let unit = |model: &ModelName, adapter: Option<&AdapterName>| Unit {
+            service: self.runner.service.clone(),
+            model: model.clone(),
+            adapter: adapter.cloned(),
+        };
+        let models = self.holdings.keys().map(|model| unit(model, None));
+        let adapters = self.adapters();
+        let adapters = adapters
+            .iter()
+            .map(|(model, adapter)| unit(model, Some(adapter)));
+        let ordered = self.order().map(|order| order.unit.clone());
+        let intended = self.intent.as_ref().map(|intent| intent.unit.clone());
+        models
+            .chain(adapters)
+            .chain(ordered)
+            .chain(intended)
+            .collect()
+    }
+
     /// Whether it may be given orders at all.
     pub fn takes_orders(&self, now: Timestamp) -> bool {
         self.is_confirmed && !self.runner.draining && now >= self.rejected_until
@@ -234,7 +255,7 @@
     }
 
     /// Adapters that are there or on their way.
-    pub fn adapters(&self) -> BTreeSet<(ModelName, crate::names::AdapterName)> {
+    pub fn adapters(&self) -> BTreeSet<(ModelName, AdapterName)> {
         let mut adapters = self.pending_adapters.clone();
         for (model, names) in &self.holdings {
             adapters.extend(names.iter().map(|name| (model.clone(), name.clone())));
--- a/crates/routing/src/placement/mod.rs
+++ b/crates/routing/src/placement/mod.rs
@@ -6,6 +6,7 @@
 //! anything. An order without an answer stays counted in the ledger until the runner's order count
 //! or report settles it.
 
+mod copies;
 pub mod demand;
 pub mod ledger;
 mod planner;
@@ -22,6 +23,7 @@
 use crate::names::{AdapterName, ModelName, RunnerId, ServiceName, Unit};
 use crate::runners::{Holdings, Runner, RunnerHoldings};
 
+use copies::CopyIndex;
 use demand::Demands;
 use ledger::Ledger;
 
@@ -151,7 +153,10 @@
     settings: PlacementSettings,
     engines: BTreeMap<ServiceName, Engine>,
     ledgers: BTreeMap<RunnerId, Ledger>,
+    copies: CopyIndex,
+    runner_counts: BTreeMap<ServiceName, usize>,
     demands: Demands,
+    configuration_version: Option<u64>,
     store_loads: BTreeMap<ServiceName, VecDeque<Timestamp>>,
     started_at: Timestamp,
     orders_from: Timestamp,
@@ -165,6 +170,9 @@
             settings,
             engines: BTreeMap::new(),
             ledgers: BTreeMap::new(),
+            copies: CopyIndex::default(),
+            runner_counts: BTreeMap::new(),
+            configuration_version: None,
             demands: Demands::new(settings.member_timeout),
             store_loads: BTreeMap::new(),
             started_at: now,
@@ -173,8 +181,12 @@
         }
     }
 
-    /// Takes in the engines of a configuration.
+    /// Takes in the engines of a configuration, unless it is the one that is known.
     pub fn configure(&mut self, configuration: &Configuration) {
+        if self.configuration_version == Some(configuration.version) {
+            return;
+        }
+        self.configuration_version = Some(configuration.version);
         self.engines = configuration
             .services()
             .filter_map(|service| Some((service.name.clone(), service.engine.clone()?)))
@@ -184,18 +196,54 @@
     /// Takes in the list of runners.
     pub fn set_runners<'a>(&mut self, runners: impl Iterator<Item = &'a Runner>) {
         let mut seen = BTreeSet::new();
+        self.runner_counts.clear();
         for runner in runners {
             if !self.engines.contains_key(&runner.service) {
                 continue;
             }
             seen.insert(runner.id.clone());
-            let ledger = self
-                .ledgers
-                .entry(runner.id.clone())
-                .or_insert_with(|| Ledger::new(runner.clone()));
-            ledger.runner = runner.clone();
+            let count = self.runner_counts.entry(runner.service.clone());
+            *count.or_default() += 1;
+            let ledger = self.ledgers.get(&runner.id);
+            if ledger.is_none_or(|ledger| ledger.runner != *runner) {
+                self.set_runner(runner);
+            }
+        }
+        let copies = &mut self.copies;
+        self.ledgers.retain(|id, _| {
+            let stays = seen.contains(id);
+            if !stays {
+                copies.remove(id);
+            }
+            stays
+        });
+    }
+
+    fn set_runner(&mut self, runner: &Runner) {
+        let ledger = self
+            .ledgers
+            .entry(runner.id.clone())
+            .or_insert_with(|| Ledger::new(runner.clone()));
+        ledger.runner = runner.clone();
+        self.copies.update(ledger);
+    }
+
+    /// Changes what is believed of a runner, and notes what members must hear of it.
+    fn change<Outcome>(
+        &mut self,
+        runner: &RunnerId,
+        change: impl FnOnce(&mut Ledger) -> Outcome,
+    ) -> Option<Outcome> {
+        let ledger = self.ledgers.get_mut(runner)?;
+        let before = ledger.announced();
+        let outcome = change(ledger);
+        let is_first = ledger.is_confirmed() && ledger.version == 0;
+        if is_first || ledger.announced() != before {
+            self.version += 1;
+            ledger.version = self.version;
         }
-        self.ledgers.retain(|id, _| seen.contains(id));
+        self.copies.update(ledger);
+        Some(outcome)
     }
 
     /// Takes in what a member needs and uses.
@@ -245,12 +293,12 @@
         directions
     }
 
-    /// Requests in progress at the runners that are at least half full, as the members tell.
-    pub fn loads(&self, now: Timestamp) -> Vec<RunnerLoad> {
-        let running = self.demands.running_by_runner(now);
+    /// Requests in progress at the runners that are at least half full, as the members had told by the
+    /// last plan.
+    pub fn loads(&self) -> Vec<RunnerLoad> {
         let load = |ledger: &Ledger| {
-            let requests = *running.get(&ledger.runner.id)?;
-            let is_half_full = requests.saturating_mul(2) >= ledger.runner.slots;
+            let requests = self.demands.running_at(&ledger.runner.id);
+            let is_half_full = requests.saturating_mul(2) >= ledger.runner.slots.max(1);
             is_half_full.then(|| RunnerLoad {
                 runner: ledger.runner.id.clone(),
                 requests,
@@ -259,9 +307,12 @@
         self.ledgers.values().filter_map(load).collect()
     }
 
-    /// Addresses of the members that live.
+    /// Names and addresses of the members that live.
     pub fn members(&self, now: Timestamp) -> Vec<(String, SocketAddr)> {
-        self.demands.live_members(now)
+        let members = self.demands.live_members(now);
+        members
+            .map(|(name, member)| (name.clone(), member.address))
+            .collect()
     }
 
     /// Number of members that a member knows.
@@ -291,42 +342,34 @@
         asked_at: Timestamp,
         now: Timestamp,
     ) {
-        let Some(ledger) = self.ledgers.get_mut(runner) else {
-            return;
-        };
-        ledger.report_asked_at = None;
-        let Some(report) = report else {
-            ledger.next_report = now + self.settings.order_retry;
-            return;
-        };
-        let before = ledger.announced();
-        ledger.reported(report, asked_at, now, &self.settings);
-        if ledger.announced() != before || ledger.version == 0 {
-            self.version += 1;
-            ledger.version = self.version;
-        }
+        let settings = self.settings;
+        self.change(runner, |ledger| {
+            ledger.report_asked_at = None;
+            match report {
+                Some(report) => ledger.reported(report, asked_at, now, &settings),
+                None => ledger.next_report = now + settings.order_retry,
+            }
+        });
     }
 
     /// Takes in the answer to the order under way at a runner.
     pub fn answered(&mut self, runner: &RunnerId, answer: OrderAnswer, now: Timestamp) {
-        let Some(ledger) = self.ledgers.get_mut(runner) else {
+        let Some(ledger) = self.ledgers.get(runner) else {
             return;
         };
         let load_time = ledger
             .order()
             .and_then(|order| engine_load_time(&self.engines, ledger, &order.unit));
-        let before = ledger.announced();
-        ledger.answered(answer, load_time, now, &self.settings);
-        if ledger.announced() != before {
-            self.version += 1;
-            ledger.version = self.version;
-        }
+        let settings = self.settings;
+        self.change(runner, |ledger| {
+            ledger.answered(answer, load_time, now, &settings);
+        });
     }
 
     /// When a unit is ready, if it is on its way or a place for it can be named.
     fn outlook(&self, unit: &Unit, now: Timestamp) -> Option<UnitOutlook> {
         let base = unit.base();
-        if unit.adapter.is_some() && !self.is_offered(&base) {
+        if unit.adapter.is_some() && !self.copies.is_offered(&base) {
             let outlook = self.outlook(&base, now)?;
             let adapter_ms = u32::try_from(millis(ADAPTER_TIME)).unwrap_or(u32::MAX);
             return Some(UnitOutlook {
--- a/crates/routing/src/placement/planner.rs
+++ b/crates/routing/src/placement/planner.rs
@@ -1,6 +1,7 @@
 //! Which order goes to which runner.
 
 use std::cmp::Ordering;
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use flaxward_types::time::Timestamp;
@@ -10,7 +11,7 @@
 
 use super::demand::WantedUnit;
 use super::ledger::{Intent, Ledger};
-use super::victims::Victims;
+use super::victims::{Room, Victims};
 use super::{Action, Operation, Order, Placement, Reason, UNLOAD_TIME, engine_load_time};
 
 /// Requests a second from which a model is busy and keeps several copies.
@@ -35,6 +36,10 @@
     cost_ms: f64,
 }
 
+/// The rooms of the runners that can be given an order, for one plan. Other orders of the same plan may
+/// change a price; what is to be dropped is therefore decided again when the order is given.
+type Rooms = BTreeMap<RunnerId, Room>;
+
 impl Placement {
     /// Decides and returns what is to be done now.
     pub fn plan(&mut self, now: Timestamp) -> Vec<Action> {
@@ -42,16 +47,27 @@
         if now < self.orders_from {
             return actions;
         }
+        self.demands.refresh(now);
         self.follow_intents(now);
-        let wanted = self.demands.wanted(now);
-        for wanted in &wanted {
-            self.serve(wanted, now);
+        let mut rooms = self.rooms(now);
+        for wanted in self.demands.wanted().to_vec() {
+            self.serve(&wanted, &mut rooms, now);
         }
-        self.add_replicas(now);
+        self.add_replicas(&mut rooms, now);
         actions.extend(self.due_orders(now));
         actions
     }
 
+    fn rooms(&self, now: Timestamp) -> Rooms {
+        let free = self.ledgers.values();
+        let free = free.filter(|ledger| ledger.is_free(now) && ledger.intent.is_none());
+        let room = |ledger: &Ledger| {
+            let engine = self.engines.get(&ledger.runner.service)?;
+            Some((ledger.runner.id.clone(), self.room(ledger, engine, now)))
+        };
+        free.filter_map(room).collect()
+    }
+
     fn due_reports(&mut self, now: Timestamp) -> Vec<Action> {
         let due = self
             .ledgers
@@ -75,7 +91,9 @@
             };
             if counts_as_store_load(ledger, &order) {
                 let loads = self.store_loads.entry(ledger.runner.service.clone());
-                loads.or_default().push_back(now);
+                let loads = loads.or_default();
+                loads.retain(|&at| now.since(at) <= self.settings.load_window);
+                loads.push_back(now);
             }
             actions.push(Action::Order {
                 runner: ledger.runner.id.clone(),
@@ -97,10 +115,8 @@
             .filter_map(|(id, ledger)| Some((id.clone(), ledger.intent.clone()?)))
             .collect();
         for (runner, intent) in ready {
-            let is_served = self.is_offered(&intent.unit);
-            if let Some(ledger) = self.ledgers.get_mut(&runner) {
-                ledger.intent = None;
-            }
+            let is_served = self.copies.is_offered(&intent.unit);
+            self.change(&runner, |ledger| ledger.intent = None);
             if !is_served || intent.reason == Reason::Replica {
                 self.load_at(&runner, &intent.unit, intent.reason, now);
             }
@@ -108,25 +124,30 @@
     }
 
     /// Sees to it that a unit which requests wait for gets ready somewhere.
-    fn serve(&mut self, wanted: &WantedUnit, now: Timestamp) {
+    fn serve(&mut self, wanted: &WantedUnit, rooms: &mut Rooms, now: Timestamp) {
         let unit = &wanted.unit;
-        if self.is_offered(unit) || self.is_coming(unit) {
+        if self.copies.is_offered(unit) || self.copies.is_coming(unit) {
             return;
         }
         if unit.adapter.is_some() {
-            self.serve_adapter(unit, now);
-        } else if let Some(candidate) = self.best_candidate(unit, now) {
+            self.serve_adapter(unit, rooms, now);
+        } else {
+            self.serve_model(unit, rooms, now);
+        }
+    }
+
+    fn serve_model(&mut self, unit: &Unit, rooms: &mut Rooms, now: Timestamp) {
+        if let Some(candidate) = self.best_candidate(unit, rooms, now) {
+            rooms.remove(&candidate.runner);
             self.load_at(&candidate.runner, unit, Reason::Demand, now);
         }
     }
 
-    fn serve_adapter(&mut self, unit: &Unit, now: Timestamp) {
+    fn serve_adapter(&mut self, unit: &Unit, rooms: &mut Rooms, now: Timestamp) {
         let base = unit.base();
-        if !self.is_offered(&base) {
-            if !self.is_coming(&base)
-                && let Some(candidate) = self.best_candidate(&base, now)
-            {
-                self.load_at(&candidate.runner, &base, Reason::Demand, now);
+        if !self.copies.is_offered(&base) {
+            if !self.copies.is_coming(&base) {
+                self.serve_model(&base, rooms, now);
             }
             return;
         }
@@ -146,6 +167,7 @@
         let size = engine.models.get(&unit.model).map_or(0.0, |m| m.adapter_mb);
         let has_room = ledger.free_mb(engine) >= size;
         let runner = ledger.runner.id.clone();
+        rooms.remove(&runner);
         if has_slot && has_room {
             self.begin(&runner, Operation::Load, unit.clone(), Reason::Demand, now);
         } else if let Some(victim) = self.adapter_victim(ledger, now) {
@@ -154,26 +176,24 @@
     }
 
     /// Gives busy models further copies, with a part of the ceiling.
-    fn add_replicas(&mut self, now: Timestamp) {
-        for (unit, rate) in self.demands.busy_models(now) {
-            if rate < BUSY_RATE {
-                return;
-            }
+    fn add_replicas(&mut self, rooms: &mut Rooms, now: Timestamp) {
+        for (unit, rate) in self.demands.busy_models(BUSY_RATE) {
             let is_known = self
                 .engines
                 .get(&unit.service)
                 .is_some_and(|engine| engine.models.contains_key(&unit.model));
-            let copies = self.copies(&unit);
-            if !is_known || copies >= self.wanted_copies(&unit, rate) || self.is_coming(&unit) {
+            let has_enough = self.copies.count(&unit) >= self.wanted_copies(&unit, rate);
+            if !is_known || has_enough || self.copies.is_coming(&unit) {
                 continue;
             }
             if !self.has_ceiling(&unit.service, REPLICA_SHARE, now) {
                 continue;
             }
-            let Some(candidate) = self.best_candidate(&unit, now) else {
+            let Some(candidate) = self.best_candidate(&unit, rooms, now) else {
                 continue;
             };
             if candidate.victims.price_ms <= REPLICA_PRICE_MS {
+                rooms.remove(&candidate.runner);
                 self.load_at(&candidate.runner, &unit, Reason::Replica, now);
             }
         }
@@ -190,7 +210,11 @@
         if ledger.has(unit) {
             return;
         }
-        let Some(victims) = self.victims_for(ledger, engine, unit, now) else {
+        let Some(specification) = engine.models.get(&unit.model) else {
+            return;
+        };
+        let room = self.room(ledger, engine, now);
+        let Some(victims) = room.victims(&unit.model, specification.weights_mb) else {
             return;
         };
         let Some(victim) = victims.models.first() else {
@@ -201,12 +225,11 @@
             model: victim.clone(),
             ..unit.base()
         };
-        if let Some(ledger) = self.ledgers.get_mut(runner) {
-            ledger.intent = Some(Intent {
-                unit: unit.clone(),
-                reason,
-            });
-        }
+        let intent = Intent {
+            unit: unit.clone(),
+            reason,
+        };
+        self.change(runner, |ledger| ledger.intent = Some(intent));
         self.begin(runner, Operation::Unload, victim, Reason::Room, now);
     }
 
@@ -218,7 +241,7 @@
         reason: Reason,
         now: Timestamp,
     ) {
-        let Some(ledger) = self.ledgers.get_mut(runner) else {
+        let Some(ledger) = self.ledgers.get(runner) else {
             return;
         };
         let expected = match operation {
@@ -226,24 +249,20 @@
             Operation::Unload => Some(UNLOAD_TIME),
         };
         let ready_at = now + expected.unwrap_or_default();
-        let before = ledger.announced();
-        ledger.begin(Order { operation, unit }, reason, ready_at);
-        if ledger.announced() != before {
-            self.version += 1;
-            ledger.version = self.version;
-        }
+        let order = Order { operation, unit };
+        self.change(runner, |ledger| ledger.begin(order, reason, ready_at));
     }
 
-    fn best_candidate(&self, unit: &Unit, now: Timestamp) -> Option<Candidate> {
+    fn best_candidate(&self, unit: &Unit, rooms: &Rooms, now: Timestamp) -> Option<Candidate> {
         let engine = self.engines.get(&unit.service)?;
         engine.models.get(&unit.model)?;
         let has_ceiling = self.has_ceiling(&unit.service, 1.0, now);
-        self.ledgers
-            .values()
-            .filter(|ledger| ledger.runner.service == unit.service)
-            .filter(|ledger| ledger.is_free(now) && ledger.intent.is_none() && !ledger.has(unit))
-            .filter(|ledger| has_ceiling || !loads_from_store(ledger, unit))
-            .filter_map(|ledger| self.candidate(ledger, engine, unit, now))
+        rooms
+            .iter()
+            .filter_map(|(id, room)| Some((self.ledgers.get(id)?, room)))
+            .filter(|(ledger, _)| ledger.runner.service == unit.service && !ledger.has(unit))
+            .filter(|(ledger, _)| has_ceiling || !loads_from_store(ledger, unit))
+            .filter_map(|(ledger, room)| self.candidate(ledger, room, engine, unit))
             .min_by(|left, right| {
                 let by_cost = left.cost_ms.total_cmp(&right.cost_ms);
                 by_cost.then_with(|| left.runner.cmp(&right.runner))
@@ -253,16 +272,14 @@
     fn candidate(
         &self,
         ledger: &Ledger,
+        room: &Room,
         engine: &Engine,
         unit: &Unit,
-        now: Timestamp,
     ) -> Option<Candidate> {
-        let victims = self.victims_for(ledger, engine, unit, now)?;
+        let weights_mb = engine.models.get(&unit.model)?.weights_mb;
+        let victims = room.victims(&unit.model, weights_mb)?;
         let load = engine_load_time(&self.engines, ledger, unit)?;
-        let zone_has_copy = self.ledgers.values().any(|other| {
-            other.runner.zone == ledger.runner.zone
-                && (other.offers(unit) || other.will_offer(unit))
-        });
+        let zone_has_copy = self.copies.is_in_zone(unit, &ledger.runner.zone);
         let zone_price = if zone_has_copy { 500.0 } else { 0.0 };
         let leaves = ledger.runner.leaves_in.is_some();
         let leave_price = if leaves { 1e9 } else { 0.0 };
@@ -273,29 +290,13 @@
         })
     }
 
-    pub(super) fn is_offered(&self, unit: &Unit) -> bool {
-        self.of_service(&unit.service)
-            .any(|ledger| ledger.offers(unit))
-    }
-
-    fn is_coming(&self, unit: &Unit) -> bool {
-        self.of_service(&unit.service)
-            .any(|ledger| ledger.will_offer(unit))
-    }
-
-    /// Runners that offer a unit or will.
-    pub(super) fn copies(&self, unit: &Unit) -> usize {
-        self.of_service(&unit.service)
-            .filter(|ledger| ledger.offers(unit) || ledger.will_offer(unit))
-            .count()
-    }
-
     /// Copies that a model should have at a rate of requests.
     pub(super) fn wanted_copies(&self, unit: &Unit, rate: f64) -> usize {
-        let runners = self.of_service(&unit.service).count();
         if rate < BUSY_RATE {
             return 1;
         }
+        let runners = self.runner_counts.get(&unit.service);
+        let runners = runners.copied().unwrap_or(0);
         let slots = self
             .engines
             .get(&unit.service)
@@ -306,17 +307,6 @@
         for_rate.max(BUSY_COPIES).min(runners.div_ceil(2).max(1))
     }
 
-    /// Whether a request waits for a unit or for an adapter of it.
-    pub(super) fn waits_for(&self, unit: &Unit) -> bool {
-        self.demands.is_waited_for(unit)
-    }
-
-    fn of_service<'a>(&'a self, service: &'a ServiceName) -> impl Iterator<Item = &'a Ledger> {
-        self.ledgers
-            .values()
-            .filter(move |ledger| ledger.runner.service == *service)
-    }
-
     /// Whether a further load from the weight store stays under a share of the ceiling. A new
     /// coordinator does not know the loads of the one before it and counts half of them as done.
     fn has_ceiling(&self, service: &ServiceName, share: f64, now: Timestamp) -> bool {
--- a/crates/routing/src/placement/victims.rs
+++ b/crates/routing/src/placement/victims.rs
@@ -21,6 +21,22 @@
 /// Price of the last copy of a model that was used lately, in ms.
 const LAST_COPY_PRICE_MS: f64 = 1_500.0;
 
+/// A model that may be dropped from a runner.
+#[derive(Clone, Debug, PartialEq)]
+pub(super) struct Droppable {
+    model: ModelName,
+    weights_mb: f64,
+    price_ms: f64,
+}
+
+/// A runner's room for weights.
+#[derive(Clone, Debug, PartialEq)]
+pub(super) struct Room {
+    free_mb: f64,
+    /// The cheapest first.
+    droppable: Vec<Droppable>,
+}
+
 /// Models to drop from a runner, the cheapest first, and the price of all, in ms.
 #[derive(Clone, Debug, PartialEq)]
 pub(super) struct Victims {
@@ -28,36 +44,45 @@
     pub price_ms: f64,
 }
 
-impl Placement {
-    /// The cheapest models to drop so that a model fits, if dropping can make it fit.
-    pub(super) fn victims_for(
-        &self,
-        ledger: &Ledger,
-        engine: &Engine,
-        unit: &Unit,
-        now: Timestamp,
-    ) -> Option<Victims> {
-        let needed = engine.models.get(&unit.model)?.weights_mb;
-        let mut free = ledger.free_mb(engine);
-        let mut candidates: Vec<(f64, &ModelName)> = ledger
-            .models()
-            .filter(|model| **model != unit.model)
-            .filter_map(|model| Some((self.price_of_dropping(ledger, engine, model, now)?, model)))
-            .collect();
-        candidates.sort_by(|left, right| left.0.total_cmp(&right.0));
+impl Room {
+    /// The cheapest models to drop so that a model of this size fits, if dropping can make it fit.
+    pub fn victims(&self, model: &ModelName, weights_mb: f64) -> Option<Victims> {
+        let mut free_mb = self.free_mb;
         let mut victims = Victims {
             models: Vec::new(),
             price_ms: 0.0,
         };
-        for (price, model) in candidates {
-            if free >= needed {
+        let others = self.droppable.iter().filter(|it| it.model != *model);
+        for droppable in others {
+            if free_mb >= weights_mb {
                 break;
             }
-            free += engine.models.get(model)?.weights_mb;
-            victims.models.push(model.clone());
-            victims.price_ms += price;
+            free_mb += droppable.weights_mb;
+            victims.models.push(droppable.model.clone());
+            victims.price_ms += droppable.price_ms;
+        }
+        (free_mb >= weights_mb).then_some(victims)
+    }
+}
+
+impl Placement {
+    /// The room of a runner, with prices as of the last refresh of the demand.
+    pub(super) fn room(&self, ledger: &Ledger, engine: &Engine, now: Timestamp) -> Room {
+        let mut droppable: Vec<Droppable> = ledger
+            .models()
+            .filter_map(|model| {
+                Some(Droppable {
+                    model: model.clone(),
+                    weights_mb: engine.models.get(model)?.weights_mb,
+                    price_ms: self.price_of_dropping(ledger, engine, model, now)?,
+                })
+            })
+            .collect();
+        droppable.sort_by(|left, right| left.price_ms.total_cmp(&right.price_ms));
+        Room {
+            free_mb: ledger.free_mb(engine),
+            droppable,
         }
-        (free >= needed).then_some(victims)
     }
 
     /// What dropping one copy costs, in ms of waiting; `None` if it must stay.
@@ -73,11 +98,11 @@
             model: model.clone(),
             adapter: None,
         };
-        if ledger.is_fresh(model, now) || self.waits_for(&unit) {
+        if ledger.is_fresh(model, now) || self.demands.is_waited_for(&unit) {
             return None;
         }
-        let copies = self.copies(&unit);
-        let rate = self.demands.model_rate(&unit, now);
+        let copies = self.copies.count(&unit);
+        let rate = self.demands.model_rate(&unit);
         if copies <= self.wanted_copies(&unit, rate) && rate > super::planner::BUSY_RATE {
             return None;
         }
@@ -87,12 +112,12 @@
         let mut price = DROP_PRICE_MS + rate * HORIZON_SECONDS * reload_ms / (others * others);
         let is_used = self
             .demands
-            .unused_for(&unit, now)
-            .is_some_and(|at| at < IDLE);
+            .model_unused_for(&unit, now)
+            .is_some_and(|unused| unused < IDLE);
         if copies <= 1 && is_used {
             price += LAST_COPY_PRICE_MS;
         }
-        if self.demands.running(&ledger.runner.id, &unit, now) > 0 {
+        if self.demands.running(&ledger.runner.id, &unit) > 0 {
             price += RUNNING_PRICE_MS;
         }
         Some(price)
@@ -109,8 +134,8 @@
             .adapters()
             .into_iter()
             .map(to_unit)
-            .filter(|unit| ledger.has(unit) && !self.waits_for(unit))
-            .filter(|unit| self.demands.running(&ledger.runner.id, unit, now) == 0)
+            .filter(|unit| ledger.has(unit) && !self.demands.is_waited_for(unit))
+            .filter(|unit| self.demands.running(&ledger.runner.id, unit) == 0)
             .max_by_key(|unit| self.demands.unused_for(unit, now).unwrap_or(Duration::MAX))
     }
 }
