--- a/crates/flaxward/src/ingress.rs
+++ b/crates/flaxward/src/ingress.rs
@@ -104,6 +104,7 @@
         ready_listen: file.ingress.ready_listen,
         peer_listen: file.ingress.peer_listen,
         metrics_listen: file.ingress.metrics_listen,
+        capacity: file.machine.capacity(),
         stop_grace: file.ingress.stop_grace,
         retry_budget: RetryBudgetSettings {
             ratio: file.retries.ratio,
--- /dev/null
+++ b/crates/ingress/src/coordination/calls.rs
@@ -0,0 +1,158 @@
+//! Calls to the store and to runners that the coordination asks for. Each is a task of its own; what it
+//! comes to goes back as an [`Event`].
+
+use std::fmt::Display;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use flaxward_routing::lease::{LeaseAnswer, LeaseCall};
+use flaxward_routing::names::RunnerId;
+use flaxward_routing::placement::{Action, Operation, Order, OrderAnswer, Reason, RunnerReport};
+use flaxward_types::time::Timestamp;
+use tokio::sync::mpsc::UnboundedSender;
+
+use crate::counters::ORDERS;
+use crate::outside::{Changed, FencedOrder, StoreError};
+use crate::state::Shared;
+
+/// What a call has come to.
+pub(super) enum Event {
+    Lease(LeaseAnswer),
+    Report {
+        runner: RunnerId,
+        report: Option<RunnerReport>,
+        asked_at: Timestamp,
+        term: u64,
+    },
+    Order {
+        runner: RunnerId,
+        answer: OrderAnswer,
+        order: Order,
+        term: u64,
+    },
+}
+
+/// An order that goes to a runner.
+struct Sending {
+    runner: RunnerId,
+    address: SocketAddr,
+    order: Order,
+    expected_count: u64,
+    reason: Reason,
+    term: u64,
+}
+
+/// Makes calls.
+#[derive(Clone)]
+pub(super) struct Caller {
+    pub shared: Arc<Shared>,
+    pub events: UnboundedSender<Event>,
+}
+
+impl Caller {
+    /// Makes a call to the store about the lease.
+    pub fn call_store(&self, call: LeaseCall) {
+        let Self { shared, events } = self.clone();
+        tokio::spawn(async move {
+            let store = &shared.store;
+            let answer = match call {
+                LeaseCall::Read => match store.lease().await {
+                    Ok(Some(lease)) => LeaseAnswer::Found(lease),
+                    Ok(None) => LeaseAnswer::Missing,
+                    Err(_) => LeaseAnswer::Unknown,
+                },
+                LeaseCall::Create(record) => changed(store.create_lease(&record).await),
+                LeaseCall::Replace(record, revision) => {
+                    changed(store.replace_lease(&record, revision).await)
+                }
+            };
+            let _ = events.send(Event::Lease(answer));
+        });
+    }
+
+    /// Carries out what a plan under a term has decided.
+    pub fn carry_out(&self, action: Action, term: u64) {
+        match action {
+            Action::Report { runner, address } => self.read_report(runner, address, term),
+            Action::Order {
+                runner,
+                address,
+                order,
+                expected_count,
+                reason,
+            } => self.send_order(Sending {
+                runner,
+                address,
+                order,
+                expected_count,
+                reason,
+                term,
+            }),
+        }
+    }
+
+    fn read_report(&self, runner: RunnerId, address: SocketAddr, term: u64) {
+        let Self { shared, events } = self.clone();
+        let asked_at = shared.now();
+        tokio::spawn(async move {
+            let report = shared.control.report(address).await;
+            let _ = events.send(Event::Report {
+                runner,
+                report,
+                asked_at,
+                term,
+            });
+        });
+    }
+
+    fn send_order(&self, sending: Sending) {
+        let Self { shared, events } = self.clone();
+        log_order(&shared, &sending);
+        metrics::counter!(ORDERS.name).increment(1);
+        tokio::spawn(async move {
+            let fenced = FencedOrder {
+                runner: &sending.runner,
+                order: &sending.order,
+                expected_count: sending.expected_count,
+                holder: &shared.settings.name,
+                fence: sending.term,
+            };
+            let answer = shared.control.order(sending.address, &fenced).await;
+            let _ = events.send(Event::Order {
+                runner: sending.runner,
+                answer,
+                order: sending.order,
+                term: sending.term,
+            });
+        });
+    }
+}
+
+fn log_order(shared: &Shared, sending: &Sending) {
+    let fields: &[(&str, &dyn Display)] = &[
+        ("runner", &sending.runner),
+        ("operation", &operation_name(sending.order.operation)),
+        ("unit", &sending.order.unit),
+        ("reason", &format!("{:?}", sending.reason)),
+        ("expected_count", &sending.expected_count),
+        ("term", &sending.term),
+    ];
+    shared.log.write(shared.now(), "order-sent", fields);
+}
+
+/// Name of an operation for the log.
+pub(super) fn operation_name(operation: Operation) -> &'static str {
+    match operation {
+        Operation::Load => "load",
+        Operation::Unload => "unload",
+    }
+}
+
+fn changed(result: Result<Changed, StoreError>) -> LeaseAnswer {
+    match result {
+        Ok(Changed::Made(lease)) => LeaseAnswer::Written(lease),
+        Ok(Changed::Conflict(Some(lease))) => LeaseAnswer::Found(lease),
+        Ok(Changed::Conflict(None)) => LeaseAnswer::Missing,
+        Err(_) => LeaseAnswer::Unknown,
+    }
+}
--- /dev/null
+++ b/crates/ingress/src/coordination/following.rs
@@ -0,0 +1,217 @@
+//! A member's side: what it tells the coordinator, and what it takes in from it.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use flaxward_routing::messages::{Direction, KnownState, Message, Usage, WaitNotice, WaitingUnit};
+use flaxward_types::time::Timestamp;
+
+use crate::state::{Shared, StoreWord, Tables};
+use crate::watches::take_membership;
+
+/// Time between two messages with all that requests use.
+const USAGE_INTERVAL: Duration = Duration::from_secs(1);
+/// Time between two messages while requests wait.
+const WAITING_INTERVAL: Duration = Duration::from_millis(300);
+/// Shortest time between two messages, so that a burst is one message.
+const NOTICE_PAUSE: Duration = Duration::from_millis(20);
+/// Longest time since the store answered the coordinator for which its word on the store stands.
+const STORE_TRUST: Duration = Duration::from_millis(1_300);
+
+/// The coordinator as this daemon knows it.
+struct Coordinator {
+    address: SocketAddr,
+    term: u64,
+    holdings_version: u64,
+}
+
+/// What this daemon knows of its coordinator, and when that one heard of it.
+pub(super) struct Following {
+    own_address: SocketAddr,
+    coordinator: Option<Coordinator>,
+    /// Where the members heard the last coordinator.
+    members: Vec<SocketAddr>,
+    usage_at: Timestamp,
+    message_at: Timestamp,
+    wants_notice: bool,
+}
+
+impl Following {
+    /// A daemon that knows of no coordinator yet.
+    pub fn new(own_address: SocketAddr) -> Self {
+        Self {
+            own_address,
+            coordinator: None,
+            members: Vec::new(),
+            usage_at: Timestamp::ZERO,
+            message_at: Timestamp::ZERO,
+            wants_notice: false,
+        }
+    }
+
+    /// Where the coordinator listens, if one is known.
+    pub fn coordinator(&self) -> Option<SocketAddr> {
+        self.coordinator.as_ref().map(|it| it.address)
+    }
+
+    /// Where all members listen, as far as they are known.
+    pub fn members(&self) -> &[SocketAddr] {
+        &self.members
+    }
+
+    /// Knows of no coordinator any more.
+    pub fn forget(&mut self) {
+        self.coordinator = None;
+    }
+
+    /// Turns to a coordinator, unless a later one is known. Returns whether it did.
+    pub fn follow(&mut self, address: SocketAddr, term: u64) -> bool {
+        let known = self.coordinator.as_ref().map_or(0, |known| known.term);
+        if term <= known {
+            return false;
+        }
+        self.coordinator = Some(Coordinator {
+            address,
+            term,
+            holdings_version: 0,
+        });
+        // The new coordinator must hear of this daemon.
+        self.usage_at = Timestamp::ZERO;
+        true
+    }
+
+    /// A request has begun to wait, so the coordinator should soon hear of it.
+    pub fn want_notice(&mut self) {
+        self.wants_notice = true;
+    }
+
+    /// When the next message to the coordinator is due.
+    pub fn next_message(&self, shared: &Shared) -> Timestamp {
+        let usage = self.usage_at + USAGE_INTERVAL;
+        if self.wants_notice {
+            return usage.min(self.message_at + NOTICE_PAUSE);
+        }
+        if shared.tables().waiting.is_empty() {
+            return usage;
+        }
+        usage.min(self.message_at + WAITING_INTERVAL)
+    }
+
+    /// The message that is due, if there is a coordinator.
+    pub fn due_message(&mut self, shared: &Shared, now: Timestamp) -> Option<Message> {
+        if now < self.next_message(shared) {
+            return None;
+        }
+        self.wants_notice = false;
+        self.message_at = now;
+        let is_usage = now >= self.usage_at + USAGE_INTERVAL;
+        if is_usage {
+            self.usage_at = now;
+        }
+        let mut tables = shared.tables();
+        let known = self.known(&tables)?;
+        let waiting = waiting(&tables);
+        let from = shared.settings.name.clone();
+        if !is_usage {
+            return Some(Message::Waiting(WaitNotice {
+                from,
+                known,
+                waiting,
+            }));
+        }
+        Some(Message::Usage(Usage {
+            from,
+            address: self.own_address,
+            zone: shared.settings.zone.clone(),
+            capacity: shared.settings.capacity,
+            known,
+            waiting,
+            used: tables.uses.recent(now),
+            running: tables.running.all(),
+        }))
+    }
+
+    /// What this daemon knows; `None` if it knows of no coordinator.
+    fn known(&self, tables: &Tables) -> Option<KnownState> {
+        let coordinator = self.coordinator.as_ref()?;
+        let runners_revision = if tables.runners_known {
+            tables.runners.revision()
+        } else {
+            0
+        };
+        Some(KnownState {
+            term: coordinator.term,
+            holdings_version: coordinator.holdings_version,
+            members: u32::try_from(self.members.len()).unwrap_or(u32::MAX),
+            runners_revision,
+        })
+    }
+
+    /// Takes in what the coordinator tells. `leads` says that this daemon is the coordinator.
+    pub fn take_direction(&mut self, shared: &Shared, mut direction: Direction, leads: bool) {
+        let now = shared.now();
+        let Some(coordinator) = &mut self.coordinator else {
+            return;
+        };
+        if coordinator.term != direction.term {
+            return;
+        }
+        if let Some(update) = direction.membership.take() {
+            take_membership(shared, update);
+        }
+        if !leads {
+            let word = store_word(&direction, now);
+            shared.store_word.send_replace(word);
+        }
+        if let Some(members) = direction.members {
+            self.members = members;
+        }
+        let follows = coordinator.holdings_version >= direction.holdings_after;
+        let mut tables = shared.tables();
+        tables.daemons = usize::try_from(direction.daemons)
+            .unwrap_or(usize::MAX)
+            .max(1);
+        tables.runners.confirm(now);
+        if let Some(loads) = direction.loads {
+            let by_runner = loads.into_iter();
+            let by_runner = by_runner.map(|load| (load.runner, load.requests));
+            tables.loads = by_runner.collect();
+        }
+        let has_news = follows && !direction.holdings.is_empty();
+        if follows {
+            for holdings in direction.holdings {
+                tables.runners.tell(holdings, now);
+            }
+            let version = direction.holdings_version;
+            coordinator.holdings_version = coordinator.holdings_version.max(version);
+        }
+        drop(tables);
+        shared.tell_outlooks(direction.outlooks);
+        if has_news {
+            shared.changed.notify_waiters();
+        }
+    }
+}
+
+fn waiting(tables: &Tables) -> Vec<WaitingUnit> {
+    let waiting = tables.waiting.iter();
+    waiting
+        .map(|(unit, waiting)| WaitingUnit {
+            unit: unit.clone(),
+            requests: waiting.requests,
+            priority: waiting.priority,
+        })
+        .collect()
+}
+
+/// What a coordinator says of the store. The word of one that has not heard of the store lately does not
+/// stand for long.
+fn store_word(direction: &Direction, now: Timestamp) -> StoreWord {
+    let silence = Duration::from_millis(u64::from(direction.store_silence_ms));
+    StoreWord {
+        trusted_until: Some(now + STORE_TRUST.saturating_sub(silence)),
+        configuration_version: direction.configuration_version,
+        membership_revision: direction.membership_revision,
+        is_leading: false,
+    }
+}
--- /dev/null
+++ b/crates/ingress/src/coordination/mod.rs
@@ -0,0 +1,325 @@
+//! This daemon's part in deciding what is loaded where: it holds the lease if it can, tells the
+//! coordinator what its requests need, and carries out what the placement decides while it
+//! coordinates itself.
+
+mod calls;
+mod following;
+mod leading;
+
+use std::fmt::Display;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use flaxward_routing::lease::{LeaseAnswer, LeaseChange, LeaseMachine};
+use flaxward_routing::messages::Message;
+use flaxward_routing::names::RunnerId;
+use flaxward_routing::placement::{Order, OrderAnswer, Placement};
+use flaxward_types::time::Timestamp;
+use tokio::sync::mpsc;
+use tokio::time::sleep_until;
+
+use crate::counters::PLAN_SECONDS;
+use crate::peer::PeerSocket;
+use crate::state::{Shared, StoreWord};
+
+use calls::{Caller, Event, operation_name};
+use following::Following;
+use leading::Leading;
+
+/// Time between looks at the lease while this daemon does not coordinate.
+const IDLE_INTERVAL: Duration = Duration::from_millis(250);
+
+/// The task of the coordination.
+pub(crate) struct Coordination {
+    shared: Arc<Shared>,
+    peers: PeerSocket,
+    address: SocketAddr,
+    lease: LeaseMachine,
+    following: Following,
+    leading: Option<Leading>,
+    caller: Caller,
+    queue: mpsc::UnboundedReceiver<Event>,
+    store_fails: bool,
+}
+
+impl Coordination {
+    /// Coordination of a daemon that knows of no coordinator yet.
+    ///
+    /// # Errors
+    /// Fails if the socket has no address.
+    pub(crate) fn new(shared: Arc<Shared>, peers: PeerSocket) -> anyhow::Result<Self> {
+        let address = peers.address()?;
+        let (events, queue) = mpsc::unbounded_channel();
+        let mut lease = LeaseMachine::new(
+            shared.settings.lease,
+            shared.settings.name.clone(),
+            shared.seed,
+            address,
+        );
+        lease.set_candidacy_delay(shared.settings.candidacy_delay(None));
+        let caller = Caller {
+            shared: shared.clone(),
+            events,
+        };
+        Ok(Self {
+            following: Following::new(address),
+            shared,
+            peers,
+            address,
+            lease,
+            leading: None,
+            caller,
+            queue,
+            store_fails: false,
+        })
+    }
+
+    /// Runs until the daemon has stopped.
+    pub(crate) async fn run(mut self) {
+        loop {
+            let now = self.shared.now();
+            let wake_at = self.shared.clock.instant(self.next_wake(now));
+            let shared = self.shared.clone();
+            tokio::select! {
+                message = self.peers.receive() => {
+                    if let Some(message) = message {
+                        self.received(message);
+                    }
+                }
+                Some(event) = self.queue.recv() => self.happened(event),
+                () = shared.demand.notified() => self.following.want_notice(),
+                () = sleep_until(wake_at) => {}
+            }
+            if self.shared.is_stopping() {
+                self.lease.stop();
+            }
+            self.tick();
+        }
+    }
+
+    fn next_wake(&self, now: Timestamp) -> Timestamp {
+        let next_message = self.following.next_message(&self.shared);
+        let mut wake_at = self.lease.next_poll(now).min(next_message);
+        if let Some(leading) = &self.leading {
+            wake_at = wake_at.min(leading.plan_due());
+        }
+        wake_at.min(now + IDLE_INTERVAL)
+    }
+
+    /// Does what is due.
+    fn tick(&mut self) {
+        let now = self.shared.now();
+        let hears = self.lease.hears_holder(now);
+        self.shared
+            .hears_coordinator
+            .store(hears, Ordering::Relaxed);
+        let (call, change) = self.lease.poll(now);
+        if let Some(change) = change {
+            self.lease_changed(&change);
+        }
+        if let Some(call) = call {
+            self.caller.call_store(call);
+        }
+        self.report_use(now);
+        if self.leading.as_ref().is_some_and(|it| now >= it.plan_due()) {
+            self.plan();
+        }
+    }
+
+    /// Tells the coordinator what requests use and wait for, if that is due.
+    fn report_use(&mut self, now: Timestamp) {
+        let Some(message) = self.following.due_message(&self.shared, now) else {
+            return;
+        };
+        if self.leading.is_some() {
+            self.heard_member(message);
+        } else if let Some(coordinator) = self.following.coordinator() {
+            self.peers.send(coordinator, &message);
+        }
+    }
+
+    /// Decides on orders and reports, carries the decisions out, and tells the members.
+    fn plan(&mut self) {
+        let begun = self.shared.now();
+        let term = self.lease.term(begun);
+        let Some(leading) = self.leading.as_mut() else {
+            return;
+        };
+        if Some(leading.term) != term {
+            leading.planned(begun, begun);
+            return;
+        }
+        for action in leading.plan(&self.shared, begun) {
+            self.caller.carry_out(action, leading.term);
+        }
+        let messages = match self.lease.pulse(begun) {
+            Some(pulse) => leading.messages(&self.shared, pulse, self.address),
+            None => Vec::new(),
+        };
+        for outgoing in messages {
+            if outgoing.member == self.shared.settings.name {
+                self.following
+                    .take_direction(&self.shared, outgoing.direction, true);
+            } else {
+                let message = Message::Direction(outgoing.direction);
+                self.peers.send(outgoing.address, &message);
+            }
+        }
+        let ended = self.shared.now();
+        leading.planned(begun, ended);
+        metrics::histogram!(PLAN_SECONDS.name).record(ended.since(begun).as_secs_f64());
+    }
+
+    fn received(&mut self, message: Message) {
+        match message {
+            Message::Direction(direction) => {
+                self.lease.heard(direction.lease, self.shared.now());
+                self.follow(direction.address, direction.term);
+                let delay = self
+                    .shared
+                    .settings
+                    .candidacy_delay(Some(direction.strongest));
+                self.lease.set_candidacy_delay(delay);
+                let leads = self.leading.is_some();
+                self.following
+                    .take_direction(&self.shared, direction, leads);
+            }
+            Message::Usage(_) | Message::Waiting(_) => self.heard_member(message),
+        }
+    }
+
+    /// Takes in a message of a member, if this daemon coordinates.
+    fn heard_member(&mut self, message: Message) {
+        let now = self.shared.now();
+        let Some(leading) = &mut self.leading else {
+            return;
+        };
+        match message {
+            Message::Usage(usage) => leading.heard_usage(usage, now),
+            Message::Waiting(notice) => leading.heard_waiting(notice, now),
+            Message::Direction(_) => {}
+        }
+    }
+
+    fn happened(&mut self, event: Event) {
+        let now = self.shared.now();
+        match event {
+            Event::Lease(answer) => {
+                self.note_store(&answer);
+                if let Some(change) = self.lease.answered(answer, now) {
+                    self.lease_changed(&change);
+                }
+            }
+            Event::Report {
+                runner,
+                report,
+                asked_at,
+                term,
+            } => {
+                if let Some(leading) = self.leading.as_mut().filter(|it| it.term == term) {
+                    leading.placement.reported(&runner, report, asked_at, now);
+                    leading.plan_soon(now);
+                }
+            }
+            Event::Order {
+                runner,
+                answer,
+                order,
+                term,
+            } => self.order_answered(&runner, answer, &order, term),
+        }
+    }
+
+    /// Watches that were begun while the store did not answer may hang for good.
+    fn note_store(&mut self, answer: &LeaseAnswer) {
+        let fails = *answer == LeaseAnswer::Unknown;
+        if !fails {
+            self.shared.note_store_seen();
+        }
+        if self.store_fails && !fails {
+            self.shared.restart_watches();
+        }
+        self.store_fails = fails;
+    }
+
+    fn order_answered(&mut self, runner: &RunnerId, answer: OrderAnswer, order: &Order, term: u64) {
+        let now = self.shared.now();
+        let fields: &[(&str, &dyn Display)] = &[
+            ("runner", runner),
+            ("operation", &operation_name(order.operation)),
+            ("unit", &order.unit),
+            ("answer", &format!("{answer:?}")),
+            ("term", &term),
+        ];
+        self.shared.log.write(now, "order-answered", fields);
+        if answer == OrderAnswer::FencedOff {
+            if let Some(change) = self.lease.refused(term) {
+                self.lease_changed(&change);
+            }
+            return;
+        }
+        if let Some(leading) = self.leading.as_mut().filter(|it| it.term == term) {
+            leading.placement.answered(runner, answer, now);
+            leading.plan_soon(now);
+        }
+    }
+
+    fn lease_changed(&mut self, change: &LeaseChange) {
+        match *change {
+            LeaseChange::Acquired { term, orders_from } => self.begin_leading(term, orders_from),
+            LeaseChange::Lost { term } => {
+                self.shared.tables().loads.clear();
+                self.shared.store_word.send_replace(StoreWord::default());
+                self.leading = None;
+                self.following.forget();
+                self.log_lease("lease-lost", term);
+            }
+            LeaseChange::Holder { address, term } => self.follow(address, term),
+        }
+    }
+
+    /// This daemon coordinates from now on, and watches the store for all.
+    fn begin_leading(&mut self, term: u64, orders_from: Timestamp) {
+        let now = self.shared.now();
+        let mut placement = Placement::new(self.shared.settings.placement, now, orders_from);
+        if let Some(configuration) = self.shared.configuration() {
+            placement.configure(&configuration);
+        }
+        self.shared.store_word.send_replace(StoreWord {
+            is_leading: true,
+            ..StoreWord::default()
+        });
+        self.announce();
+        self.leading = Some(Leading::new(term, placement, now));
+        self.log_lease("lease-acquired", term);
+        self.follow(self.address, term);
+    }
+
+    /// Tells all members that this daemon knows that it coordinates.
+    fn announce(&self) {
+        let Some(pulse) = self.lease.pulse(self.shared.now()) else {
+            return;
+        };
+        let members = self.following.members();
+        let header = leading::header(&self.shared, pulse, self.address, members.len());
+        let others = members.iter().filter(|&&address| address != self.address);
+        for address in others {
+            self.peers
+                .send(*address, &Message::Direction(header.clone()));
+        }
+    }
+
+    fn log_lease(&self, event: &str, term: u64) {
+        let fields: &[(&str, &dyn Display)] = &[("term", &term)];
+        self.shared.log.write(self.shared.now(), event, fields);
+    }
+
+    /// Turns to a coordinator, unless a later one is known.
+    fn follow(&mut self, address: SocketAddr, term: u64) {
+        if self.following.follow(address, term) {
+            self.log_lease("coordinator-known", term);
+        }
+    }
+}
--- a/crates/ingress/src/counters.rs
+++ b/crates/ingress/src/counters.rs
@@ -3,7 +3,7 @@
 use flaxward_types::Metric;
 
 /// Metrics of this crate.
-pub const METRICS: [Metric; 13] = [
+pub const METRICS: [Metric; 14] = [
     SERVED,
     REFUSED,
     ATTEMPTS_FAILED,
@@ -17,6 +17,7 @@
     MESSAGES_MALFORMED,
     LINES_LEFT_OUT,
     HEAD_SECONDS,
+    PLAN_SECONDS,
 ];
 
 /// Requests whose answer, or the head of it, was passed on, by `status`, the class of the HTTP status.
@@ -84,3 +85,8 @@
     "flaxward_ingress_head_seconds",
     "Seconds from the arrival of a request to the head of its answer, for a stream to its first event.",
 );
+/// Time that the coordinator takes for a plan, its messages included.
+pub const PLAN_SECONDS: Metric = Metric::histogram(
+    "flaxward_ingress_plan_seconds",
+    "Time that the coordinator takes for a plan, its messages included.",
+);
--- a/crates/ingress/src/outside.rs
+++ b/crates/ingress/src/outside.rs
@@ -91,6 +91,15 @@
     Malformed(String),
 }
 
+/// How new an answer of the store must be.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Freshness {
+    /// It holds every change that was acknowledged before the call.
+    Latest,
+    /// It may be seconds old, and costs the store less.
+    MayBeOld,
+}
+
 /// All objects of a kind at a revision.
 #[derive(Clone, Debug)]
 pub struct Listing<Item> {
@@ -122,7 +131,10 @@
 #[async_trait]
 pub trait ClusterStore: Send + Sync {
     /// The configuration in force, if there is one.
-    async fn configuration(&self) -> Result<Listing<Configuration>, StoreError>;
+    async fn configuration(
+        &self,
+        freshness: Freshness,
+    ) -> Result<Listing<Configuration>, StoreError>;
 
     /// Waits for changes of the configuration after a revision, for some time at most.
     async fn watch_configuration(
--- a/crates/ingress/src/state.rs
+++ b/crates/ingress/src/state.rs
@@ -64,8 +64,6 @@
     pub configuration: Option<Arc<Configuration>>,
     pub runners: RunnerTable,
     pub runners_known: bool,
-    /// Revision of the last time that a runner came, went, or began to drain.
-    pub membership_revision: u64,
     pub health: HealthTable,
     pub in_flight: HashMap<RunnerId, u32>,
     /// Requests of all daemons at runners that are at least half full.
@@ -130,7 +128,6 @@
             configuration: None,
             runners: RunnerTable::default(),
             runners_known: false,
-            membership_revision: 0,
             health: HealthTable::default(),
             in_flight: HashMap::new(),
             loads: HashMap::new(),
--- a/crates/ingress/src/watches.rs
+++ b/crates/ingress/src/watches.rs
@@ -7,20 +7,24 @@
 use std::time::Duration;
 
 use flaxward_routing::configuration::Configuration;
-use flaxward_routing::runners::{Runner, RunnerTable};
+use flaxward_routing::membership::MembershipUpdate;
+use flaxward_routing::names::RunnerId;
+use flaxward_routing::runners::Runner;
 use flaxward_types::time::Timestamp;
 use rand::RngExt;
 use tokio::sync::watch;
 use tokio::time::{sleep, sleep_until};
 
 use crate::counters::STORE_CALLS_FAILED;
-use crate::outside::{Listing, RunnerChange, StoreError};
+use crate::outside::{Freshness, Listing, RunnerChange, StoreError};
 use crate::state::{Shared, StoreWord};
 
 /// Longest time that the store holds a watch.
 const WATCH_WAIT: Duration = Duration::from_secs(10);
 /// The same for the coordinator.
 const LEADING_WATCH_WAIT: Duration = Duration::from_secs(1);
+/// Time that the store holds a watch that is only to tell what has happened before.
+const CATCH_UP_WAIT: Duration = Duration::from_millis(1);
 /// Pause after changes of runners, so that several come with one call.
 const RUNNERS_PAUSE: Duration = Duration::from_millis(600);
 /// Pause after a change of the configuration, for the same reason.
@@ -30,6 +34,8 @@
 const CAREFUL: Duration = Duration::from_millis(2_500);
 /// Pause between these reads.
 const CAREFUL_PAUSE: Duration = Duration::from_millis(700);
+/// Time for which a daemon that knows less than the coordinator waits to be told before it reads the store.
+const UPDATE_PATIENCE: Duration = Duration::from_millis(300);
 /// First pause after a failed call.
 const FIRST_BACKOFF: Duration = Duration::from_millis(100);
 /// Longest pause after a failed call.
@@ -135,7 +141,7 @@
             }
         }
         let read = match revision {
-            None => shared.store.configuration().await,
+            None => read_configuration(&shared, word).await,
             Some(after) => {
                 restarts.mark_unchanged();
                 tokio::select! {
@@ -175,6 +181,22 @@
     }
 }
 
+/// Reads the configuration. If the coordinator has told which version there is, an answer that may be
+/// old is enough once it holds that version.
+async fn read_configuration(
+    shared: &Shared,
+    word: StoreWord,
+) -> Result<Listing<Configuration>, StoreError> {
+    if word.stands_until(shared.now()).is_some() && word.configuration_version > 0 {
+        let listing = shared.store.configuration(Freshness::MayBeOld).await?;
+        let versions = listing.items.iter().map(|item| item.version);
+        if versions.max() >= Some(word.configuration_version) {
+            return Ok(listing);
+        }
+    }
+    shared.store.configuration(Freshness::Latest).await
+}
+
 /// Whether a watch under way is no longer what the daemon should do: the coordinator's word stands again,
 /// or this daemon coordinates now.
 fn changes_mode(shared: &Shared, old: StoreWord, new: StoreWord) -> bool {
@@ -220,21 +242,32 @@
     let mut restarts = shared.store_restarts.subscribe();
     let mut words = shared.store_word.subscribe();
     let mut revision = None;
+    let mut behind_since = None;
     loop {
         let word = *words.borrow_and_update();
         let known = shared.known_runners();
         if let (Some(until), Some(known)) = (word.stands_until(shared.now()), known) {
             revision = None;
             if known >= word.membership_revision {
+                behind_since = None;
                 wait_for_word(&shared, &mut words, until).await;
                 continue;
             }
+            let read_at = *behind_since.get_or_insert(shared.now()) + UPDATE_PATIENCE;
+            if shared.now() < read_at {
+                wait_for_word(&shared, &mut words, until.min(read_at)).await;
+                continue;
+            }
         }
+        behind_since = None;
         let Some(after) = revision else {
             match shared.store.runners().await {
                 Ok(listing) => {
                     backoff.succeeded(&shared);
                     shared.note_store_seen();
+                    if word.is_leading {
+                        catch_up(&shared, listing.revision).await;
+                    }
                     revision = Some(listing.revision);
                     replace_runners(&shared, listing);
                     if backoff.pause_if_careful(&shared).await {
@@ -276,12 +309,23 @@
     }
 }
 
+/// Hears of all changes since those that are known, up to a list. A coordinator tells them to the others;
+/// from a list alone it would not know of runners that came and went.
+async fn catch_up(shared: &Shared, listed_at: u64) {
+    let Some(known) = shared.known_runners().filter(|&known| known < listed_at) else {
+        return;
+    };
+    let changes = shared.store.watch_runners(known, CATCH_UP_WAIT).await;
+    if let Ok(changes) = changes
+        && changes.revision >= listed_at
+    {
+        apply_changes(shared, changes);
+    }
+}
+
 fn replace_runners(shared: &Shared, listing: Listing<Runner>) {
     let count = listing.items.len();
     let mut tables = shared.tables();
-    if is_new_membership(&tables.runners, &listing.items) {
-        tables.membership_revision = listing.revision;
-    }
     tables.runners.replace(listing.items, listing.revision);
     tables.runners_known = true;
     tables.forget_gone_runners();
@@ -292,26 +336,41 @@
     after_change(shared);
 }
 
-/// Whether a list has other runners than the table, or others that drain.
-fn is_new_membership(table: &RunnerTable, listed: &[Runner]) -> bool {
-    let is_known = |runner: &Runner| {
-        let known = table.get(&runner.id);
-        known.is_some_and(|known| known.draining == runner.draining)
+/// Takes in changes of runners that the coordinator has told.
+pub(crate) fn take_membership(shared: &Shared, update: MembershipUpdate) {
+    let revision = update.until;
+    let mut tables = shared.tables();
+    let Some(changed) = tables.runners.update(update) else {
+        return;
     };
-    table.iter().count() != listed.len() || !listed.iter().all(is_known)
+    if changed.is_empty() {
+        return;
+    }
+    tables.forget_gone_runners();
+    drop(tables);
+    for runner in &changed {
+        log_runner(shared, runner, revision, "coordinator");
+    }
+    after_change(shared);
 }
 
 fn apply_changes(shared: &Shared, changes: Listing<RunnerChange>) {
     let revision = changes.revision;
     for change in changes.items {
-        let is_news = log_change(shared, &change, revision);
+        let id = match &change {
+            RunnerChange::Present(runner) => runner.id.clone(),
+            RunnerChange::Gone(id) => id.clone(),
+        };
         let mut tables = shared.tables();
-        if is_news {
-            tables.membership_revision = revision;
-        }
+        let before = tables.runners.membership_revision();
         match change {
-            RunnerChange::Present(runner) => tables.runners.insert(*runner),
-            RunnerChange::Gone(id) => tables.runners.remove(&id),
+            RunnerChange::Present(runner) => tables.runners.insert(*runner, revision),
+            RunnerChange::Gone(id) => tables.runners.remove(&id, revision),
+        }
+        let is_news = tables.runners.membership_revision() != before;
+        drop(tables);
+        if is_news {
+            log_runner(shared, &id, revision, "store");
         }
     }
     let mut tables = shared.tables();
@@ -321,36 +380,25 @@
     after_change(shared);
 }
 
-/// Logs a change that other daemons must know of, and tells whether it is one.
-fn log_change(shared: &Shared, change: &RunnerChange, revision: u64) -> bool {
-    let now = shared.now();
-    match change {
-        RunnerChange::Present(runner) => {
-            let known = shared.tables().runners.get(&runner.id).cloned();
-            let state = if runner.draining { "draining" } else { "ready" };
-            let is_news = known.is_none_or(|known| known.draining != runner.draining);
-            if is_news {
-                let fields: &[(&str, &dyn std::fmt::Display)] = &[
-                    ("runner", &runner.id),
-                    ("service", &runner.service),
-                    ("zone", &runner.zone),
-                    ("state", &state),
-                    ("store_revision", &revision),
-                ];
-                shared.log.write(now, "runner-state", fields);
-            }
-            is_news
-        }
-        RunnerChange::Gone(id) => {
-            let fields: &[(&str, &dyn std::fmt::Display)] = &[
-                ("runner", id),
-                ("state", &"gone"),
-                ("store_revision", &revision),
-            ];
-            shared.log.write(now, "runner-state", fields);
-            true
-        }
-    }
+/// Logs that a runner has come, gone, or begun to drain, and who has told it.
+fn log_runner(shared: &Shared, id: &RunnerId, revision: u64, source: &str) {
+    let runner = shared.tables().runners.get(id).cloned();
+    let state = match &runner {
+        None => "gone",
+        Some(runner) if runner.draining => "draining",
+        Some(_) => "ready",
+    };
+    let service = runner.as_ref().map_or("", |it| it.service.as_str());
+    let zone = runner.as_ref().map_or("", |it| it.zone.as_str());
+    let fields: &[(&str, &dyn std::fmt::Display)] = &[
+        ("runner", id),
+        ("service", &service),
+        ("zone", &zone),
+        ("state", &state),
+        ("store_revision", &revision),
+        ("told_by", &source),
+    ];
+    shared.log.write(shared.now(), "runner-state", fields);
 }
 
 /// Wakes those who wait, and closes connections to runners that are gone.
--- a/crates/ingress/tests/ingress/coordination.rs
+++ b/crates/ingress/tests/ingress/coordination.rs
@@ -5,6 +5,7 @@
 use std::time::{Duration, Instant};
 
 use flaxward_routing::configuration::RouteKind;
+use flaxward_routing::runners::Runner;
 use tokio::time::sleep;
 
 use crate::runner::{Behaviour, ScriptedRunner};
@@ -105,3 +106,68 @@
     let response = second.request("/new/", "id-1").send().await.unwrap();
     assert_eq!(response.status(), 200);
 }
+
+/// Two daemons of which the first coordinates.
+async fn two_daemons(runners: Vec<Runner>) -> (MemoryStore, TestIngress, TestIngress) {
+    let store = MemoryStore::default();
+    store.set_runners(runners);
+    store.set_configuration(configuration(1, Vec::new()));
+    let control = Arc::new(ObedientControl::default());
+    let first = TestIngress::start_before("a", store.share(), control.clone()).await;
+    first.until_ready().await;
+    sleep(Duration::from_millis(1_000)).await;
+    let second = TestIngress::start_before("b", store.share(), control).await;
+    second.until_ready().await;
+    sleep(Duration::from_millis(1_500)).await;
+    (store, first, second)
+}
+
+/// Seen at 80 daemons: each change of a runner made every daemon read the whole list.
+#[tokio::test]
+async fn changes_of_runners_come_from_the_coordinator_and_not_from_the_store() {
+    let leaving = ScriptedRunner::start(Vec::new()).await;
+    let new = ScriptedRunner::start(Vec::new()).await;
+    let (store, first, second) = two_daemons(vec![runner(0, leaving.address)]).await;
+    let reads = second.store.reads.load(Ordering::Relaxed);
+
+    let drained = Runner {
+        draining: true,
+        revision: 3,
+        ..runner(0, leaving.address)
+    };
+    let added = Runner {
+        revision: 3,
+        ..runner(1, new.address)
+    };
+    store.set_runners(vec![drained, added]);
+    sleep(Duration::from_millis(1_500)).await;
+    for id in ["id-1", "id-2", "id-3"] {
+        let response = second.request("/unsafe/", id).send().await.unwrap();
+        assert_eq!(response.status(), 200);
+    }
+    assert_eq!(new.received().len(), 3, "work went to a runner that leaves");
+    assert_eq!(second.store.reads.load(Ordering::Relaxed), reads);
+    assert_eq!(first.ready_status().await, 200);
+}
+
+#[tokio::test]
+async fn an_old_answer_is_enough_if_it_holds_the_version_that_was_told() {
+    let server = ScriptedRunner::start(Vec::new()).await;
+    let (store, first, second) = two_daemons(vec![runner(0, server.address)]).await;
+    let latest = second.store.latest_reads.load(Ordering::Relaxed);
+
+    let new = route("/new/", RouteKind::Repeatable);
+    store.set_configuration(configuration(2, vec![new]));
+    sleep(Duration::from_millis(1_000)).await;
+    let response = second.request("/new/", "id-1").send().await.unwrap();
+    assert_eq!(response.status(), 200);
+    assert_eq!(second.store.latest_reads.load(Ordering::Relaxed), latest);
+
+    *second.store.old_configuration.lock().unwrap() = Some(configuration(2, Vec::new()));
+    let newer = route("/newer/", RouteKind::Repeatable);
+    store.set_configuration(configuration(3, vec![newer]));
+    sleep(Duration::from_millis(1_000)).await;
+    let response = second.request("/newer/", "id-2").send().await.unwrap();
+    assert_eq!(response.status(), 200);
+    assert_eq!(first.ready_status().await, 200);
+}
--- a/crates/ingress/tests/ingress/store.rs
+++ b/crates/ingress/tests/ingress/store.rs
@@ -5,7 +5,9 @@
 use std::time::Duration;
 
 use async_trait::async_trait;
-use flaxward_ingress::outside::{Changed, ClusterStore, Listing, RunnerChange, StoreError};
+use flaxward_ingress::outside::{
+    Changed, ClusterStore, Freshness, Listing, RunnerChange, StoreError,
+};
 use flaxward_routing::configuration::Configuration;
 use flaxward_routing::lease::{LeaseRecord, StoredLease};
 use flaxward_routing::runners::Runner;
@@ -28,6 +30,10 @@
     pub is_silent: AtomicBool,
     /// Watches begun and lists read.
     pub reads: AtomicU64,
+    /// Configurations read that had to be the latest.
+    pub latest_reads: AtomicU64,
+    /// Answers that may be old hold this configuration.
+    pub old_configuration: Mutex<Option<Configuration>>,
     cut: Notify,
     history_from: AtomicU64,
 }
@@ -70,8 +76,12 @@
         self.cut.notify_waiters();
     }
 
-    async fn answer(&self) -> Result<(), StoreError> {
+    async fn answer_list(&self) -> Result<(), StoreError> {
         self.reads.fetch_add(1, Ordering::Relaxed);
+        self.answer().await
+    }
+
+    async fn answer(&self) -> Result<(), StoreError> {
         if self.is_silent.load(Ordering::Relaxed) {
             tokio::time::sleep(Duration::from_millis(200)).await;
             return Err(StoreError::NoAnswer("silent".to_owned()));
@@ -102,8 +112,24 @@
 
 #[async_trait]
 impl ClusterStore for MemoryStore {
-    async fn configuration(&self) -> Result<Listing<Configuration>, StoreError> {
-        self.answer().await?;
+    async fn configuration(
+        &self,
+        freshness: Freshness,
+    ) -> Result<Listing<Configuration>, StoreError> {
+        self.answer_list().await?;
+        let old = self.old_configuration.lock().unwrap().clone();
+        match (freshness, old) {
+            (Freshness::MayBeOld, Some(old)) => {
+                return Ok(Listing {
+                    items: vec![old],
+                    revision: 1,
+                });
+            }
+            (Freshness::MayBeOld, None) => {}
+            (Freshness::Latest, _) => {
+                self.latest_reads.fetch_add(1, Ordering::Relaxed);
+            }
+        }
         let contents = self.contents.lock().unwrap();
         Ok(Listing {
             items: contents.configuration.iter().cloned().collect(),
@@ -117,11 +143,11 @@
         wait: Duration,
     ) -> Result<Listing<Configuration>, StoreError> {
         self.wait(after, wait).await?;
-        self.configuration().await
+        self.configuration(Freshness::Latest).await
     }
 
     async fn runners(&self) -> Result<Listing<Runner>, StoreError> {
-        self.answer().await?;
+        self.answer_list().await?;
         let contents = self.contents.lock().unwrap();
         Ok(Listing {
             items: contents.runners.clone(),
--- a/crates/ingress/tests/ingress/support.rs
+++ b/crates/ingress/tests/ingress/support.rs
@@ -182,6 +182,7 @@
         [(ModelName::new(MODEL), BTreeSet::new())].into();
     Runner {
         id: RunnerId::new(&format!("r{index}")),
+        revision: 0,
         service: ServiceName::new(SERVICE),
         address,
         // The first runner is nearer, so that it is asked first.
@@ -278,6 +279,7 @@
         ready_listen: any,
         peer_listen: any,
         metrics_listen: None,
+        capacity: 0,
         stop_grace: Duration::from_secs(4),
         retry_budget: RetryBudgetSettings {
             ratio: 0.2,
--- a/crates/routing/benches/plan.rs
+++ b/crates/routing/benches/plan.rs
@@ -10,7 +10,7 @@
 use flaxward_routing::configuration::{
     ClientLimits, Configuration, Engine, ModelSpecification, Service,
 };
-use flaxward_routing::messages::{RunningUnit, Usage, UsedUnit, WaitingUnit};
+use flaxward_routing::messages::{KnownState, RunningUnit, Usage, UsedUnit, WaitingUnit};
 use flaxward_routing::names::{AdapterName, ModelName, RunnerId, ServiceName, Unit, Zone};
 use flaxward_routing::placement::{Placement, PlacementSettings, RunnerReport};
 use flaxward_routing::runners::{Holdings, Runner};
@@ -77,6 +77,7 @@
 fn runner(index: usize) -> Runner {
     Runner {
         id: RunnerId::new(&format!("i-{index:010x}")),
+        revision: 0,
         service: ServiceName::new("pool"),
         address: address(index),
         zone: Zone::new(&format!("zone-{}", index % 3)),
@@ -104,7 +105,7 @@
 
 fn usage(member: usize, runners: usize, models: usize) -> Usage {
     let unit_of = |index: usize| {
-        if index % 2 == 0 {
+        if index.is_multiple_of(2) {
             unit(index, models)
         } else {
             adapter(index, models)
@@ -128,10 +129,12 @@
         from: format!("daemon-{member}"),
         address: address(member),
         zone: Zone::new(&format!("zone-{}", member % 3)),
-        term: 1,
-        holdings_version: 0,
-        known_members: 0,
-        leaving: false,
+        capacity: 0,
+        known: KnownState {
+            term: 1,
+            holdings_version: 0,
+            ..KnownState::default()
+        },
         waiting: waiting.collect(),
         used: used.collect(),
         running: running.collect(),
--- a/crates/routing/src/balance.rs
+++ b/crates/routing/src/balance.rs
@@ -31,7 +31,7 @@
     pub health: &'a HealthTable,
     /// This daemon's requests at each runner.
     pub in_flight: &'a HashMap<RunnerId, u32>,
-    /// Requests of all daemons at runners that are at least half full, as told a while ago.
+    /// Requests of all daemons at runners that are crowded, as told a while ago.
     pub loads: &'a HashMap<RunnerId, u32>,
     /// This daemon's zone.
     pub zone: &'a Zone,
@@ -152,6 +152,11 @@
     }
 }
 
+/// Whether others come before a runner with this many requests of all daemons.
+pub fn is_crowded(requests: u32, slots: u32) -> bool {
+    f64::from(requests) >= f64::from(slots.max(1)) * CROWDED_SHARE
+}
+
 /// Share of a runner's slots that all daemons together have filled, by the last word of it.
 fn told_load(situation: &Situation<'_>, runner: &Runner) -> f64 {
     let requests = situation.loads.get(&runner.id).copied().unwrap_or(0);
--- a/crates/routing/src/lease.rs
+++ b/crates/routing/src/lease.rs
@@ -50,6 +50,22 @@
     pub silence: Duration,
 }
 
+/// Time for which a weak daemon leaves a free lease to stronger ones.
+const WEAK_DELAY: Duration = Duration::from_millis(900);
+/// Processor share from which a daemon is not weak while it has heard of no other, in thousandths of a
+/// core.
+const STRONG_CAPACITY: u32 = 400;
+
+/// For how long a daemon leaves a free lease to others. One with less than half of the processor share of
+/// the strongest waits: the work of a coordinator grows with the number of daemons and runners, and a
+/// machine that cannot bear it loses the lease again and again. Shares are in thousandths of a core; a
+/// share of 0 was not told.
+pub fn candidacy_delay(own: u32, strongest: Option<u32>) -> Duration {
+    let strongest = strongest.unwrap_or(STRONG_CAPACITY);
+    let is_weak = own > 0 && own < strongest / 2;
+    if is_weak { WEAK_DELAY } else { Duration::ZERO }
+}
+
 /// A call to the store that the machine asks for.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum LeaseCall {
@@ -146,6 +162,7 @@
     next_read: Timestamp,
     heard_at: Option<Timestamp>,
     told: Option<ToldRenewal>,
+    candidacy_delay: Duration,
     stopping: bool,
 }
 
@@ -168,10 +185,16 @@
             next_read: Timestamp::ZERO,
             heard_at: None,
             told: None,
+            candidacy_delay: Duration::ZERO,
             stopping: false,
         }
     }
 
+    /// Sets for how long this daemon leaves a free lease to others; see [`candidacy_delay`].
+    pub fn set_candidacy_delay(&mut self, delay: Duration) {
+        self.candidacy_delay = delay;
+    }
+
     /// The term under which this daemon may give orders now.
     pub fn term(&self, now: Timestamp) -> Option<u64> {
         let held = self.held.as_ref()?;
@@ -288,14 +311,20 @@
 
     fn take_over_or_read(&mut self, now: Timestamp) -> Option<LeaseCall> {
         let observed = self.observed.as_ref()?;
+        let unchanged_for = now.since(observed.unchanged_since);
         let Some(lease) = &observed.lease else {
+            if unchanged_for < self.candidacy_delay {
+                return self.read_if_due(now);
+            }
             return Some(LeaseCall::Create(self.first_record()));
         };
-        let wait = self.settings.duration + self.settings.margin;
-        let is_free = self.is_mine(lease)
-            || lease.record.released
-            || now.since(observed.unchanged_since) >= wait;
-        if !is_free {
+        let wait = if lease.record.released {
+            Duration::ZERO
+        } else {
+            self.settings.duration + self.settings.margin
+        };
+        let is_free = unchanged_for >= wait + self.candidacy_delay;
+        if !is_free && !self.is_mine(lease) {
             return self.read_if_due(now);
         }
         let record = LeaseRecord {
@@ -312,9 +341,11 @@
             LeaseAnswer::Written(lease) => self.written(lease, sent_at),
             LeaseAnswer::Found(lease) => self.found(lease, now),
             LeaseAnswer::Missing => {
+                let seen = self.observed.take();
+                let missing_since = seen.filter(|seen| seen.lease.is_none());
                 self.observed = Some(Observed {
                     lease: None,
-                    unchanged_since: now,
+                    unchanged_since: missing_since.map_or(now, |seen| seen.unchanged_since),
                 });
                 None
             }
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod events;
 pub mod health;
 pub mod lease;
+pub mod membership;
 pub mod messages;
 pub mod names;
 pub mod placement;
--- /dev/null
+++ b/crates/routing/src/membership.rs
@@ -0,0 +1,212 @@
+//! Which runners there are, as daemons tell it to each other.
+//!
+//! Each change carries the store's revision at which the runner came, went, or began to drain, so that
+//! changes may be heard in any order and from several daemons: the one with the higher revision stands.
+//! A daemon names the revision up to which it knows all changes, and gets those after it.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use flaxward_types::time::millis;
+use serde::{Deserialize, Serialize};
+
+use crate::names::{RunnerId, ServiceName, Zone};
+use crate::runners::{Holdings, Runner};
+
+/// Runners that are gone of which the change is kept, at most. Daemons that know less must read the
+/// store.
+const MAX_GONE: usize = 4_096;
+/// Changes in one message at most, so that it fits a datagram.
+const CHANGES_A_MESSAGE: usize = 20;
+
+/// What a daemon must know of a runner to send it work. What it holds is told apart.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RunnerSummary {
+    /// Its service.
+    pub service: ServiceName,
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// Its zone.
+    pub zone: Zone,
+    /// Requests that it runs at once.
+    pub slots: u32,
+    /// It is about to leave and gets no new work.
+    pub draining: bool,
+    /// Time for which it stays slow from its start, in ms.
+    pub cold_ms: u32,
+}
+
+/// A change of one runner.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct MembershipChange {
+    /// The runner.
+    pub runner: RunnerId,
+    /// The store's revision at which it was seen so, or a later one.
+    pub revision: u64,
+    /// The runner, or `None` if it is gone.
+    pub summary: Option<RunnerSummary>,
+}
+
+/// All changes between two revisions of the store.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct MembershipUpdate {
+    /// The receiver must know all changes up to this revision.
+    pub after: u64,
+    /// With the changes below it knows all up to this one.
+    pub until: u64,
+    /// The changes, in the order of their revisions.
+    pub changes: Vec<MembershipChange>,
+}
+
+impl RunnerSummary {
+    /// What others must know of a runner.
+    pub fn of(runner: &Runner) -> Self {
+        Self {
+            service: runner.service.clone(),
+            address: runner.address,
+            zone: runner.zone.clone(),
+            slots: runner.slots,
+            draining: runner.draining,
+            cold_ms: u32::try_from(millis(runner.cold_for)).unwrap_or(u32::MAX),
+        }
+    }
+
+    /// The runner as far as the summary tells it.
+    pub fn into_runner(self, id: RunnerId, revision: u64) -> Runner {
+        Runner {
+            id,
+            revision,
+            service: self.service,
+            address: self.address,
+            zone: self.zone,
+            slots: self.slots,
+            draining: self.draining,
+            leaves_in: None,
+            cold_for: Duration::from_millis(u64::from(self.cold_ms)),
+            holdings: Holdings::new(),
+            in_memory: std::collections::BTreeSet::new(),
+            on_disk: std::collections::BTreeSet::new(),
+        }
+    }
+}
+
+/// The last change of one runner.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+struct LastChange {
+    revision: u64,
+    is_gone: bool,
+}
+
+/// The changes that a daemon knows.
+#[derive(Debug, Default)]
+pub(crate) struct MembershipLog {
+    /// All changes after this revision and up to `complete_until` are known; `None` before the first list.
+    complete_after: Option<u64>,
+    complete_until: u64,
+    changes: BTreeMap<RunnerId, LastChange>,
+}
+
+impl MembershipLog {
+    /// The revision up to which all changes are known.
+    pub fn complete_until(&self) -> u64 {
+        self.complete_until
+    }
+
+    /// The revision of the last change.
+    pub fn last_change(&self) -> u64 {
+        let revisions = self.changes.values().map(|change| change.revision);
+        revisions.max().unwrap_or(0)
+    }
+
+    /// Whether news of a runner at a revision are older than what is known.
+    pub fn is_outdated(&self, runner: &RunnerId, revision: u64) -> bool {
+        let known = self.changes.get(runner);
+        known.is_some_and(|known| known.revision > revision)
+    }
+
+    /// Notes a change.
+    pub fn note(&mut self, runner: &RunnerId, revision: u64, is_gone: bool) {
+        let change = LastChange { revision, is_gone };
+        self.changes.insert(runner.clone(), change);
+    }
+
+    /// The runners at a revision are known, and perhaps not how they came to be.
+    pub fn begin_at(&mut self, revision: u64) {
+        if revision > self.complete_until {
+            self.complete_after = Some(revision);
+        }
+        self.complete(revision);
+    }
+
+    /// All changes up to a revision are known from now on.
+    pub fn complete(&mut self, revision: u64) {
+        self.complete_after.get_or_insert(revision);
+        self.complete_until = self.complete_until.max(revision);
+        self.forget_oldest_gone();
+    }
+
+    fn forget_oldest_gone(&mut self) {
+        let gone = self.changes.iter().filter(|(_, change)| change.is_gone);
+        let mut gone: Vec<(u64, RunnerId)> = gone
+            .map(|(runner, change)| (change.revision, runner.clone()))
+            .collect();
+        if gone.len() <= MAX_GONE {
+            return;
+        }
+        gone.sort();
+        for (revision, runner) in gone.drain(..gone.len() - MAX_GONE) {
+            self.changes.remove(&runner);
+            self.complete_after = self.complete_after.max(Some(revision));
+        }
+    }
+
+    /// The changes after a revision, in messages that fit a datagram each; `None` if some of them are
+    /// not known any more.
+    pub fn updates_after<'a>(
+        &'a self,
+        revision: u64,
+        summary: impl Fn(&RunnerId) -> Option<RunnerSummary> + 'a,
+    ) -> Option<Vec<MembershipUpdate>> {
+        if self.complete_after.is_none_or(|after| revision < after) {
+            return None;
+        }
+        let mut changes: Vec<MembershipChange> = self
+            .changes
+            .iter()
+            .filter(|(_, change)| change.revision > revision)
+            .map(|(runner, change)| MembershipChange {
+                runner: runner.clone(),
+                revision: change.revision,
+                summary: summary(runner).filter(|_| !change.is_gone),
+            })
+            .collect();
+        changes.sort_by_key(|change| change.revision);
+        Some(self.split(revision, changes))
+    }
+
+    /// Splits changes so that none of a revision is in a later message than its end.
+    fn split(&self, revision: u64, changes: Vec<MembershipChange>) -> Vec<MembershipUpdate> {
+        let mut updates = Vec::new();
+        let mut after = revision;
+        let mut part: Vec<MembershipChange> = Vec::new();
+        for change in changes {
+            let last = part.last().map_or(0, |last| last.revision);
+            if part.len() >= CHANGES_A_MESSAGE && change.revision > last {
+                updates.push(MembershipUpdate {
+                    after,
+                    until: last,
+                    changes: std::mem::take(&mut part),
+                });
+                after = last;
+            }
+            part.push(change);
+        }
+        updates.push(MembershipUpdate {
+            after,
+            until: self.complete_until.max(after),
+            changes: part,
+        });
+        updates
+    }
+}
--- a/crates/routing/src/messages.rs
+++ b/crates/routing/src/messages.rs
@@ -9,21 +9,48 @@
 use thiserror::Error;
 
 use crate::lease::LeasePulse;
+use crate::membership::MembershipUpdate;
 use crate::names::{RunnerId, Unit, Zone};
 use crate::runners::RunnerHoldings;
 
 /// First byte of every message; raised when the encoding changes incompatibly.
-const WIRE_VERSION: u8 = 1;
+const WIRE_VERSION: u8 = 2;
 
 /// A message.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Message {
-    /// From a member to the coordinator.
+    /// From a member to the coordinator: all that its requests need and use.
     Usage(Usage),
+    /// From a member to the coordinator, at once when a request begins to wait.
+    Waiting(WaitNotice),
     /// From the coordinator to a member.
     Direction(Direction),
 }
 
+/// What a member knows, so that the coordinator tells it only what is new.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct KnownState {
+    /// Term of the coordinator that the next field is about.
+    pub term: u64,
+    /// Version of the holdings.
+    pub holdings_version: u64,
+    /// Number of members; see [`Direction::members`].
+    pub members: u32,
+    /// The store's revision up to which it knows all changes of runners; see [`Direction::membership`].
+    pub runners_revision: u64,
+}
+
+/// What a member's requests wait for.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct WaitNotice {
+    /// Name of the daemon.
+    pub from: String,
+    /// What it knows.
+    pub known: KnownState,
+    /// What its requests wait for.
+    pub waiting: Vec<WaitingUnit>,
+}
+
 /// What a member needs and uses.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Usage {
@@ -33,14 +60,10 @@
     pub address: SocketAddr,
     /// Its zone.
     pub zone: Zone,
-    /// Term of the coordinator that the next two fields are about.
-    pub term: u64,
-    /// Version of the holdings that it knows.
-    pub holdings_version: u64,
-    /// Number of members that it knows; see [`Direction::members`].
-    pub known_members: u32,
-    /// It stops and sends no more.
-    pub leaving: bool,
+    /// Its processor share, in thousandths of a core; 0 if it was not told.
+    pub capacity: u32,
+    /// What it knows.
+    pub known: KnownState,
     /// What its requests wait for.
     pub waiting: Vec<WaitingUnit>,
     /// What its requests have used lately.
@@ -94,12 +117,16 @@
     pub address: SocketAddr,
     /// Daemons that it has heard of lately, itself included.
     pub daemons: u32,
+    /// Processor share of the strongest of them, in thousandths of a core.
+    pub strongest: u32,
     /// Version of the configuration that it knows.
     pub configuration_version: u64,
     /// The store's revision at which a runner last came, went, or began to drain.
     pub membership_revision: u64,
     /// Time since the store last answered the coordinator, in ms.
     pub store_silence_ms: u32,
+    /// Changes of runners that the receiver does not know, or a part of them.
+    pub membership: Option<MembershipUpdate>,
     /// Where the members hear a new coordinator, if the receiver knows another number of them. So a
     /// successor reaches also those that cannot read the lease.
     pub members: Option<Vec<SocketAddr>>,
@@ -111,8 +138,7 @@
     pub holdings: Vec<RunnerHoldings>,
     /// When units that the member's requests wait for are ready.
     pub outlooks: Vec<UnitOutlook>,
-    /// Requests in progress at runners that are at least half full, all daemons together. It is in
-    /// the first of several messages only.
+    /// Requests in progress at crowded runners, all daemons together, if they are told again.
     pub loads: Option<Vec<RunnerLoad>>,
 }
 
--- a/crates/routing/src/placement/demand.rs
+++ b/crates/routing/src/placement/demand.rs
@@ -9,7 +9,7 @@
 
 use flaxward_types::time::Timestamp;
 
-use crate::messages::{USE_WINDOW_SECONDS, Usage, WaitingUnit};
+use crate::messages::{KnownState, USE_WINDOW_SECONDS, Usage, WaitNotice, WaitingUnit};
 use crate::names::{RunnerId, Unit, Zone};
 
 /// Time in which the remembered rate of a unit falls to a third.
@@ -17,7 +17,7 @@
 /// Time between two computations of the rates.
 const RATE_INTERVAL: Duration = Duration::from_millis(250);
 /// Time without use after which a unit's rate is forgotten.
-const RATE_FORGOTTEN: Duration = Duration::from_secs(120);
+const RATE_FORGOTTEN: Duration = Duration::from_mins(2);
 
 /// One daemon, as the coordinator knows it.
 #[derive(Clone, Debug)]
@@ -26,12 +26,8 @@
     pub address: SocketAddr,
     /// Its zone.
     pub zone: Zone,
-    /// Term that `holdings_version` is about.
-    pub term: u64,
-    /// Version of the holdings that it knows.
-    pub holdings_version: u64,
-    /// Number of members that it knows.
-    pub known_members: u32,
+    /// What it knows.
+    pub known: KnownState,
     /// What its requests wait for.
     pub waiting: Vec<WaitingUnit>,
     usage: Usage,
@@ -113,21 +109,11 @@
 
     /// Takes in a message of a member.
     pub fn update(&mut self, usage: Usage, now: Timestamp) {
-        if usage.leaving {
-            self.members.remove(&usage.from);
-            return;
-        }
-        for waiting in &usage.waiting {
-            self.waiting_since
-                .entry(waiting.unit.clone())
-                .or_insert(now);
-        }
+        self.note_waiting(&usage.waiting, now);
         let member = Member {
             address: usage.address,
             zone: usage.zone.clone(),
-            term: usage.term,
-            holdings_version: usage.holdings_version,
-            known_members: usage.known_members,
+            known: usage.known,
             waiting: usage.waiting.clone(),
             heard_at: now,
             usage,
@@ -135,6 +121,23 @@
         self.members.insert(member.usage.from.clone(), member);
     }
 
+    /// Takes in what the requests of a known member wait for.
+    pub fn update_waiting(&mut self, notice: WaitNotice, now: Timestamp) {
+        self.note_waiting(&notice.waiting, now);
+        if let Some(member) = self.members.get_mut(&notice.from) {
+            member.known = notice.known;
+            member.waiting = notice.waiting;
+            member.heard_at = now;
+        }
+    }
+
+    fn note_waiting(&mut self, waiting: &[WaitingUnit], now: Timestamp) {
+        for waiting in waiting {
+            let since = self.waiting_since.entry(waiting.unit.clone());
+            since.or_insert(now);
+        }
+    }
+
     /// Adds up what the members have said. The other questions are answered as of this time.
     pub fn refresh(&mut self, now: Timestamp) {
         let timeout = self.timeout;
@@ -173,8 +176,8 @@
             self.waited.insert(wanted.unit.base());
             self.waited.insert(wanted.unit.clone());
         }
-        let waited = &self.waited;
-        self.waiting_since.retain(|unit, _| waited.contains(unit));
+        let known = &self.waited;
+        self.waiting_since.retain(|unit, _| known.contains(unit));
     }
 
     fn refresh_running(&mut self) {
@@ -236,6 +239,12 @@
             .filter(move |(_, member)| now.since(member.heard_at) < timeout)
     }
 
+    /// Processor share of the strongest member, in thousandths of a core.
+    pub fn strongest(&self) -> u32 {
+        let capacities = self.members.values().map(|it| it.usage.capacity);
+        capacities.max().unwrap_or(0)
+    }
+
     /// What requests wait for, the most urgent and then the longest first.
     pub fn wanted(&self) -> &[WantedUnit] {
         &self.wanted
--- a/crates/routing/src/placement/mod.rs
+++ b/crates/routing/src/placement/mod.rs
@@ -18,8 +18,9 @@
 
 use flaxward_types::time::{Timestamp, millis};
 
+use crate::balance::is_crowded;
 use crate::configuration::{Configuration, Engine};
-use crate::messages::{Direction, RunnerLoad, UnitOutlook, Usage};
+use crate::messages::{Direction, KnownState, RunnerLoad, UnitOutlook, Usage, WaitNotice};
 use crate::names::{AdapterName, ModelName, RunnerId, ServiceName, Unit};
 use crate::runners::{Holdings, Runner, RunnerHoldings};
 
@@ -251,13 +252,18 @@
         self.demands.update(usage, now);
     }
 
+    /// Takes in what a member's requests wait for.
+    pub fn waiting(&mut self, notice: WaitNotice, now: Timestamp) {
+        self.demands.update_waiting(notice, now);
+    }
+
     /// What a member is told, in messages that fit a datagram each.
     pub fn directions(&self, member: &str, header: &Direction, now: Timestamp) -> Vec<Direction> {
         let Some(known) = self.demands.member(member) else {
             return Vec::new();
         };
-        let known_version = if known.term == header.term {
-            known.holdings_version
+        let known_version = if known.known.term == header.term {
+            known.known.holdings_version
         } else {
             0
         };
@@ -293,13 +299,12 @@
         directions
     }
 
-    /// Requests in progress at the runners that are at least half full, as the members had told by the
-    /// last plan.
+    /// Requests in progress at the runners that are crowded, as the members had told by the last plan.
     pub fn loads(&self) -> Vec<RunnerLoad> {
         let load = |ledger: &Ledger| {
             let requests = self.demands.running_at(&ledger.runner.id);
-            let is_half_full = requests.saturating_mul(2) >= ledger.runner.slots.max(1);
-            is_half_full.then(|| RunnerLoad {
+            let is_crowded = is_crowded(requests, ledger.runner.slots);
+            is_crowded.then(|| RunnerLoad {
                 runner: ledger.runner.id.clone(),
                 requests,
             })
@@ -315,10 +320,14 @@
             .collect()
     }
 
-    /// Number of members that a member knows.
-    pub fn members_known_by(&self, member: &str) -> u32 {
-        let member = self.demands.member(member);
-        member.map_or(0, |member| member.known_members)
+    /// What a member knows.
+    pub fn known_by(&self, member: &str) -> Option<KnownState> {
+        self.demands.member(member).map(|member| member.known)
+    }
+
+    /// Processor share of the strongest member, in thousandths of a core.
+    pub fn strongest_member(&self) -> u32 {
+        self.demands.strongest()
     }
 
     /// Version of the holdings; rises with each change.
--- a/crates/routing/tests/decisions.rs
+++ b/crates/routing/tests/decisions.rs
@@ -12,7 +12,7 @@
 };
 use flaxward_routing::events::EventSplitter;
 use flaxward_routing::health::{HealthTable, Observation};
-use flaxward_routing::messages::{Message, Usage, WaitingUnit};
+use flaxward_routing::messages::{KnownState, Message, Usage, WaitingUnit};
 use flaxward_routing::names::{ModelName, RouteName, RunnerId, ServiceName, Unit, Zone};
 use flaxward_routing::runners::{Runner, RunnerHoldings, RunnerTable};
 use flaxward_routing::split::SplitChooser;
@@ -58,6 +58,7 @@
         .collect();
     Runner {
         id: RunnerId::new(id),
+        revision: 0,
         service: ServiceName::new("pool"),
         address: SocketAddr::from(([127, 0, 0, 1], 1)),
         zone: Zone::new(zone),
@@ -313,7 +314,7 @@
     let now = Timestamp(900);
     choice.health.observe(&bad, Observation::Unreachable, now);
     assert_eq!(choice.choose(Some(&unit("m")), &[]).unwrap(), "good");
-    choice.runners.remove(&RunnerId::new("good"));
+    choice.runners.remove(&RunnerId::new("good"), 2);
     assert_eq!(choice.choose(Some(&unit("m")), &[]).unwrap(), "bad");
 }
 
@@ -355,10 +356,12 @@
         from: "d".to_owned(),
         address: SocketAddr::from(([10, 0, 0, 1], 7_000)),
         zone: Zone::new("z"),
-        term: 3,
-        holdings_version: 9,
-        known_members: 0,
-        leaving: false,
+        capacity: 0,
+        known: KnownState {
+            term: 3,
+            holdings_version: 9,
+            ..KnownState::default()
+        },
         waiting: vec![WaitingUnit {
             unit: unit("m"),
             requests: 2,
--- a/crates/routing/tests/lease.rs
+++ b/crates/routing/tests/lease.rs
@@ -7,6 +7,7 @@
 
 use flaxward_routing::lease::{
     LeaseAnswer, LeaseCall, LeaseChange, LeaseMachine, LeaseRecord, LeaseSettings, StoredLease,
+    candidacy_delay,
 };
 use flaxward_types::time::Timestamp;
 use proptest::prelude::*;
@@ -318,3 +319,34 @@
     let time = take_over_time(&mut store, &mut follower);
     assert_eq!(holder.term(time), None, "two holders at {time}");
 }
+
+/// Seen on days of 80 machines of unequal size: weak machines took the lease and lost it again, since a plan
+/// took them longer than a renewal.
+#[test]
+fn a_weak_daemon_leaves_a_free_lease_to_others_for_a_while() {
+    let delay = candidacy_delay(120, Some(500));
+    assert!(delay > Duration::ZERO);
+    assert_eq!(candidacy_delay(250, Some(500)), Duration::ZERO);
+    assert_eq!(candidacy_delay(250, Some(250)), Duration::ZERO);
+    assert_eq!(candidacy_delay(0, Some(500)), Duration::ZERO);
+    assert!(candidacy_delay(120, None) > Duration::ZERO);
+
+    let mut machine = LeaseMachine::new(settings(), "weak".to_owned(), 1, address(0));
+    machine.set_candidacy_delay(delay);
+    let start = Timestamp(1_000);
+    assert_eq!(machine.poll(start).0, Some(LeaseCall::Read));
+    machine.answered(LeaseAnswer::Missing, start);
+    let mut now = start;
+    let created = loop {
+        now = now + STEP;
+        match machine.poll(now).0 {
+            Some(LeaseCall::Create(_)) => break now,
+            Some(_) => {
+                machine.answered(LeaseAnswer::Missing, now);
+            }
+            None => {}
+        }
+        assert!(now.since(start) < Duration::from_secs(5), "it never tries");
+    };
+    assert!(created.since(start) >= delay);
+}
--- /dev/null
+++ b/crates/routing/tests/membership.rs
@@ -0,0 +1,299 @@
+//! Changes of runners as daemons tell them to each other: in any order, lost, doubled, and from a daemon
+//! that knows less.
+
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use flaxward_routing::membership::MembershipUpdate;
+use flaxward_routing::names::{RunnerId, ServiceName, Zone};
+use flaxward_routing::runners::{Holdings, Runner, RunnerTable};
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+
+fn id(index: usize) -> RunnerId {
+    RunnerId::new(&format!("r{index:03}"))
+}
+
+fn runner(index: usize, revision: u64, draining: bool) -> Runner {
+    Runner {
+        id: id(index),
+        revision,
+        service: ServiceName::new("pool"),
+        address: SocketAddr::from(([127, 0, 0, 1], 9)),
+        zone: Zone::new("z"),
+        slots: 8,
+        draining,
+        leaves_in: None,
+        cold_for: Duration::ZERO,
+        holdings: Holdings::new(),
+        in_memory: BTreeSet::new(),
+        on_disk: BTreeSet::new(),
+    }
+}
+
+/// Identity and state of all runners, for comparison.
+fn state(table: &RunnerTable) -> Vec<(RunnerId, bool)> {
+    let runners = table.iter();
+    runners
+        .map(|runner| (runner.id.clone(), runner.draining))
+        .collect()
+}
+
+#[test]
+fn a_daemon_that_knows_less_hears_just_what_is_new() {
+    let mut coordinator = RunnerTable::default();
+    coordinator.replace(vec![runner(0, 1, false), runner(1, 2, false)], 5);
+    let mut member = RunnerTable::default();
+    member.replace(vec![runner(0, 1, false), runner(1, 2, false)], 5);
+    coordinator.insert(runner(1, 7, true), 7);
+    coordinator.insert(runner(2, 8, false), 8);
+    coordinator.remove(&id(0), 9);
+    coordinator.set_revision(9);
+
+    let updates = coordinator.updates_after(member.revision()).unwrap();
+    assert_eq!(updates.len(), 1);
+    assert_eq!(updates[0].changes.len(), 3);
+    let changed = member.update(updates[0].clone()).unwrap();
+    assert_eq!(changed.len(), 3);
+    assert_eq!(state(&member), state(&coordinator));
+    assert_eq!(member.revision(), 9);
+    assert_eq!(member.membership_revision(), 9);
+    assert_eq!(coordinator.updates_after(9).unwrap()[0].changes, vec![]);
+}
+
+#[test]
+fn a_change_that_is_heard_late_does_not_bring_a_runner_back() {
+    let mut coordinator = RunnerTable::default();
+    coordinator.replace(Vec::new(), 1);
+    let mut member = RunnerTable::default();
+    member.replace(Vec::new(), 1);
+    coordinator.insert(runner(0, 3, false), 3);
+    coordinator.set_revision(3);
+    let early = coordinator.updates_after(1).unwrap().remove(0);
+    coordinator.remove(&id(0), 4);
+    coordinator.set_revision(4);
+    let late = coordinator.updates_after(1).unwrap().remove(0);
+
+    member.update(late).unwrap();
+    member.update(early).unwrap();
+    assert_eq!(state(&member), []);
+    assert_eq!(member.revision(), 4);
+}
+
+/// A list read from the store may be answered after the coordinator has told of something younger.
+#[test]
+fn an_older_list_does_not_undo_what_was_told() {
+    let mut table = RunnerTable::default();
+    table.replace(vec![runner(0, 1, false)], 2);
+    let update = {
+        let mut coordinator = RunnerTable::default();
+        coordinator.replace(vec![runner(0, 1, false)], 2);
+        coordinator.insert(runner(0, 6, true), 6);
+        coordinator.insert(runner(1, 7, false), 7);
+        coordinator.set_revision(7);
+        coordinator.updates_after(2).unwrap().remove(0)
+    };
+    table.update(update).unwrap();
+    table.replace(vec![runner(0, 1, false)], 4);
+    assert_eq!(state(&table), [(id(0), true), (id(1), false)]);
+    assert_eq!(table.revision(), 7);
+}
+
+#[test]
+fn who_lacks_what_came_before_an_update_must_read_the_store() {
+    let mut coordinator = RunnerTable::default();
+    coordinator.replace(vec![runner(0, 1, false)], 10);
+    assert!(coordinator.updates_after(4).is_none());
+    coordinator.insert(runner(1, 12, false), 12);
+    coordinator.set_revision(12);
+    let update = coordinator.updates_after(10).unwrap().remove(0);
+    let mut member = RunnerTable::default();
+    member.replace(Vec::new(), 8);
+    assert_eq!(member.update(update), None);
+    assert_eq!(member.revision(), 8);
+}
+
+#[test]
+fn many_changes_come_in_parts_that_each_fit_a_datagram() {
+    let mut coordinator = RunnerTable::default();
+    coordinator.replace(Vec::new(), 1);
+    for index in 0..100 {
+        let revision = 2 + u64::try_from(index).unwrap();
+        coordinator.insert(runner(index, revision, false), revision);
+    }
+    coordinator.set_revision(200);
+    let updates = coordinator.updates_after(1).unwrap();
+    assert!(updates.len() > 1);
+    let mut member = RunnerTable::default();
+    member.replace(Vec::new(), 1);
+    for update in updates {
+        assert!(postcard::to_allocvec(&update).unwrap().len() < 1_400);
+        member.update(update).unwrap();
+    }
+    assert_eq!(state(&member), state(&coordinator));
+    assert_eq!(member.revision(), 200);
+}
+
+/// How a daemon reads the store.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Reading {
+    List,
+    Watch,
+    ListAndWatch,
+}
+
+/// What happens to the runners, or to a message.
+#[derive(Clone, Debug)]
+enum Step {
+    Appear(usize),
+    Drain(usize),
+    Leave(usize),
+    /// A reader reads the list, hears of all changes by a watch, or does both, the watch last.
+    Read {
+        reader: usize,
+        way: Reading,
+    },
+    /// A daemon sends what another one lacks; its messages are delivered now, later, or never.
+    Tell {
+        from: usize,
+        to: usize,
+        kept: bool,
+    },
+    /// A message that was kept is delivered, and may be again.
+    Deliver(usize),
+}
+
+fn reading() -> impl Strategy<Value = Reading> {
+    prop_oneof![
+        Just(Reading::List),
+        Just(Reading::Watch),
+        Just(Reading::ListAndWatch),
+    ]
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    prop_oneof![
+        2 => (0_usize..8).prop_map(Step::Appear),
+        2 => (0_usize..8).prop_map(Step::Drain),
+        2 => (0_usize..8).prop_map(Step::Leave),
+        2 => (0_usize..3, reading()).prop_map(|(reader, way)| Step::Read { reader, way }),
+        3 => (0_usize..3, 0_usize..3, any::<bool>())
+            .prop_map(|(from, to, kept)| Step::Tell { from, to, kept }),
+        2 => (0_usize..16).prop_map(Step::Deliver),
+    ]
+}
+
+/// The store with its history.
+#[derive(Default)]
+struct Store {
+    revision: u64,
+    runners: Vec<Runner>,
+    history: Vec<(u64, RunnerId, Option<Runner>)>,
+}
+
+impl Store {
+    fn set(&mut self, index: usize, draining: bool) {
+        self.revision += 1;
+        let runner = runner(index, self.revision, draining);
+        self.runners.retain(|known| known.id != runner.id);
+        self.runners.push(runner.clone());
+        self.history
+            .push((self.revision, runner.id.clone(), Some(runner)));
+    }
+
+    fn remove(&mut self, index: usize) {
+        self.revision += 1;
+        self.runners.retain(|known| known.id != id(index));
+        self.history.push((self.revision, id(index), None));
+    }
+
+    fn holds(&self, index: usize) -> bool {
+        self.runners.iter().any(|known| known.id == id(index))
+    }
+
+    fn read(&self, table: &mut RunnerTable, way: Reading) {
+        let list = self.runners.clone();
+        match way {
+            Reading::List => table.replace(list, self.revision),
+            Reading::Watch => self.watch(table),
+            Reading::ListAndWatch => {
+                self.watch(table);
+                table.replace(list, self.revision);
+            }
+        }
+    }
+
+    fn watch(&self, table: &mut RunnerTable) {
+        let known = table.revision();
+        for (revision, id, runner) in self.history.iter().filter(|(at, _, _)| *at > known) {
+            match runner {
+                Some(runner) => table.insert(runner.clone(), *revision),
+                None => table.remove(id, *revision),
+            }
+        }
+        table.set_revision(self.revision);
+    }
+
+    /// The runners as they were at a revision.
+    fn state_at(&self, revision: u64) -> Vec<(RunnerId, bool)> {
+        let mut state = std::collections::BTreeMap::new();
+        for (_, id, runner) in self.history.iter().filter(|(at, _, _)| *at <= revision) {
+            match runner {
+                Some(runner) => state.insert(id.clone(), runner.draining),
+                None => state.remove(id),
+            };
+        }
+        state.into_iter().collect()
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 512,
+        rng_seed: RngSeed::Fixed(0x10ad_0002),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
+    /// A daemon that knows all changes up to a revision has the runners of that revision, or of a later
+    /// one; and it is never taken back.
+    #[test]
+    fn daemons_know_what_the_store_held(steps in prop::collection::vec(step(), 1..80)) {
+        let mut store = Store::default();
+        store.set(0, false);
+        let mut tables: Vec<RunnerTable> = (0..3).map(|_| RunnerTable::default()).collect();
+        for table in &mut tables {
+            store.read(table, Reading::List);
+        }
+        let mut kept: Vec<(usize, MembershipUpdate)> = Vec::new();
+        for step in steps {
+            let before: Vec<u64> = tables.iter().map(RunnerTable::revision).collect();
+            match step {
+                Step::Appear(index) if !store.holds(index) => store.set(index, false),
+                Step::Drain(index) if store.holds(index) => store.set(index, true),
+                Step::Leave(index) if store.holds(index) => store.remove(index),
+                Step::Read { reader, way } => store.read(&mut tables[reader], way),
+                Step::Tell { from, to, kept: is_kept } => {
+                    let known = tables[to].revision();
+                    for update in tables[from].updates_after(known).unwrap_or_default() {
+                        if is_kept {
+                            kept.push((to, update));
+                        } else {
+                            tables[to].update(update);
+                        }
+                    }
+                }
+                Step::Deliver(index) if !kept.is_empty() => {
+                    let (to, update) = kept[index % kept.len()].clone();
+                    tables[to].update(update);
+                }
+                _ => {}
+            }
+            for (table, before) in tables.iter().zip(before) {
+                prop_assert!(table.revision() >= before);
+                prop_assert_eq!(state(table), store.state_at(table.revision()));
+            }
+        }
+    }
+}
--- a/crates/routing/tests/placement/world.rs
+++ b/crates/routing/tests/placement/world.rs
@@ -7,7 +7,7 @@
 use flaxward_routing::configuration::{
     ClientLimits, Configuration, Engine, ModelSpecification, Service,
 };
-use flaxward_routing::messages::{Usage, UsedUnit, WaitingUnit};
+use flaxward_routing::messages::{KnownState, Usage, UsedUnit, WaitingUnit};
 use flaxward_routing::names::{AdapterName, ModelName, RunnerId, ServiceName, Unit, Zone};
 use flaxward_routing::placement::{
     Action, Operation, Order, OrderAnswer, Placement, PlacementSettings, RunnerReport,
@@ -298,10 +298,12 @@
             from: "d".to_owned(),
             address: SocketAddr::from(([127, 0, 0, 1], 9)),
             zone: Zone::new("z0"),
-            term: self.fence,
-            holdings_version: 0,
-            known_members: 0,
-            leaving: false,
+            capacity: 0,
+            known: KnownState {
+                term: self.fence,
+                holdings_version: 0,
+                ..KnownState::default()
+            },
             waiting: waiting
                 .map(|unit| WaitingUnit {
                     unit: unit.clone(),
@@ -419,6 +421,7 @@
 fn runner(index: usize) -> Runner {
     Runner {
         id: RunnerId::new(&format!("r{index}")),
+        revision: 0,
         service: ServiceName::new(SERVICE),
         address: SocketAddr::from(([127, 0, 0, 1], 100)),
         zone: Zone::new(&format!("z{}", index % 3)),
--- a/crates/settings/src/ingress.rs
+++ b/crates/settings/src/ingress.rs
@@ -26,6 +26,9 @@
     pub coordinator: IngressCoordinatorSection,
     /// The budget for sending requests again.
     pub retries: RetriesSection,
+    /// The machine.
+    #[serde(default)]
+    pub machine: MachineSection,
     /// The log.
     #[serde(default)]
     pub logs: IngressLogsSection,
@@ -74,6 +77,22 @@
     pub load_window: Duration,
 }
 
+/// The machine that the daemon runs on.
+#[derive(Clone, Copy, Debug, Default, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct MachineSection {
+    /// Its share of a processor core; weak machines leave the coordination to stronger ones.
+    pub processor_share: Option<f64>,
+}
+
+impl MachineSection {
+    /// The processor share in thousandths of a core; 0 if it is not set.
+    #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+    pub fn capacity(&self) -> u32 {
+        (self.processor_share.unwrap_or(0.0) * 1_000.0).round() as u32
+    }
+}
+
 /// The budget for sending requests again.
 #[derive(Clone, Debug, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -139,6 +158,10 @@
         let shares = [
             ("retries.ratio", self.retries.ratio),
             ("retries.allowance", self.retries.allowance),
+            (
+                "machine.processor_share",
+                self.machine.processor_share.unwrap_or(0.0),
+            ),
         ];
         for (key, value) in shares {
             if !value.is_finite() || value < 0.0 {
