Members are told each change once, and again when they say that they lack it; weak machines wait after an outage

Every message to a member repeated all changes since its last word (one a second), about 30 Mbit/s while 140 runners came and went; the members heard no word of the store, and all 80 watched it for 16 s. Change: a weak daemon counts its delay from an answer that shows the lease free. The coordinator keeps what each member was told; a member that gets a message which does not follow says so (has_gap), and is told again. Seen failing without the change: after_an_outage_a_weak_daemon_still_leaves_the_lease_to_others (by its cause: the old delay counts from the last renewal). Conclusion: at 80 daemons control must be counted in messages, not only in calls.

--- a/crates/ingress/src/coordination/following.rs
+++ b/crates/ingress/src/coordination/following.rs
@@ -34,6 +34,7 @@
     usage_at: Timestamp,
     message_at: Timestamp,
     wants_notice: bool,
+    has_gap: bool,
 }
 
 impl Following {
@@ -46,6 +47,7 @@
             usage_at: Timestamp::ZERO,
             message_at: Timestamp::ZERO,
             wants_notice: false,
+            has_gap: false,
         }
     }
 
@@ -104,7 +106,8 @@
         }
         self.wants_notice = false;
         self.message_at = now;
-        let is_usage = now >= self.usage_at + USAGE_INTERVAL;
+        let has_gap = std::mem::take(&mut self.has_gap);
+        let is_usage = !has_gap && now >= self.usage_at + USAGE_INTERVAL;
         if is_usage {
             self.usage_at = now;
         }
@@ -116,6 +119,7 @@
             return Some(Message::Waiting(WaitNotice {
                 from,
                 known,
+                has_gap,
                 waiting,
             }));
         }
@@ -156,9 +160,10 @@
         if coordinator.term != direction.term {
             return;
         }
-        if let Some(update) = direction.membership.take() {
-            take_membership(shared, update);
-        }
+        let lacks_runners = direction
+            .membership
+            .take()
+            .is_some_and(|update| !take_membership(shared, update));
         if !leads {
             let word = store_word(&direction, now);
             shared.store_word.send_replace(word);
@@ -177,6 +182,10 @@
             let by_runner = by_runner.map(|load| (load.runner, load.requests));
             tables.loads = by_runner.collect();
         }
+        if lacks_runners || !follows {
+            self.has_gap = true;
+            self.wants_notice = true;
+        }
         let has_news = follows && !direction.holdings.is_empty();
         if follows {
             for holdings in direction.holdings {
--- a/crates/ingress/src/coordination/leading.rs
+++ b/crates/ingress/src/coordination/leading.rs
@@ -5,7 +5,8 @@
 use std::time::Duration;
 
 use flaxward_routing::lease::LeasePulse;
-use flaxward_routing::messages::{Direction, Usage, WaitNotice};
+use flaxward_routing::membership::MembershipUpdate;
+use flaxward_routing::messages::{Direction, KnownState, Usage, WaitNotice};
 use flaxward_routing::placement::{Action, Placement};
 use flaxward_types::time::{Timestamp, millis};
 
@@ -26,14 +27,42 @@
 /// Time between two messages to a member that hold the loads of runners.
 const LOADS_INTERVAL: Duration = Duration::from_millis(200);
 
+/// Time between two messages to a member that hold the addresses of all members.
+const MEMBERS_INTERVAL: Duration = Duration::from_secs(1);
+/// Time after which a member that still knows less than it was told has lost a message.
+const ACKNOWLEDGEMENT_TIMEOUT: Duration = Duration::from_millis(150);
+
 /// What a member was told last.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, Default)]
 struct Told {
+    /// Version of the holdings that it has with what it was told.
     holdings_version: u64,
+    /// Version of the holdings that there was.
+    known_version: u64,
     configuration_version: u64,
     membership_revision: u64,
+    /// The store's revision up to which it was told all changes of runners.
+    runners_revision: u64,
     at: Timestamp,
+    /// When it was told something new.
+    news_at: Timestamp,
     loads_at: Timestamp,
+    members_at: Timestamp,
+}
+
+impl Told {
+    /// A member knows this. What it lacks although it was told a while ago is told again.
+    fn acknowledge(&mut self, known: KnownState, now: Timestamp) {
+        if now.since(self.news_at) >= ACKNOWLEDGEMENT_TIMEOUT {
+            self.take_back(known);
+        }
+    }
+
+    /// Tells what the member does not know again.
+    fn take_back(&mut self, known: KnownState) {
+        self.holdings_version = self.holdings_version.min(known.holdings_version);
+        self.runners_revision = self.runners_revision.min(known.runners_revision);
+    }
 }
 
 /// A message to a member.
@@ -86,6 +115,7 @@
 
     /// Takes in what a member uses.
     pub fn heard_usage(&mut self, usage: Usage, now: Timestamp) {
+        self.acknowledged(&usage.from, usage.known, now);
         if !usage.waiting.is_empty() {
             self.unanswered.insert(usage.from.clone());
             self.plan_soon(now);
@@ -97,11 +127,24 @@
 
     /// Takes in what a member's requests wait for.
     pub fn heard_waiting(&mut self, notice: WaitNotice, now: Timestamp) {
+        self.acknowledged(&notice.from, notice.known, now);
+        let told = self.told.get_mut(&notice.from);
+        if let Some(told) = told.filter(|_| notice.has_gap) {
+            told.take_back(notice.known);
+        }
         self.unanswered.insert(notice.from.clone());
         self.placement.waiting(notice, now);
         self.plan_soon(now);
     }
 
+    fn acknowledged(&mut self, member: &str, known: KnownState, now: Timestamp) {
+        if known.term != self.term {
+            self.told.remove(member);
+        } else if let Some(told) = self.told.get_mut(member) {
+            told.acknowledge(known, now);
+        }
+    }
+
     /// Decides on orders and reports.
     pub fn plan(&mut self, shared: &Shared, now: Timestamp) -> Vec<Action> {
         if let Some(configuration) = shared.configuration() {
@@ -145,8 +188,7 @@
                 continue;
             }
             self.unanswered.remove(member);
-            let with_loads = self.note_told(member, &header, now);
-            let directions = self.directions(shared, member, &header, &members, with_loads, now);
+            let directions = self.directions(shared, member, &header, &members, now);
             messages.extend(directions.into_iter().map(|direction| Outgoing {
                 member: member.clone(),
                 address: *address,
@@ -165,59 +207,55 @@
             || self.unanswered.contains(member)
             || told.configuration_version != header.configuration_version
             || told.membership_revision != header.membership_revision
-            || (told.holdings_version != self.placement.version() && age >= interval)
-    }
-
-    /// Notes what a member is told now. Returns whether it is told the loads of runners too.
-    fn note_told(&mut self, member: &str, header: &Direction, now: Timestamp) -> bool {
-        let before = self.told.get(member).map(|told| told.loads_at);
-        let with_loads = before.is_none_or(|at| now.since(at) >= LOADS_INTERVAL);
-        let told = Told {
-            holdings_version: self.placement.version(),
-            configuration_version: header.configuration_version,
-            membership_revision: header.membership_revision,
-            at: now,
-            loads_at: before.filter(|_| !with_loads).unwrap_or(now),
-        };
-        self.told.insert(member.to_owned(), told);
-        with_loads
+            || (told.known_version != self.placement.version() && age >= interval)
     }
 
+    /// What a member is told now, which is noted.
     fn directions(
-        &self,
+        &mut self,
         shared: &Shared,
         member: &str,
         header: &Direction,
         members: &[(String, SocketAddr)],
-        with_loads: bool,
         now: Timestamp,
     ) -> Vec<Direction> {
         let Some(known) = self.placement.known_by(member) else {
             return Vec::new();
         };
-        let mut directions = self.placement.directions(member, header, now);
-        let Some(first) = directions.first_mut() else {
-            return directions;
-        };
-        if known.members != header.daemons {
-            first.members = Some(members.iter().map(|(_, address)| *address).collect());
+        let same_term = known.term == header.term;
+        let mut told = self.told.get(member).copied().unwrap_or(Told {
+            holdings_version: if same_term { known.holdings_version } else { 0 },
+            runners_revision: known.runners_revision,
+            ..Told::default()
+        });
+        let after = told.holdings_version;
+        let mut directions = self.placement.directions(member, after, header, now);
+        let until = directions
+            .last()
+            .map_or(after, |last| last.holdings_version);
+        if known.members != header.daemons && now.since(told.members_at) >= MEMBERS_INTERVAL {
+            told.members_at = now;
+            directions[0].members = Some(members.iter().map(|(_, address)| *address).collect());
         }
-        if with_loads {
-            first.loads = Some(self.placement.loads());
+        if now.since(told.loads_at) >= LOADS_INTERVAL {
+            told.loads_at = now;
+            directions[0].loads = Some(self.placement.loads());
         }
-        if known.runners_revision >= header.membership_revision {
-            return directions;
+        if told.runners_revision < header.membership_revision {
+            let updates = updates(shared, told.runners_revision);
+            let until = updates.last().map(|update| update.until);
+            told.runners_revision = until.unwrap_or(header.membership_revision);
+            add_updates(&mut directions, updates, header);
         }
-        let updates = shared
-            .tables()
-            .runners
-            .updates_after(known.runners_revision);
-        let mut updates = updates.unwrap_or_default().into_iter();
-        first.membership = updates.next();
-        directions.extend(updates.map(|update| Direction {
-            membership: Some(update),
-            ..header.clone()
-        }));
+        if after != until || told.membership_revision != header.membership_revision {
+            told.news_at = now;
+        }
+        told.holdings_version = until;
+        told.known_version = self.placement.version();
+        told.configuration_version = header.configuration_version;
+        told.membership_revision = header.membership_revision;
+        told.at = now;
+        self.told.insert(member.to_owned(), told);
         directions
     }
 
@@ -237,6 +275,28 @@
     }
 }
 
+/// Changes of runners after a revision; none if they are not all known.
+fn updates(shared: &Shared, revision: u64) -> Vec<MembershipUpdate> {
+    let updates = shared.tables().runners.updates_after(revision);
+    updates.unwrap_or_default()
+}
+
+/// Adds changes of runners, the first to the first message and each other one as a message of its own.
+fn add_updates(
+    directions: &mut Vec<Direction>,
+    updates: Vec<MembershipUpdate>,
+    header: &Direction,
+) {
+    let mut updates = updates.into_iter();
+    if let Some(first) = directions.first_mut() {
+        first.membership = updates.next();
+    }
+    directions.extend(updates.map(|update| Direction {
+        membership: Some(update),
+        ..header.clone()
+    }));
+}
+
 /// What a coordinator tells every member alike, before it has heard of them.
 pub(super) fn header(
     shared: &Shared,
--- a/crates/ingress/src/watches.rs
+++ b/crates/ingress/src/watches.rs
@@ -336,15 +336,16 @@
     after_change(shared);
 }
 
-/// Takes in changes of runners that the coordinator has told.
-pub(crate) fn take_membership(shared: &Shared, update: MembershipUpdate) {
+/// Takes in changes of runners that the coordinator has told. Returns false if changes before them are
+/// missing.
+pub(crate) fn take_membership(shared: &Shared, update: MembershipUpdate) -> bool {
     let revision = update.until;
     let mut tables = shared.tables();
     let Some(changed) = tables.runners.update(update) else {
-        return;
+        return false;
     };
     if changed.is_empty() {
-        return;
+        return true;
     }
     tables.forget_gone_runners();
     drop(tables);
@@ -352,6 +353,7 @@
         log_runner(shared, runner, revision, "coordinator");
     }
     after_change(shared);
+    true
 }
 
 fn apply_changes(shared: &Shared, changes: Listing<RunnerChange>) {
--- a/crates/ingress/tests/ingress/coordination.rs
+++ b/crates/ingress/tests/ingress/coordination.rs
@@ -171,3 +171,23 @@
     assert_eq!(response.status(), 200);
     assert_eq!(first.ready_status().await, 200);
 }
+
+/// Seen on played days: the runner whose holdings had changed last was gone, so that members were told of a
+/// version which no message brought, and took nothing in any more.
+#[tokio::test]
+async fn holdings_are_heard_of_after_a_runner_is_gone() {
+    let stays = ScriptedRunner::start(vec![Behaviour::Events(1, 2); 8]).await;
+    let goes = ScriptedRunner::start(Vec::new()).await;
+    let both = vec![runner(0, stays.address), runner(1, goes.address)];
+    let (store, first, second) = two_daemons(both).await;
+    // The second runner has the youngest holdings, and is gone before the third daemon comes.
+    store.set_runners(vec![runner(0, stays.address)]);
+    sleep(Duration::from_millis(1_200)).await;
+    let control = Arc::new(ObedientControl::default());
+    let third = TestIngress::start_before("c", store.share(), control).await;
+    third.until_ready().await;
+    sleep(Duration::from_millis(1_200)).await;
+    assert_eq!(status(&third, "id-1").await, 200);
+    assert_eq!(status(&second, "id-2").await, 200);
+    assert_eq!(status(&first, "id-3").await, 200);
+}
--- a/crates/ingress/tests/ingress/store.rs
+++ b/crates/ingress/tests/ingress/store.rs
@@ -10,6 +10,7 @@
 };
 use flaxward_routing::configuration::Configuration;
 use flaxward_routing::lease::{LeaseRecord, StoredLease};
+use flaxward_routing::names::RunnerId;
 use flaxward_routing::runners::Runner;
 use tokio::sync::Notify;
 
@@ -17,6 +18,7 @@
 struct Contents {
     configuration: Option<Configuration>,
     runners: Vec<Runner>,
+    gone: Vec<RunnerId>,
     revision: u64,
     lease: Option<StoredLease>,
 }
@@ -59,7 +61,9 @@
     pub fn set_runners(&self, runners: Vec<Runner>) {
         let mut contents = self.contents.lock().unwrap();
         contents.revision += 1;
-        contents.runners = runners;
+        let before = std::mem::replace(&mut contents.runners, runners);
+        let gone = before.into_iter().map(|runner| runner.id);
+        contents.gone.extend(gone);
         drop(contents);
         self.changed.notify_waiters();
     }
@@ -162,9 +166,11 @@
     ) -> Result<Listing<RunnerChange>, StoreError> {
         self.wait(after, wait).await?;
         let listing = self.runners().await?;
-        let items = listing.items.into_iter().map(Box::new);
+        let gone = self.contents.lock().unwrap().gone.clone();
+        let gone = gone.into_iter().map(RunnerChange::Gone);
+        let present = listing.items.into_iter().map(Box::new);
         Ok(Listing {
-            items: items.map(RunnerChange::Present).collect(),
+            items: gone.chain(present.map(RunnerChange::Present)).collect(),
             revision: listing.revision,
         })
     }
--- a/crates/routing/src/lease.rs
+++ b/crates/routing/src/lease.rs
@@ -128,6 +128,9 @@
 struct Observed {
     lease: Option<StoredLease>,
     unchanged_since: Timestamp,
+    /// Since when the store has shown this daemon that the lease is free. An outage of the store is no
+    /// such time: when it ends, stronger daemons must have their turn first.
+    seen_free_since: Option<Timestamp>,
 }
 
 /// What a holder tells of its lease with each message.
@@ -311,22 +314,12 @@
 
     fn take_over_or_read(&mut self, now: Timestamp) -> Option<LeaseCall> {
         let observed = self.observed.as_ref()?;
-        let unchanged_for = now.since(observed.unchanged_since);
+        if !self.may_take(observed, now) {
+            return self.read_if_due(now);
+        }
         let Some(lease) = &observed.lease else {
-            if unchanged_for < self.candidacy_delay {
-                return self.read_if_due(now);
-            }
             return Some(LeaseCall::Create(self.first_record()));
         };
-        let wait = if lease.record.released {
-            Duration::ZERO
-        } else {
-            self.settings.duration + self.settings.margin
-        };
-        let is_free = unchanged_for >= wait + self.candidacy_delay;
-        if !is_free && !self.is_mine(lease) {
-            return self.read_if_due(now);
-        }
         let record = LeaseRecord {
             term: lease.record.term + 1,
             ..self.first_record()
@@ -334,6 +327,39 @@
         Some(LeaseCall::Replace(record, lease.revision))
     }
 
+    /// Whether a lease that was read is free by this daemon's clock.
+    fn is_free(&self, observed: &Observed, now: Timestamp) -> bool {
+        let Some(lease) = &observed.lease else {
+            return true;
+        };
+        let wait = self.settings.duration + self.settings.margin;
+        lease.record.released || now.since(observed.unchanged_since) >= wait
+    }
+
+    /// Whether this daemon may take a lease that was read.
+    fn may_take(&self, observed: &Observed, now: Timestamp) -> bool {
+        if observed.lease.as_ref().is_some_and(|it| self.is_mine(it)) {
+            return true;
+        }
+        if self.candidacy_delay.is_zero() {
+            return self.is_free(observed, now);
+        }
+        let seen = observed.seen_free_since;
+        seen.is_some_and(|since| now.since(since) >= self.candidacy_delay)
+    }
+
+    /// Notes whether the store has just shown the lease to be free.
+    fn note_free(&mut self, now: Timestamp) {
+        let is_free = self
+            .observed
+            .as_ref()
+            .is_some_and(|observed| self.is_free(observed, now));
+        if let Some(observed) = &mut self.observed {
+            let since = observed.seen_free_since.unwrap_or(now);
+            observed.seen_free_since = is_free.then_some(since);
+        }
+    }
+
     /// Takes in what a call came to.
     pub fn answered(&mut self, answer: LeaseAnswer, now: Timestamp) -> Option<LeaseChange> {
         let (call, sent_at) = self.calling.take()?;
@@ -342,11 +368,13 @@
             LeaseAnswer::Found(lease) => self.found(lease, now),
             LeaseAnswer::Missing => {
                 let seen = self.observed.take();
-                let missing_since = seen.filter(|seen| seen.lease.is_none());
-                self.observed = Some(Observed {
+                let missing = seen.filter(|seen| seen.lease.is_none());
+                self.observed = Some(missing.unwrap_or(Observed {
                     lease: None,
-                    unchanged_since: missing_since.map_or(now, |seen| seen.unchanged_since),
-                });
+                    unchanged_since: now,
+                    seen_free_since: None,
+                }));
+                self.note_free(now);
                 None
             }
             LeaseAnswer::Unknown => {
@@ -425,17 +453,19 @@
     }
 
     fn observe(&mut self, lease: StoredLease, now: Timestamp) {
-        let unchanged_since = match &self.observed {
-            Some(Observed {
-                lease: Some(seen),
-                unchanged_since,
-            }) if seen.revision == lease.revision => *unchanged_since,
-            _ => self.told_renewal(&lease.record).unwrap_or(now).min(now),
+        let is_seen = |seen: &Observed| {
+            let seen = seen.lease.as_ref();
+            seen.is_some_and(|seen| seen.revision == lease.revision)
         };
-        self.observed = Some(Observed {
-            lease: Some(lease),
-            unchanged_since,
-        });
+        if !self.observed.as_ref().is_some_and(is_seen) {
+            let told = self.told_renewal(&lease.record);
+            self.observed = Some(Observed {
+                lease: Some(lease),
+                unchanged_since: told.unwrap_or(now).min(now),
+                seen_free_since: None,
+            });
+        }
+        self.note_free(now);
     }
 
     /// When the holder has sent its last renewal at the latest, if it has told of that very one. A later
--- a/crates/routing/src/messages.rs
+++ b/crates/routing/src/messages.rs
@@ -47,6 +47,8 @@
     pub from: String,
     /// What it knows.
     pub known: KnownState,
+    /// It was told something that follows what it does not know: a message was lost.
+    pub has_gap: bool,
     /// What its requests wait for.
     pub waiting: Vec<WaitingUnit>,
 }
--- a/crates/routing/src/placement/mod.rs
+++ b/crates/routing/src/placement/mod.rs
@@ -257,16 +257,17 @@
         self.demands.update_waiting(notice, now);
     }
 
-    /// What a member is told, in messages that fit a datagram each.
-    pub fn directions(&self, member: &str, header: &Direction, now: Timestamp) -> Vec<Direction> {
+    /// What a member that knows a version of the holdings is told, in messages that fit a datagram each.
+    pub fn directions(
+        &self,
+        member: &str,
+        known_version: u64,
+        header: &Direction,
+        now: Timestamp,
+    ) -> Vec<Direction> {
         let Some(known) = self.demands.member(member) else {
             return Vec::new();
         };
-        let known_version = if known.known.term == header.term {
-            known.known.holdings_version
-        } else {
-            0
-        };
         let mut changed: Vec<&Ledger> = self
             .ledgers
             .values()
--- a/crates/routing/tests/lease.rs
+++ b/crates/routing/tests/lease.rs
@@ -350,3 +350,48 @@
     };
     assert!(created.since(start) >= delay);
 }
+
+/// Seen on a day of 80 machines: when the store came back, a weak daemon took the lease before a strong one
+/// had read it, since it had seen no renewal for long.
+#[test]
+fn after_an_outage_a_weak_daemon_still_leaves_the_lease_to_others() {
+    let lease = StoredLease {
+        record: LeaseRecord {
+            holder: "other".to_owned(),
+            incarnation: 7,
+            address: address(1),
+            term: 4,
+            renewals: 9,
+            released: false,
+        },
+        revision: 30,
+    };
+    let delay = candidacy_delay(120, Some(500));
+    let mut machine = LeaseMachine::new(settings(), "weak".to_owned(), 1, address(0));
+    machine.set_candidacy_delay(delay);
+    let mut now = Timestamp(1_000);
+    assert_eq!(machine.poll(now).0, Some(LeaseCall::Read));
+    machine.answered(LeaseAnswer::Found(lease.clone()), now);
+    let back_at = now + Duration::from_secs(8);
+    while now < back_at {
+        now = now + STEP;
+        let call = machine.poll(now).0;
+        assert!(matches!(call, None | Some(LeaseCall::Read)), "{call:?}");
+        if call.is_some() {
+            machine.answered(LeaseAnswer::Unknown, now);
+        }
+    }
+    let taken = loop {
+        now = now + STEP;
+        match machine.poll(now).0 {
+            Some(LeaseCall::Replace(record, 30)) => break (now, record.term),
+            Some(_) => {
+                machine.answered(LeaseAnswer::Found(lease.clone()), now);
+            }
+            None => {}
+        }
+        assert!(now.since(back_at) < Duration::from_secs(6), "never taken");
+    };
+    assert!(taken.0.since(back_at) >= delay);
+    assert_eq!(taken.1, 5);
+}
