--- /dev/null
+++ b/crates/routing/src/dissemination.rs
@@ -0,0 +1,244 @@
+//! What the coordinator tells which member, and when.
+//!
+//! For each member the coordinator keeps how far its messages have brought it. A change is told once; a
+//! member that has lost a message says so, and what it lacks is told again. Without news a member gets a
+//! heartbeat, which shows a loss too. The number of messages is bounded for any number of members.
+
+use std::collections::{BTreeSet, HashMap};
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use flaxward_types::time::Timestamp;
+
+use crate::membership::MembershipUpdate;
+use crate::messages::{Direction, KnownState};
+use crate::placement::Placement;
+use crate::runners::RunnerTable;
+
+/// Time between two messages to a member without news.
+const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(500);
+/// Time between two messages to a member with news of holdings, for each member that there is.
+const NEWS_INTERVAL_A_MEMBER: Duration = Duration::from_micros(2_500);
+/// Time between two messages to a member that hold the loads of runners.
+const LOADS_INTERVAL: Duration = Duration::from_millis(200);
+/// Time between two messages to a member that hold the addresses of all members.
+const MEMBERS_INTERVAL: Duration = Duration::from_secs(1);
+/// Time after which a member that still knows less than it was told has lost a message.
+const ACKNOWLEDGEMENT_TIMEOUT: Duration = Duration::from_millis(150);
+
+/// A message to a member.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Outgoing {
+    /// The member.
+    pub member: String,
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// What it is told.
+    pub direction: Direction,
+}
+
+/// How far a member has been told.
+#[derive(Clone, Copy, Debug, Default)]
+struct Progress {
+    /// Version of the holdings that it has with what it was told.
+    holdings_version: u64,
+    /// The store's revision up to which it was told all changes of runners.
+    runners_revision: u64,
+    /// What there was to be told when it was told last.
+    placement_version: u64,
+    configuration_version: u64,
+    membership_revision: u64,
+    told_at: Timestamp,
+    /// When it was told something new.
+    news_at: Timestamp,
+    loads_at: Timestamp,
+    members_at: Timestamp,
+}
+
+impl Progress {
+    /// A member that was told nothing yet.
+    fn new(known: KnownState, term: u64) -> Self {
+        let same_term = known.term == term;
+        Self {
+            holdings_version: if same_term { known.holdings_version } else { 0 },
+            runners_revision: known.runners_revision,
+            ..Self::default()
+        }
+    }
+
+    /// Tells what the member does not know again.
+    fn take_back(&mut self, known: KnownState) {
+        self.holdings_version = self.holdings_version.min(known.holdings_version);
+        self.runners_revision = self.runners_revision.min(known.runners_revision);
+    }
+
+    /// Whether the member is to be told something now.
+    fn is_due(
+        &self,
+        header: &Direction,
+        placement_version: u64,
+        news_interval: Duration,
+        now: Timestamp,
+    ) -> bool {
+        let age = now.since(self.told_at);
+        age >= HEARTBEAT_INTERVAL
+            || self.configuration_version != header.configuration_version
+            || self.membership_revision != header.membership_revision
+            || (self.placement_version != placement_version && age >= news_interval)
+    }
+
+    fn note_told(&mut self, header: &Direction, placement_version: u64, now: Timestamp) {
+        if self.membership_revision != header.membership_revision {
+            self.news_at = now;
+        }
+        self.placement_version = placement_version;
+        self.configuration_version = header.configuration_version;
+        self.membership_revision = header.membership_revision;
+        self.told_at = now;
+    }
+}
+
+/// What the members have been told under one term.
+#[derive(Debug)]
+pub struct Dissemination {
+    term: u64,
+    progress: HashMap<String, Progress>,
+    /// Members whose requests wait and that have not been answered.
+    unanswered: BTreeSet<String>,
+}
+
+impl Dissemination {
+    /// A coordinator that has told nothing yet.
+    pub fn new(term: u64) -> Self {
+        Self {
+            term,
+            progress: HashMap::new(),
+            unanswered: BTreeSet::new(),
+        }
+    }
+
+    /// A member has said what it knows. Returns whether it is a new one.
+    pub fn heard(&mut self, member: &str, known: KnownState, now: Timestamp) -> bool {
+        if known.term != self.term {
+            self.progress.remove(member);
+        }
+        let Some(progress) = self.progress.get_mut(member) else {
+            return true;
+        };
+        if now.since(progress.news_at) >= ACKNOWLEDGEMENT_TIMEOUT {
+            progress.take_back(known);
+        }
+        false
+    }
+
+    /// A member has said that it has lost a message.
+    pub fn has_gap(&mut self, member: &str, known: KnownState) {
+        if let Some(progress) = self.progress.get_mut(member) {
+            progress.take_back(known);
+        }
+        self.answer_soon(member);
+    }
+
+    /// A member is to be told something after the next plan.
+    pub fn answer_soon(&mut self, member: &str) {
+        self.unanswered.insert(member.to_owned());
+    }
+
+    /// The messages that are due, which count as told.
+    pub fn messages(
+        &mut self,
+        placement: &Placement,
+        runners: &RunnerTable,
+        header: &Direction,
+        now: Timestamp,
+    ) -> Vec<Outgoing> {
+        let members = placement.members(now);
+        let names: BTreeSet<&String> = members.iter().map(|(name, _)| name).collect();
+        self.progress.retain(|name, _| names.contains(name));
+        let count = u32::try_from(members.len()).unwrap_or(u32::MAX);
+        let news_interval = NEWS_INTERVAL_A_MEMBER * count;
+        let addresses: Vec<SocketAddr> = members.iter().map(|(_, address)| *address).collect();
+        let mut messages = Vec::new();
+        for (member, address) in &members {
+            let is_due = self.progress.get(member).is_none_or(|progress| {
+                progress.is_due(header, placement.version(), news_interval, now)
+            });
+            if !self.unanswered.remove(member) && !is_due {
+                continue;
+            }
+            let directions = self.directions(member, placement, runners, header, &addresses, now);
+            messages.extend(directions.into_iter().map(|direction| Outgoing {
+                member: member.clone(),
+                address: *address,
+                direction,
+            }));
+        }
+        messages
+    }
+
+    /// What a member is told now, in messages that fit a datagram each.
+    fn directions(
+        &mut self,
+        member: &str,
+        placement: &Placement,
+        runners: &RunnerTable,
+        header: &Direction,
+        addresses: &[SocketAddr],
+        now: Timestamp,
+    ) -> Vec<Direction> {
+        let Some(known) = placement.known_by(member) else {
+            return Vec::new();
+        };
+        let progress = self.progress.entry(member.to_owned());
+        let progress = progress.or_insert_with(|| Progress::new(known, header.term));
+        let after = progress.holdings_version;
+        let mut directions = placement.directions(member, after, header, now);
+        if let Some(last) = directions.last() {
+            progress.holdings_version = last.holdings_version;
+        }
+        if progress.holdings_version != after {
+            progress.news_at = now;
+        }
+        if let Some(first) = directions.first_mut() {
+            let lacks_members = known.members != header.daemons;
+            if lacks_members && now.since(progress.members_at) >= MEMBERS_INTERVAL {
+                progress.members_at = now;
+                first.members = Some(addresses.to_vec());
+            }
+            if now.since(progress.loads_at) >= LOADS_INTERVAL {
+                progress.loads_at = now;
+                first.loads = Some(placement.loads());
+            }
+        }
+        if progress.runners_revision < header.membership_revision {
+            let updates = runners.updates_after(progress.runners_revision);
+            let updates = updates.unwrap_or_default();
+            // Without the changes the member reads the store.
+            let until = updates.last().map(|update| update.until);
+            progress.runners_revision = until.unwrap_or(header.membership_revision);
+            add_updates(&mut directions, updates, header);
+        }
+        progress.note_told(header, placement.version(), now);
+        directions
+    }
+}
+
+/// Adds changes of runners, the first to the first message and each other one as a message of its own.
+fn add_updates(
+    directions: &mut Vec<Direction>,
+    updates: Vec<MembershipUpdate>,
+    header: &Direction,
+) {
+    let mut updates = updates.into_iter();
+    if let Some(first) = directions.first_mut() {
+        first.membership = updates.next();
+    }
+    let rest: Vec<Direction> = updates
+        .map(|update| Direction {
+            membership: Some(update),
+            holdings_after: 0,
+            ..header.clone()
+        })
+        .collect();
+    directions.extend(rest);
+}
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod balance;
 pub mod budget;
 pub mod configuration;
+pub mod dissemination;
 pub mod events;
 pub mod health;
 pub mod lease;
--- /dev/null
+++ b/crates/routing/tests/dissemination.rs
@@ -0,0 +1,363 @@
+//! What the coordinator tells its members, over links that lose messages.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use flaxward_routing::configuration::{
+    ClientLimits, Configuration, Engine, ModelSpecification, Service,
+};
+use flaxward_routing::dissemination::{Dissemination, Outgoing};
+use flaxward_routing::lease::LeasePulse;
+use flaxward_routing::messages::{Direction, KnownState, Usage};
+use flaxward_routing::names::{ModelName, RunnerId, ServiceName, Zone};
+use flaxward_routing::placement::{Placement, PlacementSettings, RunnerReport};
+use flaxward_routing::runners::{Holdings, Runner, RunnerHoldings, RunnerTable};
+use flaxward_types::time::Timestamp;
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+
+const TERM: u64 = 3;
+const STEP: Duration = Duration::from_millis(50);
+const MEMBERS: usize = 4;
+/// Time without loss after which every member must know everything.
+const CALM: Duration = Duration::from_millis(2_500);
+
+fn configuration() -> Configuration {
+    let specification = ModelSpecification {
+        weights_mb: 1.0,
+        adapter_mb: 0.1,
+        store_load: Duration::from_secs(4),
+        disk_load: Duration::from_secs(2),
+        memory_load: Duration::from_secs(1),
+    };
+    let models = (0..8).map(|index| (model(index), specification.clone()));
+    let engine = Engine {
+        slots: 8,
+        weights_mb: 10.0,
+        adapter_slots: 2,
+        loads_per_second: 1.0,
+        models: models.collect(),
+    };
+    let service = Service {
+        name: ServiceName::new("pool"),
+        max_connections: 10,
+        engine: Some(engine),
+    };
+    Configuration::new(1, ClientLimits::default(), Vec::new(), vec![service])
+}
+
+fn model(index: usize) -> ModelName {
+    ModelName::new(&format!("m{}", index % 8))
+}
+
+fn runner(index: usize, revision: u64, draining: bool) -> Runner {
+    Runner {
+        id: RunnerId::new(&format!("r{index:02}")),
+        revision,
+        service: ServiceName::new("pool"),
+        address: SocketAddr::from(([127, 0, 0, 1], 9)),
+        zone: Zone::new("z"),
+        slots: 8,
+        draining,
+        leaves_in: None,
+        cold_for: Duration::ZERO,
+        holdings: Holdings::new(),
+        in_memory: BTreeSet::new(),
+        on_disk: BTreeSet::new(),
+    }
+}
+
+/// A member as far as it takes in what it is told.
+#[derive(Default)]
+struct Member {
+    table: RunnerTable,
+    holdings: BTreeMap<RunnerId, RunnerHoldings>,
+    version: u64,
+    has_gap: bool,
+}
+
+impl Member {
+    fn take(&mut self, direction: Direction) {
+        if let Some(update) = direction.membership {
+            self.has_gap |= self.table.update(update).is_none();
+        }
+        if self.version < direction.holdings_after {
+            self.has_gap = true;
+            return;
+        }
+        for holdings in direction.holdings {
+            self.holdings.insert(holdings.runner.clone(), holdings);
+        }
+        self.version = self.version.max(direction.holdings_version);
+    }
+
+    fn known(&self) -> KnownState {
+        KnownState {
+            term: TERM,
+            holdings_version: self.version,
+            members: 0,
+            runners_revision: self.table.revision(),
+        }
+    }
+}
+
+/// A coordinator with its members.
+struct World {
+    placement: Placement,
+    table: RunnerTable,
+    revision: u64,
+    dissemination: Dissemination,
+    members: Vec<Member>,
+    now: Timestamp,
+    messages: usize,
+}
+
+impl World {
+    fn new() -> Self {
+        let now = Timestamp(10_000);
+        let mut placement = Placement::new(PlacementSettings::default(), now, now);
+        placement.configure(&configuration());
+        let first: Vec<Runner> = (0..3).map(|index| runner(index, 1, false)).collect();
+        let mut table = RunnerTable::default();
+        table.replace(first.clone(), 1);
+        let mut members: Vec<Member> = (0..MEMBERS).map(|_| Member::default()).collect();
+        for member in &mut members {
+            member.table.replace(first.clone(), 1);
+        }
+        Self {
+            placement,
+            table,
+            revision: 1,
+            dissemination: Dissemination::new(TERM),
+            members,
+            now,
+            messages: 0,
+        }
+    }
+
+    fn set_runner(&mut self, index: usize, draining: bool) {
+        self.revision += 1;
+        let runner = runner(index, self.revision, draining);
+        self.table.insert(runner, self.revision);
+        self.table.set_revision(self.revision);
+    }
+
+    fn remove_runner(&mut self, index: usize) {
+        self.revision += 1;
+        self.table
+            .remove(&runner(index, 0, false).id, self.revision);
+        self.table.set_revision(self.revision);
+    }
+
+    fn set_holdings(&mut self, index: usize, models: &[usize], count: u64) {
+        let held = models.iter().map(|&index| (model(index), BTreeSet::new()));
+        let report = RunnerReport {
+            holdings: held.collect(),
+            order_count: count,
+            ..RunnerReport::default()
+        };
+        let id = runner(index, 0, false).id;
+        self.placement
+            .reported(&id, Some(report), self.now, self.now);
+    }
+
+    fn usage(&self, index: usize) -> Usage {
+        Usage {
+            from: format!("d{index}"),
+            address: SocketAddr::from(([127, 0, 0, 1], 100)),
+            zone: Zone::new("z"),
+            capacity: 0,
+            known: self.members[index].known(),
+            waiting: Vec::new(),
+            used: Vec::new(),
+            running: Vec::new(),
+        }
+    }
+
+    fn header(&self) -> Direction {
+        Direction {
+            term: TERM,
+            lease: LeasePulse {
+                term: TERM,
+                renewals: 1,
+                age_ms: 0,
+            },
+            address: SocketAddr::from(([127, 0, 0, 1], 100)),
+            daemons: 0,
+            strongest: 0,
+            configuration_version: 1,
+            membership_revision: self.table.membership_revision(),
+            store_silence_ms: 0,
+            membership: None,
+            members: None,
+            holdings_after: 0,
+            holdings_version: 0,
+            holdings: Vec::new(),
+            outlooks: Vec::new(),
+            loads: None,
+        }
+    }
+
+    /// One step; `is_lost` tells the fate of each message in turn.
+    fn step(&mut self, mut is_lost: impl FnMut() -> bool) {
+        self.now = self.now + STEP;
+        let is_usage_due = self.now.0.is_multiple_of(1_000);
+        for index in 0..MEMBERS {
+            let usage = self.usage(index);
+            let has_gap = std::mem::take(&mut self.members[index].has_gap);
+            if has_gap && !is_lost() {
+                self.dissemination.has_gap(&usage.from, usage.known);
+            }
+            if is_usage_due && !is_lost() {
+                self.dissemination.heard(&usage.from, usage.known, self.now);
+                self.placement.usage(usage, self.now);
+            }
+        }
+        self.placement.set_runners(self.table.iter());
+        self.placement.plan(self.now);
+        let header = self.header();
+        let messages = self
+            .dissemination
+            .messages(&self.placement, &self.table, &header, self.now);
+        self.messages += messages.len();
+        for Outgoing {
+            member, direction, ..
+        } in messages
+        {
+            let index: usize = member[1..].parse().unwrap();
+            if !is_lost() {
+                self.members[index].take(direction);
+            }
+        }
+    }
+
+    fn calm(&mut self) {
+        let end = self.now + CALM;
+        while self.now < end {
+            self.step(|| false);
+        }
+    }
+}
+
+#[derive(Clone, Debug)]
+enum Change {
+    Appear(usize),
+    Drain(usize),
+    Leave(usize),
+    Hold(usize, Vec<usize>),
+    Nothing,
+}
+
+fn change() -> impl Strategy<Value = Change> {
+    prop_oneof![
+        1 => (0_usize..12).prop_map(Change::Appear),
+        1 => (0_usize..12).prop_map(Change::Drain),
+        1 => (0_usize..12).prop_map(Change::Leave),
+        3 => (0_usize..12, prop::collection::vec(0_usize..8, 0..4))
+            .prop_map(|(index, models)| Change::Hold(index, models)),
+        3 => Just(Change::Nothing),
+    ]
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 192,
+        rng_seed: RngSeed::Fixed(0x10ad_0003),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
+    #[test]
+    fn every_member_knows_everything_soon_after_the_last_loss(
+        changes in prop::collection::vec(change(), 1..80),
+        losses in prop::collection::vec(any::<bool>(), 97),
+    ) {
+        let mut world = World::new();
+        let mut fates = losses.into_iter().cycle();
+        for (count, change) in (1..).zip(changes) {
+            match change {
+                Change::Appear(index) => world.set_runner(index, false),
+                Change::Drain(index) => world.set_runner(index, true),
+                Change::Leave(index) => world.remove_runner(index),
+                Change::Hold(index, models) => world.set_holdings(index, &models, count),
+                Change::Nothing => {}
+            }
+            world.step(|| fates.next().unwrap_or(false));
+        }
+        world.calm();
+        let expected: BTreeMap<RunnerId, RunnerHoldings> = world
+            .placement
+            .announced()
+            .map(|holdings| (holdings.runner.clone(), holdings))
+            .collect();
+        for member in &world.members {
+            let ids = |table: &RunnerTable| -> Vec<(RunnerId, bool)> {
+                table.iter().map(|it| (it.id.clone(), it.draining)).collect()
+            };
+            prop_assert_eq!(ids(&member.table), ids(&world.table));
+            for (runner, holdings) in &expected {
+                prop_assert_eq!(member.holdings.get(runner), Some(holdings));
+            }
+        }
+    }
+}
+
+#[test]
+fn without_news_members_get_heartbeats_only() {
+    let mut world = World::new();
+    for index in 0..3 {
+        world.set_holdings(index, &[index], 1);
+    }
+    world.calm();
+    world.messages = 0;
+    let begun = world.now;
+    world.calm();
+    let heartbeats = world.now.since(begun).as_millis() / 500;
+    let most = (usize::try_from(heartbeats).unwrap() + 1) * MEMBERS;
+    assert!(world.messages <= most, "{} messages", world.messages);
+}
+
+/// Seen on played days: the runner whose holdings had changed last was gone, so that members were told of a
+/// version which no message brought, and took in nothing that followed.
+#[test]
+fn holdings_are_heard_of_after_the_last_changed_runner_is_gone() {
+    let mut world = World::new();
+    world.set_runner(3, false);
+    world.step(|| false);
+    world.set_holdings(0, &[0], 1);
+    world.set_holdings(3, &[1], 1);
+    world.remove_runner(3);
+    world.calm();
+    world.set_holdings(0, &[0, 2], 2);
+    let told = world.now;
+    while world.now.since(told) < Duration::from_millis(200) {
+        world.step(|| false);
+    }
+    let id = runner(0, 0, false).id;
+    for member in &world.members {
+        assert_eq!(member.holdings[&id].holdings.len(), 2);
+    }
+}
+
+/// Seen on played days: while there were news all the time, a member that had lost one message was not told
+/// again what it lacked.
+#[test]
+fn a_lost_message_is_made_up_for_while_there_are_always_news() {
+    let mut world = World::new();
+    for index in 0..3 {
+        world.set_holdings(index, &[index], 1);
+    }
+    world.calm();
+    world.set_holdings(0, &[0, 5], 2);
+    world.step(|| true);
+    let id = runner(0, 0, false).id;
+    for count in 3..9 {
+        world.set_holdings(1, &[1, usize::try_from(count).unwrap()], count);
+        world.step(|| false);
+        world.step(|| false);
+    }
+    for member in &world.members {
+        assert_eq!(member.holdings[&id].holdings.len(), 2, "still not told");
+    }
+}
