Lease: a daemon takes back at once the lease of its own former life

Its holder was a former life of a daemon that lived again. Change: a lease is a daemon's own if holder and address are its own; before, the incarnation had to be the same. No two processes have one address at a time, so the former life has ended; the term rises as with any holder. Ruled out: shorter leases (they would be lost on slow machines), remembering the lease (nothing has a disk). Seen failing without the change: a_holder_that_was_killed_takes_its_lease_back_at_once.

--- a/crates/routing/src/lease.rs
+++ b/crates/routing/src/lease.rs
@@ -486,8 +486,10 @@
             .is_none_or(|at| now.since(at) >= self.settings.silence)
     }
 
+    /// Whether the holder is this daemon, or a life of it that has ended: no two processes have the
+    /// address at one time.
     fn is_mine(&self, lease: &StoredLease) -> bool {
-        lease.record.holder == self.name && lease.record.incarnation == self.incarnation
+        lease.record.holder == self.name && lease.record.address == self.address
     }
 
     fn first_record(&self) -> LeaseRecord {
--- a/crates/routing/tests/lease.rs
+++ b/crates/routing/tests/lease.rs
@@ -395,3 +395,36 @@
     assert!(taken.0.since(back_at) >= delay);
     assert_eq!(taken.1, 5);
 }
+
+/// Seen in an incident: all daemons were killed at once, and no model was loaded for five seconds, until the
+/// lease of the holder's former life had run out.
+#[test]
+fn a_holder_that_was_killed_takes_its_lease_back_at_once() {
+    let lease = |incarnation: u64, address: SocketAddr| StoredLease {
+        record: LeaseRecord {
+            holder: "d".to_owned(),
+            incarnation,
+            address,
+            term: 4,
+            renewals: 9,
+            released: false,
+        },
+        revision: 30,
+    };
+    let taken_term = |lease: StoredLease| {
+        let mut machine = LeaseMachine::new(settings(), "d".to_owned(), 2, address(0));
+        let now = Timestamp(1_000);
+        machine.poll(now);
+        machine.answered(LeaseAnswer::Found(lease), now);
+        match machine.poll(now + STEP).0 {
+            Some(LeaseCall::Replace(record, 30)) => Some(record.term),
+            _ => None,
+        }
+    };
+    assert_eq!(taken_term(lease(1, address(0))), Some(5));
+    assert_eq!(
+        taken_term(lease(1, address(1))),
+        None,
+        "another daemon with the same name may live"
+    );
+}
