A fault soak: the real program as processes between stand-ins of the platform

platform/stand-in speaks the platform's surface (store with versions, watches and lost history; runners with orders, fences, streams) and keeps what daemons did. crates/soak starts daemons as processes, kills, stops and pauses them by signals, delays, resets, cuts one way and silences their ways to the store and to runners by loopback proxies, drains and crashes runners, adds routes, and checks what callers and runners saw: no request run twice, no refusal of one that ran, no foreign or cut answer, no work for a leaving runner, configurations in force, stops without cut requests, recovery.

--- /dev/null
+++ b/crates/flaxward/tests/soak.rs
@@ -0,0 +1,51 @@
+//! The fault soak, short: the real program as processes, between stand-ins of the platform.
+
+use std::path::{Path, PathBuf};
+use std::time::Duration;
+
+use flaxward_soak::{Plan, Report, soak};
+
+/// Daemons of a soak.
+const DAEMONS: usize = 3;
+
+/// Seeds of longer soaks that once failed, with the cause: none so far. What fails with a fresh seed is added
+/// here and stays.
+const FAILED_SEEDS: &[u64] = &[];
+
+async fn run(name: &str, seed: u64, seconds: u64, with_faults: bool) -> Report {
+    let folder = Path::new(env!("CARGO_TARGET_TMPDIR")).join(name);
+    let _ = std::fs::remove_dir_all(&folder);
+    std::fs::create_dir_all(&folder).unwrap();
+    let plan = Plan {
+        seed,
+        duration: Duration::from_secs(seconds),
+        daemons: DAEMONS,
+        with_faults,
+        binary: PathBuf::from(env!("CARGO_BIN_EXE_flaxward")),
+        folder,
+    };
+    soak(&plan).await.unwrap()
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn in_calm_every_request_is_served() {
+    let report = run("calm", 1, 4, false).await;
+    assert_eq!(report.violations, Vec::<String>::new());
+    assert!(report.requests > 100, "{report:?}");
+    assert!(report.served * 10 > report.requests * 9, "{report:?}");
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn promises_hold_under_faults() {
+    let report = run("faults", 7, 10, true).await;
+    assert!(!report.faults.is_empty());
+    assert_eq!(report.violations, Vec::<String>::new());
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn seeds_that_once_failed_keep_the_promises() {
+    for &seed in FAILED_SEEDS {
+        let report = run(&format!("seed-{seed}"), seed, 30, true).await;
+        assert_eq!(report.violations, Vec::<String>::new(), "seed {seed}");
+    }
+}
--- /dev/null
+++ b/crates/soak/src/checks.rs
@@ -0,0 +1,117 @@
+//! The promises, checked by what callers and runners saw.
+
+use std::collections::HashMap;
+use std::time::{Duration, Instant};
+
+use flaxward_platform_stand_in::WorkKind;
+
+use crate::callers::{Ending, Outcome};
+use crate::disturbances::Target;
+use crate::soak::{Fleet, locked};
+
+/// Time after a disturbance in which promises with a time bound do not hold.
+pub(crate) const CALM: Duration = Duration::from_secs(4);
+/// Time after its deadline at which a request must have its final answer; this machine may be busy.
+const ANSWER_SLACK: Duration = Duration::from_secs(1);
+/// Time after which a runner that leaves gets no more work.
+const DRAIN_BOUND: Duration = Duration::from_millis(2_500);
+/// Statuses that promise that a request did not run.
+const NOT_RUN: [u16; 4] = [408, 421, 429, 503];
+
+/// Runs of each request: the runner and when.
+type Runs = HashMap<String, Vec<(String, Instant)>>;
+
+/// Checks all promises and notes those that were broken.
+pub(crate) fn check(fleet: &Fleet) {
+    let mut runs = Runs::new();
+    for runner in locked(&fleet.runners).iter() {
+        for run in runner.runs() {
+            let entry = runs.entry(run.request).or_default();
+            entry.push((runner.id().to_owned(), run.at));
+        }
+        for violation in runner.violations() {
+            fleet.violation(format!("ORDERS {violation}"));
+        }
+    }
+    for outcome in locked(&fleet.outcomes).iter() {
+        let count = runs.get(&outcome.ask.request).map_or(0, Vec::len);
+        if let Some(violation) = outcome_violation(fleet, outcome, count) {
+            fleet.violation(violation);
+        }
+    }
+    check_drains(fleet, &runs);
+}
+
+fn outcome_violation(fleet: &Fleet, outcome: &Outcome, runs: usize) -> Option<String> {
+    let request = &outcome.ask.request;
+    let told = format!(
+        "{request} at daemon-{} ({})",
+        outcome.daemon, outcome.ask.path
+    );
+    let may_repeat = match outcome.ask.kind {
+        WorkKind::Repeatable | WorkKind::Stream { resumable: true } => true,
+        WorkKind::AtMostOnce | WorkKind::Stream { resumable: false } => false,
+    };
+    if !may_repeat && runs > 1 {
+        return Some(format!("TWICE {told} ran {runs} times"));
+    }
+    match &outcome.ending {
+        Ending::Wrong(what) => return Some(format!("MIXED {told}: {what}")),
+        Ending::Refused(status) if NOT_RUN.contains(status) && !may_repeat && runs > 0 => {
+            return Some(format!("REFUSED {told} with {status} though it ran"));
+        }
+        Ending::Refused(status) if NOT_RUN.contains(status) => {}
+        Ending::Refused(status) if *status < 500 => {
+            return Some(format!("DENIED {told} with {status}"));
+        }
+        Ending::Refused(_) | Ending::Broken | Ending::Silent if is_calm(fleet, outcome) => {
+            return Some(format!("LOST {told} in calm: {:?}", outcome.ending));
+        }
+        _ => {}
+    }
+    let answered = outcome.answered_at.unwrap_or(outcome.ended_at);
+    let is_late = answered > outcome.sent_at + outcome.ask.deadline + ANSWER_SLACK;
+    (is_late && is_calm(fleet, outcome)).then(|| format!("LATE {told}"))
+}
+
+/// Whether nothing was disturbed that concerns a request. A planned stop of the daemon is no disturbance.
+fn is_calm(fleet: &Fleet, outcome: &Outcome) -> bool {
+    let concerns = |target: Target| match target {
+        Target::Daemon(daemon) => daemon == outcome.daemon,
+        Target::Store | Target::Runner => true,
+    };
+    let (from, to) = (outcome.sent_at, outcome.ended_at);
+    let is_touched = fleet.disturbances.touched(concerns, from, to, CALM);
+    !is_touched && !is_at_the_end_of_a_stop(fleet, outcome)
+}
+
+/// A stream that is still at work when the grace of a planned stop ends may be cut off, and a request that
+/// comes when the process is gone finds nobody.
+fn is_at_the_end_of_a_stop(fleet: &Fleet, outcome: &Outcome) -> bool {
+    let margin = Duration::from_millis(500);
+    locked(&fleet.stops).iter().any(|stop| {
+        stop.daemon == outcome.daemon
+            && stop.ended + margin >= outcome.sent_at
+            && stop.ended <= outcome.ended_at + margin
+            && stop.begun < outcome.ended_at
+            && (stop.ended.duration_since(stop.begun) > Duration::from_secs(7)
+                || outcome.sent_at + margin > stop.ended)
+    })
+}
+
+fn check_drains(fleet: &Fleet, runs: &Runs) {
+    let drains = locked(&fleet.drains);
+    for (request, runs) in runs {
+        for (runner, at) in runs {
+            let Some(drain) = drains.iter().find(|drain| drain.runner == *runner) else {
+                continue;
+            };
+            let is_late = *at > drain.at + DRAIN_BOUND;
+            let touched = fleet.disturbances.touched(|_| true, drain.at, *at, CALM);
+            if is_late && !touched {
+                let after = at.duration_since(drain.at).as_millis();
+                fleet.violation(format!("DRAIN {request} went to {runner} after {after} ms"));
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/soak/src/lib.rs
@@ -0,0 +1,15 @@
+//! A fault soak: runs the real program as separate processes between stand-ins of the platform and callers,
+//! injects faults from outside the processes, and checks what callers and runners see.
+//!
+//! Everything that is random comes from one seed. The processes interleave as they like, so that a seed
+//! gives the same faults and requests, not always the same outcome.
+
+pub mod callers;
+pub mod checks;
+pub mod daemon;
+pub mod disturbances;
+pub mod faults;
+pub mod proxy;
+pub mod soak;
+
+pub use soak::{Plan, Report, soak};
