--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -1,4 +1,4 @@
-//! Experiments in virtual time, the hollow fleet, load generation and stand-ins. No part of the
+//! Experiments in virtual time, load generation and stand-ins. No part of the
 //! daemon.
 
 #![warn(clippy::pedantic)]
@@ -14,7 +14,6 @@
 pub mod client;
 pub mod controller;
 pub mod experiment;
-pub mod fleet;
 pub mod fleet_plan;
 pub mod goals;
 pub mod load;
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -9,7 +9,6 @@
 use clap::{Args, Parser, Subcommand};
 use comfy_table::Table;
 use flaxward_lab::experiment::{Experiment, Rule};
-use flaxward_lab::fleet::{FleetArguments, fleet};
 use flaxward_lab::goals;
 use flaxward_lab::load::{self, LoadPlan};
 use flaxward_lab::plot;
@@ -19,11 +18,6 @@
 use flaxward_lab::stand_in::{self, StandIn};
 use serde::Serialize;
 
-/// Counts the heap memory of the process, so that that of each hollow daemon can be told.
-#[cfg(feature = "count-memory")]
-#[global_allocator]
-static ALLOCATOR: &stats_alloc::StatsAlloc<std::alloc::System> = &stats_alloc::INSTRUMENTED_SYSTEM;
-
 /// Experiments in virtual time, load generation and stand-ins for flaxward.
 #[derive(Parser)]
 #[command(version)]
@@ -36,8 +30,6 @@
 enum Command {
     /// Simulate a scenario in virtual time under flaxward's rules and some baselines.
     Experiment(ExperimentArguments),
-    /// Measure what control costs, with hollow daemons in virtual time.
-    Fleet(FleetArguments),
     /// Send requests at a fixed rate and measure from when each was due.
     Load(LoadArguments),
     /// Run a stand-in for a part of the platform.
@@ -119,7 +111,6 @@
 fn main() -> Result<()> {
     match Arguments::parse().command {
         Command::Experiment(arguments) => experiment(&arguments),
-        Command::Fleet(arguments) => fleet(&arguments, &mut stdout().lock()),
         Command::Load(arguments) => load(arguments),
         Command::StandIn(which) => block_on(stand_in::run(which)),
         Command::RelayBench(arguments) => relay_bench(&arguments, &mut stdout().lock()),
