Placement: a new coordinator reads the reports of 64 runners at a time

Machines of the grown sites have 160 MB. Change: at most 64 reports at one time. Seen failing without the change: a_new_coordinator_reads_the_reports_of_many_runners_a_few_at_a_time.

--- a/crates/routing/src/placement/planner.rs
+++ b/crates/routing/src/placement/planner.rs
@@ -22,6 +22,8 @@
 const SECONDS_A_REQUEST: f64 = 2.0;
 /// Share of its slots that a copy fills without being crowded.
 const FILLED_SHARE: f64 = 0.6;
+/// Reports that are read at one time; each takes a connection.
+const REPORTS_AT_ONCE: usize = 64;
 /// Adapters on their way to one runner at most.
 const PENDING_ADAPTERS: usize = 3;
 /// Part of the ceiling of loads that is used for copies which nobody waits for.
@@ -68,19 +70,24 @@
         free.filter_map(room).collect()
     }
 
+    /// The reports to read now. A new coordinator reads those of all runners, a few at a time.
     fn due_reports(&mut self, now: Timestamp) -> Vec<Action> {
+        let asked = self.ledgers.values();
+        let asked = asked.filter(|ledger| ledger.report_asked_at.is_some());
+        let places = REPORTS_AT_ONCE.saturating_sub(asked.count());
         let due = self
             .ledgers
             .values_mut()
             .filter(|ledger| ledger.report_is_due(now));
-        due.map(|ledger| {
-            ledger.report_asked_at = Some(now);
-            Action::Report {
-                runner: ledger.runner.id.clone(),
-                address: ledger.runner.address,
-            }
-        })
-        .collect()
+        due.take(places)
+            .map(|ledger| {
+                ledger.report_asked_at = Some(now);
+                Action::Report {
+                    runner: ledger.runner.id.clone(),
+                    address: ledger.runner.address,
+                }
+            })
+            .collect()
     }
 
     fn due_orders(&mut self, now: Timestamp) -> Vec<Action> {
--- a/crates/routing/tests/placement/cases.rs
+++ b/crates/routing/tests/placement/cases.rs
@@ -1,8 +1,10 @@
 //! Cases that played days have shown.
 
 use flaxward_routing::names::ServiceName;
+use flaxward_routing::placement::{Action, Placement, PlacementSettings, RunnerReport};
+use flaxward_types::time::Timestamp;
 
-use crate::world::{Fate, World, adapter, model};
+use crate::world::{Fate, World, adapter, configuration, model, runners};
 
 fn calm(world: &mut World, steps: usize) {
     for _ in 0..steps {
@@ -51,3 +53,30 @@
     assert_eq!(world.placement.announced().count(), 0);
     assert_eq!(model(0).service, ServiceName::new("pool"));
 }
+
+/// Seen on a day of 300 daemons and 3,000 runners: a new coordinator had 5,400 connections and 310 MB, since it
+/// read the reports of all runners at once.
+#[test]
+fn a_new_coordinator_reads_the_reports_of_many_runners_a_few_at_a_time() {
+    let now = Timestamp(1_000);
+    let mut placement = Placement::new(PlacementSettings::default(), now, now);
+    placement.configure(&configuration());
+    let runners = runners(1_000);
+    placement.set_runners(runners.iter());
+    let mut read = 0;
+    for round in 0..40 {
+        let now = Timestamp(1_000 + round * 20);
+        let actions = placement.plan(now);
+        assert!(actions.len() <= 64, "{} reports at once", actions.len());
+        assert!(placement.plan(now).is_empty(), "they are not answered yet");
+        for action in actions {
+            let Action::Report { runner, .. } = action else {
+                panic!("{action:?}");
+            };
+            read += 1;
+            placement.reported(&runner, Some(RunnerReport::default()), now, now);
+        }
+    }
+    assert_eq!(read, 1_000);
+    assert_eq!(placement.announced().count(), 1_000);
+}
--- a/crates/routing/tests/placement/world.rs
+++ b/crates/routing/tests/placement/world.rs
@@ -418,6 +418,10 @@
     PlacementSettings::default()
 }
 
+pub fn runners(count: usize) -> Vec<Runner> {
+    (0..count).map(runner).collect()
+}
+
 fn runner(index: usize) -> Runner {
     Runner {
         id: RunnerId::new(&format!("r{index}")),
