--- a/crates/ingress/src/handler.rs
+++ b/crates/ingress/src/handler.rs
@@ -1,54 +1,33 @@
-//! A request from its arrival to the head of its answer.
+//! A request from its arrival to the first look at what it needs: which configuration, route and service it
+//! falls under. [`Job`] sends it to runners.
 
-use std::fmt::Display;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use bytes::Bytes;
-use flaxward_routing::attempt::{Attempts, Failure};
-use flaxward_routing::balance::{NoRunner, Wanted};
-use flaxward_routing::configuration::{Configuration, Route};
-use flaxward_routing::health::Observation;
-use flaxward_routing::names::{RunnerId, ServiceName};
-use flaxward_routing::runners::Runner;
+use flaxward_routing::attempt::Attempts;
+use flaxward_routing::configuration::Configuration;
 use flaxward_types::ResultCode;
 use flaxward_types::refusal::Refusal;
 use http::header::{CONTENT_LENGTH, EXPECT, HOST};
 use http::{HeaderMap, HeaderValue, Request, Response};
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
-use tokio::time::{Instant, sleep, timeout_at};
+use tokio::time::{Instant, timeout_at};
 
 use crate::answers::{self, AnswerBody};
-use crate::counters::{ATTEMPTS_FAILED, HEAD_SECONDS, REFUSED, SERVED};
-use crate::exchange::{
-    ClientRequest, Continuation, Exchange, FailedAttempt, exchange, remove_connection_headers,
-};
-use crate::relay::{self, StreamRelay};
+use crate::exchange::{ClientRequest, remove_connection_headers};
+use crate::job::Job;
+use crate::refused::{Details, RETRY_AFTER, Refused};
 use crate::state::Shared;
-use crate::waiting::wait_for_unit;
 
 /// Requests in progress at one daemon at most.
 const MAX_REQUESTS: u32 = 2_000;
-/// Longest answer without a stream that is held until it is whole.
-const HELD_ANSWER_BYTES: usize = 4 * 1024 * 1024;
-/// Shortest time that one attempt of several gets.
-const LEAST_PATIENCE: Duration = Duration::from_millis(450);
-/// Part of the callers' patience that one attempt of several at a stream gets.
-const PATIENCE_SHARE: f64 = 0.5;
-/// The same for other requests, in targets.
-const PATIENCE_TARGETS: f64 = 1.6;
-/// Pause before runners that were full are asked again.
-const FULL_PAUSE: Duration = Duration::from_millis(80);
-/// When to come back after a refusal for want of a runner.
-const RETRY_AFTER: Duration = Duration::from_millis(500);
 /// When to come back to a daemon that knows no configuration yet.
 const RETRY_UNCONFIGURED: Duration = Duration::from_millis(300);
 /// When to come back, to another daemon, if this one stops.
 const RETRY_STOPPING: Duration = Duration::from_millis(20);
-/// Shortest time left with which a request is sent to a runner.
-const LEAST_TIME: Duration = Duration::from_millis(5);
 
 /// Counts a request as in progress for as long as it lives, its answer included.
 struct InProgress(Arc<Shared>);
@@ -77,7 +56,7 @@
         Ok(response) => response,
         Err(refused) => {
             refused.log(&shared, begun);
-            answers::refusal(&refused.0.refusal)
+            answers::refusal(refused.refusal())
         }
     };
     if shared.is_stopping() {
@@ -89,48 +68,6 @@
     response
 }
 
-/// A refusal with what the log tells of it.
-struct Refused(Box<Details>);
-
-/// What the log tells of a refusal.
-struct Details {
-    request: String,
-    route: String,
-    refusal: Refusal,
-    attempts: Attempts,
-    reason: String,
-}
-
-impl Refused {
-    fn new(details: Details) -> Self {
-        Self(Box::new(details))
-    }
-
-    fn log(&self, shared: &Shared, begun: Instant) {
-        let Details {
-            request,
-            route,
-            refusal,
-            attempts,
-            reason,
-        } = self.0.as_ref();
-        let code = refusal.code.number();
-        metrics::counter!(REFUSED.name, "code" => code.to_string()).increment(1);
-        let retry_after = refusal.retry_after.map_or(0, |after| after.as_millis());
-        let fields: &[(&str, &dyn Display)] = &[
-            ("request", request),
-            ("route", route),
-            ("code", &code),
-            ("reason", reason),
-            ("sent", &attempts.sent),
-            ("runs", &attempts.runs),
-            ("after_ms", &begun.elapsed().as_millis()),
-            ("retry_after_ms", &retry_after),
-        ];
-        shared.log.write(shared.now(), "request-refused", fields);
-    }
-}
-
 fn early(code: ResultCode, request: &str, reason: &str) -> Refused {
     Refused::new(Details {
         request: request.to_owned(),
@@ -148,17 +85,17 @@
 ) -> Result<Response<AnswerBody>, Refused> {
     let Some(guard) = InProgress::begin(shared) else {
         let mut refused = early(ResultCode::Overloaded, "", "too many requests in progress");
-        refused.0.refusal.retry_after = Some(RETRY_AFTER);
+        refused.refusal_mut().retry_after = Some(RETRY_AFTER);
         return Err(refused);
     };
     if shared.is_closing() {
         let mut refused = early(ResultCode::Stopping, "", "the daemon stops");
-        refused.0.refusal.retry_after = Some(RETRY_STOPPING);
+        refused.refusal_mut().retry_after = Some(RETRY_STOPPING);
         return Err(refused);
     }
     let Some(configuration) = shared.configuration() else {
         let mut refused = early(ResultCode::NoConfiguration, "", "no configuration");
-        refused.0.refusal.retry_after = Some(RETRY_UNCONFIGURED);
+        refused.refusal_mut().retry_after = Some(RETRY_UNCONFIGURED);
         return Err(refused);
     };
     let profile = shared.surface.profile(request.headers());
@@ -206,20 +143,8 @@
         unit,
         deadline,
     };
-    let job = Job {
-        shared: shared.clone(),
-        request: Arc::new(client_request),
-        route,
-        service,
-        attempts: Attempts::default(),
-        tried: Vec::new(),
-        last_failure: None,
-        held_answer: None,
-        begun,
-        is_sending: false,
-        guard: Some(Box::new(guard)),
-    };
-    job.run().await
+    let job = Job::new(shared.clone(), client_request, route, service, begun);
+    job.run(Box::new(guard)).await
 }
 
 /// The host that the client named.
@@ -257,313 +182,3 @@
         Err(_) => Err(ResultCode::SlowSender),
     }
 }
-
-/// A request that is being sent to runners.
-struct Job {
-    shared: Arc<Shared>,
-    request: Arc<ClientRequest>,
-    route: Arc<Route>,
-    service: ServiceName,
-    attempts: Attempts,
-    tried: Vec<RunnerId>,
-    last_failure: Option<Failure>,
-    /// A runner's own failure, passed on if no other runner does better.
-    held_answer: Option<Response<AnswerBody>>,
-    begun: Instant,
-    /// An attempt is under way.
-    is_sending: bool,
-    guard: Option<Box<dyn Send>>,
-}
-
-impl Job {
-    /// Sends the request until there is an answer, or until the daemon ends.
-    async fn run(mut self) -> Result<Response<AnswerBody>, Refused> {
-        self.count();
-        let ending = self.shared.ending.clone();
-        let answered = tokio::select! {
-            biased;
-            answered = self.send() => Some(answered),
-            () = ending.cancelled() => None,
-        };
-        if let Some(answered) = answered {
-            return answered;
-        }
-        if self.is_sending {
-            self.attempts.count(Failure::Silent);
-        }
-        self.give_up("the daemon ends")
-    }
-
-    async fn send(&mut self) -> Result<Response<AnswerBody>, Refused> {
-        let mut full_rounds = 0;
-        loop {
-            if self.request.time_left() < LEAST_TIME {
-                return self.give_up("time is up");
-            }
-            let runner = match self.choose() {
-                Ok(runner) => runner,
-                Err(NoRunner::NotLoaded) => {
-                    self.wait().await?;
-                    continue;
-                }
-                Err(NoRunner::AllTried) if self.may_ask_again(full_rounds) => {
-                    full_rounds += 1;
-                    self.tried.clear();
-                    sleep(FULL_PAUSE.min(self.request.time_left())).await;
-                    continue;
-                }
-                Err(NoRunner::AllTried) => return self.give_up("no further runner"),
-                Err(NoRunner::NoneOfService) => return self.give_up("no runner of the service"),
-            };
-            let is_repeat = self.attempts.sent > 0;
-            if is_repeat && !self.shared.try_repeat(&self.service) {
-                return self.give_up("the retry budget is spent");
-            }
-            self.is_sending = true;
-            let attempted = self.attempt(&runner).await;
-            self.is_sending = false;
-            match attempted {
-                Ok(response) => return Ok(response),
-                Err(failed) => self.count_failure(&runner, failed),
-            }
-            let max_attempts = self.route.max_attempts;
-            if !self.attempts.may_repeat(self.route.kind, max_attempts) {
-                return self.give_up("the request may not be sent again");
-            }
-        }
-    }
-
-    fn count(&self) {
-        let now = self.shared.now();
-        let mut tables = self.shared.tables();
-        tables.budget.count_request(&self.service, now);
-        if let Some(unit) = &self.request.unit {
-            tables.uses.count(unit, now);
-        }
-    }
-
-    fn choose(&self) -> Result<Runner, NoRunner> {
-        self.choose_except(&self.tried)
-    }
-
-    fn choose_except(&self, tried: &[RunnerId]) -> Result<Runner, NoRunner> {
-        let has_parts = self.request.profile.parts.len() > 1;
-        let wanted = Wanted {
-            service: &self.service,
-            unit: self.request.unit.as_ref(),
-            affinity: has_parts.then(|| self.request.profile.affinity()),
-            tried,
-        };
-        self.shared.choose(&wanted)
-    }
-
-    async fn wait(&mut self) -> Result<(), Refused> {
-        let Some(unit) = &self.request.unit else {
-            return Ok(());
-        };
-        let waited = wait_for_unit(&self.shared, &self.request, &self.route, unit).await;
-        waited.map_err(|refusal| self.refused(refusal, &format!("{unit} is not ready in time")))
-    }
-
-    fn may_ask_again(&self, full_rounds: u32) -> bool {
-        let may_serve = match self.last_failure {
-            Some(Failure::NotRun | Failure::Misdirected | Failure::Broken) => true,
-            Some(Failure::NotSent | Failure::Failed | Failure::Silent) | None => false,
-        };
-        may_serve && full_rounds < 2
-    }
-
-    fn count_failure(&mut self, runner: &Runner, failed: FailedAttempt) {
-        if let Some(observation) = failed.observation {
-            self.shared.observe(&runner.id, observation);
-        }
-        self.attempts.count(failed.failure);
-        self.tried.push(runner.id.clone());
-        self.last_failure = Some(failed.failure);
-        let fields: &[(&str, &dyn Display)] = &[
-            ("request", &self.request.profile.id),
-            ("runner", &runner.id),
-            ("failure", &format!("{:?}", failed.failure)),
-            ("runs", &self.attempts.runs),
-            ("left_ms", &self.request.time_left().as_millis()),
-        ];
-        let failure = format!("{:?}", failed.failure);
-        metrics::counter!(ATTEMPTS_FAILED.name, "failure" => failure).increment(1);
-        self.shared
-            .log
-            .write(self.shared.now(), "attempt-failed", fields);
-    }
-
-    /// When this attempt is given up so that another one is possible. A runner may be silent because
-    /// it is full, so that giving up only helps if there is another one.
-    fn patience(&self, runner: &Runner) -> Instant {
-        let mut next = self.attempts;
-        next.count(Failure::Silent);
-        let tried: Vec<RunnerId> = self.tried.iter().chain([&runner.id]).cloned().collect();
-        let may_repeat = next.may_repeat(self.route.kind, self.route.max_attempts);
-        if !may_repeat || self.choose_except(&tried).is_err() {
-            return self.request.deadline;
-        }
-        let patience = if self.route.kind.is_stream() {
-            self.route.stream_patience().mul_f64(PATIENCE_SHARE)
-        } else {
-            let patience = self.route.target.mul_f64(PATIENCE_TARGETS);
-            patience.max(LEAST_PATIENCE)
-        };
-        (Instant::now() + patience).min(self.request.deadline)
-    }
-
-    async fn attempt(&mut self, runner: &Runner) -> Result<Response<AnswerBody>, FailedAttempt> {
-        let patience = self.patience(runner);
-        let continuation = Continuation::default();
-        let exchange =
-            exchange(&self.shared, &self.request, runner, continuation, patience).await?;
-        if exchange.head.status.is_success() && self.route.kind.is_stream() {
-            return self.stream(exchange, patience).await;
-        }
-        self.whole_answer(exchange, patience).await
-    }
-
-    async fn stream(
-        &mut self,
-        exchange: Exchange,
-        patience: Instant,
-    ) -> Result<Response<AnswerBody>, FailedAttempt> {
-        let mut response = passed_head(&exchange);
-        let runner = exchange.runner.id.clone();
-        let mut relay = StreamRelay::new(
-            self.shared.clone(),
-            self.request.clone(),
-            self.route.clone(),
-            self.service.clone(),
-            exchange,
-        );
-        if let Err(failure) = relay.first_event(patience).await {
-            return Err(FailedAttempt {
-                failure,
-                observation: Some(Observation::Failure),
-            });
-        }
-        relay.attempts = self.attempts;
-        relay.tried = self.tried.clone();
-        if let Some(guard) = self.guard.take() {
-            relay.guard = guard;
-        }
-        self.log_served(&runner, response.status().as_u16());
-        *response.body_mut() = relay.into_body();
-        Ok(response)
-    }
-
-    async fn whole_answer(
-        &mut self,
-        exchange: Exchange,
-        patience: Instant,
-    ) -> Result<Response<AnswerBody>, FailedAttempt> {
-        let mut response = passed_head(&exchange);
-        let Exchange {
-            body,
-            connection,
-            runner,
-            in_flight,
-            ..
-        } = exchange;
-        let collected = relay::collect(body, HELD_ANSWER_BYTES, patience).await;
-        drop(in_flight);
-        let bytes = collected.map_err(|failure| FailedAttempt {
-            failure,
-            observation: Some(Observation::Failure),
-        })?;
-        if let Some(connection) = connection {
-            self.shared.pool.put(connection);
-        }
-        *response.body_mut() = answers::whole(bytes);
-        let failed = response.status().is_server_error();
-        if failed && self.may_replace_failure() {
-            self.held_answer = Some(response);
-            return Err(FailedAttempt {
-                failure: Failure::Failed,
-                observation: Some(Observation::Failure),
-            });
-        }
-        let observation = if failed {
-            Observation::Failure
-        } else {
-            Observation::Success
-        };
-        self.shared.observe(&runner.id, observation);
-        self.log_served(&runner.id, response.status().as_u16());
-        Ok(response)
-    }
-
-    /// Whether another runner may be asked after a failure that the runner itself has told.
-    fn may_replace_failure(&self) -> bool {
-        let mut next = self.attempts;
-        next.count(Failure::Failed);
-        next.may_repeat(self.route.kind, self.route.max_attempts)
-    }
-
-    fn log_served(&self, runner: &RunnerId, status: u16) {
-        let elapsed = self.begun.elapsed();
-        let class = format!("{}xx", status / 100);
-        metrics::counter!(SERVED.name, "status" => class).increment(1);
-        metrics::histogram!(HEAD_SECONDS.name).record(elapsed.as_secs_f64());
-        let fields: &[(&str, &dyn Display)] = &[
-            ("request", &self.request.profile.id),
-            ("route", &self.route.name),
-            ("runner", runner),
-            ("status", &status),
-            ("sent", &(self.attempts.sent + 1)),
-            ("after_ms", &elapsed.as_millis()),
-        ];
-        self.shared
-            .log
-            .write(self.shared.now(), "request-served", fields);
-    }
-
-    /// The final answer when no further attempt is made.
-    fn give_up(&mut self, reason: &str) -> Result<Response<AnswerBody>, Refused> {
-        if let Some(response) = self.held_answer.take() {
-            return Ok(response);
-        }
-        let is_late = self.request.time_left() < LEAST_TIME;
-        let refusal = if self.attempts.surely_not_run() {
-            let code = match self.last_failure {
-                _ if is_late => ResultCode::DeadlineTooShort,
-                None => ResultCode::NoServiceMachine,
-                Some(Failure::NotSent) => ResultCode::BackendUnreachable,
-                Some(_) => ResultCode::BackendRefused,
-            };
-            Refusal::new(code).with_retry_after(RETRY_AFTER)
-        } else if is_late {
-            Refusal::new(ResultCode::DeadlineWhileRunning)
-        } else {
-            Refusal::new(ResultCode::OutcomeUnknown)
-        };
-        let reason = match self.last_failure {
-            Some(failure) => format!("{reason}, last attempt: {failure:?}"),
-            None => reason.to_owned(),
-        };
-        Err(self.refused(refusal, &reason))
-    }
-
-    fn refused(&self, refusal: Refusal, reason: &str) -> Refused {
-        Refused::new(Details {
-            request: self.request.profile.id.clone(),
-            route: self.route.name.to_string(),
-            refusal,
-            attempts: self.attempts,
-            reason: reason.to_owned(),
-        })
-    }
-}
-
-/// The head of a runner's answer without what concerns its connection.
-fn passed_head(exchange: &Exchange) -> Response<AnswerBody> {
-    let mut response = Response::new(answers::whole(Bytes::new()));
-    *response.status_mut() = exchange.head.status;
-    let mut headers = exchange.head.headers.clone();
-    remove_connection_headers(&mut headers);
-    headers.remove(CONTENT_LENGTH);
-    *response.headers_mut() = headers;
-    response
-}
--- /dev/null
+++ b/crates/ingress/src/refused.rs
@@ -0,0 +1,67 @@
+//! Refusals, and what the log tells of them.
+
+use std::fmt::Display;
+use std::time::Duration;
+
+use flaxward_routing::attempt::Attempts;
+use flaxward_types::refusal::Refusal;
+use tokio::time::Instant;
+
+use crate::counters::REFUSED;
+use crate::state::Shared;
+
+/// When to come back after a refusal for want of a runner.
+pub(crate) const RETRY_AFTER: Duration = Duration::from_millis(500);
+
+/// A refusal with what the log tells of it.
+pub(crate) struct Refused(Box<Details>);
+
+/// What the log tells of a refusal.
+pub(crate) struct Details {
+    pub request: String,
+    pub route: String,
+    pub refusal: Refusal,
+    pub attempts: Attempts,
+    pub reason: String,
+}
+
+impl Refused {
+    pub(crate) fn new(details: Details) -> Self {
+        Self(Box::new(details))
+    }
+
+    /// What the client is told.
+    pub(crate) fn refusal(&self) -> &Refusal {
+        &self.0.refusal
+    }
+
+    /// The same, to be changed.
+    pub(crate) fn refusal_mut(&mut self) -> &mut Refusal {
+        &mut self.0.refusal
+    }
+
+    /// Counts and logs it.
+    pub(crate) fn log(&self, shared: &Shared, begun: Instant) {
+        let Details {
+            request,
+            route,
+            refusal,
+            attempts,
+            reason,
+        } = self.0.as_ref();
+        let code = refusal.code.number();
+        metrics::counter!(REFUSED.name, "code" => code.to_string()).increment(1);
+        let retry_after = refusal.retry_after.map_or(0, |after| after.as_millis());
+        let fields: &[(&str, &dyn Display)] = &[
+            ("request", request),
+            ("route", route),
+            ("code", &code),
+            ("reason", reason),
+            ("sent", &attempts.sent),
+            ("runs", &attempts.runs),
+            ("after_ms", &begun.elapsed().as_millis()),
+            ("retry_after_ms", &retry_after),
+        ];
+        shared.log.write(shared.now(), "request-refused", fields);
+    }
+}
