Dissemination: what members are told alike is worked out once a round

Change: Round keeps them for one round; a member that knows the newest version costs no look at the runners.

--- a/crates/routing/benches/plan.rs
+++ b/crates/routing/benches/plan.rs
@@ -10,14 +10,18 @@
 use flaxward_routing::configuration::{
     ClientLimits, Configuration, Engine, ModelSpecification, Service,
 };
-use flaxward_routing::messages::{KnownState, RunningUnit, Usage, UsedUnit, WaitingUnit};
+use flaxward_routing::dissemination::Dissemination;
+use flaxward_routing::lease::LeasePulse;
+use flaxward_routing::messages::{
+    Direction, KnownState, RunningUnit, Usage, UsedUnit, WaitingUnit,
+};
 use flaxward_routing::names::{AdapterName, ModelName, RunnerId, ServiceName, Unit, Zone};
 use flaxward_routing::placement::{Placement, PlacementSettings, RunnerReport};
-use flaxward_routing::runners::{Holdings, Runner};
+use flaxward_routing::runners::{Holdings, Runner, RunnerTable};
 use flaxward_types::time::Timestamp;
 
 /// Daemons, runners and models of each size.
-const SIZES: [(usize, usize, usize); 3] = [(6, 9, 34), (80, 140, 481), (320, 700, 590)];
+const SIZES: [(usize, usize, usize); 3] = [(6, 9, 34), (80, 140, 481), (300, 3_000, 590)];
 /// Units that a member has used lately.
 const USED_UNITS: usize = 40;
 /// Requests in progress at a member.
@@ -133,6 +137,7 @@
         known: KnownState {
             term: 1,
             holdings_version: 0,
+            runners_revision: 5,
             ..KnownState::default()
         },
         waiting: waiting.collect(),
@@ -157,6 +162,53 @@
     placement
 }
 
+/// Time for one round of messages to all members after one runner began to drain.
+fn telling(members: usize, runners: usize, models: usize) -> Duration {
+    let mut placement = coordinator(members, runners, models);
+    let mut table = RunnerTable::default();
+    table.replace((0..runners).map(runner).collect(), 5);
+    let mut dissemination = Dissemination::new(1);
+    let mut header = header();
+    let start = Timestamp(1_020);
+    placement.plan(start);
+    dissemination.messages(&placement, &table, &header, start);
+    let drained = Runner {
+        draining: true,
+        ..runner(0)
+    };
+    table.insert(drained, 6);
+    table.set_revision(6);
+    header.membership_revision = 6;
+    let begun = Instant::now();
+    let messages = dissemination.messages(&placement, &table, &header, Timestamp(1_620));
+    assert!(messages.len() >= members, "{} messages", messages.len());
+    begun.elapsed()
+}
+
+fn header() -> Direction {
+    Direction {
+        term: 1,
+        lease: LeasePulse {
+            term: 1,
+            renewals: 1,
+            age_ms: 0,
+        },
+        address: address(0),
+        daemons: 0,
+        strongest: 0,
+        configuration_version: 1,
+        membership_revision: 5,
+        store_silence_ms: 0,
+        membership: None,
+        members: None,
+        holdings_after: 0,
+        holdings_version: 0,
+        holdings: Vec::new(),
+        outlooks: Vec::new(),
+        loads: None,
+    }
+}
+
 fn measure(members: usize, runners: usize, models: usize) {
     let mut placement = coordinator(members, runners, models);
     let usages: Vec<Usage> = (0..members).map(|it| usage(it, runners, models)).collect();
@@ -174,9 +226,10 @@
     }
     println!(
         "{members} daemons, {runners} runners, {models} models: \
-         a message {:.1} us, a plan {:.1} us",
+         a message {:.1} us, a plan {:.1} us, heartbeats to all {:.1} us",
         a_message.as_secs_f64() * 1e6,
-        (planning / PLANS).as_secs_f64() * 1e6
+        (planning / PLANS).as_secs_f64() * 1e6,
+        telling(members, runners, models).as_secs_f64() * 1e6
     );
 }
 
--- a/crates/routing/src/dissemination.rs
+++ b/crates/routing/src/dissemination.rs
@@ -11,7 +11,8 @@
 use flaxward_types::time::Timestamp;
 
 use crate::membership::MembershipUpdate;
-use crate::messages::{Direction, KnownState};
+use crate::messages::{Direction, KnownState, RunnerLoad, UnitOutlook};
+use crate::names::Unit;
 use crate::placement::Placement;
 use crate::runners::RunnerTable;
 
@@ -157,7 +158,8 @@
         self.progress.retain(|name, _| names.contains(name));
         let count = u32::try_from(members.len()).unwrap_or(u32::MAX);
         let news_interval = NEWS_INTERVAL_A_MEMBER * count;
-        let addresses: Vec<SocketAddr> = members.iter().map(|(_, address)| *address).collect();
+        let addresses = members.iter().map(|(_, address)| *address).collect();
+        let mut round = Round::new(placement, runners, header, addresses, now);
         let mut messages = Vec::new();
         for (member, address) in &members {
             let is_due = self.progress.get(member).is_none_or(|progress| {
@@ -166,7 +168,7 @@
             if !self.unanswered.remove(member) && !is_due {
                 continue;
             }
-            let directions = self.directions(member, placement, runners, header, &addresses, now);
+            let directions = self.directions(member, &mut round);
             messages.extend(directions.into_iter().map(|direction| Outgoing {
                 member: member.clone(),
                 address: *address,
@@ -177,22 +179,15 @@
     }
 
     /// What a member is told now, in messages that fit a datagram each.
-    fn directions(
-        &mut self,
-        member: &str,
-        placement: &Placement,
-        runners: &RunnerTable,
-        header: &Direction,
-        addresses: &[SocketAddr],
-        now: Timestamp,
-    ) -> Vec<Direction> {
+    fn directions(&mut self, member: &str, round: &mut Round<'_>) -> Vec<Direction> {
+        let (placement, header, now) = (round.placement, round.header, round.now);
         let Some(known) = placement.known_by(member) else {
             return Vec::new();
         };
         let progress = self.progress.entry(member.to_owned());
         let progress = progress.or_insert_with(|| Progress::new(known, header.term));
         let after = progress.holdings_version;
-        let mut directions = placement.directions(member, after, header, now);
+        let mut directions = placement.directions(after, header);
         if let Some(last) = directions.last() {
             progress.holdings_version = last.holdings_version;
         }
@@ -200,19 +195,22 @@
             progress.news_at = now;
         }
         if let Some(first) = directions.first_mut() {
+            let waiting = placement.waited_for_by(member).iter();
+            first.outlooks = waiting
+                .filter_map(|waiting| round.outlook(&waiting.unit))
+                .collect();
             let lacks_members = known.members != header.daemons;
             if lacks_members && now.since(progress.members_at) >= MEMBERS_INTERVAL {
                 progress.members_at = now;
-                first.members = Some(addresses.to_vec());
+                first.members = Some(round.addresses.clone());
             }
             if now.since(progress.loads_at) >= LOADS_INTERVAL {
                 progress.loads_at = now;
-                first.loads = Some(placement.loads());
+                first.loads = Some(round.loads());
             }
         }
         if progress.runners_revision < header.membership_revision {
-            let updates = runners.updates_after(progress.runners_revision);
-            let updates = updates.unwrap_or_default();
+            let updates = round.updates_after(progress.runners_revision);
             // Without the changes the member reads the store.
             let until = updates.last().map(|update| update.until);
             progress.runners_revision = until.unwrap_or(header.membership_revision);
@@ -223,6 +221,61 @@
     }
 }
 
+/// One round of messages. What several members are told alike is found once.
+struct Round<'a> {
+    placement: &'a Placement,
+    runners: &'a RunnerTable,
+    header: &'a Direction,
+    addresses: Vec<SocketAddr>,
+    now: Timestamp,
+    loads: Option<Vec<RunnerLoad>>,
+    updates: HashMap<u64, Vec<MembershipUpdate>>,
+    outlooks: HashMap<Unit, Option<UnitOutlook>>,
+}
+
+impl<'a> Round<'a> {
+    fn new(
+        placement: &'a Placement,
+        runners: &'a RunnerTable,
+        header: &'a Direction,
+        addresses: Vec<SocketAddr>,
+        now: Timestamp,
+    ) -> Self {
+        Self {
+            placement,
+            runners,
+            header,
+            addresses,
+            now,
+            loads: None,
+            updates: HashMap::new(),
+            outlooks: HashMap::new(),
+        }
+    }
+
+    fn loads(&mut self) -> Vec<RunnerLoad> {
+        let placement = self.placement;
+        self.loads.get_or_insert_with(|| placement.loads()).clone()
+    }
+
+    /// Changes of runners after a revision; none if they are not all known.
+    fn updates_after(&mut self, revision: u64) -> Vec<MembershipUpdate> {
+        let runners = self.runners;
+        let updates = self.updates.entry(revision);
+        updates
+            .or_insert_with(|| runners.updates_after(revision).unwrap_or_default())
+            .clone()
+    }
+
+    fn outlook(&mut self, unit: &Unit) -> Option<UnitOutlook> {
+        let (placement, now) = (self.placement, self.now);
+        let outlook = self.outlooks.entry(unit.clone());
+        outlook
+            .or_insert_with(|| placement.outlook(unit, now))
+            .clone()
+    }
+}
+
 /// Adds changes of runners, the first to the first message and each other one as a message of its own.
 fn add_updates(
     directions: &mut Vec<Direction>,
--- a/crates/routing/src/placement/mod.rs
+++ b/crates/routing/src/placement/mod.rs
@@ -19,8 +19,10 @@
 use flaxward_types::time::{Timestamp, millis};
 
 use crate::balance::is_crowded;
-use crate::configuration::{Configuration, Engine};
-use crate::messages::{Direction, KnownState, RunnerLoad, UnitOutlook, Usage, WaitNotice};
+use crate::configuration::{Configuration, Engine, ModelSpecification};
+use crate::messages::{
+    Direction, KnownState, RunnerLoad, UnitOutlook, Usage, WaitNotice, WaitingUnit,
+};
 use crate::names::{AdapterName, ModelName, RunnerId, ServiceName, Unit};
 use crate::runners::{Holdings, Runner, RunnerHoldings};
 
@@ -257,26 +259,12 @@
         self.demands.update_waiting(notice, now);
     }
 
-    /// What a member that knows a version of the holdings is told, in messages that fit a datagram each.
-    pub fn directions(
-        &self,
-        member: &str,
-        known_version: u64,
-        header: &Direction,
-        now: Timestamp,
-    ) -> Vec<Direction> {
-        let Some(known) = self.demands.member(member) else {
-            return Vec::new();
-        };
-        let mut changed: Vec<&Ledger> = self
-            .ledgers
-            .values()
-            .filter(|ledger| ledger.is_confirmed() && ledger.version > known_version)
-            .collect();
-        changed.sort_by_key(|ledger| ledger.version);
+    /// What somebody who knows a version of the holdings is told of them, in messages that fit a datagram
+    /// each.
+    pub fn directions(&self, known_version: u64, header: &Direction) -> Vec<Direction> {
         let mut directions = Vec::new();
         let mut after = known_version;
-        for part in changed.chunks(RUNNERS_A_MESSAGE) {
+        for part in self.changed_since(known_version).chunks(RUNNERS_A_MESSAGE) {
             let last = part.last().map_or(after, |ledger| ledger.version);
             directions.push(Direction {
                 holdings_after: after,
@@ -293,13 +281,29 @@
                 ..header.clone()
             });
         }
-        let waiting = known.waiting.iter();
-        directions[0].outlooks = waiting
-            .filter_map(|waiting| self.outlook(&waiting.unit, now))
-            .collect();
         directions
     }
 
+    /// The runners whose holdings have changed since a version, the earliest change first.
+    fn changed_since(&self, version: u64) -> Vec<&Ledger> {
+        if version >= self.version {
+            return Vec::new();
+        }
+        let mut changed: Vec<&Ledger> = self
+            .ledgers
+            .values()
+            .filter(|ledger| ledger.is_confirmed() && ledger.version > version)
+            .collect();
+        changed.sort_by_key(|ledger| ledger.version);
+        changed
+    }
+
+    /// What a member's requests wait for.
+    pub fn waited_for_by(&self, member: &str) -> &[WaitingUnit] {
+        let member = self.demands.member(member);
+        member.map_or(&[], |member| &member.waiting)
+    }
+
     /// Requests in progress at the runners that are crowded, as the members had told by the last plan.
     pub fn loads(&self) -> Vec<RunnerLoad> {
         let load = |ledger: &Ledger| {
@@ -377,7 +381,7 @@
     }
 
     /// When a unit is ready, if it is on its way or a place for it can be named.
-    fn outlook(&self, unit: &Unit, now: Timestamp) -> Option<UnitOutlook> {
+    pub fn outlook(&self, unit: &Unit, now: Timestamp) -> Option<UnitOutlook> {
         let base = unit.base();
         if unit.adapter.is_some() && !self.copies.is_offered(&base) {
             let outlook = self.outlook(&base, now)?;
@@ -393,9 +397,9 @@
             is_this.then(|| order.ready_at.since(now))
         });
         let intended = self.ledgers.values().filter_map(|ledger| {
-            let wanted = ledger.intent.as_ref()?;
-            let load = engine_load_time(&self.engines, ledger, unit)?;
-            (wanted.unit == *unit).then(|| load + UNLOAD_TIME)
+            let wanted = ledger.intent.as_ref().filter(|it| it.unit == *unit)?;
+            let load = engine_load_time(&self.engines, ledger, &wanted.unit)?;
+            Some(load + UNLOAD_TIME)
         });
         let soonest = under_way.chain(intended).min();
         let wait = match soonest {
@@ -411,14 +415,14 @@
     /// Time until a unit could be ready that has no place yet.
     fn queue_estimate(&self, unit: &Unit, now: Timestamp) -> Option<Duration> {
         let engine = self.engines.get(&unit.service)?;
-        engine.models.get(&unit.model)?;
+        let specification = engine.models.get(&unit.model)?;
         let soonest = self
             .ledgers
             .values()
-            .filter(|ledger| ledger.runner.service == unit.service && ledger.takes_orders(now))
-            .filter_map(|ledger| {
-                let load = engine_load_time(&self.engines, ledger, unit)?;
-                Some(ledger.free_at(now).since(now) + load + UNLOAD_TIME)
+            .filter(|ledger| ledger.takes_orders(now) && ledger.runner.service == unit.service)
+            .map(|ledger| {
+                let load = load_time(specification, ledger, unit);
+                ledger.free_at(now).since(now) + load + UNLOAD_TIME
             })
             .min()?;
         let lease_wait = self.orders_from.since(now);
@@ -439,14 +443,18 @@
     unit: &Unit,
 ) -> Option<Duration> {
     let specification = engines.get(&unit.service)?.models.get(&unit.model)?;
+    Some(load_time(specification, ledger, unit))
+}
+
+/// Time that a load of a unit takes at a runner, by what the operators say of its model.
+fn load_time(specification: &ModelSpecification, ledger: &Ledger, unit: &Unit) -> Duration {
     if unit.adapter.is_some() {
-        return Some(ADAPTER_TIME);
-    }
-    Some(if ledger.runner.in_memory.contains(&unit.model) {
+        ADAPTER_TIME
+    } else if ledger.runner.in_memory.contains(&unit.model) {
         specification.memory_load
     } else if ledger.runner.on_disk.contains(&unit.model) {
         specification.disk_load
     } else {
         specification.store_load
-    })
+    }
 }
