Placement: loads from the weight store in flight are bounded by what the link is seen to carry

Cause: the weight store is a link that all runners share; beyond some number of loads all of them get slower in proportion. Change: placement::store_link measures how long loads take over the time that the operators promise, and bounds the loads in flight by it (slow start, then in flight over stretch). Reports tell which copies lie in memory and on disk, so that a reload is not taken for a load from the store. A settled order is logged with its measurement.

--- a/crates/ingress/src/coordination/calls.rs
+++ b/crates/ingress/src/coordination/calls.rs
@@ -7,7 +7,10 @@
 
 use flaxward_routing::lease::{LeaseAnswer, LeaseCall};
 use flaxward_routing::names::RunnerId;
-use flaxward_routing::placement::{Action, Operation, Order, OrderAnswer, Reason, RunnerReport};
+use flaxward_routing::placement::store_link::LoadSample;
+use flaxward_routing::placement::{
+    Action, Operation, Order, OrderAnswer, Reason, RunnerReport, SettledOrder,
+};
 use flaxward_types::time::Timestamp;
 use tokio::sync::mpsc::UnboundedSender;
 
@@ -140,6 +143,45 @@
     shared.log.write(shared.now(), "order-sent", fields);
 }
 
+/// Logs that a report has settled an order, and what it says of the weight store.
+pub(super) fn log_settled(shared: &Shared, runner: &RunnerId, settled: &SettledOrder, term: u64) {
+    let operation = operation_name(settled.order.operation);
+    let mut fields: Vec<(&str, &dyn Display)> = vec![
+        ("runner", runner),
+        ("operation", &operation),
+        ("unit", &settled.order.unit),
+        ("done", &settled.is_done),
+        ("term", &term),
+    ];
+    let sample = settled.sample.map(SampleFields::of);
+    if let Some(sample) = &sample {
+        fields.push(("took_ms", &sample.took_ms));
+        fields.push(("promised_ms", &sample.promised_ms));
+        fields.push(("store_loads", &sample.in_flight));
+        fields.push(("store_limit", &sample.limit));
+    }
+    shared.log.write(shared.now(), "order-settled", &fields);
+}
+
+/// A measurement of the weight store as it is logged.
+struct SampleFields {
+    took_ms: u128,
+    promised_ms: u128,
+    in_flight: String,
+    limit: String,
+}
+
+impl SampleFields {
+    fn of(sample: LoadSample) -> Self {
+        Self {
+            took_ms: sample.took.as_millis(),
+            promised_ms: sample.promised.as_millis(),
+            in_flight: format!("{:.1}", sample.in_flight),
+            limit: format!("{:.1}", sample.limit),
+        }
+    }
+}
+
 /// Name of an operation for the log.
 pub(super) fn operation_name(operation: Operation) -> &'static str {
     match operation {
--- a/crates/ingress/src/coordination/mod.rs
+++ b/crates/ingress/src/coordination/mod.rs
@@ -24,7 +24,7 @@
 use crate::peer::PeerSocket;
 use crate::state::{Shared, StoreWord};
 
-use calls::{Caller, Event, operation_name};
+use calls::{Caller, Event, log_settled, operation_name};
 use following::Following;
 use leading::Leading;
 
@@ -218,9 +218,13 @@
                 asked_at,
                 term,
             } => {
-                if let Some(leading) = self.leading.as_mut().filter(|it| it.term == term) {
-                    leading.placement.reported(&runner, report, asked_at, now);
-                    leading.plan_soon(now);
+                let Some(leading) = self.leading.as_mut().filter(|it| it.term == term) else {
+                    return;
+                };
+                let settled = leading.placement.reported(&runner, report, asked_at, now);
+                leading.plan_soon(now);
+                if let Some(settled) = settled {
+                    log_settled(&self.shared, &runner, &settled, term);
                 }
             }
             Event::Order {
--- a/crates/routing/src/placement/ledger.rs
+++ b/crates/routing/src/placement/ledger.rs
@@ -33,11 +33,24 @@
     Running,
 }
 
+/// Where a runner takes the weights of a model from.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum WeightSource {
+    /// Its own host memory.
+    Memory,
+    /// Its own disk.
+    Disk,
+    /// The weight store, which all runners share.
+    Store,
+}
+
 /// An order that is not settled.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct OrderState {
     /// The order.
     pub order: Order,
+    /// Where the weights come from, if it loads a model.
+    pub source: Option<WeightSource>,
     /// Why it was given.
     pub reason: Reason,
     /// How far it has come.
@@ -55,6 +68,15 @@
     pub reason: Reason,
 }
 
+/// What has become of an order that a report has settled.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Settlement {
+    /// The order as it was.
+    pub state: OrderState,
+    /// It was carried out.
+    pub is_done: bool,
+}
+
 /// One runner.
 #[derive(Debug)]
 pub struct Ledger {
@@ -69,6 +91,10 @@
     /// When the report was asked for that is under way.
     pub report_asked_at: Option<Timestamp>,
     holdings: Holdings,
+    /// Models of which the last report shows a copy in host memory.
+    in_memory: BTreeSet<ModelName>,
+    /// Models of which the last report shows a copy on disk.
+    on_disk: BTreeSet<ModelName>,
     pending_adapters: BTreeSet<(ModelName, AdapterName)>,
     order: Option<OrderState>,
     order_count: Option<u64>,
@@ -89,6 +115,8 @@
             next_report: Timestamp::ZERO,
             report_asked_at: None,
             holdings: Holdings::new(),
+            in_memory: BTreeSet::new(),
+            on_disk: BTreeSet::new(),
             pending_adapters: BTreeSet::new(),
             order: None,
             order_count: None,
@@ -187,6 +215,32 @@
         !self.runner.draining && (loads || pending || intends)
     }
 
+    /// Where the runner would take the weights of a model from, by its last report or the store's list,
+    /// whichever knows of the nearer copy.
+    pub fn weight_source(&self, model: &ModelName) -> WeightSource {
+        let runner = &self.runner;
+        if self.in_memory.contains(model) || runner.in_memory.contains(model) {
+            WeightSource::Memory
+        } else if self.on_disk.contains(model) || runner.on_disk.contains(model) {
+            WeightSource::Disk
+        } else {
+            WeightSource::Store
+        }
+    }
+
+    /// Whether the runner is loading from the weight store, or may be, because it works on an order that
+    /// this coordinator does not know.
+    pub fn may_load_from_store(&self) -> bool {
+        let source = self.order.as_ref().and_then(|state| state.source);
+        self.has_unknown_order || source == Some(WeightSource::Store)
+    }
+
+    /// Whether a load from the weight store follows once there is room.
+    pub fn intends_store_load(&self) -> bool {
+        let intent = self.intent.as_ref();
+        intent.is_some_and(|it| self.weight_source(&it.unit.model) == WeightSource::Store)
+    }
+
     /// Units that are there or on their way, some of them perhaps twice.
     pub fn known_units(&self) -> Vec<Unit> {
         let unit = |model: &ModelName, adapter: Option<&AdapterName>| Unit {
@@ -286,7 +340,9 @@
         if self.intent.as_ref().is_some_and(|i| i.unit == order.unit) {
             self.intent = None;
         }
+        let loads_model = order.operation == Operation::Load && order.unit.adapter.is_none();
         self.order = Some(OrderState {
+            source: loads_model.then(|| self.weight_source(&order.unit.model)),
             order,
             reason,
             progress: Progress::Ready,
@@ -392,21 +448,22 @@
         self.order = Some(state);
     }
 
-    /// Takes in a report.
+    /// Takes in a report. Returns the order that it settles.
     pub fn reported(
         &mut self,
         report: RunnerReport,
         asked_at: Timestamp,
         now: Timestamp,
         settings: &PlacementSettings,
-    ) {
+    ) -> Option<Settlement> {
         self.next_report = now + settings.report_interval;
         let is_stale = self
             .order_count
             .is_some_and(|count| report.order_count < count);
         if is_stale {
-            return;
+            return None;
         }
+        let mut settlement = None;
         let is_ahead = self.order_count != Some(report.order_count);
         self.order_count = Some(report.order_count);
         self.is_confirmed = true;
@@ -422,9 +479,17 @@
             let is_running = state.progress == Progress::Running;
             if done && !report.is_busy && is_running {
                 self.note_ready(&state.order, now);
+                settlement = Some(Settlement {
+                    state,
+                    is_done: true,
+                });
             } else if is_running && !report.is_busy && !done && asked_at > state.ready_at {
                 // The runner no longer works on it and has not done it.
                 self.order_count = Some(report.order_count);
+                settlement = Some(Settlement {
+                    state,
+                    is_done: false,
+                });
             } else {
                 self.order = Some(state);
             }
@@ -432,6 +497,9 @@
         self.has_unknown_order = report.is_busy && self.order.is_none();
         self.pending_adapters = report.pending;
         self.holdings = report.holdings;
+        self.in_memory = report.in_memory;
+        self.on_disk = report.on_disk;
+        settlement
     }
 
     fn settle(&mut self, order: &Order, now: Timestamp) {
--- a/crates/routing/src/placement/mod.rs
+++ b/crates/routing/src/placement/mod.rs
@@ -10,6 +10,7 @@
 pub mod demand;
 pub mod ledger;
 mod planner;
+pub mod store_link;
 mod victims;
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
@@ -28,7 +29,8 @@
 
 use copies::CopyIndex;
 use demand::Demands;
-use ledger::Ledger;
+use ledger::{Ledger, OrderState, Progress, WeightSource};
+use store_link::{LoadSample, StoreLink};
 
 /// Runners in one message at most, so that it fits a datagram.
 const RUNNERS_A_MESSAGE: usize = 8;
@@ -77,6 +79,10 @@
     pub holdings: Holdings,
     /// Adapters on their way.
     pub pending: BTreeSet<(ModelName, AdapterName)>,
+    /// Models of which a copy lies in host memory.
+    pub in_memory: BTreeSet<ModelName>,
+    /// Models of which a copy lies on disk.
+    pub on_disk: BTreeSet<ModelName>,
     /// An order is under way.
     pub is_busy: bool,
     /// Orders that it has taken.
@@ -123,6 +129,17 @@
     Room,
 }
 
+/// An order that a report has shown to be settled.
+#[derive(Clone, Debug, PartialEq)]
+pub struct SettledOrder {
+    /// The order.
+    pub order: Order,
+    /// It was carried out.
+    pub is_done: bool,
+    /// What it says of the weight store, if it was a load from there.
+    pub sample: Option<LoadSample>,
+}
+
 /// Durations and shares of the placement.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct PlacementSettings {
@@ -161,6 +178,7 @@
     demands: Demands,
     configuration_version: Option<u64>,
     store_loads: BTreeMap<ServiceName, VecDeque<Timestamp>>,
+    store_links: BTreeMap<ServiceName, StoreLink>,
     started_at: Timestamp,
     orders_from: Timestamp,
     version: u64,
@@ -178,6 +196,7 @@
             configuration_version: None,
             demands: Demands::new(settings.member_timeout),
             store_loads: BTreeMap::new(),
+            store_links: BTreeMap::new(),
             started_at: now,
             orders_from,
             version: 1,
@@ -213,10 +232,14 @@
             }
         }
         let copies = &mut self.copies;
-        self.ledgers.retain(|id, _| {
+        let store_links = &mut self.store_links;
+        self.ledgers.retain(|id, ledger| {
             let stays = seen.contains(id);
             if !stays {
                 copies.remove(id);
+                if let Some(link) = store_links.get_mut(&ledger.runner.service) {
+                    link.abandoned(id);
+                }
             }
             stays
         });
@@ -348,22 +371,49 @@
             .map(Ledger::announced)
     }
 
-    /// Takes in a report that was asked for at a time.
+    /// Takes in a report that was asked for at a time. Returns the order that it settles.
     pub fn reported(
         &mut self,
         runner: &RunnerId,
         report: Option<RunnerReport>,
         asked_at: Timestamp,
         now: Timestamp,
-    ) {
+    ) -> Option<SettledOrder> {
         let settings = self.settings;
-        self.change(runner, |ledger| {
+        let settlement = self.change(runner, |ledger| {
             ledger.report_asked_at = None;
-            match report {
-                Some(report) => ledger.reported(report, asked_at, now, &settings),
-                None => ledger.next_report = now + settings.order_retry,
-            }
+            let Some(report) = report else {
+                ledger.next_report = now + settings.order_retry;
+                return None;
+            };
+            ledger.reported(report, asked_at, now, &settings)
         });
+        let settlement = settlement.flatten()?;
+        let sample = self.note_settled(runner, &settlement.state, settlement.is_done, now);
+        Some(SettledOrder {
+            order: settlement.state.order,
+            is_done: settlement.is_done,
+            sample,
+        })
+    }
+
+    /// Tells the link to the weight store that a load over it has ended.
+    fn note_settled(
+        &mut self,
+        runner: &RunnerId,
+        state: &OrderState,
+        is_done: bool,
+        now: Timestamp,
+    ) -> Option<LoadSample> {
+        if state.source != Some(WeightSource::Store) {
+            return None;
+        }
+        let link = self.store_links.get_mut(&state.order.unit.service)?;
+        if is_done {
+            return link.ended(runner, now);
+        }
+        link.abandoned(runner);
+        None
     }
 
     /// Takes in the answer to the order under way at a runner.
@@ -373,11 +423,42 @@
         };
         let load_time = ledger
             .order()
-            .and_then(|order| engine_load_time(&self.engines, ledger, &order.unit));
+            .and_then(|order| self.expected_load_time(ledger, &order.unit));
         let settings = self.settings;
         self.change(runner, |ledger| {
             ledger.answered(answer, load_time, now, &settings);
         });
+        self.note_answered(runner, now);
+    }
+
+    /// Tells the link to the weight store that a load over it has begun, or that it may have begun at any time.
+    fn note_answered(&mut self, runner: &RunnerId, now: Timestamp) {
+        let Some(ledger) = self.ledgers.get(runner) else {
+            return;
+        };
+        let Some(link) = self.store_links.get_mut(&ledger.runner.service) else {
+            return;
+        };
+        let state = ledger.order_state();
+        let state = state.filter(|state| state.source == Some(WeightSource::Store));
+        let is_running = state.is_some_and(|state| state.progress == Progress::Running);
+        let promised = state.filter(|_| is_running).and_then(|state| {
+            engine_load_time(&self.engines, ledger, &state.order.unit)
+        });
+        match promised {
+            Some(promised) => link.begun(runner, promised, now),
+            None => link.abandoned(runner),
+        }
+    }
+
+    /// Time that a load of a unit would take at a runner, with what is known of the weight store.
+    fn expected_load_time(&self, ledger: &Ledger, unit: &Unit) -> Option<Duration> {
+        let promised = engine_load_time(&self.engines, ledger, unit)?;
+        if unit.adapter.is_some() || ledger.weight_source(&unit.model) != WeightSource::Store {
+            return Some(promised);
+        }
+        let link = self.store_links.get(&unit.service);
+        Some(link.map_or(promised, |link| link.expected(promised)))
     }
 
     /// When a unit is ready, if it is on its way or a place for it can be named.
@@ -398,7 +479,7 @@
         });
         let intended = self.ledgers.values().filter_map(|ledger| {
             let wanted = ledger.intent.as_ref().filter(|it| it.unit == *unit)?;
-            let load = engine_load_time(&self.engines, ledger, &wanted.unit)?;
+            let load = self.expected_load_time(ledger, &wanted.unit)?;
             Some(load + UNLOAD_TIME)
         });
         let soonest = under_way.chain(intended).min();
@@ -415,14 +496,14 @@
     /// Time until a unit could be ready that has no place yet.
     fn queue_estimate(&self, unit: &Unit, now: Timestamp) -> Option<Duration> {
         let engine = self.engines.get(&unit.service)?;
-        let specification = engine.models.get(&unit.model)?;
+        engine.models.get(&unit.model)?;
         let soonest = self
             .ledgers
             .values()
             .filter(|ledger| ledger.takes_orders(now) && ledger.runner.service == unit.service)
-            .map(|ledger| {
-                let load = load_time(specification, ledger, unit);
-                ledger.free_at(now).since(now) + load + UNLOAD_TIME
+            .filter_map(|ledger| {
+                let load = self.expected_load_time(ledger, unit)?;
+                Some(ledger.free_at(now).since(now) + load + UNLOAD_TIME)
             })
             .min()?;
         let lease_wait = self.orders_from.since(now);
@@ -449,12 +530,11 @@
 /// Time that a load of a unit takes at a runner, by what the operators say of its model.
 fn load_time(specification: &ModelSpecification, ledger: &Ledger, unit: &Unit) -> Duration {
     if unit.adapter.is_some() {
-        ADAPTER_TIME
-    } else if ledger.runner.in_memory.contains(&unit.model) {
-        specification.memory_load
-    } else if ledger.runner.on_disk.contains(&unit.model) {
-        specification.disk_load
-    } else {
-        specification.store_load
+        return ADAPTER_TIME;
+    }
+    match ledger.weight_source(&unit.model) {
+        WeightSource::Memory => specification.memory_load,
+        WeightSource::Disk => specification.disk_load,
+        WeightSource::Store => specification.store_load,
     }
 }
--- a/crates/routing/src/placement/planner.rs
+++ b/crates/routing/src/placement/planner.rs
@@ -10,9 +10,10 @@
 use crate::names::{RunnerId, ServiceName, Unit};
 
 use super::demand::WantedUnit;
-use super::ledger::{Intent, Ledger};
+use super::ledger::{Intent, Ledger, WeightSource};
+use super::store_link::StoreLink;
 use super::victims::{Room, Victims};
-use super::{Action, Operation, Order, Placement, Reason, UNLOAD_TIME, engine_load_time};
+use super::{Action, Operation, Order, Placement, Reason, UNLOAD_TIME};
 
 /// Requests a second from which a model is busy and keeps several copies.
 pub(super) const BUSY_RATE: f64 = 0.7;
@@ -34,13 +35,31 @@
 /// A runner that could take a model.
 struct Candidate {
     runner: RunnerId,
+    source: WeightSource,
     victims: Victims,
     cost_ms: f64,
 }
 
-/// The rooms of the runners that can be given an order, for one plan. Other orders of the same plan may
-/// change a price; what is to be dropped is therefore decided again when the order is given.
-type Rooms = BTreeMap<RunnerId, Room>;
+/// What one plan may still use.
+struct Openings {
+    /// The rooms of the runners that can be given an order. Other orders of the same plan may change a price;
+    /// what is to be dropped is therefore decided again when the order is given.
+    rooms: BTreeMap<RunnerId, Room>,
+    /// Loads from the weight store that may still be begun, by service.
+    store_loads: BTreeMap<ServiceName, usize>,
+}
+
+impl Openings {
+    /// A model is loaded at a runner.
+    fn take(&mut self, candidate: &Candidate, service: &ServiceName) {
+        self.rooms.remove(&candidate.runner);
+        if candidate.source == WeightSource::Store
+            && let Some(loads) = self.store_loads.get_mut(service)
+        {
+            *loads = loads.saturating_sub(1);
+        }
+    }
+}
 
 impl Placement {
     /// Decides and returns what is to be done now.
@@ -51,16 +70,44 @@
         }
         self.demands.refresh(now);
         self.follow_intents(now);
-        let mut rooms = self.rooms(now);
+        self.watch_store_links(now);
+        let mut openings = Openings {
+            rooms: self.rooms(now),
+            store_loads: self.free_store_loads(),
+        };
         for wanted in self.demands.wanted().to_vec() {
-            self.serve(&wanted, &mut rooms, now);
+            self.serve(&wanted, &mut openings, now);
         }
-        self.add_replicas(&mut rooms, now);
+        self.add_replicas(&mut openings, now);
         actions.extend(self.due_orders(now));
         actions
     }
 
-    fn rooms(&self, now: Timestamp) -> Rooms {
+    /// Tells the links to the weight store how many loads are in flight.
+    fn watch_store_links(&mut self, now: Timestamp) {
+        for service in self.engines.keys() {
+            let ledgers = self.ledgers.values();
+            let ledgers = ledgers.filter(|it| it.runner.service == *service);
+            let in_flight = ledgers.filter(|it| it.may_load_from_store()).count();
+            let link = self.store_links.entry(service.clone());
+            let link = link.or_insert_with(|| StoreLink::new(now));
+            link.set_in_flight(in_flight, now);
+            link.note_overdue(now);
+        }
+    }
+
+    /// Loads from the weight store that may be begun now, by service.
+    fn free_store_loads(&self) -> BTreeMap<ServiceName, usize> {
+        let free = |(service, link): (&ServiceName, &StoreLink)| {
+            let ledgers = self.ledgers.values();
+            let ledgers = ledgers.filter(|it| it.runner.service == *service);
+            let taken = ledgers.filter(|it| it.may_load_from_store() || it.intends_store_load());
+            (service.clone(), link.limit().saturating_sub(taken.count()))
+        };
+        self.store_links.iter().map(free).collect()
+    }
+
+    fn rooms(&self, now: Timestamp) -> BTreeMap<RunnerId, Room> {
         let awaited = self.models_of_awaited_adapters();
         let free = self.ledgers.values();
         let free = free.filter(|ledger| ledger.is_free(now) && ledger.intent.is_none());
@@ -72,7 +119,6 @@
         free.filter_map(room).collect()
     }
 
-    /// The reports to read now. A new coordinator reads those of all runners, a few at a time.
     /// Models of adapters that requests wait for and that are not on their way.
     fn models_of_awaited_adapters(&self) -> HashSet<Unit> {
         let wanted = self.demands.wanted().iter().map(|wanted| &wanted.unit);
@@ -100,6 +146,7 @@
         ledger.adapters().len() < slots || self.adapter_victim(ledger, now).is_some()
     }
 
+    /// The reports to read now. A new coordinator reads those of all runners, a few at a time.
     fn due_reports(&mut self, now: Timestamp) -> Vec<Action> {
         let asked = self.ledgers.values();
         let asked = asked.filter(|ledger| ledger.report_asked_at.is_some());
@@ -125,7 +172,8 @@
             let Some((order, expected_count, reason)) = ledger.due_order(now) else {
                 continue;
             };
-            if counts_as_store_load(ledger, &order) {
+            let source = ledger.order_state().and_then(|state| state.source);
+            if source == Some(WeightSource::Store) {
                 let loads = self.store_loads.entry(ledger.runner.service.clone());
                 let loads = loads.or_default();
                 loads.retain(|&at| now.since(at) <= self.settings.load_window);
@@ -160,30 +208,30 @@
     }
 
     /// Sees to it that a unit which requests wait for gets ready somewhere.
-    fn serve(&mut self, wanted: &WantedUnit, rooms: &mut Rooms, now: Timestamp) {
+    fn serve(&mut self, wanted: &WantedUnit, openings: &mut Openings, now: Timestamp) {
         let unit = &wanted.unit;
         if self.copies.is_offered(unit) || self.copies.is_coming(unit) {
             return;
         }
         if unit.adapter.is_some() {
-            self.serve_adapter(unit, rooms, now);
+            self.serve_adapter(unit, openings, now);
         } else {
-            self.serve_model(unit, rooms, now);
+            self.serve_model(unit, openings, now);
         }
     }
 
-    fn serve_model(&mut self, unit: &Unit, rooms: &mut Rooms, now: Timestamp) {
-        if let Some(candidate) = self.best_candidate(unit, rooms, now) {
-            rooms.remove(&candidate.runner);
+    fn serve_model(&mut self, unit: &Unit, openings: &mut Openings, now: Timestamp) {
+        if let Some(candidate) = self.best_candidate(unit, openings, now) {
+            openings.take(&candidate, &unit.service);
             self.load_at(&candidate.runner, unit, Reason::Demand, now);
         }
     }
 
-    fn serve_adapter(&mut self, unit: &Unit, rooms: &mut Rooms, now: Timestamp) {
+    fn serve_adapter(&mut self, unit: &Unit, openings: &mut Openings, now: Timestamp) {
         let base = unit.base();
         if !self.copies.is_offered(&base) {
             if !self.copies.is_coming(&base) {
-                self.serve_model(&base, rooms, now);
+                self.serve_model(&base, openings, now);
             }
             return;
         }
@@ -203,7 +251,7 @@
         let size = engine.models.get(&unit.model).map_or(0.0, |m| m.adapter_mb);
         let has_room = ledger.free_mb(engine) >= size;
         let runner = ledger.runner.id.clone();
-        rooms.remove(&runner);
+        openings.rooms.remove(&runner);
         if has_slot && has_room {
             self.begin(&runner, Operation::Load, unit.clone(), Reason::Demand, now);
         } else if let Some(victim) = self.adapter_victim(ledger, now) {
@@ -212,7 +260,7 @@
     }
 
     /// Gives busy models further copies, with a part of the ceiling.
-    fn add_replicas(&mut self, rooms: &mut Rooms, now: Timestamp) {
+    fn add_replicas(&mut self, openings: &mut Openings, now: Timestamp) {
         for (unit, rate) in self.demands.busy_models(BUSY_RATE) {
             let is_known = self
                 .engines
@@ -225,11 +273,11 @@
             if !self.has_ceiling(&unit.service, REPLICA_SHARE, now) {
                 continue;
             }
-            let Some(candidate) = self.best_candidate(&unit, rooms, now) else {
+            let Some(candidate) = self.best_candidate(&unit, openings, now) else {
                 continue;
             };
             if candidate.victims.price_ms <= REPLICA_PRICE_MS {
-                rooms.remove(&candidate.runner);
+                openings.take(&candidate, &unit.service);
                 self.load_at(&candidate.runner, &unit, Reason::Replica, now);
             }
         }
@@ -281,7 +329,7 @@
             return;
         };
         let expected = match operation {
-            Operation::Load => engine_load_time(&self.engines, ledger, &unit),
+            Operation::Load => self.expected_load_time(ledger, &unit),
             Operation::Unload => Some(UNLOAD_TIME),
         };
         let ready_at = now + expected.unwrap_or_default();
@@ -289,15 +337,20 @@
         self.change(runner, |ledger| ledger.begin(order, reason, ready_at));
     }
 
-    fn best_candidate(&self, unit: &Unit, rooms: &Rooms, now: Timestamp) -> Option<Candidate> {
+    fn best_candidate(&self, unit: &Unit, openings: &Openings, now: Timestamp) -> Option<Candidate> {
         let engine = self.engines.get(&unit.service)?;
         engine.models.get(&unit.model)?;
-        let has_ceiling = self.has_ceiling(&unit.service, 1.0, now);
-        rooms
+        let store_loads = openings.store_loads.get(&unit.service).copied();
+        let may_use_store =
+            store_loads.unwrap_or(0) > 0 && self.has_ceiling(&unit.service, 1.0, now);
+        openings
+            .rooms
             .iter()
             .filter_map(|(id, room)| Some((self.ledgers.get(id)?, room)))
             .filter(|(ledger, _)| ledger.runner.service == unit.service && !ledger.has(unit))
-            .filter(|(ledger, _)| has_ceiling || !loads_from_store(ledger, unit))
+            .filter(|(ledger, _)| {
+                may_use_store || ledger.weight_source(&unit.model) != WeightSource::Store
+            })
             .filter_map(|(ledger, room)| self.candidate(ledger, room, engine, unit))
             .min_by(|left, right| {
                 let by_cost = left.cost_ms.total_cmp(&right.cost_ms);
@@ -314,13 +367,14 @@
     ) -> Option<Candidate> {
         let weights_mb = engine.models.get(&unit.model)?.weights_mb;
         let victims = room.victims(&unit.model, weights_mb)?;
-        let load = engine_load_time(&self.engines, ledger, unit)?;
+        let load = self.expected_load_time(ledger, unit)?;
         let zone_has_copy = self.copies.is_in_zone(unit, &ledger.runner.zone);
         let zone_price = if zone_has_copy { 500.0 } else { 0.0 };
         let leaves = ledger.runner.leaves_in.is_some();
         let leave_price = if leaves { 1e9 } else { 0.0 };
         Some(Candidate {
             runner: ledger.runner.id.clone(),
+            source: ledger.weight_source(&unit.model),
             cost_ms: load.as_secs_f64() * 1_000.0 + victims.price_ms + zone_price + leave_price,
             victims,
         })
@@ -382,14 +436,3 @@
         })
     }
 }
-
-fn loads_from_store(ledger: &Ledger, unit: &Unit) -> bool {
-    let runner = &ledger.runner;
-    !runner.in_memory.contains(&unit.model) && !runner.on_disk.contains(&unit.model)
-}
-
-fn counts_as_store_load(ledger: &Ledger, order: &Order) -> bool {
-    order.operation == Operation::Load
-        && order.unit.adapter.is_none()
-        && loads_from_store(ledger, &order.unit)
-}
--- a/crates/routing/tests/placement/world.rs
+++ b/crates/routing/tests/placement/world.rs
@@ -184,6 +184,8 @@
         RunnerReport {
             holdings: self.holdings.clone(),
             pending: self.pending.keys().cloned().collect(),
+            in_memory: BTreeSet::new(),
+            on_disk: BTreeSet::new(),
             is_busy: self.busy.is_some(),
             order_count: self.count,
             running: 0,
