Weight store: one slow runner says nothing of the link; a successor takes the bound over

Change: two of the last three loads must be slowed; the steps double while nothing is slowed; the bound is told to the members with the loads of runners.

--- a/crates/ingress/src/coordination/following.rs
+++ b/crates/ingress/src/coordination/following.rs
@@ -3,7 +3,9 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use flaxward_routing::messages::{Direction, KnownState, Message, Usage, WaitNotice, WaitingUnit};
+use flaxward_routing::messages::{
+    Direction, KnownState, Message, StoreLimit, Usage, WaitNotice, WaitingUnit,
+};
 use flaxward_types::time::Timestamp;
 
 use crate::state::{Shared, StoreWord, Tables};
@@ -31,6 +33,8 @@
     coordinator: Option<Coordinator>,
     /// Where the members heard the last coordinator.
     members: Vec<SocketAddr>,
+    /// Bounds on loads from the weight store that the last coordinator has found.
+    store_limits: Vec<StoreLimit>,
     usage_at: Timestamp,
     message_at: Timestamp,
     wants_notice: bool,
@@ -44,6 +48,7 @@
             own_address,
             coordinator: None,
             members: Vec::new(),
+            store_limits: Vec::new(),
             usage_at: Timestamp::ZERO,
             message_at: Timestamp::ZERO,
             wants_notice: false,
@@ -61,6 +66,11 @@
         &self.members
     }
 
+    /// Bounds on loads from the weight store that the last coordinator has found.
+    pub fn store_limits(&self) -> &[StoreLimit] {
+        &self.store_limits
+    }
+
     /// Knows of no coordinator any more.
     pub fn forget(&mut self) {
         self.coordinator = None;
@@ -171,6 +181,9 @@
         if let Some(members) = direction.members {
             self.members = members;
         }
+        if let Some(limits) = direction.store_limits {
+            self.store_limits = limits;
+        }
         let follows = coordinator.holdings_version >= direction.holdings_after;
         let mut tables = shared.tables();
         tables.daemons = usize::try_from(direction.daemons)
--- a/crates/ingress/src/coordination/leading.rs
+++ b/crates/ingress/src/coordination/leading.rs
@@ -158,5 +158,6 @@
         holdings: Vec::new(),
         outlooks: Vec::new(),
         loads: None,
+        store_limits: None,
     }
 }
--- a/crates/ingress/src/coordination/mod.rs
+++ b/crates/ingress/src/coordination/mod.rs
@@ -291,6 +291,7 @@
         if let Some(configuration) = self.shared.configuration() {
             placement.configure(&configuration);
         }
+        placement.inherit_store_limits(self.following.store_limits(), now);
         self.shared.store_word.send_replace(StoreWord {
             is_leading: true,
             ..StoreWord::default()
--- a/crates/routing/benches/plan.rs
+++ b/crates/routing/benches/plan.rs
@@ -206,6 +206,7 @@
         holdings: Vec::new(),
         outlooks: Vec::new(),
         loads: None,
+        store_limits: None,
     }
 }
 
--- a/crates/routing/src/dissemination.rs
+++ b/crates/routing/src/dissemination.rs
@@ -207,6 +207,7 @@
             if now.since(progress.loads_at) >= LOADS_INTERVAL {
                 progress.loads_at = now;
                 first.loads = Some(round.loads());
+                first.store_limits = Some(placement.store_limits());
             }
         }
         if progress.runners_revision < header.membership_revision {
--- a/crates/routing/src/messages.rs
+++ b/crates/routing/src/messages.rs
@@ -10,11 +10,11 @@
 
 use crate::lease::LeasePulse;
 use crate::membership::MembershipUpdate;
-use crate::names::{RunnerId, Unit, Zone};
+use crate::names::{RunnerId, ServiceName, Unit, Zone};
 use crate::runners::RunnerHoldings;
 
 /// First byte of every message; raised when the encoding changes incompatibly.
-const WIRE_VERSION: u8 = 2;
+const WIRE_VERSION: u8 = 3;
 
 /// A message.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -142,6 +142,20 @@
     pub outlooks: Vec<UnitOutlook>,
     /// Requests in progress at crowded runners, all daemons together, if they are told again.
     pub loads: Option<Vec<RunnerLoad>>,
+    /// Loads from the weight store that may be in flight, by service, if they are told again. A member keeps
+    /// them for the case that it coordinates later.
+    pub store_limits: Option<Vec<StoreLimit>>,
+}
+
+/// How many loads from the weight store may be in flight for a service.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct StoreLimit {
+    /// The service.
+    pub service: ServiceName,
+    /// Loads in flight at most.
+    pub loads: u32,
+    /// More loads were seen to slow each other.
+    pub is_measured: bool,
 }
 
 /// Requests in progress at a runner.
--- a/crates/routing/src/placement/mod.rs
+++ b/crates/routing/src/placement/mod.rs
@@ -22,7 +22,7 @@
 use crate::balance::is_crowded;
 use crate::configuration::{Configuration, Engine, ModelSpecification};
 use crate::messages::{
-    Direction, KnownState, RunnerLoad, UnitOutlook, Usage, WaitNotice, WaitingUnit,
+    Direction, KnownState, RunnerLoad, StoreLimit, UnitOutlook, Usage, WaitNotice, WaitingUnit,
 };
 use crate::names::{AdapterName, ModelName, RunnerId, ServiceName, Unit};
 use crate::runners::{Holdings, Runner, RunnerHoldings};
@@ -340,6 +340,26 @@
         self.ledgers.values().filter_map(load).collect()
     }
 
+    /// Bounds on the loads from the weight store in flight that were found so far.
+    pub fn store_limits(&self) -> Vec<StoreLimit> {
+        let limit = |(service, link): (&ServiceName, &StoreLink)| StoreLimit {
+            service: service.clone(),
+            loads: u32::try_from(link.limit()).unwrap_or(u32::MAX),
+            is_measured: link.was_full(),
+        };
+        self.store_links.iter().map(limit).collect()
+    }
+
+    /// Takes over the bounds that the coordinator before this one has found.
+    pub fn inherit_store_limits(&mut self, limits: &[StoreLimit], now: Timestamp) {
+        for limit in limits {
+            let mut link = StoreLink::new(now);
+            let loads = usize::try_from(limit.loads).unwrap_or(usize::MAX);
+            link.inherit(loads, limit.is_measured);
+            self.store_links.insert(limit.service.clone(), link);
+        }
+    }
+
     /// Names and addresses of the members that live.
     pub fn members(&self, now: Timestamp) -> Vec<(String, SocketAddr)> {
         let members = self.demands.live_members(now);
@@ -442,9 +462,9 @@
         let state = ledger.order_state();
         let state = state.filter(|state| state.source == Some(WeightSource::Store));
         let is_running = state.is_some_and(|state| state.progress == Progress::Running);
-        let promised = state.filter(|_| is_running).and_then(|state| {
-            engine_load_time(&self.engines, ledger, &state.order.unit)
-        });
+        let promised = state
+            .filter(|_| is_running)
+            .and_then(|state| engine_load_time(&self.engines, ledger, &state.order.unit));
         match promised {
             Some(promised) => link.begun(runner, promised, now),
             None => link.abandoned(runner),
--- a/crates/routing/src/placement/planner.rs
+++ b/crates/routing/src/placement/planner.rs
@@ -337,7 +337,12 @@
         self.change(runner, |ledger| ledger.begin(order, reason, ready_at));
     }
 
-    fn best_candidate(&self, unit: &Unit, openings: &Openings, now: Timestamp) -> Option<Candidate> {
+    fn best_candidate(
+        &self,
+        unit: &Unit,
+        openings: &Openings,
+        now: Timestamp,
+    ) -> Option<Candidate> {
         let engine = self.engines.get(&unit.service)?;
         engine.models.get(&unit.model)?;
         let store_loads = openings.store_loads.get(&unit.service).copied();
--- a/crates/routing/src/placement/store_link.rs
+++ b/crates/routing/src/placement/store_link.rs
@@ -4,11 +4,11 @@
 //! beyond it all of them get slower in proportion, so that more loads at once bring nothing and make every one
 //! late. The number is told nowhere and may change. It is found as congestion control of TCP finds the rate of
 //! a path: the time that a load took, over the time that the operators promise for it, is its *stretch*. While
-//! loads run at full speed the bound rises, twofold a round at first (slow start). A stretch shows how many
-//! loads the link carries, namely those in flight over the stretch; that becomes the bound, and one more is
-//! tried now and then.
+//! loads run at full speed the bound rises, twofold a round at first (slow start), and later in steps that
+//! double as long as nothing is slowed. Slowed loads show how many the link carries, namely those in flight
+//! over the stretch; that becomes the bound.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 use std::time::Duration;
 
 use flaxward_types::time::Timestamp;
@@ -26,10 +26,11 @@
 const DETECTION_SLACK: Duration = Duration::from_millis(250);
 /// Share of the bound that must have been in flight for a load at full speed to raise it.
 const USED_SHARE: f64 = 0.75;
-/// Weight of a new measurement of the link against the ones before it.
-const MEASUREMENT_WEIGHT: f64 = 0.5;
-/// Part of a load by which the bound rises for each load at full speed, once the link was measured, in
-/// bounds: one load more after this many rounds.
+/// Latest loads that are looked at together: one runner that is slow by itself says nothing of the link.
+const WINDOW: usize = 3;
+/// Loads among them that must have been slowed for the link to count as full.
+const LEAST_SLOWED: usize = 2;
+/// Rounds of loads at full speed in which the bound rises by one step, once the link was full.
 const PROBE_ROUNDS: f64 = 2.0;
 
 /// A load in flight.
@@ -65,7 +66,14 @@
     load_seconds: f64,
     summed_until: Timestamp,
     limit: f64,
-    is_measured: bool,
+    /// The latest loads that have ended, the youngest last: what the link carried, if they were slowed.
+    latest: VecDeque<Option<f64>>,
+    /// The link was full once, or was for another coordinator.
+    was_full: bool,
+    /// Loads by which the bound rises in [`PROBE_ROUNDS`].
+    probe_step: f64,
+    /// Loads at full speed since the step has changed.
+    probe_loads: f64,
 }
 
 impl StoreLink {
@@ -77,7 +85,10 @@
             load_seconds: 0.0,
             summed_until: now,
             limit: FIRST_LIMIT,
-            is_measured: false,
+            latest: VecDeque::new(),
+            was_full: false,
+            probe_step: 1.0,
+            probe_loads: 0.0,
         }
     }
 
@@ -88,22 +99,20 @@
         limit.max(1)
     }
 
-    /// What was measured of the link: its bound, if loads were ever slowed or ever ran at full speed.
-    pub fn measured_limit(&self) -> Option<f64> {
-        self.is_measured.then_some(self.limit)
+    /// Takes over what another coordinator has found.
+    pub fn inherit(&mut self, limit: usize, was_full: bool) {
+        self.limit = count(limit.max(1));
+        self.was_full = was_full;
     }
 
-    /// Takes over what another coordinator has measured.
-    pub fn inherit(&mut self, limit: f64) {
-        if !self.is_measured && limit >= 1.0 {
-            self.limit = limit;
-            self.is_measured = true;
-        }
+    /// Whether loads were ever slowed, so that the bound is that of the link.
+    pub fn was_full(&self) -> bool {
+        self.was_full
     }
 
     /// Time that a load is expected to take beside those that are in flight now.
     pub fn expected(&self, promised: Duration) -> Duration {
-        if !self.is_measured {
+        if !self.was_full {
             return promised;
         }
         promised.mul_f64((count(self.in_flight) / self.limit).max(1.0))
@@ -141,9 +150,15 @@
         self.sum_up(now);
         let flight = self.flights.remove(runner)?;
         let in_flight = self.mean_in_flight(&flight, now);
-        match self.stretch(&flight, now) {
-            Some(stretch) => self.slowed(in_flight / stretch),
-            None => self.at_full_speed(in_flight),
+        let carried = Self::stretch(&flight, now).map(|it| in_flight / it);
+        self.latest.push_back(carried);
+        if self.latest.len() > WINDOW {
+            self.latest.pop_front();
+        }
+        if carried.is_none() {
+            self.at_full_speed(in_flight);
+        } else if self.latest.iter().flatten().count() >= LEAST_SLOWED {
+            self.full();
         }
         Some(LoadSample {
             took: now.since(flight.begun),
@@ -160,7 +175,7 @@
         let due = self
             .flights
             .values()
-            .filter_map(|flight| Some((flight, self.stretch(flight, now)?)));
+            .filter_map(|flight| Some((flight, Self::stretch(flight, now)?)));
         let carried = due.map(|(flight, stretch)| self.mean_in_flight(flight, now) / stretch);
         let (count, most) = carried.fold((0, 0.0_f64), |(count, most), carried| {
             (count + 1, most.max(carried))
@@ -168,7 +183,7 @@
         let is_telling = count >= 2 || (count == 1 && self.flights.len() == 1);
         if is_telling && most < self.limit {
             self.limit = most.max(1.0);
-            self.is_measured = true;
+            self.note_full();
         }
     }
 
@@ -179,32 +194,41 @@
     }
 
     /// How many times longer a load has taken than it should, if it was slowed at all.
-    fn stretch(&self, flight: &Flight, now: Timestamp) -> Option<f64> {
+    fn stretch(flight: &Flight, now: Timestamp) -> Option<f64> {
         let took = now.since(flight.begun).saturating_sub(DETECTION_DELAY);
         let longest = flight.promised.mul_f64(SLOWED_STRETCH) + DETECTION_SLACK;
         let promised = flight.promised.as_secs_f64().max(0.001);
         (took > longest).then(|| took.as_secs_f64() / promised)
     }
 
-    fn slowed(&mut self, carried: f64) {
-        let limit = if self.is_measured {
-            self.limit + (carried - self.limit) * MEASUREMENT_WEIGHT
-        } else {
-            carried
-        };
-        self.limit = limit.max(1.0);
-        self.is_measured = true;
+    /// The latest loads were slowed: the bound is what the link has carried at most meanwhile.
+    fn full(&mut self) {
+        let most = self.latest.iter().flatten().copied().fold(1.0, f64::max);
+        self.limit = most;
+        self.note_full();
+    }
+
+    fn note_full(&mut self) {
+        self.was_full = true;
+        self.probe_step = 1.0;
+        self.probe_loads = 0.0;
     }
 
     fn at_full_speed(&mut self, in_flight: f64) {
         if in_flight < self.limit * USED_SHARE {
             return;
         }
-        self.limit += if self.is_measured {
-            1.0 / (self.limit * PROBE_ROUNDS)
-        } else {
-            1.0
-        };
+        if !self.was_full {
+            self.limit += 1.0;
+            return;
+        }
+        let loads = self.limit * PROBE_ROUNDS;
+        self.limit += (self.probe_step / loads).min(1.0);
+        self.probe_loads += 1.0;
+        if self.probe_loads >= loads {
+            self.probe_step *= 2.0;
+            self.probe_loads = 0.0;
+        }
     }
 }
 
--- a/crates/routing/tests/dissemination.rs
+++ b/crates/routing/tests/dissemination.rs
@@ -196,6 +196,7 @@
             holdings: Vec::new(),
             outlooks: Vec::new(),
             loads: None,
+            store_limits: None,
         }
     }
 
