Placement: a busy runner with a copy of the weights is waited for if that is sooner than the store

Cause: a model whose only copy lay on the disk of a runner with an order under way was fetched again from the weight store by another runner: 6 s of the scarce link instead of a second or two.

--- a/crates/routing/src/placement/copies.rs
+++ b/crates/routing/src/placement/copies.rs
@@ -1,7 +1,7 @@
-//! How many runners offer a unit or will, and in which zones: kept up to date with each change of a
-//! [`Ledger`], so that a question does not go through all runners.
+//! How many runners offer a unit or will, in which zones, and which ones have its weights in host memory or on
+//! disk: kept up to date with each change of a [`Ledger`], so that a question does not go through all runners.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 
 use crate::names::{RunnerId, Unit, Zone};
 
@@ -14,6 +14,7 @@
     zone: Zone,
     is_offered: bool,
     is_coming: bool,
+    is_stored: bool,
 }
 
 /// A unit at all runners.
@@ -23,6 +24,8 @@
     coming: usize,
     /// Runners that offer it or will.
     by_zone: BTreeMap<Zone, usize>,
+    /// Runners that have its weights in host memory or on disk.
+    stored_at: BTreeSet<RunnerId>,
 }
 
 /// Copies of all units.
@@ -41,7 +44,12 @@
             let unit = self.units.entry(copy.unit.clone()).or_default();
             unit.offered += usize::from(copy.is_offered);
             unit.coming += usize::from(copy.is_coming);
-            *unit.by_zone.entry(copy.zone.clone()).or_default() += 1;
+            if copy.is_offered || copy.is_coming {
+                *unit.by_zone.entry(copy.zone.clone()).or_default() += 1;
+            }
+            if copy.is_stored {
+                unit.stored_at.insert(ledger.runner.id.clone());
+            }
         }
         self.by_runner.insert(ledger.runner.id.clone(), copies);
     }
@@ -54,11 +62,14 @@
             };
             unit.offered -= usize::from(copy.is_offered);
             unit.coming -= usize::from(copy.is_coming);
-            if let Some(count) = unit.by_zone.get_mut(&copy.zone) {
-                *count -= 1;
+            if copy.is_offered || copy.is_coming {
+                if let Some(count) = unit.by_zone.get_mut(&copy.zone) {
+                    *count -= 1;
+                }
+                unit.by_zone.retain(|_, count| *count > 0);
             }
-            unit.by_zone.retain(|_, count| *count > 0);
-            if unit.by_zone.is_empty() {
+            unit.stored_at.remove(runner);
+            if unit.by_zone.is_empty() && unit.stored_at.is_empty() {
                 self.units.remove(&copy.unit);
             }
         }
@@ -80,6 +91,12 @@
         by_zone.unwrap_or(0)
     }
 
+    /// Runners that have the weights of a model in host memory or on disk.
+    pub fn stored_at(&self, model: &Unit) -> impl Iterator<Item = &RunnerId> {
+        let unit = self.units.get(model);
+        unit.into_iter().flat_map(|it| &it.stored_at)
+    }
+
     /// Whether a runner of the zone offers the unit or will.
     pub fn is_in_zone(&self, unit: &Unit, zone: &Zone) -> bool {
         let unit = self.units.get(unit);
@@ -89,15 +106,17 @@
 
 fn copies_of(ledger: &Ledger) -> Vec<Copy> {
     let mut units = ledger.known_units();
+    units.extend(ledger.stored_models());
     units.sort();
     units.dedup();
     let copies = units.into_iter().map(|unit| Copy {
         zone: ledger.runner.zone.clone(),
         is_offered: ledger.offers(&unit),
         is_coming: ledger.will_offer(&unit),
+        is_stored: ledger.stores(&unit),
         unit,
     });
     copies
-        .filter(|copy| copy.is_offered || copy.is_coming)
+        .filter(|copy| copy.is_offered || copy.is_coming || copy.is_stored)
         .collect()
 }
--- a/crates/routing/src/placement/ledger.rs
+++ b/crates/routing/src/placement/ledger.rs
@@ -262,6 +262,25 @@
             .collect()
     }
 
+    /// Models of which the runner has the weights in host memory or on disk.
+    pub fn stored_models(&self) -> impl Iterator<Item = Unit> {
+        let runner = &self.runner;
+        let listed = runner.in_memory.iter().chain(&runner.on_disk);
+        let reported = self.in_memory.iter().chain(&self.on_disk);
+        listed.chain(reported).map(|model| Unit {
+            service: self.runner.service.clone(),
+            model: model.clone(),
+            adapter: None,
+        })
+    }
+
+    /// Whether the runner has the weights of a model in host memory or on disk, and stays.
+    pub fn stores(&self, unit: &Unit) -> bool {
+        unit.adapter.is_none()
+            && !self.runner.draining
+            && self.weight_source(&unit.model) != WeightSource::Store
+    }
+
     /// Whether it may be given orders at all.
     pub fn takes_orders(&self, now: Timestamp) -> bool {
         self.is_confirmed && !self.runner.draining && now >= self.rejected_until
--- a/crates/routing/src/placement/mod.rs
+++ b/crates/routing/src/placement/mod.rs
@@ -473,10 +473,16 @@
 
     /// Time that a load of a unit would take at a runner, with what is known of the weight store.
     fn expected_load_time(&self, ledger: &Ledger, unit: &Unit) -> Option<Duration> {
-        let promised = engine_load_time(&self.engines, ledger, unit)?;
-        if unit.adapter.is_some() || ledger.weight_source(&unit.model) != WeightSource::Store {
-            return Some(promised);
+        if unit.adapter.is_none() && ledger.weight_source(&unit.model) == WeightSource::Store {
+            return self.store_load_time(unit);
         }
+        engine_load_time(&self.engines, ledger, unit)
+    }
+
+    /// Time that a load of a model from the weight store would take now.
+    fn store_load_time(&self, unit: &Unit) -> Option<Duration> {
+        let specification = self.engines.get(&unit.service)?.models.get(&unit.model)?;
+        let promised = specification.store_load;
         let link = self.store_links.get(&unit.service);
         Some(link.map_or(promised, |link| link.expected(promised)))
     }
--- a/crates/routing/src/placement/planner.rs
+++ b/crates/routing/src/placement/planner.rs
@@ -13,7 +13,7 @@
 use super::ledger::{Intent, Ledger, WeightSource};
 use super::store_link::StoreLink;
 use super::victims::{Room, Victims};
-use super::{Action, Operation, Order, Placement, Reason, UNLOAD_TIME};
+use super::{Action, Operation, Order, Placement, Reason, UNLOAD_TIME, engine_load_time};
 
 /// Requests a second from which a model is busy and keeps several copies.
 pub(super) const BUSY_RATE: f64 = 0.7;
@@ -346,8 +346,9 @@
         let engine = self.engines.get(&unit.service)?;
         engine.models.get(&unit.model)?;
         let store_loads = openings.store_loads.get(&unit.service).copied();
-        let may_use_store =
-            store_loads.unwrap_or(0) > 0 && self.has_ceiling(&unit.service, 1.0, now);
+        let may_use_store = store_loads.unwrap_or(0) > 0
+            && self.has_ceiling(&unit.service, 1.0, now)
+            && !self.is_sooner_from_copy(unit, now);
         openings
             .rooms
             .iter()
@@ -363,6 +364,25 @@
             })
     }
 
+    /// Whether a runner with a copy of the weights, busy now, would have the model ready before one that
+    /// takes it from the weight store.
+    fn is_sooner_from_copy(&self, unit: &Unit, now: Timestamp) -> bool {
+        let Some(from_store) = self.store_load_time(unit) else {
+            return false;
+        };
+        let ledgers = self
+            .copies
+            .stored_at(unit)
+            .filter_map(|id| self.ledgers.get(id));
+        ledgers
+            .filter(|ledger| ledger.takes_orders(now))
+            .filter_map(|ledger| {
+                let load = engine_load_time(&self.engines, ledger, unit)?;
+                Some(ledger.free_at(now).since(now) + load)
+            })
+            .any(|from_copy| from_copy < from_store)
+    }
+
     fn candidate(
         &self,
         ledger: &Ledger,
