--- a/crates/ingress/src/coordination/following.rs
+++ b/crates/ingress/src/coordination/following.rs
@@ -142,6 +142,7 @@
             waiting,
             used: tables.uses.recent(now),
             running: tables.running.all(),
+            pressed: tables.pressure.pressed(now),
         }))
     }
 
--- a/crates/ingress/src/relay.rs
+++ b/crates/ingress/src/relay.rs
@@ -60,6 +60,9 @@
     splitter: EventSplitter,
     weights_version: Option<u64>,
     first: Option<Bytes>,
+    /// When the last events came, and the longest time between two.
+    last_events_at: Option<Instant>,
+    longest_gap: Duration,
     is_done: bool,
 }
 
@@ -84,6 +87,8 @@
             exchange: Some(exchange),
             splitter: EventSplitter::default(),
             first: None,
+            last_events_at: None,
+            longest_gap: Duration::ZERO,
             is_done: false,
         }
     }
@@ -192,16 +197,31 @@
                 return Piece::Broken;
             }
             if !events.is_empty() {
+                let runner = exchange.runner.id.clone();
+                self.note_events(&runner);
                 return Piece::Events(Bytes::from(events));
             }
         }
     }
 
+    fn note_events(&mut self, runner: &RunnerId) {
+        let instant = Instant::now();
+        let Some(last) = self.last_events_at.replace(instant) else {
+            return;
+        };
+        let gap = instant - last;
+        self.longest_gap = self.longest_gap.max(gap);
+        let now = self.shared.now();
+        let pressure = &mut self.shared.tables().pressure;
+        pressure.note_pause(runner, gap, self.route.event_gap, now);
+    }
+
     fn end(&mut self) -> Piece {
         if self.splitter.has_partial() {
             return Piece::Broken;
         }
         if let Some(exchange) = self.exchange.take() {
+            self.log_gap(&exchange.runner.id);
             self.shared
                 .observe(&exchange.runner.id, Observation::Success);
             if let Some(connection) = exchange.connection {
@@ -220,6 +240,7 @@
             self.log_break(&exchange.runner.id, failure);
             drop(exchange);
         }
+        self.last_events_at = None;
         self.splitter.drop_partial();
         self.attempts.count(failure);
         loop {
@@ -299,6 +320,22 @@
         error
     }
 
+    /// Logs a pause that makes the answer late, though nothing failed.
+    fn log_gap(&self, runner: &RunnerId) {
+        if self.longest_gap <= self.route.event_gap {
+            return;
+        }
+        let fields: &[(&str, &dyn std::fmt::Display)] = &[
+            ("request", &self.request.profile.id),
+            ("route", &self.route.name),
+            ("runner", runner),
+            ("longest_gap_ms", &self.longest_gap.as_millis()),
+        ];
+        self.shared
+            .log
+            .write(self.shared.now(), "stream-late", fields);
+    }
+
     fn log_break(&self, runner: &RunnerId, failure: Failure) {
         let fields: &[(&str, &dyn std::fmt::Display)] = &[
             ("request", &self.request.profile.id),
--- a/crates/routing/src/placement/copies.rs
+++ b/crates/routing/src/placement/copies.rs
@@ -20,7 +20,7 @@
 /// A unit at all runners.
 #[derive(Debug, Default)]
 struct UnitCopies {
-    offered: usize,
+    offered_at: BTreeSet<RunnerId>,
     coming: usize,
     /// Runners that offer it or will.
     by_zone: BTreeMap<Zone, usize>,
@@ -42,7 +42,9 @@
         let copies = copies_of(ledger);
         for copy in &copies {
             let unit = self.units.entry(copy.unit.clone()).or_default();
-            unit.offered += usize::from(copy.is_offered);
+            if copy.is_offered {
+                unit.offered_at.insert(ledger.runner.id.clone());
+            }
             unit.coming += usize::from(copy.is_coming);
             if copy.is_offered || copy.is_coming {
                 *unit.by_zone.entry(copy.zone.clone()).or_default() += 1;
@@ -60,7 +62,7 @@
             let Some(unit) = self.units.get_mut(&copy.unit) else {
                 continue;
             };
-            unit.offered -= usize::from(copy.is_offered);
+            unit.offered_at.remove(runner);
             unit.coming -= usize::from(copy.is_coming);
             if copy.is_offered || copy.is_coming {
                 if let Some(count) = unit.by_zone.get_mut(&copy.zone) {
@@ -77,7 +79,14 @@
 
     /// Whether a runner offers the unit.
     pub fn is_offered(&self, unit: &Unit) -> bool {
-        self.units.get(unit).is_some_and(|it| it.offered > 0)
+        let unit = self.units.get(unit);
+        unit.is_some_and(|it| !it.offered_at.is_empty())
+    }
+
+    /// Runners that offer the unit.
+    pub fn offered_at(&self, unit: &Unit) -> impl Iterator<Item = &RunnerId> {
+        let unit = self.units.get(unit);
+        unit.into_iter().flat_map(|it| &it.offered_at)
     }
 
     /// Whether a runner will offer the unit.
@@ -85,6 +94,11 @@
         self.units.get(unit).is_some_and(|it| it.coming > 0)
     }
 
+    /// Whether a runner offers a model, will, or has its weights in host memory or on disk.
+    pub fn is_anywhere(&self, model: &Unit) -> bool {
+        self.units.contains_key(model)
+    }
+
     /// Runners that offer the unit or will.
     pub fn count(&self, unit: &Unit) -> usize {
         let by_zone = self.units.get(unit).map(|it| it.by_zone.values().sum());
--- a/crates/routing/src/placement/demand.rs
+++ b/crates/routing/src/placement/demand.rs
@@ -89,6 +89,7 @@
     waited: HashSet<Unit>,
     wanted: Vec<WantedUnit>,
     running: HashMap<RunnerId, RunnerUse>,
+    pressed: HashSet<RunnerId>,
 }
 
 impl Demands {
@@ -104,6 +105,7 @@
             waited: HashSet::new(),
             wanted: Vec::new(),
             running: HashMap::new(),
+            pressed: HashSet::new(),
         }
     }
 
@@ -181,6 +183,8 @@
     }
 
     fn refresh_running(&mut self) {
+        let pressed = self.members.values().flat_map(|it| &it.usage.pressed);
+        self.pressed = pressed.cloned().collect();
         self.running.clear();
         let running = self.members.values().flat_map(|it| &it.usage.running);
         for running in running {
@@ -284,6 +288,11 @@
         busy
     }
 
+    /// Whether a member says that a runner is hard-pressed.
+    pub fn is_pressed(&self, runner: &RunnerId) -> bool {
+        self.pressed.contains(runner)
+    }
+
     /// Requests in progress at a runner.
     pub fn running_at(&self, runner: &RunnerId) -> u32 {
         self.running.get(runner).map_or(0, |it| it.requests)
--- a/crates/routing/src/placement/planner.rs
+++ b/crates/routing/src/placement/planner.rs
@@ -27,10 +27,16 @@
 const REPORTS_AT_ONCE: usize = 64;
 /// Adapters on their way to one runner at most.
 const PENDING_ADAPTERS: usize = 3;
+/// Price of a place at a runner that is hard-pressed, in ms of waiting: about a load from disk elsewhere.
+const PRESSED_PRICE_MS: f64 = 1_500.0;
 /// Part of the ceiling of loads that is used for copies which nobody waits for.
 const REPLICA_SHARE: f64 = 0.5;
-/// Highest price of what is dropped for a copy that nobody waits for, in ms.
+/// Least price of what may be dropped for a copy that nobody waits for, in ms.
 const REPLICA_PRICE_MS: f64 = 700.0;
+/// The same for each request a second that a further copy takes from the present ones, in ms.
+const REPLICA_PRICE_A_REQUEST_MS: f64 = 600.0;
+/// Highest price of what is dropped for a model that nobody has asked for yet, in ms.
+const PREFETCH_PRICE_MS: f64 = 700.0;
 
 /// A runner that could take a model.
 struct Candidate {
@@ -79,6 +85,7 @@
             self.serve(&wanted, &mut openings, now);
         }
         self.add_replicas(&mut openings, now);
+        self.prefetch(&mut openings, now);
         actions.extend(self.due_orders(now));
         actions
     }
@@ -266,7 +273,9 @@
                 .engines
                 .get(&unit.service)
                 .is_some_and(|engine| engine.models.contains_key(&unit.model));
-            let has_enough = self.copies.count(&unit) >= self.wanted_copies(&unit, rate);
+            let copies = self.copies.count(&unit);
+            let has_enough =
+                copies >= self.wanted_copies(&unit, rate) && !self.lacks_copies(&unit, now);
             if !is_known || has_enough || self.copies.is_coming(&unit) {
                 continue;
             }
@@ -276,13 +285,55 @@
             let Some(candidate) = self.best_candidate(&unit, openings, now) else {
                 continue;
             };
-            if candidate.victims.price_ms <= REPLICA_PRICE_MS {
+            if candidate.victims.price_ms <= worth_of_copy(rate, copies) {
                 openings.take(&candidate, &unit.service);
                 self.load_at(&candidate.runner, &unit, Reason::Replica, now);
             }
         }
     }
 
+    /// Brings models of which no runner has a copy while the weight store has nothing better to do, the most
+    /// used first. What it drops stays on its runner's disk.
+    fn prefetch(&mut self, openings: &mut Openings, now: Timestamp) {
+        for unit in self.models_without_copy(openings) {
+            if openings
+                .store_loads
+                .get(&unit.service)
+                .is_none_or(|&loads| loads == 0)
+            {
+                continue;
+            }
+            let Some(candidate) = self.best_candidate(&unit, openings, now) else {
+                continue;
+            };
+            if candidate.victims.price_ms <= PREFETCH_PRICE_MS {
+                openings.take(&candidate, &unit.service);
+                self.load_at(&candidate.runner, &unit, Reason::Prefetch, now);
+            }
+        }
+    }
+
+    /// Models that are nowhere, of services that may begin loads from the weight store; the most used first.
+    fn models_without_copy(&self, openings: &Openings) -> Vec<Unit> {
+        let services = openings.store_loads.iter().filter(|(_, loads)| **loads > 0);
+        let services = services.filter_map(|(name, _)| Some((name, self.engines.get(name)?)));
+        let models = services.flat_map(|(service, engine)| {
+            engine.models.keys().map(|model| Unit {
+                service: service.clone(),
+                model: model.clone(),
+                adapter: None,
+            })
+        });
+        let mut missing: Vec<Unit> = models
+            .filter(|unit| !self.copies.is_anywhere(unit))
+            .collect();
+        missing.sort_by(|left, right| {
+            let rate = |unit: &Unit| self.demands.model_rate(unit);
+            rate(right).total_cmp(&rate(left))
+        });
+        missing
+    }
+
     /// Loads a model at a runner, or first makes room for it.
     fn load_at(&mut self, runner: &RunnerId, unit: &Unit, reason: Reason, now: Timestamp) {
         let Some(engine) = self.engines.get(&unit.service) else {
@@ -397,10 +448,16 @@
         let zone_price = if zone_has_copy { 500.0 } else { 0.0 };
         let leaves = ledger.runner.leaves_in.is_some();
         let leave_price = if leaves { 1e9 } else { 0.0 };
+        let is_pressed = self.demands.is_pressed(&ledger.runner.id);
+        let pressed_price = if is_pressed { PRESSED_PRICE_MS } else { 0.0 };
         Some(Candidate {
             runner: ledger.runner.id.clone(),
             source: ledger.weight_source(&unit.model),
-            cost_ms: load.as_secs_f64() * 1_000.0 + victims.price_ms + zone_price + leave_price,
+            cost_ms: load.as_secs_f64() * 1_000.0
+                + victims.price_ms
+                + zone_price
+                + leave_price
+                + pressed_price,
             victims,
         })
     }
@@ -422,6 +479,16 @@
         for_rate.max(BUSY_COPIES).min(runners.div_ceil(2).max(1))
     }
 
+    /// Whether all runners that offer a model are hard-pressed, and none of them has only just got it.
+    fn lacks_copies(&self, model: &Unit, now: Timestamp) -> bool {
+        let ledgers = self.copies.offered_at(model);
+        let mut ledgers = ledgers.filter_map(|id| self.ledgers.get(id)).peekable();
+        ledgers.peek().is_some()
+            && ledgers.all(|ledger| {
+                self.demands.is_pressed(&ledger.runner.id) && !ledger.is_fresh(&model.model, now)
+            })
+    }
+
     /// Whether a further load from the weight store stays under a share of the ceiling. A new
     /// coordinator does not know the loads of the one before it and counts half of them as done.
     fn has_ceiling(&self, service: &ServiceName, share: f64, now: Timestamp) -> bool {
@@ -461,3 +528,10 @@
         })
     }
 }
+
+/// Highest price of what is dropped for a further copy of a model, in ms.
+fn worth_of_copy(rate: f64, copies: usize) -> f64 {
+    let copies = f64::from(u32::try_from(copies).unwrap_or(u32::MAX));
+    let taken_over = rate / (copies + 1.0);
+    REPLICA_PRICE_MS.max(taken_over * REPLICA_PRICE_A_REQUEST_MS)
+}
--- a/crates/routing/tests/dissemination.rs
+++ b/crates/routing/tests/dissemination.rs
@@ -172,6 +172,7 @@
             waiting: Vec::new(),
             used: Vec::new(),
             running: Vec::new(),
+            pressed: Vec::new(),
         }
     }
 
--- a/crates/routing/tests/placement/world.rs
+++ b/crates/routing/tests/placement/world.rs
@@ -320,6 +320,7 @@
                 })
                 .collect(),
             running: Vec::new(),
+            pressed: Vec::new(),
         }
     }
 
