--- a/crates/routing/src/placement/demand.rs
+++ b/crates/routing/src/placement/demand.rs
@@ -37,6 +37,7 @@
 #[derive(Clone, Copy, Debug)]
 struct Rate {
     per_second: f64,
+    per_second_now: f64,
     at: Timestamp,
     last_used: Timestamp,
 }
@@ -52,6 +53,8 @@
 #[derive(Clone, Copy, Debug)]
 struct ModelUse {
     per_second: f64,
+    /// The same in the last seconds alone.
+    per_second_now: f64,
     last_used: Timestamp,
 }
 
@@ -212,6 +215,7 @@
             let remembered = self.rates.get(unit).map_or(0.0, |rate| rate.decayed(now));
             let rate = Rate {
                 per_second: per_second.max(remembered),
+                per_second_now: per_second,
                 at: now,
                 last_used: now,
             };
@@ -223,9 +227,13 @@
         for (unit, rate) in &self.rates {
             let model = self.models.entry(unit.base()).or_insert(ModelUse {
                 per_second: 0.0,
+                per_second_now: 0.0,
                 last_used: rate.last_used,
             });
             model.per_second += rate.decayed(now);
+            if rate.last_used == now {
+                model.per_second_now += rate.per_second_now;
+            }
             model.last_used = model.last_used.max(rate.last_used);
         }
     }
@@ -264,6 +272,11 @@
         self.models.get(model).map_or(0.0, |it| it.per_second)
     }
 
+    /// Requests in the last seconds, a second, for a model and all its adapters.
+    pub fn model_rate_now(&self, model: &Unit) -> f64 {
+        self.models.get(model).map_or(0.0, |it| it.per_second_now)
+    }
+
     /// Time since a model or an adapter of it was last used or waited for; `None` if never.
     pub fn model_unused_for(&self, model: &Unit, now: Timestamp) -> Option<Duration> {
         let model = self.models.get(model)?;
@@ -279,7 +292,7 @@
     /// Models in use at a rate or above it, the busiest first.
     pub fn busy_models(&self, least: f64) -> Vec<(Unit, f64)> {
         let rates = self.models.iter();
-        let rates = rates.map(|(model, it)| (model.clone(), it.per_second));
+        let rates = rates.map(|(model, it)| (model.clone(), it.per_second_now));
         let mut busy: Vec<(Unit, f64)> = rates.filter(|(_, rate)| *rate >= least).collect();
         busy.sort_by(|left, right| {
             let by_rate = right.1.total_cmp(&left.1);
--- a/crates/routing/src/placement/victims.rs
+++ b/crates/routing/src/placement/victims.rs
@@ -103,7 +103,8 @@
         }
         let copies = self.copies.count(&unit);
         let rate = self.demands.model_rate(&unit);
-        if copies <= self.wanted_copies(&unit, rate) && rate > super::planner::BUSY_RATE {
+        let rate_now = self.demands.model_rate_now(&unit);
+        if copies <= self.wanted_copies(&unit, rate_now) && rate_now > super::planner::BUSY_RATE {
             return None;
         }
         let specification = engine.models.get(model)?;
