--- a/crates/routing/src/placement/demand.rs
+++ b/crates/routing/src/placement/demand.rs
@@ -19,6 +19,14 @@
 /// Time without use after which a unit's rate is forgotten.
 const RATE_FORGOTTEN: Duration = Duration::from_mins(2);
 
+/// How much more a request counts than one of the next rank. Nobody tells what requests are worth; the rules
+/// make it dear to serve a kind less often than a less urgent one.
+const RANK_WEIGHT: f64 = 3.0;
+/// Time over which requests that come count like those that wait, in seconds: about a load from disk.
+const FORESEEN_SECONDS: f64 = 1.0;
+/// Time of waiting after which a unit counts twice, in seconds.
+const AGE_SECONDS: f64 = 2.0;
+
 /// One daemon, as the coordinator knows it.
 #[derive(Clone, Debug)]
 pub struct Member {
@@ -43,6 +51,15 @@
 }
 
 impl Rate {
+    /// Requests a second in the last seconds.
+    fn rate_now(&self, now: Timestamp) -> f64 {
+        if now.since(self.last_used) < RATE_INTERVAL * 2 {
+            self.per_second_now
+        } else {
+            0.0
+        }
+    }
+
     fn decayed(&self, now: Timestamp) -> f64 {
         let seconds = now.since(self.at).as_secs_f64();
         self.per_second * (-seconds / RATE_MEMORY_SECONDS).exp()
@@ -69,6 +86,19 @@
     pub priority: u8,
     /// Since when somebody has waited.
     pub since: Timestamp,
+    /// Requests a second in the last seconds.
+    pub rate: f64,
+}
+
+impl WantedUnit {
+    /// How much a load of the unit brings, by which loads are ordered: the requests that wait and those that
+    /// come in the time of a swap, weighed by their rank. It rises with the time waited, so that nothing waits
+    /// for ever.
+    fn urgency(&self, now: Timestamp) -> f64 {
+        let requests = f64::from(self.requests) + self.rate * FORESEEN_SECONDS;
+        let age = now.since(self.since).as_secs_f64() / AGE_SECONDS;
+        requests * RANK_WEIGHT.powi(-i32::from(self.priority)) * (1.0 + age)
+    }
 }
 
 /// Requests in progress at one runner. A model's count includes those of its adapters.
@@ -169,13 +199,19 @@
                     .get(&waiting.unit)
                     .copied()
                     .unwrap_or(now),
+                rate: self
+                    .rates
+                    .get(&waiting.unit)
+                    .map_or(0.0, |rate| rate.rate_now(now)),
             });
             entry.requests += waiting.requests;
             entry.priority = entry.priority.min(waiting.priority);
         }
         self.wanted = wanted.into_values().collect();
-        self.wanted
-            .sort_by_key(|wanted| (wanted.priority, wanted.since));
+        self.wanted.sort_by(|left, right| {
+            let by_urgency = right.urgency(now).total_cmp(&left.urgency(now));
+            by_urgency.then_with(|| left.unit.cmp(&right.unit))
+        });
         self.waited.clear();
         for wanted in &self.wanted {
             self.waited.insert(wanted.unit.base());
@@ -231,9 +267,7 @@
                 last_used: rate.last_used,
             });
             model.per_second += rate.decayed(now);
-            if rate.last_used == now {
-                model.per_second_now += rate.per_second_now;
-            }
+            model.per_second_now += rate.rate_now(now);
             model.last_used = model.last_used.max(rate.last_used);
         }
     }
@@ -257,7 +291,7 @@
         capacities.max().unwrap_or(0)
     }
 
-    /// What requests wait for, the most urgent and then the longest first.
+    /// What requests wait for, the most urgent first.
     pub fn wanted(&self) -> &[WantedUnit] {
         &self.wanted
     }
--- a/crates/routing/src/placement/planner.rs
+++ b/crates/routing/src/placement/planner.rs
@@ -33,8 +33,9 @@
 const REPLICA_SHARE: f64 = 0.5;
 /// Least price of what may be dropped for a copy that nobody waits for, in ms.
 const REPLICA_PRICE_MS: f64 = 700.0;
-/// The same for each request a second that a further copy takes from the present ones, in ms.
-const REPLICA_PRICE_A_REQUEST_MS: f64 = 600.0;
+/// The same for each request a second that a further copy takes from present ones that are hard-pressed, in
+/// ms: over the time that a shift lasts, some ten seconds, each would be late by about a third of a second.
+const RELIEF_PRICE_A_REQUEST_MS: f64 = 3_000.0;
 /// Highest price of what is dropped for a model that nobody has asked for yet, in ms.
 const PREFETCH_PRICE_MS: f64 = 700.0;
 
@@ -81,6 +82,7 @@
             rooms: self.rooms(now),
             store_loads: self.free_store_loads(),
         };
+        self.relieve_pressed(&mut openings, now);
         for wanted in self.demands.wanted().to_vec() {
             self.serve(&wanted, &mut openings, now);
         }
@@ -266,32 +268,51 @@
         }
     }
 
-    /// Gives busy models further copies, with a part of the ceiling.
-    fn add_replicas(&mut self, openings: &mut Openings, now: Timestamp) {
+    /// Gives busy models of which all copies are hard-pressed a further one. It comes before what requests
+    /// wait for: many requests are late for each moment without it.
+    fn relieve_pressed(&mut self, openings: &mut Openings, now: Timestamp) {
         for (unit, rate) in self.demands.busy_models(BUSY_RATE) {
-            let is_known = self
-                .engines
-                .get(&unit.service)
-                .is_some_and(|engine| engine.models.contains_key(&unit.model));
-            let copies = self.copies.count(&unit);
-            let has_enough =
-                copies >= self.wanted_copies(&unit, rate) && !self.lacks_copies(&unit, now);
-            if !is_known || has_enough || self.copies.is_coming(&unit) {
-                continue;
+            if self.lacks_copies(&unit, now) {
+                let price_ms = price_of_relief(rate, self.copies.count(&unit));
+                self.add_replica(&unit, price_ms, openings, now);
             }
-            if !self.has_ceiling(&unit.service, REPLICA_SHARE, now) {
-                continue;
-            }
-            let Some(candidate) = self.best_candidate(&unit, openings, now) else {
-                continue;
-            };
-            if candidate.victims.price_ms <= worth_of_copy(rate, copies) {
-                openings.take(&candidate, &unit.service);
-                self.load_at(&candidate.runner, &unit, Reason::Replica, now);
+        }
+    }
+
+    /// Gives busy models the copies that they should have at their rate.
+    fn add_replicas(&mut self, openings: &mut Openings, now: Timestamp) {
+        for (unit, rate) in self.demands.busy_models(BUSY_RATE) {
+            if self.copies.count(&unit) < self.wanted_copies(&unit, rate) {
+                self.add_replica(&unit, REPLICA_PRICE_MS, openings, now);
             }
         }
     }
 
+    /// Gives a model a further copy if its place is worth less otherwise, with a part of the ceiling.
+    fn add_replica(
+        &mut self,
+        unit: &Unit,
+        highest_price_ms: f64,
+        openings: &mut Openings,
+        now: Timestamp,
+    ) {
+        let engine = self.engines.get(&unit.service);
+        let is_known = engine.is_some_and(|engine| engine.models.contains_key(&unit.model));
+        if !is_known || self.copies.is_coming(unit) {
+            return;
+        }
+        if !self.has_ceiling(&unit.service, REPLICA_SHARE, now) {
+            return;
+        }
+        let Some(candidate) = self.best_candidate(unit, openings, now) else {
+            return;
+        };
+        if candidate.victims.price_ms <= highest_price_ms {
+            openings.take(&candidate, &unit.service);
+            self.load_at(&candidate.runner, unit, Reason::Replica, now);
+        }
+    }
+
     /// Brings models of which no runner has a copy while the weight store has nothing better to do, the most
     /// used first. What it drops stays on its runner's disk.
     fn prefetch(&mut self, openings: &mut Openings, now: Timestamp) {
@@ -529,9 +550,9 @@
     }
 }
 
-/// Highest price of what is dropped for a further copy of a model, in ms.
-fn worth_of_copy(rate: f64, copies: usize) -> f64 {
+/// Highest price of what is dropped for a further copy of a model whose copies are hard-pressed, in ms.
+fn price_of_relief(rate: f64, copies: usize) -> f64 {
     let copies = f64::from(u32::try_from(copies).unwrap_or(u32::MAX));
     let taken_over = rate / (copies + 1.0);
-    REPLICA_PRICE_MS.max(taken_over * REPLICA_PRICE_A_REQUEST_MS)
+    REPLICA_PRICE_MS.max(taken_over * RELIEF_PRICE_A_REQUEST_MS)
 }
