Ledger: an unload that no request holds up counts as done after 60 ms

Cause: a swap from disk took 1.45 s in the middle, 0.35 s of it until a report, itself 0.2 s old, showed the unload, though nothing ran with the model. The runner refuses the load (409) if it is not done, and then a report is read.

--- a/crates/ingress/src/coordination/leading.rs
+++ b/crates/ingress/src/coordination/leading.rs
@@ -111,6 +111,9 @@
         let pause = pause.clamp(LEAST_PLAN_PAUSE, LONGEST_PLAN_PAUSE);
         self.plan_allowed = now + pause;
         self.plan_due = now + PLAN_INTERVAL.max(pause);
+        if let Some(expected) = self.placement.next_expected() {
+            self.plan_due = self.plan_due.min(self.plan_allowed.max(expected));
+        }
     }
 
     /// What the members are to be told now.
--- a/crates/routing/src/placement/ledger.rs
+++ b/crates/routing/src/placement/ledger.rs
@@ -17,6 +17,9 @@
 /// Time for which a model that has just become ready is not dropped again.
 const FRESH: Duration = Duration::from_millis(1_500);
 
+/// Time after which an unload that no request holds up counts as done.
+const QUICK_UNLOAD: Duration = Duration::from_millis(60);
+
 /// How far an order has come.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Progress {
@@ -31,6 +34,8 @@
     },
     /// The runner is carrying it out.
     Running,
+    /// It was taken and should be done by this time, since no request holds it up. Nothing has shown it yet.
+    Expected(Timestamp),
 }
 
 /// Where a runner takes the weights of a model from.
@@ -354,6 +359,24 @@
             .any(|(name, at)| name == model && now.since(*at) < FRESH)
     }
 
+    /// Believes that the order under way is done, without waiting for a report: an unload that nothing holds
+    /// up. The runner refuses the next order if it is not, and then a report is read.
+    pub fn settle_expected(&mut self, now: Timestamp) {
+        let is_due =
+            |state: &mut OrderState| matches!(state.progress, Progress::Expected(at) if now >= at);
+        if let Some(state) = self.order.take_if(is_due) {
+            self.settle(&state.order, now);
+        }
+    }
+
+    /// When an order that should be done is believed to be, if there is one.
+    pub fn expected_at(&self) -> Option<Timestamp> {
+        match self.order.as_ref()?.progress {
+            Progress::Expected(at) => Some(at),
+            _ => None,
+        }
+    }
+
     /// Begins an order.
     pub fn begin(&mut self, order: Order, reason: Reason, ready_at: Timestamp) {
         if self.intent.as_ref().is_some_and(|i| i.unit == order.unit) {
@@ -376,7 +399,7 @@
         let is_due = match state.progress {
             Progress::Ready => true,
             Progress::Unanswered { retry_at } => now >= retry_at,
-            Progress::Sent(_) | Progress::Running => false,
+            Progress::Sent(_) | Progress::Running | Progress::Expected(_) => false,
         };
         if !is_due {
             return None;
@@ -395,7 +418,7 @@
         }
         let polls = |state: &OrderState| match state.progress {
             Progress::Running | Progress::Unanswered { .. } => true,
-            Progress::Ready | Progress::Sent(_) => false,
+            Progress::Ready | Progress::Sent(_) | Progress::Expected(_) => false,
         };
         self.order.as_ref().is_some_and(polls) || !self.pending_adapters.is_empty()
     }
@@ -405,6 +428,7 @@
         &mut self,
         answer: OrderAnswer,
         load_time: Option<Duration>,
+        is_held_up: bool,
         now: Timestamp,
         settings: &PlacementSettings,
     ) {
@@ -412,6 +436,11 @@
             return;
         };
         match answer {
+            OrderAnswer::Accepted if self.is_quick(&state.order, is_held_up) => {
+                self.order_count = self.order_count.map(|count| count + 1);
+                state.progress = Progress::Expected(now + QUICK_UNLOAD);
+                self.order = Some(state);
+            }
             OrderAnswer::Accepted => self.accepted(state, load_time, now, settings),
             OrderAnswer::AlreadyDone => {
                 self.settle(&state.order, now);
@@ -438,6 +467,15 @@
         }
     }
 
+    /// Whether an order that was taken should be done in a moment: an unload for a load that follows, of a
+    /// model that no request uses.
+    fn is_quick(&self, order: &Order, is_held_up: bool) -> bool {
+        order.operation == Operation::Unload
+            && order.unit.adapter.is_none()
+            && self.intent.is_some()
+            && !is_held_up
+    }
+
     fn accepted(
         &mut self,
         mut state: OrderState,
--- a/crates/routing/src/placement/mod.rs
+++ b/crates/routing/src/placement/mod.rs
@@ -380,6 +380,11 @@
         self.demands.strongest()
     }
 
+    /// When the next order that needs no report counts as done.
+    pub fn next_expected(&self) -> Option<Timestamp> {
+        self.ledgers.values().filter_map(Ledger::expected_at).min()
+    }
+
     /// Version of the holdings; rises with each change.
     pub fn version(&self) -> u64 {
         self.version
@@ -446,9 +451,11 @@
         let load_time = ledger
             .order()
             .and_then(|order| self.expected_load_time(ledger, &order.unit));
+        let order = ledger.order();
+        let is_held_up = order.is_some_and(|it| self.demands.running(runner, &it.unit) > 0);
         let settings = self.settings;
         self.change(runner, |ledger| {
-            ledger.answered(answer, load_time, now, &settings);
+            ledger.answered(answer, load_time, is_held_up, now, &settings);
         });
         self.note_answered(runner, now);
     }
--- a/crates/routing/src/placement/planner.rs
+++ b/crates/routing/src/placement/planner.rs
@@ -76,6 +76,7 @@
             return actions;
         }
         self.demands.refresh(now);
+        self.settle_expected(now);
         self.follow_intents(now);
         self.watch_store_links(now);
         let mut openings = Openings {
@@ -199,6 +200,16 @@
         actions
     }
 
+    /// Believes that quick orders are done.
+    fn settle_expected(&mut self, now: Timestamp) {
+        let due = self.ledgers.iter();
+        let due = due.filter(|(_, ledger)| ledger.expected_at().is_some_and(|at| now >= at));
+        let due: Vec<RunnerId> = due.map(|(id, _)| id.clone()).collect();
+        for runner in due {
+            self.change(&runner, |ledger| ledger.settle_expected(now));
+        }
+    }
+
     /// Goes on with loads for which room was being made.
     fn follow_intents(&mut self, now: Timestamp) {
         let ready: Vec<(RunnerId, Intent)> = self
