--- a/crates/ingress/src/coordination/calls.rs
+++ b/crates/ingress/src/coordination/calls.rs
@@ -14,7 +14,7 @@
 use flaxward_types::time::Timestamp;
 use tokio::sync::mpsc::UnboundedSender;
 
-use crate::counters::ORDERS;
+use crate::counters::{ORDERS, STORE_LOAD_SECONDS, STORE_LOADS_ALLOWED};
 use crate::outside::{Changed, FencedOrder, StoreError};
 use crate::state::Shared;
 
@@ -153,6 +153,10 @@
         ("done", &settled.is_done),
         ("term", &term),
     ];
+    if let Some(sample) = settled.sample {
+        metrics::histogram!(STORE_LOAD_SECONDS.name).record(sample.took.as_secs_f64());
+        metrics::histogram!(STORE_LOADS_ALLOWED.name).record(sample.limit);
+    }
     let sample = settled.sample.map(SampleFields::of);
     if let Some(sample) = &sample {
         fields.push(("took_ms", &sample.took_ms));
--- a/crates/ingress/src/coordination/following.rs
+++ b/crates/ingress/src/coordination/following.rs
@@ -142,7 +142,6 @@
             waiting,
             used: tables.uses.recent(now),
             running: tables.running.all(),
-            pressed: tables.pressure.pressed(now),
         }))
     }
 
--- a/crates/ingress/src/counters.rs
+++ b/crates/ingress/src/counters.rs
@@ -3,7 +3,7 @@
 use flaxward_types::Metric;
 
 /// Metrics of this crate.
-pub const METRICS: [Metric; 14] = [
+pub const METRICS: [Metric; 17] = [
     SERVED,
     REFUSED,
     ATTEMPTS_FAILED,
@@ -18,6 +18,9 @@
     LINES_LEFT_OUT,
     HEAD_SECONDS,
     PLAN_SECONDS,
+    STREAMS_LATE,
+    STORE_LOAD_SECONDS,
+    STORE_LOADS_ALLOWED,
 ];
 
 /// Requests whose answer, or the head of it, was passed on, by `status`, the class of the HTTP status.
@@ -90,3 +93,18 @@
     "flaxward_ingress_plan_seconds",
     "Time that the coordinator takes for a plan, its messages included.",
 );
+/// Streams with a pause between events that was longer than the route's target for it.
+pub const STREAMS_LATE: Metric = Metric::counter(
+    "flaxward_ingress_streams_late_total",
+    "Streams with a pause between events that was longer than the route's target for it.",
+);
+/// Time that loads from the weight store took, seen by the coordinator that ordered them.
+pub const STORE_LOAD_SECONDS: Metric = Metric::histogram(
+    "flaxward_ingress_store_load_seconds",
+    "Time that loads from the weight store took, seen by the coordinator that ordered them.",
+);
+/// Loads from the weight store that may be in flight, after each that was measured.
+pub const STORE_LOADS_ALLOWED: Metric = Metric::histogram(
+    "flaxward_ingress_store_loads_allowed",
+    "Loads from the weight store that may be in flight, after each that was measured.",
+);
--- a/crates/ingress/src/relay.rs
+++ b/crates/ingress/src/relay.rs
@@ -18,7 +18,7 @@
 use tokio::time::{Instant, timeout_at};
 
 use crate::answers::AnswerBody;
-use crate::counters::{STREAMS_BROKEN, STREAMS_RESUMED};
+use crate::counters::{STREAMS_BROKEN, STREAMS_LATE, STREAMS_RESUMED};
 use crate::exchange::{ClientRequest, Continuation, Exchange, exchange};
 use crate::state::Shared;
 
@@ -197,23 +197,17 @@
                 return Piece::Broken;
             }
             if !events.is_empty() {
-                let runner = exchange.runner.id.clone();
-                self.note_events(&runner);
+                self.note_events();
                 return Piece::Events(Bytes::from(events));
             }
         }
     }
 
-    fn note_events(&mut self, runner: &RunnerId) {
-        let instant = Instant::now();
-        let Some(last) = self.last_events_at.replace(instant) else {
-            return;
-        };
-        let gap = instant - last;
-        self.longest_gap = self.longest_gap.max(gap);
-        let now = self.shared.now();
-        let pressure = &mut self.shared.tables().pressure;
-        pressure.note_pause(runner, gap, self.route.event_gap, now);
+    fn note_events(&mut self) {
+        let now = Instant::now();
+        if let Some(last) = self.last_events_at.replace(now) {
+            self.longest_gap = self.longest_gap.max(now - last);
+        }
     }
 
     fn end(&mut self) -> Piece {
@@ -331,6 +325,7 @@
             ("runner", runner),
             ("longest_gap_ms", &self.longest_gap.as_millis()),
         ];
+        metrics::counter!(STREAMS_LATE.name).increment(1);
         self.shared
             .log
             .write(self.shared.now(), "stream-late", fields);
--- a/crates/ingress/src/state.rs
+++ b/crates/ingress/src/state.rs
@@ -11,7 +11,6 @@
 use flaxward_routing::health::{HealthTable, Observation};
 use flaxward_routing::messages::UnitOutlook;
 use flaxward_routing::names::{RunnerId, ServiceName, Unit};
-use flaxward_routing::pressure::PressureTable;
 use flaxward_routing::runners::{Runner, RunnerTable};
 use flaxward_routing::split::SplitChooser;
 use flaxward_types::time::Timestamp;
@@ -66,7 +65,6 @@
     pub runners: RunnerTable,
     pub runners_known: bool,
     pub health: HealthTable,
-    pub pressure: PressureTable,
     pub in_flight: HashMap<RunnerId, u32>,
     /// Requests of all daemons at runners that are at least half full.
     pub loads: HashMap<RunnerId, u32>,
@@ -131,7 +129,6 @@
             runners: RunnerTable::default(),
             runners_known: false,
             health: HealthTable::default(),
-            pressure: PressureTable::default(),
             in_flight: HashMap::new(),
             loads: HashMap::new(),
             running: Running::default(),
@@ -230,7 +227,6 @@
         let situation = Situation {
             runners: &tables.runners,
             health: &tables.health,
-            pressure: &tables.pressure,
             in_flight: &tables.in_flight,
             loads: &tables.loads,
             zone: &self.settings.zone,
--- a/crates/routing/benches/plan.rs
+++ b/crates/routing/benches/plan.rs
@@ -143,7 +143,6 @@
         waiting: waiting.collect(),
         used: used.collect(),
         running: running.collect(),
-        pressed: Vec::new(),
     }
 }
 
--- a/crates/routing/src/balance.rs
+++ b/crates/routing/src/balance.rs
@@ -12,7 +12,6 @@
 
 use crate::health::HealthTable;
 use crate::names::{RunnerId, ServiceName, Unit, Zone};
-use crate::pressure::PressureTable;
 use crate::runners::{Runner, RunnerTable};
 
 /// Share of a runner's slots, divided among the daemons, from which affinity gives way to load.
@@ -30,8 +29,6 @@
     pub runners: &'a RunnerTable,
     /// Their health.
     pub health: &'a HealthTable,
-    /// How hard-pressed they are.
-    pub pressure: &'a PressureTable,
     /// This daemon's requests at each runner.
     pub in_flight: &'a HashMap<RunnerId, u32>,
     /// Requests of all daemons at runners that are crowded, as told a while ago.
@@ -148,9 +145,7 @@
         Condition::Doubtful
     } else if !runner.cold_for.is_zero() {
         Condition::Cold
-    } else if told_load(situation, runner) >= CROWDED_SHARE
-        || situation.pressure.is_pressed(&runner.id, now)
-    {
+    } else if told_load(situation, runner) >= CROWDED_SHARE {
         Condition::Crowded
     } else {
         Condition::Well
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -19,7 +19,6 @@
 pub mod messages;
 pub mod names;
 pub mod placement;
-pub mod pressure;
 pub mod request;
 pub mod runners;
 pub mod split;
--- a/crates/routing/src/messages.rs
+++ b/crates/routing/src/messages.rs
@@ -72,8 +72,6 @@
     pub used: Vec<UsedUnit>,
     /// Its requests in progress, by runner and model.
     pub running: Vec<RunningUnit>,
-    /// Runners that are hard-pressed, by the pauses of its streams.
-    pub pressed: Vec<RunnerId>,
 }
 
 /// Requests that wait for a unit.
--- a/crates/routing/src/placement/copies.rs
+++ b/crates/routing/src/placement/copies.rs
@@ -20,7 +20,7 @@
 /// A unit at all runners.
 #[derive(Debug, Default)]
 struct UnitCopies {
-    offered_at: BTreeSet<RunnerId>,
+    offered: usize,
     coming: usize,
     /// Runners that offer it or will.
     by_zone: BTreeMap<Zone, usize>,
@@ -42,9 +42,7 @@
         let copies = copies_of(ledger);
         for copy in &copies {
             let unit = self.units.entry(copy.unit.clone()).or_default();
-            if copy.is_offered {
-                unit.offered_at.insert(ledger.runner.id.clone());
-            }
+            unit.offered += usize::from(copy.is_offered);
             unit.coming += usize::from(copy.is_coming);
             if copy.is_offered || copy.is_coming {
                 *unit.by_zone.entry(copy.zone.clone()).or_default() += 1;
@@ -62,7 +60,7 @@
             let Some(unit) = self.units.get_mut(&copy.unit) else {
                 continue;
             };
-            unit.offered_at.remove(runner);
+            unit.offered -= usize::from(copy.is_offered);
             unit.coming -= usize::from(copy.is_coming);
             if copy.is_offered || copy.is_coming {
                 if let Some(count) = unit.by_zone.get_mut(&copy.zone) {
@@ -79,14 +77,7 @@
 
     /// Whether a runner offers the unit.
     pub fn is_offered(&self, unit: &Unit) -> bool {
-        let unit = self.units.get(unit);
-        unit.is_some_and(|it| !it.offered_at.is_empty())
-    }
-
-    /// Runners that offer the unit.
-    pub fn offered_at(&self, unit: &Unit) -> impl Iterator<Item = &RunnerId> {
-        let unit = self.units.get(unit);
-        unit.into_iter().flat_map(|it| &it.offered_at)
+        self.units.get(unit).is_some_and(|it| it.offered > 0)
     }
 
     /// Whether a runner will offer the unit.
--- a/crates/routing/src/placement/demand.rs
+++ b/crates/routing/src/placement/demand.rs
@@ -122,7 +122,6 @@
     waited: HashSet<Unit>,
     wanted: Vec<WantedUnit>,
     running: HashMap<RunnerId, RunnerUse>,
-    pressed: HashSet<RunnerId>,
 }
 
 impl Demands {
@@ -138,7 +137,6 @@
             waited: HashSet::new(),
             wanted: Vec::new(),
             running: HashMap::new(),
-            pressed: HashSet::new(),
         }
     }
 
@@ -222,8 +220,6 @@
     }
 
     fn refresh_running(&mut self) {
-        let pressed = self.members.values().flat_map(|it| &it.usage.pressed);
-        self.pressed = pressed.cloned().collect();
         self.running.clear();
         let running = self.members.values().flat_map(|it| &it.usage.running);
         for running in running {
@@ -335,11 +331,6 @@
         busy
     }
 
-    /// Whether a member says that a runner is hard-pressed.
-    pub fn is_pressed(&self, runner: &RunnerId) -> bool {
-        self.pressed.contains(runner)
-    }
-
     /// Requests in progress at a runner.
     pub fn running_at(&self, runner: &RunnerId) -> u32 {
         self.running.get(runner).map_or(0, |it| it.requests)
--- a/crates/routing/src/placement/planner.rs
+++ b/crates/routing/src/placement/planner.rs
@@ -27,15 +27,10 @@
 const REPORTS_AT_ONCE: usize = 64;
 /// Adapters on their way to one runner at most.
 const PENDING_ADAPTERS: usize = 3;
-/// Price of a place at a runner that is hard-pressed, in ms of waiting: about a load from disk elsewhere.
-const PRESSED_PRICE_MS: f64 = 1_500.0;
 /// Part of the ceiling of loads that is used for copies which nobody waits for.
 const REPLICA_SHARE: f64 = 0.5;
-/// Least price of what may be dropped for a copy that nobody waits for, in ms.
+/// Highest price of what is dropped for a copy that nobody waits for, in ms.
 const REPLICA_PRICE_MS: f64 = 700.0;
-/// The same for each request a second that a further copy takes from present ones that are hard-pressed, in
-/// ms: over the time that a shift lasts, some ten seconds, each would be late by about a third of a second.
-const RELIEF_PRICE_A_REQUEST_MS: f64 = 3_000.0;
 
 /// A runner that could take a model.
 struct Candidate {
@@ -81,7 +76,6 @@
             rooms: self.rooms(now),
             store_loads: self.free_store_loads(),
         };
-        self.relieve_pressed(&mut openings, now);
         for wanted in self.demands.wanted().to_vec() {
             self.serve(&wanted, &mut openings, now);
         }
@@ -276,48 +270,26 @@
         }
     }
 
-    /// Gives busy models of which all copies are hard-pressed a further one. It comes before what requests
-    /// wait for: many requests are late for each moment without it.
-    fn relieve_pressed(&mut self, openings: &mut Openings, now: Timestamp) {
-        for (unit, rate) in self.demands.busy_models(BUSY_RATE) {
-            if self.lacks_copies(&unit, now) {
-                let price_ms = price_of_relief(rate, self.copies.count(&unit));
-                self.add_replica(&unit, price_ms, openings, now);
-            }
-        }
-    }
-
-    /// Gives busy models the copies that they should have at their rate.
+    /// Gives busy models the copies that they should have at their rate, with a part of the ceiling, where what
+    /// would be dropped is worth little.
     fn add_replicas(&mut self, openings: &mut Openings, now: Timestamp) {
         for (unit, rate) in self.demands.busy_models(BUSY_RATE) {
-            if self.copies.count(&unit) < self.wanted_copies(&unit, rate) {
-                self.add_replica(&unit, REPLICA_PRICE_MS, openings, now);
+            let engine = self.engines.get(&unit.service);
+            let is_known = engine.is_some_and(|engine| engine.models.contains_key(&unit.model));
+            let has_enough = self.copies.count(&unit) >= self.wanted_copies(&unit, rate);
+            if !is_known || has_enough || self.copies.is_coming(&unit) {
+                continue;
+            }
+            if !self.has_ceiling(&unit.service, REPLICA_SHARE, now) {
+                continue;
+            }
+            let Some(candidate) = self.best_candidate(&unit, openings, now) else {
+                continue;
+            };
+            if candidate.victims.price_ms <= REPLICA_PRICE_MS {
+                openings.take(&candidate, &unit.service);
+                self.load_at(&candidate.runner, &unit, Reason::Replica, now);
             }
-        }
-    }
-
-    /// Gives a model a further copy if its place is worth less otherwise, with a part of the ceiling.
-    fn add_replica(
-        &mut self,
-        unit: &Unit,
-        highest_price_ms: f64,
-        openings: &mut Openings,
-        now: Timestamp,
-    ) {
-        let engine = self.engines.get(&unit.service);
-        let is_known = engine.is_some_and(|engine| engine.models.contains_key(&unit.model));
-        if !is_known || self.copies.is_coming(unit) {
-            return;
-        }
-        if !self.has_ceiling(&unit.service, REPLICA_SHARE, now) {
-            return;
-        }
-        let Some(candidate) = self.best_candidate(unit, openings, now) else {
-            return;
-        };
-        if candidate.victims.price_ms <= highest_price_ms {
-            openings.take(&candidate, &unit.service);
-            self.load_at(&candidate.runner, unit, Reason::Replica, now);
         }
     }
 
@@ -435,16 +407,10 @@
         let zone_price = if zone_has_copy { 500.0 } else { 0.0 };
         let leaves = ledger.runner.leaves_in.is_some();
         let leave_price = if leaves { 1e9 } else { 0.0 };
-        let is_pressed = self.demands.is_pressed(&ledger.runner.id);
-        let pressed_price = if is_pressed { PRESSED_PRICE_MS } else { 0.0 };
         Some(Candidate {
             runner: ledger.runner.id.clone(),
             source: ledger.weight_source(&unit.model),
-            cost_ms: load.as_secs_f64() * 1_000.0
-                + victims.price_ms
-                + zone_price
-                + leave_price
-                + pressed_price,
+            cost_ms: load.as_secs_f64() * 1_000.0 + victims.price_ms + zone_price + leave_price,
             victims,
         })
     }
@@ -466,16 +432,6 @@
         for_rate.max(BUSY_COPIES).min(runners.div_ceil(2).max(1))
     }
 
-    /// Whether all runners that offer a model are hard-pressed, and none of them has only just got it.
-    fn lacks_copies(&self, model: &Unit, now: Timestamp) -> bool {
-        let ledgers = self.copies.offered_at(model);
-        let mut ledgers = ledgers.filter_map(|id| self.ledgers.get(id)).peekable();
-        ledgers.peek().is_some()
-            && ledgers.all(|ledger| {
-                self.demands.is_pressed(&ledger.runner.id) && !ledger.is_fresh(&model.model, now)
-            })
-    }
-
     /// Whether a further load from the weight store stays under a share of the ceiling. A new
     /// coordinator does not know the loads of the one before it and counts half of them as done.
     fn has_ceiling(&self, service: &ServiceName, share: f64, now: Timestamp) -> bool {
@@ -515,10 +471,3 @@
         })
     }
 }
-
-/// Highest price of what is dropped for a further copy of a model whose copies are hard-pressed, in ms.
-fn price_of_relief(rate: f64, copies: usize) -> f64 {
-    let copies = f64::from(u32::try_from(copies).unwrap_or(u32::MAX));
-    let taken_over = rate / (copies + 1.0);
-    REPLICA_PRICE_MS.max(taken_over * RELIEF_PRICE_A_REQUEST_MS)
-}
--- a/crates/routing/tests/decisions.rs
+++ b/crates/routing/tests/decisions.rs
@@ -14,7 +14,6 @@
 use flaxward_routing::health::{HealthTable, Observation};
 use flaxward_routing::messages::{KnownState, Message, Usage, WaitingUnit};
 use flaxward_routing::names::{ModelName, RouteName, RunnerId, ServiceName, Unit, Zone};
-use flaxward_routing::pressure::PressureTable;
 use flaxward_routing::runners::{Runner, RunnerHoldings, RunnerTable};
 use flaxward_routing::split::SplitChooser;
 use flaxward_types::time::Timestamp;
@@ -227,7 +226,6 @@
 struct Choice {
     runners: RunnerTable,
     health: HealthTable,
-    pressure: PressureTable,
     in_flight: HashMap<RunnerId, u32>,
     loads: HashMap<RunnerId, u32>,
 }
@@ -239,7 +237,6 @@
         Self {
             runners: table,
             health: HealthTable::default(),
-            pressure: PressureTable::default(),
             in_flight: HashMap::new(),
             loads: HashMap::new(),
         }
@@ -251,7 +248,6 @@
         let situation = Situation {
             runners: &self.runners,
             health: &self.health,
-            pressure: &self.pressure,
             in_flight: &self.in_flight,
             loads: &self.loads,
             zone: &zone,
@@ -373,7 +369,6 @@
         }],
         used: Vec::new(),
         running: Vec::new(),
-        pressed: Vec::new(),
     });
     let bytes = message.encode();
     assert_eq!(Message::decode(&bytes).unwrap(), message);
--- a/crates/routing/tests/dissemination.rs
+++ b/crates/routing/tests/dissemination.rs
@@ -172,7 +172,6 @@
             waiting: Vec::new(),
             used: Vec::new(),
             running: Vec::new(),
-            pressed: Vec::new(),
         }
     }
 
--- a/crates/routing/tests/placement/world.rs
+++ b/crates/routing/tests/placement/world.rs
@@ -227,7 +227,6 @@
     waiting: Vec<Unit>,
     /// Requests and rank of what waits, where they are not 1.
     demand: Vec<(Unit, u32, u8)>,
-    pressed: Vec<RunnerId>,
 }
 
 impl World {
@@ -250,7 +249,6 @@
             store_loads: Vec::new(),
             waiting: Vec::new(),
             demand: Vec::new(),
-            pressed: Vec::new(),
         };
         world.placement.configure(&configuration());
         world
@@ -285,20 +283,6 @@
         self.demand = demand;
     }
 
-    /// Members see long pauses in the streams of these runners.
-    pub fn set_pressed(&mut self, runners: &[usize]) {
-        let ids = runners
-            .iter()
-            .map(|index| RunnerId::new(&format!("r{index}")));
-        self.pressed = ids.collect();
-    }
-
-    /// Runners that hold a unit.
-    pub fn copies(&self, unit: &Unit) -> usize {
-        let holds = |engine: &&Engine0| engine.state.holdings.contains_key(&unit.model);
-        self.engines.values().filter(holds).count()
-    }
-
     pub fn set_waiting(&mut self, units: Vec<Unit>) {
         self.waiting = units;
     }
@@ -369,7 +353,6 @@
                 })
                 .collect(),
             running: Vec::new(),
-            pressed: self.pressed.clone(),
         }
     }
 
