Placement: a runner with a copy that is long overdue is not waited for

Cause: a runner that is listed and answers nothing kept the models of which it has the only copy from all others, since a busy runner with a copy was waited for without end.

--- a/crates/routing/src/placement/ledger.rs
+++ b/crates/routing/src/placement/ledger.rs
@@ -20,6 +20,10 @@
 /// Time after which an unload that no request holds up counts as done.
 const QUICK_UNLOAD: Duration = Duration::from_millis(60);
 
+/// Time after which an order that should be done is overdue, so that nothing waits for the runner any more: an
+/// unload waits until its requests end, most of which take some seconds.
+const OVERDUE: Duration = Duration::from_secs(3);
+
 /// How far an order has come.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Progress {
@@ -298,6 +302,12 @@
         self.takes_orders(now) && self.order.is_none() && is_known
     }
 
+    /// Whether an order is under way that should still end: it is not long overdue.
+    pub fn is_at_work(&self, now: Timestamp) -> bool {
+        let order = self.order.as_ref();
+        order.is_some_and(|order| now < order.ready_at + OVERDUE)
+    }
+
     /// When the order under way should be done.
     pub fn free_at(&self, now: Timestamp) -> Timestamp {
         self.order
--- a/crates/routing/src/placement/planner.rs
+++ b/crates/routing/src/placement/planner.rs
@@ -375,7 +375,7 @@
     }
 
     /// Whether a runner with a copy of the weights, busy now, would have the model ready before one that
-    /// takes it from the weight store.
+    /// takes it from the weight store. A free one is a candidate itself, unless nothing there may be dropped.
     fn is_sooner_from_copy(&self, unit: &Unit, now: Timestamp) -> bool {
         let Some(from_store) = self.store_load_time(unit) else {
             return false;
@@ -385,7 +385,7 @@
             .stored_at(unit)
             .filter_map(|id| self.ledgers.get(id));
         ledgers
-            .filter(|ledger| ledger.takes_orders(now))
+            .filter(|ledger| ledger.takes_orders(now) && ledger.is_at_work(now))
             .filter_map(|ledger| {
                 let load = engine_load_time(&self.engines, ledger, unit)?;
                 Some(ledger.free_at(now).since(now) + load)
--- a/crates/routing/tests/placement/cases.rs
+++ b/crates/routing/tests/placement/cases.rs
@@ -145,6 +145,23 @@
     assert!(steps < 90, "{steps} steps");
 }
 
+/// A runner that is listed and answers nothing would otherwise keep its models from all others for ever.
+#[test]
+fn a_runner_with_a_copy_that_hangs_is_not_waited_for() {
+    let mut world = World::new(2);
+    let (busy_with, wanted) = (model(0), model(1));
+    world.store_at(0, &busy_with);
+    world.store_at(0, &wanted);
+    calm(&mut world, 10);
+    world.set_waiting(vec![busy_with.clone()]);
+    calm(&mut world, 4);
+    world.hang(0);
+    world.set_waiting(vec![busy_with.clone(), wanted.clone()]);
+    let steps = steps_until(&mut world, &wanted, 400);
+    // 1.7 s until its order is over, 3 s until that is overdue, 4 s for the load from the store; 50 ms a step.
+    assert!(steps < 200, "{steps} steps");
+}
+
 /// Loads used to be given by rank alone: while models of a higher rank were waited for, one of a lower rank got
 /// none, however many requests asked for it.
 #[test]
--- a/crates/routing/tests/placement/world.rs
+++ b/crates/routing/tests/placement/world.rs
@@ -227,6 +227,8 @@
     waiting: Vec<Unit>,
     /// Requests and rank of what waits, where they are not 1.
     demand: Vec<(Unit, u32, u8)>,
+    /// A runner that answers nothing.
+    hung: Option<RunnerId>,
 }
 
 impl World {
@@ -249,6 +251,7 @@
             store_loads: Vec::new(),
             waiting: Vec::new(),
             demand: Vec::new(),
+            hung: None,
         };
         world.placement.configure(&configuration());
         world
@@ -271,6 +274,11 @@
         self.store_loads.len()
     }
 
+    /// The runner with this number answers nothing from now on.
+    pub fn hang(&mut self, runner: usize) {
+        self.hung = Some(RunnerId::new(&format!("r{runner}")));
+    }
+
     /// The runner with this number has a copy of a model on its disk.
     pub fn store_at(&mut self, runner: usize, unit: &Unit) {
         let engine = self.engines.get_mut(&RunnerId::new(&format!("r{runner}")));
@@ -363,6 +371,13 @@
         now: Timestamp,
     ) {
         match action {
+            Action::Report { runner, .. } if self.hung.as_ref() == Some(&runner) => {
+                self.placement.reported(&runner, None, now, now);
+            }
+            Action::Order { runner, .. } if self.hung.as_ref() == Some(&runner) => {
+                let answer = OrderAnswer::Unknown;
+                self.placement.answered(&runner, answer, now);
+            }
             Action::Report { runner, .. } => {
                 let known = now - REPORT_LAG;
                 let past = &self.engines[&runner].past;
