Placement: a runner with a copy is waited for while it reports, at most 8 s beyond its order

Cause: 3 s were too short for an unload that waits for its requests; a silent runner is known sooner.

--- a/crates/routing/src/placement/ledger.rs
+++ b/crates/routing/src/placement/ledger.rs
@@ -20,9 +20,12 @@
 /// Time after which an unload that no request holds up counts as done.
 const QUICK_UNLOAD: Duration = Duration::from_millis(60);
 
-/// Time after which an order that should be done is overdue, so that nothing waits for the runner any more: an
-/// unload waits until its requests end, most of which take some seconds.
-const OVERDUE: Duration = Duration::from_secs(3);
+/// Time without a report after which a runner with an order under way counts as silent: several reports are
+/// read in this time.
+const SILENCE: Duration = Duration::from_secs(2);
+/// Time for which an order may be late at a runner that reports: an unload waits until its requests end, which
+/// takes some seconds.
+const LONGEST_UNLOAD: Duration = Duration::from_secs(8);
 
 /// How far an order has come.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -111,6 +114,7 @@
     has_unknown_order: bool,
     is_confirmed: bool,
     rejected_until: Timestamp,
+    reported_at: Timestamp,
     ready_since: Vec<(ModelName, Timestamp)>,
 }
 
@@ -132,6 +136,7 @@
             has_unknown_order: false,
             is_confirmed: false,
             rejected_until: Timestamp::ZERO,
+            reported_at: Timestamp::ZERO,
             ready_since: Vec::new(),
         }
     }
@@ -302,10 +307,13 @@
         self.takes_orders(now) && self.order.is_none() && is_known
     }
 
-    /// Whether an order is under way that should still end: it is not long overdue.
+    /// Whether an order is under way that should still end: the runner reports, or has only just ceased to, and
+    /// the order is not long overdue.
     pub fn is_at_work(&self, now: Timestamp) -> bool {
+        let is_heard = now.since(self.reported_at) < SILENCE;
+        let allowed = if is_heard { LONGEST_UNLOAD } else { SILENCE };
         let order = self.order.as_ref();
-        order.is_some_and(|order| now < order.ready_at + OVERDUE)
+        order.is_some_and(|order| now < order.ready_at + allowed)
     }
 
     /// When the order under way should be done.
@@ -524,6 +532,7 @@
         settings: &PlacementSettings,
     ) -> Option<Settlement> {
         self.next_report = now + settings.report_interval;
+        self.reported_at = now;
         let is_stale = self
             .order_count
             .is_some_and(|count| report.order_count < count);
--- a/crates/routing/tests/placement/cases.rs
+++ b/crates/routing/tests/placement/cases.rs
@@ -158,7 +158,7 @@
     world.hang(0);
     world.set_waiting(vec![busy_with.clone(), wanted.clone()]);
     let steps = steps_until(&mut world, &wanted, 400);
-    // 1.7 s until its order is over, 3 s until that is overdue, 4 s for the load from the store; 50 ms a step.
+    // 1.7 s until its order is over, 2 s until that is overdue, 4 s for the load from the store; 50 ms a step.
     assert!(steps < 200, "{steps} steps");
 }
 
