--- a/crates/routing/tests/placement/cases.rs
+++ b/crates/routing/tests/placement/cases.rs
@@ -130,10 +130,9 @@
         .unwrap_or(most)
 }
 
-/// Seen on Kitahara's quiet day: a model whose only copy lay on the disk of a runner with an order under way was
-/// fetched again from the weight store by another one, which took longer and cost a load.
-#[test]
-fn a_busy_runner_with_a_copy_is_waited_for_if_that_is_sooner_than_the_store() {
+/// Two runners, of which the first has two models on its disk and has begun to load one; then that one and the
+/// other, which is wanted next.
+fn world_with_a_busy_runner() -> (World, Unit, Unit) {
     let mut world = World::new(2);
     let (busy_with, wanted) = (model(0), model(1));
     world.store_at(0, &busy_with);
@@ -141,6 +140,14 @@
     calm(&mut world, 10);
     world.set_waiting(vec![busy_with.clone()]);
     calm(&mut world, 4);
+    (world, busy_with, wanted)
+}
+
+/// Seen on Kitahara's quiet day: a model whose only copy lay on the disk of a runner with an order under way was
+/// fetched again from the weight store by another one, which took longer and cost a load.
+#[test]
+fn a_busy_runner_with_a_copy_is_waited_for_if_that_is_sooner_than_the_store() {
+    let (mut world, busy_with, wanted) = world_with_a_busy_runner();
     world.set_waiting(vec![busy_with.clone(), wanted.clone()]);
     let steps = steps_until(&mut world, &wanted, 200);
     assert_eq!(world.store_loads(), 0, "it came from the weight store");
@@ -150,13 +157,7 @@
 /// A runner that is listed and answers nothing would otherwise keep its models from all others for ever.
 #[test]
 fn a_runner_with_a_copy_that_hangs_is_not_waited_for() {
-    let mut world = World::new(2);
-    let (busy_with, wanted) = (model(0), model(1));
-    world.store_at(0, &busy_with);
-    world.store_at(0, &wanted);
-    calm(&mut world, 10);
-    world.set_waiting(vec![busy_with.clone()]);
-    calm(&mut world, 4);
+    let (mut world, busy_with, wanted) = world_with_a_busy_runner();
     world.hang(0);
     world.set_waiting(vec![busy_with.clone(), wanted.clone()]);
     let steps = steps_until(&mut world, &wanted, 400);
