--- a/crates/flaxward/src/ingress.rs
+++ b/crates/flaxward/src/ingress.rs
@@ -13,8 +13,9 @@
 use flaxward_routing::lease::LeaseSettings;
 use flaxward_routing::names::Zone;
 use flaxward_routing::placement::PlacementSettings;
+use flaxward_routing::strength::MachineStrength;
 use flaxward_settings::logs::{self, state_change};
-use flaxward_settings::{Flags, IngressFile};
+use flaxward_settings::{Flags, IngressFile, MachineSection};
 use metrics_exporter_prometheus::PrometheusHandle;
 use tokio::signal::unix::{SignalKind, signal};
 
@@ -94,6 +95,13 @@
     }
 }
 
+fn strength(machine: &MachineSection) -> MachineStrength {
+    MachineStrength {
+        processor: machine.processor_thousandths(),
+        link: machine.link_megabits(),
+    }
+}
+
 fn settings(file: &IngressFile) -> IngressSettings {
     let lease = file.coordinator.lease_duration;
     let share = |share: f64| Duration::from_secs_f64(lease.as_secs_f64() * share);
@@ -104,7 +112,8 @@
         ready_listen: file.ingress.ready_listen,
         peer_listen: file.ingress.peer_listen,
         metrics_listen: file.ingress.metrics_listen,
-        capacity: file.machine.capacity(),
+        strength: strength(&file.machine),
+        news_bound: file.news.bound(),
         stop_grace: file.ingress.stop_grace,
         retry_budget: RetryBudgetSettings {
             ratio: file.retries.ratio,
--- a/crates/ingress/src/coordination/following.rs
+++ b/crates/ingress/src/coordination/following.rs
@@ -6,9 +6,10 @@
 use flaxward_routing::messages::{
     Direction, KnownState, Message, StoreLimit, Usage, WaitNotice, WaitingUnit,
 };
+use flaxward_routing::store_trust::WatchRole;
 use flaxward_types::time::Timestamp;
 
-use crate::state::{Shared, StoreWord, Tables};
+use crate::state::{Shared, Tables};
 use crate::watches::take_membership;
 
 /// Time between two messages with all that requests use.
@@ -17,14 +18,13 @@
 const WAITING_INTERVAL: Duration = Duration::from_millis(300);
 /// Shortest time between two messages, so that a burst is one message.
 const NOTICE_PAUSE: Duration = Duration::from_millis(20);
-/// Longest time since the store answered the coordinator for which its word on the store stands.
-const STORE_TRUST: Duration = Duration::from_millis(1_300);
-
 /// The coordinator as this daemon knows it.
 struct Coordinator {
     address: SocketAddr,
     term: u64,
     holdings_version: u64,
+    /// It has told this daemon something.
+    is_heard: bool,
 }
 
 /// What this daemon knows of its coordinator, and when that one heard of it.
@@ -86,6 +86,7 @@
             address,
             term,
             holdings_version: 0,
+            is_heard: false,
         });
         // The new coordinator must hear of this daemon.
         self.usage_at = Timestamp::ZERO;
@@ -103,10 +104,16 @@
         if self.wants_notice {
             return usage.min(self.message_at + NOTICE_PAUSE);
         }
-        if shared.tables().waiting.is_empty() {
-            return usage;
+        let waits = !shared.tables().waiting.is_empty();
+        if waits || self.is_unanswered() {
+            return usage.min(self.message_at + WAITING_INTERVAL);
         }
-        usage.min(self.message_at + WAITING_INTERVAL)
+        usage
+    }
+
+    /// Whether the coordinator has not been heard yet: it may have missed what it was told, or not have begun.
+    fn is_unanswered(&self) -> bool {
+        self.coordinator.as_ref().is_some_and(|it| !it.is_heard)
     }
 
     /// The message that is due, if there is a coordinator.
@@ -117,7 +124,8 @@
         self.wants_notice = false;
         self.message_at = now;
         let has_gap = std::mem::take(&mut self.has_gap);
-        let is_usage = !has_gap && now >= self.usage_at + USAGE_INTERVAL;
+        let is_usage_due = now >= self.usage_at + USAGE_INTERVAL || self.is_unanswered();
+        let is_usage = !has_gap && is_usage_due;
         if is_usage {
             self.usage_at = now;
         }
@@ -137,7 +145,8 @@
             from,
             address: self.own_address,
             zone: shared.settings.zone.clone(),
-            capacity: shared.settings.capacity,
+            strength: shared.settings.strength,
+            is_stopping: shared.is_stopping(),
             known,
             waiting,
             used: tables.uses.recent(now),
@@ -158,6 +167,7 @@
             holdings_version: coordinator.holdings_version,
             members: u32::try_from(self.members.len()).unwrap_or(u32::MAX),
             runners_revision,
+            runners_digest: tables.runners.digest(),
         })
     }
 
@@ -170,13 +180,18 @@
         if coordinator.term != direction.term {
             return;
         }
+        coordinator.is_heard = true;
+        let known = direction.store.membership_revision;
         let lacks_runners = direction
             .membership
             .take()
-            .is_some_and(|update| !take_membership(shared, update));
+            .is_some_and(|update| !take_membership(shared, update, known));
         if !leads {
-            let word = store_word(&direction, now);
-            shared.store_word.send_replace(word);
+            let role = direction
+                .standby
+                .map_or(WatchRole::Member, WatchRole::Standby);
+            shared.set_watch_role(role);
+            shared.hear_store(direction.address, &direction.store);
         }
         if let Some(members) = direction.members {
             self.members = members;
@@ -225,15 +240,3 @@
         })
         .collect()
 }
-
-/// What a coordinator says of the store. The word of one that has not heard of the store lately does not
-/// stand for long.
-fn store_word(direction: &Direction, now: Timestamp) -> StoreWord {
-    let silence = Duration::from_millis(u64::from(direction.store_silence_ms));
-    StoreWord {
-        trusted_until: Some(now + STORE_TRUST.saturating_sub(silence)),
-        configuration_version: direction.configuration_version,
-        membership_revision: direction.membership_revision,
-        is_leading: false,
-    }
-}
--- a/crates/ingress/src/coordination/leading.rs
+++ b/crates/ingress/src/coordination/leading.rs
@@ -7,7 +7,8 @@
 use flaxward_routing::lease::LeasePulse;
 use flaxward_routing::messages::{Direction, Usage, WaitNotice};
 use flaxward_routing::placement::{Action, Placement};
-use flaxward_types::time::{Timestamp, millis};
+use flaxward_routing::strength::MachineStrength;
+use flaxward_types::time::Timestamp;
 
 use crate::state::Shared;
 
@@ -39,12 +40,12 @@
 }
 
 impl Leading {
-    /// Coordination that begins now.
-    pub fn new(term: u64, placement: Placement, now: Timestamp) -> Self {
+    /// Coordination that begins now, on a link of a speed in Mbit/s.
+    pub fn new(term: u64, placement: Placement, link: u32, now: Timestamp) -> Self {
         Self {
             term,
             placement,
-            dissemination: Dissemination::new(term),
+            dissemination: Dissemination::new(term, link, now),
             plan_due: now,
             plan_allowed: now,
             taken: None,
@@ -116,6 +117,16 @@
         }
     }
 
+    /// Addresses of the standbys.
+    pub fn standby_addresses(&self, now: Timestamp) -> Vec<SocketAddr> {
+        self.dissemination.standby_addresses(&self.placement, now)
+    }
+
+    /// The strongest machine of a member.
+    pub fn strongest_member(&self) -> MachineStrength {
+        self.placement.strongest_member()
+    }
+
     /// What the members are to be told now.
     pub fn messages(
         &mut self,
@@ -127,7 +138,7 @@
         let members = self.placement.members(now).len();
         let strongest = self.placement.strongest_member();
         let header = Direction {
-            strongest: strongest.max(shared.settings.capacity),
+            strongest: strongest.max(shared.settings.strength),
             ..header(shared, lease, own, members)
         };
         let tables = shared.tables();
@@ -143,17 +154,14 @@
     address: SocketAddr,
     daemons: usize,
 ) -> Direction {
-    let store_silence = millis(shared.store_silence());
-    let tables = shared.tables();
     Direction {
         term: lease.term,
         lease,
         address,
         daemons: u32::try_from(daemons.max(1)).unwrap_or(u32::MAX),
-        strongest: shared.settings.capacity,
-        configuration_version: tables.configuration.as_ref().map_or(0, |it| it.version),
-        membership_revision: tables.runners.membership_revision(),
-        store_silence_ms: u32::try_from(store_silence).unwrap_or(u32::MAX),
+        strongest: shared.settings.strength,
+        standby: None,
+        store: shared.store_state(),
         membership: None,
         members: None,
         holdings_after: 0,
--- a/crates/ingress/src/coordination/mod.rs
+++ b/crates/ingress/src/coordination/mod.rs
@@ -4,6 +4,7 @@
 
 mod calls;
 mod following;
+mod informing;
 mod leading;
 
 use std::fmt::Display;
@@ -12,20 +13,23 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
-use flaxward_routing::lease::{LeaseAnswer, LeaseChange, LeaseMachine};
-use flaxward_routing::messages::Message;
+use flaxward_routing::lease::{LeaseAnswer, LeaseChange, LeaseMachine, LossReason};
+use flaxward_routing::messages::{Message, StoreNews};
 use flaxward_routing::names::RunnerId;
 use flaxward_routing::placement::{Order, OrderAnswer, Placement};
+use flaxward_routing::store_trust::WatchRole;
 use flaxward_types::time::Timestamp;
 use tokio::sync::mpsc;
 use tokio::time::sleep_until;
 
-use crate::counters::PLAN_SECONDS;
+use crate::counters::{NEWS_WITH_GAPS, PLAN_SECONDS};
 use crate::peer::PeerSocket;
-use crate::state::{Shared, StoreWord};
+use crate::state::Shared;
+use crate::watches::take_membership;
 
 use calls::{Caller, Event, log_settled, operation_name};
 use following::Following;
+use informing::Informing;
 use leading::Leading;
 
 /// Time between looks at the lease while this daemon does not coordinate.
@@ -39,6 +43,7 @@
     lease: LeaseMachine,
     following: Following,
     leading: Option<Leading>,
+    informing: Informing,
     caller: Caller,
     queue: mpsc::UnboundedReceiver<Event>,
     store_fails: bool,
@@ -52,13 +57,13 @@
     pub(crate) fn new(shared: Arc<Shared>, peers: PeerSocket) -> anyhow::Result<Self> {
         let address = peers.address()?;
         let (events, queue) = mpsc::unbounded_channel();
-        let mut lease = LeaseMachine::new(
+        let lease = LeaseMachine::new(
             shared.settings.lease,
             shared.settings.name.clone(),
             shared.seed,
             address,
         );
-        lease.set_candidacy_delay(shared.settings.candidacy_delay(None));
+        let lease = lease.with_strength(shared.settings.strength);
         let caller = Caller {
             shared: shared.clone(),
             events,
@@ -70,6 +75,7 @@
             address,
             lease,
             leading: None,
+            informing: Informing::default(),
             caller,
             queue,
             store_fails: false,
@@ -123,6 +129,7 @@
             self.caller.call_store(call);
         }
         self.report_use(now);
+        self.inform(now);
         if self.leading.as_ref().is_some_and(|it| now >= it.plan_due()) {
             self.plan();
         }
@@ -140,6 +147,18 @@
         }
     }
 
+    /// Tells the members of the store, if this daemon stands by and the coordinator does not.
+    fn inform(&mut self, now: Timestamp) {
+        let news = self.informing.due(&self.shared, self.address, now);
+        for news in news {
+            let message = Message::StoreNews(news);
+            let members = self.following.members().iter();
+            for address in members.filter(|&&address| address != self.address) {
+                self.peers.send(*address, &message);
+            }
+        }
+    }
+
     /// Decides on orders and reports, carries the decisions out, and tells the members.
     fn plan(&mut self) {
         let begun = self.shared.now();
@@ -147,6 +166,7 @@
         let Some(leading) = self.leading.as_mut() else {
             return;
         };
+        self.lease.set_strongest(leading.strongest_member());
         if Some(leading.term) != term {
             leading.planned(begun, begun);
             return;
@@ -177,19 +197,34 @@
             Message::Direction(direction) => {
                 self.lease.heard(direction.lease, self.shared.now());
                 self.follow(direction.address, direction.term);
-                let delay = self
-                    .shared
-                    .settings
-                    .candidacy_delay(Some(direction.strongest));
-                self.lease.set_candidacy_delay(delay);
+                self.lease.set_strongest(direction.strongest);
+                self.lease.set_stands_by(direction.standby.is_some());
                 let leads = self.leading.is_some();
                 self.following
                     .take_direction(&self.shared, direction, leads);
             }
             Message::Usage(_) | Message::Waiting(_) => self.heard_member(message),
+            Message::LeaseEnded { term } => {
+                self.log_lease("lease-end-heard", term);
+                self.lease.ended(term, self.shared.now());
+            }
+            Message::StoreNews(news) => self.heard_store_news(news),
         }
     }
 
+    /// Takes in what a standby tells of the store.
+    fn heard_store_news(&mut self, news: StoreNews) {
+        if self.leading.is_some() {
+            return;
+        }
+        if let Some(update) = news.membership
+            && !take_membership(&self.shared, update, news.state.membership_revision)
+        {
+            metrics::counter!(NEWS_WITH_GAPS.name).increment(1);
+        }
+        self.shared.hear_store(news.from, &news.state);
+    }
+
     /// Takes in a message of a member, if this daemon coordinates.
     fn heard_member(&mut self, message: Message) {
         let now = self.shared.now();
@@ -199,7 +234,7 @@
         match message {
             Message::Usage(usage) => leading.heard_usage(usage, now),
             Message::Waiting(notice) => leading.heard_waiting(notice, now),
-            Message::Direction(_) => {}
+            Message::Direction(_) | Message::LeaseEnded { .. } | Message::StoreNews(_) => {}
         }
     }
 
@@ -273,13 +308,7 @@
     fn lease_changed(&mut self, change: &LeaseChange) {
         match *change {
             LeaseChange::Acquired { term, orders_from } => self.begin_leading(term, orders_from),
-            LeaseChange::Lost { term } => {
-                self.shared.tables().loads.clear();
-                self.shared.store_word.send_replace(StoreWord::default());
-                self.leading = None;
-                self.following.forget();
-                self.log_lease("lease-lost", term);
-            }
+            LeaseChange::Lost { term, reason } => self.end_leading(term, reason),
             LeaseChange::Holder { address, term } => self.follow(address, term),
         }
     }
@@ -292,16 +321,30 @@
             placement.configure(&configuration);
         }
         placement.inherit_store_limits(self.following.store_limits(), now);
-        self.shared.store_word.send_replace(StoreWord {
-            is_leading: true,
-            ..StoreWord::default()
-        });
+        self.shared.set_watch_role(WatchRole::Coordinator);
         self.announce();
-        self.leading = Some(Leading::new(term, placement, now));
+        let link = self.shared.settings.strength.link;
+        self.leading = Some(Leading::new(term, placement, link, now));
         self.log_lease("lease-acquired", term);
         self.follow(self.address, term);
     }
 
+    /// This daemon coordinates no longer. The standbys need not wait until it is silent.
+    fn end_leading(&mut self, term: u64, reason: LossReason) {
+        let now = self.shared.now();
+        self.shared.tables().loads.clear();
+        self.shared.set_watch_role(WatchRole::Member);
+        if let Some(leading) = self.leading.take() {
+            for address in leading.standby_addresses(now) {
+                self.peers.send(address, &Message::LeaseEnded { term });
+            }
+        }
+        self.following.forget();
+        let fields: &[(&str, &dyn Display)] =
+            &[("term", &term), ("reason", &format!("{reason:?}"))];
+        self.shared.log.write(now, "lease-lost", fields);
+    }
+
     /// Tells all members that this daemon knows that it coordinates.
     fn announce(&self) {
         let Some(pulse) = self.lease.pulse(self.shared.now()) else {
--- a/crates/ingress/src/counters.rs
+++ b/crates/ingress/src/counters.rs
@@ -3,7 +3,7 @@
 use flaxward_types::Metric;
 
 /// Metrics of this crate.
-pub const METRICS: [Metric; 17] = [
+pub const METRICS: [Metric; 18] = [
     SERVED,
     REFUSED,
     ATTEMPTS_FAILED,
@@ -15,6 +15,7 @@
     STORE_CALLS_FAILED,
     MESSAGES_NOT_SENT,
     MESSAGES_MALFORMED,
+    NEWS_WITH_GAPS,
     LINES_LEFT_OUT,
     HEAD_SECONDS,
     PLAN_SECONDS,
@@ -78,6 +79,11 @@
     "flaxward_ingress_messages_malformed_total",
     "Messages of other daemons that could not be decoded.",
 );
+/// Messages of standbys with changes of runners that follow others which this daemon does not know.
+pub const NEWS_WITH_GAPS: Metric = Metric::counter(
+    "flaxward_ingress_news_with_gaps_total",
+    "Messages of standbys with changes of runners that follow others which this daemon does not know.",
+);
 /// Lines of the log left out because too many came in one second.
 pub const LINES_LEFT_OUT: Metric = Metric::counter(
     "flaxward_ingress_log_lines_left_out_total",
--- a/crates/ingress/src/outside.rs
+++ b/crates/ingress/src/outside.rs
@@ -143,8 +143,8 @@
         wait: Duration,
     ) -> Result<Listing<Configuration>, StoreError>;
 
-    /// All runners.
-    async fn runners(&self) -> Result<Listing<Runner>, StoreError>;
+    /// All runners. The revision is one at which none of the list's changes was missing.
+    async fn runners(&self, freshness: Freshness) -> Result<Listing<Runner>, StoreError>;
 
     /// Waits for changes of the runners after a revision, for some time at most.
     async fn watch_runners(
--- a/crates/ingress/src/settings.rs
+++ b/crates/ingress/src/settings.rs
@@ -4,9 +4,10 @@
 use std::time::Duration;
 
 use flaxward_routing::budget::RetryBudgetSettings;
-use flaxward_routing::lease::{LeaseSettings, candidacy_delay};
+use flaxward_routing::lease::LeaseSettings;
 use flaxward_routing::names::Zone;
 use flaxward_routing::placement::PlacementSettings;
+use flaxward_routing::strength::MachineStrength;
 
 /// Settings of one daemon.
 #[derive(Clone, Debug)]
@@ -23,8 +24,10 @@
     pub peer_listen: SocketAddr,
     /// Where its counters are read, if anywhere.
     pub metrics_listen: Option<SocketAddr>,
-    /// Processor share of the machine, in thousandths of a core; 0 if it was not told.
-    pub capacity: u32,
+    /// The machine.
+    pub strength: MachineStrength,
+    /// Time within which a change of the store must be known.
+    pub news_bound: Duration,
     /// Time from the order to stop until it must have ended.
     pub stop_grace: Duration,
     /// The budget for sending requests again.
@@ -34,11 +37,3 @@
     /// The placement of models.
     pub placement: PlacementSettings,
 }
-
-impl IngressSettings {
-    /// For how long this daemon leaves a free lease to others, if the strongest daemon has this processor
-    /// share.
-    pub(crate) fn candidacy_delay(&self, strongest: Option<u32>) -> Duration {
-        candidacy_delay(self.capacity, strongest)
-    }
-}
--- a/crates/ingress/src/state.rs
+++ b/crates/ingress/src/state.rs
@@ -1,6 +1,7 @@
 //! What the tasks of one daemon share.
 
 use std::collections::HashMap;
+use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
@@ -9,11 +10,12 @@
 use flaxward_routing::budget::RetryBudget;
 use flaxward_routing::configuration::{Configuration, Route};
 use flaxward_routing::health::{HealthTable, Observation};
-use flaxward_routing::messages::UnitOutlook;
+use flaxward_routing::messages::{StoreState, UnitOutlook};
 use flaxward_routing::names::{RunnerId, ServiceName, Unit};
 use flaxward_routing::runners::{Runner, RunnerTable};
 use flaxward_routing::split::SplitChooser;
-use flaxward_types::time::Timestamp;
+use flaxward_routing::store_trust::{StoreTrust, WatchRole};
+use flaxward_types::time::{Timestamp, millis};
 use tokio::sync::{Notify, watch};
 use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
@@ -36,7 +38,7 @@
     pub told_at: Timestamp,
 }
 
-/// What the coordinator says of the store. While it stands, a daemon reads the store only when there is
+/// What those who watch the store say of it. While it stands, a daemon reads the store only when there is
 /// something new, instead of watching it.
 #[derive(Clone, Copy, Debug, Default)]
 pub(crate) struct StoreWord {
@@ -46,15 +48,19 @@
     pub configuration_version: u64,
     /// Revision of the last change that daemons other than the coordinator must know of.
     pub membership_revision: u64,
-    /// This daemon coordinates, and so watches the store for all.
-    pub is_leading: bool,
+    /// What this daemon does for the others.
+    pub role: WatchRole,
 }
 
 impl StoreWord {
     /// Until when the store need not be watched.
     pub(crate) fn stands_until(&self, now: Timestamp) -> Option<Timestamp> {
-        let until = self.trusted_until.filter(|&until| until > now)?;
-        (!self.is_leading).then_some(until)
+        self.trusted_until.filter(|&until| until > now)
+    }
+
+    /// Whether this daemon watches the store for others while the word does not stand.
+    pub(crate) fn watches_for_others(&self) -> bool {
+        self.role != WatchRole::Member
     }
 }
 
@@ -77,6 +83,7 @@
     pub daemons: usize,
     /// When this daemon has stopped at the latest, once it is told to stop.
     pub stop_end: Option<Instant>,
+    pub store_trust: StoreTrust,
 }
 
 /// Requests that wait for a unit.
@@ -124,6 +131,7 @@
         store: Arc<dyn ClusterStore>,
         control: Arc<dyn RunnerControl>,
     ) -> Self {
+        let seed = rand::random();
         let tables = Tables {
             configuration: None,
             runners: RunnerTable::default(),
@@ -139,6 +147,7 @@
             outlooks: HashMap::new(),
             daemons: ASSUMED_DAEMONS,
             stop_end: None,
+            store_trust: StoreTrust::new(settings.news_bound, seed),
         };
         Self {
             settings,
@@ -158,7 +167,7 @@
             store_seen_ms: AtomicU64::new(0),
             store_restarts: watch::Sender::new(0),
             requests: AtomicU32::new(0),
-            seed: rand::random(),
+            seed,
             tables: Mutex::new(tables),
         }
     }
@@ -193,6 +202,47 @@
         self.now().since(seen)
     }
 
+    /// Takes in what a daemon that watches the store says of it.
+    pub(crate) fn hear_store(&self, from: SocketAddr, state: &StoreState) {
+        let now = self.now();
+        self.tables().store_trust.heard(from, state, now);
+        self.store_word.send_modify(|word| {
+            word.configuration_version =
+                word.configuration_version.max(state.configuration_version);
+            word.membership_revision = word.membership_revision.max(state.membership_revision);
+        });
+        self.renew_store_word();
+    }
+
+    /// Sets what this daemon does for the others.
+    pub(crate) fn set_watch_role(&self, role: WatchRole) {
+        if self.store_word.borrow().role == role {
+            return;
+        }
+        self.store_word.send_modify(|word| word.role = role);
+        self.renew_store_word();
+    }
+
+    /// Works out anew until when the word on the store stands.
+    pub(crate) fn renew_store_word(&self) {
+        let now = self.now();
+        let role = self.store_word.borrow().role;
+        let until = self.tables().store_trust.stands_until(role, now);
+        self.store_word
+            .send_modify(|word| word.trusted_until = until);
+    }
+
+    /// What this daemon knows of the store.
+    pub(crate) fn store_state(&self) -> StoreState {
+        let silence = millis(self.store_silence());
+        let tables = self.tables();
+        StoreState {
+            configuration_version: tables.configuration.as_ref().map_or(0, |it| it.version),
+            membership_revision: tables.runners.membership_revision(),
+            silence_ms: u32::try_from(silence).unwrap_or(u32::MAX),
+        }
+    }
+
     /// Has the watches of the store made again, because the present ones may never be answered.
     pub(crate) fn restart_watches(&self) {
         self.store_restarts.send_modify(|restarts| *restarts += 1);
--- a/crates/ingress/src/watches.rs
+++ b/crates/ingress/src/watches.rs
@@ -1,7 +1,8 @@
 //! Reads configuration and runners from the store and keeps them up to date.
 //!
-//! The coordinator watches the store. Any other daemon reads it when the coordinator has told of something
-//! new, and watches it itself while the coordinator is silent or has not heard of the store.
+//! The coordinator watches the store, and a standby while the coordinator does not tell of it. Any other daemon
+//! reads the store when one of them has told of something new that it was not told itself, and watches it while
+//! all of them are silent.
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -10,6 +11,7 @@
 use flaxward_routing::membership::MembershipUpdate;
 use flaxward_routing::names::RunnerId;
 use flaxward_routing::runners::Runner;
+use flaxward_routing::store_trust::WatchRole;
 use flaxward_types::time::Timestamp;
 use rand::RngExt;
 use tokio::sync::watch;
@@ -21,8 +23,8 @@
 
 /// Longest time that the store holds a watch.
 const WATCH_WAIT: Duration = Duration::from_secs(10);
-/// The same for the coordinator.
-const LEADING_WATCH_WAIT: Duration = Duration::from_secs(1);
+/// The same for those who watch for others.
+const SHARED_WATCH_WAIT: Duration = Duration::from_millis(600);
 /// Time that the store holds a watch that is only to tell what has happened before.
 const CATCH_UP_WAIT: Duration = Duration::from_millis(1);
 /// Pause after changes of runners, so that several come with one call.
@@ -34,10 +36,17 @@
 const CAREFUL: Duration = Duration::from_millis(2_500);
 /// Pause between these reads.
 const CAREFUL_PAUSE: Duration = Duration::from_millis(700);
-/// Time for which a daemon that knows less than the coordinator waits to be told before it reads the store.
-const UPDATE_PATIENCE: Duration = Duration::from_millis(300);
-/// First pause after a failed call.
+/// Part of the bound on news for which a daemon that knows less than the coordinator waits to be told before it
+/// reads the store.
+const UPDATE_PATIENCE_SHARE: f64 = 0.2;
+/// Answers that may be old which are asked for until one holds the version that was told.
+const OLD_ANSWERS: u32 = 3;
+/// Part of the bound on news between two of them.
+const OLD_ANSWER_PAUSE_SHARE: f64 = 0.08;
+/// First pause after a failed call of those who watch for others.
 const FIRST_BACKOFF: Duration = Duration::from_millis(100);
+/// The same of all others, whose calls are many.
+const FIRST_MEMBER_BACKOFF: Duration = Duration::from_millis(250);
 /// Longest pause after a failed call.
 const LONGEST_BACKOFF: Duration = Duration::from_millis(800);
 
@@ -62,6 +71,9 @@
 
     async fn failed(&mut self, shared: &Shared, error: &StoreError) {
         self.log_failure(shared, error);
+        if !shared.store_word.borrow().watches_for_others() {
+            self.next = self.next.max(FIRST_MEMBER_BACKOFF);
+        }
         let pause = self.next.mul_f64(rand::rng().random_range(0.5..1.0));
         self.next = (self.next * 2).min(LONGEST_BACKOFF);
         sleep(pause).await;
@@ -114,34 +126,54 @@
     }
 }
 
-/// How long the store holds a watch. The coordinator watches for all, so it must soon notice a watch
-/// that will never be answered.
+/// How long the store holds a watch. Those who watch for others must soon notice a watch that will never be
+/// answered.
 fn watch_wait(word: StoreWord) -> Duration {
-    if word.is_leading {
-        LEADING_WATCH_WAIT
+    if word.watches_for_others() {
+        SHARED_WATCH_WAIT
     } else {
         WATCH_WAIT
     }
 }
 
+/// Until when a daemon that has just started and has read something waits for the word of those who watch,
+/// before it watches the store itself. Nobody may rely on what a daemon knows so soon after its start.
+fn starts_until(shared: &Shared, word: StoreWord, has_read: bool) -> Option<Timestamp> {
+    let ends = Timestamp::ZERO + shared.settings.news_bound;
+    let waits = has_read && word.role == WatchRole::Member && shared.now() < ends;
+    waits.then_some(ends)
+}
+
+/// How new an answer must be for a daemon that has read nothing yet or, if it has, knows of nothing newer.
+fn first_freshness(shared: &Shared, word: StoreWord, has_read: bool) -> Freshness {
+    let is_first = !has_read && starts_until(shared, word, true).is_some();
+    if is_first {
+        Freshness::MayBeOld
+    } else {
+        Freshness::Latest
+    }
+}
+
 /// Keeps the configuration up to date.
 pub(crate) async fn watch_configuration(shared: Arc<Shared>) {
     let mut backoff = Backoff::new("store/configuration");
     let mut restarts = shared.store_restarts.subscribe();
     let mut words = shared.store_word.subscribe();
     let mut revision = None;
+    let mut has_read = false;
     loop {
         let word = *words.borrow_and_update();
         let known = shared.configuration().map(|known| known.version);
-        if let (Some(until), Some(known)) = (word.stands_until(shared.now()), known) {
+        let stands_until = word.stands_until(shared.now());
+        if let Some(until) = stands_until.or_else(|| starts_until(&shared, word, has_read)) {
             revision = None;
-            if known >= word.configuration_version {
+            if known.unwrap_or(0) >= word.configuration_version {
                 wait_for_word(&shared, &mut words, until).await;
                 continue;
             }
         }
         let read = match revision {
-            None => read_configuration(&shared, word).await,
+            None => read_configuration(&shared, word, has_read).await,
             Some(after) => {
                 restarts.mark_unchanged();
                 tokio::select! {
@@ -150,9 +182,7 @@
                         revision = None;
                         continue;
                     }
-                    _ = words.wait_for(|new| {
-                        known.is_some() && changes_mode(&shared, word, *new)
-                    }) => continue,
+                    _ = words.wait_for(|new| changes_mode(&shared, word, *new)) => continue,
                 }
             }
         };
@@ -161,6 +191,7 @@
                 backoff.succeeded(&shared);
                 shared.note_store_seen();
                 revision = Some(listing.revision);
+                has_read = true;
                 let is_news = apply_configuration(&shared, listing);
                 if backoff.pause_if_careful(&shared).await {
                     revision = None;
@@ -181,18 +212,27 @@
     }
 }
 
-/// Reads the configuration. If the coordinator has told which version there is, an answer that may be
-/// old is enough once it holds that version.
+/// Reads the configuration. If it was told which version there is, an answer that may be old is enough once it
+/// holds that version; and so is any to a daemon that has just started.
 async fn read_configuration(
     shared: &Shared,
     word: StoreWord,
+    has_read: bool,
 ) -> Result<Listing<Configuration>, StoreError> {
-    if word.stands_until(shared.now()).is_some() && word.configuration_version > 0 {
+    let is_told = word.stands_until(shared.now()).is_some() && word.configuration_version > 0;
+    if !is_told {
+        let freshness = first_freshness(shared, word, has_read);
+        return shared.store.configuration(freshness).await;
+    }
+    for _ in 0..OLD_ANSWERS {
         let listing = shared.store.configuration(Freshness::MayBeOld).await?;
         let versions = listing.items.iter().map(|item| item.version);
         if versions.max() >= Some(word.configuration_version) {
             return Ok(listing);
         }
+        let pause = shared.settings.news_bound.mul_f64(OLD_ANSWER_PAUSE_SHARE);
+        let part = rand::rng().random_range(0.5..1.0);
+        sleep(pause.mul_f64(part)).await;
     }
     shared.store.configuration(Freshness::Latest).await
 }
@@ -200,7 +240,7 @@
 /// Whether a watch under way is no longer what the daemon should do: the coordinator's word stands again,
 /// or this daemon coordinates now.
 fn changes_mode(shared: &Shared, old: StoreWord, new: StoreWord) -> bool {
-    old.is_leading != new.is_leading || new.stands_until(shared.now()).is_some()
+    old.role != new.role || new.stands_until(shared.now()).is_some()
 }
 
 fn log_history_gone(shared: &Shared, dependency: &str) {
@@ -246,14 +286,18 @@
     loop {
         let word = *words.borrow_and_update();
         let known = shared.known_runners();
-        if let (Some(until), Some(known)) = (word.stands_until(shared.now()), known) {
+        let stands_until = word.stands_until(shared.now());
+        let stands_until = stands_until.or_else(|| starts_until(&shared, word, known.is_some()));
+        if let (Some(until), Some(known)) = (stands_until, known) {
             revision = None;
             if known >= word.membership_revision {
                 behind_since = None;
                 wait_for_word(&shared, &mut words, until).await;
                 continue;
             }
-            let read_at = *behind_since.get_or_insert(shared.now()) + UPDATE_PATIENCE;
+            let patience = shared.settings.news_bound.mul_f64(UPDATE_PATIENCE_SHARE);
+            let read_at = *behind_since.get_or_insert(shared.now()) + patience;
+            let read_at = read_at.max(starts_until(&shared, word, true).unwrap_or(read_at));
             if shared.now() < read_at {
                 wait_for_word(&shared, &mut words, until.min(read_at)).await;
                 continue;
@@ -261,11 +305,12 @@
         }
         behind_since = None;
         let Some(after) = revision else {
-            match shared.store.runners().await {
+            let freshness = first_freshness(&shared, word, known.is_some());
+            match shared.store.runners(freshness).await {
                 Ok(listing) => {
                     backoff.succeeded(&shared);
                     shared.note_store_seen();
-                    if word.is_leading {
+                    if word.watches_for_others() {
                         catch_up(&shared, listing.revision).await;
                     }
                     revision = Some(listing.revision);
@@ -336,14 +381,15 @@
     after_change(shared);
 }
 
-/// Takes in changes of runners that the coordinator has told. Returns false if changes before them are
-/// missing.
-pub(crate) fn take_membership(shared: &Shared, update: MembershipUpdate) -> bool {
+/// Takes in changes of runners that another daemon has told, which knows them up to a revision. Returns false if
+/// changes before them are missing.
+pub(crate) fn take_membership(shared: &Shared, update: MembershipUpdate, known: u64) -> bool {
     let revision = update.until;
     let mut tables = shared.tables();
     let Some(changed) = tables.runners.update(update) else {
         return false;
     };
+    tables.runners_known |= tables.runners.revision() >= known.max(1);
     if changed.is_empty() {
         return true;
     }
--- a/crates/routing/src/dissemination.rs
+++ b/crates/routing/src/dissemination.rs
@@ -13,8 +13,10 @@
 use crate::membership::MembershipUpdate;
 use crate::messages::{Direction, KnownState, RunnerLoad, UnitOutlook};
 use crate::names::Unit;
+use crate::pacing::Pacer;
 use crate::placement::Placement;
 use crate::runners::RunnerTable;
+use crate::standby::Standbys;
 
 /// Time between two messages to a member without news.
 const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(500);
@@ -24,6 +26,8 @@
 const LOADS_INTERVAL: Duration = Duration::from_millis(200);
 /// Time between two messages to a member that hold the addresses of all members.
 const MEMBERS_INTERVAL: Duration = Duration::from_secs(1);
+/// Time between two looks at which members stand by.
+const STANDBYS_INTERVAL: Duration = Duration::from_millis(500);
 /// Time after which a member that still knows less than it was told has lost a message.
 const ACKNOWLEDGEMENT_TIMEOUT: Duration = Duration::from_millis(150);
 
@@ -49,6 +53,7 @@
     placement_version: u64,
     configuration_version: u64,
     membership_revision: u64,
+    standby: Option<u8>,
     told_at: Timestamp,
     /// When it was told something new.
     news_at: Timestamp,
@@ -83,18 +88,20 @@
     ) -> bool {
         let age = now.since(self.told_at);
         age >= HEARTBEAT_INTERVAL
-            || self.configuration_version != header.configuration_version
-            || self.membership_revision != header.membership_revision
+            || self.configuration_version != header.store.configuration_version
+            || self.membership_revision != header.store.membership_revision
+            || self.standby != header.standby
             || (self.placement_version != placement_version && age >= news_interval)
     }
 
     fn note_told(&mut self, header: &Direction, placement_version: u64, now: Timestamp) {
-        if self.membership_revision != header.membership_revision {
+        if self.membership_revision != header.store.membership_revision {
             self.news_at = now;
         }
         self.placement_version = placement_version;
-        self.configuration_version = header.configuration_version;
-        self.membership_revision = header.membership_revision;
+        self.configuration_version = header.store.configuration_version;
+        self.membership_revision = header.store.membership_revision;
+        self.standby = header.standby;
         self.told_at = now;
     }
 }
@@ -106,15 +113,39 @@
     progress: HashMap<String, Progress>,
     /// Members whose requests wait and that have not been answered.
     unanswered: BTreeSet<String>,
+    standbys: Standbys,
+    standbys_at: Option<Timestamp>,
+    pacer: Pacer,
 }
 
 impl Dissemination {
-    /// A coordinator that has told nothing yet.
-    pub fn new(term: u64) -> Self {
+    /// A coordinator that has told nothing yet, on a link of a speed in Mbit/s; 0 if it was not told.
+    pub fn new(term: u64, link: u32, now: Timestamp) -> Self {
         Self {
             term,
             progress: HashMap::new(),
             unanswered: BTreeSet::new(),
+            standbys: Standbys::default(),
+            standbys_at: None,
+            pacer: Pacer::new(link, now),
+        }
+    }
+
+    /// Addresses of the standbys, the first to act first.
+    pub fn standby_addresses(&self, placement: &Placement, now: Timestamp) -> Vec<SocketAddr> {
+        let members: HashMap<String, SocketAddr> = placement.members(now).into_iter().collect();
+        let names = self.standbys.names().iter();
+        names
+            .filter_map(|name| members.get(name).copied())
+            .collect()
+    }
+
+    /// Chooses the standbys again, if that is due.
+    fn choose_standbys(&mut self, placement: &Placement, own: SocketAddr, now: Timestamp) {
+        let is_due = |at: Timestamp| now.since(at) >= STANDBYS_INTERVAL;
+        if self.standbys_at.is_none_or(is_due) {
+            self.standbys_at = Some(now);
+            self.standbys.choose(placement.standby_candidates(own, now));
         }
     }
 
@@ -153,34 +184,53 @@
         header: &Direction,
         now: Timestamp,
     ) -> Vec<Outgoing> {
-        let members = placement.members(now);
+        self.choose_standbys(placement, header.address, now);
+        self.pacer.fill(now);
+        let mut members = placement.members(now);
         let names: BTreeSet<&String> = members.iter().map(|(name, _)| name).collect();
         self.progress.retain(|name, _| names.contains(name));
+        self.unanswered.retain(|name| names.contains(name));
         let count = u32::try_from(members.len()).unwrap_or(u32::MAX);
         let news_interval = NEWS_INTERVAL_A_MEMBER * count;
         let addresses = members.iter().map(|(_, address)| *address).collect();
-        let mut round = Round::new(placement, runners, header, addresses, now);
+        let mut round = Round::new(placement, runners, addresses, now);
+        // If the link has no room for all, nobody is left out for long.
+        members.sort_by_key(|(name, _)| self.progress.get(name).map(|it| it.told_at));
         let mut messages = Vec::new();
-        for (member, address) in &members {
-            let is_due = self.progress.get(member).is_none_or(|progress| {
-                progress.is_due(header, placement.version(), news_interval, now)
+        for (member, address) in members {
+            if !self.pacer.has_room() {
+                break;
+            }
+            let own_header = Direction {
+                standby: self.standbys.rank(&member),
+                ..header.clone()
+            };
+            let is_due = self.progress.get(&member).is_none_or(|progress| {
+                progress.is_due(&own_header, placement.version(), news_interval, now)
             });
-            if !self.unanswered.remove(member) && !is_due {
+            if !self.unanswered.remove(&member) && !is_due {
                 continue;
             }
-            let directions = self.directions(member, &mut round);
-            messages.extend(directions.into_iter().map(|direction| Outgoing {
-                member: member.clone(),
-                address: *address,
-                direction,
-            }));
+            for direction in self.directions(&member, &own_header, &mut round) {
+                self.pacer.take(&direction);
+                messages.push(Outgoing {
+                    member: member.clone(),
+                    address,
+                    direction,
+                });
+            }
         }
         messages
     }
 
     /// What a member is told now, in messages that fit a datagram each.
-    fn directions(&mut self, member: &str, round: &mut Round<'_>) -> Vec<Direction> {
-        let (placement, header, now) = (round.placement, round.header, round.now);
+    fn directions(
+        &mut self,
+        member: &str,
+        header: &Direction,
+        round: &mut Round<'_>,
+    ) -> Vec<Direction> {
+        let (placement, now) = (round.placement, round.now);
         let Some(known) = placement.known_by(member) else {
             return Vec::new();
         };
@@ -199,7 +249,7 @@
             first.outlooks = waiting
                 .filter_map(|waiting| round.outlook(&waiting.unit))
                 .collect();
-            let lacks_members = known.members != header.daemons;
+            let lacks_members = header.standby.is_some() && known.members != header.daemons;
             if lacks_members && now.since(progress.members_at) >= MEMBERS_INTERVAL {
                 progress.members_at = now;
                 first.members = Some(round.addresses.clone());
@@ -210,11 +260,11 @@
                 first.store_limits = Some(placement.store_limits());
             }
         }
-        if progress.runners_revision < header.membership_revision {
-            let updates = round.updates_after(progress.runners_revision);
+        if progress.runners_revision < header.store.membership_revision {
+            let updates = round.updates_for(progress.runners_revision, known);
             // Without the changes the member reads the store.
             let until = updates.last().map(|update| update.until);
-            progress.runners_revision = until.unwrap_or(header.membership_revision);
+            progress.runners_revision = until.unwrap_or(header.store.membership_revision);
             add_updates(&mut directions, updates, header);
         }
         progress.note_told(header, placement.version(), now);
@@ -226,10 +276,10 @@
 struct Round<'a> {
     placement: &'a Placement,
     runners: &'a RunnerTable,
-    header: &'a Direction,
     addresses: Vec<SocketAddr>,
     now: Timestamp,
     loads: Option<Vec<RunnerLoad>>,
+    digest: u64,
     updates: HashMap<u64, Vec<MembershipUpdate>>,
     outlooks: HashMap<Unit, Option<UnitOutlook>>,
 }
@@ -238,17 +288,16 @@
     fn new(
         placement: &'a Placement,
         runners: &'a RunnerTable,
-        header: &'a Direction,
         addresses: Vec<SocketAddr>,
         now: Timestamp,
     ) -> Self {
         Self {
             placement,
             runners,
-            header,
             addresses,
             now,
             loads: None,
+            digest: runners.digest(),
             updates: HashMap::new(),
             outlooks: HashMap::new(),
         }
@@ -259,13 +308,20 @@
         self.loads.get_or_insert_with(|| placement.loads()).clone()
     }
 
-    /// Changes of runners after a revision; none if they are not all known.
-    fn updates_after(&mut self, revision: u64) -> Vec<MembershipUpdate> {
+    /// What a member that was told all changes up to a revision must hear of the runners; nothing before the first
+    /// list. A coordinator that has just started cannot tell what has changed since; if the member has the same
+    /// runners, it is told just that.
+    fn updates_for(&mut self, revision: u64, known: KnownState) -> Vec<MembershipUpdate> {
         let runners = self.runners;
         let updates = self.updates.entry(revision);
-        updates
-            .or_insert_with(|| runners.updates_after(revision).unwrap_or_default())
-            .clone()
+        let updates =
+            updates.or_insert_with(|| runners.updates_after(revision).unwrap_or_default());
+        let is_whole = updates.first().is_some_and(MembershipUpdate::is_whole);
+        let knows_all = known.runners_revision == revision && known.runners_digest == self.digest;
+        if is_whole && revision > 0 && knows_all {
+            return vec![runners.confirmation(revision)];
+        }
+        updates.clone()
     }
 
     fn outlook(&mut self, unit: &Unit) -> Option<UnitOutlook> {
--- a/crates/routing/src/lease.rs
+++ b/crates/routing/src/lease.rs
@@ -11,6 +11,8 @@
 use flaxward_types::time::{Timestamp, millis};
 use serde::{Deserialize, Serialize};
 
+use crate::strength::MachineStrength;
+
 /// What the lease object says.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct LeaseRecord {
@@ -26,6 +28,10 @@
     pub renewals: u64,
     /// The holder has given it back.
     pub released: bool,
+    /// The strongest machine that the holder has heard of, so that a daemon which hears nobody knows whether
+    /// it is a weak one.
+    #[serde(default)]
+    pub strongest: MachineStrength,
 }
 
 /// The object as read, with the revision that a change of it must name.
@@ -50,21 +56,9 @@
     pub silence: Duration,
 }
 
-/// Time for which a weak daemon leaves a free lease to stronger ones.
-const WEAK_DELAY: Duration = Duration::from_millis(900);
-/// Processor share from which a daemon is not weak while it has heard of no other, in thousandths of a
-/// core.
-const STRONG_CAPACITY: u32 = 400;
-
-/// For how long a daemon leaves a free lease to others. One with less than half of the processor share of
-/// the strongest waits: the work of a coordinator grows with the number of daemons and runners, and a
-/// machine that cannot bear it loses the lease again and again. Shares are in thousandths of a core; a
-/// share of 0 was not told.
-pub fn candidacy_delay(own: u32, strongest: Option<u32>) -> Duration {
-    let strongest = strongest.unwrap_or(STRONG_CAPACITY);
-    let is_weak = own > 0 && own < strongest / 2;
-    if is_weak { WEAK_DELAY } else { Duration::ZERO }
-}
+/// Leases for which a daemon that does not stand by hears nothing of a holder before it reads the lease: by
+/// then the standbys have had their turn.
+const RESERVE_SILENCE_LEASES: u32 = 2;
 
 /// A call to the store that the machine asks for.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -105,6 +99,8 @@
     Lost {
         /// The term that has ended.
         term: u64,
+        /// Why.
+        reason: LossReason,
     },
     /// Another daemon coordinates.
     Holder {
@@ -115,6 +111,19 @@
     },
 }
 
+/// Why a daemon coordinates no longer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum LossReason {
+    /// No renewal was confirmed in time.
+    Expired,
+    /// It has given the lease back.
+    Released,
+    /// Another daemon has taken the lease over.
+    TakenOver,
+    /// A runner has seen a later term.
+    FencedOff,
+}
+
 #[derive(Clone, Debug, PartialEq, Eq)]
 struct Held {
     lease: StoredLease,
@@ -165,7 +174,11 @@
     next_read: Timestamp,
     heard_at: Option<Timestamp>,
     told: Option<ToldRenewal>,
-    candidacy_delay: Duration,
+    strength: MachineStrength,
+    /// The strongest machine that was heard of, this one included.
+    strongest: Option<MachineStrength>,
+    /// This daemon looks for a free lease before others do. Until it is told that it does not, it does.
+    stands_by: bool,
     stopping: bool,
 }
 
@@ -188,14 +201,48 @@
             next_read: Timestamp::ZERO,
             heard_at: None,
             told: None,
-            candidacy_delay: Duration::ZERO,
+            strength: MachineStrength::default(),
+            strongest: None,
+            stands_by: true,
             stopping: false,
         }
     }
 
-    /// Sets for how long this daemon leaves a free lease to others; see [`candidacy_delay`].
-    pub fn set_candidacy_delay(&mut self, delay: Duration) {
-        self.candidacy_delay = delay;
+    /// The same for a machine of this strength.
+    #[must_use]
+    pub fn with_strength(mut self, strength: MachineStrength) -> Self {
+        self.strength = strength;
+        self
+    }
+
+    /// Sets which is the strongest machine heard of; the record tells it to those who hear nobody.
+    pub fn set_strongest(&mut self, strongest: MachineStrength) {
+        self.strongest = Some(strongest.max(self.strength));
+    }
+
+    /// Sets whether this daemon looks for a free lease before others do.
+    pub fn set_stands_by(&mut self, stands_by: bool) {
+        self.stands_by = stands_by;
+    }
+
+    /// For how long this daemon leaves a lease that it has seen free to others. A weak one waits a whole lease,
+    /// in which every stronger one that lives has looked at it.
+    pub fn candidacy_delay(&self) -> Duration {
+        if self.strength.is_weak_beside(self.strongest) {
+            self.settings.duration
+        } else {
+            Duration::ZERO
+        }
+    }
+
+    /// The holder of a term has said that it holds the lease no longer. A standby need not wait until it is
+    /// silent.
+    pub fn ended(&mut self, term: u64, now: Timestamp) {
+        let is_heard = self.told.is_some_and(|told| told.term == term);
+        if is_heard && self.stands_by && self.held.is_none() {
+            self.heard_at = None;
+            self.next_read = now;
+        }
     }
 
     /// The term under which this daemon may give orders now.
@@ -239,6 +286,7 @@
         self.observed = None;
         Some(LeaseChange::Lost {
             term: held.lease.record.term,
+            reason: LossReason::FencedOff,
         })
     }
 
@@ -269,6 +317,7 @@
             self.next_read = now;
             LeaseChange::Lost {
                 term: held.lease.record.term,
+                reason: LossReason::Expired,
             }
         });
         if self.calling.is_some() {
@@ -285,12 +334,12 @@
             if self.stopping {
                 let record = LeaseRecord {
                     released: true,
-                    ..Self::renewed(lease)
+                    ..self.renewed(lease)
                 };
                 return Some(LeaseCall::Replace(record, lease.revision));
             }
             let due = now >= held.renewed_at + self.settings.renewal;
-            return due.then(|| LeaseCall::Replace(Self::renewed(lease), lease.revision));
+            return due.then(|| LeaseCall::Replace(self.renewed(lease), lease.revision));
         }
         if self.stopping {
             return None;
@@ -298,7 +347,7 @@
         if self.observed.is_none() {
             return self.read_if_due(now);
         }
-        if self.is_silent(now) {
+        if self.may_look(now) {
             return self.take_over_or_read(now);
         }
         None
@@ -308,7 +357,7 @@
         if now < self.next_read {
             return None;
         }
-        self.next_read = now + self.settings.silence;
+        self.next_read = now + self.look_interval();
         Some(LeaseCall::Read)
     }
 
@@ -333,19 +382,17 @@
             return true;
         };
         let wait = self.settings.duration + self.settings.margin;
-        lease.record.released || now.since(observed.unchanged_since) >= wait
+        lease.record.released || self.is_mine(lease) || now.since(observed.unchanged_since) >= wait
     }
 
     /// Whether this daemon may take a lease that was read.
     fn may_take(&self, observed: &Observed, now: Timestamp) -> bool {
-        if observed.lease.as_ref().is_some_and(|it| self.is_mine(it)) {
-            return true;
-        }
-        if self.candidacy_delay.is_zero() {
+        let delay = self.candidacy_delay();
+        if delay.is_zero() {
             return self.is_free(observed, now);
         }
         let seen = observed.seen_free_since;
-        seen.is_some_and(|since| now.since(since) >= self.candidacy_delay)
+        seen.is_some_and(|since| now.since(since) >= delay)
     }
 
     /// Notes whether the store has just shown the lease to be free.
@@ -404,7 +451,10 @@
         if lease.record.released {
             self.held = None;
             self.observe(lease, sent_at);
-            return Some(LeaseChange::Lost { term });
+            return Some(LeaseChange::Lost {
+                term,
+                reason: LossReason::Released,
+            });
         }
         let is_new = self
             .held
@@ -442,9 +492,15 @@
             let term = held.lease.record.term;
             self.held = None;
             self.observe(lease, now);
-            return Some(LeaseChange::Lost { term });
+            return Some(LeaseChange::Lost {
+                term,
+                reason: LossReason::TakenOver,
+            });
         }
         let record = lease.record.clone();
+        if self.strongest.is_none() {
+            self.set_strongest(record.strongest);
+        }
         self.observe(lease, now);
         (!record.released).then_some(LeaseChange::Holder {
             address: record.address,
@@ -486,6 +542,21 @@
             .is_none_or(|at| now.since(at) >= self.settings.silence)
     }
 
+    /// Whether this daemon has heard nothing of a holder for so long that it looks at the lease.
+    fn may_look(&self, now: Timestamp) -> bool {
+        self.heard_at
+            .is_none_or(|at| now.since(at) >= self.look_interval())
+    }
+
+    /// Time without a word of a holder until this daemon looks at the lease, and between two looks.
+    fn look_interval(&self) -> Duration {
+        if self.stands_by {
+            self.settings.silence
+        } else {
+            self.settings.duration * RESERVE_SILENCE_LEASES
+        }
+    }
+
     /// Whether the holder is this daemon, or a life of it that has ended: no two processes have the
     /// address at one time.
     fn is_mine(&self, lease: &StoredLease) -> bool {
@@ -500,12 +571,14 @@
             term: 1,
             renewals: 0,
             released: false,
+            strongest: self.strongest.unwrap_or(self.strength),
         }
     }
 
-    fn renewed(lease: &StoredLease) -> LeaseRecord {
+    fn renewed(&self, lease: &StoredLease) -> LeaseRecord {
         LeaseRecord {
             renewals: lease.record.renewals + 1,
+            strongest: self.strongest.unwrap_or(self.strength),
             ..lease.record.clone()
         }
     }
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -18,10 +18,14 @@
 pub mod membership;
 pub mod messages;
 pub mod names;
+pub mod pacing;
 pub mod placement;
 pub mod request;
 pub mod runners;
 pub mod split;
+pub mod standby;
+pub mod store_trust;
+pub mod strength;
 
 pub use configuration::{Configuration, Route, RouteKind, Service};
 pub use names::{AdapterName, ModelName, RouteName, RunnerId, ServiceName, Unit, Zone};
--- a/crates/routing/src/membership.rs
+++ b/crates/routing/src/membership.rs
@@ -57,6 +57,29 @@
     pub until: u64,
     /// The changes, in the order of their revisions.
     pub changes: Vec<MembershipChange>,
+    /// What the changes are.
+    pub scope: UpdateScope,
+}
+
+/// What the changes of an update are.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub enum UpdateScope {
+    /// All that have happened between the two revisions.
+    #[default]
+    Changes,
+    /// A part of the whole list: the runners that there are, in the order of their last changes. A runner that
+    /// is in no part is gone.
+    Whole {
+        /// The parts after this one complete the list.
+        is_last: bool,
+    },
+}
+
+impl MembershipUpdate {
+    /// Whether it is a part of the whole list.
+    pub fn is_whole(&self) -> bool {
+        matches!(self.scope, UpdateScope::Whole { .. })
+    }
 }
 
 impl RunnerSummary {
@@ -104,6 +127,7 @@
     /// All changes after this revision and up to `complete_until` are known; `None` before the first list.
     complete_after: Option<u64>,
     complete_until: u64,
+    last_change: u64,
     changes: BTreeMap<RunnerId, LastChange>,
 }
 
@@ -115,8 +139,7 @@
 
     /// The revision of the last change.
     pub fn last_change(&self) -> u64 {
-        let revisions = self.changes.values().map(|change| change.revision);
-        revisions.max().unwrap_or(0)
+        self.last_change
     }
 
     /// Whether news of a runner at a revision are older than what is known.
@@ -128,6 +151,7 @@
     /// Notes a change.
     pub fn note(&mut self, runner: &RunnerId, revision: u64, is_gone: bool) {
         let change = LastChange { revision, is_gone };
+        self.last_change = self.last_change.max(revision);
         self.changes.insert(runner.clone(), change);
     }
 
@@ -161,16 +185,42 @@
         }
     }
 
-    /// The changes after a revision, in messages that fit a datagram each; `None` if some of them are
-    /// not known any more.
+    /// The changes after a revision, in messages that fit a datagram each. If some of them are not known any
+    /// more, the whole list; `None` before the first list.
     pub fn updates_after<'a>(
         &'a self,
         revision: u64,
         summary: impl Fn(&RunnerId) -> Option<RunnerSummary> + 'a,
     ) -> Option<Vec<MembershipUpdate>> {
-        if self.complete_after.is_none_or(|after| revision < after) {
-            return None;
+        let complete_after = self.complete_after?;
+        if revision < complete_after {
+            return Some(self.whole_list(&summary));
         }
+        Some(self.split(revision, self.changes_after(revision, &summary)))
+    }
+
+    /// All runners that there are.
+    fn whole_list(
+        &self,
+        summary: &impl Fn(&RunnerId) -> Option<RunnerSummary>,
+    ) -> Vec<MembershipUpdate> {
+        let mut present = self.changes_after(0, summary);
+        present.retain(|change| change.summary.is_some());
+        let mut parts = self.split(0, present);
+        let count = parts.len();
+        for (part, place) in parts.iter_mut().zip(1..) {
+            let is_last = place == count;
+            part.scope = UpdateScope::Whole { is_last };
+        }
+        parts
+    }
+
+    /// The changes after a revision, in the order of their revisions.
+    fn changes_after(
+        &self,
+        revision: u64,
+        summary: &impl Fn(&RunnerId) -> Option<RunnerSummary>,
+    ) -> Vec<MembershipChange> {
         let mut changes: Vec<MembershipChange> = self
             .changes
             .iter()
@@ -182,7 +232,7 @@
             })
             .collect();
         changes.sort_by_key(|change| change.revision);
-        Some(self.split(revision, changes))
+        changes
     }
 
     /// Splits changes so that none of a revision is in a later message than its end.
@@ -197,6 +247,7 @@
                     after,
                     until: last,
                     changes: std::mem::take(&mut part),
+                    scope: UpdateScope::Changes,
                 });
                 after = last;
             }
@@ -206,6 +257,7 @@
             after,
             until: self.complete_until.max(after),
             changes: part,
+            scope: UpdateScope::Changes,
         });
         updates
     }
--- a/crates/routing/src/messages.rs
+++ b/crates/routing/src/messages.rs
@@ -12,9 +12,10 @@
 use crate::membership::MembershipUpdate;
 use crate::names::{RunnerId, ServiceName, Unit, Zone};
 use crate::runners::RunnerHoldings;
+use crate::strength::MachineStrength;
 
 /// First byte of every message; raised when the encoding changes incompatibly.
-const WIRE_VERSION: u8 = 3;
+const WIRE_VERSION: u8 = 4;
 
 /// A message.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -25,6 +26,35 @@
     Waiting(WaitNotice),
     /// From the coordinator to a member.
     Direction(Direction),
+    /// From a daemon that coordinates no longer to the standbys.
+    LeaseEnded {
+        /// The term that has ended.
+        term: u64,
+    },
+    /// From a standby to all members while the coordinator does not tell of the store.
+    StoreNews(StoreNews),
+}
+
+/// What a standby tells of the store.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct StoreNews {
+    /// Where the standby listens.
+    pub from: SocketAddr,
+    /// What it knows of the store.
+    pub state: StoreState,
+    /// The last changes of runners, if there were any.
+    pub membership: Option<MembershipUpdate>,
+}
+
+/// What a daemon that watches the store knows of it.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct StoreState {
+    /// Version of the configuration.
+    pub configuration_version: u64,
+    /// The store's revision at which a runner last came, went, or began to drain.
+    pub membership_revision: u64,
+    /// Time since the store last answered, in ms.
+    pub silence_ms: u32,
 }
 
 /// What a member knows, so that the coordinator tells it only what is new.
@@ -38,6 +68,8 @@
     pub members: u32,
     /// The store's revision up to which it knows all changes of runners; see [`Direction::membership`].
     pub runners_revision: u64,
+    /// Digest of the runners that it knows; see [`crate::runners::RunnerTable::digest`].
+    pub runners_digest: u64,
 }
 
 /// What a member's requests wait for.
@@ -62,8 +94,10 @@
     pub address: SocketAddr,
     /// Its zone.
     pub zone: Zone,
-    /// Its processor share, in thousandths of a core; 0 if it was not told.
-    pub capacity: u32,
+    /// Its machine.
+    pub strength: MachineStrength,
+    /// It stops, and so stands by for nothing.
+    pub is_stopping: bool,
     /// What it knows.
     pub known: KnownState,
     /// What its requests wait for.
@@ -119,18 +153,16 @@
     pub address: SocketAddr,
     /// Daemons that it has heard of lately, itself included.
     pub daemons: u32,
-    /// Processor share of the strongest of them, in thousandths of a core.
-    pub strongest: u32,
-    /// Version of the configuration that it knows.
-    pub configuration_version: u64,
-    /// The store's revision at which a runner last came, went, or began to drain.
-    pub membership_revision: u64,
-    /// Time since the store last answered the coordinator, in ms.
-    pub store_silence_ms: u32,
+    /// The strongest of their machines.
+    pub strongest: MachineStrength,
+    /// Place of the receiver among the standbys, from 0; `None` if it does not stand by.
+    pub standby: Option<u8>,
+    /// What the coordinator knows of the store.
+    pub store: StoreState,
     /// Changes of runners that the receiver does not know, or a part of them.
     pub membership: Option<MembershipUpdate>,
-    /// Where the members hear a new coordinator, if the receiver knows another number of them. So a
-    /// successor reaches also those that cannot read the lease.
+    /// Where the members hear a new coordinator, if the receiver stands by and knows another number of them.
+    /// So a successor reaches also those that cannot read the lease.
     pub members: Option<Vec<SocketAddr>>,
     /// The holdings below follow this version.
     pub holdings_after: u64,
--- a/crates/routing/src/placement/demand.rs
+++ b/crates/routing/src/placement/demand.rs
@@ -11,6 +11,8 @@
 
 use crate::messages::{KnownState, USE_WINDOW_SECONDS, Usage, WaitNotice, WaitingUnit};
 use crate::names::{RunnerId, Unit, Zone};
+use crate::standby::Candidate;
+use crate::strength::MachineStrength;
 
 /// Time in which the remembered rate of a unit falls to a third.
 const RATE_MEMORY_SECONDS: f64 = 20.0;
@@ -281,10 +283,23 @@
             .filter(move |(_, member)| now.since(member.heard_at) < timeout)
     }
 
-    /// Processor share of the strongest member, in thousandths of a core.
-    pub fn strongest(&self) -> u32 {
-        let capacities = self.members.values().map(|it| it.usage.capacity);
-        capacities.max().unwrap_or(0)
+    /// The strongest machine of a member.
+    pub fn strongest(&self) -> MachineStrength {
+        let strengths = self.members.values().map(|it| it.usage.strength);
+        strengths.max().unwrap_or_default()
+    }
+
+    /// The members that live and do not stop, but for the one at an address.
+    pub fn standby_candidates(&self, own: SocketAddr, now: Timestamp) -> Vec<Candidate> {
+        let members = self.live_members(now);
+        let others = members.filter(|(_, it)| it.address != own && !it.usage.is_stopping);
+        others
+            .map(|(name, member)| Candidate {
+                name: name.clone(),
+                zone: member.zone.clone(),
+                strength: member.usage.strength,
+            })
+            .collect()
     }
 
     /// What requests wait for, the most urgent first.
--- a/crates/routing/src/placement/mod.rs
+++ b/crates/routing/src/placement/mod.rs
@@ -26,6 +26,8 @@
 };
 use crate::names::{AdapterName, ModelName, RunnerId, ServiceName, Unit};
 use crate::runners::{Holdings, Runner, RunnerHoldings};
+use crate::standby::Candidate;
+use crate::strength::MachineStrength;
 
 use copies::CopyIndex;
 use demand::Demands;
@@ -373,11 +375,16 @@
         self.demands.member(member).map(|member| member.known)
     }
 
-    /// Processor share of the strongest member, in thousandths of a core.
-    pub fn strongest_member(&self) -> u32 {
+    /// The strongest machine of a member.
+    pub fn strongest_member(&self) -> MachineStrength {
         self.demands.strongest()
     }
 
+    /// The members that may stand by for the coordinator, which is at an address.
+    pub fn standby_candidates(&self, own: SocketAddr, now: Timestamp) -> Vec<Candidate> {
+        self.demands.standby_candidates(own, now)
+    }
+
     /// When the next order that needs no report counts as done.
     pub fn next_expected(&self) -> Option<Timestamp> {
         self.ledgers.values().filter_map(Ledger::expected_at).min()
--- a/crates/routing/src/runners.rs
+++ b/crates/routing/src/runners.rs
@@ -7,8 +7,11 @@
 
 use flaxward_types::time::Timestamp;
 use serde::{Deserialize, Serialize};
+use xxhash_rust::xxh3::Xxh3;
 
-use crate::membership::{MembershipLog, MembershipUpdate, RunnerSummary};
+use crate::membership::{
+    MembershipChange, MembershipLog, MembershipUpdate, RunnerSummary, UpdateScope,
+};
 use crate::names::{AdapterName, ModelName, RunnerId, ServiceName, Unit, Zone};
 
 /// Time for which what the coordinator said stands over the list.
@@ -74,6 +77,15 @@
     confirmed_at: Timestamp,
     absent: HashMap<(RunnerId, Unit), Timestamp>,
     changes: u64,
+    /// A list of which another daemon has told some parts.
+    partial_list: Option<PartialList>,
+}
+
+/// The parts of a list that have come.
+#[derive(Debug, Default)]
+struct PartialList {
+    until: u64,
+    changes: Vec<MembershipChange>,
 }
 
 impl RunnerTable {
@@ -150,15 +162,22 @@
     }
 
     /// What a daemon that knows all changes up to a revision must hear, in messages that fit a datagram
-    /// each; `None` if it must read the store.
+    /// each; `None` if this one knows no list.
     pub fn updates_after(&self, revision: u64) -> Option<Vec<MembershipUpdate>> {
         let summary = |id: &RunnerId| self.runners.get(id).map(RunnerSummary::of);
         self.membership.updates_after(revision, summary)
     }
 
     /// Takes in what another daemon tells. Returns the runners that have come, gone or begun to drain, or
-    /// `None` if changes before the update are missing here.
+    /// `None` if something before the update is missing here.
     pub fn update(&mut self, update: MembershipUpdate) -> Option<Vec<RunnerId>> {
+        match update.scope {
+            UpdateScope::Changes => self.update_changes(update),
+            UpdateScope::Whole { is_last } => self.update_whole(update, is_last),
+        }
+    }
+
+    fn update_changes(&mut self, update: MembershipUpdate) -> Option<Vec<RunnerId>> {
         if self.revision() < update.after {
             return None;
         }
@@ -166,30 +185,98 @@
         let mut changed = Vec::new();
         let news = update.changes.into_iter();
         for change in news.filter(|change| change.revision > known_until) {
-            let (id, revision) = (change.runner, change.revision);
-            let known = self.runners.get(&id);
-            match change.summary {
-                Some(summary) if known.map(RunnerSummary::of).as_ref() != Some(&summary) => {
-                    let holdings = known.map(|known| known.holdings.clone());
-                    let mut runner = summary.into_runner(id.clone(), revision);
-                    runner.holdings = holdings.unwrap_or_default();
-                    self.insert(runner, revision);
-                    changed.push(id);
-                }
-                None => {
-                    let was_known = known.is_some();
-                    self.remove(&id, revision);
-                    if was_known {
-                        changed.push(id);
-                    }
-                }
-                Some(_) => {}
-            }
+            changed.extend(self.take_change(change));
         }
         self.set_revision(update.until);
         Some(changed)
     }
 
+    /// Takes in a part of the whole list. It holds once all parts of it have come, in their order.
+    fn update_whole(&mut self, update: MembershipUpdate, is_last: bool) -> Option<Vec<RunnerId>> {
+        if update.after == 0 {
+            self.partial_list = Some(PartialList::default());
+        }
+        let follows = |list: &&mut PartialList| list.until == update.after;
+        let list = self.partial_list.as_mut().filter(follows)?;
+        list.until = update.until;
+        list.changes.extend(update.changes);
+        if !is_last {
+            return Some(Vec::new());
+        }
+        let list = self.partial_list.take()?;
+        Some(self.take_list(list))
+    }
+
+    /// Takes in a whole list that another daemon has told.
+    fn take_list(&mut self, list: PartialList) -> Vec<RunnerId> {
+        if list.until <= self.revision() {
+            return Vec::new();
+        }
+        let present: BTreeSet<&RunnerId> = list.changes.iter().map(|it| &it.runner).collect();
+        let gone: Vec<RunnerId> = self
+            .runners
+            .keys()
+            .filter(|id| !present.contains(id))
+            .cloned()
+            .collect();
+        let gone = gone.into_iter().map(|runner| MembershipChange {
+            runner,
+            revision: list.until,
+            summary: None,
+        });
+        // At the revision of the list all of it was seen so, whatever came before.
+        let present = list.changes.into_iter().map(|change| MembershipChange {
+            revision: list.until,
+            ..change
+        });
+        let changes: Vec<MembershipChange> = gone.chain(present).collect();
+        let changed = changes
+            .into_iter()
+            .filter_map(|change| self.take_change(change));
+        let changed = changed.collect();
+        self.membership.begin_at(list.until);
+        changed
+    }
+
+    /// Digest of which runners there are and which of them drain. Daemons with the same digest know the same.
+    pub fn digest(&self) -> u64 {
+        let mut hasher = Xxh3::new();
+        for runner in self.runners.values() {
+            hasher.update(runner.id.as_str().as_bytes());
+            hasher.update(&[u8::from(runner.draining)]);
+        }
+        hasher.digest()
+    }
+
+    /// What tells a daemon with the same runners that it knows all changes from a revision up to now.
+    pub fn confirmation(&self, after: u64) -> MembershipUpdate {
+        MembershipUpdate {
+            after,
+            until: self.revision(),
+            changes: Vec::new(),
+            scope: UpdateScope::Changes,
+        }
+    }
+
+    /// Takes in a change that another daemon tells. Returns the runner if it is news.
+    fn take_change(&mut self, change: MembershipChange) -> Option<RunnerId> {
+        let (id, revision) = (change.runner, change.revision);
+        let known = self.runners.get(&id);
+        let Some(summary) = change.summary else {
+            let was_known = known.is_some();
+            self.remove(&id, revision);
+            return was_known.then_some(id);
+        };
+        if known.map(RunnerSummary::of).as_ref() == Some(&summary) {
+            return None;
+        }
+        let holdings = known.map(|known| known.holdings.clone());
+        let mut runner = summary.into_runner(id.clone(), revision);
+        runner.holdings = holdings.unwrap_or_default();
+        self.insert(runner, revision);
+        Some(id)
+    }
+
     /// Takes in what the coordinator says of a runner.
     pub fn tell(&mut self, holdings: RunnerHoldings, now: Timestamp) {
         let known = KnownHoldings {
@@ -247,7 +334,10 @@
         let is_valid = |told: &&KnownHoldings| {
             now.since(told.known_at.max(self.confirmed_at)) < HOLDINGS_VALIDITY
         };
-        let told = self.told.get(&runner.id).filter(is_valid);
+        let told = self.told.get(&runner.id);
+        // A runner of which the store's list was not read is only known from what was told.
+        let stands = |told: &&KnownHoldings| is_valid(told) || runner.holdings.is_empty();
+        let told = told.filter(stands);
         let holdings = told.map_or(&runner.holdings, |told| &told.holdings);
         let Some(adapters) = holdings.get(&unit.model) else {
             return false;
--- a/crates/settings/src/ingress.rs
+++ b/crates/settings/src/ingress.rs
@@ -26,6 +26,9 @@
     pub coordinator: IngressCoordinatorSection,
     /// The budget for sending requests again.
     pub retries: RetriesSection,
+    /// How soon changes of the store must be known.
+    #[serde(default)]
+    pub news: NewsSection,
     /// The machine.
     #[serde(default)]
     pub machine: MachineSection,
@@ -77,20 +80,59 @@
     pub load_window: Duration,
 }
 
+/// How soon changes of the store must be known everywhere.
+#[derive(Clone, Copy, Debug, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct NewsSection {
+    /// Time within which a configuration must be in force.
+    #[serde(with = "humantime_serde")]
+    pub configuration: Duration,
+    /// Time within which a runner that leaves must get no new work.
+    #[serde(with = "humantime_serde")]
+    pub draining: Duration,
+}
+
+/// Strictest bound of the users' platform so far.
+const DEFAULT_NEWS_BOUND: Duration = Duration::from_secs(2);
+
+impl Default for NewsSection {
+    fn default() -> Self {
+        Self {
+            configuration: DEFAULT_NEWS_BOUND,
+            draining: DEFAULT_NEWS_BOUND,
+        }
+    }
+}
+
+impl NewsSection {
+    /// The time within which any change must be known.
+    pub fn bound(&self) -> Duration {
+        self.configuration.min(self.draining)
+    }
+}
+
 /// The machine that the daemon runs on.
 #[derive(Clone, Copy, Debug, Default, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct MachineSection {
     /// Its share of a processor core; weak machines leave the coordination to stronger ones.
     pub processor_share: Option<f64>,
+    /// Speed of its link, in Mbit/s; a coordinator keeps what it sends within it.
+    pub link_mbps: Option<f64>,
 }
 
 impl MachineSection {
     /// The processor share in thousandths of a core; 0 if it is not set.
     #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
-    pub fn capacity(&self) -> u32 {
+    pub fn processor_thousandths(&self) -> u32 {
         (self.processor_share.unwrap_or(0.0) * 1_000.0).round() as u32
     }
+
+    /// The link in whole Mbit/s; 0 if it is not set.
+    #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+    pub fn link_megabits(&self) -> u32 {
+        self.link_mbps.unwrap_or(0.0).ceil() as u32
+    }
 }
 
 /// The budget for sending requests again.
@@ -149,6 +191,8 @@
             ),
             ("coordinator.load_window", self.coordinator.load_window),
             ("retries.window", self.retries.window),
+            ("news.configuration", self.news.configuration),
+            ("news.draining", self.news.draining),
         ];
         for (key, value) in positive {
             if value.is_zero() {
@@ -162,6 +206,7 @@
                 "machine.processor_share",
                 self.machine.processor_share.unwrap_or(0.0),
             ),
+            ("machine.link_mbps", self.machine.link_mbps.unwrap_or(0.0)),
         ];
         for (key, value) in shares {
             if !value.is_finite() || value < 0.0 {
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -23,7 +23,7 @@
 pub use check_config::{CheckConfig, ReportFormat, check_config};
 pub use error::{SettingError, SettingsErrors};
 pub use flags::{Flags, Override};
-pub use ingress::IngressFile;
+pub use ingress::{IngressFile, MachineSection};
 pub use key::{Key, Presence};
 pub use sections::{DaemonSection, Settings};
 pub use value::{Seed, Share};
