--- a/crates/ingress/src/waiting.rs
+++ b/crates/ingress/src/waiting.rs
@@ -24,8 +24,12 @@
 const SUCCESSOR_RETRY: Duration = Duration::from_secs(3);
 /// Part of the target after which a request without a promise is refused.
 const SHARE_WITHOUT_PROMISE: f64 = 0.2;
-/// Shortest time allowed for the promise, which takes a message each way.
-const LEAST_PROMISE_WAIT: Duration = Duration::from_millis(60);
+/// Shortest time allowed for the promise of a coordinator that is heard: a message each way, a plan of a busy
+/// coordinator and the pause after the one before. A request that is refused sooner comes back later than it
+/// would have been promised.
+const LEAST_PROMISE_WAIT: Duration = Duration::from_millis(400);
+/// The same if none is heard: a successor may be about to begin.
+const LEAST_SUCCESSOR_WAIT: Duration = Duration::from_millis(60);
 
 /// Counts a request as waiting for as long as it lives.
 struct WaitingGuard {
@@ -76,13 +80,9 @@
     let begun_at = shared.now();
     let begun = Instant::now();
     let _guard = WaitingGuard::begin(shared, unit, request.priority);
-    let without_promise = route
-        .target
-        .mul_f64(SHARE_WITHOUT_PROMISE)
-        .max(LEAST_PROMISE_WAIT);
     loop {
         let latest = latest_start(shared, request, route, begun);
-        let promise_due = (begun + without_promise).min(latest);
+        let promise_due = (begun + promise_wait(shared, route)).min(latest);
         let changed = shared.changed.notified();
         tokio::pin!(changed);
         changed.as_mut().enable();
@@ -122,6 +122,17 @@
     }
 }
 
+/// Time allowed for the promise of the coordinator.
+fn promise_wait(shared: &Shared, route: &Route) -> Duration {
+    let hears = shared.hears_coordinator.load(Ordering::Relaxed);
+    let least = if hears {
+        LEAST_PROMISE_WAIT
+    } else {
+        LEAST_SUCCESSOR_WAIT
+    };
+    route.target.mul_f64(SHARE_WITHOUT_PROMISE).max(least)
+}
+
 /// The latest moment at which the request can be sent and still be answered.
 fn latest_start(
     shared: &Shared,
--- a/crates/routing/src/dissemination.rs
+++ b/crates/routing/src/dissemination.rs
@@ -15,6 +15,7 @@
 use crate::names::Unit;
 use crate::pacing::Pacer;
 use crate::placement::Placement;
+use crate::placement::outlooks::Outlooks;
 use crate::runners::RunnerTable;
 use crate::standby::Standbys;
 
@@ -281,7 +282,7 @@
     loads: Option<Vec<RunnerLoad>>,
     digest: u64,
     updates: HashMap<u64, Vec<MembershipUpdate>>,
-    outlooks: HashMap<Unit, Option<UnitOutlook>>,
+    outlooks: Option<Outlooks<'a>>,
 }
 
 impl<'a> Round<'a> {
@@ -299,7 +300,7 @@
             loads: None,
             digest: runners.digest(),
             updates: HashMap::new(),
-            outlooks: HashMap::new(),
+            outlooks: None,
         }
     }
 
@@ -326,10 +327,8 @@
 
     fn outlook(&mut self, unit: &Unit) -> Option<UnitOutlook> {
         let (placement, now) = (self.placement, self.now);
-        let outlook = self.outlooks.entry(unit.clone());
-        outlook
-            .or_insert_with(|| placement.outlook(unit, now))
-            .clone()
+        let outlooks = self.outlooks.get_or_insert_with(|| placement.outlooks(now));
+        outlooks.of(unit)
     }
 }
 
--- a/crates/routing/src/placement/mod.rs
+++ b/crates/routing/src/placement/mod.rs
@@ -9,6 +9,7 @@
 mod copies;
 pub mod demand;
 pub mod ledger;
+pub mod outlooks;
 mod planner;
 pub mod store_link;
 mod victims;
@@ -17,12 +18,12 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use flaxward_types::time::{Timestamp, millis};
+use flaxward_types::time::Timestamp;
 
 use crate::balance::is_worth_telling;
 use crate::configuration::{Configuration, Engine, ModelSpecification};
 use crate::messages::{
-    Direction, KnownState, RunnerLoad, StoreLimit, UnitOutlook, Usage, WaitNotice, WaitingUnit,
+    Direction, KnownState, RunnerLoad, StoreLimit, Usage, WaitNotice, WaitingUnit,
 };
 use crate::names::{AdapterName, ModelName, RunnerId, ServiceName, Unit};
 use crate::runners::{Holdings, Runner, RunnerHoldings};
@@ -499,55 +500,6 @@
         let link = self.store_links.get(&unit.service);
         Some(link.map_or(promised, |link| link.expected(promised)))
     }
-
-    /// When a unit is ready, if it is on its way or a place for it can be named.
-    pub fn outlook(&self, unit: &Unit, now: Timestamp) -> Option<UnitOutlook> {
-        let base = unit.base();
-        if unit.adapter.is_some() && !self.copies.is_offered(&base) {
-            let outlook = self.outlook(&base, now)?;
-            let adapter_ms = u32::try_from(millis(ADAPTER_TIME)).unwrap_or(u32::MAX);
-            return Some(UnitOutlook {
-                unit: unit.clone(),
-                ready_in_ms: outlook.ready_in_ms.saturating_add(adapter_ms),
-            });
-        }
-        let under_way = self.ledgers.values().filter_map(|ledger| {
-            let order = ledger.order_state()?;
-            let is_this = order.order.operation == Operation::Load && order.order.unit == *unit;
-            is_this.then(|| order.ready_at.since(now))
-        });
-        let intended = self.ledgers.values().filter_map(|ledger| {
-            let wanted = ledger.intent.as_ref().filter(|it| it.unit == *unit)?;
-            let load = self.expected_load_time(ledger, &wanted.unit)?;
-            Some(load + UNLOAD_TIME)
-        });
-        let soonest = under_way.chain(intended).min();
-        let wait = match soonest {
-            Some(wait) => wait,
-            None => self.queue_estimate(unit, now)?,
-        };
-        Some(UnitOutlook {
-            unit: unit.clone(),
-            ready_in_ms: u32::try_from(millis(wait)).unwrap_or(u32::MAX),
-        })
-    }
-
-    /// Time until a unit could be ready that has no place yet.
-    fn queue_estimate(&self, unit: &Unit, now: Timestamp) -> Option<Duration> {
-        let engine = self.engines.get(&unit.service)?;
-        engine.models.get(&unit.model)?;
-        let soonest = self
-            .ledgers
-            .values()
-            .filter(|ledger| ledger.takes_orders(now) && ledger.runner.service == unit.service)
-            .filter_map(|ledger| {
-                let load = self.expected_load_time(ledger, unit)?;
-                Some(ledger.free_at(now).since(now) + load + UNLOAD_TIME)
-            })
-            .min()?;
-        let lease_wait = self.orders_from.since(now);
-        Some(soonest + lease_wait + self.ceiling_wait(&unit.service, now))
-    }
 }
 
 /// Time that an unload is expected to take.
--- a/crates/routing/src/placement/victims.rs
+++ b/crates/routing/src/placement/victims.rs
@@ -65,6 +65,22 @@
     }
 }
 
+impl Room {
+    /// What making room for a model of a size costs, in ms, if dropping can make it fit.
+    pub fn price_of(&self, weights_mb: f64) -> Option<f64> {
+        let mut free_mb = self.free_mb;
+        let mut price_ms = 0.0;
+        for droppable in &self.droppable {
+            if free_mb >= weights_mb {
+                break;
+            }
+            free_mb += droppable.weights_mb;
+            price_ms += droppable.price_ms;
+        }
+        (free_mb >= weights_mb).then_some(price_ms)
+    }
+}
+
 impl Placement {
     /// The room of a runner, with prices as of the last refresh of the demand.
     pub(super) fn room(&self, ledger: &Ledger, engine: &Engine, now: Timestamp) -> Room {
