--- a/crates/ingress/src/job.rs
+++ b/crates/ingress/src/job.rs
@@ -37,6 +37,9 @@
 const PATIENCE_TARGETS: f64 = 1.6;
 /// Pause before runners that were full are asked again.
 const FULL_PAUSE: Duration = Duration::from_millis(80);
+/// How much longer the next such pause is: a runner that is full twice has a long queue, and each time it is asked
+/// costs a repeat of the budget.
+const FULL_PAUSE_GROWTH: u32 = 4;
 /// Shortest time left with which a request is sent to a runner.
 const LEAST_TIME: Duration = Duration::from_millis(5);
 
@@ -118,9 +121,10 @@
                     continue;
                 }
                 Err(NoRunner::AllTried) if self.may_ask_again(full_rounds) => {
+                    let pause = FULL_PAUSE * FULL_PAUSE_GROWTH.pow(full_rounds);
                     full_rounds += 1;
                     self.tried.clear();
-                    sleep(FULL_PAUSE.min(self.request.time_left())).await;
+                    sleep(pause.min(self.request.time_left())).await;
                     continue;
                 }
                 Err(NoRunner::AllTried) => return self.give_up("no further runner"),
--- a/crates/routing/src/placement/copies.rs
+++ b/crates/routing/src/placement/copies.rs
@@ -75,6 +75,11 @@
         }
     }
 
+    /// Runners that offer the unit now.
+    pub fn offered(&self, unit: &Unit) -> usize {
+        self.units.get(unit).map_or(0, |it| it.offered)
+    }
+
     /// Whether a runner offers the unit.
     pub fn is_offered(&self, unit: &Unit) -> bool {
         self.units.get(unit).is_some_and(|it| it.offered > 0)
--- a/crates/routing/src/placement/demand.rs
+++ b/crates/routing/src/placement/demand.rs
@@ -124,6 +124,8 @@
     waited: HashSet<Unit>,
     wanted: Vec<WantedUnit>,
     running: HashMap<RunnerId, RunnerUse>,
+    /// Requests in progress by model, those of its adapters included.
+    running_models: HashMap<Unit, u32>,
 }
 
 impl Demands {
@@ -139,6 +141,7 @@
             waited: HashSet::new(),
             wanted: Vec::new(),
             running: HashMap::new(),
+            running_models: HashMap::new(),
         }
     }
 
@@ -223,11 +226,14 @@
 
     fn refresh_running(&mut self) {
         self.running.clear();
+        self.running_models.clear();
         let running = self.members.values().flat_map(|it| &it.usage.running);
         for running in running {
             let runner = self.running.entry(running.runner.clone()).or_default();
             runner.requests += running.requests;
-            *runner.units.entry(running.unit.base()).or_default() += running.requests;
+            let model = running.unit.base();
+            *self.running_models.entry(model.clone()).or_default() += running.requests;
+            *runner.units.entry(model).or_default() += running.requests;
             if running.unit.adapter.is_some() {
                 *runner.units.entry(running.unit.clone()).or_default() += running.requests;
             }
@@ -351,6 +357,11 @@
         self.running.get(runner).map_or(0, |it| it.requests)
     }
 
+    /// Requests in progress with a model, at all runners.
+    pub fn running_model(&self, model: &Unit) -> u32 {
+        self.running_models.get(model).copied().unwrap_or(0)
+    }
+
     /// Requests in progress with a unit at a runner; those with a model include its adapters'.
     pub fn running(&self, runner: &RunnerId, unit: &Unit) -> u32 {
         let runner = self.running.get(runner);
--- a/crates/routing/src/placement/planner.rs
+++ b/crates/routing/src/placement/planner.rs
@@ -12,7 +12,7 @@
 use super::demand::WantedUnit;
 use super::ledger::{Intent, Ledger, WeightSource};
 use super::store_link::StoreLink;
-use super::victims::{Room, Victims};
+use super::victims::{HORIZON_SECONDS, Room, Victims};
 use super::{Action, Operation, Order, Placement, Reason, UNLOAD_TIME, engine_load_time};
 
 /// Requests a second from which a model is busy and keeps several copies.
@@ -37,6 +37,20 @@
 /// Price of a load at a runner that is about to leave: any other one comes first.
 const LEAVE_PRICE_MS: f64 = 1e9;
 
+/// Filled share of the slots of all its copies from which a model needs another one at once.
+const PRESSED: f64 = 0.9;
+
+/// Copies that hold some requests in progress without being crowded.
+#[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+fn copies_for(in_progress: f64, slots: u32) -> usize {
+    (in_progress / (f64::from(slots) * FILLED_SHARE)).ceil() as usize
+}
+
+#[allow(clippy::cast_precision_loss)]
+fn as_f64(count: usize) -> f64 {
+    count as f64
+}
+
 /// A runner that could take a model.
 struct Candidate {
     runner: RunnerId,
@@ -125,6 +139,7 @@
             store_loads: self.free_store_loads(),
             places: HashMap::new(),
         };
+        self.relieve_pressed(&mut openings, now);
         for wanted in self.demands.wanted().to_vec() {
             self.serve(&wanted, &mut openings, now);
         }
@@ -319,6 +334,54 @@
         }
     }
 
+    /// Gives models whose copies are full another one, the fullest first and before all loads of models that
+    /// nobody has: a full copy rejects more requests than wait for any of these.
+    fn relieve_pressed(&mut self, openings: &mut Openings, now: Timestamp) {
+        let mut pressed: Vec<(Unit, f64, f64)> = self
+            .demands
+            .busy_models(BUSY_RATE)
+            .into_iter()
+            .map(|(unit, rate)| {
+                let pressure = self.pressure(&unit);
+                (unit, rate, pressure)
+            })
+            .filter(|(_, _, pressure)| *pressure >= PRESSED)
+            .collect();
+        pressed.sort_by(|left, right| right.2.total_cmp(&left.2));
+        for (unit, rate, pressure) in pressed {
+            if self.copies.count(&unit) >= self.wanted_copies(&unit, rate) {
+                continue;
+            }
+            let relief_ms = rate * HORIZON_SECONDS * SECONDS_A_REQUEST * 1_000.0 * pressure;
+            self.replicate(&unit, relief_ms, openings, now);
+        }
+    }
+
+    /// Share of the slots of a model's copies that is filled; over 1 if requests wait there.
+    fn pressure(&self, model: &Unit) -> f64 {
+        let slots = self.engines.get(&model.service).map_or(1, |it| it.slots);
+        let copies = self.copies.offered(model);
+        let places = f64::from(slots.max(1)) * as_f64(copies.max(1));
+        f64::from(self.demands.running_model(model)) / places
+    }
+
+    /// Loads a further copy of a model, if making room for it costs no more than a price.
+    fn replicate(
+        &mut self,
+        unit: &Unit,
+        highest_price_ms: f64,
+        openings: &mut Openings,
+        now: Timestamp,
+    ) {
+        let Some(candidate) = self.best_candidate(unit, openings, now) else {
+            return;
+        };
+        if candidate.victims.price_ms <= highest_price_ms {
+            openings.take(&candidate, &unit.service);
+            self.load_at(&candidate.runner, unit, Reason::Replica, now);
+        }
+    }
+
     /// Gives busy models the copies that they should have at their rate, with a part of the ceiling, where what
     /// would be dropped is worth little.
     fn add_replicas(&mut self, openings: &mut Openings, now: Timestamp) {
@@ -332,13 +395,7 @@
             if !self.has_ceiling(&unit.service, REPLICA_SHARE, now) {
                 continue;
             }
-            let Some(candidate) = self.best_candidate(&unit, openings, now) else {
-                continue;
-            };
-            if candidate.victims.price_ms <= REPLICA_PRICE_MS {
-                openings.take(&candidate, &unit.service);
-                self.load_at(&candidate.runner, &unit, Reason::Replica, now);
-            }
+            self.replicate(&unit, REPLICA_PRICE_MS, openings, now);
         }
     }
 
@@ -529,10 +586,15 @@
             .engines
             .get(&unit.service)
             .map_or(1, |it| it.slots.max(1));
-        let in_progress = rate * SECONDS_A_REQUEST;
-        #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
-        let for_rate = (in_progress / (f64::from(slots) * FILLED_SHARE)).ceil() as usize;
-        for_rate.max(BUSY_COPIES).min(runners.div_ceil(2).max(1))
+        let by_rate = copies_for(rate * SECONDS_A_REQUEST, slots);
+        // What is in progress counts requests twice that were rejected and sent again, so it is believed step by
+        // step.
+        let in_progress = f64::from(self.demands.running_model(unit));
+        let by_pressure = copies_for(in_progress, slots).min(self.copies.offered(unit) * 2);
+        by_rate
+            .max(by_pressure)
+            .max(BUSY_COPIES)
+            .min(runners.div_ceil(2).max(1))
     }
 
     /// Whether a further load from the weight store stays under a share of the ceiling. A new
--- a/crates/routing/src/placement/victims.rs
+++ b/crates/routing/src/placement/victims.rs
@@ -11,7 +11,7 @@
 use super::ledger::Ledger;
 
 /// Time over which the use of a dropped copy is expected to go on, for its price.
-const HORIZON_SECONDS: f64 = 10.0;
+pub(super) const HORIZON_SECONDS: f64 = 10.0;
 /// Price of waiting for requests in progress to end before a model is dropped, in ms.
 const RUNNING_PRICE_MS: f64 = 4_000.0;
 /// Price of dropping anything, in ms.
--- a/crates/routing/tests/placement/main.rs
+++ b/crates/routing/tests/placement/main.rs
@@ -1,5 +1,6 @@
 //! The placement against model runners that report late, lose answers and carry orders out late.
 
 mod cases;
+mod pressure;
 mod properties;
 mod world;
