--- a/crates/ingress/src/coordination/following.rs
+++ b/crates/ingress/src/coordination/following.rs
@@ -131,7 +131,7 @@
         }
         let mut tables = shared.tables();
         let known = self.known(&tables)?;
-        let waiting = waiting(&tables);
+        let waiting = waiting(&tables, now);
         let from = shared.settings.name.clone();
         if !is_usage {
             return Some(Message::Waiting(WaitNotice {
@@ -230,13 +230,9 @@
     }
 }
 
-fn waiting(tables: &Tables) -> Vec<WaitingUnit> {
+fn waiting(tables: &Tables, now: Timestamp) -> Vec<WaitingUnit> {
     let waiting = tables.waiting.iter();
     waiting
-        .map(|(unit, waiting)| WaitingUnit {
-            unit: unit.clone(),
-            requests: waiting.requests,
-            priority: waiting.priority,
-        })
+        .map(|(unit, waiting)| waiting.summary(unit, now))
         .collect()
 }
--- a/crates/ingress/src/state.rs
+++ b/crates/ingress/src/state.rs
@@ -10,7 +10,7 @@
 use flaxward_routing::budget::RetryBudget;
 use flaxward_routing::configuration::{Configuration, Route};
 use flaxward_routing::health::{HealthTable, Observation};
-use flaxward_routing::messages::{StoreState, UnitOutlook};
+use flaxward_routing::messages::{StoreState, UnitOutlook, WaitingUnit};
 use flaxward_routing::names::{RunnerId, ServiceName, Unit};
 use flaxward_routing::runners::{Runner, RunnerTable};
 use flaxward_routing::split::SplitChooser;
@@ -87,10 +87,50 @@
 }
 
 /// Requests that wait for a unit.
-#[derive(Clone, Copy, Debug)]
+#[derive(Debug, Default)]
 pub(crate) struct Waiting {
-    pub requests: u32,
+    requests: Vec<WaitingRequest>,
+}
+
+/// A request that waits.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct WaitingRequest {
     pub priority: u8,
+    /// Latest time at which a load must begin for the request to be in time.
+    pub load_by: Timestamp,
+}
+
+impl Waiting {
+    /// A request begins to wait.
+    pub(crate) fn add(&mut self, request: WaitingRequest) {
+        self.requests.push(request);
+    }
+
+    /// A request that was added waits no longer. Returns whether none is left.
+    pub(crate) fn remove(&mut self, request: WaitingRequest) -> bool {
+        let place = self.requests.iter().position(|it| *it == request);
+        if let Some(place) = place {
+            self.requests.swap_remove(place);
+        }
+        self.requests.is_empty()
+    }
+
+    /// What the coordinator is told of them.
+    pub(crate) fn summary(&self, unit: &Unit, now: Timestamp) -> WaitingUnit {
+        let count = |length: usize| u32::try_from(length).unwrap_or(u32::MAX);
+        let late = self.requests.iter().filter(|it| it.load_by < now);
+        WaitingUnit {
+            unit: unit.clone(),
+            requests: count(self.requests.len()),
+            late: count(late.count()),
+            priority: self
+                .requests
+                .iter()
+                .map(|it| it.priority)
+                .min()
+                .unwrap_or(0),
+        }
+    }
 }
 
 /// Shared by all tasks of the daemon.
--- a/crates/ingress/src/waiting.rs
+++ b/crates/ingress/src/waiting.rs
@@ -12,7 +12,7 @@
 use tokio::time::{Instant, sleep_until};
 
 use crate::exchange::ClientRequest;
-use crate::state::{Shared, Waiting};
+use crate::state::{Shared, WaitingRequest};
 
 /// Time after the promised moment at which a unit counts as late and the promise as broken.
 const PROMISE_SLACK: Duration = Duration::from_millis(2_500);
@@ -24,33 +24,39 @@
 const SUCCESSOR_RETRY: Duration = Duration::from_secs(3);
 /// Part of the target after which a request without a promise is refused.
 const SHARE_WITHOUT_PROMISE: f64 = 0.2;
-/// Shortest time allowed for the promise of a coordinator that is heard: a message each way, a plan of a busy
-/// coordinator and the pause after the one before. A request that is refused sooner comes back later than it
-/// would have been promised.
-const LEAST_PROMISE_WAIT: Duration = Duration::from_millis(400);
+/// Time allowed for the promise of a coordinator that is heard, also if the target is short: a message each way, a
+/// plan of a busy coordinator and the pause after the one before. A request that is refused sooner comes back later
+/// than it would have been promised.
+const PLAN_WAIT: Duration = Duration::from_millis(400);
+/// Part of the target that this takes at most.
+const PLAN_WAIT_SHARE: f64 = 0.5;
 /// The same if none is heard: a successor may be about to begin.
 const LEAST_SUCCESSOR_WAIT: Duration = Duration::from_millis(60);
 
+/// Time that a load is expected to take: one from a runner's disk.
+const LOAD_TIME: Duration = Duration::from_millis(1_700);
+
 /// Counts a request as waiting for as long as it lives.
 struct WaitingGuard {
     shared: Arc<Shared>,
     unit: Unit,
+    request: WaitingRequest,
 }
 
 impl WaitingGuard {
-    fn begin(shared: &Arc<Shared>, unit: &Unit, priority: u8) -> Self {
-        let mut tables = shared.tables();
-        let waiting = tables.waiting.entry(unit.clone()).or_insert(Waiting {
-            requests: 0,
+    fn begin(shared: &Arc<Shared>, unit: &Unit, route: &Route, priority: u8) -> Self {
+        let request = WaitingRequest {
             priority,
-        });
-        waiting.requests += 1;
-        waiting.priority = waiting.priority.min(priority);
+            load_by: shared.now() + route.target.saturating_sub(LOAD_TIME),
+        };
+        let mut tables = shared.tables();
+        tables.waiting.entry(unit.clone()).or_default().add(request);
         drop(tables);
         shared.demand.notify_one();
         Self {
             shared: shared.clone(),
             unit: unit.clone(),
+            request,
         }
     }
 }
@@ -58,11 +64,10 @@
 impl Drop for WaitingGuard {
     fn drop(&mut self) {
         let mut tables = self.shared.tables();
-        if let Some(waiting) = tables.waiting.get_mut(&self.unit) {
-            waiting.requests -= 1;
-            if waiting.requests == 0 {
-                tables.waiting.remove(&self.unit);
-            }
+        if let Some(waiting) = tables.waiting.get_mut(&self.unit)
+            && waiting.remove(self.request)
+        {
+            tables.waiting.remove(&self.unit);
         }
     }
 }
@@ -79,7 +84,7 @@
 ) -> Result<(), Refusal> {
     let begun_at = shared.now();
     let begun = Instant::now();
-    let _guard = WaitingGuard::begin(shared, unit, request.priority);
+    let _guard = WaitingGuard::begin(shared, unit, route, request.priority);
     loop {
         let latest = latest_start(shared, request, route, begun);
         let promise_due = (begun + promise_wait(shared, route)).min(latest);
@@ -126,7 +131,7 @@
 fn promise_wait(shared: &Shared, route: &Route) -> Duration {
     let hears = shared.hears_coordinator.load(Ordering::Relaxed);
     let least = if hears {
-        LEAST_PROMISE_WAIT
+        PLAN_WAIT.min(route.target.mul_f64(PLAN_WAIT_SHARE))
     } else {
         LEAST_SUCCESSOR_WAIT
     };
--- a/crates/routing/benches/plan.rs
+++ b/crates/routing/benches/plan.rs
@@ -133,6 +133,7 @@
     let waiting = (0..WAITING_UNITS).map(|index| WaitingUnit {
         unit: unit(MODELS_HELD * runners + member * 2 + index, models),
         requests: 1,
+        late: 0,
         priority: 1,
     });
     Usage {
--- a/crates/routing/src/messages.rs
+++ b/crates/routing/src/messages.rs
@@ -115,6 +115,8 @@
     pub unit: Unit,
     /// How many.
     pub requests: u32,
+    /// Those of them that would be late even if a load began now.
+    pub late: u32,
     /// The most urgent rank among them.
     pub priority: u8,
 }
--- a/crates/routing/src/placement/demand.rs
+++ b/crates/routing/src/placement/demand.rs
@@ -24,6 +24,9 @@
 /// How much more a request counts than one of the next rank. Nobody tells what requests are worth; the rules
 /// make it dear to serve a kind less often than a less urgent one.
 const RANK_WEIGHT: f64 = 3.0;
+/// How much a request counts that will be late in any case, beside one that can still be in time. If more is asked
+/// for than can be loaded, the oldest first would make all of them late.
+const LATE_WEIGHT: f64 = 0.25;
 /// Time over which requests that come count like those that wait, in seconds: about a load from disk.
 const FORESEEN_SECONDS: f64 = 1.0;
 /// Time of waiting after which a unit counts twice, in seconds.
@@ -84,6 +87,8 @@
     pub unit: Unit,
     /// Requests that wait, at all daemons.
     pub requests: u32,
+    /// Those of them that will be late in any case.
+    pub late: u32,
     /// The most urgent rank among them.
     pub priority: u8,
     /// Since when somebody has waited.
@@ -97,7 +102,8 @@
     /// come in the time of a swap, weighed by their rank. It rises with the time waited, so that nothing waits
     /// for ever.
     fn urgency(&self, now: Timestamp) -> f64 {
-        let requests = f64::from(self.requests) + self.rate * FORESEEN_SECONDS;
+        let in_time = f64::from(self.requests.saturating_sub(self.late));
+        let requests = in_time + f64::from(self.late) * LATE_WEIGHT + self.rate * FORESEEN_SECONDS;
         let age = now.since(self.since).as_secs_f64() / AGE_SECONDS;
         requests * RANK_WEIGHT.powi(-i32::from(self.priority)) * (1.0 + age)
     }
@@ -196,6 +202,7 @@
             let entry = wanted.entry(&waiting.unit).or_insert_with(|| WantedUnit {
                 unit: waiting.unit.clone(),
                 requests: 0,
+                late: 0,
                 priority: waiting.priority,
                 since: self
                     .waiting_since
@@ -208,6 +215,7 @@
                     .map_or(0.0, |rate| rate.rate_now(now)),
             });
             entry.requests += waiting.requests;
+            entry.late += waiting.late;
             entry.priority = entry.priority.min(waiting.priority);
         }
         self.wanted = wanted.into_values().collect();
--- a/crates/routing/tests/decisions.rs
+++ b/crates/routing/tests/decisions.rs
@@ -368,6 +368,7 @@
         waiting: vec![WaitingUnit {
             unit: unit("m"),
             requests: 2,
+            late: 0,
             priority: 1,
         }],
         used: Vec::new(),
--- a/crates/routing/tests/placement/world.rs
+++ b/crates/routing/tests/placement/world.rs
@@ -371,6 +371,7 @@
                     WaitingUnit {
                         unit: unit.clone(),
                         requests,
+                        late: 0,
                         priority,
                     }
                 })
