--- a/crates/routing/src/placement/planner.rs
+++ b/crates/routing/src/placement/planner.rs
@@ -40,6 +40,9 @@
 /// Filled share of the slots of all its copies from which a model needs another one at once.
 const PRESSED: f64 = 0.9;
 
+/// Filled share of a runner's slots up to which an adapter is better placed there than at a fuller one.
+const ROOMY: f64 = 0.5;
+
 /// Copies that hold some requests in progress without being crowded.
 #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
 fn copies_for(in_progress: f64, slots: u32) -> usize {
@@ -140,6 +143,7 @@
             places: HashMap::new(),
         };
         self.relieve_pressed(&mut openings, now);
+        self.relieve_adapters(&mut openings, now);
         for wanted in self.demands.wanted().to_vec() {
             self.serve(&wanted, &mut openings, now);
         }
@@ -310,15 +314,32 @@
             }
             return;
         }
+        self.place_adapter(unit, Reason::Demand, openings, now);
+    }
+
+    /// Loads an adapter at the least filled runner that offers its model, or first makes room for it there.
+    fn place_adapter(
+        &mut self,
+        unit: &Unit,
+        reason: Reason,
+        openings: &mut Openings,
+        now: Timestamp,
+    ) {
         let Some(engine) = self.engines.get(&unit.service) else {
             return;
         };
+        let base = unit.base();
+        let slots = engine.slots;
         let best = self
             .ledgers
             .values()
-            .filter(|ledger| ledger.offers(&base) && ledger.is_free(now))
+            .filter(|ledger| ledger.offers(&base) && !ledger.has(unit) && ledger.is_free(now))
             .filter(|ledger| ledger.pending_adapter_count() < PENDING_ADAPTERS)
-            .min_by_key(|ledger| ledger.adapters().len());
+            .filter(|ledger| reason == Reason::Demand || self.filled(ledger, slots) < ROOMY)
+            .min_by_key(|ledger| {
+                let is_roomy = self.filled(ledger, slots) < ROOMY;
+                (!is_roomy, ledger.adapters().len())
+            });
         let Some(ledger) = best else {
             return;
         };
@@ -328,7 +349,7 @@
         let runner = ledger.runner.id.clone();
         openings.rooms.remove(&runner);
         if has_slot && has_room {
-            self.begin(&runner, Operation::Load, unit.clone(), Reason::Demand, now);
+            self.begin(&runner, Operation::Load, unit.clone(), reason, now);
         } else if let Some(victim) = self.adapter_victim(ledger, now) {
             self.begin(&runner, Operation::Unload, victim, Reason::Room, now);
         }
@@ -357,6 +378,34 @@
         }
     }
 
+    /// Gives adapters that requests use at full runners another place. An adapter is on its way for some ms only,
+    /// and without a second place all its requests go to that one runner, whatever copies the model has.
+    fn relieve_adapters(&mut self, openings: &mut Openings, now: Timestamp) {
+        let full = self.ledgers.values().filter(|ledger| {
+            let engine = self.engines.get(&ledger.runner.service);
+            engine.is_some_and(|engine| self.filled(ledger, engine.slots) >= PRESSED)
+        });
+        let at_full_runners = full.flat_map(|ledger| {
+            let adapters = ledger.adapters().into_iter();
+            adapters.map(|(model, adapter)| Unit {
+                service: ledger.runner.service.clone(),
+                model,
+                adapter: Some(adapter),
+            })
+        });
+        let pressed: Vec<Unit> = at_full_runners
+            .filter(|unit| self.copies.count(unit) == 1 && self.demands.is_in_use(unit, now))
+            .collect();
+        for unit in pressed {
+            self.place_adapter(&unit, Reason::Replica, openings, now);
+        }
+    }
+
+    /// Share of a runner's slots that is filled; over 1 if requests wait there.
+    fn filled(&self, ledger: &Ledger, slots: u32) -> f64 {
+        f64::from(self.demands.running_at(&ledger.runner.id)) / f64::from(slots.max(1))
+    }
+
     /// Share of the slots of a model's copies that is filled; over 1 if requests wait there.
     fn pressure(&self, model: &Unit) -> f64 {
         let slots = self.engines.get(&model.service).map_or(1, |it| it.slots);
