--- a/crates/ingress/src/job.rs
+++ b/crates/ingress/src/job.rs
@@ -116,10 +116,10 @@
             }
             let runner = match self.choose() {
                 Ok(runner) => runner,
-                Err(NoRunner::NotLoaded) => {
-                    self.wait().await?;
-                    continue;
-                }
+                Err(NoRunner::NotLoaded) => match self.wait().await {
+                    Ok(()) => continue,
+                    Err(refusal) => return self.not_ready(refusal),
+                },
                 Err(NoRunner::AllTried) if self.may_ask_again(full_rounds) => {
                     let pause = FULL_PAUSE * FULL_PAUSE_GROWTH.pow(full_rounds);
                     full_rounds += 1;
@@ -172,12 +172,23 @@
         self.shared.choose(&wanted)
     }
 
-    async fn wait(&mut self) -> Result<(), Refused> {
+    async fn wait(&mut self) -> Result<(), Refusal> {
         let Some(unit) = &self.request.unit else {
             return Ok(());
         };
-        let waited = wait_for_unit(&self.shared, &self.request, &self.route, unit).await;
-        waited.map_err(|refusal| self.refused(refusal, &format!("{unit} is not ready in time")))
+        wait_for_unit(&self.shared, &self.request, &self.route, unit, self.begun).await
+    }
+
+    /// The final answer when the unit is not ready in time. Only a request that surely has not run is told so.
+    fn not_ready(&mut self, refusal: Refusal) -> Result<Response<AnswerBody>, Refused> {
+        let reason = match &self.request.unit {
+            Some(unit) => format!("{unit} is not ready in time"),
+            None => "not ready in time".to_owned(),
+        };
+        if !self.attempts.surely_not_run() {
+            return self.give_up(&reason);
+        }
+        Err(self.refused(refusal, &reason))
     }
 
     fn may_ask_again(&self, full_rounds: u32) -> bool {
--- a/crates/ingress/src/waiting.rs
+++ b/crates/ingress/src/waiting.rs
@@ -72,7 +72,8 @@
     }
 }
 
-/// Waits until a runner holds the unit.
+/// Waits until a runner holds the unit. `arrived` is when the request came: what it has spent before, at runners or
+/// in an earlier wait, counts towards its callers' patience.
 ///
 /// # Errors
 /// Refuses as soon as it is clear that the unit is not ready in time.
@@ -81,12 +82,13 @@
     request: &ClientRequest,
     route: &Route,
     unit: &Unit,
+    arrived: Instant,
 ) -> Result<(), Refusal> {
     let begun_at = shared.now();
     let begun = Instant::now();
     let _guard = WaitingGuard::begin(shared, unit, route, request.priority);
     loop {
-        let latest = latest_start(shared, request, route, begun);
+        let latest = latest_start(shared, request, route, arrived);
         let promise_due = (begun + promise_wait(shared, route)).min(latest);
         let changed = shared.changed.notified();
         tokio::pin!(changed);
@@ -143,10 +145,10 @@
     shared: &Shared,
     request: &ClientRequest,
     route: &Route,
-    begun: Instant,
+    arrived: Instant,
 ) -> Instant {
     let patience = if route.kind.is_stream() {
-        (begun + route.stream_patience()).min(request.deadline)
+        (arrived + route.stream_patience()).min(request.deadline)
     } else {
         request.deadline
     };
--- a/crates/ingress/tests/ingress/failures.rs
+++ b/crates/ingress/tests/ingress/failures.rs
@@ -7,7 +7,7 @@
 use tokio::time::sleep;
 
 use crate::runner::{Behaviour, ScriptedRunner};
-use crate::support::{TestIngress, configuration, route};
+use crate::support::{MODEL, TestIngress, configuration, route};
 
 #[tokio::test]
 async fn an_answer_to_another_request_is_never_shown() {
@@ -188,3 +188,18 @@
     assert!(begun.elapsed() < Duration::from_millis(250));
     assert!(runner.received().is_empty());
 }
+
+/// Found while reading: a request may have run at a runner that broke off, and then waited for its model and was
+/// refused like one that surely has not run.
+#[tokio::test]
+async fn a_request_that_may_have_run_is_not_refused_as_not_run() {
+    let gone = Behaviour::Answer(421, "");
+    let first = ScriptedRunner::start(vec![Behaviour::Reset, gone.clone()]).await;
+    let second = ScriptedRunner::start(vec![gone]).await;
+    let test = TestIngress::start(&[&first, &second]).await;
+    let request = test.request("/stream/", "id-1").header("x-model", MODEL);
+    let response = request.send().await.unwrap();
+    assert!(response.status().is_server_error());
+    assert_ne!(response.status(), 503, "a 503 says that it did not run");
+    assert_eq!(first.received().len() + second.received().len(), 3);
+}
