--- a/crates/ingress/src/lib.rs
+++ b/crates/ingress/src/lib.rs
@@ -24,6 +24,7 @@
 mod server;
 pub mod settings;
 mod state;
+mod store_word;
 mod usage;
 mod waiting;
 mod watches;
--- a/crates/ingress/src/state.rs
+++ b/crates/ingress/src/state.rs
@@ -1,7 +1,6 @@
 //! What the tasks of one daemon share.
 
 use std::collections::HashMap;
-use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
@@ -10,12 +9,12 @@
 use flaxward_routing::budget::RetryBudget;
 use flaxward_routing::configuration::{Configuration, Route};
 use flaxward_routing::health::{HealthTable, Observation};
-use flaxward_routing::messages::{StoreState, UnitOutlook, WaitingUnit};
+use flaxward_routing::messages::UnitOutlook;
 use flaxward_routing::names::{RunnerId, ServiceName, Unit};
 use flaxward_routing::runners::{Runner, RunnerTable};
 use flaxward_routing::split::SplitChooser;
-use flaxward_routing::store_trust::{StoreTrust, WatchRole};
-use flaxward_types::time::{Timestamp, millis};
+use flaxward_routing::store_trust::StoreTrust;
+use flaxward_types::time::Timestamp;
 use tokio::sync::{Notify, watch};
 use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
@@ -26,7 +25,8 @@
 use crate::outside::{ClusterStore, RunnerControl, Surface};
 use crate::pool::Pool;
 use crate::settings::IngressSettings;
-use crate::usage::{Running, UseLog};
+use crate::store_word::StoreWord;
+use crate::usage::{Running, UseLog, Waiting};
 
 /// Daemons that are assumed while the coordinator has not told their number.
 const ASSUMED_DAEMONS: usize = 12;
@@ -38,32 +38,6 @@
     pub told_at: Timestamp,
 }
 
-/// What those who watch the store say of it. While it stands, a daemon reads the store only when there is
-/// something new, instead of watching it.
-#[derive(Clone, Copy, Debug, Default)]
-pub(crate) struct StoreWord {
-    /// Until when it stands.
-    pub trusted_until: Option<Timestamp>,
-    /// The newest version of the configuration.
-    pub configuration_version: u64,
-    /// Revision of the last change that daemons other than the coordinator must know of.
-    pub membership_revision: u64,
-    /// What this daemon does for the others.
-    pub role: WatchRole,
-}
-
-impl StoreWord {
-    /// Until when the store need not be watched.
-    pub(crate) fn stands_until(&self, now: Timestamp) -> Option<Timestamp> {
-        self.trusted_until.filter(|&until| until > now)
-    }
-
-    /// Whether this daemon watches the store for others while the word does not stand.
-    pub(crate) fn watches_for_others(&self) -> bool {
-        self.role != WatchRole::Member
-    }
-}
-
 /// What changes while the daemon runs.
 #[derive(Debug)]
 pub(crate) struct Tables {
@@ -86,53 +60,6 @@
     pub store_trust: StoreTrust,
 }
 
-/// Requests that wait for a unit.
-#[derive(Debug, Default)]
-pub(crate) struct Waiting {
-    requests: Vec<WaitingRequest>,
-}
-
-/// A request that waits.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) struct WaitingRequest {
-    pub priority: u8,
-    /// Latest time at which a load must begin for the request to be in time.
-    pub load_by: Timestamp,
-}
-
-impl Waiting {
-    /// A request begins to wait.
-    pub(crate) fn add(&mut self, request: WaitingRequest) {
-        self.requests.push(request);
-    }
-
-    /// A request that was added waits no longer. Returns whether none is left.
-    pub(crate) fn remove(&mut self, request: WaitingRequest) -> bool {
-        let place = self.requests.iter().position(|it| *it == request);
-        if let Some(place) = place {
-            self.requests.swap_remove(place);
-        }
-        self.requests.is_empty()
-    }
-
-    /// What the coordinator is told of them.
-    pub(crate) fn summary(&self, unit: &Unit, now: Timestamp) -> WaitingUnit {
-        let count = |length: usize| u32::try_from(length).unwrap_or(u32::MAX);
-        let late = self.requests.iter().filter(|it| it.load_by < now);
-        WaitingUnit {
-            unit: unit.clone(),
-            requests: count(self.requests.len()),
-            late: count(late.count()),
-            priority: self
-                .requests
-                .iter()
-                .map(|it| it.priority)
-                .min()
-                .unwrap_or(0),
-        }
-    }
-}
-
 /// Shared by all tasks of the daemon.
 pub(crate) struct Shared {
     pub settings: IngressSettings,
@@ -242,47 +169,6 @@
         self.now().since(seen)
     }
 
-    /// Takes in what a daemon that watches the store says of it.
-    pub(crate) fn hear_store(&self, from: SocketAddr, state: &StoreState) {
-        let now = self.now();
-        self.tables().store_trust.heard(from, state, now);
-        self.store_word.send_modify(|word| {
-            word.configuration_version =
-                word.configuration_version.max(state.configuration_version);
-            word.membership_revision = word.membership_revision.max(state.membership_revision);
-        });
-        self.renew_store_word();
-    }
-
-    /// Sets what this daemon does for the others.
-    pub(crate) fn set_watch_role(&self, role: WatchRole) {
-        if self.store_word.borrow().role == role {
-            return;
-        }
-        self.store_word.send_modify(|word| word.role = role);
-        self.renew_store_word();
-    }
-
-    /// Works out anew until when the word on the store stands.
-    pub(crate) fn renew_store_word(&self) {
-        let now = self.now();
-        let role = self.store_word.borrow().role;
-        let until = self.tables().store_trust.stands_until(role, now);
-        self.store_word
-            .send_modify(|word| word.trusted_until = until);
-    }
-
-    /// What this daemon knows of the store.
-    pub(crate) fn store_state(&self) -> StoreState {
-        let silence = millis(self.store_silence());
-        let tables = self.tables();
-        StoreState {
-            configuration_version: tables.configuration.as_ref().map_or(0, |it| it.version),
-            membership_revision: tables.runners.membership_revision(),
-            silence_ms: u32::try_from(silence).unwrap_or(u32::MAX),
-        }
-    }
-
     /// Has the watches of the store made again, because the present ones may never be answered.
     pub(crate) fn restart_watches(&self) {
         self.store_restarts.send_modify(|restarts| *restarts += 1);
--- a/crates/ingress/src/usage.rs
+++ b/crates/ingress/src/usage.rs
@@ -1,9 +1,9 @@
-//! What the daemon's requests have used lately and use now, for the coordinator.
+//! What the daemon's requests have used lately, use now and wait for, for the coordinator.
 
 use std::collections::{HashMap, VecDeque};
 use std::time::Duration;
 
-use flaxward_routing::messages::{RunningUnit, USE_WINDOW_SECONDS, UsedUnit};
+use flaxward_routing::messages::{RunningUnit, USE_WINDOW_SECONDS, UsedUnit, WaitingUnit};
 use flaxward_routing::names::{RunnerId, Unit};
 use flaxward_types::time::Timestamp;
 
@@ -71,3 +71,50 @@
             .collect()
     }
 }
+
+/// Requests that wait for a unit.
+#[derive(Debug, Default)]
+pub(crate) struct Waiting {
+    requests: Vec<WaitingRequest>,
+}
+
+/// A request that waits.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct WaitingRequest {
+    pub priority: u8,
+    /// Latest time at which a load must begin for the request to be in time.
+    pub load_by: Timestamp,
+}
+
+impl Waiting {
+    /// A request begins to wait.
+    pub(crate) fn add(&mut self, request: WaitingRequest) {
+        self.requests.push(request);
+    }
+
+    /// A request that was added waits no longer. Returns whether none is left.
+    pub(crate) fn remove(&mut self, request: WaitingRequest) -> bool {
+        let place = self.requests.iter().position(|it| *it == request);
+        if let Some(place) = place {
+            self.requests.swap_remove(place);
+        }
+        self.requests.is_empty()
+    }
+
+    /// What the coordinator is told of them.
+    pub(crate) fn summary(&self, unit: &Unit, now: Timestamp) -> WaitingUnit {
+        let count = |length: usize| u32::try_from(length).unwrap_or(u32::MAX);
+        let late = self.requests.iter().filter(|it| it.load_by < now);
+        WaitingUnit {
+            unit: unit.clone(),
+            requests: count(self.requests.len()),
+            late: count(late.count()),
+            priority: self
+                .requests
+                .iter()
+                .map(|it| it.priority)
+                .min()
+                .unwrap_or(0),
+        }
+    }
+}
--- a/crates/ingress/src/waiting.rs
+++ b/crates/ingress/src/waiting.rs
@@ -12,7 +12,8 @@
 use tokio::time::{Instant, sleep_until};
 
 use crate::exchange::ClientRequest;
-use crate::state::{Shared, WaitingRequest};
+use crate::state::Shared;
+use crate::usage::WaitingRequest;
 
 /// Time after the promised moment at which a unit counts as late and the promise as broken.
 const PROMISE_SLACK: Duration = Duration::from_millis(2_500);
--- a/crates/ingress/src/watches.rs
+++ b/crates/ingress/src/watches.rs
@@ -19,7 +19,8 @@
 
 use crate::counters::STORE_CALLS_FAILED;
 use crate::outside::{Freshness, Listing, RunnerChange, StoreError};
-use crate::state::{Shared, StoreWord};
+use crate::state::Shared;
+use crate::store_word::StoreWord;
 
 /// Longest time that the store holds a watch.
 const WATCH_WAIT: Duration = Duration::from_secs(10);
--- a/crates/routing/src/lease.rs
+++ b/crates/routing/src/lease/mod.rs
@@ -5,125 +5,24 @@
 //! for the whole duration, by their own steady clock. The term rises with each holder and is the
 //! fence of its orders.
 
+mod record;
+
 use std::net::SocketAddr;
 use std::time::Duration;
 
 use flaxward_types::time::{Timestamp, millis};
-use serde::{Deserialize, Serialize};
 
 use crate::strength::MachineStrength;
 
-/// What the lease object says.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct LeaseRecord {
-    /// Name of the daemon that holds it.
-    pub holder: String,
-    /// Tells one life of the daemon from the next.
-    pub incarnation: u64,
-    /// Where the holder hears other daemons.
-    pub address: SocketAddr,
-    /// Rises with each holder.
-    pub term: u64,
-    /// Rises with each renewal.
-    pub renewals: u64,
-    /// The holder has given it back.
-    pub released: bool,
-    /// The strongest machine that the holder has heard of, so that a daemon which hears nobody knows whether
-    /// it is a weak one.
-    #[serde(default)]
-    pub strongest: MachineStrength,
-}
-
-/// The object as read, with the revision that a change of it must name.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct StoredLease {
-    /// The record.
-    pub record: LeaseRecord,
-    /// Its revision.
-    pub revision: u64,
-}
-
-/// Durations of the protocol.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct LeaseSettings {
-    /// How long a renewal holds.
-    pub duration: Duration,
-    /// Time between renewals.
-    pub renewal: Duration,
-    /// Part of the duration that the holder leaves unused, for clocks that run at different speeds.
-    pub margin: Duration,
-    /// Time after which a daemon that hears nothing of a holder reads the lease.
-    pub silence: Duration,
-}
+pub use record::{
+    LeaseAnswer, LeaseCall, LeaseChange, LeasePulse, LeaseRecord, LeaseSettings, LossReason,
+    StoredLease,
+};
 
 /// Leases for which a daemon that does not stand by hears nothing of a holder before it reads the lease: by
 /// then the standbys have had their turn.
 const RESERVE_SILENCE_LEASES: u32 = 2;
 
-/// A call to the store that the machine asks for.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum LeaseCall {
-    /// Read the object.
-    Read,
-    /// Make it; fails if there is one.
-    Create(LeaseRecord),
-    /// Replace it, on the condition that its revision is this one.
-    Replace(LeaseRecord, u64),
-}
-
-/// What a call came to.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum LeaseAnswer {
-    /// The object as it is now, after a read, a change, or a refused change.
-    Found(StoredLease),
-    /// There is none.
-    Missing,
-    /// The change was made; the object has this revision.
-    Written(StoredLease),
-    /// No answer, or one that says nothing of what was done.
-    Unknown,
-}
-
-/// What has changed for this daemon.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum LeaseChange {
-    /// This daemon coordinates from now on, under this term; the first order may go out at the time
-    /// given.
-    Acquired {
-        /// The term.
-        term: u64,
-        /// Earliest time of the first order, so that orders of two holders lie a lease apart.
-        orders_from: Timestamp,
-    },
-    /// This daemon no longer coordinates.
-    Lost {
-        /// The term that has ended.
-        term: u64,
-        /// Why.
-        reason: LossReason,
-    },
-    /// Another daemon coordinates.
-    Holder {
-        /// Where it hears other daemons.
-        address: SocketAddr,
-        /// Its term.
-        term: u64,
-    },
-}
-
-/// Why a daemon coordinates no longer.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum LossReason {
-    /// No renewal was confirmed in time.
-    Expired,
-    /// It has given the lease back.
-    Released,
-    /// Another daemon has taken the lease over.
-    TakenOver,
-    /// A runner has seen a later term.
-    FencedOff,
-}
-
 #[derive(Clone, Debug, PartialEq, Eq)]
 struct Held {
     lease: StoredLease,
@@ -142,17 +41,6 @@
     seen_free_since: Option<Timestamp>,
 }
 
-/// What a holder tells of its lease with each message.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct LeasePulse {
-    /// Its term.
-    pub term: u64,
-    /// Number of its last confirmed renewal.
-    pub renewals: u64,
-    /// Time since it sent that renewal, in ms.
-    pub age_ms: u32,
-}
-
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 struct ToldRenewal {
     term: u64,
--- a/crates/routing/src/placement/mod.rs
+++ b/crates/routing/src/placement/mod.rs
@@ -6,11 +6,13 @@
 //! anything. An order without an answer stays counted in the ledger until the runner's order count
 //! or report settles it.
 
+mod candidates;
 mod copies;
 pub mod demand;
 pub mod ledger;
 pub mod outlooks;
 mod planner;
+mod pressure;
 pub mod store_link;
 mod victims;
 
--- a/crates/routing/src/placement/planner.rs
+++ b/crates/routing/src/placement/planner.rs
@@ -6,23 +6,18 @@
 
 use flaxward_types::time::Timestamp;
 
-use crate::configuration::Engine;
 use crate::names::{RunnerId, ServiceName, Unit};
 
+use super::candidates::Openings;
 use super::demand::WantedUnit;
 use super::ledger::{Intent, Ledger, WeightSource};
+use super::pressure::ROOMY;
 use super::store_link::StoreLink;
-use super::victims::{HORIZON_SECONDS, Room, Victims};
-use super::{Action, Operation, Order, Placement, Reason, UNLOAD_TIME, engine_load_time};
+use super::victims::Room;
+use super::{Action, Operation, Order, Placement, Reason, UNLOAD_TIME};
 
 /// Requests a second from which a model is busy and keeps several copies.
 pub(super) const BUSY_RATE: f64 = 0.7;
-/// Copies of a busy model, one for each zone up to this number.
-const BUSY_COPIES: usize = 3;
-/// Time that a request is expected to take, in seconds.
-const SECONDS_A_REQUEST: f64 = 2.0;
-/// Share of its slots that a copy fills without being crowded.
-const FILLED_SHARE: f64 = 0.6;
 /// Reports that are read at one time; each takes a connection.
 const REPORTS_AT_ONCE: usize = 64;
 /// Adapters on their way to one runner at most.
@@ -32,100 +27,6 @@
 /// Highest price of what is dropped for a copy that nobody waits for, in ms.
 const REPLICA_PRICE_MS: f64 = 700.0;
 
-/// Price of a copy in a zone that has one, in ms.
-const ZONE_PRICE_MS: f64 = 500.0;
-/// Price of a load at a runner that is about to leave: any other one comes first.
-const LEAVE_PRICE_MS: f64 = 1e9;
-
-/// Filled share of the slots of all its copies from which a model needs another one at once.
-const PRESSED: f64 = 0.9;
-
-/// Filled share of a runner's slots up to which an adapter is better placed there than at a fuller one.
-const ROOMY: f64 = 0.5;
-
-/// Copies that hold some requests in progress without being crowded.
-#[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
-fn copies_for(in_progress: f64, slots: u32) -> usize {
-    (in_progress / (f64::from(slots) * FILLED_SHARE)).ceil() as usize
-}
-
-#[allow(clippy::cast_precision_loss)]
-fn as_f64(count: usize) -> f64 {
-    count as f64
-}
-
-/// A runner that could take a model.
-struct Candidate {
-    runner: RunnerId,
-    source: WeightSource,
-    victims: Victims,
-    load_ms: f64,
-    cost_ms: f64,
-}
-
-impl Candidate {
-    fn order(left: &Self, right: &Self) -> Ordering {
-        let by_cost = left.cost_ms.total_cmp(&right.cost_ms);
-        by_cost.then_with(|| left.runner.cmp(&right.runner))
-    }
-
-    /// The cost without the load: what another place must undercut that takes the same time.
-    fn undercut_ms(&self) -> f64 {
-        self.cost_ms - self.load_ms
-    }
-}
-
-/// A size of models of a service.
-#[derive(Clone, Debug, PartialEq, Eq, Hash)]
-struct Size {
-    service: ServiceName,
-    /// Size of the weights, as the bits of a number of MB.
-    weights_bits: u64,
-}
-
-impl Size {
-    fn new(service: &ServiceName, weights_mb: f64) -> Self {
-        Self {
-            service: service.clone(),
-            weights_bits: weights_mb.to_bits(),
-        }
-    }
-}
-
-/// A runner with room for a model of a size, and what making the room costs there.
-struct Place {
-    runner: RunnerId,
-    price_ms: f64,
-}
-
-fn leave_price_ms(ledger: &Ledger) -> f64 {
-    let leaves = ledger.runner.leaves_in.is_some();
-    if leaves { LEAVE_PRICE_MS } else { 0.0 }
-}
-
-/// What one plan may still use.
-struct Openings {
-    /// The rooms of the runners that can be given an order. Other orders of the same plan may change a price;
-    /// what is to be dropped is therefore decided again when the order is given.
-    rooms: BTreeMap<RunnerId, Room>,
-    /// Loads from the weight store that may still be begun, by service.
-    store_loads: BTreeMap<ServiceName, usize>,
-    /// The rooms in which models of a size fit, the cheapest first, as they were when this was first asked.
-    places: HashMap<Size, Vec<Place>>,
-}
-
-impl Openings {
-    /// A model is loaded at a runner.
-    fn take(&mut self, candidate: &Candidate, service: &ServiceName) {
-        self.rooms.remove(&candidate.runner);
-        if candidate.source == WeightSource::Store
-            && let Some(loads) = self.store_loads.get_mut(service)
-        {
-            *loads = loads.saturating_sub(1);
-        }
-    }
-}
-
 impl Placement {
     /// Decides and returns what is to be done now.
     pub fn plan(&mut self, now: Timestamp) -> Vec<Action> {
@@ -318,7 +219,7 @@
     }
 
     /// Loads an adapter at the least filled runner that offers its model, or first makes room for it there.
-    fn place_adapter(
+    pub(super) fn place_adapter(
         &mut self,
         unit: &Unit,
         reason: Reason,
@@ -355,67 +256,8 @@
         }
     }
 
-    /// Gives models whose copies are full another one, the fullest first and before all loads of models that
-    /// nobody has: a full copy rejects more requests than wait for any of these.
-    fn relieve_pressed(&mut self, openings: &mut Openings, now: Timestamp) {
-        let mut pressed: Vec<(Unit, f64, f64)> = self
-            .demands
-            .busy_models(BUSY_RATE)
-            .into_iter()
-            .map(|(unit, rate)| {
-                let pressure = self.pressure(&unit);
-                (unit, rate, pressure)
-            })
-            .filter(|(_, _, pressure)| *pressure >= PRESSED)
-            .collect();
-        pressed.sort_by(|left, right| right.2.total_cmp(&left.2));
-        for (unit, rate, pressure) in pressed {
-            if self.copies.count(&unit) >= self.wanted_copies(&unit, rate) {
-                continue;
-            }
-            let relief_ms = rate * HORIZON_SECONDS * SECONDS_A_REQUEST * 1_000.0 * pressure;
-            self.replicate(&unit, relief_ms, openings, now);
-        }
-    }
-
-    /// Gives adapters that requests use at full runners another place. An adapter is on its way for some ms only,
-    /// and without a second place all its requests go to that one runner, whatever copies the model has.
-    fn relieve_adapters(&mut self, openings: &mut Openings, now: Timestamp) {
-        let full = self.ledgers.values().filter(|ledger| {
-            let engine = self.engines.get(&ledger.runner.service);
-            engine.is_some_and(|engine| self.filled(ledger, engine.slots) >= PRESSED)
-        });
-        let at_full_runners = full.flat_map(|ledger| {
-            let adapters = ledger.adapters().into_iter();
-            adapters.map(|(model, adapter)| Unit {
-                service: ledger.runner.service.clone(),
-                model,
-                adapter: Some(adapter),
-            })
-        });
-        let pressed: Vec<Unit> = at_full_runners
-            .filter(|unit| self.copies.count(unit) == 1 && self.demands.is_in_use(unit, now))
-            .collect();
-        for unit in pressed {
-            self.place_adapter(&unit, Reason::Replica, openings, now);
-        }
-    }
-
-    /// Share of a runner's slots that is filled; over 1 if requests wait there.
-    fn filled(&self, ledger: &Ledger, slots: u32) -> f64 {
-        f64::from(self.demands.running_at(&ledger.runner.id)) / f64::from(slots.max(1))
-    }
-
-    /// Share of the slots of a model's copies that is filled; over 1 if requests wait there.
-    fn pressure(&self, model: &Unit) -> f64 {
-        let slots = self.engines.get(&model.service).map_or(1, |it| it.slots);
-        let copies = self.copies.offered(model);
-        let places = f64::from(slots.max(1)) * as_f64(copies.max(1));
-        f64::from(self.demands.running_model(model)) / places
-    }
-
     /// Loads a further copy of a model, if making room for it costs no more than a price.
-    fn replicate(
+    pub(super) fn replicate(
         &mut self,
         unit: &Unit,
         highest_price_ms: f64,
@@ -502,153 +344,9 @@
         self.change(runner, |ledger| ledger.begin(order, reason, ready_at));
     }
 
-    fn best_candidate(
-        &self,
-        unit: &Unit,
-        openings: &mut Openings,
-        now: Timestamp,
-    ) -> Option<Candidate> {
-        let engine = self.engines.get(&unit.service)?;
-        engine.models.get(&unit.model)?;
-        let store_loads = openings.store_loads.get(&unit.service).copied();
-        let may_use_store = store_loads.unwrap_or(0) > 0
-            && self.has_ceiling(&unit.service, 1.0, now)
-            && !self.is_sooner_from_copy(unit, now);
-        let stored = self.copies.stored_at(unit);
-        let stored = stored.filter_map(|id| openings.rooms.get_key_value(id));
-        let from_copy = stored
-            .filter_map(|(id, room)| Some((self.ledgers.get(id)?, room)))
-            .filter(|(ledger, _)| ledger.runner.service == unit.service && !ledger.has(unit))
-            .filter_map(|(ledger, room)| self.candidate(ledger, room, engine, unit))
-            .min_by(Candidate::order);
-        if !may_use_store {
-            return from_copy;
-        }
-        let from_store = self.cheapest_place(unit, engine, openings);
-        from_copy
-            .into_iter()
-            .chain(from_store)
-            .min_by(Candidate::order)
-    }
-
-    /// The runner at which a load from the weight store costs least.
-    fn cheapest_place(
-        &self,
-        unit: &Unit,
-        engine: &Engine,
-        openings: &mut Openings,
-    ) -> Option<Candidate> {
-        let weights_mb = engine.models.get(&unit.model)?.weights_mb;
-        let size = Size::new(&unit.service, weights_mb);
-        if !openings.places.contains_key(&size) {
-            let places = self.places(&size, weights_mb, openings);
-            openings.places.insert(size.clone(), places);
-        }
-        let mut best: Option<Candidate> = None;
-        for place in openings.places.get(&size)? {
-            if best
-                .as_ref()
-                .is_some_and(|best| best.undercut_ms() <= place.price_ms)
-            {
-                break;
-            }
-            let room = openings.rooms.get(&place.runner);
-            let (Some(room), Some(ledger)) = (room, self.ledgers.get(&place.runner)) else {
-                continue;
-            };
-            if ledger.has(unit) || ledger.weight_source(&unit.model) != WeightSource::Store {
-                continue;
-            }
-            let candidate = self.candidate(ledger, room, engine, unit);
-            best = best.into_iter().chain(candidate).min_by(Candidate::order);
-        }
-        best
-    }
-
-    /// The rooms in which a model of a size fits, the cheapest first.
-    fn places(&self, size: &Size, weights_mb: f64, openings: &Openings) -> Vec<Place> {
-        let rooms = openings.rooms.iter();
-        let rooms = rooms.filter_map(|(id, room)| Some((self.ledgers.get(id)?, room)));
-        let mut places: Vec<Place> = rooms
-            .filter(|(ledger, _)| ledger.runner.service == size.service)
-            .filter_map(|(ledger, room)| {
-                Some(Place {
-                    runner: ledger.runner.id.clone(),
-                    price_ms: room.price_of(weights_mb)? + leave_price_ms(ledger),
-                })
-            })
-            .collect();
-        places.sort_by(|left, right| left.price_ms.total_cmp(&right.price_ms));
-        places
-    }
-
-    /// Whether a runner with a copy of the weights, busy now, would have the model ready before one that
-    /// takes it from the weight store. A free one is a candidate itself, unless nothing there may be dropped.
-    fn is_sooner_from_copy(&self, unit: &Unit, now: Timestamp) -> bool {
-        let Some(from_store) = self.store_load_time(unit) else {
-            return false;
-        };
-        let ledgers = self
-            .copies
-            .stored_at(unit)
-            .filter_map(|id| self.ledgers.get(id));
-        ledgers
-            .filter(|ledger| ledger.takes_orders(now) && ledger.is_at_work(now))
-            .filter_map(|ledger| {
-                let load = engine_load_time(&self.engines, ledger, unit)?;
-                Some(ledger.free_at(now).since(now) + load)
-            })
-            .any(|from_copy| from_copy < from_store)
-    }
-
-    fn candidate(
-        &self,
-        ledger: &Ledger,
-        room: &Room,
-        engine: &Engine,
-        unit: &Unit,
-    ) -> Option<Candidate> {
-        let weights_mb = engine.models.get(&unit.model)?.weights_mb;
-        let victims = room.victims(&unit.model, weights_mb)?;
-        let load = self.expected_load_time(ledger, unit)?;
-        let zone_has_copy = self.copies.is_in_zone(unit, &ledger.runner.zone);
-        let zone_price_ms = if zone_has_copy { ZONE_PRICE_MS } else { 0.0 };
-        let load_ms = load.as_secs_f64() * 1_000.0;
-        let base_price_ms = victims.price_ms + leave_price_ms(ledger);
-        Some(Candidate {
-            runner: ledger.runner.id.clone(),
-            source: ledger.weight_source(&unit.model),
-            cost_ms: load_ms + base_price_ms + zone_price_ms,
-            load_ms,
-            victims,
-        })
-    }
-
-    /// Copies that a model should have at a rate of requests.
-    pub(super) fn wanted_copies(&self, unit: &Unit, rate: f64) -> usize {
-        if rate < BUSY_RATE {
-            return 1;
-        }
-        let runners = self.runner_counts.get(&unit.service);
-        let runners = runners.copied().unwrap_or(0);
-        let slots = self
-            .engines
-            .get(&unit.service)
-            .map_or(1, |it| it.slots.max(1));
-        let by_rate = copies_for(rate * SECONDS_A_REQUEST, slots);
-        // What is in progress counts requests twice that were rejected and sent again, so it is believed step by
-        // step.
-        let in_progress = f64::from(self.demands.running_model(unit));
-        let by_pressure = copies_for(in_progress, slots).min(self.copies.offered(unit) * 2);
-        by_rate
-            .max(by_pressure)
-            .max(BUSY_COPIES)
-            .min(runners.div_ceil(2).max(1))
-    }
-
     /// Whether a further load from the weight store stays under a share of the ceiling. A new
     /// coordinator does not know the loads of the one before it and counts half of them as done.
-    fn has_ceiling(&self, service: &ServiceName, share: f64, now: Timestamp) -> bool {
+    pub(super) fn has_ceiling(&self, service: &ServiceName, share: f64, now: Timestamp) -> bool {
         let Some(engine) = self.engines.get(service) else {
             return false;
         };
--- a/crates/routing/src/placement/victims.rs
+++ b/crates/routing/src/placement/victims.rs
@@ -47,40 +47,39 @@
 impl Room {
     /// The cheapest models to drop so that a model of this size fits, if dropping can make it fit.
     pub fn victims(&self, model: &ModelName, weights_mb: f64) -> Option<Victims> {
-        let mut free_mb = self.free_mb;
-        let mut victims = Victims {
-            models: Vec::new(),
-            price_ms: 0.0,
-        };
-        let others = self.droppable.iter().filter(|it| it.model != *model);
-        for droppable in others {
-            if free_mb >= weights_mb {
-                break;
-            }
-            free_mb += droppable.weights_mb;
-            victims.models.push(droppable.model.clone());
-            victims.price_ms += droppable.price_ms;
-        }
-        (free_mb >= weights_mb).then_some(victims)
+        let dropped = self.cheapest(weights_mb, Some(model))?;
+        Some(Victims {
+            models: dropped.iter().map(|it| it.model.clone()).collect(),
+            price_ms: price_ms(&dropped),
+        })
     }
-}
 
-impl Room {
     /// What making room for a model of a size costs, in ms, if dropping can make it fit.
     pub fn price_of(&self, weights_mb: f64) -> Option<f64> {
+        self.cheapest(weights_mb, None)
+            .map(|dropped| price_ms(&dropped))
+    }
+
+    /// The cheapest models to drop for a size, one model excepted; `None` if dropping them all is not enough.
+    fn cheapest(&self, weights_mb: f64, except: Option<&ModelName>) -> Option<Vec<&Droppable>> {
         let mut free_mb = self.free_mb;
-        let mut price_ms = 0.0;
-        for droppable in &self.droppable {
+        let mut dropped = Vec::new();
+        let others = self.droppable.iter().filter(|it| Some(&it.model) != except);
+        for droppable in others {
             if free_mb >= weights_mb {
                 break;
             }
             free_mb += droppable.weights_mb;
-            price_ms += droppable.price_ms;
+            dropped.push(droppable);
         }
-        (free_mb >= weights_mb).then_some(price_ms)
+        (free_mb >= weights_mb).then_some(dropped)
     }
 }
 
+fn price_ms(dropped: &[&Droppable]) -> f64 {
+    dropped.iter().map(|it| it.price_ms).sum()
+}
+
 impl Placement {
     /// The room of a runner, with prices as of the last refresh of the demand.
     pub(super) fn room(&self, ledger: &Ledger, engine: &Engine, now: Timestamp) -> Room {
