--- a/crates/routing/src/placement/demand.rs
+++ b/crates/routing/src/placement/demand.rs
@@ -342,12 +342,6 @@
         Some(now.since(model.last_used))
     }
 
-    /// Whether requests have used a unit in the last seconds.
-    pub fn is_in_use(&self, unit: &Unit, now: Timestamp) -> bool {
-        let rate = self.rates.get(unit).map_or(0.0, |rate| rate.rate_now(now));
-        rate > 0.0
-    }
-
     /// Time since a unit was last used or waited for; `None` if never.
     pub fn unused_for(&self, unit: &Unit, now: Timestamp) -> Option<Duration> {
         let rate = self.rates.get(unit)?;
--- a/crates/routing/src/placement/planner.rs
+++ b/crates/routing/src/placement/planner.rs
@@ -44,7 +44,6 @@
             places: HashMap::new(),
         };
         self.relieve_pressed(&mut openings, now);
-        self.relieve_adapters(&mut openings, now);
         for wanted in self.demands.wanted().to_vec() {
             self.serve(&wanted, &mut openings, now);
         }
@@ -215,17 +214,11 @@
             }
             return;
         }
-        self.place_adapter(unit, Reason::Demand, openings, now);
+        self.place_adapter(unit, openings, now);
     }
 
     /// Loads an adapter at the least filled runner that offers its model, or first makes room for it there.
-    pub(super) fn place_adapter(
-        &mut self,
-        unit: &Unit,
-        reason: Reason,
-        openings: &mut Openings,
-        now: Timestamp,
-    ) {
+    fn place_adapter(&mut self, unit: &Unit, openings: &mut Openings, now: Timestamp) {
         let Some(engine) = self.engines.get(&unit.service) else {
             return;
         };
@@ -234,9 +227,8 @@
         let best = self
             .ledgers
             .values()
-            .filter(|ledger| ledger.offers(&base) && !ledger.has(unit) && ledger.is_free(now))
+            .filter(|ledger| ledger.offers(&base) && ledger.is_free(now))
             .filter(|ledger| ledger.pending_adapter_count() < PENDING_ADAPTERS)
-            .filter(|ledger| reason == Reason::Demand || self.filled(ledger, slots) < ROOMY)
             .min_by_key(|ledger| {
                 let is_roomy = self.filled(ledger, slots) < ROOMY;
                 (!is_roomy, ledger.adapters().len())
@@ -250,7 +242,7 @@
         let runner = ledger.runner.id.clone();
         openings.rooms.remove(&runner);
         if has_slot && has_room {
-            self.begin(&runner, Operation::Load, unit.clone(), reason, now);
+            self.begin(&runner, Operation::Load, unit.clone(), Reason::Demand, now);
         } else if let Some(victim) = self.adapter_victim(ledger, now) {
             self.begin(&runner, Operation::Unload, victim, Reason::Room, now);
         }
--- a/crates/routing/src/placement/pressure.rs
+++ b/crates/routing/src/placement/pressure.rs
@@ -4,11 +4,11 @@
 
 use crate::names::Unit;
 
+use super::Placement;
 use super::candidates::Openings;
 use super::ledger::Ledger;
 use super::planner::BUSY_RATE;
 use super::victims::HORIZON_SECONDS;
-use super::{Placement, Reason};
 
 /// Copies of a busy model, one for each zone up to this number.
 const BUSY_COPIES: usize = 3;
@@ -75,29 +75,6 @@
         busy.filter(|model| model.pressure >= PRESSED).collect()
     }
 
-    /// Gives adapters that requests use at full runners another place. An adapter is on its way for some ms only,
-    /// and without a second place all its requests go to that one runner, whatever copies the model has.
-    pub(super) fn relieve_adapters(&mut self, openings: &mut Openings, now: Timestamp) {
-        let full = self.ledgers.values().filter(|ledger| {
-            let engine = self.engines.get(&ledger.runner.service);
-            engine.is_some_and(|engine| self.filled(ledger, engine.slots) >= PRESSED)
-        });
-        let at_full_runners = full.flat_map(|ledger| {
-            let adapters = ledger.adapters().into_iter();
-            adapters.map(|(model, adapter)| Unit {
-                service: ledger.runner.service.clone(),
-                model,
-                adapter: Some(adapter),
-            })
-        });
-        let pressed: Vec<Unit> = at_full_runners
-            .filter(|unit| self.copies.count(unit) == 1 && self.demands.is_in_use(unit, now))
-            .collect();
-        for unit in pressed {
-            self.place_adapter(&unit, Reason::Replica, openings, now);
-        }
-    }
-
     /// Share of a runner's slots that is filled; over 1 if requests wait there.
     pub(super) fn filled(&self, ledger: &Ledger, slots: u32) -> f64 {
         f64::from(self.demands.running_at(&ledger.runner.id)) / f64::from(slots.max(1))
--- a/crates/routing/tests/placement/pressure.rs
+++ b/crates/routing/tests/placement/pressure.rs
@@ -101,44 +101,6 @@
     assert_ne!(dropped, world::model(0));
 }
 
-/// Seen there too: a model had several copies and ten adapters, all of them at the one runner that was full; a
-/// third of its requests wanted one of them.
-#[test]
-fn an_adapter_at_a_full_runner_gets_a_second_place() {
-    let now = Timestamp(1_000);
-    let mut placement = Placement::new(PlacementSettings::default(), now, now);
-    placement.configure(&configuration());
-    placement.set_runners(world::runners(RUNNERS).iter());
-    let adapter = world::adapter(1, 3);
-    for index in 0..RUNNERS {
-        let mut report = report(index);
-        if index == 0 {
-            let held = report.holdings.get_mut(&adapter.model).unwrap();
-            held.insert(adapter.adapter.clone().unwrap());
-        }
-        placement.reported(&runner_id(index), Some(report), now, now);
-    }
-    let mut usage = usage(NOW_AND_THEN, 12);
-    usage.used.push(UsedUnit {
-        unit: adapter.clone(),
-        requests: 10,
-    });
-    placement.usage(usage, now);
-    let orders: Vec<(RunnerId, Unit)> = placement
-        .plan(now)
-        .into_iter()
-        .filter_map(|action| match action {
-            Action::Order { runner, order, .. } if order.operation == Operation::Load => {
-                Some((runner, order.unit))
-            }
-            _ => None,
-        })
-        .collect();
-    let placed = orders.iter().find(|(_, unit)| *unit == adapter);
-    let (runner, _) = placed.expect("the adapter stays at the full runner alone");
-    assert_ne!(*runner, runner_id(0));
-}
-
 #[test]
 fn a_model_whose_copy_has_room_pushes_out_nothing() {
     assert_eq!(first_order(10, 3), None);
