Relay: the run at a silent runner is not ended before the next one has had its chance to reject the stream

Ruled out: the change of the configuration itself. Now the next runner has 0.2 s to reject the stream; if it does, or if there is no runner or no repeat left, the silent one is waited for again. Test: a_silent_stream_is_not_ended_if_the_next_runner_is_full fails without it.

--- a/crates/ingress/src/relay.rs
+++ b/crates/ingress/src/relay.rs
@@ -15,11 +15,11 @@
 use http_body_util::{BodyExt, StreamBody};
 use hyper::body::{Frame, Incoming};
 use thiserror::Error;
-use tokio::time::{Instant, timeout_at};
+use tokio::time::{Instant, timeout, timeout_at};
 
 use crate::answers::AnswerBody;
 use crate::counters::{STREAMS_BROKEN, STREAMS_LATE, STREAMS_RESUMED};
-use crate::exchange::{ClientRequest, Continuation, Exchange, exchange};
+use crate::exchange::{ClientRequest, Continuation, Exchange, FailedAttempt, exchange};
 use crate::state::Shared;
 
 /// Shortest time for the head and first event of a continued stream.
@@ -27,6 +27,9 @@
 /// Part of the callers' patience after which a silent stream is continued elsewhere. A runner may be
 /// silent while it serves more urgent requests, so this is late.
 const SILENCE_SHARE: f64 = 0.7;
+/// Time in which a runner that is full rejects a stream which is to be continued there. The silent one still runs it
+/// meanwhile; both must not do so for longer.
+const REJECTION_WAIT: Duration = Duration::from_millis(200);
 
 /// Why an answer breaks off. The connection to the client is closed without the end of the answer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
@@ -225,18 +228,30 @@
         Piece::End
     }
 
-    /// Ends the run at the present runner and goes on at another one.
+    /// Goes on at another runner. The run at a runner that is only silent is not ended before another one has had
+    /// its chance to reject the request: then the silent one is waited for again.
     async fn resume(&mut self, failure: Failure) -> Result<(), RelayError> {
-        if let Some(exchange) = self.exchange.take() {
+        let present = self.exchange.take();
+        if let Some(exchange) = &present {
             self.shared
                 .observe(&exchange.runner.id, Observation::Failure);
             self.tried.push(exchange.runner.id.clone());
             self.log_break(&exchange.runner.id, failure);
-            drop(exchange);
         }
         self.last_events_at = None;
-        self.splitter.drop_partial();
+        if failure == Failure::Silent
+            && let Some(exchange) = present
+        {
+            return self.leave_silent(exchange).await;
+        }
+        drop(present);
         self.attempts.count(failure);
+        self.go_on().await
+    }
+
+    /// Goes on at another runner, until one takes the stream.
+    async fn go_on(&mut self) -> Result<(), RelayError> {
+        self.splitter.drop_partial();
         loop {
             if Instant::now() >= self.request.deadline {
                 return Err(self.given_up(RelayError::Expired, "time is up"));
@@ -254,52 +269,119 @@
         }
     }
 
-    /// Sends the request to another runner. Tells whether that one goes on.
-    async fn try_continue(&mut self) -> Result<bool, RelayError> {
-        let runner = match self.choose_next() {
-            Ok(runner) => runner,
-            Err(reason) => {
-                let reason = format!("{reason:?}");
-                return Err(self.given_up(RelayError::Broken, &reason));
-            }
+    /// Leaves a silent runner for another one, unless that one rejects the stream at once.
+    async fn leave_silent(&mut self, silent: Exchange) -> Result<(), RelayError> {
+        let Ok(next) = self.choose_next() else {
+            self.wait_again(silent);
+            return Ok(());
         };
-        let client_event = self.request.profile.last_event.as_deref();
+        if !self.shared.try_repeat(&self.service) {
+            self.wait_again(silent);
+            return Ok(());
+        }
+        let client_event = self.request.profile.last_event.clone();
+        let last_event = self.splitter.last_id().map(str::to_owned).or(client_event);
         let continuation = Continuation {
-            last_event: self.splitter.last_id().or(client_event),
+            last_event: last_event.as_deref(),
             weights_version: self.weights_version,
         };
-        let patience =
-            (Instant::now() + self.route.target.max(LEAST_PATIENCE)).min(self.request.deadline);
-        match exchange(&self.shared, &self.request, &runner, continuation, patience).await {
+        let patience = self.continuation_patience();
+        let (shared, request) = (self.shared.clone(), self.request.clone());
+        let attempt = exchange(&shared, &request, &next, continuation, patience);
+        tokio::pin!(attempt);
+        let early = timeout(REJECTION_WAIT, &mut attempt).await;
+        if let Ok(Err(failed)) = &early
+            && !failed.failure.may_have_run()
+        {
+            self.note_failed(&next.id, *failed);
+            self.wait_again(silent);
+            return Ok(());
+        }
+        drop(silent);
+        self.attempts.count(Failure::Silent);
+        self.splitter.drop_partial();
+        let attempted = match early {
+            Ok(attempted) => attempted,
+            Err(_) => attempt.await,
+        };
+        if self.take_continuation(&next, attempted, continuation.last_event) {
+            return Ok(());
+        }
+        self.go_on().await
+    }
+
+    /// Waits again for a silent runner that nobody takes the stream from.
+    fn wait_again(&mut self, silent: Exchange) {
+        self.tried.retain(|tried| *tried != silent.runner.id);
+        self.exchange = Some(silent);
+    }
+
+    fn continuation_patience(&self) -> Instant {
+        (Instant::now() + self.route.target.max(LEAST_PATIENCE)).min(self.request.deadline)
+    }
+
+    fn note_failed(&mut self, runner: &RunnerId, failed: FailedAttempt) {
+        if let Some(observation) = failed.observation {
+            self.shared.observe(runner, observation);
+        }
+        self.attempts.count(failed.failure);
+        self.tried.push(runner.clone());
+    }
+
+    /// Takes in what a runner has answered that was to go on. Tells whether it goes on.
+    fn take_continuation(
+        &mut self,
+        runner: &Runner,
+        attempted: Result<Exchange, FailedAttempt>,
+        last_event: Option<&str>,
+    ) -> bool {
+        match attempted {
             Ok(exchange) if exchange.head.status.is_success() => {
                 let fields: &[(&str, &dyn std::fmt::Display)] = &[
                     ("request", &self.request.profile.id),
                     ("runner", &runner.id),
-                    ("after_event", &continuation.last_event.unwrap_or("")),
+                    ("after_event", &last_event.unwrap_or("")),
                 ];
                 self.shared
                     .log
                     .write(self.shared.now(), "stream-resumed", fields);
                 metrics::counter!(STREAMS_RESUMED.name).increment(1);
                 self.exchange = Some(exchange);
-                Ok(true)
+                true
             }
             Ok(_) => {
                 self.attempts.count(Failure::Failed);
-                self.tried.push(runner.id);
-                Ok(false)
+                self.tried.push(runner.id.clone());
+                false
             }
             Err(failed) => {
-                if let Some(observation) = failed.observation {
-                    self.shared.observe(&runner.id, observation);
-                }
-                self.attempts.count(failed.failure);
-                self.tried.push(runner.id);
-                Ok(false)
+                self.note_failed(&runner.id, failed);
+                false
             }
         }
     }
 
+    /// Sends the request to another runner. Tells whether that one goes on.
+    async fn try_continue(&mut self) -> Result<bool, RelayError> {
+        let runner = match self.choose_next() {
+            Ok(runner) => runner,
+            Err(reason) => {
+                let reason = format!("{reason:?}");
+                return Err(self.given_up(RelayError::Broken, &reason));
+            }
+        };
+        let client_event = self.request.profile.last_event.clone();
+        let last_event = self.splitter.last_id().map(str::to_owned).or(client_event);
+        let continuation = Continuation {
+            last_event: last_event.as_deref(),
+            weights_version: self.weights_version,
+        };
+        let patience = self.continuation_patience();
+        let attempted = exchange(&self.shared, &self.request, &runner, continuation, patience);
+        let attempted = attempted.await;
+        Ok(self.take_continuation(&runner, attempted, continuation.last_event))
+    }
+
     /// Logs why the stream ends without its end.
     fn given_up(&self, error: RelayError, reason: &str) -> RelayError {
         let fields: &[(&str, &dyn std::fmt::Display)] = &[
--- a/crates/ingress/tests/ingress/failures.rs
+++ b/crates/ingress/tests/ingress/failures.rs
@@ -3,7 +3,7 @@
 use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
 
-use flaxward_routing::configuration::RouteKind;
+use flaxward_routing::configuration::{Route, RouteKind};
 use tokio::time::sleep;
 
 use crate::runner::{Behaviour, ScriptedRunner};
@@ -106,6 +106,59 @@
     assert_eq!(second.received()[0].header("last-event-id"), Some("3"));
 }
 
+/// Two runners before a route with time for a long silence.
+async fn two_runners_with_a_long_route(
+    first: &ScriptedRunner,
+    second: &ScriptedRunner,
+) -> TestIngress {
+    let test = TestIngress::start(&[first, second]).await;
+    let long = Route {
+        timeout: Duration::from_secs(6),
+        ..route("/long/", RouteKind::Stream { resumable: true })
+    };
+    test.store.set_configuration(configuration(2, vec![long]));
+    sleep(Duration::from_millis(800)).await;
+    test
+}
+
+async fn long_stream(test: &TestIngress) -> reqwest::Result<String> {
+    let response = test.request("/long/", "id-1").send().await?;
+    response.text().await
+}
+
+/// Seen on a day of 295 machines, where it broke a rule beside a change of the configuration: a crowded runner was
+/// silent for over two seconds, its run was ended, the next runner was full, and the stream broke off.
+#[tokio::test]
+async fn a_silent_stream_is_not_ended_if_the_next_runner_is_full() {
+    let first = ScriptedRunner::start(vec![Behaviour::PausedEvents(1, 6)]).await;
+    let second = ScriptedRunner::start(vec![Behaviour::NotRun]).await;
+    let test = two_runners_with_a_long_route(&first, &second).await;
+    let expected: String = (1..=6)
+        .map(|number| format!("id: {number}\ndata: e{number}\n\n"))
+        .collect();
+    assert_eq!(long_stream(&test).await.unwrap(), expected);
+    assert_eq!(second.received().len(), 1, "it was not asked");
+}
+
+#[tokio::test]
+async fn a_silent_stream_goes_on_at_a_runner_that_takes_it() {
+    let first = ScriptedRunner::start(vec![Behaviour::PausedEvents(1, 6)]).await;
+    let second = ScriptedRunner::start(vec![Behaviour::Events(3, 6)]).await;
+    let test = two_runners_with_a_long_route(&first, &second).await;
+    let expected: String = (1..=6)
+        .map(|number| format!("id: {number}\ndata: e{number}\n\n"))
+        .collect();
+    assert_eq!(long_stream(&test).await.unwrap(), expected);
+    assert_eq!(second.received()[0].header("last-event-id"), Some("2"));
+    // The scripted runner looks at its connection after its pause.
+    sleep(Duration::from_millis(1_500)).await;
+    assert_eq!(
+        first.closed(),
+        1,
+        "the silent run goes on beside the new one"
+    );
+}
+
 #[tokio::test]
 async fn a_stream_that_nobody_can_continue_does_not_look_whole() {
     let only = ScriptedRunner::start(vec![Behaviour::EventsThenReset(1, 3)]).await;
--- a/crates/ingress/tests/ingress/runner.rs
+++ b/crates/ingress/tests/ingress/runner.rs
@@ -30,6 +30,8 @@
     LateEvents(u32, u32),
     /// One event every 100 ms, from the first to the last.
     SlowEvents(u32, u32),
+    /// Two events from the first, then 2.5 s of silence, and then the rest to the last.
+    PausedEvents(u32, u32),
 }
 
 /// A request as the runner got it.
@@ -176,6 +178,17 @@
             let pause = Duration::from_millis(100);
             events(stream, id, first, last, pause).await && end(stream).await
         }
+        Behaviour::PausedEvents(first, last) => {
+            events(stream, id, first, first + 1, Duration::ZERO).await;
+            sleep(Duration::from_millis(2_500)).await;
+            for number in first + 2..=last {
+                let sent = stream.write_all(chunk(&event(number)).as_bytes()).await;
+                if sent.is_err() {
+                    return false;
+                }
+            }
+            end(stream).await
+        }
         Behaviour::EventsThenReset(first, last) => {
             events(stream, id, first, last, Duration::ZERO).await;
             let partial = chunk("id: 99\nda");
