--- a/crates/ingress/src/coordination/following.rs
+++ b/crates/ingress/src/coordination/following.rs
@@ -6,6 +6,7 @@
 use flaxward_routing::messages::{
     Direction, KnownState, Message, StoreLimit, Usage, WaitNotice, WaitingUnit,
 };
+use flaxward_routing::standby::StandbyPlace;
 use flaxward_routing::store_trust::WatchRole;
 use flaxward_types::time::Timestamp;
 
@@ -187,10 +188,11 @@
             .take()
             .is_some_and(|update| !take_membership(shared, update, known));
         if !leads {
-            let role = direction
-                .standby
-                .map_or(WatchRole::Member, WatchRole::Standby);
-            shared.set_watch_role(role);
+            match direction.standby {
+                StandbyPlace::Unsaid => {}
+                StandbyPlace::None => shared.set_watch_role(WatchRole::Member),
+                StandbyPlace::Place(place) => shared.set_watch_role(WatchRole::Standby(place)),
+            }
             shared.hear_store(direction.address, &direction.store);
         }
         if let Some(members) = direction.members {
--- a/crates/ingress/src/coordination/leading.rs
+++ b/crates/ingress/src/coordination/leading.rs
@@ -7,6 +7,7 @@
 use flaxward_routing::lease::LeasePulse;
 use flaxward_routing::messages::{Direction, Usage, WaitNotice};
 use flaxward_routing::placement::{Action, Placement};
+use flaxward_routing::standby::StandbyPlace;
 use flaxward_routing::strength::MachineStrength;
 use flaxward_types::time::Timestamp;
 
@@ -160,7 +161,7 @@
         address,
         daemons: u32::try_from(daemons.max(1)).unwrap_or(u32::MAX),
         strongest: shared.settings.strength,
-        standby: None,
+        standby: StandbyPlace::Unsaid,
         store: shared.store_state(),
         membership: None,
         members: None,
--- a/crates/ingress/src/coordination/mod.rs
+++ b/crates/ingress/src/coordination/mod.rs
@@ -198,7 +198,9 @@
                 self.lease.heard(direction.lease, self.shared.now());
                 self.follow(direction.address, direction.term);
                 self.lease.set_strongest(direction.strongest);
-                self.lease.set_stands_by(direction.standby.is_some());
+                if let Some(stands_by) = direction.standby.stands_by() {
+                    self.lease.set_stands_by(stands_by);
+                }
                 let leads = self.leading.is_some();
                 self.following
                     .take_direction(&self.shared, direction, leads);
--- a/crates/routing/benches/plan.rs
+++ b/crates/routing/benches/plan.rs
@@ -18,6 +18,7 @@
 use flaxward_routing::names::{AdapterName, ModelName, RunnerId, ServiceName, Unit, Zone};
 use flaxward_routing::placement::{Placement, PlacementSettings, RunnerReport};
 use flaxward_routing::runners::{Holdings, Runner, RunnerTable};
+use flaxward_routing::standby::StandbyPlace;
 use flaxward_routing::strength::MachineStrength;
 use flaxward_types::time::Timestamp;
 
@@ -204,7 +205,7 @@
         address: address(0),
         daemons: 0,
         strongest: MachineStrength::default(),
-        standby: None,
+        standby: StandbyPlace::Unsaid,
         store: StoreState {
             configuration_version: 1,
             membership_revision: 5,
--- a/crates/routing/src/dissemination.rs
+++ b/crates/routing/src/dissemination.rs
@@ -17,7 +17,7 @@
 use crate::placement::Placement;
 use crate::placement::outlooks::Outlooks;
 use crate::runners::RunnerTable;
-use crate::standby::Standbys;
+use crate::standby::{StandbyPlace, Standbys};
 
 /// Time between two messages to a member without news.
 const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(500);
@@ -54,7 +54,7 @@
     placement_version: u64,
     configuration_version: u64,
     membership_revision: u64,
-    standby: Option<u8>,
+    standby: StandbyPlace,
     told_at: Timestamp,
     /// When it was told something new.
     news_at: Timestamp,
@@ -203,7 +203,7 @@
                 break;
             }
             let own_header = Direction {
-                standby: self.standbys.rank(&member),
+                standby: self.standbys.place(&member),
                 ..header.clone()
             };
             let is_due = self.progress.get(&member).is_none_or(|progress| {
@@ -250,7 +250,8 @@
             first.outlooks = waiting
                 .filter_map(|waiting| round.outlook(&waiting.unit))
                 .collect();
-            let lacks_members = header.standby.is_some() && known.members != header.daemons;
+            let lacks_members =
+                header.standby.stands_by() == Some(true) && known.members != header.daemons;
             if lacks_members && now.since(progress.members_at) >= MEMBERS_INTERVAL {
                 progress.members_at = now;
                 first.members = Some(round.addresses.clone());
--- a/crates/routing/src/messages.rs
+++ b/crates/routing/src/messages.rs
@@ -12,6 +12,7 @@
 use crate::membership::MembershipUpdate;
 use crate::names::{RunnerId, ServiceName, Unit, Zone};
 use crate::runners::RunnerHoldings;
+use crate::standby::StandbyPlace;
 use crate::strength::MachineStrength;
 
 /// First byte of every message; raised when the encoding changes incompatibly.
@@ -157,8 +158,8 @@
     pub daemons: u32,
     /// The strongest of their machines.
     pub strongest: MachineStrength,
-    /// Place of the receiver among the standbys, from 0; `None` if it does not stand by.
-    pub standby: Option<u8>,
+    /// Place of the receiver among the standbys.
+    pub standby: StandbyPlace,
     /// What the coordinator knows of the store.
     pub store: StoreState,
     /// Changes of runners that the receiver does not know, or a part of them.
--- a/crates/routing/src/standby.rs
+++ b/crates/routing/src/standby.rs
@@ -6,6 +6,8 @@
 
 use std::collections::BTreeMap;
 
+use serde::{Deserialize, Serialize};
+
 use crate::names::Zone;
 use crate::strength::MachineStrength;
 
@@ -14,6 +16,29 @@
 /// Members up to which all of them stand by: their calls to the store count for nothing.
 const ALL_STAND_BY: usize = 12;
 
+/// What a coordinator says to a member of its standing by.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub enum StandbyPlace {
+    /// Nothing: the coordinator has only just begun, and the standbys of the one before it stay.
+    #[default]
+    Unsaid,
+    /// It does not stand by.
+    None,
+    /// It stands by; the first to act has the place 0.
+    Place(u8),
+}
+
+impl StandbyPlace {
+    /// Whether the member stands by, if that is said.
+    pub fn stands_by(self) -> Option<bool> {
+        match self {
+            Self::Unsaid => None,
+            Self::None => Some(false),
+            Self::Place(_) => Some(true),
+        }
+    }
+}
+
 /// A member that may stand by.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Candidate {
@@ -64,10 +89,11 @@
         self.names = chosen.into_iter().map(|it| it.name).collect();
     }
 
-    /// Place of a member among the standbys, from 0; `None` if it is none.
-    pub fn rank(&self, member: &str) -> Option<u8> {
-        let place = self.names.iter().position(|name| name == member)?;
-        u8::try_from(place).ok()
+    /// Place of a member among the standbys.
+    pub fn place(&self, member: &str) -> StandbyPlace {
+        let place = self.names.iter().position(|name| name == member);
+        let place = place.and_then(|place| u8::try_from(place).ok());
+        place.map_or(StandbyPlace::None, StandbyPlace::Place)
     }
 
     /// Names of the standbys, the first to act first.
--- a/crates/routing/tests/dissemination.rs
+++ b/crates/routing/tests/dissemination.rs
@@ -13,6 +13,7 @@
 use flaxward_routing::names::{ModelName, RunnerId, ServiceName, Zone};
 use flaxward_routing::placement::{Placement, PlacementSettings, RunnerReport};
 use flaxward_routing::runners::{Holdings, Runner, RunnerHoldings, RunnerTable};
+use flaxward_routing::standby::StandbyPlace;
 use flaxward_routing::strength::MachineStrength;
 use flaxward_types::time::Timestamp;
 use proptest::prelude::*;
@@ -189,7 +190,7 @@
             address: SocketAddr::from(([127, 0, 0, 1], 100)),
             daemons: 0,
             strongest: MachineStrength::default(),
-            standby: None,
+            standby: StandbyPlace::Unsaid,
             store: StoreState {
                 configuration_version: 1,
                 membership_revision: self.table.membership_revision(),
--- a/crates/routing/tests/large_fleet.rs
+++ b/crates/routing/tests/large_fleet.rs
@@ -10,7 +10,7 @@
 };
 use flaxward_routing::messages::StoreState;
 use flaxward_routing::names::Zone;
-use flaxward_routing::standby::{Candidate, Standbys};
+use flaxward_routing::standby::{Candidate, StandbyPlace, Standbys};
 use flaxward_routing::store_trust::{StoreTrust, WatchRole};
 use flaxward_routing::strength::MachineStrength;
 use flaxward_types::time::Timestamp;
@@ -129,7 +129,7 @@
 struct Heartbeat {
     from: SocketAddr,
     pulse: LeasePulse,
-    standby: Option<u8>,
+    standby: StandbyPlace,
     state: StoreState,
 }
 
@@ -231,9 +231,11 @@
             let known: Vec<usize> = daemon.heard_from.keys().copied().collect();
             let state = self.state_of(index);
             for member in known {
-                self.heartbeat(member, index, pulse, None, state);
+                self.heartbeat(member, index, pulse, StandbyPlace::Unsaid, state);
             }
         }
+        // Who lives it must hear anew.
+        self.daemons[index].heard_from.clear();
     }
 
     fn lost(&mut self, index: usize, term: u64) {
@@ -303,11 +305,11 @@
         daemon.standbys.choose(candidates.collect());
         let strongest = members.iter().map(|&member| strength(member)).max();
         daemon.lease.set_strongest(strongest.unwrap_or_default());
-        let ranks: Vec<(usize, Option<u8>)> = members
+        let places: Vec<(usize, StandbyPlace)> = members
             .iter()
-            .map(|&member| (member, daemon.standbys.rank(&format!("d{member:03}"))))
+            .map(|&member| (member, daemon.standbys.place(&format!("d{member:03}"))))
             .collect();
-        for (member, standby) in ranks {
+        for (member, standby) in places {
             self.heartbeat(member, index, pulse, standby, state);
         }
     }
@@ -317,7 +319,7 @@
         member: usize,
         from: usize,
         pulse: LeasePulse,
-        standby: Option<u8>,
+        standby: StandbyPlace,
         state: StoreState,
     ) {
         let heartbeat = Heartbeat {
@@ -338,15 +340,19 @@
         let daemon = &mut self.daemons[index];
         daemon.lease.heard(heartbeat.pulse, now);
         daemon.lease.set_strongest(strength(0));
-        daemon.lease.set_stands_by(heartbeat.standby.is_some());
+        if let Some(stands_by) = heartbeat.standby.stands_by() {
+            daemon.lease.set_stands_by(stands_by);
+        }
         daemon.trust.heard(heartbeat.from, &heartbeat.state, now);
         if daemon.role == WatchRole::Coordinator {
             return;
         }
-        daemon.role = heartbeat
-            .standby
-            .map_or(WatchRole::Member, WatchRole::Standby);
-        if heartbeat.standby.is_some() {
+        match heartbeat.standby {
+            StandbyPlace::Unsaid => {}
+            StandbyPlace::None => daemon.role = WatchRole::Member,
+            StandbyPlace::Place(place) => daemon.role = WatchRole::Standby(place),
+        }
+        if heartbeat.standby.stands_by() == Some(true) {
             daemon.heard_from = members.iter().map(|&member| (member, now)).collect();
         }
     }
@@ -423,6 +429,25 @@
     assert!(fleet.store.calls <= 300, "{} calls", fleet.store.calls);
 }
 
+/// Found while reading: a successor that had only just begun told the standbys that they stand by no longer, and if it
+/// died before it had chosen its own, nobody looked at the lease for two leases.
+#[test]
+fn a_successor_that_is_killed_at_once_is_followed_too() {
+    let mut fleet = calm_fleet();
+    let first = fleet.holder().unwrap();
+    fleet.kill(first);
+    while fleet.holder().is_none() {
+        fleet.step();
+    }
+    let second = fleet.holder().unwrap();
+    fleet.kill(second);
+    fleet.last_held = fleet.now;
+    fleet.longest_gap = Duration::ZERO;
+    fleet.run(Duration::from_secs(10));
+    assert!(fleet.holder().is_some_and(|holder| holder < STRONG));
+    assert!(fleet.longest_gap <= TAKE_OVER, "{:?}", fleet.longest_gap);
+}
+
 #[test]
 fn the_strong_ones_follow_each_other_until_none_is_left() {
     let mut fleet = calm_fleet();
--- a/crates/routing/tests/standby.rs
+++ b/crates/routing/tests/standby.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeSet;
 
 use flaxward_routing::names::Zone;
-use flaxward_routing::standby::{Candidate, Standbys};
+use flaxward_routing::standby::{Candidate, StandbyPlace, Standbys};
 use flaxward_routing::strength::MachineStrength;
 
 const STRONG: MachineStrength = MachineStrength {
@@ -42,8 +42,8 @@
     assert!(chosen.iter().all(|it| it.strength == STRONG));
     let zones: BTreeSet<&Zone> = chosen.iter().map(|it| &it.zone).collect();
     assert_eq!(zones.len(), 5);
-    assert_eq!(standbys.rank(&names[2]), Some(2));
-    assert_eq!(standbys.rank("d000"), None);
+    assert_eq!(standbys.place(&names[2]), StandbyPlace::Place(2));
+    assert_eq!(standbys.place("d000"), StandbyPlace::None);
 }
 
 #[test]
@@ -72,5 +72,9 @@
     let few = few.chain([candidate(3, STRONG)]);
     standbys.choose(few.collect());
     assert_eq!(standbys.names().len(), 4, "of a few, all stand by");
-    assert_eq!(standbys.rank("d003"), Some(0), "the strong one acts first");
+    assert_eq!(
+        standbys.place("d003"),
+        StandbyPlace::Place(0),
+        "the strong one acts first"
+    );
 }
