Relay: past its time a silent stream ends instead of being waited for again

Cause, found on the last read: since a silent runner is waited for again if nobody takes the stream, also once the request's time was up; the wait then ended at once each time, so that the task went round without a pause until the client left, and could send the stream on past its time. Test: a_silent_stream_that_nobody_can_continue_ends_with_its_time fails without it; all 33 tests of the ingress pass.

--- a/crates/ingress/src/relay.rs
+++ b/crates/ingress/src/relay.rs
@@ -271,6 +271,9 @@
 
     /// Leaves a silent runner for another one, unless that one rejects the stream at once.
     async fn leave_silent(&mut self, silent: Exchange) -> Result<(), RelayError> {
+        if Instant::now() >= self.request.deadline {
+            return Err(self.given_up(RelayError::Expired, "time is up"));
+        }
         let Ok(next) = self.choose_next() else {
             self.wait_again(silent);
             return Ok(());
--- a/crates/ingress/tests/ingress/failures.rs
+++ b/crates/ingress/tests/ingress/failures.rs
@@ -159,6 +159,19 @@
     );
 }
 
+/// Found while reading: past its time a silent stream was waited for again and again, without a pause.
+#[tokio::test]
+async fn a_silent_stream_that_nobody_can_continue_ends_with_its_time() {
+    let only = ScriptedRunner::start(vec![Behaviour::PausedEvents(1, 6)]).await;
+    let test = TestIngress::start(&[&only]).await;
+    let begun = Instant::now();
+    let response = test.request("/stream/", "id-1").send().await.unwrap();
+    assert!(response.text().await.is_err(), "it looks whole");
+    let elapsed = begun.elapsed();
+    assert!(elapsed >= Duration::from_millis(1_450), "{elapsed:?}");
+    assert!(elapsed < Duration::from_millis(1_900), "{elapsed:?}");
+}
+
 #[tokio::test]
 async fn a_stream_that_nobody_can_continue_does_not_look_whole() {
     let only = ScriptedRunner::start(vec![Behaviour::EventsThenReset(1, 3)]).await;
