--- a/crates/flaxward/src/ingress.rs
+++ b/crates/flaxward/src/ingress.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use flaxward::metrics_page;
+use flaxward_ingress::settings::KeyTrust;
 use flaxward_ingress::{Ingress, IngressSettings};
 use flaxward_platform::{PlatformControl, PlatformStore, PlatformSurface};
 use flaxward_routing::budget::RetryBudgetSettings;
@@ -21,6 +22,8 @@
 
 use crate::serve::{EXIT_BAD_SETTINGS, wait_for_stop};
 
+/// Longest time that a message between daemons is taken to be under way, on a link that is full.
+const MESSAGE_TIME: Duration = Duration::from_millis(500);
 /// Part of the lease after which it is renewed.
 const RENEWAL_SHARE: f64 = 0.3;
 /// Part of the lease that its holder leaves unused.
@@ -102,6 +105,19 @@
     }
 }
 
+/// For how long a daemon that hears nothing relies on its configuration for keys. Both bounds matter only where
+/// the operators take keys away within a time.
+fn key_trust(file: &IngressFile) -> KeyTrust {
+    let within = |bound: Duration| bound.saturating_sub(MESSAGE_TIME.min(bound / 2));
+    let Some(revocation) = file.news.revocation else {
+        return KeyTrust::default();
+    };
+    KeyTrust {
+        known: Some(within(revocation)),
+        unknown: Some(within(file.news.configuration)),
+    }
+}
+
 fn settings(file: &IngressFile) -> IngressSettings {
     let lease = file.coordinator.lease_duration;
     let share = |share: f64| Duration::from_secs_f64(lease.as_secs_f64() * share);
@@ -114,6 +130,7 @@
         metrics_listen: file.ingress.metrics_listen,
         strength: strength(&file.machine),
         news_bound: file.news.bound(),
+        key_trust: key_trust(file),
         stop_grace: file.ingress.stop_grace,
         retry_budget: RetryBudgetSettings {
             ratio: file.retries.ratio,
--- a/crates/ingress/src/coordination/following.rs
+++ b/crates/ingress/src/coordination/following.rs
@@ -172,8 +172,15 @@
         })
     }
 
-    /// Takes in what the coordinator tells. `leads` says that this daemon is the coordinator.
-    pub fn take_direction(&mut self, shared: &Shared, mut direction: Direction, leads: bool) {
+    /// Takes in what the coordinator tells, in a message that came no earlier than at a time. `leads` says that this
+    /// daemon is the coordinator.
+    pub fn take_direction(
+        &mut self,
+        shared: &Shared,
+        mut direction: Direction,
+        leads: bool,
+        came_after: Timestamp,
+    ) {
         let now = shared.now();
         let Some(coordinator) = &mut self.coordinator else {
             return;
@@ -193,7 +200,7 @@
                 StandbyPlace::None => shared.set_watch_role(WatchRole::Member),
                 StandbyPlace::Place(place) => shared.set_watch_role(WatchRole::Standby(place)),
             }
-            shared.hear_store(direction.address, &direction.store);
+            shared.hear_store(direction.address, &direction.store, came_after);
         }
         if let Some(members) = direction.members {
             self.members = members;
@@ -202,10 +209,8 @@
             self.store_limits = limits;
         }
         let follows = coordinator.holdings_version >= direction.holdings_after;
+        shared.set_daemons(direction.daemons);
         let mut tables = shared.tables();
-        tables.daemons = usize::try_from(direction.daemons)
-            .unwrap_or(usize::MAX)
-            .max(1);
         tables.runners.confirm(now);
         if let Some(loads) = direction.loads {
             let by_runner = loads.into_iter();
--- a/crates/ingress/src/coordination/leading.rs
+++ b/crates/ingress/src/coordination/leading.rs
@@ -7,6 +7,7 @@
 use flaxward_routing::lease::LeasePulse;
 use flaxward_routing::messages::{Direction, Usage, WaitNotice};
 use flaxward_routing::placement::{Action, Placement};
+use flaxward_routing::quota::QuotaNews;
 use flaxward_routing::standby::StandbyPlace;
 use flaxward_routing::strength::MachineStrength;
 use flaxward_types::time::Timestamp;
@@ -22,6 +23,9 @@
 /// Pause after a plan, in times that the plan took: a weak machine also serves requests.
 const PLAN_PAUSE_FACTOR: u32 = 3;
 
+/// Time after the beginning in which members may not have been heard yet.
+const NEW_FOR: Duration = Duration::from_secs(4);
+
 /// What the placement was last given of the tables.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 struct Taken {
@@ -38,6 +42,7 @@
     /// Earliest time of the next plan.
     plan_allowed: Timestamp,
     taken: Option<Taken>,
+    begun_at: Timestamp,
 }
 
 impl Leading {
@@ -50,9 +55,20 @@
             plan_due: now,
             plan_allowed: now,
             taken: None,
+            begun_at: now,
         }
     }
 
+    /// Whether members may not have been heard yet.
+    pub fn is_new(&self, now: Timestamp) -> bool {
+        now.since(self.begun_at) < NEW_FOR
+    }
+
+    /// Number of members that are heard.
+    pub fn member_count(&self, now: Timestamp) -> usize {
+        self.placement.members(now).len()
+    }
+
     /// When the next plan is due.
     pub fn plan_due(&self) -> Timestamp {
         self.plan_due
@@ -118,6 +134,12 @@
         }
     }
 
+    /// Addresses of all members.
+    pub fn member_addresses(&self, now: Timestamp) -> Vec<SocketAddr> {
+        let members = self.placement.members(now).into_iter();
+        members.map(|(_, address)| address).collect()
+    }
+
     /// Addresses of the standbys.
     pub fn standby_addresses(&self, now: Timestamp) -> Vec<SocketAddr> {
         self.dissemination.standby_addresses(&self.placement, now)
@@ -134,13 +156,13 @@
         shared: &Shared,
         lease: LeasePulse,
         own: SocketAddr,
+        quota: &QuotaNews,
     ) -> Vec<Outgoing> {
         let now = shared.now();
-        let members = self.placement.members(now).len();
         let strongest = self.placement.strongest_member();
         let header = Direction {
             strongest: strongest.max(shared.settings.strength),
-            ..header(shared, lease, own, members)
+            ..header(shared, lease, own, quota)
         };
         let tables = shared.tables();
         self.dissemination
@@ -153,16 +175,17 @@
     shared: &Shared,
     lease: LeasePulse,
     address: SocketAddr,
-    daemons: usize,
+    quota: &QuotaNews,
 ) -> Direction {
     Direction {
         term: lease.term,
         lease,
         address,
-        daemons: u32::try_from(daemons.max(1)).unwrap_or(u32::MAX),
+        daemons: quota.daemons,
         strongest: shared.settings.strength,
         standby: StandbyPlace::Unsaid,
         store: shared.store_state(),
+        quota: quota.clone(),
         membership: None,
         members: None,
         holdings_after: 0,
--- a/crates/ingress/src/coordination/mod.rs
+++ b/crates/ingress/src/coordination/mod.rs
@@ -3,9 +3,11 @@
 //! coordinates itself.
 
 mod calls;
+mod configurations;
 mod following;
 mod informing;
 mod leading;
+mod quotas;
 
 use std::fmt::Display;
 use std::net::SocketAddr;
@@ -27,11 +29,16 @@
 use crate::state::Shared;
 use crate::watches::take_membership;
 
+use configurations::Configurations;
 use calls::{Caller, Event, log_settled, operation_name};
 use following::Following;
 use informing::Informing;
 use leading::Leading;
+use quotas::Quotas;
 
+/// Time between two looks of the task after which it is taken to have stood still; it looks each
+/// [`IDLE_INTERVAL`] at least.
+const STANDSTILL: Duration = Duration::from_millis(600);
 /// Time between looks at the lease while this daemon does not coordinate.
 const IDLE_INTERVAL: Duration = Duration::from_millis(250);
 
@@ -47,6 +54,14 @@
     caller: Caller,
     queue: mpsc::UnboundedReceiver<Event>,
     store_fails: bool,
+    quotas: Quotas,
+    configurations: Configurations,
+    /// When the task last looked at what has come.
+    looked_at: Timestamp,
+    /// The task stood still from this time on, and has not received all since that came meanwhile.
+    stood_still_since: Option<Timestamp>,
+    /// The message at hand came no earlier than at this time.
+    came_after: Timestamp,
 }
 
 impl Coordination {
@@ -68,7 +83,13 @@
             shared: shared.clone(),
             events,
         };
+        let now = shared.now();
         Ok(Self {
+            quotas: Quotas::new(address, now),
+            configurations: Configurations::default(),
+            looked_at: now,
+            stood_still_since: None,
+            came_after: now,
             following: Following::new(address),
             shared,
             peers,
@@ -86,6 +107,7 @@
     pub(crate) async fn run(mut self) {
         loop {
             let now = self.shared.now();
+            self.note_look(now);
             let wake_at = self.shared.clock.instant(self.next_wake(now));
             let shared = self.shared.clone();
             tokio::select! {
@@ -96,6 +118,10 @@
                 }
                 Some(event) = self.queue.recv() => self.happened(event),
                 () = shared.demand.notified() => self.following.want_notice(),
+                () = shared.quota_wake.notified() => {}
+                () = shared.configuration_wanted.notified() => {
+                    self.configurations.ask(&self.shared, &self.peers, self.address);
+                }
                 () = sleep_until(wake_at) => {}
             }
             if self.shared.is_stopping() {
@@ -105,12 +131,26 @@
         }
     }
 
+    /// Works out since when the next message can have come. After this process was frozen, what comes first may have
+    /// lain in the socket for as long as it was, and says nothing of the present.
+    fn note_look(&mut self, now: Timestamp) {
+        let before = std::mem::replace(&mut self.looked_at, now);
+        if now.since(before) >= STANDSTILL {
+            self.stood_still_since.get_or_insert(before);
+        }
+        if self.stood_still_since.is_some() && self.peers.is_empty() {
+            self.stood_still_since = None;
+        }
+        self.came_after = self.stood_still_since.unwrap_or(before);
+    }
+
     fn next_wake(&self, now: Timestamp) -> Timestamp {
         let next_message = self.following.next_message(&self.shared);
         let mut wake_at = self.lease.next_poll(now).min(next_message);
         if let Some(leading) = &self.leading {
             wake_at = wake_at.min(leading.plan_due());
         }
+        wake_at = wake_at.min(self.quotas.next_wake(&self.shared));
         wake_at.min(now + IDLE_INTERVAL)
     }
 
@@ -130,6 +170,9 @@
         }
         self.report_use(now);
         self.inform(now);
+        self.quotas.report(&self.shared, &self.peers, now);
+        self.quotas.send_questions(&self.shared, &self.peers, now);
+        self.tell_limits(now);
         if self.leading.as_ref().is_some_and(|it| now >= it.plan_due()) {
             self.plan();
         }
@@ -147,6 +190,46 @@
         }
     }
 
+    /// Tells all daemons which tenants are near their limit, if this daemon is to and it is due.
+    fn tell_limits(&mut self, now: Timestamp) {
+        let (addresses, news) = match &self.leading {
+            Some(leading) => {
+                let news = self.quotas.news(&leading.standby_addresses(now), self.daemons(now), now);
+                if !self.quotas.is_news_due(&news.limits, now) {
+                    return;
+                }
+                (leading.member_addresses(now), news)
+            }
+            None if self.quotas.speaks_as_deputy(now) => {
+                let news = self.quotas.deputy_news(self.daemons(now), now);
+                if !self.quotas.is_deputy_news_due(&news.limits, now) {
+                    return;
+                }
+                (self.following.members().to_vec(), news)
+            }
+            None => {
+                self.quotas.stop_telling();
+                return;
+            }
+        };
+        self.shared.tables().quota.heard(&news, now);
+        self.quotas.note_told(&self.shared, news.limits.clone(), now);
+        let message = Message::QuotaNews(news);
+        for address in addresses.iter().filter(|&&address| address != self.address) {
+            self.peers.send(*address, &message);
+        }
+    }
+
+    /// How many daemons there are. A coordinator that has just begun has not heard of all.
+    fn daemons(&self, now: Timestamp) -> u32 {
+        let known = self.shared.daemons();
+        let Some(leading) = &self.leading else {
+            return known;
+        };
+        let heard = u32::try_from(leading.member_count(now).max(1)).unwrap_or(u32::MAX);
+        if leading.is_new(now) { heard.max(known) } else { heard }
+    }
+
     /// Tells the members of the store, if this daemon stands by and the coordinator does not.
     fn inform(&mut self, now: Timestamp) {
         let news = self.informing.due(&self.shared, self.address, now);
@@ -163,6 +246,7 @@
     fn plan(&mut self) {
         let begun = self.shared.now();
         let term = self.lease.term(begun);
+        let daemons = self.daemons(begun);
         let Some(leading) = self.leading.as_mut() else {
             return;
         };
@@ -174,14 +258,18 @@
         for action in leading.plan(&self.shared, begun) {
             self.caller.carry_out(action, leading.term);
         }
+        self.lease.set_daemons(daemons);
+        let deputies = leading.standby_addresses(begun);
+        let quota = self.quotas.news(&deputies, daemons, begun);
+        self.quotas.heard_news(&self.shared, &quota);
         let messages = match self.lease.pulse(begun) {
-            Some(pulse) => leading.messages(&self.shared, pulse, self.address),
+            Some(pulse) => leading.messages(&self.shared, pulse, self.address, &quota),
             None => Vec::new(),
         };
         for outgoing in messages {
             if outgoing.member == self.shared.settings.name {
                 self.following
-                    .take_direction(&self.shared, outgoing.direction, true);
+                    .take_direction(&self.shared, outgoing.direction, true, begun);
             } else {
                 let message = Message::Direction(outgoing.direction);
                 self.peers.send(outgoing.address, &message);
@@ -202,8 +290,12 @@
                     self.lease.set_stands_by(stands_by);
                 }
                 let leads = self.leading.is_some();
+                self.quotas.heard_news(&self.shared, &direction.quota);
+                let version = direction.store.configuration_version;
+                self.configurations
+                    .told(&self.shared, direction.address, version);
                 self.following
-                    .take_direction(&self.shared, direction, leads);
+                    .take_direction(&self.shared, direction, leads, self.came_after);
             }
             Message::Usage(_) | Message::Waiting(_) => self.heard_member(message),
             Message::LeaseEnded { term } => {
@@ -211,6 +303,18 @@
                 self.lease.ended(term, self.shared.now());
             }
             Message::StoreNews(news) => self.heard_store_news(news),
+            Message::UseReport(report) => self.quotas.heard_use(report, self.shared.now()),
+            Message::QuotaQuestions(questions) => {
+                let now = self.shared.now();
+                self.quotas.answer(&self.peers, &questions, now);
+            }
+            Message::QuotaAnswers(answers) => Quotas::heard_answers(&self.shared, &answers),
+            Message::QuotaNews(news) => self.quotas.heard_news(&self.shared, &news),
+            Message::ConfigurationWanted(wanted) => {
+                self.configurations
+                    .answer(&self.shared, &self.peers, &wanted);
+            }
+            Message::ConfigurationChunk(chunk) => self.configurations.take(&self.shared, chunk),
         }
     }
 
@@ -224,7 +328,10 @@
         {
             metrics::counter!(NEWS_WITH_GAPS.name).increment(1);
         }
-        self.shared.hear_store(news.from, &news.state);
+        let version = news.state.configuration_version;
+        self.configurations.told(&self.shared, news.from, version);
+        self.shared
+            .hear_store(news.from, &news.state, self.came_after);
     }
 
     /// Takes in a message of a member, if this daemon coordinates.
@@ -236,7 +343,7 @@
         match message {
             Message::Usage(usage) => leading.heard_usage(usage, now),
             Message::Waiting(notice) => leading.heard_waiting(notice, now),
-            Message::Direction(_) | Message::LeaseEnded { .. } | Message::StoreNews(_) => {}
+            _ => {}
         }
     }
 
@@ -248,6 +355,11 @@
                 if let Some(change) = self.lease.answered(answer, now) {
                     self.lease_changed(&change);
                 }
+                if !self.lease.hears_holder(now)
+                    && let Some(daemons) = self.lease.recorded_daemons()
+                {
+                    self.shared.set_daemons(daemons);
+                }
             }
             Event::Report {
                 runner,
@@ -348,12 +460,14 @@
     }
 
     /// Tells all members that this daemon knows that it coordinates.
-    fn announce(&self) {
-        let Some(pulse) = self.lease.pulse(self.shared.now()) else {
+    fn announce(&mut self) {
+        let now = self.shared.now();
+        let Some(pulse) = self.lease.pulse(now) else {
             return;
         };
+        let quota = self.quotas.news(&[], self.shared.daemons(), now);
         let members = self.following.members();
-        let header = leading::header(&self.shared, pulse, self.address, members.len());
+        let header = leading::header(&self.shared, pulse, self.address, &quota);
         let others = members.iter().filter(|&&address| address != self.address);
         for address in others {
             self.peers
--- a/crates/ingress/src/counters.rs
+++ b/crates/ingress/src/counters.rs
@@ -3,7 +3,7 @@
 use flaxward_types::Metric;
 
 /// Metrics of this crate.
-pub const METRICS: [Metric; 18] = [
+pub const METRICS: [Metric; 19] = [
     SERVED,
     REFUSED,
     ATTEMPTS_FAILED,
@@ -22,6 +22,7 @@
     STREAMS_LATE,
     STORE_LOAD_SECONDS,
     STORE_LOADS_ALLOWED,
+    CONFIGURATIONS_FROM_PEERS,
 ];
 
 /// Requests whose answer, or the head of it, was passed on, by `status`, the class of the HTTP status.
@@ -114,3 +115,8 @@
     "flaxward_ingress_store_loads_allowed",
     "Loads from the weight store that may be in flight, after each that was measured.",
 );
+/// Versions of the configuration that came from another daemon and not from the store.
+pub const CONFIGURATIONS_FROM_PEERS: Metric = Metric::counter(
+    "flaxward_ingress_configurations_from_peers_total",
+    "Versions of the configuration that came from another daemon and not from the store.",
+);
--- a/crates/ingress/src/exchange.rs
+++ b/crates/ingress/src/exchange.rs
@@ -10,6 +10,7 @@
 use flaxward_routing::names::Unit;
 use flaxward_routing::request::RequestProfile;
 use flaxward_routing::runners::Runner;
+use flaxward_routing::tenants::Tenant;
 use http::header::{CONNECTION, CONTENT_ENCODING, TE, TRAILER, TRANSFER_ENCODING, UPGRADE};
 use http::{HeaderMap, HeaderName, Method, Request, Response, Uri, Version};
 use http_body_util::Full;
@@ -33,6 +34,7 @@
     pub profile: RequestProfile,
     pub kind: RouteKind,
     pub priority: u8,
+    pub tenant: Option<Arc<Tenant>>,
     pub unit: Option<Unit>,
     pub deadline: Instant,
 }
@@ -171,6 +173,7 @@
         time_left: request.time_left(),
         runner: &runner.id,
         priority: request.priority,
+        tenant: request.tenant.as_ref().map(|tenant| &tenant.name),
         last_event: continuation.last_event,
         weights_version: continuation.weights_version,
     };
--- a/crates/ingress/src/handler.rs
+++ b/crates/ingress/src/handler.rs
@@ -7,7 +7,8 @@
 
 use bytes::Bytes;
 use flaxward_routing::attempt::Attempts;
-use flaxward_routing::configuration::Configuration;
+use flaxward_routing::configuration::{Configuration, Route};
+use flaxward_routing::tenants::Tenant;
 use flaxward_types::ResultCode;
 use flaxward_types::refusal::Refusal;
 use http::header::{CONTENT_LENGTH, EXPECT, HOST};
@@ -16,6 +17,7 @@
 use hyper::body::Incoming;
 use tokio::time::{Instant, timeout_at};
 
+use crate::access;
 use crate::answers::{self, AnswerBody};
 use crate::exchange::{ClientRequest, remove_connection_headers};
 use crate::job::Job;
@@ -113,6 +115,7 @@
         );
         return Err(early(ResultCode::UnknownPath, &id, &reason));
     };
+    let tenant = access::tenant(shared, &configuration, &route, &id, request.headers())?;
     let allowed = profile
         .deadline
         .map_or(route.timeout, |deadline| deadline.min(route.timeout));
@@ -128,6 +131,10 @@
             "the route has no service",
         ));
     };
+    let charge = match &tenant {
+        Some(tenant) => Some(access::charge(shared, tenant, &route, &profile).await?),
+        None => None,
+    };
     let has_engine = configuration
         .service(&service)
         .is_some_and(|service| service.engine.is_some());
@@ -135,16 +142,29 @@
     let client_request = ClientRequest {
         method: head.method,
         uri: origin_form(&head.uri),
-        headers: passed_headers(head.headers),
+        headers: passed_headers(shared, &configuration, head.headers),
         body,
         profile,
         kind: route.kind,
-        priority: route.priority,
+        priority: priority(&route, tenant.as_deref()),
+        tenant,
         unit,
         deadline,
     };
     let job = Job::new(shared.clone(), client_request, route, service, begun);
-    job.run(Box::new(guard)).await
+    let answered = job.run(Box::new(guard)).await;
+    if let (Err(refused), Some(charge)) = (&answered, charge)
+        && refused.refusal().code.not_run()
+    {
+        charge.give_back(shared);
+    }
+    answered
+}
+
+/// Rank of a request: that of its tenant, if it has one.
+fn priority(route: &Route, tenant: Option<&Tenant>) -> u8 {
+    let of_tenant = tenant.and_then(|tenant| tenant.priority);
+    of_tenant.unwrap_or(route.priority)
 }
 
 /// The host that the client named.
@@ -162,7 +182,14 @@
     path.map_or_else(|| uri.clone(), http::Uri::from)
 }
 
-fn passed_headers(mut headers: HeaderMap) -> HeaderMap {
+fn passed_headers(
+    shared: &Shared,
+    configuration: &Configuration,
+    mut headers: HeaderMap,
+) -> HeaderMap {
+    if !configuration.tenants().is_empty() {
+        shared.surface.remove_key(&mut headers);
+    }
     remove_connection_headers(&mut headers);
     headers.remove(EXPECT);
     headers.remove(CONTENT_LENGTH);
--- a/crates/ingress/src/lib.rs
+++ b/crates/ingress/src/lib.rs
@@ -7,6 +7,7 @@
 #![warn(clippy::pedantic)]
 #![allow(clippy::module_name_repetitions, clippy::must_use_candidate)]
 
+mod access;
 mod answers;
 mod clock;
 mod coordination;
@@ -19,6 +20,7 @@
 pub mod outside;
 mod peer;
 mod pool;
+mod quota_desk;
 mod refused;
 mod relay;
 mod server;
--- a/crates/ingress/src/outside.rs
+++ b/crates/ingress/src/outside.rs
@@ -7,10 +7,11 @@
 use async_trait::async_trait;
 use flaxward_routing::configuration::Configuration;
 use flaxward_routing::lease::{LeaseRecord, StoredLease};
-use flaxward_routing::names::RunnerId;
+use flaxward_routing::names::{RunnerId, TenantName};
 use flaxward_routing::placement::{Order, OrderAnswer, RunnerReport};
 use flaxward_routing::request::RequestProfile;
 use flaxward_routing::runners::Runner;
+use flaxward_routing::tenants::KeyDigest;
 use http::{HeaderMap, StatusCode};
 use thiserror::Error;
 
@@ -34,6 +35,8 @@
     pub runner: &'a RunnerId,
     /// Rank of the request.
     pub priority: u8,
+    /// The tenant whose key the request carried.
+    pub tenant: Option<&'a TenantName>,
     /// The last event that the client has, if a stream is continued.
     pub last_event: Option<&'a str>,
     /// The version of the weights that a continued stream has begun with.
@@ -64,6 +67,12 @@
     /// Fails if a header is missing or malformed.
     fn profile(&self, headers: &HeaderMap) -> Result<RequestProfile, ProfileError>;
 
+    /// Digest of the key that a request carries, if it carries just one.
+    fn key(&self, headers: &HeaderMap) -> Option<KeyDigest>;
+
+    /// Removes the key, which no runner may learn.
+    fn remove_key(&self, headers: &mut HeaderMap);
+
     /// Sets the headers of a request that is passed on, and removes those that only the ingress sets.
     fn prepare(&self, headers: &mut HeaderMap, passage: &Passage<'_>);
 
@@ -89,6 +98,9 @@
     /// The answer cannot be read.
     #[error("the answer cannot be read: {0}")]
     Malformed(String),
+    /// The configuration contradicts itself; the version before stays in force.
+    #[error("the configuration contradicts itself: {0}")]
+    InvalidConfiguration(String),
 }
 
 /// How new an answer of the store must be.
--- a/crates/ingress/src/peer.rs
+++ b/crates/ingress/src/peer.rs
@@ -1,9 +1,12 @@
 //! The socket for messages between daemons.
 
+use std::io::ErrorKind;
+use std::mem::MaybeUninit;
 use std::net::SocketAddr;
 
 use anyhow::Context;
 use flaxward_routing::messages::Message;
+use socket2::SockRef;
 use tokio::net::UdpSocket;
 
 use crate::counters::{MESSAGES_MALFORMED, MESSAGES_NOT_SENT};
@@ -48,6 +51,14 @@
         }
     }
 
+    /// Whether no message has come that was not received yet. Asks the kernel: what the runtime knows of the socket
+    /// may be as old as its last wait.
+    pub(crate) fn is_empty(&self) -> bool {
+        let mut byte = [MaybeUninit::uninit()];
+        let peeked = SockRef::from(&self.socket).peek(&mut byte);
+        peeked.is_err_and(|error| error.kind() == ErrorKind::WouldBlock)
+    }
+
     /// The next message; `None` if something else came.
     pub(crate) async fn receive(&mut self) -> Option<Message> {
         let (length, _) = self.socket.recv_from(&mut self.buffer).await.ok()?;
--- a/crates/ingress/src/settings.rs
+++ b/crates/ingress/src/settings.rs
@@ -9,6 +9,15 @@
 use flaxward_routing::placement::PlacementSettings;
 use flaxward_routing::strength::MachineStrength;
 
+/// For how long after its configuration was surely the newest a daemon relies on it for keys; `None` for ever.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct KeyTrust {
+    /// For keys that it holds, which may have been taken away.
+    pub known: Option<Duration>,
+    /// For keys that it does not hold, which may have been added.
+    pub unknown: Option<Duration>,
+}
+
 /// Settings of one daemon.
 #[derive(Clone, Debug)]
 pub struct IngressSettings {
@@ -28,6 +37,8 @@
     pub strength: MachineStrength,
     /// Time within which a change of the store must be known.
     pub news_bound: Duration,
+    /// For how long keys are relied on.
+    pub key_trust: KeyTrust,
     /// Time from the order to stop until it must have ended.
     pub stop_grace: Duration,
     /// The budget for sending requests again.
--- a/crates/ingress/src/state.rs
+++ b/crates/ingress/src/state.rs
@@ -8,9 +8,11 @@
 use flaxward_routing::balance::{self, NoRunner, Situation, Wanted};
 use flaxward_routing::budget::RetryBudget;
 use flaxward_routing::configuration::{Configuration, Route};
+use flaxward_routing::configuration_age::ConfigurationAge;
 use flaxward_routing::health::{HealthTable, Observation};
 use flaxward_routing::messages::UnitOutlook;
 use flaxward_routing::names::{RunnerId, ServiceName, Unit};
+use flaxward_routing::quota::meter::QuotaMeter;
 use flaxward_routing::runners::{Runner, RunnerTable};
 use flaxward_routing::split::SplitChooser;
 use flaxward_routing::store_trust::StoreTrust;
@@ -24,6 +26,7 @@
 use crate::decisions::DecisionLog;
 use crate::outside::{ClusterStore, RunnerControl, Surface};
 use crate::pool::Pool;
+use crate::quota_desk::QuotaDesk;
 use crate::settings::IngressSettings;
 use crate::store_word::StoreWord;
 use crate::usage::{Running, UseLog, Waiting};
@@ -42,6 +45,8 @@
 #[derive(Debug)]
 pub(crate) struct Tables {
     pub configuration: Option<Arc<Configuration>>,
+    pub configuration_age: ConfigurationAge,
+    pub quota: QuotaMeter,
     pub runners: RunnerTable,
     pub runners_known: bool,
     pub health: HealthTable,
@@ -73,6 +78,12 @@
     pub changed: Notify,
     /// Woken when a request begins to wait for a unit.
     pub demand: Notify,
+    /// Requests for which the keeper of quotas is asked.
+    pub quota_questions: QuotaDesk,
+    /// Woken when the keepers of quotas are to be told or asked something.
+    pub quota_wake: Notify,
+    /// Woken when a daemon that has told of a newer configuration is to be asked for it.
+    pub configuration_wanted: Notify,
     pub stopping: AtomicBool,
     /// The notice of a stop is over: no request is taken any more.
     pub closing: AtomicBool,
@@ -101,6 +112,8 @@
         let seed = rand::random();
         let tables = Tables {
             configuration: None,
+            configuration_age: ConfigurationAge::default(),
+            quota: QuotaMeter::new(seed, ASSUMED_DAEMONS),
             runners: RunnerTable::default(),
             runners_known: false,
             health: HealthTable::default(),
@@ -126,6 +139,9 @@
             log: DecisionLog::default(),
             changed: Notify::new(),
             demand: Notify::new(),
+            quota_questions: QuotaDesk::default(),
+            quota_wake: Notify::new(),
+            configuration_wanted: Notify::new(),
             stopping: AtomicBool::new(false),
             closing: AtomicBool::new(false),
             ending: CancellationToken::new(),
@@ -177,7 +193,40 @@
     /// Whether new clients may come.
     pub(crate) fn is_ready(&self) -> bool {
         let tables = self.tables();
-        !self.is_stopping() && tables.configuration.is_some() && tables.runners_known
+        let knows_runners = tables.runners_known;
+        let configuration = tables.configuration.clone();
+        drop(tables);
+        let Some(configuration) = configuration else {
+            return false;
+        };
+        // Clients with keys fare better at another daemon.
+        let can_admit = configuration.tenants().is_empty()
+            || self.is_configuration_within(self.settings.key_trust.known);
+        !self.is_stopping() && knows_runners && can_admit
+    }
+
+    /// Time since the configuration in force here was surely the newest; `None` if it never was.
+    pub(crate) fn configuration_age(&self) -> Option<Duration> {
+        let now = self.now();
+        self.tables().configuration_age.age(now)
+    }
+
+    /// Whether the configuration in force here was surely the newest within a time; `None` asks for nothing.
+    pub(crate) fn is_configuration_within(&self, bound: Option<Duration>) -> bool {
+        bound.is_none_or(|bound| self.configuration_age().is_some_and(|age| age < bound))
+    }
+
+    /// How many daemons there are, as far as is known.
+    pub(crate) fn daemons(&self) -> u32 {
+        u32::try_from(self.tables().daemons).unwrap_or(u32::MAX)
+    }
+
+    /// Sets how many daemons there are.
+    pub(crate) fn set_daemons(&self, daemons: u32) {
+        let daemons = usize::try_from(daemons).unwrap_or(usize::MAX).max(1);
+        let mut tables = self.tables();
+        tables.daemons = daemons;
+        tables.quota.set_daemons(daemons);
     }
 
     pub(crate) fn configuration(&self) -> Option<Arc<Configuration>> {
--- a/crates/ingress/src/store_word.rs
+++ b/crates/ingress/src/store_word.rs
@@ -1,6 +1,7 @@
 //! What a daemon has been told of the store by those who watch it.
 
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use flaxward_routing::messages::StoreState;
 use flaxward_routing::store_trust::WatchRole;
@@ -35,10 +36,17 @@
 }
 
 impl Shared {
-    /// Takes in what a daemon that watches the store says of it.
-    pub(crate) fn hear_store(&self, from: SocketAddr, state: &StoreState) {
+    /// Takes in what a daemon that watches the store says of it, in a message that came no earlier than at a time.
+    pub(crate) fn hear_store(&self, from: SocketAddr, state: &StoreState, came_after: Timestamp) {
         let now = self.now();
-        self.tables().store_trust.heard(from, state, now);
+        let mut tables = self.tables();
+        tables.store_trust.heard(from, state, now);
+        if state.configuration_age_ms < u32::MAX {
+            let age = Duration::from_millis(u64::from(state.configuration_age_ms));
+            let version = state.configuration_version;
+            tables.configuration_age.confirmed(version, came_after - age);
+        }
+        drop(tables);
         self.store_word.send_modify(|word| {
             word.configuration_version =
                 word.configuration_version.max(state.configuration_version);
@@ -68,11 +76,14 @@
     /// What this daemon knows of the store.
     pub(crate) fn store_state(&self) -> StoreState {
         let silence = millis(self.store_silence());
+        let age = self.configuration_age();
+        let age = age.and_then(|age| u32::try_from(millis(age)).ok());
         let tables = self.tables();
         StoreState {
             configuration_version: tables.configuration.as_ref().map_or(0, |it| it.version),
             membership_revision: tables.runners.membership_revision(),
             silence_ms: u32::try_from(silence).unwrap_or(u32::MAX),
+            configuration_age_ms: age.unwrap_or(u32::MAX),
         }
     }
 }
--- a/crates/ingress/src/watches.rs
+++ b/crates/ingress/src/watches.rs
@@ -12,6 +12,7 @@
 use flaxward_routing::names::RunnerId;
 use flaxward_routing::runners::Runner;
 use flaxward_routing::store_trust::WatchRole;
+use flaxward_types::ResultCode;
 use flaxward_types::time::Timestamp;
 use rand::RngExt;
 use tokio::sync::watch;
@@ -26,8 +27,14 @@
 const WATCH_WAIT: Duration = Duration::from_secs(10);
 /// The same for those who watch for others.
 const SHARED_WATCH_WAIT: Duration = Duration::from_millis(600);
+/// Part of the time for which keys are relied on that the store holds a watch of the configuration.
+const KEY_TRUST_SHARE: f64 = 0.25;
 /// Time that the store holds a watch that is only to tell what has happened before.
 const CATCH_UP_WAIT: Duration = Duration::from_millis(1);
+/// Pause before a configuration that contradicts itself is read again.
+const INVALID_PAUSE: Duration = Duration::from_secs(1);
+/// Part of the bound on news for which a peer is waited for that has a newer configuration.
+const PEER_PATIENCE_SHARE: f64 = 0.12;
 /// Pause after changes of runners, so that several come with one call.
 const RUNNERS_PAUSE: Duration = Duration::from_millis(600);
 /// Pause after a change of the configuration, for the same reason.
@@ -137,6 +144,14 @@
     }
 }
 
+/// The same for the configuration: a daemon that relies on keys for a while must hear within a part of that time
+/// that nothing has changed.
+fn configuration_watch_wait(shared: &Shared, word: StoreWord) -> Duration {
+    let wait = watch_wait(word);
+    let trust = shared.settings.key_trust.known;
+    trust.map_or(wait, |trust| wait.min(trust.mul_f64(KEY_TRUST_SHARE)))
+}
+
 /// Until when a daemon that has just started and has read something waits for the word of those who watch,
 /// before it watches the store itself. Nobody may rely on what a daemon knows so soon after its start.
 fn starts_until(shared: &Shared, word: StoreWord, has_read: bool) -> Option<Timestamp> {
@@ -173,12 +188,17 @@
                 continue;
             }
         }
+        if stands_until.is_some() && ask_peers(&shared, word).await {
+            continue;
+        }
+        let asked_at = shared.now();
         let read = match revision {
             None => read_configuration(&shared, word, has_read).await,
             Some(after) => {
+                let wait = configuration_watch_wait(&shared, word);
                 restarts.mark_unchanged();
                 tokio::select! {
-                    read = shared.store.watch_configuration(after, watch_wait(word)) => read,
+                    read = shared.store.watch_configuration(after, wait) => read.map(Answer::latest),
                     _ = restarts.changed() => {
                         revision = None;
                         continue;
@@ -188,12 +208,15 @@
             }
         };
         match read {
-            Ok(listing) => {
+            Ok(Answer { listing, freshness }) => {
                 backoff.succeeded(&shared);
                 shared.note_store_seen();
                 revision = Some(listing.revision);
                 has_read = true;
-                let is_news = apply_configuration(&shared, listing);
+                let is_news = take_listing(&shared, listing);
+                if freshness == Freshness::Latest {
+                    confirm_configuration(&shared, asked_at);
+                }
                 if backoff.pause_if_careful(&shared).await {
                     revision = None;
                 } else if is_news {
@@ -204,6 +227,13 @@
                 log_history_gone(&shared, "store/configuration");
                 revision = None;
             }
+            Err(StoreError::InvalidConfiguration(reason)) => {
+                // The version before stays in force, and is the newest that can be.
+                log_invalid(&shared, &reason);
+                confirm_configuration(&shared, asked_at);
+                revision = None;
+                sleep(INVALID_PAUSE).await;
+            }
             Err(error) => {
                 // A watch from an old revision may miss what has changed meanwhile.
                 revision = None;
@@ -213,29 +243,92 @@
     }
 }
 
+/// An answer of the store about the configuration.
+struct Answer {
+    listing: Listing<Configuration>,
+    freshness: Freshness,
+}
+
+impl Answer {
+    fn latest(listing: Listing<Configuration>) -> Self {
+        Self {
+            listing,
+            freshness: Freshness::Latest,
+        }
+    }
+
+    fn may_be_old(listing: Listing<Configuration>) -> Self {
+        Self {
+            listing,
+            freshness: Freshness::MayBeOld,
+        }
+    }
+}
+
+/// Asks the daemon that has told of a newer configuration for it. Returns whether it has come.
+///
+/// So a daemon that the store turns away still gets each version, and a change costs the store one read and not one
+/// for each daemon.
+async fn ask_peers(shared: &Shared, word: StoreWord) -> bool {
+    let known = || shared.configuration().map_or(0, |known| known.version);
+    let patience = shared.settings.news_bound.mul_f64(PEER_PATIENCE_SHARE);
+    let until = shared.clock.instant(shared.now() + patience);
+    shared.configuration_wanted.notify_one();
+    loop {
+        let changed = shared.changed.notified();
+        tokio::pin!(changed);
+        changed.as_mut().enable();
+        if known() >= word.configuration_version {
+            return true;
+        }
+        tokio::select! {
+            () = changed => {}
+            () = sleep_until(until) => return false,
+        }
+    }
+}
+
+/// Notes that the configuration in force here was the newest at a time.
+fn confirm_configuration(shared: &Shared, at: Timestamp) {
+    let mut tables = shared.tables();
+    if let Some(version) = tables.configuration.as_ref().map(|known| known.version) {
+        tables.configuration_age.confirmed(version, at);
+    }
+}
+
+fn log_invalid(shared: &Shared, reason: &str) {
+    let code = ResultCode::InvalidConfiguration.number();
+    let known = shared.configuration().map_or(0, |known| known.version);
+    let fields: &[(&str, &dyn std::fmt::Display)] =
+        &[("code", &code), ("reason", &reason), ("in_force", &known)];
+    shared.log.write(shared.now(), "configuration-rejected", fields);
+}
+
 /// Reads the configuration. If it was told which version there is, an answer that may be old is enough once it
 /// holds that version; and so is any to a daemon that has just started.
 async fn read_configuration(
     shared: &Shared,
     word: StoreWord,
     has_read: bool,
-) -> Result<Listing<Configuration>, StoreError> {
+) -> Result<Answer, StoreError> {
     let is_told = word.stands_until(shared.now()).is_some() && word.configuration_version > 0;
     if !is_told {
         let freshness = first_freshness(shared, word, has_read);
-        return shared.store.configuration(freshness).await;
+        let listing = shared.store.configuration(freshness).await?;
+        return Ok(Answer { listing, freshness });
     }
     for _ in 0..OLD_ANSWERS {
         let listing = shared.store.configuration(Freshness::MayBeOld).await?;
         let versions = listing.items.iter().map(|item| item.version);
         if versions.max() >= Some(word.configuration_version) {
-            return Ok(listing);
+            return Ok(Answer::may_be_old(listing));
         }
         let pause = shared.settings.news_bound.mul_f64(OLD_ANSWER_PAUSE_SHARE);
         let part = rand::rng().random_range(0.5..1.0);
         sleep(pause.mul_f64(part)).await;
     }
-    shared.store.configuration(Freshness::Latest).await
+    let listing = shared.store.configuration(Freshness::Latest).await?;
+    Ok(Answer::latest(listing))
 }
 
 /// Whether a watch under way is no longer what the daemon should do: the coordinator's word stands again,
@@ -249,12 +342,19 @@
     shared.log.write(shared.now(), "store-history-gone", fields);
 }
 
-/// Takes in the newest configuration, unless a newer one is in force.
-fn apply_configuration(shared: &Shared, listing: Listing<Configuration>) -> bool {
+/// Takes in the newest configuration that the store has told.
+fn take_listing(shared: &Shared, listing: Listing<Configuration>) -> bool {
+    let source = format!("store@{}", listing.revision);
     let newest = listing.items.into_iter().max_by_key(|item| item.version);
-    let Some(configuration) = newest else {
-        return false;
-    };
+    newest.is_some_and(|newest| apply_configuration(shared, newest, &source))
+}
+
+/// Puts a configuration in force, unless a newer one is. Returns whether it did.
+pub(crate) fn apply_configuration(
+    shared: &Shared,
+    configuration: Configuration,
+    source: &str,
+) -> bool {
     let version = configuration.version;
     let routes = configuration.route_count();
     let mut tables = shared.tables();
@@ -263,12 +363,13 @@
         return false;
     }
     tables.configuration = Some(Arc::new(configuration));
+    tables.configuration_age.applied(version);
     drop(tables);
     let fields: &[(&str, &dyn std::fmt::Display)] = &[
         ("version", &version),
         ("before", &old.unwrap_or(0)),
         ("routes", &routes),
-        ("store_revision", &listing.revision),
+        ("source", &source),
     ];
     shared
         .log
--- a/crates/routing/src/configuration.rs
+++ b/crates/routing/src/configuration.rs
@@ -4,10 +4,13 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use serde::{Deserialize, Serialize};
+
 use crate::names::{ModelName, RouteName, ServiceName};
+use crate::tenants::Tenants;
 
 /// What may be done with a request of a route.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum RouteKind {
     /// May run more than once.
     Repeatable,
@@ -37,7 +40,7 @@
 }
 
 /// One part of a split.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct WeightedService {
     /// The service.
     pub service: ServiceName,
@@ -46,7 +49,7 @@
 }
 
 /// Where requests of one host and prefix go.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Route {
     /// Its name.
     pub name: RouteName,
@@ -70,6 +73,8 @@
     pub event_gap: Duration,
     /// Requests name a model and the parts of their prompt.
     pub is_generation: bool,
+    /// Requests need no key.
+    pub is_public: bool,
 }
 
 /// Shortest time after which callers may give up a stream that sends nothing.
@@ -85,7 +90,7 @@
 }
 
 /// A model that the runners of a service can load.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct ModelSpecification {
     /// Size of the weights, in MB.
     pub weights_mb: f64,
@@ -100,7 +105,7 @@
 }
 
 /// The model engine of a service.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Engine {
     /// Requests that one runner runs at once.
     pub slots: u32,
@@ -115,7 +120,7 @@
 }
 
 /// A group of equal runners.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Service {
     /// Its name.
     pub name: ServiceName,
@@ -126,7 +131,7 @@
 }
 
 /// Bounds on what a client may send.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ClientLimits {
     /// Longest head, in bytes.
     pub header_bytes: usize,
@@ -158,6 +163,7 @@
     pub limits: ClientLimits,
     services: HashMap<ServiceName, Arc<Service>>,
     routes_by_host: HashMap<String, Vec<Arc<Route>>>,
+    tenants: Tenants,
 }
 
 impl Configuration {
@@ -185,9 +191,22 @@
             limits,
             services,
             routes_by_host,
+            tenants: Tenants::default(),
         }
     }
 
+    /// The same with tenants, whose keys requests must carry.
+    #[must_use]
+    pub fn with_tenants(mut self, tenants: Tenants) -> Self {
+        self.tenants = tenants;
+        self
+    }
+
+    /// The tenants; none if requests need no key.
+    pub fn tenants(&self) -> &Tenants {
+        &self.tenants
+    }
+
     /// The route with the longest prefix that begins the path, among those of the host.
     pub fn route(&self, host: &str, path: &str) -> Option<&Arc<Route>> {
         let name = host.split(':').next().unwrap_or(host);
@@ -205,6 +224,11 @@
         self.services.values()
     }
 
+    /// All routes, in no order.
+    pub fn routes(&self) -> impl Iterator<Item = &Arc<Route>> {
+        self.routes_by_host.values().flatten()
+    }
+
     /// Number of routes.
     pub fn route_count(&self) -> usize {
         self.routes_by_host.values().map(Vec::len).sum()
--- a/crates/routing/src/lease/mod.rs
+++ b/crates/routing/src/lease/mod.rs
@@ -65,6 +65,8 @@
     strength: MachineStrength,
     /// The strongest machine that was heard of, this one included.
     strongest: Option<MachineStrength>,
+    /// Daemons that were heard of, this one included; 0 if that is not known.
+    daemons: u32,
     /// This daemon looks for a free lease before others do. Until it is told that it does not, it does.
     stands_by: bool,
     stopping: bool,
@@ -91,6 +93,7 @@
             told: None,
             strength: MachineStrength::default(),
             strongest: None,
+            daemons: 0,
             stands_by: true,
             stopping: false,
         }
@@ -108,6 +111,17 @@
         self.strongest = Some(strongest.max(self.strength));
     }
 
+    /// Sets how many daemons there are; the record tells it to those who hear nobody.
+    pub fn set_daemons(&mut self, daemons: u32) {
+        self.daemons = daemons;
+    }
+
+    /// How many daemons there were by the record that was read last, if it tells.
+    pub fn recorded_daemons(&self) -> Option<u32> {
+        let lease = self.observed.as_ref()?.lease.as_ref()?;
+        Some(lease.record.daemons).filter(|&daemons| daemons > 0)
+    }
+
     /// Sets whether this daemon looks for a free lease before others do.
     pub fn set_stands_by(&mut self, stands_by: bool) {
         self.stands_by = stands_by;
@@ -451,6 +465,14 @@
         lease.record.holder == self.name && lease.record.address == self.address
     }
 
+    /// Daemons that were heard of, or else that the record tells.
+    fn known_daemons(&self) -> u32 {
+        if self.daemons > 0 {
+            return self.daemons;
+        }
+        self.recorded_daemons().unwrap_or(0)
+    }
+
     fn first_record(&self) -> LeaseRecord {
         LeaseRecord {
             holder: self.name.clone(),
@@ -460,6 +482,7 @@
             renewals: 0,
             released: false,
             strongest: self.strongest.unwrap_or(self.strength),
+            daemons: self.known_daemons(),
         }
     }
 
@@ -467,6 +490,7 @@
         LeaseRecord {
             renewals: lease.record.renewals + 1,
             strongest: self.strongest.unwrap_or(self.strength),
+            daemons: self.known_daemons(),
             ..lease.record.clone()
         }
     }
--- a/crates/routing/src/lease/record.rs
+++ b/crates/routing/src/lease/record.rs
@@ -27,6 +27,9 @@
     /// it is a weak one.
     #[serde(default)]
     pub strongest: MachineStrength,
+    /// Daemons that the holder has heard of lately, itself included; 0 if it has not told.
+    #[serde(default)]
+    pub daemons: u32,
 }
 
 /// The object as read, with the revision that a change of it must name.
--- a/crates/routing/src/messages.rs
+++ b/crates/routing/src/messages.rs
@@ -8,15 +8,17 @@
 use serde::{Deserialize, Serialize};
 use thiserror::Error;
 
+use crate::configuration_transfer::ConfigurationChunk;
 use crate::lease::LeasePulse;
 use crate::membership::MembershipUpdate;
 use crate::names::{RunnerId, ServiceName, Unit, Zone};
+use crate::quota::{QuotaAnswers, QuotaNews, QuotaQuestions, UseReport};
 use crate::runners::RunnerHoldings;
 use crate::standby::StandbyPlace;
 use crate::strength::MachineStrength;
 
 /// First byte of every message; raised when the encoding changes incompatibly.
-const WIRE_VERSION: u8 = 4;
+const WIRE_VERSION: u8 = 5;
 
 /// A message.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -34,6 +36,29 @@
     },
     /// From a standby to all members while the coordinator does not tell of the store.
     StoreNews(StoreNews),
+    /// From any daemon to the keepers of the quotas.
+    UseReport(UseReport),
+    /// From a keeper of the quotas to all daemons.
+    QuotaNews(QuotaNews),
+    /// From any daemon to the keeper that it was told of.
+    QuotaQuestions(QuotaQuestions),
+    /// The answer to that.
+    QuotaAnswers(QuotaAnswers),
+    /// From a daemon that was told of a newer configuration to the one that told it.
+    ConfigurationWanted(ConfigurationWanted),
+    /// The answer to that, in parts.
+    ConfigurationChunk(ConfigurationChunk),
+}
+
+/// A request for a newer configuration.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ConfigurationWanted {
+    /// Where the answer goes.
+    pub from: SocketAddr,
+    /// The oldest version that helps.
+    pub version: u64,
+    /// Digests of the parts that the daemon has; see [`crate::configuration_transfer`].
+    pub parts: Vec<u64>,
 }
 
 /// What a standby tells of the store.
@@ -56,6 +81,8 @@
     pub membership_revision: u64,
     /// Time since the store last answered, in ms.
     pub silence_ms: u32,
+    /// Time since the configuration was surely the newest, in ms; the largest number if it never was.
+    pub configuration_age_ms: u32,
 }
 
 /// What a member knows, so that the coordinator tells it only what is new.
@@ -162,6 +189,8 @@
     pub standby: StandbyPlace,
     /// What the coordinator knows of the store.
     pub store: StoreState,
+    /// What there is to be known of quotas.
+    pub quota: QuotaNews,
     /// Changes of runners that the receiver does not know, or a part of them.
     pub membership: Option<MembershipUpdate>,
     /// Where the members hear a new coordinator, if the receiver stands by and knows another number of them.
--- a/crates/routing/src/names.rs
+++ b/crates/routing/src/names.rs
@@ -52,6 +52,10 @@
     /// Name of a service: a group of equal runners.
     ServiceName
 }
+name! {
+    /// Name of a tenant.
+    TenantName
+}
 name! {
     /// Name of a model.
     ModelName
--- /dev/null
+++ b/crates/routing/src/quota/keeper.rs
@@ -0,0 +1,309 @@
+//! A keeper's side of the quotas: adds up what all daemons admit, and answers for tenants near their limit.
+//!
+//! Each tenant has one bucket. A request that daemons ask for is granted if the bucket holds what it counts. For
+//! daemons that get no answer the keeper tells which part of the requests to admit, so that together they admit
+//!
+//! `rate + (level - margin) / correction time`
+//!
+//! units a second, and the level settles at the margin.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use flaxward_types::time::{Timestamp, millis};
+
+use super::{Grant, TenantLimit, TenantUse, UseReport, capacity};
+use crate::configuration::Configuration;
+use crate::names::TenantName;
+use crate::tenants::Quota;
+
+/// Part of a bucket below which its tenant is near its limit. Until daemons hear that, they admit what no keeper has
+/// heard of.
+pub const NEAR_SHARE: f64 = 0.7;
+/// Part of a bucket above which a tenant that was near its limit may be so no longer.
+const FAR_SHARE: f64 = 0.85;
+/// Time for which it must stay above that: each change is told to all daemons.
+const FAR_FOR: Duration = Duration::from_secs(3);
+/// Part of a bucket at which its level is held while daemons get no answers.
+const MARGIN_SHARE: f64 = 0.3;
+/// Time in which a level is brought back to the margin.
+const CORRECTION: Duration = Duration::from_millis(500);
+/// Time over which what is asked is averaged.
+const DEMAND_WINDOW: Duration = Duration::from_millis(700);
+/// Debt that a bucket may have, in times of its capacity; more would refuse a tenant for long after a fault.
+const DEEPEST_DEBT: f64 = 2.0;
+/// Time without a report after which a daemon may be admitting its own share unheard.
+const MISSING_AFTER: Duration = Duration::from_millis(1_600);
+/// Time without any report after which a keeper begins anew: it was none meanwhile.
+const IDLE: Duration = Duration::from_secs(3);
+/// Time after which a daemon that is missing is taken to be gone.
+const GONE_AFTER: Duration = Duration::from_secs(10);
+
+/// The bucket of one tenant.
+#[derive(Debug)]
+struct Account {
+    quota: Quota,
+    level: f64,
+    /// Units asked within [`DEMAND_WINDOW`], older ones counting less.
+    asked: f64,
+    updated_at: Timestamp,
+    is_near: bool,
+    /// Since when the level would allow it to be near no longer.
+    far_since: Option<Timestamp>,
+    /// Part of the daemons that are heard; the others may be admitting their own shares of the rate.
+    governed: f64,
+}
+
+impl Account {
+    /// A bucket of which only the margin is filled: nobody knows what was admitted before.
+    fn new(quota: Quota, now: Timestamp) -> Self {
+        Self {
+            quota,
+            level: capacity(&quota) * MARGIN_SHARE,
+            asked: 0.0,
+            updated_at: now,
+            is_near: true,
+            far_since: None,
+            governed: 1.0,
+        }
+    }
+
+    /// Units a second that the daemons which are heard may admit.
+    fn rate(&self) -> f64 {
+        self.quota.rate * self.governed
+    }
+
+    /// Takes in that time has passed.
+    fn advance(&mut self, now: Timestamp) {
+        let passed = now.since(self.updated_at);
+        if passed.is_zero() {
+            return;
+        }
+        self.updated_at = now;
+        let full = capacity(&self.quota);
+        let filled = self.level + self.rate() * passed.as_secs_f64();
+        self.level = filled.clamp(-DEEPEST_DEBT * full, full);
+        self.asked *= (-passed.as_secs_f64() / DEMAND_WINDOW.as_secs_f64()).exp();
+    }
+
+    #[allow(clippy::cast_precision_loss)]
+    fn count(&mut self, admitted: i64, asked: u64) {
+        self.level -= admitted as f64;
+        self.asked += asked as f64;
+    }
+
+    /// Grants a request if the bucket holds what it counts. One that counts more than a full bucket is granted by a
+    /// full one, and leaves a debt.
+    fn ask(&mut self, cost: u32) -> Grant {
+        let cost = f64::from(cost);
+        let lacking = cost.min(capacity(&self.quota)) - self.level;
+        if lacking <= 0.0 {
+            self.level -= cost;
+            return Grant::Granted;
+        }
+        let room_in = Duration::try_from_secs_f64(lacking / self.rate());
+        let room_in = room_in.map_or(u32::MAX, |it| u32::try_from(millis(it)).unwrap_or(u32::MAX));
+        Grant::Refused {
+            room_in_ms: room_in,
+        }
+    }
+
+    /// Works out whether the tenant is near its limit.
+    fn judge(&mut self, now: Timestamp) {
+        let full = capacity(&self.quota);
+        if self.level < full * NEAR_SHARE {
+            self.is_near = true;
+        }
+        if self.level < full * FAR_SHARE {
+            self.far_since = None;
+            return;
+        }
+        let since = *self.far_since.get_or_insert(now);
+        if now.since(since) >= FAR_FOR {
+            self.is_near = false;
+        }
+    }
+
+    /// Part of what is asked that daemons admit without an answer.
+    fn admit(&self) -> u16 {
+        let margin = capacity(&self.quota) * MARGIN_SHARE;
+        let correction = (self.level - margin) / CORRECTION.as_secs_f64();
+        let allowed = (self.rate() + correction).max(0.0);
+        let demand = self.asked / DEMAND_WINDOW.as_secs_f64();
+        if demand <= allowed {
+            return thousandths(1.0);
+        }
+        thousandths(allowed / demand)
+    }
+}
+
+#[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+fn thousandths(part: f64) -> u16 {
+    (part * 1_000.0).round().clamp(0.0, 1_000.0) as u16
+}
+
+/// What a daemon has told of one tenant.
+#[derive(Clone, Copy, Debug, Default)]
+struct Told {
+    /// What it has admitted without this keeper's word.
+    admitted: i64,
+    asked: u64,
+}
+
+/// A daemon as a keeper knows it.
+#[derive(Debug)]
+struct Member {
+    life: u64,
+    heard_at: Timestamp,
+    told: HashMap<TenantName, Told>,
+}
+
+/// The buckets of all tenants.
+#[derive(Debug)]
+pub struct QuotaKeeper {
+    own: SocketAddr,
+    /// Since when it hears all that daemons admit.
+    hears_since: Timestamp,
+    heard_at: Option<Timestamp>,
+    configuration_version: Option<u64>,
+    accounts: HashMap<TenantName, Account>,
+    members: HashMap<SocketAddr, Member>,
+}
+
+impl QuotaKeeper {
+    /// A keeper that listens at an address and has heard nothing.
+    pub fn new(own: SocketAddr, now: Timestamp) -> Self {
+        Self {
+            own,
+            hears_since: now,
+            heard_at: None,
+            configuration_version: None,
+            accounts: HashMap::new(),
+            members: HashMap::new(),
+        }
+    }
+
+    /// Takes in the quotas of a configuration, unless it is the one that is known.
+    pub fn configure(&mut self, configuration: &Configuration, now: Timestamp) {
+        if self.configuration_version == Some(configuration.version) {
+            return;
+        }
+        self.configuration_version = Some(configuration.version);
+        let mut accounts = HashMap::new();
+        for tenant in configuration.tenants().iter() {
+            let Some(quota) = tenant.quota.filter(|quota| quota.rate > 0.0) else {
+                continue;
+            };
+            let account = self.accounts.remove(&tenant.name);
+            let mut account = account.unwrap_or_else(|| Account::new(quota, now));
+            account.advance(now);
+            account.quota = quota;
+            account.level = account.level.min(capacity(&quota));
+            accounts.insert(tenant.name.clone(), account);
+        }
+        self.accounts = accounts;
+    }
+
+    /// Takes in what a daemon has admitted.
+    pub fn heard(&mut self, report: UseReport, now: Timestamp) {
+        if self.heard_at.is_none_or(|at| now.since(at) >= IDLE) {
+            self.begin_anew(now);
+        }
+        self.heard_at = Some(now);
+        let began = now - Duration::from_millis(u64::from(report.age_ms));
+        // All that a daemon has admitted since its start is new to a keeper that was there before it.
+        let is_known_from_start = began >= self.hears_since;
+        let member = self.members.entry(report.from).or_insert_with(|| Member {
+            life: report.life,
+            heard_at: now,
+            told: HashMap::new(),
+        });
+        if member.life != report.life {
+            member.life = report.life;
+            member.told.clear();
+        }
+        member.heard_at = now;
+        let is_granter = report.granter == Some(self.own);
+        for tenant_use in report.uses {
+            let told = told_by(&tenant_use, is_granter);
+            let known = match member.told.get(&tenant_use.tenant) {
+                Some(known) => *known,
+                None if is_known_from_start => Told::default(),
+                None => told,
+            };
+            if told.asked < known.asked {
+                // An older report, overtaken by the one that is known.
+                continue;
+            }
+            if let Some(account) = self.accounts.get_mut(&tenant_use.tenant) {
+                account.advance(now);
+                account.count(told.admitted - known.admitted, told.asked - known.asked);
+            }
+            member.told.insert(tenant_use.tenant, told);
+        }
+    }
+
+    /// Decides on a request of a tenant near its limit. Nobody's quota bounds a tenant that this keeper does not
+    /// know.
+    pub fn ask(&mut self, tenant: &TenantName, cost: u32, now: Timestamp) -> Grant {
+        let Some(account) = self.accounts.get_mut(tenant) else {
+            return Grant::Granted;
+        };
+        account.advance(now);
+        account.ask(cost)
+    }
+
+    /// The tenants near their limit.
+    pub fn limits(&mut self, now: Timestamp) -> Vec<TenantLimit> {
+        self.members
+            .retain(|_, member| now.since(member.heard_at) < GONE_AFTER);
+        let governed = self.governed_share(now);
+        let mut limits = Vec::new();
+        for (tenant, account) in &mut self.accounts {
+            account.advance(now);
+            account.governed = governed;
+            account.judge(now);
+            if account.is_near {
+                limits.push(TenantLimit {
+                    tenant: tenant.clone(),
+                    admit: account.admit(),
+                });
+            }
+        }
+        limits.sort_by(|left, right| left.tenant.cmp(&right.tenant));
+        limits
+    }
+
+    /// Level of a tenant's bucket in units, for those who ask why.
+    pub fn level(&self, tenant: &TenantName) -> Option<f64> {
+        self.accounts.get(tenant).map(|account| account.level)
+    }
+
+    /// Nobody knows what was admitted before.
+    fn begin_anew(&mut self, now: Timestamp) {
+        self.hears_since = now;
+        self.members.clear();
+        for account in self.accounts.values_mut() {
+            *account = Account::new(account.quota, now);
+        }
+    }
+
+    /// Part of the daemons that are heard; the others may be admitting their own shares.
+    #[allow(clippy::cast_precision_loss)]
+    fn governed_share(&self, now: Timestamp) -> f64 {
+        let all = self.members.len().max(1);
+        let is_missing = |member: &&Member| now.since(member.heard_at) >= MISSING_AFTER;
+        let missing = self.members.values().filter(is_missing).count();
+        (all - missing) as f64 / all as f64
+    }
+}
+
+/// What a report tells a keeper that has not counted it yet: what it granted itself is counted with each grant.
+fn told_by(tenant_use: &TenantUse, is_granter: bool) -> Told {
+    let granted = if is_granter { 0 } else { tenant_use.granted };
+    Told {
+        admitted: tenant_use.admitted + granted,
+        asked: tenant_use.asked,
+    }
+}
--- a/crates/routing/src/request.rs
+++ b/crates/routing/src/request.rs
@@ -43,6 +43,12 @@
         })
     }
 
+    /// Tokens of the prompt and of the longest answer, if the request names any.
+    pub fn tokens(&self) -> Option<(u32, u32)> {
+        let tokens = (self.prompt_tokens, self.output_tokens);
+        (tokens != (0, 0)).then_some(tokens)
+    }
+
     /// A number that is equal for requests which share all but the last part of their prompt.
     pub fn affinity(&self) -> u64 {
         let shared = self.parts.len().saturating_sub(1);
--- a/crates/settings/src/ingress.rs
+++ b/crates/settings/src/ingress.rs
@@ -90,6 +90,10 @@
     /// Time within which a runner that leaves must get no new work.
     #[serde(with = "humantime_serde")]
     pub draining: Duration,
+    /// Time after which a key that was taken away must not be served anywhere, also not by a daemon that is cut off;
+    /// without it, such a daemon goes on.
+    #[serde(with = "humantime_serde")]
+    pub revocation: Option<Duration>,
 }
 
 /// Strictest bound of the users' platform so far.
@@ -100,6 +104,7 @@
         Self {
             configuration: DEFAULT_NEWS_BOUND,
             draining: DEFAULT_NEWS_BOUND,
+            revocation: None,
         }
     }
 }
@@ -193,6 +198,10 @@
             ("retries.window", self.retries.window),
             ("news.configuration", self.news.configuration),
             ("news.draining", self.news.draining),
+            (
+                "news.revocation",
+                self.news.revocation.unwrap_or(DEFAULT_NEWS_BOUND),
+            ),
         ];
         for (key, value) in positive {
             if value.is_zero() {
--- a/crates/types/src/code.rs
+++ b/crates/types/src/code.rs
@@ -72,6 +72,9 @@
     /// The headers are longer than the setting allows.
     HeadersTooLong = 1008, 431, Certain, "the headers are longer than allowed";
 
+    /// No key, or one that belongs to no tenant.
+    UnknownKey = 1009, 401, Certain, "no key that belongs to a tenant";
+
     /// The estimate of the wait passes the request's deadline.
     DeadlineTooShort = 2001, 503, Certain, "the model cannot be ready before the deadline";
     /// The waiting queue is full and this request ranks lowest.
@@ -94,6 +97,8 @@
     NoServiceMachine = 2010, 503, Certain, "no machine of the service takes new work";
     /// The model has no recorded slot and none can be recorded while the store is down.
     NoSlotInOutage = 2011, 503, Certain, "the store is down and no slot for the model is recorded";
+    /// The requests of the tenant exceed its quota.
+    QuotaExceeded = 2012, 429, Certain, "the requests of this tenant exceed its quota";
 
     /// The back end broke off after the request was sent; it may have run.
     OutcomeUnknown = 3001, 502, Unknown, "the back end broke off; the request may have run";
@@ -152,6 +157,11 @@
     /// The daemon has no configuration yet.
     NoConfiguration = 7003, 503, Certain, "this daemon has no configuration yet";
 
+    /// The daemon cannot tell which keys hold at present.
+    KeysUnconfirmed = 7004, 503, Certain, "this daemon cannot tell which keys hold at present";
+    /// The configuration contradicts itself; the version before stays in force.
+    InvalidConfiguration = 7005, 503, Certain, "the configuration contradicts itself";
+
     /// A fault inside flaxward.
     Internal = 8001, 500, Unknown, "a fault inside flaxward";
 }
