--- a/crates/ingress/src/coordination/leading.rs
+++ b/crates/ingress/src/coordination/leading.rs
@@ -23,6 +23,8 @@
 /// Pause after a plan, in times that the plan took: a weak machine also serves requests.
 const PLAN_PAUSE_FACTOR: u32 = 3;
 
+/// Time between two announcements to members that are not heard yet.
+const ANNOUNCEMENT_INTERVAL: Duration = Duration::from_millis(500);
 /// Time after the beginning in which members may not have been heard yet.
 const NEW_FOR: Duration = Duration::from_secs(4);
 
@@ -43,6 +45,7 @@
     plan_allowed: Timestamp,
     taken: Option<Taken>,
     begun_at: Timestamp,
+    announced_at: Timestamp,
 }
 
 impl Leading {
@@ -56,9 +59,20 @@
             plan_allowed: now,
             taken: None,
             begun_at: now,
+            announced_at: now,
         }
     }
 
+    /// Whether members that are not heard yet are to be told again of this coordination: they may have started after
+    /// it began. Returns true once for each time.
+    pub fn is_announcement_due(&mut self, now: Timestamp) -> bool {
+        let is_due = self.is_new(now) && now.since(self.announced_at) >= ANNOUNCEMENT_INTERVAL;
+        if is_due {
+            self.announced_at = now;
+        }
+        is_due
+    }
+
     /// Whether members may not have been heard yet.
     pub fn is_new(&self, now: Timestamp) -> bool {
         now.since(self.begun_at) < NEW_FOR
--- a/crates/ingress/src/coordination/mod.rs
+++ b/crates/ingress/src/coordination/mod.rs
@@ -258,7 +258,9 @@
         for action in leading.plan(&self.shared, begun) {
             self.caller.carry_out(action, leading.term);
         }
-        self.lease.set_daemons(daemons);
+        if !leading.is_new(begun) {
+            self.lease.set_members(leading.member_addresses(begun));
+        }
         let deputies = leading.standby_addresses(begun);
         let quota = self.quotas.news(&deputies, daemons, begun);
         self.quotas.heard_news(&self.shared, &quota);
@@ -277,6 +279,10 @@
         }
         let ended = self.shared.now();
         leading.planned(begun, ended);
+        let is_announcement_due = leading.is_announcement_due(ended);
+        if is_announcement_due {
+            self.announce();
+        }
         metrics::histogram!(PLAN_SECONDS.name).record(ended.since(begun).as_secs_f64());
     }
 
@@ -355,10 +361,10 @@
                 if let Some(change) = self.lease.answered(answer, now) {
                     self.lease_changed(&change);
                 }
-                if !self.lease.hears_holder(now)
-                    && let Some(daemons) = self.lease.recorded_daemons()
-                {
-                    self.shared.set_daemons(daemons);
+                let recorded = self.lease.recorded_members().len();
+                if recorded > 0 && !self.lease.hears_holder(now) {
+                    self.shared
+                        .set_daemons(u32::try_from(recorded).unwrap_or(u32::MAX));
                 }
             }
             Event::Report {
@@ -459,17 +465,26 @@
         self.shared.log.write(now, "lease-lost", fields);
     }
 
-    /// Tells all members that this daemon knows that it coordinates.
+    /// Tells the members that this daemon knows and has not heard yet that it coordinates.
     fn announce(&mut self) {
         let now = self.shared.now();
         let Some(pulse) = self.lease.pulse(now) else {
             return;
         };
         let quota = self.quotas.news(&[], self.shared.daemons(), now);
-        let members = self.following.members();
         let header = leading::header(&self.shared, pulse, self.address, &quota);
-        let others = members.iter().filter(|&&address| address != self.address);
-        for address in others {
+        let heard = match &self.leading {
+            Some(leading) => leading.member_addresses(now),
+            None => Vec::new(),
+        };
+        let mut members = self.following.members().to_vec();
+        if members.is_empty() {
+            members = self.lease.recorded_members().to_vec();
+        }
+        let is_unheard = |address: &&SocketAddr| {
+            **address != self.address && !heard.contains(*address)
+        };
+        for address in members.iter().filter(is_unheard) {
             self.peers
                 .send(*address, &Message::Direction(header.clone()));
         }
--- a/crates/ingress/src/watches.rs
+++ b/crates/ingress/src/watches.rs
@@ -160,6 +160,14 @@
     waits.then_some(ends)
 }
 
+/// The same for the configuration: an old answer says nothing of which keys hold now.
+fn first_configuration_freshness(shared: &Shared, word: StoreWord, has_read: bool) -> Freshness {
+    if shared.settings.key_trust.known.is_some() {
+        return Freshness::Latest;
+    }
+    first_freshness(shared, word, has_read)
+}
+
 /// How new an answer must be for a daemon that has read nothing yet or, if it has, knows of nothing newer.
 fn first_freshness(shared: &Shared, word: StoreWord, has_read: bool) -> Freshness {
     let is_first = !has_read && starts_until(shared, word, true).is_some();
@@ -313,7 +321,7 @@
 ) -> Result<Answer, StoreError> {
     let is_told = word.stands_until(shared.now()).is_some() && word.configuration_version > 0;
     if !is_told {
-        let freshness = first_freshness(shared, word, has_read);
+        let freshness = first_configuration_freshness(shared, word, has_read);
         let listing = shared.store.configuration(freshness).await?;
         return Ok(Answer { listing, freshness });
     }
--- a/crates/routing/src/lease/mod.rs
+++ b/crates/routing/src/lease/mod.rs
@@ -65,8 +65,8 @@
     strength: MachineStrength,
     /// The strongest machine that was heard of, this one included.
     strongest: Option<MachineStrength>,
-    /// Daemons that were heard of, this one included; 0 if that is not known.
-    daemons: u32,
+    /// Where the daemons listen that were heard of, this one included; none if that is not known.
+    members: Vec<SocketAddr>,
     /// This daemon looks for a free lease before others do. Until it is told that it does not, it does.
     stands_by: bool,
     stopping: bool,
@@ -93,7 +93,7 @@
             told: None,
             strength: MachineStrength::default(),
             strongest: None,
-            daemons: 0,
+            members: Vec::new(),
             stands_by: true,
             stopping: false,
         }
@@ -111,15 +111,16 @@
         self.strongest = Some(strongest.max(self.strength));
     }
 
-    /// Sets how many daemons there are; the record tells it to those who hear nobody.
-    pub fn set_daemons(&mut self, daemons: u32) {
-        self.daemons = daemons;
+    /// Sets where the daemons listen; the record tells it to those who hear nobody.
+    pub fn set_members(&mut self, members: Vec<SocketAddr>) {
+        self.members = members;
     }
 
-    /// How many daemons there were by the record that was read last, if it tells.
-    pub fn recorded_daemons(&self) -> Option<u32> {
-        let lease = self.observed.as_ref()?.lease.as_ref()?;
-        Some(lease.record.daemons).filter(|&daemons| daemons > 0)
+    /// Where the daemons listened by the record that was read last; none if it does not tell.
+    pub fn recorded_members(&self) -> &[SocketAddr] {
+        let held = self.held.as_ref().map(|held| &held.lease);
+        let observed = self.observed.as_ref().and_then(|seen| seen.lease.as_ref());
+        held.or(observed).map_or(&[], |lease| &lease.record.members)
     }
 
     /// Sets whether this daemon looks for a free lease before others do.
@@ -465,12 +466,12 @@
         lease.record.holder == self.name && lease.record.address == self.address
     }
 
-    /// Daemons that were heard of, or else that the record tells.
-    fn known_daemons(&self) -> u32 {
-        if self.daemons > 0 {
-            return self.daemons;
+    /// The daemons that were heard of, or else that the record tells.
+    fn known_members(&self) -> Vec<SocketAddr> {
+        if self.members.is_empty() {
+            return self.recorded_members().to_vec();
         }
-        self.recorded_daemons().unwrap_or(0)
+        self.members.clone()
     }
 
     fn first_record(&self) -> LeaseRecord {
@@ -482,7 +483,7 @@
             renewals: 0,
             released: false,
             strongest: self.strongest.unwrap_or(self.strength),
-            daemons: self.known_daemons(),
+            members: self.known_members(),
         }
     }
 
@@ -490,7 +491,7 @@
         LeaseRecord {
             renewals: lease.record.renewals + 1,
             strongest: self.strongest.unwrap_or(self.strength),
-            daemons: self.known_daemons(),
+            members: self.known_members(),
             ..lease.record.clone()
         }
     }
--- a/crates/routing/src/lease/record.rs
+++ b/crates/routing/src/lease/record.rs
@@ -27,9 +27,10 @@
     /// it is a weak one.
     #[serde(default)]
     pub strongest: MachineStrength,
-    /// Daemons that the holder has heard of lately, itself included; 0 if it has not told.
+    /// Where the daemons listen that the holder has heard of lately, itself included. After all were lost at once,
+    /// the next holder tells them that it is there; those that the store turns away learn it in no other way.
     #[serde(default)]
-    pub daemons: u32,
+    pub members: Vec<SocketAddr>,
 }
 
 /// The object as read, with the revision that a change of it must name.
--- a/crates/routing/src/quota/keeper.rs
+++ b/crates/routing/src/quota/keeper.rs
@@ -47,6 +47,8 @@
     level: f64,
     /// Units asked within [`DEMAND_WINDOW`], older ones counting less.
     asked: f64,
+    /// Units of refused requests that were told to come back, less what could have been admitted since.
+    deferred: f64,
     updated_at: Timestamp,
     is_near: bool,
     /// Since when the level would allow it to be near no longer.
@@ -62,6 +64,7 @@
             quota,
             level: capacity(&quota) * MARGIN_SHARE,
             asked: 0.0,
+            deferred: 0.0,
             updated_at: now,
             is_near: true,
             far_since: None,
@@ -84,6 +87,7 @@
         let full = capacity(&self.quota);
         let filled = self.level + self.rate() * passed.as_secs_f64();
         self.level = filled.clamp(-DEEPEST_DEBT * full, full);
+        self.deferred = (self.deferred - self.rate() * passed.as_secs_f64()).max(0.0);
         self.asked *= (-passed.as_secs_f64() / DEMAND_WINDOW.as_secs_f64()).exp();
     }
 
@@ -102,7 +106,9 @@
             self.level -= cost;
             return Grant::Granted;
         }
-        let room_in = Duration::try_from_secs_f64(lacking / self.rate());
+        // Each refused request is told another time, by when those before it could have been served.
+        self.deferred += cost;
+        let room_in = Duration::try_from_secs_f64((lacking + self.deferred) / self.rate());
         let room_in = room_in.map_or(u32::MAX, |it| u32::try_from(millis(it)).unwrap_or(u32::MAX));
         Grant::Refused {
             room_in_ms: room_in,
--- a/crates/routing/src/quota/meter.rs
+++ b/crates/routing/src/quota/meter.rs
@@ -30,7 +30,7 @@
 const OWN_FILLED: f64 = 0.3;
 /// Shortest and longest time after which a refused request may come back.
 const LEAST_RETRY: Duration = Duration::from_millis(500);
-const LONGEST_RETRY: Duration = Duration::from_secs(4);
+const LONGEST_RETRY: Duration = Duration::from_secs(15);
 /// Thousandths in a whole.
 const WHOLE: u64 = 1_000;
 
--- a/crates/routing/src/quota/mod.rs
+++ b/crates/routing/src/quota/mod.rs
@@ -128,7 +128,7 @@
     Granted,
     /// It does not.
     Refused {
-        /// Time until it would, if nothing else were admitted, in ms.
+        /// Time until it would, if those refused before it came back first, in ms.
         room_in_ms: u32,
     },
 }
