Quotas: a part of each bucket is kept for more urgent routes

Cause: a tenant over its quota was served first come, first served, so most of its urgent requests (large, as it happens) found the bucket too empty.

--- a/crates/ingress/src/access.rs
+++ b/crates/ingress/src/access.rs
@@ -119,7 +119,7 @@
         cost,
     };
     let verdict = match admit(shared, tenant, cost) {
-        Verdict::Ask(keeper) => ask(shared, &charge, keeper).await,
+        Verdict::Ask(keeper) => ask(shared, &charge, route.priority, keeper).await,
         decided => decided,
     };
     let Verdict::Refused { retry_after, basis } = verdict else {
@@ -149,8 +149,8 @@
 }
 
 /// What the keeper decides, or else this daemon by what the keeper has told before.
-async fn ask(shared: &Shared, charge: &Charge, keeper: SocketAddr) -> Verdict {
-    let question = shared.quota_questions.ask(keeper, &charge.tenant, charge.cost);
+async fn ask(shared: &Shared, charge: &Charge, rank: u8, keeper: SocketAddr) -> Verdict {
+    let question = shared.quota_questions.ask(keeper, &charge.tenant, charge.cost, rank);
     shared.quota_wake.notify_one();
     let answer = timeout(ANSWER_TIME, question.answer()).await;
     let (tenant, cost) = (&charge.tenant, charge.cost);
--- a/crates/ingress/src/coordination/quotas.rs
+++ b/crates/ingress/src/coordination/quotas.rs
@@ -117,7 +117,7 @@
         let keeper = &mut self.keeper;
         let answer = |question: &QuotaQuestion| QuotaAnswer {
             number: question.number,
-            grant: keeper.ask(&question.tenant, question.cost, now),
+            grant: keeper.ask(&question.tenant, question.cost, question.rank, now),
         };
         QuotaAnswers {
             from: self.own,
--- a/crates/ingress/src/quota_desk.rs
+++ b/crates/ingress/src/quota_desk.rs
@@ -43,7 +43,13 @@
 
 impl QuotaDesk {
     /// Has the keeper at an address asked for a request.
-    pub(crate) fn ask(&self, keeper: SocketAddr, tenant: &TenantName, cost: u32) -> Waited {
+    pub(crate) fn ask(
+        &self,
+        keeper: SocketAddr,
+        tenant: &TenantName,
+        cost: u32,
+        rank: u8,
+    ) -> Waited {
         let (sender, receiver) = oneshot::channel();
         let mut questions = self.lock();
         questions.last_number += 1;
@@ -52,6 +58,7 @@
             number,
             tenant: tenant.clone(),
             cost,
+            rank,
         };
         let unsent = questions.unsent.entry(keeper).or_default();
         unsent.push(question.clone());
--- a/crates/routing/src/quota/keeper.rs
+++ b/crates/routing/src/quota/keeper.rs
@@ -29,6 +29,12 @@
 const MARGIN_SHARE: f64 = 0.3;
 /// Time in which a level is brought back to the margin.
 const CORRECTION: Duration = Duration::from_millis(500);
+/// Part of a bucket that is kept from each rank for the more urgent ones.
+const RESERVE_SHARE: f64 = 0.15;
+/// Ranks that are told apart; less urgent ones count as the last.
+const RANKS: usize = 4;
+/// One in so many requests of a rank is measured against the whole bucket, so that no rank is shut out.
+const UNRESERVED_EVERY: u32 = 4;
 /// Time over which what is asked is averaged.
 const DEMAND_WINDOW: Duration = Duration::from_millis(700);
 /// Debt that a bucket may have, in times of its capacity; more would refuse a tenant for long after a fault.
@@ -50,6 +56,8 @@
     /// Units of refused requests that were told to come back, less what could have been admitted since.
     deferred: f64,
     updated_at: Timestamp,
+    /// Requests of each rank that were asked for.
+    questions: [u32; RANKS],
     is_near: bool,
     /// Since when the level would allow it to be near no longer.
     far_since: Option<Timestamp>,
@@ -66,6 +74,7 @@
             asked: 0.0,
             deferred: 0.0,
             updated_at: now,
+            questions: [0; RANKS],
             is_near: true,
             far_since: None,
             governed: 1.0,
@@ -97,11 +106,12 @@
         self.asked += asked as f64;
     }
 
-    /// Grants a request if the bucket holds what it counts. One that counts more than a full bucket is granted by a
-    /// full one, and leaves a debt.
-    fn ask(&mut self, cost: u32) -> Grant {
+    /// Grants a request if the bucket holds what it counts, and what is kept for more urgent ranks. One that counts
+    /// more than that leaves of a full bucket is granted by a full one, and leaves a debt.
+    fn ask(&mut self, cost: u32, rank: u8) -> Grant {
         let cost = f64::from(cost);
-        let lacking = cost.min(capacity(&self.quota)) - self.level;
+        let needed = cost + self.reserve(rank);
+        let lacking = needed.min(capacity(&self.quota)) - self.level;
         if lacking <= 0.0 {
             self.level -= cost;
             return Grant::Granted;
@@ -115,6 +125,18 @@
         }
     }
 
+    /// What a request of a rank must leave in the bucket.
+    fn reserve(&mut self, rank: u8) -> f64 {
+        let place = usize::from(rank).min(RANKS - 1);
+        let questions = &mut self.questions[place];
+        *questions = questions.wrapping_add(1);
+        if questions.is_multiple_of(UNRESERVED_EVERY) {
+            return 0.0;
+        }
+        let ranks = f64::from(rank.min(3));
+        capacity(&self.quota) * RESERVE_SHARE * ranks
+    }
+
     /// Works out whether the tenant is near its limit.
     fn judge(&mut self, now: Timestamp) {
         let full = capacity(&self.quota);
@@ -252,12 +274,12 @@
 
     /// Decides on a request of a tenant near its limit. Nobody's quota bounds a tenant that this keeper does not
     /// know.
-    pub fn ask(&mut self, tenant: &TenantName, cost: u32, now: Timestamp) -> Grant {
+    pub fn ask(&mut self, tenant: &TenantName, cost: u32, rank: u8, now: Timestamp) -> Grant {
         let Some(account) = self.accounts.get_mut(tenant) else {
             return Grant::Granted;
         };
         account.advance(now);
-        account.ask(cost)
+        account.ask(cost, rank)
     }
 
     /// The tenants near their limit.
--- a/crates/routing/src/quota/mod.rs
+++ b/crates/routing/src/quota/mod.rs
@@ -101,6 +101,8 @@
     pub tenant: TenantName,
     /// Units that it counts.
     pub cost: u32,
+    /// Rank of its route; 0 is the most urgent.
+    pub rank: u8,
 }
 
 /// From a keeper: its answers.
