--- a/crates/ingress/src/access.rs
+++ b/crates/ingress/src/access.rs
@@ -59,7 +59,10 @@
     key: Option<&impl Display>,
 ) -> Refused {
     let reason = match key {
-        Some(key) => format!("no tenant holds the key {key} in version {}", configuration.version),
+        Some(key) => format!(
+            "no tenant holds the key {key} in version {}",
+            configuration.version
+        ),
         None => "no key".to_owned(),
     };
     refused(id, route, Refusal::new(ResultCode::UnknownKey), reason)
@@ -96,7 +99,10 @@
     /// Gives it back, because the request has surely not run.
     pub(crate) fn give_back(self, shared: &Shared) {
         let now = shared.now();
-        shared.tables().quota.give_back(&self.tenant, self.cost, now);
+        shared
+            .tables()
+            .quota
+            .give_back(&self.tenant, self.cost, now);
     }
 }
 
@@ -113,7 +119,9 @@
     route: &Route,
     profile: &RequestProfile,
 ) -> Result<Charge, Refused> {
-    let cost = tenant.quota.map_or(0, |quota| quota.unit.cost(profile.tokens()));
+    let cost = tenant
+        .quota
+        .map_or(0, |quota| quota.unit.cost(profile.tokens()));
     let charge = Charge {
         tenant: tenant.name.clone(),
         cost,
@@ -150,7 +158,9 @@
 
 /// What the keeper decides, or else this daemon by what the keeper has told before.
 async fn ask(shared: &Shared, charge: &Charge, rank: u8, keeper: SocketAddr) -> Verdict {
-    let question = shared.quota_questions.ask(keeper, &charge.tenant, charge.cost, rank);
+    let question = shared
+        .quota_questions
+        .ask(keeper, &charge.tenant, charge.cost, rank);
     shared.quota_wake.notify_one();
     let answer = timeout(ANSWER_TIME, question.answer()).await;
     let (tenant, cost) = (&charge.tenant, charge.cost);
--- a/crates/ingress/src/coordination/mod.rs
+++ b/crates/ingress/src/coordination/mod.rs
@@ -19,6 +19,7 @@
 use flaxward_routing::messages::{Message, StoreNews};
 use flaxward_routing::names::RunnerId;
 use flaxward_routing::placement::{Order, OrderAnswer, Placement};
+use flaxward_routing::quota::announcer::Speaker;
 use flaxward_routing::store_trust::WatchRole;
 use flaxward_types::time::Timestamp;
 use tokio::sync::mpsc;
@@ -29,8 +30,8 @@
 use crate::state::Shared;
 use crate::watches::take_membership;
 
-use configurations::Configurations;
 use calls::{Caller, Event, log_settled, operation_name};
+use configurations::Configurations;
 use following::Following;
 use informing::Informing;
 use leading::Leading;
@@ -192,30 +193,25 @@
 
     /// Tells all daemons which tenants are near their limit, if this daemon is to and it is due.
     fn tell_limits(&mut self, now: Timestamp) {
-        let (addresses, news) = match &self.leading {
-            Some(leading) => {
-                let news = self.quotas.news(&leading.standby_addresses(now), self.daemons(now), now);
-                if !self.quotas.is_news_due(&news.limits, now) {
-                    return;
-                }
-                (leading.member_addresses(now), news)
-            }
-            None if self.quotas.speaks_as_deputy(now) => {
-                let news = self.quotas.deputy_news(self.daemons(now), now);
-                if !self.quotas.is_deputy_news_due(&news.limits, now) {
-                    return;
-                }
-                (self.following.members().to_vec(), news)
-            }
-            None => {
-                self.quotas.stop_telling();
+        let daemons = self.daemons(now);
+        let (speaker, addresses, news) = if let Some(leading) = &self.leading {
+            let news = self
+                .quotas
+                .news(&leading.standby_addresses(now), daemons, now);
+            (Speaker::Coordinator, leading.member_addresses(now), news)
+        } else {
+            let Some(news) = self.quotas.deputy_news(daemons, now) else {
                 return;
-            }
+            };
+            (Speaker::Deputy, self.following.members().to_vec(), news)
         };
-        self.shared.tables().quota.heard(&news, now);
-        self.quotas.note_told(&self.shared, news.limits.clone(), now);
+        if !self.quotas.is_news_due(speaker, &news, now) {
+            return;
+        }
+        self.quotas.note_told(&self.shared, &news, now);
         let message = Message::QuotaNews(news);
-        for address in addresses.iter().filter(|&&address| address != self.address) {
+        let others = addresses.iter().filter(|&&address| address != self.address);
+        for address in others {
             self.peers.send(*address, &message);
         }
     }
@@ -227,7 +223,11 @@
             return known;
         };
         let heard = u32::try_from(leading.member_count(now).max(1)).unwrap_or(u32::MAX);
-        if leading.is_new(now) { heard.max(known) } else { heard }
+        if leading.is_new(now) {
+            heard.max(known)
+        } else {
+            heard
+        }
     }
 
     /// Tells the members of the store, if this daemon stands by and the coordinator does not.
@@ -481,9 +481,8 @@
         if members.is_empty() {
             members = self.lease.recorded_members().to_vec();
         }
-        let is_unheard = |address: &&SocketAddr| {
-            **address != self.address && !heard.contains(*address)
-        };
+        let is_unheard =
+            |address: &&SocketAddr| **address != self.address && !heard.contains(*address);
         for address in members.iter().filter(is_unheard) {
             self.peers
                 .send(*address, &Message::Direction(header.clone()));
--- a/crates/ingress/src/quota_desk.rs
+++ b/crates/ingress/src/quota_desk.rs
@@ -9,19 +9,13 @@
 use tokio::sync::oneshot;
 
 /// Questions that are waited for, at most; older ones count as unanswered.
-const MAX_KEPT: u64 = 4_096;
-
-#[derive(Debug)]
-struct Kept {
-    question: QuotaQuestion,
-    answer: oneshot::Sender<Grant>,
-}
+const MAX_WAITERS: u64 = 4_096;
 
 #[derive(Debug, Default)]
 struct Questions {
     last_number: u64,
     unsent: HashMap<SocketAddr, Vec<QuotaQuestion>>,
-    kept: HashMap<u64, Kept>,
+    waiters: HashMap<u64, oneshot::Sender<Grant>>,
 }
 
 /// Numbers questions and brings answers to those who wait for them.
@@ -61,14 +55,10 @@
             rank,
         };
         let unsent = questions.unsent.entry(keeper).or_default();
-        unsent.push(question.clone());
-        let kept = Kept {
-            question,
-            answer: sender,
-        };
-        questions.kept.insert(number, kept);
-        if let Some(old) = number.checked_sub(MAX_KEPT) {
-            questions.kept.remove(&old);
+        unsent.push(question);
+        questions.waiters.insert(number, sender);
+        if let Some(old) = number.checked_sub(MAX_WAITERS) {
+            questions.waiters.remove(&old);
         }
         Waited(receiver)
     }
@@ -78,14 +68,17 @@
         std::mem::take(&mut self.lock().unsent)
     }
 
-    /// Brings an answer to the request that waits for it. Returns the question if it waits no longer.
-    pub(crate) fn answer(&self, answer: &QuotaAnswer) -> Option<QuotaQuestion> {
-        let kept = self.lock().kept.remove(&answer.number)?;
-        let sent = kept.answer.send(answer.grant);
-        sent.is_err().then_some(kept.question)
+    /// Brings an answer to the request that waits for it, if it still does.
+    pub(crate) fn answer(&self, answer: &QuotaAnswer) {
+        if let Some(waiter) = self.lock().waiters.remove(&answer.number) {
+            // The request may have waited no longer.
+            let _ = waiter.send(answer.grant);
+        }
     }
 
     fn lock(&self) -> MutexGuard<'_, Questions> {
-        self.questions.lock().unwrap_or_else(PoisonError::into_inner)
+        self.questions
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
     }
 }
--- a/crates/ingress/src/store_word.rs
+++ b/crates/ingress/src/store_word.rs
@@ -44,7 +44,9 @@
         if state.configuration_age_ms < u32::MAX {
             let age = Duration::from_millis(u64::from(state.configuration_age_ms));
             let version = state.configuration_version;
-            tables.configuration_age.confirmed(version, came_after - age);
+            tables
+                .configuration_age
+                .confirmed(version, came_after - age);
         }
         drop(tables);
         self.store_word.send_modify(|word| {
--- a/crates/ingress/src/watches.rs
+++ b/crates/ingress/src/watches.rs
@@ -309,7 +309,9 @@
     let known = shared.configuration().map_or(0, |known| known.version);
     let fields: &[(&str, &dyn std::fmt::Display)] =
         &[("code", &code), ("reason", &reason), ("in_force", &known)];
-    shared.log.write(shared.now(), "configuration-rejected", fields);
+    shared
+        .log
+        .write(shared.now(), "configuration-rejected", fields);
 }
 
 /// Reads the configuration. If it was told which version there is, an answer that may be old is enough once it
--- a/crates/ingress/tests/ingress/support.rs
+++ b/crates/ingress/tests/ingress/support.rs
@@ -10,6 +10,7 @@
 use flaxward_ingress::outside::{
     FencedOrder, HeadKind, Passage, ProfileError, RunnerControl, Surface,
 };
+use flaxward_ingress::settings::KeyTrust;
 use flaxward_ingress::{Ingress, IngressSettings};
 use flaxward_routing::budget::RetryBudgetSettings;
 use flaxward_routing::configuration::{
@@ -22,6 +23,7 @@
 use flaxward_routing::request::RequestProfile;
 use flaxward_routing::runners::Runner;
 use flaxward_routing::strength::MachineStrength;
+use flaxward_routing::tenants::KeyDigest;
 use http::{HeaderMap, HeaderValue, StatusCode};
 
 use crate::runner::ScriptedRunner;
@@ -56,7 +58,19 @@
         })
     }
 
+    fn key(&self, headers: &HeaderMap) -> Option<KeyDigest> {
+        text(headers, "x-key").map(|key| KeyDigest::of(key.as_bytes()))
+    }
+
+    fn remove_key(&self, headers: &mut HeaderMap) {
+        headers.remove("x-key");
+    }
+
     fn prepare(&self, headers: &mut HeaderMap, passage: &Passage<'_>) {
+        headers.remove("x-tenant");
+        if let Some(tenant) = passage.tenant {
+            headers.insert("x-tenant", HeaderValue::from_str(tenant.as_str()).unwrap());
+        }
         let left = passage.time_left.as_millis().to_string();
         headers.insert("x-deadline", HeaderValue::from_str(&left).unwrap());
         let runner = HeaderValue::from_str(passage.runner.as_str()).unwrap();
@@ -140,6 +154,7 @@
         }],
         max_attempts: 2,
         is_generation: false,
+        is_public: false,
     }
 }
 
@@ -282,6 +297,7 @@
         metrics_listen: None,
         strength: MachineStrength::default(),
         news_bound: Duration::from_secs(2),
+        key_trust: KeyTrust::default(),
         stop_grace: Duration::from_secs(4),
         retry_budget: RetryBudgetSettings {
             ratio: 0.2,
--- a/crates/routing/benches/plan.rs
+++ b/crates/routing/benches/plan.rs
@@ -17,6 +17,7 @@
 };
 use flaxward_routing::names::{AdapterName, ModelName, RunnerId, ServiceName, Unit, Zone};
 use flaxward_routing::placement::{Placement, PlacementSettings, RunnerReport};
+use flaxward_routing::quota::QuotaNews;
 use flaxward_routing::runners::{Holdings, Runner, RunnerTable};
 use flaxward_routing::standby::StandbyPlace;
 use flaxward_routing::strength::MachineStrength;
@@ -210,6 +211,13 @@
             configuration_version: 1,
             membership_revision: 5,
             silence_ms: 0,
+            configuration_age_ms: 0,
+        },
+        quota: QuotaNews {
+            from: SocketAddr::from(([127, 0, 0, 1], 100)),
+            keepers: Vec::new(),
+            daemons: 1,
+            limits: Vec::new(),
         },
         membership: None,
         members: None,
--- a/crates/routing/src/configuration_transfer.rs
+++ b/crates/routing/src/configuration_transfer.rs
@@ -80,7 +80,8 @@
         routes.sort_by(|left, right| {
             (&left.host, &left.prefix, &left.name).cmp(&(&right.host, &right.prefix, &right.name))
         });
-        let mut services: Vec<Service> = configuration.services().map(|it| (**it).clone()).collect();
+        let mut services: Vec<Service> =
+            configuration.services().map(|it| (**it).clone()).collect();
         services.sort_by(|left, right| left.name.cmp(&right.name));
         let mut parts = vec![
             Part::Routes(configuration.limits, routes),
@@ -224,7 +225,10 @@
             come: BTreeMap::new(),
         });
         let begin = usize::try_from(chunk.offset).unwrap_or(usize::MAX);
-        let Some(end) = begin.checked_add(chunk.bytes.len()).filter(|&end| end <= length) else {
+        let Some(end) = begin
+            .checked_add(chunk.bytes.len())
+            .filter(|&end| end <= length)
+        else {
             return;
         };
         partial.bytes[begin..end].copy_from_slice(&chunk.bytes);
--- a/crates/routing/src/quota/keeper.rs
+++ b/crates/routing/src/quota/keeper.rs
@@ -13,7 +13,7 @@
 
 use flaxward_types::time::{Timestamp, millis};
 
-use super::{Grant, TenantLimit, TenantUse, UseReport, capacity};
+use super::{Grant, QuotaQuestion, TenantLimit, TenantUse, UseReport, capacity};
 use crate::configuration::Configuration;
 use crate::names::TenantName;
 use crate::tenants::Quota;
@@ -38,7 +38,9 @@
 /// Time over which what is asked is averaged.
 const DEMAND_WINDOW: Duration = Duration::from_millis(700);
 /// Debt that a bucket may have, in times of its capacity; more would refuse a tenant for long after a fault.
-const DEEPEST_DEBT: f64 = 2.0;
+const DEEPEST_DEBT: f64 = 4.0;
+/// Part of a bucket that is filled when a keeper begins, which does not know what was admitted before.
+const FIRST_SHARE: f64 = 0.15;
 /// Time without a report after which a daemon may be admitting its own share unheard.
 const MISSING_AFTER: Duration = Duration::from_millis(1_600);
 /// Time without any report after which a keeper begins anew: it was none meanwhile.
@@ -66,11 +68,11 @@
 }
 
 impl Account {
-    /// A bucket of which only the margin is filled: nobody knows what was admitted before.
+    /// The bucket of a keeper that begins.
     fn new(quota: Quota, now: Timestamp) -> Self {
         Self {
             quota,
-            level: capacity(&quota) * MARGIN_SHARE,
+            level: capacity(&quota) * FIRST_SHARE,
             asked: 0.0,
             deferred: 0.0,
             updated_at: now,
@@ -86,6 +88,11 @@
         self.quota.rate * self.governed
     }
 
+    /// What the bucket holds when it is full: the daemons that are not heard have their own shares.
+    fn full(&self) -> f64 {
+        capacity(&self.quota) * self.governed
+    }
+
     /// Takes in that time has passed.
     fn advance(&mut self, now: Timestamp) {
         let passed = now.since(self.updated_at);
@@ -93,7 +100,7 @@
             return;
         }
         self.updated_at = now;
-        let full = capacity(&self.quota);
+        let full = self.full();
         let filled = self.level + self.rate() * passed.as_secs_f64();
         self.level = filled.clamp(-DEEPEST_DEBT * full, full);
         self.deferred = (self.deferred - self.rate() * passed.as_secs_f64()).max(0.0);
@@ -111,7 +118,7 @@
     fn ask(&mut self, cost: u32, rank: u8) -> Grant {
         let cost = f64::from(cost);
         let needed = cost + self.reserve(rank);
-        let lacking = needed.min(capacity(&self.quota)) - self.level;
+        let lacking = needed.min(self.full()) - self.level;
         if lacking <= 0.0 {
             self.level -= cost;
             return Grant::Granted;
@@ -125,8 +132,16 @@
         }
     }
 
+    /// Units a second that are asked.
+    fn demand(&self) -> f64 {
+        self.asked / DEMAND_WINDOW.as_secs_f64()
+    }
+
     /// What a request of a rank must leave in the bucket.
     fn reserve(&mut self, rank: u8) -> f64 {
+        if self.demand() <= self.rate() {
+            return 0.0;
+        }
         let place = usize::from(rank).min(RANKS - 1);
         let questions = &mut self.questions[place];
         *questions = questions.wrapping_add(1);
@@ -134,12 +149,12 @@
             return 0.0;
         }
         let ranks = f64::from(rank.min(3));
-        capacity(&self.quota) * RESERVE_SHARE * ranks
+        self.full() * RESERVE_SHARE * ranks
     }
 
     /// Works out whether the tenant is near its limit.
     fn judge(&mut self, now: Timestamp) {
-        let full = capacity(&self.quota);
+        let full = self.full();
         if self.level < full * NEAR_SHARE {
             self.is_near = true;
         }
@@ -155,10 +170,10 @@
 
     /// Part of what is asked that daemons admit without an answer.
     fn admit(&self) -> u16 {
-        let margin = capacity(&self.quota) * MARGIN_SHARE;
+        let margin = self.full() * MARGIN_SHARE;
         let correction = (self.level - margin) / CORRECTION.as_secs_f64();
         let allowed = (self.rate() + correction).max(0.0);
-        let demand = self.asked / DEMAND_WINDOW.as_secs_f64();
+        let demand = self.demand();
         if demand <= allowed {
             return thousandths(1.0);
         }
@@ -171,12 +186,24 @@
     (part * 1_000.0).round().clamp(0.0, 1_000.0) as u16
 }
 
-/// What a daemon has told of one tenant.
+/// What a keeper knows of one tenant at one daemon.
 #[derive(Clone, Copy, Debug, Default)]
-struct Told {
-    /// What it has admitted without this keeper's word.
+struct Known {
+    /// What the daemon has told, since its start.
     admitted: i64,
     asked: u64,
+    /// What this keeper has granted since, and has counted already.
+    granted: i64,
+}
+
+impl Known {
+    fn of(told: &TenantUse) -> Self {
+        Self {
+            admitted: told.admitted,
+            asked: told.asked,
+            granted: 0,
+        }
+    }
 }
 
 /// A daemon as a keeper knows it.
@@ -184,13 +211,12 @@
 struct Member {
     life: u64,
     heard_at: Timestamp,
-    told: HashMap<TenantName, Told>,
+    uses: HashMap<TenantName, Known>,
 }
 
 /// The buckets of all tenants.
 #[derive(Debug)]
 pub struct QuotaKeeper {
-    own: SocketAddr,
     /// Since when it hears all that daemons admit.
     hears_since: Timestamp,
     heard_at: Option<Timestamp>,
@@ -200,10 +226,9 @@
 }
 
 impl QuotaKeeper {
-    /// A keeper that listens at an address and has heard nothing.
-    pub fn new(own: SocketAddr, now: Timestamp) -> Self {
+    /// A keeper that has heard nothing.
+    pub fn new(now: Timestamp) -> Self {
         Self {
-            own,
             hears_since: now,
             heard_at: None,
             configuration_version: None,
@@ -227,7 +252,7 @@
             let mut account = account.unwrap_or_else(|| Account::new(quota, now));
             account.advance(now);
             account.quota = quota;
-            account.level = account.level.min(capacity(&quota));
+            account.level = account.level.min(account.full());
             accounts.insert(tenant.name.clone(), account);
         }
         self.accounts = accounts;
@@ -245,48 +270,55 @@
         let member = self.members.entry(report.from).or_insert_with(|| Member {
             life: report.life,
             heard_at: now,
-            told: HashMap::new(),
+            uses: HashMap::new(),
         });
         if member.life != report.life {
             member.life = report.life;
-            member.told.clear();
+            member.uses.clear();
         }
         member.heard_at = now;
-        let is_granter = report.granter == Some(self.own);
-        for tenant_use in report.uses {
-            let told = told_by(&tenant_use, is_granter);
-            let known = match member.told.get(&tenant_use.tenant) {
+        for told in report.uses {
+            let known = match member.uses.get(&told.tenant) {
                 Some(known) => *known,
-                None if is_known_from_start => Told::default(),
-                None => told,
+                None if is_known_from_start => Known::default(),
+                None => Known::of(&told),
             };
             if told.asked < known.asked {
                 // An older report, overtaken by the one that is known.
                 continue;
             }
-            if let Some(account) = self.accounts.get_mut(&tenant_use.tenant) {
+            if let Some(account) = self.accounts.get_mut(&told.tenant) {
                 account.advance(now);
-                account.count(told.admitted - known.admitted, told.asked - known.asked);
+                // A grant that did not reach the daemon in time is not in its count, and so is given back.
+                let admitted = told.admitted - known.admitted - known.granted;
+                account.count(admitted, told.asked - known.asked);
             }
-            member.told.insert(tenant_use.tenant, told);
+            member.uses.insert(told.tenant.clone(), Known::of(&told));
         }
     }
 
     /// Decides on a request of a tenant near its limit. Nobody's quota bounds a tenant that this keeper does not
     /// know.
-    pub fn ask(&mut self, tenant: &TenantName, cost: u32, rank: u8, now: Timestamp) -> Grant {
-        let Some(account) = self.accounts.get_mut(tenant) else {
+    pub fn ask(&mut self, from: SocketAddr, question: &QuotaQuestion, now: Timestamp) -> Grant {
+        let Some(account) = self.accounts.get_mut(&question.tenant) else {
             return Grant::Granted;
         };
         account.advance(now);
-        account.ask(cost, rank)
+        let grant = account.ask(question.cost, question.rank);
+        let member = self.members.get_mut(&from);
+        let known = member.and_then(|member| member.uses.get_mut(&question.tenant));
+        if let Some(known) = known.filter(|_| grant == Grant::Granted) {
+            known.granted += i64::from(question.cost);
+        }
+        grant
     }
 
-    /// The tenants near their limit.
-    pub fn limits(&mut self, now: Timestamp) -> Vec<TenantLimit> {
+    /// The tenants near their limit. `daemons` is how many daemons there are as far as is known: a keeper that is cut
+    /// off hears only a few of them, and may admit only their part.
+    pub fn limits(&mut self, daemons: u32, now: Timestamp) -> Vec<TenantLimit> {
         self.members
             .retain(|_, member| now.since(member.heard_at) < GONE_AFTER);
-        let governed = self.governed_share(now);
+        let governed = self.governed_share(daemons, now);
         let mut limits = Vec::new();
         for (tenant, account) in &mut self.accounts {
             account.advance(now);
@@ -319,19 +351,11 @@
 
     /// Part of the daemons that are heard; the others may be admitting their own shares.
     #[allow(clippy::cast_precision_loss)]
-    fn governed_share(&self, now: Timestamp) -> f64 {
-        let all = self.members.len().max(1);
-        let is_missing = |member: &&Member| now.since(member.heard_at) >= MISSING_AFTER;
-        let missing = self.members.values().filter(is_missing).count();
-        (all - missing) as f64 / all as f64
-    }
-}
-
-/// What a report tells a keeper that has not counted it yet: what it granted itself is counted with each grant.
-fn told_by(tenant_use: &TenantUse, is_granter: bool) -> Told {
-    let granted = if is_granter { 0 } else { tenant_use.granted };
-    Told {
-        admitted: tenant_use.admitted + granted,
-        asked: tenant_use.asked,
+    fn governed_share(&self, daemons: u32, now: Timestamp) -> f64 {
+        let daemons = usize::try_from(daemons).unwrap_or(usize::MAX);
+        let all = self.members.len().max(daemons).max(1);
+        let is_heard = |member: &&Member| now.since(member.heard_at) < MISSING_AFTER;
+        let heard = self.members.values().filter(is_heard).count();
+        heard.max(1) as f64 / all as f64
     }
 }
--- a/crates/routing/src/quota/meter.rs
+++ b/crates/routing/src/quota/meter.rs
@@ -20,14 +20,19 @@
 /// Time for which a changed count is told again with each report, in case that one is lost.
 const REPEATED_FOR: Duration = Duration::from_millis(2_000);
 /// Time without word of a keeper after which a daemon keeps to its own share. Keepers tell twice a second, and a
-/// standby takes the coordinator's place within a second.
-const INFORMED_FOR: Duration = Duration::from_millis(1_600);
-/// Time for which a keeper that has left a question without an answer is not asked, unless it is heard before.
+/// standby takes the coordinator's place within a second. A tenant whose excess begins as all keepers are lost is
+/// bounded by this and by [`DEEPEST_DEBT`]: at four times its rate, within a tenth of its quota in eight seconds.
+const INFORMED_FOR: Duration = Duration::from_millis(1_050);
+/// Questions in a row without an answer after which a keeper is doubted: one may just be lost.
+const DOUBTED_AFTER: u32 = 2;
+/// Time for which a doubted keeper is not asked, unless it is heard before.
 const KEEPER_DOUBT: Duration = Duration::from_millis(500);
 /// What a daemon without word admits, in equal shares of the rate. Clients are spread unevenly.
-const OWN_SHARES: f64 = 1.2;
-/// Part of its share of the bucket that such a daemon has at first.
-const OWN_FILLED: f64 = 0.3;
+const OWN_SHARES: f64 = 1.1;
+/// Capacity of a daemon's own bucket, in equal shares of the whole one.
+const OWN_CAPACITY: f64 = 0.3;
+/// Debt that a daemon's own bucket may have from what it admits while it hears keepers.
+const DEEPEST_DEBT: Duration = Duration::from_secs(4);
 /// Shortest and longest time after which a refused request may come back.
 const LEAST_RETRY: Duration = Duration::from_millis(500);
 const LONGEST_RETRY: Duration = Duration::from_secs(15);
@@ -64,30 +69,92 @@
     OwnShare,
 }
 
-/// This daemon's own share of a quota, for times without word.
+/// This daemon's own share of a quota, for times without word. What is admitted by the word of keepers is taken from
+/// it too, so that an excess which began just before the word ceased is made good.
 #[derive(Clone, Copy, Debug)]
 struct OwnBucket {
     level: f64,
     filled_at: Timestamp,
 }
 
+impl OwnBucket {
+    fn new(share: OwnShare, now: Timestamp) -> Self {
+        Self {
+            level: share.capacity,
+            filled_at: now,
+        }
+    }
+
+    fn fill(&mut self, share: OwnShare, now: Timestamp) {
+        let gained = share.rate * now.since(self.filled_at).as_secs_f64();
+        self.level = (self.level + gained).min(share.capacity);
+        self.filled_at = now;
+    }
+
+    /// Takes what was admitted by the word of keepers.
+    fn take(&mut self, share: OwnShare, cost: u32) {
+        let deepest = -share.rate * DEEPEST_DEBT.as_secs_f64();
+        self.level = (self.level - f64::from(cost)).max(deepest);
+    }
+
+    /// Decides on a request. A share may be smaller than one request; then it buys a chance, so that all daemons
+    /// together admit what they all have.
+    fn draw(&mut self, cost: u32, random: u64) -> bool {
+        let cost = f64::from(cost).max(1.0);
+        let spent = self.level.clamp(0.0, cost);
+        self.level -= spent;
+        #[allow(clippy::cast_precision_loss)]
+        let drawn = (random % WHOLE) as f64 / WHOLE as f64;
+        drawn < spent / cost
+    }
+}
+
+/// What each daemon may admit by itself, in units.
+#[derive(Clone, Copy, Debug)]
+struct OwnShare {
+    /// A second.
+    rate: f64,
+    capacity: f64,
+}
+
+impl OwnShare {
+    #[allow(clippy::cast_precision_loss)]
+    fn of(quota: &Quota, daemons: usize) -> Self {
+        let daemons = daemons as f64;
+        Self {
+            rate: quota.rate * OWN_SHARES / daemons,
+            capacity: capacity(quota) * OWN_CAPACITY / daemons,
+        }
+    }
+}
+
 /// What is counted of one tenant.
 #[derive(Debug, Default)]
 struct Count {
     admitted: i64,
-    granted: i64,
     asked: u64,
     /// Units asked since the last report.
     unreported: u64,
     changed_at: Timestamp,
-    own: Option<OwnBucket>,
+    own: Option<(OwnShare, OwnBucket)>,
+}
+
+impl Count {
+    /// Takes what was admitted by the word of keepers from the own share.
+    fn take_own(&mut self, cost: u32) {
+        if let Some((share, own)) = &mut self.own {
+            own.take(*share, cost);
+        }
+    }
 }
 
 /// The keeper that is asked.
 #[derive(Clone, Copy, Debug)]
 struct Granter {
     address: SocketAddr,
-    /// It has left a question without an answer; not asked until then.
+    /// Questions since its last word that it has left without an answer.
+    unanswered: u32,
+    /// It is not asked until then.
     doubted_until: Timestamp,
 }
 
@@ -130,15 +197,9 @@
         let limit = |it: &TenantLimit| (it.tenant.clone(), it.admit);
         self.limits = news.limits.iter().map(limit).collect();
         self.informed_at = Some(now);
-        let is_new = self.granter.is_none_or(|it| it.address != news.from);
-        for count in self.counts.values_mut() {
-            count.own = None;
-            if is_new {
-                count.admitted += std::mem::take(&mut count.granted);
-            }
-        }
         self.granter = Some(Granter {
             address: news.from,
+            unanswered: 0,
             doubted_until: Timestamp::ZERO,
         });
     }
@@ -150,7 +211,7 @@
         };
         self.note_asked(&tenant.name, &quota, cost, now);
         if !self.is_informed(now) {
-            return self.admit_by_own_share(&tenant.name, &quota, cost, now);
+            return self.admit_by_own_share(&tenant.name, &quota, cost, random);
         }
         if !self.limits.contains_key(&tenant.name) {
             return self.admitted(&tenant.name, cost);
@@ -169,18 +230,11 @@
         from: SocketAddr,
         grant: Grant,
     ) -> Verdict {
-        let is_granter = self.granter.is_some_and(|it| it.address == from);
+        if let Some(granter) = self.granter.as_mut().filter(|it| it.address == from) {
+            granter.unanswered = 0;
+        }
         match grant {
-            Grant::Granted => {
-                let count = self.counts.entry(tenant.clone()).or_default();
-                let granted = if is_granter {
-                    &mut count.granted
-                } else {
-                    &mut count.admitted
-                };
-                *granted += i64::from(cost);
-                Verdict::Admitted
-            }
+            Grant::Granted => self.admitted(tenant, cost),
             Grant::Refused { room_in_ms } => {
                 let room_in = Duration::from_millis(u64::from(room_in_ms));
                 Verdict::Refused {
@@ -200,7 +254,10 @@
         now: Timestamp,
     ) -> Verdict {
         if let Some(granter) = &mut self.granter {
-            granter.doubted_until = now + KEEPER_DOUBT;
+            granter.unanswered += 1;
+            if granter.unanswered >= DOUBTED_AFTER {
+                granter.doubted_until = now + KEEPER_DOUBT;
+            }
         }
         self.admit_unanswered(tenant, cost, random)
     }
@@ -236,7 +293,6 @@
                 uses.push(TenantUse {
                     tenant: tenant.clone(),
                     admitted: count.admitted,
-                    granted: count.granted,
                     asked: count.asked,
                 });
             }
@@ -245,7 +301,6 @@
             from: own,
             life: self.life,
             age_ms: u32::try_from(millis(now.since(Timestamp::ZERO))).unwrap_or(u32::MAX),
-            granter: self.granter.map(|granter| granter.address),
             uses,
         })
     }
@@ -258,7 +313,13 @@
     #[allow(clippy::cast_precision_loss)]
     fn note_asked(&mut self, tenant: &TenantName, quota: &Quota, cost: u32, now: Timestamp) {
         let threshold = quota.rate * REPORT_SHARE / self.daemons as f64;
+        let share = OwnShare::of(quota, self.daemons);
         let count = self.counts.entry(tenant.clone()).or_default();
+        let (_, own) = count
+            .own
+            .get_or_insert_with(|| (share, OwnBucket::new(share, now)));
+        own.fill(share, now);
+        count.own = count.own.map(|(_, own)| (share, own));
         count.asked += u64::from(cost);
         count.unreported += u64::from(cost);
         count.changed_at = now;
@@ -268,6 +329,7 @@
     fn admitted(&mut self, tenant: &TenantName, cost: u32) -> Verdict {
         let count = self.counts.entry(tenant.clone()).or_default();
         count.admitted += i64::from(cost);
+        count.take_own(cost);
         Verdict::Admitted
     }
 
@@ -283,34 +345,26 @@
         }
     }
 
-    #[allow(clippy::cast_precision_loss)]
     fn admit_by_own_share(
         &mut self,
         tenant: &TenantName,
         quota: &Quota,
         cost: u32,
-        now: Timestamp,
+        random: u64,
     ) -> Verdict {
-        let daemons = self.daemons as f64;
-        let full = capacity(quota) / daemons;
-        let rate = quota.rate * OWN_SHARES / daemons;
+        let share = OwnShare::of(quota, self.daemons);
         let count = self.counts.entry(tenant.clone()).or_default();
-        let bucket = count.own.get_or_insert(OwnBucket {
-            level: full * OWN_FILLED,
-            filled_at: now,
-        });
-        let gained = rate * now.since(bucket.filled_at).as_secs_f64();
-        bucket.level = (bucket.level + gained).min(full);
-        bucket.filled_at = now;
-        // A share may be smaller than one request, which then passes on credit.
-        if bucket.level > 0.0 {
-            bucket.level -= f64::from(cost);
+        let is_drawn = count
+            .own
+            .as_mut()
+            .is_some_and(|(_, own)| own.draw(cost, random));
+        if is_drawn {
             count.admitted += i64::from(cost);
             return Verdict::Admitted;
         }
-        let until = Duration::try_from_secs_f64(-bucket.level / rate).unwrap_or(LONGEST_RETRY);
+        let until = Duration::try_from_secs_f64(f64::from(cost) / share.rate);
         Verdict::Refused {
-            retry_after: until.clamp(LEAST_RETRY, LONGEST_RETRY),
+            retry_after: until.map_or(LONGEST_RETRY, |it| it.clamp(LEAST_RETRY, LONGEST_RETRY)),
             basis: Basis::OwnShare,
         }
     }
--- a/crates/routing/src/quota/mod.rs
+++ b/crates/routing/src/quota/mod.rs
@@ -15,6 +15,7 @@
 //! all daemons together), within the time of a report and of the keeper's answer to it. A bucket counts as well filled
 //! only above [`keeper::NEAR_SHARE`], which covers that.
 
+pub mod announcer;
 pub mod keeper;
 pub mod meter;
 
@@ -38,10 +39,8 @@
 pub struct TenantUse {
     /// The tenant.
     pub tenant: TenantName,
-    /// Admitted without the word of the present granter, less what has surely not run.
+    /// Admitted, by whose word ever, less what has surely not run.
     pub admitted: i64,
-    /// Admitted by the word of the present granter.
-    pub granted: i64,
     /// Asked, whether admitted or not.
     pub asked: u64,
 }
@@ -55,8 +54,6 @@
     pub life: u64,
     /// Time since its start, in ms.
     pub age_ms: u32,
-    /// The keeper whose word [`TenantUse::granted`] counts.
-    pub granter: Option<SocketAddr>,
     /// The tenants whose counts have changed lately.
     pub uses: Vec<TenantUse>,
 }
--- a/crates/routing/tests/decisions.rs
+++ b/crates/routing/tests/decisions.rs
@@ -49,6 +49,7 @@
             .collect(),
         max_attempts: 2,
         is_generation: false,
+        is_public: false,
     }
 }
 
--- a/crates/routing/tests/dissemination.rs
+++ b/crates/routing/tests/dissemination.rs
@@ -12,6 +12,7 @@
 use flaxward_routing::messages::{Direction, KnownState, StoreState, Usage};
 use flaxward_routing::names::{ModelName, RunnerId, ServiceName, Zone};
 use flaxward_routing::placement::{Placement, PlacementSettings, RunnerReport};
+use flaxward_routing::quota::QuotaNews;
 use flaxward_routing::runners::{Holdings, Runner, RunnerHoldings, RunnerTable};
 use flaxward_routing::standby::StandbyPlace;
 use flaxward_routing::strength::MachineStrength;
@@ -195,6 +196,13 @@
                 configuration_version: 1,
                 membership_revision: self.table.membership_revision(),
                 silence_ms: 0,
+                configuration_age_ms: 0,
+            },
+            quota: QuotaNews {
+                from: SocketAddr::from(([127, 0, 0, 1], 100)),
+                keepers: Vec::new(),
+                daemons: 1,
+                limits: Vec::new(),
             },
             membership: None,
             members: None,
--- a/crates/routing/tests/lease.rs
+++ b/crates/routing/tests/lease.rs
@@ -402,6 +402,7 @@
             renewals: 9,
             released: false,
             strongest: MachineStrength::default(),
+            members: Vec::new(),
         },
         revision: 30,
     };
@@ -448,6 +449,7 @@
             renewals: 9,
             released: false,
             strongest: MachineStrength::default(),
+            members: Vec::new(),
         },
         revision: 30,
     };
@@ -482,6 +484,7 @@
             renewals: 9,
             released: false,
             strongest: STRONG,
+            members: Vec::new(),
         },
         revision: 30,
     };
@@ -517,6 +520,7 @@
             renewals: 9,
             released: false,
             strongest: STRONG,
+            members: Vec::new(),
         },
         revision: 30,
     }
--- /dev/null
+++ b/crates/routing/tests/quota.rs
@@ -0,0 +1,700 @@
+//! Quotas over a fleet of daemons, in virtual time: messages are late, lost or doubled, daemons are killed, started and
+//! cut off, the coordinator is lost. Whatever happens, the sum that all admit stays within the operators' bound, and
+//! while word gets through no request below the rate is refused.
+
+use std::collections::{BTreeMap, VecDeque};
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use flaxward_routing::configuration::{ClientLimits, Configuration};
+use flaxward_routing::names::TenantName;
+use flaxward_routing::quota::announcer::{Announcer, DEPUTIES, Speaker};
+use flaxward_routing::quota::keeper::QuotaKeeper;
+use flaxward_routing::quota::meter::{QuotaMeter, Verdict};
+use flaxward_routing::quota::{Grant, QuotaNews, QuotaQuestion, TenantUse, UseReport};
+use flaxward_routing::tenants::{Quota, QuotaUnit, Tenant, TenantKeys, Tenants};
+use flaxward_types::time::Timestamp;
+use proptest::prelude::*;
+
+const STEP: Duration = Duration::from_millis(5);
+const DAEMONS: usize = 40;
+/// The operators' bound: any window, and what may lie beyond the quota in it.
+const WINDOW: Duration = Duration::from_secs(8);
+const OVER: f64 = 0.1;
+const SLACK: f64 = 11_000.0;
+const HEARTBEAT: Duration = Duration::from_millis(500);
+/// Time for an answer of the keeper.
+const ANSWER_TIME: Duration = Duration::from_millis(80);
+/// Time without a coordinator after one was lost.
+const SUCCESSION: Duration = Duration::from_millis(3_300);
+/// Time in which a fleet that has just begun comes to rest.
+const SETTLED: Duration = Duration::from_secs(6);
+
+#[derive(Clone, Debug)]
+enum Message {
+    News(QuotaNews),
+    Report(UseReport),
+    Question(usize, QuotaQuestion),
+    Answer(u64, Grant, SocketAddr),
+}
+
+#[derive(Clone, Debug)]
+struct Asked {
+    tenant: usize,
+    cost: u32,
+    at: Timestamp,
+}
+
+struct Daemon {
+    meter: QuotaMeter,
+    keeper: QuotaKeeper,
+    announcer: Announcer,
+    asked: BTreeMap<u64, Asked>,
+    is_cut_off: bool,
+    lives: bool,
+}
+
+/// What a tenant sends, in times of its rate.
+#[derive(Clone, Copy, Debug)]
+struct Load {
+    usual: f64,
+    hot: f64,
+    hot_from: Duration,
+    hot_for: Duration,
+}
+
+struct Fleet {
+    now: Timestamp,
+    begun: Timestamp,
+    tenants: Vec<Arc<Tenant>>,
+    configuration: Configuration,
+    daemons: Vec<Daemon>,
+    leader: Option<usize>,
+    succession_at: Option<Timestamp>,
+    heartbeat_at: Timestamp,
+    mail: BTreeMap<(Timestamp, u64), (usize, Message)>,
+    admitted: Vec<VecDeque<(Timestamp, u32)>>,
+    refused: Vec<usize>,
+    sent: Vec<usize>,
+    worst: Vec<f64>,
+    random: u64,
+    loss: u64,
+    number: u64,
+    owing: Vec<f64>,
+}
+
+fn address(index: usize) -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], 7_000 + u16::try_from(index).unwrap()))
+}
+
+fn index(address: SocketAddr) -> usize {
+    usize::from(address.port() - 7_000)
+}
+
+fn tenant(name: &str, rate: f64) -> Arc<Tenant> {
+    Arc::new(Tenant {
+        name: TenantName::new(name),
+        priority: None,
+        quota: Some(Quota {
+            unit: QuotaUnit::Tokens { plain: 200 },
+            rate,
+            burst: rate,
+        }),
+    })
+}
+
+fn configuration(tenants: &[Arc<Tenant>]) -> Configuration {
+    let list = tenants.iter().map(|tenant| TenantKeys {
+        tenant: tenant.clone(),
+        keys: Vec::new(),
+    });
+    let tenants = Tenants::new(list.collect()).unwrap();
+    let limits = ClientLimits::default();
+    Configuration::new(1, limits, Vec::new(), Vec::new()).with_tenants(tenants)
+}
+
+impl Fleet {
+    /// Three tenants: a large one, one of which a daemon sees a request now and then, and a small one.
+    fn new(seed: u64, loss: u64) -> Self {
+        let rates = [
+            ("large", 170_000.0),
+            ("middle", 20_000.0),
+            ("small", 2_700.0),
+        ];
+        let tenants: Vec<Arc<Tenant>> = rates.map(|(name, rate)| tenant(name, rate)).into();
+        let begun = Timestamp(10_000);
+        let count = tenants.len();
+        let mut fleet = Self {
+            now: begun,
+            begun,
+            configuration: configuration(&tenants),
+            tenants,
+            daemons: Vec::new(),
+            leader: Some(0),
+            succession_at: None,
+            heartbeat_at: Timestamp::ZERO,
+            mail: BTreeMap::new(),
+            admitted: vec![VecDeque::new(); count],
+            refused: vec![0; count],
+            sent: vec![0; count],
+            worst: vec![0.0; count],
+            random: seed | 1,
+            loss,
+            number: 0,
+            owing: vec![0.0; count],
+        };
+        for index in 0..DAEMONS {
+            let daemon = fleet.daemon(index);
+            fleet.daemons.push(daemon);
+        }
+        fleet
+    }
+
+    fn daemon(&mut self, index: usize) -> Daemon {
+        let life = self.next_random();
+        Daemon {
+            meter: QuotaMeter::new(life, DAEMONS),
+            keeper: QuotaKeeper::new(self.now),
+            announcer: Announcer::new(address(index), self.now),
+            asked: BTreeMap::new(),
+            is_cut_off: false,
+            lives: true,
+        }
+    }
+
+    fn next_random(&mut self) -> u64 {
+        // SplitMix64
+        self.random = self.random.wrapping_add(0x9e37_79b9_7f4a_7c15);
+        let mut mixed = self.random;
+        mixed = (mixed ^ (mixed >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+        mixed = (mixed ^ (mixed >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+        mixed ^ (mixed >> 31)
+    }
+
+    fn post(&mut self, from: usize, to: usize, message: &Message) {
+        if self.daemons[from].is_cut_off || self.daemons[to].is_cut_off {
+            return;
+        }
+        let copies = if self.next_random() % 1_000 < self.loss {
+            0
+        } else {
+            1
+        };
+        for _ in 0..copies {
+            let delay = 1 + self.next_random() % 12;
+            self.number += 1;
+            let at = self.now + Duration::from_millis(delay);
+            self.mail.insert((at, self.number), (to, message.clone()));
+        }
+    }
+
+    fn kill(&mut self, index: usize) {
+        self.daemons[index].lives = false;
+        if self.leader == Some(index) {
+            self.leader = None;
+            self.succession_at = Some(self.now + SUCCESSION);
+        }
+    }
+
+    fn start(&mut self, index: usize) {
+        let is_cut_off = self.daemons[index].is_cut_off;
+        self.daemons[index] = self.daemon(index);
+        self.daemons[index].is_cut_off = is_cut_off;
+    }
+
+    fn run(&mut self, time: Duration, load: impl Fn(usize) -> Load) {
+        let end = self.now + time;
+        while self.now < end {
+            self.now = self.now + STEP;
+            self.deliver();
+            self.coordinate();
+            for tenant in 0..self.tenants.len() {
+                self.send_requests(tenant, load(tenant));
+            }
+            for index in 0..DAEMONS {
+                self.tick(index);
+            }
+            self.check();
+        }
+    }
+
+    fn deliver(&mut self) {
+        while let Some(entry) = self.mail.first_entry() {
+            if entry.key().0 > self.now {
+                return;
+            }
+            let (to, message) = entry.remove();
+            if self.daemons[to].lives && !self.daemons[to].is_cut_off {
+                self.received(to, message);
+            }
+        }
+    }
+
+    fn received(&mut self, to: usize, message: Message) {
+        let now = self.now;
+        let daemon = &mut self.daemons[to];
+        match message {
+            Message::News(news) => {
+                daemon.announcer.heard(&news, now);
+                daemon.meter.heard(&news, now);
+            }
+            Message::Report(report) => daemon.keeper.heard(report, now),
+            Message::Question(from, question) => {
+                let grant = daemon.keeper.ask(address(from), &question, now);
+                let answer = Message::Answer(question.number, grant, address(to));
+                self.post(to, from, &answer);
+            }
+            Message::Answer(number, grant, from) => {
+                let Some(asked) = daemon.asked.remove(&number) else {
+                    return;
+                };
+                let name = &self.tenants[asked.tenant].name;
+                let verdict = daemon.meter.answered(name, asked.cost, from, grant);
+                self.decided(asked.tenant, asked.cost, verdict);
+            }
+        }
+    }
+
+    fn coordinate(&mut self) {
+        if self.succession_at.is_some_and(|at| self.now >= at) {
+            let fit =
+                |index: &usize| self.daemons[*index].lives && !self.daemons[*index].is_cut_off;
+            self.leader = (0..DAEMONS).find(fit);
+            self.succession_at = None;
+        }
+        let Some(leader) = self.leader else {
+            return;
+        };
+        let news = self.news(leader);
+        if self.now.since(self.heartbeat_at) >= HEARTBEAT {
+            self.heartbeat_at = self.now;
+            self.announce(leader, &news);
+        }
+    }
+
+    fn news(&mut self, speaker: usize) -> QuotaNews {
+        let others = (0..DAEMONS).filter(|&it| it != speaker && self.daemons[it].lives);
+        let deputies: Vec<SocketAddr> = others.take(DEPUTIES).map(address).collect();
+        let is_leader = self.leader == Some(speaker);
+        let own = std::iter::once(address(speaker));
+        let now = self.now;
+        let daemons = u32::try_from(DAEMONS).unwrap();
+        QuotaNews {
+            from: address(speaker),
+            keepers: if is_leader {
+                own.chain(deputies).collect()
+            } else {
+                Vec::new()
+            },
+            daemons,
+            limits: self.daemons[speaker].keeper.limits(daemons, now),
+        }
+    }
+
+    fn announce(&mut self, speaker: usize, news: &QuotaNews) {
+        let now = self.now;
+        let daemon = &mut self.daemons[speaker];
+        daemon.announcer.told(&news.limits, now);
+        daemon.meter.heard(news, now);
+        if self.leader == Some(speaker) {
+            daemon.announcer.heard(news, now);
+        }
+        for to in (0..DAEMONS).filter(|&to| to != speaker) {
+            self.post(speaker, to, &Message::News(news.clone()));
+        }
+    }
+
+    fn tick(&mut self, index: usize) {
+        let now = self.now;
+        if !self.daemons[index].lives {
+            return;
+        }
+        self.daemons[index]
+            .keeper
+            .configure(&self.configuration, now);
+        let report = self.daemons[index].meter.due_report(address(index), now);
+        if let Some(report) = report {
+            let keepers = self.daemons[index].announcer.keepers().to_vec();
+            for keeper in keepers {
+                if keeper == address(index) {
+                    self.daemons[index].keeper.heard(report.clone(), now);
+                } else {
+                    self.post(index, self::index(keeper), &Message::Report(report.clone()));
+                }
+            }
+        }
+        let speaker = if self.leader == Some(index) {
+            Some(Speaker::Coordinator)
+        } else {
+            let speaks = self.daemons[index].announcer.speaks_as_deputy(now);
+            speaks.then_some(Speaker::Deputy)
+        };
+        if let Some(speaker) = speaker {
+            let news = self.news(index);
+            if self.daemons[index]
+                .announcer
+                .is_due(speaker, &news.limits, now)
+            {
+                self.announce(index, &news);
+            }
+        }
+        self.expire(index);
+    }
+
+    /// Questions that were not answered in time.
+    fn expire(&mut self, index: usize) {
+        let now = self.now;
+        let late = |asked: &Asked| now.since(asked.at) >= ANSWER_TIME;
+        let asked = std::mem::take(&mut self.daemons[index].asked);
+        for (number, asked) in asked {
+            if !late(&asked) {
+                self.daemons[index].asked.insert(number, asked);
+                continue;
+            }
+            let random = self.next_random();
+            let name = self.tenants[asked.tenant].name.clone();
+            let meter = &mut self.daemons[index].meter;
+            let verdict = meter.unanswered(&name, asked.cost, random, now);
+            self.decided(asked.tenant, asked.cost, verdict);
+        }
+    }
+
+    fn send_requests(&mut self, tenant: usize, load: Load) {
+        let at = self.now.since(self.begun);
+        let is_hot = at >= load.hot_from && at < load.hot_from + load.hot_for;
+        let part = if is_hot { load.hot } else { load.usual };
+        let rate = self.tenants[tenant].quota.unwrap().rate;
+        self.owing[tenant] += rate * part * STEP.as_secs_f64();
+        while self.owing[tenant] > 0.0 {
+            let random = self.next_random();
+            let cost = [200, 700, 1_500, 2_500][usize::try_from(random % 4).unwrap()];
+            self.owing[tenant] -= f64::from(cost);
+            let daemon = usize::try_from(self.next_random() % u64::try_from(DAEMONS).unwrap());
+            let daemon = daemon.unwrap();
+            if self.daemons[daemon].lives {
+                self.request(daemon, tenant, cost);
+            }
+        }
+    }
+
+    fn request(&mut self, daemon: usize, tenant: usize, cost: u32) {
+        let (now, random) = (self.now, self.next_random());
+        let known = self.tenants[tenant].clone();
+        self.sent[tenant] += 1;
+        match self.daemons[daemon].meter.admit(&known, cost, random, now) {
+            Verdict::Ask(keeper) => {
+                self.number += 1;
+                let asked = Asked {
+                    tenant,
+                    cost,
+                    at: now,
+                };
+                self.daemons[daemon].asked.insert(self.number, asked);
+                let question = QuotaQuestion {
+                    number: self.number,
+                    tenant: known.name.clone(),
+                    cost,
+                    rank: 0,
+                };
+                self.ask(daemon, index(keeper), question);
+            }
+            decided => self.decided(tenant, cost, decided),
+        }
+    }
+
+    fn ask(&mut self, daemon: usize, keeper: usize, question: QuotaQuestion) {
+        if daemon == keeper {
+            let grant = self.daemons[daemon]
+                .keeper
+                .ask(address(daemon), &question, self.now);
+            let answer = Message::Answer(question.number, grant, address(keeper));
+            self.received(daemon, answer);
+        } else {
+            self.post(daemon, keeper, &Message::Question(daemon, question));
+        }
+    }
+
+    fn decided(&mut self, tenant: usize, cost: u32, verdict: Verdict) {
+        match verdict {
+            Verdict::Admitted => self.admitted[tenant].push_back((self.now, cost)),
+            Verdict::Refused { .. } => self.refused[tenant] += 1,
+            Verdict::Ask(_) => unreachable!("a question was answered by a question"),
+        }
+    }
+
+    /// Notes the fullest window, in parts of the bound.
+    fn check(&mut self) {
+        for (tenant, admitted) in self.admitted.iter_mut().enumerate() {
+            while admitted
+                .front()
+                .is_some_and(|(at, _)| self.now.since(*at) > WINDOW)
+            {
+                admitted.pop_front();
+            }
+            let sum: f64 = admitted.iter().map(|(_, cost)| f64::from(*cost)).sum();
+            let quota = self.tenants[tenant].quota.unwrap();
+            let allowed = quota.rate * WINDOW.as_secs_f64() + quota.burst;
+            let bound = allowed * (1.0 + OVER) + SLACK;
+            self.worst[tenant] = self.worst[tenant].max(sum / bound);
+        }
+    }
+
+    fn assert_bounded(&self) {
+        for (tenant, worst) in self.tenants.iter().zip(&self.worst) {
+            assert!(*worst <= 1.0, "{}: {worst} of the bound", tenant.name);
+        }
+    }
+
+    fn forget_counts(&mut self) {
+        self.refused.fill(0);
+        self.sent.fill(0);
+    }
+}
+
+const USUAL: Load = Load {
+    usual: 0.55,
+    hot: 0.55,
+    hot_from: Duration::ZERO,
+    hot_for: Duration::ZERO,
+};
+
+fn hot(from: u64, seconds: u64) -> Load {
+    Load {
+        hot: 4.2,
+        hot_from: Duration::from_secs(from),
+        hot_for: Duration::from_secs(seconds),
+        ..USUAL
+    }
+}
+
+#[test]
+fn below_its_rate_nobody_is_refused() {
+    let mut fleet = Fleet::new(1, 10);
+    fleet.run(SETTLED, |_| USUAL);
+    fleet.forget_counts();
+    fleet.run(Duration::from_secs(20), |_| USUAL);
+    assert_eq!(fleet.refused[0], 0, "the large tenant");
+    assert_eq!(fleet.refused[1], 0, "the middle one");
+    // One request of the small one can count most of its burst; two at once pass it.
+    assert!(
+        fleet.refused[2] * 6 <= fleet.sent[2],
+        "{:?} of {:?}",
+        fleet.refused,
+        fleet.sent
+    );
+    fleet.assert_bounded();
+}
+
+#[test]
+fn a_hot_tenant_gets_its_quota_and_leaves_the_others_theirs() {
+    let mut fleet = Fleet::new(2, 10);
+    fleet.run(SETTLED, |_| USUAL);
+    fleet.forget_counts();
+    let load = |tenant| if tenant == 0 { hot(8, 10) } else { USUAL };
+    fleet.run(Duration::from_secs(14), load);
+    fleet.assert_bounded();
+    assert!(fleet.worst[0] > 0.8, "only {} of the bound", fleet.worst[0]);
+    assert_eq!(fleet.refused[1], 0, "the middle tenant");
+}
+
+#[test]
+fn without_a_coordinator_deputies_keep_the_quotas() {
+    for lost in 1..=2 {
+        let mut fleet = Fleet::new(3, 10);
+        fleet.run(SETTLED, |_| USUAL);
+        fleet.forget_counts();
+        for index in 0..lost {
+            fleet.kill(index);
+        }
+        fleet.run(SUCCESSION + SETTLED, |tenant| {
+            if tenant == 0 { hot(7, 6) } else { USUAL }
+        });
+        fleet.assert_bounded();
+        assert!(
+            fleet.refused[1] * 50 <= fleet.sent[1],
+            "{lost} lost: {:?}",
+            fleet.refused
+        );
+    }
+}
+
+#[test]
+fn a_daemon_that_hears_nobody_keeps_to_its_share() {
+    let mut fleet = Fleet::new(4, 0);
+    fleet.run(SETTLED, |_| USUAL);
+    for index in 1..DAEMONS {
+        fleet.daemons[index].is_cut_off = true;
+    }
+    fleet.run(Duration::from_secs(20), |_| hot(8, 20));
+    fleet.assert_bounded();
+}
+
+#[test]
+fn the_bucket_of_a_lower_quota_is_smaller_at_once() {
+    let mut fleet = Fleet::new(5, 10);
+    fleet.run(SETTLED, |_| USUAL);
+    let rates = [
+        ("large", 17_000.0),
+        ("middle", 20_000.0),
+        ("small", 2_700.0),
+    ];
+    fleet.tenants = rates.map(|(name, rate)| tenant(name, rate)).into();
+    let known: Vec<Arc<Tenant>> = fleet.tenants.clone();
+    let mut lowered = configuration(&known);
+    lowered.version = 2;
+    fleet.configuration = lowered;
+    let ten_times = Load {
+        usual: 5.5,
+        hot: 5.5,
+        ..USUAL
+    };
+    let load = |tenant| if tenant == 0 { ten_times } else { USUAL };
+    fleet.run(WINDOW + Duration::from_secs(3), load);
+    fleet.worst.fill(0.0);
+    fleet.run(Duration::from_secs(10), load);
+    fleet.assert_bounded();
+    assert!(fleet.worst[0] > 0.7, "only {} of the bound", fleet.worst[0]);
+}
+
+#[test]
+fn a_request_larger_than_the_bucket_gets_through() {
+    let now = Timestamp(1_000);
+    let small = tenant("small", 2_700.0);
+    let mut keeper = QuotaKeeper::new(now);
+    keeper.configure(&configuration(std::slice::from_ref(&small)), now);
+    let later = now + Duration::from_secs(5);
+    let question = |cost| QuotaQuestion {
+        number: 1,
+        tenant: small.name.clone(),
+        cost,
+        rank: 2,
+    };
+    assert_eq!(
+        keeper.ask(address(1), &question(4_600), later),
+        Grant::Granted
+    );
+    assert!(matches!(
+        keeper.ask(address(1), &question(200), later),
+        Grant::Refused { .. }
+    ));
+}
+
+#[test]
+fn refused_requests_are_told_to_come_back_one_after_another() {
+    let now = Timestamp(1_000);
+    let middle = tenant("middle", 20_000.0);
+    let mut keeper = QuotaKeeper::new(now);
+    keeper.configure(&configuration(std::slice::from_ref(&middle)), now);
+    let mut last = 0;
+    for number in 0..40 {
+        let question = QuotaQuestion {
+            number,
+            tenant: middle.name.clone(),
+            cost: 1_500,
+            rank: 0,
+        };
+        if let Grant::Refused { room_in_ms } = keeper.ask(address(1), &question, now) {
+            assert!(room_in_ms > last, "{room_in_ms} after {last}");
+            last = room_in_ms;
+        }
+    }
+    assert!(last > 2_000, "{last}");
+}
+
+fn report(tenant: &Tenant, admitted: i64, asked: u64) -> UseReport {
+    UseReport {
+        from: address(1),
+        life: 1,
+        age_ms: 0,
+        uses: vec![TenantUse {
+            tenant: tenant.name.clone(),
+            admitted,
+            asked,
+        }],
+    }
+}
+
+#[test]
+fn less_urgent_requests_leave_room_and_are_not_shut_out() {
+    /// Requests after which the keeper knows what is asked.
+    const DEMAND_KNOWN: u64 = 500;
+    let mut now = Timestamp(1_000);
+    let large = tenant("large", 100_000.0);
+    let mut keeper = QuotaKeeper::new(now);
+    keeper.configure(&configuration(std::slice::from_ref(&large)), now);
+    let (mut asked, mut granted) = ([0_u32; 2], [0_u32; 2]);
+    let (mut units, mut granted_units) = (0, 0);
+    for number in 0..4_000_u64 {
+        now = now + Duration::from_millis(2);
+        let urgent = number % 7 == 0;
+        let cost = 300 + u32::try_from(number * 37 % 400).unwrap();
+        units += u64::from(cost);
+        keeper.heard(report(&large, granted_units, units), now);
+        let question = QuotaQuestion {
+            number,
+            tenant: large.name.clone(),
+            cost,
+            rank: if urgent { 0 } else { 2 },
+        };
+        let place = usize::from(!urgent);
+        if number < DEMAND_KNOWN {
+            keeper.ask(address(1), &question, now);
+            continue;
+        }
+        asked[place] += 1;
+        if keeper.ask(address(1), &question, now) == Grant::Granted {
+            granted[place] += 1;
+            granted_units += i64::from(cost);
+        }
+    }
+    assert_eq!(granted[0], asked[0], "urgent ones");
+    assert!(granted[1] * 5 > asked[1], "{granted:?} of {asked:?}");
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig::with_cases(48))]
+
+    /// Kills, starts, cuts and losses at any moment, beside a tenant that sends four times its rate.
+    #[test]
+    fn the_sum_stays_bounded(
+        seed in any::<u64>(),
+        loss in 0_u64..60,
+        hot_tenant in 0_usize..3,
+        hot_at in 6_u64..12,
+        killed in 0_usize..DAEMONS,
+        kill_from in 0_usize..DAEMONS,
+        kill_after in 0_u64..6_000,
+        down_for in 200_u64..4_000,
+        cut in 0_usize..DAEMONS / 3,
+        cut_from in 0_usize..DAEMONS,
+    ) {
+        let mut fleet = Fleet::new(seed, loss);
+        let load = |tenant| if tenant == hot_tenant { hot(hot_at, 9) } else { USUAL };
+        fleet.run(SETTLED, load);
+        fleet.run(Duration::from_millis(kill_after), load);
+        let killed: Vec<usize> = (0..killed).map(|it| (it + kill_from) % DAEMONS).collect();
+        for &index in &killed {
+            fleet.kill(index);
+        }
+        for index in (0..cut).map(|it| (it + cut_from) % DAEMONS) {
+            fleet.daemons[index].is_cut_off = true;
+            if fleet.leader == Some(index) {
+                fleet.leader = None;
+                fleet.succession_at = Some(fleet.now + SUCCESSION);
+            }
+        }
+        fleet.run(Duration::from_millis(down_for), load);
+        for &index in &killed {
+            fleet.start(index);
+        }
+        fleet.run(Duration::from_secs(8), load);
+        for index in 0..DAEMONS {
+            fleet.daemons[index].is_cut_off = false;
+        }
+        fleet.run(Duration::from_secs(6), load);
+        for (tenant, worst) in fleet.worst.iter().enumerate() {
+            prop_assert!(*worst <= 1.0, "tenant {}: {} of the bound", tenant, worst);
+        }
+    }
+}
