--- a/crates/ingress/src/daemon.rs
+++ b/crates/ingress/src/daemon.rs
@@ -34,6 +34,8 @@
     pub address: SocketAddr,
     /// Where it is asked whether it is ready.
     pub ready_address: SocketAddr,
+    /// Where other daemons reach it.
+    pub peer_address: SocketAddr,
     shared: Arc<Shared>,
     tracker: TaskTracker,
     closing: CancellationToken,
@@ -58,6 +60,7 @@
         let readiness = listen(settings.ready_listen).await?;
         let (address, ready_address) = (clients.local_addr()?, readiness.local_addr()?);
         let peers = PeerSocket::bind(settings.peer_listen).await?;
+        let peer_address = peers.address()?;
         let metrics = match settings.metrics_listen {
             Some(address) => Some(listen(address).await?),
             None => None,
@@ -88,6 +91,7 @@
         Ok(Self {
             address,
             ready_address,
+            peer_address,
             shared,
             tracker,
             closing,
--- a/crates/ingress/tests/ingress/support.rs
+++ b/crates/ingress/tests/ingress/support.rs
@@ -18,12 +18,12 @@
     WeightedService,
 };
 use flaxward_routing::lease::LeaseSettings;
-use flaxward_routing::names::{ModelName, RouteName, RunnerId, ServiceName, Zone};
+use flaxward_routing::names::{ModelName, RouteName, RunnerId, ServiceName, TenantName, Zone};
 use flaxward_routing::placement::{OrderAnswer, PlacementSettings, RunnerReport};
 use flaxward_routing::request::RequestProfile;
 use flaxward_routing::runners::Runner;
 use flaxward_routing::strength::MachineStrength;
-use flaxward_routing::tenants::KeyDigest;
+use flaxward_routing::tenants::{KeyDigest, Quota, QuotaUnit, Tenant, TenantKeys, Tenants};
 use http::{HeaderMap, HeaderValue, StatusCode};
 
 use crate::runner::ScriptedRunner;
@@ -98,7 +98,7 @@
 }
 
 /// Runners that never answer orders or reports.
-struct SilentControl;
+pub struct SilentControl;
 
 #[async_trait]
 impl RunnerControl for SilentControl {
@@ -193,6 +193,35 @@
     Configuration::new(version, ClientLimits::default(), routes, vec![service])
 }
 
+/// A tenant with a key of its own name and, if a rate is given, as many units a second and at once.
+pub fn tenant(name: &str, keys: &[&str], rate: Option<f64>) -> TenantKeys {
+    let quota = rate.map(|rate| Quota {
+        unit: QuotaUnit::Requests,
+        rate,
+        burst: rate,
+    });
+    TenantKeys {
+        tenant: Arc::new(Tenant {
+            name: TenantName::new(name),
+            priority: None,
+            quota,
+        }),
+        keys: keys
+            .iter()
+            .map(|key| KeyDigest::of(key.as_bytes()))
+            .collect(),
+    }
+}
+
+/// The same configuration with tenants and a route `/open/` that needs no key.
+pub fn configuration_with(version: u64, tenants: Vec<TenantKeys>) -> Configuration {
+    let open = Route {
+        is_public: true,
+        ..route("/open/", RouteKind::Repeatable)
+    };
+    configuration(version, vec![open]).with_tenants(Tenants::new(tenants).unwrap())
+}
+
 pub fn runner(index: usize, address: SocketAddr) -> Runner {
     let holdings: BTreeMap<ModelName, BTreeSet<_>> =
         [(ModelName::new(MODEL), BTreeSet::new())].into();
@@ -242,10 +271,19 @@
         name: &str,
         store: MemoryStore,
         control: Arc<dyn RunnerControl>,
+    ) -> Self {
+        Self::start_with(settings(name), store, control).await
+    }
+
+    /// The same with settings of the test's own.
+    pub async fn start_with(
+        settings: IngressSettings,
+        store: MemoryStore,
+        control: Arc<dyn RunnerControl>,
     ) -> Self {
         let store = Arc::new(store);
         let ingress = Ingress::start(
-            settings(name),
+            settings,
             Arc::new(TestSurface),
             store.clone(),
             control,
@@ -286,7 +324,7 @@
     reqwest::Client::builder().no_proxy().build().unwrap()
 }
 
-fn settings(name: &str) -> IngressSettings {
+pub fn settings(name: &str) -> IngressSettings {
     let any = SocketAddr::from(([127, 0, 0, 1], 0));
     IngressSettings {
         name: name.to_owned(),
