--- a/crates/flaxward/src/explain.rs
+++ b/crates/flaxward/src/explain.rs
@@ -10,7 +10,7 @@
 const DAY_MS: i64 = 24 * 60 * 60 * 1_000;
 
 /// Events that concern every request of a daemon.
-const GENERAL_EVENTS: [&str; 9] = [
+const GENERAL_EVENTS: [&str; 11] = [
     "started",
     "stopping",
     "stopped",
@@ -18,6 +18,8 @@
     "lease-lost",
     "coordinator-known",
     "configuration-applied",
+    "configuration-rejected",
+    "quota-limits",
     "dependency-lost",
     "dependency-regained",
 ];
--- a/crates/ingress/src/access.rs
+++ b/crates/ingress/src/access.rs
@@ -16,6 +16,7 @@
 use http::HeaderMap;
 use tokio::time::timeout;
 
+use crate::counters::QUOTA_UNITS;
 use crate::refused::{Details, Refused};
 use crate::state::Shared;
 
@@ -96,6 +97,13 @@
 }
 
 impl Charge {
+    /// Counts what has become of it, by tenant: there are as many as the configuration names.
+    fn record(&self, outcome: &'static str) {
+        let tenant = self.tenant.to_string();
+        metrics::counter!(QUOTA_UNITS.name, "tenant" => tenant, "outcome" => outcome)
+            .increment(u64::from(self.cost));
+    }
+
     /// Gives it back, because the request has surely not run.
     pub(crate) fn give_back(self, shared: &Shared) {
         let now = shared.now();
@@ -103,6 +111,7 @@
             .tables()
             .quota
             .give_back(&self.tenant, self.cost, now);
+        self.record("returned");
     }
 }
 
@@ -131,8 +140,10 @@
         decided => decided,
     };
     let Verdict::Refused { retry_after, basis } = verdict else {
+        charge.record("admitted");
         return Ok(charge);
     };
+    charge.record("refused");
     let basis = match basis {
         Basis::Keeper => "by the keeper".to_owned(),
         Basis::KeeperBefore { admit } => format!("no answer, {admit} of 1000 are admitted"),
--- a/crates/ingress/src/coordination/mod.rs
+++ b/crates/ingress/src/coordination/mod.rs
@@ -152,7 +152,9 @@
         if let Some(leading) = &self.leading {
             wake_at = wake_at.min(leading.plan_due());
         }
-        wake_at = wake_at.min(self.quotas.next_wake(&self.shared));
+        if let Some(quotas) = self.quotas.next_wake(&self.shared) {
+            wake_at = wake_at.min(quotas);
+        }
         wake_at.min(now + IDLE_INTERVAL)
     }
 
--- a/crates/ingress/src/coordination/quotas.rs
+++ b/crates/ingress/src/coordination/quotas.rs
@@ -21,6 +21,8 @@
     own: SocketAddr,
     keeper: QuotaKeeper,
     announcer: Announcer,
+    /// The configuration bounds some tenant. Without that nobody is told anything.
+    has_quotas: bool,
 }
 
 impl Quotas {
@@ -30,6 +32,7 @@
             own,
             keeper: QuotaKeeper::new(now),
             announcer: Announcer::new(own, now),
+            has_quotas: false,
         }
     }
 
@@ -45,9 +48,10 @@
         self.keeper.heard(report, now);
     }
 
-    /// When something is due at the latest.
-    pub fn next_wake(&self, shared: &Shared) -> Timestamp {
-        shared.tables().quota.report_due_at()
+    /// When something is due at the latest, if anything will be.
+    pub fn next_wake(&self, shared: &Shared) -> Option<Timestamp> {
+        self.has_quotas
+            .then(|| shared.tables().quota.report_due_at())
     }
 
     /// Tells the keepers what this daemon has admitted, if that is due.
@@ -55,6 +59,10 @@
         if let Some(configuration) = shared.configuration() {
             self.keeper.configure(&configuration, now);
         }
+        self.has_quotas = self.keeper.has_accounts();
+        if !self.has_quotas {
+            return;
+        }
         let Some(report) = shared.tables().quota.due_report(self.own, now) else {
             return;
         };
@@ -122,7 +130,7 @@
 
     /// What a deputy tells, if it speaks for a coordinator that is silent.
     pub fn deputy_news(&mut self, daemons: u32, now: Timestamp) -> Option<QuotaNews> {
-        if !self.announcer.speaks_as_deputy(now) {
+        if !self.has_quotas || !self.announcer.speaks_as_deputy(now) {
             self.announcer.stop();
             return None;
         }
--- a/crates/ingress/src/counters.rs
+++ b/crates/ingress/src/counters.rs
@@ -3,7 +3,7 @@
 use flaxward_types::Metric;
 
 /// Metrics of this crate.
-pub const METRICS: [Metric; 19] = [
+pub const METRICS: [Metric; 20] = [
     SERVED,
     REFUSED,
     ATTEMPTS_FAILED,
@@ -23,6 +23,7 @@
     STORE_LOAD_SECONDS,
     STORE_LOADS_ALLOWED,
     CONFIGURATIONS_FROM_PEERS,
+    QUOTA_UNITS,
 ];
 
 /// Requests whose answer, or the head of it, was passed on, by `status`, the class of the HTTP status.
@@ -120,3 +121,8 @@
     "flaxward_ingress_configurations_from_peers_total",
     "Versions of the configuration that came from another daemon and not from the store.",
 );
+/// Units of quotas asked for, by `tenant` and `outcome`: `admitted`, `refused`, or `returned` by requests that did not run.
+pub const QUOTA_UNITS: Metric = Metric::counter(
+    "flaxward_ingress_quota_units_total",
+    "Units of quotas asked for, by `tenant` and `outcome`: `admitted`, `refused`, or `returned` by requests that did not run.",
+);
--- a/crates/routing/src/quota/keeper.rs
+++ b/crates/routing/src/quota/keeper.rs
@@ -258,6 +258,11 @@
         self.accounts = accounts;
     }
 
+    /// Whether any tenant is bounded.
+    pub fn has_accounts(&self) -> bool {
+        !self.accounts.is_empty()
+    }
+
     /// Takes in what a daemon has admitted.
     pub fn heard(&mut self, report: UseReport, now: Timestamp) {
         if self.heard_at.is_none_or(|at| now.since(at) >= IDLE) {
