--- a/crates/ingress/src/coordination/configurations.rs
+++ b/crates/ingress/src/coordination/configurations.rs
@@ -67,7 +67,7 @@
     }
 
     /// Takes in a piece of a configuration.
-    pub fn take(&mut self, shared: &Shared, chunk: ConfigurationChunk) {
+    pub fn take(&mut self, shared: &Shared, chunk: &ConfigurationChunk) {
         let known = shared.configuration().map_or(0, |known| known.version);
         let Some(assembly) = self.assembly.as_mut().filter(|_| chunk.version > known) else {
             return;
--- a/crates/ingress/src/coordination/mod.rs
+++ b/crates/ingress/src/coordination/mod.rs
@@ -7,6 +7,7 @@
 mod following;
 mod informing;
 mod leading;
+mod lease_changes;
 mod quotas;
 
 use std::fmt::Display;
@@ -15,12 +16,12 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
-use flaxward_routing::lease::{LeaseAnswer, LeaseChange, LeaseMachine, LossReason};
+use flaxward_routing::arrivals::Arrivals;
+use flaxward_routing::lease::{LeaseAnswer, LeaseMachine};
 use flaxward_routing::messages::{Message, StoreNews};
 use flaxward_routing::names::RunnerId;
-use flaxward_routing::placement::{Order, OrderAnswer, Placement};
+use flaxward_routing::placement::{Order, OrderAnswer};
 use flaxward_routing::quota::announcer::Speaker;
-use flaxward_routing::store_trust::WatchRole;
 use flaxward_types::time::Timestamp;
 use tokio::sync::mpsc;
 use tokio::time::sleep_until;
@@ -37,9 +38,6 @@
 use leading::Leading;
 use quotas::Quotas;
 
-/// Time between two looks of the task after which it is taken to have stood still; it looks each
-/// [`IDLE_INTERVAL`] at least.
-const STANDSTILL: Duration = Duration::from_millis(600);
 /// Time between looks at the lease while this daemon does not coordinate.
 const IDLE_INTERVAL: Duration = Duration::from_millis(250);
 
@@ -57,12 +55,7 @@
     store_fails: bool,
     quotas: Quotas,
     configurations: Configurations,
-    /// When the task last looked at what has come.
-    looked_at: Timestamp,
-    /// The task stood still from this time on, and has not received all since that came meanwhile.
-    stood_still_since: Option<Timestamp>,
-    /// The message at hand came no earlier than at this time.
-    came_after: Timestamp,
+    arrivals: Arrivals,
 }
 
 impl Coordination {
@@ -88,9 +81,7 @@
         Ok(Self {
             quotas: Quotas::new(address, now),
             configurations: Configurations::default(),
-            looked_at: now,
-            stood_still_since: None,
-            came_after: now,
+            arrivals: Arrivals::new(now),
             following: Following::new(address),
             shared,
             peers,
@@ -108,7 +99,8 @@
     pub(crate) async fn run(mut self) {
         loop {
             let now = self.shared.now();
-            self.note_look(now);
+            let peers = &self.peers;
+            self.arrivals.looks(now, || peers.is_empty());
             let wake_at = self.shared.clock.instant(self.next_wake(now));
             let shared = self.shared.clone();
             tokio::select! {
@@ -133,19 +125,6 @@
         }
     }
 
-    /// Works out since when the next message can have come. After this process was frozen, what comes first may have
-    /// lain in the socket for as long as it was, and says nothing of the present.
-    fn note_look(&mut self, now: Timestamp) {
-        let before = std::mem::replace(&mut self.looked_at, now);
-        if now.since(before) >= STANDSTILL {
-            self.stood_still_since.get_or_insert(before);
-        }
-        if self.stood_still_since.is_some() && self.peers.is_empty() {
-            self.stood_still_since = None;
-        }
-        self.came_after = self.stood_still_since.unwrap_or(before);
-    }
-
     fn next_wake(&self, now: Timestamp) -> Timestamp {
         let next_message = self.following.next_message(&self.shared);
         let mut wake_at = self.lease.next_poll(now).min(next_message);
@@ -303,8 +282,12 @@
                 let version = direction.store.configuration_version;
                 self.configurations
                     .told(&self.shared, direction.address, version);
-                self.following
-                    .take_direction(&self.shared, direction, leads, self.came_after);
+                self.following.take_direction(
+                    &self.shared,
+                    direction,
+                    leads,
+                    self.arrivals.came_after(),
+                );
             }
             Message::Usage(_) | Message::Waiting(_) => self.heard_member(message),
             Message::LeaseEnded { term } => {
@@ -323,7 +306,7 @@
                 self.configurations
                     .answer(&self.shared, &self.peers, &wanted);
             }
-            Message::ConfigurationChunk(chunk) => self.configurations.take(&self.shared, chunk),
+            Message::ConfigurationChunk(chunk) => self.configurations.take(&self.shared, &chunk),
         }
     }
 
@@ -340,7 +323,7 @@
         let version = news.state.configuration_version;
         self.configurations.told(&self.shared, news.from, version);
         self.shared
-            .hear_store(news.from, &news.state, self.came_after);
+            .hear_store(news.from, &news.state, self.arrivals.came_after());
     }
 
     /// Takes in a message of a member, if this daemon coordinates.
@@ -427,80 +410,4 @@
             leading.plan_soon(now);
         }
     }
-
-    fn lease_changed(&mut self, change: &LeaseChange) {
-        match *change {
-            LeaseChange::Acquired { term, orders_from } => self.begin_leading(term, orders_from),
-            LeaseChange::Lost { term, reason } => self.end_leading(term, reason),
-            LeaseChange::Holder { address, term } => self.follow(address, term),
-        }
-    }
-
-    /// This daemon coordinates from now on, and watches the store for all.
-    fn begin_leading(&mut self, term: u64, orders_from: Timestamp) {
-        let now = self.shared.now();
-        let mut placement = Placement::new(self.shared.settings.placement, now, orders_from);
-        if let Some(configuration) = self.shared.configuration() {
-            placement.configure(&configuration);
-        }
-        placement.inherit_store_limits(self.following.store_limits(), now);
-        self.shared.set_watch_role(WatchRole::Coordinator);
-        self.announce();
-        let link = self.shared.settings.strength.link;
-        self.leading = Some(Leading::new(term, placement, link, now));
-        self.log_lease("lease-acquired", term);
-        self.follow(self.address, term);
-    }
-
-    /// This daemon coordinates no longer. The standbys need not wait until it is silent.
-    fn end_leading(&mut self, term: u64, reason: LossReason) {
-        let now = self.shared.now();
-        self.shared.tables().loads.clear();
-        self.shared.set_watch_role(WatchRole::Member);
-        if let Some(leading) = self.leading.take() {
-            for address in leading.standby_addresses(now) {
-                self.peers.send(address, &Message::LeaseEnded { term });
-            }
-        }
-        self.following.forget();
-        let fields: &[(&str, &dyn Display)] =
-            &[("term", &term), ("reason", &format!("{reason:?}"))];
-        self.shared.log.write(now, "lease-lost", fields);
-    }
-
-    /// Tells the members that this daemon knows and has not heard yet that it coordinates.
-    fn announce(&mut self) {
-        let now = self.shared.now();
-        let Some(pulse) = self.lease.pulse(now) else {
-            return;
-        };
-        let quota = self.quotas.news(&[], self.shared.daemons(), now);
-        let header = leading::header(&self.shared, pulse, self.address, &quota);
-        let heard = match &self.leading {
-            Some(leading) => leading.member_addresses(now),
-            None => Vec::new(),
-        };
-        let mut members = self.following.members().to_vec();
-        if members.is_empty() {
-            members = self.lease.recorded_members().to_vec();
-        }
-        let is_unheard =
-            |address: &&SocketAddr| **address != self.address && !heard.contains(*address);
-        for address in members.iter().filter(is_unheard) {
-            self.peers
-                .send(*address, &Message::Direction(header.clone()));
-        }
-    }
-
-    fn log_lease(&self, event: &str, term: u64) {
-        let fields: &[(&str, &dyn Display)] = &[("term", &term)];
-        self.shared.log.write(self.shared.now(), event, fields);
-    }
-
-    /// Turns to a coordinator, unless a later one is known.
-    fn follow(&mut self, address: SocketAddr, term: u64) {
-        if self.following.follow(address, term) {
-            self.log_lease("coordinator-known", term);
-        }
-    }
 }
--- a/crates/ingress/src/coordination/quotas.rs
+++ b/crates/ingress/src/coordination/quotas.rs
@@ -21,8 +21,8 @@
     own: SocketAddr,
     keeper: QuotaKeeper,
     announcer: Announcer,
-    /// The configuration bounds some tenant. Without that nobody is told anything.
-    has_quotas: bool,
+    /// The configuration bounds some tenant; else nobody is told anything.
+    tells_keepers: bool,
 }
 
 impl Quotas {
@@ -32,7 +32,7 @@
             own,
             keeper: QuotaKeeper::new(now),
             announcer: Announcer::new(own, now),
-            has_quotas: false,
+            tells_keepers: false,
         }
     }
 
@@ -50,7 +50,7 @@
 
     /// When something is due at the latest, if anything will be.
     pub fn next_wake(&self, shared: &Shared) -> Option<Timestamp> {
-        self.has_quotas
+        self.tells_keepers
             .then(|| shared.tables().quota.report_due_at())
     }
 
@@ -59,8 +59,8 @@
         if let Some(configuration) = shared.configuration() {
             self.keeper.configure(&configuration, now);
         }
-        self.has_quotas = self.keeper.has_accounts();
-        if !self.has_quotas {
+        self.tells_keepers = self.keeper.has_accounts();
+        if !self.tells_keepers {
             return;
         }
         let Some(report) = shared.tables().quota.due_report(self.own, now) else {
@@ -130,7 +130,7 @@
 
     /// What a deputy tells, if it speaks for a coordinator that is silent.
     pub fn deputy_news(&mut self, daemons: u32, now: Timestamp) -> Option<QuotaNews> {
-        if !self.has_quotas || !self.announcer.speaks_as_deputy(now) {
+        if !self.tells_keepers || !self.announcer.speaks_as_deputy(now) {
             self.announcer.stop();
             return None;
         }
--- a/crates/routing/src/configuration_transfer.rs
+++ b/crates/routing/src/configuration_transfer.rs
@@ -196,7 +196,7 @@
     }
 
     /// Takes in a chunk. Returns the configuration's parts once all are there.
-    pub fn take(&mut self, chunk: ConfigurationChunk) -> Option<EncodedConfiguration> {
+    pub fn take(&mut self, chunk: &ConfigurationChunk) -> Option<EncodedConfiguration> {
         let is_sane = chunk.parts.len() <= MAX_PARTS
             && chunk.parts.iter().all(|id| id.length <= MAX_PART_BYTES);
         if chunk.version < self.version || !is_sane {
@@ -207,7 +207,7 @@
             self.ids.clone_from(&chunk.parts);
         }
         if !chunk.bytes.is_empty() {
-            self.take_bytes(&chunk);
+            self.take_bytes(chunk);
         }
         self.complete()
     }
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -7,6 +7,7 @@
 #![warn(clippy::pedantic)]
 #![allow(clippy::module_name_repetitions, clippy::must_use_candidate)]
 
+pub mod arrivals;
 pub mod attempt;
 pub mod balance;
 pub mod budget;
--- a/crates/routing/src/quota/meter.rs
+++ b/crates/routing/src/quota/meter.rs
@@ -16,9 +16,9 @@
 /// Shortest time between two reports.
 const LEAST_REPORT_INTERVAL: Duration = Duration::from_millis(60);
 /// Longest time between two reports: keepers count a daemon that they hear as one that they govern.
-const REPORT_INTERVAL: Duration = Duration::from_millis(1_000);
+const REPORT_INTERVAL: Duration = Duration::from_secs(1);
 /// Time for which a changed count is told again with each report, in case that one is lost.
-const REPEATED_FOR: Duration = Duration::from_millis(2_000);
+const REPEATED_FOR: Duration = Duration::from_secs(2);
 /// Time without word of a keeper after which a daemon keeps to its own share. Keepers tell twice a second, and a
 /// standby takes the coordinator's place within a second. A tenant whose excess begins as all keepers are lost is
 /// bounded by this and by [`DEEPEST_DEBT`]: at four times its rate, within a tenth of its quota in eight seconds.
--- /dev/null
+++ b/crates/routing/tests/arrivals.rs
@@ -0,0 +1,56 @@
+//! How old messages are taken to be.
+
+use std::collections::VecDeque;
+
+use flaxward_routing::arrivals::Arrivals;
+use flaxward_types::time::Timestamp;
+use proptest::prelude::*;
+
+/// What may go wrong by while a daemon is not frozen: the time between two looks.
+const AWAKE_GAP_MS: u64 = 599;
+
+#[test]
+fn after_a_standstill_all_that_lay_in_the_socket_is_old() {
+    let mut arrivals = Arrivals::new(Timestamp(1_000));
+    arrivals.looks(Timestamp(1_100), || true);
+    // Frozen for five seconds; three messages have come meanwhile.
+    for now in [6_100, 6_101, 6_102] {
+        arrivals.looks(Timestamp(now), || false);
+        assert_eq!(arrivals.came_after(), Timestamp(1_100));
+    }
+    arrivals.looks(Timestamp(6_103), || true);
+    assert!(arrivals.came_after() >= Timestamp(6_102));
+}
+
+proptest! {
+    /// Messages come at any time, the daemon takes in one at each look and is frozen now and then. No message counts
+    /// as younger than it is, but for the time between two looks of a daemon that is awake.
+    #[test]
+    fn no_message_counts_as_younger_than_it_is(
+        gaps in prop::collection::vec(prop_oneof![8 => 1_u64..400, 1 => 600_u64..9_000], 1..60),
+        messages in prop::collection::vec(0_u64..60_000, 0..60),
+    ) {
+        let mut messages = messages;
+        messages.sort_unstable();
+        let mut coming: VecDeque<u64> = messages.into();
+        let mut now = 0;
+        let mut arrivals = Arrivals::new(Timestamp(now));
+        let mut lying: VecDeque<u64> = VecDeque::new();
+        for gap in gaps {
+            now += gap;
+            let is_empty = lying.is_empty() && coming.front().is_none_or(|&at| at > now);
+            arrivals.looks(Timestamp(now), || is_empty);
+            while coming.front().is_some_and(|&at| at <= now) {
+                lying.extend(coming.pop_front());
+            }
+            if let Some(came_at) = lying.pop_front() {
+                let believed = arrivals.came_after().0;
+                let backlog = now - came_at;
+                prop_assert!(
+                    believed <= came_at + AWAKE_GAP_MS.max(if gap < 600 { backlog } else { 0 }),
+                    "came at {came_at}, believed {believed}, now {now}"
+                );
+            }
+        }
+    }
+}
--- a/crates/routing/tests/configuration_transfer.rs
+++ b/crates/routing/tests/configuration_transfer.rs
@@ -89,7 +89,7 @@
     let chunks = new.chunks_for(&old.digests());
     assert!(bytes(&chunks) < 200, "{}", bytes(&chunks));
     let mut assembly = Assembly::new(&old);
-    let whole = chunks.into_iter().find_map(|chunk| assembly.take(chunk));
+    let whole = chunks.into_iter().find_map(|chunk| assembly.take(&chunk));
     let decoded = whole.unwrap().decode().unwrap();
     assert_eq!(decoded.version, 2);
     let holds = |key: &[u8]| decoded.tenants().holder(&KeyDigest::of(key)).is_some();
@@ -104,7 +104,7 @@
     let chunks = new.chunks_for(&old.digests());
     assert_eq!(chunks.len(), 1);
     let mut assembly = Assembly::new(&old);
-    assert_eq!(assembly.take(chunks[0].clone()).unwrap().version(), 7);
+    assert_eq!(assembly.take(&chunks[0]).unwrap().version(), 7);
 }
 
 #[test]
@@ -113,15 +113,15 @@
     let mut assembly = Assembly::new(&EncodedConfiguration::default());
     for mut chunk in encoded.chunks_for(&[]) {
         chunk.bytes[0] ^= 1;
-        assert!(assembly.take(chunk).is_none());
+        assert!(assembly.take(&chunk).is_none());
     }
     let mut beyond = encoded.chunks_for(&[]).remove(0);
     beyond.offset = u32::MAX;
-    assert!(assembly.take(beyond).is_none());
+    assert!(assembly.take(&beyond).is_none());
     let mut endless = encoded.chunks_for(&[]).remove(0);
     endless.version = 9;
     endless.parts[0].length = u32::MAX;
-    assert!(assembly.take(endless).is_none());
+    assert!(assembly.take(&endless).is_none());
 }
 
 proptest! {
@@ -143,12 +143,12 @@
             let middle = order.index(chunks.len());
             chunks.rotate_left(middle);
             for (index, chunk) in chunks.into_iter().enumerate() {
-                assembly.take(old.chunks_for(&[]).remove(0));
+                assembly.take(&old.chunks_for(&[])[0]);
                 if round == 0 && lost[index % lost.len()] {
                     continue;
                 }
-                assembly.take(chunk.clone());
-                whole = assembly.take(chunk).or(whole);
+                assembly.take(&chunk);
+                whole = assembly.take(&chunk).or(whole);
             }
         }
         let decoded = whole.unwrap().decode().unwrap();
--- a/crates/routing/tests/quota.rs
+++ b/crates/routing/tests/quota.rs
@@ -580,6 +580,21 @@
     ));
 }
 
+#[test]
+fn a_report_that_was_overtaken_changes_nothing() {
+    let now = Timestamp(1_000);
+    let large = tenant("large", 100_000.0);
+    let mut keeper = QuotaKeeper::new(now);
+    keeper.configure(&configuration(std::slice::from_ref(&large)), now);
+    keeper.heard(report(&large, 0, 0), now);
+    keeper.heard(report(&large, 5_000, 5_000), now);
+    let level = keeper.level(&large.name);
+    keeper.heard(report(&large, 1_000, 1_000), now);
+    assert_eq!(keeper.level(&large.name), level);
+    keeper.heard(report(&large, 5_000, 5_000), now);
+    assert_eq!(keeper.level(&large.name), level);
+}
+
 #[test]
 fn refused_requests_are_told_to_come_back_one_after_another() {
     let now = Timestamp(1_000);
