--- a/crates/ingress/src/coordination/mod.rs
+++ b/crates/ingress/src/coordination/mod.rs
@@ -38,6 +38,9 @@
 use leading::Leading;
 use quotas::Quotas;
 
+/// Time between two looks at which tenants are near their limit. A coordinator is woken by each message of its members,
+/// and a look goes through all of them, so that one at each message would cost their number squared.
+const LIMITS_INTERVAL: Duration = Duration::from_millis(40);
 /// Time between looks at the lease while this daemon does not coordinate.
 const IDLE_INTERVAL: Duration = Duration::from_millis(250);
 
@@ -56,6 +59,8 @@
     quotas: Quotas,
     configurations: Configurations,
     arrivals: Arrivals,
+    /// When the limits of tenants were looked at.
+    limits_at: Timestamp,
 }
 
 impl Coordination {
@@ -82,6 +87,7 @@
             quotas: Quotas::new(address, now),
             configurations: Configurations::default(),
             arrivals: Arrivals::new(now),
+            limits_at: now,
             following: Following::new(address),
             shared,
             peers,
@@ -175,6 +181,10 @@
 
     /// Tells all daemons which tenants are near their limit, if this daemon is to and it is due.
     fn tell_limits(&mut self, now: Timestamp) {
+        if now.since(self.limits_at) < LIMITS_INTERVAL {
+            return;
+        }
+        self.limits_at = now;
         let daemons = self.daemons(now);
         let (speaker, addresses, news) = if let Some(leading) = &self.leading {
             let news = self
--- a/crates/routing/src/pacing.rs
+++ b/crates/routing/src/pacing.rs
@@ -73,7 +73,8 @@
         .map_or(0, |it| it.changes.len());
     let loads = direction.loads.as_ref().map_or(0, Vec::len);
     let members = direction.members.as_ref().map_or(0, Vec::len);
-    let entries = direction.outlooks.len() + loads + members;
+    let quota = direction.quota.keepers.len() + direction.quota.limits.len();
+    let entries = direction.outlooks.len() + loads + members + quota;
     MESSAGE_BYTES
         + HOLDINGS_BYTES * count(direction.holdings.len())
         + CHANGE_BYTES * count(changes)
