--- a/crates/ingress/src/lib.rs
+++ b/crates/ingress/src/lib.rs
@@ -20,7 +20,7 @@
 pub mod outside;
 mod peer;
 mod pool;
-mod quota_desk;
+mod quota_client;
 mod refused;
 mod relay;
 mod server;
--- a/crates/ingress/src/quota_desk.rs
+++ b/crates/ingress/src/quota_client.rs
@@ -20,7 +20,7 @@
 
 /// Numbers questions and brings answers to those who wait for them.
 #[derive(Debug, Default)]
-pub(crate) struct QuotaDesk {
+pub(crate) struct QuotaClient {
     questions: Mutex<Questions>,
 }
 
@@ -35,7 +35,7 @@
     }
 }
 
-impl QuotaDesk {
+impl QuotaClient {
     /// Has the keeper at an address asked for a request.
     pub(crate) fn ask(
         &self,
--- a/crates/ingress/src/state.rs
+++ b/crates/ingress/src/state.rs
@@ -26,7 +26,7 @@
 use crate::decisions::DecisionLog;
 use crate::outside::{ClusterStore, RunnerControl, Surface};
 use crate::pool::Pool;
-use crate::quota_desk::QuotaDesk;
+use crate::quota_client::QuotaClient;
 use crate::settings::IngressSettings;
 use crate::store_word::StoreWord;
 use crate::usage::{Running, UseLog, Waiting};
@@ -79,7 +79,7 @@
     /// Woken when a request begins to wait for a unit.
     pub demand: Notify,
     /// Requests for which the keeper of quotas is asked.
-    pub quota_questions: QuotaDesk,
+    pub quota_questions: QuotaClient,
     /// Woken when the keepers of quotas are to be told or asked something.
     pub quota_wake: Notify,
     /// Woken when a daemon that has told of a newer configuration is to be asked for it.
@@ -139,7 +139,7 @@
             log: DecisionLog::default(),
             changed: Notify::new(),
             demand: Notify::new(),
-            quota_questions: QuotaDesk::default(),
+            quota_questions: QuotaClient::default(),
             quota_wake: Notify::new(),
             configuration_wanted: Notify::new(),
             stopping: AtomicBool::new(false),
