Reading: refusals made in one place, a daemon's share kept with its bucket; no look at limits without quotas

Two functions built the same refusal of a request that was sent nowhere. A share stood beside its bucket in a tuple that was taken apart and put together at each request. A coordinator went through its members 25 times a second where no tenant is bounded. When the last quota is removed, daemons hear it with the next heartbeat (0.5 s) and not at once; requests of tenants without a quota were admitted before that too.

--- a/crates/ingress/src/access.rs
+++ b/crates/ingress/src/access.rs
@@ -5,7 +5,6 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use flaxward_routing::attempt::Attempts;
 use flaxward_routing::configuration::{Configuration, Route};
 use flaxward_routing::names::TenantName;
 use flaxward_routing::quota::meter::{Basis, Verdict};
@@ -17,7 +16,7 @@
 use tokio::time::timeout;
 
 use crate::counters::QUOTA_UNITS;
-use crate::refused::{Details, Refused};
+use crate::refused::Refused;
 use crate::state::Shared;
 
 /// When to come back, to another daemon, if this one cannot tell which keys hold.
@@ -80,13 +79,7 @@
 }
 
 fn refused(id: &str, route: &Route, refusal: Refusal, reason: String) -> Refused {
-    Refused::new(Details {
-        request: id.to_owned(),
-        route: route.name.to_string(),
-        refusal,
-        attempts: Attempts::default(),
-        reason,
-    })
+    Refused::unsent(id, route.name.as_str(), refusal, reason)
 }
 
 /// What a request has taken of its tenant's quota.
--- a/crates/ingress/src/coordination/mod.rs
+++ b/crates/ingress/src/coordination/mod.rs
@@ -181,7 +181,7 @@
 
     /// Tells all daemons which tenants are near their limit, if this daemon is to and it is due.
     fn tell_limits(&mut self, now: Timestamp) {
-        if now.since(self.limits_at) < LIMITS_INTERVAL {
+        if !self.quotas.are_kept() || now.since(self.limits_at) < LIMITS_INTERVAL {
             return;
         }
         self.limits_at = now;
--- a/crates/ingress/src/coordination/quotas.rs
+++ b/crates/ingress/src/coordination/quotas.rs
@@ -48,6 +48,11 @@
         self.keeper.heard(report, now);
     }
 
+    /// Whether the configuration bounds some tenant; else there is nothing to be told.
+    pub fn are_kept(&self) -> bool {
+        self.tells_keepers
+    }
+
     /// When something is due at the latest, if anything will be.
     pub fn next_wake(&self, shared: &Shared) -> Option<Timestamp> {
         self.tells_keepers
--- a/crates/ingress/src/handler.rs
+++ b/crates/ingress/src/handler.rs
@@ -6,7 +6,6 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use flaxward_routing::attempt::Attempts;
 use flaxward_routing::configuration::{Configuration, Route};
 use flaxward_routing::tenants::Tenant;
 use flaxward_types::ResultCode;
@@ -21,7 +20,7 @@
 use crate::answers::{self, AnswerBody};
 use crate::exchange::{ClientRequest, remove_connection_headers};
 use crate::job::Job;
-use crate::refused::{Details, RETRY_AFTER, Refused};
+use crate::refused::{RETRY_AFTER, Refused};
 use crate::state::Shared;
 
 /// Requests in progress at one daemon at most.
@@ -71,13 +70,7 @@
 }
 
 fn early(code: ResultCode, request: &str, reason: &str) -> Refused {
-    Refused::new(Details {
-        request: request.to_owned(),
-        route: String::new(),
-        refusal: Refusal::new(code),
-        attempts: Attempts::default(),
-        reason: reason.to_owned(),
-    })
+    Refused::unsent(request, "", Refusal::new(code), reason.to_owned())
 }
 
 async fn serve(
--- a/crates/ingress/src/refused.rs
+++ b/crates/ingress/src/refused.rs
@@ -30,6 +30,17 @@
         Self(Box::new(details))
     }
 
+    /// A refusal of a request that was sent nowhere.
+    pub(crate) fn unsent(request: &str, route: &str, refusal: Refusal, reason: String) -> Self {
+        Self::new(Details {
+            request: request.to_owned(),
+            route: route.to_owned(),
+            refusal,
+            attempts: Attempts::default(),
+            reason,
+        })
+    }
+
     /// What the client is told.
     pub(crate) fn refusal(&self) -> &Refusal {
         &self.0.refusal
--- a/crates/routing/src/configuration_age.rs
+++ b/crates/routing/src/configuration_age.rs
@@ -9,7 +9,7 @@
 use flaxward_types::time::Timestamp;
 
 /// That no version newer than this one existed at a moment.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 struct Confirmation {
     version: u64,
     at: Timestamp,
@@ -40,11 +40,7 @@
             self.confirm(at);
             return;
         }
-        let confirmation = Confirmation { version, at };
-        let known = self.newer.map(|newer| (newer.version, newer.at));
-        if known < Some((version, at)) {
-            self.newer = Some(confirmation);
-        }
+        self.newer = self.newer.max(Some(Confirmation { version, at }));
     }
 
     /// Time since the version in force here was surely the newest; `None` if it never was.
--- a/crates/routing/src/quota/keeper.rs
+++ b/crates/routing/src/quota/keeper.rs
@@ -148,8 +148,9 @@
         if questions.is_multiple_of(UNRESERVED_EVERY) {
             return 0.0;
         }
-        let ranks = f64::from(rank.min(3));
-        self.full() * RESERVE_SHARE * ranks
+        #[allow(clippy::cast_precision_loss)]
+        let more_urgent = place as f64;
+        self.full() * RESERVE_SHARE * more_urgent
     }
 
     /// Works out whether the tenant is near its limit.
--- a/crates/routing/src/quota/meter.rs
+++ b/crates/routing/src/quota/meter.rs
@@ -73,6 +73,7 @@
 /// it too, so that an excess which began just before the word ceased is made good.
 #[derive(Clone, Copy, Debug)]
 struct OwnBucket {
+    share: OwnShare,
     level: f64,
     filled_at: Timestamp,
 }
@@ -80,20 +81,23 @@
 impl OwnBucket {
     fn new(share: OwnShare, now: Timestamp) -> Self {
         Self {
+            share,
             level: share.capacity,
             filled_at: now,
         }
     }
 
+    /// Takes in that time has passed, and that the share may be another one.
     fn fill(&mut self, share: OwnShare, now: Timestamp) {
         let gained = share.rate * now.since(self.filled_at).as_secs_f64();
         self.level = (self.level + gained).min(share.capacity);
         self.filled_at = now;
+        self.share = share;
     }
 
     /// Takes what was admitted by the word of keepers.
-    fn take(&mut self, share: OwnShare, cost: u32) {
-        let deepest = -share.rate * DEEPEST_DEBT.as_secs_f64();
+    fn take(&mut self, cost: u32) {
+        let deepest = -self.share.rate * DEEPEST_DEBT.as_secs_f64();
         self.level = (self.level - f64::from(cost)).max(deepest);
     }
 
@@ -136,14 +140,14 @@
     /// Units asked since the last report.
     unreported: u64,
     changed_at: Timestamp,
-    own: Option<(OwnShare, OwnBucket)>,
+    own: Option<OwnBucket>,
 }
 
 impl Count {
     /// Takes what was admitted by the word of keepers from the own share.
     fn take_own(&mut self, cost: u32) {
-        if let Some((share, own)) = &mut self.own {
-            own.take(*share, cost);
+        if let Some(own) = &mut self.own {
+            own.take(cost);
         }
     }
 }
@@ -315,11 +319,8 @@
         let threshold = quota.rate * REPORT_SHARE / self.daemons as f64;
         let share = OwnShare::of(quota, self.daemons);
         let count = self.counts.entry(tenant.clone()).or_default();
-        let (_, own) = count
-            .own
-            .get_or_insert_with(|| (share, OwnBucket::new(share, now)));
+        let own = count.own.get_or_insert_with(|| OwnBucket::new(share, now));
         own.fill(share, now);
-        count.own = count.own.map(|(_, own)| (share, own));
         count.asked += u64::from(cost);
         count.unreported += u64::from(cost);
         count.changed_at = now;
@@ -334,8 +335,9 @@
     }
 
     fn admit_unanswered(&mut self, tenant: &TenantName, cost: u32, random: u64) -> Verdict {
-        let admit = self.limits.get(tenant).copied();
-        let admit = admit.unwrap_or(u16::try_from(WHOLE).unwrap_or(u16::MAX));
+        let Some(&admit) = self.limits.get(tenant) else {
+            return self.admitted(tenant, cost);
+        };
         if random % WHOLE < u64::from(admit) {
             return self.admitted(tenant, cost);
         }
@@ -354,10 +356,7 @@
     ) -> Verdict {
         let share = OwnShare::of(quota, self.daemons);
         let count = self.counts.entry(tenant.clone()).or_default();
-        let is_drawn = count
-            .own
-            .as_mut()
-            .is_some_and(|(_, own)| own.draw(cost, random));
+        let is_drawn = count.own.as_mut().is_some_and(|own| own.draw(cost, random));
         if is_drawn {
             count.admitted += i64::from(cost);
             return Verdict::Admitted;
