Sight: lines of failed attempts tell what the request asks for, and how long it was at the runner

Cause: each try of a caller has a new identity, so the logs could not tell whether the request that broke off at one crash of a runner is the one that broke off at the next. Added: a fingerprint of method, host, path with query, tenant and body, in attempt-failed and stream-broken, beside the time since the request was sent. The digest is only taken when a line needs it.

--- a/crates/ingress/src/exchange.rs
+++ b/crates/ingress/src/exchange.rs
@@ -1,11 +1,12 @@
 //! One attempt at one runner, up to the head of its answer.
 
-use std::sync::Arc;
+use std::sync::{Arc, OnceLock};
 use std::time::Duration;
 
 use bytes::Bytes;
 use flaxward_routing::attempt::Failure;
 use flaxward_routing::configuration::RouteKind;
+use flaxward_routing::fingerprint::{RequestContent, RequestFingerprint};
 use flaxward_routing::health::Observation;
 use flaxward_routing::names::Unit;
 use flaxward_routing::request::RequestProfile;
@@ -28,6 +29,8 @@
 #[derive(Clone, Debug)]
 pub(crate) struct ClientRequest {
     pub method: Method,
+    /// The host that the client named.
+    pub host: String,
     pub uri: Uri,
     pub headers: HeaderMap,
     pub body: Bytes,
@@ -37,9 +40,27 @@
     pub tenant: Option<Arc<Tenant>>,
     pub unit: Option<Unit>,
     pub deadline: Instant,
+    /// Found when it is first asked for: most requests never need it.
+    pub fingerprint: OnceLock<RequestFingerprint>,
 }
 
 impl ClientRequest {
+    /// What stays the same when the client tries again.
+    pub(crate) fn fingerprint(&self) -> RequestFingerprint {
+        *self.fingerprint.get_or_init(|| {
+            RequestFingerprint::of(&RequestContent {
+                method: self.method.as_str(),
+                host: &self.host,
+                target: self
+                    .uri
+                    .path_and_query()
+                    .map_or("", |target| target.as_str()),
+                tenant: self.tenant.as_ref().map(|tenant| &tenant.name),
+                body: &self.body,
+            })
+        })
+    }
+
     pub(crate) fn time_left(&self) -> Duration {
         self.deadline.saturating_duration_since(Instant::now())
     }
--- a/crates/ingress/src/handler.rs
+++ b/crates/ingress/src/handler.rs
@@ -1,8 +1,8 @@
 //! A request from its arrival to the first look at what it needs: which configuration, route and service it
 //! falls under. [`Job`] sends it to runners.
 
-use std::sync::Arc;
 use std::sync::atomic::Ordering;
+use std::sync::{Arc, OnceLock};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -134,6 +134,7 @@
     let unit = has_engine.then(|| profile.unit(&service)).flatten();
     let client_request = ClientRequest {
         method: head.method,
+        host,
         uri: origin_form(&head.uri),
         headers: passed_headers(shared, &configuration, head.headers),
         body,
@@ -143,6 +144,7 @@
         tenant,
         unit,
         deadline,
+        fingerprint: OnceLock::new(),
     };
     let job = Job::new(shared.clone(), client_request, route, service, begun);
     let answered = job.run(Box::new(guard)).await;
--- a/crates/ingress/src/job.rs
+++ b/crates/ingress/src/job.rs
@@ -135,11 +135,12 @@
                 return self.give_up("the retry budget is spent");
             }
             self.is_sending = true;
+            let sent_at = Instant::now();
             let attempted = self.attempt(&runner).await;
             self.is_sending = false;
             match attempted {
                 Ok(response) => return Ok(response),
-                Err(failed) => self.count_failure(&runner, failed),
+                Err(failed) => self.count_failure(&runner, failed, sent_at.elapsed()),
             }
             let max_attempts = self.route.max_attempts;
             if !self.attempts.may_repeat(self.route.kind, max_attempts) {
@@ -199,7 +200,7 @@
         may_serve && full_rounds < 2
     }
 
-    fn count_failure(&mut self, runner: &Runner, failed: FailedAttempt) {
+    fn count_failure(&mut self, runner: &Runner, failed: FailedAttempt, lasted: Duration) {
         if let Some(observation) = failed.observation {
             self.shared.observe(&runner.id, observation);
         }
@@ -216,6 +217,8 @@
             ("failure", &format!("{:?}", failed.failure)),
             ("runs", &self.attempts.runs),
             ("left_ms", &self.request.time_left().as_millis()),
+            ("lasted_ms", &lasted.as_millis()),
+            ("fingerprint", &self.request.fingerprint()),
         ];
         let failure = format!("{:?}", failed.failure);
         metrics::counter!(ATTEMPTS_FAILED.name, "failure" => failure).increment(1);
--- a/crates/ingress/src/relay.rs
+++ b/crates/ingress/src/relay.rs
@@ -236,7 +236,7 @@
             self.shared
                 .observe(&exchange.runner.id, Observation::Failure);
             self.tried.push(exchange.runner.id.clone());
-            self.log_break(&exchange.runner.id, failure);
+            self.log_break(exchange, failure);
         }
         self.last_events_at = None;
         if failure == Failure::Silent
@@ -416,13 +416,15 @@
             .write(self.shared.now(), "stream-late", fields);
     }
 
-    fn log_break(&self, runner: &RunnerId, failure: Failure) {
+    fn log_break(&self, exchange: &Exchange, failure: Failure) {
         let fields: &[(&str, &dyn std::fmt::Display)] = &[
             ("request", &self.request.profile.id),
-            ("runner", runner),
+            ("runner", &exchange.runner.id),
             ("failure", &format!("{failure:?}")),
             ("last_event", &self.splitter.last_id().unwrap_or("")),
             ("runs", &(self.attempts.runs + 1)),
+            ("lasted_ms", &exchange.in_flight.elapsed().as_millis()),
+            ("fingerprint", &self.request.fingerprint()),
         ];
         metrics::counter!(STREAMS_BROKEN.name).increment(1);
         self.shared
--- a/crates/ingress/src/state.rs
+++ b/crates/ingress/src/state.rs
@@ -318,6 +318,7 @@
     shared: Arc<Shared>,
     runner: RunnerId,
     unit: Option<Unit>,
+    sent_at: Instant,
 }
 
 impl InFlight {
@@ -332,8 +333,14 @@
             shared: shared.clone(),
             runner: runner.clone(),
             unit: unit.cloned(),
+            sent_at: Instant::now(),
         }
     }
+
+    /// Time since the request was sent to the runner.
+    pub(crate) fn elapsed(&self) -> Duration {
+        self.sent_at.elapsed()
+    }
 }
 
 impl Drop for InFlight {
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod configuration_transfer;
 pub mod dissemination;
 pub mod events;
+pub mod fingerprint;
 pub mod health;
 pub mod lease;
 pub mod membership;
--- /dev/null
+++ b/crates/routing/tests/fingerprint.rs
@@ -0,0 +1,65 @@
+//! What makes two tries the same request.
+
+use flaxward_routing::fingerprint::{RequestContent, RequestFingerprint};
+use flaxward_routing::names::TenantName;
+
+const CONTENT: RequestContent<'static> = RequestContent {
+    method: "POST",
+    host: "a.example",
+    target: "/path?query",
+    tenant: None,
+    body: b"body",
+};
+
+#[test]
+fn tries_of_one_request_have_one_fingerprint() {
+    assert_eq!(
+        RequestFingerprint::of(&CONTENT),
+        RequestFingerprint::of(&CONTENT.clone())
+    );
+}
+
+#[test]
+fn each_part_of_a_request_tells_it_apart() {
+    let tenant = TenantName::new("t");
+    let others = [
+        RequestContent {
+            method: "PUT",
+            ..CONTENT
+        },
+        RequestContent {
+            host: "b.example",
+            ..CONTENT
+        },
+        RequestContent {
+            target: "/path",
+            ..CONTENT
+        },
+        RequestContent {
+            tenant: Some(&tenant),
+            ..CONTENT
+        },
+        RequestContent {
+            body: b"",
+            ..CONTENT
+        },
+        // The same bytes, with the border between two fields elsewhere.
+        RequestContent {
+            host: "a.example/path",
+            target: "?query",
+            ..CONTENT
+        },
+        RequestContent {
+            target: "/path?querybody",
+            body: b"",
+            ..CONTENT
+        },
+    ];
+    for other in others {
+        assert_ne!(
+            RequestFingerprint::of(&other),
+            RequestFingerprint::of(&CONTENT),
+            "{other:?}"
+        );
+    }
+}
