--- a/crates/ingress/tests/ingress/main.rs
+++ b/crates/ingress/tests/ingress/main.rs
@@ -2,6 +2,8 @@
 
 mod access;
 mod coordination;
+mod crashing_requests;
+mod crashing_runner;
 mod failures;
 mod requests;
 mod runner;
--- a/crates/ingress/tests/ingress/runner.rs
+++ b/crates/ingress/tests/ingress/runner.rs
@@ -115,7 +115,7 @@
     }
 }
 
-async fn read_request(stream: &mut TcpStream) -> Option<Received> {
+pub async fn read_request(stream: &mut TcpStream) -> Option<Received> {
     let mut bytes = Vec::new();
     let end = loop {
         if let Some(end) = bytes.windows(4).position(|part| part == b"\r\n\r\n") {
@@ -200,7 +200,7 @@
     }
 }
 
-fn reset(stream: &TcpStream) {
+pub fn reset(stream: &TcpStream) {
     let socket = socket2::SockRef::from(stream);
     let _ = socket.set_linger(Some(Duration::ZERO));
 }
