Quarantine: a request under which three runners have crashed is not sent any more, by any daemon

Cause: a broken connection was taken for the runner's fault alone. Each daemon sent the request on and forgot it with the try, and the caller's next try, under another identity and at another daemon, began from nothing. Change: crashes are counted by what a request asks for, over all daemons. A request that breaks off when it has just begun has its runner's port tried; if nothing listens there and the runner was not leaving, that is a crash. Daemons tell the keepers, these put the request in quarantine and tell all; a digest in each heartbeat shows what a lost message left out; the lease record holds it for daemons that all start anew. A request in quarantine is refused at once (3008), also while it waits or is at a runner that has not begun it. Ruled out: counting breaks without a look at the port (runners that reset connections but live would count); telling all daemons of each crash (only the sum matters); a record of its own in the store (one more read at each start).

--- a/crates/flaxward/src/ingress.rs
+++ b/crates/flaxward/src/ingress.rs
@@ -14,6 +14,7 @@
 use flaxward_routing::lease::LeaseSettings;
 use flaxward_routing::names::Zone;
 use flaxward_routing::placement::PlacementSettings;
+use flaxward_routing::quarantine::QuarantineSettings;
 use flaxward_routing::strength::MachineStrength;
 use flaxward_settings::logs::{self, state_change};
 use flaxward_settings::{Flags, IngressFile, MachineSection};
@@ -137,6 +138,10 @@
             allowance: file.retries.allowance,
             window: file.retries.window,
         },
+        quarantine: QuarantineSettings {
+            crashes: file.quarantine.crashes,
+            duration: file.quarantine.duration,
+        },
         lease: LeaseSettings {
             duration: lease,
             renewal: share(RENEWAL_SHARE),
--- a/crates/ingress/src/coordination/informing.rs
+++ b/crates/ingress/src/coordination/informing.rs
@@ -77,6 +77,7 @@
             from: own,
             state,
             membership,
+            quarantine_digest: shared.tables().quarantine.digest(now),
         };
         let updates = if has_changes {
             shared.tables().runners.updates_after(self.base)
--- a/crates/ingress/src/coordination/leading.rs
+++ b/crates/ingress/src/coordination/leading.rs
@@ -200,6 +200,7 @@
         standby: StandbyPlace::Unsaid,
         store: shared.store_state(),
         quota: quota.clone(),
+        quarantine_digest: shared.tables().quarantine.digest(shared.now()),
         membership: None,
         members: None,
         holdings_after: 0,
--- a/crates/ingress/src/coordination/mod.rs
+++ b/crates/ingress/src/coordination/mod.rs
@@ -4,6 +4,7 @@
 
 mod calls;
 mod configurations;
+mod crashes;
 mod following;
 mod informing;
 mod leading;
@@ -33,6 +34,7 @@
 
 use calls::{Caller, Event, log_settled, operation_name};
 use configurations::Configurations;
+use crashes::Crashes;
 use following::Following;
 use informing::Informing;
 use leading::Leading;
@@ -57,6 +59,7 @@
     queue: mpsc::UnboundedReceiver<Event>,
     store_fails: bool,
     quotas: Quotas,
+    crashes: Crashes,
     configurations: Configurations,
     arrivals: Arrivals,
     /// When the limits of tenants were looked at.
@@ -85,6 +88,7 @@
         let now = shared.now();
         Ok(Self {
             quotas: Quotas::new(address, now),
+            crashes: Crashes::new(address),
             configurations: Configurations::default(),
             arrivals: Arrivals::new(now),
             limits_at: now,
@@ -119,6 +123,7 @@
                 () = shared.demand.notified() => self.following.want_notice(),
                 () = shared.ending.cancelled() => return,
                 () = shared.quota_wake.notified() => {}
+                () = shared.crash_seen.notified() => {}
                 () = shared.configuration_wanted.notified() => {
                     self.configurations.ask(&self.shared, &self.peers, self.address);
                 }
@@ -140,6 +145,9 @@
         if let Some(quotas) = self.quotas.next_wake(&self.shared) {
             wake_at = wake_at.min(quotas);
         }
+        if let Some(report) = self.crashes.next_wake() {
+            wake_at = wake_at.min(report);
+        }
         wake_at.min(now + IDLE_INTERVAL)
     }
 
@@ -150,6 +158,7 @@
         self.shared
             .hears_coordinator
             .store(hears, Ordering::Relaxed);
+        self.tell_crashes(now);
         let (call, change) = self.lease.poll(now);
         if let Some(change) = change {
             self.lease_changed(&change);
@@ -208,6 +217,25 @@
         }
     }
 
+    /// Tells the keepers which runners have crashed under this daemon's requests, and all daemons what is in quarantine
+    /// for that, if this daemon is to.
+    fn tell_crashes(&mut self, now: Timestamp) {
+        let keepers = self.quotas.keepers();
+        self.crashes.report(&self.shared, &self.peers, keepers, now);
+        let is_keeper = keepers.contains(&self.address);
+        let members = if let Some(leading) = &self.leading {
+            leading.member_addresses(now)
+        } else if is_keeper && !self.lease.hears_holder(now) {
+            self.following.members().to_vec()
+        } else {
+            return;
+        };
+        self.crashes
+            .announce(&self.shared, &self.peers, &members, now);
+        let requests = self.shared.tables().quarantine.requests(now);
+        self.lease.set_quarantine(requests);
+    }
+
     /// How many daemons there are. A coordinator that has just begun has not heard of all.
     fn daemons(&self, now: Timestamp) -> u32 {
         let known = self.shared.daemons();
@@ -288,6 +316,7 @@
                     self.lease.set_stands_by(stands_by);
                 }
                 let leads = self.leading.is_some();
+                self.compare_quarantine(direction.address, direction.quarantine_digest);
                 self.quotas.heard_news(&self.shared, &direction.quota);
                 let version = direction.store.configuration_version;
                 self.configurations
@@ -317,9 +346,25 @@
                     .answer(&self.shared, &self.peers, &wanted);
             }
             Message::ConfigurationChunk(chunk) => self.configurations.take(&self.shared, &chunk),
+            Message::Crashes(crashes) => {
+                for crash in &crashes {
+                    self.shared.record_crash(crash);
+                }
+            }
+            Message::QuarantineNews(news) => {
+                let now = self.shared.now();
+                self.crashes
+                    .heard_news(&self.shared, &self.peers, &news, now);
+            }
         }
     }
 
+    fn compare_quarantine(&mut self, from: SocketAddr, digest: u64) {
+        let now = self.shared.now();
+        self.crashes
+            .compare(&self.shared, &self.peers, from, digest, now);
+    }
+
     /// Takes in what a standby tells of the store.
     fn heard_store_news(&mut self, news: StoreNews) {
         if self.leading.is_some() {
@@ -330,6 +375,7 @@
         {
             metrics::counter!(NEWS_WITH_GAPS.name).increment(1);
         }
+        self.compare_quarantine(news.from, news.quarantine_digest);
         let version = news.state.configuration_version;
         self.configurations.told(&self.shared, news.from, version);
         self.shared
@@ -354,6 +400,10 @@
         match event {
             Event::Lease(answer) => {
                 self.note_store(&answer);
+                if let LeaseAnswer::Found(lease) = &answer {
+                    let quarantine = &lease.record.quarantine;
+                    self.shared.take_quarantine(quarantine, "lease");
+                }
                 if let Some(change) = self.lease.answered(answer, now) {
                     self.lease_changed(&change);
                 }
--- a/crates/ingress/src/coordination/quotas.rs
+++ b/crates/ingress/src/coordination/quotas.rs
@@ -48,6 +48,11 @@
         self.keeper.heard(report, now);
     }
 
+    /// The daemons that keep for all what must survive the coordinator: itself first, then its deputies.
+    pub fn keepers(&self) -> &[SocketAddr] {
+        self.announcer.keepers()
+    }
+
     /// Whether the configuration bounds some tenant; else there is nothing to be told.
     pub fn are_kept(&self) -> bool {
         self.tells_keepers
--- a/crates/ingress/src/counters.rs
+++ b/crates/ingress/src/counters.rs
@@ -3,7 +3,7 @@
 use flaxward_types::Metric;
 
 /// Metrics of this crate.
-pub const METRICS: [Metric; 20] = [
+pub const METRICS: [Metric; 22] = [
     SERVED,
     REFUSED,
     ATTEMPTS_FAILED,
@@ -24,6 +24,8 @@
     STORE_LOADS_ALLOWED,
     CONFIGURATIONS_FROM_PEERS,
     QUOTA_UNITS,
+    RUNNER_CRASHES,
+    REQUESTS_QUARANTINED,
 ];
 
 /// Requests whose answer, or the head of it, was passed on, by `status`, the class of the HTTP status.
@@ -126,3 +128,13 @@
     "flaxward_ingress_quota_units_total",
     "Units of quotas asked for, by `tenant` and `outcome`: `admitted`, `refused`, or `returned` by requests that did not run.",
 );
+/// Requests of this daemon that had just begun at a runner when it crashed.
+pub const RUNNER_CRASHES: Metric = Metric::counter(
+    "flaxward_ingress_runner_crashes_total",
+    "Requests of this daemon that had just begun at a runner when it crashed.",
+);
+/// Requests that this daemon has learnt to be in quarantine.
+pub const REQUESTS_QUARANTINED: Metric = Metric::counter(
+    "flaxward_ingress_requests_quarantined_total",
+    "Requests that this daemon has learnt to be in quarantine.",
+);
--- a/crates/ingress/src/exchange.rs
+++ b/crates/ingress/src/exchange.rs
@@ -131,7 +131,7 @@
     // A kept connection that ends is the runner's right; a new one that breaks is not.
     let observation = (!connection.is_reused()).then_some(Observation::Failure);
     match error {
-        SendError::Connect | SendError::NotSent => {
+        SendError::Refused | SendError::Connect | SendError::NotSent => {
             FailedAttempt::new(Failure::NotSent, observation)
         }
         SendError::Broken => FailedAttempt::new(Failure::Broken, observation),
--- a/crates/ingress/src/job.rs
+++ b/crates/ingress/src/job.rs
@@ -19,6 +19,7 @@
 
 use crate::answers::{self, AnswerBody};
 use crate::counters::{ATTEMPTS_FAILED, HEAD_SECONDS, SERVED};
+use crate::crashes::{note_break, until_quarantined};
 use crate::exchange::{
     ClientRequest, Continuation, Exchange, FailedAttempt, exchange, remove_connection_headers,
 };
@@ -43,6 +44,14 @@
 /// Shortest time left with which a request is sent to a runner.
 const LEAST_TIME: Duration = Duration::from_millis(5);
 
+/// Why a request is sent no further though it has time left.
+enum Interruption {
+    /// It is in quarantine, for this time.
+    Quarantined(Duration),
+    /// The daemon stops and has no time left.
+    DaemonEnds,
+}
+
 /// A request that is being sent to runners.
 pub(crate) struct Job {
     shared: Arc<Shared>,
@@ -91,21 +100,26 @@
         mut self,
         guard: Box<dyn Send>,
     ) -> Result<Response<AnswerBody>, Refused> {
+        if let Some(remaining) = self.shared.quarantined_for(&self.request) {
+            return self.quarantined(remaining);
+        }
         self.guard = Some(guard);
         self.count();
         let ending = self.shared.ending.clone();
-        let answered = tokio::select! {
+        let quarantined = until_quarantined(self.shared.clone(), self.request.clone());
+        let interruption = tokio::select! {
             biased;
-            answered = self.send() => Some(answered),
-            () = ending.cancelled() => None,
+            remaining = quarantined => Interruption::Quarantined(remaining),
+            answered = self.send() => return answered,
+            () = ending.cancelled() => Interruption::DaemonEnds,
         };
-        if let Some(answered) = answered {
-            return answered;
-        }
         if self.is_sending {
             self.attempts.count(Failure::Silent);
         }
-        self.give_up("the daemon ends")
+        match interruption {
+            Interruption::Quarantined(remaining) => self.quarantined(remaining),
+            Interruption::DaemonEnds => self.give_up("the daemon ends"),
+        }
     }
 
     async fn send(&mut self) -> Result<Response<AnswerBody>, Refused> {
@@ -142,6 +156,9 @@
                 Ok(response) => return Ok(response),
                 Err(failed) => self.count_failure(&runner, failed, sent_at.elapsed()),
             }
+            if self.last_failure == Some(Failure::Broken) {
+                note_break(&self.shared, &self.request, &runner).await;
+            }
             let max_attempts = self.route.max_attempts;
             if !self.attempts.may_repeat(self.route.kind, max_attempts) {
                 return self.give_up("the request may not be sent again");
@@ -353,6 +370,17 @@
             .write(self.shared.now(), "request-served", fields);
     }
 
+    /// The final answer when runners have crashed under the request. Without it the request would be sent on to runner
+    /// after runner, and each crash breaks off all that the runner serves.
+    fn quarantined(&mut self, remaining: Duration) -> Result<Response<AnswerBody>, Refused> {
+        const REASON: &str = "runners have crashed under the request";
+        if !self.attempts.surely_not_run() {
+            return self.give_up(REASON);
+        }
+        let refusal = Refusal::new(ResultCode::RequestQuarantined).with_retry_after(remaining);
+        Err(self.refused(refusal, REASON))
+    }
+
     /// The final answer when no further attempt is made.
     fn give_up(&mut self, reason: &str) -> Result<Response<AnswerBody>, Refused> {
         if let Some(response) = self.held_answer.take() {
--- a/crates/ingress/src/lib.rs
+++ b/crates/ingress/src/lib.rs
@@ -12,6 +12,7 @@
 mod clock;
 mod coordination;
 pub mod counters;
+mod crashes;
 mod daemon;
 mod decisions;
 mod exchange;
--- a/crates/ingress/src/pool.rs
+++ b/crates/ingress/src/pool.rs
@@ -4,6 +4,7 @@
 //! connection an answer came on, when it was last used, and whether anything was sent on it.
 
 use std::collections::HashMap;
+use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::sync::Mutex;
 use std::time::Duration;
@@ -55,7 +56,9 @@
 /// Why no answer came.
 #[derive(Debug)]
 pub(crate) enum SendError {
-    /// No connection came about.
+    /// Nothing listens at the address.
+    Refused,
+    /// No connection came about for another reason.
     Connect,
     /// The connection ended before any byte of the request could be sent.
     NotSent,
@@ -79,9 +82,18 @@
         if let Some(connection) = self.take_idle(address, may_repeat) {
             return Ok(connection);
         }
-        metrics::counter!(CONNECTIONS_OPENED.name).increment(1);
-        let connecting = timeout(CONNECT_TIMEOUT, connect(address));
-        connecting.await.map_err(|_| SendError::Connect)?
+        open(address).await
+    }
+
+    /// Whether nothing listens at an address. A connection that comes about is kept for a later request.
+    pub(crate) async fn is_refused(&self, address: SocketAddr) -> bool {
+        match open(address).await {
+            Ok(connection) => {
+                self.put(connection);
+                false
+            }
+            Err(error) => matches!(error, SendError::Refused),
+        }
     }
 
     fn take_idle(&self, address: SocketAddr, may_repeat: bool) -> Option<Connection> {
@@ -125,10 +137,20 @@
     }
 }
 
+/// Opens a connection, in a bounded time.
+async fn open(address: SocketAddr) -> Result<Connection, SendError> {
+    metrics::counter!(CONNECTIONS_OPENED.name).increment(1);
+    let connecting = timeout(CONNECT_TIMEOUT, connect(address));
+    connecting.await.map_err(|_| SendError::Connect)?
+}
+
 async fn connect(address: SocketAddr) -> Result<Connection, SendError> {
     let stream = TcpStream::connect(address)
         .await
-        .map_err(|_| SendError::Connect)?;
+        .map_err(|error| match error.kind() {
+            ErrorKind::ConnectionRefused => SendError::Refused,
+            _ => SendError::Connect,
+        })?;
     let _ = stream.set_nodelay(true);
     let _ = SockRef::from(&stream).set_tcp_user_timeout(Some(USER_TIMEOUT));
     let (sender, driver) = handshake(TokioIo::new(stream))
--- a/crates/ingress/src/relay.rs
+++ b/crates/ingress/src/relay.rs
@@ -19,6 +19,7 @@
 
 use crate::answers::AnswerBody;
 use crate::counters::{STREAMS_BROKEN, STREAMS_LATE, STREAMS_RESUMED};
+use crate::crashes::note_break;
 use crate::exchange::{ClientRequest, Continuation, Exchange, FailedAttempt, exchange};
 use crate::state::Shared;
 
@@ -31,6 +32,10 @@
 /// meanwhile; both must not do so for longer.
 const REJECTION_WAIT: Duration = Duration::from_millis(200);
 
+/// Time after its first events in which a stream counts as just begun when its runner crashes: a request that crashes
+/// runners does so within its first steps, some tenths of a second, and streams that have run longer are innocent.
+const JUST_BEGUN: Duration = Duration::from_secs(1);
+
 /// Why an answer breaks off. The connection to the client is closed without the end of the answer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
 pub enum RelayError {
@@ -65,6 +70,8 @@
     first: Option<Bytes>,
     /// When the last events came, and the longest time between two.
     last_events_at: Option<Instant>,
+    /// When the first events of the present runner came.
+    begun_at: Option<Instant>,
     longest_gap: Duration,
     is_done: bool,
 }
@@ -91,6 +98,7 @@
             splitter: EventSplitter::default(),
             first: None,
             last_events_at: None,
+            begun_at: None,
             longest_gap: Duration::ZERO,
             is_done: false,
         }
@@ -175,6 +183,10 @@
         self.shared.choose(&wanted)
     }
 
+    fn is_quarantined(&self) -> bool {
+        self.shared.quarantined_for(&self.request).is_some()
+    }
+
     fn may_resume(&self) -> bool {
         let mut next = self.attempts;
         next.count(Failure::Broken);
@@ -208,6 +220,7 @@
 
     fn note_events(&mut self) {
         let now = Instant::now();
+        self.begun_at.get_or_insert(now);
         if let Some(last) = self.last_events_at.replace(now) {
             self.longest_gap = self.longest_gap.max(now - last);
         }
@@ -239,13 +252,20 @@
             self.log_break(exchange, failure);
         }
         self.last_events_at = None;
+        let has_just_begun = self
+            .begun_at
+            .take()
+            .is_none_or(|begun_at| begun_at.elapsed() < JUST_BEGUN);
         if failure == Failure::Silent
             && let Some(exchange) = present
         {
             return self.leave_silent(exchange).await;
         }
-        drop(present);
         self.attempts.count(failure);
+        if has_just_begun && let Some(exchange) = &present {
+            note_break(&self.shared, &self.request, &exchange.runner).await;
+        }
+        drop(present);
         self.go_on().await
     }
 
@@ -260,6 +280,9 @@
             if !self.attempts.may_repeat(self.route.kind, max_attempts) {
                 return Err(self.given_up(RelayError::Broken, "it may not be sent again"));
             }
+            if self.is_quarantined() {
+                return Err(self.given_up(RelayError::Broken, "it is in quarantine"));
+            }
             if !self.shared.try_repeat(&self.service) {
                 return Err(self.given_up(RelayError::Broken, "the retry budget is spent"));
             }
@@ -278,7 +301,7 @@
             self.wait_again(silent);
             return Ok(());
         };
-        if !self.shared.try_repeat(&self.service) {
+        if self.is_quarantined() || !self.shared.try_repeat(&self.service) {
             self.wait_again(silent);
             return Ok(());
         }
--- a/crates/ingress/src/settings.rs
+++ b/crates/ingress/src/settings.rs
@@ -7,6 +7,7 @@
 use flaxward_routing::lease::LeaseSettings;
 use flaxward_routing::names::Zone;
 use flaxward_routing::placement::PlacementSettings;
+use flaxward_routing::quarantine::QuarantineSettings;
 use flaxward_routing::strength::MachineStrength;
 
 /// For how long after its configuration was surely the newest a daemon relies on it for keys; `None` for ever.
@@ -43,6 +44,8 @@
     pub stop_grace: Duration,
     /// The budget for sending requests again.
     pub retry_budget: RetryBudgetSettings,
+    /// When requests that crash runners are not sent any more.
+    pub quarantine: QuarantineSettings,
     /// The lease of the coordinator.
     pub lease: LeaseSettings,
     /// The placement of models.
--- a/crates/ingress/src/state.rs
+++ b/crates/ingress/src/state.rs
@@ -12,6 +12,7 @@
 use flaxward_routing::health::{HealthTable, Observation};
 use flaxward_routing::messages::UnitOutlook;
 use flaxward_routing::names::{RunnerId, ServiceName, Unit};
+use flaxward_routing::quarantine::{Crash, Quarantine};
 use flaxward_routing::quota::meter::QuotaMeter;
 use flaxward_routing::runners::{Runner, RunnerTable};
 use flaxward_routing::split::SplitChooser;
@@ -56,6 +57,7 @@
     pub running: Running,
     pub uses: UseLog,
     pub budget: RetryBudget,
+    pub quarantine: Quarantine,
     pub splits: SplitChooser,
     pub waiting: HashMap<Unit, Waiting>,
     pub outlooks: HashMap<Unit, Outlook>,
@@ -82,6 +84,12 @@
     pub quota_questions: QuotaClient,
     /// Woken when the keepers of quotas are to be told or asked something.
     pub quota_wake: Notify,
+    /// Crashes of runners that requests have seen and the keepers were not told of.
+    pub crashes_seen: Mutex<Vec<Crash>>,
+    /// Woken when there is one more.
+    pub crash_seen: Notify,
+    /// Rises when a request is put in quarantine.
+    pub quarantine_changes: watch::Sender<u64>,
     /// Woken when a daemon that has told of a newer configuration is to be asked for it.
     pub configuration_wanted: Notify,
     pub stopping: AtomicBool,
@@ -122,6 +130,7 @@
             running: Running::default(),
             uses: UseLog::default(),
             budget: RetryBudget::new(settings.retry_budget),
+            quarantine: Quarantine::new(settings.quarantine),
             splits: SplitChooser::default(),
             waiting: HashMap::new(),
             outlooks: HashMap::new(),
@@ -141,6 +150,9 @@
             demand: Notify::new(),
             quota_questions: QuotaClient::default(),
             quota_wake: Notify::new(),
+            crashes_seen: Mutex::default(),
+            crash_seen: Notify::new(),
+            quarantine_changes: watch::Sender::new(0),
             configuration_wanted: Notify::new(),
             stopping: AtomicBool::new(false),
             closing: AtomicBool::new(false),
--- a/crates/ingress/tests/ingress/support.rs
+++ b/crates/ingress/tests/ingress/support.rs
@@ -20,6 +20,7 @@
 use flaxward_routing::lease::LeaseSettings;
 use flaxward_routing::names::{ModelName, RouteName, RunnerId, ServiceName, TenantName, Zone};
 use flaxward_routing::placement::{OrderAnswer, PlacementSettings, RunnerReport};
+use flaxward_routing::quarantine::QuarantineSettings;
 use flaxward_routing::request::RequestProfile;
 use flaxward_routing::runners::Runner;
 use flaxward_routing::strength::MachineStrength;
@@ -342,6 +343,10 @@
             allowance: 50.0,
             window: Duration::from_secs(10),
         },
+        quarantine: QuarantineSettings {
+            crashes: 3,
+            duration: Duration::from_mins(10),
+        },
         lease: LeaseSettings {
             duration: Duration::from_secs(3),
             renewal: Duration::from_millis(300),
--- a/crates/routing/benches/plan.rs
+++ b/crates/routing/benches/plan.rs
@@ -219,6 +219,7 @@
             daemons: 1,
             limits: Vec::new(),
         },
+        quarantine_digest: 0,
         membership: None,
         members: None,
         holdings_after: 0,
--- a/crates/routing/src/fingerprint.rs
+++ b/crates/routing/src/fingerprint.rs
@@ -7,14 +7,16 @@
 
 use serde::{Deserialize, Serialize};
 use sha2::{Digest, Sha256};
+use thiserror::Error;
 
 use crate::names::TenantName;
 
 /// Bytes of the digest that are kept: enough that nobody finds another request with the same ones.
 const KEPT_BYTES: usize = 16;
 
-/// A digest that is equal for tries of the same request, on every daemon.
+/// A digest that is equal for tries of the same request, on every daemon. Stored and sent as text in hex.
 #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(into = "String", try_from = "String")]
 pub struct RequestFingerprint([u8; KEPT_BYTES]);
 
 /// What is told apart by a fingerprint.
@@ -47,6 +49,35 @@
         kept.copy_from_slice(&digest.finalize()[..KEPT_BYTES]);
         Self(kept)
     }
+
+    /// The bytes of the digest.
+    pub fn as_bytes(&self) -> &[u8] {
+        &self.0
+    }
+}
+
+/// A text that is no fingerprint.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
+#[error("a fingerprint has {} hex digits", 2 * KEPT_BYTES)]
+pub struct FingerprintError;
+
+impl From<RequestFingerprint> for String {
+    fn from(fingerprint: RequestFingerprint) -> Self {
+        fingerprint.to_string()
+    }
+}
+
+impl TryFrom<String> for RequestFingerprint {
+    type Error = FingerprintError;
+
+    fn try_from(text: String) -> Result<Self, Self::Error> {
+        let is_hex = text.bytes().all(|digit| digit.is_ascii_hexdigit());
+        if text.len() != 2 * KEPT_BYTES || !is_hex {
+            return Err(FingerprintError);
+        }
+        let number = u128::from_str_radix(&text, 16).map_err(|_| FingerprintError)?;
+        Ok(Self(number.to_be_bytes()))
+    }
 }
 
 impl fmt::Display for RequestFingerprint {
--- a/crates/routing/src/lease/mod.rs
+++ b/crates/routing/src/lease/mod.rs
@@ -12,6 +12,8 @@
 
 use flaxward_types::time::{Timestamp, millis};
 
+use crate::fingerprint::RequestFingerprint;
+use crate::quarantine::QuarantinedRequest;
 use crate::strength::MachineStrength;
 
 pub use record::{
@@ -67,6 +69,8 @@
     strongest: Option<MachineStrength>,
     /// Where the daemons listen that were heard of, this one included; none if that is not known.
     members: Vec<SocketAddr>,
+    /// What this daemon holds in quarantine.
+    quarantine: Vec<QuarantinedRequest>,
     /// This daemon looks for a free lease before others do. Until it is told that it does not, it does.
     stands_by: bool,
     stopping: bool,
@@ -94,6 +98,7 @@
             strength: MachineStrength::default(),
             strongest: None,
             members: Vec::new(),
+            quarantine: Vec::new(),
             stands_by: true,
             stopping: false,
         }
@@ -123,6 +128,19 @@
         held.or(observed).map_or(&[], |lease| &lease.record.members)
     }
 
+    /// Sets which requests are in quarantine. The record tells them to daemons that start, so a holder renews the
+    /// lease soon if there are others than before.
+    pub fn set_quarantine(&mut self, requests: Vec<QuarantinedRequest>) {
+        let names = |requests: &[QuarantinedRequest]| -> Vec<RequestFingerprint> {
+            requests.iter().map(|it| it.fingerprint).collect()
+        };
+        let has_others = names(&self.quarantine) != names(&requests);
+        self.quarantine = requests;
+        if let Some(held) = self.held.as_mut().filter(|_| has_others) {
+            held.renewed_at = held.renewed_at - self.settings.renewal;
+        }
+    }
+
     /// Sets whether this daemon looks for a free lease before others do.
     pub fn set_stands_by(&mut self, stands_by: bool) {
         self.stands_by = stands_by;
@@ -484,6 +502,7 @@
             released: false,
             strongest: self.strongest.unwrap_or(self.strength),
             members: self.known_members(),
+            quarantine: self.quarantine.clone(),
         }
     }
 
@@ -492,6 +511,7 @@
             renewals: lease.record.renewals + 1,
             strongest: self.strongest.unwrap_or(self.strength),
             members: self.known_members(),
+            quarantine: self.quarantine.clone(),
             ..lease.record.clone()
         }
     }
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -24,6 +24,7 @@
 pub mod names;
 pub mod pacing;
 pub mod placement;
+pub mod quarantine;
 pub mod quota;
 pub mod request;
 pub mod runners;
--- a/crates/routing/src/messages.rs
+++ b/crates/routing/src/messages.rs
@@ -12,13 +12,14 @@
 use crate::lease::LeasePulse;
 use crate::membership::MembershipUpdate;
 use crate::names::{RunnerId, ServiceName, Unit, Zone};
+use crate::quarantine::{Crash, QuarantinedRequest};
 use crate::quota::{QuotaAnswers, QuotaNews, QuotaQuestions, UseReport};
 use crate::runners::RunnerHoldings;
 use crate::standby::StandbyPlace;
 use crate::strength::MachineStrength;
 
 /// First byte of every message; raised when the encoding changes incompatibly.
-const WIRE_VERSION: u8 = 5;
+const WIRE_VERSION: u8 = 6;
 
 /// A message.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -48,6 +49,21 @@
     ConfigurationWanted(ConfigurationWanted),
     /// The answer to that, in parts.
     ConfigurationChunk(ConfigurationChunk),
+    /// From a daemon at which runners have crashed under requests to the keepers.
+    Crashes(Vec<Crash>),
+    /// From any daemon to one that holds other requests in quarantine, or from a keeper to all daemons.
+    QuarantineNews(QuarantineNews),
+}
+
+/// What a daemon holds in quarantine.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct QuarantineNews {
+    /// Where the daemon listens.
+    pub from: SocketAddr,
+    /// The requests.
+    pub requests: Vec<QuarantinedRequest>,
+    /// It wants to be told what the receiver holds.
+    pub wants_answer: bool,
 }
 
 /// A request for a newer configuration.
@@ -70,6 +86,8 @@
     pub state: StoreState,
     /// The last changes of runners, if there were any.
     pub membership: Option<MembershipUpdate>,
+    /// Digest of what it holds in quarantine; see [`crate::quarantine::Quarantine::digest`].
+    pub quarantine_digest: u64,
 }
 
 /// What a daemon that watches the store knows of it.
@@ -191,6 +209,8 @@
     pub store: StoreState,
     /// What there is to be known of quotas.
     pub quota: QuotaNews,
+    /// Digest of what the coordinator holds in quarantine; see [`crate::quarantine::Quarantine::digest`].
+    pub quarantine_digest: u64,
     /// Changes of runners that the receiver does not know, or a part of them.
     pub membership: Option<MembershipUpdate>,
     /// Where the members hear a new coordinator, if the receiver stands by and knows another number of them.
--- a/crates/routing/tests/dissemination.rs
+++ b/crates/routing/tests/dissemination.rs
@@ -204,6 +204,7 @@
                 daemons: 1,
                 limits: Vec::new(),
             },
+            quarantine_digest: 0,
             membership: None,
             members: None,
             holdings_after: 0,
--- a/crates/routing/tests/lease.rs
+++ b/crates/routing/tests/lease.rs
@@ -403,6 +403,7 @@
             released: false,
             strongest: MachineStrength::default(),
             members: Vec::new(),
+            quarantine: Vec::new(),
         },
         revision: 30,
     };
@@ -450,6 +451,7 @@
             released: false,
             strongest: MachineStrength::default(),
             members: Vec::new(),
+            quarantine: Vec::new(),
         },
         revision: 30,
     };
@@ -485,6 +487,7 @@
             released: false,
             strongest: STRONG,
             members: Vec::new(),
+            quarantine: Vec::new(),
         },
         revision: 30,
     };
@@ -521,6 +524,7 @@
             released: false,
             strongest: STRONG,
             members: Vec::new(),
+            quarantine: Vec::new(),
         },
         revision: 30,
     }
--- a/crates/settings/src/ingress.rs
+++ b/crates/settings/src/ingress.rs
@@ -26,6 +26,9 @@
     pub coordinator: IngressCoordinatorSection,
     /// The budget for sending requests again.
     pub retries: RetriesSection,
+    /// When requests that crash runners are not sent any more.
+    #[serde(default)]
+    pub quarantine: QuarantineSection,
     /// How soon changes of the store must be known.
     #[serde(default)]
     pub news: NewsSection,
@@ -153,6 +156,28 @@
     pub window: Duration,
 }
 
+/// When requests that crash runners are not sent any more.
+#[derive(Clone, Copy, Debug, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct QuarantineSection {
+    /// Runners that must have crashed under a request; 0 puts none in quarantine.
+    pub crashes: usize,
+    /// For how long it is not sent then.
+    #[serde(with = "humantime_serde")]
+    pub duration: Duration,
+}
+
+impl Default for QuarantineSection {
+    fn default() -> Self {
+        Self {
+            // Two may crash by chance while an innocent request is there and goes on at the next.
+            crashes: 3,
+            // Long enough for people to look at the runners, short enough that a mended one is found.
+            duration: Duration::from_hours(1),
+        }
+    }
+}
+
 /// The log.
 #[derive(Clone, Debug, Deserialize)]
 #[serde(default, deny_unknown_fields)]
@@ -196,6 +221,7 @@
             ),
             ("coordinator.load_window", self.coordinator.load_window),
             ("retries.window", self.retries.window),
+            ("quarantine.duration", self.quarantine.duration),
             ("news.configuration", self.news.configuration),
             ("news.draining", self.news.draining),
             (
--- a/crates/types/src/code.rs
+++ b/crates/types/src/code.rs
@@ -114,6 +114,8 @@
     BadAnswer = 3006, 502, Unknown, "the back end's answer is malformed or truncated";
     /// The retry budget is spent and the request was not sent again.
     RetryBudgetSpent = 3007, 503, Unknown, "the retry budget is spent";
+    /// Runners have crashed under the same request before.
+    RequestQuarantined = 3008, 503, Certain, "runners have crashed under this request, so it is not sent to any";
 
     /// A request with the same idempotency key is in progress.
     KeyInProgress = 4001, 409, Unknown, "a request with this key is in progress";
