--- a/crates/ingress/src/coordination/crashes.rs
+++ b/crates/ingress/src/coordination/crashes.rs
@@ -1,161 +1,79 @@
-//! How daemons tell each other under which requests runners have crashed, and which are in quarantine for that.
-//!
-//! A daemon tells the keepers what it has seen, some times over. The keeper that speaks tells all daemons of a new
-//! quarantine at once; what a lost message leaves out shows in the digest of the next heartbeat, and the two daemons
-//! then tell each other all that they hold.
+//! Tells other daemons under which requests runners have crashed, and which are in quarantine for that.
 
 use std::net::SocketAddr;
-use std::time::Duration;
 
-use flaxward_routing::messages::{Message, QuarantineNews};
-use flaxward_routing::quarantine::Crash;
+use flaxward_routing::messages::Message;
+use flaxward_routing::quarantine::exchange::QuarantineNews;
 use flaxward_types::time::Timestamp;
 
-use crate::peer::PeerSocket;
-use crate::state::Shared;
+use super::Coordination;
 
-/// How often the keepers are told of a crash: three messages are lost together once in 37,000 times on a link that
-/// loses three in a hundred.
-const REPORTS: u32 = 3;
-/// Time between two reports of one crash.
-const REPORT_INTERVAL: Duration = Duration::from_millis(200);
-/// Shortest time between two comparisons with another daemon.
-const EXCHANGE_INTERVAL: Duration = Duration::from_millis(300);
-/// Crashes that wait to be reported at most.
-const MAX_REPORTS: usize = 256;
-
-/// A crash that the keepers are being told of.
-#[derive(Debug)]
-struct Report {
-    crash: Crash,
-    left: u32,
-    due: Timestamp,
-}
-
-/// What this daemon tells others of crashes and quarantine.
-#[derive(Debug)]
-pub(super) struct Crashes {
-    own: SocketAddr,
-    reports: Vec<Report>,
-    /// Digest of the quarantine that all daemons were told of.
-    told: u64,
-    exchanged_at: Option<Timestamp>,
-}
-
-impl Crashes {
-    /// A daemon that listens at an address and has nothing to tell.
-    pub fn new(own: SocketAddr) -> Self {
-        Self {
-            own,
-            reports: Vec::new(),
-            told: 0,
-            exchanged_at: None,
-        }
-    }
-
-    /// When the next report is due, if there is one.
-    pub fn next_wake(&self) -> Option<Timestamp> {
-        self.reports.iter().map(|report| report.due).min()
+impl Coordination {
+    /// When something is due at the latest, if anything will be.
+    pub(super) fn next_crash_report(&self) -> Option<Timestamp> {
+        self.quarantine.next_report()
     }
 
-    /// Takes in what the daemon's requests have seen, and tells the keepers what is due. Without keepers it waits.
-    pub fn report(
-        &mut self,
-        shared: &Shared,
-        peers: &PeerSocket,
-        keepers: &[SocketAddr],
-        now: Timestamp,
-    ) {
-        if let Ok(mut seen) = shared.crashes_seen.lock() {
-            let reports = seen.drain(..).map(|crash| Report {
-                crash,
-                left: REPORTS,
-                due: now,
-            });
-            self.reports.extend(reports);
-        }
-        self.reports.truncate(MAX_REPORTS);
-        let others: Vec<SocketAddr> = keepers
-            .iter()
-            .copied()
-            .filter(|it| *it != self.own)
-            .collect();
-        let mut crashes = Vec::new();
-        for report in self.reports.iter_mut().filter(|report| report.due <= now) {
-            report.due = now + REPORT_INTERVAL;
-            if !keepers.is_empty() {
-                report.left -= 1;
-                crashes.push(report.crash.clone());
-            }
-        }
-        self.reports.retain(|report| report.left > 0);
-        if crashes.is_empty() {
+    /// Tells the keepers which runners have crashed under this daemon's requests, and all daemons what is in quarantine
+    /// for that, if this daemon is to.
+    pub(super) fn tell_crashes(&mut self, now: Timestamp) {
+        let keepers = self.quotas.keepers().to_vec();
+        self.report_crashes(&keepers, now);
+        let members = if let Some(leading) = &self.leading {
+            leading.member_addresses(now)
+        } else if keepers.contains(&self.address) && !self.lease.hears_holder(now) {
+            self.following.members().to_vec()
+        } else {
             return;
-        }
-        let message = Message::Crashes(crashes);
-        for keeper in others {
-            peers.send(keeper, &message);
+        };
+        let (news, requests) = {
+            let quarantine = &self.shared.tables().quarantine;
+            let news = self.quarantine.announcement(quarantine, now);
+            (news, quarantine.requests(now))
+        };
+        self.lease.set_quarantine(requests);
+        if let Some(news) = news {
+            self.send_to_others(&members, &Message::QuarantineNews(news));
         }
     }
 
-    /// Tells all daemons what is in quarantine, if this daemon speaks and has not told it.
-    pub fn announce(
-        &mut self,
-        shared: &Shared,
-        peers: &PeerSocket,
-        members: &[SocketAddr],
-        now: Timestamp,
-    ) {
-        let digest = shared.tables().quarantine.digest(now);
-        if digest == self.told {
-            return;
+    fn report_crashes(&mut self, keepers: &[SocketAddr], now: Timestamp) {
+        for crash in self.shared.take_crashes_seen() {
+            self.quarantine.seen(crash, now);
         }
-        self.told = digest;
-        let message = self.news(shared, false, now);
-        for member in members.iter().filter(|&&member| member != self.own) {
-            peers.send(*member, &message);
+        let crashes = self.quarantine.due_reports(!keepers.is_empty(), now);
+        if !crashes.is_empty() {
+            self.send_to_others(keepers, &Message::Crashes(crashes));
         }
     }
 
-    /// Compares the quarantine with that of a daemon that has told its digest, and exchanges them if they differ.
-    pub fn compare(
-        &mut self,
-        shared: &Shared,
-        peers: &PeerSocket,
-        from: SocketAddr,
-        digest: u64,
-        now: Timestamp,
-    ) {
-        if shared.tables().quarantine.digest(now) == digest {
-            self.told = digest;
-            return;
-        }
-        let is_due = |at: Timestamp| now.since(at) >= EXCHANGE_INTERVAL;
-        if self.exchanged_at.is_none_or(is_due) {
-            self.exchanged_at = Some(now);
-            peers.send(from, &self.news(shared, true, now));
+    /// Compares the quarantine with the digest that a coordinator or standby has told.
+    pub(super) fn compare_quarantine(&mut self, from: SocketAddr, digest: u64) {
+        let now = self.shared.now();
+        let news = self
+            .quarantine
+            .compare(&self.shared.tables().quarantine, digest, now);
+        if let Some(news) = news {
+            self.peers.send(from, &Message::QuarantineNews(news));
         }
     }
 
-    /// Takes in what another daemon holds in quarantine, and answers if it wants that.
-    pub fn heard_news(
-        &mut self,
-        shared: &Shared,
-        peers: &PeerSocket,
-        news: &QuarantineNews,
-        now: Timestamp,
-    ) {
-        shared.take_quarantine(&news.requests, "daemon");
-        if news.wants_answer {
-            peers.send(news.from, &self.news(shared, false, now));
+    /// Takes in what another daemon holds in quarantine.
+    pub(super) fn heard_quarantine(&mut self, news: &QuarantineNews) {
+        let now = self.shared.now();
+        self.shared.take_quarantine(&news.requests, "daemon");
+        let answer = self
+            .quarantine
+            .answer(&self.shared.tables().quarantine, news, now);
+        if let Some(answer) = answer {
+            self.peers.send(news.from, &Message::QuarantineNews(answer));
         }
     }
 
-    fn news(&self, shared: &Shared, wants_answer: bool, now: Timestamp) -> Message {
-        Message::QuarantineNews(QuarantineNews {
-            from: self.own,
-            requests: shared.tables().quarantine.requests(now),
-            wants_answer,
-        })
+    fn send_to_others(&self, addresses: &[SocketAddr], message: &Message) {
+        let others = addresses.iter().filter(|&&address| address != self.address);
+        for address in others {
+            self.peers.send(*address, message);
+        }
     }
 }
--- a/crates/ingress/src/coordination/mod.rs
+++ b/crates/ingress/src/coordination/mod.rs
@@ -22,6 +22,7 @@
 use flaxward_routing::messages::{Message, StoreNews};
 use flaxward_routing::names::RunnerId;
 use flaxward_routing::placement::{Order, OrderAnswer};
+use flaxward_routing::quarantine::exchange::QuarantineExchange;
 use flaxward_routing::quota::announcer::Speaker;
 use flaxward_types::time::Timestamp;
 use tokio::sync::mpsc;
@@ -34,7 +35,6 @@
 
 use calls::{Caller, Event, log_settled, operation_name};
 use configurations::Configurations;
-use crashes::Crashes;
 use following::Following;
 use informing::Informing;
 use leading::Leading;
@@ -59,7 +59,7 @@
     queue: mpsc::UnboundedReceiver<Event>,
     store_fails: bool,
     quotas: Quotas,
-    crashes: Crashes,
+    quarantine: QuarantineExchange,
     configurations: Configurations,
     arrivals: Arrivals,
     /// When the limits of tenants were looked at.
@@ -88,7 +88,7 @@
         let now = shared.now();
         Ok(Self {
             quotas: Quotas::new(address, now),
-            crashes: Crashes::new(address),
+            quarantine: QuarantineExchange::new(address),
             configurations: Configurations::default(),
             arrivals: Arrivals::new(now),
             limits_at: now,
@@ -145,7 +145,7 @@
         if let Some(quotas) = self.quotas.next_wake(&self.shared) {
             wake_at = wake_at.min(quotas);
         }
-        if let Some(report) = self.crashes.next_wake() {
+        if let Some(report) = self.next_crash_report() {
             wake_at = wake_at.min(report);
         }
         wake_at.min(now + IDLE_INTERVAL)
@@ -217,25 +217,6 @@
         }
     }
 
-    /// Tells the keepers which runners have crashed under this daemon's requests, and all daemons what is in quarantine
-    /// for that, if this daemon is to.
-    fn tell_crashes(&mut self, now: Timestamp) {
-        let keepers = self.quotas.keepers();
-        self.crashes.report(&self.shared, &self.peers, keepers, now);
-        let is_keeper = keepers.contains(&self.address);
-        let members = if let Some(leading) = &self.leading {
-            leading.member_addresses(now)
-        } else if is_keeper && !self.lease.hears_holder(now) {
-            self.following.members().to_vec()
-        } else {
-            return;
-        };
-        self.crashes
-            .announce(&self.shared, &self.peers, &members, now);
-        let requests = self.shared.tables().quarantine.requests(now);
-        self.lease.set_quarantine(requests);
-    }
-
     /// How many daemons there are. A coordinator that has just begun has not heard of all.
     fn daemons(&self, now: Timestamp) -> u32 {
         let known = self.shared.daemons();
@@ -351,20 +332,10 @@
                     self.shared.record_crash(crash);
                 }
             }
-            Message::QuarantineNews(news) => {
-                let now = self.shared.now();
-                self.crashes
-                    .heard_news(&self.shared, &self.peers, &news, now);
-            }
+            Message::QuarantineNews(news) => self.heard_quarantine(&news),
         }
     }
 
-    fn compare_quarantine(&mut self, from: SocketAddr, digest: u64) {
-        let now = self.shared.now();
-        self.crashes
-            .compare(&self.shared, &self.peers, from, digest, now);
-    }
-
     /// Takes in what a standby tells of the store.
     fn heard_store_news(&mut self, news: StoreNews) {
         if self.leading.is_some() {
--- a/crates/ingress/src/crashes.rs
+++ b/crates/ingress/src/crashes.rs
@@ -87,6 +87,13 @@
         self.crash_seen.notify_one();
     }
 
+    /// The crashes that this daemon has seen since the last call.
+    pub(crate) fn take_crashes_seen(&self) -> Vec<Crash> {
+        let seen = self.crashes_seen.lock();
+        seen.map(|mut seen| std::mem::take(&mut *seen))
+            .unwrap_or_default()
+    }
+
     /// Takes in a crash that some daemon has seen.
     pub(crate) fn record_crash(&self, crash: &Crash) {
         let now = self.now();
--- a/crates/ingress/tests/ingress/crashing_requests.rs
+++ b/crates/ingress/tests/ingress/crashing_requests.rs
@@ -9,9 +9,11 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use tokio::time::sleep;
+use flaxward_routing::runners::Runner;
+use tokio::time::{Instant, sleep};
 
 use crate::crashing_runner::{CRASHING_BODY, CrashingRunner};
+use crate::runner::{Behaviour, ScriptedRunner};
 use crate::store::MemoryStore;
 use crate::support::{ObedientControl, TestIngress, configuration, runner};
 
@@ -124,3 +126,93 @@
         fleet.check_quarantine(path).await;
     }
 }
+
+/// All daemons start anew, and none of them has seen a crash.
+#[tokio::test]
+async fn a_quarantine_outlasts_the_daemons() {
+    let path = "/safe/x";
+    let mut fleet = Fleet::start(2).await;
+    fleet.crash_until(ENDS_ALLOWED, path).await;
+    sleep(Duration::from_millis(500)).await;
+    for daemon in &mut fleet.daemons {
+        daemon.ingress.take().unwrap().stop().await;
+    }
+    fleet.daemons = vec![
+        fleet.start_daemon("e0").await,
+        fleet.start_daemon("e1").await,
+    ];
+    sleep(CONTACT).await;
+    fleet.check_quarantine(path).await;
+}
+
+/// The coordinator and the daemons that have seen the crashes are gone; one that starts afterwards hears of the request
+/// from the others.
+#[tokio::test]
+async fn a_quarantine_outlasts_the_coordinator() {
+    let path = "/unsafe/x";
+    let mut fleet = Fleet::start(3).await;
+    fleet.crash_until(ENDS_ALLOWED, path).await;
+    sleep(Duration::from_millis(100)).await;
+    let mut coordinator = fleet.daemons.remove(0);
+    coordinator.ingress.take().unwrap().stop().await;
+    let late = fleet.start_daemon("late").await;
+    fleet.daemons.push(late);
+    sleep(CONTACT).await;
+    fleet.check_quarantine(path).await;
+}
+
+/// Connections are reset, but the runners listen on: that says nothing of the request.
+#[tokio::test]
+async fn a_runner_that_resets_connections_has_not_crashed() {
+    let mut runners = Vec::new();
+    for _ in 0..ENDS_ALLOWED {
+        runners.push(ScriptedRunner::start(vec![Behaviour::Reset; 2]).await);
+    }
+    let listed: Vec<&ScriptedRunner> = runners.iter().collect();
+    let test = TestIngress::start(&listed).await;
+    let mut tries = 0;
+    while runners.iter().any(|runner| runner.received().is_empty()) {
+        tries += 1;
+        let request = test.request("/unsafe/x", &format!("id-{tries}"));
+        let status = request.send().await.unwrap().status();
+        assert_ne!(status, 503, "try {tries}");
+        assert!(tries < 100, "a runner was never asked");
+    }
+    sleep(Duration::from_secs(2)).await;
+    let request = test.request("/unsafe/x", "last");
+    let status = request.send().await.unwrap().status();
+    assert_ne!(status, 503, "it is sent, whatever comes of it");
+}
+
+/// One more copy of the request is at a runner that has not begun it.
+#[tokio::test]
+async fn a_request_that_is_put_in_quarantine_is_answered_at_once() {
+    let holding = ScriptedRunner::start(vec![Behaviour::Hang]).await;
+    let test = TestIngress::start(&[&holding]).await;
+    let copy = test.request("/unsafe/x", "held").body(CRASHING_BODY);
+    let held = tokio::spawn(async move { copy.send().await.unwrap().status().as_u16() });
+    sleep(Duration::from_millis(100)).await;
+
+    let mut crashing = Vec::new();
+    for _ in 0..ENDS_ALLOWED {
+        crashing.push(CrashingRunner::start().await);
+    }
+    let listed = (1..).zip(&crashing);
+    let listed: Vec<Runner> = listed
+        .map(|(index, it)| runner(index, it.address))
+        .collect();
+    test.store.set_runners(listed);
+    sleep(Duration::from_millis(700)).await;
+    let begun = Instant::now();
+    for number in 0..ENDS_ALLOWED {
+        let request = test.request("/unsafe/x", &format!("id-{number}"));
+        request.body(CRASHING_BODY).send().await.unwrap();
+    }
+    assert!(crashing.iter().all(CrashingRunner::has_ended));
+    assert_eq!(held.await.unwrap(), 502, "the copy may have run");
+    assert!(
+        begun.elapsed() < Duration::from_millis(400),
+        "{:?}",
+        begun.elapsed()
+    );
+}
--- a/crates/routing/src/messages.rs
+++ b/crates/routing/src/messages.rs
@@ -12,7 +12,8 @@
 use crate::lease::LeasePulse;
 use crate::membership::MembershipUpdate;
 use crate::names::{RunnerId, ServiceName, Unit, Zone};
-use crate::quarantine::{Crash, QuarantinedRequest};
+use crate::quarantine::Crash;
+use crate::quarantine::exchange::QuarantineNews;
 use crate::quota::{QuotaAnswers, QuotaNews, QuotaQuestions, UseReport};
 use crate::runners::RunnerHoldings;
 use crate::standby::StandbyPlace;
@@ -55,17 +56,6 @@
     QuarantineNews(QuarantineNews),
 }
 
-/// What a daemon holds in quarantine.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct QuarantineNews {
-    /// Where the daemon listens.
-    pub from: SocketAddr,
-    /// The requests.
-    pub requests: Vec<QuarantinedRequest>,
-    /// It wants to be told what the receiver holds.
-    pub wants_answer: bool,
-}
-
 /// A request for a newer configuration.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ConfigurationWanted {
--- /dev/null
+++ b/crates/routing/src/quarantine/exchange.rs
@@ -0,0 +1,145 @@
+//! What one daemon tells others of crashes and quarantine, and when.
+//!
+//! It tells the keepers what it has seen, some times over. A keeper that speaks tells all daemons of a new quarantine at
+//! once. What a lost message leaves out shows in the digest of the next heartbeat, and the two daemons then tell each
+//! other all that they hold.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use flaxward_types::time::Timestamp;
+use serde::{Deserialize, Serialize};
+
+use super::{Crash, Quarantine, QuarantinedRequest};
+
+/// How often the keepers are told of a crash: on a link that loses three messages in a hundred, all of these are lost
+/// once in 37,000 times.
+const REPORTS: u32 = 3;
+/// Time between two reports of one crash.
+const REPORT_INTERVAL: Duration = Duration::from_millis(200);
+/// Shortest time between two exchanges that one daemon begins.
+const EXCHANGE_INTERVAL: Duration = Duration::from_millis(300);
+/// Crashes that wait to be reported at most.
+const MAX_REPORTS: usize = 256;
+
+/// What a daemon holds in quarantine.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct QuarantineNews {
+    /// Where the daemon listens.
+    pub from: SocketAddr,
+    /// The requests.
+    pub requests: Vec<QuarantinedRequest>,
+    /// It wants to be told what the receiver holds.
+    pub wants_answer: bool,
+}
+
+/// A crash that the keepers are being told of.
+#[derive(Debug)]
+struct Report {
+    crash: Crash,
+    left: u32,
+    due: Timestamp,
+}
+
+/// One daemon's side.
+#[derive(Debug)]
+pub struct QuarantineExchange {
+    own: SocketAddr,
+    reports: Vec<Report>,
+    /// Digest of the quarantine that all daemons were told of.
+    told: u64,
+    exchanged_at: Option<Timestamp>,
+}
+
+impl QuarantineExchange {
+    /// A daemon that listens at an address and has nothing to tell.
+    pub fn new(own: SocketAddr) -> Self {
+        Self {
+            own,
+            reports: Vec::new(),
+            told: 0,
+            exchanged_at: None,
+        }
+    }
+
+    /// This daemon has seen a crash, of which the keepers must hear.
+    pub fn seen(&mut self, crash: Crash, now: Timestamp) {
+        if self.reports.len() < MAX_REPORTS {
+            self.reports.push(Report {
+                crash,
+                left: REPORTS,
+                due: now,
+            });
+        }
+    }
+
+    /// When the next report is due, if there is one.
+    pub fn next_report(&self) -> Option<Timestamp> {
+        self.reports.iter().map(|report| report.due).min()
+    }
+
+    /// The crashes of which the keepers are to be told now. While no keeper is known they wait.
+    pub fn due_reports(&mut self, knows_keepers: bool, now: Timestamp) -> Vec<Crash> {
+        let mut crashes = Vec::new();
+        for report in self.reports.iter_mut().filter(|report| report.due <= now) {
+            report.due = now + REPORT_INTERVAL;
+            if knows_keepers {
+                report.left -= 1;
+                crashes.push(report.crash.clone());
+            }
+        }
+        self.reports.retain(|report| report.left > 0);
+        crashes
+    }
+
+    /// What a keeper that speaks is to tell all daemons now, if it has not told it.
+    pub fn announcement(
+        &mut self,
+        quarantine: &Quarantine,
+        now: Timestamp,
+    ) -> Option<QuarantineNews> {
+        let digest = quarantine.digest(now);
+        if digest == self.told {
+            return None;
+        }
+        self.told = digest;
+        Some(self.news(quarantine, false, now))
+    }
+
+    /// Compares the quarantine with the digest that a keeper has told. Returns what that one is told if they differ.
+    pub fn compare(
+        &mut self,
+        quarantine: &Quarantine,
+        digest: u64,
+        now: Timestamp,
+    ) -> Option<QuarantineNews> {
+        if quarantine.digest(now) == digest {
+            self.told = digest;
+            return None;
+        }
+        let is_due = |at: Timestamp| now.since(at) >= EXCHANGE_INTERVAL;
+        if !self.exchanged_at.is_none_or(is_due) {
+            return None;
+        }
+        self.exchanged_at = Some(now);
+        Some(self.news(quarantine, true, now))
+    }
+
+    /// The answer to another daemon's news, once they are taken in, if it wants one.
+    pub fn answer(
+        &self,
+        quarantine: &Quarantine,
+        news: &QuarantineNews,
+        now: Timestamp,
+    ) -> Option<QuarantineNews> {
+        news.wants_answer.then(|| self.news(quarantine, false, now))
+    }
+
+    fn news(&self, quarantine: &Quarantine, wants_answer: bool, now: Timestamp) -> QuarantineNews {
+        QuarantineNews {
+            from: self.own,
+            requests: quarantine.requests(now),
+            wants_answer,
+        }
+    }
+}
--- a/crates/routing/src/quarantine.rs
+++ b/crates/routing/src/quarantine/mod.rs
@@ -8,6 +8,8 @@
 //! What daemons hold converges: reports are sets, a quarantine lasts until the latest end that any daemon knows, and
 //! if there are too many, all daemons keep the same ones.
 
+pub mod exchange;
+
 use std::collections::{BTreeMap, HashMap};
 use std::hash::Hasher;
 use std::time::Duration;
--- /dev/null
+++ b/crates/routing/tests/quarantine.rs
@@ -0,0 +1,452 @@
+//! Requests that crash runners: when they are put in quarantine, and that all daemons learn of it.
+//!
+//! The fleet is played in virtual time: messages are late or lost, daemons are killed and started, and the coordinator is
+//! lost. Whatever happens, daemons that are in touch hardly send a request any more under which three runners have
+//! crashed.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use flaxward_routing::fingerprint::{RequestContent, RequestFingerprint};
+use flaxward_routing::names::RunnerId;
+use flaxward_routing::quarantine::exchange::{QuarantineExchange, QuarantineNews};
+use flaxward_routing::quarantine::{
+    Crash, MAX_QUARANTINED, Quarantine, QuarantineSettings, QuarantinedRequest, Recorded,
+};
+use flaxward_types::time::Timestamp;
+use proptest::prelude::*;
+
+const SETTINGS: QuarantineSettings = QuarantineSettings {
+    crashes: 3,
+    duration: Duration::from_secs(60),
+};
+
+fn fingerprint(number: u64) -> RequestFingerprint {
+    RequestFingerprint::of(&RequestContent {
+        method: "POST",
+        host: "a.example",
+        target: "/",
+        tenant: None,
+        body: &number.to_le_bytes(),
+    })
+}
+
+fn crash(request: u64, runner: u64) -> Crash {
+    Crash {
+        fingerprint: fingerprint(request),
+        runner: RunnerId::new(&format!("r{runner}")),
+    }
+}
+
+fn at(seconds: u64) -> Timestamp {
+    Timestamp::ZERO + Duration::from_secs(seconds)
+}
+
+#[test]
+fn three_runners_put_a_request_in_quarantine_and_one_runner_told_thrice_does_not() {
+    let mut quarantine = Quarantine::new(SETTINGS);
+    assert_eq!(quarantine.record(&crash(1, 1), at(0)), Recorded::Counted(1));
+    assert_eq!(quarantine.record(&crash(1, 1), at(1)), Recorded::Known);
+    assert_eq!(quarantine.record(&crash(2, 1), at(1)), Recorded::Counted(1));
+    assert_eq!(quarantine.record(&crash(1, 2), at(1)), Recorded::Counted(2));
+    assert!(quarantine.is_empty());
+    assert_eq!(
+        quarantine.record(&crash(1, 3), at(2)),
+        Recorded::Quarantined
+    );
+    assert_eq!(
+        quarantine.remaining(&fingerprint(1), at(2)),
+        Some(SETTINGS.duration)
+    );
+    assert_eq!(quarantine.remaining(&fingerprint(2), at(2)), None);
+}
+
+#[test]
+fn a_quarantine_ends_and_no_message_prolongs_it() {
+    let mut quarantine = Quarantine::new(SETTINGS);
+    for runner in 0..3 {
+        quarantine.record(&crash(1, runner), at(0));
+    }
+    let told = quarantine.requests(at(50));
+    quarantine.take_in(&told, at(50));
+    assert!(quarantine.remaining(&fingerprint(1), at(59)).is_some());
+    assert_eq!(quarantine.remaining(&fingerprint(1), at(60)), None);
+    assert_eq!(quarantine.digest(at(60)), 0);
+    assert!(quarantine.requests(at(60)).is_empty());
+}
+
+#[test]
+fn nothing_is_put_in_quarantine_if_the_operators_want_none() {
+    let mut quarantine = Quarantine::new(QuarantineSettings {
+        crashes: 0,
+        ..SETTINGS
+    });
+    for runner in 0..9 {
+        assert_eq!(quarantine.record(&crash(1, runner), at(0)), Recorded::Known);
+    }
+    assert!(quarantine.is_empty());
+}
+
+#[test]
+fn a_fingerprint_has_one_form_in_json_and_postcard() {
+    let request = QuarantinedRequest {
+        fingerprint: fingerprint(1),
+        remaining_ms: 7,
+    };
+    let json = serde_json::to_string(&request).unwrap();
+    assert_eq!(
+        serde_json::from_str::<QuarantinedRequest>(&json).unwrap(),
+        request
+    );
+    let bytes = postcard::to_allocvec(&request).unwrap();
+    assert_eq!(
+        postcard::from_bytes::<QuarantinedRequest>(&bytes).unwrap(),
+        request
+    );
+    let broken = json.replace(&fingerprint(1).to_string(), "+1");
+    assert!(serde_json::from_str::<QuarantinedRequest>(&broken).is_err());
+}
+
+proptest! {
+    /// Daemons that have heard of the same requests hold the same ones, also if there are too many.
+    #[test]
+    fn the_order_of_messages_does_not_matter(
+        seeds in prop::collection::hash_set(0_u64..10_000, 1..2 * MAX_QUARANTINED),
+        cut in 0_usize..600,
+    ) {
+        let requests: Vec<QuarantinedRequest> = seeds
+            .into_iter()
+            .map(|seed| QuarantinedRequest { fingerprint: fingerprint(seed), remaining_ms: 30_000 })
+            .collect();
+        let (early, late) = requests.split_at(cut.min(requests.len()));
+        let mut first = Quarantine::new(SETTINGS);
+        let mut second = Quarantine::new(SETTINGS);
+        first.take_in(early, at(0));
+        first.take_in(late, at(0));
+        second.take_in(late, at(0));
+        second.take_in(early, at(0));
+        prop_assert_eq!(first.digest(at(1)), second.digest(at(1)));
+        prop_assert!(first.requests(at(1)).len() <= MAX_QUARANTINED);
+        let news = second.requests(at(1));
+        prop_assert!(first.take_in(&news, at(1)).is_empty());
+    }
+}
+
+/// Time of one step of a played fleet.
+const STEP: Duration = Duration::from_millis(10);
+const DAEMONS: usize = 30;
+const HEARTBEAT: Duration = Duration::from_millis(500);
+/// Silence of the coordinator after which a deputy speaks for it.
+const SILENCE: Duration = Duration::from_millis(1_200);
+/// Time without a coordinator after one was lost.
+const SUCCESSION: Duration = Duration::from_millis(3_300);
+/// Time between two renewals of the lease, whose record holds the quarantine.
+const RENEWAL: Duration = Duration::from_millis(900);
+/// Time after a fault from which a daemon is in touch.
+const CONTACT: Duration = Duration::from_secs(3);
+/// How often a request may be sent by daemons in touch once everybody must know.
+const SENDS_ALLOWED: usize = 3;
+
+#[derive(Clone, Debug)]
+enum Message {
+    Crashes(Vec<Crash>),
+    Digest(u64),
+    News(QuarantineNews),
+}
+
+struct Daemon {
+    quarantine: Quarantine,
+    exchange: QuarantineExchange,
+    lives: bool,
+    /// When it was last killed, started or cut off.
+    disturbed_at: Timestamp,
+    heard_coordinator_at: Timestamp,
+}
+
+/// A fault of a played fleet.
+#[derive(Clone, Copy, Debug)]
+enum Fault {
+    Kill(usize),
+    KillCoordinator,
+    KillAll,
+}
+
+struct Fleet {
+    daemons: Vec<Daemon>,
+    /// The coordinator is the first of these, the others are its deputies.
+    keepers: Vec<usize>,
+    coordinates_from: Timestamp,
+    record: Vec<QuarantinedRequest>,
+    record_at: Timestamp,
+    heartbeat_at: Timestamp,
+    in_flight: Vec<(Timestamp, usize, Message)>,
+    now: Timestamp,
+    crashes: u64,
+    third_at: Option<Timestamp>,
+    late_sends: usize,
+    lost: f64,
+    random: u64,
+}
+
+fn address(daemon: usize) -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], u16::try_from(daemon).unwrap() + 1))
+}
+
+fn daemon_at(address: SocketAddr) -> usize {
+    usize::from(address.port()) - 1
+}
+
+impl Fleet {
+    fn new(lost: f64, seed: u64) -> Self {
+        let daemon = |index| Daemon {
+            quarantine: Quarantine::new(SETTINGS),
+            exchange: QuarantineExchange::new(address(index)),
+            lives: true,
+            disturbed_at: Timestamp::ZERO,
+            heard_coordinator_at: Timestamp::ZERO,
+        };
+        Self {
+            daemons: (0..DAEMONS).map(daemon).collect(),
+            keepers: vec![0, 1, 2],
+            coordinates_from: Timestamp::ZERO,
+            record: Vec::new(),
+            record_at: Timestamp::ZERO,
+            heartbeat_at: Timestamp::ZERO,
+            in_flight: Vec::new(),
+            now: Timestamp::ZERO,
+            crashes: 0,
+            third_at: None,
+            late_sends: 0,
+            lost,
+            random: seed | 1,
+        }
+    }
+
+    fn draw(&mut self, below: u64) -> u64 {
+        self.random ^= self.random << 13;
+        self.random ^= self.random >> 7;
+        self.random ^= self.random << 17;
+        self.random % below
+    }
+
+    #[allow(clippy::cast_precision_loss)]
+    fn send(&mut self, to: usize, message: Message) {
+        let is_lost = (self.draw(1_000) as f64) < self.lost * 1_000.0;
+        let delay = Duration::from_millis(1 + self.draw(20));
+        if !is_lost {
+            self.in_flight.push((self.now + delay, to, message));
+        }
+    }
+
+    fn coordinator(&self) -> Option<usize> {
+        let first = *self.keepers.first()?;
+        (self.now >= self.coordinates_from && self.daemons[first].lives).then_some(first)
+    }
+
+    fn step(&mut self) {
+        self.now = self.now + STEP;
+        let now = self.now;
+        let (due, later) = std::mem::take(&mut self.in_flight)
+            .into_iter()
+            .partition(|(at, ..)| *at <= now);
+        self.in_flight = later;
+        let due: Vec<_> = due;
+        for (_, to, message) in due {
+            if self.daemons[to].lives {
+                self.receive(to, message);
+            }
+        }
+        self.succeed();
+        for daemon in 0..DAEMONS {
+            if self.daemons[daemon].lives {
+                self.tell(daemon);
+            }
+        }
+        self.coordinate();
+    }
+
+    /// Another daemon takes the lease over, with the record that the last holder has written.
+    fn succeed(&mut self) {
+        let now = self.now;
+        if self.coordinator().is_some() || now < self.coordinates_from {
+            return;
+        }
+        let living: Vec<usize> = (0..DAEMONS).filter(|&it| self.daemons[it].lives).collect();
+        let known = self
+            .keepers
+            .iter()
+            .copied()
+            .filter(|it| living.contains(it));
+        let mut keepers: Vec<usize> = known.collect();
+        keepers.extend(
+            living
+                .iter()
+                .copied()
+                .filter(|it| !self.keepers.contains(it)),
+        );
+        keepers.truncate(3);
+        let Some(&next) = keepers.first() else {
+            return;
+        };
+        self.keepers = keepers;
+        self.coordinates_from = now + SUCCESSION;
+        let record = self.record.clone();
+        self.daemons[next].quarantine.take_in(&record, now);
+    }
+
+    /// What a daemon does by itself.
+    fn tell(&mut self, daemon: usize) {
+        let now = self.now;
+        let crashes = self.daemons[daemon].exchange.due_reports(true, now);
+        if !crashes.is_empty() {
+            for keeper in self.keepers.clone() {
+                if keeper != daemon {
+                    self.send(keeper, Message::Crashes(crashes.clone()));
+                }
+            }
+        }
+        let silence = now.since(self.daemons[daemon].heard_coordinator_at);
+        let speaks = self.coordinator() == Some(daemon)
+            || (self.keepers.contains(&daemon) && silence >= SILENCE);
+        if !speaks {
+            return;
+        }
+        let it = &mut self.daemons[daemon];
+        let news = it.exchange.announcement(&it.quarantine, now);
+        for to in (0..DAEMONS).filter(|&to| to != daemon) {
+            if let Some(news) = &news {
+                self.send(to, Message::News(news.clone()));
+            }
+        }
+    }
+
+    fn coordinate(&mut self) {
+        let now = self.now;
+        let Some(coordinator) = self.coordinator() else {
+            return;
+        };
+        if now.since(self.record_at) >= RENEWAL {
+            self.record_at = now;
+            self.record = self.daemons[coordinator].quarantine.requests(now);
+        }
+        if now.since(self.heartbeat_at) < HEARTBEAT {
+            return;
+        }
+        self.heartbeat_at = now;
+        let digest = self.daemons[coordinator].quarantine.digest(now);
+        self.daemons[coordinator].heard_coordinator_at = now;
+        for to in (0..DAEMONS).filter(|&to| to != coordinator) {
+            self.send(to, Message::Digest(digest));
+        }
+    }
+
+    fn receive(&mut self, to: usize, message: Message) {
+        let now = self.now;
+        let keeper = self.keepers[0];
+        let it = &mut self.daemons[to];
+        match message {
+            Message::Crashes(crashes) => {
+                for crash in &crashes {
+                    it.quarantine.record(crash, now);
+                }
+            }
+            Message::Digest(digest) => {
+                it.heard_coordinator_at = now;
+                let news = it.exchange.compare(&it.quarantine, digest, now);
+                if let Some(news) = news {
+                    self.send(keeper, Message::News(news));
+                }
+            }
+            Message::News(news) => {
+                it.quarantine.take_in(&news.requests, now);
+                let answer = it.exchange.answer(&it.quarantine, &news, now);
+                if let Some(answer) = answer {
+                    self.send(daemon_at(news.from), Message::News(answer));
+                }
+            }
+        }
+    }
+
+    /// The caller tries at some daemon; if that one sends the request, a runner crashes.
+    fn try_somewhere(&mut self) {
+        let now = self.now;
+        let daemon = usize::try_from(self.draw(DAEMONS as u64)).unwrap();
+        let it = &mut self.daemons[daemon];
+        if !it.lives || it.quarantine.remaining(&fingerprint(1), now).is_some() {
+            return;
+        }
+        let is_in_touch = now.since(it.disturbed_at) >= CONTACT;
+        if is_in_touch && self.third_at.is_some_and(|at| now.since(at) >= CONTACT) {
+            self.late_sends += 1;
+        }
+        self.crashes += 1;
+        if self.crashes == 3 {
+            self.third_at = Some(now);
+        }
+        let crash = crash(1, self.crashes);
+        it.quarantine.record(&crash, now);
+        it.exchange.seen(crash, now);
+    }
+
+    fn strike(&mut self, fault: Fault) {
+        match fault {
+            Fault::Kill(daemon) => self.restart(daemon % DAEMONS),
+            Fault::KillCoordinator => self.restart(self.keepers[0]),
+            Fault::KillAll => (0..DAEMONS).for_each(|daemon| self.restart(daemon)),
+        }
+    }
+
+    /// A daemon is killed and starts again, with what the store records.
+    fn restart(&mut self, daemon: usize) {
+        let now = self.now;
+        if self.coordinator() == Some(daemon) {
+            self.coordinates_from = now + SUCCESSION;
+        }
+        let it = &mut self.daemons[daemon];
+        it.quarantine = Quarantine::new(SETTINGS);
+        it.quarantine.take_in(&self.record, now);
+        it.exchange = QuarantineExchange::new(address(daemon));
+        it.disturbed_at = now;
+        it.heard_coordinator_at = now;
+    }
+}
+
+fn fault() -> impl Strategy<Value = Fault> {
+    prop_oneof![
+        4 => (0..DAEMONS).prop_map(Fault::Kill),
+        3 => Just(Fault::KillCoordinator),
+        1 => Just(Fault::KillAll),
+    ]
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig::with_cases(96))]
+
+    #[test]
+    fn a_request_that_has_crashed_three_runners_is_hardly_sent_by_any_daemon_in_touch(
+        lost in prop_oneof![Just(0.0), 0.0..0.2],
+        seed in any::<u64>(),
+        try_every in 10_u64..150,
+        faults in prop::collection::vec((0_u64..2_500, fault()), 0..6),
+    ) {
+        let mut fleet = Fleet::new(lost, seed);
+        for step in 0..2_500 {
+            fleet.step();
+            for (at, fault) in &faults {
+                if *at == step {
+                    fleet.strike(*fault);
+                }
+            }
+            if step > 400 && step % try_every == 0 {
+                fleet.try_somewhere();
+            }
+        }
+        prop_assert!(fleet.crashes >= 3, "the caller has not come through");
+        prop_assert!(
+            fleet.late_sends <= SENDS_ALLOWED,
+            "sent {} times more, {} runners crashed",
+            fleet.late_sends,
+            fleet.crashes
+        );
+    }
+}
