Quarantine as a circuit breaker: a short one first, a long one after one more crash; a completed run clears the request

Cause: found by reading the soak, whose callers all send the same few requests. A request that many callers send is at every runner, so three runners that crash for another reason would have put it in quarantine for an hour, and nothing could have cleared it. Change: three crashes begin a quarantine of 30 s; one more crash after it one of 1 h; a completed run clears the request on all daemons. Copies that are at runners are left to end: they show which it is.

--- a/crates/flaxward/src/ingress.rs
+++ b/crates/flaxward/src/ingress.rs
@@ -140,7 +140,8 @@
         },
         quarantine: QuarantineSettings {
             crashes: file.quarantine.crashes,
-            duration: file.quarantine.duration,
+            first: file.quarantine.first,
+            repeated: file.quarantine.repeated,
         },
         lease: LeaseSettings {
             duration: lease,
--- a/crates/ingress/src/coordination/crashes.rs
+++ b/crates/ingress/src/coordination/crashes.rs
@@ -1,4 +1,4 @@
-//! Tells other daemons under which requests runners have crashed, and which are in quarantine for that.
+//! Tells other daemons under which requests runners crash, and which are in quarantine for that.
 
 use std::net::SocketAddr;
 
@@ -10,40 +10,41 @@
 
 impl Coordination {
     /// When something is due at the latest, if anything will be.
-    pub(super) fn next_crash_report(&self) -> Option<Timestamp> {
+    pub(super) fn next_run_report(&self) -> Option<Timestamp> {
         self.quarantine.next_report()
     }
 
-    /// Tells the keepers which runners have crashed under this daemon's requests, and all daemons what is in quarantine
-    /// for that, if this daemon is to.
-    pub(super) fn tell_crashes(&mut self, now: Timestamp) {
+    /// Tells the keepers what came of runs that say something, and all daemons what is in quarantine, if this daemon is
+    /// to.
+    pub(super) fn tell_quarantine(&mut self, now: Timestamp) {
         let keepers = self.quotas.keepers().to_vec();
-        self.report_crashes(&keepers, now);
+        self.report_runs(&keepers, now);
         let members = if let Some(leading) = &self.leading {
             leading.member_addresses(now)
-        } else if keepers.contains(&self.address) && !self.lease.hears_holder(now) {
+        } else if keepers.contains(&self.address) {
+            // The coordinator may be lost at this very moment, and each send costs a runner.
             self.following.members().to_vec()
         } else {
             return;
         };
-        let (news, requests) = {
+        let (news, entries) = {
             let quarantine = &self.shared.tables().quarantine;
             let news = self.quarantine.announcement(quarantine, now);
-            (news, quarantine.requests(now))
+            (news, quarantine.entries(now))
         };
-        self.lease.set_quarantine(requests);
+        self.lease.set_quarantine(entries);
         if let Some(news) = news {
             self.send_to_others(&members, &Message::QuarantineNews(news));
         }
     }
 
-    fn report_crashes(&mut self, keepers: &[SocketAddr], now: Timestamp) {
-        for crash in self.shared.take_crashes_seen() {
-            self.quarantine.seen(crash, now);
+    fn report_runs(&mut self, keepers: &[SocketAddr], now: Timestamp) {
+        for report in self.shared.take_run_reports() {
+            self.quarantine.seen(report, now);
         }
-        let crashes = self.quarantine.due_reports(!keepers.is_empty(), now);
-        if !crashes.is_empty() {
-            self.send_to_others(keepers, &Message::Crashes(crashes));
+        let reports = self.quarantine.due_reports(!keepers.is_empty(), now);
+        if !reports.is_empty() {
+            self.send_to_others(keepers, &Message::RunReports(reports));
         }
     }
 
@@ -61,7 +62,7 @@
     /// Takes in what another daemon holds in quarantine.
     pub(super) fn heard_quarantine(&mut self, news: &QuarantineNews) {
         let now = self.shared.now();
-        self.shared.take_quarantine(&news.requests, "daemon");
+        self.shared.take_quarantine(&news.entries, "daemon");
         let answer = self
             .quarantine
             .answer(&self.shared.tables().quarantine, news, now);
--- a/crates/ingress/src/coordination/mod.rs
+++ b/crates/ingress/src/coordination/mod.rs
@@ -123,7 +123,7 @@
                 () = shared.demand.notified() => self.following.want_notice(),
                 () = shared.ending.cancelled() => return,
                 () = shared.quota_wake.notified() => {}
-                () = shared.crash_seen.notified() => {}
+                () = shared.run_reported.notified() => {}
                 () = shared.configuration_wanted.notified() => {
                     self.configurations.ask(&self.shared, &self.peers, self.address);
                 }
@@ -145,7 +145,7 @@
         if let Some(quotas) = self.quotas.next_wake(&self.shared) {
             wake_at = wake_at.min(quotas);
         }
-        if let Some(report) = self.next_crash_report() {
+        if let Some(report) = self.next_run_report() {
             wake_at = wake_at.min(report);
         }
         wake_at.min(now + IDLE_INTERVAL)
@@ -158,7 +158,7 @@
         self.shared
             .hears_coordinator
             .store(hears, Ordering::Relaxed);
-        self.tell_crashes(now);
+        self.tell_quarantine(now);
         let (call, change) = self.lease.poll(now);
         if let Some(change) = change {
             self.lease_changed(&change);
@@ -327,9 +327,9 @@
                     .answer(&self.shared, &self.peers, &wanted);
             }
             Message::ConfigurationChunk(chunk) => self.configurations.take(&self.shared, &chunk),
-            Message::Crashes(crashes) => {
-                for crash in &crashes {
-                    self.shared.record_crash(crash);
+            Message::RunReports(reports) => {
+                for report in &reports {
+                    self.shared.record_run(report);
                 }
             }
             Message::QuarantineNews(news) => self.heard_quarantine(&news),
--- a/crates/ingress/src/crashes.rs
+++ b/crates/ingress/src/crashes.rs
@@ -6,7 +6,7 @@
 
 use flaxward_routing::fingerprint::RequestFingerprint;
 use flaxward_routing::names::RunnerId;
-use flaxward_routing::quarantine::{Crash, QuarantinedRequest, Recorded};
+use flaxward_routing::quarantine::{QuarantineEntry, Recorded, RunOutcome, RunReport};
 use flaxward_routing::runners::Runner;
 use tokio::time::timeout;
 
@@ -24,15 +24,17 @@
     if shared.settings.quarantine.crashes == 0 || is_leaving(shared, &runner.id) {
         return;
     }
-    let crash = Crash {
+    let report = RunReport {
         fingerprint: request.fingerprint(),
-        runner: runner.id.clone(),
+        outcome: RunOutcome::Crashed(runner.id.clone()),
     };
     let (id, address) = (request.profile.id.clone(), runner.address);
+    let runner = runner.id.clone();
     let shared = shared.clone();
     let check = tokio::spawn(async move {
         if shared.pool.is_refused(address).await {
-            shared.record_own_crash(crash, &id);
+            shared.log_crash(&report, &runner, &id);
+            shared.report_run(report);
         }
     });
     // The check goes on in the background if it takes longer.
@@ -45,16 +47,10 @@
     tables.runners.get(runner).is_none_or(|it| it.draining)
 }
 
-/// Waits until a request is in quarantine, and returns for how long it is.
-pub(crate) async fn until_quarantined(
-    shared: Arc<Shared>,
-    request: Arc<ClientRequest>,
-) -> Duration {
+/// Waits until a request is in quarantine.
+pub(crate) async fn until_quarantined(shared: &Shared, request: &ClientRequest) {
     let mut changes = shared.quarantine_changes.subscribe();
-    loop {
-        if let Some(remaining) = shared.quarantined_for(&request) {
-            return remaining;
-        }
+    while shared.quarantined_for(request).is_none() {
         if changes.changed().await.is_err() {
             return std::future::pending().await;
         }
@@ -71,42 +67,66 @@
         self.tables().quarantine.remaining(&fingerprint, self.now())
     }
 
-    /// Takes in a crash that this daemon has seen, and has the keepers told of it.
-    fn record_own_crash(&self, crash: Crash, request: &str) {
+    /// A runner has answered a request whole. If runners have crashed under it, they did so for another reason.
+    pub(crate) fn note_completed(&self, request: &ClientRequest) {
+        if self.tables().quarantine.is_empty() {
+            return;
+        }
+        let report = RunReport {
+            fingerprint: request.fingerprint(),
+            outcome: RunOutcome::Completed,
+        };
+        self.report_run(report);
+    }
+
+    fn log_crash(&self, report: &RunReport, runner: &RunnerId, request: &str) {
         metrics::counter!(RUNNER_CRASHES.name).increment(1);
         let fields: &[(&str, &dyn Display)] = &[
-            ("runner", &crash.runner),
+            ("runner", runner),
             ("request", &request),
-            ("fingerprint", &crash.fingerprint),
+            ("fingerprint", &report.fingerprint),
         ];
         self.log.write(self.now(), "runner-crashed", fields);
-        self.record_crash(&crash);
-        if let Ok(mut seen) = self.crashes_seen.lock() {
-            seen.push(crash);
+    }
+
+    /// Takes in a run of this daemon, and has the keepers told if it says something new.
+    fn report_run(&self, report: RunReport) {
+        if self.record_run(&report) == Recorded::Unchanged {
+            return;
+        }
+        if let Ok(mut reports) = self.run_reports.lock() {
+            reports.push(report);
         }
-        self.crash_seen.notify_one();
+        self.run_reported.notify_one();
     }
 
-    /// The crashes that this daemon has seen since the last call.
-    pub(crate) fn take_crashes_seen(&self) -> Vec<Crash> {
-        let seen = self.crashes_seen.lock();
-        seen.map(|mut seen| std::mem::take(&mut *seen))
+    /// The runs of which the keepers are to be told since the last call.
+    pub(crate) fn take_run_reports(&self) -> Vec<RunReport> {
+        let reports = self.run_reports.lock();
+        reports
+            .map(|mut reports| std::mem::take(&mut *reports))
             .unwrap_or_default()
     }
 
-    /// Takes in a crash that some daemon has seen.
-    pub(crate) fn record_crash(&self, crash: &Crash) {
+    /// Takes in a run of some daemon.
+    pub(crate) fn record_run(&self, report: &RunReport) -> Recorded {
         let now = self.now();
-        let recorded = self.tables().quarantine.record(crash, now);
-        if recorded == Recorded::Quarantined {
-            self.note_quarantined(&[crash.fingerprint], "crashes");
+        let recorded = self.tables().quarantine.record(report, now);
+        match recorded {
+            Recorded::Quarantined => self.note_quarantined(&[report.fingerprint], "crashes"),
+            Recorded::Cleared => {
+                let fields: &[(&str, &dyn Display)] = &[("fingerprint", &report.fingerprint)];
+                self.log.write(now, "request-cleared", fields);
+            }
+            Recorded::Unchanged | Recorded::Counted(_) => {}
         }
+        recorded
     }
 
     /// Takes in what others hold in quarantine; `source` tells who, for the log.
-    pub(crate) fn take_quarantine(&self, requests: &[QuarantinedRequest], source: &str) {
+    pub(crate) fn take_quarantine(&self, entries: &[QuarantineEntry], source: &str) {
         let now = self.now();
-        let news = self.tables().quarantine.take_in(requests, now);
+        let news = self.tables().quarantine.take_in(entries, now);
         self.note_quarantined(&news, source);
     }
 
--- a/crates/ingress/src/job.rs
+++ b/crates/ingress/src/job.rs
@@ -44,14 +44,6 @@
 /// Shortest time left with which a request is sent to a runner.
 const LEAST_TIME: Duration = Duration::from_millis(5);
 
-/// Why a request is sent no further though it has time left.
-enum Interruption {
-    /// It is in quarantine, for this time.
-    Quarantined(Duration),
-    /// The daemon stops and has no time left.
-    DaemonEnds,
-}
-
 /// A request that is being sent to runners.
 pub(crate) struct Job {
     shared: Arc<Shared>,
@@ -100,26 +92,23 @@
         mut self,
         guard: Box<dyn Send>,
     ) -> Result<Response<AnswerBody>, Refused> {
-        if let Some(remaining) = self.shared.quarantined_for(&self.request) {
-            return self.quarantined(remaining);
-        }
         self.guard = Some(guard);
-        self.count();
+        if self.shared.quarantined_for(&self.request).is_none() {
+            self.count();
+        }
         let ending = self.shared.ending.clone();
-        let quarantined = until_quarantined(self.shared.clone(), self.request.clone());
-        let interruption = tokio::select! {
+        let answered = tokio::select! {
             biased;
-            remaining = quarantined => Interruption::Quarantined(remaining),
-            answered = self.send() => return answered,
-            () = ending.cancelled() => Interruption::DaemonEnds,
+            answered = self.send() => Some(answered),
+            () = ending.cancelled() => None,
         };
+        if let Some(answered) = answered {
+            return answered;
+        }
         if self.is_sending {
             self.attempts.count(Failure::Silent);
         }
-        match interruption {
-            Interruption::Quarantined(remaining) => self.quarantined(remaining),
-            Interruption::DaemonEnds => self.give_up("the daemon ends"),
-        }
+        self.give_up("the daemon ends")
     }
 
     async fn send(&mut self) -> Result<Response<AnswerBody>, Refused> {
@@ -128,6 +117,9 @@
             if self.request.time_left() < LEAST_TIME {
                 return self.give_up("time is up");
             }
+            if let Some(remaining) = self.shared.quarantined_for(&self.request) {
+                return self.quarantined(remaining);
+            }
             let runner = match self.choose() {
                 Ok(runner) => runner,
                 Err(NoRunner::NotLoaded) => match self.wait().await {
@@ -194,7 +186,12 @@
         let Some(unit) = &self.request.unit else {
             return Ok(());
         };
-        wait_for_unit(&self.shared, &self.request, &self.route, unit, self.begun).await
+        let waiting = wait_for_unit(&self.shared, &self.request, &self.route, unit, self.begun);
+        tokio::select! {
+            waited = waiting => waited,
+            // The next look tells the caller.
+            () = until_quarantined(&self.shared, &self.request) => Ok(()),
+        }
     }
 
     /// The final answer when the unit is not ready in time. Only a request that surely has not run is told so.
@@ -326,6 +323,7 @@
         if let Some(connection) = connection {
             self.shared.pool.put(connection);
         }
+        self.shared.note_completed(&self.request);
         *response.body_mut() = answers::whole(bytes);
         let failed = response.status().is_server_error();
         if failed && self.may_replace_failure() {
--- a/crates/ingress/src/relay.rs
+++ b/crates/ingress/src/relay.rs
@@ -232,6 +232,7 @@
         }
         if let Some(exchange) = self.exchange.take() {
             self.log_gap(&exchange.runner.id);
+            self.shared.note_completed(&self.request);
             self.shared
                 .observe(&exchange.runner.id, Observation::Success);
             if let Some(connection) = exchange.connection {
--- a/crates/ingress/src/state.rs
+++ b/crates/ingress/src/state.rs
@@ -12,7 +12,7 @@
 use flaxward_routing::health::{HealthTable, Observation};
 use flaxward_routing::messages::UnitOutlook;
 use flaxward_routing::names::{RunnerId, ServiceName, Unit};
-use flaxward_routing::quarantine::{Crash, Quarantine};
+use flaxward_routing::quarantine::{Quarantine, RunReport};
 use flaxward_routing::quota::meter::QuotaMeter;
 use flaxward_routing::runners::{Runner, RunnerTable};
 use flaxward_routing::split::SplitChooser;
@@ -84,10 +84,10 @@
     pub quota_questions: QuotaClient,
     /// Woken when the keepers of quotas are to be told or asked something.
     pub quota_wake: Notify,
-    /// Crashes of runners that requests have seen and the keepers were not told of.
-    pub crashes_seen: Mutex<Vec<Crash>>,
+    /// Runs of which the keepers of the quarantine were not told yet.
+    pub run_reports: Mutex<Vec<RunReport>>,
     /// Woken when there is one more.
-    pub crash_seen: Notify,
+    pub run_reported: Notify,
     /// Rises when a request is put in quarantine.
     pub quarantine_changes: watch::Sender<u64>,
     /// Woken when a daemon that has told of a newer configuration is to be asked for it.
@@ -150,8 +150,8 @@
             demand: Notify::new(),
             quota_questions: QuotaClient::default(),
             quota_wake: Notify::new(),
-            crashes_seen: Mutex::default(),
-            crash_seen: Notify::new(),
+            run_reports: Mutex::default(),
+            run_reported: Notify::new(),
             quarantine_changes: watch::Sender::new(0),
             configuration_wanted: Notify::new(),
             stopping: AtomicBool::new(false),
--- a/crates/routing/src/lease/mod.rs
+++ b/crates/routing/src/lease/mod.rs
@@ -13,7 +13,7 @@
 use flaxward_types::time::{Timestamp, millis};
 
 use crate::fingerprint::RequestFingerprint;
-use crate::quarantine::QuarantinedRequest;
+use crate::quarantine::QuarantineEntry;
 use crate::strength::MachineStrength;
 
 pub use record::{
@@ -69,8 +69,8 @@
     strongest: Option<MachineStrength>,
     /// Where the daemons listen that were heard of, this one included; none if that is not known.
     members: Vec<SocketAddr>,
-    /// What this daemon holds in quarantine.
-    quarantine: Vec<QuarantinedRequest>,
+    /// What this daemon knows of requests in quarantine.
+    quarantine: Vec<QuarantineEntry>,
     /// This daemon looks for a free lease before others do. Until it is told that it does not, it does.
     stands_by: bool,
     stopping: bool,
@@ -128,15 +128,16 @@
         held.or(observed).map_or(&[], |lease| &lease.record.members)
     }
 
-    /// Sets which requests are in quarantine. The record tells them to daemons that start, so a holder renews the
-    /// lease soon if there are others than before.
-    pub fn set_quarantine(&mut self, requests: Vec<QuarantinedRequest>) {
-        let names = |requests: &[QuarantinedRequest]| -> Vec<RequestFingerprint> {
-            requests.iter().map(|it| it.fingerprint).collect()
+    /// Sets what this daemon knows of requests in quarantine. The record tells it to daemons that start, so a holder
+    /// renews the lease soon if a request has come to another step.
+    pub fn set_quarantine(&mut self, entries: Vec<QuarantineEntry>) {
+        let steps = |entries: &[QuarantineEntry]| -> Vec<(RequestFingerprint, u32)> {
+            let steps = entries.iter().map(|it| (it.fingerprint, it.step));
+            steps.collect()
         };
-        let has_others = names(&self.quarantine) != names(&requests);
-        self.quarantine = requests;
-        if let Some(held) = self.held.as_mut().filter(|_| has_others) {
+        let has_news = steps(&self.quarantine) != steps(&entries);
+        self.quarantine = entries;
+        if let Some(held) = self.held.as_mut().filter(|_| has_news) {
             held.renewed_at = held.renewed_at - self.settings.renewal;
         }
     }
--- a/crates/routing/src/lease/record.rs
+++ b/crates/routing/src/lease/record.rs
@@ -6,7 +6,7 @@
 use flaxward_types::time::Timestamp;
 use serde::{Deserialize, Serialize};
 
-use crate::quarantine::QuarantinedRequest;
+use crate::quarantine::QuarantineEntry;
 use crate::strength::MachineStrength;
 
 /// What the lease object says.
@@ -32,9 +32,9 @@
     /// the next holder tells them that it is there; those that the store turns away learn it in no other way.
     #[serde(default)]
     pub members: Vec<SocketAddr>,
-    /// The requests in quarantine. Daemons that all start anew at once learn them in no other way.
+    /// The requests that are or were in quarantine. Daemons that all start anew at once learn them in no other way.
     #[serde(default)]
-    pub quarantine: Vec<QuarantinedRequest>,
+    pub quarantine: Vec<QuarantineEntry>,
 }
 
 /// The object as read, with the revision that a change of it must name.
--- a/crates/routing/src/messages.rs
+++ b/crates/routing/src/messages.rs
@@ -12,7 +12,7 @@
 use crate::lease::LeasePulse;
 use crate::membership::MembershipUpdate;
 use crate::names::{RunnerId, ServiceName, Unit, Zone};
-use crate::quarantine::Crash;
+use crate::quarantine::RunReport;
 use crate::quarantine::exchange::QuarantineNews;
 use crate::quota::{QuotaAnswers, QuotaNews, QuotaQuestions, UseReport};
 use crate::runners::RunnerHoldings;
@@ -50,8 +50,8 @@
     ConfigurationWanted(ConfigurationWanted),
     /// The answer to that, in parts.
     ConfigurationChunk(ConfigurationChunk),
-    /// From a daemon at which runners have crashed under requests to the keepers.
-    Crashes(Vec<Crash>),
+    /// From a daemon whose requests show which ones crash runners to the keepers.
+    RunReports(Vec<RunReport>),
     /// From any daemon to one that holds other requests in quarantine, or from a keeper to all daemons.
     QuarantineNews(QuarantineNews),
 }
--- a/crates/routing/src/quarantine/exchange.rs
+++ b/crates/routing/src/quarantine/exchange.rs
@@ -1,7 +1,6 @@
-//! What one daemon tells others of crashes and quarantine, and when.
+//! What one daemon tells others of runs and quarantine, and when.
 //!
-//! It tells the keepers what it has seen, some times over. A keeper that speaks tells all daemons of a new quarantine at
-//! once. What a lost message leaves out shows in the digest of the next heartbeat, and the two daemons then tell each
+//! It tells the keepers what it has seen, some times over. Each keeper tells all daemons of a new quarantine at once. What a lost message leaves out shows in the digest of the next heartbeat, and the two daemons then tell each
 //! other all that they hold.
 
 use std::net::SocketAddr;
@@ -10,33 +9,33 @@
 use flaxward_types::time::Timestamp;
 use serde::{Deserialize, Serialize};
 
-use super::{Crash, Quarantine, QuarantinedRequest};
+use super::{Quarantine, QuarantineEntry, RunReport};
 
-/// How often the keepers are told of a crash: on a link that loses three messages in a hundred, all of these are lost
+/// How often the keepers are sent a report: on a link that loses three messages in a hundred, all of these are lost
 /// once in 37,000 times.
 const REPORTS: u32 = 3;
-/// Time between two reports of one crash.
+/// Time between these.
 const REPORT_INTERVAL: Duration = Duration::from_millis(200);
 /// Shortest time between two exchanges that one daemon begins.
 const EXCHANGE_INTERVAL: Duration = Duration::from_millis(300);
-/// Crashes that wait to be reported at most.
+/// Reports that wait to be sent at most.
 const MAX_REPORTS: usize = 256;
 
-/// What a daemon holds in quarantine.
+/// What a daemon knows of requests that are or were in quarantine.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct QuarantineNews {
     /// Where the daemon listens.
     pub from: SocketAddr,
-    /// The requests.
-    pub requests: Vec<QuarantinedRequest>,
+    /// All that it knows.
+    pub entries: Vec<QuarantineEntry>,
     /// It wants to be told what the receiver holds.
     pub wants_answer: bool,
 }
 
-/// A crash that the keepers are being told of.
+/// A report that the keepers are being sent.
 #[derive(Debug)]
-struct Report {
-    crash: Crash,
+struct Outgoing {
+    report: RunReport,
     left: u32,
     due: Timestamp,
 }
@@ -45,7 +44,7 @@
 #[derive(Debug)]
 pub struct QuarantineExchange {
     own: SocketAddr,
-    reports: Vec<Report>,
+    reports: Vec<Outgoing>,
     /// Digest of the quarantine that all daemons were told of.
     told: u64,
     exchanged_at: Option<Timestamp>,
@@ -62,11 +61,11 @@
         }
     }
 
-    /// This daemon has seen a crash, of which the keepers must hear.
-    pub fn seen(&mut self, crash: Crash, now: Timestamp) {
+    /// This daemon has seen a run of which the keepers must hear.
+    pub fn seen(&mut self, report: RunReport, now: Timestamp) {
         if self.reports.len() < MAX_REPORTS {
-            self.reports.push(Report {
-                crash,
+            self.reports.push(Outgoing {
+                report,
                 left: REPORTS,
                 due: now,
             });
@@ -75,24 +74,24 @@
 
     /// When the next report is due, if there is one.
     pub fn next_report(&self) -> Option<Timestamp> {
-        self.reports.iter().map(|report| report.due).min()
+        self.reports.iter().map(|outgoing| outgoing.due).min()
     }
 
-    /// The crashes of which the keepers are to be told now. While no keeper is known they wait.
-    pub fn due_reports(&mut self, knows_keepers: bool, now: Timestamp) -> Vec<Crash> {
-        let mut crashes = Vec::new();
-        for report in self.reports.iter_mut().filter(|report| report.due <= now) {
-            report.due = now + REPORT_INTERVAL;
+    /// The reports that the keepers are to be sent now. While no keeper is known they wait.
+    pub fn due_reports(&mut self, knows_keepers: bool, now: Timestamp) -> Vec<RunReport> {
+        let mut reports = Vec::new();
+        for outgoing in self.reports.iter_mut().filter(|it| it.due <= now) {
+            outgoing.due = now + REPORT_INTERVAL;
             if knows_keepers {
-                report.left -= 1;
-                crashes.push(report.crash.clone());
+                outgoing.left -= 1;
+                reports.push(outgoing.report.clone());
             }
         }
-        self.reports.retain(|report| report.left > 0);
-        crashes
+        self.reports.retain(|outgoing| outgoing.left > 0);
+        reports
     }
 
-    /// What a keeper that speaks is to tell all daemons now, if it has not told it.
+    /// What a keeper is to tell all daemons now, if nobody has told it.
     pub fn announcement(
         &mut self,
         quarantine: &Quarantine,
@@ -138,7 +137,7 @@
     fn news(&self, quarantine: &Quarantine, wants_answer: bool, now: Timestamp) -> QuarantineNews {
         QuarantineNews {
             from: self.own,
-            requests: quarantine.requests(now),
+            entries: quarantine.entries(now),
             wants_answer,
         }
     }
--- a/crates/routing/src/quarantine/mod.rs
+++ b/crates/routing/src/quarantine/mod.rs
@@ -1,12 +1,16 @@
-//! Requests that are not sent to runners any more because runners have crashed under them.
+//! Requests that are not sent to runners for a while because runners have crashed under them.
 //!
 //! A request that crashes its runner is repeated by its caller, at any daemon, and by the daemon itself, at the next
 //! runner. So crashes are counted by what the request asks for ([`RequestFingerprint`]) and not by try, over all
 //! daemons: each tells the keepers which request was at a runner when it crashed, and these tell all daemons which
 //! requests are in quarantine.
 //!
-//! What daemons hold converges: reports are sets, a quarantine lasts until the latest end that any daemon knows, and
-//! if there are too many, all daemons keep the same ones.
+//! The quarantine is a circuit breaker. The first one is short, since an innocent request may have been at three runners
+//! that crashed for another reason, say one that many callers send. After it the request is sent again: if one more
+//! runner crashes, a long quarantine follows; if a run is completed, the request is cleared.
+//!
+//! What daemons hold converges: each step of a request has a number, the highest counts, and if there are too many
+//! requests, all daemons keep the same ones.
 
 pub mod exchange;
 
@@ -21,70 +25,99 @@
 use crate::fingerprint::RequestFingerprint;
 use crate::names::RunnerId;
 
-/// Requests in quarantine at most: their list fits one datagram.
-pub const MAX_QUARANTINED: usize = 256;
+/// Requests of which daemons tell each other at most: their list fits one datagram.
+pub const MAX_ENTRIES: usize = 256;
 /// Requests whose crashes are counted at most. A crash involves a few dozen requests.
 const MAX_SUSPECTS: usize = 1_024;
-/// Time after its last crash for which a request's crashes are remembered. Callers repeat a failed request within
+/// Time for which crashes are remembered, and the quarantine after its end. Callers repeat a failed request within
 /// minutes.
-const SUSPECT_MEMORY: Duration = Duration::from_mins(10);
+const MEMORY: Duration = Duration::from_mins(10);
 
 /// When a request is put in quarantine, and for how long.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct QuarantineSettings {
     /// Runners that must have crashed under it; 0 puts none in quarantine.
     pub crashes: usize,
-    /// How long it stays.
-    pub duration: Duration,
+    /// How long it stays at first.
+    pub first: Duration,
+    /// How long it stays if one more runner crashes after that.
+    pub repeated: Duration,
 }
 
-/// A runner has crashed while a request had just begun there.
+/// What came of a run.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Crash {
-    /// The request.
-    pub fingerprint: RequestFingerprint,
-    /// The runner.
-    pub runner: RunnerId,
+pub enum RunOutcome {
+    /// The runner has crashed while the request had just begun there.
+    Crashed(RunnerId),
+    /// The runner has answered whole.
+    Completed,
 }
 
-/// A request in quarantine, as daemons tell each other.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct QuarantinedRequest {
+/// A run that says something of whether its request crashes runners.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RunReport {
     /// The request.
     pub fingerprint: RequestFingerprint,
-    /// Time until its quarantine ends, in ms.
-    pub remaining_ms: u32,
+    /// What came of the run.
+    pub outcome: RunOutcome,
 }
 
-/// What a report of a crash has changed.
+/// What a report has changed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Recorded {
-    /// Nothing: the crash was known, or the request is in quarantine already.
-    Known,
+    /// Nothing.
+    Unchanged,
     /// So many runners have crashed under the request by now.
     Counted(usize),
     /// The request is in quarantine from now on.
     Quarantined,
+    /// The request crashes no runners.
+    Cleared,
 }
 
-/// The runners that have crashed under a request which is not in quarantine.
+/// A request that is or was in quarantine, as daemons tell each other and the store records it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct QuarantineEntry {
+    /// The request.
+    pub fingerprint: RequestFingerprint,
+    /// Number of the step that it is at: odd in quarantine and after it, even once it is cleared.
+    pub step: u32,
+    /// Time until its quarantine ends, in ms; 0 if it is in none.
+    pub remaining_ms: u32,
+    /// Time until it is forgotten, in ms.
+    pub kept_ms: u32,
+}
+
+/// The runners that have crashed under a request since its last completed run.
 #[derive(Debug, Default)]
 struct Suspect {
     runners: Vec<RunnerId>,
     last_at: Timestamp,
 }
 
+#[derive(Clone, Copy, Debug)]
+struct Held {
+    step: u32,
+    until: Timestamp,
+    kept_until: Timestamp,
+}
+
+impl Held {
+    fn is_cleared(&self) -> bool {
+        self.step.is_multiple_of(2)
+    }
+}
+
 /// What one daemon knows of requests that crash runners.
 #[derive(Debug)]
 pub struct Quarantine {
     settings: QuarantineSettings,
     suspects: HashMap<RequestFingerprint, Suspect>,
-    /// When the quarantine of each request ends.
-    held: BTreeMap<RequestFingerprint, Timestamp>,
+    held: BTreeMap<RequestFingerprint, Held>,
 }
 
 impl Quarantine {
-    /// Nothing is in quarantine.
+    /// Nothing is known of any request.
     pub fn new(settings: QuarantineSettings) -> Self {
         Self {
             settings,
@@ -93,90 +126,176 @@
         }
     }
 
-    /// Whether nothing is in quarantine, so that no fingerprint need be looked up.
+    /// Whether nothing is known of any request, so that no fingerprint need be looked up.
     pub fn is_empty(&self) -> bool {
-        self.held.is_empty()
+        self.suspects.is_empty() && self.held.is_empty()
     }
 
     /// Time until the quarantine of a request ends; `None` if it is in none.
     pub fn remaining(&self, fingerprint: &RequestFingerprint, now: Timestamp) -> Option<Duration> {
-        let until = *self.held.get(fingerprint)?;
-        (now < until).then(|| until.since(now))
+        let held = self.held.get(fingerprint)?;
+        let is_in_force = !held.is_cleared() && now < held.until;
+        is_in_force.then(|| held.until.since(now))
     }
 
-    /// Takes in that a runner has crashed under a request.
-    pub fn record(&mut self, crash: &Crash, now: Timestamp) -> Recorded {
+    /// Takes in what came of a run, here or at another daemon.
+    pub fn record(&mut self, report: &RunReport, now: Timestamp) -> Recorded {
+        if self.settings.crashes == 0 {
+            return Recorded::Unchanged;
+        }
         self.forget_old(now);
-        if self.settings.crashes == 0 || self.held.contains_key(&crash.fingerprint) {
-            return Recorded::Known;
+        match &report.outcome {
+            RunOutcome::Crashed(runner) => self.crashed(report.fingerprint, runner, now),
+            RunOutcome::Completed => self.completed(report.fingerprint, now),
+        }
+    }
+
+    fn crashed(
+        &mut self,
+        fingerprint: RequestFingerprint,
+        runner: &RunnerId,
+        now: Timestamp,
+    ) -> Recorded {
+        match self.held.get(&fingerprint).copied() {
+            Some(held) if !held.is_cleared() && now < held.until => Recorded::Unchanged,
+            Some(held) if !held.is_cleared() => {
+                self.put(fingerprint, held.step + 2, self.settings.repeated, now)
+            }
+            held => {
+                let crashes = self.count(fingerprint, runner, now);
+                if crashes.is_none_or(|crashes| crashes < self.settings.crashes) {
+                    return crashes.map_or(Recorded::Unchanged, Recorded::Counted);
+                }
+                self.suspects.remove(&fingerprint);
+                let step = held.map_or(0, |held| held.step) + 1;
+                self.put(fingerprint, step, self.settings.first, now)
+            }
         }
-        self.make_room(crash.fingerprint);
-        let suspect = self.suspects.entry(crash.fingerprint).or_default();
-        if suspect.runners.contains(&crash.runner) {
-            return Recorded::Known;
+    }
+
+    /// Counts a crash. Returns how many runners have crashed under the request, or `None` if this one is counted already.
+    fn count(
+        &mut self,
+        fingerprint: RequestFingerprint,
+        runner: &RunnerId,
+        now: Timestamp,
+    ) -> Option<usize> {
+        self.make_room(fingerprint);
+        let suspect = self.suspects.entry(fingerprint).or_default();
+        if suspect.runners.contains(runner) {
+            return None;
         }
-        suspect.runners.push(crash.runner.clone());
+        suspect.runners.push(runner.clone());
         suspect.last_at = now;
-        let crashes = suspect.runners.len();
-        if crashes < self.settings.crashes {
-            return Recorded::Counted(crashes);
-        }
-        self.suspects.remove(&crash.fingerprint);
-        if self.hold(crash.fingerprint, now + self.settings.duration) {
+        Some(suspect.runners.len())
+    }
+
+    fn completed(&mut self, fingerprint: RequestFingerprint, now: Timestamp) -> Recorded {
+        let was_suspect = self.suspects.remove(&fingerprint).is_some();
+        let Some(held) = self.held.get(&fingerprint).filter(|it| !it.is_cleared()) else {
+            return if was_suspect {
+                Recorded::Cleared
+            } else {
+                Recorded::Unchanged
+            };
+        };
+        let cleared = Held {
+            step: held.step + 1,
+            until: now,
+            // It must outlast what others hold in quarantine.
+            kept_until: held.kept_until.max(now + self.settings.repeated + MEMORY),
+        };
+        self.held.insert(fingerprint, cleared);
+        Recorded::Cleared
+    }
+
+    fn put(
+        &mut self,
+        fingerprint: RequestFingerprint,
+        step: u32,
+        duration: Duration,
+        now: Timestamp,
+    ) -> Recorded {
+        let until = now + duration;
+        let held = Held {
+            step,
+            until,
+            kept_until: until + MEMORY,
+        };
+        if self.hold(fingerprint, held) {
             Recorded::Quarantined
         } else {
-            Recorded::Known
+            Recorded::Unchanged
         }
     }
 
-    /// Takes in what another daemon holds in quarantine. Returns the requests that were not in quarantine here.
+    /// Takes in what another daemon holds. Returns the requests that are in quarantine here only now.
     pub fn take_in(
         &mut self,
-        requests: &[QuarantinedRequest],
+        entries: &[QuarantineEntry],
         now: Timestamp,
     ) -> Vec<RequestFingerprint> {
         self.forget_old(now);
+        let longest = self.settings.first.max(self.settings.repeated);
+        let within = |ms: u32, bound: Duration| Duration::from_millis(u64::from(ms)).min(bound);
         let mut news = Vec::new();
-        for request in requests {
-            let remaining = Duration::from_millis(u64::from(request.remaining_ms));
-            let remaining = remaining.min(self.settings.duration);
-            if !remaining.is_zero() && self.hold(request.fingerprint, now + remaining) {
-                self.suspects.remove(&request.fingerprint);
-                news.push(request.fingerprint);
+        for entry in entries.iter().filter(|entry| entry.kept_ms > 0) {
+            let held = Held {
+                step: entry.step,
+                until: now + within(entry.remaining_ms, longest),
+                kept_until: now + within(entry.kept_ms, longest + MEMORY),
+            };
+            let was_free = self.remaining(&entry.fingerprint, now).is_none();
+            let is_news = self.hold(entry.fingerprint, held);
+            if is_news {
+                self.suspects.remove(&entry.fingerprint);
+            }
+            if is_news && was_free && self.remaining(&entry.fingerprint, now).is_some() {
+                news.push(entry.fingerprint);
             }
         }
         news
     }
 
-    /// All requests in quarantine.
-    pub fn requests(&self, now: Timestamp) -> Vec<QuarantinedRequest> {
-        let held = self.held.iter().filter(|&(_, &until)| now < until);
-        held.map(|(&fingerprint, until)| QuarantinedRequest {
-            fingerprint,
-            remaining_ms: u32::try_from(millis(until.since(now))).unwrap_or(u32::MAX),
-        })
-        .collect()
+    /// All that other daemons should know.
+    pub fn entries(&self, now: Timestamp) -> Vec<QuarantineEntry> {
+        let left = |until: Timestamp| u32::try_from(millis(until.since(now))).unwrap_or(u32::MAX);
+        let known = self.held.iter().filter(|(_, it)| now < it.kept_until);
+        known
+            .map(|(&fingerprint, held)| QuarantineEntry {
+                fingerprint,
+                step: held.step,
+                remaining_ms: left(held.until),
+                kept_ms: left(held.kept_until),
+            })
+            .collect()
     }
 
-    /// A number that is equal for daemons which hold the same requests in quarantine; 0 for none.
+    /// A number that is equal for daemons which hold the same; 0 for nothing.
     pub fn digest(&self, now: Timestamp) -> u64 {
         let mut hasher = Xxh3::new();
         let mut is_empty = true;
-        for (fingerprint, _) in self.held.iter().filter(|&(_, &until)| now < until) {
+        for (fingerprint, held) in self.held.iter().filter(|(_, it)| now < it.kept_until) {
             hasher.write(fingerprint.as_bytes());
+            hasher.write_u32(held.step);
             is_empty = false;
         }
         if is_empty { 0 } else { hasher.finish() }
     }
 
-    /// Holds a request until a time at least. Returns whether that is news.
-    fn hold(&mut self, fingerprint: RequestFingerprint, until: Timestamp) -> bool {
-        if let Some(known) = self.held.get_mut(&fingerprint) {
-            *known = (*known).max(until);
-            return false;
+    /// Takes in a step of a request. Returns whether it is a later one than was known.
+    fn hold(&mut self, fingerprint: RequestFingerprint, held: Held) -> bool {
+        match self.held.get_mut(&fingerprint) {
+            Some(known) if known.step > held.step => return false,
+            Some(known) if known.step == held.step => {
+                known.until = known.until.max(held.until);
+                known.kept_until = known.kept_until.max(held.kept_until);
+                return false;
+            }
+            Some(_) | None => {}
         }
-        self.held.insert(fingerprint, until);
-        if self.held.len() <= MAX_QUARANTINED {
+        self.held.insert(fingerprint, held);
+        if self.held.len() <= MAX_ENTRIES {
             return true;
         }
         // All daemons drop the same one, whatever the order in which they hear of them.
@@ -185,9 +304,9 @@
     }
 
     fn forget_old(&mut self, now: Timestamp) {
-        self.held.retain(|_, until| now < *until);
+        self.held.retain(|_, held| now < held.kept_until);
         self.suspects
-            .retain(|_, suspect| now.since(suspect.last_at) < SUSPECT_MEMORY);
+            .retain(|_, suspect| now.since(suspect.last_at) < MEMORY);
     }
 
     /// Forgets the suspect whose last crash lies back the furthest if there is no room for another.
--- a/crates/settings/src/ingress.rs
+++ b/crates/settings/src/ingress.rs
@@ -164,7 +164,10 @@
     pub crashes: usize,
     /// For how long it is not sent then.
     #[serde(with = "humantime_serde")]
-    pub duration: Duration,
+    pub first: Duration,
+    /// For how long it is not sent if one more runner crashes after that.
+    #[serde(with = "humantime_serde")]
+    pub repeated: Duration,
 }
 
 impl Default for QuarantineSection {
@@ -172,8 +175,10 @@
         Self {
             // Two may crash by chance while an innocent request is there and goes on at the next.
             crashes: 3,
+            // Runners are back by then, so an innocent request is cleared; one that isn't costs one more runner.
+            first: Duration::from_secs(30),
             // Long enough for people to look at the runners, short enough that a mended one is found.
-            duration: Duration::from_hours(1),
+            repeated: Duration::from_hours(1),
         }
     }
 }
@@ -221,7 +226,8 @@
             ),
             ("coordinator.load_window", self.coordinator.load_window),
             ("retries.window", self.retries.window),
-            ("quarantine.duration", self.quarantine.duration),
+            ("quarantine.first", self.quarantine.first),
+            ("quarantine.repeated", self.quarantine.repeated),
             ("news.configuration", self.news.configuration),
             ("news.draining", self.news.draining),
             (
