Soak: a caller repeats a request that crashes its runners

Each runner that begins to run it closes its port and ends; another one comes 0.5 to 3 s later. Checked: at most three sends later than 3 s after the third crash, by daemons that nothing disturbed. All other callers send the same few requests, so the promises to them (LOST, RECOVER) show it if one of these is put in quarantine by mistake.

--- a/crates/soak/src/callers.rs
+++ b/crates/soak/src/callers.rs
@@ -9,6 +9,8 @@
 
 /// Host of all routes.
 pub const HOST: &str = "soak.example";
+/// Body of most requests: many callers ask for the same.
+pub const COMMON_BODY: &str = "the body";
 /// Time after the deadline at which a caller no longer waits.
 const LAST_PATIENCE: Duration = Duration::from_secs(3);
 
@@ -23,6 +25,8 @@
     pub kind: WorkKind,
     /// The model, if the service has an engine.
     pub model: Option<String>,
+    /// The body.
+    pub body: String,
     /// Time for an answer.
     pub deadline: Duration,
 }
@@ -88,7 +92,7 @@
         .post(format!("http://{address}{}", ask.path))
         .headers(headers)
         .header("host", HOST)
-        .body("the body");
+        .body(ask.body.clone());
     let response = match request.send().await {
         Ok(response) => response,
         Err(error) if error.is_connect() => return Ending::Unreached,
--- a/crates/soak/src/checks.rs
+++ b/crates/soak/src/checks.rs
@@ -3,7 +3,7 @@
 use std::collections::HashMap;
 use std::time::{Duration, Instant};
 
-use flaxward_platform_stand_in::WorkKind;
+use flaxward_platform_stand_in::{CRASHING_BODY, WorkKind};
 
 use crate::callers::{Ending, Outcome};
 use crate::disturbances::Target;
@@ -15,6 +15,12 @@
 const ANSWER_SLACK: Duration = Duration::from_secs(1);
 /// Time after which a runner that leaves gets no more work.
 const DRAIN_BOUND: Duration = Duration::from_millis(2_500);
+/// Runners that one request may crash until it must not be sent any more.
+const CRASHES_ALLOWED: usize = 3;
+/// Time after that in which all daemons that nothing disturbs must know.
+const CONTACT: Duration = Duration::from_secs(3);
+/// How often it may be sent after that.
+const LATE_SENDS_ALLOWED: usize = 3;
 /// Statuses that promise that a request did not run.
 const NOT_RUN: [u16; 4] = [408, 421, 429, 503];
 
@@ -40,6 +46,43 @@
         }
     }
     check_drains(fleet, &runs);
+    check_crashing_requests(fleet, &runs);
+}
+
+/// A request under which three runners have crashed is sent at most three times more, later than all daemons must know,
+/// by daemons that nothing disturbed.
+fn check_crashing_requests(fleet: &Fleet, runs: &Runs) {
+    let mut by_body: HashMap<String, Vec<(Instant, usize)>> = HashMap::new();
+    for outcome in locked(&fleet.outcomes).iter() {
+        let body = &outcome.ask.body;
+        if !body.starts_with(CRASHING_BODY) {
+            continue;
+        }
+        let own = runs.get(&outcome.ask.request).into_iter().flatten();
+        let own = own.map(|(_, at)| (*at, outcome.daemon));
+        by_body.entry(body.clone()).or_default().extend(own);
+    }
+    for (body, mut runs) in by_body {
+        runs.sort_unstable();
+        let Some(&(third, _)) = runs.get(CRASHES_ALLOWED - 1) else {
+            continue;
+        };
+        let is_late = |&&(at, daemon): &&(Instant, usize)| {
+            let concerns = |target: Target| match target {
+                Target::Daemon(disturbed) => disturbed == daemon,
+                Target::Store => true,
+                Target::Runner => false,
+            };
+            at > third + CONTACT && !fleet.disturbances.touched(concerns, at, at, CONTACT)
+        };
+        let late = runs.iter().filter(is_late).count();
+        if late > LATE_SENDS_ALLOWED {
+            let crashes = runs.len();
+            fleet.violation(format!(
+                "CRASHES {body} was sent {late} times more, {crashes} in all"
+            ));
+        }
+    }
 }
 
 fn outcome_violation(fleet: &Fleet, outcome: &Outcome, runs: usize) -> Option<String> {
--- a/crates/soak/src/daemon.rs
+++ b/crates/soak/src/daemon.rs
@@ -203,5 +203,7 @@
     writeln!(text, "lease_duration = \"3s\"\nload_window = \"5s\"")?;
     writeln!(text, "[retries]\nratio = 0.2\nallowance = 50")?;
     writeln!(text, "window = \"10s\"")?;
+    // Short, so that what follows the first quarantine is played too.
+    writeln!(text, "[quarantine]\nfirst = \"4s\"")?;
     Ok(text)
 }
--- a/crates/soak/src/faults.rs
+++ b/crates/soak/src/faults.rs
@@ -3,18 +3,21 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use flaxward_platform_stand_in::{CRASHING_BODY, WorkKind};
 use nix::sys::signal::Signal;
 use rand::{Rng, RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use tokio::task::JoinSet;
 use tokio::time::sleep;
 
-use crate::callers::{Ask, Ending, send};
+use crate::callers::{Ask, COMMON_BODY, Ending, send};
 use crate::checks::CALM;
 use crate::daemon::Stop;
 use crate::disturbances::Target;
 use crate::proxy::Mode;
-use crate::soak::{Drain, Fleet, PlannedStop, START_PATIENCE, locked};
+use crate::soak::{
+    Drain, Fleet, MODELS, PLAIN_TIMEOUT, PlannedStop, START_PATIENCE, STREAM_TIMEOUT, locked,
+};
 
 /// Faults at one time.
 const AT_ONCE: usize = 3;
@@ -36,6 +39,7 @@
     CrashRunner,
     DrainRunner,
     NewRoute,
+    CrashingRequest,
 }
 
 /// Injects faults for some time, and waits until they are over.
@@ -58,7 +62,7 @@
 
 fn draw(random: &mut ChaCha8Rng, daemons: usize) -> Fault {
     let daemon = random.random_range(0..daemons);
-    match random.random_range(0..20) {
+    match random.random_range(0..22) {
         0..=2 => Fault::KillDaemon(daemon),
         3..=6 => Fault::StopDaemon(daemon),
         7..=8 => Fault::PauseDaemon(daemon),
@@ -68,6 +72,7 @@
         13..=14 => Fault::CutRunner,
         15 => Fault::CrashRunner,
         16..=17 => Fault::DrainRunner,
+        18..=19 => Fault::CrashingRequest,
         _ => Fault::NewRoute,
     }
 }
@@ -114,6 +119,7 @@
         Fault::CrashRunner => crash_runner(fleet, &mut random).await,
         Fault::DrainRunner => drain_runner(fleet, &mut random).await,
         Fault::NewRoute => new_route(fleet, &mut random).await,
+        Fault::CrashingRequest => crashing_request(fleet, &mut random).await,
     }
 }
 
@@ -263,8 +269,9 @@
         let ask = Ask {
             request: format!("{:016x}", random.next_u64()),
             path: format!("/{name}/x"),
-            kind: flaxward_platform_stand_in::WorkKind::Repeatable,
+            kind: WorkKind::Repeatable,
             model: None,
+            body: COMMON_BODY.to_owned(),
             deadline: Duration::from_secs(2),
         };
         let outcome = send(&client, ask, daemon, *address).await;
@@ -279,3 +286,36 @@
         }
     }
 }
+
+/// A caller repeats a request that crashes each runner which begins to run it, at any daemon.
+async fn crashing_request(fleet: &Fleet, random: &mut ChaCha8Rng) {
+    let Ok(client) = reqwest::Client::builder().no_proxy().build() else {
+        return;
+    };
+    let body = format!("{CRASHING_BODY}-{:08x}", random.next_u32());
+    let (path, kind) = match random.random_range(0..3) {
+        0 => ("/safe/x", WorkKind::Repeatable),
+        1 => ("/once/x", WorkKind::AtMostOnce),
+        _ => ("/stream/x", WorkKind::Stream { resumable: true }),
+    };
+    let is_stream = matches!(kind, WorkKind::Stream { .. });
+    let end = Instant::now() + Duration::from_millis(random.random_range(4_000..20_000));
+    while Instant::now() < end {
+        let ask = Ask {
+            request: format!("{:016x}", random.next_u64()),
+            path: path.to_owned(),
+            kind,
+            model: is_stream.then(|| MODELS[0].to_owned()),
+            body: body.clone(),
+            deadline: if is_stream {
+                STREAM_TIMEOUT
+            } else {
+                PLAIN_TIMEOUT
+            },
+        };
+        let daemon = random.random_range(0..fleet.addresses.len());
+        let outcome = send(&client, ask, daemon, fleet.addresses[daemon]).await;
+        locked(&fleet.outcomes).push(outcome);
+        sleep(Duration::from_millis(random.random_range(100..700))).await;
+    }
+}
--- a/crates/soak/src/proxy.rs
+++ b/crates/soak/src/proxy.rs
@@ -72,6 +72,12 @@
         })
     }
 
+    /// Stops listening, so that new connections are refused. Those that there are go on.
+    pub async fn close(mut self) {
+        self.task.abort();
+        let _ = (&mut self.task).await;
+    }
+
     /// Where callers reach it.
     pub fn address(&self) -> SocketAddr {
         self.address
--- a/crates/soak/src/soak.rs
+++ b/crates/soak/src/soak.rs
@@ -13,10 +13,10 @@
 use tokio::task::JoinSet;
 use tokio::time::sleep;
 
-use crate::callers::{Ask, Ending, HOST, Outcome, send};
+use crate::callers::{Ask, COMMON_BODY, Ending, HOST, Outcome, send};
 use crate::checks;
 use crate::daemon::Daemon;
-use crate::disturbances::Disturbances;
+use crate::disturbances::{Disturbances, Target};
 use crate::faults;
 use crate::proxy::Proxy;
 
@@ -27,7 +27,7 @@
 /// Runners of the plain service.
 const PLAIN_RUNNERS: usize = 2;
 /// Models of the service with an engine; the first is the one that most requests need.
-const MODELS: [&str; 4] = ["common", "rare-a", "rare-b", "rare-c"];
+pub(crate) const MODELS: [&str; 4] = ["common", "rare-a", "rare-b", "rare-c"];
 /// Models that a runner holds at once.
 const MODELS_HELD: usize = 2;
 /// Time that a load takes.
@@ -35,15 +35,17 @@
 /// Requests that a runner runs at once.
 const SLOTS: u32 = 16;
 /// Time for a plain answer.
-const PLAIN_TIMEOUT: Duration = Duration::from_secs(2);
+pub(crate) const PLAIN_TIMEOUT: Duration = Duration::from_secs(2);
 /// Time for a stream.
-const STREAM_TIMEOUT: Duration = Duration::from_secs(10);
+pub(crate) const STREAM_TIMEOUT: Duration = Duration::from_secs(10);
 /// Time in which a daemon must be ready after its start.
 pub(crate) const START_PATIENCE: Duration = Duration::from_secs(15);
 /// Time from the last fault until everything must be served again.
 const RECOVERY: Duration = Duration::from_secs(20);
 /// Time between two looks at what runners hold, for the list.
 const LIST_INTERVAL: Duration = Duration::from_millis(700);
+/// Time between two looks at whether a request has crashed a runner.
+const CRASH_INTERVAL: Duration = Duration::from_millis(2);
 /// Name of the service with an engine.
 const ENGINE_SERVICE: &str = "pool";
 /// Name of the plain service.
@@ -296,6 +298,33 @@
         }
     }
 
+    /// Ends runners that a request crashes, and starts others in their place a while later.
+    async fn crash_runners(self: &Arc<Self>, mut random: ChaCha8Rng) {
+        let mut restarts = JoinSet::new();
+        while !self.is_over() {
+            let crashing: Vec<Place> = locked(&self.places)
+                .extract_if(.., |place| place.runner.is_crashing())
+                .collect();
+            for place in crashing {
+                let down = Duration::from_millis(random.random_range(500..3_000));
+                let ongoing = self.disturbances.begin(Target::Runner);
+                place.proxy.close().await;
+                place.runner.end();
+                let fleet = self.clone();
+                restarts.spawn(async move {
+                    sleep(down).await;
+                    fleet.store.remove_runner(place.runner.id());
+                    if let Err(error) = fleet.add_runner(&place.state.service).await {
+                        fleet.violation(format!("START of a runner: {error}"));
+                    }
+                    fleet.disturbances.end(&ongoing);
+                });
+            }
+            sleep(CRASH_INTERVAL).await;
+        }
+        while restarts.join_next().await.is_some() {}
+    }
+
     /// One caller: sends requests one after the other.
     async fn call(&self, mut random: ChaCha8Rng) {
         let client = reqwest::Client::builder().no_proxy().build();
@@ -325,6 +354,7 @@
                     path: "/stream/x".to_owned(),
                     kind: WorkKind::Stream { resumable: true },
                     model: Some(model.to_owned()),
+                    body: COMMON_BODY.to_owned(),
                     deadline: STREAM_TIMEOUT,
                 };
                 let outcome = send(&client, ask, daemon, self.addresses[daemon]).await;
@@ -356,6 +386,7 @@
         path: path.to_owned(),
         kind,
         model: is_stream.then(|| model.to_owned()),
+        body: COMMON_BODY.to_owned(),
         deadline: if is_stream {
             STREAM_TIMEOUT
         } else {
@@ -378,6 +409,8 @@
     }
     let listing = fleet.clone();
     tasks.spawn(async move { listing.keep_list().await });
+    let (crashing, own) = (fleet.clone(), ChaCha8Rng::seed_from_u64(random.next_u64()));
+    tasks.spawn(async move { crashing.crash_runners(own).await });
     if plan.with_faults {
         faults::inject(&fleet, &mut random, plan.duration).await;
     } else {
