--- /dev/null
+++ b/crates/flaxward/tests/regions.rs
@@ -0,0 +1,197 @@
+//! Daemons of several regions before one list of runners, with the settings of `deploy/flaxward.toml.template`.
+//!
+//! Seen: on a deployment of three regions runners were given orders by three holders of the fence 1. How it came about: the
+//! settings named the lease after the region, so each region had a coordinator and a term of its own, but all of them
+//! read the same list of runners. What proved it: `lease-acquired term=1` three times at the start, and orders of all three
+//! to the same runner.
+
+use std::net::{SocketAddr, TcpListener, UdpSocket};
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Stdio};
+use std::time::{Duration, Instant};
+
+use flaxward_platform_stand_in::caller::{READY_PATH, request_headers};
+use flaxward_platform_stand_in::{
+    RouteSpec, RunnerStandIn, RunnerState, ServiceSpec, StoreStandIn, WorkKind,
+};
+use tokio::time::sleep;
+
+const REGIONS: [&str; 3] = ["west", "north", "east"];
+const MODELS: [&str; 4] = ["common", "rare-west", "rare-north", "rare-east"];
+const SERVICE: &str = "pool";
+const HOST: &str = "regions.example";
+const LOAD_TIME: Duration = Duration::from_millis(300);
+const START_PATIENCE: Duration = Duration::from_secs(15);
+/// Time for an answer, a load included.
+const PATIENCE: Duration = Duration::from_secs(10);
+
+/// A daemon as a process, ended when it is dropped.
+struct Daemon {
+    child: Child,
+    clients: SocketAddr,
+    ready: SocketAddr,
+}
+
+impl Drop for Daemon {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+fn free_tcp() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    listener.local_addr().unwrap()
+}
+
+fn free_udp() -> SocketAddr {
+    let socket = UdpSocket::bind("127.0.0.1:0").unwrap();
+    socket.local_addr().unwrap()
+}
+
+/// The deployed template, filled for a daemon of a region as the platform does it. Sections stand for fields that these
+/// machines lack, and are left out.
+fn settings(region: &str, store: SocketAddr, clients: SocketAddr, ready: SocketAddr) -> String {
+    let template =
+        Path::new(env!("CARGO_MANIFEST_DIR")).join("../../deploy/flaxward.toml.template");
+    let mut text = std::fs::read_to_string(template).unwrap();
+    while let Some(begin) = text.find("{{#") {
+        let end = text.find("{{/").unwrap();
+        let end = end + text[end..].find("}}").unwrap() + 2;
+        text.replace_range(begin..end, "");
+    }
+    let quoted = |value: &str| format!("{value:?}");
+    let (peers, metrics) = (free_udp(), free_tcp());
+    let fields = [
+        ("{{node_name|json}}", quoted(&format!("daemon-{region}"))),
+        ("{{zone|json}}", quoted(&format!("zone-{region}"))),
+        ("{{region|json}}", quoted(region)),
+        ("{{listen.front|json}}", quoted(&clients.to_string())),
+        ("{{listen.ready|json}}", quoted(&ready.to_string())),
+        ("{{ip}}", "127.0.0.1".to_owned()),
+        ("{{internal_ports.0}}", peers.port().to_string()),
+        ("{{internal_ports.1}}", metrics.port().to_string()),
+        ("{{platform.address|json}}", quoted(&store.to_string())),
+        ("{{bounds.grace_s}}", "8".to_owned()),
+        ("{{bounds.lease_ms}}", "3000".to_owned()),
+        ("{{bounds.ceiling_window_s}}", "5".to_owned()),
+        ("{{bounds.budget_ratio}}", "0.2".to_owned()),
+        ("{{bounds.budget_slack}}", "50".to_owned()),
+        ("{{bounds.budget_window_s}}", "10".to_owned()),
+        ("{{bounds.config_apply_ms}}", "2000".to_owned()),
+        ("{{bounds.drain_ms}}", "2000".to_owned()),
+        ("{{limits.cpu_share}}", "1.0".to_owned()),
+        ("{{limits.link_mbps}}", "1000.0".to_owned()),
+    ];
+    for (gap, value) in fields {
+        text = text.replace(gap, &value);
+    }
+    assert!(!text.contains("{{"), "a gap is not filled:\n{text}");
+    text
+}
+
+fn start_daemon(region: &str, store: SocketAddr, folder: &Path) -> Daemon {
+    let (clients, ready) = (free_tcp(), free_tcp());
+    let path: PathBuf = folder.join(format!("{region}.toml"));
+    std::fs::write(&path, settings(region, store, clients, ready)).unwrap();
+    let log = std::fs::File::create(folder.join(format!("{region}.log"))).unwrap();
+    let child = Command::new(env!("CARGO_BIN_EXE_flaxward"))
+        .args(["serve", "--config"])
+        .arg(&path)
+        .stdin(Stdio::null())
+        .stdout(log.try_clone().unwrap())
+        .stderr(log)
+        .spawn()
+        .unwrap();
+    Daemon {
+        child,
+        clients,
+        ready,
+    }
+}
+
+async fn until_ready(client: &reqwest::Client, daemon: &Daemon) {
+    let url = format!("http://{}{READY_PATH}", daemon.ready);
+    let end = Instant::now() + START_PATIENCE;
+    while Instant::now() < end {
+        let asked = client.get(&url).send().await;
+        if asked.is_ok_and(|answer| answer.status().is_success()) {
+            return;
+        }
+        sleep(Duration::from_millis(50)).await;
+    }
+    panic!("a daemon is not ready");
+}
+
+async fn start_runners(store: &StoreStandIn) -> Vec<RunnerStandIn> {
+    let mut runners = Vec::new();
+    for region in REGIONS {
+        let models = vec![MODELS[0].to_owned()];
+        let id = format!("runner-{region}");
+        let runner = RunnerStandIn::start(&id, 8, &models, 2, LOAD_TIME).await;
+        let runner = runner.unwrap();
+        let state = RunnerState {
+            service: SERVICE.to_owned(),
+            address: runner.address(),
+            zone: format!("zone-{region}"),
+            slots: 8,
+            draining: false,
+            models,
+        };
+        store.set_runner(&id, &state);
+        runners.push(runner);
+    }
+    runners
+}
+
+fn publish(store: &StoreStandIn) {
+    let route = RouteSpec {
+        name: "stream".to_owned(),
+        kind: WorkKind::Stream { resumable: true },
+        service: SERVICE.to_owned(),
+        timeout: PATIENCE,
+        max_attempts: 2,
+    };
+    let service = ServiceSpec {
+        name: SERVICE.to_owned(),
+        models: MODELS.map(str::to_owned).to_vec(),
+        models_held: 2,
+        load_time: LOAD_TIME,
+    };
+    store.publish(1, HOST, &[route], &[service]);
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn daemons_of_several_regions_have_one_holder_for_each_runner() {
+    let folder = Path::new(env!("CARGO_TARGET_TMPDIR")).join("regions");
+    let _ = std::fs::remove_dir_all(&folder);
+    std::fs::create_dir_all(&folder).unwrap();
+    let store = StoreStandIn::start().await.unwrap();
+    let runners = start_runners(&store).await;
+    publish(&store);
+    let daemons = REGIONS.map(|region| start_daemon(region, store.address(), &folder));
+    let client = reqwest::Client::builder().no_proxy().build().unwrap();
+    for daemon in &daemons {
+        until_ready(&client, daemon).await;
+    }
+    // Each region's callers want a model that no runner holds.
+    for (daemon, model) in daemons.iter().zip(&MODELS[1..]) {
+        let url = format!("http://{}/stream/x", daemon.clients);
+        let end = Instant::now() + PATIENCE;
+        let mut number = 0;
+        loop {
+            number += 1;
+            let id = format!("{model}-{number}");
+            let headers = request_headers(&id, PATIENCE, Some(model));
+            let request = client.post(&url).headers(headers).header("host", HOST);
+            let status = request.send().await.unwrap().status();
+            if status.is_success() {
+                break;
+            }
+            assert!(Instant::now() < end, "{model} is not served: {status}");
+            sleep(Duration::from_millis(100)).await;
+        }
+    }
+    let violations: Vec<String> = runners.iter().flat_map(RunnerStandIn::violations).collect();
+    assert_eq!(violations, Vec::<String>::new());
+}
