--- a/crates/flaxward/src/ingress.rs
+++ b/crates/flaxward/src/ingress.rs
@@ -59,7 +59,7 @@
 async fn serve(path: &Path, file: IngressFile) -> anyhow::Result<()> {
     logs::install_queued(file.log_level())?;
     let metrics = metrics(&file)?;
-    let store = PlatformStore::new(file.store.address, &file.coordinator.scope)?;
+    let store = PlatformStore::new(file.store.address)?;
     let ingress = Ingress::start(
         settings(&file),
         Arc::new(PlatformSurface),
--- a/crates/settings/src/ingress.rs
+++ b/crates/settings/src/ingress.rs
@@ -73,8 +73,6 @@
 #[derive(Clone, Debug, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct IngressCoordinatorSection {
-    /// Name of the lease; daemons with the same name share a coordinator.
-    pub scope: String,
     /// How long a renewal of the lease holds.
     #[serde(with = "humantime_serde")]
     pub lease_duration: Duration,
--- a/crates/soak/src/daemon.rs
+++ b/crates/soak/src/daemon.rs
@@ -199,8 +199,10 @@
     writeln!(text, "peer_listen = \"{}\"", addresses.peers)?;
     writeln!(text, "stop_grace = \"{}s\"", STOP_GRACE.as_secs())?;
     writeln!(text, "[store]\naddress = \"{store}\"")?;
-    writeln!(text, "[coordinator]\nscope = \"soak\"")?;
-    writeln!(text, "lease_duration = \"3s\"\nload_window = \"5s\"")?;
+    writeln!(
+        text,
+        "[coordinator]\nlease_duration = \"3s\"\nload_window = \"5s\""
+    )?;
     writeln!(text, "[retries]\nratio = 0.2\nallowance = 50")?;
     writeln!(text, "window = \"10s\"")?;
     // Short, so that what follows the first quarantine is played too.
