One clock for ingress and gateway, which counts suspension

Cause: all decisions went by the steady clock, which stands still while a machine is suspended. A coordinator that woke gave orders under a lease that others had taken over, and a daemon relied on keys whose confirmation lay a suspension back. Change: crate clock, one type for both, by CLOCK_BOOTTIME (nix), injected so that tests can let it leap; timers are set for what is left and whoever wakes asks the clock again. A wake is logged, counted, and has watches of the store made anew. Tests: with a clock that leaves suspension out an order was given and a key relied on; both are refused now. Not touched: the time that a client waits for its request, and ages of connections, go by the runtime's instants.

--- a/crates/flaxward/src/ingress.rs
+++ b/crates/flaxward/src/ingress.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use flaxward::metrics_page;
+use flaxward_clock::SystemTime;
 use flaxward_ingress::settings::KeyTrust;
 use flaxward_ingress::{Ingress, IngressSettings};
 use flaxward_platform::{PlatformControl, PlatformStore, PlatformSurface};
@@ -124,6 +125,7 @@
     let share = |share: f64| Duration::from_secs_f64(lease.as_secs_f64() * share);
     IngressSettings {
         name: file.ingress.name.clone(),
+        time: Arc::new(SystemTime),
         zone: Zone::new(&file.ingress.zone),
         listen: file.ingress.listen,
         ready_listen: file.ingress.ready_listen,
--- a/crates/gateway/src/clock.rs
+++ b/crates/gateway/src/clock.rs
@@ -1,33 +1,6 @@
-//! The clocks that the pure machines are driven with.
+//! The time of day, for records that other daemons read.
 
-use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
-
-use flaxward_types::Timestamp;
-
-/// Monotonic clock of this process.
-#[derive(Clone, Copy, Debug)]
-pub(crate) struct Clock {
-    origin: Instant,
-}
-
-impl Clock {
-    /// A clock that starts now.
-    pub fn start() -> Self {
-        Self {
-            origin: Instant::now(),
-        }
-    }
-
-    /// Now.
-    pub fn now(&self) -> Timestamp {
-        Timestamp::ZERO + self.origin.elapsed()
-    }
-
-    /// The instant of a timestamp, for timers.
-    pub fn instant(&self, time: Timestamp) -> tokio::time::Instant {
-        (self.origin + Duration::from_millis(time.0)).into()
-    }
-}
+use std::time::{SystemTime, UNIX_EPOCH};
 
 /// Wall-clock seconds since 1970, for records that other daemons read.
 pub(crate) fn unix_seconds() -> u64 {
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use flaxward_backends::ObjectApi;
+use flaxward_clock::{Clock, SystemTime};
 use flaxward_control::admission::{Admission, AdmissionEvent, ArtifactView};
 use flaxward_control::attempt::RetryBudget;
 use flaxward_control::claims::{claim_name, request_digest};
@@ -26,7 +27,6 @@
 use crate::bytes_budget::{BytesBudget, HeldBytes};
 use crate::call::Call;
 use crate::claims::{ClaimReply, ClaimTicket, Claims};
-use crate::clock::Clock;
 use crate::completions::{CompletionKind, Completions};
 use crate::endpoint::{Endpoint, Served};
 use crate::head::RequestHead;
@@ -88,7 +88,7 @@
         store: Arc<dyn ObjectApi>,
         me: DaemonName,
     ) -> Arc<Self> {
-        let clock = Clock::start();
+        let clock = Clock::start(Arc::new(SystemTime));
         let requests = TaskTracker::new();
         let zones = settings.zones.clone();
         let zone = zones.first().cloned();
@@ -97,8 +97,8 @@
         let budget = RetryBudget::new(settings.retries, clock.now());
         Arc::new(Self {
             http,
-            clock,
-            scheduler: Arc::new(Scheduler::new(admission, demands, clock)),
+            clock: clock.clone(),
+            scheduler: Arc::new(Scheduler::new(admission, demands, clock.clone())),
             service_pool: Arc::new(ServicePool::new(zone, clock, rand::random())),
             configuration,
             bytes: BytesBudget::new(settings.held_bytes),
--- a/crates/gateway/src/scheduler.rs
+++ b/crates/gateway/src/scheduler.rs
@@ -3,6 +3,7 @@
 use std::collections::{BTreeMap, HashMap};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
+use flaxward_clock::Clock;
 use flaxward_control::admission::{
     Admission, AdmissionAction, AdmissionEvent, Arrival, ArtifactView, BackEndFault, RequestId,
 };
@@ -10,7 +11,6 @@
 use flaxward_types::{Refusal, ResultCode, RunnerName, Timestamp, ZoneName};
 use tokio::sync::{mpsc, oneshot};
 
-use crate::clock::Clock;
 use crate::counters;
 
 /// Demands for the coordinators of zones.
--- a/crates/gateway/src/service_pool.rs
+++ b/crates/gateway/src/service_pool.rs
@@ -5,6 +5,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
+use flaxward_clock::Clock;
 use flaxward_control::admission::BackEndFault;
 use flaxward_control::router::Router;
 use flaxward_types::engine::{Machine, MachineRole};
@@ -12,7 +13,6 @@
 use flaxward_types::{Refusal, ResultCode, RunnerName, ServiceName, Timestamp, ZoneName};
 use tokio::sync::oneshot;
 
-use crate::clock::Clock;
 use crate::scheduler::BackEnd;
 
 /// Requests waiting for one service, at most.
--- a/crates/ingress/src/coordination/mod.rs
+++ b/crates/ingress/src/coordination/mod.rs
@@ -28,7 +28,7 @@
 use tokio::sync::mpsc;
 use tokio::time::sleep_until;
 
-use crate::counters::{NEWS_WITH_GAPS, PLAN_SECONDS};
+use crate::counters::{NEWS_WITH_GAPS, PLAN_SECONDS, SUSPENSIONS};
 use crate::peer::PeerSocket;
 use crate::state::Shared;
 use crate::watches::take_membership;
@@ -43,6 +43,8 @@
 /// Time between two looks at which tenants are near their limit. A coordinator is woken by each message of its members,
 /// and a look goes through all of them, so that one at each message would cost their number squared.
 const LIMITS_INTERVAL: Duration = Duration::from_millis(40);
+/// Shortest suspension that is noticed; readings of two clocks differ by what lies between them.
+const LEAST_SUSPENSION: Duration = Duration::from_millis(200);
 /// Time between looks at the lease while this daemon does not coordinate.
 const IDLE_INTERVAL: Duration = Duration::from_millis(250);
 
@@ -64,6 +66,8 @@
     arrivals: Arrivals,
     /// When the limits of tenants were looked at.
     limits_at: Timestamp,
+    /// Time for which the machine was suspended, as far as that was noticed.
+    suspended: Duration,
 }
 
 impl Coordination {
@@ -92,6 +96,7 @@
             configurations: Configurations::default(),
             arrivals: Arrivals::new(now),
             limits_at: now,
+            suspended: Duration::ZERO,
             following: Following::new(address),
             shared,
             peers,
@@ -151,9 +156,25 @@
         wake_at.min(now + IDLE_INTERVAL)
     }
 
+    /// Notices that the machine was suspended. What is believed ages by itself, since the clock counts that time; watches
+    /// of the store may have lost their other end meanwhile.
+    fn notice_suspension(&mut self, now: Timestamp) {
+        let suspended = self.shared.clock.suspended();
+        let since = suspended.saturating_sub(self.suspended);
+        if since < LEAST_SUSPENSION {
+            return;
+        }
+        self.suspended = suspended;
+        metrics::counter!(SUSPENSIONS.name).increment(1);
+        let fields: &[(&str, &dyn Display)] = &[("for_ms", &since.as_millis())];
+        self.shared.log.write(now, "woke-from-suspension", fields);
+        self.shared.restart_watches();
+    }
+
     /// Does what is due.
     fn tick(&mut self) {
         let now = self.shared.now();
+        self.notice_suspension(now);
         let hears = self.lease.hears_holder(now);
         self.shared
             .hears_coordinator
--- a/crates/ingress/src/counters.rs
+++ b/crates/ingress/src/counters.rs
@@ -3,7 +3,7 @@
 use flaxward_types::Metric;
 
 /// Metrics of this crate.
-pub const METRICS: [Metric; 22] = [
+pub const METRICS: [Metric; 23] = [
     SERVED,
     REFUSED,
     ATTEMPTS_FAILED,
@@ -26,6 +26,7 @@
     QUOTA_UNITS,
     RUNNER_CRASHES,
     REQUESTS_QUARANTINED,
+    SUSPENSIONS,
 ];
 
 /// Requests whose answer, or the head of it, was passed on, by `status`, the class of the HTTP status.
@@ -138,3 +139,8 @@
     "flaxward_ingress_requests_quarantined_total",
     "Requests that this daemon has learnt to be in quarantine.",
 );
+/// Times that the machine was found to have been suspended.
+pub const SUSPENSIONS: Metric = Metric::counter(
+    "flaxward_ingress_suspensions_total",
+    "Times that the machine was found to have been suspended.",
+);
--- a/crates/ingress/src/lib.rs
+++ b/crates/ingress/src/lib.rs
@@ -9,7 +9,6 @@
 
 mod access;
 mod answers;
-mod clock;
 mod coordination;
 pub mod counters;
 mod crashes;
--- a/crates/ingress/src/settings.rs
+++ b/crates/ingress/src/settings.rs
@@ -1,8 +1,10 @@
 //! Settings of the ingress, as the daemon's settings file gives them.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
+use flaxward_clock::TimeSource;
 use flaxward_routing::budget::RetryBudgetSettings;
 use flaxward_routing::lease::LeaseSettings;
 use flaxward_routing::names::Zone;
@@ -24,6 +26,8 @@
 pub struct IngressSettings {
     /// Name of the daemon.
     pub name: String,
+    /// What its clock goes by.
+    pub time: Arc<dyn TimeSource>,
     /// Its zone.
     pub zone: Zone,
     /// Where clients reach it.
--- a/crates/ingress/src/state.rs
+++ b/crates/ingress/src/state.rs
@@ -5,6 +5,7 @@
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 
+use flaxward_clock::Clock;
 use flaxward_routing::balance::{self, NoRunner, Situation, Wanted};
 use flaxward_routing::budget::RetryBudget;
 use flaxward_routing::configuration::{Configuration, Route};
@@ -22,7 +23,6 @@
 use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
 
-use crate::clock::Clock;
 use crate::counters::RUNNERS_EJECTED;
 use crate::decisions::DecisionLog;
 use crate::outside::{ClusterStore, RunnerControl, Surface};
@@ -139,8 +139,8 @@
             store_trust: StoreTrust::new(settings.news_bound, seed),
         };
         Self {
+            clock: Clock::start(settings.time.clone()),
             settings,
-            clock: Clock::start(),
             surface,
             store,
             control,
--- a/crates/ingress/tests/ingress/main.rs
+++ b/crates/ingress/tests/ingress/main.rs
@@ -10,3 +10,4 @@
 mod stops;
 mod store;
 mod support;
+mod suspension;
--- a/crates/ingress/tests/ingress/support.rs
+++ b/crates/ingress/tests/ingress/support.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use async_trait::async_trait;
+use flaxward_clock::SystemTime;
 use flaxward_ingress::outside::{
     FencedOrder, HeadKind, Passage, ProfileError, RunnerControl, Surface,
 };
@@ -119,6 +120,13 @@
     orders: AtomicU64,
 }
 
+impl ObedientControl {
+    /// Orders that were given.
+    pub fn order_count(&self) -> u64 {
+        self.orders.load(Ordering::Relaxed)
+    }
+}
+
 #[async_trait]
 impl RunnerControl for ObedientControl {
     async fn report(&self, _address: SocketAddr) -> Option<RunnerReport> {
@@ -329,6 +337,7 @@
     let any = SocketAddr::from(([127, 0, 0, 1], 0));
     IngressSettings {
         name: name.to_owned(),
+        time: Arc::new(SystemTime),
         zone: Zone::new("z0"),
         listen: any,
         ready_listen: any,
