Near runners first: those of other regions are chosen last

Cause: any runner that held a model was as good as any other, so that two of three requests crossed to another region. Change: the settings tell the region of each zone; runners abroad come after near ones that are not crowded, and weigh a twentieth where runners are taken at random. Where no regions are told nothing changes.

--- a/crates/flaxward/src/ingress.rs
+++ b/crates/flaxward/src/ingress.rs
@@ -1,6 +1,7 @@
 //! `flaxward serve` with a section `[ingress]`: a daemon whose callers come by routes, on the users'
 //! platform.
 
+use std::collections::HashMap;
 use std::path::Path;
 use std::process::ExitCode;
 use std::sync::Arc;
@@ -120,6 +121,14 @@
     }
 }
 
+/// The region of each zone.
+fn regions(file: &IngressFile) -> HashMap<Zone, String> {
+    let regions = file.regions.iter();
+    regions
+        .map(|(zone, region)| (Zone::new(zone), region.clone()))
+        .collect()
+}
+
 fn settings(file: &IngressFile) -> IngressSettings {
     let lease = file.coordinator.lease_duration;
     let share = |share: f64| Duration::from_secs_f64(lease.as_secs_f64() * share);
@@ -127,6 +136,7 @@
         name: file.ingress.name.clone(),
         time: Arc::new(SystemTime),
         zone: Zone::new(&file.ingress.zone),
+        regions: regions(file),
         listen: file.ingress.listen,
         ready_listen: file.ingress.ready_listen,
         peer_listen: file.ingress.peer_listen,
--- a/crates/ingress/src/settings.rs
+++ b/crates/ingress/src/settings.rs
@@ -1,5 +1,6 @@
 //! Settings of the ingress, as the daemon's settings file gives them.
 
+use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -30,6 +31,8 @@
     pub time: Arc<dyn TimeSource>,
     /// Its zone.
     pub zone: Zone,
+    /// The region of each zone; those that are not told count as near.
+    pub regions: HashMap<Zone, String>,
     /// Where clients reach it.
     pub listen: SocketAddr,
     /// Where it is asked whether it is ready.
--- a/crates/ingress/src/state.rs
+++ b/crates/ingress/src/state.rs
@@ -11,6 +11,7 @@
 use flaxward_routing::configuration::{Configuration, Route};
 use flaxward_routing::configuration_age::ConfigurationAge;
 use flaxward_routing::health::{HealthTable, Observation};
+use flaxward_routing::locality::Locality;
 use flaxward_routing::messages::UnitOutlook;
 use flaxward_routing::names::{RunnerId, ServiceName, Unit};
 use flaxward_routing::quarantine::{Quarantine, RunReport};
@@ -69,6 +70,7 @@
 
 /// Shared by all tasks of the daemon.
 pub(crate) struct Shared {
+    pub locality: Locality,
     pub settings: IngressSettings,
     pub clock: Clock,
     pub surface: Arc<dyn Surface>,
@@ -138,7 +140,9 @@
             stop_end: None,
             store_trust: StoreTrust::new(settings.news_bound, seed),
         };
+        let locality = Locality::new(settings.zone.clone(), settings.regions.clone());
         Self {
+            locality,
             clock: Clock::start(settings.time.clone()),
             settings,
             surface,
@@ -266,7 +270,7 @@
             health: &tables.health,
             in_flight: &tables.in_flight,
             loads: &tables.loads,
-            zone: &self.settings.zone,
+            locality: &self.locality,
             daemons: tables.daemons,
             random: rand::random(),
             now,
--- a/crates/ingress/tests/ingress/support.rs
+++ b/crates/ingress/tests/ingress/support.rs
@@ -1,6 +1,6 @@
 //! An ingress with one route of each kind, and a surface of the tests' own.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
@@ -339,6 +339,7 @@
         name: name.to_owned(),
         time: Arc::new(SystemTime),
         zone: Zone::new("z0"),
+        regions: HashMap::new(),
         listen: any,
         ready_listen: any,
         peer_listen: any,
--- a/crates/routing/src/balance.rs
+++ b/crates/routing/src/balance.rs
@@ -1,6 +1,7 @@
 //! Chooses the runner for a request.
 //!
-//! Runners that are well come first, and among them those in the daemon's own zone until they are half full.
+//! Runners that are well come first, and among them those in the daemon's own zone until they are half full; those of
+//! other regions come last.
 //! Among equals, a request with shared prompt parts goes to the runner that all daemons agree on for these parts
 //! (rendezvous hashing), so that the prompt memory is found again without any message; any other request goes to
 //! the runner with the least of this daemon's requests.
@@ -18,7 +19,8 @@
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::health::HealthTable;
-use crate::names::{RunnerId, ServiceName, Unit, Zone};
+use crate::locality::{Distance, Locality};
+use crate::names::{RunnerId, ServiceName, Unit};
 use crate::runners::{Runner, RunnerTable};
 
 /// Share of a runner's slots, divided among the daemons, from which affinity gives way to load.
@@ -27,6 +29,8 @@
 const LEAST_OWN_REQUESTS: f64 = 1.0;
 /// Weight of a runner in the daemon's own zone beside one of another zone, where runners are taken at random.
 const ZONE_WEIGHT: f64 = 2.0;
+/// The same for a runner in another region: an empty one is as good as a near one that is nearly full.
+const ABROAD_WEIGHT: f64 = 0.05;
 
 /// Filled share of a runner's slots from which others come first.
 const CROWDED_SHARE: f64 = 0.75;
@@ -52,8 +56,8 @@
     pub in_flight: &'a HashMap<RunnerId, u32>,
     /// Requests of all daemons at runners that are crowded, as told a while ago.
     pub loads: &'a HashMap<RunnerId, u32>,
-    /// This daemon's zone.
-    pub zone: &'a Zone,
+    /// How far zones are.
+    pub locality: &'a Locality,
     /// Daemons that share the runners.
     pub daemons: usize,
     /// A random number of this request.
@@ -138,7 +142,8 @@
 #[derive(Clone, Copy, Debug, PartialEq, PartialOrd)]
 struct Rank {
     condition: Condition,
-    is_far: bool,
+    /// The own zone counts as one with its region from some load on.
+    nearness: Distance,
     load: u32,
     distance: f64,
 }
@@ -147,7 +152,7 @@
     fn order(&self, other: &Self) -> Ordering {
         let by_condition = self.condition.cmp(&other.condition);
         by_condition
-            .then_with(|| self.is_far.cmp(&other.is_far))
+            .then_with(|| self.nearness.cmp(&other.nearness))
             .then_with(|| self.load.cmp(&other.load))
             .then_with(|| self.distance.total_cmp(&other.distance))
     }
@@ -164,13 +169,16 @@
         in_flight
     };
     let filled = filled_share(situation, runner, in_flight);
-    let is_local = runner.zone == *situation.zone && filled < LOCAL_SHARE;
+    let nearness = match situation.locality.distance(&runner.zone) {
+        Distance::Zone if filled >= LOCAL_SHARE => Distance::Region,
+        distance => distance,
+    };
     let hash = hash(wanted.affinity.unwrap_or(situation.random), runner);
     Rank {
         condition: condition(situation, runner, in_flight),
-        is_far: !is_local,
+        nearness,
         load,
-        distance: distance(hash, 1.0 - filled),
+        distance: distance(hash, (1.0 - filled).max(LEAST_FREE_SHARE)),
     }
 }
 
@@ -178,15 +186,18 @@
 fn rank_at_random(situation: &Situation<'_>, runner: &Runner, in_flight: u32) -> Rank {
     let filled = filled_share(situation, runner, in_flight);
     let free = (1.0 - filled).max(LEAST_FREE_SHARE);
-    let is_local = runner.zone == *situation.zone;
-    let weight = if is_local { free * ZONE_WEIGHT } else { free };
+    let weight = match situation.locality.distance(&runner.zone) {
+        Distance::Zone => free * ZONE_WEIGHT,
+        Distance::Region => free,
+        Distance::Abroad => free * ABROAD_WEIGHT,
+    };
     let condition = match condition(situation, runner, in_flight) {
         Condition::Crowded => Condition::Well,
         other => other,
     };
     Rank {
         condition,
-        is_far: false,
+        nearness: Distance::Region,
         load: 0,
         distance: distance(hash(situation.random, runner), weight),
     }
@@ -201,13 +212,13 @@
 }
 
 /// Place of a runner for a key under weighted rendezvous hashing: the least is chosen, and each of several
-/// runners is so for a part of the keys in proportion to its weight.
+/// runners is so for a part of the keys in proportion to its weight, which is above 0.
 #[allow(clippy::cast_precision_loss)]
 fn distance(hash: u64, weight: f64) -> f64 {
     const FRACTION_BITS: u32 = 53;
     let fraction = (hash >> (u64::BITS - FRACTION_BITS)) as f64 + 1.0;
     let uniform = fraction / ((1_u64 << FRACTION_BITS) as f64 + 1.0);
-    -uniform.ln() / weight.max(LEAST_FREE_SHARE)
+    -uniform.ln() / weight
 }
 
 fn condition(situation: &Situation<'_>, runner: &Runner, in_flight: u32) -> Condition {
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod fingerprint;
 pub mod health;
 pub mod lease;
+pub mod locality;
 pub mod membership;
 pub mod messages;
 pub mod names;
--- a/crates/routing/tests/balance.rs
+++ b/crates/routing/tests/balance.rs
@@ -6,6 +6,7 @@
 
 use flaxward_routing::balance::{Situation, Wanted, choose, is_worth_telling};
 use flaxward_routing::health::HealthTable;
+use flaxward_routing::locality::Locality;
 use flaxward_routing::names::{ModelName, RunnerId, ServiceName, Unit, Zone};
 use flaxward_routing::runners::{Runner, RunnerTable};
 use flaxward_types::time::Timestamp;
@@ -109,7 +110,7 @@
             health: &self.health,
             in_flight: &in_flight,
             loads: &loads,
-            zone: &zone(daemon),
+            locality: &Locality::new(zone(daemon), HashMap::new()),
             daemons: DAEMONS,
             random,
             now,
@@ -189,3 +190,42 @@
         prop_assert!(most <= BEARABLE, "{most} requests at one of {copies} runners");
     }
 }
+
+/// Where runners have fewer slots than there are daemons, each request takes one at random.
+#[test]
+fn requests_go_abroad_when_the_near_runners_have_no_room() {
+    let regions = [("z0", "west"), ("z1", "west"), ("z2", "east")];
+    let regions = regions.map(|(zone, region)| (Zone::new(zone), region.to_owned()));
+    let locality = Locality::new(zone(0), HashMap::from(regions));
+    let mut table = RunnerTable::default();
+    table.replace((0..3).map(|index| runner(index, zone(index))).collect(), 1);
+    let abroad = |near_load: u32| {
+        let loads = ["r0", "r1"].map(|id| (RunnerId::new(id), near_load));
+        let loads = HashMap::from(loads);
+        let chosen_abroad = |seed: u64| {
+            let situation = Situation {
+                runners: &table,
+                health: &HealthTable::default(),
+                in_flight: &HashMap::new(),
+                loads: &loads,
+                locality: &locality,
+                daemons: DAEMONS,
+                random: seed.wrapping_mul(0x9e37_79b9_7f4a_7c15),
+                now: Timestamp::ZERO,
+            };
+            let (service, unit) = (ServiceName::new("pool"), unit());
+            let wanted = Wanted {
+                service: &service,
+                unit: Some(&unit),
+                affinity: None,
+                tried: &[],
+            };
+            choose(&situation, &wanted).unwrap().id.as_str() == "r2"
+        };
+        (0..1_000).filter(|&seed| chosen_abroad(seed)).count()
+    };
+    // One in 60 by weight while the near ones have room; more the fuller they are.
+    assert!(abroad(0) < 50, "{}", abroad(0));
+    assert!(abroad(SLOTS - 1) > 80, "{}", abroad(SLOTS - 1));
+    assert!(abroad(SLOTS) == 1_000, "{}", abroad(SLOTS));
+}
--- a/crates/routing/tests/decisions.rs
+++ b/crates/routing/tests/decisions.rs
@@ -12,6 +12,7 @@
 };
 use flaxward_routing::events::EventSplitter;
 use flaxward_routing::health::{HealthTable, Observation};
+use flaxward_routing::locality::Locality;
 use flaxward_routing::messages::{KnownState, Message, Usage, WaitingUnit};
 use flaxward_routing::names::{ModelName, RouteName, RunnerId, ServiceName, Unit, Zone};
 use flaxward_routing::runners::{Runner, RunnerHoldings, RunnerTable};
@@ -225,6 +226,13 @@
     assert_eq!(splitter.push(b"id: 5\ndata: y\n\n"), b"id: 5\ndata: y\n\n");
 }
 
+/// The zones of one region, and one of another.
+fn regions() -> HashMap<Zone, String> {
+    let regions = [("z1", "west"), ("z2", "west"), ("abroad", "east")];
+    let regions = regions.map(|(zone, region)| (Zone::new(zone), region.to_owned()));
+    HashMap::from(regions)
+}
+
 struct Choice {
     runners: RunnerTable,
     health: HealthTable,
@@ -252,7 +260,7 @@
             health: &self.health,
             in_flight: &self.in_flight,
             loads: &self.loads,
-            zone: &zone,
+            locality: &Locality::new(zone.clone(), regions()),
             daemons: 1,
             random: 3,
             now: Timestamp(1_000),
@@ -284,6 +292,18 @@
     );
 }
 
+#[test]
+fn a_runner_in_another_region_comes_after_a_busy_near_one_and_before_a_crowded_one() {
+    let mut choice = Choice::new(vec![
+        runner("far", "abroad", &["m"]),
+        runner("near", "z2", &["m"]),
+    ]);
+    choice.loads.insert(RunnerId::new("near"), 5);
+    assert_eq!(choice.choose(Some(&unit("m")), &[]).unwrap(), "near");
+    choice.loads.insert(RunnerId::new("near"), 7);
+    assert_eq!(choice.choose(Some(&unit("m")), &[]).unwrap(), "far");
+}
+
 #[test]
 fn a_runner_that_others_have_filled_comes_after_one_with_room() {
     let mut choice = Choice::new(vec![
--- a/crates/settings/src/ingress.rs
+++ b/crates/settings/src/ingress.rs
@@ -3,6 +3,7 @@
 //! Such a daemon reads another file than one with the callers' interface of flaxward's own; the
 //! section `[ingress]` tells them apart.
 
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::path::Path;
 use std::time::Duration;
@@ -20,6 +21,9 @@
 pub struct IngressFile {
     /// Who the daemon is and where it listens.
     pub ingress: IngressSection,
+    /// The region of each zone. Without it all zones count as one region.
+    #[serde(default)]
+    pub regions: BTreeMap<String, String>,
     /// The store.
     pub store: StoreSection,
     /// The coordinator of the loads.
