Quarantine: nothing goes through the members without need; one place tells the last event of a stream

Found by reading: the coordinator looked up all members at each message, for an announcement that is hardly ever due; with hundreds of members that had once made it late with leaving runners. Now a digest of what is held (a few bytes) is compared first.

--- a/crates/ingress/src/coordination/crashes.rs
+++ b/crates/ingress/src/coordination/crashes.rs
@@ -15,25 +15,28 @@
     }
 
     /// Tells the keepers what came of runs that say something, and all daemons what is in quarantine, if this daemon is
-    /// to.
+    /// to. It is called at each message, so nothing here goes through the members without need.
     pub(super) fn tell_quarantine(&mut self, now: Timestamp) {
         let keepers = self.quotas.keepers().to_vec();
         self.report_runs(&keepers, now);
-        let members = if let Some(leading) = &self.leading {
-            leading.member_addresses(now)
-        } else if keepers.contains(&self.address) {
-            // The coordinator may be lost at this very moment, and each send costs a runner.
-            self.following.members().to_vec()
-        } else {
+        let record = self
+            .quarantine
+            .due_record(&self.shared.tables().quarantine, now);
+        if let Some(record) = record {
+            self.lease.set_quarantine(record);
+        }
+        // A deputy does not wait for the coordinator, which may be lost at this very moment: each send costs a runner.
+        if self.leading.is_none() && !keepers.contains(&self.address) {
             return;
-        };
-        let (news, entries) = {
-            let quarantine = &self.shared.tables().quarantine;
-            let news = self.quarantine.announcement(quarantine, now);
-            (news, quarantine.entries(now))
-        };
-        self.lease.set_quarantine(entries);
+        }
+        let news = self
+            .quarantine
+            .announcement(&self.shared.tables().quarantine, now);
         if let Some(news) = news {
+            let members = match &self.leading {
+                Some(leading) => leading.member_addresses(now),
+                None => self.following.members().to_vec(),
+            };
             self.send_to_others(&members, &Message::QuarantineNews(news));
         }
     }
--- a/crates/ingress/src/relay.rs
+++ b/crates/ingress/src/relay.rs
@@ -306,8 +306,7 @@
             self.wait_again(silent);
             return Ok(());
         }
-        let client_event = self.request.profile.last_event.clone();
-        let last_event = self.splitter.last_id().map(str::to_owned).or(client_event);
+        let last_event = self.last_event();
         let continuation = Continuation {
             last_event: last_event.as_deref(),
             weights_version: self.weights_version,
@@ -343,6 +342,12 @@
         self.exchange = Some(silent);
     }
 
+    /// The last event that the client has, from this answer or from one before it.
+    fn last_event(&self) -> Option<String> {
+        let before = self.request.profile.last_event.as_deref();
+        self.splitter.last_id().or(before).map(str::to_owned)
+    }
+
     fn continuation_patience(&self) -> Instant {
         (Instant::now() + self.route.target.max(LEAST_PATIENCE)).min(self.request.deadline)
     }
@@ -397,8 +402,7 @@
                 return Err(self.given_up(RelayError::Broken, &reason));
             }
         };
-        let client_event = self.request.profile.last_event.clone();
-        let last_event = self.splitter.last_id().map(str::to_owned).or(client_event);
+        let last_event = self.last_event();
         let continuation = Continuation {
             last_event: last_event.as_deref(),
             weights_version: self.weights_version,
--- a/crates/routing/src/quarantine/exchange.rs
+++ b/crates/routing/src/quarantine/exchange.rs
@@ -18,6 +18,8 @@
 const REPORT_INTERVAL: Duration = Duration::from_millis(200);
 /// Shortest time between two exchanges that one daemon begins.
 const EXCHANGE_INTERVAL: Duration = Duration::from_millis(300);
+/// Time after which the times in the lease record are old; it is renewed about once a second.
+const RECORD_INTERVAL: Duration = Duration::from_millis(500);
 /// Reports that wait to be sent at most.
 const MAX_REPORTS: usize = 256;
 
@@ -47,6 +49,8 @@
     reports: Vec<Outgoing>,
     /// Digest of the quarantine that all daemons were told of.
     told: u64,
+    /// Digest of the quarantine that was last given to the lease, and when.
+    recorded: Option<(u64, Timestamp)>,
     exchanged_at: Option<Timestamp>,
 }
 
@@ -57,6 +61,7 @@
             own,
             reports: Vec::new(),
             told: 0,
+            recorded: None,
             exchanged_at: None,
         }
     }
@@ -105,6 +110,23 @@
         Some(self.news(quarantine, false, now))
     }
 
+    /// What the lease record is to hold from now on, if that has changed or its times are old.
+    pub fn due_record(
+        &mut self,
+        quarantine: &Quarantine,
+        now: Timestamp,
+    ) -> Option<Vec<QuarantineEntry>> {
+        let digest = quarantine.digest(now);
+        let is_fresh = |(recorded, at): (u64, Timestamp)| {
+            recorded == digest && (digest == 0 || now.since(at) < RECORD_INTERVAL)
+        };
+        if self.recorded.is_some_and(is_fresh) {
+            return None;
+        }
+        self.recorded = Some((digest, now));
+        Some(quarantine.entries(now))
+    }
+
     /// Compares the quarantine with the digest that a keeper has told. Returns what that one is told if they differ.
     pub fn compare(
         &mut self,
--- a/crates/routing/tests/quarantine.rs
+++ b/crates/routing/tests/quarantine.rs
@@ -197,8 +197,8 @@
 const HEARTBEAT: Duration = Duration::from_millis(500);
 /// Time without a coordinator after one was lost.
 const SUCCESSION: Duration = Duration::from_millis(3_300);
-/// Time between two renewals of the lease, whose record holds the quarantine.
-const RENEWAL: Duration = Duration::from_millis(900);
+/// Time until the store holds a record with news.
+const RECORDED_AFTER: Duration = Duration::from_millis(30);
 /// Time after a fault from which a daemon is in touch.
 const CONTACT: Duration = Duration::from_secs(3);
 /// How often a request may be sent by daemons in touch once everybody must know.
@@ -233,7 +233,7 @@
     keepers: Vec<usize>,
     coordinates_from: Timestamp,
     record: Vec<QuarantineEntry>,
-    record_at: Timestamp,
+    pending_record: Option<(Timestamp, Vec<QuarantineEntry>)>,
     heartbeat_at: Timestamp,
     in_flight: Vec<(Timestamp, usize, Message)>,
     now: Timestamp,
@@ -265,7 +265,7 @@
             keepers: vec![0, 1, 2],
             coordinates_from: Timestamp::ZERO,
             record: Vec::new(),
-            record_at: Timestamp::ZERO,
+            pending_record: None,
             heartbeat_at: Timestamp::ZERO,
             in_flight: Vec::new(),
             now: Timestamp::ZERO,
@@ -377,9 +377,14 @@
         let Some(coordinator) = self.coordinator() else {
             return;
         };
-        if now.since(self.record_at) >= RENEWAL {
-            self.record_at = now;
-            self.record = self.daemons[coordinator].quarantine.entries(now);
+        let it = &mut self.daemons[coordinator];
+        let news = it.exchange.due_record(&it.quarantine, now);
+        if let Some(record) = news {
+            // The lease is renewed soon when there is news.
+            self.pending_record = Some((now + RECORDED_AFTER, record));
+        }
+        if let Some((_, record)) = self.pending_record.take_if(|(at, _)| *at <= now) {
+            self.record = record;
         }
         if now.since(self.heartbeat_at) < HEARTBEAT {
             return;
@@ -451,6 +456,7 @@
         let now = self.now;
         if self.coordinator() == Some(daemon) {
             self.coordinates_from = now + SUCCESSION;
+            self.pending_record = None;
         }
         let it = &mut self.daemons[daemon];
         it.quarantine = Quarantine::new(SETTINGS);
