Calls to the store counted by kind; soak: open connections go silent for good

The store is wrapped once, where the daemon is put together; no call changes. The soak's fault leaves all open connections to store and runners without a word while new ones work.

--- /dev/null
+++ b/crates/ingress/src/counted_store.rs
@@ -0,0 +1,87 @@
+//! Counts calls to the store by what they are for and what came of them. Each call costs the operators something, and
+//! which kind grows with the fleet cannot be told from their sum.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use async_trait::async_trait;
+use flaxward_routing::configuration::Configuration;
+use flaxward_routing::lease::{LeaseRecord, StoredLease};
+use flaxward_routing::runners::Runner;
+
+use crate::counters::STORE_CALLS;
+use crate::outside::{Changed, ClusterStore, Freshness, Listing, RunnerChange, StoreError};
+
+/// A store whose calls are counted.
+pub(crate) struct CountedStore(Arc<dyn ClusterStore>);
+
+impl CountedStore {
+    /// Counts the calls to a store.
+    pub(crate) fn new(store: Arc<dyn ClusterStore>) -> Self {
+        Self(store)
+    }
+}
+
+/// Counts a call that has ended.
+fn counted<Answer>(
+    call: &'static str,
+    answer: Result<Answer, StoreError>,
+) -> Result<Answer, StoreError> {
+    let outcome = match &answer {
+        Ok(_) => "answered",
+        Err(StoreError::NoAnswer(_)) => "no-answer",
+        Err(StoreError::Refused(_)) => "refused",
+        Err(StoreError::HistoryGone) => "history-gone",
+        Err(StoreError::Malformed(_) | StoreError::InvalidConfiguration(_)) => "unusable",
+    };
+    metrics::counter!(STORE_CALLS.name, "call" => call, "outcome" => outcome).increment(1);
+    answer
+}
+
+#[async_trait]
+impl ClusterStore for CountedStore {
+    async fn configuration(
+        &self,
+        freshness: Freshness,
+    ) -> Result<Listing<Configuration>, StoreError> {
+        counted("configuration", self.0.configuration(freshness).await)
+    }
+
+    async fn watch_configuration(
+        &self,
+        after: u64,
+        wait: Duration,
+    ) -> Result<Listing<Configuration>, StoreError> {
+        let answer = self.0.watch_configuration(after, wait).await;
+        counted("watch-configuration", answer)
+    }
+
+    async fn runners(&self, freshness: Freshness) -> Result<Listing<Runner>, StoreError> {
+        counted("runners", self.0.runners(freshness).await)
+    }
+
+    async fn watch_runners(
+        &self,
+        after: u64,
+        wait: Duration,
+    ) -> Result<Listing<RunnerChange>, StoreError> {
+        counted("watch-runners", self.0.watch_runners(after, wait).await)
+    }
+
+    async fn lease(&self) -> Result<Option<StoredLease>, StoreError> {
+        counted("lease", self.0.lease().await)
+    }
+
+    async fn create_lease(&self, record: &LeaseRecord) -> Result<Changed, StoreError> {
+        counted("create-lease", self.0.create_lease(record).await)
+    }
+
+    async fn replace_lease(
+        &self,
+        record: &LeaseRecord,
+        revision: u64,
+    ) -> Result<Changed, StoreError> {
+        let answer = self.0.replace_lease(record, revision).await;
+        counted("replace-lease", answer)
+    }
+}
--- a/crates/ingress/src/counters.rs
+++ b/crates/ingress/src/counters.rs
@@ -3,7 +3,7 @@
 use flaxward_types::Metric;
 
 /// Metrics of this crate.
-pub const METRICS: [Metric; 23] = [
+pub const METRICS: [Metric; 24] = [
     SERVED,
     REFUSED,
     ATTEMPTS_FAILED,
@@ -27,6 +27,7 @@
     RUNNER_CRASHES,
     REQUESTS_QUARANTINED,
     SUSPENSIONS,
+    STORE_CALLS,
 ];
 
 /// Requests whose answer, or the head of it, was passed on, by `status`, the class of the HTTP status.
@@ -144,3 +145,8 @@
     "flaxward_ingress_suspensions_total",
     "Times that the machine was found to have been suspended.",
 );
+/// Calls to the store that have ended, by `call`, what it was for, and `outcome`.
+pub const STORE_CALLS: Metric = Metric::counter(
+    "flaxward_ingress_store_calls_total",
+    "Calls to the store that have ended, by `call`, what it was for, and `outcome`.",
+);
--- a/crates/ingress/src/daemon.rs
+++ b/crates/ingress/src/daemon.rs
@@ -11,6 +11,7 @@
 use tokio_util::task::TaskTracker;
 
 use crate::coordination::Coordination;
+use crate::counted_store::CountedStore;
 use crate::outside::{ClusterStore, RunnerControl, Surface};
 use crate::peer::PeerSocket;
 use crate::server::{listen, serve_clients, serve_metrics, serve_readiness};
@@ -74,6 +75,7 @@
                 ("peer_address", &settings.peer_listen),
             ],
         );
+        let store = Arc::new(CountedStore::new(store));
         let shared = Arc::new(Shared::new(settings, surface, store, control));
         let tracker = TaskTracker::new();
         let closing = CancellationToken::new();
--- a/crates/ingress/src/lib.rs
+++ b/crates/ingress/src/lib.rs
@@ -10,6 +10,7 @@
 mod access;
 mod answers;
 mod coordination;
+mod counted_store;
 pub mod counters;
 mod crashes;
 mod daemon;
--- a/crates/soak/src/faults.rs
+++ b/crates/soak/src/faults.rs
@@ -23,6 +23,8 @@
 const AT_ONCE: usize = 3;
 /// Time in which a new configuration must be in force.
 const CONFIGURATION_BOUND: Duration = Duration::from_millis(2_500);
+/// Time in which daemons must have noticed that connections are silent.
+const SILENCE_NOTICED: Duration = Duration::from_secs(3);
 /// Time for which a runner that leaves goes on serving.
 const DRAIN_TIME: Duration = Duration::from_secs(5);
 
@@ -40,6 +42,7 @@
     DrainRunner,
     NewRoute,
     CrashingRequest,
+    SilenceConnections,
 }
 
 /// Injects faults for some time, and waits until they are over.
@@ -62,7 +65,7 @@
 
 fn draw(random: &mut ChaCha8Rng, daemons: usize) -> Fault {
     let daemon = random.random_range(0..daemons);
-    match random.random_range(0..22) {
+    match random.random_range(0..23) {
         0..=2 => Fault::KillDaemon(daemon),
         3..=6 => Fault::StopDaemon(daemon),
         7..=8 => Fault::PauseDaemon(daemon),
@@ -73,6 +76,7 @@
         15 => Fault::CrashRunner,
         16..=17 => Fault::DrainRunner,
         18..=19 => Fault::CrashingRequest,
+        20 => Fault::SilenceConnections,
         _ => Fault::NewRoute,
     }
 }
@@ -120,6 +124,7 @@
         Fault::DrainRunner => drain_runner(fleet, &mut random).await,
         Fault::NewRoute => new_route(fleet, &mut random).await,
         Fault::CrashingRequest => crashing_request(fleet, &mut random).await,
+        Fault::SilenceConnections => silence_connections(fleet).await,
     }
 }
 
@@ -319,3 +324,19 @@
         sleep(Duration::from_millis(random.random_range(100..700))).await;
     }
 }
+
+/// Open connections to the store and to runners go silent for good, while new ones work.
+async fn silence_connections(fleet: &Fleet) {
+    let store = fleet.disturbances.begin(Target::Store);
+    let runners = fleet.disturbances.begin(Target::Runner);
+    for way in &fleet.store_ways {
+        way.silence_open();
+    }
+    for place in locked(&fleet.places).iter() {
+        place.proxy.silence_open();
+    }
+    // Only a time-out of the daemons' own shows it.
+    sleep(SILENCE_NOTICED).await;
+    fleet.disturbances.end(&store);
+    fleet.disturbances.end(&runners);
+}
--- a/crates/soak/src/proxy.rs
+++ b/crates/soak/src/proxy.rs
@@ -36,6 +36,8 @@
     address: SocketAddr,
     target: Arc<Mutex<SocketAddr>>,
     mode: watch::Sender<Mode>,
+    /// Connections that were opened before this number of silencings pass nothing on any more.
+    silenced: watch::Sender<u64>,
     task: JoinHandle<()>,
 }
 
@@ -55,12 +57,14 @@
         let address = listener.local_addr()?;
         let target = Arc::new(Mutex::new(target));
         let (mode, modes) = watch::channel(Mode::Pass);
+        let (silenced, silencings) = watch::channel(0);
         let targets = target.clone();
         let task = tokio::spawn(async move {
             loop {
                 if let Ok((caller, _)) = listener.accept().await {
                     let target = *targets.lock().unwrap_or_else(PoisonError::into_inner);
-                    tokio::spawn(connection(caller, target, modes.clone()));
+                    let silence = Silence::of_new(silencings.clone());
+                    tokio::spawn(connection(caller, target, modes.clone(), silence));
                 }
             }
         });
@@ -68,6 +72,7 @@
             address,
             target,
             mode,
+            silenced,
             task,
         })
     }
@@ -88,17 +93,48 @@
         *self.target.lock().unwrap_or_else(PoisonError::into_inner) = target;
     }
 
+    /// Connections that are open now go silent for good, without a reset; new ones work.
+    pub fn silence_open(&self) {
+        self.silenced.send_modify(|silenced| *silenced += 1);
+    }
+
     /// What it does from now on.
     pub fn set_mode(&self, mode: Mode) {
         self.mode.send_replace(mode);
     }
 }
 
+/// Whether one connection was silenced.
+#[derive(Clone, Debug)]
+struct Silence {
+    opened_at: u64,
+    silencings: watch::Receiver<u64>,
+}
+
+impl Silence {
+    fn of_new(silencings: watch::Receiver<u64>) -> Self {
+        let opened_at = *silencings.borrow();
+        Self {
+            opened_at,
+            silencings,
+        }
+    }
+
+    fn is_silenced(&self) -> bool {
+        *self.silencings.borrow() > self.opened_at
+    }
+}
+
 fn reset(stream: &TcpStream) {
     let _ = SockRef::from(stream).set_linger(Some(Duration::ZERO));
 }
 
-async fn connection(caller: TcpStream, target: SocketAddr, mut modes: watch::Receiver<Mode>) {
+async fn connection(
+    caller: TcpStream,
+    target: SocketAddr,
+    mut modes: watch::Receiver<Mode>,
+    silence: Silence,
+) {
     let _ = caller.set_nodelay(true);
     reset(&caller);
     let _ = modes.wait_for(|mode| !matches!(mode, Mode::Silent)).await;
@@ -113,8 +149,8 @@
     let (back_end_read, back_end_write) = back_end.into_split();
     let mut resets = modes.clone();
     tokio::select! {
-        () = pass(caller_read, back_end_write, modes.clone(), false) => {}
-        () = pass(back_end_read, caller_write, modes, true) => {}
+        () = pass(caller_read, back_end_write, modes.clone(), silence.clone(), false) => {}
+        () = pass(back_end_read, caller_write, modes, silence, true) => {}
         _ = resets.wait_for(|mode| *mode == Mode::Reset) => {}
     }
 }
@@ -124,14 +160,20 @@
     mut from: OwnedReadHalf,
     mut to: OwnedWriteHalf,
     mut modes: watch::Receiver<Mode>,
+    silence: Silence,
     are_answers: bool,
 ) {
     let mut buffer = vec![0; BUFFER_BYTES];
     loop {
         let length = match from.read(&mut buffer).await {
             Ok(length) if length > 0 => length,
+            // The end of one side does not show at the other.
+            _ if silence.is_silenced() => return std::future::pending().await,
             _ => return,
         };
+        if silence.is_silenced() {
+            continue;
+        }
         let is_open = |mode: &Mode| match mode {
             Mode::Silent => false,
             Mode::NoAnswers => !are_answers,
