--- a/crates/flaxward/src/ingress.rs
+++ b/crates/flaxward/src/ingress.rs
@@ -143,6 +143,7 @@
         metrics_listen: file.ingress.metrics_listen,
         strength: strength(&file.machine),
         news_bound: file.news.bound(),
+        evacuation_bound: file.news.evacuation,
         key_trust: key_trust(file),
         stop_grace: file.ingress.stop_grace,
         retry_budget: RetryBudgetSettings {
--- a/crates/ingress/src/coordination/informing.rs
+++ b/crates/ingress/src/coordination/informing.rs
@@ -73,11 +73,16 @@
             return Vec::new();
         }
         self.told = Some(Told { at: now, state });
+        let tables = shared.tables();
+        let evacuations = tables.evacuations.clone();
+        let quarantine_digest = tables.quarantine.digest(now);
+        drop(tables);
         let news = |membership| StoreNews {
             from: own,
             state,
             membership,
-            quarantine_digest: shared.tables().quarantine.digest(now),
+            evacuations: evacuations.clone(),
+            quarantine_digest,
         };
         let updates = if has_changes {
             shared.tables().runners.updates_after(self.base)
--- a/crates/ingress/src/coordination/leading.rs
+++ b/crates/ingress/src/coordination/leading.rs
@@ -8,6 +8,7 @@
 use flaxward_routing::messages::{Direction, Usage, WaitNotice};
 use flaxward_routing::placement::{Action, Placement};
 use flaxward_routing::quota::QuotaNews;
+use flaxward_routing::runners::Runner;
 use flaxward_routing::standby::StandbyPlace;
 use flaxward_routing::strength::MachineStrength;
 use flaxward_types::time::Timestamp;
@@ -33,6 +34,7 @@
 struct Taken {
     runner_changes: u64,
     configuration_version: u64,
+    evacuations_revision: u64,
 }
 
 /// This daemon's coordination under one term.
@@ -128,10 +130,20 @@
         let present = Taken {
             runner_changes: tables.runners.change_count(),
             configuration_version: configuration.map_or(0, |it| it.version),
+            evacuations_revision: tables.evacuations.revision,
         };
         if self.taken != Some(present) {
             self.taken = Some(present);
-            self.placement.set_runners(tables.runners.iter());
+            // Nothing is loaded in an evacuated zone, as at a runner that leaves.
+            let placed: Vec<Runner> = tables
+                .runners
+                .iter()
+                .map(|runner| Runner {
+                    draining: runner.draining || tables.evacuations.includes(runner),
+                    ..runner.clone()
+                })
+                .collect();
+            self.placement.set_runners(placed.iter());
         }
         drop(tables);
         self.placement.plan(now)
@@ -191,6 +203,11 @@
     address: SocketAddr,
     quota: &QuotaNews,
 ) -> Direction {
+    let now = shared.now();
+    let tables = shared.tables();
+    let evacuations = tables.evacuations.clone();
+    let quarantine_digest = tables.quarantine.digest(now);
+    drop(tables);
     Direction {
         term: lease.term,
         lease,
@@ -200,7 +217,8 @@
         standby: StandbyPlace::Unsaid,
         store: shared.store_state(),
         quota: quota.clone(),
-        quarantine_digest: shared.tables().quarantine.digest(shared.now()),
+        evacuations,
+        quarantine_digest,
         membership: None,
         members: None,
         holdings_after: 0,
--- a/crates/ingress/src/coordination/lease_changes.rs
+++ b/crates/ingress/src/coordination/lease_changes.rs
@@ -75,7 +75,7 @@
             |address: &&SocketAddr| **address != self.address && !heard.contains(*address);
         for address in members.iter().filter(is_unheard) {
             self.peers
-                .send(*address, &Message::Direction(header.clone()));
+                .send(*address, &Message::Direction(Box::new(header.clone())));
         }
     }
 
--- a/crates/ingress/src/coordination/mod.rs
+++ b/crates/ingress/src/coordination/mod.rs
@@ -31,7 +31,7 @@
 use crate::counters::{NEWS_WITH_GAPS, PLAN_SECONDS, SUSPENSIONS};
 use crate::peer::PeerSocket;
 use crate::state::Shared;
-use crate::watches::take_membership;
+use crate::watches::{take_evacuations, take_membership};
 
 use calls::{Caller, Event, log_settled, operation_name};
 use configurations::Configurations;
@@ -298,7 +298,7 @@
                 self.following
                     .take_direction(&self.shared, outgoing.direction, true, begun);
             } else {
-                let message = Message::Direction(outgoing.direction);
+                let message = Message::Direction(Box::new(outgoing.direction));
                 self.peers.send(outgoing.address, &message);
             }
         }
@@ -314,6 +314,7 @@
     fn received(&mut self, message: Message) {
         match message {
             Message::Direction(direction) => {
+                let direction = *direction;
                 self.lease.heard(direction.lease, self.shared.now());
                 self.follow(direction.address, direction.term);
                 self.lease.set_strongest(direction.strongest);
@@ -321,6 +322,7 @@
                     self.lease.set_stands_by(stands_by);
                 }
                 let leads = self.leading.is_some();
+                take_evacuations(&self.shared, direction.evacuations.clone(), "coordinator");
                 self.compare_quarantine(direction.address, direction.quarantine_digest);
                 self.quotas.heard_news(&self.shared, &direction.quota);
                 let version = direction.store.configuration_version;
@@ -370,6 +372,7 @@
         {
             metrics::counter!(NEWS_WITH_GAPS.name).increment(1);
         }
+        take_evacuations(&self.shared, news.evacuations, "standby");
         self.compare_quarantine(news.from, news.quarantine_digest);
         let version = news.state.configuration_version;
         self.configurations.told(&self.shared, news.from, version);
--- a/crates/ingress/src/counted_store.rs
+++ b/crates/ingress/src/counted_store.rs
@@ -7,6 +7,7 @@
 use async_trait::async_trait;
 use flaxward_routing::configuration::Configuration;
 use flaxward_routing::lease::{LeaseRecord, StoredLease};
+use flaxward_routing::names::Zone;
 use flaxward_routing::runners::Runner;
 
 use crate::counters::STORE_CALLS;
@@ -68,6 +69,19 @@
         counted("watch-runners", self.0.watch_runners(after, wait).await)
     }
 
+    async fn evacuated_zones(&self) -> Result<Listing<Zone>, StoreError> {
+        counted("evacuations", self.0.evacuated_zones().await)
+    }
+
+    async fn evacuations_changed(
+        &self,
+        after: u64,
+        wait: Duration,
+    ) -> Result<Option<u64>, StoreError> {
+        let answer = self.0.evacuations_changed(after, wait).await;
+        counted("watch-evacuations", answer)
+    }
+
     async fn lease(&self) -> Result<Option<StoredLease>, StoreError> {
         counted("lease", self.0.lease().await)
     }
--- a/crates/ingress/src/daemon.rs
+++ b/crates/ingress/src/daemon.rs
@@ -17,7 +17,7 @@
 use crate::server::{listen, serve_clients, serve_metrics, serve_readiness};
 use crate::settings::IngressSettings;
 use crate::state::Shared;
-use crate::watches::{watch_configuration, watch_runners};
+use crate::watches::{watch_configuration, watch_evacuations, watch_runners};
 
 /// Time after the order to stop in which new clients may still come: the entrance asks every second
 /// and leaves a daemon out after two misses.
@@ -89,6 +89,7 @@
         }
         tokio::spawn(watch_configuration(shared.clone()));
         tokio::spawn(watch_runners(shared.clone()));
+        tokio::spawn(watch_evacuations(shared.clone()));
         tokio::spawn(Coordination::new(shared.clone(), peers)?.run());
         Ok(Self {
             address,
--- a/crates/ingress/src/outside.rs
+++ b/crates/ingress/src/outside.rs
@@ -7,7 +7,7 @@
 use async_trait::async_trait;
 use flaxward_routing::configuration::Configuration;
 use flaxward_routing::lease::{LeaseRecord, StoredLease};
-use flaxward_routing::names::{RunnerId, TenantName};
+use flaxward_routing::names::{RunnerId, TenantName, Zone};
 use flaxward_routing::placement::{Order, OrderAnswer, RunnerReport};
 use flaxward_routing::request::RequestProfile;
 use flaxward_routing::runners::Runner;
@@ -165,6 +165,17 @@
         wait: Duration,
     ) -> Result<Listing<RunnerChange>, StoreError>;
 
+    /// The zones that are evacuated.
+    async fn evacuated_zones(&self) -> Result<Listing<Zone>, StoreError>;
+
+    /// Waits for a change of the evacuated zones after a revision, for some time at most. Returns its revision, or `None` if
+    /// there was none.
+    async fn evacuations_changed(
+        &self,
+        after: u64,
+        wait: Duration,
+    ) -> Result<Option<u64>, StoreError>;
+
     /// The lease, if the object is there.
     async fn lease(&self) -> Result<Option<StoredLease>, StoreError>;
 
--- a/crates/ingress/src/settings.rs
+++ b/crates/ingress/src/settings.rs
@@ -45,6 +45,8 @@
     pub strength: MachineStrength,
     /// Time within which a change of the store must be known.
     pub news_bound: Duration,
+    /// Time within which the evacuation of a zone must be followed; `None` if the operators evacuate no zones.
+    pub evacuation_bound: Option<Duration>,
     /// For how long keys are relied on.
     pub key_trust: KeyTrust,
     /// Time from the order to stop until it must have ended.
--- a/crates/ingress/src/state.rs
+++ b/crates/ingress/src/state.rs
@@ -10,6 +10,7 @@
 use flaxward_routing::budget::RetryBudget;
 use flaxward_routing::configuration::{Configuration, Route};
 use flaxward_routing::configuration_age::ConfigurationAge;
+use flaxward_routing::evacuation::Evacuations;
 use flaxward_routing::health::{HealthTable, Observation};
 use flaxward_routing::locality::Locality;
 use flaxward_routing::messages::UnitOutlook;
@@ -51,6 +52,7 @@
     pub quota: QuotaMeter,
     pub runners: RunnerTable,
     pub runners_known: bool,
+    pub evacuations: Evacuations,
     pub health: HealthTable,
     pub in_flight: HashMap<RunnerId, u32>,
     /// Requests of all daemons at runners that are filling up.
@@ -126,6 +128,7 @@
             quota: QuotaMeter::new(seed, ASSUMED_DAEMONS),
             runners: RunnerTable::default(),
             runners_known: false,
+            evacuations: Evacuations::default(),
             health: HealthTable::default(),
             in_flight: HashMap::new(),
             loads: HashMap::new(),
@@ -270,6 +273,7 @@
             health: &tables.health,
             in_flight: &tables.in_flight,
             loads: &tables.loads,
+            evacuations: &tables.evacuations,
             locality: &self.locality,
             daemons: tables.daemons,
             random: rand::random(),
--- a/crates/ingress/src/waiting.rs
+++ b/crates/ingress/src/waiting.rs
@@ -160,10 +160,9 @@
 fn is_held(shared: &Shared, unit: &Unit) -> bool {
     let now = shared.now();
     let tables = shared.tables();
-    tables
-        .runners
-        .of_service(&unit.service)
-        .any(|runner| tables.runners.holds(runner, unit, now))
+    tables.runners.of_service(&unit.service).any(|runner| {
+        !tables.evacuations.includes(runner) && tables.runners.holds(runner, unit, now)
+    })
 }
 
 fn promised(shared: &Shared, unit: &Unit, begun_at: Timestamp) -> Option<Timestamp> {
--- a/crates/ingress/src/watches/mod.rs
+++ b/crates/ingress/src/watches/mod.rs
@@ -5,6 +5,7 @@
 //! all of them are silent.
 
 mod configuration;
+mod evacuations;
 mod runners;
 
 use std::time::Duration;
@@ -21,6 +22,7 @@
 use crate::store_word::StoreWord;
 
 pub(crate) use configuration::{apply_configuration, watch_configuration};
+pub(crate) use evacuations::{take_evacuations, watch_evacuations};
 pub(crate) use runners::{take_membership, watch_runners};
 
 /// Longest time that the store holds a watch.
--- a/crates/ingress/tests/ingress/coordination.rs
+++ b/crates/ingress/tests/ingress/coordination.rs
@@ -12,8 +12,12 @@
 use crate::store::MemoryStore;
 use crate::support::{
     OTHER_RARE_MODEL, ObedientControl, RARE_MODEL, TestIngress, configuration, route, runner,
+    settings,
 };
 
+/// Time within which an evacuation must be followed.
+const EVACUATION_BOUND: Duration = Duration::from_secs(2);
+
 async fn status(test: &TestIngress, id: &str) -> u16 {
     status_of(test, RARE_MODEL, id).await
 }
@@ -217,3 +221,40 @@
     sleep(Duration::from_millis(600)).await;
     assert_eq!(status_of(&second, OTHER_RARE_MODEL, "id-3").await, 200);
 }
+
+/// Seen on a day with an evacuation: nothing read them, and 626 requests reached the zone too late.
+#[tokio::test]
+async fn an_evacuated_zone_gets_nothing_until_that_is_taken_back() {
+    let near = ScriptedRunner::start(Vec::new()).await;
+    let far = ScriptedRunner::start(Vec::new()).await;
+    let store = MemoryStore::default();
+    store.set_runners(vec![runner(0, near.address), runner(1, far.address)]);
+    store.set_configuration(configuration(1, Vec::new()));
+    let control = Arc::new(ObedientControl::default());
+    let mut daemons = Vec::new();
+    for name in ["a", "b"] {
+        let mut own = settings(name);
+        own.evacuation_bound = Some(EVACUATION_BOUND);
+        let daemon = TestIngress::start_with(own, store.share(), control.clone()).await;
+        daemon.until_ready().await;
+        sleep(Duration::from_millis(1_200)).await;
+        daemons.push(daemon);
+    }
+    let mut number = 0;
+    let mut served_by_near = async || {
+        let before = near.received().len();
+        for daemon in &daemons {
+            number += 1;
+            let response = daemon.request("/safe/x", &format!("id-{number}"));
+            assert_eq!(response.send().await.unwrap().status(), 200);
+        }
+        near.received().len() - before
+    };
+    assert_eq!(served_by_near().await, 2);
+    store.set_evacuated(&["z0"]);
+    sleep(EVACUATION_BOUND).await;
+    assert_eq!(served_by_near().await, 0);
+    store.set_evacuated(&[]);
+    sleep(EVACUATION_BOUND).await;
+    assert_eq!(served_by_near().await, 2);
+}
--- a/crates/ingress/tests/ingress/store.rs
+++ b/crates/ingress/tests/ingress/store.rs
@@ -10,7 +10,7 @@
 };
 use flaxward_routing::configuration::Configuration;
 use flaxward_routing::lease::{LeaseRecord, StoredLease};
-use flaxward_routing::names::RunnerId;
+use flaxward_routing::names::{RunnerId, Zone};
 use flaxward_routing::runners::Runner;
 use tokio::sync::Notify;
 
@@ -19,6 +19,7 @@
     configuration: Option<Configuration>,
     runners: Vec<Runner>,
     gone: Vec<RunnerId>,
+    evacuated: Vec<Zone>,
     revision: u64,
     lease: Option<StoredLease>,
 }
@@ -70,6 +71,14 @@
         self.changed.notify_waiters();
     }
 
+    pub fn set_evacuated(&self, zones: &[&str]) {
+        let mut contents = self.contents.lock().unwrap();
+        contents.revision += 1;
+        contents.evacuated = zones.iter().map(|zone| Zone::new(zone)).collect();
+        drop(contents);
+        self.changed.notify_waiters();
+    }
+
     /// Makes a change of which watches hear nothing, forgets the history, and cuts the watches. One from
     /// an older revision hears nothing any more.
     pub fn change_and_lose_history(&self, configuration: Configuration) {
@@ -177,6 +186,25 @@
         })
     }
 
+    async fn evacuated_zones(&self) -> Result<Listing<Zone>, StoreError> {
+        self.answer_list().await?;
+        let contents = self.contents.lock().unwrap();
+        Ok(Listing {
+            items: contents.evacuated.clone(),
+            revision: contents.revision,
+        })
+    }
+
+    async fn evacuations_changed(
+        &self,
+        after: u64,
+        wait: Duration,
+    ) -> Result<Option<u64>, StoreError> {
+        self.wait(after, wait).await?;
+        let revision = self.contents.lock().unwrap().revision;
+        Ok((revision > after).then_some(revision))
+    }
+
     async fn lease(&self) -> Result<Option<StoredLease>, StoreError> {
         self.answer().await?;
         Ok(self.contents.lock().unwrap().lease.clone())
--- a/crates/ingress/tests/ingress/support.rs
+++ b/crates/ingress/tests/ingress/support.rs
@@ -347,6 +347,7 @@
         metrics_listen: None,
         strength: MachineStrength::default(),
         news_bound: Duration::from_secs(2),
+        evacuation_bound: None,
         key_trust: KeyTrust::default(),
         stop_grace: Duration::from_secs(4),
         retry_budget: RetryBudgetSettings {
--- a/crates/routing/benches/plan.rs
+++ b/crates/routing/benches/plan.rs
@@ -11,6 +11,7 @@
     ClientLimits, Configuration, Engine, ModelSpecification, Service,
 };
 use flaxward_routing::dissemination::Dissemination;
+use flaxward_routing::evacuation::Evacuations;
 use flaxward_routing::lease::LeasePulse;
 use flaxward_routing::messages::{
     Direction, KnownState, RunningUnit, StoreState, Usage, UsedUnit, WaitingUnit,
@@ -219,6 +220,7 @@
             daemons: 1,
             limits: Vec::new(),
         },
+        evacuations: Evacuations::default(),
         quarantine_digest: 0,
         membership: None,
         members: None,
--- a/crates/routing/src/balance.rs
+++ b/crates/routing/src/balance.rs
@@ -18,6 +18,7 @@
 use flaxward_types::time::Timestamp;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
+use crate::evacuation::Evacuations;
 use crate::health::HealthTable;
 use crate::locality::{Distance, Locality};
 use crate::names::{RunnerId, ServiceName, Unit};
@@ -56,6 +57,8 @@
     pub in_flight: &'a HashMap<RunnerId, u32>,
     /// Requests of all daemons at runners that are crowded, as told a while ago.
     pub loads: &'a HashMap<RunnerId, u32>,
+    /// Zones whose runners get nothing.
+    pub evacuations: &'a Evacuations,
     /// How far zones are.
     pub locality: &'a Locality,
     /// Daemons that share the runners.
@@ -99,6 +102,7 @@
         .runners
         .iter()
         .filter(|runner| runner.service == *wanted.service && !runner.draining)
+        .filter(|runner| !situation.evacuations.includes(runner))
         .collect();
     if all.is_empty() {
         return Err(NoRunner::NoneOfService);
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod configuration_age;
 pub mod configuration_transfer;
 pub mod dissemination;
+pub mod evacuation;
 pub mod events;
 pub mod fingerprint;
 pub mod health;
--- a/crates/routing/src/messages.rs
+++ b/crates/routing/src/messages.rs
@@ -9,6 +9,7 @@
 use thiserror::Error;
 
 use crate::configuration_transfer::ConfigurationChunk;
+use crate::evacuation::Evacuations;
 use crate::lease::LeasePulse;
 use crate::membership::MembershipUpdate;
 use crate::names::{RunnerId, ServiceName, Unit, Zone};
@@ -30,7 +31,7 @@
     /// From a member to the coordinator, at once when a request begins to wait.
     Waiting(WaitNotice),
     /// From the coordinator to a member.
-    Direction(Direction),
+    Direction(Box<Direction>),
     /// From a daemon that coordinates no longer to the standbys.
     LeaseEnded {
         /// The term that has ended.
@@ -76,6 +77,8 @@
     pub state: StoreState,
     /// The last changes of runners, if there were any.
     pub membership: Option<MembershipUpdate>,
+    /// The evacuated zones that it knows.
+    pub evacuations: Evacuations,
     /// Digest of what it holds in quarantine; see [`crate::quarantine::Quarantine::digest`].
     pub quarantine_digest: u64,
 }
@@ -199,6 +202,8 @@
     pub store: StoreState,
     /// What there is to be known of quotas.
     pub quota: QuotaNews,
+    /// The evacuated zones that the coordinator knows.
+    pub evacuations: Evacuations,
     /// Digest of what the coordinator holds in quarantine; see [`crate::quarantine::Quarantine::digest`].
     pub quarantine_digest: u64,
     /// Changes of runners that the receiver does not know, or a part of them.
--- a/crates/routing/tests/balance.rs
+++ b/crates/routing/tests/balance.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use flaxward_routing::balance::{Situation, Wanted, choose, is_worth_telling};
+use flaxward_routing::evacuation::Evacuations;
 use flaxward_routing::health::HealthTable;
 use flaxward_routing::locality::Locality;
 use flaxward_routing::names::{ModelName, RunnerId, ServiceName, Unit, Zone};
@@ -110,6 +111,7 @@
             health: &self.health,
             in_flight: &in_flight,
             loads: &loads,
+            evacuations: &Evacuations::default(),
             locality: &Locality::new(zone(daemon), HashMap::new()),
             daemons: DAEMONS,
             random,
@@ -208,6 +210,7 @@
                 health: &HealthTable::default(),
                 in_flight: &HashMap::new(),
                 loads: &loads,
+                evacuations: &Evacuations::default(),
                 locality: &locality,
                 daemons: DAEMONS,
                 random: seed.wrapping_mul(0x9e37_79b9_7f4a_7c15),
--- a/crates/routing/tests/decisions.rs
+++ b/crates/routing/tests/decisions.rs
@@ -10,6 +10,7 @@
 use flaxward_routing::configuration::{
     ClientLimits, Configuration, Route, RouteKind, WeightedService,
 };
+use flaxward_routing::evacuation::Evacuations;
 use flaxward_routing::events::EventSplitter;
 use flaxward_routing::health::{HealthTable, Observation};
 use flaxward_routing::locality::Locality;
@@ -260,6 +261,7 @@
             health: &self.health,
             in_flight: &self.in_flight,
             loads: &self.loads,
+            evacuations: &Evacuations::default(),
             locality: &Locality::new(zone.clone(), regions()),
             daemons: 1,
             random: 3,
--- a/crates/routing/tests/dissemination.rs
+++ b/crates/routing/tests/dissemination.rs
@@ -8,6 +8,7 @@
     ClientLimits, Configuration, Engine, ModelSpecification, Service,
 };
 use flaxward_routing::dissemination::{Dissemination, Outgoing};
+use flaxward_routing::evacuation::Evacuations;
 use flaxward_routing::lease::LeasePulse;
 use flaxward_routing::messages::{Direction, KnownState, StoreState, Usage};
 use flaxward_routing::names::{ModelName, RunnerId, ServiceName, Zone};
@@ -204,6 +205,7 @@
                 daemons: 1,
                 limits: Vec::new(),
             },
+            evacuations: Evacuations::default(),
             quarantine_digest: 0,
             membership: None,
             members: None,
--- a/crates/settings/src/ingress.rs
+++ b/crates/settings/src/ingress.rs
@@ -99,6 +99,9 @@
     /// without it, such a daemon goes on.
     #[serde(with = "humantime_serde")]
     pub revocation: Option<Duration>,
+    /// Time within which a zone that is evacuated must get no requests; without it, evacuations are not read.
+    #[serde(with = "humantime_serde")]
+    pub evacuation: Option<Duration>,
 }
 
 /// Strictest bound of the users' platform so far.
@@ -110,6 +113,7 @@
             configuration: DEFAULT_NEWS_BOUND,
             draining: DEFAULT_NEWS_BOUND,
             revocation: None,
+            evacuation: None,
         }
     }
 }
@@ -236,6 +240,10 @@
                 "news.revocation",
                 self.news.revocation.unwrap_or(DEFAULT_NEWS_BOUND),
             ),
+            (
+                "news.evacuation",
+                self.news.evacuation.unwrap_or(DEFAULT_NEWS_BOUND),
+            ),
         ];
         for (key, value) in positive {
             if value.is_zero() {
