Placement: runners are only copied while a zone is evacuated

Found on reading the diff: the coordinator copied all runners with their holdings at each change of the list, for an evacuation that is hardly ever there. No change of behaviour.

--- a/crates/ingress/src/coordination/leading.rs
+++ b/crates/ingress/src/coordination/leading.rs
@@ -13,7 +13,7 @@
 use flaxward_routing::strength::MachineStrength;
 use flaxward_types::time::Timestamp;
 
-use crate::state::Shared;
+use crate::state::{Shared, Tables};
 
 /// Time between two plans if nothing has happened.
 const PLAN_INTERVAL: Duration = Duration::from_millis(100);
@@ -134,21 +134,31 @@
         };
         if self.taken != Some(present) {
             self.taken = Some(present);
-            // Nothing is loaded in an evacuated zone, as at a runner that leaves.
-            let placed: Vec<Runner> = tables
-                .runners
-                .iter()
-                .map(|runner| Runner {
-                    draining: runner.draining || tables.evacuations.includes(runner),
-                    ..runner.clone()
-                })
-                .collect();
-            self.placement.set_runners(placed.iter());
+            self.place_at_runners(&tables);
         }
         drop(tables);
         self.placement.plan(now)
     }
 
+    /// Takes in the list of runners. Nothing is loaded in an evacuated zone, as at a runner that leaves.
+    fn place_at_runners(&mut self, tables: &Tables) {
+        let evacuations = &tables.evacuations;
+        if evacuations.zones.is_empty() {
+            // Thousands of runners are not copied without need.
+            self.placement.set_runners(tables.runners.iter());
+            return;
+        }
+        let placed: Vec<Runner> = tables
+            .runners
+            .iter()
+            .map(|runner| Runner {
+                draining: runner.draining || evacuations.includes(runner),
+                ..runner.clone()
+            })
+            .collect();
+        self.placement.set_runners(placed.iter());
+    }
+
     /// A plan that began at a time is carried out; sets when the next one is due.
     pub fn planned(&mut self, begun: Timestamp, now: Timestamp) {
         let pause = now.since(begun) * PLAN_PAUSE_FACTOR;
