A coordinator that is not heard is reached through a third daemon

Cause: while two zones were cut from each other and a third reached both (91 daemons, 3 zones, two such cuts of 8 s), the zone without the coordinator's refused 380 of its 2,674 requests. By its logs, of the refusals between the second cut's begin and end most were for tenants near their limit, "no keeper is heard, and the own share is used up"; others waited for units that nobody loaded.

A member that has heard nothing of its coordinator for 1.1 s sends to it through the coordinator's standbys as well, another one each time until an answer comes back that way. The answers take the same way. What a daemon held before it passed a message on is told with it and makes what the message says older, so that a frozen relay cannot confirm anything anew. Everything that daemons send each other goes this way: usage, directions, questions for quotas, configurations.

--- a/crates/ingress/src/coordination/following.rs
+++ b/crates/ingress/src/coordination/following.rs
@@ -34,6 +34,8 @@
     coordinator: Option<Coordinator>,
     /// Where the members heard the last coordinator.
     members: Vec<SocketAddr>,
+    /// Daemons through which the last coordinator may be reached when it is not heard.
+    relays: Vec<SocketAddr>,
     /// Bounds on loads from the weight store that the last coordinator has found.
     store_limits: Vec<StoreLimit>,
     usage_at: Timestamp,
@@ -49,6 +51,7 @@
             own_address,
             coordinator: None,
             members: Vec::new(),
+            relays: Vec::new(),
             store_limits: Vec::new(),
             usage_at: Timestamp::ZERO,
             message_at: Timestamp::ZERO,
@@ -67,6 +70,11 @@
         &self.members
     }
 
+    /// Daemons through which the coordinator may be reached when it is not heard.
+    pub fn relays(&self) -> &[SocketAddr] {
+        &self.relays
+    }
+
     /// Bounds on loads from the weight store that the last coordinator has found.
     pub fn store_limits(&self) -> &[StoreLimit] {
         &self.store_limits
@@ -205,6 +213,9 @@
         if let Some(members) = direction.members {
             self.members = members;
         }
+        if let Some(relays) = direction.relays {
+            self.relays = relays;
+        }
         if let Some(limits) = direction.store_limits {
             self.store_limits = limits;
         }
--- a/crates/ingress/src/coordination/leading.rs
+++ b/crates/ingress/src/coordination/leading.rs
@@ -231,6 +231,7 @@
         quarantine_digest,
         membership: None,
         members: None,
+        relays: None,
         holdings_after: 0,
         holdings_version: 0,
         holdings: Vec::new(),
--- a/crates/ingress/src/coordination/lease_changes.rs
+++ b/crates/ingress/src/coordination/lease_changes.rs
@@ -87,6 +87,8 @@
     /// Turns to a coordinator, unless a later one is known.
     pub(super) fn follow(&mut self, address: SocketAddr, term: u64) {
         if self.following.follow(address, term) {
+            // It has not been silent: it was not known.
+            self.coordinator_heard_at = self.shared.now();
             self.log_lease("coordinator-known", term);
         }
     }
--- a/crates/ingress/src/coordination/mod.rs
+++ b/crates/ingress/src/coordination/mod.rs
@@ -21,6 +21,7 @@
 use flaxward_routing::lease::{LeaseAnswer, LeaseMachine};
 use flaxward_routing::messages::{Message, StoreNews};
 use flaxward_routing::names::RunnerId;
+use flaxward_routing::next_hop::{self, Received};
 use flaxward_routing::placement::{Order, OrderAnswer};
 use flaxward_routing::quarantine::exchange::QuarantineExchange;
 use flaxward_routing::quota::announcer::Speaker;
@@ -64,6 +65,10 @@
     quarantine: QuarantineExchange,
     configurations: Configurations,
     arrivals: Arrivals,
+    /// When the coordinator was last heard, in whatever way.
+    coordinator_heard_at: Timestamp,
+    /// Through which daemon it is heard, if not directly.
+    coordinator_through: Option<SocketAddr>,
     /// The last version of the holdings that this daemon has told while it coordinated.
     holdings_version: u64,
     /// When the limits of tenants were looked at.
@@ -97,6 +102,8 @@
             quarantine: QuarantineExchange::new(address),
             configurations: Configurations::default(),
             arrivals: Arrivals::new(now),
+            coordinator_heard_at: now,
+            coordinator_through: None,
             holdings_version: 0,
             limits_at: now,
             suspended: Duration::ZERO,
@@ -122,9 +129,9 @@
             let wake_at = self.shared.clock.instant(self.next_wake(now));
             let shared = self.shared.clone();
             tokio::select! {
-                message = self.peers.receive() => {
-                    if let Some(message) = message {
-                        self.received(message);
+                received = self.peers.receive() => {
+                    if let Some(received) = received {
+                        self.take_datagram(received);
                     }
                 }
                 Some(event) = self.queue.recv() => self.happened(event),
@@ -208,10 +215,55 @@
         if self.leading.is_some() {
             self.heard_member(message);
         } else if let Some(coordinator) = self.following.coordinator() {
+            self.seek_way(coordinator, now);
             self.peers.send(coordinator, &message);
         }
     }
 
+    /// Looks for a way to a coordinator that is silent through other daemons.
+    fn seek_way(&mut self, coordinator: SocketAddr, now: Timestamp) {
+        if now.since(self.coordinator_heard_at) < next_hop::SILENCE {
+            return;
+        }
+        let relays = self.following.relays();
+        let relays = if relays.is_empty() {
+            self.lease.recorded_members()
+        } else {
+            relays
+        };
+        self.peers.hops().set_relays(relays);
+        self.peers.hops().seek(coordinator, now);
+    }
+
+    /// Takes in a message for this daemon, or passes one on.
+    fn take_datagram(&mut self, received: Received) {
+        let now = self.shared.now();
+        let came_after = self.arrivals.came_after();
+        match received {
+            Received::PassOn(forwarded) => self.peers.pass_on(forwarded, now.since(came_after)),
+            Received::Arrival(arrival) => {
+                self.note_way(arrival.from, now);
+                self.received(arrival.message, came_after - arrival.held);
+            }
+        }
+    }
+
+    /// Notes that the coordinator is heard, and logs it if it is heard in another way than before.
+    fn note_way(&mut self, from: SocketAddr, now: Timestamp) {
+        if self.following.coordinator() != Some(from) {
+            return;
+        }
+        self.coordinator_heard_at = now;
+        let through = self.peers.hops().found(from, now);
+        if through == self.coordinator_through {
+            return;
+        }
+        self.coordinator_through = through;
+        let way = through.map_or("directly".to_owned(), |through| through.to_string());
+        let fields: &[(&str, &dyn Display)] = &[("coordinator", &from), ("through", &way)];
+        self.shared.log.write(now, "way-to-coordinator", fields);
+    }
+
     /// Tells all daemons which tenants are near their limit, if this daemon is to and it is due.
     fn tell_limits(&mut self, now: Timestamp) {
         if !self.quotas.are_kept() || now.since(self.limits_at) < LIMITS_INTERVAL {
@@ -311,7 +363,8 @@
         metrics::histogram!(PLAN_SECONDS.name).record(ended.since(begun).as_secs_f64());
     }
 
-    fn received(&mut self, message: Message) {
+    /// Takes in a message that was sent no earlier than at a time.
+    fn received(&mut self, message: Message, came_after: Timestamp) {
         match message {
             Message::Direction(direction) => {
                 let direction = *direction;
@@ -328,19 +381,15 @@
                 let version = direction.store.configuration_version;
                 self.configurations
                     .told(&self.shared, direction.address, version);
-                self.following.take_direction(
-                    &self.shared,
-                    direction,
-                    leads,
-                    self.arrivals.came_after(),
-                );
+                self.following
+                    .take_direction(&self.shared, direction, leads, came_after);
             }
             Message::Usage(_) | Message::Waiting(_) => self.heard_member(message),
             Message::LeaseEnded { term } => {
                 self.log_lease("lease-end-heard", term);
                 self.lease.ended(term, self.shared.now());
             }
-            Message::StoreNews(news) => self.heard_store_news(news),
+            Message::StoreNews(news) => self.heard_store_news(news, came_after),
             Message::UseReport(report) => self.quotas.heard_use(report, self.shared.now()),
             Message::QuotaQuestions(questions) => {
                 let now = self.shared.now();
@@ -359,11 +408,13 @@
                 }
             }
             Message::QuarantineNews(news) => self.heard_quarantine(&news),
+            // One for this daemon was unpacked, and nobody passes one on twice.
+            Message::Forwarded(_) => {}
         }
     }
 
     /// Takes in what a standby tells of the store.
-    fn heard_store_news(&mut self, news: StoreNews) {
+    fn heard_store_news(&mut self, news: StoreNews, came_after: Timestamp) {
         if self.leading.is_some() {
             return;
         }
@@ -376,8 +427,7 @@
         self.compare_quarantine(news.from, news.quarantine_digest);
         let version = news.state.configuration_version;
         self.configurations.told(&self.shared, news.from, version);
-        self.shared
-            .hear_store(news.from, &news.state, self.arrivals.came_after());
+        self.shared.hear_store(news.from, &news.state, came_after);
     }
 
     /// Takes in a message of a member, if this daemon coordinates.
--- a/crates/ingress/src/counters.rs
+++ b/crates/ingress/src/counters.rs
@@ -3,7 +3,7 @@
 use flaxward_types::Metric;
 
 /// Metrics of this crate.
-pub const METRICS: [Metric; 24] = [
+pub const METRICS: [Metric; 25] = [
     SERVED,
     REFUSED,
     ATTEMPTS_FAILED,
@@ -15,6 +15,7 @@
     STORE_CALLS_FAILED,
     MESSAGES_NOT_SENT,
     MESSAGES_MALFORMED,
+    MESSAGES_FORWARDED,
     NEWS_WITH_GAPS,
     LINES_LEFT_OUT,
     HEAD_SECONDS,
@@ -85,6 +86,11 @@
     "flaxward_ingress_messages_malformed_total",
     "Messages of other daemons that could not be decoded.",
 );
+/// Messages that were passed on between two daemons that do not reach each other.
+pub const MESSAGES_FORWARDED: Metric = Metric::counter(
+    "flaxward_ingress_messages_forwarded_total",
+    "Messages that were passed on between two daemons that do not reach each other.",
+);
 /// Messages of standbys with changes of runners that follow others which this daemon does not know.
 pub const NEWS_WITH_GAPS: Metric = Metric::counter(
     "flaxward_ingress_news_with_gaps_total",
--- a/crates/ingress/src/daemon.rs
+++ b/crates/ingress/src/daemon.rs
@@ -60,8 +60,6 @@
         let clients = listen(settings.listen).await?;
         let readiness = listen(settings.ready_listen).await?;
         let (address, ready_address) = (clients.local_addr()?, readiness.local_addr()?);
-        let peers = PeerSocket::bind(settings.peer_listen).await?;
-        let peer_address = peers.address()?;
         let metrics = match settings.metrics_listen {
             Some(address) => Some(listen(address).await?),
             None => None,
@@ -77,6 +75,8 @@
         );
         let store = Arc::new(CountedStore::new(store));
         let shared = Arc::new(Shared::new(settings, surface, store, control));
+        let peers = PeerSocket::bind(shared.settings.peer_listen, shared.clock.clone()).await?;
+        let peer_address = peers.address()?;
         let tracker = TaskTracker::new();
         let closing = CancellationToken::new();
         let client_server =
--- a/crates/ingress/src/peer.rs
+++ b/crates/ingress/src/peer.rs
@@ -3,22 +3,27 @@
 use std::io::ErrorKind;
 use std::mem::MaybeUninit;
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use anyhow::Context;
+use flaxward_clock::Clock;
 use flaxward_routing::messages::Message;
+use flaxward_routing::next_hop::{Forwarded, NextHops, Received};
 use socket2::SockRef;
 use tokio::net::UdpSocket;
 
-use crate::counters::{MESSAGES_MALFORMED, MESSAGES_NOT_SENT};
+use crate::counters::{MESSAGES_FORWARDED, MESSAGES_MALFORMED, MESSAGES_NOT_SENT};
 
 /// Longest datagram that is read, in bytes.
 const MAX_DATAGRAM_BYTES: usize = 64 * 1024;
 
-/// Sends and receives messages by UDP. A message may be lost.
+/// Sends and receives messages by UDP, to daemons that are not reached directly through others. A message may be lost.
 #[derive(Debug)]
 pub(crate) struct PeerSocket {
     socket: UdpSocket,
     buffer: Vec<u8>,
+    clock: Clock,
+    hops: NextHops,
 }
 
 impl PeerSocket {
@@ -26,13 +31,16 @@
     ///
     /// # Errors
     /// Fails if the address cannot be listened at.
-    pub(crate) async fn bind(address: SocketAddr) -> anyhow::Result<Self> {
+    pub(crate) async fn bind(address: SocketAddr, clock: Clock) -> anyhow::Result<Self> {
         let socket = UdpSocket::bind(address)
             .await
             .with_context(|| format!("cannot listen for daemons at {address}"))?;
+        let own = socket.local_addr()?;
         Ok(Self {
             socket,
             buffer: vec![0; MAX_DATAGRAM_BYTES],
+            clock,
+            hops: NextHops::new(own),
         })
     }
 
@@ -44,9 +52,27 @@
         Ok(self.socket.local_addr()?)
     }
 
+    /// The ways to daemons that are not reached directly.
+    pub(crate) fn hops(&mut self) -> &mut NextHops {
+        &mut self.hops
+    }
+
     /// Sends a message, without waiting.
     pub(crate) fn send(&self, to: SocketAddr, message: &Message) {
-        if self.socket.try_send_to(&message.encode(), to).is_err() {
+        for (address, datagram) in self.hops.datagrams(to, message, self.clock.now()) {
+            self.send_datagram(address, &datagram);
+        }
+    }
+
+    /// Passes a message on that may have lain here for a time.
+    pub(crate) fn pass_on(&self, forwarded: Forwarded, held: Duration) {
+        metrics::counter!(MESSAGES_FORWARDED.name).increment(1);
+        let (address, datagram) = forwarded.pass_on(held);
+        self.send_datagram(address, &datagram);
+    }
+
+    fn send_datagram(&self, to: SocketAddr, datagram: &[u8]) {
+        if self.socket.try_send_to(datagram, to).is_err() {
             metrics::counter!(MESSAGES_NOT_SENT.name).increment(1);
         }
     }
@@ -60,12 +86,13 @@
     }
 
     /// The next message; `None` if something else came.
-    pub(crate) async fn receive(&mut self) -> Option<Message> {
-        let (length, _) = self.socket.recv_from(&mut self.buffer).await.ok()?;
-        let message = Message::decode(&self.buffer[..length]);
-        if message.is_err() {
+    pub(crate) async fn receive(&mut self) -> Option<Received> {
+        let (length, source) = self.socket.recv_from(&mut self.buffer).await.ok()?;
+        let now = self.clock.now();
+        let received = self.hops.received(source, &self.buffer[..length], now);
+        if received.is_err() {
             metrics::counter!(MESSAGES_MALFORMED.name).increment(1);
         }
-        message.ok()
+        received.ok()
     }
 }
--- a/crates/routing/benches/plan.rs
+++ b/crates/routing/benches/plan.rs
@@ -224,6 +224,7 @@
         quarantine_digest: 0,
         membership: None,
         members: None,
+        relays: None,
         holdings_after: 0,
         holdings_version: 0,
         holdings: Vec::new(),
--- a/crates/routing/src/dissemination.rs
+++ b/crates/routing/src/dissemination.rs
@@ -27,6 +27,9 @@
 const LOADS_INTERVAL: Duration = Duration::from_millis(200);
 /// Time between two messages to a member that hold the addresses of all members.
 const MEMBERS_INTERVAL: Duration = Duration::from_secs(1);
+/// Time between two messages to a member that name the daemons through which it can send when it does not hear the
+/// coordinator: five addresses, so that the time may be long, and shorter than any cut is likely to follow a change.
+const RELAYS_INTERVAL: Duration = Duration::from_secs(4);
 /// Time between two looks at which members stand by.
 const STANDBYS_INTERVAL: Duration = Duration::from_millis(500);
 /// Time after which a member that still knows less than it was told has lost a message.
@@ -60,6 +63,7 @@
     news_at: Timestamp,
     loads_at: Timestamp,
     members_at: Timestamp,
+    relays_at: Option<Timestamp>,
 }
 
 impl Progress {
@@ -194,7 +198,8 @@
         let count = u32::try_from(members.len()).unwrap_or(u32::MAX);
         let news_interval = NEWS_INTERVAL_A_MEMBER * count;
         let addresses = members.iter().map(|(_, address)| *address).collect();
-        let mut round = Round::new(placement, runners, addresses, now);
+        let relays = self.standby_addresses(placement, now);
+        let mut round = Round::new(placement, runners, addresses, relays, now);
         // If the link has no room for all, nobody is left out for long.
         members.sort_by_key(|(name, _)| self.progress.get(name).map(|it| it.told_at));
         let mut messages = Vec::new();
@@ -256,6 +261,11 @@
                 progress.members_at = now;
                 first.members = Some(round.addresses.clone());
             }
+            let is_relays_due = |at: Timestamp| now.since(at) >= RELAYS_INTERVAL;
+            if progress.relays_at.is_none_or(is_relays_due) {
+                progress.relays_at = Some(now);
+                first.relays = Some(round.relays.clone());
+            }
             if now.since(progress.loads_at) >= LOADS_INTERVAL {
                 progress.loads_at = now;
                 first.loads = Some(round.loads());
@@ -279,6 +289,7 @@
     placement: &'a Placement,
     runners: &'a RunnerTable,
     addresses: Vec<SocketAddr>,
+    relays: Vec<SocketAddr>,
     now: Timestamp,
     loads: Option<Vec<RunnerLoad>>,
     digest: u64,
@@ -291,12 +302,14 @@
         placement: &'a Placement,
         runners: &'a RunnerTable,
         addresses: Vec<SocketAddr>,
+        relays: Vec<SocketAddr>,
         now: Timestamp,
     ) -> Self {
         Self {
             placement,
             runners,
             addresses,
+            relays,
             now,
             loads: None,
             digest: runners.digest(),
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -24,6 +24,7 @@
 pub mod membership;
 pub mod messages;
 pub mod names;
+pub mod next_hop;
 pub mod pacing;
 pub mod placement;
 pub mod quarantine;
--- a/crates/routing/src/messages.rs
+++ b/crates/routing/src/messages.rs
@@ -13,6 +13,7 @@
 use crate::lease::LeasePulse;
 use crate::membership::MembershipUpdate;
 use crate::names::{RunnerId, ServiceName, Unit, Zone};
+use crate::next_hop::Forwarded;
 use crate::quarantine::RunReport;
 use crate::quarantine::exchange::QuarantineNews;
 use crate::quota::{QuotaAnswers, QuotaNews, QuotaQuestions, UseReport};
@@ -55,6 +56,8 @@
     RunReports(Vec<RunReport>),
     /// From any daemon to one that holds other requests in quarantine, or from a keeper to all daemons.
     QuarantineNews(QuarantineNews),
+    /// From any daemon to one that passes it on, or from that one to the daemon for which it is meant.
+    Forwarded(Forwarded),
 }
 
 /// A request for a newer configuration.
@@ -211,6 +214,8 @@
     /// Where the members hear a new coordinator, if the receiver stands by and knows another number of them.
     /// So a successor reaches also those that cannot read the lease.
     pub members: Option<Vec<SocketAddr>>,
+    /// Daemons through which members can send to the coordinator when they do not hear it, if they are told again.
+    pub relays: Option<Vec<SocketAddr>>,
     /// The holdings below follow this version.
     pub holdings_after: u64,
     /// Version that a member has which knew `holdings_after` and takes in the holdings below.
--- a/crates/routing/tests/dissemination.rs
+++ b/crates/routing/tests/dissemination.rs
@@ -209,6 +209,7 @@
             quarantine_digest: 0,
             membership: None,
             members: None,
+            relays: None,
             holdings_after: 0,
             holdings_version: 0,
             holdings: Vec::new(),
