Requests of routes and tenants with homes are served within them

Cause: `home_regions` of routes and tenants were not read, so that such a request went to any runner.

Change: `Homes` (any region, or a set; the intersection where route and tenant both name some) are kept in `Route` and `Tenant` and in each request as of the version that it came under. `balance::choose` takes runners within them alone: first tries, repeats, the look ahead that sets the patience, continued streams. A request that waits sees only copies within them. A zone whose region nobody has told is no home. Refused at once with 2013 (503, not run): no region in common, or no runner of the service that takes work in one. A split gives requests with homes the parts that are there, and leaves the shares of the others as they are.

`Locality::new` takes `Regions`; the tests that made it from strings follow.

--- a/crates/flaxward/src/ingress.rs
+++ b/crates/flaxward/src/ingress.rs
@@ -1,7 +1,6 @@
 //! `flaxward serve` with a section `[ingress]`: a daemon whose callers come by routes, on the users'
 //! platform.
 
-use std::collections::HashMap;
 use std::path::Path;
 use std::process::ExitCode;
 use std::sync::Arc;
@@ -14,7 +13,8 @@
 use flaxward_platform::{PlatformControl, PlatformStore, PlatformSurface};
 use flaxward_routing::budget::RetryBudgetSettings;
 use flaxward_routing::lease::LeaseSettings;
-use flaxward_routing::names::Zone;
+use flaxward_routing::locality::Regions;
+use flaxward_routing::names::{Region, Zone};
 use flaxward_routing::placement::PlacementSettings;
 use flaxward_routing::quarantine::QuarantineSettings;
 use flaxward_routing::strength::MachineStrength;
@@ -122,10 +122,10 @@
 }
 
 /// The region of each zone.
-fn regions(file: &IngressFile) -> HashMap<Zone, String> {
+fn regions(file: &IngressFile) -> Regions {
     let regions = file.regions.iter();
     regions
-        .map(|(zone, region)| (Zone::new(zone), region.clone()))
+        .map(|(zone, region)| (Zone::new(zone), Region::new(region)))
         .collect()
 }
 
--- a/crates/ingress/src/exchange.rs
+++ b/crates/ingress/src/exchange.rs
@@ -8,6 +8,7 @@
 use flaxward_routing::configuration::RouteKind;
 use flaxward_routing::fingerprint::{RequestContent, RequestFingerprint};
 use flaxward_routing::health::Observation;
+use flaxward_routing::homes::Homes;
 use flaxward_routing::names::Unit;
 use flaxward_routing::request::RequestProfile;
 use flaxward_routing::runners::Runner;
@@ -37,6 +38,8 @@
     pub profile: RequestProfile,
     pub kind: RouteKind,
     pub priority: u8,
+    /// Where it may be served, by the configuration under which it came.
+    pub homes: Homes,
     pub tenant: Option<Arc<Tenant>>,
     pub unit: Option<Unit>,
     pub deadline: Instant,
--- a/crates/ingress/src/handler.rs
+++ b/crates/ingress/src/handler.rs
@@ -7,6 +7,7 @@
 
 use bytes::Bytes;
 use flaxward_routing::configuration::{Configuration, Route};
+use flaxward_routing::homes::Homes;
 use flaxward_routing::tenants::Tenant;
 use flaxward_types::ResultCode;
 use flaxward_types::refusal::Refusal;
@@ -30,6 +31,9 @@
 /// When to come back, to another daemon, if this one stops.
 const RETRY_STOPPING: Duration = Duration::from_millis(20);
 
+/// When to come back if only another configuration helps: the time in which one is in force everywhere at the target size.
+const RETRY_NO_COMMON_HOME: Duration = Duration::from_secs(10);
+
 /// Counts a request as in progress for as long as it lives, its answer included.
 struct InProgress(Arc<Shared>);
 
@@ -109,6 +113,10 @@
         return Err(early(ResultCode::UnknownPath, &id, &reason));
     };
     let tenant = access::tenant(shared, &configuration, &route, &id, request.headers())?;
+    let homes = homes(&route, tenant.as_deref());
+    if homes.are_nowhere() {
+        return Err(nowhere_at_home(&id, &route, tenant.as_deref()));
+    }
     let allowed = profile
         .deadline
         .map_or(route.timeout, |deadline| deadline.min(route.timeout));
@@ -117,7 +125,7 @@
     let body = read_body(body, &configuration, deadline)
         .await
         .map_err(|code| early(code, &id, "the body was not read"))?;
-    let Some(service) = shared.choose_service(&route) else {
+    let Some(service) = shared.choose_service(&route, &homes) else {
         return Err(early(
             ResultCode::NoServiceMachine,
             &id,
@@ -141,6 +149,7 @@
         profile,
         kind: route.kind,
         priority: priority(&route, tenant.as_deref()),
+        homes,
         tenant,
         unit,
         deadline,
@@ -162,6 +171,25 @@
     of_tenant.unwrap_or(route.priority)
 }
 
+/// Where a request may be served: where both its route and its tenant allow it.
+fn homes(route: &Route, tenant: Option<&Tenant>) -> Homes {
+    match tenant {
+        Some(tenant) => route.homes.and(&tenant.homes),
+        None => route.homes.clone(),
+    }
+}
+
+/// The refusal of a request that may be served in no region at all.
+fn nowhere_at_home(id: &str, route: &Route, tenant: Option<&Tenant>) -> Refused {
+    let of_tenant = tenant.map_or(&Homes::Anywhere, |tenant| &tenant.homes);
+    let reason = format!(
+        "the homes of the route, {}, and of the tenant, {of_tenant}, have no region in common",
+        route.homes
+    );
+    let refusal = Refusal::new(ResultCode::NoHomeRunner).with_retry_after(RETRY_NO_COMMON_HOME);
+    Refused::unsent(id, route.name.as_str(), refusal, reason)
+}
+
 /// The host that the client named.
 fn host(headers: &HeaderMap, authority: Option<&http::uri::Authority>) -> String {
     let named = headers.get(HOST).and_then(|value| value.to_str().ok());
--- a/crates/ingress/src/job.rs
+++ b/crates/ingress/src/job.rs
@@ -43,6 +43,8 @@
 const FULL_PAUSE_GROWTH: u32 = 4;
 /// Shortest time left with which a request is sent to a runner.
 const LEAST_TIME: Duration = Duration::from_millis(5);
+/// When to come back if no runner in the homes of a request takes work: one that is replaced is back after some seconds.
+const RETRY_NO_HOME_RUNNER: Duration = Duration::from_secs(3);
 
 /// A request that is being sent to runners.
 pub(crate) struct Job {
@@ -134,6 +136,7 @@
                     continue;
                 }
                 Err(NoRunner::AllTried) => return self.give_up("no further runner"),
+                Err(NoRunner::NoneAtHome) => return self.none_at_home(),
                 Err(NoRunner::NoneOfService) => return self.give_up("no runner of the service"),
             };
             let is_repeat = self.attempts.sent > 0;
@@ -177,6 +180,7 @@
             service: &self.service,
             unit: self.request.unit.as_ref(),
             affinity: has_parts.then(|| self.request.profile.affinity()),
+            homes: &self.request.homes,
             tried,
         };
         self.shared.choose(&wanted)
@@ -379,6 +383,19 @@
         Err(self.refused(refusal, REASON))
     }
 
+    /// The final answer when no runner that takes work is within the homes of the request.
+    fn none_at_home(&mut self) -> Result<Response<AnswerBody>, Refused> {
+        let reason = format!(
+            "no runner of {} takes work in the homes {}",
+            self.service, self.request.homes
+        );
+        if !self.attempts.surely_not_run() {
+            return self.give_up(&reason);
+        }
+        let refusal = Refusal::new(ResultCode::NoHomeRunner).with_retry_after(RETRY_NO_HOME_RUNNER);
+        Err(self.refused(refusal, &reason))
+    }
+
     /// The final answer when no further attempt is made.
     fn give_up(&mut self, reason: &str) -> Result<Response<AnswerBody>, Refused> {
         if let Some(response) = self.held_answer.take() {
--- a/crates/ingress/src/relay.rs
+++ b/crates/ingress/src/relay.rs
@@ -178,6 +178,7 @@
             service: &self.service,
             unit: self.request.unit.as_ref(),
             affinity: Some(self.request.profile.affinity()),
+            homes: &self.request.homes,
             tried: &tried,
         };
         self.shared.choose(&wanted)
--- a/crates/ingress/src/settings.rs
+++ b/crates/ingress/src/settings.rs
@@ -1,6 +1,5 @@
 //! Settings of the ingress, as the daemon's settings file gives them.
 
-use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -8,6 +7,7 @@
 use flaxward_clock::TimeSource;
 use flaxward_routing::budget::RetryBudgetSettings;
 use flaxward_routing::lease::LeaseSettings;
+use flaxward_routing::locality::Regions;
 use flaxward_routing::names::Zone;
 use flaxward_routing::placement::PlacementSettings;
 use flaxward_routing::quarantine::QuarantineSettings;
@@ -31,8 +31,8 @@
     pub time: Arc<dyn TimeSource>,
     /// Its zone.
     pub zone: Zone,
-    /// The region of each zone; those that are not told count as near.
-    pub regions: HashMap<Zone, String>,
+    /// The region of each zone; those that are not told count as near, and as nobody's home.
+    pub regions: Regions,
     /// Where clients reach it.
     pub listen: SocketAddr,
     /// Where it is asked whether it is ready.
--- a/crates/ingress/src/state.rs
+++ b/crates/ingress/src/state.rs
@@ -12,6 +12,7 @@
 use flaxward_routing::configuration_age::ConfigurationAge;
 use flaxward_routing::evacuation::Evacuations;
 use flaxward_routing::health::{HealthTable, Observation};
+use flaxward_routing::homes::Homes;
 use flaxward_routing::locality::Locality;
 use flaxward_routing::messages::UnitOutlook;
 use flaxward_routing::names::{RunnerId, ServiceName, Unit};
@@ -258,10 +259,26 @@
         tables.runners_known.then(|| tables.runners.revision())
     }
 
-    /// The service for a request of a route.
-    pub(crate) fn choose_service(&self, route: &Route) -> Option<ServiceName> {
+    /// The service for a request of a route that may be served within some homes.
+    pub(crate) fn choose_service(&self, route: &Route, homes: &Homes) -> Option<ServiceName> {
         let seed = self.seed;
-        self.tables().splits.choose(route, seed)
+        let mut tables = self.tables();
+        let Tables {
+            splits,
+            runners,
+            evacuations,
+            ..
+        } = &mut *tables;
+        let is_at_home = |service: &ServiceName| {
+            let mut runners = runners.of_service(service);
+            runners.any(|it| !evacuations.includes(it) && self.is_at_home(it, homes))
+        };
+        splits.choose(route, homes, is_at_home, seed)
+    }
+
+    /// Whether requests with some homes may be served at a runner.
+    pub(crate) fn is_at_home(&self, runner: &Runner, homes: &Homes) -> bool {
+        self.locality.regions().allow(homes, &runner.zone)
     }
 
     /// The runner for a request.
--- a/crates/ingress/src/waiting.rs
+++ b/crates/ingress/src/waiting.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use flaxward_routing::configuration::Route;
+use flaxward_routing::homes::Homes;
 use flaxward_routing::names::Unit;
 use flaxward_types::ResultCode;
 use flaxward_types::refusal::Refusal;
@@ -94,7 +95,7 @@
         let changed = shared.changed.notified();
         tokio::pin!(changed);
         changed.as_mut().enable();
-        if is_held(shared, unit) {
+        if is_held(shared, unit, &request.homes) {
             let waited = begun.elapsed().as_millis();
             let fields: &[(&str, &dyn std::fmt::Display)] = &[
                 ("request", &request.profile.id),
@@ -157,11 +158,14 @@
     patience.min(stop_end) - LEAST_RUN
 }
 
-fn is_held(shared: &Shared, unit: &Unit) -> bool {
+/// Whether a runner at which the request may be served holds the unit.
+fn is_held(shared: &Shared, unit: &Unit, homes: &Homes) -> bool {
     let now = shared.now();
     let tables = shared.tables();
     tables.runners.of_service(&unit.service).any(|runner| {
-        !tables.evacuations.includes(runner) && tables.runners.holds(runner, unit, now)
+        !tables.evacuations.includes(runner)
+            && shared.is_at_home(runner, homes)
+            && tables.runners.holds(runner, unit, now)
     })
 }
 
--- a/crates/ingress/tests/ingress/support.rs
+++ b/crates/ingress/tests/ingress/support.rs
@@ -1,6 +1,6 @@
 //! An ingress with one route of each kind, and a surface of the tests' own.
 
-use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
@@ -18,7 +18,9 @@
     ClientLimits, Configuration, Engine, ModelSpecification, Route, RouteKind, Service,
     WeightedService,
 };
+use flaxward_routing::homes::Homes;
 use flaxward_routing::lease::LeaseSettings;
+use flaxward_routing::locality::Regions;
 use flaxward_routing::names::{ModelName, RouteName, RunnerId, ServiceName, TenantName, Zone};
 use flaxward_routing::placement::{OrderAnswer, PlacementSettings, RunnerReport};
 use flaxward_routing::quarantine::QuarantineSettings;
@@ -165,6 +167,7 @@
         max_attempts: 2,
         is_generation: false,
         is_public: false,
+        homes: Homes::Anywhere,
     }
 }
 
@@ -215,6 +218,7 @@
             name: TenantName::new(name),
             priority: None,
             quota,
+            homes: Homes::Anywhere,
         }),
         keys: keys
             .iter()
@@ -340,7 +344,7 @@
         name: name.to_owned(),
         time: Arc::new(SystemTime),
         zone: Zone::new("z0"),
-        regions: HashMap::new(),
+        regions: Regions::default(),
         listen: any,
         ready_listen: any,
         peer_listen: any,
--- a/crates/routing/src/balance.rs
+++ b/crates/routing/src/balance.rs
@@ -1,5 +1,6 @@
 //! Chooses the runner for a request.
 //!
+//! Runners outside the homes of a request are none for it.
 //! Runners that are well come first, and among them those in the daemon's own zone until they are half full; those of
 //! other regions come last.
 //! Among equals, a request with shared prompt parts goes to the runner that all daemons agree on for these parts
@@ -20,6 +21,7 @@
 
 use crate::evacuation::Evacuations;
 use crate::health::HealthTable;
+use crate::homes::Homes;
 use crate::locality::{Distance, Locality};
 use crate::names::{RunnerId, ServiceName, Unit};
 use crate::runners::{Runner, RunnerTable};
@@ -78,6 +80,8 @@
     pub unit: Option<&'a Unit>,
     /// Hash of the shared prompt parts, if there are any.
     pub affinity: Option<u64>,
+    /// Where it may be served.
+    pub homes: &'a Homes,
     /// Runners that this request has been to.
     pub tried: &'a [RunnerId],
 }
@@ -87,6 +91,8 @@
 pub enum NoRunner {
     /// No runner of the service is known that takes work.
     NoneOfService,
+    /// Runners take work, and none of them is within the homes of the request.
+    NoneAtHome,
     /// Runners are there, and none holds the unit.
     NotLoaded,
     /// All that could serve were tried.
@@ -107,7 +113,15 @@
     if all.is_empty() {
         return Err(NoRunner::NoneOfService);
     }
-    let able: Vec<&Runner> = all
+    let regions = situation.locality.regions();
+    let at_home: Vec<&Runner> = all
+        .into_iter()
+        .filter(|runner| regions.allow(wanted.homes, &runner.zone))
+        .collect();
+    if at_home.is_empty() {
+        return Err(NoRunner::NoneAtHome);
+    }
+    let able: Vec<&Runner> = at_home
         .into_iter()
         .filter(|runner| is_able(situation, wanted, runner))
         .collect();
--- a/crates/routing/src/configuration.rs
+++ b/crates/routing/src/configuration.rs
@@ -6,6 +6,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::homes::Homes;
 use crate::names::{ModelName, RouteName, ServiceName};
 use crate::tenants::Tenants;
 
@@ -75,6 +76,8 @@
     pub is_generation: bool,
     /// Requests need no key.
     pub is_public: bool,
+    /// Where requests may be served.
+    pub homes: Homes,
 }
 
 /// Shortest time after which callers may give up a stream that sends nothing.
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod events;
 pub mod fingerprint;
 pub mod health;
+pub mod homes;
 pub mod lease;
 pub mod locality;
 pub mod membership;
@@ -37,6 +38,7 @@
 pub mod tenants;
 
 pub use configuration::{Configuration, Route, RouteKind, Service};
+pub use homes::{Homes, Requirement};
 pub use names::{AdapterName, ModelName, RouteName, RunnerId, ServiceName, TenantName, Unit, Zone};
 pub use request::RequestProfile;
 pub use runners::{Runner, RunnerTable};
--- a/crates/routing/src/locality.rs
+++ b/crates/routing/src/locality.rs
@@ -1,8 +1,40 @@
-//! How far runners are from a daemon.
+//! In which regions zones lie, and how far runners are from a daemon.
 
 use std::collections::HashMap;
 
-use crate::names::Zone;
+use crate::homes::Homes;
+use crate::names::{Region, Zone};
+
+/// The regions of the zones, as the operators have told them.
+#[derive(Clone, Debug, Default)]
+pub struct Regions(HashMap<Zone, Region>);
+
+impl FromIterator<(Zone, Region)> for Regions {
+    fn from_iter<Pairs: IntoIterator<Item = (Zone, Region)>>(pairs: Pairs) -> Self {
+        Self(pairs.into_iter().collect())
+    }
+}
+
+impl Regions {
+    /// The region of a zone, if it was told.
+    pub fn of(&self, zone: &Zone) -> Option<&Region> {
+        self.0.get(zone)
+    }
+
+    /// Whether requests with some homes may be served in a zone.
+    pub fn allow(&self, homes: &Homes, zone: &Zone) -> bool {
+        match homes {
+            Homes::Anywhere => true,
+            Homes::Only(_) => homes.allows(self.of(zone)),
+        }
+    }
+
+    /// Whether two zones are known to lie in different regions.
+    pub fn part(&self, one: &Zone, other: &Zone) -> bool {
+        let regions = self.of(one).zip(self.of(other));
+        regions.is_some_and(|(one, other)| one != other)
+    }
+}
 
 /// How far a zone is.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -19,23 +51,28 @@
 #[derive(Clone, Debug)]
 pub struct Locality {
     zone: Zone,
-    regions: HashMap<Zone, String>,
+    regions: Regions,
 }
 
 impl Locality {
-    /// A daemon in a zone; `regions` tells the region of each zone.
-    pub fn new(zone: Zone, regions: HashMap<Zone, String>) -> Self {
+    /// A daemon in a zone.
+    pub fn new(zone: Zone, regions: Regions) -> Self {
         Self { zone, regions }
     }
 
+    /// The regions of the zones.
+    pub fn regions(&self) -> &Regions {
+        &self.regions
+    }
+
     /// How far a zone is.
     pub fn distance(&self, zone: &Zone) -> Distance {
         if *zone == self.zone {
-            return Distance::Zone;
-        }
-        match (self.regions.get(&self.zone), self.regions.get(zone)) {
-            (Some(own), Some(other)) if own != other => Distance::Abroad,
-            _ => Distance::Region,
+            Distance::Zone
+        } else if self.regions.part(&self.zone, zone) {
+            Distance::Abroad
+        } else {
+            Distance::Region
         }
     }
 }
--- a/crates/routing/src/names.rs
+++ b/crates/routing/src/names.rs
@@ -1,4 +1,4 @@
-//! Names of routes, services, models, adapters, zones and runners.
+//! Names of routes, services, models, adapters, zones, regions and runners.
 
 use std::borrow::Borrow;
 use std::fmt;
@@ -68,6 +68,10 @@
     /// Name of a zone.
     Zone
 }
+name! {
+    /// Name of a region: zones that are near each other.
+    Region
+}
 name! {
     /// Identity of one start of a runner; never used again.
     RunnerId
--- a/crates/routing/src/tenants.rs
+++ b/crates/routing/src/tenants.rs
@@ -11,6 +11,7 @@
 use sha2::{Digest, Sha256};
 use thiserror::Error;
 
+use crate::homes::Homes;
 use crate::names::TenantName;
 
 /// Length of a digest of a key, in bytes.
@@ -88,6 +89,8 @@
     pub priority: Option<u8>,
     /// How much it may use; `None` bounds nothing.
     pub quota: Option<Quota>,
+    /// Where its requests may be served; the homes of their routes bind as well.
+    pub homes: Homes,
 }
 
 /// A tenant with its keys.
--- a/crates/routing/tests/balance.rs
+++ b/crates/routing/tests/balance.rs
@@ -7,8 +7,9 @@
 use flaxward_routing::balance::{Situation, Wanted, choose, is_worth_telling};
 use flaxward_routing::evacuation::Evacuations;
 use flaxward_routing::health::HealthTable;
-use flaxward_routing::locality::Locality;
-use flaxward_routing::names::{ModelName, RunnerId, ServiceName, Unit, Zone};
+use flaxward_routing::homes::Homes;
+use flaxward_routing::locality::{Locality, Regions};
+use flaxward_routing::names::{ModelName, Region, RunnerId, ServiceName, Unit, Zone};
 use flaxward_routing::runners::{Runner, RunnerTable};
 use flaxward_types::time::Timestamp;
 use proptest::prelude::*;
@@ -112,7 +113,7 @@
             in_flight: &in_flight,
             loads: &loads,
             evacuations: &Evacuations::default(),
-            locality: &Locality::new(zone(daemon), HashMap::new()),
+            locality: &Locality::new(zone(daemon), Regions::default()),
             daemons: DAEMONS,
             random,
             now,
@@ -121,6 +122,7 @@
             service: &service,
             unit: Some(&unit),
             affinity: Some(prompt),
+            homes: &Homes::Anywhere,
             tried: &[],
         };
         let runner = choose(&situation, &wanted).unwrap().id.clone();
@@ -197,8 +199,8 @@
 #[test]
 fn requests_go_abroad_when_the_near_runners_have_no_room() {
     let regions = [("z0", "west"), ("z1", "west"), ("z2", "east")];
-    let regions = regions.map(|(zone, region)| (Zone::new(zone), region.to_owned()));
-    let locality = Locality::new(zone(0), HashMap::from(regions));
+    let regions = regions.map(|(zone, region)| (Zone::new(zone), Region::new(region)));
+    let locality = Locality::new(zone(0), Regions::from_iter(regions));
     let mut table = RunnerTable::default();
     table.replace((0..3).map(|index| runner(index, zone(index))).collect(), 1);
     let abroad = |near_load: u32| {
@@ -221,6 +223,7 @@
                 service: &service,
                 unit: Some(&unit),
                 affinity: None,
+                homes: &Homes::Anywhere,
                 tried: &[],
             };
             choose(&situation, &wanted).unwrap().id.as_str() == "r2"
--- a/crates/routing/tests/configuration_transfer.rs
+++ b/crates/routing/tests/configuration_transfer.rs
@@ -11,7 +11,8 @@
 use flaxward_routing::configuration_transfer::{
     Assembly, ConfigurationChunk, EncodedConfiguration,
 };
-use flaxward_routing::names::{ModelName, RouteName, ServiceName, TenantName};
+use flaxward_routing::homes::Homes;
+use flaxward_routing::names::{ModelName, Region, RouteName, ServiceName, TenantName};
 use flaxward_routing::tenants::{KeyDigest, Tenant, TenantKeys, Tenants};
 use proptest::prelude::*;
 
@@ -32,6 +33,7 @@
         event_gap: Duration::from_millis(300),
         is_generation: true,
         is_public: index == 0,
+        homes: Homes::Anywhere,
     }
 }
 
@@ -65,6 +67,7 @@
             name: TenantName::new("a"),
             priority: Some(1),
             quota: None,
+            homes: Homes::named([Region::new("west")]),
         }),
         keys: keys
             .iter()
--- a/crates/routing/tests/decisions.rs
+++ b/crates/routing/tests/decisions.rs
@@ -13,9 +13,10 @@
 use flaxward_routing::evacuation::Evacuations;
 use flaxward_routing::events::EventSplitter;
 use flaxward_routing::health::{HealthTable, Observation};
-use flaxward_routing::locality::Locality;
+use flaxward_routing::homes::Homes;
+use flaxward_routing::locality::{Locality, Regions};
 use flaxward_routing::messages::{KnownState, Message, Usage, WaitingUnit};
-use flaxward_routing::names::{ModelName, RouteName, RunnerId, ServiceName, Unit, Zone};
+use flaxward_routing::names::{ModelName, Region, RouteName, RunnerId, ServiceName, Unit, Zone};
 use flaxward_routing::runners::{Runner, RunnerHoldings, RunnerTable};
 use flaxward_routing::split::SplitChooser;
 use flaxward_routing::strength::MachineStrength;
@@ -52,6 +53,7 @@
         max_attempts: 2,
         is_generation: false,
         is_public: false,
+        homes: Homes::Anywhere,
     }
 }
 
@@ -112,7 +114,7 @@
         let mut chooser = SplitChooser::default();
         let mut counts: HashMap<ServiceName, u32> = HashMap::new();
         for _ in 0..200 {
-            let service = chooser.choose(&route, seed).unwrap();
+            let service = chooser.choose(&route, &Homes::Anywhere, |_| true, seed).unwrap();
             *counts.entry(service).or_default() += 1;
         }
         for part in &route.services {
@@ -228,10 +230,10 @@
 }
 
 /// The zones of one region, and one of another.
-fn regions() -> HashMap<Zone, String> {
+fn regions() -> Regions {
     let regions = [("z1", "west"), ("z2", "west"), ("abroad", "east")];
-    let regions = regions.map(|(zone, region)| (Zone::new(zone), region.to_owned()));
-    HashMap::from(regions)
+    let regions = regions.map(|(zone, region)| (Zone::new(zone), Region::new(region)));
+    Regions::from_iter(regions)
 }
 
 struct Choice {
@@ -271,6 +273,7 @@
             service: &service,
             unit,
             affinity: Some(7),
+            homes: &Homes::Anywhere,
             tried,
         };
         choose(&situation, &wanted).map(|runner| runner.id.to_string())
--- /dev/null
+++ b/crates/routing/tests/homes.rs
@@ -0,0 +1,288 @@
+//! Where requests with home regions are served.
+
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use flaxward_routing::balance::{NoRunner, Situation, Wanted, choose};
+use flaxward_routing::configuration::{Route, RouteKind, WeightedService};
+use flaxward_routing::evacuation::Evacuations;
+use flaxward_routing::health::{HealthTable, Observation};
+use flaxward_routing::homes::Homes;
+use flaxward_routing::locality::{Locality, Regions};
+use flaxward_routing::names::{ModelName, Region, RouteName, RunnerId, ServiceName, Unit, Zone};
+use flaxward_routing::runners::{Runner, RunnerTable};
+use flaxward_routing::split::SplitChooser;
+use flaxward_types::time::Timestamp;
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+
+/// Zones with their regions; the last one was told to nobody.
+const ZONES: [(&str, Option<&str>); 5] = [
+    ("w1", Some("west")),
+    ("w2", Some("west")),
+    ("e1", Some("east")),
+    ("n1", Some("north")),
+    ("u1", None),
+];
+
+fn regions() -> Regions {
+    let told = ZONES.iter().filter_map(|(zone, region)| {
+        let region = (*region)?;
+        Some((Zone::new(zone), Region::new(region)))
+    });
+    told.collect()
+}
+
+fn homes(names: &[&str]) -> Homes {
+    Homes::named(names.iter().map(|name| Region::new(name)))
+}
+
+fn unit() -> Unit {
+    Unit {
+        service: ServiceName::new("pool"),
+        model: ModelName::new("m"),
+        adapter: None,
+    }
+}
+
+fn runner(id: &str, zone: &str, holds: bool) -> Runner {
+    let models = holds.then(|| (ModelName::new("m"), BTreeSet::new()));
+    Runner {
+        id: RunnerId::new(id),
+        revision: 1,
+        service: ServiceName::new("pool"),
+        address: SocketAddr::from(([127, 0, 0, 1], 1)),
+        zone: Zone::new(zone),
+        slots: 8,
+        draining: false,
+        leaves_in: None,
+        cold_for: Duration::ZERO,
+        holdings: models.into_iter().collect::<BTreeMap<_, _>>(),
+        in_memory: BTreeSet::new(),
+        on_disk: BTreeSet::new(),
+    }
+}
+
+fn chosen(runners: Vec<Runner>, homes: &Homes, tried: &[RunnerId]) -> Result<String, NoRunner> {
+    let mut table = RunnerTable::default();
+    table.replace(runners, 1);
+    let situation = Situation {
+        runners: &table,
+        health: &HealthTable::default(),
+        in_flight: &HashMap::new(),
+        loads: &HashMap::new(),
+        evacuations: &Evacuations::default(),
+        locality: &Locality::new(Zone::new("w1"), regions()),
+        daemons: 1,
+        random: 3,
+        now: Timestamp(1_000),
+    };
+    let (service, unit) = (ServiceName::new("pool"), unit());
+    let wanted = Wanted {
+        service: &service,
+        unit: Some(&unit),
+        affinity: Some(7),
+        homes,
+        tried,
+    };
+    choose(&situation, &wanted).map(|runner| runner.id.to_string())
+}
+
+#[test]
+fn both_the_homes_of_the_route_and_of_the_tenant_bind() {
+    let none = Homes::Anywhere;
+    let cases = [
+        (&[][..], &[][..], none.clone()),
+        (&["east"], &[], homes(&["east"])),
+        (&[], &["east"], homes(&["east"])),
+        (&["east", "west"], &["north", "west"], homes(&["west"])),
+    ];
+    for (route, tenant, both) in cases {
+        assert_eq!(
+            homes(route).and(&homes(tenant)),
+            both,
+            "{route:?} {tenant:?}"
+        );
+    }
+    let disjoint = homes(&["east"]).and(&homes(&["west"]));
+    assert!(disjoint.are_nowhere() && !none.are_nowhere());
+    assert!(!disjoint.allows(Some(&Region::new("east"))));
+    assert!(disjoint.and(&none).are_nowhere(), "nowhere is not anywhere");
+}
+
+#[test]
+fn a_zone_whose_region_nobody_has_told_is_no_home() {
+    let regions = regions();
+    assert!(regions.allow(&Homes::Anywhere, &Zone::new("u1")));
+    assert!(!regions.allow(&homes(&["west"]), &Zone::new("u1")));
+    assert!(!regions.allow(&homes(&["west"]), &Zone::new("never-heard-of")));
+    assert!(regions.allow(&homes(&["west"]), &Zone::new("w2")));
+}
+
+#[test]
+fn only_runners_within_the_homes_are_chosen_and_the_reason_for_none_is_told() {
+    let runners = || {
+        vec![
+            runner("near", "w1", true),
+            runner("far", "e1", true),
+            runner("empty", "n1", false),
+            runner("unknown", "u1", true),
+        ]
+    };
+    let near = RunnerId::new("near");
+    let far = RunnerId::new("far");
+    assert_eq!(chosen(runners(), &Homes::Anywhere, &[]).unwrap(), "near");
+    assert_eq!(chosen(runners(), &homes(&["east"]), &[]).unwrap(), "far");
+    // A repeat stays within them too.
+    let again = chosen(runners(), &homes(&["east"]), std::slice::from_ref(&far));
+    assert_eq!(again, Err(NoRunner::AllTried));
+    let either = homes(&["east", "west"]);
+    assert_eq!(chosen(runners(), &either, &[near]).unwrap(), "far");
+    // What is loaded abroad only is waited for.
+    let unloaded = chosen(runners(), &homes(&["north"]), &[]);
+    assert_eq!(unloaded, Err(NoRunner::NotLoaded));
+    let nobody = chosen(runners(), &homes(&["south"]), &[]);
+    assert_eq!(nobody, Err(NoRunner::NoneAtHome));
+    let nowhere = homes(&["east"]).and(&homes(&["west"]));
+    assert_eq!(chosen(runners(), &nowhere, &[]), Err(NoRunner::NoneAtHome));
+    let empty = chosen(Vec::new(), &homes(&["west"]), &[]);
+    assert_eq!(empty, Err(NoRunner::NoneOfService));
+}
+
+fn split() -> Route {
+    let part = |(name, weight): (&str, u32)| WeightedService {
+        service: ServiceName::new(name),
+        weight,
+    };
+    Route {
+        name: RouteName::new("r"),
+        host: "a.example".to_owned(),
+        prefix: "/s/".to_owned(),
+        kind: RouteKind::Repeatable,
+        timeout: Duration::from_secs(1),
+        target: Duration::from_secs(1),
+        event_gap: Duration::ZERO,
+        priority: 0,
+        services: [("old", 90), ("new", 10)].map(part).to_vec(),
+        max_attempts: 2,
+        is_generation: false,
+        is_public: false,
+        homes: Homes::Anywhere,
+    }
+}
+
+/// A part of a split may have no runner in the homes of a request, and another one may.
+#[test]
+fn a_request_with_homes_goes_to_a_part_of_a_split_that_is_there() {
+    let route = split();
+    let mut chooser = SplitChooser::default();
+    let only_new = |service: &ServiceName| service.as_str() == "new";
+    let mut counts: BTreeMap<String, u32> = BTreeMap::new();
+    for _ in 0..100 {
+        let bound = chooser.choose(&route, &homes(&["east"]), only_new, 5);
+        assert_eq!(bound.unwrap().as_str(), "new");
+        let free = chooser.choose(&route, &Homes::Anywhere, only_new, 5);
+        *counts.entry(free.unwrap().to_string()).or_default() += 1;
+    }
+    // The shares of the others stay.
+    assert_eq!(counts["old"], 90);
+    let nobody = chooser.choose(&route, &homes(&["south"]), |_| false, 5);
+    assert!(nobody.is_some(), "the refusal is the job's");
+}
+
+#[derive(Clone, Debug)]
+struct Condition {
+    zone: usize,
+    holds: bool,
+    draining: bool,
+    is_evacuated: bool,
+    is_cold: bool,
+    failures: u8,
+    load: u32,
+    in_flight: u32,
+    is_tried: bool,
+}
+
+prop_compose! {
+    fn condition()(
+        zone in 0..ZONES.len(),
+        (holds, draining, is_evacuated) in (prop::bool::weighted(0.7), prop::bool::weighted(0.1), prop::bool::weighted(0.1)),
+        (is_cold, is_tried) in (any::<bool>(), any::<bool>()),
+        failures in 0_u8..6,
+        (load, in_flight) in (0_u32..12, 0_u32..12),
+    ) -> Condition {
+        Condition { zone, holds, draining, is_evacuated, is_cold, failures, load, in_flight, is_tried }
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { rng_seed: RngSeed::Fixed(11), failure_persistence: None, cases: 500, ..ProptestConfig::default() })]
+
+    /// Whatever the health, loads, holdings and tries: a runner outside the homes is never chosen, and one within them
+    /// that could serve is.
+    #[test]
+    fn no_choice_is_outside_the_homes(
+        conditions in prop::collection::vec(condition(), 0..12),
+        names in prop::collection::btree_set(prop::sample::select(vec!["west", "east", "north", "south"]), 0..4),
+        other in prop::collection::btree_set(prop::sample::select(vec!["west", "east", "north"]), 0..3),
+        own in 0..ZONES.len(),
+        daemons in prop::sample::select(vec![1_usize, 6, 300]),
+        has_unit: bool,
+        affinity: Option<u64>,
+        random: u64,
+    ) {
+        let homes = Homes::named(names.iter().map(|name| Region::new(name)));
+        let homes = homes.and(&Homes::named(other.iter().map(|name| Region::new(name))));
+        let now = Timestamp(10_000);
+        let (mut table, mut health) = (RunnerTable::default(), HealthTable::default());
+        let (mut loads, mut in_flight, mut tried) = (HashMap::new(), HashMap::new(), Vec::new());
+        let mut evacuations = Evacuations::default();
+        let mut listed = Vec::new();
+        for (index, condition) in conditions.iter().enumerate() {
+            let mut runner = runner(&format!("r{index}"), ZONES[condition.zone].0, condition.holds);
+            runner.draining = condition.draining;
+            runner.cold_for = Duration::from_secs(u64::from(condition.is_cold));
+            if condition.is_evacuated {
+                evacuations.zones.push(runner.zone.clone());
+            }
+            for _ in 0..condition.failures {
+                health.observe(&runner.id, Observation::Failure, now);
+            }
+            loads.insert(runner.id.clone(), condition.load);
+            in_flight.insert(runner.id.clone(), condition.in_flight);
+            if condition.is_tried {
+                tried.push(runner.id.clone());
+            }
+            listed.push(runner);
+        }
+        table.replace(listed, 1);
+        let locality = Locality::new(Zone::new(ZONES[own].0), regions());
+        let situation = Situation {
+            runners: &table,
+            health: &health,
+            in_flight: &in_flight,
+            loads: &loads,
+            evacuations: &evacuations,
+            locality: &locality,
+            daemons,
+            random,
+            now,
+        };
+        let (service, unit) = (ServiceName::new("pool"), unit());
+        let wanted = Wanted { service: &service, unit: has_unit.then_some(&unit), affinity, homes: &homes, tried: &tried };
+        let can_serve = |runner: &&Runner| {
+            let region = ZONES.iter().find(|(zone, _)| *zone == runner.zone.as_str()).unwrap().1;
+            let is_home = match &homes {
+                Homes::Anywhere => true,
+                Homes::Only(all) => region.is_some_and(|region| all.contains(&Region::new(region))),
+            };
+            is_home && !runner.draining && !evacuations.includes(runner) && !tried.contains(&runner.id)
+                && (!has_unit || !runner.holdings.is_empty())
+        };
+        match choose(&situation, &wanted) {
+            Ok(runner) => prop_assert!(can_serve(&runner), "{} for {}", runner.zone, homes),
+            Err(reason) => prop_assert!(!table.iter().any(|it| can_serve(&it)), "{:?}", reason),
+        }
+    }
+}
--- a/crates/routing/tests/quota.rs
+++ b/crates/routing/tests/quota.rs
@@ -8,6 +8,7 @@
 use std::time::Duration;
 
 use flaxward_routing::configuration::{ClientLimits, Configuration};
+use flaxward_routing::homes::Homes;
 use flaxward_routing::names::TenantName;
 use flaxward_routing::quota::announcer::{Announcer, DEPUTIES, Speaker};
 use flaxward_routing::quota::keeper::QuotaKeeper;
@@ -101,6 +102,7 @@
             rate,
             burst: rate,
         }),
+        homes: Homes::Anywhere,
     })
 }
 
--- a/crates/routing/tests/tenants.rs
+++ b/crates/routing/tests/tenants.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 
+use flaxward_routing::homes::Homes;
 use flaxward_routing::names::TenantName;
 use flaxward_routing::tenants::{
     KeyDigest, Quota, QuotaUnit, Tenant, TenantError, TenantKeys, Tenants,
@@ -17,6 +18,7 @@
                 rate,
                 burst,
             }),
+            homes: Homes::Anywhere,
         }),
         keys: keys
             .iter()
--- a/crates/types/src/code.rs
+++ b/crates/types/src/code.rs
@@ -99,6 +99,8 @@
     NoSlotInOutage = 2011, 503, Certain, "the store is down and no slot for the model is recorded";
     /// The requests of the tenant exceed its quota.
     QuotaExceeded = 2012, 429, Certain, "the requests of this tenant exceed its quota";
+    /// The homes of route and tenant have no region in common, or no runner of the service that takes work is in one.
+    NoHomeRunner = 2013, 503, Certain, "no runner may serve this request in its home regions";
 
     /// The back end broke off after the request was sent; it may have run.
     OutcomeUnknown = 3001, 502, Unknown, "the back end broke off; the request may have run";
