--- a/crates/ingress/src/coordination/following.rs
+++ b/crates/ingress/src/coordination/following.rs
@@ -240,6 +240,6 @@
 fn waiting(tables: &Tables, now: Timestamp) -> Vec<WaitingUnit> {
     let waiting = tables.waiting.iter();
     waiting
-        .map(|(unit, waiting)| waiting.summary(unit, now))
+        .map(|(requirement, waiting)| waiting.summary(requirement, now))
         .collect()
 }
--- a/crates/ingress/src/coordination/lease_changes.rs
+++ b/crates/ingress/src/coordination/lease_changes.rs
@@ -25,6 +25,8 @@
     pub(super) fn begin_leading(&mut self, term: u64, orders_from: Timestamp) {
         let now = self.shared.now();
         let placement = Placement::new(self.shared.settings.placement, now, orders_from);
+        let regions = self.shared.locality.regions().clone();
+        let placement = placement.in_regions(regions);
         let mut placement = placement.numbered_after(self.holdings_version);
         if let Some(configuration) = self.shared.configuration() {
             placement.configure(&configuration);
--- a/crates/ingress/src/exchange.rs
+++ b/crates/ingress/src/exchange.rs
@@ -8,7 +8,7 @@
 use flaxward_routing::configuration::RouteKind;
 use flaxward_routing::fingerprint::{RequestContent, RequestFingerprint};
 use flaxward_routing::health::Observation;
-use flaxward_routing::homes::Homes;
+use flaxward_routing::homes::{Homes, Requirement};
 use flaxward_routing::names::Unit;
 use flaxward_routing::request::RequestProfile;
 use flaxward_routing::runners::Runner;
@@ -64,6 +64,14 @@
         })
     }
 
+    /// The unit that it needs and where, if it needs one.
+    pub(crate) fn requirement(&self) -> Option<Requirement> {
+        Some(Requirement {
+            unit: self.unit.clone()?,
+            homes: self.homes.clone(),
+        })
+    }
+
     pub(crate) fn time_left(&self) -> Duration {
         self.deadline.saturating_duration_since(Instant::now())
     }
--- a/crates/ingress/src/job.rs
+++ b/crates/ingress/src/job.rs
@@ -165,8 +165,8 @@
         let now = self.shared.now();
         let mut tables = self.shared.tables();
         tables.budget.count_request(&self.service, now);
-        if let Some(unit) = &self.request.unit {
-            tables.uses.count(unit, now);
+        if let Some(requirement) = self.request.requirement() {
+            tables.uses.count(requirement, now);
         }
     }
 
@@ -187,10 +187,11 @@
     }
 
     async fn wait(&mut self) -> Result<(), Refusal> {
-        let Some(unit) = &self.request.unit else {
+        let Some(requirement) = self.request.requirement() else {
             return Ok(());
         };
-        let waiting = wait_for_unit(&self.shared, &self.request, &self.route, unit, self.begun);
+        let (shared, request) = (&self.shared, &self.request);
+        let waiting = wait_for_unit(shared, request, &self.route, &requirement, self.begun);
         tokio::select! {
             waited = waiting => waited,
             // The next look tells the caller.
@@ -200,8 +201,8 @@
 
     /// The final answer when the unit is not ready in time. Only a request that surely has not run is told so.
     fn not_ready(&mut self, refusal: Refusal) -> Result<Response<AnswerBody>, Refused> {
-        let reason = match &self.request.unit {
-            Some(unit) => format!("{unit} is not ready in time"),
+        let reason = match self.request.requirement() {
+            Some(requirement) => format!("{requirement} is not ready in time"),
             None => "not ready in time".to_owned(),
         };
         if !self.attempts.surely_not_run() {
--- a/crates/ingress/src/state.rs
+++ b/crates/ingress/src/state.rs
@@ -12,7 +12,7 @@
 use flaxward_routing::configuration_age::ConfigurationAge;
 use flaxward_routing::evacuation::Evacuations;
 use flaxward_routing::health::{HealthTable, Observation};
-use flaxward_routing::homes::Homes;
+use flaxward_routing::homes::{Homes, Requirement};
 use flaxward_routing::locality::Locality;
 use flaxward_routing::messages::UnitOutlook;
 use flaxward_routing::names::{RunnerId, ServiceName, Unit};
@@ -63,8 +63,8 @@
     pub budget: RetryBudget,
     pub quarantine: Quarantine,
     pub splits: SplitChooser,
-    pub waiting: HashMap<Unit, Waiting>,
-    pub outlooks: HashMap<Unit, Outlook>,
+    pub waiting: HashMap<Requirement, Waiting>,
+    pub outlooks: HashMap<Requirement, Outlook>,
     pub daemons: usize,
     /// When this daemon has stopped at the latest, once it is told to stop.
     pub stop_end: Option<Instant>,
@@ -335,7 +335,7 @@
                 ready_at: now + wait,
                 told_at: now,
             };
-            tables.outlooks.insert(outlook.unit, outlook_at);
+            tables.outlooks.insert(outlook.requirement, outlook_at);
         }
         drop(tables);
         self.changed.notify_waiters();
--- a/crates/ingress/src/usage.rs
+++ b/crates/ingress/src/usage.rs
@@ -3,35 +3,37 @@
 use std::collections::{HashMap, VecDeque};
 use std::time::Duration;
 
+use flaxward_routing::homes::Requirement;
 use flaxward_routing::messages::{RunningUnit, USE_WINDOW_SECONDS, UsedUnit, WaitingUnit};
 use flaxward_routing::names::{RunnerId, Unit};
 use flaxward_types::time::Timestamp;
 
 const WINDOW: Duration = Duration::from_secs(USE_WINDOW_SECONDS as u64);
 
-/// Requests that have begun in the last seconds, by unit.
+/// Requests that have begun in the last seconds, by what they need.
 #[derive(Debug, Default)]
 pub(crate) struct UseLog {
-    units: HashMap<Unit, VecDeque<Timestamp>>,
+    requirements: HashMap<Requirement, VecDeque<Timestamp>>,
 }
 
 impl UseLog {
-    pub(crate) fn count(&mut self, unit: &Unit, now: Timestamp) {
-        self.units.entry(unit.clone()).or_default().push_back(now);
+    pub(crate) fn count(&mut self, requirement: Requirement, now: Timestamp) {
+        let times = self.requirements.entry(requirement).or_default();
+        times.push_back(now);
     }
 
     pub(crate) fn recent(&mut self, now: Timestamp) -> Vec<UsedUnit> {
         let start = now - WINDOW;
-        self.units.retain(|_, times| {
+        self.requirements.retain(|_, times| {
             while times.front().is_some_and(|&time| time < start) {
                 times.pop_front();
             }
             !times.is_empty()
         });
-        self.units
+        self.requirements
             .iter()
-            .map(|(unit, times)| UsedUnit {
-                unit: unit.clone(),
+            .map(|(requirement, times)| UsedUnit {
+                requirement: requirement.clone(),
                 requests: u32::try_from(times.len()).unwrap_or(u32::MAX),
             })
             .collect()
@@ -102,11 +104,11 @@
     }
 
     /// What the coordinator is told of them.
-    pub(crate) fn summary(&self, unit: &Unit, now: Timestamp) -> WaitingUnit {
+    pub(crate) fn summary(&self, requirement: &Requirement, now: Timestamp) -> WaitingUnit {
         let count = |length: usize| u32::try_from(length).unwrap_or(u32::MAX);
         let late = self.requests.iter().filter(|it| it.load_by < now);
         WaitingUnit {
-            unit: unit.clone(),
+            requirement: requirement.clone(),
             requests: count(self.requests.len()),
             late: count(late.count()),
             priority: self
--- a/crates/ingress/src/waiting.rs
+++ b/crates/ingress/src/waiting.rs
@@ -5,8 +5,7 @@
 use std::time::Duration;
 
 use flaxward_routing::configuration::Route;
-use flaxward_routing::homes::Homes;
-use flaxward_routing::names::Unit;
+use flaxward_routing::homes::Requirement;
 use flaxward_types::ResultCode;
 use flaxward_types::refusal::Refusal;
 use flaxward_types::time::Timestamp;
@@ -41,23 +40,24 @@
 /// Counts a request as waiting for as long as it lives.
 struct WaitingGuard {
     shared: Arc<Shared>,
-    unit: Unit,
+    requirement: Requirement,
     request: WaitingRequest,
 }
 
 impl WaitingGuard {
-    fn begin(shared: &Arc<Shared>, unit: &Unit, route: &Route, priority: u8) -> Self {
+    fn begin(shared: &Arc<Shared>, requirement: &Requirement, route: &Route, priority: u8) -> Self {
         let request = WaitingRequest {
             priority,
             load_by: shared.now() + route.target.saturating_sub(LOAD_TIME),
         };
         let mut tables = shared.tables();
-        tables.waiting.entry(unit.clone()).or_default().add(request);
+        let waiting = tables.waiting.entry(requirement.clone()).or_default();
+        waiting.add(request);
         drop(tables);
         shared.demand.notify_one();
         Self {
             shared: shared.clone(),
-            unit: unit.clone(),
+            requirement: requirement.clone(),
             request,
         }
     }
@@ -66,15 +66,15 @@
 impl Drop for WaitingGuard {
     fn drop(&mut self) {
         let mut tables = self.shared.tables();
-        if let Some(waiting) = tables.waiting.get_mut(&self.unit)
+        if let Some(waiting) = tables.waiting.get_mut(&self.requirement)
             && waiting.remove(self.request)
         {
-            tables.waiting.remove(&self.unit);
+            tables.waiting.remove(&self.requirement);
         }
     }
 }
 
-/// Waits until a runner holds the unit. `arrived` is when the request came: what it has spent before, at runners or
+/// Waits until a runner within the homes of the request holds the unit. `arrived` is when the request came: what it has spent before, at runners or
 /// in an earlier wait, counts towards its callers' patience.
 ///
 /// # Errors
@@ -83,29 +83,29 @@
     shared: &Arc<Shared>,
     request: &ClientRequest,
     route: &Route,
-    unit: &Unit,
+    requirement: &Requirement,
     arrived: Instant,
 ) -> Result<(), Refusal> {
     let begun_at = shared.now();
     let begun = Instant::now();
-    let _guard = WaitingGuard::begin(shared, unit, route, request.priority);
+    let _guard = WaitingGuard::begin(shared, requirement, route, request.priority);
     loop {
         let latest = latest_start(shared, request, route, arrived);
         let promise_due = (begun + promise_wait(shared, route)).min(latest);
         let changed = shared.changed.notified();
         tokio::pin!(changed);
         changed.as_mut().enable();
-        if is_held(shared, unit, &request.homes) {
+        if is_held(shared, requirement) {
             let waited = begun.elapsed().as_millis();
             let fields: &[(&str, &dyn std::fmt::Display)] = &[
                 ("request", &request.profile.id),
-                ("unit", unit),
+                ("unit", requirement),
                 ("waited_ms", &waited),
             ];
             shared.log.write(shared.now(), "unit-ready", fields);
             return Ok(());
         }
-        let wake_at = match promised(shared, unit, begun_at) {
+        let wake_at = match promised(shared, requirement, begun_at) {
             Some(ready_at) => {
                 let ready = shared.clock.instant(ready_at);
                 if ready > latest {
@@ -158,8 +158,9 @@
     patience.min(stop_end) - LEAST_RUN
 }
 
-/// Whether a runner at which the request may be served holds the unit.
-fn is_held(shared: &Shared, unit: &Unit, homes: &Homes) -> bool {
+/// Whether a runner within the homes holds the unit.
+fn is_held(shared: &Shared, requirement: &Requirement) -> bool {
+    let Requirement { unit, homes } = requirement;
     let now = shared.now();
     let tables = shared.tables();
     tables.runners.of_service(&unit.service).any(|runner| {
@@ -169,9 +170,9 @@
     })
 }
 
-fn promised(shared: &Shared, unit: &Unit, begun_at: Timestamp) -> Option<Timestamp> {
+fn promised(shared: &Shared, requirement: &Requirement, begun_at: Timestamp) -> Option<Timestamp> {
     let tables = shared.tables();
-    let outlook = tables.outlooks.get(unit)?;
+    let outlook = tables.outlooks.get(requirement)?;
     (outlook.told_at >= begun_at).then_some(outlook.ready_at)
 }
 
--- a/crates/routing/benches/plan.rs
+++ b/crates/routing/benches/plan.rs
@@ -12,6 +12,7 @@
 };
 use flaxward_routing::dissemination::Dissemination;
 use flaxward_routing::evacuation::Evacuations;
+use flaxward_routing::homes::Requirement;
 use flaxward_routing::lease::LeasePulse;
 use flaxward_routing::messages::{
     Direction, KnownState, RunningUnit, StoreState, Usage, UsedUnit, WaitingUnit,
@@ -125,7 +126,7 @@
         }
     };
     let used = (0..USED_UNITS).map(|index| UsedUnit {
-        unit: unit_of(member * 3 + index * 5),
+        requirement: Requirement::anywhere(unit_of(member * 3 + index * 5)),
         requests: 2,
     });
     let running = (0..RUNNING_REQUESTS).map(|index| RunningUnit {
@@ -134,7 +135,10 @@
         requests: 1,
     });
     let waiting = (0..WAITING_UNITS).map(|index| WaitingUnit {
-        unit: unit(MODELS_HELD * runners + member * 2 + index, models),
+        requirement: Requirement::anywhere(unit(
+            MODELS_HELD * runners + member * 2 + index,
+            models,
+        )),
         requests: 1,
         late: 0,
         priority: 1,
--- a/crates/routing/src/dissemination.rs
+++ b/crates/routing/src/dissemination.rs
@@ -10,9 +10,9 @@
 
 use flaxward_types::time::Timestamp;
 
+use crate::homes::Requirement;
 use crate::membership::MembershipUpdate;
 use crate::messages::{Direction, KnownState, RunnerLoad, UnitOutlook};
-use crate::names::Unit;
 use crate::pacing::Pacer;
 use crate::placement::Placement;
 use crate::placement::outlooks::Outlooks;
@@ -248,7 +248,7 @@
         if let Some(first) = directions.first_mut() {
             let waiting = placement.waited_for_by(member).iter();
             first.outlooks = waiting
-                .filter_map(|waiting| round.outlook(&waiting.unit))
+                .filter_map(|waiting| round.outlook(&waiting.requirement))
                 .collect();
             let lacks_members =
                 header.standby.stands_by() == Some(true) && known.members != header.daemons;
@@ -326,10 +326,10 @@
         updates.clone()
     }
 
-    fn outlook(&mut self, unit: &Unit) -> Option<UnitOutlook> {
+    fn outlook(&mut self, requirement: &Requirement) -> Option<UnitOutlook> {
         let (placement, now) = (self.placement, self.now);
         let outlooks = self.outlooks.get_or_insert_with(|| placement.outlooks(now));
-        outlooks.of(unit)
+        outlooks.of(requirement)
     }
 }
 
--- a/crates/routing/src/messages.rs
+++ b/crates/routing/src/messages.rs
@@ -10,6 +10,7 @@
 
 use crate::configuration_transfer::ConfigurationChunk;
 use crate::evacuation::Evacuations;
+use crate::homes::Requirement;
 use crate::lease::LeasePulse;
 use crate::membership::MembershipUpdate;
 use crate::names::{RunnerId, ServiceName, Unit, Zone};
@@ -150,8 +151,8 @@
 /// Requests that wait for a unit.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct WaitingUnit {
-    /// The unit.
-    pub unit: Unit,
+    /// The unit, within the homes of the requests.
+    pub requirement: Requirement,
     /// How many.
     pub requests: u32,
     /// Those of them that would be late even if a load began now.
@@ -163,8 +164,8 @@
 /// Requests that have used a unit.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct UsedUnit {
-    /// The unit.
-    pub unit: Unit,
+    /// The unit, within the homes of the requests.
+    pub requirement: Requirement,
     /// Requests in the last seconds ([`USE_WINDOW_SECONDS`]).
     pub requests: u32,
 }
@@ -249,8 +250,8 @@
 /// When a unit is ready.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct UnitOutlook {
-    /// The unit.
-    pub unit: Unit,
+    /// The unit, within the homes of the requests.
+    pub requirement: Requirement,
     /// Time until it is ready, in ms.
     pub ready_in_ms: u32,
 }
--- a/crates/routing/src/placement/candidates.rs
+++ b/crates/routing/src/placement/candidates.rs
@@ -6,6 +6,7 @@
 use flaxward_types::time::Timestamp;
 
 use crate::configuration::Engine;
+use crate::homes::{Homes, Requirement};
 use crate::names::{RunnerId, ServiceName, Unit};
 
 use super::ledger::{Ledger, WeightSource};
@@ -90,30 +91,33 @@
 }
 
 impl Placement {
-    /// The runner at which a model is best loaded, if one has room and a source for it now.
+    /// The runner at which a model is best loaded for requests, if one within their homes has room and a source for it
+    /// now.
     pub(super) fn best_candidate(
         &self,
-        unit: &Unit,
+        requirement: &Requirement,
         openings: &mut Openings,
         now: Timestamp,
     ) -> Option<Candidate> {
+        let unit = &requirement.unit;
         let engine = self.engines.get(&unit.service)?;
         engine.models.get(&unit.model)?;
         let store_loads = openings.store_loads.get(&unit.service).copied();
         let may_use_store = store_loads.unwrap_or(0) > 0
             && self.has_ceiling(&unit.service, 1.0, now)
-            && !self.is_sooner_from_copy(unit, now);
+            && !self.is_sooner_from_copy(requirement, now);
         let stored = self.copies.stored_at(unit);
         let stored = stored.filter_map(|id| openings.rooms.get_key_value(id));
         let from_copy = stored
             .filter_map(|(id, room)| Some((self.ledgers.get(id)?, room)))
             .filter(|(ledger, _)| ledger.runner.service == unit.service && !ledger.has(unit))
+            .filter(|(ledger, _)| self.is_at_home(ledger, &requirement.homes))
             .filter_map(|(ledger, room)| self.candidate(ledger, room, engine, unit))
             .min_by(Candidate::order);
         if !may_use_store {
             return from_copy;
         }
-        let from_store = self.cheapest_place(unit, engine, openings);
+        let from_store = self.cheapest_place(requirement, engine, openings);
         from_copy
             .into_iter()
             .chain(from_store)
@@ -123,10 +127,11 @@
     /// The runner at which a load from the weight store costs least.
     fn cheapest_place(
         &self,
-        unit: &Unit,
+        requirement: &Requirement,
         engine: &Engine,
         openings: &mut Openings,
     ) -> Option<Candidate> {
+        let unit = &requirement.unit;
         let weights_mb = engine.models.get(&unit.model)?.weights_mb;
         let size = Size::new(&unit.service, weights_mb);
         if !openings.places.contains_key(&size) {
@@ -145,6 +150,9 @@
             let (Some(room), Some(ledger)) = (room, self.ledgers.get(&place.runner)) else {
                 continue;
             };
+            if !self.is_at_home(ledger, &requirement.homes) {
+                continue;
+            }
             if ledger.has(unit) || ledger.weight_source(&unit.model) != WeightSource::Store {
                 continue;
             }
@@ -171,9 +179,15 @@
         places
     }
 
+    /// Whether requests with some homes may be served at a runner.
+    pub(super) fn is_at_home(&self, ledger: &Ledger, homes: &Homes) -> bool {
+        self.regions.allow(homes, &ledger.runner.zone)
+    }
+
     /// Whether a runner with a copy of the weights, busy now, would have the model ready before one that
     /// takes it from the weight store. A free one is a candidate itself, unless nothing there may be dropped.
-    fn is_sooner_from_copy(&self, unit: &Unit, now: Timestamp) -> bool {
+    fn is_sooner_from_copy(&self, requirement: &Requirement, now: Timestamp) -> bool {
+        let unit = &requirement.unit;
         let Some(from_store) = self.store_load_time(unit) else {
             return false;
         };
@@ -182,6 +196,7 @@
             .stored_at(unit)
             .filter_map(|id| self.ledgers.get(id));
         ledgers
+            .filter(|ledger| self.is_at_home(ledger, &requirement.homes))
             .filter(|ledger| ledger.takes_orders(now) && ledger.is_at_work(now))
             .filter_map(|ledger| {
                 let load = engine_load_time(&self.engines, ledger, unit)?;
--- a/crates/routing/src/placement/copies.rs
+++ b/crates/routing/src/placement/copies.rs
@@ -3,6 +3,8 @@
 
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 
+use crate::homes::{Homes, Requirement};
+use crate::locality::Regions;
 use crate::names::{RunnerId, Unit, Zone};
 
 use super::ledger::Ledger;
@@ -17,13 +19,47 @@
     is_stored: bool,
 }
 
+/// Numbers of runners.
+#[derive(Clone, Copy, Debug, Default)]
+struct Counts {
+    /// Those that offer a unit now.
+    offered: usize,
+    /// Those that will.
+    coming: usize,
+    /// Those that offer it or will.
+    all: usize,
+}
+
+impl Counts {
+    fn add(&mut self, copy: &Copy) {
+        self.offered += usize::from(copy.is_offered);
+        self.coming += usize::from(copy.is_coming);
+        self.all += usize::from(copy.is_offered || copy.is_coming);
+    }
+
+    fn take_away(&mut self, copy: &Copy) {
+        self.offered -= usize::from(copy.is_offered);
+        self.coming -= usize::from(copy.is_coming);
+        self.all -= usize::from(copy.is_offered || copy.is_coming);
+    }
+
+    fn join(self, other: Self) -> Self {
+        Self {
+            offered: self.offered + other.offered,
+            coming: self.coming + other.coming,
+            all: self.all + other.all,
+        }
+    }
+}
+
 /// A unit at all runners.
 #[derive(Debug, Default)]
 struct UnitCopies {
-    offered: usize,
-    coming: usize,
-    /// Runners that offer it or will.
-    by_zone: BTreeMap<Zone, usize>,
+    everywhere: Counts,
+    /// Zones with a runner that offers it or will.
+    by_zone: BTreeMap<Zone, Counts>,
+    /// Runners that offer it now.
+    offered_at: BTreeSet<RunnerId>,
     /// Runners that have its weights in host memory or on disk.
     stored_at: BTreeSet<RunnerId>,
 }
@@ -31,21 +67,32 @@
 /// Copies of all units.
 #[derive(Debug, Default)]
 pub(super) struct CopyIndex {
+    regions: Regions,
     units: HashMap<Unit, UnitCopies>,
     by_runner: HashMap<RunnerId, Vec<Copy>>,
 }
 
 impl CopyIndex {
+    /// No copies; the regions of zones tell which ones are within the homes of requests.
+    pub fn new(regions: Regions) -> Self {
+        Self {
+            regions,
+            ..Self::default()
+        }
+    }
+
     /// Takes in what has changed at a runner.
     pub fn update(&mut self, ledger: &Ledger) {
         self.remove(&ledger.runner.id);
         let copies = copies_of(ledger);
         for copy in &copies {
             let unit = self.units.entry(copy.unit.clone()).or_default();
-            unit.offered += usize::from(copy.is_offered);
-            unit.coming += usize::from(copy.is_coming);
+            unit.everywhere.add(copy);
             if copy.is_offered || copy.is_coming {
-                *unit.by_zone.entry(copy.zone.clone()).or_default() += 1;
+                unit.by_zone.entry(copy.zone.clone()).or_default().add(copy);
+            }
+            if copy.is_offered {
+                unit.offered_at.insert(ledger.runner.id.clone());
             }
             if copy.is_stored {
                 unit.stored_at.insert(ledger.runner.id.clone());
@@ -60,14 +107,14 @@
             let Some(unit) = self.units.get_mut(&copy.unit) else {
                 continue;
             };
-            unit.offered -= usize::from(copy.is_offered);
-            unit.coming -= usize::from(copy.is_coming);
+            unit.everywhere.take_away(&copy);
             if copy.is_offered || copy.is_coming {
-                if let Some(count) = unit.by_zone.get_mut(&copy.zone) {
-                    *count -= 1;
+                if let Some(counts) = unit.by_zone.get_mut(&copy.zone) {
+                    counts.take_away(&copy);
                 }
-                unit.by_zone.retain(|_, count| *count > 0);
+                unit.by_zone.retain(|_, counts| counts.all > 0);
             }
+            unit.offered_at.remove(runner);
             unit.stored_at.remove(runner);
             if unit.by_zone.is_empty() && unit.stored_at.is_empty() {
                 self.units.remove(&copy.unit);
@@ -75,25 +122,45 @@
         }
     }
 
-    /// Runners that offer the unit now.
-    pub fn offered(&self, unit: &Unit) -> usize {
-        self.units.get(unit).map_or(0, |it| it.offered)
+    /// Runners within the homes of requests.
+    fn counts(&self, requirement: &Requirement) -> Counts {
+        let Some(unit) = self.units.get(&requirement.unit) else {
+            return Counts::default();
+        };
+        match &requirement.homes {
+            Homes::Anywhere => unit.everywhere,
+            homes @ Homes::Only(_) => {
+                let zones = unit.by_zone.iter();
+                let at_home = zones.filter(|(zone, _)| self.regions.allow(homes, zone));
+                at_home.fold(Counts::default(), |sum, (_, counts)| sum.join(*counts))
+            }
+        }
     }
 
-    /// Whether a runner offers the unit.
-    pub fn is_offered(&self, unit: &Unit) -> bool {
-        self.units.get(unit).is_some_and(|it| it.offered > 0)
+    /// Runners within the homes of requests that offer the unit now.
+    pub fn offered(&self, requirement: &Requirement) -> usize {
+        self.counts(requirement).offered
     }
 
-    /// Whether a runner will offer the unit.
-    pub fn is_coming(&self, unit: &Unit) -> bool {
-        self.units.get(unit).is_some_and(|it| it.coming > 0)
+    /// Whether a runner within the homes of requests offers the unit.
+    pub fn is_offered(&self, requirement: &Requirement) -> bool {
+        self.offered(requirement) > 0
     }
 
-    /// Runners that offer the unit or will.
-    pub fn count(&self, unit: &Unit) -> usize {
-        let by_zone = self.units.get(unit).map(|it| it.by_zone.values().sum());
-        by_zone.unwrap_or(0)
+    /// Whether a runner within the homes of requests will offer the unit.
+    pub fn is_coming(&self, requirement: &Requirement) -> bool {
+        self.counts(requirement).coming > 0
+    }
+
+    /// Runners within the homes of requests that offer the unit or will.
+    pub fn count(&self, requirement: &Requirement) -> usize {
+        self.counts(requirement).all
+    }
+
+    /// Runners that offer the unit now.
+    pub fn offered_at(&self, unit: &Unit) -> impl Iterator<Item = &RunnerId> {
+        let unit = self.units.get(unit);
+        unit.into_iter().flat_map(|it| &it.offered_at)
     }
 
     /// Runners that have the weights of a model in host memory or on disk.
--- a/crates/routing/src/placement/demand.rs
+++ b/crates/routing/src/placement/demand.rs
@@ -9,6 +9,7 @@
 
 use flaxward_types::time::Timestamp;
 
+use crate::homes::{Homes, Requirement};
 use crate::messages::{KnownState, USE_WINDOW_SECONDS, Usage, WaitNotice, WaitingUnit};
 use crate::names::{RunnerId, Unit, Zone};
 use crate::standby::Candidate;
@@ -32,6 +33,15 @@
 /// Time of waiting after which a unit counts twice, in seconds.
 const AGE_SECONDS: f64 = 2.0;
 
+/// Requests a second above which some requests for a model may be served anywhere: half of one request in the window of
+/// the messages, so that the sums of fractions do not count as one.
+const LEAST_UNBOUND_RATE: f64 = 0.5 / USE_WINDOW_SECONDS as f64;
+
+/// Requests a second, of requests in the window of the messages.
+fn a_second(requests: u32) -> f64 {
+    f64::from(requests) / f64::from(USE_WINDOW_SECONDS)
+}
+
 /// One daemon, as the coordinator knows it.
 #[derive(Clone, Debug)]
 pub struct Member {
@@ -47,6 +57,16 @@
     heard_at: Timestamp,
 }
 
+impl Member {
+    /// What its requests have used lately or wait for, and how many they are.
+    fn recent(&self) -> impl Iterator<Item = (&Requirement, u32)> {
+        let used = self.usage.used.iter();
+        let used = used.map(|it| (&it.requirement, it.requests));
+        let waiting = self.waiting.iter();
+        used.chain(waiting.map(|it| (&it.requirement, it.requests)))
+    }
+}
+
 #[derive(Clone, Copy, Debug)]
 struct Rate {
     per_second: f64,
@@ -72,19 +92,44 @@
 }
 
 /// Use of a model with all its adapters.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 struct ModelUse {
     per_second: f64,
     /// The same in the last seconds alone.
     per_second_now: f64,
     last_used: Timestamp,
+    /// Requests a second in the last seconds by their homes, as far as these are not anywhere.
+    bound: BTreeMap<Homes, f64>,
+    /// A request in the last seconds may be served anywhere.
+    has_unbound: bool,
+}
+
+impl ModelUse {
+    fn new(last_used: Timestamp) -> Self {
+        Self {
+            per_second: 0.0,
+            per_second_now: 0.0,
+            last_used,
+            bound: BTreeMap::new(),
+            has_unbound: false,
+        }
+    }
+
+    /// The homes under which the model is used, with the requests a second in the last seconds that its copies there
+    /// must bear. Those that may be served anywhere share all copies with the others.
+    fn by_homes(&self) -> impl Iterator<Item = (&Homes, f64)> {
+        let is_shared = self.has_unbound || self.bound.is_empty();
+        let anywhere = is_shared.then_some((&Homes::Anywhere, self.per_second_now));
+        let bound = self.bound.iter().map(|(homes, rate)| (homes, *rate));
+        bound.chain(anywhere)
+    }
 }
 
 /// A unit that requests wait for.
 #[derive(Clone, Debug)]
 pub struct WantedUnit {
-    /// The unit.
-    pub unit: Unit,
+    /// The unit, within the homes of the requests.
+    pub requirement: Requirement,
     /// Requests that wait, at all daemons.
     pub requests: u32,
     /// Those of them that will be late in any case.
@@ -121,7 +166,7 @@
 pub struct Demands {
     timeout: Duration,
     members: BTreeMap<String, Member>,
-    waiting_since: HashMap<Unit, Timestamp>,
+    waiting_since: HashMap<Requirement, Timestamp>,
     rates: HashMap<Unit, Rate>,
     rates_at: Option<Timestamp>,
     /// By model.
@@ -177,7 +222,7 @@
 
     fn note_waiting(&mut self, waiting: &[WaitingUnit], now: Timestamp) {
         for waiting in waiting {
-            let since = self.waiting_since.entry(waiting.unit.clone());
+            let since = self.waiting_since.entry(waiting.requirement.clone());
             since.or_insert(now);
         }
     }
@@ -197,21 +242,18 @@
     }
 
     fn refresh_wanted(&mut self, now: Timestamp) {
-        let mut wanted: BTreeMap<&Unit, WantedUnit> = BTreeMap::new();
+        let mut wanted: BTreeMap<&Requirement, WantedUnit> = BTreeMap::new();
         for waiting in self.members.values().flat_map(|member| &member.waiting) {
-            let entry = wanted.entry(&waiting.unit).or_insert_with(|| WantedUnit {
-                unit: waiting.unit.clone(),
+            let requirement = &waiting.requirement;
+            let entry = wanted.entry(requirement).or_insert_with(|| WantedUnit {
+                requirement: requirement.clone(),
                 requests: 0,
                 late: 0,
                 priority: waiting.priority,
-                since: self
-                    .waiting_since
-                    .get(&waiting.unit)
-                    .copied()
-                    .unwrap_or(now),
+                since: self.waiting_since.get(requirement).copied().unwrap_or(now),
                 rate: self
                     .rates
-                    .get(&waiting.unit)
+                    .get(&requirement.unit)
                     .map_or(0.0, |rate| rate.rate_now(now)),
             });
             entry.requests += waiting.requests;
@@ -221,15 +263,18 @@
         self.wanted = wanted.into_values().collect();
         self.wanted.sort_by(|left, right| {
             let by_urgency = right.urgency(now).total_cmp(&left.urgency(now));
-            by_urgency.then_with(|| left.unit.cmp(&right.unit))
+            by_urgency.then_with(|| left.requirement.cmp(&right.requirement))
         });
         self.waited.clear();
+        let mut known: HashSet<&Requirement> = HashSet::new();
         for wanted in &self.wanted {
-            self.waited.insert(wanted.unit.base());
-            self.waited.insert(wanted.unit.clone());
+            let unit = &wanted.requirement.unit;
+            self.waited.insert(unit.base());
+            self.waited.insert(unit.clone());
+            known.insert(&wanted.requirement);
         }
-        let known = &self.waited;
-        self.waiting_since.retain(|unit, _| known.contains(unit));
+        self.waiting_since
+            .retain(|requirement, _| known.contains(requirement));
     }
 
     fn refresh_running(&mut self) {
@@ -250,16 +295,16 @@
 
     fn refresh_rates(&mut self, now: Timestamp) {
         let mut requests: HashMap<&Unit, u32> = HashMap::new();
-        for member in self.members.values() {
-            for used in &member.usage.used {
-                *requests.entry(&used.unit).or_default() += used.requests;
-            }
-            for waiting in &member.waiting {
-                *requests.entry(&waiting.unit).or_default() += waiting.requests;
+        let mut by_homes: HashMap<(Unit, &Homes), u32> = HashMap::new();
+        for (requirement, count) in self.members.values().flat_map(Member::recent) {
+            *requests.entry(&requirement.unit).or_default() += count;
+            if requirement.homes != Homes::Anywhere {
+                let model = requirement.unit.base();
+                *by_homes.entry((model, &requirement.homes)).or_default() += count;
             }
         }
         for (unit, requests) in requests {
-            let per_second = f64::from(requests) / f64::from(USE_WINDOW_SECONDS);
+            let per_second = a_second(requests);
             let remembered = self.rates.get(unit).map_or(0.0, |rate| rate.decayed(now));
             let rate = Rate {
                 per_second: per_second.max(remembered),
@@ -273,15 +318,21 @@
             .retain(|_, rate| now.since(rate.last_used) < RATE_FORGOTTEN);
         self.models.clear();
         for (unit, rate) in &self.rates {
-            let model = self.models.entry(unit.base()).or_insert(ModelUse {
-                per_second: 0.0,
-                per_second_now: 0.0,
-                last_used: rate.last_used,
-            });
+            let model = self.models.entry(unit.base());
+            let model = model.or_insert_with(|| ModelUse::new(rate.last_used));
             model.per_second += rate.decayed(now);
             model.per_second_now += rate.rate_now(now);
             model.last_used = model.last_used.max(rate.last_used);
         }
+        for ((model, homes), requests) in by_homes {
+            if let Some(model) = self.models.get_mut(&model) {
+                model.bound.insert(homes.clone(), a_second(requests));
+            }
+        }
+        for model in self.models.values_mut().filter(|it| !it.bound.is_empty()) {
+            let bound: f64 = model.bound.values().sum();
+            model.has_unbound = model.per_second_now - bound > LEAST_UNBOUND_RATE;
+        }
     }
 
     /// A member by its name.
@@ -331,11 +382,6 @@
         self.models.get(model).map_or(0.0, |it| it.per_second)
     }
 
-    /// Requests in the last seconds, a second, for a model and all its adapters.
-    pub fn model_rate_now(&self, model: &Unit) -> f64 {
-        self.models.get(model).map_or(0.0, |it| it.per_second_now)
-    }
-
     /// Time since a model or an adapter of it was last used or waited for; `None` if never.
     pub fn model_unused_for(&self, model: &Unit, now: Timestamp) -> Option<Duration> {
         let model = self.models.get(model)?;
@@ -348,11 +394,26 @@
         Some(now.since(rate.last_used))
     }
 
-    /// Models in use at a rate or above it, the busiest first.
-    pub fn busy_models(&self, least: f64) -> Vec<(Unit, f64)> {
-        let rates = self.models.iter();
-        let rates = rates.map(|(model, it)| (model.clone(), it.per_second_now));
-        let mut busy: Vec<(Unit, f64)> = rates.filter(|(_, rate)| *rate >= least).collect();
+    /// The homes under which a model is used, with the requests a second in the last seconds that its copies there must
+    /// bear.
+    pub fn model_rates_by_homes(&self, model: &Unit) -> impl Iterator<Item = (&Homes, f64)> {
+        let model = self.models.get(model);
+        model.into_iter().flat_map(ModelUse::by_homes)
+    }
+
+    /// Models in use at a rate or above it, by the homes of the requests, the busiest first.
+    pub fn busy_models(&self, least: f64) -> Vec<(Requirement, f64)> {
+        let busy = self.models.iter().flat_map(|(model, it)| {
+            let rates = it.by_homes().filter(|(_, rate)| *rate >= least);
+            rates.map(|(homes, rate)| {
+                let requirement = Requirement {
+                    unit: model.clone(),
+                    homes: homes.clone(),
+                };
+                (requirement, rate)
+            })
+        });
+        let mut busy: Vec<(Requirement, f64)> = busy.collect();
         busy.sort_by(|left, right| {
             let by_rate = right.1.total_cmp(&left.1);
             by_rate.then_with(|| left.0.cmp(&right.0))
--- a/crates/routing/src/placement/ledger.rs
+++ b/crates/routing/src/placement/ledger.rs
@@ -6,6 +6,7 @@
 use flaxward_types::time::Timestamp;
 
 use crate::configuration::Engine;
+use crate::homes::Requirement;
 use crate::names::{AdapterName, ModelName, Unit};
 use crate::runners::{Holdings, Runner, RunnerHoldings};
 
@@ -74,8 +75,8 @@
 /// A load that waits until there is room.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Intent {
-    /// What is to be loaded.
-    pub unit: Unit,
+    /// What is to be loaded, and for which homes.
+    pub requirement: Requirement,
     /// Why.
     pub reason: Reason,
 }
@@ -225,7 +226,7 @@
         let intends = self
             .intent
             .as_ref()
-            .is_some_and(|intent| intent.unit == *unit);
+            .is_some_and(|intent| intent.requirement.unit == *unit);
         !self.runner.draining && (loads || pending || intends)
     }
 
@@ -252,7 +253,8 @@
     /// Whether a load from the weight store follows once there is room.
     pub fn intends_store_load(&self) -> bool {
         let intent = self.intent.as_ref();
-        intent.is_some_and(|it| self.weight_source(&it.unit.model) == WeightSource::Store)
+        intent
+            .is_some_and(|it| self.weight_source(&it.requirement.unit.model) == WeightSource::Store)
     }
 
     /// Units that are there or on their way, some of them perhaps twice.
@@ -268,7 +270,10 @@
             .iter()
             .map(|(model, adapter)| unit(model, Some(adapter)));
         let ordered = self.order().map(|order| order.unit.clone());
-        let intended = self.intent.as_ref().map(|intent| intent.unit.clone());
+        let intended = self
+            .intent
+            .as_ref()
+            .map(|intent| intent.requirement.unit.clone());
         models
             .chain(adapters)
             .chain(ordered)
@@ -397,7 +402,11 @@
 
     /// Begins an order.
     pub fn begin(&mut self, order: Order, reason: Reason, ready_at: Timestamp) {
-        if self.intent.as_ref().is_some_and(|i| i.unit == order.unit) {
+        if self
+            .intent
+            .as_ref()
+            .is_some_and(|intent| intent.requirement.unit == order.unit)
+        {
             self.intent = None;
         }
         let loads_model = order.operation == Operation::Load && order.unit.adapter.is_none();
--- a/crates/routing/src/placement/mod.rs
+++ b/crates/routing/src/placement/mod.rs
@@ -24,6 +24,7 @@
 
 use crate::balance::is_worth_telling;
 use crate::configuration::{Configuration, Engine, ModelSpecification};
+use crate::locality::Regions;
 use crate::messages::{
     Direction, KnownState, RunnerLoad, StoreLimit, Usage, WaitNotice, WaitingUnit,
 };
@@ -179,6 +180,7 @@
     engines: BTreeMap<ServiceName, Engine>,
     ledgers: BTreeMap<RunnerId, Ledger>,
     copies: CopyIndex,
+    regions: Regions,
     runner_counts: BTreeMap<ServiceName, usize>,
     demands: Demands,
     configuration_version: Option<u64>,
@@ -197,6 +199,7 @@
             engines: BTreeMap::new(),
             ledgers: BTreeMap::new(),
             copies: CopyIndex::default(),
+            regions: Regions::default(),
             runner_counts: BTreeMap::new(),
             configuration_version: None,
             demands: Demands::new(settings.member_timeout),
@@ -216,6 +219,14 @@
         self
     }
 
+    /// The same where zones lie in these regions, so that units come within the homes of the requests that wait.
+    #[must_use]
+    pub fn in_regions(mut self, regions: Regions) -> Self {
+        self.copies = CopyIndex::new(regions.clone());
+        self.regions = regions;
+        self
+    }
+
     /// Takes in the engines of a configuration, unless it is the one that is known.
     pub fn configure(&mut self, configuration: &Configuration) {
         if self.configuration_version == Some(configuration.version) {
--- a/crates/routing/src/placement/planner.rs
+++ b/crates/routing/src/placement/planner.rs
@@ -6,6 +6,7 @@
 
 use flaxward_types::time::Timestamp;
 
+use crate::homes::Requirement;
 use crate::names::{RunnerId, ServiceName, Unit};
 
 use super::candidates::Openings;
@@ -89,12 +90,13 @@
     }
 
     /// Models of adapters that requests wait for and that are not on their way.
-    fn models_of_awaited_adapters(&self) -> HashSet<Unit> {
-        let wanted = self.demands.wanted().iter().map(|wanted| &wanted.unit);
+    fn models_of_awaited_adapters(&self) -> HashSet<Requirement> {
+        let wanted = self.demands.wanted().iter();
         wanted
-            .filter(|unit| unit.adapter.is_some())
-            .filter(|unit| !self.copies.is_offered(unit) && !self.copies.is_coming(unit))
-            .map(Unit::base)
+            .map(|wanted| &wanted.requirement)
+            .filter(|wanted| wanted.unit.adapter.is_some())
+            .filter(|wanted| !self.copies.is_offered(wanted) && !self.copies.is_coming(wanted))
+            .map(Requirement::base)
             .collect()
     }
 
@@ -104,10 +106,13 @@
     fn is_kept_for_adapters(
         &self,
         ledger: &Ledger,
-        awaited: &HashSet<Unit>,
+        awaited: &HashSet<Requirement>,
         now: Timestamp,
     ) -> bool {
-        if awaited.is_empty() || !awaited.iter().any(|model| ledger.offers(model)) {
+        let could_serve = |model: &Requirement| {
+            ledger.offers(&model.unit) && self.is_at_home(ledger, &model.homes)
+        };
+        if !awaited.iter().any(could_serve) {
             return false;
         }
         let slots = self.engines.get(&ledger.runner.service);
@@ -178,47 +183,49 @@
             .filter_map(|(id, ledger)| Some((id.clone(), ledger.intent.clone()?)))
             .collect();
         for (runner, intent) in ready {
-            let is_served = self.copies.is_offered(&intent.unit);
+            let is_served = self.copies.is_offered(&intent.requirement);
             self.change(&runner, |ledger| ledger.intent = None);
             if !is_served || intent.reason == Reason::Replica {
-                self.load_at(&runner, &intent.unit, intent.reason, now);
+                self.load_at(&runner, &intent.requirement, intent.reason, now);
             }
         }
     }
 
     /// Sees to it that a unit which requests wait for gets ready somewhere.
     fn serve(&mut self, wanted: &WantedUnit, openings: &mut Openings, now: Timestamp) {
-        let unit = &wanted.unit;
-        if self.copies.is_offered(unit) || self.copies.is_coming(unit) {
+        let requirement = &wanted.requirement;
+        if self.copies.is_offered(requirement) || self.copies.is_coming(requirement) {
             return;
         }
-        if unit.adapter.is_some() {
-            self.serve_adapter(unit, openings, now);
+        if requirement.unit.adapter.is_some() {
+            self.serve_adapter(requirement, openings, now);
         } else {
-            self.serve_model(unit, openings, now);
+            self.serve_model(requirement, openings, now);
         }
     }
 
-    fn serve_model(&mut self, unit: &Unit, openings: &mut Openings, now: Timestamp) {
-        if let Some(candidate) = self.best_candidate(unit, openings, now) {
-            openings.take(&candidate, &unit.service);
-            self.load_at(&candidate.runner, unit, Reason::Demand, now);
+    fn serve_model(&mut self, model: &Requirement, openings: &mut Openings, now: Timestamp) {
+        if let Some(candidate) = self.best_candidate(model, openings, now) {
+            openings.take(&candidate, &model.unit.service);
+            self.load_at(&candidate.runner, model, Reason::Demand, now);
         }
     }
 
-    fn serve_adapter(&mut self, unit: &Unit, openings: &mut Openings, now: Timestamp) {
-        let base = unit.base();
+    fn serve_adapter(&mut self, wanted: &Requirement, openings: &mut Openings, now: Timestamp) {
+        let base = wanted.base();
         if !self.copies.is_offered(&base) {
             if !self.copies.is_coming(&base) {
                 self.serve_model(&base, openings, now);
             }
             return;
         }
-        self.place_adapter(unit, openings, now);
+        self.place_adapter(wanted, openings, now);
     }
 
-    /// Loads an adapter at the least filled runner that offers its model, or first makes room for it there.
-    fn place_adapter(&mut self, unit: &Unit, openings: &mut Openings, now: Timestamp) {
+    /// Loads an adapter at the least filled runner within its homes that offers its model, or first makes room for it
+    /// there.
+    fn place_adapter(&mut self, wanted: &Requirement, openings: &mut Openings, now: Timestamp) {
+        let unit = &wanted.unit;
         let Some(engine) = self.engines.get(&unit.service) else {
             return;
         };
@@ -228,6 +235,7 @@
             .ledgers
             .values()
             .filter(|ledger| ledger.offers(&base) && ledger.is_free(now))
+            .filter(|ledger| self.is_at_home(ledger, &wanted.homes))
             .filter(|ledger| ledger.pending_adapter_count() < PENDING_ADAPTERS)
             .min_by_key(|ledger| {
                 let is_roomy = self.filled(ledger, slots) < ROOMY;
@@ -248,42 +256,50 @@
         }
     }
 
-    /// Loads a further copy of a model, if making room for it costs no more than a price.
+    /// Loads a further copy of a model within some homes, if making room for it costs no more than a price.
     pub(super) fn replicate(
         &mut self,
-        unit: &Unit,
+        model: &Requirement,
         highest_price_ms: f64,
         openings: &mut Openings,
         now: Timestamp,
     ) {
-        let Some(candidate) = self.best_candidate(unit, openings, now) else {
+        let Some(candidate) = self.best_candidate(model, openings, now) else {
             return;
         };
         if candidate.victims.price_ms <= highest_price_ms {
-            openings.take(&candidate, &unit.service);
-            self.load_at(&candidate.runner, unit, Reason::Replica, now);
+            openings.take(&candidate, &model.unit.service);
+            self.load_at(&candidate.runner, model, Reason::Replica, now);
         }
     }
 
     /// Gives busy models the copies that they should have at their rate, with a part of the ceiling, where what
     /// would be dropped is worth little.
     fn add_replicas(&mut self, openings: &mut Openings, now: Timestamp) {
-        for (unit, rate) in self.demands.busy_models(BUSY_RATE) {
+        for (model, rate) in self.demands.busy_models(BUSY_RATE) {
+            let unit = &model.unit;
             let engine = self.engines.get(&unit.service);
             let is_known = engine.is_some_and(|engine| engine.models.contains_key(&unit.model));
-            let has_enough = self.copies.count(&unit) >= self.wanted_copies(&unit, rate);
-            if !is_known || has_enough || self.copies.is_coming(&unit) {
+            let has_enough = self.copies.count(&model) >= self.wanted_copies(&model, rate);
+            if !is_known || has_enough || self.copies.is_coming(&model) {
                 continue;
             }
             if !self.has_ceiling(&unit.service, REPLICA_SHARE, now) {
                 continue;
             }
-            self.replicate(&unit, REPLICA_PRICE_MS, openings, now);
+            self.replicate(&model, REPLICA_PRICE_MS, openings, now);
         }
     }
 
     /// Loads a model at a runner, or first makes room for it.
-    fn load_at(&mut self, runner: &RunnerId, unit: &Unit, reason: Reason, now: Timestamp) {
+    fn load_at(
+        &mut self,
+        runner: &RunnerId,
+        requirement: &Requirement,
+        reason: Reason,
+        now: Timestamp,
+    ) {
+        let unit = &requirement.unit;
         let Some(engine) = self.engines.get(&unit.service) else {
             return;
         };
@@ -309,7 +325,7 @@
             ..unit.base()
         };
         let intent = Intent {
-            unit: unit.clone(),
+            requirement: requirement.clone(),
             reason,
         };
         self.change(runner, |ledger| ledger.intent = Some(intent));
--- a/crates/routing/src/placement/pressure.rs
+++ b/crates/routing/src/placement/pressure.rs
@@ -2,7 +2,7 @@
 
 use flaxward_types::time::Timestamp;
 
-use crate::names::Unit;
+use crate::homes::{Homes, Requirement};
 
 use super::Placement;
 use super::candidates::Openings;
@@ -34,7 +34,7 @@
 
 /// A model whose copies are full.
 struct PressedModel {
-    unit: Unit,
+    requirement: Requirement,
     /// Requests a second.
     rate: f64,
     /// Share of the slots of its copies that is filled.
@@ -56,10 +56,11 @@
         let mut pressed = self.pressed_models();
         pressed.sort_by(|left, right| right.pressure.total_cmp(&left.pressure));
         for model in pressed {
+            let requirement = &model.requirement;
             let has_enough =
-                self.copies.count(&model.unit) >= self.wanted_copies(&model.unit, model.rate);
+                self.copies.count(requirement) >= self.wanted_copies(requirement, model.rate);
             if !has_enough {
-                self.replicate(&model.unit, model.relief_ms(), openings, now);
+                self.replicate(requirement, model.relief_ms(), openings, now);
             }
         }
     }
@@ -67,9 +68,9 @@
     /// The busy models whose copies are full.
     fn pressed_models(&self) -> Vec<PressedModel> {
         let busy = self.demands.busy_models(BUSY_RATE).into_iter();
-        let busy = busy.map(|(unit, rate)| PressedModel {
-            pressure: self.pressure(&unit),
-            unit,
+        let busy = busy.map(|(requirement, rate)| PressedModel {
+            pressure: self.pressure(&requirement),
+            requirement,
             rate,
         });
         busy.filter(|model| model.pressure >= PRESSED).collect()
@@ -80,16 +81,31 @@
         f64::from(self.demands.running_at(&ledger.runner.id)) / f64::from(slots.max(1))
     }
 
-    /// Share of the slots of a model's copies that is filled; over 1 if requests wait there.
-    fn pressure(&self, model: &Unit) -> f64 {
-        let slots = self.engines.get(&model.service).map_or(1, |it| it.slots);
+    /// Share of the slots of a model's copies within some homes that is filled; over 1 if requests wait there.
+    fn pressure(&self, model: &Requirement) -> f64 {
+        let slots = self.engines.get(&model.unit.service);
+        let slots = slots.map_or(1, |it| it.slots);
         let copies = self.copies.offered(model);
         let places = f64::from(slots.max(1)) * as_f64(copies.max(1));
-        f64::from(self.demands.running_model(model)) / places
+        f64::from(self.running_within(model)) / places
     }
 
-    /// Copies that a model should have at a rate of requests.
-    pub(super) fn wanted_copies(&self, unit: &Unit, rate: f64) -> usize {
+    /// Requests in progress with a model at its copies within some homes.
+    fn running_within(&self, model: &Requirement) -> u32 {
+        if model.homes == Homes::Anywhere {
+            return self.demands.running_model(&model.unit);
+        }
+        let copies = self.copies.offered_at(&model.unit);
+        let ledgers = copies.filter_map(|id| self.ledgers.get(id));
+        let at_home = ledgers.filter(|ledger| self.is_at_home(ledger, &model.homes));
+        at_home
+            .map(|ledger| self.demands.running(&ledger.runner.id, &model.unit))
+            .sum()
+    }
+
+    /// Copies that a model should have within some homes at a rate of requests.
+    pub(super) fn wanted_copies(&self, requirement: &Requirement, rate: f64) -> usize {
+        let unit = &requirement.unit;
         if rate < BUSY_RATE {
             return 1;
         }
@@ -102,8 +118,8 @@
         let by_rate = copies_for(rate * SECONDS_A_REQUEST, slots);
         // What is in progress counts requests twice that were rejected and sent again, so it is believed step by
         // step.
-        let in_progress = f64::from(self.demands.running_model(unit));
-        let by_pressure = copies_for(in_progress, slots).min(self.copies.offered(unit) * 2);
+        let in_progress = f64::from(self.running_within(requirement));
+        let by_pressure = copies_for(in_progress, slots).min(self.copies.offered(requirement) * 2);
         by_rate
             .max(by_pressure)
             .max(BUSY_COPIES)
--- a/crates/routing/src/placement/victims.rs
+++ b/crates/routing/src/placement/victims.rs
@@ -5,10 +5,12 @@
 use flaxward_types::time::Timestamp;
 
 use crate::configuration::Engine;
+use crate::homes::Requirement;
 use crate::names::{AdapterName, ModelName, Unit};
 
 use super::Placement;
 use super::ledger::Ledger;
+use super::planner::BUSY_RATE;
 
 /// Time over which the use of a dropped copy is expected to go on, for its price.
 pub(super) const HORIZON_SECONDS: f64 = 10.0;
@@ -116,12 +118,8 @@
         if ledger.is_fresh(model, now) || self.demands.is_waited_for(&unit) {
             return None;
         }
-        let copies = self.copies.count(&unit);
         let rate = self.demands.model_rate(&unit);
-        let rate_now = self.demands.model_rate_now(&unit);
-        if copies <= self.wanted_copies(&unit, rate_now) && rate_now > super::planner::BUSY_RATE {
-            return None;
-        }
+        let copies = self.copies_to_spare(ledger, &unit)?;
         let specification = engine.models.get(model)?;
         let reload_ms = specification.disk_load.as_secs_f64() * 1_000.0;
         let others = f64::from(u32::try_from(copies).unwrap_or(u32::MAX));
@@ -139,6 +137,27 @@
         Some(price)
     }
 
+    /// Copies among which one at a runner is, within those homes of the model's requests where copies are fewest; `None`
+    /// if the copy must stay because the model is busy there and has no more copies than it should.
+    fn copies_to_spare(&self, ledger: &Ledger, model: &Unit) -> Option<usize> {
+        let mut fewest = self.copies.count(&Requirement::anywhere(model.clone()));
+        for (homes, rate) in self.demands.model_rates_by_homes(model) {
+            if !self.is_at_home(ledger, homes) {
+                continue;
+            }
+            let requirement = Requirement {
+                unit: model.clone(),
+                homes: homes.clone(),
+            };
+            let copies = self.copies.count(&requirement);
+            if rate > BUSY_RATE && copies <= self.wanted_copies(&requirement, rate) {
+                return None;
+            }
+            fewest = fewest.min(copies);
+        }
+        Some(fewest)
+    }
+
     /// The adapter of a runner that was unused for the longest, if one can go.
     pub(super) fn adapter_victim(&self, ledger: &Ledger, now: Timestamp) -> Option<Unit> {
         let to_unit = |(model, adapter): (ModelName, AdapterName)| Unit {
--- a/crates/routing/tests/decisions.rs
+++ b/crates/routing/tests/decisions.rs
@@ -13,7 +13,7 @@
 use flaxward_routing::evacuation::Evacuations;
 use flaxward_routing::events::EventSplitter;
 use flaxward_routing::health::{HealthTable, Observation};
-use flaxward_routing::homes::Homes;
+use flaxward_routing::homes::{Homes, Requirement};
 use flaxward_routing::locality::{Locality, Regions};
 use flaxward_routing::messages::{KnownState, Message, Usage, WaitingUnit};
 use flaxward_routing::names::{ModelName, Region, RouteName, RunnerId, ServiceName, Unit, Zone};
@@ -392,7 +392,7 @@
             ..KnownState::default()
         },
         waiting: vec![WaitingUnit {
-            unit: unit("m"),
+            requirement: Requirement::anywhere(unit("m")),
             requests: 2,
             late: 0,
             priority: 1,
--- a/crates/routing/tests/placement/pressure.rs
+++ b/crates/routing/tests/placement/pressure.rs
@@ -4,6 +4,7 @@
 use std::net::SocketAddr;
 
 use flaxward_routing::configuration::{ClientLimits, Configuration};
+use flaxward_routing::homes::Requirement;
 use flaxward_routing::messages::{KnownState, RunningUnit, Usage, UsedUnit};
 use flaxward_routing::names::{RunnerId, Unit, Zone};
 use flaxward_routing::placement::{
@@ -49,7 +50,7 @@
 
 fn usage(hot_uses: u32, hot_running: u32) -> Usage {
     let used = (0..MODELS.len()).map(|index| UsedUnit {
-        unit: world::model(index),
+        requirement: Requirement::anywhere(world::model(index)),
         requests: if index == 0 { hot_uses } else { NOW_AND_THEN },
     });
     Usage {
--- a/crates/routing/tests/placement/world.rs
+++ b/crates/routing/tests/placement/world.rs
@@ -7,8 +7,10 @@
 use flaxward_routing::configuration::{
     ClientLimits, Configuration, Engine, ModelSpecification, Service,
 };
+use flaxward_routing::homes::{Homes, Requirement};
+use flaxward_routing::locality::Regions;
 use flaxward_routing::messages::{KnownState, Usage, UsedUnit, WaitingUnit};
-use flaxward_routing::names::{AdapterName, ModelName, RunnerId, ServiceName, Unit, Zone};
+use flaxward_routing::names::{AdapterName, ModelName, Region, RunnerId, ServiceName, Unit, Zone};
 use flaxward_routing::placement::{
     Action, Operation, Order, OrderAnswer, Placement, PlacementSettings, RunnerReport,
 };
@@ -243,6 +245,8 @@
     waiting: Vec<Unit>,
     /// Requests and rank of what waits, where they are not 1.
     demand: Vec<(Unit, u32, u8)>,
+    /// The homes of the requests that wait and come.
+    homes: Homes,
     /// A runner that answers nothing.
     hung: Option<RunnerId>,
 }
@@ -259,7 +263,8 @@
             (runner.id, engine)
         });
         let mut world = Self {
-            placement: Placement::new(settings(), Timestamp::ZERO, Timestamp::ZERO),
+            placement: Placement::new(settings(), Timestamp::ZERO, Timestamp::ZERO)
+                .in_regions(regions()),
             engines: engines.collect(),
             late: Vec::new(),
             fence: 1,
@@ -267,6 +272,7 @@
             store_loads: Vec::new(),
             waiting: Vec::new(),
             demand: Vec::new(),
+            homes: Homes::Anywhere,
             hung: None,
         };
         world.placement.configure(&configuration());
@@ -281,7 +287,7 @@
     pub fn take_over(&mut self) {
         self.fence += 1;
         let now = self.now();
-        self.placement = Placement::new(settings(), now, now);
+        self.placement = Placement::new(settings(), now, now).in_regions(regions());
         self.placement.configure(&configuration());
     }
 
@@ -318,8 +324,22 @@
         self.waiting = units;
     }
 
+    /// Requests may be served in these regions from now on.
+    pub fn set_homes(&mut self, homes: Homes) {
+        self.homes = homes;
+    }
+
+    /// Whether a runner holds a unit.
     pub fn holds(&self, unit: &Unit) -> bool {
-        self.engines.values().any(|engine| {
+        self.holds_within(unit, &Homes::Anywhere)
+    }
+
+    /// Whether a runner within some homes holds a unit.
+    pub fn holds_within(&self, unit: &Unit, homes: &Homes) -> bool {
+        let regions = regions();
+        let engines = self.engines.values();
+        let mut at_home = engines.filter(|it| regions.allow(homes, &it.runner.zone));
+        at_home.any(|engine| {
             let adapters = engine.state.holdings.get(&unit.model);
             match (&unit.adapter, adapters) {
                 (_, None) => false,
@@ -351,8 +371,13 @@
     }
 
     fn usage(&self) -> Usage {
-        let waiting = self.waiting.iter().filter(|unit| !self.holds(unit));
-        let used = self.waiting.iter().filter(|unit| self.holds(unit));
+        let is_served = |unit: &&Unit| self.holds_within(unit, &self.homes);
+        let waiting = self.waiting.iter().filter(|unit| !is_served(unit));
+        let used = self.waiting.iter().filter(is_served);
+        let requirement = |unit: &Unit| Requirement {
+            unit: unit.clone(),
+            homes: self.homes.clone(),
+        };
         Usage {
             from: "d".to_owned(),
             address: SocketAddr::from(([127, 0, 0, 1], 9)),
@@ -369,7 +394,7 @@
                     let demand = self.demand.iter().find(|(wanted, _, _)| wanted == unit);
                     let (requests, priority) = demand.map_or((1, 1), |it| (it.1, it.2));
                     WaitingUnit {
-                        unit: unit.clone(),
+                        requirement: requirement(unit),
                         requests,
                         late: 0,
                         priority,
@@ -380,7 +405,7 @@
                 .map(|unit| {
                     let demand = self.demand.iter().find(|(wanted, _, _)| wanted == unit);
                     UsedUnit {
-                        unit: unit.clone(),
+                        requirement: requirement(unit),
                         requests: demand.map_or(1, |it| it.1),
                     }
                 })
@@ -490,6 +515,12 @@
     }
 }
 
+/// The region of each runner's zone.
+pub fn regions() -> Regions {
+    let regions = [("z0", "west"), ("z1", "east"), ("z2", "north")];
+    Regions::from_iter(regions.map(|(zone, region)| (Zone::new(zone), Region::new(region))))
+}
+
 fn settings() -> PlacementSettings {
     PlacementSettings::default()
 }
