--- a/crates/ingress/src/state.rs
+++ b/crates/ingress/src/state.rs
@@ -12,6 +12,7 @@
 use flaxward_routing::configuration_age::ConfigurationAge;
 use flaxward_routing::evacuation::Evacuations;
 use flaxward_routing::health::{HealthTable, Observation};
+use flaxward_routing::homes::{Homes, Requirement};
 use flaxward_routing::locality::Locality;
 use flaxward_routing::messages::UnitOutlook;
 use flaxward_routing::names::{RunnerId, ServiceName, Unit};
@@ -62,8 +63,8 @@
     pub budget: RetryBudget,
     pub quarantine: Quarantine,
     pub splits: SplitChooser,
-    pub waiting: HashMap<Unit, Waiting>,
-    pub outlooks: HashMap<Unit, Outlook>,
+    pub waiting: HashMap<Requirement, Waiting>,
+    pub outlooks: HashMap<Requirement, Outlook>,
     pub daemons: usize,
     /// When this daemon has stopped at the latest, once it is told to stop.
     pub stop_end: Option<Instant>,
@@ -258,10 +259,26 @@
         tables.runners_known.then(|| tables.runners.revision())
     }
 
-    /// The service for a request of a route.
-    pub(crate) fn choose_service(&self, route: &Route) -> Option<ServiceName> {
+    /// The service for a request of a route that may be served within some homes.
+    pub(crate) fn choose_service(&self, route: &Route, homes: &Homes) -> Option<ServiceName> {
         let seed = self.seed;
-        self.tables().splits.choose(route, seed)
+        let mut tables = self.tables();
+        let Tables {
+            splits,
+            runners,
+            evacuations,
+            ..
+        } = &mut *tables;
+        let is_at_home = |service: &ServiceName| {
+            let mut runners = runners.of_service(service);
+            runners.any(|it| !evacuations.includes(it) && self.is_at_home(it, homes))
+        };
+        splits.choose(route, homes, is_at_home, seed)
+    }
+
+    /// Whether requests with some homes may be served at a runner.
+    pub(crate) fn is_at_home(&self, runner: &Runner, homes: &Homes) -> bool {
+        self.locality.regions().allow(homes, &runner.zone)
     }
 
     /// The runner for a request.
@@ -318,7 +335,7 @@
                 ready_at: now + wait,
                 told_at: now,
             };
-            tables.outlooks.insert(outlook.unit, outlook_at);
+            tables.outlooks.insert(outlook.requirement, outlook_at);
         }
         drop(tables);
         self.changed.notify_waiters();
--- a/crates/routing/src/messages.rs
+++ b/crates/routing/src/messages.rs
@@ -10,6 +10,7 @@
 
 use crate::configuration_transfer::ConfigurationChunk;
 use crate::evacuation::Evacuations;
+use crate::homes::Requirement;
 use crate::lease::LeasePulse;
 use crate::membership::MembershipUpdate;
 use crate::names::{RunnerId, ServiceName, Unit, Zone};
@@ -22,7 +23,7 @@
 use crate::strength::MachineStrength;
 
 /// First byte of every message; raised when the encoding changes incompatibly.
-const WIRE_VERSION: u8 = 6;
+const WIRE_VERSION: u8 = 7;
 
 /// A message.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -153,8 +154,8 @@
 /// Requests that wait for a unit.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct WaitingUnit {
-    /// The unit.
-    pub unit: Unit,
+    /// The unit, within the homes of the requests.
+    pub requirement: Requirement,
     /// How many.
     pub requests: u32,
     /// Those of them that would be late even if a load began now.
@@ -166,8 +167,8 @@
 /// Requests that have used a unit.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct UsedUnit {
-    /// The unit.
-    pub unit: Unit,
+    /// The unit, within the homes of the requests.
+    pub requirement: Requirement,
     /// Requests in the last seconds ([`USE_WINDOW_SECONDS`]).
     pub requests: u32,
 }
@@ -254,8 +255,8 @@
 /// When a unit is ready.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct UnitOutlook {
-    /// The unit.
-    pub unit: Unit,
+    /// The unit, within the homes of the requests.
+    pub requirement: Requirement,
     /// Time until it is ready, in ms.
     pub ready_in_ms: u32,
 }
