Runners: what is believed belongs to one life, told by name and start

Cause: a runner may start again under its name. Everything believed of it (holdings told, ledger and order count, health, refusals, requests in flight, loads, crashes under a request) was keyed by the name, so a restart took over what the life before was believed to hold, and a report of either settled orders of the other.

Change: RunnerId is a name and a start. The table of runners holds one life of a name: the store's later revision stands, and where it does not decide, the later start. A member hears of a new life as of any change of a runner; so it does of another address, which it did not. A report names its life, and one of another life settles nothing, is logged and counted. The pool closes idle connections to a life that is over. A list that is older than what is known no longer brings back runners that were gone by then unseen.

On the wire a life costs 6 bytes with a start and 1 without; the version of messages rises to 7.

Tests: crates/routing/tests/lives.rs is new; the property in membership.rs also restarts runners, with any start. Changed for types alone: RunnerChange::Gone names a runner and no life.

--- a/crates/ingress/src/coordination/calls.rs
+++ b/crates/ingress/src/coordination/calls.rs
@@ -14,7 +14,7 @@
 use flaxward_types::time::Timestamp;
 use tokio::sync::mpsc::UnboundedSender;
 
-use crate::counters::{ORDERS, STORE_LOAD_SECONDS, STORE_LOADS_ALLOWED};
+use crate::counters::{FOREIGN_REPORTS, ORDERS, STORE_LOAD_SECONDS, STORE_LOADS_ALLOWED};
 use crate::outside::{Changed, FencedOrder, StoreError};
 use crate::state::Shared;
 
@@ -143,6 +143,22 @@
     shared.log.write(shared.now(), "order-sent", fields);
 }
 
+/// Logs that another life of a runner has reported than the one that was asked, so that its report counts for nothing.
+pub(super) fn log_foreign_report(
+    shared: &Shared,
+    runner: &RunnerId,
+    report: &RunnerReport,
+    term: u64,
+) {
+    metrics::counter!(FOREIGN_REPORTS.name).increment(1);
+    let reporter = RunnerId::of(runner.name().clone(), report.start);
+    let fields: &[(&str, &dyn Display)] =
+        &[("runner", runner), ("reporter", &reporter), ("term", &term)];
+    shared
+        .log
+        .write(shared.now(), "report-of-another-life", fields);
+}
+
 /// Logs that a report has settled an order, and what it says of the weight store.
 pub(super) fn log_settled(shared: &Shared, runner: &RunnerId, settled: &SettledOrder, term: u64) {
     let operation = operation_name(settled.order.operation);
--- a/crates/ingress/src/coordination/mod.rs
+++ b/crates/ingress/src/coordination/mod.rs
@@ -33,7 +33,7 @@
 use crate::state::Shared;
 use crate::watches::{take_evacuations, take_membership};
 
-use calls::{Caller, Event, log_settled, operation_name};
+use calls::{Caller, Event, log_foreign_report, log_settled, operation_name};
 use configurations::Configurations;
 use following::Following;
 use informing::Informing;
@@ -420,6 +420,9 @@
                 let Some(leading) = self.leading.as_mut().filter(|it| it.term == term) else {
                     return;
                 };
+                if let Some(report) = report.as_ref().filter(|it| !it.is_of(&runner)) {
+                    log_foreign_report(&self.shared, &runner, report, term);
+                }
                 let settled = leading.placement.reported(&runner, report, asked_at, now);
                 leading.plan_soon(now);
                 if let Some(settled) = settled {
--- a/crates/ingress/src/outside.rs
+++ b/crates/ingress/src/outside.rs
@@ -7,7 +7,7 @@
 use async_trait::async_trait;
 use flaxward_routing::configuration::Configuration;
 use flaxward_routing::lease::{LeaseRecord, StoredLease};
-use flaxward_routing::names::{RunnerId, TenantName, Zone};
+use flaxward_routing::names::{RunnerId, RunnerName, TenantName, Zone};
 use flaxward_routing::placement::{Order, OrderAnswer, RunnerReport};
 use flaxward_routing::request::RequestProfile;
 use flaxward_routing::runners::Runner;
@@ -126,8 +126,8 @@
 pub enum RunnerChange {
     /// It is there, as follows.
     Present(Box<Runner>),
-    /// It is gone.
-    Gone(RunnerId),
+    /// It is gone, in whichever life.
+    Gone(RunnerName),
 }
 
 /// What a conditional change came to.
@@ -208,9 +208,9 @@
 /// The control interface of model runners.
 #[async_trait]
 pub trait RunnerControl: Send + Sync {
-    /// A runner's report of itself, or `None` if none could be had.
+    /// The report of the runner at an address, which names the life that reports; `None` if none could be had.
     async fn report(&self, address: SocketAddr) -> Option<RunnerReport>;
 
-    /// Gives an order.
+    /// Gives an order. Another life of the same name may take it if it has the same order count.
     async fn order(&self, address: SocketAddr, order: &FencedOrder<'_>) -> OrderAnswer;
 }
--- a/crates/ingress/src/pool.rs
+++ b/crates/ingress/src/pool.rs
@@ -10,6 +10,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use flaxward_routing::names::RunnerId;
 use http::header::CONNECTION;
 use http::{HeaderMap, Request, Response};
 use http_body_util::Full;
@@ -70,6 +71,8 @@
 #[derive(Debug, Default)]
 pub(crate) struct Pool {
     idle: Mutex<HashMap<SocketAddr, Vec<Connection>>>,
+    /// Who listened where at the last sweep.
+    lives: Mutex<HashMap<SocketAddr, RunnerId>>,
 }
 
 impl Pool {
@@ -125,15 +128,21 @@
         }
     }
 
-    /// Closes idle connections that are too old, and those to addresses not in use.
-    pub(crate) fn sweep(&self, is_used: impl Fn(&SocketAddr) -> bool) {
-        let Ok(mut idle) = self.idle.lock() else {
+    /// Closes idle connections that are too old, and those to addresses at which another life of a runner listens now,
+    /// or none: they would break with the first request on them, which perhaps must not be repeated.
+    pub(crate) fn sweep(&self, lives: HashMap<SocketAddr, RunnerId>) {
+        let (Ok(mut idle), Ok(mut before)) = (self.idle.lock(), self.lives.lock()) else {
             return;
         };
         idle.retain(|address, connections| {
             connections.retain(|connection| connection.is_usable(IDLE_SHARE));
-            !connections.is_empty() && is_used(address)
+            let listens = lives.get(address);
+            let is_over = before
+                .get(address)
+                .is_some_and(|life| Some(life) != listens);
+            !connections.is_empty() && listens.is_some() && !is_over
         });
+        *before = lives;
     }
 }
 
--- a/crates/ingress/src/watches/runners.rs
+++ b/crates/ingress/src/watches/runners.rs
@@ -4,8 +4,8 @@
 use std::time::Duration;
 
 use flaxward_routing::membership::MembershipUpdate;
-use flaxward_routing::names::RunnerId;
-use flaxward_routing::runners::Runner;
+use flaxward_routing::names::{RunnerId, RunnerName};
+use flaxward_routing::runners::{Runner, RunnerTable};
 use tokio::time::sleep;
 
 use super::{
@@ -181,16 +181,16 @@
 fn apply_changes(shared: &Shared, changes: Listing<RunnerChange>) {
     let revision = changes.revision;
     for change in changes.items {
-        let id = match &change {
-            RunnerChange::Present(runner) => runner.id.clone(),
-            RunnerChange::Gone(id) => id.clone(),
-        };
         let mut tables = shared.tables();
         let before = tables.runners.membership_revision();
-        match change {
-            RunnerChange::Present(runner) => tables.runners.insert(*runner, revision),
-            RunnerChange::Gone(id) => tables.runners.remove(&id, revision),
-        }
+        let id = match change {
+            RunnerChange::Present(runner) => {
+                let id = runner.id.clone();
+                tables.runners.insert(*runner, revision);
+                id
+            }
+            RunnerChange::Gone(name) => remove_runner(&mut tables.runners, name, revision),
+        };
         let is_news = tables.runners.membership_revision() != before;
         drop(tables);
         if is_news {
@@ -204,7 +204,14 @@
     after_change(shared);
 }
 
-/// Logs that a runner has come, gone, or begun to drain, and who has told it.
+/// Removes a runner. Returns the life of it that was known.
+fn remove_runner(runners: &mut RunnerTable, name: RunnerName, revision: u64) -> RunnerId {
+    let known = runners.named(&name).map(|runner| runner.id.clone());
+    runners.remove(&name, revision);
+    known.unwrap_or_else(|| RunnerId::of(name, None))
+}
+
+/// Logs that a life of a runner has come, gone, or begun to drain, and who has told it.
 fn log_runner(shared: &Shared, id: &RunnerId, revision: u64, source: &str) {
     let runner = shared.tables().runners.get(id).cloned();
     let state = match &runner {
@@ -225,14 +232,14 @@
     shared.log.write(shared.now(), "runner-state", fields);
 }
 
-/// Wakes those who wait, and closes connections to runners that are gone.
+/// Wakes those who wait, and closes connections to lives of runners that are over.
 fn after_change(shared: &Shared) {
-    let addresses: std::collections::HashSet<std::net::SocketAddr> = shared
+    let lives = shared
         .tables()
         .runners
         .iter()
-        .map(|runner| runner.address)
+        .map(|runner| (runner.address, runner.id.clone()))
         .collect();
-    shared.pool.sweep(|address| addresses.contains(address));
+    shared.pool.sweep(lives);
     shared.changed.notify_waiters();
 }
--- a/crates/ingress/tests/ingress/store.rs
+++ b/crates/ingress/tests/ingress/store.rs
@@ -10,7 +10,7 @@
 };
 use flaxward_routing::configuration::Configuration;
 use flaxward_routing::lease::{LeaseRecord, StoredLease};
-use flaxward_routing::names::{RunnerId, Zone};
+use flaxward_routing::names::{RunnerName, Zone};
 use flaxward_routing::runners::Runner;
 use tokio::sync::Notify;
 
@@ -18,7 +18,7 @@
 struct Contents {
     configuration: Option<Configuration>,
     runners: Vec<Runner>,
-    gone: Vec<RunnerId>,
+    gone: Vec<RunnerName>,
     evacuated: Vec<Zone>,
     revision: u64,
     lease: Option<StoredLease>,
@@ -65,7 +65,8 @@
         let mut contents = self.contents.lock().unwrap();
         contents.revision += 1;
         let before = std::mem::replace(&mut contents.runners, runners);
-        let gone = before.into_iter().map(|runner| runner.id);
+        let gone = before.into_iter();
+        let gone = gone.map(|runner| runner.id.name().clone());
         contents.gone.extend(gone);
         drop(contents);
         self.changed.notify_waiters();
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -29,6 +29,7 @@
 pub mod quarantine;
 pub mod quota;
 pub mod request;
+mod runner_id;
 pub mod runners;
 pub mod split;
 pub mod standby;
--- a/crates/routing/src/membership.rs
+++ b/crates/routing/src/membership.rs
@@ -1,7 +1,8 @@
 //! Which runners there are, as daemons tell it to each other.
 //!
-//! Each change carries the store's revision at which the runner came, went, or began to drain, so that
-//! changes may be heard in any order and from several daemons: the one with the higher revision stands.
+//! Each change carries the store's revision at which the runner came, went, began to drain, or began another life, so
+//! that changes may be heard in any order and from several daemons: the one with the higher revision stands. A runner
+//! has one change, its last; so one that tells of a life also tells that those before are over.
 //! A daemon names the revision up to which it knows all changes, and gets those after it.
 
 use std::collections::BTreeMap;
@@ -11,7 +12,7 @@
 use flaxward_types::time::millis;
 use serde::{Deserialize, Serialize};
 
-use crate::names::{RunnerId, ServiceName, Zone};
+use crate::names::{RunnerId, RunnerName, ServiceName, Zone};
 use crate::runners::{Holdings, Runner};
 
 /// Runners that are gone of which the change is kept, at most. Daemons that know less must read the
@@ -40,7 +41,7 @@
 /// A change of one runner.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct MembershipChange {
-    /// The runner.
+    /// The life of the runner; one that is gone may be told without its start.
     pub runner: RunnerId,
     /// The store's revision at which it was seen so, or a later one.
     pub revision: u64,
@@ -128,7 +129,7 @@
     complete_after: Option<u64>,
     complete_until: u64,
     last_change: u64,
-    changes: BTreeMap<RunnerId, LastChange>,
+    changes: BTreeMap<RunnerName, LastChange>,
 }
 
 impl MembershipLog {
@@ -143,13 +144,16 @@
     }
 
     /// Whether news of a runner at a revision are older than what is known.
-    pub fn is_outdated(&self, runner: &RunnerId, revision: u64) -> bool {
-        let known = self.changes.get(runner);
-        known.is_some_and(|known| known.revision > revision)
+    pub fn is_outdated(&self, runner: &RunnerName, revision: u64) -> bool {
+        match self.changes.get(runner) {
+            Some(known) => known.revision > revision,
+            // All up to then is known, and that this runner was there is not.
+            None => revision < self.complete_until,
+        }
     }
 
     /// Notes a change.
-    pub fn note(&mut self, runner: &RunnerId, revision: u64, is_gone: bool) {
+    pub fn note(&mut self, runner: &RunnerName, revision: u64, is_gone: bool) {
         let change = LastChange { revision, is_gone };
         self.last_change = self.last_change.max(revision);
         self.changes.insert(runner.clone(), change);
@@ -172,7 +176,7 @@
 
     fn forget_oldest_gone(&mut self) {
         let gone = self.changes.iter().filter(|(_, change)| change.is_gone);
-        let mut gone: Vec<(u64, RunnerId)> = gone
+        let mut gone: Vec<(u64, RunnerName)> = gone
             .map(|(runner, change)| (change.revision, runner.clone()))
             .collect();
         if gone.len() <= MAX_GONE {
@@ -190,23 +194,23 @@
     pub fn updates_after<'a>(
         &'a self,
         revision: u64,
-        summary: impl Fn(&RunnerId) -> Option<RunnerSummary> + 'a,
+        present: impl Fn(&RunnerName) -> Option<(RunnerId, RunnerSummary)> + 'a,
     ) -> Option<Vec<MembershipUpdate>> {
         let complete_after = self.complete_after?;
         if revision < complete_after {
-            return Some(self.whole_list(&summary));
+            return Some(self.whole_list(&present));
         }
-        Some(self.split(revision, self.changes_after(revision, &summary)))
+        Some(self.split(revision, self.changes_after(revision, &present)))
     }
 
     /// All runners that there are.
     fn whole_list(
         &self,
-        summary: &impl Fn(&RunnerId) -> Option<RunnerSummary>,
+        present: &impl Fn(&RunnerName) -> Option<(RunnerId, RunnerSummary)>,
     ) -> Vec<MembershipUpdate> {
-        let mut present = self.changes_after(0, summary);
-        present.retain(|change| change.summary.is_some());
-        let mut parts = self.split(0, present);
+        let mut changes = self.changes_after(0, present);
+        changes.retain(|change| change.summary.is_some());
+        let mut parts = self.split(0, changes);
         let count = parts.len();
         for (part, place) in parts.iter_mut().zip(1..) {
             let is_last = place == count;
@@ -219,16 +223,20 @@
     fn changes_after(
         &self,
         revision: u64,
-        summary: &impl Fn(&RunnerId) -> Option<RunnerSummary>,
+        present: &impl Fn(&RunnerName) -> Option<(RunnerId, RunnerSummary)>,
     ) -> Vec<MembershipChange> {
         let mut changes: Vec<MembershipChange> = self
             .changes
             .iter()
             .filter(|(_, change)| change.revision > revision)
-            .map(|(runner, change)| MembershipChange {
-                runner: runner.clone(),
-                revision: change.revision,
-                summary: summary(runner).filter(|_| !change.is_gone),
+            .map(|(name, change)| {
+                let runner = present(name).filter(|_| !change.is_gone);
+                let (runner, summary) = runner.unzip();
+                MembershipChange {
+                    runner: runner.unwrap_or_else(|| RunnerId::of(name.clone(), None)),
+                    revision: change.revision,
+                    summary,
+                }
             })
             .collect();
         changes.sort_by_key(|change| change.revision);
--- a/crates/routing/src/messages.rs
+++ b/crates/routing/src/messages.rs
@@ -21,7 +21,7 @@
 use crate::strength::MachineStrength;
 
 /// First byte of every message; raised when the encoding changes incompatibly.
-const WIRE_VERSION: u8 = 6;
+const WIRE_VERSION: u8 = 7;
 
 /// A message.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
--- a/crates/routing/src/names.rs
+++ b/crates/routing/src/names.rs
@@ -1,5 +1,7 @@
 //! Names of routes, services, models, adapters, zones and runners.
 
+pub use crate::runner_id::{RunnerId, RunnerStart};
+
 use std::borrow::Borrow;
 use std::fmt;
 use std::sync::Arc;
@@ -69,8 +71,8 @@
     Zone
 }
 name! {
-    /// Identity of one start of a runner; never used again.
-    RunnerId
+    /// Name of a runner. It may keep it when it starts again; see [`RunnerId`].
+    RunnerName
 }
 
 /// What can be loaded into a runner: a model, or one adapter of it.
--- a/crates/routing/src/placement/mod.rs
+++ b/crates/routing/src/placement/mod.rs
@@ -27,7 +27,7 @@
 use crate::messages::{
     Direction, KnownState, RunnerLoad, StoreLimit, Usage, WaitNotice, WaitingUnit,
 };
-use crate::names::{AdapterName, ModelName, RunnerId, ServiceName, Unit};
+use crate::names::{AdapterName, ModelName, RunnerId, RunnerStart, ServiceName, Unit};
 use crate::runners::{Holdings, Runner, RunnerHoldings};
 use crate::standby::Candidate;
 use crate::strength::MachineStrength;
@@ -80,6 +80,8 @@
 /// A runner's report of itself.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct RunnerReport {
+    /// When the life began that reports, if it told that.
+    pub start: Option<RunnerStart>,
     /// What it holds.
     pub holdings: Holdings,
     /// Adapters on their way.
@@ -98,6 +100,13 @@
     pub waiting: u32,
 }
 
+impl RunnerReport {
+    /// Whether it comes from this life of a runner.
+    pub fn is_of(&self, runner: &RunnerId) -> bool {
+        self.start == runner.start()
+    }
+}
+
 /// What the coordinator wants done.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Action {
@@ -413,7 +422,8 @@
             .map(Ledger::announced)
     }
 
-    /// Takes in a report that was asked for at a time. Returns the order that it settles.
+    /// Takes in a report that was asked for at a time. Returns the order that it settles. One of another life of the
+    /// runner says nothing of this one, as if none had come.
     pub fn reported(
         &mut self,
         runner: &RunnerId,
@@ -422,6 +432,7 @@
         now: Timestamp,
     ) -> Option<SettledOrder> {
         let settings = self.settings;
+        let report = report.filter(|report| report.is_of(runner));
         let settlement = self.change(runner, |ledger| {
             ledger.report_asked_at = None;
             let Some(report) = report else {
--- a/crates/routing/src/runners.rs
+++ b/crates/routing/src/runners.rs
@@ -1,6 +1,7 @@
 //! The runners as a daemon knows them: what the store's list or another daemon says of each, and what
 //! the coordinator says they hold.
 
+use std::cmp::Ordering;
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -12,7 +13,7 @@
 use crate::membership::{
     MembershipChange, MembershipLog, MembershipUpdate, RunnerSummary, UpdateScope,
 };
-use crate::names::{AdapterName, ModelName, RunnerId, ServiceName, Unit, Zone};
+use crate::names::{AdapterName, ModelName, RunnerId, RunnerName, ServiceName, Unit, Zone};
 
 /// Time for which what the coordinator said stands over the list.
 const HOLDINGS_VALIDITY: Duration = Duration::from_secs(4);
@@ -26,7 +27,7 @@
 /// A runner as the store's list tells it.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Runner {
-    /// Identity of this start of it.
+    /// Identity of this life of it.
     pub id: RunnerId,
     /// The store's revision at which its entry last changed.
     pub revision: u64,
@@ -61,16 +62,36 @@
     pub holdings: Vec<(ModelName, Vec<AdapterName>)>,
 }
 
+impl Runner {
+    /// Whether another entry of the same name tells of a life that is over by this one: the store's later revision
+    /// decides, since clocks of runners may be set back. Where it does not, the later start.
+    fn outlives(&self, other: &Self) -> bool {
+        let are_told = self.revision != 0 && other.revision != 0;
+        let by_revision = if are_told {
+            self.revision.cmp(&other.revision)
+        } else {
+            Ordering::Equal
+        };
+        let order = by_revision.then(self.id.start().cmp(&other.id.start()));
+        self.id != other.id && order == Ordering::Greater
+    }
+
+    /// Whether daemons that know one entry of a runner must hear of the other one.
+    fn differs_for_members(&self, other: &Self) -> bool {
+        self.id != other.id || self.draining != other.draining || self.address != other.address
+    }
+}
+
 #[derive(Debug)]
 struct KnownHoldings {
     holdings: Holdings,
     known_at: Timestamp,
 }
 
-/// All runners that a daemon knows.
+/// All runners that a daemon knows, one life of each.
 #[derive(Debug, Default)]
 pub struct RunnerTable {
-    runners: BTreeMap<RunnerId, Runner>,
+    runners: BTreeMap<RunnerName, Runner>,
     membership: MembershipLog,
     told: HashMap<RunnerId, KnownHoldings>,
     /// Until now the coordinator has said nothing else of what it told before.
@@ -94,15 +115,16 @@
     /// A list does not tell of runners that came and went unseen. Others that know less than this revision
     /// can therefore no longer be told all that they lack, unless all changes up to it were taken in before.
     pub fn replace(&mut self, listed: Vec<Runner>, revision: u64) {
-        let ids: BTreeSet<RunnerId> = listed.iter().map(|runner| runner.id.clone()).collect();
-        let missing: Vec<RunnerId> = self
+        let listed_names: BTreeSet<&RunnerName> =
+            listed.iter().map(|runner| runner.id.name()).collect();
+        let missing: Vec<RunnerName> = self
             .runners
             .keys()
-            .filter(|id| !ids.contains(*id))
+            .filter(|name| !listed_names.contains(name))
             .cloned()
             .collect();
-        for id in missing {
-            self.remove(&id, revision);
+        for name in missing {
+            self.remove(&name, revision);
         }
         for runner in listed {
             self.insert(runner, revision);
@@ -110,35 +132,46 @@
         self.membership.begin_at(revision);
     }
 
-    /// Takes in one runner as the store has told it at a revision.
+    /// Takes in one runner as the store has told it at a revision. Another life of it that was known is over.
     pub fn insert(&mut self, runner: Runner, revision: u64) {
-        if self.membership.is_outdated(&runner.id, revision) {
+        let name = runner.id.name().clone();
+        let known = self.runners.get(&name);
+        let is_over = known.is_some_and(|known| known.outlives(&runner));
+        if is_over || self.membership.is_outdated(&name, revision) {
             return;
         }
         self.changes += 1;
-        let known = self.runners.get(&runner.id);
-        let is_news = known.is_none_or(|known| known.draining != runner.draining);
-        if is_news {
+        if known.is_none_or(|known| known.differs_for_members(&runner)) {
             let changed_at = if runner.revision == 0 {
                 revision
             } else {
                 runner.revision
             };
-            self.membership.note(&runner.id, changed_at, false);
+            self.membership.note(&name, changed_at, false);
+        }
+        if known.is_some_and(|known| known.id != runner.id) {
+            self.forget_lives(&name, Some(&runner.id));
         }
-        self.runners.insert(runner.id.clone(), runner);
+        self.runners.insert(name, runner);
     }
 
-    /// Removes a runner that was gone at a revision.
-    pub fn remove(&mut self, id: &RunnerId, revision: u64) {
-        if self.membership.is_outdated(id, revision) {
+    /// Removes the life of a runner that is known; the runner was gone at a revision.
+    pub fn remove(&mut self, name: &impl AsRef<RunnerName>, revision: u64) {
+        let name = name.as_ref();
+        if self.membership.is_outdated(name, revision) {
             return;
         }
         self.changes += 1;
-        self.membership.note(id, revision, true);
-        self.runners.remove(id);
-        self.told.remove(id);
-        self.absent.retain(|(runner, _), _| runner != id);
+        self.membership.note(name, revision, true);
+        self.runners.remove(name);
+        self.forget_lives(name, None);
+    }
+
+    /// Drops what requests and the coordinator have told of the lives of a runner, except one.
+    fn forget_lives(&mut self, name: &RunnerName, except: Option<&RunnerId>) {
+        let is_over = |id: &RunnerId| id.name() == name && Some(id) != except;
+        self.told.retain(|id, _| !is_over(id));
+        self.absent.retain(|(id, _), _| !is_over(id));
     }
 
     /// All changes up to this revision of the store are taken in.
@@ -164,8 +197,11 @@
     /// What a daemon that knows all changes up to a revision must hear, in messages that fit a datagram
     /// each; `None` if this one knows no list.
     pub fn updates_after(&self, revision: u64) -> Option<Vec<MembershipUpdate>> {
-        let summary = |id: &RunnerId| self.runners.get(id).map(RunnerSummary::of);
-        self.membership.updates_after(revision, summary)
+        let present = |name: &RunnerName| {
+            let runner = self.runners.get(name)?;
+            Some((runner.id.clone(), RunnerSummary::of(runner)))
+        };
+        self.membership.updates_after(revision, present)
     }
 
     /// Takes in what another daemon tells. Returns the runners that have come, gone or begun to drain, or
@@ -212,12 +248,13 @@
         if list.until <= self.revision() {
             return Vec::new();
         }
-        let present: BTreeSet<&RunnerId> = list.changes.iter().map(|it| &it.runner).collect();
+        let changes = list.changes.iter();
+        let present: BTreeSet<&RunnerName> = changes.map(|it| it.runner.name()).collect();
         let gone: Vec<RunnerId> = self
             .runners
-            .keys()
-            .filter(|id| !present.contains(id))
-            .cloned()
+            .values()
+            .filter(|runner| !present.contains(runner.id.name()))
+            .map(|runner| runner.id.clone())
             .collect();
         let gone = gone.into_iter().map(|runner| MembershipChange {
             runner,
@@ -238,11 +275,13 @@
         news
     }
 
-    /// Digest of which runners there are and which of them drain. Daemons with the same digest know the same.
+    /// Digest of which lives of runners there are and which of them drain. Daemons with the same digest know the same.
     pub fn digest(&self) -> u64 {
         let mut hasher = Xxh3::new();
         for runner in self.runners.values() {
             hasher.update(runner.id.as_str().as_bytes());
+            let start = runner.id.start().map_or(0, |start| start.as_millis() + 1);
+            hasher.update(&start.to_le_bytes());
             hasher.update(&[u8::from(runner.draining)]);
         }
         hasher.digest()
@@ -261,12 +300,14 @@
     /// Takes in a change that another daemon tells. Returns the runner if it is news.
     fn take_change(&mut self, change: MembershipChange) -> Option<RunnerId> {
         let (id, revision) = (change.runner, change.revision);
-        let known = self.runners.get(&id);
+        let known = self.runners.get(id.name());
         let Some(summary) = change.summary else {
-            let was_known = known.is_some();
+            let known = known.map(|known| known.id.clone());
             self.remove(&id, revision);
-            return was_known.then_some(id);
+            return known;
         };
+        // What is known of another life says nothing of this one.
+        let known = known.filter(|known| known.id == id);
         if known.map(RunnerSummary::of).as_ref() == Some(&summary) {
             return None;
         }
@@ -301,9 +342,14 @@
         self.absent.insert((id.clone(), unit.clone()), now);
     }
 
-    /// A runner by its identity.
+    /// A runner, if this life of it is the one that is known.
     pub fn get(&self, id: &RunnerId) -> Option<&Runner> {
-        self.runners.get(id)
+        self.named(id.name()).filter(|runner| runner.id == *id)
+    }
+
+    /// The life of a runner that is known.
+    pub fn named(&self, name: &RunnerName) -> Option<&Runner> {
+        self.runners.get(name)
     }
 
     /// All runners.
--- /dev/null
+++ b/crates/routing/tests/lives.rs
@@ -0,0 +1,367 @@
+//! Lives of runners that keep their names: what is believed of one never holds for the next, in whatever order a daemon
+//! hears of them.
+
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use flaxward_routing::configuration::{
+    ClientLimits, Configuration, Engine, ModelSpecification, Service,
+};
+use flaxward_routing::health::{HealthTable, Observation};
+use flaxward_routing::messages::{KnownState, Usage, WaitingUnit};
+use flaxward_routing::names::{ModelName, RunnerId, RunnerStart, ServiceName, Unit, Zone};
+use flaxward_routing::placement::{
+    Action, OrderAnswer, Placement, PlacementSettings, RunnerReport,
+};
+use flaxward_routing::runners::{Holdings, Runner, RunnerHoldings, RunnerTable};
+use flaxward_routing::strength::MachineStrength;
+use flaxward_types::time::Timestamp;
+
+const SOME_START: u64 = 1_764_633_600_000;
+
+fn life(name: &str, start: Option<u64>) -> RunnerId {
+    match start {
+        Some(start) => RunnerId::with_start(name, RunnerStart::from_millis(start).unwrap()),
+        None => RunnerId::new(name),
+    }
+}
+
+fn address(port: u16) -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], port))
+}
+
+fn runner(id: RunnerId, revision: u64) -> Runner {
+    Runner {
+        id,
+        revision,
+        service: ServiceName::new("pool"),
+        address: address(9),
+        zone: Zone::new("z"),
+        slots: 8,
+        draining: false,
+        leaves_in: None,
+        cold_for: Duration::ZERO,
+        holdings: Holdings::new(),
+        in_memory: BTreeSet::new(),
+        on_disk: BTreeSet::new(),
+    }
+}
+
+fn unit() -> Unit {
+    Unit {
+        service: ServiceName::new("pool"),
+        model: ModelName::new("m"),
+        adapter: None,
+    }
+}
+
+fn held() -> Holdings {
+    [(ModelName::new("m"), BTreeSet::new())].into()
+}
+
+fn ids(table: &RunnerTable) -> Vec<RunnerId> {
+    table.iter().map(|runner| runner.id.clone()).collect()
+}
+
+#[test]
+fn lives_of_a_name_are_told_apart() {
+    let lives = [
+        life("r", None),
+        life("r", Some(0)),
+        life("r", Some(1)),
+        life("s", Some(1)),
+    ];
+    for (index, one) in lives.iter().enumerate() {
+        for (other_index, other) in lives.iter().enumerate() {
+            assert_eq!(one == other, index == other_index);
+        }
+    }
+    assert!(lives.iter().take(3).all(|life| life.as_str() == "r"));
+    assert_eq!(RunnerStart::from_millis(u64::MAX), None);
+    assert_eq!(life("r", Some(5)).to_string(), "r@5");
+}
+
+#[test]
+fn a_start_costs_a_message_few_bytes() {
+    let length = |id: &RunnerId| postcard::to_allocvec(id).unwrap().len();
+    let name = 1 + "i-7f3a91c2".len();
+    assert_eq!(length(&life("i-7f3a91c2", None)), name + 1);
+    assert_eq!(length(&life("i-7f3a91c2", Some(SOME_START))), name + 6);
+    for id in [
+        life("r", None),
+        life("r", Some(0)),
+        life("r", Some(SOME_START)),
+    ] {
+        let bytes = postcard::to_allocvec(&id).unwrap();
+        assert_eq!(postcard::from_bytes::<RunnerId>(&bytes).unwrap(), id);
+    }
+}
+
+/// Which of two entries of one name stands, in whichever order they come: by revision, then by start.
+#[test]
+fn one_life_of_a_name_is_known() {
+    let cases = [
+        // The store's revision decides, also against a clock that was set back.
+        ((Some(5), 3), (Some(9), 7), 1),
+        ((Some(9), 3), (Some(5), 7), 1),
+        ((None, 3), (Some(5), 7), 1),
+        ((Some(5), 3), (None, 7), 1),
+        // Where it does not, the later start; one without a start comes before all.
+        ((Some(5), 4), (Some(9), 4), 1),
+        ((None, 4), (Some(5), 4), 1),
+        ((Some(5), 0), (Some(9), 0), 1),
+    ];
+    for (first, second, winner) in cases {
+        let lives = [first, second].map(|(start, revision)| runner(life("r", start), revision));
+        for order in [[0, 1], [1, 0]] {
+            let mut table = RunnerTable::default();
+            for index in order {
+                table.insert(lives[index].clone(), 10);
+            }
+            assert_eq!(
+                ids(&table),
+                [lives[winner].id.clone()],
+                "{first:?} {second:?} {order:?}"
+            );
+            assert!(table.get(&lives[1 - winner].id).is_none());
+        }
+    }
+}
+
+#[test]
+fn nothing_of_an_earlier_life_is_believed() {
+    let now = Timestamp::ZERO + Duration::from_secs(60);
+    let (first, second) = (life("r", Some(5)), life("r", Some(9)));
+    let mut table = RunnerTable::default();
+    let with_model = Runner {
+        holdings: held(),
+        ..runner(first.clone(), 1)
+    };
+    table.replace(vec![with_model], 1);
+    let told = |id: &RunnerId| RunnerHoldings {
+        runner: id.clone(),
+        holdings: vec![(ModelName::new("m"), Vec::new())],
+    };
+    table.tell(told(&first), now);
+    assert!(table.holds(table.get(&first).unwrap(), &unit(), now));
+
+    table.insert(runner(second.clone(), 2), 2);
+    // What was told of the first life may come late.
+    table.tell(told(&first), now);
+    table.confirm(now);
+    assert!(!table.holds(table.get(&second).unwrap(), &unit(), now));
+
+    let mut health = HealthTable::default();
+    health.observe(&first, Observation::Unreachable, now);
+    assert!(health.is_ejected(&first, now) && !health.is_ejected(&second, now));
+    health.retain(|id| table.get(id).is_some());
+    assert!(!health.is_ejected(&first, now));
+
+    // A refusal of the second life stands for it alone.
+    table.tell(told(&second), now);
+    table.note_absent(&first, &unit(), now);
+    assert!(table.holds(table.get(&second).unwrap(), &unit(), now));
+}
+
+#[test]
+fn a_runner_that_is_gone_is_gone_in_whichever_life() {
+    let mut table = RunnerTable::default();
+    table.insert(runner(life("r", Some(5)), 1), 1);
+    table.remove(life("r", Some(9)).name(), 2);
+    assert_eq!(ids(&table), []);
+    table.insert(runner(life("r", Some(9)), 1), 1);
+    assert_eq!(ids(&table), [], "an older revision brought a life back");
+}
+
+/// Members hear of another life and of another address as of any change.
+#[test]
+fn members_hear_of_another_life_and_of_another_address() {
+    let mut coordinator = RunnerTable::default();
+    let first = runner(life("r", Some(5)), 1);
+    coordinator.replace(vec![first.clone()], 1);
+    let mut member = RunnerTable::default();
+    member.replace(vec![first.clone()], 1);
+    let reborn = runner(life("r", Some(9)), 2);
+    let moved = Runner {
+        address: address(10),
+        revision: 3,
+        ..reborn.clone()
+    };
+    for (next, revision) in [(reborn, 2), (moved, 3)] {
+        coordinator.insert(next.clone(), revision);
+        coordinator.set_revision(revision);
+        assert_ne!(coordinator.digest(), 0);
+        for update in coordinator.updates_after(member.revision()).unwrap() {
+            assert_eq!(member.update(update), Some(vec![next.id.clone()]));
+        }
+        let known = member.get(&next.id).unwrap();
+        assert_eq!((known.address, &known.id), (next.address, &next.id));
+    }
+    let mut other = RunnerTable::default();
+    other.replace(vec![first], 1);
+    assert_ne!(other.digest(), coordinator.digest());
+}
+
+/// A list that may be old was read before all that is known, and does not bring back who was gone by then unseen.
+#[test]
+fn an_old_list_brings_nobody_back() {
+    let mut table = RunnerTable::default();
+    table.replace(vec![runner(life("r0", Some(5)), 1)], 8);
+    table.replace(
+        vec![
+            runner(life("r0", Some(5)), 1),
+            runner(life("r1", Some(5)), 2),
+        ],
+        4,
+    );
+    assert_eq!(ids(&table), [life("r0", Some(5))]);
+}
+
+// ---- The coordinator.
+
+const NOW: Timestamp = Timestamp(100_000);
+
+fn placement(runners: &[Runner]) -> Placement {
+    let model = ModelSpecification {
+        weights_mb: 1.0,
+        adapter_mb: 0.0,
+        store_load: Duration::from_millis(200),
+        disk_load: Duration::from_millis(200),
+        memory_load: Duration::from_millis(200),
+    };
+    let engine = Engine {
+        slots: 8,
+        weights_mb: 4.0,
+        adapter_slots: 2,
+        loads_per_second: 10.0,
+        models: ["m", "n"]
+            .map(|name| (ModelName::new(name), model.clone()))
+            .into(),
+    };
+    let service = Service {
+        name: ServiceName::new("pool"),
+        max_connections: 100,
+        engine: Some(engine),
+    };
+    let configuration = Configuration::new(1, ClientLimits::default(), Vec::new(), vec![service]);
+    let mut placement = Placement::new(
+        PlacementSettings::default(),
+        Timestamp::ZERO,
+        Timestamp::ZERO,
+    );
+    placement.configure(&configuration);
+    placement.set_runners(runners.iter());
+    placement
+}
+
+fn report(start: Option<u64>, order_count: u64, holdings: Holdings) -> RunnerReport {
+    RunnerReport {
+        start: start.and_then(RunnerStart::from_millis),
+        order_count,
+        holdings,
+        ..RunnerReport::default()
+    }
+}
+
+fn wait_for(placement: &mut Placement, model: &str, now: Timestamp) {
+    let usage = Usage {
+        from: "d".to_owned(),
+        address: address(7),
+        zone: Zone::new("z"),
+        strength: MachineStrength::default(),
+        is_stopping: false,
+        known: KnownState::default(),
+        waiting: vec![WaitingUnit {
+            unit: Unit {
+                model: ModelName::new(model),
+                ..unit()
+            },
+            requests: 1,
+            late: 0,
+            priority: 0,
+        }],
+        used: Vec::new(),
+        running: Vec::new(),
+    };
+    placement.usage(usage, now);
+}
+
+fn orders(actions: &[Action]) -> Vec<(RunnerId, u64)> {
+    let orders = actions.iter().filter_map(|action| match action {
+        Action::Order {
+            runner,
+            expected_count,
+            ..
+        } => Some((runner.clone(), *expected_count)),
+        Action::Report { .. } => None,
+    });
+    orders.collect()
+}
+
+fn reports(actions: &[Action]) -> usize {
+    let is_report = |action: &&Action| matches!(action, Action::Report { .. });
+    actions.iter().filter(is_report).count()
+}
+
+#[test]
+fn a_report_of_another_life_settles_nothing() {
+    for other in [None, Some(9)] {
+        let known = runner(life("r", Some(5)), 1);
+        let mut placement = placement(std::slice::from_ref(&known));
+        assert_eq!(reports(&placement.plan(NOW)), 1);
+        let foreign = report(other, 3, held());
+        assert_eq!(placement.reported(&known.id, Some(foreign), NOW, NOW), None);
+        assert_eq!(placement.announced().count(), 0);
+        // It is asked again, as if no report had come.
+        assert_eq!(reports(&placement.plan(NOW + Duration::from_secs(1))), 1);
+        let own = report(Some(5), 3, held());
+        placement.reported(&known.id, Some(own), NOW, NOW);
+        assert_eq!(placement.announced().count(), 1);
+    }
+}
+
+/// An order to the first life is under way when the second begins: whatever answer comes of it counts for nothing, and the
+/// second gets no order before its own report has told its order count.
+#[test]
+fn an_order_to_an_earlier_life_is_not_counted_against_the_next() {
+    let first = runner(life("r", Some(5)), 1);
+    let second = runner(life("r", Some(9)), 2);
+    for answer in [
+        OrderAnswer::Accepted,
+        OrderAnswer::Conflict,
+        OrderAnswer::Unknown,
+        OrderAnswer::Invalid,
+    ] {
+        let mut placement = placement(std::slice::from_ref(&first));
+        placement.plan(NOW);
+        placement.reported(&first.id, Some(report(Some(5), 3, held())), NOW, NOW);
+        wait_for(&mut placement, "n", NOW);
+        assert_eq!(orders(&placement.plan(NOW)), [(first.id.clone(), 3)]);
+
+        placement.set_runners([&second].into_iter());
+        placement.answered(&first.id, answer, NOW);
+        assert_eq!(placement.announced().count(), 0, "{answer:?}");
+        let later = NOW + Duration::from_millis(50);
+        let actions = placement.plan(later);
+        assert_eq!(
+            (orders(&actions).len(), reports(&actions)),
+            (0, 1),
+            "{answer:?}"
+        );
+        // A report of the first life that was under way says nothing of the second.
+        placement.reported(&first.id, Some(report(Some(5), 4, held())), NOW, later);
+        assert_eq!(placement.announced().count(), 0, "{answer:?}");
+        placement.reported(
+            &second.id,
+            Some(report(Some(9), 0, Holdings::new())),
+            later,
+            later,
+        );
+        assert_eq!(
+            orders(&placement.plan(later)),
+            [(second.id.clone(), 0)],
+            "{answer:?}"
+        );
+    }
+}
--- a/crates/routing/tests/membership.rs
+++ b/crates/routing/tests/membership.rs
@@ -1,12 +1,12 @@
 //! Changes of runners as daemons tell them to each other: in any order, lost, doubled, and from a daemon
 //! that knows less.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::time::Duration;
 
 use flaxward_routing::membership::{MembershipUpdate, UpdateScope};
-use flaxward_routing::names::{RunnerId, ServiceName, Zone};
+use flaxward_routing::names::{RunnerId, RunnerStart, ServiceName, Zone};
 use flaxward_routing::runners::{Holdings, Runner, RunnerTable};
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
@@ -181,6 +181,8 @@
     Appear(usize),
     Drain(usize),
     Leave(usize),
+    /// It starts again under its name, by a clock that may have been set back; or no start is told.
+    Restart(usize, Option<u64>),
     /// A reader reads the list, hears of all changes by a watch, or does both, the watch last.
     Read {
         reader: usize,
@@ -209,6 +211,8 @@
         2 => (0_usize..8).prop_map(Step::Appear),
         2 => (0_usize..8).prop_map(Step::Drain),
         2 => (0_usize..8).prop_map(Step::Leave),
+        2 => (0_usize..8, prop::option::of(0_u64..4))
+            .prop_map(|(index, start)| Step::Restart(index, start)),
         2 => (0_usize..3, reading()).prop_map(|(reader, way)| Step::Read { reader, way }),
         3 => (0_usize..3, 0_usize..3, any::<bool>())
             .prop_map(|(from, to, kept)| Step::Tell { from, to, kept }),
@@ -222,13 +226,19 @@
     revision: u64,
     runners: Vec<Runner>,
     history: Vec<(u64, RunnerId, Option<Runner>)>,
+    starts: BTreeMap<usize, RunnerStart>,
 }
 
 impl Store {
     fn set(&mut self, index: usize, draining: bool) {
         self.revision += 1;
-        let runner = runner(index, self.revision, draining);
-        self.runners.retain(|known| known.id != runner.id);
+        let start = self.starts.get(&index).copied();
+        let runner = Runner {
+            id: RunnerId::of(id(index).name().clone(), start),
+            ..runner(index, self.revision, draining)
+        };
+        self.runners
+            .retain(|known| known.id.name() != runner.id.name());
         self.runners.push(runner.clone());
         self.history
             .push((self.revision, runner.id.clone(), Some(runner)));
@@ -236,12 +246,22 @@
 
     fn remove(&mut self, index: usize) {
         self.revision += 1;
-        self.runners.retain(|known| known.id != id(index));
+        self.runners
+            .retain(|known| known.id.name() != id(index).name());
         self.history.push((self.revision, id(index), None));
     }
 
+    fn restart(&mut self, index: usize, start: Option<u64>) {
+        match start.and_then(RunnerStart::from_millis) {
+            Some(start) => self.starts.insert(index, start),
+            None => self.starts.remove(&index),
+        };
+        self.set(index, false);
+    }
+
     fn holds(&self, index: usize) -> bool {
-        self.runners.iter().any(|known| known.id == id(index))
+        let mut runners = self.runners.iter();
+        runners.any(|known| known.id.name() == id(index).name())
     }
 
     fn read(&self, table: &mut RunnerTable, way: Reading) {
@@ -269,14 +289,14 @@
 
     /// The runners as they were at a revision.
     fn state_at(&self, revision: u64) -> Vec<(RunnerId, bool)> {
-        let mut state = std::collections::BTreeMap::new();
+        let mut state = BTreeMap::new();
         for (_, id, runner) in self.history.iter().filter(|(at, _, _)| *at <= revision) {
             match runner {
-                Some(runner) => state.insert(id.clone(), runner.draining),
-                None => state.remove(id),
+                Some(runner) => state.insert(id.name(), (id.clone(), runner.draining)),
+                None => state.remove(id.name()),
             };
         }
-        state.into_iter().collect()
+        state.into_values().collect()
     }
 }
 
@@ -305,6 +325,7 @@
                 Step::Appear(index) if !store.holds(index) => store.set(index, false),
                 Step::Drain(index) if store.holds(index) => store.set(index, true),
                 Step::Leave(index) if store.holds(index) => store.remove(index),
+                Step::Restart(index, start) if store.holds(index) => store.restart(index, start),
                 Step::Read { reader, way } => store.read(&mut tables[reader], way),
                 Step::Tell { from, to, kept: is_kept } => {
                     let known = tables[to].revision();
--- a/crates/routing/tests/placement/world.rs
+++ b/crates/routing/tests/placement/world.rs
@@ -204,6 +204,7 @@
 
     fn report(&self) -> RunnerReport {
         RunnerReport {
+            start: None,
             holdings: self.holdings.clone(),
             pending: self.pending.keys().cloned().collect(),
             in_memory: BTreeSet::new(),
