Store: what cannot be read costs itself alone

Cause: pages and watches were decoded as a whole, so one entry without an address, with a text for a number or a list for an object gave no runner at all, and a state that nobody knows counted as ready. A lease object that could not be read, or was empty, left the fleet without a coordinator for good; one odd entry of the recorded quarantine did so too.

Otherwise the adapter hands it out as unreadable, with its name and revision as far as these can be read; in a watch it stands in place of the runner that was known. Each revision of one is logged and counted once. A configuration that cannot be read leaves the one before in force, also if both come with one watch, and its reason quotes nothing of it (a key could stand there). Of the lease, what only hints (members, quarantine, strength) is left out where it cannot be read. If the rest cannot, the lease is taken over as one whose holder is silent: after a whole lease unchanged, by condition on its revision, and under a term above both the term in it and its revision, which no earlier term can exceed.

--- a/crates/ingress/src/coordination/calls.rs
+++ b/crates/ingress/src/coordination/calls.rs
@@ -15,8 +15,9 @@
 use tokio::sync::mpsc::UnboundedSender;
 
 use crate::counters::{FOREIGN_REPORTS, ORDERS, STORE_LOAD_SECONDS, STORE_LOADS_ALLOWED};
-use crate::outside::{Changed, FencedOrder, StoreError};
+use crate::outside::{Changed, FencedOrder, StoreError, UnreadableEntry};
 use crate::state::Shared;
+use crate::unreadable::ObjectKind;
 
 /// What a call has come to.
 pub(super) enum Event {
@@ -62,11 +63,11 @@
                 LeaseCall::Read => match store.lease().await {
                     Ok(Some(lease)) => LeaseAnswer::Found(lease),
                     Ok(None) => LeaseAnswer::Missing,
-                    Err(_) => LeaseAnswer::Unknown,
+                    Err(error) => failed(&shared, error),
                 },
-                LeaseCall::Create(record) => changed(store.create_lease(&record).await),
+                LeaseCall::Create(record) => changed(&shared, store.create_lease(&record).await),
                 LeaseCall::Replace(record, revision) => {
-                    changed(store.replace_lease(&record, revision).await)
+                    changed(&shared, store.replace_lease(&record, revision).await)
                 }
             };
             let _ = events.send(Event::Lease(answer));
@@ -210,11 +211,25 @@
     }
 }
 
-fn changed(result: Result<Changed, StoreError>) -> LeaseAnswer {
+fn changed(shared: &Shared, result: Result<Changed, StoreError>) -> LeaseAnswer {
     match result {
         Ok(Changed::Made(lease)) => LeaseAnswer::Written(lease),
         Ok(Changed::Conflict(Some(lease))) => LeaseAnswer::Found(lease),
         Ok(Changed::Conflict(None)) => LeaseAnswer::Missing,
-        Err(_) => LeaseAnswer::Unknown,
+        Err(error) => failed(shared, error),
     }
 }
+
+/// What a call about the lease came to that has failed.
+fn failed(shared: &Shared, error: StoreError) -> LeaseAnswer {
+    let StoreError::UnreadableLease { lease, reason } = error else {
+        return LeaseAnswer::Unknown;
+    };
+    let entry = UnreadableEntry {
+        name: None,
+        revision: Some(lease.revision),
+        reason,
+    };
+    shared.note_unreadable(ObjectKind::Lease, &[entry]);
+    LeaseAnswer::Unreadable(lease)
+}
--- a/crates/ingress/src/counted_store.rs
+++ b/crates/ingress/src/counted_store.rs
@@ -33,7 +33,11 @@
         Err(StoreError::NoAnswer(_)) => "no-answer",
         Err(StoreError::Refused(_)) => "refused",
         Err(StoreError::HistoryGone) => "history-gone",
-        Err(StoreError::Malformed(_) | StoreError::InvalidConfiguration(_)) => "unusable",
+        Err(
+            StoreError::Malformed(_)
+            | StoreError::InvalidConfiguration(_)
+            | StoreError::UnreadableLease { .. },
+        ) => "unusable",
     };
     metrics::counter!(STORE_CALLS.name, "call" => call, "outcome" => outcome).increment(1);
     answer
--- a/crates/ingress/src/counters.rs
+++ b/crates/ingress/src/counters.rs
@@ -3,7 +3,7 @@
 use flaxward_types::Metric;
 
 /// Metrics of this crate.
-pub const METRICS: [Metric; 25] = [
+pub const METRICS: [Metric; 26] = [
     SERVED,
     REFUSED,
     ATTEMPTS_FAILED,
@@ -29,6 +29,7 @@
     SUSPENSIONS,
     STORE_CALLS,
     FOREIGN_REPORTS,
+    ENTRIES_UNREADABLE,
 ];
 
 /// Requests whose answer, or the head of it, was passed on, by `status`, the class of the HTTP status.
@@ -156,3 +157,8 @@
     "flaxward_ingress_foreign_reports_total",
     "Reports that came from another life of a runner than the one that was asked, and so count for nothing.",
 );
+/// Objects of the store that could not be read, by `kind`; each revision of one counts once.
+pub const ENTRIES_UNREADABLE: Metric = Metric::counter(
+    "flaxward_ingress_entries_unreadable_total",
+    "Objects of the store that could not be read, by `kind`; each revision of one counts once.",
+);
--- a/crates/ingress/src/lib.rs
+++ b/crates/ingress/src/lib.rs
@@ -28,6 +28,7 @@
 pub mod settings;
 mod state;
 mod store_word;
+mod unreadable;
 mod usage;
 mod waiting;
 mod watches;
--- a/crates/ingress/src/outside.rs
+++ b/crates/ingress/src/outside.rs
@@ -6,7 +6,7 @@
 
 use async_trait::async_trait;
 use flaxward_routing::configuration::Configuration;
-use flaxward_routing::lease::{LeaseRecord, StoredLease};
+use flaxward_routing::lease::{LeaseRecord, StoredLease, UnreadableLease};
 use flaxward_routing::names::{RunnerId, RunnerName, TenantName, Zone};
 use flaxward_routing::placement::{Order, OrderAnswer, RunnerReport};
 use flaxward_routing::request::RequestProfile;
@@ -101,6 +101,14 @@
     /// The configuration contradicts itself; the version before stays in force.
     #[error("the configuration contradicts itself: {0}")]
     InvalidConfiguration(String),
+    /// The lease object is there, and somebody has written something into it that can't be read.
+    #[error("the lease cannot be read: {reason}")]
+    UnreadableLease {
+        /// What of it can be read.
+        lease: UnreadableLease,
+        /// Why the rest cannot.
+        reason: String,
+    },
 }
 
 /// How new an answer of the store must be.
@@ -112,13 +120,37 @@
     MayBeOld,
 }
 
-/// All objects of a kind at a revision.
+/// All objects of a kind at a revision, or changes of them up to it.
 #[derive(Clone, Debug)]
 pub struct Listing<Item> {
     /// The objects.
     pub items: Vec<Item>,
     /// The store's revision.
     pub revision: u64,
+    /// The objects that can't be read. They name nothing; the others hold.
+    pub unreadable: Vec<UnreadableEntry>,
+}
+
+impl<Item> Listing<Item> {
+    /// A list of objects that could all be read.
+    pub fn new(items: Vec<Item>, revision: u64) -> Self {
+        Self {
+            items,
+            revision,
+            unreadable: Vec::new(),
+        }
+    }
+}
+
+/// An object of the store that can't be read.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct UnreadableEntry {
+    /// Its name, if that can be read.
+    pub name: Option<String>,
+    /// The store's revision at which it last changed, if that can be read.
+    pub revision: Option<u64>,
+    /// Why it can't be read, for the log.
+    pub reason: String,
 }
 
 /// A change of one runner in the list.
@@ -128,6 +160,8 @@
     Present(Box<Runner>),
     /// It is gone, in whichever life.
     Gone(RunnerName),
+    /// Its entry can't be read any more, so it is as if gone.
+    Unreadable(UnreadableEntry),
 }
 
 /// What a conditional change came to.
--- a/crates/ingress/src/state.rs
+++ b/crates/ingress/src/state.rs
@@ -32,6 +32,7 @@
 use crate::quota_client::QuotaClient;
 use crate::settings::IngressSettings;
 use crate::store_word::StoreWord;
+use crate::unreadable::UnreadableLog;
 use crate::usage::{Running, UseLog, Waiting};
 
 /// Daemons that are assumed while the coordinator has not told their number.
@@ -80,6 +81,8 @@
     pub control: Arc<dyn RunnerControl>,
     pub pool: Pool,
     pub log: DecisionLog,
+    /// Objects of the store that were logged as unreadable.
+    pub unreadable: UnreadableLog,
     /// Woken when the tables have changed in a way that a waiting request can use.
     pub changed: Notify,
     /// Woken when a request begins to wait for a unit.
@@ -153,6 +156,7 @@
             control,
             pool: Pool::default(),
             log: DecisionLog::default(),
+            unreadable: UnreadableLog::default(),
             changed: Notify::new(),
             demand: Notify::new(),
             quota_questions: QuotaClient::default(),
--- a/crates/ingress/src/watches/configuration.rs
+++ b/crates/ingress/src/watches/configuration.rs
@@ -16,6 +16,7 @@
 use crate::outside::{Freshness, Listing, StoreError};
 use crate::state::Shared;
 use crate::store_word::StoreWord;
+use crate::unreadable::ObjectKind;
 
 /// Part of the time for which keys are relied on that the store holds a watch of the configuration.
 const KEY_TRUST_SHARE: f64 = 0.25;
@@ -212,8 +213,13 @@
 /// Takes in the newest configuration that the store has told.
 fn take_listing(shared: &Shared, listing: Listing<Configuration>) -> bool {
     let source = format!("store@{}", listing.revision);
+    shared.note_unreadable(ObjectKind::Configuration, &listing.unreadable);
     let newest = listing.items.into_iter().max_by_key(|item| item.version);
-    newest.is_some_and(|newest| apply_configuration(shared, newest, &source))
+    let is_news = newest.is_some_and(|newest| apply_configuration(shared, newest, &source));
+    for entry in listing.unreadable.iter().filter(|it| it.name.is_some()) {
+        log_invalid(shared, &entry.reason);
+    }
+    is_news
 }
 
 /// Puts a configuration in force, unless a newer one is. Returns whether it did.
--- a/crates/ingress/src/watches/evacuations.rs
+++ b/crates/ingress/src/watches/evacuations.rs
@@ -10,6 +10,7 @@
 use super::{Backoff, changes_mode, log_history_gone, wait_for_word};
 use crate::outside::{Listing, StoreError};
 use crate::state::Shared;
+use crate::unreadable::ObjectKind;
 
 /// Part of the bound on evacuations for which the store holds a watch: two that are lost leave time for a third, and for
 /// the word to the other daemons.
@@ -75,6 +76,7 @@
 }
 
 fn listed(shared: &Shared, listing: Listing<Zone>) {
+    shared.note_unreadable(ObjectKind::Evacuation, &listing.unreadable);
     let mut zones = listing.items;
     zones.sort();
     take_evacuations(
--- a/crates/ingress/src/watches/runners.rs
+++ b/crates/ingress/src/watches/runners.rs
@@ -15,6 +15,7 @@
 use crate::outside::{Listing, RunnerChange, StoreError};
 use crate::state::Shared;
 use crate::store_word::StoreWord;
+use crate::unreadable::ObjectKind;
 
 /// Time that the store holds a watch that is only to tell what has happened before.
 const CATCH_UP_WAIT: Duration = Duration::from_millis(1);
@@ -143,6 +144,7 @@
 
 fn replace_runners(shared: &Shared, listing: Listing<Runner>, cause: ReadCause) {
     let count = listing.items.len();
+    shared.note_unreadable(ObjectKind::Runner, &listing.unreadable);
     let mut tables = shared.tables();
     tables.runners.replace(listing.items, listing.revision);
     tables.runners_known = true;
@@ -150,6 +152,7 @@
     drop(tables);
     let fields: &[(&str, &dyn std::fmt::Display)] = &[
         ("runners", &count),
+        ("unreadable", &listing.unreadable.len()),
         ("store_revision", &listing.revision),
         ("cause", &format!("{cause:?}")),
     ];
@@ -180,6 +183,7 @@
 
 fn apply_changes(shared: &Shared, changes: Listing<RunnerChange>) {
     let revision = changes.revision;
+    let mut unreadable = changes.unreadable;
     for change in changes.items {
         let mut tables = shared.tables();
         let before = tables.runners.membership_revision();
@@ -190,6 +194,14 @@
                 id
             }
             RunnerChange::Gone(name) => remove_runner(&mut tables.runners, name, revision),
+            RunnerChange::Unreadable(entry) => {
+                let name = entry.name.clone();
+                unreadable.push(entry);
+                let Some(name) = name else {
+                    continue;
+                };
+                remove_runner(&mut tables.runners, RunnerName::new(&name), revision)
+            }
         };
         let is_news = tables.runners.membership_revision() != before;
         drop(tables);
@@ -197,6 +209,7 @@
             log_runner(shared, &id, revision, "store");
         }
     }
+    shared.note_unreadable(ObjectKind::Runner, &unreadable);
     let mut tables = shared.tables();
     tables.runners.set_revision(revision);
     tables.forget_gone_runners();
--- /dev/null
+++ b/crates/ingress/tests/ingress/lives.rs
@@ -0,0 +1,96 @@
+//! Runners that start again under their names, and entries that can't be read beside good ones.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use flaxward_routing::names::{RunnerId, RunnerStart};
+use flaxward_routing::runners::Runner;
+use tokio::time::sleep;
+
+use crate::runner::{Behaviour, ScriptedRunner};
+use crate::store::MemoryStore;
+use crate::support::{ObedientControl, RARE_MODEL, TestIngress, configuration, runner};
+
+/// Time in which a daemon that watches the store has heard of a change and settled it with reports.
+const SETTLED: Duration = Duration::from_millis(1_500);
+
+fn start(millis: u64) -> RunnerStart {
+    RunnerStart::from_millis(millis).unwrap()
+}
+
+async fn status(test: &TestIngress, id: &str) -> u16 {
+    let request = test.request("/stream/", id).header("x-model", RARE_MODEL);
+    request.send().await.unwrap().status().as_u16()
+}
+
+/// What the first life had loaded is loaded again before the second gets a request for it, by orders that count from the
+/// beginning.
+#[tokio::test]
+async fn nothing_of_a_life_that_is_over_is_believed() {
+    let server = ScriptedRunner::start(vec![Behaviour::Events(1, 2); 2]).await;
+    let life = |millis: u64| Runner {
+        id: RunnerId::with_start("r0", start(millis)),
+        ..runner(0, server.address)
+    };
+    let control = Arc::new(ObedientControl::default());
+    control.restart(start(5));
+    let store = MemoryStore::default();
+    store.set_runners(vec![life(5)]);
+    store.set_configuration(configuration(1, Vec::new()));
+    let test = TestIngress::start_before("d", store, control.clone()).await;
+    test.until_ready().await;
+    sleep(SETTLED).await;
+    assert_eq!(status(&test, "id-1").await, 200);
+    assert_eq!(*control.expected.lock().unwrap(), [0]);
+
+    control.restart(start(9));
+    test.store.set_runners(vec![life(9)]);
+    sleep(SETTLED).await;
+    assert_eq!(status(&test, "id-2").await, 200);
+    assert_eq!(*control.expected.lock().unwrap(), [0, 0]);
+    assert_eq!(control.order_count(), 1, "the second life has loaded it");
+}
+
+/// Reports of the next life come before its entry: they settle nothing, and no order goes to a life that is over.
+#[tokio::test]
+async fn a_runner_gets_no_order_while_another_life_of_it_reports() {
+    let server = ScriptedRunner::start(vec![Behaviour::Events(1, 2)]).await;
+    let listed = Runner {
+        id: RunnerId::with_start("r0", start(5)),
+        ..runner(0, server.address)
+    };
+    let control = Arc::new(ObedientControl::default());
+    control.restart(start(9));
+    let store = MemoryStore::default();
+    store.set_runners(vec![listed]);
+    store.set_configuration(configuration(1, Vec::new()));
+    let test = TestIngress::start_before("d", store, control.clone()).await;
+    test.until_ready().await;
+    sleep(SETTLED).await;
+    assert_eq!(status(&test, "id-1").await, 503);
+    assert_eq!(control.order_count(), 0);
+}
+
+/// Requests go on being served; none goes to the runner whose entry was written over.
+#[tokio::test]
+async fn an_entry_that_cannot_be_read_costs_its_runner_alone() {
+    let near = ScriptedRunner::start(Vec::new()).await;
+    let far = ScriptedRunner::start(Vec::new()).await;
+    let test = TestIngress::start(&[&near, &far]).await;
+    let send = async |id: &str| test.request("/unsafe/", id).send().await.unwrap().status();
+    assert_eq!(send("id-1").await, 200);
+    assert_eq!((near.received().len(), far.received().len()), (1, 0));
+    test.store.overwrite_runner("r0");
+    sleep(SETTLED).await;
+    for id in ["id-2", "id-3", "id-4"] {
+        assert_eq!(send(id).await, 200);
+    }
+    assert_eq!((near.received().len(), far.received().len()), (1, 3));
+
+    // A daemon that starts now reads the same list.
+    let store = test.store.share();
+    let late = TestIngress::start_before("late", store, Arc::new(ObedientControl::default())).await;
+    late.until_ready().await;
+    let response = late.request("/unsafe/", "id-5").send().await.unwrap();
+    assert_eq!((response.status().as_u16(), far.received().len()), (200, 4));
+}
--- a/crates/ingress/tests/ingress/main.rs
+++ b/crates/ingress/tests/ingress/main.rs
@@ -5,6 +5,7 @@
 mod crashing_requests;
 mod crashing_runner;
 mod failures;
+mod lives;
 mod requests;
 mod runner;
 mod stops;
--- a/crates/ingress/tests/ingress/store.rs
+++ b/crates/ingress/tests/ingress/store.rs
@@ -6,7 +6,7 @@
 
 use async_trait::async_trait;
 use flaxward_ingress::outside::{
-    Changed, ClusterStore, Freshness, Listing, RunnerChange, StoreError,
+    Changed, ClusterStore, Freshness, Listing, RunnerChange, StoreError, UnreadableEntry,
 };
 use flaxward_routing::configuration::Configuration;
 use flaxward_routing::lease::{LeaseRecord, StoredLease};
@@ -19,6 +19,7 @@
     configuration: Option<Configuration>,
     runners: Vec<Runner>,
     gone: Vec<RunnerName>,
+    unreadable: Vec<UnreadableEntry>,
     evacuated: Vec<Zone>,
     revision: u64,
     lease: Option<StoredLease>,
@@ -64,10 +65,28 @@
     pub fn set_runners(&self, runners: Vec<Runner>) {
         let mut contents = self.contents.lock().unwrap();
         contents.revision += 1;
+        let names: Vec<RunnerName> = runners.iter().map(|it| it.id.name().clone()).collect();
         let before = std::mem::replace(&mut contents.runners, runners);
-        let gone = before.into_iter();
-        let gone = gone.map(|runner| runner.id.name().clone());
-        contents.gone.extend(gone);
+        let before = before.into_iter().map(|it| it.id.name().clone());
+        contents
+            .gone
+            .extend(before.filter(|name| !names.contains(name)));
+        drop(contents);
+        self.changed.notify_waiters();
+    }
+
+    /// Somebody writes an entry that can't be read over that of a runner, and one without a name.
+    pub fn overwrite_runner(&self, name: &str) {
+        let mut contents = self.contents.lock().unwrap();
+        contents.revision += 1;
+        let revision = contents.revision;
+        contents.runners.retain(|it| it.id.as_str() != name);
+        let entry = |name: Option<&str>| UnreadableEntry {
+            name: name.map(str::to_owned),
+            revision: Some(revision),
+            reason: "no slots".to_owned(),
+        };
+        contents.unreadable.extend([entry(Some(name)), entry(None)]);
         drop(contents);
         self.changed.notify_waiters();
     }
@@ -136,10 +155,7 @@
         let old = self.old_configuration.lock().unwrap().clone();
         match (freshness, old) {
             (Freshness::MayBeOld, Some(old)) => {
-                return Ok(Listing {
-                    items: vec![old],
-                    revision: 1,
-                });
+                return Ok(Listing::new(vec![old], 1));
             }
             (Freshness::MayBeOld, None) => {}
             (Freshness::Latest, _) => {
@@ -147,10 +163,10 @@
             }
         }
         let contents = self.contents.lock().unwrap();
-        Ok(Listing {
-            items: contents.configuration.iter().cloned().collect(),
-            revision: contents.revision,
-        })
+        Ok(Listing::new(
+            contents.configuration.iter().cloned().collect(),
+            contents.revision,
+        ))
     }
 
     async fn watch_configuration(
@@ -168,6 +184,7 @@
         Ok(Listing {
             items: contents.runners.clone(),
             revision: contents.revision,
+            unreadable: contents.unreadable.clone(),
         })
     }
 
@@ -180,20 +197,19 @@
         let listing = self.runners(Freshness::Latest).await?;
         let gone = self.contents.lock().unwrap().gone.clone();
         let gone = gone.into_iter().map(RunnerChange::Gone);
+        let unreadable = listing.unreadable.into_iter();
+        let odd = gone.chain(unreadable.map(RunnerChange::Unreadable));
         let present = listing.items.into_iter().map(Box::new);
-        Ok(Listing {
-            items: gone.chain(present.map(RunnerChange::Present)).collect(),
-            revision: listing.revision,
-        })
+        Ok(Listing::new(
+            odd.chain(present.map(RunnerChange::Present)).collect(),
+            listing.revision,
+        ))
     }
 
     async fn evacuated_zones(&self) -> Result<Listing<Zone>, StoreError> {
         self.answer_list().await?;
         let contents = self.contents.lock().unwrap();
-        Ok(Listing {
-            items: contents.evacuated.clone(),
-            revision: contents.revision,
-        })
+        Ok(Listing::new(contents.evacuated.clone(), contents.revision))
     }
 
     async fn evacuations_changed(
--- a/crates/ingress/tests/ingress/support.rs
+++ b/crates/ingress/tests/ingress/support.rs
@@ -19,7 +19,9 @@
     WeightedService,
 };
 use flaxward_routing::lease::LeaseSettings;
-use flaxward_routing::names::{ModelName, RouteName, RunnerId, ServiceName, TenantName, Zone};
+use flaxward_routing::names::{
+    ModelName, RouteName, RunnerId, RunnerStart, ServiceName, TenantName, Zone,
+};
 use flaxward_routing::placement::{OrderAnswer, PlacementSettings, RunnerReport};
 use flaxward_routing::quarantine::QuarantineSettings;
 use flaxward_routing::request::RequestProfile;
@@ -119,6 +121,9 @@
 pub struct ObedientControl {
     loaded: Mutex<Vec<ModelName>>,
     orders: AtomicU64,
+    start: Mutex<Option<RunnerStart>>,
+    /// The order counts that orders expected.
+    pub expected: Mutex<Vec<u64>>,
 }
 
 impl ObedientControl {
@@ -126,6 +131,13 @@
     pub fn order_count(&self) -> u64 {
         self.orders.load(Ordering::Relaxed)
     }
+
+    /// The runners start again: they have loaded nothing and count their orders from the beginning.
+    pub fn restart(&self, start: RunnerStart) {
+        *self.start.lock().unwrap() = Some(start);
+        self.loaded.lock().unwrap().clear();
+        self.orders.store(0, Ordering::Relaxed);
+    }
 }
 
 #[async_trait]
@@ -134,6 +146,7 @@
         let loaded = self.loaded.lock().unwrap().clone();
         let models = loaded.into_iter().chain([ModelName::new(MODEL)]);
         Some(RunnerReport {
+            start: *self.start.lock().unwrap(),
             holdings: models.map(|model| (model, BTreeSet::new())).collect(),
             order_count: self.orders.load(Ordering::Relaxed),
             ..RunnerReport::default()
@@ -141,6 +154,7 @@
     }
 
     async fn order(&self, _address: SocketAddr, order: &FencedOrder<'_>) -> OrderAnswer {
+        self.expected.lock().unwrap().push(order.expected_count);
         self.orders.fetch_add(1, Ordering::Relaxed);
         let model = order.order.unit.model.clone();
         self.loaded.lock().unwrap().push(model);
--- a/crates/routing/src/lease/mod.rs
+++ b/crates/routing/src/lease/mod.rs
@@ -18,7 +18,7 @@
 
 pub use record::{
     LeaseAnswer, LeaseCall, LeaseChange, LeasePulse, LeaseRecord, LeaseSettings, LossReason,
-    StoredLease,
+    StoredLease, UnreadableLease,
 };
 
 /// Leases for which a daemon that does not stand by hears nothing of a holder before it reads the lease: by
@@ -37,6 +37,8 @@
 #[derive(Clone, Debug, PartialEq, Eq)]
 struct Observed {
     lease: Option<StoredLease>,
+    /// What it says is what a holder has written.
+    is_readable: bool,
     unchanged_since: Timestamp,
     /// Since when the store has shown this daemon that the lease is free. An outage of the store is no
     /// such time: when it ends, stronger daemons must have their turn first.
@@ -335,11 +337,13 @@
         match answer {
             LeaseAnswer::Written(lease) => self.written(lease, sent_at),
             LeaseAnswer::Found(lease) => self.found(lease, now),
+            LeaseAnswer::Unreadable(lease) => self.found_unreadable(lease, now),
             LeaseAnswer::Missing => {
                 let seen = self.observed.take();
                 let missing = seen.filter(|seen| seen.lease.is_none());
                 self.observed = Some(missing.unwrap_or(Observed {
                     lease: None,
+                    is_readable: true,
                     unchanged_since: now,
                     seen_free_since: None,
                 }));
@@ -372,7 +376,7 @@
         let term = lease.record.term;
         if lease.record.released {
             self.held = None;
-            self.observe(lease, sent_at);
+            self.observe(lease, true, sent_at);
             return Some(LeaseChange::Lost {
                 term,
                 reason: LossReason::Released,
@@ -413,7 +417,7 @@
             }
             let term = held.lease.record.term;
             self.held = None;
-            self.observe(lease, now);
+            self.observe(lease, true, now);
             return Some(LeaseChange::Lost {
                 term,
                 reason: LossReason::TakenOver,
@@ -423,14 +427,26 @@
         if self.strongest.is_none() {
             self.set_strongest(record.strongest);
         }
-        self.observe(lease, now);
+        self.observe(lease, true, now);
         (!record.released).then_some(LeaseChange::Holder {
             address: record.address,
             term: record.term,
         })
     }
 
-    fn observe(&mut self, lease: StoredLease, now: Timestamp) {
+    /// Somebody has overwritten the lease. Whoever held it may still do so for as long as a renewal holds, so it is taken
+    /// over as one whose holder is silent: once this daemon has seen it unchanged for a whole lease, and on the condition
+    /// that it still is. A holder gives it up at once.
+    fn found_unreadable(&mut self, lease: UnreadableLease, now: Timestamp) -> Option<LeaseChange> {
+        self.observe(lease.stand_in(), false, now);
+        let held = self.held.take()?;
+        Some(LeaseChange::Lost {
+            term: held.lease.record.term,
+            reason: LossReason::TakenOver,
+        })
+    }
+
+    fn observe(&mut self, lease: StoredLease, is_readable: bool, now: Timestamp) {
         let is_seen = |seen: &Observed| {
             let seen = seen.lease.as_ref();
             seen.is_some_and(|seen| seen.revision == lease.revision)
@@ -439,6 +455,7 @@
             let told = self.told_renewal(&lease.record);
             self.observed = Some(Observed {
                 lease: Some(lease),
+                is_readable,
                 unchanged_since: told.unwrap_or(now).min(now),
                 seen_free_since: None,
             });
@@ -455,8 +472,9 @@
     }
 
     fn observed_term(&self) -> u64 {
-        let observed = self.observed.as_ref().and_then(|seen| seen.lease.as_ref());
-        observed.map_or(0, |lease| lease.record.term)
+        let observed = self.observed.as_ref().filter(|seen| seen.is_readable);
+        let lease = observed.and_then(|seen| seen.lease.as_ref());
+        lease.map_or(0, |lease| lease.record.term)
     }
 
     fn is_silent(&self, now: Timestamp) -> bool {
--- a/crates/routing/src/lease/record.rs
+++ b/crates/routing/src/lease/record.rs
@@ -46,6 +46,38 @@
     pub revision: u64,
 }
 
+/// A lease object that can't be read, since somebody else has written it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct UnreadableLease {
+    /// Its revision, which a change of it must name.
+    pub revision: u64,
+    /// The term in it, if that can be read.
+    pub term: Option<u64>,
+}
+
+impl UnreadableLease {
+    /// What stands for it: held by nobody who could be asked, under a term that no holder was above. Each term took one
+    /// change of the store and terms begin at 1, so none is above the store's revision.
+    pub(super) fn stand_in(self) -> StoredLease {
+        let record = LeaseRecord {
+            holder: String::new(),
+            incarnation: 0,
+            address: SocketAddr::from(([0, 0, 0, 0], 0)),
+            term: self.term.unwrap_or(0).max(self.revision),
+            // No renewal that a holder has told of is this one.
+            renewals: u64::MAX,
+            released: false,
+            strongest: MachineStrength::default(),
+            members: Vec::new(),
+            quarantine: Vec::new(),
+        };
+        StoredLease {
+            record,
+            revision: self.revision,
+        }
+    }
+}
+
 /// Durations of the protocol.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct LeaseSettings {
@@ -75,6 +107,8 @@
 pub enum LeaseAnswer {
     /// The object as it is now, after a read, a change, or a refused change.
     Found(StoredLease),
+    /// The object is there and can't be read.
+    Unreadable(UnreadableLease),
     /// There is none.
     Missing,
     /// The change was made; the object has this revision.
--- a/crates/routing/tests/lease.rs
+++ b/crates/routing/tests/lease.rs
@@ -7,7 +7,7 @@
 
 use flaxward_routing::lease::{
     LeaseAnswer, LeaseCall, LeaseChange, LeaseMachine, LeasePulse, LeaseRecord, LeaseSettings,
-    LossReason, StoredLease,
+    LossReason, StoredLease, UnreadableLease,
 };
 use flaxward_routing::strength::MachineStrength;
 use flaxward_types::time::Timestamp;
@@ -55,6 +55,8 @@
 #[derive(Default)]
 struct Store {
     lease: Option<StoredLease>,
+    /// Somebody else has written over the lease.
+    overwritten: Option<UnreadableLease>,
     revision: u64,
     late: Vec<(usize, LeaseCall)>,
 }
@@ -67,10 +69,31 @@
             revision: self.revision,
         };
         self.lease = Some(lease.clone());
+        self.overwritten = None;
         LeaseAnswer::Written(lease)
     }
 
+    /// Writes something over the lease in which at most its term can be read.
+    fn overwrite(&mut self, keeps_term: bool) {
+        let Some(lease) = &self.lease else {
+            return;
+        };
+        self.revision += 1;
+        self.overwritten = Some(UnreadableLease {
+            revision: self.revision,
+            term: keeps_term.then_some(lease.record.term),
+        });
+    }
+
+    fn object_revision(&self) -> Option<u64> {
+        let overwritten = self.overwritten.map(|it| it.revision);
+        overwritten.or(self.lease.as_ref().map(|it| it.revision))
+    }
+
     fn found(&self) -> LeaseAnswer {
+        if let Some(overwritten) = self.overwritten {
+            return LeaseAnswer::Unreadable(overwritten);
+        }
         match &self.lease {
             Some(lease) => LeaseAnswer::Found(lease.clone()),
             None => LeaseAnswer::Missing,
@@ -83,8 +106,7 @@
             LeaseCall::Create(record) if self.lease.is_none() => self.write(record),
             LeaseCall::Create(_) => self.found(),
             LeaseCall::Replace(record, revision) => {
-                let matches = self.lease.as_ref().map(|it| it.revision) == Some(*revision);
-                if matches {
+                if self.object_revision() == Some(*revision) {
                     self.write(record)
                 } else {
                     self.found()
@@ -228,6 +250,57 @@
     }
 }
 
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 128,
+        rng_seed: RngSeed::Fixed(0x1ea5_e002),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
+    /// The same while somebody writes over the lease: a term is never held twice, and the lease is taken again.
+    #[test]
+    fn a_lease_that_somebody_writes_over_has_one_holder_at_a_time(
+        count in 1_usize..6,
+        fates in prop::collection::vec(fate(), 1_200),
+        overwrites in prop::collection::vec((0_usize..FAULT_STEPS, any::<bool>()), 0..8),
+    ) {
+        let mut world = World::new(count);
+        let mut fates = fates.into_iter();
+        for step in 0..FAULT_STEPS {
+            for (_, keeps_term) in overwrites.iter().filter(|(at, _)| *at == step) {
+                world.store.overwrite(*keeps_term);
+            }
+            world.step(step, &mut fates);
+        }
+        run(&mut world, FAULT_STEPS, FAULT_STEPS + CALM_STEPS);
+        let now = Timestamp::ZERO + STEP * u32::try_from(FAULT_STEPS + CALM_STEPS - 1).unwrap();
+        let holders = world.daemons.iter().filter(|it| it.term(now).is_some()).count();
+        prop_assert_eq!(holders, 1);
+    }
+}
+
+/// A holder that finds its lease written over gives it up at once; the next one has a higher term, and waits for as long
+/// as the holder may not have noticed.
+#[test]
+fn a_lease_that_was_written_over_is_taken_after_a_lease_under_a_higher_term() {
+    for keeps_term in [true, false] {
+        let mut world = World::new(2);
+        run(&mut world, 0, 40);
+        let at = |step: u32| Timestamp::ZERO + STEP * step;
+        let first = world.daemons.iter().find_map(|it| it.term(at(39))).unwrap();
+        world.store.overwrite(keeps_term);
+        run(&mut world, 40, 60);
+        let holds =
+            |world: &World, now: Timestamp| world.daemons.iter().find_map(|it| it.term(now));
+        assert_eq!(holds(&world, at(59)), None);
+        let overwritten = world.store.overwritten.unwrap();
+        run(&mut world, 60, 160);
+        let second = holds(&world, at(159)).unwrap();
+        assert!(second > first && second > overwritten.revision, "{second}");
+    }
+}
+
 fn run(world: &mut World, from: usize, to: usize) {
     let mut calm = std::iter::empty();
     for step in from..to {
