Pool: connections stay when an ended life at their address goes

Cause: after a restart the ended life and the next one are often listed at one address for some seconds. The pool kept one life for each address, by name; when the ended one went, good connections to the next were closed too.

--- a/crates/ingress/src/pool.rs
+++ b/crates/ingress/src/pool.rs
@@ -3,7 +3,7 @@
 //! hyper's connection interface is used instead of reqwest, because the ingress must know which
 //! connection an answer came on, when it was last used, and whether anything was sent on it.
 
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::sync::Mutex;
@@ -72,9 +72,12 @@
 pub(crate) struct Pool {
     idle: Mutex<HashMap<SocketAddr, Vec<Connection>>>,
     /// Who listened where at the last sweep.
-    lives: Mutex<HashMap<SocketAddr, RunnerId>>,
+    lives: Mutex<Lives>,
 }
 
+/// Lives of runners by their address. An ended one may still be listed beside the one that has its address now.
+pub(crate) type Lives = HashMap<SocketAddr, BTreeSet<RunnerId>>;
+
 impl Pool {
     /// A connection that is ready for a request.
     pub(crate) async fn get(
@@ -128,19 +131,19 @@
         }
     }
 
-    /// Closes idle connections that are too old, and those to addresses at which another life of a runner listens now,
-    /// or none: they would break with the first request on them, which perhaps must not be repeated.
-    pub(crate) fn sweep(&self, lives: HashMap<SocketAddr, RunnerId>) {
+    /// Closes idle connections that are too old, and those to addresses at which another life of a runner has come since
+    /// the last sweep, or where none is left: they would break with the first request on them, which perhaps must not be
+    /// repeated.
+    pub(crate) fn sweep(&self, lives: Lives) {
         let (Ok(mut idle), Ok(mut before)) = (self.idle.lock(), self.lives.lock()) else {
             return;
         };
         idle.retain(|address, connections| {
             connections.retain(|connection| connection.is_usable(IDLE_SHARE));
-            let listens = lives.get(address);
-            let is_over = before
-                .get(address)
-                .is_some_and(|life| Some(life) != listens);
-            !connections.is_empty() && listens.is_some() && !is_over
+            let known = before.get(address);
+            let is_same =
+                |present: &BTreeSet<RunnerId>| known.is_none_or(|known| present.is_subset(known));
+            !connections.is_empty() && lives.get(address).is_some_and(is_same)
         });
         *before = lives;
     }
--- a/crates/ingress/src/watches/runners.rs
+++ b/crates/ingress/src/watches/runners.rs
@@ -13,6 +13,7 @@
     watch_wait,
 };
 use crate::outside::{Listing, RunnerChange, StoreError};
+use crate::pool::Lives;
 use crate::state::Shared;
 use crate::store_word::StoreWord;
 use crate::unreadable::ObjectKind;
@@ -247,12 +248,11 @@
 
 /// Wakes those who wait, and closes connections to lives of runners that are over.
 fn after_change(shared: &Shared) {
-    let lives = shared
-        .tables()
-        .runners
-        .iter()
-        .map(|runner| (runner.address, runner.id.clone()))
-        .collect();
+    let mut lives = Lives::new();
+    for runner in shared.tables().runners.iter() {
+        let at_address = lives.entry(runner.address).or_default();
+        at_address.insert(runner.id.clone());
+    }
     shared.pool.sweep(lives);
     shared.changed.notify_waiters();
 }
--- a/crates/ingress/tests/ingress/lives.rs
+++ b/crates/ingress/tests/ingress/lives.rs
@@ -94,3 +94,33 @@
     let response = late.request("/unsafe/", "id-5").send().await.unwrap();
     assert_eq!((response.status().as_u16(), far.received().len()), (200, 4));
 }
+
+/// A connection to a life that is over would break with the next request on it. Others stay, also when a life that has
+/// ended is still listed beside the next one at its address and then goes.
+#[tokio::test]
+async fn idle_connections_end_with_the_life_that_they_go_to() {
+    let server = ScriptedRunner::start(Vec::new()).await;
+    let life = |name: &str, millis: u64| Runner {
+        id: RunnerId::with_start(name, start(millis)),
+        ..runner(0, server.address)
+    };
+    let test = TestIngress::start_unconfigured().await;
+    test.store.set_runners(vec![life("r0", 5)]);
+    test.store.set_configuration(configuration(1, Vec::new()));
+    test.until_ready().await;
+    let heard = Duration::from_millis(900);
+    // Who is listed at the address next, and the connections that end with this.
+    let steps = [
+        (vec![life("r0", 5), life("r9", 5)], 1),
+        (vec![life("r9", 5)], 0),
+        (vec![life("r9", 9)], 1),
+    ];
+    for (index, (runners, expected)) in steps.into_iter().enumerate() {
+        let before = server.closed();
+        let response = test.request("/safe/", &format!("id-{index}")).send();
+        assert_eq!(response.await.unwrap().status(), 200);
+        test.store.set_runners(runners);
+        sleep(heard).await;
+        assert_eq!(server.closed() - before, expected, "step {index}");
+    }
+}
--- a/crates/routing/tests/lives.rs
+++ b/crates/routing/tests/lives.rs
@@ -98,6 +98,23 @@
     }
 }
 
+#[test]
+fn changes_with_starts_fit_a_datagram() {
+    let mut coordinator = RunnerTable::default();
+    coordinator.replace(Vec::new(), 1);
+    for index in 0..60 {
+        let revision = 1_000_000 + index;
+        let id = life(&format!("i-{index:010x}"), Some(SOME_START + index));
+        coordinator.insert(runner(id, revision), revision);
+    }
+    coordinator.set_revision(2_000_000);
+    let updates = coordinator.updates_after(1).unwrap();
+    assert_eq!(updates.len(), 3);
+    for update in updates {
+        assert!(postcard::to_allocvec(&update).unwrap().len() < 1_400);
+    }
+}
+
 /// Which of two entries of one name stands, in whichever order they come: by revision, then by start.
 #[test]
 fn one_life_of_a_name_is_known() {
