--- a/crates/ingress/src/pool.rs
+++ b/crates/ingress/src/pool.rs
@@ -3,13 +3,14 @@
 //! hyper's connection interface is used instead of reqwest, because the ingress must know which
 //! connection an answer came on, when it was last used, and whether anything was sent on it.
 
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::sync::Mutex;
 use std::time::Duration;
 
 use bytes::Bytes;
+use flaxward_routing::names::RunnerId;
 use http::header::CONNECTION;
 use http::{HeaderMap, Request, Response};
 use http_body_util::Full;
@@ -70,8 +71,13 @@
 #[derive(Debug, Default)]
 pub(crate) struct Pool {
     idle: Mutex<HashMap<SocketAddr, Vec<Connection>>>,
+    /// Who listened where at the last sweep.
+    lives: Mutex<Lives>,
 }
 
+/// Lives of runners by their address. An ended one may still be listed beside the one that has its address now.
+pub(crate) type Lives = HashMap<SocketAddr, BTreeSet<RunnerId>>;
+
 impl Pool {
     /// A connection that is ready for a request.
     pub(crate) async fn get(
@@ -125,15 +131,21 @@
         }
     }
 
-    /// Closes idle connections that are too old, and those to addresses not in use.
-    pub(crate) fn sweep(&self, is_used: impl Fn(&SocketAddr) -> bool) {
-        let Ok(mut idle) = self.idle.lock() else {
+    /// Closes idle connections that are too old, and those to addresses at which another life of a runner has come since
+    /// the last sweep, or where none is left: they would break with the first request on them, which perhaps must not be
+    /// repeated.
+    pub(crate) fn sweep(&self, lives: Lives) {
+        let (Ok(mut idle), Ok(mut before)) = (self.idle.lock(), self.lives.lock()) else {
             return;
         };
         idle.retain(|address, connections| {
             connections.retain(|connection| connection.is_usable(IDLE_SHARE));
-            !connections.is_empty() && is_used(address)
+            let known = before.get(address);
+            let is_same =
+                |present: &BTreeSet<RunnerId>| known.is_none_or(|known| present.is_subset(known));
+            !connections.is_empty() && lives.get(address).is_some_and(is_same)
         });
+        *before = lives;
     }
 }
 
--- a/crates/ingress/src/watches/runners.rs
+++ b/crates/ingress/src/watches/runners.rs
@@ -4,8 +4,8 @@
 use std::time::Duration;
 
 use flaxward_routing::membership::MembershipUpdate;
-use flaxward_routing::names::RunnerId;
-use flaxward_routing::runners::Runner;
+use flaxward_routing::names::{RunnerId, RunnerName};
+use flaxward_routing::runners::{Runner, RunnerTable};
 use tokio::time::sleep;
 
 use super::{
@@ -13,8 +13,10 @@
     watch_wait,
 };
 use crate::outside::{Listing, RunnerChange, StoreError};
+use crate::pool::Lives;
 use crate::state::Shared;
 use crate::store_word::StoreWord;
+use crate::unreadable::ObjectKind;
 
 /// Time that the store holds a watch that is only to tell what has happened before.
 const CATCH_UP_WAIT: Duration = Duration::from_millis(1);
@@ -143,6 +145,7 @@
 
 fn replace_runners(shared: &Shared, listing: Listing<Runner>, cause: ReadCause) {
     let count = listing.items.len();
+    shared.note_unreadable(ObjectKind::Runner, &listing.unreadable);
     let mut tables = shared.tables();
     tables.runners.replace(listing.items, listing.revision);
     tables.runners_known = true;
@@ -150,6 +153,7 @@
     drop(tables);
     let fields: &[(&str, &dyn std::fmt::Display)] = &[
         ("runners", &count),
+        ("unreadable", &listing.unreadable.len()),
         ("store_revision", &listing.revision),
         ("cause", &format!("{cause:?}")),
     ];
@@ -180,23 +184,33 @@
 
 fn apply_changes(shared: &Shared, changes: Listing<RunnerChange>) {
     let revision = changes.revision;
+    let mut unreadable = changes.unreadable;
     for change in changes.items {
-        let id = match &change {
-            RunnerChange::Present(runner) => runner.id.clone(),
-            RunnerChange::Gone(id) => id.clone(),
-        };
         let mut tables = shared.tables();
         let before = tables.runners.membership_revision();
-        match change {
-            RunnerChange::Present(runner) => tables.runners.insert(*runner, revision),
-            RunnerChange::Gone(id) => tables.runners.remove(&id, revision),
-        }
+        let id = match change {
+            RunnerChange::Present(runner) => {
+                let id = runner.id.clone();
+                tables.runners.insert(*runner, revision);
+                id
+            }
+            RunnerChange::Gone(name) => remove_runner(&mut tables.runners, name, revision),
+            RunnerChange::Unreadable(entry) => {
+                let name = entry.name.clone();
+                unreadable.push(entry);
+                let Some(name) = name else {
+                    continue;
+                };
+                remove_runner(&mut tables.runners, RunnerName::new(&name), revision)
+            }
+        };
         let is_news = tables.runners.membership_revision() != before;
         drop(tables);
         if is_news {
             log_runner(shared, &id, revision, "store");
         }
     }
+    shared.note_unreadable(ObjectKind::Runner, &unreadable);
     let mut tables = shared.tables();
     tables.runners.set_revision(revision);
     tables.forget_gone_runners();
@@ -204,7 +218,14 @@
     after_change(shared);
 }
 
-/// Logs that a runner has come, gone, or begun to drain, and who has told it.
+/// Removes a runner. Returns the life of it that was known.
+fn remove_runner(runners: &mut RunnerTable, name: RunnerName, revision: u64) -> RunnerId {
+    let known = runners.named(&name).map(|runner| runner.id.clone());
+    runners.remove(&name, revision);
+    known.unwrap_or_else(|| RunnerId::of(name, None))
+}
+
+/// Logs that a life of a runner has come, gone, or begun to drain, and who has told it.
 fn log_runner(shared: &Shared, id: &RunnerId, revision: u64, source: &str) {
     let runner = shared.tables().runners.get(id).cloned();
     let state = match &runner {
@@ -225,14 +246,13 @@
     shared.log.write(shared.now(), "runner-state", fields);
 }
 
-/// Wakes those who wait, and closes connections to runners that are gone.
+/// Wakes those who wait, and closes connections to lives of runners that are over.
 fn after_change(shared: &Shared) {
-    let addresses: std::collections::HashSet<std::net::SocketAddr> = shared
-        .tables()
-        .runners
-        .iter()
-        .map(|runner| runner.address)
-        .collect();
-    shared.pool.sweep(|address| addresses.contains(address));
+    let mut lives = Lives::new();
+    for runner in shared.tables().runners.iter() {
+        let at_address = lives.entry(runner.address).or_default();
+        at_address.insert(runner.id.clone());
+    }
+    shared.pool.sweep(lives);
     shared.changed.notify_waiters();
 }
--- a/crates/ingress/tests/ingress/main.rs
+++ b/crates/ingress/tests/ingress/main.rs
@@ -6,6 +6,7 @@
 mod crashing_runner;
 mod failures;
 mod homes;
+mod lives;
 mod requests;
 mod runner;
 mod stops;
