--- a/crates/flaxward/src/ingress.rs
+++ b/crates/flaxward/src/ingress.rs
@@ -13,6 +13,7 @@
 use flaxward_ingress::{Ingress, IngressSettings};
 use flaxward_platform::{PlatformControl, PlatformStore, PlatformSurface};
 use flaxward_routing::budget::RetryBudgetSettings;
+use flaxward_routing::cold::ColdRunnerSettings;
 use flaxward_routing::lease::LeaseSettings;
 use flaxward_routing::names::Zone;
 use flaxward_routing::placement::PlacementSettings;
@@ -144,6 +145,10 @@
         strength: strength(&file.machine),
         news_bound: file.news.bound(),
         evacuation_bound: file.news.evacuation,
+        cold_runners: file.cold_runners.map(|it| ColdRunnerSettings {
+            rate_factor: it.rate_factor,
+            slack: it.slack,
+        }),
         key_trust: key_trust(file),
         stop_grace: file.ingress.stop_grace,
         retry_budget: RetryBudgetSettings {
--- a/crates/ingress/src/access.rs
+++ b/crates/ingress/src/access.rs
@@ -7,6 +7,7 @@
 
 use flaxward_routing::configuration::{Configuration, Route};
 use flaxward_routing::names::TenantName;
+use flaxward_routing::quota::QuotaQuestion;
 use flaxward_routing::quota::meter::{Basis, Verdict};
 use flaxward_routing::request::RequestProfile;
 use flaxward_routing::tenants::Tenant;
@@ -162,9 +163,12 @@
 
 /// What the keeper decides, or else this daemon by what the keeper has told before.
 async fn ask(shared: &Shared, charge: &Charge, rank: u8, keeper: SocketAddr) -> Verdict {
-    let question = shared
-        .quota_questions
-        .ask(keeper, &charge.tenant, charge.cost, rank);
+    let question = shared.quota_questions.ask(keeper, |number| QuotaQuestion {
+        number,
+        tenant: charge.tenant.clone(),
+        cost: charge.cost,
+        rank,
+    });
     shared.quota_wake.notify_one();
     let answer = timeout(ANSWER_TIME, question.answer()).await;
     let (tenant, cost) = (&charge.tenant, charge.cost);
--- a/crates/ingress/src/coordination/leading.rs
+++ b/crates/ingress/src/coordination/leading.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use flaxward_routing::cold::keeper::PermitKeeper;
 use flaxward_routing::dissemination::{Dissemination, Outgoing};
 use flaxward_routing::lease::LeasePulse;
 use flaxward_routing::messages::{Direction, Usage, WaitNotice};
@@ -41,6 +42,8 @@
 pub(super) struct Leading {
     pub term: u64,
     pub placement: Placement,
+    /// Permits for requests to cold runners.
+    pub permits: PermitKeeper,
     dissemination: Dissemination,
     plan_due: Timestamp,
     /// Earliest time of the next plan.
@@ -56,6 +59,7 @@
         Self {
             term,
             placement,
+            permits: PermitKeeper::new(now),
             dissemination: Dissemination::new(term, link, now),
             plan_due: now,
             plan_allowed: now,
--- a/crates/ingress/src/coordination/mod.rs
+++ b/crates/ingress/src/coordination/mod.rs
@@ -9,6 +9,7 @@
 mod informing;
 mod leading;
 mod lease_changes;
+mod permits;
 mod quotas;
 
 use std::fmt::Display;
@@ -30,6 +31,7 @@
 
 use crate::counters::{NEWS_WITH_GAPS, PLAN_SECONDS, SUSPENSIONS};
 use crate::peer::PeerSocket;
+use crate::spells::end_spells;
 use crate::state::Shared;
 use crate::watches::{take_evacuations, take_membership};
 
@@ -38,6 +40,7 @@
 use following::Following;
 use informing::Informing;
 use leading::Leading;
+use permits::heard_permit_answers;
 use quotas::Quotas;
 
 /// Time between two looks at which tenants are near their limit. A coordinator is woken by each message of its members,
@@ -194,6 +197,8 @@
         self.inform(now);
         self.quotas.report(&self.shared, &self.peers, now);
         self.quotas.send_questions(&self.shared, &self.peers, now);
+        self.send_permit_questions(now);
+        end_spells(&self.shared);
         self.tell_limits(now);
         if self.leading.as_ref().is_some_and(|it| now >= it.plan_due()) {
             self.plan();
@@ -348,6 +353,11 @@
             }
             Message::QuotaAnswers(answers) => Quotas::heard_answers(&self.shared, &answers),
             Message::QuotaNews(news) => self.quotas.heard_news(&self.shared, &news),
+            Message::PermitQuestions(questions) => {
+                let now = self.shared.now();
+                self.answer_permit_questions(&questions, now);
+            }
+            Message::PermitAnswers(answers) => heard_permit_answers(&self.shared, &answers),
             Message::ConfigurationWanted(wanted) => {
                 self.configurations
                     .answer(&self.shared, &self.peers, &wanted);
--- a/crates/ingress/src/coordination/quotas.rs
+++ b/crates/ingress/src/coordination/quotas.rs
@@ -123,7 +123,7 @@
     /// admitted does not hold it.
     pub fn heard_answers(shared: &Shared, answers: &QuotaAnswers) {
         for answer in &answers.answers {
-            shared.quota_questions.answer(answer);
+            shared.quota_questions.answer(answer.number, answer.grant);
         }
     }
 
--- a/crates/ingress/src/exchange.rs
+++ b/crates/ingress/src/exchange.rs
@@ -19,6 +19,7 @@
 use tokio::time::{Instant, timeout_at};
 
 use crate::outside::{HeadKind, Passage};
+use crate::permits::Admission;
 use crate::pool::{Connection, SendError};
 use crate::state::{InFlight, Shared};
 
@@ -92,6 +93,11 @@
 }
 
 impl FailedAttempt {
+    /// One that was not begun, because a cold runner has no room.
+    pub(crate) fn not_permitted() -> Self {
+        Self::new(Failure::NotPermitted, None)
+    }
+
     fn new(failure: Failure, observation: Option<Observation>) -> Self {
         Self {
             failure,
@@ -105,6 +111,7 @@
     shared: &Arc<Shared>,
     request: &ClientRequest,
     runner: &Runner,
+    admission: &Admission,
     continuation: Continuation<'_>,
     patience: Instant,
 ) -> Result<Exchange, FailedAttempt> {
@@ -116,6 +123,11 @@
         return Err(FailedAttempt::new(Failure::NotSent, observation));
     };
     let outgoing = outgoing_request(shared, request, runner, continuation);
+    // A daemon may have been suspended since it got its permit, and a runner may just have turned cold.
+    if !shared.may_send(runner, admission) {
+        shared.pool.put(connection);
+        return Err(FailedAttempt::not_permitted());
+    }
     let response = match timeout_at(patience, connection.send(outgoing)).await {
         Ok(Ok(response)) => response,
         Ok(Err(error)) => return Err(send_failure(&error, &connection)),
--- a/crates/ingress/src/job.rs
+++ b/crates/ingress/src/job.rs
@@ -6,13 +6,14 @@
 
 use bytes::Bytes;
 use flaxward_routing::attempt::{Attempts, Failure};
-use flaxward_routing::balance::{NoRunner, Wanted};
+use flaxward_routing::balance::{HeldBack, NoRunner, Wanted};
 use flaxward_routing::configuration::Route;
 use flaxward_routing::health::Observation;
 use flaxward_routing::names::{RunnerId, ServiceName};
 use flaxward_routing::runners::Runner;
 use flaxward_types::ResultCode;
 use flaxward_types::refusal::Refusal;
+use flaxward_types::time::Timestamp;
 use http::Response;
 use http::header::CONTENT_LENGTH;
 use tokio::time::{Instant, sleep};
@@ -23,10 +24,11 @@
 use crate::exchange::{
     ClientRequest, Continuation, Exchange, FailedAttempt, exchange, remove_connection_headers,
 };
+use crate::permits::{Admission, admit};
 use crate::refused::{Details, RETRY_AFTER, Refused};
 use crate::relay::{self, StreamRelay};
 use crate::state::Shared;
-use crate::waiting::wait_for_unit;
+use crate::waiting::{wait_for_room, wait_for_unit};
 
 /// Longest answer without a stream that is held until it is whole.
 const HELD_ANSWER_BYTES: usize = 4 * 1024 * 1024;
@@ -41,6 +43,8 @@
 /// How much longer the next such pause is: a runner that is full twice has a long queue, and each time it is asked
 /// costs a repeat of the budget.
 const FULL_PAUSE_GROWTH: u32 = 4;
+/// Pause before a cold runner is asked for again after a permit that ended unused: connecting takes too long just now.
+const PERMIT_ENDED_PAUSE: Duration = Duration::from_millis(100);
 /// Shortest time left with which a request is sent to a runner.
 const LEAST_TIME: Duration = Duration::from_millis(5);
 
@@ -52,6 +56,8 @@
     service: ServiceName,
     attempts: Attempts,
     tried: Vec<RunnerId>,
+    /// Cold runners that have no room for the request yet.
+    held_back: Vec<HeldBack>,
     last_failure: Option<Failure>,
     /// A runner's own failure, passed on if no other runner does better.
     held_answer: Option<Response<AnswerBody>>,
@@ -77,6 +83,7 @@
             service,
             attempts: Attempts::default(),
             tried: Vec::new(),
+            held_back: Vec::new(),
             last_failure: None,
             held_answer: None,
             begun,
@@ -126,6 +133,10 @@
                     Ok(()) => continue,
                     Err(refusal) => return self.not_ready(refusal),
                 },
+                Err(NoRunner::NoRoom { until }) => match self.wait_for_room(until).await {
+                    Ok(()) => continue,
+                    Err(refusal) => return self.no_room(refusal),
+                },
                 Err(NoRunner::AllTried) if self.may_ask_again(full_rounds) => {
                     let pause = FULL_PAUSE * FULL_PAUSE_GROWTH.pow(full_rounds);
                     full_rounds += 1;
@@ -136,16 +147,27 @@
                 Err(NoRunner::AllTried) => return self.give_up("no further runner"),
                 Err(NoRunner::NoneOfService) => return self.give_up("no runner of the service"),
             };
+            let admission = match admit(&self.shared, &self.request, &runner).await {
+                Ok(admission) => admission,
+                Err(until) => {
+                    self.hold_back(&runner, until);
+                    continue;
+                }
+            };
             let is_repeat = self.attempts.sent > 0;
             if is_repeat && !self.shared.try_repeat(&self.service) {
                 return self.give_up("the retry budget is spent");
             }
             self.is_sending = true;
             let sent_at = Instant::now();
-            let attempted = self.attempt(&runner).await;
+            let attempted = self.attempt(&runner, &admission).await;
             self.is_sending = false;
             match attempted {
                 Ok(response) => return Ok(response),
+                Err(failed) if failed.failure == Failure::NotPermitted => {
+                    self.permit_ended(&runner);
+                    continue;
+                }
                 Err(failed) => self.count_failure(&runner, failed, sent_at.elapsed()),
             }
             if self.last_failure == Some(Failure::Broken) {
@@ -178,6 +200,7 @@
             unit: self.request.unit.as_ref(),
             affinity: has_parts.then(|| self.request.profile.affinity()),
             tried,
+            held_back: &self.held_back,
         };
         self.shared.choose(&wanted)
     }
@@ -194,6 +217,45 @@
         }
     }
 
+    /// Looks for other runners until a time at which a cold one may have room.
+    fn hold_back(&mut self, runner: &Runner, until: Timestamp) {
+        let now = self.shared.now();
+        self.held_back.retain(|it| it.until > now);
+        self.held_back.push(HeldBack {
+            runner: runner.id.clone(),
+            until,
+        });
+    }
+
+    /// The permit ended before the request could be sent, or the runner has turned cold meanwhile.
+    fn permit_ended(&mut self, runner: &Runner) {
+        let fields: &[(&str, &dyn Display)] = &[
+            ("request", &self.request.profile.id),
+            ("runner", &runner.id),
+        ];
+        let now = self.shared.now();
+        self.shared.log.write(now, "permit-ended", fields);
+        self.hold_back(runner, now + PERMIT_ENDED_PAUSE);
+    }
+
+    async fn wait_for_room(&mut self, until: Timestamp) -> Result<(), Refusal> {
+        let waiting = wait_for_room(&self.shared, &self.request, &self.route, until, self.begun);
+        tokio::select! {
+            waited = waiting => waited,
+            // The next look tells the caller.
+            () = until_quarantined(&self.shared, &self.request) => Ok(()),
+        }
+    }
+
+    /// The final answer when all runners that hold the unit are cold and have no room in time.
+    fn no_room(&mut self, refusal: Refusal) -> Result<Response<AnswerBody>, Refused> {
+        const REASON: &str = "cold runners have no room in time";
+        if !self.attempts.surely_not_run() {
+            return self.give_up(REASON);
+        }
+        Err(self.refused(refusal, REASON))
+    }
+
     /// The final answer when the unit is not ready in time. Only a request that surely has not run is told so.
     fn not_ready(&mut self, refusal: Refusal) -> Result<Response<AnswerBody>, Refused> {
         let reason = match &self.request.unit {
@@ -209,7 +271,8 @@
     fn may_ask_again(&self, full_rounds: u32) -> bool {
         let may_serve = match self.last_failure {
             Some(Failure::NotRun | Failure::Misdirected | Failure::Broken) => true,
-            Some(Failure::NotSent | Failure::Failed | Failure::Silent) | None => false,
+            Some(Failure::NotSent | Failure::NotPermitted | Failure::Failed | Failure::Silent)
+            | None => false,
         };
         may_serve && full_rounds < 2
     }
@@ -260,11 +323,22 @@
         (Instant::now() + patience).min(self.request.deadline)
     }
 
-    async fn attempt(&mut self, runner: &Runner) -> Result<Response<AnswerBody>, FailedAttempt> {
+    async fn attempt(
+        &mut self,
+        runner: &Runner,
+        admission: &Admission,
+    ) -> Result<Response<AnswerBody>, FailedAttempt> {
         let patience = self.patience(runner);
         let continuation = Continuation::default();
-        let exchange =
-            exchange(&self.shared, &self.request, runner, continuation, patience).await?;
+        let exchange = exchange(
+            &self.shared,
+            &self.request,
+            runner,
+            admission,
+            continuation,
+            patience,
+        )
+        .await?;
         if exchange.head.status.is_success() && self.route.kind.is_stream() {
             return self.stream(exchange, patience).await;
         }
--- a/crates/ingress/src/quota_client.rs
+++ b/crates/ingress/src/keeper_client.rs
@@ -1,61 +1,64 @@
-//! Requests of this daemon for which the keeper of quotas is asked.
+//! Requests of this daemon for which a keeper is asked: of quotas, or of permits for cold runners.
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::{Mutex, MutexGuard, PoisonError};
 
-use flaxward_routing::names::TenantName;
-use flaxward_routing::quota::{Grant, QuotaAnswer, QuotaQuestion};
 use tokio::sync::oneshot;
 
 /// Questions that are waited for, at most; older ones count as unanswered.
 const MAX_WAITERS: u64 = 4_096;
 
-#[derive(Debug, Default)]
-struct Questions {
+#[derive(Debug)]
+struct Questions<Question, Answer> {
     last_number: u64,
-    unsent: HashMap<SocketAddr, Vec<QuotaQuestion>>,
-    waiters: HashMap<u64, oneshot::Sender<Grant>>,
+    unsent: HashMap<SocketAddr, Vec<Question>>,
+    waiters: HashMap<u64, oneshot::Sender<Answer>>,
 }
 
 /// Numbers questions and brings answers to those who wait for them.
-#[derive(Debug, Default)]
-pub(crate) struct QuotaClient {
-    questions: Mutex<Questions>,
+#[derive(Debug)]
+pub(crate) struct KeeperClient<Question, Answer> {
+    questions: Mutex<Questions<Question, Answer>>,
+}
+
+impl<Question, Answer> Default for KeeperClient<Question, Answer> {
+    fn default() -> Self {
+        let questions = Questions {
+            last_number: 0,
+            unsent: HashMap::new(),
+            waiters: HashMap::new(),
+        };
+        Self {
+            questions: Mutex::new(questions),
+        }
+    }
 }
 
 /// A question that is waited for.
 #[derive(Debug)]
-pub(crate) struct Waited(oneshot::Receiver<Grant>);
+pub(crate) struct Waited<Answer>(oneshot::Receiver<Answer>);
 
-impl Waited {
+impl<Answer> Waited<Answer> {
     /// The keeper's answer; `None` if there will be none.
-    pub(crate) async fn answer(self) -> Option<Grant> {
+    pub(crate) async fn answer(self) -> Option<Answer> {
         self.0.await.ok()
     }
 }
 
-impl QuotaClient {
-    /// Has the keeper at an address asked for a request.
+impl<Question, Answer> KeeperClient<Question, Answer> {
+    /// Has the keeper at an address asked; `question` gets the number of the question.
     pub(crate) fn ask(
         &self,
         keeper: SocketAddr,
-        tenant: &TenantName,
-        cost: u32,
-        rank: u8,
-    ) -> Waited {
+        question: impl FnOnce(u64) -> Question,
+    ) -> Waited<Answer> {
         let (sender, receiver) = oneshot::channel();
         let mut questions = self.lock();
         questions.last_number += 1;
         let number = questions.last_number;
-        let question = QuotaQuestion {
-            number,
-            tenant: tenant.clone(),
-            cost,
-            rank,
-        };
         let unsent = questions.unsent.entry(keeper).or_default();
-        unsent.push(question);
+        unsent.push(question(number));
         questions.waiters.insert(number, sender);
         if let Some(old) = number.checked_sub(MAX_WAITERS) {
             questions.waiters.remove(&old);
@@ -64,19 +67,19 @@
     }
 
     /// Questions that were not sent yet, by keeper.
-    pub(crate) fn take_unsent(&self) -> HashMap<SocketAddr, Vec<QuotaQuestion>> {
+    pub(crate) fn take_unsent(&self) -> HashMap<SocketAddr, Vec<Question>> {
         std::mem::take(&mut self.lock().unsent)
     }
 
     /// Brings an answer to the request that waits for it, if it still does.
-    pub(crate) fn answer(&self, answer: &QuotaAnswer) {
-        if let Some(waiter) = self.lock().waiters.remove(&answer.number) {
+    pub(crate) fn answer(&self, number: u64, answer: Answer) {
+        if let Some(waiter) = self.lock().waiters.remove(&number) {
             // The request may have waited no longer.
-            let _ = waiter.send(answer.grant);
+            let _ = waiter.send(answer);
         }
     }
 
-    fn lock(&self) -> MutexGuard<'_, Questions> {
+    fn lock(&self) -> MutexGuard<'_, Questions<Question, Answer>> {
         self.questions
             .lock()
             .unwrap_or_else(PoisonError::into_inner)
--- a/crates/ingress/src/relay.rs
+++ b/crates/ingress/src/relay.rs
@@ -21,6 +21,7 @@
 use crate::counters::{STREAMS_BROKEN, STREAMS_LATE, STREAMS_RESUMED};
 use crate::crashes::note_break;
 use crate::exchange::{ClientRequest, Continuation, Exchange, FailedAttempt, exchange};
+use crate::permits::{Admission, admit_until};
 use crate::state::Shared;
 
 /// Shortest time for the head and first event of a continued stream.
@@ -179,6 +180,7 @@
             unit: self.request.unit.as_ref(),
             affinity: Some(self.request.profile.affinity()),
             tried: &tried,
+            held_back: &[],
         };
         self.shared.choose(&wanted)
     }
@@ -313,7 +315,11 @@
         };
         let patience = self.continuation_patience();
         let (shared, request) = (self.shared.clone(), self.request.clone());
-        let attempt = exchange(&shared, &request, &next, continuation, patience);
+        let Ok(admission) = admit_until(&shared, &request, &next, Instant::now()).await else {
+            self.wait_again(silent);
+            return Ok(());
+        };
+        let attempt = exchange(&shared, &request, &next, &admission, continuation, patience);
         tokio::pin!(attempt);
         let early = timeout(REJECTION_WAIT, &mut attempt).await;
         if let Ok(Err(failed)) = &early
@@ -408,11 +414,28 @@
             weights_version: self.weights_version,
         };
         let patience = self.continuation_patience();
-        let attempted = exchange(&self.shared, &self.request, &runner, continuation, patience);
-        let attempted = attempted.await;
+        let admission = admit_until(&self.shared, &self.request, &runner, patience).await;
+        let attempted = match &admission {
+            Ok(admission) => {
+                self.send_on(&runner, admission, continuation, patience)
+                    .await
+            }
+            Err(_) => Err(FailedAttempt::not_permitted()),
+        };
         Ok(self.take_continuation(&runner, attempted, continuation.last_event))
     }
 
+    async fn send_on(
+        &mut self,
+        runner: &Runner,
+        admission: &Admission,
+        continuation: Continuation<'_>,
+        patience: Instant,
+    ) -> Result<Exchange, FailedAttempt> {
+        let (shared, request) = (&self.shared, &self.request);
+        exchange(shared, request, runner, admission, continuation, patience).await
+    }
+
     /// Logs why the stream ends without its end.
     fn given_up(&self, error: RelayError, reason: &str) -> RelayError {
         let fields: &[(&str, &dyn std::fmt::Display)] = &[
--- a/crates/ingress/src/settings.rs
+++ b/crates/ingress/src/settings.rs
@@ -7,6 +7,7 @@
 
 use flaxward_clock::TimeSource;
 use flaxward_routing::budget::RetryBudgetSettings;
+use flaxward_routing::cold::ColdRunnerSettings;
 use flaxward_routing::lease::LeaseSettings;
 use flaxward_routing::names::Zone;
 use flaxward_routing::placement::PlacementSettings;
@@ -47,6 +48,8 @@
     pub news_bound: Duration,
     /// Time within which the evacuation of a zone must be followed; `None` if the operators evacuate no zones.
     pub evacuation_bound: Option<Duration>,
+    /// How far requests of all daemons may pass what cold runners bear; `None` if nothing bounds them.
+    pub cold_runners: Option<ColdRunnerSettings>,
     /// For how long keys are relied on.
     pub key_trust: KeyTrust,
     /// Time from the order to stop until it must have ended.
--- /dev/null
+++ b/crates/ingress/src/spells.rs
@@ -0,0 +1,83 @@
+//! Which runners are cold: what this daemon takes in of it, and what the log tells.
+
+use std::collections::HashSet;
+use std::fmt::Display;
+
+use flaxward_routing::cold::spells::Turn;
+use flaxward_routing::evacuation::Evacuations;
+use flaxward_routing::names::Zone;
+use flaxward_routing::runners::Runner;
+
+use crate::state::{Shared, Tables};
+
+/// Takes in what the entries of the runners say, after they have changed.
+pub(crate) fn take_in_spells(shared: &Shared) {
+    let now = shared.now();
+    let mut guard = shared.tables();
+    let Tables {
+        runners, spells, ..
+    } = &mut *guard;
+    spells.retain(|id| runners.get(id).is_some());
+    let turns: Vec<Turn> = runners
+        .iter()
+        .filter_map(|runner| spells.take_in(runner, now))
+        .collect();
+    drop(guard);
+    log_turns(shared, &turns, "entry");
+}
+
+/// The runners of a zone whose evacuation has just ended may have turned cold unheard: they count as cold for a whole
+/// spell. `before` are the evacuations until now.
+pub(crate) fn suspect_returned(shared: &Shared, before: &Evacuations) {
+    let now = shared.now();
+    let evacuations = shared.tables().evacuations.clone();
+    let ended: HashSet<&Zone> = before
+        .zones
+        .iter()
+        .filter(|zone| !evacuations.zones.contains(zone))
+        .collect();
+    if ended.is_empty() || shared.settings.cold_runners.is_none() {
+        return;
+    }
+    let Some(configuration) = shared.configuration() else {
+        return;
+    };
+    let cold_start = |runner: &Runner| configuration.service(&runner.service)?.cold_start;
+    let mut guard = shared.tables();
+    let Tables {
+        runners, spells, ..
+    } = &mut *guard;
+    let returned = runners.iter().filter(|it| ended.contains(&it.zone));
+    let turns: Vec<Turn> = returned
+        .filter_map(|runner| Some((runner, cold_start(runner)?.duration)))
+        .map(|(runner, duration)| spells.suspect(runner, duration, now))
+        .collect();
+    drop(guard);
+    log_turns(shared, &turns, "evacuation-end");
+}
+
+/// Tells of the runners whose spells have ended, and wakes the requests that wait for one.
+pub(crate) fn end_spells(shared: &Shared) {
+    let now = shared.now();
+    let turns = shared.tables().spells.take_ended(now);
+    if turns.is_empty() {
+        return;
+    }
+    log_turns(shared, &turns, "clock");
+    shared.changed.notify_waiters();
+}
+
+fn log_turns(shared: &Shared, turns: &[Turn], cause: &str) {
+    for turn in turns {
+        let (event, cold_for) = match turn.cold_for {
+            Some(cold_for) => ("runner-cold", cold_for.as_millis()),
+            None => ("runner-warm", 0),
+        };
+        let fields: &[(&str, &dyn Display)] = &[
+            ("runner", &turn.runner),
+            ("cold_for_ms", &cold_for),
+            ("cause", &cause),
+        ];
+        shared.log.write(shared.now(), event, fields);
+    }
+}
--- a/crates/ingress/src/state.rs
+++ b/crates/ingress/src/state.rs
@@ -1,6 +1,7 @@
 //! What the tasks of one daemon share.
 
 use std::collections::HashMap;
+use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
@@ -8,6 +9,8 @@
 use flaxward_clock::Clock;
 use flaxward_routing::balance::{self, NoRunner, Situation, Wanted};
 use flaxward_routing::budget::RetryBudget;
+use flaxward_routing::cold::spells::Spells;
+use flaxward_routing::cold::{PermitDecision, PermitQuestion};
 use flaxward_routing::configuration::{Configuration, Route};
 use flaxward_routing::configuration_age::ConfigurationAge;
 use flaxward_routing::evacuation::Evacuations;
@@ -17,6 +20,7 @@
 use flaxward_routing::names::{RunnerId, ServiceName, Unit};
 use flaxward_routing::quarantine::{Quarantine, RunReport};
 use flaxward_routing::quota::meter::QuotaMeter;
+use flaxward_routing::quota::{Grant, QuotaQuestion};
 use flaxward_routing::runners::{Runner, RunnerTable};
 use flaxward_routing::split::SplitChooser;
 use flaxward_routing::store_trust::StoreTrust;
@@ -27,9 +31,9 @@
 
 use crate::counters::RUNNERS_EJECTED;
 use crate::decisions::DecisionLog;
+use crate::keeper_client::KeeperClient;
 use crate::outside::{ClusterStore, RunnerControl, Surface};
 use crate::pool::Pool;
-use crate::quota_client::QuotaClient;
 use crate::settings::IngressSettings;
 use crate::store_word::StoreWord;
 use crate::usage::{Running, UseLog, Waiting};
@@ -52,6 +56,10 @@
     pub quota: QuotaMeter,
     pub runners: RunnerTable,
     pub runners_known: bool,
+    /// Which runners are cold.
+    pub spells: Spells,
+    /// Whom requests for cold runners ask: the coordinator.
+    pub permit_keeper: Option<SocketAddr>,
     pub evacuations: Evacuations,
     pub health: HealthTable,
     pub in_flight: HashMap<RunnerId, u32>,
@@ -85,8 +93,10 @@
     /// Woken when a request begins to wait for a unit.
     pub demand: Notify,
     /// Requests for which the keeper of quotas is asked.
-    pub quota_questions: QuotaClient,
-    /// Woken when the keepers of quotas are to be told or asked something.
+    pub quota_questions: KeeperClient<QuotaQuestion, Grant>,
+    /// Requests for which the keeper of permits is asked.
+    pub permit_questions: KeeperClient<PermitQuestion, PermitDecision>,
+    /// Woken when a keeper of quotas or permits is to be told or asked something.
     pub quota_wake: Notify,
     /// Runs of which the keepers of the quarantine were not told yet.
     pub run_reports: Mutex<Vec<RunReport>>,
@@ -128,6 +138,8 @@
             quota: QuotaMeter::new(seed, ASSUMED_DAEMONS),
             runners: RunnerTable::default(),
             runners_known: false,
+            spells: Spells::default(),
+            permit_keeper: None,
             evacuations: Evacuations::default(),
             health: HealthTable::default(),
             in_flight: HashMap::new(),
@@ -155,7 +167,8 @@
             log: DecisionLog::default(),
             changed: Notify::new(),
             demand: Notify::new(),
-            quota_questions: QuotaClient::default(),
+            quota_questions: KeeperClient::default(),
+            permit_questions: KeeperClient::default(),
             quota_wake: Notify::new(),
             run_reports: Mutex::default(),
             run_reported: Notify::new(),
@@ -270,6 +283,7 @@
         let tables = self.tables();
         let situation = Situation {
             runners: &tables.runners,
+            spells: &tables.spells,
             health: &tables.health,
             in_flight: &tables.in_flight,
             loads: &tables.loads,
--- a/crates/ingress/src/waiting.rs
+++ b/crates/ingress/src/waiting.rs
@@ -4,6 +4,7 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
+use flaxward_routing::balance;
 use flaxward_routing::configuration::Route;
 use flaxward_routing::names::Unit;
 use flaxward_types::ResultCode;
@@ -141,6 +142,28 @@
     route.target.mul_f64(SHARE_WITHOUT_PROMISE).max(least)
 }
 
+/// Waits until there may be room at a cold runner, or until something has changed.
+///
+/// # Errors
+/// Refuses at once if there is no room in time.
+pub(crate) async fn wait_for_room(
+    shared: &Shared,
+    request: &ClientRequest,
+    route: &Route,
+    room_at: Timestamp,
+    arrived: Instant,
+) -> Result<(), Refusal> {
+    let wake_at = shared.clock.instant(room_at);
+    if wake_at > latest_start(shared, request, route, arrived) {
+        return Err(not_ready(room_at.since(shared.now())));
+    }
+    tokio::select! {
+        () = shared.changed.notified() => {}
+        () = sleep_until(wake_at) => {}
+    }
+    Ok(())
+}
+
 /// The latest moment at which the request can be sent and still be answered.
 fn latest_start(
     shared: &Shared,
@@ -160,9 +183,7 @@
 fn is_held(shared: &Shared, unit: &Unit) -> bool {
     let now = shared.now();
     let tables = shared.tables();
-    tables.runners.of_service(&unit.service).any(|runner| {
-        !tables.evacuations.includes(runner) && tables.runners.holds(runner, unit, now)
-    })
+    balance::is_held(&tables.runners, &tables.evacuations, unit, now)
 }
 
 fn promised(shared: &Shared, unit: &Unit, begun_at: Timestamp) -> Option<Timestamp> {
--- a/crates/ingress/src/watches/evacuations.rs
+++ b/crates/ingress/src/watches/evacuations.rs
@@ -9,6 +9,7 @@
 
 use super::{Backoff, changes_mode, log_history_gone, wait_for_word};
 use crate::outside::{Listing, StoreError};
+use crate::spells::suspect_returned;
 use crate::state::Shared;
 
 /// Part of the bound on evacuations for which the store holds a watch: two that are lost leave time for a third, and for
@@ -92,9 +93,11 @@
     let zones: Vec<&str> = listed.zones.iter().map(Zone::as_str).collect();
     let zones = zones.join(",");
     let revision = listed.revision;
+    let before = shared.tables().evacuations.clone();
     if !shared.tables().evacuations.take_in(listed) {
         return;
     }
+    suspect_returned(shared, &before);
     let fields: &[(&str, &dyn std::fmt::Display)] = &[
         ("zones", &format!("{zones:?}")),
         ("store_revision", &revision),
--- a/crates/ingress/src/watches/runners.rs
+++ b/crates/ingress/src/watches/runners.rs
@@ -13,6 +13,7 @@
     watch_wait,
 };
 use crate::outside::{Listing, RunnerChange, StoreError};
+use crate::spells::take_in_spells;
 use crate::state::Shared;
 use crate::store_word::StoreWord;
 
@@ -20,10 +21,20 @@
 const CATCH_UP_WAIT: Duration = Duration::from_millis(1);
 /// Pause after changes of runners, so that several come with one call.
 const RUNNERS_PAUSE: Duration = Duration::from_millis(600);
+/// The same where requests to cold runners are bounded: what is sent until they are known to be cold counts too.
+const COLD_RUNNERS_PAUSE: Duration = Duration::from_millis(150);
 /// Part of the bound on news for which a daemon that knows less than the coordinator waits to be told before it
 /// reads the store.
 const UPDATE_PATIENCE_SHARE: f64 = 0.2;
 
+/// The pause after changes of runners: a short one where word of cold runners must soon be heard.
+fn runners_pause(shared: &Shared) -> Duration {
+    match shared.settings.cold_runners {
+        Some(_) => COLD_RUNNERS_PAUSE,
+        None => RUNNERS_PAUSE,
+    }
+}
+
 /// Keeps the list of runners up to date.
 pub(crate) async fn watch_runners(shared: Arc<Shared>) {
     let mut backoff = Backoff::new("store/runners");
@@ -88,7 +99,7 @@
                 revision = Some(changes.revision);
                 if !changes.items.is_empty() {
                     apply_changes(&shared, changes);
-                    sleep(RUNNERS_PAUSE).await;
+                    sleep(runners_pause(&shared)).await;
                 }
             }
             Err(StoreError::HistoryGone) => {
@@ -225,8 +236,9 @@
     shared.log.write(shared.now(), "runner-state", fields);
 }
 
-/// Wakes those who wait, and closes connections to runners that are gone.
+/// Notes which runners are cold, wakes those who wait, and closes connections to runners that are gone.
 fn after_change(shared: &Shared) {
+    take_in_spells(shared);
     let addresses: std::collections::HashSet<std::net::SocketAddr> = shared
         .tables()
         .runners
--- a/crates/ingress/tests/ingress/main.rs
+++ b/crates/ingress/tests/ingress/main.rs
@@ -1,6 +1,7 @@
 //! The ingress over real sockets on the loopback, against a store in memory and scripted runners.
 
 mod access;
+mod cold_runners;
 mod coordination;
 mod crashing_requests;
 mod crashing_runner;
--- a/crates/ingress/tests/ingress/runner.rs
+++ b/crates/ingress/tests/ingress/runner.rs
@@ -3,7 +3,7 @@
 use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
@@ -39,6 +39,8 @@
 pub struct Received {
     pub head: String,
     pub body: Vec<u8>,
+    /// When its head had come.
+    pub at: Instant,
 }
 
 impl Received {
@@ -130,6 +132,7 @@
     };
     let head = String::from_utf8(bytes[..end].to_vec()).ok()?;
     let mut request = Received {
+        at: Instant::now(),
         head,
         body: bytes[end..].to_vec(),
     };
--- a/crates/ingress/tests/ingress/support.rs
+++ b/crates/ingress/tests/ingress/support.rs
@@ -187,6 +187,16 @@
     }
 }
 
+/// The service of the runners, which bear all from their start.
+pub fn service() -> Service {
+    Service {
+        name: ServiceName::new(SERVICE),
+        max_connections: 100,
+        engine: Some(engine()),
+        cold_start: None,
+    }
+}
+
 /// A configuration with the routes `/safe/`, `/unsafe/` and `/stream/`.
 pub fn configuration(version: u64, more: Vec<Route>) -> Configuration {
     let mut routes = vec![
@@ -195,12 +205,7 @@
         route("/stream/", RouteKind::Stream { resumable: true }),
     ];
     routes.extend(more);
-    let service = Service {
-        name: ServiceName::new(SERVICE),
-        max_connections: 100,
-        engine: Some(engine()),
-    };
-    Configuration::new(version, ClientLimits::default(), routes, vec![service])
+    Configuration::new(version, ClientLimits::default(), routes, vec![service()])
 }
 
 /// A tenant with a key of its own name and, if a rate is given, as many units a second and at once.
@@ -348,6 +353,7 @@
         strength: MachineStrength::default(),
         news_bound: Duration::from_secs(2),
         evacuation_bound: None,
+        cold_runners: None,
         key_trust: KeyTrust::default(),
         stop_grace: Duration::from_secs(4),
         retry_budget: RetryBudgetSettings {
--- a/crates/routing/benches/plan.rs
+++ b/crates/routing/benches/plan.rs
@@ -83,6 +83,7 @@
         name: ServiceName::new("pool"),
         max_connections: 100,
         engine: Some(engine),
+        cold_start: None,
     };
     Configuration::new(1, ClientLimits::default(), Vec::new(), vec![service])
 }
--- a/crates/routing/src/attempt.rs
+++ b/crates/routing/src/attempt.rs
@@ -11,6 +11,8 @@
     Misdirected,
     /// No byte of the request was sent.
     NotSent,
+    /// No byte of the request was sent, because its permit for a cold runner has ended.
+    NotPermitted,
     /// The connection broke, or what came was no answer to this request.
     Broken,
     /// The runner says that it has run the request and failed.
@@ -23,7 +25,7 @@
     /// Whether the request may have run.
     pub fn may_have_run(self) -> bool {
         match self {
-            Self::NotRun | Self::Misdirected | Self::NotSent => false,
+            Self::NotRun | Self::Misdirected | Self::NotSent | Self::NotPermitted => false,
             Self::Broken | Self::Failed | Self::Silent => true,
         }
     }
@@ -44,7 +46,7 @@
 impl Attempts {
     /// Counts an attempt that has failed.
     pub fn count(&mut self, failure: Failure) {
-        if failure != Failure::NotSent {
+        if !matches!(failure, Failure::NotSent | Failure::NotPermitted) {
             self.sent += 1;
         }
         if failure.may_have_run() {
--- a/crates/routing/src/balance.rs
+++ b/crates/routing/src/balance.rs
@@ -18,6 +18,7 @@
 use flaxward_types::time::Timestamp;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
+use crate::cold::spells::Spells;
 use crate::evacuation::Evacuations;
 use crate::health::HealthTable;
 use crate::locality::{Distance, Locality};
@@ -51,6 +52,8 @@
 pub struct Situation<'a> {
     /// The runners.
     pub runners: &'a RunnerTable,
+    /// Which of them are cold.
+    pub spells: &'a Spells,
     /// Their health.
     pub health: &'a HealthTable,
     /// This daemon's requests at each runner.
@@ -80,6 +83,17 @@
     pub affinity: Option<u64>,
     /// Runners that this request has been to.
     pub tried: &'a [RunnerId],
+    /// Cold runners that have no room for this request before a time.
+    pub held_back: &'a [HeldBack],
+}
+
+/// A cold runner has no room for a request yet.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct HeldBack {
+    /// The runner.
+    pub runner: RunnerId,
+    /// When it may have room.
+    pub until: Timestamp,
 }
 
 /// Why no runner was chosen.
@@ -91,6 +105,11 @@
     NotLoaded,
     /// All that could serve were tried.
     AllTried,
+    /// Those that could serve and were not tried are cold and have no room.
+    NoRoom {
+        /// When the first of them may have.
+        until: Timestamp,
+    },
 }
 
 /// Chooses a runner.
@@ -101,34 +120,67 @@
     let all: Vec<&Runner> = situation
         .runners
         .iter()
-        .filter(|runner| runner.service == *wanted.service && !runner.draining)
-        .filter(|runner| !situation.evacuations.includes(runner))
+        .filter(|runner| is_usable(runner, wanted.service, situation.evacuations))
         .collect();
     if all.is_empty() {
         return Err(NoRunner::NoneOfService);
     }
     let able: Vec<&Runner> = all
         .into_iter()
-        .filter(|runner| is_able(situation, wanted, runner))
+        .filter(|runner| is_able(situation.runners, runner, wanted.unit, situation.now))
         .collect();
     if able.is_empty() {
         return Err(NoRunner::NotLoaded);
     }
-    let untried = able
+    let untried: Vec<&Runner> = able
         .into_iter()
-        .filter(|runner| !wanted.tried.contains(&runner.id));
-    untried
-        .map(|runner| (rank(situation, wanted, runner), runner))
-        .min_by(|(left, _), (right, _)| left.order(right))
-        .map(|(_, runner)| runner)
-        .ok_or(NoRunner::AllTried)
+        .filter(|runner| !wanted.tried.contains(&runner.id))
+        .collect();
+    let with_room = untried
+        .iter()
+        .filter(|runner| room_at(wanted, runner, situation.now).is_none());
+    let chosen = with_room
+        .map(|runner| (rank(situation, wanted, runner), *runner))
+        .min_by(|(left, _), (right, _)| left.order(right));
+    if let Some((_, runner)) = chosen {
+        return Ok(runner);
+    }
+    let room_at = untried
+        .iter()
+        .filter_map(|runner| room_at(wanted, runner, situation.now))
+        .min();
+    Err(room_at.map_or(NoRunner::AllTried, |until| NoRunner::NoRoom { until }))
 }
 
-fn is_able(situation: &Situation<'_>, wanted: &Wanted<'_>, runner: &Runner) -> bool {
-    match wanted.unit {
-        Some(unit) => situation.runners.holds(runner, unit, situation.now),
-        None => true,
-    }
+/// Whether a runner is one of a service and may get requests.
+fn is_usable(runner: &Runner, service: &ServiceName, evacuations: &Evacuations) -> bool {
+    runner.service == *service && !runner.draining && !evacuations.includes(runner)
+}
+
+fn is_able(runners: &RunnerTable, runner: &Runner, unit: Option<&Unit>, now: Timestamp) -> bool {
+    unit.is_none_or(|unit| runners.holds(runner, unit, now))
+}
+
+/// Whether some runner holds a unit and may get requests for it. Those who wait for a unit go by this, and
+/// [`choose`] finds [`NoRunner::NotLoaded`] only where it does not hold: otherwise they would wait for nothing, and
+/// look again without end.
+pub fn is_held(
+    runners: &RunnerTable,
+    evacuations: &Evacuations,
+    unit: &Unit,
+    now: Timestamp,
+) -> bool {
+    runners
+        .iter()
+        .filter(|runner| is_usable(runner, &unit.service, evacuations))
+        .any(|runner| is_able(runners, runner, Some(unit), now))
+}
+
+/// When a cold runner may have room for the request, if it has none now.
+fn room_at(wanted: &Wanted<'_>, runner: &Runner, now: Timestamp) -> Option<Timestamp> {
+    let held_back = wanted.held_back.iter();
+    let of_runner = held_back.filter(|it| it.runner == runner.id && it.until > now);
+    of_runner.map(|it| it.until).max()
 }
 
 /// Condition of a runner, the best first.
@@ -233,7 +285,7 @@
         Condition::Overloaded
     } else if health.is_doubtful(&runner.id, now) {
         Condition::Doubtful
-    } else if !runner.cold_for.is_zero() {
+    } else if situation.spells.is_cold(&runner.id, now) {
         Condition::Cold
     } else if told_load(situation, runner) >= CROWDED_SHARE {
         Condition::Crowded
--- a/crates/routing/src/configuration.rs
+++ b/crates/routing/src/configuration.rs
@@ -6,6 +6,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::cold::ColdStart;
 use crate::names::{ModelName, RouteName, ServiceName};
 use crate::tenants::Tenants;
 
@@ -128,6 +129,8 @@
     pub max_connections: u32,
     /// The model engine, if its runners are model runners.
     pub engine: Option<Engine>,
+    /// What its runners bear after their start; `None` if they bear all at once.
+    pub cold_start: Option<ColdStart>,
 }
 
 /// Bounds on what a client may send.
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod attempt;
 pub mod balance;
 pub mod budget;
+pub mod cold;
 pub mod configuration;
 pub mod configuration_age;
 pub mod configuration_transfer;
--- a/crates/routing/src/messages.rs
+++ b/crates/routing/src/messages.rs
@@ -8,6 +8,7 @@
 use serde::{Deserialize, Serialize};
 use thiserror::Error;
 
+use crate::cold::{PermitAnswers, PermitQuestions};
 use crate::configuration_transfer::ConfigurationChunk;
 use crate::evacuation::Evacuations;
 use crate::lease::LeasePulse;
@@ -21,7 +22,7 @@
 use crate::strength::MachineStrength;
 
 /// First byte of every message; raised when the encoding changes incompatibly.
-const WIRE_VERSION: u8 = 6;
+const WIRE_VERSION: u8 = 7;
 
 /// A message.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -55,6 +56,10 @@
     RunReports(Vec<RunReport>),
     /// From any daemon to one that holds other requests in quarantine, or from a keeper to all daemons.
     QuarantineNews(QuarantineNews),
+    /// From any daemon to the coordinator: which requests for cold runners it would send.
+    PermitQuestions(PermitQuestions),
+    /// The answer to that.
+    PermitAnswers(PermitAnswers),
 }
 
 /// A request for a newer configuration.
--- a/crates/routing/src/runners.rs
+++ b/crates/routing/src/runners.rs
@@ -52,6 +52,13 @@
     pub on_disk: BTreeSet<ModelName>,
 }
 
+/// Whether a new entry of a runner tells of a cold spell that may have begun after the known one. Entries of one spell
+/// tell less and less.
+fn turns_cold(known: &Runner, new: &Runner) -> bool {
+    let is_cold = !new.cold_for.is_zero();
+    is_cold && new.revision != known.revision && new.cold_for >= known.cold_for
+}
+
 /// What a coordinator says that one runner holds.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct RunnerHoldings {
@@ -117,7 +124,8 @@
         }
         self.changes += 1;
         let known = self.runners.get(&runner.id);
-        let is_news = known.is_none_or(|known| known.draining != runner.draining);
+        let is_news = known
+            .is_none_or(|known| known.draining != runner.draining || turns_cold(known, &runner));
         if is_news {
             let changed_at = if runner.revision == 0 {
                 revision
@@ -151,7 +159,7 @@
         self.membership.complete_until()
     }
 
-    /// The store's revision at which a runner last came, went, or began to drain.
+    /// The store's revision at which a runner last came, went, began to drain or turned cold.
     pub fn membership_revision(&self) -> u64 {
         self.membership.last_change()
     }
@@ -185,7 +193,8 @@
         let mut changed = Vec::new();
         let news = update.changes.into_iter();
         for change in news.filter(|change| change.revision > known_until) {
-            changed.extend(self.take_change(change));
+            let begins_spell = self.begins_spell(&change);
+            changed.extend(self.take_change(change, begins_spell));
         }
         self.set_revision(update.until);
         Some(changed)
@@ -232,7 +241,7 @@
         let changes: Vec<MembershipChange> = gone.chain(present).collect();
         let news = changes
             .into_iter()
-            .filter_map(|change| self.take_change(change))
+            .filter_map(|change| self.take_change(change, false))
             .collect();
         self.membership.begin_at(list.until);
         news
@@ -248,6 +257,12 @@
         hasher.digest()
     }
 
+    /// Whether a runner may have turned cold after a revision.
+    pub fn has_spell_after(&self, revision: u64) -> bool {
+        let mut runners = self.runners.values();
+        runners.any(|it| !it.cold_for.is_zero() && it.revision > revision)
+    }
+
     /// What tells a daemon with the same runners that it knows all changes from a revision up to now.
     pub fn confirmation(&self, after: u64) -> MembershipUpdate {
         MembershipUpdate {
@@ -258,8 +273,15 @@
         }
     }
 
+    /// Whether a change tells of a cold spell after what is known: it may be as long as the one before.
+    fn begins_spell(&self, change: &MembershipChange) -> bool {
+        let is_cold = change.summary.as_ref().is_some_and(|it| it.cold_ms > 0);
+        let known = self.runners.get(&change.runner);
+        is_cold && known.is_some_and(|known| known.revision < change.revision)
+    }
+
     /// Takes in a change that another daemon tells. Returns the runner if it is news.
-    fn take_change(&mut self, change: MembershipChange) -> Option<RunnerId> {
+    fn take_change(&mut self, change: MembershipChange, begins_spell: bool) -> Option<RunnerId> {
         let (id, revision) = (change.runner, change.revision);
         let known = self.runners.get(&id);
         let Some(summary) = change.summary else {
@@ -267,7 +289,7 @@
             self.remove(&id, revision);
             return was_known.then_some(id);
         };
-        if known.map(RunnerSummary::of).as_ref() == Some(&summary) {
+        if !begins_spell && known.map(RunnerSummary::of).as_ref() == Some(&summary) {
             return None;
         }
         let holdings = known.map(|known| known.holdings.clone());
--- a/crates/routing/tests/balance.rs
+++ b/crates/routing/tests/balance.rs
@@ -4,7 +4,10 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use flaxward_routing::balance::{Situation, Wanted, choose, is_worth_telling};
+use flaxward_routing::balance::{
+    HeldBack, NoRunner, Situation, Wanted, choose, is_held, is_worth_telling,
+};
+use flaxward_routing::cold::spells::Spells;
 use flaxward_routing::evacuation::Evacuations;
 use flaxward_routing::health::HealthTable;
 use flaxward_routing::locality::Locality;
@@ -108,6 +111,7 @@
         let in_flight = HashMap::new();
         let situation = Situation {
             runners: &self.table,
+            spells: &Spells::default(),
             health: &self.health,
             in_flight: &in_flight,
             loads: &loads,
@@ -122,6 +126,7 @@
             unit: Some(&unit),
             affinity: Some(prompt),
             tried: &[],
+            held_back: &[],
         };
         let runner = choose(&situation, &wanted).unwrap().id.clone();
         self.running.push((runner, now + RUN));
@@ -207,6 +212,7 @@
         let chosen_abroad = |seed: u64| {
             let situation = Situation {
                 runners: &table,
+                spells: &Spells::default(),
                 health: &HealthTable::default(),
                 in_flight: &HashMap::new(),
                 loads: &loads,
@@ -222,6 +228,7 @@
                 unit: Some(&unit),
                 affinity: None,
                 tried: &[],
+                held_back: &[],
             };
             choose(&situation, &wanted).unwrap().id.as_str() == "r2"
         };
@@ -232,3 +239,62 @@
     assert!(abroad(SLOTS - 1) > 80, "{}", abroad(SLOTS - 1));
     assert!(abroad(SLOTS) == 1_000, "{}", abroad(SLOTS));
 }
+
+fn choose_at(
+    held_back: &[HeldBack],
+    tried: &[RunnerId],
+    now: Timestamp,
+) -> Result<String, NoRunner> {
+    let mut table = RunnerTable::default();
+    table.replace((0..2).map(|index| runner(index, zone(index))).collect(), 1);
+    let situation = Situation {
+        runners: &table,
+        spells: &Spells::default(),
+        health: &HealthTable::default(),
+        in_flight: &HashMap::new(),
+        loads: &HashMap::new(),
+        evacuations: &Evacuations::default(),
+        locality: &Locality::new(zone(0), HashMap::new()),
+        daemons: DAEMONS,
+        random: 7,
+        now,
+    };
+    let (service, unit) = (ServiceName::new("pool"), unit());
+    let wanted = Wanted {
+        service: &service,
+        unit: Some(&unit),
+        affinity: None,
+        tried,
+        held_back,
+    };
+    // Whoever waits for the unit would find that it is held.
+    assert!(is_held(&table, &Evacuations::default(), &unit, now));
+    choose(&situation, &wanted).map(|runner| runner.id.to_string())
+}
+
+fn held_back(index: usize, until: Timestamp) -> HeldBack {
+    HeldBack {
+        runner: RunnerId::new(&format!("r{index}")),
+        until,
+    }
+}
+
+/// Seen in a trial: all runners of a model were kept from requests, which then waited for a model that was held, and
+/// looked again without a pause.
+#[test]
+fn a_request_for_which_cold_runners_have_no_room_is_told_when_they_may() {
+    let both = [held_back(0, Timestamp(300)), held_back(1, Timestamp(200))];
+    let now = Timestamp(100);
+    let until = Timestamp(200);
+    assert_eq!(choose_at(&both, &[], now), Err(NoRunner::NoRoom { until }));
+    assert_eq!(choose_at(&both, &[], until).unwrap(), "r1");
+    assert_eq!(choose_at(&both[..1], &[], now).unwrap(), "r1");
+    let tried = [RunnerId::new("r1")];
+    let until = Timestamp(300);
+    assert_eq!(
+        choose_at(&both, &tried, now),
+        Err(NoRunner::NoRoom { until })
+    );
+    let tried = [RunnerId::new("r0"), RunnerId::new("r1")];
+    assert_eq!(choose_at(&both, &tried, now), Err(NoRunner::AllTried));
+}
--- a/crates/routing/tests/configuration_transfer.rs
+++ b/crates/routing/tests/configuration_transfer.rs
@@ -56,6 +56,7 @@
             loads_per_second: 40.0,
             models: (0..models).map(model).collect::<BTreeMap<_, _>>(),
         }),
+        cold_start: None,
     }
 }
 
--- a/crates/routing/tests/decisions.rs
+++ b/crates/routing/tests/decisions.rs
@@ -7,6 +7,7 @@
 use flaxward_routing::attempt::{Attempts, Failure};
 use flaxward_routing::balance::{NoRunner, Situation, Wanted, choose};
 use flaxward_routing::budget::{RetryBudget, RetryBudgetSettings};
+use flaxward_routing::cold::spells::Spells;
 use flaxward_routing::configuration::{
     ClientLimits, Configuration, Route, RouteKind, WeightedService,
 };
@@ -258,6 +259,7 @@
         let zone = Zone::new("z1");
         let situation = Situation {
             runners: &self.runners,
+            spells: &Spells::default(),
             health: &self.health,
             in_flight: &self.in_flight,
             loads: &self.loads,
@@ -272,6 +274,7 @@
             unit,
             affinity: Some(7),
             tried,
+            held_back: &[],
         };
         choose(&situation, &wanted).map(|runner| runner.id.to_string())
     }
--- a/crates/routing/tests/dissemination.rs
+++ b/crates/routing/tests/dissemination.rs
@@ -47,6 +47,7 @@
         name: ServiceName::new("pool"),
         max_connections: 10,
         engine: Some(engine),
+        cold_start: None,
     };
     Configuration::new(1, ClientLimits::default(), Vec::new(), vec![service])
 }
--- a/crates/routing/tests/membership.rs
+++ b/crates/routing/tests/membership.rs
@@ -329,3 +329,39 @@
         }
     }
 }
+
+fn cold_runner(revision: u64, cold_ms: u64) -> Runner {
+    Runner {
+        cold_for: Duration::from_millis(cold_ms),
+        ..runner(0, revision, false)
+    }
+}
+
+/// Tells a member all that it lacks. Returns the runners that were news to it.
+fn bring_up_to_date(member: &mut RunnerTable, coordinator: &RunnerTable) -> Vec<RunnerId> {
+    let updates = coordinator.updates_after(member.revision()).unwrap();
+    let changed = updates.into_iter().map(|update| member.update(update));
+    changed.flat_map(|changed| changed.unwrap()).collect()
+}
+
+/// Only runners that began to drain were told: daemons sent on to one that had turned cold.
+#[test]
+fn a_cold_spell_is_told_and_the_next_one_of_the_same_length_too() {
+    let mut coordinator = RunnerTable::default();
+    coordinator.replace(vec![runner(0, 1, false)], 1);
+    let mut member = RunnerTable::default();
+    member.replace(vec![runner(0, 1, false)], 1);
+    let mut revision = 1;
+    let mut entry = |cold_ms: u64| {
+        revision += 1;
+        coordinator.insert(cold_runner(revision, cold_ms), revision);
+        coordinator.set_revision(revision);
+        bring_up_to_date(&mut member, &coordinator)
+    };
+    assert_eq!(entry(3_000), vec![id(0)]);
+    // Later entries of the same spell, and its end, are no news.
+    assert_eq!(entry(1_000), vec![]);
+    assert_eq!(entry(0), vec![]);
+    assert_eq!(entry(3_000), vec![id(0)]);
+    assert_eq!(member.get(&id(0)).unwrap().revision, 5);
+}
--- a/crates/routing/tests/placement/world.rs
+++ b/crates/routing/tests/placement/world.rs
@@ -70,6 +70,7 @@
         name: ServiceName::new(SERVICE),
         max_connections: 100,
         engine: Some(engine),
+        cold_start: None,
     };
     Configuration::new(1, ClientLimits::default(), Vec::new(), vec![service])
 }
--- a/crates/settings/src/ingress.rs
+++ b/crates/settings/src/ingress.rs
@@ -33,6 +33,8 @@
     /// When requests that crash runners are not sent any more.
     #[serde(default)]
     pub quarantine: QuarantineSection,
+    /// How far requests of all daemons may pass what cold runners bear. Without it nothing bounds them.
+    pub cold_runners: Option<ColdRunnersSection>,
     /// How soon changes of the store must be known.
     #[serde(default)]
     pub news: NewsSection,
@@ -189,6 +191,16 @@
     }
 }
 
+/// How far requests of all daemons may pass what cold runners bear.
+#[derive(Clone, Copy, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct ColdRunnersSection {
+    /// Times the rate that the configuration says a cold runner bears.
+    pub rate_factor: f64,
+    /// Requests beyond that in any second.
+    pub slack: f64,
+}
+
 /// The log.
 #[derive(Clone, Debug, Deserialize)]
 #[serde(default, deny_unknown_fields)]
@@ -250,6 +262,7 @@
                 return Err(invalid(key, "must be longer than nothing"));
             }
         }
+        let cold_runners = self.cold_runners.as_ref();
         let shares = [
             ("retries.ratio", self.retries.ratio),
             ("retries.allowance", self.retries.allowance),
@@ -258,6 +271,14 @@
                 self.machine.processor_share.unwrap_or(0.0),
             ),
             ("machine.link_mbps", self.machine.link_mbps.unwrap_or(0.0)),
+            (
+                "cold_runners.rate_factor",
+                cold_runners.map_or(0.0, |it| it.rate_factor),
+            ),
+            (
+                "cold_runners.slack",
+                cold_runners.map_or(0.0, |it| it.slack),
+            ),
         ];
         for (key, value) in shares {
             if !value.is_finite() || value < 0.0 {
--- a/crates/settings/tests/ingress.rs
+++ b/crates/settings/tests/ingress.rs
@@ -66,6 +66,20 @@
             ResultCode::InvalidSetting,
             "retries.ratio",
         ),
+        (
+            "cold",
+            "[news]",
+            "[cold_runners]\nrate_factor = -1.0\nslack = 5\n\n[news]",
+            ResultCode::InvalidSetting,
+            "cold_runners.rate_factor",
+        ),
+        (
+            "cold-slack",
+            "[news]",
+            "[cold_runners]\nrate_factor = 1.5\n\n[news]",
+            ResultCode::MissingSetting,
+            "cold_runners.slack",
+        ),
         (
             "lease",
             "\"3s\"",
