--- a/crates/ingress/src/spells.rs
+++ b/crates/ingress/src/spells.rs
@@ -67,17 +67,25 @@
     shared.changed.notify_waiters();
 }
 
+/// Writes a line for the runners that have turned cold and one for those that are warm again: a zone comes back at once.
 fn log_turns(shared: &Shared, turns: &[Turn], cause: &str) {
-    for turn in turns {
-        let (event, cold_for) = match turn.cold_for {
-            Some(cold_for) => ("runner-cold", cold_for.as_millis()),
-            None => ("runner-warm", 0),
-        };
-        let fields: &[(&str, &dyn Display)] = &[
-            ("runner", &turn.runner),
-            ("cold_for_ms", &cold_for),
-            ("cause", &cause),
-        ];
-        shared.log.write(shared.now(), event, fields);
+    let (cold, warm): (Vec<&Turn>, Vec<&Turn>) =
+        turns.iter().partition(|turn| turn.cold_for.is_some());
+    log_runners(shared, "runners-cold", &cold, cause);
+    log_runners(shared, "runners-warm", &warm, cause);
+}
+
+fn log_runners(shared: &Shared, event: &str, turns: &[&Turn], cause: &str) {
+    if turns.is_empty() {
+        return;
     }
+    let names: Vec<&str> = turns.iter().map(|turn| turn.runner.as_str()).collect();
+    let longest = turns.iter().filter_map(|turn| turn.cold_for).max();
+    let fields: &[(&str, &dyn Display)] = &[
+        ("count", &turns.len()),
+        ("cause", &cause),
+        ("longest_ms", &longest.unwrap_or_default().as_millis()),
+        ("runners", &names.join(",")),
+    ];
+    shared.log.write(shared.now(), event, fields);
 }
--- a/crates/ingress/src/watches/runners.rs
+++ b/crates/ingress/src/watches/runners.rs
@@ -22,7 +22,7 @@
 /// Pause after changes of runners, so that several come with one call.
 const RUNNERS_PAUSE: Duration = Duration::from_millis(600);
 /// The same where requests to cold runners are bounded: what is sent until they are known to be cold counts too.
-const COLD_RUNNERS_PAUSE: Duration = Duration::from_millis(150);
+const COLD_RUNNERS_PAUSE: Duration = Duration::from_millis(300);
 /// Part of the bound on news for which a daemon that knows less than the coordinator waits to be told before it
 /// reads the store.
 const UPDATE_PATIENCE_SHARE: f64 = 0.2;
--- a/crates/ingress/tests/ingress/cold_runners.rs
+++ b/crates/ingress/tests/ingress/cold_runners.rs
@@ -22,6 +22,7 @@
 const BOUND: usize = 8;
 const SPELL: Duration = Duration::from_secs(6);
 const REQUESTS: usize = 20;
+const EVACUATION_BOUND: Duration = Duration::from_secs(2);
 
 fn configuration() -> Configuration {
     let mut service = service();
@@ -41,8 +42,8 @@
     }
 }
 
-/// Two daemons before one runner that is cold.
-async fn daemons(server: &ScriptedRunner) -> Vec<TestIngress> {
+/// Two daemons before one runner, and their store.
+async fn warm_daemons(server: &ScriptedRunner) -> (Vec<TestIngress>, MemoryStore) {
     let store = MemoryStore::default();
     store.set_runners(vec![entry(server, 1, Duration::ZERO)]);
     store.set_configuration(configuration());
@@ -51,11 +52,18 @@
     for name in ["a", "b"] {
         let mut own = settings(name);
         own.cold_runners = Some(SETTINGS);
+        own.evacuation_bound = Some(EVACUATION_BOUND);
         let daemon = TestIngress::start_with(own, store.share(), control.clone()).await;
         daemon.until_ready().await;
         sleep(Duration::from_millis(1_200)).await;
         daemons.push(daemon);
     }
+    (daemons, store)
+}
+
+/// Two daemons before one runner that is cold.
+async fn daemons(server: &ScriptedRunner) -> Vec<TestIngress> {
+    let (daemons, store) = warm_daemons(server).await;
     store.set_runners(vec![entry(server, 10, SPELL)]);
     sleep(Duration::from_millis(900)).await;
     daemons
@@ -133,3 +141,18 @@
         );
     }
 }
+
+/// The runners of a zone that was evacuated may have turned cold meanwhile, whatever their entries say.
+#[tokio::test]
+async fn a_zone_that_comes_back_counts_as_cold_for_a_spell() {
+    let server = ScriptedRunner::start(Vec::new()).await;
+    let (daemons, store) = warm_daemons(&server).await;
+    store.set_evacuated(&["z0"]);
+    sleep(EVACUATION_BOUND).await;
+    store.set_evacuated(&[]);
+    sleep(EVACUATION_BOUND).await;
+    let answers = burst(&daemons).await;
+    assert!(answers.iter().any(|it| it.status == 200));
+    let most = most_in_a_second(&server);
+    assert!(most <= BOUND, "{most} in a second");
+}
