Cold runners: spells are told by a new coordinator too; a counter of waits

Cause: a coordinator that has just read the list confirms it to members with the same runners, and a whole list is taken in by what differs; so a spell that began while the coordinator changed was told to nobody, and a second one of the same length not to those that knew the first. Change: a list with a runner that turned cold after what the member knows is told, and begins the spell. Test: in dissemination.rs, fails without either half.

--- a/crates/ingress/src/counters.rs
+++ b/crates/ingress/src/counters.rs
@@ -3,7 +3,7 @@
 use flaxward_types::Metric;
 
 /// Metrics of this crate.
-pub const METRICS: [Metric; 25] = [
+pub const METRICS: [Metric; 26] = [
     SERVED,
     REFUSED,
     ATTEMPTS_FAILED,
@@ -29,6 +29,7 @@
     SUSPENSIONS,
     STORE_CALLS,
     PERMITS,
+    ROOM_WAITS,
 ];
 
 /// Requests whose answer, or the head of it, was passed on, by `status`, the class of the HTTP status.
@@ -156,3 +157,8 @@
     "flaxward_ingress_permits_total",
     "Requests to cold runners for which a permit was asked, by `outcome`: `given`, `refused` or `unanswered`.",
 );
+/// Times that a request waited because all runners that hold its model were cold and had no room.
+pub const ROOM_WAITS: Metric = Metric::counter(
+    "flaxward_ingress_room_waits_total",
+    "Times that a request waited because all runners that hold its model were cold and had no room.",
+);
--- a/crates/ingress/src/waiting.rs
+++ b/crates/ingress/src/waiting.rs
@@ -12,6 +12,7 @@
 use flaxward_types::time::Timestamp;
 use tokio::time::{Instant, sleep_until};
 
+use crate::counters::ROOM_WAITS;
 use crate::exchange::ClientRequest;
 use crate::state::Shared;
 use crate::usage::WaitingRequest;
@@ -157,6 +158,7 @@
     if wake_at > latest_start(shared, request, route, arrived) {
         return Err(not_ready(room_at.since(shared.now())));
     }
+    metrics::counter!(ROOM_WAITS.name).increment(1);
     tokio::select! {
         () = shared.changed.notified() => {}
         () = sleep_until(wake_at) => {}
--- a/crates/routing/src/runners.rs
+++ b/crates/routing/src/runners.rs
@@ -233,6 +233,12 @@
             revision: list.until,
             summary: None,
         });
+        let begun: BTreeSet<RunnerId> = list
+            .changes
+            .iter()
+            .filter(|change| self.begins_spell(change))
+            .map(|change| change.runner.clone())
+            .collect();
         // At the revision of the list all of it was seen so, whatever came before.
         let present = list.changes.into_iter().map(|change| MembershipChange {
             revision: list.until,
@@ -241,7 +247,10 @@
         let changes: Vec<MembershipChange> = gone.chain(present).collect();
         let news = changes
             .into_iter()
-            .filter_map(|change| self.take_change(change, false))
+            .filter_map(|change| {
+                let begins_spell = begun.contains(&change.runner);
+                self.take_change(change, begins_spell)
+            })
             .collect();
         self.membership.begin_at(list.until);
         news
--- a/crates/routing/tests/dissemination.rs
+++ b/crates/routing/tests/dissemination.rs
@@ -381,3 +381,30 @@
         assert_eq!(member.holdings[&id].holdings.len(), 2, "still not told");
     }
 }
+
+/// A successor that has just read the list does not know what has changed before. It only confirmed the list to members
+/// with the same runners, also where one had turned cold in between.
+#[test]
+fn a_new_coordinator_tells_of_cold_runners_that_its_predecessor_did_not() {
+    let cold_for = Duration::from_secs(3);
+    let mut world = World::new();
+    world.calm();
+    for revision in [7, 9] {
+        let cold = Runner {
+            cold_for,
+            ..runner(0, revision, false)
+        };
+        world.table = RunnerTable::default();
+        let others = (1..3).map(|index| runner(index, 1, false));
+        world
+            .table
+            .replace(others.chain([cold]).collect(), revision);
+        world.dissemination = Dissemination::new(TERM, 0, world.now);
+        world.calm();
+        for member in &world.members {
+            let known = member.table.get(&runner(0, 0, false).id).unwrap();
+            assert_eq!(known.cold_for, cold_for);
+            assert_eq!(known.revision, revision, "the second spell is another one");
+        }
+    }
+}
