--- a/crates/ingress/src/counters.rs
+++ b/crates/ingress/src/counters.rs
@@ -3,7 +3,7 @@
 use flaxward_types::Metric;
 
 /// Metrics of this crate.
-pub const METRICS: [Metric; 27] = [
+pub const METRICS: [Metric; 29] = [
     SERVED,
     REFUSED,
     ATTEMPTS_FAILED,
@@ -31,6 +31,8 @@
     STORE_CALLS,
     FOREIGN_REPORTS,
     ENTRIES_UNREADABLE,
+    PERMITS,
+    ROOM_WAITS,
 ];
 
 /// Requests whose answer, or the head of it, was passed on, by `status`, the class of the HTTP status.
@@ -168,3 +170,13 @@
     "flaxward_ingress_entries_unreadable_total",
     "Objects of the store that could not be read, by `kind`; each revision of one counts once.",
 );
+/// Requests to cold runners for which a permit was asked, by `outcome`: `given`, `refused` or `unanswered`.
+pub const PERMITS: Metric = Metric::counter(
+    "flaxward_ingress_permits_total",
+    "Requests to cold runners for which a permit was asked, by `outcome`: `given`, `refused` or `unanswered`.",
+);
+/// Times that a request waited because all runners that hold its model were cold and had no room.
+pub const ROOM_WAITS: Metric = Metric::counter(
+    "flaxward_ingress_room_waits_total",
+    "Times that a request waited because all runners that hold its model were cold and had no room.",
+);
--- a/crates/ingress/src/waiting.rs
+++ b/crates/ingress/src/waiting.rs
@@ -4,6 +4,7 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
+use flaxward_routing::balance;
 use flaxward_routing::configuration::Route;
 use flaxward_routing::homes::Requirement;
 use flaxward_types::ResultCode;
@@ -11,6 +12,7 @@
 use flaxward_types::time::Timestamp;
 use tokio::time::{Instant, sleep_until};
 
+use crate::counters::ROOM_WAITS;
 use crate::exchange::ClientRequest;
 use crate::state::Shared;
 use crate::usage::WaitingRequest;
@@ -142,6 +144,29 @@
     route.target.mul_f64(SHARE_WITHOUT_PROMISE).max(least)
 }
 
+/// Waits until there may be room at a cold runner, or until something has changed.
+///
+/// # Errors
+/// Refuses at once if there is no room in time.
+pub(crate) async fn wait_for_room(
+    shared: &Shared,
+    request: &ClientRequest,
+    route: &Route,
+    room_at: Timestamp,
+    arrived: Instant,
+) -> Result<(), Refusal> {
+    let wake_at = shared.clock.instant(room_at);
+    if wake_at > latest_start(shared, request, route, arrived) {
+        return Err(not_ready(room_at.since(shared.now())));
+    }
+    metrics::counter!(ROOM_WAITS.name).increment(1);
+    tokio::select! {
+        () = shared.changed.notified() => {}
+        () = sleep_until(wake_at) => {}
+    }
+    Ok(())
+}
+
 /// The latest moment at which the request can be sent and still be answered.
 fn latest_start(
     shared: &Shared,
@@ -160,14 +185,16 @@
 
 /// Whether a runner within the homes holds the unit.
 fn is_held(shared: &Shared, requirement: &Requirement) -> bool {
-    let Requirement { unit, homes } = requirement;
     let now = shared.now();
     let tables = shared.tables();
-    tables.runners.of_service(&unit.service).any(|runner| {
-        !tables.evacuations.includes(runner)
-            && shared.is_at_home(runner, homes)
-            && tables.runners.holds(runner, unit, now)
-    })
+    let regions = shared.locality.regions();
+    balance::is_held(
+        &tables.runners,
+        &tables.evacuations,
+        regions,
+        requirement,
+        now,
+    )
 }
 
 fn promised(shared: &Shared, requirement: &Requirement, begun_at: Timestamp) -> Option<Timestamp> {
--- a/crates/ingress/src/watches/runners.rs
+++ b/crates/ingress/src/watches/runners.rs
@@ -14,6 +14,7 @@
 };
 use crate::outside::{Listing, RunnerChange, StoreError};
 use crate::pool::Lives;
+use crate::spells::take_in_spells;
 use crate::state::Shared;
 use crate::store_word::StoreWord;
 use crate::unreadable::ObjectKind;
@@ -22,10 +23,20 @@
 const CATCH_UP_WAIT: Duration = Duration::from_millis(1);
 /// Pause after changes of runners, so that several come with one call.
 const RUNNERS_PAUSE: Duration = Duration::from_millis(600);
+/// The same where requests to cold runners are bounded: what is sent until they are known to be cold counts too.
+const COLD_RUNNERS_PAUSE: Duration = Duration::from_millis(300);
 /// Part of the bound on news for which a daemon that knows less than the coordinator waits to be told before it
 /// reads the store.
 const UPDATE_PATIENCE_SHARE: f64 = 0.2;
 
+/// The pause after changes of runners: a short one where word of cold runners must soon be heard.
+fn runners_pause(shared: &Shared) -> Duration {
+    match shared.settings.cold_runners {
+        Some(_) => COLD_RUNNERS_PAUSE,
+        None => RUNNERS_PAUSE,
+    }
+}
+
 /// Keeps the list of runners up to date.
 pub(crate) async fn watch_runners(shared: Arc<Shared>) {
     let mut backoff = Backoff::new("store/runners");
@@ -90,7 +101,7 @@
                 revision = Some(changes.revision);
                 if !changes.items.is_empty() {
                     apply_changes(&shared, changes);
-                    sleep(RUNNERS_PAUSE).await;
+                    sleep(runners_pause(&shared)).await;
                 }
             }
             Err(StoreError::HistoryGone) => {
@@ -246,8 +257,9 @@
     shared.log.write(shared.now(), "runner-state", fields);
 }
 
-/// Wakes those who wait, and closes connections to lives of runners that are over.
+/// Notes which runners are cold, wakes those who wait, and closes connections to lives of runners that are over.
 fn after_change(shared: &Shared) {
+    take_in_spells(shared);
     let mut lives = Lives::new();
     for runner in shared.tables().runners.iter() {
         let at_address = lives.entry(runner.address).or_default();
--- a/crates/routing/src/messages.rs
+++ b/crates/routing/src/messages.rs
@@ -8,6 +8,7 @@
 use serde::{Deserialize, Serialize};
 use thiserror::Error;
 
+use crate::cold::{PermitAnswers, PermitQuestions};
 use crate::configuration_transfer::ConfigurationChunk;
 use crate::evacuation::Evacuations;
 use crate::homes::Requirement;
@@ -59,6 +60,10 @@
     QuarantineNews(QuarantineNews),
     /// From any daemon to one that passes it on, or from that one to the daemon for which it is meant.
     Forwarded(Forwarded),
+    /// From any daemon to the coordinator: which requests for cold runners it would send.
+    PermitQuestions(PermitQuestions),
+    /// The answer to that.
+    PermitAnswers(PermitAnswers),
 }
 
 /// A request for a newer configuration.
--- a/crates/routing/src/runners.rs
+++ b/crates/routing/src/runners.rs
@@ -53,6 +53,13 @@
     pub on_disk: BTreeSet<ModelName>,
 }
 
+/// Whether a new entry of a runner tells of a cold spell that may have begun after the known one. Entries of one spell
+/// tell less and less.
+fn turns_cold(known: &Runner, new: &Runner) -> bool {
+    let is_cold = !new.cold_for.is_zero();
+    is_cold && new.revision != known.revision && new.cold_for >= known.cold_for
+}
+
 /// What a coordinator says that one runner holds.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct RunnerHoldings {
@@ -78,7 +85,10 @@
 
     /// Whether daemons that know one entry of a runner must hear of the other one.
     fn differs_for_members(&self, other: &Self) -> bool {
-        self.id != other.id || self.draining != other.draining || self.address != other.address
+        self.id != other.id
+            || self.draining != other.draining
+            || self.address != other.address
+            || turns_cold(self, other)
     }
 }
 
@@ -184,7 +194,7 @@
         self.membership.complete_until()
     }
 
-    /// The store's revision at which a runner last came, went, or began to drain.
+    /// The store's revision at which a runner last came, went, began to drain or turned cold.
     pub fn membership_revision(&self) -> u64 {
         self.membership.last_change()
     }
@@ -221,7 +231,8 @@
         let mut changed = Vec::new();
         let news = update.changes.into_iter();
         for change in news.filter(|change| change.revision > known_until) {
-            changed.extend(self.take_change(change));
+            let begins_spell = self.begins_spell(&change);
+            changed.extend(self.take_change(change, begins_spell));
         }
         self.set_revision(update.until);
         Some(changed)
@@ -261,6 +272,12 @@
             revision: list.until,
             summary: None,
         });
+        let begun: BTreeSet<RunnerId> = list
+            .changes
+            .iter()
+            .filter(|change| self.begins_spell(change))
+            .map(|change| change.runner.clone())
+            .collect();
         // At the revision of the list all of it was seen so, whatever came before.
         let present = list.changes.into_iter().map(|change| MembershipChange {
             revision: list.until,
@@ -269,7 +286,10 @@
         let changes: Vec<MembershipChange> = gone.chain(present).collect();
         let news = changes
             .into_iter()
-            .filter_map(|change| self.take_change(change))
+            .filter_map(|change| {
+                let begins_spell = begun.contains(&change.runner);
+                self.take_change(change, begins_spell)
+            })
             .collect();
         self.membership.begin_at(list.until);
         news
@@ -287,6 +307,12 @@
         hasher.digest()
     }
 
+    /// Whether a runner may have turned cold after a revision.
+    pub fn has_spell_after(&self, revision: u64) -> bool {
+        let mut runners = self.runners.values();
+        runners.any(|it| !it.cold_for.is_zero() && it.revision > revision)
+    }
+
     /// What tells a daemon with the same runners that it knows all changes from a revision up to now.
     pub fn confirmation(&self, after: u64) -> MembershipUpdate {
         MembershipUpdate {
@@ -297,8 +323,15 @@
         }
     }
 
+    /// Whether a change tells of a cold spell after what is known: it may be as long as the one before.
+    fn begins_spell(&self, change: &MembershipChange) -> bool {
+        let is_cold = change.summary.as_ref().is_some_and(|it| it.cold_ms > 0);
+        let known = self.runners.get(change.runner.name());
+        is_cold && known.is_some_and(|known| known.revision < change.revision)
+    }
+
     /// Takes in a change that another daemon tells. Returns the runner if it is news.
-    fn take_change(&mut self, change: MembershipChange) -> Option<RunnerId> {
+    fn take_change(&mut self, change: MembershipChange, begins_spell: bool) -> Option<RunnerId> {
         let (id, revision) = (change.runner, change.revision);
         let known = self.runners.get(id.name());
         let Some(summary) = change.summary else {
@@ -308,7 +341,7 @@
         };
         // What is known of another life says nothing of this one.
         let known = known.filter(|known| known.id == id);
-        if known.map(RunnerSummary::of).as_ref() == Some(&summary) {
+        if !begins_spell && known.map(RunnerSummary::of).as_ref() == Some(&summary) {
             return None;
         }
         let holdings = known.map(|known| known.holdings.clone());
--- a/crates/routing/tests/homes.rs
+++ b/crates/routing/tests/homes.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use flaxward_routing::balance::{NoRunner, Situation, Wanted, choose};
+use flaxward_routing::cold::spells::Spells;
 use flaxward_routing::configuration::{Route, RouteKind, WeightedService};
 use flaxward_routing::evacuation::Evacuations;
 use flaxward_routing::health::{HealthTable, Observation};
@@ -68,6 +69,7 @@
     let mut table = RunnerTable::default();
     table.replace(runners, 1);
     let situation = Situation {
+        spells: &Spells::default(),
         runners: &table,
         health: &HealthTable::default(),
         in_flight: &HashMap::new(),
@@ -85,6 +87,7 @@
         affinity: Some(7),
         homes,
         tried,
+        held_back: &[],
     };
     choose(&situation, &wanted).map(|runner| runner.id.to_string())
 }
@@ -259,6 +262,7 @@
         table.replace(listed, 1);
         let locality = Locality::new(Zone::new(ZONES[own].0), regions());
         let situation = Situation {
+            spells: &Spells::default(),
             runners: &table,
             health: &health,
             in_flight: &in_flight,
@@ -270,7 +274,7 @@
             now,
         };
         let (service, unit) = (ServiceName::new("pool"), unit());
-        let wanted = Wanted { service: &service, unit: has_unit.then_some(&unit), affinity, homes: &homes, tried: &tried };
+        let wanted = Wanted { service: &service, unit: has_unit.then_some(&unit), affinity, homes: &homes, tried: &tried, held_back: &[] };
         let can_serve = |runner: &&Runner| {
             let region = ZONES.iter().find(|(zone, _)| *zone == runner.zone.as_str()).unwrap().1;
             let is_home = match &homes {
--- a/crates/routing/tests/lives.rs
+++ b/crates/routing/tests/lives.rs
@@ -261,6 +261,7 @@
         name: ServiceName::new("pool"),
         max_connections: 100,
         engine: Some(engine),
+        cold_start: None,
     };
     let configuration = Configuration::new(1, ClientLimits::default(), Vec::new(), vec![service]);
     let mut placement = Placement::new(
