Placement: warm runners first, and another copy where all are cold

Cause: a cold runner bears a few requests a second for some seconds. The placement took it for any other one: a load went there though a warm one could take it, and a unit counted as served though all its copies were cold.

Change: the ledger reckons when a runner is warm from what its entry last told. A load at a runner that is still cold when it ends costs the rest of the spell, so that one which ends after the spell costs nothing more and orders to warming runners go on. Adapters go to warm runners first. If requests wait for a unit of which all copies are cold, another copy comes to a warm runner if it is ready before the first of them is warm and more requests wait and come by then than they bear. `Placement::set_cold_rates` takes what a cold runner bears, by service; nobody calls it yet, so that this last part is off. A copy that is ready after the spell is not loaded however many wait: the copies that are warm by then serve at least as soon.

--- a/crates/routing/src/placement/candidates.rs
+++ b/crates/routing/src/placement/candidates.rs
@@ -2,6 +2,7 @@
 
 use std::cmp::Ordering;
 use std::collections::{BTreeMap, HashMap};
+use std::time::Duration;
 
 use flaxward_types::time::Timestamp;
 
@@ -11,19 +12,23 @@
 
 use super::ledger::{Ledger, WeightSource};
 use super::victims::{Room, Victims};
-use super::{Placement, engine_load_time};
+use super::{Placement, UNLOAD_TIME, engine_load_time};
 
 /// Price of a copy in a zone that has one, in ms.
 const ZONE_PRICE_MS: f64 = 500.0;
 /// Price of a load at a runner that is about to leave: any other one comes first.
 const LEAVE_PRICE_MS: f64 = 1e9;
 
+fn as_ms(time: Duration) -> f64 {
+    time.as_secs_f64() * 1_000.0
+}
+
 /// A runner that could take a model.
 pub(super) struct Candidate {
     pub runner: RunnerId,
     pub source: WeightSource,
     pub victims: Victims,
-    load_ms: f64,
+    load: Duration,
     cost_ms: f64,
 }
 
@@ -35,7 +40,16 @@
 
     /// The cost without the load: what another place must undercut that takes the same time.
     fn undercut_ms(&self) -> f64 {
-        self.cost_ms - self.load_ms
+        self.cost_ms - as_ms(self.load)
+    }
+
+    /// Time until the model is ready there.
+    pub fn ready_in(&self) -> Duration {
+        if self.victims.models.is_empty() {
+            self.load
+        } else {
+            UNLOAD_TIME + self.load
+        }
     }
 }
 
@@ -67,6 +81,12 @@
     if leaves { LEAVE_PRICE_MS } else { 0.0 }
 }
 
+/// Price of a load at a runner that is still cold when it ends, in ms: what requests wait there for the end of the spell.
+fn cold_price_ms(ledger: &Ledger, load: Duration, now: Timestamp) -> f64 {
+    let left = ledger.cold_for(now).saturating_sub(load);
+    as_ms(left)
+}
+
 /// What one plan may still use.
 pub(super) struct Openings {
     /// The rooms of the runners that can be given an order. Other orders of the same plan may change a price;
@@ -112,12 +132,12 @@
             .filter_map(|(id, room)| Some((self.ledgers.get(id)?, room)))
             .filter(|(ledger, _)| ledger.runner.service == unit.service && !ledger.has(unit))
             .filter(|(ledger, _)| self.is_at_home(ledger, &requirement.homes))
-            .filter_map(|(ledger, room)| self.candidate(ledger, room, engine, unit))
+            .filter_map(|(ledger, room)| self.candidate(ledger, room, engine, unit, now))
             .min_by(Candidate::order);
         if !may_use_store {
             return from_copy;
         }
-        let from_store = self.cheapest_place(requirement, engine, openings);
+        let from_store = self.cheapest_place(requirement, engine, openings, now);
         from_copy
             .into_iter()
             .chain(from_store)
@@ -130,6 +150,7 @@
         requirement: &Requirement,
         engine: &Engine,
         openings: &mut Openings,
+        now: Timestamp,
     ) -> Option<Candidate> {
         let unit = &requirement.unit;
         let weights_mb = engine.models.get(&unit.model)?.weights_mb;
@@ -156,7 +177,7 @@
             if ledger.has(unit) || ledger.weight_source(&unit.model) != WeightSource::Store {
                 continue;
             }
-            let candidate = self.candidate(ledger, room, engine, unit);
+            let candidate = self.candidate(ledger, room, engine, unit, now);
             best = best.into_iter().chain(candidate).min_by(Candidate::order);
         }
         best
@@ -211,19 +232,20 @@
         room: &Room,
         engine: &Engine,
         unit: &Unit,
+        now: Timestamp,
     ) -> Option<Candidate> {
         let weights_mb = engine.models.get(&unit.model)?.weights_mb;
         let victims = room.victims(&unit.model, weights_mb)?;
         let load = self.expected_load_time(ledger, unit)?;
         let zone_has_copy = self.copies.is_in_zone(unit, &ledger.runner.zone);
         let zone_price_ms = if zone_has_copy { ZONE_PRICE_MS } else { 0.0 };
-        let load_ms = load.as_secs_f64() * 1_000.0;
         let base_price_ms = victims.price_ms + leave_price_ms(ledger);
+        let cold_price_ms = cold_price_ms(ledger, load, now);
         Some(Candidate {
             runner: ledger.runner.id.clone(),
             source: ledger.weight_source(&unit.model),
-            cost_ms: load_ms + base_price_ms + zone_price_ms,
-            load_ms,
+            cost_ms: as_ms(load) + base_price_ms + zone_price_ms + cold_price_ms,
+            load,
             victims,
         })
     }
--- a/crates/routing/src/placement/ledger.rs
+++ b/crates/routing/src/placement/ledger.rs
@@ -99,6 +99,8 @@
     pub version: u64,
     /// The load that follows once there is room.
     pub intent: Option<Intent>,
+    /// When the runner is warm; `None` while that is to be worked out from what its entry says.
+    warm_at: Option<Timestamp>,
     /// When the next report may be read.
     pub next_report: Timestamp,
     /// When the report was asked for that is under way.
@@ -126,6 +128,7 @@
             runner,
             version: 0,
             intent: None,
+            warm_at: None,
             next_report: Timestamp::ZERO,
             report_asked_at: None,
             holdings: Holdings::new(),
@@ -142,6 +145,26 @@
         }
     }
 
+    /// Takes in what the store's list tells of the runner. Its entry tells the time for which it stays cold as of when it
+    /// was written; an entry that only stands anew in the list tells nothing new of that.
+    pub fn set_runner(&mut self, runner: Runner) {
+        let known = (self.runner.revision, self.runner.cold_for);
+        if known != (runner.revision, runner.cold_for) {
+            self.warm_at = None;
+        }
+        self.runner = runner;
+    }
+
+    /// Reckons the time for which the runner stays cold from now on, if its entry has told another one.
+    pub fn note_cold(&mut self, now: Timestamp) {
+        self.warm_at.get_or_insert(now + self.runner.cold_for);
+    }
+
+    /// Time for which the runner stays cold: it bears a few requests a second only.
+    pub fn cold_for(&self, now: Timestamp) -> Duration {
+        self.warm_at.map_or(Duration::ZERO, |at| at.since(now))
+    }
+
     /// Whether a report was read.
     pub fn is_confirmed(&self) -> bool {
         self.is_confirmed
--- a/crates/routing/src/placement/mod.rs
+++ b/crates/routing/src/placement/mod.rs
@@ -7,6 +7,7 @@
 //! or report settles it.
 
 mod candidates;
+mod cold;
 mod copies;
 pub mod demand;
 pub mod ledger;
@@ -181,6 +182,8 @@
     ledgers: BTreeMap<RunnerId, Ledger>,
     copies: CopyIndex,
     regions: Regions,
+    /// Requests a second that a cold runner bears, by service.
+    cold_rates: BTreeMap<ServiceName, f64>,
     runner_counts: BTreeMap<ServiceName, usize>,
     demands: Demands,
     configuration_version: Option<u64>,
@@ -200,6 +203,7 @@
             ledgers: BTreeMap::new(),
             copies: CopyIndex::default(),
             regions: Regions::default(),
+            cold_rates: BTreeMap::new(),
             runner_counts: BTreeMap::new(),
             configuration_version: None,
             demands: Demands::new(settings.member_timeout),
@@ -274,7 +278,7 @@
             .ledgers
             .entry(runner.id.clone())
             .or_insert_with(|| Ledger::new(runner.clone()));
-        ledger.runner = runner.clone();
+        ledger.set_runner(runner.clone());
         self.copies.update(ledger);
     }
 
--- a/crates/routing/src/placement/planner.rs
+++ b/crates/routing/src/placement/planner.rs
@@ -36,6 +36,9 @@
             return actions;
         }
         self.demands.refresh(now);
+        for ledger in self.ledgers.values_mut() {
+            ledger.note_cold(now);
+        }
         self.settle_expected(now);
         self.follow_intents(now);
         self.watch_store_links(now);
@@ -194,7 +197,11 @@
     /// Sees to it that a unit which requests wait for gets ready somewhere.
     fn serve(&mut self, wanted: &WantedUnit, openings: &mut Openings, now: Timestamp) {
         let requirement = &wanted.requirement;
-        if self.copies.is_offered(requirement) || self.copies.is_coming(requirement) {
+        if self.copies.is_coming(requirement) {
+            return;
+        }
+        if self.copies.is_offered(requirement) {
+            self.relieve_cold(wanted, openings, now);
             return;
         }
         if requirement.unit.adapter.is_some() {
@@ -222,9 +229,14 @@
         self.place_adapter(wanted, openings, now);
     }
 
-    /// Loads an adapter at the least filled runner within its homes that offers its model, or first makes room for it
+    /// Loads an adapter at the least filled warm runner within its homes that offers its model, or first makes room for it
     /// there.
-    fn place_adapter(&mut self, wanted: &Requirement, openings: &mut Openings, now: Timestamp) {
+    pub(super) fn place_adapter(
+        &mut self,
+        wanted: &Requirement,
+        openings: &mut Openings,
+        now: Timestamp,
+    ) {
         let unit = &wanted.unit;
         let Some(engine) = self.engines.get(&unit.service) else {
             return;
@@ -234,12 +246,13 @@
         let best = self
             .ledgers
             .values()
-            .filter(|ledger| ledger.offers(&base) && ledger.is_free(now))
+            .filter(|ledger| ledger.offers(&base) && !ledger.has(unit) && ledger.is_free(now))
             .filter(|ledger| self.is_at_home(ledger, &wanted.homes))
             .filter(|ledger| ledger.pending_adapter_count() < PENDING_ADAPTERS)
             .min_by_key(|ledger| {
                 let is_roomy = self.filled(ledger, slots) < ROOMY;
-                (!is_roomy, ledger.adapters().len())
+                let is_cold = !ledger.cold_for(now).is_zero();
+                (is_cold, !is_roomy, ledger.adapters().len())
             });
         let Some(ledger) = best else {
             return;
@@ -292,7 +305,7 @@
     }
 
     /// Loads a model at a runner, or first makes room for it.
-    fn load_at(
+    pub(super) fn load_at(
         &mut self,
         runner: &RunnerId,
         requirement: &Requirement,
--- /dev/null
+++ b/crates/routing/tests/placement/cold.rs
@@ -0,0 +1,179 @@
+//! Loads while runners are cold.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use flaxward_routing::homes::Requirement;
+use flaxward_routing::messages::{KnownState, Usage, WaitingUnit};
+use flaxward_routing::names::{AdapterName, ServiceName, Unit, Zone};
+use flaxward_routing::placement::{Action, Operation, Placement, PlacementSettings, RunnerReport};
+use flaxward_routing::runners::Runner;
+use flaxward_routing::strength::MachineStrength;
+use flaxward_types::time::Timestamp;
+
+use crate::world::{adapter, configuration, model, runners};
+
+const BEGIN: Timestamp = Timestamp(1_000);
+/// Requests a second that a cold runner bears.
+const COLD_RATE: f64 = 10.0;
+
+/// Runners of one zone, cold for some time each.
+fn cold_runners(cold_ms: &[u64]) -> Vec<Runner> {
+    let runners = runners(cold_ms.len()).into_iter().zip(cold_ms);
+    let cold = runners.map(|(runner, &cold_ms)| Runner {
+        zone: Zone::new("z0"),
+        cold_for: Duration::from_millis(cold_ms),
+        ..runner
+    });
+    cold.collect()
+}
+
+struct Fleet {
+    placement: Placement,
+    runners: Vec<Runner>,
+}
+
+impl Fleet {
+    fn new(cold_ms: &[u64], reports: Vec<RunnerReport>) -> Self {
+        let mut placement = Placement::new(PlacementSettings::default(), BEGIN, BEGIN);
+        placement.configure(&configuration());
+        placement.set_cold_rates(BTreeMap::from([(ServiceName::new("pool"), COLD_RATE)]));
+        let runners = cold_runners(cold_ms);
+        placement.set_runners(runners.iter());
+        for (runner, report) in runners.iter().zip(reports) {
+            placement.reported(&runner.id, Some(report), BEGIN, BEGIN);
+        }
+        Self { placement, runners }
+    }
+
+    /// The runner that gets a load, while so many requests wait for a unit.
+    fn load(&mut self, unit: &Unit, requests: u32, now: Timestamp) -> Option<(String, Unit)> {
+        let usage = Usage {
+            from: "d".to_owned(),
+            address: SocketAddr::from(([127, 0, 0, 1], 9)),
+            zone: Zone::new("z0"),
+            strength: MachineStrength::default(),
+            is_stopping: false,
+            known: KnownState::default(),
+            waiting: vec![WaitingUnit {
+                requirement: Requirement::anywhere(unit.clone()),
+                requests,
+                late: 0,
+                priority: 1,
+            }],
+            used: Vec::new(),
+            running: Vec::new(),
+        };
+        self.placement.usage(usage, now);
+        self.placement.set_runners(self.runners.iter());
+        let mut actions = self.placement.plan(now).into_iter();
+        actions.find_map(|action| match action {
+            Action::Order { runner, order, .. } if order.operation == Operation::Load => {
+                Some((runner.to_string(), order.unit))
+            }
+            Action::Order { .. } | Action::Report { .. } => None,
+        })
+    }
+}
+
+/// A runner with these models and adapters, and the first model on its disk.
+fn report(held: &[Unit]) -> RunnerReport {
+    let mut report = RunnerReport::default();
+    for unit in held {
+        let adapters: &mut BTreeSet<AdapterName> =
+            report.holdings.entry(unit.model.clone()).or_default();
+        adapters.extend(unit.adapter.clone());
+    }
+    report.on_disk.insert(model(0).model);
+    report
+}
+
+fn runner_of(load: Option<(String, Unit)>) -> Option<String> {
+    load.map(|(runner, _)| runner)
+}
+
+/// A load from disk takes 1.7 s. What is cold for longer costs the rest of it.
+#[test]
+fn a_warm_runner_comes_before_one_that_is_still_cold_when_the_load_ends() {
+    let at = |cold_ms: [u64; 2]| {
+        let mut fleet = Fleet::new(&cold_ms, vec![report(&[]), report(&[])]);
+        runner_of(fleet.load(&model(0), 1, BEGIN)).unwrap()
+    };
+    assert_eq!(at([0, 0]), "r0");
+    assert_eq!(at([3_000, 0]), "r1");
+    assert_eq!(at([3_000, 2_500]), "r1");
+    assert_eq!(at([1_600, 0]), "r0", "it is warm when the load ends");
+}
+
+/// A load from the weight store takes 4 s, in which a spell of 3 s ends.
+#[test]
+fn orders_to_a_runner_that_warms_up_go_on() {
+    let mut fleet = Fleet::new(&[3_000], vec![report(&[])]);
+    assert_eq!(
+        runner_of(fleet.load(&model(1), 1, BEGIN)).as_deref(),
+        Some("r0")
+    );
+}
+
+/// An entry is written when the spell begins, and not when it ends.
+#[test]
+fn a_cold_spell_ends_with_time_and_not_with_the_next_look_at_the_list() {
+    let mut fleet = Fleet::new(&[3_000, 0], vec![report(&[]), report(&[model(5)])]);
+    let nothing = fleet.load(&model(5), 1, BEGIN);
+    assert_eq!(nothing, None);
+    let later = BEGIN + Duration::from_millis(2_000);
+    assert_eq!(
+        runner_of(fleet.load(&model(0), 1, later)).as_deref(),
+        Some("r0")
+    );
+}
+
+#[test]
+fn another_copy_comes_if_all_are_cold_and_more_requests_wait_than_they_bear() {
+    let held = || vec![report(&[model(0)]), report(&[])];
+    let at = |cold_ms: [u64; 2], requests: u32| {
+        let mut fleet = Fleet::new(&cold_ms, held());
+        runner_of(fleet.load(&model(0), requests, BEGIN))
+    };
+    // 17 requests are borne in the 1.7 s of a load.
+    assert_eq!(at([3_000, 0], 40).as_deref(), Some("r1"));
+    assert_eq!(at([3_000, 0], 3), None, "the cold copy bears them");
+    assert_eq!(
+        at([1_500, 0], 40),
+        None,
+        "it is warm before the other one is ready"
+    );
+    assert_eq!(
+        at([3_000, 3_000], 40),
+        None,
+        "the other one is cold as well"
+    );
+    assert_eq!(at([0, 0], 40), None, "the copy is warm");
+}
+
+#[test]
+fn one_other_copy_is_enough_and_none_comes_where_nobody_says_what_cold_runners_bear() {
+    let held = || vec![report(&[model(0)]), report(&[]), report(&[])];
+    let mut fleet = Fleet::new(&[3_000, 0, 0], held());
+    assert!(fleet.load(&model(0), 40, BEGIN).is_some());
+    assert_eq!(
+        fleet.load(&model(0), 40, BEGIN + Duration::from_millis(50)),
+        None
+    );
+
+    let mut fleet = Fleet::new(&[3_000, 0], held());
+    fleet.placement.set_cold_rates(BTreeMap::new());
+    assert_eq!(fleet.load(&model(0), 40, BEGIN), None);
+}
+
+#[test]
+fn an_adapter_on_a_cold_runner_comes_to_a_warm_one_with_its_model() {
+    let unit = adapter(0, 1);
+    let held = || vec![report(std::slice::from_ref(&unit)), report(&[model(0)])];
+    let mut fleet = Fleet::new(&[3_000, 0], held());
+    let load = fleet.load(&unit, 40, BEGIN);
+    assert_eq!(load, Some(("r1".to_owned(), unit.clone())));
+    let mut fleet = Fleet::new(&[0, 0], held());
+    assert_eq!(fleet.load(&unit, 40, BEGIN), None);
+}
--- a/crates/routing/tests/placement/main.rs
+++ b/crates/routing/tests/placement/main.rs
@@ -1,6 +1,7 @@
 //! The placement against model runners that report late, lose answers and carry orders out late.
 
 mod cases;
+mod cold;
 mod homes;
 mod pressure;
 mod properties;
