Soak: cold runners, new lives, foreign entries, homes and cut regions, each switched on by itself

New checks: COLD (no cold runner gets more in any second than rate x factor + slack, as the runner saw it), HOME (no request of a route with a home ran outside it), FOREIGN (nothing is sent to an address that only an unreadable entry names).

--- a/crates/flaxward/tests/regions.rs
+++ b/crates/flaxward/tests/regions.rs
@@ -137,6 +137,8 @@
             slots: 8,
             draining: false,
             models,
+            cold_left: Duration::ZERO,
+            born: runner.born(),
         };
         store.set_runner(&id, &state);
         runners.push(runner);
@@ -151,12 +153,14 @@
         service: SERVICE.to_owned(),
         timeout: PATIENCE,
         max_attempts: 2,
+        home_regions: Vec::new(),
     };
     let service = ServiceSpec {
         name: SERVICE.to_owned(),
         models: MODELS.map(str::to_owned).to_vec(),
         models_held: 2,
         load_time: LOAD_TIME,
+        cold: None,
     };
     store.publish(1, HOST, &[route], &[service]);
 }
--- a/crates/flaxward/tests/soak.rs
+++ b/crates/flaxward/tests/soak.rs
@@ -3,7 +3,7 @@
 use std::path::{Path, PathBuf};
 use std::time::Duration;
 
-use flaxward_soak::{Plan, Report, soak};
+use flaxward_soak::{FaultKind, Plan, Report, soak};
 
 /// Daemons of a soak.
 const DAEMONS: usize = 3;
@@ -13,7 +13,7 @@
 /// - 1102: a daemon did not learn what was loaded after a term had run out and gone on.
 const FAILED_SEEDS: &[u64] = &[1102];
 
-async fn run(name: &str, seed: u64, seconds: u64, with_faults: bool) -> Report {
+async fn run(name: &str, seed: u64, seconds: u64, faults: Vec<(FaultKind, u32)>) -> Report {
     let folder = Path::new(env!("CARGO_TARGET_TMPDIR")).join(name);
     let _ = std::fs::remove_dir_all(&folder);
     std::fs::create_dir_all(&folder).unwrap();
@@ -21,7 +21,7 @@
         seed,
         duration: Duration::from_secs(seconds),
         daemons: DAEMONS,
-        with_faults,
+        faults,
         binary: PathBuf::from(env!("CARGO_BIN_EXE_flaxward")),
         folder,
     };
@@ -30,7 +30,7 @@
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn in_calm_every_request_is_served() {
-    let report = run("calm", 1, 4, false).await;
+    let report = run("calm", 1, 4, Vec::new()).await;
     assert_eq!(report.violations, Vec::<String>::new());
     assert!(report.requests > 100, "{report:?}");
     assert!(report.served * 10 > report.requests * 9, "{report:?}");
@@ -38,7 +38,7 @@
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn promises_hold_under_faults() {
-    let report = run("faults", 7, 10, true).await;
+    let report = run("faults", 7, 10, FaultKind::with(&[])).await;
     assert!(!report.faults.is_empty());
     assert_eq!(report.violations, Vec::<String>::new());
 }
@@ -46,7 +46,7 @@
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn seeds_that_once_failed_keep_the_promises() {
     for &seed in FAILED_SEEDS {
-        let report = run(&format!("seed-{seed}"), seed, 30, true).await;
+        let report = run(&format!("seed-{seed}"), seed, 30, FaultKind::with(&[])).await;
         assert_eq!(report.violations, Vec::<String>::new(), "seed {seed}");
     }
 }
--- a/crates/soak/src/checks.rs
+++ b/crates/soak/src/checks.rs
@@ -7,7 +7,8 @@
 
 use crate::callers::{Ending, Outcome};
 use crate::disturbances::Target;
-use crate::soak::{Fleet, locked};
+use crate::regions::Region;
+use crate::soak::{Fleet, Started, locked};
 
 /// Time after a disturbance in which promises with a time bound do not hold.
 pub(crate) const CALM: Duration = Duration::from_secs(4);
@@ -29,26 +30,43 @@
 
 /// Checks all promises and notes those that were broken.
 pub(crate) fn check(fleet: &Fleet) {
+    let outcomes = locked(&fleet.outcomes);
+    let path_of = |outcome: &Outcome| (outcome.ask.request.clone(), outcome.ask.path.clone());
+    let paths: HashMap<String, String> = outcomes.iter().map(path_of).collect();
     let mut runs = Runs::new();
-    for runner in locked(&fleet.runners).iter() {
+    for Started { runner, zone } in locked(&fleet.runners).iter() {
         for run in runner.runs() {
+            check_home(fleet, &run.request, &paths, zone);
             let entry = runs.entry(run.request).or_default();
             entry.push((runner.id().to_owned(), run.at));
         }
+        if let Some(excess) = runner.cold_excess() {
+            let text = format!("COLD {} got {excess} requests in a second", runner.id());
+            fleet.violation(text);
+        }
         for violation in runner.violations() {
             fleet.violation(format!("ORDERS {violation}"));
         }
     }
-    for outcome in locked(&fleet.outcomes).iter() {
+    for outcome in outcomes.iter() {
         let count = runs.get(&outcome.ask.request).map_or(0, Vec::len);
         if let Some(violation) = outcome_violation(fleet, outcome, count) {
             fleet.violation(violation);
         }
     }
+    drop(outcomes);
     check_drains(fleet, &runs);
     check_crashing_requests(fleet, &runs);
 }
 
+/// A request of a route with a home runs there only.
+fn check_home(fleet: &Fleet, request: &str, paths: &HashMap<String, String>, zone: &str) {
+    let home = paths.get(request).and_then(|path| Region::home_of(path));
+    if home.is_some_and(|home| home.zone != zone) {
+        fleet.violation(format!("HOME {request} ran in {zone}"));
+    }
+}
+
 /// A request under which three runners have crashed is sent at most three times more, later than all daemons must know,
 /// by daemons that nothing disturbed.
 fn check_crashing_requests(fleet: &Fleet, runs: &Runs) {
--- a/crates/soak/src/daemon.rs
+++ b/crates/soak/src/daemon.rs
@@ -6,6 +6,7 @@
 use std::process::Stdio;
 use std::time::{Duration, Instant};
 
+use crate::regions::{REGIONS, Region};
 use anyhow::Context;
 use flaxward_platform_stand_in::caller::READY_PATH;
 use nix::sys::signal::{Signal, kill};
@@ -76,6 +77,7 @@
     /// Fails if no port is free or the settings cannot be written.
     pub fn prepare(
         index: usize,
+        region: Region,
         binary: &Path,
         folder: &Path,
         store: SocketAddr,
@@ -87,7 +89,7 @@
             peers: free_address()?,
         };
         let settings = folder.join(format!("{name}.toml"));
-        std::fs::write(&settings, settings_text(&name, addresses, store)?)
+        std::fs::write(&settings, settings_text(&name, region, addresses, store)?)
             .with_context(|| format!("cannot write {}", settings.display()))?;
         Ok(Self {
             log: folder.join(format!("{name}.log")),
@@ -191,13 +193,23 @@
     }
 }
 
-fn settings_text(name: &str, addresses: Addresses, store: SocketAddr) -> anyhow::Result<String> {
+/// The settings of a daemon.
+fn settings_text(
+    name: &str,
+    region: Region,
+    addresses: Addresses,
+    store: SocketAddr,
+) -> anyhow::Result<String> {
     let mut text = String::new();
-    writeln!(text, "[ingress]\nname = {name:?}\nzone = \"zone-a\"")?;
+    writeln!(text, "[ingress]\nname = {name:?}\nzone = {:?}", region.zone)?;
     writeln!(text, "listen = \"{}\"", addresses.clients)?;
     writeln!(text, "ready_listen = \"{}\"", addresses.ready)?;
     writeln!(text, "peer_listen = \"{}\"", addresses.peers)?;
     writeln!(text, "stop_grace = \"{}s\"", STOP_GRACE.as_secs())?;
+    writeln!(text, "[regions]")?;
+    for Region { name, zone } in REGIONS {
+        writeln!(text, "{zone:?} = {name:?}")?;
+    }
     writeln!(text, "[store]\naddress = \"{store}\"")?;
     writeln!(
         text,
--- a/crates/soak/src/faults.rs
+++ b/crates/soak/src/faults.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use clap::ValueEnum;
 use flaxward_platform_stand_in::{CRASHING_BODY, WorkKind};
 use nix::sys::signal::Signal;
 use rand::{Rng, RngExt, SeedableRng};
@@ -15,6 +16,9 @@
 use crate::daemon::Stop;
 use crate::disturbances::Target;
 use crate::proxy::Mode;
+use crate::runner_faults::{
+    ask_for_homes, cut_region, start_anew, turn_cold, write_foreign_entries,
+};
 use crate::soak::{
     Drain, Fleet, MODELS, PLAIN_TIMEOUT, PlannedStop, START_PATIENCE, STREAM_TIMEOUT, locked,
 };
@@ -25,63 +29,121 @@
 const CONFIGURATION_BOUND: Duration = Duration::from_millis(2_500);
 /// Time in which daemons must have noticed that connections are silent.
 const SILENCE_NOTICED: Duration = Duration::from_secs(3);
+/// How often each fault strikes that is not a standard one.
+const FURTHER_SHARE: u32 = 3;
 /// Time for which a runner that leaves goes on serving.
 const DRAIN_TIME: Duration = Duration::from_secs(5);
 
 /// A kind of fault.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Fault {
-    KillDaemon(usize),
-    StopDaemon(usize),
-    PauseDaemon(usize),
-    CutFromStore(usize),
+#[derive(Clone, Copy, Debug, PartialEq, Eq, ValueEnum)]
+pub enum FaultKind {
+    /// A daemon is killed, and starts again.
+    KillDaemon,
+    /// A daemon is stopped as planned, and starts again.
+    StopDaemon,
+    /// A daemon is paused.
+    PauseDaemon,
+    /// A daemon's way to the store is disturbed.
+    CutFromStore,
+    /// The ways of all daemons to the store are disturbed.
     StoreOut,
+    /// The store forgets its history.
     ForgetHistory,
+    /// The way to a runner is disturbed.
     CutRunner,
+    /// A runner crashes; another one is started.
     CrashRunner,
+    /// A runner is replaced as planned.
     DrainRunner,
-    NewRoute,
+    /// A caller repeats a request that crashes each runner which begins to run it.
     CrashingRequest,
+    /// Open connections go silent for good.
     SilenceConnections,
+    /// A route is added.
+    NewRoute,
+    /// A runner turns cold. Runners that start while there are faults are cold at first.
+    ColdRunner,
+    /// A runner crashes and starts again under its identity.
+    RebornRunner,
+    /// Entries that nobody can read come and go on the list of runners.
+    ForeignEntries,
+    /// Callers ask for routes with a home region.
+    HomeRoutes,
+    /// A region is cut off from the store.
+    CutRegion,
+}
+
+impl FaultKind {
+    /// Those that a soak has unless told otherwise, and how often each strikes. What a seed brings about depends on the
+    /// order.
+    pub const STANDARD: [(Self, u32); 12] = [
+        (Self::KillDaemon, 3),
+        (Self::StopDaemon, 4),
+        (Self::PauseDaemon, 2),
+        (Self::CutFromStore, 2),
+        (Self::StoreOut, 1),
+        (Self::ForgetHistory, 1),
+        (Self::CutRunner, 2),
+        (Self::CrashRunner, 1),
+        (Self::DrainRunner, 2),
+        (Self::CrashingRequest, 2),
+        (Self::SilenceConnections, 1),
+        (Self::NewRoute, 2),
+    ];
+
+    /// The shares of the faults of a soak that has these beside the standard ones.
+    pub fn with(further: &[Self]) -> Vec<(Self, u32)> {
+        let standard = Self::STANDARD.into_iter();
+        standard.chain(Self::alone(further)).collect()
+    }
+
+    /// The shares of the faults of a soak that has these only.
+    pub fn alone(kinds: &[Self]) -> Vec<(Self, u32)> {
+        kinds.iter().map(|kind| (*kind, FURTHER_SHARE)).collect()
+    }
+
+    /// Whether it needs daemons and runners in several regions.
+    pub fn needs_regions(self) -> bool {
+        matches!(self, Self::HomeRoutes | Self::CutRegion)
+    }
 }
 
 /// Injects faults for some time, and waits until they are over.
-pub(crate) async fn inject(fleet: &Arc<Fleet>, random: &mut ChaCha8Rng, duration: Duration) {
+pub(crate) async fn inject(
+    fleet: &Arc<Fleet>,
+    kinds: &[(FaultKind, u32)],
+    random: &mut ChaCha8Rng,
+    duration: Duration,
+) {
     let end = Instant::now() + duration;
     let mut running = JoinSet::new();
     while Instant::now() < end {
         while running.len() >= AT_ONCE {
             running.join_next().await;
         }
-        let fault = draw(random, fleet.daemons.len());
+        let daemon = random.random_range(0..fleet.daemons.len());
+        let kind = draw(random, kinds);
         let own = ChaCha8Rng::seed_from_u64(random.next_u64());
-        locked(&fleet.faults).push(format!("{fault:?}"));
+        locked(&fleet.faults).push(format!("{kind:?} (daemon-{daemon})"));
         let fleet = fleet.clone();
-        running.spawn(async move { strike(&fleet, fault, own).await });
+        running.spawn(async move { strike(&fleet, kind, daemon, own).await });
         sleep(Duration::from_millis(random.random_range(200..2_500))).await;
     }
     while running.join_next().await.is_some() {}
 }
 
-fn draw(random: &mut ChaCha8Rng, daemons: usize) -> Fault {
-    let daemon = random.random_range(0..daemons);
-    match random.random_range(0..23) {
-        0..=2 => Fault::KillDaemon(daemon),
-        3..=6 => Fault::StopDaemon(daemon),
-        7..=8 => Fault::PauseDaemon(daemon),
-        9..=10 => Fault::CutFromStore(daemon),
-        11 => Fault::StoreOut,
-        12 => Fault::ForgetHistory,
-        13..=14 => Fault::CutRunner,
-        15 => Fault::CrashRunner,
-        16..=17 => Fault::DrainRunner,
-        18..=19 => Fault::CrashingRequest,
-        20 => Fault::SilenceConnections,
-        _ => Fault::NewRoute,
+fn draw(random: &mut ChaCha8Rng, kinds: &[(FaultKind, u32)]) -> FaultKind {
+    let mut drawn = random.random_range(0..kinds.iter().map(|(_, share)| share).sum());
+    for (kind, share) in kinds {
+        if drawn < *share {
+            return *kind;
+        }
+        drawn -= share;
     }
+    unreachable!("the shares add up to more than was drawn")
 }
 
-fn some_time(random: &mut ChaCha8Rng) -> Duration {
+pub(crate) fn some_time(random: &mut ChaCha8Rng) -> Duration {
     Duration::from_millis(random.random_range(300..5_000))
 }
 
@@ -94,40 +156,50 @@
     }
 }
 
-async fn strike(fleet: &Fleet, fault: Fault, mut random: ChaCha8Rng) {
-    match fault {
-        Fault::KillDaemon(daemon) => kill_daemon(fleet, daemon, some_time(&mut random)).await,
-        Fault::StopDaemon(daemon) => stop_daemon(fleet, daemon).await,
-        Fault::PauseDaemon(daemon) => pause_daemon(fleet, daemon, some_time(&mut random)).await,
-        Fault::CutFromStore(daemon) => {
-            let ongoing = fleet.disturbances.begin(Target::Daemon(daemon));
-            fleet.store_ways[daemon].set_mode(some_mode(&mut random));
-            sleep(some_time(&mut random)).await;
-            fleet.store_ways[daemon].set_mode(Mode::Pass);
-            fleet.disturbances.end(&ongoing);
-        }
-        Fault::StoreOut => {
-            let ongoing = fleet.disturbances.begin(Target::Store);
-            let mode = some_mode(&mut random);
-            for way in &fleet.store_ways {
-                way.set_mode(mode);
-            }
-            sleep(some_time(&mut random)).await;
-            for way in &fleet.store_ways {
-                way.set_mode(Mode::Pass);
-            }
-            fleet.disturbances.end(&ongoing);
-        }
-        Fault::ForgetHistory => fleet.store.forget_history(),
-        Fault::CutRunner => cut_runner(fleet, &mut random).await,
-        Fault::CrashRunner => crash_runner(fleet, &mut random).await,
-        Fault::DrainRunner => drain_runner(fleet, &mut random).await,
-        Fault::NewRoute => new_route(fleet, &mut random).await,
-        Fault::CrashingRequest => crashing_request(fleet, &mut random).await,
-        Fault::SilenceConnections => silence_connections(fleet).await,
+async fn strike(fleet: &Fleet, kind: FaultKind, daemon: usize, mut random: ChaCha8Rng) {
+    let random = &mut random;
+    match kind {
+        FaultKind::KillDaemon => kill_daemon(fleet, daemon, some_time(random)).await,
+        FaultKind::StopDaemon => stop_daemon(fleet, daemon).await,
+        FaultKind::PauseDaemon => pause_daemon(fleet, daemon, some_time(random)).await,
+        FaultKind::CutFromStore => cut_from_store(fleet, daemon, random).await,
+        FaultKind::StoreOut => store_out(fleet, random).await,
+        FaultKind::ForgetHistory => fleet.store.forget_history(),
+        FaultKind::CutRunner => cut_runner(fleet, random).await,
+        FaultKind::CrashRunner => crash_runner(fleet, random).await,
+        FaultKind::DrainRunner => drain_runner(fleet, random).await,
+        FaultKind::CrashingRequest => crashing_request(fleet, random).await,
+        FaultKind::SilenceConnections => silence_connections(fleet).await,
+        FaultKind::NewRoute => new_route(fleet, random).await,
+        FaultKind::ColdRunner => turn_cold(fleet, random).await,
+        FaultKind::RebornRunner => start_anew(fleet, random).await,
+        FaultKind::ForeignEntries => write_foreign_entries(fleet, random).await,
+        FaultKind::HomeRoutes => ask_for_homes(fleet, random).await,
+        FaultKind::CutRegion => cut_region(fleet, random).await,
     }
 }
 
+async fn cut_from_store(fleet: &Fleet, daemon: usize, random: &mut ChaCha8Rng) {
+    let ongoing = fleet.disturbances.begin(Target::Daemon(daemon));
+    fleet.store_ways[daemon].set_mode(some_mode(random));
+    sleep(some_time(random)).await;
+    fleet.store_ways[daemon].set_mode(Mode::Pass);
+    fleet.disturbances.end(&ongoing);
+}
+
+async fn store_out(fleet: &Fleet, random: &mut ChaCha8Rng) {
+    let ongoing = fleet.disturbances.begin(Target::Store);
+    let mode = some_mode(random);
+    for way in &fleet.store_ways {
+        way.set_mode(mode);
+    }
+    sleep(some_time(random)).await;
+    for way in &fleet.store_ways {
+        way.set_mode(Mode::Pass);
+    }
+    fleet.disturbances.end(&ongoing);
+}
+
 async fn kill_daemon(fleet: &Fleet, index: usize, down: Duration) {
     let Ok(mut daemon) = fleet.daemons[index].try_lock() else {
         return;
@@ -202,8 +274,8 @@
     fleet.disturbances.end(&ongoing);
 }
 
-/// Identity and service of some runner, unless it is the last but one of its service.
-fn some_runner(fleet: &Fleet, random: &mut ChaCha8Rng) -> (String, String) {
+/// Identity and service of some runner.
+pub(crate) fn some_runner(fleet: &Fleet, random: &mut ChaCha8Rng) -> (String, String) {
     let places = locked(&fleet.places);
     let place = &places[random.random_range(0..places.len())];
     (place.runner.id().to_owned(), place.state.service.clone())
@@ -218,9 +290,10 @@
         }
     }
     sleep(some_time(random)).await;
+    let zone = fleet.zone_of(&id);
     locked(&fleet.places).retain(|place| place.runner.id() != id);
     fleet.store.remove_runner(&id);
-    if let Err(error) = fleet.add_runner(&service).await {
+    if let Err(error) = fleet.add_runner(&service, &zone).await {
         fleet.violation(format!("START of a runner: {error}"));
     }
     fleet.disturbances.end(&ongoing);
@@ -232,7 +305,7 @@
     if locked(&fleet.drains).iter().any(|drain| drain.runner == id) {
         return;
     }
-    if let Err(error) = fleet.add_runner(&service).await {
+    if let Err(error) = fleet.add_runner(&service, &fleet.zone_of(&id)).await {
         fleet.violation(format!("START of a runner: {error}"));
     }
     sleep(Duration::from_secs(1)).await;
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -10,6 +10,9 @@
 pub mod disturbances;
 pub mod faults;
 pub mod proxy;
+pub mod regions;
+pub mod runner_faults;
 pub mod soak;
 
+pub use faults::FaultKind;
 pub use soak::{Plan, Report, soak};
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -6,7 +6,7 @@
 
 use anyhow::Context;
 use clap::Parser;
-use flaxward_soak::{Plan, soak};
+use flaxward_soak::{FaultKind, Plan, soak};
 
 /// Daemons of a soak, unless told otherwise.
 const DAEMONS: usize = 4;
@@ -24,6 +24,12 @@
     /// Number of daemons.
     #[arg(long, default_value_t = DAEMONS)]
     daemons: usize,
+    /// Kinds of faults beside the standard ones, with commas between them.
+    #[arg(long, value_enum, value_delimiter = ',')]
+    further: Vec<FaultKind>,
+    /// No standard kinds of faults, but the further ones only.
+    #[arg(long)]
+    only_further: bool,
     /// The program; by default `flaxward` beside this one.
     #[arg(long)]
     binary: Option<PathBuf>,
@@ -44,7 +50,11 @@
         seed,
         duration: Duration::from_secs(flags.seconds),
         daemons: flags.daemons.max(1),
-        with_faults: true,
+        faults: if flags.only_further {
+            FaultKind::alone(&flags.further)
+        } else {
+            FaultKind::with(&flags.further)
+        },
         binary: flags.binary.clone().unwrap_or(beside),
         folder,
     })
--- /dev/null
+++ b/crates/soak/src/runner_faults.rs
@@ -0,0 +1,213 @@
+//! Faults of runners and of their list: cold spells, new lives under an old identity, entries that nobody can read.
+
+use std::time::Duration;
+
+use flaxward_platform_stand_in::{ColdBound, RunnerStandIn, WorkKind};
+use rand::{Rng, RngExt};
+use rand_chacha::ChaCha8Rng;
+use serde_json::{Value, json};
+use tokio::time::sleep;
+
+use crate::callers::{Ask, COMMON_BODY, send};
+use crate::disturbances::Target;
+use crate::faults::{some_runner, some_time};
+use crate::proxy::Mode;
+use crate::regions::{LAPSE, REGIONS, Region};
+use crate::soak::{Fleet, MODELS, PLAIN_TIMEOUT, STREAM_TIMEOUT, locked};
+
+/// Requests a second that a cold runner bears.
+pub const COLD_PER_SECOND: u32 = 2;
+/// By how much the requests of a second may pass that.
+pub const COLD_FACTOR: f64 = 1.5;
+/// How many more they may be in any second.
+pub const COLD_SLACK: usize = 5;
+/// For how long a runner is cold after its start.
+pub const COLD_AFTER_START: Duration = Duration::from_secs(3);
+
+/// What a cold runner may get.
+pub fn cold_bound() -> ColdBound {
+    let borne = (f64::from(COLD_PER_SECOND) * COLD_FACTOR).floor();
+    #[expect(
+        clippy::cast_possible_truncation,
+        clippy::cast_sign_loss,
+        reason = "a few"
+    )]
+    let borne = borne as usize;
+    ColdBound {
+        per_second: COLD_PER_SECOND,
+        most_in_a_second: borne + COLD_SLACK,
+    }
+}
+
+/// A runner turns cold for a while, and says so.
+pub(crate) async fn turn_cold(fleet: &Fleet, random: &mut ChaCha8Rng) {
+    let (id, _) = some_runner(fleet, random);
+    let duration = some_time(random);
+    let ongoing = fleet.disturbances.begin(Target::Runner);
+    fleet.turn_cold(&id, duration);
+    sleep(duration).await;
+    fleet.renew_entry(&id);
+    fleet.disturbances.end(&ongoing);
+}
+
+/// A runner crashes and starts again under its identity, at its address: it holds nothing, and its counts begin anew.
+pub(crate) async fn start_anew(fleet: &Fleet, random: &mut ChaCha8Rng) {
+    let (id, _) = some_runner(fleet, random);
+    if locked(&fleet.drains).iter().any(|drain| drain.runner == id) {
+        return;
+    }
+    let ongoing = fleet.disturbances.begin(Target::Runner);
+    for place in locked(&fleet.places).iter() {
+        if place.runner.id() == id {
+            place.runner.end();
+            place.proxy.set_mode(Mode::Reset);
+        }
+    }
+    sleep(Duration::from_millis(random.random_range(100..2_000))).await;
+    if let Err(error) = fleet.start_anew(&id).await {
+        fleet.violation(format!("START of a runner: {error}"));
+    }
+    fleet.disturbances.end(&ongoing);
+}
+
+/// Entries that name no runner, by what is wrong with them. `address` is one that answers.
+fn foreign_entries(address: &str, service: &str) -> Vec<(&'static str, Value)> {
+    let good = json!({
+        "service": service, "address": address, "zone": REGIONS[0].zone, "version": "v1", "slots": 16,
+        "state": "ready", "cold_left_ms": 0, "born": 1, "call_seq": 0,
+        "models": [{"name": MODELS[0], "version": 1, "adapters": []}],
+    });
+    let with = |field: &str, value: Value| {
+        let mut entry = good.clone();
+        entry[field] = value;
+        entry
+    };
+    let without = |field: &str| {
+        let mut entry = good.clone();
+        if let Some(fields) = entry.as_object_mut() {
+            fields.remove(field);
+        }
+        entry
+    };
+    vec![
+        ("text", json!("nothing to see")),
+        ("list", json!([1, 2])),
+        ("null", Value::Null),
+        ("empty", json!({})),
+        ("no-service", without("service")),
+        ("no-address", without("address")),
+        ("no-zone", without("zone")),
+        ("no-state", without("state")),
+        ("unknown-service", with("service", json!("elsewhere"))),
+        ("unknown-state", with("state", json!("resting"))),
+        ("address-number", with("address", json!(8_080))),
+        ("address-text", with("address", json!("nowhere"))),
+        ("slots-text", with("slots", json!("many"))),
+        ("models-text", with("models", json!("all"))),
+        ("cold-text", with("cold_left_ms", json!("a while"))),
+    ]
+}
+
+/// Another program writes entries among those of the runners. They name an address that answers, where nothing may be
+/// sent. No runner is disturbed by it.
+pub(crate) async fn write_foreign_entries(fleet: &Fleet, random: &mut ChaCha8Rng) {
+    let (_, service) = some_runner(fleet, random);
+    let id = format!("foreign-{:08x}", random.next_u32());
+    // Without an engine it runs whatever it gets.
+    let decoy = match RunnerStandIn::start(&id, 16, &[], 0, Duration::ZERO).await {
+        Ok(decoy) => decoy,
+        Err(error) => return fleet.violation(format!("START of a runner: {error}")),
+    };
+    let entries = foreign_entries(&decoy.address().to_string(), &service);
+    // One that can't be read at all may hide what another one does.
+    let share = if random.random_bool(0.5) { 0.1 } else { 0.6 };
+    let written: Vec<_> = entries
+        .into_iter()
+        .filter(|_| random.random_bool(share))
+        .collect();
+    for (kind, entry) in &written {
+        fleet
+            .store
+            .put_foreign(&format!("{id}-{kind}"), entry.clone());
+    }
+    sleep(some_time(random)).await;
+    for (kind, _) in &written {
+        fleet.store.remove_runner(&format!("{id}-{kind}"));
+    }
+    // What was on its way may still arrive.
+    sleep(Duration::from_millis(100)).await;
+    let runs = decoy.runs().len();
+    if runs > 0 {
+        let kinds: Vec<&str> = written.iter().map(|(kind, _)| *kind).collect();
+        fleet.violation(format!("FOREIGN {runs} requests by entries {kinds:?}"));
+    }
+}
+
+/// Callers ask for routes that have a home, at any daemon. Where the requests ran is checked at the end.
+pub(crate) async fn ask_for_homes(fleet: &Fleet, random: &mut ChaCha8Rng) {
+    fleet.add_home_routes();
+    // Until the routes are known, requests for them are refused.
+    sleep(Duration::from_secs(3)).await;
+    let Ok(client) = reqwest::Client::builder().no_proxy().build() else {
+        return;
+    };
+    for _ in 0..random.random_range(10..60) {
+        let home = REGIONS[random.random_range(0..REGIONS.len())];
+        let is_stream = random.random_bool(0.5);
+        let (like, kind) = if is_stream {
+            ("stream", WorkKind::Stream { resumable: true })
+        } else {
+            ("safe", WorkKind::Repeatable)
+        };
+        let ask = Ask {
+            request: format!("{:016x}", random.next_u64()),
+            path: format!("/{like}-home-{}/x", home.name),
+            kind,
+            model: is_stream.then(|| MODELS[0].to_owned()),
+            body: COMMON_BODY.to_owned(),
+            deadline: if is_stream {
+                STREAM_TIMEOUT
+            } else {
+                PLAIN_TIMEOUT
+            },
+        };
+        let daemon = random.random_range(0..fleet.addresses.len());
+        let outcome = send(&client, ask, daemon, fleet.addresses[daemon]).await;
+        locked(&fleet.outcomes).push(outcome);
+        sleep(Duration::from_millis(random.random_range(10..200))).await;
+    }
+}
+
+/// A region loses the store: its daemons can't reach it, and the entries of its runners lapse. Daemons and runners of the
+/// region go on with each other.
+pub(crate) async fn cut_region(fleet: &Fleet, random: &mut ChaCha8Rng) {
+    let region = REGIONS[random.random_range(0..REGIONS.len())];
+    let is_cut = |daemon: &usize| Region::of(*daemon, true) == region;
+    let daemons: Vec<usize> = (0..fleet.daemons.len()).filter(is_cut).collect();
+    let begin = |&daemon: &usize| fleet.disturbances.begin(Target::Daemon(daemon));
+    let ongoing: Vec<_> = daemons.iter().map(begin).collect();
+    let runners = fleet.disturbances.begin(Target::Runner);
+    for &daemon in &daemons {
+        fleet.store_ways[daemon].set_mode(Mode::Silent);
+    }
+    sleep(LAPSE).await;
+    let lapsed: Vec<String> = locked(&fleet.places)
+        .iter()
+        .filter(|place| place.state.zone == region.zone)
+        .map(|place| place.runner.id().to_owned())
+        .collect();
+    for id in &lapsed {
+        fleet.store.remove_runner(id);
+    }
+    sleep(some_time(random)).await;
+    for &daemon in &daemons {
+        fleet.store_ways[daemon].set_mode(Mode::Pass);
+    }
+    for id in &lapsed {
+        fleet.renew_entry(id);
+    }
+    for one in &ongoing {
+        fleet.disturbances.end(one);
+    }
+    fleet.disturbances.end(&runners);
+}
--- a/crates/soak/src/soak.rs
+++ b/crates/soak/src/soak.rs
@@ -17,8 +17,10 @@
 use crate::checks;
 use crate::daemon::Daemon;
 use crate::disturbances::{Disturbances, Target};
-use crate::faults;
-use crate::proxy::Proxy;
+use crate::faults::{self, FaultKind};
+use crate::proxy::{Mode, Proxy};
+use crate::regions::{REGIONS, Region};
+use crate::runner_faults::{COLD_AFTER_START, COLD_PER_SECOND, cold_bound};
 
 /// Callers at one time.
 const CALLERS: usize = 12;
@@ -60,8 +62,8 @@
     pub duration: Duration,
     /// Daemons.
     pub daemons: usize,
-    /// Whether there are faults at all.
-    pub with_faults: bool,
+    /// The faults and how often each strikes; none for a calm run.
+    pub faults: Vec<(FaultKind, u32)>,
     /// The program.
     pub binary: PathBuf,
     /// Folder for settings and logs.
@@ -89,6 +91,13 @@
     pub state: RunnerState,
 }
 
+/// One start of a runner.
+#[derive(Debug)]
+pub(crate) struct Started {
+    pub runner: Arc<RunnerStandIn>,
+    pub zone: String,
+}
+
 /// When a runner said that it leaves.
 #[derive(Clone, Debug)]
 pub(crate) struct Drain {
@@ -112,7 +121,7 @@
     pub addresses: Vec<std::net::SocketAddr>,
     pub places: Mutex<Vec<Place>>,
     /// All runners that there ever were.
-    pub runners: Mutex<Vec<Arc<RunnerStandIn>>>,
+    pub runners: Mutex<Vec<Started>>,
     pub disturbances: Disturbances,
     pub drains: Mutex<Vec<Drain>>,
     pub stops: Mutex<Vec<PlannedStop>>,
@@ -120,6 +129,8 @@
     pub outcomes: Mutex<Vec<Outcome>>,
     pub faults: Mutex<Vec<String>>,
     pub routes: Mutex<Vec<RouteSpec>>,
+    /// Runners turn cold, and are so after their start.
+    has_cold: bool,
     version: AtomicU64,
     runner_count: AtomicU64,
     is_over: AtomicBool,
@@ -142,6 +153,7 @@
             PLAIN_TIMEOUT
         },
         max_attempts: 2,
+        home_regions: Vec::new(),
     }
 }
 
@@ -162,31 +174,42 @@
     ]
 }
 
-fn services() -> Vec<ServiceSpec> {
+fn services(has_cold: bool) -> Vec<ServiceSpec> {
+    let cold = has_cold.then_some((COLD_PER_SECOND, COLD_AFTER_START));
     let engine = ServiceSpec {
         name: ENGINE_SERVICE.to_owned(),
         models: MODELS.map(str::to_owned).to_vec(),
         models_held: u32::try_from(MODELS_HELD).unwrap_or(u32::MAX),
         load_time: LOAD_TIME,
+        cold,
     };
     let plain = ServiceSpec {
         name: PLAIN_SERVICE.to_owned(),
         models: Vec::new(),
         models_held: 0,
         load_time: Duration::ZERO,
+        cold,
     };
     vec![engine, plain]
 }
 
 impl Fleet {
     async fn start(plan: &Plan) -> anyhow::Result<Self> {
+        let has_kind = |holds: fn(FaultKind) -> bool| plan.faults.iter().any(|(it, _)| holds(*it));
+        let has_regions = has_kind(FaultKind::needs_regions);
         let store = StoreStandIn::start().await?;
         let mut store_ways = Vec::new();
         let mut daemons = Vec::new();
         let mut addresses = Vec::new();
         for index in 0..plan.daemons {
             let way = Proxy::start(store.address()).await?;
-            let daemon = Daemon::prepare(index, &plan.binary, &plan.folder, way.address())?;
+            let daemon = Daemon::prepare(
+                index,
+                Region::of(index, has_regions),
+                &plan.binary,
+                &plan.folder,
+                way.address(),
+            )?;
             addresses.push(daemon.address());
             daemons.push(tokio::sync::Mutex::new(daemon));
             store_ways.push(way);
@@ -205,15 +228,18 @@
             outcomes: Mutex::default(),
             faults: Mutex::default(),
             routes: Mutex::new(first_routes()),
+            has_cold: has_kind(|kind| kind == FaultKind::ColdRunner),
             version: AtomicU64::new(0),
             runner_count: AtomicU64::new(0),
             is_over: AtomicBool::new(false),
         };
-        for _ in 0..ENGINES {
-            fleet.add_runner(ENGINE_SERVICE).await?;
+        for number in 0..ENGINES {
+            let region = Region::of(number, has_regions);
+            fleet.add_warm_runner(ENGINE_SERVICE, region.zone).await?;
         }
-        for _ in 0..PLAIN_RUNNERS {
-            fleet.add_runner(PLAIN_SERVICE).await?;
+        for number in 0..PLAIN_RUNNERS {
+            let region = Region::of(number, has_regions);
+            fleet.add_warm_runner(PLAIN_SERVICE, region.zone).await?;
         }
         fleet.publish();
         for daemon in &fleet.daemons {
@@ -230,8 +256,17 @@
         Ok(fleet)
     }
 
-    /// Starts a runner of a service and puts it on the list.
-    pub async fn add_runner(&self, service: &str) -> std::io::Result<()> {
+    /// Starts a runner of a service and puts it on the list. It is cold at first, if runners are ever cold here.
+    pub async fn add_runner(&self, service: &str, zone: &str) -> std::io::Result<()> {
+        let id = self.add_warm_runner(service, zone).await?;
+        if self.has_cold {
+            self.turn_cold(&id, COLD_AFTER_START);
+        }
+        Ok(())
+    }
+
+    /// Starts a runner of a service and puts it on the list. Returns its identity.
+    async fn add_warm_runner(&self, service: &str, zone: &str) -> std::io::Result<String> {
         let number = self.runner_count.fetch_add(1, Ordering::Relaxed);
         let id = format!("runner-{number}");
         let has_engine = service == ENGINE_SERVICE;
@@ -246,27 +281,98 @@
         let state = RunnerState {
             service: service.to_owned(),
             address: proxy.address(),
-            zone: "zone-a".to_owned(),
+            zone: zone.to_owned(),
             slots: SLOTS,
             draining: false,
             models,
+            cold_left: Duration::ZERO,
+            born: runner.born(),
         };
         self.store.set_runner(&id, &state);
         let runner = Arc::new(runner);
-        locked(&self.runners).push(runner.clone());
+        locked(&self.runners).push(Started {
+            runner: runner.clone(),
+            zone: zone.to_owned(),
+        });
         locked(&self.places).push(Place {
             runner,
             proxy,
             state,
         });
+        Ok(id)
+    }
+
+    /// Starts a runner again that has ended: under its identity and at its address, with nothing loaded.
+    pub async fn start_anew(&self, id: &str) -> std::io::Result<()> {
+        let held = {
+            let places = locked(&self.places);
+            let place = places.iter().find(|place| place.runner.id() == id);
+            place.map(|place| {
+                if place.state.service == ENGINE_SERVICE {
+                    MODELS_HELD
+                } else {
+                    0
+                }
+            })
+        };
+        // It may have been taken away meanwhile.
+        let Some(held) = held else { return Ok(()) };
+        let runner = RunnerStandIn::start(id, SLOTS, &[], held, LOAD_TIME).await?;
+        let runner = Arc::new(runner);
+        for place in locked(&self.places).iter_mut() {
+            if place.runner.id() != id {
+                continue;
+            }
+            locked(&self.runners).push(Started {
+                runner: runner.clone(),
+                zone: place.state.zone.clone(),
+            });
+            place.runner = runner.clone();
+            place.state.models = Vec::new();
+            place.state.born = runner.born();
+            place.proxy.set_target(runner.address());
+            place.proxy.set_mode(Mode::Pass);
+        }
+        self.renew_entry(id);
+        if self.has_cold {
+            self.turn_cold(id, COLD_AFTER_START);
+        }
         Ok(())
     }
 
+    /// A runner is cold from now on, for some time, and says so.
+    pub fn turn_cold(&self, id: &str, duration: Duration) {
+        for place in locked(&self.places).iter() {
+            if place.runner.id() == id {
+                place.runner.turn_cold(cold_bound(), duration);
+            }
+        }
+        self.renew_entry(id);
+    }
+
+    /// Writes the entry of a runner anew, if it is still there.
+    pub fn renew_entry(&self, id: &str) {
+        for place in locked(&self.places).iter_mut() {
+            if place.runner.id() == id {
+                place.state.cold_left = place.runner.cold_left();
+                self.store.set_runner(id, &place.state);
+            }
+        }
+    }
+
+    /// The zone of a runner.
+    pub fn zone_of(&self, id: &str) -> String {
+        let runners = locked(&self.runners);
+        let started = runners.iter().find(|started| started.runner.id() == id);
+        started.map_or_else(|| REGIONS[0].zone.to_owned(), |it| it.zone.clone())
+    }
+
     /// Puts the present routes in force.
     pub fn publish(&self) {
         let version = self.version.fetch_add(1, Ordering::Relaxed) + 1;
         let routes = locked(&self.routes).clone();
-        self.store.publish(version, HOST, &routes, &services());
+        self.store
+            .publish(version, HOST, &routes, &services(self.has_cold));
     }
 
     /// Adds a route under a name.
@@ -275,6 +381,23 @@
         self.publish();
     }
 
+    /// Adds routes with a home region, if there are none yet.
+    pub fn add_home_routes(&self) {
+        let mut routes = locked(&self.routes);
+        if routes.iter().any(|route| !route.home_regions.is_empty()) {
+            return;
+        }
+        let with_homes = routes
+            .iter()
+            .filter(|route| ["safe", "stream"].contains(&route.name.as_str()));
+        let homes: Vec<RouteSpec> = with_homes
+            .flat_map(|route| REGIONS.map(|region| region.home_route(route)))
+            .collect();
+        routes.extend(homes);
+        drop(routes);
+        self.publish();
+    }
+
     /// Notes a broken promise.
     pub fn violation(&self, text: String) {
         locked(&self.violations).push(text);
@@ -291,6 +414,7 @@
                 let models = place.runner.models();
                 if models != place.state.models {
                     place.state.models = models;
+                    place.state.cold_left = place.runner.cold_left();
                     self.store.set_runner(place.runner.id(), &place.state);
                 }
             }
@@ -314,7 +438,10 @@
                 restarts.spawn(async move {
                     sleep(down).await;
                     fleet.store.remove_runner(place.runner.id());
-                    if let Err(error) = fleet.add_runner(&place.state.service).await {
+                    if let Err(error) = fleet
+                        .add_runner(&place.state.service, &place.state.zone)
+                        .await
+                    {
                         fleet.violation(format!("START of a runner: {error}"));
                     }
                     fleet.disturbances.end(&ongoing);
@@ -411,10 +538,10 @@
     tasks.spawn(async move { listing.keep_list().await });
     let (crashing, own) = (fleet.clone(), ChaCha8Rng::seed_from_u64(random.next_u64()));
     tasks.spawn(async move { crashing.crash_runners(own).await });
-    if plan.with_faults {
-        faults::inject(&fleet, &mut random, plan.duration).await;
-    } else {
+    if plan.faults.is_empty() {
         sleep(plan.duration).await;
+    } else {
+        faults::inject(&fleet, &plan.faults, &mut random, plan.duration).await;
     }
     let mut recoveries = JoinSet::new();
     for daemon in 0..plan.daemons {
