Soak: ports that no other soak takes; one piece of code starts daemons

Each soak claims a block of ports now, by listening at its first one for as long as it runs.

crates/flaxward/tests/regions.rs started daemons with code of its own, whose ports were drawn from those that the system gives to connections; it uses the soak's Daemon, which takes its settings from whoever prepares it. The settings of a soak's daemons are made in one place, crates/soak/src/settings.rs.

The assertions of regions.rs are unchanged; its daemons are ended on drop as before.

--- a/crates/flaxward/tests/regions.rs
+++ b/crates/flaxward/tests/regions.rs
@@ -5,15 +5,16 @@
 //! read the same list of runners. What proved it: `lease-acquired term=1` three times at the start, and orders of all three
 //! to the same runner.
 
-use std::net::{SocketAddr, TcpListener, UdpSocket};
-use std::path::{Path, PathBuf};
-use std::process::{Child, Command, Stdio};
+use std::net::SocketAddr;
+use std::path::Path;
 use std::time::{Duration, Instant};
 
-use flaxward_platform_stand_in::caller::{READY_PATH, request_headers};
+use flaxward_platform_stand_in::caller::request_headers;
 use flaxward_platform_stand_in::{
     RouteSpec, RunnerStandIn, RunnerState, ServiceSpec, StoreStandIn, WorkKind,
 };
+use flaxward_soak::daemon::{Addresses, Daemon};
+use flaxward_soak::ports::Ports;
 use tokio::time::sleep;
 
 const REGIONS: [&str; 3] = ["west", "north", "east"];
@@ -25,33 +26,9 @@
 /// Time for an answer, a load included.
 const PATIENCE: Duration = Duration::from_secs(10);
 
-/// A daemon as a process, ended when it is dropped.
-struct Daemon {
-    child: Child,
-    clients: SocketAddr,
-    ready: SocketAddr,
-}
-
-impl Drop for Daemon {
-    fn drop(&mut self) {
-        let _ = self.child.kill();
-        let _ = self.child.wait();
-    }
-}
-
-fn free_tcp() -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-    listener.local_addr().unwrap()
-}
-
-fn free_udp() -> SocketAddr {
-    let socket = UdpSocket::bind("127.0.0.1:0").unwrap();
-    socket.local_addr().unwrap()
-}
-
 /// The deployed template, filled for a daemon of a region as the platform does it. Sections stand for fields that these
 /// machines lack, and are left out.
-fn settings(region: &str, store: SocketAddr, clients: SocketAddr, ready: SocketAddr) -> String {
+fn settings(region: &str, store: SocketAddr, own: Addresses, metrics: SocketAddr) -> String {
     let template =
         Path::new(env!("CARGO_MANIFEST_DIR")).join("../../deploy/flaxward.toml.template");
     let mut text = std::fs::read_to_string(template).unwrap();
@@ -61,15 +38,14 @@
         text.replace_range(begin..end, "");
     }
     let quoted = |value: &str| format!("{value:?}");
-    let (peers, metrics) = (free_udp(), free_tcp());
     let fields = [
         ("{{node_name|json}}", quoted(&format!("daemon-{region}"))),
         ("{{zone|json}}", quoted(&format!("zone-{region}"))),
         ("{{region|json}}", quoted(region)),
-        ("{{listen.front|json}}", quoted(&clients.to_string())),
-        ("{{listen.ready|json}}", quoted(&ready.to_string())),
+        ("{{listen.front|json}}", quoted(&own.clients.to_string())),
+        ("{{listen.ready|json}}", quoted(&own.ready.to_string())),
         ("{{ip}}", "127.0.0.1".to_owned()),
-        ("{{internal_ports.0}}", peers.port().to_string()),
+        ("{{internal_ports.0}}", own.peers.port().to_string()),
         ("{{internal_ports.1}}", metrics.port().to_string()),
         ("{{platform.address|json}}", quoted(&store.to_string())),
         ("{{bounds.grace_s}}", "8".to_owned()),
@@ -90,37 +66,13 @@
     text
 }
 
-fn start_daemon(region: &str, store: SocketAddr, folder: &Path) -> Daemon {
-    let (clients, ready) = (free_tcp(), free_tcp());
-    let path: PathBuf = folder.join(format!("{region}.toml"));
-    std::fs::write(&path, settings(region, store, clients, ready)).unwrap();
-    let log = std::fs::File::create(folder.join(format!("{region}.log"))).unwrap();
-    let child = Command::new(env!("CARGO_BIN_EXE_flaxward"))
-        .args(["serve", "--config"])
-        .arg(&path)
-        .stdin(Stdio::null())
-        .stdout(log.try_clone().unwrap())
-        .stderr(log)
-        .spawn()
-        .unwrap();
-    Daemon {
-        child,
-        clients,
-        ready,
-    }
-}
-
-async fn until_ready(client: &reqwest::Client, daemon: &Daemon) {
-    let url = format!("http://{}{READY_PATH}", daemon.ready);
-    let end = Instant::now() + START_PATIENCE;
-    while Instant::now() < end {
-        let asked = client.get(&url).send().await;
-        if asked.is_ok_and(|answer| answer.status().is_success()) {
-            return;
-        }
-        sleep(Duration::from_millis(50)).await;
-    }
-    panic!("a daemon is not ready");
+fn start_daemon(region: &str, store: SocketAddr, folder: &Path, ports: &mut Ports) -> Daemon {
+    let metrics = ports.free_address().unwrap();
+    let binary = Path::new(env!("CARGO_BIN_EXE_flaxward"));
+    let settings = |own| Ok(settings(region, store, own, metrics));
+    let mut daemon = Daemon::prepare(region, binary, folder, ports, settings).unwrap();
+    daemon.start().unwrap();
+    daemon
 }
 
 async fn start_runners(store: &StoreStandIn) -> Vec<RunnerStandIn> {
@@ -173,14 +125,19 @@
     let store = StoreStandIn::start().await.unwrap();
     let runners = start_runners(&store).await;
     publish(&store);
-    let daemons = REGIONS.map(|region| start_daemon(region, store.address(), &folder));
+    let mut ports = Ports::claim().unwrap();
+    let daemons = REGIONS.map(|region| start_daemon(region, store.address(), &folder, &mut ports));
     let client = reqwest::Client::builder().no_proxy().build().unwrap();
     for daemon in &daemons {
-        until_ready(&client, daemon).await;
+        let name = daemon.name();
+        assert!(
+            daemon.until_ready(START_PATIENCE).await,
+            "{name} is not ready"
+        );
     }
     // Each region's callers want a model that no runner holds.
     for (daemon, model) in daemons.iter().zip(&MODELS[1..]) {
-        let url = format!("http://{}/stream/x", daemon.clients);
+        let url = format!("http://{}/stream/x", daemon.address());
         let end = Instant::now() + PATIENCE;
         let mut number = 0;
         loop {
--- a/crates/soak/src/daemon.rs
+++ b/crates/soak/src/daemon.rs
@@ -1,20 +1,19 @@
 //! One daemon as a process of its own.
 
-use std::fmt::Write as _;
-use std::net::{SocketAddr, TcpListener, UdpSocket};
+use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::process::Stdio;
 use std::time::{Duration, Instant};
 
-use crate::regions::{REGIONS, Region};
 use anyhow::Context;
 use flaxward_platform_stand_in::caller::READY_PATH;
 use nix::sys::signal::{Signal, kill};
 use nix::unistd::Pid;
-use rand::RngExt;
 use tokio::process::{Child, Command};
 use tokio::time::{sleep, timeout};
 
+use crate::ports::Ports;
+
 /// Time from the order to stop until the process must have ended.
 pub const STOP_GRACE: Duration = Duration::from_secs(8);
 /// Time allowed beyond the grace, for a busy machine.
@@ -24,10 +23,13 @@
 
 /// Addresses of a daemon, which stay the same when it starts again.
 #[derive(Clone, Copy, Debug)]
-struct Addresses {
-    clients: SocketAddr,
-    ready: SocketAddr,
-    peers: SocketAddr,
+pub struct Addresses {
+    /// Where clients reach it.
+    pub clients: SocketAddr,
+    /// Where it says whether it is ready.
+    pub ready: SocketAddr,
+    /// Where other daemons reach it.
+    pub peers: SocketAddr,
 }
 
 /// How a planned stop ended.
@@ -52,48 +54,29 @@
     child: Option<Child>,
 }
 
-/// Ports from which those of daemons are taken: below the ones that the system gives to connections, since
-/// a daemon that starts again must find its own free.
-const PORTS: std::ops::Range<u16> = 12_000..32_000;
-
-/// An address of which both ports, TCP and UDP, are free now.
-fn free_address() -> std::io::Result<SocketAddr> {
-    loop {
-        let port = rand::rng().random_range(PORTS);
-        let address = SocketAddr::from(([127, 0, 0, 1], port));
-        let udp = UdpSocket::bind(address);
-        match TcpListener::bind(address).and(udp) {
-            Ok(_) => return Ok(address),
-            Err(error) if error.kind() == std::io::ErrorKind::AddrInUse => {}
-            Err(error) => return Err(error),
-        }
-    }
-}
-
 impl Daemon {
     /// Writes the settings of a daemon in a folder. It does not run yet.
     ///
     /// # Errors
-    /// Fails if no port is free or the settings cannot be written.
+    /// Fails if no port is free or the settings cannot be made or written.
     pub fn prepare(
-        index: usize,
-        region: Region,
+        name: &str,
         binary: &Path,
         folder: &Path,
-        store: SocketAddr,
+        ports: &mut Ports,
+        settings_text: impl FnOnce(Addresses) -> anyhow::Result<String>,
     ) -> anyhow::Result<Self> {
-        let name = format!("daemon-{index}");
         let addresses = Addresses {
-            clients: free_address()?,
-            ready: free_address()?,
-            peers: free_address()?,
+            clients: ports.free_address()?,
+            ready: ports.free_address()?,
+            peers: ports.free_address()?,
         };
         let settings = folder.join(format!("{name}.toml"));
-        std::fs::write(&settings, settings_text(&name, region, addresses, store)?)
+        std::fs::write(&settings, settings_text(addresses)?)
             .with_context(|| format!("cannot write {}", settings.display()))?;
         Ok(Self {
             log: folder.join(format!("{name}.log")),
-            name,
+            name: name.to_owned(),
             binary: binary.to_owned(),
             settings,
             addresses,
@@ -192,32 +175,3 @@
         }
     }
 }
-
-/// The settings of a daemon.
-fn settings_text(
-    name: &str,
-    region: Region,
-    addresses: Addresses,
-    store: SocketAddr,
-) -> anyhow::Result<String> {
-    let mut text = String::new();
-    writeln!(text, "[ingress]\nname = {name:?}\nzone = {:?}", region.zone)?;
-    writeln!(text, "listen = \"{}\"", addresses.clients)?;
-    writeln!(text, "ready_listen = \"{}\"", addresses.ready)?;
-    writeln!(text, "peer_listen = \"{}\"", addresses.peers)?;
-    writeln!(text, "stop_grace = \"{}s\"", STOP_GRACE.as_secs())?;
-    writeln!(text, "[regions]")?;
-    for Region { name, zone } in REGIONS {
-        writeln!(text, "{zone:?} = {name:?}")?;
-    }
-    writeln!(text, "[store]\naddress = \"{store}\"")?;
-    writeln!(
-        text,
-        "[coordinator]\nlease_duration = \"3s\"\nload_window = \"5s\""
-    )?;
-    writeln!(text, "[retries]\nratio = 0.2\nallowance = 50")?;
-    writeln!(text, "window = \"10s\"")?;
-    // Short, so that what follows the first quarantine is played too.
-    writeln!(text, "[quarantine]\nfirst = \"4s\"")?;
-    Ok(text)
-}
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -9,9 +9,11 @@
 pub mod daemon;
 pub mod disturbances;
 pub mod faults;
+pub mod ports;
 pub mod proxy;
 pub mod regions;
 pub mod runner_faults;
+pub mod settings;
 pub mod soak;
 
 pub use faults::FaultKind;
--- a/crates/soak/src/soak.rs
+++ b/crates/soak/src/soak.rs
@@ -18,9 +18,11 @@
 use crate::daemon::Daemon;
 use crate::disturbances::{Disturbances, Target};
 use crate::faults::{self, FaultKind};
+use crate::ports::Ports;
 use crate::proxy::{Mode, Proxy};
 use crate::regions::{REGIONS, Region};
 use crate::runner_faults::{COLD_AFTER_START, COLD_PER_SECOND, cold_bound};
+use crate::settings::settings_text;
 
 /// Callers at one time.
 const CALLERS: usize = 12;
@@ -134,6 +136,8 @@
     version: AtomicU64,
     runner_count: AtomicU64,
     is_over: AtomicBool,
+    /// Those of the daemons, for as long as the soak runs.
+    _ports: Ports,
 }
 
 /// The contents of a lock, whoever has panicked with it.
@@ -198,18 +202,16 @@
         let has_kind = |holds: fn(FaultKind) -> bool| plan.faults.iter().any(|(it, _)| holds(*it));
         let has_regions = has_kind(FaultKind::needs_regions);
         let store = StoreStandIn::start().await?;
+        let mut ports = Ports::claim()?;
         let mut store_ways = Vec::new();
         let mut daemons = Vec::new();
         let mut addresses = Vec::new();
         for index in 0..plan.daemons {
             let way = Proxy::start(store.address()).await?;
-            let daemon = Daemon::prepare(
-                index,
-                Region::of(index, has_regions),
-                &plan.binary,
-                &plan.folder,
-                way.address(),
-            )?;
+            let name = format!("daemon-{index}");
+            let region = Region::of(index, has_regions);
+            let settings = |own| Ok(settings_text(&name, region, own, way.address())?);
+            let daemon = Daemon::prepare(&name, &plan.binary, &plan.folder, &mut ports, settings)?;
             addresses.push(daemon.address());
             daemons.push(tokio::sync::Mutex::new(daemon));
             store_ways.push(way);
@@ -232,6 +234,7 @@
             version: AtomicU64::new(0),
             runner_count: AtomicU64::new(0),
             is_over: AtomicBool::new(false),
+            _ports: ports,
         };
         for number in 0..ENGINES {
             let region = Region::of(number, has_regions);
