Soak: a tenant that exceeds its quota, keys of nobody; callers' faults in a module of their own

Kind tenant-quota (--further): a tenant asks for several times its rate at all daemons, now and then with a key that belongs to nobody. Checks: QUOTA (in no 8 s run more of its requests than burst + 1.1 x rate + slack, over all daemons) and KEYS. The routes of home-routes and tenant-quota are there from the start of a soak that has these kinds: a daemon that has not heard of a route refuses with 404, which DENIED takes for a fault.

--- a/crates/flaxward/tests/regions.rs
+++ b/crates/flaxward/tests/regions.rs
@@ -106,6 +106,7 @@
         timeout: PATIENCE,
         max_attempts: 2,
         home_regions: Vec::new(),
+        needs_key: false,
     };
     let service = ServiceSpec {
         name: SERVICE.to_owned(),
@@ -114,7 +115,7 @@
         load_time: LOAD_TIME,
         cold: None,
     };
-    store.publish(1, HOST, &[route], &[service]);
+    store.publish(1, HOST, &[route], &[service], &[]);
 }
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
--- a/crates/soak/src/callers.rs
+++ b/crates/soak/src/callers.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
+use crate::soak::{MODELS, PLAIN_TIMEOUT, STREAM_TIMEOUT};
 use flaxward_platform_stand_in::caller::{answers, request_headers};
 use flaxward_platform_stand_in::{WorkKind, events_of};
 use reqwest::{Client, Response, StatusCode};
@@ -29,6 +30,28 @@
     pub body: String,
     /// Time for an answer.
     pub deadline: Duration,
+    /// The key of a tenant, if the route needs one.
+    pub key: Option<String>,
+}
+
+impl Ask {
+    /// A request like most of a route: for the common model if it has an engine, and without a key.
+    pub fn new(request: String, path: &str, kind: WorkKind) -> Self {
+        let is_stream = matches!(kind, WorkKind::Stream { .. });
+        Self {
+            request,
+            path: path.to_owned(),
+            kind,
+            model: is_stream.then(|| MODELS[0].to_owned()),
+            body: COMMON_BODY.to_owned(),
+            deadline: if is_stream {
+                STREAM_TIMEOUT
+            } else {
+                PLAIN_TIMEOUT
+            },
+            key: None,
+        }
+    }
 }
 
 /// How a request ended for its caller.
@@ -88,11 +111,14 @@
     answered_at: &mut Option<Instant>,
 ) -> Ending {
     let headers = request_headers(&ask.request, ask.deadline, ask.model.as_deref());
-    let request = client
+    let mut request = client
         .post(format!("http://{address}{}", ask.path))
         .headers(headers)
         .header("host", HOST)
         .body(ask.body.clone());
+    if let Some(key) = &ask.key {
+        request = request.bearer_auth(key);
+    }
     let response = match request.send().await {
         Ok(response) => response,
         Err(error) if error.is_connect() => return Ending::Unreached,
--- a/crates/soak/src/checks.rs
+++ b/crates/soak/src/checks.rs
@@ -5,6 +5,7 @@
 
 use flaxward_platform_stand_in::{CRASHING_BODY, WorkKind};
 
+use crate::caller_faults::{KEYED_ROUTE, QUOTA_BURST, QUOTA_RATE};
 use crate::callers::{Ending, Outcome};
 use crate::disturbances::Target;
 use crate::regions::Region;
@@ -22,6 +23,12 @@
 const CONTACT: Duration = Duration::from_secs(3);
 /// How often it may be sent after that.
 const LATE_SENDS_ALLOWED: usize = 3;
+/// Window in which the requests of a tenant are counted.
+const QUOTA_WINDOW: Duration = Duration::from_secs(8);
+/// By how much they may pass its rate.
+const QUOTA_FACTOR: f64 = 1.1;
+/// How many more they may be, for what is under way when its excess begins.
+const QUOTA_SLACK: f64 = 10.0;
 /// Statuses that promise that a request did not run.
 const NOT_RUN: [u16; 4] = [408, 421, 429, 503];
 
@@ -56,6 +63,7 @@
     }
     drop(outcomes);
     check_drains(fleet, &runs);
+    check_quota(fleet, &runs, &paths);
     check_crashing_requests(fleet, &runs);
 }
 
@@ -67,6 +75,35 @@
     }
 }
 
+/// In no window do more requests of the tenant run than its quota allows, those of all daemons together.
+fn check_quota(fleet: &Fleet, runs: &Runs, paths: &HashMap<String, String>) {
+    let prefix = format!("/{KEYED_ROUTE}/");
+    let is_keyed = |request: &String| paths.get(request).is_some_and(|it| it.starts_with(&prefix));
+    let first = |runs: &Vec<(String, Instant)>| runs.iter().map(|(_, at)| *at).min();
+    let keyed = runs.iter().filter(|(request, _)| is_keyed(request));
+    let mut began: Vec<Instant> = keyed.filter_map(|(_, runs)| first(runs)).collect();
+    began.sort_unstable();
+    let in_window = |(index, at): (usize, &Instant)| {
+        let later = began[index..].iter();
+        later
+            .take_while(|it| it.duration_since(*at) < QUOTA_WINDOW)
+            .count()
+    };
+    let most = began.iter().enumerate().map(in_window).max().unwrap_or(0);
+    #[expect(clippy::cast_precision_loss, reason = "a few thousand")]
+    let is_over = most as f64 > quota_bound();
+    if is_over {
+        fleet.violation(format!(
+            "QUOTA {most} requests of the tenant ran in {} s",
+            QUOTA_WINDOW.as_secs()
+        ));
+    }
+}
+
+fn quota_bound() -> f64 {
+    QUOTA_BURST + QUOTA_RATE * QUOTA_WINDOW.as_secs_f64() * QUOTA_FACTOR + QUOTA_SLACK
+}
+
 /// A request under which three runners have crashed is sent at most three times more, later than all daemons must know,
 /// by daemons that nothing disturbed.
 fn check_crashing_requests(fleet: &Fleet, runs: &Runs) {
--- a/crates/soak/src/faults.rs
+++ b/crates/soak/src/faults.rs
@@ -4,24 +4,21 @@
 use std::time::{Duration, Instant};
 
 use clap::ValueEnum;
-use flaxward_platform_stand_in::{CRASHING_BODY, WorkKind};
+use flaxward_platform_stand_in::WorkKind;
 use nix::sys::signal::Signal;
 use rand::{Rng, RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use tokio::task::JoinSet;
 use tokio::time::sleep;
 
-use crate::callers::{Ask, COMMON_BODY, Ending, send};
+use crate::caller_faults::{ask_for_homes, crashing_request, exceed_quota};
+use crate::callers::{Ask, Ending, send};
 use crate::checks::CALM;
 use crate::daemon::Stop;
 use crate::disturbances::Target;
 use crate::proxy::Mode;
-use crate::runner_faults::{
-    ask_for_homes, cut_region, start_anew, turn_cold, write_foreign_entries,
-};
-use crate::soak::{
-    Drain, Fleet, MODELS, PLAIN_TIMEOUT, PlannedStop, START_PATIENCE, STREAM_TIMEOUT, locked,
-};
+use crate::runner_faults::{cut_region, start_anew, turn_cold, write_foreign_entries};
+use crate::soak::{Drain, Fleet, PlannedStop, START_PATIENCE, locked};
 
 /// Faults at one time.
 const AT_ONCE: usize = 3;
@@ -71,6 +68,8 @@
     HomeRoutes,
     /// A region is cut off from the store.
     CutRegion,
+    /// A tenant asks for more than its quota, and somebody tries keys that belong to nobody.
+    TenantQuota,
 }
 
 impl FaultKind {
@@ -176,6 +175,7 @@
         FaultKind::ForeignEntries => write_foreign_entries(fleet, random).await,
         FaultKind::HomeRoutes => ask_for_homes(fleet, random).await,
         FaultKind::CutRegion => cut_region(fleet, random).await,
+        FaultKind::TenantQuota => exceed_quota(fleet, random).await,
     }
 }
 
@@ -344,14 +344,8 @@
         return;
     };
     for (daemon, address) in fleet.addresses.iter().enumerate() {
-        let ask = Ask {
-            request: format!("{:016x}", random.next_u64()),
-            path: format!("/{name}/x"),
-            kind: WorkKind::Repeatable,
-            model: None,
-            body: COMMON_BODY.to_owned(),
-            deadline: Duration::from_secs(2),
-        };
+        let request = format!("{:016x}", random.next_u64());
+        let ask = Ask::new(request, &format!("/{name}/x"), WorkKind::Repeatable);
         let outcome = send(&client, ask, daemon, *address).await;
         let concerns =
             |target: Target| matches!(target, Target::Store) || target == Target::Daemon(daemon);
@@ -365,39 +359,6 @@
     }
 }
 
-/// A caller repeats a request that crashes each runner which begins to run it, at any daemon.
-async fn crashing_request(fleet: &Fleet, random: &mut ChaCha8Rng) {
-    let Ok(client) = reqwest::Client::builder().no_proxy().build() else {
-        return;
-    };
-    let body = format!("{CRASHING_BODY}-{:08x}", random.next_u32());
-    let (path, kind) = match random.random_range(0..3) {
-        0 => ("/safe/x", WorkKind::Repeatable),
-        1 => ("/once/x", WorkKind::AtMostOnce),
-        _ => ("/stream/x", WorkKind::Stream { resumable: true }),
-    };
-    let is_stream = matches!(kind, WorkKind::Stream { .. });
-    let end = Instant::now() + Duration::from_millis(random.random_range(4_000..20_000));
-    while Instant::now() < end {
-        let ask = Ask {
-            request: format!("{:016x}", random.next_u64()),
-            path: path.to_owned(),
-            kind,
-            model: is_stream.then(|| MODELS[0].to_owned()),
-            body: body.clone(),
-            deadline: if is_stream {
-                STREAM_TIMEOUT
-            } else {
-                PLAIN_TIMEOUT
-            },
-        };
-        let daemon = random.random_range(0..fleet.addresses.len());
-        let outcome = send(&client, ask, daemon, fleet.addresses[daemon]).await;
-        locked(&fleet.outcomes).push(outcome);
-        sleep(Duration::from_millis(random.random_range(100..700))).await;
-    }
-}
-
 /// Open connections to the store and to runners go silent for good, while new ones work.
 async fn silence_connections(fleet: &Fleet) {
     let store = fleet.disturbances.begin(Target::Store);
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -4,6 +4,7 @@
 //! Everything that is random comes from one seed. The processes interleave as they like, so that a seed
 //! gives the same faults and requests, not always the same outcome.
 
+pub mod caller_faults;
 pub mod callers;
 pub mod checks;
 pub mod daemon;
--- a/crates/soak/src/runner_faults.rs
+++ b/crates/soak/src/runner_faults.rs
@@ -2,18 +2,17 @@
 
 use std::time::Duration;
 
-use flaxward_platform_stand_in::{ColdBound, RunnerStandIn, WorkKind};
+use flaxward_platform_stand_in::{ColdBound, RunnerStandIn};
 use rand::{Rng, RngExt};
 use rand_chacha::ChaCha8Rng;
 use serde_json::{Value, json};
 use tokio::time::sleep;
 
-use crate::callers::{Ask, COMMON_BODY, send};
 use crate::disturbances::Target;
 use crate::faults::{some_runner, some_time};
 use crate::proxy::Mode;
 use crate::regions::{LAPSE, REGIONS, Region};
-use crate::soak::{Fleet, MODELS, PLAIN_TIMEOUT, STREAM_TIMEOUT, locked};
+use crate::soak::{Fleet, MODELS, locked};
 
 /// Requests a second that a cold runner bears.
 pub const COLD_PER_SECOND: u32 = 2;
@@ -143,41 +142,6 @@
     }
 }
 
-/// Callers ask for routes that have a home, at any daemon. Where the requests ran is checked at the end.
-pub(crate) async fn ask_for_homes(fleet: &Fleet, random: &mut ChaCha8Rng) {
-    fleet.add_home_routes();
-    // Until the routes are known, requests for them are refused.
-    sleep(Duration::from_secs(3)).await;
-    let Ok(client) = reqwest::Client::builder().no_proxy().build() else {
-        return;
-    };
-    for _ in 0..random.random_range(10..60) {
-        let home = REGIONS[random.random_range(0..REGIONS.len())];
-        let is_stream = random.random_bool(0.5);
-        let (like, kind) = if is_stream {
-            ("stream", WorkKind::Stream { resumable: true })
-        } else {
-            ("safe", WorkKind::Repeatable)
-        };
-        let ask = Ask {
-            request: format!("{:016x}", random.next_u64()),
-            path: format!("/{like}-home-{}/x", home.name),
-            kind,
-            model: is_stream.then(|| MODELS[0].to_owned()),
-            body: COMMON_BODY.to_owned(),
-            deadline: if is_stream {
-                STREAM_TIMEOUT
-            } else {
-                PLAIN_TIMEOUT
-            },
-        };
-        let daemon = random.random_range(0..fleet.addresses.len());
-        let outcome = send(&client, ask, daemon, fleet.addresses[daemon]).await;
-        locked(&fleet.outcomes).push(outcome);
-        sleep(Duration::from_millis(random.random_range(10..200))).await;
-    }
-}
-
 /// A region loses the store: its daemons can't reach it, and the entries of its runners lapse. Daemons and runners of the
 /// region go on with each other.
 pub(crate) async fn cut_region(fleet: &Fleet, random: &mut ChaCha8Rng) {
--- a/crates/soak/src/soak.rs
+++ b/crates/soak/src/soak.rs
@@ -6,14 +6,15 @@
 use std::time::{Duration, Instant};
 
 use flaxward_platform_stand_in::{
-    RouteSpec, RunnerStandIn, RunnerState, ServiceSpec, StoreStandIn, WorkKind,
+    RouteSpec, RunnerStandIn, RunnerState, ServiceSpec, StoreStandIn, TenantSpec, WorkKind,
 };
 use rand::{Rng, RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use tokio::task::JoinSet;
 use tokio::time::sleep;
 
-use crate::callers::{Ask, COMMON_BODY, Ending, HOST, Outcome, send};
+use crate::caller_faults::{KEYED_ROUTE, tenant};
+use crate::callers::{Ask, Ending, HOST, Outcome, send};
 use crate::checks;
 use crate::daemon::Daemon;
 use crate::disturbances::{Disturbances, Target};
@@ -133,6 +134,7 @@
     pub routes: Mutex<Vec<RouteSpec>>,
     /// Runners turn cold, and are so after their start.
     has_cold: bool,
+    tenants: Vec<TenantSpec>,
     version: AtomicU64,
     runner_count: AtomicU64,
     is_over: AtomicBool,
@@ -158,11 +160,13 @@
         },
         max_attempts: 2,
         home_regions: Vec::new(),
+        needs_key: false,
     }
 }
 
-fn first_routes() -> Vec<RouteSpec> {
-    vec![
+/// The routes at the start: a few for each soak, and those that its kinds of faults need.
+fn first_routes(has_kind: impl Fn(FaultKind) -> bool) -> Vec<RouteSpec> {
+    let mut routes = vec![
         route("safe", WorkKind::Repeatable, PLAIN_SERVICE),
         route("once", WorkKind::AtMostOnce, PLAIN_SERVICE),
         route(
@@ -175,7 +179,22 @@
             WorkKind::Stream { resumable: false },
             ENGINE_SERVICE,
         ),
-    ]
+    ];
+    if has_kind(FaultKind::HomeRoutes) {
+        let like = [&routes[0], &routes[2]];
+        let homes: Vec<RouteSpec> = like
+            .into_iter()
+            .flat_map(|route| REGIONS.map(|region| region.home_route(route)))
+            .collect();
+        routes.extend(homes);
+    }
+    if has_kind(FaultKind::TenantQuota) {
+        routes.push(RouteSpec {
+            needs_key: true,
+            ..route(KEYED_ROUTE, WorkKind::Repeatable, PLAIN_SERVICE)
+        });
+    }
+    routes
 }
 
 fn services(has_cold: bool) -> Vec<ServiceSpec> {
@@ -199,8 +218,8 @@
 
 impl Fleet {
     async fn start(plan: &Plan) -> anyhow::Result<Self> {
-        let has_kind = |holds: fn(FaultKind) -> bool| plan.faults.iter().any(|(it, _)| holds(*it));
-        let has_regions = has_kind(FaultKind::needs_regions);
+        let has_kind = |kind: FaultKind| plan.faults.iter().any(|(it, _)| *it == kind);
+        let has_regions = plan.faults.iter().any(|(kind, _)| kind.needs_regions());
         let store = StoreStandIn::start().await?;
         let mut ports = Ports::claim()?;
         let mut store_ways = Vec::new();
@@ -229,8 +248,13 @@
             violations: Mutex::default(),
             outcomes: Mutex::default(),
             faults: Mutex::default(),
-            routes: Mutex::new(first_routes()),
-            has_cold: has_kind(|kind| kind == FaultKind::ColdRunner),
+            routes: Mutex::new(first_routes(has_kind)),
+            tenants: if has_kind(FaultKind::TenantQuota) {
+                vec![tenant()]
+            } else {
+                Vec::new()
+            },
+            has_cold: has_kind(FaultKind::ColdRunner),
             version: AtomicU64::new(0),
             runner_count: AtomicU64::new(0),
             is_over: AtomicBool::new(false),
@@ -374,8 +398,9 @@
     pub fn publish(&self) {
         let version = self.version.fetch_add(1, Ordering::Relaxed) + 1;
         let routes = locked(&self.routes).clone();
+        let services = services(self.has_cold);
         self.store
-            .publish(version, HOST, &routes, &services(self.has_cold));
+            .publish(version, HOST, &routes, &services, &self.tenants);
     }
 
     /// Adds a route under a name.
@@ -384,23 +409,6 @@
         self.publish();
     }
 
-    /// Adds routes with a home region, if there are none yet.
-    pub fn add_home_routes(&self) {
-        let mut routes = locked(&self.routes);
-        if routes.iter().any(|route| !route.home_regions.is_empty()) {
-            return;
-        }
-        let with_homes = routes
-            .iter()
-            .filter(|route| ["safe", "stream"].contains(&route.name.as_str()));
-        let homes: Vec<RouteSpec> = with_homes
-            .flat_map(|route| REGIONS.map(|region| region.home_route(route)))
-            .collect();
-        routes.extend(homes);
-        drop(routes);
-        self.publish();
-    }
-
     /// Notes a broken promise.
     pub fn violation(&self, text: String) {
         locked(&self.violations).push(text);
@@ -479,13 +487,10 @@
         for model in MODELS {
             let mut is_served = false;
             while Instant::now() < end && !is_served {
+                let request = format!("{:016x}", random.next_u64());
                 let ask = Ask {
-                    request: format!("{:016x}", random.next_u64()),
-                    path: "/stream/x".to_owned(),
-                    kind: WorkKind::Stream { resumable: true },
                     model: Some(model.to_owned()),
-                    body: COMMON_BODY.to_owned(),
-                    deadline: STREAM_TIMEOUT,
+                    ..Ask::new(request, "/stream/x", WorkKind::Stream { resumable: true })
                 };
                 let outcome = send(&client, ask, daemon, self.addresses[daemon]).await;
                 is_served = outcome.ending == Ending::Served;
@@ -512,16 +517,8 @@
         MODELS[random.random_range(1..MODELS.len())]
     };
     Ask {
-        request,
-        path: path.to_owned(),
-        kind,
         model: is_stream.then(|| model.to_owned()),
-        body: COMMON_BODY.to_owned(),
-        deadline: if is_stream {
-            STREAM_TIMEOUT
-        } else {
-            PLAIN_TIMEOUT
-        },
+        ..Ask::new(request, path, kind)
     }
 }
 
