--- a/crates/soak/src/checks.rs
+++ b/crates/soak/src/checks.rs
@@ -5,9 +5,11 @@
 
 use flaxward_platform_stand_in::{CRASHING_BODY, WorkKind};
 
+use crate::caller_faults::{KEYED_ROUTE, QUOTA_BURST, QUOTA_RATE};
 use crate::callers::{Ending, Outcome};
 use crate::disturbances::Target;
-use crate::soak::{Fleet, locked};
+use crate::regions::Region;
+use crate::soak::{Fleet, Started, locked};
 
 /// Time after a disturbance in which promises with a time bound do not hold.
 pub(crate) const CALM: Duration = Duration::from_secs(4);
@@ -21,6 +23,12 @@
 const CONTACT: Duration = Duration::from_secs(3);
 /// How often it may be sent after that.
 const LATE_SENDS_ALLOWED: usize = 3;
+/// Window in which the requests of a tenant are counted.
+const QUOTA_WINDOW: Duration = Duration::from_secs(8);
+/// By how much they may pass its rate.
+const QUOTA_FACTOR: f64 = 1.1;
+/// How many more they may be, for what is under way when its excess begins.
+const QUOTA_SLACK: f64 = 10.0;
 /// Statuses that promise that a request did not run.
 const NOT_RUN: [u16; 4] = [408, 421, 429, 503];
 
@@ -29,26 +37,73 @@
 
 /// Checks all promises and notes those that were broken.
 pub(crate) fn check(fleet: &Fleet) {
+    let outcomes = locked(&fleet.outcomes);
+    let path_of = |outcome: &Outcome| (outcome.ask.request.clone(), outcome.ask.path.clone());
+    let paths: HashMap<String, String> = outcomes.iter().map(path_of).collect();
     let mut runs = Runs::new();
-    for runner in locked(&fleet.runners).iter() {
+    for Started { runner, zone } in locked(&fleet.runners).iter() {
         for run in runner.runs() {
+            check_home(fleet, &run.request, &paths, zone);
             let entry = runs.entry(run.request).or_default();
             entry.push((runner.id().to_owned(), run.at));
         }
+        if let Some(excess) = runner.cold_excess() {
+            let text = format!("COLD {} got {excess} requests in a second", runner.id());
+            fleet.violation(text);
+        }
         for violation in runner.violations() {
             fleet.violation(format!("ORDERS {violation}"));
         }
     }
-    for outcome in locked(&fleet.outcomes).iter() {
+    for outcome in outcomes.iter() {
         let count = runs.get(&outcome.ask.request).map_or(0, Vec::len);
         if let Some(violation) = outcome_violation(fleet, outcome, count) {
             fleet.violation(violation);
         }
     }
+    drop(outcomes);
     check_drains(fleet, &runs);
+    check_quota(fleet, &runs, &paths);
     check_crashing_requests(fleet, &runs);
 }
 
+/// A request of a route with a home runs there only.
+fn check_home(fleet: &Fleet, request: &str, paths: &HashMap<String, String>, zone: &str) {
+    let home = paths.get(request).and_then(|path| Region::home_of(path));
+    if home.is_some_and(|home| home.zone != zone) {
+        fleet.violation(format!("HOME {request} ran in {zone}"));
+    }
+}
+
+/// In no window do more requests of the tenant run than its quota allows, those of all daemons together.
+fn check_quota(fleet: &Fleet, runs: &Runs, paths: &HashMap<String, String>) {
+    let prefix = format!("/{KEYED_ROUTE}/");
+    let is_keyed = |request: &String| paths.get(request).is_some_and(|it| it.starts_with(&prefix));
+    let first = |runs: &Vec<(String, Instant)>| runs.iter().map(|(_, at)| *at).min();
+    let keyed = runs.iter().filter(|(request, _)| is_keyed(request));
+    let mut began: Vec<Instant> = keyed.filter_map(|(_, runs)| first(runs)).collect();
+    began.sort_unstable();
+    let in_window = |(index, at): (usize, &Instant)| {
+        let later = began[index..].iter();
+        later
+            .take_while(|it| it.duration_since(*at) < QUOTA_WINDOW)
+            .count()
+    };
+    let most = began.iter().enumerate().map(in_window).max().unwrap_or(0);
+    #[expect(clippy::cast_precision_loss, reason = "a few thousand")]
+    let is_over = most as f64 > quota_bound();
+    if is_over {
+        fleet.violation(format!(
+            "QUOTA {most} requests of the tenant ran in {} s",
+            QUOTA_WINDOW.as_secs()
+        ));
+    }
+}
+
+fn quota_bound() -> f64 {
+    QUOTA_BURST + QUOTA_RATE * QUOTA_WINDOW.as_secs_f64() * QUOTA_FACTOR + QUOTA_SLACK
+}
+
 /// A request under which three runners have crashed is sent at most three times more, later than all daemons must know,
 /// by daemons that nothing disturbed.
 fn check_crashing_requests(fleet: &Fleet, runs: &Runs) {
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -4,12 +4,18 @@
 //! Everything that is random comes from one seed. The processes interleave as they like, so that a seed
 //! gives the same faults and requests, not always the same outcome.
 
+pub mod caller_faults;
 pub mod callers;
 pub mod checks;
 pub mod daemon;
 pub mod disturbances;
 pub mod faults;
+pub mod ports;
 pub mod proxy;
+pub mod regions;
+pub mod runner_faults;
+pub mod settings;
 pub mod soak;
 
+pub use faults::FaultKind;
 pub use soak::{Plan, Report, soak};
