Placement takes the rate of cold runners from the configuration; requests that wait for room are told

Joins the permits for cold runners with the placement: the planner loads another copy where all are cold and more requests wait than they bear, and hears of those that wait for a permit. Its tests give the rate in the configuration now.

--- a/crates/ingress/src/waiting.rs
+++ b/crates/ingress/src/waiting.rs
@@ -149,7 +149,7 @@
 /// # Errors
 /// Refuses at once if there is no room in time.
 pub(crate) async fn wait_for_room(
-    shared: &Shared,
+    shared: &Arc<Shared>,
     request: &ClientRequest,
     route: &Route,
     room_at: Timestamp,
@@ -160,6 +160,9 @@
         return Err(not_ready(room_at.since(shared.now())));
     }
     metrics::counter!(ROOM_WAITS.name).increment(1);
+    // The coordinator must hear of it: another copy may be ready before the cold ones are warm.
+    let requirement = request.requirement();
+    let _guard = requirement.map(|it| WaitingGuard::begin(shared, &it, route, request.priority));
     tokio::select! {
         () = shared.changed.notified() => {}
         () = sleep_until(wake_at) => {}
--- a/crates/routing/src/placement/cold.rs
+++ b/crates/routing/src/placement/cold.rs
@@ -1,13 +1,13 @@
 //! Copies on cold runners: they bear a few requests a second, so that more requests than that need another copy at a
 //! warm runner, if that one is ready before the cold spell ends.
 
-use std::collections::BTreeMap;
+use std::sync::Arc;
 use std::time::Duration;
 
 use flaxward_types::time::Timestamp;
 
+use crate::configuration::{Configuration, Service};
 use crate::homes::Requirement;
-use crate::names::ServiceName;
 
 use super::candidates::{Candidate, Openings};
 use super::demand::WantedUnit;
@@ -31,9 +31,14 @@
 }
 
 impl Placement {
-    /// Sets how many requests a second a cold runner of each service bears. Cold runners of others count as warm ones.
-    pub fn set_cold_rates(&mut self, rates: BTreeMap<ServiceName, f64>) {
-        self.cold_rates = rates;
+    /// Takes in how many requests a second a cold runner of each service bears. Cold runners of others count as warm ones.
+    pub(super) fn configure_cold(&mut self, configuration: &Configuration) {
+        let services = configuration.services();
+        let rate = |service: &Arc<Service>| {
+            let cold_start = service.cold_start?;
+            Some((service.name.clone(), cold_start.requests_per_second))
+        };
+        self.cold_rates = services.filter_map(rate).collect();
     }
 
     /// What the copies of a unit bear, if there are some and all are cold.
--- a/crates/routing/src/placement/mod.rs
+++ b/crates/routing/src/placement/mod.rs
@@ -250,6 +250,7 @@
             .services()
             .filter_map(|service| Some((service.name.clone(), service.engine.clone()?)))
             .collect();
+        self.configure_cold(configuration);
     }
 
     /// Takes in the list of runners.
--- a/crates/routing/tests/placement/cold.rs
+++ b/crates/routing/tests/placement/cold.rs
@@ -1,18 +1,19 @@
 //! Loads while runners are cold.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use flaxward_routing::cold::ColdStart;
 use flaxward_routing::homes::Requirement;
 use flaxward_routing::messages::{KnownState, Usage, WaitingUnit};
-use flaxward_routing::names::{AdapterName, ServiceName, Unit, Zone};
+use flaxward_routing::names::{AdapterName, Unit, Zone};
 use flaxward_routing::placement::{Action, Operation, Placement, PlacementSettings, RunnerReport};
 use flaxward_routing::runners::Runner;
 use flaxward_routing::strength::MachineStrength;
 use flaxward_types::time::Timestamp;
 
-use crate::world::{adapter, configuration, model, runners};
+use crate::world::{adapter, configuration_with, model, runners};
 
 const BEGIN: Timestamp = Timestamp(1_000);
 /// Requests a second that a cold runner bears.
@@ -36,9 +37,20 @@
 
 impl Fleet {
     fn new(cold_ms: &[u64], reports: Vec<RunnerReport>) -> Self {
+        let cold_start = ColdStart {
+            duration: Duration::from_secs(3),
+            requests_per_second: COLD_RATE,
+        };
+        Self::with_cold_start(Some(cold_start), cold_ms, reports)
+    }
+
+    fn with_cold_start(
+        cold_start: Option<ColdStart>,
+        cold_ms: &[u64],
+        reports: Vec<RunnerReport>,
+    ) -> Self {
         let mut placement = Placement::new(PlacementSettings::default(), BEGIN, BEGIN);
-        placement.configure(&configuration());
-        placement.set_cold_rates(BTreeMap::from([(ServiceName::new("pool"), COLD_RATE)]));
+        placement.configure(&configuration_with(cold_start));
         let runners = cold_runners(cold_ms);
         placement.set_runners(runners.iter());
         for (runner, report) in runners.iter().zip(reports) {
@@ -162,8 +174,7 @@
         None
     );
 
-    let mut fleet = Fleet::new(&[3_000, 0], held());
-    fleet.placement.set_cold_rates(BTreeMap::new());
+    let mut fleet = Fleet::with_cold_start(None, &[3_000, 0], held());
     assert_eq!(fleet.load(&model(0), 40, BEGIN), None);
 }
 
--- a/crates/routing/tests/placement/world.rs
+++ b/crates/routing/tests/placement/world.rs
@@ -4,6 +4,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use flaxward_routing::cold::ColdStart;
 use flaxward_routing::configuration::{
     ClientLimits, Configuration, Engine, ModelSpecification, Service,
 };
@@ -58,6 +59,11 @@
 }
 
 pub fn configuration() -> Configuration {
+    configuration_with(None)
+}
+
+/// The same, where runners are cold after their start.
+pub fn configuration_with(cold_start: Option<ColdStart>) -> Configuration {
     let models = (0..MODELS.len())
         .map(|index| (model(index).model, specification(index)))
         .collect();
@@ -72,7 +78,7 @@
         name: ServiceName::new(SERVICE),
         max_connections: 100,
         engine: Some(engine),
-        cold_start: None,
+        cold_start,
     };
     Configuration::new(1, ClientLimits::default(), Vec::new(), vec![service])
 }
