--- a/crates/ingress/src/access.rs
+++ b/crates/ingress/src/access.rs
@@ -156,7 +156,7 @@
     let is_due = tables.quota.report_due_at() <= now;
     drop(tables);
     if is_due {
-        shared.quota_wake.notify_one();
+        shared.keeper_wake.notify_one();
     }
     verdict
 }
@@ -169,7 +169,7 @@
         cost: charge.cost,
         rank,
     });
-    shared.quota_wake.notify_one();
+    shared.keeper_wake.notify_one();
     let answer = timeout(ANSWER_TIME, question.answer()).await;
     let (tenant, cost) = (&charge.tenant, charge.cost);
     let now = shared.now();
--- a/crates/ingress/src/coordination/mod.rs
+++ b/crates/ingress/src/coordination/mod.rs
@@ -133,7 +133,7 @@
                 Some(event) = self.queue.recv() => self.happened(event),
                 () = shared.demand.notified() => self.following.want_notice(),
                 () = shared.ending.cancelled() => return,
-                () = shared.quota_wake.notified() => {}
+                () = shared.keeper_wake.notified() => {}
                 () = shared.run_reported.notified() => {}
                 () = shared.configuration_wanted.notified() => {
                     self.configurations.ask(&self.shared, &self.peers, self.address);
--- a/crates/ingress/src/permits.rs
+++ b/crates/ingress/src/permits.rs
@@ -146,7 +146,7 @@
             runner: runner.id.clone(),
             rank: request.priority,
         });
-    shared.quota_wake.notify_one();
+    shared.keeper_wake.notify_one();
     timeout(ANSWER_TIME, question.answer()).await.ok().flatten()
 }
 
--- a/crates/ingress/src/state.rs
+++ b/crates/ingress/src/state.rs
@@ -97,7 +97,7 @@
     /// Requests for which the keeper of permits is asked.
     pub permit_questions: KeeperClient<PermitQuestion, PermitDecision>,
     /// Woken when a keeper of quotas or permits is to be told or asked something.
-    pub quota_wake: Notify,
+    pub keeper_wake: Notify,
     /// Runs of which the keepers of the quarantine were not told yet.
     pub run_reports: Mutex<Vec<RunReport>>,
     /// Woken when there is one more.
@@ -169,7 +169,7 @@
             demand: Notify::new(),
             quota_questions: KeeperClient::default(),
             permit_questions: KeeperClient::default(),
-            quota_wake: Notify::new(),
+            keeper_wake: Notify::new(),
             run_reports: Mutex::default(),
             run_reported: Notify::new(),
             quarantine_changes: watch::Sender::new(0),
--- a/crates/routing/src/cold/spells.rs
+++ b/crates/routing/src/cold/spells.rs
@@ -50,7 +50,7 @@
 }
 
 impl Spells {
-    /// Takes in the entry of a runner. Returns whether a spell has begun with it.
+    /// Takes in the entry of a runner. Returns the runner's turn if a spell has begun with it.
     pub fn take_in(&mut self, runner: &Runner, now: Timestamp) -> Option<Turn> {
         let known = self.spells.get_mut(&runner.id);
         if runner.cold_for.is_zero() {
