Membership: changes of a runner never go back in revision

Cause: what one watch tells is taken in at the revision up to which it tells, but a runner that comes is noted at the revision of its entry. If a runner ends and begins its next life within one watch, a member that was told in between knew the end at the later revision, took the new life for older, and lacked it until the digests of the runners were compared.

Change: a change is noted at no lower revision than the one before of the same runner. Unreadable entries without a name are remembered by their revision, so that two of them are not logged again and again.

--- a/crates/ingress/src/unreadable.rs
+++ b/crates/ingress/src/unreadable.rs
@@ -1,6 +1,6 @@
 //! Objects of the store that can't be read. Whoever wrote them, each names nothing to use, and costs itself alone.
 
-use std::collections::HashMap;
+use std::collections::HashSet;
 use std::fmt::Display;
 use std::sync::Mutex;
 
@@ -8,7 +8,7 @@
 use crate::outside::UnreadableEntry;
 use crate::state::Shared;
 
-/// Objects that are remembered as logged, at most. Once there are more, all are forgotten and may be logged again.
+/// Revisions of objects that are remembered as logged, at most. Once there are more, all are forgotten and may be logged again.
 const MAX_REMEMBERED: usize = 1_024;
 
 /// What an object that can't be read should have told.
@@ -31,17 +31,18 @@
     }
 }
 
-/// An object, by its kind and its name if that can be read.
+/// A revision of an object, as far as its name and its revision can be read.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
-struct ObjectKey {
+struct ObjectRevision {
     kind: ObjectKind,
     name: Option<String>,
+    revision: Option<u64>,
 }
 
-/// The revisions of objects that were logged as unreadable. An object without a name or revision counts as one.
+/// The revisions of objects that were logged as unreadable.
 #[derive(Debug, Default)]
 pub(crate) struct UnreadableLog {
-    logged: Mutex<HashMap<ObjectKey, Option<u64>>>,
+    logged: Mutex<HashSet<ObjectRevision>>,
 }
 
 impl UnreadableLog {
@@ -53,9 +54,11 @@
         if logged.len() >= MAX_REMEMBERED {
             logged.clear();
         }
-        let name = entry.name.clone();
-        let before = logged.insert(ObjectKey { kind, name }, entry.revision);
-        before != Some(entry.revision)
+        logged.insert(ObjectRevision {
+            kind,
+            name: entry.name.clone(),
+            revision: entry.revision,
+        })
     }
 }
 
--- a/crates/routing/src/membership.rs
+++ b/crates/routing/src/membership.rs
@@ -152,8 +152,11 @@
         }
     }
 
-    /// Notes a change.
+    /// Notes a change. Changes of a runner never go back in revision, or those who were told the one before would take
+    /// the next one for older.
     pub fn note(&mut self, runner: &RunnerName, revision: u64, is_gone: bool) {
+        let known = self.changes.get(runner).map_or(0, |known| known.revision);
+        let revision = revision.max(known);
         let change = LastChange { revision, is_gone };
         self.last_change = self.last_change.max(revision);
         self.changes.insert(runner.clone(), change);
--- a/crates/routing/tests/lives.rs
+++ b/crates/routing/tests/lives.rs
@@ -220,6 +220,28 @@
     assert_ne!(other.digest(), coordinator.digest());
 }
 
+/// All that one watch tells is taken in at the revision up to which it tells. A member that is told between a runner's end
+/// and its next life, both of one watch, still hears of the next life.
+#[test]
+fn a_life_that_begins_in_the_watch_in_which_another_ends_is_heard_of() {
+    let mut coordinator = RunnerTable::default();
+    let first = runner(life("r", Some(5)), 1);
+    coordinator.replace(vec![first.clone()], 50);
+    let mut member = RunnerTable::default();
+    member.replace(vec![first.clone()], 50);
+    coordinator.remove(&first.id, 100);
+    for update in coordinator.updates_after(50).unwrap() {
+        member.update(update).unwrap();
+    }
+    let second = runner(life("r", Some(9)), 80);
+    coordinator.insert(second.clone(), 100);
+    coordinator.set_revision(100);
+    for update in coordinator.updates_after(member.revision()).unwrap() {
+        member.update(update).unwrap();
+    }
+    assert_eq!(ids(&member), [second.id]);
+}
+
 /// A list that may be old was read before all that is known, and does not bring back who was gone by then unseen.
 #[test]
 fn an_old_list_brings_nobody_back() {
