--- a/crates/routing/src/locality.rs
+++ b/crates/routing/src/locality.rs
@@ -29,6 +29,13 @@
         }
     }
 
+    /// Whether there is more than one region.
+    pub fn are_several(&self) -> bool {
+        let mut regions = self.0.values();
+        let first = regions.next();
+        regions.any(|region| Some(region) != first)
+    }
+
     /// Whether two zones are known to lie in different regions.
     pub fn part(&self, one: &Zone, other: &Zone) -> bool {
         let regions = self.of(one).zip(self.of(other));
--- a/crates/routing/src/placement/candidates.rs
+++ b/crates/routing/src/placement/candidates.rs
@@ -8,7 +8,7 @@
 
 use crate::configuration::Engine;
 use crate::homes::{Homes, Requirement};
-use crate::names::{RunnerId, ServiceName, Unit};
+use crate::names::{Region, RunnerId, ServiceName, Unit};
 
 use super::ledger::{Ledger, WeightSource};
 use super::victims::{Room, Victims};
@@ -16,6 +16,8 @@
 
 /// Price of a copy in a zone that has one, in ms.
 const ZONE_PRICE_MS: f64 = 500.0;
+/// Price of a load in another region than all requests for the model come from, in ms.
+const ABROAD_PRICE_MS: f64 = 200.0;
 /// Price of a load at a runner that is about to leave: any other one comes first.
 const LEAVE_PRICE_MS: f64 = 1e9;
 
@@ -200,6 +202,14 @@
         places
     }
 
+    /// Price of a load at a runner that is far from requests for the model whose regions have no copy.
+    fn distance_price_ms(&self, ledger: &Ledger, model: &Unit) -> f64 {
+        let region = self.regions.of(&ledger.runner.zone);
+        let has_copy = |region: &Region| self.copies.is_in_region(model, region);
+        let origins = self.demands.origins();
+        origins.share_abroad(model, region, has_copy) * ABROAD_PRICE_MS
+    }
+
     /// Whether requests with some homes may be served at a runner.
     pub(super) fn is_at_home(&self, ledger: &Ledger, homes: &Homes) -> bool {
         self.regions.allow(homes, &ledger.runner.zone)
@@ -244,7 +254,11 @@
         Some(Candidate {
             runner: ledger.runner.id.clone(),
             source: ledger.weight_source(&unit.model),
-            cost_ms: as_ms(load) + base_price_ms + zone_price_ms + cold_price_ms,
+            cost_ms: as_ms(load)
+                + base_price_ms
+                + zone_price_ms
+                + cold_price_ms
+                + self.distance_price_ms(ledger, unit),
             load,
             victims,
         })
--- a/crates/routing/src/placement/copies.rs
+++ b/crates/routing/src/placement/copies.rs
@@ -5,7 +5,7 @@
 
 use crate::homes::{Homes, Requirement};
 use crate::locality::Regions;
-use crate::names::{RunnerId, Unit, Zone};
+use crate::names::{Region, RunnerId, Unit, Zone};
 
 use super::ledger::Ledger;
 
@@ -169,6 +169,16 @@
         unit.into_iter().flat_map(|it| &it.stored_at)
     }
 
+    /// Whether a runner of the region offers the unit or will.
+    pub fn is_in_region(&self, unit: &Unit, region: &Region) -> bool {
+        let mut zones = self
+            .units
+            .get(unit)
+            .into_iter()
+            .flat_map(|it| it.by_zone.keys());
+        zones.any(|zone| self.regions.of(zone) == Some(region))
+    }
+
     /// Whether a runner of the zone offers the unit or will.
     pub fn is_in_zone(&self, unit: &Unit, zone: &Zone) -> bool {
         let unit = self.units.get(unit);
--- a/crates/routing/src/placement/demand.rs
+++ b/crates/routing/src/placement/demand.rs
@@ -10,11 +10,14 @@
 use flaxward_types::time::Timestamp;
 
 use crate::homes::{Homes, Requirement};
+use crate::locality::Regions;
 use crate::messages::{KnownState, USE_WINDOW_SECONDS, Usage, WaitNotice, WaitingUnit};
 use crate::names::{RunnerId, Unit, Zone};
 use crate::standby::Candidate;
 use crate::strength::MachineStrength;
 
+use super::origins::Origins;
+
 /// Time in which the remembered rate of a unit falls to a third.
 const RATE_MEMORY_SECONDS: f64 = 20.0;
 /// Time between two computations of the rates.
@@ -58,12 +61,16 @@
 }
 
 impl Member {
+    /// What its requests wait for, and how many they are.
+    pub(super) fn waits_for(&self) -> impl Iterator<Item = (&Requirement, u32)> {
+        self.waiting.iter().map(|it| (&it.requirement, it.requests))
+    }
+
     /// What its requests have used lately or wait for, and how many they are.
-    fn recent(&self) -> impl Iterator<Item = (&Requirement, u32)> {
+    pub(super) fn recent(&self) -> impl Iterator<Item = (&Requirement, u32)> {
         let used = self.usage.used.iter();
         let used = used.map(|it| (&it.requirement, it.requests));
-        let waiting = self.waiting.iter();
-        used.chain(waiting.map(|it| (&it.requirement, it.requests)))
+        used.chain(self.waits_for())
     }
 }
 
@@ -177,6 +184,7 @@
     running: HashMap<RunnerId, RunnerUse>,
     /// Requests in progress by model, those of its adapters included.
     running_models: HashMap<Unit, u32>,
+    origins: Origins,
 }
 
 impl Demands {
@@ -193,9 +201,22 @@
             wanted: Vec::new(),
             running: HashMap::new(),
             running_models: HashMap::new(),
+            origins: Origins::default(),
         }
     }
 
+    /// The same where zones lie in these regions.
+    #[must_use]
+    pub fn in_regions(mut self, regions: Regions) -> Self {
+        self.origins = Origins::new(regions);
+        self
+    }
+
+    /// From which regions the requests come.
+    pub(super) fn origins(&self) -> &Origins {
+        &self.origins
+    }
+
     /// Takes in a message of a member.
     pub fn update(&mut self, usage: Usage, now: Timestamp) {
         self.note_waiting(&usage.waiting, now);
@@ -234,10 +255,12 @@
             .retain(|_, member| now.since(member.heard_at) < timeout);
         self.refresh_wanted(now);
         self.refresh_running();
+        self.origins.count_waiting(self.members.values());
         let is_due = |at: Timestamp| now.since(at) >= RATE_INTERVAL;
         if self.rates_at.is_none_or(is_due) {
             self.rates_at = Some(now);
             self.refresh_rates(now);
+            self.origins.count_recent(self.members.values());
         }
     }
 
--- a/crates/routing/src/placement/mod.rs
+++ b/crates/routing/src/placement/mod.rs
@@ -11,6 +11,7 @@
 mod copies;
 pub mod demand;
 pub mod ledger;
+mod origins;
 pub mod outlooks;
 mod planner;
 mod pressure;
@@ -227,6 +228,7 @@
     #[must_use]
     pub fn in_regions(mut self, regions: Regions) -> Self {
         self.copies = CopyIndex::new(regions.clone());
+        self.demands = self.demands.in_regions(regions.clone());
         self.regions = regions;
         self
     }
--- a/crates/routing/tests/placement/homes.rs
+++ b/crates/routing/tests/placement/homes.rs
@@ -79,12 +79,12 @@
     }
 }
 
-fn runner_id(index: usize) -> RunnerId {
+pub fn runner_id(index: usize) -> RunnerId {
     RunnerId::new(&format!("r{index}"))
 }
 
 /// A coordinator before as many runners, one of which holds the first model.
-fn placement(count: usize, holder: Option<usize>, now: Timestamp) -> Placement {
+pub fn placement(count: usize, holder: Option<usize>, now: Timestamp) -> Placement {
     let placement = Placement::new(PlacementSettings::default(), now, now);
     let mut placement = placement.in_regions(regions());
     placement.configure(&configuration());
@@ -99,7 +99,11 @@
     placement
 }
 
-fn usage(waiting: Vec<(Requirement, u32)>, used: Vec<(Requirement, u32)>, running: u32) -> Usage {
+pub fn usage(
+    waiting: Vec<(Requirement, u32)>,
+    used: Vec<(Requirement, u32)>,
+    running: u32,
+) -> Usage {
     Usage {
         from: "d".to_owned(),
         address: SocketAddr::from(([127, 0, 0, 1], 9)),
@@ -139,7 +143,7 @@
 }
 
 /// The loads that a plan orders: runner and reason.
-fn loads(placement: &mut Placement, now: Timestamp) -> Vec<(RunnerId, Unit, Reason)> {
+pub fn loads(placement: &mut Placement, now: Timestamp) -> Vec<(RunnerId, Unit, Reason)> {
     let actions = placement.plan(now).into_iter();
     let loads = actions.filter_map(|action| match action {
         Action::Order {
--- a/crates/routing/tests/placement/main.rs
+++ b/crates/routing/tests/placement/main.rs
@@ -5,4 +5,5 @@
 mod homes;
 mod pressure;
 mod properties;
+mod regions;
 mod world;
