--- a/crates/routing/src/placement/candidates.rs
+++ b/crates/routing/src/placement/candidates.rs
@@ -17,7 +17,7 @@
 /// Price of a copy in a zone that has one, in ms.
 const ZONE_PRICE_MS: f64 = 500.0;
 /// Price of a load in another region than all requests for the model come from, in ms.
-const ABROAD_PRICE_MS: f64 = 200.0;
+const ABROAD_PRICE_MS: f64 = 1_000.0;
 /// Price of a load at a runner that is about to leave: any other one comes first.
 const LEAVE_PRICE_MS: f64 = 1e9;
 
