Homes of a tenant bind its requests on routes that need no key

Cause: on such a route the key is not looked at, so that a request of a tenant with homes went anywhere.

Change: the homes are those of the tenant whose key the request has, whether the route asks for one or not. The key is still neither asked for nor told there. The case was added to the table over sockets and failed first.

--- a/crates/ingress/src/access.rs
+++ b/crates/ingress/src/access.rs
@@ -52,6 +52,16 @@
     }
 }
 
+/// The tenant whose homes bind a request: also where the route needs no key, if the request has one that holds.
+pub(crate) fn bound_by(
+    shared: &Shared,
+    configuration: &Configuration,
+    headers: &HeaderMap,
+) -> Option<Arc<Tenant>> {
+    let key = shared.surface.key(headers)?;
+    configuration.tenants().holder(&key).cloned()
+}
+
 fn denied(
     configuration: &Configuration,
     route: &Route,
--- a/crates/ingress/src/handler.rs
+++ b/crates/ingress/src/handler.rs
@@ -113,9 +113,10 @@
         return Err(early(ResultCode::UnknownPath, &id, &reason));
     };
     let tenant = access::tenant(shared, &configuration, &route, &id, request.headers())?;
-    let homes = homes(&route, tenant.as_deref());
+    let bound_by = access::bound_by(shared, &configuration, request.headers());
+    let homes = homes(&route, bound_by.as_deref());
     if homes.are_nowhere() {
-        return Err(nowhere_at_home(&id, &route, tenant.as_deref()));
+        return Err(nowhere_at_home(&id, &route, bound_by.as_deref()));
     }
     let allowed = profile
         .deadline
--- a/crates/ingress/tests/ingress/homes.rs
+++ b/crates/ingress/tests/ingress/homes.rs
@@ -52,6 +52,10 @@
     let routes = vec![
         bound_route("/east/", RouteKind::Repeatable, &["east"]),
         bound_route("/south/", RouteKind::Repeatable, &["south"]),
+        Route {
+            is_public: true,
+            ..bound_route("/open/", RouteKind::Repeatable, &[])
+        },
         Route {
             timeout: Duration::from_secs(6),
             target: Duration::from_millis(300),
@@ -112,6 +116,9 @@
         ("/safe/", "free", 200, "west"),
         ("/safe/", "east", 200, "east"),
         ("/safe/", "west", 200, "west"),
+        ("/open/", "free", 200, "west"),
+        ("/open/", "nobody", 200, "west"),
+        ("/open/", "east", 200, "east"),
         ("/east/", "free", 200, "east"),
         ("/east/", "east", 200, "east"),
         ("/east/", "west", 503, "nowhere"),
