--- a/crates/routing/src/placement/candidates.rs
+++ b/crates/routing/src/placement/candidates.rs
@@ -16,7 +16,8 @@
 
 /// Price of a copy in a zone that has one, in ms.
 const ZONE_PRICE_MS: f64 = 500.0;
-/// Price of a load in another region than all requests for the model come from, in ms.
+/// Price of a load in another region than all requests for the model come from, in ms. Played with 0, 200 and 1,000 on a
+/// deployment of three regions, of which this was the best by a little: see `docs/design/regions.md`.
 const ABROAD_PRICE_MS: f64 = 1_000.0;
 /// Price of a load at a runner that is about to leave: any other one comes first.
 const LEAVE_PRICE_MS: f64 = 1e9;
