--- a/crates/soak/src/regions.rs
+++ b/crates/soak/src/regions.rs
@@ -1,7 +1,5 @@
 //! Two regions with a zone each, and routes whose requests may run in one of them only.
 
-use std::time::Duration;
-
 use flaxward_platform_stand_in::RouteSpec;
 
 /// A region, and its zone.
@@ -62,6 +60,3 @@
             .find(|region| route.ends_with(&region.suffix()))
     }
 }
-
-/// Time after which the entries of runners lapse that don't reach the store: three heartbeats.
-pub const LAPSE: Duration = Duration::from_millis(1_500);
--- a/crates/soak/src/runner_faults.rs
+++ b/crates/soak/src/runner_faults.rs
@@ -11,7 +11,7 @@
 use crate::disturbances::Target;
 use crate::faults::{some_runner, some_time};
 use crate::proxy::Mode;
-use crate::regions::{LAPSE, REGIONS, Region};
+use crate::regions::{REGIONS, Region};
 use crate::soak::{Fleet, MODELS, locked};
 
 /// Requests a second that a cold runner bears.
@@ -23,6 +23,9 @@
 /// For how long a runner is cold after its start.
 pub const COLD_AFTER_START: Duration = Duration::from_secs(3);
 
+/// Time after which the entries of runners lapse that don't reach the store: three heartbeats.
+const LAPSE: Duration = Duration::from_millis(1_500);
+
 /// What a cold runner may get.
 pub fn cold_bound() -> ColdBound {
     let borne = (f64::from(COLD_PER_SECOND) * COLD_FACTOR).floor();
