Soak: requests that were held up on their way to a cold runner do not count; a test holds the two quarantines together

A disturbed way passes on at once what it held back, so that a cold runner may see in a second what was sent over several. COLD leaves out arrivals within a second after the way to that runner was disturbed, as the promise counts what was sent and arrived in one second only.

The defaults of the quarantine stand in the settings of an ingress and in routing's QuarantineSettings; a test holds them together.

--- a/crates/flaxward/tests/gateway_settings.rs
+++ b/crates/flaxward/tests/gateway_settings.rs
@@ -4,6 +4,7 @@
 
 use flaxward::daemon::gateway_settings;
 use flaxward_gateway::GatewaySettings;
+use flaxward_settings::ingress::QuarantineSection;
 use flaxward_settings::{Flags, Settings};
 use flaxward_types::ZoneName;
 
@@ -61,6 +62,16 @@
     assert_eq!(taken(&required()), GatewaySettings::new(zones()));
 }
 
+/// The quarantine is the same at an ingress, whose settings are a file of another form.
+#[test]
+fn the_defaults_of_the_quarantine_are_those_of_an_ingress() {
+    let ingress = QuarantineSection::default();
+    let gateway = GatewaySettings::new(zones()).quarantine;
+    assert_eq!(gateway.crashes, ingress.crashes);
+    assert_eq!(gateway.first, ingress.first);
+    assert_eq!(gateway.repeated, ingress.repeated);
+}
+
 #[test]
 fn every_key_of_the_section_changes_the_gateway() {
     let unchanged = taken(&required());
--- a/crates/soak/src/checks.rs
+++ b/crates/soak/src/checks.rs
@@ -3,7 +3,7 @@
 use std::collections::HashMap;
 use std::time::{Duration, Instant};
 
-use flaxward_platform_stand_in::{CRASHING_BODY, WorkKind};
+use flaxward_platform_stand_in::{CRASHING_BODY, RunnerStandIn, WorkKind};
 
 use crate::caller_faults::{KEYED_ROUTE, QUOTA_BURST, QUOTA_RATE};
 use crate::callers::{Ending, Outcome};
@@ -23,6 +23,8 @@
 const CONTACT: Duration = Duration::from_secs(3);
 /// How often it may be sent after that.
 const LATE_SENDS_ALLOWED: usize = 3;
+/// Window in which the requests of a cold runner are counted.
+const COLD_WINDOW: Duration = Duration::from_secs(1);
 /// Window in which the requests of a tenant are counted.
 const QUOTA_WINDOW: Duration = Duration::from_secs(8);
 /// By how much they may pass its rate.
@@ -47,10 +49,7 @@
             let entry = runs.entry(run.request).or_default();
             entry.push((runner.id().to_owned(), run.at));
         }
-        if let Some(excess) = runner.cold_excess() {
-            let text = format!("COLD {} got {excess} requests in a second", runner.id());
-            fleet.violation(text);
-        }
+        check_cold(fleet, runner);
         for violation in runner.violations() {
             fleet.violation(format!("ORDERS {violation}"));
         }
@@ -67,6 +66,22 @@
     check_crashing_requests(fleet, &runs);
 }
 
+/// No cold runner gets more than it may in any second. What was held up on its way to the runner arrives at once; only
+/// what was sent and arrived within a second counts.
+fn check_cold(fleet: &Fleet, runner: &RunnerStandIn) {
+    let cuts = locked(&fleet.cuts);
+    let was_held_up = |at: Instant| {
+        let mut own = cuts.iter().filter(|cut| cut.runner == runner.id());
+        own.any(|cut| (cut.begun..=cut.ended + COLD_WINDOW).contains(&at))
+    };
+    let excesses = runner.cold_excesses().into_iter();
+    let counted = excesses.filter(|excess| !was_held_up(excess.at));
+    if let Some(most) = counted.map(|excess| excess.requests).max() {
+        let id = runner.id();
+        fleet.violation(format!("COLD {id} got {most} requests in a second"));
+    }
+}
+
 /// A request of a route with a home runs there only.
 fn check_home(fleet: &Fleet, request: &str, paths: &HashMap<String, String>, zone: &str) {
     let home = paths.get(request).and_then(|path| Region::home_of(path));
--- a/crates/soak/src/faults.rs
+++ b/crates/soak/src/faults.rs
@@ -18,7 +18,7 @@
 use crate::disturbances::Target;
 use crate::proxy::Mode;
 use crate::runner_faults::{cut_region, start_anew, turn_cold, write_foreign_entries};
-use crate::soak::{Drain, Fleet, PlannedStop, START_PATIENCE, locked};
+use crate::soak::{Cut, Drain, Fleet, PlannedStop, START_PATIENCE, locked};
 
 /// Faults at one time.
 const AT_ONCE: usize = 3;
@@ -259,6 +259,7 @@
 
 async fn cut_runner(fleet: &Fleet, random: &mut ChaCha8Rng) {
     let ongoing = fleet.disturbances.begin(Target::Runner);
+    let begun = Instant::now();
     let id = {
         let places = locked(&fleet.places);
         let place = &places[random.random_range(0..places.len())];
@@ -271,6 +272,11 @@
             place.proxy.set_mode(Mode::Pass);
         }
     }
+    locked(&fleet.cuts).push(Cut {
+        runner: id,
+        begun,
+        ended: Instant::now(),
+    });
     fleet.disturbances.end(&ongoing);
 }
 
--- a/crates/soak/src/soak.rs
+++ b/crates/soak/src/soak.rs
@@ -108,6 +108,14 @@
     pub at: Instant,
 }
 
+/// A time in which the way to a runner was disturbed.
+#[derive(Clone, Debug)]
+pub(crate) struct Cut {
+    pub runner: String,
+    pub begun: Instant,
+    pub ended: Instant,
+}
+
 /// A planned stop of a daemon.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct PlannedStop {
@@ -127,6 +135,7 @@
     pub runners: Mutex<Vec<Started>>,
     pub disturbances: Disturbances,
     pub drains: Mutex<Vec<Drain>>,
+    pub cuts: Mutex<Vec<Cut>>,
     pub stops: Mutex<Vec<PlannedStop>>,
     pub violations: Mutex<Vec<String>>,
     pub outcomes: Mutex<Vec<Outcome>>,
@@ -244,6 +253,7 @@
             runners: Mutex::default(),
             disturbances: Disturbances::default(),
             drains: Mutex::default(),
+            cuts: Mutex::default(),
             stops: Mutex::default(),
             violations: Mutex::default(),
             outcomes: Mutex::default(),
