Soak: what it begins with, what runs under it and how it goes are modules of their own

A fault that finds no runner, since all have crashed, does nothing; it ended with a panic in its task before.

--- a/crates/soak/src/caller_faults.rs
+++ b/crates/soak/src/caller_faults.rs
@@ -8,8 +8,8 @@
 use tokio::time::sleep;
 
 use crate::callers::{Ask, Ending, send};
+use crate::fleet::{Fleet, locked};
 use crate::regions::REGIONS;
-use crate::soak::{Fleet, locked};
 
 /// The route that needs a key.
 pub const KEYED_ROUTE: &str = "keyed";
--- a/crates/soak/src/callers.rs
+++ b/crates/soak/src/callers.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
-use crate::soak::{MODELS, PLAIN_TIMEOUT, STREAM_TIMEOUT};
+use crate::setup::{MODELS, PLAIN_TIMEOUT, STREAM_TIMEOUT};
 use flaxward_platform_stand_in::caller::{answers, request_headers};
 use flaxward_platform_stand_in::{WorkKind, events_of};
 use reqwest::{Client, Response, StatusCode};
--- a/crates/soak/src/checks.rs
+++ b/crates/soak/src/checks.rs
@@ -8,8 +8,8 @@
 use crate::caller_faults::{KEYED_ROUTE, QUOTA_BURST, QUOTA_RATE};
 use crate::callers::{Ending, Outcome};
 use crate::disturbances::Target;
+use crate::fleet::{Fleet, Started, locked};
 use crate::regions::Region;
-use crate::soak::{Fleet, Started, locked};
 
 /// Time after a disturbance in which promises with a time bound do not hold.
 pub(crate) const CALM: Duration = Duration::from_secs(4);
--- a/crates/soak/src/faults.rs
+++ b/crates/soak/src/faults.rs
@@ -16,9 +16,9 @@
 use crate::checks::CALM;
 use crate::daemon::Stop;
 use crate::disturbances::Target;
+use crate::fleet::{Cut, Drain, Fleet, PlannedStop, START_PATIENCE, locked};
 use crate::proxy::Mode;
 use crate::runner_faults::{cut_region, start_anew, turn_cold, write_foreign_entries};
-use crate::soak::{Cut, Drain, Fleet, PlannedStop, START_PATIENCE, locked};
 
 /// Faults at one time.
 const AT_ONCE: usize = 3;
@@ -258,20 +258,14 @@
 }
 
 async fn cut_runner(fleet: &Fleet, random: &mut ChaCha8Rng) {
+    let Some((id, _)) = some_runner(fleet, random) else {
+        return;
+    };
     let ongoing = fleet.disturbances.begin(Target::Runner);
     let begun = Instant::now();
-    let id = {
-        let places = locked(&fleet.places);
-        let place = &places[random.random_range(0..places.len())];
-        place.proxy.set_mode(some_mode(random));
-        place.runner.id().to_owned()
-    };
+    fleet.set_way(&id, some_mode(random));
     sleep(some_time(random)).await;
-    for place in locked(&fleet.places).iter() {
-        if place.runner.id() == id {
-            place.proxy.set_mode(Mode::Pass);
-        }
-    }
+    fleet.set_way(&id, Mode::Pass);
     locked(&fleet.cuts).push(Cut {
         runner: id,
         begun,
@@ -280,21 +274,22 @@
     fleet.disturbances.end(&ongoing);
 }
 
-/// Identity and service of some runner.
-pub(crate) fn some_runner(fleet: &Fleet, random: &mut ChaCha8Rng) -> (String, String) {
+/// Identity and service of some runner; `None` while all have crashed.
+pub(crate) fn some_runner(fleet: &Fleet, random: &mut ChaCha8Rng) -> Option<(String, String)> {
     let places = locked(&fleet.places);
+    if places.is_empty() {
+        return None;
+    }
     let place = &places[random.random_range(0..places.len())];
-    (place.runner.id().to_owned(), place.state.service.clone())
+    Some((place.runner.id().to_owned(), place.state.service.clone()))
 }
 
 async fn crash_runner(fleet: &Fleet, random: &mut ChaCha8Rng) {
-    let (id, service) = some_runner(fleet, random);
+    let Some((id, service)) = some_runner(fleet, random) else {
+        return;
+    };
     let ongoing = fleet.disturbances.begin(Target::Runner);
-    for place in locked(&fleet.places).iter() {
-        if place.runner.id() == id {
-            place.runner.end();
-        }
-    }
+    fleet.end_runner(&id);
     sleep(some_time(random)).await;
     let zone = fleet.zone_of(&id);
     locked(&fleet.places).retain(|place| place.runner.id() != id);
@@ -307,7 +302,9 @@
 
 /// Replaces a runner as planned.
 async fn drain_runner(fleet: &Fleet, random: &mut ChaCha8Rng) {
-    let (id, service) = some_runner(fleet, random);
+    let Some((id, service)) = some_runner(fleet, random) else {
+        return;
+    };
     if locked(&fleet.drains).iter().any(|drain| drain.runner == id) {
         return;
     }
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -10,11 +10,13 @@
 pub mod daemon;
 pub mod disturbances;
 pub mod faults;
+mod fleet;
 pub mod ports;
 pub mod proxy;
 pub mod regions;
 pub mod runner_faults;
 pub mod settings;
+mod setup;
 pub mod soak;
 
 pub use faults::FaultKind;
--- a/crates/soak/src/runner_faults.rs
+++ b/crates/soak/src/runner_faults.rs
@@ -10,9 +10,10 @@
 
 use crate::disturbances::Target;
 use crate::faults::{some_runner, some_time};
+use crate::fleet::{Fleet, locked};
 use crate::proxy::Mode;
 use crate::regions::{REGIONS, Region};
-use crate::soak::{Fleet, MODELS, locked};
+use crate::setup::MODELS;
 
 /// Requests a second that a cold runner bears.
 pub const COLD_PER_SECOND: u32 = 2;
@@ -43,7 +44,9 @@
 
 /// A runner turns cold for a while, and says so.
 pub(crate) async fn turn_cold(fleet: &Fleet, random: &mut ChaCha8Rng) {
-    let (id, _) = some_runner(fleet, random);
+    let Some((id, _)) = some_runner(fleet, random) else {
+        return;
+    };
     let duration = some_time(random);
     let ongoing = fleet.disturbances.begin(Target::Runner);
     fleet.turn_cold(&id, duration);
@@ -54,17 +57,15 @@
 
 /// A runner crashes and starts again under its identity, at its address: it holds nothing, and its counts begin anew.
 pub(crate) async fn start_anew(fleet: &Fleet, random: &mut ChaCha8Rng) {
-    let (id, _) = some_runner(fleet, random);
+    let Some((id, _)) = some_runner(fleet, random) else {
+        return;
+    };
     if locked(&fleet.drains).iter().any(|drain| drain.runner == id) {
         return;
     }
     let ongoing = fleet.disturbances.begin(Target::Runner);
-    for place in locked(&fleet.places).iter() {
-        if place.runner.id() == id {
-            place.runner.end();
-            place.proxy.set_mode(Mode::Reset);
-        }
-    }
+    fleet.set_way(&id, Mode::Reset);
+    fleet.end_runner(&id);
     sleep(Duration::from_millis(random.random_range(100..2_000))).await;
     if let Err(error) = fleet.start_anew(&id).await {
         fleet.violation(format!("START of a runner: {error}"));
@@ -139,7 +140,9 @@
 /// Another program writes entries among those of the runners. They name addresses that answer, where nothing may be sent.
 /// No runner is disturbed by it.
 pub(crate) async fn write_foreign_entries(fleet: &Fleet, random: &mut ChaCha8Rng) {
-    let (_, service) = some_runner(fleet, random);
+    let Some((_, service)) = some_runner(fleet, random) else {
+        return;
+    };
     // One that can't be read at all may hide what another one does.
     let share = if random.random_bool(0.5) { 0.1 } else { 0.6 };
     let mut written = Vec::new();
