--- a/crates/ingress/src/coordination/following.rs
+++ b/crates/ingress/src/coordination/following.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use flaxward_routing::messages::{
-    Direction, KnownState, Message, StoreLimit, Usage, WaitNotice, WaitingUnit,
+    Direction, HoldingsSummary, KnownState, Message, StoreLimit, Usage, WaitNotice, WaitingUnit,
 };
 use flaxward_routing::standby::StandbyPlace;
 use flaxward_routing::store_trust::WatchRole;
@@ -26,6 +26,8 @@
     holdings_version: u64,
     /// It has told this daemon something.
     is_heard: bool,
+    /// It was sent digests of what this daemon knows.
+    has_summary: bool,
 }
 
 /// What this daemon knows of its coordinator, and when that one heard of it.
@@ -88,6 +90,7 @@
             term,
             holdings_version: 0,
             is_heard: false,
+            has_summary: false,
         });
         // The new coordinator must hear of this daemon.
         self.usage_at = Timestamp::ZERO;
@@ -155,6 +158,24 @@
         }))
     }
 
+    /// Digests of what this daemon knows of what runners hold: for each coordinator until it is heard, as soon as there is a list
+    /// of runners. They are sent before the next message, which makes the coordinator tell what differs.
+    pub fn due_summary(&mut self, shared: &Shared) -> Option<Message> {
+        let coordinator = self.coordinator.as_mut()?;
+        let tables = shared.tables();
+        let was_taken = coordinator.has_summary && coordinator.is_heard;
+        let is_due = !was_taken && tables.runners_known;
+        if !is_due {
+            return None;
+        }
+        coordinator.has_summary = true;
+        Some(Message::HoldingsSummary(HoldingsSummary {
+            from: shared.settings.name.clone(),
+            term: coordinator.term,
+            digests: tables.runners.holdings_digests(),
+        }))
+    }
+
     /// What this daemon knows; `None` if it knows of no coordinator.
     fn known(&self, tables: &Tables) -> Option<KnownState> {
         let coordinator = self.coordinator.as_ref()?;
--- a/crates/ingress/src/coordination/leading.rs
+++ b/crates/ingress/src/coordination/leading.rs
@@ -5,7 +5,7 @@
 
 use flaxward_routing::dissemination::{Dissemination, Outgoing};
 use flaxward_routing::lease::LeasePulse;
-use flaxward_routing::messages::{Direction, Usage, WaitNotice};
+use flaxward_routing::messages::{Direction, HoldingsSummary, Usage, WaitNotice};
 use flaxward_routing::placement::{Action, Placement};
 use flaxward_routing::quota::QuotaNews;
 use flaxward_routing::runners::Runner;
@@ -46,6 +46,8 @@
     /// Earliest time of the next plan.
     plan_allowed: Timestamp,
     taken: Option<Taken>,
+    /// What was known of the runners before was taken in.
+    has_beliefs: bool,
     begun_at: Timestamp,
     announced_at: Timestamp,
 }
@@ -60,6 +62,7 @@
             plan_due: now,
             plan_allowed: now,
             taken: None,
+            has_beliefs: false,
             begun_at: now,
             announced_at: now,
         }
@@ -108,6 +111,11 @@
         self.placement.usage(usage, now);
     }
 
+    /// Takes in what a member knows of what runners hold.
+    pub fn heard_summary(&mut self, summary: HoldingsSummary, now: Timestamp) {
+        self.dissemination.heard_summary(summary, now);
+    }
+
     /// Takes in what a member's requests wait for.
     pub fn heard_waiting(&mut self, notice: WaitNotice, now: Timestamp) {
         let member = &notice.from;
@@ -132,9 +140,13 @@
             configuration_version: configuration.map_or(0, |it| it.version),
             evacuations_revision: tables.evacuations.revision,
         };
-        if self.taken != Some(present) {
+        if tables.runners_known && self.taken != Some(present) {
             self.taken = Some(present);
             self.place_at_runners(&tables);
+            if !self.has_beliefs {
+                self.has_beliefs = true;
+                self.placement.believe(&tables.runners);
+            }
         }
         drop(tables);
         self.placement.plan(now)
--- a/crates/ingress/src/coordination/mod.rs
+++ b/crates/ingress/src/coordination/mod.rs
@@ -205,10 +205,13 @@
         let Some(message) = self.following.due_message(&self.shared, now) else {
             return;
         };
-        if self.leading.is_some() {
-            self.heard_member(message);
-        } else if let Some(coordinator) = self.following.coordinator() {
-            self.peers.send(coordinator, &message);
+        let summary = self.following.due_summary(&self.shared);
+        for message in summary.into_iter().chain([message]) {
+            if self.leading.is_some() {
+                self.heard_member(message);
+            } else if let Some(coordinator) = self.following.coordinator() {
+                self.peers.send(coordinator, &message);
+            }
         }
     }
 
@@ -335,7 +338,9 @@
                     self.arrivals.came_after(),
                 );
             }
-            Message::Usage(_) | Message::Waiting(_) => self.heard_member(message),
+            Message::Usage(_) | Message::Waiting(_) | Message::HoldingsSummary(_) => {
+                self.heard_member(message);
+            }
             Message::LeaseEnded { term } => {
                 self.log_lease("lease-end-heard", term);
                 self.lease.ended(term, self.shared.now());
@@ -389,6 +394,7 @@
         match message {
             Message::Usage(usage) => leading.heard_usage(usage, now),
             Message::Waiting(notice) => leading.heard_waiting(notice, now),
+            Message::HoldingsSummary(summary) => leading.heard_summary(summary, now),
             _ => {}
         }
     }
--- a/crates/ingress/src/counted_store.rs
+++ b/crates/ingress/src/counted_store.rs
@@ -11,7 +11,9 @@
 use flaxward_routing::runners::Runner;
 
 use crate::counters::STORE_CALLS;
-use crate::outside::{Changed, ClusterStore, Freshness, Listing, RunnerChange, StoreError};
+use crate::outside::{
+    Changed, ClusterStore, Freshness, Listing, RunnerChange, StoreError, TakePage,
+};
 
 /// A store whose calls are counted.
 pub(crate) struct CountedStore(Arc<dyn ClusterStore>);
@@ -61,6 +63,17 @@
         counted("runners", self.0.runners(freshness).await)
     }
 
+    async fn runners_by_page(
+        &self,
+        freshness: Freshness,
+        take_page: &TakePage<'_>,
+    ) -> Result<Listing<Runner>, StoreError> {
+        counted(
+            "runners",
+            self.0.runners_by_page(freshness, take_page).await,
+        )
+    }
+
     async fn watch_runners(
         &self,
         after: u64,
--- a/crates/ingress/src/counters.rs
+++ b/crates/ingress/src/counters.rs
@@ -3,7 +3,7 @@
 use flaxward_types::Metric;
 
 /// Metrics of this crate.
-pub const METRICS: [Metric; 24] = [
+pub const METRICS: [Metric; 25] = [
     SERVED,
     REFUSED,
     ATTEMPTS_FAILED,
@@ -28,6 +28,7 @@
     REQUESTS_QUARANTINED,
     SUSPENSIONS,
     STORE_CALLS,
+    MESSAGE_BYTES,
 ];
 
 /// Requests whose answer, or the head of it, was passed on, by `status`, the class of the HTTP status.
@@ -150,3 +151,8 @@
     "flaxward_ingress_store_calls_total",
     "Calls to the store that have ended, by `call`, what it was for, and `outcome`.",
 );
+/// Bytes of messages sent to other daemons, by `kind`, what they are about.
+pub const MESSAGE_BYTES: Metric = Metric::counter(
+    "flaxward_ingress_message_bytes_total",
+    "Bytes of messages sent to other daemons, by `kind`, what they are about.",
+);
--- a/crates/ingress/src/outside.rs
+++ b/crates/ingress/src/outside.rs
@@ -139,6 +139,9 @@
     Conflict(Option<StoredLease>),
 }
 
+/// What takes a page of a list that is read page by page.
+pub type TakePage<'a> = dyn Fn(&[Runner]) + Send + Sync + 'a;
+
 /// The store, which holds configuration, runners and the lease.
 #[async_trait]
 pub trait ClusterStore: Send + Sync {
@@ -158,6 +161,15 @@
     /// All runners. The revision is one at which none of the list's changes was missing.
     async fn runners(&self, freshness: Freshness) -> Result<Listing<Runner>, StoreError>;
 
+    /// The same, if the store tells them page by page. Each page but the last is handed over as it comes.
+    async fn runners_by_page(
+        &self,
+        freshness: Freshness,
+        _take_page: &TakePage<'_>,
+    ) -> Result<Listing<Runner>, StoreError> {
+        self.runners(freshness).await
+    }
+
     /// Waits for changes of the runners after a revision, for some time at most.
     async fn watch_runners(
         &self,
--- a/crates/ingress/src/peer.rs
+++ b/crates/ingress/src/peer.rs
@@ -9,7 +9,7 @@
 use socket2::SockRef;
 use tokio::net::UdpSocket;
 
-use crate::counters::{MESSAGES_MALFORMED, MESSAGES_NOT_SENT};
+use crate::counters::{MESSAGE_BYTES, MESSAGES_MALFORMED, MESSAGES_NOT_SENT};
 
 /// Longest datagram that is read, in bytes.
 const MAX_DATAGRAM_BYTES: usize = 64 * 1024;
@@ -46,7 +46,10 @@
 
     /// Sends a message, without waiting.
     pub(crate) fn send(&self, to: SocketAddr, message: &Message) {
-        if self.socket.try_send_to(&message.encode(), to).is_err() {
+        let bytes = message.encode();
+        let length = u64::try_from(bytes.len()).unwrap_or(u64::MAX);
+        metrics::counter!(MESSAGE_BYTES.name, "kind" => message.kind()).increment(length);
+        if self.socket.try_send_to(&bytes, to).is_err() {
             metrics::counter!(MESSAGES_NOT_SENT.name).increment(1);
         }
     }
--- a/crates/ingress/src/state.rs
+++ b/crates/ingress/src/state.rs
@@ -8,7 +8,7 @@
 use flaxward_clock::Clock;
 use flaxward_routing::balance::{self, NoRunner, Situation, Wanted};
 use flaxward_routing::budget::RetryBudget;
-use flaxward_routing::configuration::{Configuration, Route};
+use flaxward_routing::configuration::{Configuration, Route, Service};
 use flaxward_routing::configuration_age::ConfigurationAge;
 use flaxward_routing::evacuation::Evacuations;
 use flaxward_routing::health::{HealthTable, Observation};
@@ -52,6 +52,8 @@
     pub quota: QuotaMeter,
     pub runners: RunnerTable,
     pub runners_known: bool,
+    /// Some pages of the list of runners were read.
+    pub has_first_page: bool,
     pub evacuations: Evacuations,
     pub health: HealthTable,
     pub in_flight: HashMap<RunnerId, u32>,
@@ -128,6 +130,7 @@
             quota: QuotaMeter::new(seed, ASSUMED_DAEMONS),
             runners: RunnerTable::default(),
             runners_known: false,
+            has_first_page: false,
             evacuations: Evacuations::default(),
             health: HealthTable::default(),
             in_flight: HashMap::new(),
@@ -212,12 +215,11 @@
     /// Whether new clients may come.
     pub(crate) fn is_ready(&self) -> bool {
         let tables = self.tables();
-        let knows_runners = tables.runners_known;
-        let configuration = tables.configuration.clone();
-        drop(tables);
-        let Some(configuration) = configuration else {
+        let Some(configuration) = tables.configuration.clone() else {
             return false;
         };
+        let knows_runners = tables.runners_known || tables.has_runners_of_all(&configuration);
+        drop(tables);
         // Clients with keys fare better at another daemon.
         let can_admit = configuration.tenants().is_empty()
             || self.is_configuration_within(self.settings.key_trust.known);
@@ -326,6 +328,15 @@
 }
 
 impl Tables {
+    /// Whether the pages that were read hold a runner of each service.
+    fn has_runners_of_all(&self, configuration: &Configuration) -> bool {
+        let has_runner = |service: &Arc<Service>| {
+            let mut runners = self.runners.of_service(&service.name);
+            runners.next().is_some()
+        };
+        self.has_first_page && configuration.services().all(has_runner)
+    }
+
     /// Drops what is kept about runners that are gone.
     pub(crate) fn forget_gone_runners(&mut self) {
         let runners = &self.runners;
--- a/crates/ingress/src/watches/runners.rs
+++ b/crates/ingress/src/watches/runners.rs
@@ -55,7 +55,8 @@
         let Some(after) = revision else {
             let freshness = first_freshness(&shared, word, known.is_some());
             let cause = ReadCause::of(word, known, stands_until.is_some());
-            match shared.store.runners(freshness).await {
+            let take_page = |page: &[Runner]| take_first_pages(&shared, page);
+            match shared.store.runners_by_page(freshness, &take_page).await {
                 Ok(listing) => {
                     backoff.succeeded(&shared);
                     shared.note_store_seen();
@@ -141,6 +142,25 @@
     }
 }
 
+/// Takes in a part of the list while this daemon knows no list yet. In a large fleet all daemons may have started at
+/// once, and the store's link takes seconds to tell each of them all pages; with the first one a daemon serves.
+fn take_first_pages(shared: &Shared, page: &[Runner]) {
+    let mut tables = shared.tables();
+    if tables.runners_known {
+        return;
+    }
+    for runner in page {
+        tables.runners.insert(runner.clone(), runner.revision);
+    }
+    tables.has_first_page = true;
+    drop(tables);
+    let fields: &[(&str, &dyn std::fmt::Display)] = &[("runners", &page.len())];
+    shared
+        .log
+        .write(shared.now(), "runners-page-listed", fields);
+    shared.changed.notify_waiters();
+}
+
 fn replace_runners(shared: &Shared, listing: Listing<Runner>, cause: ReadCause) {
     let count = listing.items.len();
     let mut tables = shared.tables();
--- a/crates/ingress/tests/ingress/requests.rs
+++ b/crates/ingress/tests/ingress/requests.rs
@@ -1,9 +1,12 @@
 //! Requests without faults.
 
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
 
 use crate::runner::{Behaviour, ScriptedRunner};
-use crate::support::TestIngress;
+use crate::store::MemoryStore;
+use crate::support::{ObedientControl, TestIngress, configuration, runner};
 
 #[tokio::test]
 async fn a_request_and_its_answer_pass_unaltered() {
@@ -32,6 +35,22 @@
     assert!((500..=900).contains(&left), "{left}");
 }
 
+/// Seen on a played day: hundreds of daemons had started at once before thousands of runners, and refused all requests for
+/// the five seconds that the store's link took to tell each of them the last page of the list.
+#[tokio::test]
+async fn a_daemon_serves_once_the_first_page_of_the_list_has_come() {
+    let server = ScriptedRunner::start(vec![Behaviour::Answer(200, "made")]).await;
+    let store = MemoryStore::default();
+    store.lacks_pages.store(true, Ordering::Relaxed);
+    store.set_runners(vec![runner(0, server.address)]);
+    store.set_configuration(configuration(1, Vec::new()));
+    let control = Arc::new(ObedientControl::default());
+    let test = TestIngress::start_before("d", store, control).await;
+    test.until_ready().await;
+    let response = test.request("/safe/", "id-1").send().await.unwrap();
+    assert_eq!(response.status(), 200);
+}
+
 #[tokio::test]
 async fn a_stream_passes_event_by_event() {
     let runner = ScriptedRunner::start(vec![Behaviour::SlowEvents(1, 4)]).await;
--- a/crates/ingress/tests/ingress/store.rs
+++ b/crates/ingress/tests/ingress/store.rs
@@ -6,7 +6,7 @@
 
 use async_trait::async_trait;
 use flaxward_ingress::outside::{
-    Changed, ClusterStore, Freshness, Listing, RunnerChange, StoreError,
+    Changed, ClusterStore, Freshness, Listing, RunnerChange, StoreError, TakePage,
 };
 use flaxward_routing::configuration::Configuration;
 use flaxward_routing::lease::{LeaseRecord, StoredLease};
@@ -39,6 +39,8 @@
     pub latest_reads: AtomicU64,
     /// Answers that may be old hold this configuration.
     pub old_configuration: Mutex<Option<Configuration>>,
+    /// Lists of runners have further pages that never come.
+    pub lacks_pages: AtomicBool,
     cut: Notify,
     history_from: AtomicU64,
 }
@@ -170,6 +172,19 @@
         })
     }
 
+    async fn runners_by_page(
+        &self,
+        freshness: Freshness,
+        take_page: &TakePage<'_>,
+    ) -> Result<Listing<Runner>, StoreError> {
+        let listing = self.runners(freshness).await?;
+        if self.lacks_pages.load(Ordering::Relaxed) {
+            take_page(&listing.items);
+            std::future::pending::<()>().await;
+        }
+        Ok(listing)
+    }
+
     async fn watch_runners(
         &self,
         after: u64,
--- a/crates/routing/src/dissemination.rs
+++ b/crates/routing/src/dissemination.rs
@@ -3,6 +3,10 @@
 //! For each member the coordinator keeps how far its messages have brought it. A change is told once; a
 //! member that has lost a message says so, and what it lacks is told again. Without news a member gets a
 //! heartbeat, which shows a loss too. The number of messages is bounded for any number of members.
+//!
+//! A member that a coordinator has told nothing yet sends digests of what it knows, and is told what differs. One that
+//! is still reading the store's list is waited for: after all daemons have started anew, telling each of them the whole
+//! state would fill the coordinator's link for longer than the reads take.
 
 use std::collections::{BTreeSet, HashMap};
 use std::net::SocketAddr;
@@ -10,12 +14,13 @@
 
 use flaxward_types::time::Timestamp;
 
+use crate::holdings_digests::HoldingsDigests;
 use crate::membership::MembershipUpdate;
-use crate::messages::{Direction, KnownState, RunnerLoad, UnitOutlook};
+use crate::messages::{Direction, HoldingsSummary, KnownState, RunnerLoad, UnitOutlook};
 use crate::names::Unit;
-use crate::pacing::Pacer;
-use crate::placement::Placement;
+use crate::pacing::{self, Pacer};
 use crate::placement::outlooks::Outlooks;
+use crate::placement::{HoldingsSnapshot, KnownAlready, Placement};
 use crate::runners::RunnerTable;
 use crate::standby::{StandbyPlace, Standbys};
 
@@ -23,8 +28,17 @@
 const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(500);
 /// Time between two messages to a member with news of holdings, for each member that there is.
 const NEWS_INTERVAL_A_MEMBER: Duration = Duration::from_micros(2_500);
-/// Time between two messages to a member that hold the loads of runners.
+/// Time between two rounds in which a member is told parts of what one round does not hold.
+const PARTS_INTERVAL: Duration = Duration::from_millis(50);
+/// Time between two messages to a member that hold the loads of runners, if the link has room for them.
 const LOADS_INTERVAL: Duration = Duration::from_millis(200);
+/// Part of what may be sent to members that loads of runners may fill.
+const LOADS_SHARE: f64 = 0.2;
+/// Longest time for which a member that has no list of runners yet is left to read the store's. With 300 daemons that
+/// start at once before 3,000 runners the last page came after 5.5 s, over a link of 1,000 Mbit/s from the store.
+const LONGEST_PATIENCE: Duration = Duration::from_secs(8);
+/// Time for which digests of a member count that was not told anything.
+const SUMMARY_VALIDITY: Duration = Duration::from_secs(5);
 /// Time between two messages to a member that hold the addresses of all members.
 const MEMBERS_INTERVAL: Duration = Duration::from_secs(1);
 /// Time between two looks at which members stand by.
@@ -44,10 +58,16 @@
 }
 
 /// How far a member has been told.
-#[derive(Clone, Copy, Debug, Default)]
+#[derive(Clone, Debug, Default)]
 struct Progress {
     /// Version of the holdings that it has with what it was told.
     holdings_version: u64,
+    /// What it knew before it was told anything.
+    known_already: KnownAlready,
+    /// The last round did not hold all that it lacks.
+    lacks_more: bool,
+    /// When it was first heard.
+    first_at: Timestamp,
     /// The store's revision up to which it was told all changes of runners.
     runners_revision: u64,
     /// What there was to be told when it was told last.
@@ -56,6 +76,8 @@
     membership_revision: u64,
     standby: StandbyPlace,
     told_at: Timestamp,
+    /// When it was sent a heartbeat alone, for want of room on the link.
+    heartbeat_at: Timestamp,
     /// When it was told something new.
     news_at: Timestamp,
     loads_at: Timestamp,
@@ -64,11 +86,12 @@
 
 impl Progress {
     /// A member that was told nothing yet.
-    fn new(known: KnownState, term: u64) -> Self {
+    fn new(known: KnownState, term: u64, now: Timestamp) -> Self {
         let same_term = known.term == term;
         Self {
             holdings_version: if same_term { known.holdings_version } else { 0 },
             runners_revision: known.runners_revision,
+            first_at: now,
             ..Self::default()
         }
     }
@@ -92,9 +115,15 @@
             || self.configuration_version != header.store.configuration_version
             || self.membership_revision != header.store.membership_revision
             || self.standby != header.standby
+            || (self.lacks_more && age >= PARTS_INTERVAL)
             || (self.placement_version != placement_version && age >= news_interval)
     }
 
+    /// Whether the member still reads the store's list, and is left to it.
+    fn reads_list(&self, known: KnownState, patience: Duration, now: Timestamp) -> bool {
+        known.runners_revision == 0 && now.since(self.first_at) < patience
+    }
+
     fn note_told(&mut self, header: &Direction, placement_version: u64, now: Timestamp) {
         if self.membership_revision != header.store.membership_revision {
             self.news_at = now;
@@ -114,6 +143,8 @@
     progress: HashMap<String, Progress>,
     /// Members whose requests wait and that have not been answered.
     unanswered: BTreeSet<String>,
+    /// What members know that were told nothing yet, and when they have said so.
+    summaries: HashMap<String, (HoldingsDigests, Timestamp)>,
     standbys: Standbys,
     standbys_at: Option<Timestamp>,
     pacer: Pacer,
@@ -126,6 +157,7 @@
             term,
             progress: HashMap::new(),
             unanswered: BTreeSet::new(),
+            summaries: HashMap::new(),
             standbys: Standbys::default(),
             standbys_at: None,
             pacer: Pacer::new(link, now),
@@ -164,6 +196,14 @@
         false
     }
 
+    /// A member has said what it knows of what runners hold.
+    pub fn heard_summary(&mut self, summary: HoldingsSummary, now: Timestamp) {
+        if summary.term == self.term {
+            let known = (summary.digests, now);
+            self.summaries.insert(summary.from, known);
+        }
+    }
+
     /// A member has said that it has lost a message.
     pub fn has_gap(&mut self, member: &str, known: KnownState) {
         if let Some(progress) = self.progress.get_mut(member) {
@@ -191,21 +231,30 @@
         let names: BTreeSet<&String> = members.iter().map(|(name, _)| name).collect();
         self.progress.retain(|name, _| names.contains(name));
         self.unanswered.retain(|name| names.contains(name));
+        self.summaries
+            .retain(|_, (_, at)| now.since(*at) < SUMMARY_VALIDITY);
         let count = u32::try_from(members.len()).unwrap_or(u32::MAX);
         let news_interval = NEWS_INTERVAL_A_MEMBER * count;
         let addresses = members.iter().map(|(_, address)| *address).collect();
         let mut round = Round::new(placement, runners, addresses, now);
+        round.patience = self.patience(&round);
         // If the link has no room for all, nobody is left out for long.
         members.sort_by_key(|(name, _)| self.progress.get(name).map(|it| it.told_at));
         let mut messages = Vec::new();
         for (member, address) in members {
-            if !self.pacer.has_room() {
-                break;
-            }
             let own_header = Direction {
                 standby: self.standbys.place(&member),
                 ..header.clone()
             };
+            if !self.pacer.has_room() {
+                let heartbeat = self.bare_heartbeat(&member, own_header, placement, now);
+                messages.extend(heartbeat.map(|direction| Outgoing {
+                    member,
+                    address,
+                    direction,
+                }));
+                continue;
+            }
             let is_due = self.progress.get(&member).is_none_or(|progress| {
                 progress.is_due(&own_header, placement.version(), news_interval, now)
             });
@@ -224,6 +273,47 @@
         messages
     }
 
+    /// What a member is told that is due a heartbeat while the link has no room for news: a member that hears nothing
+    /// takes the coordinator for gone, and refuses the requests that wait for it. At 300 members it is 66 KB a second.
+    fn bare_heartbeat(
+        &mut self,
+        member: &str,
+        header: Direction,
+        placement: &Placement,
+        now: Timestamp,
+    ) -> Option<Direction> {
+        let known = placement.known_by(member)?;
+        let progress = self.progress.entry(member.to_owned());
+        let progress = progress.or_insert_with(|| Progress::new(known, header.term, now));
+        let last_at = progress.told_at.max(progress.heartbeat_at);
+        if now.since(last_at) < HEARTBEAT_INTERVAL {
+            return None;
+        }
+        progress.heartbeat_at = now;
+        let direction = Direction {
+            holdings_after: progress.holdings_version,
+            holdings_version: progress.holdings_version,
+            ..header
+        };
+        self.pacer.take(&direction);
+        Some(direction)
+    }
+
+    /// How long a member that has no list of runners is left to read the store's: as long as it would take to tell
+    /// everything to all, which is hardly any time in a small fleet.
+    fn patience(&self, round: &Round<'_>) -> Duration {
+        let bytes = pacing::bytes_of_everything(round.runners.iter().count());
+        let everything = self.pacer.time_for(bytes * round.addresses.len());
+        everything.min(LONGEST_PATIENCE)
+    }
+
+    /// Time between two messages to a member that hold the loads of runners.
+    fn loads_interval(&self, round: &mut Round<'_>) -> Duration {
+        let bytes = pacing::bytes_of_loads(round.loads().len());
+        let everywhere = self.pacer.time_for(bytes * round.addresses.len());
+        LOADS_INTERVAL.max(everywhere.div_f64(LOADS_SHARE))
+    }
+
     /// What a member is told now, in messages that fit a datagram each.
     fn directions(
         &mut self,
@@ -235,13 +325,33 @@
         let Some(known) = placement.known_by(member) else {
             return Vec::new();
         };
+        let loads_interval = self.loads_interval(round);
         let progress = self.progress.entry(member.to_owned());
-        let progress = progress.or_insert_with(|| Progress::new(known, header.term));
+        let progress = progress.or_insert_with(|| Progress::new(known, header.term, now));
+        progress.runners_revision = progress.runners_revision.max(known.runners_revision);
+        let reads_list = progress.reads_list(known, round.patience, now);
         let after = progress.holdings_version;
-        let mut directions = placement.directions(after, header);
+        if after == 0
+            && !reads_list
+            && placement.has_runners()
+            && let Some((digests, _)) = self.summaries.remove(member)
+        {
+            progress.known_already = placement.known_already(&digests, round.snapshot());
+        }
+        let mut directions = if reads_list {
+            vec![Direction {
+                holdings_after: after,
+                holdings_version: after,
+                ..header.clone()
+            }]
+        } else {
+            placement.directions(after, &progress.known_already, header)
+        };
         if let Some(last) = directions.last() {
             progress.holdings_version = last.holdings_version;
         }
+        progress.lacks_more = !reads_list
+            && placement.has_changed_since(progress.holdings_version, &progress.known_already);
         if progress.holdings_version != after {
             progress.news_at = now;
         }
@@ -256,13 +366,13 @@
                 progress.members_at = now;
                 first.members = Some(round.addresses.clone());
             }
-            if now.since(progress.loads_at) >= LOADS_INTERVAL {
+            if now.since(progress.loads_at) >= loads_interval {
                 progress.loads_at = now;
                 first.loads = Some(round.loads());
                 first.store_limits = Some(placement.store_limits());
             }
         }
-        if progress.runners_revision < header.store.membership_revision {
+        if !reads_list && progress.runners_revision < header.store.membership_revision {
             let updates = round.updates_for(progress.runners_revision, known);
             // Without the changes the member reads the store.
             let until = updates.last().map(|update| update.until);
@@ -283,6 +393,9 @@
     loads: Option<Vec<RunnerLoad>>,
     digest: u64,
     updates: HashMap<u64, Vec<MembershipUpdate>>,
+    snapshot: Option<HoldingsSnapshot>,
+    /// How long a member that has no list of runners is left to read the store's.
+    patience: Duration,
     outlooks: Option<Outlooks<'a>>,
 }
 
@@ -301,6 +414,8 @@
             loads: None,
             digest: runners.digest(),
             updates: HashMap::new(),
+            snapshot: None,
+            patience: Duration::ZERO,
             outlooks: None,
         }
     }
@@ -310,6 +425,12 @@
         self.loads.get_or_insert_with(|| placement.loads()).clone()
     }
 
+    fn snapshot(&mut self) -> &HoldingsSnapshot {
+        let placement = self.placement;
+        self.snapshot
+            .get_or_insert_with(|| placement.holdings_snapshot())
+    }
+
     /// What a member that was told all changes up to a revision must hear of the runners; nothing before the first
     /// list. A coordinator that has just started cannot tell what has changed since; if the member has the same
     /// runners, it is told just that.
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod events;
 pub mod fingerprint;
 pub mod health;
+pub mod holdings_digests;
 pub mod lease;
 pub mod locality;
 pub mod membership;
--- a/crates/routing/src/messages.rs
+++ b/crates/routing/src/messages.rs
@@ -10,6 +10,7 @@
 
 use crate::configuration_transfer::ConfigurationChunk;
 use crate::evacuation::Evacuations;
+use crate::holdings_digests::HoldingsDigests;
 use crate::lease::LeasePulse;
 use crate::membership::MembershipUpdate;
 use crate::names::{RunnerId, ServiceName, Unit, Zone};
@@ -21,7 +22,7 @@
 use crate::strength::MachineStrength;
 
 /// First byte of every message; raised when the encoding changes incompatibly.
-const WIRE_VERSION: u8 = 6;
+const WIRE_VERSION: u8 = 7;
 
 /// A message.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -51,6 +52,8 @@
     ConfigurationWanted(ConfigurationWanted),
     /// The answer to that, in parts.
     ConfigurationChunk(ConfigurationChunk),
+    /// From a member to a coordinator that has not told it what runners hold.
+    HoldingsSummary(HoldingsSummary),
     /// From a daemon whose requests show which ones crash runners to the keepers.
     RunReports(Vec<RunReport>),
     /// From any daemon to one that holds other requests in quarantine, or from a keeper to all daemons.
@@ -68,6 +71,17 @@
     pub parts: Vec<u64>,
 }
 
+/// What a member knows of what runners hold before a coordinator has told it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct HoldingsSummary {
+    /// Name of the daemon.
+    pub from: String,
+    /// Term of the coordinator.
+    pub term: u64,
+    /// Digests of what it knows.
+    pub digests: HoldingsDigests,
+}
+
 /// What a standby tells of the store.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct StoreNews {
@@ -226,6 +240,23 @@
     pub store_limits: Option<Vec<StoreLimit>>,
 }
 
+impl Direction {
+    fn kind(&self) -> &'static str {
+        let has_changes = |update: &MembershipUpdate| !update.changes.is_empty();
+        if !self.holdings.is_empty() {
+            "direction-holdings"
+        } else if self.membership.as_ref().is_some_and(has_changes) {
+            "direction-runners"
+        } else if self.members.is_some() {
+            "direction-members"
+        } else if self.loads.as_ref().is_some_and(|loads| !loads.is_empty()) {
+            "direction-loads"
+        } else {
+            "direction-heartbeat"
+        }
+    }
+}
+
 /// How many loads from the weight store may be in flight for a service.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct StoreLimit {
@@ -267,6 +298,26 @@
 }
 
 impl Message {
+    /// What it is, for the counters. What the coordinator tells a member counts by the largest part that it can have.
+    pub fn kind(&self) -> &'static str {
+        match self {
+            Self::Usage(_) => "usage",
+            Self::Waiting(_) => "waiting",
+            Self::Direction(direction) => direction.kind(),
+            Self::LeaseEnded { .. } => "lease-ended",
+            Self::StoreNews(_) => "store-news",
+            Self::UseReport(_) => "use-report",
+            Self::QuotaNews(_) => "quota-news",
+            Self::QuotaQuestions(_) => "quota-questions",
+            Self::QuotaAnswers(_) => "quota-answers",
+            Self::ConfigurationWanted(_) => "configuration-wanted",
+            Self::ConfigurationChunk(_) => "configuration-chunk",
+            Self::HoldingsSummary(_) => "holdings-summary",
+            Self::RunReports(_) => "run-reports",
+            Self::QuarantineNews(_) => "quarantine-news",
+        }
+    }
+
     /// Encodes it.
     ///
     /// # Panics
--- a/crates/routing/src/pacing.rs
+++ b/crates/routing/src/pacing.rs
@@ -53,6 +53,14 @@
         self.room = (self.room + gained).min(rate * BURST.as_secs_f64());
     }
 
+    /// Time in which so many bytes may be sent; none if the link was not told.
+    pub fn time_for(&self, bytes: usize) -> Duration {
+        #[allow(clippy::cast_precision_loss)]
+        let bytes = bytes as f64;
+        self.rate
+            .map_or(Duration::ZERO, |rate| Duration::from_secs_f64(bytes / rate))
+    }
+
     /// Whether something more may be sent now.
     pub fn has_room(&self) -> bool {
         self.rate.is_none() || self.room > 0.0
@@ -64,6 +72,16 @@
     }
 }
 
+/// About how many bytes tell a daemon all there is to know of a number of runners.
+pub fn bytes_of_everything(runners: usize) -> usize {
+    runners * usize::try_from(HOLDINGS_BYTES + CHANGE_BYTES).unwrap_or(usize::MAX)
+}
+
+/// About how many bytes tell the loads of a number of runners.
+pub fn bytes_of_loads(runners: usize) -> usize {
+    runners * usize::try_from(ENTRY_BYTES).unwrap_or(usize::MAX)
+}
+
 /// About how many bytes a message takes.
 fn size(direction: &Direction) -> u32 {
     let count = |length: usize| u32::try_from(length).unwrap_or(u32::MAX);
--- a/crates/routing/src/placement/candidates.rs
+++ b/crates/routing/src/placement/candidates.rs
@@ -1,7 +1,7 @@
 //! Runners that could take a model, and what that costs at each of them.
 
 use std::cmp::Ordering;
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, HashMap, HashSet};
 
 use flaxward_types::time::Timestamp;
 
@@ -68,9 +68,12 @@
 
 /// What one plan may still use.
 pub(super) struct Openings {
-    /// The rooms of the runners that can be given an order. Other orders of the same plan may change a price;
-    /// what is to be dropped is therefore decided again when the order is given.
-    pub rooms: BTreeMap<RunnerId, Room>,
+    /// The rooms of the runners that can be given an order, once they were asked for: at thousands of runners they are
+    /// most of a plan's work, and a plan that only places adapters needs none. Other orders of the same plan may change a
+    /// price; what is to be dropped is therefore decided again when the order is given.
+    rooms: Option<BTreeMap<RunnerId, Room>>,
+    /// Models whose adapters were waited for when the plan began.
+    awaited: HashSet<Unit>,
     /// Loads from the weight store that may still be begun, by service.
     pub store_loads: BTreeMap<ServiceName, usize>,
     /// The rooms in which models of a size fit, the cheapest first, as they were when this was first asked.
@@ -78,9 +81,26 @@
 }
 
 impl Openings {
+    /// What a plan may use that begins with adapters of some models waited for.
+    pub fn new(awaited: HashSet<Unit>, store_loads: BTreeMap<ServiceName, usize>) -> Self {
+        Self {
+            rooms: None,
+            awaited,
+            store_loads,
+            places: HashMap::new(),
+        }
+    }
+
+    /// A runner is given an order.
+    pub fn close(&mut self, runner: &RunnerId) {
+        if let Some(rooms) = &mut self.rooms {
+            rooms.remove(runner);
+        }
+    }
+
     /// A model is loaded at a runner.
     pub fn take(&mut self, candidate: &Candidate, service: &ServiceName) {
-        self.rooms.remove(&candidate.runner);
+        self.close(&candidate.runner);
         if candidate.source == WeightSource::Store
             && let Some(loads) = self.store_loads.get_mut(service)
         {
@@ -99,12 +119,16 @@
     ) -> Option<Candidate> {
         let engine = self.engines.get(&unit.service)?;
         engine.models.get(&unit.model)?;
+        if openings.rooms.is_none() {
+            openings.rooms = Some(self.rooms(&openings.awaited, now));
+        }
+        let rooms = openings.rooms.as_ref()?;
         let store_loads = openings.store_loads.get(&unit.service).copied();
         let may_use_store = store_loads.unwrap_or(0) > 0
             && self.has_ceiling(&unit.service, 1.0, now)
             && !self.is_sooner_from_copy(unit, now);
         let stored = self.copies.stored_at(unit);
-        let stored = stored.filter_map(|id| openings.rooms.get_key_value(id));
+        let stored = stored.filter_map(|id| rooms.get_key_value(id));
         let from_copy = stored
             .filter_map(|(id, room)| Some((self.ledgers.get(id)?, room)))
             .filter(|(ledger, _)| ledger.runner.service == unit.service && !ledger.has(unit))
@@ -141,7 +165,7 @@
             {
                 break;
             }
-            let room = openings.rooms.get(&place.runner);
+            let room = openings.rooms.as_ref()?.get(&place.runner);
             let (Some(room), Some(ledger)) = (room, self.ledgers.get(&place.runner)) else {
                 continue;
             };
@@ -156,7 +180,7 @@
 
     /// The rooms in which a model of a size fits, the cheapest first.
     fn places(&self, size: &Size, weights_mb: f64, openings: &Openings) -> Vec<Place> {
-        let rooms = openings.rooms.iter();
+        let rooms = openings.rooms.iter().flatten();
         let rooms = rooms.filter_map(|(id, room)| Some((self.ledgers.get(id)?, room)));
         let mut places: Vec<Place> = rooms
             .filter(|(ledger, _)| ledger.runner.service == size.service)
--- a/crates/routing/src/placement/copies.rs
+++ b/crates/routing/src/placement/copies.rs
@@ -20,7 +20,8 @@
 /// A unit at all runners.
 #[derive(Debug, Default)]
 struct UnitCopies {
-    offered: usize,
+    /// Runners that offer it now.
+    offered_at: BTreeSet<RunnerId>,
     coming: usize,
     /// Runners that offer it or will.
     by_zone: BTreeMap<Zone, usize>,
@@ -42,7 +43,9 @@
         let copies = copies_of(ledger);
         for copy in &copies {
             let unit = self.units.entry(copy.unit.clone()).or_default();
-            unit.offered += usize::from(copy.is_offered);
+            if copy.is_offered {
+                unit.offered_at.insert(ledger.runner.id.clone());
+            }
             unit.coming += usize::from(copy.is_coming);
             if copy.is_offered || copy.is_coming {
                 *unit.by_zone.entry(copy.zone.clone()).or_default() += 1;
@@ -60,7 +63,7 @@
             let Some(unit) = self.units.get_mut(&copy.unit) else {
                 continue;
             };
-            unit.offered -= usize::from(copy.is_offered);
+            unit.offered_at.remove(runner);
             unit.coming -= usize::from(copy.is_coming);
             if copy.is_offered || copy.is_coming {
                 if let Some(count) = unit.by_zone.get_mut(&copy.zone) {
@@ -77,12 +80,20 @@
 
     /// Runners that offer the unit now.
     pub fn offered(&self, unit: &Unit) -> usize {
-        self.units.get(unit).map_or(0, |it| it.offered)
+        self.units.get(unit).map_or(0, |it| it.offered_at.len())
+    }
+
+    /// The runners that offer the unit now.
+    pub fn offered_at(&self, unit: &Unit) -> impl Iterator<Item = &RunnerId> {
+        let unit = self.units.get(unit);
+        unit.into_iter().flat_map(|it| &it.offered_at)
     }
 
     /// Whether a runner offers the unit.
     pub fn is_offered(&self, unit: &Unit) -> bool {
-        self.units.get(unit).is_some_and(|it| it.offered > 0)
+        self.units
+            .get(unit)
+            .is_some_and(|it| !it.offered_at.is_empty())
     }
 
     /// Whether a runner will offer the unit.
--- a/crates/routing/src/placement/ledger.rs
+++ b/crates/routing/src/placement/ledger.rs
@@ -6,6 +6,7 @@
 use flaxward_types::time::Timestamp;
 
 use crate::configuration::Engine;
+use crate::holdings_digests::Bucket;
 use crate::names::{AdapterName, ModelName, Unit};
 use crate::runners::{Holdings, Runner, RunnerHoldings};
 
@@ -23,6 +24,8 @@
 /// Time without a report after which a runner with an order under way counts as silent: several reports are
 /// read in this time.
 const SILENCE: Duration = Duration::from_secs(2);
+/// How often the pause before the next report of a runner doubles that has never answered: up to 16 times as long.
+const MOST_DOUBLINGS: u32 = 4;
 /// Time for which an order may be late at a runner that reports: an unload waits until its requests end, which
 /// takes some seconds.
 const LONGEST_UNLOAD: Duration = Duration::from_secs(8);
@@ -94,8 +97,10 @@
 pub struct Ledger {
     /// The runner, as the store's list tells it.
     pub runner: Runner,
-    /// Version of the holdings as announced; 0 before the first report.
+    /// Version of the holdings as announced; 0 while nothing is known of them.
     pub version: u64,
+    /// Where it stands in digests of holdings.
+    pub bucket: Bucket,
     /// The load that follows once there is room.
     pub intent: Option<Intent>,
     /// When the next report may be read.
@@ -113,6 +118,8 @@
     /// The runner works on an order that this coordinator does not know.
     has_unknown_order: bool,
     is_confirmed: bool,
+    /// Reports in a row that were asked for and did not come.
+    unanswered_reports: u32,
     rejected_until: Timestamp,
     reported_at: Timestamp,
     ready_since: Vec<(ModelName, Timestamp)>,
@@ -122,6 +129,7 @@
     /// A runner of which no report was read yet.
     pub fn new(runner: Runner) -> Self {
         Self {
+            bucket: Bucket::of(&runner.id),
             runner,
             version: 0,
             intent: None,
@@ -135,12 +143,42 @@
             order_count: None,
             has_unknown_order: false,
             is_confirmed: false,
+            unanswered_reports: 0,
             rejected_until: Timestamp::ZERO,
             reported_at: Timestamp::ZERO,
             ready_since: Vec::new(),
         }
     }
 
+    /// Takes in, before the first report, what this daemon knew of the runner when it began to coordinate. Nothing is
+    /// ordered on the strength of it, but nothing is loaded elsewhere either that should be there.
+    pub fn believe(&mut self, holdings: Holdings, version: u64) {
+        self.holdings = holdings;
+        self.version = version;
+    }
+
+    /// A report was asked for and did not come. What is believed of a runner without any report is not relied on then,
+    /// and it is asked less and less often: a whole zone may be gone whose runners still stand in the list.
+    pub fn note_unanswered(&mut self, retry: Duration, now: Timestamp) {
+        let doublings = if self.is_confirmed {
+            0
+        } else {
+            self.unanswered_reports.min(MOST_DOUBLINGS)
+        };
+        self.unanswered_reports = self.unanswered_reports.saturating_add(1);
+        self.next_report = now + retry * 2_u32.pow(doublings);
+    }
+
+    /// Reports in a row that were asked for and did not come.
+    pub fn unanswered_reports(&self) -> u32 {
+        self.unanswered_reports
+    }
+
+    /// Whether no report was read, but something is known of the runner.
+    pub fn is_only_believed(&self) -> bool {
+        !self.is_confirmed && self.version > 0
+    }
+
     /// Whether a report was read.
     pub fn is_confirmed(&self) -> bool {
         self.is_confirmed
@@ -210,7 +248,8 @@
                 && order.unit.model == unit.model
                 && (order.unit.adapter.is_none() || order.unit.adapter == unit.adapter)
         });
-        self.has(unit) && !is_dropping && !self.runner.draining
+        let is_doubtful = !self.is_confirmed && self.unanswered_reports > 0;
+        self.has(unit) && !is_dropping && !self.runner.draining && !is_doubtful
     }
 
     /// Whether a unit is being loaded, or will be.
@@ -543,6 +582,7 @@
         let is_ahead = self.order_count != Some(report.order_count);
         self.order_count = Some(report.order_count);
         self.is_confirmed = true;
+        self.unanswered_reports = 0;
         if let Some(mut state) = self.order.take() {
             let unanswered = matches!(state.progress, Progress::Unanswered { .. });
             if is_ahead && unanswered {
--- a/crates/routing/src/placement/mod.rs
+++ b/crates/routing/src/placement/mod.rs
@@ -24,11 +24,12 @@
 
 use crate::balance::is_worth_telling;
 use crate::configuration::{Configuration, Engine, ModelSpecification};
+use crate::holdings_digests::{HoldingsDigests, SameBuckets};
 use crate::messages::{
     Direction, KnownState, RunnerLoad, StoreLimit, Usage, WaitNotice, WaitingUnit,
 };
 use crate::names::{AdapterName, ModelName, RunnerId, ServiceName, Unit};
-use crate::runners::{Holdings, Runner, RunnerHoldings};
+use crate::runners::{Holdings, Runner, RunnerHoldings, RunnerTable};
 use crate::standby::Candidate;
 use crate::strength::MachineStrength;
 
@@ -39,6 +40,53 @@
 
 /// Runners in one message at most, so that it fits a datagram.
 const RUNNERS_A_MESSAGE: usize = 8;
+/// Messages with holdings to one member in one round at most: what a machine of 10 Mbit/s receives in 12 ms. The rest
+/// follows in the next rounds, so that no member's queue overflows.
+const MESSAGES_A_ROUND: usize = 16;
+
+/// What a member knew already when it was first told something under this term.
+#[derive(Clone, Debug, Default)]
+pub struct KnownAlready {
+    /// Its digests beside those of holdings that it may have.
+    comparisons: Vec<Comparison>,
+}
+
+/// A member's digests beside those of the holdings at one version.
+#[derive(Clone, Debug)]
+struct Comparison {
+    version: u64,
+    same: SameBuckets,
+}
+
+impl KnownAlready {
+    /// Whether it need not be told what a runner holds: it has not changed since the member's digest was the same.
+    fn includes(&self, ledger: &Ledger) -> bool {
+        let mut comparisons = self.comparisons.iter();
+        comparisons.any(|it| ledger.version <= it.version && it.same.contains(ledger.bucket))
+    }
+
+    /// The last version that its digests were compared with.
+    fn version(&self) -> u64 {
+        let versions = self.comparisons.iter().map(|it| it.version);
+        versions.max().unwrap_or(0)
+    }
+}
+
+/// All holdings at one version.
+#[derive(Clone, Debug)]
+pub struct HoldingsSnapshot {
+    version: u64,
+    digests: HoldingsDigests,
+}
+
+impl HoldingsSnapshot {
+    fn compare(&self, digests: &HoldingsDigests) -> Comparison {
+        Comparison {
+            version: self.version,
+            same: self.digests.same_buckets(digests),
+        }
+    }
+}
 
 /// Load or unload.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
@@ -187,6 +235,8 @@
     started_at: Timestamp,
     orders_from: Timestamp,
     version: u64,
+    /// What was believed of the runners at the beginning: what members know that have read the list, too.
+    first_snapshot: Option<HoldingsSnapshot>,
 }
 
 impl Placement {
@@ -205,6 +255,7 @@
             started_at: now,
             orders_from,
             version: 1,
+            first_snapshot: None,
         }
     }
 
@@ -267,6 +318,51 @@
         self.copies.update(ledger);
     }
 
+    /// Takes in what this daemon knew of the runners before it coordinated, for those of which nothing else is known.
+    /// Members that know the same need not be told, and the others are told before all reports are read.
+    pub fn believe(&mut self, table: &RunnerTable) {
+        for ledger in self.ledgers.values_mut() {
+            let believed = table.believed_holdings(&ledger.runner.id);
+            let Some(holdings) = believed.filter(|_| ledger.version == 0) else {
+                continue;
+            };
+            self.version += 1;
+            ledger.believe(holdings.clone(), self.version);
+            self.copies.update(ledger);
+        }
+        self.first_snapshot = Some(self.holdings_snapshot());
+    }
+
+    /// What somebody with such digests knows already, beside the holdings as they are now and as they were at first.
+    pub fn known_already(&self, digests: &HoldingsDigests, now: &HoldingsSnapshot) -> KnownAlready {
+        let snapshots = self.first_snapshot.iter().chain([now]);
+        KnownAlready {
+            comparisons: snapshots.map(|it| it.compare(digests)).collect(),
+        }
+    }
+
+    /// Whether there are runners to tell of.
+    pub fn has_runners(&self) -> bool {
+        !self.ledgers.is_empty()
+    }
+
+    /// All holdings as they are now.
+    pub fn holdings_snapshot(&self) -> HoldingsSnapshot {
+        let mut digests = HoldingsDigests::finest();
+        for ledger in self.ledgers.values() {
+            let announced = ledger.announced();
+            let holdings = announced.holdings.iter();
+            digests.add(
+                &announced.runner,
+                holdings.map(|(model, adapters)| (model, adapters)),
+            );
+        }
+        HoldingsSnapshot {
+            version: self.version,
+            digests,
+        }
+    }
+
     /// Changes what is believed of a runner, and notes what members must hear of it.
     fn change<Outcome>(
         &mut self,
@@ -295,12 +391,20 @@
         self.demands.update_waiting(notice, now);
     }
 
-    /// What somebody who knows a version of the holdings is told of them, in messages that fit a datagram
-    /// each.
-    pub fn directions(&self, known_version: u64, header: &Direction) -> Vec<Direction> {
+    /// What somebody who knows a version of the holdings, and what it knew before, is told of them now, in messages
+    /// that fit a datagram each. What is left follows the version of the last one.
+    pub fn directions(
+        &self,
+        known_version: u64,
+        known_already: &KnownAlready,
+        header: &Direction,
+    ) -> Vec<Direction> {
+        let mut changed = self.changed_since(known_version, known_already);
+        let is_whole = changed.len() <= RUNNERS_A_MESSAGE * MESSAGES_A_ROUND;
+        changed.truncate(RUNNERS_A_MESSAGE * MESSAGES_A_ROUND);
         let mut directions = Vec::new();
         let mut after = known_version;
-        for part in self.changed_since(known_version).chunks(RUNNERS_A_MESSAGE) {
+        for part in changed.chunks(RUNNERS_A_MESSAGE) {
             let last = part.last().map_or(after, |ledger| ledger.version);
             directions.push(Direction {
                 holdings_after: after,
@@ -317,18 +421,26 @@
                 ..header.clone()
             });
         }
+        if let Some(last) = directions.last_mut().filter(|_| is_whole) {
+            last.holdings_version = last.holdings_version.max(known_already.version());
+        }
         directions
     }
 
+    /// Whether somebody who knows a version, and what it knew before, lacks something.
+    pub fn has_changed_since(&self, version: u64, known_already: &KnownAlready) -> bool {
+        version < self.version && !self.changed_since(version, known_already).is_empty()
+    }
+
     /// The runners whose holdings have changed since a version, the earliest change first.
-    fn changed_since(&self, version: u64) -> Vec<&Ledger> {
+    fn changed_since(&self, version: u64, known_already: &KnownAlready) -> Vec<&Ledger> {
         if version >= self.version {
             return Vec::new();
         }
         let mut changed: Vec<&Ledger> = self
             .ledgers
             .values()
-            .filter(|ledger| ledger.is_confirmed() && ledger.version > version)
+            .filter(|ledger| ledger.version > version && !known_already.includes(ledger))
             .collect();
         changed.sort_by_key(|ledger| ledger.version);
         changed
@@ -425,7 +537,7 @@
         let settlement = self.change(runner, |ledger| {
             ledger.report_asked_at = None;
             let Some(report) = report else {
-                ledger.next_report = now + settings.order_retry;
+                ledger.note_unanswered(settings.order_retry, now);
                 return None;
             };
             ledger.reported(report, asked_at, now, &settings)
--- a/crates/routing/src/placement/planner.rs
+++ b/crates/routing/src/placement/planner.rs
@@ -1,7 +1,7 @@
 //! Which order goes to which runner.
 
 use std::cmp::Ordering;
-use std::collections::{BTreeMap, HashMap, HashSet};
+use std::collections::{BTreeMap, HashSet};
 use std::time::Duration;
 
 use flaxward_types::time::Timestamp;
@@ -38,11 +38,8 @@
         self.settle_expected(now);
         self.follow_intents(now);
         self.watch_store_links(now);
-        let mut openings = Openings {
-            rooms: self.rooms(now),
-            store_loads: self.free_store_loads(),
-            places: HashMap::new(),
-        };
+        let awaited = self.models_of_awaited_adapters();
+        let mut openings = Openings::new(awaited, self.free_store_loads());
         self.relieve_pressed(&mut openings, now);
         for wanted in self.demands.wanted().to_vec() {
             self.serve(&wanted, &mut openings, now);
@@ -76,11 +73,15 @@
         self.store_links.iter().map(free).collect()
     }
 
-    fn rooms(&self, now: Timestamp) -> BTreeMap<RunnerId, Room> {
-        let awaited = self.models_of_awaited_adapters();
+    /// The rooms of the runners that can be given an order for a model.
+    pub(super) fn rooms(
+        &self,
+        awaited: &HashSet<Unit>,
+        now: Timestamp,
+    ) -> BTreeMap<RunnerId, Room> {
         let free = self.ledgers.values();
         let free = free.filter(|ledger| ledger.is_free(now) && ledger.intent.is_none());
-        let free = free.filter(|ledger| !self.is_kept_for_adapters(ledger, &awaited, now));
+        let free = free.filter(|ledger| !self.is_kept_for_adapters(ledger, awaited, now));
         let room = |ledger: &Ledger| {
             let engine = self.engines.get(&ledger.runner.service)?;
             Some((ledger.runner.id.clone(), self.room(ledger, engine, now)))
@@ -115,24 +116,23 @@
         ledger.adapters().len() < slots || self.adapter_victim(ledger, now).is_some()
     }
 
-    /// The reports to read now. A new coordinator reads those of all runners, a few at a time.
+    /// The reports to read now. A new coordinator reads those of all runners, a few at a time: first of those that have
+    /// not failed to answer, and among these of those of which it knows nothing.
     fn due_reports(&mut self, now: Timestamp) -> Vec<Action> {
         let asked = self.ledgers.values();
         let asked = asked.filter(|ledger| ledger.report_asked_at.is_some());
         let places = REPORTS_AT_ONCE.saturating_sub(asked.count());
-        let due = self
-            .ledgers
-            .values_mut()
-            .filter(|ledger| ledger.report_is_due(now));
-        due.take(places)
-            .map(|ledger| {
-                ledger.report_asked_at = Some(now);
-                Action::Report {
-                    runner: ledger.runner.id.clone(),
-                    address: ledger.runner.address,
-                }
-            })
-            .collect()
+        let due = self.ledgers.values_mut();
+        let mut due: Vec<&mut Ledger> = due.filter(|ledger| ledger.report_is_due(now)).collect();
+        due.sort_by_key(|ledger| (ledger.unanswered_reports(), ledger.is_only_believed()));
+        let ask = |ledger: &mut Ledger| {
+            ledger.report_asked_at = Some(now);
+            Action::Report {
+                runner: ledger.runner.id.clone(),
+                address: ledger.runner.address,
+            }
+        };
+        due.into_iter().take(places).map(ask).collect()
     }
 
     fn due_orders(&mut self, now: Timestamp) -> Vec<Action> {
@@ -224,9 +224,9 @@
         };
         let base = unit.base();
         let slots = engine.slots;
-        let best = self
-            .ledgers
-            .values()
+        let offering = self.copies.offered_at(&base);
+        let best = offering
+            .filter_map(|runner| self.ledgers.get(runner))
             .filter(|ledger| ledger.offers(&base) && ledger.is_free(now))
             .filter(|ledger| ledger.pending_adapter_count() < PENDING_ADAPTERS)
             .min_by_key(|ledger| {
@@ -240,7 +240,7 @@
         let size = engine.models.get(&unit.model).map_or(0.0, |m| m.adapter_mb);
         let has_room = ledger.free_mb(engine) >= size;
         let runner = ledger.runner.id.clone();
-        openings.rooms.remove(&runner);
+        openings.close(&runner);
         if has_slot && has_room {
             self.begin(&runner, Operation::Load, unit.clone(), Reason::Demand, now);
         } else if let Some(victim) = self.adapter_victim(ledger, now) {
--- a/crates/routing/src/runners.rs
+++ b/crates/routing/src/runners.rs
@@ -9,6 +9,7 @@
 use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3::Xxh3;
 
+use crate::holdings_digests::HoldingsDigests;
 use crate::membership::{
     MembershipChange, MembershipLog, MembershipUpdate, RunnerSummary, UpdateScope,
 };
@@ -290,6 +291,23 @@
         self.told.insert(holdings.runner, known);
     }
 
+    /// What a runner holds, by the last word of a coordinator, or else by the list.
+    pub fn believed_holdings(&self, id: &RunnerId) -> Option<&Holdings> {
+        let runner = self.runners.get(id)?;
+        let told = self.told.get(id).map(|told| &told.holdings);
+        Some(told.unwrap_or(&runner.holdings))
+    }
+
+    /// Digests of what all runners hold; see [`Self::believed_holdings`].
+    pub fn holdings_digests(&self) -> HoldingsDigests {
+        let mut digests = HoldingsDigests::for_runners(self.runners.len());
+        for id in self.runners.keys() {
+            let holdings = self.believed_holdings(id).into_iter().flatten();
+            digests.add(id, holdings);
+        }
+        digests
+    }
+
     /// What the coordinator said still holds.
     pub fn confirm(&mut self, now: Timestamp) {
         self.confirmed_at = now;
--- a/crates/routing/tests/dissemination.rs
+++ b/crates/routing/tests/dissemination.rs
@@ -10,7 +10,7 @@
 use flaxward_routing::dissemination::{Dissemination, Outgoing};
 use flaxward_routing::evacuation::Evacuations;
 use flaxward_routing::lease::LeasePulse;
-use flaxward_routing::messages::{Direction, KnownState, StoreState, Usage};
+use flaxward_routing::messages::{Direction, HoldingsSummary, KnownState, StoreState, Usage};
 use flaxward_routing::names::{ModelName, RunnerId, ServiceName, Zone};
 use flaxward_routing::placement::{Placement, PlacementSettings, RunnerReport};
 use flaxward_routing::quota::QuotaNews;
@@ -91,6 +91,7 @@
             return;
         }
         for holdings in direction.holdings {
+            self.table.tell(holdings.clone(), Timestamp::ZERO);
             self.holdings.insert(holdings.runner.clone(), holdings);
         }
         self.version = self.version.max(direction.holdings_version);
@@ -116,6 +117,8 @@
     members: Vec<Member>,
     now: Timestamp,
     messages: usize,
+    /// Members say what they know before they are told anything.
+    has_summaries: bool,
 }
 
 impl World {
@@ -138,6 +141,46 @@
             members,
             now,
             messages: 0,
+            has_summaries: false,
+        }
+    }
+
+    /// A coordinator and members whose lists say of each runner what it holds, each another thing.
+    fn with_lists(lists: &[Vec<Vec<usize>>]) -> Self {
+        let mut world = Self::new();
+        world.has_summaries = true;
+        let listed = |list: &Vec<Vec<usize>>| -> Vec<Runner> {
+            let runners = list.iter().enumerate();
+            runners
+                .map(|(index, models)| Runner {
+                    holdings: models
+                        .iter()
+                        .map(|&it| (model(it), BTreeSet::new()))
+                        .collect(),
+                    ..runner(index, 1, false)
+                })
+                .collect()
+        };
+        world.table = RunnerTable::default();
+        world.table.replace(listed(&lists[MEMBERS]), 1);
+        for (member, list) in world.members.iter_mut().zip(lists) {
+            member.table = RunnerTable::default();
+            member.table.replace(listed(list), 1);
+        }
+        world.placement.set_runners(world.table.iter());
+        world.placement.believe(&world.table);
+        world
+    }
+
+    fn summarize(&mut self, index: usize) {
+        let member = &self.members[index];
+        if self.has_summaries && member.version == 0 {
+            let summary = HoldingsSummary {
+                from: format!("d{index}"),
+                term: TERM,
+                digests: member.table.holdings_digests(),
+            };
+            self.dissemination.heard_summary(summary, self.now);
         }
     }
 
@@ -218,8 +261,24 @@
         }
     }
 
+    /// One step without a loss. Returns who was told something.
+    fn step_told(&mut self) -> BTreeSet<usize> {
+        let mut told = BTreeSet::new();
+        self.step_with(
+            || false,
+            |member| {
+                told.insert(member);
+            },
+        );
+        told
+    }
+
     /// One step; `is_lost` tells the fate of each message in turn.
-    fn step(&mut self, mut is_lost: impl FnMut() -> bool) {
+    fn step(&mut self, is_lost: impl FnMut() -> bool) {
+        self.step_with(is_lost, |_| {});
+    }
+
+    fn step_with(&mut self, mut is_lost: impl FnMut() -> bool, mut told: impl FnMut(usize)) {
         self.now = self.now + STEP;
         let is_usage_due = self.now.0.is_multiple_of(1_000);
         for index in 0..MEMBERS {
@@ -228,6 +287,9 @@
             if has_gap && !is_lost() {
                 self.dissemination.has_gap(&usage.from, usage.known);
             }
+            if is_usage_due && !is_lost() {
+                self.summarize(index);
+            }
             if is_usage_due && !is_lost() {
                 self.dissemination.heard(&usage.from, usage.known, self.now);
                 self.placement.usage(usage, self.now);
@@ -245,6 +307,7 @@
         } in messages
         {
             let index: usize = member[1..].parse().unwrap();
+            told(index);
             if !is_lost() {
                 self.members[index].take(direction);
             }
@@ -322,6 +385,66 @@
     }
 }
 
+/// What each of the members and the coordinator reads in its list of the runners: nearly the same everywhere.
+fn lists() -> impl Strategy<Value = Vec<Vec<Vec<usize>>>> {
+    let list = prop::collection::vec(prop::collection::vec(0_usize..8, 0..4), 40);
+    let differences = prop::collection::vec((0..=MEMBERS, 0_usize..40, 0_usize..8), 0..12);
+    (list, differences).prop_map(|(list, differences)| {
+        let mut lists = vec![list; MEMBERS + 1];
+        for (daemon, runner, model) in differences {
+            lists[daemon][runner] = vec![model];
+        }
+        lists
+    })
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 96,
+        rng_seed: RngSeed::Fixed(0x10ad_0004),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
+    #[test]
+    fn members_that_say_what_they_know_come_to_know_what_they_lack(
+        lists in lists(),
+        held in prop::collection::vec((0_usize..40, prop::collection::vec(0_usize..8, 0..4)), 0..60),
+        losses in prop::collection::vec(any::<bool>(), 97),
+    ) {
+        let mut world = World::with_lists(&lists);
+        let mut fates = losses.into_iter().cycle();
+        for (count, (runner, models)) in (1..).zip(held) {
+            world.set_holdings(runner, &models, count);
+            world.step(|| fates.next().unwrap_or(false));
+        }
+        for (index, models) in lists[MEMBERS].iter().enumerate() {
+            world.set_holdings(index, models, 100);
+        }
+        world.calm();
+        for member in &world.members {
+            for announced in world.placement.announced() {
+                let models: Vec<ModelName> = announced.holdings.into_iter().map(|it| it.0).collect();
+                let believed = member.table.believed_holdings(&announced.runner).unwrap();
+                prop_assert_eq!(believed.keys().cloned().collect::<Vec<_>>(), models);
+            }
+        }
+    }
+}
+
+/// A member that knows all but one of the runners is told that one and the few that share its digest.
+#[test]
+fn a_member_is_told_what_differs_and_little_else() {
+    let list: Vec<Vec<usize>> = (0..40).map(|index| vec![index % 8]).collect();
+    let mut lists = vec![list; MEMBERS + 1];
+    lists[1][7] = vec![3];
+    let mut world = World::with_lists(&lists);
+    world.calm();
+    let told: Vec<usize> = world.members.iter().map(|it| it.holdings.len()).collect();
+    assert!((1..=8).contains(&told[1]), "{told:?}");
+    assert_eq!(told[0] + told[2] + told[3], 0, "{told:?}");
+}
+
 #[test]
 fn without_news_members_get_heartbeats_only() {
     let mut world = World::new();
@@ -380,3 +503,35 @@
         assert_eq!(member.holdings[&id].holdings.len(), 2, "still not told");
     }
 }
+
+/// Seen on a played day of 300 daemons: news filled the coordinator's link, and members that had to wait for their
+/// share of it took the coordinator for gone.
+#[test]
+fn a_full_link_does_not_hold_up_heartbeats() {
+    let mut world = World::new();
+    world.calm();
+    // One Mbit/s, of which a part is for members: less than all of them must be told.
+    world.dissemination = Dissemination::new(TERM, 1, world.now);
+    for index in 0..400 {
+        world.set_runner(index, false);
+    }
+    world.step(|| false);
+    let mut heard: Vec<Timestamp> = vec![world.now; MEMBERS];
+    for count in 1..60 {
+        for index in 0..400 {
+            world.set_holdings(
+                index,
+                &[index, index + 1, index + usize::try_from(count).unwrap()],
+                count,
+            );
+        }
+        for member in world.step_told() {
+            heard[member] = world.now;
+        }
+        let silence = heard.iter().map(|&at| world.now.since(at)).max().unwrap();
+        assert!(
+            silence <= Duration::from_millis(600),
+            "{silence:?} without a word"
+        );
+    }
+}
--- a/crates/routing/tests/placement/cases.rs
+++ b/crates/routing/tests/placement/cases.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use flaxward_routing::names::{ServiceName, Unit};
+use flaxward_routing::names::{RunnerId, ServiceName, Unit};
 use flaxward_routing::placement::{Action, Placement, PlacementSettings, RunnerReport};
 use flaxward_types::time::Timestamp;
 
@@ -83,6 +83,44 @@
     assert_eq!(placement.announced().count(), 1_000);
 }
 
+/// Found while reading: after a zone was lost, its runners stood in the list still, and a new coordinator asked those
+/// that come first in it again and again and never read the others.
+#[test]
+fn silent_runners_do_not_keep_the_others_from_being_read() {
+    const SILENT: usize = 300;
+    const SILENCE: Duration = Duration::from_millis(500);
+    let start = Timestamp(1_000);
+    let mut placement = Placement::new(PlacementSettings::default(), start, start);
+    placement.configure(&configuration());
+    let runners = runners(2 * SILENT);
+    placement.set_runners(runners.iter());
+    let is_silent = |id: &RunnerId| runners[..SILENT].iter().any(|runner| runner.id == *id);
+    let mut unanswered: Vec<(Timestamp, RunnerId)> = Vec::new();
+    for round in 0..80 {
+        let now = start + Duration::from_millis(50) * round;
+        let (ended, waiting): (Vec<_>, Vec<_>) = unanswered.into_iter().partition(|it| it.0 <= now);
+        unanswered = waiting;
+        for (_, runner) in ended {
+            placement.reported(&runner, None, now, now);
+        }
+        for action in placement.plan(now) {
+            let Action::Report { runner, .. } = action else {
+                panic!("{action:?}");
+            };
+            if is_silent(&runner) {
+                unanswered.push((now + SILENCE, runner));
+            } else {
+                placement.reported(&runner, Some(RunnerReport::default()), now, now);
+            }
+        }
+    }
+    assert_eq!(
+        placement.announced().count(),
+        SILENT,
+        "runners whose reports were read"
+    );
+}
+
 /// Whether a unit comes within some steps.
 fn until_held(world: &mut World, unit: &Unit, steps: usize) -> bool {
     for _ in 0..steps {
