--- a/crates/ingress/src/counters.rs
+++ b/crates/ingress/src/counters.rs
@@ -3,7 +3,7 @@
 use flaxward_types::Metric;
 
 /// Metrics of this crate.
-pub const METRICS: [Metric; 29] = [
+pub const METRICS: [Metric; 30] = [
     SERVED,
     REFUSED,
     ATTEMPTS_FAILED,
@@ -33,6 +33,7 @@
     ENTRIES_UNREADABLE,
     PERMITS,
     ROOM_WAITS,
+    MESSAGE_BYTES,
 ];
 
 /// Requests whose answer, or the head of it, was passed on, by `status`, the class of the HTTP status.
@@ -180,3 +181,8 @@
     "flaxward_ingress_room_waits_total",
     "Times that a request waited because all runners that hold its model were cold and had no room.",
 );
+/// Bytes of messages sent to other daemons, by `kind`, what they are about.
+pub const MESSAGE_BYTES: Metric = Metric::counter(
+    "flaxward_ingress_message_bytes_total",
+    "Bytes of messages sent to other daemons, by `kind`, what they are about.",
+);
--- a/crates/ingress/src/peer.rs
+++ b/crates/ingress/src/peer.rs
@@ -12,7 +12,7 @@
 use socket2::SockRef;
 use tokio::net::UdpSocket;
 
-use crate::counters::{MESSAGES_FORWARDED, MESSAGES_MALFORMED, MESSAGES_NOT_SENT};
+use crate::counters::{MESSAGE_BYTES, MESSAGES_FORWARDED, MESSAGES_MALFORMED, MESSAGES_NOT_SENT};
 
 /// Longest datagram that is read, in bytes.
 const MAX_DATAGRAM_BYTES: usize = 64 * 1024;
@@ -60,6 +60,8 @@
     /// Sends a message, without waiting.
     pub(crate) fn send(&self, to: SocketAddr, message: &Message) {
         for (address, datagram) in self.hops.datagrams(to, message, self.clock.now()) {
+            let length = u64::try_from(datagram.len()).unwrap_or(u64::MAX);
+            metrics::counter!(MESSAGE_BYTES.name, "kind" => message.kind()).increment(length);
             self.send_datagram(address, &datagram);
         }
     }
--- a/crates/ingress/src/state.rs
+++ b/crates/ingress/src/state.rs
@@ -11,7 +11,7 @@
 use flaxward_routing::budget::RetryBudget;
 use flaxward_routing::cold::spells::Spells;
 use flaxward_routing::cold::{PermitDecision, PermitQuestion};
-use flaxward_routing::configuration::{Configuration, Route};
+use flaxward_routing::configuration::{Configuration, Route, Service};
 use flaxward_routing::configuration_age::ConfigurationAge;
 use flaxward_routing::evacuation::Evacuations;
 use flaxward_routing::health::{HealthTable, Observation};
@@ -62,6 +62,8 @@
     pub spells: Spells,
     /// Whom requests for cold runners ask: the coordinator.
     pub permit_keeper: Option<SocketAddr>,
+    /// Some pages of the list of runners were read.
+    pub has_first_page: bool,
     pub evacuations: Evacuations,
     pub health: HealthTable,
     pub in_flight: HashMap<RunnerId, u32>,
@@ -144,6 +146,7 @@
             runners_known: false,
             spells: Spells::default(),
             permit_keeper: None,
+            has_first_page: false,
             evacuations: Evacuations::default(),
             health: HealthTable::default(),
             in_flight: HashMap::new(),
@@ -230,12 +233,11 @@
     /// Whether new clients may come.
     pub(crate) fn is_ready(&self) -> bool {
         let tables = self.tables();
-        let knows_runners = tables.runners_known;
-        let configuration = tables.configuration.clone();
-        drop(tables);
-        let Some(configuration) = configuration else {
+        let Some(configuration) = tables.configuration.clone() else {
             return false;
         };
+        let knows_runners = tables.runners_known || tables.has_runners_of_all(&configuration);
+        drop(tables);
         // Clients with keys fare better at another daemon.
         let can_admit = configuration.tenants().is_empty()
             || self.is_configuration_within(self.settings.key_trust.known);
@@ -361,6 +363,15 @@
 }
 
 impl Tables {
+    /// Whether the pages that were read hold a runner of each service.
+    fn has_runners_of_all(&self, configuration: &Configuration) -> bool {
+        let has_runner = |service: &Arc<Service>| {
+            let mut runners = self.runners.of_service(&service.name);
+            runners.next().is_some()
+        };
+        self.has_first_page && configuration.services().all(has_runner)
+    }
+
     /// Drops what is kept about runners that are gone.
     pub(crate) fn forget_gone_runners(&mut self) {
         let runners = &self.runners;
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod events;
 pub mod fingerprint;
 pub mod health;
+pub mod holdings_digests;
 pub mod homes;
 pub mod lease;
 pub mod locality;
--- a/crates/routing/src/messages.rs
+++ b/crates/routing/src/messages.rs
@@ -11,6 +11,7 @@
 use crate::cold::{PermitAnswers, PermitQuestions};
 use crate::configuration_transfer::ConfigurationChunk;
 use crate::evacuation::Evacuations;
+use crate::holdings_digests::HoldingsDigests;
 use crate::homes::Requirement;
 use crate::lease::LeasePulse;
 use crate::membership::MembershipUpdate;
@@ -54,6 +55,8 @@
     ConfigurationWanted(ConfigurationWanted),
     /// The answer to that, in parts.
     ConfigurationChunk(ConfigurationChunk),
+    /// From a member to a coordinator that has not told it what runners hold.
+    HoldingsSummary(HoldingsSummary),
     /// From a daemon whose requests show which ones crash runners to the keepers.
     RunReports(Vec<RunReport>),
     /// From any daemon to one that holds other requests in quarantine, or from a keeper to all daemons.
@@ -77,6 +80,17 @@
     pub parts: Vec<u64>,
 }
 
+/// What a member knows of what runners hold before a coordinator has told it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct HoldingsSummary {
+    /// Name of the daemon.
+    pub from: String,
+    /// Term of the coordinator.
+    pub term: u64,
+    /// Digests of what it knows.
+    pub digests: HoldingsDigests,
+}
+
 /// What a standby tells of the store.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct StoreNews {
@@ -237,6 +251,23 @@
     pub store_limits: Option<Vec<StoreLimit>>,
 }
 
+impl Direction {
+    fn kind(&self) -> &'static str {
+        let has_changes = |update: &MembershipUpdate| !update.changes.is_empty();
+        if !self.holdings.is_empty() {
+            "direction-holdings"
+        } else if self.membership.as_ref().is_some_and(has_changes) {
+            "direction-runners"
+        } else if self.members.is_some() {
+            "direction-members"
+        } else if self.loads.as_ref().is_some_and(|loads| !loads.is_empty()) {
+            "direction-loads"
+        } else {
+            "direction-heartbeat"
+        }
+    }
+}
+
 /// How many loads from the weight store may be in flight for a service.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct StoreLimit {
@@ -278,6 +309,29 @@
 }
 
 impl Message {
+    /// What it is, for the counters. What the coordinator tells a member counts by the largest part that it can have.
+    pub fn kind(&self) -> &'static str {
+        match self {
+            Self::Usage(_) => "usage",
+            Self::Waiting(_) => "waiting",
+            Self::Direction(direction) => direction.kind(),
+            Self::LeaseEnded { .. } => "lease-ended",
+            Self::StoreNews(_) => "store-news",
+            Self::UseReport(_) => "use-report",
+            Self::QuotaNews(_) => "quota-news",
+            Self::QuotaQuestions(_) => "quota-questions",
+            Self::QuotaAnswers(_) => "quota-answers",
+            Self::ConfigurationWanted(_) => "configuration-wanted",
+            Self::ConfigurationChunk(_) => "configuration-chunk",
+            Self::HoldingsSummary(_) => "holdings-summary",
+            Self::RunReports(_) => "run-reports",
+            Self::QuarantineNews(_) => "quarantine-news",
+            Self::Forwarded(_) => "forwarded",
+            Self::PermitQuestions(_) => "permit-questions",
+            Self::PermitAnswers(_) => "permit-answers",
+        }
+    }
+
     /// Encodes it.
     ///
     /// # Panics
