What a member still lacks is looked for without a sorted list

Tests of routing that touch it were run after it: dissemination, mass_restart, placement, decisions, large_fleet; the whole workspace just before.

--- a/crates/routing/src/placement/mod.rs
+++ b/crates/routing/src/placement/mod.rs
@@ -429,7 +429,9 @@
 
     /// Whether somebody who knows a version, and what it knew before, lacks something.
     pub fn has_changed_since(&self, version: u64, known_already: &KnownAlready) -> bool {
-        version < self.version && !self.changed_since(version, known_already).is_empty()
+        let mut ledgers = self.ledgers.values();
+        let lacks = |ledger: &Ledger| ledger.version > version && !known_already.includes(ledger);
+        version < self.version && ledgers.any(lacks)
     }
 
     /// The runners whose holdings have changed since a version, the earliest change first.
