--- a/crates/flaxward/tests/soak.rs
+++ b/crates/flaxward/tests/soak.rs
@@ -14,7 +14,14 @@
 const FAILED_SEEDS: &[u64] = &[1102];
 
 /// Kinds of faults beside the standard ones under which the promises hold.
-const FURTHER_KINDS: &[FaultKind] = &[FaultKind::CutRegion, FaultKind::TenantQuota];
+const FURTHER_KINDS: &[FaultKind] = &[
+    FaultKind::CutRegion,
+    FaultKind::TenantQuota,
+    FaultKind::ColdRunner,
+    FaultKind::RebornRunner,
+    FaultKind::ForeignEntries,
+    FaultKind::HomeRoutes,
+];
 
 async fn run(name: &str, seed: u64, seconds: u64, faults: Vec<(FaultKind, u32)>) -> Report {
     let folder = Path::new(env!("CARGO_TARGET_TMPDIR")).join(name);
--- a/crates/soak/src/settings.rs
+++ b/crates/soak/src/settings.rs
@@ -5,6 +5,7 @@
 
 use crate::daemon::{Addresses, STOP_GRACE};
 use crate::regions::{REGIONS, Region};
+use crate::runner_faults::{COLD_FACTOR, COLD_SLACK};
 
 /// The text of the settings file of a daemon.
 ///
@@ -35,5 +36,9 @@
     writeln!(text, "window = \"10s\"")?;
     // Short, so that what follows the first quarantine is played too.
     writeln!(text, "[quarantine]\nfirst = \"4s\"")?;
+    writeln!(
+        text,
+        "[cold_runners]\nrate_factor = {COLD_FACTOR}\nslack = {COLD_SLACK}"
+    )?;
     Ok(text)
 }
