Soak: the first entry of a cold runner says that it is cold

Trace: the stand-in wrote a warm entry and then a cold one; the daemons read the first, sent what waited (17 requests within 0.1 s), and read the second 0.3 s later, when the runner had fallen over. A runner that starts says that it is cold with its first entry.

--- a/crates/soak/src/fleet.rs
+++ b/crates/soak/src/fleet.rs
@@ -152,11 +152,11 @@
         };
         for number in 0..ENGINES {
             let region = Region::of(number, has_regions);
-            fleet.add_warm_runner(ENGINE_SERVICE, region.zone).await?;
+            fleet.put_runner(ENGINE_SERVICE, region.zone, false).await?;
         }
         for number in 0..PLAIN_RUNNERS {
             let region = Region::of(number, has_regions);
-            fleet.add_warm_runner(PLAIN_SERVICE, region.zone).await?;
+            fleet.put_runner(PLAIN_SERVICE, region.zone, false).await?;
         }
         fleet.publish();
         for daemon in &fleet.daemons {
@@ -175,15 +175,11 @@
 
     /// Starts a runner of a service and puts it on the list. It is cold at first, if runners are ever cold here.
     pub async fn add_runner(&self, service: &str, zone: &str) -> std::io::Result<()> {
-        let id = self.add_warm_runner(service, zone).await?;
-        if self.has_cold {
-            self.turn_cold(&id, COLD_AFTER_START);
-        }
-        Ok(())
+        self.put_runner(service, zone, self.has_cold).await
     }
 
-    /// Starts a runner of a service and puts it on the list. Returns its identity.
-    async fn add_warm_runner(&self, service: &str, zone: &str) -> std::io::Result<String> {
+    /// Starts a runner of a service and puts it on the list. Its first entry already says whether it is cold.
+    async fn put_runner(&self, service: &str, zone: &str, is_cold: bool) -> std::io::Result<()> {
         let number = self.runner_count.fetch_add(1, Ordering::Relaxed);
         let id = format!("runner-{number}");
         let has_engine = service == ENGINE_SERVICE;
@@ -194,6 +190,9 @@
         };
         let held = if has_engine { MODELS_HELD } else { 0 };
         let runner = RunnerStandIn::start(&id, SLOTS, &models, held, LOAD_TIME).await?;
+        if is_cold {
+            runner.turn_cold(cold_bound(), COLD_AFTER_START);
+        }
         let proxy = Proxy::start(runner.address()).await?;
         let state = RunnerState {
             service: service.to_owned(),
@@ -202,7 +201,7 @@
             slots: SLOTS,
             draining: false,
             models,
-            cold_left: Duration::ZERO,
+            cold_left: runner.cold_left(),
             born: runner.born(),
         };
         self.store.set_runner(&id, &state);
@@ -216,7 +215,7 @@
             proxy,
             state,
         });
-        Ok(id)
+        Ok(())
     }
 
     /// Starts a runner again that has ended: under its identity and at its address, with nothing loaded.
@@ -235,6 +234,9 @@
         // It may have been taken away meanwhile.
         let Some(held) = held else { return Ok(()) };
         let runner = RunnerStandIn::start(id, SLOTS, &[], held, LOAD_TIME).await?;
+        if self.has_cold {
+            runner.turn_cold(cold_bound(), COLD_AFTER_START);
+        }
         let runner = Arc::new(runner);
         for place in locked(&self.places).iter_mut() {
             if place.runner.id() != id {
@@ -251,9 +253,6 @@
             place.proxy.set_mode(Mode::Pass);
         }
         self.renew_entry(id);
-        if self.has_cold {
-            self.turn_cold(id, COLD_AFTER_START);
-        }
         Ok(())
     }
 
