Cold runners: a shorter spell after one that is over is told to members

Trace: the entry of runner-7 told of a spell of 3 s; 7 s later it told of one of 2.2 s. The coordinator took that for a new spell by its clock, but its table, which knows no time, for the rest of the first, and told nobody: the three other daemons sent on until the runner fell, 0.7 s later. The spells tell the table now which entries are news, before members may be told of the revision. A test in membership.rs fails without it.

--- a/crates/ingress/src/spells.rs
+++ b/crates/ingress/src/spells.rs
@@ -17,11 +17,7 @@
     let Tables {
         runners, spells, ..
     } = &mut *guard;
-    spells.retain(|id| runners.get(id).is_some());
-    let turns: Vec<Turn> = runners
-        .iter()
-        .filter_map(|runner| spells.take_in(runner, now))
-        .collect();
+    let turns = spells.take_in_all(runners, now);
     drop(guard);
     log_turns(shared, &turns, "entry");
 }
--- a/crates/ingress/src/watches/runners.rs
+++ b/crates/ingress/src/watches/runners.rs
@@ -243,6 +243,8 @@
         }
     }
     shared.note_unreadable(ObjectKind::Runner, &unreadable);
+    // Members may be told of all up to this revision from now on, so spells must be noted before.
+    take_in_spells(shared);
     let mut tables = shared.tables();
     tables.runners.set_revision(revision);
     tables.forget_gone_runners();
--- a/crates/routing/src/cold/spells.rs
+++ b/crates/routing/src/cold/spells.rs
@@ -9,7 +9,7 @@
 use flaxward_types::time::Timestamp;
 
 use crate::names::RunnerId;
-use crate::runners::Runner;
+use crate::runners::{Runner, RunnerTable};
 
 /// By how much the end of a spell may move with a new entry of the same spell: the entry tells a time that passes, and
 /// comes late by the store, a watch and a message.
@@ -50,6 +50,21 @@
 }
 
 impl Spells {
+    /// Takes in the entries of all runners. Members must hear of each spell that has begun, also of one that is shorter
+    /// than what is left by the entry of the spell before: the table, which knows no time, cannot tell them apart.
+    pub fn take_in_all(&mut self, runners: &mut RunnerTable, now: Timestamp) -> Vec<Turn> {
+        self.spells
+            .retain(|runner, _| runners.get(runner).is_some());
+        let turns: Vec<Turn> = runners
+            .iter()
+            .filter_map(|runner| self.take_in(runner, now))
+            .collect();
+        for turn in &turns {
+            runners.note_cold(&turn.runner);
+        }
+        turns
+    }
+
     /// Takes in the entry of a runner. Returns the runner's turn if a spell has begun with it.
     pub fn take_in(&mut self, runner: &Runner, now: Timestamp) -> Option<Turn> {
         let known = self.spells.get_mut(&runner.id);
@@ -133,11 +148,6 @@
             })
             .collect()
     }
-
-    /// Forgets the runners that are gone.
-    pub fn retain(&mut self, mut is_kept: impl FnMut(&RunnerId) -> bool) {
-        self.spells.retain(|runner, _| is_kept(runner));
-    }
 }
 
 fn turned_cold(runner: &Runner, cold_for: Duration) -> Turn {
--- a/crates/routing/src/runners.rs
+++ b/crates/routing/src/runners.rs
@@ -185,6 +185,14 @@
         self.absent.retain(|(id, _), _| !is_over(id));
     }
 
+    /// Notes that a runner has turned cold with its present entry: daemons that know an earlier one must hear of it.
+    pub fn note_cold(&mut self, id: &RunnerId) {
+        let runner = self.get(id).map(|it| (it.id.name().clone(), it.revision));
+        if let Some((name, revision)) = runner.filter(|(_, revision)| *revision > 0) {
+            self.membership.note(&name, revision, false);
+        }
+    }
+
     /// All changes up to this revision of the store are taken in.
     pub fn set_revision(&mut self, revision: u64) {
         self.membership.complete(revision);
--- a/crates/routing/tests/membership.rs
+++ b/crates/routing/tests/membership.rs
@@ -5,9 +5,11 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use flaxward_routing::cold::spells::Spells;
 use flaxward_routing::membership::{MembershipUpdate, UpdateScope};
 use flaxward_routing::names::{RunnerId, RunnerStart, ServiceName, Zone};
 use flaxward_routing::runners::{Holdings, Runner, RunnerTable};
+use flaxward_types::time::Timestamp;
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
 
@@ -386,3 +388,24 @@
     assert_eq!(entry(3_000), vec![id(0)]);
     assert_eq!(member.get(&id(0)).unwrap().revision, 5);
 }
+
+/// A soak showed it: the entry that told of a spell stood unchanged until the next one told of a shorter spell, which
+/// looked like the rest of the first. The coordinator knew better by its clock, and members were not told.
+#[test]
+fn a_shorter_cold_spell_after_one_that_is_over_is_told() {
+    let mut coordinator = RunnerTable::default();
+    coordinator.replace(vec![runner(0, 1, false)], 1);
+    let mut member = RunnerTable::default();
+    member.replace(vec![runner(0, 1, false)], 1);
+    let mut spells = Spells::default();
+    let mut entry = |revision: u64, cold_ms: u64, now: u64| {
+        coordinator.insert(cold_runner(revision, cold_ms), revision);
+        let turns = spells.take_in_all(&mut coordinator, Timestamp(now));
+        coordinator.set_revision(revision);
+        (turns.len(), bring_up_to_date(&mut member, &coordinator))
+    };
+    assert_eq!(entry(2, 3_000, 1_000), (1, vec![id(0)]));
+    assert_eq!(entry(3, 1_000, 3_000), (0, vec![]), "the rest of the spell");
+    assert_eq!(entry(4, 900, 9_000), (1, vec![id(0)]));
+    assert_eq!(member.get(&id(0)).unwrap().revision, 4);
+}
