--- a/crates/ingress/src/coordination/crashes.rs
+++ b/crates/ingress/src/coordination/crashes.rs
@@ -73,11 +73,4 @@
             self.peers.send(news.from, &Message::QuarantineNews(answer));
         }
     }
-
-    fn send_to_others(&self, addresses: &[SocketAddr], message: &Message) {
-        let others = addresses.iter().filter(|&&address| address != self.address);
-        for address in others {
-            self.peers.send(*address, message);
-        }
-    }
 }
--- a/crates/ingress/src/coordination/mod.rs
+++ b/crates/ingress/src/coordination/mod.rs
@@ -294,10 +294,14 @@
             return;
         }
         self.quotas.note_told(&self.shared, &news, now);
-        let message = Message::QuotaNews(news);
+        self.send_to_others(&addresses, &Message::QuotaNews(news));
+    }
+
+    /// Sends a message to all of some daemons but this one.
+    fn send_to_others(&self, addresses: &[SocketAddr], message: &Message) {
         let others = addresses.iter().filter(|&&address| address != self.address);
         for address in others {
-            self.peers.send(*address, &message);
+            self.peers.send(*address, message);
         }
     }
 
@@ -320,10 +324,7 @@
         let news = self.informing.due(&self.shared, self.address, now);
         for news in news {
             let message = Message::StoreNews(news);
-            let members = self.following.members().iter();
-            for address in members.filter(|&&address| address != self.address) {
-                self.peers.send(*address, &message);
-            }
+            self.send_to_others(self.following.members(), &message);
         }
     }
 
