--- a/crates/soak/src/runner_faults.rs
+++ b/crates/soak/src/runner_faults.rs
@@ -2,10 +2,9 @@
 
 use std::time::Duration;
 
-use flaxward_platform_stand_in::{ColdBound, RunnerStandIn};
+use flaxward_platform_stand_in::{ColdBound, FOREIGN_ENTRY_KINDS, RunnerStandIn, foreign_entries};
 use rand::{Rng, RngExt};
 use rand_chacha::ChaCha8Rng;
-use serde_json::{Value, json};
 use tokio::time::sleep;
 
 use crate::disturbances::Target;
@@ -13,7 +12,6 @@
 use crate::fleet::{Fleet, locked};
 use crate::proxy::Mode;
 use crate::regions::{REGIONS, Region};
-use crate::setup::MODELS;
 
 /// Requests a second that a cold runner bears.
 pub const COLD_PER_SECOND: u32 = 2;
@@ -73,44 +71,6 @@
     fleet.disturbances.end(&ongoing);
 }
 
-/// Entries that name no runner, by what is wrong with them. `address` is one that answers.
-fn foreign_entries(address: &str, service: &str) -> Vec<(&'static str, Value)> {
-    let good = json!({
-        "service": service, "address": address, "zone": REGIONS[0].zone, "version": "v1", "slots": 16,
-        "state": "ready", "cold_left_ms": 0, "born": 1, "call_seq": 0,
-        "models": [{"name": MODELS[0], "version": 1, "adapters": []}],
-    });
-    let with = |field: &str, value: Value| {
-        let mut entry = good.clone();
-        entry[field] = value;
-        entry
-    };
-    let without = |field: &str| {
-        let mut entry = good.clone();
-        if let Some(fields) = entry.as_object_mut() {
-            fields.remove(field);
-        }
-        entry
-    };
-    vec![
-        ("text", json!("nothing to see")),
-        ("list", json!([1, 2])),
-        ("null", Value::Null),
-        ("empty", json!({})),
-        ("no-service", without("service")),
-        ("no-address", without("address")),
-        ("no-zone", without("zone")),
-        ("no-state", without("state")),
-        ("unknown-service", with("service", json!("elsewhere"))),
-        ("unknown-state", with("state", json!("resting"))),
-        ("address-number", with("address", json!(8_080))),
-        ("address-text", with("address", json!("nowhere"))),
-        ("slots-text", with("slots", json!("many"))),
-        ("models-text", with("models", json!("all"))),
-        ("cold-text", with("cold_left_ms", json!("a while"))),
-    ]
-}
-
 /// An entry that names no runner, and what listens at its address.
 struct ForeignEntry {
     kind: &'static str,
@@ -146,7 +106,7 @@
     // One that can't be read at all may hide what another one does.
     let share = if random.random_bool(0.5) { 0.1 } else { 0.6 };
     let mut written = Vec::new();
-    for number in 0..foreign_entries("", "").len() {
+    for number in 0..FOREIGN_ENTRY_KINDS {
         if !random.random_bool(share) {
             continue;
         }
