What runners say of themselves in their answers is read and logged

Callers saw nothing; on call nobody could tell from logs whether a daemon had been told of a rate, a leave or a rest. The adapter now reads the three words once into RunnerNotice, a daemon logs each change of them (runner-notice) and counts them.

--- a/crates/ingress/src/counters.rs
+++ b/crates/ingress/src/counters.rs
@@ -3,7 +3,7 @@
 use flaxward_types::Metric;
 
 /// Metrics of this crate.
-pub const METRICS: [Metric; 32] = [
+pub const METRICS: [Metric; 33] = [
     SERVED,
     REFUSED,
     ATTEMPTS_FAILED,
@@ -36,6 +36,7 @@
     PERMITS,
     ROOM_WAITS,
     MESSAGE_BYTES,
+    RUNNER_NOTICES,
 ];
 
 /// Requests whose answer, or the head of it, was passed on, by `status`, the class of the HTTP status.
@@ -198,3 +199,8 @@
     "flaxward_ingress_message_bytes_total",
     "Bytes of messages sent to other daemons, by `kind`, what they are about.",
 );
+/// Times that an answer has told something new of its runner: that it leaves, rests, or takes a rate.
+pub const RUNNER_NOTICES: Metric = Metric::counter(
+    "flaxward_ingress_runner_notices_total",
+    "Times that an answer has told something new of its runner: that it leaves, rests, or takes a rate.",
+);
--- a/crates/ingress/src/exchange.rs
+++ b/crates/ingress/src/exchange.rs
@@ -174,6 +174,10 @@
     let kind = shared
         .surface
         .judge(&request.profile.id, head.status, &head.headers);
+    if matches!(kind, HeadKind::Answer | HeadKind::NotRun) {
+        let notice = shared.surface.notice(head.status, &head.headers);
+        shared.heard_notice(&runner.id, notice);
+    }
     match kind {
         HeadKind::Answer if !is_encoded => {}
         HeadKind::NotRun => return Err(FailedAttempt::new(Failure::NotRun, None)),
--- a/crates/ingress/src/lib.rs
+++ b/crates/ingress/src/lib.rs
@@ -19,6 +19,7 @@
 mod handler;
 mod job;
 mod keeper_client;
+mod notices;
 pub mod outside;
 mod peer;
 mod permits;
--- a/crates/ingress/src/outside.rs
+++ b/crates/ingress/src/outside.rs
@@ -8,6 +8,7 @@
 use flaxward_routing::configuration::Configuration;
 use flaxward_routing::lease::{LeaseRecord, StoredLease, UnreadableLease};
 use flaxward_routing::names::{RunnerId, RunnerName, TenantName, Zone};
+use flaxward_routing::notices::RunnerNotice;
 use flaxward_routing::placement::{Order, OrderAnswer, RunnerReport};
 use flaxward_routing::request::RequestProfile;
 use flaxward_routing::revision::{StoreEra, StoreRevision};
@@ -80,6 +81,10 @@
     /// Tells what the head of an answer to the request with this identity says.
     fn judge(&self, id: &str, status: StatusCode, headers: &HeaderMap) -> HeadKind;
 
+    /// Tells what the head of an answer says of the runner that gave it, besides the answer. What cannot be read counts as
+    /// not said.
+    fn notice(&self, status: StatusCode, headers: &HeaderMap) -> RunnerNotice;
+
     /// The version of the weights that an answer was made with.
     fn weights_version(&self, headers: &HeaderMap) -> Option<u64>;
 }
--- a/crates/ingress/src/state.rs
+++ b/crates/ingress/src/state.rs
@@ -19,6 +19,7 @@
 use flaxward_routing::locality::Locality;
 use flaxward_routing::messages::UnitOutlook;
 use flaxward_routing::names::{RunnerId, ServiceName, Unit};
+use flaxward_routing::notices::Notices;
 use flaxward_routing::quarantine::{Quarantine, RunReport};
 use flaxward_routing::quota::meter::QuotaMeter;
 use flaxward_routing::quota::{Grant, QuotaQuestion};
@@ -71,6 +72,8 @@
     /// When it was last seen to have risen.
     pub restored_at: Option<Timestamp>,
     pub health: HealthTable,
+    /// What runners have said of themselves in their answers.
+    pub notices: Notices,
     pub in_flight: HashMap<RunnerId, u32>,
     /// Requests of all daemons at runners that are filling up.
     pub loads: HashMap<RunnerId, u32>,
@@ -156,6 +159,7 @@
             store_era: None,
             restored_at: None,
             health: HealthTable::default(),
+            notices: Notices::default(),
             in_flight: HashMap::new(),
             loads: HashMap::new(),
             running: Running::default(),
--- a/crates/ingress/tests/ingress/support.rs
+++ b/crates/ingress/tests/ingress/support.rs
@@ -24,6 +24,7 @@
 use flaxward_routing::names::{
     ModelName, RouteName, RunnerId, RunnerStart, ServiceName, TenantName, Zone,
 };
+use flaxward_routing::notices::{RequestRate, RunnerNotice};
 use flaxward_routing::placement::{OrderAnswer, PlacementSettings, RunnerReport};
 use flaxward_routing::quarantine::QuarantineSettings;
 use flaxward_routing::request::RequestProfile;
@@ -42,7 +43,7 @@
 pub const RARE_MODEL: &str = "rare";
 pub const OTHER_RARE_MODEL: &str = "other";
 
-/// Headers of the tests: `x-id`, `x-deadline`, `x-model`, `x-stamp`, `x-not-run`.
+/// Headers of the tests: `x-id`, `x-deadline`, `x-model`, `x-stamp`, `x-not-run`, `x-leaves`, `x-rate-limit`, `x-rest`.
 struct TestSurface;
 
 fn text<'a>(headers: &'a HeaderMap, name: &str) -> Option<&'a str> {
@@ -99,6 +100,15 @@
         }
     }
 
+    fn notice(&self, _status: StatusCode, headers: &HeaderMap) -> RunnerNotice {
+        let number = |name| text(headers, name).map(|value| value.parse::<f64>().unwrap());
+        RunnerNotice {
+            leaves: headers.contains_key("x-leaves"),
+            rate_limit: number("x-rate-limit").and_then(RequestRate::per_second),
+            rest: number("x-rest").map(Duration::from_secs_f64),
+        }
+    }
+
     fn weights_version(&self, _headers: &HeaderMap) -> Option<u64> {
         None
     }
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -31,6 +31,7 @@
 pub mod messages;
 pub mod names;
 pub mod next_hop;
+pub mod notices;
 pub mod pacing;
 pub mod placement;
 pub mod quarantine;
