--- a/crates/ingress/tests/ingress/main.rs
+++ b/crates/ingress/tests/ingress/main.rs
@@ -7,6 +7,7 @@
 mod crashing_runner;
 mod failures;
 mod homes;
+mod limited_runners;
 mod lives;
 mod requests;
 mod restored_store;
--- a/crates/ingress/tests/ingress/runner.rs
+++ b/crates/ingress/tests/ingress/runner.rs
@@ -58,6 +58,8 @@
     script: VecDeque<Behaviour>,
     received: Vec<Received>,
     closed: u32,
+    /// Header lines of all its answers, each with its end.
+    notice: String,
 }
 
 /// A scripted runner.
@@ -96,6 +98,11 @@
         self.state.lock().unwrap().received.clone()
     }
 
+    /// Sets header lines that all its answers have from now on, each with its end.
+    pub fn set_notice(&self, lines: &str) {
+        lines.clone_into(&mut self.state.lock().unwrap().notice);
+    }
+
     /// Connections that have ended.
     pub fn closed(&self) -> u32 {
         self.state.lock().unwrap().closed
@@ -104,12 +111,15 @@
     async fn serve(&self, mut stream: TcpStream) {
         while let Some(request) = read_request(&mut stream).await {
             let id = request.header("x-id").unwrap_or_default().to_owned();
-            let behaviour = {
+            let (behaviour, notice) = {
                 let mut state = self.state.lock().unwrap();
                 state.received.push(request);
                 let next = state.script.pop_front();
-                next.unwrap_or(Behaviour::Answer(200, "done"))
+                let behaviour = next.unwrap_or(Behaviour::Answer(200, "done"));
+                (behaviour, state.notice.clone())
             };
+            // The lines stand right behind the identity, in whatever head has one.
+            let id = format!("{id}\r\n{notice}").trim_end().to_owned();
             if !perform(&mut stream, &id, behaviour).await {
                 return;
             }
--- a/crates/ingress/tests/ingress/support.rs
+++ b/crates/ingress/tests/ingress/support.rs
@@ -2,9 +2,9 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use async_trait::async_trait;
 use flaxward_clock::SystemTime;
@@ -134,6 +134,8 @@
     loaded: Mutex<Vec<ModelName>>,
     orders: AtomicU64,
     start: Mutex<Option<RunnerStart>>,
+    is_busy: AtomicBool,
+    calls: Mutex<Vec<Instant>>,
     /// The order counts that orders expected.
     pub expected: Mutex<Vec<u64>>,
 }
@@ -144,6 +146,20 @@
         self.orders.load(Ordering::Relaxed)
     }
 
+    /// Sets whether reports show an order under way that nobody here has given.
+    pub fn set_busy(&self, is_busy: bool) {
+        self.is_busy.store(is_busy, Ordering::Relaxed);
+    }
+
+    /// When it was called: reports and orders.
+    pub fn calls(&self) -> Vec<Instant> {
+        self.calls.lock().unwrap().clone()
+    }
+
+    fn note_call(&self) {
+        self.calls.lock().unwrap().push(Instant::now());
+    }
+
     /// The runners start again: they have loaded nothing and count their orders from the beginning.
     pub fn restart(&self, start: RunnerStart) {
         *self.start.lock().unwrap() = Some(start);
@@ -155,17 +171,20 @@
 #[async_trait]
 impl RunnerControl for ObedientControl {
     async fn report(&self, _address: SocketAddr) -> Option<RunnerReport> {
+        self.note_call();
         let loaded = self.loaded.lock().unwrap().clone();
         let models = loaded.into_iter().chain([ModelName::new(MODEL)]);
         Some(RunnerReport {
             start: *self.start.lock().unwrap(),
             holdings: models.map(|model| (model, BTreeSet::new())).collect(),
             order_count: self.orders.load(Ordering::Relaxed),
+            is_busy: self.is_busy.load(Ordering::Relaxed),
             ..RunnerReport::default()
         })
     }
 
     async fn order(&self, _address: SocketAddr, order: &FencedOrder<'_>) -> OrderAnswer {
+        self.note_call();
         self.expected.lock().unwrap().push(order.expected_count);
         self.orders.fetch_add(1, Ordering::Relaxed);
         let model = order.order.unit.model.clone();
