Permits are a module of their own, apart from what makes a runner cold

They are to keep a second bound besides the one on cold runners. The keeper's sliding window becomes Account; messages, bytes and decisions as they were (cold_runners and wire pass unchanged).

--- a/crates/ingress/src/coordination/leading.rs
+++ b/crates/ingress/src/coordination/leading.rs
@@ -3,10 +3,10 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use flaxward_routing::cold::keeper::PermitKeeper;
 use flaxward_routing::dissemination::{Dissemination, Outgoing};
 use flaxward_routing::lease::LeasePulse;
 use flaxward_routing::messages::{Direction, HoldingsSummary, Usage, WaitNotice};
+use flaxward_routing::permits::keeper::PermitKeeper;
 use flaxward_routing::placement::{Action, Placement};
 use flaxward_routing::quota::QuotaNews;
 use flaxward_routing::runners::Runner;
--- a/crates/ingress/src/coordination/permits.rs
+++ b/crates/ingress/src/coordination/permits.rs
@@ -2,11 +2,11 @@
 
 use std::net::SocketAddr;
 
-use flaxward_routing::cold::keeper::PermitKeeper;
-use flaxward_routing::cold::{
+use flaxward_routing::messages::Message;
+use flaxward_routing::permits::keeper::PermitKeeper;
+use flaxward_routing::permits::{
     PermitAnswer, PermitAnswers, PermitDecision, PermitQuestion, PermitQuestions,
 };
-use flaxward_routing::messages::Message;
 use flaxward_types::time::Timestamp;
 
 use super::Coordination;
--- a/crates/ingress/src/permits.rs
+++ b/crates/ingress/src/permits.rs
@@ -4,8 +4,9 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
-use flaxward_routing::cold::{ColdBound, PERMIT_LIFE, PermitDecision, PermitQuestion};
+use flaxward_routing::cold::ColdBound;
 use flaxward_routing::names::{RunnerId, ServiceName};
+use flaxward_routing::permits::{PERMIT_LIFE, PermitDecision, PermitQuestion};
 use flaxward_routing::runners::Runner;
 use flaxward_types::time::Timestamp;
 use tokio::time::{Instant, sleep_until, timeout};
--- a/crates/routing/src/cold/mod.rs
+++ b/crates/routing/src/cold/mod.rs
@@ -5,7 +5,7 @@
 //! them ([`ColdRunnerSettings`]). A preference for others cannot bound that sum: a daemon sees its own requests only.
 //!
 //! So nothing is sent to a runner that a daemon believes to be cold ([`spells`]) without a permit of the keeper, which is
-//! the coordinator while its lease holds ([`keeper`]). The lease makes it the only one at any time, so that it may give
+//! the coordinator while its lease holds ([`crate::permits`]). The lease makes it the only one at any time, so that it may give
 //! all of the bound. A permit is for one request at one runner, and ends [`PERMIT_LIFE`] after it was asked for, by the
 //! asking daemon's clock, which counts suspension: a daemon that was frozen between the answer and its send finds that
 //! the permit has ended.
@@ -16,23 +16,18 @@
 //! have heard that a spell has begun; until [`WORD_TIME`] and a window later the keeper also leaves them
 //! what it could give above the rate itself.
 
-pub mod keeper;
 pub mod spells;
 
-use std::net::SocketAddr;
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
 
-use crate::names::RunnerId;
+use crate::permits::PERMIT_LIFE;
 
-/// Time from the question until a permit ends. A question and its answer take some 10 ms in a region and up to 80 ms at
-/// a busy coordinator, a new connection to a runner some 5 ms; a longer life lengthens [`WINDOW`].
-pub const PERMIT_LIFE: Duration = Duration::from_millis(200);
 /// The time over which operators bound what a cold runner gets.
 const SECOND: Duration = Duration::from_secs(1);
 /// Time over which the keeper counts permits: two of them given further apart are never used in the same second.
-pub const WINDOW: Duration = Duration::from_millis(1_200);
+pub const WINDOW: Duration = SECOND.saturating_add(PERMIT_LIFE);
 /// Time in which all daemons hear of a spell: one for the watch of the coordinator, its next plan and a message.
 pub const WORD_TIME: Duration = Duration::from_millis(700);
 
@@ -76,13 +71,13 @@
     }
 
     /// Permits in any [`WINDOW`] at most; one at least, so that no runner is shut out.
-    fn permits(&self) -> usize {
+    pub(crate) fn permits(&self) -> usize {
         whole(self.rate * self.settings.rate_factor).max(1)
     }
 
     /// Permits in a [`WINDOW`] above those with which the rate itself is kept up. Messages that travel for different
     /// times may bring one question more into a window than requests came in it.
-    fn spare(&self) -> usize {
+    pub(crate) fn spare(&self) -> usize {
         let rate = whole((self.rate * WINDOW.as_secs_f64() / SECOND.as_secs_f64()).ceil());
         self.permits().saturating_sub(rate + 1)
     }
@@ -92,51 +87,3 @@
 fn whole(number: f64) -> usize {
     number.max(0.0) as usize
 }
-
-/// From a daemon to the keeper: for which requests it wants permits.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct PermitQuestions {
-    /// Where the answers go.
-    pub from: SocketAddr,
-    /// The requests.
-    pub requests: Vec<PermitQuestion>,
-}
-
-/// Whether one request may be sent to a cold runner.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct PermitQuestion {
-    /// The asking daemon's number of the request.
-    pub number: u64,
-    /// The runner.
-    pub runner: RunnerId,
-    /// Rank of the request; 0 is the most urgent.
-    pub rank: u8,
-}
-
-/// From the keeper: its answers.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct PermitAnswers {
-    /// The answers.
-    pub answers: Vec<PermitAnswer>,
-}
-
-/// The keeper's answer for one request.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct PermitAnswer {
-    /// The asking daemon's number of the request.
-    pub number: u64,
-    /// What it decided.
-    pub decision: PermitDecision,
-}
-
-/// A keeper's decision.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub enum PermitDecision {
-    /// The request may be sent, within [`PERMIT_LIFE`] of the question.
-    Given,
-    /// It may not.
-    Refused {
-        /// Time until it may, if those refused before it are sent first, in ms.
-        room_in_ms: u32,
-    },
-}
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -33,6 +33,7 @@
 pub mod next_hop;
 pub mod notices;
 pub mod pacing;
+pub mod permits;
 pub mod placement;
 pub mod quarantine;
 pub mod quota;
--- a/crates/routing/src/messages.rs
+++ b/crates/routing/src/messages.rs
@@ -7,7 +7,6 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::cold::{PermitAnswers, PermitQuestions};
 use crate::configuration_transfer::ConfigurationChunk;
 use crate::evacuation::Evacuations;
 use crate::holdings_digests::HoldingsDigests;
@@ -16,6 +15,7 @@
 use crate::membership::MembershipUpdate;
 use crate::names::{RunnerId, ServiceName, Unit, Zone};
 use crate::next_hop::Forwarded;
+use crate::permits::{PermitAnswers, PermitQuestions};
 use crate::quarantine::RunReport;
 use crate::quarantine::exchange::QuarantineNews;
 use crate::quota::{QuotaAnswers, QuotaNews, QuotaQuestions, UseReport};
--- a/crates/routing/src/cold/keeper.rs
+++ b/crates/routing/src/permits/keeper.rs
@@ -1,11 +1,13 @@
 //! The keeper's side: gives permits for requests to cold runners.
 
-use std::collections::{HashMap, VecDeque};
+use std::collections::HashMap;
 use std::time::Duration;
 
 use flaxward_types::time::{Timestamp, millis};
 
-use super::{ColdBound, PermitDecision, WINDOW, WORD_TIME};
+use super::PermitDecision;
+use super::account::Account;
+use crate::cold::{ColdBound, WINDOW, WORD_TIME};
 use crate::names::RunnerId;
 
 /// Ranks that are told apart; less urgent ones count as the last.
@@ -15,27 +17,23 @@
 /// Time between two looks for runners that nobody asks for any more.
 const SWEEP_INTERVAL: Duration = Duration::from_secs(5);
 
-/// Permits for one runner.
+/// Permits for one cold runner.
 #[derive(Debug)]
-struct Account {
-    /// When the spell began that the permits below are for.
+struct ColdAccount {
+    /// When the spell began that the permits are for.
     spell_begun_at: Timestamp,
     /// Until when what lies above the rate is left to requests that are sent without a permit.
     unannounced_until: Timestamp,
-    /// When permits were given, within [`WINDOW`].
-    given: VecDeque<Timestamp>,
-    /// When refused requests were told to come back, and their ranks.
-    promised: Vec<(Timestamp, u8)>,
+    permits: Account,
 }
 
-impl Account {
+impl ColdAccount {
     /// No permits for a spell that begins now, as far as is known.
     fn new(now: Timestamp) -> Self {
         Self {
             spell_begun_at: now,
             unannounced_until: now + WORD_TIME + WINDOW,
-            given: VecDeque::new(),
-            promised: Vec::new(),
+            permits: Account::new(WINDOW),
         }
     }
 
@@ -48,26 +46,13 @@
         self.unannounced_until = begun_at + WORD_TIME + WINDOW;
     }
 
-    /// Forgets what lies further back than the window.
-    fn advance(&mut self, now: Timestamp) {
-        while self
-            .given
-            .front()
-            .is_some_and(|&at| now.since(at) >= WINDOW)
-        {
-            self.given.pop_front();
-        }
-        self.promised.retain(|&(at, _)| at > now);
-    }
-
     fn ask(&mut self, bound: &ColdBound, rank: u8, now: Timestamp) -> PermitDecision {
         let allowed = self.allowed(bound, rank, now);
-        if self.given.len() < allowed {
-            self.given.push_back(now);
+        if self.permits.has_room(allowed) {
+            self.permits.give(now);
             return PermitDecision::Given;
         }
-        let room_at = self.room_at(bound, allowed, rank);
-        self.promised.push((room_at, rank));
+        let room_at = self.permits.refuse(allowed, bound.permits(), rank);
         refused(room_at.since(now))
     }
 
@@ -79,24 +64,15 @@
         let kept = if now < self.unannounced_until {
             spare
         } else {
-            spare * usize::from(rank.min(RANKS - 1)) / usize::from(RANKS - 1)
+            kept_from(rank, spare)
         };
         bound.permits() - kept
     }
+}
 
-    /// When there is room for a request, if those that were refused before it and are as urgent come first.
-    fn room_at(&self, bound: &ColdBound, allowed: usize, rank: u8) -> Timestamp {
-        let before = self.promised.iter();
-        let before = before.filter(|(_, other)| *other <= rank).count();
-        let place = self.given.len() - allowed + before;
-        if let Some(&given_at) = self.given.get(place) {
-            return given_at + WINDOW;
-        }
-        let last = self.given.back().copied().unwrap_or(Timestamp::ZERO);
-        let beyond = u32::try_from(place - self.given.len() + 1).unwrap_or(u32::MAX);
-        let permits = u32::try_from(bound.permits()).unwrap_or(u32::MAX);
-        last + WINDOW + (WINDOW / permits).saturating_mul(beyond)
-    }
+/// How many of some spare permits are kept from a rank, for more urgent ones.
+fn kept_from(rank: u8, spare: usize) -> usize {
+    spare * usize::from(rank.min(RANKS - 1)) / usize::from(RANKS - 1)
 }
 
 fn refused(room_in: Duration) -> PermitDecision {
@@ -108,7 +84,7 @@
 #[derive(Debug)]
 pub struct PermitKeeper {
     begun_at: Timestamp,
-    accounts: HashMap<RunnerId, Account>,
+    cold: HashMap<RunnerId, ColdAccount>,
     swept_at: Timestamp,
 }
 
@@ -117,7 +93,7 @@
     pub fn new(now: Timestamp) -> Self {
         Self {
             begun_at: now,
-            accounts: HashMap::new(),
+            cold: HashMap::new(),
             swept_at: now,
         }
     }
@@ -137,11 +113,11 @@
             return refused(WINDOW.saturating_sub(age));
         }
         self.sweep(now);
-        let account = self.accounts.entry(runner.clone());
-        let account = account.or_insert_with(|| Account::new(now));
+        let account = self.cold.entry(runner.clone());
+        let account = account.or_insert_with(|| ColdAccount::new(now));
         let begun_at = spell_begun_at.unwrap_or(account.spell_begun_at);
         account.begin_spell(begun_at);
-        account.advance(now);
+        account.permits.advance(now);
         account.ask(bound, rank, now)
     }
 
@@ -155,9 +131,9 @@
             return;
         }
         self.swept_at = now;
-        self.accounts.retain(|_, account| {
-            account.advance(now);
-            !account.given.is_empty()
+        self.cold.retain(|_, account| {
+            account.permits.advance(now);
+            !account.permits.is_empty()
         });
     }
 }
--- a/crates/routing/tests/cold_runners.rs
+++ b/crates/routing/tests/cold_runners.rs
@@ -7,12 +7,11 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use flaxward_routing::cold::keeper::PermitKeeper;
 use flaxward_routing::cold::spells::Spells;
-use flaxward_routing::cold::{
-    ColdBound, ColdRunnerSettings, ColdStart, PERMIT_LIFE, PermitDecision, WINDOW, WORD_TIME,
-};
+use flaxward_routing::cold::{ColdBound, ColdRunnerSettings, ColdStart, WINDOW, WORD_TIME};
 use flaxward_routing::names::{RunnerId, ServiceName, Zone};
+use flaxward_routing::permits::keeper::PermitKeeper;
+use flaxward_routing::permits::{PERMIT_LIFE, PermitDecision};
 use flaxward_routing::runners::Runner;
 use flaxward_types::time::Timestamp;
 use proptest::prelude::*;
--- a/crates/routing/tests/wire/samples.rs
+++ b/crates/routing/tests/wire/samples.rs
@@ -2,9 +2,6 @@
 
 use std::net::SocketAddr;
 
-use flaxward_routing::cold::{
-    PermitAnswer, PermitAnswers, PermitDecision, PermitQuestion, PermitQuestions,
-};
 use flaxward_routing::configuration_transfer::{ConfigurationChunk, PartId};
 use flaxward_routing::evacuation::Evacuations;
 use flaxward_routing::fingerprint::{RequestContent, RequestFingerprint};
@@ -22,6 +19,9 @@
     AdapterName, ModelName, Region, RunnerId, RunnerStart, ServiceName, TenantName, Unit, Zone,
 };
 use flaxward_routing::next_hop::Forwarded;
+use flaxward_routing::permits::{
+    PermitAnswer, PermitAnswers, PermitDecision, PermitQuestion, PermitQuestions,
+};
 use flaxward_routing::quarantine::exchange::QuarantineNews;
 use flaxward_routing::quarantine::{QuarantineEntry, RunOutcome, RunReport};
 use flaxward_routing::quota::{
