The coordinator calls a runner that names a rate every 2.1 s at most

What callers saw: nothing. In the 4 s in which the users counted 12 requests at a runner with a rate of 1 a second only 6 were of clients; a trial with a log line for each report showed up to 21 reports of one runner in 4 s. Cause (by elimination, the users' count can't be read): reports and orders of the coordinator reach the runner beside the requests and were not bounded; the report is read each 150 ms while an order is under way or one that nobody knows of. Why it holds: the plan skips a runner that names a rate until 2.1 s after the last call, also a runner that is newly known to, since a predecessor may just have called it. So 2 calls in 4 s, beside 4 permits and 1 of a new keeper: 7 of 11.

--- a/crates/ingress/src/coordination/leading.rs
+++ b/crates/ingress/src/coordination/leading.rs
@@ -151,6 +151,8 @@
                 self.placement.believe(&tables.runners);
             }
         }
+        let limited = tables.notices.limited();
+        self.placement.pace_calls(limited, now);
         drop(tables);
         self.placement.plan(now)
     }
--- a/crates/ingress/tests/ingress/limited_runners.rs
+++ b/crates/ingress/tests/ingress/limited_runners.rs
@@ -138,7 +138,8 @@
     assert!(outcome.refused > 0, "{outcome:?}");
 }
 
-/// The coordinator's reports and orders reach the runner as requests do.
+/// Seen beside 6 requests of clients in 4 s: 12 were counted at the runner. The coordinator's reports and orders reach it as
+/// requests do, and a report is read up to seven times a second while an order is under way.
 #[tokio::test]
 async fn a_limited_runner_is_asked_for_reports_within_its_rate() {
     let server = ScriptedRunner::start(Vec::new()).await;
--- a/crates/routing/src/placement/mod.rs
+++ b/crates/routing/src/placement/mod.rs
@@ -6,6 +6,7 @@
 //! anything. An order without an answer stays counted in the ledger until the runner's order count
 //! or report settles it.
 
+mod call_pacing;
 mod candidates;
 mod cold;
 mod copies;
@@ -36,6 +37,7 @@
 use crate::standby::Candidate;
 use crate::strength::MachineStrength;
 
+use call_pacing::CallPacing;
 use copies::CopyIndex;
 use demand::Demands;
 use ledger::{Ledger, OrderState, Progress, WeightSource};
@@ -246,6 +248,7 @@
     demands: Demands,
     configuration_version: Option<u64>,
     store_loads: BTreeMap<ServiceName, VecDeque<Timestamp>>,
+    call_pacing: CallPacing,
     store_links: BTreeMap<ServiceName, StoreLink>,
     started_at: Timestamp,
     orders_from: Timestamp,
@@ -268,6 +271,7 @@
             configuration_version: None,
             demands: Demands::new(settings.member_timeout),
             store_loads: BTreeMap::new(),
+            call_pacing: CallPacing::default(),
             store_links: BTreeMap::new(),
             started_at: now,
             orders_from,
--- a/crates/routing/src/placement/planner.rs
+++ b/crates/routing/src/placement/planner.rs
@@ -130,10 +130,13 @@
         let asked = self.ledgers.values();
         let asked = asked.filter(|ledger| ledger.report_asked_at.is_some());
         let places = REPORTS_AT_ONCE.saturating_sub(asked.count());
+        let pacing = &mut self.call_pacing;
         let due = self.ledgers.values_mut();
+        let due = due.filter(|ledger| pacing.may_call(&ledger.runner.id, now));
         let mut due: Vec<&mut Ledger> = due.filter(|ledger| ledger.report_is_due(now)).collect();
         due.sort_by_key(|ledger| (ledger.unanswered_reports(), ledger.is_only_believed()));
         let ask = |ledger: &mut Ledger| {
+            pacing.note_call(&ledger.runner.id, now);
             ledger.report_asked_at = Some(now);
             Action::Report {
                 runner: ledger.runner.id.clone(),
@@ -146,9 +149,13 @@
     fn due_orders(&mut self, now: Timestamp) -> Vec<Action> {
         let mut actions = Vec::new();
         for ledger in self.ledgers.values_mut() {
+            if !self.call_pacing.may_call(&ledger.runner.id, now) {
+                continue;
+            }
             let Some((order, expected_count, reason)) = ledger.due_order(now) else {
                 continue;
             };
+            self.call_pacing.note_call(&ledger.runner.id, now);
             let source = ledger.order_state().and_then(|state| state.source);
             if source == Some(WeightSource::Store) {
                 let loads = self.store_loads.entry(ledger.runner.service.clone());
--- a/crates/routing/src/rate_limit.rs
+++ b/crates/routing/src/rate_limit.rs
@@ -3,9 +3,9 @@
 //! A runner that is short of something names a rate in its answers. Each daemon that keeps to it by itself would send as much
 //! as all of them may, so requests to such a runner need permits, as those to cold runners do ([`crate::permits`]).
 //!
-//! In any [`WINDOW`] the keeper gives as many permits as the rate allows. Two things come on top in a few seconds: what a
-//! successor gives that doesn't know its predecessor's permits ([`FIRST_PERMITS`]), and what daemons send before they have
-//! heard of the rate.
+//! In any [`WINDOW`] the keeper gives as many permits as the rate allows. Three things come on top in a few seconds: what a
+//! successor gives that doesn't know its predecessor's permits ([`FIRST_PERMITS`]), the coordinator's own calls
+//! ([`CALL_INTERVAL`]), and what daemons send before they have heard of the rate.
 
 use std::fmt;
 use std::time::Duration;
@@ -21,6 +21,8 @@
 pub const WINDOW: Duration = SPAN.saturating_add(PERMIT_LIFE);
 /// Permits for a runner that a keeper gives within a window of its beginning.
 pub const FIRST_PERMITS: usize = 1;
+/// Time between two calls of the coordinator to a runner that names a rate: they are not kept waiting by requests.
+pub const CALL_INTERVAL: Duration = Duration::from_millis(2_100);
 /// Of so many permits in a window one is kept for more urgent ranks.
 const PERMITS_PER_SPARE: usize = 4;
 
