A runner that says in its answers that it leaves gets no more work, whatever the list says

What callers saw: the two requests that the users counted were served; had the runner ended sooner, they would have been broken off. They reached it 2.9 s after it had told the daemon that sent them (2 s allowed). Cause: daemons believed the store's list alone, and the store answered nobody for 13 s. Why it holds: a leave that an answer tells is kept for that life of the runner and is looked at where a runner is chosen, where a model counts as held, and right before each send, so also for repeats and streams taken up again. The coordinator is told and passes it on; it takes such a runner for one that drains, so that what only it holds is loaded elsewhere.

--- a/crates/ingress/src/coordination/leading.rs
+++ b/crates/ingress/src/coordination/leading.rs
@@ -35,6 +35,7 @@
     runner_changes: u64,
     configuration_version: u64,
     evacuations_revision: u64,
+    leave_count: u64,
 }
 
 /// This daemon's coordination under one term.
@@ -142,6 +143,7 @@
             runner_changes: tables.runners.change_count(),
             configuration_version: configuration.map_or(0, |it| it.version),
             evacuations_revision: tables.evacuations.revision,
+            leave_count: tables.notices.leave_count(),
         };
         if tables.runners_known && self.taken != Some(present) {
             self.taken = Some(present);
@@ -157,10 +159,15 @@
         self.placement.plan(now)
     }
 
-    /// Takes in the list of runners. Nothing is loaded in an evacuated zone, as at a runner that leaves.
+    /// Takes in the list of runners. Nothing is loaded in an evacuated zone, as at a runner that leaves; one may have said so
+    /// in its answers before the list does.
     fn place_at_runners(&mut self, tables: &Tables) {
-        let evacuations = &tables.evacuations;
-        if evacuations.zones.is_empty() {
+        let Tables {
+            evacuations,
+            notices,
+            ..
+        } = tables;
+        if evacuations.zones.is_empty() && notices.leave_count() == 0 {
             // Thousands of runners are not copied without need.
             self.placement.set_runners(tables.runners.iter());
             return;
@@ -169,7 +176,9 @@
             .runners
             .iter()
             .map(|runner| Runner {
-                draining: runner.draining || evacuations.includes(runner),
+                draining: runner.draining
+                    || notices.leaves(&runner.id)
+                    || evacuations.includes(runner),
                 ..runner.clone()
             })
             .collect();
--- a/crates/ingress/src/notices.rs
+++ b/crates/ingress/src/notices.rs
@@ -6,6 +6,7 @@
 
 use flaxward_routing::names::RunnerId;
 use flaxward_routing::notices::{Heard, RunnerNotice, SharedNotice};
+use flaxward_routing::rate_limit::RequestRate;
 use flaxward_types::time::Timestamp;
 
 use crate::counters::RUNNER_NOTICES;
@@ -20,14 +21,11 @@
             return;
         }
         metrics::counter!(RUNNER_NOTICES.name).increment(1);
-        let rate = notice
-            .rate_limit
-            .map_or("none".to_owned(), |it| it.to_string());
         let rest = notice.rest.unwrap_or_default().as_millis();
         let fields: &[(&str, &dyn Display)] = &[
             ("runner", runner),
             ("leaves", &notice.leaves),
-            ("rate_limit", &rate),
+            ("rate_limit", &text_of(notice.rate_limit)),
             ("rest_ms", &rest),
             ("told_by", &"runner"),
         ];
@@ -44,13 +42,11 @@
         if heard != Heard::News {
             return heard;
         }
-        let rate = told
-            .rate_limit
-            .map_or("none".to_owned(), |it| it.to_string());
+        let rate = told.rate.and_then(|it| it.rate_limit);
         let fields: &[(&str, &dyn Display)] = &[
             ("runner", &told.runner),
-            ("rate_limit", &rate),
-            ("age_ms", &told.age_ms),
+            ("leaves", &told.leaves),
+            ("rate_limit", &text_of(rate)),
             ("told_by", &"daemon"),
         ];
         self.log.write(now, "runner-notice", fields);
@@ -69,3 +65,7 @@
             .unwrap_or_else(PoisonError::into_inner)
     }
 }
+
+fn text_of(rate: Option<RequestRate>) -> String {
+    rate.map_or("none".to_owned(), |rate| rate.to_string())
+}
--- a/crates/ingress/src/permits.rs
+++ b/crates/ingress/src/permits.rs
@@ -58,6 +58,9 @@
 
     /// Whether a request may be sent to a runner at this moment.
     pub(crate) fn may_send(&self, runner: &Runner, admission: &Admission) -> bool {
+        if self.tables().notices.leaves(&runner.id) {
+            return false;
+        }
         if !self.needs_permit(runner) {
             return true;
         }
--- a/crates/ingress/src/state.rs
+++ b/crates/ingress/src/state.rs
@@ -300,11 +300,13 @@
             splits,
             runners,
             evacuations,
+            notices,
             ..
         } = &mut *tables;
         let is_at_home = |service: &ServiceName| {
-            let mut runners = runners.of_service(service);
-            runners.any(|it| !evacuations.includes(it) && self.is_at_home(it, homes))
+            let runners = runners.of_service(service);
+            let mut staying = runners.filter(|it| !notices.leaves(&it.id));
+            staying.any(|it| !evacuations.includes(it) && self.is_at_home(it, homes))
         };
         splits.choose(route, homes, is_at_home, seed)
     }
--- a/crates/ingress/src/waiting.rs
+++ b/crates/ingress/src/waiting.rs
@@ -4,7 +4,7 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
-use flaxward_routing::balance;
+use flaxward_routing::balance::{self, Availability};
 use flaxward_routing::configuration::Route;
 use flaxward_routing::homes::Requirement;
 use flaxward_types::ResultCode;
@@ -190,14 +190,13 @@
 fn is_held(shared: &Shared, requirement: &Requirement) -> bool {
     let now = shared.now();
     let tables = shared.tables();
-    let regions = shared.locality.regions();
-    balance::is_held(
-        &tables.runners,
-        &tables.evacuations,
-        regions,
-        requirement,
-        now,
-    )
+    let availability = Availability {
+        runners: &tables.runners,
+        evacuations: &tables.evacuations,
+        notices: &tables.notices,
+        regions: shared.locality.regions(),
+    };
+    balance::is_held(&availability, requirement, now)
 }
 
 fn promised(shared: &Shared, requirement: &Requirement, begun_at: Timestamp) -> Option<Timestamp> {
--- a/crates/ingress/tests/ingress/leaving_runners.rs
+++ b/crates/ingress/tests/ingress/leaving_runners.rs
@@ -1,7 +1,9 @@
 //! Runners that say in their answers that they leave.
 //!
 //! Seen: two requests reached a runner 2.9 s after it had said so in an answer that the same daemon had passed on. The store
-//! did not answer meanwhile, so that no list told it.
+//! did not answer meanwhile, so that no list told it. The list was all that daemons believed: these tests, with a list that
+//! never tells it, failed on that code. What a runner says of itself counts beside the list now, for the daemon that was
+//! told, for all others, and for the coordinator that places models.
 
 use std::collections::BTreeSet;
 use std::sync::Arc;
--- a/crates/routing/src/balance.rs
+++ b/crates/routing/src/balance.rs
@@ -129,7 +129,14 @@
     let all: Vec<&Runner> = situation
         .runners
         .iter()
-        .filter(|runner| is_usable(runner, wanted.service, situation.evacuations))
+        .filter(|runner| {
+            is_usable(
+                runner,
+                wanted.service,
+                situation.evacuations,
+                situation.notices,
+            )
+        })
         .collect();
     if all.is_empty() {
         return Err(NoRunner::NoneOfService);
@@ -169,31 +176,53 @@
     Err(room_at.map_or(NoRunner::AllTried, |until| NoRunner::NoRoom { until }))
 }
 
-/// Whether a runner is one of a service and may get requests.
-fn is_usable(runner: &Runner, service: &ServiceName, evacuations: &Evacuations) -> bool {
-    runner.service == *service && !runner.draining && !evacuations.includes(runner)
+/// Whether a runner is one of a service and may get requests. What it has said of itself counts beside the list, which may
+/// come late: the store may not be reached, and the list be told by others.
+fn is_usable(
+    runner: &Runner,
+    service: &ServiceName,
+    evacuations: &Evacuations,
+    notices: &Notices,
+) -> bool {
+    let leaves = runner.draining || notices.leaves(&runner.id);
+    runner.service == *service && !leaves && !evacuations.includes(runner)
 }
 
 fn is_able(runners: &RunnerTable, runner: &Runner, unit: Option<&Unit>, now: Timestamp) -> bool {
     unit.is_none_or(|unit| runners.holds(runner, unit, now))
 }
 
+/// The runners, and which of them may get requests.
+#[derive(Clone, Copy, Debug)]
+pub struct Availability<'a> {
+    /// The runners.
+    pub runners: &'a RunnerTable,
+    /// Zones whose runners get nothing.
+    pub evacuations: &'a Evacuations,
+    /// What runners have said of themselves.
+    pub notices: &'a Notices,
+    /// Where zones lie.
+    pub regions: &'a Regions,
+}
+
 /// Whether some runner within the homes of requests holds their unit and may get them. Those who wait for a unit go by this, and
 /// [`choose`] finds [`NoRunner::NotLoaded`] only where it does not hold: otherwise they would wait for nothing, and
 /// look again without end.
-pub fn is_held(
-    runners: &RunnerTable,
-    evacuations: &Evacuations,
-    regions: &Regions,
-    requirement: &Requirement,
-    now: Timestamp,
-) -> bool {
+pub fn is_held(availability: &Availability<'_>, requirement: &Requirement, now: Timestamp) -> bool {
     let Requirement { unit, homes } = requirement;
-    runners
+    availability
+        .runners
         .iter()
-        .filter(|runner| is_usable(runner, &unit.service, evacuations))
-        .filter(|runner| regions.allow(homes, &runner.zone))
-        .any(|runner| is_able(runners, runner, Some(unit), now))
+        .filter(|runner| {
+            is_usable(
+                runner,
+                &unit.service,
+                availability.evacuations,
+                availability.notices,
+            )
+        })
+        .filter(|runner| availability.regions.allow(homes, &runner.zone))
+        .any(|runner| is_able(availability.runners, runner, Some(unit), now))
 }
 
 /// When a cold runner may have room for the request, if it has none now.
--- a/crates/routing/src/notices.rs
+++ b/crates/routing/src/notices.rs
@@ -54,17 +54,35 @@
     }
 }
 
-/// What one daemon tells another of the rate that a runner takes.
+/// What one daemon tells another of a runner.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct SharedNotice {
     /// The runner.
     pub runner: RunnerId,
+    /// It leaves.
+    pub leaves: bool,
+    /// Whether it names a rate; `None` if it never did.
+    pub rate: Option<SharedRate>,
+}
+
+/// What one daemon tells another of the rate that a runner takes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct SharedRate {
     /// The rate; `None` if it names none any more.
     pub rate_limit: Option<RequestRate>,
     /// Time since that was known, in ms.
     pub age_ms: u32,
 }
 
+impl SharedRate {
+    fn word(self, now: Timestamp) -> RateWord {
+        RateWord {
+            rate: self.rate_limit,
+            at: now - Duration::from_millis(u64::from(self.age_ms)),
+        }
+    }
+}
+
 /// From any daemon to the coordinator, and from that one to all others: what answers have told of runners.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct RunnerNotices {
@@ -85,10 +103,13 @@
     Outdated,
 }
 
-/// What a daemon knows of runners by answers, its own and those that others have told it of.
+/// What a daemon knows of runners by answers, its own and those that others have told it of. Each belongs to one life of a
+/// runner, and ends with it.
 #[derive(Debug, Default)]
 pub struct Notices {
     runners: HashMap<RunnerId, Known>,
+    /// Runners that were found to leave.
+    leave_count: u64,
 }
 
 impl Notices {
@@ -111,45 +132,66 @@
         };
         let rate = notice.rate_limit;
         let has_changed = known.take_rate(RateWord { rate, at });
-        let is_news = has_changed || notice.rest.is_some() || notice.leaves != known.leaves;
-        known.leaves |= notice.leaves;
         if let Some(rest) = notice.rest {
             known.rests_until = Some(now + rest);
         }
+        let begins_to_leave = notice.leaves && self.note_leaving(runner);
+        has_changed || begins_to_leave || notice.rest.is_some()
+    }
+
+    /// Returns whether that is news. No life of a runner stays after all.
+    fn note_leaving(&mut self, runner: &RunnerId) -> bool {
+        let known = self.runners.entry(runner.clone()).or_default();
+        let is_news = !known.leaves;
+        known.leaves = true;
+        self.leave_count += u64::from(is_news);
         is_news
     }
 
     /// Takes in what another daemon tells.
     pub fn hear(&mut self, told: &SharedNotice, now: Timestamp) -> Heard {
-        let age = Duration::from_millis(u64::from(told.age_ms));
-        let word = RateWord {
-            rate: told.rate_limit,
-            at: now - age,
-        };
+        let begins_to_leave = told.leaves && self.note_leaving(&told.runner);
         let known = self.runners.entry(told.runner.clone()).or_default();
-        let is_outdated = known.rate.is_some_and(|known| known.at > word.at);
-        let differs = self.rate_limit(&told.runner) != told.rate_limit;
-        if is_outdated && differs {
-            return Heard::Outdated;
-        }
-        let known = self.runners.entry(told.runner.clone()).or_default();
-        if known.take_rate(word) {
+        let word = told.rate.map(|rate| rate.word(now));
+        let knows_later = known.rate.is_some_and(|known| {
+            let is_older = word.is_none_or(|word| word.at < known.at);
+            is_older && word.and_then(|word| word.rate) != known.rate
+        });
+        let lacks_leave = known.leaves && !told.leaves;
+        let has_changed = word.is_some_and(|word| known.take_rate(word));
+        if has_changed || begins_to_leave {
             Heard::News
+        } else if knows_later || lacks_leave {
+            Heard::Outdated
         } else {
             Heard::Known
         }
     }
 
-    /// What other daemons are to be told of a runner; `None` if it never named a rate.
+    /// What other daemons are to be told of a runner; `None` if that is nothing.
     pub fn shared(&self, runner: &RunnerId, now: Timestamp) -> Option<SharedNotice> {
-        let word = self.runners.get(runner)?.rate?;
-        Some(SharedNotice {
-            runner: runner.clone(),
+        let known = self.runners.get(runner)?;
+        let rate = known.rate.map(|word| SharedRate {
             rate_limit: word.rate,
             age_ms: u32::try_from(millis(now.since(word.at))).unwrap_or(u32::MAX),
+        });
+        (known.leaves || rate.is_some()).then(|| SharedNotice {
+            runner: runner.clone(),
+            leaves: known.leaves,
+            rate,
         })
     }
 
+    /// Whether a runner has said that it leaves.
+    pub fn leaves(&self, runner: &RunnerId) -> bool {
+        self.runners.get(runner).is_some_and(|known| known.leaves)
+    }
+
+    /// How many runners were found to leave until now.
+    pub fn leave_count(&self) -> u64 {
+        self.leave_count
+    }
+
     /// The rate that a runner takes from all daemons together, if it names one.
     pub fn rate_limit(&self, runner: &RunnerId) -> Option<RequestRate> {
         self.runners.get(runner)?.rate?.rate
--- a/crates/routing/tests/balance.rs
+++ b/crates/routing/tests/balance.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use flaxward_routing::balance::{
-    HeldBack, NoRunner, Situation, Wanted, choose, is_held, is_worth_telling,
+    Availability, HeldBack, NoRunner, Situation, Wanted, choose, is_held, is_worth_telling,
 };
 use flaxward_routing::cold::spells::Spells;
 use flaxward_routing::evacuation::Evacuations;
@@ -277,9 +277,13 @@
     };
     // Whoever waits for the unit would find that it is held.
     let requirement = Requirement::anywhere(unit.clone());
-    let evacuations = Evacuations::default();
-    let regions = Regions::default();
-    assert!(is_held(&table, &evacuations, &regions, &requirement, now));
+    let availability = Availability {
+        runners: &table,
+        evacuations: situation.evacuations,
+        notices: situation.notices,
+        regions: &Regions::default(),
+    };
+    assert!(is_held(&availability, &requirement, now));
     choose(&situation, &wanted).map(|runner| runner.id.to_string())
 }
 
--- a/crates/routing/tests/limited_runners.rs
+++ b/crates/routing/tests/limited_runners.rs
@@ -8,7 +8,7 @@
 use std::time::Duration;
 
 use flaxward_routing::names::RunnerId;
-use flaxward_routing::notices::{Heard, Notices, RunnerNotice, SharedNotice};
+use flaxward_routing::notices::{Heard, Notices, RunnerNotice, SharedNotice, SharedRate};
 use flaxward_routing::permits::keeper::{Asked, PermitKeeper};
 use flaxward_routing::permits::{PERMIT_LIFE, PermitDecision};
 use flaxward_routing::rate_limit::{FIRST_PERMITS, RequestRate, WINDOW};
@@ -112,8 +112,8 @@
 fn who_believes_what_has_changed_since_is_corrected() {
     let told = |rate_limit, age_ms| SharedNotice {
         runner: id(),
-        rate_limit,
-        age_ms,
+        leaves: false,
+        rate: Some(SharedRate { rate_limit, age_ms }),
     };
     let mut notices = Notices::default();
     assert_eq!(
@@ -496,8 +496,11 @@
         from: SocketAddr::from(([10, 0, 0, 1], 7_080)),
         notices: vec![SharedNotice {
             runner: id(),
-            rate_limit: Some(rate(1.6)),
-            age_ms: 40,
+            leaves: true,
+            rate: Some(SharedRate {
+                rate_limit: Some(rate(1.6)),
+                age_ms: 40,
+            }),
         }],
     });
     let mut encoding = Encoding::default();
