A runner that asks a daemon for rest gets nothing from it until the rest is over

What callers saw: requests were sent again and again to runners that turned all away, and some were refused in the end. Cause: the time was read nowhere. A runner that was full came after others for 0.4 s and was asked again if there were none, and a request that had asked all runners asked them again after 80 and 320 ms. Why it holds: the time is kept for that life of the runner and that daemon; a runner in its rest has no room, as a cold one without a permit has none, so that requests go elsewhere, wait for its end if that is in time, or are refused at once with it. It is looked at where a runner is chosen and right before each send. The coordinator does not call it meanwhile. Runners that were merely full are still asked again before a request is refused because of another one's rest. Calls of the coordinator to runners that rest or name a rate have tests of their own.

--- a/crates/ingress/src/coordination/leading.rs
+++ b/crates/ingress/src/coordination/leading.rs
@@ -153,8 +153,7 @@
                 self.placement.believe(&tables.runners);
             }
         }
-        let limited = tables.notices.limited();
-        self.placement.pace_calls(limited, now);
+        self.placement.pace_calls(&tables.notices, now);
         drop(tables);
         self.placement.plan(now)
     }
--- a/crates/ingress/src/job.rs
+++ b/crates/ingress/src/job.rs
@@ -43,7 +43,7 @@
 /// How much longer the next such pause is: a runner that is full twice has a long queue, and each time it is asked
 /// costs a repeat of the budget.
 const FULL_PAUSE_GROWTH: u32 = 4;
-/// Pause before a cold runner is asked for again after a permit that ended unused: connecting takes too long just now.
+/// Pause before a runner is asked for again after a permit that ended unused: connecting takes too long just now.
 const PERMIT_ENDED_PAUSE: Duration = Duration::from_millis(100);
 /// Shortest time left with which a request is sent to a runner.
 const LEAST_TIME: Duration = Duration::from_millis(5);
@@ -58,7 +58,7 @@
     service: ServiceName,
     attempts: Attempts,
     tried: Vec<RunnerId>,
-    /// Cold runners that have no room for the request yet.
+    /// Runners that need a permit and have no room for the request yet.
     held_back: Vec<HeldBack>,
     last_failure: Option<Failure>,
     /// A runner's own failure, passed on if no other runner does better.
@@ -137,13 +137,17 @@
                 },
                 Err(NoRunner::NoRoom { until }) => match self.wait_for_room(until).await {
                     Ok(()) => continue,
+                    // Those that were full may have room sooner.
+                    Err(_) if !self.tried.is_empty() && self.may_ask_again(full_rounds) => {
+                        self.pause_before_round(full_rounds).await;
+                        full_rounds += 1;
+                        continue;
+                    }
                     Err(refusal) => return self.no_room(refusal),
                 },
                 Err(NoRunner::AllTried) if self.may_ask_again(full_rounds) => {
-                    let pause = FULL_PAUSE * FULL_PAUSE_GROWTH.pow(full_rounds);
+                    self.pause_before_round(full_rounds).await;
                     full_rounds += 1;
-                    self.tried.clear();
-                    sleep(pause.min(self.request.time_left())).await;
                     continue;
                 }
                 Err(NoRunner::AllTried) => return self.give_up("no further runner"),
@@ -222,7 +226,7 @@
         }
     }
 
-    /// Looks for other runners until a time at which a cold one may have room.
+    /// Looks for other runners until a time at which one that needs a permit may have room.
     fn hold_back(&mut self, runner: &Runner, until: Timestamp) {
         let now = self.shared.now();
         self.held_back.retain(|it| it.until > now);
@@ -232,7 +236,7 @@
         });
     }
 
-    /// The permit ended before the request could be sent, or the runner has turned cold meanwhile.
+    /// The permit ended before the request could be sent, or the runner has said meanwhile that it takes no such request.
     fn permit_ended(&mut self, runner: &Runner) {
         let fields: &[(&str, &dyn Display)] = &[
             ("request", &self.request.profile.id),
@@ -252,9 +256,9 @@
         }
     }
 
-    /// The final answer when all runners that hold the unit are cold and have no room in time.
+    /// The final answer when no runner that holds the unit has room in time.
     fn no_room(&mut self, refusal: Refusal) -> Result<Response<AnswerBody>, Refused> {
-        const REASON: &str = "cold runners have no room in time";
+        const REASON: &str = "the runners rest, are cold or name a rate, and have no room in time";
         if !self.attempts.surely_not_run() {
             return self.give_up(REASON);
         }
@@ -273,6 +277,13 @@
         Err(self.refused(refusal, &reason))
     }
 
+    /// Pauses before runners that were full are asked again.
+    async fn pause_before_round(&mut self, full_rounds: u32) {
+        let pause = FULL_PAUSE * FULL_PAUSE_GROWTH.pow(full_rounds);
+        self.tried.clear();
+        sleep(pause.min(self.request.time_left())).await;
+    }
+
     fn may_ask_again(&self, full_rounds: u32) -> bool {
         let may_serve = match self.last_failure {
             Some(Failure::NotRun | Failure::Misdirected | Failure::Broken) => true,
--- a/crates/ingress/src/permits.rs
+++ b/crates/ingress/src/permits.rs
@@ -58,7 +58,13 @@
 
     /// Whether a request may be sent to a runner at this moment.
     pub(crate) fn may_send(&self, runner: &Runner, admission: &Admission) -> bool {
-        if self.tables().notices.leaves(&runner.id) {
+        let now = self.now();
+        let tables = self.tables();
+        let notices = &tables.notices;
+        let wants_nothing =
+            notices.leaves(&runner.id) || notices.rests_until(&runner.id, now).is_some();
+        drop(tables);
+        if wants_nothing {
             return false;
         }
         if !self.needs_permit(runner) {
--- a/crates/ingress/src/waiting.rs
+++ b/crates/ingress/src/waiting.rs
@@ -144,7 +144,7 @@
     route.target.mul_f64(SHARE_WITHOUT_PROMISE).max(least)
 }
 
-/// Waits until there may be room at a cold runner, or until something has changed.
+/// Waits until there may be room at a runner that rests or needs a permit, or until something has changed.
 ///
 /// # Errors
 /// Refuses at once if there is no room in time.
@@ -160,7 +160,7 @@
         return Err(not_ready(room_at.since(shared.now())));
     }
     metrics::counter!(ROOM_WAITS.name).increment(1);
-    // The coordinator must hear of it: another copy may be ready before the cold ones are warm.
+    // The coordinator must hear of it: another copy may be ready before these have room.
     let requirement = request.requirement();
     let _guard = requirement.map(|it| WaitingGuard::begin(shared, &it, route, request.priority));
     tokio::select! {
--- a/crates/ingress/tests/ingress/resting_runners.rs
+++ b/crates/ingress/tests/ingress/resting_runners.rs
@@ -1,7 +1,8 @@
 //! Runners that turn a request away and ask for rest.
 //!
 //! Seen: a runner had asked a daemon for 3 s of rest and got three requests from it in that time. They were turned away too, and
-//! each cost its service a repeat.
+//! each cost its service a repeat. The time that it named was read nowhere: a runner that was full came after others for 0.4 s
+//! only, and a request that had asked all runners asked them again after 80 and 320 ms. These tests failed on that code.
 
 use std::time::{Duration, Instant};
 
--- a/crates/routing/src/balance.rs
+++ b/crates/routing/src/balance.rs
@@ -90,11 +90,11 @@
     pub homes: &'a Homes,
     /// Runners that this request has been to.
     pub tried: &'a [RunnerId],
-    /// Cold runners that have no room for this request before a time.
+    /// Runners without a permit for this request before a time.
     pub held_back: &'a [HeldBack],
 }
 
-/// A cold runner has no room for a request yet.
+/// A runner that needs a permit has no room for a request yet.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct HeldBack {
     /// The runner.
@@ -114,7 +114,7 @@
     NotLoaded,
     /// All that could serve were tried.
     AllTried,
-    /// Those that could serve and were not tried are cold and have no room.
+    /// Those that could serve and were not tried rest, or need a permit and have no room.
     NoRoom {
         /// When the first of them may have.
         until: Timestamp,
@@ -162,7 +162,7 @@
         .collect();
     let with_room = untried
         .iter()
-        .filter(|runner| room_at(wanted, runner, situation.now).is_none());
+        .filter(|runner| room_at(situation, wanted, runner).is_none());
     let chosen = with_room
         .map(|runner| (rank(situation, wanted, runner), *runner))
         .min_by(|(left, _), (right, _)| left.order(right));
@@ -171,7 +171,7 @@
     }
     let room_at = untried
         .iter()
-        .filter_map(|runner| room_at(wanted, runner, situation.now))
+        .filter_map(|runner| room_at(situation, wanted, runner))
         .min();
     Err(room_at.map_or(NoRunner::AllTried, |until| NoRunner::NoRoom { until }))
 }
@@ -225,11 +225,13 @@
         .any(|runner| is_able(availability.runners, runner, Some(unit), now))
 }
 
-/// When a cold runner may have room for the request, if it has none now.
-fn room_at(wanted: &Wanted<'_>, runner: &Runner, now: Timestamp) -> Option<Timestamp> {
+/// When a runner may have room for the request, if it has none now.
+fn room_at(situation: &Situation<'_>, wanted: &Wanted<'_>, runner: &Runner) -> Option<Timestamp> {
     let held_back = wanted.held_back.iter();
-    let of_runner = held_back.filter(|it| it.runner == runner.id && it.until > now);
-    of_runner.map(|it| it.until).max()
+    let of_runner = held_back.filter(|it| it.runner == runner.id && it.until > situation.now);
+    let held_back_until = of_runner.map(|it| it.until).max();
+    let rests_until = situation.notices.rests_until(&runner.id, situation.now);
+    held_back_until.max(rests_until)
 }
 
 /// Condition of a runner, the best first.
--- a/crates/routing/src/notices.rs
+++ b/crates/routing/src/notices.rs
@@ -133,7 +133,8 @@
         let rate = notice.rate_limit;
         let has_changed = known.take_rate(RateWord { rate, at });
         if let Some(rest) = notice.rest {
-            known.rests_until = Some(now + rest);
+            let until = now + rest;
+            known.rests_until = Some(known.rests_until.map_or(until, |known| known.max(until)));
         }
         let begins_to_leave = notice.leaves && self.note_leaving(runner);
         has_changed || begins_to_leave || notice.rest.is_some()
@@ -187,6 +188,18 @@
         self.runners.get(runner).is_some_and(|known| known.leaves)
     }
 
+    /// When a runner wants work from this daemon again, if it rests.
+    pub fn rests_until(&self, runner: &RunnerId, now: Timestamp) -> Option<Timestamp> {
+        let known = self.runners.get(runner)?;
+        known.rests_until.filter(|&until| now < until)
+    }
+
+    /// All runners that rest, and until when.
+    pub fn resting(&self, now: Timestamp) -> impl Iterator<Item = (&RunnerId, Timestamp)> {
+        let runners = self.runners.keys();
+        runners.filter_map(move |runner| Some((runner, self.rests_until(runner, now)?)))
+    }
+
     /// How many runners were found to leave until now.
     pub fn leave_count(&self) -> u64 {
         self.leave_count
--- a/crates/routing/src/placement/call_pacing.rs
+++ b/crates/routing/src/placement/call_pacing.rs
@@ -1,18 +1,22 @@
-//! Calls to runners that take so little that the coordinator's own calls count beside requests.
+//! Calls to runners that take so little, or nothing for a while, that the coordinator's own calls count beside requests.
 
 use std::collections::HashMap;
 
 use flaxward_types::time::Timestamp;
 
 use crate::names::RunnerId;
+use crate::notices::Notices;
 use crate::rate_limit::CALL_INTERVAL;
 
 use super::Placement;
 
-/// When runners that name a rate may be called.
+/// When runners may be called that name a rate or rest.
 #[derive(Debug, Default)]
 pub(super) struct CallPacing {
+    /// Of those that name a rate.
     next_call: HashMap<RunnerId, Timestamp>,
+    /// Of those that rest.
+    rest_end: HashMap<RunnerId, Timestamp>,
 }
 
 impl CallPacing {
@@ -26,9 +30,17 @@
         self.next_call = known.collect();
     }
 
+    /// Sets which runners want nothing from this daemon, and until when.
+    pub fn set_resting<'a>(&mut self, runners: impl Iterator<Item = (&'a RunnerId, Timestamp)>) {
+        let runners = runners.map(|(runner, until)| (runner.clone(), until));
+        self.rest_end = runners.collect();
+    }
+
     /// Whether a runner may be called now.
     pub fn may_call(&self, runner: &RunnerId, now: Timestamp) -> bool {
-        self.next_call.get(runner).is_none_or(|&at| now >= at)
+        let is_due =
+            |times: &HashMap<RunnerId, Timestamp>| times.get(runner).is_none_or(|&at| now >= at);
+        is_due(&self.next_call) && is_due(&self.rest_end)
     }
 
     /// A runner is called now.
@@ -40,8 +52,9 @@
 }
 
 impl Placement {
-    /// Takes in which runners name a rate: reports are read and orders given there no more often than that bears.
-    pub fn pace_calls<'a>(&mut self, limited: impl Iterator<Item = &'a RunnerId>, now: Timestamp) {
-        self.call_pacing.set_limited(limited, now);
+    /// Takes in what runners have said: reports are read and orders given no more often than a rate bears, and not in a rest.
+    pub fn pace_calls(&mut self, notices: &Notices, now: Timestamp) {
+        self.call_pacing.set_limited(notices.limited(), now);
+        self.call_pacing.set_resting(notices.resting(now));
     }
 }
--- a/crates/routing/tests/placement/main.rs
+++ b/crates/routing/tests/placement/main.rs
@@ -3,6 +3,7 @@
 mod cases;
 mod cold;
 mod homes;
+mod paced_calls;
 mod pressure;
 mod properties;
 mod regions;
