--- a/crates/soak/src/checks.rs
+++ b/crates/soak/src/checks.rs
@@ -9,6 +9,7 @@
 use crate::callers::{Ending, Outcome};
 use crate::disturbances::Target;
 use crate::fleet::{Fleet, Started, locked};
+use crate::notice_checks;
 use crate::regions::Region;
 
 /// Time after a disturbance in which promises with a time bound do not hold.
@@ -64,6 +65,7 @@
     check_drains(fleet, &runs);
     check_quota(fleet, &runs, &paths);
     check_crashing_requests(fleet, &runs);
+    notice_checks::check(fleet);
 }
 
 /// No cold runner gets more than it may in any second. What was held up on its way to the runner arrives at once; only
--- a/crates/soak/src/faults.rs
+++ b/crates/soak/src/faults.rs
@@ -4,7 +4,7 @@
 use std::time::{Duration, Instant};
 
 use clap::ValueEnum;
-use flaxward_platform_stand_in::WorkKind;
+use flaxward_platform_stand_in::{Notice, WorkKind};
 use nix::sys::signal::Signal;
 use rand::{Rng, RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -18,7 +18,9 @@
 use crate::disturbances::Target;
 use crate::fleet::{Cut, Drain, Fleet, PlannedStop, START_PATIENCE, locked};
 use crate::proxy::Mode;
-use crate::runner_faults::{cut_region, start_anew, turn_cold, write_foreign_entries};
+use crate::runner_faults::{
+    cut_region, limit_runner, rest_runner, start_anew, turn_cold, write_foreign_entries,
+};
 
 /// Faults at one time.
 const AT_ONCE: usize = 3;
@@ -72,6 +74,12 @@
     TenantQuota,
     /// The store is away for a moment and comes back from a copy some seconds old.
     RestoreStore,
+    /// A runner names a rate in its answers.
+    LimitedRunner,
+    /// A runner turns requests away and asks for rest.
+    RestingRunner,
+    /// A runner is replaced as planned, and says so in its answers seconds before the list does.
+    LateDrain,
 }
 
 impl FaultKind {
@@ -179,6 +187,9 @@
         FaultKind::CutRegion => cut_region(fleet, random).await,
         FaultKind::TenantQuota => exceed_quota(fleet, random).await,
         FaultKind::RestoreStore => restore_store(fleet, random).await,
+        FaultKind::LimitedRunner => limit_runner(fleet, random).await,
+        FaultKind::RestingRunner => rest_runner(fleet, random).await,
+        FaultKind::LateDrain => drain_runner_late(fleet, random).await,
     }
 }
 
@@ -323,6 +334,16 @@
 
 /// Replaces a runner as planned.
 async fn drain_runner(fleet: &Fleet, random: &mut ChaCha8Rng) {
+    replace_runner(fleet, random, Duration::ZERO).await;
+}
+
+/// The same; its answers say so before the list does.
+async fn drain_runner_late(fleet: &Fleet, random: &mut ChaCha8Rng) {
+    let list_delay = some_time(random);
+    replace_runner(fleet, random, list_delay).await;
+}
+
+async fn replace_runner(fleet: &Fleet, random: &mut ChaCha8Rng, list_delay: Duration) {
     let Some((id, service)) = some_runner(fleet, random) else {
         return;
     };
@@ -333,6 +354,10 @@
         fleet.violation(format!("START of a runner: {error}"));
     }
     sleep(Duration::from_secs(1)).await;
+    if !list_delay.is_zero() {
+        fleet.say(&id, Notice::Leaving, None);
+        sleep(list_delay).await;
+    }
     for place in locked(&fleet.places).iter_mut() {
         if place.runner.id() == id {
             place.state.draining = true;
--- a/crates/soak/src/fleet.rs
+++ b/crates/soak/src/fleet.rs
@@ -5,7 +5,7 @@
 use std::time::{Duration, Instant};
 
 use flaxward_platform_stand_in::{
-    RouteSpec, RunnerStandIn, RunnerState, StoreStandIn, TenantSpec, WorkKind,
+    Notice, RouteSpec, RunnerStandIn, RunnerState, StoreStandIn, TenantSpec, WorkKind,
 };
 use rand::RngExt;
 use rand_chacha::ChaCha8Rng;
@@ -275,6 +275,15 @@
         }
     }
 
+    /// The answers of a runner say something of it from now on, for some time or for good.
+    pub fn say(&self, id: &str, notice: Notice, duration: Option<Duration>) {
+        for place in locked(&self.places).iter() {
+            if place.runner.id() == id {
+                place.runner.say(notice, duration);
+            }
+        }
+    }
+
     /// A runner is cold from now on, for some time, and says so.
     pub fn turn_cold(&self, id: &str, duration: Duration) {
         for place in locked(&self.places).iter() {
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod disturbances;
 pub mod faults;
 mod fleet;
+mod notice_checks;
 pub mod ports;
 pub mod proxy;
 pub mod regions;
--- a/crates/soak/src/runner_faults.rs
+++ b/crates/soak/src/runner_faults.rs
@@ -1,8 +1,11 @@
-//! Faults of runners and of their list: cold spells, new lives under an old identity, entries that nobody can read.
+//! Faults of runners and of their list: cold spells, rates and rests, new lives under an old identity, entries that nobody can
+//! read.
 
 use std::time::Duration;
 
-use flaxward_platform_stand_in::{ColdBound, FOREIGN_ENTRY_KINDS, RunnerStandIn, foreign_entries};
+use flaxward_platform_stand_in::{
+    ColdBound, FOREIGN_ENTRY_KINDS, Notice, RunnerStandIn, foreign_entries,
+};
 use rand::{Rng, RngExt};
 use rand_chacha::ChaCha8Rng;
 use tokio::time::sleep;
@@ -22,6 +25,9 @@
 /// For how long a runner is cold after its start.
 pub const COLD_AFTER_START: Duration = Duration::from_secs(3);
 
+/// Time for which a runner names a rate, at least.
+const LIMITED_FOR: Duration = Duration::from_secs(6);
+
 /// Time after which the entries of runners lapse that don't reach the store: three heartbeats.
 const LAPSE: Duration = Duration::from_millis(1_500);
 
@@ -53,6 +59,28 @@
     fleet.disturbances.end(&ongoing);
 }
 
+/// A runner names a rate in its answers for a while. Some seconds pass until the bound holds.
+pub(crate) async fn limit_runner(fleet: &Fleet, random: &mut ChaCha8Rng) {
+    let Some((id, _)) = some_runner(fleet, random) else {
+        return;
+    };
+    let rate = random.random_range(0.2..3.0);
+    let duration = LIMITED_FOR + some_time(random);
+    fleet.say(&id, Notice::Rate(rate), Some(duration));
+    sleep(duration).await;
+}
+
+/// A runner turns all requests away for a while, and asks for rest.
+pub(crate) async fn rest_runner(fleet: &Fleet, random: &mut ChaCha8Rng) {
+    let Some((id, _)) = some_runner(fleet, random) else {
+        return;
+    };
+    let rest = Duration::from_millis(random.random_range(600..4_000));
+    let duration = some_time(random);
+    fleet.say(&id, Notice::Rest(rest), Some(duration));
+    sleep(duration).await;
+}
+
 /// A runner crashes and starts again under its identity, at its address: it holds nothing, and its counts begin anew.
 pub(crate) async fn start_anew(fleet: &Fleet, random: &mut ChaCha8Rng) {
     let Some((id, _)) = some_runner(fleet, random) else {
