--- a/crates/routing/tests/wire/main.rs
+++ b/crates/routing/tests/wire/main.rs
@@ -1,6 +1,6 @@
 //! What earlier builds send and expect, as bytes: builds run side by side while machines are replaced one after the other,
 //! in either order. `messages.txt` holds one message of each kind, and `configuration.txt` a configuration in parts, as the
-//! first build encoded them that others must go with.
+//! first build encoded them that others must go with; a later kind as the first build that has it.
 //! A change that makes these tests fail cuts a fleet in two halves; new facts go behind the message, or in a new kind.
 
 mod configuration;
--- a/crates/routing/tests/wire/samples.rs
+++ b/crates/routing/tests/wire/samples.rs
@@ -19,6 +19,7 @@
     AdapterName, ModelName, Region, RunnerId, RunnerStart, ServiceName, TenantName, Unit, Zone,
 };
 use flaxward_routing::next_hop::Forwarded;
+use flaxward_routing::notices::{RunnerNotices, SharedNotice, SharedRate};
 use flaxward_routing::permits::{
     PermitAnswer, PermitAnswers, PermitDecision, PermitQuestion, PermitQuestions,
 };
@@ -28,6 +29,7 @@
     Grant, QuotaAnswer, QuotaAnswers, QuotaNews, QuotaQuestion, QuotaQuestions, TenantLimit,
     TenantUse, UseReport,
 };
+use flaxward_routing::rate_limit::RequestRate;
 use flaxward_routing::runners::RunnerHoldings;
 use flaxward_routing::standby::StandbyPlace;
 use flaxward_routing::strength::MachineStrength;
@@ -335,6 +337,24 @@
             is_sought: true,
             message: vec![7, 3, 3],
         }),
+        Message::RunnerNotices(RunnerNotices {
+            from: address(2),
+            notices: vec![
+                SharedNotice {
+                    runner: runner(),
+                    leaves: true,
+                    rate: None,
+                },
+                SharedNotice {
+                    runner: runner(),
+                    leaves: false,
+                    rate: Some(SharedRate {
+                        rate_limit: RequestRate::per_second(1.6),
+                        age_ms: 40,
+                    }),
+                },
+            ],
+        }),
     ]
 }
 
