Another copy is loaded where all copies are at runners that name a rate

What callers saw: requests for a model that only such a runner holds were refused beyond its rate, for as long as it names one, with other runners idle. Cause: the coordinator loads another copy where all copies are cold, and took a runner with a rate for one that bears all. Change: for the placement such a runner bears little for 10 s from each look (a load takes less), at its rate; so another copy comes if more requests wait than that, at a runner that names none, and adapters go to others first. placement::cold becomes placement::scarce.

--- a/crates/ingress/src/coordination/leading.rs
+++ b/crates/ingress/src/coordination/leading.rs
@@ -153,7 +153,7 @@
                 self.placement.believe(&tables.runners);
             }
         }
-        self.placement.pace_calls(&tables.notices, now);
+        self.placement.hear_notices(&tables.notices, now);
         drop(tables);
         self.placement.plan(now)
     }
--- a/crates/routing/src/placement/call_pacing.rs
+++ b/crates/routing/src/placement/call_pacing.rs
@@ -52,9 +52,20 @@
 }
 
 impl Placement {
-    /// Takes in what runners have said: reports are read and orders given no more often than a rate bears, and not in a rest.
-    pub fn pace_calls(&mut self, notices: &Notices, now: Timestamp) {
+    /// Takes in what runners have said: reports are read and orders given no more often than a rate bears, and not in a
+    /// rest; copies at runners that name a rate bear little.
+    pub fn hear_notices(&mut self, notices: &Notices, now: Timestamp) {
+        for runner in self.call_pacing.next_call.keys() {
+            if let Some(ledger) = self.ledgers.get_mut(runner) {
+                ledger.rate_limit = notices.rate_limit(runner);
+            }
+        }
         self.call_pacing.set_limited(notices.limited(), now);
+        for runner in self.call_pacing.next_call.keys() {
+            if let Some(ledger) = self.ledgers.get_mut(runner) {
+                ledger.rate_limit = notices.rate_limit(runner);
+            }
+        }
         self.call_pacing.set_resting(notices.resting(now));
     }
 }
--- a/crates/routing/src/placement/candidates.rs
+++ b/crates/routing/src/placement/candidates.rs
@@ -84,9 +84,9 @@
     if leaves { LEAVE_PRICE_MS } else { 0.0 }
 }
 
-/// Price of a load at a runner that is still cold when it ends, in ms: what requests wait there for the end of the spell.
-fn cold_price_ms(ledger: &Ledger, load: Duration, now: Timestamp) -> f64 {
-    let left = ledger.cold_for(now).saturating_sub(load);
+/// Price of a load at a runner that still bears little when it ends, in ms: what requests wait there until it bears all.
+fn scarce_price_ms(ledger: &Ledger, load: Duration, now: Timestamp) -> f64 {
+    let left = ledger.bears_little_for(now).saturating_sub(load);
     as_ms(left)
 }
 
@@ -275,7 +275,7 @@
         let zone_has_copy = self.copies.is_in_zone(unit, &ledger.runner.zone);
         let zone_price_ms = if zone_has_copy { ZONE_PRICE_MS } else { 0.0 };
         let base_price_ms = victims.price_ms + leave_price_ms(ledger);
-        let cold_price_ms = cold_price_ms(ledger, load, now);
+        let cold_price_ms = scarce_price_ms(ledger, load, now);
         Some(Candidate {
             runner: ledger.runner.id.clone(),
             source: ledger.weight_source(&unit.model),
--- a/crates/routing/src/placement/ledger.rs
+++ b/crates/routing/src/placement/ledger.rs
@@ -9,6 +9,7 @@
 use crate::holdings_digests::Bucket;
 use crate::homes::Requirement;
 use crate::names::{AdapterName, ModelName, Unit};
+use crate::rate_limit::RequestRate;
 use crate::runners::{Holdings, Runner, RunnerHoldings};
 
 use super::{Operation, Order, OrderAnswer, PlacementSettings, Reason, RunnerReport};
@@ -22,6 +23,10 @@
 /// Time after which an unload that no request holds up counts as done.
 const QUICK_UNLOAD: Duration = Duration::from_millis(60);
 
+/// Time for which a runner that names a rate is taken to go on doing so: it does not say for how long, and a copy
+/// elsewhere is ready sooner.
+const RATE_LASTS: Duration = Duration::from_secs(10);
+
 /// Time without a report after which a runner with an order under way counts as silent: several reports are
 /// read in this time.
 const SILENCE: Duration = Duration::from_secs(2);
@@ -106,6 +111,8 @@
     pub intent: Option<Intent>,
     /// When the runner is warm; `None` while that is to be worked out from what its entry says.
     warm_at: Option<Timestamp>,
+    /// The rate that the runner names.
+    pub rate_limit: Option<RequestRate>,
     /// When the next report may be read.
     pub next_report: Timestamp,
     /// When the report was asked for that is under way.
@@ -137,6 +144,7 @@
             version: 0,
             intent: None,
             warm_at: None,
+            rate_limit: None,
             next_report: Timestamp::ZERO,
             report_asked_at: None,
             holdings: Holdings::new(),
@@ -173,9 +181,11 @@
         self.warm_at.get_or_insert(now + self.runner.cold_for);
     }
 
-    /// Time for which the runner stays cold: it bears a few requests a second only.
-    pub fn cold_for(&self, now: Timestamp) -> Duration {
-        self.warm_at.map_or(Duration::ZERO, |at| at.since(now))
+    /// Time for which the runner bears a few requests a second only: it is cold, or names a rate.
+    pub fn bears_little_for(&self, now: Timestamp) -> Duration {
+        let cold_for = self.warm_at.map_or(Duration::ZERO, |at| at.since(now));
+        let limited_for = self.rate_limit.map_or(Duration::ZERO, |_| RATE_LASTS);
+        cold_for.max(limited_for)
     }
 
     /// Takes in, before the first report, what this daemon knew of the runner when it began to coordinate. Nothing is
--- a/crates/routing/src/placement/mod.rs
+++ b/crates/routing/src/placement/mod.rs
@@ -8,7 +8,6 @@
 
 mod call_pacing;
 mod candidates;
-mod cold;
 mod copies;
 pub mod demand;
 pub mod ledger;
@@ -16,6 +15,7 @@
 pub mod outlooks;
 mod planner;
 mod pressure;
+mod scarce;
 pub mod store_link;
 mod victims;
 
--- a/crates/routing/src/placement/planner.rs
+++ b/crates/routing/src/placement/planner.rs
@@ -208,7 +208,7 @@
             return;
         }
         if self.copies.is_offered(requirement) {
-            self.relieve_cold(wanted, openings, now);
+            self.relieve_scarce(wanted, openings, now);
             return;
         }
         if requirement.unit.adapter.is_some() {
@@ -236,8 +236,8 @@
         self.place_adapter(wanted, openings, now);
     }
 
-    /// Loads an adapter at the least filled warm runner within its homes that offers its model, or first makes room for it
-    /// there.
+    /// Loads an adapter at the least filled runner within its homes that offers its model and bears all, or first makes room
+    /// for it there.
     pub(super) fn place_adapter(
         &mut self,
         wanted: &Requirement,
@@ -258,8 +258,8 @@
             .filter(|ledger| ledger.pending_adapter_count() < PENDING_ADAPTERS)
             .min_by_key(|ledger| {
                 let is_roomy = self.filled(ledger, slots) < ROOMY;
-                let is_cold = !ledger.cold_for(now).is_zero();
-                (is_cold, !is_roomy, ledger.adapters().len())
+                let is_scarce = !ledger.bears_little_for(now).is_zero();
+                (is_scarce, !is_roomy, ledger.adapters().len())
             });
         let Some(ledger) = best else {
             return;
--- a/crates/routing/src/placement/cold.rs
+++ b/crates/routing/src/placement/scarce.rs
@@ -1,5 +1,5 @@
-//! Copies on cold runners: they bear a few requests a second, so that more requests than that need another copy at a
-//! warm runner, if that one is ready before the cold spell ends.
+//! Copies on runners that bear little, because they are cold or name a rate: more requests than they bear need another copy
+//! at another runner, if that one is ready before these bear all again.
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -11,22 +11,31 @@
 
 use super::candidates::{Candidate, Openings};
 use super::demand::WantedUnit;
+use super::ledger::Ledger;
 use super::{Placement, Reason};
 
-/// What the copies of a unit bear while all of them are cold.
-struct ColdCopies {
-    /// Time until the first of them is warm.
-    spell: Duration,
+/// What one copy bears.
+struct ScarceCopy {
+    /// Time for which it does.
+    lasts: Duration,
+    /// Requests a second.
+    rate: f64,
+}
+
+/// What the copies of a unit bear while all of them bear little.
+struct ScarceCopies {
+    /// Time until the first of them bears all again.
+    lasts: Duration,
     /// Requests a second that they bear together until then.
     rate: f64,
 }
 
-impl ColdCopies {
-    /// Whether a copy that is ready after a time would still find requests that wait, and before a cold one is warm.
+impl ScarceCopies {
+    /// Whether a copy that is ready after a time would still find requests that wait, and before these bear all again.
     fn are_relieved_after(&self, ready: Duration, wanted: &WantedUnit) -> bool {
         let seconds = ready.as_secs_f64();
         let requests = f64::from(wanted.requests) + wanted.rate * seconds;
-        ready < self.spell && requests > self.rate * seconds
+        ready < self.lasts && requests > self.rate * seconds
     }
 }
 
@@ -41,36 +50,49 @@
         self.cold_rates = services.filter_map(rate).collect();
     }
 
-    /// What the copies of a unit bear, if there are some and all are cold.
-    fn cold_copies(&self, requirement: &Requirement, now: Timestamp) -> Option<ColdCopies> {
-        let rate = *self.cold_rates.get(&requirement.unit.service)?;
+    /// What a copy on a runner bears, if that is little.
+    fn scarce_copy(&self, ledger: &Ledger, now: Timestamp) -> Option<ScarceCopy> {
+        let lasts = ledger.bears_little_for(now);
+        if lasts.is_zero() {
+            return None;
+        }
+        let cold_rate = self.cold_rates.get(&ledger.runner.service).copied();
+        let rate = match ledger.rate_limit {
+            Some(rate) => rate.as_per_second(),
+            None => cold_rate?,
+        };
+        Some(ScarceCopy { lasts, rate })
+    }
+
+    /// What the copies of a unit bear, if there are some and all bear little.
+    fn scarce_copies(&self, requirement: &Requirement, now: Timestamp) -> Option<ScarceCopies> {
         let copies = self.copies.offered_at(&requirement.unit);
         let copies = copies.filter_map(|id| self.ledgers.get(id));
         let copies = copies.filter(|ledger| self.is_at_home(ledger, &requirement.homes));
-        let spells: Vec<Duration> = copies.map(|ledger| ledger.cold_for(now)).collect();
-        let spell = spells.iter().min().copied()?;
-        let count = u32::try_from(spells.len()).unwrap_or(u32::MAX);
-        (!spell.is_zero()).then(|| ColdCopies {
-            spell,
-            rate: rate * f64::from(count),
+        let scarce: Option<Vec<ScarceCopy>> =
+            copies.map(|ledger| self.scarce_copy(ledger, now)).collect();
+        let scarce = scarce?;
+        Some(ScarceCopies {
+            lasts: scarce.iter().map(|copy| copy.lasts).min()?,
+            rate: scarce.iter().map(|copy| copy.rate).sum(),
         })
     }
 
-    /// Loads another copy of what requests wait for though it is offered, if all its copies are cold and the other one
+    /// Loads another copy of what requests wait for though it is offered, if all its copies bear little and the other one
     /// helps.
-    pub(super) fn relieve_cold(
+    pub(super) fn relieve_scarce(
         &mut self,
         wanted: &WantedUnit,
         openings: &mut Openings,
         now: Timestamp,
     ) {
-        let Some(cold) = self.cold_copies(&wanted.requirement, now) else {
+        let Some(scarce) = self.scarce_copies(&wanted.requirement, now) else {
             return;
         };
         let model = wanted.requirement.base();
         let is_adapter = wanted.requirement.unit.adapter.is_some();
-        let has_warm_model = is_adapter && self.cold_copies(&model, now).is_none();
-        if has_warm_model {
+        let has_ample_model = is_adapter && self.scarce_copies(&model, now).is_none();
+        if has_ample_model {
             self.place_adapter(&wanted.requirement, openings, now);
             return;
         }
@@ -80,15 +102,15 @@
         let Some(candidate) = self.best_candidate(&model, openings, now) else {
             return;
         };
-        let is_warm = self.is_warm_when_loaded(&candidate, now);
-        if is_warm && cold.are_relieved_after(candidate.ready_in(), wanted) {
+        let is_ample = self.is_ample_when_loaded(&candidate, now);
+        if is_ample && scarce.are_relieved_after(candidate.ready_in(), wanted) {
             openings.take(&candidate, &model.unit.service);
             self.load_at(&candidate.runner, &model, Reason::Replica, now);
         }
     }
 
-    fn is_warm_when_loaded(&self, candidate: &Candidate, now: Timestamp) -> bool {
+    fn is_ample_when_loaded(&self, candidate: &Candidate, now: Timestamp) -> bool {
         let ledger = self.ledgers.get(&candidate.runner);
-        ledger.is_some_and(|ledger| ledger.cold_for(now) <= candidate.ready_in())
+        ledger.is_some_and(|ledger| ledger.bears_little_for(now) <= candidate.ready_in())
     }
 }
--- a/crates/routing/tests/placement/paced_calls.rs
+++ b/crates/routing/tests/placement/paced_calls.rs
@@ -25,7 +25,7 @@
     let mut asked = Vec::new();
     let mut now = BEGIN;
     while now.since(BEGIN) < TIME {
-        placement.pace_calls(&notices, now);
+        placement.hear_notices(&notices, now);
         let asks = |action: &Action| match action {
             Action::Report { runner: asked, .. } => *asked == runner.id,
             Action::Order { .. } => false,
--- a/crates/routing/tests/placement/cold.rs
+++ b/crates/routing/tests/placement/scarce.rs
@@ -1,4 +1,4 @@
-//! Loads while runners are cold.
+//! Loads while runners are cold or name a rate.
 
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
@@ -8,7 +8,9 @@
 use flaxward_routing::homes::Requirement;
 use flaxward_routing::messages::{KnownState, Usage, WaitingUnit};
 use flaxward_routing::names::{AdapterName, Unit, Zone};
+use flaxward_routing::notices::{Notices, RunnerNotice};
 use flaxward_routing::placement::{Action, Operation, Placement, PlacementSettings, RunnerReport};
+use flaxward_routing::rate_limit::RequestRate;
 use flaxward_routing::runners::Runner;
 use flaxward_routing::strength::MachineStrength;
 use flaxward_types::time::Timestamp;
@@ -33,6 +35,7 @@
 struct Fleet {
     placement: Placement,
     runners: Vec<Runner>,
+    notices: Notices,
 }
 
 impl Fleet {
@@ -56,7 +59,11 @@
         for (runner, report) in runners.iter().zip(reports) {
             placement.reported(&runner.id, Some(report), BEGIN, BEGIN);
         }
-        Self { placement, runners }
+        Self {
+            placement,
+            runners,
+            notices: Notices::default(),
+        }
     }
 
     /// The runner that gets a load, while so many requests wait for a unit.
@@ -89,6 +96,19 @@
     }
 }
 
+impl Fleet {
+    /// A runner names a rate, or none any more.
+    fn name_rate(&mut self, runner: usize, per_second: Option<f64>, now: Timestamp) {
+        let notice = RunnerNotice {
+            rate_limit: per_second.and_then(RequestRate::per_second),
+            ..RunnerNotice::default()
+        };
+        let id = &self.runners[runner].id;
+        self.notices.take_in(id, notice, now, now);
+        self.placement.hear_notices(&self.notices, now);
+    }
+}
+
 /// A runner with these models and adapters, and the first model on its disk.
 fn report(held: &[Unit]) -> RunnerReport {
     let mut report = RunnerReport::default();
@@ -188,3 +208,31 @@
     let mut fleet = Fleet::new(&[0, 0], held());
     assert_eq!(fleet.load(&unit, 40, BEGIN), None);
 }
+
+/// A runner that names a rate bears no more, and does not say for how long. A load from disk takes 1.7 s.
+#[test]
+fn another_copy_comes_if_the_only_one_names_a_rate_and_more_requests_wait_than_that() {
+    let held = || vec![report(&[model(0)]), report(&[])];
+    let at = |rate: Option<f64>, requests: u32| {
+        let mut fleet = Fleet::with_cold_start(None, &[0, 0], held());
+        fleet.name_rate(0, rate, BEGIN);
+        runner_of(fleet.load(&model(0), requests, BEGIN))
+    };
+    assert_eq!(at(Some(1.0), 5).as_deref(), Some("r1"));
+    assert_eq!(at(Some(20.0), 5), None, "the copy bears them");
+    assert_eq!(at(None, 5), None, "it names none");
+}
+
+#[test]
+fn a_model_is_loaded_at_a_runner_that_names_no_rate_and_at_another_once_it_is_over() {
+    let mut fleet = Fleet::with_cold_start(None, &[0, 0], vec![report(&[]), report(&[])]);
+    fleet.name_rate(0, Some(1.0), BEGIN);
+    let load = fleet.load(&model(0), 1, BEGIN);
+    assert_eq!(runner_of(load).as_deref(), Some("r1"));
+
+    let mut fleet = Fleet::with_cold_start(None, &[0, 0], vec![report(&[]), report(&[])]);
+    fleet.name_rate(0, Some(1.0), BEGIN);
+    fleet.name_rate(0, None, BEGIN + Duration::from_millis(10));
+    let load = fleet.load(&model(0), 1, BEGIN + Duration::from_millis(20));
+    assert_eq!(runner_of(load).as_deref(), Some("r0"));
+}
