A word of another daemon that was held up ends no rate that was named after it

What callers would have seen: nothing at once; for some tenths of a second all daemons would have sent to a runner at will that names a rate. Found by reading: the age of a word counted from when it was read, so that a coordinator which wakes from a freeze takes the end of an earlier rate for later than the present one. A rate now counts as of the latest moment at which its message can have come, its end as of the earliest. Test first by its content, in the same commit: it fails with the age counted from the reading (known, not outdated).

--- a/crates/ingress/src/coordination/mod.rs
+++ b/crates/ingress/src/coordination/mod.rs
@@ -456,10 +456,7 @@
                 self.answer_permit_questions(&questions, now);
             }
             Message::PermitAnswers(answers) => heard_permit_answers(&self.shared, &answers),
-            Message::RunnerNotices(notices) => {
-                let now = self.shared.now();
-                self.heard_notices(&notices, now);
-            }
+            Message::RunnerNotices(notices) => self.heard_notices(&notices, came_after),
             Message::ConfigurationWanted(wanted) => {
                 self.configurations
                     .answer(&self.shared, &self.peers, &wanted);
--- a/crates/ingress/src/coordination/notices.rs
+++ b/crates/ingress/src/coordination/notices.rs
@@ -32,13 +32,14 @@
         }
     }
 
-    /// Takes in what another daemon tells. The coordinator passes on what is news, and corrects who believes something
+    /// Takes in what another daemon tells, in a message that came no earlier than at a time. The coordinator passes on what is news, and corrects who believes something
     /// that has changed since.
-    pub(super) fn heard_notices(&mut self, told: &RunnerNotices, now: Timestamp) {
+    pub(super) fn heard_notices(&mut self, told: &RunnerNotices, came_after: Timestamp) {
+        let now = self.shared.now();
         let mut news = BTreeSet::new();
         let mut outdated = BTreeSet::new();
         for notice in &told.notices {
-            match self.shared.heard_shared_notice(notice) {
+            match self.shared.heard_shared_notice(notice, came_after) {
                 Heard::News => news.insert(notice.runner.clone()),
                 Heard::Outdated => outdated.insert(notice.runner.clone()),
                 Heard::Known => false,
--- a/crates/ingress/src/notices.rs
+++ b/crates/ingress/src/notices.rs
@@ -35,10 +35,10 @@
         self.changed.notify_waiters();
     }
 
-    /// Takes in what another daemon tells of a runner.
-    pub(crate) fn heard_shared_notice(&self, told: &SharedNotice) -> Heard {
+    /// Takes in what another daemon tells of a runner, in a message that came no earlier than at a time.
+    pub(crate) fn heard_shared_notice(&self, told: &SharedNotice, came_after: Timestamp) -> Heard {
         let now = self.now();
-        let heard = self.tables().notices.hear(told, now);
+        let heard = self.tables().notices.hear(told, came_after, now);
         if heard != Heard::News {
             return heard;
         }
--- a/crates/routing/src/notices.rs
+++ b/crates/routing/src/notices.rs
@@ -75,10 +75,17 @@
 }
 
 impl SharedRate {
-    fn word(self, now: Timestamp) -> RateWord {
+    /// The word in a message that came between two moments: a rate counts as of the later, its end as of the earlier one. So
+    /// a message that was held up ends no rate that was named after it.
+    fn word(self, came_after: Timestamp, now: Timestamp) -> RateWord {
+        let came = if self.rate_limit.is_some() {
+            now
+        } else {
+            came_after
+        };
         RateWord {
             rate: self.rate_limit,
-            at: now - Duration::from_millis(u64::from(self.age_ms)),
+            at: came - Duration::from_millis(u64::from(self.age_ms)),
         }
     }
 }
@@ -149,11 +156,11 @@
         is_news
     }
 
-    /// Takes in what another daemon tells.
-    pub fn hear(&mut self, told: &SharedNotice, now: Timestamp) -> Heard {
+    /// Takes in what another daemon tells, in a message that came between two moments.
+    pub fn hear(&mut self, told: &SharedNotice, came_after: Timestamp, now: Timestamp) -> Heard {
         let begins_to_leave = told.leaves && self.note_leaving(&told.runner);
         let known = self.runners.entry(told.runner.clone()).or_default();
-        let word = told.rate.map(|rate| rate.word(now));
+        let word = told.rate.map(|rate| rate.word(came_after, now));
         let knows_later = known.rate.is_some_and(|known| {
             let is_older = word.is_none_or(|word| word.at < known.at);
             is_older && word.and_then(|word| word.rate) != known.rate
--- a/crates/routing/tests/limited_runners.rs
+++ b/crates/routing/tests/limited_runners.rs
@@ -117,20 +117,40 @@
     };
     let mut notices = Notices::default();
     assert_eq!(
-        notices.hear(&told(Some(rate(1.0)), 100), at(5_000)),
+        notices.hear(&told(Some(rate(1.0)), 100), at(5_000), at(5_000)),
         Heard::News
     );
     assert_eq!(
-        notices.hear(&told(Some(rate(1.0)), 50), at(5_000)),
+        notices.hear(&told(Some(rate(1.0)), 50), at(5_000), at(5_000)),
         Heard::Known
     );
-    assert_eq!(notices.hear(&told(None, 0), at(6_000)), Heard::News);
-    let outdated = notices.hear(&told(Some(rate(1.0)), 2_000), at(7_000));
+    assert_eq!(
+        notices.hear(&told(None, 0), at(6_000), at(6_000)),
+        Heard::News
+    );
+    let outdated = notices.hear(&told(Some(rate(1.0)), 2_000), at(7_000), at(7_000));
     assert_eq!(outdated, Heard::Outdated);
     let correction = notices.shared(&id(), at(7_000));
     assert_eq!(correction, Some(told(None, 1_000)));
 }
 
+/// A coordinator that was frozen reads seconds later that a rate is over, and the runner has named another one meanwhile.
+#[test]
+fn a_message_that_was_held_up_ends_no_rate_that_was_named_after_it() {
+    let over = SharedNotice {
+        runner: id(),
+        leaves: false,
+        rate: Some(SharedRate {
+            rate_limit: None,
+            age_ms: 0,
+        }),
+    };
+    let mut notices = Notices::default();
+    notices.take_in(&id(), names(Some(rate(1.0))), at(4_900), at(5_000));
+    assert_eq!(notices.hear(&over, at(4_000), at(7_000)), Heard::Outdated);
+    assert_eq!(notices.rate_limit(&id()), Some(rate(1.0)));
+}
+
 /// What happens in one trial.
 #[derive(Clone, Debug)]
 struct Trouble {
@@ -398,12 +418,12 @@
         if daemon == self.coordinator {
             self.hears_as_coordinator(daemon, told, now);
         } else {
-            self.notices[daemon].hear(told, now);
+            self.notices[daemon].hear(told, now, now);
         }
     }
 
     fn hears_as_coordinator(&mut self, from: usize, told: &SharedNotice, now: Timestamp) {
-        let heard = self.notices[self.coordinator].hear(told, now);
+        let heard = self.notices[self.coordinator].hear(told, now, now);
         let Some(known) = self.notices[self.coordinator].shared(&id(), now) else {
             return;
         };
