--- a/crates/flaxward/tests/soak.rs
+++ b/crates/flaxward/tests/soak.rs
@@ -29,6 +29,14 @@
     FaultKind::HomeRoutes,
 ];
 
+/// What runners say of themselves in their answers. The code before those words were read broke promises with each of these
+/// kinds.
+const NOTICE_KINDS: &[FaultKind] = &[
+    FaultKind::LimitedRunner,
+    FaultKind::RestingRunner,
+    FaultKind::LateDrain,
+];
+
 async fn run(name: &str, seed: u64, seconds: u64, faults: Vec<(FaultKind, u32)>) -> Report {
     run_daemons(DAEMONS, name, seed, seconds, faults).await
 }
@@ -69,6 +77,13 @@
     assert_eq!(report.violations, Vec::<String>::new());
 }
 
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn promises_hold_while_runners_say_what_they_take() {
+    let report = run("notices", 9_103, 15, FaultKind::alone(NOTICE_KINDS)).await;
+    assert!(!report.faults.is_empty());
+    assert_eq!(report.violations, Vec::<String>::new());
+}
+
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn promises_hold_under_further_faults() {
     let report = run("further", 8, 10, FaultKind::with(FURTHER_KINDS)).await;
