Two models in virtual time share their events, random numbers and count of a span

The model of runners that name a rate had written again what the one of cold runners had. Both draw and schedule in the same order as before, so that kept seeds bring about the same (cold_runners, limited_runners pass).

--- a/crates/routing/tests/cold_runners.rs
+++ b/crates/routing/tests/cold_runners.rs
@@ -3,6 +3,8 @@
 //! runner gets no more in any second than the operators allow; and while word gets through no request below its rate is
 //! refused.
 
+mod virtual_time;
+
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -15,6 +17,7 @@
 use flaxward_routing::runners::Runner;
 use flaxward_types::time::Timestamp;
 use proptest::prelude::*;
+use virtual_time::{Events, most_within};
 
 const STEP: Duration = Duration::from_millis(5);
 const SECOND: Duration = Duration::from_secs(1);
@@ -240,9 +243,7 @@
 
 struct World {
     trouble: Trouble,
-    random: u64,
-    events: BTreeMap<(Timestamp, u64), Event>,
-    number: u64,
+    events: Events<Event>,
     keepers: Vec<PermitKeeper>,
     /// From when until when the lease of each keeper holds.
     terms: Vec<(Timestamp, Timestamp)>,
@@ -269,10 +270,8 @@
             keepers.push(PermitKeeper::new(ended_at));
         }
         Self {
-            random: trouble.seed | 1,
+            events: Events::new(trouble.seed),
             trouble,
-            events: BTreeMap::new(),
-            number: 0,
             keepers,
             terms,
             sent: VecDeque::new(),
@@ -281,22 +280,10 @@
         }
     }
 
-    fn draw(&mut self, below: u64) -> u64 {
-        self.random ^= self.random << 13;
-        self.random ^= self.random >> 7;
-        self.random ^= self.random << 17;
-        self.random % below.max(1)
-    }
-
-    fn schedule(&mut self, at: Timestamp, event: Event) {
-        self.number += 1;
-        self.events.insert((at, self.number), event);
-    }
-
     fn travel(&mut self) -> Option<Duration> {
         let (loss, delay) = (self.trouble.loss, self.trouble.delay);
-        let is_lost = self.draw(loss) == 0;
-        let time = Duration::from_millis(self.draw(delay) + 1);
+        let is_lost = self.events.draw(loss) == 0;
+        let time = Duration::from_millis(self.events.draw(delay) + 1);
         (!is_lost).then_some(time)
     }
 
@@ -306,11 +293,11 @@
         let pause = Duration::from_secs_f64(1.0 / self.trouble.demand);
         let mut next = known_at;
         while next < self.spell_begun_at + SPELL * 2 {
-            let rank = u8::try_from(self.draw(4)).unwrap();
-            self.schedule(next, Event::Wants { rank });
+            let rank = u8::try_from(self.events.draw(4)).unwrap();
+            self.events.schedule(next, Event::Wants { rank });
             next = next + pause.max(Duration::from_millis(1));
         }
-        while let Some(((now, _), event)) = self.events.pop_first() {
+        while let Some((now, event)) = self.events.next() {
             self.happens(event, now);
         }
     }
@@ -319,7 +306,7 @@
     fn send_unannounced(&mut self) {
         for _ in 0..self.trouble.unannounced {
             let word = self.trouble.word;
-            let after = Duration::from_millis(self.draw(word));
+            let after = Duration::from_millis(self.events.draw(word));
             self.sent.push_back(self.spell_begun_at + after);
         }
     }
@@ -329,14 +316,14 @@
             Event::Wants { rank } => {
                 // Some daemons still ask the keeper before, or a successor already.
                 let keepers = self.keepers.len() as u64;
-                let keeper = usize::try_from(self.draw(keepers)).unwrap();
+                let keeper = usize::try_from(self.events.draw(keepers)).unwrap();
                 let Some(travel) = self.travel() else { return };
                 let asks = Event::Asks {
                     rank,
                     asked_at: now,
                     keeper,
                 };
-                self.schedule(now + travel, asks);
+                self.events.schedule(now + travel, asks);
             }
             Event::Asks {
                 rank,
@@ -352,19 +339,20 @@
                 let Some(travel) = self.travel() else { return };
                 match decision {
                     PermitDecision::Given => {
-                        self.schedule(now + travel, Event::Permitted { asked_at });
+                        self.events
+                            .schedule(now + travel, Event::Permitted { asked_at });
                     }
                     PermitDecision::Refused { .. } => self.refused += 1,
                 }
             }
             Event::Permitted { asked_at } => {
                 let freezes = self.trouble.freezes;
-                let frozen = if self.draw(freezes) == 0 {
-                    self.draw(2_000)
+                let frozen = if self.events.draw(freezes) == 0 {
+                    self.events.draw(2_000)
                 } else {
-                    self.draw(20)
+                    self.events.draw(20)
                 };
-                self.schedule(
+                self.events.schedule(
                     now + Duration::from_millis(frozen),
                     Event::Sends { asked_at },
                 );
@@ -380,13 +368,7 @@
     /// The most requests in any second from a time on.
     fn most_after(&self, begin: Timestamp) -> usize {
         let sent = self.sent.iter().copied();
-        let mut sent: Vec<Timestamp> = sent.filter(|&at| at >= begin).collect();
-        sent.sort();
-        let count = |from: &Timestamp| {
-            let within = |at: &&Timestamp| **at >= *from && at.since(*from) < SECOND;
-            sent.iter().filter(within).count()
-        };
-        sent.iter().map(count).max().unwrap_or(0)
+        most_within(sent.filter(|&at| at >= begin), SECOND)
     }
 }
 
--- a/crates/routing/tests/limited_runners.rs
+++ b/crates/routing/tests/limited_runners.rs
@@ -3,7 +3,8 @@
 //! passed on an answer with the rate send no more together than operators allow; and once the runner names no rate any more,
 //! all daemons come to know it.
 
-use std::collections::BTreeMap;
+mod virtual_time;
+
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -14,6 +15,7 @@
 use flaxward_routing::rate_limit::{FIRST_PERMITS, RequestRate, WINDOW};
 use flaxward_types::time::Timestamp;
 use proptest::prelude::*;
+use virtual_time::{Events, most_within};
 
 /// Time over which operators bound what a runner gets from daemons that were told.
 const SPAN: Duration = Duration::from_secs(4);
@@ -222,9 +224,7 @@
 
 struct World {
     trouble: Trouble,
-    random: u64,
-    events: BTreeMap<(Timestamp, u64), Event>,
-    number: u64,
+    events: Events<Event>,
     notices: Vec<Notices>,
     /// When each daemon first passed on an answer that named the rate.
     told_at: Vec<Option<Timestamp>>,
@@ -239,9 +239,7 @@
     fn new(trouble: Trouble) -> Self {
         let daemons = trouble.daemons;
         Self {
-            random: trouble.seed | 1,
-            events: BTreeMap::new(),
-            number: 0,
+            events: Events::new(trouble.seed),
             notices: (0..daemons).map(|_| Notices::default()).collect(),
             told_at: vec![None; daemons],
             keeper: PermitKeeper::new(at(0)),
@@ -252,29 +250,17 @@
         }
     }
 
-    fn draw(&mut self, below: u64) -> u64 {
-        self.random ^= self.random << 13;
-        self.random ^= self.random >> 7;
-        self.random ^= self.random << 17;
-        self.random % below.max(1)
-    }
-
-    fn schedule(&mut self, at: Timestamp, event: Event) {
-        self.number += 1;
-        self.events.insert((at, self.number), event);
-    }
-
     /// Time of an answer, or of a message that is not lost.
     fn travel(&mut self) -> Duration {
         let delay = self.trouble.delay;
-        Duration::from_millis(self.draw(delay) + 1)
+        Duration::from_millis(self.events.draw(delay) + 1)
     }
 
     fn send(&mut self, now: Timestamp, event: Event) {
         let loss = self.trouble.loss;
-        if self.draw(loss) > 0 {
+        if self.events.draw(loss) > 0 {
             let travel = self.travel();
-            self.schedule(now + travel, event);
+            self.events.schedule(now + travel, event);
         }
     }
 
@@ -282,10 +268,10 @@
         let pause = (1_000 / self.trouble.demand).max(1);
         for begun in (0..END).step_by(usize::try_from(pause).unwrap()) {
             let daemons = self.trouble.daemons as u64;
-            let daemon = usize::try_from(self.draw(daemons)).unwrap();
-            self.schedule(at(begun), Event::Wants { daemon });
+            let daemon = usize::try_from(self.events.draw(daemons)).unwrap();
+            self.events.schedule(at(begun), Event::Wants { daemon });
         }
-        while let Some(((now, _), event)) = self.events.pop_first() {
+        while let Some((now, event)) = self.events.next() {
             self.change_coordinator(now);
             self.happens(event, now);
         }
@@ -340,12 +326,13 @@
 
     fn sends_soon(&mut self, event: Event, now: Timestamp) {
         let freezes = self.trouble.freezes;
-        let frozen = if self.draw(freezes) == 0 {
-            self.draw(2_000)
+        let frozen = if self.events.draw(freezes) == 0 {
+            self.events.draw(2_000)
         } else {
-            self.draw(10)
+            self.events.draw(10)
         };
-        self.schedule(now + Duration::from_millis(frozen), event);
+        self.events
+            .schedule(now + Duration::from_millis(frozen), event);
     }
 
     fn asks(
@@ -378,7 +365,8 @@
         let is_permitted = permit.is_some_and(|asked_at| now.since(asked_at) < PERMIT_LIFE);
         if is_free || is_permitted {
             let sent_at = now;
-            self.schedule(now, Event::Arrives { daemon, sent_at });
+            self.events
+                .schedule(now, Event::Arrives { daemon, sent_at });
         }
     }
 
@@ -393,7 +381,7 @@
             sent_at,
             notice,
         };
-        self.schedule(now + travel, event);
+        self.events.schedule(now + travel, event);
     }
 
     fn answers(&mut self, daemon: usize, notice: RunnerNotice, sent_at: Timestamp, now: Timestamp) {
@@ -461,12 +449,7 @@
         let counted = counted.filter(|(arrived, daemon)| {
             *arrived >= from && *arrived < at(NAMED_UNTIL) && was_told(*arrived, *daemon)
         });
-        let counted: Vec<Timestamp> = counted.map(|(arrived, _)| *arrived).collect();
-        let count = |from: &Timestamp| {
-            let within = |at: &&Timestamp| **at >= *from && at.since(*from) < SPAN;
-            counted.iter().filter(within).count()
-        };
-        counted.iter().map(count).max().unwrap_or(0)
+        most_within(counted.map(|(arrived, _)| *arrived), SPAN)
     }
 }
 
