--- a/crates/routing/src/placement/ledger.rs
+++ b/crates/routing/src/placement/ledger/mod.rs
@@ -1,5 +1,8 @@
 //! What the coordinator believes of one runner: what it holds, the order under way, its order count.
 
+mod order_state;
+mod orders;
+
 use std::collections::BTreeSet;
 use std::time::Duration;
 
@@ -7,22 +10,17 @@
 
 use crate::configuration::Engine;
 use crate::holdings_digests::Bucket;
-use crate::homes::Requirement;
 use crate::names::{AdapterName, ModelName, Unit};
 use crate::rate_limit::RequestRate;
 use crate::runners::{Holdings, Runner, RunnerHoldings};
 
-use super::{Operation, Order, OrderAnswer, PlacementSettings, Reason, RunnerReport};
+use super::{Operation, Order};
 
-/// Time for which a runner gets no order after one that it called invalid or meant for another.
-const REJECTION_PAUSE: Duration = Duration::from_secs(2);
+pub use order_state::{Intent, OrderState, Progress, Settlement, WeightSource};
 
 /// Time for which a model that has just become ready is not dropped again.
 const FRESH: Duration = Duration::from_millis(1_500);
 
-/// Time after which an unload that no request holds up counts as done.
-const QUICK_UNLOAD: Duration = Duration::from_millis(60);
-
 /// Time for which a runner that names a rate is taken to go on doing so: it does not say for how long, and a copy
 /// elsewhere is ready sooner.
 const RATE_LASTS: Duration = Duration::from_secs(10);
@@ -36,68 +34,6 @@
 /// takes some seconds.
 const LONGEST_UNLOAD: Duration = Duration::from_secs(8);
 
-/// How far an order has come.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Progress {
-    /// The runner's order count must be read before it is sent.
-    Ready,
-    /// It was sent at this time and has no answer yet.
-    Sent(Timestamp),
-    /// It was sent and got no answer; it is sent again at this time.
-    Unanswered {
-        /// When.
-        retry_at: Timestamp,
-    },
-    /// The runner is carrying it out.
-    Running,
-    /// It was taken and should be done by this time, since no request holds it up. Nothing has shown it yet.
-    Expected(Timestamp),
-}
-
-/// Where a runner takes the weights of a model from.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum WeightSource {
-    /// Its own host memory.
-    Memory,
-    /// Its own disk.
-    Disk,
-    /// The weight store, which all runners share.
-    Store,
-}
-
-/// An order that is not settled.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct OrderState {
-    /// The order.
-    pub order: Order,
-    /// Where the weights come from, if it loads a model.
-    pub source: Option<WeightSource>,
-    /// Why it was given.
-    pub reason: Reason,
-    /// How far it has come.
-    pub progress: Progress,
-    /// When it should be done.
-    pub ready_at: Timestamp,
-}
-
-/// A load that waits until there is room.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Intent {
-    /// What is to be loaded, and for which homes.
-    pub requirement: Requirement,
-    /// Why.
-    pub reason: Reason,
-}
-
-/// What has become of an order that a report has settled.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Settlement {
-    /// The order as it was.
-    pub state: OrderState,
-    /// It was carried out.
-    pub is_done: bool,
-}
-
 /// One runner.
 #[derive(Debug)]
 pub struct Ledger {
@@ -457,248 +393,4 @@
             .iter()
             .any(|(name, at)| name == model && now.since(*at) < FRESH)
     }
-
-    /// Believes that the order under way is done, without waiting for a report: an unload that nothing holds
-    /// up. The runner refuses the next order if it is not, and then a report is read.
-    pub fn settle_expected(&mut self, now: Timestamp) {
-        let is_due =
-            |state: &mut OrderState| matches!(state.progress, Progress::Expected(at) if now >= at);
-        if let Some(state) = self.order.take_if(is_due) {
-            self.settle(&state.order, now);
-        }
-    }
-
-    /// When an order that should be done is believed to be, if there is one.
-    pub fn expected_at(&self) -> Option<Timestamp> {
-        match self.order.as_ref()?.progress {
-            Progress::Expected(at) => Some(at),
-            _ => None,
-        }
-    }
-
-    /// Begins an order.
-    pub fn begin(&mut self, order: Order, reason: Reason, ready_at: Timestamp) {
-        if self
-            .intent
-            .as_ref()
-            .is_some_and(|intent| intent.requirement.unit == order.unit)
-        {
-            self.intent = None;
-        }
-        let loads_model = order.operation == Operation::Load && order.unit.adapter.is_none();
-        self.order = Some(OrderState {
-            source: loads_model.then(|| self.weight_source(&order.unit.model)),
-            order,
-            reason,
-            progress: Progress::Ready,
-            ready_at,
-        });
-    }
-
-    /// The order to send now with the order count that it expects, if one is due.
-    pub fn due_order(&mut self, now: Timestamp) -> Option<(Order, u64, Reason)> {
-        let count = self.order_count?;
-        let state = self.order.as_mut()?;
-        let is_due = match state.progress {
-            Progress::Ready => true,
-            Progress::Unanswered { retry_at } => now >= retry_at,
-            Progress::Sent(_) | Progress::Running | Progress::Expected(_) => false,
-        };
-        if !is_due {
-            return None;
-        }
-        state.progress = Progress::Sent(now);
-        Some((state.order.clone(), count, state.reason))
-    }
-
-    /// Whether a report is due.
-    pub fn report_is_due(&self, now: Timestamp) -> bool {
-        if self.report_asked_at.is_some() || now < self.next_report {
-            return false;
-        }
-        if !self.is_confirmed || self.order_count.is_none() || self.has_unknown_order {
-            return true;
-        }
-        let polls = |state: &OrderState| match state.progress {
-            Progress::Running | Progress::Unanswered { .. } => true,
-            Progress::Ready | Progress::Sent(_) | Progress::Expected(_) => false,
-        };
-        self.order.as_ref().is_some_and(polls) || !self.pending_adapters.is_empty()
-    }
-
-    /// Takes in the answer to the order under way.
-    pub fn answered(
-        &mut self,
-        answer: OrderAnswer,
-        load_time: Option<Duration>,
-        is_held_up: bool,
-        now: Timestamp,
-        settings: &PlacementSettings,
-    ) {
-        let Some(mut state) = self.order.take() else {
-            return;
-        };
-        match answer {
-            OrderAnswer::Accepted if self.is_quick(&state.order, is_held_up) => {
-                self.order_count = self.order_count.map(|count| count + 1);
-                state.progress = Progress::Expected(now + QUICK_UNLOAD);
-                self.order = Some(state);
-            }
-            OrderAnswer::Accepted => self.accepted(state, load_time, now, settings),
-            OrderAnswer::AlreadyDone => {
-                self.settle(&state.order, now);
-                self.order_count = None;
-                self.next_report = now + settings.report_lag;
-            }
-            OrderAnswer::Conflict => {
-                // Another order was taken, perhaps an earlier one that came late.
-                self.order_count = None;
-                self.next_report = now + settings.report_lag;
-            }
-            OrderAnswer::FencedOff => {}
-            OrderAnswer::OtherRunner | OrderAnswer::Invalid => {
-                self.rejected_until = now + REJECTION_PAUSE;
-                self.order_count = None;
-                self.next_report = self.rejected_until;
-            }
-            OrderAnswer::Unknown => {
-                state.progress = Progress::Unanswered {
-                    retry_at: now + settings.order_retry,
-                };
-                self.order = Some(state);
-            }
-        }
-    }
-
-    /// Whether an order that was taken should be done in a moment: an unload for a load that follows, of a
-    /// model that no request uses.
-    fn is_quick(&self, order: &Order, is_held_up: bool) -> bool {
-        order.operation == Operation::Unload
-            && order.unit.adapter.is_none()
-            && self.intent.is_some()
-            && !is_held_up
-    }
-
-    fn accepted(
-        &mut self,
-        mut state: OrderState,
-        load_time: Option<Duration>,
-        now: Timestamp,
-        settings: &PlacementSettings,
-    ) {
-        self.order_count = self.order_count.map(|count| count + 1);
-        if let Some(adapter) = &state.order.unit.adapter {
-            match state.order.operation {
-                Operation::Load => {
-                    let key = (state.order.unit.model.clone(), adapter.clone());
-                    self.pending_adapters.insert(key);
-                }
-                Operation::Unload => self.settle(&state.order, now),
-            }
-            self.next_report = now + settings.report_lag;
-            return;
-        }
-        let expected = match state.order.operation {
-            Operation::Load => load_time.unwrap_or_default(),
-            Operation::Unload => Duration::ZERO,
-        };
-        state.progress = Progress::Running;
-        state.ready_at = now + expected;
-        self.next_report = now + expected.max(settings.report_lag);
-        self.order = Some(state);
-    }
-
-    /// Takes in a report. Returns the order that it settles.
-    pub fn reported(
-        &mut self,
-        report: RunnerReport,
-        asked_at: Timestamp,
-        now: Timestamp,
-        settings: &PlacementSettings,
-    ) -> Option<Settlement> {
-        self.next_report = now + settings.report_interval;
-        self.reported_at = now;
-        let is_stale = self
-            .order_count
-            .is_some_and(|count| report.order_count < count);
-        if is_stale {
-            return None;
-        }
-        let mut settlement = None;
-        let is_ahead = self.order_count != Some(report.order_count);
-        self.order_count = Some(report.order_count);
-        self.is_confirmed = true;
-        self.unanswered_reports = 0;
-        if let Some(mut state) = self.order.take() {
-            let unanswered = matches!(state.progress, Progress::Unanswered { .. });
-            if is_ahead && unanswered {
-                state.progress = Progress::Running;
-            }
-            let done = match state.order.operation {
-                Operation::Load => holds(&report.holdings, &state.order.unit),
-                Operation::Unload => !holds(&report.holdings, &state.order.unit),
-            };
-            let is_running = state.progress == Progress::Running;
-            if done && !report.is_busy && is_running {
-                self.note_ready(&state.order, now);
-                settlement = Some(Settlement {
-                    state,
-                    is_done: true,
-                });
-            } else if is_running && !report.is_busy && !done && asked_at > state.ready_at {
-                // The runner no longer works on it and has not done it.
-                self.order_count = Some(report.order_count);
-                settlement = Some(Settlement {
-                    state,
-                    is_done: false,
-                });
-            } else {
-                self.order = Some(state);
-            }
-        }
-        self.has_unknown_order = report.is_busy && self.order.is_none();
-        self.pending_adapters = report.pending;
-        self.holdings = report.holdings;
-        self.in_memory = report.in_memory;
-        self.on_disk = report.on_disk;
-        settlement
-    }
-
-    fn settle(&mut self, order: &Order, now: Timestamp) {
-        let unit = &order.unit;
-        match (order.operation, &unit.adapter) {
-            (Operation::Load, None) => {
-                self.holdings.entry(unit.model.clone()).or_default();
-            }
-            (Operation::Load, Some(adapter)) => {
-                let adapters = self.holdings.entry(unit.model.clone()).or_default();
-                adapters.insert(adapter.clone());
-            }
-            (Operation::Unload, None) => {
-                self.holdings.remove(&unit.model);
-            }
-            (Operation::Unload, Some(adapter)) => {
-                if let Some(adapters) = self.holdings.get_mut(&unit.model) {
-                    adapters.remove(adapter);
-                }
-            }
-        }
-        self.note_ready(order, now);
-    }
-
-    fn note_ready(&mut self, order: &Order, now: Timestamp) {
-        if order.operation == Operation::Load && order.unit.adapter.is_none() {
-            self.ready_since
-                .retain(|(model, at)| *model != order.unit.model && now.since(*at) < FRESH);
-            self.ready_since.push((order.unit.model.clone(), now));
-        }
-    }
-}
-
-fn holds(holdings: &Holdings, unit: &Unit) -> bool {
-    match (holdings.get(&unit.model), &unit.adapter) {
-        (None, _) => false,
-        (Some(_), None) => true,
-        (Some(adapters), Some(adapter)) => adapters.contains(adapter),
-    }
 }
