The coordinator copies the list of runners only while a listed one has said that it leaves

Found in reading the change: after the first leave ever heard, each change of the list would have copied all runners, for as long as the process lives. Also one loop in place of two where rates are taken in. Tests of leaves, rates and placement pass unchanged.

--- a/crates/ingress/src/coordination/leading.rs
+++ b/crates/ingress/src/coordination/leading.rs
@@ -166,7 +166,9 @@
             notices,
             ..
         } = tables;
-        if evacuations.zones.is_empty() && notices.leave_count() == 0 {
+        let mut leaving = notices.leaving();
+        let has_leaving = leaving.any(|id| tables.runners.get(id).is_some());
+        if evacuations.zones.is_empty() && !has_leaving {
             // Thousands of runners are not copied without need.
             self.placement.set_runners(tables.runners.iter());
             return;
--- a/crates/routing/src/notices.rs
+++ b/crates/routing/src/notices.rs
@@ -207,6 +207,13 @@
         runners.filter_map(move |runner| Some((runner, self.rests_until(runner, now)?)))
     }
 
+    /// All runners that have said that they leave.
+    pub fn leaving(&self) -> impl Iterator<Item = &RunnerId> {
+        let runners = self.runners.iter();
+        let leaving = runners.filter(|(_, known)| known.leaves);
+        leaving.map(|(runner, _)| runner)
+    }
+
     /// How many runners were found to leave until now.
     pub fn leave_count(&self) -> u64 {
         self.leave_count
--- a/crates/routing/src/placement/call_pacing.rs
+++ b/crates/routing/src/placement/call_pacing.rs
@@ -55,13 +55,9 @@
     /// Takes in what runners have said: reports are read and orders given no more often than a rate bears, and not in a
     /// rest; copies at runners that name a rate bear little.
     pub fn hear_notices(&mut self, notices: &Notices, now: Timestamp) {
-        for runner in self.call_pacing.next_call.keys() {
-            if let Some(ledger) = self.ledgers.get_mut(runner) {
-                ledger.rate_limit = notices.rate_limit(runner);
-            }
-        }
+        let before: Vec<RunnerId> = self.call_pacing.next_call.keys().cloned().collect();
         self.call_pacing.set_limited(notices.limited(), now);
-        for runner in self.call_pacing.next_call.keys() {
+        for runner in before.iter().chain(self.call_pacing.next_call.keys()) {
             if let Some(ledger) = self.ledgers.get_mut(runner) {
                 ledger.rate_limit = notices.rate_limit(runner);
             }
