--- a/crates/routing/src/permits/mod.rs
+++ b/crates/routing/src/permits/mod.rs
@@ -28,7 +28,7 @@
     pub requests: Vec<PermitQuestion>,
 }
 
-/// Whether one request may be sent to a cold runner.
+/// Whether one request may be sent to a runner that needs permits.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct PermitQuestion {
     /// The asking daemon's number of the request.
