An own or released record of an earlier era is left alone until it was there for a whole lease

What operators would see: two daemons give orders at one time, for up to a lease, after the store came back from a copy and one daemon was started anew. Cause: a record that names this daemon, or says that the lease was given back, was believed once the era was known for a whole lease, since every lease that the restore lost has run out by then. But a write from before the restore may be carried out at any later time, under a revision that was given out again, and put such a record over the lease of a holder of the present era. Now a record counts as the last word only if it was written in the present era; any other one is taken like that of a silent holder, once it was there unchanged for a lease. The holder whose record was written over finds that at its next renewal, or has run out by then.

--- a/crates/routing/src/lease/eras.rs
+++ b/crates/routing/src/lease/eras.rs
@@ -34,18 +34,13 @@
         lease.revision.era >= self.latest()
     }
 
-    /// Whether nobody can act under a lease that the store has lost, if what it shows was written in an era. A lease that
-    /// was confirmed before has run out by then.
-    pub fn has_outlasted_loss(
-        &self,
-        written_in: StoreEra,
-        lease: Duration,
-        now: Timestamp,
-    ) -> bool {
+    /// Whether nobody can act under a lease that the store has lost. One that was confirmed before the latest era has run out
+    /// once that is known for as long as a lease lasts.
+    pub fn has_outlasted_loss(&self, lease: Duration, now: Timestamp) -> bool {
         let Some((latest, since)) = self.latest else {
             return true;
         };
-        written_in >= latest || now.since(since) >= lease
+        latest == StoreEra::FIRST || now.since(since) >= lease
     }
 
     /// The lowest term that is above all of earlier eras that nobody remembers, less one: they were below the start of the
--- a/crates/routing/src/lease/mod.rs
+++ b/crates/routing/src/lease/mod.rs
@@ -10,7 +10,7 @@
 //! confirmed. Therefore
 //!
 //! - what the object says counts as the last word on it only if it was written in the era of the store's answer; else a
-//!   daemon waits for a whole lease from when it first saw that era, by which any lease of before has run out;
+//!   daemon waits until it was there unchanged for a whole lease, by which any holder has run out;
 //! - a holder whose lease was lost writes it again while it lasts;
 //! - terms of an era begin above all of the eras before, and above each that was heard of, so that none is used twice.
 
@@ -348,19 +348,14 @@
             return true;
         }
         let Some(lease) = &observed.lease else {
-            return self
-                .eras
-                .has_outlasted_loss(StoreEra::FIRST, self.expiry(), now);
+            return self.eras.has_outlasted_loss(self.expiry(), now);
         };
-        // A write from before a restore may be carried out after it, and put an old record over that of a holder. Whoever
-        // knows of a higher term waits until that one has surely run out.
-        let is_last_word = lease.record.term >= self.highest_term;
+        // A write from before a restore may be carried out after it, at any time, and put an old record over that of a holder:
+        // that one has run out once the record was there for a whole lease.
+        let is_last_word =
+            lease.record.era >= self.eras.latest() && lease.record.term >= self.highest_term;
         let is_given_up = lease.record.released || self.is_mine(lease);
-        is_last_word
-            && is_given_up
-            && self
-                .eras
-                .has_outlasted_loss(lease.record.era, self.expiry(), now)
+        is_last_word && is_given_up
     }
 
     /// Whether this daemon may take a lease that was read.
