Which runners may get requests is a module of its own, and a choice holds it

`Situation` and `Availability` held the same runners, evacuations and notices, and the choice of a service asked for them a third time in its own words. `Availability` (its own module, out of `balance`) now answers all three; a choice holds one. No decision changes. Placement tests share one report of a daemon without requests instead of four.

--- a/crates/ingress/src/state.rs
+++ b/crates/ingress/src/state.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use flaxward_clock::Clock;
+use flaxward_routing::availability::Availability;
 use flaxward_routing::balance::{self, NoRunner, Situation, Wanted};
 use flaxward_routing::budget::RetryBudget;
 use flaxward_routing::cold::spells::Spells;
@@ -303,32 +304,29 @@
             notices,
             ..
         } = &mut *tables;
+        let availability = Availability {
+            runners,
+            evacuations,
+            notices,
+            locality: &self.locality,
+        };
         let is_at_home = |service: &ServiceName| {
-            let runners = runners.of_service(service);
-            let mut staying = runners.filter(|it| !notices.leaves(&it.id));
-            staying.any(|it| !evacuations.includes(it) && self.is_at_home(it, homes))
+            let mut usable = availability.usable(service);
+            usable.any(|runner| availability.is_at_home(runner, homes))
         };
         splits.choose(route, homes, is_at_home, seed)
     }
 
-    /// Whether requests with some homes may be served at a runner.
-    pub(crate) fn is_at_home(&self, runner: &Runner, homes: &Homes) -> bool {
-        self.locality.regions().allow(homes, &runner.zone)
-    }
-
     /// The runner for a request.
     pub(crate) fn choose(&self, wanted: &Wanted<'_>) -> Result<Runner, NoRunner> {
         let now = self.now();
         let tables = self.tables();
         let situation = Situation {
-            runners: &tables.runners,
+            availability: tables.availability(&self.locality),
             spells: &tables.spells,
             health: &tables.health,
-            notices: &tables.notices,
             in_flight: &tables.in_flight,
             loads: &tables.loads,
-            evacuations: &tables.evacuations,
-            locality: &self.locality,
             daemons: tables.daemons,
             random: rand::random(),
             now,
@@ -380,6 +378,16 @@
 }
 
 impl Tables {
+    /// Which runners may get requests.
+    pub(crate) fn availability<'a>(&'a self, locality: &'a Locality) -> Availability<'a> {
+        Availability {
+            runners: &self.runners,
+            evacuations: &self.evacuations,
+            notices: &self.notices,
+            locality,
+        }
+    }
+
     /// Whether the pages that were read hold a runner of each service.
     fn has_runners_of_all(&self, configuration: &Configuration) -> bool {
         let has_runner = |service: &Arc<Service>| {
--- a/crates/ingress/src/waiting.rs
+++ b/crates/ingress/src/waiting.rs
@@ -4,7 +4,6 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
-use flaxward_routing::balance::{self, Availability};
 use flaxward_routing::configuration::Route;
 use flaxward_routing::homes::Requirement;
 use flaxward_types::ResultCode;
@@ -190,13 +189,8 @@
 fn is_held(shared: &Shared, requirement: &Requirement) -> bool {
     let now = shared.now();
     let tables = shared.tables();
-    let availability = Availability {
-        runners: &tables.runners,
-        evacuations: &tables.evacuations,
-        notices: &tables.notices,
-        regions: shared.locality.regions(),
-    };
-    balance::is_held(&availability, requirement, now)
+    let availability = tables.availability(&shared.locality);
+    availability.is_held(requirement, now)
 }
 
 fn promised(shared: &Shared, requirement: &Requirement, begun_at: Timestamp) -> Option<Timestamp> {
--- a/crates/routing/src/balance.rs
+++ b/crates/routing/src/balance.rs
@@ -19,14 +19,13 @@
 use flaxward_types::time::Timestamp;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
+use crate::availability::Availability;
 use crate::cold::spells::Spells;
-use crate::evacuation::Evacuations;
 use crate::health::HealthTable;
-use crate::homes::{Homes, Requirement};
-use crate::locality::{Distance, Locality, Regions};
+use crate::homes::Homes;
+use crate::locality::Distance;
 use crate::names::{RunnerId, ServiceName, Unit};
-use crate::notices::Notices;
-use crate::runners::{Runner, RunnerTable};
+use crate::runners::Runner;
 
 /// Share of a runner's slots, divided among the daemons, from which affinity gives way to load.
 const AFFINITY_LOAD: f64 = 0.8;
@@ -53,22 +52,16 @@
 /// What the choice depends on besides the request.
 #[derive(Debug)]
 pub struct Situation<'a> {
-    /// The runners.
-    pub runners: &'a RunnerTable,
+    /// The runners, and which of them may get requests.
+    pub availability: Availability<'a>,
     /// Which of them are cold.
     pub spells: &'a Spells,
     /// Their health.
     pub health: &'a HealthTable,
-    /// What they have said of themselves.
-    pub notices: &'a Notices,
     /// This daemon's requests at each runner.
     pub in_flight: &'a HashMap<RunnerId, u32>,
     /// Requests of all daemons at runners that are crowded, as told a while ago.
     pub loads: &'a HashMap<RunnerId, u32>,
-    /// Zones whose runners get nothing.
-    pub evacuations: &'a Evacuations,
-    /// How far zones are.
-    pub locality: &'a Locality,
     /// Daemons that share the runners.
     pub daemons: usize,
     /// A random number of this request.
@@ -126,32 +119,21 @@
 /// # Errors
 /// Says why there is none.
 pub fn choose<'a>(situation: &Situation<'a>, wanted: &Wanted<'_>) -> Result<&'a Runner, NoRunner> {
-    let all: Vec<&Runner> = situation
-        .runners
-        .iter()
-        .filter(|runner| {
-            is_usable(
-                runner,
-                wanted.service,
-                situation.evacuations,
-                situation.notices,
-            )
-        })
-        .collect();
+    let availability = &situation.availability;
+    let all: Vec<&Runner> = availability.usable(wanted.service).collect();
     if all.is_empty() {
         return Err(NoRunner::NoneOfService);
     }
-    let regions = situation.locality.regions();
     let at_home: Vec<&Runner> = all
         .into_iter()
-        .filter(|runner| regions.allow(wanted.homes, &runner.zone))
+        .filter(|runner| availability.is_at_home(runner, wanted.homes))
         .collect();
     if at_home.is_empty() {
         return Err(NoRunner::NoneAtHome);
     }
     let able: Vec<&Runner> = at_home
         .into_iter()
-        .filter(|runner| is_able(situation.runners, runner, wanted.unit, situation.now))
+        .filter(|runner| availability.is_able(runner, wanted.unit, situation.now))
         .collect();
     if able.is_empty() {
         return Err(NoRunner::NotLoaded);
@@ -176,61 +158,15 @@
     Err(room_at.map_or(NoRunner::AllTried, |until| NoRunner::NoRoom { until }))
 }
 
-/// Whether a runner is one of a service and may get requests. What it has said of itself counts beside the list, which may
-/// come late: the store may not be reached, and the list be told by others.
-fn is_usable(
-    runner: &Runner,
-    service: &ServiceName,
-    evacuations: &Evacuations,
-    notices: &Notices,
-) -> bool {
-    let leaves = runner.draining || notices.leaves(&runner.id);
-    runner.service == *service && !leaves && !evacuations.includes(runner)
-}
-
-fn is_able(runners: &RunnerTable, runner: &Runner, unit: Option<&Unit>, now: Timestamp) -> bool {
-    unit.is_none_or(|unit| runners.holds(runner, unit, now))
-}
-
-/// The runners, and which of them may get requests.
-#[derive(Clone, Copy, Debug)]
-pub struct Availability<'a> {
-    /// The runners.
-    pub runners: &'a RunnerTable,
-    /// Zones whose runners get nothing.
-    pub evacuations: &'a Evacuations,
-    /// What runners have said of themselves.
-    pub notices: &'a Notices,
-    /// Where zones lie.
-    pub regions: &'a Regions,
-}
-
-/// Whether some runner within the homes of requests holds their unit and may get them. Those who wait for a unit go by this, and
-/// [`choose`] finds [`NoRunner::NotLoaded`] only where it does not hold: otherwise they would wait for nothing, and
-/// look again without end.
-pub fn is_held(availability: &Availability<'_>, requirement: &Requirement, now: Timestamp) -> bool {
-    let Requirement { unit, homes } = requirement;
-    availability
-        .runners
-        .iter()
-        .filter(|runner| {
-            is_usable(
-                runner,
-                &unit.service,
-                availability.evacuations,
-                availability.notices,
-            )
-        })
-        .filter(|runner| availability.regions.allow(homes, &runner.zone))
-        .any(|runner| is_able(availability.runners, runner, Some(unit), now))
-}
-
 /// When a runner may have room for the request, if it has none now.
 fn room_at(situation: &Situation<'_>, wanted: &Wanted<'_>, runner: &Runner) -> Option<Timestamp> {
     let held_back = wanted.held_back.iter();
     let of_runner = held_back.filter(|it| it.runner == runner.id && it.until > situation.now);
     let held_back_until = of_runner.map(|it| it.until).max();
-    let rests_until = situation.notices.rests_until(&runner.id, situation.now);
+    let rests_until = situation
+        .availability
+        .notices
+        .rests_until(&runner.id, situation.now);
     held_back_until.max(rests_until)
 }
 
@@ -277,7 +213,7 @@
         in_flight
     };
     let filled = filled_share(situation, runner, in_flight);
-    let nearness = match situation.locality.distance(&runner.zone) {
+    let nearness = match situation.availability.locality.distance(&runner.zone) {
         Distance::Zone if filled >= LOCAL_SHARE => Distance::Region,
         distance => distance,
     };
@@ -294,7 +230,7 @@
 fn rank_at_random(situation: &Situation<'_>, runner: &Runner, in_flight: u32) -> Rank {
     let filled = filled_share(situation, runner, in_flight);
     let free = (1.0 - filled).max(LEAST_FREE_SHARE);
-    let weight = match situation.locality.distance(&runner.zone) {
+    let weight = match situation.availability.locality.distance(&runner.zone) {
         Distance::Zone => free * ZONE_WEIGHT,
         Distance::Region => free,
         Distance::Abroad => free * ABROAD_WEIGHT,
@@ -348,7 +284,11 @@
 
 fn needs_permit(situation: &Situation<'_>, runner: &Runner) -> bool {
     situation.spells.is_cold(&runner.id, situation.now)
-        || situation.notices.rate_limit(&runner.id).is_some()
+        || situation
+            .availability
+            .notices
+            .rate_limit(&runner.id)
+            .is_some()
 }
 
 /// Whether daemons must know that a runner has this many requests of all of them.
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -9,6 +9,7 @@
 
 pub mod arrivals;
 pub mod attempt;
+pub mod availability;
 pub mod balance;
 pub mod budget;
 pub mod cold;
--- a/crates/routing/src/notices.rs
+++ b/crates/routing/src/notices.rs
@@ -61,7 +61,7 @@
     pub runner: RunnerId,
     /// It leaves.
     pub leaves: bool,
-    /// Whether it names a rate; `None` if it never did.
+    /// Whether it names a rate; `None` if no answer was heard that tells.
     pub rate: Option<SharedRate>,
 }
 
--- a/crates/routing/tests/balance.rs
+++ b/crates/routing/tests/balance.rs
@@ -4,9 +4,8 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use flaxward_routing::balance::{
-    Availability, HeldBack, NoRunner, Situation, Wanted, choose, is_held, is_worth_telling,
-};
+use flaxward_routing::availability::Availability;
+use flaxward_routing::balance::{HeldBack, NoRunner, Situation, Wanted, choose, is_worth_telling};
 use flaxward_routing::cold::spells::Spells;
 use flaxward_routing::evacuation::Evacuations;
 use flaxward_routing::health::HealthTable;
@@ -112,14 +111,16 @@
         let loads = self.told(now);
         let in_flight = HashMap::new();
         let situation = Situation {
-            runners: &self.table,
+            availability: Availability {
+                runners: &self.table,
+                evacuations: &Evacuations::default(),
+                notices: &Notices::default(),
+                locality: &Locality::new(zone(daemon), Regions::default()),
+            },
             spells: &Spells::default(),
             health: &self.health,
-            notices: &Notices::default(),
             in_flight: &in_flight,
             loads: &loads,
-            evacuations: &Evacuations::default(),
-            locality: &Locality::new(zone(daemon), Regions::default()),
             daemons: DAEMONS,
             random,
             now,
@@ -215,14 +216,16 @@
         let loads = HashMap::from(loads);
         let chosen_abroad = |seed: u64| {
             let situation = Situation {
-                runners: &table,
+                availability: Availability {
+                    runners: &table,
+                    evacuations: &Evacuations::default(),
+                    notices: &Notices::default(),
+                    locality: &locality,
+                },
                 spells: &Spells::default(),
                 health: &HealthTable::default(),
-                notices: &Notices::default(),
                 in_flight: &HashMap::new(),
                 loads: &loads,
-                evacuations: &Evacuations::default(),
-                locality: &locality,
                 daemons: DAEMONS,
                 random: seed.wrapping_mul(0x9e37_79b9_7f4a_7c15),
                 now: Timestamp::ZERO,
@@ -254,14 +257,16 @@
     let mut table = RunnerTable::default();
     table.replace((0..2).map(|index| runner(index, zone(index))).collect(), 1);
     let situation = Situation {
-        runners: &table,
+        availability: Availability {
+            runners: &table,
+            evacuations: &Evacuations::default(),
+            notices: &Notices::default(),
+            locality: &Locality::new(zone(0), Regions::default()),
+        },
         spells: &Spells::default(),
         health: &HealthTable::default(),
-        notices: &Notices::default(),
         in_flight: &HashMap::new(),
         loads: &HashMap::new(),
-        evacuations: &Evacuations::default(),
-        locality: &Locality::new(zone(0), Regions::default()),
         daemons: DAEMONS,
         random: 7,
         now,
@@ -277,13 +282,7 @@
     };
     // Whoever waits for the unit would find that it is held.
     let requirement = Requirement::anywhere(unit.clone());
-    let availability = Availability {
-        runners: &table,
-        evacuations: situation.evacuations,
-        notices: situation.notices,
-        regions: &Regions::default(),
-    };
-    assert!(is_held(&availability, &requirement, now));
+    assert!(situation.availability.is_held(&requirement, now));
     choose(&situation, &wanted).map(|runner| runner.id.to_string())
 }
 
--- a/crates/routing/tests/decisions.rs
+++ b/crates/routing/tests/decisions.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use flaxward_routing::attempt::{Attempts, Failure};
+use flaxward_routing::availability::Availability;
 use flaxward_routing::balance::{NoRunner, Situation, Wanted, choose};
 use flaxward_routing::budget::{RetryBudget, RetryBudgetSettings};
 use flaxward_routing::cold::spells::Spells;
@@ -262,14 +263,16 @@
         let service = ServiceName::new("pool");
         let zone = Zone::new("z1");
         let situation = Situation {
-            runners: &self.runners,
+            availability: Availability {
+                runners: &self.runners,
+                evacuations: &Evacuations::default(),
+                notices: &Notices::default(),
+                locality: &Locality::new(zone.clone(), regions()),
+            },
             spells: &Spells::default(),
             health: &self.health,
-            notices: &Notices::default(),
             in_flight: &self.in_flight,
             loads: &self.loads,
-            evacuations: &Evacuations::default(),
-            locality: &Locality::new(zone.clone(), regions()),
             daemons: 1,
             random: 3,
             now: Timestamp(1_000),
--- a/crates/routing/tests/homes.rs
+++ b/crates/routing/tests/homes.rs
@@ -4,6 +4,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use flaxward_routing::availability::Availability;
 use flaxward_routing::balance::{NoRunner, Situation, Wanted, choose};
 use flaxward_routing::cold::spells::Spells;
 use flaxward_routing::configuration::{Route, RouteKind, WeightedService};
@@ -70,14 +71,16 @@
     let mut table = RunnerTable::default();
     table.replace(runners, 1);
     let situation = Situation {
+        availability: Availability {
+            runners: &table,
+            evacuations: &Evacuations::default(),
+            notices: &Notices::default(),
+            locality: &Locality::new(Zone::new("w1"), regions()),
+        },
         spells: &Spells::default(),
-        runners: &table,
         health: &HealthTable::default(),
-        notices: &Notices::default(),
         in_flight: &HashMap::new(),
         loads: &HashMap::new(),
-        evacuations: &Evacuations::default(),
-        locality: &Locality::new(Zone::new("w1"), regions()),
         daemons: 1,
         random: 3,
         now: Timestamp(1_000),
@@ -264,14 +267,11 @@
         table.replace(listed, 1);
         let locality = Locality::new(Zone::new(ZONES[own].0), regions());
         let situation = Situation {
+            availability: Availability { runners: &table, evacuations: &evacuations, notices: &Notices::default(), locality: &locality },
             spells: &Spells::default(),
-            runners: &table,
             health: &health,
-            notices: &Notices::default(),
             in_flight: &in_flight,
             loads: &loads,
-            evacuations: &evacuations,
-            locality: &locality,
             daemons,
             random,
             now,
--- a/crates/routing/tests/placement/homes.rs
+++ b/crates/routing/tests/placement/homes.rs
@@ -1,20 +1,18 @@
 //! Units for requests that may be served in some regions only.
 
 use std::collections::BTreeSet;
-use std::net::SocketAddr;
 
 use flaxward_routing::homes::{Homes, Requirement};
-use flaxward_routing::messages::{KnownState, RunningUnit, Usage, UsedUnit, WaitingUnit};
-use flaxward_routing::names::{Region, RunnerId, Unit, Zone};
+use flaxward_routing::messages::{RunningUnit, Usage, UsedUnit, WaitingUnit};
+use flaxward_routing::names::{Region, RunnerId, Unit};
 use flaxward_routing::placement::{
     Action, Operation, Placement, PlacementSettings, Reason, RunnerReport,
 };
-use flaxward_routing::strength::MachineStrength;
 use flaxward_types::time::Timestamp;
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
 
-use crate::world::{World, adapter, configuration, model, regions, runners};
+use crate::world::{World, adapter, configuration, idle_usage, model, regions, runners};
 
 fn homes(names: &[&str]) -> Homes {
     Homes::named(names.iter().map(|name| Region::new(name)))
@@ -105,12 +103,6 @@
     running: u32,
 ) -> Usage {
     Usage {
-        from: "d".to_owned(),
-        address: SocketAddr::from(([127, 0, 0, 1], 9)),
-        zone: Zone::new("z0"),
-        strength: MachineStrength::default(),
-        is_stopping: false,
-        known: KnownState::default(),
         waiting: waiting
             .into_iter()
             .map(|(requirement, requests)| WaitingUnit {
@@ -132,6 +124,7 @@
             unit: model(0),
             requests: running,
         }],
+        ..idle_usage()
     }
 }
 
--- a/crates/routing/tests/placement/pressure.rs
+++ b/crates/routing/tests/placement/pressure.rs
@@ -1,16 +1,14 @@
 //! Copies of models whose runners are full.
 
 use std::collections::BTreeSet;
-use std::net::SocketAddr;
 
 use flaxward_routing::configuration::{ClientLimits, Configuration};
 use flaxward_routing::homes::Requirement;
-use flaxward_routing::messages::{KnownState, RunningUnit, Usage, UsedUnit};
-use flaxward_routing::names::{RunnerId, Unit, Zone};
+use flaxward_routing::messages::{RunningUnit, Usage, UsedUnit};
+use flaxward_routing::names::{RunnerId, Unit};
 use flaxward_routing::placement::{
     Action, Operation, Placement, PlacementSettings, Reason, RunnerReport,
 };
-use flaxward_routing::strength::MachineStrength;
 use flaxward_types::time::Timestamp;
 
 use crate::world::{self, MODELS};
@@ -54,19 +52,13 @@
         requests: if index == 0 { hot_uses } else { NOW_AND_THEN },
     });
     Usage {
-        from: "d".to_owned(),
-        address: SocketAddr::from(([127, 0, 0, 1], 9)),
-        zone: Zone::new("z0"),
-        strength: MachineStrength::default(),
-        is_stopping: false,
-        known: KnownState::default(),
-        waiting: Vec::new(),
         used: used.collect(),
         running: vec![RunningUnit {
             runner: runner_id(0),
             unit: world::model(0),
             requests: hot_running,
         }],
+        ..world::idle_usage()
     }
 }
 
--- a/crates/routing/tests/placement/scarce.rs
+++ b/crates/routing/tests/placement/scarce.rs
@@ -1,21 +1,19 @@
 //! Loads while runners are cold or name a rate.
 
 use std::collections::BTreeSet;
-use std::net::SocketAddr;
 use std::time::Duration;
 
 use flaxward_routing::cold::ColdStart;
 use flaxward_routing::homes::Requirement;
-use flaxward_routing::messages::{KnownState, Usage, WaitingUnit};
+use flaxward_routing::messages::{Usage, WaitingUnit};
 use flaxward_routing::names::{AdapterName, Unit, Zone};
 use flaxward_routing::notices::{Notices, RunnerNotice};
 use flaxward_routing::placement::{Action, Operation, Placement, PlacementSettings, RunnerReport};
 use flaxward_routing::rate_limit::RequestRate;
 use flaxward_routing::runners::Runner;
-use flaxward_routing::strength::MachineStrength;
 use flaxward_types::time::Timestamp;
 
-use crate::world::{adapter, configuration_with, model, runners};
+use crate::world::{adapter, configuration_with, idle_usage, model, runners};
 
 const BEGIN: Timestamp = Timestamp(1_000);
 /// Requests a second that a cold runner bears.
@@ -69,20 +67,13 @@
     /// The runner that gets a load, while so many requests wait for a unit.
     fn load(&mut self, unit: &Unit, requests: u32, now: Timestamp) -> Option<(String, Unit)> {
         let usage = Usage {
-            from: "d".to_owned(),
-            address: SocketAddr::from(([127, 0, 0, 1], 9)),
-            zone: Zone::new("z0"),
-            strength: MachineStrength::default(),
-            is_stopping: false,
-            known: KnownState::default(),
             waiting: vec![WaitingUnit {
                 requirement: Requirement::anywhere(unit.clone()),
                 requests,
                 late: 0,
                 priority: 1,
             }],
-            used: Vec::new(),
-            running: Vec::new(),
+            ..idle_usage()
         };
         self.placement.usage(usage, now);
         self.placement.set_runners(self.runners.iter());
--- a/crates/routing/tests/placement/world.rs
+++ b/crates/routing/tests/placement/world.rs
@@ -48,6 +48,21 @@
     }
 }
 
+/// What a daemon tells that has no requests.
+pub fn idle_usage() -> Usage {
+    Usage {
+        from: "d".to_owned(),
+        address: SocketAddr::from(([127, 0, 0, 1], 9)),
+        zone: Zone::new("z0"),
+        strength: MachineStrength::default(),
+        is_stopping: false,
+        known: KnownState::default(),
+        waiting: Vec::new(),
+        used: Vec::new(),
+        running: Vec::new(),
+    }
+}
+
 fn specification(index: usize) -> ModelSpecification {
     ModelSpecification {
         weights_mb: MODELS[index],
@@ -387,11 +402,6 @@
             homes: self.homes.clone(),
         };
         Usage {
-            from: "d".to_owned(),
-            address: SocketAddr::from(([127, 0, 0, 1], 9)),
-            zone: Zone::new("z0"),
-            strength: MachineStrength::default(),
-            is_stopping: false,
             known: KnownState {
                 term: self.fence,
                 holdings_version: 0,
@@ -418,7 +428,7 @@
                     }
                 })
                 .collect(),
-            running: Vec::new(),
+            ..idle_usage()
         }
     }
 
