Known red: an answer from before a suspension ends a rate that was named since

Found by reading what the word of a rate counts from. The time for which an answer was on its way is taken from the steady clock, which leaves out a suspension of the machine. After one, an answer to a request of before counts as one to a request that was sent just now: if it names no rate, it ends the one that the runner has named since, here and, by word, at all daemons, which then send what they like until the next answer. The test has 30 requests at once reach a runner that named 1 a second; 11 in 4 s are allowed.

--- a/crates/ingress/tests/ingress/suspension.rs
+++ b/crates/ingress/tests/ingress/suspension.rs
@@ -7,6 +7,7 @@
 
 use flaxward_clock::{SystemTime, TimeSource};
 use flaxward_ingress::settings::KeyTrust;
+use tokio::task::JoinSet;
 use tokio::time::sleep;
 
 use crate::runner::{Behaviour, ScriptedRunner};
@@ -109,3 +110,44 @@
     sleep(Duration::from_millis(2_000)).await;
     assert_eq!(status("id-3").await, 200);
 }
+
+/// Found by reading: the time for which an answer was on its way left out a suspension, so that an answer from before the runner
+/// named its rate counted as one from after it, and the rate ended for all daemons.
+#[tokio::test]
+async fn an_answer_from_before_a_suspension_ends_no_rate_that_was_named_since() {
+    const BURST: usize = 30;
+    // In 4 s, at a rate of 1 a second: one and a half times that, and 5.
+    const ALLOWED: usize = 11;
+    let server = ScriptedRunner::start(vec![Behaviour::LateEvents(1, 2)]).await;
+    let store = MemoryStore::default();
+    store.set_runners(vec![runner(0, server.address)]);
+    store.set_configuration(configuration(1, Vec::new()));
+    let time = Arc::new(Leaping::default());
+    let mut own_settings = settings("a");
+    own_settings.time = time.clone();
+    let daemon = TestIngress::start_with(
+        own_settings,
+        store.share(),
+        Arc::new(ObedientControl::default()),
+    )
+    .await;
+    daemon.until_ready().await;
+
+    let late = tokio::spawn(daemon.request("/stream/", "late").send());
+    sleep(Duration::from_millis(200)).await;
+    server.set_notice("x-rate-limit: 1\r\n");
+    let told = daemon.request("/safe/", "told").send().await.unwrap();
+    assert_eq!(told.status(), 200);
+    time.suspend(SUSPENSION);
+    assert_eq!(late.await.unwrap().unwrap().status(), 200);
+
+    let before = server.received().len();
+    let mut requests = JoinSet::new();
+    for number in 0..BURST {
+        let request = daemon.request("/safe/", &format!("id-{number}"));
+        requests.spawn(request.send());
+    }
+    requests.join_all().await;
+    let count = server.received().len() - before;
+    assert!(count <= ALLOWED, "{count} requests");
+}
