What an answer says of its runner's rate counts from when its request was sent by the clock that counts suspension

What callers and runners would see: after one machine was suspended, all daemons send a runner that takes 1 request a second what they like, until its next answer reaches one of them. Cause: that an answer names no rate counts as of when its request was sent, and that was now less the time for which the request was under way, by the steady clock, which leaves suspension out. So an answer from before the suspension ended a rate that the runner had named during it, and the coordinator passed that on. Now the request keeps the moment at which it was sent, by the one clock that all decisions go by.

`lasted_ms` of a broken stream counts the suspension too.

--- a/crates/ingress/src/exchange.rs
+++ b/crates/ingress/src/exchange.rs
@@ -176,8 +176,7 @@
         .judge(&request.profile.id, head.status, &head.headers);
     if matches!(kind, HeadKind::Answer | HeadKind::NotRun) {
         let notice = shared.surface.notice(head.status, &head.headers);
-        let sent_at = shared.now() - in_flight.elapsed();
-        shared.heard_notice(&runner.id, notice, sent_at);
+        shared.heard_notice(&runner.id, notice, in_flight.sent_at());
     }
     match kind {
         HeadKind::Answer if !is_encoded => {}
--- a/crates/ingress/src/relay.rs
+++ b/crates/ingress/src/relay.rs
@@ -469,13 +469,14 @@
     }
 
     fn log_break(&self, exchange: &Exchange, failure: Failure) {
+        let lasted = self.shared.now().since(exchange.in_flight.sent_at());
         let fields: &[(&str, &dyn std::fmt::Display)] = &[
             ("request", &self.request.profile.id),
             ("runner", &exchange.runner.id),
             ("failure", &format!("{failure:?}")),
             ("last_event", &self.splitter.last_id().unwrap_or("")),
             ("runs", &(self.attempts.runs + 1)),
-            ("lasted_ms", &exchange.in_flight.elapsed().as_millis()),
+            ("lasted_ms", &lasted.as_millis()),
             ("fingerprint", &self.request.fingerprint()),
         ];
         metrics::counter!(STREAMS_BROKEN.name).increment(1);
--- a/crates/ingress/src/state.rs
+++ b/crates/ingress/src/state.rs
@@ -410,7 +410,7 @@
     shared: Arc<Shared>,
     runner: RunnerId,
     unit: Option<Unit>,
-    sent_at: Instant,
+    sent_at: Timestamp,
 }
 
 impl InFlight {
@@ -425,13 +425,14 @@
             shared: shared.clone(),
             runner: runner.clone(),
             unit: unit.cloned(),
-            sent_at: Instant::now(),
+            sent_at: shared.now(),
         }
     }
 
-    /// Time since the request was sent to the runner.
-    pub(crate) fn elapsed(&self) -> Duration {
-        self.sent_at.elapsed()
+    /// When the request was sent to the runner, by the clock that counts suspension: what an answer says of its runner is as
+    /// old as this at most.
+    pub(crate) fn sent_at(&self) -> Timestamp {
+        self.sent_at
     }
 }
 
