--- a/crates/flaxward/tests/soak.rs
+++ b/crates/flaxward/tests/soak.rs
@@ -48,20 +48,29 @@
     seconds: u64,
     faults: Vec<(FaultKind, u32)>,
 ) -> Report {
-    let folder = Path::new(env!("CARGO_TARGET_TMPDIR")).join(name);
-    let _ = std::fs::remove_dir_all(&folder);
-    std::fs::create_dir_all(&folder).unwrap();
+    let folder = empty_folder(name);
     let plan = Plan {
         seed,
         duration: Duration::from_secs(seconds),
         daemons,
         faults,
-        binaries: vec![PathBuf::from(env!("CARGO_BIN_EXE_flaxward"))],
+        binaries: vec![program()],
         folder,
     };
     soak(&plan).await.unwrap()
 }
 
+fn program() -> PathBuf {
+    PathBuf::from(env!("CARGO_BIN_EXE_flaxward"))
+}
+
+fn empty_folder(name: &str) -> PathBuf {
+    let folder = Path::new(env!("CARGO_TARGET_TMPDIR")).join(name);
+    let _ = std::fs::remove_dir_all(&folder);
+    std::fs::create_dir_all(&folder).unwrap();
+    folder
+}
+
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn in_calm_every_request_is_served() {
     let report = run("calm", 1, 4, Vec::new()).await;
@@ -95,6 +104,26 @@
     assert_eq!(report.violations, Vec::<String>::new());
 }
 
+/// Each daemon starts from one path, then from another one, and so on, as in a rolling upgrade and its way back. With two builds
+/// of the program this is run by hand.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn promises_hold_while_two_builds_take_turns() {
+    let folder = empty_folder("turns");
+    let other = folder.join("other-build");
+    std::os::unix::fs::symlink(program(), &other).unwrap();
+    let plan = Plan {
+        seed: 9,
+        duration: Duration::from_secs(12),
+        daemons: DAEMONS,
+        faults: FaultKind::with(&[FaultKind::RestoreStore]),
+        binaries: vec![program(), other],
+        folder,
+    };
+    let report = soak(&plan).await.unwrap();
+    assert!(!report.faults.is_empty());
+    assert_eq!(report.violations, Vec::<String>::new());
+}
+
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn seeds_that_once_failed_keep_the_promises() {
     for &seed in FAILED_SEEDS {
