--- a/crates/ingress/src/coordination/notices.rs
+++ b/crates/ingress/src/coordination/notices.rs
@@ -32,8 +32,8 @@
         }
     }
 
-    /// Takes in what another daemon tells, in a message that came no earlier than at a time. The coordinator passes on what is news, and corrects who believes something
-    /// that has changed since.
+    /// Takes in what another daemon tells, in a message that came no earlier than at a time. The coordinator passes on what is
+    /// news, and corrects who believes something that has changed since.
     pub(super) fn heard_notices(&mut self, told: &RunnerNotices, came_after: Timestamp) {
         let now = self.shared.now();
         let mut news = BTreeSet::new();
--- a/crates/ingress/src/waiting.rs
+++ b/crates/ingress/src/waiting.rs
@@ -75,8 +75,8 @@
     }
 }
 
-/// Waits until a runner within the homes of the request holds the unit. `arrived` is when the request came: what it has spent before, at runners or
-/// in an earlier wait, counts towards its callers' patience.
+/// Waits until a runner within the homes of the request holds the unit. `arrived` is when the request came: what it has
+/// spent before, at runners or in an earlier wait, counts towards its callers' patience.
 ///
 /// # Errors
 /// Refuses as soon as it is clear that the unit is not ready in time.
--- a/crates/routing/src/quarantine/exchange.rs
+++ b/crates/routing/src/quarantine/exchange.rs
@@ -1,7 +1,8 @@
 //! What one daemon tells others of runs and quarantine, and when.
 //!
-//! It tells the keepers what it has seen, some times over. Each keeper tells all daemons of a new quarantine at once. What a lost message leaves out shows in the digest of the next heartbeat, and the two daemons then tell each
-//! other all that they hold.
+//! It tells the keepers what it has seen, some times over. Each keeper tells all daemons of a new quarantine at once. What a
+//! lost message leaves out shows in the digest of the next heartbeat, and the two daemons then tell each other all that they
+//! hold.
 
 use std::net::SocketAddr;
 use std::time::Duration;
--- a/crates/routing/tests/lease/restored.rs
+++ b/crates/routing/tests/lease/restored.rs
@@ -76,9 +76,10 @@
     }
 }
 
-/// Seen in the property above with other seeds, while terms of an era were counted otherwise: a renewal from before the restore was carried out after it, since its condition
-/// named a revision that had been given out again. It put the record of a former life of the next daemon over the lease of the
-/// holder, and that daemon took it back at once, though it had read that another one held it under a higher term.
+/// Seen in the property above with other seeds, while terms of an era were counted otherwise: a renewal from before the restore
+/// was carried out after it, since its condition named a revision that had been given out again. It put the record of a former
+/// life of the next daemon over the lease of the holder, and that daemon took it back at once, though it had read that another
+/// one held it under a higher term.
 #[test]
 fn the_own_record_of_before_is_not_taken_back_from_a_later_holder() {
     let mut world = World::new(2);
