A daemon says that it knows no term until a coordinator tells it from the beginning what runners hold

Cause: the coordinator keeps its account of a member by name and term. The new process heard of the term from a heartbeat and named it at once, so that the account of the process before went on: what that one had said that it knew was left out. The digests of the new process came when nothing asked for them any more. A coordinator of this build notices a new process only if that names no list of runners.

Both new tests about new processes failed before (503 in place of 200; holdings missing); the third fails without the part of the coordinator that waits for the list of a member once.

A daemon names it only once it was told holdings from the beginning after it has sent something, so that no account of an earlier process is left. The meaning and the bytes of the message are as they were.

--- a/crates/ingress/src/coordination/following.rs
+++ b/crates/ingress/src/coordination/following.rs
@@ -19,6 +19,9 @@
 const WAITING_INTERVAL: Duration = Duration::from_millis(300);
 /// Shortest time between two messages, so that a burst is one message.
 const NOTICE_PAUSE: Duration = Duration::from_millis(20);
+/// Term of no coordinator.
+const NO_TERM: u64 = 0;
+
 /// The coordinator as this daemon knows it.
 struct Coordinator {
     address: SocketAddr,
@@ -26,10 +29,58 @@
     holdings_version: u64,
     /// It has told this daemon something.
     is_heard: bool,
+    introduction: Introduction,
     /// It was sent digests of what this daemon knows.
     has_summary: bool,
 }
 
+impl Coordinator {
+    fn new(address: SocketAddr, term: u64) -> Self {
+        Self {
+            address,
+            term,
+            holdings_version: 0,
+            is_heard: false,
+            introduction: Introduction::Due,
+            has_summary: false,
+        }
+    }
+
+    /// The term to which this daemon says that its knowledge belongs. A coordinator may go by what it has told an earlier
+    /// process of this daemon, and begins anew with a member that names another term than its own.
+    fn acknowledged_term(&self) -> u64 {
+        match self.introduction {
+            Introduction::Due | Introduction::Sent => NO_TERM,
+            Introduction::Taken => self.term,
+        }
+    }
+
+    /// It was sent what this process knows.
+    fn note_sent(&mut self) {
+        if self.introduction == Introduction::Due {
+            self.introduction = Introduction::Sent;
+        }
+    }
+
+    /// It has told what runners hold, to a member that knew it up to a version.
+    fn note_told_after(&mut self, version: u64) {
+        if self.introduction == Introduction::Sent && version == 0 {
+            self.introduction = Introduction::Taken;
+        }
+    }
+}
+
+/// How far a coordinator knows that this process has been told nothing.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Introduction {
+    /// It was not sent anything.
+    Due,
+    /// It was sent what this process knows.
+    Sent,
+    /// It tells this process what runners hold from the beginning on.
+    Taken,
+}
+
 /// What this daemon knows of its coordinator, and when that one heard of it.
 pub(super) struct Following {
     own_address: SocketAddr,
@@ -93,13 +144,7 @@
         if term <= known {
             return false;
         }
-        self.coordinator = Some(Coordinator {
-            address,
-            term,
-            holdings_version: 0,
-            is_heard: false,
-            has_summary: false,
-        });
+        self.coordinator = Some(Coordinator::new(address, term));
         // The new coordinator must hear of this daemon.
         self.usage_at = Timestamp::ZERO;
         true
@@ -143,6 +188,7 @@
         }
         let mut tables = shared.tables();
         let known = self.known(&tables)?;
+        self.coordinator.as_mut()?.note_sent();
         let waiting = waiting(&tables, now);
         let from = shared.settings.name.clone();
         if !is_usage {
@@ -193,7 +239,7 @@
             0
         };
         Some(KnownState {
-            term: coordinator.term,
+            term: coordinator.acknowledged_term(),
             holdings_version: coordinator.holdings_version,
             members: u32::try_from(self.members.len()).unwrap_or(u32::MAX),
             runners_revision,
@@ -240,6 +286,7 @@
         if let Some(limits) = direction.store_limits {
             self.store_limits = limits;
         }
+        coordinator.note_told_after(direction.holdings_after);
         let follows = coordinator.holdings_version >= direction.holdings_after;
         shared.set_daemons(direction.daemons);
         let mut tables = shared.tables();
--- a/crates/ingress/tests/ingress/main.rs
+++ b/crates/ingress/tests/ingress/main.rs
@@ -5,6 +5,7 @@
 mod coordination;
 mod crashing_requests;
 mod crashing_runner;
+mod earlier_coordinator;
 mod failures;
 mod homes;
 mod leaving_runners;
--- a/crates/ingress/tests/ingress/store.rs
+++ b/crates/ingress/tests/ingress/store.rs
@@ -75,6 +75,8 @@
     pub old_configuration: Mutex<Option<Configuration>>,
     /// Lists of runners have further pages that never come.
     pub lacks_pages: AtomicBool,
+    /// Lists of runners are not answered.
+    pub lacks_lists: AtomicBool,
     cut: Notify,
     history_from: AtomicU64,
 }
@@ -232,6 +234,9 @@
 
     async fn runners(&self, _freshness: Freshness) -> Result<Listing<Runner>, StoreError> {
         self.answer_list().await?;
+        if self.lacks_lists.load(Relaxed) {
+            std::future::pending::<()>().await;
+        }
         let contents = self.contents.lock().unwrap();
         Ok(Listing {
             items: contents.runners.clone(),
--- a/crates/routing/src/dissemination.rs
+++ b/crates/routing/src/dissemination.rs
@@ -75,6 +75,8 @@
     runners_revision: u64,
     /// It has said that it knows a list of runners.
     has_list: bool,
+    /// It has said that it was told something under the coordinator's term.
+    is_acknowledged: bool,
     /// What there was to be told when it was told last.
     placement_version: u64,
     configuration_version: u64,
@@ -98,11 +100,28 @@
             holdings_version: if same_term { known.holdings_version } else { 0 },
             runners_revision: known.runners_revision,
             has_list: known.runners_revision > 0,
+            is_acknowledged: same_term,
             first_at: now,
             ..Self::default()
         }
     }
 
+    /// Whether a member that says this goes on from what it was told under a term. If not, it has been told nothing yet, or
+    /// its process has started anew: a process never forgets its list.
+    fn goes_on(&self, known: KnownState, term: u64) -> bool {
+        let has_lost_list = self.has_list && known.runners_revision == 0;
+        known.term == term && !has_lost_list
+    }
+
+    /// The member goes on from what it was told.
+    fn note_known(&mut self, known: KnownState, now: Timestamp) {
+        self.is_acknowledged = true;
+        self.has_list |= known.runners_revision > 0;
+        if now.since(self.news_at) >= ACKNOWLEDGEMENT_TIMEOUT {
+            self.take_back(known);
+        }
+    }
+
     /// Tells what the member does not know again.
     fn take_back(&mut self, known: KnownState) {
         self.holdings_version = self.holdings_version.min(known.holdings_version);
@@ -191,20 +210,21 @@
 
     /// A member has said what it knows. Returns whether it is a new one.
     pub fn heard(&mut self, member: &str, known: KnownState, now: Timestamp) -> bool {
-        let progress = self.progress.get(member);
-        // A process never forgets its list: this one has started anew.
-        let is_new = progress.is_some_and(|it| it.has_list && known.runners_revision == 0);
-        if known.term != self.term || is_new {
-            self.progress.remove(member);
-        }
         let Some(progress) = self.progress.get_mut(member) else {
             return true;
         };
-        progress.has_list |= known.runners_revision > 0;
-        if now.since(progress.news_at) >= ACKNOWLEDGEMENT_TIMEOUT {
-            progress.take_back(known);
+        if progress.goes_on(known, self.term) {
+            progress.note_known(known, now);
+            return false;
         }
-        false
+        // One that has not acknowledged anything yet is still the same process, which is not waited for anew.
+        let first_at = if progress.is_acknowledged {
+            now
+        } else {
+            progress.first_at
+        };
+        *progress = Progress::new(known, self.term, first_at);
+        true
     }
 
     /// A member has said what it knows of what runners hold.
--- a/crates/routing/tests/dissemination.rs
+++ b/crates/routing/tests/dissemination.rs
@@ -78,10 +78,13 @@
     holdings: BTreeMap<RunnerId, RunnerHoldings>,
     version: u64,
     has_gap: bool,
+    /// It says that it knows no term until it is told from the beginning.
+    awaits_beginning: bool,
 }
 
 impl Member {
     fn take(&mut self, direction: Direction) {
+        self.awaits_beginning &= direction.holdings_after > 0;
         if let Some(update) = direction.membership {
             self.has_gap |= self.table.update(update).is_none();
         }
@@ -98,7 +101,7 @@
 
     fn known(&self) -> KnownState {
         KnownState {
-            term: TERM,
+            term: if self.awaits_beginning { 0 } else { TERM },
             holdings_version: self.version,
             members: 0,
             runners_revision: self.table.revision(),
@@ -634,3 +637,42 @@
     world.calm();
     assert!((0..6).all(|index| holds(&world.members[1], index)));
 }
+
+/// Guards against a member that is never told what runners hold: it has read a list before the coordinator hears of its new
+/// process, and the digests of what it knows were lost.
+#[test]
+fn a_member_that_starts_anew_with_a_list_is_told_what_its_list_lacks() {
+    let mut world = World::with_lists(&same_lists());
+    world.calm();
+    world.members[1] = Member {
+        awaits_beginning: true,
+        ..Member::default()
+    };
+    world.has_summaries = false;
+    replace_list(&mut world.members[1], 1, |_| Vec::new());
+    world.calm();
+    assert!((0..6).all(|index| holds(&world.members[1], index)));
+}
+
+/// Guards against a member that is never told anything, because each message of it lets the coordinator wait for its list
+/// from the beginning: on a slow link that is longer than the time between two messages.
+#[test]
+fn a_member_without_a_list_is_not_waited_for_anew_with_each_message() {
+    const RUNNERS: usize = 400;
+    const LINK_MBIT_PER_S: u32 = 1;
+    let lists = vec![(0..RUNNERS).map(|index| vec![index]).collect(); MEMBERS + 1];
+    let mut world = World::with_lists(&lists);
+    world.dissemination = Dissemination::new(TERM, LINK_MBIT_PER_S, world.now);
+    world.has_summaries = false;
+    world.members[1] = Member {
+        awaits_beginning: true,
+        ..Member::default()
+    };
+    let begun = world.now;
+    while world.members[1].table.revision() == 0 {
+        world.members[1].awaits_beginning = true;
+        world.step(|| false);
+        let waited = world.now.since(begun);
+        assert!(waited < Duration::from_secs(10), "waited {waited:?}");
+    }
+}
