A stop answers the connections that the system has accepted before it closes the listener

Cause: the listener stood open until the process was gone, so connections that the system had accepted were reset with it; and when idle connections are closed, hyper also closes one that has seen no byte yet, whose first request may be on its way.

Why this works: the stop takes what the system has queued by asking the system, closes the listener, and waits for those connections as for all others. Connections without a request are left open for one, which is refused as not run.

--- a/crates/ingress/src/daemon.rs
+++ b/crates/ingress/src/daemon.rs
@@ -8,14 +8,13 @@
 use flaxward_routing::encoding::WIRE_VERSION;
 use flaxward_settings::logs::state_change;
 use tokio::time::{Instant, sleep, sleep_until};
-use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
 use crate::coordination::Coordination;
 use crate::counted_store::CountedStore;
 use crate::outside::{ClusterStore, RunnerControl, Surface};
 use crate::peer::PeerSocket;
-use crate::server::{listen, serve_clients, serve_metrics, serve_readiness};
+use crate::server::{ClientsEnd, listen, serve_clients, serve_metrics, serve_readiness};
 use crate::settings::IngressSettings;
 use crate::state::Shared;
 use crate::watches::{watch_configuration, watch_evacuations, watch_runners};
@@ -40,7 +39,7 @@
     pub peer_address: SocketAddr,
     shared: Arc<Shared>,
     tracker: TaskTracker,
-    closing: CancellationToken,
+    clients_end: ClientsEnd,
 }
 
 /// Writes the counters as text.
@@ -81,10 +80,15 @@
         let peers = PeerSocket::bind(shared.settings.peer_listen, shared.clock.clone()).await?;
         let peer_address = peers.address()?;
         let tracker = TaskTracker::new();
-        let closing = CancellationToken::new();
-        let client_server =
-            serve_clients(shared.clone(), clients, tracker.clone(), closing.clone());
-        tokio::spawn(client_server);
+        let clients_end = ClientsEnd::default();
+        let client_server = serve_clients(
+            shared.clone(),
+            clients,
+            tracker.clone(),
+            clients_end.clone(),
+        );
+        // Tracked too, so that a stop waits for the connections that it takes last.
+        tracker.spawn(client_server);
         let pages = TaskTracker::new();
         tokio::spawn(serve_readiness(shared.clone(), readiness, pages.clone()));
         if let (Some(listener), Some(render)) = (metrics, render) {
@@ -100,7 +104,7 @@
             peer_address,
             shared,
             tracker,
-            closing,
+            clients_end,
         })
     }
 
@@ -117,12 +121,13 @@
         state_change("stopping", &[("requests", &self.in_progress())]);
         sleep_until((begun + NOTICE).min(end)).await;
         self.shared.closing.store(true, Ordering::Relaxed);
-        self.closing.cancel();
+        self.clients_end.closing.cancel();
         self.tracker.close();
         while Instant::now() < end && self.in_progress() > 0 {
             sleep(DRAIN_INTERVAL).await;
         }
         let left = self.in_progress();
+        self.clients_end.closed.cancel();
         self.shared.ending.cancel();
         let last = Instant::now() + LAST_ANSWERS;
         let _ = tokio::time::timeout_at(last, self.tracker.wait()).await;
--- a/crates/ingress/src/server.rs
+++ b/crates/ingress/src/server.rs
@@ -7,6 +7,7 @@
 use std::future::Future;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
 use anyhow::Context;
@@ -44,7 +45,7 @@
 }
 
 /// Accepts connections and runs a task for each.
-async fn accept<Task, Serve>(listener: TcpListener, tracker: TaskTracker, serve: Serve)
+async fn accept<Task, Serve>(listener: &TcpListener, tracker: &TaskTracker, serve: Serve)
 where
     Task: Future<Output = ()> + Send + 'static,
     Serve: Fn(TcpStream) -> Task,
@@ -52,8 +53,7 @@
     loop {
         match listener.accept().await {
             Ok((stream, _)) => {
-                let _ = stream.set_nodelay(true);
-                let _ = SockRef::from(&stream).set_tcp_user_timeout(Some(USER_TIMEOUT));
+                prepare(&stream);
                 tracker.spawn(serve(stream));
             }
             Err(_) => sleep(ACCEPT_PAUSE).await,
@@ -61,15 +61,51 @@
     }
 }
 
-/// Serves clients until the listener's task is dropped. `closing` closes idle connections.
+fn prepare(stream: &TcpStream) {
+    let _ = stream.set_nodelay(true);
+    let _ = SockRef::from(stream).set_tcp_user_timeout(Some(USER_TIMEOUT));
+}
+
+/// Closes a listener. Returns the connections that the system has accepted for it by then; whoever connects later finds that
+/// nobody listens.
+fn close(listener: TcpListener) -> Vec<TcpStream> {
+    let mut waiting = Vec::new();
+    // The runtime learns of a connection later than the system, which is asked here.
+    let Ok(listener) = listener.into_std() else {
+        return waiting;
+    };
+    while let Ok((stream, _)) = listener.accept() {
+        let stream = stream.set_nonblocking(true).map(|()| stream);
+        waiting.extend(stream.and_then(TcpStream::from_std));
+    }
+    waiting
+}
+
+/// When a daemon that stops takes which step towards its clients.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct ClientsEnd {
+    /// Idle connections are closed, and new ones get one answer.
+    pub closing: CancellationToken,
+    /// Nobody can connect any more.
+    pub closed: CancellationToken,
+}
+
+/// Serves clients until nobody can connect any more. A connection that was made before then is served still.
 pub(crate) async fn serve_clients(
     shared: Arc<Shared>,
     listener: TcpListener,
     tracker: TaskTracker,
-    closing: CancellationToken,
+    end: ClientsEnd,
 ) {
-    let serve = move |stream| client_connection(shared.clone(), stream, closing.clone());
-    accept(listener, tracker, serve).await;
+    let serve = |stream| client_connection(shared.clone(), stream, end.closing.clone());
+    tokio::select! {
+        () = accept(&listener, &tracker, serve) => {}
+        () = end.closed.cancelled() => {}
+    }
+    for stream in close(listener) {
+        prepare(&stream);
+        tracker.spawn(serve(stream));
+    }
 }
 
 async fn client_connection(shared: Arc<Shared>, stream: TcpStream, closing: CancellationToken) {
@@ -77,7 +113,10 @@
         .configuration()
         .map(|configuration| configuration.limits)
         .unwrap_or_default();
+    let is_used = Arc::new(AtomicBool::new(false));
+    let notes_use = is_used.clone();
     let service = service_fn(move |request: Request<Incoming>| {
+        notes_use.store(true, Ordering::Relaxed);
         let shared = shared.clone();
         async move { Ok::<_, Infallible>(handle(shared, request).await) }
     });
@@ -88,16 +127,15 @@
         .max_buf_size((limits.header_bytes + 1_024).max(LEAST_BUFFER_BYTES));
     let connection = builder.serve_connection(TokioIo::new(stream), service);
     tokio::pin!(connection);
-    if closing.is_cancelled() {
-        // One request is read and refused, so that its client knows that it did not run.
-        let _ = connection.await;
-        return;
-    }
     tokio::select! {
         _ = connection.as_mut() => return,
         () = closing.cancelled() => {}
     }
-    connection.as_mut().graceful_shutdown();
+    // The first request of a connection may be on its way. It is read and refused, so that its client knows that it did not
+    // run, and its answer closes the connection.
+    if is_used.load(Ordering::Relaxed) {
+        connection.as_mut().graceful_shutdown();
+    }
     let _ = connection.await;
 }
 
@@ -135,7 +173,7 @@
 where
     Answer: Fn(&str) -> (StatusCode, String) + Send + Sync + 'static,
 {
-    accept(listener, tracker, move |stream| {
+    accept(&listener, &tracker, move |stream| {
         let answer = answer.clone();
         async move {
             let service = service_fn(move |request: Request<Incoming>| {
