A list of runners waits 0.3 s at most for the watch of what came before it

Cause: a daemon that begins to watch the store for others asks for the changes before its list and took the list in only after that. A store that loses its history may leave that watch unanswered, until the call's time-out of 1.5 s.

Why this works: the watch only saves the members a whole list; the list itself is complete without it.

--- a/crates/ingress/src/watches/runners.rs
+++ b/crates/ingress/src/watches/runners.rs
@@ -7,7 +7,7 @@
 use flaxward_routing::names::{RunnerId, RunnerName};
 use flaxward_routing::revision::StoreRevision;
 use flaxward_routing::runners::{Runner, RunnerTable};
-use tokio::time::sleep;
+use tokio::time::{sleep, timeout};
 
 use super::{
     Backoff, changes_mode, first_freshness, goes_on, log_history_gone, starts_until, wait_for_word,
@@ -22,6 +22,8 @@
 
 /// Time that the store holds a watch that is only to tell what has happened before.
 const CATCH_UP_WAIT: Duration = Duration::from_millis(1);
+/// Time for which a list that was read waits for that watch, which the store may never answer.
+const CATCH_UP_TIMEOUT: Duration = Duration::from_millis(300);
 /// Pause after changes of runners, so that several come with one call.
 const RUNNERS_PAUSE: Duration = Duration::from_millis(600);
 /// The same where requests to cold runners are bounded: what is sent until they are known to be cold counts too.
@@ -133,8 +135,8 @@
     if known.number >= listed_at.number || !goes_on(known, listed_at) {
         return;
     }
-    let changes = shared.store.watch_runners(known, CATCH_UP_WAIT).await;
-    if let Ok(changes) = changes
+    let watch = shared.store.watch_runners(known, CATCH_UP_WAIT);
+    if let Ok(Ok(changes)) = timeout(CATCH_UP_TIMEOUT, watch).await
         && changes.revision >= listed_at
         && goes_on(listed_at, changes.revision)
     {
--- a/crates/ingress/tests/ingress/coordination.rs
+++ b/crates/ingress/tests/ingress/coordination.rs
@@ -258,3 +258,26 @@
     sleep(EVACUATION_BOUND).await;
     assert_eq!(served_by_near().await, 2);
 }
+
+/// Guards against a runner that gets work for longer than it may after it has said that it leaves: a daemon that begins to watch
+/// the store for others took in the list only after a watch of what came before it had ended, and that was not answered.
+#[tokio::test]
+async fn a_list_counts_though_a_watch_of_what_came_before_it_is_not_answered() {
+    let leaving = ScriptedRunner::start(Vec::new()).await;
+    let staying = ScriptedRunner::start(Vec::new()).await;
+    let both = vec![runner(0, leaving.address), runner(1, staying.address)];
+    let (store, first, second) = two_daemons(both.clone()).await;
+    first.store.is_silent.store(true, Ordering::Relaxed);
+    second
+        .store
+        .change_and_lose_history(configuration(2, Vec::new()));
+    let drained = Runner {
+        draining: true,
+        ..runner(0, leaving.address)
+    };
+    store.set_runners(vec![drained, runner(1, staying.address)]);
+    sleep(Duration::from_millis(3_000)).await;
+    let response = second.request("/unsafe/", "id-1").send().await.unwrap();
+    assert_eq!(response.status(), 200);
+    assert_eq!(leaving.received().len(), 0);
+}
