--- a/crates/simulation/tests/region/properties.rs
+++ b/crates/simulation/tests/region/properties.rs
@@ -177,6 +177,42 @@
     }
 }
 
+/// A test for each seed whose schedule breaks a law and is not mended.
+macro_rules! failing_seeds {
+    ($($(#[$doc:meta])* $name:ident: $seed:literal,)*) => {
+        $(
+            $(#[$doc])*
+            #[test]
+            fn $name() {
+                if let Err(failure) = run_seed($seed) {
+                    panic!("{failure}");
+                }
+            }
+        )*
+    };
+}
+
+failing_seeds! {
+    /// Guards against work for a runner that was marked as leaving seconds ago.
+    no_work_goes_to_a_leaving_runner_838: 838,
+    /// The same.
+    no_work_goes_to_a_leaving_runner_1128: 1128,
+    /// The same.
+    no_work_goes_to_a_leaving_runner_1458: 1458,
+    /// The same.
+    no_work_goes_to_a_leaving_runner_1630: 1630,
+    /// The same.
+    no_work_goes_to_a_leaving_runner_2472: 2472,
+    /// Guards against a request that ends by its deadline because a daemon stops as planned.
+    a_planned_stop_delays_no_request_past_its_deadline_680: 680,
+    /// The same.
+    a_planned_stop_delays_no_request_past_its_deadline_1426: 1426,
+    /// The same.
+    a_planned_stop_delays_no_request_past_its_deadline_1610: 1610,
+    /// The same.
+    a_planned_stop_delays_no_request_past_its_deadline_2589: 2589,
+}
+
 /// Runs the case of the seed in `FLAXWARD_REPLAY` again.
 #[test]
 fn replay() {
