A weak machine takes a lease that nobody follows once stronger ones had their turn

What callers saw: nothing yet; found by reading. In a fleet in which only weak machines know the higher term, nobody would have coordinated for as long as the holder below it renews, so that no model is loaded.

Cause: a weak machine leaves a lease that it sees free to stronger ones for a whole lease, and that time began anew with each renewal of the holder that nobody follows.

Evidence: the new test has no term after 23 s of such renewals before, and one now, never beside the holder.

Why this works: the wait counts from when the lease was first read under the lower term, which a renewal does not move.

--- a/crates/routing/src/lease/candidacy.rs
+++ b/crates/routing/src/lease/candidacy.rs
@@ -75,19 +75,16 @@
         is_last_word && !lease.record.provisional && is_given_up
     }
 
-    /// Whether the lease is held by somebody whom nobody follows, since a higher term was used. Whoever had that term has had
-    /// time to write it again. One that was not renewed for a while is soon free, without a probation.
+    /// Whether the lease has long been held by somebody whom nobody follows, since a higher term was used. Whoever had that
+    /// term has had time to write it again, and stronger machines to take it. One that was not renewed for a while is soon free,
+    /// without a probation.
     fn is_superseded(&self, observed: &Observed, now: Timestamp) -> bool {
         let is_renewed = now.since(observed.unchanged_since) < self.settings.duration / 2;
-        let is_renewed_below = |it: &Superseded| it.is_renewed_for(self.expiry(), now);
+        let time = self.expiry() + self.candidacy_delay();
+        let is_renewed_below = |it: &Superseded| it.is_renewed_for(time, now);
         is_renewed && self.superseded.as_ref().is_some_and(is_renewed_below)
     }
 
-    /// Whether somebody may take a lease that was read.
-    fn is_takeable(&self, observed: &Observed, now: Timestamp) -> bool {
-        self.is_free(observed, now) || self.is_superseded(observed, now)
-    }
-
     /// Whether this daemon may take a lease that was read.
     fn may_take(&self, observed: &Observed, now: Timestamp) -> bool {
         let lease = observed.lease.as_ref();
@@ -95,9 +92,12 @@
         if is_outdated {
             return false;
         }
+        if self.is_superseded(observed, now) {
+            return true;
+        }
         let delay = self.candidacy_delay();
         if delay.is_zero() {
-            return self.is_takeable(observed, now);
+            return self.is_free(observed, now);
         }
         let seen = observed.seen_free_since;
         seen.is_some_and(|since| now.since(since) >= delay)
@@ -108,7 +108,7 @@
         let is_free = self
             .observed
             .as_ref()
-            .is_some_and(|observed| self.is_takeable(observed, now));
+            .is_some_and(|observed| self.is_free(observed, now));
         if let Some(observed) = &mut self.observed {
             let since = observed.seen_free_since.unwrap_or(now);
             observed.seen_free_since = is_free.then_some(since);
--- a/crates/routing/tests/lease/restored.rs
+++ b/crates/routing/tests/lease/restored.rs
@@ -6,7 +6,7 @@
 
 use crate::earlier::EarlierHolder;
 use crate::world::{FAULT_STEPS, Fate, World, address, fate};
-use crate::{holders_after_calm, run};
+use crate::{holders_after_calm, run, weak_daemon};
 
 proptest! {
     #![proptest_config(ProptestConfig {
@@ -223,6 +223,34 @@
     assert!(term.is_some_and(|term| term > used), "{term:?}, {used}");
 }
 
+/// Guards against a fleet without a coordinator for good: a weak machine leaves a lease to stronger ones for a while, and that
+/// while began anew with each renewal of a holder that nobody follows.
+#[test]
+fn a_weak_machine_takes_such_a_lease_too_if_no_stronger_one_does() {
+    let mut world = World::new(1);
+    run(&mut world, 0, 40);
+    let (mut earlier, used) = with_earlier_holder(&mut world, 40);
+    world.daemons[0] = weak_daemon("weak");
+    let pulse = LeasePulse {
+        term: used,
+        renewals: 1,
+        age_ms: 0,
+    };
+    let (era, now) = (world.store.revision.era, world.time(40));
+    world.daemons[0].heard(pulse, now);
+    world.daemons[0].note_era(era, now);
+    assert!(!world.daemons[0].candidacy_delay().is_zero());
+    let mut term = None;
+    for step in 40..500 {
+        let now = world.time(step);
+        earlier.step(&mut world, Fate::Answered, step);
+        run(&mut world, step, step + 1);
+        term = world.daemons[0].term(now);
+        assert!(term.is_none() || !earlier.is_in_force(now), "two at {now}");
+    }
+    assert!(term.is_some_and(|term| term > used), "{term:?}, {used}");
+}
+
 proptest! {
     #![proptest_config(ProptestConfig {
         cases: 512,
