--- a/crates/flaxward/tests/soak.rs
+++ b/crates/flaxward/tests/soak.rs
@@ -104,6 +104,15 @@
     assert_eq!(report.violations, Vec::<String>::new());
 }
 
+/// Guards against a runner that falls over because it turns cold while it serves: what daemons send until they hear of it is
+/// bounded by nothing.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_runner_that_turns_cold_while_it_serves_gets_no_more_than_it_bears() {
+    let faults = FaultKind::with(FURTHER_KINDS);
+    let report = run_daemons(4, "cold-3121", 3_121, 30, faults).await;
+    assert_eq!(report.violations, Vec::<String>::new());
+}
+
 /// Each daemon starts from one path, then from another one, and so on, as in a rolling upgrade and its way back. With two builds
 /// of the program this is run by hand.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
