A daemon sends digests of what it knows until it is told holdings from the beginning

A member that lost the first part of what a new coordinator tells asked for it again without a term, so that the coordinator began anew and had used its digests: it would have told everything in place of what differs.

Change: digests go with each message until the coordinator has begun, not until it is heard.

--- a/crates/ingress/src/coordination/following.rs
+++ b/crates/ingress/src/coordination/following.rs
@@ -212,13 +212,13 @@
         }))
     }
 
-    /// Digests of what this daemon knows of what runners hold: for each coordinator until it is heard, as soon as there is a list
-    /// of runners. They are sent before the next message, which makes the coordinator tell what differs.
+    /// Digests of what this daemon knows of what runners hold: for each coordinator until it has begun to tell them, as soon as
+    /// there is a list of runners. They are sent before the next message, which makes the coordinator tell what differs.
     pub fn due_summary(&mut self, shared: &Shared) -> Option<Message> {
         let coordinator = self.coordinator.as_mut()?;
         let mut tables = shared.tables();
-        let was_taken = coordinator.has_summary && coordinator.is_heard;
-        let is_due = !was_taken && tables.runners_known;
+        let has_begun = coordinator.introduction == Introduction::Taken;
+        let is_due = tables.runners_known && !(coordinator.has_summary && has_begun);
         if !is_due {
             return None;
         }
--- a/crates/ingress/tests/ingress/earlier_coordinator.rs
+++ b/crates/ingress/tests/ingress/earlier_coordinator.rs
@@ -61,6 +61,27 @@
         }
     }
 
+    /// Sends heartbeats, and counts the digests that come in some time.
+    async fn count_summaries(mut self, member: SocketAddr, time: Duration) -> usize {
+        let mut bytes = vec![0; 64 * 1024];
+        let mut summaries = 0;
+        let end = Instant::now() + time;
+        while Instant::now() < end {
+            let direction = Direction {
+                membership: Some(self.whole_list()),
+                ..self.direction(None)
+            };
+            self.send(direction, member).await;
+            let due = Instant::now() + HEARTBEAT_INTERVAL;
+            while let Ok(received) = timeout_at(due, self.socket.recv_from(&mut bytes)).await {
+                let (length, _) = received.unwrap();
+                let message = Encoding::default().decode(&bytes[..length]).unwrap();
+                summaries += usize::from(matches!(message, Message::HoldingsSummary(_)));
+            }
+        }
+        summaries
+    }
+
     /// Sends heartbeats and answers until it is dropped.
     async fn lead(mut self, member: SocketAddr) {
         let mut bytes = vec![0; 64 * 1024];
@@ -189,3 +210,18 @@
     leading.abort();
     assert_eq!(response.status(), 200);
 }
+
+/// Guards against a coordinator that tells a member everything once more because the first part of what differs was lost: by then
+/// it has used the digests that the member sent.
+#[tokio::test]
+async fn a_daemon_sends_digests_until_it_is_told_holdings_from_the_beginning() {
+    let server = ScriptedRunner::start(Vec::new()).await;
+    let runner = runner(0, server.address);
+    let store = MemoryStore::default();
+    store.lacks_lists.store(true, Ordering::Relaxed);
+    let coordinator = EarlierCoordinator::start(runner).await;
+    let daemon = TestIngress::start_before("d", store, Arc::new(SilentControl)).await;
+    let member = daemon.ingress.as_ref().unwrap().peer_address;
+    let summaries = coordinator.count_summaries(member, TOLD_WITHIN).await;
+    assert!(summaries > 3, "{summaries} in {TOLD_WITHIN:?}");
+}
