--- a/crates/routing/tests/lease/restored.rs
+++ b/crates/routing/tests/lease/restored.rs
@@ -182,6 +182,19 @@
     assert!(term.is_some_and(|term| term > used), "{term:?}, {used}");
 }
 
+/// Has a daemon hear of a term that was used, and of the era.
+fn hear_used_term(world: &mut World, daemon: usize, term: u64, step: usize) {
+    let now = world.time(step);
+    let era = world.store.revision.era;
+    let pulse = LeasePulse {
+        term,
+        renewals: 1,
+        age_ms: 0,
+    };
+    world.daemons[daemon].heard(pulse, now);
+    world.daemons[daemon].note_era(era, now);
+}
+
 /// Has a daemon hear of a term above all that the store shows, which is lost with a restore, and a holder of an earlier build
 /// take the lease under the term of the copy.
 fn with_earlier_holder(world: &mut World, step: usize) -> (EarlierHolder, u64) {
@@ -192,16 +205,9 @@
     record.address = address(9);
     record.incarnation = 9;
     world.store.restore(0);
-    let era = world.store.revision.era;
-    let pulse = LeasePulse {
-        term: used,
-        renewals: 1,
-        age_ms: 0,
-    };
     for daemon in 0..world.daemons.len() {
         world.start_anew(daemon, step);
-        world.daemons[daemon].heard(pulse, now);
-        world.daemons[daemon].note_era(era, now);
+        hear_used_term(world, daemon, used, step);
     }
     (EarlierHolder::take(&mut world.store, record, now), used)
 }
@@ -231,14 +237,7 @@
     run(&mut world, 0, 40);
     let (mut earlier, used) = with_earlier_holder(&mut world, 40);
     world.daemons[0] = weak_daemon("weak");
-    let pulse = LeasePulse {
-        term: used,
-        renewals: 1,
-        age_ms: 0,
-    };
-    let (era, now) = (world.store.revision.era, world.time(40));
-    world.daemons[0].heard(pulse, now);
-    world.daemons[0].note_era(era, now);
+    hear_used_term(&mut world, 0, used, 40);
     assert!(!world.daemons[0].candidacy_delay().is_zero());
     let mut term = None;
     for step in 40..500 {
@@ -292,3 +291,47 @@
         prop_assert_eq!(holders_after_calm(&mut world), 1);
     }
 }
+
+/// Time in which a weak machine has taken a lease that nobody follows: two waits of a lease each, and the probation.
+const WEAK_CALM_STEPS: usize = 400;
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 256,
+        rng_seed: RngSeed::Fixed(0x1ea5_e005),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
+    /// The same where some machines are weak, or all.
+    #[test]
+    fn a_weak_machine_takes_it_from_an_earlier_build_only_once_that_cannot_act(
+        weak in prop::collection::vec(any::<bool>(), 1..4),
+        fates in prop::collection::vec(fate(), 1_200),
+        earlier_fates in prop::collection::vec(fate(), FAULT_STEPS),
+        restores in prop::collection::vec((60_usize..FAULT_STEPS, 0_usize..160), 0..4),
+    ) {
+        let mut world = World::new(weak.len());
+        run(&mut world, 0, 40);
+        let (mut earlier, used) = with_earlier_holder(&mut world, 40);
+        for (index, _) in weak.iter().enumerate().filter(|(_, is_weak)| **is_weak) {
+            world.daemons[index] = weak_daemon(&format!("daemon-{index}"));
+            hear_used_term(&mut world, index, used, 40);
+        }
+        let mut fates = fates.into_iter();
+        for (step, earlier_fate) in earlier_fates.into_iter().enumerate().skip(40) {
+            for (_, steps) in restores.iter().filter(|(at, _)| *at == step) {
+                world.store.restore(*steps);
+            }
+            earlier.step(&mut world, earlier_fate, step);
+            world.step(step, &mut fates);
+            let now = world.time(step);
+            let is_held = world.daemons.iter().any(|daemon| daemon.term(now).is_some());
+            prop_assert!(!is_held || !earlier.is_in_force(now), "two at {}", now);
+        }
+        run(&mut world, FAULT_STEPS, FAULT_STEPS + WEAK_CALM_STEPS);
+        let now = world.time(FAULT_STEPS + WEAK_CALM_STEPS - 1);
+        let holders = world.daemons.iter().filter(|daemon| daemon.term(now).is_some());
+        prop_assert_eq!(holders.count(), 1);
+    }
+}
