--- a/crates/routing/tests/quota.rs
+++ b/crates/routing/tests/quota.rs
@@ -521,6 +521,30 @@
     }
 }
 
+/// Guards against many refusals of tenants within their quotas: with the coordinator and both deputies lost at once each daemon
+/// keeps to an equal share, however unevenly its callers come.
+#[test]
+fn without_any_keeper_tenants_below_their_rates_are_not_refused() {
+    let mut fleet = Fleet::new(50, 10);
+    let load = Load {
+        usual: 0.8,
+        hot: 0.8,
+        ..USUAL
+    };
+    fleet.run(SETTLED, |_| load);
+    fleet.forget_counts();
+    for index in 0..=DEPUTIES {
+        fleet.kill(index);
+    }
+    fleet.run(SUCCESSION + SETTLED, |_| load);
+    assert!(
+        fleet.refused[0] * 50 <= fleet.sent[0],
+        "{:?} of {:?}",
+        fleet.refused,
+        fleet.sent
+    );
+}
+
 #[test]
 fn a_daemon_that_hears_nobody_keeps_to_its_share() {
     let mut fleet = Fleet::new(4, 0);
