--- a/crates/simulation/tests/region/successors.rs
+++ b/crates/simulation/tests/region/successors.rs
@@ -262,3 +262,11 @@
     }
     println!("{report}");
 }
+
+/// Guards against sleeping models that nobody can wake while the store is down, because the holder of the zone of their homes has
+/// died.
+#[test]
+fn sleeping_models_wake_in_an_outage_though_the_holder_of_their_zone_has_died() {
+    let tally = &outages(3, true)[&Homes::Dying];
+    assert_eq!(tally.refusals(), 0, "{tally}");
+}
