The end of a stop logs what it can't take; handshake with a coordinator, unconditional change: names a newcomer expects

From reading the change: an error of the listener was swallowed and an aborted connection ended the look at the queue. Now it is logged, and the look goes on. Tests of the lease beside an earlier holder share their steps. No other behaviour changes: the tests of stops, of earlier coordinators and of the lease pass as before.

--- a/crates/ingress/src/coordination/following.rs
+++ b/crates/ingress/src/coordination/following.rs
@@ -29,7 +29,7 @@
     holdings_version: u64,
     /// It has told this daemon something.
     is_heard: bool,
-    introduction: Introduction,
+    handshake: Handshake,
     /// It was sent digests of what this daemon knows.
     has_summary: bool,
 }
@@ -41,7 +41,7 @@
             term,
             holdings_version: 0,
             is_heard: false,
-            introduction: Introduction::Due,
+            handshake: Handshake::Due,
             has_summary: false,
         }
     }
@@ -49,36 +49,36 @@
     /// The term to which this daemon says that its knowledge belongs. A coordinator may go by what it has told an earlier
     /// process of this daemon, and begins anew with a member that names another term than its own.
     fn acknowledged_term(&self) -> u64 {
-        match self.introduction {
-            Introduction::Due | Introduction::Sent => NO_TERM,
-            Introduction::Taken => self.term,
+        match self.handshake {
+            Handshake::Due | Handshake::Sent => NO_TERM,
+            Handshake::Done => self.term,
         }
     }
 
     /// It was sent what this process knows.
     fn note_sent(&mut self) {
-        if self.introduction == Introduction::Due {
-            self.introduction = Introduction::Sent;
+        if self.handshake == Handshake::Due {
+            self.handshake = Handshake::Sent;
         }
     }
 
     /// It has told what runners hold, to a member that knew it up to a version.
     fn note_told_after(&mut self, version: u64) {
-        if self.introduction == Introduction::Sent && version == 0 {
-            self.introduction = Introduction::Taken;
+        if self.handshake == Handshake::Sent && version == 0 {
+            self.handshake = Handshake::Done;
         }
     }
 }
 
 /// How far a coordinator knows that this process has been told nothing.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Introduction {
+enum Handshake {
     /// It was not sent anything.
     Due,
     /// It was sent what this process knows.
     Sent,
     /// It tells this process what runners hold from the beginning on.
-    Taken,
+    Done,
 }
 
 /// What this daemon knows of its coordinator, and when that one heard of it.
@@ -217,8 +217,8 @@
     pub fn due_summary(&mut self, shared: &Shared) -> Option<Message> {
         let coordinator = self.coordinator.as_mut()?;
         let mut tables = shared.tables();
-        let has_begun = coordinator.introduction == Introduction::Taken;
-        let is_due = tables.runners_known && !(coordinator.has_summary && has_begun);
+        let is_done = coordinator.handshake == Handshake::Done;
+        let is_due = tables.runners_known && !(coordinator.has_summary && is_done);
         if !is_due {
             return None;
         }
--- a/crates/ingress/src/server.rs
+++ b/crates/ingress/src/server.rs
@@ -4,7 +4,9 @@
 //! request at the runner at once, and because a stop must tell idle connections from busy ones.
 
 use std::convert::Infallible;
+use std::fmt::Display;
 use std::future::Future;
+use std::io::{self, ErrorKind};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -66,19 +68,35 @@
     let _ = SockRef::from(stream).set_tcp_user_timeout(Some(USER_TIMEOUT));
 }
 
+/// Takes the connections that the system has accepted for a listener by now.
+///
+/// # Errors
+/// Fails if the listener can't tell.
+fn accept_waiting(listener: &std::net::TcpListener) -> io::Result<Vec<TcpStream>> {
+    let mut waiting = Vec::new();
+    loop {
+        match listener.accept() {
+            Ok((stream, _)) => {
+                stream.set_nonblocking(true)?;
+                waiting.push(TcpStream::from_std(stream)?);
+            }
+            Err(error) if error.kind() == ErrorKind::WouldBlock => return Ok(waiting),
+            // Its client has given it up.
+            Err(error) if error.kind() == ErrorKind::ConnectionAborted => {}
+            Err(error) => return Err(error),
+        }
+    }
+}
+
 /// Closes a listener. Returns the connections that the system has accepted for it by then; whoever connects later finds that
 /// nobody listens.
-fn close(listener: TcpListener) -> Vec<TcpStream> {
-    let mut waiting = Vec::new();
+///
+/// # Errors
+/// Fails if the listener can't tell; it is closed all the same.
+fn close(listener: TcpListener) -> io::Result<Vec<TcpStream>> {
     // The runtime learns of a connection later than the system, which is asked here.
-    let Ok(listener) = listener.into_std() else {
-        return waiting;
-    };
-    while let Ok((stream, _)) = listener.accept() {
-        let stream = stream.set_nonblocking(true).map(|()| stream);
-        waiting.extend(stream.and_then(TcpStream::from_std));
-    }
-    waiting
+    let listener = listener.into_std()?;
+    accept_waiting(&listener)
 }
 
 /// When a daemon that stops takes which step towards its clients.
@@ -102,7 +120,13 @@
         () = accept(&listener, &tracker, serve) => {}
         () = end.closed.cancelled() => {}
     }
-    for stream in close(listener) {
+    let waiting = close(listener).unwrap_or_else(|error| {
+        let fields: &[(&str, &dyn Display)] = &[("error", &format!("{:?}", error.to_string()))];
+        let now = shared.now();
+        shared.log.write(now, "last-connections-not-taken", fields);
+        Vec::new()
+    });
+    for stream in waiting {
         prepare(&stream);
         tracker.spawn(serve(stream));
     }
--- a/crates/routing/tests/lease/restored.rs
+++ b/crates/routing/tests/lease/restored.rs
@@ -1,5 +1,7 @@
 //! The store comes back from a copy, so that renewals and takeovers are lost.
 
+use std::ops::Range;
+
 use flaxward_routing::lease::{LeaseMachine, LeasePulse};
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
@@ -212,20 +214,26 @@
     (EarlierHolder::take(&mut world.store, record, now), used)
 }
 
+/// The term that the first daemon comes to have beside a holder of an earlier build. They never hold the lease at one time.
+fn term_beside(world: &mut World, earlier: &mut EarlierHolder, steps: Range<usize>) -> Option<u64> {
+    let mut term = None;
+    for step in steps {
+        let now = world.time(step);
+        earlier.step(world, Fate::Answered, step);
+        run(world, step, step + 1);
+        term = world.daemons[0].term(now);
+        assert!(term.is_none() || !earlier.is_in_force(now), "two at {now}");
+    }
+    term
+}
+
 /// The same with a holder that renews by condition, as all builds do, and that must not act beside the daemon.
 #[test]
 fn a_lease_that_its_holder_renews_under_a_term_below_one_that_was_used_is_taken_over() {
     let mut world = World::new(1);
     run(&mut world, 0, 40);
     let (mut earlier, used) = with_earlier_holder(&mut world, 40);
-    let mut term = None;
-    for step in 40..240 {
-        let now = world.time(step);
-        earlier.step(&mut world, Fate::Answered, step);
-        run(&mut world, step, step + 1);
-        term = world.daemons[0].term(now);
-        assert!(term.is_none() || !earlier.is_in_force(now), "two at {now}");
-    }
+    let term = term_beside(&mut world, &mut earlier, 40..240);
     assert!(term.is_some_and(|term| term > used), "{term:?}, {used}");
 }
 
@@ -239,14 +247,7 @@
     world.daemons[0] = weak_daemon("weak");
     hear_used_term(&mut world, 0, used, 40);
     assert!(!world.daemons[0].candidacy_delay().is_zero());
-    let mut term = None;
-    for step in 40..500 {
-        let now = world.time(step);
-        earlier.step(&mut world, Fate::Answered, step);
-        run(&mut world, step, step + 1);
-        term = world.daemons[0].term(now);
-        assert!(term.is_none() || !earlier.is_in_force(now), "two at {now}");
-    }
+    let term = term_beside(&mut world, &mut earlier, 40..500);
     assert!(term.is_some_and(|term| term > used), "{term:?}, {used}");
 }
 
--- a/crates/soak/src/store_checks.rs
+++ b/crates/soak/src/store_checks.rs
@@ -14,7 +14,7 @@
 /// Checks that each change says which state of the object it replaces: without that, two daemons could hold the lease.
 pub(crate) fn check(fleet: &Fleet) {
     let changes = fleet.store.change_requests();
-    let is_unconditional = |it: &&ChangeRequest| it.condition == Condition::Missing;
+    let is_unconditional = |it: &&ChangeRequest| it.condition == Condition::Unconditional;
     for change in changes.iter().filter(is_unconditional) {
         let line = line(change);
         fleet.violation(format!("CONDITION a change names no state: {line}"));
@@ -38,7 +38,7 @@
     let condition = match change.condition {
         Condition::Absent => "absent".to_owned(),
         Condition::Revision(revision) => revision.to_string(),
-        Condition::Missing => "none".to_owned(),
+        Condition::Unconditional => "none".to_owned(),
     };
     let made = change
         .made
