--- a/crates/routing/tests/lease/main.rs
+++ b/crates/routing/tests/lease/main.rs
@@ -115,8 +115,13 @@
 
 /// How many daemons hold the lease once there were no faults for a while.
 fn holders_after_calm(world: &mut World) -> usize {
-    run(world, FAULT_STEPS, FAULT_STEPS + CALM_STEPS);
-    let now = world.time(FAULT_STEPS + CALM_STEPS - 1);
+    holders_after(world, CALM_STEPS)
+}
+
+/// The same after some steps without faults.
+fn holders_after(world: &mut World, steps: usize) -> usize {
+    run(world, FAULT_STEPS, FAULT_STEPS + steps);
+    let now = world.time(FAULT_STEPS + steps - 1);
     let holders = world.daemons.iter().filter(|it| it.term(now).is_some());
     holders.count()
 }
--- a/crates/routing/tests/lease/restored.rs
+++ b/crates/routing/tests/lease/restored.rs
@@ -8,7 +8,7 @@
 
 use crate::earlier::EarlierHolder;
 use crate::world::{FAULT_STEPS, Fate, World, address, fate};
-use crate::{holders_after_calm, run, weak_daemon};
+use crate::{holders_after, holders_after_calm, run, weak_daemon};
 
 proptest! {
     #![proptest_config(ProptestConfig {
@@ -330,9 +330,6 @@
             let is_held = world.daemons.iter().any(|daemon| daemon.term(now).is_some());
             prop_assert!(!is_held || !earlier.is_in_force(now), "two at {}", now);
         }
-        run(&mut world, FAULT_STEPS, FAULT_STEPS + WEAK_CALM_STEPS);
-        let now = world.time(FAULT_STEPS + WEAK_CALM_STEPS - 1);
-        let holders = world.daemons.iter().filter(|daemon| daemon.term(now).is_some());
-        prop_assert_eq!(holders.count(), 1);
+        prop_assert_eq!(holders_after(&mut world, WEAK_CALM_STEPS), 1);
     }
 }
