Retry budget: log each decision and each change of the number of daemons

A retry that was granted or refused left no line, and neither did a change of the number of daemons that share the budget, so the hypotheses of the incident could not be told apart. `retry` and `daemons-counted` tell the inputs; flaxward_ingress_retries_total counts by outcome. What is decided stays as it was.

--- a/crates/ingress/src/coordination/follower.rs
+++ b/crates/ingress/src/coordination/follower.rs
@@ -289,7 +289,7 @@
         }
         coordinator.note_holdings_after(direction.holdings_after);
         let follows = coordinator.holdings_version >= direction.holdings_after;
-        shared.set_daemons(direction.daemons);
+        shared.set_daemons(direction.daemons, "coordinator");
         let mut tables = shared.tables();
         tables.runners.confirm_holdings(now);
         if let Some(loads) = direction.loads {
--- a/crates/ingress/src/coordination/mod.rs
+++ b/crates/ingress/src/coordination/mod.rs
@@ -544,8 +544,8 @@
                 }
                 let recorded = self.lease.recorded_members().len();
                 if recorded > 0 && !self.lease.hears_holder(now) {
-                    self.shared
-                        .set_daemons(u32::try_from(recorded).unwrap_or(u32::MAX));
+                    let recorded = u32::try_from(recorded).unwrap_or(u32::MAX);
+                    self.shared.set_daemons(recorded, "lease");
                 }
             }
             Event::Report {
--- a/crates/ingress/src/counters.rs
+++ b/crates/ingress/src/counters.rs
@@ -3,7 +3,7 @@
 use flaxward_types::Metric;
 
 /// Metrics of this crate.
-pub const METRICS: [Metric; 33] = [
+pub const METRICS: [Metric; 34] = [
     SERVED,
     REFUSED,
     ATTEMPTS_FAILED,
@@ -37,6 +37,7 @@
     CAPACITY_WAITS,
     MESSAGE_BYTES,
     RUNNER_NOTICES,
+    RETRIES,
 ];
 
 /// Requests whose answer, or its head, was forwarded, by `status`, the class of the HTTP status.
@@ -208,3 +209,8 @@
     "flaxward_ingress_runner_notices_total",
     "Times that an answer has told something new of its runner: that it leaves, rests, or takes a rate.",
 );
+/// Retries asked of the retry budget, by `outcome`.
+pub const RETRIES: Metric = Metric::counter(
+    "flaxward_ingress_retries_total",
+    "Retries asked of the retry budget, by `outcome`: granted or refused.",
+);
--- a/crates/ingress/src/relay.rs
+++ b/crates/ingress/src/relay.rs
@@ -295,7 +295,10 @@
             if self.is_quarantined() {
                 return Err(self.abort(RelayError::Broken, "the request is quarantined"));
             }
-            if !self.shared.try_retry(&self.service) {
+            if !self
+                .shared
+                .try_retry(&self.service, &self.request.profile.id)
+            {
                 return Err(self.abort(RelayError::Broken, "the retry budget is spent"));
             }
             if self.try_continue().await? {
@@ -313,7 +316,11 @@
             self.resume_waiting(stalled);
             return Ok(());
         };
-        if self.is_quarantined() || !self.shared.try_retry(&self.service) {
+        if self.is_quarantined()
+            || !self
+                .shared
+                .try_retry(&self.service, &self.request.profile.id)
+        {
             self.resume_waiting(stalled);
             return Ok(());
         }
--- a/crates/ingress/src/state.rs
+++ b/crates/ingress/src/state.rs
@@ -33,7 +33,7 @@
 use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
 
-use crate::counters::RUNNERS_EJECTED;
+use crate::counters::{RETRIES, RUNNERS_EJECTED};
 use crate::decisions::DecisionLog;
 use crate::interfaces::{ClusterStore, RunnerControl, Surface};
 use crate::keeper_client::KeeperClient;
@@ -281,12 +281,21 @@
         u32::try_from(self.tables().daemons).unwrap_or(u32::MAX)
     }
 
-    /// Sets the number of daemons.
-    pub(crate) fn set_daemons(&self, daemons: u32) {
+    /// Sets the number of daemons, as told by `told_by`, and logs a change.
+    pub(crate) fn set_daemons(&self, daemons: u32, told_by: &str) {
         let daemons = usize::try_from(daemons).unwrap_or(usize::MAX).max(1);
         let mut tables = self.tables();
-        tables.daemons = daemons;
+        let before = std::mem::replace(&mut tables.daemons, daemons);
         tables.quota.set_daemons(daemons);
+        drop(tables);
+        if before != daemons {
+            let fields: &[(&str, &dyn std::fmt::Display)] = &[
+                ("daemons", &daemons),
+                ("before", &before),
+                ("told_by", &told_by),
+            ];
+            self.log.write(self.now(), "daemons-counted", fields);
+        }
     }
 
     pub(crate) fn configuration(&self) -> Option<Arc<Configuration>> {
@@ -355,12 +364,30 @@
         }
     }
 
-    /// Spends one retry of the budget, if one is left.
-    pub(crate) fn try_retry(&self, service: &ServiceName) -> bool {
+    /// Spends one retry of the budget for a request, if one is left.
+    pub(crate) fn try_retry(&self, service: &ServiceName, request: &str) -> bool {
         let now = self.now();
         let mut tables = self.tables();
         let daemons = tables.daemons;
-        tables.budget.try_retry(service, now, daemons)
+        let decision = tables.budget.try_retry(service, now, daemons);
+        drop(tables);
+        let outcome = if decision.is_granted {
+            "granted"
+        } else {
+            "refused"
+        };
+        metrics::counter!(RETRIES.name, "outcome" => outcome).increment(1);
+        let fields: &[(&str, &dyn std::fmt::Display)] = &[
+            ("request", &request),
+            ("service", service),
+            ("outcome", &outcome),
+            ("retries", &decision.retries),
+            ("requests", &decision.requests),
+            ("allowed", &format!("{:.1}", decision.allowed)),
+            ("daemons", &daemons),
+        ];
+        self.log.write(now, "retry", fields);
+        decision.is_granted
     }
 
     /// Applies readiness estimates of the coordinator.
--- a/crates/routing/src/budget.rs
+++ b/crates/routing/src/budget.rs
@@ -25,6 +25,19 @@
     pub window: Duration,
 }
 
+/// Whether a retry may be sent, and the counts that decided it.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct RetryDecision {
+    /// Whether the retry was granted, and so counted.
+    pub is_granted: bool,
+    /// Retries of this daemon in the window before this one.
+    pub retries: usize,
+    /// Requests of this daemon in the window.
+    pub requests: usize,
+    /// Retries that this daemon may have in the window.
+    pub allowed: f64,
+}
+
 #[derive(Debug, Default)]
 struct Window {
     requests: VecDeque<Timestamp>,
@@ -53,17 +66,28 @@
     }
 
     /// Spends one retry, if the share of this daemon among `daemons` daemons allows it.
-    pub fn try_retry(&mut self, service: &ServiceName, now: Timestamp, daemons: usize) -> bool {
+    pub fn try_retry(
+        &mut self,
+        service: &ServiceName,
+        now: Timestamp,
+        daemons: usize,
+    ) -> RetryDecision {
         let settings = self.settings;
         let window = self.window(service, now);
         let own_allowance = settings.allowance / as_f64(daemons.max(1));
         let earned = settings.ratio * as_f64(window.requests.len());
         let allowed = SAFETY_FACTOR * (earned + own_allowance);
-        if as_f64(window.retries.len() + 1) > allowed {
-            return false;
+        let retries = window.retries.len();
+        let is_granted = as_f64(retries + 1) <= allowed;
+        if is_granted {
+            window.retries.push_back(now);
+        }
+        RetryDecision {
+            is_granted,
+            retries,
+            requests: window.requests.len(),
+            allowed,
         }
-        window.retries.push_back(now);
-        true
     }
 
     fn window(&mut self, service: &ServiceName, now: Timestamp) -> &mut Window {
--- a/crates/routing/tests/decisions.rs
+++ b/crates/routing/tests/decisions.rs
@@ -149,7 +149,7 @@
             if !is_repeat {
                 budget.count_request(&service, now);
                 requests.push(now);
-            } else if budget.try_retry(&service, now, daemons) {
+            } else if budget.try_retry(&service, now, daemons).is_granted {
                 repeats.push(now);
             }
             let start = now - settings.window;
