A daemon's part of the retry allowance flows in over time, from nothing at its start

Cause: each process took its part of the allowance whole from its first request on. Nobody knew what its earlier process had spent, and the parts of survivors grew as the count of daemons fell, while the retries of the dead were still in the window.

Change: a token bucket for each service starts empty, holds 0.7 of the part, and gets 0.25 of the part in a window. What a process leaves at its death is handed on by nobody, and a part that grows flows in over time, so no history of counts is needed. After 6 s without a coordinator the bucket is empty: others may share the part by then.

With buckets that start full, keep their level without a coordinator, hold the whole part, or get 0.6 in a window, tests fail.

--- a/crates/ingress/src/coordination/follower.rs
+++ b/crates/ingress/src/coordination/follower.rs
@@ -291,6 +291,8 @@
         let follows = coordinator.holdings_version >= direction.holdings_after;
         shared.set_daemons(direction.daemons, "coordinator");
         let mut tables = shared.tables();
+        let daemons = usize::try_from(direction.daemons).unwrap_or(usize::MAX);
+        tables.budget.record_daemons(daemons, earliest_arrival);
         tables.runners.confirm_holdings(now);
         if let Some(loads) = direction.loads {
             let by_runner = loads.into_iter();
--- a/crates/ingress/src/state.rs
+++ b/crates/ingress/src/state.rs
@@ -367,24 +367,21 @@
     /// Spends one retry of the budget for a request, if one is left.
     pub(crate) fn try_retry(&self, service: &ServiceName, request: &str) -> bool {
         let now = self.now();
-        let mut tables = self.tables();
-        let daemons = tables.daemons;
-        let decision = tables.budget.try_retry(service, now, daemons);
-        drop(tables);
+        let decision = self.tables().budget.try_retry(service, now);
         let outcome = if decision.is_granted {
             "granted"
         } else {
             "refused"
         };
         metrics::counter!(RETRIES.name, "outcome" => outcome).increment(1);
+        let daemons = decision.daemons.map(|daemons| daemons.to_string());
         let fields: &[(&str, &dyn std::fmt::Display)] = &[
             ("request", &request),
             ("service", service),
             ("outcome", &outcome),
-            ("retries", &decision.retries),
-            ("requests", &decision.requests),
-            ("allowed", &format!("{:.1}", decision.allowed)),
-            ("daemons", &daemons),
+            ("credit", &format!("{:.1}", decision.credit)),
+            ("allowance", &format!("{:.1}", decision.allowance)),
+            ("daemons", &daemons.as_deref().unwrap_or("none")),
         ];
         self.log.write(now, "retry", fields);
         decision.is_granted
--- a/crates/ingress/tests/ingress/main.rs
+++ b/crates/ingress/tests/ingress/main.rs
@@ -14,6 +14,7 @@
 mod requests;
 mod resting_runners;
 mod restored_store;
+mod retry_budget;
 mod runner;
 mod stall;
 mod stops;
