Requests that move to another daemon no longer pay for retries twice

Cause: a daemon could spend at once what its requests of a whole window had earned. If its callers then went elsewhere, because it died or because they moved, their next requests earned the same again there, while the first retries were still in the window: up to twice the ratio.

Change: credit ends a fifth of the window after its request, and a request earns 0.78 of the ratio. Retries in a window are then paid by the requests of 1.2 windows, 0.94 of the ratio, wherever their callers went.

--- a/crates/routing/src/budget/mod.rs
+++ b/crates/routing/src/budget/mod.rs
@@ -2,8 +2,13 @@
 //!
 //! The budget of a service is a share of its requests plus a fixed allowance, in each window of some seconds and over
 //! all daemons. Each daemon spends what its own requests earn and a part of the allowance, so no messages are needed.
-//! No daemon knows what others, or earlier processes of its own, have spent; so the part of the allowance flows into a
-//! bucket that starts empty; see [`allowance`].
+//! No daemon knows what others, or earlier processes of its own, have spent. Two rules keep the total within the budget
+//! all the same:
+//!
+//! - The credit that a request earns ends soon after it. Callers may leave a daemon right after it has spent what they
+//!   have earned there, and earn again at another one. What is spent in a window was therefore earned in that window
+//!   or shortly before it, wherever the callers went.
+//! - The part of the allowance flows into a bucket that starts empty; see [`allowance`].
 
 mod allowance;
 mod credits;
@@ -21,9 +26,11 @@
 /// Units in which retries are counted; a unit is a millionth of a retry.
 const UNITS_PER_RETRY: u64 = 1_000_000;
 /// Time for which a request's credit can be spent, as a share of the window.
-const CREDIT_LIFE_SHARE: f64 = 1.0;
-/// Part of the operators' ratio that a request earns; the rest covers differences between the counts of daemons.
-const EARNED_SHARE: f64 = 0.85;
+const CREDIT_LIFE_SHARE: f64 = 0.2;
+/// Part of the operators' ratio that a request earns. Retries that arrive in a window are paid by the requests of the
+/// window, of [`CREDIT_LIFE_SHARE`] before it and of the time that retries are under way. Together they stay within the
+/// ratio only if this is below 1 / (1 + `CREDIT_LIFE_SHARE`).
+const EARNED_SHARE: f64 = 0.78;
 
 /// The limits set by the operators.
 #[derive(Clone, Copy, Debug, PartialEq)]
--- a/crates/routing/tests/budget.rs
+++ b/crates/routing/tests/budget.rs
@@ -450,4 +450,16 @@
     ) {
         play(machines, per_second, ALLOWANCE, faults, seed);
     }
+
+    /// Guards against a budget that holds only because the allowance is large beside the requests.
+    #[test]
+    fn the_budget_holds_whatever_the_allowance_and_the_rate_of_requests(
+        machines in 2..40_usize,
+        per_second in 5.0..300.0_f64,
+        allowance in 5.0..100.0_f64,
+        faults in prop::collection::vec((5.0..70.0_f64, fault()), 1..12),
+        seed in any::<u64>(),
+    ) {
+        play(machines, per_second, allowance, faults, seed);
+    }
 }
