Other limits per window that a process keeps in memory: quotas hold, loads from the weight store do not

Loads from the weight store: a new coordinator takes half of the rate at once while the loads of its predecessor still count (15 in one window, 14 allowed), and the loads that one plan begins are not counted before they are ordered (40 at once, 14 allowed). Both need a store that lets as many loads run at once as the rate gives in a window.

--- a/crates/routing/tests/placement/main.rs
+++ b/crates/routing/tests/placement/main.rs
@@ -9,3 +9,4 @@
 mod regions;
 mod saturation;
 mod simulation;
+mod successors;
--- a/crates/routing/tests/placement/simulation.rs
+++ b/crates/routing/tests/placement/simulation.rs
@@ -29,7 +29,7 @@
 const RUNNER_MB: f64 = 200.0;
 const ADAPTER_SLOTS: usize = 2;
 const LOADS_PER_SECOND: f64 = 2.0;
-const SERVICE: &str = "pool";
+pub const SERVICE: &str = "pool";
 
 /// Weights of the models `m0`, `m1` and so on, in MB.
 pub const MODELS: [f64; 6] = [72.0, 72.0, 65.0, 42.0, 42.0, 72.0];
--- a/crates/routing/tests/quota.rs
+++ b/crates/routing/tests/quota.rs
@@ -819,6 +819,32 @@
     });
 }
 
+/// Guards against a quota that each life of a daemon admits from anew: most daemons, the keepers among them, are killed
+/// five times, two seconds apart, while a tenant sends four times its rate.
+#[test]
+fn the_total_stays_bounded_while_most_daemons_are_killed_again_and_again() {
+    for seed in 1..=8_usize {
+        let mut fleet = Fleet::new(seed as u64, 10);
+        let load = |tenant| if tenant == 0 { hot(8, 14) } else { NORMAL };
+        fleet.run(SETTLING_TIME + Duration::from_secs(4), load);
+        for round in 0..5 {
+            let first = (seed * 5 + round * 7) % DAEMONS;
+            let killed = (0..DAEMONS * 6 / 10).map(|it| (first + it) % DAEMONS);
+            let killed: Vec<usize> = killed.chain(0..=DEPUTIES).collect();
+            for &index in &killed {
+                fleet.kill(index);
+            }
+            fleet.run(Duration::from_millis(500), load);
+            for &index in &killed {
+                fleet.start(index);
+            }
+            fleet.run(Duration::from_millis(1_500), load);
+        }
+        fleet.run(Duration::from_secs(8), load);
+        fleet.assert_bounded();
+    }
+}
+
 proptest! {
     #![proptest_config(ProptestConfig::with_cases(48))]
 
