--- a/crates/ingress/src/dispatch.rs
+++ b/crates/ingress/src/dispatch.rs
@@ -165,11 +165,7 @@
                 }
             };
             let is_retry = self.attempts.sent > 0;
-            if is_retry
-                && !self
-                    .shared
-                    .try_retry(&self.service, &self.request.profile.id)
-            {
+            if is_retry && !self.shared.try_retry(&self.service, &self.request) {
                 return self.give_up("the retry budget is spent");
             }
             self.is_attempting = true;
--- a/crates/ingress/src/relay.rs
+++ b/crates/ingress/src/relay.rs
@@ -295,10 +295,7 @@
             if self.is_quarantined() {
                 return Err(self.abort(RelayError::Broken, "the request is quarantined"));
             }
-            if !self
-                .shared
-                .try_retry(&self.service, &self.request.profile.id)
-            {
+            if !self.shared.try_retry(&self.service, &self.request) {
                 return Err(self.abort(RelayError::Broken, "the retry budget is spent"));
             }
             if self.try_continue().await? {
@@ -316,11 +313,7 @@
             self.resume_waiting(stalled);
             return Ok(());
         };
-        if self.is_quarantined()
-            || !self
-                .shared
-                .try_retry(&self.service, &self.request.profile.id)
-        {
+        if self.is_quarantined() || !self.shared.try_retry(&self.service, &self.request) {
             self.resume_waiting(stalled);
             return Ok(());
         }
--- a/crates/ingress/src/state.rs
+++ b/crates/ingress/src/state.rs
@@ -35,6 +35,7 @@
 
 use crate::counters::{RETRIES, RUNNERS_EJECTED};
 use crate::decisions::DecisionLog;
+use crate::exchange::ClientRequest;
 use crate::interfaces::{ClusterStore, RunnerControl, Surface};
 use crate::keeper_client::KeeperClient;
 use crate::pool::Pool;
@@ -365,7 +366,7 @@
     }
 
     /// Spends one retry of the budget for a request, if one is left.
-    pub(crate) fn try_retry(&self, service: &ServiceName, request: &str) -> bool {
+    pub(crate) fn try_retry(&self, service: &ServiceName, request: &ClientRequest) -> bool {
         let now = self.now();
         let decision = self.tables().budget.try_retry(service, now);
         let outcome = if decision.is_granted {
@@ -376,7 +377,7 @@
         metrics::counter!(RETRIES.name, "outcome" => outcome).increment(1);
         let daemons = decision.daemons.map(|daemons| daemons.to_string());
         let fields: &[(&str, &dyn std::fmt::Display)] = &[
-            ("request", &request),
+            ("request", &request.profile.id),
             ("service", service),
             ("outcome", &outcome),
             ("credit", &format!("{:.1}", decision.credit)),
--- a/crates/routing/src/budget/mod.rs
+++ b/crates/routing/src/budget/mod.rs
@@ -37,7 +37,7 @@
 pub struct RetryBudgetSettings {
     /// Retries for each request.
     pub ratio: f64,
-    /// Retries that are always allowed in a window, over all daemons.
+    /// Retries allowed in a window beside those that requests earn, over all daemons.
     pub allowance: f64,
     /// Length of the window.
     pub window: Duration,
@@ -141,6 +141,7 @@
     }
 }
 
+/// A number of retries in units.
 #[allow(
     clippy::cast_possible_truncation,
     clippy::cast_sign_loss,
@@ -150,6 +151,7 @@
     (retries * UNITS_PER_RETRY as f64) as u64
 }
 
+/// A number of units in retries.
 #[allow(clippy::cast_precision_loss)]
 fn retries(units: u64) -> f64 {
     units as f64 / UNITS_PER_RETRY as f64
