Retry budget: no refill per request that its copy repeats; one start of a test daemon with settings

The bucket of services without requests was refilled at each request, though a copy of it is refilled right after it is made and each word of a coordinator refills it anyway. The follower converted the number of daemons that set_daemons had just stored. The test of the budget repeated how TestIngress starts a daemon with runners.

--- a/crates/ingress/src/coordination/follower.rs
+++ b/crates/ingress/src/coordination/follower.rs
@@ -291,7 +291,7 @@
         let follows = coordinator.holdings_version >= direction.holdings_after;
         shared.set_daemons(direction.daemons, "coordinator");
         let mut tables = shared.tables();
-        let daemons = usize::try_from(direction.daemons).unwrap_or(usize::MAX);
+        let daemons = tables.daemons;
         tables.budget.record_daemons(daemons, earliest_arrival);
         tables.runners.confirm_holdings(now);
         if let Some(loads) = direction.loads {
--- a/crates/ingress/tests/ingress/retry_budget.rs
+++ b/crates/ingress/tests/ingress/retry_budget.rs
@@ -1,14 +1,12 @@
 //! The retry budget of a daemon that has just started, and of one that hears a coordinator.
 
-use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use flaxward_routing::budget::RetryBudgetSettings;
 use tokio::time::sleep;
 
 use crate::runner::{Behaviour, ScriptedRunner};
-use crate::store::MemoryStore;
-use crate::support::{SilentControl, TestIngress, configuration, runner, settings};
+use crate::support::{TestIngress, settings};
 
 /// Starts a daemon with an allowance alone, and two runners that break the connection of each request.
 async fn start(allowance: f64) -> (TestIngress, [ScriptedRunner; 2]) {
@@ -20,13 +18,7 @@
     };
     let resets = || ScriptedRunner::start(vec![Behaviour::Reset; 100]);
     let runners = [resets().await, resets().await];
-    let test =
-        TestIngress::start_with(settings, MemoryStore::default(), Arc::new(SilentControl)).await;
-    let listed = runners.iter().enumerate();
-    let listed = listed.map(|(index, it)| runner(index, it.address));
-    test.store.set_runners(listed.collect());
-    test.store.set_configuration(configuration(1, Vec::new()));
-    test.until_ready().await;
+    let test = TestIngress::start_with_settings(settings, &[&runners[0], &runners[1]]).await;
     (test, runners)
 }
 
--- a/crates/ingress/tests/ingress/support.rs
+++ b/crates/ingress/tests/ingress/support.rs
@@ -317,7 +317,16 @@
 impl TestIngress {
     /// Starts an ingress with these runners, of which the first one is tried first.
     pub async fn start(runners: &[&ScriptedRunner]) -> Self {
-        let test = Self::start_unconfigured().await;
+        Self::start_with_settings(settings("d"), runners).await
+    }
+
+    /// Starts an ingress with custom settings and these runners, of which the first one is tried first.
+    pub async fn start_with_settings(
+        settings: IngressSettings,
+        runners: &[&ScriptedRunner],
+    ) -> Self {
+        let store = MemoryStore::default();
+        let test = Self::start_with(settings, store, Arc::new(SilentControl)).await;
         let runners = runners.iter().enumerate();
         let runners = runners.map(|(index, it)| runner(index, it.address));
         test.store.set_runners(runners.collect());
--- a/crates/routing/src/budget/mod.rs
+++ b/crates/routing/src/budget/mod.rs
@@ -126,7 +126,6 @@
     /// The account of a service, as of now.
     fn account(&mut self, service: &ServiceName, now: Timestamp) -> &mut Account {
         let part = self.part.as_ref();
-        self.unused.refill(part, now);
         let account = self
             .accounts
             .entry(service.clone())
