Connections to runners are opened on a replaceable network; failed attempts tell their connection

attempt-failed and its counter did not tell a refused connection from one that was not established in time, nor a kept connection from a new one, so a runner that is gone looked like a path that is gone. Both now say connection=new, reused, refused, timed-out or failed. The network is a setting, like the source of time, so that tests can cut a single daemon off from the runners.

--- a/crates/flaxward/src/ingress.rs
+++ b/crates/flaxward/src/ingress.rs
@@ -8,6 +8,7 @@
 
 use flaxward::metrics_page;
 use flaxward_clock::SystemTime;
+use flaxward_ingress::network::TcpNetwork;
 use flaxward_ingress::settings::KeyTrust;
 use flaxward_ingress::{Ingress, IngressSettings};
 use flaxward_platform::{PlatformControl, PlatformStore, PlatformSurface};
@@ -136,6 +137,7 @@
     IngressSettings {
         name: file.ingress.name.clone(),
         time: Arc::new(SystemTime),
+        network: Arc::new(TcpNetwork),
         zone: Zone::new(&file.ingress.zone),
         regions: regions(file),
         listen: file.ingress.listen,
--- a/crates/ingress/src/counters.rs
+++ b/crates/ingress/src/counters.rs
@@ -50,10 +50,10 @@
     "flaxward_ingress_refused_total",
     "Requests refused by the ingress, by `code`, the result code.",
 );
-/// Attempts at runners that failed, by `failure`.
+/// Attempts at runners that failed, by `failure` and `connection`.
 pub const ATTEMPTS_FAILED: Metric = Metric::counter(
     "flaxward_ingress_attempts_failed_total",
-    "Attempts at runners that came to no answer, by `failure`.",
+    "Attempts at runners that came to no answer, by `failure` and `connection`: `new`, `reused`, or why none was established.",
 );
 /// Streams that a runner interrupted or left silent, including resumed ones.
 pub const STREAMS_BROKEN: Metric = Metric::counter(
--- a/crates/ingress/src/dispatch.rs
+++ b/crates/ingress/src/dispatch.rs
@@ -319,13 +319,16 @@
             ("request", &self.request.profile.id),
             ("runner", &runner.id),
             ("failure", &format!("{:?}", failed.failure)),
+            ("connection", &failed.connection),
             ("runs", &self.attempts.runs),
             ("left_ms", &self.request.time_left().as_millis()),
             ("lasted_ms", &lasted.as_millis()),
             ("fingerprint", &self.request.fingerprint()),
         ];
         let failure = format!("{:?}", failed.failure);
-        metrics::counter!(ATTEMPTS_FAILED.name, "failure" => failure).increment(1);
+        let connection = failed.connection.to_string();
+        metrics::counter!(ATTEMPTS_FAILED.name, "failure" => failure, "connection" => connection)
+            .increment(1);
         self.shared
             .log
             .write(self.shared.now(), "attempt-failed", fields);
@@ -381,6 +384,7 @@
     ) -> Result<Response<ResponseBody>, FailedAttempt> {
         let mut response = forwarded_head(&exchange);
         let runner = exchange.runner.id.clone();
+        let connection = exchange.connection_kind;
         let mut relay = StreamRelay::new(
             self.shared.clone(),
             self.request.clone(),
@@ -389,10 +393,8 @@
             exchange,
         );
         if let Err(failure) = relay.wait_first_event(attempt_deadline).await {
-            return Err(FailedAttempt {
-                failure,
-                observation: Some(Observation::Failure),
-            });
+            let observation = Some(Observation::Failure);
+            return Err(FailedAttempt::new(failure, observation, connection));
         }
         relay.attempts = self.attempts;
         relay.tried = self.tried.clone();
@@ -413,30 +415,27 @@
         let Exchange {
             body,
             connection,
+            connection_kind,
             runner,
             in_flight,
             ..
         } = exchange;
         let collected = relay::collect(body, MAX_BUFFERED_BYTES, attempt_deadline).await;
         drop(in_flight);
-        let bytes = collected.map_err(|failure| FailedAttempt {
-            failure,
-            observation: Some(Observation::Failure),
-        })?;
+        let failed =
+            |failure| FailedAttempt::new(failure, Some(Observation::Failure), connection_kind);
+        let bytes = collected.map_err(failed)?;
         if let Some(connection) = connection {
             self.shared.pool.put(connection);
         }
         self.shared.record_completed(&self.request);
         *response.body_mut() = responses::full_body(bytes);
-        let failed = response.status().is_server_error();
-        if failed && self.may_replace_failure() {
+        let is_error = response.status().is_server_error();
+        if is_error && self.may_replace_failure() {
             self.error_response = Some(response);
-            return Err(FailedAttempt {
-                failure: Failure::Failed,
-                observation: Some(Observation::Failure),
-            });
+            return Err(failed(Failure::Failed));
         }
-        let observation = if failed {
+        let observation = if is_error {
             Observation::Failure
         } else {
             Observation::Success
--- a/crates/ingress/src/exchange.rs
+++ b/crates/ingress/src/exchange.rs
@@ -1,5 +1,6 @@
 //! A single attempt at a runner, up to the response head.
 
+use std::fmt::{self, Display};
 use std::sync::{Arc, OnceLock};
 use std::time::Duration;
 
@@ -21,7 +22,7 @@
 
 use crate::interfaces::{ForwardingContext, HeadKind};
 use crate::permits::Admission;
-use crate::pool::{Connection, SendError};
+use crate::pool::{ConnectError, Connection, SendError};
 use crate::state::{InFlight, Shared};
 
 /// Request bodies longer than this may still be in transit when an early response arrives.
@@ -83,6 +84,8 @@
     pub head: http::response::Parts,
     pub body: Incoming,
     pub connection: Option<Connection>,
+    /// What kind of connection it is, also when it may not be reused.
+    pub connection_kind: AttemptConnection,
     pub runner: Runner,
     pub in_flight: InFlight,
     pub weights_version: Option<u64>,
@@ -95,10 +98,47 @@
     pub weights_version: Option<u64>,
 }
 
+/// The connection of an attempt, as it is logged.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum AttemptConnection {
+    /// The attempt was not made.
+    Unused,
+    /// None was established.
+    None(ConnectError),
+    /// It was opened for the attempt.
+    New,
+    /// It had carried an earlier request.
+    Reused,
+}
+
+impl AttemptConnection {
+    fn of(connection: &Connection) -> Self {
+        if connection.is_reused() {
+            Self::Reused
+        } else {
+            Self::New
+        }
+    }
+}
+
+impl Display for AttemptConnection {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter.write_str(match self {
+            Self::Unused => "unused",
+            Self::None(ConnectError::Refused) => "refused",
+            Self::None(ConnectError::TimedOut) => "timed-out",
+            Self::None(ConnectError::Failed) => "failed",
+            Self::New => "new",
+            Self::Reused => "reused",
+        })
+    }
+}
+
 /// An attempt without a response that can be forwarded.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) struct FailedAttempt {
     pub failure: Failure,
+    pub connection: AttemptConnection,
     /// Health observation if the runner is unreachable or misbehaves.
     pub observation: Option<Observation>,
 }
@@ -106,12 +146,17 @@
 impl FailedAttempt {
     /// An attempt that was not started, because there was no valid permit for it.
     pub(crate) fn not_permitted() -> Self {
-        Self::new(Failure::NotPermitted, None)
+        Self::new(Failure::NotPermitted, None, AttemptConnection::Unused)
     }
 
-    fn new(failure: Failure, observation: Option<Observation>) -> Self {
+    pub(crate) fn new(
+        failure: Failure,
+        observation: Option<Observation>,
+        connection: AttemptConnection,
+    ) -> Self {
         Self {
             failure,
+            connection,
             observation,
         }
     }
@@ -129,10 +174,20 @@
     let in_flight = InFlight::begin(shared, &runner.id, request.unit.as_ref());
     let may_retry = request.kind.may_repeat();
     let connecting = shared.pool.get(runner.address, may_retry);
-    let Ok(Ok(mut connection)) = timeout_at(attempt_deadline, connecting).await else {
-        let observation = Some(Observation::Unreachable);
-        return Err(FailedAttempt::new(Failure::NotSent, observation));
+    let connected = timeout_at(attempt_deadline, connecting).await;
+    let mut connection = match connected.unwrap_or(Err(ConnectError::TimedOut)) {
+        Ok(connection) => connection,
+        Err(error) => {
+            let observation = Some(Observation::Unreachable);
+            let connection = AttemptConnection::None(error);
+            return Err(FailedAttempt::new(
+                Failure::NotSent,
+                observation,
+                connection,
+            ));
+        }
     };
+    let kind = AttemptConnection::of(&connection);
     let outgoing = outgoing_request(shared, request, runner, continuation);
     // The daemon may have been suspended since it got its permit, or the runner may have become cold.
     if !shared.may_send(runner, admission) {
@@ -144,7 +199,7 @@
         Ok(Err(error)) => return Err(send_failure(&error, &connection)),
         Err(_) => {
             let observation = Some(Observation::Failure);
-            return Err(FailedAttempt::new(Failure::Silent, observation));
+            return Err(FailedAttempt::new(Failure::Silent, observation, kind));
         }
     };
     classify_response(shared, request, runner, connection, response, in_flight)
@@ -153,12 +208,11 @@
 fn send_failure(error: &SendError, connection: &Connection) -> FailedAttempt {
     // A runner may close a kept-alive connection at any time; a new connection that breaks is a fault.
     let observation = (!connection.is_reused()).then_some(Observation::Failure);
-    match error {
-        SendError::Refused | SendError::Connect | SendError::NotSent => {
-            FailedAttempt::new(Failure::NotSent, observation)
-        }
-        SendError::Broken => FailedAttempt::new(Failure::Broken, observation),
-    }
+    let failure = match error {
+        SendError::NotSent => Failure::NotSent,
+        SendError::Broken => Failure::Broken,
+    };
+    FailedAttempt::new(failure, observation, AttemptConnection::of(connection))
 }
 
 fn classify_response(
@@ -170,6 +224,7 @@
     in_flight: InFlight,
 ) -> Result<Exchange, FailedAttempt> {
     let (head, body) = response.into_parts();
+    let connection_kind = AttemptConnection::of(&connection);
     let is_encoded = head.headers.contains_key(CONTENT_ENCODING);
     let kind = shared
         .surface
@@ -180,7 +235,9 @@
     }
     match kind {
         HeadKind::Answer if !is_encoded => {}
-        HeadKind::NotRun => return Err(FailedAttempt::new(Failure::NotRun, None)),
+        HeadKind::NotRun => {
+            return Err(FailedAttempt::new(Failure::NotRun, None, connection_kind));
+        }
         HeadKind::Misdirected => {
             if let Some(unit) = &request.unit {
                 let now = shared.now();
@@ -189,11 +246,19 @@
                     .runners
                     .record_absent_unit(&runner.id, unit, now);
             }
-            return Err(FailedAttempt::new(Failure::Misdirected, None));
+            return Err(FailedAttempt::new(
+                Failure::Misdirected,
+                None,
+                connection_kind,
+            ));
         }
         HeadKind::Answer | HeadKind::Foreign => {
             let observation = Some(Observation::Failure);
-            return Err(FailedAttempt::new(Failure::Broken, observation));
+            return Err(FailedAttempt::new(
+                Failure::Broken,
+                observation,
+                connection_kind,
+            ));
         }
     }
     // If the response arrives before the body was read completely, the rest of the body is still in transit, so the
@@ -204,6 +269,7 @@
         head,
         body,
         connection: (!is_early).then_some(connection),
+        connection_kind,
         runner: runner.clone(),
         in_flight,
         weights_version,
--- a/crates/ingress/src/lib.rs
+++ b/crates/ingress/src/lib.rs
@@ -20,6 +20,7 @@
 mod handler;
 pub mod interfaces;
 mod keeper_client;
+pub mod network;
 mod notices;
 mod peer;
 mod permits;
--- a/crates/ingress/src/pool.rs
+++ b/crates/ingress/src/pool.rs
@@ -6,7 +6,7 @@
 use std::collections::{BTreeSet, HashMap};
 use std::io::ErrorKind;
 use std::net::SocketAddr;
-use std::sync::Mutex;
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -18,11 +18,11 @@
 use hyper::client::conn::http1::{SendRequest, handshake};
 use hyper_util::rt::TokioIo;
 use socket2::SockRef;
-use tokio::net::TcpStream;
 use tokio::task::AbortHandle;
 use tokio::time::{Instant, timeout};
 
 use crate::counters::CONNECTIONS_OPENED;
+use crate::network::Network;
 
 /// Timeout for establishing a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(600);
@@ -54,13 +54,20 @@
     }
 }
 
+/// Why a connection was not established.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum ConnectError {
+    /// It was refused: nothing listens at the address, or something on the way rejects it.
+    Refused,
+    /// There was no answer in time.
+    TimedOut,
+    /// It failed for another reason.
+    Failed,
+}
+
 /// Why a request got no response.
 #[derive(Debug)]
 pub(crate) enum SendError {
-    /// The connection was refused: nothing listens at the address.
-    Refused,
-    /// The connection could not be established for another reason.
-    Connect,
     /// The connection was closed before any byte of the request was sent.
     NotSent,
     /// The connection broke after bytes of the request were sent.
@@ -68,8 +75,9 @@
 }
 
 /// Idle connections, by address.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(crate) struct Pool {
+    network: Arc<dyn Network>,
     idle: Mutex<HashMap<SocketAddr, Vec<Connection>>>,
     /// The listed runners as of the last sweep.
     known_runners: Mutex<RunnersByAddress>,
@@ -80,29 +88,45 @@
 pub(crate) type RunnersByAddress = HashMap<SocketAddr, BTreeSet<RunnerId>>;
 
 impl Pool {
+    /// Creates an empty pool whose connections are opened on a network.
+    pub(crate) fn new(network: Arc<dyn Network>) -> Self {
+        Self {
+            network,
+            idle: Mutex::default(),
+            known_runners: Mutex::default(),
+        }
+    }
+
     /// Returns an idle connection that is ready for a request, or opens one.
     pub(crate) async fn get(
         &self,
         address: SocketAddr,
         may_retry: bool,
-    ) -> Result<Connection, SendError> {
+    ) -> Result<Connection, ConnectError> {
         if let Some(connection) = self.take_idle(address, may_retry) {
             return Ok(connection);
         }
-        open(address).await
+        self.open(address).await
     }
 
     /// Returns whether connections to an address are refused. A connection established by this check is kept for reuse.
     pub(crate) async fn is_refused(&self, address: SocketAddr) -> bool {
-        match open(address).await {
+        match self.open(address).await {
             Ok(connection) => {
                 self.put(connection);
                 false
             }
-            Err(error) => matches!(error, SendError::Refused),
+            Err(error) => error == ConnectError::Refused,
         }
     }
 
+    /// Opens a connection within `CONNECT_TIMEOUT`.
+    async fn open(&self, address: SocketAddr) -> Result<Connection, ConnectError> {
+        metrics::counter!(CONNECTIONS_OPENED.name).increment(1);
+        let connecting = timeout(CONNECT_TIMEOUT, connect(&*self.network, address));
+        connecting.await.map_err(|_| ConnectError::TimedOut)?
+    }
+
     fn take_idle(&self, address: SocketAddr, may_retry: bool) -> Option<Connection> {
         let mut idle = self.idle.lock().ok()?;
         let connections = idle.get_mut(&address)?;
@@ -150,25 +174,19 @@
     }
 }
 
-/// Opens a connection within `CONNECT_TIMEOUT`.
-async fn open(address: SocketAddr) -> Result<Connection, SendError> {
-    metrics::counter!(CONNECTIONS_OPENED.name).increment(1);
-    let connecting = timeout(CONNECT_TIMEOUT, connect(address));
-    connecting.await.map_err(|_| SendError::Connect)?
-}
-
-async fn connect(address: SocketAddr) -> Result<Connection, SendError> {
-    let stream = TcpStream::connect(address)
+async fn connect(network: &dyn Network, address: SocketAddr) -> Result<Connection, ConnectError> {
+    let stream = network
+        .connect(address)
         .await
         .map_err(|error| match error.kind() {
-            ErrorKind::ConnectionRefused => SendError::Refused,
-            _ => SendError::Connect,
+            ErrorKind::ConnectionRefused => ConnectError::Refused,
+            _ => ConnectError::Failed,
         })?;
     let _ = stream.set_nodelay(true);
     let _ = SockRef::from(&stream).set_tcp_user_timeout(Some(TCP_USER_TIMEOUT));
     let (sender, driver) = handshake(TokioIo::new(stream))
         .await
-        .map_err(|_| SendError::Connect)?;
+        .map_err(|_| ConnectError::Failed)?;
     let driver = tokio::spawn(async move {
         let _ = driver.await;
     });
--- a/crates/ingress/src/settings.rs
+++ b/crates/ingress/src/settings.rs
@@ -14,6 +14,8 @@
 use flaxward_routing::quarantine::QuarantineSettings;
 use flaxward_routing::strength::MachineStrength;
 
+use crate::network::Network;
+
 /// For how long after its configuration was last confirmed as the newest a daemon relies on it to
 /// check keys; `None` means without limit.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -31,6 +33,8 @@
     pub name: String,
     /// Time source of its clock.
     pub time: Arc<dyn TimeSource>,
+    /// The network between the daemon and the runners.
+    pub network: Arc<dyn Network>,
     /// Its zone.
     pub zone: Zone,
     /// The region of each zone. Zones without an entry count as near, and are in no home region.
--- a/crates/ingress/src/state.rs
+++ b/crates/ingress/src/state.rs
@@ -183,11 +183,11 @@
         Self {
             locality,
             clock: Clock::start(settings.time.clone()),
+            pool: Pool::new(settings.network.clone()),
             settings,
             surface,
             store,
             control,
-            pool: Pool::default(),
             log: DecisionLog::default(),
             unreadable: UnreadableLog::default(),
             changed: Notify::new(),
--- a/crates/ingress/tests/ingress/support.rs
+++ b/crates/ingress/tests/ingress/support.rs
@@ -11,6 +11,7 @@
 use flaxward_ingress::interfaces::{
     FencedOrder, ForwardingContext, HeadKind, ProfileError, RunnerControl, Surface,
 };
+use flaxward_ingress::network::TcpNetwork;
 use flaxward_ingress::settings::KeyTrust;
 use flaxward_ingress::{Ingress, IngressSettings};
 use flaxward_routing::budget::RetryBudgetSettings;
@@ -402,6 +403,7 @@
     IngressSettings {
         name: name.to_owned(),
         time: Arc::new(SystemTime),
+        network: Arc::new(TcpNetwork),
         zone: Zone::new("z0"),
         regions: Regions::default(),
         listen: any,
