Failing tests of daemons partitioned from all runners

Four daemons with a network of their own each; one is cut off from all runners in three ways (silent, reset, new connections refused). From 3 s after that it serves 0 of 60 requests, the others 60 of 60. Two more faults of the same cause: broken connections at such a daemon count as crashes of runners, and a coordinator that reaches no runner keeps the lease.

--- a/crates/ingress/tests/ingress/main.rs
+++ b/crates/ingress/tests/ingress/main.rs
@@ -11,6 +11,8 @@
 mod leaving_runners;
 mod legacy_coordinator;
 mod limited_runners;
+mod partition;
+mod partitioned_daemons;
 mod requests;
 mod resting_runners;
 mod restored_store;
--- a/crates/ingress/tests/ingress/runner.rs
+++ b/crates/ingress/tests/ingress/runner.rs
@@ -93,6 +93,11 @@
         runner
     }
 
+    /// Replaces what is left of the script.
+    pub fn set_script(&self, script: Vec<Behaviour>) {
+        self.state.lock().unwrap().script = script.into();
+    }
+
     /// The received requests.
     pub fn received(&self) -> Vec<Received> {
         self.state.lock().unwrap().received.clone()
