Runners that a daemon does not reach are reached through other daemons

What callers saw: while a daemon had lost its path to all runners, it served hardly any of them (8 of 59 first tries, 108 of 114 at the others), and new clients kept coming, since the store, the clients and the other daemons still reached it.

Cause: a daemon had one way to a runner, its own connection. It tried runner after runner for 600 ms each, ejected them, and refused, although the other daemons served at the same runners.

The daemons now relay connections: a tunnel of bytes at the TCP port of the peer address. Deadlines, attempts, budget, permits and what is said to the caller stay with the daemon that took the request, so no statement depends on a second one. A path counts as lost only if a relay reached the runner meanwhile; lost paths are probed in the background. Chunked bodies instead of CONNECT tell a dead relay from a runner that closes.

--- a/crates/ingress/src/coordination/leader.rs
+++ b/crates/ingress/src/coordination/leader.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use flaxward_routing::dissemination::{Dissemination, Outgoing};
+use flaxward_routing::dissemination::{Dissemination, Outgoing, relays_of};
 use flaxward_routing::lease::LeaseHeartbeat;
 use flaxward_routing::messages::{Direction, HoldingsSummary, Usage, WaitNotice};
 use flaxward_routing::permits::keeper::PermitKeeper;
@@ -212,6 +212,12 @@
         self.dissemination.standby_addresses(&self.placement, now)
     }
 
+    /// Daemons through which a member can reach the coordinator or runners.
+    pub fn relays_of(&self, member: SocketAddr, now: Timestamp) -> Vec<SocketAddr> {
+        let standbys = self.standby_addresses(now);
+        relays_of(&standbys, &self.member_addresses(now), member)
+    }
+
     /// The strongest machine of a member.
     pub fn strongest_member(&self) -> MachineStrength {
         self.placement.strongest_member()
--- a/crates/ingress/src/coordination/mod.rs
+++ b/crates/ingress/src/coordination/mod.rs
@@ -235,11 +235,24 @@
         }
     }
 
+    /// Updates the daemons through which runners are reached if the direct paths are lost.
+    fn update_runner_relays(&self, now: Timestamp) {
+        let known = self.follower.relays();
+        let relays = match &self.leader {
+            Some(leader) => leader.relays_of(self.address, now),
+            None if known.is_empty() => self.lease.recorded_members().to_vec(),
+            None => known.to_vec(),
+        };
+        let others = relays.into_iter().filter(|relay| *relay != self.address);
+        self.shared.tables().paths.set_relays(others.collect());
+    }
+
     /// Reports to the coordinator what requests use and wait for, if a report is due.
     fn report_usage(&mut self, now: Timestamp) {
         let Some(message) = self.follower.due_message(&self.shared, now) else {
             return;
         };
+        self.update_runner_relays(now);
         let summary = self.follower.due_summary(&self.shared);
         for message in summary.into_iter().chain([message]) {
             if self.leader.is_some() {
--- a/crates/ingress/src/counters.rs
+++ b/crates/ingress/src/counters.rs
@@ -3,7 +3,7 @@
 use flaxward_types::Metric;
 
 /// Metrics of this crate.
-pub const METRICS: [Metric; 34] = [
+pub const METRICS: [Metric; 39] = [
     SERVED,
     REFUSED,
     ATTEMPTS_FAILED,
@@ -38,6 +38,11 @@
     MESSAGE_BYTES,
     RUNNER_NOTICES,
     RETRIES,
+    CONNECTIONS_RELAYED,
+    PARTITIONS,
+    TUNNELS,
+    TUNNELS_REFUSED,
+    DIRECT_PROBES,
 ];
 
 /// Requests whose answer, or its head, was forwarded, by `status`, the class of the HTTP status.
@@ -214,3 +219,28 @@
     "flaxward_ingress_retries_total",
     "Retries asked of the retry budget, by `outcome`: granted or refused.",
 );
+/// Connections to runners that were opened through other daemons.
+pub const CONNECTIONS_RELAYED: Metric = Metric::counter(
+    "flaxward_ingress_connections_relayed_total",
+    "Connections to runners that were opened through other daemons.",
+);
+/// Times that the daemon found itself partitioned from all runners.
+pub const PARTITIONS: Metric = Metric::counter(
+    "flaxward_ingress_partitions_total",
+    "Times that the daemon found that it reaches no runner directly, while other daemons do.",
+);
+/// Tunnels to runners that were opened for other daemons.
+pub const TUNNELS: Metric = Metric::counter(
+    "flaxward_ingress_tunnels_total",
+    "Tunnels to runners that were opened for other daemons.",
+);
+/// Tunnels that were not opened, by `status`, the HTTP status of the answer.
+pub const TUNNELS_REFUSED: Metric = Metric::counter(
+    "flaxward_ingress_tunnels_refused_total",
+    "Tunnels asked for by other daemons that were not opened, by `status`, the HTTP status of the answer.",
+);
+/// Probes of lost paths to runners, by `outcome`.
+pub const DIRECT_PROBES: Metric = Metric::counter(
+    "flaxward_ingress_direct_probes_total",
+    "Probes of direct paths to runners that were lost, by `outcome`.",
+);
--- a/crates/ingress/src/crashes.rs
+++ b/crates/ingress/src/crashes.rs
@@ -37,7 +37,7 @@
     let runner = runner.id.clone();
     let shared = shared.clone();
     let check = tokio::spawn(async move {
-        if shared.pool.is_refused(address).await {
+        if shared.is_refused(address).await {
             shared.log_crash(&report, &runner, &id);
             shared.report_run(report);
         }
--- a/crates/ingress/src/daemon.rs
+++ b/crates/ingress/src/daemon.rs
@@ -7,6 +7,7 @@
 
 use flaxward_routing::encoding::WIRE_VERSION;
 use flaxward_settings::logs::state_change;
+use tokio::net::TcpListener;
 use tokio::time::{Instant, sleep, sleep_until};
 use tokio_util::task::TaskTracker;
 
@@ -17,6 +18,7 @@
 use crate::server::{ClientShutdown, listen, serve_clients, serve_metrics, serve_readiness};
 use crate::settings::IngressSettings;
 use crate::state::Shared;
+use crate::tunnel_server::serve_tunnels;
 use crate::watches::{watch_configuration, watch_evacuations, watch_runners};
 
 /// Time after the order to stop during which new clients are still accepted: the load balancer
@@ -29,6 +31,9 @@
 /// Interval between checks for requests in progress.
 const DRAIN_INTERVAL: Duration = Duration::from_millis(50);
 
+/// Number of ports tried for other daemons if the system chooses the port.
+const PEER_BIND_ATTEMPTS: u32 = 16;
+
 /// A running ingress.
 pub struct Ingress {
     /// Address for clients.
@@ -77,7 +82,7 @@
         );
         let store = Arc::new(CountedStore::new(store));
         let shared = Arc::new(Shared::new(settings, surface, store, control));
-        let peers = PeerSocket::bind(shared.settings.peer_listen, shared.clock.clone()).await?;
+        let (peers, tunnels) = bind_peers(&shared).await?;
         let peer_address = peers.address()?;
         let tracker = TaskTracker::new();
         let clients_end = ClientShutdown::default();
@@ -91,6 +96,7 @@
         tracker.spawn(client_server);
         let pages = TaskTracker::new();
         tokio::spawn(serve_readiness(shared.clone(), readiness, pages.clone()));
+        tokio::spawn(serve_tunnels(shared.clone(), tunnels, pages.clone()));
         if let (Some(listener), Some(render)) = (metrics, render) {
             tokio::spawn(serve_metrics(listener, pages, render));
         }
@@ -123,7 +129,7 @@
         self.shared.closing.store(true, Ordering::Relaxed);
         self.clients_end.closing.cancel();
         self.tracker.close();
-        while Instant::now() < end && self.in_progress() > 0 {
+        while Instant::now() < end && (self.in_progress() > 0 || self.has_tunnels()) {
             sleep(DRAIN_INTERVAL).await;
         }
         let left = self.in_progress();
@@ -134,8 +140,30 @@
         state_change("stopped", &[("requests_cut_off", &left)]);
     }
 
+    /// Whether requests of other daemons may pass through this one.
+    fn has_tunnels(&self) -> bool {
+        self.shared.open_tunnels.load(Ordering::Relaxed) > 0
+    }
+
     /// Number of requests in progress.
     pub fn in_progress(&self) -> u32 {
         self.shared.requests.load(Ordering::Relaxed)
     }
 }
+
+/// Binds the sockets for other daemons: UDP for messages and TCP for tunnels, at the same port.
+async fn bind_peers(shared: &Shared) -> anyhow::Result<(PeerSocket, TcpListener)> {
+    let address = shared.settings.peer_listen;
+    let mut attempts = PEER_BIND_ATTEMPTS;
+    loop {
+        let tunnels = listen(address).await?;
+        let bound = PeerSocket::bind(tunnels.local_addr()?, shared.clock.clone()).await;
+        attempts -= 1;
+        match bound {
+            Ok(peers) => return Ok((peers, tunnels)),
+            // The system has chosen a port that is in use over UDP.
+            Err(_) if address.port() == 0 && attempts > 0 => {}
+            Err(error) => return Err(error),
+        }
+    }
+}
--- a/crates/ingress/src/exchange.rs
+++ b/crates/ingress/src/exchange.rs
@@ -12,6 +12,7 @@
 use flaxward_routing::homes::{Homes, Requirement};
 use flaxward_routing::names::Unit;
 use flaxward_routing::request::RequestProfile;
+use flaxward_routing::runner_paths::Path;
 use flaxward_routing::runners::Runner;
 use flaxward_routing::tenants::Tenant;
 use http::header::{CONNECTION, CONTENT_ENCODING, TE, TRAILER, TRANSFER_ENCODING, UPGRADE};
@@ -106,17 +107,17 @@
     /// None was established.
     None(ConnectError),
     /// It was opened for the attempt.
-    New,
+    New(Path),
     /// It had carried an earlier request.
-    Reused,
+    Reused(Path),
 }
 
 impl AttemptConnection {
     fn of(connection: &Connection) -> Self {
         if connection.is_reused() {
-            Self::Reused
+            Self::Reused(connection.path())
         } else {
-            Self::New
+            Self::New(connection.path())
         }
     }
 }
@@ -128,8 +129,10 @@
             Self::None(ConnectError::Refused) => "refused",
             Self::None(ConnectError::TimedOut) => "timed-out",
             Self::None(ConnectError::Failed) => "failed",
-            Self::New => "new",
-            Self::Reused => "reused",
+            Self::New(Path::Direct) => "new",
+            Self::New(Path::Relay(_)) => "new-relayed",
+            Self::Reused(Path::Direct) => "reused",
+            Self::Reused(Path::Relay(_)) => "reused-relayed",
         })
     }
 }
@@ -173,7 +176,7 @@
 ) -> Result<Exchange, FailedAttempt> {
     let in_flight = InFlight::begin(shared, &runner.id, request.unit.as_ref());
     let may_retry = request.kind.may_repeat();
-    let connecting = shared.pool.get(runner.address, may_retry);
+    let connecting = shared.connection(runner.address, may_retry);
     let connected = timeout_at(attempt_deadline, connecting).await;
     let mut connection = match connected.unwrap_or(Err(ConnectError::TimedOut)) {
         Ok(connection) => connection,
@@ -198,10 +201,14 @@
         Ok(Ok(response)) => response,
         Ok(Err(error)) => return Err(send_failure(&error, &connection)),
         Err(_) => {
+            if connection.path() == Path::Direct {
+                shared.check_path(runner.address);
+            }
             let observation = Some(Observation::Failure);
             return Err(FailedAttempt::new(Failure::Silent, observation, kind));
         }
     };
+    shared.record_path_answer(&connection);
     classify_response(shared, request, runner, connection, response, in_flight)
 }
 
--- a/crates/ingress/src/lib.rs
+++ b/crates/ingress/src/lib.rs
@@ -9,6 +9,7 @@
 
 mod access;
 mod cold_periods;
+mod connector;
 mod coordination;
 mod counted_store;
 pub mod counters;
@@ -33,6 +34,8 @@
 mod state;
 mod store_era;
 mod store_report;
+mod tunnel;
+mod tunnel_server;
 mod unreadable;
 mod usage;
 mod waiting;
--- a/crates/ingress/src/pool.rs
+++ b/crates/ingress/src/pool.rs
@@ -6,11 +6,12 @@
 use std::collections::{BTreeSet, HashMap};
 use std::io::ErrorKind;
 use std::net::SocketAddr;
-use std::sync::{Arc, Mutex};
+use std::sync::Mutex;
 use std::time::Duration;
 
 use bytes::Bytes;
 use flaxward_routing::names::RunnerId;
+use flaxward_routing::runner_paths::Path;
 use http::header::CONNECTION;
 use http::{HeaderMap, Request, Response};
 use http_body_util::Full;
@@ -18,14 +19,14 @@
 use hyper::client::conn::http1::{SendRequest, handshake};
 use hyper_util::rt::TokioIo;
 use socket2::SockRef;
+use tokio::io::{AsyncRead, AsyncWrite};
 use tokio::task::AbortHandle;
-use tokio::time::{Instant, timeout};
+use tokio::time::Instant;
+use tokio_util::task::AbortOnDropHandle;
 
-use crate::counters::CONNECTIONS_OPENED;
 use crate::network::Network;
+use crate::tunnel::Tunnel;
 
-/// Timeout for establishing a connection.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(600);
 /// Keep-alive time of a connection whose runner sends no `Keep-Alive` header.
 const DEFAULT_KEEP_ALIVE: Duration = Duration::from_secs(4);
 /// Fraction of the keep-alive time during which an idle connection is reused.
@@ -42,6 +43,9 @@
 pub(crate) struct Connection {
     sender: SendRequest<Full<Bytes>>,
     driver: AbortHandle,
+    /// Carries the exchange with the relay, if there is one.
+    _tunnel: Option<AbortOnDropHandle<()>>,
+    path: Path,
     address: SocketAddr,
     keep_alive: Duration,
     used_at: Instant,
@@ -74,10 +78,25 @@
     Broken,
 }
 
+/// Paths whose idle connections may be used.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct UsablePaths {
+    pub direct: bool,
+    pub relayed: bool,
+}
+
+impl UsablePaths {
+    fn contain(self, path: Path) -> bool {
+        match path {
+            Path::Direct => self.direct,
+            Path::Relay(_) => self.relayed,
+        }
+    }
+}
+
 /// Idle connections, by address.
-#[derive(Debug)]
+#[derive(Debug, Default)]
 pub(crate) struct Pool {
-    network: Arc<dyn Network>,
     idle: Mutex<HashMap<SocketAddr, Vec<Connection>>>,
     /// The listed runners as of the last sweep.
     known_runners: Mutex<RunnersByAddress>,
@@ -88,46 +107,13 @@
 pub(crate) type RunnersByAddress = HashMap<SocketAddr, BTreeSet<RunnerId>>;
 
 impl Pool {
-    /// Creates an empty pool whose connections are opened on a network.
-    pub(crate) fn new(network: Arc<dyn Network>) -> Self {
-        Self {
-            network,
-            idle: Mutex::default(),
-            known_runners: Mutex::default(),
-        }
-    }
-
-    /// Returns an idle connection that is ready for a request, or opens one.
-    pub(crate) async fn get(
+    /// Returns an idle connection that is ready for a request and takes one of the given paths.
+    pub(crate) fn take_idle(
         &self,
         address: SocketAddr,
         may_retry: bool,
-    ) -> Result<Connection, ConnectError> {
-        if let Some(connection) = self.take_idle(address, may_retry) {
-            return Ok(connection);
-        }
-        self.open(address).await
-    }
-
-    /// Returns whether connections to an address are refused. A connection established by this check is kept for reuse.
-    pub(crate) async fn is_refused(&self, address: SocketAddr) -> bool {
-        match self.open(address).await {
-            Ok(connection) => {
-                self.put(connection);
-                false
-            }
-            Err(error) => error == ConnectError::Refused,
-        }
-    }
-
-    /// Opens a connection within `CONNECT_TIMEOUT`.
-    async fn open(&self, address: SocketAddr) -> Result<Connection, ConnectError> {
-        metrics::counter!(CONNECTIONS_OPENED.name).increment(1);
-        let connecting = timeout(CONNECT_TIMEOUT, connect(&*self.network, address));
-        connecting.await.map_err(|_| ConnectError::TimedOut)?
-    }
-
-    fn take_idle(&self, address: SocketAddr, may_retry: bool) -> Option<Connection> {
+        paths: UsablePaths,
+    ) -> Option<Connection> {
         let mut idle = self.idle.lock().ok()?;
         let connections = idle.get_mut(&address)?;
         let share = if may_retry {
@@ -135,10 +121,14 @@
         } else {
             NO_RETRY_KEEP_ALIVE_SHARE
         };
-        connections.retain(|connection| connection.is_usable(KEEP_ALIVE_SHARE));
-        let index = connections
-            .iter()
-            .rposition(|connection| connection.is_usable(share))?;
+        connections.retain(|connection| {
+            paths.contain(connection.path) && connection.is_usable(KEEP_ALIVE_SHARE)
+        });
+        let index = connections.iter().rposition(|connection| {
+            // A relay may end at any time.
+            let is_safe = may_retry || connection.path == Path::Direct;
+            is_safe && connection.is_usable(share)
+        })?;
         let mut connection = connections.swap_remove(index);
         connection.is_reused = true;
         Some(connection)
@@ -174,33 +164,68 @@
     }
 }
 
-async fn connect(network: &dyn Network, address: SocketAddr) -> Result<Connection, ConnectError> {
-    let stream = network
-        .connect(address)
-        .await
-        .map_err(|error| match error.kind() {
-            ErrorKind::ConnectionRefused => ConnectError::Refused,
-            _ => ConnectError::Failed,
-        })?;
-    let _ = stream.set_nodelay(true);
-    let _ = SockRef::from(&stream).set_tcp_user_timeout(Some(TCP_USER_TIMEOUT));
-    let (sender, driver) = handshake(TokioIo::new(stream))
-        .await
-        .map_err(|_| ConnectError::Failed)?;
-    let driver = tokio::spawn(async move {
-        let _ = driver.await;
-    });
-    Ok(Connection {
-        sender,
-        driver: driver.abort_handle(),
-        address,
-        keep_alive: DEFAULT_KEEP_ALIVE,
-        used_at: Instant::now(),
-        is_reused: false,
-    })
-}
-
 impl Connection {
+    /// Opens a connection without a relay.
+    pub(crate) async fn direct(
+        network: &dyn Network,
+        address: SocketAddr,
+    ) -> Result<Self, ConnectError> {
+        let stream = network
+            .connect(address)
+            .await
+            .map_err(|error| match error.kind() {
+                ErrorKind::ConnectionRefused => ConnectError::Refused,
+                _ => ConnectError::Failed,
+            })?;
+        let _ = stream.set_nodelay(true);
+        let _ = SockRef::from(&stream).set_tcp_user_timeout(Some(TCP_USER_TIMEOUT));
+        Self::start(stream, address, Path::Direct, None).await
+    }
+
+    /// Creates a connection to a runner over a tunnel.
+    pub(crate) async fn tunneled(
+        tunnel: Tunnel,
+        address: SocketAddr,
+        relay: SocketAddr,
+    ) -> Result<Self, ConnectError> {
+        let path = Path::Relay(relay);
+        Self::start(tunnel.stream, address, path, Some(tunnel.driver)).await
+    }
+
+    async fn start(
+        stream: impl AsyncRead + AsyncWrite + Send + Unpin + 'static,
+        address: SocketAddr,
+        path: Path,
+        tunnel: Option<AbortOnDropHandle<()>>,
+    ) -> Result<Self, ConnectError> {
+        let (sender, driver) = handshake(TokioIo::new(stream))
+            .await
+            .map_err(|_| ConnectError::Failed)?;
+        let driver = tokio::spawn(async move {
+            let _ = driver.await;
+        });
+        Ok(Self {
+            sender,
+            driver: driver.abort_handle(),
+            _tunnel: tunnel,
+            path,
+            address,
+            keep_alive: DEFAULT_KEEP_ALIVE,
+            used_at: Instant::now(),
+            is_reused: false,
+        })
+    }
+
+    /// Address of the runner.
+    pub(crate) fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Path that it takes.
+    pub(crate) fn path(&self) -> Path {
+        self.path
+    }
+
     fn is_usable(&self, share: f64) -> bool {
         let idle_time = self.used_at.elapsed();
         self.sender.is_ready() && idle_time < self.keep_alive.mul_f64(share)
--- a/crates/ingress/src/server.rs
+++ b/crates/ingress/src/server.rs
@@ -47,7 +47,7 @@
 }
 
 /// Accepts connections and spawns a task for each.
-async fn accept<Task, Serve>(listener: &TcpListener, tracker: &TaskTracker, serve: Serve)
+pub(crate) async fn accept<Task, Serve>(listener: &TcpListener, tracker: &TaskTracker, serve: Serve)
 where
     Task: Future<Output = ()> + Send + 'static,
     Serve: Fn(TcpStream) -> Task,
--- a/crates/ingress/src/state.rs
+++ b/crates/ingress/src/state.rs
@@ -25,6 +25,7 @@
 use flaxward_routing::quota::meter::QuotaMeter;
 use flaxward_routing::quota::{Grant, QuotaQuestion};
 use flaxward_routing::revision::EraStart;
+use flaxward_routing::runner_paths::RunnerPaths;
 use flaxward_routing::runners::{Runner, RunnerTable};
 use flaxward_routing::split::SplitChooser;
 use flaxward_routing::store_trust::StoreTrust;
@@ -75,6 +76,8 @@
     /// When the era was last observed to rise.
     pub restored_at: Option<Timestamp>,
     pub health: HealthTable,
+    /// Paths to the runners.
+    pub paths: RunnerPaths,
     /// State that runners reported about themselves in their answers.
     pub notices: Notices,
     pub in_flight: HashMap<RunnerId, u32>,
@@ -140,6 +143,8 @@
     /// Incremented when pending watches of the store must be restarted.
     pub watch_restarts: watch::Sender<u64>,
     pub requests: AtomicU32,
+    /// Number of tunnels that this daemon relays.
+    pub open_tunnels: Arc<AtomicU32>,
     pub seed: u64,
     tables: Mutex<Tables>,
 }
@@ -165,6 +170,7 @@
             store_era: None,
             restored_at: None,
             health: HealthTable::default(),
+            paths: RunnerPaths::default(),
             notices: Notices::default(),
             in_flight: HashMap::new(),
             loads: HashMap::new(),
@@ -183,7 +189,7 @@
         Self {
             locality,
             clock: Clock::start(settings.time.clone()),
-            pool: Pool::new(settings.network.clone()),
+            pool: Pool::default(),
             settings,
             surface,
             store,
@@ -208,6 +214,7 @@
             store_answered_ms: AtomicU64::new(0),
             watch_restarts: watch::Sender::new(0),
             requests: AtomicU32::new(0),
+            open_tunnels: Arc::default(),
             seed,
             tables: Mutex::new(tables),
         }
--- a/crates/ingress/tests/ingress/main.rs
+++ b/crates/ingress/tests/ingress/main.rs
@@ -23,3 +23,4 @@
 mod store;
 mod support;
 mod suspension;
+mod tunnels;
--- a/crates/ingress/tests/ingress/partitioned_daemons.rs
+++ b/crates/ingress/tests/ingress/partitioned_daemons.rs
@@ -3,19 +3,14 @@
 //! Guards against clients of such a daemon being refused for as long as the partition lasts. The daemon had one way to
 //! a runner, its own connection, so it tried runner after runner until the deadline, and took new clients all the while.
 
-use std::sync::Arc;
 use std::time::Duration;
 
-use flaxward_ingress::IngressSettings;
 use futures::future::join_all;
 use tokio::time::sleep;
 
-use crate::partition::{PartitionedControl, PartitionedNetwork, Path};
-use crate::runner::{Behaviour, ScriptedRunner};
-use crate::store::MemoryStore;
-use crate::support::{
-    ImmediateLoadControl, RARE_MODEL, TestIngress, configuration, runner, settings,
-};
+use crate::partition::{Cluster, Path};
+use crate::runner::Behaviour;
+use crate::support::RARE_MODEL;
 
 const DAEMONS: usize = 4;
 const RUNNERS: usize = 4;
@@ -28,65 +23,7 @@
 const SERVED_NUMERATOR: usize = 2;
 const SERVED_DENOMINATOR: usize = 3;
 
-/// Daemons that share a store and runners; each has its own network. The first one is the coordinator.
-struct Cluster {
-    runners: Vec<ScriptedRunner>,
-    networks: Vec<PartitionedNetwork>,
-    daemons: Vec<TestIngress>,
-}
-
 impl Cluster {
-    async fn start() -> Self {
-        let mut runners = Vec::new();
-        for _ in 0..RUNNERS {
-            runners.push(ScriptedRunner::start(Vec::new()).await);
-        }
-        let store = MemoryStore::default();
-        let listed = runners.iter().enumerate();
-        store.set_runners(
-            listed
-                .map(|(index, it)| runner(index, it.address))
-                .collect(),
-        );
-        store.set_configuration(configuration(1, Vec::new()));
-        let control = Arc::new(ImmediateLoadControl::default());
-        let mut cluster = Self {
-            runners,
-            networks: Vec::new(),
-            daemons: Vec::new(),
-        };
-        for index in 0..DAEMONS {
-            let network = PartitionedNetwork::default();
-            let control = Arc::new(PartitionedControl {
-                network: network.clone(),
-                control: control.clone(),
-            });
-            let settings = IngressSettings {
-                network: Arc::new(network.clone()),
-                ..settings(&format!("d{index}"))
-            };
-            let daemon = TestIngress::start_with(settings, store.share(), control).await;
-            daemon.until_ready().await;
-            cluster.networks.push(network);
-            cluster.daemons.push(daemon);
-            sleep(Duration::from_millis(500)).await;
-        }
-        // Each daemon learns the addresses of the others.
-        sleep(Duration::from_secs(5)).await;
-        cluster
-    }
-
-    /// Sends a request to a daemon. Returns whether it is served.
-    async fn is_served(&self, daemon: usize, path: &str, id: &str) -> bool {
-        let request = self.daemons[daemon].request(path, id);
-        let response = request.send().await;
-        let Ok(response) = response else {
-            return false;
-        };
-        let is_success = response.status() == 200;
-        is_success && response.text().await.is_ok_and(|body| !body.is_empty())
-    }
-
     /// Sends requests of all routes to a daemon, one after the other. Returns how many are served.
     async fn served(&self, daemon: usize, name: &str) -> usize {
         let requests = (0..REQUESTS).map(|index| async move {
@@ -121,19 +58,25 @@
 /// Guards against refusals while the connections to runners are silent and no new ones are established.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_daemon_with_silent_paths_to_all_runners_serves_its_clients() {
-    Cluster::start().await.check_partition(Path::Silent).await;
+    Cluster::start(DAEMONS, RUNNERS)
+        .await
+        .check_partition(Path::Silent)
+        .await;
 }
 
 /// Guards against refusals while the connections to runners break and new ones are refused.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_daemon_whose_paths_to_all_runners_are_reset_serves_its_clients() {
-    Cluster::start().await.check_partition(Path::Reset).await;
+    Cluster::start(DAEMONS, RUNNERS)
+        .await
+        .check_partition(Path::Reset)
+        .await;
 }
 
 /// Guards against refusals while new connections to runners are refused and the runners close the kept ones.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_daemon_whose_new_connections_to_runners_are_refused_serves_its_clients() {
-    let cluster = Cluster::start().await;
+    let cluster = Cluster::start(DAEMONS, RUNNERS).await;
     for runner in &cluster.runners {
         runner.set_notice("connection: close\r\n");
     }
@@ -144,7 +87,7 @@
 /// are refused as if nothing listened there. Three such requests with the same content were quarantined everywhere.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_daemon_with_broken_paths_does_not_report_crashes_of_runners() {
-    let cluster = Cluster::start().await;
+    let cluster = Cluster::start(DAEMONS, RUNNERS).await;
     let partitioned = DAEMONS - 1;
     for round in 0..6 {
         for runner in &cluster.runners {
@@ -174,7 +117,7 @@
 /// loaded anywhere while the partition lasted.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_coordinator_without_paths_to_runners_hands_the_lease_over() {
-    let cluster = Cluster::start().await;
+    let cluster = Cluster::start(DAEMONS, RUNNERS).await;
     cluster.networks[0].set(Path::Silent);
     // Its orders for this request stay without an answer.
     let request = cluster.daemons[1].request("/safe/x", "first");
--- a/crates/ingress/tests/ingress/runner.rs
+++ b/crates/ingress/tests/ingress/runner.rs
@@ -28,6 +28,10 @@
     EventsThenReset(u32, u32),
     /// Sends events after 1.3 s of silence.
     LateEvents(u32, u32),
+    /// Sends a body without a length, which ends with the connection.
+    UnsizedThenClose(&'static str),
+    /// Sends part of a body without a length, and resets the connection.
+    UnsizedThenReset(&'static str),
     /// Sends one event every 100 ms, from the first to the last.
     SlowEvents(u32, u32),
     /// Sends two events from the first, then, after 2.5 s of silence, the rest to the last.
@@ -180,6 +184,16 @@
             reset(stream);
             false
         }
+        Behaviour::UnsizedThenClose(body) => {
+            unsized_body(stream, id, body).await;
+            false
+        }
+        Behaviour::UnsizedThenReset(body) => {
+            unsized_body(stream, id, body).await;
+            sleep(Duration::from_millis(50)).await;
+            reset(stream);
+            false
+        }
         Behaviour::Hang => {
             let mut rest = [0; 16];
             let _ = stream.read(&mut rest).await;
@@ -231,6 +245,11 @@
     stream.write_all(text.as_bytes()).await.is_ok()
 }
 
+async fn unsized_body(stream: &mut TcpStream, id: &str, body: &str) {
+    let text = format!("HTTP/1.1 200 OK\r\nx-id: {id}\r\nx-stamp: s\r\n\r\n{body}");
+    let _ = stream.write_all(text.as_bytes()).await;
+}
+
 async fn events(stream: &mut TcpStream, id: &str, first: u32, last: u32, pause: Duration) -> bool {
     let head = format!(
         "HTTP/1.1 200 OK\r\nx-id: {id}\r\nx-stamp: s\r\ntransfer-encoding: chunked\r\n\r\n"
--- a/crates/routing/src/dissemination.rs
+++ b/crates/routing/src/dissemination.rs
@@ -41,9 +41,12 @@
 const SUMMARY_VALIDITY: Duration = Duration::from_secs(5);
 /// Minimum interval between messages with the addresses of all members to one member.
 const MEMBERS_INTERVAL: Duration = Duration::from_secs(1);
-/// Interval between messages with the relay addresses to one member. A message has five addresses. The interval may be
-/// long, but must be shorter than the likely time from a change of relays to a following network partition.
+/// Interval between messages with the relay addresses to one member. A message has up to twelve addresses. The interval
+/// may be long, but must be shorter than the likely time from a change of relays to a following network partition.
 const RELAYS_INTERVAL: Duration = Duration::from_secs(4);
+/// Number of relays of a member beside the standbys. All daemons of a zone may have to reach the runners through others,
+/// which the standbys alone would not bear.
+const OTHER_RELAYS: usize = 7;
 /// Interval between selections of the standbys.
 const STANDBYS_INTERVAL: Duration = Duration::from_millis(500);
 /// Time after which a member that has not acknowledged an update is assumed to have lost it.
@@ -272,8 +275,8 @@
         let count = u32::try_from(members.len()).unwrap_or(u32::MAX);
         let update_interval = UPDATE_INTERVAL_PER_MEMBER * count;
         let addresses = members.iter().map(|(_, address)| *address).collect();
-        let relays = self.standby_addresses(placement, now);
-        let mut round = Round::new(placement, runners, addresses, relays, now);
+        let standbys = self.standby_addresses(placement, now);
+        let mut round = Round::new(placement, runners, addresses, standbys, now);
         round.list_read_timeout = self.list_read_timeout(&round);
         // Serves the members with the oldest message first, so that none starves when the link is saturated.
         members.sort_by_key(|(name, _)| self.progress.get(name).map(|it| it.sent_at));
@@ -298,7 +301,7 @@
             if !self.unanswered.remove(&member) && !is_due {
                 continue;
             }
-            for direction in self.directions(&member, &own_header, &mut round) {
+            for direction in self.directions(&member, address, &own_header, &mut round) {
                 self.pacer.consume(&direction);
                 messages.push(Outgoing {
                     member: member.clone(),
@@ -356,6 +359,7 @@
     fn directions(
         &mut self,
         member: &str,
+        address: SocketAddr,
         header: &Direction,
         round: &mut Round<'_>,
     ) -> Vec<Direction> {
@@ -407,7 +411,7 @@
             let is_relays_due = |at: Timestamp| now.since(at) >= RELAYS_INTERVAL;
             if progress.relays_at.is_none_or(is_relays_due) {
                 progress.relays_at = Some(now);
-                first.relays = Some(round.relays.clone());
+                first.relays = Some(relays_of(&round.standbys, &round.addresses, address));
             }
             if now.since(progress.loads_at) >= loads_interval {
                 progress.loads_at = now;
@@ -427,12 +431,35 @@
     }
 }
 
+/// The daemons that relay for a member: the standbys, which hear the coordinator, and some other members. Those are spaced
+/// evenly over all members, so that each member has others and they are of several zones.
+pub fn relays_of(
+    standbys: &[SocketAddr],
+    members: &[SocketAddr],
+    member: SocketAddr,
+) -> Vec<SocketAddr> {
+    let position = members.iter().position(|other| *other == member);
+    let start = position.unwrap_or_default();
+    let mut relays = standbys.to_vec();
+    for index in 1..=OTHER_RELAYS {
+        let offset = index * members.len() / (OTHER_RELAYS + 1);
+        let other = members.get((start + offset) % members.len().max(1));
+        if let Some(&other) = other
+            && other != member
+            && !relays.contains(&other)
+        {
+            relays.push(other);
+        }
+    }
+    relays
+}
+
 /// One round of messages; caches content that is shared between members.
 struct Round<'a> {
     placement: &'a Placement,
     runners: &'a RunnerTable,
     addresses: Vec<SocketAddr>,
-    relays: Vec<SocketAddr>,
+    standbys: Vec<SocketAddr>,
     now: Timestamp,
     loads: Option<Vec<RunnerLoad>>,
     digest: u64,
@@ -448,14 +475,14 @@
         placement: &'a Placement,
         runners: &'a RunnerTable,
         addresses: Vec<SocketAddr>,
-        relays: Vec<SocketAddr>,
+        standbys: Vec<SocketAddr>,
         now: Timestamp,
     ) -> Self {
         Self {
             placement,
             runners,
             addresses,
-            relays,
+            standbys,
             now,
             loads: None,
             digest: runners.digest(),
--- a/crates/routing/src/health.rs
+++ b/crates/routing/src/health.rs
@@ -108,6 +108,15 @@
             || self.runners.get(runner).map_or(0.0, rate) >= DEGRADED_FAILURE_RATE
     }
 
+    /// Ends all ejections: the daemon has lost its own path to the runners.
+    pub fn end_ejections(&mut self) {
+        for health in self.runners.values_mut() {
+            health.consecutive_failures = 0;
+            health.ejections = 0;
+            health.ejected_until = None;
+        }
+    }
+
     /// Drops the entries of runners that no longer exist.
     pub fn retain(&mut self, is_known: impl Fn(&RunnerId) -> bool) {
         self.runners.retain(|id, _| is_known(id));
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -42,6 +42,7 @@
 pub mod request;
 pub mod revision;
 mod runner_id;
+pub mod runner_paths;
 pub mod runners;
 pub mod split;
 pub mod standby;
