A partitioned daemon does not blame requests for crashes of runners

What callers saw: a request whose connections broke three times at a daemon that had lost its paths to the runners was quarantined at all daemons, and refused there too, though no runner had crashed.

Cause: the check whether a runner has crashed asked whether new connections are refused, which a lost path does as well. It now asks through relays too; where none can tell, a refused direct connection counts as before.

Evidence: a_daemon_with_broken_paths_does_not_report_crashes_of_runners fails before and passes now; the four tests of crashing requests pass.

--- a/crates/ingress/src/connector.rs
+++ b/crates/ingress/src/connector.rs
@@ -36,14 +36,6 @@
     fn is_conclusive(self) -> bool {
         matches!(self, Self::Relay(_, TunnelError::TargetRefused))
     }
-
-    fn as_connect_error(self) -> ConnectError {
-        match self {
-            Self::Direct(error) => error,
-            Self::Relay(_, TunnelError::TargetRefused) => ConnectError::Refused,
-            Self::Relay(..) => ConnectError::Failed,
-        }
-    }
 }
 
 /// Progress of one connection attempt over several paths.
@@ -80,6 +72,14 @@
         slow.map(|(relay, _)| *relay)
     }
 
+    /// Why there is no direct connection: the errors of relays that do not reach the runner say nothing about it.
+    fn direct_error(&self) -> ConnectError {
+        match self.direct {
+            Some(DirectProgress::Ended(error)) => error,
+            Some(DirectProgress::Pending) | None => ConnectError::TimedOut,
+        }
+    }
+
     /// How the direct path is lost if a relay reaches the runner now.
     fn direct_loss(&self) -> Option<PathLoss> {
         self.direct.map(|direct| match direct {
@@ -163,8 +163,11 @@
                     }
                     Err(error) => {
                         self.record_failed(error, progress);
-                        if error.is_conclusive() || (running.is_empty() && next_at.is_none()) {
-                            return Err(error.as_connect_error());
+                        if error.is_conclusive() {
+                            return Err(ConnectError::Refused);
+                        }
+                        if running.is_empty() && next_at.is_none() {
+                            return Err(progress.direct_error());
                         }
                     }
                 },
@@ -260,15 +263,15 @@
         });
     }
 
-    /// Returns whether connections to an address are refused. A connection established by this check is kept for reuse.
-    pub(crate) async fn is_refused(&self, address: SocketAddr) -> bool {
-        match timeout(CONNECT_TIMEOUT, self.open_direct(address)).await {
-            Ok(Ok(connection)) => {
+    /// Returns whether nothing listens at the address of a runner, as far as this daemon and its relays can tell. A
+    /// connection established by this check is kept for reuse.
+    pub(crate) async fn is_refused(self: &Arc<Self>, address: SocketAddr) -> bool {
+        match self.connect(address).await {
+            Ok(connection) => {
                 self.pool.put(connection);
                 false
             }
-            Ok(Err(error)) => error == ConnectError::Refused,
-            Err(_) => false,
+            Err(error) => error == ConnectError::Refused,
         }
     }
 
--- a/crates/ingress/src/settings.rs
+++ b/crates/ingress/src/settings.rs
@@ -43,7 +43,7 @@
     pub listen: SocketAddr,
     /// Listen address of the readiness endpoint.
     pub ready_listen: SocketAddr,
-    /// UDP listen address for other daemons.
+    /// Listen address for other daemons: UDP for messages, TCP for tunnels to runners.
     pub peer_listen: SocketAddr,
     /// Listen address of the metrics endpoint, if any.
     pub metrics_listen: Option<SocketAddr>,
--- a/crates/settings/src/ingress.rs
+++ b/crates/settings/src/ingress.rs
@@ -58,7 +58,7 @@
     pub listen: SocketAddr,
     /// Where it is asked whether it is ready.
     pub ready_listen: SocketAddr,
-    /// Where other daemons reach it (UDP).
+    /// Where other daemons reach it (UDP for messages, TCP for tunnels to runners).
     pub peer_listen: SocketAddr,
     /// Where its counters are read.
     pub metrics_listen: Option<SocketAddr>,
