A coordinator that reaches no runner hands the lease over

What callers saw: while the coordinator had lost its paths to the runners, requests for models that were not loaded were refused at all daemons: none of its orders arrived, and it kept the lease.

Cause: a holder judged itself by the store alone. A holder that is partitioned from all runners for a third of the lease now releases it, and a partitioned daemon leaves a free lease to others for two leases. Orders are not relayed: a runner would see one term from two machines. An order without an answer has the path checked.

--- a/crates/ingress/src/connector.rs
+++ b/crates/ingress/src/connector.rs
@@ -5,6 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use flaxward_routing::names::RunnerId;
 use flaxward_routing::runner_paths::{
     ATTEMPT_STAGGER, PartitionChange, Path, PathAttempt, PathLoss, RelayFailure,
 };
@@ -263,6 +264,14 @@
         });
     }
 
+    /// Checks the path to a runner in the background.
+    pub(crate) fn check_path_of(self: &Arc<Self>, runner: &RunnerId) {
+        let address = self.tables().runners.get(runner).map(|it| it.address);
+        if let Some(address) = address {
+            self.check_path(address);
+        }
+    }
+
     /// Returns whether nothing listens at the address of a runner, as far as this daemon and its relays can tell. A
     /// connection established by this check is kept for reuse.
     pub(crate) async fn is_refused(self: &Arc<Self>, address: SocketAddr) -> bool {
@@ -307,10 +316,12 @@
                 metrics::counter!(PARTITIONS.name).increment(1);
                 let fields: &[(&str, &dyn Display)] = &[("lost", &lost)];
                 self.log.write(now, "partitioned-from-runners", fields);
+                self.partition_changed.notify_one();
             }
             Some(PartitionChange::Reconnected { after }) => {
                 let fields: &[(&str, &dyn Display)] = &[("after_ms", &after.as_millis())];
                 self.log.write(now, "reconnected-to-runners", fields);
+                self.partition_changed.notify_one();
             }
         }
     }
--- a/crates/ingress/src/coordination/mod.rs
+++ b/crates/ingress/src/coordination/mod.rs
@@ -154,6 +154,7 @@
                 () = shared.ending.cancelled() => return,
                 () = shared.keeper_wake.notified() => {}
                 () = shared.run_reported.notified() => {}
+                () = shared.partition_changed.notified() => {}
                 () = shared.configuration_wanted.notified() => {
                     self.configurations.request_newer(&self.shared, &self.peers, self.address);
                 }
@@ -210,6 +211,8 @@
             // Must precede all sends: no member may learn of a later revision from this daemon.
             self.peers.hops().note_known(known_revision);
         }
+        let is_partitioned = self.shared.tables().paths.is_partitioned(now);
+        self.lease.set_partitioned(is_partitioned, now);
         let hears_holder = self.lease.hears_holder(now);
         self.shared
             .has_coordinator
@@ -622,6 +625,9 @@
             ("term", &term),
         ];
         self.shared.log.write(now, "order-answered", fields);
+        if answer == OrderAnswer::Unknown {
+            self.shared.check_path_of(runner);
+        }
         if answer == OrderAnswer::FencedOff {
             if let Some(change) = self.lease.handle_fenced_off(term) {
                 self.lease_changed(&change);
--- a/crates/ingress/src/state.rs
+++ b/crates/ingress/src/state.rs
@@ -145,6 +145,8 @@
     pub requests: AtomicU32,
     /// Number of tunnels that this daemon relays.
     pub open_tunnels: Arc<AtomicU32>,
+    /// Notified when the daemon loses its paths to all runners, or regains one.
+    pub partition_changed: Notify,
     pub seed: u64,
     tables: Mutex<Tables>,
 }
@@ -215,6 +217,7 @@
             watch_restarts: watch::Sender::new(0),
             requests: AtomicU32::new(0),
             open_tunnels: Arc::default(),
+            partition_changed: Notify::new(),
             seed,
             tables: Mutex::new(tables),
         }
--- a/crates/routing/src/lease/candidacy.rs
+++ b/crates/routing/src/lease/candidacy.rs
@@ -12,11 +12,18 @@
 /// standby reads the lease: by then the standbys have had the chance to take it.
 const NON_STANDBY_SILENCE_LEASES: u32 = 2;
 
+/// Number of lease durations for which a daemon that is partitioned from all runners leaves a free
+/// lease to others.
+const PARTITIONED_DELAY_LEASES: u32 = 2;
+
 impl LeaseStateMachine {
     /// How long this daemon leaves a free lease to others. A weak one waits a full lease duration,
-    /// in which every stronger live daemon has read the lease.
+    /// in which every stronger live daemon has read the lease. One that is partitioned from all
+    /// runners leaves it to weak ones as well.
     pub fn candidacy_delay(&self) -> Duration {
-        if self.hints.is_weak() {
+        if self.partitioned_since.is_some() {
+            self.settings.duration * PARTITIONED_DELAY_LEASES
+        } else if self.hints.is_weak() {
             self.settings.duration
         } else {
             Duration::ZERO
--- a/crates/routing/src/lease/mod.rs
+++ b/crates/routing/src/lease/mod.rs
@@ -47,6 +47,9 @@
     StoredLease, UnreadableLease,
 };
 
+/// Part of the lease duration, as a divisor, after which a holder that is partitioned from all runners releases it.
+const RELEASE_DIVISOR: u32 = 3;
+
 #[derive(Clone, Debug, PartialEq, Eq)]
 struct Held {
     lease: StoredLease,
@@ -107,6 +110,8 @@
     /// Whether this daemon checks for a free lease earlier than others. This is the default.
     stands_by: bool,
     stopping: bool,
+    /// Since when this daemon reaches no runner.
+    partitioned_since: Option<Timestamp>,
 }
 
 impl LeaseStateMachine {
@@ -134,6 +139,7 @@
             hints: Hints::default(),
             stands_by: true,
             stopping: false,
+            partitioned_since: None,
         }
     }
 
@@ -190,7 +196,7 @@
     /// Term under which this daemon may give orders now.
     pub fn term(&self, now: Timestamp) -> Option<u64> {
         let held = self.held.as_ref()?;
-        (held.is_in_force(now) && !self.stopping).then_some(held.lease.record.term)
+        (held.is_in_force(now) && !self.is_releasing(now)).then_some(held.lease.record.term)
     }
 
     /// Lease state that this daemon sends with its messages, if it holds the lease.
@@ -262,6 +268,27 @@
         self.stopping = true;
     }
 
+    /// Sets whether this daemon is partitioned from all runners, while others reach them. A holder then releases the
+    /// lease, since its orders reach nobody, and leaves it to others first.
+    pub fn set_partitioned(&mut self, is_partitioned: bool, now: Timestamp) {
+        if is_partitioned {
+            self.partitioned_since.get_or_insert(now);
+        } else {
+            self.partitioned_since = None;
+        }
+    }
+
+    /// Whether this daemon releases a lease that it holds. A successor gives no orders until the lease would have
+    /// expired, so a short partition is waited out.
+    fn is_releasing(&self, now: Timestamp) -> bool {
+        let is_partitioned_long_enough =
+            |since: Timestamp| now.since(since) >= self.settings.duration / RELEASE_DIVISOR;
+        self.stopping
+            || self
+                .partitioned_since
+                .is_some_and(is_partitioned_long_enough)
+    }
+
     /// Whether this daemon holds no lease that is still to be released.
     pub fn is_released(&self) -> bool {
         self.held.is_none()
@@ -302,7 +329,8 @@
                 .provisional_period
                 .is_some_and(|it| it.can_end(now, self.settings.duration));
             let is_due = now >= held.renewed_at + self.settings.renewal;
-            if !self.stopping && !ends_provisional_period && !is_due {
+            let is_releasing = self.is_releasing(now);
+            if !is_releasing && !ends_provisional_period && !is_due {
                 return None;
             }
             if held.is_missing {
@@ -311,7 +339,7 @@
             if !self.eras.is_current(lease) {
                 return Some(LeaseCall::Read);
             }
-            if self.stopping {
+            if is_releasing {
                 let record = LeaseRecord {
                     released: true,
                     ..self.renewed(lease)
--- a/crates/routing/tests/lease/main.rs
+++ b/crates/routing/tests/lease/main.rs
@@ -2,6 +2,7 @@
 //! time, never one term for two holders, and a holder again after the faults end.
 
 mod earlier;
+mod partitioned;
 mod restored;
 mod world;
 
