Relays are left out for the runner that they do not reach, and those that have just helped come first

Cause: a relay that declined for one runner was left out for all. It now is for that runner, and a relay that has just provided a connection comes first for seven of eight connections. A relay that gets no answer from a runner has its own path checked, so that it declines at once from then on.

--- a/crates/ingress/src/connector.rs
+++ b/crates/ingress/src/connector.rs
@@ -130,7 +130,7 @@
         let mut progress = Progress::default();
         let racing = self.race(address, plan.attempts, &mut progress);
         let result = timeout(CONNECT_TIMEOUT, racing).await;
-        self.record_slow_relays(&progress);
+        self.record_slow_relays(address, &progress);
         let connection = result.map_err(|_| ConnectError::TimedOut)??;
         self.record_connected(&connection, &progress);
         Ok(connection)
@@ -163,7 +163,7 @@
                         return Ok(connection);
                     }
                     Err(error) => {
-                        self.record_failed(error, progress);
+                        self.record_failed(address, error, progress);
                         if error.is_conclusive() {
                             return Err(ConnectError::Refused);
                         }
@@ -198,11 +198,12 @@
     fn record_connected(self: &Arc<Self>, connection: &Connection, progress: &Progress) {
         let now = self.now();
         let address = connection.address();
-        if connection.path() == Path::Direct {
+        let Path::Relay(relay) = connection.path() else {
             let change = self.tables().paths.record_direct(address, now);
             self.record_partition_change(change);
             return;
-        }
+        };
+        self.tables().paths.record_relay_success(relay, now);
         metrics::counter!(CONNECTIONS_RELAYED.name).increment(1);
         let Some(loss) = progress.direct_loss() else {
             return;
@@ -216,28 +217,30 @@
         self.record_partition_change(change);
     }
 
-    fn record_failed(&self, error: PathError, progress: &mut Progress) {
+    fn record_failed(&self, address: SocketAddr, error: PathError, progress: &mut Progress) {
         match error {
             PathError::Direct(error) => progress.direct = Some(DirectProgress::Ended(error)),
             PathError::Relay(relay, error) => {
                 progress.end_relay(relay);
                 if let Some(failure) = relay_failure(error) {
-                    self.record_relay_failure(relay, failure);
+                    self.record_relay_failure(relay, address, failure);
                 }
             }
         }
     }
 
-    fn record_slow_relays(&self, progress: &Progress) {
+    fn record_slow_relays(&self, address: SocketAddr, progress: &Progress) {
         for relay in progress.slow_relays() {
-            self.record_relay_failure(relay, RelayFailure::Refusing);
+            self.record_relay_failure(relay, address, RelayFailure::Refusing);
         }
     }
 
-    fn record_relay_failure(&self, relay: SocketAddr, failure: RelayFailure) {
+    fn record_relay_failure(&self, relay: SocketAddr, runner: SocketAddr, failure: RelayFailure) {
         let now = self.now();
         let mut tables = self.tables();
-        tables.paths.record_relay_failure(relay, failure, now);
+        tables
+            .paths
+            .record_relay_failure(relay, runner, failure, now);
     }
 
     /// Checks whether the paths to a few other runners are lost as well, so that a partition from all of them is
--- a/crates/ingress/src/tunnel_server.rs
+++ b/crates/ingress/src/tunnel_server.rs
@@ -105,7 +105,12 @@
     if is_lost || shared.is_stopping() {
         return Err(StatusCode::SERVICE_UNAVAILABLE);
     }
-    let stream = connect(shared, address).await?;
+    let connected = connect(shared, address).await;
+    if matches!(connected, Err(StatusCode::GATEWAY_TIMEOUT)) {
+        // Once this daemon knows that its own path is lost, it refuses such tunnels at once.
+        shared.check_path(address);
+    }
+    let stream = connected?;
     metrics::counter!(TUNNELS.name).increment(1);
     log_opened(shared, address);
     Ok(Response::new(relay(stream, request.into_body(), slot)))
--- a/crates/routing/src/runner_paths.rs
+++ b/crates/routing/src/runner_paths.rs
@@ -28,8 +28,12 @@
 const PROBE_INTERVAL: Duration = Duration::from_secs(1);
 /// Time for which a relay that does not answer is not used.
 const SILENT_RELAY_BACKOFF: Duration = Duration::from_secs(5);
-/// Time for which a relay that cannot help is not used.
+/// Time for which a relay that does not reach a runner is not used for that runner. It may reach others.
 const REFUSING_RELAY_BACKOFF: Duration = Duration::from_secs(2);
+/// Time for which a relay that has provided a connection is preferred.
+const WORKING_RELAY_TTL: Duration = Duration::from_secs(3);
+/// One connection in this many prefers no relay, so that others are found and share the load.
+const EXPLORATION_PERIOD: u64 = 8;
 
 /// A path to a runner.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
@@ -132,7 +136,12 @@
 #[derive(Debug, Default)]
 pub struct RunnerPaths {
     relays: Vec<SocketAddr>,
-    unusable_relays: HashMap<SocketAddr, Timestamp>,
+    /// Until when relays are not used at all.
+    silent_relays: HashMap<SocketAddr, Timestamp>,
+    /// Until when relays are not used for a runner.
+    refusing_relays: HashMap<(SocketAddr, SocketAddr), Timestamp>,
+    /// When relays last provided a connection.
+    working_relays: HashMap<SocketAddr, Timestamp>,
     lost: HashMap<SocketAddr, LostPath>,
     partition: Option<LostPath>,
     /// When a runner was last reached directly.
@@ -142,15 +151,13 @@
 impl RunnerPaths {
     /// Sets the daemons that can relay.
     pub fn set_relays(&mut self, relays: Vec<SocketAddr>) {
-        self.unusable_relays
-            .retain(|relay, _| relays.contains(relay));
         self.relays = relays;
     }
 
     /// Plans a connection to a runner. `random` spreads the daemons over the relays.
     pub fn plan(&mut self, runner: SocketAddr, random: u64, now: Timestamp) -> ConnectionPlan {
         self.expire(now);
-        let relays = self.choose_relays(random, now);
+        let relays = self.choose_relays(runner, random);
         let lost = self.partition.as_mut().or(self.lost.get_mut(&runner));
         let is_probe_due = lost.is_some_and(|lost| lost.take_probe(now));
         let is_lost = self.partition.is_some() || self.lost.contains_key(&runner);
@@ -163,19 +170,27 @@
     fn expire(&mut self, now: Timestamp) {
         self.lost.retain(|_, lost| lost.is_current(now));
         self.partition.take_if(|lost| !lost.is_current(now));
-        self.unusable_relays.retain(|_, until| now < *until);
+        self.silent_relays.retain(|_, until| now < *until);
+        self.refusing_relays.retain(|_, until| now < *until);
+        self.working_relays
+            .retain(|_, at| now.since(*at) < WORKING_RELAY_TTL);
     }
 
-    fn choose_relays(&self, random: u64, now: Timestamp) -> Vec<SocketAddr> {
+    /// Relays that are not known to be unable to help, those that have just helped first. Called after [`Self::expire`].
+    fn choose_relays(&self, runner: SocketAddr, random: u64) -> Vec<SocketAddr> {
         let is_usable = |relay: &&SocketAddr| {
-            let until = self.unusable_relays.get(*relay);
-            until.is_none_or(|until| now >= *until)
+            !self.silent_relays.contains_key(*relay)
+                && !self.refusing_relays.contains_key(&(**relay, runner))
         };
         let mut usable: Vec<SocketAddr> = self.relays.iter().filter(is_usable).copied().collect();
-        if !usable.is_empty() {
-            let length = u64::try_from(usable.len()).unwrap_or(u64::MAX);
-            let start = usize::try_from(random % length).unwrap_or_default();
-            usable.rotate_left(start);
+        if usable.is_empty() {
+            return usable;
+        }
+        let length = u64::try_from(usable.len()).unwrap_or(u64::MAX);
+        let start = usize::try_from(random % length).unwrap_or_default();
+        usable.rotate_left(start);
+        if !(random / length).is_multiple_of(EXPLORATION_PERIOD) {
+            usable.sort_by_key(|relay| !self.working_relays.contains_key(relay));
         }
         usable.truncate(MAX_RELAYS);
         usable
@@ -237,18 +252,29 @@
         }
     }
 
-    /// Records that a relay did not provide a connection.
+    /// Records that a relay provided a connection.
+    pub fn record_relay_success(&mut self, relay: SocketAddr, now: Timestamp) {
+        self.working_relays.insert(relay, now);
+    }
+
+    /// Records that a relay did not provide a connection to a runner.
     pub fn record_relay_failure(
         &mut self,
         relay: SocketAddr,
+        runner: SocketAddr,
         failure: RelayFailure,
         now: Timestamp,
     ) {
-        let backoff = match failure {
-            RelayFailure::Silent => SILENT_RELAY_BACKOFF,
-            RelayFailure::Refusing => REFUSING_RELAY_BACKOFF,
-        };
-        self.unusable_relays.insert(relay, now + backoff);
+        match failure {
+            RelayFailure::Silent => {
+                self.working_relays.remove(&relay);
+                self.silent_relays.insert(relay, now + SILENT_RELAY_BACKOFF);
+            }
+            RelayFailure::Refusing => {
+                let until = now + REFUSING_RELAY_BACKOFF;
+                self.refusing_relays.insert((relay, runner), until);
+            }
+        }
     }
 
     /// Whether the daemon reaches no runner directly.
--- a/crates/routing/tests/runner_paths.rs
+++ b/crates/routing/tests/runner_paths.rs
@@ -130,14 +130,29 @@
 #[test]
 fn a_relay_that_cannot_help_is_left_out_for_a_while() {
     let mut paths = with_relays(2);
-    paths.record_relay_failure(daemon(0), RelayFailure::Refusing, START);
-    paths.record_relay_failure(daemon(1), RelayFailure::Silent, START);
+    paths.record_relay_failure(daemon(0), runner(0), RelayFailure::Refusing, START);
+    paths.record_relay_failure(daemon(1), runner(0), RelayFailure::Silent, START);
     assert_eq!(order(&paths.plan(runner(0), 0, START)), [Path::Direct]);
+    let plan = paths.plan(runner(1), 0, START);
+    assert_eq!(order(&plan), [Path::Direct, Path::Relay(daemon(0))]);
     let later = START + Duration::from_secs(3);
     let plan = paths.plan(runner(0), 0, later);
     assert_eq!(order(&plan), [Path::Direct, Path::Relay(daemon(0))]);
 }
 
+/// Guards against trying relays that do not reach the runners again and again.
+#[test]
+fn relays_that_have_just_helped_come_first_for_most_connections() {
+    let mut paths = with_relays(8);
+    paths.record_relay_success(daemon(5), START);
+    let is_preferred = |random: u64| {
+        let plan = paths.plan(runner(0), random, START);
+        plan.attempts[1].path == Path::Relay(daemon(5))
+    };
+    let preferred = (0..800).map(is_preferred).filter(|it| *it).count();
+    assert!((700..=780).contains(&preferred), "{preferred} of 800");
+}
+
 /// Guards against a few standbys relaying for all daemons of a zone.
 #[test]
 fn members_have_different_relays_of_all_parts_of_the_fleet() {
