Checks of other paths run at a bounded rate

A lost path has two others checked, each of which may be lost as well. While half or more of the runners are lost and some are reached, these checks would spread over all runners.

--- a/crates/ingress/src/connector.rs
+++ b/crates/ingress/src/connector.rs
@@ -246,6 +246,10 @@
     /// Checks whether the paths to a few other runners are lost as well, so that a partition from all of them is
     /// detected before requests run into it.
     fn check_other_paths(self: &Arc<Self>, address: SocketAddr) {
+        let now = self.now();
+        if !self.tables().paths.take_check(now) {
+            return;
+        }
         let mut others: Vec<SocketAddr> = {
             let tables = self.tables();
             let listed = tables.runners.iter().map(|runner| runner.address);
--- a/crates/routing/src/runner_paths.rs
+++ b/crates/routing/src/runner_paths.rs
@@ -26,6 +26,9 @@
 const LOST_TTL: Duration = Duration::from_secs(5);
 /// Interval between probes of the direct path.
 const PROBE_INTERVAL: Duration = Duration::from_secs(1);
+/// Minimum time between two rounds of checks of other paths. Without it, checks of checks would spread over all runners
+/// while half of them are lost.
+const CHECK_INTERVAL: Duration = Duration::from_millis(500);
 /// Time for which a relay that does not answer is not used.
 const SILENT_RELAY_BACKOFF: Duration = Duration::from_secs(5);
 /// Time for which a relay that does not reach a runner is not used for that runner. It may reach others.
@@ -144,6 +147,8 @@
     working_relays: HashMap<SocketAddr, Timestamp>,
     lost: HashMap<SocketAddr, LostPath>,
     partition: Option<LostPath>,
+    /// When other paths were last checked because one was lost.
+    checked_at: Option<Timestamp>,
     /// When a runner was last reached directly.
     reached_at: Option<Timestamp>,
 }
@@ -242,6 +247,17 @@
         Some(PartitionChange::Partitioned { lost: count })
     }
 
+    /// Whether the paths to a few other runners are to be checked, because one was found to be lost. The caller checks
+    /// them.
+    pub fn take_check(&mut self, now: Timestamp) -> bool {
+        let is_due = |at: Timestamp| now.since(at) >= CHECK_INTERVAL;
+        let is_due = self.checked_at.is_none_or(is_due);
+        if is_due {
+            self.checked_at = Some(now);
+        }
+        is_due
+    }
+
     /// Records that a probe of the direct path to a runner failed.
     pub fn record_failed_probe(&mut self, runner: SocketAddr, loss: PathLoss, now: Timestamp) {
         if let Some(lost) = self.lost.get_mut(&runner) {
--- a/crates/routing/tests/runner_paths.rs
+++ b/crates/routing/tests/runner_paths.rs
@@ -118,6 +118,15 @@
     assert!(paths.is_partitioned(START + Duration::from_secs(4)));
 }
 
+/// Guards against checks of checks that spread over a large fleet of runners.
+#[test]
+fn lost_paths_have_others_checked_at_a_bounded_rate() {
+    let mut paths = with_relays(2);
+    let steps = (0..100_u64).map(|step| START + Duration::from_millis(10 * step));
+    let checks = steps.filter(|now| paths.take_check(*now)).count();
+    assert_eq!(checks, 2, "checks in a second");
+}
+
 #[test]
 fn a_lost_path_that_nothing_confirms_is_forgotten() {
     let mut paths = partitioned();
