--- a/crates/ingress/src/tunnel.rs
+++ b/crates/ingress/src/tunnel.rs
@@ -10,7 +10,6 @@
 use std::pin::Pin;
 use std::time::Duration;
 
-use bytes::Bytes;
 use futures::TryStreamExt;
 use http::{Method, Request, Response, StatusCode};
 use http_body_util::{BodyExt, StreamBody};
@@ -95,7 +94,8 @@
     }
 }
 
+/// The bytes from the runner.
 fn incoming(response: Response<Incoming>) -> impl AsyncRead + Send {
     let body = response.into_body().into_data_stream();
-    StreamReader::new(body.map_err(io::Error::other).map_ok(|bytes: Bytes| bytes))
+    StreamReader::new(body.map_err(io::Error::other))
 }
--- a/crates/ingress/src/tunnel_server.rs
+++ b/crates/ingress/src/tunnel_server.rs
@@ -113,7 +113,11 @@
     let stream = connected?;
     metrics::counter!(TUNNELS.name).increment(1);
     log_opened(shared, address);
-    Ok(Response::new(relay(stream, request.into_body(), slot)))
+    Ok(Response::new(tunnel_body(
+        stream,
+        request.into_body(),
+        slot,
+    )))
 }
 
 fn target(request: &Request<Incoming>) -> Option<SocketAddr> {
@@ -137,9 +141,9 @@
 }
 
 /// Passes the request body on to the runner, and returns a response body with the bytes of the runner.
-fn relay(stream: TcpStream, from_daemon: Incoming, slot: TunnelSlot) -> TunnelBody {
+fn tunnel_body(stream: TcpStream, from_daemon: Incoming, slot: TunnelSlot) -> TunnelBody {
     let (to_daemon, frames) = mpsc::channel(BUFFERED_FRAMES);
-    tokio::spawn(pass(stream, from_daemon, to_daemon, slot));
+    tokio::spawn(relay(stream, from_daemon, to_daemon, slot));
     let frames = stream::unfold(frames, |mut frames| async move {
         let frame = frames.recv().await?;
         Some((frame, frames))
@@ -149,7 +153,7 @@
 
 /// Passes bytes in both directions until either ends. Only an orderly end of the runner ends the response body in an
 /// orderly way.
-async fn pass(stream: TcpStream, from_daemon: Incoming, to_daemon: FrameSender, slot: TunnelSlot) {
+async fn relay(stream: TcpStream, from_daemon: Incoming, to_daemon: FrameSender, slot: TunnelSlot) {
     let _slot = slot;
     let (from_runner, to_runner) = stream.into_split();
     // Sending is polled first: a failed write takes the error of a reset connection, and a read after it would look
