One place opens and configures connections to runners and relays

How a failed connection maps to a lost path stood twice, and a log function looked for the relay that its caller had. Same options, statuses, timeouts and log lines.

--- a/crates/ingress/src/connector.rs
+++ b/crates/ingress/src/connector.rs
@@ -14,7 +14,8 @@
 use tokio::time::{Instant, sleep_until, timeout};
 
 use crate::counters::{CONNECTIONS_OPENED, CONNECTIONS_RELAYED, DIRECT_PROBES, PARTITIONS};
-use crate::pool::{ConnectError, Connection, UsablePaths};
+use crate::network::ConnectError;
+use crate::pool::{Connection, UsablePaths};
 use crate::state::Shared;
 use crate::tunnel::{self, TunnelError};
 
@@ -84,12 +85,8 @@
     /// How the direct path is lost if a relay reaches the runner now.
     fn direct_loss(&self) -> Option<PathLoss> {
         self.direct.map(|direct| match direct {
-            DirectProgress::Pending | DirectProgress::Ended(ConnectError::TimedOut) => {
-                PathLoss::Silent
-            }
-            DirectProgress::Ended(ConnectError::Refused | ConnectError::Failed) => {
-                PathLoss::Refused
-            }
+            DirectProgress::Pending => PathLoss::Silent,
+            DirectProgress::Ended(error) => path_loss(error),
         })
     }
 }
@@ -211,7 +208,7 @@
         let was_lost = self.tables().paths.is_lost(address, now);
         let change = self.tables().paths.record_loss(address, loss, now);
         if !was_lost {
-            self.log_lost_path(connection, loss);
+            self.log_lost_path(address, loss, relay);
             self.check_other_paths(address);
         }
         self.record_partition_change(change);
@@ -301,12 +298,9 @@
         self.record_partition_change(change);
     }
 
-    fn log_lost_path(&self, connection: &Connection, loss: PathLoss) {
-        let Path::Relay(relay) = connection.path() else {
-            return;
-        };
+    fn log_lost_path(&self, address: SocketAddr, loss: PathLoss, relay: SocketAddr) {
         let fields: &[(&str, &dyn Display)] = &[
-            ("runner_address", &connection.address()),
+            ("runner_address", &address),
             ("loss", &format!("{loss:?}")),
             ("relay", &relay),
         ];
@@ -346,23 +340,31 @@
 /// Tries the direct path to a runner whose path is lost. A connection is kept for reuse.
 async fn probe_direct(shared: Arc<Shared>, address: SocketAddr) {
     let probe = timeout(DIRECT_TIMEOUT, shared.open_direct(address)).await;
-    let outcome = match &probe {
-        Ok(Ok(_)) => "connected",
-        _ => "failed",
+    let probed = probe.unwrap_or(Err(ConnectError::TimedOut));
+    let outcome = if probed.is_ok() {
+        "connected"
+    } else {
+        "failed"
     };
     metrics::counter!(DIRECT_PROBES.name, "outcome" => outcome).increment(1);
-    let loss = match probe {
-        Ok(Ok(connection)) => {
+    match probed {
+        Ok(connection) => {
             shared.record_connected(&connection, &Progress::default());
             shared.pool.put(connection);
-            return;
         }
-        Ok(Err(ConnectError::Refused | ConnectError::Failed)) => PathLoss::Refused,
-        Ok(Err(ConnectError::TimedOut)) | Err(_) => PathLoss::Silent,
-    };
-    let now = shared.now();
-    shared
-        .tables()
-        .paths
-        .record_failed_probe(address, loss, now);
+        Err(error) => {
+            let now = shared.now();
+            let mut tables = shared.tables();
+            let paths = &mut tables.paths;
+            paths.record_failed_probe(address, path_loss(error), now);
+        }
+    }
+}
+
+/// How a direct path is lost if connections fail like this while a relay reaches the runner.
+fn path_loss(error: ConnectError) -> PathLoss {
+    match error {
+        ConnectError::TimedOut => PathLoss::Silent,
+        ConnectError::Refused | ConnectError::Failed => PathLoss::Refused,
+    }
 }
--- a/crates/ingress/src/exchange.rs
+++ b/crates/ingress/src/exchange.rs
@@ -22,8 +22,9 @@
 use tokio::time::{Instant, timeout_at};
 
 use crate::interfaces::{ForwardingContext, HeadKind};
+use crate::network::ConnectError;
 use crate::permits::Admission;
-use crate::pool::{ConnectError, Connection, SendError};
+use crate::pool::{Connection, SendError};
 use crate::rejections::RejectionClaim;
 use crate::state::{InFlight, Shared};
 
--- a/crates/ingress/src/pool.rs
+++ b/crates/ingress/src/pool.rs
@@ -4,7 +4,6 @@
 //! arrived, when that connection was last used, and whether any bytes were sent on it.
 
 use std::collections::{BTreeSet, HashMap};
-use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::sync::Mutex;
 use std::time::Duration;
@@ -18,13 +17,12 @@
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{SendRequest, handshake};
 use hyper_util::rt::TokioIo;
-use socket2::SockRef;
 use tokio::io::{AsyncRead, AsyncWrite};
 use tokio::task::AbortHandle;
 use tokio::time::Instant;
 use tokio_util::task::AbortOnDropHandle;
 
-use crate::network::Network;
+use crate::network::{self, ConnectError, Network};
 use crate::tunnel::Tunnel;
 
 /// Keep-alive time of a connection whose runner sends no `Keep-Alive` header.
@@ -33,8 +31,6 @@
 const KEEP_ALIVE_SHARE: f64 = 0.6;
 /// The same fraction for requests that must not be retried.
 const NO_RETRY_KEEP_ALIVE_SHARE: f64 = 0.35;
-/// `TCP_USER_TIMEOUT` of the connections: the time after which unacknowledged data closes them.
-const TCP_USER_TIMEOUT: Duration = Duration::from_secs(4);
 /// Maximum number of idle connections per address.
 const MAX_IDLE_PER_ADDRESS: usize = 16;
 
@@ -58,17 +54,6 @@
     }
 }
 
-/// Why a connection was not established.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum ConnectError {
-    /// It was refused: nothing listens at the address, or something on the way rejects it.
-    Refused,
-    /// There was no answer in time.
-    TimedOut,
-    /// It failed for another reason.
-    Failed,
-}
-
 /// Why a request got no response.
 #[derive(Debug)]
 pub(crate) enum SendError {
@@ -170,15 +155,7 @@
         network: &dyn Network,
         address: SocketAddr,
     ) -> Result<Self, ConnectError> {
-        let stream = network
-            .connect(address)
-            .await
-            .map_err(|error| match error.kind() {
-                ErrorKind::ConnectionRefused => ConnectError::Refused,
-                _ => ConnectError::Failed,
-            })?;
-        let _ = stream.set_nodelay(true);
-        let _ = SockRef::from(&stream).set_tcp_user_timeout(Some(TCP_USER_TIMEOUT));
+        let stream = network::connect(network, address).await?;
         Self::start(stream, address, Path::Direct, None).await
     }
 
--- a/crates/ingress/src/server.rs
+++ b/crates/ingress/src/server.rs
@@ -20,13 +20,13 @@
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
-use socket2::SockRef;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::time::sleep;
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
 use crate::handler::handle;
+use crate::network;
 use crate::state::Shared;
 
 /// Delay before accepting again after `accept` has failed.
@@ -55,7 +55,7 @@
     loop {
         match listener.accept().await {
             Ok((stream, _)) => {
-                configure_socket(&stream);
+                network::configure(&stream, TCP_USER_TIMEOUT);
                 tracker.spawn(serve(stream));
             }
             Err(_) => sleep(ACCEPT_RETRY_DELAY).await,
@@ -63,11 +63,6 @@
     }
 }
 
-fn configure_socket(stream: &TcpStream) {
-    let _ = stream.set_nodelay(true);
-    let _ = SockRef::from(stream).set_tcp_user_timeout(Some(TCP_USER_TIMEOUT));
-}
-
 /// Accepts the connections that are pending in the listener's backlog.
 ///
 /// # Errors
@@ -126,7 +121,7 @@
         Vec::new()
     });
     for stream in pending {
-        configure_socket(&stream);
+        network::configure(&stream, TCP_USER_TIMEOUT);
         tracker.spawn(serve(stream));
     }
 }
--- a/crates/ingress/src/tunnel.rs
+++ b/crates/ingress/src/tunnel.rs
@@ -8,7 +8,6 @@
 use std::io;
 use std::net::SocketAddr;
 use std::pin::Pin;
-use std::time::Duration;
 
 use futures::TryStreamExt;
 use http::{Method, Request, Response, StatusCode};
@@ -16,18 +15,17 @@
 use hyper::body::{Frame, Incoming};
 use hyper::client::conn::http1::handshake;
 use hyper_util::rt::TokioIo;
-use socket2::SockRef;
 use tokio::io::{AsyncRead, AsyncWrite, join, simplex};
 use tokio::net::TcpStream;
 use tokio_util::io::{ReaderStream, StreamReader};
 use tokio_util::task::AbortOnDropHandle;
 
+use crate::network::{self, TCP_USER_TIMEOUT};
+
 /// Path of the tunnel endpoint of a relay; the address of the runner follows.
 pub(crate) const TUNNEL_PATH: &str = "/tunnel/";
 /// Capacity of the buffer for bytes to the runner.
 const BUFFER_BYTES: usize = 16 * 1024;
-/// `TCP_USER_TIMEOUT` of connections to relays: the time after which unacknowledged data closes them.
-const TCP_USER_TIMEOUT: Duration = Duration::from_secs(4);
 
 /// Why a relay did not provide a tunnel.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -59,9 +57,7 @@
     let stream = TcpStream::connect(relay)
         .await
         .map_err(|_| TunnelError::Silent)?;
-    // Both only matter for latency and for how soon a dead connection is closed.
-    let _ = stream.set_nodelay(true);
-    let _ = SockRef::from(&stream).set_tcp_user_timeout(Some(TCP_USER_TIMEOUT));
+    network::configure(&stream, TCP_USER_TIMEOUT);
     let (mut sender, driver) = handshake(TokioIo::new(stream))
         .await
         .map_err(|_| TunnelError::Silent)?;
--- a/crates/ingress/src/tunnel_server.rs
+++ b/crates/ingress/src/tunnel_server.rs
@@ -19,7 +19,6 @@
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
-use socket2::SockRef;
 use tokio::io::AsyncWriteExt;
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::net::{TcpListener, TcpStream};
@@ -30,6 +29,7 @@
 
 use crate::connector::DIRECT_TIMEOUT;
 use crate::counters::{TUNNELS, TUNNELS_REFUSED};
+use crate::network::{self, ConnectError};
 use crate::server::accept;
 use crate::state::Shared;
 use crate::tunnel::TUNNEL_PATH;
@@ -38,9 +38,6 @@
 const MAX_TUNNELS: u32 = 256;
 /// Time in which a daemon must have sent the head of its request.
 const HEAD_TIMEOUT: Duration = Duration::from_secs(1);
-/// `TCP_USER_TIMEOUT` of connections to runners: the time after which unacknowledged data closes them.
-const TCP_USER_TIMEOUT: Duration = Duration::from_secs(4);
-
 /// Frames of a response body that wait for a slow daemon.
 const BUFFERED_FRAMES: usize = 4;
 
@@ -128,16 +125,14 @@
 }
 
 async fn connect(shared: &Shared, address: SocketAddr) -> Result<TcpStream, StatusCode> {
-    let connecting = timeout(DIRECT_TIMEOUT, shared.settings.network.connect(address));
-    let connected = connecting.await.map_err(|_| StatusCode::GATEWAY_TIMEOUT)?;
-    let stream = connected.map_err(|error| match error.kind() {
-        ErrorKind::ConnectionRefused => StatusCode::BAD_GATEWAY,
-        _ => StatusCode::GATEWAY_TIMEOUT,
-    })?;
-    // Both only matter for latency and for how soon a dead connection is closed.
-    let _ = stream.set_nodelay(true);
-    let _ = SockRef::from(&stream).set_tcp_user_timeout(Some(TCP_USER_TIMEOUT));
-    Ok(stream)
+    let connecting = network::connect(&*shared.settings.network, address);
+    let connected = timeout(DIRECT_TIMEOUT, connecting).await;
+    connected
+        .unwrap_or(Err(ConnectError::TimedOut))
+        .map_err(|error| match error {
+            ConnectError::Refused => StatusCode::BAD_GATEWAY,
+            ConnectError::TimedOut | ConnectError::Failed => StatusCode::GATEWAY_TIMEOUT,
+        })
 }
 
 /// Passes the request body on to the runner, and returns a response body with the bytes of the runner.
