A connection's driver ends with it by its handle

The connection had a Drop of its own for its driver and, since tunnels, a handle that aborts on drop beside it for the tunnel's. Both use the handle now.

--- a/crates/ingress/src/pool.rs
+++ b/crates/ingress/src/pool.rs
@@ -18,7 +18,6 @@
 use hyper::client::conn::http1::{SendRequest, handshake};
 use hyper_util::rt::TokioIo;
 use tokio::io::{AsyncRead, AsyncWrite};
-use tokio::task::AbortHandle;
 use tokio::time::Instant;
 use tokio_util::task::AbortOnDropHandle;
 
@@ -38,7 +37,7 @@
 #[derive(Debug)]
 pub(crate) struct Connection {
     sender: SendRequest<Full<Bytes>>,
-    driver: AbortHandle,
+    _driver: AbortOnDropHandle<()>,
     /// Carries the exchange with the relay, if there is one.
     _tunnel: Option<AbortOnDropHandle<()>>,
     path: Path,
@@ -48,12 +47,6 @@
     is_reused: bool,
 }
 
-impl Drop for Connection {
-    fn drop(&mut self) {
-        self.driver.abort();
-    }
-}
-
 /// Why a request got no response.
 #[derive(Debug)]
 pub(crate) enum SendError {
@@ -178,12 +171,12 @@
         let (sender, driver) = handshake(TokioIo::new(stream))
             .await
             .map_err(|_| ConnectError::Failed)?;
-        let driver = tokio::spawn(async move {
+        let driver = AbortOnDropHandle::new(tokio::spawn(async move {
             let _ = driver.await;
-        });
+        }));
         Ok(Self {
             sender,
-            driver: driver.abort_handle(),
+            _driver: driver,
             _tunnel: tunnel,
             path,
             address,
