--- a/crates/ingress/tests/ingress/crashing_requests.rs
+++ b/crates/ingress/tests/ingress/crashing_requests.rs
@@ -15,7 +15,7 @@
 use crate::crashing_runner::{CRASHING_BODY, CrashingRunner};
 use crate::runner::{Behaviour, ScriptedRunner};
 use crate::store::MemoryStore;
-use crate::support::{ImmediateLoadControl, TestIngress, configuration, route, runner};
+use crate::support::{self, ImmediateLoadControl, TestIngress, configuration, route};
 
 /// Number of runners that a request may crash before it is quarantined.
 const MAX_CRASHES: u32 = 3;
@@ -44,12 +44,8 @@
             runners.push(CrashingRunner::start().await);
         }
         let store = MemoryStore::default();
-        let listed = runners.iter().enumerate();
-        store.set_runners(
-            listed
-                .map(|(index, it)| runner(index, it.address))
-                .collect(),
-        );
+        let addresses = runners.iter().map(|it| it.address);
+        store.set_runners(support::runners(addresses));
         store.set_configuration(configuration(1, Vec::new()));
         let mut cluster = Self {
             store,
--- a/crates/ingress/tests/ingress/limited_runners.rs
+++ b/crates/ingress/tests/ingress/limited_runners.rs
@@ -16,7 +16,7 @@
 
 use crate::runner::ScriptedRunner;
 use crate::store::MemoryStore;
-use crate::support::{ImmediateLoadControl, MODEL, TestIngress, route, runner, service, settings};
+use crate::support::{self, ImmediateLoadControl, MODEL, TestIngress, route, service, settings};
 
 /// Announced rate limit, in requests per second.
 const RATE: f64 = 1.0;
@@ -38,12 +38,8 @@
     control: Arc<ImmediateLoadControl>,
 ) -> Vec<TestIngress> {
     let store = MemoryStore::default();
-    let entries = servers.iter().enumerate();
-    store.set_runners(
-        entries
-            .map(|(index, it)| runner(index, it.address))
-            .collect(),
-    );
+    let addresses = servers.iter().map(|it| it.address);
+    store.set_runners(support::runners(addresses));
     let route = route("/safe/", RouteKind::Repeatable);
     let limits = ClientLimits::default();
     store.set_configuration(Configuration::new(1, limits, vec![route], vec![service()]));
--- a/crates/ingress/tests/ingress/partition.rs
+++ b/crates/ingress/tests/ingress/partition.rs
@@ -18,7 +18,7 @@
 
 use crate::runner::{ScriptedRunner, reset};
 use crate::store::MemoryStore;
-use crate::support::{ImmediateLoadControl, TestIngress, configuration, runner, settings};
+use crate::support::{self, ImmediateLoadControl, TestIngress, configuration, settings};
 
 /// State of the path between a daemon and all runners.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -154,12 +154,8 @@
             runners.push(ScriptedRunner::start(Vec::new()).await);
         }
         let store = MemoryStore::default();
-        let listed = runners.iter().enumerate();
-        store.set_runners(
-            listed
-                .map(|(index, it)| runner(index, it.address))
-                .collect(),
-        );
+        let addresses = runners.iter().map(|it| it.address);
+        store.set_runners(support::runners(addresses));
         store.set_configuration(configuration(1, Vec::new()));
         let control = Arc::new(ImmediateLoadControl::default());
         let mut cluster = Self {
--- a/crates/ingress/tests/ingress/support.rs
+++ b/crates/ingress/tests/ingress/support.rs
@@ -308,6 +308,14 @@
     }
 }
 
+/// List entries of runners at these addresses.
+pub fn runners(addresses: impl IntoIterator<Item = SocketAddr>) -> Vec<Runner> {
+    let indexed = addresses.into_iter().enumerate();
+    indexed
+        .map(|(index, address)| runner(index, address))
+        .collect()
+}
+
 /// A running ingress and its store.
 pub struct TestIngress {
     pub ingress: Option<Ingress>,
@@ -329,9 +337,8 @@
     ) -> Self {
         let store = MemoryStore::default();
         let test = Self::start_with(settings, store, Arc::new(SilentControl)).await;
-        let runners = runners.iter().enumerate();
-        let runners = runners.map(|(index, it)| runner(index, it.address));
-        test.store.set_runners(runners.collect());
+        let addresses = runners.iter().map(|it| it.address);
+        test.store.set_runners(self::runners(addresses));
         test.store.set_configuration(configuration(1, Vec::new()));
         test.until_ready().await;
         test
