Software versions of runners are known to all daemons and named in the log

What was missing: no log line named the software version of a runner, and a request that takes up a stream looked like a new one, so the hypotheses of the streams that changed the version could not be told apart. The adapter checked the field of the list and dropped it, and members hear of runners from the coordinator, which passed none on.

Runner has it; the membership update and requirements carry it in a new extension (18, nothing where none is known; builds before skip it). A member that heard of runners from a coordinator of the build before says so (extension 2) and is sent the list again by one of this build. request-served, stream-broken and stream-resumed name the version, and request-served the earlier request that a client names (Resumes). Nothing is decided by it yet.

--- a/crates/ingress/src/coordination/follower.rs
+++ b/crates/ingress/src/coordination/follower.rs
@@ -245,6 +245,7 @@
             members: u32::try_from(self.members.len()).unwrap_or(u32::MAX),
             runners_revision,
             runners_digest: tables.runners.digest(),
+            lacks_software_versions: tables.runners.lacks_software_versions(),
         })
     }
 
--- a/crates/ingress/src/dispatch.rs
+++ b/crates/ingress/src/dispatch.rs
@@ -383,7 +383,7 @@
         attempt_deadline: Instant,
     ) -> Result<Response<ResponseBody>, FailedAttempt> {
         let mut response = forwarded_head(&exchange);
-        let runner = exchange.runner.id.clone();
+        let runner = exchange.runner.clone();
         let connection = exchange.connection_kind;
         let mut relay = StreamRelay::new(
             self.shared.clone(),
@@ -441,7 +441,7 @@
             Observation::Success
         };
         self.shared.observe(&runner.id, observation);
-        self.log_served(&runner.id, response.status().as_u16());
+        self.log_served(&runner, response.status().as_u16());
         Ok(response)
     }
 
@@ -452,18 +452,22 @@
         next.may_retry(self.route.kind, self.route.max_attempts)
     }
 
-    fn log_served(&self, runner: &RunnerId, status: u16) {
+    fn log_served(&self, runner: &Runner, status: u16) {
         let elapsed = self.arrived_at.elapsed();
         let class = format!("{}xx", status / 100);
         metrics::counter!(SERVED.name, "status" => class).increment(1);
         metrics::histogram!(HEAD_SECONDS.name).record(elapsed.as_secs_f64());
+        let profile = &self.request.profile;
         let fields: &[(&str, &dyn Display)] = &[
-            ("request", &self.request.profile.id),
+            ("request", &profile.id),
             ("route", &self.route.name),
-            ("runner", runner),
+            ("runner", &runner.id),
+            ("version", &runner.version_label()),
             ("status", &status),
             ("sent", &(self.attempts.sent + 1)),
             ("after_ms", &elapsed.as_millis()),
+            ("after_event", &profile.last_event.as_deref().unwrap_or("")),
+            ("resumes", &profile.resumes.as_deref().unwrap_or("")),
         ];
         self.shared
             .log
--- a/crates/ingress/src/exchange.rs
+++ b/crates/ingress/src/exchange.rs
@@ -74,6 +74,7 @@
         Some(Requirement {
             unit: self.unit.clone()?,
             homes: self.homes.clone(),
+            software_version: None,
         })
     }
 
--- a/crates/ingress/src/relay.rs
+++ b/crates/ingress/src/relay.rs
@@ -395,6 +395,7 @@
                 let fields: &[(&str, &dyn std::fmt::Display)] = &[
                     ("request", &self.request.profile.id),
                     ("runner", &runner.id),
+                    ("version", &runner.version_label()),
                     ("after_event", &last_event.unwrap_or("")),
                 ];
                 self.shared
@@ -497,6 +498,7 @@
         let fields: &[(&str, &dyn std::fmt::Display)] = &[
             ("request", &self.request.profile.id),
             ("runner", &exchange.runner.id),
+            ("version", &exchange.runner.version_label()),
             ("failure", &format!("{failure:?}")),
             ("last_event", &self.splitter.last_id().unwrap_or("")),
             ("runs", &(self.attempts.runs + 1)),
--- a/crates/ingress/tests/ingress/support.rs
+++ b/crates/ingress/tests/ingress/support.rs
@@ -23,7 +23,7 @@
 use flaxward_routing::lease::LeaseSettings;
 use flaxward_routing::locality::Regions;
 use flaxward_routing::names::{
-    ModelName, RouteName, RunnerId, RunnerStart, ServiceName, TenantName, Zone,
+    ModelName, RouteName, RunnerId, RunnerStart, ServiceName, SoftwareVersion, TenantName, Zone,
 };
 use flaxward_routing::notices::RunnerNotice;
 use flaxward_routing::placement::{OrderAnswer, PlacementSettings, RunnerReport};
@@ -45,8 +45,8 @@
 pub const RARE_MODEL: &str = "rare";
 pub const OTHER_RARE_MODEL: &str = "other";
 
-/// Wire format of the tests, with the headers `x-id`, `x-deadline`, `x-model`, `x-stamp`, `x-not-run`, `x-leaves`,
-/// `x-rate-limit`, `x-rejection-limit`, `x-rest`.
+/// Wire format of the tests, with the headers `x-id`, `x-deadline`, `x-model`, `last-event-id`, `x-resumes`,
+/// `x-stamp`, `x-not-run`, `x-leaves`, `x-rate-limit`, `x-rejection-limit`, `x-rest`.
 struct TestSurface;
 
 fn header_text<'a>(headers: &'a HeaderMap, name: &str) -> Option<&'a str> {
@@ -65,6 +65,8 @@
             id: id.to_owned(),
             deadline: deadline.map(Duration::from_millis),
             model: header_text(headers, "x-model").map(|name| (ModelName::new(name), None)),
+            last_event: header_text(headers, "last-event-id").map(str::to_owned),
+            resumes: header_text(headers, "x-resumes").map(str::to_owned),
             ..RequestProfile::default()
         })
     }
@@ -295,6 +297,7 @@
         id: RunnerId::new(&format!("r{index}")),
         revision: 0,
         service: ServiceName::new(SERVICE),
+        software_version: Some(SoftwareVersion::new("v1")),
         address,
         // The first runner is in the ingress's zone, so it is tried first.
         zone: Zone::new(if index == 0 { "z0" } else { "z1" }),
--- a/crates/routing/benches/plan.rs
+++ b/crates/routing/benches/plan.rs
@@ -93,6 +93,7 @@
         id: RunnerId::new(&format!("i-{index:010x}")),
         revision: 0,
         service: ServiceName::new("pool"),
+        software_version: None,
         address: address(index),
         zone: Zone::new(&format!("zone-{}", index % 3)),
         slots: 12,
--- a/crates/routing/src/availability.rs
+++ b/crates/routing/src/availability.rs
@@ -53,7 +53,7 @@
     /// [`NotLoaded`](crate::balance::NoRunner::NotLoaded) only if this is false; otherwise a request would wait for a
     /// unit that is already loaded and retry in a busy loop.
     pub fn is_unit_loaded(&self, requirement: &Requirement, now: Timestamp) -> bool {
-        let Requirement { unit, homes } = requirement;
+        let Requirement { unit, homes, .. } = requirement;
         self.usable(&unit.service)
             .filter(|runner| self.is_in_home_region(runner, homes))
             .any(|runner| self.holds_unit(runner, Some(unit), now))
--- a/crates/routing/src/dissemination.rs
+++ b/crates/routing/src/dissemination.rs
@@ -44,6 +44,9 @@
 /// Interval between messages with the relay addresses to one member. A message has up to twelve addresses. The interval
 /// may be long, but must be shorter than the likely time from a change of relays to a following network partition.
 const RELAYS_INTERVAL: Duration = Duration::from_secs(4);
+/// Time between two full lists to a member that lacks software versions. It has them after one list, unless a part was
+/// lost.
+const SOFTWARE_VERSIONS_INTERVAL: Duration = Duration::from_secs(5);
 /// Number of relays of a member beside the standbys. All daemons of a zone may have to reach the runners through others,
 /// which the standbys alone would not bear.
 const OTHER_RELAYS: usize = 7;
@@ -93,6 +96,8 @@
     loads_at: Timestamp,
     members_at: Timestamp,
     relays_at: Option<Timestamp>,
+    /// Time at which it was last sent the full list for the software versions that it lacks.
+    versions_at: Option<Timestamp>,
 }
 
 impl Progress {
@@ -425,6 +430,12 @@
             let until = updates.last().map(|update| update.until);
             progress.runners_revision = until.unwrap_or(header.store.membership_revision);
             add_updates(&mut directions, updates, header);
+        } else if !is_reading_list && known.lacks_software_versions {
+            let is_due = |at: Timestamp| now.since(at) >= SOFTWARE_VERSIONS_INTERVAL;
+            if progress.versions_at.is_none_or(is_due) && !round.runners.lacks_software_versions() {
+                progress.versions_at = Some(now);
+                add_updates(&mut directions, round.updates_for(0, known), header);
+            }
         }
         progress.record_sent(header, placement.version(), now);
         directions
--- a/crates/routing/src/encoding.rs
+++ b/crates/routing/src/encoding.rs
@@ -16,8 +16,9 @@
 
 use crate::legacy_revisions::LegacyRevisions;
 use crate::membership::MembershipUpdate;
-use crate::messages::{Direction, Message, StoreNews};
+use crate::messages::{Direction, KnownState, Message, StoreNews};
 use crate::revision::{EraStart, StoreEra};
+use crate::software_versions::SoftwareVersions;
 
 /// First byte of every message. Builds with different versions reject each other's messages.
 pub const WIRE_VERSION: u8 = 7;
@@ -27,10 +28,15 @@
 const STORE_UNKNOWN: u8 = 0;
 /// Tag: the sender has seen the store in its first era, and revisions are numbered from that era.
 const NUMBERED_FROM_FIRST_ERA: u8 = 1;
+/// Tag: the sender lacks software versions of runners ([`KnownState::lacks_software_versions`]).
+const LACKS_SOFTWARE_VERSIONS: u8 = 2;
 /// Tag: the sender first saw the store in a later era, which is the payload.
 const NUMBERED_FROM_ERA: u8 = 16;
 /// Tag: the sender has observed the start of an era; the payload is [`LegacyRevisions`].
 const NUMBERED_ACROSS_ERAS: u8 = 17;
+/// Tag: the payload is the [`SoftwareVersions`] of runners and requirements in the message; without it, those of the
+/// runners are unknown and the requirements allow any.
+const SOFTWARE_VERSIONS: u8 = 18;
 
 /// Error in decoding a message.
 #[derive(Clone, Debug, PartialEq, Eq, Error)]
@@ -52,6 +58,8 @@
     /// Mapping of the numbers in the message to ordered revisions; `None` if they already are ordered revisions, from a
     /// sender that has not seen the store yet.
     numbers: Option<LegacyRevisions>,
+    software_versions: Option<SoftwareVersions>,
+    lacks_software_versions: bool,
 }
 
 impl Extensions {
@@ -76,6 +84,10 @@
                     extensions.numbers = Some(LegacyRevisions::since(StoreEra::new(era)));
                 }
                 NUMBERED_ACROSS_ERAS => extensions.numbers = Some(postcard::from_bytes(payload)?),
+                SOFTWARE_VERSIONS => {
+                    extensions.software_versions = Some(postcard::from_bytes(payload)?);
+                }
+                LACKS_SOFTWARE_VERSIONS => extensions.lacks_software_versions = true,
                 // `STORE_UNKNOWN`, or an extension of a later build.
                 _ => {}
             }
@@ -98,12 +110,36 @@
             (NUMBERED_FROM_ERA, Some(postcard::to_stdvec(&era)))
         }
     };
+    match payload {
+        None => {
+            bytes.push(tag);
+            bytes
+        }
+        Some(payload) => {
+            append_payload(tag, &payload.expect("extensions encode into memory"), bytes)
+        }
+    }
+}
+
+fn append_payload(tag: u8, payload: &Vec<u8>, mut bytes: Vec<u8>) -> Vec<u8> {
     bytes.push(tag);
-    let Some(payload) = payload else {
+    postcard::to_extend(payload, bytes).expect("extensions encode into memory")
+}
+
+/// Appends the extensions about software versions that the message needs.
+fn append_software_versions(message: &Message, mut bytes: Vec<u8>) -> Vec<u8> {
+    if message
+        .known_state()
+        .is_some_and(|known| known.lacks_software_versions)
+    {
+        bytes.push(LACKS_SOFTWARE_VERSIONS);
+    }
+    let versions = SoftwareVersions::of(message);
+    if versions.is_empty() {
         return bytes;
-    };
-    let payload = payload.expect("extensions encode into memory");
-    postcard::to_extend(&payload, bytes).expect("extensions encode into memory")
+    }
+    let payload = postcard::to_stdvec(&versions).expect("extensions encode into memory");
+    append_payload(SOFTWARE_VERSIONS, &payload, bytes)
 }
 
 /// A decoded message with the origin of its encoding.
@@ -151,7 +187,8 @@
             _ => postcard::to_extend(message, vec![WIRE_VERSION]),
         };
         let bytes = bytes.expect("messages encode into memory");
-        append_numbering(self.numbers.as_ref(), bytes)
+        let bytes = append_numbering(self.numbers.as_ref(), bytes);
+        append_software_versions(message, bytes)
     }
 
     /// Decodes a message, and merges the sender's numbering of revisions into that of this daemon.
@@ -176,15 +213,7 @@
         let is_from_earlier_build = extensions.is_none();
         match extensions {
             None => self.convert_legacy(&mut message),
-            Some(Extensions { numbers: None }) => {}
-            Some(Extensions {
-                numbers: Some(theirs),
-            }) => {
-                message.map_revisions(|number| theirs.revision(number));
-                let first = LegacyRevisions::since(theirs.first_era());
-                let own = self.numbers.get_or_insert(first);
-                own.merge(&theirs);
-            }
+            Some(extensions) => self.apply_extensions(extensions, &mut message),
         }
         Ok(Decoded {
             message,
@@ -192,6 +221,21 @@
         })
     }
 
+    fn apply_extensions(&mut self, extensions: Extensions, message: &mut Message) {
+        if let Some(theirs) = extensions.numbers {
+            message.map_revisions(|number| theirs.revision(number));
+            let first = LegacyRevisions::since(theirs.first_era());
+            let own = self.numbers.get_or_insert(first);
+            own.merge(&theirs);
+        }
+        if let Some(versions) = extensions.software_versions {
+            versions.apply(message);
+        }
+        if let Some(known) = message.known_state_mut() {
+            known.lacks_software_versions = extensions.lacks_software_versions;
+        }
+    }
+
     /// Converts the revisions in a message from a legacy build. The state that such a daemon reports as known mostly
     /// came from other daemons. What it reports about the store may come from the store itself, in an unstated era; it
     /// is taken as belonging to the first one.
@@ -210,15 +254,28 @@
 }
 
 impl Message {
-    /// Revision up to which the sender reports that it knows all changes.
-    fn known_revision(&self) -> Option<u64> {
+    /// State that the sender reports as known.
+    fn known_state(&self) -> Option<&KnownState> {
+        match self {
+            Self::Usage(usage) => Some(&usage.known),
+            Self::Waiting(notice) => Some(&notice.known),
+            _ => None,
+        }
+    }
+
+    fn known_state_mut(&mut self) -> Option<&mut KnownState> {
         match self {
-            Self::Usage(usage) => Some(usage.known.runners_revision),
-            Self::Waiting(notice) => Some(notice.known.runners_revision),
+            Self::Usage(usage) => Some(&mut usage.known),
+            Self::Waiting(notice) => Some(&mut notice.known),
             _ => None,
         }
     }
 
+    /// Revision up to which the sender reports that it knows all changes.
+    fn known_revision(&self) -> Option<u64> {
+        self.known_state().map(|known| known.runners_revision)
+    }
+
     /// Maps all store revisions in the message, except 0, which means none.
     fn map_revisions(&mut self, map: impl Fn(u64) -> u64) {
         let replace = |revision: &mut u64| {
--- a/crates/routing/src/homes.rs
+++ b/crates/routing/src/homes.rs
@@ -6,7 +6,8 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::names::{Region, Unit};
+use crate::names::{Region, SoftwareVersion, Unit};
+use crate::runners::Runner;
 
 /// The regions in which a request may be served.
 #[derive(Clone, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
@@ -68,13 +69,18 @@
     }
 }
 
-/// What a request requires of a runner: a unit, in one of the request's home regions.
+/// What a request requires of a runner: a unit, in one of the request's home regions, at the software version that began
+/// the stream if it continues one.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct Requirement {
     /// The unit.
     pub unit: Unit,
     /// Regions in which the runner may be.
     pub homes: Homes,
+    /// The only software version that the runner may have, for a stream that began at it. It is sent in an extension
+    /// ([`crate::encoding`]).
+    #[serde(skip)]
+    pub software_version: Option<SoftwareVersion>,
 }
 
 impl Requirement {
@@ -83,26 +89,42 @@
         Self {
             unit,
             homes: Homes::Anywhere,
+            software_version: None,
         }
     }
 
+    /// Whether a runner has a software version that the request allows.
+    pub fn allows_version_of(&self, runner: &Runner) -> bool {
+        allows_version(self.software_version.as_ref(), runner)
+    }
+
     /// The base model in the same home regions.
     #[must_use]
     pub fn base(&self) -> Self {
         Self {
             unit: self.unit.base(),
             homes: self.homes.clone(),
+            software_version: self.software_version.clone(),
         }
     }
 }
 
-/// The unit, with its home regions if it has any.
+/// Whether a runner may serve a request that requires a software version, or any for `None`. An unknown version is not the
+/// required one.
+pub fn allows_version(required: Option<&SoftwareVersion>, runner: &Runner) -> bool {
+    required.is_none_or(|version| runner.software_version.as_ref() == Some(version))
+}
+
+/// The unit, with its home regions and software version if it is restricted to any.
 impl fmt::Display for Requirement {
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
         self.unit.fmt(formatter)?;
-        match &self.homes {
-            Homes::Anywhere => Ok(()),
-            homes @ Homes::Only(_) => write!(formatter, " in {homes}"),
+        if let homes @ Homes::Only(_) = &self.homes {
+            write!(formatter, " in {homes}")?;
+        }
+        match &self.software_version {
+            Some(version) => write!(formatter, " at {version}"),
+            None => Ok(()),
         }
     }
 }
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -45,6 +45,7 @@
 mod runner_id;
 pub mod runner_paths;
 pub mod runners;
+mod software_versions;
 pub mod split;
 pub mod standby;
 pub mod store_trust;
--- a/crates/routing/src/membership.rs
+++ b/crates/routing/src/membership.rs
@@ -14,7 +14,7 @@
 use flaxward_types::time::millis;
 use serde::{Deserialize, Serialize};
 
-use crate::names::{RunnerId, RunnerName, ServiceName, Zone};
+use crate::names::{RunnerId, RunnerName, ServiceName, SoftwareVersion, Zone};
 use crate::revision::StoreEra;
 use crate::runners::{Holdings, Runner};
 
@@ -40,6 +40,10 @@
     pub draining: bool,
     /// How long it runs slowly after its start, in ms.
     pub cold_ms: u32,
+    /// Version of its software. It is sent in an extension ([`crate::encoding`]); `None` from
+    /// builds without it.
+    #[serde(skip)]
+    pub software_version: Option<SoftwareVersion>,
 }
 
 /// A change of one runner.
@@ -97,6 +101,7 @@
             slots: runner.slots,
             draining: runner.draining,
             cold_ms: u32::try_from(millis(runner.cold_for)).unwrap_or(u32::MAX),
+            software_version: runner.software_version.clone(),
         }
     }
 
@@ -106,6 +111,7 @@
             id,
             revision,
             service: self.service,
+            software_version: self.software_version,
             address: self.address,
             zone: self.zone,
             slots: self.slots,
--- a/crates/routing/src/messages.rs
+++ b/crates/routing/src/messages.rs
@@ -131,6 +131,10 @@
     pub runners_revision: u64,
     /// Digest of its runner table; see [`crate::runners::RunnerTable::digest`].
     pub runners_digest: u64,
+    /// Software versions of runners are missing, since they came from a coordinator that does not send them. It is sent
+    /// in an extension ([`crate::encoding`]).
+    #[serde(skip)]
+    pub lacks_software_versions: bool,
 }
 
 /// Units for which a member's requests are waiting.
--- a/crates/routing/src/names.rs
+++ b/crates/routing/src/names.rs
@@ -54,6 +54,10 @@
     /// Name of a service: a group of interchangeable runners.
     ServiceName
 }
+name! {
+    /// Version of the software of a runner. Versions have no order.
+    SoftwareVersion
+}
 name! {
     /// Name of a tenant.
     TenantName
--- a/crates/routing/src/placement/demand.rs
+++ b/crates/routing/src/placement/demand.rs
@@ -445,6 +445,7 @@
                 let requirement = Requirement {
                     unit: model.clone(),
                     homes: homes.clone(),
+                    software_version: None,
                 };
                 (requirement, rate)
             })
--- a/crates/routing/src/placement/readiness.rs
+++ b/crates/routing/src/placement/readiness.rs
@@ -109,7 +109,7 @@
     /// Time until a unit could be ready that has no runner assigned yet.
     fn queue_estimate(&self, requirement: &Requirement) -> Option<Duration> {
         let (placement, now) = (self.placement, self.now);
-        let Requirement { unit, homes } = requirement;
+        let Requirement { unit, homes, .. } = requirement;
         let engine = placement.engines.get(&unit.service)?;
         engine.models.get(&unit.model)?;
         let first_free = self.shortest(self.free.get(&unit.service), homes)?;
--- a/crates/routing/src/placement/victims.rs
+++ b/crates/routing/src/placement/victims.rs
@@ -153,6 +153,7 @@
             let requirement = Requirement {
                 unit: model.clone(),
                 homes: homes.clone(),
+                software_version: None,
             };
             let copies = self.copies.count(&requirement);
             if rate > BUSY_RATE && copies <= self.wanted_copies(&requirement, rate) {
--- a/crates/routing/src/request.rs
+++ b/crates/routing/src/request.rs
@@ -30,6 +30,8 @@
     pub parts: Vec<PromptPart>,
     /// Id of the last event that the caller has received, if it resumes a stream.
     pub last_event: Option<String>,
+    /// Id of the request that brought the first event of the stream, if it resumes a stream.
+    pub resumes: Option<String>,
 }
 
 impl RequestProfile {
--- a/crates/routing/src/runners.rs
+++ b/crates/routing/src/runners.rs
@@ -15,7 +15,9 @@
 use crate::membership::{
     MembershipChange, MembershipLog, MembershipUpdate, RunnerSummary, UpdateScope,
 };
-use crate::names::{AdapterName, ModelName, RunnerId, RunnerName, ServiceName, Unit, Zone};
+use crate::names::{
+    AdapterName, ModelName, RunnerId, RunnerName, ServiceName, SoftwareVersion, Unit, Zone,
+};
 use crate::revision::StoreEra;
 
 /// Time for which holdings reported by the coordinator take precedence over the list.
@@ -36,6 +38,8 @@
     pub revision: u64,
     /// Its service.
     pub service: ServiceName,
+    /// Version of its software; `None` if the entry came from a daemon that does not send it.
+    pub software_version: Option<SoftwareVersion>,
     /// Address on which it listens.
     pub address: SocketAddr,
     /// Its zone.
@@ -73,6 +77,13 @@
 }
 
 impl Runner {
+    /// Version of its software, for logs.
+    pub fn version_label(&self) -> &str {
+        self.software_version
+            .as_ref()
+            .map_or("unknown", SoftwareVersion::as_str)
+    }
+
     /// Whether this entry supersedes one of another incarnation with the same name. The higher store revision decides,
     /// since clocks of runners may be set back; if the revisions do not differ, the later start time decides.
     fn supersedes(&self, other: &Self) -> bool {
@@ -295,12 +306,34 @@
     /// Applies an update from another daemon. Returns the runners that were added or removed or began to drain, or `None`
     /// if changes before the update are missing here.
     pub fn update(&mut self, update: MembershipUpdate) -> Option<Vec<RunnerId>> {
+        self.complete_software_versions(&update.changes);
         match update.scope {
             UpdateScope::Changes => self.apply_changes(update),
             UpdateScope::Whole { is_last } => self.apply_list_part(update, is_last),
         }
     }
 
+    /// Sets the software versions of known incarnations that were received from a daemon that does not send them.
+    fn complete_software_versions(&mut self, changes: &[MembershipChange]) {
+        for change in changes {
+            let version = change.summary.as_ref().map(|it| &it.software_version);
+            let known = self.runners.get_mut(change.runner.name());
+            if let (Some(Some(version)), Some(known)) = (version, known)
+                && known.id == change.runner
+                && known.software_version.is_none()
+            {
+                known.software_version = Some(version.clone());
+                self.changes += 1;
+            }
+        }
+    }
+
+    /// Whether the software version of a known runner is missing.
+    pub fn lacks_software_versions(&self) -> bool {
+        let mut runners = self.runners.values();
+        runners.any(|runner| runner.software_version.is_none())
+    }
+
     fn apply_changes(&mut self, update: MembershipUpdate) -> Option<Vec<RunnerId>> {
         if self.revision() < update.after {
             return None;
@@ -420,13 +453,16 @@
     ) -> Option<RunnerId> {
         let (id, revision) = (change.runner, change.revision);
         let known = self.runners.get(id.name());
-        let Some(summary) = change.summary else {
+        let Some(mut summary) = change.summary else {
             let known = known.map(|known| known.id.clone());
             self.remove(&id, revision);
             return known;
         };
         // State of another incarnation does not apply to this one.
         let known = known.filter(|known| known.id == id);
+        if summary.software_version.is_none() {
+            summary.software_version = known.and_then(|known| known.software_version.clone());
+        }
         if !starts_cold_period && known.map(RunnerSummary::of).as_ref() == Some(&summary) {
             return None;
         }
--- a/crates/routing/tests/balance.rs
+++ b/crates/routing/tests/balance.rs
@@ -49,6 +49,7 @@
         id: RunnerId::new(&format!("r{index}")),
         revision: 1,
         service: ServiceName::new("pool"),
+        software_version: None,
         address: SocketAddr::from(([127, 0, 0, 1], 1)),
         zone,
         slots: SLOTS,
--- a/crates/routing/tests/cold_runners.rs
+++ b/crates/routing/tests/cold_runners.rs
@@ -56,6 +56,7 @@
         id: id(),
         revision,
         service: ServiceName::new("pool"),
+        software_version: None,
         address: SocketAddr::from(([127, 0, 0, 1], 1)),
         zone: Zone::new("z"),
         slots: 8,
--- a/crates/routing/tests/decisions.rs
+++ b/crates/routing/tests/decisions.rs
@@ -70,6 +70,7 @@
         id: RunnerId::new(id),
         revision: 0,
         service: ServiceName::new("pool"),
+        software_version: None,
         address: SocketAddr::from(([127, 0, 0, 1], 1)),
         zone: Zone::new(zone),
         slots: 8,
--- a/crates/routing/tests/dissemination.rs
+++ b/crates/routing/tests/dissemination.rs
@@ -59,6 +59,7 @@
         id: RunnerId::new(&format!("r{index:02}")),
         revision,
         service: ServiceName::new("pool"),
+        software_version: None,
         address: SocketAddr::from(([127, 0, 0, 1], 9)),
         zone: Zone::new("z"),
         slots: 8,
@@ -107,6 +108,7 @@
             members: 0,
             runners_revision: self.table.revision(),
             runners_digest: self.table.digest(),
+            lacks_software_versions: self.table.lacks_software_versions(),
         }
     }
 }
--- a/crates/routing/tests/homes.rs
+++ b/crates/routing/tests/homes.rs
@@ -55,6 +55,7 @@
         id: RunnerId::new(id),
         revision: 1,
         service: ServiceName::new("pool"),
+        software_version: None,
         address: SocketAddr::from(([127, 0, 0, 1], 1)),
         zone: Zone::new(zone),
         slots: 8,
--- a/crates/routing/tests/incarnations.rs
+++ b/crates/routing/tests/incarnations.rs
@@ -37,6 +37,7 @@
         id,
         revision,
         service: ServiceName::new("pool"),
+        software_version: None,
         address: address(9),
         zone: Zone::new("z"),
         slots: 8,
--- a/crates/routing/tests/mass_restart.rs
+++ b/crates/routing/tests/mass_restart.rs
@@ -92,6 +92,7 @@
         id: id(index),
         revision: u64::try_from(index).unwrap() + 1,
         service: ServiceName::new("pool"),
+        software_version: None,
         address: address(index),
         zone: Zone::new(&format!("zone-{}", index % 3)),
         slots: 24,
@@ -365,6 +366,7 @@
             strength: MachineStrength::default(),
             is_stopping: false,
             known: KnownState {
+                lacks_software_versions: false,
                 term: self.term,
                 holdings_version: member.version,
                 members: 0,
--- a/crates/routing/tests/membership.rs
+++ b/crates/routing/tests/membership.rs
@@ -22,6 +22,7 @@
         id: id(index),
         revision,
         service: ServiceName::new("pool"),
+        software_version: None,
         address: SocketAddr::from(([127, 0, 0, 1], 9)),
         zone: Zone::new("z"),
         slots: 8,
--- a/crates/routing/tests/placement/homes.rs
+++ b/crates/routing/tests/placement/homes.rs
@@ -136,6 +136,7 @@
     Requirement {
         unit,
         homes: homes(names),
+        software_version: None,
     }
 }
 
@@ -176,6 +177,7 @@
     let nowhere = Requirement {
         unit: model(0),
         homes: nowhere,
+        software_version: None,
     };
     assert_eq!(ready_in(&nowhere), None);
 }
@@ -220,7 +222,7 @@
         let mut wanted: Vec<(Requirement, u32)> = Vec::new();
         for (index, names, requests) in waiting {
             let homes = Homes::from_regions(names.iter().map(|name| Region::new(name)));
-            let requirement = Requirement { unit: model(index), homes };
+            let requirement = Requirement { unit: model(index), homes, software_version: None };
             if wanted.iter().all(|(known, _)| *known != requirement) {
                 wanted.push((requirement, requests));
             }
--- a/crates/routing/tests/placement/simulation.rs
+++ b/crates/routing/tests/placement/simulation.rs
@@ -401,6 +401,7 @@
         let requirement = |unit: &Unit| Requirement {
             unit: unit.clone(),
             homes: self.homes.clone(),
+            software_version: None,
         };
         Usage {
             known: KnownState {
@@ -556,6 +557,7 @@
         id: RunnerId::new(&format!("r{index}")),
         revision: 0,
         service: ServiceName::new(SERVICE),
+        software_version: None,
         address: SocketAddr::from(([127, 0, 0, 1], 100)),
         zone: Zone::new(&format!("z{}", index % 3)),
         slots: 8,
--- a/crates/routing/tests/support/mod.rs
+++ b/crates/routing/tests/support/mod.rs
@@ -22,6 +22,7 @@
         id: id(index),
         revision,
         service: ServiceName::new("s"),
+        software_version: None,
         address: SocketAddr::from(([10, 0, 0, 1], 80)),
         zone: Zone::new("z"),
         slots: 4,
--- a/crates/routing/tests/wire/extensions.rs
+++ b/crates/routing/tests/wire/extensions.rs
@@ -1,7 +1,17 @@
 //! Encoding of the extensions after a message: `extensions.txt` has them as encoded by the first build that wrote them.
 
+use std::net::SocketAddr;
+
 use flaxward_routing::encoding::Encoding;
-use flaxward_routing::messages::{KnownState, Message, WaitNotice};
+use flaxward_routing::evacuation::Evacuations;
+use flaxward_routing::homes::Requirement;
+use flaxward_routing::membership::{
+    MembershipChange, MembershipUpdate, RunnerSummary, UpdateScope,
+};
+use flaxward_routing::messages::{
+    KnownState, Message, StoreNews, StoreState, WaitNotice, WaitingUnit,
+};
+use flaxward_routing::names::{ModelName, RunnerId, ServiceName, SoftwareVersion, Unit, Zone};
 use flaxward_routing::revision::{EraStart, StoreEra, StoreRevision};
 
 const EXTENSIONS: &str = include_str!("extensions.txt");
@@ -43,13 +53,83 @@
     encoding
 }
 
-/// Senders by name, each with the revision that it reports.
-fn samples() -> Vec<(&'static str, Encoding, StoreRevision)> {
+/// A notice with requirements of two software versions and of none.
+fn notice_with_versions() -> Message {
+    let waiting = |version: Option<&str>| WaitingUnit {
+        requirement: Requirement {
+            software_version: version.map(SoftwareVersion::new),
+            ..Requirement::anywhere(Unit {
+                service: ServiceName::new("pool"),
+                model: ModelName::new("m"),
+                adapter: None,
+            })
+        },
+        requests: 1,
+        late: 0,
+        priority: 2,
+    };
+    Message::Waiting(WaitNotice {
+        from: "d1".to_owned(),
+        known: KnownState {
+            lacks_software_versions: true,
+            ..KnownState::default()
+        },
+        has_gap: false,
+        waiting: vec![waiting(Some("v1")), waiting(None), waiting(Some("v1.1"))],
+    })
+}
+
+/// A list of runners of two software versions and of an unknown one, and one that is gone.
+fn membership_with_versions() -> Message {
+    let change = |name: &str, version: Option<&str>| MembershipChange {
+        runner: RunnerId::new(name),
+        revision: 65,
+        summary: Some(RunnerSummary {
+            service: ServiceName::new("pool"),
+            address: SocketAddr::from(([10, 0, 0, 9], 7_080)),
+            zone: Zone::new("z"),
+            slots: 64,
+            draining: false,
+            cold_ms: 0,
+            software_version: version.map(SoftwareVersion::new),
+        }),
+    };
+    let gone = MembershipChange {
+        summary: None,
+        ..change("i-4", None)
+    };
+    Message::StoreNews(StoreNews {
+        from: SocketAddr::from(([10, 0, 0, 1], 7_080)),
+        state: StoreState::default(),
+        membership: Some(MembershipUpdate {
+            after: 64,
+            until: 65,
+            changes: vec![
+                change("i-1", Some("v2")),
+                gone,
+                change("i-2", None),
+                change("i-3", Some("v1")),
+            ],
+            scope: UpdateScope::Changes,
+        }),
+        evacuations: Evacuations::default(),
+        quarantine_digest: 0,
+    })
+}
+
+/// Messages by name, each with its sender.
+fn samples() -> Vec<(&'static str, Encoding, Message)> {
     vec![
-        ("store-unknown", Encoding::default(), revision(0, 0)),
-        ("first-era", known_since(0), revision(0, 65)),
-        ("later-era", known_since(2), revision(2, 65)),
-        ("restored", restored(), revision(3, 50)),
+        ("store-unknown", Encoding::default(), notice(revision(0, 0))),
+        ("first-era", known_since(0), notice(revision(0, 65))),
+        ("later-era", known_since(2), notice(revision(2, 65))),
+        ("restored", restored(), notice(revision(3, 50))),
+        ("versions-waiting", known_since(0), notice_with_versions()),
+        (
+            "versions-runners",
+            known_since(0),
+            membership_with_versions(),
+        ),
     ]
 }
 
@@ -59,8 +139,8 @@
 
 #[test]
 fn the_encoding_of_extensions_is_stable() {
-    let written = samples().into_iter().map(|(name, sender, known)| {
-        let bytes = sender.encode(&notice(known));
+    let written = samples().into_iter().map(|(name, sender, message)| {
+        let bytes = sender.encode(&message);
         format!("{name} {}\n", hexadecimal(&bytes))
     });
     assert_eq!(written.collect::<String>(), EXTENSIONS);
@@ -68,11 +148,11 @@
 
 #[test]
 fn extensions_of_earlier_builds_are_decoded() {
-    for ((_, _, known), line) in samples().into_iter().zip(EXTENSIONS.lines()) {
+    for ((_, _, message), line) in samples().into_iter().zip(EXTENSIONS.lines()) {
         let (_, digits) = line.split_once(' ').unwrap();
         let byte = |at: usize| u8::from_str_radix(&digits[at..at + 2], 16).unwrap();
         let bytes: Vec<u8> = (0..digits.len()).step_by(2).map(byte).collect();
         let read = Encoding::default().decode(&bytes).unwrap();
-        assert_eq!(read, notice(known), "{line}");
+        assert_eq!(read, message, "{line}");
     }
 }
--- a/crates/routing/tests/wire/samples.rs
+++ b/crates/routing/tests/wire/samples.rs
@@ -54,6 +54,7 @@
     Requirement {
         unit: unit(),
         homes: Homes::from_regions([Region::new("east"), Region::new("west")]),
+        software_version: None,
     }
 }
 
@@ -81,6 +82,7 @@
         members: 6,
         runners_revision: 65,
         runners_digest: 0x0102_0304_0506_0708,
+        lacks_software_versions: false,
     }
 }
 
@@ -109,6 +111,7 @@
             slots: 64,
             draining: true,
             cold_ms: 1_500,
+            software_version: None,
         }),
     };
     MembershipUpdate {
