--- a/crates/ingress/tests/ingress/main.rs
+++ b/crates/ingress/tests/ingress/main.rs
@@ -19,6 +19,7 @@
 mod restored_store;
 mod retry_budget;
 mod runner;
+mod software_versions;
 mod stall;
 mod stops;
 mod store;
--- /dev/null
+++ b/crates/ingress/tests/ingress/software_versions.rs
@@ -0,0 +1,274 @@
+//! Runners of several software versions in one service.
+//!
+//! Guards against streams that hold events of two versions: what two versions write does not fit together, and runners do
+//! not check it. In an incident 39 streams went on at another version than the one that began them, within an answer
+//! after their runner had crashed, and over the tries of clients after their daemon had.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use flaxward_routing::names::{ModelName, SoftwareVersion, Zone};
+use flaxward_routing::runners::Runner;
+use tokio::runtime::Runtime;
+use tokio::time::{Instant, sleep};
+
+use crate::runner::{Behaviour, ScriptedRunner};
+use crate::store::MemoryStore;
+use crate::support::{
+    self, ImmediateLoadControl, RARE_MODEL, TestIngress, configuration, settings,
+};
+
+/// Time within which a request that can't be served is refused.
+const REFUSAL_TIME: Duration = Duration::from_millis(250);
+
+/// The list entry of a runner with a software version.
+fn runner(index: usize, server: &ScriptedRunner, version: &str) -> Runner {
+    Runner {
+        software_version: Some(SoftwareVersion::new(version)),
+        ..support::runner(index, server.address)
+    }
+}
+
+/// Daemons that share a store, each with a runtime of its own, so that one can be killed.
+struct Cluster {
+    store: MemoryStore,
+    control: Arc<ImmediateLoadControl>,
+    daemons: Vec<(TestIngress, Option<Runtime>)>,
+}
+
+impl Cluster {
+    /// Starts the daemons. The first one is the coordinator.
+    async fn start(runners: Vec<Runner>, zones: &[&str]) -> Self {
+        let store = MemoryStore::default();
+        store.set_runners(runners);
+        store.set_configuration(configuration(1, Vec::new()));
+        let mut cluster = Self {
+            store,
+            control: Arc::new(ImmediateLoadControl::default()),
+            daemons: Vec::new(),
+        };
+        for (index, zone) in zones.iter().enumerate() {
+            cluster.start_daemon(&format!("d{index}"), zone).await;
+            sleep(Duration::from_millis(1_000)).await;
+        }
+        sleep(Duration::from_millis(1_500)).await;
+        cluster
+    }
+
+    async fn start_daemon(&mut self, name: &str, zone: &str) {
+        let mut settings = settings(name);
+        settings.zone = Zone::new(zone);
+        let (store, control) = (self.store.share(), self.control.clone());
+        let runtime = Runtime::new().unwrap();
+        let started = runtime.spawn(TestIngress::start_with(settings, store, control));
+        let daemon = started.await.unwrap();
+        daemon.until_ready().await;
+        self.daemons.push((daemon, Some(runtime)));
+    }
+
+    fn daemon(&self, index: usize) -> &TestIngress {
+        &self.daemons[index].0
+    }
+
+    fn kill(&mut self, index: usize) {
+        self.daemons[index].1.take().unwrap().shutdown_background();
+    }
+}
+
+impl Drop for Cluster {
+    fn drop(&mut self) {
+        let runtimes = self.daemons.iter_mut().filter_map(|(_, it)| it.take());
+        runtimes.for_each(Runtime::shutdown_background);
+    }
+}
+
+/// Begins a stream and reads its first events; the client then loses the answer.
+async fn begin_stream(daemon: &TestIngress, id: &str) {
+    let mut response = daemon.request("/stream/x", id).send().await.unwrap();
+    assert_eq!(response.status(), 200);
+    response.chunk().await.unwrap().unwrap();
+}
+
+/// A request that takes a stream up after its first event.
+fn take_up(daemon: &TestIngress, id: &str, began_as: &str) -> reqwest::RequestBuilder {
+    let request = daemon.request("/stream/x", id);
+    request
+        .header("last-event-id", "1")
+        .header("x-resumes", began_as)
+}
+
+/// Guards against a stream that is continued, within its answer, at a runner of another software version.
+#[tokio::test]
+async fn a_broken_stream_is_not_continued_at_another_software_version() {
+    let began = ScriptedRunner::start(vec![Behaviour::EventsThenReset(1, 3)]).await;
+    let other = ScriptedRunner::start(vec![Behaviour::Events(4, 6)]).await;
+    let test = TestIngress::start(&[]).await;
+    test.store
+        .set_runners(vec![runner(0, &began, "v1"), runner(1, &other, "v2")]);
+    sleep(Duration::from_millis(300)).await;
+    let response = test.request("/stream/x", "id-1").send().await.unwrap();
+    assert_eq!(response.status(), 200);
+    assert!(
+        response.text().await.is_err(),
+        "the stream must look broken"
+    );
+    assert_eq!(other.received().len(), 0);
+}
+
+/// Guards against a broken stream that passes over the runner of its software version, or is given up though there is one.
+#[tokio::test]
+async fn a_broken_stream_is_continued_at_its_software_version() {
+    for same_first in [true, false] {
+        let began = ScriptedRunner::start(vec![Behaviour::EventsThenReset(1, 3)]).await;
+        let same = ScriptedRunner::start(vec![Behaviour::Events(4, 6)]).await;
+        let other = ScriptedRunner::start(vec![Behaviour::Events(4, 6)]).await;
+        let (same_index, other_index) = if same_first { (1, 2) } else { (2, 1) };
+        let test = TestIngress::start(&[]).await;
+        test.store.set_runners(vec![
+            runner(0, &began, "v2"),
+            runner(same_index, &same, "v2"),
+            runner(other_index, &other, "v1"),
+        ]);
+        sleep(Duration::from_millis(300)).await;
+        let response = test.request("/stream/x", "id").send().await.unwrap();
+        let body = response.text().await.unwrap();
+        assert!(body.contains("e6"), "{body}");
+        assert_eq!(same.received().len(), 1);
+        assert_eq!(other.received().len(), 0);
+    }
+}
+
+/// Guards against a client's try that goes on at another software version than the earlier try: the daemon that relayed
+/// the first event was killed, and the one that is asked to go on prefers runners of another version.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stream_of_a_killed_daemon_is_taken_up_at_the_software_version_that_began_it() {
+    let began = ScriptedRunner::start(Vec::new()).await;
+    let others = [
+        ScriptedRunner::start(Vec::new()).await,
+        ScriptedRunner::start(Vec::new()).await,
+    ];
+    let runners = vec![
+        runner(0, &began, "v1"),
+        runner(1, &others[0], "v2"),
+        runner(2, &others[1], "v2"),
+    ];
+    let mut cluster = Cluster::start(runners, &["z1", "z1", "z1", "z0"]).await;
+    let origin = 3;
+    began.set_script(vec![Behaviour::SlowEvents(1, 60); 4]);
+    for number in 0..4 {
+        begin_stream(cluster.daemon(origin), &format!("first-{number}")).await;
+    }
+    sleep(Duration::from_millis(300)).await;
+    cluster.kill(origin);
+    sleep(Duration::from_millis(100)).await;
+    began.set_script(vec![Behaviour::Events(2, 4); 4]);
+    for server in &others {
+        server.set_script(vec![Behaviour::Events(2, 4); 4]);
+    }
+    for number in 0..4 {
+        let began_as = format!("first-{number}");
+        let daemon = cluster.daemon(number % origin);
+        let request = take_up(daemon, &format!("second-{number}"), &began_as);
+        let response = request.send().await.unwrap();
+        assert_eq!(response.status(), 200, "stream {number}");
+        response.text().await.unwrap();
+    }
+    for server in &others {
+        assert_eq!(server.received().len(), 0);
+    }
+    assert_eq!(began.received().len(), 8);
+}
+
+/// Guards against streams that began before the second software version came: what only their daemon knew was lost.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stream_that_began_before_a_second_version_came_is_taken_up_at_its_version() {
+    let began = ScriptedRunner::start(vec![Behaviour::SlowEvents(1, 60)]).await;
+    let other = ScriptedRunner::start(Vec::new()).await;
+    let first = vec![runner(0, &began, "v1")];
+    let mut cluster = Cluster::start(first, &["z1", "z1", "z1", "z0"]).await;
+    begin_stream(cluster.daemon(3), "first").await;
+    let both = vec![runner(0, &began, "v1"), runner(1, &other, "v2")];
+    cluster.store.set_runners(both);
+    sleep(Duration::from_millis(1_000)).await;
+    cluster.kill(3);
+    began.set_script(vec![Behaviour::Events(2, 4)]);
+    let request = take_up(cluster.daemon(1), "second", "first");
+    let response = request.send().await.unwrap();
+    assert_eq!(response.status(), 200);
+    response.text().await.unwrap();
+    assert_eq!(other.received().len(), 0);
+}
+
+/// Guards against a guess: nobody knows the software version that began the stream, and the service has two.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stream_of_unknown_software_version_is_refused_at_once() {
+    let servers = [
+        ScriptedRunner::start(Vec::new()).await,
+        ScriptedRunner::start(Vec::new()).await,
+    ];
+    let runners = vec![runner(0, &servers[0], "v1"), runner(1, &servers[1], "v2")];
+    let cluster = Cluster::start(runners, &["z0", "z1"]).await;
+    for daemon in 0..2 {
+        let sent_at = Instant::now();
+        let made_up = take_up(cluster.daemon(daemon), "second", "made-up");
+        assert_eq!(made_up.send().await.unwrap().status(), 503);
+        assert!(sent_at.elapsed() < REFUSAL_TIME, "{:?}", sent_at.elapsed());
+        let unnamed = cluster.daemon(daemon).request("/stream/x", "third");
+        let unnamed = unnamed.header("last-event-id", "1").send().await.unwrap();
+        assert_eq!(unnamed.status(), 503);
+    }
+    for server in &servers {
+        assert_eq!(server.received().len(), 0);
+    }
+}
+
+/// Guards against a stream that is given up although a runner of its software version could load the model: the only one
+/// that held it has gone.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_model_is_loaded_at_the_software_version_that_a_stream_needs() {
+    let began = ScriptedRunner::start(vec![Behaviour::SlowEvents(1, 60)]).await;
+    let other = ScriptedRunner::start(Vec::new()).await;
+    let same = ScriptedRunner::start(vec![Behaviour::Events(2, 4)]).await;
+    let holding = |entry: Runner| Runner {
+        holdings: [(
+            ModelName::new(RARE_MODEL),
+            std::collections::BTreeSet::new(),
+        )]
+        .into(),
+        ..entry
+    };
+    let runners = |first: Option<Runner>| {
+        let others = [holding(runner(1, &other, "v2")), runner(2, &same, "v1")];
+        first.into_iter().chain(others).collect::<Vec<_>>()
+    };
+    let began_at = holding(runner(0, &began, "v1"));
+    let cluster = Cluster::start(runners(Some(began_at)), &["z1", "z0"]).await;
+    let request = cluster.daemon(1).request("/stream/x", "first");
+    let request = request.header("x-model", RARE_MODEL);
+    let mut response = request.send().await.unwrap();
+    response.chunk().await.unwrap().unwrap();
+    drop(response);
+    assert_eq!(began.received().len(), 1);
+    sleep(Duration::from_millis(200)).await;
+    cluster.store.set_runners(runners(None));
+    sleep(Duration::from_millis(500)).await;
+    let request = take_up(cluster.daemon(0), "second", "first");
+    let response = request.header("x-model", RARE_MODEL).send().await.unwrap();
+    assert_eq!(response.status(), 200);
+    response.text().await.unwrap();
+    assert_eq!(other.received().len(), 0);
+    assert_eq!(same.received().len(), 1);
+}
+
+/// Guards against refusing what is safe: while a service has had one software version, its streams are taken up at any
+/// daemon, though none has recorded their beginnings.
+#[tokio::test(flavor = "multi_thread")]
+async fn streams_of_a_service_with_one_software_version_are_taken_up() {
+    let server = ScriptedRunner::start(vec![Behaviour::SlowEvents(1, 60)]).await;
+    let mut cluster = Cluster::start(vec![runner(0, &server, "v1")], &["z0", "z0", "z0"]).await;
+    begin_stream(cluster.daemon(2), "first").await;
+    cluster.kill(2);
+    server.set_script(vec![Behaviour::Events(2, 4)]);
+    let request = take_up(cluster.daemon(1), "second", "first");
+    assert_eq!(request.send().await.unwrap().status(), 200);
+}
