Streams go on only at the software version that began them

Cause: nothing knew the version. The adapter dropped it, the relay kept only the weights' version, and what began a stream was known to the daemon alone that had relayed its first event.

Property: no stream is resolved to another version whatever messages and daemons are lost.

Why it works: the version of the incarnation that was sent to goes with the stream. The choice of the runner, readiness, demand and placement ask with the same requirement. Keepers (the coordinator and its standbys) are told which version began a stream while a service has several; who is to continue one asks them; what is not known is refused at once.

--- a/crates/ingress/src/coordination/mod.rs
+++ b/crates/ingress/src/coordination/mod.rs
@@ -11,6 +11,7 @@
 mod permits;
 mod quotas;
 mod standby;
+mod stream_origins;
 
 use std::collections::HashSet;
 use std::fmt::Display;
@@ -179,6 +180,9 @@
         if let Some(report) = self.next_run_report() {
             wake_at = wake_at.min(report);
         }
+        if let Some(origins) = self.shared.tables().stream_origins.next_message() {
+            wake_at = wake_at.min(origins);
+        }
         wake_at.min(now + IDLE_INTERVAL)
     }
 
@@ -231,6 +235,8 @@
         self.quotas.send_questions(&self.shared, &self.peers, now);
         self.send_notices(now);
         self.send_permit_questions(now);
+        self.send_stream_origins(now);
+        self.send_origin_questions();
         end_cold_periods(&self.shared);
         self.announce_limits(now);
         if self.leader.as_ref().is_some_and(|it| now >= it.plan_due()) {
@@ -494,6 +500,12 @@
                 self.answer_permit_questions(&questions, now);
             }
             Message::PermitAnswers(answers) => apply_permit_answers(&self.shared, &answers),
+            Message::StreamOrigins(records) => {
+                let now = self.shared.now();
+                self.shared.tables().stream_origins.apply(&records, now);
+            }
+            Message::OriginQuestions(questions) => self.answer_origin_questions(&questions),
+            Message::OriginAnswers(answers) => self.apply_origin_answers(answers),
             Message::RunnerNotices(notices) => self.merge_notices(&notices, earliest_arrival),
             Message::ConfigurationWanted(wanted) => {
                 self.configurations
--- a/crates/ingress/src/counters.rs
+++ b/crates/ingress/src/counters.rs
@@ -3,7 +3,7 @@
 use flaxward_types::Metric;
 
 /// Metrics of this crate.
-pub const METRICS: [Metric; 39] = [
+pub const METRICS: [Metric; 40] = [
     SERVED,
     REFUSED,
     ATTEMPTS_FAILED,
@@ -38,6 +38,7 @@
     MESSAGE_BYTES,
     RUNNER_NOTICES,
     RETRIES,
+    STREAM_ORIGINS,
     CONNECTIONS_RELAYED,
     PARTITIONS,
     TUNNELS,
@@ -199,6 +200,11 @@
     "flaxward_ingress_permits_total",
     "Requests to cold runners for which a permit was asked, by `outcome`: `given`, `refused` or `unanswered`.",
 );
+/// Streams that clients took up, by what is known of their beginning.
+pub const STREAM_ORIGINS: Metric = Metric::counter(
+    "flaxward_ingress_stream_origins_total",
+    "Streams that clients took up, by `outcome`: the software version that began them was `recorded`, is the `only-version` of the service, or is `unknown`.",
+);
 /// Waits of requests because all runners that hold their model were cold and at capacity.
 pub const CAPACITY_WAITS: Metric = Metric::counter(
     "flaxward_ingress_room_waits_total",
--- a/crates/ingress/src/dispatch.rs
+++ b/crates/ingress/src/dispatch.rs
@@ -53,6 +53,9 @@
 /// within seconds.
 const RETRY_NO_HOME_RUNNER: Duration = Duration::from_secs(3);
 
+/// `Retry-After` if no runner has the software version that began a stream: one that has crashed is back within seconds.
+const RETRY_NO_RUNNER_OF_VERSION: Duration = Duration::from_secs(2);
+
 /// State of a request that is being sent to runners.
 pub(crate) struct Dispatch {
     shared: Arc<Shared>,
@@ -155,6 +158,7 @@
                 }
                 Err(NoRunner::AllTried) => return self.give_up("no other runner available"),
                 Err(NoRunner::NoneAtHome) => return self.no_home_runner(),
+                Err(NoRunner::NoneOfVersion) => return self.no_runner_of_version(),
                 Err(NoRunner::NoneOfService) => return self.give_up("the service has no runner"),
             };
             let admission = match admit(&self.shared, &self.request, &runner).await {
@@ -210,6 +214,7 @@
             unit: self.request.unit.as_ref(),
             affinity: has_parts.then(|| self.request.profile.affinity()),
             homes: &self.request.homes,
+            software_version: self.request.software_version.as_ref(),
             tried,
             permit_waits: &self.permit_waits,
         };
@@ -396,6 +401,7 @@
             let observation = Some(Observation::Failure);
             return Err(FailedAttempt::new(failure, observation, connection));
         }
+        self.shared.record_stream_origin(&self.request, &runner);
         relay.attempts = self.attempts;
         relay.tried = self.tried.clone();
         if let Some(guard) = self.guard.take() {
@@ -498,6 +504,17 @@
         Err(self.refused(refusal, &reason))
     }
 
+    /// Final response if no runner has the software version that began the stream.
+    fn no_runner_of_version(&mut self) -> Result<Response<ResponseBody>, Refused> {
+        const REASON: &str = "no runner has the software version that began the stream";
+        if !self.attempts.definitely_not_run() {
+            return self.give_up(REASON);
+        }
+        let refusal = Refusal::new(ResultCode::NoRunnerOfVersion)
+            .with_retry_after(RETRY_NO_RUNNER_OF_VERSION);
+        Err(self.refused(refusal, REASON))
+    }
+
     /// Final response when no further attempt is made.
     fn give_up(&mut self, reason: &str) -> Result<Response<ResponseBody>, Refused> {
         if let Some(response) = self.error_response.take() {
--- a/crates/ingress/src/exchange.rs
+++ b/crates/ingress/src/exchange.rs
@@ -10,10 +10,11 @@
 use flaxward_routing::fingerprint::{RequestContent, RequestFingerprint};
 use flaxward_routing::health::Observation;
 use flaxward_routing::homes::{Homes, Requirement};
-use flaxward_routing::names::Unit;
+use flaxward_routing::names::{SoftwareVersion, Unit};
 use flaxward_routing::request::RequestProfile;
 use flaxward_routing::runner_paths::Path;
 use flaxward_routing::runners::Runner;
+use flaxward_routing::stream_origins::StreamKey;
 use flaxward_routing::tenants::Tenant;
 use http::header::{CONNECTION, CONTENT_ENCODING, TE, TRAILER, TRANSFER_ENCODING, UPGRADE};
 use http::{HeaderMap, HeaderName, Method, Request, Response, Uri, Version};
@@ -47,6 +48,10 @@
     pub homes: Homes,
     pub tenant: Option<Arc<Tenant>>,
     pub unit: Option<Unit>,
+    /// The only software version that the runner may have, if the request continues a stream.
+    pub software_version: Option<SoftwareVersion>,
+    /// The stream that the response begins or continues, if its client may take it up.
+    pub stream: Option<StreamKey>,
     pub deadline: Instant,
     /// Computed on first use, because most requests never need it.
     pub fingerprint: OnceLock<RequestFingerprint>,
@@ -69,15 +74,23 @@
         })
     }
 
-    /// The unit that the request needs and the regions it may be in, if it needs one.
+    /// The unit that the request needs, and the runners that may have it, if it needs one.
     pub(crate) fn requirement(&self) -> Option<Requirement> {
         Some(Requirement {
             unit: self.unit.clone()?,
             homes: self.homes.clone(),
-            software_version: None,
+            software_version: self.software_version.clone(),
         })
     }
 
+    /// The same request, which from now on may only be sent to runners of a software version.
+    pub(crate) fn bound_to(&self, version: &SoftwareVersion) -> Self {
+        Self {
+            software_version: Some(version.clone()),
+            ..self.clone()
+        }
+    }
+
     pub(crate) fn time_left(&self) -> Duration {
         self.deadline.saturating_duration_since(Instant::now())
     }
--- a/crates/ingress/src/handler.rs
+++ b/crates/ingress/src/handler.rs
@@ -23,6 +23,7 @@
 use crate::refused::{RETRY_AFTER, Refused};
 use crate::responses::{self, ResponseBody};
 use crate::state::Shared;
+use crate::stream_origins::{self, StreamStart};
 
 /// Maximum number of requests in progress per daemon.
 const MAX_REQUESTS: u32 = 2_000;
@@ -134,6 +135,11 @@
             "the route has no available service",
         ));
     };
+    let StreamStart {
+        service,
+        software_version,
+        stream,
+    } = stream_origins::stream_start(shared, &route, &profile, service).await?;
     let charge = match &tenant {
         Some(tenant) => Some(access::charge(shared, tenant, &route, &profile).await?),
         None => None,
@@ -154,6 +160,8 @@
         homes,
         tenant,
         unit,
+        software_version,
+        stream,
         deadline,
         fingerprint: OnceLock::new(),
     };
--- a/crates/ingress/src/lib.rs
+++ b/crates/ingress/src/lib.rs
@@ -35,6 +35,7 @@
 mod state;
 mod store_era;
 mod store_report;
+mod stream_origins;
 mod tunnel;
 mod tunnel_server;
 mod unreadable;
--- a/crates/ingress/src/relay.rs
+++ b/crates/ingress/src/relay.rs
@@ -9,7 +9,7 @@
 use flaxward_routing::configuration::Route;
 use flaxward_routing::events::EventSplitter;
 use flaxward_routing::health::Observation;
-use flaxward_routing::names::{RunnerId, ServiceName};
+use flaxward_routing::names::{RunnerId, ServiceName, SoftwareVersion};
 use flaxward_routing::runners::Runner;
 use futures::stream;
 use http_body_util::{BodyExt, StreamBody};
@@ -23,6 +23,7 @@
 use crate::permits::{Admission, admit_until};
 use crate::responses::ResponseBody;
 use crate::state::Shared;
+use crate::waiting::{wait_for_capacity, wait_for_unit};
 
 /// Minimum timeout for the response head of a continued stream.
 const MIN_CONTINUATION_TIMEOUT: Duration = Duration::from_secs(1);
@@ -69,6 +70,8 @@
     exchange: Option<Exchange>,
     splitter: EventSplitter,
     weights_version: Option<u64>,
+    /// The software version that began the stream; `None` if it is not known, so that the stream cannot be continued.
+    software_version: Option<SoftwareVersion>,
     first: Option<Bytes>,
     /// When the last events arrived.
     last_events_at: Option<Instant>,
@@ -97,6 +100,7 @@
             tried: Vec::new(),
             guard: Box::new(()),
             weights_version: exchange.weights_version,
+            software_version: exchange.runner.software_version.clone(),
             exchange: Some(exchange),
             splitter: EventSplitter::default(),
             first: None,
@@ -181,6 +185,9 @@
 
     /// Selects the runner at which the stream would be continued.
     fn choose_next(&self) -> Result<Runner, NoRunner> {
+        let Some(version) = &self.software_version else {
+            return Err(NoRunner::NoneOfVersion);
+        };
         let current = self.exchange.iter().map(|exchange| &exchange.runner.id);
         let tried: Vec<RunnerId> = self.tried.iter().chain(current).cloned().collect();
         let criteria = SelectionCriteria {
@@ -188,6 +195,7 @@
             unit: self.request.unit.as_ref(),
             affinity: Some(self.request.profile.affinity()),
             homes: &self.request.homes,
+            software_version: Some(version),
             tried: &tried,
             permit_waits: &[],
         };
@@ -256,6 +264,9 @@
     /// Continues the stream at another runner. A run at a runner that is only silent is not cancelled until the other
     /// runner has had time to reject the request; if it does, the relay waits for the silent runner again.
     async fn resume(&mut self, failure: Failure) -> Result<(), RelayError> {
+        if let Some(version) = &self.software_version {
+            self.request = Arc::new(self.request.bound_to(version));
+        }
         let current = self.exchange.take();
         if let Some(exchange) = &current {
             self.shared
@@ -263,7 +274,7 @@
             self.tried.push(exchange.runner.id.clone());
             self.log_break(exchange, failure);
         }
-        self.last_events_at = None;
+        let silent_since = self.last_events_at.take().unwrap_or_else(Instant::now);
         let is_crash_suspect = self
             .started_at
             .take()
@@ -271,18 +282,18 @@
         if failure == Failure::Silent
             && let Some(exchange) = current
         {
-            return self.replace_stalled(exchange).await;
+            return self.replace_stalled(exchange, silent_since).await;
         }
         self.attempts.record_failure(failure);
         if is_crash_suspect && let Some(exchange) = &current {
             check_for_crash(&self.shared, &self.request, &exchange.runner).await;
         }
         drop(current);
-        self.fail_over().await
+        self.fail_over(silent_since).await
     }
 
-    /// Tries other runners until one continues the stream.
-    async fn fail_over(&mut self) -> Result<(), RelayError> {
+    /// Tries other runners until one continues the stream. `silent_since` is when the client was last sent events.
+    async fn fail_over(&mut self, silent_since: Instant) -> Result<(), RelayError> {
         self.splitter.drop_partial();
         loop {
             if Instant::now() >= self.request.deadline {
@@ -295,17 +306,22 @@
             if self.is_quarantined() {
                 return Err(self.abort(RelayError::Broken, "the request is quarantined"));
             }
+            let runner = self.wait_for_next(silent_since).await?;
             if !self.shared.try_retry(&self.service, &self.request) {
                 return Err(self.abort(RelayError::Broken, "the retry budget is spent"));
             }
-            if self.try_continue().await? {
+            if self.try_continue(&runner).await {
                 return Ok(());
             }
         }
     }
 
     /// Replaces a stalled runner by another one, unless that one rejects the stream within `REJECTION_TIMEOUT`.
-    async fn replace_stalled(&mut self, stalled: Exchange) -> Result<(), RelayError> {
+    async fn replace_stalled(
+        &mut self,
+        stalled: Exchange,
+        silent_since: Instant,
+    ) -> Result<(), RelayError> {
         if Instant::now() >= self.request.deadline {
             return Err(self.abort(RelayError::Expired, "the deadline has passed"));
         }
@@ -355,7 +371,47 @@
         if self.accept_continuation(&next, result, continuation.last_event) {
             return Ok(());
         }
-        self.fail_over().await
+        self.fail_over(silent_since).await
+    }
+
+    /// Selects the runner at which a broken stream is continued. If no runner of its software version holds the model or
+    /// has room, it waits for one as long as the client waits for events.
+    async fn wait_for_next(&mut self, silent_since: Instant) -> Result<Runner, RelayError> {
+        loop {
+            let reason = match self.choose_next() {
+                Ok(runner) => return Ok(runner),
+                Err(reason) => reason,
+            };
+            let waited = match reason {
+                NoRunner::NotLoaded => self.wait_until_loaded(silent_since).await,
+                NoRunner::NoRoom { until } => {
+                    let (shared, request) = (&self.shared, &self.request);
+                    wait_for_capacity(shared, request, &self.route, until, silent_since)
+                        .await
+                        .is_ok()
+                }
+                _ => false,
+            };
+            if !waited {
+                return Err(self.abort(RelayError::Broken, &format!("{reason:?}")));
+            }
+        }
+    }
+
+    /// Waits until a runner of the stream's software version has loaded the unit. Returns false as soon as it is certain
+    /// that none will have in time; its client then finds the load under way when it takes the stream up.
+    async fn wait_until_loaded(&mut self, silent_since: Instant) -> bool {
+        let Some(requirement) = self.request.requirement() else {
+            return false;
+        };
+        let waiting = wait_for_unit(
+            &self.shared,
+            &self.request,
+            &self.route,
+            &requirement,
+            silent_since,
+        );
+        waiting.await.is_ok()
     }
 
     /// Resumes waiting for a stalled runner because no other runner takes over its stream.
@@ -418,29 +474,22 @@
     }
 
     /// Sends the request to another runner. Returns whether that one continues the stream.
-    async fn try_continue(&mut self) -> Result<bool, RelayError> {
-        let runner = match self.choose_next() {
-            Ok(runner) => runner,
-            Err(reason) => {
-                let reason = format!("{reason:?}");
-                return Err(self.abort(RelayError::Broken, &reason));
-            }
-        };
+    async fn try_continue(&mut self, runner: &Runner) -> bool {
         let last_event = self.last_event();
         let continuation = Continuation {
             last_event: last_event.as_deref(),
             weights_version: self.weights_version,
         };
         let attempt_deadline = self.continuation_deadline();
-        let admission = admit_until(&self.shared, &self.request, &runner, attempt_deadline).await;
+        let admission = admit_until(&self.shared, &self.request, runner, attempt_deadline).await;
         let result = match &admission {
             Ok(admission) => {
-                self.send_continuation(&runner, admission, continuation, attempt_deadline)
+                self.send_continuation(runner, admission, continuation, attempt_deadline)
                     .await
             }
             Err(_) => Err(FailedAttempt::not_permitted()),
         };
-        Ok(self.accept_continuation(&runner, result, continuation.last_event))
+        self.accept_continuation(runner, result, continuation.last_event)
     }
 
     async fn send_continuation(
--- a/crates/ingress/src/state.rs
+++ b/crates/ingress/src/state.rs
@@ -29,6 +29,8 @@
 use flaxward_routing::runners::{Runner, RunnerTable};
 use flaxward_routing::split::SplitChooser;
 use flaxward_routing::store_trust::StoreTrust;
+use flaxward_routing::stream_origins::messages::OriginQuestion;
+use flaxward_routing::stream_origins::{OriginKnowledge, StreamOrigins};
 use flaxward_types::time::Timestamp;
 use tokio::sync::{Notify, watch};
 use tokio::time::Instant;
@@ -87,6 +89,10 @@
     pub uses: UsageLog,
     pub budget: RetryBudget,
     pub quarantine: Quarantine,
+    /// Software versions that began streams.
+    pub stream_origins: StreamOrigins,
+    /// The other daemons that keep the origins of streams.
+    pub origin_keepers: Vec<SocketAddr>,
     pub splits: SplitChooser,
     pub waiting: HashMap<Requirement, Waiting>,
     pub readiness_estimates: HashMap<Requirement, ReadinessEstimate>,
@@ -116,6 +122,8 @@
     pub quota_questions: KeeperClient<QuotaQuestion, Grant>,
     /// Questions to the keeper of permits.
     pub permit_questions: KeeperClient<PermitQuestion, PermitDecision>,
+    /// Questions to the keepers of stream origins.
+    pub origin_questions: KeeperClient<OriginQuestion, OriginKnowledge>,
     /// Runners whose latest notices have not been sent to the coordinator yet.
     pub unsent_notices: Mutex<BTreeSet<RunnerId>>,
     /// Notified when there is something to send to a keeper of quotas or permits, or to the
@@ -180,6 +188,8 @@
             uses: UsageLog::default(),
             budget: RetryBudget::new(settings.retry_budget),
             quarantine: Quarantine::new(settings.quarantine),
+            stream_origins: StreamOrigins::default(),
+            origin_keepers: Vec::new(),
             splits: SplitChooser::default(),
             waiting: HashMap::new(),
             readiness_estimates: HashMap::new(),
@@ -202,6 +212,7 @@
             demand: Notify::new(),
             quota_questions: KeeperClient::default(),
             permit_questions: KeeperClient::default(),
+            origin_questions: KeeperClient::default(),
             unsent_notices: Mutex::default(),
             keeper_wake: Notify::new(),
             run_reports: Mutex::default(),
@@ -440,6 +451,13 @@
         self.has_first_page && configuration.services().all(has_runner)
     }
 
+    /// Records the software versions of the runners, once all are known.
+    pub(crate) fn note_software_versions(&mut self, now: Timestamp) {
+        if self.runners_known {
+            self.stream_origins.note_runners(&self.runners, now);
+        }
+    }
+
     /// Drops the state of runners that are no longer listed.
     pub(crate) fn drop_removed_runners(&mut self) {
         let runners = &self.runners;
--- /dev/null
+++ b/crates/ingress/src/stream_origins.rs
@@ -0,0 +1,197 @@
+//! Software versions at which streams are continued: those of the streams that this daemon relays are recorded, and for a
+//! stream that a client takes up, this daemon and the keepers are asked.
+
+use std::fmt::Display;
+use std::time::Duration;
+
+use flaxward_routing::configuration::{Route, RouteKind};
+use flaxward_routing::names::{ServiceName, SoftwareVersion};
+use flaxward_routing::request::RequestProfile;
+use flaxward_routing::runners::Runner;
+use flaxward_routing::stream_origins::messages::OriginQuestion;
+use flaxward_routing::stream_origins::{OriginKnowledge, StreamKey, StreamOrigin, resolve};
+use flaxward_types::ResultCode;
+use flaxward_types::refusal::Refusal;
+use flaxward_types::time::millis;
+use futures::StreamExt;
+use futures::stream::FuturesUnordered;
+use tokio::time::{Instant, timeout_at};
+
+use crate::counters::STREAM_ORIGINS;
+use crate::exchange::ClientRequest;
+use crate::refused::Refused;
+use crate::state::Shared;
+
+/// Timeout for the answers of the keepers: a message each way, and the longest planning round of a coordinator.
+const ANSWER_TIMEOUT: Duration = Duration::from_millis(80);
+/// Time after its deadline during which a client may still take a stream up.
+const LIFE_SLACK: Duration = Duration::from_secs(5);
+/// `Retry-After` if the origin of a stream is not known: the keepers may answer again once a coordinator is elected.
+const RETRY_UNKNOWN_ORIGIN: Duration = Duration::from_secs(2);
+
+/// How a request begins or continues a stream.
+pub(crate) struct StreamStart {
+    /// The service to which the request is sent.
+    pub service: ServiceName,
+    /// The version that began the stream, if the request continues one.
+    pub software_version: Option<SoftwareVersion>,
+    /// The stream, if its client may take it up.
+    pub stream: Option<StreamKey>,
+}
+
+/// Determines where a request for a service may be sent if it continues a stream.
+///
+/// # Errors
+/// Refuses a request that continues a stream of unknown origin.
+pub(crate) async fn stream_start(
+    shared: &Shared,
+    route: &Route,
+    profile: &RequestProfile,
+    service: ServiceName,
+) -> Result<StreamStart, Refused> {
+    if route.kind != (RouteKind::Stream { resumable: true }) {
+        return Ok(StreamStart {
+            service,
+            software_version: None,
+            stream: None,
+        });
+    }
+    if profile.last_event.is_none() {
+        return Ok(StreamStart {
+            service,
+            software_version: None,
+            stream: Some(StreamKey::of(&profile.id)),
+        });
+    }
+    let stream = profile.resumes.as_deref().map(StreamKey::of);
+    let origin = origin(shared, route, profile, stream, &service).await;
+    let is_on_route = |origin: &StreamOrigin| {
+        let mut services = route.services.iter();
+        services.any(|weighted| weighted.service == origin.service)
+    };
+    match origin.filter(is_on_route) {
+        Some(origin) => Ok(StreamStart {
+            service: origin.service,
+            software_version: Some(origin.version),
+            stream,
+        }),
+        None => Err(unknown_origin(route, profile)),
+    }
+}
+
+fn unknown_origin(route: &Route, profile: &RequestProfile) -> Refused {
+    let refusal =
+        Refusal::new(ResultCode::StreamOriginUnknown).with_retry_after(RETRY_UNKNOWN_ORIGIN);
+    let reason = "the software version that began the stream is not known".to_owned();
+    Refused::unsent(&profile.id, route.name.as_str(), refusal, reason)
+}
+
+/// Longest time since which a stream of a route may have begun.
+fn stream_window(route: &Route, profile: &RequestProfile) -> Duration {
+    route.timeout.max(profile.deadline.unwrap_or_default())
+}
+
+/// The origin of a stream that a client takes up; `None` if it is not certain.
+async fn origin(
+    shared: &Shared,
+    route: &Route,
+    profile: &RequestProfile,
+    stream: Option<StreamKey>,
+    service: &ServiceName,
+) -> Option<StreamOrigin> {
+    let window = stream_window(route, profile);
+    let (own, keepers) = {
+        let tables = shared.tables();
+        let origins = &tables.stream_origins;
+        let own = origins.knowledge(stream, service, window, shared.now());
+        (own, tables.origin_keepers.clone())
+    };
+    let has_others = !keepers.is_empty() || shared.daemons() > 1;
+    let asks = !matches!(own, OriginKnowledge::Recorded(_));
+    let answers = if asks {
+        let question = |number| OriginQuestion {
+            number,
+            key: stream,
+            service: service.clone(),
+            window_ms: u32::try_from(millis(window)).unwrap_or(u32::MAX),
+        };
+        shared.ask_origin_keepers(&keepers, question).await
+    } else {
+        Vec::new()
+    };
+    let origin = resolve(service, &own, &answers, has_others);
+    log_origin(shared, profile, origin.as_ref(), &own, &answers);
+    origin
+}
+
+fn log_origin(
+    shared: &Shared,
+    profile: &RequestProfile,
+    origin: Option<&StreamOrigin>,
+    own: &OriginKnowledge,
+    answers: &[OriginKnowledge],
+) {
+    let is_recorded = |it: &OriginKnowledge| matches!(it, OriginKnowledge::Recorded(_));
+    let outcome = match origin {
+        None => "unknown",
+        Some(_) if is_recorded(own) || answers.iter().any(is_recorded) => "recorded",
+        Some(_) => "only-version",
+    };
+    metrics::counter!(STREAM_ORIGINS.name, "outcome" => outcome).increment(1);
+    let version = origin.map_or("", |origin| origin.version.as_str());
+    let fields: &[(&str, &dyn Display)] = &[
+        ("request", &profile.id),
+        ("resumes", &profile.resumes.as_deref().unwrap_or("")),
+        ("outcome", &outcome),
+        ("version", &version),
+        ("own", &format!("{own:?}")),
+        ("answers", &answers.len()),
+    ];
+    shared.log.write(shared.now(), "stream-origin", fields);
+}
+
+impl Shared {
+    /// Records that a runner has begun a stream, or continues it, so that its client can take it up at any daemon.
+    pub(crate) fn record_stream_origin(&self, request: &ClientRequest, runner: &Runner) {
+        let (Some(stream), Some(version)) = (request.stream, &runner.software_version) else {
+            return;
+        };
+        let origin = StreamOrigin {
+            service: runner.service.clone(),
+            version: version.clone(),
+        };
+        let deadline = request.profile.deadline.unwrap_or_default();
+        let life = request.time_left().max(deadline) + LIFE_SLACK;
+        let now = self.now();
+        let mut tables = self.tables();
+        let was_due = tables.stream_origins.next_message().is_some();
+        tables.stream_origins.begin(stream, origin, life, now);
+        let is_due = tables.stream_origins.next_message().is_some();
+        drop(tables);
+        if is_due && !was_due {
+            self.keeper_wake.notify_one();
+        }
+    }
+
+    /// Asks the keepers for the origin of a stream, until one has a record of it or all have answered.
+    async fn ask_origin_keepers(
+        &self,
+        keepers: &[std::net::SocketAddr],
+        question: impl Fn(u64) -> OriginQuestion,
+    ) -> Vec<OriginKnowledge> {
+        let ask =
+            |keeper: &std::net::SocketAddr| self.origin_questions.ask(*keeper, &question).answer();
+        let mut pending: FuturesUnordered<_> = keepers.iter().map(ask).collect();
+        self.keeper_wake.notify_one();
+        let deadline = Instant::now() + ANSWER_TIMEOUT;
+        let mut answers = Vec::new();
+        while let Ok(Some(answer)) = timeout_at(deadline, pending.next()).await {
+            let is_recorded = matches!(answer, Some(OriginKnowledge::Recorded(_)));
+            answers.extend(answer);
+            if is_recorded {
+                break;
+            }
+        }
+        answers
+    }
+}
--- a/crates/ingress/src/watches/runners.rs
+++ b/crates/ingress/src/watches/runners.rs
@@ -210,6 +210,7 @@
         tables.runners.replace(listing.items, revision);
     }
     tables.runners_known = true;
+    tables.note_software_versions(shared.now());
     tables.drop_removed_runners();
     drop(tables);
     let fields: &[(&str, &dyn std::fmt::Display)] = &[
@@ -232,6 +233,7 @@
         return false;
     };
     tables.runners_known |= tables.runners.revision() >= known.max(1);
+    tables.note_software_versions(shared.now());
     if changed.is_empty() {
         return true;
     }
@@ -279,6 +281,7 @@
     update_cold_periods(shared);
     let mut tables = shared.tables();
     tables.runners.set_revision(revision);
+    tables.note_software_versions(shared.now());
     tables.drop_removed_runners();
     drop(tables);
     notify_change(shared);
--- a/crates/routing/src/availability.rs
+++ b/crates/routing/src/availability.rs
@@ -47,7 +47,8 @@
         unit.is_none_or(|unit| self.runners.holds(runner, unit, now))
     }
 
-    /// Whether an eligible runner in the home regions of the requirement has its unit loaded.
+    /// Whether an eligible runner in the home regions of the requirement, of the software version that it allows, has its
+    /// unit loaded.
     ///
     /// Requests that wait for a unit to be loaded poll this. It must agree with the selection, which reports
     /// [`NotLoaded`](crate::balance::NoRunner::NotLoaded) only if this is false; otherwise a request would wait for a
@@ -56,6 +57,7 @@
         let Requirement { unit, homes, .. } = requirement;
         self.usable(&unit.service)
             .filter(|runner| self.is_in_home_region(runner, homes))
+            .filter(|runner| requirement.allows_version_of(runner))
             .any(|runner| self.holds_unit(runner, Some(unit), now))
     }
 }
--- a/crates/routing/src/balance.rs
+++ b/crates/routing/src/balance.rs
@@ -21,9 +21,9 @@
 use crate::availability::Availability;
 use crate::cold::periods::ColdPeriods;
 use crate::health::HealthTable;
-use crate::homes::Homes;
+use crate::homes::{Homes, allows_version};
 use crate::locality::Distance;
-use crate::names::{RunnerId, ServiceName, Unit};
+use crate::names::{RunnerId, ServiceName, SoftwareVersion, Unit};
 use crate::runners::Runner;
 
 /// Fraction of a runner's slots, divided among the daemons, above which load takes precedence over affinity.
@@ -80,6 +80,8 @@
     pub affinity: Option<u64>,
     /// Regions in which the request may be served.
     pub homes: &'a Homes,
+    /// The only software version that the runner may have, if the request continues a stream.
+    pub software_version: Option<&'a SoftwareVersion>,
     /// Runners that were already tried for this request.
     pub tried: &'a [RunnerId],
     /// Runners that give this request no permit before a given time.
@@ -102,6 +104,8 @@
     NoneOfService,
     /// Runners accept requests, but none is in a home region of the request.
     NoneAtHome,
+    /// Runners are available, but none has the software version that began the stream.
+    NoneOfVersion,
     /// Runners are available, but none has the unit loaded.
     NotLoaded,
     /// All runners that could serve the request were tried.
@@ -133,7 +137,14 @@
     if in_home_region.is_empty() {
         return Err(NoRunner::NoneAtHome);
     }
-    let loaded: Vec<&Runner> = in_home_region
+    let of_version: Vec<&Runner> = in_home_region
+        .into_iter()
+        .filter(|runner| allows_version(criteria.software_version, runner))
+        .collect();
+    if of_version.is_empty() {
+        return Err(NoRunner::NoneOfVersion);
+    }
+    let loaded: Vec<&Runner> = of_version
         .into_iter()
         .filter(|runner| availability.holds_unit(runner, criteria.unit, context.now))
         .collect();
--- a/crates/routing/src/encoding.rs
+++ b/crates/routing/src/encoding.rs
@@ -321,7 +321,10 @@
             | Self::Forwarded(_)
             | Self::PermitQuestions(_)
             | Self::PermitAnswers(_)
-            | Self::RunnerNotices(_) => {}
+            | Self::RunnerNotices(_)
+            | Self::StreamOrigins(_)
+            | Self::OriginQuestions(_)
+            | Self::OriginAnswers(_) => {}
         }
     }
 }
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -49,6 +49,7 @@
 pub mod split;
 pub mod standby;
 pub mod store_trust;
+pub mod stream_origins;
 pub mod strength;
 pub mod tenants;
 
--- a/crates/routing/src/messages.rs
+++ b/crates/routing/src/messages.rs
@@ -22,6 +22,7 @@
 use crate::quota::{QuotaAnswers, QuotaNews, QuotaQuestions, UseReport};
 use crate::runners::RunnerHoldings;
 use crate::standby::StandbyPlace;
+use crate::stream_origins::messages::{OriginAnswers, OriginQuestions, StreamOriginRecords};
 use crate::strength::MachineStrength;
 
 /// A message between two daemons.
@@ -66,6 +67,12 @@
     PermitAnswers(PermitAnswers),
     /// From any daemon to the coordinator, which distributes it to all others.
     RunnerNotices(RunnerNotices),
+    /// From any daemon to the keepers of stream origins.
+    StreamOrigins(StreamOriginRecords),
+    /// From any daemon to the keepers of stream origins.
+    OriginQuestions(OriginQuestions),
+    /// Reply to [`Message::OriginQuestions`].
+    OriginAnswers(OriginAnswers),
 }
 
 /// A request for a newer configuration.
@@ -353,6 +360,9 @@
             Self::PermitQuestions(_) => "permit-questions",
             Self::PermitAnswers(_) => "permit-answers",
             Self::RunnerNotices(_) => "runner-notices",
+            Self::StreamOrigins(_) => "stream-origins",
+            Self::OriginQuestions(_) => "origin-questions",
+            Self::OriginAnswers(_) => "origin-answers",
         }
     }
 }
--- a/crates/routing/src/placement/candidates.rs
+++ b/crates/routing/src/placement/candidates.rs
@@ -164,7 +164,7 @@
         let from_copy = cached
             .filter_map(|(id, room)| Some((self.records.get(id)?, room)))
             .filter(|(record, _)| record.runner.service == unit.service && !record.has(unit))
-            .filter(|(record, _)| self.is_within_homes(record, &requirement.homes))
+            .filter(|(record, _)| self.is_allowed(record, requirement))
             .filter_map(|(record, room)| self.candidate(record, room, engine, unit, now))
             .min_by(Candidate::order);
         if !may_use_store {
@@ -204,7 +204,7 @@
             let (Some(room), Some(record)) = (room, self.records.get(&site.runner)) else {
                 continue;
             };
-            if !self.is_within_homes(record, &requirement.homes) {
+            if !self.is_allowed(record, requirement) {
                 continue;
             }
             if record.has(unit) || record.weight_source(&unit.model) != WeightSource::Store {
@@ -247,6 +247,12 @@
         self.regions.allow(homes, &record.runner.zone)
     }
 
+    /// Whether a requirement allows a runner, by its region and its software version.
+    pub(super) fn is_allowed(&self, record: &RunnerRecord, requirement: &Requirement) -> bool {
+        self.is_within_homes(record, &requirement.homes)
+            && requirement.allows_version_of(&record.runner)
+    }
+
     /// Whether a busy runner that has a copy of the weights would have the model ready before a
     /// runner that loads it from the weight store. A free one is a candidate itself, unless nothing
     /// on it may be evicted.
@@ -260,7 +266,7 @@
             .cached_at(unit)
             .filter_map(|id| self.records.get(id));
         records
-            .filter(|record| self.is_within_homes(record, &requirement.homes))
+            .filter(|record| self.is_allowed(record, requirement))
             .filter(|record| record.takes_orders(now) && record.has_live_order(now))
             .filter_map(|record| {
                 let load = engine_load_time(&self.engines, record, unit)?;
--- a/crates/routing/src/placement/copies.rs
+++ b/crates/routing/src/placement/copies.rs
@@ -1,4 +1,4 @@
-//! Index of the runners that offer a unit or will offer it, by zone, and of those that have its
+//! Index of the runners that offer a unit or will offer it, by zone and software version, and of those that have its
 //! weights in host memory or on disk. It is updated with each change of a [`RunnerRecord`], so that
 //! a query does not scan all runners.
 
@@ -6,15 +6,22 @@
 
 use crate::homes::{Homes, Requirement};
 use crate::locality::Regions;
-use crate::names::{Region, RunnerId, Unit, Zone};
+use crate::names::{Region, RunnerId, SoftwareVersion, Unit, Zone};
 
 use super::runner_record::RunnerRecord;
 
+/// What requirements restrict of a runner, beside its service.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct Place {
+    zone: Zone,
+    software_version: Option<SoftwareVersion>,
+}
+
 /// A unit on one runner.
 #[derive(Clone, Debug, PartialEq, Eq)]
 struct Copy {
     unit: Unit,
-    zone: Zone,
+    place: Place,
     is_offered: bool,
     is_pending: bool,
     is_cached: bool,
@@ -57,8 +64,8 @@
 #[derive(Debug, Default)]
 struct UnitCopies {
     everywhere: Counts,
-    /// Zones with a runner that offers it or will offer it.
-    by_zone: BTreeMap<Zone, Counts>,
+    /// Places with a runner that offers it or will offer it.
+    by_place: BTreeMap<Place, Counts>,
     /// Runners that offer it now.
     offered_at: BTreeSet<RunnerId>,
     /// Runners that have its weights in host memory or on disk.
@@ -90,7 +97,8 @@
             let unit = self.units.entry(copy.unit.clone()).or_default();
             unit.everywhere.add(copy);
             if copy.is_offered || copy.is_pending {
-                unit.by_zone.entry(copy.zone.clone()).or_default().add(copy);
+                let counts = unit.by_place.entry(copy.place.clone());
+                counts.or_default().add(copy);
             }
             if copy.is_offered {
                 unit.offered_at.insert(record.runner.id.clone());
@@ -110,50 +118,52 @@
             };
             unit.everywhere.subtract(&copy);
             if copy.is_offered || copy.is_pending {
-                if let Some(counts) = unit.by_zone.get_mut(&copy.zone) {
+                if let Some(counts) = unit.by_place.get_mut(&copy.place) {
                     counts.subtract(&copy);
                 }
-                unit.by_zone.retain(|_, counts| counts.all > 0);
+                unit.by_place.retain(|_, counts| counts.all > 0);
             }
             unit.offered_at.remove(runner);
             unit.cached_at.remove(runner);
-            if unit.by_zone.is_empty() && unit.cached_at.is_empty() {
+            if unit.by_place.is_empty() && unit.cached_at.is_empty() {
                 self.units.remove(&copy.unit);
             }
         }
     }
 
-    /// Numbers of runners within the homes of requests.
+    /// Numbers of runners that a requirement allows.
     fn counts(&self, requirement: &Requirement) -> Counts {
         let Some(unit) = self.units.get(&requirement.unit) else {
             return Counts::default();
         };
-        match &requirement.homes {
-            Homes::Anywhere => unit.everywhere,
-            homes @ Homes::Only(_) => {
-                let zones = unit.by_zone.iter();
-                let within_homes = zones.filter(|(zone, _)| self.regions.allow(homes, zone));
-                within_homes.fold(Counts::default(), |sum, (_, counts)| sum.plus(*counts))
-            }
+        if requirement.homes == Homes::Anywhere && requirement.software_version.is_none() {
+            return unit.everywhere;
         }
+        let allowed = unit.by_place.iter().filter(|(place, _)| {
+            let required = requirement.software_version.as_ref();
+            let allows_version =
+                required.is_none_or(|version| place.software_version.as_ref() == Some(version));
+            allows_version && self.regions.allow(&requirement.homes, &place.zone)
+        });
+        allowed.fold(Counts::default(), |sum, (_, counts)| sum.plus(*counts))
     }
 
-    /// Number of runners within the homes of requests that offer the unit now.
+    /// Number of runners that a requirement allows and that offer its unit now.
     pub fn offered(&self, requirement: &Requirement) -> usize {
         self.counts(requirement).offered
     }
 
-    /// Whether a runner within the homes of requests offers the unit now.
+    /// Whether a runner that a requirement allows offers its unit now.
     pub fn is_offered(&self, requirement: &Requirement) -> bool {
         self.offered(requirement) > 0
     }
 
-    /// Whether a runner within the homes of requests will offer the unit.
+    /// Whether a runner that a requirement allows will offer its unit.
     pub fn is_pending(&self, requirement: &Requirement) -> bool {
         self.counts(requirement).pending > 0
     }
 
-    /// Number of runners within the homes of requests that offer the unit now or will.
+    /// Number of runners that a requirement allows and that offer its unit now or will.
     pub fn count(&self, requirement: &Requirement) -> usize {
         self.counts(requirement).all
     }
@@ -172,18 +182,18 @@
 
     /// Whether a runner of the region offers the unit now or will.
     pub fn is_in_region(&self, unit: &Unit, region: &Region) -> bool {
-        let mut zones = self
+        let mut places = self
             .units
             .get(unit)
             .into_iter()
-            .flat_map(|it| it.by_zone.keys());
-        zones.any(|zone| self.regions.of(zone) == Some(region))
+            .flat_map(|it| it.by_place.keys());
+        places.any(|place| self.regions.of(&place.zone) == Some(region))
     }
 
     /// Whether a runner of the zone offers the unit now or will.
     pub fn is_in_zone(&self, unit: &Unit, zone: &Zone) -> bool {
         let unit = self.units.get(unit);
-        unit.is_some_and(|it| it.by_zone.contains_key(zone))
+        unit.is_some_and(|it| it.by_place.keys().any(|place| place.zone == *zone))
     }
 }
 
@@ -193,7 +203,10 @@
     units.sort();
     units.dedup();
     let copies = units.into_iter().map(|unit| Copy {
-        zone: record.runner.zone.clone(),
+        place: Place {
+            zone: record.runner.zone.clone(),
+            software_version: record.runner.software_version.clone(),
+        },
         is_offered: record.offers(&unit),
         is_pending: record.will_offer(&unit),
         is_cached: record.caches(&unit),
--- a/crates/routing/src/placement/limited_capacity.rs
+++ b/crates/routing/src/placement/limited_capacity.rs
@@ -71,7 +71,7 @@
     fn limited_copies(&self, requirement: &Requirement, now: Timestamp) -> Option<LimitedCopies> {
         let copies = self.copies.offered_at(&requirement.unit);
         let copies = copies.filter_map(|id| self.records.get(id));
-        let copies = copies.filter(|record| self.is_within_homes(record, &requirement.homes));
+        let copies = copies.filter(|record| self.is_allowed(record, requirement));
         let limited: Option<Vec<LimitedCopy>> = copies
             .map(|record| self.limited_copy(record, now))
             .collect();
--- a/crates/routing/src/placement/planner.rs
+++ b/crates/routing/src/placement/planner.rs
@@ -113,9 +113,8 @@
         awaited: &HashSet<Requirement>,
         now: Timestamp,
     ) -> bool {
-        let could_serve = |model: &Requirement| {
-            record.offers(&model.unit) && self.is_within_homes(record, &model.homes)
-        };
+        let could_serve =
+            |model: &Requirement| record.offers(&model.unit) && self.is_allowed(record, model);
         if !awaited.iter().any(could_serve) {
             return false;
         }
@@ -272,7 +271,7 @@
         let best = offering
             .filter_map(|runner| self.records.get(runner))
             .filter(|record| record.offers(&base) && !record.has(unit) && record.is_free(now))
-            .filter(|record| self.is_within_homes(record, &wanted.homes))
+            .filter(|record| self.is_allowed(record, wanted))
             .filter(|record| record.pending_adapter_count() < MAX_PENDING_ADAPTERS)
             .min_by_key(|record| {
                 let has_low_utilization = self.utilization(record, slots) < LOW_UTILIZATION;
--- a/crates/routing/src/placement/readiness.rs
+++ b/crates/routing/src/placement/readiness.rs
@@ -5,16 +5,23 @@
 
 use flaxward_types::time::{Timestamp, millis};
 
-use crate::homes::{Homes, Requirement};
+use crate::homes::Requirement;
 use crate::messages::UnitOutlook;
-use crate::names::{ServiceName, Unit, Zone};
+use crate::names::{ServiceName, SoftwareVersion, Unit, Zone};
 
 use super::runner_record::RunnerRecord;
 use super::{ADAPTER_TIME, Operation, Placement, UNLOAD_TIME};
 
-/// Shortest time until something is ready, by zone. There are few zones, so that a list is faster
+/// Where something will be ready: what requirements restrict of a runner, beside its service.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+struct Place<'a> {
+    zone: &'a Zone,
+    software_version: Option<&'a SoftwareVersion>,
+}
+
+/// Shortest time until something is ready, by place. There are few places, so that a list is faster
 /// than a map.
-type Waits<'a> = Vec<(&'a Zone, Duration)>;
+type Waits<'a> = Vec<(Place<'a>, Duration)>;
 
 /// Loads in progress and availability of all runners.
 #[derive(Debug)]
@@ -43,23 +50,26 @@
     }
 }
 
-/// Records a time if it is the shortest of its zone.
-fn record_shortest<'a>(waits: &mut Waits<'a>, zone: &'a Zone, wait: Duration) {
-    match waits.iter_mut().find(|(known, _)| *known == zone) {
+/// Records a time if it is the shortest of its place.
+fn record_shortest<'a>(waits: &mut Waits<'a>, place: Place<'a>, wait: Duration) {
+    match waits.iter_mut().find(|(known, _)| *known == place) {
         Some((_, shortest)) => *shortest = wait.min(*shortest),
-        None => waits.push((zone, wait)),
+        None => waits.push((place, wait)),
     }
 }
 
 impl<'a> ReadinessEstimates<'a> {
     fn add_runner(&mut self, record: &'a RunnerRecord) {
         let now = self.now;
-        let zone = &record.runner.zone;
+        let place = Place {
+            zone: &record.runner.zone,
+            software_version: record.runner.software_version.as_ref(),
+        };
         if let Some(state) = record.order_state()
             && state.order.operation == Operation::Load
         {
             let pending = self.pending.entry(&state.order.unit).or_default();
-            record_shortest(pending, zone, state.ready_at.since(now));
+            record_shortest(pending, place, state.ready_at.since(now));
         }
         if let Some(deferred_load) = &record.deferred_load
             && let unit = &deferred_load.requirement.unit
@@ -67,24 +77,28 @@
         {
             record_shortest(
                 self.pending.entry(unit).or_default(),
-                zone,
+                place,
                 load + UNLOAD_TIME,
             );
         }
         if record.takes_orders(now) {
             let free = self.free.entry(&record.runner.service).or_default();
-            record_shortest(free, zone, record.free_at(now).since(now));
+            record_shortest(free, place, record.free_at(now).since(now));
         }
     }
 
-    /// The shortest time within some homes.
-    fn shortest(&self, waits: Option<&Waits<'_>>, homes: &Homes) -> Option<Duration> {
+    /// The shortest time at a place that a requirement allows.
+    fn shortest(&self, waits: Option<&Waits<'_>>, requirement: &Requirement) -> Option<Duration> {
         let regions = &self.placement.regions;
-        let within_homes = waits?.iter().filter(|(zone, _)| regions.allow(homes, zone));
-        within_homes.map(|(_, wait)| *wait).min()
+        let required = requirement.software_version.as_ref();
+        let allowed = waits?.iter().filter(|(place, _)| {
+            let allows_version = required.is_none() || place.software_version == required;
+            allows_version && regions.allow(&requirement.homes, place.zone)
+        });
+        allowed.map(|(_, wait)| *wait).min()
     }
 
-    /// When a unit is ready within some homes, if it is being loaded or a runner for it can be
+    /// When a unit is ready at a runner that the requirement allows, if it is being loaded or a runner for it can be
     /// found.
     pub fn estimate(&self, requirement: &Requirement) -> Option<UnitOutlook> {
         let wait = self.wait_for(requirement)?;
@@ -102,17 +116,17 @@
             }
         }
         let pending = self.pending.get(&requirement.unit);
-        let pending = self.shortest(pending, &requirement.homes);
+        let pending = self.shortest(pending, requirement);
         pending.or_else(|| self.queue_estimate(requirement))
     }
 
     /// Time until a unit could be ready that has no runner assigned yet.
     fn queue_estimate(&self, requirement: &Requirement) -> Option<Duration> {
         let (placement, now) = (self.placement, self.now);
-        let Requirement { unit, homes, .. } = requirement;
+        let unit = &requirement.unit;
         let engine = placement.engines.get(&unit.service)?;
         engine.models.get(&unit.model)?;
-        let first_free = self.shortest(self.free.get(&unit.service), homes)?;
+        let first_free = self.shortest(self.free.get(&unit.service), requirement)?;
         let load = if unit.adapter.is_some() {
             ADAPTER_TIME
         } else {
@@ -121,7 +135,7 @@
         let cached = placement.copies.cached_at(unit);
         let cached = cached.filter_map(|id| placement.records.get(id));
         let from_copy = cached
-            .filter(|record| placement.is_within_homes(record, homes))
+            .filter(|record| placement.is_allowed(record, requirement))
             .filter(|record| record.takes_orders(now))
             .filter_map(|record| {
                 let load = placement.expected_load_time(record, unit)?;
--- a/crates/routing/src/placement/saturation.rs
+++ b/crates/routing/src/placement/saturation.rs
@@ -94,12 +94,12 @@
 
     /// Requests in progress on a model's copies within some homes.
     fn running_within(&self, model: &Requirement) -> u32 {
-        if model.homes == Homes::Anywhere {
+        if model.homes == Homes::Anywhere && model.software_version.is_none() {
             return self.demands.running_model(&model.unit);
         }
         let copies = self.copies.offered_at(&model.unit);
         let records = copies.filter_map(|id| self.records.get(id));
-        let within_homes = records.filter(|record| self.is_within_homes(record, &model.homes));
+        let within_homes = records.filter(|record| self.is_allowed(record, model));
         within_homes
             .map(|record| self.demands.running(&record.runner.id, &model.unit))
             .sum()
--- a/crates/routing/tests/balance.rs
+++ b/crates/routing/tests/balance.rs
@@ -134,6 +134,7 @@
             unit: Some(&unit),
             affinity: Some(prompt),
             homes: &Homes::Anywhere,
+            software_version: None,
             tried: &[],
             permit_waits: &[],
         };
@@ -242,6 +243,7 @@
                 unit: Some(&unit),
                 affinity: None,
                 homes: &Homes::Anywhere,
+                software_version: None,
                 tried: &[],
                 permit_waits: &[],
             };
@@ -291,6 +293,7 @@
         unit: Some(&unit),
         affinity: None,
         homes: &Homes::Anywhere,
+        software_version: None,
         tried,
         permit_waits,
     };
--- a/crates/routing/tests/decisions.rs
+++ b/crates/routing/tests/decisions.rs
@@ -287,6 +287,7 @@
             unit,
             affinity: Some(7),
             homes: &Homes::Anywhere,
+            software_version: None,
             tried,
             permit_waits: &[],
         };
--- a/crates/routing/tests/wire/extensions.rs
+++ b/crates/routing/tests/wire/extensions.rs
@@ -13,6 +13,10 @@
 };
 use flaxward_routing::names::{ModelName, RunnerId, ServiceName, SoftwareVersion, Unit, Zone};
 use flaxward_routing::revision::{EraStart, StoreEra, StoreRevision};
+use flaxward_routing::stream_origins::messages::{
+    OriginAnswer, OriginAnswers, OriginQuestion, OriginQuestions, StreamOriginRecords, StreamRecord,
+};
+use flaxward_routing::stream_origins::{OriginKnowledge, StreamKey, StreamOrigin};
 
 const EXTENSIONS: &str = include_str!("extensions.txt");
 
@@ -117,8 +121,50 @@
     })
 }
 
+/// Messages about the origins of streams, each kind.
+fn stream_origins() -> [Message; 3] {
+    let origin = |version: &str| StreamOrigin {
+        service: ServiceName::new("pool"),
+        version: SoftwareVersion::new(version),
+    };
+    let record = |request: &str, origin: u8| StreamRecord {
+        key: StreamKey::of(request),
+        origin,
+        seconds_left: 20,
+    };
+    let answer = |number, knowledge| OriginAnswer { number, knowledge };
+    let only = OriginKnowledge::OneVersion {
+        version: SoftwareVersion::new("v1"),
+        covers_window: true,
+    };
+    [
+        Message::StreamOrigins(StreamOriginRecords {
+            origins: vec![origin("v1"), origin("v2")],
+            streams: vec![record("r1", 0), record("r2", 1)],
+        }),
+        Message::OriginQuestions(OriginQuestions {
+            from: SocketAddr::from(([10, 0, 0, 1], 7_080)),
+            requests: vec![OriginQuestion {
+                number: 300,
+                key: Some(StreamKey::of("r1")),
+                service: ServiceName::new("pool"),
+                window_ms: 15_000,
+            }],
+        }),
+        Message::OriginAnswers(OriginAnswers {
+            answers: vec![
+                answer(1, OriginKnowledge::Recorded(origin("v1"))),
+                answer(2, only),
+                answer(3, OriginKnowledge::SeveralVersions),
+                answer(4, OriginKnowledge::NoRunner),
+            ],
+        }),
+    ]
+}
+
 /// Messages by name, each with its sender.
 fn samples() -> Vec<(&'static str, Encoding, Message)> {
+    let [records, questions, answers] = stream_origins();
     vec![
         ("store-unknown", Encoding::default(), notice(revision(0, 0))),
         ("first-era", known_since(0), notice(revision(0, 65))),
@@ -130,6 +176,9 @@
             known_since(0),
             membership_with_versions(),
         ),
+        ("stream-origins", known_since(0), records),
+        ("origin-questions", known_since(0), questions),
+        ("origin-answers", known_since(0), answers),
     ]
 }
 
--- a/crates/types/src/code.rs
+++ b/crates/types/src/code.rs
@@ -101,6 +101,10 @@
     QuotaExceeded = 2012, 429, Certain, "the requests of this tenant exceed its quota";
     /// The homes of route and tenant have no region in common, or no runner of the service that takes work is in one.
     NoHomeRunner = 2013, 503, Certain, "no runner may serve this request in its home regions";
+    /// No runner that takes work has the software version that began the stream.
+    NoRunnerOfVersion = 2014, 503, Certain, "no runner has the software version that began the stream";
+    /// No daemon knows which software version began the stream, and the service has had several.
+    StreamOriginUnknown = 2015, 503, Certain, "the software version that began the stream is not known";
 
     /// The back end broke off after the request was sent; it may have run.
     OutcomeUnknown = 3001, 502, Unknown, "the back end broke off; the request may have run";
