What a crashed runner held is loaded elsewhere before its entry expires

Cause: a daemon that found nothing listening at a runner's port ejected it for its own requests only. The runner went on counting as a holder, here and at the coordinator, so nothing waited for another copy and none was loaded.

The port is also checked after streams that had run for long; a break that leaves the port open changes nothing.

--- a/crates/ingress/src/coordination/leader.rs
+++ b/crates/ingress/src/coordination/leader.rs
@@ -1,11 +1,13 @@
 //! Coordinator role while this daemon holds the lease: schedules plans, and records what the members report.
 
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::time::Duration;
 
 use flaxward_routing::dissemination::{Dissemination, Outgoing, relays_of};
 use flaxward_routing::lease::LeaseHeartbeat;
 use flaxward_routing::messages::{Direction, HoldingsSummary, Usage, WaitNotice};
+use flaxward_routing::names::RunnerId;
 use flaxward_routing::permits::keeper::PermitKeeper;
 use flaxward_routing::placement::{Action, Placement};
 use flaxward_routing::quota::QuotaNews;
@@ -30,12 +32,13 @@
 const STARTUP_PERIOD: Duration = Duration::from_secs(4);
 
 /// Versions of the tables that the placement was last given.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 struct PlacementInputs {
     runner_changes: u64,
     configuration_version: u64,
     evacuations_revision: u64,
     leave_count: u64,
+    down: BTreeSet<RunnerId>,
 }
 
 /// This daemon's coordination under one term.
@@ -147,10 +150,11 @@
             configuration_version: configuration.map_or(0, |it| it.version),
             evacuations_revision: tables.evacuations.revision,
             leave_count: tables.notices.leave_count(),
+            down: tables.notices.down(now),
         };
-        if tables.runners_known && self.placement_inputs != Some(inputs) {
+        if tables.runners_known && self.placement_inputs.as_ref() != Some(&inputs) {
+            self.update_runners(&tables, &inputs.down);
             self.placement_inputs = Some(inputs);
-            self.update_runners(&tables);
             if !self.has_assumed_holdings {
                 self.has_assumed_holdings = true;
                 self.placement.assume_holdings(&tables.runners);
@@ -161,10 +165,10 @@
         self.placement.plan(now)
     }
 
-    /// Gives the placement the list of runners. Runners in an evacuated zone count as draining, as do runners that are
+    /// Gives the placement the list of runners. Runners in an evacuated zone count as draining, as do crashed ones and those that are
     /// leaving, so that nothing is loaded there; a runner may announce in its answers that it is leaving before the list
     /// shows it.
-    fn update_runners(&mut self, tables: &Tables) {
+    fn update_runners(&mut self, tables: &Tables, down: &BTreeSet<RunnerId>) {
         let Tables {
             evacuations,
             notices,
@@ -172,7 +176,7 @@
         } = tables;
         let mut leaving = notices.leaving();
         let has_leaving = leaving.any(|id| tables.runners.get(id).is_some());
-        if evacuations.zones.is_empty() && !has_leaving {
+        if evacuations.zones.is_empty() && !has_leaving && down.is_empty() {
             // Avoids copying thousands of runners.
             self.placement.set_runners(tables.runners.iter());
             return;
@@ -183,6 +187,7 @@
             .map(|runner| Runner {
                 draining: runner.draining
                     || notices.is_leaving(&runner.id)
+                    || down.contains(&runner.id)
                     || evacuations.includes(runner),
                 ..runner.clone()
             })
--- a/crates/ingress/src/coordination/mod.rs
+++ b/crates/ingress/src/coordination/mod.rs
@@ -234,6 +234,7 @@
         self.quotas.report(&self.shared, &self.peers, now);
         self.quotas.send_questions(&self.shared, &self.peers, now);
         self.send_notices(now);
+        self.report_runners_down(now);
         self.send_permit_questions(now);
         self.send_stream_origins(now);
         self.send_origin_questions();
@@ -500,6 +501,7 @@
                 self.answer_permit_questions(&questions, now);
             }
             Message::PermitAnswers(answers) => apply_permit_answers(&self.shared, &answers),
+            Message::RunnersDown(runners) => self.record_runners_down(&runners),
             Message::StreamOrigins(records) => {
                 let now = self.shared.now();
                 self.shared.tables().stream_origins.apply(&records, now);
--- a/crates/ingress/src/coordination/notices.rs
+++ b/crates/ingress/src/coordination/notices.rs
@@ -32,6 +32,28 @@
         }
     }
 
+    /// Reports crashed runners to the coordinator, which loads elsewhere what they held.
+    pub(super) fn report_runners_down(&mut self, now: Timestamp) {
+        let unsent = self.shared.unsent_down.lock();
+        let runners = unsent.map(|mut unsent| std::mem::take(&mut *unsent));
+        let runners: Vec<RunnerId> = runners.unwrap_or_default().into_iter().collect();
+        if runners.is_empty() {
+            return;
+        }
+        if let Some(leader) = &mut self.leader {
+            leader.schedule_plan(now);
+        } else if let Some(coordinator) = self.follower.coordinator() {
+            self.peers.send(coordinator, &Message::RunnersDown(runners));
+        }
+    }
+
+    /// Records crashed runners that another daemon has reported.
+    pub(super) fn record_runners_down(&mut self, runners: &[RunnerId]) {
+        for runner in runners {
+            self.shared.record_down(runner);
+        }
+    }
+
     /// Merges the notices of another daemon, from a message that arrived no earlier than `earliest_arrival`. The
     /// coordinator forwards what has changed, and sends the current state to a sender that is out of date.
     pub(super) fn merge_notices(&mut self, received: &RunnerNotices, earliest_arrival: Timestamp) {
--- a/crates/ingress/src/crashes.rs
+++ b/crates/ingress/src/crashes.rs
@@ -38,6 +38,7 @@
     let shared = shared.clone();
     let check = tokio::spawn(async move {
         if shared.is_refused(address).await {
+            shared.record_down(&runner);
             shared.log_crash(&report, &runner, &id);
             shared.report_run(report);
         }
@@ -46,6 +47,19 @@
     let _ = timeout(CRASH_CHECK_TIMEOUT, check).await;
 }
 
+/// Checks whether a runner crashed that broke off a stream, without attributing the crash to the stream.
+pub(crate) async fn check_whether_down(shared: &Arc<Shared>, runner: &Runner) {
+    let (id, address) = (runner.id.clone(), runner.address);
+    let shared = shared.clone();
+    let check = tokio::spawn(async move {
+        if shared.is_refused(address).await {
+            shared.record_down(&id);
+        }
+    });
+    // The check continues in the background if it takes longer.
+    let _ = timeout(CRASH_CHECK_TIMEOUT, check).await;
+}
+
 /// Whether a runner is draining or no longer listed.
 fn is_leaving(shared: &Shared, runner: &RunnerId) -> bool {
     let tables = shared.tables();
@@ -85,6 +99,22 @@
         self.report_run(report);
     }
 
+    /// Records that nothing listens at a runner's port. Requests wait for other runners to load what it held, and the
+    /// coordinator is told, which otherwise counts its copies until its entry has expired.
+    pub(crate) fn record_down(&self, runner: &RunnerId) {
+        let now = self.now();
+        if !self.tables().notices.record_down(runner, now) {
+            return;
+        }
+        let fields: &[(&str, &dyn Display)] = &[("runner", runner)];
+        self.log.write(now, "runner-down", fields);
+        if let Ok(mut unsent) = self.unsent_down.lock() {
+            unsent.insert(runner.clone());
+        }
+        self.keeper_wake.notify_one();
+        self.changed.notify_waiters();
+    }
+
     fn log_crash(&self, report: &RunReport, runner: &RunnerId, request: &str) {
         metrics::counter!(RUNNER_CRASHES.name).increment(1);
         let fields: &[(&str, &dyn Display)] = &[
--- a/crates/ingress/src/exchange.rs
+++ b/crates/ingress/src/exchange.rs
@@ -197,6 +197,9 @@
     let mut connection = match connected.unwrap_or(Err(ConnectError::TimedOut)) {
         Ok(connection) => connection,
         Err(error) => {
+            if error == ConnectError::Refused {
+                shared.record_down(&runner.id);
+            }
             let observation = Some(Observation::Unreachable);
             let connection = AttemptConnection::None(error);
             return Err(FailedAttempt::new(
--- a/crates/ingress/src/relay.rs
+++ b/crates/ingress/src/relay.rs
@@ -18,7 +18,7 @@
 use tokio::time::{Instant, timeout, timeout_at};
 
 use crate::counters::{STREAMS_BROKEN, STREAMS_LATE, STREAMS_RESUMED};
-use crate::crashes::check_for_crash;
+use crate::crashes::{check_for_crash, check_whether_down};
 use crate::exchange::{ClientRequest, Continuation, Exchange, FailedAttempt, exchange};
 use crate::permits::{Admission, admit_until};
 use crate::responses::ResponseBody;
@@ -285,8 +285,12 @@
             return self.replace_stalled(exchange, silent_since).await;
         }
         self.attempts.record_failure(failure);
-        if is_crash_suspect && let Some(exchange) = &current {
-            check_for_crash(&self.shared, &self.request, &exchange.runner).await;
+        if let Some(exchange) = &current {
+            if is_crash_suspect {
+                check_for_crash(&self.shared, &self.request, &exchange.runner).await;
+            } else {
+                check_whether_down(&self.shared, &exchange.runner).await;
+            }
         }
         drop(current);
         self.fail_over(silent_since).await
--- a/crates/ingress/src/state.rs
+++ b/crates/ingress/src/state.rs
@@ -129,6 +129,8 @@
     /// Notified when there is something to send to a keeper of quotas or permits, or to the
     /// coordinator.
     pub keeper_wake: Notify,
+    /// Crashed runners of which the coordinator has not been told yet.
+    pub unsent_down: Mutex<BTreeSet<RunnerId>>,
     /// Run reports not sent to the keepers of the quarantine yet.
     pub run_reports: Mutex<Vec<RunReport>>,
     /// Notified when a run report is added.
@@ -215,6 +217,7 @@
             origin_questions: KeeperClient::default(),
             unsent_notices: Mutex::default(),
             keeper_wake: Notify::new(),
+            unsent_down: Mutex::default(),
             run_reports: Mutex::default(),
             run_reported: Notify::new(),
             quarantine_changes: watch::Sender::new(0),
--- a/crates/ingress/tests/ingress/software_versions.rs
+++ b/crates/ingress/tests/ingress/software_versions.rs
@@ -4,14 +4,20 @@
 //! not check it. In an incident 39 streams went on at another version than the one that began them, within an answer
 //! after their runner had crashed, and over the tries of clients after their daemon had.
 
-use std::sync::Arc;
+use std::collections::{BTreeSet, HashMap};
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
-use flaxward_routing::names::{SoftwareVersion, Zone};
+use async_trait::async_trait;
+use flaxward_ingress::interfaces::{FencedOrder, RunnerControl};
+use flaxward_routing::names::{ModelName, SoftwareVersion, Zone};
+use flaxward_routing::placement::{OrderAnswer, RunnerReport};
 use flaxward_routing::runners::Runner;
 use tokio::runtime::Runtime;
 use tokio::time::{Instant, sleep};
 
+use crate::crashing_runner::{CRASHING_BODY, CrashingRunner};
 use crate::runner::{Behaviour, ScriptedRunner};
 use crate::store::MemoryStore;
 use crate::support::{
@@ -32,19 +38,28 @@
 /// Daemons that share a store, each with a runtime of its own, so that one can be killed.
 struct Cluster {
     store: MemoryStore,
-    control: Arc<ImmediateLoadControl>,
+    control: Arc<dyn RunnerControl>,
     daemons: Vec<(TestIngress, Option<Runtime>)>,
 }
 
 impl Cluster {
     /// Starts the daemons. The first one is the coordinator.
     async fn start(runners: Vec<Runner>, zones: &[&str]) -> Self {
+        let control = Arc::new(ImmediateLoadControl::default());
+        Self::start_with(runners, zones, control).await
+    }
+
+    async fn start_with(
+        runners: Vec<Runner>,
+        zones: &[&str],
+        control: Arc<dyn RunnerControl>,
+    ) -> Self {
         let store = MemoryStore::default();
         store.set_runners(runners);
         store.set_configuration(configuration(1, Vec::new()));
         let mut cluster = Self {
             store,
-            control: Arc::new(ImmediateLoadControl::default()),
+            control,
             daemons: Vec::new(),
         };
         for (index, zone) in zones.iter().enumerate() {
@@ -254,6 +269,77 @@
     assert_eq!(same.received().len(), 1);
 }
 
+/// Control interface of runners that each execute load orders immediately, until they crash.
+struct SeparateRunners {
+    crashing: CrashingRunner,
+    loaded: Mutex<HashMap<SocketAddr, Vec<ModelName>>>,
+}
+
+impl SeparateRunners {
+    fn is_down(&self, address: SocketAddr) -> bool {
+        address == self.crashing.address && self.crashing.has_crashed()
+    }
+
+    fn loaded(&self, address: SocketAddr) -> Vec<ModelName> {
+        let loaded = self.loaded.lock().unwrap();
+        loaded.get(&address).cloned().unwrap_or_default()
+    }
+}
+
+#[async_trait]
+impl RunnerControl for SeparateRunners {
+    async fn report(&self, address: SocketAddr) -> Option<RunnerReport> {
+        let loaded = self.loaded(address);
+        let order_count = u64::try_from(loaded.len()).unwrap();
+        (!self.is_down(address)).then(|| RunnerReport {
+            holdings: loaded
+                .into_iter()
+                .map(|model| (model, BTreeSet::new()))
+                .collect(),
+            order_count,
+            ..RunnerReport::default()
+        })
+    }
+
+    async fn order(&self, address: SocketAddr, order: &FencedOrder<'_>) -> OrderAnswer {
+        if self.is_down(address) {
+            return OrderAnswer::Unknown;
+        }
+        let mut loaded = self.loaded.lock().unwrap();
+        let model = order.order.unit.model.clone();
+        loaded.entry(address).or_default().push(model);
+        OrderAnswer::Accepted
+    }
+}
+
+/// Guards against requests that are refused because the only holder of their model has crashed: its entry stays in the list
+/// for seconds, so the coordinator counted its copy and nothing was loaded elsewhere.
+#[tokio::test(flavor = "multi_thread")]
+async fn what_a_crashed_runner_held_is_loaded_elsewhere_before_its_entry_expires() {
+    let crashing = CrashingRunner::start().await;
+    let other = ScriptedRunner::start(Vec::new()).await;
+    let control = Arc::new(SeparateRunners {
+        crashing: crashing.clone(),
+        loaded: Mutex::default(),
+    });
+    let first = support::runner(0, crashing.address);
+    let cluster = Cluster::start_with(vec![first.clone()], &["z1", "z0"], control).await;
+    sleep(Duration::from_millis(3_000)).await;
+    let rare = |id: &str| {
+        let request = cluster.daemon(1).request("/safe/x", id);
+        request.header("x-model", RARE_MODEL)
+    };
+    assert_eq!(rare("loads").send().await.unwrap().status(), 200);
+    cluster
+        .store
+        .set_runners(vec![first, runner(1, &other, "v1")]);
+    sleep(Duration::from_millis(1_200)).await;
+    let response = rare("crashes").body(CRASHING_BODY).send().await.unwrap();
+    assert!(crashing.has_crashed());
+    assert_eq!(response.status(), 200);
+    assert_eq!(other.received().len(), 1);
+}
+
 /// Guards against refusing what is safe: while a service has had one software version, its streams are taken up at any
 /// daemon, though none has recorded their beginnings.
 #[tokio::test(flavor = "multi_thread")]
--- a/crates/routing/src/availability.rs
+++ b/crates/routing/src/availability.rs
@@ -42,9 +42,11 @@
         self.locality.regions().allow(homes, &runner.zone)
     }
 
-    /// Whether a runner has the unit of a request loaded; true if the request needs none.
+    /// Whether a runner has the unit of a request loaded; true if the request needs none. A crashed runner has lost what it
+    /// held, so that requests wait for another one to load it.
     pub fn holds_unit(&self, runner: &Runner, unit: Option<&Unit>, now: Timestamp) -> bool {
-        unit.is_none_or(|unit| self.runners.holds(runner, unit, now))
+        let is_down = || self.notices.is_down(&runner.id, now);
+        unit.is_none_or(|unit| !is_down() && self.runners.holds(runner, unit, now))
     }
 
     /// Whether an eligible runner in the home regions of the requirement, of the software version that it allows, has its
--- a/crates/routing/src/encoding.rs
+++ b/crates/routing/src/encoding.rs
@@ -324,7 +324,8 @@
             | Self::RunnerNotices(_)
             | Self::StreamOrigins(_)
             | Self::OriginQuestions(_)
-            | Self::OriginAnswers(_) => {}
+            | Self::OriginAnswers(_)
+            | Self::RunnersDown(_) => {}
         }
     }
 }
--- a/crates/routing/src/messages.rs
+++ b/crates/routing/src/messages.rs
@@ -73,6 +73,8 @@
     OriginQuestions(OriginQuestions),
     /// Reply to [`Message::OriginQuestions`].
     OriginAnswers(OriginAnswers),
+    /// From any daemon to the coordinator: runners at whose ports nothing listens.
+    RunnersDown(Vec<RunnerId>),
 }
 
 /// A request for a newer configuration.
@@ -363,6 +365,7 @@
             Self::StreamOrigins(_) => "stream-origins",
             Self::OriginQuestions(_) => "origin-questions",
             Self::OriginAnswers(_) => "origin-answers",
+            Self::RunnersDown(_) => "runners-down",
         }
     }
 }
--- a/crates/routing/src/notices.rs
+++ b/crates/routing/src/notices.rs
@@ -1,6 +1,6 @@
 //! Runner state reported in the response heads of runners. It is more recent than any list.
 
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -15,6 +15,10 @@
 /// during the few seconds for which an entry may be missing.
 const MAX_UNLISTED: usize = 1_024;
 
+/// Time for which a runner counts as down after nothing listened at its port. It is longer than a crashed runner stays in
+/// the list, and short enough for one that is back under the same identity.
+const DOWN_TTL: Duration = Duration::from_secs(3);
+
 /// What one response head says about the runner that sent it.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct RunnerNotice {
@@ -122,9 +126,32 @@
     pub rejections: RejectionBudgets,
     /// Number of runners that were found to be leaving.
     leave_count: u64,
+    /// Until when runners at whose port nothing listens count as down.
+    down_until: HashMap<RunnerId, Timestamp>,
 }
 
 impl Notices {
+    /// Records that nothing listens at a runner's port, so that it has crashed: its entry stays in the list for seconds.
+    /// Returns whether the runner was not known to be down.
+    pub fn record_down(&mut self, runner: &RunnerId, now: Timestamp) -> bool {
+        self.down_until.retain(|_, until| *until > now);
+        let until = now + DOWN_TTL;
+        self.down_until.insert(runner.clone(), until).is_none()
+    }
+
+    /// Whether nothing listened at a runner's port lately.
+    pub fn is_down(&self, runner: &RunnerId, now: Timestamp) -> bool {
+        self.down_until
+            .get(runner)
+            .is_some_and(|until| *until > now)
+    }
+
+    /// All runners at whose ports nothing listened lately.
+    pub fn down(&self, now: Timestamp) -> BTreeSet<RunnerId> {
+        let down = self.down_until.iter().filter(|(_, until)| **until > now);
+        down.map(|(runner, _)| runner.clone()).collect()
+    }
+
     /// Applies what a response says, to a request that was sent at `sent_at`. Returns whether that is new.
     pub fn apply_answer(
         &mut self,
--- a/crates/routing/tests/wire/extensions.rs
+++ b/crates/routing/tests/wire/extensions.rs
@@ -179,6 +179,11 @@
         ("stream-origins", known_since(0), records),
         ("origin-questions", known_since(0), questions),
         ("origin-answers", known_since(0), answers),
+        (
+            "runners-down",
+            known_since(0),
+            Message::RunnersDown(vec![RunnerId::new("i-1"), RunnerId::new("i-2")]),
+        ),
     ]
 }
 
