--- a/crates/ingress/tests/ingress/crashing_runner.rs
+++ b/crates/ingress/tests/ingress/crashing_runner.rs
@@ -1,4 +1,4 @@
-//! A runner that crashes when it starts to run a request with a certain body.
+//! A runner that crashes when it starts to run a request with a certain body or with a certain part in its prompt.
 
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -14,6 +14,9 @@
 /// Body of the request that crashes runners.
 pub const CRASHING_BODY: &str = "crash";
 
+/// Part of a prompt that crashes runners, whatever else the request holds.
+pub const CRASHING_PART: &str = "77";
+
 /// A runner that answers all other requests with 200 `done`.
 #[derive(Clone)]
 pub struct CrashingRunner {
@@ -67,7 +70,9 @@
     async fn answer_all(&self, stream: &mut TcpStream) {
         while let Some(request) = read_request(stream).await {
             let id = request.header("x-id").unwrap_or_default();
-            if request.body == CRASHING_BODY.as_bytes() {
+            let parts = request.header("x-parts").unwrap_or_default();
+            let has_part = parts.split(',').any(|part| part == CRASHING_PART);
+            if has_part || request.body == CRASHING_BODY.as_bytes() {
                 self.arrivals.fetch_add(1, Ordering::Relaxed);
                 let head = format!(
                     "HTTP/1.1 200 OK\r\nx-id: {id}\r\nx-stamp: s\r\ntransfer-encoding: chunked\r\n\r\n"
--- a/crates/ingress/tests/ingress/main.rs
+++ b/crates/ingress/tests/ingress/main.rs
@@ -4,6 +4,7 @@
 mod brittle_runners;
 mod cold_runners;
 mod coordination;
+mod crashing_parts;
 mod crashing_requests;
 mod crashing_runner;
 mod failures;
--- a/crates/ingress/tests/ingress/support.rs
+++ b/crates/ingress/tests/ingress/support.rs
@@ -29,7 +29,7 @@
 use flaxward_routing::placement::{OrderAnswer, PlacementSettings, RunnerReport};
 use flaxward_routing::quarantine::QuarantineSettings;
 use flaxward_routing::rate_limit::RequestRate;
-use flaxward_routing::request::RequestProfile;
+use flaxward_routing::request::{PromptPart, RequestProfile};
 use flaxward_routing::runners::Runner;
 use flaxward_routing::strength::MachineStrength;
 use flaxward_routing::tenants::{KeyDigest, Quota, QuotaUnit, Tenant, TenantKeys, Tenants};
@@ -45,7 +45,7 @@
 pub const RARE_MODEL: &str = "rare";
 pub const OTHER_RARE_MODEL: &str = "other";
 
-/// Wire format of the tests, with the headers `x-id`, `x-deadline`, `x-model`, `last-event-id`, `x-resumes`,
+/// Wire format of the tests, with the headers `x-id`, `x-deadline`, `x-model`, `last-event-id`, `x-resumes`, `x-parts`,
 /// `x-stamp`, `x-not-run`, `x-leaves`, `x-rate-limit`, `x-rejection-limit`, `x-rest`.
 struct TestSurface;
 
@@ -53,6 +53,17 @@
     headers.get(name)?.to_str().ok()
 }
 
+/// The parts of the prompt: `ID,ID`.
+fn parts(headers: &HeaderMap) -> Vec<PromptPart> {
+    let ids = header_text(headers, "x-parts").into_iter();
+    let ids = ids.flat_map(|ids| ids.split(','));
+    ids.map(|id| PromptPart {
+        id: id.parse().unwrap(),
+        tokens: 10,
+    })
+    .collect()
+}
+
 impl Surface for TestSurface {
     fn ready_path(&self) -> &str {
         "/ready"
@@ -65,6 +76,7 @@
             id: id.to_owned(),
             deadline: deadline.map(Duration::from_millis),
             model: header_text(headers, "x-model").map(|name| (ModelName::new(name), None)),
+            parts: parts(headers),
             last_event: header_text(headers, "last-event-id").map(str::to_owned),
             resumes: header_text(headers, "x-resumes").map(str::to_owned),
             ..RequestProfile::default()
