A part of prompts that crashes runners is quarantined, whatever else the requests hold

Cause: crashes were counted by a digest of the whole request, and no two of these requests are alike, so no count reached the bound (the log: 13 crashes under nine fingerprints in the first second).

Why it works: each part but the last has a fingerprint too, and goes through the same counting, telling and lasting. Only what broke off before its first event is suspected, since such a part strikes at the beginning of the answer; a first event shows that all parts of its prompt are sound, and whoever has seen one clears the part at all daemons. So parts that sound requests share with crashing ones are not withheld.

--- a/crates/ingress/src/crashes.rs
+++ b/crates/ingress/src/crashes.rs
@@ -21,10 +21,14 @@
 /// Checks whether a runner crashed under a request that had just started there and broke off, and
 /// records it. A runner that only breaks connections still listens; a draining one may exit with
 /// its last requests.
+///
+/// Parts of its prompt are suspected too, unless an answer on them has begun: at this daemon, or in this request
+/// (`has_begun`).
 pub(crate) async fn check_for_crash(
     shared: &Arc<Shared>,
     request: &ClientRequest,
     runner: &Runner,
+    has_begun: bool,
 ) {
     if shared.settings.quarantine.crashes == 0 || is_leaving(shared, &runner.id) {
         return;
@@ -33,14 +37,26 @@
         fingerprint: request.fingerprint(),
         outcome: RunOutcome::Crashed(runner.id.clone()),
     };
+    let parts = if has_begun {
+        Vec::new()
+    } else {
+        request.part_fingerprints()
+    };
     let (id, address) = (request.profile.id.clone(), runner.address);
     let runner = runner.id.clone();
     let shared = shared.clone();
     let check = tokio::spawn(async move {
         if shared.is_refused(address).await {
             shared.record_down(&runner);
-            shared.log_crash(&report, &runner, &id);
+            shared.log_crash(&report, &parts, &runner, &id);
             shared.report_run(report);
+            for fingerprint in parts {
+                let outcome = RunOutcome::Crashed(runner.clone());
+                shared.report_run(RunReport {
+                    fingerprint,
+                    outcome,
+                });
+            }
         }
     });
     // The check continues in the background if it takes longer.
@@ -60,6 +76,11 @@
     let _ = timeout(CRASH_CHECK_TIMEOUT, check).await;
 }
 
+fn join(parts: &[RequestFingerprint]) -> String {
+    let parts: Vec<String> = parts.iter().map(ToString::to_string).collect();
+    parts.join(",")
+}
+
 /// Whether a runner is draining or no longer listed.
 fn is_leaving(shared: &Shared, runner: &RunnerId) -> bool {
     let tables = shared.tables();
@@ -77,13 +98,50 @@
 }
 
 impl Shared {
-    /// Remaining quarantine of a request; `None` if it is not quarantined.
+    /// Remaining quarantine of a request or of a part of its prompt; `None` if neither is quarantined.
     pub(crate) fn quarantine_remaining(&self, request: &ClientRequest) -> Option<Duration> {
         if self.tables().quarantine.is_empty() {
             return None;
         }
         let fingerprint = request.fingerprint();
-        self.tables().quarantine.remaining(&fingerprint, self.now())
+        let parts = request.part_fingerprints();
+        let now = self.now();
+        let tables = self.tables();
+        let suspected = parts
+            .iter()
+            .filter(|part| !tables.sound_parts.contains(part, now));
+        let remaining = std::iter::once(&fingerprint)
+            .chain(suspected)
+            .filter_map(|fingerprint| tables.quarantine.remaining(fingerprint, now));
+        remaining.max()
+    }
+
+    /// Records that a runner has begun the answer to a request: no part of its prompt crashes runners.
+    pub(crate) fn record_begun(&self, request: &ClientRequest) {
+        let parts = request.part_fingerprints();
+        if parts.is_empty() {
+            return;
+        }
+        let now = self.now();
+        let mut tables = self.tables();
+        for part in &parts {
+            tables.sound_parts.record(*part, now);
+        }
+        let is_any_suspected = !tables.quarantine.is_empty();
+        drop(tables);
+        if is_any_suspected {
+            self.report_sound(&parts);
+        }
+    }
+
+    fn report_sound(&self, parts: &[RequestFingerprint]) {
+        for &fingerprint in parts {
+            let outcome = RunOutcome::Completed;
+            self.report_run(RunReport {
+                fingerprint,
+                outcome,
+            });
+        }
     }
 
     /// Records that a runner has answered a request completely: earlier crashes under it had
@@ -115,12 +173,19 @@
         self.changed.notify_waiters();
     }
 
-    fn log_crash(&self, report: &RunReport, runner: &RunnerId, request: &str) {
+    fn log_crash(
+        &self,
+        report: &RunReport,
+        parts: &[RequestFingerprint],
+        runner: &RunnerId,
+        request: &str,
+    ) {
         metrics::counter!(RUNNER_CRASHES.name).increment(1);
         let fields: &[(&str, &dyn Display)] = &[
             ("runner", runner),
             ("request", &request),
             ("fingerprint", &report.fingerprint),
+            ("parts", &join(parts)),
         ];
         self.log.write(self.now(), "runner-crashed", fields);
     }
@@ -147,7 +212,13 @@
     /// Records a run of any daemon.
     pub(crate) fn record_run(&self, report: &RunReport) -> Recorded {
         let now = self.now();
-        let recorded = self.tables().quarantine.record(report, now);
+        let mut tables = self.tables();
+        let is_crash = matches!(report.outcome, RunOutcome::Crashed(_));
+        if is_crash && tables.sound_parts.contains(&report.fingerprint, now) {
+            return Recorded::Unchanged;
+        }
+        let recorded = tables.quarantine.record(report, now);
+        drop(tables);
         match recorded {
             Recorded::Quarantined => self.log_quarantined(&[report.fingerprint], "crashes"),
             Recorded::Cleared => {
@@ -162,8 +233,13 @@
     /// Merges quarantine entries of others; `source` is logged.
     pub(crate) fn merge_quarantine(&self, entries: &[QuarantineEntry], source: &str) {
         let now = self.now();
-        let added = self.tables().quarantine.merge(entries, now);
+        let mut tables = self.tables();
+        let added = tables.quarantine.merge(entries, now);
+        let is_sound = |part: &RequestFingerprint| tables.sound_parts.contains(part, now);
+        let sound: Vec<RequestFingerprint> = added.iter().copied().filter(is_sound).collect();
+        drop(tables);
         self.log_quarantined(&added, source);
+        self.report_sound(&sound);
     }
 
     fn log_quarantined(&self, fingerprints: &[RequestFingerprint], source: &str) {
--- a/crates/ingress/src/dispatch.rs
+++ b/crates/ingress/src/dispatch.rs
@@ -185,7 +185,7 @@
                 Err(failed) => self.record_failed_attempt(&runner, failed, sent_at.elapsed()),
             }
             if self.last_failure == Some(Failure::Broken) {
-                check_for_crash(&self.shared, &self.request, &runner).await;
+                check_for_crash(&self.shared, &self.request, &runner, false).await;
             }
             let max_attempts = self.route.max_attempts;
             if !self.attempts.may_retry(self.route.kind, max_attempts) {
@@ -401,6 +401,7 @@
             let observation = Some(Observation::Failure);
             return Err(FailedAttempt::new(failure, observation, connection));
         }
+        self.shared.record_begun(&self.request);
         self.shared.record_stream_origin(&self.request, &runner);
         relay.attempts = self.attempts;
         relay.tried = self.tried.clone();
@@ -441,6 +442,9 @@
             self.error_response = Some(response);
             return Err(failed(Failure::Failed));
         }
+        if !is_error {
+            self.shared.record_begun(&self.request);
+        }
         let observation = if is_error {
             Observation::Failure
         } else {
--- a/crates/ingress/src/exchange.rs
+++ b/crates/ingress/src/exchange.rs
@@ -32,6 +32,9 @@
 /// Request bodies longer than this may still be in transit when an early response arrives.
 const MAX_ASSUMED_SENT_BYTES: usize = 4 * 1024;
 
+/// Maximum number of parts of one prompt that are suspected of crashing runners, which bounds the work for a request.
+const MAX_SUSPECTED_PARTS: usize = 16;
+
 /// A client request with its complete body.
 #[derive(Clone, Debug)]
 pub(crate) struct ClientRequest {
@@ -74,6 +77,16 @@
         })
     }
 
+    /// Fingerprints of the parts of the prompt that other requests may share. The last part is the request's own.
+    pub(crate) fn part_fingerprints(&self) -> Vec<RequestFingerprint> {
+        let parts = &self.profile.parts;
+        let shared = parts.iter().take(parts.len().saturating_sub(1));
+        shared
+            .take(MAX_SUSPECTED_PARTS)
+            .map(|part| RequestFingerprint::of_part(part.id))
+            .collect()
+    }
+
     /// The unit that the request needs, and the runners that may have it, if it needs one.
     pub(crate) fn requirement(&self) -> Option<Requirement> {
         Some(Requirement {
--- a/crates/ingress/src/relay.rs
+++ b/crates/ingress/src/relay.rs
@@ -287,7 +287,7 @@
         self.attempts.record_failure(failure);
         if let Some(exchange) = &current {
             if is_crash_suspect {
-                check_for_crash(&self.shared, &self.request, &exchange.runner).await;
+                check_for_crash(&self.shared, &self.request, &exchange.runner, true).await;
             } else {
                 check_whether_down(&self.shared, &exchange.runner).await;
             }
--- a/crates/routing/src/fingerprint.rs
+++ b/crates/routing/src/fingerprint.rs
@@ -14,6 +14,9 @@
 /// Number of digest bytes that are kept: enough to make it infeasible to find another request with the same ones.
 const KEPT_BYTES: usize = 16;
 
+/// Prefix that keeps the digests of parts apart from those of requests, which begin with a length.
+const PART_DOMAIN: &[u8] = b"part of a prompt";
+
 /// A digest that is equal for retries of the same request, on every daemon. Stored and sent as a hexadecimal string.
 #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 #[serde(into = "String", try_from = "String")]
@@ -45,6 +48,18 @@
             digest.update(field);
         }
         digest.update(content.body);
+        Self::kept(digest)
+    }
+
+    /// The fingerprint of a part of prompts, which is equal for all requests that share the part.
+    pub fn of_part(part: u64) -> Self {
+        let mut digest = Sha256::new();
+        digest.update(PART_DOMAIN);
+        digest.update(part.to_le_bytes());
+        Self::kept(digest)
+    }
+
+    fn kept(digest: Sha256) -> Self {
         let mut kept = [0; KEPT_BYTES];
         kept.copy_from_slice(&digest.finalize()[..KEPT_BYTES]);
         Self(kept)
--- a/crates/routing/src/quarantine/mod.rs
+++ b/crates/routing/src/quarantine/mod.rs
@@ -13,6 +13,7 @@
 //! there are too many requests, all daemons keep the same ones.
 
 pub mod exchange;
+pub mod sound_parts;
 
 use std::collections::{BTreeMap, HashMap};
 use std::hash::Hasher;
