--- a/crates/ingress/src/dispatch.rs
+++ b/crates/ingress/src/dispatch.rs
@@ -226,7 +226,14 @@
             return Ok(());
         };
         let (shared, request) = (&self.shared, &self.request);
-        let waiting = wait_for_unit(shared, request, &self.route, &requirement, self.arrived_at);
+        let waiting = wait_for_unit(
+            shared,
+            request,
+            &self.route,
+            &requirement,
+            self.arrived_at,
+            Duration::ZERO,
+        );
         tokio::select! {
             result = waiting => result,
             // The caller checks the quarantine next.
--- a/crates/ingress/src/relay.rs
+++ b/crates/ingress/src/relay.rs
@@ -403,7 +403,8 @@
     }
 
     /// Waits until a runner of the stream's software version has loaded the unit. Returns false as soon as it is certain
-    /// that none will have in time; its client then finds the load under way when it takes the stream up.
+    /// that none will have in time, neither for this answer nor for the client's next attempt: most clients attempt it
+    /// once, at once, and wait for events as long as here.
     async fn wait_until_loaded(&mut self, silent_since: Instant) -> bool {
         let Some(requirement) = self.request.requirement() else {
             return false;
@@ -414,6 +415,7 @@
             &self.route,
             &requirement,
             silent_since,
+            self.route.stream_silence_timeout(),
         );
         waiting.await.is_ok()
     }
--- a/crates/ingress/src/waiting.rs
+++ b/crates/ingress/src/waiting.rs
@@ -78,7 +78,8 @@
 
 /// Waits until a runner in the request's home regions has loaded the unit. `arrived` is when the
 /// request arrived: time already spent at runners or in an earlier wait counts towards the caller's
-/// timeout.
+/// timeout. `promise_grace` is how much later than in time the unit may be promised without an
+/// immediate refusal, for a caller that takes its stream up once the wait has ended.
 ///
 /// # Errors
 /// Refuses as soon as it is certain that the unit will not be ready in time.
@@ -88,6 +89,7 @@
     route: &Route,
     requirement: &Requirement,
     arrived: Instant,
+    promise_grace: Duration,
 ) -> Result<(), Refusal> {
     let started_at = shared.now();
     let started = Instant::now();
@@ -111,7 +113,7 @@
         let wake_at = match promised(shared, requirement, started_at) {
             Some(ready_at) => {
                 let ready = shared.clock.instant(ready_at);
-                if ready > latest {
+                if ready > latest + promise_grace {
                     return Err(not_ready(ready.saturating_duration_since(Instant::now())));
                 }
                 (ready + PROMISE_SLACK).min(latest)
