Tests: streams without a length or chunks end whole between events, and are continued inside one

New term of the users: an answer, a stream too, may come with neither a length nor chunks. Both tests pass on the code as it is; nothing was changed for them.

--- a/crates/ingress/tests/ingress/failures.rs
+++ b/crates/ingress/tests/ingress/failures.rs
@@ -286,3 +286,29 @@
     );
     assert_eq!(first.received().len() + second.received().len(), 3);
 }
+
+/// Guards against a whole stream that is taken for a broken one: its body has neither a length nor chunks, and its last event
+/// is complete when the connection ends.
+#[tokio::test]
+async fn a_stream_that_ends_with_its_connection_between_events_is_complete() {
+    let first = ScriptedRunner::start(vec![Behaviour::UnsizedEvents(1, 3)]).await;
+    let second = ScriptedRunner::start(Vec::new()).await;
+    let test = TestIngress::start(&[&first, &second]).await;
+    let response = test.request("/stream/x", "id-1").send().await.unwrap();
+    let body = response.text().await.unwrap();
+    assert!(body.ends_with("data: e3\n\n"), "{body}");
+    assert_eq!(second.received().len(), 0);
+}
+
+/// Guards against a stream that is shown as complete although its connection ended inside an event.
+#[tokio::test]
+async fn a_stream_that_ends_with_its_connection_inside_an_event_is_continued() {
+    let first = ScriptedRunner::start(vec![Behaviour::UnsizedEventsThenPart(1, 3)]).await;
+    let second = ScriptedRunner::start(vec![Behaviour::UnsizedEvents(4, 5)]).await;
+    let test = TestIngress::start(&[&first, &second]).await;
+    let response = test.request("/stream/x", "id-1").send().await.unwrap();
+    let body = response.text().await.unwrap();
+    assert!(body.ends_with("data: e5\n\n"), "{body}");
+    assert!(!body.contains("99"), "{body}");
+    assert_eq!(second.received()[0].header("last-event-id"), Some("3"));
+}
--- a/crates/ingress/tests/ingress/runner.rs
+++ b/crates/ingress/tests/ingress/runner.rs
@@ -32,6 +32,10 @@
     UnsizedThenClose(&'static str),
     /// Sends part of a body without a length, and resets the connection.
     UnsizedThenReset(&'static str),
+    /// Sends events in a body without a length, which ends with the connection.
+    UnsizedEvents(u32, u32),
+    /// Sends events in a body without a length, then part of an event, and closes the connection.
+    UnsizedEventsThenPart(u32, u32),
     /// Sends one event every 100 ms, from the first to the last.
     SlowEvents(u32, u32),
     /// Sends two events from the first, then, after 2.5 s of silence, the rest to the last.
@@ -170,6 +174,10 @@
     format!("id: {number}\ndata: e{number}\n\n")
 }
 
+fn all_events(first: u32, last: u32) -> String {
+    (first..=last).map(event).collect()
+}
+
 fn chunk(text: &str) -> String {
     format!("{:x}\r\n{text}\r\n", text.len())
 }
@@ -194,6 +202,15 @@
             reset(stream);
             false
         }
+        Behaviour::UnsizedEvents(first, last) => {
+            unsized_body(stream, id, &all_events(first, last)).await;
+            false
+        }
+        Behaviour::UnsizedEventsThenPart(first, last) => {
+            let body = format!("{}id: 99\nda", all_events(first, last));
+            unsized_body(stream, id, &body).await;
+            false
+        }
         Behaviour::Hang => {
             let mut rest = [0; 16];
             let _ = stream.read(&mut rest).await;
