Log and metric tell whether a rejecting runner's limit was known

Whether a daemon knew how many requests a runner can reject, when it sent one that was rejected, could not be told from a log. attempt-failed now has rejection_limit, and flaxward_ingress_rejections_total counts by limit_known. No decision depends on either.

--- a/crates/ingress/src/counters.rs
+++ b/crates/ingress/src/counters.rs
@@ -3,7 +3,7 @@
 use flaxward_types::Metric;
 
 /// Metrics of this crate.
-pub const METRICS: [Metric; 40] = [
+pub const METRICS: [Metric; 41] = [
     SERVED,
     REFUSED,
     ATTEMPTS_FAILED,
@@ -37,6 +37,7 @@
     CAPACITY_WAITS,
     MESSAGE_BYTES,
     RUNNER_NOTICES,
+    REJECTIONS,
     RETRIES,
     STREAM_ORIGINS,
     CONNECTIONS_RELAYED,
@@ -220,6 +221,11 @@
     "flaxward_ingress_runner_notices_total",
     "Times that an answer has told something new of its runner: that it leaves, rests, or takes a rate.",
 );
+/// Requests that runners have rejected, by `limit_known`.
+pub const REJECTIONS: Metric = Metric::counter(
+    "flaxward_ingress_rejections_total",
+    "Requests that runners have rejected without running them, by `limit_known`: whether this daemon knew, when it sent them, how many the runner can reject in a second.",
+);
 /// Retries asked of the retry budget, by `outcome`.
 pub const RETRIES: Metric = Metric::counter(
     "flaxward_ingress_retries_total",
--- a/crates/ingress/src/dispatch.rs
+++ b/crates/ingress/src/dispatch.rs
@@ -23,6 +23,7 @@
 use crate::exchange::{
     ClientRequest, Continuation, Exchange, FailedAttempt, exchange, remove_hop_by_hop_headers,
 };
+use crate::notices::format_rate;
 use crate::permits::{Admission, admit};
 use crate::refused::{Details, RETRY_AFTER, Refused};
 use crate::relay::{self, StreamRelay};
@@ -336,6 +337,7 @@
             ("left_ms", &self.request.time_left().as_millis()),
             ("lasted_ms", &lasted.as_millis()),
             ("fingerprint", &self.request.fingerprint()),
+            ("rejection_limit", &format_rate(failed.rejection_limit)),
         ];
         let failure = format!("{:?}", failed.failure);
         let connection = failed.connection.to_string();
--- a/crates/ingress/src/exchange.rs
+++ b/crates/ingress/src/exchange.rs
@@ -11,6 +11,7 @@
 use flaxward_routing::health::Observation;
 use flaxward_routing::homes::{Homes, Requirement};
 use flaxward_routing::names::{SoftwareVersion, Unit};
+use flaxward_routing::rate_limit::RequestRate;
 use flaxward_routing::request::RequestProfile;
 use flaxward_routing::runner_paths::Path;
 use flaxward_routing::runners::Runner;
@@ -173,6 +174,8 @@
     pub connection: AttemptConnection,
     /// Health observation if the runner is unreachable or misbehaves.
     pub observation: Option<Observation>,
+    /// The runner's limit of rejections, if it rejected the request and was known to have one.
+    pub rejection_limit: Option<RequestRate>,
 }
 
 impl FailedAttempt {
@@ -190,6 +193,7 @@
             failure,
             connection,
             observation,
+            rejection_limit: None,
         }
     }
 }
@@ -245,9 +249,11 @@
         }
     };
     shared.record_path_answer(&connection);
-    let result = classify_response(shared, request, runner, connection, response, in_flight);
-    if matches!(&result, Err(failed) if failed.failure == Failure::NotRun) {
-        claim.record_rejection();
+    let mut result = classify_response(shared, request, runner, connection, response, in_flight);
+    if let Err(failed) = &mut result
+        && failed.failure == Failure::NotRun
+    {
+        failed.rejection_limit = claim.record_rejection();
     }
     result
 }
--- a/crates/ingress/src/notices.rs
+++ b/crates/ingress/src/notices.rs
@@ -75,6 +75,7 @@
     }
 }
 
-fn format_rate(rate: Option<RequestRate>) -> String {
+/// A rate as it is logged.
+pub(crate) fn format_rate(rate: Option<RequestRate>) -> String {
     rate.map_or("none".to_owned(), |rate| rate.to_string())
 }
--- a/crates/ingress/src/rejections.rs
+++ b/crates/ingress/src/rejections.rs
@@ -3,13 +3,17 @@
 use std::sync::Arc;
 
 use flaxward_routing::names::RunnerId;
+use flaxward_routing::rate_limit::RequestRate;
 
+use crate::counters::REJECTIONS;
 use crate::state::Shared;
 
 /// A request that is counted until the head of its answer is known.
 pub(crate) struct RejectionClaim {
     shared: Arc<Shared>,
     runner: RunnerId,
+    /// The runner's limit, as known when the request was sent.
+    limit: Option<RequestRate>,
     is_rejected: bool,
 }
 
@@ -19,18 +23,24 @@
         let now = shared.now();
         let mut tables = shared.tables();
         let daemons = tables.daemons;
-        let may_send = tables.notices.rejections.begin(runner, daemons, now);
+        let rejections = &mut tables.notices.rejections;
+        let limit = rejections.limit(runner);
+        let may_send = rejections.begin(runner, daemons, now);
         drop(tables);
         may_send.then(|| Self {
             shared: shared.clone(),
             runner: runner.clone(),
+            limit,
             is_rejected: false,
         })
     }
 
-    /// Records that the runner has rejected the request.
-    pub(crate) fn record_rejection(&mut self) {
+    /// Records that the runner has rejected the request. Returns the limit that was known when it was sent.
+    pub(crate) fn record_rejection(&mut self) -> Option<RequestRate> {
         self.is_rejected = true;
+        let is_limit_known = if self.limit.is_some() { "yes" } else { "no" };
+        metrics::counter!(REJECTIONS.name, "limit_known" => is_limit_known).increment(1);
+        self.limit
     }
 }
 
