Failing tests: brittle runners behind many daemons

24 daemons send to three runners that report how many requests they can reject in a second and fail if they reject more. The stand-in of the existing test moves to a module of its own, its test asserts what it did.

--- a/crates/ingress/tests/ingress/main.rs
+++ b/crates/ingress/tests/ingress/main.rs
@@ -1,6 +1,8 @@
 //! Integration tests of the ingress over loopback sockets, with an in-memory store and scripted runners.
 
 mod access;
+mod brittle_fleet;
+mod brittle_runner;
 mod brittle_runners;
 mod cold_runners;
 mod coordination;
