Requests to brittle runners need permits of a keeper that counts them all

Cause: each daemon kept to an equal share of the rejections by itself. With more daemons than rejections the share is one in some seconds, and nothing keeps the daemons from using it in the same second. Before each failure in the test seven daemons had caused one rejection each, the daemons' own count as it should be; most of them knew the limit.

Ruled out: the limit unknown to daemons (6 of 6 knew it before the failures of the first runner; told to all at once changes nothing), waiting requests that go on together and rejections that are not counted (no daemon had two in a second).

Change: the coordinator counts the requests of all daemons at each brittle runner, learns how many it accepts, and gives permits within three quarters of the runner's limit. Which services are brittle is told to all daemons and holds for all runners of the service. Without a keeper the own share remains, for services that were not busy.

Four new kinds of messages, their bytes recorded; builds before do not answer, so that daemons keep to their share under one of them.

--- a/crates/ingress/src/coordination/leader.rs
+++ b/crates/ingress/src/coordination/leader.rs
@@ -4,6 +4,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use flaxward_routing::concurrency::keeper::ConcurrencyKeeper;
 use flaxward_routing::dissemination::{Dissemination, Outgoing, relays_of};
 use flaxward_routing::lease::LeaseHeartbeat;
 use flaxward_routing::messages::{Direction, HoldingsSummary, Usage, WaitNotice};
@@ -47,6 +48,8 @@
     pub placement: Placement,
     /// Permits for requests to cold runners.
     pub permits: PermitKeeper,
+    /// Permits for requests to brittle runners.
+    pub concurrency: ConcurrencyKeeper,
     dissemination: Dissemination,
     plan_due: Timestamp,
     /// Earliest time of the next plan.
@@ -65,6 +68,7 @@
             term,
             placement,
             permits: PermitKeeper::new(now),
+            concurrency: ConcurrencyKeeper::new(now),
             dissemination: Dissemination::new(term, link, now),
             plan_due: now,
             plan_allowed: now,
--- a/crates/ingress/src/coordination/mod.rs
+++ b/crates/ingress/src/coordination/mod.rs
@@ -2,6 +2,7 @@
 //! coordinator what its requests need and, while it is the coordinator itself, executes the decisions of the placement.
 
 mod calls;
+mod concurrency;
 mod configuration_exchange;
 mod crashes;
 mod follower;
@@ -40,6 +41,7 @@
 use crate::watches::{apply_evacuations, apply_membership};
 
 use calls::{Caller, Event, log_foreign_report, log_settled, operation_name};
+use concurrency::apply_concurrency_answers;
 use configuration_exchange::ConfigurationExchange;
 use follower::Follower;
 use leader::Leader;
@@ -236,6 +238,8 @@
         self.send_notices(now);
         self.report_runners_down(now);
         self.send_permit_questions(now);
+        self.send_rejection_limits(now);
+        self.send_concurrency(now);
         self.send_stream_origins(now);
         self.send_origin_questions();
         end_cold_periods(&self.shared);
@@ -502,6 +506,21 @@
             }
             Message::PermitAnswers(answers) => apply_permit_answers(&self.shared, &answers),
             Message::RunnersDown(runners) => self.record_runners_down(&runners),
+            Message::ConcurrencyQuestions(questions) => {
+                let now = self.shared.now();
+                self.answer_concurrency(&questions, now);
+            }
+            Message::ConcurrencyAnswers(answers) => {
+                apply_concurrency_answers(&self.shared, &answers);
+            }
+            Message::ConcurrencyReport(report) => {
+                let now = self.shared.now();
+                self.record_concurrency(&report, now);
+            }
+            Message::RejectionLimits(received) => {
+                let now = self.shared.now();
+                self.merge_rejection_limits(&received, now);
+            }
             Message::StreamOrigins(records) => {
                 let now = self.shared.now();
                 self.shared.tables().stream_origins.apply(&records, now);
--- a/crates/ingress/src/counters.rs
+++ b/crates/ingress/src/counters.rs
@@ -3,7 +3,7 @@
 use flaxward_types::Metric;
 
 /// Metrics of this crate.
-pub const METRICS: [Metric; 41] = [
+pub const METRICS: [Metric; 42] = [
     SERVED,
     REFUSED,
     ATTEMPTS_FAILED,
@@ -38,6 +38,7 @@
     MESSAGE_BYTES,
     RUNNER_NOTICES,
     REJECTIONS,
+    CONCURRENCY_PERMITS,
     RETRIES,
     STREAM_ORIGINS,
     CONNECTIONS_RELAYED,
@@ -226,6 +227,11 @@
     "flaxward_ingress_rejections_total",
     "Requests that runners have rejected without running them, by `limit_known`: whether this daemon knew, when it sent them, how many the runner can reject in a second.",
 );
+/// Admissions of requests to runners as far as rejections are concerned, by `outcome`.
+pub const CONCURRENCY_PERMITS: Metric = Metric::counter(
+    "flaxward_ingress_concurrency_permits_total",
+    "Requests by the permit for a brittle runner, by `outcome`: `unlimited` (none needed), `given`, `refused`, `unanswered`, `own-share` or `no-keeper`.",
+);
 /// Retries asked of the retry budget, by `outcome`.
 pub const RETRIES: Metric = Metric::counter(
     "flaxward_ingress_retries_total",
--- a/crates/ingress/src/dispatch.rs
+++ b/crates/ingress/src/dispatch.rs
@@ -175,7 +175,7 @@
             }
             self.is_attempting = true;
             let sent_at = Instant::now();
-            let result = self.attempt(&runner, &admission).await;
+            let result = self.attempt(&runner, admission).await;
             self.is_attempting = false;
             match result {
                 Ok(response) => return Ok(response),
@@ -282,7 +282,7 @@
     /// Final response if no runner that holds the unit has capacity in time.
     fn no_capacity(&mut self, refusal: Refusal) -> Result<Response<ResponseBody>, Refused> {
         const REASON: &str =
-            "all runners are resting, cold or rate-limited, and none has capacity in time";
+            "all runners are resting, cold, rate-limited or full, and none has capacity in time";
         if !self.attempts.definitely_not_run() {
             return self.give_up(REASON);
         }
@@ -372,7 +372,7 @@
     async fn attempt(
         &mut self,
         runner: &Runner,
-        admission: &Admission,
+        admission: Admission,
     ) -> Result<Response<ResponseBody>, FailedAttempt> {
         let attempt_deadline = self.attempt_deadline(runner);
         let continuation = Continuation::default();
--- a/crates/ingress/src/exchange.rs
+++ b/crates/ingress/src/exchange.rs
@@ -203,11 +203,11 @@
     shared: &Arc<Shared>,
     request: &ClientRequest,
     runner: &Runner,
-    admission: &Admission,
+    admission: Admission,
     continuation: Continuation<'_>,
     attempt_deadline: Instant,
 ) -> Result<Exchange, FailedAttempt> {
-    let in_flight = InFlight::begin(shared, &runner.id, request.unit.as_ref());
+    let mut in_flight = InFlight::begin(shared, &runner.id, request.unit.as_ref());
     let may_retry = request.kind.may_repeat();
     let connecting = shared.connection(runner.address, may_retry);
     let connected = timeout_at(attempt_deadline, connecting).await;
@@ -229,14 +229,15 @@
     let kind = AttemptConnection::of(&connection);
     let outgoing = outgoing_request(shared, request, runner, continuation);
     // The daemon may have been suspended since it got its permit, or the runner may have become cold.
-    if !shared.may_send(runner, admission) {
+    if !shared.may_send(runner, &admission) {
         shared.pool.put(connection);
         return Err(FailedAttempt::not_permitted());
     }
-    let Some(mut claim) = RejectionClaim::begin(shared, &runner.id) else {
+    let Some(mut claim) = RejectionClaim::begin(shared, runner, &admission.concurrency) else {
         shared.pool.put(connection);
         return Err(FailedAttempt::not_permitted());
     };
+    in_flight.keep_permit(admission.concurrency);
     let response = match timeout_at(attempt_deadline, connection.send(outgoing)).await {
         Ok(Ok(response)) => response,
         Ok(Err(error)) => return Err(send_failure(&error, &connection)),
@@ -274,7 +275,7 @@
     runner: &Runner,
     connection: Connection,
     response: Response<Incoming>,
-    in_flight: InFlight,
+    mut in_flight: InFlight,
 ) -> Result<Exchange, FailedAttempt> {
     let (head, body) = response.into_parts();
     let connection_kind = AttemptConnection::of(&connection);
@@ -284,11 +285,12 @@
         .classify(&request.profile.id, head.status, &head.headers);
     if matches!(kind, HeadKind::Answer | HeadKind::NotRun) {
         let notice = shared.surface.notice(head.status, &head.headers);
-        shared.apply_notice(&runner.id, notice, in_flight.sent_at());
+        shared.apply_notice(runner, notice, in_flight.sent_at());
     }
     match kind {
         HeadKind::Answer if !is_encoded => {}
         HeadKind::NotRun => {
+            in_flight.record_rejection();
             return Err(FailedAttempt::new(Failure::NotRun, None, connection_kind));
         }
         HeadKind::Misdirected => {
--- a/crates/ingress/src/keeper_client.rs
+++ b/crates/ingress/src/keeper_client.rs
@@ -1,4 +1,4 @@
-//! Client for questions to a keeper, of quotas or of permits for cold runners.
+//! Client for questions to a keeper, of quotas, of permits or of the origins of streams.
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -37,12 +37,20 @@
 
 /// A pending answer.
 #[derive(Debug)]
-pub(crate) struct PendingAnswer<Answer>(oneshot::Receiver<Answer>);
+pub(crate) struct PendingAnswer<Answer> {
+    number: u64,
+    receiver: oneshot::Receiver<Answer>,
+}
 
 impl<Answer> PendingAnswer<Answer> {
+    /// Number of the question.
+    pub(crate) fn number(&self) -> u64 {
+        self.number
+    }
+
     /// Waits for the keeper's answer; `None` if there will be none.
     pub(crate) async fn answer(self) -> Option<Answer> {
-        self.0.await.ok()
+        self.receiver.await.ok()
     }
 }
 
@@ -63,7 +71,7 @@
         if let Some(old) = number.checked_sub(MAX_WAITERS) {
             questions.waiters.remove(&old);
         }
-        PendingAnswer(receiver)
+        PendingAnswer { number, receiver }
     }
 
     /// Takes the questions not sent yet, by keeper.
--- a/crates/ingress/src/lib.rs
+++ b/crates/ingress/src/lib.rs
@@ -9,6 +9,7 @@
 
 mod access;
 mod cold_periods;
+mod concurrency;
 mod connector;
 mod coordination;
 mod counted_store;
--- a/crates/ingress/src/notices.rs
+++ b/crates/ingress/src/notices.rs
@@ -4,9 +4,11 @@
 use std::fmt::Display;
 use std::sync::PoisonError;
 
-use flaxward_routing::names::RunnerId;
+use flaxward_routing::concurrency::limits::SharedRejectionLimit;
+use flaxward_routing::names::{RunnerId, ServiceName};
 use flaxward_routing::notices::{NoticeUpdate, RunnerNotice, SharedNotice};
 use flaxward_routing::rate_limit::RequestRate;
+use flaxward_routing::runners::Runner;
 use flaxward_types::time::Timestamp;
 
 use crate::counters::RUNNER_NOTICES;
@@ -14,8 +16,10 @@
 
 impl Shared {
     /// Applies the notice in an answer to a request that was sent at `sent_at`.
-    pub(crate) fn apply_notice(&self, runner: &RunnerId, notice: RunnerNotice, sent_at: Timestamp) {
+    pub(crate) fn apply_notice(&self, runner: &Runner, notice: RunnerNotice, sent_at: Timestamp) {
         let now = self.now();
+        self.apply_rejection_limit(runner, notice.rejection_limit, sent_at);
+        let runner = &runner.id;
         let is_changed = self
             .tables()
             .notices
@@ -39,6 +43,47 @@
         self.changed.notify_waiters();
     }
 
+    /// Applies the limit of rejections in an answer to a request that was sent at `sent_at`, or its absence.
+    fn apply_rejection_limit(
+        &self,
+        runner: &Runner,
+        limit: Option<RequestRate>,
+        sent_at: Timestamp,
+    ) {
+        let now = self.now();
+        let mut tables = self.tables();
+        let limits = &mut tables.notices.rejection_limits;
+        let is_changed = limits.apply(&runner.id, &runner.service, limit, sent_at, now);
+        drop(tables);
+        if is_changed {
+            self.log_rejection_limit(&runner.service, limit, "runner");
+            self.keeper_wake.notify_one();
+        }
+    }
+
+    /// Merges what another daemon has told of a service with brittle runners.
+    pub(crate) fn merge_rejection_limit(&self, shared: &SharedRejectionLimit) {
+        let now = self.now();
+        let is_changed = self.tables().notices.rejection_limits.merge(shared, now);
+        if is_changed {
+            self.log_rejection_limit(&shared.service, Some(shared.limit), "daemon");
+        }
+    }
+
+    fn log_rejection_limit(
+        &self,
+        service: &ServiceName,
+        limit: Option<RequestRate>,
+        told_by: &str,
+    ) {
+        let fields: &[(&str, &dyn Display)] = &[
+            ("service", service),
+            ("limit", &format_rate(limit)),
+            ("told_by", &told_by),
+        ];
+        self.log.write(self.now(), "rejection-limit", fields);
+    }
+
     /// Merges a notice from another daemon, in a message that arrived no earlier than
     /// `earliest_arrival`.
     pub(crate) fn merge_shared_notice(
--- a/crates/ingress/src/permits.rs
+++ b/crates/ingress/src/permits.rs
@@ -1,6 +1,7 @@
-//! Obtains permits for requests to runners that are cold or announce a rate limit.
+//! Obtains permits for requests to runners that are cold, announce a rate limit or are brittle.
 
 use std::fmt::Display;
+use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
@@ -11,6 +12,7 @@
 use flaxward_types::time::Timestamp;
 use tokio::time::{Instant, sleep_until, timeout};
 
+use crate::concurrency::{self, Concurrency};
 use crate::counters::PERMITS;
 use crate::exchange::ClientRequest;
 use crate::state::Shared;
@@ -32,15 +34,20 @@
     ends_at: Timestamp,
 }
 
-/// Admission of a request to a runner.
-#[derive(Clone, Debug)]
-pub(crate) enum Admission {
+/// What allows a request to a runner as far as its rate is concerned.
+enum RateAdmission {
     /// The runner is not limited.
     Free,
     /// The keeper has granted a permit.
     Permitted(Permit),
 }
 
+/// Admission of a request to a runner.
+pub(crate) struct Admission {
+    rate: RateAdmission,
+    pub concurrency: Concurrency,
+}
+
 impl Shared {
     /// The bound for cold runners of a service; `None` if the operators set none.
     pub(crate) fn cold_bound(&self, service: &ServiceName) -> Option<ColdBound> {
@@ -67,15 +74,15 @@
         let is_unavailable =
             notices.is_leaving(&runner.id) || notices.rests_until(&runner.id, now).is_some();
         drop(tables);
-        if is_unavailable {
+        if is_unavailable || !self.is_within_concurrency(runner, &admission.concurrency) {
             return false;
         }
         if !self.needs_permit(runner) {
             return true;
         }
-        match admission {
-            Admission::Free => false,
-            Admission::Permitted(permit) => {
+        match &admission.rate {
+            RateAdmission::Free => false,
+            RateAdmission::Permitted(permit) => {
                 permit.runner == runner.id && self.now() < permit.ends_at
             }
         }
@@ -87,12 +94,22 @@
 /// # Errors
 /// Returns when a permit may be available, if there is none now.
 pub(crate) async fn admit(
-    shared: &Shared,
+    shared: &Arc<Shared>,
     request: &ClientRequest,
     runner: &Runner,
 ) -> Result<Admission, Timestamp> {
+    let rate = admit_to_rate(shared, request, runner).await?;
+    let concurrency = concurrency::admit(shared, request, runner).await?;
+    Ok(Admission { rate, concurrency })
+}
+
+async fn admit_to_rate(
+    shared: &Shared,
+    request: &ClientRequest,
+    runner: &Runner,
+) -> Result<RateAdmission, Timestamp> {
     if !shared.needs_permit(runner) {
-        return Ok(Admission::Free);
+        return Ok(RateAdmission::Free);
     }
     let asked_at = shared.now();
     let decision = ask(shared, request, runner).await;
@@ -102,7 +119,7 @@
                 runner: runner.id.clone(),
                 ends_at: asked_at + PERMIT_LIFE,
             };
-            ("given", Ok(Admission::Permitted(permit)))
+            ("given", Ok(RateAdmission::Permitted(permit)))
         }
         Some(PermitDecision::Refused { room_in_ms }) => {
             let available_in = Duration::from_millis(u64::from(room_in_ms));
@@ -123,7 +140,7 @@
 /// # Errors
 /// Returns when a permit may be available, if that is later than `latest`.
 pub(crate) async fn admit_until(
-    shared: &Shared,
+    shared: &Arc<Shared>,
     request: &ClientRequest,
     runner: &Runner,
     latest: Instant,
--- a/crates/ingress/src/rejections.rs
+++ b/crates/ingress/src/rejections.rs
@@ -4,7 +4,9 @@
 
 use flaxward_routing::names::RunnerId;
 use flaxward_routing::rate_limit::RequestRate;
+use flaxward_routing::runners::Runner;
 
+use crate::concurrency::Concurrency;
 use crate::counters::REJECTIONS;
 use crate::state::Shared;
 
@@ -19,17 +21,30 @@
 
 impl RejectionClaim {
     /// Counts a request for a runner; `None` if it must not be sent now.
-    pub(crate) fn begin(shared: &Arc<Shared>, runner: &RunnerId) -> Option<Self> {
+    pub(crate) fn begin(
+        shared: &Arc<Shared>,
+        runner: &Runner,
+        concurrency: &Concurrency,
+    ) -> Option<Self> {
         let now = shared.now();
         let mut tables = shared.tables();
         let daemons = tables.daemons;
-        let rejections = &mut tables.notices.rejections;
-        let limit = rejections.limit(runner);
-        let may_send = rejections.begin(runner, daemons, now);
+        let notices = &mut tables.notices;
+        let (limits, rejections) = (&notices.rejection_limits, &mut notices.rejections);
+        let limit = limits.limit(&runner.id, &runner.service, now);
+        let may_send = match concurrency {
+            Concurrency::Permitted(_) => {
+                rejections.begin_permitted(&runner.id);
+                true
+            }
+            Concurrency::Unlimited | Concurrency::OwnShare => {
+                rejections.begin(&runner.id, daemons, now)
+            }
+        };
         drop(tables);
         may_send.then(|| Self {
             shared: shared.clone(),
-            runner: runner.clone(),
+            runner: runner.id.clone(),
             limit,
             is_rejected: false,
         })
--- a/crates/ingress/src/relay.rs
+++ b/crates/ingress/src/relay.rs
@@ -352,7 +352,7 @@
             &shared,
             &request,
             &next,
-            &admission,
+            admission,
             continuation,
             attempt_deadline,
         );
@@ -488,7 +488,7 @@
         };
         let attempt_deadline = self.continuation_deadline();
         let admission = admit_until(&self.shared, &self.request, runner, attempt_deadline).await;
-        let result = match &admission {
+        let result = match admission {
             Ok(admission) => {
                 self.send_continuation(runner, admission, continuation, attempt_deadline)
                     .await
@@ -501,7 +501,7 @@
     async fn send_continuation(
         &mut self,
         runner: &Runner,
-        admission: &Admission,
+        admission: Admission,
         continuation: Continuation<'_>,
         attempt_deadline: Instant,
     ) -> Result<Exchange, FailedAttempt> {
--- a/crates/ingress/src/state.rs
+++ b/crates/ingress/src/state.rs
@@ -11,6 +11,7 @@
 use flaxward_routing::balance::{self, NoRunner, SelectionContext, SelectionCriteria};
 use flaxward_routing::budget::RetryBudget;
 use flaxward_routing::cold::periods::ColdPeriods;
+use flaxward_routing::concurrency::{ConcurrencyDecision, ConcurrencyQuestion, PermitOutcome};
 use flaxward_routing::configuration::{Configuration, Route, Service};
 use flaxward_routing::configuration_age::ConfigurationAge;
 use flaxward_routing::evacuation::Evacuations;
@@ -37,6 +38,7 @@
 use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
 
+use crate::concurrency::{Concurrency, ConcurrencyPermit};
 use crate::counters::{RETRIES, RUNNERS_EJECTED};
 use crate::decisions::DecisionLog;
 use crate::exchange::ClientRequest;
@@ -125,6 +127,8 @@
     pub quota_questions: KeeperClient<QuotaQuestion, Grant>,
     /// Questions to the keeper of permits.
     pub permit_questions: KeeperClient<PermitQuestion, PermitDecision>,
+    /// Questions to the keeper of concurrency permits.
+    pub concurrency_questions: KeeperClient<ConcurrencyQuestion, ConcurrencyDecision>,
     /// Questions to the keepers of stream origins.
     pub origin_questions: KeeperClient<OriginQuestion, OriginKnowledge>,
     /// Runners whose latest notices have not been sent to the coordinator yet.
@@ -218,6 +222,7 @@
             demand: Notify::new(),
             quota_questions: KeeperClient::default(),
             permit_questions: KeeperClient::default(),
+            concurrency_questions: KeeperClient::default(),
             origin_questions: KeeperClient::default(),
             unsent_notices: Mutex::default(),
             keeper_wake: Notify::new(),
@@ -479,6 +484,8 @@
     runner: RunnerId,
     unit: Option<Unit>,
     sent_at: Timestamp,
+    /// The permit under which the request was sent, in use for as long as it is in flight.
+    permit: Option<ConcurrencyPermit>,
 }
 
 impl InFlight {
@@ -494,6 +501,22 @@
             runner: runner.clone(),
             unit: unit.cloned(),
             sent_at: shared.now(),
+            permit: None,
+        }
+    }
+
+    /// Keeps the permit under which the request is sent now.
+    pub(crate) fn keep_permit(&mut self, concurrency: Concurrency) {
+        if let Concurrency::Permitted(mut permit) = concurrency {
+            permit.record(PermitOutcome::Accepted);
+            self.permit = Some(permit);
+        }
+    }
+
+    /// Records that the runner has rejected the request.
+    pub(crate) fn record_rejection(&mut self) {
+        if let Some(permit) = &mut self.permit {
+            permit.record(PermitOutcome::Rejected);
         }
     }
 
--- a/crates/ingress/tests/ingress/brittle_fleet.rs
+++ b/crates/ingress/tests/ingress/brittle_fleet.rs
@@ -9,12 +9,13 @@
 
 use flaxward_routing::runners::Runner;
 use futures::future::join_all;
+use tokio::runtime::Runtime;
 use tokio::task::JoinSet;
 use tokio::time::sleep;
 
-use crate::brittle_runner::{BrittleRunner, Properties};
+use crate::brittle_runner::{BrittleRunner, CONTACT_TIME as BRITTLE_AFTER, Properties};
 use crate::store::MemoryStore;
-use crate::support::{SilentControl, TestIngress, configuration, runner};
+use crate::support::{SilentControl, TestIngress, configuration, runner, settings};
 
 const DAEMONS: usize = 24;
 const RUNNERS: usize = 3;
@@ -28,13 +29,23 @@
 const LOAD_TIME: Duration = Duration::from_secs(12);
 /// Body of the refusal of a quarantined request.
 const QUARANTINED: &str = "\"code\":3008,";
-/// Time in which a coordinator takes over and hears from all daemons.
+/// Time in which the first daemon becomes coordinator.
+const ELECTION_TIME: Duration = Duration::from_millis(1_500);
+/// Time in which a coordinator hears from all daemons.
 const COORDINATION_TIME: Duration = Duration::from_secs(3);
 
 /// Daemons before brittle runners.
 struct Fleet {
     daemons: Vec<TestIngress>,
     runners: Vec<BrittleRunner>,
+    /// Runs the first daemon, which coordinates.
+    coordinator: Option<Runtime>,
+}
+
+impl Drop for Fleet {
+    fn drop(&mut self) {
+        self.kill_coordinator();
+    }
 }
 
 /// The answers to the requests of a load period.
@@ -64,22 +75,40 @@
         });
         store.set_runners(entries.collect());
         store.set_configuration(configuration(1, Vec::new()));
-        let names: Vec<String> = (0..DAEMONS).map(|index| format!("d{index}")).collect();
-        let starting = names.iter().map(|name| {
-            TestIngress::start_with_store(name, store.share(), Arc::new(SilentControl))
-        });
-        let daemons = join_all(starting).await;
-        join_all(daemons.iter().map(TestIngress::until_ready)).await;
+        let runtime = Runtime::new().unwrap();
+        let start = |name: String| {
+            let settings = settings(&name);
+            TestIngress::start_with(settings, store.share(), Arc::new(SilentControl))
+        };
+        let coordinator = runtime.spawn(start("d0".to_owned())).await.unwrap();
+        coordinator.until_ready().await;
+        sleep(ELECTION_TIME).await;
+        let members = join_all((1..DAEMONS).map(|index| start(format!("d{index}")))).await;
+        join_all(members.iter().map(TestIngress::until_ready)).await;
         sleep(COORDINATION_TIME).await;
-        Self { daemons, runners }
+        Self {
+            daemons: std::iter::once(coordinator).chain(members).collect(),
+            runners,
+            coordinator: Some(runtime),
+        }
+    }
+
+    fn kill_coordinator(&mut self) {
+        if let Some(runtime) = self.coordinator.take() {
+            runtime.shutdown_background();
+        }
     }
 
     /// Sends requests at an even rate to all daemons in turn. If they are alike, they differ in their IDs only.
     async fn send_load(&self, rate: u32, are_alike: bool) -> Outcome {
+        self.send_load_to(&self.daemons, rate, are_alike).await
+    }
+
+    async fn send_load_to(&self, daemons: &[TestIngress], rate: u32, are_alike: bool) -> Outcome {
         let mut requests = JoinSet::new();
         let count = rate * u32::try_from(LOAD_TIME.as_secs()).unwrap();
         for index in 0..count {
-            let daemon = &self.daemons[index as usize % DAEMONS];
+            let daemon = &daemons[index as usize % daemons.len()];
             let path = if are_alike {
                 "/safe/x".to_owned()
             } else {
@@ -149,3 +178,22 @@
     assert_eq!(outcome.quarantined, 0, "{outcome:?}");
     fleet.assert_runners_have_survived(&outcome);
 }
+
+/// Guards against failures of runners while no coordinator counts the requests at them, and against a service that waits
+/// for the next one longer than a lease.
+#[tokio::test(flavor = "multi_thread", worker_threads = 3)]
+async fn brittle_runners_survive_the_loss_of_the_coordinator() {
+    let mut fleet = Fleet::start(6).await;
+    let warm_up = fleet.daemons[1..].iter().take(3);
+    for (index, daemon) in warm_up.enumerate() {
+        let request = daemon.request("/safe/x", &format!("{}", 1_000_000 + index));
+        assert_eq!(request.send().await.unwrap().status(), 200);
+    }
+    sleep(BRITTLE_AFTER).await;
+    fleet.kill_coordinator();
+    let outcome = fleet
+        .send_load_to(&fleet.daemons[1..], CAPACITY * 2 / 3, false)
+        .await;
+    fleet.assert_runners_have_survived(&outcome);
+    assert!(outcome.served * 2 >= outcome.sent, "{outcome:?}");
+}
--- a/crates/ingress/tests/ingress/legacy_coordinator.rs
+++ b/crates/ingress/tests/ingress/legacy_coordinator.rs
@@ -230,3 +230,27 @@
     let summaries = coordinator.count_summaries(member, HOLDINGS_BOUND).await;
     assert!(summaries > 3, "{summaries} in {HOLDINGS_BOUND:?}");
 }
+
+/// Guards against requests to brittle runners that wait for the permits of a coordinator that gives none.
+#[tokio::test]
+async fn brittle_runners_are_used_under_a_coordinator_that_gives_no_permits() {
+    let server = ScriptedRunner::start(Vec::new()).await;
+    server.set_notice("x-rejection-limit: 6\r\n");
+    let runner = runner(0, server.address);
+    let store = MemoryStore::default();
+    store.set_runners(vec![runner.clone()]);
+    store.set_configuration(configuration(1, Vec::new()));
+    let coordinator = LegacyCoordinator::start(runner).await;
+    let daemon = TestIngress::start_with_store("d", store, Arc::new(SilentControl)).await;
+    let member = daemon.ingress.as_ref().unwrap().peer_address;
+    let coordinator_task = tokio::spawn(coordinator.lead(member));
+    daemon.until_ready().await;
+    let started_at = Instant::now();
+    for index in 0..40 {
+        let response = daemon.request("/safe/x", &format!("id-{index}"));
+        assert_eq!(response.send().await.unwrap().status(), 200, "{index}");
+    }
+    let elapsed = started_at.elapsed();
+    coordinator_task.abort();
+    assert!(elapsed < Duration::from_secs(2), "{elapsed:?}");
+}
--- a/crates/routing/src/balance.rs
+++ b/crates/routing/src/balance.rs
@@ -184,9 +184,20 @@
         .availability
         .notices
         .rests_until(&runner.id, context.now);
-    let rejections = &context.availability.notices.rejections;
-    let bearable_at = rejections.available_at(&runner.id, context.daemons, context.now);
-    permit_wait_until.max(resting_until).max(bearable_at)
+    permit_wait_until
+        .max(resting_until)
+        .max(bearable_at(context, runner))
+}
+
+/// Time at which a brittle runner may be sent a request without a keeper that gives permits; `None` if now.
+fn bearable_at(context: &SelectionContext<'_>, runner: &Runner) -> Option<Timestamp> {
+    let notices = context.availability.notices;
+    if notices.concurrency.hears_keeper(context.now) {
+        return None;
+    }
+    notices
+        .rejections
+        .available_at(&runner.id, context.daemons, context.now)
 }
 
 /// Condition of a runner, best first.
--- a/crates/routing/src/encoding.rs
+++ b/crates/routing/src/encoding.rs
@@ -325,7 +325,11 @@
             | Self::StreamOrigins(_)
             | Self::OriginQuestions(_)
             | Self::OriginAnswers(_)
-            | Self::RunnersDown(_) => {}
+            | Self::RunnersDown(_)
+            | Self::ConcurrencyQuestions(_)
+            | Self::ConcurrencyAnswers(_)
+            | Self::ConcurrencyReport(_)
+            | Self::RejectionLimits(_) => {}
         }
     }
 }
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod balance;
 pub mod budget;
 pub mod cold;
+pub mod concurrency;
 pub mod configuration;
 pub mod configuration_age;
 pub mod configuration_transfer;
--- a/crates/routing/src/messages.rs
+++ b/crates/routing/src/messages.rs
@@ -7,6 +7,8 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::concurrency::limits::RejectionLimitNews;
+use crate::concurrency::{ConcurrencyAnswers, ConcurrencyQuestions, ConcurrencyReport};
 use crate::configuration_transfer::ConfigurationChunk;
 use crate::evacuation::Evacuations;
 use crate::holdings_digests::HoldingsDigests;
@@ -75,6 +77,14 @@
     OriginAnswers(OriginAnswers),
     /// From any daemon to the coordinator: runners at whose ports nothing listens.
     RunnersDown(Vec<RunnerId>),
+    /// From any daemon to the coordinator: requests for permits to send to brittle runners.
+    ConcurrencyQuestions(ConcurrencyQuestions),
+    /// Reply to [`Message::ConcurrencyQuestions`].
+    ConcurrencyAnswers(ConcurrencyAnswers),
+    /// From any daemon to the coordinator: what has become of its permits.
+    ConcurrencyReport(ConcurrencyReport),
+    /// From any daemon to the coordinator, and from the coordinator to all others.
+    RejectionLimits(RejectionLimitNews),
 }
 
 /// A request for a newer configuration.
@@ -366,6 +376,10 @@
             Self::OriginQuestions(_) => "origin-questions",
             Self::OriginAnswers(_) => "origin-answers",
             Self::RunnersDown(_) => "runners-down",
+            Self::ConcurrencyQuestions(_) => "concurrency-questions",
+            Self::ConcurrencyAnswers(_) => "concurrency-answers",
+            Self::ConcurrencyReport(_) => "concurrency-report",
+            Self::RejectionLimits(_) => "rejection-limits",
         }
     }
 }
--- a/crates/routing/src/notices.rs
+++ b/crates/routing/src/notices.rs
@@ -7,6 +7,8 @@
 use flaxward_types::time::{Timestamp, millis};
 use serde::{Deserialize, Serialize};
 
+use crate::concurrency::ledger::ConcurrencyLedger;
+use crate::concurrency::limits::RejectionLimits;
 use crate::names::RunnerId;
 use crate::rate_limit::RequestRate;
 use crate::rejections::RejectionBudgets;
@@ -122,7 +124,11 @@
 #[derive(Debug, Default)]
 pub struct Notices {
     runners: HashMap<RunnerId, RunnerState>,
-    /// Requests that brittle runners may have to reject.
+    /// Services whose runners are brittle.
+    pub rejection_limits: RejectionLimits,
+    /// Permits for requests to brittle runners.
+    pub concurrency: ConcurrencyLedger,
+    /// Requests that brittle runners may have to reject, while there is no keeper that gives permits.
     pub rejections: RejectionBudgets,
     /// Number of runners that were found to be leaving.
     leave_count: u64,
--- a/crates/routing/src/rejections.rs
+++ b/crates/routing/src/rejections.rs
@@ -1,4 +1,5 @@
-//! Limits on the requests that runners have to reject because they are full.
+//! A daemon's share of the requests that brittle runners may have to reject, for times without a keeper that gives
+//! permits ([`crate::concurrency`]).
 //!
 //! A brittle runner fails if it has to reject more requests per second than it reports, from all daemons together. A
 //! daemon sends to it only while the requests that it has not answered yet, if all were rejected, would stay within the
@@ -151,6 +152,13 @@
         true
     }
 
+    /// Counts a request that is sent to a runner with a permit.
+    pub fn begin_permitted(&mut self, runner: &RunnerId) {
+        if let Some(count) = self.runners.get_mut(runner) {
+            count.unanswered += 1;
+        }
+    }
+
     /// Records the end of a request that [`Self::begin`] counted.
     pub fn end(&mut self, runner: &RunnerId, is_rejected: bool, daemons: usize, now: Timestamp) {
         let Some(count) = self.runners.get_mut(runner) else {
--- a/crates/routing/tests/wire/extensions.rs
+++ b/crates/routing/tests/wire/extensions.rs
@@ -2,6 +2,11 @@
 
 use std::net::SocketAddr;
 
+use flaxward_routing::concurrency::limits::{RejectionLimitNews, SharedRejectionLimit};
+use flaxward_routing::concurrency::{
+    ConcurrencyAnswer, ConcurrencyAnswers, ConcurrencyDecision, ConcurrencyQuestion,
+    ConcurrencyQuestions, ConcurrencyReport, EndedPermit, HeldPermits, PermitOutcome,
+};
 use flaxward_routing::encoding::Encoding;
 use flaxward_routing::evacuation::Evacuations;
 use flaxward_routing::homes::Requirement;
@@ -12,6 +17,7 @@
     KnownState, Message, StoreNews, StoreState, WaitNotice, WaitingUnit,
 };
 use flaxward_routing::names::{ModelName, RunnerId, ServiceName, SoftwareVersion, Unit, Zone};
+use flaxward_routing::rate_limit::RequestRate;
 use flaxward_routing::revision::{EraStart, StoreEra, StoreRevision};
 use flaxward_routing::stream_origins::messages::{
     OriginAnswer, OriginAnswers, OriginQuestion, OriginQuestions, StreamOriginRecords, StreamRecord,
@@ -162,9 +168,70 @@
     ]
 }
 
+/// The four kinds of messages about brittle runners.
+fn concurrency() -> [Message; 4] {
+    let from: SocketAddr = "10.0.0.7:9000".parse().unwrap();
+    let limit = RequestRate::per_second(6.0).unwrap();
+    let runner = RunnerId::new("i-1");
+    [
+        Message::ConcurrencyQuestions(ConcurrencyQuestions {
+            from,
+            requests: vec![ConcurrencyQuestion {
+                number: 300,
+                runner: runner.clone(),
+                rank: 2,
+                slots: 12,
+                limit,
+                candidates: 3,
+            }],
+        }),
+        Message::ConcurrencyAnswers(ConcurrencyAnswers {
+            answers: vec![
+                ConcurrencyAnswer {
+                    number: 300,
+                    decision: ConcurrencyDecision::Given { is_busy: true },
+                },
+                ConcurrencyAnswer {
+                    number: 301,
+                    decision: ConcurrencyDecision::Refused { retry_in_ms: 240 },
+                },
+            ],
+        }),
+        Message::ConcurrencyReport(ConcurrencyReport {
+            from,
+            ended: [
+                PermitOutcome::Unused,
+                PermitOutcome::Accepted,
+                PermitOutcome::Rejected,
+            ]
+            .map(|outcome| EndedPermit {
+                number: 300,
+                runner: runner.clone(),
+                outcome,
+            })
+            .to_vec(),
+            held: vec![HeldPermits {
+                runner,
+                up_to: 305,
+                numbers: vec![302, 304],
+            }],
+        }),
+        Message::RejectionLimits(RejectionLimitNews {
+            from,
+            limits: vec![SharedRejectionLimit {
+                service: ServiceName::new("pool"),
+                limit,
+                age_ms: 40,
+                is_busy: true,
+            }],
+        }),
+    ]
+}
+
 /// Messages by name, each with its sender.
 fn samples() -> Vec<(&'static str, Encoding, Message)> {
     let [records, questions, answers] = stream_origins();
+    let [permit_questions, permit_answers, permit_report, limits] = concurrency();
     vec![
         ("store-unknown", Encoding::default(), notice(revision(0, 0))),
         ("first-era", known_since(0), notice(revision(0, 65))),
@@ -184,6 +251,10 @@
             known_since(0),
             Message::RunnersDown(vec![RunnerId::new("i-1"), RunnerId::new("i-2")]),
         ),
+        ("concurrency-questions", known_since(0), permit_questions),
+        ("concurrency-answers", known_since(0), permit_answers),
+        ("concurrency-report", known_since(0), permit_report),
+        ("rejection-limits", known_since(0), limits),
     ]
 }
 
