Soak: services with brittle runners

A further kind of fault, brittle-service: the runners of a service run one to three requests at a time for 8 to 13 s, report a limit of one to seven rejections in a second, and fail above it from 3 s after their first such answer. LIMIT counts those failures as operators do: 2 and a tenth of the runners are accepted, and only those count where most of the rejected requests came from daemons that nothing disturbed.

--- a/crates/flaxward/tests/soak.rs
+++ b/crates/flaxward/tests/soak.rs
@@ -35,6 +35,7 @@
     FaultKind::LimitedRunner,
     FaultKind::RestingRunner,
     FaultKind::LateDrain,
+    FaultKind::BrittleService,
 ];
 
 async fn run(name: &str, seed: u64, seconds: u64, faults: Vec<(FaultKind, u32)>) -> Report {
--- a/crates/soak/src/faults.rs
+++ b/crates/soak/src/faults.rs
@@ -19,7 +19,8 @@
 use crate::fleet::{Cut, Drain, Fleet, PlannedStop, START_PATIENCE, locked};
 use crate::proxy::Mode;
 use crate::runner_faults::{
-    cut_region, limit_runner, rest_runner, start_anew, turn_cold, write_foreign_entries,
+    cut_region, limit_runner, rest_runner, start_anew, turn_brittle, turn_cold,
+    write_foreign_entries,
 };
 
 /// Faults at one time.
@@ -80,6 +81,8 @@
     RestingRunner,
     /// A runner is replaced as planned, and says so in its answers seconds before the list does.
     LateDrain,
+    /// The runners of a service run few requests at a time, and fail if they reject too many in a second.
+    BrittleService,
 }
 
 impl FaultKind {
@@ -190,6 +193,7 @@
         FaultKind::LimitedRunner => limit_runner(fleet, random).await,
         FaultKind::RestingRunner => rest_runner(fleet, random).await,
         FaultKind::LateDrain => drain_runner_late(fleet, random).await,
+        FaultKind::BrittleService => turn_brittle(fleet, random).await,
     }
 }
 
--- a/crates/soak/src/fleet.rs
+++ b/crates/soak/src/fleet.rs
@@ -65,6 +65,15 @@
     pub ended: Instant,
 }
 
+/// A period in which the runners of a service are brittle.
+#[derive(Clone, Debug)]
+pub(crate) struct BrittlePeriod {
+    pub service: String,
+    pub runners: Vec<String>,
+    pub begun: Instant,
+    pub ended: Instant,
+}
+
 /// A planned stop of a daemon.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct PlannedStop {
@@ -86,6 +95,7 @@
     pub drains: Mutex<Vec<Drain>>,
     pub cuts: Mutex<Vec<Cut>>,
     pub stops: Mutex<Vec<PlannedStop>>,
+    pub brittle_periods: Mutex<Vec<BrittlePeriod>>,
     pub violations: Mutex<Vec<String>>,
     pub outcomes: Mutex<Vec<Outcome>>,
     pub faults: Mutex<Vec<String>>,
@@ -136,6 +146,7 @@
             drains: Mutex::default(),
             cuts: Mutex::default(),
             stops: Mutex::default(),
+            brittle_periods: Mutex::default(),
             violations: Mutex::default(),
             outcomes: Mutex::default(),
             faults: Mutex::default(),
@@ -284,6 +295,29 @@
         }
     }
 
+    /// The runners of a service are brittle from now on, for some time, and say so. They run fewer requests at a time.
+    /// Returns their identities.
+    pub fn turn_brittle(
+        &self,
+        service: &str,
+        limit: usize,
+        slots: u32,
+        duration: Duration,
+    ) -> Vec<String> {
+        let mut turned = Vec::new();
+        for place in locked(&self.places).iter_mut() {
+            if place.state.service == service {
+                place.state.slots = slots;
+                place.runner.start_brittle_period(limit, slots, duration);
+                turned.push(place.runner.id().to_owned());
+            }
+        }
+        for runner in &turned {
+            self.renew_entry(runner);
+        }
+        turned
+    }
+
     /// A runner is cold from now on, for some time, and says so.
     pub fn turn_cold(&self, id: &str, duration: Duration) {
         for place in locked(&self.places).iter() {
--- a/crates/soak/src/notice_checks.rs
+++ b/crates/soak/src/notice_checks.rs
@@ -7,7 +7,7 @@
 
 use crate::checks::CALM;
 use crate::disturbances::Target;
-use crate::fleet::{Fleet, locked};
+use crate::fleet::{BrittlePeriod, Fleet, locked};
 
 /// Time over which the requests of a runner that names a rate are counted.
 const RATE_SPAN: Duration = Duration::from_secs(4);
@@ -64,6 +64,41 @@
             check_leave(fleet, runner, &own);
         }
     }
+    for period in locked(&fleet.brittle_periods).iter() {
+        check_brittle(fleet, period, &daemons);
+    }
+}
+
+/// In one period brittle runners fail no more often than 2 and a tenth of their number, where most of what they rejected came
+/// from daemons that nothing disturbed.
+fn check_brittle(fleet: &Fleet, period: &BrittlePeriod, daemons: &HashMap<String, usize>) {
+    let runners = locked(&fleet.runners);
+    let failures = runners
+        .iter()
+        .filter(|started| period.runners.iter().any(|id| id == started.runner.id()))
+        .filter_map(|started| Some((&started.runner, started.runner.rejection_failure()?)))
+        .filter(|(_, failure)| (period.begun..=period.ended).contains(&failure.at));
+    let counted = failures.filter(|(runner, failure)| {
+        let is_undisturbed = |request: &&String| {
+            let daemon = daemons.get(*request);
+            daemon.is_some_and(|daemon| !is_out_of_touch(fleet, *daemon, failure.at))
+        };
+        let undisturbed = failure.requests.iter().filter(is_undisturbed).count();
+        undisturbed * 2 > failure.requests.len() && !was_held_up(fleet, runner, failure.at)
+    });
+    let count = counted.count();
+    let (accepted, service) = (2 + period.runners.len() / 10, &period.service);
+    if count > accepted {
+        fleet.violation(format!(
+            "LIMIT {count} runners of {service} failed under rejections, {accepted} accepted"
+        ));
+    }
+}
+
+/// Whether a daemon or the store was disturbed shortly before a moment.
+fn is_out_of_touch(fleet: &Fleet, daemon: usize, at: Instant) -> bool {
+    let is_store = |target| target == Target::Store;
+    is_excused(fleet, daemon, at, at) || fleet.disturbances.touched(is_store, at, at, CALM)
 }
 
 /// Whether a daemon was restarted, paused or cut off in a span of time, so that it may have forgotten what it was told or
--- a/crates/soak/src/runner_faults.rs
+++ b/crates/soak/src/runner_faults.rs
@@ -1,7 +1,7 @@
 //! Faults of runners and of their list: cold spells, rates and rests, new lives under an old identity, entries that nobody can
 //! read.
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use flaxward_platform_stand_in::{
     ColdLimit, FOREIGN_ENTRY_KINDS, Notice, RunnerStandIn, foreign_entries,
@@ -12,7 +12,7 @@
 
 use crate::disturbances::Target;
 use crate::faults::{some_runner, some_time};
-use crate::fleet::{Fleet, locked};
+use crate::fleet::{BrittlePeriod, Fleet, locked};
 use crate::proxy::Mode;
 use crate::regions::{REGIONS, Region};
 
@@ -28,6 +28,9 @@
 /// Time for which a runner names a rate, at least.
 const LIMITED_FOR: Duration = Duration::from_secs(6);
 
+/// Time for which the runners of a service are brittle, at least.
+const BRITTLE_FOR: Duration = Duration::from_secs(8);
+
 /// Time after which the entries of runners lapse that don't reach the store: three heartbeats.
 const LAPSE: Duration = Duration::from_millis(1_500);
 
@@ -70,6 +73,25 @@
     sleep(duration).await;
 }
 
+/// The runners of a service are brittle for a while, and say so. Some seconds pass until they can fail.
+pub(crate) async fn turn_brittle(fleet: &Fleet, random: &mut ChaCha8Rng) {
+    let Some((_, service)) = some_runner(fleet, random) else {
+        return;
+    };
+    let limit = random.random_range(1..8);
+    let slots = random.random_range(1..4);
+    let duration = BRITTLE_FOR + some_time(random);
+    let begun = Instant::now();
+    let runners = fleet.turn_brittle(&service, limit, slots, duration);
+    sleep(duration).await;
+    locked(&fleet.brittle_periods).push(BrittlePeriod {
+        service,
+        runners,
+        begun,
+        ended: Instant::now(),
+    });
+}
+
 /// A runner turns all requests away for a while, and asks for rest.
 pub(crate) async fn rest_runner(fleet: &Fleet, random: &mut ChaCha8Rng) {
     let Some((id, _)) = some_runner(fleet, random) else {
