--- a/crates/ingress/src/counters.rs
+++ b/crates/ingress/src/counters.rs
@@ -230,7 +230,7 @@
 /// Admissions of requests to runners as far as rejections are concerned, by `outcome`.
 pub const CONCURRENCY_PERMITS: Metric = Metric::counter(
     "flaxward_ingress_concurrency_permits_total",
-    "Requests by the permit for a brittle runner, by `outcome`: `unlimited` (none needed), `given`, `refused`, `unanswered`, `own-share` or `no-keeper`.",
+    "Permits asked for requests to brittle runners, by `outcome`: `given`, `refused`, `unanswered`, `own-share` or `no-keeper`.",
 );
 /// Retries asked of the retry budget, by `outcome`.
 pub const RETRIES: Metric = Metric::counter(
