Keepers' answers have one timeout; a leftover of the permits removed

The same 80 ms stood in four modules, two of them older: it now stands beside the client that waits. RejectionBudgets::limit had no caller left since the limits went to RejectionLimits. An answer's notice takes the tables' lock once, not twice. next_report is used inside its module only, and a test imports a constant under its own name. No behaviour changes.

--- a/crates/ingress/src/access.rs
+++ b/crates/ingress/src/access.rs
@@ -17,6 +17,7 @@
 use tokio::time::timeout;
 
 use crate::counters::QUOTA_UNITS;
+use crate::keeper_client::ANSWER_TIMEOUT;
 use crate::refused::Refused;
 use crate::state::Shared;
 
@@ -119,10 +120,6 @@
     }
 }
 
-/// Timeout for an answer of the keeper: a message each way, and the longest planning round of a
-/// coordinator.
-const ANSWER_TIMEOUT: Duration = Duration::from_millis(80);
-
 /// Charges the cost of a request to its tenant's quota.
 ///
 /// # Errors
--- a/crates/ingress/src/concurrency.rs
+++ b/crates/ingress/src/concurrency.rs
@@ -16,10 +16,9 @@
 
 use crate::counters::CONCURRENCY_PERMITS;
 use crate::exchange::ClientRequest;
+use crate::keeper_client::ANSWER_TIMEOUT;
 use crate::state::Shared;
 
-/// Timeout for an answer of the keeper: a message each way, and the longest planning round of a coordinator.
-const ANSWER_TIMEOUT: Duration = Duration::from_millis(80);
 /// Pause before a request for a busy service asks again while no keeper answers.
 const NO_KEEPER_PAUSE: Duration = Duration::from_millis(250);
 /// Pause before a request asks again whose question or answer got lost.
--- a/crates/ingress/src/keeper_client.rs
+++ b/crates/ingress/src/keeper_client.rs
@@ -3,9 +3,12 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
 
 use tokio::sync::oneshot;
 
+/// Timeout for an answer of the coordinator as keeper: a message each way, and its longest planning round.
+pub(crate) const ANSWER_TIMEOUT: Duration = Duration::from_millis(80);
 /// Maximum number of pending questions; older ones count as unanswered.
 const MAX_WAITERS: u64 = 4_096;
 
--- a/crates/ingress/src/notices.rs
+++ b/crates/ingress/src/notices.rs
@@ -18,12 +18,23 @@
     /// Applies the notice in an answer to a request that was sent at `sent_at`.
     pub(crate) fn apply_notice(&self, runner: &Runner, notice: RunnerNotice, sent_at: Timestamp) {
         let now = self.now();
-        self.apply_rejection_limit(runner, notice.rejection_limit, sent_at);
-        let runner = &runner.id;
-        let is_changed = self
-            .tables()
-            .notices
-            .apply_answer(runner, notice, sent_at, now);
+        let Runner {
+            id: runner,
+            service,
+            ..
+        } = runner;
+        let limit = notice.rejection_limit;
+        let mut tables = self.tables();
+        let notices = &mut tables.notices;
+        let has_new_limit = notices
+            .rejection_limits
+            .apply(runner, service, limit, sent_at, now);
+        let is_changed = notices.apply_answer(runner, notice, sent_at, now);
+        drop(tables);
+        if has_new_limit {
+            self.log_rejection_limit(service, limit, "runner");
+            self.keeper_wake.notify_one();
+        }
         if !is_changed {
             return;
         }
@@ -43,24 +54,6 @@
         self.changed.notify_waiters();
     }
 
-    /// Applies the limit of rejections in an answer to a request that was sent at `sent_at`, or its absence.
-    fn apply_rejection_limit(
-        &self,
-        runner: &Runner,
-        limit: Option<RequestRate>,
-        sent_at: Timestamp,
-    ) {
-        let now = self.now();
-        let mut tables = self.tables();
-        let limits = &mut tables.notices.rejection_limits;
-        let is_changed = limits.apply(&runner.id, &runner.service, limit, sent_at, now);
-        drop(tables);
-        if is_changed {
-            self.log_rejection_limit(&runner.service, limit, "runner");
-            self.keeper_wake.notify_one();
-        }
-    }
-
     /// Merges what another daemon has told of a service with brittle runners.
     pub(crate) fn merge_rejection_limit(&self, shared: &SharedRejectionLimit) {
         let now = self.now();
--- a/crates/ingress/src/permits.rs
+++ b/crates/ingress/src/permits.rs
@@ -15,11 +15,9 @@
 use crate::concurrency::{self, Concurrency};
 use crate::counters::PERMITS;
 use crate::exchange::ClientRequest;
+use crate::keeper_client::ANSWER_TIMEOUT;
 use crate::state::Shared;
 
-/// Timeout for an answer of the keeper: a message each way, and the longest planning round of a
-/// coordinator.
-const ANSWER_TIMEOUT: Duration = Duration::from_millis(80);
 /// Pause before the next permit question for a runner if the keeper did not answer or none is
 /// known.
 const NO_ANSWER_PAUSE: Duration = Duration::from_millis(250);
--- a/crates/ingress/src/stream_origins.rs
+++ b/crates/ingress/src/stream_origins.rs
@@ -19,11 +19,10 @@
 
 use crate::counters::STREAM_ORIGINS;
 use crate::exchange::ClientRequest;
+use crate::keeper_client::ANSWER_TIMEOUT;
 use crate::refused::Refused;
 use crate::state::Shared;
 
-/// Timeout for the answers of the keepers: a message each way, and the longest planning round of a coordinator.
-const ANSWER_TIMEOUT: Duration = Duration::from_millis(80);
 /// Time after its deadline during which a client may still take a stream up.
 const LIFE_SLACK: Duration = Duration::from_secs(5);
 /// `Retry-After` if the origin of a stream is not known: the keepers may answer again once a coordinator is elected.
--- a/crates/ingress/tests/ingress/brittle_fleet.rs
+++ b/crates/ingress/tests/ingress/brittle_fleet.rs
@@ -13,7 +13,7 @@
 use tokio::task::JoinSet;
 use tokio::time::sleep;
 
-use crate::brittle_runner::{BrittleRunner, CONTACT_TIME as BRITTLE_AFTER, Properties};
+use crate::brittle_runner::{BrittleRunner, CONTACT_TIME, Properties};
 use crate::store::MemoryStore;
 use crate::support::{SilentControl, TestIngress, configuration, runner, settings};
 
@@ -189,7 +189,7 @@
         let request = daemon.request("/safe/x", &format!("{}", 1_000_000 + index));
         assert_eq!(request.send().await.unwrap().status(), 200);
     }
-    sleep(BRITTLE_AFTER).await;
+    sleep(CONTACT_TIME).await;
     fleet.kill_coordinator();
     let outcome = fleet
         .send_load_to(&fleet.daemons[1..], CAPACITY * 2 / 3, false)
--- a/crates/routing/src/concurrency/ledger.rs
+++ b/crates/routing/src/concurrency/ledger.rs
@@ -150,7 +150,7 @@
     }
 
     /// When the next report is due; `None` if there is nothing to report.
-    pub fn next_report(&self) -> Option<Timestamp> {
+    fn next_report(&self) -> Option<Timestamp> {
         if !self.ended.is_empty() {
             return Some(Timestamp::ZERO);
         }
--- a/crates/routing/src/rejections.rs
+++ b/crates/routing/src/rejections.rs
@@ -125,11 +125,6 @@
         has_changed
     }
 
-    /// The limit that a runner reports.
-    pub fn limit(&self, runner: &RunnerId) -> Option<RequestRate> {
-        self.runners.get(runner).map(|count| count.limit)
-    }
-
     /// When a request may be sent to a runner without risking too many rejections; `None` if now.
     pub fn available_at(
         &self,
