Logs and a metric tell why a crash does not count towards a quarantine

Which of four hypotheses holds for parts that crash runners again and again could not be told from a log: crashes that were not counted left no line, and a refusal did not name the fingerprint that withheld the request. crash-not-counted and its metric give the reason, runner-crashed tells whether an answer had begun, and the refusal names the fingerprint. No decision depends on them.

--- a/crates/ingress/src/counters.rs
+++ b/crates/ingress/src/counters.rs
@@ -3,7 +3,7 @@
 use flaxward_types::Metric;
 
 /// Metrics of this crate.
-pub const METRICS: [Metric; 42] = [
+pub const METRICS: [Metric; 43] = [
     SERVED,
     REFUSED,
     ATTEMPTS_FAILED,
@@ -27,6 +27,7 @@
     CONFIGURATIONS_FROM_PEERS,
     QUOTA_UNITS,
     RUNNER_CRASHES,
+    CRASHES_NOT_COUNTED,
     REQUESTS_QUARANTINED,
     SUSPENSIONS,
     STORE_CALLS,
@@ -167,6 +168,11 @@
     "flaxward_ingress_runner_crashes_total",
     "Requests of this daemon that had just begun at a runner when it crashed.",
 );
+/// Crashes that this daemon observed and that did not count towards a quarantine.
+pub const CRASHES_NOT_COUNTED: Metric = Metric::counter(
+    "flaxward_ingress_crashes_not_counted_total",
+    "Crashes under a request or a part of its prompt that do not count towards its quarantine, by `reason`.",
+);
 /// Requests that became known to this daemon as quarantined.
 pub const REQUESTS_QUARANTINED: Metric = Metric::counter(
     "flaxward_ingress_requests_quarantined_total",
--- a/crates/ingress/src/crashes.rs
+++ b/crates/ingress/src/crashes.rs
@@ -10,7 +10,7 @@
 use flaxward_routing::runners::Runner;
 use tokio::time::timeout;
 
-use crate::counters::{REQUESTS_QUARANTINED, RUNNER_CRASHES};
+use crate::counters::{CRASHES_NOT_COUNTED, REQUESTS_QUARANTINED, RUNNER_CRASHES};
 use crate::exchange::ClientRequest;
 use crate::state::Shared;
 
@@ -48,7 +48,7 @@
     let check = tokio::spawn(async move {
         if shared.is_refused(address).await {
             shared.record_down(&runner);
-            shared.log_crash(&report, &parts, &runner, &id);
+            shared.log_crash(&report, &parts, &runner, &id, has_begun);
             shared.report_run(report);
             for fingerprint in parts {
                 let outcome = RunOutcome::Crashed(runner.clone());
@@ -100,6 +100,16 @@
 impl Shared {
     /// Remaining quarantine of a request or of a part of its prompt; `None` if neither is quarantined.
     pub(crate) fn quarantine_remaining(&self, request: &ClientRequest) -> Option<Duration> {
+        let (_, remaining) = self.find_quarantined(request)?;
+        Some(remaining)
+    }
+
+    /// The fingerprint of a request or of a part of its prompt that is quarantined, and for how long; of several, the
+    /// one that is quarantined the longest.
+    pub(crate) fn find_quarantined(
+        &self,
+        request: &ClientRequest,
+    ) -> Option<(RequestFingerprint, Duration)> {
         if self.tables().quarantine.is_empty() {
             return None;
         }
@@ -112,8 +122,11 @@
             .filter(|part| !tables.sound_parts.contains(part, now));
         let remaining = std::iter::once(&fingerprint)
             .chain(suspected)
-            .filter_map(|fingerprint| tables.quarantine.remaining(fingerprint, now));
-        remaining.max()
+            .filter_map(|fingerprint| {
+                let remaining = tables.quarantine.remaining(fingerprint, now)?;
+                Some((*fingerprint, remaining))
+            });
+        remaining.max_by_key(|(_, remaining)| *remaining)
     }
 
     /// Records that a runner has begun the answer to a request: no part of its prompt crashes runners.
@@ -179,6 +192,7 @@
         parts: &[RequestFingerprint],
         runner: &RunnerId,
         request: &str,
+        has_begun: bool,
     ) {
         metrics::counter!(RUNNER_CRASHES.name).increment(1);
         let fields: &[(&str, &dyn Display)] = &[
@@ -186,13 +200,38 @@
             ("request", &request),
             ("fingerprint", &report.fingerprint),
             ("parts", &join(parts)),
+            ("begun", &has_begun),
         ];
         self.log.write(self.now(), "runner-crashed", fields);
     }
 
+    /// Logs why a crash that this daemon has observed does not count towards a quarantine.
+    fn log_not_counted(&self, fingerprint: &RequestFingerprint, runner: &RunnerId) {
+        let now = self.now();
+        let tables = self.tables();
+        let reason = if tables.sound_parts.contains(fingerprint, now) {
+            "sound"
+        } else if tables.quarantine.remaining(fingerprint, now).is_some() {
+            "quarantined"
+        } else {
+            "runner-counted"
+        };
+        drop(tables);
+        metrics::counter!(CRASHES_NOT_COUNTED.name, "reason" => reason).increment(1);
+        let fields: &[(&str, &dyn Display)] = &[
+            ("fingerprint", fingerprint),
+            ("runner", runner),
+            ("reason", &reason),
+        ];
+        self.log.write(now, "crash-not-counted", fields);
+    }
+
     /// Records a run of this daemon, and queues it for the keepers if it changes their state.
     fn report_run(&self, report: RunReport) {
         if self.record_run(&report) == Recorded::Unchanged {
+            if let RunOutcome::Crashed(runner) = &report.outcome {
+                self.log_not_counted(&report.fingerprint, runner);
+            }
             return;
         }
         if let Ok(mut reports) = self.run_reports.lock() {
--- a/crates/ingress/src/dispatch.rs
+++ b/crates/ingress/src/dispatch.rs
@@ -8,6 +8,7 @@
 use flaxward_routing::attempt::{Attempts, Failure};
 use flaxward_routing::balance::{NoRunner, PermitWait, SelectionCriteria};
 use flaxward_routing::configuration::Route;
+use flaxward_routing::fingerprint::RequestFingerprint;
 use flaxward_routing::health::Observation;
 use flaxward_routing::names::{RunnerId, ServiceName};
 use flaxward_routing::runners::Runner;
@@ -133,8 +134,8 @@
             if self.request.time_left() < MIN_TIME_LEFT {
                 return self.give_up("the deadline has passed");
             }
-            if let Some(remaining) = self.shared.quarantine_remaining(&self.request) {
-                return self.quarantined(remaining);
+            if let Some((fingerprint, remaining)) = self.shared.find_quarantined(&self.request) {
+                return self.quarantined(fingerprint, remaining);
             }
             let runner = match self.choose() {
                 Ok(runner) => runner,
@@ -495,13 +496,19 @@
 
     /// Final response if the request is quarantined because runners have crashed while running it. Otherwise it would
     /// be sent to runner after runner, and each crash aborts all other requests on that runner.
-    fn quarantined(&mut self, remaining: Duration) -> Result<Response<ResponseBody>, Refused> {
-        const REASON: &str = "runners have crashed while running the request";
+    fn quarantined(
+        &mut self,
+        fingerprint: RequestFingerprint,
+        remaining: Duration,
+    ) -> Result<Response<ResponseBody>, Refused> {
+        let reason = format!(
+            "runners have crashed while running the request or a part of it, {fingerprint}"
+        );
         if !self.attempts.definitely_not_run() {
-            return self.give_up(REASON);
+            return self.give_up(&reason);
         }
         let refusal = Refusal::new(ResultCode::RequestQuarantined).with_retry_after(remaining);
-        Err(self.refused(refusal, REASON))
+        Err(self.refused(refusal, &reason))
     }
 
     /// Final response if no runner in the request's home regions accepts work.
