--- a/crates/ingress/tests/ingress/support.rs
+++ b/crates/ingress/tests/ingress/support.rs
@@ -459,3 +459,9 @@
         placement: PlacementSettings::default(),
     }
 }
+
+/// A share, as a number from 0 to 1.
+#[allow(clippy::cast_precision_loss)]
+pub fn ratio(part: usize, whole: usize) -> f64 {
+    part as f64 / whole as f64
+}
