An event no longer shows that a part of the prompt is harmless

Cause: the first event of an answer cleared the parts of its prompt, and a stream that broke off after it was not suspected. A part that crashes runners as they begin to write cleared itself with each crash.

Change: an answer counts once it has ended, or has gone on for the time in which a stream that breaks off is suspected (1 s). Parts are suspected in that time too.

--- a/crates/ingress/src/crashes.rs
+++ b/crates/ingress/src/crashes.rs
@@ -22,8 +22,7 @@
 /// records it. A runner that only breaks connections still listens; a draining one may exit with
 /// its last requests.
 ///
-/// Parts of its prompt are suspected too, unless an answer on them has begun: at this daemon, or in this request
-/// (`has_begun`).
+/// Parts of its prompt are suspected too, unless an answer on them has ended lately at this daemon.
 pub(crate) async fn check_for_crash(
     shared: &Arc<Shared>,
     request: &ClientRequest,
@@ -37,11 +36,7 @@
         fingerprint: request.fingerprint(),
         outcome: RunOutcome::Crashed(runner.id.clone()),
     };
-    let parts = if has_begun {
-        Vec::new()
-    } else {
-        request.part_fingerprints()
-    };
+    let parts = request.part_fingerprints();
     let (id, address) = (request.profile.id.clone(), runner.address);
     let runner = runner.id.clone();
     let shared = shared.clone();
@@ -129,8 +124,8 @@
         remaining.max_by_key(|(_, remaining)| *remaining)
     }
 
-    /// Records that a runner has begun the answer to a request: no part of its prompt crashes runners.
-    pub(crate) fn record_begun(&self, request: &ClientRequest) {
+    /// Records that a runner has answered a request: no part of its prompt crashes runners.
+    pub(crate) fn record_sound_parts(&self, request: &ClientRequest) {
         let parts = request.part_fingerprints();
         if parts.is_empty() {
             return;
--- a/crates/ingress/src/dispatch.rs
+++ b/crates/ingress/src/dispatch.rs
@@ -411,7 +411,6 @@
             let observation = Some(Observation::Failure);
             return Err(FailedAttempt::new(failure, observation, connection));
         }
-        self.shared.record_begun(&self.request);
         self.shared.record_stream_origin(&self.request, &runner);
         relay.attempts = self.attempts;
         relay.tried = self.tried.clone();
@@ -453,7 +452,7 @@
             return Err(failed(Failure::Failed));
         }
         if !is_error {
-            self.shared.record_begun(&self.request);
+            self.shared.record_sound_parts(&self.request);
         }
         let observation = if is_error {
             Observation::Failure
--- a/crates/ingress/src/relay.rs
+++ b/crates/ingress/src/relay.rs
@@ -77,6 +77,8 @@
     last_events_at: Option<Instant>,
     /// When the first events of the current runner arrived.
     started_at: Option<Instant>,
+    /// Whether the current runner's answer has been recorded as one that did not crash it.
+    is_answer_recorded: bool,
     /// Maximum time between two arrivals of events.
     max_gap: Duration,
     is_done: bool,
@@ -106,6 +108,7 @@
             first: None,
             last_events_at: None,
             started_at: None,
+            is_answer_recorded: false,
             max_gap: Duration::ZERO,
             is_done: false,
         }
@@ -239,16 +242,28 @@
 
     fn record_events(&mut self) {
         let now = Instant::now();
-        self.started_at.get_or_insert(now);
+        let started_at = *self.started_at.get_or_insert(now);
+        if now - started_at >= CRASH_SUSPICION_WINDOW && !self.is_answer_recorded {
+            self.record_answer();
+        }
         if let Some(last) = self.last_events_at.replace(now) {
             self.max_gap = self.max_gap.max(now - last);
         }
     }
 
+    /// Records that the parts of the prompt have not crashed the current runner.
+    fn record_answer(&mut self) {
+        self.shared.record_sound_parts(&self.request);
+        self.is_answer_recorded = true;
+    }
+
     fn end(&mut self) -> ReadOutcome {
         if self.splitter.has_partial() {
             return ReadOutcome::Broken;
         }
+        if !self.is_answer_recorded {
+            self.record_answer();
+        }
         if let Some(exchange) = self.exchange.take() {
             self.log_gap(&exchange.runner.id);
             self.shared.record_completed(&self.request);
@@ -275,10 +290,10 @@
             self.log_break(exchange, failure);
         }
         let silent_since = self.last_events_at.take().unwrap_or_else(Instant::now);
-        let is_crash_suspect = self
-            .started_at
-            .take()
-            .is_none_or(|started_at| started_at.elapsed() < CRASH_SUSPICION_WINDOW);
+        let started_at = self.started_at.take();
+        self.is_answer_recorded = false;
+        let is_crash_suspect =
+            started_at.is_none_or(|started_at| started_at.elapsed() < CRASH_SUSPICION_WINDOW);
         if failure == Failure::Silent
             && let Some(exchange) = current
         {
@@ -287,7 +302,8 @@
         self.attempts.record_failure(failure);
         if let Some(exchange) = &current {
             if is_crash_suspect {
-                check_for_crash(&self.shared, &self.request, &exchange.runner, true).await;
+                let has_begun = started_at.is_some();
+                check_for_crash(&self.shared, &self.request, &exchange.runner, has_begun).await;
             } else {
                 check_whether_down(&self.shared, &exchange.runner).await;
             }
