Crashes count by process, not by the identity of the runner

What callers saw: a service of two runners that start again under their identities was crashed by requests with one part every time it came back: 20 crashes in 20 s, 14 of 189 sound requests served.

Cause: crashes under a fingerprint counted by runner, and the bound is three. Identities outlive processes where operators choose so, and a model with two copies is served by two.

Change: a log of crashes, each with everything that broke off with it. Reports that lie a second or more apart are about different processes of a runner. Daemons have no common clock, so a report tells how long ago the run broke off, in an extension; without it, from a build before, a runner counts once as before. What something in quarantine explains does not count for what broke off beside it.

--- a/crates/gateway/src/crashes.rs
+++ b/crates/gateway/src/crashes.rs
@@ -79,6 +79,7 @@
         let report = RunReport {
             fingerprint: call.fingerprint(),
             outcome: RunOutcome::Crashed(RunnerId::new(back_end.runner.as_str())),
+            context: None,
         };
         let (crashes, back_end) = (Arc::clone(self), back_end.clone());
         let request_id = call.request_id.clone();
@@ -100,6 +101,7 @@
         let report = RunReport {
             fingerprint: call.fingerprint(),
             outcome: RunOutcome::Completed,
+            context: None,
         };
         if self.record(&report) == Recorded::Cleared {
             spdlog::info!("event=request-cleared fingerprint={}", report.fingerprint);
--- a/crates/ingress/src/crashes.rs
+++ b/crates/ingress/src/crashes.rs
@@ -6,8 +6,11 @@
 
 use flaxward_routing::fingerprint::RequestFingerprint;
 use flaxward_routing::names::RunnerId;
-use flaxward_routing::quarantine::{QuarantineEntry, Recorded, RunOutcome, RunReport};
+use flaxward_routing::quarantine::{
+    CrashContext, QuarantineEntry, Recorded, RunOutcome, RunReport,
+};
 use flaxward_routing::runners::Runner;
+use flaxward_types::time::{Timestamp, millis};
 use tokio::time::timeout;
 
 use crate::counters::{CRASHES_NOT_COUNTED, REQUESTS_QUARANTINED, RUNNER_CRASHES};
@@ -32,10 +35,8 @@
     if shared.settings.quarantine.crashes == 0 || is_leaving(shared, &runner.id) {
         return;
     }
-    let report = RunReport {
-        fingerprint: request.fingerprint(),
-        outcome: RunOutcome::Crashed(runner.id.clone()),
-    };
+    let broken_at = shared.now();
+    let fingerprint = request.fingerprint();
     let parts = request.part_fingerprints();
     let (id, address) = (request.profile.id.clone(), runner.address);
     let runner = runner.id.clone();
@@ -43,14 +44,10 @@
     let check = tokio::spawn(async move {
         if shared.is_refused(address).await {
             shared.record_down(&runner);
-            shared.log_crash(&report, &parts, &runner, &id, has_begun);
-            shared.report_run(report);
-            for fingerprint in parts {
-                let outcome = RunOutcome::Crashed(runner.clone());
-                shared.report_run(RunReport {
-                    fingerprint,
-                    outcome,
-                });
+            shared.log_crash(&fingerprint, &parts, &runner, &id, has_begun);
+            for suspect in std::iter::once(fingerprint).chain(parts) {
+                let report = shared.crash_report(suspect, &runner, broken_at);
+                shared.report_run(report);
             }
         }
     });
@@ -148,6 +145,7 @@
             self.report_run(RunReport {
                 fingerprint,
                 outcome,
+                context: None,
             });
         }
     }
@@ -161,6 +159,7 @@
         let report = RunReport {
             fingerprint: request.fingerprint(),
             outcome: RunOutcome::Completed,
+            context: None,
         };
         self.report_run(report);
     }
@@ -181,9 +180,25 @@
         self.changed.notify_waiters();
     }
 
+    fn crash_report(
+        &self,
+        fingerprint: RequestFingerprint,
+        runner: &RunnerId,
+        broken_at: Timestamp,
+    ) -> RunReport {
+        let ago = millis(self.now().since(broken_at));
+        RunReport {
+            fingerprint,
+            outcome: RunOutcome::Crashed(runner.clone()),
+            context: Some(CrashContext {
+                broken_ms_ago: u32::try_from(ago).unwrap_or(u32::MAX),
+            }),
+        }
+    }
+
     fn log_crash(
         &self,
-        report: &RunReport,
+        fingerprint: &RequestFingerprint,
         parts: &[RequestFingerprint],
         runner: &RunnerId,
         request: &str,
@@ -193,7 +208,7 @@
         let fields: &[(&str, &dyn Display)] = &[
             ("runner", runner),
             ("request", &request),
-            ("fingerprint", &report.fingerprint),
+            ("fingerprint", fingerprint),
             ("parts", &join(parts)),
             ("begun", &has_begun),
         ];
@@ -209,7 +224,7 @@
         } else if tables.quarantine.remaining(fingerprint, now).is_some() {
             "quarantined"
         } else {
-            "runner-counted"
+            "counted-or-explained"
         };
         drop(tables);
         metrics::counter!(CRASHES_NOT_COUNTED.name, "reason" => reason).increment(1);
--- a/crates/routing/src/encoding.rs
+++ b/crates/routing/src/encoding.rs
@@ -17,6 +17,7 @@
 use crate::legacy_revisions::LegacyRevisions;
 use crate::membership::MembershipUpdate;
 use crate::messages::{Direction, KnownState, Message, StoreNews};
+use crate::quarantine::CrashContext;
 use crate::revision::{EraStart, StoreEra};
 use crate::software_versions::SoftwareVersions;
 
@@ -38,6 +39,9 @@
 /// runners are unknown and the requirements allow any.
 const SOFTWARE_VERSIONS: u8 = 18;
 
+/// Tag: the payload is a [`CrashContext`] or none for each of the reports in the message, in their order.
+const CRASH_CONTEXTS: u8 = 19;
+
 /// Error in decoding a message.
 #[derive(Clone, Debug, PartialEq, Eq, Error)]
 pub enum MessageError {
@@ -60,6 +64,7 @@
     numbers: Option<LegacyRevisions>,
     software_versions: Option<SoftwareVersions>,
     lacks_software_versions: bool,
+    crash_contexts: Vec<Option<CrashContext>>,
 }
 
 impl Extensions {
@@ -87,6 +92,7 @@
                 SOFTWARE_VERSIONS => {
                     extensions.software_versions = Some(postcard::from_bytes(payload)?);
                 }
+                CRASH_CONTEXTS => extensions.crash_contexts = postcard::from_bytes(payload)?,
                 LACKS_SOFTWARE_VERSIONS => extensions.lacks_software_versions = true,
                 // `STORE_UNKNOWN`, or an extension of a later build.
                 _ => {}
@@ -142,6 +148,19 @@
     append_payload(SOFTWARE_VERSIONS, &payload, bytes)
 }
 
+/// Appends the extension with the contexts of crashes that are reported.
+fn append_crash_contexts(message: &Message, bytes: Vec<u8>) -> Vec<u8> {
+    let Message::RunReports(reports) = message else {
+        return bytes;
+    };
+    let contexts: Vec<&Option<CrashContext>> = reports.iter().map(|it| &it.context).collect();
+    if contexts.iter().all(|it| it.is_none()) {
+        return bytes;
+    }
+    let payload = postcard::to_stdvec(&contexts).expect("extensions encode into memory");
+    append_payload(CRASH_CONTEXTS, &payload, bytes)
+}
+
 /// A decoded message with the origin of its encoding.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Decoded {
@@ -188,7 +207,8 @@
         };
         let bytes = bytes.expect("messages encode into memory");
         let bytes = append_numbering(self.numbers.as_ref(), bytes);
-        append_software_versions(message, bytes)
+        let bytes = append_software_versions(message, bytes);
+        append_crash_contexts(message, bytes)
     }
 
     /// Decodes a message, and merges the sender's numbering of revisions into that of this daemon.
@@ -231,6 +251,11 @@
         if let Some(versions) = extensions.software_versions {
             versions.apply(message);
         }
+        if let Message::RunReports(reports) = message {
+            for (report, context) in reports.iter_mut().zip(extensions.crash_contexts) {
+                report.context = context;
+            }
+        }
         if let Some(known) = message.known_state_mut() {
             known.lacks_software_versions = extensions.lacks_software_versions;
         }
--- /dev/null
+++ b/crates/routing/src/quarantine/crash_log.rs
@@ -0,0 +1,229 @@
+//! Crashes of runners, and what can have caused them.
+//!
+//! Everything that broke off with a runner is suspected: requests, and parts of prompts that requests share. The cause
+//! is found by elimination.
+//!
+//! - A crash that something in quarantine explains does not count for anything else that broke off with it.
+//! - Crashes count by process: a runner that starts again keeps its identity.
+
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::time::Duration;
+
+use flaxward_types::time::Timestamp;
+
+use super::RETENTION;
+use super::report::CrashContext;
+use crate::fingerprint::RequestFingerprint;
+use crate::names::RunnerId;
+
+/// A runner needs longer to start again, so reports of its crashes within this time are about one crash.
+const RESTART_TIME: Duration = Duration::from_secs(1);
+/// Maximum number of suspicions; the oldest crash is dropped first. A crash involves a few dozen requests.
+const MAX_SUSPICIONS: usize = 8_192;
+
+/// Identifies a crash in the log; later ones have higher numbers.
+type CrashNumber = u64;
+
+/// The end of one process of a runner.
+#[derive(Debug)]
+struct Crash {
+    runner: RunnerId,
+    at: Timestamp,
+    suspects: Vec<RequestFingerprint>,
+    /// Those of the suspects that are in quarantine.
+    explained_by: BTreeSet<RequestFingerprint>,
+}
+
+/// A run that broke off with a crash, or several under the same fingerprint.
+#[derive(Debug)]
+struct Suspicion {
+    crash: CrashNumber,
+    at: Timestamp,
+}
+
+/// Recent crashes of runners and their suspects.
+#[derive(Debug, Default)]
+pub(super) struct CrashLog {
+    next: CrashNumber,
+    crashes: BTreeMap<CrashNumber, Crash>,
+    by_runner: HashMap<RunnerId, Vec<CrashNumber>>,
+    suspicions: HashMap<RequestFingerprint, Vec<Suspicion>>,
+    /// Number of all suspicions.
+    total: usize,
+}
+
+impl CrashLog {
+    pub fn is_empty(&self) -> bool {
+        self.crashes.is_empty()
+    }
+
+    /// Records that a run broke off with a crash. Returns whether this is a further crash under the fingerprint.
+    pub fn record(
+        &mut self,
+        fingerprint: RequestFingerprint,
+        runner: &RunnerId,
+        context: Option<&CrashContext>,
+        now: Timestamp,
+    ) -> bool {
+        let ago = |ms: u32| now - Duration::from_millis(ms.into());
+        let at = context.map_or(now, |it| ago(it.broken_ms_ago));
+        let known = match context {
+            Some(_) => self.find_crash(runner, at),
+            None => self.find_undated_crash(fingerprint, runner),
+        };
+        let crash = known.unwrap_or_else(|| self.add_crash(runner, at));
+        let suspicion = Suspicion { crash, at };
+        let is_further = self.add_suspicion(fingerprint, suspicion);
+        self.evict_oldest();
+        is_further
+    }
+
+    fn find_crash(&mut self, runner: &RunnerId, at: Timestamp) -> Option<CrashNumber> {
+        let numbers = self.by_runner.get(runner)?;
+        let is_same = |number: &&CrashNumber| {
+            let known = &self.crashes[number];
+            known.at.since(at).max(at.since(known.at)) < RESTART_TIME
+        };
+        let number = *numbers.iter().rev().find(is_same)?;
+        let crash = self.crashes.get_mut(&number)?;
+        crash.at = crash.at.min(at);
+        Some(number)
+    }
+
+    /// Without a time, crashes of a runner under one fingerprint cannot be told apart.
+    fn find_undated_crash(
+        &self,
+        fingerprint: RequestFingerprint,
+        runner: &RunnerId,
+    ) -> Option<CrashNumber> {
+        let numbers = self.by_runner.get(runner)?;
+        let suspicions = self.suspicions.get(&fingerprint).into_iter().flatten();
+        let mut counted = suspicions.map(|it| it.crash);
+        let counted = counted.find(|crash| numbers.contains(crash));
+        counted.or(numbers.last().copied())
+    }
+
+    fn add_crash(&mut self, runner: &RunnerId, at: Timestamp) -> CrashNumber {
+        let number = self.next;
+        self.next += 1;
+        let crash = Crash {
+            runner: runner.clone(),
+            at,
+            suspects: Vec::new(),
+            explained_by: BTreeSet::new(),
+        };
+        self.crashes.insert(number, crash);
+        self.by_runner
+            .entry(runner.clone())
+            .or_default()
+            .push(number);
+        number
+    }
+
+    fn add_suspicion(&mut self, fingerprint: RequestFingerprint, suspicion: Suspicion) -> bool {
+        let suspicions = self.suspicions.entry(fingerprint).or_default();
+        if let Some(known) = suspicions.iter_mut().find(|it| it.crash == suspicion.crash) {
+            known.at = known.at.min(suspicion.at);
+            return false;
+        }
+        if let Some(crash) = self.crashes.get_mut(&suspicion.crash) {
+            crash.suspects.push(fingerprint);
+        }
+        suspicions.push(suspicion);
+        self.total += 1;
+        true
+    }
+
+    /// Number of crashes under a fingerprint that nothing else in quarantine explains.
+    pub fn count(&self, fingerprint: RequestFingerprint) -> usize {
+        let suspicions = self.suspicions.get(&fingerprint).into_iter().flatten();
+        suspicions
+            .filter(|it| !self.is_explained(fingerprint, it))
+            .count()
+    }
+
+    /// Whether a crash is explained by something else in quarantine.
+    fn is_explained(&self, fingerprint: RequestFingerprint, suspicion: &Suspicion) -> bool {
+        let crash = self.crashes.get(&suspicion.crash);
+        let mut explained_by = crash.into_iter().flat_map(|it| &it.explained_by);
+        explained_by.any(|it| *it != fingerprint)
+    }
+
+    /// Whether the latest crash under a fingerprint is explained by something else in quarantine.
+    pub fn is_last_explained(&self, fingerprint: RequestFingerprint) -> bool {
+        let suspicions = self.suspicions.get(&fingerprint).into_iter().flatten();
+        let last = suspicions.max_by_key(|it| it.at);
+        last.is_some_and(|it| self.is_explained(fingerprint, it))
+    }
+
+    /// When the last crash under a fingerprint happened.
+    pub fn last_at(&self, fingerprint: &RequestFingerprint) -> Option<Timestamp> {
+        let suspicions = self.suspicions.get(fingerprint)?;
+        suspicions.iter().map(|it| it.at).max()
+    }
+
+    /// Records that a fingerprint is in quarantine, which explains all crashes under it.
+    pub fn explain(&mut self, fingerprint: RequestFingerprint) {
+        for suspicion in self.suspicions.get(&fingerprint).into_iter().flatten() {
+            if let Some(crash) = self.crashes.get_mut(&suspicion.crash) {
+                crash.explained_by.insert(fingerprint);
+            }
+        }
+    }
+
+    /// Records that a fingerprint is not the cause of any crash so far. Returns whether it was suspected.
+    pub fn exonerate(&mut self, fingerprint: RequestFingerprint) -> bool {
+        let Some(suspicions) = self.suspicions.remove(&fingerprint) else {
+            return false;
+        };
+        self.total -= suspicions.len();
+        for suspicion in suspicions {
+            let Some(crash) = self.crashes.get_mut(&suspicion.crash) else {
+                continue;
+            };
+            crash.suspects.retain(|it| *it != fingerprint);
+            crash.explained_by.remove(&fingerprint);
+            if crash.suspects.is_empty() {
+                self.remove(suspicion.crash);
+            }
+        }
+        true
+    }
+
+    pub fn remove_expired(&mut self, now: Timestamp) {
+        while let Some((&number, oldest)) = self.crashes.first_key_value()
+            && now.since(oldest.at) >= RETENTION
+        {
+            self.remove(number);
+        }
+    }
+
+    fn evict_oldest(&mut self) {
+        while self.total > MAX_SUSPICIONS
+            && let Some((&oldest, _)) = self.crashes.first_key_value()
+        {
+            self.remove(oldest);
+        }
+    }
+
+    fn remove(&mut self, number: CrashNumber) {
+        let Some(crash) = self.crashes.remove(&number) else {
+            return;
+        };
+        if let Some(numbers) = self.by_runner.get_mut(&crash.runner) {
+            numbers.retain(|it| *it != number);
+            if numbers.is_empty() {
+                self.by_runner.remove(&crash.runner);
+            }
+        }
+        for fingerprint in crash.suspects {
+            self.total -= 1;
+            if let Some(suspicions) = self.suspicions.get_mut(&fingerprint) {
+                suspicions.retain(|it| it.crash != number);
+                if suspicions.is_empty() {
+                    self.suspicions.remove(&fingerprint);
+                }
+            }
+        }
+    }
+}
--- a/crates/routing/src/quarantine/exchange.rs
+++ b/crates/routing/src/quarantine/exchange.rs
@@ -39,10 +39,23 @@
 #[derive(Debug)]
 struct PendingReport {
     report: RunReport,
+    queued_at: Timestamp,
     sends_left: u32,
     due: Timestamp,
 }
 
+impl PendingReport {
+    /// The report as it is sent at `now`: times in it are relative.
+    fn report_at(&self, now: Timestamp) -> RunReport {
+        let waited = now.since(self.queued_at);
+        let context = self.report.context.as_ref().map(|it| it.after(waited));
+        RunReport {
+            context,
+            ..self.report.clone()
+        }
+    }
+}
+
 /// The exchange state of one daemon.
 #[derive(Debug)]
 pub struct QuarantineExchange {
@@ -72,6 +85,7 @@
         if self.reports.len() < MAX_PENDING_REPORTS {
             self.reports.push(PendingReport {
                 report,
+                queued_at: now,
                 sends_left: SENDS_PER_REPORT,
                 due: now,
             });
@@ -90,7 +104,7 @@
             pending.due = now + REPORT_INTERVAL;
             if knows_keepers {
                 pending.sends_left -= 1;
-                reports.push(pending.report.clone());
+                reports.push(pending.report_at(now));
             }
         }
         self.reports.retain(|pending| pending.sends_left > 0);
--- a/crates/routing/src/quarantine/mod.rs
+++ b/crates/routing/src/quarantine/mod.rs
@@ -12,10 +12,12 @@
 //! The state of all daemons converges: each transition of a request has a step number, the highest step wins, and if
 //! there are too many requests, all daemons keep the same ones.
 
+mod crash_log;
 pub mod exchange;
+mod report;
 pub mod sound_parts;
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::BTreeMap;
 use std::hash::Hasher;
 use std::time::Duration;
 
@@ -23,13 +25,13 @@
 use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3::Xxh3;
 
+use self::crash_log::CrashLog;
+pub use self::report::{CrashContext, RunOutcome, RunReport};
 use crate::fingerprint::RequestFingerprint;
 use crate::names::RunnerId;
 
 /// Maximum number of entries that daemons exchange: the list fits into one datagram.
 pub const MAX_ENTRIES: usize = 256;
-/// Maximum number of requests whose crashes are counted. A crash involves a few dozen requests.
-const MAX_SUSPECTS: usize = 1_024;
 /// How long crashes are remembered, and a quarantine after its end. Callers retry a failed request within minutes.
 const RETENTION: Duration = Duration::from_mins(10);
 
@@ -57,30 +59,12 @@
     }
 }
 
-/// The outcome of a run.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub enum RunOutcome {
-    /// The runner crashed shortly after the request had started there.
-    Crashed(RunnerId),
-    /// The runner returned a complete answer.
-    Completed,
-}
-
-/// The outcome of a run that indicates whether its request crashes runners.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct RunReport {
-    /// The request.
-    pub fingerprint: RequestFingerprint,
-    /// The outcome.
-    pub outcome: RunOutcome,
-}
-
 /// The effect of a report.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Recorded {
     /// No change.
     Unchanged,
-    /// The number of distinct runners that have crashed during the request so far.
+    /// The number of crashes during the request so far.
     Counted(usize),
     /// The request is now in quarantine.
     Quarantined,
@@ -102,13 +86,6 @@
     pub kept_ms: u32,
 }
 
-/// The runners that have crashed during a request since its last completed run.
-#[derive(Debug, Default)]
-struct Suspect {
-    runners: Vec<RunnerId>,
-    last_at: Timestamp,
-}
-
 #[derive(Clone, Copy, Debug)]
 struct EntryState {
     step: u32,
@@ -126,7 +103,7 @@
 #[derive(Debug)]
 pub struct Quarantine {
     settings: QuarantineSettings,
-    suspects: HashMap<RequestFingerprint, Suspect>,
+    crashes: CrashLog,
     states: BTreeMap<RequestFingerprint, EntryState>,
 }
 
@@ -135,14 +112,14 @@
     pub fn new(settings: QuarantineSettings) -> Self {
         Self {
             settings,
-            suspects: HashMap::new(),
+            crashes: CrashLog::default(),
             states: BTreeMap::new(),
         }
     }
 
     /// Whether nothing is known of any request, so that fingerprints need not be looked up.
     pub fn is_empty(&self) -> bool {
-        self.suspects.is_empty() && self.states.is_empty()
+        self.crashes.is_empty() && self.states.is_empty()
     }
 
     /// Remaining time of a request's quarantine; `None` if the request is not in quarantine.
@@ -159,54 +136,40 @@
         }
         self.remove_expired(now);
         match &report.outcome {
-            RunOutcome::Crashed(runner) => self.on_crash(report.fingerprint, runner, now),
+            RunOutcome::Crashed(runner) => self.on_crash(report, runner, now),
             RunOutcome::Completed => self.on_completion(report.fingerprint, now),
         }
     }
 
-    fn on_crash(
-        &mut self,
-        fingerprint: RequestFingerprint,
-        runner: &RunnerId,
-        now: Timestamp,
-    ) -> Recorded {
-        match self.states.get(&fingerprint).copied() {
-            Some(state) if !state.is_cleared() && now < state.until => Recorded::Unchanged,
-            Some(state) if !state.is_cleared() => {
-                self.start_quarantine(fingerprint, state.step + 2, self.settings.repeated, now)
-            }
-            state => {
-                let crashes = self.count_crash(fingerprint, runner, now);
-                if crashes.is_none_or(|crashes| crashes < self.settings.crashes) {
-                    return crashes.map_or(Recorded::Unchanged, Recorded::Counted);
-                }
-                self.suspects.remove(&fingerprint);
-                let step = state.map_or(0, |state| state.step) + 1;
-                self.start_quarantine(fingerprint, step, self.settings.first, now)
+    fn on_crash(&mut self, report: &RunReport, runner: &RunnerId, now: Timestamp) -> Recorded {
+        let fingerprint = report.fingerprint;
+        let context = report.context.as_ref();
+        let is_further = self.crashes.record(fingerprint, runner, context, now);
+        let state = self.states.get(&fingerprint).copied();
+        if let Some(state) = state.filter(|it| !it.is_cleared()) {
+            let is_after_first = self.crashes.last_at(&fingerprint) >= Some(state.until);
+            let is_explained = self.crashes.is_last_explained(fingerprint);
+            self.crashes.explain(fingerprint);
+            if !is_after_first || is_explained {
+                return Recorded::Unchanged;
             }
+            let step = state.step + 2;
+            return self.start_quarantine(fingerprint, step, self.settings.repeated, now);
         }
-    }
-
-    /// Counts a crash. Returns the number of runners that have crashed during the request, or `None` if this runner was
-    /// already counted.
-    fn count_crash(
-        &mut self,
-        fingerprint: RequestFingerprint,
-        runner: &RunnerId,
-        now: Timestamp,
-    ) -> Option<usize> {
-        self.evict_oldest_suspect(fingerprint);
-        let suspect = self.suspects.entry(fingerprint).or_default();
-        if suspect.runners.contains(runner) {
-            return None;
+        let crashes = self.crashes.count(fingerprint);
+        if crashes >= self.settings.crashes {
+            let step = state.map_or(0, |state| state.step) + 1;
+            return self.start_quarantine(fingerprint, step, self.settings.first, now);
+        }
+        if is_further {
+            Recorded::Counted(crashes)
+        } else {
+            Recorded::Unchanged
         }
-        suspect.runners.push(runner.clone());
-        suspect.last_at = now;
-        Some(suspect.runners.len())
     }
 
     fn on_completion(&mut self, fingerprint: RequestFingerprint, now: Timestamp) -> Recorded {
-        let was_suspect = self.suspects.remove(&fingerprint).is_some();
+        let was_suspect = self.crashes.exonerate(fingerprint);
         let Some(state) = self.states.get(&fingerprint).filter(|it| !it.is_cleared()) else {
             return if was_suspect {
                 Recorded::Cleared
@@ -239,6 +202,7 @@
             until,
             kept_until: until + RETENTION,
         };
+        self.crashes.explain(fingerprint);
         if self.apply_step(fingerprint, state) {
             Recorded::Quarantined
         } else {
@@ -264,8 +228,10 @@
             };
             let was_allowed = self.remaining(&entry.fingerprint, now).is_none();
             let is_newer = self.apply_step(entry.fingerprint, state);
-            if is_newer {
-                self.suspects.remove(&entry.fingerprint);
+            if is_newer && state.is_cleared() {
+                self.crashes.exonerate(entry.fingerprint);
+            } else if is_newer {
+                self.crashes.explain(entry.fingerprint);
             }
             if is_newer && was_allowed && self.remaining(&entry.fingerprint, now).is_some() {
                 quarantined.push(entry.fingerprint);
@@ -322,19 +288,6 @@
 
     fn remove_expired(&mut self, now: Timestamp) {
         self.states.retain(|_, state| now < state.kept_until);
-        self.suspects
-            .retain(|_, suspect| now.since(suspect.last_at) < RETENTION);
-    }
-
-    /// Evicts the suspect with the oldest last crash if the table is full.
-    fn evict_oldest_suspect(&mut self, fingerprint: RequestFingerprint) {
-        if self.suspects.len() < MAX_SUSPECTS || self.suspects.contains_key(&fingerprint) {
-            return;
-        }
-        let suspects = self.suspects.iter();
-        let oldest = suspects.min_by_key(|(fingerprint, it)| (it.last_at, **fingerprint));
-        if let Some(oldest) = oldest.map(|(&fingerprint, _)| fingerprint) {
-            self.suspects.remove(&oldest);
-        }
+        self.crashes.remove_expired(now);
     }
 }
--- /dev/null
+++ b/crates/routing/src/quarantine/report.rs
@@ -0,0 +1,49 @@
+//! Reports of runs that show which requests crash runners.
+
+use std::time::Duration;
+
+use flaxward_types::time::millis;
+use serde::{Deserialize, Serialize};
+
+use crate::fingerprint::RequestFingerprint;
+use crate::names::RunnerId;
+
+/// The outcome of a run.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum RunOutcome {
+    /// The runner crashed shortly after the request had started there.
+    Crashed(RunnerId),
+    /// The runner returned a complete answer.
+    Completed,
+}
+
+/// What the observer of a crash knows about the run that broke off.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct CrashContext {
+    /// Time since the run broke off, in ms.
+    pub broken_ms_ago: u32,
+}
+
+impl CrashContext {
+    /// The same, seen later by `delay`.
+    #[must_use]
+    pub fn after(&self, delay: Duration) -> Self {
+        let delay = u32::try_from(millis(delay)).unwrap_or(u32::MAX);
+        Self {
+            broken_ms_ago: self.broken_ms_ago.saturating_add(delay),
+        }
+    }
+}
+
+/// The outcome of a run that indicates whether its request, or a part of its prompt, crashes runners.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RunReport {
+    /// The request or part.
+    pub fingerprint: RequestFingerprint,
+    /// The outcome.
+    pub outcome: RunOutcome,
+    /// What else is known about a crash; `None` if its observer runs an earlier build. It is sent in an extension
+    /// ([`crate::encoding`]).
+    #[serde(skip)]
+    pub context: Option<CrashContext>,
+}
--- a/crates/routing/tests/quarantine.rs
+++ b/crates/routing/tests/quarantine.rs
@@ -36,6 +36,7 @@
     RunReport {
         fingerprint: fingerprint(request),
         outcome: RunOutcome::Crashed(RunnerId::new(&format!("r{runner}"))),
+        context: None,
     }
 }
 
@@ -43,6 +44,7 @@
     RunReport {
         fingerprint: fingerprint(request),
         outcome: RunOutcome::Completed,
+        context: None,
     }
 }
 
--- a/crates/routing/tests/wire/samples.rs
+++ b/crates/routing/tests/wire/samples.rs
@@ -254,10 +254,12 @@
             RunReport {
                 fingerprint: fingerprint(),
                 outcome: RunOutcome::Crashed(runner()),
+                context: None,
             },
             RunReport {
                 fingerprint: fingerprint(),
                 outcome: RunOutcome::Completed,
+                context: None,
             },
         ]),
         Message::PermitQuestions(PermitQuestions {
