The narrowest part that explains the crashes is withheld, not all parts

What callers saw: where sound requests with the first part of crashing ones are rare, none of them was served: 0 of 13 in 19 s, also where two parts crash runners in turns, and where two parts are shared.

Cause: each part of a request that broke off was suspected by itself, so the first part that they all share reached the bound in the same millisecond as the part that crashes runners. It was cleared only by answers of the minutes before, which rare requests do not have; withheld, they can't get any.

Change: a report tells what follows the part in the request, the next part or the request itself. A part is the cause only if more than two of the narrower parts, or more than one request, would have to crash runners by themselves. So a first part is found too if it crashes runners whatever follows it, and one request that is repeated does not condemn its parts.

--- a/crates/ingress/src/crashes.rs
+++ b/crates/ingress/src/crashes.rs
@@ -7,7 +7,7 @@
 use flaxward_routing::fingerprint::RequestFingerprint;
 use flaxward_routing::names::RunnerId;
 use flaxward_routing::quarantine::{
-    CrashContext, QuarantineEntry, Recorded, RunOutcome, RunReport,
+    CrashContext, Narrower, QuarantineEntry, Recorded, RunOutcome, RunReport,
 };
 use flaxward_routing::runners::Runner;
 use flaxward_types::time::{Timestamp, millis};
@@ -36,17 +36,16 @@
         return;
     }
     let broken_at = shared.now();
-    let fingerprint = request.fingerprint();
-    let parts = request.part_fingerprints();
+    let suspects = Suspects::of(request);
     let (id, address) = (request.profile.id.clone(), runner.address);
     let runner = runner.id.clone();
     let shared = shared.clone();
     let check = tokio::spawn(async move {
         if shared.is_refused(address).await {
             shared.record_down(&runner);
-            shared.log_crash(&fingerprint, &parts, &runner, &id, has_begun);
-            for suspect in std::iter::once(fingerprint).chain(parts) {
-                let report = shared.crash_report(suspect, &runner, broken_at);
+            shared.log_crash(&suspects, &runner, &id, has_begun);
+            for (suspect, narrower) in suspects.with_narrower() {
+                let report = shared.crash_report(suspect, narrower, &runner, broken_at);
                 shared.report_run(report);
             }
         }
@@ -55,6 +54,34 @@
     let _ = timeout(CRASH_CHECK_TIMEOUT, check).await;
 }
 
+/// What may have crashed a runner.
+struct Suspects {
+    request: RequestFingerprint,
+    /// The shared parts of its prompt, in their order.
+    parts: Vec<RequestFingerprint>,
+}
+
+impl Suspects {
+    fn of(request: &ClientRequest) -> Self {
+        Self {
+            request: request.fingerprint(),
+            parts: request.part_fingerprints(),
+        }
+    }
+
+    /// Each suspect with what identifies the request more narrowly.
+    fn with_narrower(&self) -> Vec<(RequestFingerprint, Option<Narrower>)> {
+        let mut narrower = None;
+        let mut suspects = vec![(self.request, narrower)];
+        narrower = Some(Narrower::Request(self.request));
+        for &part in self.parts.iter().rev() {
+            suspects.push((part, narrower));
+            narrower = Some(Narrower::Part(part));
+        }
+        suspects
+    }
+}
+
 /// Checks whether a runner crashed that broke off a stream, without attributing the crash to the stream.
 pub(crate) async fn check_whether_down(shared: &Arc<Shared>, runner: &Runner) {
     let (id, address) = (runner.id.clone(), runner.address);
@@ -183,6 +210,7 @@
     fn crash_report(
         &self,
         fingerprint: RequestFingerprint,
+        narrower: Option<Narrower>,
         runner: &RunnerId,
         broken_at: Timestamp,
     ) -> RunReport {
@@ -192,24 +220,18 @@
             outcome: RunOutcome::Crashed(runner.clone()),
             context: Some(CrashContext {
                 broken_ms_ago: u32::try_from(ago).unwrap_or(u32::MAX),
+                narrower,
             }),
         }
     }
 
-    fn log_crash(
-        &self,
-        fingerprint: &RequestFingerprint,
-        parts: &[RequestFingerprint],
-        runner: &RunnerId,
-        request: &str,
-        has_begun: bool,
-    ) {
+    fn log_crash(&self, suspects: &Suspects, runner: &RunnerId, request: &str, has_begun: bool) {
         metrics::counter!(RUNNER_CRASHES.name).increment(1);
         let fields: &[(&str, &dyn Display)] = &[
             ("runner", runner),
             ("request", &request),
-            ("fingerprint", fingerprint),
-            ("parts", &join(parts)),
+            ("fingerprint", &suspects.request),
+            ("parts", &join(&suspects.parts)),
             ("begun", &has_begun),
         ];
         self.log.write(self.now(), "runner-crashed", fields);
--- a/crates/routing/src/quarantine/crash_log.rs
+++ b/crates/routing/src/quarantine/crash_log.rs
@@ -3,8 +3,10 @@
 //! Everything that broke off with a runner is suspected: requests, and parts of prompts that requests share. The cause
 //! is found by elimination.
 //!
-//! - A crash that something in quarantine explains does not count for anything else that broke off with it.
 //! - Crashes count by process: a runner that starts again keeps its identity.
+//! - A crash that something in quarantine explains does not count for anything else that broke off with it.
+//! - A part is not the cause if something narrower explains its crashes: the parts that followed it in the prompts, or
+//!   the requests. Sound requests share the broader part, so the narrower one is withheld.
 
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::time::Duration;
@@ -12,12 +14,18 @@
 use flaxward_types::time::Timestamp;
 
 use super::RETENTION;
-use super::report::CrashContext;
+use super::report::{CrashContext, Narrower};
 use crate::fingerprint::RequestFingerprint;
 use crate::names::RunnerId;
 
 /// A runner needs longer to start again, so reports of its crashes within this time are about one crash.
 const RESTART_TIME: Duration = Duration::from_secs(1);
+/// Number of narrower parts that may crash runners at the same time without the part that they share being the cause.
+const MAX_COINCIDENT_PARTS: usize = 2;
+/// Number of single requests that may crash runners at the same time.
+const MAX_COINCIDENT_REQUESTS: usize = 1;
+/// Number of the latest crashes under one fingerprint that are examined, which bounds the work for a report.
+const MAX_EXAMINED: usize = 16;
 /// Maximum number of suspicions; the oldest crash is dropped first. A crash involves a few dozen requests.
 const MAX_SUSPICIONS: usize = 8_192;
 
@@ -39,6 +47,17 @@
 struct Suspicion {
     crash: CrashNumber,
     at: Timestamp,
+    /// What followed in these requests; empty if it is not known, or if the fingerprint is that of a request.
+    narrower: BTreeSet<Narrower>,
+}
+
+/// The crashes under a fingerprint.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) struct Verdict {
+    /// Number of crashes that count.
+    pub crashes: usize,
+    /// Whether the request or part must have caused them.
+    pub is_cause: bool,
 }
 
 /// Recent crashes of runners and their suspects.
@@ -72,7 +91,11 @@
             None => self.find_undated_crash(fingerprint, runner),
         };
         let crash = known.unwrap_or_else(|| self.add_crash(runner, at));
-        let suspicion = Suspicion { crash, at };
+        let suspicion = Suspicion {
+            crash,
+            at,
+            narrower: context.and_then(|it| it.narrower).into_iter().collect(),
+        };
         let is_further = self.add_suspicion(fingerprint, suspicion);
         self.evict_oldest();
         is_further
@@ -124,6 +147,7 @@
         let suspicions = self.suspicions.entry(fingerprint).or_default();
         if let Some(known) = suspicions.iter_mut().find(|it| it.crash == suspicion.crash) {
             known.at = known.at.min(suspicion.at);
+            known.narrower.extend(suspicion.narrower);
             return false;
         }
         if let Some(crash) = self.crashes.get_mut(&suspicion.crash) {
@@ -134,19 +158,35 @@
         true
     }
 
-    /// Number of crashes under a fingerprint that nothing else in quarantine explains.
-    pub fn count(&self, fingerprint: RequestFingerprint) -> usize {
+    /// Whether a request or part must have caused its crashes. `bound` is the number of crashes that it takes.
+    pub fn judge(&self, fingerprint: RequestFingerprint, bound: usize) -> Verdict {
+        let examined = self.examined(fingerprint);
+        let crashes = examined.len();
+        let is_cause = crashes >= bound && !is_explained_by_narrower(&examined);
+        Verdict { crashes, is_cause }
+    }
+
+    /// The latest crashes under a fingerprint that nothing else in quarantine explains, in their order.
+    fn examined(&self, fingerprint: RequestFingerprint) -> Vec<&Suspicion> {
         let suspicions = self.suspicions.get(&fingerprint).into_iter().flatten();
-        suspicions
+        let mut examined: Vec<&Suspicion> = suspicions
             .filter(|it| !self.is_explained(fingerprint, it))
-            .count()
+            .collect();
+        examined.sort_by_key(|it| it.at);
+        let skipped = examined.len().saturating_sub(MAX_EXAMINED);
+        examined.split_off(skipped)
     }
 
-    /// Whether a crash is explained by something else in quarantine.
+    /// Whether a crash is explained by something in quarantine that the requests under the fingerprint did not hold.
     fn is_explained(&self, fingerprint: RequestFingerprint, suspicion: &Suspicion) -> bool {
+        let narrower: BTreeSet<RequestFingerprint> = suspicion
+            .narrower
+            .iter()
+            .map(Narrower::fingerprint)
+            .collect();
         let crash = self.crashes.get(&suspicion.crash);
         let mut explained_by = crash.into_iter().flat_map(|it| &it.explained_by);
-        explained_by.any(|it| *it != fingerprint)
+        explained_by.any(|it| *it != fingerprint && !narrower.contains(it))
     }
 
     /// Whether the latest crash under a fingerprint is explained by something else in quarantine.
@@ -227,3 +267,36 @@
         }
     }
 }
+
+/// Whether few narrower parts or requests account for all of these crashes.
+fn is_explained_by_narrower(suspicions: &[&Suspicion]) -> bool {
+    let mut unexplained: Vec<&BTreeSet<Narrower>> =
+        suspicions.iter().map(|it| &it.narrower).collect();
+    let (mut parts, mut requests) = (0, 0);
+    while !unexplained.is_empty() {
+        match most_frequent(&unexplained) {
+            None => return false,
+            Some(narrower) => {
+                unexplained.retain(|it| !it.contains(&narrower));
+                match narrower {
+                    Narrower::Part(_) => parts += 1,
+                    Narrower::Request(_) => requests += 1,
+                }
+            }
+        }
+        if parts > MAX_COINCIDENT_PARTS || requests > MAX_COINCIDENT_REQUESTS {
+            return false;
+        }
+    }
+    true
+}
+
+/// The narrower part or request that is in most of the sets; `None` if all are empty.
+fn most_frequent(sets: &[&BTreeSet<Narrower>]) -> Option<Narrower> {
+    let mut counts = BTreeMap::<Narrower, usize>::new();
+    for narrower in sets.iter().copied().flatten() {
+        *counts.entry(*narrower).or_default() += 1;
+    }
+    let most = counts.into_iter().max_by_key(|(_, count)| *count);
+    most.map(|(narrower, _)| narrower)
+}
--- a/crates/routing/src/quarantine/mod.rs
+++ b/crates/routing/src/quarantine/mod.rs
@@ -26,7 +26,7 @@
 use xxhash_rust::xxh3::Xxh3;
 
 use self::crash_log::CrashLog;
-pub use self::report::{CrashContext, RunOutcome, RunReport};
+pub use self::report::{CrashContext, Narrower, RunOutcome, RunReport};
 use crate::fingerprint::RequestFingerprint;
 use crate::names::RunnerId;
 
@@ -156,13 +156,13 @@
             let step = state.step + 2;
             return self.start_quarantine(fingerprint, step, self.settings.repeated, now);
         }
-        let crashes = self.crashes.count(fingerprint);
-        if crashes >= self.settings.crashes {
+        let verdict = self.crashes.judge(fingerprint, self.settings.crashes);
+        if verdict.is_cause {
             let step = state.map_or(0, |state| state.step) + 1;
             return self.start_quarantine(fingerprint, step, self.settings.first, now);
         }
         if is_further {
-            Recorded::Counted(crashes)
+            Recorded::Counted(verdict.crashes)
         } else {
             Recorded::Unchanged
         }
--- a/crates/routing/src/quarantine/report.rs
+++ b/crates/routing/src/quarantine/report.rs
@@ -17,11 +17,31 @@
     Completed,
 }
 
+/// What identifies a request more narrowly than a part of its prompt does.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub enum Narrower {
+    /// The next shared part of the prompt.
+    Part(RequestFingerprint),
+    /// The request itself, if no shared part follows.
+    Request(RequestFingerprint),
+}
+
+impl Narrower {
+    /// The fingerprint of the part or request.
+    pub fn fingerprint(&self) -> RequestFingerprint {
+        match self {
+            Self::Part(fingerprint) | Self::Request(fingerprint) => *fingerprint,
+        }
+    }
+}
+
 /// What the observer of a crash knows about the run that broke off.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct CrashContext {
     /// Time since the run broke off, in ms.
     pub broken_ms_ago: u32,
+    /// What follows the fingerprint of the report in the request; `None` for the request itself.
+    pub narrower: Option<Narrower>,
 }
 
 impl CrashContext {
@@ -31,6 +51,7 @@
         let delay = u32::try_from(millis(delay)).unwrap_or(u32::MAX);
         Self {
             broken_ms_ago: self.broken_ms_ago.saturating_add(delay),
+            ..self.clone()
         }
     }
 }
