Only an answer sent after the last crash shows that a part is harmless

Cause: a daemon that had seen an answer on a part within ten minutes neither counted crashes under it nor withheld it, and cleared it at all other daemons. On a busy site each popular part is known so, somewhere.

Change: an answer clears a request or part only if it was sent after the last crash under it and the last quarantine that its daemon knows of. Answers of the last ten minutes still tell that a part is shared by many, so that it breaks off with runners that others crash: it takes two crashes more. What has protected popular parts where runners fail together is replaced by a rule on times: a crash counts only if the run was sent after the crash counted before it, so a power failure of a rack counts once.

--- a/crates/ingress/src/coordination/mod.rs
+++ b/crates/ingress/src/coordination/mod.rs
@@ -536,7 +536,8 @@
                 self.configurations.apply_chunk(&self.shared, &chunk);
             }
             Message::RunReports(reports) => {
-                for report in &reports {
+                // Builds before list the parts of a prompt from the broadest to the narrowest; the narrowest is judged first.
+                for report in reports.iter().rev() {
                     self.shared.record_run(report);
                 }
             }
--- a/crates/ingress/src/crashes.rs
+++ b/crates/ingress/src/crashes.rs
@@ -21,16 +21,23 @@
 /// port without a listener refuses within one network round trip.
 const CRASH_CHECK_TIMEOUT: Duration = Duration::from_millis(30);
 
+/// A run that broke off soon after it had begun.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct BrokenRun {
+    /// When the request was sent to the runner.
+    pub sent_at: Timestamp,
+    /// An answer had begun.
+    pub has_begun: bool,
+}
+
 /// Checks whether a runner crashed under a request that had just started there and broke off, and
 /// records it. A runner that only breaks connections still listens; a draining one may exit with
-/// its last requests.
-///
-/// Parts of its prompt are suspected too, unless an answer on them has ended lately at this daemon.
+/// its last requests. The parts of its prompt are suspected with the request.
 pub(crate) async fn check_for_crash(
     shared: &Arc<Shared>,
     request: &ClientRequest,
     runner: &Runner,
-    has_begun: bool,
+    run: BrokenRun,
 ) {
     if shared.settings.quarantine.crashes == 0 || is_leaving(shared, &runner.id) {
         return;
@@ -43,9 +50,8 @@
     let check = tokio::spawn(async move {
         if shared.is_refused(address).await {
             shared.record_down(&runner);
-            shared.log_crash(&suspects, &runner, &id, has_begun);
-            for (suspect, narrower) in suspects.with_narrower() {
-                let report = shared.crash_report(suspect, narrower, &runner, broken_at);
+            shared.log_crash(&suspects, &runner, &id, run.has_begun);
+            for report in shared.crash_reports(&suspects, &runner, run.sent_at, broken_at) {
                 shared.report_run(report);
             }
         }
@@ -136,11 +142,8 @@
         let parts = request.part_fingerprints();
         let now = self.now();
         let tables = self.tables();
-        let suspected = parts
-            .iter()
-            .filter(|part| !tables.sound_parts.contains(part, now));
         let remaining = std::iter::once(&fingerprint)
-            .chain(suspected)
+            .chain(&parts)
             .filter_map(|fingerprint| {
                 let remaining = tables.quarantine.remaining(fingerprint, now)?;
                 Some((*fingerprint, remaining))
@@ -148,12 +151,10 @@
         remaining.max_by_key(|(_, remaining)| *remaining)
     }
 
-    /// Records that a runner has answered a request: no part of its prompt crashes runners.
-    pub(crate) fn record_sound_parts(&self, request: &ClientRequest) {
+    /// Records that a runner has answered a request that was sent there at `sent_at`: earlier crashes under it, and under
+    /// the parts of its prompt, had another cause.
+    pub(crate) fn record_answered(&self, request: &ClientRequest, sent_at: Timestamp) {
         let parts = request.part_fingerprints();
-        if parts.is_empty() {
-            return;
-        }
         let now = self.now();
         let mut tables = self.tables();
         for part in &parts {
@@ -161,34 +162,34 @@
         }
         let is_any_suspected = !tables.quarantine.is_empty();
         drop(tables);
-        if is_any_suspected {
-            self.report_sound(&parts);
+        if !is_any_suspected {
+            return;
+        }
+        for fingerprint in std::iter::once(request.fingerprint()).chain(parts) {
+            self.record_answer(fingerprint, sent_at);
         }
     }
 
-    fn report_sound(&self, parts: &[RequestFingerprint]) {
-        for &fingerprint in parts {
-            let outcome = RunOutcome::Completed;
-            self.report_run(RunReport {
-                fingerprint,
-                outcome,
-                context: None,
-            });
+    /// Like [`Self::record_answered`] for an error of the runner, which may not have begun to process the prompt.
+    pub(crate) fn record_error_answered(&self, request: &ClientRequest, sent_at: Timestamp) {
+        if !self.tables().quarantine.is_empty() {
+            self.record_answer(request.fingerprint(), sent_at);
         }
     }
 
-    /// Records that a runner has answered a request completely: earlier crashes under it had
-    /// another cause.
-    pub(crate) fn record_completed(&self, request: &ClientRequest) {
-        if self.tables().quarantine.is_empty() {
-            return;
+    fn record_answer(&self, fingerprint: RequestFingerprint, sent_at: Timestamp) {
+        let now = self.now();
+        let mut tables = self.tables();
+        let recorded = tables.quarantine.record_answer(fingerprint, sent_at, now);
+        drop(tables);
+        if recorded == Recorded::Cleared {
+            self.log_cleared(&fingerprint);
+            self.queue_report(RunReport {
+                fingerprint,
+                outcome: RunOutcome::Completed,
+                context: None,
+            });
         }
-        let report = RunReport {
-            fingerprint: request.fingerprint(),
-            outcome: RunOutcome::Completed,
-            context: None,
-        };
-        self.report_run(report);
     }
 
     /// Records that nothing listens at a runner's port. Requests wait for other runners to load what it held, and the
@@ -207,22 +208,30 @@
         self.changed.notify_waiters();
     }
 
-    fn crash_report(
+    /// Reports of a crash, one for each suspect.
+    fn crash_reports(
         &self,
-        fingerprint: RequestFingerprint,
-        narrower: Option<Narrower>,
+        suspects: &Suspects,
         runner: &RunnerId,
+        sent_at: Timestamp,
         broken_at: Timestamp,
-    ) -> RunReport {
-        let ago = millis(self.now().since(broken_at));
-        RunReport {
-            fingerprint,
-            outcome: RunOutcome::Crashed(runner.clone()),
-            context: Some(CrashContext {
-                broken_ms_ago: u32::try_from(ago).unwrap_or(u32::MAX),
-                narrower,
-            }),
-        }
+    ) -> Vec<RunReport> {
+        let now = self.now();
+        let tables = self.tables();
+        let ms_since = |at| u32::try_from(millis(now.since(at))).unwrap_or(u32::MAX);
+        let suspects = suspects.with_narrower().into_iter();
+        suspects
+            .map(|(fingerprint, narrower)| RunReport {
+                fingerprint,
+                outcome: RunOutcome::Crashed(runner.clone()),
+                context: Some(CrashContext {
+                    sent_ms_ago: ms_since(sent_at),
+                    broken_ms_ago: ms_since(broken_at),
+                    narrower,
+                    was_sound: tables.sound_parts.contains(&fingerprint, now),
+                }),
+            })
+            .collect()
     }
 
     fn log_crash(&self, suspects: &Suspects, runner: &RunnerId, request: &str, has_begun: bool) {
@@ -241,9 +250,7 @@
     fn log_not_counted(&self, fingerprint: &RequestFingerprint, runner: &RunnerId) {
         let now = self.now();
         let tables = self.tables();
-        let reason = if tables.sound_parts.contains(fingerprint, now) {
-            "sound"
-        } else if tables.quarantine.remaining(fingerprint, now).is_some() {
+        let reason = if tables.quarantine.remaining(fingerprint, now).is_some() {
             "quarantined"
         } else {
             "counted-or-explained"
@@ -266,6 +273,10 @@
             }
             return;
         }
+        self.queue_report(report);
+    }
+
+    fn queue_report(&self, report: RunReport) {
         if let Ok(mut reports) = self.run_reports.lock() {
             reports.push(report);
         }
@@ -284,18 +295,11 @@
     pub(crate) fn record_run(&self, report: &RunReport) -> Recorded {
         let now = self.now();
         let mut tables = self.tables();
-        let is_crash = matches!(report.outcome, RunOutcome::Crashed(_));
-        if is_crash && tables.sound_parts.contains(&report.fingerprint, now) {
-            return Recorded::Unchanged;
-        }
         let recorded = tables.quarantine.record(report, now);
         drop(tables);
         match recorded {
             Recorded::Quarantined => self.log_quarantined(&[report.fingerprint], "crashes"),
-            Recorded::Cleared => {
-                let fields: &[(&str, &dyn Display)] = &[("fingerprint", &report.fingerprint)];
-                self.log.write(now, "request-cleared", fields);
-            }
+            Recorded::Cleared => self.log_cleared(&report.fingerprint),
             Recorded::Unchanged | Recorded::Counted(_) => {}
         }
         recorded
@@ -306,11 +310,13 @@
         let now = self.now();
         let mut tables = self.tables();
         let added = tables.quarantine.merge(entries, now);
-        let is_sound = |part: &RequestFingerprint| tables.sound_parts.contains(part, now);
-        let sound: Vec<RequestFingerprint> = added.iter().copied().filter(is_sound).collect();
         drop(tables);
         self.log_quarantined(&added, source);
-        self.report_sound(&sound);
+    }
+
+    fn log_cleared(&self, fingerprint: &RequestFingerprint) {
+        let fields: &[(&str, &dyn Display)] = &[("fingerprint", fingerprint)];
+        self.log.write(self.now(), "request-cleared", fields);
     }
 
     fn log_quarantined(&self, fingerprints: &[RequestFingerprint], source: &str) {
--- a/crates/ingress/src/dispatch.rs
+++ b/crates/ingress/src/dispatch.rs
@@ -20,7 +20,7 @@
 use tokio::time::{Instant, sleep};
 
 use crate::counters::{ATTEMPTS_FAILED, HEAD_SECONDS, SERVED};
-use crate::crashes::{check_for_crash, wait_until_quarantined};
+use crate::crashes::{BrokenRun, check_for_crash, wait_until_quarantined};
 use crate::exchange::{
     ClientRequest, Continuation, Exchange, FailedAttempt, exchange, remove_hop_by_hop_headers,
 };
@@ -175,7 +175,7 @@
                 return self.give_up("the retry budget is spent");
             }
             self.is_attempting = true;
-            let sent_at = Instant::now();
+            let sent_at = self.shared.now();
             let result = self.attempt(&runner, admission).await;
             self.is_attempting = false;
             match result {
@@ -184,10 +184,17 @@
                     self.permit_expired(&runner);
                     continue;
                 }
-                Err(failed) => self.record_failed_attempt(&runner, failed, sent_at.elapsed()),
+                Err(failed) => {
+                    let lasted = self.shared.now().since(sent_at);
+                    self.record_failed_attempt(&runner, failed, lasted);
+                }
             }
             if self.last_failure == Some(Failure::Broken) {
-                check_for_crash(&self.shared, &self.request, &runner, false).await;
+                let run = BrokenRun {
+                    sent_at,
+                    has_begun: false,
+                };
+                check_for_crash(&self.shared, &self.request, &runner, run).await;
             }
             let max_attempts = self.route.max_attempts;
             if !self.attempts.may_retry(self.route.kind, max_attempts) {
@@ -437,6 +444,7 @@
             ..
         } = exchange;
         let collected = relay::collect(body, MAX_BUFFERED_BYTES, attempt_deadline).await;
+        let sent_at = in_flight.sent_at();
         drop(in_flight);
         let failed =
             |failure| FailedAttempt::new(failure, Some(Observation::Failure), connection_kind);
@@ -444,16 +452,17 @@
         if let Some(connection) = connection {
             self.shared.pool.put(connection);
         }
-        self.shared.record_completed(&self.request);
         *response.body_mut() = responses::full_body(bytes);
         let is_error = response.status().is_server_error();
+        if is_error {
+            self.shared.record_error_answered(&self.request, sent_at);
+        } else {
+            self.shared.record_answered(&self.request, sent_at);
+        }
         if is_error && self.may_replace_failure() {
             self.error_response = Some(response);
             return Err(failed(Failure::Failed));
         }
-        if !is_error {
-            self.shared.record_sound_parts(&self.request);
-        }
         let observation = if is_error {
             Observation::Failure
         } else {
--- a/crates/ingress/src/relay.rs
+++ b/crates/ingress/src/relay.rs
@@ -18,7 +18,7 @@
 use tokio::time::{Instant, timeout, timeout_at};
 
 use crate::counters::{STREAMS_BROKEN, STREAMS_LATE, STREAMS_RESUMED};
-use crate::crashes::{check_for_crash, check_whether_down};
+use crate::crashes::{BrokenRun, check_for_crash, check_whether_down};
 use crate::exchange::{ClientRequest, Continuation, Exchange, FailedAttempt, exchange};
 use crate::permits::{Admission, admit_until};
 use crate::responses::ResponseBody;
@@ -251,10 +251,13 @@
         }
     }
 
-    /// Records that the parts of the prompt have not crashed the current runner.
+    /// Records that the request has not crashed the current runner.
     fn record_answer(&mut self) {
-        self.shared.record_sound_parts(&self.request);
-        self.is_answer_recorded = true;
+        if let Some(exchange) = &self.exchange {
+            let sent_at = exchange.in_flight.sent_at();
+            self.shared.record_answered(&self.request, sent_at);
+            self.is_answer_recorded = true;
+        }
     }
 
     fn end(&mut self) -> ReadOutcome {
@@ -266,7 +269,6 @@
         }
         if let Some(exchange) = self.exchange.take() {
             self.log_gap(&exchange.runner.id);
-            self.shared.record_completed(&self.request);
             self.shared
                 .observe(&exchange.runner.id, Observation::Success);
             if let Some(connection) = exchange.connection {
@@ -302,8 +304,11 @@
         self.attempts.record_failure(failure);
         if let Some(exchange) = &current {
             if is_crash_suspect {
-                let has_begun = started_at.is_some();
-                check_for_crash(&self.shared, &self.request, &exchange.runner, has_begun).await;
+                let run = BrokenRun {
+                    sent_at: exchange.in_flight.sent_at(),
+                    has_begun: started_at.is_some(),
+                };
+                check_for_crash(&self.shared, &self.request, &exchange.runner, run).await;
             } else {
                 check_whether_down(&self.shared, &exchange.runner).await;
             }
--- a/crates/routing/src/quarantine/crash_log.rs
+++ b/crates/routing/src/quarantine/crash_log.rs
@@ -3,10 +3,13 @@
 //! Everything that broke off with a runner is suspected: requests, and parts of prompts that requests share. The cause
 //! is found by elimination.
 //!
-//! - Crashes count by process: a runner that starts again keeps its identity.
+//! - A crash counts only if the run was sent after the crash counted before it. What was under way at several runners
+//!   that fail together, for example with their power supply, has not caused their failures.
 //! - A crash that something in quarantine explains does not count for anything else that broke off with it.
 //! - A part is not the cause if something narrower explains its crashes: the parts that followed it in the prompts, or
 //!   the requests. Sound requests share the broader part, so the narrower one is withheld.
+//! - A part on which answers have ended lately needs more crashes: it is shared by many requests, so it breaks off with
+//!   runners that others crash.
 
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::time::Duration;
@@ -20,10 +23,14 @@
 
 /// A runner needs longer to start again, so reports of its crashes within this time are about one crash.
 const RESTART_TIME: Duration = Duration::from_secs(1);
+/// Tolerance for the times in reports of different daemons, which messages between them delay.
+const DELAY_TOLERANCE: Duration = Duration::from_millis(20);
 /// Number of narrower parts that may crash runners at the same time without the part that they share being the cause.
 const MAX_COINCIDENT_PARTS: usize = 2;
 /// Number of single requests that may crash runners at the same time.
 const MAX_COINCIDENT_REQUESTS: usize = 1;
+/// Additional crashes that it takes for a part on which answers have ended lately.
+const EXTRA_CRASHES_IF_SOUND: usize = 2;
 /// Number of the latest crashes under one fingerprint that are examined, which bounds the work for a report.
 const MAX_EXAMINED: usize = 16;
 /// Maximum number of suspicions; the oldest crash is dropped first. A crash involves a few dozen requests.
@@ -47,8 +54,11 @@
 struct Suspicion {
     crash: CrashNumber,
     at: Timestamp,
+    /// When the last of the runs was sent; `None` if it is not known.
+    sent_at: Option<Timestamp>,
     /// What followed in these requests; empty if it is not known, or if the fingerprint is that of a request.
     narrower: BTreeSet<Narrower>,
+    was_sound: bool,
 }
 
 /// The crashes under a fingerprint.
@@ -94,7 +104,9 @@
         let suspicion = Suspicion {
             crash,
             at,
+            sent_at: context.map(|it| ago(it.sent_ms_ago)),
             narrower: context.and_then(|it| it.narrower).into_iter().collect(),
+            was_sound: context.is_some_and(|it| it.was_sound),
         };
         let is_further = self.add_suspicion(fingerprint, suspicion);
         self.evict_oldest();
@@ -147,7 +159,9 @@
         let suspicions = self.suspicions.entry(fingerprint).or_default();
         if let Some(known) = suspicions.iter_mut().find(|it| it.crash == suspicion.crash) {
             known.at = known.at.min(suspicion.at);
+            known.sent_at = known.sent_at.max(suspicion.sent_at);
             known.narrower.extend(suspicion.narrower);
+            known.was_sound |= suspicion.was_sound;
             return false;
         }
         if let Some(crash) = self.crashes.get_mut(&suspicion.crash) {
@@ -161,8 +175,21 @@
     /// Whether a request or part must have caused its crashes. `bound` is the number of crashes that it takes.
     pub fn judge(&self, fingerprint: RequestFingerprint, bound: usize) -> Verdict {
         let examined = self.examined(fingerprint);
-        let crashes = examined.len();
-        let is_cause = crashes >= bound && !is_explained_by_narrower(&examined);
+        let mut crashes = 0;
+        let mut counted_at = None;
+        for suspicion in &examined {
+            let is_sent_before = suspicion
+                .sent_at
+                .zip(counted_at)
+                .is_some_and(|(sent_at, at)| sent_at + DELAY_TOLERANCE < at);
+            if !is_sent_before {
+                crashes += 1;
+                counted_at = Some(suspicion.at);
+            }
+        }
+        let was_sound = examined.iter().any(|it| it.was_sound);
+        let extra = if was_sound { EXTRA_CRASHES_IF_SOUND } else { 0 };
+        let is_cause = crashes >= bound + extra && !is_explained_by_narrower(&examined);
         Verdict { crashes, is_cause }
     }
 
--- a/crates/routing/src/quarantine/mod.rs
+++ b/crates/routing/src/quarantine/mod.rs
@@ -89,6 +89,8 @@
 #[derive(Clone, Copy, Debug)]
 struct EntryState {
     step: u32,
+    /// When this daemon learnt of the step.
+    known_at: Timestamp,
     until: Timestamp,
     kept_until: Timestamp,
 }
@@ -141,6 +143,26 @@
         }
     }
 
+    /// Records an answer at this daemon to a run that was sent at `sent_at`. Only one that was sent after the last crash
+    /// known here shows that the request or part does not crash runners: it may have begun to.
+    pub fn record_answer(
+        &mut self,
+        fingerprint: RequestFingerprint,
+        sent_at: Timestamp,
+        now: Timestamp,
+    ) -> Recorded {
+        let quarantined = self.states.get(&fingerprint).filter(|it| !it.is_cleared());
+        let quarantined_at = quarantined.map(|it| it.known_at);
+        let crashed_at = self.crashes.last_at(&fingerprint);
+        if crashed_at
+            .max(quarantined_at)
+            .is_some_and(|at| sent_at <= at)
+        {
+            return Recorded::Unchanged;
+        }
+        self.on_completion(fingerprint, now)
+    }
+
     fn on_crash(&mut self, report: &RunReport, runner: &RunnerId, now: Timestamp) -> Recorded {
         let fingerprint = report.fingerprint;
         let context = report.context.as_ref();
@@ -179,6 +201,7 @@
         };
         let cleared = EntryState {
             step: state.step + 1,
+            known_at: now,
             until: now,
             // The cleared entry must outlive the quarantine entries of other daemons.
             kept_until: state
@@ -199,6 +222,7 @@
         let until = now + duration;
         let state = EntryState {
             step,
+            known_at: now,
             until,
             kept_until: until + RETENTION,
         };
@@ -223,6 +247,7 @@
         for entry in entries.iter().filter(|entry| entry.kept_ms > 0) {
             let state = EntryState {
                 step: entry.step,
+                known_at: now,
                 until: now + within(entry.remaining_ms, longest),
                 kept_until: now + within(entry.kept_ms, longest + RETENTION),
             };
--- a/crates/routing/src/quarantine/report.rs
+++ b/crates/routing/src/quarantine/report.rs
@@ -38,10 +38,14 @@
 /// What the observer of a crash knows about the run that broke off.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct CrashContext {
+    /// Time since the request was sent to the runner, in ms.
+    pub sent_ms_ago: u32,
     /// Time since the run broke off, in ms.
     pub broken_ms_ago: u32,
     /// What follows the fingerprint of the report in the request; `None` for the request itself.
     pub narrower: Option<Narrower>,
+    /// The observer has seen an answer on the part end lately.
+    pub was_sound: bool,
 }
 
 impl CrashContext {
@@ -50,6 +54,7 @@
     pub fn after(&self, delay: Duration) -> Self {
         let delay = u32::try_from(millis(delay)).unwrap_or(u32::MAX);
         Self {
+            sent_ms_ago: self.sent_ms_ago.saturating_add(delay),
             broken_ms_ago: self.broken_ms_ago.saturating_add(delay),
             ..self.clone()
         }
