After a quarantine, daemons send the request again one after the other, one run at a time

What callers saw (virtual time): as the first quarantine of a part ended, all daemons sent it again before any could know that it still crashes runners: 6 sends with 30 requests a second, where three are allowed; at the target's rates hundreds.

Change: each daemon releases a request later by a time that hangs on its name, up to the length of a first quarantine, and then sends one run at a time until that has shown something. The delays leave the first daemons far apart.

--- a/crates/ingress/src/crashes.rs
+++ b/crates/ingress/src/crashes.rs
@@ -121,6 +121,19 @@
         remaining.max_by_key(|(_, remaining)| *remaining)
     }
 
+    /// Records that a request is sent to a runner. Returns false if it must wait for the outcome of another one, because its
+    /// quarantine has just ended.
+    pub(crate) fn begin_run(&self, request: &ClientRequest) -> bool {
+        if self.tables().quarantine.is_empty() {
+            return true;
+        }
+        let (fingerprint, parts) = (request.fingerprint(), request.part_fingerprints());
+        let now = self.now();
+        let mut tables = self.tables();
+        let mut fingerprints = std::iter::once(&fingerprint).chain(&parts);
+        fingerprints.all(|it| tables.quarantine.begin_run(it, now))
+    }
+
     /// Records that a runner has answered a request that was sent there at `sent_at`: earlier crashes under it, and under
     /// the parts of its prompt, had another cause.
     pub(crate) fn record_answered(&self, request: &ClientRequest, sent_at: Timestamp) {
--- a/crates/ingress/src/dispatch.rs
+++ b/crates/ingress/src/dispatch.rs
@@ -170,6 +170,10 @@
                     continue;
                 }
             };
+            // The request was not quarantined above; if it is now, the check is repeated.
+            if !self.shared.begin_run(&self.request) {
+                continue;
+            }
             let is_retry = self.attempts.sent > 0;
             if is_retry && !self.shared.try_retry(&self.service, &self.request) {
                 return self.give_up("the retry budget is spent");
--- a/crates/ingress/src/relay.rs
+++ b/crates/ingress/src/relay.rs
@@ -330,6 +330,9 @@
                 return Err(self.abort(RelayError::Broken, "the request is quarantined"));
             }
             let runner = self.wait_for_next(silent_since).await?;
+            if !self.shared.begin_run(&self.request) {
+                return Err(self.abort(RelayError::Broken, "the request is quarantined"));
+            }
             if !self.shared.try_retry(&self.service, &self.request) {
                 return Err(self.abort(RelayError::Broken, "the retry budget is spent"));
             }
--- a/crates/ingress/src/state.rs
+++ b/crates/ingress/src/state.rs
@@ -193,7 +193,7 @@
             running: Running::default(),
             uses: UsageLog::default(),
             budget: RetryBudget::new(settings.retry_budget),
-            quarantine: Quarantine::new(settings.quarantine),
+            quarantine: Quarantine::new(settings.quarantine).with_daemon(&settings.name),
             stream_origins: StreamOrigins::default(),
             origin_keepers: Vec::new(),
             splits: SplitChooser::default(),
--- a/crates/routing/src/quarantine/mod.rs
+++ b/crates/routing/src/quarantine/mod.rs
@@ -17,7 +17,7 @@
 mod report;
 
 use std::collections::BTreeMap;
-use std::hash::Hasher;
+use std::hash::{Hash, Hasher};
 use std::time::Duration;
 
 use flaxward_types::time::{Timestamp, millis};
@@ -34,6 +34,9 @@
 /// How long crashes are remembered, and a quarantine after its end. Callers retry a failed request within minutes.
 const RETENTION: Duration = Duration::from_mins(10);
 
+/// Time in which a run that is sent after the end of a quarantine shows whether its request crashes runners.
+const PROBE_TIME: Duration = Duration::from_secs(2);
+
 /// When a request is put in quarantine, and for how long.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct QuarantineSettings {
@@ -103,6 +106,8 @@
     known_at: Timestamp,
     until: Timestamp,
     kept_until: Timestamp,
+    /// Until when this daemon waits for the outcome of a run that it has sent after the end of the quarantine.
+    probe_until: Timestamp,
 }
 
 impl EntryState {
@@ -115,6 +120,8 @@
 #[derive(Debug)]
 pub struct Quarantine {
     settings: QuarantineSettings,
+    /// Name of the daemon; `None` if it shares the quarantine with no others.
+    daemon: Option<String>,
     crashes: CrashLog,
     /// What has been cleared because something else explains its crashes, since the last call of
     /// [`Self::take_explained_away`].
@@ -127,12 +134,23 @@
     pub fn new(settings: QuarantineSettings) -> Self {
         Self {
             settings,
+            daemon: None,
             crashes: CrashLog::default(),
             explained_away: Vec::new(),
             states: BTreeMap::new(),
         }
     }
 
+    /// The same for one of several daemons, which do not all send a request again at once when its quarantine ends: the first
+    /// runs show to all whether it still crashes runners.
+    #[must_use]
+    pub fn with_daemon(self, name: &str) -> Self {
+        Self {
+            daemon: Some(name.to_owned()),
+            ..self
+        }
+    }
+
     /// Whether nothing is known of any request, so that fingerprints need not be looked up.
     pub fn is_empty(&self) -> bool {
         self.crashes.is_empty() && self.states.is_empty()
@@ -144,7 +162,37 @@
         if state.is_cleared() {
             return None;
         }
-        (now < state.until).then(|| state.until.since(now))
+        let released_at = state.until + self.release_delay(fingerprint, state.step);
+        let until = released_at.max(state.probe_until);
+        (now < until).then(|| until.since(now))
+    }
+
+    /// Records that a run is sent. Returns false if it must not be: after the end of a quarantine, one run at a time shows
+    /// whether the request still crashes runners.
+    pub fn begin_run(&mut self, fingerprint: &RequestFingerprint, now: Timestamp) -> bool {
+        if self.remaining(fingerprint, now).is_some() {
+            return false;
+        }
+        if let Some(state) = self.states.get_mut(fingerprint) {
+            state.probe_until = now + PROBE_TIME;
+        }
+        true
+    }
+
+    /// How much later than the quarantine ends this daemon sends a request again, up to the length of a first quarantine.
+    /// The square root leaves the first daemons far apart, so that all know of a further crash before the next one sends
+    /// the request, however many daemons there are.
+    fn release_delay(&self, fingerprint: &RequestFingerprint, step: u32) -> Duration {
+        let Some(daemon) = &self.daemon else {
+            return Duration::ZERO;
+        };
+        let mut hasher = Xxh3::new();
+        daemon.hash(&mut hasher);
+        fingerprint.hash(&mut hasher);
+        hasher.write_u32(step);
+        let drawn = u32::try_from(hasher.finish() >> u32::BITS).unwrap_or_default();
+        let share = f64::from(drawn) / f64::from(u32::MAX);
+        self.settings.first.mul_f64(share.sqrt())
     }
 
     /// Records the outcome of a run, at this or another daemon.
@@ -233,6 +281,7 @@
             step: state.step + 1,
             known_at: now,
             until: now,
+            probe_until: Timestamp::ZERO,
             // The cleared entry must outlive the quarantine entries of other daemons.
             kept_until: state
                 .kept_until
@@ -254,6 +303,7 @@
             step,
             known_at: now,
             until,
+            probe_until: Timestamp::ZERO,
             kept_until: until + RETENTION,
         };
         let is_newer = self.apply_step(fingerprint, state);
@@ -281,6 +331,7 @@
                 step: entry.step,
                 known_at: now,
                 until: now + within(entry.remaining_ms, longest),
+                probe_until: Timestamp::ZERO,
                 kept_until: now + within(entry.kept_ms, longest + RETENTION),
             };
             let was_allowed = self.remaining(&entry.fingerprint, now).is_none();
--- a/crates/routing/tests/crashing_parts.rs
+++ b/crates/routing/tests/crashing_parts.rs
@@ -94,7 +94,8 @@
 impl Daemon {
     fn new(index: usize) -> Self {
         Self {
-            quarantine: Quarantine::new(QuarantineSettings::default()),
+            quarantine: Quarantine::new(QuarantineSettings::default())
+                .with_daemon(&format!("d{index}")),
             exchange: QuarantineExchange::new(address(index)),
         }
     }
@@ -263,6 +264,14 @@
         if is_withheld || up.is_empty() {
             return;
         }
+        let fingerprints = std::iter::once(&request.request).chain(&request.parts);
+        for fingerprint in fingerprints {
+            assert!(
+                self.daemons[daemon]
+                    .quarantine
+                    .begin_run(fingerprint, self.now)
+            );
+        }
         let runner = pick(&up, &mut self.random);
         let run_time = if crashes_runner {
             self.outcome.crashing_sends.push((self.now, part));
@@ -443,6 +452,40 @@
         let share = sent as f64 / counted.len() as f64;
         share
     }
+
+    fn check(&self) {
+        let summary = format!(
+            "{} crashes, {} late sends, sound {:.2}",
+            self.crashes.len(),
+            self.most_late_sends(),
+            self.sound_share()
+        );
+        assert!(self.crashes.len() >= 3, "{summary}");
+        assert!(self.most_late_sends() <= MAX_SENDS, "{summary}");
+        assert!(self.sound_share() >= SOUND_SHARE, "{summary}");
+    }
+}
+
+/// Guards against all daemons that send a part again as its first quarantine ends, before any can know that it still
+/// crashes runners.
+#[test]
+fn the_end_of_a_first_quarantine_costs_few_runners_however_many_requests_there_are() {
+    for (daemons, crashing_rate) in [(6, 30.0), (12, 100.0), (80, 300.0), (300, 1_000.0)] {
+        for seed in 0..4 {
+            let scene = Scene {
+                daemons,
+                runners: 400,
+                crashing_rate,
+                length: Duration::from_secs(70),
+                seed,
+                ..Scene::default()
+            };
+            let outcome = Fleet::play(scene);
+            let late = outcome.most_late_sends();
+            println!("{daemons} daemons, {crashing_rate} a second, seed {seed}: {late} late");
+            outcome.check();
+        }
+    }
 }
 
 fn scene() -> impl Strategy<Value = Scene> {
