The gateway of the own interface counts crashes by process too

What callers saw: a request that crashes a service of two machines, which start again under their names, was sent to them whenever they were back: 21 crashes in 60 tries.

Cause: the same as at the ingress; a back end is known by its name, and one name counted once.

Change: a report tells that the run has just ended, so that crashes a second or more apart are different ones.

The other tests of crashing requests at the gateway pass.

--- a/crates/gateway/src/crashes.rs
+++ b/crates/gateway/src/crashes.rs
@@ -12,7 +12,7 @@
 use flaxward_control::attempt::AttemptEnd;
 use flaxward_routing::names::RunnerId;
 use flaxward_routing::quarantine::{
-    Quarantine, QuarantineSettings, Recorded, RunOutcome, RunReport,
+    Quarantine, QuarantineSettings, Recorded, RunContext, RunOutcome, RunReport,
 };
 use flaxward_types::{Refusal, ResultCode, RunnerName};
 use tokio::net::TcpStream;
@@ -79,7 +79,7 @@
         let report = RunReport {
             fingerprint: call.fingerprint(),
             outcome: RunOutcome::Crashed(RunnerId::new(back_end.runner.as_str())),
-            context: None,
+            context: Some(RunContext::just_ended()),
         };
         let (crashes, back_end) = (Arc::clone(self), back_end.clone());
         let request_id = call.request_id.clone();
--- a/crates/gateway/tests/gateway/crashing_requests.rs
+++ b/crates/gateway/tests/gateway/crashing_requests.rs
@@ -25,6 +25,8 @@
 const MAX_SENDS_AFTER_THRESHOLD: u32 = 3;
 /// Number of times that the caller sends the request.
 const CALLER_ATTEMPTS: u32 = 12;
+/// Time after which a machine that has crashed listens again.
+const RESTART_TIME: Duration = Duration::from_millis(1_200);
 
 /// A machine that crashes on its first request and increments the counter.
 async fn crashing_machine(crashes: Arc<AtomicU32>) -> SocketAddr {
@@ -66,6 +68,60 @@
     );
 }
 
+/// A machine that crashes on each request, increments the counter, and listens again a while later.
+async fn restarting_machine(crashes: Arc<AtomicU32>) -> SocketAddr {
+    let mut listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    tokio::spawn(async move {
+        loop {
+            let (mut connection, _) = listener.accept().await.unwrap();
+            let mut bytes = [0; 4096];
+            let length = connection.read(&mut bytes).await.unwrap_or_default();
+            if length == 0 {
+                continue;
+            }
+            crashes.fetch_add(1, Ordering::Relaxed);
+            drop(listener);
+            drop(connection);
+            tokio::time::sleep(RESTART_TIME).await;
+            listener = listen_again(address).await;
+        }
+    });
+    address
+}
+
+async fn listen_again(address: SocketAddr) -> TcpListener {
+    loop {
+        match TcpListener::bind(address).await {
+            Ok(listener) => return listener,
+            Err(_) => tokio::time::sleep(Duration::from_millis(20)).await,
+        }
+    }
+}
+
+/// Guards against crashes that are not counted since machines that start again keep their names.
+#[tokio::test]
+async fn a_request_that_crashes_two_machines_again_and_again_is_no_longer_sent() {
+    let harness = Harness::start(|_| {}).await;
+    let crashes = Arc::new(AtomicU32::new(0));
+    let mut machines: Vec<Machine> = Vec::new();
+    for number in 0..2 {
+        let address = restarting_machine(crashes.clone()).await;
+        machines.push(machine(&format!("s{number}"), address));
+    }
+    harness.gateway.on_machines(&machines);
+    for _ in 0..5 * CALLER_ATTEMPTS {
+        let request = harness.request(Method::POST, "/services/despacho/orders");
+        fetch(request.body("crash")).await;
+        tokio::time::sleep(RESTART_TIME / 5).await;
+    }
+    let sent = crashes.load(Ordering::Relaxed);
+    assert!(
+        sent <= QUARANTINE_THRESHOLD + MAX_SENDS_AFTER_THRESHOLD,
+        "machines crashed {sent} times"
+    );
+}
+
 /// The partial response of a machine that crashes before sending anything.
 const NO_RESPONSE: &str = "";
 /// The head and the first event of a stream.
--- a/crates/routing/src/quarantine/report.rs
+++ b/crates/routing/src/quarantine/report.rs
@@ -47,6 +47,15 @@
 }
 
 impl RunContext {
+    /// A run of which only is known that it has just ended. It counts as sent after all earlier crashes.
+    pub fn just_ended() -> Self {
+        Self {
+            sent_ms_ago: 0,
+            ended_ms_ago: 0,
+            narrower: None,
+        }
+    }
+
     /// The same, seen later by `delay`.
     #[must_use]
     pub fn after(&self, delay: Duration) -> Self {
