Soak: one part of prompts that crashes runners

A further kind of fault, crashing-part: requests, no two alike, with one part that crashes each runner which begins to run it, at all daemons, and sound ones that share the first part. CRASHES counts by part: at most three sends later than 3 s after the fifth crash.

--- a/crates/flaxward/tests/soak.rs
+++ b/crates/flaxward/tests/soak.rs
@@ -94,6 +94,15 @@
     assert_eq!(report.violations, Vec::<String>::new());
 }
 
+/// Guards against one part of prompts that crashes runner after runner.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn promises_hold_while_a_part_of_prompts_crashes_runners() {
+    let faults = FaultKind::alone(&[FaultKind::CrashingPart]);
+    let report = run("parts", 9_201, 15, faults).await;
+    assert!(!report.faults.is_empty());
+    assert_eq!(report.violations, Vec::<String>::new());
+}
+
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn promises_hold_under_further_faults() {
     let report = run("further", 8, 10, FaultKind::with(FURTHER_KINDS)).await;
--- a/crates/soak/src/caller_faults.rs
+++ b/crates/soak/src/caller_faults.rs
@@ -5,6 +5,7 @@
 use flaxward_platform_stand_in::{CRASHING_BODY, TenantSpec, WorkKind};
 use rand::{Rng, RngExt};
 use rand_chacha::ChaCha8Rng;
+use tokio::task::JoinSet;
 use tokio::time::sleep;
 
 use crate::callers::{Ask, Ending, send};
@@ -22,6 +23,13 @@
 /// Pause between two requests of the tenant: it asks for several times its rate.
 const KEYED_PAUSE: Duration = Duration::from_millis(30);
 
+/// The first part of the prompts of a fault with a crashing part.
+const FIRST_PART: u64 = 11;
+/// The part that its sound requests have in place of the crashing one.
+const SOUND_PART: u64 = 12;
+/// The share of its requests that are sound.
+const SOUND_SHARE: f64 = 0.6;
+
 /// The only tenant.
 pub fn tenant() -> TenantSpec {
     TenantSpec {
@@ -103,3 +111,35 @@
         sleep(Duration::from_millis(random.random_range(100..700))).await;
     }
 }
+
+/// Callers send requests, no two alike, with one part in their prompts that crashes each runner which begins to run it, and sound
+/// ones that share the first part, at all daemons.
+pub(crate) async fn crashing_part(fleet: &Fleet, random: &mut ChaCha8Rng) {
+    let Ok(client) = reqwest::Client::builder().no_proxy().build() else {
+        return;
+    };
+    let crashing = random.next_u64();
+    let kind = WorkKind::Stream { resumable: true };
+    let end = Instant::now() + Duration::from_millis(random.random_range(8_000..20_000));
+    let mut requests = JoinSet::new();
+    while Instant::now() < end {
+        let own = random.next_u64();
+        let is_sound = random.random_bool(SOUND_SHARE);
+        let (part, body) = if is_sound {
+            (SOUND_PART, format!("{own:x}"))
+        } else {
+            (crashing, format!("{CRASHING_BODY}-{own:x}"))
+        };
+        let ask = Ask {
+            body,
+            parts: vec![FIRST_PART, part, own],
+            ..Ask::new(format!("{own:016x}"), "/stream/x", kind)
+        };
+        let daemon = random.random_range(0..fleet.addresses.len());
+        let (client, address) = (client.clone(), fleet.addresses[daemon]);
+        requests.spawn(async move { send(&client, ask, daemon, address).await });
+        sleep(Duration::from_millis(random.random_range(50..300))).await;
+    }
+    let outcomes = requests.join_all().await;
+    locked(&fleet.outcomes).extend(outcomes);
+}
--- a/crates/soak/src/callers.rs
+++ b/crates/soak/src/callers.rs
@@ -4,7 +4,7 @@
 use std::time::{Duration, Instant};
 
 use crate::setup::{MODELS, PLAIN_TIMEOUT, STREAM_TIMEOUT};
-use flaxward_platform_stand_in::caller::{is_response_to, request_headers};
+use flaxward_platform_stand_in::caller::{is_response_to, prompt_parts, request_headers};
 use flaxward_platform_stand_in::{WorkKind, event_count};
 use reqwest::{Client, Response, StatusCode};
 
@@ -28,6 +28,8 @@
     pub model: Option<String>,
     /// The body.
     pub body: String,
+    /// The parts of the prompt, if it is told.
+    pub parts: Vec<u64>,
     /// Time for an answer.
     pub deadline: Duration,
     /// The key of a tenant, if the route needs one.
@@ -44,6 +46,7 @@
             kind,
             model: is_stream.then(|| MODELS[0].to_owned()),
             body: COMMON_BODY.to_owned(),
+            parts: Vec::new(),
             deadline: if is_stream {
                 STREAM_TIMEOUT
             } else {
@@ -116,6 +119,10 @@
         .headers(headers)
         .header("host", HOST)
         .body(ask.body.clone());
+    if !ask.parts.is_empty() {
+        let (name, value) = prompt_parts(&ask.parts);
+        request = request.header(name, value);
+    }
     if let Some(key) = &ask.key {
         request = request.bearer_auth(key);
     }
--- a/crates/soak/src/checks.rs
+++ b/crates/soak/src/checks.rs
@@ -21,6 +21,8 @@
 const DRAIN_BOUND: Duration = Duration::from_millis(2_500);
 /// Runners that one request may crash until it must not be sent any more.
 const CRASHES_ALLOWED: usize = 3;
+/// Runners that requests with one part may crash until they must not be sent any more.
+const PART_CRASHES_ALLOWED: usize = 5;
 /// Time after that in which all daemons that nothing disturbs must know.
 const CONTACT: Duration = Duration::from_secs(3);
 /// How often it may be sent after that.
@@ -123,22 +125,27 @@
     QUOTA_BURST + QUOTA_RATE * QUOTA_WINDOW.as_secs_f64() * QUOTA_FACTOR + QUOTA_SLACK
 }
 
-/// A request under which three runners have crashed is sent at most three times more, later than all daemons must know,
-/// by daemons that nothing disturbed.
+/// A request under which three runners have crashed, or a part of prompts under which five have, is sent at most three times
+/// more, later than all daemons must know, by daemons that nothing disturbed.
 fn check_crashing_requests(fleet: &Fleet, runs: &Runs) {
-    let mut by_body: HashMap<String, Vec<(Instant, usize)>> = HashMap::new();
+    let mut by_cause: HashMap<(String, usize), Vec<(Instant, usize)>> = HashMap::new();
     for outcome in locked(&fleet.outcomes).iter() {
         let body = &outcome.ask.body;
         if !body.starts_with(CRASHING_BODY) {
             continue;
         }
+        // The part before the request's own one is the crashing one.
+        let cause = match outcome.ask.parts.iter().nth_back(1) {
+            Some(part) => (format!("part {part:x}"), PART_CRASHES_ALLOWED),
+            None => (body.clone(), CRASHES_ALLOWED),
+        };
         let own = runs.get(&outcome.ask.request).into_iter().flatten();
         let own = own.map(|(_, at)| (*at, outcome.daemon));
-        by_body.entry(body.clone()).or_default().extend(own);
+        by_cause.entry(cause).or_default().extend(own);
     }
-    for (body, mut runs) in by_body {
+    for ((cause, allowed), mut runs) in by_cause {
         runs.sort_unstable();
-        let Some(&(third, _)) = runs.get(CRASHES_ALLOWED - 1) else {
+        let Some(&(last, _)) = runs.get(allowed - 1) else {
             continue;
         };
         let is_late = |&&(at, daemon): &&(Instant, usize)| {
@@ -147,13 +154,13 @@
                 Target::Store => true,
                 Target::Runner => false,
             };
-            at > third + CONTACT && !fleet.disturbances.touched(concerns, at, at, CONTACT)
+            at > last + CONTACT && !fleet.disturbances.touched(concerns, at, at, CONTACT)
         };
         let late = runs.iter().filter(is_late).count();
         if late > LATE_SENDS_ALLOWED {
             let crashes = runs.len();
             fleet.violation(format!(
-                "CRASHES {body} was sent {late} times more, {crashes} in all"
+                "CRASHES {cause} was sent {late} times more, {crashes} in all"
             ));
         }
     }
--- a/crates/soak/src/faults.rs
+++ b/crates/soak/src/faults.rs
@@ -11,7 +11,7 @@
 use tokio::task::JoinSet;
 use tokio::time::sleep;
 
-use crate::caller_faults::{ask_for_homes, crashing_request, exceed_quota};
+use crate::caller_faults::{ask_for_homes, crashing_part, crashing_request, exceed_quota};
 use crate::callers::{Ask, Ending, send};
 use crate::checks::CALM;
 use crate::daemon::Stop;
@@ -83,6 +83,8 @@
     LateDrain,
     /// The runners of a service run few requests at a time, and fail if they reject too many in a second.
     BrittleService,
+    /// Callers send requests, no two alike, with one part in their prompts that crashes each runner which begins to run it.
+    CrashingPart,
 }
 
 impl FaultKind {
@@ -181,6 +183,7 @@
         FaultKind::CrashRunner => crash_runner(fleet, random).await,
         FaultKind::DrainRunner => drain_runner(fleet, random).await,
         FaultKind::CrashingRequest => crashing_request(fleet, random).await,
+        FaultKind::CrashingPart => crashing_part(fleet, random).await,
         FaultKind::SilenceConnections => silence_connections(fleet).await,
         FaultKind::NewRoute => new_route(fleet, random).await,
         FaultKind::ColdRunner => turn_cold(fleet, random).await,
