What is suspected of a crash is listed in one place

The request and the parts of its prompt were joined in four places of the ingress, in three of them by the same chain; Suspects, which crash reports have already, lists them for all. No behaviour changes.

Formatter and linter on the workspace; 15 tests of crashing requests, parts and recurring crashes of the ingress, those of quarantine, wire and fingerprints: pass.

--- a/crates/ingress/src/crashes.rs
+++ b/crates/ingress/src/crashes.rs
@@ -38,10 +38,7 @@
         sent_at,
         broken_at: shared.now(),
     };
-    let suspects = Suspects {
-        request: request.fingerprint(),
-        parts: request.part_fingerprints(),
-    };
+    let suspects = request.suspects();
     let (id, address) = (request.profile.id.clone(), runner.address);
     let runner = runner.id.clone();
     let shared = shared.clone();
@@ -49,7 +46,7 @@
         if shared.is_refused(address).await {
             shared.record_down(&runner);
             shared.log_crash(&suspects, &runner, &id, has_begun);
-            for report in shared.crash_reports(&suspects, &runner, run) {
+            for report in suspects.crash_reports(&runner, run, shared.now()) {
                 shared.report_run(report);
             }
         }
@@ -108,16 +105,13 @@
         if self.tables().quarantine.is_empty() {
             return None;
         }
-        let fingerprint = request.fingerprint();
-        let parts = request.part_fingerprints();
+        let suspects = request.suspects();
         let now = self.now();
         let tables = self.tables();
-        let remaining = std::iter::once(&fingerprint)
-            .chain(&parts)
-            .filter_map(|fingerprint| {
-                let remaining = tables.quarantine.remaining(fingerprint, now)?;
-                Some((*fingerprint, remaining))
-            });
+        let remaining = suspects.fingerprints().filter_map(|fingerprint| {
+            let remaining = tables.quarantine.remaining(fingerprint, now)?;
+            Some((*fingerprint, remaining))
+        });
         remaining.max_by_key(|(_, remaining)| *remaining)
     }
 
@@ -127,11 +121,12 @@
         if self.tables().quarantine.is_empty() {
             return true;
         }
-        let (fingerprint, parts) = (request.fingerprint(), request.part_fingerprints());
+        let suspects = request.suspects();
         let now = self.now();
         let mut tables = self.tables();
-        let mut fingerprints = std::iter::once(&fingerprint).chain(&parts);
-        fingerprints.all(|it| tables.quarantine.begin_run(it, now))
+        suspects
+            .fingerprints()
+            .all(|it| tables.quarantine.begin_run(it, now))
     }
 
     /// Records that a runner has answered a request that was sent there at `sent_at`: earlier crashes under it, and under
@@ -140,9 +135,8 @@
         if self.tables().quarantine.is_empty() {
             return;
         }
-        let parts = request.part_fingerprints();
-        for fingerprint in std::iter::once(request.fingerprint()).chain(parts) {
-            self.record_answer(fingerprint, sent_at);
+        for fingerprint in request.suspects().fingerprints() {
+            self.record_answer(*fingerprint, sent_at);
         }
     }
 
@@ -180,16 +174,6 @@
         self.changed.notify_waiters();
     }
 
-    fn crash_reports(
-        &self,
-        suspects: &Suspects,
-        runner: &RunnerId,
-        run: BrokenRun,
-    ) -> Vec<RunReport> {
-        let now = self.now();
-        suspects.crash_reports(runner, run, now)
-    }
-
     fn log_crash(&self, suspects: &Suspects, runner: &RunnerId, request: &str, has_begun: bool) {
         metrics::counter!(RUNNER_CRASHES.name).increment(1);
         let fields: &[(&str, &dyn Display)] = &[
--- a/crates/ingress/src/exchange.rs
+++ b/crates/ingress/src/exchange.rs
@@ -11,6 +11,7 @@
 use flaxward_routing::health::Observation;
 use flaxward_routing::homes::{Homes, Requirement};
 use flaxward_routing::names::{SoftwareVersion, Unit};
+use flaxward_routing::quarantine::Suspects;
 use flaxward_routing::rate_limit::RequestRate;
 use flaxward_routing::request::RequestProfile;
 use flaxward_routing::runner_paths::Path;
@@ -79,7 +80,7 @@
     }
 
     /// Fingerprints of the parts of the prompt that other requests may share. The last part is the request's own.
-    pub(crate) fn part_fingerprints(&self) -> Vec<RequestFingerprint> {
+    fn part_fingerprints(&self) -> Vec<RequestFingerprint> {
         let parts = &self.profile.parts;
         let shared = parts.iter().take(parts.len().saturating_sub(1));
         shared
@@ -88,6 +89,14 @@
             .collect()
     }
 
+    /// What is suspected if a runner crashes while running the request.
+    pub(crate) fn suspects(&self) -> Suspects {
+        Suspects {
+            request: self.fingerprint(),
+            parts: self.part_fingerprints(),
+        }
+    }
+
     /// The unit that the request needs, and the runners that may have it, if it needs one.
     pub(crate) fn requirement(&self) -> Option<Requirement> {
         Some(Requirement {
--- a/crates/routing/src/quarantine/crash_log.rs
+++ b/crates/routing/src/quarantine/crash_log.rs
@@ -266,16 +266,18 @@
         let quarantined: BTreeSet<RequestFingerprint> = crashes
             .flat_map(|crash| crash.explained_by.iter().copied())
             .collect();
-        let explained = quarantined.into_iter().filter(|it| self.is_needless(*it));
+        let explained = quarantined
+            .into_iter()
+            .filter(|it| self.is_explained_by_others(*it));
         explained.collect()
     }
 
     /// Whether each crash under a fingerprint is explained by something else in quarantine: by few narrower parts, or by
     /// what has also crashed runners without it.
-    fn is_needless(&self, fingerprint: RequestFingerprint) -> bool {
+    fn is_explained_by_others(&self, fingerprint: RequestFingerprint) -> bool {
         let mut narrower_causes = BTreeSet::<RequestFingerprint>::new();
         let mut suspicions = self.suspicions.get(&fingerprint).into_iter().flatten();
-        let is_needless = suspicions.all(|suspicion| {
+        let is_explained_by_others = suspicions.all(|suspicion| {
             let Some(crash) = self.crashes.get(&suspicion.crash) else {
                 return false;
             };
@@ -288,7 +290,7 @@
                     !is_broader && !self.covers(fingerprint, *it)
                 })
         });
-        is_needless && narrower_causes.len() <= MAX_COINCIDENT_PARTS
+        is_explained_by_others && narrower_causes.len() <= MAX_COINCIDENT_PARTS
     }
 
     /// Whether a part was followed by something in a request that broke off with a crash.
--- a/crates/routing/src/quarantine/report.rs
+++ b/crates/routing/src/quarantine/report.rs
@@ -119,6 +119,11 @@
 }
 
 impl Suspects {
+    /// The request and the parts.
+    pub fn fingerprints(&self) -> impl Iterator<Item = &RequestFingerprint> {
+        std::iter::once(&self.request).chain(&self.parts)
+    }
+
     /// Reports of a crash, one for each suspect.
     pub fn crash_reports(
         &self,
