--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -8,7 +8,7 @@
     exit 2
 fi
 # In a session of its own, so that nothing that it starts outlives this script.
-setsid "$harness" crashing-part "$root" "$here/record.txt" &
+setsid "$harness" stale-configuration "$root" "$here/record.txt" &
 pid=$!
 trap 'kill -- "-$pid" 2>/dev/null' EXIT INT TERM
 wait "$pid"
--- a/review/harness/src/daemon.rs
+++ b/review/harness/src/daemon.rs
@@ -41,6 +41,30 @@
     std::net::Ipv4Addr::new(127, 0, 1, last)
 }
 
+/// What a machine can do, as its settings tell.
+#[derive(Clone, Copy, Debug)]
+pub struct Machine {
+    processor_share: &'static str,
+    link_mbps: &'static str,
+}
+
+impl Machine {
+    /// As on the small sites.
+    pub const SMALL_SITE: Self = Self {
+        processor_share: "0.25",
+        link_mbps: "1000.0",
+    };
+    /// The two ends of the range on the grown sites.
+    pub const STRONG: Self = Self {
+        processor_share: "0.5",
+        link_mbps: "200.0",
+    };
+    pub const WEAK: Self = Self {
+        processor_share: "0.12",
+        link_mbps: "20.0",
+    };
+}
+
 pub struct Daemon {
     pub name: String,
     pub front: SocketAddr,
@@ -60,6 +84,7 @@
         index: usize,
         zone: &str,
         store: SocketAddr,
+        machine: Machine,
     ) -> io::Result<Self> {
         let name = format!("front-{zone}-{}", index + 1);
         let own = ip(index);
@@ -93,7 +118,10 @@
             ("bounds", bounds),
             (
                 "limits",
-                object([("cpu_share", number(0.25)), ("link_mbps", number("1000.0"))]),
+                object([
+                    ("cpu_share", number(machine.processor_share)),
+                    ("link_mbps", number(machine.link_mbps)),
+                ]),
             ),
             ("platform", object([("address", text(store.to_string()))])),
         ]);
--- a/review/harness/src/fleet.rs
+++ b/review/harness/src/fleet.rs
@@ -8,7 +8,7 @@
 use std::time::Duration;
 
 use crate::client::HOST;
-use crate::daemon::{Daemon, Ports};
+use crate::daemon::{Daemon, Machine, Ports};
 use crate::json::{Json, number, object, text};
 use crate::record::Record;
 use crate::runner::Runners;
@@ -82,7 +82,15 @@
         let ports = Ports::find(daemons)?;
         let prepared: io::Result<Vec<Daemon>> = (0..daemons)
             .map(|index| {
-                Daemon::prepare(root, &folder, ports, index, ZONES[index % 3], store.address)
+                Daemon::prepare(
+                    root,
+                    &folder,
+                    ports,
+                    index,
+                    ZONES[index % 3],
+                    store.address,
+                    Machine::SMALL_SITE,
+                )
             })
             .collect();
         Ok(Self {
--- a/review/harness/src/main.rs
+++ b/review/harness/src/main.rs
@@ -12,7 +12,9 @@
 mod record;
 mod resumed_streams;
 mod runner;
+mod stale_configuration;
 mod store;
+mod way;
 
 use std::io;
 use std::path::{Path, PathBuf};
@@ -38,6 +40,7 @@
     match case {
         "crashing-part" => crashing_part::play(Pace::Slow, root, has_trouble, record),
         "crashing-part-fast" => crashing_part::play(Pace::Fast, root, has_trouble, record),
+        "stale-configuration" => stale_configuration::play(root, has_trouble, record),
         "survivor-resumes" => resumed_streams::play(Story::OneSurvives, root, has_trouble, record),
         "restarted-resume" => resumed_streams::play(Story::AllThenOne, root, has_trouble, record),
         _ => Err(io::Error::other("no such case")),
--- a/review/harness/src/runner.rs
+++ b/review/harness/src/runner.rs
@@ -49,6 +49,7 @@
     pub at: f64,
     pub request: String,
     pub runner: String,
+    pub service: String,
     pub prompt: String,
 }
 
@@ -372,6 +373,7 @@
             at: shared.record.now(),
             request: id.to_owned(),
             runner: own.to_owned(),
+            service: self.kind.service.clone(),
             prompt: prompt.to_owned(),
         });
         let after = request.header("last-event-id").unwrap_or("-");
