--- a/review/harness/src/main.rs
+++ b/review/harness/src/main.rs
@@ -24,6 +24,7 @@
 use crashing_part::Pace;
 use record::Record;
 use resumed_streams::Story;
+use stale_configuration::Change;
 
 /// The contents of a lock, also if a thread has panicked with it.
 pub fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
@@ -40,7 +41,11 @@
     match case {
         "crashing-part" => crashing_part::play(Pace::Slow, root, has_trouble, record),
         "crashing-part-fast" => crashing_part::play(Pace::Fast, root, has_trouble, record),
-        "stale-configuration" => stale_configuration::play(root, has_trouble, record),
+        "stale-configuration" => {
+            stale_configuration::play(Change::Configuration, root, has_trouble, record)
+        }
+        "stale-draining" => stale_configuration::play(Change::Drains, root, has_trouble, record),
+        "stale-gone" => stale_configuration::play(Change::Goes, root, has_trouble, record),
         "survivor-resumes" => resumed_streams::play(Story::OneSurvives, root, has_trouble, record),
         "restarted-resume" => resumed_streams::play(Story::AllThenOne, root, has_trouble, record),
         _ => Err(io::Error::other("no such case")),
--- a/review/harness/src/runner.rs
+++ b/review/harness/src/runner.rs
@@ -62,6 +62,7 @@
     fence: u64,
     running: u32,
     is_draining: bool,
+    is_listed: bool,
 }
 
 /// All runners, with what they share.
@@ -155,6 +156,7 @@
             fence: 0,
             running: 0,
             is_draining: false,
+            is_listed: true,
         };
         let id = life.id.clone();
         *lock(&self.life) = Some(life);
@@ -181,6 +183,9 @@
             return;
         };
         life.advance(&self.disk);
+        if !life.is_listed {
+            return;
+        }
         let address = lock(&self.address).map(|it| it.to_string());
         let entry = object([
             ("service", text(&self.kind.service)),
@@ -205,6 +210,25 @@
         self.shared.store.put("servers", &life.id, entry);
     }
 
+    /// It plans to end, and says so or lets its entry go away. It serves on. Returns its id.
+    pub fn leave(&self, has_word: bool) -> String {
+        let id = {
+            let mut life = lock(&self.life);
+            let Some(life) = life.as_mut() else {
+                return String::new();
+            };
+            life.is_draining = true;
+            life.is_listed = has_word;
+            life.id.clone()
+        };
+        if has_word {
+            self.beat();
+        } else {
+            self.shared.store.remove("servers", &id);
+        }
+        id
+    }
+
     /// It ends without a word, and is back some time later at its address.
     fn crash(self: &Arc<Self>, id: &str) {
         let mut life = lock(&self.life);
@@ -242,7 +266,9 @@
             return self.report(own, out);
         }
         if request.path == "/health" {
-            return answer(out, 200, &[("X-Flaxward-Instance-Id", own)], "");
+            let is_draining = lock(&self.life).as_ref().is_some_and(|it| it.is_draining);
+            let status = if is_draining { 503 } else { 200 };
+            return answer(out, status, &[("X-Flaxward-Instance-Id", own)], "");
         }
         let request_id = request.header("x-flaxward-request-id").unwrap_or_default();
         let expected = request.header("x-flaxward-expect-instance");
--- a/review/harness/src/stale_configuration.rs
+++ b/review/harness/src/stale_configuration.rs
@@ -37,6 +37,19 @@
 const REQUEST_GAP: f64 = 0.1;
 const REQUESTS_FOR: f64 = 8.0;
 
+/// `drain_ms`, in s.
+const DRAIN: f64 = 2.0;
+
+/// What changes while the machines are cut off.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Change {
+    Configuration,
+    /// A runner says that it drains.
+    Drains,
+    /// The entry of a runner goes away.
+    Goes,
+}
+
 /// A request to one machine.
 #[derive(Clone, Debug)]
 struct Sent {
@@ -103,10 +116,15 @@
     store.put("config", "main", spec);
 }
 
-pub fn play(root: &Path, has_trouble: bool, record: &Arc<Record>) -> io::Result<Verdict> {
+pub fn play(
+    change: Change,
+    root: &Path,
+    has_trouble: bool,
+    record: &Arc<Record>,
+) -> io::Result<Verdict> {
     let folder = std::env::temp_dir().join(format!("flaxward-review-{}", std::process::id()));
     fs::create_dir_all(&folder)?;
-    let verdict = play_in(&folder, root, has_trouble, record);
+    let verdict = play_in(change, &folder, root, has_trouble, record);
     if std::env::var_os("KEEP_LOGS").is_some() {
         println!("logs are in {}", folder.display());
     } else {
@@ -116,6 +134,7 @@
 }
 
 fn play_in(
+    change: Change,
     folder: &Path,
     root: &Path,
     has_trouble: bool,
@@ -124,6 +143,7 @@
     let store = Arc::new(Store::start()?);
     publish(&store, 1);
     let runners = Runners::new(record.clone(), store.clone());
+    let mut first = None;
     for index in 0..RUNNERS * 2 {
         let kind = Kind {
             service: (if index < RUNNERS {
@@ -144,7 +164,8 @@
             crashing_part: None,
             down: Duration::from_secs(3),
         };
-        runners.add(&kind, &[])?;
+        let runner = runners.add(&kind, &[])?;
+        first.get_or_insert(runner);
     }
     let ports = Ports::find(STRONG + WEAK)?;
     let mut ways = Vec::new();
@@ -188,15 +209,21 @@
     }
     let cut_at = record.now();
     thread::sleep(CHANGE_AFTER);
-    publish(&store, 2);
+    let leaving = match (change, &first) {
+        (Change::Configuration, _) | (_, None) => {
+            publish(&store, 2);
+            None
+        }
+        (_, Some(runner)) => Some(runner.leave(change == Change::Drains)),
+    };
     let acknowledged_at = record.now();
-    record.tell("version 2 is acknowledged");
+    record.tell(format!("acknowledged: {change:?}, {leaving:?}"));
     let sent: Arc<Mutex<Vec<Sent>>> = Arc::default();
     let mut clients = Vec::new();
     for (machine, daemon) in daemons.iter().enumerate().skip(STRONG) {
         let (front, record, sent) = (daemon.front, record.clone(), sent.clone());
         clients.push(thread::spawn(move || {
-            ask(&record, front, machine, acknowledged_at, &sent)
+            ask(&record, front, machine, acknowledged_at, change, &sent)
         }));
     }
     let left = cut_at + CUT.as_secs_f64() - record.now();
@@ -216,6 +243,15 @@
             }
         }
     }
+    if let Some(leaving) = leaving {
+        return Ok(judge_drain(
+            record,
+            &runners,
+            &leaving,
+            acknowledged_at,
+            healed_at,
+        ));
+    }
     Ok(judge(
         record,
         &runners,
@@ -226,10 +262,17 @@
 }
 
 /// Sends requests to a machine, in turn on the route that has moved and on the one that is new.
-fn ask(record: &Record, front: SocketAddr, machine: usize, from: f64, sent: &Mutex<Vec<Sent>>) {
+fn ask(
+    record: &Record,
+    front: SocketAddr,
+    machine: usize,
+    from: f64,
+    change: Change,
+    sent: &Mutex<Vec<Sent>>,
+) {
     let mut number = 0_u64;
     while record.now() < from + REQUESTS_FOR {
-        let is_new_route = number % 2 == 1;
+        let is_new_route = change == Change::Configuration && number % 2 == 1;
         let id = format!("r-{machine:02}-{number:03}");
         let path = if is_new_route {
             "/fresh/1"
@@ -325,3 +368,45 @@
         Verdict::Broken
     }
 }
+
+/// A request, sent on by machines in touch, reaches a runner more than `drain_ms` after the acknowledgement that it drains or
+/// is gone.
+fn judge_drain(
+    record: &Record,
+    runners: &Runners,
+    leaving: &str,
+    acknowledged_at: f64,
+    healed_at: f64,
+) -> Verdict {
+    let arrivals = lock(&runners.arrivals);
+    let late: Vec<_> = arrivals
+        .iter()
+        .filter(|it| it.runner == leaving && it.at > acknowledged_at + DRAIN)
+        .collect();
+    for it in &late {
+        record.note(format!(
+            "late at {leaving}: {:.3} {}",
+            it.at - acknowledged_at,
+            it.request
+        ));
+    }
+    let after = arrivals
+        .iter()
+        .filter(|it| it.at > acknowledged_at + DRAIN)
+        .count();
+    let last = late.iter().map(|it| it.at).fold(acknowledged_at, f64::max);
+    record.tell(format!(
+        "{} of {after} requests later than {DRAIN} s after the acknowledgement reach the leaving runner; the last {:.3} s after \
+         it (way back after {:.3} s)",
+        late.len(),
+        last - acknowledged_at,
+        healed_at - acknowledged_at
+    ));
+    if late.is_empty() {
+        record.tell("DRAIN held");
+        Verdict::Held
+    } else {
+        record.tell("DRAIN is broken");
+        Verdict::Broken
+    }
+}
