A part that answers have cleared of a crash no longer explains it

The prompts hold a document that crashes runners and behind it an instruction that all requests share.

Cause: a part is not taken for the cause of crashes if something narrower explains them, which is what follows it in the prompts. Answers to sound requests cleared the instruction of each crash, but the log of crashes went on counting it as the narrower explanation, so the document was never the cause. Reports are sent three times, and a later copy also made a cleared part a suspect again.

Fix: a crash remembers what was cleared of it and by an answer to a run sent when. What was cleared explains nothing there, and copies of a report of an earlier run do not bring it back.

Evidence: a_crashing_part_is_withheld_although_a_cleared_part_follows_it (virtual time, one such request each 2.5 s, answers of 0.3 s) failed before and passes now. The property of crashing parts and the test of the end of a quarantine pass as they stood.

--- a/crates/routing/src/quarantine/crash_log.rs
+++ b/crates/routing/src/quarantine/crash_log.rs
@@ -9,6 +9,7 @@
 //! - A crash that something in quarantine explains does not count for anything else that broke off with it.
 //! - A part is not the cause if something narrower explains its crashes: the parts that followed it in the prompts, or
 //!   the requests. Sound requests share the broader part, so the narrower one is withheld.
+//! - What an answer has cleared of a crash does not explain it.
 //! - What is in quarantine is cleared if other things in quarantine explain all crashes under it. Reports of one crash
 //!   come in any order, so that a part that many requests share may be found before the cause.
 
@@ -51,6 +52,16 @@
     suspects: Vec<RequestFingerprint>,
     /// Those of the suspects that are in quarantine.
     explained_by: BTreeSet<RequestFingerprint>,
+    /// What has been cleared of the crash, with when the run was sent whose answer has cleared it. Reports are sent
+    /// several times, and later copies must not make it a suspect again.
+    cleared: BTreeMap<RequestFingerprint, Timestamp>,
+}
+
+impl Crash {
+    fn is_cleared(&self, fingerprint: &RequestFingerprint, sent_at: Timestamp) -> bool {
+        let cleared = self.cleared.get(fingerprint);
+        cleared.is_some_and(|answered| sent_at < *answered)
+    }
 }
 
 /// A run that broke off with a crash, or several under the same fingerprint.
@@ -129,10 +140,15 @@
             None => self.find_undated_crash(fingerprint, runner),
         };
         let crash = known.unwrap_or_else(|| self.add_crash(runner, at));
+        let sent_at = context.map(|it| ago(it.sent_ms_ago));
+        let cleared_by = self.crashes.get(&crash);
+        if cleared_by.is_some_and(|it| it.is_cleared(&fingerprint, sent_at.unwrap_or(at))) {
+            return Added::Nothing;
+        }
         let suspicion = Suspicion {
             crash,
             at,
-            sent_at: context.map(|it| ago(it.sent_ms_ago)),
+            sent_at,
             narrower: context.and_then(|it| it.narrower).into_iter().collect(),
         };
         let added = self.add_suspicion(fingerprint, suspicion);
@@ -173,6 +189,7 @@
             at,
             suspects: Vec::new(),
             explained_by: BTreeSet::new(),
+            cleared: BTreeMap::new(),
         };
         self.crashes.insert(number, crash);
         self.by_runner
@@ -228,10 +245,45 @@
         } else {
             0
         };
-        let is_cause = crashes >= bound + extra && !is_explained_by_narrower(&examined);
+        let is_cause = crashes >= bound + extra && !self.is_explained_by_narrower(&examined);
         Verdict { crashes, is_cause }
     }
 
+    /// Whether few narrower parts or requests account for all of these crashes.
+    fn is_explained_by_narrower(&self, suspicions: &[&Suspicion]) -> bool {
+        let mut unexplained: Vec<BTreeSet<Narrower>> = suspicions
+            .iter()
+            .map(|it| self.narrower_suspects(it))
+            .collect();
+        let (mut parts, mut requests) = (0, 0);
+        while !unexplained.is_empty() {
+            match most_frequent(&unexplained) {
+                None => return false,
+                Some(narrower) => {
+                    unexplained.retain(|it| !it.contains(&narrower));
+                    match narrower {
+                        Narrower::Part(_) => parts += 1,
+                        Narrower::Request(_) => requests += 1,
+                    }
+                }
+            }
+            if parts > MAX_COINCIDENT_PARTS || requests > MAX_COINCIDENT_REQUESTS {
+                return false;
+            }
+        }
+        true
+    }
+
+    /// What followed in the requests of a suspicion and has not been cleared of the crash.
+    fn narrower_suspects(&self, suspicion: &Suspicion) -> BTreeSet<Narrower> {
+        let crash = self.crashes.get(&suspicion.crash);
+        let is_cleared = |narrower: &Narrower| {
+            crash.is_some_and(|it| it.cleared.contains_key(&narrower.fingerprint()))
+        };
+        let narrower = suspicion.narrower.iter().copied();
+        narrower.filter(|it| !is_cleared(it)).collect()
+    }
+
     /// The latest crashes under a fingerprint that nothing else in quarantine explains, in their order.
     fn examined(&self, fingerprint: RequestFingerprint) -> Vec<&Suspicion> {
         let suspicions = self.suspicions.get(&fingerprint).into_iter().flatten();
@@ -355,6 +407,11 @@
         if suspicions.is_empty() {
             self.suspicions.remove(&fingerprint);
         }
+        for suspicion in &cleared {
+            if let Some(crash) = self.crashes.get_mut(&suspicion.crash) {
+                crash.cleared.insert(fingerprint, sent_at);
+            }
+        }
         self.drop_suspicions(fingerprint, &cleared)
     }
 
@@ -422,33 +479,10 @@
     }
 }
 
-/// Whether few narrower parts or requests account for all of these crashes.
-fn is_explained_by_narrower(suspicions: &[&Suspicion]) -> bool {
-    let mut unexplained: Vec<&BTreeSet<Narrower>> =
-        suspicions.iter().map(|it| &it.narrower).collect();
-    let (mut parts, mut requests) = (0, 0);
-    while !unexplained.is_empty() {
-        match most_frequent(&unexplained) {
-            None => return false,
-            Some(narrower) => {
-                unexplained.retain(|it| !it.contains(&narrower));
-                match narrower {
-                    Narrower::Part(_) => parts += 1,
-                    Narrower::Request(_) => requests += 1,
-                }
-            }
-        }
-        if parts > MAX_COINCIDENT_PARTS || requests > MAX_COINCIDENT_REQUESTS {
-            return false;
-        }
-    }
-    true
-}
-
 /// The narrower part or request that is in most of the sets; `None` if all are empty.
-fn most_frequent(sets: &[&BTreeSet<Narrower>]) -> Option<Narrower> {
+fn most_frequent(sets: &[BTreeSet<Narrower>]) -> Option<Narrower> {
     let mut counts = BTreeMap::<Narrower, usize>::new();
-    for narrower in sets.iter().copied().flatten() {
+    for narrower in sets.iter().flatten() {
         *counts.entry(*narrower).or_default() += 1;
     }
     let most = counts.into_iter().max_by_key(|(_, count)| *count);
--- a/crates/routing/tests/crashing_parts.rs
+++ b/crates/routing/tests/crashing_parts.rs
@@ -52,10 +52,12 @@
     sound_rate: f64,
     /// Parts that crash runners, in turns.
     crashing_parts: Vec<u64>,
-    /// Parts in front of them, and of the last shared part of sound requests.
+    /// Parts in front of them, and of the sound parts.
     first_parts: Vec<u64>,
-    /// Last shared parts of sound requests.
+    /// Parts that sound requests hold in their place.
     sound_parts: Vec<u64>,
+    /// Shared parts behind them, of which each request holds one; empty if none follows.
+    last_parts: Vec<u64>,
     /// Time for which there are sound requests only, without the crashing parts.
     warm_up: Duration,
     /// Time after that for which the crashing parts are sound.
@@ -82,6 +84,7 @@
             crashing_parts: vec![77],
             first_parts: vec![11],
             sound_parts: vec![12, 13],
+            last_parts: Vec::new(),
             warm_up: Duration::from_secs(4),
             sound_for: Duration::ZERO,
             run_time: Duration::from_millis(60),
@@ -116,7 +119,7 @@
     fn record_answer(&mut self, run: &Run, now: Timestamp) {
         for &fingerprint in std::iter::once(&run.request.request).chain(&run.request.parts) {
             let recorded = self.quarantine.record_answer(fingerprint, run.sent_at, now);
-            if recorded == Recorded::Cleared {
+            if matches!(recorded, Recorded::Cleared) {
                 let report = RunReport::answered(fingerprint, run.sent_at, now);
                 self.exchange.queue_report(report, now);
             }
@@ -259,10 +262,14 @@
         self.requests += u64::from(is_new);
         let number = if is_new { self.requests } else { u64::MAX };
         let first = pick(&self.scene.first_parts, &mut self.random);
-        let parts = [first, part].map(RequestFingerprint::of_part).to_vec();
+        let mut parts = vec![first, part];
+        if !self.scene.last_parts.is_empty() {
+            parts.push(pick(&self.scene.last_parts, &mut self.random));
+        }
+        let parts = parts.into_iter().map(RequestFingerprint::of_part);
         let request = Suspects {
             request: whole(number),
-            parts,
+            parts: parts.collect(),
         };
         let daemon = self.random.random_range(0..self.daemons.len());
         let is_withheld = self.daemons[daemon].is_withheld(&request, self.now);
@@ -275,8 +282,7 @@
         if is_withheld || up.is_empty() {
             return;
         }
-        let fingerprints = std::iter::once(&request.request).chain(&request.parts);
-        for fingerprint in fingerprints {
+        for fingerprint in std::iter::once(&request.request).chain(&request.parts) {
             assert!(
                 self.daemons[daemon]
                     .quarantine
@@ -540,6 +546,27 @@
     }
 }
 
+/// Guards against counting a shared part as the narrower cause of crashes although answers have cleared it, so that the
+/// crashing part in front of it is never withheld.
+#[test]
+fn a_crashing_part_is_withheld_although_a_cleared_part_follows_it() {
+    for seed in 0..8 {
+        let scene = Scene {
+            daemons: 3,
+            runners: 9,
+            crashing_rate: 0.4,
+            sound_rate: 10.0,
+            sound_parts: (12..24).collect(),
+            last_parts: vec![91],
+            run_time: Duration::from_millis(300),
+            length: Duration::from_secs(60),
+            seed,
+            ..Scene::default()
+        };
+        Fleet::play(scene).check();
+    }
+}
+
 fn scene() -> impl Strategy<Value = Scene> {
     let rates = (2.0..12.0, 0.5..40.0);
     let parts = (
