Parts that break off together in each crash are withheld only together

What is in quarantine is the instruction that all prompts of the route share.

Cause: of two parts that stand in each crashing request nothing tells which one is to blame, but the one further back needs three crashes and the one in front of it five that nothing narrower explains, so the one further back always wins the tie. Sound requests hold it.

Fix: all shared parts of a prompt together are a suspect of their own, next to the parts, and the narrowest one. Sound requests have other documents, hence another combination. A part is only withheld if more than one combination with it has crashed runners, with one crash more. The combination is one more fingerprint in reports and entries, so nothing changes on the wire; daemons of builds before neither report nor withhold it. runner-crashed names it in the log.

Evidence: sound_requests_are_served_although_a_shared_part_follows_the_ crashing_one (virtual time, three such requests a second, answers of 2 s) failed before and passes now; the property of crashing parts passes as it stood.

The sample of encoded reports is now written out, as its reports were.

--- a/crates/ingress/src/crashes.rs
+++ b/crates/ingress/src/crashes.rs
@@ -179,8 +179,9 @@
         let fields: &[(&str, &dyn Display)] = &[
             ("runner", runner),
             ("request", &request),
-            ("fingerprint", &suspects.request),
-            ("parts", &join(&suspects.parts)),
+            ("fingerprint", &suspects.request()),
+            ("parts", &join(suspects.parts())),
+            ("combination", &join(suspects.combination().as_slice())),
             ("begun", &has_begun),
         ];
         self.log.write(self.now(), "runner-crashed", fields);
--- a/crates/ingress/src/exchange.rs
+++ b/crates/ingress/src/exchange.rs
@@ -91,10 +91,7 @@
 
     /// What is suspected if a runner crashes while running the request.
     pub(crate) fn suspects(&self) -> Suspects {
-        Suspects {
-            request: self.fingerprint(),
-            parts: self.part_fingerprints(),
-        }
+        Suspects::new(self.fingerprint(), self.part_fingerprints())
     }
 
     /// The unit that the request needs, and the runners that may have it, if it needs one.
--- a/crates/routing/src/fingerprint.rs
+++ b/crates/routing/src/fingerprint.rs
@@ -16,6 +16,8 @@
 
 /// Prefix that keeps the digests of parts apart from those of requests, which begin with a length.
 const PART_DOMAIN: &[u8] = b"part of a prompt";
+/// The same for the digests of several parts together.
+const COMBINATION_DOMAIN: &[u8] = b"parts of a prompt together";
 
 /// A digest that is equal for retries of the same request, on every daemon. Stored and sent as a hexadecimal string.
 #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
@@ -59,6 +61,16 @@
         Self::kept(digest)
     }
 
+    /// The fingerprint of parts together, which is equal for all requests that share all of them in this order.
+    pub fn of_combination(parts: &[Self]) -> Self {
+        let mut digest = Sha256::new();
+        digest.update(COMBINATION_DOMAIN);
+        for part in parts {
+            digest.update(part.0);
+        }
+        Self::kept(digest)
+    }
+
     fn kept(digest: Sha256) -> Self {
         let mut kept = [0; KEPT_BYTES];
         kept.copy_from_slice(&digest.finalize()[..KEPT_BYTES]);
--- a/crates/routing/src/quarantine/crash_log.rs
+++ b/crates/routing/src/quarantine/crash_log.rs
@@ -7,8 +7,9 @@
 //!   that fail together, for example with their power supply, has not caused their failures.
 //! - An answer to a run shows that runs sent before it have not crashed their runners.
 //! - A crash that something in quarantine explains does not count for anything else that broke off with it.
-//! - A part is not the cause if something narrower explains its crashes: the parts that followed it in the prompts, or
-//!   the requests. Sound requests share the broader part, so the narrower one is withheld.
+//! - A part is not the cause if something narrower explains its crashes: the parts that followed it in the prompts, all
+//!   shared parts of a prompt together, or the requests. Sound requests share the broader part, so the narrower one is
+//!   withheld. Parts that break off together in each crash are thus withheld together, and none of them alone.
 //! - What an answer has cleared of a crash does not explain it.
 //! - What is in quarantine is cleared if other things in quarantine explain all crashes under it. Reports of one crash
 //!   come in any order, so that a part that many requests share may be found before the cause.
@@ -29,6 +30,8 @@
 const DELAY_TOLERANCE: Duration = Duration::from_millis(20);
 /// Number of narrower parts that may crash runners at the same time without the part that they share being the cause.
 const MAX_COINCIDENT_PARTS: usize = 2;
+/// Number of combinations of parts that may crash runners at the same time without the part that they share being the cause.
+const MAX_COINCIDENT_COMBINATIONS: usize = 1;
 /// Number of single requests that may crash runners at the same time.
 const MAX_COINCIDENT_REQUESTS: usize = 1;
 /// Time in which all daemons have reported a crash; reports are sent again after 200 ms and 400 ms. What a part is followed
@@ -36,6 +39,9 @@
 const REPORT_TIME: Duration = Duration::from_millis(150);
 /// Additional crashes that it takes for a part that other parts follow: by then, a narrower cause has been found.
 const EXTRA_CRASHES_IF_FOLLOWED: usize = 2;
+/// The same for the last shared part, which is followed by combinations only. A combination takes more crashes to be found
+/// than the last part alone if other parts vary, so more than one here would let too many runners crash.
+const EXTRA_CRASHES_IF_COMBINED: usize = 1;
 /// Number of the latest crashes under one fingerprint that are examined, which bounds the work for a report.
 const MAX_EXAMINED: usize = 16;
 /// Maximum number of suspicions; the oldest crash is dropped first. A crash involves a few dozen requests.
@@ -240,40 +246,58 @@
                 counted_at = Some(suspicion.at);
             }
         }
-        let extra = if is_followed {
-            EXTRA_CRASHES_IF_FOLLOWED
-        } else {
-            0
-        };
+        let extra = self.extra_crashes(&examined);
         let is_cause = crashes >= bound + extra && !self.is_explained_by_narrower(&examined);
         Verdict { crashes, is_cause }
     }
 
+    /// How many more crashes it takes because narrower causes must be found first.
+    fn extra_crashes(&self, suspicions: &[&Suspicion]) -> usize {
+        let narrower = suspicions.iter().flat_map(|it| &it.narrower);
+        let extra = narrower.map(|it| match it {
+            Narrower::Request(_) => 0,
+            Narrower::Part(part) if self.is_combination(part) => EXTRA_CRASHES_IF_COMBINED,
+            Narrower::Part(_) => EXTRA_CRASHES_IF_FOLLOWED,
+        });
+        extra.max().unwrap_or(0)
+    }
+
     /// Whether few narrower parts or requests account for all of these crashes.
     fn is_explained_by_narrower(&self, suspicions: &[&Suspicion]) -> bool {
         let mut unexplained: Vec<BTreeSet<Narrower>> = suspicions
             .iter()
             .map(|it| self.narrower_suspects(it))
             .collect();
-        let (mut parts, mut requests) = (0, 0);
+        let (mut parts, mut combinations, mut requests) = (0, 0, 0);
         while !unexplained.is_empty() {
             match most_frequent(&unexplained) {
                 None => return false,
                 Some(narrower) => {
                     unexplained.retain(|it| !it.contains(&narrower));
                     match narrower {
+                        Narrower::Part(part) if self.is_combination(&part) => combinations += 1,
                         Narrower::Part(_) => parts += 1,
                         Narrower::Request(_) => requests += 1,
                     }
                 }
             }
-            if parts > MAX_COINCIDENT_PARTS || requests > MAX_COINCIDENT_REQUESTS {
+            if parts > MAX_COINCIDENT_PARTS
+                || combinations > MAX_COINCIDENT_COMBINATIONS
+                || requests > MAX_COINCIDENT_REQUESTS
+            {
                 return false;
             }
         }
         true
     }
 
+    /// Whether a narrower suspect of a part is a combination of parts: only requests are narrower than these.
+    fn is_combination(&self, fingerprint: &RequestFingerprint) -> bool {
+        let suspicions = self.suspicions.get(fingerprint).into_iter().flatten();
+        let mut narrower = suspicions.flat_map(|it| &it.narrower);
+        narrower.all(|it| matches!(it, Narrower::Request(_)))
+    }
+
     /// What followed in the requests of a suspicion and has not been cleared of the crash.
     fn narrower_suspects(&self, suspicion: &Suspicion) -> BTreeSet<Narrower> {
         let crash = self.crashes.get(&suspicion.crash);
@@ -334,7 +358,9 @@
                 return false;
             };
             let mut others = crash.explained_by.iter().filter(|it| **it != fingerprint);
-            let narrower = others.clone().find(|it| suspicion.is_followed_by(it));
+            let narrower = others
+                .clone()
+                .find(|it| suspicion.is_followed_by(it) && !self.is_combination(it));
             narrower_causes.extend(narrower);
             narrower.is_some()
                 || others.any(|it| {
--- a/crates/routing/src/quarantine/report.rs
+++ b/crates/routing/src/quarantine/report.rs
@@ -90,13 +90,13 @@
     pub broken_at: Timestamp,
 }
 
-/// What may have crashed a runner: a request, or a part of its prompt.
+/// What may have crashed a runner: a request, a part of its prompt, or all of its shared parts together.
 #[derive(Clone, Debug)]
 pub struct Suspects {
-    /// The request.
-    pub request: RequestFingerprint,
-    /// The parts of its prompt that other requests may share, in their order.
-    pub parts: Vec<RequestFingerprint>,
+    request: RequestFingerprint,
+    parts: Vec<RequestFingerprint>,
+    /// The parts together; `None` if there are fewer than two.
+    combination: Option<RequestFingerprint>,
 }
 
 impl RunReport {
@@ -119,9 +119,36 @@
 }
 
 impl Suspects {
-    /// The request and the parts.
+    /// A request, and the parts of its prompt that other requests may share, in their order.
+    pub fn new(request: RequestFingerprint, parts: Vec<RequestFingerprint>) -> Self {
+        let has_several = parts.len() > 1;
+        let combination = has_several.then(|| RequestFingerprint::of_combination(&parts));
+        Self {
+            request,
+            parts,
+            combination,
+        }
+    }
+
+    /// The request.
+    pub fn request(&self) -> RequestFingerprint {
+        self.request
+    }
+
+    /// The parts of its prompt that other requests may share, in their order.
+    pub fn parts(&self) -> &[RequestFingerprint] {
+        &self.parts
+    }
+
+    /// The shared parts together; `None` if there are fewer than two.
+    pub fn combination(&self) -> Option<RequestFingerprint> {
+        self.combination
+    }
+
+    /// Everything that is suspected.
     pub fn fingerprints(&self) -> impl Iterator<Item = &RequestFingerprint> {
-        std::iter::once(&self.request).chain(&self.parts)
+        let request = std::iter::once(&self.request);
+        request.chain(&self.combination).chain(&self.parts)
     }
 
     /// Reports of a crash, one for each suspect.
@@ -145,11 +172,12 @@
             .collect()
     }
 
-    /// Each suspect with what follows it in the request.
+    /// Each suspect with what is narrower by one step. Parts that break off together in each crash can't be told apart, so
+    /// all of them together come before any single one.
     fn with_narrower(&self) -> Vec<(RequestFingerprint, Option<Narrower>)> {
         let mut suspects = vec![(self.request, None)];
         let mut narrower = Narrower::Request(self.request);
-        for &part in self.parts.iter().rev() {
+        for &part in self.combination.iter().chain(self.parts.iter().rev()) {
             suspects.push((part, Some(narrower)));
             narrower = Narrower::Part(part);
         }
--- a/crates/routing/tests/crashing_parts.rs
+++ b/crates/routing/tests/crashing_parts.rs
@@ -112,14 +112,14 @@
     }
 
     fn is_withheld(&self, request: &Suspects, now: Timestamp) -> bool {
-        let mut fingerprints = std::iter::once(&request.request).chain(&request.parts);
+        let mut fingerprints = request.fingerprints();
         fingerprints.any(|it| self.quarantine.remaining(it, now).is_some())
     }
 
     fn record_answer(&mut self, run: &Run, now: Timestamp) {
-        for &fingerprint in std::iter::once(&run.request.request).chain(&run.request.parts) {
+        for &fingerprint in run.request.fingerprints() {
             let recorded = self.quarantine.record_answer(fingerprint, run.sent_at, now);
-            if matches!(recorded, Recorded::Cleared) {
+            if recorded == Recorded::Cleared {
                 let report = RunReport::answered(fingerprint, run.sent_at, now);
                 self.exchange.queue_report(report, now);
             }
@@ -267,10 +267,7 @@
             parts.push(pick(&self.scene.last_parts, &mut self.random));
         }
         let parts = parts.into_iter().map(RequestFingerprint::of_part);
-        let request = Suspects {
-            request: whole(number),
-            parts: parts.collect(),
-        };
+        let request = Suspects::new(whole(number), parts.collect());
         let daemon = self.random.random_range(0..self.daemons.len());
         let is_withheld = self.daemons[daemon].is_withheld(&request, self.now);
         if is_sound {
@@ -282,7 +279,7 @@
         if is_withheld || up.is_empty() {
             return;
         }
-        for fingerprint in std::iter::once(&request.request).chain(&request.parts) {
+        for fingerprint in request.fingerprints() {
             assert!(
                 self.daemons[daemon]
                     .quarantine
@@ -546,6 +543,27 @@
     }
 }
 
+/// Guards against withholding a part that all requests of a route share in place of the crashing part in front of it, which
+/// breaks off with it each time.
+#[test]
+fn sound_requests_are_served_although_a_shared_part_follows_the_crashing_one() {
+    for seed in 0..8 {
+        let scene = Scene {
+            daemons: 3,
+            runners: 9,
+            crashing_rate: 3.0,
+            sound_rate: 10.0,
+            sound_parts: (12..24).collect(),
+            last_parts: vec![91],
+            run_time: Duration::from_secs(2),
+            length: Duration::from_secs(35),
+            seed,
+            ..Scene::default()
+        };
+        Fleet::play(scene).check();
+    }
+}
+
 /// Guards against counting a shared part as the narrower cause of crashes although answers have cleared it, so that the
 /// crashing part in front of it is never withheld.
 #[test]
--- a/crates/routing/tests/wire/extensions.rs
+++ b/crates/routing/tests/wire/extensions.rs
@@ -18,7 +18,7 @@
     KnownState, Message, StoreNews, StoreState, WaitNotice, WaitingUnit,
 };
 use flaxward_routing::names::{ModelName, RunnerId, ServiceName, SoftwareVersion, Unit, Zone};
-use flaxward_routing::quarantine::{BrokenRun, RunOutcome, RunReport, Suspects};
+use flaxward_routing::quarantine::{Narrower, RunContext, RunOutcome, RunReport};
 use flaxward_routing::rate_limit::RequestRate;
 use flaxward_routing::revision::{EraStart, StoreEra, StoreRevision};
 use flaxward_routing::stream_origins::messages::{
@@ -235,16 +235,20 @@
 fn run_reports() -> Message {
     let request = RequestFingerprint::of_part(1);
     let part = RequestFingerprint::of_part(2);
-    let suspects = Suspects {
-        request,
-        parts: vec![RequestFingerprint::of_part(3), part],
-    };
-    let run = BrokenRun {
-        sent_at: Timestamp(1_000),
-        broken_at: Timestamp(1_300),
+    let crash = |fingerprint, narrower| RunReport {
+        fingerprint,
+        outcome: RunOutcome::Crashed(RunnerId::new("i-1")),
+        context: Some(RunContext {
+            sent_ms_ago: 310,
+            ended_ms_ago: 10,
+            narrower,
+        }),
     };
-    let runner = RunnerId::new("i-1");
-    let mut reports = suspects.crash_reports(&runner, run, Timestamp(1_310));
+    let mut reports = vec![
+        crash(request, None),
+        crash(part, Some(Narrower::Request(request))),
+        crash(RequestFingerprint::of_part(3), Some(Narrower::Part(part))),
+    ];
     reports.push(RunReport::answered(part, Timestamp(400), Timestamp(1_000)));
     reports.push(RunReport {
         fingerprint: request,
