Answers to runs sent between the crashes end a mistaken quarantine

Cause: during a quarantine no run is sent, so the only evidence is answers to runs that were sent before it was known. These were ignored, also those of runs that were sent after crashes and had survived them. A daemon that had seen none of the crashes did not tell the keepers of such an answer.

Fix: an answer to a run clears the crashes of runs sent before it during a quarantine too; if those that are left do not justify it, it ends. A daemon that does not know the crashes passes the answer on to the keepers, at most one for each 100 ms of send times. An answer to a run from before the crashes still changes nothing.

Evidence: an_answer_to_a_run_sent_between_the_crashes_ends_a_quarantine and an_answer_to_an_earlier_run_is_passed_on_to_the_keepers failed before.

--- a/crates/ingress/src/crashes.rs
+++ b/crates/ingress/src/crashes.rs
@@ -154,6 +154,8 @@
         drop(tables);
         if recorded == Recorded::Cleared {
             self.log_cleared(&fingerprint, "answer");
+        }
+        if matches!(recorded, Recorded::Cleared | Recorded::Undecided) {
             self.queue_report(RunReport::answered(fingerprint, sent_at, now));
         }
     }
@@ -248,7 +250,8 @@
         match recorded {
             Recorded::Quarantined => self.log_quarantined(&[report.fingerprint], "crashes"),
             Recorded::Cleared => self.log_cleared(&report.fingerprint, "answer"),
-            Recorded::Unchanged | Recorded::Detail | Recorded::Counted(_) => {}
+            Recorded::Unchanged | Recorded::Detail | Recorded::Counted(_) | Recorded::Undecided => {
+            }
         }
         recorded
     }
--- a/crates/routing/src/quarantine/crash_log.rs
+++ b/crates/routing/src/quarantine/crash_log.rs
@@ -441,6 +441,15 @@
         self.drop_suspicions(fingerprint, &cleared)
     }
 
+    /// Records that a fingerprint is no longer in quarantine. It stays a suspect.
+    pub fn unexplain(&mut self, fingerprint: &RequestFingerprint) {
+        for suspicion in self.suspicions.get(fingerprint).into_iter().flatten() {
+            if let Some(crash) = self.crashes.get_mut(&suspicion.crash) {
+                crash.explained_by.remove(fingerprint);
+            }
+        }
+    }
+
     /// Records that a fingerprint is not the cause of any crash so far. Returns whether it was suspected.
     pub fn exonerate(&mut self, fingerprint: RequestFingerprint) -> bool {
         let suspicions = self.suspicions.remove(&fingerprint).unwrap_or_default();
--- a/crates/routing/src/quarantine/mod.rs
+++ b/crates/routing/src/quarantine/mod.rs
@@ -37,6 +37,10 @@
 /// Time in which a run that is sent after the end of a quarantine shows whether its request crashes runners.
 const PROBE_TIME: Duration = Duration::from_secs(2);
 
+/// Least time between the sends of two runs whose answers are left to other daemons to judge, which bounds the reports. The
+/// later of two answers shows more.
+const UNDECIDED_INTERVAL: Duration = Duration::from_millis(100);
+
 /// When a request is put in quarantine, and for how long.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct QuarantineSettings {
@@ -74,6 +78,9 @@
     Quarantined,
     /// The request was found not to crash runners.
     Cleared,
+    /// An answer to a run that was sent before this daemon knew of the quarantine: only daemons that know when the crashes
+    /// happened can tell whether it ends the quarantine.
+    Undecided,
 }
 
 impl From<Added> for Recorded {
@@ -108,6 +115,8 @@
     kept_until: Timestamp,
     /// Until when this daemon waits for the outcome of a run that it has sent after the end of the quarantine.
     probe_until: Timestamp,
+    /// When the run was sent whose answer was last left to other daemons to judge.
+    undecided_sent_at: Timestamp,
 }
 
 impl EntryState {
@@ -223,13 +232,39 @@
     ) -> Recorded {
         let state = self.states.get(&fingerprint).filter(|it| !it.is_cleared());
         match state {
-            Some(state) if sent_at <= state.known_at => Recorded::Unchanged,
+            Some(state) if sent_at <= state.known_at => {
+                self.on_earlier_answer(fingerprint, sent_at, now)
+            }
             Some(_) => self.on_completion(fingerprint, now),
             None if self.crashes.exonerate_before(fingerprint, sent_at) => Recorded::Cleared,
             None => Recorded::Unchanged,
         }
     }
 
+    /// Records an answer to a run that was sent before the quarantine was known here. The quarantine ends if the crashes of
+    /// later runs alone do not justify it.
+    fn on_earlier_answer(
+        &mut self,
+        fingerprint: RequestFingerprint,
+        sent_at: Timestamp,
+        now: Timestamp,
+    ) -> Recorded {
+        let was_suspect = self.crashes.exonerate_before(fingerprint, sent_at);
+        let crashes = self.settings.crashes;
+        if was_suspect && !self.crashes.judge(fingerprint, crashes, now).is_cause {
+            self.crashes.unexplain(&fingerprint);
+            self.end_quarantine(fingerprint, now);
+            return Recorded::Cleared;
+        }
+        match self.states.get_mut(&fingerprint) {
+            Some(state) if sent_at >= state.undecided_sent_at + UNDECIDED_INTERVAL => {
+                state.undecided_sent_at = sent_at;
+                Recorded::Undecided
+            }
+            _ => Recorded::Unchanged,
+        }
+    }
+
     fn clear_explained(&mut self, now: Timestamp) {
         for fingerprint in self.crashes.explained_away() {
             self.on_completion(fingerprint, now);
@@ -270,25 +305,33 @@
 
     fn on_completion(&mut self, fingerprint: RequestFingerprint, now: Timestamp) -> Recorded {
         let was_suspect = self.crashes.exonerate(fingerprint);
-        let Some(state) = self.states.get(&fingerprint).filter(|it| !it.is_cleared()) else {
-            return if was_suspect {
-                Recorded::Cleared
-            } else {
-                Recorded::Unchanged
-            };
+        let was_quarantined = self.end_quarantine(fingerprint, now);
+        if was_suspect || was_quarantined {
+            Recorded::Cleared
+        } else {
+            Recorded::Unchanged
+        }
+    }
+
+    /// Ends the quarantine of a request. Returns whether it was in quarantine.
+    fn end_quarantine(&mut self, fingerprint: RequestFingerprint, now: Timestamp) -> bool {
+        let state = self.states.get(&fingerprint);
+        let Some(state) = state.filter(|it| !it.is_cleared()) else {
+            return false;
         };
         let cleared = EntryState {
             step: state.step + 1,
             known_at: now,
             until: now,
             probe_until: Timestamp::ZERO,
+            undecided_sent_at: Timestamp::ZERO,
             // The cleared entry must outlive the quarantine entries of other daemons.
             kept_until: state
                 .kept_until
                 .max(now + self.settings.repeated + RETENTION),
         };
         self.states.insert(fingerprint, cleared);
-        Recorded::Cleared
+        true
     }
 
     fn start_quarantine(
@@ -304,6 +347,7 @@
             known_at: now,
             until,
             probe_until: Timestamp::ZERO,
+            undecided_sent_at: Timestamp::ZERO,
             kept_until: until + RETENTION,
         };
         let is_newer = self.apply_step(fingerprint, state);
@@ -332,6 +376,7 @@
                 known_at: now,
                 until: now + within(entry.remaining_ms, longest),
                 probe_until: Timestamp::ZERO,
+                undecided_sent_at: Timestamp::ZERO,
                 kept_until: now + within(entry.kept_ms, longest + RETENTION),
             };
             let was_allowed = self.remaining(&entry.fingerprint, now).is_none();
--- a/crates/routing/tests/crashing_parts.rs
+++ b/crates/routing/tests/crashing_parts.rs
@@ -119,7 +119,7 @@
     fn record_answer(&mut self, run: &Run, now: Timestamp) {
         for &fingerprint in run.request.fingerprints() {
             let recorded = self.quarantine.record_answer(fingerprint, run.sent_at, now);
-            if recorded == Recorded::Cleared {
+            if matches!(recorded, Recorded::Cleared | Recorded::Undecided) {
                 let report = RunReport::answered(fingerprint, run.sent_at, now);
                 self.exchange.queue_report(report, now);
             }
--- a/crates/routing/tests/quarantine.rs
+++ b/crates/routing/tests/quarantine.rs
@@ -104,6 +104,85 @@
     assert_eq!(quarantine.record(&crash(1, 4), at(2)), Recorded::Counted(1));
 }
 
+/// A report that a run of request 1 crashed its runner, by the times at which it was sent and at which it broke off.
+fn crash_of_run(
+    runner: u64,
+    sent_at: Timestamp,
+    broken_at: Timestamp,
+    now: Timestamp,
+) -> RunReport {
+    let ms_ago = |at| u32::try_from(now.since(at).as_millis()).unwrap();
+    RunReport {
+        context: Some(RunContext {
+            sent_ms_ago: ms_ago(sent_at),
+            ended_ms_ago: ms_ago(broken_at),
+            narrower: None,
+        }),
+        ..crash(1, runner)
+    }
+}
+
+/// A keeper that has recorded a crash under request 1 in each of the first three seconds.
+fn keeper_with_three_crashes() -> Quarantine {
+    let mut keeper = Quarantine::new(SETTINGS);
+    for second in 1..=3 {
+        let broken_at = at(second);
+        let sent_at = broken_at - Duration::from_millis(70);
+        keeper.record(
+            &crash_of_run(second, sent_at, broken_at, broken_at),
+            broken_at,
+        );
+    }
+    assert!(keeper.remaining(&fingerprint(1), at(3)).is_some());
+    keeper
+}
+
+/// Guards against a quarantine that nothing can end although answers to runs sent between the crashes contradict it: while it
+/// lasts no run is sent, so only answers to earlier runs can show the mistake.
+#[test]
+fn an_answer_to_a_run_sent_between_the_crashes_ends_a_quarantine() {
+    let mut keeper = keeper_with_three_crashes();
+    let sent_at = at(2);
+    assert_eq!(
+        keeper.record_answer(fingerprint(1), sent_at, at(4)),
+        Recorded::Cleared
+    );
+    assert_eq!(keeper.remaining(&fingerprint(1), at(4)), None);
+    // The crash after that answer still counts.
+    let later = crash_of_run(4, at(5), at(6), at(6));
+    assert_eq!(keeper.record(&later, at(6)), Recorded::Counted(2));
+}
+
+/// Guards against ending a quarantine because of a run that was sent before the request began to crash runners.
+#[test]
+fn an_answer_to_a_run_sent_before_the_crashes_ends_no_quarantine() {
+    let mut keeper = keeper_with_three_crashes();
+    keeper.record_answer(fingerprint(1), at(0), at(4));
+    assert!(keeper.remaining(&fingerprint(1), at(4)).is_some());
+}
+
+/// Guards against ignoring such an answer at a daemon that has seen none of the crashes: it can't judge it, but the keepers
+/// can.
+#[test]
+fn an_answer_to_an_earlier_run_is_passed_on_to_the_keepers() {
+    let mut keeper = keeper_with_three_crashes();
+    let mut other = Quarantine::new(SETTINGS);
+    other.merge(&keeper.entries(at(3)), at(3));
+    let recorded = other.record_answer(fingerprint(1), at(2), at(4));
+    assert_eq!(recorded, Recorded::Undecided);
+    assert!(other.remaining(&fingerprint(1), at(4)).is_some());
+    // Of many such answers, those sent shortly after the last one are not passed on.
+    let next = at(2) + Duration::from_millis(40);
+    assert_eq!(
+        other.record_answer(fingerprint(1), next, at(4)),
+        Recorded::Unchanged
+    );
+    let report = RunReport::answered(fingerprint(1), at(2), at(4));
+    assert_eq!(keeper.record(&report, at(4)), Recorded::Cleared);
+    other.merge(&keeper.entries(at(4)), at(4));
+    assert_eq!(other.remaining(&fingerprint(1), at(4)), None);
+}
+
 #[test]
 fn a_request_that_completes_between_crashes_is_never_quarantined() {
     let mut quarantine = Quarantine::new(SETTINGS);
