A member probes the store before it relies on a reported outage

Cause: members do not watch the store, they rely on reports of the daemons that do. Once three of these say that the store does not answer, a member took it for down and looked for itself only 2.5 to 7.5 s later. Reports of machines in one cut are not independent; what the member itself can see counted for nothing.

Fix: reports of an outage only count together with a failed call of the member's own. It makes one call, a probe, when what it knows gets too old, as it would without reports. If that fails, it relies on the outage as before; if it is answered, it watches the store itself, and a single failed call later does not change its mind. The watch of the configuration probes, the watches of runners and evacuated zones wait for the outcome. An answer 429 is no failure. The log has store-probe.

--- a/crates/ingress/src/state.rs
+++ b/crates/ingress/src/state.rs
@@ -261,12 +261,6 @@
         self.closing.load(Ordering::Relaxed)
     }
 
-    /// Records that the store has answered.
-    pub(crate) fn record_store_answer(&self) {
-        self.store_answered_ms
-            .store(self.now().0, Ordering::Relaxed);
-    }
-
     /// Time since the store last answered.
     pub(crate) fn store_silence(&self) -> Duration {
         let seen = Timestamp(self.store_answered_ms.load(Ordering::Relaxed));
--- a/crates/ingress/src/store_report.rs
+++ b/crates/ingress/src/store_report.rs
@@ -1,6 +1,8 @@
 //! Reports on the store from the daemons that watch it.
 
+use std::fmt::Display;
 use std::net::SocketAddr;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use flaxward_routing::evacuation::Evacuations;
@@ -13,10 +15,12 @@
 
 /// The merged reports on the store from the daemons that watch it. While it is valid, a daemon
 /// reads the store only when there is a newer version, instead of watching it.
-#[derive(Clone, Copy, Debug, Default)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub(crate) struct StoreReport {
     /// Until when the report is valid.
     pub trusted_until: Option<Timestamp>,
+    /// Only a probe may be made: see [`flaxward_routing::store_trust::StoreTrust::is_probe_due`].
+    pub is_probe_due: bool,
     /// The newest version of the configuration.
     pub configuration_version: u64,
     /// Revision of the last change that daemons other than the coordinator must know of.
@@ -99,10 +103,38 @@
     /// Recomputes until when the report on the store is valid.
     pub(crate) fn refresh_store_report(&self) {
         let now = self.now();
-        let role = self.store_report.borrow().role;
-        let until = self.tables().store_trust.fresh_until(role, now);
-        self.store_report
-            .send_modify(|report| report.trusted_until = until);
+        let before = *self.store_report.borrow();
+        let tables = self.tables();
+        let after = StoreReport {
+            trusted_until: tables.store_trust.fresh_until(before.role, now),
+            is_probe_due: tables.store_trust.is_probe_due(before.role, now),
+            ..before
+        };
+        drop(tables);
+        if after.is_probe_due != before.is_probe_due {
+            let fields: &[(&str, &dyn Display)] = &[("due", &after.is_probe_due)];
+            self.log.write(now, "store-probe", fields);
+        }
+        self.store_report.send_if_modified(|report| {
+            report.trusted_until = after.trusted_until;
+            report.is_probe_due = after.is_probe_due;
+            after != before
+        });
+    }
+
+    /// Records that the store has answered a call of this daemon.
+    pub(crate) fn record_store_answer(&self) {
+        let now = self.now();
+        self.store_answered_ms.store(now.0, Ordering::Relaxed);
+        self.tables().store_trust.record_own_answer(now);
+        self.refresh_store_report();
+    }
+
+    /// Records that a call of this daemon to the store has failed.
+    pub(crate) fn record_store_failure(&self) {
+        let now = self.now();
+        self.tables().store_trust.record_own_failure(now);
+        self.refresh_store_report();
     }
 
     /// The facts that this daemon announces while it watches the store.
--- a/crates/ingress/src/watches/evacuations.rs
+++ b/crates/ingress/src/watches/evacuations.rs
@@ -9,7 +9,7 @@
 use flaxward_routing::revision::StoreRevision;
 use tokio::time::sleep;
 
-use super::{Backoff, changes_mode, is_same_era, log_history_gone, wait_for_report};
+use super::{Backoff, changes_mode, is_same_era, log_history_gone, probe_until, wait_for_report};
 use crate::cold_periods::mark_returned_zones_cold;
 use crate::interfaces::{Listing, StoreError};
 use crate::state::Shared;
@@ -34,7 +34,8 @@
     let mut revision = None;
     loop {
         let report = *reports.borrow_and_update();
-        if let Some(until) = report.valid_until(shared.now()) {
+        let valid_until = report.valid_until(shared.now());
+        if let Some(until) = valid_until.or_else(|| probe_until(&shared, report)) {
             revision = None;
             wait_for_report(&shared, &mut reports, until).await;
             continue;
--- a/crates/ingress/src/watches/mod.rs
+++ b/crates/ingress/src/watches/mod.rs
@@ -42,6 +42,11 @@
 /// Maximum pause after a failed call.
 const MAX_BACKOFF: Duration = Duration::from_millis(800);
 
+/// Time after which a watch that waits for the outcome of a probe looks again whether it still has to.
+const PROBE_WAIT: Duration = Duration::from_millis(500);
+/// HTTP status with which the store limits the rate of calls.
+const TOO_MANY_REQUESTS: u16 = 429;
+
 /// Exponential backoff with jitter between failed calls.
 struct Backoff {
     next: Duration,
@@ -63,6 +68,10 @@
 
     async fn failed(&mut self, shared: &Shared, error: &StoreError) {
         self.log_failure(shared, error);
+        // A store that limits the rate of calls is available.
+        if !matches!(error, StoreError::Refused(status) if *status == TOO_MANY_REQUESTS) {
+            shared.record_store_failure();
+        }
         if !shared.store_report.borrow().watches_for_others() {
             self.next = self.next.max(FIRST_MEMBER_BACKOFF);
         }
@@ -117,10 +126,16 @@
 ) {
     tokio::select! {
         _ = reports.changed() => {}
-        () = sleep_until(shared.clock.instant(valid_until)) => {}
+        () = sleep_until(shared.clock.instant(valid_until)) => shared.refresh_store_report(),
     }
 }
 
+/// Until when a watch waits that does not probe the store: the watch of the configuration makes the one call that shows
+/// whether the store answers this daemon.
+fn probe_until(shared: &Shared, report: StoreReport) -> Option<Timestamp> {
+    report.is_probe_due.then(|| shared.now() + PROBE_WAIT)
+}
+
 /// Duration of a watch. Daemons that watch for others must soon detect a watch that will never be
 /// answered.
 fn watch_wait(report: StoreReport) -> Duration {
--- a/crates/ingress/src/watches/runners.rs
+++ b/crates/ingress/src/watches/runners.rs
@@ -10,8 +10,8 @@
 use tokio::time::{sleep, timeout};
 
 use super::{
-    Backoff, changes_mode, first_freshness, is_same_era, log_history_gone, startup_until,
-    wait_for_report, watch_wait,
+    Backoff, changes_mode, first_freshness, is_same_era, log_history_gone, probe_until,
+    startup_until, wait_for_report, watch_wait,
 };
 use crate::cold_periods::update_cold_periods;
 use crate::interfaces::{Listing, RunnerChange, StoreError};
@@ -52,7 +52,9 @@
         let report = *reports.borrow_and_update();
         let known = shared.known_runners_revision();
         let valid_until = report.valid_until(shared.now());
-        let valid_until = valid_until.or_else(|| startup_until(&shared, report, known.is_some()));
+        let valid_until = valid_until
+            .or_else(|| startup_until(&shared, report, known.is_some()))
+            .or_else(|| probe_until(&shared, report));
         if let (Some(until), Some(known)) = (valid_until, known) {
             revision = None;
             if known >= report.membership_revision {
--- a/crates/routing/src/store_trust.rs
+++ b/crates/routing/src/store_trust.rs
@@ -3,9 +3,12 @@
 //! Only a few daemons watch the store: the coordinator, and a standby while the coordinator reports
 //! nothing about it. Each of their messages states how long ago the store last answered its sender.
 //! A daemon relies on the most recent answer reported to it, for as long as the configured bound
-//! allows, and then calls the store. If several watchers report at the same time that the store
-//! does not answer them, it does not call either: during an outage, calls from hundreds of daemons
-//! would only delay the watchers.
+//! allows, and then calls the store.
+//!
+//! During an outage, calls from hundreds of daemons would only delay the watchers. If several of them report at the
+//! same time that the store does not answer them, a daemon therefore makes one call, a probe. The watchers may be cut
+//! off together while the daemon's own way to the store works, so their reports alone prove nothing. If the probe
+//! fails, it relies on the outage and probes again every few seconds; if it is answered, it watches the store itself.
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -39,8 +42,11 @@
 /// Number of watchers without an answer required to consider the store unavailable: more than a
 /// single machine or zone fault cuts off.
 const OUTAGE_QUORUM: usize = 3;
-/// Mean interval between a daemon's own calls to an unavailable store.
+/// Mean interval between a daemon's probes of an unavailable store.
 const OUTAGE_PROBE_INTERVAL: Duration = Duration::from_secs(5);
+/// Time for which own calls must fail before a daemon that the store has answered during a reported outage relies on the
+/// outage: a single call may fail for another reason.
+const OWN_FAILURE_TIME: Duration = Duration::from_millis(1_500);
 
 /// Role of a daemon in watching the store.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -68,6 +74,15 @@
     }
 }
 
+/// Outcomes of this daemon's own calls to the store.
+#[derive(Clone, Copy, Debug, Default)]
+struct OwnCalls {
+    /// When the store last answered.
+    answered_at: Option<Timestamp>,
+    /// When the first and the last of the calls failed that were made since that answer.
+    failed: Option<(Timestamp, Timestamp)>,
+}
+
 /// Reports on the store from watchers, and the time until which they may be relied on.
 #[derive(Debug)]
 pub struct StoreTrust {
@@ -75,7 +90,7 @@
     /// Position of this daemon in the spread of calls, from 0 to 1.
     spread_position: f64,
     reports: BTreeMap<SocketAddr, WatcherReport>,
-    next_probe: Option<Timestamp>,
+    own_calls: OwnCalls,
 }
 
 impl StoreTrust {
@@ -88,10 +103,24 @@
             bound,
             spread_position,
             reports: BTreeMap::new(),
-            next_probe: None,
+            own_calls: OwnCalls::default(),
         }
     }
 
+    /// Records that the store has answered a call of this daemon.
+    pub fn record_own_answer(&mut self, now: Timestamp) {
+        self.own_calls = OwnCalls {
+            answered_at: Some(now),
+            failed: None,
+        };
+    }
+
+    /// Records that a call of this daemon has failed.
+    pub fn record_own_failure(&mut self, now: Timestamp) {
+        let first = self.own_calls.failed.map_or(now, |(first, _)| first);
+        self.own_calls.failed = Some((first, now));
+    }
+
     /// Records a watcher's report on the store.
     pub fn record_report(&mut self, from: SocketAddr, state: &StoreState, now: Timestamp) {
         let silence = Duration::from_millis(u64::from(state.silence_ms));
@@ -105,27 +134,41 @@
     }
 
     /// Returns the time until which no store call is needed, if it is in the future.
-    pub fn fresh_until(&mut self, role: WatchRole, now: Timestamp) -> Option<Timestamp> {
+    pub fn fresh_until(&self, role: WatchRole, now: Timestamp) -> Option<Timestamp> {
         if role == WatchRole::Coordinator {
             return None;
         }
-        let answered_at = self
-            .reports
-            .values()
-            .map(|report| report.answered_at)
-            .max()?;
-        let until = answered_at + self.max_age(role);
+        let until = self.watchers_answered_at()? + self.max_age(role);
         let is_store_silent = matches!(role, WatchRole::Standby(_)) && self.is_store_silent(now);
         if until > now && !is_store_silent {
-            self.next_probe = None;
             return Some(until);
         }
         match role {
-            WatchRole::Member => self.outage_probe_time(now),
+            WatchRole::Member => self.outage_until(now),
             WatchRole::Standby(_) | WatchRole::Coordinator => None,
         }
     }
 
+    /// Whether only a probe may be made now, which shows whether the store answers this daemon though several watchers
+    /// report an outage.
+    pub fn is_probe_due(&self, role: WatchRole, now: Timestamp) -> bool {
+        role == WatchRole::Member
+            && self.fresh_until(role, now).is_none()
+            && self.reported_outage_until(now).is_some()
+            && !self.has_own_answer()
+    }
+
+    /// When the store last answered a watcher.
+    fn watchers_answered_at(&self) -> Option<Timestamp> {
+        let reports = self.reports.values();
+        reports.map(|report| report.answered_at).max()
+    }
+
+    /// Whether the store has answered this daemon after its last answer to a watcher.
+    fn has_own_answer(&self) -> bool {
+        self.own_calls.answered_at > self.watchers_answered_at()
+    }
+
     /// Whether every watcher with a current report gets no answer from the store.
     fn is_store_silent(&self, now: Timestamp) -> bool {
         let heard = self
@@ -153,9 +196,21 @@
         }
     }
 
-    /// Time until which reports from several watchers that the store does not answer are relied on.
-    /// The daemon still calls the store from time to time, in case only the watchers are cut off.
-    fn outage_probe_time(&mut self, now: Timestamp) -> Option<Timestamp> {
+    /// Time until which an outage is relied on that several watchers report and own calls confirm.
+    fn outage_until(&self, now: Timestamp) -> Option<Timestamp> {
+        let reported_until = self.reported_outage_until(now)?;
+        let (first_failed_at, failed_at) = self.own_calls.failed?;
+        let is_confirmed = if self.has_own_answer() {
+            failed_at.since(first_failed_at) >= OWN_FAILURE_TIME
+        } else {
+            Some(failed_at) > self.watchers_answered_at()
+        };
+        let probe_at = failed_at + OUTAGE_PROBE_INTERVAL.mul_f64(0.5 + self.spread_position);
+        (is_confirmed && now < probe_at).then(|| reported_until.min(probe_at))
+    }
+
+    /// Time until which reports from several watchers that the store does not answer them are current.
+    fn reported_outage_until(&self, now: Timestamp) -> Option<Timestamp> {
         let heard = self
             .reports
             .values()
@@ -165,14 +220,8 @@
         if heard.len() < OUTAGE_QUORUM {
             return None;
         }
-        let pause = OUTAGE_PROBE_INTERVAL.mul_f64(0.5 + self.spread_position);
-        let probe_at = *self.next_probe.get_or_insert(now + pause);
-        if now >= probe_at {
-            self.next_probe = Some(now + pause);
-            return None;
-        }
         heard.sort();
         let last_needed = heard[heard.len() - OUTAGE_QUORUM];
-        Some((last_needed + REPORT_VALIDITY).min(probe_at))
+        Some(last_needed + REPORT_VALIDITY)
     }
 }
--- a/crates/routing/tests/large_fleet.rs
+++ b/crates/routing/tests/large_fleet.rs
@@ -61,13 +61,19 @@
     lease: Option<StoredLease>,
     revision: u64,
     is_down: bool,
+    /// Daemons with a lower index are cut off from the store.
+    cut_below: usize,
     calls: usize,
 }
 
 impl Store {
-    fn call(&mut self, call: &LeaseCall) -> LeaseAnswer {
+    fn answers(&self, daemon: usize) -> bool {
+        !self.is_down && daemon >= self.cut_below
+    }
+
+    fn call(&mut self, daemon: usize, call: &LeaseCall) -> LeaseAnswer {
         self.calls += 1;
-        if self.is_down {
+        if !self.answers(daemon) {
             return LeaseAnswer::Unknown;
         }
         let present = self.lease.as_ref().map(|lease| lease.revision);
@@ -105,6 +111,8 @@
     usage_at: Timestamp,
     call_at: Timestamp,
     answered_at: Timestamp,
+    /// When the store last answered a watcher that this daemon has heard of.
+    known_at: Timestamp,
     standbys: Standbys,
     heard_from: HashMap<usize, Timestamp>,
     heartbeat_at: Timestamp,
@@ -112,6 +120,12 @@
 }
 
 impl Daemon {
+    fn record_report(&mut self, from: SocketAddr, state: &StoreState, now: Timestamp) {
+        let answered_at = now - Duration::from_millis(state.silence_ms.into());
+        self.known_at = self.known_at.max(answered_at);
+        self.trust.record_report(from, state, now);
+    }
+
     fn new(index: usize, incarnation: u64, now: Timestamp) -> Self {
         let name = format!("d{index:03}");
         let lease = LeaseStateMachine::new(lease_settings(), name, incarnation, address(index));
@@ -124,6 +138,7 @@
             usage_at: Timestamp::ZERO,
             call_at: now + STORE_TRUST_BOUND,
             answered_at: now,
+            known_at: now,
             standbys: Standbys::default(),
             heard_from: HashMap::new(),
             heartbeat_at: Timestamp::ZERO,
@@ -148,6 +163,8 @@
     term_holders: HashMap<u64, usize>,
     last_held: Timestamp,
     longest_gap: Duration,
+    /// Longest time for which a member that reaches the store has known nothing of it, from itself or from a watcher.
+    longest_silence: Duration,
 }
 
 impl Fleet {
@@ -163,6 +180,7 @@
             term_holders: HashMap::new(),
             last_held: now,
             longest_gap: Duration::ZERO,
+            longest_silence: Duration::ZERO,
         }
     }
 
@@ -199,18 +217,27 @@
                 self.watch(index);
             }
         }
+        self.note_silence();
         if self.holder().is_some() {
             self.last_held = self.now;
         }
         self.longest_gap = self.longest_gap.max(self.now.since(self.last_held));
     }
 
+    fn note_silence(&mut self) {
+        let reaching = self.daemons.iter().skip(self.store.cut_below);
+        let members = reaching.filter(|it| it.is_running && it.role == WatchRole::Member);
+        let silences = members.map(|it| self.now.since(it.known_at.max(it.answered_at)));
+        let longest = silences.max().unwrap_or_default();
+        self.longest_silence = self.longest_silence.max(longest);
+    }
+
     fn poll_lease(&mut self, index: usize) {
         let now = self.now;
         let daemon = &mut self.daemons[index];
         let (call, mut change) = daemon.lease.poll(now);
         if let Some(call) = call {
-            let answer = self.store.call(&call);
+            let answer = self.store.call(index, &call);
             if answer != LeaseAnswer::Unknown {
                 daemon.answered_at = now;
             }
@@ -350,9 +377,7 @@
         if let Some(stands_by) = heartbeat.standby.stands_by() {
             daemon.lease.set_stands_by(stands_by);
         }
-        daemon
-            .trust
-            .record_report(heartbeat.from, &heartbeat.state, now);
+        daemon.record_report(heartbeat.from, &heartbeat.state, now);
         if daemon.role == WatchRole::Coordinator {
             return;
         }
@@ -369,15 +394,19 @@
     /// Calls the store if no valid report of its state is known, and informs the members if this daemon is a standby.
     fn watch(&mut self, index: usize) {
         let now = self.now;
-        let is_down = self.store.is_down;
+        let answers = self.store.answers(index);
         let daemon = &mut self.daemons[index];
         if now < daemon.call_at || daemon.trust.fresh_until(daemon.role, now).is_some() {
             return;
         }
         daemon.call_at = now + STORE_CALL_INTERVAL;
-        self.store.calls += 2;
-        if !is_down {
+        let is_probe = daemon.trust.is_probe_due(daemon.role, now);
+        self.store.calls += if is_probe { 1 } else { 2 };
+        if answers {
             daemon.answered_at = now;
+            daemon.trust.record_own_answer(now);
+        } else {
+            daemon.trust.record_own_failure(now);
         }
         if !matches!(daemon.role, WatchRole::Standby(_)) {
             return;
@@ -386,9 +415,7 @@
         let state = self.store_state(index);
         for member in members {
             if member != index && self.daemons[member].is_running {
-                self.daemons[member]
-                    .trust
-                    .record_report(address(index), &state, now);
+                self.daemons[member].record_report(address(index), &state, now);
             }
         }
     }
@@ -401,6 +428,7 @@
     assert!(fleet.holder().is_some_and(|holder| holder < STRONG));
     fleet.store.calls = 0;
     fleet.longest_gap = Duration::ZERO;
+    fleet.longest_silence = Duration::ZERO;
     fleet
 }
 
@@ -429,6 +457,20 @@
     );
 }
 
+/// Guards against members that take the store for unavailable because the daemons that watch it are cut off together: they
+/// miss changes though each of them reaches the store.
+#[test]
+fn members_follow_the_store_while_all_of_its_watchers_are_cut_off() {
+    let mut fleet = steady_fleet();
+    fleet.store.cut_below = STRONG;
+    fleet.run(Duration::from_secs(7));
+    assert!(
+        fleet.longest_silence <= STORE_TRUST_BOUND,
+        "{:?}",
+        fleet.longest_silence
+    );
+}
+
 /// Regression test, observed with 295 machines: 1,700 calls at each change of the coordinator.
 #[test]
 fn a_killed_coordinator_is_replaced_by_a_standby() {
