A daemon that hears no other confirms the runners' versions with the store

Cause: without a record of a stream's origin, the only version that a daemon has known for a stream's life counts, but not if other daemons are known and none answers within 80 ms. The rule guards against a daemon that is cut off and has missed a second version (ORDER). Silent peers do not show that: it can ask the store.

Fix: in this case the daemon reads from the store all changes of runners since the revision that it knows, and notes the versions in them. Then what it knows counts as of now. Changes that come in one batch now count all versions in them, also those of runners that have gone again.

--- a/crates/ingress/src/lib.rs
+++ b/crates/ingress/src/lib.rs
@@ -41,6 +41,7 @@
 mod tunnel_server;
 mod unreadable;
 mod usage;
+mod version_check;
 mod waiting;
 mod watches;
 
--- a/crates/ingress/src/state.rs
+++ b/crates/ingress/src/state.rs
@@ -48,6 +48,7 @@
 use crate::store_report::StoreReport;
 use crate::unreadable::UnreadableLog;
 use crate::usage::{Running, UsageLog, Waiting};
+use crate::version_check::VersionCheck;
 
 /// Number of daemons assumed until the coordinator has announced it.
 const ASSUMED_DAEMONS: usize = 12;
@@ -128,6 +129,8 @@
     pub concurrency_questions: KeeperClient<ConcurrencyQuestion, ConcurrencyDecision>,
     /// Questions to the keepers of stream origins.
     pub origin_questions: KeeperClient<OriginQuestion, OriginKnowledge>,
+    /// Confirms the software versions of runners with the store.
+    pub version_check: VersionCheck,
     /// Runners whose latest notices have not been sent to the coordinator yet.
     pub unsent_notices: Mutex<BTreeSet<RunnerId>>,
     /// Notified when there is something to send to a keeper of quotas or permits, or to the
@@ -220,6 +223,7 @@
             permit_questions: KeeperClient::default(),
             concurrency_questions: KeeperClient::default(),
             origin_questions: KeeperClient::default(),
+            version_check: VersionCheck::default(),
             unsent_notices: Mutex::default(),
             keeper_wake: Notify::new(),
             unsent_down: Mutex::default(),
--- a/crates/ingress/src/stream_origins.rs
+++ b/crates/ingress/src/stream_origins.rs
@@ -99,13 +99,13 @@
     service: &ServiceName,
 ) -> Option<StreamOrigin> {
     let window = stream_window(route, profile);
-    let (own, keepers) = {
+    let own_knowledge = || {
         let tables = shared.tables();
         let origins = &tables.stream_origins;
-        let own = origins.knowledge(stream, service, window, shared.now());
-        (own, tables.origin_keepers.clone())
+        origins.knowledge(stream, service, window, shared.now())
     };
-    let has_others = !keepers.is_empty() || shared.daemons() > 1;
+    let mut own = own_knowledge();
+    let keepers = shared.tables().origin_keepers.clone();
     let asks = !matches!(own, OriginKnowledge::Recorded(_));
     let answers = if asks {
         let question = |number| OriginQuestion {
@@ -118,7 +118,13 @@
     } else {
         Vec::new()
     };
-    let origin = resolve(service, &own, &answers, has_others);
+    let has_others = !keepers.is_empty() || shared.daemons() > 1;
+    let mut own_counts_alone = !has_others;
+    if has_others && answers.is_empty() && own.is_only_version() {
+        own_counts_alone = shared.confirm_versions().await;
+        own = own_knowledge();
+    }
+    let origin = resolve(service, &own, &answers, own_counts_alone);
     log_origin(shared, profile, origin.as_ref(), &own, &answers);
     origin
 }
--- a/crates/ingress/src/watches/runners.rs
+++ b/crates/ingress/src/watches/runners.rs
@@ -258,6 +258,11 @@
         let id = match change {
             RunnerChange::Present(runner) => {
                 let id = runner.id.clone();
+                // A later change of the same batch may remove it again.
+                let version = runner.software_version.as_ref();
+                tables
+                    .stream_origins
+                    .note_listed(&runner.service, version, shared.now());
                 tables.runners.insert(*runner, revision);
                 id
             }
--- a/crates/ingress/tests/ingress/software_versions.rs
+++ b/crates/ingress/tests/ingress/software_versions.rs
@@ -214,6 +214,44 @@
     assert_eq!(other.received().len(), 0);
 }
 
+/// Daemons and the runner of their only software version, which the last daemon has known for longer than a stream lasts.
+/// The first one relays a stream, and all but the last one are killed.
+async fn only_daemon_left(server: &ScriptedRunner) -> Cluster {
+    server.set_script(vec![Behaviour::SlowEvents(1, 60)]);
+    let runners = vec![runner(0, server, "v1")];
+    let mut cluster = Cluster::start(runners, &["z0", "z0", "z0"]).await;
+    begin_stream(cluster.daemon(0), "first").await;
+    cluster.kill(0);
+    cluster.kill(1);
+    server.set_script(vec![Behaviour::Events(2, 4)]);
+    cluster
+}
+
+/// Guards against streams that are refused at the only daemon left because none of the others answers, though the store
+/// shows that there is one version.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stream_is_taken_up_at_the_only_daemon_left() {
+    let server = ScriptedRunner::start(Vec::new()).await;
+    let cluster = only_daemon_left(&server).await;
+    let request = take_up(cluster.daemon(2), "second", "first");
+    let response = request.send().await.unwrap();
+    assert_eq!(response.status(), 200);
+    response.text().await.unwrap();
+}
+
+/// Guards against a guess by the only daemon left: a second version came that nobody has told it of.
+#[tokio::test(flavor = "multi_thread")]
+async fn the_only_daemon_left_finds_out_that_there_is_a_second_version() {
+    let server = ScriptedRunner::start(Vec::new()).await;
+    let other = ScriptedRunner::start(Vec::new()).await;
+    let cluster = only_daemon_left(&server).await;
+    let both = vec![runner(0, &server, "v1"), runner(1, &other, "v2")];
+    cluster.store.set_runners(both);
+    let request = take_up(cluster.daemon(2), "second", "first");
+    assert_eq!(request.send().await.unwrap().status(), 503);
+    assert_eq!(other.received().len(), 0);
+}
+
 /// Guards against a guess: nobody knows the software version that began the stream, and the service has two.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_stream_of_unknown_software_version_is_refused_at_once() {
--- a/crates/routing/src/stream_origins/mod.rs
+++ b/crates/routing/src/stream_origins/mod.rs
@@ -74,6 +74,19 @@
     NoRunner,
 }
 
+impl OriginKnowledge {
+    /// Whether the stream began at the only version that is known, unless another one was missed.
+    pub fn is_only_version(&self) -> bool {
+        matches!(
+            self,
+            Self::OneVersion {
+                covers_window: true,
+                ..
+            }
+        )
+    }
+}
+
 /// A recorded origin.
 #[derive(Clone, Debug)]
 struct Record {
@@ -106,6 +119,16 @@
         self.is_message_due |= self.untold > 0 && self.history.any_has_several(now);
     }
 
+    /// Records the version of a runner that was listed at some time up to now, and may have gone since.
+    pub fn note_listed(
+        &mut self,
+        service: &ServiceName,
+        version: Option<&SoftwareVersion>,
+        now: Timestamp,
+    ) {
+        self.history.note_listed(service, version, now);
+    }
+
     /// Records that a runner has begun a stream, or continues it, that its client may take up for some time.
     pub fn begin(&mut self, key: StreamKey, origin: StreamOrigin, life: Duration, now: Timestamp) {
         self.is_message_due |= self.history.has_several(&origin.service, now);
@@ -278,13 +301,13 @@
 /// The origin of a stream, from what this daemon and those that it asked know; `None` if it is not certain.
 ///
 /// Without a record, a version counts as the only one if nobody knows of another and somebody has known the runners since
-/// before the stream can have begun. `has_others` tells whether there are other daemons to ask: one that hears none of them
-/// may have missed the second version.
+/// before the stream can have begun. A daemon that is cut off from all others may have missed a second version, so what it
+/// knows counts without an answer only if `own_counts_alone`: there are no others, or the store has confirmed it.
 pub fn resolve(
     service: &ServiceName,
     own: &OriginKnowledge,
     answers: &[OriginKnowledge],
-    has_others: bool,
+    own_counts_alone: bool,
 ) -> Option<StreamOrigin> {
     let all = || std::iter::once(own).chain(answers);
     let recorded = all().find_map(|knowledge| match knowledge {
@@ -294,7 +317,7 @@
     if recorded.is_some() {
         return recorded;
     }
-    if has_others && answers.is_empty() {
+    if answers.is_empty() && !own_counts_alone {
         return None;
     }
     let mut only: Option<&SoftwareVersion> = None;
--- a/crates/routing/src/stream_origins/version_history.rs
+++ b/crates/routing/src/stream_origins/version_history.rs
@@ -64,6 +64,20 @@
         }
     }
 
+    /// Records a version that was listed at some time up to now.
+    pub(super) fn note_listed(
+        &mut self,
+        service: &ServiceName,
+        version: Option<&SoftwareVersion>,
+        now: Timestamp,
+    ) {
+        let versions = self.services.entry(service.clone()).or_default();
+        let version = version.cloned();
+        if !versions.listed.contains(&version) {
+            versions.earlier.insert(version, now);
+        }
+    }
+
     /// Whether any service has had several versions lately.
     pub(super) fn any_has_several(&self, now: Timestamp) -> bool {
         let mut services = self.services.values();
--- a/crates/routing/tests/stream_origins.rs
+++ b/crates/routing/tests/stream_origins.rs
@@ -92,19 +92,37 @@
     let knowledge = |ms| origins.knowledge(None, &service(), WINDOW, at(ms));
     assert_eq!(knowledge(15_999), known(false));
     assert_eq!(knowledge(16_000), known(true));
-    let resolved = |own: &OriginKnowledge, answers: &[OriginKnowledge], has_others| {
-        resolve(&service(), own, answers, has_others)
+    let resolved = |own: &OriginKnowledge, answers: &[OriginKnowledge], own_counts_alone| {
+        resolve(&service(), own, answers, own_counts_alone)
     };
     let only = Some(origin("v1"));
-    assert_eq!(resolved(&known(true), &[], false), only);
-    assert_eq!(resolved(&known(true), &[], true), None);
-    assert_eq!(resolved(&known(false), &[known(false)], true), None);
-    assert_eq!(resolved(&known(false), &[known(true)], true), only);
+    assert_eq!(resolved(&known(true), &[], true), only);
+    assert_eq!(resolved(&known(true), &[], false), None);
+    assert_eq!(resolved(&known(false), &[], true), None);
+    assert_eq!(resolved(&known(false), &[known(false)], false), None);
+    assert_eq!(resolved(&known(false), &[known(true)], false), only);
     let several = OriginKnowledge::SeveralVersions;
-    assert_eq!(resolved(&known(true), &[known(true), several], true), None);
+    assert_eq!(resolved(&several, &[], true), None);
+    assert_eq!(resolved(&known(true), &[known(true), several], false), None);
     let recorded = OriginKnowledge::Recorded(origin("v2"));
     let answers = [known(true), recorded];
-    assert_eq!(resolved(&known(true), &answers, true), Some(origin("v2")));
+    assert_eq!(resolved(&known(true), &answers, false), Some(origin("v2")));
+}
+
+/// Guards against a second version that is overlooked because its runner has come and gone between two looks at the list.
+#[test]
+fn a_version_that_came_and_went_between_two_lists_counts() {
+    let mut origins = StreamOrigins::default();
+    origins.note_runners(&table(&[Some("v1")]), at(0));
+    let second = SoftwareVersion::new("v2");
+    origins.note_listed(&service(), Some(&second), at(30_000));
+    origins.note_runners(&table(&[Some("v1")]), at(30_000));
+    let knowledge = |ms| origins.knowledge(None, &service(), WINDOW, at(ms));
+    assert_eq!(knowledge(45_000), OriginKnowledge::SeveralVersions);
+    assert!(matches!(
+        knowledge(45_001),
+        OriginKnowledge::OneVersion { .. }
+    ));
 }
 
 /// Guards against streams that began before the last runner of the earlier version left.
@@ -182,7 +200,7 @@
             } else {
                 knowledge(&daemons[asked_by])
             };
-            let resolved = resolve(&service(), &own, &answers, true);
+            let resolved = resolve(&service(), &own, &answers, false);
             prop_assert!(resolved.is_none_or(|it| it == origin(version)));
         }
     }
