--- a/crates/ingress/src/store_report.rs
+++ b/crates/ingress/src/store_report.rs
@@ -1,6 +1,5 @@
 //! Reports on the store from the daemons that watch it.
 
-use std::fmt::Display;
 use std::net::SocketAddr;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
@@ -103,23 +102,22 @@
     /// Recomputes until when the report on the store is valid.
     pub(crate) fn refresh_store_report(&self) {
         let now = self.now();
-        let before = *self.store_report.borrow();
+        let role = self.store_report.borrow().role;
         let tables = self.tables();
-        let after = StoreReport {
-            trusted_until: tables.store_trust.fresh_until(before.role, now),
-            is_probe_due: tables.store_trust.is_probe_due(before.role, now),
-            ..before
-        };
+        let trusted_until = tables.store_trust.fresh_until(role, now);
+        let is_probe_due = tables.store_trust.is_probe_due(role, now);
         drop(tables);
-        if after.is_probe_due != before.is_probe_due {
-            let fields: &[(&str, &dyn Display)] = &[("due", &after.is_probe_due)];
-            self.log.write(now, "store-probe", fields);
-        }
+        let mut begins_probe = false;
         self.store_report.send_if_modified(|report| {
-            report.trusted_until = after.trusted_until;
-            report.is_probe_due = after.is_probe_due;
-            after != before
+            let before = *report;
+            begins_probe = is_probe_due && !report.is_probe_due;
+            report.trusted_until = trusted_until;
+            report.is_probe_due = is_probe_due;
+            *report != before
         });
+        if begins_probe {
+            self.log.write(now, "store-probe", &[]);
+        }
     }
 
     /// Records that the store has answered a call of this daemon.
