Failing test: a daemon that knows few crashes ends a quarantine

Trace: the part and its combination were in quarantine. A daemon that had seen one of the crashes put an alike request in quarantine, which had broken off with that runner and with others, and so took it for the explanation of the one crash that it knew. It ended both quarantines, and told all others.

Tried, reverted: only daemons that know as many crashes as a quarantine takes explain them away.

--- a/crates/routing/tests/quarantine.rs
+++ b/crates/routing/tests/quarantine.rs
@@ -161,6 +161,22 @@
     assert!(keeper.remaining(&fingerprint(1), at(4)).is_some());
 }
 
+/// Guards against requests that crash runners being sent again because a daemon that has seen one of the crashes takes
+/// something else for its cause, which broke off with that runner and with others.
+#[test]
+fn a_daemon_that_knows_few_of_the_crashes_does_not_explain_them_away() {
+    let keeper = with_three_crashes(at(0));
+    let mut other = Quarantine::new(SETTINGS);
+    other.record(&crash(1, 3), at(0));
+    other.record(&crash(2, 3), at(0));
+    other.merge(&keeper.entries(at(0)), at(0));
+    for runner in 4..=6 {
+        other.record(&crash(2, runner), at(1));
+    }
+    assert!(other.remaining(&fingerprint(2), at(1)).is_some());
+    assert!(other.remaining(&fingerprint(1), at(1)).is_some());
+}
+
 /// Guards against ignoring such an answer at a daemon that has seen none of the crashes: it can't judge it, but the keepers
 /// can.
 #[test]
