Settings: memory and descriptors of the machine, requests in progress

Nothing tells a daemon how much memory and how many descriptors it may use, and the number of requests in progress is a constant that no test can lower.

--- a/crates/ingress/src/handler.rs
+++ b/crates/ingress/src/handler.rs
@@ -25,8 +25,6 @@
 use crate::state::Shared;
 use crate::stream_origins::{self, StreamStart};
 
-/// Maximum number of requests in progress per daemon.
-const MAX_REQUESTS: u32 = 2_000;
 /// `Retry-After` of a daemon that has no configuration yet.
 const RETRY_UNCONFIGURED: Duration = Duration::from_millis(300);
 /// `Retry-After` of a daemon that is stopping; the client should reach another one.
@@ -43,7 +41,8 @@
     fn begin(shared: &Arc<Shared>) -> Option<Self> {
         let in_progress = shared.requests.fetch_add(1, Ordering::Relaxed);
         let guard = Self(shared.clone());
-        (in_progress < MAX_REQUESTS).then_some(guard)
+        let limit = shared.settings.client_limits.requests;
+        (in_progress < limit).then_some(guard)
     }
 }
 
--- a/crates/ingress/src/settings.rs
+++ b/crates/ingress/src/settings.rs
@@ -26,6 +26,13 @@
     pub unknown: Option<Duration>,
 }
 
+/// What all clients together may have open at one daemon.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ClientLimits {
+    /// Requests in progress.
+    pub requests: u32,
+}
+
 /// Settings of one daemon.
 #[derive(Clone, Debug)]
 pub struct IngressSettings {
@@ -67,6 +74,8 @@
     pub quarantine: QuarantineSettings,
     /// Lease of the coordinator.
     pub lease: LeaseSettings,
+    /// Limits on all clients together.
+    pub client_limits: ClientLimits,
     /// Placement of models.
     pub placement: PlacementSettings,
 }
--- a/crates/settings/src/ingress.rs
+++ b/crates/settings/src/ingress.rs
@@ -41,6 +41,9 @@
     /// The machine.
     #[serde(default)]
     pub machine: MachineSection,
+    /// What all clients together may have open at the daemon.
+    #[serde(default)]
+    pub limits: LimitsSection,
     /// The log.
     #[serde(default)]
     pub logs: IngressLogsSection,
@@ -135,8 +138,19 @@
     pub processor_share: Option<f64>,
     /// Speed of its link, in Mbit/s; a coordinator keeps what it sends within it.
     pub link_mbps: Option<f64>,
+    /// Memory that the process may use, in MB.
+    pub memory_mb: Option<u32>,
+    /// File descriptors that the process may have open.
+    pub descriptors: Option<u32>,
 }
 
+/// Memory of a machine whose settings do not tell it, in MB.
+const DEFAULT_MEMORY_MB: u32 = 256;
+/// Descriptors of a process whose settings do not tell them.
+const DEFAULT_DESCRIPTORS: u32 = 4_096;
+/// Bytes of 1 MB.
+const BYTES_PER_MB: usize = 1_000_000;
+
 impl MachineSection {
     /// The processor share in thousandths of a core; 0 if it is not set.
     #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
@@ -144,6 +158,20 @@
         (self.processor_share.unwrap_or(0.0) * 1_000.0).round() as u32
     }
 
+    /// Memory that the process may use, in bytes.
+    pub fn memory_bytes(&self) -> usize {
+        let megabytes = self.memory_mb.unwrap_or(DEFAULT_MEMORY_MB);
+        usize::try_from(megabytes)
+            .unwrap_or(usize::MAX)
+            .saturating_mul(BYTES_PER_MB)
+    }
+
+    /// File descriptors that the process may have open.
+    pub fn descriptors(&self) -> usize {
+        let descriptors = self.descriptors.unwrap_or(DEFAULT_DESCRIPTORS);
+        usize::try_from(descriptors).unwrap_or(usize::MAX)
+    }
+
     /// The link in whole Mbit/s; 0 if it is not set.
     #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
     pub fn link_megabits(&self) -> u32 {
@@ -151,6 +179,20 @@
     }
 }
 
+/// What all clients together may have open at the daemon.
+#[derive(Clone, Copy, Debug, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct LimitsSection {
+    /// Requests in progress.
+    pub requests: u32,
+}
+
+impl Default for LimitsSection {
+    fn default() -> Self {
+        Self { requests: 2_000 }
+    }
+}
+
 /// The budget for sending requests again.
 #[derive(Clone, Debug, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -262,6 +304,22 @@
                 return Err(invalid(key, "must be longer than nothing"));
             }
         }
+        let counts = [
+            ("limits.requests", self.limits.requests),
+            (
+                "machine.memory_mb",
+                self.machine.memory_mb.unwrap_or(DEFAULT_MEMORY_MB),
+            ),
+            (
+                "machine.descriptors",
+                self.machine.descriptors.unwrap_or(DEFAULT_DESCRIPTORS),
+            ),
+        ];
+        for (key, value) in counts {
+            if value == 0 {
+                return Err(invalid(key, "must be at least 1"));
+            }
+        }
         let cold_runners = self.cold_runners.as_ref();
         let shares = [
             ("retries.ratio", self.retries.ratio),
--- a/crates/settings/tests/ingress.rs
+++ b/crates/settings/tests/ingress.rs
@@ -80,6 +80,27 @@
             ResultCode::MissingSetting,
             "cold_runners.slack",
         ),
+        (
+            "requests",
+            "[news]",
+            "[limits]\nrequests = 0\n\n[news]",
+            ResultCode::InvalidSetting,
+            "limits.requests",
+        ),
+        (
+            "memory",
+            "link_mbps = 1000.0",
+            "memory_mb = 0",
+            ResultCode::InvalidSetting,
+            "machine.memory_mb",
+        ),
+        (
+            "descriptors",
+            "link_mbps = 1000.0",
+            "descriptors = 0",
+            ResultCode::InvalidSetting,
+            "machine.descriptors",
+        ),
         (
             "lease",
             "\"3s\"",
--- a/crates/soak/src/daemon.rs
+++ b/crates/soak/src/daemon.rs
@@ -97,6 +97,11 @@
         self.addresses.clients
     }
 
+    /// Identity of the process, while it runs.
+    pub fn process_id(&self) -> Option<u32> {
+        self.child.as_ref().and_then(Child::id)
+    }
+
     /// Starts the process.
     ///
     /// # Errors
