--- a/crates/flaxward/tests/processes/support/daemon.rs
+++ b/crates/flaxward/tests/processes/support/daemon.rs
@@ -80,6 +80,11 @@
         true
     }
 
+    /// Identity of the process.
+    pub fn process_id(&self) -> u32 {
+        self.child.id()
+    }
+
     /// Sends a signal.
     pub fn signal(&self, signal: Signal) {
         let id = i32::try_from(self.child.id()).expect("process ids are small");
