Crowd tests: clients are returned in the order of their requests

The answer of a client was compared with the runs of another client's request, because clients were collected in the order in which they finished. The check itself is unchanged.

--- a/crates/flaxward/tests/client_crowds/crowd.rs
+++ b/crates/flaxward/tests/client_crowds/crowd.rs
@@ -3,10 +3,10 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use futures::future::join_all;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::net::{TcpSocket, TcpStream};
-use tokio::task::JoinSet;
 use tokio::time::timeout;
 
 /// Longest time for a whole crowd to send what it sends; a verdict does not depend on how soon it does.
@@ -96,13 +96,15 @@
     _connection: Option<(OwnedReadHalf, OwnedWriteHalf)>,
 }
 
-/// Lets all clients of a crowd send at once. They stay connected until the result is dropped.
+/// Lets all clients of a crowd send at once. They stay connected until the result is dropped. The result has the order
+/// of the scripts.
 pub async fn gather(address: SocketAddr, scripts: Vec<Script>) -> Vec<Client> {
-    let mut clients = JoinSet::new();
-    for script in scripts {
-        clients.spawn(send(address, script));
-    }
-    timeout(CROWD_TIME, clients.join_all())
+    let clients = scripts.into_iter().map(|script| {
+        let sending = tokio::spawn(send(address, script));
+        async move { sending.await.expect("a client does not panic") }
+    });
+    let clients: Vec<_> = clients.collect();
+    timeout(CROWD_TIME, join_all(clients))
         .await
         .expect("the crowd has sent or been answered")
 }
