Ingress: bodies of all requests share one bounded pool of memory

What callers saw: many large bodies at once, whole or stopping short of their end, ended a daemon, which then answered nobody. A client that sent too much saw a reset in place of 413, and sent it all again.

Its frames were kept as they came, so that a chunk of one byte kept the buffer alive in which it was received. A length announced over the limit was read up to the limit first. A refused body was left unread, and closing such a connection resets it.

Change: a body is copied into one buffer, whose size is reserved in a pool of a quarter of the machine's memory. An announced length over the limit is refused at once, and the rest of a refused body is discarded, within bounds, while its client reads the refusal. The receive buffers of client connections have a fixed size, since unread bytes count as memory.

--- /dev/null
+++ b/crates/client-limits/src/body.rs
@@ -0,0 +1,173 @@
+//! Reads request bodies into memory of a pool, and discards what is not read.
+
+use std::pin::pin;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body::Body;
+use http_body_util::BodyExt;
+use thiserror::Error;
+use tokio::time::{Instant, timeout, timeout_at};
+
+use crate::activity::ClientActivity;
+use crate::body_pool::{BodyPool, Reservation};
+
+/// Bytes that a client must send so that it counts as not having stalled.
+const PROGRESS_BYTES: usize = 16 * 1_024;
+/// Smallest buffer for a body whose length is not known, in bytes.
+const MIN_BUFFER_BYTES: usize = 1_024;
+/// Largest first buffer for a body whose length is announced, in bytes. A client may announce more than it sends.
+const MAX_FIRST_BUFFER_BYTES: usize = 16 * 1_024;
+/// Maximum number of bytes that are discarded of a body, as a multiple of the longest legal one.
+const DISCARDED_BODIES: usize = 2;
+/// Maximum time for which a body is discarded.
+const DISCARD_TIME: Duration = Duration::from_secs(5);
+
+/// Why a body is not read.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
+pub enum BodyError {
+    /// It is longer than allowed.
+    #[error("the body is longer than allowed")]
+    TooLong,
+    /// It broke off or is malformed.
+    #[error("the body broke off")]
+    Broken,
+    /// It did not arrive in time.
+    #[error("the body did not arrive in time")]
+    TimedOut,
+    /// There is no memory for it.
+    #[error("there is no memory for the body")]
+    NoMemory,
+}
+
+/// A complete body with the memory reserved for it.
+struct PooledBody {
+    bytes: Vec<u8>,
+    _reservation: Reservation,
+}
+
+impl AsRef<[u8]> for PooledBody {
+    fn as_ref(&self) -> &[u8] {
+        &self.bytes
+    }
+}
+
+/// Reads a body of at most `max_bytes` until `deadline`. The bytes count toward the pool until the last clone of the result
+/// is dropped.
+///
+/// # Errors
+/// Fails if the body is too long, broken or late, or if there is no memory for it. A body whose announced length is too
+/// long is not read at all.
+pub async fn read_body<B>(
+    body: &mut B,
+    pool: &BodyPool,
+    max_bytes: usize,
+    deadline: Instant,
+) -> Result<Bytes, BodyError>
+where
+    B: Body<Data = Bytes> + Unpin,
+{
+    if body.is_end_stream() {
+        return Ok(Bytes::new());
+    }
+    let announced = body.size_hint().upper();
+    let announced = announced.map(|bytes| usize::try_from(bytes).unwrap_or(usize::MAX));
+    if announced.is_some_and(|bytes| bytes > max_bytes) {
+        return Err(BodyError::TooLong);
+    }
+    let activity = Arc::new(ClientActivity::new(Instant::now()));
+    let reader = Reader {
+        buffer: Vec::new(),
+        max_bytes: announced.unwrap_or(max_bytes),
+        first_bytes: announced.map_or(MIN_BUFFER_BYTES, |bytes| bytes.min(MAX_FIRST_BUFFER_BYTES)),
+        reservation: pool.open(Arc::clone(&activity)),
+        activity: Arc::clone(&activity),
+    };
+    let reading = timeout_at(deadline, reader.read(body));
+    tokio::select! {
+        biased;
+        () = activity.given_up() => Err(BodyError::NoMemory),
+        read = reading => read.unwrap_or(Err(BodyError::TimedOut)),
+    }
+}
+
+struct Reader {
+    buffer: Vec<u8>,
+    max_bytes: usize,
+    /// Size of the first buffer.
+    first_bytes: usize,
+    reservation: Reservation,
+    activity: Arc<ClientActivity>,
+}
+
+impl Reader {
+    async fn read<B>(mut self, body: &mut B) -> Result<Bytes, BodyError>
+    where
+        B: Body<Data = Bytes> + Unpin,
+    {
+        let mut advanced_at = Instant::now();
+        let mut advanced_bytes = 0;
+        while let Some(frame) = body.frame().await {
+            let frame = frame.map_err(|_| BodyError::Broken)?;
+            let Ok(data) = frame.into_data() else {
+                continue;
+            };
+            self.activity.await_daemon();
+            self.append(&data).await?;
+            if self.buffer.len() - advanced_bytes >= PROGRESS_BYTES {
+                advanced_bytes = self.buffer.len();
+                advanced_at = Instant::now();
+            }
+            self.activity.await_client(advanced_at);
+        }
+        Ok(self.finish())
+    }
+
+    /// Copies the bytes, so that a short frame does not keep the buffer alive in which it was received.
+    async fn append(&mut self, data: &[u8]) -> Result<(), BodyError> {
+        let needed = self.buffer.len() + data.len();
+        if needed > self.max_bytes {
+            return Err(BodyError::TooLong);
+        }
+        if needed > self.buffer.capacity() {
+            let grown = self.first_bytes.max(self.buffer.capacity() * 2);
+            let capacity = grown.min(self.max_bytes).max(needed);
+            let raised = self.reservation.raise(capacity).await;
+            raised.map_err(|_| BodyError::NoMemory)?;
+            self.buffer.reserve_exact(capacity - self.buffer.len());
+        }
+        self.buffer.extend_from_slice(data);
+        Ok(())
+    }
+
+    fn finish(mut self) -> Bytes {
+        self.buffer.shrink_to_fit();
+        self.reservation.seal(self.buffer.capacity());
+        Bytes::from_owner(PooledBody {
+            bytes: self.buffer,
+            _reservation: self.reservation,
+        })
+    }
+}
+
+/// Reads and discards the rest of a body, within bounds. If a connection is closed while its client still sends, the client
+/// may see a reset in place of the response.
+pub async fn discard_rest<B>(body: B, max_body_bytes: usize)
+where
+    B: Body<Data = Bytes>,
+{
+    let mut body = pin!(body);
+    let mut left = max_body_bytes.saturating_mul(DISCARDED_BODIES);
+    let discarding = async {
+        while let Some(Ok(frame)) = body.frame().await {
+            let bytes = frame.data_ref().map_or(0, Bytes::len);
+            if bytes > left {
+                break;
+            }
+            left -= bytes;
+        }
+    };
+    // A client that is slower than that has had time to see the response.
+    let _ = timeout(DISCARD_TIME, discarding).await;
+}
--- a/crates/ingress/src/daemon.rs
+++ b/crates/ingress/src/daemon.rs
@@ -15,7 +15,9 @@
 use crate::counted_store::CountedStore;
 use crate::interfaces::{ClusterStore, RunnerControl, Surface};
 use crate::peer::PeerSocket;
-use crate::server::{ClientShutdown, listen, serve_clients, serve_metrics, serve_readiness};
+use crate::server::{
+    ClientShutdown, listen, listen_for_clients, serve_clients, serve_metrics, serve_readiness,
+};
 use crate::settings::IngressSettings;
 use crate::state::Shared;
 use crate::tunnel_server::serve_tunnels;
@@ -62,7 +64,7 @@
         control: Arc<dyn RunnerControl>,
         render: Option<RenderMetrics>,
     ) -> anyhow::Result<Self> {
-        let clients = listen(settings.listen).await?;
+        let clients = listen_for_clients(settings.listen).await?;
         let readiness = listen(settings.ready_listen).await?;
         let (address, ready_address) = (clients.local_addr()?, readiness.local_addr()?);
         let metrics = match settings.metrics_listen {
--- a/crates/ingress/src/handler.rs
+++ b/crates/ingress/src/handler.rs
@@ -5,17 +5,17 @@
 use std::sync::{Arc, OnceLock};
 use std::time::Duration;
 
-use bytes::Bytes;
+use flaxward_client_limits::{BodyError, discard_rest, read_body};
 use flaxward_routing::configuration::{Configuration, Route};
 use flaxward_routing::homes::Homes;
 use flaxward_routing::tenants::Tenant;
 use flaxward_types::ResultCode;
 use flaxward_types::refusal::Refusal;
 use http::header::{CONTENT_LENGTH, EXPECT, HOST};
+use http::request::Parts;
 use http::{HeaderMap, HeaderValue, Request, Response};
-use http_body_util::{BodyExt, LengthLimitError, Limited};
-use hyper::body::Incoming;
-use tokio::time::{Instant, timeout_at};
+use hyper::body::{Body, Incoming};
+use tokio::time::Instant;
 
 use crate::access;
 use crate::dispatch::Dispatch;
@@ -58,10 +58,15 @@
     request: Request<Incoming>,
 ) -> Response<ResponseBody> {
     let arrived_at = Instant::now();
-    let mut response = match serve(&shared, request, arrived_at).await {
+    let (head, mut body) = request.into_parts();
+    let awaits_continue = head.headers.contains_key(EXPECT);
+    let mut response = match serve(&shared, head, &mut body, arrived_at).await {
         Ok(response) => response,
         Err(refused) => {
             refused.log(&shared, arrived_at);
+            if !awaits_continue {
+                discard(&shared, body);
+            }
             responses::refusal(refused.refusal())
         }
     };
@@ -74,13 +79,24 @@
     response
 }
 
+/// Discards what is left of a refused request's body, so that its client can read the refusal.
+fn discard(shared: &Shared, body: Incoming) {
+    if body.is_end_stream() {
+        return;
+    }
+    let limits = shared.configuration().map(|it| it.limits);
+    let max_bytes = limits.unwrap_or_default().body_bytes;
+    tokio::spawn(discard_rest(body, max_bytes));
+}
+
 fn refuse_early(code: ResultCode, request: &str, reason: &str) -> Refused {
     Refused::unsent(request, "", Refusal::new(code), reason.to_owned())
 }
 
 async fn serve(
     shared: &Arc<Shared>,
-    request: Request<Incoming>,
+    head: Parts,
+    body: &mut Incoming,
     arrived_at: Instant,
 ) -> Result<Response<ResponseBody>, Refused> {
     let Some(guard) = InProgress::begin(shared) else {
@@ -98,14 +114,14 @@
         refused.refusal_mut().retry_after = Some(RETRY_UNCONFIGURED);
         return Err(refused);
     };
-    let profile = shared.surface.profile(request.headers());
+    let profile = shared.surface.profile(&head.headers);
     let profile = profile.map_err(|error| {
         let reason = error.to_string();
         refuse_early(ResultCode::BadHeader, "", &reason)
     })?;
     let id = profile.id.clone();
-    let host = host(request.headers(), request.uri().authority());
-    let path = request.uri().path();
+    let host = host(&head.headers, head.uri.authority());
+    let path = head.uri.path();
     let Some(route) = configuration.route(&host, path).cloned() else {
         let reason = format!(
             "no route for {host}{path} in version {}",
@@ -113,8 +129,8 @@
         );
         return Err(refuse_early(ResultCode::UnknownPath, &id, &reason));
     };
-    let tenant = access::tenant(shared, &configuration, &route, &id, request.headers())?;
-    let bound_by = access::restricting_tenant(shared, &configuration, request.headers());
+    let tenant = access::tenant(shared, &configuration, &route, &id, &head.headers)?;
+    let bound_by = access::restricting_tenant(shared, &configuration, &head.headers);
     let homes = homes(&route, bound_by.as_deref());
     if homes.is_empty() {
         return Err(no_common_home(&id, &route, bound_by.as_deref()));
@@ -123,10 +139,10 @@
         .deadline
         .map_or(route.timeout, |deadline| deadline.min(route.timeout));
     let deadline = arrived_at + time_limit;
-    let (head, body) = request.into_parts();
-    let body = read_body(body, &configuration, deadline)
+    let max_bytes = configuration.limits.body_bytes;
+    let body = read_body(body, &shared.request_bodies, max_bytes, deadline)
         .await
-        .map_err(|code| refuse_early(code, &id, "the request body could not be read"))?;
+        .map_err(|error| refuse_body(error, &id))?;
     let Some(service) = shared.choose_service(&route, &homes) else {
         return Err(refuse_early(
             ResultCode::NoServiceMachine,
@@ -228,16 +244,17 @@
     headers
 }
 
-async fn read_body(
-    body: Incoming,
-    configuration: &Configuration,
-    deadline: Instant,
-) -> Result<Bytes, ResultCode> {
-    let limited = Limited::new(body, configuration.limits.body_bytes);
-    match timeout_at(deadline, limited.collect()).await {
-        Ok(Ok(collected)) => Ok(collected.to_bytes()),
-        Ok(Err(error)) if error.is::<LengthLimitError>() => Err(ResultCode::BodyTooLong),
-        Ok(Err(_)) => Err(ResultCode::BadBody),
-        Err(_) => Err(ResultCode::SlowSender),
+/// Refusal of a request whose body was not read.
+fn refuse_body(error: BodyError, id: &str) -> Refused {
+    let code = match error {
+        BodyError::TooLong => ResultCode::BodyTooLong,
+        BodyError::Broken => ResultCode::BadBody,
+        BodyError::TimedOut => ResultCode::SlowSender,
+        BodyError::NoMemory => ResultCode::Overloaded,
+    };
+    let mut refused = refuse_early(code, id, &error.to_string());
+    if error == BodyError::NoMemory {
+        refused.refusal_mut().retry_after = Some(RETRY_AFTER);
     }
+    refused
 }
--- a/crates/ingress/src/server.rs
+++ b/crates/ingress/src/server.rs
@@ -20,6 +20,7 @@
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
+use socket2::SockRef;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::time::sleep;
 use tokio_util::sync::CancellationToken;
@@ -33,6 +34,8 @@
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
 /// `TCP_USER_TIMEOUT` of client connections: the time after which unacknowledged data closes them.
 const TCP_USER_TIMEOUT: Duration = Duration::from_secs(10);
+/// Receive buffer of a client connection. What clients send and the daemon does not read is held there.
+const RECEIVE_BUFFER_BYTES: usize = 64 * 1024;
 /// Smallest connection buffer that hyper accepts.
 const MIN_BUFFER_BYTES: usize = 8 * 1024;
 
@@ -46,6 +49,18 @@
         .with_context(|| format!("cannot bind a listener to {address}"))
 }
 
+/// Binds the listener for clients. Accepted connections inherit its receive buffer.
+///
+/// # Errors
+/// Fails if the address cannot be bound.
+pub(crate) async fn listen_for_clients(address: SocketAddr) -> anyhow::Result<TcpListener> {
+    let listener = listen(address).await?;
+    SockRef::from(&listener)
+        .set_recv_buffer_size(RECEIVE_BUFFER_BYTES)
+        .context("cannot limit the receive buffers of clients")?;
+    Ok(listener)
+}
+
 /// Accepts connections and spawns a task for each.
 pub(crate) async fn accept<Task, Serve>(listener: &TcpListener, tracker: &TaskTracker, serve: Serve)
 where
--- a/crates/ingress/src/settings.rs
+++ b/crates/ingress/src/settings.rs
@@ -26,11 +26,26 @@
     pub unknown: Option<Duration>,
 }
 
+/// Part of a machine's memory that the bodies of requests may take: one in so many bytes.
+const REQUEST_BODY_SHARE: usize = 4;
+
 /// What all clients together may have open at one daemon.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct ClientLimits {
-    /// Requests in progress.
+    /// Requests in progress whose bodies are complete.
     pub requests: u32,
+    /// Memory for the bodies of requests, in bytes.
+    pub request_body_bytes: usize,
+}
+
+impl ClientLimits {
+    /// Limits of a machine with `memory_bytes` of memory.
+    pub fn of_machine(memory_bytes: usize, requests: u32) -> Self {
+        Self {
+            requests,
+            request_body_bytes: memory_bytes / REQUEST_BODY_SHARE,
+        }
+    }
 }
 
 /// Settings of one daemon.
--- a/crates/ingress/src/state.rs
+++ b/crates/ingress/src/state.rs
@@ -6,6 +6,7 @@
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 
+use flaxward_client_limits::BodyPool;
 use flaxward_clock::Clock;
 use flaxward_routing::availability::Availability;
 use flaxward_routing::balance::{self, NoRunner, SelectionContext, SelectionCriteria};
@@ -159,7 +160,10 @@
     pub store_answered_ms: AtomicU64,
     /// Incremented when pending watches of the store must be restarted.
     pub watch_restarts: watch::Sender<u64>,
+    /// Requests in progress, including those whose bodies are still being read.
     pub requests: AtomicU32,
+    /// Memory for the bodies of requests.
+    pub request_bodies: BodyPool,
     /// Number of tunnels that this daemon relays.
     pub open_tunnels: Arc<AtomicU32>,
     /// Notified when the daemon loses its paths to all runners, or regains one.
@@ -206,6 +210,7 @@
             stop_end: None,
             store_trust: StoreTrust::new(settings.propagation_bound, seed),
         };
+        let request_bodies = BodyPool::new(settings.client_limits.request_body_bytes);
         let locality = Locality::new(settings.zone.clone(), settings.regions.clone());
         Self {
             locality,
@@ -239,6 +244,7 @@
             store_answered_ms: AtomicU64::new(0),
             watch_restarts: watch::Sender::new(0),
             requests: AtomicU32::new(0),
+            request_bodies,
             open_tunnels: Arc::default(),
             partition_changed: Notify::new(),
             seed,
