Ingress: a request takes a place once its body is complete

What callers saw: while some thousands of clients stopped short of the end of small bodies, or waited for 100 Continue and sent nothing, every other request was refused with 503 until their deadlines had passed.

Cause: the place of a request in progress was taken before its body was read, and kept until the body's deadline.

Change: places are taken by requests whose bodies are complete. Those that are still being read are bounded by the memory for bodies and by the connections.

--- a/crates/ingress/src/handler.rs
+++ b/crates/ingress/src/handler.rs
@@ -35,20 +35,44 @@
 const RETRY_NO_COMMON_HOME: Duration = Duration::from_secs(10);
 
 /// Counts a request as in progress until it is dropped, which is after its response has ended.
-struct InProgress(Arc<Shared>);
+struct InProgress {
+    shared: Arc<Shared>,
+    /// Whether it has one of the places of the requests whose bodies are complete.
+    is_admitted: bool,
+}
 
 impl InProgress {
-    fn begin(shared: &Arc<Shared>) -> Option<Self> {
-        let in_progress = shared.requests.fetch_add(1, Ordering::Relaxed);
-        let guard = Self(shared.clone());
-        let limit = shared.settings.client_limits.requests;
-        (in_progress < limit).then_some(guard)
+    fn begin(shared: &Arc<Shared>) -> Self {
+        shared.requests.fetch_add(1, Ordering::Relaxed);
+        Self {
+            shared: shared.clone(),
+            is_admitted: false,
+        }
+    }
+
+    /// Takes a place for a request whose body is complete. A client that does not send its body takes none.
+    ///
+    /// # Errors
+    /// Refuses the request if all places are taken.
+    fn admit(&mut self, id: &str) -> Result<(), Refused> {
+        let limit = self.shared.settings.client_limits.requests;
+        let admitted =
+            self.shared
+                .admitted
+                .try_update(Ordering::Relaxed, Ordering::Relaxed, |admitted| {
+                    (admitted < limit).then_some(admitted + 1)
+                });
+        self.is_admitted = admitted.is_ok();
+        admitted.map(drop).map_err(|_| too_many_requests(id))
     }
 }
 
 impl Drop for InProgress {
     fn drop(&mut self) {
-        self.0.requests.fetch_sub(1, Ordering::Relaxed);
+        self.shared.requests.fetch_sub(1, Ordering::Relaxed);
+        if self.is_admitted {
+            self.shared.admitted.fetch_sub(1, Ordering::Relaxed);
+        }
     }
 }
 
@@ -99,11 +123,10 @@
     body: &mut Incoming,
     arrived_at: Instant,
 ) -> Result<Response<ResponseBody>, Refused> {
-    let Some(guard) = InProgress::begin(shared) else {
-        let mut refused = refuse_early(ResultCode::Overloaded, "", "too many requests in progress");
-        refused.refusal_mut().retry_after = Some(RETRY_AFTER);
-        return Err(refused);
-    };
+    let mut in_progress = InProgress::begin(shared);
+    if shared.admitted.load(Ordering::Relaxed) >= shared.settings.client_limits.requests {
+        return Err(too_many_requests(""));
+    }
     if shared.is_closing() {
         let mut refused = refuse_early(ResultCode::Stopping, "", "the daemon is stopping");
         refused.refusal_mut().retry_after = Some(RETRY_STOPPING);
@@ -143,6 +166,7 @@
     let body = read_body(body, &shared.request_bodies, max_bytes, deadline)
         .await
         .map_err(|error| refuse_body(error, &id))?;
+    in_progress.admit(&id)?;
     let Some(service) = shared.choose_service(&route, &homes) else {
         return Err(refuse_early(
             ResultCode::NoServiceMachine,
@@ -181,7 +205,7 @@
         fingerprint: OnceLock::new(),
     };
     let dispatch = Dispatch::new(shared.clone(), client_request, route, service, arrived_at);
-    let result = dispatch.run(Box::new(guard)).await;
+    let result = dispatch.run(Box::new(in_progress)).await;
     if let (Err(refused), Some(charge)) = (&result, charge)
         && refused.refusal().code.not_run()
     {
@@ -244,6 +268,12 @@
     headers
 }
 
+fn too_many_requests(id: &str) -> Refused {
+    let mut refused = refuse_early(ResultCode::Overloaded, id, "too many requests in progress");
+    refused.refusal_mut().retry_after = Some(RETRY_AFTER);
+    refused
+}
+
 /// Refusal of a request whose body was not read.
 fn refuse_body(error: BodyError, id: &str) -> Refused {
     let code = match error {
--- a/crates/ingress/src/state.rs
+++ b/crates/ingress/src/state.rs
@@ -162,6 +162,8 @@
     pub watch_restarts: watch::Sender<u64>,
     /// Requests in progress, including those whose bodies are still being read.
     pub requests: AtomicU32,
+    /// Those of them whose bodies are complete.
+    pub admitted: AtomicU32,
     /// Memory for the bodies of requests.
     pub request_bodies: BodyPool,
     /// Number of tunnels that this daemon relays.
@@ -244,6 +246,7 @@
             store_answered_ms: AtomicU64::new(0),
             watch_restarts: watch::Sender::new(0),
             requests: AtomicU32::new(0),
+            admitted: AtomicU32::new(0),
             request_bodies,
             open_tunnels: Arc::default(),
             partition_changed: Notify::new(),
