Ingress: at most half of the descriptors are for connections of clients

What callers saw: thousands of connections that sent nothing, or only a part of a request, took all descriptors of a daemon. It then accepted no connection and opened none to runners, the store and other daemons.

Cause: the listeners had no limit on connections. Beyond the descriptors `accept` failed and was tried again without a word in the log.

Change: each listener has a table of its connections, which knows for each whether the daemon waits for its client. When the table is full, the daemon closes the connection whose client it has waited for the longest, and admits the next one when that is closed; a client that waits for the daemon is never cut off. The readiness, metrics and relay listeners have small tables of their own. A failed `accept` is logged.

--- a/crates/client-limits/src/connections.rs
+++ b/crates/client-limits/src/connections.rs
@@ -3,6 +3,7 @@
 use std::collections::HashMap;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
+use tokio::sync::Notify;
 use tokio::time::Instant;
 
 use crate::activity::ClientActivity;
@@ -17,6 +18,8 @@
 struct Shared {
     limit: usize,
     state: Mutex<State>,
+    /// Notified when a connection is closed.
+    released: Notify,
 }
 
 #[derive(Debug, Default)]
@@ -32,28 +35,39 @@
             shared: Arc::new(Shared {
                 limit,
                 state: Mutex::default(),
+                released: Notify::new(),
             }),
         }
     }
 
-    /// Admits a connection. If the table is full, the daemon gives up on the client that it has waited for the longest;
-    /// if it waits for none, the connection is not admitted.
-    pub fn admit(&self) -> Option<ConnectionSlot> {
-        let now = Instant::now();
-        let mut state = self.shared.state();
-        if state.open.len() >= self.shared.limit {
-            state.give_up_longest(now)?;
+    /// Admits a connection. If the table is full, the daemon gives up on the client that it has waited for the longest, and
+    /// this waits until that connection is closed; if it waits for no client, the connection is not admitted.
+    pub async fn admit(&self) -> Option<ConnectionSlot> {
+        loop {
+            let released = self.shared.released.notified();
+            let has_room = self
+                .shared
+                .state()
+                .make_room(self.shared.limit, Instant::now())?;
+            if has_room {
+                return Some(self.insert());
+            }
+            released.await;
         }
+    }
+
+    fn insert(&self) -> ConnectionSlot {
+        let activity = Arc::new(ClientActivity::new(Instant::now()));
+        let mut state = self.shared.state();
         let id = state.next_id;
         state.next_id += 1;
-        let activity = Arc::new(ClientActivity::new(now));
         state.open.insert(id, Arc::clone(&activity));
         drop(state);
-        Some(ConnectionSlot {
+        ConnectionSlot {
             shared: Arc::clone(&self.shared),
             id,
             activity,
-        })
+        }
     }
 
     /// Number of open connections.
@@ -69,15 +83,22 @@
 }
 
 impl State {
-    fn give_up_longest(&mut self, now: Instant) -> Option<()> {
-        let stalled = self.open.iter().filter_map(|(id, activity)| {
-            let stalled_for = activity.stalled_for(now)?;
-            Some((stalled_for, *id))
-        });
-        let (_, id) = stalled.max()?;
-        let activity = self.open.remove(&id)?;
-        activity.give_up();
-        Some(())
+    /// Whether there is room for a connection now. If there is none, one connection is about to be closed, unless all
+    /// clients wait for the daemon, in which case this returns `None`.
+    fn make_room(&self, limit: usize, now: Instant) -> Option<bool> {
+        if self.open.len() < limit {
+            return Some(true);
+        }
+        let is_closing = self.open.values().any(|activity| activity.is_given_up());
+        if !is_closing {
+            let stalled = self.open.values().filter_map(|activity| {
+                let stalled_for = activity.stalled_for(now)?;
+                Some((stalled_for, activity))
+            });
+            let (_, longest) = stalled.max_by_key(|(stalled_for, _)| *stalled_for)?;
+            longest.give_up();
+        }
+        Some(false)
     }
 }
 
@@ -99,5 +120,6 @@
 impl Drop for ConnectionSlot {
     fn drop(&mut self) {
         self.shared.state().open.remove(&self.id);
+        self.shared.released.notify_waiters();
     }
 }
--- a/crates/flaxward/src/ingress.rs
+++ b/crates/flaxward/src/ingress.rs
@@ -169,7 +169,11 @@
             margin: share(MARGIN_SHARE),
             silence: share(SILENCE_SHARE),
         },
-        client_limits: ClientLimits::of_machine(file.machine.memory_bytes(), file.limits.requests),
+        client_limits: ClientLimits::of_machine(
+            file.machine.memory_bytes(),
+            file.machine.descriptors(),
+            file.limits.requests,
+        ),
         placement: PlacementSettings {
             load_window: file.coordinator.load_window,
             ..PlacementSettings::default()
--- a/crates/ingress/src/counters.rs
+++ b/crates/ingress/src/counters.rs
@@ -3,7 +3,7 @@
 use flaxward_types::Metric;
 
 /// Metrics of this crate.
-pub const METRICS: [Metric; 43] = [
+pub const METRICS: [Metric; 44] = [
     SERVED,
     REFUSED,
     ATTEMPTS_FAILED,
@@ -47,6 +47,7 @@
     TUNNELS,
     TUNNELS_REFUSED,
     DIRECT_PROBES,
+    CONNECTIONS_GIVEN_UP,
 ];
 
 /// Requests whose answer, or its head, was forwarded, by `status`, the class of the HTTP status.
@@ -268,3 +269,8 @@
     "flaxward_ingress_direct_probes_total",
     "Probes of direct paths to runners that were lost, by `outcome`.",
 );
+/// Client connections closed in favour of others.
+pub const CONNECTIONS_GIVEN_UP: Metric = Metric::counter(
+    "flaxward_ingress_connections_given_up_total",
+    "Connections of stalled clients that were closed because too many were open.",
+);
--- a/crates/ingress/src/handler.rs
+++ b/crates/ingress/src/handler.rs
@@ -5,7 +5,7 @@
 use std::sync::{Arc, OnceLock};
 use std::time::Duration;
 
-use flaxward_client_limits::{BodyError, discard_rest, read_body};
+use flaxward_client_limits::{BodyError, ClientActivity, discard_rest, read_body};
 use flaxward_routing::configuration::{Configuration, Route};
 use flaxward_routing::homes::Homes;
 use flaxward_routing::tenants::Tenant;
@@ -24,6 +24,7 @@
 use crate::responses::{self, ResponseBody};
 use crate::state::Shared;
 use crate::stream_origins::{self, StreamStart};
+use crate::tracked_body::TrackedBody;
 
 /// `Retry-After` of a daemon that has no configuration yet.
 const RETRY_UNCONFIGURED: Duration = Duration::from_millis(300);
@@ -76,15 +77,17 @@
     }
 }
 
-/// Handles a client request.
+/// Handles a client request. `client` is the activity of its connection.
 pub(crate) async fn handle(
     shared: Arc<Shared>,
     request: Request<Incoming>,
+    client: Arc<ClientActivity>,
 ) -> Response<ResponseBody> {
     let arrived_at = Instant::now();
+    client.await_client(arrived_at);
     let (head, mut body) = request.into_parts();
     let awaits_continue = head.headers.contains_key(EXPECT);
-    let mut response = match serve(&shared, head, &mut body, arrived_at).await {
+    let mut response = match serve(&shared, head, &mut body, &client, arrived_at).await {
         Ok(response) => response,
         Err(refused) => {
             refused.log(&shared, arrived_at);
@@ -100,7 +103,7 @@
             .headers_mut()
             .insert(http::header::CONNECTION, close);
     }
-    response
+    response.map(|body| TrackedBody::wrap(body, client))
 }
 
 /// Discards what is left of a refused request's body, so that its client can read the refusal.
@@ -121,6 +124,7 @@
     shared: &Arc<Shared>,
     head: Parts,
     body: &mut Incoming,
+    client: &ClientActivity,
     arrived_at: Instant,
 ) -> Result<Response<ResponseBody>, Refused> {
     let mut in_progress = InProgress::begin(shared);
@@ -167,6 +171,7 @@
         .await
         .map_err(|error| refuse_body(error, &id))?;
     in_progress.admit(&id)?;
+    client.await_daemon();
     let Some(service) = shared.choose_service(&route, &homes) else {
         return Err(refuse_early(
             ResultCode::NoServiceMachine,
--- a/crates/ingress/src/lib.rs
+++ b/crates/ingress/src/lib.rs
@@ -37,6 +37,7 @@
 mod store_era;
 mod store_report;
 mod stream_origins;
+mod tracked_body;
 mod tunnel;
 mod tunnel_server;
 mod unreadable;
--- a/crates/ingress/src/server.rs
+++ b/crates/ingress/src/server.rs
@@ -14,6 +14,8 @@
 
 use anyhow::Context;
 use bytes::Bytes;
+use flaxward_client_limits::{ClientActivity, ConnectionSlot, ConnectionTable};
+use flaxward_settings::logs::state_change;
 use http::{Request, Response, StatusCode};
 use http_body_util::Full;
 use hyper::body::Incoming;
@@ -26,6 +28,7 @@
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
+use crate::counters::CONNECTIONS_GIVEN_UP;
 use crate::handler::handle;
 use crate::network;
 use crate::state::Shared;
@@ -36,6 +39,8 @@
 const TCP_USER_TIMEOUT: Duration = Duration::from_secs(10);
 /// Receive buffer of a client connection. What clients send and the daemon does not read is held there.
 const RECEIVE_BUFFER_BYTES: usize = 64 * 1024;
+/// Maximum number of connections to the readiness and to the metrics endpoint, each.
+const MAX_PAGE_CONNECTIONS: usize = 64;
 /// Smallest connection buffer that hyper accepts.
 const MIN_BUFFER_BYTES: usize = 8 * 1024;
 
@@ -61,19 +66,28 @@
     Ok(listener)
 }
 
-/// Accepts connections and spawns a task for each.
-pub(crate) async fn accept<Task, Serve>(listener: &TcpListener, tracker: &TaskTracker, serve: Serve)
-where
+/// Accepts connections and spawns a task for each that `connections` admits. The others are closed at once.
+pub(crate) async fn accept<Task, Serve>(
+    listener: &TcpListener,
+    tracker: &TaskTracker,
+    connections: &ConnectionTable,
+    serve: Serve,
+) where
     Task: Future<Output = ()> + Send + 'static,
-    Serve: Fn(TcpStream) -> Task,
+    Serve: Fn(TcpStream, ConnectionSlot) -> Task,
 {
     loop {
         match listener.accept().await {
             Ok((stream, _)) => {
-                network::configure(&stream, TCP_USER_TIMEOUT);
-                tracker.spawn(serve(stream));
+                if let Some(slot) = connections.admit().await {
+                    network::configure(&stream, TCP_USER_TIMEOUT);
+                    tracker.spawn(serve(stream, slot));
+                }
+            }
+            Err(error) => {
+                state_change("accept-failed", &[("error", &error)]);
+                sleep(ACCEPT_RETRY_DELAY).await;
             }
-            Err(_) => sleep(ACCEPT_RETRY_DELAY).await,
         }
     }
 }
@@ -124,9 +138,13 @@
     tracker: TaskTracker,
     shutdown: ClientShutdown,
 ) {
-    let serve = |stream| client_connection(shared.clone(), stream, shutdown.closing.clone());
+    let connections = ConnectionTable::new(shared.settings.client_limits.connections);
+    let serve = |stream, slot| {
+        let closing = shutdown.closing.clone();
+        client_connection(shared.clone(), stream, slot, closing)
+    };
     tokio::select! {
-        () = accept(&listener, &tracker, serve) => {}
+        () = accept(&listener, &tracker, &connections, serve) => {}
         () = shutdown.closed.cancelled() => {}
     }
     let pending = close_listener(listener).unwrap_or_else(|error| {
@@ -136,12 +154,42 @@
         Vec::new()
     });
     for stream in pending {
-        network::configure(&stream, TCP_USER_TIMEOUT);
-        tracker.spawn(serve(stream));
+        if let Some(slot) = connections.admit().await {
+            network::configure(&stream, TCP_USER_TIMEOUT);
+            tracker.spawn(serve(stream, slot));
+        }
     }
 }
 
-async fn client_connection(shared: Arc<Shared>, stream: TcpStream, closing: CancellationToken) {
+/// Serves a client until its connection ends, or until the daemon gives up on the client in favour of others.
+async fn client_connection(
+    shared: Arc<Shared>,
+    stream: TcpStream,
+    slot: ConnectionSlot,
+    closing: CancellationToken,
+) {
+    tokio::select! {
+        biased;
+        () = slot.activity().given_up() => log_given_up(&shared),
+        () = serve_requests(shared.clone(), stream, slot.activity().clone(), closing) => {}
+    }
+}
+
+fn log_given_up(shared: &Shared) {
+    metrics::counter!(CONNECTIONS_GIVEN_UP.name).increment(1);
+    let limit = shared.settings.client_limits.connections;
+    let fields: &[(&str, &dyn Display)] = &[("limit", &limit)];
+    shared
+        .log
+        .write(shared.now(), "stalled-connection-closed", fields);
+}
+
+async fn serve_requests(
+    shared: Arc<Shared>,
+    stream: TcpStream,
+    client: Arc<ClientActivity>,
+    closing: CancellationToken,
+) {
     let limits = shared
         .configuration()
         .map(|configuration| configuration.limits)
@@ -150,8 +198,8 @@
     let used_flag = is_used.clone();
     let service = service_fn(move |request: Request<Incoming>| {
         used_flag.store(true, Ordering::Relaxed);
-        let shared = shared.clone();
-        async move { Ok::<_, Infallible>(handle(shared, request).await) }
+        let (shared, client) = (shared.clone(), client.clone());
+        async move { Ok::<_, Infallible>(handle(shared, request, client).await) }
     });
     let mut builder = http1::Builder::new();
     builder
@@ -206,7 +254,8 @@
 where
     Answer: Fn(&str) -> (StatusCode, String) + Send + Sync + 'static,
 {
-    accept(&listener, &tracker, move |stream| {
+    let connections = ConnectionTable::new(MAX_PAGE_CONNECTIONS);
+    accept(&listener, &tracker, &connections, move |stream, slot| {
         let answer = answer.clone();
         async move {
             let service = service_fn(move |request: Request<Incoming>| {
@@ -215,8 +264,13 @@
                 *response.status_mut() = status;
                 async move { Ok::<_, Infallible>(response) }
             });
-            let connection = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
-            let _ = connection.await;
+            let connection = http1::Builder::new()
+                .max_buf_size(MIN_BUFFER_BYTES)
+                .serve_connection(TokioIo::new(stream), service);
+            tokio::select! {
+                _ = connection => {}
+                () = slot.activity().given_up() => {}
+            }
         }
     })
     .await;
--- a/crates/ingress/src/settings.rs
+++ b/crates/ingress/src/settings.rs
@@ -29,6 +29,12 @@
 /// Part of a machine's memory that the bodies of requests may take: one in so many bytes.
 const REQUEST_BODY_SHARE: usize = 4;
 
+/// Part of a process's descriptors that connections of clients may take: one in so many.
+const CONNECTION_SHARE: usize = 2;
+/// Memory of a machine for each connection of a client, in bytes: its buffers in the process, what has arrived and is not
+/// read, and as much again for everything else.
+const MEMORY_PER_CONNECTION: usize = 128 * 1_024;
+
 /// What all clients together may have open at one daemon.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct ClientLimits {
@@ -36,14 +42,19 @@
     pub requests: u32,
     /// Memory for the bodies of requests, in bytes.
     pub request_body_bytes: usize,
+    /// Open connections.
+    pub connections: usize,
 }
 
 impl ClientLimits {
-    /// Limits of a machine with `memory_bytes` of memory.
-    pub fn of_machine(memory_bytes: usize, requests: u32) -> Self {
+    /// Limits of a process that may use `memory_bytes` of memory and `descriptors` descriptors.
+    pub fn of_machine(memory_bytes: usize, descriptors: usize, requests: u32) -> Self {
+        let connections =
+            (descriptors / CONNECTION_SHARE).min(memory_bytes / MEMORY_PER_CONNECTION);
         Self {
             requests,
             request_body_bytes: memory_bytes / REQUEST_BODY_SHARE,
+            connections: connections.max(1),
         }
     }
 }
--- a/crates/ingress/src/tunnel_server.rs
+++ b/crates/ingress/src/tunnel_server.rs
@@ -12,6 +12,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use flaxward_client_limits::{ConnectionSlot, ConnectionTable};
 use flaxward_routing::names::Zone;
 use futures::{TryStreamExt, stream};
 use http::{Method, Request, Response, StatusCode};
@@ -38,6 +39,8 @@
 
 /// Maximum number of open tunnels. Each takes two sockets and a few buffers.
 const MAX_TUNNELS: u32 = 256;
+/// Maximum number of connections of other daemons, including those whose tunnels are not open yet.
+const MAX_CONNECTIONS: usize = 512;
 /// Time in which a daemon must have sent the head of its request.
 const HEAD_TIMEOUT: Duration = Duration::from_secs(1);
 /// Frames of a response body that wait for a slow daemon.
@@ -48,15 +51,19 @@
 
 /// Serves tunnels of other daemons until this one ends.
 pub(crate) async fn serve_tunnels(shared: Arc<Shared>, listener: TcpListener, tasks: TaskTracker) {
-    let serve = |stream| tunnel_connection(shared.clone(), stream);
+    let connections = ConnectionTable::new(MAX_CONNECTIONS);
+    let serve = |stream, slot| tunnel_connection(shared.clone(), stream, slot);
     tokio::select! {
-        () = accept(&listener, &tasks, serve) => {}
+        () = accept(&listener, &tasks, &connections, serve) => {}
         () = shared.ending.cancelled() => {}
     }
 }
 
-async fn tunnel_connection(shared: Arc<Shared>, stream: TcpStream) {
+async fn tunnel_connection(shared: Arc<Shared>, stream: TcpStream, slot: ConnectionSlot) {
+    let daemon = slot.activity().clone();
     let service = service_fn(move |request| {
+        // The tunnel is open as long as the other daemon wants.
+        daemon.await_daemon();
         let shared = shared.clone();
         async move { Ok::<_, Infallible>(respond(&shared, request).await) }
     });
@@ -65,8 +72,11 @@
         .header_read_timeout(HEAD_TIMEOUT)
         .keep_alive(false)
         .serve_connection(TokioIo::new(stream), service);
-    // The daemon at the other end decides what an error means.
-    let _ = connection.await;
+    tokio::select! {
+        // The daemon at the other end decides what an error means.
+        _ = connection => {}
+        () = slot.activity().given_up() => {}
+    }
 }
 
 async fn respond(shared: &Arc<Shared>, request: Request<Incoming>) -> Response<TunnelBody> {
--- a/crates/ingress/tests/ingress/support.rs
+++ b/crates/ingress/tests/ingress/support.rs
@@ -456,7 +456,7 @@
             margin: Duration::from_millis(300),
             silence: Duration::from_millis(300),
         },
-        client_limits: ClientLimits::of_machine(256_000_000, 2_000),
+        client_limits: ClientLimits::of_machine(256_000_000, 4_096, 2_000),
         placement: PlacementSettings::default(),
     }
 }
