Ingress: answers that are collected share one bounded pool of memory

What callers saw: clients that asked for long answers and read nothing ended a daemon.

Cause: an answer of up to 4 MiB was collected for each request and handed to the connection in one piece, and nothing counted them together.

Change: answers that are not streams are collected in a pool of an eighth of the machine's memory. One with an announced length reserves it before it is read from the runner; if the pool is exhausted, it waits there. Answers are handed out in short frames, so that the daemon sees whether a client reads; when memory is short, it closes the connections of those that have read nothing for half a second.

--- a/crates/client-limits/src/body.rs
+++ b/crates/client-limits/src/body.rs
@@ -11,14 +11,11 @@
 use tokio::time::{Instant, timeout, timeout_at};
 
 use crate::activity::ClientActivity;
-use crate::body_pool::{BodyPool, Reservation};
+use crate::body_pool::BodyPool;
+use crate::pooled_buffer::PooledBuffer;
 
 /// Bytes that a client must send so that it counts as not having stalled.
 const PROGRESS_BYTES: usize = 16 * 1_024;
-/// Smallest buffer for a body whose length is not known, in bytes.
-const MIN_BUFFER_BYTES: usize = 1_024;
-/// Largest first buffer for a body whose length is announced, in bytes. A client may announce more than it sends.
-const MAX_FIRST_BUFFER_BYTES: usize = 16 * 1_024;
 /// Maximum number of bytes that are discarded of a body, as a multiple of the longest legal one.
 const DISCARDED_BODIES: usize = 2;
 /// Maximum time for which a body is discarded.
@@ -41,18 +38,6 @@
     NoMemory,
 }
 
-/// A complete body with the memory reserved for it.
-struct PooledBody {
-    bytes: Vec<u8>,
-    _reservation: Reservation,
-}
-
-impl AsRef<[u8]> for PooledBody {
-    fn as_ref(&self) -> &[u8] {
-        &self.bytes
-    }
-}
-
 /// Reads a body of at most `max_bytes` until `deadline`. The bytes count toward the pool until the last clone of the result
 /// is dropped.
 ///
@@ -78,10 +63,8 @@
     }
     let activity = Arc::new(ClientActivity::new(Instant::now()));
     let reader = Reader {
-        buffer: Vec::new(),
+        buffer: PooledBuffer::new(pool.open(Arc::clone(&activity))),
         max_bytes: announced.unwrap_or(max_bytes),
-        first_bytes: announced.map_or(MIN_BUFFER_BYTES, |bytes| bytes.min(MAX_FIRST_BUFFER_BYTES)),
-        reservation: pool.open(Arc::clone(&activity)),
         activity: Arc::clone(&activity),
     };
     let reading = timeout_at(deadline, reader.read(body));
@@ -93,11 +76,8 @@
 }
 
 struct Reader {
-    buffer: Vec<u8>,
+    buffer: PooledBuffer,
     max_bytes: usize,
-    /// Size of the first buffer.
-    first_bytes: usize,
-    reservation: Reservation,
     activity: Arc<ClientActivity>,
 }
 
@@ -121,34 +101,22 @@
             }
             self.activity.await_client(advanced_at);
         }
-        Ok(self.finish())
+        self.buffer.seal();
+        Ok(self.buffer.into_bytes())
     }
 
-    /// Copies the bytes, so that a short frame does not keep the buffer alive in which it was received.
     async fn append(&mut self, data: &[u8]) -> Result<(), BodyError> {
-        let needed = self.buffer.len() + data.len();
-        if needed > self.max_bytes {
+        if self.buffer.len() + data.len() > self.max_bytes {
             return Err(BodyError::TooLong);
         }
-        if needed > self.buffer.capacity() {
-            let grown = self.first_bytes.max(self.buffer.capacity() * 2);
-            let capacity = grown.min(self.max_bytes).max(needed);
-            let raised = self.reservation.raise(capacity).await;
+        if let Some(capacity) = self.buffer.growth(data.len(), self.max_bytes) {
+            let raised = self.buffer.reservation.raise(capacity).await;
             raised.map_err(|_| BodyError::NoMemory)?;
-            self.buffer.reserve_exact(capacity - self.buffer.len());
+            self.buffer.grow_to(capacity);
         }
-        self.buffer.extend_from_slice(data);
+        self.buffer.append(data);
         Ok(())
     }
-
-    fn finish(mut self) -> Bytes {
-        self.buffer.shrink_to_fit();
-        self.reservation.seal(self.buffer.capacity());
-        Bytes::from_owner(PooledBody {
-            bytes: self.buffer,
-            _reservation: self.reservation,
-        })
-    }
 }
 
 /// Reads and discards the rest of a body, within bounds. If a connection is closed while its client still sends, the client
--- a/crates/client-limits/src/lib.rs
+++ b/crates/client-limits/src/lib.rs
@@ -9,9 +9,12 @@
 mod activity;
 mod body;
 mod body_pool;
+mod buffered_response;
 mod connections;
+mod pooled_buffer;
 
 pub use activity::ClientActivity;
 pub use body::{BodyError, discard_rest, read_body};
 pub use body_pool::{BodyPool, Reservation, ReserveError};
+pub use buffered_response::BufferedResponse;
 pub use connections::{ConnectionSlot, ConnectionTable};
--- a/crates/ingress/src/dispatch.rs
+++ b/crates/ingress/src/dispatch.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use flaxward_client_limits::{BufferedResponse, ClientActivity};
 use flaxward_routing::attempt::{Attempts, Failure};
 use flaxward_routing::balance::{NoRunner, PermitWait, SelectionCriteria};
 use flaxward_routing::configuration::Route;
@@ -17,7 +18,9 @@
 use flaxward_types::time::Timestamp;
 use http::Response;
 use http::header::CONTENT_LENGTH;
-use tokio::time::{Instant, sleep};
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+use tokio::time::{Instant, sleep, timeout_at};
 
 use crate::counters::{ATTEMPTS_FAILED, HEAD_SECONDS, SERVED};
 use crate::crashes::{check_for_crash, wait_until_quarantined};
@@ -27,7 +30,7 @@
 use crate::notices::format_rate;
 use crate::permits::{Admission, admit};
 use crate::refused::{Details, RETRY_AFTER, Refused};
-use crate::relay::{self, StreamRelay};
+use crate::relay::StreamRelay;
 use crate::responses::{self, ResponseBody};
 use crate::state::Shared;
 use crate::waiting::{wait_for_capacity, wait_for_unit};
@@ -62,6 +65,8 @@
 pub(crate) struct Dispatch {
     shared: Arc<Shared>,
     request: Arc<ClientRequest>,
+    /// Activity of the client's connection.
+    client: Arc<ClientActivity>,
     route: Arc<Route>,
     service: ServiceName,
     attempts: Attempts,
@@ -82,6 +87,7 @@
     pub(crate) fn new(
         shared: Arc<Shared>,
         request: ClientRequest,
+        client: Arc<ClientActivity>,
         route: Arc<Route>,
         service: ServiceName,
         arrived_at: Instant,
@@ -89,6 +95,7 @@
         Self {
             shared,
             request: Arc::new(request),
+            client,
             route,
             service,
             attempts: Attempts::default(),
@@ -443,16 +450,16 @@
             in_flight,
             ..
         } = exchange;
-        let collected = relay::collect(body, MAX_BUFFERED_BYTES, attempt_deadline).await;
+        let collected = collect(&self.shared, self.client.clone(), body, attempt_deadline).await;
         let sent_at = in_flight.sent_at();
         drop(in_flight);
         let failed =
             |failure| FailedAttempt::new(failure, Some(Observation::Failure), connection_kind);
-        let bytes = collected.map_err(failed)?;
+        let body = collected.map_err(failed)?;
         if let Some(connection) = connection {
             self.shared.pool.put(connection);
         }
-        *response.body_mut() = responses::full_body(bytes);
+        *response.body_mut() = body.map_err(|never| match never {}).boxed_unsync();
         let is_error = response.status().is_server_error();
         if is_error {
             self.shared.record_error_answered(&self.request, sent_at);
@@ -580,6 +587,21 @@
     }
 }
 
+/// Collects the body of a response that is not a stream.
+async fn collect(
+    shared: &Shared,
+    client: Arc<ClientActivity>,
+    body: Incoming,
+    until: Instant,
+) -> Result<BufferedResponse, Failure> {
+    let pool = &shared.response_bodies;
+    let collecting = BufferedResponse::collect(body, pool, client, MAX_BUFFERED_BYTES);
+    match timeout_at(until, collecting).await {
+        Ok(collected) => collected.map_err(|_| Failure::Broken),
+        Err(_) => Err(Failure::Silent),
+    }
+}
+
 /// Copies a runner's response head without its hop-by-hop headers and content length.
 fn forwarded_head(exchange: &Exchange) -> Response<ResponseBody> {
     let mut response = Response::new(responses::full_body(Bytes::new()));
--- a/crates/ingress/src/handler.rs
+++ b/crates/ingress/src/handler.rs
@@ -124,7 +124,7 @@
     shared: &Arc<Shared>,
     head: Parts,
     body: &mut Incoming,
-    client: &ClientActivity,
+    client: &Arc<ClientActivity>,
     arrived_at: Instant,
 ) -> Result<Response<ResponseBody>, Refused> {
     let mut in_progress = InProgress::begin(shared);
@@ -209,7 +209,14 @@
         deadline,
         fingerprint: OnceLock::new(),
     };
-    let dispatch = Dispatch::new(shared.clone(), client_request, route, service, arrived_at);
+    let dispatch = Dispatch::new(
+        shared.clone(),
+        client_request,
+        client.clone(),
+        route,
+        service,
+        arrived_at,
+    );
     let result = dispatch.run(Box::new(in_progress)).await;
     if let (Err(refused), Some(charge)) = (&result, charge)
         && refused.refusal().code.not_run()
--- a/crates/ingress/src/relay.rs
+++ b/crates/ingress/src/relay.rs
@@ -13,7 +13,7 @@
 use flaxward_routing::runners::Runner;
 use futures::stream;
 use http_body_util::{BodyExt, StreamBody};
-use hyper::body::{Frame, Incoming};
+use hyper::body::Frame;
 use thiserror::Error;
 use tokio::time::{Instant, timeout, timeout_at};
 
@@ -588,20 +588,3 @@
             .write(self.shared.now(), "stream-broken", fields);
     }
 }
-
-/// Reads a complete body of limited size.
-///
-/// # Errors
-/// Returns how the attempt failed.
-pub(crate) async fn collect(
-    body: Incoming,
-    limit: usize,
-    until: Instant,
-) -> Result<Bytes, Failure> {
-    let limited = http_body_util::Limited::new(body, limit);
-    match timeout_at(until, limited.collect()).await {
-        Ok(Ok(collected)) => Ok(collected.to_bytes()),
-        Ok(Err(_)) => Err(Failure::Broken),
-        Err(_) => Err(Failure::Silent),
-    }
-}
--- a/crates/ingress/src/settings.rs
+++ b/crates/ingress/src/settings.rs
@@ -29,6 +29,8 @@
 /// Part of a machine's memory that the bodies of requests may take: one in so many bytes.
 const REQUEST_BODY_SHARE: usize = 4;
 
+/// Part of a machine's memory that collected responses may take: one in so many bytes.
+const RESPONSE_BODY_SHARE: usize = 8;
 /// Part of a process's descriptors that connections of clients may take: one in so many.
 const CONNECTION_SHARE: usize = 2;
 /// Memory of a machine for each connection of a client, in bytes: its buffers in the process, what has arrived and is not
@@ -42,6 +44,8 @@
     pub requests: u32,
     /// Memory for the bodies of requests, in bytes.
     pub request_body_bytes: usize,
+    /// Memory for the bodies of collected responses, in bytes.
+    pub response_body_bytes: usize,
     /// Open connections.
     pub connections: usize,
 }
@@ -54,6 +58,7 @@
         Self {
             requests,
             request_body_bytes: memory_bytes / REQUEST_BODY_SHARE,
+            response_body_bytes: memory_bytes / RESPONSE_BODY_SHARE,
             connections: connections.max(1),
         }
     }
--- a/crates/ingress/src/state.rs
+++ b/crates/ingress/src/state.rs
@@ -166,6 +166,8 @@
     pub admitted: AtomicU32,
     /// Memory for the bodies of requests.
     pub request_bodies: BodyPool,
+    /// Memory for the bodies of responses that are collected before they are sent.
+    pub response_bodies: BodyPool,
     /// Number of tunnels that this daemon relays.
     pub open_tunnels: Arc<AtomicU32>,
     /// Notified when the daemon loses its paths to all runners, or regains one.
@@ -213,6 +215,7 @@
             store_trust: StoreTrust::new(settings.propagation_bound, seed),
         };
         let request_bodies = BodyPool::new(settings.client_limits.request_body_bytes);
+        let response_bodies = BodyPool::new(settings.client_limits.response_body_bytes);
         let locality = Locality::new(settings.zone.clone(), settings.regions.clone());
         Self {
             locality,
@@ -248,6 +251,7 @@
             requests: AtomicU32::new(0),
             admitted: AtomicU32::new(0),
             request_bodies,
+            response_bodies,
             open_tunnels: Arc::default(),
             partition_changed: Notify::new(),
             seed,
