Own interface: bodies that stop short give way to others

What callers saw: as long as some clients stopped short of the end of large bodies, every other request was refused with 2009. Bodies in chunks of one byte took more memory than was counted. A caller that sent too much saw a reset in place of 413.

Cause: the bytes that bodies may hold together were counted, but kept by whoever came first until the time for a body had passed. The first frame of a body was kept as it came, a body was held twice when it was joined, and a connection could buffer 400 KB outside the count. A refused body was left unread. The memory of an answer was released before its caller had read it.

Change: the gateway reads bodies as the ingress does, in the pool of flaxward-client-limits, which gives up on stalled clients when it is exhausted. Rewritten bodies and buffered answers count toward the same pool, answers until they are written; they take at most half of it. A connection buffers twice the longest headers at most.

--- a/crates/client-limits/src/body.rs
+++ b/crates/client-limits/src/body.rs
@@ -38,7 +38,8 @@
     NoMemory,
 }
 
-/// Reads a body of at most `max_bytes` until `deadline`. The bytes count toward the pool until the last clone of the result
+/// Reads a body of at most `max_bytes` until `deadline`, and records in `client` whether it is the client's turn. The bytes
+/// count toward the pool until the last clone of the result
 /// is dropped.
 ///
 /// # Errors
@@ -47,6 +48,7 @@
 pub async fn read_body<B>(
     body: &mut B,
     pool: &BodyPool,
+    client: &Arc<ClientActivity>,
     max_bytes: usize,
     deadline: Instant,
 ) -> Result<Bytes, BodyError>
@@ -61,16 +63,15 @@
     if announced.is_some_and(|bytes| bytes > max_bytes) {
         return Err(BodyError::TooLong);
     }
-    let activity = Arc::new(ClientActivity::new(Instant::now()));
     let reader = Reader {
-        buffer: PooledBuffer::new(pool.open(Arc::clone(&activity))),
+        buffer: PooledBuffer::new(pool.open(Arc::clone(client))),
         max_bytes: announced.unwrap_or(max_bytes),
-        activity: Arc::clone(&activity),
+        client: Arc::clone(client),
     };
     let reading = timeout_at(deadline, reader.read(body));
     tokio::select! {
         biased;
-        () = activity.given_up() => Err(BodyError::NoMemory),
+        () = client.given_up() => Err(BodyError::NoMemory),
         read = reading => read.unwrap_or(Err(BodyError::TimedOut)),
     }
 }
@@ -78,7 +79,7 @@
 struct Reader {
     buffer: PooledBuffer,
     max_bytes: usize,
-    activity: Arc<ClientActivity>,
+    client: Arc<ClientActivity>,
 }
 
 impl Reader {
@@ -93,13 +94,13 @@
             let Ok(data) = frame.into_data() else {
                 continue;
             };
-            self.activity.await_daemon();
+            self.client.await_daemon();
             self.append(&data).await?;
             if self.buffer.len() - advanced_bytes >= PROGRESS_BYTES {
                 advanced_bytes = self.buffer.len();
                 advanced_at = Instant::now();
             }
-            self.activity.await_client(advanced_at);
+            self.client.await_client(advanced_at);
         }
         self.buffer.seal();
         Ok(self.buffer.into_bytes())
--- a/crates/client-limits/src/body_pool.rs
+++ b/crates/client-limits/src/body_pool.rs
@@ -209,6 +209,22 @@
         }
     }
 
+    /// Raises the reservation to `bytes` without waiting and without giving up on anyone.
+    ///
+    /// # Errors
+    /// Fails if the pool has too few.
+    pub fn raise_at_once(&mut self, bytes: usize) -> Result<(), ReserveError> {
+        let mut state = self.shared.state();
+        let additional = bytes.saturating_sub(self.bytes);
+        if state.reserved + additional > self.shared.limit(bytes) {
+            return Err(ReserveError::Exhausted);
+        }
+        state.set(self.id, self.bytes + additional);
+        drop(state);
+        self.bytes += additional;
+        Ok(())
+    }
+
     /// Raises the reservation to `bytes`. Waits until the pool has enough, which is never if it is smaller than that.
     pub async fn raise_when_free(&mut self, bytes: usize) {
         loop {
@@ -222,6 +238,19 @@
         }
     }
 
+    /// Raises the reservation by `additional` bytes if the pool has them and half of it stays free.
+    pub fn raise_if_spare(&mut self, additional: usize) -> bool {
+        let mut state = self.shared.state();
+        let bytes = self.bytes + additional;
+        if state.reserved + additional > self.shared.capacity / 2 {
+            return false;
+        }
+        state.set(self.id, bytes);
+        drop(state);
+        self.bytes = bytes;
+        true
+    }
+
     /// Lowers the reservation to `bytes`, and keeps it until it is dropped: the body is complete, and its client waits
     /// for the daemon.
     pub fn seal(&mut self, bytes: usize) {
--- a/crates/client-limits/src/lib.rs
+++ b/crates/client-limits/src/lib.rs
@@ -17,4 +17,4 @@
 pub use body::{BodyError, discard_rest, read_body};
 pub use body_pool::{BodyPool, Reservation, ReserveError};
 pub use buffered_response::BufferedResponse;
-pub use connections::{ConnectionSlot, ConnectionTable};
+pub use connections::{ConnectionSlot, ConnectionTable, RECEIVE_BUFFER_BYTES};
--- a/crates/client-limits/tests/body_pool.rs
+++ b/crates/client-limits/tests/body_pool.rs
@@ -13,7 +13,7 @@
 const CAPACITY: usize = 4 << 20;
 const MAX_BYTES: usize = 1 << 20;
 
-fn stalled(since: Instant) -> Arc<ClientActivity> {
+fn client(since: Instant) -> Arc<ClientActivity> {
     Arc::new(ClientActivity::new(since))
 }
 
@@ -25,10 +25,10 @@
 #[tokio::test(start_paused = true)]
 async fn a_stalled_client_makes_room_for_another() {
     let pool = BodyPool::new(CAPACITY);
-    let first = stalled(Instant::now());
+    let first = client(Instant::now());
     let mut large = pool.open(first.clone());
     large.raise(CAPACITY * 3 / 4).await.unwrap();
-    let second = stalled(Instant::now());
+    let second = client(Instant::now());
     let mut small = pool.open(second.clone());
     small.raise(1_000).await.unwrap();
     advance(Duration::from_secs(1)).await;
@@ -36,7 +36,7 @@
         first.given_up().await;
         drop(large);
     });
-    let mut newcomer = pool.open(stalled(Instant::now()));
+    let mut newcomer = pool.open(client(Instant::now()));
     newcomer.raise(CAPACITY / 2).await.unwrap();
     holding.await.unwrap();
     assert!(!second.is_given_up(), "the one with few bytes is kept");
@@ -46,10 +46,10 @@
 #[tokio::test(start_paused = true)]
 async fn a_client_that_has_not_stalled_is_kept_and_the_newcomer_is_refused() {
     let pool = BodyPool::new(CAPACITY);
-    let first = stalled(Instant::now());
+    let first = client(Instant::now());
     let mut large = pool.open(first.clone());
     large.raise(CAPACITY * 3 / 4).await.unwrap();
-    let mut newcomer = pool.open(stalled(Instant::now()));
+    let mut newcomer = pool.open(client(Instant::now()));
     let refused = newcomer.raise(CAPACITY / 2).await;
     assert_eq!(refused, Err(ReserveError::Exhausted));
     assert!(!first.is_given_up());
@@ -59,11 +59,11 @@
 #[tokio::test(start_paused = true)]
 async fn long_bodies_leave_a_part_to_ordinary_ones() {
     let pool = BodyPool::new(CAPACITY);
-    let mut large = pool.open(stalled(Instant::now()));
+    let mut large = pool.open(client(Instant::now()));
     assert_eq!(large.raise(CAPACITY).await, Err(ReserveError::Exhausted));
     large.raise(CAPACITY * 3 / 4).await.unwrap();
     large.seal(CAPACITY * 3 / 4);
-    let mut ordinary = pool.open(stalled(Instant::now()));
+    let mut ordinary = pool.open(client(Instant::now()));
     ordinary.raise(256 * 1_024).await.unwrap();
 }
 
@@ -71,12 +71,12 @@
 #[tokio::test(start_paused = true)]
 async fn complete_bodies_are_kept() {
     let pool = BodyPool::new(CAPACITY);
-    let activity = stalled(Instant::now());
+    let activity = client(Instant::now());
     let mut large = pool.open(activity.clone());
     large.raise(CAPACITY * 3 / 4).await.unwrap();
     large.seal(CAPACITY * 3 / 4);
     advance(Duration::from_hours(1)).await;
-    let mut newcomer = pool.open(stalled(Instant::now()));
+    let mut newcomer = pool.open(client(Instant::now()));
     assert_eq!(
         newcomer.raise(CAPACITY / 2).await,
         Err(ReserveError::Exhausted)
@@ -90,7 +90,14 @@
     let pool = BodyPool::new(CAPACITY);
     let frames = one_byte_frames(40, Duration::from_secs(1));
     let mut body = Box::pin(StreamBody::new(frames));
-    let read = read_body(&mut body, &pool, MAX_BYTES, deadline()).await;
+    let read = read_body(
+        &mut body,
+        &pool,
+        &client(Instant::now()),
+        MAX_BYTES,
+        deadline(),
+    )
+    .await;
     assert_eq!(read.unwrap().len(), 40);
 }
 
@@ -100,7 +107,14 @@
     let pool = BodyPool::new(CAPACITY);
     let frames = one_byte_frames(100, Duration::from_secs(1));
     let mut body = Box::pin(StreamBody::new(frames));
-    let read = read_body(&mut body, &pool, MAX_BYTES, deadline()).await;
+    let read = read_body(
+        &mut body,
+        &pool,
+        &client(Instant::now()),
+        MAX_BYTES,
+        deadline(),
+    )
+    .await;
     assert_eq!(read, Err(BodyError::TimedOut));
     drop(body);
     assert_eq!(pool.reserved(), 0);
@@ -111,7 +125,14 @@
 async fn a_body_announced_too_long_is_not_read() {
     let pool = BodyPool::new(CAPACITY);
     let mut body = Full::new(Bytes::from(vec![0; MAX_BYTES + 1]));
-    let read = read_body(&mut body, &pool, MAX_BYTES, deadline()).await;
+    let read = read_body(
+        &mut body,
+        &pool,
+        &client(Instant::now()),
+        MAX_BYTES,
+        deadline(),
+    )
+    .await;
     assert_eq!(read, Err(BodyError::TooLong));
     assert!(body.frame().await.is_some(), "the body is still there");
 }
@@ -152,7 +173,7 @@
                 .collect();
             let frames = sent.clone().into_iter().map(|data| Ok::<_, std::io::Error>(Frame::data(data)));
             let mut body = StreamBody::new(futures::stream::iter(frames));
-            let read = read_body(&mut body, &pool, MAX_BYTES, deadline()).await.unwrap();
+            let read = read_body(&mut body, &pool, &client(Instant::now()), MAX_BYTES, deadline()).await.unwrap();
             let held = pool.reserved();
             let copy = read.clone();
             drop(read);
--- a/crates/flaxward/src/daemon/mod.rs
+++ b/crates/flaxward/src/daemon/mod.rs
@@ -40,7 +40,6 @@
 use flaxward_wire::Peer;
 use metrics_exporter_prometheus::PrometheusHandle;
 use salvo::conn::tcp::TcpAcceptor;
-use salvo::fuse::FuseConfig;
 use salvo::prelude::{Router, Server};
 use salvo::server::ServerHandle;
 use tokio::sync::{Notify, mpsc, watch};
@@ -101,7 +100,7 @@
             watch::channel(Arc::new(Configuration::default()));
         let (demands, demanded) = mpsc::unbounded_channel();
         let for_gateway = gateway_settings(settings);
-        let limits = for_gateway.connection_limits();
+        let serving = for_gateway.clone();
         let gateway = Gateway::new(
             for_gateway,
             configuration_reader.clone(),
@@ -161,7 +160,10 @@
         let acceptor = flaxward_gateway::listen(listen_address)
             .await
             .with_context(|| format!("cannot listen on {listen_address}"))?;
-        let (address, server) = serve(acceptor, router, limits)?;
+        let address = acceptor
+            .local_addr()
+            .context("the listening socket has no address")?;
+        let server = serve(serving.server(acceptor), router);
         state_change(
             "started",
             &[
@@ -367,16 +369,8 @@
     }
 }
 
-fn serve(
-    acceptor: TcpAcceptor,
-    router: Router,
-    limits: FuseConfig,
-) -> anyhow::Result<(SocketAddr, HttpServer)> {
-    let address = acceptor
-        .local_addr()
-        .context("the listening socket has no address")?;
-    let server = Server::new(acceptor).fuse_config(limits);
+fn serve(server: Server<TcpAcceptor>, router: Router) -> HttpServer {
     let handle = server.handle();
     let running = tokio::spawn(server.serve(router));
-    Ok((address, HttpServer { handle, running }))
+    HttpServer { handle, running }
 }
--- a/crates/flaxward/tests/processes/support/daemon.rs
+++ b/crates/flaxward/tests/processes/support/daemon.rs
@@ -87,7 +87,7 @@
 
     /// Sends a signal.
     pub fn signal(&self, signal: Signal) {
-        let id = i32::try_from(self.child.id()).expect("process ids are small");
+        let id = i32::try_from(self.process_id()).expect("process ids are small");
         kill(Pid::from_raw(id), signal).expect("the daemon can be signalled");
     }
 
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use flaxward_client_limits::Reservation;
 use flaxward_control::attempt::AttemptEnd;
 use flaxward_control::stream::{StreamEnd, finish_body};
 use flaxward_types::AttemptId;
@@ -10,7 +11,6 @@
 use reqwest::{Request, Url};
 use tokio::time::Instant;
 
-use crate::bytes_budget::{BytesBudget, ReservedBytes};
 use crate::call::{Call, CallKind};
 use crate::head::{ATTEMPT_HEADER, NOT_RUN_HEADER, RESUME_HEADER};
 use crate::scheduler::BackEnd;
@@ -22,10 +22,8 @@
 pub(crate) struct BufferLimits<'a> {
     /// Maximum bytes buffered for this body.
     pub limit: usize,
-    /// Budget shared by all buffered bodies.
-    pub budget: &'a BytesBudget,
-    /// Bytes that the request has reserved so far.
-    pub reserved: &'a mut ReservedBytes,
+    /// Memory that the request has reserved so far.
+    pub reservation: &'a mut Reservation,
 }
 
 /// The body of an answer, as far as it is buffered.
@@ -95,7 +93,7 @@
     let has_stated_length = states_length(&response);
     let mut chunks = Vec::new();
     let mut length = 0;
-    let mut is_within_budget;
+    let mut has_memory;
     loop {
         let Ok(chunk) = tokio::time::timeout_at(until, response.chunk()).await else {
             return Err(AttemptEnd::TimedOut);
@@ -103,13 +101,13 @@
         match chunk {
             Ok(Some(chunk)) => {
                 length += chunk.len();
-                is_within_budget = limits.budget.reserve(limits.reserved, chunk.len());
+                has_memory = limits.reservation.raise_if_spare(chunk.len());
                 chunks.push(chunk);
             }
             Ok(None) => return finish(chunks, finish_body(false, has_stated_length)),
             Err(_) => return finish(chunks, finish_body(true, has_stated_length)),
         }
-        if length > limits.limit || !is_within_budget {
+        if length > limits.limit || !has_memory {
             let rest = Some(response);
             return Ok(Collected { chunks, rest });
         }
--- a/crates/gateway/src/body.rs
+++ b/crates/gateway/src/body.rs
@@ -1,71 +1,53 @@
-//! Reads the body of a request within the size limit and the timeout.
+//! Reads the body of a request within the limits of the daemon.
 
-use bytes::{Bytes, BytesMut};
+use std::sync::Arc;
+
+use bytes::Bytes;
+use flaxward_client_limits::{BodyError, ClientActivity, discard_rest, read_body};
 use flaxward_types::{Refusal, ResultCode};
-use futures::StreamExt;
-use salvo::http::ReqBody;
+use salvo::http::header::EXPECT;
 use salvo::prelude::Request;
+use tokio::time::Instant;
 
 use crate::answer::bad_request;
-use crate::bytes_budget::ReservedBytes;
 use crate::gateway::Gateway;
 
 /// Reads the whole body of a request.
-pub(crate) async fn read_body(
+pub(crate) async fn read_request_body(
     request: &mut Request,
     gateway: &Gateway,
-    reserved: &mut ReservedBytes,
 ) -> Result<Bytes, Refusal> {
     let settings = &gateway.settings;
-    let limit = settings.body_limit;
-    if stated_length(request).is_some_and(|length| length > limit as u64) {
-        return Err(Refusal::new(ResultCode::BodyTooLong));
-    }
-    let body = request.take_body();
-    let reading = read(body, limit, |length| {
-        gateway.byte_budget.reserve(reserved, length)
-    });
-    tokio::time::timeout(settings.body_timeout, reading)
-        .await
-        .unwrap_or_else(|_| Err(Refusal::new(ResultCode::SlowSender)))
+    let caller = Arc::new(ClientActivity::new(Instant::now()));
+    let body = read_body(
+        request.body_mut(),
+        &gateway.bodies,
+        &caller,
+        settings.body_limit,
+        Instant::now() + settings.body_timeout,
+    )
+    .await
+    .map_err(refusal)?;
+    Ok(body)
 }
 
-fn stated_length(request: &Request) -> Option<u64> {
-    let value = request.headers().get("content-length")?;
-    value.to_str().ok()?.parse().ok()
+fn refusal(error: BodyError) -> Refusal {
+    match error {
+        BodyError::TooLong => Refusal::new(ResultCode::BodyTooLong),
+        BodyError::Broken => bad_request(ResultCode::BadBody, "the body broke off"),
+        BodyError::TimedOut => Refusal::new(ResultCode::SlowSender),
+        BodyError::NoMemory => Refusal::new(ResultCode::Overloaded),
+    }
 }
 
-/// Reads to the end. Bytes are reserved as they arrive, so that a caller that states a large length
-/// and sends nothing uses none of the shared budget.
-async fn read(
-    mut body: ReqBody,
-    limit: usize,
-    mut reserve: impl FnMut(usize) -> bool,
-) -> Result<Bytes, Refusal> {
-    let mut first = Bytes::new();
-    let mut rest = BytesMut::new();
-    while let Some(frame) = body.next().await {
-        let frame = frame.map_err(|_| bad_request(ResultCode::BadBody, "the body broke off"))?;
-        let Ok(data) = frame.into_data() else {
-            continue;
-        };
-        if first.len() + rest.len() + data.len() > limit {
-            return Err(Refusal::new(ResultCode::BodyTooLong));
-        }
-        if !reserve(data.len()) {
-            return Err(Refusal::new(ResultCode::Overloaded));
-        }
-        if first.is_empty() {
-            first = data;
-        } else {
-            rest.extend_from_slice(&data);
-        }
+/// Discards what is left of a refused request's body, so that its caller can read the refusal.
+pub(crate) fn discard_body(request: &mut Request, gateway: &Gateway) {
+    // A caller that expects to be told to continue has not sent its body.
+    if request.headers().contains_key(EXPECT) {
+        return;
     }
-    if rest.is_empty() {
-        return Ok(first);
+    let body = request.take_body();
+    if !salvo::http::Body::is_end_stream(&body) {
+        tokio::spawn(discard_rest(body, gateway.settings.body_limit));
     }
-    let mut joined = BytesMut::with_capacity(first.len() + rest.len());
-    joined.extend_from_slice(&first);
-    joined.extend_from_slice(&rest);
-    Ok(joined.freeze())
 }
--- a/crates/gateway/src/completions.rs
+++ b/crates/gateway/src/completions.rs
@@ -19,7 +19,7 @@
 
 use crate::answer::bad_request;
 use crate::back_end_ticket::BackEndTicket;
-use crate::body::read_body;
+use crate::body::read_request_body;
 use crate::call::{Call, CallKind, new_attempt};
 use crate::endpoint::{Endpoint, IncomingRequest};
 use crate::gateway::{ClaimOutcome, Gateway};
@@ -88,11 +88,12 @@
             head,
             deadline,
         } = IncomingRequest::new(gateway, request, request_id)?;
-        let body = read_body(request, gateway, &mut admitted.reserved_bytes).await?;
+        let body = read_request_body(request, gateway).await?;
         let configuration = gateway.configuration().await?;
         let completion = self.read(&body, &configuration)?;
         // The engine is sent a rewritten body; the original is not kept while the request waits.
         drop(body);
+        admitted.reserve_body(&completion.body)?;
         let call = self.call(gateway, request.headers(), &head, &completion, deadline);
         let target = completion.artifact.model.as_str();
         let claim = match gateway.claim(&call, &head, target).await? {
--- a/crates/gateway/src/endpoint.rs
+++ b/crates/gateway/src/endpoint.rs
@@ -6,6 +6,7 @@
 use salvo::prelude::{Depot, FlowCtrl, Handler, Request, Response, async_trait};
 
 use crate::answer::{write_refusal, write_request_id};
+use crate::body::discard_body;
 use crate::gateway::{Admitted, Gateway};
 use crate::head::{RequestHead, read_head, request_id};
 
@@ -44,6 +45,7 @@
             Ok(()) => write_request_id(response, &request_id),
             Err(refusal) => {
                 let refusal = self.gateway.with_retry_after(refusal);
+                discard_body(request, &self.gateway);
                 write_refusal(response, &refusal, &request_id);
             }
         }
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -5,7 +5,9 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
+use bytes::Bytes;
 use flaxward_backends::ObjectApi;
+use flaxward_client_limits::{BodyPool, ClientActivity, Reservation};
 use flaxward_clock::{Clock, SystemTime};
 use flaxward_control::admission::{Admission, AdmissionEvent, ArtifactView};
 use flaxward_control::attempt::RetryBudget;
@@ -19,12 +21,11 @@
 use salvo::http::StatusCode;
 use salvo::prelude::Router;
 use tokio::sync::watch;
-use tokio::time::MissedTickBehavior;
+use tokio::time::{Instant, MissedTickBehavior};
 use tokio_util::task::TaskTracker;
 use tokio_util::task::task_tracker::TaskTrackerToken;
 
 use crate::answer::Answer;
-use crate::bytes_budget::{BytesBudget, ReservedBytes};
 use crate::call::Call;
 use crate::claims::{ClaimReply, ClaimTicket, Claims};
 use crate::completions::{CompletionKind, Completions};
@@ -53,7 +54,8 @@
     pub(crate) scheduler: Arc<Scheduler>,
     pub(crate) service_pool: Arc<ServicePool>,
     configuration: watch::Receiver<Arc<Configuration>>,
-    pub(crate) byte_budget: BytesBudget,
+    /// Memory for the bodies of requests and of buffered answers.
+    pub(crate) bodies: BodyPool,
     retry_budget: Mutex<RetryBudget>,
     claims: Arc<Claims>,
     pub(crate) crashes: Arc<CrashTracker>,
@@ -68,8 +70,17 @@
 pub(crate) struct Admitted {
     /// Delays a planned stop until it is dropped.
     pub in_progress: TaskTrackerToken,
-    /// Bytes reserved for its buffered bodies.
-    pub reserved_bytes: ReservedBytes,
+    /// Memory for its rewritten body and its buffered answer.
+    pub reservation: Reservation,
+}
+
+impl Admitted {
+    /// Reserves memory for a rewritten body.
+    pub(crate) fn reserve_body(&mut self, body: &Bytes) -> Result<(), Refusal> {
+        self.reservation
+            .raise_at_once(body.len())
+            .map_err(|_| Refusal::new(ResultCode::Overloaded))
+    }
 }
 
 /// The outcome of claiming an idempotency key.
@@ -105,7 +116,7 @@
             scheduler: Arc::new(Scheduler::new(admission, demands, clock.clone())),
             service_pool: Arc::new(ServicePool::new(zone, clock, rand::random())),
             configuration,
-            byte_budget: BytesBudget::new(settings.held_bytes),
+            bodies: BodyPool::new(settings.held_bytes),
             retry_budget: Mutex::new(retry_budget),
             claims: Arc::new(claims),
             requests,
@@ -222,9 +233,12 @@
         if self.is_stopping.load(Ordering::SeqCst) {
             return Err(Refusal::new(ResultCode::Stopping));
         }
+        let client = ClientActivity::new(Instant::now());
+        // The daemon never gives up on a caller that waits for its answer.
+        client.await_daemon();
         Ok(Admitted {
             in_progress: token,
-            reserved_bytes: ReservedBytes::default(),
+            reservation: self.bodies.open(Arc::new(client)),
         })
     }
 
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -12,7 +12,6 @@
 mod attempt;
 mod back_end_ticket;
 mod body;
-mod bytes_budget;
 mod call;
 mod claims;
 mod clock;
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 
 use bytes::Bytes;
+use flaxward_client_limits::Reservation;
 use flaxward_control::admission::BackEndFault;
 use flaxward_control::attempt::{AttemptEnd, Delivered, RequestMachine, Step};
 use flaxward_control::claims::RequestEnd;
@@ -16,7 +17,6 @@
 use crate::answer::Answer;
 use crate::attempt::{BufferLimits, CancelGuard, Collected, collect, send};
 use crate::back_end_ticket::BackEndTicket;
-use crate::bytes_budget::ReservedBytes;
 use crate::call::{Call, CallKind, new_attempt};
 use crate::claims::ClaimTicket;
 use crate::counters;
@@ -36,7 +36,7 @@
     current: Option<CurrentAttempt>,
     /// The attempt id recorded in the claim, until that attempt starts.
     first_attempt: Option<AttemptId>,
-    reserved_bytes: ReservedBytes,
+    reservation: Reservation,
     claim: Option<ClaimTicket>,
     registration: Registration,
     _in_progress: TaskTrackerToken,
@@ -68,7 +68,7 @@
         let machine = RequestMachine::new(call.policy, gateway.settings.attempts);
         Self {
             first_attempt: Some(call.first_attempt),
-            reserved_bytes: admitted.reserved_bytes,
+            reservation: admitted.reservation,
             gateway,
             call,
             ticket,
@@ -199,8 +199,7 @@
         let until = self.gateway.clock.instant(self.call.deadline);
         let limits = BufferLimits {
             limit: self.gateway.settings.answer_hold,
-            budget: &self.gateway.byte_budget,
-            reserved: &mut self.reserved_bytes,
+            reservation: &mut self.reservation,
         };
         let collected = match collect(response, limits, until).await {
             Ok(collected) => collected,
@@ -383,12 +382,15 @@
         if self.collected.rest.is_none() {
             run.settle_claim(self.request_end());
         }
-        let rest = self.collected.rest;
-        let rest = rest.map(|response| Remainder { run, response });
+        let Collected { chunks, rest } = self.collected;
+        let (body, rest) = match rest {
+            Some(response) => (chunks, Some(Remainder { run, response })),
+            None => (reserved_chunks(chunks, run.reservation), None),
+        };
         Answer {
             status: self.status,
             headers: self.headers,
-            body: self.collected.chunks,
+            body,
             rest,
         }
     }
@@ -406,6 +408,30 @@
     }
 }
 
+/// A part of an answer with the memory reserved for all of it.
+struct ReservedChunk {
+    bytes: Bytes,
+    _reservation: Arc<Reservation>,
+}
+
+impl AsRef<[u8]> for ReservedChunk {
+    fn as_ref(&self) -> &[u8] {
+        &self.bytes
+    }
+}
+
+/// The chunks of an answer, whose memory stays reserved until the caller has taken in the last of them.
+fn reserved_chunks(chunks: Vec<Bytes>, reservation: Reservation) -> Vec<Bytes> {
+    let reservation = Arc::new(reservation);
+    let reserved = chunks.into_iter().map(|bytes| {
+        Bytes::from_owner(ReservedChunk {
+            bytes,
+            _reservation: Arc::clone(&reservation),
+        })
+    });
+    reserved.collect()
+}
+
 /// Whether the chunks form one JSON document. Most answers are a single chunk, which is parsed in
 /// place.
 fn is_json(chunks: &[Bytes]) -> bool {
--- a/crates/gateway/src/services.rs
+++ b/crates/gateway/src/services.rs
@@ -7,7 +7,7 @@
 use salvo::prelude::{Request, Response};
 
 use crate::back_end_ticket::BackEndTicket;
-use crate::body::read_body;
+use crate::body::read_request_body;
 use crate::call::{Call, CallKind, new_attempt};
 use crate::endpoint::{Endpoint, IncomingRequest};
 use crate::gateway::{ClaimOutcome, Gateway};
@@ -29,7 +29,7 @@
         request_id: &str,
     ) -> Result<(), Refusal> {
         let IncomingRequest {
-            mut admitted,
+            admitted,
             head,
             deadline,
         } = IncomingRequest::new(gateway, request, request_id)?;
@@ -44,7 +44,7 @@
         };
         let method = request.method().clone();
         let headers = back_end_headers(request.headers(), &head);
-        let body = read_body(request, gateway, &mut admitted.reserved_bytes).await?;
+        let body = read_request_body(request, gateway).await?;
         let call = Call {
             kind: CallKind::Service,
             target: service.to_string(),
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -3,11 +3,14 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use flaxward_client_limits::RECEIVE_BUFFER_BYTES;
 use flaxward_control::admission::AdmissionSettings;
 use flaxward_control::attempt::{AttemptSettings, RetryBudgetSettings};
 use flaxward_control::claims::ClaimSettings;
 use flaxward_routing::quarantine::QuarantineSettings;
 use flaxward_types::ZoneName;
+use salvo::Server;
+use salvo::conn::Acceptor;
 use salvo::conn::tcp::TcpAcceptor;
 use salvo::fuse::FuseConfig;
 use socket2::SockRef;
@@ -16,6 +19,11 @@
 /// Timeout for receiving the headers of a request.
 const HEADER_TIMEOUT: Duration = Duration::from_secs(10);
 
+/// Smallest connection buffer, in bytes.
+const MIN_BUFFER_BYTES: usize = 16 * 1_024;
+/// Size of a whole head with request line and separators, as a multiple of its header names and values.
+const HEAD_BYTES_PER_HEADER_BYTE: usize = 2;
+
 /// Limits and timeouts of the API for callers. The defaults are those of the settings file.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct GatewaySettings {
@@ -87,24 +95,33 @@
         }
     }
 
-    /// Connection limits of the server: closes the connection of a caller that sends its headers
-    /// slowly or does not read its answer. Waiting for an answer is not limited here.
-    pub fn connection_limits(&self) -> FuseConfig {
-        FuseConfig::default()
+    /// A server that closes the connection of a caller that sends its headers slowly or does not
+    /// read its answer, and that buffers no more of a connection than the longest headers. Waiting
+    /// for an answer is not limited here.
+    pub fn server<A: Acceptor + Send>(&self, acceptor: A) -> Server<A> {
+        let limits = FuseConfig::default()
             .with_http1_header_timeout(HEADER_TIMEOUT)
-            .with_write_stall_timeout(self.write_stall)
+            .with_write_stall_timeout(self.write_stall);
+        let mut server = Server::new(acceptor).fuse_config(limits);
+        server
+            .http1_mut()
+            .max_buf_size(MIN_BUFFER_BYTES.max(self.header_limit * HEAD_BYTES_PER_HEADER_BYTE));
+        server
     }
 }
 
-/// Listens for callers, with `TCP_NODELAY` so that each token is sent at once. Accepted connections
-/// inherit the option from the listening socket (as on Linux). Without it a token waits for the
-/// acknowledgement of the previous one, which callers delay by up to 40 ms.
+/// Listens for callers, with receive buffers of a fixed size, and with `TCP_NODELAY` so that each
+/// token is sent at once: without it a token waits for the acknowledgement of the previous one,
+/// which callers delay by up to 40 ms. Accepted connections inherit both options (as on Linux).
 ///
 /// # Errors
 /// Fails if the address cannot be bound.
 pub async fn listen(address: SocketAddr) -> std::io::Result<TcpAcceptor> {
     let listener = TcpListener::bind(address).await?;
-    SockRef::from(&listener).set_tcp_nodelay(true)?;
+    let socket = SockRef::from(&listener);
+    socket.set_tcp_nodelay(true)?;
+    socket.set_recv_buffer_size(RECEIVE_BUFFER_BYTES)?;
+    drop(socket);
     TcpAcceptor::try_from(listener)
 }
 
--- a/crates/gateway/tests/gateway/support.rs
+++ b/crates/gateway/tests/gateway/support.rs
@@ -25,7 +25,6 @@
     VersionName, ZoneName,
 };
 use reqwest::{Method, RequestBuilder};
-use salvo::prelude::Server;
 use serde_json::Value;
 use tokio::io::AsyncReadExt;
 use tokio::net::TcpStream;
@@ -165,7 +164,7 @@
         let mut settings = GatewaySettings::new(vec![zone()]);
         settings.admission.avoid_period = Duration::from_millis(20);
         configure(&mut settings);
-        let limits = settings.connection_limits();
+        let serving = settings.clone();
         let (sender, receiver) = watch::channel(Arc::new(configuration()));
         let (demands, demand_receiver) = mpsc::unbounded_channel();
         let gateway = Gateway::new(
@@ -191,7 +190,7 @@
         gateway.on_known_coordinators(BTreeSet::from([zone()]));
         let acceptor = listen(ANY_PORT).await.expect("a free port");
         let address = acceptor.local_addr().unwrap();
-        let server = Server::new(acceptor).fuse_config(limits);
+        let server = serving.server(acceptor);
         tokio::spawn(server.serve(gateway.router()));
         // No request in these tests takes this long unless it hangs.
         let client = reqwest::Client::builder().timeout(Duration::from_secs(10));
--- a/crates/ingress/src/handler.rs
+++ b/crates/ingress/src/handler.rs
@@ -167,7 +167,9 @@
         .map_or(route.timeout, |deadline| deadline.min(route.timeout));
     let deadline = arrived_at + time_limit;
     let max_bytes = configuration.limits.body_bytes;
-    let body = read_body(body, &shared.request_bodies, max_bytes, deadline)
+    // Not the activity of the connection, which would be closed without a refusal.
+    let sender = Arc::new(ClientActivity::new(Instant::now()));
+    let body = read_body(body, &shared.request_bodies, &sender, max_bytes, deadline)
         .await
         .map_err(|error| refuse_body(error, &id))?;
     in_progress.admit(&id)?;
--- a/crates/ingress/src/server.rs
+++ b/crates/ingress/src/server.rs
@@ -14,7 +14,9 @@
 
 use anyhow::Context;
 use bytes::Bytes;
-use flaxward_client_limits::{ClientActivity, ConnectionSlot, ConnectionTable};
+use flaxward_client_limits::{
+    ClientActivity, ConnectionSlot, ConnectionTable, RECEIVE_BUFFER_BYTES,
+};
 use flaxward_settings::logs::state_change;
 use http::{Request, Response, StatusCode};
 use http_body_util::Full;
@@ -37,8 +39,6 @@
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
 /// `TCP_USER_TIMEOUT` of client connections: the time after which unacknowledged data closes them.
 const TCP_USER_TIMEOUT: Duration = Duration::from_secs(10);
-/// Receive buffer of a client connection. What clients send and the daemon does not read is held there.
-const RECEIVE_BUFFER_BYTES: usize = 64 * 1024;
 /// Maximum number of connections to the readiness and to the metrics endpoint, each.
 const MAX_PAGE_CONNECTIONS: usize = 64;
 /// Smallest connection buffer that hyper accepts.
