Own interface: a request takes a place once its body is complete

What callers saw: while many clients stopped short of the end of small bodies, all other requests were refused with 2009 until the time for a body had passed.

Cause: the number of requests in progress included those whose bodies had not arrived.

Change: only requests with complete bodies take one of gateway.max_in_progress places. As many others may be reading their bodies; beyond that the daemon gives up on the one that has been silent for the longest.

--- a/crates/gateway/src/body.rs
+++ b/crates/gateway/src/body.rs
@@ -1,33 +1,35 @@
 //! Reads the body of a request within the limits of the daemon.
 
-use std::sync::Arc;
-
 use bytes::Bytes;
-use flaxward_client_limits::{BodyError, ClientActivity, discard_rest, read_body};
+use flaxward_client_limits::{BodyError, discard_rest, read_body};
 use flaxward_types::{Refusal, ResultCode};
 use salvo::http::header::EXPECT;
 use salvo::prelude::Request;
 use tokio::time::Instant;
 
 use crate::answer::bad_request;
-use crate::gateway::Gateway;
+use crate::gateway::{Admitted, Gateway};
 
-/// Reads the whole body of a request.
+/// Reads the whole body of a request, which then takes a place among those in progress.
 pub(crate) async fn read_request_body(
     request: &mut Request,
     gateway: &Gateway,
+    admitted: &mut Admitted,
 ) -> Result<Bytes, Refusal> {
     let settings = &gateway.settings;
-    let caller = Arc::new(ClientActivity::new(Instant::now()));
+    let Some(slot) = gateway.unread_bodies.admit().await else {
+        return Err(Refusal::new(ResultCode::Overloaded));
+    };
     let body = read_body(
         request.body_mut(),
         &gateway.bodies,
-        &caller,
+        slot.activity(),
         settings.body_limit,
         Instant::now() + settings.body_timeout,
     )
     .await
     .map_err(refusal)?;
+    gateway.take_place(admitted)?;
     Ok(body)
 }
 
--- a/crates/gateway/src/completions.rs
+++ b/crates/gateway/src/completions.rs
@@ -88,7 +88,7 @@
             head,
             deadline,
         } = IncomingRequest::new(gateway, request, request_id)?;
-        let body = read_request_body(request, gateway).await?;
+        let body = read_request_body(request, gateway, &mut admitted).await?;
         let configuration = gateway.configuration().await?;
         let completion = self.read(&body, &configuration)?;
         // The engine is sent a rewritten body; the original is not kept while the request waits.
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -7,7 +7,7 @@
 
 use bytes::Bytes;
 use flaxward_backends::ObjectApi;
-use flaxward_client_limits::{BodyPool, ClientActivity, Reservation};
+use flaxward_client_limits::{BodyPool, ClientActivity, ConnectionTable, Reservation};
 use flaxward_clock::{Clock, SystemTime};
 use flaxward_control::admission::{Admission, AdmissionEvent, ArtifactView};
 use flaxward_control::attempt::RetryBudget;
@@ -20,7 +20,7 @@
 use reqwest::header::{CONTENT_TYPE, HeaderMap, HeaderValue};
 use salvo::http::StatusCode;
 use salvo::prelude::Router;
-use tokio::sync::watch;
+use tokio::sync::{OwnedSemaphorePermit, Semaphore, watch};
 use tokio::time::{Instant, MissedTickBehavior};
 use tokio_util::task::TaskTracker;
 use tokio_util::task::task_tracker::TaskTrackerToken;
@@ -56,6 +56,10 @@
     configuration: watch::Receiver<Arc<Configuration>>,
     /// Memory for the bodies of requests and of buffered answers.
     pub(crate) bodies: BodyPool,
+    /// Requests whose bodies are being read.
+    pub(crate) unread_bodies: ConnectionTable,
+    /// Places of requests with complete bodies.
+    places: Arc<Semaphore>,
     retry_budget: Mutex<RetryBudget>,
     claims: Arc<Claims>,
     pub(crate) crashes: Arc<CrashTracker>,
@@ -70,6 +74,8 @@
 pub(crate) struct Admitted {
     /// Delays a planned stop until it is dropped.
     pub in_progress: TaskTrackerToken,
+    /// Its place, once its body is complete.
+    pub place: Option<OwnedSemaphorePermit>,
     /// Memory for its rewritten body and its buffered answer.
     pub reservation: Reservation,
 }
@@ -117,6 +123,10 @@
             service_pool: Arc::new(ServicePool::new(zone, clock, rand::random())),
             configuration,
             bodies: BodyPool::new(settings.held_bytes),
+            unread_bodies: ConnectionTable::new(settings.max_in_progress),
+            places: Arc::new(Semaphore::new(
+                settings.max_in_progress.min(Semaphore::MAX_PERMITS),
+            )),
             retry_budget: Mutex::new(retry_budget),
             claims: Arc::new(claims),
             requests,
@@ -225,7 +235,7 @@
 
     /// Admits a request. It counts as in progress until the result is dropped.
     pub(crate) fn admit(&self) -> Result<Admitted, Refusal> {
-        if self.requests.len() >= self.settings.max_in_progress {
+        if self.places.available_permits() == 0 {
             return Err(Refusal::new(ResultCode::Overloaded));
         }
         let token = self.requests.token();
@@ -238,10 +248,18 @@
         client.await_daemon();
         Ok(Admitted {
             in_progress: token,
+            place: None,
             reservation: self.bodies.open(Arc::new(client)),
         })
     }
 
+    /// Gives a place to a request whose body is complete. A caller that does not send its body takes none.
+    pub(crate) fn take_place(&self, admitted: &mut Admitted) -> Result<(), Refusal> {
+        let place = Arc::clone(&self.places).try_acquire_owned();
+        admitted.place = Some(place.map_err(|_| Refusal::new(ResultCode::Overloaded))?);
+        Ok(())
+    }
+
     /// The configuration in force. A newly started daemon has none; a request waits for it up to
     /// [`CONFIGURATION_WAIT`], since a peer or the store is expected to supply it.
     pub(crate) async fn configuration(&self) -> Result<Arc<Configuration>, Refusal> {
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -11,6 +11,7 @@
 use reqwest::StatusCode;
 use reqwest::header::{CONTENT_TYPE, HeaderMap};
 use serde::de::IgnoredAny;
+use tokio::sync::OwnedSemaphorePermit;
 use tokio::time::Instant;
 use tokio_util::task::task_tracker::TaskTrackerToken;
 
@@ -40,6 +41,7 @@
     claim: Option<ClaimTicket>,
     registration: Registration,
     _in_progress: TaskTrackerToken,
+    _place: Option<OwnedSemaphorePermit>,
 }
 
 /// The attempt in progress.
@@ -77,6 +79,7 @@
             claim,
             registration,
             _in_progress: admitted.in_progress,
+            _place: admitted.place,
         }
     }
 
--- a/crates/gateway/src/services.rs
+++ b/crates/gateway/src/services.rs
@@ -29,7 +29,7 @@
         request_id: &str,
     ) -> Result<(), Refusal> {
         let IncomingRequest {
-            admitted,
+            mut admitted,
             head,
             deadline,
         } = IncomingRequest::new(gateway, request, request_id)?;
@@ -44,7 +44,7 @@
         };
         let method = request.method().clone();
         let headers = back_end_headers(request.headers(), &head);
-        let body = read_request_body(request, gateway).await?;
+        let body = read_request_body(request, gateway, &mut admitted).await?;
         let call = Call {
             kind: CallKind::Service,
             target: service.to_string(),
--- a/crates/settings/src/sections.rs
+++ b/crates/settings/src/sections.rs
@@ -68,7 +68,7 @@
         default_deadline: Duration = Default("60s");
         /// Longest deadline; a longer one is shortened to it.
         max_deadline: Duration = Default("10m");
-        /// Requests in progress at this daemon, waiting ones included, at most.
+        /// Requests in progress at this daemon, waiting ones included, at most. As many others may have bodies that are still being read.
         max_in_progress: u32 = Default("8192");
         /// Bodies of requests and answers held at this daemon, all together.
         held_bytes: ByteSize = Default("64 MiB");
