Shares of the memory: an eighth for bodies, a sixteenth for answers, 32 KiB for what a connection has not read

With a quarter, an eighth and 64 KiB, all limits met at once add up to more than the machine has: 96 MB of pools, and for each of 2,048 connections 64 KiB unread, 17 KiB buffered and its head, 230 MB beside what the daemon itself needs. Now 48 MB and 120 MB. One body or answer of 4 MiB still fits on a machine of 96 MB, which the test of a single legal body shows.

--- a/crates/client-limits/src/connections.rs
+++ b/crates/client-limits/src/connections.rs
@@ -9,7 +9,7 @@
 use crate::activity::ClientActivity;
 
 /// Receive buffer of a client's connection. What the client sends and the daemon does not read is held there.
-pub const RECEIVE_BUFFER_BYTES: usize = 64 * 1_024;
+pub const RECEIVE_BUFFER_BYTES: usize = 32 * 1_024;
 
 /// Open connections, of which there are at most a given number.
 #[derive(Clone, Debug)]
--- a/crates/ingress/src/settings.rs
+++ b/crates/ingress/src/settings.rs
@@ -27,10 +27,10 @@
 }
 
 /// Part of a machine's memory that the bodies of requests may take: one in so many bytes.
-const REQUEST_BODY_SHARE: usize = 4;
+const REQUEST_BODY_SHARE: usize = 8;
 
 /// Part of a machine's memory that collected responses may take: one in so many bytes.
-const RESPONSE_BODY_SHARE: usize = 8;
+const RESPONSE_BODY_SHARE: usize = 16;
 /// Part of a process's descriptors that connections of clients may take: one in so many.
 const CONNECTION_SHARE: usize = 2;
 /// Memory of a machine for each connection of a client, in bytes: its buffers in the process, what has arrived and is not
