Own interface: the connections of callers are limited

What callers saw: connections that sent nothing, or bodies that stopped short, took all descriptors of a daemon.

Cause: the server for callers accepted every connection.

Change: gateway.max_connections (16384) are admitted. Beyond that the daemon closes the connection whose caller has been silent for the longest, and never one whose caller waits for its answer. The tracking of response bodies is the one of the ingress. A case of the settings test that a change of the example had broken names the value again.

--- a/crates/client-limits/src/lib.rs
+++ b/crates/client-limits/src/lib.rs
@@ -12,9 +12,11 @@
 mod buffered_response;
 mod connections;
 mod pooled_buffer;
+mod tracked_body;
 
 pub use activity::ClientActivity;
 pub use body::{BodyError, discard_rest, read_body};
 pub use body_pool::{BodyPool, Reservation, ReserveError};
 pub use buffered_response::BufferedResponse;
 pub use connections::{ConnectionSlot, ConnectionTable, RECEIVE_BUFFER_BYTES};
+pub use tracked_body::TrackedBody;
--- a/crates/ingress/src/tracked_body.rs
+++ b/crates/client-limits/src/tracked_body.rs
@@ -4,38 +4,35 @@
 use std::sync::Arc;
 use std::task::{Context, Poll};
 
-use bytes::Bytes;
-use flaxward_client_limits::ClientActivity;
 use http_body::{Body, Frame, SizeHint};
-use http_body_util::BodyExt;
 use tokio::time::Instant;
 
-use crate::relay::RelayError;
-use crate::responses::ResponseBody;
+use crate::activity::ClientActivity;
 
 /// A response body whose reads by the server are recorded as the activity of its client. The server reads on only while
 /// the client takes in what was read before.
-pub(crate) struct TrackedBody {
-    inner: ResponseBody,
+#[derive(Debug)]
+pub struct TrackedBody<B> {
+    inner: B,
     client: Arc<ClientActivity>,
 }
 
-impl TrackedBody {
+impl<B> TrackedBody<B> {
     /// Wraps the body of a response to a client.
-    pub(crate) fn wrap(inner: ResponseBody, client: Arc<ClientActivity>) -> ResponseBody {
+    pub fn new(inner: B, client: Arc<ClientActivity>) -> Self {
         client.await_client(Instant::now());
-        Self { inner, client }.boxed_unsync()
+        Self { inner, client }
     }
 }
 
-impl Body for TrackedBody {
-    type Data = Bytes;
-    type Error = RelayError;
+impl<B: Body + Unpin> Body for TrackedBody<B> {
+    type Data = B::Data;
+    type Error = B::Error;
 
     fn poll_frame(
         mut self: Pin<&mut Self>,
         context: &mut Context<'_>,
-    ) -> Poll<Option<Result<Frame<Bytes>, RelayError>>> {
+    ) -> Poll<Option<Result<Frame<B::Data>, B::Error>>> {
         let polled = Pin::new(&mut self.inner).poll_frame(context);
         if polled.is_pending() {
             self.client.await_daemon();
@@ -54,7 +51,7 @@
     }
 }
 
-impl Drop for TrackedBody {
+impl<B> Drop for TrackedBody<B> {
     fn drop(&mut self) {
         self.client.await_client(Instant::now());
     }
--- a/crates/flaxward/src/daemon/gateway_settings.rs
+++ b/crates/flaxward/src/daemon/gateway_settings.rs
@@ -15,6 +15,7 @@
     gateway.default_deadline = section.default_deadline;
     gateway.max_deadline = section.max_deadline;
     gateway.max_in_progress = usize_of(section.max_in_progress.into());
+    gateway.max_connections = usize_of(section.max_connections.into());
     gateway.held_bytes = usize_of(section.held_bytes.as_u64());
     gateway.answer_hold = usize_of(section.answer_hold.as_u64());
     gateway.stream_idle = section.stream_idle;
--- a/crates/flaxward/src/daemon/mod.rs
+++ b/crates/flaxward/src/daemon/mod.rs
@@ -100,7 +100,6 @@
             watch::channel(Arc::new(Configuration::default()));
         let (demands, demanded) = mpsc::unbounded_channel();
         let for_gateway = gateway_settings(settings);
-        let serving = for_gateway.clone();
         let gateway = Gateway::new(
             for_gateway,
             configuration_reader.clone(),
@@ -163,7 +162,7 @@
         let address = acceptor
             .local_addr()
             .context("the listening socket has no address")?;
-        let server = serve(serving.server(acceptor), router);
+        let server = serve(gateway.server(acceptor), router);
         state_change(
             "started",
             &[
--- a/crates/flaxward/tests/client_crowds/own_interface.rs
+++ b/crates/flaxward/tests/client_crowds/own_interface.rs
@@ -21,6 +21,8 @@
 const LARGE_CROWD: usize = 192;
 /// Clients of a crowd with small bodies: more than the requests that may be in progress.
 const SMALL_CROWD: usize = 96;
+/// Clients of a crowd of connections: more than the descriptors.
+const CONNECTION_CROWD: usize = 1_400;
 /// Longest time that an ordinary client tries to get its answer.
 const PATIENCE: Duration = Duration::from_secs(40);
 /// Pause of an ordinary client that was refused.
@@ -36,6 +38,7 @@
     ("gateway.body_timeout", "100s"),
     ("gateway.held_bytes", "16 MiB"),
     ("gateway.max_in_progress", "64"),
+    ("gateway.max_connections", "512"),
 ];
 
 async fn start() -> (Region, Watch, SocketAddr) {
@@ -124,6 +127,21 @@
     meet(crowd, &[200, 64 * 1_024]).await;
 }
 
+// Guards against: connections that send nothing take all descriptors of the process.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn gateway_keeps_within_its_descriptors_while_many_connections_send_nothing() {
+    let _alone = ALONE.lock().await;
+    meet(vec![Script::default(); CONNECTION_CROWD], &[200]).await;
+}
+
+// Guards against: connections with bodies that stop short take all descriptors of the process.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn gateway_keeps_within_its_descriptors_while_many_bodies_stop_short() {
+    let _alone = ALONE.lock().await;
+    let crowd = crowd(CONNECTION_CROWD, Framing::Length, 100);
+    meet(crowd, &[200]).await;
+}
+
 // Guards against: a client that announces more than is allowed sees a reset in place of the refusal.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn gateway_tells_a_single_client_that_its_body_is_too_long() {
--- a/crates/flaxward/tests/gateway_settings.rs
+++ b/crates/flaxward/tests/gateway_settings.rs
@@ -12,13 +12,14 @@
 const SECTION: &str = "gateway";
 
 /// A value other than the default for each key of the section.
-const OTHER_VALUES: [(&str, &str); 22] = [
+const OTHER_VALUES: [(&str, &str); 23] = [
     ("gateway.body_limit", "2 MiB"),
     ("gateway.header_limit", "17 KiB"),
     ("gateway.body_timeout", "11s"),
     ("gateway.default_deadline", "61s"),
     ("gateway.max_deadline", "11m"),
     ("gateway.max_in_progress", "8193"),
+    ("gateway.max_connections", "16385"),
     ("gateway.held_bytes", "65 MiB"),
     ("gateway.answer_hold", "2 MiB"),
     ("gateway.stream_idle", "31s"),
--- a/crates/gateway/src/body.rs
+++ b/crates/gateway/src/body.rs
@@ -30,6 +30,9 @@
     .await
     .map_err(refusal)?;
     gateway.take_place(admitted)?;
+    if let Some(caller) = gateway.connections.activity(request) {
+        caller.await_daemon();
+    }
     Ok(body)
 }
 
--- a/crates/gateway/src/counters.rs
+++ b/crates/gateway/src/counters.rs
@@ -5,7 +5,7 @@
 use flaxward_types::{Metric, ResultCode};
 
 /// Metrics of this crate.
-pub const METRICS: [Metric; 9] = [
+pub const METRICS: [Metric; 10] = [
     REFUSED,
     ANSWERED,
     ATTEMPTS,
@@ -15,6 +15,7 @@
     TOKENS,
     BACK_END_CRASHES,
     REQUESTS_QUARANTINED,
+    CONNECTIONS_GIVEN_UP,
 ];
 
 const REFUSED: Metric = Metric::counter(
@@ -55,6 +56,16 @@
     "Requests put in quarantine because back ends have crashed under them.",
 );
 
+const CONNECTIONS_GIVEN_UP: Metric = Metric::counter(
+    "flaxward_gateway_connections_given_up_total",
+    "Connections of stalled callers that were closed because too many were open.",
+);
+
+/// Counts a connection that was closed in favour of others.
+pub(crate) fn count_connection_given_up() {
+    metrics::counter!(CONNECTIONS_GIVEN_UP.name).increment(1);
+}
+
 /// Counts a request that was cut off by a crash of its back end.
 pub(crate) fn count_back_end_crash() {
     metrics::counter!(BACK_END_CRASHES.name).increment(1);
--- a/crates/gateway/src/endpoint.rs
+++ b/crates/gateway/src/endpoint.rs
@@ -2,8 +2,12 @@
 
 use std::sync::Arc;
 
+use flaxward_client_limits::{ClientActivity, TrackedBody};
 use flaxward_types::{Refusal, Timestamp};
+use http_body_util::BodyExt;
+use salvo::http::ResBody;
 use salvo::prelude::{Depot, FlowCtrl, Handler, Request, Response, async_trait};
+use tokio::time::Instant;
 
 use crate::answer::{write_refusal, write_request_id};
 use crate::body::discard_body;
@@ -49,7 +53,21 @@
                 write_refusal(response, &refusal, &request_id);
             }
         }
+        if let Some(caller) = self.gateway.connections.activity(request) {
+            track_body(response, caller);
+        }
+    }
+}
+
+/// Records whether the caller takes in its answer.
+fn track_body(response: &mut Response, caller: Arc<ClientActivity>) {
+    let body = response.take_body();
+    if body.is_none() {
+        caller.await_client(Instant::now());
+        return;
     }
+    let body = TrackedBody::new(body, caller);
+    response.body(ResBody::Boxed(Box::pin(body.map_err(Into::into))));
 }
 
 /// A request for a back end, after admission and with its headers parsed.
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -18,8 +18,9 @@
 use flaxward_types::{DaemonName, Refusal, ResultCode, Revision, RunnerName, ZoneName};
 use futures::FutureExt;
 use reqwest::header::{CONTENT_TYPE, HeaderMap, HeaderValue};
+use salvo::conn::Acceptor;
 use salvo::http::StatusCode;
-use salvo::prelude::Router;
+use salvo::prelude::{Router, Server};
 use tokio::sync::{OwnedSemaphorePermit, Semaphore, watch};
 use tokio::time::{Instant, MissedTickBehavior};
 use tokio_util::task::TaskTracker;
@@ -29,6 +30,7 @@
 use crate::call::Call;
 use crate::claims::{ClaimReply, ClaimTicket, Claims};
 use crate::completions::{CompletionKind, Completions};
+use crate::connections::CallerConnections;
 use crate::crashes::CrashTracker;
 use crate::endpoint::{Endpoint, EndpointHandler};
 use crate::head::RequestHead;
@@ -54,6 +56,8 @@
     pub(crate) scheduler: Arc<Scheduler>,
     pub(crate) service_pool: Arc<ServicePool>,
     configuration: watch::Receiver<Arc<Configuration>>,
+    /// The connections of callers.
+    pub(crate) connections: CallerConnections,
     /// Memory for the bodies of requests and of buffered answers.
     pub(crate) bodies: BodyPool,
     /// Requests whose bodies are being read.
@@ -122,6 +126,10 @@
             scheduler: Arc::new(Scheduler::new(admission, demands, clock.clone())),
             service_pool: Arc::new(ServicePool::new(zone, clock, rand::random())),
             configuration,
+            connections: CallerConnections::new(
+                settings.max_connections,
+                settings.connection_timeouts(),
+            ),
             bodies: BodyPool::new(settings.held_bytes),
             unread_bodies: ConnectionTable::new(settings.max_in_progress),
             places: Arc::new(Semaphore::new(
@@ -136,6 +144,15 @@
         })
     }
 
+    /// The server for callers on a listening socket. Its connections are limited, as is what each
+    /// of them buffers.
+    pub fn server<A: Acceptor + Send>(&self, acceptor: A) -> Server<A> {
+        let mut server = Server::new(acceptor).fuse_policy(self.connections.clone());
+        let buffer_bytes = self.settings.buffer_bytes();
+        server.http1_mut().max_buf_size(buffer_bytes);
+        server
+    }
+
     /// The routes of the API for callers. The last route matches every path, so mount this router
     /// after all others.
     pub fn router(self: &Arc<Self>) -> Router {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -16,6 +16,7 @@
 mod claims;
 mod clock;
 mod completions;
+mod connections;
 mod counters;
 mod crashes;
 mod endpoint;
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -9,8 +9,6 @@
 use flaxward_control::claims::ClaimSettings;
 use flaxward_routing::quarantine::QuarantineSettings;
 use flaxward_types::ZoneName;
-use salvo::Server;
-use salvo::conn::Acceptor;
 use salvo::conn::tcp::TcpAcceptor;
 use salvo::fuse::FuseConfig;
 use socket2::SockRef;
@@ -41,6 +39,8 @@
     pub max_deadline: Duration,
     /// Maximum number of requests in progress at this daemon, including waiting ones.
     pub max_in_progress: usize,
+    /// Maximum number of open connections of callers.
+    pub max_connections: usize,
     /// Maximum total size of the request and answer bodies buffered at this daemon, in bytes.
     pub held_bytes: usize,
     /// Maximum size of a non-streaming answer that is buffered until it is complete, in bytes.
@@ -80,6 +80,7 @@
             default_deadline: Duration::from_mins(1),
             max_deadline: Duration::from_mins(10),
             max_in_progress: 8_192,
+            max_connections: 16_384,
             held_bytes: 64 << 20,
             answer_hold: 1 << 20,
             stream_idle: Duration::from_secs(30),
@@ -95,18 +96,17 @@
         }
     }
 
-    /// A server that closes the connection of a caller that sends its headers slowly or does not
-    /// read its answer, and that buffers no more of a connection than the longest headers. Waiting
-    /// for an answer is not limited here.
-    pub fn server<A: Acceptor + Send>(&self, acceptor: A) -> Server<A> {
-        let limits = FuseConfig::default()
+    /// Timeouts of a connection, which is closed if its caller sends its headers slowly or does not
+    /// read its answer. Waiting for an answer is not limited here.
+    pub(crate) fn connection_timeouts(&self) -> FuseConfig {
+        FuseConfig::default()
             .with_http1_header_timeout(HEADER_TIMEOUT)
-            .with_write_stall_timeout(self.write_stall);
-        let mut server = Server::new(acceptor).fuse_config(limits);
-        server
-            .http1_mut()
-            .max_buf_size(MIN_BUFFER_BYTES.max(self.header_limit * HEAD_BYTES_PER_HEADER_BYTE));
-        server
+            .with_write_stall_timeout(self.write_stall)
+    }
+
+    /// Size of the buffer of a connection, in bytes, which must hold the longest headers.
+    pub(crate) fn buffer_bytes(&self) -> usize {
+        MIN_BUFFER_BYTES.max(self.header_limit * HEAD_BYTES_PER_HEADER_BYTE)
     }
 }
 
--- a/crates/gateway/tests/gateway/support.rs
+++ b/crates/gateway/tests/gateway/support.rs
@@ -164,7 +164,6 @@
         let mut settings = GatewaySettings::new(vec![zone()]);
         settings.admission.avoid_period = Duration::from_millis(20);
         configure(&mut settings);
-        let serving = settings.clone();
         let (sender, receiver) = watch::channel(Arc::new(configuration()));
         let (demands, demand_receiver) = mpsc::unbounded_channel();
         let gateway = Gateway::new(
@@ -190,7 +189,7 @@
         gateway.on_known_coordinators(BTreeSet::from([zone()]));
         let acceptor = listen(ANY_PORT).await.expect("a free port");
         let address = acceptor.local_addr().unwrap();
-        let server = serving.server(acceptor);
+        let server = gateway.server(acceptor);
         tokio::spawn(server.serve(gateway.router()));
         // No request in these tests takes this long unless it hangs.
         let client = reqwest::Client::builder().timeout(Duration::from_secs(10));
--- a/crates/ingress/src/handler.rs
+++ b/crates/ingress/src/handler.rs
@@ -5,7 +5,7 @@
 use std::sync::{Arc, OnceLock};
 use std::time::Duration;
 
-use flaxward_client_limits::{BodyError, ClientActivity, discard_rest, read_body};
+use flaxward_client_limits::{BodyError, ClientActivity, TrackedBody, discard_rest, read_body};
 use flaxward_routing::configuration::{Configuration, Route};
 use flaxward_routing::homes::Homes;
 use flaxward_routing::tenants::Tenant;
@@ -14,6 +14,7 @@
 use http::header::{CONTENT_LENGTH, EXPECT, HOST};
 use http::request::Parts;
 use http::{HeaderMap, HeaderValue, Request, Response};
+use http_body_util::BodyExt;
 use hyper::body::{Body, Incoming};
 use tokio::time::Instant;
 
@@ -24,7 +25,6 @@
 use crate::responses::{self, ResponseBody};
 use crate::state::Shared;
 use crate::stream_origins::{self, StreamStart};
-use crate::tracked_body::TrackedBody;
 
 /// `Retry-After` of a daemon that has no configuration yet.
 const RETRY_UNCONFIGURED: Duration = Duration::from_millis(300);
@@ -103,7 +103,7 @@
             .headers_mut()
             .insert(http::header::CONNECTION, close);
     }
-    response.map(|body| TrackedBody::wrap(body, client))
+    response.map(|body| TrackedBody::new(body, client).boxed_unsync())
 }
 
 /// Discards what is left of a refused request's body, so that its client can read the refusal.
--- a/crates/ingress/src/lib.rs
+++ b/crates/ingress/src/lib.rs
@@ -37,7 +37,6 @@
 mod store_era;
 mod store_report;
 mod stream_origins;
-mod tracked_body;
 mod tunnel;
 mod tunnel_server;
 mod unreadable;
--- a/crates/settings/src/sections.rs
+++ b/crates/settings/src/sections.rs
@@ -70,6 +70,8 @@
         max_deadline: Duration = Default("10m");
         /// Requests in progress at this daemon, waiting ones included, at most. As many others may have bodies that are still being read.
         max_in_progress: u32 = Default("8192");
+        /// Open connections of callers, at most. When so many are open, the one whose caller has been silent for the longest is closed.
+        max_connections: u32 = Default("16384");
         /// Bodies of requests and answers held at this daemon, all together.
         held_bytes: ByteSize = Default("64 MiB");
         /// Longest answer without a stream that is held until it is whole, so that another attempt
--- a/crates/settings/tests/ingress.rs
+++ b/crates/settings/tests/ingress.rs
@@ -82,8 +82,8 @@
         ),
         (
             "requests",
-            "[news]",
-            "[limits]\nrequests = 0\n\n[news]",
+            "requests = 2000",
+            "requests = 0",
             ResultCode::InvalidSetting,
             "limits.requests",
         ),
