--- a/crates/settings/tests/ingress.rs
+++ b/crates/settings/tests/ingress.rs
@@ -89,14 +89,14 @@
         ),
         (
             "memory",
-            "link_mbps = 1000.0",
+            "memory_mb = 256",
             "memory_mb = 0",
             ResultCode::InvalidSetting,
             "machine.memory_mb",
         ),
         (
             "descriptors",
-            "link_mbps = 1000.0",
+            "descriptors = 4096",
             "descriptors = 0",
             ResultCode::InvalidSetting,
             "machine.descriptors",
