--- a/crates/flaxward/src/ingress.rs
+++ b/crates/flaxward/src/ingress.rs
@@ -9,7 +9,7 @@
 use flaxward::metrics_page;
 use flaxward_clock::SystemTime;
 use flaxward_ingress::network::TcpNetwork;
-use flaxward_ingress::settings::{ClientLimits, KeyTrust};
+use flaxward_ingress::settings::{KeyTrust, OverloadLimits};
 use flaxward_ingress::{Ingress, IngressSettings};
 use flaxward_platform::{PlatformControl, PlatformStore, PlatformSurface};
 use flaxward_routing::budget::RetryBudgetSettings;
@@ -169,7 +169,7 @@
             margin: share(MARGIN_SHARE),
             silence: share(SILENCE_SHARE),
         },
-        client_limits: ClientLimits::of_machine(
+        overload_limits: OverloadLimits::of_machine(
             file.machine.memory_bytes(),
             file.machine.descriptors(),
             file.limits.requests,
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -118,10 +118,8 @@
 /// Fails if the address cannot be bound.
 pub async fn listen(address: SocketAddr) -> std::io::Result<TcpAcceptor> {
     let listener = TcpListener::bind(address).await?;
-    let socket = SockRef::from(&listener);
-    socket.set_tcp_nodelay(true)?;
-    socket.set_recv_buffer_size(RECEIVE_BUFFER_BYTES)?;
-    drop(socket);
+    SockRef::from(&listener).set_tcp_nodelay(true)?;
+    SockRef::from(&listener).set_recv_buffer_size(RECEIVE_BUFFER_BYTES)?;
     TcpAcceptor::try_from(listener)
 }
 
--- a/crates/ingress/src/handler.rs
+++ b/crates/ingress/src/handler.rs
@@ -56,7 +56,7 @@
     /// # Errors
     /// Refuses the request if all places are taken.
     fn admit(&mut self, id: &str) -> Result<(), Refused> {
-        let limit = self.shared.settings.client_limits.requests;
+        let limit = self.shared.settings.overload_limits.requests;
         let admitted =
             self.shared
                 .admitted
@@ -128,7 +128,7 @@
     arrived_at: Instant,
 ) -> Result<Response<ResponseBody>, Refused> {
     let mut in_progress = InProgress::begin(shared);
-    if shared.admitted.load(Ordering::Relaxed) >= shared.settings.client_limits.requests {
+    if shared.admitted.load(Ordering::Relaxed) >= shared.settings.overload_limits.requests {
         return Err(too_many_requests(""));
     }
     if shared.is_closing() {
--- a/crates/ingress/src/server.rs
+++ b/crates/ingress/src/server.rs
@@ -138,7 +138,7 @@
     tracker: TaskTracker,
     shutdown: ClientShutdown,
 ) {
-    let connections = ConnectionTable::new(shared.settings.client_limits.connections);
+    let connections = ConnectionTable::new(shared.settings.overload_limits.connections);
     let serve = |stream, slot| {
         let closing = shutdown.closing.clone();
         client_connection(shared.clone(), stream, slot, closing)
@@ -177,7 +177,7 @@
 
 fn log_given_up(shared: &Shared) {
     metrics::counter!(CONNECTIONS_GIVEN_UP.name).increment(1);
-    let limit = shared.settings.client_limits.connections;
+    let limit = shared.settings.overload_limits.connections;
     let fields: &[(&str, &dyn Display)] = &[("limit", &limit)];
     shared
         .log
--- a/crates/ingress/src/settings.rs
+++ b/crates/ingress/src/settings.rs
@@ -35,11 +35,11 @@
 const CONNECTION_SHARE: usize = 2;
 /// Memory of a machine for each connection of a client, in bytes: its buffers in the process, what has arrived and is not
 /// read, and as much again for everything else.
-const MEMORY_PER_CONNECTION: usize = 128 * 1_024;
+const MEMORY_PER_CONNECTION: usize = 160 * 1_024;
 
 /// What all clients together may have open at one daemon.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct ClientLimits {
+pub struct OverloadLimits {
     /// Requests in progress whose bodies are complete.
     pub requests: u32,
     /// Memory for the bodies of requests, in bytes.
@@ -50,7 +50,7 @@
     pub connections: usize,
 }
 
-impl ClientLimits {
+impl OverloadLimits {
     /// Limits of a process that may use `memory_bytes` of memory and `descriptors` descriptors.
     pub fn of_machine(memory_bytes: usize, descriptors: usize, requests: u32) -> Self {
         let connections =
@@ -106,7 +106,7 @@
     /// Lease of the coordinator.
     pub lease: LeaseSettings,
     /// Limits on all clients together.
-    pub client_limits: ClientLimits,
+    pub overload_limits: OverloadLimits,
     /// Placement of models.
     pub placement: PlacementSettings,
 }
--- a/crates/ingress/src/state.rs
+++ b/crates/ingress/src/state.rs
@@ -214,8 +214,8 @@
             stop_end: None,
             store_trust: StoreTrust::new(settings.propagation_bound, seed),
         };
-        let request_bodies = BodyPool::new(settings.client_limits.request_body_bytes);
-        let response_bodies = BodyPool::new(settings.client_limits.response_body_bytes);
+        let request_bodies = BodyPool::new(settings.overload_limits.request_body_bytes);
+        let response_bodies = BodyPool::new(settings.overload_limits.response_body_bytes);
         let locality = Locality::new(settings.zone.clone(), settings.regions.clone());
         Self {
             locality,
--- a/crates/ingress/tests/ingress/support.rs
+++ b/crates/ingress/tests/ingress/support.rs
@@ -12,7 +12,7 @@
     FencedOrder, ForwardingContext, HeadKind, ProfileError, RunnerControl, Surface,
 };
 use flaxward_ingress::network::TcpNetwork;
-use flaxward_ingress::settings::{ClientLimits, KeyTrust};
+use flaxward_ingress::settings::{KeyTrust, OverloadLimits};
 use flaxward_ingress::{Ingress, IngressSettings};
 use flaxward_routing::budget::RetryBudgetSettings;
 use flaxward_routing::configuration::{
@@ -456,7 +456,7 @@
             margin: Duration::from_millis(300),
             silence: Duration::from_millis(300),
         },
-        client_limits: ClientLimits::of_machine(256_000_000, 4_096, 2_000),
+        overload_limits: OverloadLimits::of_machine(256_000_000, 4_096, 2_000),
         placement: PlacementSettings::default(),
     }
 }
--- a/crates/types/src/code.rs
+++ b/crates/types/src/code.rs
@@ -92,7 +92,7 @@
     /// This daemon is stopping and takes no new request.
     Stopping = 2008, 503, Certain, "this daemon is stopping";
     /// Too many requests are in progress at this daemon.
-    Overloaded = 2009, 503, Certain, "this daemon has too many requests in progress";
+    Overloaded = 2009, 503, Certain, "this daemon has too many requests in progress, or no memory for the body";
     /// The service has no machine that takes new work.
     NoServiceMachine = 2010, 503, Certain, "no machine of the service takes new work";
     /// The model has no recorded slot and none can be recorded while the store is down.
