Ingress: the log line of a closed connection tells both limits

A connection is closed in favour of others when too many are open or when the memory for answers is used up. The line and the metric named the first alone. The line now has the number of connections and the bytes of answers; no decision changes.

--- a/crates/client-limits/src/body.rs
+++ b/crates/client-limits/src/body.rs
@@ -39,8 +39,7 @@
 }
 
 /// Reads a body of at most `max_bytes` until `deadline`, and records in `client` whether it is the client's turn. The bytes
-/// count toward the pool until the last clone of the result
-/// is dropped.
+/// count toward the pool until the last clone of the result is dropped.
 ///
 /// # Errors
 /// Fails if the body is too long, broken or late, or if there is no memory for it. A body whose announced length is too
--- a/crates/ingress/src/counters.rs
+++ b/crates/ingress/src/counters.rs
@@ -272,5 +272,5 @@
 /// Client connections closed in favour of others.
 pub const CONNECTIONS_GIVEN_UP: Metric = Metric::counter(
     "flaxward_ingress_connections_given_up_total",
-    "Connections of stalled clients that were closed because too many were open.",
+    "Connections of stalled clients that were closed in favour of others: too many were open, or the memory for answers was used up.",
 );
--- a/crates/ingress/src/server.rs
+++ b/crates/ingress/src/server.rs
@@ -138,13 +138,13 @@
     tracker: TaskTracker,
     shutdown: ClientShutdown,
 ) {
-    let connections = ConnectionTable::new(shared.settings.overload_limits.connections);
+    let connections = &shared.client_connections;
     let serve = |stream, slot| {
         let closing = shutdown.closing.clone();
         client_connection(shared.clone(), stream, slot, closing)
     };
     tokio::select! {
-        () = accept(&listener, &tracker, &connections, serve) => {}
+        () = accept(&listener, &tracker, connections, serve) => {}
         () = shutdown.closed.cancelled() => {}
     }
     let pending = close_listener(listener).unwrap_or_else(|error| {
@@ -177,8 +177,10 @@
 
 fn log_given_up(shared: &Shared) {
     metrics::counter!(CONNECTIONS_GIVEN_UP.name).increment(1);
-    let limit = shared.settings.overload_limits.connections;
-    let fields: &[(&str, &dyn Display)] = &[("limit", &limit)];
+    let fields: &[(&str, &dyn Display)] = &[
+        ("connections", &shared.client_connections.open()),
+        ("response_bytes", &shared.response_bodies.reserved()),
+    ];
     shared
         .log
         .write(shared.now(), "stalled-connection-closed", fields);
--- a/crates/ingress/src/state.rs
+++ b/crates/ingress/src/state.rs
@@ -6,7 +6,7 @@
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 
-use flaxward_client_limits::BodyPool;
+use flaxward_client_limits::{BodyPool, ConnectionTable};
 use flaxward_clock::Clock;
 use flaxward_routing::availability::Availability;
 use flaxward_routing::balance::{self, NoRunner, SelectionContext, SelectionCriteria};
@@ -164,6 +164,8 @@
     pub requests: AtomicU32,
     /// Those of them whose bodies are complete.
     pub admitted: AtomicU32,
+    /// Connections of clients.
+    pub client_connections: ConnectionTable,
     /// Memory for the bodies of requests.
     pub request_bodies: BodyPool,
     /// Memory for the bodies of responses that are collected before they are sent.
@@ -214,6 +216,7 @@
             stop_end: None,
             store_trust: StoreTrust::new(settings.propagation_bound, seed),
         };
+        let client_connections = ConnectionTable::new(settings.overload_limits.connections);
         let request_bodies = BodyPool::new(settings.overload_limits.request_body_bytes);
         let response_bodies = BodyPool::new(settings.overload_limits.response_body_bytes);
         let locality = Locality::new(settings.zone.clone(), settings.regions.clone());
@@ -250,6 +253,7 @@
             watch_restarts: watch::Sender::new(0),
             requests: AtomicU32::new(0),
             admitted: AtomicU32::new(0),
+            client_connections,
             request_bodies,
             response_bodies,
             open_tunnels: Arc::default(),
