--- a/crates/flaxward/tests/regions.rs
+++ b/crates/flaxward/tests/regions.rs
@@ -58,6 +58,8 @@
         ("{{bounds.drain_ms}}", "2000".to_owned()),
         ("{{limits.cpu_share}}", "1.0".to_owned()),
         ("{{limits.link_mbps}}", "1000.0".to_owned()),
+        ("{{limits.memory_mb}}", "260".to_owned()),
+        ("{{limits.max_fds}}", "4100".to_owned()),
     ];
     for (gap, value) in fields {
         text = text.replace(gap, &value);
