Test of a daemon that restarts: its port is none that the system gives to connections

The test starts a daemon again at the port that the system had chosen for it, which another connection of the machine had taken meanwhile. It takes its port from a claimed block now; what it checks is unchanged.

--- a/crates/ingress/tests/ingress/access.rs
+++ b/crates/ingress/tests/ingress/access.rs
@@ -6,6 +6,7 @@
 
 use flaxward_ingress::settings::KeyTrust;
 use flaxward_routing::configuration::Configuration;
+use flaxward_soak::ports::Ports;
 use tokio::time::sleep;
 
 use crate::runner::ScriptedRunner;
@@ -163,7 +164,10 @@
     let store = store(&server, configuration_with_tenants(1, tenants));
     let mut first = daemon("a", store.share()).await;
     sleep(COORDINATION_TIME).await;
+    // A port that the system gives to no connection, since the daemon must find it free again.
+    let mut ports = Ports::claim().unwrap();
     let mut second_settings = settings("b");
+    second_settings.peer_listen = ports.free_address().unwrap();
     second_settings.key_trust.known = Some(KEY_TRUST);
     let control = Arc::new(SilentControl);
     let second = TestIngress::start_with(second_settings.clone(), store.share(), control.clone());
@@ -172,7 +176,6 @@
     // Longer than the coordinator takes to record its known daemons.
     sleep(Duration::from_millis(5_500)).await;
 
-    second_settings.peer_listen = second.ingress.as_ref().unwrap().peer_address;
     second.ingress.take().unwrap().stop().await;
     let cut_off = store.share();
     cut_off.is_silent.store(true, Ordering::Relaxed);
