--- a/crates/client-limits/tests/body_pool.rs
+++ b/crates/client-limits/tests/body_pool.rs
@@ -84,39 +84,32 @@
     assert!(!activity.is_given_up());
 }
 
-// Guards against: a slow body of legal size is cut off though nobody else needs the memory.
-#[tokio::test(start_paused = true)]
-async fn a_slow_body_is_read_to_its_end_while_there_is_room() {
-    let pool = BodyPool::new(CAPACITY);
-    let frames = one_byte_frames(40, Duration::from_secs(1));
+/// Reads a body of so many bytes, of which one comes in each second.
+async fn read_slowly(pool: &BodyPool, bytes: usize) -> Result<Bytes, BodyError> {
+    let frames = one_byte_frames(bytes, Duration::from_secs(1));
     let mut body = Box::pin(StreamBody::new(frames));
-    let read = read_body(
+    read_body(
         &mut body,
-        &pool,
+        pool,
         &client(Instant::now()),
         MAX_BYTES,
         deadline(),
     )
-    .await;
-    assert_eq!(read.unwrap().len(), 40);
+    .await
+}
+
+// Guards against: a slow body of legal size is cut off though nobody else needs the memory.
+#[tokio::test(start_paused = true)]
+async fn a_slow_body_is_read_to_its_end_while_there_is_room() {
+    let pool = BodyPool::new(CAPACITY);
+    assert_eq!(read_slowly(&pool, 40).await.unwrap().len(), 40);
 }
 
 // Guards against: a body without end is read for ever.
 #[tokio::test(start_paused = true)]
 async fn a_body_that_is_late_is_refused() {
     let pool = BodyPool::new(CAPACITY);
-    let frames = one_byte_frames(100, Duration::from_secs(1));
-    let mut body = Box::pin(StreamBody::new(frames));
-    let read = read_body(
-        &mut body,
-        &pool,
-        &client(Instant::now()),
-        MAX_BYTES,
-        deadline(),
-    )
-    .await;
-    assert_eq!(read, Err(BodyError::TimedOut));
-    drop(body);
+    assert_eq!(read_slowly(&pool, 100).await, Err(BodyError::TimedOut));
     assert_eq!(pool.reserved(), 0);
 }
 
