--- a/crates/client-limits/src/body_pool.rs
+++ b/crates/client-limits/src/body_pool.rs
@@ -214,15 +214,12 @@
     /// # Errors
     /// Fails if the pool has too few.
     pub fn raise_at_once(&mut self, bytes: usize) -> Result<(), ReserveError> {
-        let mut state = self.shared.state();
         let additional = bytes.saturating_sub(self.bytes);
-        if state.reserved + additional > self.shared.limit(bytes) {
-            return Err(ReserveError::Exhausted);
+        if self.raise_within(additional, self.shared.limit(bytes)) {
+            Ok(())
+        } else {
+            Err(ReserveError::Exhausted)
         }
-        state.set(self.id, self.bytes + additional);
-        drop(state);
-        self.bytes += additional;
-        Ok(())
     }
 
     /// Raises the reservation to `bytes`. Waits until the pool has enough, which is never if it is smaller than that.
@@ -240,14 +237,17 @@
 
     /// Raises the reservation by `additional` bytes if the pool has them and half of it stays free.
     pub fn raise_if_spare(&mut self, additional: usize) -> bool {
+        self.raise_within(additional, self.shared.capacity / 2)
+    }
+
+    /// Raises the reservation by `additional` bytes if all reservations stay within `limit`.
+    fn raise_within(&mut self, additional: usize, limit: usize) -> bool {
         let mut state = self.shared.state();
-        let bytes = self.bytes + additional;
-        if state.reserved + additional > self.shared.capacity / 2 {
+        if state.reserved + additional > limit {
             return false;
         }
-        state.set(self.id, bytes);
-        drop(state);
-        self.bytes = bytes;
+        self.bytes += additional;
+        state.set(self.id, self.bytes);
         true
     }
 
