--- a/crates/ingress/src/server.rs
+++ b/crates/ingress/src/server.rs
@@ -78,12 +78,7 @@
 {
     loop {
         match listener.accept().await {
-            Ok((stream, _)) => {
-                if let Some(slot) = connections.admit().await {
-                    network::configure(&stream, TCP_USER_TIMEOUT);
-                    tracker.spawn(serve(stream, slot));
-                }
-            }
+            Ok((stream, _)) => spawn_admitted(stream, tracker, connections, &serve).await,
             Err(error) => {
                 state_change("accept-failed", &[("error", &error)]);
                 sleep(ACCEPT_RETRY_DELAY).await;
@@ -92,6 +87,22 @@
     }
 }
 
+/// Spawns a task for a connection if `connections` admits it, and closes it otherwise.
+async fn spawn_admitted<Task, Serve>(
+    stream: TcpStream,
+    tracker: &TaskTracker,
+    connections: &ConnectionTable,
+    serve: &Serve,
+) where
+    Task: Future<Output = ()> + Send + 'static,
+    Serve: Fn(TcpStream, ConnectionSlot) -> Task,
+{
+    if let Some(slot) = connections.admit().await {
+        network::configure(&stream, TCP_USER_TIMEOUT);
+        tracker.spawn(serve(stream, slot));
+    }
+}
+
 /// Accepts the connections that are pending in the listener's backlog.
 ///
 /// # Errors
@@ -154,10 +165,7 @@
         Vec::new()
     });
     for stream in pending {
-        if let Some(slot) = connections.admit().await {
-            network::configure(&stream, TCP_USER_TIMEOUT);
-            tracker.spawn(serve(stream, slot));
-        }
+        spawn_admitted(stream, &tracker, connections, &serve).await;
     }
 }
 
