Review: a subject that crashes a runner is let through, and a sound one withheld

Tried: ten requests a second with a part that crashes the only runner of a model, beside ten sound ones with the other of two subjects, at nine daemons.

The stand-ins lose what no case uses.

--- a/review/stand-ins-2/src/fleet.rs
+++ b/review/stand-ins-2/src/fleet.rs
@@ -15,15 +15,8 @@
 pub const DRAIN_MS: u64 = 2_000;
 pub const CONTACT_MS: u64 = 3_000;
 
-/// What differs between deployments.
-#[derive(Clone, Debug, Default)]
-pub struct Options {
-    pub revoke_ms: Option<u64>,
-}
-
 pub struct Daemon {
     pub name: String,
-    pub zone: String,
     pub front: SocketAddr,
     pub ready: SocketAddr,
     settings: PathBuf,
@@ -68,15 +61,11 @@
         count: usize,
         zones: &[&str],
         store: SocketAddr,
-        options: &Options,
         folder: &Path,
         record: &Record,
     ) -> Self {
         let program = std::env::var("FLAXWARD").unwrap_or("target/release/flaxward".to_owned());
         let regions: String = zones.iter().map(|zone| format!("{zone:?} = \"costa\"\n")).collect();
-        let revocation = options.revoke_ms.map_or(String::new(), |ms| {
-            format!("revocation = \"{ms}ms\"\n")
-        });
         let mut ports = FreePorts::new();
         let daemon = |index: usize| {
             let zone = zones[index % zones.len()].to_owned();
@@ -90,14 +79,13 @@
                  stop_grace = \"8s\"\n\n[regions]\n{regions}\n[store]\naddress = \"{store}\"\n\n\
                  [coordinator]\nlease_duration = \"{LEASE_MS}ms\"\nload_window = \"5s\"\n\n\
                  [retries]\nratio = 0.2\nallowance = 58\nwindow = \"10s\"\n\n\
-                 [news]\nconfiguration = \"{CONFIG_APPLY_MS}ms\"\ndraining = \"{DRAIN_MS}ms\"\n{revocation}\n\
+                 [news]\nconfiguration = \"{CONFIG_APPLY_MS}ms\"\ndraining = \"{DRAIN_MS}ms\"\n\n\
                  [machine]\nprocessor_share = 0.25\nlink_mbps = 1000.0\nmemory_mb = 260\ndescriptors = 4100\n"
             );
             fs::write(&settings, text).expect("the settings can be written");
             Daemon {
                 log: folder.join(format!("{name}.log")),
                 name,
-                zone,
                 front,
                 ready,
                 settings,
@@ -111,10 +99,6 @@
         }
     }
 
-    pub fn index_of(&self, name: &str) -> Option<usize> {
-        self.daemons.iter().position(|daemon| daemon.name == name)
-    }
-
     pub fn start(&mut self, index: usize) {
         let daemon = &mut self.daemons[index];
         let log = File::options().create(true).append(true).open(&daemon.log);
@@ -131,24 +115,6 @@
         daemon.child = Some(child);
     }
 
-    pub fn signal(&mut self, index: usize, signal: &str) {
-        let daemon = &self.daemons[index];
-        self.record.line(&format!("SIG{signal} to {}", daemon.name));
-        if let Some(child) = &daemon.child {
-            let _ = Command::new("sh")
-                .args(["-c", &format!("kill -{signal} {}", child.id())])
-                .status();
-        }
-    }
-
-    pub fn kill(&mut self, index: usize) {
-        self.record.line(&format!("SIGKILL to {}", self.daemons[index].name));
-        if let Some(mut child) = self.daemons[index].child.take() {
-            let _ = child.kill();
-            let _ = child.wait();
-        }
-    }
-
     /// Kills several at the same moment.
     pub fn kill_together(&mut self, indices: &[usize]) {
         let mut children = Vec::new();
--- a/review/stand-ins-2/src/http.rs
+++ b/review/stand-ins-2/src/http.rs
@@ -1,8 +1,9 @@
 //! A small HTTP/1.1 server and client on loopback addresses.
 
 use std::io::{BufRead, BufReader, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::sync::Arc;
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 /// A message without its first line.
@@ -111,19 +112,47 @@
     }
 }
 
-/// Serves a listener until the process ends. `handle` returns whether the connection goes on.
-pub fn serve<Handle>(listener: TcpListener, handle: Handle)
+/// A server that can be closed as the end of its process closes it: its port and all connections at once.
+#[derive(Clone, Default)]
+pub struct Server {
+    is_over: Arc<AtomicBool>,
+    connections: Arc<Mutex<Vec<TcpStream>>>,
+}
+
+impl Server {
+    pub fn close(&self, address: SocketAddr) {
+        self.is_over.store(true, Ordering::SeqCst);
+        // Wakes the thread that accepts, which then drops the port.
+        let _ = TcpStream::connect(address);
+        while TcpStream::connect(address).is_ok() {
+            std::thread::yield_now();
+        }
+        for connection in self.connections.lock().unwrap().drain(..) {
+            let _ = connection.shutdown(Shutdown::Both);
+        }
+    }
+}
+
+/// Serves a listener until the server is closed. `handle` returns whether the connection goes on.
+pub fn serve<Handle>(listener: TcpListener, handle: Handle) -> Server
 where
     Handle: Fn(&mut Exchange<'_>) -> bool + Send + Sync + 'static,
 {
     let handle = Arc::new(handle);
+    let server = Server::default();
+    let (is_over, connections) = (server.is_over.clone(), server.connections.clone());
     std::thread::spawn(move || {
         for stream in listener.incoming().flatten() {
+            if is_over.load(Ordering::SeqCst) {
+                break;
+            }
+            connections.lock().unwrap().extend(stream.try_clone().ok());
             let handle = handle.clone();
             let serve = move || serve_connection(stream, &*handle);
             let _ = std::thread::Builder::new().stack_size(256 * 1024).spawn(serve);
         }
     });
+    server
 }
 
 fn serve_connection(mut stream: TcpStream, handle: &dyn Fn(&mut Exchange<'_>) -> bool) {
--- a/review/stand-ins-2/src/main.rs
+++ b/review/stand-ins-2/src/main.rs
@@ -5,6 +5,7 @@
 mod http;
 mod json;
 mod origins;
+mod parts;
 mod record;
 mod runner;
 mod store;
@@ -37,6 +38,7 @@
     let verdict = match case.as_str() {
         "origins" => origins::run(&origins::ALL, has_trouble, &work, &record),
         "early" => origins::run(&origins::EARLY, has_trouble, &work, &record),
+        "parts" => parts::run(has_trouble, &work, &record),
         _ => Verdict::CouldNotRun("no such case".to_owned()),
     };
     if std::env::var("KEEP_LOGS").is_err() {
--- a/review/stand-ins-2/src/origins.rs
+++ b/review/stand-ins-2/src/origins.rs
@@ -6,10 +6,10 @@
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
-use crate::fleet::{CONTACT_MS, Fleet, Options};
+use crate::fleet::{CONTACT_MS, Fleet};
 use crate::http;
 use crate::record::Record;
-use crate::runner::{Run, Runner, Work};
+use crate::runner::{Runner, Work};
 use crate::store::Store;
 use crate::Verdict;
 
@@ -203,20 +203,18 @@
 
 pub fn run(scene: &Scene, has_trouble: bool, folder: &Path, record: &Record) -> Verdict {
     let store = Store::start();
-    let runs: Arc<Mutex<Vec<Run>>> = Arc::default();
     let work = Work {
-        plain: Duration::ZERO,
+        first_event: EVENT_GAP,
         events: EVENTS,
         event_gap: EVENT_GAP,
-        load: None,
+        ..Work::default()
     };
     store.put("config", "main", &configuration());
     for (index, version) in scene.versions.into_iter().enumerate() {
         let (id, zone) = (format!("i-as-{index}"), ZONES[index % ZONES.len()]);
-        let runner = Runner::start(&id, "asistente", version, zone, work.clone(), runs.clone(), record);
-        store.put("servers", &id, &runner.entry(false));
+        Runner::start(&id, "asistente", version, zone, work.clone(), &store, record);
     }
-    let mut fleet = Fleet::new(DAEMONS, &ZONES, store.address, &Options::default(), folder, record);
+    let mut fleet = Fleet::new(DAEMONS, &ZONES, store.address, folder, record);
     let first_started_at = Instant::now();
     for index in 0..DAEMONS {
         fleet.start(index);
--- a/review/stand-ins-2/src/runner.rs
+++ b/review/stand-ins-2/src/runner.rs
@@ -7,20 +7,39 @@
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
-use crate::http::{listen, serve, Exchange};
+use crate::http::{Exchange, Server, listen, serve};
 use crate::json;
 use crate::record::Record;
+use crate::store::Store;
+
+/// Time after a crash in which the entry of the runner goes away.
+const ENTRY_LIFE: Duration = Duration::from_millis(1_500);
 
 /// What a runner does.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Default)]
 pub struct Work {
-    /// Time in which it answers a request that is not a stream.
-    pub plain: Duration,
-    /// Events of a stream, and the time between two of them.
+    /// Least time until the first event of a stream, and how much longer it may take.
+    pub first_event: Duration,
+    pub first_event_spread: Duration,
+    /// Number of events of a stream, and the time between two of them.
     pub events: u64,
     pub event_gap: Duration,
-    /// Time to load a model; `None` without an engine.
-    pub load: Option<Duration>,
+    /// Model that the engine holds at first, and the time to load it after a crash; `None` without an engine.
+    pub model: Option<(&'static str, Duration)>,
+    /// A part of a prompt that crashes the runner as it begins to write, and the time until it is back.
+    pub crashing_part: Option<(&'static str, Duration)>,
+}
+
+impl Work {
+    /// How much longer a request takes to its first event: its prompt is read beside others.
+    fn drawn_delay(&self, id: &str) -> Duration {
+        let step = |known: u64, byte: u8| {
+            let mixed = known ^ u64::from(byte);
+            mixed.wrapping_mul(0x0000_0100_0000_01b3).rotate_left(29)
+        };
+        let drawn = id.bytes().fold(0xcbf2_9ce4_8422_2325, step) % 1_000;
+        self.first_event_spread.mul_f64(drawn as f64 / 1_000.0)
+    }
 }
 
 /// What an engine holds.
@@ -38,35 +57,34 @@
             self.models.insert(model);
         }
     }
-}
 
-/// A request that a runner began to run.
-#[derive(Clone, Debug)]
-pub struct Run {
-    pub at: f64,
-    pub runner: String,
-    pub service: String,
-    pub request: String,
+    fn models(&self) -> String {
+        let model = |name: &String| format!("{{\"name\":\"{name}\",\"version\":1,\"adapters\":[]}}");
+        let models: Vec<String> = self.models.iter().map(model).collect();
+        models.join(",")
+    }
 }
 
 struct Shared {
     id: String,
     service: String,
     version: String,
+    zone: String,
     work: Work,
+    born_ms: u128,
     is_over: AtomicBool,
     running: AtomicU64,
     engine: Mutex<Engine>,
-    runs: Arc<Mutex<Vec<Run>>>,
+    server: Mutex<Option<(Server, SocketAddr)>>,
+    crashes: Arc<Mutex<Vec<f64>>>,
+    store: Store,
     record: Record,
 }
 
-/// A running runner.
-#[derive(Clone)]
+/// A running runner, and those that come after it.
 pub struct Runner {
-    pub address: SocketAddr,
-    pub zone: String,
-    shared: Arc<Shared>,
+    /// When it has crashed.
+    pub crashes: Arc<Mutex<Vec<f64>>>,
 }
 
 impl Runner {
@@ -76,53 +94,121 @@
         version: &str,
         zone: &str,
         work: Work,
-        runs: Arc<Mutex<Vec<Run>>>,
+        store: &Store,
         record: &Record,
     ) -> Self {
-        let listener = listen();
-        let address = listener.local_addr().expect("an address");
-        let shared = Arc::new(Shared {
+        let crashes: Arc<Mutex<Vec<f64>>> = Arc::default();
+        let model = work.model.map(|(model, _)| model.to_owned());
+        let engine = Engine {
+            models: model.into_iter().collect(),
+            ..Engine::default()
+        };
+        Shared {
             id: id.to_owned(),
             service: service.to_owned(),
             version: version.to_owned(),
+            zone: zone.to_owned(),
             work,
+            born_ms: unix_ms(),
             is_over: AtomicBool::new(false),
             running: AtomicU64::new(0),
-            engine: Mutex::default(),
-            runs,
+            engine: Mutex::new(engine),
+            server: Mutex::default(),
+            crashes: crashes.clone(),
+            store: store.clone(),
             record: record.clone(),
-        });
-        let serving = shared.clone();
-        serve(listener, move |exchange| answer(&serving, exchange));
-        Self {
-            address,
-            zone: zone.to_owned(),
-            shared,
         }
+        .open();
+        Self { crashes }
     }
+}
 
-    pub fn id(&self) -> &str {
-        &self.shared.id
-    }
+fn unix_ms() -> u128 {
+    let since = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH);
+    since.map_or(0, |it| it.as_millis())
+}
 
-    /// Its entry of kind `servers`.
-    pub fn entry(&self, is_draining: bool) -> String {
-        let state = if is_draining { "draining" } else { "ready" };
-        format!(
-            "{{\"service\":\"{}\",\"address\":\"{}\",\"zone\":\"{}\",\"version\":\"{}\",\"slots\":64,\
-             \"state\":\"{state}\",\"cold_left_ms\":0,\"call_seq\":0}}",
-            self.shared.service, self.address, self.zone, self.shared.version
-        )
+impl Shared {
+    /// Serves, and writes its entry.
+    fn open(self) {
+        let shared = Arc::new(self);
+        let listener = listen();
+        let address = listener.local_addr().expect("an address");
+        let serving = shared.clone();
+        let server = serve(listener, move |exchange| answer(&serving, exchange));
+        *shared.server.lock().unwrap() = Some((server, address));
+        shared.record.line(&format!("runner {} starts at {address}", shared.id));
+        shared.write_entry(address);
+        if shared.work.model.is_none() {
+            return;
+        }
+        std::thread::spawn(move || {
+            while !shared.is_over.load(Ordering::SeqCst) {
+                std::thread::sleep(Duration::from_millis(250));
+                shared.write_entry(address);
+            }
+            std::thread::sleep(ENTRY_LIFE);
+            shared.store.remove("servers", &shared.id);
+        });
     }
 
-    /// Ends it: whatever it runs is cut off, and it takes nothing more.
-    pub fn end(&self) {
-        self.shared.is_over.store(true, Ordering::SeqCst);
+    /// Its entry of kind `servers`, which changes as models come.
+    fn write_entry(&self, address: SocketAddr) {
+        let engine = match self.work.model {
+            None => String::new(),
+            Some(_) => {
+                let mut engine = self.engine.lock().unwrap();
+                engine.advance();
+                let (models, born) = (engine.models(), self.born_ms);
+                format!(",\"stage\":\"both\",\"models\":[{models}],\"born\":{born}")
+            }
+        };
+        let entry = format!(
+            "{{\"service\":\"{}\",\"address\":\"{address}\",\"zone\":\"{}\",\"version\":\"{}\",\"slots\":64,\
+             \"state\":\"ready\",\"cold_left_ms\":0,\"call_seq\":0{engine}}}",
+            self.service, self.zone, self.version
+        );
+        if !self.is_over.load(Ordering::SeqCst) {
+            self.store.put_if_other("servers", &self.id, &entry);
+        }
     }
 
-    /// Requests at work.
-    pub fn running(&self) -> u64 {
-        self.shared.running.load(Ordering::SeqCst)
+    /// Ends the process of the runner. Another one takes its place, under an id of its own and without models.
+    fn crash(&self, down: Duration) {
+        if self.is_over.swap(true, Ordering::SeqCst) {
+            return;
+        }
+        let server = self.server.lock().unwrap().take();
+        if let Some((server, address)) = server {
+            server.close(address);
+        }
+        let at = self.record.seconds();
+        self.record.line_at(at, &format!("runner {} has crashed", self.id));
+        self.crashes.lock().unwrap().push(at);
+        let (base, life) = self.id.rsplit_once('.').unwrap_or((&self.id, "0"));
+        let next = Shared {
+            id: format!("{base}.{}", life.parse().unwrap_or(0) + 1),
+            service: self.service.clone(),
+            version: self.version.clone(),
+            zone: self.zone.clone(),
+            work: self.work.clone(),
+            born_ms: 0,
+            is_over: AtomicBool::new(false),
+            running: AtomicU64::new(0),
+            engine: Mutex::default(),
+            server: Mutex::default(),
+            crashes: self.crashes.clone(),
+            store: self.store.clone(),
+            record: self.record.clone(),
+        };
+        std::thread::spawn(move || {
+            std::thread::sleep(down);
+            Shared {
+                born_ms: unix_ms(),
+                ..next
+            }
+            .open();
+        });
     }
 }
 
@@ -146,35 +232,23 @@
     let Some(id) = request.header("X-Flaxward-Request-Id").map(str::to_owned) else {
         return exchange.answer(400, &[("X-Flaxward-Not-Run", "1")], b"");
     };
+    let headers = [("X-Flaxward-Request-Id", id.as_str())];
     let expected = request.header("X-Flaxward-Expect-Instance");
     if expected.is_some_and(|expected| expected != shared.id) {
-        let headers = [("X-Flaxward-Request-Id", id.as_str())];
         return exchange.answer(421, &headers, b"");
     }
-    if shared.work.load.is_some() {
+    if shared.work.model.is_some() {
         let mut engine = shared.engine.lock().unwrap();
         engine.advance();
         let model = request.header("X-Flaxward-Model").unwrap_or("");
         if !engine.models.contains(model) {
             drop(engine);
-            let headers = [("X-Flaxward-Request-Id", id.as_str())];
             return exchange.answer(421, &headers, b"");
         }
     }
     shared.running.fetch_add(1, Ordering::SeqCst);
-    let at = shared.record.seconds();
     shared.record.line(&format!("request {id} runs at {}", shared.id));
-    shared.runs.lock().unwrap().push(Run {
-        at,
-        runner: shared.id.clone(),
-        service: shared.service.clone(),
-        request: id.clone(),
-    });
-    let goes_on = if path.starts_with("/stream") {
-        stream(shared, exchange, &id)
-    } else {
-        plain(shared, exchange, &id)
-    };
+    let goes_on = stream(shared, exchange, &id);
     shared.running.fetch_sub(1, Ordering::SeqCst);
     goes_on
 }
@@ -182,12 +256,11 @@
 fn report(shared: &Shared) -> String {
     let mut engine = shared.engine.lock().unwrap();
     engine.advance();
-    let model = |name: &String| format!("{{\"name\":\"{name}\",\"version\":1,\"adapters\":[]}}");
-    let models: Vec<String> = engine.models.iter().map(model).collect();
     format!(
-        "{{\"stage\":\"both\",\"models\":[{}],\"busy_ratio\":{},\"call_seq\":{},\"waiting_count\":0,\
-         \"running_count\":{},\"kv_used\":0,\"kv_total\":130679,\"handles\":0}}",
-        models.join(","),
+        "{{\"born\":{},\"stage\":\"both\",\"models\":[{}],\"busy_ratio\":{},\"call_seq\":{},\"waiting_count\":0,\
+         \"running_count\":{},\"kv_used\":0,\"kv_total\":129500,\"handles\":0}}",
+        shared.born_ms,
+        engine.models(),
         engine.loading.is_some(),
         engine.orders,
         shared.running.load(Ordering::SeqCst)
@@ -195,7 +268,7 @@
 }
 
 fn take_order(shared: &Shared, order: &str) -> u16 {
-    let Some(load) = shared.work.load else {
+    let Some((_, load)) = shared.work.model else {
         return 400;
     };
     let mut engine = shared.engine.lock().unwrap();
@@ -206,6 +279,7 @@
     else {
         return 400;
     };
+    shared.record.line(&format!("order {operation} {model} to {}", shared.id));
     if fence < engine.fence {
         return 412;
     }
@@ -226,27 +300,20 @@
     202
 }
 
-fn plain(shared: &Shared, exchange: &mut Exchange<'_>, id: &str) -> bool {
-    std::thread::sleep(shared.work.plain);
-    if shared.is_over.load(Ordering::SeqCst) {
-        return false;
-    }
-    let stamp = format!("stamp.{}", shared.id);
-    let headers = [
-        ("X-Flaxward-Request-Id", id),
-        ("X-Flaxward-Server-Stamp", stamp.as_str()),
-        ("X-Flaxward-Weight-Versions", "1"),
-        ("Keep-Alive", "timeout=5"),
-    ];
-    let body = format!("answer of {} ({}) to {id}", shared.id, shared.service);
-    exchange.answer(200, &headers, body.as_bytes())
-}
-
 /// Streams the events after the last one that the client has. The data of an event names its number and the
 /// software version that wrote it.
 fn stream(shared: &Shared, exchange: &mut Exchange<'_>, id: &str) -> bool {
     let last = exchange.request.header("Last-Event-Id");
     let last: u64 = last.and_then(|text| text.parse().ok()).unwrap_or(0);
+    let prompt = exchange.request.header("X-Flaxward-Prompt-Prefix").unwrap_or("");
+    let crash = shared.work.crashing_part.filter(|(part, _)| prompt.contains(part));
+    std::thread::sleep(shared.work.first_event + shared.work.drawn_delay(id));
+    if let Some((_, down)) = crash {
+        shared.crash(down);
+    }
+    if shared.is_over.load(Ordering::SeqCst) {
+        return false;
+    }
     let head = format!(
         "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\
          X-Flaxward-Request-Id: {id}\r\nX-Flaxward-Server-Stamp: stamp.{}\r\n\
@@ -257,15 +324,15 @@
         return false;
     }
     for number in last + 1..=shared.work.events {
-        std::thread::sleep(shared.work.event_gap);
-        if shared.is_over.load(Ordering::SeqCst) {
-            return false;
-        }
         let event = format!("id: {number}\ndata: {number} {}\n\n", shared.version);
         let chunk = format!("{:x}\r\n{event}\r\n", event.len());
         if exchange.stream.write_all(chunk.as_bytes()).is_err() {
             return false;
         }
+        std::thread::sleep(shared.work.event_gap);
+        if shared.is_over.load(Ordering::SeqCst) {
+            return false;
+        }
     }
     exchange.stream.write_all(b"0\r\n\r\n").is_ok()
 }
--- a/review/stand-ins-2/src/store.rs
+++ b/review/stand-ins-2/src/store.rs
@@ -125,32 +125,21 @@
         self.shared.changed.notify_all();
     }
 
+    /// The same, if it differs from what is there.
+    pub fn put_if_other(&self, kind: &str, name: &str, spec: &str) {
+        let mut contents = self.shared.contents.lock().unwrap();
+        let key = (kind.to_owned(), name.to_owned());
+        if contents.objects.get(&key).is_none_or(|(_, known)| known != spec) {
+            contents.put(kind, name, spec);
+            drop(contents);
+            self.shared.changed.notify_all();
+        }
+    }
+
     pub fn remove(&self, kind: &str, name: &str) {
         self.shared.contents.lock().unwrap().remove(kind, name);
         self.shared.changed.notify_all();
     }
-
-    /// The name of the daemon that last wrote under a condition and has not given its lease back.
-    pub fn last_holder(&self) -> Option<String> {
-        let contents = self.shared.contents.lock().unwrap();
-        let own = |(kind, _): &&(String, String)| kind != "config" && kind != "servers";
-        let key = contents.objects.keys().find(own)?;
-        let (_, spec) = contents.objects.get(key)?;
-        let holder = json::field(spec, "holder")?;
-        let is_released = json::field(spec, "released") == Some("true");
-        (!is_released).then(|| json::string(holder).to_owned())
-    }
-
-    /// The text of an object of the system's own kinds, for the record.
-    pub fn own_objects(&self) -> Vec<String> {
-        let contents = self.shared.contents.lock().unwrap();
-        let own = contents
-            .objects
-            .iter()
-            .filter(|((kind, _), _)| kind != "config" && kind != "servers");
-        own.map(|((kind, name), (_, spec))| format!("{kind}/{name} {spec}"))
-            .collect()
-    }
 }
 
 fn number(query: &str, key: &str) -> Option<u64> {
