Review: streams go on at another version when a runner starts again

Two of ten runners crash behind a cut from the store, one after the other, and start again under their ids with the software version of the other eight. Their old entries are believed until they lapse.

The stand-ins get runners that keep their id, and are formatted.

--- a/review/stand-ins-2/src/fleet.rs
+++ b/review/stand-ins-2/src/fleet.rs
@@ -47,7 +47,11 @@
     fn take(&mut self) -> SocketAddr {
         loop {
             let address = SocketAddr::from(([127, 0, 0, 1], self.next));
-            self.next = if self.next < 31_000 { self.next + 1 } else { 12_000 };
+            self.next = if self.next < 31_000 {
+                self.next + 1
+            } else {
+                12_000
+            };
             if TcpListener::bind(address).is_ok() && UdpSocket::bind(address).is_ok() {
                 return address;
             }
@@ -65,7 +69,10 @@
         record: &Record,
     ) -> Self {
         let program = std::env::var("FLAXWARD").unwrap_or("target/release/flaxward".to_owned());
-        let regions: String = zones.iter().map(|zone| format!("{zone:?} = \"costa\"\n")).collect();
+        let regions: String = zones
+            .iter()
+            .map(|zone| format!("{zone:?} = \"costa\"\n"))
+            .collect();
         let mut ports = FreePorts::new();
         let daemon = |index: usize| {
             let zone = zones[index % zones.len()].to_owned();
@@ -119,7 +126,8 @@
     pub fn kill_together(&mut self, indices: &[usize]) {
         let mut children = Vec::new();
         for &index in indices {
-            self.record.line(&format!("SIGKILL to {}", self.daemons[index].name));
+            self.record
+                .line(&format!("SIGKILL to {}", self.daemons[index].name));
             children.extend(self.daemons[index].child.take());
         }
         for child in &mut children {
--- a/review/stand-ins-2/src/http.rs
+++ b/review/stand-ins-2/src/http.rs
@@ -149,7 +149,9 @@
             connections.lock().unwrap().extend(stream.try_clone().ok());
             let handle = handle.clone();
             let serve = move || serve_connection(stream, &*handle);
-            let _ = std::thread::Builder::new().stack_size(256 * 1024).spawn(serve);
+            let _ = std::thread::Builder::new()
+                .stack_size(256 * 1024)
+                .spawn(serve);
         }
     });
     server
@@ -201,3 +203,13 @@
 pub fn listen() -> TcpListener {
     TcpListener::bind("127.0.0.1:0").expect("a free port")
 }
+
+/// Listens at an address that a process before has left.
+pub fn listen_again(address: SocketAddr) -> TcpListener {
+    loop {
+        match TcpListener::bind(address) {
+            Ok(listener) => return listener,
+            Err(_) => std::thread::sleep(Duration::from_millis(5)),
+        }
+    }
+}
--- a/review/stand-ins-2/src/main.rs
+++ b/review/stand-ins-2/src/main.rs
@@ -6,6 +6,7 @@
 mod json;
 mod origins;
 mod parts;
+mod rebirth;
 mod record;
 mod runner;
 mod store;
@@ -38,6 +39,7 @@
     let verdict = match case.as_str() {
         "origins" => origins::run(&origins::ALL, has_trouble, &work, &record),
         "early" => origins::run(&origins::EARLY, has_trouble, &work, &record),
+        "rebirth" => rebirth::run(has_trouble, &work, &record),
         "parts" => parts::run(has_trouble, &work, &record),
         _ => Verdict::CouldNotRun("no such case".to_owned()),
     };
--- a/review/stand-ins-2/src/origins.rs
+++ b/review/stand-ins-2/src/origins.rs
@@ -6,21 +6,21 @@
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
+use crate::Verdict;
 use crate::fleet::{CONTACT_MS, Fleet};
 use crate::http;
 use crate::record::Record;
 use crate::runner::{Runner, Work};
 use crate::store::Store;
-use crate::Verdict;
 
-const ZONES: [&str; 4] = ["pascuales", "duran", "centro", "daule"];
-const DAEMONS: usize = 9;
-const EVENTS: u64 = 100;
-const EVENT_GAP: Duration = Duration::from_millis(80);
+pub const ZONES: [&str; 4] = ["pascuales", "duran", "centro", "daule"];
+pub const DAEMONS: usize = 9;
+pub const EVENTS: u64 = 100;
+pub const EVENT_GAP: Duration = Duration::from_millis(80);
 const DEADLINE: Duration = Duration::from_secs(25);
 /// Time that the platform takes to start a process again.
 const RESTART: Duration = Duration::from_millis(500);
-/// Tries of a client after its first one: the pages say "a few".
+/// Tries of a client after its first one: PROTOCOL.md says "a few".
 const RETRIES: u32 = 4;
 /// Time after a refused connection until a client tries again.
 const REFUSED_PAUSE: Duration = Duration::from_millis(700);
@@ -61,7 +61,7 @@
 
 /// One try of a client.
 #[derive(Clone, Debug)]
-struct Try {
+pub struct Try {
     at: f64,
     stream: u64,
     is_resumed: bool,
@@ -71,16 +71,47 @@
     goes_on: bool,
 }
 
-struct Traffic {
-    is_over: AtomicBool,
+/// Streams of clients.
+#[derive(Default)]
+pub struct Traffic {
+    /// Tries of a client after its first one.
+    retries: u32,
+    pub is_over: AtomicBool,
     number: AtomicU64,
     tries: Mutex<Vec<Try>>,
     /// Software versions of the events of each stream that ended, and whether it was complete.
-    ended: Mutex<Vec<(u64, Vec<String>, bool)>>,
+    pub ended: Mutex<Vec<(u64, Vec<String>, bool)>>,
+}
+
+impl Traffic {
+    /// Opens a stream each `gap` until the traffic is over.
+    pub fn open(
+        fronts: Vec<SocketAddr>,
+        gap: Duration,
+        retries: u32,
+        record: &Record,
+    ) -> Arc<Self> {
+        let traffic = Arc::new(Self {
+            retries,
+            ..Self::default()
+        });
+        let (opening, record) = (traffic.clone(), record.clone());
+        std::thread::spawn(move || {
+            let fronts = Arc::new(fronts);
+            while !opening.is_over.load(Ordering::SeqCst) {
+                let (traffic, fronts, record) = (opening.clone(), fronts.clone(), record.clone());
+                let stream = traffic.number.fetch_add(1, Ordering::SeqCst);
+                std::thread::spawn(move || client(&traffic, stream, &fronts, &record));
+                std::thread::sleep(gap);
+            }
+        });
+        traffic
+    }
 }
 
-fn configuration() -> String {
-    let limits = "{\"header_bytes\":16384,\"body_bytes\":1048576,\"header_ms\":3000,\"idle_ms\":15000}";
+pub fn configuration() -> String {
+    let limits =
+        "{\"header_bytes\":16384,\"body_bytes\":1048576,\"header_ms\":3000,\"idle_ms\":15000}";
     format!(
         "{{\"version\":1,\"limits\":{limits},\"services\":[{{\"name\":\"asistente\",\"max_conns\":360}}],\"routes\":[\
          {{\"name\":\"diag\",\"host\":\"desk.example\",\"prefix\":\"/stream/\",\"kind\":\"stream\",\
@@ -112,7 +143,10 @@
         has_events: false,
         retry_after: None,
     };
-    let (left_ms, last) = (left.as_millis().to_string(), received.last_event.map(|it| it.to_string()));
+    let (left_ms, last) = (
+        left.as_millis().to_string(),
+        received.last_event.map(|it| it.to_string()),
+    );
     let resumes = received.first_by.clone();
     let mut headers = vec![
         ("Host", "desk.example"),
@@ -133,7 +167,9 @@
         return outcome;
     };
     outcome.status = head.status();
-    let retry_after = head.header("Retry-After").and_then(|text| text.parse().ok());
+    let retry_after = head
+        .header("Retry-After")
+        .and_then(|text| text.parse().ok());
     outcome.retry_after = retry_after.map(Duration::from_secs_f64);
     if outcome.status != 200 {
         return outcome;
@@ -164,7 +200,7 @@
 fn client(traffic: &Traffic, stream: u64, fronts: &[SocketAddr], record: &Record) {
     let began = Instant::now();
     let mut received = Received::default();
-    for attempt in 0..=RETRIES {
+    for attempt in 0..=traffic.retries {
         let left = DEADLINE.saturating_sub(began.elapsed());
         if left < Duration::from_millis(100) {
             break;
@@ -212,7 +248,15 @@
     store.put("config", "main", &configuration());
     for (index, version) in scene.versions.into_iter().enumerate() {
         let (id, zone) = (format!("i-as-{index}"), ZONES[index % ZONES.len()]);
-        Runner::start(&id, "asistente", version, zone, work.clone(), &store, record);
+        Runner::start(
+            &id,
+            "asistente",
+            version,
+            zone,
+            work.clone(),
+            &store,
+            record,
+        );
     }
     let mut fleet = Fleet::new(DAEMONS, &ZONES, store.address, folder, record);
     let first_started_at = Instant::now();
@@ -223,22 +267,8 @@
         return Verdict::CouldNotRun("the daemons are not ready".to_owned());
     }
     std::thread::sleep(scene.quiet.saturating_sub(first_started_at.elapsed()));
-    let fronts: Arc<Vec<SocketAddr>> = Arc::new(fleet.daemons.iter().map(|it| it.front).collect());
-    let traffic = Arc::new(Traffic {
-        is_over: AtomicBool::new(false),
-        number: AtomicU64::new(0),
-        tries: Mutex::default(),
-        ended: Mutex::default(),
-    });
-    let (opening, opening_record, stream_gap) = (traffic.clone(), record.clone(), scene.stream_gap);
-    std::thread::spawn(move || {
-        while !opening.is_over.load(Ordering::SeqCst) {
-            let (traffic, fronts, record) = (opening.clone(), fronts.clone(), opening_record.clone());
-            let stream = traffic.number.fetch_add(1, Ordering::SeqCst);
-            std::thread::spawn(move || client(&traffic, stream, &fronts, &record));
-            std::thread::sleep(stream_gap);
-        }
-    });
+    let fronts: Vec<SocketAddr> = fleet.daemons.iter().map(|it| it.front).collect();
+    let traffic = Traffic::open(fronts, scene.stream_gap, RETRIES, record);
     std::thread::sleep(scene.traffic_before);
     let killed_at = record.seconds();
     let killed: Vec<usize> = (0..scene.killed).collect();
@@ -285,10 +315,16 @@
         streams.len()
     };
     let share = |tries: &[&Try]| streams(tries, true) as f64 / streams(tries, false).max(1) as f64;
-    let mixed = ended.iter().filter(|(_, versions, _)| versions.len() > 1).count();
+    let mixed = ended
+        .iter()
+        .filter(|(_, versions, _)| versions.len() > 1)
+        .count();
     let broken: Vec<&Try> = tries.iter().filter(|it| it.is_resumed).collect();
     let refused = broken.iter().filter(|it| it.status == 503).count();
-    let unfinished = ended.iter().filter(|(_, _, is_complete)| !is_complete).count();
+    let unfinished = ended
+        .iter()
+        .filter(|(_, _, is_complete)| !is_complete)
+        .count();
     record.say(&format!(
         "killed at {killed_at:.3}, started again at {started_at:.3}; of {} streams taken up at daemons in touch {} went on, \
          of {} new ones there {} began; in all {} tries to take a stream up, {refused} got 503; {unfinished} of {} streams \
--- a/review/stand-ins-2/src/runner.rs
+++ b/review/stand-ins-2/src/runner.rs
@@ -2,12 +2,12 @@
 
 use std::collections::BTreeSet;
 use std::io::Write;
-use std::net::SocketAddr;
+use std::net::{SocketAddr, TcpListener};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
-use crate::http::{Exchange, Server, listen, serve};
+use crate::http::{Exchange, Server, listen, listen_again, serve};
 use crate::json;
 use crate::record::Record;
 use crate::store::Store;
@@ -26,6 +26,8 @@
     pub event_gap: Duration,
     /// Model that the engine holds at first, and the time to load it after a crash; `None` without an engine.
     pub model: Option<(&'static str, Duration)>,
+    /// Whether it starts again under its id, so that its entry names its start.
+    pub keeps_id: bool,
     /// A part of a prompt that crashes the runner as it begins to write, and the time until it is back.
     pub crashing_part: Option<(&'static str, Duration)>,
 }
@@ -59,7 +61,8 @@
     }
 
     fn models(&self) -> String {
-        let model = |name: &String| format!("{{\"name\":\"{name}\",\"version\":1,\"adapters\":[]}}");
+        let model =
+            |name: &String| format!("{{\"name\":\"{name}\",\"version\":1,\"adapters\":[]}}");
         let models: Vec<String> = self.models.iter().map(model).collect();
         models.join(",")
     }
@@ -85,6 +88,19 @@
 pub struct Runner {
     /// When it has crashed.
     pub crashes: Arc<Mutex<Vec<f64>>>,
+    shared: Arc<Shared>,
+}
+
+/// How a runner crashes behind a cut from the store, and starts again. All times are from the begin of the cut.
+#[derive(Clone, Copy)]
+pub struct Rebirth {
+    pub crash_after: Duration,
+    pub start_after: Duration,
+    /// Software version of the process that starts.
+    pub version: &'static str,
+    /// When the entry in the store lapses, and when the cut ends.
+    pub lapse_after: Duration,
+    pub heal_after: Duration,
 }
 
 impl Runner {
@@ -103,7 +119,7 @@
             models: model.into_iter().collect(),
             ..Engine::default()
         };
-        Shared {
+        let shared = Shared {
             id: id.to_owned(),
             service: service.to_owned(),
             version: version.to_owned(),
@@ -119,7 +135,34 @@
             record: record.clone(),
         }
         .open();
-        Self { crashes }
+        Self { crashes, shared }
+    }
+
+    /// Crashes while it is cut off from the store. The next process has its id and its address.
+    pub fn crash_behind_cut(&self, rebirth: Rebirth) {
+        let cut_at = Instant::now();
+        let wait_until =
+            |after: Duration| std::thread::sleep(after.saturating_sub(cut_at.elapsed()));
+        let (id, store, record) = (&self.shared.id, &self.shared.store, &self.shared.record);
+        record.line(&format!("runner {id} is cut off from the store"));
+        wait_until(rebirth.crash_after);
+        let Some(address) = self.shared.end() else {
+            return;
+        };
+        wait_until(rebirth.start_after);
+        let listener = listen_again(address);
+        let next = self.shared.next(id.clone(), rebirth.version);
+        let next = Shared {
+            born_ms: unix_ms(),
+            ..next
+        };
+        let next = next.listen_at(listener).0;
+        wait_until(rebirth.lapse_after);
+        store.remove("servers", id);
+        record.line(&format!("the entry of runner {id} has lapsed"));
+        wait_until(rebirth.heal_after);
+        next.write_entry(address);
+        record.line(&format!("runner {id} reaches the store again"));
     }
 }
 
@@ -130,31 +173,42 @@
 
 impl Shared {
     /// Serves, and writes its entry.
-    fn open(self) {
-        let shared = Arc::new(self);
-        let listener = listen();
-        let address = listener.local_addr().expect("an address");
-        let serving = shared.clone();
-        let server = serve(listener, move |exchange| answer(&serving, exchange));
-        *shared.server.lock().unwrap() = Some((server, address));
-        shared.record.line(&format!("runner {} starts at {address}", shared.id));
+    fn open(self) -> Arc<Self> {
+        let (shared, address) = self.listen_at(listen());
         shared.write_entry(address);
         if shared.work.model.is_none() {
-            return;
+            return shared;
         }
+        let beating = shared.clone();
         std::thread::spawn(move || {
-            while !shared.is_over.load(Ordering::SeqCst) {
+            while !beating.is_over.load(Ordering::SeqCst) {
                 std::thread::sleep(Duration::from_millis(250));
-                shared.write_entry(address);
+                beating.write_entry(address);
             }
             std::thread::sleep(ENTRY_LIFE);
-            shared.store.remove("servers", &shared.id);
+            beating.store.remove("servers", &beating.id);
         });
+        shared
+    }
+
+    fn listen_at(self, listener: TcpListener) -> (Arc<Self>, SocketAddr) {
+        let shared = Arc::new(self);
+        let address = listener.local_addr().expect("an address");
+        let serving = shared.clone();
+        let server = serve(listener, move |exchange| answer(&serving, exchange));
+        *shared.server.lock().unwrap() = Some((server, address));
+        let line = format!(
+            "runner {} of version {} starts at {address}",
+            shared.id, shared.version
+        );
+        shared.record.line(&line);
+        (shared, address)
     }
 
     /// Its entry of kind `servers`, which changes as models come.
     fn write_entry(&self, address: SocketAddr) {
         let engine = match self.work.model {
+            None if self.work.keeps_id => format!(",\"born\":{}", self.born_ms),
             None => String::new(),
             Some(_) => {
                 let mut engine = self.engine.lock().unwrap();
@@ -173,23 +227,26 @@
         }
     }
 
-    /// Ends the process of the runner. Another one takes its place, under an id of its own and without models.
-    fn crash(&self, down: Duration) {
+    /// Ends the process of the runner, if it has not ended. Returns where it has listened.
+    fn end(&self) -> Option<SocketAddr> {
         if self.is_over.swap(true, Ordering::SeqCst) {
-            return;
-        }
-        let server = self.server.lock().unwrap().take();
-        if let Some((server, address)) = server {
-            server.close(address);
+            return None;
         }
+        let (server, address) = self.server.lock().unwrap().take()?;
+        server.close(address);
         let at = self.record.seconds();
-        self.record.line_at(at, &format!("runner {} has crashed", self.id));
+        self.record
+            .line_at(at, &format!("runner {} has crashed", self.id));
         self.crashes.lock().unwrap().push(at);
-        let (base, life) = self.id.rsplit_once('.').unwrap_or((&self.id, "0"));
-        let next = Shared {
-            id: format!("{base}.{}", life.parse().unwrap_or(0) + 1),
+        Some(address)
+    }
+
+    /// The process that takes its place, without models.
+    fn next(&self, id: String, version: &str) -> Self {
+        Self {
+            id,
             service: self.service.clone(),
-            version: self.version.clone(),
+            version: version.to_owned(),
             zone: self.zone.clone(),
             work: self.work.clone(),
             born_ms: 0,
@@ -200,7 +257,17 @@
             crashes: self.crashes.clone(),
             store: self.store.clone(),
             record: self.record.clone(),
-        };
+        }
+    }
+
+    /// Ends the process of the runner. Another one takes its place, under an id of its own.
+    fn crash(&self, down: Duration) {
+        if self.end().is_none() {
+            return;
+        }
+        let (base, life) = self.id.rsplit_once('.').unwrap_or((&self.id, "0"));
+        let id = format!("{base}.{}", life.parse().unwrap_or(0) + 1);
+        let next = self.next(id, &self.version);
         std::thread::spawn(move || {
             std::thread::sleep(down);
             Shared {
@@ -247,7 +314,9 @@
         }
     }
     shared.running.fetch_add(1, Ordering::SeqCst);
-    shared.record.line(&format!("request {id} runs at {}", shared.id));
+    shared
+        .record
+        .line(&format!("request {id} runs at {}", shared.id));
     let goes_on = stream(shared, exchange, &id);
     shared.running.fetch_sub(1, Ordering::SeqCst);
     goes_on
@@ -279,7 +348,9 @@
     else {
         return 400;
     };
-    shared.record.line(&format!("order {operation} {model} to {}", shared.id));
+    shared
+        .record
+        .line(&format!("order {operation} {model} to {}", shared.id));
     if fence < engine.fence {
         return 412;
     }
@@ -305,8 +376,14 @@
 fn stream(shared: &Shared, exchange: &mut Exchange<'_>, id: &str) -> bool {
     let last = exchange.request.header("Last-Event-Id");
     let last: u64 = last.and_then(|text| text.parse().ok()).unwrap_or(0);
-    let prompt = exchange.request.header("X-Flaxward-Prompt-Prefix").unwrap_or("");
-    let crash = shared.work.crashing_part.filter(|(part, _)| prompt.contains(part));
+    let prompt = exchange
+        .request
+        .header("X-Flaxward-Prompt-Prefix")
+        .unwrap_or("");
+    let crash = shared
+        .work
+        .crashing_part
+        .filter(|(part, _)| prompt.contains(part));
     std::thread::sleep(shared.work.first_event + shared.work.drawn_delay(id));
     if let Some((_, down)) = crash {
         shared.crash(down);
--- a/review/stand-ins-2/src/store.rs
+++ b/review/stand-ins-2/src/store.rs
@@ -6,7 +6,7 @@
 use std::sync::{Arc, Condvar, Mutex};
 use std::time::{Duration, Instant};
 
-use crate::http::{listen, serve, Exchange};
+use crate::http::{Exchange, listen, serve};
 use crate::json;
 
 /// Time that an answer takes, at least and at most: the sheets say 4 ms.
@@ -16,7 +16,11 @@
 fn answer_time() -> Duration {
     static DRAWN: AtomicU64 = AtomicU64::new(0x9e37_79b9_7f4a_7c15);
     let (least, most) = ANSWER_MICROS;
-    let step = |known: u64| known.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1);
+    let step = |known: u64| {
+        known
+            .wrapping_mul(6_364_136_223_846_793_005)
+            .wrapping_add(1)
+    };
     let known = DRAWN.fetch_add(0x2545_f491_4f6c_dd1d, Ordering::Relaxed);
     Duration::from_micros(least + (step(step(known)) >> 33) % (most - least))
 }
@@ -84,7 +88,11 @@
     }
 
     fn events_after(&self, kind: &str, after: u64) -> Option<String> {
-        let later = self.changes.iter().rev().take_while(|it| it.revision > after);
+        let later = self
+            .changes
+            .iter()
+            .rev()
+            .take_while(|it| it.revision > after);
         let mut events: Vec<String> = later
             .filter(|it| it.kind == kind)
             .map(|it| format!("{{\"gone\":{},\"object\":{}}}", it.is_gone, it.object))
@@ -129,7 +137,11 @@
     pub fn put_if_other(&self, kind: &str, name: &str, spec: &str) {
         let mut contents = self.shared.contents.lock().unwrap();
         let key = (kind.to_owned(), name.to_owned());
-        if contents.objects.get(&key).is_none_or(|(_, known)| known != spec) {
+        if contents
+            .objects
+            .get(&key)
+            .is_none_or(|(_, known)| known != spec)
+        {
             contents.put(kind, name, spec);
             drop(contents);
             self.shared.changed.notify_all();
@@ -176,7 +188,11 @@
         _ => (405, "{}".to_owned()),
     };
     std::thread::sleep(answer_time());
-    exchange.answer(status, &[("Content-Type", "application/json")], body.as_bytes())
+    exchange.answer(
+        status,
+        &[("Content-Type", "application/json")],
+        body.as_bytes(),
+    )
 }
 
 fn watch(shared: &Shared, kind: &str, after: u64, wait_ms: u64) -> (u16, String) {
