Stream origins: a version that has left counts for the longest life of a stream

Cause: a stream was taken to be no older than the timeout in force and what is left of the client's deadline. A version that left before that counted as never having been.

Evidence: four tests of routing/tests/stream_origins.rs fail on the code before. Two of them are older and asked for the wrong bound: a version forgotten once the window of one attempt has passed. They now ask for 255 s, the time for which origins are kept.

Why this works: the versions that count no longer depend on what one attempt tells, and the runners have to be known for the longest deadline that clients have asked for.

--- a/crates/ingress/src/stream_origins.rs
+++ b/crates/ingress/src/stream_origins.rs
@@ -57,6 +57,7 @@
             stream: None,
         });
     }
+    shared.tables().stream_origins.note_life(profile.deadline);
     if profile.last_event.is_none() {
         return Ok(StreamStart {
             service,
--- a/crates/routing/src/stream_origins/mod.rs
+++ b/crates/routing/src/stream_origins/mod.rs
@@ -141,6 +141,12 @@
         self.history.adopt(record, now);
     }
 
+    /// Records how long a stream may live, from its beginning until its client takes it up for the last time: the deadline
+    /// of a client, or [`MAX_LIFE`] if it names none.
+    pub fn note_life(&mut self, life: Option<Duration>) {
+        self.history.note_life(life.unwrap_or(MAX_LIFE));
+    }
+
     /// Records the version of a runner that was listed at some time up to now, and may have gone since.
     pub fn note_listed(
         &mut self,
--- a/crates/routing/src/stream_origins/version_history.rs
+++ b/crates/routing/src/stream_origins/version_history.rs
@@ -10,6 +10,9 @@
 use crate::names::{ServiceName, SoftwareVersion};
 use crate::runners::RunnerTable;
 
+/// Time for which versions that have left are remembered. It exceeds [`MAX_LIFE`] for requests with longer deadlines.
+const VERSION_RETENTION: Duration = Duration::from_hours(1);
+
 /// A version, or `None` for runners whose version is unknown.
 type ListedVersion = Option<SoftwareVersion>;
 
@@ -56,6 +59,8 @@
     known_since: Option<Timestamp>,
     /// Time before that for which others knew them, as recorded.
     known_before: Duration,
+    /// Longest life of a stream that a client has asked for.
+    longest_life: Duration,
 }
 
 impl VersionHistory {
@@ -77,7 +82,7 @@
                 .extend(before.into_iter().map(|version| (version, now)));
             versions
                 .earlier
-                .retain(|_, until| now.since(*until) <= MAX_LIFE);
+                .retain(|_, until| now.since(*until) <= VERSION_RETENTION);
         }
         for (service, listed) in listed {
             let versions = self.services.entry(service.clone()).or_default();
@@ -85,6 +90,11 @@
         }
     }
 
+    /// See [`super::StreamOrigins::note_life`].
+    pub(super) fn note_life(&mut self, life: Duration) {
+        self.longest_life = self.longest_life.max(life.min(MAX_LIFE));
+    }
+
     /// Records a version that was listed at some time up to now.
     pub(super) fn note_listed(
         &mut self,
@@ -146,14 +156,16 @@
         self.known_before = Duration::from_millis(record.known_for_ms.into());
     }
 
-    /// What the versions of a service tell of a stream that began within a window before now.
+    /// What the versions of a service tell of a stream that began within a window before now. Neither the window nor
+    /// what clients have asked for so far is an upper bound for the age of a stream, so a version counts for as long as
+    /// any stream may live.
     pub(super) fn knowledge(
         &self,
         service: &ServiceName,
         window: Duration,
         now: Timestamp,
     ) -> OriginKnowledge {
-        let start = now - window;
+        let start = now - window.max(MAX_LIFE);
         let versions = self.services.get(service);
         let versions = versions.map_or_else(BTreeSet::new, |it| it.since(start));
         let mut versions = versions.into_iter();
@@ -161,7 +173,7 @@
             (None, _) => OriginKnowledge::NoRunner,
             (Some(Some(version)), None) => OriginKnowledge::OneVersion {
                 version: version.clone(),
-                covers_window: self.known_for(now) >= window,
+                covers_window: self.known_for(now) >= window.max(self.longest_life),
             },
             _ => OriginKnowledge::SeveralVersions,
         }
--- a/crates/routing/tests/stream_origins.rs
+++ b/crates/routing/tests/stream_origins.rs
@@ -118,9 +118,9 @@
     origins.note_listed(&service(), Some(&second), at(30_000));
     origins.note_runners(&table(&[Some("v1")]), at(30_000));
     let knowledge = |ms| origins.knowledge(None, &service(), WINDOW, at(ms));
-    assert_eq!(knowledge(45_000), OriginKnowledge::SeveralVersions);
+    assert_eq!(knowledge(285_000), OriginKnowledge::SeveralVersions);
     assert!(matches!(
-        knowledge(45_001),
+        knowledge(285_001),
         OriginKnowledge::OneVersion { .. }
     ));
 }
@@ -132,13 +132,45 @@
     origins.note_runners(&table(&[Some("v1"), Some("v2")]), at(0));
     origins.note_runners(&table(&[Some("v2")]), at(30_000));
     let knowledge = |ms| origins.knowledge(None, &service(), WINDOW, at(ms));
-    assert_eq!(knowledge(45_000), OriginKnowledge::SeveralVersions);
+    assert_eq!(knowledge(285_000), OriginKnowledge::SeveralVersions);
     assert!(matches!(
-        knowledge(45_001),
+        knowledge(285_001),
         OriginKnowledge::OneVersion { .. }
     ));
 }
 
+/// Guards against streams joined from two versions: the timeout of a route is shorter than the deadlines of its clients, or
+/// was shortened while streams ran, so that a version that left counted as never having been.
+#[test]
+fn a_version_that_has_left_counts_for_streams_older_than_the_window_asked_for() {
+    let mut origins = StreamOrigins::default();
+    origins.note_runners(&table(&[Some("v1")]), at(0));
+    origins.note_runners(&table(&[Some("v2")]), at(10_000));
+    let short = Duration::from_secs(4);
+    let knowledge = |window, ms| origins.knowledge(None, &service(), window, at(ms));
+    assert_eq!(knowledge(short, 20_000), OriginKnowledge::SeveralVersions);
+    let long = Duration::from_secs(400);
+    assert_eq!(knowledge(long, 400_000), OriginKnowledge::SeveralVersions);
+}
+
+/// Guards against a daemon that has known the runners for as long as a late try may still take, but not for as long as
+/// the deadlines that clients begin with.
+#[test]
+fn runners_must_be_known_for_the_longest_life_that_clients_ask_for() {
+    let covers = |life: Option<Duration>, ms| {
+        let mut origins = StreamOrigins::default();
+        origins.note_runners(&table(&[Some("v2")]), at(0));
+        origins.note_life(life);
+        let short = Duration::from_secs(4);
+        let knowledge = origins.knowledge(None, &service(), short, at(ms));
+        knowledge.is_only_version()
+    };
+    assert!(!covers(Some(WINDOW), 14_999));
+    assert!(covers(Some(WINDOW), 15_000));
+    assert!(!covers(None, 254_999));
+    assert!(covers(None, 255_000));
+}
+
 /// Guards against a restarted daemon that forgets which versions there were, or takes a version for the only one that was
 /// not the only one before.
 #[test]
