Stream origins: the first lease tells that no stream is older than the system

Cause: the only software version counts if somebody has known the runners for as long as a stream may have lived. In a new system nobody has, though no stream is older than the system.

Change: the daemon that creates the first lease, in a store that was never restored, knows that there was no system before. No daemon begins a stream that can be taken up, or reports ready, before it knows that there is a lease.

Why this works: streams begin after the first lease, its creator knew all runners by then, and the lease record passes the time on to all that start later.

--- a/crates/ingress/src/coordination/lease_changes.rs
+++ b/crates/ingress/src/coordination/lease_changes.rs
@@ -2,6 +2,7 @@
 
 use std::fmt::Display;
 use std::net::SocketAddr;
+use std::sync::atomic::Ordering;
 
 use flaxward_routing::lease::{LeaseChange, LossReason};
 use flaxward_routing::messages::Message;
@@ -92,6 +93,7 @@
         if self.follower.follow(address, term) {
             // Its silence is counted from now: before this, it was not known.
             self.coordinator_seen_at = self.shared.now();
+            self.shared.has_lease.store(true, Ordering::Relaxed);
             self.log_lease("coordinator-known", term);
         }
     }
--- a/crates/ingress/src/coordination/mod.rs
+++ b/crates/ingress/src/coordination/mod.rs
@@ -29,6 +29,7 @@
 use flaxward_routing::placement::{Order, OrderAnswer};
 use flaxward_routing::quarantine::exchange::QuarantineExchange;
 use flaxward_routing::quota::announcer::AnnouncerRole;
+use flaxward_routing::revision::StoreEra;
 use flaxward_types::ResultCode;
 use flaxward_types::time::Timestamp;
 use tokio::sync::mpsc;
@@ -74,6 +75,10 @@
     caller: Caller,
     queue: mpsc::UnboundedReceiver<Event>,
     is_store_failing: bool,
+    /// Whether the store, which was never restored, has shown that there is no lease.
+    is_lease_missing: bool,
+    /// Whether all runners were known when the last call about the lease was made.
+    knew_runners: bool,
     quotas: Quotas,
     quarantine: QuarantineExchange,
     configurations: ConfigurationExchange,
@@ -133,6 +138,8 @@
             caller,
             queue,
             is_store_failing: false,
+            is_lease_missing: false,
+            knew_runners: false,
         })
     }
 
@@ -229,6 +236,7 @@
             self.lease_changed(&change);
         }
         if let Some(call) = call {
+            self.knew_runners = self.shared.tables().runners_known;
             self.caller.call_store(call);
         }
         self.report_usage(now);
@@ -594,7 +602,13 @@
                         self.shared.adopt_versions(versions);
                     }
                 }
-                if let Some(change) = self.lease.handle_answer(answer, now) {
+                self.note_lease_existence(&answer);
+                let change = self.lease.handle_answer(answer, now);
+                if self.lease.created_first() && self.knew_runners {
+                    self.shared.tables().stream_origins.note_first_lease();
+                    self.log_lease("first-lease-created", self.lease.term(now).unwrap_or(0));
+                }
+                if let Some(change) = change {
                     self.lease_changed(&change);
                 }
                 let recorded = self.lease.recorded_members().len();
@@ -632,6 +646,19 @@
         }
     }
 
+    /// Records whether the system has had a lease; see [`Shared::has_lease`].
+    fn note_lease_existence(&mut self, answer: &LeaseAnswer) {
+        match answer {
+            LeaseAnswer::Missing(era) => self.is_lease_missing = *era == StoreEra::FIRST,
+            LeaseAnswer::Unknown => {}
+            LeaseAnswer::Found(_) | LeaseAnswer::Written(_) | LeaseAnswer::Unreadable(_) => {
+                self.is_lease_missing = false;
+            }
+        }
+        let may_exist = !self.is_lease_missing || self.follower.coordinator().is_some();
+        self.shared.has_lease.store(may_exist, Ordering::Relaxed);
+    }
+
     /// Records whether the store answers. When it answers again, all watches are restarted: those that were started while it
     /// did not answer may hang forever.
     fn note_store_answer(&mut self, answer: &LeaseAnswer) {
--- a/crates/ingress/src/state.rs
+++ b/crates/ingress/src/state.rs
@@ -154,6 +154,9 @@
     pub ending: CancellationToken,
     /// A coordinator has sent a message recently.
     pub has_coordinator: AtomicBool,
+    /// Whether the system has had a lease, as far as this daemon knows. Until then no daemon begins a stream that can be
+    /// taken up, so that whoever creates the first lease knows that there is none.
+    pub has_lease: AtomicBool,
     /// The coordinator's report on the store, and until when it is valid.
     pub store_report: watch::Sender<StoreReport>,
     /// When the store last answered this daemon, in ms of the daemon's clock.
@@ -248,6 +251,7 @@
             closing: AtomicBool::new(false),
             ending: CancellationToken::new(),
             has_coordinator: AtomicBool::new(false),
+            has_lease: AtomicBool::new(false),
             store_report: watch::Sender::new(StoreReport::default()),
             store_answered_ms: AtomicU64::new(0),
             watch_restarts: watch::Sender::new(0),
@@ -305,7 +309,8 @@
         // another one.
         let can_admit = configuration.tenants().is_empty()
             || self.is_configuration_within(self.settings.key_trust.known);
-        !self.is_stopping() && knows_runners && can_admit
+        let can_begin_streams = self.has_lease.load(Ordering::Relaxed);
+        !self.is_stopping() && knows_runners && can_admit && can_begin_streams
     }
 
     /// Time since the configuration in force here was last confirmed as the newest; `None` if it
--- a/crates/ingress/src/stream_origins.rs
+++ b/crates/ingress/src/stream_origins.rs
@@ -2,6 +2,7 @@
 //! stream that a client takes up, this daemon and the keepers are asked.
 
 use std::fmt::Display;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use flaxward_routing::configuration::{Route, RouteKind};
@@ -30,6 +31,9 @@
 /// `Retry-After` if the origin of a stream is not known: the keepers may answer again once a coordinator is elected.
 const RETRY_UNKNOWN_ORIGIN: Duration = Duration::from_secs(2);
 
+/// `Retry-After` until the first coordinator of the system is elected.
+const RETRY_BEFORE_FIRST_LEASE: Duration = Duration::from_millis(500);
+
 /// How a request begins or continues a stream.
 pub(crate) struct StreamStart {
     /// The service to which the request is sent.
@@ -43,7 +47,7 @@
 /// Determines where a request for a service may be sent if it continues a stream.
 ///
 /// # Errors
-/// Refuses a request that continues a stream of unknown origin.
+/// Refuses a request that continues a stream of unknown origin, or begins one before the system has had a lease.
 pub(crate) async fn stream_start(
     shared: &Shared,
     route: &Route,
@@ -59,6 +63,9 @@
     }
     shared.tables().stream_origins.note_life(profile.deadline);
     if profile.last_event.is_none() {
+        if !shared.has_lease.load(Ordering::Relaxed) {
+            return Err(before_first_lease(route, profile));
+        }
         return Ok(StreamStart {
             service,
             software_version: None,
@@ -81,6 +88,13 @@
     }
 }
 
+fn before_first_lease(route: &Route, profile: &RequestProfile) -> Refused {
+    let refusal =
+        Refusal::new(ResultCode::NoCoordinator).with_retry_after(RETRY_BEFORE_FIRST_LEASE);
+    let reason = "no coordinator has been elected since the system was set up".to_owned();
+    Refused::unsent(&profile.id, route.name.as_str(), refusal, reason)
+}
+
 fn unknown_origin(route: &Route, profile: &RequestProfile) -> Refused {
     let refusal =
         Refusal::new(ResultCode::StreamOriginUnknown).with_retry_after(RETRY_UNKNOWN_ORIGIN);
--- a/crates/ingress/tests/ingress/software_versions.rs
+++ b/crates/ingress/tests/ingress/software_versions.rs
@@ -6,6 +6,7 @@
 
 use std::collections::{BTreeSet, HashMap};
 use std::net::SocketAddr;
+use std::sync::atomic::Ordering::Relaxed;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
@@ -30,6 +31,9 @@
 /// Longest life of a stream in the tests that restart all daemons.
 const LONG_STREAM: Duration = Duration::from_secs(4);
 
+/// A deadline that exceeds the time for which the daemons of a test have run.
+const VERY_LONG_STREAM: Duration = Duration::from_secs(25);
+
 /// The list entry of a runner with a software version.
 fn runner(index: usize, server: &ScriptedRunner, version: &str) -> Runner {
     Runner {
@@ -242,6 +246,49 @@
     response.text().await.unwrap();
 }
 
+/// Guards against streams that are lost in the first seconds of a system: nobody has known the runners for as long as a
+/// stream may live, though no stream is older than the system.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stream_is_taken_up_soon_after_the_first_start_of_the_system() {
+    let server = ScriptedRunner::start(Vec::new()).await;
+    let runners = vec![runner(0, &server, "v1")];
+    let mut cluster = Cluster::start(runners, &["z0", "z0", "z0"]).await;
+    server.set_script(vec![Behaviour::SlowEvents(1, 60)]);
+    begin_stream(cluster.daemon(2), "first").await;
+    cluster.kill(2);
+    server.set_script(vec![Behaviour::Events(2, 4)]);
+    let request = take_up(cluster.daemon(1), "second", "first");
+    let deadline = VERY_LONG_STREAM.as_millis().to_string();
+    let response = request.header("x-deadline", deadline).send().await;
+    let response = response.unwrap();
+    assert_eq!(response.status(), 200);
+    response.text().await.unwrap();
+}
+
+/// Guards against a first lease that is taken for the beginning of the system after streams have begun: without a lease,
+/// no stream that can be taken up begins.
+#[tokio::test(flavor = "multi_thread")]
+async fn no_resumable_stream_begins_before_the_first_lease() {
+    let server = ScriptedRunner::start(vec![Behaviour::Events(1, 3)]).await;
+    let store = MemoryStore::default();
+    store.set_runners(vec![runner(0, &server, "v1")]);
+    store.set_configuration(configuration(1, Vec::new()));
+    store.refuses_leases.store(true, Relaxed);
+    let accepting = store.refuses_leases.clone();
+    let control = Arc::new(ImmediateLoadControl::default());
+    let test = TestIngress::start_with_store("d", store, control).await;
+    sleep(Duration::from_millis(800)).await;
+    assert_ne!(test.ready_status().await, 200);
+    let refused = test.request("/stream/x", "first").send().await.unwrap();
+    assert_eq!(refused.status(), 503);
+    assert_eq!(server.received().len(), 0);
+    accepting.store(false, Relaxed);
+    test.until_ready().await;
+    let response = test.request("/stream/x", "second").send().await.unwrap();
+    assert_eq!(response.status(), 200);
+    response.text().await.unwrap();
+}
+
 /// Guards against streams that are refused after all daemons were killed: none of the new processes has known the runners
 /// for longer than a stream lasts, but the lease record tells which versions there were.
 #[tokio::test(flavor = "multi_thread")]
--- a/crates/ingress/tests/ingress/store.rs
+++ b/crates/ingress/tests/ingress/store.rs
@@ -77,6 +77,8 @@
     pub withholds_pages: AtomicBool,
     /// Lists of runners are not answered.
     pub withholds_lists: AtomicBool,
+    /// The lease can't be created.
+    pub refuses_leases: Arc<AtomicBool>,
     watches_cut: Notify,
     history_start: AtomicU64,
 }
@@ -311,6 +313,9 @@
 
     async fn create_lease(&self, record: &LeaseRecord) -> Result<Changed, StoreError> {
         self.answer().await?;
+        if self.refuses_leases.load(Relaxed) {
+            return Err(StoreError::Refused(503));
+        }
         let mut contents = self.contents.lock().unwrap();
         if let Some(lease) = contents.lease() {
             return Ok(Changed::Conflict(lease));
--- a/crates/routing/src/lease/answers.rs
+++ b/crates/routing/src/lease/answers.rs
@@ -2,6 +2,8 @@
 
 use flaxward_types::time::Timestamp;
 
+use crate::revision::StoreEra;
+
 use super::provisional_period::ProvisionalPeriod;
 use super::superseded::Superseded;
 use super::{
@@ -13,6 +15,7 @@
     /// Processes the outcome of the pending call.
     pub fn handle_answer(&mut self, answer: LeaseAnswer, now: Timestamp) -> Option<LeaseChange> {
         let (call, sent_at) = self.pending_call.take()?;
+        self.created_first = self.is_first(&call, &answer);
         self.note_answer(&answer, now);
         match answer {
             // The precondition named a revision of another history, where the same number may
@@ -49,6 +52,15 @@
         }
     }
 
+    /// Whether an answer confirms that the first lease of the system was created.
+    fn is_first(&self, call: &LeaseCall, answer: &LeaseAnswer) -> bool {
+        let LeaseAnswer::Written(lease) = answer else {
+            return false;
+        };
+        let is_created = matches!(call, LeaseCall::Create(_)) && self.held.is_none();
+        is_created && lease.revision.era == StoreEra::FIRST && self.highest_term == 0
+    }
+
     /// Records the era and the term in an answer.
     fn note_answer(&mut self, answer: &LeaseAnswer, now: Timestamp) {
         if let Some(revision) = answer.revision() {
--- a/crates/routing/src/lease/mod.rs
+++ b/crates/routing/src/lease/mod.rs
@@ -113,6 +113,8 @@
     stopping: bool,
     /// Since when this daemon reaches no runner.
     partitioned_since: Option<Timestamp>,
+    /// Whether this daemon has created the first lease of the system.
+    created_first: bool,
 }
 
 impl LeaseStateMachine {
@@ -141,6 +143,7 @@
             stands_by: true,
             stopping: false,
             partitioned_since: None,
+            created_first: false,
         }
     }
 
@@ -300,6 +303,12 @@
                 .is_some_and(is_partitioned_long_enough)
     }
 
+    /// Whether this daemon has created the first lease of the system: there was no object in a store that was never
+    /// restored from a backup, and no daemon has named a term.
+    pub fn created_first(&self) -> bool {
+        self.created_first
+    }
+
     /// Whether this daemon holds no lease that is still to be released.
     pub fn is_released(&self) -> bool {
         self.held.is_none()
--- a/crates/routing/src/stream_origins/mod.rs
+++ b/crates/routing/src/stream_origins/mod.rs
@@ -147,6 +147,12 @@
         self.history.note_life(life.unwrap_or(MAX_LIFE));
     }
 
+    /// Records that this daemon, which knows all runners, has created the first lease of the system. No stream that can be
+    /// taken up begins before there is a lease, so no other version can have begun one.
+    pub fn note_first_lease(&mut self) {
+        self.history.note_first_lease();
+    }
+
     /// Records the version of a runner that was listed at some time up to now, and may have gone since.
     pub fn note_listed(
         &mut self,
--- a/crates/routing/src/stream_origins/version_history.rs
+++ b/crates/routing/src/stream_origins/version_history.rs
@@ -95,6 +95,11 @@
         self.longest_life = self.longest_life.max(life.min(MAX_LIFE));
     }
 
+    /// See [`super::StreamOrigins::note_first_lease`].
+    pub(super) fn note_first_lease(&mut self) {
+        self.known_before = MAX_LIFE;
+    }
+
     /// Records a version that was listed at some time up to now.
     pub(super) fn note_listed(
         &mut self,
