Stream origins: the coordinator keeps them in the store

Cause: the origins of streams were in the memory of the coordinator and two standbys only; with these three every record is gone.

Change: the coordinator writes what it is told to the store each 100 ms, while a service has several versions, and a new one reads it before it answers. A daemon without a coordinator writes what it knows each second. A client whose origin can't become known gets no Retry-After.

Evidence: streams_of_two_versions_are_taken_up_after_all_daemons_were_killed fails on the code before.

Why this works: a record outlives all daemons once a write is acknowledged, and it stays true, since a request's ID names one stream.

--- a/crates/ingress/src/coordination/calls.rs
+++ b/crates/ingress/src/coordination/calls.rs
@@ -11,6 +11,7 @@
 use flaxward_routing::placement::{
     Action, Operation, Order, OrderAnswer, Reason, RunnerReport, SettledOrder,
 };
+use flaxward_routing::stream_origins::backup::BackupAnswer;
 use flaxward_types::time::Timestamp;
 use tokio::sync::mpsc::UnboundedSender;
 
@@ -22,6 +23,7 @@
 /// Result of a call.
 pub(super) enum Event {
     Lease(LeaseAnswer),
+    OriginBackup(BackupAnswer),
     Report {
         runner: RunnerId,
         report: Option<RunnerReport>,
--- a/crates/ingress/src/coordination/mod.rs
+++ b/crates/ingress/src/coordination/mod.rs
@@ -9,6 +9,7 @@
 mod leader;
 mod lease_changes;
 mod notices;
+mod origin_backup;
 mod permits;
 mod quotas;
 mod standby;
@@ -30,6 +31,7 @@
 use flaxward_routing::quarantine::exchange::QuarantineExchange;
 use flaxward_routing::quota::announcer::AnnouncerRole;
 use flaxward_routing::revision::StoreEra;
+use flaxward_routing::stream_origins::backup::OriginBackup;
 use flaxward_types::ResultCode;
 use flaxward_types::time::Timestamp;
 use tokio::sync::mpsc;
@@ -82,6 +84,7 @@
     quotas: Quotas,
     quarantine: QuarantineExchange,
     configurations: ConfigurationExchange,
+    origin_backup: OriginBackup,
     arrivals: ArrivalBound,
     /// When a message of the coordinator last arrived, by any route.
     coordinator_seen_at: Timestamp,
@@ -121,6 +124,7 @@
             quotas: Quotas::new(address, now),
             quarantine: QuarantineExchange::new(address),
             configurations: ConfigurationExchange::default(),
+            origin_backup: OriginBackup::new(format!("{}-{:x}", shared.settings.name, shared.seed)),
             arrivals: ArrivalBound::new(now),
             coordinator_seen_at: now,
             coordinator_relay: None,
@@ -250,6 +254,7 @@
         self.send_concurrency(now);
         self.send_stream_origins(now);
         self.send_origin_questions();
+        self.back_up_origins(now);
         end_cold_periods(&self.shared);
         self.announce_limits(now);
         if self.leader.as_ref().is_some_and(|it| now >= it.plan_due()) {
@@ -617,6 +622,7 @@
                     self.shared.set_daemons(recorded, "lease");
                 }
             }
+            Event::OriginBackup(answer) => self.handle_backup_answer(answer),
             Event::Report {
                 runner,
                 report,
--- a/crates/ingress/src/coordination/stream_origins.rs
+++ b/crates/ingress/src/coordination/stream_origins.rs
@@ -41,8 +41,13 @@
         }
     }
 
-    /// Answers the questions of another daemon.
+    /// Answers the questions of another daemon. A coordinator that has not read the stored origins yet does not answer: its
+    /// answer that there is no record is final.
     pub(super) fn answer_origin_questions(&mut self, questions: &OriginQuestions) {
+        let term = self.leader.as_ref().map(|leader| leader.term);
+        if term.is_some_and(|term| !self.origin_backup.has_read(term)) {
+            return;
+        }
         let now = self.shared.now();
         let tables = self.shared.tables();
         let answer = |question: &OriginQuestion| {
--- a/crates/ingress/src/counted_store.rs
+++ b/crates/ingress/src/counted_store.rs
@@ -10,6 +10,7 @@
 use flaxward_routing::names::Zone;
 use flaxward_routing::revision::StoreRevision;
 use flaxward_routing::runners::Runner;
+use flaxward_routing::stream_origins::backup::StoredOrigins;
 
 use crate::counters::STORE_CALLS;
 use crate::interfaces::{
@@ -117,4 +118,18 @@
         let answer = self.0.replace_lease(record, revision).await;
         counted("replace-lease", answer)
     }
+
+    async fn stream_origins(&self) -> Result<Listing<StoredOrigins>, StoreError> {
+        counted("stream-origins", self.0.stream_origins().await)
+    }
+
+    async fn create_stream_origins(&self, stored: &StoredOrigins) -> Result<(), StoreError> {
+        let answer = self.0.create_stream_origins(stored).await;
+        counted("create-stream-origins", answer)
+    }
+
+    async fn delete_stream_origins(&self, name: &str) -> Result<(), StoreError> {
+        let answer = self.0.delete_stream_origins(name).await;
+        counted("delete-stream-origins", answer)
+    }
 }
--- a/crates/ingress/src/counters.rs
+++ b/crates/ingress/src/counters.rs
@@ -3,7 +3,7 @@
 use flaxward_types::Metric;
 
 /// Metrics of this crate.
-pub const METRICS: [Metric; 44] = [
+pub const METRICS: [Metric; 45] = [
     SERVED,
     REFUSED,
     ATTEMPTS_FAILED,
@@ -42,6 +42,7 @@
     CONCURRENCY_PERMITS,
     RETRIES,
     STREAM_ORIGINS,
+    STORED_ORIGINS,
     CONNECTIONS_RELAYED,
     PARTITIONS,
     TUNNELS,
@@ -214,6 +215,11 @@
     "flaxward_ingress_stream_origins_total",
     "Streams that clients took up, by `outcome`: the software version that began them was `recorded`, is the `only-version` of the service, or is `unknown`.",
 );
+/// Streams whose origins were written to the store.
+pub const STORED_ORIGINS: Metric = Metric::counter(
+    "flaxward_ingress_stored_origins_total",
+    "Streams whose origins this daemon has written to the store.",
+);
 /// Waits of requests because all runners that hold their model were cold and at capacity.
 pub const CAPACITY_WAITS: Metric = Metric::counter(
     "flaxward_ingress_room_waits_total",
--- a/crates/ingress/src/interfaces.rs
+++ b/crates/ingress/src/interfaces.rs
@@ -13,6 +13,7 @@
 use flaxward_routing::request::RequestProfile;
 use flaxward_routing::revision::{StoreEra, StoreRevision};
 use flaxward_routing::runners::Runner;
+use flaxward_routing::stream_origins::backup::StoredOrigins;
 use flaxward_routing::tenants::KeyDigest;
 use http::{HeaderMap, StatusCode};
 use thiserror::Error;
@@ -202,7 +203,7 @@
 /// Callback for each page of a paged listing.
 pub type PageHandler<'a> = dyn Fn(&[Runner]) + Send + Sync + 'a;
 
-/// The store of the configuration, the runners, the evacuated zones and the lease.
+/// The store of the configuration, the runners, the evacuated zones, the lease and the origins of streams.
 #[async_trait]
 pub trait ClusterStore: Send + Sync {
     /// Reads the configuration in force, if there is one.
@@ -260,6 +261,15 @@
         record: &LeaseRecord,
         revision: StoreRevision,
     ) -> Result<Changed, StoreError>;
+
+    /// Reads all stored origins of streams.
+    async fn stream_origins(&self) -> Result<Listing<StoredOrigins>, StoreError>;
+
+    /// Creates an object with origins of streams. It is no error if it exists: an earlier call may have been executed.
+    async fn create_stream_origins(&self, stored: &StoredOrigins) -> Result<(), StoreError>;
+
+    /// Deletes the origins of streams with this name, if they exist.
+    async fn delete_stream_origins(&self, name: &str) -> Result<(), StoreError>;
 }
 
 /// An order with the preconditions under which a runner may execute it.
--- a/crates/ingress/src/state.rs
+++ b/crates/ingress/src/state.rs
@@ -97,6 +97,8 @@
     pub stream_origins: StreamOrigins,
     /// The other daemons that keep the origins of streams.
     pub origin_keepers: Vec<SocketAddr>,
+    /// This daemon coordinates and has read the origins of streams from the store.
+    pub knows_stored_origins: bool,
     pub splits: SplitChooser,
     pub waiting: HashMap<Requirement, Waiting>,
     pub readiness_estimates: HashMap<Requirement, ReadinessEstimate>,
@@ -212,6 +214,7 @@
             quarantine: Quarantine::new(settings.quarantine).with_daemon(&settings.name),
             stream_origins: StreamOrigins::default(),
             origin_keepers: Vec::new(),
+            knows_stored_origins: false,
             splits: SplitChooser::default(),
             waiting: HashMap::new(),
             readiness_estimates: HashMap::new(),
--- a/crates/ingress/src/stream_origins.rs
+++ b/crates/ingress/src/stream_origins.rs
@@ -2,6 +2,7 @@
 //! stream that a client takes up, this daemon and the keepers are asked.
 
 use std::fmt::Display;
+use std::net::SocketAddr;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
@@ -73,7 +74,7 @@
         });
     }
     let stream = profile.resumes.as_deref().map(StreamKey::of);
-    let origin = origin(shared, route, profile, stream, &service).await;
+    let Inquiry { origin, is_final } = inquire(shared, route, profile, stream, &service).await;
     let is_on_route = |origin: &StreamOrigin| {
         let mut services = route.services.iter();
         services.any(|weighted| weighted.service == origin.service)
@@ -84,7 +85,7 @@
             software_version: Some(origin.version),
             stream,
         }),
-        None => Err(unknown_origin(route, profile)),
+        None => Err(unknown_origin(route, profile, is_final)),
     }
 }
 
@@ -95,9 +96,12 @@
     Refused::unsent(&profile.id, route.name.as_str(), refusal, reason)
 }
 
-fn unknown_origin(route: &Route, profile: &RequestProfile) -> Refused {
-    let refusal =
-        Refusal::new(ResultCode::StreamOriginUnknown).with_retry_after(RETRY_UNKNOWN_ORIGIN);
+/// Refuses to continue a stream. If its origin can't become known, coming back later does not help its client.
+fn unknown_origin(route: &Route, profile: &RequestProfile, is_final: bool) -> Refused {
+    let mut refusal = Refusal::new(ResultCode::StreamOriginUnknown);
+    if !is_final {
+        refusal = refusal.with_retry_after(RETRY_UNKNOWN_ORIGIN);
+    }
     let reason = "the software version that began the stream is not known".to_owned();
     Refused::unsent(&profile.id, route.name.as_str(), refusal, reason)
 }
@@ -107,14 +111,22 @@
     route.timeout.max(profile.deadline.unwrap_or_default())
 }
 
-/// The origin of a stream that a client takes up; `None` if it is not certain.
-async fn origin(
+/// What is known of the origin of a stream that a client takes up.
+struct Inquiry {
+    /// The origin; `None` if it is not certain.
+    origin: Option<StreamOrigin>,
+    /// Nobody else can know more: the coordinator, which knows what is stored, has answered.
+    is_final: bool,
+}
+
+/// Asks for the origin of a stream that a client takes up.
+async fn inquire(
     shared: &Shared,
     route: &Route,
     profile: &RequestProfile,
     stream: Option<StreamKey>,
     service: &ServiceName,
-) -> Option<StreamOrigin> {
+) -> Inquiry {
     let window = stream_window(route, profile);
     let own_knowledge = || {
         let tables = shared.tables();
@@ -122,7 +134,11 @@
         origins.knowledge(stream, service, window, shared.now())
     };
     let mut own = own_knowledge();
-    let keepers = shared.tables().origin_keepers.clone();
+    let (keepers, coordinator, knows_stored) = {
+        let tables = shared.tables();
+        let keepers = tables.origin_keepers.clone();
+        (keepers, tables.permit_keeper, tables.knows_stored_origins)
+    };
     let asks = !matches!(own, OriginKnowledge::Recorded(_));
     let answers = if asks {
         let question = |number| OriginQuestion {
@@ -135,6 +151,10 @@
     } else {
         Vec::new()
     };
+    let has_answered = answers
+        .iter()
+        .any(|(keeper, _)| Some(*keeper) == coordinator);
+    let answers: Vec<OriginKnowledge> = answers.into_iter().map(|(_, answer)| answer).collect();
     let has_others = !keepers.is_empty() || shared.daemons() > 1;
     let mut own_counts_alone = !has_others;
     if has_others && answers.is_empty() && own.is_only_version() {
@@ -143,7 +163,12 @@
     }
     let origin = resolve(service, &own, &answers, own_counts_alone);
     log_origin(shared, profile, origin.as_ref(), &own, &answers);
-    origin
+    let mut known = std::iter::once(&own).chain(&answers);
+    let has_several = known.any(|it| *it == OriginKnowledge::SeveralVersions);
+    Inquiry {
+        origin,
+        is_final: has_several && (has_answered || knows_stored),
+    }
 }
 
 fn log_origin(
@@ -202,20 +227,23 @@
         }
     }
 
-    /// Asks the keepers for the origin of a stream, until one has a record of it or all have answered.
+    /// Asks the keepers for the origin of a stream, until one has a record of it or all have answered. Returns the answers
+    /// with the keepers that gave them.
     async fn ask_origin_keepers(
         &self,
-        keepers: &[std::net::SocketAddr],
+        keepers: &[SocketAddr],
         question: impl Fn(u64) -> OriginQuestion,
-    ) -> Vec<OriginKnowledge> {
-        let ask =
-            |keeper: &std::net::SocketAddr| self.origin_questions.ask(*keeper, &question).answer();
+    ) -> Vec<(SocketAddr, OriginKnowledge)> {
+        let ask = |keeper: &SocketAddr| {
+            let (keeper, answer) = (*keeper, self.origin_questions.ask(*keeper, &question));
+            async move { Some((keeper, answer.answer().await?)) }
+        };
         let mut pending: FuturesUnordered<_> = keepers.iter().map(ask).collect();
         self.keeper_wake.notify_one();
         let deadline = Instant::now() + ANSWER_TIMEOUT;
         let mut answers = Vec::new();
         while let Ok(Some(answer)) = timeout_at(deadline, pending.next()).await {
-            let is_recorded = matches!(answer, Some(OriginKnowledge::Recorded(_)));
+            let is_recorded = matches!(answer, Some((_, OriginKnowledge::Recorded(_))));
             answers.extend(answer);
             if is_recorded {
                 break;
--- a/crates/ingress/src/unreadable.rs
+++ b/crates/ingress/src/unreadable.rs
@@ -19,6 +19,7 @@
     Configuration,
     Evacuation,
     Lease,
+    StreamOrigins,
 }
 
 impl ObjectKind {
@@ -28,6 +29,7 @@
             Self::Configuration => "configuration",
             Self::Evacuation => "evacuation",
             Self::Lease => "lease",
+            Self::StreamOrigins => "stream-origins",
         }
     }
 }
--- a/crates/ingress/tests/ingress/software_versions.rs
+++ b/crates/ingress/tests/ingress/software_versions.rs
@@ -31,6 +31,9 @@
 /// Longest life of a stream in the tests that restart all daemons.
 const LONG_STREAM: Duration = Duration::from_secs(4);
 
+/// Time in which a coordinator is elected after all daemons were killed, with a margin.
+const ELECTION_TIME: Duration = Duration::from_secs(8);
+
 /// A deadline that exceeds the time for which the daemons of a test have run.
 const VERY_LONG_STREAM: Duration = Duration::from_secs(25);
 
@@ -314,6 +317,39 @@
     response.text().await.unwrap();
 }
 
+/// Guards against streams that are lost with the memory of all daemons, though each version still has a runner: the
+/// keepers of their origins have been killed too.
+#[tokio::test(flavor = "multi_thread")]
+async fn streams_of_two_versions_are_taken_up_after_all_daemons_were_killed() {
+    let first = ScriptedRunner::start(vec![Behaviour::SlowEvents(1, 60)]).await;
+    let other = ScriptedRunner::start(Vec::new()).await;
+    let only_first = vec![runner(0, &first, "v1")];
+    let mut cluster = Cluster::start(only_first, &["z0", "z0", "z0"]).await;
+    begin_stream(cluster.daemon(2), "first").await;
+    let both = vec![runner(0, &first, "v1"), runner(1, &other, "v2")];
+    cluster.store.set_runners(both);
+    sleep(Duration::from_millis(1_500)).await;
+    for daemon in 0..3 {
+        cluster.kill(daemon);
+    }
+    cluster.start_daemon("d3", "z0").await;
+    cluster.start_daemon("d4", "z0").await;
+    first.set_script(vec![Behaviour::Events(2, 4)]);
+    other.set_script(vec![Behaviour::Events(2, 4)]);
+    let until = Instant::now() + ELECTION_TIME;
+    let response = loop {
+        let response = take_up(cluster.daemon(4), "second", "first").send().await;
+        let response = response.unwrap();
+        if response.status() == 200 || Instant::now() >= until {
+            break response;
+        }
+        sleep(Duration::from_millis(100)).await;
+    };
+    assert_eq!(response.status(), 200);
+    response.text().await.unwrap();
+    assert_eq!(other.received().len(), 0);
+}
+
 /// Guards against forgetting a version whose runners have gone before all daemons were killed.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_version_that_left_before_all_daemons_restarted_counts() {
@@ -370,6 +406,24 @@
     }
 }
 
+/// Guards against clients that are sent round: the coordinator, which has read all origins in the store, does not know the
+/// origin of their stream, so that it can't become known any more.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_client_is_not_asked_to_come_back_if_the_origin_cannot_become_known() {
+    let servers = [
+        ScriptedRunner::start(Vec::new()).await,
+        ScriptedRunner::start(Vec::new()).await,
+    ];
+    let runners = vec![runner(0, &servers[0], "v1"), runner(1, &servers[1], "v2")];
+    let cluster = Cluster::start(runners, &["z0", "z1"]).await;
+    for daemon in 0..2 {
+        let request = take_up(cluster.daemon(daemon), "second", "made-up");
+        let response = request.send().await.unwrap();
+        assert_eq!(response.status(), 503);
+        assert_eq!(response.headers().get("retry-after"), None);
+    }
+}
+
 /// Guards against a stream that is given up although a runner of its software version could load the model: the only one
 /// that held it has gone.
 #[tokio::test(flavor = "multi_thread")]
--- a/crates/ingress/tests/ingress/store.rs
+++ b/crates/ingress/tests/ingress/store.rs
@@ -16,6 +16,7 @@
 use flaxward_routing::names::{RunnerName, Zone};
 use flaxward_routing::revision::{StoreEra, StoreRevision};
 use flaxward_routing::runners::Runner;
+use flaxward_routing::stream_origins::backup::StoredOrigins;
 use tokio::sync::Notify;
 
 const FIRST_REVISION: StoreRevision = StoreRevision {
@@ -35,6 +36,7 @@
     restores: u64,
     /// The record and its revision number.
     lease: Option<(LeaseRecord, u64)>,
+    stream_origins: Vec<StoredOrigins>,
 }
 
 impl Contents {
@@ -346,4 +348,25 @@
         tokio::time::sleep(Duration::from_millis(delay)).await;
         Ok(Changed::Made(lease))
     }
+
+    async fn stream_origins(&self) -> Result<Listing<StoredOrigins>, StoreError> {
+        self.answer().await?;
+        let contents = self.contents.lock().unwrap();
+        let items = contents.stream_origins.clone();
+        Ok(Listing::new(items, contents.revision()))
+    }
+
+    async fn create_stream_origins(&self, stored: &StoredOrigins) -> Result<(), StoreError> {
+        self.answer().await?;
+        let mut contents = self.contents.lock().unwrap();
+        contents.stream_origins.push(stored.clone());
+        Ok(())
+    }
+
+    async fn delete_stream_origins(&self, name: &str) -> Result<(), StoreError> {
+        self.answer().await?;
+        let mut contents = self.contents.lock().unwrap();
+        contents.stream_origins.retain(|it| it.name != name);
+        Ok(())
+    }
 }
--- a/crates/routing/src/stream_origins/mod.rs
+++ b/crates/routing/src/stream_origins/mod.rs
@@ -3,12 +3,13 @@
 //! A stream may be continued only at the version that began it. Its client may take it up at any daemon, and the one that
 //! relayed its first event may be gone by then. While a service has several versions, each daemon therefore sends the
 //! origins of the streams that it relays to keepers, and the daemon that is to continue a stream asks them. While a service
-//! has had one version for longer than a stream lasts, that version began the stream, and nothing is sent. The lease record
-//! holds the versions too, because no daemon remembers them after all have restarted. A stream of unknown origin is not
-//! continued.
+//! has had one version for longer than a stream lasts, that version began the stream, and nothing is sent. The store holds
+//! the origins ([`backup`]), and the lease record the versions, because no daemon remembers them after all have restarted. A
+//! stream of unknown origin is not continued.
 //!
 //! `docs/design/stream-origins.md` discusses the alternatives.
 
+pub mod backup;
 pub mod messages;
 mod version_history;
 mod version_record;
@@ -39,6 +40,8 @@
 /// Age that a record in the lease may have. A daemon that has adopted one counts from then on, so that much less than its
 /// holder.
 const RECORD_INTERVAL: Duration = Duration::from_secs(2);
+/// Time by which an origin may be kept for longer here than in the store.
+const STORED_LIFE_SLACK: Duration = Duration::from_secs(2);
 /// Longest time for which an origin is kept.
 const MAX_LIFE: Duration = Duration::from_secs(u8::MAX as u64);
 
@@ -98,6 +101,8 @@
 struct Record {
     origin: StreamOrigin,
     expires_at: Timestamp,
+    /// The store holds it, or is being sent it.
+    is_stored: bool,
 }
 
 /// Origins of streams as known to one daemon, and the versions of the runners.
@@ -106,6 +111,8 @@
     records: HashMap<StreamKey, Record>,
     /// Keys in the order in which they were recorded, to find expired ones.
     order: VecDeque<StreamKey>,
+    /// Streams that the store may not hold.
+    unstored: VecDeque<StreamKey>,
     /// Streams that this daemon relays, in the order of their beginnings.
     own: VecDeque<StreamKey>,
     /// Number of streams at the end of `own` that the keepers have not been told of.
@@ -194,6 +201,51 @@
         }
     }
 
+    /// Records origins that were read from the store.
+    fn restore(&mut self, records: &StreamOriginRecords, now: Timestamp) {
+        self.apply(records, now);
+        self.set_stored(records, true);
+    }
+
+    /// Takes origins that the store does not hold, of services with several versions; they count as stored from now on.
+    fn take_unstored(&mut self, max: usize, now: Timestamp) -> StreamOriginRecords {
+        if !self.history.any_has_several(now) {
+            return StreamOriginRecords::default();
+        }
+        let mut keys = Vec::new();
+        let mut others = VecDeque::new();
+        for key in std::mem::take(&mut self.unstored) {
+            let record = self.records.get(&key);
+            let Some(record) = record.filter(|it| !it.is_stored && it.expires_at > now) else {
+                continue;
+            };
+            if keys.len() < max && self.history.has_several(&record.origin.service, now) {
+                keys.push(key);
+            } else {
+                others.push_back(key);
+            }
+        }
+        self.unstored = others;
+        let records = self.message(&keys, now);
+        self.set_stored(&records, true);
+        records
+    }
+
+    /// Records that the store may not hold origins that were taken.
+    fn mark_unstored(&mut self, records: &StreamOriginRecords) {
+        self.set_stored(records, false);
+        let keys = records.streams.iter().map(|stream| stream.key);
+        self.unstored.extend(keys);
+    }
+
+    fn set_stored(&mut self, records: &StreamOriginRecords, is_stored: bool) {
+        for stream in &records.streams {
+            if let Some(record) = self.records.get_mut(&stream.key) {
+                record.is_stored = is_stored;
+            }
+        }
+    }
+
     /// The first record of a stream is kept: what comes later under the same key began another way.
     fn insert(
         &mut self,
@@ -206,13 +258,25 @@
         match self.records.entry(key) {
             Entry::Occupied(mut known) => {
                 let known = known.get_mut();
+                if known.is_stored && expires_at > known.expires_at + STORED_LIFE_SLACK {
+                    known.is_stored = false;
+                    self.unstored.push_back(key);
+                }
                 known.expires_at = known.expires_at.max(expires_at);
             }
             Entry::Vacant(record) => {
-                record.insert(Record { origin, expires_at });
+                record.insert(Record {
+                    origin,
+                    expires_at,
+                    is_stored: false,
+                });
                 self.order.push_back(key);
+                self.unstored.push_back(key);
             }
         }
+        if self.unstored.len() > MAX_STREAMS {
+            self.unstored.pop_front();
+        }
     }
 
     fn drop_expired(&mut self, now: Timestamp) {
