Answers: a status outside 200 to 599 is none, nor are informational ones without end

Cause: the HTTP library accepts any number from 100 to 999, takes 101 for a final answer and skips informational ones without a limit.

Evidence: four tests fail on the code before (101 passed on as 101, 504 in place of 502 after 1.5 s): three in ingress/tests/ingress/failures.rs and one in gateway/tests/gateway/services.rs.

Why this works: one function says which status an answer may have, and both interfaces treat anything else as an attempt that broke off.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use flaxward_answers::is_answer_status;
 use flaxward_client_limits::Reservation;
 use flaxward_control::attempt::AttemptEnd;
 use flaxward_control::stream::{StreamEnd, finish_body};
@@ -52,6 +53,9 @@
         Ok(Err(_)) => return Err(AttemptEnd::BrokenBeforeHead),
         Err(_) => return Err(AttemptEnd::TimedOut),
     };
+    if !is_answer_status(response.status()) {
+        return Err(AttemptEnd::BrokenBeforeHead);
+    }
     if refused_before_running(response.headers()) {
         return Err(AttemptEnd::RefusedBeforeRunning);
     }
--- a/crates/gateway/tests/gateway/services.rs
+++ b/crates/gateway/tests/gateway/services.rs
@@ -156,6 +156,27 @@
     assert_eq!(response.code(), Some(2010), "{}", response.text);
 }
 
+/// Guards against a back end in trouble whose bytes reach a caller as an answer, under a status that no answer has.
+#[tokio::test]
+async fn a_status_that_no_answer_has_is_not_passed_on() {
+    let harness = Harness::start(|_| {}).await;
+    let (address, mut requests) = raw_back_end().await;
+    harness.gateway.on_machines(&[machine("s9", address)]);
+    for status in ["101", "600", "999"] {
+        let caller = tokio::spawn(fetch(post_order(&harness, status)));
+        let (_, mut connection) = requests.recv().await.unwrap();
+        let raw_response = format!("HTTP/1.1 {status} X\r\ncontent-length: 2\r\n\r\nsi");
+        connection.write_all(raw_response.as_bytes()).await.unwrap();
+        drop(connection);
+        let response = caller.await.unwrap();
+        assert_eq!(
+            (response.status, response.code()),
+            (502, Some(3001)),
+            "{status}"
+        );
+    }
+}
+
 #[tokio::test]
 async fn requests_over_the_concurrency_limit_of_a_machine_are_queued() {
     let harness = Harness::start(|_| {}).await;
--- a/crates/ingress/src/exchange.rs
+++ b/crates/ingress/src/exchange.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use flaxward_answers::is_answer_status;
 use flaxward_routing::attempt::Failure;
 use flaxward_routing::configuration::RouteKind;
 use flaxward_routing::fingerprint::{RequestContent, RequestFingerprint};
@@ -286,9 +287,12 @@
     let (head, body) = response.into_parts();
     let connection_kind = AttemptConnection::of(&connection);
     let is_encoded = head.headers.contains_key(CONTENT_ENCODING);
-    let kind = shared
-        .surface
-        .classify(&request.profile.id, head.status, &head.headers);
+    let kind = if is_answer_status(head.status) {
+        let surface = &shared.surface;
+        surface.classify(&request.profile.id, head.status, &head.headers)
+    } else {
+        HeadKind::Foreign
+    };
     if matches!(kind, HeadKind::Answer | HeadKind::NotRun) {
         let notice = shared.surface.notice(head.status, &head.headers);
         shared.apply_notice(runner, notice, in_flight.sent_at());
--- a/crates/ingress/src/pool.rs
+++ b/crates/ingress/src/pool.rs
@@ -6,6 +6,7 @@
 use std::collections::{BTreeSet, HashMap};
 use std::net::SocketAddr;
 use std::sync::Mutex;
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -16,9 +17,11 @@
 use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{SendRequest, handshake};
+use hyper::ext::on_informational;
 use hyper_util::rt::TokioIo;
 use tokio::io::{AsyncRead, AsyncWrite};
 use tokio::time::Instant;
+use tokio_util::sync::CancellationToken;
 use tokio_util::task::AbortOnDropHandle;
 
 use crate::network::{self, ConnectError, Network};
@@ -33,6 +36,10 @@
 /// Maximum number of idle connections per address.
 const MAX_IDLE_PER_ADDRESS: usize = 16;
 
+/// Maximum number of informational answers to one request. Servers in trouble may send them without end, and each wakes
+/// this process.
+const MAX_INFORMATIONAL: u32 = 16;
+
 /// A connection that carries one request at a time and is closed on drop.
 #[derive(Debug)]
 pub(crate) struct Connection {
@@ -204,12 +211,17 @@
     /// Sends a request and waits for the response head.
     pub(crate) async fn send(
         &mut self,
-        request: Request<Full<Bytes>>,
+        mut request: Request<Full<Bytes>>,
     ) -> Result<Response<Incoming>, SendError> {
         if self.sender.ready().await.is_err() {
             return Err(SendError::NotSent);
         }
-        match self.sender.try_send_request(request).await {
+        let excess = limit_informational(&mut request);
+        let answered = tokio::select! {
+            answered = self.sender.try_send_request(request) => answered,
+            () = excess.cancelled() => return Err(SendError::Broken),
+        };
+        match answered {
             Ok(response) => {
                 self.update_keep_alive(response.headers());
                 Ok(response)
@@ -240,6 +252,18 @@
     }
 }
 
+/// Limits the informational (1xx) answers to a request. The token is cancelled when there are more.
+fn limit_informational(request: &mut Request<Full<Bytes>>) -> CancellationToken {
+    let excess = CancellationToken::new();
+    let (count, token) = (AtomicU32::new(0), excess.clone());
+    on_informational(request, move |_| {
+        if count.fetch_add(1, Ordering::Relaxed) >= MAX_INFORMATIONAL {
+            token.cancel();
+        }
+    });
+    excess
+}
+
 /// Parses the timeout from `Keep-Alive: timeout=SECONDS`.
 fn keep_alive(headers: &HeaderMap) -> Option<Duration> {
     let text = headers.get("keep-alive")?.to_str().ok()?;
--- a/crates/ingress/tests/ingress/failures.rs
+++ b/crates/ingress/tests/ingress/failures.rs
@@ -312,3 +312,42 @@
     assert!(!body.contains("99"), "{body}");
     assert_eq!(second.received()[0].header("last-event-id"), Some("3"));
 }
+
+/// Statuses that are not the status of an answer: out of the range of HTTP, or of an answer that is still to come.
+const NO_ANSWERS: [&str; 6] = ["000", "099", "101", "600", "700", "999"];
+
+/// Guards against a runner in trouble whose bytes reach a client as an answer, under a status that no answer has.
+#[tokio::test]
+async fn a_status_that_no_answer_has_is_never_shown() {
+    for status in NO_ANSWERS {
+        let runner = ScriptedRunner::start(vec![Behaviour::Status(status)]).await;
+        let test = TestIngress::start(&[&runner]).await;
+        let response = test.request("/unsafe/", "id-1").send().await.unwrap();
+        assert_eq!(response.status(), 502, "{status}");
+    }
+}
+
+/// Guards against a request that is not tried elsewhere, because what its runner sent was taken for its answer.
+#[tokio::test]
+async fn a_repeatable_request_is_sent_again_after_a_status_that_no_answer_has() {
+    for status in NO_ANSWERS {
+        let first = ScriptedRunner::start(vec![Behaviour::Status(status)]).await;
+        let second = ScriptedRunner::start(Vec::new()).await;
+        let test = TestIngress::start(&[&first, &second]).await;
+        let response = test.request("/safe/", "id-1").send().await.unwrap();
+        assert_eq!(response.status(), 200, "{status}");
+        assert_eq!(response.text().await.unwrap(), "done");
+    }
+}
+
+/// Guards against a request that is held until its deadline, and a processor that is kept busy, by a runner that sends
+/// informational answers without end.
+#[tokio::test]
+async fn informational_answers_without_end_are_no_answer() {
+    let runner = ScriptedRunner::start(vec![Behaviour::EndlessInformational]).await;
+    let test = TestIngress::start(&[&runner]).await;
+    let sent_at = std::time::Instant::now();
+    let response = test.request("/unsafe/", "id-1").send().await.unwrap();
+    assert_eq!(response.status(), 502);
+    assert!(sent_at.elapsed() < std::time::Duration::from_millis(500));
+}
--- a/crates/ingress/tests/ingress/runner.rs
+++ b/crates/ingress/tests/ingress/runner.rs
@@ -16,6 +16,10 @@
     Answer(u16, &'static str),
     /// Answers with the ID of another request.
     OtherId,
+    /// Answers with a status that is written as it stands.
+    Status(&'static str),
+    /// Sends informational answers until the connection is closed.
+    EndlessInformational,
     /// Reports that it did not run the request.
     NotRun,
     /// Resets the connection without an answer.
@@ -187,6 +191,18 @@
     match behaviour {
         Behaviour::Answer(status, body) => answer(stream, id, status, "x-stamp: s\r\n", body).await,
         Behaviour::OtherId => answer(stream, "another", 200, "x-stamp: s\r\n", "foreign").await,
+        Behaviour::Status(status) => {
+            let head = format!(
+                "HTTP/1.1 {status} x\r\nx-id: {id}\r\nx-stamp: s\r\ncontent-length: 0\r\n\r\n"
+            );
+            let _ = stream.write_all(head.as_bytes()).await;
+            true
+        }
+        Behaviour::EndlessInformational => {
+            let head = "HTTP/1.1 103 Early Hints\r\nlink: </x>\r\n\r\n".repeat(100);
+            while stream.write_all(head.as_bytes()).await.is_ok() {}
+            false
+        }
         Behaviour::NotRun => answer(stream, id, 503, "x-not-run: 1\r\n", "").await,
         Behaviour::Reset => {
             reset(stream);
