Answers: bodies that are read as a whole are bounded

Cause: only the time of a call was bounded.

Why this works: reading stops, and the connection is closed, at the first byte beyond the bound.

--- a/crates/backends/src/http_client.rs
+++ b/crates/backends/src/http_client.rs
@@ -3,9 +3,14 @@
 
 use std::time::Duration;
 
+use flaxward_answers::read_body;
 use reqwest::header::{ETAG, HeaderValue};
 use reqwest::{Client, RequestBuilder, Response};
 
+/// Maximum length of an answer that is read as a whole; the longest are lists of all objects of a kind, and caches that
+/// engines export.
+const MAX_ANSWER_BYTES: usize = 32 * 1_024 * 1_024;
+
 /// Timeouts of an HTTP adapter.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Timeouts {
@@ -70,7 +75,7 @@
     async fn read(response: Response) -> Result<Self, CallError> {
         let status = response.status().as_u16();
         let entity_tag = response.headers().get(ETAG).cloned();
-        let body = response.bytes().await;
+        let body = read_body(response, MAX_ANSWER_BYTES).await;
         let body = body.map_err(|error| CallError::Unknown(text_of(&error)))?;
         Ok(Self {
             status,
@@ -98,9 +103,9 @@
 }
 
 /// Formats an error with its chain of causes, for error messages.
-pub(crate) fn text_of(error: &reqwest::Error) -> String {
+pub(crate) fn text_of(error: &dyn std::error::Error) -> String {
     let mut text = error.to_string();
-    let mut cause = std::error::Error::source(error);
+    let mut cause = error.source();
     while let Some(inner) = cause {
         text.push_str(": ");
         text.push_str(&inner.to_string());
--- a/crates/operators/src/client/connection.rs
+++ b/crates/operators/src/client/connection.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use flaxward_answers::read_body;
 use flaxward_types::{Refusal, ResultCode};
 use reqwest::{Client, Response};
 
@@ -15,6 +16,9 @@
 /// Maximum time for a request, including its response.
 const RESPONSE_TIMEOUT: Duration = Duration::from_mins(1);
 
+/// Maximum length of an answer: a table of all that the largest fleet holds has some megabytes.
+const MAX_ANSWER_BYTES: usize = 64 * 1_024 * 1_024;
+
 /// A client for one daemon's command endpoint.
 pub struct Connection {
     client: Client,
@@ -59,8 +63,7 @@
     let is_success = response.status().is_success();
     let outcome_unknown =
         |error: &dyn std::error::Error| error_body(ResultCode::ChangeOutcomeUnknown, error);
-    let body = response
-        .bytes()
+    let body = read_body(response, MAX_ANSWER_BYTES)
         .await
         .map_err(|error| outcome_unknown(&error))?;
     if is_success {
