Planned stop: what could be cut off is not sent to a runner any more

Cause: the moment from which a stopping daemon refuses was compared with the arrival of a request's head only.

Evidence: two tests of ingress/tests/ingress/stops.rs fail on the code before (502 after a send in place of 503 without one; two sends in place of one).

Why this works: the check stands before each send, and asks whether the request can end before the daemon does; what waits is woken as the daemon closes.

--- a/crates/ingress/src/daemon.rs
+++ b/crates/ingress/src/daemon.rs
@@ -9,6 +9,7 @@
 use flaxward_settings::logs::state_change;
 use tokio::net::TcpListener;
 use tokio::time::{Instant, sleep, sleep_until};
+use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
 use crate::coordination::Coordination;
@@ -87,7 +88,10 @@
         let (peers, tunnels) = bind_peers(&shared).await?;
         let peer_address = peers.address()?;
         let tracker = TaskTracker::new();
-        let clients_end = ClientShutdown::default();
+        let clients_end = ClientShutdown {
+            closing: shared.closing.clone(),
+            closed: CancellationToken::new(),
+        };
         let client_server = serve_clients(
             shared.clone(),
             clients,
@@ -128,8 +132,7 @@
         self.shared.demand.notify_one();
         state_change("stopping", &[("requests", &self.in_progress())]);
         sleep_until((started + SHUTDOWN_NOTICE).min(end)).await;
-        self.shared.closing.store(true, Ordering::Relaxed);
-        self.clients_end.closing.cancel();
+        self.shared.closing.cancel();
         self.tracker.close();
         while Instant::now() < end && (self.in_progress() > 0 || self.has_tunnels()) {
             sleep(DRAIN_INTERVAL).await;
--- a/crates/ingress/src/dispatch.rs
+++ b/crates/ingress/src/dispatch.rs
@@ -29,7 +29,7 @@
 };
 use crate::notices::format_rate;
 use crate::permits::{Admission, admit};
-use crate::refused::{Details, RETRY_AFTER, Refused};
+use crate::refused::{Details, RETRY_AFTER, RETRY_STOPPING, Refused};
 use crate::relay::StreamRelay;
 use crate::responses::{self, ResponseBody};
 use crate::state::Shared;
@@ -141,6 +141,9 @@
             if self.request.time_left() < MIN_TIME_LEFT {
                 return self.give_up("the deadline has passed");
             }
+            if self.shared.may_be_cut_off(self.request.deadline) {
+                return self.stopping();
+            }
             if let Some((fingerprint, remaining)) = self.shared.find_quarantined(&self.request) {
                 return self.quarantined(fingerprint, remaining);
             }
@@ -252,8 +255,9 @@
         );
         tokio::select! {
             result = waiting => result,
-            // The caller checks the quarantine next.
+            // The caller checks the quarantine and whether the daemon closes next.
             () = wait_until_quarantined(&self.shared, &self.request) => Ok(()),
+            () = self.shared.until_cut_off_possible(self.request.deadline) => Ok(()),
         }
     }
 
@@ -289,11 +293,22 @@
         );
         tokio::select! {
             result = waiting => result,
-            // The caller checks the quarantine next.
+            // The caller checks the quarantine and whether the daemon closes next.
             () = wait_until_quarantined(&self.shared, &self.request) => Ok(()),
+            () = self.shared.until_cut_off_possible(self.request.deadline) => Ok(()),
         }
     }
 
+    /// Final response if the daemon ends before the request may.
+    fn stopping(&mut self) -> Result<Response<ResponseBody>, Refused> {
+        const REASON: &str = "the daemon is stopping";
+        if !self.attempts.definitely_not_run() {
+            return self.give_up(REASON);
+        }
+        let refusal = Refusal::new(ResultCode::Stopping).with_retry_after(RETRY_STOPPING);
+        Err(self.refused(refusal, REASON))
+    }
+
     /// Final response if no runner that holds the unit has capacity in time.
     fn no_capacity(&mut self, refusal: Refusal) -> Result<Response<ResponseBody>, Refused> {
         const REASON: &str =
--- a/crates/ingress/src/handler.rs
+++ b/crates/ingress/src/handler.rs
@@ -21,16 +21,13 @@
 use crate::access;
 use crate::dispatch::Dispatch;
 use crate::exchange::{ClientRequest, remove_hop_by_hop_headers};
-use crate::refused::{RETRY_AFTER, Refused};
+use crate::refused::{RETRY_AFTER, RETRY_STOPPING, Refused};
 use crate::responses::{self, ResponseBody};
 use crate::state::Shared;
 use crate::stream_origins::{self, StreamStart};
 
 /// `Retry-After` of a daemon that has no configuration yet.
 const RETRY_UNCONFIGURED: Duration = Duration::from_millis(300);
-/// `Retry-After` of a daemon that is stopping; the client should reach another one.
-const RETRY_STOPPING: Duration = Duration::from_millis(20);
-
 /// `Retry-After` if only a new configuration helps: the time in which one takes effect on all daemons at the target
 /// cluster size.
 const RETRY_NO_COMMON_HOME: Duration = Duration::from_secs(10);
--- a/crates/ingress/src/refused.rs
+++ b/crates/ingress/src/refused.rs
@@ -13,6 +13,9 @@
 /// `Retry-After` of a refusal because no runner is available.
 pub(crate) const RETRY_AFTER: Duration = Duration::from_millis(500);
 
+/// `Retry-After` of a daemon that is stopping; the client should reach another one.
+pub(crate) const RETRY_STOPPING: Duration = Duration::from_millis(20);
+
 /// A refusal with the context that is logged with it.
 pub(crate) struct Refused(Box<Details>);
 
--- a/crates/ingress/src/server.rs
+++ b/crates/ingress/src/server.rs
@@ -134,7 +134,7 @@
 }
 
 /// Shutdown steps of the client server.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub(crate) struct ClientShutdown {
     /// Idle connections are closed, and new ones get a single response.
     pub closing: CancellationToken,
--- a/crates/ingress/src/state.rs
+++ b/crates/ingress/src/state.rs
@@ -151,7 +151,7 @@
     pub configuration_wanted: Notify,
     pub stopping: AtomicBool,
     /// The shutdown notice has elapsed: no new requests are accepted.
-    pub closing: AtomicBool,
+    pub closing: CancellationToken,
     /// The process is about to exit: requests get their final answers.
     pub ending: CancellationToken,
     /// A coordinator has sent a message recently.
@@ -251,7 +251,7 @@
             quarantine_changes: watch::Sender::new(0),
             configuration_wanted: Notify::new(),
             stopping: AtomicBool::new(false),
-            closing: AtomicBool::new(false),
+            closing: CancellationToken::new(),
             ending: CancellationToken::new(),
             has_coordinator: AtomicBool::new(false),
             has_lease: AtomicBool::new(false),
@@ -286,7 +286,22 @@
     }
 
     pub(crate) fn is_closing(&self) -> bool {
-        self.closing.load(Ordering::Relaxed)
+        self.closing.is_cancelled()
+    }
+
+    /// Whether a request with this deadline could be cut off if it were sent to a runner now: the daemon is closing, and
+    /// ends before the deadline. Another daemon can serve the request to its end.
+    pub(crate) fn may_be_cut_off(&self, deadline: Instant) -> bool {
+        let end = self.tables().stop_end;
+        self.is_closing() && end.is_some_and(|end| deadline > end)
+    }
+
+    /// Waits until a request with this deadline could be cut off.
+    pub(crate) async fn until_cut_off_possible(&self, deadline: Instant) {
+        self.closing.cancelled().await;
+        if !self.may_be_cut_off(deadline) {
+            std::future::pending::<()>().await;
+        }
     }
 
     /// Time since the store last answered.
--- a/crates/ingress/tests/ingress/stops.rs
+++ b/crates/ingress/tests/ingress/stops.rs
@@ -4,6 +4,8 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
 use tokio::runtime::Builder;
 use tokio::sync::oneshot;
 use tokio::task::JoinSet;
@@ -68,6 +70,62 @@
     stopping.await.unwrap();
 }
 
+/// Sends a request that may not be repeated, whose body ends some time after its head. Returns the answer.
+async fn post_slowly(address: SocketAddr, body_after: Duration) -> String {
+    let mut stream = TcpStream::connect(address).await.unwrap();
+    let head = "POST /unsafe/x HTTP/1.1\r\nhost: a.example\r\nx-id: slow\r\ncontent-length: 4\r\n\
+         connection: close\r\n\r\n";
+    stream.write_all(head.as_bytes()).await.unwrap();
+    sleep(body_after).await;
+    stream.write_all(b"body").await.unwrap();
+    let mut answer = String::new();
+    stream.read_to_string(&mut answer).await.unwrap();
+    answer
+}
+
+/// Guards against a request that is cut off at the end of the grace: its head came before the daemon closed, its body after
+/// that, and it was still sent to a runner.
+#[tokio::test]
+async fn a_request_whose_body_ends_after_the_notice_is_refused_if_it_could_be_cut_off() {
+    let runner = ScriptedRunner::start(vec![Behaviour::Hang]).await;
+    let mut test = TestIngress::start(&[&runner]).await;
+    let stopping = tokio::spawn(test.ingress.take().unwrap().stop());
+    sleep(Duration::from_millis(2_400)).await;
+    let answer = post_slowly(test.address, Duration::from_millis(500)).await;
+    assert!(answer.starts_with("HTTP/1.1 503 "), "{answer}");
+    assert!(answer.contains("retry-after"), "{answer}");
+    assert_eq!(runner.received().len(), 0);
+    stopping.await.unwrap();
+}
+
+/// Guards against refusing what can't be cut off, since its deadline passes before the daemon ends.
+#[tokio::test]
+async fn a_request_that_ends_before_the_daemon_is_served_after_the_notice() {
+    let runner = ScriptedRunner::start(Vec::new()).await;
+    let mut test = TestIngress::start(&[&runner]).await;
+    let stopping = tokio::spawn(test.ingress.take().unwrap().stop());
+    sleep(Duration::from_millis(1_900)).await;
+    let answer = post_slowly(test.address, Duration::from_millis(900)).await;
+    assert!(answer.starts_with("HTTP/1.1 200 "), "{answer}");
+    assert_eq!(runner.received().len(), 1);
+    stopping.await.unwrap();
+}
+
+/// Guards against a second attempt that is cut off at the end of the grace: the first one failed after the daemon had
+/// closed.
+#[tokio::test]
+async fn a_request_that_could_be_cut_off_is_not_sent_again_after_the_notice() {
+    let first = ScriptedRunner::start(vec![Behaviour::Hang]).await;
+    let second = ScriptedRunner::start(vec![Behaviour::Hang]).await;
+    let mut test = TestIngress::start(&[&first, &second]).await;
+    let stopping = tokio::spawn(test.ingress.take().unwrap().stop());
+    sleep(Duration::from_millis(2_500)).await;
+    let response = test.request("/safe/", "id-1").send().await.unwrap();
+    assert_eq!(response.status(), 502);
+    assert_eq!(first.received().len() + second.received().len(), 1);
+    stopping.await.unwrap();
+}
+
 /// A daemon on its own runtime. Dropping the runtime closes all its sockets and tasks, like the end of a process.
 struct DaemonProcess {
     address: SocketAddr,
