--- a/crates/flaxward/tests/regions.rs
+++ b/crates/flaxward/tests/regions.rs
@@ -6,6 +6,7 @@
 //! to the same runner.
 
 use std::net::SocketAddr;
+use std::ops::Range;
 use std::path::{Path, PathBuf};
 use std::time::{Duration, Instant};
 
@@ -26,17 +27,49 @@
 /// Time for an answer, a load included.
 const PATIENCE: Duration = Duration::from_secs(10);
 
-/// The deployed template, filled for a daemon of a region as the platform does it. Sections stand for fields that these
-/// machines lack, and are left out.
-fn settings(region: &str, store: SocketAddr, own: Addresses, metrics: SocketAddr) -> String {
-    let template =
-        Path::new(env!("CARGO_MANIFEST_DIR")).join("../../deploy/flaxward.toml.template");
-    let mut text = std::fs::read_to_string(template).unwrap();
+/// Fields that only some platforms give.
+const OPTIONAL_FIELDS: [(&str, &str); 7] = [
+    ("bounds.revoke_closed", "true"),
+    ("bounds.revoke_ms", "2000"),
+    ("bounds.evacuate_ms", "2000"),
+    ("bounds.cold_over", "1.5"),
+    ("bounds.cold_slack", "3"),
+    ("limits.memory_mb", "260"),
+    ("limits.max_fds", "4100"),
+];
+/// Those of [`OPTIONAL_FIELDS`] that describe the machine.
+const MACHINE_FIELDS: Range<usize> = 5..7;
+
+/// Fills the sections of the template. Those of fields that are not `given` are left out.
+fn fill_sections(mut text: String, given: &[(&str, &str)]) -> String {
     while let Some(begin) = text.find("{{#") {
-        let end = text.find("{{/").unwrap();
-        let end = end + text[end..].find("}}").unwrap() + 2;
-        text.replace_range(begin..end, "");
+        let name_end = begin + text[begin..].find("}}").unwrap();
+        let name = text[begin + 3..name_end].to_owned();
+        let close = format!("{{{{/{name}}}}}");
+        let end = text.find(&close).unwrap();
+        let is_given = given.iter().any(|(field, _)| *field == name);
+        let inner = text[name_end + 2..end].to_owned();
+        let filled = if is_given { inner.as_str() } else { "" };
+        text.replace_range(begin..end + close.len(), filled);
     }
+    for (field, value) in given {
+        text = text.replace(&format!("{{{{{field}}}}}"), value);
+    }
+    text
+}
+
+/// The deployed template, filled for a daemon of a region as the platform does it. Of the fields that only some platforms
+/// give, it has those `given`.
+fn settings(
+    region: &str,
+    store: SocketAddr,
+    own: Addresses,
+    metrics: SocketAddr,
+    given: &[(&str, &str)],
+) -> String {
+    let template =
+        Path::new(env!("CARGO_MANIFEST_DIR")).join("../../deploy/flaxward.toml.template");
+    let mut text = fill_sections(std::fs::read_to_string(template).unwrap(), given);
     let quoted = |value: &str| format!("{value:?}");
     let fields = [
         ("{{node_name|json}}", quoted(&format!("daemon-{region}"))),
@@ -58,8 +91,6 @@
         ("{{bounds.drain_ms}}", "2000".to_owned()),
         ("{{limits.cpu_share}}", "1.0".to_owned()),
         ("{{limits.link_mbps}}", "1000.0".to_owned()),
-        ("{{limits.memory_mb}}", "260".to_owned()),
-        ("{{limits.max_fds}}", "4100".to_owned()),
     ];
     for (gap, value) in fields {
         text = text.replace(gap, &value);
@@ -68,10 +99,16 @@
     text
 }
 
-fn start_daemon(region: &str, store: SocketAddr, folder: &Path, ports: &mut Ports) -> Daemon {
+fn start_daemon(
+    region: &str,
+    store: SocketAddr,
+    folder: &Path,
+    ports: &mut Ports,
+    given: &[(&str, &str)],
+) -> Daemon {
     let metrics = ports.free_address().unwrap();
     let binaries = [PathBuf::from(env!("CARGO_BIN_EXE_flaxward"))];
-    let settings = |own| Ok(settings(region, store, own, metrics));
+    let settings = |own| Ok(settings(region, store, own, metrics, given));
     let mut daemon = Daemon::prepare(region, &binaries, folder, ports, settings).unwrap();
     daemon.start().unwrap();
     daemon
@@ -129,7 +166,9 @@
     let runners = start_runners(&store).await;
     publish(&store);
     let mut ports = Ports::claim().unwrap();
-    let daemons = REGIONS.map(|region| start_daemon(region, store.address(), &folder, &mut ports));
+    let given = &OPTIONAL_FIELDS[MACHINE_FIELDS];
+    let daemons =
+        REGIONS.map(|region| start_daemon(region, store.address(), &folder, &mut ports, given));
     let client = reqwest::Client::builder().no_proxy().build().unwrap();
     for daemon in &daemons {
         let name = daemon.name();
@@ -159,3 +198,19 @@
     let violations: Vec<String> = runners.iter().flat_map(RunnerStandIn::violations).collect();
     assert_eq!(violations, Vec::<String>::new());
 }
+
+/// Guards against a daemon that can't start because the template needs a field that its platform does not give.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_daemon_starts_with_all_fields_of_the_platform_and_with_the_fewest() {
+    let folder = Path::new(env!("CARGO_TARGET_TMPDIR")).join("template");
+    let _ = std::fs::remove_dir_all(&folder);
+    std::fs::create_dir_all(&folder).unwrap();
+    let store = StoreStandIn::start().await.unwrap();
+    let _runners = start_runners(&store).await;
+    publish(&store);
+    let mut ports = Ports::claim().unwrap();
+    for (region, given) in [("west", &OPTIONAL_FIELDS[..]), ("north", &[])] {
+        let daemon = start_daemon(region, store.address(), &folder, &mut ports, given);
+        assert!(daemon.until_ready(START_PATIENCE).await, "{region}");
+    }
+}
