Stream origins: a daemon without a coordinator reads them from the store

Cause: only a new coordinator read the store.

Evidence: streams_are_taken_up_at_once_after_the_coordinator_and_its_standbys_were_killed fails with the read switched off (503).

Why this works: the daemon that is asked reads what the coordinator has written. The reads of all daemons together stay within what the store bears: 32 a second.

--- a/crates/ingress/src/state.rs
+++ b/crates/ingress/src/state.rs
@@ -47,6 +47,7 @@
 use crate::pool::Pool;
 use crate::settings::IngressSettings;
 use crate::store_report::StoreReport;
+use crate::stream_origins::StoredOriginReads;
 use crate::unreadable::UnreadableLog;
 use crate::usage::{Running, UsageLog, Waiting};
 use crate::version_check::VersionCheck;
@@ -132,6 +133,8 @@
     pub concurrency_questions: KeeperClient<ConcurrencyQuestion, ConcurrencyDecision>,
     /// Questions to the keepers of stream origins.
     pub origin_questions: KeeperClient<OriginQuestion, OriginKnowledge>,
+    /// Reads of the origins of streams in the store for clients.
+    pub stored_origin_reads: StoredOriginReads,
     /// Confirms the software versions of runners with the store.
     pub version_check: VersionCheck,
     /// Runners whose latest notices have not been sent to the coordinator yet.
@@ -242,6 +245,7 @@
             permit_questions: KeeperClient::default(),
             concurrency_questions: KeeperClient::default(),
             origin_questions: KeeperClient::default(),
+            stored_origin_reads: StoredOriginReads::default(),
             version_check: VersionCheck::default(),
             unsent_notices: Mutex::default(),
             keeper_wake: Notify::new(),
--- a/crates/ingress/src/stream_origins.rs
+++ b/crates/ingress/src/stream_origins.rs
@@ -19,7 +19,8 @@
 use flaxward_types::time::{Timestamp, millis};
 use futures::StreamExt;
 use futures::stream::FuturesUnordered;
-use tokio::time::{Instant, timeout_at};
+use tokio::sync::Mutex;
+use tokio::time::{Instant, timeout, timeout_at};
 
 use crate::counters::STREAM_ORIGINS;
 use crate::exchange::ClientRequest;
@@ -32,6 +33,14 @@
 /// `Retry-After` if the origin of a stream is not known: the keepers may answer again once a coordinator is elected.
 const RETRY_UNKNOWN_ORIGIN: Duration = Duration::from_secs(2);
 
+/// Minimum time between two reads of the origins in the store by a daemon without a coordinator.
+const STORE_READ_INTERVAL: Duration = Duration::from_secs(1);
+/// Timeout of such a read. A client waits for the outcome.
+const STORE_READ_TIMEOUT: Duration = Duration::from_millis(300);
+/// Number of daemons, on average, that make such a read in one interval. At the largest number of origins, each reads
+/// some 0.9 MB.
+const MAX_STORE_READERS: u32 = 32;
+
 /// `Retry-After` until the first coordinator of the system is elected.
 const RETRY_BEFORE_FIRST_LEASE: Duration = Duration::from_millis(500);
 
@@ -161,13 +170,18 @@
         own_counts_alone = shared.confirm_versions().await;
         own = own_knowledge();
     }
-    let origin = resolve(service, &own, &answers, own_counts_alone);
-    log_origin(shared, profile, origin.as_ref(), &own, &answers);
+    let mut origin = resolve(service, &own, &answers, own_counts_alone);
     let mut known = std::iter::once(&own).chain(&answers);
     let has_several = known.any(|it| *it == OriginKnowledge::SeveralVersions);
+    let knows_all = has_answered || knows_stored;
+    if origin.is_none() && !knows_all && shared.read_stored_origins().await {
+        own = own_knowledge();
+        origin = resolve(service, &own, &answers, own_counts_alone);
+    }
+    log_origin(shared, profile, origin.as_ref(), &own, &answers);
     Inquiry {
         origin,
-        is_final: has_several && (has_answered || knows_stored),
+        is_final: has_several && knows_all,
     }
 }
 
@@ -197,7 +211,49 @@
     shared.log.write(shared.now(), "stream-origin", fields);
 }
 
+/// When this daemon last read the origins in the store for a client. The lock is held during a read, so that requests that
+/// arrive together share it.
+#[derive(Debug, Default)]
+pub(crate) struct StoredOriginReads {
+    started_at: Mutex<Option<Timestamp>>,
+}
+
 impl Shared {
+    /// Reads the origins in the store, because no coordinator answers that knows them. Returns whether they were read since
+    /// this was called. Reads are rare enough for the store to bear those of all daemons.
+    async fn read_stored_origins(&self) -> bool {
+        let called_at = self.now();
+        let mut started_at = self.stored_origin_reads.started_at.lock().await;
+        if *started_at >= Some(called_at) {
+            return true;
+        }
+        let now = self.now();
+        if started_at.is_some_and(|at| now.since(at) < STORE_READ_INTERVAL) {
+            return false;
+        }
+        *started_at = Some(now);
+        if rand::random_range(0..self.daemons().max(1)) >= MAX_STORE_READERS {
+            return false;
+        }
+        let reading = timeout(STORE_READ_TIMEOUT, self.store.stream_origins()).await;
+        let (outcome, objects) = match reading {
+            Ok(Ok(listing)) => ("read".to_owned(), listing.items),
+            Ok(Err(error)) => (error.to_string(), Vec::new()),
+            Err(elapsed) => (elapsed.to_string(), Vec::new()),
+        };
+        let fields: &[(&str, &dyn Display)] = &[
+            ("objects", &objects.len()),
+            ("outcome", &format!("{outcome:?}")),
+        ];
+        self.log.write(self.now(), "stream-origins-read", fields);
+        let now = self.now();
+        let mut tables = self.tables();
+        for stored in &objects {
+            tables.stream_origins.restore(&stored.records, now);
+        }
+        !objects.is_empty()
+    }
+
     /// The software versions of the runners, for the lease record.
     pub(crate) fn version_record(&self, now: Timestamp) -> Option<VersionRecord> {
         let tables = self.tables();
--- a/crates/ingress/tests/ingress/software_versions.rs
+++ b/crates/ingress/tests/ingress/software_versions.rs
@@ -350,6 +350,36 @@
     assert_eq!(other.received().len(), 0);
 }
 
+/// Guards against streams that are refused until a coordinator is elected: the daemon that is left has not heard of them,
+/// but they are in the store.
+#[tokio::test(flavor = "multi_thread")]
+async fn streams_are_taken_up_at_once_after_the_coordinator_and_its_standbys_were_killed() {
+    let first = ScriptedRunner::start(vec![Behaviour::SlowEvents(1, 60)]).await;
+    let other = ScriptedRunner::start(Vec::new()).await;
+    let both = vec![runner(0, &first, "v1"), runner(1, &other, "v2")];
+    let mut cluster = Cluster::start(both, &["z0", "z0", "z0", "z0", "z0"]).await;
+    first.set_script(vec![Behaviour::SlowEvents(1, 60); 4]);
+    other.set_script(vec![Behaviour::SlowEvents(1, 60); 4]);
+    for number in 0..4 {
+        begin_stream(cluster.daemon(3), &format!("first-{number}")).await;
+    }
+    let began_at_first = first.received().len();
+    sleep(Duration::from_millis(500)).await;
+    for daemon in 0..4 {
+        cluster.kill(daemon);
+    }
+    first.set_script(vec![Behaviour::Events(2, 4); 4]);
+    other.set_script(vec![Behaviour::Events(2, 4); 4]);
+    for number in 0..4 {
+        let began_as = format!("first-{number}");
+        let request = take_up(cluster.daemon(4), &format!("second-{number}"), &began_as);
+        let response = request.send().await.unwrap();
+        assert_eq!(response.status(), 200, "stream {number}");
+        response.text().await.unwrap();
+    }
+    assert_eq!(first.received().len(), 2 * began_at_first);
+}
+
 /// Guards against forgetting a version whose runners have gone before all daemons were killed.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_version_that_left_before_all_daemons_restarted_counts() {
--- a/crates/routing/src/stream_origins/mod.rs
+++ b/crates/routing/src/stream_origins/mod.rs
@@ -202,7 +202,7 @@
     }
 
     /// Records origins that were read from the store.
-    fn restore(&mut self, records: &StreamOriginRecords, now: Timestamp) {
+    pub fn restore(&mut self, records: &StreamOriginRecords, now: Timestamp) {
         self.apply(records, now);
         self.set_stored(records, true);
     }
